Start the workspace: error table, internal protocol, fleet file types

Cause: an empty repository; crates that several people fill at once need their shared types first. Change: a Cargo workspace with one crate per job, the closed list of error kinds with its answer table, the rkyv messages between processes with framing, the types of the fleet file, and the HTTP contract with back ends.

--- /dev/null
+++ b/crates/errors/tests/table.rs
@@ -0,0 +1,46 @@
+//! Walks the table from error kind to answer.
+
+use std::{collections::HashSet, time::Duration};
+
+use linnethitch_errors::{ErrorKind, Executed, Failure};
+
+#[test]
+fn codes_are_unique_and_found_again() {
+    let mut seen = HashSet::new();
+    for kind in ErrorKind::ALL {
+        assert!(seen.insert(kind.answer().code), "{kind} stands twice");
+        assert_eq!(ErrorKind::from_code(kind.answer().code), Some(*kind));
+    }
+}
+
+#[test]
+fn every_answer_is_an_http_error() {
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        assert!((400..600).contains(&answer.status), "{kind}");
+        assert!(!kind.description().trim().is_empty(), "{kind}");
+    }
+}
+
+#[test]
+fn rate_limits_never_ran_and_can_be_retried() {
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        if answer.status == 429 {
+            assert_eq!(answer.executed, Executed::No, "{kind}");
+            assert!(answer.retryable, "{kind}");
+        }
+    }
+}
+
+#[test]
+fn the_body_carries_every_field() {
+    let failure = Failure::new(ErrorKind::Overloaded, "queue full")
+        .with_param("model")
+        .with_retry_after(Duration::from_millis(1200));
+    let body = failure.body();
+    assert_eq!(body["error"]["code"], "overloaded");
+    assert_eq!(body["error"]["executed"], "no");
+    assert_eq!(body["error"]["param"], "model");
+    assert_eq!(failure.retry_after_seconds(), Some(2));
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/frame.rs
@@ -0,0 +1,155 @@
+//! Framing: length, format version, kind and checksum before each message.
+//!
+//! Layout, little endian: `u32` length of the payload, `u16` format version,
+//! `u16` kind, `u32` CRC-32 of the payload, payload. The payload is padded by
+//! the reader into an aligned buffer before rkyv checks it.
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use rkyv::{
+    Archive, Deserialize, Serialize,
+    api::high::{HighDeserializer, HighSerializer, HighValidator},
+    bytecheck::CheckBytes,
+    rancor,
+    ser::allocator::ArenaHandle,
+    util::AlignedVec,
+};
+
+/// Version of the internal format that this build writes.
+pub const FORMAT_VERSION: u16 = 1;
+/// Oldest version that this build still reads.
+pub const OLDEST_READABLE_VERSION: u16 = 1;
+/// Bytes before the payload.
+pub const HEADER_BYTES: usize = 12;
+/// Longest payload that is accepted, in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 16 * 1024 * 1024;
+
+/// What a frame holds, so that a stream can carry several message types.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u16)]
+pub enum FrameKind {
+    /// The opening exchange that proves the cluster key.
+    Handshake = 1,
+    /// [`crate::attach::GatewayMessage`].
+    Gateway = 2,
+    /// [`crate::attach::ControlMessage`].
+    Control = 3,
+    /// [`crate::attach::PeerMessage`].
+    Peer = 4,
+}
+
+impl FrameKind {
+    fn from_number(number: u16) -> Option<Self> {
+        match number {
+            1 => Some(FrameKind::Handshake),
+            2 => Some(FrameKind::Gateway),
+            3 => Some(FrameKind::Control),
+            4 => Some(FrameKind::Peer),
+            _ => None,
+        }
+    }
+}
+
+/// A parsed frame header.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrameHeader {
+    /// Bytes of the payload.
+    pub length: usize,
+    /// What it holds.
+    pub kind: FrameKind,
+    /// CRC-32 of the payload.
+    pub checksum: u32,
+}
+
+fn malformed(reason: String) -> Report<ErrorKind> {
+    Report::new(ErrorKind::MalformedRequest).attach(reason)
+}
+
+/// Encodes a message with rkyv.
+///
+/// # Errors
+/// `Internal` when the message cannot be encoded.
+pub fn encode<T>(message: &T) -> Result<AlignedVec, Report<ErrorKind>>
+where
+    T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, rancor::Error>>,
+{
+    rkyv::to_bytes::<rancor::Error>(message)
+        .map_err(|error| Report::new(ErrorKind::Internal).attach(error.to_string()))
+}
+
+/// Checks and decodes bytes of any alignment.
+///
+/// # Errors
+/// `MalformedRequest` when the bytes are not a valid message of this type.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, Report<ErrorKind>>
+where
+    T: Archive,
+    T::Archived: for<'a> CheckBytes<HighValidator<'a, rancor::Error>>
+        + Deserialize<T, HighDeserializer<rancor::Error>>,
+{
+    let mut aligned: AlignedVec = AlignedVec::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<T, rancor::Error>(&aligned).map_err(|error| malformed(error.to_string()))
+}
+
+/// Writes header and payload into one buffer.
+///
+/// # Errors
+/// `BodyTooLarge` when the message exceeds [`MAX_PAYLOAD_BYTES`].
+pub fn write_frame<T>(kind: FrameKind, message: &T) -> Result<Vec<u8>, Report<ErrorKind>>
+where
+    T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, rancor::Error>>,
+{
+    let payload = encode(message)?;
+    if payload.len() > MAX_PAYLOAD_BYTES {
+        return Err(Report::new(ErrorKind::BodyTooLarge)
+            .attach(format!("a message of {} bytes", payload.len())));
+    }
+    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&FORMAT_VERSION.to_le_bytes());
+    frame.extend_from_slice(&(kind as u16).to_le_bytes());
+    frame.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    frame.extend_from_slice(&payload);
+    Ok(frame)
+}
+
+/// Reads a header; nothing is allocated before the length is known to be allowed.
+///
+/// # Errors
+/// `MalformedRequest` for an unknown kind, version or length.
+pub fn read_header(bytes: &[u8; HEADER_BYTES]) -> Result<FrameHeader, Report<ErrorKind>> {
+    let length = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize;
+    let version = u16::from_le_bytes([bytes[4], bytes[5]]);
+    let number = u16::from_le_bytes([bytes[6], bytes[7]]);
+    let checksum = u32::from_le_bytes([bytes[8], bytes[9], bytes[10], bytes[11]]);
+    if !(OLDEST_READABLE_VERSION..=FORMAT_VERSION).contains(&version) {
+        return Err(malformed(format!("format version {version}")));
+    }
+    if length > MAX_PAYLOAD_BYTES {
+        return Err(malformed(format!("a payload of {length} bytes")));
+    }
+    let kind = FrameKind::from_number(number)
+        .ok_or_else(|| malformed(format!("a frame of kind {number}")))?;
+    Ok(FrameHeader {
+        length,
+        kind,
+        checksum,
+    })
+}
+
+/// Checks a payload against its header and decodes it.
+///
+/// # Errors
+/// `Corrupted` when the checksum differs, `MalformedRequest` when rkyv refuses it.
+pub fn read_payload<T>(header: &FrameHeader, payload: &[u8]) -> Result<T, Report<ErrorKind>>
+where
+    T: Archive,
+    T::Archived: for<'a> CheckBytes<HighValidator<'a, rancor::Error>>
+        + Deserialize<T, HighDeserializer<rancor::Error>>,
+{
+    if crc32fast::hash(payload) != header.checksum {
+        return Err(Report::new(ErrorKind::Corrupted).attach("the frame's checksum differs"));
+    }
+    decode(payload)
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,17 @@
+//! Typed messages between linnethitch's own processes and their framing.
+//!
+//! All messages derive rkyv's traits and are validated before use. The
+//! messages are plain data: no behaviour of a role lives here.
+
+#![allow(
+    missing_docs,
+    reason = "rkyv's derive generates undocumented fields for enum variants"
+)]
+
+pub mod attach;
+pub mod command;
+pub mod consensus;
+pub mod fleet;
+pub mod frame;
+pub mod ids;
+pub mod query;
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! See `docs/ARCHITECTURE.md`.
