--- /dev/null
+++ b/crates/storage/src/file_system.rs
@@ -0,0 +1,141 @@
+//! The small abstraction of one data folder that all storage code uses.
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+
+/// The result of a storage operation.
+///
+/// Kinds used: `StorageFull` (nothing was stored), `Corrupted` (a checksum
+/// failed), `NotFound`, `DataFolderRefused` and `Io`.
+pub type StorageResult<T> = Result<T, Report<ErrorKind>>;
+
+/// How a file is opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenMode {
+    /// An existing file, for reading only.
+    Read,
+    /// An existing file, for reading and writing.
+    Write,
+    /// A file that must not exist yet, for reading and writing.
+    CreateNew,
+    /// A new file, or an existing one emptied, for reading and writing.
+    CreateOrTruncate,
+}
+
+/// One open file.
+///
+/// Written bytes last only after [`File::sync`], and a created or renamed file
+/// only after [`FileSystem::sync_directory`] of its directory.
+pub trait File: Send + Sync {
+    /// The length in bytes.
+    ///
+    /// # Errors
+    /// `Io`.
+    fn length(&self) -> StorageResult<u64>;
+
+    /// Fills the buffer from the offset on; fewer bytes are read only at the file's end.
+    ///
+    /// # Errors
+    /// `Io`.
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> StorageResult<usize>;
+
+    /// Writes all bytes at the offset, extending the file where needed.
+    ///
+    /// # Errors
+    /// `StorageFull` (some of the bytes may have been written), `Io`.
+    fn write_at(&mut self, offset: u64, data: &[u8]) -> StorageResult<()>;
+
+    /// Cuts the file to this length.
+    ///
+    /// # Errors
+    /// `Io`.
+    fn truncate(&mut self, length: u64) -> StorageResult<()>;
+
+    /// Makes everything written so far last.
+    ///
+    /// # Errors
+    /// `Io`. A failed sync may have lost what was written; callers must not go on.
+    fn sync(&mut self) -> StorageResult<()>;
+}
+
+/// Holds the lock on a data folder until dropped.
+pub trait FolderLock: Send + Sync {}
+
+/// Files under one data folder. Paths are relative to it, with `/` between names.
+pub trait FileSystem: Send + Sync {
+    /// Creates a directory and its parents; an existing one is fine.
+    ///
+    /// # Errors
+    /// `StorageFull`, `Io`.
+    fn create_directory(&self, path: &str) -> StorageResult<()>;
+
+    /// The names in a directory, sorted; `""` is the data folder itself.
+    ///
+    /// # Errors
+    /// `NotFound`, `Io`.
+    fn list(&self, directory: &str) -> StorageResult<Vec<String>>;
+
+    /// Opens a file.
+    ///
+    /// # Errors
+    /// `NotFound`, `StorageFull`, `Io` (also when a file to create exists).
+    fn open(&self, path: &str, mode: OpenMode) -> StorageResult<Box<dyn File>>;
+
+    /// Whether a file or directory exists.
+    ///
+    /// # Errors
+    /// `Io`.
+    fn exists(&self, path: &str) -> StorageResult<bool>;
+
+    /// Renames a file or directory, replacing an existing file.
+    ///
+    /// # Errors
+    /// `NotFound`, `Io`.
+    fn rename(&self, from: &str, to: &str) -> StorageResult<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// `NotFound`, `Io`.
+    fn remove(&self, path: &str) -> StorageResult<()>;
+
+    /// Makes creations, renames and removals in a directory last.
+    ///
+    /// # Errors
+    /// `Io`. As with [`File::sync`], callers must not go on.
+    fn sync_directory(&self, directory: &str) -> StorageResult<()>;
+
+    /// Bytes that can still be stored.
+    ///
+    /// # Errors
+    /// `Io`.
+    fn free_bytes(&self) -> StorageResult<u64>;
+
+    /// Takes the one lock on the data folder.
+    ///
+    /// # Errors
+    /// `DataFolderRefused` when another process holds it, `Io`.
+    fn lock(&self) -> StorageResult<Box<dyn FolderLock>>;
+}
+
+/// Reads a whole file, refusing one that is longer than the bound.
+///
+/// # Errors
+/// `NotFound`, `Corrupted` when the file exceeds `max_bytes`, `Io`.
+pub fn read_whole(
+    file_system: &dyn FileSystem,
+    path: &str,
+    max_bytes: u64,
+) -> StorageResult<Vec<u8>> {
+    let file = file_system.open(path, OpenMode::Read)?;
+    let length = file.length()?;
+    if length > max_bytes {
+        return Err(Report::new(ErrorKind::Corrupted).attach(format!(
+            "{path} holds {length} bytes, more than the {max_bytes} allowed"
+        )));
+    }
+    let mut content = vec![0; length as usize];
+    let read = file.read_at(0, &mut content)?;
+    content.truncate(read);
+    Ok(content)
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,18 @@
-//! See `docs/ARCHITECTURE.md`.
+//! State that survives: files under one data folder, lasting only once synced.
+//!
+//! Everything here works over [`FileSystem`], a small abstraction of one data
+//! folder, so that the same code runs on a real disk and on the simulator's
+//! virtual one, which loses and tears what was not synced.
+
+#![allow(
+    missing_docs,
+    reason = "rkyv's derive generates undocumented fields for enum variants"
+)]
+
+pub mod file_system;
+pub mod payload;
+pub mod real;
+
+pub use file_system::{File, FileSystem, FolderLock, OpenMode, StorageResult};
+pub use payload::{MemoryPayloads, PayloadRef, Payloads};
+pub use real::RealFileSystem;
--- /dev/null
+++ b/crates/storage/src/payload/mod.rs
@@ -0,0 +1,66 @@
+//! Big payloads (input files, results) outside the state machine's memory.
+
+mod memory;
+
+pub use memory::MemoryPayloads;
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::file_system::StorageResult;
+
+/// Where a payload lies on this member's disk. Other members store it elsewhere.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Archive, Serialize, Deserialize,
+)]
+pub struct PayloadRef {
+    /// Number of the segment.
+    pub segment: u32,
+    /// Byte offset of the record in the segment.
+    pub offset: u32,
+    /// Bytes of the payload.
+    pub length: u32,
+}
+
+/// A store of payloads.
+///
+/// Payloads last only once synced. A released payload stays readable until a
+/// newer checkpoint of the state machine is durable, so that a replay after a
+/// crash finds everything that it reads.
+pub trait Payloads: Send {
+    /// Stores a payload.
+    ///
+    /// # Errors
+    /// `StorageFull` (nothing was stored), `BodyTooLarge`, `Io`.
+    fn append(&mut self, data: &[u8]) -> StorageResult<PayloadRef>;
+
+    /// Reads a payload and checks it.
+    ///
+    /// # Errors
+    /// `NotFound`, `Corrupted`, `Io`.
+    fn read(&self, payload: &PayloadRef) -> StorageResult<Vec<u8>>;
+
+    /// Reads a part of a payload; less is returned only at the payload's end.
+    ///
+    /// Parts are checked block by block, so a small part of a large payload is cheap.
+    ///
+    /// # Errors
+    /// `NotFound`, `Corrupted`, `Io`.
+    fn read_range(
+        &self,
+        payload: &PayloadRef,
+        offset: u32,
+        length: usize,
+    ) -> StorageResult<Vec<u8>>;
+
+    /// Gives a payload up; its space is reclaimed later.
+    fn release(&mut self, payload: &PayloadRef);
+
+    /// Makes everything appended so far last.
+    ///
+    /// # Errors
+    /// `StorageFull`, `Io`.
+    fn sync(&mut self) -> StorageResult<()>;
+
+    /// Bytes of payloads that were not released.
+    fn live_bytes(&self) -> u64;
+}
