Add process settings, JSON logs and the two example fleets

Settings come from a TOML file with flags over it and are checked as a whole before anything starts; errors name file, line and field.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -248,37 +248,9 @@
     /// # Errors
     /// A [`FleetError`] that names line and field.
     pub fn parse(text: &str) -> Result<Fleet, FleetError> {
-        toml::from_str(text).map_err(|error| FleetError {
-            line: error
-                .span()
-                .map(|span| 1 + text[..span.start].matches('\n').count()),
-            field: String::new(),
-            message: error.message().to_owned(),
-        })
+        toml::from_str(text).map_err(|error| FleetError::from_toml(text, &error))
     }
 }
 
 /// What is wrong with a fleet file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FleetError {
-    /// The line, from 1, where it is known.
-    pub line: Option<usize>,
-    /// The field, such as `model[0].placement[1].zone`; empty where the syntax is at fault.
-    pub field: String,
-    /// What is wrong.
-    pub message: String,
-}
-
-impl std::fmt::Display for FleetError {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        if let Some(line) = self.line {
-            write!(formatter, "line {line}: ")?;
-        }
-        if !self.field.is_empty() {
-            write!(formatter, "{}: ", self.field)?;
-        }
-        formatter.write_str(&self.message)
-    }
-}
-
-impl std::error::Error for FleetError {}
+pub type FleetError = crate::locate::FieldError;
--- /dev/null
+++ b/crates/config/src/settings/gateway.rs
@@ -0,0 +1,187 @@
+//! Settings of a gateway.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    LogSettings, SettingsError,
+    check::Checker,
+    load::{LoadedFile, read_values},
+};
+use crate::locate::FieldError;
+
+/// Default size of the decision journal, in bytes.
+pub const DEFAULT_JOURNAL_MAX_BYTES: u64 = 64 * 1024 * 1024;
+/// Smallest size of the decision journal, in bytes.
+const MIN_JOURNAL_BYTES: u64 = 64 * 1024;
+
+/// Limits of one gateway process that hold whatever the fleet file says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayLimits {
+    /// Callers' connections at once; more wait in the listen queue.
+    pub max_connections: u32,
+    /// Bytes of a request's headers.
+    pub max_header_bytes: u32,
+    /// Longest time for a request's headers, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Bytes of an uploaded file that are held in memory at once.
+    pub upload_buffer_bytes: u32,
+    /// Batch items running at once.
+    pub max_batch_items: u32,
+    /// Longest planned stop: requests still running then are ended with an error, in milliseconds.
+    pub drain_timeout_ms: u64,
+}
+
+impl Default for GatewayLimits {
+    fn default() -> Self {
+        GatewayLimits {
+            max_connections: 4_096,
+            max_header_bytes: 64 * 1024,
+            header_timeout_ms: 10_000,
+            upload_buffer_bytes: 1024 * 1024,
+            max_batch_items: 256,
+            drain_timeout_ms: 300_000,
+        }
+    }
+}
+
+/// Complete settings of a gateway.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Name of the process, unique in the fleet.
+    pub gateway_id: String,
+    /// The zone that it runs in.
+    pub zone: String,
+    /// The region of that zone.
+    pub region: String,
+    /// Where callers connect.
+    pub listen_address: SocketAddr,
+    /// Attach addresses of the control members.
+    pub control_addresses: Vec<SocketAddr>,
+    /// Name of the cluster.
+    pub cluster: String,
+    /// File with the key that proves membership of the cluster.
+    pub cluster_key_file: PathBuf,
+    /// Folder for the stored configuration and the decision journal.
+    pub data_dir: PathBuf,
+    /// Log levels.
+    pub log: LogSettings,
+    /// Size of the decision journal, in bytes.
+    pub journal_max_bytes: u64,
+    /// Limits of this process.
+    pub limits: GatewayLimits,
+}
+
+/// Settings of a gateway as a file or the flags give them, in part.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[allow(missing_docs, reason = "the fields are those of GatewaySettings")]
+pub struct GatewayValues {
+    pub gateway_id: Option<String>,
+    pub zone: Option<String>,
+    pub region: Option<String>,
+    pub listen_address: Option<SocketAddr>,
+    pub control_addresses: Option<Vec<SocketAddr>>,
+    pub cluster: Option<String>,
+    pub cluster_key_file: Option<PathBuf>,
+    pub data_dir: Option<PathBuf>,
+    pub log: Option<LogSettings>,
+    pub journal_max_bytes: Option<u64>,
+    pub limits: Option<GatewayLimits>,
+}
+
+impl GatewayValues {
+    /// These values, with those that `flags` gives in their place.
+    #[must_use]
+    pub fn overridden_by(self, flags: GatewayValues) -> Self {
+        GatewayValues {
+            gateway_id: flags.gateway_id.or(self.gateway_id),
+            zone: flags.zone.or(self.zone),
+            region: flags.region.or(self.region),
+            listen_address: flags.listen_address.or(self.listen_address),
+            control_addresses: flags.control_addresses.or(self.control_addresses),
+            cluster: flags.cluster.or(self.cluster),
+            cluster_key_file: flags.cluster_key_file.or(self.cluster_key_file),
+            data_dir: flags.data_dir.or(self.data_dir),
+            log: flags.log.or(self.log),
+            journal_max_bytes: flags.journal_max_bytes.or(self.journal_max_bytes),
+            limits: flags.limits.or(self.limits),
+        }
+    }
+
+    fn complete(self, text: &str) -> Result<GatewaySettings, FieldError> {
+        let checker = Checker { text };
+        let settings = GatewaySettings {
+            gateway_id: checker.required("gateway_id", self.gateway_id)?,
+            zone: checker.required("zone", self.zone)?,
+            region: checker.required("region", self.region)?,
+            listen_address: checker.required("listen_address", self.listen_address)?,
+            control_addresses: checker.required("control_addresses", self.control_addresses)?,
+            cluster: checker.required("cluster", self.cluster)?,
+            cluster_key_file: checker.required("cluster_key_file", self.cluster_key_file)?,
+            data_dir: checker.required("data_dir", self.data_dir)?,
+            log: self.log.unwrap_or_default(),
+            journal_max_bytes: self.journal_max_bytes.unwrap_or(DEFAULT_JOURNAL_MAX_BYTES),
+            limits: self.limits.unwrap_or_default(),
+        };
+        settings.check(&checker)?;
+        Ok(settings)
+    }
+}
+
+impl GatewaySettings {
+    /// Reads a settings file, if one is named, and puts the flags over it.
+    ///
+    /// # Errors
+    /// Names the file, line and field at fault.
+    pub fn load(file: Option<&Path>, flags: GatewayValues) -> Result<Self, SettingsError> {
+        let LoadedFile { text, values } = read_values::<GatewayValues>(file)?;
+        values
+            .overridden_by(flags)
+            .complete(&text)
+            .map_err(|error| SettingsError::Invalid {
+                file: file.map(Path::to_owned),
+                error,
+            })
+    }
+
+    fn check(&self, checker: &Checker<'_>) -> Result<(), FieldError> {
+        checker.name("gateway_id", &self.gateway_id)?;
+        checker.name("zone", &self.zone)?;
+        checker.name("region", &self.region)?;
+        checker.name("cluster", &self.cluster)?;
+        if self.control_addresses.is_empty() {
+            return checker.fail("control_addresses", "at least one address is needed");
+        }
+        for address in &self.control_addresses {
+            checker.reachable("control_addresses", *address)?;
+        }
+        checker.at_least(
+            "journal_max_bytes",
+            self.journal_max_bytes,
+            MIN_JOURNAL_BYTES,
+        )?;
+        self.limits.check(checker)
+    }
+}
+
+impl GatewayLimits {
+    fn check(&self, checker: &Checker<'_>) -> Result<(), FieldError> {
+        let limits = [
+            ("max_connections", u64::from(self.max_connections)),
+            ("max_header_bytes", u64::from(self.max_header_bytes)),
+            ("header_timeout_ms", self.header_timeout_ms),
+            ("upload_buffer_bytes", u64::from(self.upload_buffer_bytes)),
+            ("drain_timeout_ms", self.drain_timeout_ms),
+        ];
+        for (field, value) in limits {
+            checker.positive_in("limits", field, value)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/config/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the fleet file and the settings files.
+
+mod examples;
+mod settings;
--- /dev/null
+++ b/crates/observability/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of logs, journal and metrics.
+
+mod log;
