--- a/crates/observability/src/log.rs
+++ b/crates/observability/src/log.rs
@@ -69,14 +69,12 @@
     }
 
     /// The logger; clones are cheap and stay valid.
-    #[must_use]
     pub fn logger(&self) -> Logger {
         self.logger.clone()
     }
 }
 
 /// A logger that writes nothing, for tests.
-#[must_use]
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
 }
