Add authenticated framed connections between processes

Send queues are bounded by frames and bytes with back pressure, or drop the oldest soft state; silence, slow readers and damaged frames end a connection. Bytes and frames are counted by kind as written to and read from the socket.

--- /dev/null
+++ b/crates/transport/src/connection.rs
@@ -0,0 +1,199 @@
+//! Opening a connection and sending on it.
+
+use std::{marker::PhantomData, net::SocketAddr, sync::Arc};
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use tokio::{net::TcpStream, sync::watch, time::timeout};
+
+use crate::{
+    handshake,
+    key::ClusterIdentity,
+    message::WireMessage,
+    options::ConnectionOptions,
+    queue::{QueuedFrame, SendQueue, SendRefused},
+    receiver::MessageReceiver,
+    traffic::Traffic,
+    writer,
+};
+
+/// An open, authenticated connection.
+#[derive(Debug)]
+pub struct Connection<Incoming, Outgoing> {
+    /// The peer's address.
+    pub peer: SocketAddr,
+    /// Sends; cheap to clone.
+    pub sender: MessageSender<Outgoing>,
+    /// Receives; dropping it ends the connection.
+    pub receiver: MessageReceiver<Incoming>,
+}
+
+impl<Incoming: WireMessage, Outgoing: WireMessage> Connection<Incoming, Outgoing> {
+    /// Starts the writer of a stream whose handshake is done.
+    pub(crate) fn start(
+        stream: TcpStream,
+        peer: SocketAddr,
+        options: ConnectionOptions,
+        traffic: Arc<Traffic>,
+        permit: Option<tokio::sync::OwnedSemaphorePermit>,
+    ) -> Self {
+        let (read_half, write_half) = stream.into_split();
+        let queue = Arc::new(SendQueue::new(options.queue_frames, options.queue_bytes));
+        let (ended, writer_ended) = watch::channel(false);
+        let writer = writer::write_frames(
+            write_half,
+            Arc::clone(&queue),
+            ended,
+            options,
+            Arc::clone(&traffic),
+        );
+        tokio::spawn(async move {
+            writer.await;
+            drop(permit);
+        });
+        let sender = MessageSender {
+            queue: Arc::clone(&queue),
+            handles: Arc::new(CloseOnDrop(Arc::clone(&queue))),
+            message: PhantomData,
+        };
+        let receiver = MessageReceiver::new(read_half, queue, writer_ended, options, traffic);
+        Connection {
+            peer,
+            sender,
+            receiver,
+        }
+    }
+
+    /// Both halves.
+    #[must_use]
+    pub fn split(self) -> (MessageSender<Outgoing>, MessageReceiver<Incoming>) {
+        (self.sender, self.receiver)
+    }
+}
+
+/// Closes the queue when the last sender goes.
+#[derive(Debug)]
+struct CloseOnDrop(Arc<SendQueue>);
+
+impl Drop for CloseOnDrop {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
+/// Sends messages of one type. The connection closes for writing when the
+/// last clone is dropped and everything queued is written.
+#[derive(Debug)]
+pub struct MessageSender<Outgoing> {
+    queue: Arc<SendQueue>,
+    handles: Arc<CloseOnDrop>,
+    message: PhantomData<fn(Outgoing)>,
+}
+
+impl<Outgoing> Clone for MessageSender<Outgoing> {
+    fn clone(&self) -> Self {
+        MessageSender {
+            queue: Arc::clone(&self.queue),
+            handles: Arc::clone(&self.handles),
+            message: PhantomData,
+        }
+    }
+}
+
+impl<Outgoing: WireMessage> MessageSender<Outgoing> {
+    /// Queues a message if there is room now.
+    ///
+    /// # Errors
+    /// The reason why it was not queued.
+    pub fn try_send(&self, message: &Outgoing) -> Result<(), SendRefused> {
+        self.queue
+            .push(encode(message, false)?)
+            .map_err(|(reason, _)| reason)
+    }
+
+    /// Queues a message that loses its worth when a newer one follows; where
+    /// the queue is full, the oldest such message is dropped for it.
+    ///
+    /// # Errors
+    /// The reason why it was not queued.
+    pub fn send_soft(&self, message: &Outgoing) -> Result<(), SendRefused> {
+        self.queue.push_dropping_oldest(encode(message, true)?)
+    }
+
+    /// Queues a message, waiting for room.
+    ///
+    /// # Errors
+    /// `Closed` when the connection has ended, `NotEncodable` for a message without a frame.
+    pub async fn send(&self, message: &Outgoing) -> Result<(), SendRefused> {
+        let mut frame = encode(message, false)?;
+        loop {
+            let writable = self.queue.writable();
+            frame = match self.queue.push(frame) {
+                Ok(()) => return Ok(()),
+                Err((SendRefused::Full, frame)) => frame,
+                Err((reason, _)) => return Err(reason),
+            };
+            writable.await;
+        }
+    }
+
+    /// Ends the connection for writing once everything queued is written.
+    pub fn close(&self) {
+        self.queue.close();
+    }
+
+    /// Soft-state messages that were dropped for newer ones.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.queue.dropped()
+    }
+}
+
+fn encode<M: WireMessage>(message: &M, droppable: bool) -> Result<QueuedFrame, SendRefused> {
+    let bytes = message
+        .to_frame()
+        .map_err(|report| SendRefused::NotEncodable(*report.current_context()))?;
+    Ok(QueuedFrame {
+        kind: M::KIND,
+        bytes,
+        droppable,
+    })
+}
+
+/// Connects to a listener and proves the cluster key.
+///
+/// # Errors
+/// `Io` when the peer cannot be reached in time, `PeerRefused` when either
+/// side refuses the other.
+pub async fn connect<Incoming, Outgoing>(
+    address: &str,
+    identity: &ClusterIdentity,
+    options: ConnectionOptions,
+    traffic: Arc<Traffic>,
+) -> Result<Connection<Incoming, Outgoing>, Report<ErrorKind>>
+where
+    Incoming: WireMessage,
+    Outgoing: WireMessage,
+{
+    let opening = async {
+        let mut stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| io_failed(address, &error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| io_failed(address, &error.to_string()))?;
+        handshake::initiate(&mut stream, identity, &traffic).await?;
+        let peer = stream
+            .peer_addr()
+            .map_err(|error| io_failed(address, &error.to_string()))?;
+        Ok::<_, Report<ErrorKind>>((stream, peer))
+    };
+    let (stream, peer) = timeout(options.open_timeout, opening)
+        .await
+        .map_err(|_| io_failed(address, "no answer in time"))??;
+    Ok(Connection::start(stream, peer, options, traffic, None))
+}
+
+fn io_failed(address: &str, reason: &str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::Io).attach(format!("connect to {address}: {reason}"))
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,30 @@
-//! See `docs/ARCHITECTURE.md`.
+//! Framed, authenticated TCP connections between linnethitch's own processes.
+//!
+//! A connection starts with a handshake in which both sides prove that they
+//! hold the cluster key . After it, typed messages travel in
+//! frames ([`linnethitch_protocol::frame`]). Send queues are bounded
+//! ([`ConnectionOptions`]); silence and slow readers end a
+//! connection after a fixed time. The connection is authenticated at its start
+//! only and is not encrypted: it is meant for a private network.
+
+mod backoff;
+mod connection;
+mod handshake;
+mod key;
+mod listener;
+mod message;
+mod options;
+mod queue;
+mod receiver;
+mod traffic;
+mod writer;
+
+pub use backoff::Backoff;
+pub use connection::{Connection, MessageSender, connect};
+pub use key::{ClusterIdentity, ClusterKey};
+pub use listener::{IncomingConnection, Listener};
+pub use message::WireMessage;
+pub use options::ConnectionOptions;
+pub use queue::SendRefused;
+pub use receiver::MessageReceiver;
+pub use traffic::{KindTraffic, Traffic, TrafficSnapshot};
--- /dev/null
+++ b/crates/transport/src/receiver.rs
@@ -0,0 +1,121 @@
+//! The receiving half of a connection.
+
+use std::{marker::PhantomData, sync::Arc};
+
+use bytes::{Buf, BytesMut};
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::frame::{self, FrameHeader, FrameKind, HEADER_BYTES};
+use tokio::{io::AsyncReadExt, net::tcp::OwnedReadHalf, sync::watch, time::timeout};
+
+use crate::{message::WireMessage, options::ConnectionOptions, queue::SendQueue, traffic::Traffic};
+
+/// Bytes by which the read buffer grows; what a peer announces is never allocated ahead.
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// A read buffer that grew beyond this is given back once it is empty.
+const KEPT_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Receives messages of one type. Dropping it ends the connection once
+/// queued frames are written.
+#[derive(Debug)]
+pub struct MessageReceiver<Incoming> {
+    socket: OwnedReadHalf,
+    buffer: BytesMut,
+    queue: Arc<SendQueue>,
+    writer_ended: watch::Receiver<bool>,
+    options: ConnectionOptions,
+    traffic: Arc<Traffic>,
+    message: PhantomData<fn() -> Incoming>,
+}
+
+impl<Incoming: WireMessage> MessageReceiver<Incoming> {
+    pub(crate) fn new(
+        socket: OwnedReadHalf,
+        queue: Arc<SendQueue>,
+        writer_ended: watch::Receiver<bool>,
+        options: ConnectionOptions,
+        traffic: Arc<Traffic>,
+    ) -> Self {
+        MessageReceiver {
+            socket,
+            buffer: BytesMut::new(),
+            queue,
+            writer_ended,
+            options,
+            traffic,
+            message: PhantomData,
+        }
+    }
+
+    /// The next message; `None` when the peer ended the connection between two frames.
+    ///
+    /// Cancel safe: a call that is dropped loses nothing.
+    ///
+    /// # Errors
+    /// `Io` when the connection broke or fell silent, `MalformedRequest` or
+    /// `Corrupted` when the peer sent something else than messages of this type.
+    pub async fn receive(&mut self) -> Result<Option<Incoming>, Report<ErrorKind>> {
+        loop {
+            if let Some((header, payload)) = self.take_frame()? {
+                if header.kind == FrameKind::Handshake && header.length == 0 {
+                    continue;
+                }
+                if header.kind != Incoming::KIND {
+                    return Err(Report::new(ErrorKind::MalformedRequest)
+                        .attach(format!("a frame of kind {:?}", header.kind)));
+                }
+                return Incoming::from_payload(&header, &payload).map(Some);
+            }
+            if !self.fill().await? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Cuts one whole frame off the buffer, if there is one.
+    fn take_frame(&mut self) -> Result<Option<(FrameHeader, BytesMut)>, Report<ErrorKind>> {
+        let Some(first) = self.buffer.first_chunk::<HEADER_BYTES>() else {
+            return Ok(None);
+        };
+        let header = frame::read_header(first)?;
+        let whole = HEADER_BYTES + header.length;
+        if self.buffer.len() < whole {
+            return Ok(None);
+        }
+        self.traffic.count_received(header.kind, whole);
+        self.buffer.advance(HEADER_BYTES);
+        let payload = self.buffer.split_to(header.length);
+        if self.buffer.is_empty() && payload.len() > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        Ok(Some((header, payload)))
+    }
+
+    /// Reads more; `false` at the end of the stream.
+    async fn fill(&mut self) -> Result<bool, Report<ErrorKind>> {
+        self.buffer.reserve(READ_CHUNK_BYTES);
+        let read = tokio::select! {
+            read = timeout(self.options.idle_timeout, self.socket.read_buf(&mut self.buffer)) => read,
+            _ = self.writer_ended.wait_for(|ended| *ended) => {
+                return Err(broken("the peer takes no more data"));
+            }
+        };
+        match read {
+            Err(_) => Err(broken("the peer has been silent for too long")),
+            Ok(Err(error)) => Err(broken(&error.to_string())),
+            Ok(Ok(0)) if self.buffer.is_empty() => Ok(false),
+            Ok(Ok(0)) => Err(broken("the connection ended within a frame")),
+            Ok(Ok(_)) => Ok(true),
+        }
+    }
+}
+
+impl<Incoming> Drop for MessageReceiver<Incoming> {
+    fn drop(&mut self) {
+        self.queue.close();
+    }
+}
+
+fn broken(reason: &str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::Io).attach(reason.to_owned())
+}
--- /dev/null
+++ b/crates/transport/src/traffic.rs
@@ -0,0 +1,119 @@
+//! Counts of bytes and frames, by frame kind.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use linnethitch_protocol::frame::FrameKind;
+
+/// Number of frame kinds that are counted.
+const KINDS: usize = 4;
+
+fn slot(kind: FrameKind) -> usize {
+    match kind {
+        FrameKind::Handshake => 0,
+        FrameKind::Gateway => 1,
+        FrameKind::Control => 2,
+        FrameKind::Peer => 3,
+    }
+}
+
+#[derive(Debug, Default)]
+struct KindCounters {
+    sent_bytes: AtomicU64,
+    sent_frames: AtomicU64,
+    received_bytes: AtomicU64,
+    received_frames: AtomicU64,
+}
+
+/// Bytes and frames on the wire, headers included; TCP's and IP's own headers are not counted.
+///
+/// Many connections may share one. Keep-alive frames count under
+/// [`FrameKind::Handshake`].
+#[derive(Debug, Default)]
+pub struct Traffic {
+    kinds: [KindCounters; KINDS],
+}
+
+/// Counts of one frame kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KindTraffic {
+    /// Bytes written to sockets.
+    pub sent_bytes: u64,
+    /// Frames written to sockets.
+    pub sent_frames: u64,
+    /// Bytes read from sockets.
+    pub received_bytes: u64,
+    /// Frames read from sockets.
+    pub received_frames: u64,
+}
+
+/// Counts at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TrafficSnapshot {
+    /// Handshakes and keep-alive frames.
+    pub handshake: KindTraffic,
+    /// Messages of gateways.
+    pub gateway: KindTraffic,
+    /// Messages to gateways.
+    pub control: KindTraffic,
+    /// Messages between control members.
+    pub peer: KindTraffic,
+}
+
+impl TrafficSnapshot {
+    /// Bytes written, of all kinds.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.all().iter().map(|kind| kind.sent_bytes).sum()
+    }
+
+    /// Bytes read, of all kinds.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        self.all().iter().map(|kind| kind.received_bytes).sum()
+    }
+
+    fn all(&self) -> [KindTraffic; KINDS] {
+        [self.handshake, self.gateway, self.control, self.peer]
+    }
+}
+
+impl Traffic {
+    /// Counts a frame that was written.
+    pub(crate) fn count_sent(&self, kind: FrameKind, bytes: usize) {
+        let counters = &self.kinds[slot(kind)];
+        counters
+            .sent_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+        counters.sent_frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a frame that was read.
+    pub(crate) fn count_received(&self, kind: FrameKind, bytes: usize) {
+        let counters = &self.kinds[slot(kind)];
+        counters
+            .received_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+        counters.received_frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts now.
+    #[must_use]
+    pub fn snapshot(&self) -> TrafficSnapshot {
+        TrafficSnapshot {
+            handshake: self.of(FrameKind::Handshake),
+            gateway: self.of(FrameKind::Gateway),
+            control: self.of(FrameKind::Control),
+            peer: self.of(FrameKind::Peer),
+        }
+    }
+
+    fn of(&self, kind: FrameKind) -> KindTraffic {
+        let counters = &self.kinds[slot(kind)];
+        KindTraffic {
+            sent_bytes: counters.sent_bytes.load(Ordering::Relaxed),
+            sent_frames: counters.sent_frames.load(Ordering::Relaxed),
+            received_bytes: counters.received_bytes.load(Ordering::Relaxed),
+            received_frames: counters.received_frames.load(Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/tests/all/connection.rs
@@ -0,0 +1,231 @@
+//! Messages, limits and ends of open connections.
+
+use std::time::Duration;
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    attach::GatewayMessage,
+    frame::{FrameKind, HEADER_BYTES},
+    ids::{ReplicaId, Revision},
+};
+use linnethitch_transport::{ConnectionOptions, SendRefused, WireMessage};
+use rstest::rstest;
+
+use crate::support::{pair, quick};
+
+fn large(bytes: usize) -> GatewayMessage {
+    GatewayMessage::Suspect(vec![ReplicaId("r".repeat(bytes))])
+}
+
+#[tokio::test]
+async fn messages_arrive_in_order_and_are_counted() {
+    let (mut server, client) = pair(quick()).await;
+    for revision in 0..1000 {
+        let message = GatewayMessage::Confirm(Revision(revision));
+        client.sender.send(&message).await.expect("sent");
+    }
+    for revision in 0..1000 {
+        let message = server.receiver.receive().await.expect("open");
+        assert_eq!(message, Some(GatewayMessage::Confirm(Revision(revision))));
+    }
+}
+
+#[tokio::test]
+async fn a_large_message_passes_and_an_oversized_one_is_refused() {
+    let (mut server, client) = pair(quick()).await;
+    client.sender.send(&large(8 << 20)).await.expect("sent");
+    let received = server.receiver.receive().await.expect("open");
+    assert_eq!(received, Some(large(8 << 20)));
+    assert_eq!(
+        client.sender.try_send(&large(17 << 20)),
+        Err(SendRefused::NotEncodable(ErrorKind::BodyTooLarge))
+    );
+}
+
+#[tokio::test]
+async fn a_dropped_sender_delivers_what_is_queued_and_ends_cleanly() {
+    let (mut server, client) = pair(quick()).await;
+    let (sender, _receiver) = client.split();
+    sender.try_send(&GatewayMessage::Heartbeat).expect("queued");
+    drop(sender);
+    let last = server.receiver.receive().await.expect("open");
+    assert_eq!(last, Some(GatewayMessage::Heartbeat));
+    assert_eq!(server.receiver.receive().await.expect("a clean end"), None);
+}
+
+#[tokio::test]
+async fn keep_alive_holds_a_quiet_connection_open() {
+    let (mut server, mut client) = pair(quick()).await;
+    let quiet = Duration::from_millis(1000);
+    let (server_end, client_end) = tokio::join!(
+        tokio::time::timeout(quiet, server.receiver.receive()),
+        tokio::time::timeout(quiet, client.receiver.receive())
+    );
+    assert!(server_end.is_err(), "nothing arrives and nothing breaks");
+    assert!(client_end.is_err(), "nothing arrives and nothing breaks");
+}
+
+#[tokio::test]
+async fn a_peer_that_does_not_read_costs_only_its_own_connection() {
+    let options = ConnectionOptions {
+        queue_frames: 8,
+        ..quick()
+    };
+    let (server, mut client) = pair(options).await;
+    let filled = loop {
+        match client.sender.try_send(&large(1 << 20)) {
+            Ok(()) => tokio::task::yield_now().await,
+            Err(reason) => break reason,
+        }
+    };
+    assert_eq!(filled, SendRefused::Full);
+    let end = client.receiver.receive().await.expect_err("given up");
+    assert_eq!(*end.current_context(), ErrorKind::Io);
+    assert_eq!(
+        client.sender.send(&GatewayMessage::Heartbeat).await,
+        Err(SendRefused::Closed)
+    );
+    drop(server);
+}
+
+#[tokio::test]
+async fn send_waits_for_room() {
+    let options = ConnectionOptions {
+        queue_frames: 2,
+        ..quick()
+    };
+    let (mut server, client) = pair(options).await;
+    let sending = async {
+        for _ in 0..64 {
+            client.sender.send(&large(1 << 20)).await.expect("sent");
+        }
+    };
+    let receiving = async {
+        for _ in 0..64 {
+            server.receiver.receive().await.expect("open");
+        }
+    };
+    tokio::join!(sending, receiving);
+}
+
+#[tokio::test]
+async fn soft_state_gives_way_to_newer_soft_state_but_never_to_nothing_else() {
+    let options = ConnectionOptions {
+        queue_frames: 4,
+        write_timeout: Duration::from_secs(20),
+        idle_timeout: Duration::from_secs(20),
+        ..quick()
+    };
+    let (mut server, client) = pair(options).await;
+    while client.sender.try_send(&large(4 << 20)).is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(
+        client.sender.send_soft(&GatewayMessage::Heartbeat),
+        Err(SendRefused::Full),
+        "firm messages are not dropped"
+    );
+    let mut received = 0;
+    while client.sender.dropped() == 0 {
+        client
+            .sender
+            .send_soft(&GatewayMessage::Confirm(Revision(received)))
+            .ok();
+        if client.sender.dropped() == 0 && received < 8 {
+            let _ = server.receiver.receive().await;
+        }
+        received += 1;
+        assert!(received < 100_000, "the queue never filled with soft state");
+    }
+}
+
+#[rstest]
+#[case::cut_within_a_header(HEADER_BYTES - 1, ErrorKind::Io)]
+#[case::cut_within_a_payload(HEADER_BYTES + 1, ErrorKind::Io)]
+#[tokio::test]
+async fn a_cut_frame_is_an_error_not_an_end(#[case] bytes: usize, #[case] expected: ErrorKind) {
+    let frame = GatewayMessage::Confirm(Revision(7))
+        .to_frame()
+        .expect("a frame");
+    let report = receive_raw(&frame[..bytes]).await.expect_err("broken");
+    assert_eq!(*report.current_context(), expected);
+}
+
+#[rstest]
+#[case::payload_byte(HEADER_BYTES, ErrorKind::Corrupted)]
+#[case::kind(6, ErrorKind::MalformedRequest)]
+#[case::version(5, ErrorKind::MalformedRequest)]
+#[case::length(3, ErrorKind::MalformedRequest)]
+#[tokio::test]
+async fn a_damaged_frame_is_refused(#[case] position: usize, #[case] expected: ErrorKind) {
+    let mut frame = GatewayMessage::Confirm(Revision(7))
+        .to_frame()
+        .expect("a frame");
+    frame[position] ^= 0x55;
+    let report = receive_raw(&frame).await.expect_err("refused");
+    assert_eq!(*report.current_context(), expected, "{report:?}");
+}
+
+#[tokio::test]
+async fn a_frame_of_another_kind_is_refused() {
+    let mut frame = GatewayMessage::Heartbeat.to_frame().expect("a frame");
+    frame[6..8].copy_from_slice(&(FrameKind::Peer as u16).to_le_bytes());
+    let report = receive_raw(&frame).await.expect_err("refused");
+    assert_eq!(*report.current_context(), ErrorKind::MalformedRequest);
+}
+
+/// What a server receives from a peer that writes these bytes after the handshake and goes.
+async fn receive_raw(
+    bytes: &[u8],
+) -> Result<Option<GatewayMessage>, error_stack::Report<ErrorKind>> {
+    let (listener, address) = crate::support::listen(quick()).await;
+    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let relay_address = relay.local_addr().expect("an address").to_string();
+    // The relay passes the handshake on, then puts its own bytes in place of the client's.
+    let relaying = async {
+        let (mut inner, _) = relay.accept().await.expect("accepted");
+        let mut outer = tokio::net::TcpStream::connect(&address)
+            .await
+            .expect("connected");
+        relay_handshake(&mut inner, &mut outer).await;
+        tokio::io::AsyncWriteExt::write_all(&mut outer, bytes)
+            .await
+            .expect("written");
+    };
+    let identity = crate::support::own_identity();
+    let (server, client, ()) = tokio::join!(
+        async { listener.accept().await.establish().await },
+        crate::support::dial(&relay_address, &identity, quick()),
+        relaying
+    );
+    let mut server: crate::support::ServerSide = server.expect("accepted");
+    let _client = client.expect("connected");
+    server.receiver.receive().await
+}
+
+/// Passes the four messages of a handshake between initiator and responder.
+async fn relay_handshake(
+    initiator: &mut tokio::net::TcpStream,
+    responder: &mut tokio::net::TcpStream,
+) {
+    for step in 0..4 {
+        if step % 2 == 0 {
+            relay_frame(initiator, responder).await;
+        } else {
+            relay_frame(responder, initiator).await;
+        }
+    }
+}
+
+async fn relay_frame(from: &mut tokio::net::TcpStream, to: &mut tokio::net::TcpStream) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut header = [0; HEADER_BYTES];
+    from.read_exact(&mut header).await.expect("a header");
+    let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]);
+    let mut payload = vec![0; length as usize];
+    from.read_exact(&mut payload).await.expect("a payload");
+    to.write_all(&header).await.expect("written");
+    to.write_all(&payload).await.expect("written");
+}
--- /dev/null
+++ b/crates/transport/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the transport.
+
+mod backoff;
+mod connection;
+mod handshake;
+mod support;
