Add the emulated engine's core

The experiments and the gateway need an engine to run against. It reads no clock: its caller passes the time in.

--- /dev/null
+++ b/crates/emulator/src/engine/schedule.rs
@@ -0,0 +1,158 @@
+//! Choosing what the next step of an engine computes.
+
+use super::{
+    core::{EngineCore, PrefillChunk, Step},
+    request::{EngineEvent, Priority, SequenceId},
+    sequence::Sequence,
+};
+use crate::{Time, answer::BLOCK_TOKENS};
+
+impl EngineCore {
+    pub(super) fn start_step(&mut self, now: Time) {
+        if self.faults.stopped() {
+            return;
+        }
+        self.admit(now);
+        self.make_room_to_decode();
+        if self.running.is_empty() {
+            return;
+        }
+        let decoding: Vec<SequenceId> = self
+            .running
+            .iter()
+            .filter(|sequence| sequence.prefill_left() == 0)
+            .map(Sequence::id)
+            .collect();
+        let prefills = self.plan_prefills();
+        let prefill_tokens = prefills.iter().map(|chunk| chunk.tokens).sum();
+        let decoding_count = u32::try_from(decoding.len()).unwrap_or(u32::MAX);
+        let micros = self.model.step_duration(prefill_tokens, decoding_count);
+        self.step = Some(Step {
+            ends_at: now + self.faults.stretch(micros),
+            decoding,
+            prefills,
+        });
+    }
+
+    /// Moves waiting requests into the batch, the most urgent first.
+    fn admit(&mut self, now: Time) {
+        self.waiting.sort_unstable_by_key(Sequence::urgency);
+        let mut position = 0;
+        while position < self.waiting.len() {
+            if self.waiting[position].ready_at > now {
+                position += 1;
+                continue;
+            }
+            if !self.make_room_for(position) {
+                // Nothing less urgent may overtake for want of memory.
+                break;
+            }
+            let mut sequence = self.waiting.remove(position);
+            self.use_cache(&mut sequence);
+            self.running.push(sequence);
+        }
+    }
+
+    /// Preempts less urgent sequences until the waiting one fits.
+    fn make_room_for(&mut self, position: usize) -> bool {
+        let priority = self.waiting[position].priority();
+        let needed = self.waiting[position].context_tokens() + 1;
+        loop {
+            let slots = self.running.len() < self.model.max_running as usize;
+            let memory = self.reserved_tokens() + needed <= self.model.kv_capacity_tokens;
+            if slots && memory {
+                return true;
+            }
+            let least_urgent = self.least_urgent_running();
+            let preemptible = least_urgent.filter(|one| self.running[*one].priority() > priority);
+            let Some(victim) = preemptible else {
+                return false;
+            };
+            self.preempt(victim);
+        }
+    }
+
+    /// Preempts until every decoding sequence can grow by a token.
+    fn make_room_to_decode(&mut self) {
+        while self.running.len() > 1 {
+            let growth = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+            if self.reserved_tokens() + growth <= self.model.kv_capacity_tokens {
+                return;
+            }
+            match self.least_urgent_running() {
+                Some(victim) => self.preempt(victim),
+                None => return,
+            }
+        }
+    }
+
+    fn least_urgent_running(&self) -> Option<usize> {
+        (0..self.running.len()).max_by_key(|one| self.running[*one].urgency())
+    }
+
+    /// Puts a running sequence back; its KV cache is lost, its tokens are kept.
+    fn preempt(&mut self, position: usize) {
+        let mut sequence = self.running.remove(position);
+        sequence.computed_tokens = 0;
+        self.unreported.push(EngineEvent::Preempted {
+            at: self.clock,
+            id: sequence.id(),
+        });
+        self.waiting.push(sequence);
+    }
+
+    fn use_cache(&mut self, sequence: &mut Sequence) {
+        if sequence.computed_tokens > 0 {
+            return;
+        }
+        let blocks = self.cache.lookup(&sequence.request.prefix_hashes);
+        let cached = u32::try_from(blocks).unwrap_or(0) * BLOCK_TOKENS;
+        // The last token of the context is always computed: it gives the next one.
+        let usable = cached.min(sequence.context_tokens().saturating_sub(1));
+        sequence.computed_tokens = usable;
+        sequence.cached_tokens += usable;
+    }
+
+    fn reserved_tokens(&self) -> u32 {
+        self.running.iter().map(Sequence::context_tokens).sum()
+    }
+
+    fn plan_prefills(&self) -> Vec<PrefillChunk> {
+        let online_runs = self
+            .running
+            .iter()
+            .any(|sequence| sequence.priority() == Priority::Online);
+        let mut budget = self.model.prefill_budget_tokens;
+        let mut batch_budget = if online_runs {
+            self.model.batch_prefill_budget_tokens.min(budget)
+        } else {
+            budget
+        };
+        let mut order: Vec<&Sequence> = self
+            .running
+            .iter()
+            .filter(|sequence| sequence.prefill_left() > 0)
+            .collect();
+        order.sort_unstable_by_key(|sequence| sequence.urgency());
+        let mut chunks = Vec::new();
+        for sequence in order {
+            let allowed = match sequence.priority() {
+                Priority::Online => budget,
+                Priority::Batch => budget.min(batch_budget),
+            };
+            let tokens = sequence.prefill_left().min(allowed);
+            if tokens == 0 {
+                continue;
+            }
+            budget -= tokens;
+            if sequence.priority() == Priority::Batch {
+                batch_budget -= tokens;
+            }
+            chunks.push(PrefillChunk {
+                id: sequence.id(),
+                tokens,
+            });
+        }
+        chunks
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins.
+
+mod engine_core;
