Add line edits between configuration texts to the protocol

Both sides share the code that finds and carries out edits. Hello carries the sender's attach address, so that gateways can be told of every member.

--- a/crates/protocol/src/attach.rs
+++ b/crates/protocol/src/attach.rs
@@ -199,6 +199,8 @@
         member: MemberId,
         /// Whether the sender's disk holds state (false: it wants to join as a learner).
         formatted: bool,
+        /// `IP:port` where gateways attach to the sender.
+        attach_address: String,
     },
     /// A call of a gateway or operator, passed on to the leader.
     Forward {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod frame;
 pub mod ids;
 pub mod query;
+pub mod text_edit;
