--- /dev/null
+++ b/crates/routing/src/costs.rs
@@ -0,0 +1,57 @@
+//! What work costs an engine, as far as the router needs to know.
+
+use crate::profile::Class;
+
+/// Coefficients of an engine's step time.
+///
+/// One step takes `base + prefill tokens × prefill + sequences × decode`. The
+/// values only need to be right relative to each other: a replica's measured
+/// pace scales them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineCosts {
+    /// Fixed time of a step, in milliseconds.
+    pub step_base_ms: f64,
+    /// Time of a step per prompt token in it, in milliseconds.
+    pub prefill_token_ms: f64,
+    /// Time of a step per decoding sequence in it, in milliseconds.
+    pub decode_sequence_ms: f64,
+    /// Most prompt tokens of one step.
+    pub prefill_chunk_tokens: f64,
+}
+
+impl Default for EngineCosts {
+    fn default() -> Self {
+        EngineCosts {
+            step_base_ms: 12.0,
+            prefill_token_ms: 0.05,
+            decode_sequence_ms: 0.25,
+            prefill_chunk_tokens: 512.0,
+        }
+    }
+}
+
+impl EngineCosts {
+    /// Time of a step that decodes this many sequences, in milliseconds.
+    #[must_use]
+    pub fn decode_step_ms(&self, sequences: f64) -> f64 {
+        self.step_base_ms + self.decode_sequence_ms * sequences
+    }
+
+    /// Time to prefill so many tokens while so many sequences decode, in milliseconds.
+    #[must_use]
+    pub fn prefill_ms(&self, tokens: f64, sequences: f64) -> f64 {
+        let steps = tokens / self.prefill_chunk_tokens;
+        tokens * self.prefill_token_ms + steps * self.decode_step_ms(sequences)
+    }
+}
+
+/// The work that one request brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// How urgent it is.
+    pub class: Class,
+    /// Prompt tokens to prefill, less those expected in the prefix cache.
+    pub prefill_tokens: u32,
+    /// Tokens expected to be generated.
+    pub output_tokens: u32,
+}
--- /dev/null
+++ b/crates/routing/src/view/replica.rs
@@ -0,0 +1,373 @@
+//! What is known of one replica.
+
+use linnethitch_config::fleet::RoutingPolicy;
+use linnethitch_protocol::{
+    fleet::{EngineRole, LoadReport, MachineState, ReplicaInfo},
+    ids::Timestamp,
+};
+
+use super::{Health, PoolKey, Standing};
+use crate::{
+    costs::{EngineCosts, Work},
+    profile::{Class, Phase, Target},
+    reason::ReasonCode,
+};
+
+/// A leaving sign of the data path is believed for this long without the list's word.
+const LEAVING_SIGN_MS: u64 = 60_000;
+
+/// With own work on it and no sign of life for this long, a replica gets no new work.
+const SILENCE_MS: u64 = 1_500;
+
+/// Finished requests remembered to correct late reports.
+const FINISHED_KEPT: usize = 256;
+
+/// Weight of a new observation in the moving average of the pace.
+const PACE_WEIGHT: f64 = 0.05;
+
+/// Bounds of the pace, so that one odd observation excludes nothing.
+const PACE_RANGE: (f64, f64) = (0.2, 20.0);
+
+/// One request sent to the replica.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    id: u64,
+    work: Work,
+    sent_at: Timestamp,
+    first_token_at: Option<Timestamp>,
+    finished_at: Option<Timestamp>,
+}
+
+/// A load report with this gateway's own work since then added.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CorrectedLoad {
+    /// Prompt tokens to prefill before a new request's own.
+    pub queued_prefill_tokens: f64,
+    /// Online requests running or waiting.
+    pub online: f64,
+    /// Batch requests running or waiting.
+    pub batch: f64,
+    /// Sequences that run at once; 0 when unknown.
+    pub max_running: f64,
+}
+
+/// One replica: what the list says, what it reported and what this gateway saw.
+#[derive(Clone, Debug)]
+pub struct ReplicaView {
+    pub(super) info: ReplicaInfo,
+    pub(super) pool: Option<PoolKey>,
+    pub(super) local: bool,
+    pub(super) listed: bool,
+    pub(super) leaving_seen_at: Option<Timestamp>,
+    pub(super) health: Health,
+    id_hash: u64,
+    report: Option<LoadReport>,
+    entries: Vec<Entry>,
+    next_entry: u64,
+    own_online: u32,
+    own_batch: u32,
+    own_prefill_tokens: i64,
+    correction: Correction,
+    pace: f64,
+    last_sign_at: Timestamp,
+}
+
+/// What own work changed since the report was measured.
+#[derive(Clone, Copy, Debug, Default)]
+struct Correction {
+    prefill_tokens: i64,
+    online: i64,
+    batch: i64,
+}
+
+impl Correction {
+    fn count(&mut self, class: Class, change: i64) {
+        match class {
+            Class::Online => self.online += change,
+            Class::Batch => self.batch += change,
+        }
+    }
+}
+
+impl ReplicaView {
+    pub(super) fn new(info: ReplicaInfo, pool: Option<PoolKey>, local: bool) -> Self {
+        ReplicaView {
+            id_hash: xxhash_rust::xxh3::xxh3_64(info.machine.replica.as_str().as_bytes()),
+            info,
+            pool,
+            local,
+            listed: true,
+            leaving_seen_at: None,
+            health: Health::default(),
+            report: None,
+            entries: Vec::new(),
+            next_entry: 0,
+            own_online: 0,
+            own_batch: 0,
+            own_prefill_tokens: 0,
+            correction: Correction::default(),
+            pace: 1.0,
+            last_sign_at: Timestamp(0),
+        }
+    }
+
+    pub(super) fn replace(&mut self, info: ReplicaInfo, pool: Option<PoolKey>, local: bool) {
+        if info.machine.address != self.info.machine.address {
+            self.health = Health::default();
+            self.leaving_seen_at = None;
+            self.report = None;
+            self.pace = 1.0;
+        }
+        self.info = info;
+        self.pool = pool;
+        self.local = local;
+        self.listed = true;
+    }
+
+    /// The machine and what its engine has loaded.
+    #[must_use]
+    pub fn info(&self) -> &ReplicaInfo {
+        &self.info
+    }
+
+    /// Hash of its id, the same on every gateway.
+    #[must_use]
+    pub fn id_hash(&self) -> u64 {
+        self.id_hash
+    }
+
+    /// Whether the list still names it.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Whether it is in the gateway's own zone.
+    #[must_use]
+    pub fn is_local(&self) -> bool {
+        self.local
+    }
+
+    /// The newest load report.
+    #[must_use]
+    pub fn report(&self) -> Option<&LoadReport> {
+        self.report.as_ref()
+    }
+
+    /// This gateway's own online requests on it.
+    #[must_use]
+    pub fn own_online(&self) -> u32 {
+        self.own_online
+    }
+
+    /// This gateway's own batch requests on it.
+    #[must_use]
+    pub fn own_batch(&self) -> u32 {
+        self.own_batch
+    }
+
+    /// Measured time per step relative to the expected one.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Whether the request's model version, adapter and phase are served here.
+    #[must_use]
+    pub fn serves(&self, target: &Target<'_>, phase: Phase) -> bool {
+        let Target::Model {
+            adapter, version, ..
+        } = target
+        else {
+            return true;
+        };
+        let engine = &self.info.engine;
+        let role_fits = match phase {
+            Phase::Whole => engine.role == EngineRole::Mixed,
+            Phase::Prefill => engine.role == EngineRole::Prefill,
+            Phase::Decode => engine.role == EngineRole::Decode,
+        };
+        role_fits
+            && version.is_none_or(|version| engine.version == version)
+            && adapter.is_none_or(|adapter| engine.adapters.iter().any(|name| name == adapter))
+    }
+
+    /// Whether it may get new work now.
+    #[must_use]
+    pub fn standing(&self, now: Timestamp, policy: &RoutingPolicy) -> Standing {
+        if !self.listed {
+            return Standing::Out(ReasonCode::NoReplicaTakesWork);
+        }
+        if self.info.machine.state == MachineState::Leaving {
+            return Standing::Out(ReasonCode::LeavingByList);
+        }
+        let leaving_seen = self
+            .leaving_seen_at
+            .is_some_and(|at| now.0.saturating_sub(at.0) < LEAVING_SIGN_MS);
+        if leaving_seen || self.info.engine.leaving {
+            return Standing::Out(ReasonCode::LeavingByDataPath);
+        }
+        if self.health.is_ejected(now) {
+            return Standing::Out(self.health.cause());
+        }
+        let own = self.own_online + self.own_batch;
+        if self.health.awaits_probe(now) {
+            return if own == 0 {
+                Standing::Probe
+            } else {
+                Standing::Out(self.health.cause())
+            };
+        }
+        if own > 0 && now.0.saturating_sub(self.last_sign_at.0) > SILENCE_MS {
+            return Standing::Out(ReasonCode::Silent);
+        }
+        Standing::Available(self.health.slow_start_share(now, policy))
+    }
+
+    pub(super) fn take_report(&mut self, report: LoadReport) {
+        let newer = self
+            .report
+            .is_none_or(|known| report.measured_at > known.measured_at);
+        if !newer {
+            return;
+        }
+        self.report = Some(report);
+        self.forget_finished_before(report.measured_at);
+        self.recompute_correction(report.measured_at);
+    }
+
+    fn forget_finished_before(&mut self, measured_at: Timestamp) {
+        self.entries
+            .retain(|entry| entry.finished_at.is_none_or(|at| at > measured_at));
+    }
+
+    fn recompute_correction(&mut self, measured_at: Timestamp) {
+        let mut correction = Correction::default();
+        for entry in &self.entries {
+            let prefill = i64::from(entry.work.prefill_tokens);
+            if entry.sent_at > measured_at {
+                correction.prefill_tokens += prefill;
+                correction.count(entry.work.class, 1);
+            }
+            let prefilled_at = entry.first_token_at.or(entry.finished_at);
+            if prefilled_at.is_some_and(|at| at > measured_at) {
+                correction.prefill_tokens -= prefill;
+            }
+            if entry.finished_at.is_some_and(|at| at > measured_at) {
+                correction.count(entry.work.class, -1);
+            }
+        }
+        self.correction = correction;
+    }
+
+    pub(super) fn add_work(&mut self, now: Timestamp, work: Work) -> u64 {
+        if self.own_online + self.own_batch == 0 {
+            self.last_sign_at = now;
+        }
+        let id = self.next_entry;
+        self.next_entry += 1;
+        self.entries.push(Entry {
+            id,
+            work,
+            sent_at: now,
+            first_token_at: None,
+            finished_at: None,
+        });
+        self.count_own(work.class, true);
+        self.own_prefill_tokens += i64::from(work.prefill_tokens);
+        self.correction.prefill_tokens += i64::from(work.prefill_tokens);
+        self.correction.count(work.class, 1);
+        id
+    }
+
+    fn count_own(&mut self, class: Class, added: bool) {
+        let count = match class {
+            Class::Online => &mut self.own_online,
+            Class::Batch => &mut self.own_batch,
+        };
+        *count = if added {
+            *count + 1
+        } else {
+            count.saturating_sub(1)
+        };
+    }
+
+    pub(super) fn first_token(&mut self, now: Timestamp, entry: u64) {
+        self.last_sign_at = now;
+        let Some(entry) = self.entries.iter_mut().find(|known| known.id == entry) else {
+            return;
+        };
+        if entry.first_token_at.is_none() {
+            entry.first_token_at = Some(now);
+            let prefill = i64::from(entry.work.prefill_tokens);
+            self.own_prefill_tokens -= prefill;
+            self.correction.prefill_tokens -= prefill;
+        }
+    }
+
+    pub(super) fn tokens(&mut self, now: Timestamp, elapsed_ms: u64, count: u32) {
+        self.last_sign_at = now;
+        let load = self.corrected_load();
+        let expected_ms = EngineCosts::default().decode_step_ms(load.online + load.batch);
+        let observed = elapsed_ms as f64 / f64::from(count.max(1)) / expected_ms;
+        let bounded = observed.clamp(PACE_RANGE.0, PACE_RANGE.1);
+        self.pace += PACE_WEIGHT * (bounded - self.pace);
+    }
+
+    pub(super) fn end_work(&mut self, now: Timestamp, entry: u64) {
+        self.last_sign_at = now;
+        let Some(position) = self.entries.iter().position(|known| known.id == entry) else {
+            return;
+        };
+        let known = &mut self.entries[position];
+        known.finished_at = Some(now);
+        let Entry {
+            work,
+            first_token_at,
+            ..
+        } = *known;
+        if first_token_at.is_none() {
+            self.own_prefill_tokens -= i64::from(work.prefill_tokens);
+            self.correction.prefill_tokens -= i64::from(work.prefill_tokens);
+        }
+        self.correction.count(work.class, -1);
+        self.count_own(work.class, false);
+        self.bound_entries();
+    }
+
+    fn bound_entries(&mut self) {
+        let running = (self.own_online + self.own_batch) as usize;
+        if self.entries.len() > running + FINISHED_KEPT
+            && let Some(oldest) = self
+                .entries
+                .iter()
+                .position(|entry| entry.finished_at.is_some())
+        {
+            self.entries.remove(oldest);
+        }
+    }
+
+    /// The load as it should be now: the newest report, with own work since then.
+    #[must_use]
+    pub fn corrected_load(&self) -> CorrectedLoad {
+        let own = CorrectedLoad {
+            queued_prefill_tokens: self.own_prefill_tokens.max(0) as f64,
+            online: f64::from(self.own_online),
+            batch: f64::from(self.own_batch),
+            max_running: 0.0,
+        };
+        let Some(report) = &self.report else {
+            return own;
+        };
+        let reported_online = i64::from(report.running_online) + i64::from(report.waiting);
+        let prefill = i64::from(report.queued_prefill_tokens) + self.correction.prefill_tokens;
+        let online = reported_online + self.correction.online;
+        let batch = i64::from(report.running_batch) + self.correction.batch;
+        CorrectedLoad {
+            queued_prefill_tokens: (prefill as f64).max(own.queued_prefill_tokens),
+            online: (online as f64).max(own.online),
+            batch: (batch as f64).max(own.batch),
+            max_running: f64::from(report.max_running),
+        }
+    }
+}
