Serve completions over engines with checked, resumable streams

The gateway listens through gotham's router on its own accept loop, so that a planned stop can wait for every stream. Answers are read from engines as streams, token by token; a stream that breaks, hangs, skips a token, carries another request's id or ends without its finish is resumed on another replica, or ends with an explicit error. Whole answers are put together from the same stream.

--- /dev/null
+++ b/crates/gateway/src/engine/client.rs
@@ -0,0 +1,238 @@
+//! Connections to back ends.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use linnethitch_protocol::{fleet::LoadReport, ids::Timestamp};
+use serde::Deserialize;
+
+use crate::engine::fault::AttemptFault;
+
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Unused connections kept to one back end.
+const MAX_IDLE_PER_BACK_END: usize = 256;
+/// Most bytes read of a refusal's body.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+/// Most bytes buffered for reading on one connection.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// How urgent a request is to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Priority {
+    /// A caller waits.
+    Online,
+    /// May be preempted.
+    #[allow(dead_code)]
+    Batch,
+}
+
+impl Priority {
+    fn header(self) -> HeaderValue {
+        HeaderValue::from_static(match self {
+            Priority::Online => "online",
+            Priority::Batch => "batch",
+        })
+    }
+}
+
+/// A generation request to an engine.
+pub(crate) struct EngineRequest {
+    /// `IP:port` of the engine.
+    pub(crate) address: String,
+    /// `/v1/chat/completions` or `/v1/completions`.
+    pub(crate) path: &'static str,
+    /// The id under which it can be cancelled.
+    pub(crate) id: String,
+    /// Its priority.
+    pub(crate) priority: Priority,
+    /// Time left.
+    pub(crate) deadline: Duration,
+    /// The JSON body.
+    pub(crate) body: Bytes,
+}
+
+/// A pool of connections to all back ends.
+#[derive(Clone, Debug)]
+pub(crate) struct BackEndClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl BackEndClient {
+    /// An empty pool.
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_PER_BACK_END)
+            .http1_max_buf_size(MAX_READ_BUFFER_BYTES)
+            .build(connector);
+        BackEndClient { client }
+    }
+
+    /// Sends a generation request; `Ok` means that the engine has begun to answer it.
+    pub(crate) async fn generate(
+        &self,
+        request: EngineRequest,
+    ) -> Result<Response<Incoming>, AttemptFault> {
+        let mut builder = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{}", request.address, request.path));
+        if let Some(headers) = builder.headers_mut() {
+            headers.insert(
+                header::CONTENT_TYPE,
+                HeaderValue::from_static("application/json"),
+            );
+            headers.insert("x-priority", request.priority.header());
+            let left = u64::try_from(request.deadline.as_millis()).unwrap_or(u64::MAX);
+            headers.insert("x-deadline-ms", HeaderValue::from(left));
+            if let Ok(id) = HeaderValue::from_str(&request.id) {
+                headers.insert("x-request-id", id);
+            }
+        }
+        let message = builder
+            .body(Full::new(request.body))
+            .map_err(|error| AttemptFault::Connect(error.to_string()))?;
+        let response = self.send(message).await?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        Err(refusal(response).await)
+    }
+
+    /// Sends any request to a back end.
+    pub(crate) async fn send(
+        &self,
+        message: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, AttemptFault> {
+        self.client.request(message).await.map_err(|error| {
+            let reason = with_causes(&error);
+            if error.is_connect() {
+                AttemptFault::Connect(reason)
+            } else {
+                AttemptFault::Broken(reason)
+            }
+        })
+    }
+
+    /// Tells an engine to stop a request; best effort.
+    pub(crate) async fn cancel(&self, address: &str, id: &str) {
+        let message = Request::builder()
+            .method(Method::DELETE)
+            .uri(format!("http://{address}/engine/requests/{id}"))
+            .body(Full::default());
+        if let Ok(message) = message {
+            let _ = tokio::time::timeout(CANCEL_TIMEOUT, self.client.request(message)).await;
+        }
+    }
+}
+
+/// Longest wait for the answer to a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
+fn with_causes(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
+
+/// Sorts an answer other than success by whether the request may have run.
+async fn refusal(response: Response<Incoming>) -> AttemptFault {
+    let status = response.status().as_u16();
+    let headers = response.headers();
+    let started = !says(headers, "x-engine-started", "no");
+    let leaving = says(headers, "x-engine-leaving", "yes");
+    let retry_after = headers
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .map(Duration::from_secs);
+    if started && status >= 500 {
+        return AttemptFault::Failed { status };
+    }
+    let body = tokio::time::timeout(
+        CANCEL_TIMEOUT,
+        Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect(),
+    );
+    let message = match body.await {
+        Ok(Ok(collected)) => message_of(&collected.to_bytes()),
+        _ => String::new(),
+    };
+    if started {
+        AttemptFault::Rejected { status, message }
+    } else {
+        AttemptFault::Refused {
+            status,
+            leaving,
+            retry_after,
+            message,
+        }
+    }
+}
+
+/// Whether a header has the given value.
+pub(crate) fn says(headers: &HeaderMap, name: &str, value: &str) -> bool {
+    headers
+        .get(name)
+        .is_some_and(|found| found.as_bytes().eq_ignore_ascii_case(value.as_bytes()))
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    message: String,
+}
+
+fn message_of(body: &[u8]) -> String {
+    serde_json::from_slice::<ErrorBody>(body)
+        .map(|parsed| parsed.error.message)
+        .unwrap_or_default()
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+#[derive(Default)]
+struct LoadHeader {
+    measured_at_ms: u64,
+    running_online: u32,
+    running_batch: u32,
+    running: u32,
+    waiting: u32,
+    queued_prefill_tokens: u32,
+    kv_used_tokens: u32,
+    kv_capacity_tokens: u32,
+    max_running: u32,
+}
+
+/// The load report carried by a response, if there is one.
+pub(crate) fn load_of(headers: &HeaderMap, name: &str) -> Option<LoadReport> {
+    let load: LoadHeader = serde_json::from_slice(headers.get(name)?.as_bytes()).ok()?;
+    Some(LoadReport {
+        measured_at: Timestamp(load.measured_at_ms),
+        running_online: load.running_online + load.running,
+        running_batch: load.running_batch,
+        waiting: load.waiting,
+        queued_prefill_tokens: load.queued_prefill_tokens,
+        kv_used_tokens: load.kv_used_tokens,
+        kv_capacity_tokens: load.kv_capacity_tokens,
+        max_running: load.max_running,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/engine/fault.rs
@@ -0,0 +1,74 @@
+//! What can go wrong with one attempt on one back end.
+
+use std::{fmt, time::Duration};
+
+/// How an attempt failed, and with it whether it may have run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptFault {
+    /// No connection: not a byte was sent.
+    Connect(String),
+    /// The back end said that it did not start the request.
+    Refused {
+        /// HTTP status of the refusal.
+        status: u16,
+        /// Whether it is leaving.
+        leaving: bool,
+        /// When it wants to be asked again.
+        retry_after: Option<Duration>,
+        /// What it said.
+        message: String,
+    },
+    /// The back end found the request itself wrong.
+    Rejected {
+        /// HTTP status.
+        status: u16,
+        /// What it said.
+        message: String,
+    },
+    /// The back end answered with an error after it may have started.
+    Failed {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The connection broke before the answer was whole.
+    Broken(String),
+    /// The answer breaks the protocol.
+    Protocol(String),
+    /// No answer within the limit.
+    Hung(Duration),
+}
+
+impl AttemptFault {
+    /// Whether it is certain that the request did not run.
+    pub(crate) fn not_started(&self) -> bool {
+        matches!(
+            self,
+            AttemptFault::Connect(_) | AttemptFault::Refused { .. }
+        )
+    }
+}
+
+impl fmt::Display for AttemptFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AttemptFault::Connect(reason) => write!(formatter, "no connection: {reason}"),
+            AttemptFault::Refused {
+                status, message, ..
+            } => {
+                write!(
+                    formatter,
+                    "refused before the start with {status}: {message}"
+                )
+            }
+            AttemptFault::Rejected { status, message } => {
+                write!(formatter, "rejected with {status}: {message}")
+            }
+            AttemptFault::Failed { status } => write!(formatter, "failed with {status}"),
+            AttemptFault::Broken(reason) => write!(formatter, "broken off: {reason}"),
+            AttemptFault::Protocol(reason) => write!(formatter, "protocol error: {reason}"),
+            AttemptFault::Hung(limit) => {
+                write!(formatter, "no answer within {} ms", limit.as_millis())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/mod.rs
@@ -0,0 +1,7 @@
+//! The client towards model engines: HTTP, event streams, token accounting.
+
+pub(crate) mod chunk;
+pub(crate) mod client;
+pub(crate) mod fault;
+pub(crate) mod sse;
+pub(crate) mod stream;
--- /dev/null
+++ b/crates/gateway/src/engine/sse.rs
@@ -0,0 +1,78 @@
+//! Splits an event stream into events without copying whole frames.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is accepted, in bytes.
+pub(crate) const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+const END_OF_EVENT: &[u8] = b"\n\n";
+
+/// Collects frames and gives out whole events.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    /// The part of the last frame not yet given out.
+    frame: Bytes,
+    /// The beginning of an event whose end has not arrived.
+    partial: BytesMut,
+}
+
+/// An event grew past [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct EventTooLong;
+
+impl EventSplitter {
+    /// Adds a frame; call only after [`EventSplitter::next_event`] gave `None`.
+    pub(crate) fn push(&mut self, frame: Bytes) -> Result<(), EventTooLong> {
+        debug_assert!(self.frame.is_empty());
+        self.frame = frame;
+        if self.partial.is_empty() {
+            return Ok(());
+        }
+        // The end of the event may lie across the border of two frames.
+        let searched_from = self.partial.len().saturating_sub(1);
+        self.partial.extend_from_slice(&self.frame);
+        self.frame = Bytes::new();
+        match find_end(&self.partial[searched_from..]) {
+            Some(end) => {
+                let whole = std::mem::take(&mut self.partial).freeze();
+                debug_assert!(searched_from + end <= whole.len());
+                self.frame = whole;
+                Ok(())
+            }
+            None if self.partial.len() > MAX_EVENT_BYTES => Err(EventTooLong),
+            None => Ok(()),
+        }
+    }
+
+    /// The next whole event with its closing blank line.
+    pub(crate) fn next_event(&mut self) -> Option<Bytes> {
+        if let Some(end) = find_end(&self.frame) {
+            return Some(self.frame.split_to(end));
+        }
+        if !self.frame.is_empty() {
+            self.partial.extend_from_slice(&self.frame);
+            self.frame = Bytes::new();
+        }
+        None
+    }
+
+    /// Whether an event began whose end has not arrived.
+    pub(crate) fn has_partial(&self) -> bool {
+        !self.partial.is_empty() || !self.frame.is_empty()
+    }
+}
+
+/// The position after the first blank line.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    bytes
+        .windows(END_OF_EVENT.len())
+        .position(|window| window == END_OF_EVENT)
+        .map(|position| position + END_OF_EVENT.len())
+}
+
+/// The payload of an event that consists of one `data:` line; `None` for comments and others.
+pub(crate) fn data_of(event: &[u8]) -> Option<&[u8]> {
+    let line = event.strip_suffix(END_OF_EVENT).unwrap_or(event);
+    let payload = line.strip_prefix(b"data:")?;
+    Some(payload.strip_prefix(b" ").unwrap_or(payload))
+}
--- /dev/null
+++ b/crates/gateway/src/engine/stream.rs
@@ -0,0 +1,189 @@
+//! One streamed answer of one engine, checked token by token.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::engine::{
+    chunk::{Chunk, FinishReason, Usage},
+    fault::AttemptFault,
+    sse::{EventSplitter, data_of},
+};
+
+const DONE: &[u8] = b"[DONE]";
+
+/// What has been received of an answer, over all attempts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Progress {
+    /// Tokens received; the index that the next one must carry.
+    pub(crate) tokens: u32,
+    /// Their text.
+    pub(crate) text: String,
+    /// Why the answer ended, once it has.
+    pub(crate) finish_reason: Option<FinishReason>,
+    /// Tokens used, where the engine told.
+    pub(crate) usage: Option<Usage>,
+    /// Whether something came that a resumed run could not continue.
+    pub(crate) not_resumable: bool,
+}
+
+/// What an event of a stream is to the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum StreamEvent {
+    /// One more token; the event as the engine sent it.
+    Token(Bytes),
+    /// Only usage, no token.
+    Usage(Bytes),
+    /// The whole answer was received.
+    Done,
+}
+
+/// An engine's answer in progress. Dropping it closes the connection, which cancels the run.
+pub(crate) struct EngineStream {
+    body: Incoming,
+    events: EventSplitter,
+    request_id: String,
+}
+
+impl EngineStream {
+    /// Begins to read an answer.
+    pub(crate) fn new(response: Response<Incoming>, request_id: String) -> Self {
+        EngineStream {
+            body: response.into_body(),
+            events: EventSplitter::default(),
+            request_id,
+        }
+    }
+
+    /// The next event that matters to the caller, or how the attempt failed.
+    pub(crate) async fn next(
+        &mut self,
+        progress: &mut Progress,
+        limit: Duration,
+    ) -> Result<StreamEvent, AttemptFault> {
+        loop {
+            while let Some(event) = self.events.next_event() {
+                if let Some(found) = self.accept(event, progress)? {
+                    return Ok(found);
+                }
+            }
+            self.read_frame(limit).await?;
+        }
+    }
+
+    async fn read_frame(&mut self, limit: Duration) -> Result<(), AttemptFault> {
+        let frame = match tokio::time::timeout(limit, self.body.frame()).await {
+            Err(_) => return Err(AttemptFault::Hung(limit)),
+            Ok(None) => return Err(self.cut_short()),
+            Ok(Some(Err(error))) => return Err(AttemptFault::Broken(error.to_string())),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        match frame.into_data() {
+            Ok(data) => self
+                .events
+                .push(data)
+                .map_err(|_| AttemptFault::Protocol("an event is too long".to_owned())),
+            Err(_trailers) => Ok(()),
+        }
+    }
+
+    fn cut_short(&self) -> AttemptFault {
+        AttemptFault::Broken(if self.events.has_partial() {
+            "the stream ended inside an event".to_owned()
+        } else {
+            "the stream ended without [DONE]".to_owned()
+        })
+    }
+
+    fn accept(
+        &self,
+        event: Bytes,
+        progress: &mut Progress,
+    ) -> Result<Option<StreamEvent>, AttemptFault> {
+        let Some(data) = data_of(&event) else {
+            return Ok(None);
+        };
+        if data == DONE {
+            return accept_done(progress).map(Some);
+        }
+        let chunk: Chunk<'_> = serde_json::from_slice(data)
+            .map_err(|error| AttemptFault::Protocol(format!("a chunk is not valid: {error}")))?;
+        if chunk.error.is_some() {
+            return Err(AttemptFault::Broken(
+                "the engine reported an error in the stream".to_owned(),
+            ));
+        }
+        if chunk.id != self.request_id {
+            return Err(AttemptFault::Protocol(format!(
+                "a chunk carries the id {:?} of another request",
+                chunk.id.chars().take(64).collect::<String>()
+            )));
+        }
+        let kind = accept_chunk(&chunk, progress)?;
+        Ok(match kind {
+            ChunkKind::Token => Some(StreamEvent::Token(event.clone())),
+            ChunkKind::Usage => Some(StreamEvent::Usage(event.clone())),
+            ChunkKind::Repeated => None,
+        })
+    }
+}
+
+fn accept_done(progress: &Progress) -> Result<StreamEvent, AttemptFault> {
+    if progress.finish_reason.is_none() {
+        return Err(AttemptFault::Protocol(
+            "the stream ended without a finish reason".to_owned(),
+        ));
+    }
+    Ok(StreamEvent::Done)
+}
+
+enum ChunkKind {
+    Token,
+    Usage,
+    Repeated,
+}
+
+/// Checks a chunk against what was received and takes its token in.
+fn accept_chunk(chunk: &Chunk<'_>, progress: &mut Progress) -> Result<ChunkKind, AttemptFault> {
+    if let Some(usage) = chunk.usage {
+        progress.usage = Some(usage);
+    }
+    let choice = match chunk.choices.as_slice() {
+        [] => return Ok(ChunkKind::Usage),
+        [choice] => choice,
+        _ => {
+            return Err(AttemptFault::Protocol(
+                "a chunk has several choices".to_owned(),
+            ));
+        }
+    };
+    let text = choice.text();
+    if progress.finish_reason.is_some() && !text.is_empty() {
+        return Err(AttemptFault::Protocol(
+            "a token after the finish reason".to_owned(),
+        ));
+    }
+    match choice.token_index {
+        Some(index) if index < progress.tokens => return Ok(ChunkKind::Repeated),
+        Some(index) if index > progress.tokens => {
+            return Err(AttemptFault::Protocol(format!(
+                "token {index} came where token {} was due",
+                progress.tokens
+            )));
+        }
+        Some(_) => progress.tokens += 1,
+        None if text.is_empty() => {}
+        None => {
+            return Err(AttemptFault::Protocol(
+                "a token without its index".to_owned(),
+            ));
+        }
+    }
+    progress.text.push_str(text);
+    progress.not_resumable |= choice.has_structured_output();
+    progress.finish_reason = progress.finish_reason.or(choice.finish_reason);
+    Ok(ChunkKind::Token)
+}
--- /dev/null
+++ b/crates/gateway/src/http/answer.rs
@@ -0,0 +1,83 @@
+//! Responses to callers.
+
+use std::io;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use linnethitch_errors::Failure;
+use serde::Serialize;
+
+/// Header that says whether a refused request ran.
+pub(crate) const EXECUTED_HEADER: &str = "linnethitch-executed";
+/// Header that carries the request's id.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// A body that is known as a whole.
+pub(crate) fn whole_body(bytes: impl Into<Bytes>) -> Body {
+    Body::new(Full::new(bytes.into()).map_err(|never| match never {}))
+}
+
+/// A response with the given content type.
+pub(crate) fn bytes_response(
+    status: StatusCode,
+    content_type: HeaderValue,
+    bytes: impl Into<Bytes>,
+) -> Response<Body> {
+    let mut response = Response::new(whole_body(bytes));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// A JSON response.
+pub(crate) fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => bytes_response(status, JSON, bytes),
+        Err(error) => failure_response(&Failure::new(
+            linnethitch_errors::ErrorKind::Internal,
+            error.to_string(),
+        )),
+    }
+}
+
+/// The answer to a failure, as the error table says.
+pub(crate) fn failure_response(failure: &Failure) -> Response<Body> {
+    let answer = failure.kind.answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = bytes_response(status, JSON, failure.body().to_string());
+    let headers = response.headers_mut();
+    headers.insert(
+        EXECUTED_HEADER,
+        HeaderValue::from_static(failure.executed().as_str()),
+    );
+    if let Some(seconds) = failure.retry_after_seconds() {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    // Ordinary client libraries retry by status alone; this header stops them where it cannot help.
+    if !answer.retryable {
+        headers.insert("x-should-retry", HeaderValue::from_static("false"));
+    }
+    response
+}
+
+/// An event stream from a stream of byte pieces.
+pub(crate) fn event_stream_response(
+    pieces: impl futures_util::Stream<Item = Result<Bytes, io::Error>> + Send + 'static,
+) -> Response<Body> {
+    use futures_util::TryStreamExt;
+    let frames = pieces.map_ok(http_body::Frame::data);
+    let mut response = Response::new(Body::new(http_body_util::StreamBody::new(frames)));
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/http/routes.rs
@@ -0,0 +1,97 @@
+//! The routes of the callers' interface.
+
+use std::{panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+
+use futures_util::FutureExt;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    router::{
+        Router,
+        builder::{DefineSingleRoute, DrawRoutes, build_simple_router},
+    },
+    state::State,
+};
+use http::Method;
+
+use crate::{http::incoming::Incoming, state::Gateway};
+
+/// What a route does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Endpoint {
+    /// `POST /v1/chat/completions`
+    ChatCompletions,
+    /// `POST /v1/completions`
+    Completions,
+    /// `GET /v1/models`
+    ListModels,
+    /// `GET /v1/models/{id}`
+    GetModel,
+    /// `GET /healthz`
+    Health,
+    /// `GET /readyz`
+    Ready,
+}
+
+/// Makes a handler of one endpoint for each request.
+struct EndpointHandler {
+    gateway: AssertUnwindSafe<Arc<Gateway>>,
+    endpoint: Endpoint,
+}
+
+impl Clone for EndpointHandler {
+    fn clone(&self) -> Self {
+        EndpointHandler {
+            gateway: AssertUnwindSafe(Arc::clone(&self.gateway)),
+            endpoint: self.endpoint,
+        }
+    }
+}
+
+impl NewHandler for EndpointHandler {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for EndpointHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        async move {
+            let incoming = Incoming::take_from(&mut state);
+            let gateway = Arc::clone(&self.gateway);
+            let response = gateway.answer(self.endpoint, incoming).await;
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
+
+/// Builds the router of a gateway.
+pub(crate) fn build_router(gateway: &Arc<Gateway>) -> Router {
+    let to = |endpoint| EndpointHandler {
+        gateway: AssertUnwindSafe(Arc::clone(gateway)),
+        endpoint,
+    };
+    build_simple_router(|route| {
+        let get = || vec![Method::GET, Method::HEAD];
+        route
+            .post("/v1/chat/completions")
+            .to_new_handler(to(Endpoint::ChatCompletions));
+        route
+            .post("/v1/completions")
+            .to_new_handler(to(Endpoint::Completions));
+        route
+            .request(get(), "/v1/models")
+            .to_new_handler(to(Endpoint::ListModels));
+        route
+            .request(get(), "/v1/models/:model")
+            .to_new_handler(to(Endpoint::GetModel));
+        route
+            .request(get(), "/healthz")
+            .to_new_handler(to(Endpoint::Health));
+        route
+            .request(get(), "/readyz")
+            .to_new_handler(to(Endpoint::Ready));
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/identifiers.rs
@@ -0,0 +1,27 @@
+//! Random identifiers of requests, files and jobs.
+
+use linnethitch_protocol::ids::{FileId, JobId, RequestId};
+
+const RANDOM_BYTES: usize = 12;
+
+fn random_hex() -> String {
+    let bytes: [u8; RANDOM_BYTES] = rand::random();
+    hex::encode(bytes)
+}
+
+/// A new request id.
+pub(crate) fn new_request_id() -> RequestId {
+    RequestId(format!("req_{}", random_hex()))
+}
+
+/// A new file id.
+#[allow(dead_code)]
+pub(crate) fn new_file_id() -> FileId {
+    FileId(format!("file-{}", random_hex()))
+}
+
+/// A new job id.
+#[allow(dead_code)]
+pub(crate) fn new_job_id() -> JobId {
+    JobId(format!("batch_{}", random_hex()))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,19 @@
-//! See `docs/ARCHITECTURE.md`.
+//! The gateway process that runs beside each caller.
+//!
+//! It takes OpenAI-compatible HTTP requests, decides where each one runs,
+//! streams answers from model engines, passes requests on to application
+//! services, stores files and batch jobs through control, and runs batch
+//! items under leases.
+
+#![allow(dead_code, reason = "parts that the next changes use")]
+
+mod decisions;
+mod engine;
+mod http;
+mod identifiers;
+mod models;
+mod online;
+pub mod process;
+pub mod settings;
+mod state;
+mod tenants;
--- /dev/null
+++ b/crates/gateway/src/online/mod.rs
@@ -0,0 +1,40 @@
+//! Online requests: completions, streamed and whole.
+
+pub(crate) mod generation;
+pub(crate) mod request;
+mod stream_answer;
+mod whole_answer;
+
+use std::{sync::Arc, time::Instant};
+
+use gotham::helpers::http::Body;
+use http::Response;
+use linnethitch_errors::Failure;
+
+use crate::{
+    http::{body::read_whole, incoming::Incoming, routes::Endpoint},
+    online::{generation::Generation, request::CompletionRequest},
+    state::Gateway,
+};
+
+/// Answers `POST /v1/chat/completions` and `POST /v1/completions`.
+pub(crate) async fn answer(
+    gateway: &Arc<Gateway>,
+    endpoint: Endpoint,
+    incoming: Incoming,
+) -> Result<Response<Body>, Failure> {
+    let arrived = Instant::now();
+    let (active, _tenant) = gateway.authenticate(&incoming)?;
+    let Incoming {
+        id, headers, body, ..
+    } = incoming;
+    let bytes = read_whole(&headers, body, active.body_limits()).await?;
+    let request = CompletionRequest::parse(endpoint, id, &headers, &bytes, &active.fleet)?;
+    let stream = request.stream;
+    let generation = Generation::start(Arc::clone(gateway), request, arrived).await?;
+    if stream {
+        Ok(stream_answer::respond(generation))
+    } else {
+        whole_answer::respond(generation).await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/online/request.rs
@@ -0,0 +1,329 @@
+//! Parsing and checking of completion requests.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use linnethitch_config::fleet::Fleet;
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::ids::RequestId;
+use serde_json::{Map, Value, json};
+
+use crate::{
+    engine::{client::Priority, stream::Progress},
+    http::routes::Endpoint,
+};
+
+/// Bytes of text that are counted as one token where no engine has counted.
+const ESTIMATED_BYTES_PER_TOKEN: usize = 4;
+/// Output tokens expected of a request that names no limit.
+const DEFAULT_EXPECTED_OUTPUT_TOKENS: u32 = 256;
+/// Header with the caller's own deadline in milliseconds.
+const DEADLINE_HEADER: &str = "linnethitch-deadline-ms";
+
+/// Which of the two completion calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CompletionKind {
+    /// `/v1/chat/completions`
+    Chat,
+    /// `/v1/completions`
+    Text,
+}
+
+impl CompletionKind {
+    /// The path, the same at callers and engines.
+    pub(crate) const fn path(self) -> &'static str {
+        match self {
+            CompletionKind::Chat => "/v1/chat/completions",
+            CompletionKind::Text => "/v1/completions",
+        }
+    }
+
+    /// The kind that a path names.
+    pub(crate) fn of_path(path: &str) -> Option<Self> {
+        [CompletionKind::Chat, CompletionKind::Text]
+            .into_iter()
+            .find(|kind| kind.path() == path)
+    }
+}
+
+/// A checked completion request.
+#[derive(Clone, Debug)]
+pub(crate) struct CompletionRequest {
+    pub(crate) id: RequestId,
+    pub(crate) kind: CompletionKind,
+    pub(crate) priority: Priority,
+    /// The name that the caller used.
+    pub(crate) model: String,
+    /// Whether the caller wants the answer as a stream.
+    pub(crate) stream: bool,
+    /// Whether the caller wants usage at the stream's end.
+    pub(crate) include_usage: bool,
+    /// Longest time from arrival to the last token.
+    pub(crate) deadline: Duration,
+    /// Estimated tokens of the prompt.
+    pub(crate) prompt_tokens: u32,
+    /// Expected or allowed tokens of the answer.
+    pub(crate) output_tokens: u32,
+    /// Whether it must never run twice.
+    pub(crate) at_most_once: bool,
+    body: Map<String, Value>,
+}
+
+fn invalid(param: &str, message: impl Into<String>) -> Failure {
+    Failure::new(ErrorKind::InvalidValue, message).with_param(param)
+}
+
+impl CompletionRequest {
+    /// Parses and checks a request against the configuration in force.
+    pub(crate) fn parse(
+        endpoint: Endpoint,
+        id: RequestId,
+        headers: &HeaderMap,
+        bytes: &Bytes,
+        fleet: &Fleet,
+    ) -> Result<Self, Failure> {
+        let kind = match endpoint {
+            Endpoint::Completions => CompletionKind::Text,
+            _ => CompletionKind::Chat,
+        };
+        let body: Map<String, Value> = serde_json::from_slice(bytes).map_err(|error| {
+            Failure::new(
+                ErrorKind::MalformedRequest,
+                format!("the body is not a JSON object: {error}"),
+            )
+        })?;
+        let mut request = Self::from_body(kind, id, body, fleet)?;
+        request.deadline = deadline(headers, fleet)?;
+        Ok(request)
+    }
+
+    /// Checks a body that is already parsed.
+    pub(crate) fn from_body(
+        kind: CompletionKind,
+        id: RequestId,
+        body: Map<String, Value>,
+        fleet: &Fleet,
+    ) -> Result<Self, Failure> {
+        let model = model_of(&body, fleet)?;
+        let prompt_bytes = prompt_bytes(kind, &body)?;
+        let prompt_tokens = clamp_u32(prompt_bytes.div_ceil(ESTIMATED_BYTES_PER_TOKEN).max(1));
+        let limit = output_limit(&body, fleet)?;
+        check_context(&model, prompt_tokens, limit, fleet)?;
+        check_single_choice(&body)?;
+        Ok(CompletionRequest {
+            id,
+            kind,
+            priority: Priority::Online,
+            stream: flag(&body, "stream")?,
+            include_usage: wants_usage(&body)?,
+            deadline: Duration::from_millis(fleet.routing.default_deadline_ms),
+            prompt_tokens,
+            output_tokens: limit.unwrap_or(DEFAULT_EXPECTED_OUTPUT_TOKENS),
+            at_most_once: false,
+            model,
+            body,
+        })
+    }
+
+    /// The body for an engine, which continues after what was already received.
+    pub(crate) fn engine_body(&self, progress: &Progress) -> Result<Bytes, Failure> {
+        let mut body = self.body.clone();
+        body.insert("stream".to_owned(), Value::Bool(true));
+        body.insert("stream_options".to_owned(), json!({"include_usage": true}));
+        body.remove("run");
+        if progress.tokens > 0 {
+            let resume = json!({"text": progress.text, "tokens": progress.tokens});
+            body.insert("resume".to_owned(), resume);
+        } else {
+            body.remove("resume");
+        }
+        serde_json::to_vec(&body)
+            .map(Bytes::from)
+            .map_err(|error| Failure::new(ErrorKind::Internal, error.to_string()))
+    }
+
+    /// The pool's name without the adapter.
+    pub(crate) fn pool(&self) -> &str {
+        self.model.split(':').next().unwrap_or(&self.model)
+    }
+
+    /// The adapter, if one is named.
+    pub(crate) fn adapter(&self) -> Option<&str> {
+        self.model.split_once(':').map(|(_, adapter)| adapter)
+    }
+}
+
+fn clamp_u32(value: usize) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
+
+fn deadline(headers: &HeaderMap, fleet: &Fleet) -> Result<Duration, Failure> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(Duration::from_millis(fleet.routing.default_deadline_ms));
+    };
+    value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse::<u64>().ok())
+        .filter(|milliseconds| *milliseconds > 0)
+        .map(Duration::from_millis)
+        .ok_or_else(|| {
+            invalid(
+                DEADLINE_HEADER,
+                "the deadline must be a positive number of milliseconds",
+            )
+        })
+}
+
+fn model_of(body: &Map<String, Value>, fleet: &Fleet) -> Result<String, Failure> {
+    let name = body
+        .get("model")
+        .and_then(Value::as_str)
+        .ok_or_else(|| invalid("model", "`model` must be given as a text"))?;
+    let (pool_name, adapter) = match name.split_once(':') {
+        Some((pool, adapter)) => (pool, Some(adapter)),
+        None => (name, None),
+    };
+    let known = fleet
+        .models
+        .iter()
+        .find(|pool| pool.name == pool_name)
+        .is_some_and(|pool| {
+            adapter.is_none_or(|wanted| pool.adapters.iter().any(|known| known.name == wanted))
+        });
+    if known {
+        Ok(name.to_owned())
+    } else {
+        let shown: String = name.chars().take(128).collect();
+        Err(Failure::new(
+            ErrorKind::UnknownModel,
+            format!("the model {shown:?} does not exist"),
+        )
+        .with_param("model"))
+    }
+}
+
+fn prompt_bytes(kind: CompletionKind, body: &Map<String, Value>) -> Result<usize, Failure> {
+    match kind {
+        CompletionKind::Chat => message_bytes(body),
+        CompletionKind::Text => match body.get("prompt") {
+            Some(Value::String(text)) => Ok(text.len()),
+            Some(Value::Array(parts)) if parts.len() == 1 && parts[0].is_string() => {
+                Ok(parts[0].as_str().map_or(0, str::len))
+            }
+            _ => Err(invalid("prompt", "`prompt` must be one text")),
+        },
+    }
+}
+
+fn message_bytes(body: &Map<String, Value>) -> Result<usize, Failure> {
+    let messages = body
+        .get("messages")
+        .and_then(Value::as_array)
+        .filter(|messages| !messages.is_empty())
+        .ok_or_else(|| {
+            invalid(
+                "messages",
+                "`messages` must be a list with at least one message",
+            )
+        })?;
+    let mut bytes = 0;
+    for (position, message) in messages.iter().enumerate() {
+        if message.get("role").and_then(Value::as_str).is_none() {
+            let param = format!("messages[{position}].role");
+            return Err(invalid(&param, "every message must name its role"));
+        }
+        bytes += match message.get("content") {
+            Some(Value::String(text)) => text.len(),
+            Some(Value::Array(parts)) => parts.iter().map(part_bytes).sum(),
+            Some(Value::Null) | None => 0,
+            Some(_) => {
+                let param = format!("messages[{position}].content");
+                return Err(invalid(
+                    &param,
+                    "`content` must be a text or a list of parts",
+                ));
+            }
+        };
+    }
+    Ok(bytes)
+}
+
+fn part_bytes(part: &Value) -> usize {
+    part.get("text").and_then(Value::as_str).map_or(0, str::len)
+}
+
+fn output_limit(body: &Map<String, Value>, fleet: &Fleet) -> Result<Option<u32>, Failure> {
+    for name in ["max_completion_tokens", "max_tokens"] {
+        let Some(value) = body.get(name).filter(|value| !value.is_null()) else {
+            continue;
+        };
+        let most = fleet.limits.max_output_tokens;
+        return value
+            .as_u64()
+            .and_then(|tokens| u32::try_from(tokens).ok())
+            .filter(|tokens| (1..=most).contains(tokens))
+            .map(Some)
+            .ok_or_else(|| {
+                invalid(
+                    name,
+                    format!("`{name}` must be a whole number from 1 to {most}"),
+                )
+            });
+    }
+    Ok(None)
+}
+
+fn check_context(
+    model: &str,
+    prompt_tokens: u32,
+    limit: Option<u32>,
+    fleet: &Fleet,
+) -> Result<(), Failure> {
+    let pool_name = model.split(':').next().unwrap_or(model);
+    let Some(pool) = fleet.models.iter().find(|pool| pool.name == pool_name) else {
+        return Ok(());
+    };
+    let wanted = prompt_tokens.saturating_add(limit.unwrap_or(1));
+    if wanted <= pool.context_tokens {
+        return Ok(());
+    }
+    Err(Failure::new(
+        ErrorKind::ContextTooLong,
+        format!(
+            "about {prompt_tokens} prompt tokens and the requested output exceed the model's {} tokens",
+            pool.context_tokens
+        ),
+    ))
+}
+
+fn check_single_choice(body: &Map<String, Value>) -> Result<(), Failure> {
+    for name in ["n", "best_of"] {
+        match body.get(name) {
+            None | Some(Value::Null) => {}
+            Some(value) if value.as_u64() == Some(1) => {}
+            Some(_) => return Err(invalid(name, format!("`{name}` must be 1"))),
+        }
+    }
+    Ok(())
+}
+
+fn flag(body: &Map<String, Value>, name: &str) -> Result<bool, Failure> {
+    match body.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(_) => Err(invalid(name, format!("`{name}` must be true or false"))),
+    }
+}
+
+fn wants_usage(body: &Map<String, Value>) -> Result<bool, Failure> {
+    match body.get("stream_options") {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Object(options)) => flag(options, "include_usage"),
+        Some(_) => Err(invalid(
+            "stream_options",
+            "`stream_options` must be an object",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,141 @@
+//! What the parts of a gateway share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use linnethitch_config::fleet::{Fleet, Tenant};
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::ids::Revision;
+use slog::Logger;
+
+use crate::{
+    decisions::Decisions,
+    engine::client::BackEndClient,
+    http::{
+        answer::{failure_response, json_response},
+        body::BodyLimits,
+        incoming::Incoming,
+        routes::Endpoint,
+    },
+    models, online,
+    settings::{EngineTimeouts, GatewaySettings},
+    tenants::TenantDirectory,
+};
+
+/// When a caller that was refused by a stopping or starting process should come back.
+const RESTART_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A configuration in force, with what is looked up in it often.
+#[derive(Debug)]
+pub(crate) struct ActiveConfiguration {
+    pub(crate) revision: Revision,
+    pub(crate) fleet: Fleet,
+    pub(crate) tenants: TenantDirectory,
+}
+
+impl ActiveConfiguration {
+    pub(crate) fn new(revision: Revision, fleet: Fleet) -> Self {
+        let tenants = TenantDirectory::new(&fleet);
+        ActiveConfiguration {
+            revision,
+            fleet,
+            tenants,
+        }
+    }
+
+    pub(crate) fn body_limits(&self) -> BodyLimits {
+        BodyLimits {
+            bytes: self.fleet.limits.max_body_bytes,
+            time: Duration::from_millis(self.fleet.limits.body_timeout_ms),
+        }
+    }
+}
+
+/// The shared state of one gateway process.
+pub(crate) struct Gateway {
+    #[allow(dead_code)]
+    pub(crate) settings: GatewaySettings,
+    pub(crate) timeouts: EngineTimeouts,
+    pub(crate) logger: Logger,
+    pub(crate) configuration: ArcSwapOption<ActiveConfiguration>,
+    pub(crate) decisions: Arc<Decisions>,
+    pub(crate) back_ends: BackEndClient,
+    stopping: AtomicBool,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: GatewaySettings, timeouts: EngineTimeouts, logger: Logger) -> Self {
+        let zone = settings.zone.as_str().into();
+        Gateway {
+            settings,
+            timeouts,
+            logger,
+            configuration: ArcSwapOption::empty(),
+            decisions: Arc::new(Decisions::new(zone)),
+            back_ends: BackEndClient::new(timeouts.connect),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// From now on no new work is taken.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// The configuration in force, if new work may be taken.
+    pub(crate) fn active(&self) -> Result<Arc<ActiveConfiguration>, Failure> {
+        if self.stopping.load(Ordering::Acquire) {
+            return Err(
+                Failure::new(ErrorKind::Stopping, "this gateway is stopping")
+                    .with_retry_after(RESTART_RETRY_AFTER),
+            );
+        }
+        self.configuration.load_full().ok_or_else(|| {
+            Failure::new(ErrorKind::NotReady, "no configuration is in force yet")
+                .with_retry_after(RESTART_RETRY_AFTER)
+        })
+    }
+
+    /// The tenant of a request and the configuration that it runs under.
+    pub(crate) fn authenticate(
+        &self,
+        incoming: &Incoming,
+    ) -> Result<(Arc<ActiveConfiguration>, Arc<Tenant>), Failure> {
+        let active = self.active()?;
+        let tenant = active.tenants.authenticate(&incoming.headers)?;
+        Ok((active, tenant))
+    }
+
+    /// Answers a request of a caller.
+    pub(crate) async fn answer(
+        self: &Arc<Self>,
+        endpoint: Endpoint,
+        incoming: Incoming,
+    ) -> Response<Body> {
+        let answered = match endpoint {
+            Endpoint::ChatCompletions | Endpoint::Completions => {
+                online::answer(self, endpoint, incoming).await
+            }
+            Endpoint::ListModels => models::list(self, &incoming),
+            Endpoint::GetModel => models::get(self, &incoming),
+            Endpoint::Health => Ok(json_response(StatusCode::OK, &StatusBody { status: "ok" })),
+            Endpoint::Ready => self
+                .active()
+                .map(|_| json_response(StatusCode::OK, &StatusBody { status: "ready" })),
+        };
+        answered.unwrap_or_else(|failure| failure_response(&failure))
+    }
+}
+
+#[derive(serde::Serialize)]
+struct StatusBody {
+    status: &'static str,
+}
--- /dev/null
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -0,0 +1,176 @@
+//! A gateway with a fixed fleet in front of fake engines.
+
+use std::{net::SocketAddr, time::Duration};
+
+use linnethitch_gateway::{
+    process::{GatewayHandle, GatewayProcess},
+    settings::{EngineTimeouts, FixedFleet, GatewayOptions, GatewaySettings},
+};
+use linnethitch_protocol::{
+    fleet::{BackEndKind, EngineState, Machine, MachineState, ReplicaInfo},
+    ids::{ReplicaId, ServiceId},
+};
+use sha2::{Digest, Sha256};
+use slog::{Discard, Logger, o};
+use tempfile::TempDir;
+
+/// The bearer key of tenant `one`.
+pub(crate) const KEY: &str = "test-key";
+/// The bearer key of tenant `limited`.
+pub(crate) const LIMITED_KEY: &str = "limited-key";
+/// Time after which a fake engine counts as hung.
+pub(crate) const HANG_LIMIT: Duration = Duration::from_millis(300);
+
+/// The fleet file of the tests.
+pub(crate) fn fleet_file() -> String {
+    format!(
+        r#"
+name = "test"
+[[zone]]
+name = "z"
+region = "r"
+[[model]]
+name = "m"
+version = "1"
+context_tokens = 4096
+placement = [{{ zone = "z", replicas = 2 }}]
+[[model.adapter]]
+name = "a"
+version = "1"
+[[service]]
+name = "tariffs"
+placement = [{{ zone = "z", replicas = 1 }}]
+timeout_ms = 1000
+[[tenant]]
+name = "one"
+key_sha256 = "{}"
+[[tenant]]
+name = "limited"
+key_sha256 = "{}"
+requests_per_second = 1.0
+max_in_flight = 1
+[limits]
+max_body_bytes = 65536
+body_timeout_ms = 400
+max_output_tokens = 1000
+"#,
+        hash(KEY),
+        hash(LIMITED_KEY)
+    )
+}
+
+fn hash(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+/// A running gateway and its data folder.
+pub(crate) struct TestGateway {
+    pub(crate) handle: Option<GatewayHandle>,
+    pub(crate) address: SocketAddr,
+    _folder: TempDir,
+}
+
+impl TestGateway {
+    /// Starts a gateway in front of engines that serve the model `m`.
+    pub(crate) async fn start(engines: &[SocketAddr]) -> Self {
+        Self::start_with(engines, &[]).await
+    }
+
+    /// Starts a gateway in front of engines and of application replicas of `tariffs`.
+    pub(crate) async fn start_with(engines: &[SocketAddr], applications: &[SocketAddr]) -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let engines = engines
+            .iter()
+            .enumerate()
+            .map(|(number, address)| engine(number, *address));
+        let applications = applications
+            .iter()
+            .enumerate()
+            .map(|(number, address)| application(number, *address));
+        let options = GatewayOptions {
+            engine_timeouts: EngineTimeouts {
+                connect: Duration::from_millis(500),
+                first_token: HANG_LIMIT,
+                between_tokens: HANG_LIMIT,
+            },
+            fixed: Some(FixedFleet {
+                content: fleet_file(),
+                replicas: engines.chain(applications).collect(),
+            }),
+        };
+        let handle = GatewayProcess::start_with(settings(&folder), options, logger())
+            .await
+            .expect("the gateway starts");
+        TestGateway {
+            address: handle.address(),
+            handle: Some(handle),
+            _folder: folder,
+        }
+    }
+
+    /// The URL of a path.
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+fn logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+fn settings(folder: &TempDir) -> GatewaySettings {
+    GatewaySettings {
+        gateway_id: "g1".to_owned(),
+        zone: "z".to_owned(),
+        region: "r".to_owned(),
+        listen_address: "127.0.0.1:0".parse().expect("an address"),
+        control_addresses: Vec::new(),
+        cluster: "test".to_owned(),
+        cluster_key_file: folder.path().join("key"),
+        data_dir: folder.path().to_owned(),
+        journal_max_bytes: 1 << 20,
+    }
+}
+
+fn replica(
+    name: String,
+    kind: BackEndKind,
+    address: SocketAddr,
+    engine: EngineState,
+) -> ReplicaInfo {
+    ReplicaInfo {
+        machine: Machine {
+            replica: ReplicaId(name),
+            kind,
+            zone: "z".into(),
+            address: address.to_string(),
+            state: MachineState::Live,
+        },
+        engine,
+    }
+}
+
+fn engine(number: usize, address: SocketAddr) -> ReplicaInfo {
+    let state = EngineState {
+        model: Some("m".into()),
+        version: "1".to_owned(),
+        adapters: vec!["a".to_owned()],
+        ..EngineState::default()
+    };
+    replica(
+        format!("engine-{number}"),
+        BackEndKind::Engine,
+        address,
+        state,
+    )
+}
+
+fn application(number: usize, address: SocketAddr) -> ReplicaInfo {
+    let kind = BackEndKind::Application(ServiceId("tariffs".to_owned()));
+    replica(
+        format!("application-{number}"),
+        kind,
+        address,
+        EngineState::default(),
+    )
+}
--- /dev/null
+++ b/crates/gateway/tests/all/support/mod.rs
@@ -0,0 +1,5 @@
+//! Fake engines, a gateway beside them and a small HTTP client.
+
+pub(crate) mod caller;
+pub(crate) mod engine;
+pub(crate) mod gateway;
