--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -10,9 +10,17 @@
 )]
 
 pub mod file_system;
+pub mod folder;
+pub mod log;
 pub mod payload;
 pub mod real;
+pub mod revision;
+pub mod snapshot;
 
 pub use file_system::{File, FileSystem, FolderLock, OpenMode, StorageResult};
+pub use folder::{DataFolder, FolderIdentity, FolderRole};
+pub use log::{Log, LogDamage, LogLimits, OpenedLog};
 pub use payload::{MemoryPayloads, PayloadRef, Payloads};
 pub use real::RealFileSystem;
+pub use revision::RevisionFile;
+pub use snapshot::{ReceiveProgress, SnapshotInfo, SnapshotStore, SnapshotWriter};
--- /dev/null
+++ b/crates/storage/src/log/open.rs
@@ -0,0 +1,292 @@
+//! Opens a log after a restart: torn tails are cut off, damage is reported.
+
+use std::{fmt, sync::Arc};
+
+use linnethitch_protocol::{
+    consensus::HardState,
+    ids::{LogIndex, Term},
+};
+
+use super::{
+    Log, LogLimits,
+    cache::EntryCache,
+    record::{LOG_FORMAT_VERSION, Record, SegmentStart},
+    scan::{SegmentEnd, SegmentScan, scan_segment},
+    segment::{LOG_DIRECTORY, Segment, segment_path, segment_sequence},
+    terms::TermRuns,
+};
+use crate::file_system::{File, FileSystem, OpenMode, StorageResult};
+
+/// Synced entries that cannot be read any more.
+///
+/// The member has lost what it acknowledged and possibly its vote, so it must
+/// not go on under its identity: it has to take a new disk id, join as a
+/// learner and fetch the log from its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogDamage {
+    /// The first index that may be lost.
+    pub first_lost: LogIndex,
+    /// The damaged file.
+    pub file: String,
+    /// Byte offset of the damage in it.
+    pub offset: u64,
+    /// What is wrong there.
+    pub reason: &'static str,
+}
+
+impl fmt::Display for LogDamage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} is damaged at byte {}: {}; entries from {} on must be fetched from peers",
+            self.file, self.offset, self.reason, self.first_lost
+        )
+    }
+}
+
+/// What opening a log gave.
+pub enum OpenedLog {
+    /// Everything that was ever synced is there.
+    Intact(Log),
+    /// Something that was synced is lost. Nothing was changed on disk.
+    Damaged(LogDamage),
+}
+
+/// What the segments read so far add up to.
+struct Replay {
+    segments: Vec<Segment>,
+    terms: TermRuns,
+    hard_state: HardState,
+}
+
+impl Replay {
+    fn new() -> Self {
+        Replay {
+            segments: Vec::new(),
+            terms: TermRuns::new(LogIndex(0), Term(0)),
+            hard_state: HardState::default(),
+        }
+    }
+
+    fn visit(
+        &mut self,
+        segment: &mut Segment,
+        record: Record,
+        offset: u64,
+    ) -> Result<(), &'static str> {
+        let is_first = offset == super::BATCH_HEADER_BYTES as u64;
+        match record {
+            Record::Start(start) if is_first => self.start(segment, start),
+            _ if is_first => Err("the segment does not begin with its first record"),
+            Record::Start(_) => Err("a second first record"),
+            Record::Entry { index, term } => self.entry(segment, index, term, offset),
+            Record::HardState(state) => {
+                self.hard_state = state;
+                Ok(())
+            }
+            Record::Truncate(index) => self.truncate(segment, index),
+        }
+    }
+
+    fn start(&mut self, segment: &Segment, start: SegmentStart) -> Result<(), &'static str> {
+        if start.format_version != LOG_FORMAT_VERSION {
+            return Err("another format version");
+        }
+        if start.sequence != segment.sequence {
+            return Err("the segment is another one");
+        }
+        let is_oldest = self.segments.is_empty();
+        if start.reset || is_oldest {
+            self.segments.clear();
+            self.terms = TermRuns::new(start.previous_index, start.previous_term);
+        } else {
+            let before = &self.segments[self.segments.len() - 1];
+            if before.sequence + 1 != start.sequence {
+                return Err("a segment before it is missing");
+            }
+            if self.terms.last() != start.previous_index {
+                return Err("the segment before it lacks entries");
+            }
+        }
+        self.hard_state = start.hard_state;
+        Ok(())
+    }
+
+    fn entry(
+        &mut self,
+        segment: &mut Segment,
+        index: LogIndex,
+        term: Term,
+        offset: u64,
+    ) -> Result<(), &'static str> {
+        if index.0 != self.terms.last().0 + 1 {
+            return Err("an entry does not follow the one before");
+        }
+        self.terms.push(index, term);
+        segment.push(index, offset);
+        Ok(())
+    }
+
+    fn truncate(&mut self, segment: &mut Segment, index: LogIndex) -> Result<(), &'static str> {
+        if index < self.terms.base() {
+            return Err("a truncation below the log's start");
+        }
+        for older in &mut self.segments {
+            older.truncate_after(index);
+        }
+        segment.truncate_after(index);
+        self.terms.truncate_after(index);
+        Ok(())
+    }
+}
+
+impl Log {
+    /// Opens the log of a formatted disk.
+    ///
+    /// A tail that was never synced is cut off. Damage within what was synced
+    /// is reported and nothing is changed.
+    ///
+    /// # Errors
+    /// `Io`.
+    pub fn open(file_system: Arc<dyn FileSystem>, limits: LogLimits) -> StorageResult<OpenedLog> {
+        let sequences = list_segments(file_system.as_ref())?;
+        let mut replay = Replay::new();
+        let mut damage = None;
+        let mut torn = None;
+        for sequence in &sequences {
+            let path = segment_path(*sequence);
+            let is_last = Some(sequence) == sequences.last();
+            let file = file_system.open(&path, OpenMode::Write)?;
+            let mut segment = Segment::new(*sequence, None);
+            let scan = scan_segment(file.as_ref(), *sequence, |record, offset| {
+                replay.visit(&mut segment, record, offset)
+            })?;
+            segment.length = scan.valid_bytes;
+            if begins_anew(&replay) {
+                damage = None;
+            }
+            damage = damage.or_else(|| find_damage(&replay, &scan, is_last, &path));
+            if is_last {
+                torn = Some(scan);
+            }
+            segment.file = Some(file);
+            segment.seal();
+            replay.segments.push(segment);
+        }
+        let Some(last_scan) = torn else {
+            return Ok(OpenedLog::Damaged(LogDamage {
+                first_lost: LogIndex(1),
+                file: LOG_DIRECTORY.to_owned(),
+                offset: 0,
+                reason: "the log is missing",
+            }));
+        };
+        if let Some(damage) = damage {
+            return Ok(OpenedLog::Damaged(damage));
+        }
+        repair_tail(file_system.as_ref(), &mut replay, last_scan)?;
+        remove_void_segments(file_system.as_ref(), &replay, &sequences)?;
+        file_system.sync_directory(LOG_DIRECTORY)?;
+        let synced = replay.terms.last();
+        Ok(OpenedLog::Intact(Log {
+            file_system,
+            limits,
+            segments: replay.segments,
+            terms: replay.terms,
+            hard_state: replay.hard_state,
+            cache: EntryCache::new(limits.cache_bytes),
+            buffer: Vec::new(),
+            synced,
+            failed: false,
+        }))
+    }
+}
+
+/// Whether the segment just read voided everything before it.
+fn begins_anew(replay: &Replay) -> bool {
+    replay.segments.is_empty()
+}
+
+fn find_damage(
+    replay: &Replay,
+    scan: &SegmentScan,
+    is_last: bool,
+    path: &str,
+) -> Option<LogDamage> {
+    let reason = match scan.end {
+        SegmentEnd::Corrupted(reason) => reason,
+        SegmentEnd::Torn if !is_last => "the file ends before its successor begins",
+        SegmentEnd::Torn if scan.valid_bytes == 0 && replay.segments.is_empty() => {
+            "the log holds nothing that is whole"
+        }
+        SegmentEnd::Clean if scan.valid_bytes == 0 && !is_last => "the file is empty",
+        SegmentEnd::Clean if scan.valid_bytes == 0 && replay.segments.is_empty() => {
+            "the log is empty"
+        }
+        SegmentEnd::Clean | SegmentEnd::Torn => return None,
+    };
+    Some(LogDamage {
+        first_lost: LogIndex(replay.terms.last().0 + 1),
+        file: path.to_owned(),
+        offset: scan.valid_bytes,
+        reason,
+    })
+}
+
+/// Cuts off a torn tail and makes the last batch durable for certain.
+///
+/// The last batch may have been written but never synced, or its sync may have
+/// failed; writing the same bytes again makes the disk take them.
+fn repair_tail(
+    file_system: &dyn FileSystem,
+    replay: &mut Replay,
+    scan: SegmentScan,
+) -> StorageResult<()> {
+    let last = replay.segments.len() - 1;
+    if scan.valid_bytes == 0 {
+        // The segment was created but its first batch never synced.
+        let segment = replay.segments.remove(last);
+        return file_system.remove(&segment_path(segment.sequence));
+    }
+    let segment = &mut replay.segments[last];
+    let Some(file) = segment.file.as_mut() else {
+        return Ok(());
+    };
+    if file.length()? > scan.valid_bytes {
+        file.truncate(scan.valid_bytes)?;
+    }
+    rewrite(file.as_mut(), scan.last_batch, scan.valid_bytes)?;
+    file.sync()
+}
+
+fn rewrite(file: &mut dyn File, from: u64, to: u64) -> StorageResult<()> {
+    let mut bytes = vec![0; (to - from) as usize];
+    let read = file.read_at(from, &mut bytes)?;
+    file.write_at(from, &bytes[..read])
+}
+
+/// Removes files that a later segment voided and that a crash left behind.
+fn remove_void_segments(
+    file_system: &dyn FileSystem,
+    replay: &Replay,
+    sequences: &[u64],
+) -> StorageResult<()> {
+    let oldest = replay.segments.first().map_or(0, |first| first.sequence);
+    for sequence in sequences.iter().filter(|sequence| **sequence < oldest) {
+        file_system.remove(&segment_path(*sequence))?;
+    }
+    Ok(())
+}
+
+fn list_segments(file_system: &dyn FileSystem) -> StorageResult<Vec<u64>> {
+    if !file_system.exists(LOG_DIRECTORY)? {
+        return Ok(Vec::new());
+    }
+    let names = file_system.list(LOG_DIRECTORY)?;
+    let mut sequences: Vec<u64> = names
+        .iter()
+        .filter_map(|name| segment_sequence(name))
+        .collect();
+    sequences.sort_unstable();
+    Ok(sequences)
+}
--- /dev/null
+++ b/crates/storage/src/log/record.rs
@@ -0,0 +1,268 @@
+//! The bytes of the log: batches of records.
+//!
+//! A batch is what one sync makes durable. Layout, little endian:
+//!
+//! ```text
+//! batch:  u32 magic, u32 body length, u64 file offset of the batch,
+//!         u64 segment sequence, u32 CRC-32 of these 24 bytes, body
+//! body:   records, end to end
+//! record: u32 payload length, u32 CRC-32 of kind and payload, u8 kind, payload
+//! ```
+//!
+//! A batch header names its own place, so a header found further on in a file
+//! proves that whatever lies before it had been synced.
+
+use linnethitch_protocol::{
+    consensus::{EntryPayload, HardState},
+    frame,
+    ids::{LogIndex, Term},
+};
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::file_system::StorageResult;
+
+/// First bytes of a batch.
+pub const BATCH_MAGIC: u32 = 0x4c48_4231;
+/// Bytes of a batch header.
+pub const BATCH_HEADER_BYTES: usize = 28;
+/// Bytes of a record before its payload.
+pub const RECORD_HEADER_BYTES: usize = 9;
+/// Bytes of an entry record's payload before the encoded entry.
+const ENTRY_PREFIX_BYTES: usize = 16;
+/// Longest record payload that is accepted, in bytes.
+pub const MAX_RECORD_BYTES: usize = 17 * 1024 * 1024;
+/// Longest batch body that is accepted, in bytes.
+pub const MAX_BATCH_BYTES: usize = 2 * MAX_RECORD_BYTES;
+/// Version of the log's format.
+pub const LOG_FORMAT_VERSION: u32 = 1;
+
+/// The first record of every segment.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct SegmentStart {
+    /// Version of the format.
+    pub format_version: u32,
+    /// Number of the segment; grows by one.
+    pub sequence: u64,
+    /// The last index before the segment's first entry.
+    pub previous_index: LogIndex,
+    /// The term of that index.
+    pub previous_term: Term,
+    /// Whether the log begins anew here and everything older is void.
+    pub reset: bool,
+    /// The hard state when the segment was begun.
+    pub hard_state: HardState,
+}
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// The first record of a segment.
+    Start(SegmentStart),
+    /// A log entry; its payload stays encoded.
+    Entry {
+        /// Its position.
+        index: LogIndex,
+        /// Its term.
+        term: Term,
+    },
+    /// A new hard state.
+    HardState(HardState),
+    /// Entries after this index are void.
+    Truncate(LogIndex),
+}
+
+const KIND_START: u8 = 1;
+const KIND_ENTRY: u8 = 2;
+const KIND_HARD_STATE: u8 = 3;
+const KIND_TRUNCATE: u8 = 4;
+
+/// Why bytes are not a record or batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// The bytes end too early.
+    Short,
+    /// A checksum differs.
+    Checksum,
+    /// A length, kind or payload that is not of this format.
+    Format,
+}
+
+/// A checked batch header.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchHeader {
+    /// Bytes of the body.
+    pub body_bytes: usize,
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+}
+
+fn read_u64(bytes: &[u8], at: usize) -> u64 {
+    u64::from(read_u32(bytes, at)) | u64::from(read_u32(bytes, at + 4)) << 32
+}
+
+/// The header of a batch at this place.
+#[must_use]
+pub fn encode_batch_header(
+    body_bytes: usize,
+    offset: u64,
+    sequence: u64,
+) -> [u8; BATCH_HEADER_BYTES] {
+    let mut header = [0; BATCH_HEADER_BYTES];
+    header[0..4].copy_from_slice(&BATCH_MAGIC.to_le_bytes());
+    header[4..8].copy_from_slice(&(body_bytes as u32).to_le_bytes());
+    header[8..16].copy_from_slice(&offset.to_le_bytes());
+    header[16..24].copy_from_slice(&sequence.to_le_bytes());
+    let checksum = crc32fast::hash(&header[..24]);
+    header[24..28].copy_from_slice(&checksum.to_le_bytes());
+    header
+}
+
+/// Checks the header of a batch that should lie at this place.
+///
+/// # Errors
+/// [`Malformed`] when it is not the header of such a batch.
+pub fn parse_batch_header(
+    bytes: &[u8],
+    offset: u64,
+    sequence: u64,
+) -> Result<BatchHeader, Malformed> {
+    if bytes.len() < BATCH_HEADER_BYTES {
+        return Err(Malformed::Short);
+    }
+    if read_u32(bytes, 0) != BATCH_MAGIC {
+        return Err(Malformed::Format);
+    }
+    if crc32fast::hash(&bytes[..24]) != read_u32(bytes, 24) {
+        return Err(Malformed::Checksum);
+    }
+    let body_bytes = read_u32(bytes, 4) as usize;
+    let in_place = read_u64(bytes, 8) == offset && read_u64(bytes, 16) == sequence;
+    if !in_place || body_bytes > MAX_BATCH_BYTES {
+        return Err(Malformed::Format);
+    }
+    Ok(BatchHeader { body_bytes })
+}
+
+/// Appends a record to a batch body.
+fn push_record(body: &mut Vec<u8>, kind: u8, parts: &[&[u8]]) {
+    let length: usize = parts.iter().map(|part| part.len()).sum();
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&[kind]);
+    for part in parts {
+        hasher.update(part);
+    }
+    body.extend_from_slice(&(length as u32).to_le_bytes());
+    body.extend_from_slice(&hasher.finalize().to_le_bytes());
+    body.push(kind);
+    for part in parts {
+        body.extend_from_slice(part);
+    }
+}
+
+/// Appends the first record of a segment.
+///
+/// # Errors
+/// `Internal` when it cannot be encoded.
+pub fn push_start(body: &mut Vec<u8>, start: &SegmentStart) -> StorageResult<()> {
+    push_record(body, KIND_START, &[&frame::encode(start)?]);
+    Ok(())
+}
+
+/// Appends an entry.
+///
+/// # Errors
+/// `Internal` when it cannot be encoded.
+pub fn push_entry(
+    body: &mut Vec<u8>,
+    index: LogIndex,
+    term: Term,
+    payload: &EntryPayload,
+) -> StorageResult<()> {
+    let encoded = frame::encode(payload)?;
+    let (index, term) = (index.0.to_le_bytes(), term.0.to_le_bytes());
+    push_record(body, KIND_ENTRY, &[&index, &term, &encoded]);
+    Ok(())
+}
+
+/// Appends a hard state.
+///
+/// # Errors
+/// `Internal` when it cannot be encoded.
+pub fn push_hard_state(body: &mut Vec<u8>, state: &HardState) -> StorageResult<()> {
+    push_record(body, KIND_HARD_STATE, &[&frame::encode(state)?]);
+    Ok(())
+}
+
+/// Appends a truncation.
+pub fn push_truncate(body: &mut Vec<u8>, index: LogIndex) {
+    push_record(body, KIND_TRUNCATE, &[&index.0.to_le_bytes()]);
+}
+
+/// A record as found in bytes.
+struct RawRecord<'a> {
+    kind: u8,
+    payload: &'a [u8],
+}
+
+/// Checks the record at the start of the bytes.
+fn raw_record(bytes: &[u8]) -> Result<RawRecord<'_>, Malformed> {
+    if bytes.len() < RECORD_HEADER_BYTES {
+        return Err(Malformed::Short);
+    }
+    let length = read_u32(bytes, 0) as usize;
+    if length > MAX_RECORD_BYTES {
+        return Err(Malformed::Format);
+    }
+    let end = RECORD_HEADER_BYTES + length;
+    if bytes.len() < end {
+        return Err(Malformed::Short);
+    }
+    if crc32fast::hash(&bytes[8..end]) != read_u32(bytes, 4) {
+        return Err(Malformed::Checksum);
+    }
+    Ok(RawRecord {
+        kind: bytes[8],
+        payload: &bytes[RECORD_HEADER_BYTES..end],
+    })
+}
+
+/// Parses the record at the start of the bytes and tells how many bytes it takes.
+///
+/// # Errors
+/// [`Malformed`] when there is no valid record.
+pub fn parse_record(bytes: &[u8]) -> Result<(Record, usize), Malformed> {
+    let raw = raw_record(bytes)?;
+    let payload = raw.payload;
+    let record = match raw.kind {
+        KIND_START => Record::Start(frame::decode(payload).map_err(|_| Malformed::Format)?),
+        KIND_ENTRY if payload.len() >= ENTRY_PREFIX_BYTES => Record::Entry {
+            index: LogIndex(read_u64(payload, 0)),
+            term: Term(read_u64(payload, 8)),
+        },
+        KIND_HARD_STATE => {
+            Record::HardState(frame::decode(payload).map_err(|_| Malformed::Format)?)
+        }
+        KIND_TRUNCATE if payload.len() == 8 => Record::Truncate(LogIndex(read_u64(payload, 0))),
+        _ => return Err(Malformed::Format),
+    };
+    Ok((record, RECORD_HEADER_BYTES + payload.len()))
+}
+
+/// Parses the entry record at the start of the bytes, payload included.
+///
+/// # Errors
+/// [`Malformed`] when there is no valid entry record.
+pub fn parse_entry(bytes: &[u8]) -> Result<linnethitch_protocol::consensus::Entry, Malformed> {
+    let raw = raw_record(bytes)?;
+    if raw.kind != KIND_ENTRY || raw.payload.len() < ENTRY_PREFIX_BYTES {
+        return Err(Malformed::Format);
+    }
+    let encoded = &raw.payload[ENTRY_PREFIX_BYTES..];
+    Ok(linnethitch_protocol::consensus::Entry {
+        index: LogIndex(read_u64(raw.payload, 0)),
+        term: Term(read_u64(raw.payload, 8)),
+        payload: frame::decode(encoded).map_err(|_| Malformed::Format)?,
+    })
+}
--- /dev/null
+++ b/crates/storage/src/log/scan.rs
@@ -0,0 +1,189 @@
+//! Reads a segment when the log is opened and tells a torn tail from damage.
+
+use super::record::{
+    self, BATCH_HEADER_BYTES, BATCH_MAGIC, Malformed, Record, parse_batch_header, parse_record,
+};
+use crate::file_system::{File, StorageResult};
+
+/// Unit in which a disk may have written or not written, in bytes.
+const SECTOR_BYTES: u64 = 512;
+/// Bytes read at once when looking for later batches.
+const SEARCH_BYTES: usize = 64 * 1024;
+
+/// How the valid part of a segment ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SegmentEnd {
+    /// At the file's end.
+    Clean,
+    /// A write that was never synced was cut off or only partly written here.
+    Torn,
+    /// Bytes that had been written whole do not pass their check.
+    Corrupted(&'static str),
+}
+
+/// What a scan found.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SegmentScan {
+    /// Bytes up to the end of the last valid batch.
+    pub(crate) valid_bytes: u64,
+    /// Where the last valid batch begins.
+    pub(crate) last_batch: u64,
+    /// How the valid part ends.
+    pub(crate) end: SegmentEnd,
+}
+
+/// Reads all batches and hands each record with its file offset to `visit`.
+///
+/// `visit` returns a reason when the record contradicts what came before.
+///
+/// # Errors
+/// `Io`.
+pub(crate) fn scan_segment(
+    file: &dyn File,
+    sequence: u64,
+    mut visit: impl FnMut(Record, u64) -> Result<(), &'static str>,
+) -> StorageResult<SegmentScan> {
+    let length = file.length()?;
+    let mut offset = 0;
+    let mut last_batch = 0;
+    while offset < length {
+        let body = match read_batch(file, sequence, offset, length)? {
+            Ok(body) => body,
+            Err(malformed) => {
+                let end = classify(file, sequence, offset, length, malformed)?;
+                return Ok(SegmentScan {
+                    valid_bytes: offset,
+                    last_batch,
+                    end,
+                });
+            }
+        };
+        let body_start = offset + BATCH_HEADER_BYTES as u64;
+        if let Err(reason) = visit_records(&body, body_start, &mut visit) {
+            return Ok(SegmentScan {
+                valid_bytes: offset,
+                last_batch,
+                end: SegmentEnd::Corrupted(reason),
+            });
+        }
+        last_batch = offset;
+        offset = body_start + body.len() as u64;
+    }
+    Ok(SegmentScan {
+        valid_bytes: offset,
+        last_batch,
+        end: SegmentEnd::Clean,
+    })
+}
+
+/// Reads the batch at the offset and checks every record in it.
+fn read_batch(
+    file: &dyn File,
+    sequence: u64,
+    offset: u64,
+    length: u64,
+) -> StorageResult<Result<Vec<u8>, Malformed>> {
+    let mut header = [0; BATCH_HEADER_BYTES];
+    let read = file.read_at(offset, &mut header)?;
+    let header = match parse_batch_header(&header[..read], offset, sequence) {
+        Ok(header) => header,
+        Err(malformed) => return Ok(Err(malformed)),
+    };
+    let body_start = offset + BATCH_HEADER_BYTES as u64;
+    if body_start + header.body_bytes as u64 > length {
+        return Ok(Err(Malformed::Short));
+    }
+    let mut body = vec![0; header.body_bytes];
+    if file.read_at(body_start, &mut body)? < body.len() {
+        return Ok(Err(Malformed::Short));
+    }
+    let mut at = 0;
+    while at < body.len() {
+        match parse_record(&body[at..]) {
+            Ok((_, bytes)) => at += bytes,
+            Err(_) => return Ok(Err(Malformed::Checksum)),
+        }
+    }
+    Ok(Ok(body))
+}
+
+fn visit_records(
+    body: &[u8],
+    body_start: u64,
+    visit: &mut impl FnMut(Record, u64) -> Result<(), &'static str>,
+) -> Result<(), &'static str> {
+    let mut at = 0;
+    while at < body.len() {
+        let (record, bytes) = parse_record(&body[at..]).map_err(|_| "a record is malformed")?;
+        visit(record, body_start + at as u64)?;
+        at += bytes;
+    }
+    Ok(())
+}
+
+/// Decides whether the malformed batch at the offset was torn or damaged.
+///
+/// A torn write leaves the file short, or sectors that were never written and
+/// read as zeros. Bytes that are all there but wrong, or wrong bytes before a
+/// later batch (which is only written once everything before it is synced),
+/// are damage.
+fn classify(
+    file: &dyn File,
+    sequence: u64,
+    offset: u64,
+    length: u64,
+    malformed: Malformed,
+) -> StorageResult<SegmentEnd> {
+    if batch_follows(file, sequence, offset + 1, length)? {
+        return Ok(SegmentEnd::Corrupted("a valid batch follows a damaged one"));
+    }
+    let torn = malformed == Malformed::Short || has_unwritten_sector(file, offset, length)?;
+    Ok(if torn {
+        SegmentEnd::Torn
+    } else {
+        SegmentEnd::Corrupted("the last batch is whole but fails its checksum")
+    })
+}
+
+/// Whether a valid batch header lies anywhere from the offset on.
+fn batch_follows(
+    file: &dyn File,
+    sequence: u64,
+    mut offset: u64,
+    length: u64,
+) -> StorageResult<bool> {
+    let magic = BATCH_MAGIC.to_le_bytes();
+    let mut window = vec![0; SEARCH_BYTES];
+    while offset + BATCH_HEADER_BYTES as u64 <= length {
+        let read = file.read_at(offset, &mut window)?;
+        if read < BATCH_HEADER_BYTES {
+            break;
+        }
+        let candidates = read - BATCH_HEADER_BYTES + 1;
+        for at in 0..candidates {
+            let bytes = &window[at..at + BATCH_HEADER_BYTES];
+            let found = bytes[..4] == magic
+                && record::parse_batch_header(bytes, offset + at as u64, sequence).is_ok();
+            if found {
+                return Ok(true);
+            }
+        }
+        offset += candidates as u64;
+    }
+    Ok(false)
+}
+
+/// Whether some sector from the offset on reads as zeros throughout.
+fn has_unwritten_sector(file: &dyn File, mut offset: u64, length: u64) -> StorageResult<bool> {
+    let mut sector = [0; SECTOR_BYTES as usize];
+    while offset < length {
+        let end = ((offset / SECTOR_BYTES + 1) * SECTOR_BYTES).min(length);
+        let piece = &mut sector[..(end - offset) as usize];
+        file.read_at(offset, piece)?;
+        if piece.iter().all(|byte| *byte == 0) {
+            return Ok(true);
+        }
+        offset = end;
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/crates/storage/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the storage crate.
+
+mod real_disk;
