--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -2,6 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+mod difference;
+pub mod validate;
+
+pub use difference::{Change, ChangeKind};
+
 /// The whole file. It is applied as a whole, never in part.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -246,9 +251,30 @@
     /// Parses and validates a fleet file.
     ///
     /// # Errors
-    /// A [`FleetError`] that names line and field.
+    /// The first fault of the file, with line and field.
     pub fn parse(text: &str) -> Result<Fleet, FleetError> {
-        toml::from_str(text).map_err(|error| FleetError::from_toml(text, &error))
+        Fleet::parse_reporting_all(text).map_err(|errors| {
+            errors
+                .into_iter()
+                .next()
+                .unwrap_or_else(|| unreachable!("a refusal names at least one fault"))
+        })
+    }
+
+    /// Parses and validates a fleet file and reports as many faults as can be
+    /// told at once, at most [`validate::MAX_REPORTED_FAULTS`].
+    ///
+    /// # Errors
+    /// The faults in the order of their lines; never an empty list.
+    pub fn parse_reporting_all(text: &str) -> Result<Fleet, Vec<FleetError>> {
+        validate::check_size(text).map_err(|error| vec![error])?;
+        let fleet: Fleet =
+            toml::from_str(text).map_err(|error| vec![FleetError::from_toml(text, &error)])?;
+        let faults = validate::faults_of(&fleet);
+        if faults.is_empty() {
+            return Ok(fleet);
+        }
+        Err(validate::located(text, faults))
     }
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod fleet;
 pub mod locate;
 pub mod settings;
+pub mod text_edit;
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -5,7 +5,7 @@
 
 use std::{fmt, ops::Range};
 
-use toml::de::{DeTable, DeValue};
+use toml::de::{DeArray, DeTable, DeValue};
 
 /// What is wrong with a file, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,7 +23,7 @@
     #[must_use]
     pub fn at(text: &str, field: FieldPath, message: impl Into<String>) -> Self {
         FieldError {
-            line: line_of(text, &field),
+            line: Locator::new(text).and_then(|locator| locator.line_of(&field)),
             field: field.to_string(),
             message: message.into(),
         }
@@ -35,6 +35,7 @@
         let span = error.span();
         let field = span
             .as_ref()
+            .filter(|span| !span.is_empty())
             .and_then(|span| field_at(text, span))
             .unwrap_or_default();
         FieldError {
@@ -109,39 +110,54 @@
     }
 }
 
-/// The line of a field, from 1; of the nearest table around it when the field is absent.
-fn line_of(text: &str, path: &FieldPath) -> Option<usize> {
-    let root = DeTable::parse(text).ok()?;
-    let mut found = None;
-    let mut step_table = Some(root.get_ref());
-    let mut step_array = None;
-    for step in &path.0 {
-        let value = match step {
-            Step::Key(key) => {
-                let Some((name, value)) = step_table.and_then(|table| {
-                    table
-                        .iter()
-                        .find(|(name, _)| name.get_ref().as_ref() == key.as_str())
-                }) else {
-                    break;
-                };
-                found = Some(name.span().start);
-                value
-            }
-            Step::Index(index) => {
-                let Some(value) =
-                    step_array.and_then(|array: &toml::de::DeArray<'_>| array.get(*index))
-                else {
-                    break;
-                };
-                found = Some(value.span().start);
-                value
-            }
-        };
-        step_table = value.get_ref().as_table();
-        step_array = value.get_ref().as_array();
+/// Finds lines of fields in one text.
+pub struct Locator<'a> {
+    text: &'a str,
+    root: toml::Spanned<DeTable<'a>>,
+}
+
+impl<'a> Locator<'a> {
+    /// Parses the text; `None` when its syntax is wrong.
+    #[must_use]
+    pub fn new(text: &'a str) -> Option<Self> {
+        let root = DeTable::parse(text).ok()?;
+        Some(Locator { text, root })
     }
-    found.map(|offset| line_at(text, offset))
+
+    /// The line of a field, from 1; of the nearest table around it when the
+    /// field is absent; `None` when that is the root.
+    #[must_use]
+    pub fn line_of(&self, path: &FieldPath) -> Option<usize> {
+        let mut table = Some(self.root.get_ref());
+        let mut array = None;
+        let mut found = None;
+        for step in &path.0 {
+            let entry = match step {
+                Step::Key(key) => table.and_then(|table| entry_of(table, key)),
+                Step::Index(index) => array
+                    .and_then(|array: &DeArray<'a>| array.get(*index))
+                    .map(|value| (value.span().start, value)),
+            };
+            let Some((offset, value)) = entry else {
+                break;
+            };
+            found = Some(offset);
+            table = value.get_ref().as_table();
+            array = value.get_ref().as_array();
+        }
+        found.map(|offset| line_at(self.text, offset))
+    }
+}
+
+/// Where a key stands and its value.
+fn entry_of<'t, 'a>(
+    table: &'t DeTable<'a>,
+    key: &str,
+) -> Option<(usize, &'t toml::Spanned<DeValue<'a>>)> {
+    table
+        .iter()
+        .find(|(name, _)| name.get_ref().as_ref() == key)
+        .map(|(name, value)| (name.span().start, value))
 }
 
 /// The deepest field whose key or value lies at the span.
