Add the replicated log as a sans-IO node

Cause: control needs a replicated log of its own, driven by any clock, disk and network so that the same code runs in the simulator.

Votes and acknowledgements are released only after the sync.

--- /dev/null
+++ b/crates/consensus/src/membership.rs
@@ -0,0 +1,139 @@
+//! Memberships in the log and the rules of changing them.
+
+use linnethitch_protocol::{
+    consensus::{Entry, EntryPayload, Membership, MembershipChange},
+    ids::{LogIndex, MemberId},
+};
+
+use crate::error::MembershipError;
+
+/// Voters that form a quorum.
+pub(crate) fn quorum(membership: &Membership) -> usize {
+    membership.voters.len() / 2 + 1
+}
+
+/// Whether a member counts.
+pub(crate) fn is_voter(membership: &Membership, member: MemberId) -> bool {
+    membership.voters.contains(&member)
+}
+
+/// Every voter and learner.
+pub(crate) fn members(membership: &Membership) -> impl Iterator<Item = MemberId> + '_ {
+    membership
+        .voters
+        .iter()
+        .chain(&membership.learners)
+        .copied()
+}
+
+/// The membership that a change results in.
+pub(crate) fn changed(
+    membership: &Membership,
+    change: &MembershipChange,
+) -> Result<Membership, MembershipError> {
+    let mut result = membership.clone();
+    match change {
+        MembershipChange::AddLearner(member) => add_learner(&mut result, *member)?,
+        MembershipChange::PromoteLearner(member) => promote(&mut result, *member)?,
+        MembershipChange::Remove(member) => remove(&mut result, *member)?,
+    }
+    Ok(result)
+}
+
+fn add_learner(membership: &mut Membership, member: MemberId) -> Result<(), MembershipError> {
+    if members(membership).any(|known| known == member) {
+        return Err(MembershipError::AlreadyMember);
+    }
+    membership.learners.push(member);
+    membership.learners.sort_unstable();
+    Ok(())
+}
+
+fn promote(membership: &mut Membership, member: MemberId) -> Result<(), MembershipError> {
+    if !membership.learners.contains(&member) {
+        return Err(MembershipError::NotLearner);
+    }
+    if membership
+        .voters
+        .iter()
+        .any(|voter| voter.machine == member.machine)
+    {
+        return Err(MembershipError::MachineAlreadyVotes);
+    }
+    membership.learners.retain(|learner| *learner != member);
+    membership.voters.push(member);
+    membership.voters.sort_unstable();
+    Ok(())
+}
+
+fn remove(membership: &mut Membership, member: MemberId) -> Result<(), MembershipError> {
+    if !members(membership).any(|known| known == member) {
+        return Err(MembershipError::NotMember);
+    }
+    membership.learners.retain(|learner| *learner != member);
+    membership.voters.retain(|voter| *voter != member);
+    if membership.voters.is_empty() {
+        return Err(MembershipError::LastVoter);
+    }
+    Ok(())
+}
+
+struct RecordedMembership {
+    index: LogIndex,
+    membership: Membership,
+}
+
+/// The memberships of the log's uncommitted part and the last committed one.
+///
+/// The newest counts as soon as it is in the log.
+pub(crate) struct MembershipHistory {
+    recorded: Vec<RecordedMembership>,
+}
+
+impl MembershipHistory {
+    /// Starts from the membership as of an index.
+    pub(crate) fn new(index: LogIndex, membership: Membership) -> Self {
+        let base = RecordedMembership { index, membership };
+        MembershipHistory {
+            recorded: vec![base],
+        }
+    }
+
+    /// The newest membership.
+    pub(crate) fn latest(&self) -> &Membership {
+        &self.newest().membership
+    }
+
+    /// Where the newest membership stands in the log.
+    pub(crate) fn latest_index(&self) -> LogIndex {
+        self.newest().index
+    }
+
+    /// Takes note of an appended entry; true when it changes the membership.
+    pub(crate) fn record(&mut self, entry: &Entry) -> bool {
+        let EntryPayload::Membership(_, membership) = &entry.payload else {
+            return false;
+        };
+        self.recorded.push(RecordedMembership {
+            index: entry.index,
+            membership: membership.clone(),
+        });
+        true
+    }
+
+    /// Forgets memberships above an index.
+    pub(crate) fn truncate_after(&mut self, index: LogIndex) {
+        let keep = self.recorded.partition_point(|held| held.index <= index);
+        self.recorded.truncate(keep.max(1));
+    }
+
+    /// Forgets memberships below the newest committed one.
+    pub(crate) fn compact(&mut self, commit: LogIndex) {
+        let committed = self.recorded.partition_point(|held| held.index <= commit);
+        self.recorded.drain(..committed.saturating_sub(1));
+    }
+
+    fn newest(&self) -> &RecordedMembership {
+        &self.recorded[self.recorded.len() - 1]
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/follower.rs
@@ -0,0 +1,160 @@
+//! How a member takes entries from the leader.
+
+use linnethitch_protocol::{
+    consensus::{ConsensusBody, Entry},
+    ids::{LogIndex, MemberId, Term},
+};
+
+use super::Node;
+use crate::log_view::LogView;
+
+/// An append message of the leader.
+pub(super) struct ReceivedAppend {
+    pub(super) from: MemberId,
+    pub(super) previous_index: LogIndex,
+    pub(super) previous_term: Term,
+    pub(super) entries: Vec<Entry>,
+    pub(super) commit: LogIndex,
+    pub(super) round: u64,
+}
+
+impl ReceivedAppend {
+    /// Whether the entries follow each other and none is of a term above `term`.
+    fn is_well_formed(&self, term: Term) -> bool {
+        let mut index = self.previous_index;
+        let mut least_term = self.previous_term;
+        for entry in &self.entries {
+            let follows = index.0.checked_add(1) == Some(entry.index.0);
+            if !follows || entry.term < least_term || entry.term > term {
+                return false;
+            }
+            index = entry.index;
+            least_term = entry.term;
+        }
+        true
+    }
+
+    fn last_index(&self) -> LogIndex {
+        LogIndex(self.previous_index.0 + self.entries.len() as u64)
+    }
+}
+
+impl Node {
+    pub(super) fn on_append(&mut self, mut append: ReceivedAppend, log: &dyn LogView) {
+        if !append.is_well_formed(self.term) {
+            return;
+        }
+        self.skip_committed(&mut append, log);
+        let held_term = self.pending.term(append.previous_index, log);
+        if held_term != Some(append.previous_term) {
+            self.refuse_append(&append, log);
+            return;
+        }
+        let (from, round) = (append.from, append.round);
+        let matched = append.last_index();
+        let has_entries = !append.entries.is_empty();
+        let commit = append.commit.min(matched);
+        self.take_entries(append.entries, log);
+        self.commit_to(commit);
+        if has_entries {
+            self.answer_append(from, matched, round);
+        } else {
+            self.answer_heartbeat(from, matched, round);
+        }
+    }
+
+    /// Cuts off what is committed here; those entries are the leader's as well.
+    fn skip_committed(&self, append: &mut ReceivedAppend, log: &dyn LogView) {
+        if append.previous_index >= self.commit {
+            return;
+        }
+        append.entries.retain(|entry| entry.index > self.commit);
+        append.previous_index = self.commit;
+        append.previous_term = self.pending.term(self.commit, log).unwrap_or_default();
+    }
+
+    /// Appends what is new, after dropping what conflicts with it.
+    fn take_entries(&mut self, entries: Vec<Entry>, log: &dyn LogView) {
+        for entry in entries {
+            match self.pending.term(entry.index, log) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.truncate_after(LogIndex(entry.index.0 - 1), log),
+                None => {}
+            }
+            self.membership.record(&entry);
+            self.pending.append(entry);
+        }
+    }
+
+    fn truncate_after(&mut self, index: LogIndex, log: &dyn LogView) {
+        self.pending.truncate_after(index, log);
+        self.membership.truncate_after(index);
+        self.synced = self.synced.min(index);
+        for unsynced in &mut self.unsynced {
+            unsynced.last_index = unsynced.last_index.min(index);
+        }
+    }
+
+    /// Raises the commit index of a follower.
+    pub(super) fn commit_to(&mut self, commit: LogIndex) {
+        if commit > self.commit {
+            self.commit = commit;
+            self.membership.compact(commit);
+        }
+    }
+
+    fn answer_append(&mut self, to: MemberId, matched: LogIndex, round: u64) {
+        self.answered_round = round;
+        let body = ConsensusBody::AppendResponse {
+            accepted: true,
+            matched,
+            round,
+        };
+        let answer = self.answer(to, self.term, body);
+        if self.settings.safety.skip_append_sync {
+            self.before_sync.push(answer);
+        } else {
+            self.after_sync.push(answer);
+        }
+    }
+
+    /// Answers a heartbeat without waiting for the disk, telling only of what is
+    /// synced. News of a commit index within a round need no answer.
+    fn answer_heartbeat(&mut self, to: MemberId, matched: LogIndex, round: u64) {
+        if self.answered_round == round {
+            return;
+        }
+        self.answered_round = round;
+        let body = ConsensusBody::AppendResponse {
+            accepted: true,
+            matched: matched.min(self.synced),
+            round,
+        };
+        let answer = self.answer(to, self.term, body);
+        self.before_sync.push(answer);
+    }
+
+    fn refuse_append(&mut self, append: &ReceivedAppend, log: &dyn LogView) {
+        let body = ConsensusBody::AppendResponse {
+            accepted: false,
+            matched: self.agreement_hint(append, log),
+            round: append.round,
+        };
+        let answer = self.answer(append.from, self.term, body);
+        self.before_sync.push(answer);
+    }
+
+    /// The highest index below the refused one where the logs may agree: terms
+    /// never fall along a log, so nothing of a later term can.
+    fn agreement_hint(&self, append: &ReceivedAppend, log: &dyn LogView) -> LogIndex {
+        let below = LogIndex(append.previous_index.0.saturating_sub(1));
+        let mut hint = below.min(self.pending.last_index());
+        while hint > self.commit {
+            match self.pending.term(hint, log) {
+                Some(term) if term > append.previous_term => hint = LogIndex(hint.0 - 1),
+                _ => break,
+            }
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/snapshot.rs
@@ -0,0 +1,136 @@
+//! Snapshots for members that are behind the log's start.
+
+use linnethitch_protocol::{
+    consensus::{ConsensusBody, SnapshotMeta},
+    ids::{LogIndex, MemberId},
+};
+
+use super::{Node, PartialSnapshot, Receiving};
+use crate::{
+    log_view::LogView, membership::MembershipHistory, pending_log::PendingLog, ready::ReceivedChunk,
+};
+
+/// A member's answer to a snapshot chunk.
+pub(super) struct SnapshotAnswer {
+    pub(super) index: LogIndex,
+    pub(super) next_offset: u64,
+    pub(super) installed: bool,
+    pub(super) round: u64,
+}
+
+impl Node {
+    /// The driver has installed and synced a received snapshot, and its log now
+    /// starts after it. Entries beyond it may be kept only where the log holds
+    /// the snapshot's last index with the same term.
+    pub fn report_snapshot_installed(&mut self, meta: &SnapshotMeta, log: &dyn LogView) {
+        self.touched = true;
+        let Some(receiving) = self.receiving.take() else {
+            return;
+        };
+        if meta.index <= self.commit {
+            return;
+        }
+        self.pending = PendingLog::new(log);
+        self.commit = meta.index;
+        self.synced = self.synced.max(meta.index).min(log.last_index());
+        self.unsynced_end_at(log.last_index());
+        self.membership = MembershipHistory::new(meta.index, meta.membership.clone());
+        self.clear_damage_if_restored();
+        let offset = receiving.partial.next_offset;
+        self.answer_snapshot(receiving.partial.from, meta.index, offset, true);
+    }
+
+    /// The driver found a received snapshot to be damaged; it is asked for anew.
+    pub fn report_snapshot_refused(&mut self) {
+        self.receiving = None;
+    }
+
+    fn unsynced_end_at(&mut self, last_index: LogIndex) {
+        for unsynced in &mut self.unsynced {
+            unsynced.last_index = unsynced.last_index.min(last_index);
+        }
+    }
+
+    pub(super) fn on_snapshot_chunk(&mut self, chunk: ReceivedChunk, round: u64) {
+        self.answered_round = round;
+        let (from, index) = (chunk.from, chunk.meta.index);
+        if index <= self.commit {
+            let has_all = index <= self.synced;
+            self.answer_snapshot(from, index, 0, has_all);
+            return;
+        }
+        if !self.is_receiving(&chunk) {
+            self.receiving = (chunk.offset == 0).then(|| Receiving {
+                partial: PartialSnapshot {
+                    from,
+                    meta: chunk.meta.clone(),
+                    next_offset: 0,
+                },
+                complete: false,
+            });
+        }
+        let next_offset = self.receive(chunk);
+        self.answer_snapshot(from, index, next_offset, false);
+    }
+
+    fn is_receiving(&self, chunk: &ReceivedChunk) -> bool {
+        self.receiving.as_ref().is_some_and(|receiving| {
+            receiving.partial.from == chunk.from && receiving.partial.meta == chunk.meta
+        })
+    }
+
+    /// Takes the chunk if it is the one wanted; tells the next byte wanted.
+    fn receive(&mut self, chunk: ReceivedChunk) -> u64 {
+        let Some(receiving) = &mut self.receiving else {
+            return 0;
+        };
+        if chunk.offset == receiving.partial.next_offset && !receiving.complete {
+            receiving.partial.next_offset += chunk.data.len() as u64;
+            receiving.complete = chunk.last;
+            self.chunks.push(chunk);
+        }
+        receiving.partial.next_offset
+    }
+
+    fn answer_snapshot(
+        &mut self,
+        to: MemberId,
+        index: LogIndex,
+        next_offset: u64,
+        installed: bool,
+    ) {
+        let body = ConsensusBody::SnapshotResponse {
+            index,
+            next_offset,
+            installed,
+            round: self.answered_round,
+        };
+        let answer = self.answer(to, self.term, body);
+        self.after_sync.push(answer);
+    }
+
+    pub(super) fn on_snapshot_response(
+        &mut self,
+        from: MemberId,
+        answer: &SnapshotAnswer,
+        log: &dyn LogView,
+    ) {
+        let last_index = self.pending.last_index();
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let Some(progress) = leadership.peers.get_mut(&from) else {
+            return;
+        };
+        if answer.index > last_index || answer.round > leadership.round {
+            return;
+        }
+        progress.heard(answer.round);
+        if answer.installed {
+            progress.snapshot_installed(answer.index);
+            self.commit_if_possible(log);
+        } else {
+            progress.snapshot_wanted(answer.index, answer.next_offset);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replication.rs
@@ -0,0 +1,229 @@
+//! Builds the leader's messages to one member.
+
+use linnethitch_protocol::{
+    consensus::{ConsensusBody, ConsensusMessage, Entry},
+    ids::{LogIndex, MemberId, Term},
+};
+
+use crate::{
+    log_view::LogView,
+    pending_log::PendingLog,
+    progress::{Progress, SendState, SnapshotTransfer},
+    settings::Settings,
+};
+
+/// What all messages of one `Ready` share.
+pub(crate) struct Replication<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) term: Term,
+    pub(crate) commit: LogIndex,
+    pub(crate) round: u64,
+    pub(crate) pending: &'a PendingLog,
+    pub(crate) log: &'a dyn LogView,
+}
+
+/// Entries and the point of the log that they follow.
+struct Batch {
+    previous_index: LogIndex,
+    previous_term: Term,
+    entries: Vec<Entry>,
+}
+
+impl Replication<'_> {
+    /// Adds everything that may be sent to a member now.
+    pub(crate) fn send(
+        &self,
+        to: MemberId,
+        progress: &mut Progress,
+        outbox: &mut Vec<ConsensusMessage>,
+    ) {
+        let before = outbox.len();
+        match &progress.state {
+            SendState::Probe { sent: false } => self.send_probe(to, progress, outbox),
+            SendState::Probe { sent: true } => {}
+            SendState::Replicate => self.send_appends(to, progress, outbox),
+            SendState::Snapshot(_) => self.send_snapshot_chunk(to, progress, outbox),
+        }
+        let silent = outbox.len() == before;
+        if silent && (progress.heartbeat_due || self.has_commit_news(progress)) {
+            self.send_heartbeat(to, progress, outbox);
+        }
+        progress.heartbeat_due = false;
+    }
+
+    fn send_probe(
+        &self,
+        to: MemberId,
+        progress: &mut Progress,
+        outbox: &mut Vec<ConsensusMessage>,
+    ) {
+        let has_entries = progress.next <= self.pending.last_index();
+        if !has_entries && !progress.heartbeat_due {
+            return;
+        }
+        match self.batch(progress.next) {
+            Some(batch) => {
+                progress.state = SendState::Probe { sent: true };
+                outbox.push(self.append(to, progress, batch));
+            }
+            None => self.start_snapshot(to, progress, outbox),
+        }
+    }
+
+    fn send_appends(
+        &self,
+        to: MemberId,
+        progress: &mut Progress,
+        outbox: &mut Vec<ConsensusMessage>,
+    ) {
+        let last_index = self.pending.last_index();
+        let window = self.settings.max_inflight_appends;
+        while progress.next <= last_index && progress.inflight.len() < window {
+            let Some(batch) = self.batch(progress.next) else {
+                self.start_snapshot(to, progress, outbox);
+                return;
+            };
+            let sent_to = LogIndex(batch.previous_index.0 + batch.entries.len() as u64);
+            progress.inflight.add(sent_to);
+            progress.next = LogIndex(sent_to.0 + 1);
+            outbox.push(self.append(to, progress, batch));
+        }
+    }
+
+    /// The entries from an index on; `None` when the log does not reach back to it.
+    fn batch(&self, next: LogIndex) -> Option<Batch> {
+        let previous_index = LogIndex(next.0 - 1);
+        let previous_term = self.pending.term(previous_index, self.log)?;
+        let mut entries = Vec::new();
+        if next <= self.pending.last_index() {
+            let limit = self.settings.max_append_bytes;
+            entries = self.pending.entries(next, limit, self.log);
+            if entries.is_empty() {
+                return None;
+            }
+        }
+        Some(Batch {
+            previous_index,
+            previous_term,
+            entries,
+        })
+    }
+
+    fn append(&self, to: MemberId, progress: &mut Progress, batch: Batch) -> ConsensusMessage {
+        let covered = LogIndex(batch.previous_index.0 + batch.entries.len() as u64);
+        progress.told_commit = progress.told_commit.max(self.commit.min(covered));
+        self.message(
+            to,
+            ConsensusBody::Append {
+                previous_index: batch.previous_index,
+                previous_term: batch.previous_term,
+                entries: batch.entries,
+                commit: self.commit,
+                round: self.round,
+            },
+        )
+    }
+
+    fn has_commit_news(&self, progress: &Progress) -> bool {
+        let deliverable = self.commit.min(LogIndex(progress.next.0 - 1));
+        matches!(progress.state, SendState::Replicate) && progress.told_commit < deliverable
+    }
+
+    /// An append without entries. It stands at the end of what was sent, so that
+    /// a lost append is noticed; while a snapshot is sent it stands at index 0,
+    /// where all logs agree.
+    fn send_heartbeat(
+        &self,
+        to: MemberId,
+        progress: &mut Progress,
+        outbox: &mut Vec<ConsensusMessage>,
+    ) {
+        let mut previous_index = LogIndex(progress.next.0 - 1);
+        if matches!(progress.state, SendState::Snapshot(_)) {
+            previous_index = LogIndex(0);
+        }
+        let term = self.pending.term(previous_index, self.log);
+        let batch = Batch {
+            previous_index: if term.is_some() {
+                previous_index
+            } else {
+                LogIndex(0)
+            },
+            previous_term: term.unwrap_or_default(),
+            entries: Vec::new(),
+        };
+        outbox.push(self.append(to, progress, batch));
+    }
+
+    fn start_snapshot(
+        &self,
+        to: MemberId,
+        progress: &mut Progress,
+        outbox: &mut Vec<ConsensusMessage>,
+    ) {
+        let meta = self.log.snapshot_meta();
+        progress.inflight.clear();
+        progress.state = SendState::Snapshot(SnapshotTransfer::new(meta));
+        self.send_snapshot_chunk(to, progress, outbox);
+    }
+
+    fn send_snapshot_chunk(
+        &self,
+        to: MemberId,
+        progress: &mut Progress,
+        outbox: &mut Vec<ConsensusMessage>,
+    ) {
+        let SendState::Snapshot(transfer) = &mut progress.state else {
+            return;
+        };
+        let lost = transfer.ticks_since_sent >= self.settings.election_ticks;
+        if transfer.sent && !lost {
+            return;
+        }
+        if let Some(body) = self.snapshot_chunk(transfer) {
+            transfer.sent = true;
+            transfer.ticks_since_sent = 0;
+            outbox.push(self.message(to, body));
+        }
+    }
+
+    /// The chunk that the member wants. When the snapshot was replaced by a
+    /// newer one in the meantime, the transfer starts again with that.
+    fn snapshot_chunk(&self, transfer: &mut SnapshotTransfer) -> Option<ConsensusBody> {
+        if transfer.end == Some(transfer.offset) {
+            return Some(self.chunk_body(transfer, Vec::new(), true));
+        }
+        let limit = self.settings.snapshot_chunk_bytes;
+        let mut piece = self
+            .log
+            .snapshot_chunk(&transfer.meta, transfer.offset, limit);
+        if piece.is_none() {
+            *transfer = SnapshotTransfer::new(self.log.snapshot_meta());
+            piece = self.log.snapshot_chunk(&transfer.meta, 0, limit);
+        }
+        let piece = piece?;
+        if piece.last {
+            transfer.end = Some(transfer.offset + piece.data.len() as u64);
+        }
+        Some(self.chunk_body(transfer, piece.data, piece.last))
+    }
+
+    fn chunk_body(&self, transfer: &SnapshotTransfer, data: Vec<u8>, last: bool) -> ConsensusBody {
+        ConsensusBody::SnapshotChunk {
+            meta: transfer.meta.clone(),
+            offset: transfer.offset,
+            data,
+            last,
+            round: self.round,
+        }
+    }
+
+    fn message(&self, to: MemberId, body: ConsensusBody) -> ConsensusMessage {
+        ConsensusMessage {
+            from: self.settings.id,
+            to,
+            term: self.term,
+            body,
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/all/disk.rs
@@ -0,0 +1,189 @@
+//! A disk in memory: what was written, and what of it a crash leaves.
+
+use linnethitch_consensus::{LogView, PartialSnapshot, Ready, ReceivedChunk, SnapshotPiece};
+use linnethitch_protocol::{
+    consensus::{Entry, EntryPayload, HardState, Membership, SnapshotMeta},
+    ids::{LogIndex, Term},
+};
+
+/// A stored snapshot.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct StoredSnapshot {
+    pub(crate) meta: SnapshotMetaKey,
+    pub(crate) data: Vec<u8>,
+}
+
+/// `SnapshotMeta` with the traits that states of the model check need.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct SnapshotMetaKey {
+    pub(crate) index: u64,
+    pub(crate) term: u64,
+    pub(crate) voters: Vec<linnethitch_protocol::ids::MemberId>,
+    pub(crate) learners: Vec<linnethitch_protocol::ids::MemberId>,
+}
+
+impl SnapshotMetaKey {
+    pub(crate) fn from_meta(meta: &SnapshotMeta) -> Self {
+        SnapshotMetaKey {
+            index: meta.index.0,
+            term: meta.term.0,
+            voters: meta.membership.voters.clone(),
+            learners: meta.membership.learners.clone(),
+        }
+    }
+
+    pub(crate) fn to_meta(&self) -> SnapshotMeta {
+        SnapshotMeta {
+            index: LogIndex(self.index),
+            term: Term(self.term),
+            membership: Membership {
+                voters: self.voters.clone(),
+                learners: self.learners.clone(),
+            },
+        }
+    }
+}
+
+/// The content of a disk.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DiskContent {
+    pub(crate) hard_state: HardState,
+    pub(crate) snapshot: StoredSnapshot,
+    /// Entries above `start`.
+    pub(crate) entries: Vec<Entry>,
+    /// The index just before the first entry, and its term.
+    pub(crate) start: LogIndex,
+    pub(crate) start_term: Term,
+    pub(crate) partial: Option<PartialSnapshot>,
+    pub(crate) partial_data: Vec<u8>,
+}
+
+impl DiskContent {
+    /// Writes what a `Ready` asks for; the last chunk of a snapshot is returned.
+    pub(crate) fn write(&mut self, ready: &Ready) -> Option<SnapshotMeta> {
+        if let Some(hard_state) = &ready.hard_state {
+            self.hard_state = hard_state.clone();
+        }
+        if let Some(index) = ready.truncate_after {
+            self.entries.truncate((index.0 - self.start.0) as usize);
+        }
+        for entry in &ready.entries {
+            assert_eq!(entry.index.0, self.last_index().0 + 1, "a gap in the log");
+            self.entries.push(entry.clone());
+        }
+        let mut complete = None;
+        for chunk in &ready.snapshot_chunks {
+            self.write_chunk(chunk);
+            if chunk.last {
+                complete = Some(chunk.meta.clone());
+            }
+        }
+        complete
+    }
+
+    fn write_chunk(&mut self, chunk: &ReceivedChunk) {
+        self.partial_data.truncate(chunk.offset as usize);
+        assert_eq!(self.partial_data.len() as u64, chunk.offset, "a gap");
+        self.partial_data.extend_from_slice(&chunk.data);
+        self.partial = Some(PartialSnapshot {
+            from: chunk.from,
+            meta: chunk.meta.clone(),
+            next_offset: self.partial_data.len() as u64,
+        });
+    }
+
+    /// Replaces the log by the received snapshot, keeping what follows it.
+    pub(crate) fn install(&mut self, meta: &SnapshotMeta) {
+        let data = std::mem::take(&mut self.partial_data);
+        self.partial = None;
+        if self.term(meta.index) == Some(meta.term) {
+            self.entries.retain(|entry| entry.index > meta.index);
+        } else {
+            self.entries.clear();
+        }
+        self.start = meta.index;
+        self.start_term = meta.term;
+        self.snapshot = StoredSnapshot {
+            meta: SnapshotMetaKey::from_meta(meta),
+            data,
+        };
+    }
+
+    /// Takes a snapshot of the applied commands and drops the log up to there.
+    pub(crate) fn compact(&mut self, meta: &SnapshotMeta, data: Vec<u8>) {
+        self.entries.retain(|entry| entry.index > meta.index);
+        self.start = meta.index;
+        self.start_term = meta.term;
+        self.snapshot = StoredSnapshot {
+            meta: SnapshotMetaKey::from_meta(meta),
+            data,
+        };
+    }
+
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.start.0 + 1)?;
+        self.entries.get(offset as usize)
+    }
+}
+
+impl LogView for DiskContent {
+    fn first_index(&self) -> LogIndex {
+        LogIndex(self.start.0 + 1)
+    }
+
+    fn last_index(&self) -> LogIndex {
+        LogIndex(self.start.0 + self.entries.len() as u64)
+    }
+
+    fn term(&self, index: LogIndex) -> Option<Term> {
+        if index == self.start {
+            return Some(self.start_term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    fn entries(&self, from: LogIndex, to_exclusive: LogIndex, max_bytes: usize) -> Vec<Entry> {
+        let mut bytes = 0;
+        let mut taken = Vec::new();
+        let mut index = from;
+        while index < to_exclusive {
+            let Some(entry) = self.entry(index) else {
+                break;
+            };
+            bytes += payload_bytes(entry);
+            if bytes > max_bytes && !taken.is_empty() {
+                break;
+            }
+            taken.push(entry.clone());
+            index.0 += 1;
+        }
+        taken
+    }
+
+    fn snapshot_meta(&self) -> SnapshotMeta {
+        self.snapshot.meta.to_meta()
+    }
+
+    fn snapshot_chunk(
+        &self,
+        meta: &SnapshotMeta,
+        offset: u64,
+        max_bytes: usize,
+    ) -> Option<SnapshotPiece> {
+        let stored = &self.snapshot;
+        let held = stored.meta.index > 0 && stored.meta.to_meta() == *meta;
+        let rest = stored.data.get(offset as usize..).filter(|_| held)?;
+        let length = rest.len().min(max_bytes);
+        Some(SnapshotPiece {
+            data: rest[..length].to_vec(),
+            last: length == rest.len(),
+        })
+    }
+}
+
+fn payload_bytes(entry: &Entry) -> usize {
+    match &entry.payload {
+        EntryPayload::Command(command) => command.len(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/all/replication.rs
@@ -0,0 +1,283 @@
+//! Scenarios of replication.
+
+use linnethitch_consensus::{LogView, MembershipError, ProposeError, ReadError};
+use linnethitch_protocol::{consensus::MembershipChange, ids::LogIndex};
+use rstest::rstest;
+
+use crate::cluster::{Cluster, member, member_on};
+
+fn numbered(range: std::ops::Range<u32>) -> Vec<String> {
+    range.map(|number| format!("command {number}")).collect()
+}
+
+fn propose_numbered(
+    cluster: &mut Cluster,
+    leader: linnethitch_protocol::ids::MemberId,
+    range: std::ops::Range<u32>,
+) {
+    for command in numbered(range) {
+        cluster.propose(leader, &command);
+    }
+}
+
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(5)]
+fn commands_reach_every_member(#[case] count: u32) {
+    let mut cluster = Cluster::new(count);
+    let leader = cluster.elect();
+    propose_numbered(&mut cluster, leader, 0..20);
+    cluster.settle();
+    for machine in 1..=count {
+        assert_eq!(cluster.commands(member(machine)), numbered(0..20));
+    }
+}
+
+#[rstest]
+#[case::small_messages(1, 1)]
+#[case::narrow_window(40, 2)]
+#[case::wide_window(100_000, 64)]
+fn a_member_that_was_away_catches_up(#[case] append_bytes: usize, #[case] window: usize) {
+    let mut cluster = Cluster::with_settings(3, |settings| {
+        settings.max_append_bytes = append_bytes;
+        settings.max_inflight_appends = window;
+    });
+    let leader = cluster.elect();
+    let away = cluster.follower_of(leader);
+    cluster.crash(away);
+    propose_numbered(&mut cluster, leader, 0..100);
+    cluster.settle();
+    cluster.restart(away);
+    cluster.run(10);
+    assert_eq!(cluster.commands(away), numbered(0..100));
+}
+
+#[test]
+fn proposals_of_one_call_share_a_message() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.settle();
+    cluster.with_node(leader, |node, _| {
+        for number in 0..50 {
+            node.propose(vec![number]).expect("it leads");
+        }
+    });
+    assert_eq!(cluster.network.len(), 2, "one append to each follower");
+}
+
+#[test]
+fn uncommitted_entries_of_an_old_leader_are_replaced() {
+    let mut cluster = Cluster::new(3);
+    let old = cluster.elect();
+    cluster.isolate(old);
+    cluster.propose(old, "never committed");
+    cluster.run(200);
+    let new = cluster.leader().expect("the others elect");
+    cluster.propose(new, "committed");
+    cluster.settle();
+    cluster.heal();
+    cluster.run(10);
+    assert_eq!(cluster.commands(old), ["committed"]);
+}
+
+#[test]
+fn the_leaders_own_entries_count_only_once_synced() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.settle();
+    let others: Vec<_> = (1..=3).map(member).filter(|id| *id != leader).collect();
+    cluster.crash(others[0]);
+    cluster.sync_at_once = false;
+    let index = cluster.propose(leader, "waits for the leader's disk");
+    cluster.deliver_all_without_sync();
+    cluster.sync(others[1]);
+    cluster.deliver_all_without_sync();
+    assert!(cluster.node(leader).status().committed < index);
+    cluster.sync(leader);
+    cluster.deliver_all_without_sync();
+    assert_eq!(cluster.node(leader).status().committed, index);
+}
+
+#[test]
+fn back_pressure_bounds_what_is_uncommitted() {
+    let mut cluster = Cluster::with_settings(3, |settings| settings.max_uncommitted_bytes = 1_000);
+    let leader = cluster.elect();
+    cluster.settle();
+    let mut taken = 0;
+    let refused = loop {
+        let proposed = cluster.with_node(leader, |node, _| node.propose(vec![0; 100]));
+        match proposed {
+            Ok(_) => taken += 1,
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(refused, ProposeError::Overloaded);
+    assert_eq!(taken, 10);
+    cluster.settle();
+    cluster.propose(leader, "room again");
+}
+
+#[test]
+fn an_entry_above_the_limit_is_refused() {
+    let mut cluster = Cluster::new(1);
+    let leader = cluster.elect();
+    let huge = vec![0; linnethitch_consensus::MAX_ENTRY_BYTES + 1];
+    let refused = cluster.with_node(leader, |node, _| node.propose(huge));
+    assert_eq!(refused, Err(ProposeError::TooLarge));
+}
+
+#[test]
+fn a_follower_names_the_leader() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    let other = cluster.follower_of(leader);
+    let refused = cluster.with_node(other, |node, _| node.propose(Vec::new()));
+    let expected = ProposeError::NotLeader {
+        leader: Some(leader),
+    };
+    assert_eq!(refused, Err(expected));
+    let refused = cluster.with_node(other, |node, _| node.read_index(1));
+    let expected = ReadError::NotLeader {
+        leader: Some(leader),
+    };
+    assert_eq!(refused, Err(expected));
+}
+
+#[test]
+fn a_read_waits_for_a_heartbeat_round() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.propose(leader, "written");
+    cluster.settle();
+    let committed = cluster.node(leader).status().committed;
+    cluster
+        .with_node(leader, |node, _| node.read_index(7))
+        .expect("it leads");
+    assert!(cluster.members[&leader].confirmed_reads.is_empty());
+    cluster.settle();
+    assert_eq!(cluster.members[&leader].confirmed_reads, [(7, committed)]);
+}
+
+#[test]
+fn a_deposed_leader_confirms_no_read() {
+    let mut cluster = Cluster::new(3);
+    let old = cluster.elect();
+    cluster.isolate(old);
+    cluster
+        .with_node(old, |node, _| node.read_index(7))
+        .expect("it does not know yet");
+    cluster.run(200);
+    assert!(cluster.members[&old].confirmed_reads.is_empty());
+    assert_eq!(cluster.members[&old].refused_reads, [7]);
+}
+
+#[rstest]
+#[case::everything_at_once(1_000_000)]
+#[case::in_small_chunks(7)]
+fn a_member_behind_the_logs_start_gets_a_snapshot(#[case] chunk_bytes: usize) {
+    let mut cluster = Cluster::with_settings(3, |settings| {
+        settings.snapshot_chunk_bytes = chunk_bytes;
+    });
+    let leader = cluster.elect();
+    let away = cluster.follower_of(leader);
+    cluster.crash(away);
+    propose_numbered(&mut cluster, leader, 0..30);
+    cluster.settle();
+    cluster.compact(leader);
+    propose_numbered(&mut cluster, leader, 30..40);
+    cluster.settle();
+    cluster.restart(away);
+    cluster.run(10);
+    assert_eq!(cluster.commands(away), numbered(0..40));
+    assert!(cluster.members[&away].disk.first_index() > LogIndex(1));
+}
+
+#[test]
+fn a_snapshot_goes_on_after_the_receiver_restarts() {
+    let mut cluster = Cluster::with_settings(3, |settings| settings.snapshot_chunk_bytes = 10);
+    let leader = cluster.elect();
+    let away = cluster.follower_of(leader);
+    cluster.crash(away);
+    propose_numbered(&mut cluster, leader, 0..30);
+    cluster.settle();
+    cluster.compact(leader);
+    cluster.restart(away);
+    cluster.tick(leader);
+    cluster.tick(leader);
+    cluster.tick(leader);
+    for _ in 0..40 {
+        cluster.deliver_next();
+    }
+    let received = cluster.members[&away].disk.partial.clone();
+    let received = received.expect("some chunks have arrived").next_offset;
+    assert!(received > 0);
+    cluster.crash(away);
+    cluster.restart(away);
+    cluster.network.clear();
+    cluster.run(60);
+    assert_eq!(cluster.commands(away), numbered(0..30));
+}
+
+#[test]
+fn a_new_disk_joins_as_learner_and_is_promoted() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    propose_numbered(&mut cluster, leader, 0..10);
+    cluster.settle();
+    let lost = cluster.follower_of(leader);
+    let fresh = member_on(lost.machine.0, 999);
+    cluster.replace_disk(lost, fresh);
+    cluster.change_membership(leader, MembershipChange::AddLearner(fresh));
+    cluster.run(10);
+    assert_eq!(cluster.commands(fresh), numbered(0..10));
+    let promote = MembershipChange::PromoteLearner(fresh);
+    let refused = cluster.with_node(leader, |node, _| node.propose_membership(promote.clone()));
+    assert_eq!(refused, Err(MembershipError::MachineAlreadyVotes));
+    cluster.change_membership(leader, MembershipChange::Remove(lost));
+    cluster.change_membership(leader, promote);
+    let status = cluster.node(leader).status();
+    assert!(status.membership.voters.contains(&fresh));
+    assert!(!status.membership.voters.contains(&lost));
+    assert!(status.membership_committed);
+}
+
+#[test]
+fn a_learner_behind_the_commit_index_is_not_promoted() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    propose_numbered(&mut cluster, leader, 0..10);
+    cluster.settle();
+    let spare = member(4);
+    cluster.change_membership(leader, MembershipChange::AddLearner(spare));
+    let promote = MembershipChange::PromoteLearner(spare);
+    let refused = cluster.with_node(leader, |node, _| node.propose_membership(promote));
+    assert_eq!(refused, Err(MembershipError::NotCaughtUp));
+}
+
+#[test]
+fn only_one_change_is_under_way() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.settle();
+    let add = |machine| MembershipChange::AddLearner(member(machine));
+    cluster
+        .with_node(leader, |node, _| node.propose_membership(add(4)))
+        .expect("the first");
+    let refused = cluster.with_node(leader, |node, _| node.propose_membership(add(5)));
+    assert_eq!(refused, Err(MembershipError::ChangeInProgress));
+}
+
+#[test]
+fn a_leader_that_is_removed_leaves() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.settle();
+    cluster.change_membership(leader, MembershipChange::Remove(leader));
+    cluster.run(200);
+    let new = cluster.leader().expect("the others elect");
+    assert_ne!(new, leader);
+    cluster.propose(new, "goes on");
+    cluster.settle();
+    assert_eq!(cluster.commands(new), ["goes on"]);
+}
--- a/crates/protocol/src/consensus.rs
+++ b/crates/protocol/src/consensus.rs
@@ -102,6 +102,8 @@
         last_index: LogIndex,
         /// Term of the sender's last entry.
         last_term: Term,
+        /// Whether the leader asked the sender to stand; then a live leader is no reason to refuse.
+        leadership_transfer: bool,
     },
     /// Answer to a vote request.
     VoteResponse {
