Decide the repair of the membership by pure rules

Cause: a lost disk must be replaced without an operator, and never at the price of a healthy quorum.

Change: repair::next_change names the next membership change from the leader's status and the disks that ask to join, with a closed list of reasons.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -28,6 +28,7 @@
 mod progress;
 mod reads;
 mod ready;
+pub mod repair;
 mod replication;
 mod settings;
 mod status;
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -9,7 +9,12 @@
 
 /// Voters that form a quorum.
 pub(crate) fn quorum(membership: &Membership) -> usize {
-    membership.voters.len() / 2 + 1
+    quorum_of(membership.voters.len())
+}
+
+/// How many of some voters form a quorum.
+pub(crate) fn quorum_of(voters: usize) -> usize {
+    voters / 2 + 1
 }
 
 /// Whether a member counts.
--- a/crates/consensus/tests/all/main.rs
+++ b/crates/consensus/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod cluster;
 mod disk;
 mod elections;
+mod repair;
 mod replication;
