Serve the emulated engine, application and platform over HTTP

The gateway and control need back ends to talk to. Each stand-in drives its core in real time, or faster by a compression factor, behind a gotham server with the interface of docs/reference/back-ends.md. Fault switches work by handle and over HTTP; a dead engine breaks its connections as a killed process would, and can be started again on its port.

--- a/crates/emulator/src/answer.rs
+++ b/crates/emulator/src/answer.rs
@@ -58,6 +58,19 @@
     }
 }
 
+/// The canonical text of a chat's messages, as role and content.
+#[must_use]
+pub fn chat_prompt<'a>(messages: impl IntoIterator<Item = (&'a str, &'a str)>) -> String {
+    let mut prompt = String::new();
+    for (role, content) in messages {
+        prompt.push_str(role);
+        prompt.push('\n');
+        prompt.push_str(content);
+        prompt.push('\n');
+    }
+    prompt
+}
+
 /// The number of tokens that a text counts as; at least one.
 #[must_use]
 pub fn count_tokens(text: &str) -> u32 {
--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod request;
 mod schedule;
 mod sequence;
+pub mod server;
 mod view;
 
 pub use self::{
--- /dev/null
+++ b/crates/emulator/src/engine/server/service.rs
@@ -0,0 +1,341 @@
+//! The core in real time: submissions in, tokens out to their streams.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use linnethitch_protocol::{
+    command::EngineOrder,
+    fleet::{EngineState, LoadReport},
+    ids::FencingToken,
+};
+use parking_lot::Mutex;
+use tokio::{
+    sync::{Notify, mpsc, watch},
+    time::{sleep, sleep_until},
+};
+
+use super::{
+    EngineSettings,
+    output::{OutputItem, OutputKind, OutputReceiver},
+};
+use crate::{
+    answer::PromptKey,
+    clock::CompressedClock,
+    engine::{
+        CacheEvent, EngineCore, EngineEvent, EngineRequest, Fault, KvHandle, Refusal, SequenceId,
+    },
+    executions::Executions,
+};
+
+/// How often a request to a hung engine looks whether it goes on.
+const HANG_POLL: Duration = Duration::from_millis(20);
+
+/// The key under which starts of a prompt are counted.
+pub(super) fn prompt_execution_key(prompt: PromptKey) -> String {
+    format!("prompt:{:016x}", prompt.0)
+}
+
+/// The engine of one server.
+pub(super) struct EngineService {
+    name: String,
+    clock: CompressedClock,
+    inner: Mutex<Inner>,
+    wake: Notify,
+    dead: watch::Sender<bool>,
+}
+
+/// What the lock guards.
+struct Inner {
+    core: EngineCore,
+    outputs: HashMap<SequenceId, Output>,
+    by_request: HashMap<String, SequenceId>,
+    exported: VecDeque<(String, SequenceId)>,
+    executions: Executions,
+    last_id: u64,
+    /// Requests that came without an id.
+    unnamed: u64,
+    events: Vec<EngineEvent>,
+}
+
+/// Where the tokens of a request go.
+struct Output {
+    sender: mpsc::UnboundedSender<OutputItem>,
+    request: String,
+}
+
+impl EngineService {
+    pub(super) fn new(settings: &EngineSettings) -> EngineService {
+        EngineService {
+            name: settings.name.clone(),
+            clock: CompressedClock::start(settings.time_compression),
+            inner: Mutex::new(Inner {
+                core: new_core(settings),
+                outputs: HashMap::new(),
+                by_request: HashMap::new(),
+                exported: VecDeque::new(),
+                executions: Executions::default(),
+                last_id: 0,
+                unnamed: 0,
+                events: Vec::new(),
+            }),
+            wake: Notify::new(),
+            dead: watch::Sender::new(false),
+        }
+    }
+
+    /// Forgets everything but the counts of executions.
+    pub(super) fn reset(&self, settings: &EngineSettings) {
+        let mut inner = self.inner.lock();
+        inner.core = new_core(settings);
+        inner.outputs.clear();
+        inner.by_request.clear();
+        inner.exported.clear();
+        drop(inner);
+        self.dead.send_replace(false);
+        self.wake.notify_one();
+    }
+
+    /// Advances the core whenever it has something to do.
+    pub(super) async fn drive(self: Arc<Self>) {
+        loop {
+            let next = {
+                let mut inner = self.inner.lock();
+                inner.advance(&self.clock);
+                inner.core.next_event_at()
+            };
+            match next {
+                None => self.wake.notified().await,
+                Some(at) => {
+                    tokio::select! {
+                        () = sleep_until(self.clock.instant(at).into()) => {}
+                        () = self.wake.notified() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a request on; its output ends with the receiver.
+    pub(super) fn submit(
+        self: &Arc<Self>,
+        request_id: &str,
+        mut request: EngineRequest,
+    ) -> Result<OutputReceiver, Refusal> {
+        let mut inner = self.inner.lock();
+        inner.advance(&self.clock);
+        if inner.by_request.contains_key(request_id) {
+            return Err(Refusal::DuplicateId);
+        }
+        inner.last_id += 1;
+        let id = SequenceId(inner.last_id);
+        request.id = id;
+        let prompt = request.prompt;
+        let prefill_only = request.prefill_only;
+        inner.core.submit(self.clock.now(), request)?;
+        inner.executions.record(request_id);
+        inner.executions.record(&prompt_execution_key(prompt));
+        if prefill_only {
+            inner.remember_export(request_id, id);
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let request = request_id.to_owned();
+        inner.by_request.insert(request.clone(), id);
+        inner.outputs.insert(id, Output { sender, request });
+        drop(inner);
+        self.wake.notify_one();
+        Ok(OutputReceiver::new(Arc::clone(self), id, receiver))
+    }
+
+    /// Drops a request if it is still there.
+    pub(super) fn cancel(&self, id: SequenceId) -> bool {
+        let mut inner = self.inner.lock();
+        inner.forget(id);
+        inner.core.cancel(id)
+    }
+
+    /// Drops the request that a caller named.
+    pub(super) fn cancel_request(&self, request: &str) -> bool {
+        let id = self.inner.lock().by_request.get(request).copied();
+        id.is_some_and(|id| self.cancel(id))
+    }
+
+    /// Returns once the engine does not hang.
+    pub(super) async fn while_hung(&self) {
+        while self.inner.lock().core.faults().hung {
+            sleep(HANG_POLL).await;
+        }
+    }
+
+    pub(super) fn inject(&self, fault: Fault) {
+        let mut inner = self.inner.lock();
+        inner.advance(&self.clock);
+        inner.core.inject(self.clock.now(), fault);
+        let dead = inner.core.faults().dead;
+        if dead {
+            inner.outputs.clear();
+            inner.by_request.clear();
+        }
+        drop(inner);
+        self.dead.send_replace(dead);
+        self.wake.notify_one();
+    }
+
+    pub(super) async fn died(&self) {
+        // The sender lives in `self`, so waiting can not fail.
+        let _ = self.dead.subscribe().wait_for(|dead| *dead).await;
+    }
+
+    pub(super) async fn revived(&self) {
+        let _ = self.dead.subscribe().wait_for(|dead| !*dead).await;
+    }
+
+    pub(super) fn order(&self, token: FencingToken, order: EngineOrder) -> bool {
+        let accepted = self.inner.lock().core.order(self.clock.now(), token, order);
+        self.wake.notify_one();
+        accepted
+    }
+
+    pub(super) fn export(&self, request: &str) -> Option<KvHandle> {
+        let inner = self.inner.lock();
+        let (_, id) = inner
+            .exported
+            .iter()
+            .rev()
+            .find(|(name, _)| name == request)?;
+        inner.core.export(*id)
+    }
+
+    pub(super) fn set_leaving(&self, leaving: bool) {
+        self.inner.lock().core.set_leaving(leaving);
+    }
+
+    /// An id for a request that came without one.
+    pub(super) fn name_request(&self) -> String {
+        let mut inner = self.inner.lock();
+        inner.unnamed += 1;
+        format!("{}-{}", self.name, inner.unnamed)
+    }
+
+    pub(super) fn state(&self) -> EngineState {
+        self.inner.lock().core.state().clone()
+    }
+
+    pub(super) fn true_load(&self) -> LoadReport {
+        self.inner.lock().core.true_load()
+    }
+
+    /// The newest readable load report, its time since the Unix epoch.
+    pub(super) fn load_report(&self) -> LoadReport {
+        let mut report = self.inner.lock().core.load_report(self.clock.now());
+        report.measured_at = self.clock.timestamp(report.measured_at);
+        report
+    }
+
+    pub(super) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        self.inner.lock().core.cache_events(self.clock.now(), after)
+    }
+
+    pub(super) fn executions_of(&self, key: &str) -> u64 {
+        self.inner.lock().executions.of(key)
+    }
+
+    pub(super) fn executions(&self) -> u64 {
+        // Each start is counted under its request and under its prompt.
+        self.inner.lock().executions.total() / 2
+    }
+}
+
+fn new_core(settings: &EngineSettings) -> EngineCore {
+    EngineCore::new(settings.model.clone(), settings.seed).with_state(settings.state.clone())
+}
+
+impl Inner {
+    fn advance(&mut self, clock: &CompressedClock) {
+        let mut events = std::mem::take(&mut self.events);
+        self.core.advance(clock.now(), &mut events);
+        for position in 0..events.len() {
+            let next = events.get(position + 1);
+            self.dispatch(events[position], next, clock);
+        }
+        events.clear();
+        self.events = events;
+    }
+
+    fn dispatch(
+        &mut self,
+        event: EngineEvent,
+        next: Option<&EngineEvent>,
+        clock: &CompressedClock,
+    ) {
+        match event {
+            EngineEvent::Token { at, id, index } => {
+                // The last token and the end of the answer go out as one chunk.
+                let finish = match next {
+                    Some(EngineEvent::Finished {
+                        id: ended, reason, ..
+                    }) if *ended == id => Some(*reason),
+                    _ => None,
+                };
+                self.send(
+                    id,
+                    self.release(clock.instant(at)),
+                    OutputKind::Token { index, finish },
+                );
+            }
+            EngineEvent::Finished {
+                at,
+                id,
+                reason,
+                cached_tokens,
+            } => {
+                let kind = OutputKind::End {
+                    reason,
+                    cached_tokens,
+                };
+                self.send(id, self.release(clock.instant(at)), kind);
+                self.forget(id);
+            }
+            EngineEvent::Broken { at, id } => {
+                let cleanly = self.core.faults().drop_cleanly;
+                self.send(id, clock.instant(at), OutputKind::Broken { cleanly });
+                self.forget(id);
+            }
+            EngineEvent::Preempted { .. } => {}
+        }
+    }
+
+    /// When an item may leave under the fault of late answers.
+    fn release(&self, at: Instant) -> Option<Instant> {
+        let late = self.core.faults().late_millis;
+        (late > 0).then(|| at + Duration::from_millis(late))
+    }
+
+    fn send(&self, id: SequenceId, release_at: impl Into<Option<Instant>>, kind: OutputKind) {
+        if let Some(output) = self.outputs.get(&id) {
+            let faults = self.core.faults();
+            // A receiver that is gone has cancelled, or is about to.
+            let _ = output.sender.send(OutputItem {
+                release_at: release_at.into(),
+                out_of_order: faults.out_of_order,
+                stray: faults.stray,
+                kind,
+            });
+        }
+    }
+
+    fn forget(&mut self, id: SequenceId) {
+        if let Some(output) = self.outputs.remove(&id) {
+            self.by_request.remove(&output.request);
+        }
+    }
+
+    fn remember_export(&mut self, request: &str, id: SequenceId) {
+        if self.exported.len() >= self.core.model().max_exports {
+            self.exported.pop_front();
+        }
+        self.exported.push_back((request.to_owned(), id));
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,7 +7,13 @@
 //! `docs/reference/back-ends.md`.
 
 pub mod answer;
+pub mod application;
+mod clock;
 pub mod engine;
+mod executions;
+mod http;
+pub mod platform;
 mod time;
+mod wire;
 
 pub use time::Time;
--- a/crates/emulator/tests/all/main.rs
+++ b/crates/emulator/tests/all/main.rs
@@ -1,3 +1,8 @@
 //! Tests of the stand-ins.
 
+mod application_core;
+mod client;
 mod engine_core;
+mod engine_http;
+mod other_http;
+mod platform_core;
