--- /dev/null
+++ b/crates/routing/src/batch/mod.rs
@@ -0,0 +1,3 @@
+//! Batch work in what online work leaves over.
+
+pub mod yielding;
--- /dev/null
+++ b/crates/routing/src/batch/yielding.rs
@@ -0,0 +1,184 @@
+//! When a gateway's batch streams on a replica step aside, and when they return.
+//!
+//! Three things bound them: the grant that control gave, the room that the
+//! replica has by its corrected load, and pressure: online prompts being
+//! prefilled there. Under pressure batch keeps only a few sequences, because
+//! each sequence lengthens every step of a long prefill.
+
+use std::collections::HashMap;
+
+use linnethitch_protocol::ids::Timestamp;
+
+use crate::{
+    reason::ReasonCode,
+    view::{FleetView, ReplicaIndex, Standing},
+};
+
+/// Rules of yielding.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct YieldSettings {
+    /// Sequences of a replica kept free for a burst of online requests.
+    pub reserve_sequences: u32,
+    /// Prompt tokens waiting on a replica from which on it counts as pressed.
+    pub pressed_prefill_tokens: f64,
+    /// Batch sequences of all gateways that stay on a pressed replica.
+    pub pressed_sequences: u32,
+    /// Batch returns to a replica that was not pressed for this long, in milliseconds.
+    pub return_after_ms: u64,
+}
+
+impl Default for YieldSettings {
+    fn default() -> Self {
+        YieldSettings {
+            reserve_sequences: 4,
+            pressed_prefill_tokens: 1_024.0,
+            pressed_sequences: 12,
+            return_after_ms: 200,
+        }
+    }
+}
+
+/// How many batch sequences a gateway may have on a replica now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchRoom {
+    /// Sequences.
+    pub sequences: u32,
+    /// What bounds them.
+    pub reason: ReasonCode,
+}
+
+/// A grant as the gateway holds it.
+#[derive(Clone, Copy, Debug)]
+struct HeldGrant {
+    sequences: u32,
+    until: Timestamp,
+    pressed_at: Option<Timestamp>,
+}
+
+/// The grants of one gateway and what is left of them.
+#[derive(Clone, Debug, Default)]
+pub struct BatchCapacity {
+    settings: YieldSettings,
+    grants: HashMap<ReplicaIndex, HeldGrant>,
+}
+
+impl BatchCapacity {
+    /// No grants yet, with the given rules.
+    #[must_use]
+    pub fn new(settings: YieldSettings) -> Self {
+        BatchCapacity {
+            settings,
+            grants: HashMap::new(),
+        }
+    }
+
+    /// Takes in a grant; it replaces an earlier one for the same replica.
+    pub fn on_grant(
+        &mut self,
+        now: Timestamp,
+        replica: ReplicaIndex,
+        sequences: u32,
+        valid_ms: u64,
+    ) {
+        let pressed_at = self.grants.get(&replica).and_then(|held| held.pressed_at);
+        self.grants.insert(
+            replica,
+            HeldGrant {
+                sequences,
+                until: Timestamp(now.0 + valid_ms),
+                pressed_at,
+            },
+        );
+    }
+
+    /// Drops grants that have ended long ago.
+    pub fn forget_expired(&mut self, now: Timestamp) {
+        self.grants.retain(|_, held| held.until > now);
+    }
+
+    /// Replicas with a grant that is not forgotten, in the order of their numbers.
+    #[must_use]
+    pub fn replicas(&self) -> Vec<ReplicaIndex> {
+        let mut replicas: Vec<_> = self.grants.keys().copied().collect();
+        replicas.sort_unstable();
+        replicas
+    }
+
+    /// How many batch sequences this gateway may have on the replica now.
+    ///
+    /// With more than that running there, the rest is cancelled at once; its
+    /// tokens are kept and it goes on elsewhere.
+    pub fn room(&mut self, now: Timestamp, view: &FleetView, replica: ReplicaIndex) -> BatchRoom {
+        let settings = self.settings;
+        let Some(held) = self
+            .grants
+            .get_mut(&replica)
+            .filter(|held| held.until > now)
+        else {
+            return none(ReasonCode::GrantExpired);
+        };
+        match view.standing(now, replica) {
+            Standing::Available(_) => {}
+            Standing::Probe => return none(ReasonCode::Ejected),
+            Standing::Out(reason) => return none(reason),
+        }
+        let state = view.replica(replica);
+        let load = state.corrected_load();
+        if load.queued_online_prefill_tokens >= settings.pressed_prefill_tokens {
+            held.pressed_at = Some(now);
+        }
+        let pressed = held
+            .pressed_at
+            .is_some_and(|at| now.0.saturating_sub(at.0) < settings.return_after_ms);
+        let free = free_sequences(load.max_running, load.online, &settings);
+        let most = if pressed {
+            free.min(f64::from(settings.pressed_sequences))
+        } else {
+            free
+        };
+        let own = own_share(
+            most,
+            f64::from(state.own_batch()),
+            load.batch,
+            held.sequences,
+        );
+        if own < held.sequences {
+            BatchRoom {
+                sequences: own,
+                reason: ReasonCode::YieldedToOnline,
+            }
+        } else {
+            BatchRoom {
+                sequences: held.sequences,
+                reason: ReasonCode::IdleCapacity,
+            }
+        }
+    }
+}
+
+fn none(reason: ReasonCode) -> BatchRoom {
+    BatchRoom {
+        sequences: 0,
+        reason,
+    }
+}
+
+/// Sequences that online work leaves free; all of them when the size is unknown.
+fn free_sequences(max_running: f64, online: f64, settings: &YieldSettings) -> f64 {
+    if max_running <= 0.0 {
+        return f64::INFINITY;
+    }
+    (max_running - online - f64::from(settings.reserve_sequences)).max(0.0)
+}
+
+/// This gateway's part of what batch may have on the replica.
+///
+/// While all batch together fits, the grant decides. When it does not, each
+/// gateway keeps the share that it has of all batch there.
+fn own_share(most: f64, own_batch: f64, all_batch: f64, granted: u32) -> u32 {
+    if all_batch <= most || own_batch == 0.0 {
+        let left = (most - all_batch + own_batch).max(0.0);
+        return (left as u32).min(granted);
+    }
+    ((most * own_batch / all_batch) as u32).min(granted)
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,8 +7,11 @@
 //! and in the fault simulator.
 
 pub mod admission;
+pub mod batch;
 pub mod costs;
+pub mod grants;
 pub mod limits;
+pub mod placement;
 pub mod profile;
 pub mod reason;
 pub mod retry;
--- a/crates/routing/src/view/replica.rs
+++ b/crates/routing/src/view/replica.rs
@@ -43,6 +43,8 @@
 pub struct CorrectedLoad {
     /// Prompt tokens to prefill before a new request's own.
     pub queued_prefill_tokens: f64,
+    /// Of these, what is thought to belong to online requests.
+    pub queued_online_prefill_tokens: f64,
     /// Online requests running or waiting.
     pub online: f64,
     /// Batch requests running or waiting.
@@ -67,6 +69,7 @@
     own_online: u32,
     own_batch: u32,
     own_prefill_tokens: i64,
+    own_batch_prefill_tokens: i64,
     correction: Correction,
     pace: f64,
     last_sign_at: Timestamp,
@@ -105,6 +108,7 @@
             own_online: 0,
             own_batch: 0,
             own_prefill_tokens: 0,
+            own_batch_prefill_tokens: 0,
             correction: Correction::default(),
             pace: 1.0,
             last_sign_at: Timestamp(0),
@@ -274,12 +278,20 @@
             finished_at: None,
         });
         self.count_own(work.class, true);
-        self.own_prefill_tokens += i64::from(work.prefill_tokens);
-        self.correction.prefill_tokens += i64::from(work.prefill_tokens);
+        self.count_prefill(work, 1);
         self.correction.count(work.class, 1);
         id
     }
 
+    fn count_prefill(&mut self, work: Work, sign: i64) {
+        let change = sign * i64::from(work.prefill_tokens);
+        self.own_prefill_tokens += change;
+        self.correction.prefill_tokens += change;
+        if work.class == Class::Batch {
+            self.own_batch_prefill_tokens += change;
+        }
+    }
+
     fn count_own(&mut self, class: Class, added: bool) {
         let count = match class {
             Class::Online => &mut self.own_online,
@@ -299,9 +311,8 @@
         };
         if entry.first_token_at.is_none() {
             entry.first_token_at = Some(now);
-            let prefill = i64::from(entry.work.prefill_tokens);
-            self.own_prefill_tokens -= prefill;
-            self.correction.prefill_tokens -= prefill;
+            let work = entry.work;
+            self.count_prefill(work, -1);
         }
     }
 
@@ -327,8 +338,7 @@
             ..
         } = *known;
         if first_token_at.is_none() {
-            self.own_prefill_tokens -= i64::from(work.prefill_tokens);
-            self.correction.prefill_tokens -= i64::from(work.prefill_tokens);
+            self.count_prefill(work, -1);
         }
         self.correction.count(work.class, -1);
         self.count_own(work.class, false);
@@ -350,8 +360,11 @@
     /// The load as it should be now: the newest report, with own work since then.
     #[must_use]
     pub fn corrected_load(&self) -> CorrectedLoad {
+        let own_prefill = self.own_prefill_tokens as f64;
+        let own_batch_prefill = self.own_batch_prefill_tokens as f64;
         let own = CorrectedLoad {
-            queued_prefill_tokens: self.own_prefill_tokens.max(0) as f64,
+            queued_prefill_tokens: own_prefill,
+            queued_online_prefill_tokens: own_prefill - own_batch_prefill,
             online: f64::from(self.own_online),
             batch: f64::from(self.own_batch),
             max_running: 0.0,
@@ -361,10 +374,13 @@
         };
         let reported_online = i64::from(report.running_online) + i64::from(report.waiting);
         let prefill = i64::from(report.queued_prefill_tokens) + self.correction.prefill_tokens;
+        let prefill = (prefill as f64).max(own_prefill);
         let online = reported_online + self.correction.online;
         let batch = i64::from(report.running_batch) + self.correction.batch;
         CorrectedLoad {
-            queued_prefill_tokens: (prefill as f64).max(own.queued_prefill_tokens),
+            queued_prefill_tokens: prefill,
+            queued_online_prefill_tokens: (prefill - own_batch_prefill)
+                .max(own.queued_online_prefill_tokens),
             online: (online as f64).max(own.online),
             batch: (batch as f64).max(own.batch),
             max_running: f64::from(report.max_running),
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -2,6 +2,10 @@
 
 mod admission;
 mod fixture;
+mod grants;
 mod limits;
+mod placement;
+mod reason;
 mod retry;
 mod router;
+mod yielding;
--- /dev/null
+++ b/crates/routing/tests/all/yielding.rs
@@ -0,0 +1,103 @@
+//! Batch stepping aside for online work.
+
+use linnethitch_routing::{
+    Class, ReasonCode, Router,
+    batch::yielding::{BatchCapacity, YieldSettings},
+    view::FailureKind,
+};
+use rstest::rstest;
+
+use crate::fixture::{NOW, engine, index, later, report, router, work};
+
+const GRANTED: u32 = 40;
+
+/// A gateway with a grant and as many batch streams on its only replica.
+fn filled() -> (Router, BatchCapacity) {
+    let mut router = router([engine("e1", "a"), engine("e2", "a")]);
+    let e1 = index(&router, "e1");
+    let mut capacity = BatchCapacity::new(YieldSettings::default());
+    capacity.on_grant(NOW, e1, GRANTED, 2_000);
+    for _ in 0..GRANTED {
+        let mut ticket = router
+            .view_mut()
+            .on_sent(NOW, e1, work(Class::Batch, 50), &[]);
+        router.view_mut().on_first_token(NOW, &mut ticket);
+    }
+    (router, capacity)
+}
+
+#[rstest]
+#[case::idle(0, 0, 40, GRANTED, ReasonCode::IdleCapacity)]
+#[case::all_fits(20, 0, 40, GRANTED, ReasonCode::IdleCapacity)]
+#[case::online_rises(30, 0, 40, 30, ReasonCode::YieldedToOnline)]
+#[case::online_fills_it(64, 0, 40, 0, ReasonCode::YieldedToOnline)]
+#[case::shared_with_another_gateway(20, 0, 80, 20, ReasonCode::YieldedToOnline)]
+#[case::long_prompt_is_prefilled(4, 8_000, 40, 12, ReasonCode::YieldedToOnline)]
+fn the_load_bounds_what_stays(
+    #[case] online: u32,
+    #[case] queued_prefill: u32,
+    #[case] batch: u32,
+    #[case] stays: u32,
+    #[case] reason: ReasonCode,
+) {
+    let (mut router, mut capacity) = filled();
+    let e1 = index(&router, "e1");
+    let mut load = report(later(100), online, queued_prefill);
+    load.running_batch = batch;
+    router.view_mut().on_load_report(e1, load);
+    let room = capacity.room(later(100), router.view(), e1);
+    assert_eq!((room.sequences, room.reason), (stays, reason));
+}
+
+#[test]
+fn an_own_online_request_with_a_long_prompt_is_seen_without_a_report() {
+    let (mut router, mut capacity) = filled();
+    let e1 = index(&router, "e1");
+    let mut ticket = router
+        .view_mut()
+        .on_sent(later(10), e1, work(Class::Online, 8_000), &[]);
+    assert_eq!(capacity.room(later(10), router.view(), e1).sequences, 12);
+    router.view_mut().on_first_token(later(500), &mut ticket);
+    assert_eq!(capacity.room(later(200), router.view(), e1).sequences, 12);
+    assert_eq!(
+        capacity.room(later(210), router.view(), e1).sequences,
+        GRANTED
+    );
+}
+
+#[rstest]
+#[case::ended(2_000, None, ReasonCode::GrantExpired)]
+#[case::unreachable(100, Some(FailureKind::Unreachable), ReasonCode::Unreachable)]
+fn without_a_grant_or_a_replica_nothing_stays(
+    #[case] after_ms: u64,
+    #[case] failure: Option<FailureKind>,
+    #[case] reason: ReasonCode,
+) {
+    let (mut router, mut capacity) = filled();
+    let e1 = index(&router, "e1");
+    if let Some(kind) = failure {
+        router.view_mut().on_replica_failure(NOW, e1, kind);
+    }
+    let room = capacity.room(later(after_ms), router.view(), e1);
+    assert_eq!((room.sequences, room.reason), (0, reason));
+}
+
+#[test]
+fn a_leaving_replica_keeps_no_batch() {
+    let (mut router, mut capacity) = filled();
+    let e1 = index(&router, "e1");
+    router.view_mut().on_leaving(NOW, e1);
+    let room = capacity.room(later(1), router.view(), e1);
+    assert_eq!(room.reason, ReasonCode::LeavingByDataPath);
+    assert_eq!(room.sequences, 0);
+}
+
+#[test]
+fn a_replica_without_a_grant_gets_no_batch() {
+    let (router, mut capacity) = filled();
+    let e2 = index(&router, "e2");
+    assert_eq!(capacity.room(NOW, router.view(), e2).sequences, 0);
+    assert_eq!(capacity.replicas(), [index(&router, "e1")]);
+    capacity.forget_expired(later(2_000));
+    assert!(capacity.replicas().is_empty());
+}
