storage: payload segment files and a virtual disk

Appends are not synced one by one: the log holds each payload until a checkpoint covers it, and a restart cuts back to the checkpoint and replays. Released space is given back only once a later checkpoint is settled, so that a replay finds all that it reads. The virtual disk loses or tears what was not synced, all from one seed.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -16,11 +16,13 @@
 pub mod real;
 pub mod revision;
 pub mod snapshot;
+pub mod virtual_disk;
 
 pub use file_system::{File, FileSystem, FolderLock, OpenMode, StorageResult};
 pub use folder::{DataFolder, FolderIdentity, FolderRole};
 pub use log::{Log, LogDamage, LogLimits, OpenedLog};
-pub use payload::{MemoryPayloads, PayloadRef, Payloads};
+pub use payload::{MemoryPayloads, PayloadLimits, PayloadMark, PayloadRef, PayloadStore, Payloads};
 pub use real::RealFileSystem;
 pub use revision::RevisionFile;
 pub use snapshot::{ReceiveProgress, SnapshotInfo, SnapshotStore, SnapshotWriter};
+pub use virtual_disk::VirtualDisk;
--- a/crates/storage/src/payload/memory.rs
+++ b/crates/storage/src/payload/memory.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 
-use super::{PayloadRef, Payloads};
+use super::{PayloadMark, PayloadRef, Payloads};
 use crate::file_system::StorageResult;
 
 /// Payloads in memory; released ones are dropped at once.
@@ -77,4 +77,12 @@
     fn live_bytes(&self) -> u64 {
         self.live_bytes
     }
+
+    fn checkpoint(&mut self) -> StorageResult<PayloadMark> {
+        Ok(PayloadMark::default())
+    }
+
+    fn settle(&mut self, _mark: PayloadMark) -> StorageResult<()> {
+        Ok(())
+    }
 }
--- a/crates/storage/src/payload/mod.rs
+++ b/crates/storage/src/payload/mod.rs
@@ -1,7 +1,11 @@
 //! Big payloads (input files, results) outside the state machine's memory.
 
+mod compact;
+mod files;
 mod memory;
+mod record;
 
+pub use files::{MAX_PAYLOAD_BYTES, PAYLOAD_DIRECTORY, PayloadLimits, PayloadStore};
 pub use memory::MemoryPayloads;
 
 use rkyv::{Archive, Deserialize, Serialize};
@@ -21,6 +25,32 @@
     pub length: u32,
 }
 
+/// A position in the store; what was appended before it is synced.
+///
+/// A checkpoint of the state machine keeps the mark beside its references.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Archive,
+    Serialize,
+    Deserialize,
+)]
+pub struct PayloadMark {
+    /// Number of the checkpoint; grows.
+    pub checkpoint: u64,
+    /// Number of the newest segment; 0 when there was none.
+    pub segment: u32,
+    /// Bytes of it.
+    pub offset: u32,
+}
+
 /// A store of payloads.
 ///
 /// Payloads last only once synced. A released payload stays readable until a
@@ -63,4 +93,18 @@
 
     /// Bytes of payloads that were not released.
     fn live_bytes(&self) -> u64;
+
+    /// Syncs and tells the position, when the state machine makes a checkpoint.
+    ///
+    /// # Errors
+    /// `StorageFull`, `Io`.
+    fn checkpoint(&mut self) -> StorageResult<PayloadMark>;
+
+    /// Told once the oldest checkpoint that a restart may go back to has this mark.
+    ///
+    /// Space of what was released before that checkpoint is given back.
+    ///
+    /// # Errors
+    /// `Io`.
+    fn settle(&mut self, mark: PayloadMark) -> StorageResult<()>;
 }
--- /dev/null
+++ b/crates/storage/src/virtual_disk.rs
@@ -0,0 +1,587 @@
+//! A disk in memory that fails as real ones do, for the simulator and for tests.
+//!
+//! Written bytes, created files and renames are visible at once but last only
+//! once synced. A crash loses or tears what was not synced: single sectors
+//! survive, others read as zeros or as they were before. Every choice comes
+//! from the seed, so a run can be repeated.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Range,
+    sync::Arc,
+};
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    file_system::{File, FileSystem, FolderLock, OpenMode, StorageResult},
+    revision::parent_directory,
+};
+
+/// Unit that a crash keeps or loses as a whole, in bytes.
+const SECTOR_BYTES: usize = 512;
+
+/// A disk in memory. Clones are the same disk.
+#[derive(Clone)]
+pub struct VirtualDisk {
+    state: Arc<Mutex<DiskState>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Inode(u64);
+
+/// The content of a file, as read and as it would be found after a crash.
+#[derive(Default)]
+struct Content {
+    visible: Vec<u8>,
+    durable: Vec<u8>,
+    /// Written since the last sync.
+    dirty: Vec<Range<usize>>,
+}
+
+/// A change of a directory that is not durable yet.
+enum DirectoryChange {
+    Link(String, Inode),
+    Unlink(String),
+    Rename(String, String),
+}
+
+struct DiskState {
+    random: Pcg64Mcg,
+    contents: BTreeMap<Inode, Content>,
+    visible: BTreeMap<String, Inode>,
+    durable: BTreeMap<String, Inode>,
+    directories: BTreeSet<String>,
+    /// Changes that are not durable, oldest first, by directory.
+    changes: BTreeMap<String, Vec<DirectoryChange>>,
+    next_inode: u64,
+    /// Grows with every crash, so that handles of before are dead.
+    generation: u64,
+    locked: bool,
+    capacity_bytes: u64,
+    syncs_to_fail: u32,
+    syncs: u64,
+}
+
+impl VirtualDisk {
+    /// A blank disk.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        let state = DiskState {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            contents: BTreeMap::new(),
+            visible: BTreeMap::new(),
+            durable: BTreeMap::new(),
+            directories: BTreeSet::new(),
+            changes: BTreeMap::new(),
+            next_inode: 0,
+            generation: 0,
+            locked: false,
+            capacity_bytes: u64::MAX,
+            syncs_to_fail: 0,
+            syncs: 0,
+        };
+        VirtualDisk {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// The machine stops: what was not synced is lost, kept or torn, as the seed says.
+    pub fn crash(&self) {
+        self.state.lock().crash(true);
+    }
+
+    /// The process stops but the machine does not: everything written stays.
+    pub fn stop_process(&self) {
+        self.state.lock().crash(false);
+    }
+
+    /// The disk is replaced by a blank one.
+    pub fn wipe(&self) {
+        let mut state = self.state.lock();
+        state.generation += 1;
+        state.locked = false;
+        state.contents.clear();
+        state.visible.clear();
+        state.durable.clear();
+        state.directories.clear();
+        state.changes.clear();
+    }
+
+    /// Bounds the bytes that all files may hold together.
+    pub fn set_capacity(&self, bytes: u64) {
+        self.state.lock().capacity_bytes = bytes;
+    }
+
+    /// Lets the next syncs of files or directories fail; what they should have written may be lost.
+    pub fn fail_syncs(&self, count: u32) {
+        self.state.lock().syncs_to_fail = count;
+    }
+
+    /// How many syncs were asked for.
+    #[must_use]
+    pub fn syncs(&self) -> u64 {
+        self.state.lock().syncs
+    }
+
+    /// Bytes that all files hold together.
+    #[must_use]
+    pub fn used_bytes(&self) -> u64 {
+        self.state.lock().used_bytes()
+    }
+
+    /// Paths of all files, sorted.
+    #[must_use]
+    pub fn files(&self) -> Vec<String> {
+        self.state.lock().visible.keys().cloned().collect()
+    }
+
+    /// The content of a file as it is read.
+    #[must_use]
+    pub fn content(&self, path: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock();
+        let inode = state.visible.get(path)?;
+        state
+            .contents
+            .get(inode)
+            .map(|content| content.visible.clone())
+    }
+
+    /// Replaces a file's content, durably, as damage from outside would.
+    pub fn damage(&self, path: &str, change: impl FnOnce(&mut Vec<u8>)) {
+        let mut state = self.state.lock();
+        let Some(inode) = state.visible.get(path).copied() else {
+            return;
+        };
+        if let Some(content) = state.contents.get_mut(&inode) {
+            change(&mut content.visible);
+            content.durable.clone_from(&content.visible);
+            content.dirty.clear();
+        }
+    }
+
+    /// Flips one bit of a file.
+    pub fn flip_bit(&self, path: &str, byte: usize, bit: u8) {
+        self.damage(path, |bytes| {
+            if let Some(byte) = bytes.get_mut(byte) {
+                *byte ^= 1 << (bit % 8);
+            }
+        });
+    }
+
+    /// Flips one random bit in a file under the directory; tells which file, if there was one.
+    pub fn flip_random_bit(&self, directory: &str) -> Option<String> {
+        let prefix = format!("{directory}/");
+        let (path, byte, bit) = {
+            let mut state = self.state.lock();
+            let sizes: Vec<(String, usize)> = state
+                .visible
+                .iter()
+                .filter(|(path, _)| path.starts_with(&prefix))
+                .filter_map(|(path, inode)| {
+                    Some((path.clone(), state.contents.get(inode)?.visible.len()))
+                })
+                .filter(|(_, length)| *length > 0)
+                .collect();
+            if sizes.is_empty() {
+                return None;
+            }
+            let chosen = state.random.random_range(0..sizes.len());
+            let (path, length) = sizes[chosen].clone();
+            let byte = state.random.random_range(0..length);
+            (path, byte, state.random.random_range(0..8))
+        };
+        self.flip_bit(&path, byte, bit);
+        Some(path)
+    }
+}
+
+impl DiskState {
+    fn used_bytes(&self) -> u64 {
+        let length = |inode: &Inode| {
+            self.contents
+                .get(inode)
+                .map_or(0, |content| content.visible.len())
+        };
+        self.visible
+            .values()
+            .map(|inode| length(inode) as u64)
+            .sum()
+    }
+
+    fn crash(&mut self, machine: bool) {
+        self.generation += 1;
+        self.locked = false;
+        if !machine {
+            return;
+        }
+        let changes = std::mem::take(&mut self.changes);
+        for list in changes.into_values() {
+            // A file system's journal keeps the order of a directory's changes.
+            let kept = self.random.random_range(0..=list.len());
+            for change in list.into_iter().take(kept) {
+                apply(&mut self.durable, change);
+            }
+        }
+        self.visible = self.durable.clone();
+        let reachable: BTreeSet<Inode> = self.visible.values().copied().collect();
+        self.contents.retain(|inode, _| reachable.contains(inode));
+        for content in self.contents.values_mut() {
+            content.crash(&mut self.random);
+        }
+        let parents = self.visible.keys().map(|path| parent_directory(path));
+        self.directories.extend(
+            parents
+                .filter(|parent| !parent.is_empty())
+                .map(str::to_owned),
+        );
+    }
+
+    /// Forgets contents that no name leads to any more, whatever a crash may undo.
+    fn forget_removed(&mut self) {
+        let mut reachable: BTreeSet<Inode> = self.visible.values().copied().collect();
+        reachable.extend(self.durable.values());
+        for change in self.changes.values().flatten() {
+            if let DirectoryChange::Link(_, inode) = change {
+                reachable.insert(*inode);
+            }
+        }
+        self.contents.retain(|inode, _| reachable.contains(inode));
+    }
+
+    fn content(&self, inode: Inode) -> StorageResult<&Content> {
+        self.contents
+            .get(&inode)
+            .ok_or_else(|| Report::new(ErrorKind::Io).attach("the file is gone"))
+    }
+
+    fn content_mut(&mut self, inode: Inode) -> StorageResult<&mut Content> {
+        self.contents
+            .get_mut(&inode)
+            .ok_or_else(|| Report::new(ErrorKind::Io).attach("the file is gone"))
+    }
+
+    fn change(&mut self, path: &str, change: DirectoryChange) {
+        let directory = parent_directory(path).to_owned();
+        self.changes.entry(directory).or_default().push(change);
+    }
+
+    fn create(&mut self, path: &str) -> Inode {
+        let inode = Inode(self.next_inode);
+        self.next_inode += 1;
+        self.contents.insert(inode, Content::default());
+        self.visible.insert(path.to_owned(), inode);
+        self.change(path, DirectoryChange::Link(path.to_owned(), inode));
+        inode
+    }
+
+    /// Whether the sync asked for now fails.
+    fn sync_fails(&mut self) -> bool {
+        self.syncs += 1;
+        let fails = self.syncs_to_fail > 0;
+        self.syncs_to_fail = self.syncs_to_fail.saturating_sub(1);
+        fails
+    }
+}
+
+fn apply(entries: &mut BTreeMap<String, Inode>, change: DirectoryChange) {
+    match change {
+        DirectoryChange::Link(path, inode) => {
+            entries.insert(path, inode);
+        }
+        DirectoryChange::Unlink(path) => {
+            entries.remove(&path);
+        }
+        DirectoryChange::Rename(from, to) => {
+            if let Some(inode) = entries.remove(&from) {
+                entries.insert(to, inode);
+            }
+        }
+    }
+}
+
+impl Content {
+    fn write(&mut self, offset: usize, data: &[u8]) {
+        let end = offset + data.len();
+        if self.visible.len() < end {
+            self.visible.resize(end, 0);
+        }
+        self.visible[offset..end].copy_from_slice(data);
+        match self.dirty.last_mut() {
+            Some(last) if last.end == offset => last.end = end,
+            _ => self.dirty.push(offset..end),
+        }
+    }
+
+    fn sync(&mut self) {
+        self.durable.resize(self.visible.len(), 0);
+        for range in self.dirty.drain(..) {
+            let end = range.end.min(self.visible.len());
+            let start = range.start.min(end);
+            self.durable[start..end].copy_from_slice(&self.visible[start..end]);
+        }
+    }
+
+    /// As on Linux: the pages count as clean although the disk does not have them.
+    fn fail_sync(&mut self, random: &mut Pcg64Mcg) {
+        self.write_back(random);
+        self.dirty.clear();
+    }
+
+    /// Brings some of the dirty sectors to the disk, as the seed says.
+    fn write_back(&mut self, random: &mut Pcg64Mcg) {
+        let share = [0.0, 0.5, 0.9, 1.0][random.random_range(0..4)];
+        for range in self.dirty.clone() {
+            let mut start = range.start;
+            while start < range.end {
+                let end = ((start / SECTOR_BYTES + 1) * SECTOR_BYTES).min(range.end);
+                if random.random_bool(share) {
+                    self.write_sector(start, end);
+                }
+                start = end;
+            }
+        }
+    }
+
+    fn write_sector(&mut self, start: usize, end: usize) {
+        let end = end.min(self.visible.len());
+        if start >= end {
+            return;
+        }
+        if self.durable.len() < end {
+            self.durable.resize(end, 0);
+        }
+        self.durable[start..end].copy_from_slice(&self.visible[start..end]);
+    }
+
+    fn crash(&mut self, random: &mut Pcg64Mcg) {
+        if self.visible.len() < self.durable.len() && random.random_bool(0.5) {
+            self.durable.truncate(self.visible.len());
+        }
+        let synced = self.durable.len();
+        self.write_back(random);
+        if self.durable.len() > synced && random.random_bool(0.5) {
+            let length = random.random_range(synced..=self.durable.len());
+            self.durable.truncate(length);
+        }
+        self.dirty.clear();
+        self.visible.clone_from(&self.durable);
+    }
+}
+
+struct VirtualFile {
+    state: Arc<Mutex<DiskState>>,
+    inode: Inode,
+    generation: u64,
+}
+
+impl VirtualFile {
+    fn refuse_if_dead(&self, state: &DiskState) -> StorageResult<()> {
+        if self.generation == state.generation {
+            return Ok(());
+        }
+        Err(Report::new(ErrorKind::Io).attach("the file was opened before a crash"))
+    }
+}
+
+impl File for VirtualFile {
+    fn length(&self) -> StorageResult<u64> {
+        let state = self.state.lock();
+        self.refuse_if_dead(&state)?;
+        Ok(state.content(self.inode)?.visible.len() as u64)
+    }
+
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> StorageResult<usize> {
+        let state = self.state.lock();
+        self.refuse_if_dead(&state)?;
+        let bytes = &state.content(self.inode)?.visible;
+        let start = (offset as usize).min(bytes.len());
+        let end = (start + buffer.len()).min(bytes.len());
+        buffer[..end - start].copy_from_slice(&bytes[start..end]);
+        Ok(end - start)
+    }
+
+    fn write_at(&mut self, offset: u64, data: &[u8]) -> StorageResult<()> {
+        let mut state = self.state.lock();
+        self.refuse_if_dead(&state)?;
+        let used = state.used_bytes();
+        let free = state.capacity_bytes.saturating_sub(used);
+        let content = state.content_mut(self.inode)?;
+        let room = (content.visible.len() as u64 + free).saturating_sub(offset);
+        let fits = data.len().min(usize::try_from(room).unwrap_or(usize::MAX));
+        content.write(offset as usize, &data[..fits]);
+        if fits < data.len() {
+            return Err(Report::new(ErrorKind::StorageFull).attach("the disk is full"));
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, length: u64) -> StorageResult<()> {
+        let mut state = self.state.lock();
+        self.refuse_if_dead(&state)?;
+        let content = state.content_mut(self.inode)?;
+        content.visible.resize(length as usize, 0);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> StorageResult<()> {
+        let mut state = self.state.lock();
+        self.refuse_if_dead(&state)?;
+        let fails = state.sync_fails();
+        let DiskState {
+            contents, random, ..
+        } = &mut *state;
+        let Some(content) = contents.get_mut(&self.inode) else {
+            return Ok(());
+        };
+        if fails {
+            content.fail_sync(random);
+            return Err(Report::new(ErrorKind::Io).attach("the sync failed"));
+        }
+        content.sync();
+        Ok(())
+    }
+}
+
+struct VirtualLock {
+    state: Arc<Mutex<DiskState>>,
+    generation: u64,
+}
+
+impl FolderLock for VirtualLock {}
+
+impl Drop for VirtualLock {
+    fn drop(&mut self) {
+        let mut state = self.state.lock();
+        if state.generation == self.generation {
+            state.locked = false;
+        }
+    }
+}
+
+fn not_found(path: &str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::NotFound).attach(format!("{path} does not exist"))
+}
+
+impl FileSystem for VirtualDisk {
+    fn create_directory(&self, path: &str) -> StorageResult<()> {
+        // Directories last at once: losing one is the same as losing the files in it.
+        self.state.lock().directories.insert(path.to_owned());
+        Ok(())
+    }
+
+    fn list(&self, directory: &str) -> StorageResult<Vec<String>> {
+        let state = self.state.lock();
+        if !directory.is_empty() && !state.directories.contains(directory) {
+            return Err(not_found(directory));
+        }
+        let in_directory = |path: &&String| parent_directory(path) == directory;
+        let name = |path: &String| path.rsplit('/').next().unwrap_or(path).to_owned();
+        let mut names: Vec<String> = state
+            .visible
+            .keys()
+            .chain(&state.directories)
+            .filter(in_directory)
+            .map(name)
+            .collect();
+        names.sort();
+        names.dedup();
+        Ok(names)
+    }
+
+    fn open(&self, path: &str, mode: OpenMode) -> StorageResult<Box<dyn File>> {
+        let mut state = self.state.lock();
+        let found = state.visible.get(path).copied();
+        let inode = match (found, mode) {
+            (Some(inode), OpenMode::Read | OpenMode::Write) => inode,
+            (Some(inode), OpenMode::CreateOrTruncate) => {
+                state.content_mut(inode)?.visible.clear();
+                inode
+            }
+            (Some(_), OpenMode::CreateNew) => {
+                return Err(Report::new(ErrorKind::Io).attach(format!("{path} exists")));
+            }
+            (None, OpenMode::Read | OpenMode::Write) => return Err(not_found(path)),
+            (None, OpenMode::CreateNew | OpenMode::CreateOrTruncate) => state.create(path),
+        };
+        Ok(Box::new(VirtualFile {
+            state: Arc::clone(&self.state),
+            inode,
+            generation: state.generation,
+        }))
+    }
+
+    fn exists(&self, path: &str) -> StorageResult<bool> {
+        let state = self.state.lock();
+        Ok(state.visible.contains_key(path) || state.directories.contains(path))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> StorageResult<()> {
+        let mut state = self.state.lock();
+        let inside = format!("{from}/");
+        let mut moved: Vec<(String, String)> = state
+            .visible
+            .keys()
+            .filter(|path| *path == from || path.starts_with(&inside))
+            .map(|path| (path.clone(), format!("{to}{}", &path[from.len()..])))
+            .collect();
+        let is_directory = state.directories.remove(from);
+        if moved.is_empty() && !is_directory {
+            return Err(not_found(from));
+        }
+        if is_directory {
+            state.directories.insert(to.to_owned());
+        }
+        for (old, new) in moved.drain(..) {
+            if let Some(inode) = state.visible.remove(&old) {
+                state.visible.insert(new.clone(), inode);
+            }
+            state.change(&new.clone(), DirectoryChange::Rename(old, new));
+        }
+        Ok(())
+    }
+
+    fn remove(&self, path: &str) -> StorageResult<()> {
+        let mut state = self.state.lock();
+        if state.visible.remove(path).is_none() {
+            return Err(not_found(path));
+        }
+        state.change(path, DirectoryChange::Unlink(path.to_owned()));
+        Ok(())
+    }
+
+    fn sync_directory(&self, directory: &str) -> StorageResult<()> {
+        let mut state = self.state.lock();
+        if state.sync_fails() {
+            return Err(Report::new(ErrorKind::Io).attach("the directory's sync failed"));
+        }
+        let changes = state.changes.remove(directory).unwrap_or_default();
+        for change in changes {
+            apply(&mut state.durable, change);
+        }
+        state.forget_removed();
+        Ok(())
+    }
+
+    fn free_bytes(&self) -> StorageResult<u64> {
+        let state = self.state.lock();
+        Ok(state.capacity_bytes.saturating_sub(state.used_bytes()))
+    }
+
+    fn lock(&self) -> StorageResult<Box<dyn FolderLock>> {
+        let mut state = self.state.lock();
+        if state.locked {
+            return Err(Report::new(ErrorKind::DataFolderRefused)
+                .attach("the folder is in use by another process"));
+        }
+        state.locked = true;
+        Ok(Box::new(VirtualLock {
+            state: Arc::clone(&self.state),
+            generation: state.generation,
+        }))
+    }
+}
--- a/crates/storage/tests/all/main.rs
+++ b/crates/storage/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the storage crate.
 
+mod payloads;
 mod real_disk;
