--- /dev/null
+++ b/crates/observability/src/journal.rs
@@ -0,0 +1,184 @@
+//! The decision journal: what a process decided, why, and among which choices.
+//!
+//! Records are JSON lines in segment files of the data folder. A thread writes
+//! them; the caller only puts a record into a bounded queue and never waits.
+//! When the queue is full the record is dropped and counted. Records are not
+//! synced one by one: the journal explains, no promise rests on it.
+
+mod record;
+mod segments;
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+
+pub use record::{Considered, DecisionKind, JournalRecord, Subject};
+use segments::SegmentWriter;
+pub use segments::{MAX_FOUND_RECORDS, lookup_in};
+
+/// Records that may wait for the writer.
+const QUEUE_RECORDS: usize = 8_192;
+/// Longest time that a record stays in the writer's buffer.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
+/// Folder of the journal in the data folder.
+const FOLDER: &str = "journal";
+
+/// Records that did not reach the journal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JournalLosses {
+    /// Dropped because the queue was full.
+    pub dropped: u64,
+    /// Lost because a file could not be written.
+    pub failed: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    dropped: AtomicU64,
+    failed: AtomicU64,
+}
+
+enum Message {
+    Record(Box<JournalRecord>),
+    Flush(SyncSender<()>),
+}
+
+/// The journal of one process. Clones share it; the last one writes out what is queued.
+#[derive(Clone)]
+pub struct Journal {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    /// `None` for a journal that keeps nothing.
+    folder: Option<PathBuf>,
+    queue: Mutex<Option<SyncSender<Message>>>,
+    writer: Mutex<Option<JoinHandle<()>>>,
+    counters: Arc<Counters>,
+}
+
+impl Journal {
+    /// Opens the journal in a data folder and starts its writer. Older
+    /// segments are kept up to `max_bytes` in all.
+    ///
+    /// # Errors
+    /// When the folder cannot be made or read.
+    pub fn open(data_dir: &Path, max_bytes: u64) -> io::Result<Self> {
+        let folder = data_dir.join(FOLDER);
+        let segments = SegmentWriter::open(&folder, max_bytes)?;
+        let counters = Arc::new(Counters::default());
+        let (queue, records) = sync_channel(QUEUE_RECORDS);
+        let writer_counters = Arc::clone(&counters);
+        let writer = thread::Builder::new()
+            .name("journal-writer".to_owned())
+            .spawn(move || write_records(&records, segments, &writer_counters))?;
+        Ok(Journal {
+            shared: Arc::new(Shared {
+                folder: Some(folder),
+                queue: Mutex::new(Some(queue)),
+                writer: Mutex::new(Some(writer)),
+                counters,
+            }),
+        })
+    }
+
+    /// A journal that keeps nothing, for processes without a data folder.
+    #[must_use]
+    pub fn disabled() -> Self {
+        Journal {
+            shared: Arc::new(Shared {
+                folder: None,
+                queue: Mutex::new(None),
+                writer: Mutex::new(None),
+                counters: Arc::new(Counters::default()),
+            }),
+        }
+    }
+
+    /// Queues a record; never waits.
+    pub fn record(&self, record: JournalRecord) {
+        let queue = self.shared.queue.lock();
+        let Some(queue) = queue.as_ref() else {
+            return;
+        };
+        if queue.try_send(Message::Record(Box::new(record))).is_err() {
+            self.shared.counters.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits until everything queued so far is written to the files (not synced).
+    pub fn flush(&self) {
+        let (done, written) = sync_channel(1);
+        let queue = self.shared.queue.lock().clone();
+        let sent = queue.is_some_and(|queue| queue.send(Message::Flush(done)).is_ok());
+        if sent {
+            // The writer drops the sender when it ends; either way there is no more to wait for.
+            let _ = written.recv();
+        }
+    }
+
+    /// Records about a request, job, replica or tenant, oldest first; the
+    /// newest [`MAX_FOUND_RECORDS`] where there are more. Reads the files, so
+    /// call it off the request path.
+    ///
+    /// # Errors
+    /// When a segment cannot be read.
+    pub fn lookup(&self, id: &str) -> io::Result<Vec<JournalRecord>> {
+        let Some(folder) = &self.shared.folder else {
+            return Ok(Vec::new());
+        };
+        self.flush();
+        lookup_in(folder, id)
+    }
+
+    /// How many records were lost since the start.
+    #[must_use]
+    pub fn losses(&self) -> JournalLosses {
+        JournalLosses {
+            dropped: self.shared.counters.dropped.load(Ordering::Relaxed),
+            failed: self.shared.counters.failed.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        self.queue.lock().take();
+        if let Some(writer) = self.writer.lock().take() {
+            // A writer that panicked has nothing left to write.
+            let _ = writer.join();
+        }
+    }
+}
+
+fn write_records(records: &Receiver<Message>, mut segments: SegmentWriter, counters: &Counters) {
+    let count_failure = |result: io::Result<()>| {
+        if result.is_err() {
+            counters.failed.fetch_add(1, Ordering::Relaxed);
+        }
+    };
+    loop {
+        match records.recv_timeout(FLUSH_INTERVAL) {
+            Ok(Message::Record(record)) => count_failure(segments.append(&record)),
+            Ok(Message::Flush(done)) => {
+                count_failure(segments.flush());
+                let _ = done.send(());
+            }
+            Err(RecvTimeoutError::Timeout) => count_failure(segments.flush()),
+            Err(RecvTimeoutError::Disconnected) => {
+                count_failure(segments.flush());
+                return;
+            }
+        }
+    }
+}
--- a/crates/observability/tests/all/main.rs
+++ b/crates/observability/tests/all/main.rs
@@ -1,3 +1,5 @@
 //! Tests of logs, journal and metrics.
 
+mod journal;
 mod log;
+mod metrics;
