Choose replicas, queue and retry by the routing crate's rules

The gateway applies admission, tenant limits, the retry budget and the choice by expected wait to real requests. Work is counted at a replica by a guard whose drop counts as a cancel, and whose end lets waiting requests start. Requests are queued per model or service, so that a full pool does not hold up another one.

--- /dev/null
+++ b/crates/gateway/src/decisions/limits.rs
@@ -0,0 +1,76 @@
+//! Limits of tenants, settled when a request ends.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_config::fleet::Tenant;
+use linnethitch_errors::Failure;
+use linnethitch_routing::{
+    ReasonCode,
+    limits::{LimitRefusal, Reservation, TenantNumber},
+};
+
+use crate::decisions::{Decisions, Refused};
+
+/// A tenant's right to one request in flight; dropping it gives the right back.
+pub(crate) struct TenantPass {
+    pub(crate) tenant: TenantNumber,
+    pub(crate) weight: u32,
+    /// Tokens used so far, settled at the end.
+    pub(crate) used_tokens: u32,
+    decisions: Arc<Decisions>,
+    reservation: Option<Reservation>,
+}
+
+impl Decisions {
+    /// Takes a request of a tenant from its limits.
+    pub(crate) fn pass_limits(
+        self: &Arc<Self>,
+        tenant: &Tenant,
+        estimated_tokens: u32,
+    ) -> Result<TenantPass, Refused> {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        let number = core.limits.number(&tenant.name.as_str().into());
+        let reservation = core
+            .limits
+            .try_start(now, number, estimated_tokens)
+            .map_err(|refusal| refused(&refusal))?;
+        drop(core);
+        Ok(TenantPass {
+            tenant: number,
+            weight: tenant.weight.max(1),
+            used_tokens: 0,
+            decisions: Arc::clone(self),
+            reservation: Some(reservation),
+        })
+    }
+}
+
+fn refused(refusal: &LimitRefusal) -> Refused {
+    let limit = match refusal.reason {
+        ReasonCode::TokenRate => "tokens per second",
+        ReasonCode::InFlight => "requests in flight",
+        _ => "requests per second",
+    };
+    Refused {
+        reason: refusal.reason,
+        failure: Failure::new(
+            refusal.kind(),
+            format!("the limit of the tenant's {limit} is reached"),
+        )
+        .with_retry_after(Duration::from_millis(refusal.retry_after_ms)),
+    }
+}
+
+impl Drop for TenantPass {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            let now = self.decisions.clock.now();
+            self.decisions
+                .core
+                .lock()
+                .limits
+                .settle(now, reservation, self.used_tokens);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decisions/mod.rs
@@ -0,0 +1,183 @@
+//! Applies the decisions of `linnethitch-routing` to real time and real requests.
+
+mod limits;
+mod placement;
+mod queue;
+mod wanted;
+
+use std::{collections::HashMap, sync::Arc};
+
+use linnethitch_config::fleet::Fleet;
+use linnethitch_protocol::{
+    fleet::{LoadReport, ReplicaInfo},
+    ids::{ReplicaId, ZoneId},
+};
+use linnethitch_routing::{
+    Choice, NoChoice, RetryBudget, Router,
+    limits::Limits,
+    profile::Target,
+    retry::{FailedAttempt, Next, after_failure},
+};
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+pub(crate) use limits::TenantPass;
+pub(crate) use placement::Placement;
+pub(crate) use queue::{Refused, no_choice};
+pub(crate) use wanted::{Wanted, WantedTarget};
+
+use crate::{clock::Clock, decisions::queue::PoolQueue};
+
+/// All decisions of one gateway, behind one lock that is held for microseconds.
+pub(crate) struct Decisions {
+    pub(crate) clock: Clock,
+    core: Mutex<Core>,
+}
+
+/// What the decisions work on.
+struct Core {
+    router: Router,
+    random: Pcg64Mcg,
+    limits: Limits,
+    budget: RetryBudget,
+    queues: HashMap<WantedTarget, PoolQueue>,
+    policy: linnethitch_config::fleet::RoutingPolicy,
+}
+
+impl Decisions {
+    /// Decisions of a gateway in a zone, before any configuration.
+    pub(crate) fn new(zone: ZoneId, clock: Clock, seed: u64) -> Self {
+        let policy = linnethitch_config::fleet::RoutingPolicy::default();
+        let core = Core {
+            router: Router::new(zone, policy.clone()),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            limits: Limits::default(),
+            budget: RetryBudget::new(clock.now(), &policy),
+            queues: HashMap::new(),
+            policy,
+        };
+        Decisions {
+            clock,
+            core: Mutex::new(core),
+        }
+    }
+
+    /// Takes over the rules of a configuration.
+    pub(crate) fn set_fleet(&self, fleet: &Fleet) {
+        let mut core = self.core.lock();
+        core.policy = fleet.routing.clone();
+        core.router.view_mut().set_policy(fleet.routing.clone());
+        core.budget.set_policy(&fleet.routing);
+        core.limits.set_tenants(&fleet.tenants);
+        for queue in core.queues.values_mut() {
+            queue.admission.set_policy(&fleet.routing);
+        }
+    }
+
+    /// Replaces the whole list of replicas.
+    pub(crate) fn set_replicas(self: &Arc<Self>, replicas: Vec<ReplicaInfo>) {
+        self.core.lock().router.view_mut().set_replicas(replicas);
+        self.serve_queues();
+    }
+
+    /// Adds or changes replicas and removes others.
+    pub(crate) fn update_replicas(
+        self: &Arc<Self>,
+        changed: Vec<ReplicaInfo>,
+        removed: &[ReplicaId],
+    ) {
+        self.core
+            .lock()
+            .router
+            .view_mut()
+            .update_replicas(changed, removed);
+        self.serve_queues();
+    }
+
+    /// Takes in the load that a replica reported.
+    pub(crate) fn on_load(&self, replica: &ReplicaId, load: LoadReport) {
+        let mut core = self.core.lock();
+        if let Some(index) = core.router.view().index_of(replica) {
+            core.router.view_mut().on_load_report(index, load);
+        }
+    }
+
+    /// Takes in that a replica said that it is leaving.
+    pub(crate) fn on_leaving(&self, replica: &ReplicaId) {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        if let Some(index) = core.router.view().index_of(replica) {
+            core.router.view_mut().on_leaving(now, index);
+        }
+    }
+
+    /// Decides what follows a failed attempt.
+    pub(crate) fn after_failure(
+        &self,
+        attempt: &FailedAttempt,
+        attempts_made: u32,
+        deadline: linnethitch_protocol::ids::Timestamp,
+    ) -> Next {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        let Core { budget, policy, .. } = &mut *core;
+        after_failure(now, attempt, attempts_made, deadline, policy, budget)
+    }
+
+    /// Chooses a replica for a further attempt, at once and without the queue.
+    pub(crate) fn choose_again(
+        self: &Arc<Self>,
+        wanted: &Wanted,
+        tried: &[ReplicaId],
+    ) -> Result<Placement, NoChoice> {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        let exclude: Vec<_> = tried
+            .iter()
+            .filter_map(|id| core.router.view().index_of(id))
+            .collect();
+        let profile = wanted.profile(&exclude);
+        let choice = core.choose(now, &profile)?;
+        Ok(self.place(&mut core, now, wanted, &choice))
+    }
+
+    /// Whether a replica of the target is known at all.
+    pub(crate) fn knows(&self, target: &WantedTarget) -> bool {
+        self.core
+            .lock()
+            .router
+            .view()
+            .pool(&target.as_target())
+            .is_some()
+    }
+}
+
+impl Core {
+    fn choose(
+        &mut self,
+        now: linnethitch_protocol::ids::Timestamp,
+        profile: &linnethitch_routing::RequestProfile<'_>,
+    ) -> Result<Choice, NoChoice> {
+        self.router.choose(now, profile, &mut self.random)
+    }
+
+    /// Whether the chosen replica can run one more online request now.
+    fn has_room(&self, choice: &Choice) -> bool {
+        let load = self.router.view().replica(choice.replica).corrected_load();
+        load.max_running <= 0.0 || load.online + 1.0 <= load.max_running
+    }
+}
+
+impl WantedTarget {
+    fn as_target(&self) -> Target<'_> {
+        match self {
+            WantedTarget::Model { name, adapter } => Target::Model {
+                name,
+                adapter: adapter.as_deref(),
+                version: None,
+            },
+            WantedTarget::Service(name) => Target::Service(name),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decisions/placement.rs
@@ -0,0 +1,127 @@
+//! A request's place at a replica.
+
+use std::sync::Arc;
+
+use linnethitch_protocol::ids::{ReplicaId, Timestamp};
+use linnethitch_routing::{
+    Choice, ReasonCode, Ticket, profile::MAX_ALTERNATIVES, view::FailureKind,
+};
+
+use crate::decisions::{Core, Decisions, Wanted};
+
+/// Tokens between two updates of the view, so that the lock is taken seldom.
+const TOKENS_PER_UPDATE: u32 = 16;
+
+/// A replica that was compared but not chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ConsideredReplica {
+    /// Which.
+    pub(crate) replica: ReplicaId,
+    /// Its expected wait, in milliseconds.
+    pub(crate) expected_wait_ms: f64,
+}
+
+/// Work counted at a replica until it ends; dropping it counts as a cancel.
+pub(crate) struct Placement {
+    pub(crate) replica: ReplicaId,
+    pub(crate) address: String,
+    pub(crate) reason: ReasonCode,
+    pub(crate) expected_wait_ms: f64,
+    pub(crate) considered: Vec<ConsideredReplica>,
+    decisions: Arc<Decisions>,
+    ticket: Option<Ticket>,
+    unreported: u32,
+}
+
+impl Decisions {
+    /// Counts the work at the chosen replica from now on.
+    pub(super) fn place(
+        self: &Arc<Self>,
+        core: &mut Core,
+        now: Timestamp,
+        wanted: &Wanted,
+        choice: &Choice,
+    ) -> Placement {
+        let work = wanted.work(choice.cached_tokens);
+        let view = core.router.view_mut();
+        let ticket = view.on_sent(now, choice.replica, work, &wanted.prefix_hashes);
+        let machine = &view.replica(choice.replica).info().machine;
+        let mut considered = Vec::with_capacity(MAX_ALTERNATIVES);
+        considered.extend(
+            choice
+                .alternatives
+                .iter()
+                .flatten()
+                .map(|other| ConsideredReplica {
+                    replica: view.replica(other.replica).info().machine.replica.clone(),
+                    expected_wait_ms: other.expected_wait_ms,
+                }),
+        );
+        Placement {
+            replica: machine.replica.clone(),
+            address: machine.address.clone(),
+            reason: choice.reason,
+            expected_wait_ms: choice.expected_wait_ms,
+            considered,
+            decisions: Arc::clone(self),
+            ticket: Some(ticket),
+            unreported: 0,
+        }
+    }
+}
+
+impl Placement {
+    /// Records that a token came.
+    pub(crate) fn on_token(&mut self, first: bool) {
+        self.unreported += 1;
+        if !first && self.unreported < TOKENS_PER_UPDATE {
+            return;
+        }
+        let count = std::mem::take(&mut self.unreported);
+        let now = self.decisions.clock.now();
+        if let Some(ticket) = self.ticket.as_mut() {
+            let mut core = self.decisions.core.lock();
+            core.router.view_mut().on_tokens(now, ticket, count);
+        }
+    }
+
+    /// The request ended well.
+    pub(crate) fn finished(mut self) {
+        let now = self.decisions.clock.now();
+        if let Some(ticket) = self.ticket.take() {
+            self.decisions
+                .core
+                .lock()
+                .router
+                .view_mut()
+                .on_finished(now, ticket);
+        }
+    }
+
+    /// The attempt failed; tells whether this took the replica out.
+    pub(crate) fn failed(mut self, kind: FailureKind) -> Option<ReasonCode> {
+        let now = self.decisions.clock.now();
+        let ticket = self.ticket.take()?;
+        self.decisions
+            .core
+            .lock()
+            .router
+            .view_mut()
+            .on_failure(now, ticket, kind)
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.decisions.clock.now();
+            self.decisions
+                .core
+                .lock()
+                .router
+                .view_mut()
+                .on_cancelled(now, ticket);
+        }
+        self.decisions.serve_queues();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decisions/wanted.rs
@@ -0,0 +1,58 @@
+//! What a request asks of the router, in owned form.
+
+use linnethitch_protocol::ids::Timestamp;
+use linnethitch_routing::{Class, Phase, ReplicaIndex, RequestProfile, costs::Work};
+
+/// A model or a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum WantedTarget {
+    /// A model, maybe with an adapter.
+    Model {
+        /// The pool's name.
+        name: String,
+        /// The adapter.
+        adapter: Option<String>,
+    },
+    /// An application service.
+    Service(String),
+}
+
+/// A request as the router and the queue see it.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    /// What it is for.
+    pub(crate) target: WantedTarget,
+    /// How urgent it is.
+    pub(crate) class: Class,
+    /// Tokens of the prompt, and of what was already generated.
+    pub(crate) prompt_tokens: u32,
+    /// Tokens that the answer is expected to have.
+    pub(crate) output_tokens: u32,
+    /// Hashes of the prompt's prefixes.
+    pub(crate) prefix_hashes: Vec<u64>,
+    /// It must have been answered by then.
+    pub(crate) deadline: Timestamp,
+}
+
+impl Wanted {
+    pub(super) fn profile<'a>(&'a self, exclude: &'a [ReplicaIndex]) -> RequestProfile<'a> {
+        RequestProfile {
+            target: self.target.as_target(),
+            class: self.class,
+            phase: Phase::Whole,
+            prompt_tokens: self.prompt_tokens,
+            expected_output_tokens: self.output_tokens,
+            prefix_hashes: &self.prefix_hashes,
+            deadline: self.deadline,
+            exclude,
+        }
+    }
+
+    pub(super) fn work(&self, cached_tokens: u32) -> Work {
+        Work {
+            class: self.class,
+            prefill_tokens: self.prompt_tokens.saturating_sub(cached_tokens),
+            output_tokens: self.output_tokens,
+        }
+    }
+}
--- a/crates/gateway/src/engine/fault.rs
+++ b/crates/gateway/src/engine/fault.rs
@@ -2,6 +2,11 @@
 
 use std::{fmt, time::Duration};
 
+use linnethitch_routing::{retry::AttemptFailure, view::FailureKind};
+
+/// Status of an engine that has no room.
+const STATUS_FULL: u16 = 429;
+
 /// How an attempt failed, and with it whether it may have run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptFault {
@@ -46,6 +51,43 @@
             AttemptFault::Connect(_) | AttemptFault::Refused { .. }
         )
     }
+
+    /// The failure in the words of the retry rules.
+    pub(crate) fn as_attempt_failure(&self) -> AttemptFailure {
+        match self {
+            AttemptFault::Connect(_) => AttemptFailure::Unreachable,
+            AttemptFault::Refused { .. } => AttemptFailure::RefusedUnstarted,
+            AttemptFault::Rejected { .. } => AttemptFailure::CallerError,
+            AttemptFault::Failed { .. } => AttemptFailure::ServerError,
+            AttemptFault::Broken(_) => AttemptFailure::Disconnected,
+            AttemptFault::Protocol(_) => AttemptFailure::BadProtocol,
+            AttemptFault::Hung(_) => AttemptFailure::TimedOut,
+        }
+    }
+
+    /// What the failure says of the replica; `None` when the fault is the request's.
+    pub(crate) fn as_failure_kind(&self) -> Option<FailureKind> {
+        Some(match self {
+            AttemptFault::Connect(_) => FailureKind::Unreachable,
+            AttemptFault::Refused {
+                status: STATUS_FULL,
+                ..
+            } => FailureKind::Full,
+            AttemptFault::Refused { .. } => FailureKind::NotServed,
+            AttemptFault::Rejected { .. } => return None,
+            AttemptFault::Failed { .. } | AttemptFault::Protocol(_) => FailureKind::BadAnswer,
+            AttemptFault::Broken(_) => FailureKind::Disconnected,
+            AttemptFault::Hung(_) => FailureKind::TimedOut,
+        })
+    }
+
+    /// When the back end wants to be asked again.
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
+        match self {
+            AttemptFault::Refused { retry_after, .. } => *retry_after,
+            _ => None,
+        }
+    }
 }
 
 impl fmt::Display for AttemptFault {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,13 +7,14 @@
 
 #![allow(dead_code, reason = "parts that the next changes use")]
 
+mod clock;
 mod decisions;
 mod engine;
 mod http;
 mod identifiers;
 mod models;
 mod online;
+pub mod options;
 pub mod process;
-pub mod settings;
 mod state;
 mod tenants;
--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation.rs
@@ -1,16 +1,17 @@
 //! One generation over as many attempts as it takes.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use linnethitch_errors::{ErrorKind, Executed, Failure};
-use linnethitch_protocol::ids::ReplicaId;
+use linnethitch_protocol::ids::{ReplicaId, Timestamp};
+use linnethitch_routing::{
+    ReasonCode,
+    retry::{FailedAttempt, Next, Sent, Started},
+};
 use slog::info;
 
 use crate::{
-    decisions::{Chosen, Needs},
+    decisions::{Placement, TenantPass, Wanted, no_choice},
     engine::{
         client::{EngineRequest, load_of, says},
         fault::AttemptFault,
@@ -20,21 +21,22 @@
     state::Gateway,
 };
 
-/// When a caller should come back after a refusal for want of capacity.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When a caller should come back after a failure that a retry can help.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A running generation. Dropping it cancels the run at the engine.
 pub(crate) struct Generation {
     gateway: Arc<Gateway>,
     pub(crate) request: CompletionRequest,
     pub(crate) progress: Progress,
+    wanted: Arc<Wanted>,
+    pass: TenantPass,
     attempt: Option<Attempt>,
     tried: Vec<ReplicaId>,
     attempts: u32,
-    most_attempts: u32,
     /// Whether any attempt may have run.
     started: bool,
-    deadline: Instant,
+    deadline: Timestamp,
     /// How the last attempt failed.
     last_fault: Option<AttemptFault>,
     /// The first event, read before the answer's status was decided.
@@ -42,29 +44,36 @@
 }
 
 struct Attempt {
-    chosen: Chosen,
+    placement: Placement,
     stream: EngineStream,
     tokens_before: u32,
 }
 
+enum Step {
+    /// The attempt failed; another may follow.
+    Fault(AttemptFault, Option<Box<Placement>>),
+    /// The request failed.
+    Final(Failure),
+}
+
 impl Generation {
     /// Starts a generation and waits for its first event, so that a failure before it
     /// can still be answered with a status of its own.
     pub(crate) async fn start(
         gateway: Arc<Gateway>,
         request: CompletionRequest,
-        arrived: Instant,
+        pass: TenantPass,
     ) -> Result<Self, Failure> {
-        let most_attempts = gateway.active()?.fleet.routing.max_attempts.max(1);
         let mut generation = Generation {
-            deadline: arrived + request.deadline,
+            deadline: request.deadline,
+            wanted: Arc::new(request.wanted()),
             gateway,
             request,
+            pass,
             progress: Progress::default(),
             attempt: None,
             tried: Vec::new(),
             attempts: 0,
-            most_attempts,
             started: false,
             last_fault: None,
             first: None,
@@ -84,10 +93,9 @@
 
     async fn receive(&mut self) -> Result<StreamEvent, Failure> {
         loop {
-            let outcome = self.receive_once().await;
-            match outcome {
+            match self.receive_once().await {
                 Ok(event) => return Ok(event),
-                Err(Step::Fault(fault)) => self.after_fault(fault)?,
+                Err(Step::Fault(fault, placement)) => self.after_fault(fault, placement)?,
                 Err(Step::Final(failure)) => return Err(failure),
             }
         }
@@ -95,16 +103,14 @@
 
     /// Opens an attempt if there is none, and reads one event of it.
     async fn receive_once(&mut self) -> Result<StreamEvent, Step> {
-        if self.attempt.is_none() {
-            let attempt = self.open().await?;
-            self.attempt = Some(attempt);
-        }
+        let mut attempt = match self.attempt.take() {
+            Some(attempt) => attempt,
+            None => self.open().await?,
+        };
         let left = self.time_left()?;
         let timeouts = self.gateway.timeouts;
-        let Some(attempt) = self.attempt.as_mut() else {
-            return Err(Step::Final(Failure::from(ErrorKind::Internal)));
-        };
-        let limit = if self.progress.tokens == attempt.tokens_before {
+        let first = self.progress.tokens == attempt.tokens_before;
+        let limit = if first {
             timeouts.first_token
         } else {
             timeouts.between_tokens
@@ -113,19 +119,29 @@
             .stream
             .next(&mut self.progress, limit.min(left))
             .await;
+        self.pass.used_tokens = self
+            .wanted
+            .prompt_tokens
+            .saturating_add(self.progress.tokens);
         match event {
             Err(AttemptFault::Hung(_)) if left <= limit => Err(self.out_of_time()),
-            Err(fault) => Err(Step::Fault(fault)),
+            Err(fault) => Err(Step::Fault(fault, Some(Box::new(attempt.placement)))),
             Ok(StreamEvent::Done) => {
-                self.attempt = None;
+                attempt.placement.finished();
                 Ok(StreamEvent::Done)
             }
-            Ok(event) => Ok(event),
+            Ok(event) => {
+                if matches!(event, StreamEvent::Token(_)) {
+                    attempt.placement.on_token(first);
+                }
+                self.attempt = Some(attempt);
+                Ok(event)
+            }
         }
     }
 
     fn time_left(&self) -> Result<Duration, Step> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.gateway.clock().until(self.deadline);
         if left.is_zero() {
             Err(self.out_of_time())
         } else {
@@ -143,20 +159,12 @@
     }
 
     async fn open(&mut self) -> Result<Attempt, Step> {
+        let placement = self.place().await?;
         let left = self.time_left()?;
-        let needs = Needs {
-            model: self.request.pool().to_owned(),
-            adapter: self.request.adapter().map(str::to_owned),
-        };
-        let chosen = self
-            .gateway
-            .decisions
-            .choose(&needs, &self.tried)
-            .ok_or_else(|| Step::Final(self.no_replica()))?;
-        self.tried.push(chosen.replica.clone());
+        self.tried.push(placement.replica.clone());
         self.attempts += 1;
         let request = EngineRequest {
-            address: chosen.address.clone(),
+            address: placement.address.clone(),
             path: self.request.kind.path(),
             id: self.request.id.0.clone(),
             priority: self.request.priority,
@@ -167,107 +175,151 @@
                 .map_err(Step::Final)?,
         };
         let limit = self.gateway.timeouts.first_token.min(left);
-        let response =
-            match tokio::time::timeout(limit, self.gateway.back_ends.generate(request)).await {
-                Ok(Ok(response)) => response,
-                Ok(Err(fault)) => {
-                    self.learn(&chosen, &fault);
-                    return Err(Step::Fault(fault));
-                }
-                Err(_) => return Err(Step::Fault(AttemptFault::Hung(limit))),
-            };
+        let sent = tokio::time::timeout(limit, self.gateway.back_ends.generate(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(fault)) => return Err(Step::Fault(fault, Some(Box::new(placement)))),
+            Err(_) => {
+                return Err(Step::Fault(
+                    AttemptFault::Hung(limit),
+                    Some(Box::new(placement)),
+                ));
+            }
+        };
         self.started = true;
+        let decisions = &self.gateway.decisions;
         if let Some(load) = load_of(response.headers(), "x-engine-load") {
-            self.gateway.decisions.on_load(&chosen.replica, load);
+            decisions.on_load(&placement.replica, load);
         }
         if says(response.headers(), "x-engine-leaving", "yes") {
-            self.gateway.decisions.on_leaving(&chosen.replica);
+            decisions.on_leaving(&placement.replica);
         }
         Ok(Attempt {
             stream: EngineStream::new(response, self.request.id.0.clone()),
-            chosen,
+            placement,
             tokens_before: self.progress.tokens,
         })
     }
 
-    fn learn(&self, chosen: &Chosen, fault: &AttemptFault) {
-        if let AttemptFault::Refused { leaving: true, .. } = fault {
-            self.gateway.decisions.on_leaving(&chosen.replica);
+    /// A place at a replica: through the queue at first, at once when trying again.
+    async fn place(&mut self) -> Result<Placement, Step> {
+        let decisions = &self.gateway.decisions;
+        let Some(fault) = &self.last_fault else {
+            let admitted = decisions.admit(&self.wanted, &self.pass).await;
+            return admitted
+                .map(|admitted| admitted.placement)
+                .map_err(|refused| Step::Final(refused.failure));
+        };
+        let elsewhere = decisions.choose_again(&self.wanted, &self.tried);
+        let placed = match elsewhere {
+            // The only replica may well finish a stream that merely broke.
+            Err(_) if !fault.not_started() => decisions.choose_again(&self.wanted, &[]),
+            placed => placed,
+        };
+        placed.map_err(|none| {
+            let refused = no_choice(&none);
+            let attempt = self.failed_attempt(fault);
+            Step::Final(match attempt.answer(none.reason) {
+                Next::Answer { kind, executed, .. } => self.final_failure(kind, executed, fault),
+                _ => refused.failure,
+            })
+        })
+    }
+
+    fn failed_attempt(&self, fault: &AttemptFault) -> FailedAttempt {
+        FailedAttempt {
+            sent: match fault {
+                AttemptFault::Connect(_) => Sent::Nothing,
+                _ => Sent::Some,
+            },
+            at_most_once: self.request.at_most_once,
+            failure: fault.as_attempt_failure(),
+            started: match (self.progress.tokens, self.progress.not_resumable) {
+                (0, _) => Started::Nothing,
+                (_, false) => Started::Resumable,
+                (_, true) => Started::NotResumable,
+            },
         }
     }
 
     /// Decides whether another attempt may follow; an error is final.
-    fn after_fault(&mut self, fault: AttemptFault) -> Result<(), Failure> {
-        let replica = self
-            .attempt
-            .take()
-            .map(|attempt| attempt.chosen.replica.clone());
+    fn after_fault(
+        &mut self,
+        fault: AttemptFault,
+        placement: Option<Box<Placement>>,
+    ) -> Result<(), Failure> {
+        let replica = placement
+            .as_ref()
+            .map(|placement| placement.replica.to_string());
+        let ejected = placement.and_then(|placement| self.learn(*placement, &fault));
+        self.started |= !fault.not_started();
+        let attempt = self.failed_attempt(&fault);
+        let next = self
+            .gateway
+            .decisions
+            .after_failure(&attempt, self.attempts, self.deadline);
         info!(self.gateway.logger, "attempt failed";
             "request" => %self.request.id,
-            "replica" => replica.as_ref().or(self.tried.last()).map(ToString::to_string),
+            "replica" => replica,
             "tokens" => self.progress.tokens,
+            "ejected" => ejected.map(ReasonCode::as_str),
+            "reason" => reason_of(&next).as_str(),
             "fault" => %fault);
-        self.started |= !fault.not_started();
-        if let AttemptFault::Rejected { status, message } = &fault {
-            return Err(rejected(*status, message));
-        }
-        if self.request.at_most_once && !fault.not_started() {
-            return Err(Failure::new(
-                ErrorKind::OutcomeUnknown,
-                format!("the request was sent to a back end and is not sent again: {fault}"),
-            ));
-        }
-        if self.progress.not_resumable {
-            return Err(self.give_up(&fault));
-        }
-        if self.attempts >= self.most_attempts {
-            return Err(self.give_up(&fault));
+        match next {
+            Next::Retry(_) | Next::Resume(_) => {
+                self.last_fault = Some(fault);
+                Ok(())
+            }
+            Next::Answer { kind, executed, .. } => Err(self.final_failure(kind, executed, &fault)),
         }
-        self.last_fault = Some(fault);
-        Ok(())
-    }
-
-    fn give_up(&self, fault: &AttemptFault) -> Failure {
-        let kind = if self.progress.tokens > 0 {
-            ErrorKind::StreamBroken
-        } else if !self.started {
-            ErrorKind::Overloaded
-        } else if matches!(fault, AttemptFault::Protocol(_)) {
-            ErrorKind::BackEndProtocol
-        } else {
-            ErrorKind::BackEndFailed
-        };
-        self.finish_failure(
-            kind,
-            format!("no back end completed the request; the last one: {fault}"),
-        )
     }
 
-    fn no_replica(&self) -> Failure {
-        match &self.last_fault {
-            Some(fault) => self.give_up(fault),
-            None => self.finish_failure(
-                ErrorKind::NoBackEnd,
-                "no back end takes the request now".to_owned(),
-            ),
+    /// Tells the view of the fleet how the attempt failed.
+    fn learn(&self, placement: Placement, fault: &AttemptFault) -> Option<ReasonCode> {
+        if let AttemptFault::Refused { leaving: true, .. } = fault {
+            self.gateway.decisions.on_leaving(&placement.replica);
+        }
+        match fault.as_failure_kind() {
+            Some(kind) => placement.failed(kind),
+            None => {
+                placement.finished();
+                None
+            }
         }
     }
 
-    fn finish_failure(&self, kind: ErrorKind, message: String) -> Failure {
-        let executed = if self.started {
-            Executed::Unknown
+    fn final_failure(&self, kind: ErrorKind, executed: Executed, fault: &AttemptFault) -> Failure {
+        if let AttemptFault::Rejected { status, message } = fault {
+            return rejected(*status, message);
+        }
+        // A hung engine is not the caller's deadline, and an earlier attempt may have run
+        // although the last one did not.
+        let hung = matches!(fault, AttemptFault::Hung(_)) && kind == ErrorKind::DeadlineExceeded;
+        let (kind, executed) = if hung {
+            (ErrorKind::BackEndFailed, executed)
+        } else if self.started && executed == Executed::No {
+            (ErrorKind::BackEndFailed, Executed::Unknown)
         } else {
-            Executed::No
+            (kind, executed)
         };
-        Failure::new(kind, message)
-            .with_executed(executed)
-            .with_retry_after(OVERLOAD_RETRY_AFTER)
+        let message = match kind {
+            ErrorKind::OutcomeUnknown => {
+                format!("the request was sent to a back end and is not sent again: {fault}")
+            }
+            _ => format!("no back end completed the request; the last attempt: {fault}"),
+        };
+        let failure = Failure::new(kind, message).with_executed(executed);
+        if !kind.answer().retryable {
+            return failure;
+        }
+        failure.with_retry_after(fault.retry_after().unwrap_or(RETRY_AFTER))
     }
 }
 
-enum Step {
-    Fault(AttemptFault),
-    Final(Failure),
+fn reason_of(next: &Next) -> ReasonCode {
+    match next {
+        Next::Retry(reason) | Next::Resume(reason) | Next::Answer { reason, .. } => *reason,
+    }
 }
 
 /// An engine found the request itself wrong: the caller has to change it.
@@ -275,8 +327,7 @@
     let kind = match status {
         404 => ErrorKind::UnknownModel,
         413 => ErrorKind::BodyTooLarge,
-        400..=499 => ErrorKind::InvalidValue,
-        _ => ErrorKind::BackEndProtocol,
+        _ => ErrorKind::InvalidValue,
     };
     Failure::new(
         kind,
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -1,11 +1,12 @@
 //! Online requests: completions, streamed and whole.
 
 pub(crate) mod generation;
+mod prefix;
 pub(crate) mod request;
 mod stream_answer;
 mod whole_answer;
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use gotham::helpers::http::Body;
 use http::Response;
@@ -23,15 +24,20 @@
     endpoint: Endpoint,
     incoming: Incoming,
 ) -> Result<Response<Body>, Failure> {
-    let arrived = Instant::now();
-    let (active, _tenant) = gateway.authenticate(&incoming)?;
+    let arrived = gateway.clock().now();
+    let (active, tenant) = gateway.authenticate(&incoming)?;
     let Incoming {
         id, headers, body, ..
     } = incoming;
     let bytes = read_whole(&headers, body, active.body_limits()).await?;
-    let request = CompletionRequest::parse(endpoint, id, &headers, &bytes, &active.fleet)?;
+    let request = CompletionRequest::parse(endpoint, id, &headers, &bytes, &active.fleet, arrived)?;
+    let estimate = request.prompt_tokens.saturating_add(request.output_tokens);
+    let pass = gateway
+        .decisions
+        .pass_limits(&tenant, estimate)
+        .map_err(|refused| refused.failure)?;
     let stream = request.stream;
-    let generation = Generation::start(Arc::clone(gateway), request, arrived).await?;
+    let generation = Generation::start(Arc::clone(gateway), request, pass).await?;
     if stream {
         Ok(stream_answer::respond(generation))
     } else {
--- a/crates/gateway/src/online/request.rs
+++ b/crates/gateway/src/online/request.rs
@@ -1,17 +1,18 @@
 //! Parsing and checking of completion requests.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::HeaderMap;
 use linnethitch_config::fleet::Fleet;
 use linnethitch_errors::{ErrorKind, Failure};
-use linnethitch_protocol::ids::RequestId;
+use linnethitch_protocol::ids::{RequestId, Timestamp};
+use linnethitch_routing::Class;
 use serde_json::{Map, Value, json};
 
 use crate::{
+    decisions::{Wanted, WantedTarget},
     engine::{client::Priority, stream::Progress},
     http::routes::Endpoint,
+    online::prefix::prefix_hashes,
 };
 
 /// Bytes of text that are counted as one token where no engine has counted.
@@ -59,14 +60,15 @@
     pub(crate) stream: bool,
     /// Whether the caller wants usage at the stream's end.
     pub(crate) include_usage: bool,
-    /// Longest time from arrival to the last token.
-    pub(crate) deadline: Duration,
+    /// The last token must be there by then.
+    pub(crate) deadline: Timestamp,
     /// Estimated tokens of the prompt.
     pub(crate) prompt_tokens: u32,
     /// Expected or allowed tokens of the answer.
     pub(crate) output_tokens: u32,
     /// Whether it must never run twice.
     pub(crate) at_most_once: bool,
+    prefix_hashes: Vec<u64>,
     body: Map<String, Value>,
 }
 
@@ -82,6 +84,7 @@
         headers: &HeaderMap,
         bytes: &Bytes,
         fleet: &Fleet,
+        now: Timestamp,
     ) -> Result<Self, Failure> {
         let kind = match endpoint {
             Endpoint::Completions => CompletionKind::Text,
@@ -94,7 +97,7 @@
             )
         })?;
         let mut request = Self::from_body(kind, id, body, fleet)?;
-        request.deadline = deadline(headers, fleet)?;
+        request.deadline = Timestamp(now.0.saturating_add(deadline_ms(headers, fleet)?));
         Ok(request)
     }
 
@@ -117,7 +120,8 @@
             priority: Priority::Online,
             stream: flag(&body, "stream")?,
             include_usage: wants_usage(&body)?,
-            deadline: Duration::from_millis(fleet.routing.default_deadline_ms),
+            deadline: Timestamp::default(),
+            prefix_hashes: prefix_hashes(&body),
             prompt_tokens,
             output_tokens: limit.unwrap_or(DEFAULT_EXPECTED_OUTPUT_TOKENS),
             at_most_once: false,
@@ -143,6 +147,24 @@
             .map_err(|error| Failure::new(ErrorKind::Internal, error.to_string()))
     }
 
+    /// What the router and the queue need to know of it.
+    pub(crate) fn wanted(&self) -> Wanted {
+        Wanted {
+            target: WantedTarget::Model {
+                name: self.pool().to_owned(),
+                adapter: self.adapter().map(str::to_owned),
+            },
+            class: match self.priority {
+                Priority::Online => Class::Online,
+                Priority::Batch => Class::Batch,
+            },
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            prefix_hashes: self.prefix_hashes.clone(),
+            deadline: self.deadline,
+        }
+    }
+
     /// The pool's name without the adapter.
     pub(crate) fn pool(&self) -> &str {
         self.model.split(':').next().unwrap_or(&self.model)
@@ -158,16 +180,15 @@
     u32::try_from(value).unwrap_or(u32::MAX)
 }
 
-fn deadline(headers: &HeaderMap, fleet: &Fleet) -> Result<Duration, Failure> {
+fn deadline_ms(headers: &HeaderMap, fleet: &Fleet) -> Result<u64, Failure> {
     let Some(value) = headers.get(DEADLINE_HEADER) else {
-        return Ok(Duration::from_millis(fleet.routing.default_deadline_ms));
+        return Ok(fleet.routing.default_deadline_ms);
     };
     value
         .to_str()
         .ok()
         .and_then(|text| text.trim().parse::<u64>().ok())
         .filter(|milliseconds| *milliseconds > 0)
-        .map(Duration::from_millis)
         .ok_or_else(|| {
             invalid(
                 DEADLINE_HEADER,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/options.rs
@@ -1,32 +1,9 @@
-//! Settings of a gateway process.
+//! Options of a gateway beyond `linnethitch_config::settings::GatewaySettings`.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::time::Duration;
 
 use linnethitch_protocol::fleet::ReplicaInfo;
 
-/// What a gateway needs to know before it starts.
-#[derive(Clone, Debug)]
-pub struct GatewaySettings {
-    /// Name of the process, unique in the fleet.
-    pub gateway_id: String,
-    /// The zone that it runs in.
-    pub zone: String,
-    /// The region of that zone.
-    pub region: String,
-    /// Where callers connect; port 0 lets the system choose.
-    pub listen_address: SocketAddr,
-    /// Attach addresses of the control members.
-    pub control_addresses: Vec<SocketAddr>,
-    /// Name of the cluster.
-    pub cluster: String,
-    /// File with the key that proves membership of the cluster.
-    pub cluster_key_file: PathBuf,
-    /// Folder for the stored configuration and the decision journal.
-    pub data_dir: PathBuf,
-    /// Size of the decision journal, in bytes.
-    pub journal_max_bytes: u64,
-}
-
 /// Choices of a harness that runs gateways in its own process.
 #[derive(Clone, Debug, Default)]
 pub struct GatewayOptions {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use error_stack::{Report, ResultExt};
-use linnethitch_config::fleet::Fleet;
+use linnethitch_config::{fleet::Fleet, settings::GatewaySettings};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::Revision;
 use slog::{Logger, info};
@@ -12,7 +12,7 @@
 
 use crate::{
     http::{listener::Listener, routes::build_router},
-    settings::{FixedFleet, GatewayOptions, GatewaySettings},
+    options::{FixedFleet, GatewayOptions},
     state::{ActiveConfiguration, Gateway},
 };
 
@@ -100,7 +100,8 @@
 
 fn put_in_force(gateway: &Gateway, fixed: FixedFleet) -> Result<(), Report<ErrorKind>> {
     let fleet = Fleet::parse(&fixed.content).change_context(ErrorKind::InvalidConfiguration)?;
-    gateway.decisions.replace_replicas(fixed.replicas);
+    gateway.decisions.set_fleet(&fleet);
+    gateway.decisions.set_replicas(fixed.replicas);
     let active = ActiveConfiguration::new(Revision(1), fleet);
     gateway.configuration.store(Some(Arc::new(active)));
     Ok(())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,12 +11,16 @@
 use arc_swap::ArcSwapOption;
 use gotham::helpers::http::Body;
 use http::{Response, StatusCode};
-use linnethitch_config::fleet::{Fleet, Tenant};
+use linnethitch_config::{
+    fleet::{Fleet, Tenant},
+    settings::GatewaySettings,
+};
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::ids::Revision;
 use slog::Logger;
 
 use crate::{
+    clock::Clock,
     decisions::Decisions,
     engine::client::BackEndClient,
     http::{
@@ -26,7 +30,7 @@
         routes::Endpoint,
     },
     models, online,
-    settings::{EngineTimeouts, GatewaySettings},
+    options::EngineTimeouts,
     tenants::TenantDirectory,
 };
 
@@ -74,17 +78,23 @@
 impl Gateway {
     pub(crate) fn new(settings: GatewaySettings, timeouts: EngineTimeouts, logger: Logger) -> Self {
         let zone = settings.zone.as_str().into();
+        let seed = xxhash_rust::xxh3::xxh3_64(settings.gateway_id.as_bytes());
         Gateway {
             settings,
             timeouts,
             logger,
             configuration: ArcSwapOption::empty(),
-            decisions: Arc::new(Decisions::new(zone)),
+            decisions: Arc::new(Decisions::new(zone, Clock::start(), seed)),
             back_ends: BackEndClient::new(timeouts.connect),
             stopping: AtomicBool::new(false),
         }
     }
 
+    /// The process's clock.
+    pub(crate) fn clock(&self) -> Clock {
+        self.decisions.clock
+    }
+
     /// From now on no new work is taken.
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Release);
