Number the versions of the fleet that the leader broadcasts

A member reports the leader's term and the version of the replicas that it holds; the leader answers with what changed since then, or with everything. A lost broadcast is thereby made up for by the next one.

--- a/crates/protocol/src/attach.rs
+++ b/crates/protocol/src/attach.rs
@@ -9,7 +9,7 @@
     fleet::{LoadReport, ReplicaInfo},
     ids::{
         CallId, GatewayId, JobId, LogIndex, MachineId, MemberId, ModelId, ReplicaId, Revision,
-        SessionEpoch, Timestamp, ZoneId,
+        Term, Timestamp, ZoneId,
     },
     query::{Query, QueryAnswer},
 };
@@ -235,6 +235,10 @@
     pub suspects: Vec<ReplicaId>,
     /// Wishes for batch capacity, by gateway.
     pub wishes: Vec<(GatewayId, Vec<GrantWish>)>,
+    /// Term of the leader whose fleet the sender holds.
+    pub fleet_term: Term,
+    /// Version of that fleet.
+    pub fleet_version: u64,
 }
 
 /// What the leader tells members for their gateways.
@@ -252,6 +256,10 @@
     pub loads: Vec<ReplicaLoad>,
     /// Grants by gateway.
     pub grants: Vec<(GatewayId, Vec<Grant>)>,
-    /// Session of the leader, for tests of staleness.
-    pub session: SessionEpoch,
+    /// The leader's term.
+    pub term: Term,
+    /// Version of the receiver's fleet that the changes build on; 0 when `full`.
+    pub base: u64,
+    /// Version that results; grows within a term.
+    pub version: u64,
 }
