--- /dev/null
+++ b/crates/ledger/src/completion.rs
@@ -0,0 +1,166 @@
+//! Starting items and storing their results.
+
+use std::sync::Arc;
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    command::{JobResults, LeasedItemKey, Outcome},
+    ids::{GatewayId, LeaseEpoch, SessionEpoch},
+    query::ItemOutcome,
+};
+
+use crate::{
+    job::{JobNumber, JobPhase},
+    ledger::Ledger,
+    limits::MAX_RESULT_BODY_BYTES,
+    refusal::{Applied, Rejection, refuse},
+    results::{failure, is_failure},
+    sessions::LeasedEntry,
+};
+
+/// What becomes of a result.
+enum Verdict {
+    /// It is stored.
+    Store,
+    /// It is dropped.
+    Drop,
+    /// It is dropped, and the item ends with an unknown outcome.
+    Lose,
+}
+
+impl Ledger {
+    pub(crate) fn start_items(
+        &mut self,
+        gateway: &GatewayId,
+        epoch: SessionEpoch,
+        keys: &[LeasedItemKey],
+    ) -> Applied {
+        if self.sessions.running(gateway, epoch).is_none() {
+            return refuse(ErrorKind::InvalidState, "the session has ended");
+        }
+        let started = keys.iter().map(|key| self.start_item(gateway, epoch, key));
+        Ok(Outcome::Started(started.collect()))
+    }
+
+    /// Records a start; returns whether the item may be sent.
+    fn start_item(
+        &mut self,
+        gateway: &GatewayId,
+        epoch: SessionEpoch,
+        key: &LeasedItemKey,
+    ) -> bool {
+        let Some(&number) = self.job_numbers.get(&key.job) else {
+            return false;
+        };
+        let entry = LeasedEntry {
+            job: number,
+            item: key.item,
+        };
+        let session = self.sessions.running(gateway, epoch);
+        let held = session.is_some_and(|session| session.holds(key.lease, entry));
+        let Some(job) = self.state.jobs.get_mut(&number).map(Arc::make_mut) else {
+            return false;
+        };
+        let wanted = job.phase == JobPhase::Running && job.open.contains(key.item.0);
+        if !wanted || !(held || self.overrides.skip_lease_fencing) {
+            return false;
+        }
+        let file = self.state.files.get(&job.input);
+        if file.is_some_and(|file| file.index.at_most_once.contains(key.item.0)) {
+            job.started.insert(key.item.0, key.lease);
+        }
+        true
+    }
+
+    pub(crate) fn complete_items(
+        &mut self,
+        gateway: &GatewayId,
+        epoch: SessionEpoch,
+        results: &[JobResults],
+    ) -> Applied {
+        let mut stored = 0;
+        let mut dropped = 0;
+        for job_results in results {
+            let Some(&number) = self.job_numbers.get(&job_results.job) else {
+                dropped += job_results.outcomes.len() as u32;
+                continue;
+            };
+            for (lease, outcome) in &job_results.outcomes {
+                if self.complete_item(gateway, epoch, number, *lease, outcome)? {
+                    stored += 1;
+                } else {
+                    dropped += 1;
+                }
+            }
+            self.end_finished_job(number)?;
+            self.end_cancelled_job(number)?;
+        }
+        Ok(Outcome::Completed { stored, dropped })
+    }
+
+    /// Returns whether the result was stored.
+    fn complete_item(
+        &mut self,
+        gateway: &GatewayId,
+        epoch: SessionEpoch,
+        number: JobNumber,
+        lease: LeaseEpoch,
+        outcome: &ItemOutcome,
+    ) -> Result<bool, Rejection> {
+        let entry = LeasedEntry {
+            job: number,
+            item: outcome.item,
+        };
+        let session = self.sessions.running(gateway, epoch);
+        let held = session.is_some_and(|session| session.give_back(lease, entry));
+        if held {
+            self.count_returned(number);
+        }
+        match self.judge(entry, lease, held, outcome) {
+            Verdict::Drop => Ok(false),
+            Verdict::Lose => {
+                self.lose_outcome(entry)?;
+                Ok(false)
+            }
+            Verdict::Store => {
+                self.unqueue_item(entry);
+                if outcome.body.len() > MAX_RESULT_BODY_BYTES {
+                    self.store_result(number, &failure(outcome.item, ErrorKind::BodyTooLarge))?;
+                } else {
+                    self.store_result(number, outcome)?;
+                }
+                Ok(true)
+            }
+        }
+    }
+
+    /// Decides by the rules of the first committed result and of at-most-once items.
+    fn judge(
+        &self,
+        entry: LeasedEntry,
+        lease: LeaseEpoch,
+        held: bool,
+        outcome: &ItemOutcome,
+    ) -> Verdict {
+        let Some(job) = self.state.jobs.get(&entry.job) else {
+            return Verdict::Drop;
+        };
+        let issued = lease.0 >= 1 && lease <= self.state.last_lease;
+        if !job.takes_results() || !job.open.contains(entry.item.0) || !issued {
+            return Verdict::Drop;
+        }
+        let file = self.state.files.get(&job.input);
+        let at_most_once = file.is_some_and(|file| file.index.at_most_once.contains(entry.item.0));
+        if !at_most_once || self.overrides.skip_lease_fencing {
+            return Verdict::Store;
+        }
+        let started = job.started.get(&entry.item.0) == Some(&lease);
+        match (held, started) {
+            (true, true) => Verdict::Store,
+            // It failed before it was sent.
+            (true, false) if is_failure(outcome) => Verdict::Store,
+            (true, false) => Verdict::Lose,
+            (false, _) => Verdict::Drop,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/indexes.rs
@@ -0,0 +1,86 @@
+//! Lookups derived from the replicated state; rebuilt after a restore.
+
+use linnethitch_protocol::ids::TenantId;
+
+use crate::{
+    files::FilePhase,
+    job::{Job, JobNumber, JobPhase},
+    ledger::Ledger,
+    timers::TimerKey,
+};
+
+impl Ledger {
+    /// Enters a job into all lookups and, while it runs, into the scheduler.
+    pub(crate) fn index_job(&mut self, number: JobNumber, job: &Job) {
+        self.job_numbers.insert(job.id.clone(), number);
+        self.tenant_jobs.insert((job.tenant.clone(), number));
+        if let Some(key) = &job.idempotency {
+            self.job_keys
+                .insert((job.tenant.clone(), key.clone()), number);
+        }
+        self.timers.add(job.due, TimerKey::Job(number));
+        if let Some(applied) = job.stopped_at.filter(|_| job.phase != JobPhase::Dropping) {
+            self.stopped.insert((applied, number));
+        }
+        if !job.has_ended() {
+            self.open_jobs += 1;
+        }
+        for queue in &job.pending {
+            if !queue.items.is_empty() {
+                self.scheduler
+                    .add_job(&queue.model, &job.tenant, job.deadline, number);
+                self.scheduler.add_pending(&queue.model, queue.items.len());
+            }
+        }
+    }
+
+    /// Removes a job and its lookups.
+    pub(crate) fn forget_job(&mut self, number: JobNumber) {
+        let Some(job) = self.state.jobs.remove(&number) else {
+            return;
+        };
+        self.job_numbers.remove(&job.id);
+        self.tenant_jobs.remove(&(job.tenant.clone(), number));
+        if let Some(key) = &job.idempotency {
+            self.job_keys.remove(&(job.tenant.clone(), key.clone()));
+        }
+        self.timers.remove(job.due, TimerKey::Job(number));
+    }
+
+    /// Counts a tenant's unfinished files up or down.
+    pub(crate) fn count_unfinished(&mut self, tenant: &TenantId, change: isize) {
+        let count = self.unfinished_files(tenant).saturating_add_signed(change);
+        if count == 0 {
+            self.unfinished.remove(tenant);
+        } else {
+            self.unfinished.insert(tenant.clone(), count);
+        }
+    }
+
+    /// Unfinished files of a tenant.
+    pub(crate) fn unfinished_files(&self, tenant: &TenantId) -> usize {
+        self.unfinished.get(tenant).copied().unwrap_or(0)
+    }
+
+    /// Builds all lookups of a restored state.
+    pub(crate) fn rebuild_indexes(&mut self) {
+        let jobs = self.state.jobs.clone();
+        for (number, job) in &jobs {
+            self.index_job(*number, job);
+        }
+        let files = self.state.files.clone();
+        for (id, file) in &files {
+            self.timers.add(file.expires_at, TimerKey::File(id.clone()));
+            if file.phase == FilePhase::Unfinished {
+                self.count_unfinished(&file.tenant, 1);
+            }
+        }
+        for (key, claim) in self.state.claims.iter() {
+            self.timers.add(claim.expires_at, TimerKey::Claim(*key));
+        }
+        for (gateway, session) in &self.sessions.by_gateway {
+            self.timers
+                .add(session.until, TimerKey::Session(gateway.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/jobs.rs
@@ -0,0 +1,317 @@
+//! Accepting, cancelling and ending jobs.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    command::{NewJob, Outcome},
+    ids::{JobId, TenantId, Timestamp},
+    query::ItemOutcome,
+};
+use roaring::RoaringBitmap;
+
+use crate::{
+    configuration::ModelUse,
+    files::{FilePhase, InputFile},
+    job::{Job, JobNumber, JobPhase, PendingQueue},
+    ledger::Ledger,
+    limits::{
+        MAX_METADATA_BYTES, MAX_NAME_BYTES, MAX_OPEN_JOBS, MAX_RESULT_BLOCK_BYTES, MAX_WINDOW_MS,
+        MIN_RESULT_BLOCK_BYTES, RESULT_BUFFER_BYTES,
+    },
+    line_index::position_in_chunk,
+    refusal::{Applied, Rejection, refuse},
+    results::{ResultStream, is_failure, render},
+    timers::{TimerKey, after},
+};
+
+impl Ledger {
+    pub(crate) fn create_job(&mut self, new: &NewJob) -> Applied {
+        if let Some(known) = self.resent_job(new)? {
+            return Ok(known);
+        }
+        self.check_new_job(new)?;
+        let file = self.finished_input(&new.tenant, new)?;
+        self.check_lines(file, &new.endpoint)?;
+        let now = self.state.now;
+        let window = new.window_ms.clamp(1, MAX_WINDOW_MS);
+        let job = build_job(new, file, now, after(now, window));
+        let number = JobNumber(self.state.next_job);
+        self.state.next_job += 1;
+        if let Some(file) = self.state.files.get_mut(&new.input).map(Arc::make_mut) {
+            file.open_jobs += 1;
+        }
+        let record = job.record();
+        self.index_job(number, &job);
+        self.state.jobs.insert(number, Arc::new(job));
+        Ok(Outcome::Job(record))
+    }
+
+    /// The answer to a job that was accepted before.
+    fn resent_job(&self, new: &NewJob) -> Result<Option<Outcome>, Rejection> {
+        if let Some(key) = &new.idempotency {
+            let holder = (new.tenant.clone(), key.clone());
+            if let Some(job) = self
+                .job_keys
+                .get(&holder)
+                .and_then(|n| self.state.jobs.get(n))
+            {
+                if job.content_digest == new.content_digest {
+                    return Ok(Some(Outcome::Job(job.record())));
+                }
+                return refuse(
+                    ErrorKind::IdempotencyConflict,
+                    "the idempotency key belongs to a job of other content",
+                );
+            }
+        }
+        let Some(job) = self
+            .job_numbers
+            .get(&new.job)
+            .and_then(|n| self.state.jobs.get(n))
+        else {
+            return Ok(None);
+        };
+        let same = job.tenant == new.tenant
+            && job.input == new.input
+            && job.content_digest == new.content_digest
+            && job.phase != JobPhase::Dropping;
+        if same {
+            return Ok(Some(Outcome::Job(job.record())));
+        }
+        refuse(ErrorKind::InvalidState, "the job id is taken")
+    }
+
+    fn check_new_job(&self, new: &NewJob) -> Result<(), Rejection> {
+        let key = new.idempotency.as_ref().map_or("", |key| key.as_str());
+        let names = [new.job.as_str(), new.tenant.as_str(), &new.endpoint, key];
+        if new.job.as_str().is_empty() || names.iter().any(|name| name.len() > MAX_NAME_BYTES) {
+            return refuse(ErrorKind::InvalidValue, "a name is empty or too long");
+        }
+        if new.metadata.len() > MAX_METADATA_BYTES {
+            return refuse(ErrorKind::InvalidValue, "the metadata is too long");
+        }
+        if self.open_jobs >= MAX_OPEN_JOBS {
+            return refuse(ErrorKind::Overloaded, "too many jobs are open");
+        }
+        Ok(())
+    }
+
+    fn finished_input(&self, tenant: &TenantId, new: &NewJob) -> Result<&InputFile, Rejection> {
+        let file = self.state.files.get(&new.input);
+        let file = file.filter(|file| file.tenant == *tenant && file.phase != FilePhase::Dropping);
+        let Some(file) = file else {
+            return refuse(ErrorKind::NotFound, "no such input file");
+        };
+        if file.phase == FilePhase::Unfinished {
+            return refuse(ErrorKind::InvalidState, "the input file is not finished");
+        }
+        if file.index.lines == 0 {
+            return refuse(ErrorKind::InvalidValue, "the input file holds no item");
+        }
+        Ok(file)
+    }
+
+    /// Checks every line at once, through the names that the index keeps.
+    fn check_lines(&self, file: &InputFile, endpoint: &str) -> Result<(), Rejection> {
+        let foreign = file
+            .index
+            .endpoints
+            .iter()
+            .find(|usage| usage.endpoint != endpoint);
+        if let Some(usage) = foreign {
+            let line = usage.first + 1;
+            let message = format!("line {line}: url {} is not {endpoint}", usage.endpoint);
+            return refuse(ErrorKind::InvalidBatchLine, message);
+        }
+        for lines in &file.index.models {
+            let line = lines.items.min().unwrap_or(0) + 1;
+            let model = &lines.model;
+            match self.configuration.takes_batch(model.as_str()) {
+                ModelUse::Batch => {}
+                ModelUse::Unknown => {
+                    let message = format!("line {line}: the model {model} is not known");
+                    return refuse(ErrorKind::UnknownModel, message);
+                }
+                ModelUse::OnlineOnly => {
+                    let message = format!("line {line}: the model {model} takes no batch items");
+                    return refuse(ErrorKind::InvalidBatchLine, message);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn cancel_job(&mut self, tenant: &TenantId, id: &JobId) -> Applied {
+        let Some((number, job)) = self.job_of(tenant, id) else {
+            return refuse(ErrorKind::NotFound, "no such job");
+        };
+        match job.phase {
+            JobPhase::Running | JobPhase::GivingUp => {}
+            JobPhase::Cancelling(_) | JobPhase::Cancelled => {
+                return Ok(Outcome::Job(job.record()));
+            }
+            JobPhase::Completed | JobPhase::Expired | JobPhase::Dropping => {
+                return refuse(ErrorKind::InvalidState, "the job has ended");
+            }
+        }
+        let until = self.sessions.last_lease_end(number);
+        let applied = self.state.applied;
+        self.unqueue_job(number);
+        self.stopped.insert((applied, number));
+        if let Some(job) = self.state.jobs.get_mut(&number).map(Arc::make_mut) {
+            job.phase = JobPhase::Cancelling(until);
+            job.stopped_at = Some(applied);
+            self.timers
+                .reset(&mut job.due, until, TimerKey::Job(number));
+        }
+        self.end_cancelled_job(number)?;
+        match self.state.jobs.get(&number) {
+            Some(job) => Ok(Outcome::Job(job.record())),
+            None => refuse(ErrorKind::Internal, "the job vanished"),
+        }
+    }
+
+    /// Ends a cancelled job once none of its leases is out.
+    pub(crate) fn end_cancelled_job(&mut self, number: JobNumber) -> Result<(), Rejection> {
+        let Some(job) = self.state.jobs.get(&number) else {
+            return Ok(());
+        };
+        if matches!(job.phase, JobPhase::Cancelling(_)) && job.leased == 0 {
+            self.end_job(number, JobPhase::Cancelled)?;
+        }
+        Ok(())
+    }
+
+    /// Ends a job whose last item got its result.
+    pub(crate) fn end_finished_job(&mut self, number: JobNumber) -> Result<(), Rejection> {
+        let Some(job) = self.state.jobs.get(&number) else {
+            return Ok(());
+        };
+        match job.phase {
+            JobPhase::Running if job.open.is_empty() => self.end_job(number, JobPhase::Completed),
+            JobPhase::GivingUp if job.open.is_empty() => self.end_job(number, JobPhase::Expired),
+            _ => Ok(()),
+        }
+    }
+
+    /// Brings a job to its last state; what items needed in memory is given up.
+    pub(crate) fn end_job(&mut self, number: JobNumber, phase: JobPhase) -> Result<(), Rejection> {
+        self.unqueue_job(number);
+        let now = self.state.now;
+        let due = after(now, self.configuration.retention_ms());
+        let Some(job) = self.state.jobs.get_mut(&number).map(Arc::make_mut) else {
+            return Ok(());
+        };
+        job.output.flush(self.payloads.as_mut())?;
+        job.errors.flush(self.payloads.as_mut())?;
+        job.phase = phase;
+        job.finished_at = Some(now);
+        job.leased = 0;
+        job.open = RoaringBitmap::new();
+        job.touched = RoaringBitmap::new();
+        job.started = BTreeMap::new();
+        self.timers.reset(&mut job.due, due, TimerKey::Job(number));
+        let input = job.input.clone();
+        self.open_jobs = self.open_jobs.saturating_sub(1);
+        self.leave_file(&input);
+        Ok(())
+    }
+
+    /// Takes a job's pending items away from the scheduler.
+    pub(crate) fn unqueue_job(&mut self, number: JobNumber) {
+        let Some(job) = self.state.jobs.get_mut(&number).map(Arc::make_mut) else {
+            return;
+        };
+        for queue in std::mem::take(&mut job.pending) {
+            self.scheduler
+                .remove_pending(&queue.model, queue.items.len());
+            self.scheduler
+                .remove_job(&queue.model, &job.tenant, job.deadline, number);
+        }
+    }
+
+    /// Stores the result of an open item.
+    pub(crate) fn store_result(
+        &mut self,
+        number: JobNumber,
+        outcome: &ItemOutcome,
+    ) -> Result<(), Rejection> {
+        let block_bytes = self.result_block_bytes();
+        let Some(job) = self.state.jobs.get_mut(&number).map(Arc::make_mut) else {
+            return Ok(());
+        };
+        let Some(file) = self.state.files.get(&job.input) else {
+            return refuse(ErrorKind::Internal, "the input file is gone");
+        };
+        let chunk = self
+            .chunks
+            .chunk(self.payloads.as_ref(), &file.index, outcome.item)?;
+        let custom_id = chunk
+            .custom_id(position_in_chunk(outcome.item))
+            .unwrap_or("");
+        let line = render(&job.id, custom_id, outcome);
+        let failed = is_failure(outcome);
+        let stream: &mut ResultStream = if failed {
+            &mut job.errors
+        } else {
+            &mut job.output
+        };
+        stream.push(self.payloads.as_mut(), &line, block_bytes)?;
+        job.completed += u32::from(!failed);
+        job.failed += u32::from(failed);
+        job.open.remove(outcome.item.0);
+        job.started.remove(&outcome.item.0);
+        Ok(())
+    }
+
+    /// At how many waiting bytes results are written: less when many jobs are open.
+    fn result_block_bytes(&self) -> usize {
+        let share = RESULT_BUFFER_BYTES / self.open_jobs.max(1);
+        share.clamp(MIN_RESULT_BLOCK_BYTES, MAX_RESULT_BLOCK_BYTES)
+    }
+
+    /// A tenant's job that callers can see.
+    pub(crate) fn job_of(&self, tenant: &TenantId, id: &JobId) -> Option<(JobNumber, &Job)> {
+        let number = *self.job_numbers.get(id)?;
+        let job = self.state.jobs.get(&number)?;
+        let visible = job.tenant == *tenant && job.phase != JobPhase::Dropping;
+        visible.then_some((number, job))
+    }
+}
+
+/// A job in its first state: all items pending.
+fn build_job(new: &NewJob, file: &InputFile, now: Timestamp, deadline: Timestamp) -> Job {
+    let total = file.index.lines;
+    let mut open = RoaringBitmap::new();
+    open.insert_range(0..total);
+    let pending = file.index.models.iter().map(|lines| PendingQueue {
+        model: lines.model.clone(),
+        items: lines.items.clone(),
+    });
+    Job {
+        id: new.job.clone(),
+        tenant: new.tenant.clone(),
+        input: new.input.clone(),
+        endpoint: new.endpoint.clone(),
+        metadata: new.metadata.clone(),
+        idempotency: new.idempotency.clone(),
+        content_digest: new.content_digest,
+        total,
+        completed: 0,
+        failed: 0,
+        created_at: now,
+        deadline,
+        finished_at: None,
+        phase: JobPhase::Running,
+        due: deadline,
+        stopped_at: None,
+        pending: pending.collect(),
+        open,
+        touched: RoaringBitmap::new(),
+        started: BTreeMap::new(),
+        leased: 0,
+        output: ResultStream::default(),
+        errors: ResultStream::default(),
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,256 @@
+//! The state machine itself: which command goes where.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    command::{Command, CommandBody, Outcome, Refusal},
+    ids::{FileId, IdempotencyKey, JobId, LeaseEpoch, LogIndex, SessionEpoch, TenantId, Timestamp},
+};
+use linnethitch_storage::Payloads;
+
+use crate::{
+    claims::{ClaimKey, Claims},
+    configuration::{Configuration, PreparedConfiguration},
+    files::InputFile,
+    job::{Job, JobNumber},
+    line_index::ChunkCache,
+    orders::Orders,
+    refusal::{Applied, Rejection},
+    scheduler::Scheduler,
+    sessions::Sessions,
+    timers::Timers,
+};
+
+/// Safety rules that a test may switch off to show that their absence is found.
+///
+/// All are off in production; nothing outside tests sets them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SafetyOverrides {
+    /// Accept any result of an at-most-once item, and run it again after its executor died.
+    pub skip_lease_fencing: bool,
+    /// Free the key of an at-most-once request whose gateway died.
+    pub skip_claim_fencing: bool,
+}
+
+/// The replicated maps and counters that have no component of their own.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct State {
+    /// The last command applied.
+    pub(crate) applied: LogIndex,
+    /// The ledger's time; it never falls.
+    pub(crate) now: Timestamp,
+    /// Number of the next job.
+    pub(crate) next_job: u64,
+    /// The newest lease.
+    pub(crate) last_lease: LeaseEpoch,
+    /// The newest session.
+    pub(crate) last_session: SessionEpoch,
+    /// Files by id.
+    pub(crate) files: BTreeMap<FileId, Arc<InputFile>>,
+    /// Jobs in the order of their acceptance.
+    pub(crate) jobs: BTreeMap<JobNumber, Arc<Job>>,
+    /// Idempotency keys of online requests.
+    pub(crate) claims: Claims,
+}
+
+/// The replicated state machine.
+///
+/// Equal commands in equal order give equal states and outcomes on every
+/// member; [`Ledger::digest`] compares them.
+pub struct Ledger {
+    pub(crate) payloads: Box<dyn Payloads + Send>,
+    pub(crate) overrides: SafetyOverrides,
+    failure: Option<Report<ErrorKind>>,
+    pub(crate) state: State,
+    pub(crate) configuration: Configuration,
+    pub(crate) sessions: Sessions,
+    pub(crate) orders: Orders,
+    pub(crate) scheduler: Scheduler,
+    // Derived from the state:
+    pub(crate) timers: Timers,
+    pub(crate) job_numbers: BTreeMap<JobId, JobNumber>,
+    pub(crate) job_keys: BTreeMap<(TenantId, IdempotencyKey), JobNumber>,
+    pub(crate) tenant_jobs: BTreeSet<(TenantId, JobNumber)>,
+    pub(crate) stopped: BTreeSet<(LogIndex, JobNumber)>,
+    pub(crate) unfinished: BTreeMap<TenantId, usize>,
+    pub(crate) open_jobs: usize,
+    pub(crate) chunks: ChunkCache,
+}
+
+impl std::fmt::Debug for Ledger {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Ledger")
+            .field("applied", &self.state.applied)
+            .field("revision", &self.configuration.state.revision)
+            .field("jobs", &self.state.jobs.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Ledger {
+    /// An empty ledger over an empty payload store.
+    #[must_use]
+    pub fn new(payloads: Box<dyn Payloads + Send>) -> Self {
+        Ledger {
+            payloads,
+            overrides: SafetyOverrides::default(),
+            failure: None,
+            state: State::default(),
+            configuration: Configuration::default(),
+            sessions: Sessions::default(),
+            orders: Orders::default(),
+            scheduler: Scheduler::default(),
+            timers: Timers::default(),
+            job_numbers: BTreeMap::new(),
+            job_keys: BTreeMap::new(),
+            tenant_jobs: BTreeSet::new(),
+            stopped: BTreeSet::new(),
+            unfinished: BTreeMap::new(),
+            open_jobs: 0,
+            chunks: ChunkCache::default(),
+        }
+    }
+
+    /// Switches safety rules off, for tests that must then find a broken promise.
+    pub fn set_safety_overrides(&mut self, overrides: SafetyOverrides) {
+        self.overrides = overrides;
+    }
+
+    /// The payload store, to sync it before a snapshot counts as durable.
+    pub fn payloads(&mut self) -> &mut (dyn Payloads + Send) {
+        self.payloads.as_mut()
+    }
+
+    /// Why this member's state machine stopped.
+    ///
+    /// A payload store that fails in the middle of a command leaves this
+    /// member's state unlike the others'. Such a member must stop; it comes back
+    /// from its last snapshot and the log. No outcome of it may be told.
+    #[must_use]
+    pub fn failure(&self) -> Option<&Report<ErrorKind>> {
+        self.failure.as_ref()
+    }
+
+    /// The last command applied.
+    #[must_use]
+    pub fn applied_index(&self) -> LogIndex {
+        self.state.applied
+    }
+
+    /// The ledger's time: the highest of all commands so far.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        self.state.now
+    }
+
+    /// Keeps a configuration that was parsed on another thread, for the command that brings it.
+    pub fn prepare_configuration(&mut self, prepared: PreparedConfiguration) {
+        self.configuration.prepare(prepared);
+    }
+
+    /// Carries one committed command out.
+    ///
+    /// Never panics. A command against the rules gives [`Outcome::Refused`] and
+    /// changes nothing but the applied index and the time. Indexes must rise;
+    /// gaps (entries without a command) are allowed.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Outcome {
+        if let Some(failure) = &self.failure {
+            let kind = *failure.current_context();
+            return Outcome::Refused(Refusal::new(kind, "the payload store has failed"));
+        }
+        if index <= self.state.applied {
+            let message = format!("the command {index} was applied before");
+            return Outcome::Refused(Refusal::new(ErrorKind::Internal, message));
+        }
+        self.state.applied = index;
+        self.state.now = self.state.now.max(command.now);
+        match self.dispatch(&command.body) {
+            Ok(outcome) => outcome,
+            Err(Rejection::Refused(refusal)) => Outcome::Refused(refusal),
+            Err(Rejection::Storage(report)) => {
+                let kind = *report.current_context();
+                self.failure = Some(report);
+                Outcome::Refused(Refusal::new(kind, "the payload store has failed"))
+            }
+        }
+    }
+
+    fn dispatch(&mut self, body: &CommandBody) -> Applied {
+        match body {
+            CommandBody::ApplyConfiguration {
+                change,
+                expected,
+                content,
+            } => self
+                .configuration
+                .apply(self.state.now, change, *expected, content),
+            CommandBody::CreateFile {
+                file,
+                tenant,
+                purpose,
+                filename,
+            } => self.create_file(file, tenant, purpose, filename),
+            CommandBody::AppendFile { file, offset, data } => self.append_file(file, *offset, data),
+            CommandBody::IndexFile { file, first, items } => self.index_file(file, *first, items),
+            CommandBody::FinishFile { file, bytes, items } => self.finish_file(file, *bytes, items),
+            CommandBody::DeleteFile { tenant, file } => self.delete_file(tenant, file),
+            CommandBody::CreateJob(new) => self.create_job(new),
+            CommandBody::CancelJob { tenant, job } => self.cancel_job(tenant, job),
+            CommandBody::OpenSession { gateway, nonce } => self.open_session(gateway, *nonce),
+            CommandBody::RenewSession {
+                gateway,
+                session,
+                until,
+            } => {
+                self.extend_session(gateway, *session, *until)?;
+                Ok(Outcome::Done)
+            }
+            CommandBody::LeaseItems {
+                gateway,
+                session,
+                sequence,
+                wanted,
+                until,
+            } => self.lease_items(gateway, *session, *sequence, wanted, *until),
+            CommandBody::StartItems {
+                gateway,
+                session,
+                items,
+            } => self.start_items(gateway, *session, items),
+            CommandBody::CompleteItems {
+                gateway,
+                session,
+                results,
+            } => self.complete_items(gateway, *session, results),
+            CommandBody::ReleaseItems {
+                gateway,
+                session,
+                items,
+            } => self.release_items(gateway, *session, items),
+            CommandBody::ClaimRequest(new) => self.claim_request(new),
+            CommandBody::FinishClaim {
+                tenant,
+                key,
+                gateway,
+                session,
+                answer,
+            } => {
+                let key = ClaimKey::new(tenant, key);
+                self.finish_claim(key, gateway, *session, answer.as_ref())
+            }
+            CommandBody::IssueOrder {
+                replica,
+                order,
+                term,
+            } => self.orders.issue(self.state.now, replica, order, *term),
+            CommandBody::SettleOrder { replica, token } => self.orders.settle(replica, *token),
+            CommandBody::Expire => self.expire(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/line_index.rs
@@ -0,0 +1,278 @@
+//! The line index of a batch input file.
+//!
+//! Lengths and `custom_id`s lie in the payload store, in chunks of
+//! [`INDEX_CHUNK_ITEMS`] lines. Memory holds one reference a chunk and, as
+//! compressed bitmaps, which lines name which model and which are at most once.
+
+use std::sync::Arc;
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    command::ItemHead,
+    frame,
+    ids::{ItemNumber, ModelId},
+};
+use linnethitch_storage::{PayloadRef, Payloads, StorageResult};
+use rkyv::{Archive, Deserialize, Serialize};
+use roaring::RoaringBitmap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    limits::{CACHED_INDEX_CHUNKS, INDEX_CHUNK_ITEMS, MAX_LINE_BYTES, MAX_NAMES_PER_FILE},
+    refusal::{Rejection, refuse},
+};
+
+/// Consecutive lines of a file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub(crate) struct IndexChunk {
+    /// Byte offset of the first line in the file.
+    start: u64,
+    /// End of each line, in bytes after `start`.
+    line_ends: Vec<u32>,
+    /// End of each `custom_id` in `custom_ids`.
+    id_ends: Vec<u32>,
+    /// All `custom_id`s, one after the other.
+    custom_ids: Vec<u8>,
+}
+
+impl IndexChunk {
+    fn push(&mut self, head: &ItemHead) {
+        let line_end = self.line_ends.last().copied().unwrap_or(0) + head.bytes;
+        self.line_ends.push(line_end);
+        self.custom_ids.extend_from_slice(head.custom_id.as_bytes());
+        self.id_ends.push(self.custom_ids.len() as u32);
+    }
+
+    /// Offset and length of a line of this chunk in the file.
+    pub(crate) fn line(&self, position: usize) -> Option<(u64, u32)> {
+        let end = *self.line_ends.get(position)?;
+        let start = preceding(&self.line_ends, position);
+        Some((self.start + u64::from(start), end - start))
+    }
+
+    /// The `custom_id` of a line of this chunk.
+    pub(crate) fn custom_id(&self, position: usize) -> Option<&str> {
+        let end = *self.id_ends.get(position)? as usize;
+        let start = preceding(&self.id_ends, position) as usize;
+        std::str::from_utf8(self.custom_ids.get(start..end)?).ok()
+    }
+}
+
+/// The end before the one at `position`.
+fn preceding(ends: &[u32], position: usize) -> u32 {
+    position.checked_sub(1).map_or(0, |before| ends[before])
+}
+
+/// A full chunk in the payload store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub(crate) struct StoredChunk {
+    /// Hash of the encoded chunk.
+    pub(crate) checksum: u64,
+    /// Where this member stores it.
+    pub(crate) payload: PayloadRef,
+}
+
+/// A model named by lines of the file.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ModelLines {
+    /// The model.
+    pub(crate) model: ModelId,
+    /// The lines that name it.
+    pub(crate) items: RoaringBitmap,
+}
+
+/// An endpoint named by lines of the file.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub(crate) struct EndpointUse {
+    /// The path.
+    pub(crate) endpoint: String,
+    /// The first line that names it.
+    pub(crate) first: u32,
+}
+
+/// The whole index.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct LineIndex {
+    /// Lines indexed so far.
+    pub(crate) lines: u32,
+    /// Bytes of these lines.
+    pub(crate) bytes: u64,
+    /// Full chunks.
+    pub(crate) chunks: Vec<StoredChunk>,
+    /// The chunk being filled; after the end the last chunk is stored too.
+    pub(crate) open: IndexChunk,
+    /// Lines by model.
+    pub(crate) models: Vec<ModelLines>,
+    /// Endpoints.
+    pub(crate) endpoints: Vec<EndpointUse>,
+    /// Lines that must run at most once.
+    pub(crate) at_most_once: RoaringBitmap,
+}
+
+impl LineIndex {
+    /// Checks lines that are to follow, without changing anything.
+    pub(crate) fn check(&self, heads: &[ItemHead]) -> Result<(), Rejection> {
+        let mut models: Vec<&str> = self
+            .models
+            .iter()
+            .map(|lines| lines.model.as_str())
+            .collect();
+        let mut endpoints: Vec<&str> = self
+            .endpoints
+            .iter()
+            .map(|usage| usage.endpoint.as_str())
+            .collect();
+        for (position, head) in heads.iter().enumerate() {
+            let line = self.lines as usize + position + 1;
+            if head.bytes == 0 || head.bytes > MAX_LINE_BYTES {
+                let message = format!("line {line}: {} bytes are not allowed", head.bytes);
+                return refuse(ErrorKind::InvalidBatchLine, message);
+            }
+            if note_name(&mut models, head.model.as_str())
+                || note_name(&mut endpoints, &head.endpoint)
+            {
+                let message =
+                    format!("line {line}: over {MAX_NAMES_PER_FILE} different models or paths");
+                return refuse(ErrorKind::InvalidBatchLine, message);
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds checked lines.
+    pub(crate) fn extend(
+        &mut self,
+        payloads: &mut dyn Payloads,
+        heads: &[ItemHead],
+    ) -> StorageResult<()> {
+        for head in heads {
+            self.push(head);
+            if self.open.line_ends.len() == INDEX_CHUNK_ITEMS {
+                self.store_open(payloads)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn push(&mut self, head: &ItemHead) {
+        if self.open.line_ends.is_empty() {
+            self.open.start = self.bytes;
+        }
+        self.open.push(head);
+        let line = self.lines;
+        self.model_lines(&head.model).insert(line);
+        self.note_endpoint(&head.endpoint);
+        if head.at_most_once {
+            self.at_most_once.insert(line);
+        }
+        self.lines += 1;
+        self.bytes += u64::from(head.bytes);
+    }
+
+    fn model_lines(&mut self, model: &ModelId) -> &mut RoaringBitmap {
+        let known = self.models.iter().position(|lines| lines.model == *model);
+        let position = known.unwrap_or_else(|| {
+            self.models.push(ModelLines {
+                model: model.clone(),
+                items: RoaringBitmap::new(),
+            });
+            self.models.len() - 1
+        });
+        &mut self.models[position].items
+    }
+
+    fn note_endpoint(&mut self, endpoint: &str) {
+        if !self
+            .endpoints
+            .iter()
+            .any(|usage| usage.endpoint == endpoint)
+        {
+            self.endpoints.push(EndpointUse {
+                endpoint: endpoint.to_owned(),
+                first: self.lines,
+            });
+        }
+    }
+
+    fn store_open(&mut self, payloads: &mut dyn Payloads) -> StorageResult<()> {
+        if self.open.line_ends.is_empty() {
+            return Ok(());
+        }
+        let chunk = std::mem::take(&mut self.open);
+        let encoded = frame::encode(&chunk)?;
+        self.chunks.push(StoredChunk {
+            checksum: xxh3_64(&encoded),
+            payload: payloads.append(&encoded)?,
+        });
+        Ok(())
+    }
+
+    /// Stores the rest; no line follows.
+    pub(crate) fn finish(&mut self, payloads: &mut dyn Payloads) -> StorageResult<()> {
+        self.store_open(payloads)?;
+        self.chunks.shrink_to_fit();
+        for lines in &mut self.models {
+            lines.items.optimize();
+        }
+        self.at_most_once.optimize();
+        Ok(())
+    }
+
+    /// Releases up to `steps` chunks; returns how many.
+    pub(crate) fn release(&mut self, payloads: &mut dyn Payloads, steps: usize) -> usize {
+        let kept = self.chunks.len().saturating_sub(steps);
+        let released = self.chunks.split_off(kept);
+        for chunk in &released {
+            payloads.release(&chunk.payload);
+        }
+        released.len()
+    }
+}
+
+/// Notes a name; returns whether there are too many.
+fn note_name<'a>(names: &mut Vec<&'a str>, name: &'a str) -> bool {
+    if !names.contains(&name) {
+        names.push(name);
+    }
+    names.len() > MAX_NAMES_PER_FILE
+}
+
+/// Chunks decoded lately by this member; not part of the replicated state.
+#[derive(Debug, Default)]
+pub(crate) struct ChunkCache {
+    entries: std::collections::VecDeque<(PayloadRef, Arc<IndexChunk>)>,
+}
+
+impl ChunkCache {
+    /// The chunk that holds an item of a finished file.
+    pub(crate) fn chunk(
+        &mut self,
+        payloads: &dyn Payloads,
+        index: &LineIndex,
+        item: ItemNumber,
+    ) -> StorageResult<Arc<IndexChunk>> {
+        let number = item.0 as usize / INDEX_CHUNK_ITEMS;
+        let stored = index.chunks.get(number).ok_or_else(|| {
+            error_stack::Report::new(ErrorKind::Internal).attach(format!("no line {}", item.0))
+        })?;
+        let cached = self
+            .entries
+            .iter()
+            .find(|(payload, _)| *payload == stored.payload);
+        if let Some((_, chunk)) = cached {
+            return Ok(Arc::clone(chunk));
+        }
+        let chunk: Arc<IndexChunk> = Arc::new(frame::decode(&payloads.read(&stored.payload)?)?);
+        if self.entries.len() == CACHED_INDEX_CHUNKS {
+            self.entries.pop_back();
+        }
+        self.entries
+            .push_front((stored.payload, Arc::clone(&chunk)));
+        Ok(chunk)
+    }
+}
+
+/// Position of an item in its chunk.
+pub(crate) fn position_in_chunk(item: ItemNumber) -> usize {
+    item.0 as usize % INDEX_CHUNK_ITEMS
+}
--- /dev/null
+++ b/crates/ledger/src/queries.rs
@@ -0,0 +1,155 @@
+//! Reads: what callers and operators are told.
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    command::Refusal,
+    ids::{FileId, JobId, TenantId},
+    query::{FileRecord, FleetStatus, JobRecord, Query, QueryAnswer},
+};
+
+use crate::{
+    files::FilePhase,
+    job::{Job, JobNumber, JobPhase, ResultFile},
+    ledger::Ledger,
+    limits::{MAX_CONTENT_BYTES, MAX_PAGE_JOBS},
+    refusal::{Rejection, refuse},
+};
+
+const RESULT_PURPOSE: &str = "batch_output";
+
+/// What lies behind a file id.
+enum Found<'a> {
+    Input(&'a crate::files::InputFile),
+    Result(&'a Job, ResultFile),
+}
+
+impl Ledger {
+    /// Answers a read from the state as applied so far.
+    ///
+    /// Members, gateways and replicas of [`QueryAnswer::Status`] are left empty.
+    ///
+    /// # Errors
+    /// `NotFound` for a file unknown to the tenant; `Corrupted` or `Io` when
+    /// this member's payload store fails, so that another member may be asked.
+    pub fn query(&self, query: &Query) -> Result<QueryAnswer, Refusal> {
+        self.answer(query).map_err(|rejection| match rejection {
+            Rejection::Refused(refusal) => refusal,
+            Rejection::Storage(report) => {
+                Refusal::new(*report.current_context(), "the payload store failed")
+            }
+        })
+    }
+
+    fn answer(&self, query: &Query) -> Result<QueryAnswer, Rejection> {
+        Ok(match query {
+            Query::Configuration => QueryAnswer::Configuration {
+                revision: self.configuration.state.revision,
+                content: self.configuration.state.content.to_string(),
+            },
+            Query::Change(change) => {
+                QueryAnswer::Change(self.configuration.accepted_change(change))
+            }
+            Query::Job(tenant, job) => {
+                QueryAnswer::Job(self.job_of(tenant, job).map(|(_, job)| job.record()))
+            }
+            Query::Jobs {
+                tenant,
+                after,
+                limit,
+            } => self.job_page(tenant, after.as_ref(), *limit),
+            Query::File(tenant, file) => QueryAnswer::File(self.file_record(tenant, file)),
+            Query::FileContent {
+                tenant,
+                file,
+                cursor,
+                limit,
+            } => self.file_content(tenant, file, *cursor, *limit)?,
+            Query::Claim(tenant, key) => QueryAnswer::Claim(self.claim_record(tenant, key)?),
+            Query::Status => QueryAnswer::Status(self.status()),
+        })
+    }
+
+    fn job_page(&self, tenant: &TenantId, after: Option<&JobId>, limit: u32) -> QueryAnswer {
+        let before = after
+            .and_then(|job| self.job_of(tenant, job))
+            .map(|(number, _)| number);
+        let first = (tenant.clone(), JobNumber(0));
+        let last = (tenant.clone(), before.unwrap_or(JobNumber(u64::MAX)));
+        let limit = limit.clamp(1, MAX_PAGE_JOBS) as usize;
+        let numbers = self
+            .tenant_jobs
+            .range(first..last)
+            .rev()
+            .map(|(_, number)| number);
+        let visible = numbers
+            .filter_map(|number| self.state.jobs.get(number))
+            .filter(|job| job.phase != JobPhase::Dropping);
+        let mut jobs: Vec<JobRecord> = visible.take(limit + 1).map(|job| job.record()).collect();
+        let more = jobs.len() > limit;
+        jobs.truncate(limit);
+        QueryAnswer::Jobs { jobs, more }
+    }
+
+    fn find_file(&self, tenant: &TenantId, file: &FileId) -> Option<Found<'_>> {
+        if let Some(input) = self.state.files.get(file) {
+            let visible = input.tenant == *tenant && matches!(input.phase, FilePhase::Finished(_));
+            return visible.then_some(Found::Input(input));
+        }
+        let (job, kind) = ResultFile::parse(file)?;
+        let (_, job) = self.job_of(tenant, &job)?;
+        Some(Found::Result(job, kind))
+    }
+
+    fn file_record(&self, tenant: &TenantId, file: &FileId) -> Option<FileRecord> {
+        match self.find_file(tenant, file)? {
+            Found::Input(input) => input.finished_record(file),
+            Found::Result(job, kind) => Some(FileRecord {
+                file: file.clone(),
+                tenant: tenant.clone(),
+                purpose: RESULT_PURPOSE.to_owned(),
+                filename: format!("{file}.jsonl"),
+                bytes: job.results(kind).len(),
+                lines: job.results(kind).lines,
+                created_at: job.finished_at.unwrap_or(job.created_at),
+            }),
+        }
+    }
+
+    /// The cursor of a file's content is its byte offset.
+    fn file_content(
+        &self,
+        tenant: &TenantId,
+        file: &FileId,
+        cursor: u64,
+        limit: u32,
+    ) -> Result<QueryAnswer, Rejection> {
+        let limit = limit.clamp(1, MAX_CONTENT_BYTES) as usize;
+        let payloads = self.payloads.as_ref();
+        let (data, length) = match self.find_file(tenant, file) {
+            Some(Found::Input(input)) => (
+                input.content.read(payloads, cursor, limit)?,
+                input.content.len(),
+            ),
+            Some(Found::Result(job, kind)) => {
+                let results = job.results(kind);
+                (results.read(payloads, cursor, limit)?, results.len())
+            }
+            None => return refuse(ErrorKind::NotFound, "no such file"),
+        };
+        let next = cursor.saturating_add(data.len() as u64);
+        Ok(QueryAnswer::FileContent {
+            data,
+            next: (next < length).then_some(next),
+        })
+    }
+
+    fn status(&self) -> FleetStatus {
+        FleetStatus {
+            revision: self.configuration.state.revision,
+            open_jobs: self.open_jobs as u64,
+            pending_items: self.scheduler.pending().map(|(_, count)| count).sum(),
+            leased_items: self.sessions.leased_items(),
+            ..FleetStatus::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/sessions.rs
@@ -0,0 +1,126 @@
+//! Gateway sessions and the leases that they hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use linnethitch_protocol::ids::{GatewayId, ItemNumber, LeaseEpoch, SessionEpoch, Timestamp};
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{claims::ClaimKey, job::JobNumber};
+
+/// An item under lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+pub(crate) struct LeasedEntry {
+    /// Its job.
+    pub(crate) job: JobNumber,
+    /// Which item.
+    pub(crate) item: ItemNumber,
+}
+
+/// Items leased by one command.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub(crate) struct Lease {
+    /// The gateway's number of the command.
+    pub(crate) sequence: u64,
+    /// What is still out, sorted.
+    pub(crate) items: Vec<LeasedEntry>,
+}
+
+/// One life of a gateway process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Session {
+    /// Its number.
+    pub(crate) epoch: SessionEpoch,
+    /// The nonce that it was opened with.
+    pub(crate) nonce: u64,
+    /// It ends then unless renewed.
+    pub(crate) until: Timestamp,
+    /// The highest lease sequence seen.
+    pub(crate) highest_sequence: u64,
+    /// Leases that still hold items.
+    pub(crate) leases: BTreeMap<LeaseEpoch, Lease>,
+    /// Claims that are running.
+    pub(crate) claims: BTreeSet<ClaimKey>,
+    /// Items under lease.
+    pub(crate) leased: u32,
+}
+
+impl Session {
+    /// A session that holds nothing.
+    pub(crate) fn new(epoch: SessionEpoch, nonce: u64, until: Timestamp) -> Self {
+        Session {
+            epoch,
+            nonce,
+            until,
+            highest_sequence: 0,
+            leases: BTreeMap::new(),
+            claims: BTreeSet::new(),
+            leased: 0,
+        }
+    }
+
+    /// The lease with a sequence, if it still holds items.
+    pub(crate) fn lease_of_sequence(&self, sequence: u64) -> Option<LeaseEpoch> {
+        let mut leases = self.leases.iter();
+        let found = leases.find(|(_, lease)| lease.sequence == sequence);
+        found.map(|(epoch, _)| *epoch)
+    }
+
+    /// Whether a lease holds an item.
+    pub(crate) fn holds(&self, epoch: LeaseEpoch, entry: LeasedEntry) -> bool {
+        let lease = self.leases.get(&epoch);
+        lease.is_some_and(|lease| lease.items.binary_search(&entry).is_ok())
+    }
+
+    /// Takes an item out of its lease; returns whether the lease held it.
+    pub(crate) fn give_back(&mut self, epoch: LeaseEpoch, entry: LeasedEntry) -> bool {
+        let Some(lease) = self.leases.get_mut(&epoch) else {
+            return false;
+        };
+        let Ok(position) = lease.items.binary_search(&entry) else {
+            return false;
+        };
+        lease.items.remove(position);
+        if lease.items.is_empty() {
+            self.leases.remove(&epoch);
+        }
+        self.leased = self.leased.saturating_sub(1);
+        true
+    }
+}
+
+/// All sessions, one a gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Sessions {
+    /// By gateway.
+    pub(crate) by_gateway: BTreeMap<GatewayId, Session>,
+}
+
+impl Sessions {
+    /// The running session of a gateway, if it is the given one.
+    pub(crate) fn running(
+        &mut self,
+        gateway: &GatewayId,
+        epoch: SessionEpoch,
+    ) -> Option<&mut Session> {
+        let session = self.by_gateway.get_mut(gateway)?;
+        (session.epoch == epoch).then_some(session)
+    }
+
+    /// When the last lease of a job's items ends unless it is renewed.
+    pub(crate) fn last_lease_end(&self, job: JobNumber) -> Timestamp {
+        let holding = self.by_gateway.values().filter(|session| {
+            let mut items = session.leases.values().flat_map(|lease| &lease.items);
+            items.any(|entry| entry.job == job)
+        });
+        holding
+            .map(|session| session.until)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Items under lease.
+    pub(crate) fn leased_items(&self) -> u64 {
+        let sessions = self.by_gateway.values();
+        sessions.map(|session| u64::from(session.leased)).sum()
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the state machine: rules, failures alone, twice and in pairs.
+
+mod claims;
+mod configuration;
+mod files;
+mod items;
+mod jobs;
+mod snapshots;
+mod support;
--- /dev/null
+++ b/crates/ledger/tests/all/snapshots.rs
@@ -0,0 +1,137 @@
+//! Snapshots, damaged ones among them.
+
+use linnethitch_ledger::{Ledger, Restorer, SnapshotScope};
+use linnethitch_protocol::{
+    command::{Command, CommandBody},
+    ids::{LogIndex, Timestamp},
+};
+use linnethitch_storage::MemoryPayloads;
+use rstest::rstest;
+
+use crate::support::{Fixture, Line, MODEL, answer, new_claim, restored, snapshot_bytes};
+
+/// A ledger with something of everything.
+fn busy() -> Fixture {
+    let mut fixture = Fixture::new();
+    fixture.simple_job("batch_done", 2);
+    let session = fixture.session("gateway", 1);
+    let items = fixture.lease("gateway", session, MODEL, 2);
+    fixture.complete("gateway", session, &items);
+    fixture.job_of(
+        "heavy",
+        "batch_open",
+        &[Line::new(MODEL), Line::at_most_once()],
+    );
+    let items = fixture.lease("gateway", session, MODEL, 2);
+    fixture.start("gateway", session, &items);
+    fixture.claim(new_claim("answered", "gateway", session));
+    fixture.finish_claim("answered", "gateway", session, Some(answer("kept")));
+    fixture.claim(new_claim("running", "gateway", session));
+    fixture.create_file("acme", "file-open");
+    fixture.append("file-open", 0, b"{}\n");
+    fixture
+}
+
+#[test]
+fn a_restored_ledger_equals_the_original() {
+    let fixture = busy();
+    let copy = restored(&fixture.ledger);
+    assert_eq!(copy.digest(), fixture.ledger.digest());
+    assert_eq!(copy.applied_index(), fixture.ledger.applied_index());
+    assert_eq!(
+        snapshot_bytes(&copy).len(),
+        snapshot_bytes(&fixture.ledger).len()
+    );
+}
+
+#[test]
+fn a_snapshot_shows_the_state_at_its_beginning() {
+    let mut fixture = busy();
+    let digest = fixture.ledger.digest();
+    let mut writer = fixture.ledger.snapshot_writer(SnapshotScope::Transfer);
+    fixture.simple_job("batch_after", 3);
+    fixture.cancel("heavy", "batch_open");
+    let mut restorer = Restorer::new(Box::new(MemoryPayloads::new()));
+    while let Some(chunk) = fixture
+        .ledger
+        .next_snapshot_chunk(&mut writer)
+        .expect("readable")
+    {
+        restorer.push(&chunk).expect("whole");
+    }
+    assert_eq!(restorer.finish().expect("whole").digest(), digest);
+}
+
+#[test]
+fn a_local_snapshot_leaves_the_payloads_where_they_are() {
+    let mut fixture = Fixture::new();
+    let line = Line {
+        text: "x".repeat(100_000),
+        ..Line::new(MODEL)
+    };
+    fixture.job_of("acme", "batch_1", &[line]);
+    let mut writer = fixture.ledger.snapshot_writer(SnapshotScope::Local);
+    let mut size = 0;
+    while let Some(chunk) = fixture
+        .ledger
+        .next_snapshot_chunk(&mut writer)
+        .expect("readable")
+    {
+        size += chunk.len();
+    }
+    assert!(size < 10_000, "{size}");
+}
+
+#[rstest]
+fn a_snapshot_cut_short_is_refused(#[values(0, 1, 8, 40, 500, 2_000)] cut: usize) {
+    let bytes = snapshot_bytes(&busy().ledger);
+    let kept = if cut == 0 { bytes.len() - 1 } else { cut };
+    let mut reader = &bytes[..kept];
+    let payloads = Box::new(MemoryPayloads::new());
+    assert!(Ledger::restore(payloads, &mut reader).is_err());
+}
+
+#[test]
+fn a_flipped_bit_anywhere_is_refused() {
+    let bytes = snapshot_bytes(&busy().ledger);
+    for position in (0..bytes.len()).step_by(37) {
+        let mut damaged = bytes.clone();
+        damaged[position] ^= 0x10;
+        let payloads = Box::new(MemoryPayloads::new());
+        let outcome = Ledger::restore(payloads, &mut damaged.as_slice());
+        assert!(outcome.is_err(), "byte {position} of {}", bytes.len());
+    }
+}
+
+#[test]
+fn foreign_bytes_are_refused() {
+    for foreign in [
+        &b"#!/bin/sh"[..],
+        &[0; 4096],
+        &[1, 255, 255, 255, 255, 0, 0, 0, 0],
+    ] {
+        let payloads = Box::new(MemoryPayloads::new());
+        assert!(Ledger::restore(payloads, &mut &foreign[..]).is_err());
+    }
+}
+
+#[test]
+fn an_index_applied_before_changes_nothing() {
+    let mut fixture = busy();
+    let digest = fixture.ledger.digest();
+    let command = Command {
+        now: Timestamp(fixture.now + 1_000_000),
+        body: CommandBody::Expire,
+    };
+    fixture.ledger.apply(LogIndex(fixture.index), &command);
+    assert_eq!(fixture.ledger.digest(), digest);
+}
+
+#[test]
+fn time_never_falls() {
+    let mut fixture = Fixture::new();
+    let before = fixture.ledger.now();
+    fixture.now = 5;
+    fixture.expire();
+    assert_eq!(fixture.ledger.now(), before);
+}
--- a/crates/protocol/src/command.rs
+++ b/crates/protocol/src/command.rs
@@ -55,13 +55,24 @@
         /// The piece.
         data: Vec<u8>,
     },
+    /// Tells the items of the next lines of an unfinished file, so that a long
+    /// file is indexed while it arrives. The same piece may arrive twice.
+    /// A few thousand items a command keep each command short.
+    IndexFile {
+        /// Which.
+        file: FileId,
+        /// Number of the first item told, from 0; must not leave a gap.
+        first: ItemNumber,
+        /// The items, in order of their lines; they may run ahead of the appended bytes.
+        items: Vec<ItemHead>,
+    },
     /// Makes a file visible and unchangeable.
     FinishFile {
         /// Which.
         file: FileId,
-        /// Its size, which must agree.
+        /// Its size, which must agree, also with the sum of the items' bytes.
         bytes: u64,
-        /// The items found by the gateway's validation, in order of their lines.
+        /// The items not yet told by `IndexFile`, in order of their lines.
         items: Vec<ItemHead>,
     },
     /// Drops an unfinished or finished file that no job needs.
