--- a/crates/storage/src/log/mod.rs
+++ b/crates/storage/src/log/mod.rs
@@ -65,6 +65,8 @@
     cache: EntryCache,
     /// Records not yet written.
     buffer: Vec<u8>,
+    /// Whether the buffer voids entries that are durable.
+    truncation_buffered: bool,
     /// The last index that is written and synced.
     synced: LogIndex,
     /// Set by a failed sync: the log refuses everything from then on.
@@ -87,6 +89,7 @@
             hard_state: HardState::default(),
             cache: EntryCache::new(limits.cache_bytes),
             buffer: Vec::new(),
+            truncation_buffered: false,
             synced: LogIndex(0),
             failed: false,
         };
@@ -203,11 +206,12 @@
         if index >= self.last_index() {
             return Ok(());
         }
-        if index < self.terms.base() {
+        let Some(term) = self.term(index) else {
             return Err(invalid(format!("index {index} is compacted")));
-        }
+        };
         self.next_record_offset()?;
-        record::push_truncate(&mut self.buffer, index);
+        record::push_truncate(&mut self.buffer, index, term);
+        self.truncation_buffered = true;
         for segment in &mut self.segments {
             segment.truncate_after(index);
         }
@@ -236,6 +240,7 @@
         }
         self.buffer.clear();
         self.buffer.shrink_to(MAX_BUFFERED_BYTES);
+        self.truncation_buffered = false;
         self.synced = self.last_index();
         self.cache.evict(self.synced);
         Ok(())
@@ -244,10 +249,7 @@
     fn write_batch(&mut self) -> StorageResult<()> {
         let created = self.create_active_file()?;
         let (length, sequence) = (self.active().length, self.active().sequence);
-        let header = record::encode_batch_header(self.buffer.len(), length, sequence);
-        let mut batch = Vec::with_capacity(BATCH_HEADER_BYTES + self.buffer.len());
-        batch.extend_from_slice(&header);
-        batch.extend_from_slice(&self.buffer);
+        let batch = record::encode_batch(&self.buffer, length, sequence);
         let Some(file) = self.active().file.as_mut() else {
             return Err(Report::new(ErrorKind::Internal).attach("the segment has no file"));
         };
@@ -375,10 +377,20 @@
         self.drop_dead_segments(index)
     }
 
+    /// Removes the oldest segments that hold nothing of use, durably so.
+    ///
+    /// The newest segment on disk stays, since it holds the hard state.
     fn drop_dead_segments(&mut self, index: LogIndex) -> StorageResult<()> {
+        if self.truncation_buffered {
+            return Ok(());
+        }
         let is_dead = |segment: &Segment| segment.last_index().is_none_or(|last| last <= index);
-        let last = self.segments.len() - 1;
-        let dead = self.segments[..last]
+        let newest = self
+            .segments
+            .iter()
+            .rposition(|segment| segment.length > 0)
+            .unwrap_or(0);
+        let dead = self.segments[..newest]
             .iter()
             .take_while(|segment| is_dead(segment))
             .count();
--- a/crates/storage/src/log/open.rs
+++ b/crates/storage/src/log/open.rs
@@ -84,7 +84,7 @@
                 self.hard_state = state;
                 Ok(())
             }
-            Record::Truncate(index) => self.truncate(segment, index),
+            Record::Truncate { index, term } => self.truncate(segment, index, term),
         }
     }
 
@@ -127,9 +127,18 @@
         Ok(())
     }
 
-    fn truncate(&mut self, segment: &mut Segment, index: LogIndex) -> Result<(), &'static str> {
+    fn truncate(
+        &mut self,
+        segment: &mut Segment,
+        index: LogIndex,
+        term: Term,
+    ) -> Result<(), &'static str> {
         if index < self.terms.base() {
-            return Err("a truncation below the log's start");
+            if !self.segments.is_empty() {
+                return Err("a truncation below the log's start");
+            }
+            // What lay between was in a segment that has been compacted away.
+            self.terms = TermRuns::new(index, term);
         }
         for older in &mut self.segments {
             older.truncate_after(index);
@@ -196,6 +205,7 @@
             hard_state: replay.hard_state,
             cache: EntryCache::new(limits.cache_bytes),
             buffer: Vec::new(),
+            truncation_buffered: false,
             synced,
             failed: false,
         }))
--- a/crates/storage/src/log/record.rs
+++ b/crates/storage/src/log/record.rs
@@ -4,13 +4,15 @@
 //!
 //! ```text
 //! batch:  u32 magic, u32 body length, u64 file offset of the batch,
-//!         u64 segment sequence, u32 CRC-32 of these 24 bytes, body
+//!         u64 segment sequence, u32 zero sectors, u32 CRC-32 of these 28 bytes, body
 //! body:   records, end to end
 //! record: u32 payload length, u32 CRC-32 of kind and payload, u8 kind, payload
 //! ```
 //!
 //! A batch header names its own place, so a header found further on in a file
-//! proves that whatever lies before it had been synced.
+//! proves that whatever lies before it had been synced. It also counts the
+//! sectors of the batch that hold nothing but zeros, so that sectors which were
+//! never written can be told from those that are meant to be zero.
 
 use linnethitch_protocol::{
     consensus::{EntryPayload, HardState},
@@ -24,7 +26,11 @@
 /// First bytes of a batch.
 pub const BATCH_MAGIC: u32 = 0x4c48_4231;
 /// Bytes of a batch header.
-pub const BATCH_HEADER_BYTES: usize = 28;
+pub const BATCH_HEADER_BYTES: usize = 32;
+/// Bytes of a batch header under its checksum.
+const CHECKED_HEADER_BYTES: usize = 28;
+/// Unit in which a disk may have written or not written, in bytes.
+pub const SECTOR_BYTES: usize = 512;
 /// Bytes of a record before its payload.
 pub const RECORD_HEADER_BYTES: usize = 9;
 /// Bytes of an entry record's payload before the encoded entry.
@@ -67,8 +73,13 @@
     },
     /// A new hard state.
     HardState(HardState),
-    /// Entries after this index are void.
-    Truncate(LogIndex),
+    /// Entries after this one are void.
+    Truncate {
+        /// The last entry that stays.
+        index: LogIndex,
+        /// Its term.
+        term: Term,
+    },
 }
 
 const KIND_START: u8 = 1;
@@ -92,6 +103,8 @@
 pub struct BatchHeader {
     /// Bytes of the body.
     pub body_bytes: usize,
+    /// Sectors of the batch that hold nothing but zeros.
+    pub zero_sectors: u32,
 }
 
 fn read_u32(bytes: &[u8], at: usize) -> u32 {
@@ -102,21 +115,34 @@
     u64::from(read_u32(bytes, at)) | u64::from(read_u32(bytes, at + 4)) << 32
 }
 
-/// The header of a batch at this place.
+/// A whole batch for this place: header and body.
 #[must_use]
-pub fn encode_batch_header(
-    body_bytes: usize,
-    offset: u64,
-    sequence: u64,
-) -> [u8; BATCH_HEADER_BYTES] {
-    let mut header = [0; BATCH_HEADER_BYTES];
-    header[0..4].copy_from_slice(&BATCH_MAGIC.to_le_bytes());
-    header[4..8].copy_from_slice(&(body_bytes as u32).to_le_bytes());
-    header[8..16].copy_from_slice(&offset.to_le_bytes());
-    header[16..24].copy_from_slice(&sequence.to_le_bytes());
-    let checksum = crc32fast::hash(&header[..24]);
-    header[24..28].copy_from_slice(&checksum.to_le_bytes());
-    header
+pub fn encode_batch(body: &[u8], offset: u64, sequence: u64) -> Vec<u8> {
+    let mut batch = vec![0; BATCH_HEADER_BYTES];
+    batch.reserve_exact(body.len());
+    batch[0..4].copy_from_slice(&BATCH_MAGIC.to_le_bytes());
+    batch[4..8].copy_from_slice(&(body.len() as u32).to_le_bytes());
+    batch[8..16].copy_from_slice(&offset.to_le_bytes());
+    batch[16..24].copy_from_slice(&sequence.to_le_bytes());
+    batch.extend_from_slice(body);
+    let zero_sectors = count_zero_sectors(&batch, offset);
+    batch[24..28].copy_from_slice(&zero_sectors.to_le_bytes());
+    let checksum = crc32fast::hash(&batch[..CHECKED_HEADER_BYTES]);
+    batch[CHECKED_HEADER_BYTES..BATCH_HEADER_BYTES].copy_from_slice(&checksum.to_le_bytes());
+    batch
+}
+
+/// How many sectors, or parts of sectors, of these bytes hold nothing but zeros.
+///
+/// `offset` is where the bytes begin in their file.
+#[must_use]
+pub fn count_zero_sectors(bytes: &[u8], offset: u64) -> u32 {
+    let into_sector = (offset % SECTOR_BYTES as u64) as usize;
+    let first = (SECTOR_BYTES - into_sector).min(bytes.len());
+    let (head, rest) = bytes.split_at(first);
+    let is_zero = |sector: &[u8]| !sector.is_empty() && sector.iter().all(|byte| *byte == 0);
+    let others = rest.chunks(SECTOR_BYTES).filter(|sector| is_zero(sector));
+    u32::from(is_zero(head)) + others.count() as u32
 }
 
 /// Checks the header of a batch that should lie at this place.
@@ -134,7 +160,7 @@
     if read_u32(bytes, 0) != BATCH_MAGIC {
         return Err(Malformed::Format);
     }
-    if crc32fast::hash(&bytes[..24]) != read_u32(bytes, 24) {
+    if crc32fast::hash(&bytes[..CHECKED_HEADER_BYTES]) != read_u32(bytes, CHECKED_HEADER_BYTES) {
         return Err(Malformed::Checksum);
     }
     let body_bytes = read_u32(bytes, 4) as usize;
@@ -142,7 +168,10 @@
     if !in_place || body_bytes > MAX_BATCH_BYTES {
         return Err(Malformed::Format);
     }
-    Ok(BatchHeader { body_bytes })
+    Ok(BatchHeader {
+        body_bytes,
+        zero_sectors: read_u32(bytes, 24),
+    })
 }
 
 /// Appends a record to a batch body.
@@ -196,8 +225,9 @@
 }
 
 /// Appends a truncation.
-pub fn push_truncate(body: &mut Vec<u8>, index: LogIndex) {
-    push_record(body, KIND_TRUNCATE, &[&index.0.to_le_bytes()]);
+pub fn push_truncate(body: &mut Vec<u8>, index: LogIndex, term: Term) {
+    let (index, term) = (index.0.to_le_bytes(), term.0.to_le_bytes());
+    push_record(body, KIND_TRUNCATE, &[&index, &term]);
 }
 
 /// A record as found in bytes.
@@ -244,7 +274,10 @@
         KIND_HARD_STATE => {
             Record::HardState(frame::decode(payload).map_err(|_| Malformed::Format)?)
         }
-        KIND_TRUNCATE if payload.len() == 8 => Record::Truncate(LogIndex(read_u64(payload, 0))),
+        KIND_TRUNCATE if payload.len() == 16 => Record::Truncate {
+            index: LogIndex(read_u64(payload, 0)),
+            term: Term(read_u64(payload, 8)),
+        },
         _ => return Err(Malformed::Format),
     };
     Ok((record, RECORD_HEADER_BYTES + payload.len()))
--- a/crates/storage/src/log/scan.rs
+++ b/crates/storage/src/log/scan.rs
@@ -1,12 +1,11 @@
 //! Reads a segment when the log is opened and tells a torn tail from damage.
 
 use super::record::{
-    self, BATCH_HEADER_BYTES, BATCH_MAGIC, Malformed, Record, parse_batch_header, parse_record,
+    self, BATCH_HEADER_BYTES, BATCH_MAGIC, Malformed, Record, SECTOR_BYTES, count_zero_sectors,
+    parse_batch_header, parse_record,
 };
 use crate::file_system::{File, StorageResult};
 
-/// Unit in which a disk may have written or not written, in bytes.
-const SECTOR_BYTES: u64 = 512;
 /// Bytes read at once when looking for later batches.
 const SEARCH_BYTES: usize = 64 * 1024;
 
@@ -49,8 +48,8 @@
     while offset < length {
         let body = match read_batch(file, sequence, offset, length)? {
             Ok(body) => body,
-            Err(malformed) => {
-                let end = classify(file, sequence, offset, length, malformed)?;
+            Err(_) => {
+                let end = classify(file, sequence, offset, length)?;
                 return Ok(SegmentScan {
                     valid_bytes: offset,
                     last_batch,
@@ -127,24 +126,46 @@
 /// read as zeros. Bytes that are all there but wrong, or wrong bytes before a
 /// later batch (which is only written once everything before it is synced),
 /// are damage.
-fn classify(
-    file: &dyn File,
-    sequence: u64,
-    offset: u64,
-    length: u64,
-    malformed: Malformed,
-) -> StorageResult<SegmentEnd> {
+fn classify(file: &dyn File, sequence: u64, offset: u64, length: u64) -> StorageResult<SegmentEnd> {
     if batch_follows(file, sequence, offset + 1, length)? {
         return Ok(SegmentEnd::Corrupted("a valid batch follows a damaged one"));
     }
-    let torn = malformed == Malformed::Short || has_unwritten_sector(file, offset, length)?;
-    Ok(if torn {
-        SegmentEnd::Torn
-    } else {
-        SegmentEnd::Corrupted("the last batch is whole but fails its checksum")
+    Ok(match is_torn(file, sequence, offset, length)? {
+        true => SegmentEnd::Torn,
+        false => SegmentEnd::Corrupted("the last batch is whole but fails its checksum"),
     })
 }
 
+/// Whether the last batch shows that it was not written as a whole.
+fn is_torn(file: &dyn File, sequence: u64, offset: u64, length: u64) -> StorageResult<bool> {
+    let mut header = [0; BATCH_HEADER_BYTES];
+    if file.read_at(offset, &mut header)? < BATCH_HEADER_BYTES {
+        return Ok(true);
+    }
+    let Ok(header) = parse_batch_header(&header, offset, sequence) else {
+        return header_sector_unwritten(file, offset);
+    };
+    let batch_bytes = BATCH_HEADER_BYTES + header.body_bytes;
+    if offset + batch_bytes as u64 > length {
+        return Ok(true);
+    }
+    let mut batch = vec![0; batch_bytes];
+    file.read_at(offset, &mut batch)?;
+    Ok(count_zero_sectors(&batch, offset) > header.zero_sectors)
+}
+
+/// Whether a sector that the header lies in was never written.
+///
+/// A header and the record after it have bytes other than zero in each sector.
+fn header_sector_unwritten(file: &dyn File, offset: u64) -> StorageResult<bool> {
+    let sector = SECTOR_BYTES as u64;
+    let header_end = offset + BATCH_HEADER_BYTES as u64;
+    let sectors_end = header_end.div_ceil(sector) * sector;
+    let mut bytes = vec![0; (sectors_end - offset) as usize];
+    let read = file.read_at(offset, &mut bytes)?;
+    Ok(count_zero_sectors(&bytes[..read], offset) > 0)
+}
+
 /// Whether a valid batch header lies anywhere from the offset on.
 fn batch_follows(
     file: &dyn File,
@@ -172,18 +193,3 @@
     }
     Ok(false)
 }
-
-/// Whether some sector from the offset on reads as zeros throughout.
-fn has_unwritten_sector(file: &dyn File, mut offset: u64, length: u64) -> StorageResult<bool> {
-    let mut sector = [0; SECTOR_BYTES as usize];
-    while offset < length {
-        let end = ((offset / SECTOR_BYTES + 1) * SECTOR_BYTES).min(length);
-        let piece = &mut sector[..(end - offset) as usize];
-        file.read_at(offset, piece)?;
-        if piece.iter().all(|byte| *byte == 0) {
-            return Ok(true);
-        }
-        offset = end;
-    }
-    Ok(false)
-}
--- a/crates/storage/src/virtual_disk.rs
+++ b/crates/storage/src/virtual_disk.rs
@@ -63,6 +63,7 @@
     generation: u64,
     locked: bool,
     capacity_bytes: u64,
+    syncs_to_pass: u32,
     syncs_to_fail: u32,
     syncs: u64,
 }
@@ -82,6 +83,7 @@
             generation: 0,
             locked: false,
             capacity_bytes: u64::MAX,
+            syncs_to_pass: 0,
             syncs_to_fail: 0,
             syncs: 0,
         };
@@ -117,9 +119,19 @@
         self.state.lock().capacity_bytes = bytes;
     }
 
-    /// Lets the next syncs of files or directories fail; what they should have written may be lost.
-    pub fn fail_syncs(&self, count: u32) {
-        self.state.lock().syncs_to_fail = count;
+    /// Lets syncs of files or directories fail, after some that still pass.
+    ///
+    /// What a failing sync should have written may be lost.
+    pub fn fail_syncs(&self, pass_first: u32, count: u32) {
+        let mut state = self.state.lock();
+        state.syncs_to_pass = pass_first;
+        state.syncs_to_fail = count;
+    }
+
+    /// The disk works again: no sync fails and there is room.
+    pub fn clear_faults(&self) {
+        self.fail_syncs(0, 0);
+        self.set_capacity(u64::MAX);
     }
 
     /// How many syncs were asked for.
@@ -282,6 +294,10 @@
     /// Whether the sync asked for now fails.
     fn sync_fails(&mut self) -> bool {
         self.syncs += 1;
+        if self.syncs_to_pass > 0 {
+            self.syncs_to_pass -= 1;
+            return false;
+        }
         let fails = self.syncs_to_fail > 0;
         self.syncs_to_fail = self.syncs_to_fail.saturating_sub(1);
         fails
--- a/crates/storage/tests/all/payloads.rs
+++ b/crates/storage/tests/all/payloads.rs
@@ -161,7 +161,7 @@
     let disk = VirtualDisk::new(7);
     let mut store = restore(&disk, PayloadMark::default(), &[]).unwrap();
     store.append(&payload(1)).unwrap();
-    disk.fail_syncs(1);
+    disk.fail_syncs(0, 1);
     for error in [
         store.sync().unwrap_err(),
         store.append(&payload(2)).unwrap_err(),
