Add linnethitch-lab: a fleet on one machine, stand-ins, load

`dev` runs emulated back ends and two gateways in each zone in one process over loopback. The gateways are given their configuration for now: control members follow when their process exists. `engine`, `application` and `platform` are the stand-ins as processes of their own. `load` starts requests at times that do not depend on answers, counts latency from the due time, and checks each answer against the text that the engine must give.

--- a/crates/emulator/src/platform/mod.rs
+++ b/crates/emulator/src/platform/mod.rs
@@ -5,5 +5,5 @@
 
 pub use self::{
     core::{PlatformCore, PlatformModel, Reservation, StoreBusy},
-    server::{PlatformServer, PlatformSettings},
+    server::{PlatformServer, PlatformSettings, machines_from_json},
 };
--- a/crates/emulator/src/platform/server.rs
+++ b/crates/emulator/src/platform/server.rs
@@ -20,6 +20,15 @@
 const MICROS_PER_SECOND: u64 = 1_000_000;
 const MICROS_PER_MILLI: u64 = 1_000;
 
+/// Reads a list of machines in the form of `GET /machines`.
+///
+/// # Errors
+/// The text is not such a list.
+pub fn machines_from_json(text: &str) -> Result<Vec<Machine>, serde_json::Error> {
+    let bodies: Vec<MachineBody> = serde_json::from_str(text)?;
+    Ok(bodies.into_iter().map(MachineBody::into_machine).collect())
+}
+
 /// How to start a platform.
 #[derive(Clone, Debug)]
 pub struct PlatformSettings {
--- /dev/null
+++ b/crates/lab/src/commands.rs
@@ -0,0 +1,49 @@
+//! The subcommands. A new one is a module with `Arguments` and `run`, and one
+//! line in each of the two places below.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use crate::{application, dev, engine, load, platform, process::exit_code};
+
+/// Runs a linnethitch fleet on one machine, puts load on it and measures it.
+///
+/// Every subcommand explains its flags with --help.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options("linnethitch-lab"), version, fallback_to_usage)]
+pub(crate) enum Command {
+    /// Run a whole fleet in this process, over loopback, until it is stopped
+    #[bpaf(command)]
+    Dev(#[bpaf(external(dev::arguments))] dev::Arguments),
+    /// Emulate one model engine until it is stopped
+    #[bpaf(command)]
+    Engine(#[bpaf(external(engine::arguments))] engine::Arguments),
+    /// Emulate one replica of an application service until it is stopped
+    #[bpaf(command)]
+    Application(#[bpaf(external(application::arguments))] application::Arguments),
+    /// Emulate the platform: the list of machines and the weight store
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform::arguments))] platform::Arguments),
+    /// Put load on running gateways and check every answer
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::arguments))] load::Arguments),
+}
+
+/// Reads the command line; prints help and ends the process where asked to.
+pub(crate) fn parse() -> Command {
+    command().run()
+}
+
+impl Command {
+    /// Runs the subcommand to its end.
+    pub(crate) fn run(self) -> ExitCode {
+        exit_code(match self {
+            Command::Dev(arguments) => dev::run(&arguments),
+            Command::Engine(arguments) => engine::run(&arguments),
+            Command::Application(arguments) => application::run(&arguments),
+            Command::Platform(arguments) => platform::run(&arguments),
+            Command::Load(arguments) => load::run(arguments),
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load/mod.rs
@@ -0,0 +1,230 @@
+//! `linnethitch-lab load`: open-loop load on running gateways, every answer checked.
+//!
+//! Requests start at times that do not depend on earlier answers, and each
+//! latency counts from the time at which its request was due. So a stall shows
+//! in all the requests that it held up (no coordinated omission).
+
+mod arrivals;
+mod batch;
+mod client;
+mod online;
+mod progress;
+mod prompts;
+mod report;
+mod service;
+mod sse;
+mod tally;
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bpaf::Bpaf;
+use error_stack::{Report, ResultExt};
+use linnethitch_errors::ErrorKind;
+use tokio::{sync::mpsc, task::JoinSet};
+
+use self::{
+    arrivals::{Arrivals, Pattern},
+    client::GatewayClient,
+    prompts::{PromptMix, Prompts},
+    report::LoadReport,
+    tally::{Observation, Tally},
+};
+use crate::process::{Outcome, Verdict, runtime};
+
+/// Observations that may wait for the tally.
+const OBSERVATION_QUEUE: usize = 65_536;
+/// How long requests may go on after the last one was due.
+const DRAIN: Duration = Duration::from_secs(60);
+
+/// What is asked, of whom, how often:
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(arguments))]
+pub(crate) struct Arguments {
+    /// A gateway; may be given several times, requests take turns
+    #[bpaf(argument("ADDRESS"))]
+    gateway: Vec<SocketAddr>,
+    /// Bearer key of the tenant
+    #[bpaf(argument("KEY"), fallback("lh-dev-key".to_owned()), display_fallback)]
+    api_key: String,
+    /// Model to ask; the first of the gateway's list by default
+    #[bpaf(argument("MODEL"))]
+    model: Option<String>,
+    /// How long new online requests start, in seconds
+    #[bpaf(argument("SECONDS"), fallback(20.0), display_fallback)]
+    seconds: f64,
+    /// Online requests a second, on average
+    #[bpaf(argument("RATE"), fallback(20.0), display_fallback)]
+    rate: f64,
+    /// How they arrive: poisson, bursts or even
+    #[bpaf(argument("PATTERN"), fallback(Pattern::Poisson), display_fallback)]
+    arrivals: Pattern,
+    /// Seeds arrivals and prompts
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Of a hundred online requests, how many ask for a whole answer instead of a stream
+    #[bpaf(argument("PERCENT"), fallback(10), display_fallback)]
+    whole_percent: u32,
+    /// Of a hundred prompts, how many are long documents
+    #[bpaf(argument("PERCENT"), fallback(10), display_fallback)]
+    long_percent: u32,
+    /// Limit of each answer, in tokens
+    #[bpaf(argument("TOKENS"), fallback(64), display_fallback)]
+    max_tokens: u32,
+    /// Application service to call too
+    #[bpaf(argument("NAME"))]
+    service: Option<String>,
+    /// Calls of that service a second, on average
+    #[bpaf(argument("RATE"), fallback(5.0), display_fallback)]
+    service_rate: f64,
+    /// Items of each batch job; 0 for none
+    #[bpaf(argument("ITEMS"), fallback(0), display_fallback)]
+    batch_items: u32,
+    /// Batch jobs in all
+    #[bpaf(argument("JOBS"), fallback(1), display_fallback)]
+    batch_jobs: u32,
+    /// Time between two batch jobs, in seconds
+    #[bpaf(argument("SECONDS"), fallback(9.0), display_fallback)]
+    batch_interval: f64,
+    /// How long a batch job may take, in seconds
+    #[bpaf(argument("SECONDS"), fallback(300.0), display_fallback)]
+    batch_timeout: f64,
+    /// Write the result as JSON to this file
+    #[bpaf(argument("FILE"))]
+    output: Option<PathBuf>,
+    /// Print the result as JSON instead of a table
+    json: bool,
+    /// Show no progress
+    quiet: bool,
+}
+
+/// Runs the load; the verdict is bad when an answer was not whole and right.
+pub(crate) fn run(arguments: Arguments) -> Outcome {
+    runtime()?.block_on(drive(arguments))
+}
+
+/// What every request needs.
+#[derive(Clone)]
+struct Driver {
+    client: Arc<GatewayClient>,
+    model: Arc<str>,
+    observations: mpsc::Sender<Observation>,
+    max_tokens: u32,
+}
+
+async fn drive(arguments: Arguments) -> Outcome {
+    let client = Arc::new(GatewayClient::new(&arguments.gateway, &arguments.api_key));
+    let model = match &arguments.model {
+        Some(model) => model.clone(),
+        None => client.first_model().await?,
+    };
+    let (observations, receiver) = mpsc::channel(OBSERVATION_QUEUE);
+    let driver = Driver {
+        client,
+        model: Arc::from(model),
+        observations,
+        max_tokens: arguments.max_tokens,
+    };
+    let started = Instant::now();
+    let tally = tokio::spawn(progress::collect(receiver, started, arguments.quiet));
+    let mut sources = JoinSet::new();
+    sources.spawn(online_source(driver.clone(), arguments.clone(), started));
+    sources.spawn(service_source(driver.clone(), arguments.clone(), started));
+    sources.spawn(batch_source(driver, arguments.clone(), started));
+    while sources.join_next().await.is_some() {}
+    let tally: Tally = tally.await.change_context(ErrorKind::Internal)?;
+    let report = LoadReport::new(&tally, started.elapsed());
+    publish(&arguments, &report)?;
+    Ok(if report.all_right() {
+        Verdict::Good
+    } else {
+        Verdict::Bad
+    })
+}
+
+fn publish(arguments: &Arguments, report: &LoadReport) -> Result<(), Report<ErrorKind>> {
+    let json = serde_json::to_string_pretty(report).change_context(ErrorKind::Internal)?;
+    if let Some(file) = &arguments.output {
+        std::fs::write(file, &json)
+            .change_context(ErrorKind::Io)
+            .attach_with(|| format!("can not write {}", file.display()))?;
+    }
+    crate::output::say(&if arguments.json { json } else { report.table() });
+    Ok(())
+}
+
+/// Starts online requests when they are due and waits for all of them.
+async fn online_source(driver: Driver, arguments: Arguments, started: Instant) {
+    let mix = PromptMix {
+        long_percent: arguments.long_percent,
+        whole_percent: arguments.whole_percent,
+    };
+    let mut prompts = Prompts::new(mix, arguments.seed);
+    let mut arrivals = Arrivals::new(arguments.arrivals, arguments.rate, arguments.seed);
+    let end = Duration::from_secs_f64(arguments.seconds.max(0.0));
+    let mut requests = JoinSet::new();
+    while let Some(due) = arrivals.next().filter(|due| *due < end) {
+        let due = started + due;
+        tokio::time::sleep_until(due.into()).await;
+        requests.spawn(online::ask(driver.clone(), prompts.next(), due));
+        while requests.try_join_next().is_some() {}
+    }
+    drain(requests).await;
+}
+
+/// Starts service calls when they are due and waits for all of them.
+async fn service_source(driver: Driver, arguments: Arguments, started: Instant) {
+    let Some(service) = arguments.service else {
+        return;
+    };
+    let service: Arc<str> = Arc::from(service);
+    let seed = arguments.seed.wrapping_add(1);
+    let mut arrivals = Arrivals::new(arguments.arrivals, arguments.service_rate, seed);
+    let end = Duration::from_secs_f64(arguments.seconds.max(0.0));
+    let mut calls = JoinSet::new();
+    let mut number = 0;
+    while let Some(due) = arrivals.next().filter(|due| *due < end) {
+        let due = started + due;
+        tokio::time::sleep_until(due.into()).await;
+        number += 1;
+        calls.spawn(service::call(
+            driver.clone(),
+            Arc::clone(&service),
+            number,
+            due,
+        ));
+        while calls.try_join_next().is_some() {}
+    }
+    drain(calls).await;
+}
+
+/// Starts batch jobs in heaps and waits for all of them.
+async fn batch_source(driver: Driver, arguments: Arguments, started: Instant) {
+    if arguments.batch_items == 0 {
+        return;
+    }
+    let interval = Duration::from_secs_f64(arguments.batch_interval.max(0.0));
+    let timeout = Duration::from_secs_f64(arguments.batch_timeout.max(0.0));
+    let mut jobs = JoinSet::new();
+    for number in 0..arguments.batch_jobs {
+        tokio::time::sleep_until((started + interval * number).into()).await;
+        let plan = batch::JobPlan {
+            seed: arguments.seed,
+            number,
+            items: arguments.batch_items,
+            timeout,
+        };
+        jobs.spawn(batch::run_job(driver.clone(), plan));
+    }
+    while jobs.join_next().await.is_some() {}
+}
+
+async fn drain(mut requests: JoinSet<()>) {
+    let all = async { while requests.join_next().await.is_some() {} };
+    // Requests still running then are dropped and counted as never answered.
+    let _ = tokio::time::timeout(DRAIN, all).await;
+}
--- /dev/null
+++ b/crates/lab/src/load/prompts.rs
@@ -0,0 +1,85 @@
+//! What is asked.
+
+use linnethitch_emulator::answer::{PromptKey, chat_prompt};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Different documents that long prompts begin with.
+const DOCUMENTS: u32 = 12;
+/// Sentences of a document.
+const DOCUMENT_SENTENCES: u32 = 160;
+
+/// Shares of the kinds of requests, in percent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PromptMix {
+    pub(super) long_percent: u32,
+    pub(super) whole_percent: u32,
+}
+
+/// A user's message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Prompt {
+    pub(super) text: String,
+    /// Long documents are counted apart.
+    pub(super) long: bool,
+    /// Asks for a stream.
+    pub(super) stream: bool,
+}
+
+impl Prompt {
+    /// The answer's key.
+    pub(super) fn key(&self) -> PromptKey {
+        user_key(&self.text)
+    }
+}
+
+/// The answer's key of a single user message.
+pub(super) fn user_key(text: &str) -> PromptKey {
+    PromptKey::of(&chat_prompt([("user", text)]))
+}
+
+/// An endless sequence of prompts, each different; the same for the same seed.
+pub(super) struct Prompts {
+    mix: PromptMix,
+    seed: u64,
+    generator: Pcg64Mcg,
+    count: u64,
+}
+
+impl Prompts {
+    pub(super) fn new(mix: PromptMix, seed: u64) -> Prompts {
+        Prompts {
+            mix,
+            seed,
+            generator: Pcg64Mcg::seed_from_u64(seed ^ 0x5eed),
+            count: 0,
+        }
+    }
+
+    fn one_in_hundred(&mut self, percent: u32) -> bool {
+        self.generator.random_range(0..100) < percent
+    }
+
+    pub(super) fn next(&mut self) -> Prompt {
+        self.count += 1;
+        let long = self.one_in_hundred(self.mix.long_percent);
+        let stream = !self.one_in_hundred(self.mix.whole_percent);
+        let question = format!(
+            "Question {} of series {}: what does it cost?",
+            self.count, self.seed
+        );
+        let text = if long {
+            let number = self.generator.random_range(0..DOCUMENTS);
+            format!("{}{question}", document(number))
+        } else {
+            question
+        };
+        Prompt { text, long, stream }
+    }
+}
+
+fn document(number: u32) -> String {
+    (0..DOCUMENT_SENTENCES)
+        .map(|sentence| format!("Clause {sentence} of contract {number} holds for every lane. "))
+        .collect()
+}
--- /dev/null
+++ b/crates/lab/src/load/report.rs
@@ -0,0 +1,180 @@
+//! The result of a run, as table and as JSON.
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::tally::{JobResult, Kind, KindTally, Tally};
+
+const MICROS_PER_MILLI: f64 = 1_000.0;
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Latency {
+    count: u64,
+    p50_ms: f64,
+    p95_ms: f64,
+    p99_ms: f64,
+    max_ms: f64,
+}
+
+impl Latency {
+    fn new(histogram: &Histogram<u64>) -> Option<Latency> {
+        if histogram.is_empty() {
+            return None;
+        }
+        let quantile = |share| histogram.value_at_quantile(share) as f64 / MICROS_PER_MILLI;
+        Some(Latency {
+            count: histogram.len(),
+            p50_ms: quantile(0.50),
+            p95_ms: quantile(0.95),
+            p99_ms: quantile(0.99),
+            max_ms: histogram.max() as f64 / MICROS_PER_MILLI,
+        })
+    }
+}
+
+/// Figures of one kind of request.
+#[derive(Clone, Debug, Serialize)]
+struct KindReport {
+    kind: Kind,
+    served: u64,
+    wrong: u64,
+    failures: BTreeMap<String, u64>,
+    first_token: Option<Latency>,
+    between_tokens: Option<Latency>,
+    total: Option<Latency>,
+}
+
+impl KindReport {
+    fn new(kind: Kind, tally: &KindTally) -> KindReport {
+        KindReport {
+            kind,
+            served: tally.served,
+            wrong: tally.wrong,
+            failures: tally.failures.clone(),
+            first_token: Latency::new(&tally.first),
+            between_tokens: Latency::new(&tally.between),
+            total: Latency::new(&tally.total),
+        }
+    }
+}
+
+/// The result of a run.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct LoadReport {
+    seconds: f64,
+    online_tokens: u64,
+    kinds: Vec<KindReport>,
+    jobs: Vec<JobResult>,
+}
+
+impl LoadReport {
+    pub(super) fn new(tally: &Tally, elapsed: Duration) -> LoadReport {
+        LoadReport {
+            seconds: elapsed.as_secs_f64(),
+            online_tokens: tally.tokens,
+            kinds: tally
+                .kinds
+                .iter()
+                .map(|(kind, tally)| KindReport::new(*kind, tally))
+                .collect(),
+            jobs: tally.jobs.clone(),
+        }
+    }
+
+    /// Whether every answer that was given was right and every job whole.
+    /// Refused requests are no fault of the answers.
+    pub(super) fn all_right(&self) -> bool {
+        let answers = self.kinds.iter().all(|kind| kind.wrong == 0);
+        answers && self.jobs.iter().all(JobResult::all_right)
+    }
+
+    /// The result for people.
+    pub(super) fn table(&self) -> String {
+        let mut table = String::new();
+        // Writing to a string can not fail.
+        let _ = writeln!(
+            table,
+            "{:.1} s, {} tokens of online answers",
+            self.seconds, self.online_tokens
+        );
+        let _ = writeln!(
+            table,
+            "{:<13} {:>8} {:>6} {:>7}  {:>28}  {:>28}  {:>28}",
+            "",
+            "served",
+            "wrong",
+            "failed",
+            "first token p50/p99/max ms",
+            "between p50/p99/max ms",
+            "total p50/p99/max ms"
+        );
+        for kind in &self.kinds {
+            write_kind(&mut table, kind);
+        }
+        for job in &self.jobs {
+            write_job(&mut table, job);
+        }
+        let verdict = if self.all_right() {
+            "every answer was whole and its own"
+        } else {
+            "NOT every answer was whole and its own"
+        };
+        table.push_str(verdict);
+        table
+    }
+}
+
+fn write_kind(table: &mut String, kind: &KindReport) {
+    let _ = writeln!(
+        table,
+        "{:<13} {:>8} {:>6} {:>7}  {:>28}  {:>28}  {:>28}",
+        kind.kind.name(),
+        kind.served,
+        kind.wrong,
+        kind.failures.values().sum::<u64>(),
+        latency_text(kind.first_token.as_ref()),
+        latency_text(kind.between_tokens.as_ref()),
+        latency_text(kind.total.as_ref()),
+    );
+    for (code, count) in &kind.failures {
+        let _ = writeln!(table, "    {count} x {code}");
+    }
+}
+
+fn latency_text(latency: Option<&Latency>) -> String {
+    latency.map_or_else(
+        || "-".to_owned(),
+        |latency| {
+            format!(
+                "{:.1} / {:.1} / {:.1}",
+                latency.p50_ms, latency.p99_ms, latency.max_ms
+            )
+        },
+    )
+}
+
+fn write_job(table: &mut String, job: &JobResult) {
+    let _ = writeln!(
+        table,
+        "job {}: {} items, {} right, {} failed, {} missing, {} repeated, {} wrong; \
+         accepted in {:.2} s, ran {:.2} s",
+        job.job,
+        job.items,
+        job.right,
+        job.failed,
+        job.missing,
+        job.repeated,
+        job.wrong,
+        job.accept_seconds,
+        job.run_seconds,
+    );
+    if job.created_twice {
+        let _ = writeln!(table, "    the resent creation gave another job");
+    }
+    if !job.failure.is_empty() {
+        let _ = writeln!(table, "    failure: {}", job.failure);
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,2 +1,17 @@
-//! Placeholder
-fn main() {}
+//! `linnethitch-lab`: a whole fleet on one machine, stand-ins for its back
+//! ends, load, experiments and measurements.
+
+mod application;
+mod commands;
+mod dev;
+mod engine;
+mod load;
+mod output;
+mod platform;
+mod process;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    commands::parse().run()
+}
