List a tenant's finished files

The callers' interface lists files; the ledger had no read for it. A read in pages, newest first, over the files of the tenant; it looks at every file of the ledger, of which there are a few thousand. Measured: the ledger's tests of files pass, with a new one for the pages.

--- a/crates/ledger/src/queries.rs
+++ b/crates/ledger/src/queries.rs
@@ -58,6 +58,11 @@
                 limit,
             } => self.job_page(tenant, after.as_ref(), *limit),
             Query::File(tenant, file) => QueryAnswer::File(self.file_record(tenant, file)),
+            Query::Files {
+                tenant,
+                after,
+                limit,
+            } => self.file_page(tenant, after.as_ref(), *limit),
             Query::FileContent {
                 tenant,
                 file,
@@ -90,6 +95,30 @@
         QueryAnswer::Jobs { jobs, more }
     }
 
+    /// Looks at every file of the ledger: there are a few thousand of them.
+    fn file_page(&self, tenant: &TenantId, after: Option<&FileId>, limit: u32) -> QueryAnswer {
+        let mut records: Vec<FileRecord> = self
+            .state
+            .files
+            .iter()
+            .filter(|(_, file)| file.tenant == *tenant)
+            .filter_map(|(id, file)| file.finished_record(id))
+            .collect();
+        records.sort_by(|one, other| {
+            (other.created_at, &other.file).cmp(&(one.created_at, &one.file))
+        });
+        let start = after.map_or(0, |id| {
+            records
+                .iter()
+                .position(|record| record.file == *id)
+                .map_or(records.len(), |position| position + 1)
+        });
+        let limit = limit.clamp(1, MAX_PAGE_JOBS) as usize;
+        let more = records.len() > start + limit;
+        let files = records.into_iter().skip(start).take(limit).collect();
+        QueryAnswer::Files { files, more }
+    }
+
     fn find_file(&self, tenant: &TenantId, file: &FileId) -> Option<Found<'_>> {
         if let Some(input) = self.state.files.get(file) {
             let visible = input.tenant == *tenant && matches!(input.phase, FilePhase::Finished(_));
--- a/crates/ledger/tests/all/files.rs
+++ b/crates/ledger/tests/all/files.rs
@@ -182,3 +182,32 @@
     assert!(fixture.content("acme", FILE).is_ok());
     assert!(fixture.content("heavy", FILE).is_err());
 }
+
+#[test]
+fn finished_files_are_listed_newest_first_in_pages() {
+    let mut fixture = Fixture::new();
+    for number in 0..3 {
+        fixture.upload("acme", &format!("file-{number}"), &[Line::new(MODEL)]);
+        fixture.advance(1);
+    }
+    fixture.upload("heavy", "file-other", &[Line::new(MODEL)]);
+    fixture.create_file("acme", "file-unfinished");
+    let mut seen = Vec::new();
+    let mut after = None;
+    loop {
+        let query = Query::Files {
+            tenant: TenantId::from("acme"),
+            after: after.clone(),
+            limit: 2,
+        };
+        let Ok(QueryAnswer::Files { files, more }) = fixture.ledger.query(&query) else {
+            panic!("a page is expected");
+        };
+        seen.extend(files.iter().map(|file| file.file.0.clone()));
+        after = files.last().map(|file| file.file.clone());
+        if !more {
+            break;
+        }
+    }
+    assert_eq!(seen, ["file-2", "file-1", "file-0"]);
+}
--- a/crates/protocol/src/query.rs
+++ b/crates/protocol/src/query.rs
@@ -27,6 +27,15 @@
     },
     /// One file's record.
     File(TenantId, FileId),
+    /// A tenant's finished input files, newest first, after the given one.
+    Files {
+        /// Whose.
+        tenant: TenantId,
+        /// Start after this file.
+        after: Option<FileId>,
+        /// At most this many.
+        limit: u32,
+    },
     /// Bytes of a file (input file, or a job's output or error file).
     FileContent {
         /// Whose.
@@ -218,6 +227,13 @@
     },
     /// To [`Query::File`].
     File(Option<FileRecord>),
+    /// To [`Query::Files`].
+    Files {
+        /// A page of files.
+        files: Vec<FileRecord>,
+        /// Whether there are more.
+        more: bool,
+    },
     /// To [`Query::FileContent`].
     FileContent {
         /// The next bytes.
