--- a/crates/storage/src/payload/files.rs
+++ b/crates/storage/src/payload/files.rs
@@ -2,8 +2,8 @@
 //!
 //! The log holds every payload until a checkpoint covers it, so appends are not
 //! synced one by one. A checkpoint of the state machine notes a [`PayloadMark`];
-//! after a crash [`PayloadStore::restore`] cuts everything after the mark off
-//! and the replay of the log appends it again. What is released stays on disk
+//! after a crash [`PayloadStore::open`] cuts everything after the mark off and
+//! the replay of the log appends it again. What is released stays on disk
 //! until a checkpoint made after the release is durable, so that the replay
 //! finds all that it reads.
 
@@ -86,17 +86,17 @@
 impl PayloadStore {
     /// Opens the store as it was at a checkpoint: what was appended later is cut off.
     ///
-    /// `live` are all payloads that the checkpoint refers to; a blank disk has
-    /// none and begins at [`PayloadMark::default`].
+    /// Every payload that the checkpoint refers to must then be named to
+    /// [`Payloads::adopt`]; the space of others is given back. A blank disk, or
+    /// one whose state is read from a peer's snapshot, begins empty at
+    /// [`PayloadMark::default`].
     ///
     /// # Errors
-    /// `Corrupted` when a segment that the checkpoint refers to is missing or
-    /// short, `StorageFull`, `Io`.
-    pub fn restore(
+    /// `Corrupted` when the checkpoint's newest segment is short, `StorageFull`, `Io`.
+    pub fn open(
         file_system: Arc<dyn FileSystem>,
         limits: PayloadLimits,
         mark: PayloadMark,
-        live: impl IntoIterator<Item = PayloadRef>,
     ) -> StorageResult<Self> {
         if !file_system.exists(PAYLOAD_DIRECTORY)? {
             file_system.create_directory(PAYLOAD_DIRECTORY)?;
@@ -116,9 +116,6 @@
             failed: false,
         };
         store.open_segments(mark)?;
-        for payload in live {
-            store.count_live(&payload)?;
-        }
         Ok(store)
     }
 
@@ -177,16 +174,6 @@
         self.segments.insert(number, segment);
     }
 
-    fn count_live(&mut self, payload: &PayloadRef) -> StorageResult<()> {
-        let segment = self
-            .segments
-            .get_mut(&payload.segment)
-            .ok_or_else(|| corrupted(format!("{} is missing", segment_path(payload.segment))))?;
-        segment.held_bytes += record_bytes(payload);
-        self.live_bytes += u64::from(payload.length);
-        Ok(())
-    }
-
     /// A segment that is mostly dead, if there is one, to hand to [`PayloadStore::compact`].
     #[must_use]
     pub fn compaction_candidate(&self) -> Option<u32> {
@@ -433,6 +420,16 @@
         Ok(bytes)
     }
 
+    fn adopt(&mut self, payload: &PayloadRef) -> StorageResult<()> {
+        let segment = self
+            .segments
+            .get_mut(&payload.segment)
+            .ok_or_else(|| corrupted(format!("{} is missing", segment_path(payload.segment))))?;
+        segment.held_bytes += record_bytes(payload);
+        self.live_bytes += u64::from(payload.length);
+        Ok(())
+    }
+
     fn release(&mut self, payload: &PayloadRef) {
         self.live_bytes = self.live_bytes.saturating_sub(u64::from(payload.length));
         self.releases.push_back(*payload);
--- a/crates/storage/src/payload/memory.rs
+++ b/crates/storage/src/payload/memory.rs
@@ -65,6 +65,10 @@
         Ok(data[start..end].to_vec())
     }
 
+    fn adopt(&mut self, payload: &PayloadRef) -> StorageResult<()> {
+        self.find(payload).map(|_| ())
+    }
+
     fn release(&mut self, payload: &PayloadRef) {
         let removed = self.payloads.remove(&(payload.segment, payload.offset));
         self.live_bytes -= removed.map_or(0, |data| data.len() as u64);
--- a/crates/storage/src/payload/mod.rs
+++ b/crates/storage/src/payload/mod.rs
@@ -82,6 +82,12 @@
         length: usize,
     ) -> StorageResult<Vec<u8>>;
 
+    /// Counts a payload as live that a restored checkpoint refers to.
+    ///
+    /// # Errors
+    /// `Corrupted` when its segment is missing.
+    fn adopt(&mut self, payload: &PayloadRef) -> StorageResult<()>;
+
     /// Gives a payload up; its space is reclaimed later.
     fn release(&mut self, payload: &PayloadRef);
 
--- a/crates/storage/tests/all/main.rs
+++ b/crates/storage/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod log_model;
 mod payloads;
 mod real_disk;
+mod snapshot_faults;
 mod support;
--- a/crates/storage/tests/all/payloads.rs
+++ b/crates/storage/tests/all/payloads.rs
@@ -20,7 +20,11 @@
     live: &[PayloadRef],
 ) -> StorageResult<PayloadStore> {
     let files: Arc<dyn FileSystem> = Arc::new(disk.clone());
-    PayloadStore::restore(files, LIMITS, mark, live.iter().copied())
+    let mut store = PayloadStore::open(files, LIMITS, mark)?;
+    for payload in live {
+        store.adopt(payload)?;
+    }
+    Ok(store)
 }
 
 fn payload(number: u8) -> Vec<u8> {
