--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -69,7 +69,8 @@
         core.policy = fleet.routing.clone();
         core.router.view_mut().set_policy(fleet.routing.clone());
         core.budget.set_policy(&fleet.routing);
-        core.limits.set_tenants(&fleet.tenants);
+        core.limits
+            .set_tenants(fleet.tenants.iter().map(AsRef::as_ref));
         for queue in core.queues.values_mut() {
             queue.admission.set_policy(&fleet.routing);
         }
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -23,7 +23,7 @@
         let by_key = fleet
             .tenants
             .iter()
-            .filter_map(|tenant| Some((parse_hash(&tenant.key_sha256)?, Arc::new(tenant.clone()))))
+            .filter_map(|tenant| Some((parse_hash(&tenant.key_sha256)?, Arc::clone(tenant))))
             .collect();
         TenantDirectory { by_key }
     }
--- a/crates/ledger/src/configuration.rs
+++ b/crates/ledger/src/configuration.rs
@@ -5,11 +5,12 @@
     sync::Arc,
 };
 
-use linnethitch_config::{digest::content_digest, fleet::Fleet, text_edit::text_edits};
+use linnethitch_config::{digest::content_digest, fleet::Fleet};
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, TextEdit},
     command::{ApplyOutcome, Outcome},
     ids::{ChangeId, Revision, Timestamp},
+    text_edit::line_edits,
 };
 use rkyv::{Archive, Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -237,7 +238,7 @@
         let to = Revision(state.revision.0 + 1);
         state.deltas.push_back(Arc::new(Delta {
             to,
-            edits: text_edits(&state.content, content),
+            edits: line_edits(&state.content, content),
             digest: content_digest(content),
         }));
         let mut bytes: usize = state.deltas.iter().map(|delta| delta.bytes()).sum();
--- a/crates/ledger/tests/all/configuration.rs
+++ b/crates/ledger/tests/all/configuration.rs
@@ -1,11 +1,11 @@
 //! Revisions, changes and deltas.
 
-use linnethitch_config::text_edit::apply_edits;
 use linnethitch_protocol::{
     attach::ConfigurationUpdate,
     command::ApplyOutcome,
     ids::{ChangeId, Revision},
     query::{Query, QueryAnswer},
+    text_edit::apply_edits,
 };
 use rstest::rstest;
 
