Promote a replacement before the lost voter goes; random faults

Cause: random faults showed a stuck repair: with a voter missing for want of machines, a lost disk's replacement on the same machine was neither promoted (its machine still had a voter) nor the lost voter removed.

Change: repair promotes first and removes then, so an acknowledged entry is never on fewer disks than before; a voter that comes back too late is removed as surplus. The node no longer refuses a second disk of a machine. New: property test of random faults with invariants and recovery, and one history for each safety rule that breaks the log once the rule is switched off.

--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -38,8 +38,6 @@
     NotMember,
     /// The learner has not synced everything that is committed.
     NotCaughtUp,
-    /// Another disk of the learner's machine is still a voter.
-    MachineAlreadyVotes,
     /// The last voter cannot be removed.
     LastVoter,
     /// Leadership is being transferred.
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -58,13 +58,6 @@
     if !membership.learners.contains(&member) {
         return Err(MembershipError::NotLearner);
     }
-    if membership
-        .voters
-        .iter()
-        .any(|voter| voter.machine == member.machine)
-    {
-        return Err(MembershipError::MachineAlreadyVotes);
-    }
     membership.learners.retain(|learner| *learner != member);
     membership.voters.push(member);
     membership.voters.sort_unstable();
--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -7,9 +7,9 @@
 //! A silent voter alone changes nothing: it is replaced only when another disk
 //! can take its place, be it a new disk of the same machine or a spare machine.
 //! The steps are: add the replacement as a learner, wait until it has synced
-//! everything committed, remove the silent voter, promote the learner. At most
-//! one voter is missing on the way, and no step leaves fewer healthy voters
-//! than a quorum.
+//! everything committed, promote it, remove the silent voter. Promotion comes
+//! first so that an acknowledged entry is never on fewer disks than before. No
+//! step leaves fewer healthy voters than a quorum.
 
 use linnethitch_protocol::{
     consensus::MembershipChange,
@@ -54,10 +54,12 @@
 pub enum RepairReason {
     /// A disk that asked to join can take a lost or missing voter's place.
     ReplacementJoins,
-    /// The voter was silent for too long and its replacement has synced everything.
+    /// The voter was silent for too long and another has taken its place.
     VoterLost,
-    /// The learner has synced everything and a voter is missing.
+    /// The learner has synced everything and a voter is lost or missing.
     LearnerCaughtUp,
+    /// There are more voters than wanted, since a lost one came back.
+    SurplusVoter,
     /// The learner was silent for too long and another disk waits to join.
     LearnerLost,
 }
@@ -100,21 +102,33 @@
         joining: waiting,
     };
     situation
-        .promote()
-        .or_else(|| situation.remove_lost_voter())
+        .remove_lost_voter()
+        .or_else(|| situation.promote())
+        .or_else(|| situation.remove_surplus_voter())
         .or_else(|| situation.remove_lost_learner())
         .or_else(|| situation.add_replacement())
 }
 
 impl Situation<'_> {
-    /// Fills a missing voter's place with a learner that has everything.
+    /// Removes a lost voter once another has taken its place: a voter on the
+    /// same machine, or one more than are wanted.
+    fn remove_lost_voter(&self) -> Option<RepairStep> {
+        let surplus = self.voters().len() > self.policy.voters;
+        let lost = self
+            .lost_voters()
+            .find(|lost| surplus || self.has_live_voter_on(lost.machine))?;
+        self.remove_voter(lost, RepairReason::VoterLost)
+    }
+
+    /// Makes a learner that has everything a voter, in a lost or missing one's place.
     fn promote(&self) -> Option<RepairStep> {
-        if self.missing_voters() == 0 {
+        let room = self.voters().len() <= self.policy.voters;
+        if self.wanted_voters() == 0 || !room {
             return None;
         }
         let learner = self
             .caught_up_learners()
-            .find(|learner| !self.has_voter_on(learner.machine))?;
+            .find(|learner| !self.has_live_voter_on(learner.machine))?;
         let healthy = self.healthy_voters() + 1;
         let quorum = membership::quorum_of(self.voters().len() + 1);
         (healthy >= quorum).then_some(RepairStep {
@@ -123,19 +137,30 @@
         })
     }
 
-    /// Removes a lost voter once a learner is ready to take its place.
-    fn remove_lost_voter(&self) -> Option<RepairStep> {
-        if self.missing_voters() > 0 {
+    /// Removes a voter that is one too many, though it is alive: one that shares
+    /// its machine with another, else the last.
+    fn remove_surplus_voter(&self) -> Option<RepairStep> {
+        if self.voters().len() <= self.policy.voters {
             return None;
         }
-        let lost = self.lost_voters().find(|lost| {
-            self.caught_up_learners()
-                .any(|learner| self.replaces(learner, *lost))
-        })?;
+        let not_leader = |voter: &&MemberId| **voter != self.status.id;
+        let shares_machine = |voter: &&MemberId| {
+            let others = self.voters().iter().filter(|other| other != voter);
+            others.into_iter().any(|o| o.machine == voter.machine)
+        };
+        let candidates = || self.voters().iter().filter(not_leader);
+        let surplus = candidates().find(shares_machine);
+        let surplus = surplus.or_else(|| candidates().next_back())?;
+        self.remove_voter(*surplus, RepairReason::SurplusVoter)
+    }
+
+    fn remove_voter(&self, voter: MemberId, reason: RepairReason) -> Option<RepairStep> {
+        let others = self.voters().iter().filter(|other| **other != voter);
+        let healthy = others.filter(|other| self.is_healthy(**other)).count();
         let quorum = membership::quorum_of(self.voters().len() - 1);
-        (self.healthy_voters() >= quorum).then_some(RepairStep {
-            change: MembershipChange::Remove(lost),
-            reason: RepairReason::VoterLost,
+        (healthy >= quorum).then_some(RepairStep {
+            change: MembershipChange::Remove(voter),
+            reason,
         })
     }
 
@@ -154,13 +179,12 @@
     /// Adds a learner for a lost or missing voter that has no replacement yet.
     fn add_replacement(&self) -> Option<RepairStep> {
         let lost: Vec<MemberId> = self.lost_voters().collect();
-        let wanted = lost.len() + self.missing_voters();
-        if self.live_learners().count() >= wanted {
+        if self.live_learners().count() >= self.wanted_voters() {
             return None;
         }
         let same_machine =
             |joining: &&MemberId| lost.iter().any(|lost| lost.machine == joining.machine);
-        let spare = |joining: &&MemberId| !self.has_voter_on(joining.machine);
+        let spare = |joining: &&MemberId| !self.has_live_voter_on(joining.machine);
         let mut candidates = self.joining.iter();
         let chosen = candidates
             .find(same_machine)
@@ -174,19 +198,22 @@
     /// Whether a disk can stand in for another: it is on the same machine, or on
     /// one that has no voter.
     fn replaces(&self, replacement: MemberId, lost: MemberId) -> bool {
-        replacement.machine == lost.machine || !self.has_voter_on(replacement.machine)
+        replacement.machine == lost.machine || !self.has_live_voter_on(replacement.machine)
     }
 
     fn voters(&self) -> &[MemberId] {
         &self.status.membership.voters
     }
 
-    fn missing_voters(&self) -> usize {
-        self.policy.voters.saturating_sub(self.voters().len())
+    /// How many voters are lost or missing.
+    fn wanted_voters(&self) -> usize {
+        let live = self.voters().len() - self.lost_voters().count();
+        self.policy.voters.saturating_sub(live)
     }
 
-    fn has_voter_on(&self, machine: MachineId) -> bool {
-        self.voters().iter().any(|voter| voter.machine == machine)
+    fn has_live_voter_on(&self, machine: MachineId) -> bool {
+        let mut voters = self.voters().iter();
+        voters.any(|voter| voter.machine == machine && !self.is_lost(*voter))
     }
 
     fn peer(&self, member: MemberId) -> Option<&PeerStatus> {
--- a/crates/consensus/tests/all/disk.rs
+++ b/crates/consensus/tests/all/disk.rs
@@ -120,6 +120,20 @@
         };
     }
 
+    /// The memberships that the log and the snapshot hold.
+    pub(crate) fn memberships(&self) -> Vec<Membership> {
+        let in_log = self
+            .entries
+            .iter()
+            .filter_map(|entry| match &entry.payload {
+                EntryPayload::Membership(_, membership) => Some(membership.clone()),
+                _ => None,
+            });
+        let mut memberships: Vec<Membership> = in_log.collect();
+        memberships.push(self.snapshot.meta.to_meta().membership);
+        memberships
+    }
+
     pub(crate) fn entry(&self, index: LogIndex) -> Option<&Entry> {
         let offset = index.0.checked_sub(self.start.0 + 1)?;
         self.entries.get(offset as usize)
--- a/crates/consensus/tests/all/main.rs
+++ b/crates/consensus/tests/all/main.rs
@@ -3,5 +3,7 @@
 mod cluster;
 mod disk;
 mod elections;
+mod random_faults;
 mod repair;
 mod replication;
+mod safety_rules;
