--- /dev/null
+++ b/crates/lab/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the built `linnethitch-lab` as processes.
+
+mod dev;
+mod load;
+mod support;
--- /dev/null
+++ b/crates/lab/tests/all/support/caller.rs
@@ -0,0 +1,113 @@
+//! A caller of HTTP interfaces.
+
+use std::{net::SocketAddr, time::Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::Value;
+
+use super::process::PATIENCE;
+
+/// Sends requests with one bearer key.
+pub(crate) struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    key: String,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) bytes: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; null when it is not.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.bytes).unwrap_or(Value::Null)
+    }
+
+    /// The body as text.
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+}
+
+impl Caller {
+    pub(crate) fn new(address: SocketAddr, key: &str) -> Caller {
+        Caller {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            address,
+            key: key.to_owned(),
+        }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request; the body of its answer is unread.
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<http::Response<Incoming>, hyper_util::client::legacy::Error> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(body.into())).unwrap();
+        self.client.request(request).await
+    }
+
+    /// Sends a request and reads its whole answer.
+    pub(crate) async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let response = self.send(method, path, headers, body).await.unwrap();
+        let (parts, incoming) = response.into_parts();
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            bytes: incoming.collect().await.unwrap().to_bytes(),
+        }
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Answer {
+        self.ask("GET", path, &[], Bytes::new()).await
+    }
+
+    pub(crate) async fn post(&self, path: &str, body: &Value) -> Answer {
+        self.ask("POST", path, &[], body.to_string()).await
+    }
+
+    /// Waits until a path answers 200.
+    pub(crate) async fn wait_for(&self, path: &str) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.send("GET", path, &[], Bytes::new()).await;
+            if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
+                return;
+            }
+            assert!(Instant::now() < end, "{path} does not answer 200");
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/all/support/process.rs
@@ -0,0 +1,109 @@
+//! Child processes, ended by their own ids.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::mpsc::{self, Receiver},
+    time::{Duration, Instant},
+};
+
+/// Longest wait for anything that a process should do.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running program; killed when dropped.
+pub(crate) struct ChildProcess {
+    child: Child,
+    lines: Receiver<String>,
+    seen: Vec<String>,
+}
+
+impl ChildProcess {
+    /// Starts a program.
+    pub(crate) fn start(program: &str, arguments: &[&str]) -> ChildProcess {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{program}: {error}"));
+        let output = child.stdout.take().unwrap();
+        let (sender, lines) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        ChildProcess {
+            child,
+            lines,
+            seen: Vec::new(),
+        }
+    }
+
+    /// Starts `linnethitch-lab`.
+    pub(crate) fn lab(arguments: &[&str]) -> ChildProcess {
+        ChildProcess::start(env!("CARGO_BIN_EXE_linnethitch-lab"), arguments)
+    }
+
+    /// The next line of its output that holds `text`.
+    pub(crate) fn line_with(&mut self, text: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.lines.recv_timeout(left) {
+                Ok(line) => {
+                    self.seen.push(line.clone());
+                    if line.contains(text) {
+                        return line;
+                    }
+                }
+                Err(_) => panic!("no line with `{text}` in:\n{}", self.seen.join("\n")),
+            }
+        }
+    }
+
+    /// The address at the end of the next line that holds `text`.
+    pub(crate) fn address_after(&mut self, text: &str) -> SocketAddr {
+        let line = self.line_with(text);
+        let word = line.rsplit(' ').next().unwrap();
+        word.parse()
+            .unwrap_or_else(|_| panic!("no address in `{line}`"))
+    }
+
+    /// Asks it to stop by SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let process = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &process]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for its end.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + 4 * PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the process does not end");
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Everything it still prints until its end.
+    pub(crate) fn rest_of_output(&mut self) -> String {
+        let rest: Vec<String> = self.lines.iter().collect();
+        rest.join("\n")
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
