--- a/crates/lab/tests/all/dev.rs
+++ b/crates/lab/tests/all/dev.rs
@@ -55,6 +55,8 @@
 #[tokio::test]
 async fn an_answer_is_whole_and_the_stop_is_clean(#[case] deployment: &'static str) {
     let mut dev = dev(deployment).await;
+    let models = dev.caller.get("/v1/models").await.json();
+    assert_eq!(models["data"][0]["id"], dev.model);
     let body = json!({"model": dev.model, "messages": [{"role": "user", "content": "hello"}]});
     let answer = dev.caller.post(CHAT, &body).await;
     assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
