Test decoders and node with hostile bytes and messages

Cause: an arbitrary message with a huge term made the node's counting overflow (found by the new property test; a debug build panics, a release build would wrap its term to 0).

Change: messages whose terms, indexes or offsets no member can have reached are dropped. Property tests decode random and mutated bytes as every message type, bound the size of what is decoded, and feed arbitrary messages into clusters.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -25,6 +25,7 @@
 mod membership;
 mod node;
 mod pending_log;
+mod plausible;
 mod progress;
 mod reads;
 mod ready;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -21,6 +21,7 @@
     log_view::LogView,
     membership::{self, MembershipHistory},
     pending_log::PendingLog,
+    plausible,
     ready::ReceivedChunk,
     settings::Settings,
     status::{PeerStatus, Role, Status},
@@ -174,7 +175,7 @@
     /// Takes a message of another member. Messages that are for another disk,
     /// late, or not well-formed are dropped.
     pub fn step(&mut self, message: ConsensusMessage, log: &dyn LogView) {
-        if !self.is_addressed(&message) {
+        if !self.is_addressed(&message) || !plausible::is_plausible(&message) {
             return;
         }
         self.touched = true;
--- a/crates/consensus/tests/all/cluster.rs
+++ b/crates/consensus/tests/all/cluster.rs
@@ -250,6 +250,13 @@
 
     fn install(&mut self, id: MemberId, meta: &SnapshotMeta) {
         let member = self.members.get_mut(&id).expect("a known member");
+        if decode_commands(&member.disk.partial_data).is_none() {
+            member.disk.discard_partial();
+            member.synced_disk.discard_partial();
+            let node = member.node.as_mut().expect("the member is up");
+            node.report_snapshot_refused();
+            return;
+        }
         member.disk.install(meta);
         member.synced_disk = member.disk.clone();
         member.restore_state_machine();
@@ -531,7 +538,7 @@
     fn restore_state_machine(&mut self) {
         let snapshot = &self.disk.snapshot;
         self.applied = LogIndex(snapshot.meta.index);
-        self.commands = decode_commands(&snapshot.data);
+        self.commands = decode_commands(&snapshot.data).expect("it was checked when received");
         self.applied_membership = if snapshot.meta.index == 0 {
             self.initial.clone()
         } else {
@@ -565,12 +572,14 @@
     data
 }
 
-fn decode_commands(mut data: &[u8]) -> Vec<Vec<u8>> {
+/// `None` when the data is no snapshot.
+fn decode_commands(mut data: &[u8]) -> Option<Vec<Vec<u8>>> {
     let mut commands = Vec::new();
     while let Some((length, rest)) = data.split_first_chunk::<4>() {
-        let (command, rest) = rest.split_at(u32::from_le_bytes(*length) as usize);
+        let length = u32::from_le_bytes(*length) as usize;
+        let (command, rest) = rest.split_at_checked(length)?;
         commands.push(command.to_vec());
         data = rest;
     }
-    commands
+    data.is_empty().then_some(commands)
 }
--- a/crates/consensus/tests/all/disk.rs
+++ b/crates/consensus/tests/all/disk.rs
@@ -92,6 +92,12 @@
         });
     }
 
+    /// Drops a received snapshot that turned out to be damaged.
+    pub(crate) fn discard_partial(&mut self) {
+        self.partial = None;
+        self.partial_data.clear();
+    }
+
     /// Replaces the log by the received snapshot, keeping what follows it.
     pub(crate) fn install(&mut self, meta: &SnapshotMeta) {
         let data = std::mem::take(&mut self.partial_data);
--- a/crates/consensus/tests/all/main.rs
+++ b/crates/consensus/tests/all/main.rs
@@ -3,6 +3,8 @@
 mod cluster;
 mod disk;
 mod elections;
+mod hostile_input;
+mod messages;
 mod random_faults;
 mod repair;
 mod replication;
