Add the control member: log, consensus and ledger without a network

It is fed with time, messages and calls and works between two flushes, so that all proposals fed together share one sync. It forms a cluster only on blank disks of all machines, admits every other disk as a learner, refuses changes while a quorum would be smaller than that of the full membership, and tells a change that was certainly not stored from one whose outcome is unknown. A full disk refuses new work and blocks nobody else.

--- /dev/null
+++ b/crates/control/src/member/settings.rs
@@ -0,0 +1,70 @@
+//! Settings and time of a member.
+
+use linnethitch_consensus::SafetyOverrides;
+use linnethitch_protocol::ids::{MachineId, Timestamp};
+
+/// Default size of the log at which a snapshot is taken, in bytes.
+const DEFAULT_SNAPSHOT_LOG_BYTES: u64 = 64 * 1024 * 1024;
+/// Default free space below which new work is refused, in bytes.
+const DEFAULT_RESERVED_BYTES: u64 = 64 * 1024 * 1024;
+/// Default time after which an unanswered call is given up, in milliseconds.
+const DEFAULT_CALL_TIMEOUT_MS: u64 = 5_000;
+
+/// Settings of a member.
+#[derive(Clone, Debug)]
+pub struct MemberSettings {
+    /// Name of the cluster.
+    pub cluster: String,
+    /// This machine.
+    pub machine: MachineId,
+    /// All machines set aside for control, this one included.
+    pub machines: Vec<MachineId>,
+    /// Whether a new cluster may be started when the disks of all machines are blank.
+    pub bootstrap: bool,
+    /// Where gateways attach to this member; told to the others.
+    pub attach_address: String,
+    /// Size of the log at which a snapshot is taken, in bytes.
+    pub snapshot_log_bytes: u64,
+    /// Free space below which new work is refused, in bytes.
+    pub reserved_bytes: u64,
+    /// Time after which an unanswered call is given up, in milliseconds.
+    pub call_timeout_ms: u64,
+    /// Seed of the election jitter.
+    pub seed: u64,
+    /// Safety rules that are switched off; none in a running system.
+    #[doc(hidden)]
+    pub safety: SafetyOverrides,
+}
+
+impl MemberSettings {
+    /// Settings with the defaults of a running system; `machine` is one of `machines`.
+    #[must_use]
+    pub fn new(cluster: &str, machine: MachineId, machines: Vec<MachineId>) -> Self {
+        MemberSettings {
+            cluster: cluster.to_owned(),
+            machine,
+            machines,
+            bootstrap: false,
+            attach_address: String::new(),
+            snapshot_log_bytes: DEFAULT_SNAPSHOT_LOG_BYTES,
+            reserved_bytes: DEFAULT_RESERVED_BYTES,
+            call_timeout_ms: DEFAULT_CALL_TIMEOUT_MS,
+            seed: 0,
+            safety: SafetyOverrides::default(),
+        }
+    }
+
+    /// Voters that must store an entry before it is acknowledged, at the full membership.
+    pub(crate) fn full_quorum(&self) -> usize {
+        self.machines.len() / 2 + 1
+    }
+}
+
+/// The driver's clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberTime {
+    /// A clock that never falls or jumps, in milliseconds from any start.
+    pub monotonic_ms: u64,
+    /// The machine's time of day, which may be off.
+    pub wall: Timestamp,
+}
--- /dev/null
+++ b/crates/control/src/member/snapshots.rs
@@ -0,0 +1,210 @@
+//! Snapshots of the ledger: written bit by bit, restored, received from the leader.
+
+use error_stack::Report;
+use linnethitch_consensus::ReceivedChunk;
+use linnethitch_errors::ErrorKind;
+use linnethitch_ledger::{Ledger, Restorer, SnapshotScope, SnapshotWriter as LedgerWriter};
+use linnethitch_protocol::{
+    consensus::{Membership, SnapshotMeta},
+    ids::LogIndex,
+};
+use linnethitch_storage::{MemoryPayloads, SnapshotWriter as FileWriter};
+
+use super::{core::Member, log_store::LogStore, output::MemberNotice};
+
+/// Bytes that are read at once from a snapshot.
+const READ_BYTES: usize = 1024 * 1024;
+/// Bytes of a snapshot written between two flushes, so that none takes long.
+const WRITE_BYTES_PER_FLUSH: usize = 4 * 1024 * 1024;
+
+/// The state as of the newest snapshot on disk.
+pub(super) struct RestoredLedger {
+    pub(super) ledger: Ledger,
+    pub(super) applied: LogIndex,
+    pub(super) membership: Membership,
+}
+
+/// A snapshot being written.
+pub(super) struct SnapshotBuild {
+    meta: SnapshotMeta,
+    ledger: LedgerWriter,
+    file: FileWriter,
+}
+
+/// Reads the newest snapshot; an empty ledger where there is none.
+pub(super) fn restore_ledger(
+    store: &LogStore,
+    first_membership: Membership,
+) -> Result<RestoredLedger, Report<ErrorKind>> {
+    let Some(info) = store.snapshots.latest() else {
+        return Ok(RestoredLedger {
+            ledger: Ledger::new(Box::new(MemoryPayloads::default())),
+            applied: LogIndex(0),
+            membership: first_membership,
+        });
+    };
+    let index = info.meta.index;
+    Ok(RestoredLedger {
+        ledger: read_ledger(store, index)?,
+        applied: index,
+        membership: info.meta.membership.clone(),
+    })
+}
+
+fn read_ledger(store: &LogStore, index: LogIndex) -> Result<Ledger, Report<ErrorKind>> {
+    let mut restorer = Restorer::new(Box::new(MemoryPayloads::default()));
+    let mut offset = 0;
+    loop {
+        let piece = store.snapshots.read_content(index, offset, READ_BYTES)?;
+        if piece.is_empty() {
+            return restorer.finish();
+        }
+        offset += piece.len() as u64;
+        restorer.push(&piece)?;
+    }
+}
+
+impl Member {
+    /// Begins a snapshot when the log has grown enough, and goes on with one begun.
+    pub(super) fn snapshot_if_due(&mut self) -> Result<(), Report<ErrorKind>> {
+        if self.snapshot_build.is_none() && self.is_snapshot_due() {
+            self.begin_snapshot()?;
+        }
+        let Some(mut build) = self.snapshot_build.take() else {
+            return Ok(());
+        };
+        match self.continue_snapshot(&mut build) {
+            Ok(false) => self.snapshot_build = Some(build),
+            Ok(true) => self.finish_snapshot(build)?,
+            Err(report) if *report.current_context() == ErrorKind::StorageFull => {
+                self.store.snapshots.abandon(build.file)?;
+                self.snapshot_retry_bytes = self.store.log.disk_bytes();
+            }
+            Err(report) => return Err(report),
+        }
+        Ok(())
+    }
+
+    /// The log is as long as the settings allow since the last snapshot.
+    fn is_snapshot_due(&self) -> bool {
+        let log_bytes = self.store.log.disk_bytes();
+        let grown = log_bytes.saturating_sub(self.snapshot_retry_bytes);
+        grown >= self.settings.snapshot_log_bytes && self.applied > self.newest_snapshot()
+    }
+
+    fn newest_snapshot(&self) -> LogIndex {
+        let latest = self.store.snapshots.latest();
+        latest.map_or(LogIndex(0), |info| info.meta.index)
+    }
+
+    fn begin_snapshot(&mut self) -> Result<(), Report<ErrorKind>> {
+        let Some(term) = self.store.log.term(self.applied) else {
+            return Ok(());
+        };
+        let meta = SnapshotMeta {
+            index: self.applied,
+            term,
+            membership: self.applied_membership.clone(),
+        };
+        let file = match self.store.snapshots.begin(meta.clone()) {
+            Ok(file) => file,
+            Err(report) if *report.current_context() == ErrorKind::StorageFull => {
+                self.snapshot_retry_bytes = self.store.log.disk_bytes();
+                return Ok(());
+            }
+            Err(report) => return Err(report),
+        };
+        self.snapshot_build = Some(SnapshotBuild {
+            meta,
+            ledger: self.ledger.snapshot_writer(SnapshotScope::Transfer),
+            file,
+        });
+        Ok(())
+    }
+
+    /// Writes the next part; true when the content is complete.
+    fn continue_snapshot(&self, build: &mut SnapshotBuild) -> Result<bool, Report<ErrorKind>> {
+        let mut written = 0;
+        while written < WRITE_BYTES_PER_FLUSH {
+            let Some(chunk) = self.ledger.next_snapshot_chunk(&mut build.ledger)? else {
+                return Ok(true);
+            };
+            build.file.write(&chunk)?;
+            written += chunk.len();
+        }
+        Ok(false)
+    }
+
+    fn finish_snapshot(&mut self, build: SnapshotBuild) -> Result<(), Report<ErrorKind>> {
+        let info = self.store.snapshots.finish(build.file)?;
+        self.notice(MemberNotice::SnapshotStored {
+            index: build.meta.index,
+            bytes: info.file_bytes,
+        });
+        self.compact_log()
+    }
+
+    /// Gives the log back up to the oldest snapshot that is kept.
+    fn compact_log(&mut self) -> Result<(), Report<ErrorKind>> {
+        if let Some(oldest) = self.store.snapshots.oldest() {
+            let SnapshotMeta { index, term, .. } = oldest.meta;
+            self.store.log.compact_to(index, term)?;
+        }
+        self.snapshot_retry_bytes = self.store.log.disk_bytes();
+        Ok(())
+    }
+
+    /// Stores a piece of the leader's snapshot and installs it when it is whole.
+    pub(super) fn receive_snapshot_chunk(
+        &mut self,
+        chunk: &ReceivedChunk,
+    ) -> Result<(), Report<ErrorKind>> {
+        let ReceivedChunk {
+            meta,
+            offset,
+            data,
+            last,
+            ..
+        } = chunk;
+        let received = self.store.snapshots.receive(meta, *offset, data, *last);
+        let progress = match received {
+            Ok(progress) => progress,
+            Err(report) if *report.current_context() == ErrorKind::StorageFull => {
+                self.node.report_snapshot_refused();
+                return Ok(());
+            }
+            Err(report) => return Err(report),
+        };
+        let expected = offset + data.len() as u64;
+        if progress.installed.is_some() {
+            self.install_snapshot(meta)
+        } else {
+            if *last || progress.next_offset != expected {
+                self.node.report_snapshot_refused();
+            }
+            Ok(())
+        }
+    }
+
+    fn install_snapshot(&mut self, meta: &SnapshotMeta) -> Result<(), Report<ErrorKind>> {
+        if let Some(build) = self.snapshot_build.take() {
+            self.store.snapshots.abandon(build.file)?;
+        }
+        self.ledger = read_ledger(&self.store, meta.index)?;
+        self.applied = meta.index;
+        self.applied_membership = meta.membership.clone();
+        if self.store.log.term(meta.index) == Some(meta.term) {
+            self.store.log.sync()?;
+            self.store.log.compact_to(meta.index, meta.term)?;
+        } else {
+            self.store.log.reset_to(meta.index, meta.term)?;
+        }
+        self.snapshot_retry_bytes = self.store.log.disk_bytes();
+        for due in self.calls.skip_proposed_through(meta.index) {
+            self.answer(due.origin, due.body);
+        }
+        self.node.report_snapshot_installed(meta, &self.store);
+        self.notice(MemberNotice::SnapshotInstalled(meta.index));
+        Ok(())
+    }
+}
--- a/crates/protocol/src/attach.rs
+++ b/crates/protocol/src/attach.rs
@@ -233,14 +233,25 @@
     pub loads: Vec<ReplicaLoad>,
     /// Replicas under suspicion.
     pub suspects: Vec<ReplicaId>,
-    /// Wishes for batch capacity, by gateway.
-    pub wishes: Vec<(GatewayId, Vec<GrantWish>)>,
+    /// Wishes for batch capacity.
+    pub wishes: Vec<GatewayWishes>,
     /// Term of the leader whose fleet the sender holds.
     pub fleet_term: Term,
     /// Version of that fleet.
     pub fleet_version: u64,
 }
 
+/// A gateway's wishes for batch capacity.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct GatewayWishes {
+    /// Which gateway.
+    pub gateway: GatewayId,
+    /// Where it is.
+    pub zone: ZoneId,
+    /// What it wishes for.
+    pub wishes: Vec<GrantWish>,
+}
+
 /// What the leader tells members for their gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct LeaderBroadcast {
