--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,99 @@
+//! Running gateway processes until a signal ends them.
+
+use std::future::Future;
+
+use linnethitch_config::settings::{GatewaySettings, SettingsError, read_cluster_key};
+use linnethitch_errors::ErrorKind;
+use linnethitch_gateway::process::GatewayProcess;
+use linnethitch_observability::log::Logging;
+use slog::{Logger, info, warn};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{
+    exit::{CommandError, ExitStatus},
+    options::GatewayOptions,
+};
+
+/// Runs a gateway.
+pub(crate) fn gateway(options: GatewayOptions) -> Result<ExitStatus, CommandError> {
+    let settings =
+        GatewaySettings::load(options.settings.as_deref(), options.values()).map_err(refused)?;
+    read_cluster_key(&settings.cluster_key_file).map_err(refused)?;
+    let logging = Logging::to_stderr(&settings.log);
+    let logger = logging.logger();
+    server_runtime()?.block_on(async {
+        let mut signals = StopSignals::listen()?;
+        let process = GatewayProcess::start(settings, logger.clone())
+            .await
+            .map_err(|report| start_error(&report))?;
+        println!("gateway listens on {}", process.address());
+        signals.first(&logger).await;
+        stopped(process.stop(), &mut signals, &logger).await
+    })
+}
+
+fn server_runtime() -> Result<tokio::runtime::Runtime, CommandError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| CommandError::failed(format!("cannot start: {error}")))
+}
+
+fn refused(error: SettingsError) -> CommandError {
+    CommandError::refused(error.to_string())
+}
+
+fn start_error(report: &error_stack::Report<ErrorKind>) -> CommandError {
+    let kind = *report.current_context();
+    CommandError::from_kind(kind, format!("cannot start: {report:?}"))
+}
+
+/// Waits for a planned stop; a second signal gives it up.
+async fn stopped(
+    stop: impl Future<Output = ()>,
+    signals: &mut StopSignals,
+    logger: &Logger,
+) -> Result<ExitStatus, CommandError> {
+    tokio::select! {
+        () = stop => {
+            info!(logger, "stopped");
+            Ok(ExitStatus::Done)
+        }
+        () = signals.next() => {
+            warn!(logger, "second signal; work in progress is cut off");
+            Err(CommandError::failed("stopped by a second signal"))
+        }
+    }
+}
+
+/// SIGINT and SIGTERM.
+struct StopSignals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> Result<Self, CommandError> {
+        let listen = |kind| {
+            signal(kind).map_err(|error| {
+                CommandError::failed(format!("cannot listen for signals: {error}"))
+            })
+        };
+        Ok(StopSignals {
+            interrupt: listen(SignalKind::interrupt())?,
+            terminate: listen(SignalKind::terminate())?,
+        })
+    }
+
+    async fn first(&mut self, logger: &Logger) {
+        self.next().await;
+        info!(logger, "signal; stopping once work in progress is finished");
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the command line: the program is run as a process.
+
+mod apply;
+mod explain;
+mod files;
+mod help;
+mod program;
+mod scripted_server;
+mod status;
