Attach gateways to control; files and batch jobs over the callers' interface

Updates of the configuration are checked as a whole, stored and synced, put in force and only then confirmed; the follower that decides this has no input or output. Calls to control are sent again over the next connection until they are answered.

--- /dev/null
+++ b/crates/gateway/src/configuration/follower.rs
@@ -0,0 +1,171 @@
+//! Follows the configuration revisions that control sends, without any input or output.
+//!
+//! The follower holds the newest configuration that is stored and synced. An
+//! update is checked as a whole; only then is it given out to be stored, and
+//! only once it is stored does it count. It never steps back.
+
+use linnethitch_config::{digest::content_digest, fleet::Fleet};
+use linnethitch_protocol::{
+    attach::{ConfigurationUpdate, TextEdit},
+    ids::Revision,
+    text_edit::apply_edits,
+};
+
+/// A configuration with its revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredConfiguration {
+    /// Its revision.
+    pub revision: Revision,
+    /// Digest of the text.
+    pub digest: u64,
+    /// The operator's file.
+    pub content: String,
+}
+
+/// What is to be done with an update.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FollowerAction {
+    /// It is older than what is held, or the same: nothing changes. Confirm what is held.
+    ConfirmHeld(Revision),
+    /// Store and sync it, put the fleet in force, then call [`Follower::on_stored`].
+    Store(StoredConfiguration, Box<Fleet>),
+    /// It does not fit what is held: attach anew, asking for the whole text.
+    AskForWhole(UpdateFault),
+}
+
+/// Why an update cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpdateFault {
+    /// The delta builds on another revision.
+    OtherBase {
+        /// The revision that it builds on.
+        expected: Revision,
+        /// The revision that is held.
+        held: Revision,
+    },
+    /// The edits do not fit the text.
+    EditsDoNotFit,
+    /// The text does not have the digest that was sent with it.
+    DigestDiffers,
+    /// Another text under the revision that is held.
+    OtherContent(Revision),
+    /// The text is not a valid fleet file; the message says why.
+    Invalid(String),
+}
+
+/// The newest stored configuration and the rules for replacing it.
+#[derive(Clone, Debug, Default)]
+pub struct Follower {
+    held: Option<StoredConfiguration>,
+}
+
+impl Follower {
+    /// A follower that holds what was stored before the process started.
+    #[must_use]
+    pub fn new(held: Option<StoredConfiguration>) -> Self {
+        Follower { held }
+    }
+
+    /// What is held, if anything.
+    #[must_use]
+    pub fn held(&self) -> Option<&StoredConfiguration> {
+        self.held.as_ref()
+    }
+
+    /// The revision held; 0 when none is.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.held.as_ref().map_or(Revision(0), |held| held.revision)
+    }
+
+    /// The digest held; 0 when none is.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.digest)
+    }
+
+    /// Decides what to do with an update.
+    #[must_use]
+    pub fn on_update(&self, update: &ConfigurationUpdate) -> FollowerAction {
+        match update {
+            ConfigurationUpdate::Full {
+                revision,
+                content,
+                digest,
+            } => self.on_text(*revision, content.clone(), *digest),
+            ConfigurationUpdate::Delta {
+                from,
+                to,
+                edits,
+                digest,
+            } => self.on_delta(*from, *to, edits, *digest),
+        }
+    }
+
+    /// The configuration is stored and synced: from now on it is held.
+    pub fn on_stored(&mut self, stored: StoredConfiguration) {
+        if stored.revision > self.revision() {
+            self.held = Some(stored);
+        }
+    }
+
+    fn on_delta(
+        &self,
+        from: Revision,
+        to: Revision,
+        edits: &[TextEdit],
+        digest: u64,
+    ) -> FollowerAction {
+        let held = self.revision();
+        if to <= held {
+            return FollowerAction::ConfirmHeld(held);
+        }
+        let Some(base) = self.text_of(from) else {
+            return FollowerAction::AskForWhole(UpdateFault::OtherBase {
+                expected: from,
+                held,
+            });
+        };
+        match apply_edits(base, edits) {
+            Ok(content) => self.on_text(to, content, digest),
+            Err(_) => FollowerAction::AskForWhole(UpdateFault::EditsDoNotFit),
+        }
+    }
+
+    /// The text of a revision, if it is held; revision 0 is the empty text.
+    fn text_of(&self, revision: Revision) -> Option<&str> {
+        if revision == Revision(0) {
+            return Some("");
+        }
+        let held = self.held.as_ref()?;
+        (held.revision == revision).then_some(held.content.as_str())
+    }
+
+    fn on_text(&self, revision: Revision, content: String, digest: u64) -> FollowerAction {
+        let held = self.revision();
+        if revision < held {
+            return FollowerAction::ConfirmHeld(held);
+        }
+        if content_digest(&content) != digest {
+            return FollowerAction::AskForWhole(UpdateFault::DigestDiffers);
+        }
+        if revision == held {
+            return if digest == self.digest() || revision == Revision(0) {
+                FollowerAction::ConfirmHeld(held)
+            } else {
+                FollowerAction::AskForWhole(UpdateFault::OtherContent(revision))
+            };
+        }
+        match Fleet::parse(&content) {
+            Ok(fleet) => {
+                let stored = StoredConfiguration {
+                    revision,
+                    digest,
+                    content,
+                };
+                FollowerAction::Store(stored, Box::new(fleet))
+            }
+            Err(error) => FollowerAction::AskForWhole(UpdateFault::Invalid(error.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/configuration/store.rs
@@ -0,0 +1,59 @@
+//! The stored configuration on disk.
+
+use std::{path::Path, sync::Arc};
+
+use error_stack::{Report, ResultExt};
+use linnethitch_config::digest::content_digest;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::ids::Revision;
+use linnethitch_storage::{RealFileSystem, RevisionFile};
+
+use crate::configuration::follower::StoredConfiguration;
+
+/// Name of the file in the data folder.
+const FILE_NAME: &str = "configuration";
+/// Bytes of the revision before the text.
+const REVISION_BYTES: usize = size_of::<u64>();
+
+/// The file that holds the newest configuration.
+pub(crate) struct ConfigurationStore {
+    file: RevisionFile,
+}
+
+impl ConfigurationStore {
+    /// Opens the store in a data folder; nothing is read yet.
+    pub(crate) fn open(data_dir: &Path) -> Result<Self, Report<ErrorKind>> {
+        let file_system = RealFileSystem::new(data_dir)?;
+        Ok(ConfigurationStore {
+            file: RevisionFile::new(Arc::new(file_system), FILE_NAME),
+        })
+    }
+
+    /// What was stored last. Blocks.
+    pub(crate) fn load(&self) -> Result<Option<StoredConfiguration>, Report<ErrorKind>> {
+        self.file.load()?.map(|bytes| decode(&bytes)).transpose()
+    }
+
+    /// Stores and syncs. Blocks.
+    pub(crate) fn store(
+        &self,
+        configuration: &StoredConfiguration,
+    ) -> Result<(), Report<ErrorKind>> {
+        let mut bytes = Vec::with_capacity(REVISION_BYTES + configuration.content.len());
+        bytes.extend_from_slice(&configuration.revision.0.to_le_bytes());
+        bytes.extend_from_slice(configuration.content.as_bytes());
+        self.file.store(&bytes)
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<StoredConfiguration, Report<ErrorKind>> {
+    let (revision, content) = bytes.split_first_chunk::<REVISION_BYTES>().ok_or_else(|| {
+        Report::new(ErrorKind::Corrupted).attach("the stored configuration is too short")
+    })?;
+    let content = String::from_utf8(content.to_vec()).change_context(ErrorKind::Corrupted)?;
+    Ok(StoredConfiguration {
+        revision: Revision(u64::from_le_bytes(*revision)),
+        digest: content_digest(&content),
+        content,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/control/client.rs
@@ -0,0 +1,227 @@
+//! Calls to control with timeouts and safe resends.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::{
+    attach::{ControlAnswer, ControlCall, GatewayMessage},
+    command::{CommandBody, Outcome},
+    ids::CallId,
+    query::{Query, QueryAnswer},
+};
+use linnethitch_transport::MessageSender;
+use parking_lot::Mutex;
+use tokio::{
+    sync::{Semaphore, oneshot, watch},
+    time::{Instant, timeout_at},
+};
+
+/// Longest time for a call whose caller names none.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Wait before a call that was refused for the moment is sent again.
+const RESEND_DELAY: Duration = Duration::from_millis(50);
+/// Calls under way at once.
+const MAX_CALLS: usize = 256;
+/// When a caller should come back after control could not be reached.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// An open connection to a control member.
+#[derive(Clone, Debug)]
+pub(crate) struct Link {
+    number: u64,
+    sender: MessageSender<GatewayMessage>,
+}
+
+/// Sends calls over whichever connection is open. Clones share it.
+#[derive(Clone)]
+pub(crate) struct ControlClient {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    next_call: AtomicU64,
+    next_link: AtomicU64,
+    pending: Mutex<HashMap<CallId, oneshot::Sender<ControlAnswer>>>,
+    link: watch::Sender<Option<Link>>,
+    permits: Semaphore,
+}
+
+/// Takes a call out of the pending ones whichever way it ends.
+struct PendingCall<'a> {
+    shared: &'a Shared,
+    call: CallId,
+}
+
+impl Drop for PendingCall<'_> {
+    fn drop(&mut self) {
+        self.shared.pending.lock().remove(&self.call);
+    }
+}
+
+impl ControlClient {
+    /// A client without a connection.
+    pub(crate) fn new() -> Self {
+        ControlClient {
+            shared: Arc::new(Shared {
+                next_call: AtomicU64::new(1),
+                next_link: AtomicU64::new(1),
+                pending: Mutex::default(),
+                link: watch::Sender::new(None),
+                permits: Semaphore::new(MAX_CALLS),
+            }),
+        }
+    }
+
+    /// Puts a connection in use; calls under way are sent again over it.
+    pub(crate) fn set_link(&self, sender: MessageSender<GatewayMessage>) {
+        let number = self.shared.next_link.fetch_add(1, Ordering::Relaxed);
+        self.shared.link.send_replace(Some(Link { number, sender }));
+    }
+
+    /// The connection is gone.
+    pub(crate) fn clear_link(&self) {
+        self.shared.link.send_replace(None);
+    }
+
+    /// Whether a connection is open.
+    pub(crate) fn is_attached(&self) -> bool {
+        self.shared.link.borrow().is_some()
+    }
+
+    /// Sends a message that is not a call, if a connection is open and has room.
+    pub(crate) fn notify(&self, message: &GatewayMessage) -> bool {
+        let link = self.shared.link.borrow().clone();
+        link.is_some_and(|link| link.sender.try_send(message).is_ok())
+    }
+
+    /// Hands the answer to the call that waits for it.
+    pub(crate) fn on_answer(&self, call: CallId, answer: ControlAnswer) {
+        if let Some(waiting) = self.shared.pending.lock().remove(&call) {
+            let _ = waiting.send(answer);
+        }
+    }
+
+    /// Commits a command. It is sent again until it is answered or the time is over; all
+    /// commands bear that, since each names what it makes.
+    pub(crate) async fn propose(&self, command: CommandBody) -> Result<Outcome, Failure> {
+        self.propose_within(command, CALL_TIMEOUT).await
+    }
+
+    /// Commits a command within a time.
+    pub(crate) async fn propose_within(
+        &self,
+        command: CommandBody,
+        time: Duration,
+    ) -> Result<Outcome, Failure> {
+        match self.call(ControlCall::Propose(command), true, time).await? {
+            ControlAnswer::Outcome(Outcome::Refused(refusal)) => Err(refusal.into()),
+            ControlAnswer::Outcome(outcome) => Ok(outcome),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Reads.
+    pub(crate) async fn query(&self, query: Query) -> Result<QueryAnswer, Failure> {
+        match self
+            .call(ControlCall::Query(query), false, CALL_TIMEOUT)
+            .await?
+        {
+            ControlAnswer::Answer(answer) => Ok(answer),
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn call(
+        &self,
+        body: ControlCall,
+        changes: bool,
+        time: Duration,
+    ) -> Result<ControlAnswer, Failure> {
+        let deadline = Instant::now() + time;
+        let _permit = timeout_at(deadline, self.shared.permits.acquire())
+            .await
+            .map_err(|_| unavailable())?;
+        let mut may_have_run = false;
+        loop {
+            let attempt = self.call_once(&body, &mut may_have_run);
+            match timeout_at(deadline, attempt).await {
+                Ok(Some(ControlAnswer::Refused(refusal))) => {
+                    if !is_passing(refusal.kind()) {
+                        return Err(refusal.into());
+                    }
+                    may_have_run |= refusal.kind() == ErrorKind::ControlOutcomeUnknown;
+                }
+                Ok(Some(answer)) => return Ok(answer),
+                Ok(None) => {}
+                Err(_) if changes && may_have_run => return Err(outcome_unknown()),
+                Err(_) => return Err(unavailable()),
+            }
+            tokio::time::sleep(RESEND_DELAY).await;
+        }
+    }
+
+    /// One send over one connection; `None` when the connection was lost.
+    async fn call_once(
+        &self,
+        body: &ControlCall,
+        may_have_run: &mut bool,
+    ) -> Option<ControlAnswer> {
+        let mut links = self.shared.link.subscribe();
+        let link = links.wait_for(Option::is_some).await.ok()?.clone()?;
+        let call = CallId(self.shared.next_call.fetch_add(1, Ordering::Relaxed));
+        let (sender, answer) = oneshot::channel();
+        self.shared.pending.lock().insert(call, sender);
+        let _pending = PendingCall {
+            shared: &self.shared,
+            call,
+        };
+        let message = GatewayMessage::Call {
+            call,
+            body: body.clone(),
+        };
+        link.sender.send(&message).await.ok()?;
+        *may_have_run = true;
+        tokio::select! {
+            answer = answer => answer.ok(),
+            _ = links.wait_for(|current| current.as_ref().map(|now| now.number) != Some(link.number)) => None,
+        }
+    }
+}
+
+/// Whether a refusal may be over at the next try.
+fn is_passing(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::ControlUnavailable | ErrorKind::ControlOutcomeUnknown
+    )
+}
+
+fn unavailable() -> Failure {
+    Failure::new(
+        ErrorKind::ControlUnavailable,
+        "control could not be reached",
+    )
+    .with_retry_after(RETRY_AFTER)
+}
+
+fn outcome_unknown() -> Failure {
+    Failure::new(
+        ErrorKind::ControlOutcomeUnknown,
+        "the change was sent to control and its answer was lost",
+    )
+    .with_retry_after(RETRY_AFTER)
+}
+
+pub(crate) fn unexpected() -> Failure {
+    Failure::new(
+        ErrorKind::Internal,
+        "control gave an answer to another question",
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/control/events.rs
@@ -0,0 +1,97 @@
+//! What a gateway does with the messages of control.
+
+use std::sync::Arc;
+
+use linnethitch_protocol::{
+    attach::{ConfigurationUpdate, ControlMessage, GatewayMessage},
+    fleet::ReplicaInfo,
+    ids::{ReplicaId, Revision},
+};
+use slog::{error, info, warn};
+
+use crate::{
+    configuration::follower::{FollowerAction, StoredConfiguration},
+    control::attachment::AfterMessage,
+    state::Gateway,
+};
+
+impl Gateway {
+    /// Takes in one message.
+    pub(crate) async fn on_control_message(
+        self: &Arc<Self>,
+        message: ControlMessage,
+    ) -> AfterMessage {
+        match message {
+            ControlMessage::Configuration(update) => return self.on_configuration(&update).await,
+            ControlMessage::Replicas {
+                full,
+                changed,
+                removed,
+            } => self.on_replicas(full, changed, &removed),
+            ControlMessage::Loads(loads) => {
+                for known in loads {
+                    self.decisions.on_load(&known.replica, known.load);
+                }
+                self.decisions.serve_queues();
+            }
+            ControlMessage::Answer { call, body } => self.control.on_answer(call, body),
+            ControlMessage::Attached { .. }
+            | ControlMessage::Freshness { .. }
+            | ControlMessage::Grants(_)
+            | ControlMessage::CancelJobs(_) => {}
+        }
+        AfterMessage::Continue
+    }
+
+    fn on_replicas(self: &Arc<Self>, full: bool, changed: Vec<ReplicaInfo>, removed: &[ReplicaId]) {
+        if full {
+            self.decisions.set_replicas(changed);
+        } else {
+            self.decisions.update_replicas(changed, removed);
+        }
+        self.on_first_replicas();
+    }
+
+    async fn on_configuration(self: &Arc<Self>, update: &ConfigurationUpdate) -> AfterMessage {
+        let action = self.follower.lock().on_update(update);
+        match action {
+            FollowerAction::ConfirmHeld(revision) => self.confirm(revision),
+            FollowerAction::AskForWhole(fault) => {
+                warn!(self.logger, "configuration update not used"; "fault" => ?fault);
+                return AfterMessage::AskForWhole;
+            }
+            FollowerAction::Store(stored, fleet) => {
+                if !self.store_configuration(stored.clone()).await {
+                    return AfterMessage::Continue;
+                }
+                let revision = stored.revision;
+                self.follower.lock().on_stored(stored);
+                self.put_in_force(revision, *fleet);
+                self.confirm(revision);
+                info!(self.logger, "configuration in force"; "revision" => revision.0);
+            }
+        }
+        AfterMessage::Continue
+    }
+
+    /// Stores and syncs off the request path; nothing is confirmed when it fails.
+    async fn store_configuration(self: &Arc<Self>, stored: StoredConfiguration) -> bool {
+        let gateway = Arc::clone(self);
+        let storing = tokio::task::spawn_blocking(move || match &gateway.store {
+            Some(store) => store.store(&stored),
+            None => Ok(()),
+        });
+        match storing.await {
+            Ok(Ok(())) => true,
+            Ok(Err(report)) => {
+                error!(self.logger, "configuration not stored"; "error" => ?report);
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn confirm(&self, revision: Revision) {
+        self.control.notify(&GatewayMessage::Confirm(revision));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,7 @@
+//! The connection to control: attachment, calls, session.
+
+pub(crate) mod attachment;
+pub(crate) mod client;
+mod events;
+pub mod members;
+pub(crate) mod session;
--- /dev/null
+++ b/crates/gateway/src/control/session.rs
@@ -0,0 +1,144 @@
+//! The gateway's session in the ledger: leases and claims live as long as it is renewed.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::{
+    command::{CommandBody, Outcome},
+    ids::{GatewayId, SessionEpoch, Timestamp},
+};
+use slog::{info, warn};
+use tokio::sync::watch;
+
+use crate::{control::client::unexpected, state::Gateway};
+
+/// Lease time before a configuration tells one.
+const DEFAULT_LEASE: Duration = Duration::from_secs(10);
+/// Renewals in one lease time.
+const RENEWALS_PER_LEASE: u32 = 3;
+/// Wait after a failed try to open a session.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// A session and the time until which it holds without another renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Session {
+    /// Its number in the ledger.
+    pub(crate) epoch: SessionEpoch,
+    /// What is leased under it must not run on after this time of the gateway's clock.
+    pub(crate) until: Timestamp,
+}
+
+/// The session as the other parts of the gateway see it.
+#[derive(Debug)]
+pub(crate) struct SessionState {
+    current: watch::Sender<Option<Session>>,
+}
+
+impl Default for SessionState {
+    fn default() -> Self {
+        SessionState {
+            current: watch::Sender::new(None),
+        }
+    }
+}
+
+impl SessionState {
+    /// The session, if it still holds at this time.
+    pub(crate) fn current(&self, now: Timestamp) -> Option<Session> {
+        self.current.borrow().filter(|session| now < session.until)
+    }
+
+    /// Waits until a session is open, at most for a while.
+    pub(crate) async fn wait(&self, time: Duration) -> Result<Session, Failure> {
+        let mut session = self.current.subscribe();
+        let opened = tokio::time::timeout(time, session.wait_for(Option::is_some)).await;
+        match opened {
+            Ok(Ok(found)) => (*found).ok_or_else(no_session),
+            _ => Err(no_session()),
+        }
+    }
+
+    fn set(&self, session: Option<Session>) {
+        self.current.send_replace(session);
+    }
+}
+
+fn no_session() -> Failure {
+    Failure::new(
+        ErrorKind::ControlUnavailable,
+        "control could not be reached",
+    )
+    .with_retry_after(Duration::from_secs(1))
+}
+
+/// Opens a session and renews it until the process stops.
+pub(crate) async fn keep(gateway: Arc<Gateway>) {
+    let id = GatewayId(gateway.settings.gateway_id.clone());
+    loop {
+        let nonce: u64 = rand::random();
+        if let Some(epoch) = open(&gateway, &id, nonce).await {
+            info!(gateway.logger, "session opened"; "session" => epoch.0);
+            renew_while_it_lasts(&gateway, &id, epoch).await;
+            gateway.session.set(None);
+            warn!(gateway.logger, "session lost"; "session" => epoch.0);
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+async fn open(gateway: &Gateway, id: &GatewayId, nonce: u64) -> Option<SessionEpoch> {
+    let command = CommandBody::OpenSession {
+        gateway: id.clone(),
+        nonce,
+    };
+    match gateway.control.propose(command).await {
+        Ok(Outcome::Session(epoch)) => Some(epoch),
+        _ => None,
+    }
+}
+
+/// Renews until the ledger refuses or the lease time runs out.
+async fn renew_while_it_lasts(gateway: &Gateway, id: &GatewayId, epoch: SessionEpoch) {
+    let clock = gateway.clock();
+    let mut until = clock.now();
+    loop {
+        let lease = lease_time(gateway);
+        let asked_at = clock.now();
+        let wanted = Timestamp(asked_at.0 + lease.as_millis() as u64);
+        let command = CommandBody::RenewSession {
+            gateway: id.clone(),
+            session: epoch,
+            until: wanted,
+        };
+        let left = clock.until(until).max(lease / RENEWALS_PER_LEASE);
+        match gateway.control.propose_within(command, left).await {
+            Ok(Outcome::Done) => {
+                until = wanted;
+                gateway.session.set(Some(Session { epoch, until }));
+            }
+            Ok(_) => return warn_unexpected(gateway),
+            Err(failure)
+                if failure.kind == ErrorKind::ControlUnavailable
+                    || failure.kind == ErrorKind::ControlOutcomeUnknown => {}
+            Err(_) => return,
+        }
+        if clock.now() >= until {
+            return;
+        }
+        tokio::time::sleep(lease / RENEWALS_PER_LEASE).await;
+    }
+}
+
+fn warn_unexpected(gateway: &Gateway) {
+    warn!(gateway.logger, "session not renewed"; "error" => %unexpected());
+}
+
+fn lease_time(gateway: &Gateway) -> Duration {
+    gateway
+        .configuration
+        .load()
+        .as_ref()
+        .map_or(DEFAULT_LEASE, |active| {
+            Duration::from_millis(active.fleet.batch.lease_ms)
+        })
+}
--- /dev/null
+++ b/crates/gateway/src/files/upload.rs
@@ -0,0 +1,179 @@
+//! `POST /v1/files`: an upload is checked line by line while its pieces go to control.
+
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use linnethitch_config::fleet::Fleet;
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::{
+    command::{CommandBody, Outcome},
+    ids::{FileId, ItemNumber, TenantId},
+    query::FileRecord,
+};
+
+use crate::{
+    control::client::{ControlClient, unexpected},
+    files::{
+        lines::{Checked, LineChecker},
+        object::FileObject,
+        source::Upload,
+    },
+    http::{
+        answer::json_response,
+        body::{body_too_large, check_announced_length},
+        incoming::Incoming,
+    },
+    identifiers::new_file_id,
+    state::Gateway,
+};
+
+/// The only purpose that is taken.
+const PURPOSE: &str = "batch";
+
+/// Takes an upload.
+pub(crate) async fn create(
+    gateway: &Arc<Gateway>,
+    incoming: Incoming,
+) -> Result<Response<Body>, Failure> {
+    let (active, tenant) = gateway.authenticate(&incoming.head)?;
+    let fleet = &active.fleet;
+    let max_bytes = fleet.batch.max_file_bytes;
+    check_announced_length(&incoming.head.headers, max_bytes)?;
+    let mut upload = Upload::open(incoming, max_bytes, active.body_limits().time).await?;
+    check_purpose(upload.purpose.as_deref())?;
+    let file = new_file_id();
+    let command = CommandBody::CreateFile {
+        file: file.clone(),
+        tenant: TenantId(tenant.name.clone()),
+        purpose: PURPOSE.to_owned(),
+        filename: upload.filename.clone(),
+    };
+    let mut unfinished = UnfinishedFile {
+        control: gateway.control.clone(),
+        tenant: TenantId(tenant.name.clone()),
+        file: Some(file.clone()),
+    };
+    gateway.control.propose(command).await?;
+    let mut writer = FileWriter::new(gateway.control.clone(), file);
+    writer.copy(&mut upload, fleet).await?;
+    check_purpose(upload.finish().await?.as_deref())?;
+    let record = writer.finish().await?;
+    unfinished.file = None;
+    Ok(json_response(StatusCode::OK, &FileObject::from(record)))
+}
+
+fn check_purpose(purpose: Option<&str>) -> Result<(), Failure> {
+    match purpose {
+        None | Some(PURPOSE) => Ok(()),
+        Some(_) => Err(
+            Failure::new(ErrorKind::InvalidValue, "`purpose` must be `batch`")
+                .with_param("purpose"),
+        ),
+    }
+}
+
+/// Deletes a file whose upload did not come to its end, whichever way that happened.
+struct UnfinishedFile {
+    control: ControlClient,
+    tenant: TenantId,
+    file: Option<FileId>,
+}
+
+impl Drop for UnfinishedFile {
+    fn drop(&mut self) {
+        let Some(file) = self.file.take() else {
+            return;
+        };
+        let control = self.control.clone();
+        let command = CommandBody::DeleteFile {
+            tenant: self.tenant.clone(),
+            file,
+        };
+        tokio::spawn(async move {
+            // The ledger drops it after a while if this does not get through.
+            let _ = control.propose(command).await;
+        });
+    }
+}
+
+/// Sends checked lines to control in pieces.
+struct FileWriter {
+    control: ControlClient,
+    file: FileId,
+    bytes: u64,
+    items: u32,
+}
+
+impl FileWriter {
+    fn new(control: ControlClient, file: FileId) -> Self {
+        FileWriter {
+            control,
+            file,
+            bytes: 0,
+            items: 0,
+        }
+    }
+
+    async fn copy(&mut self, upload: &mut Upload, fleet: &Fleet) -> Result<(), Failure> {
+        let mut checker = LineChecker::new(fleet);
+        let mut checked = Checked::default();
+        let mut received: u64 = 0;
+        while let Some(bytes) = upload.next().await? {
+            received += bytes.len() as u64;
+            if received > fleet.batch.max_file_bytes {
+                return Err(body_too_large(fleet.batch.max_file_bytes));
+            }
+            checker.push(&bytes);
+            while checker.check_next(fleet, &mut checked)? {
+                if checked.is_full() {
+                    self.send(&mut checked).await?;
+                }
+            }
+            // Checking is computation: let streams of other callers have their turn.
+            tokio::task::yield_now().await;
+        }
+        checker.finish(fleet, &mut checked)?;
+        if checker.items() == 0 {
+            return Err(
+                Failure::new(ErrorKind::InvalidValue, "the file has no lines").with_param("file"),
+            );
+        }
+        self.send(&mut checked).await
+    }
+
+    async fn send(&mut self, checked: &mut Checked) -> Result<(), Failure> {
+        let Checked { bytes, heads } = std::mem::take(checked);
+        if heads.is_empty() {
+            return Ok(());
+        }
+        let size = bytes.len() as u64;
+        let append = CommandBody::AppendFile {
+            file: self.file.clone(),
+            offset: self.bytes,
+            data: bytes,
+        };
+        self.control.propose(append).await?;
+        self.bytes += size;
+        let first = ItemNumber(self.items);
+        self.items += u32::try_from(heads.len()).unwrap_or(u32::MAX);
+        let index = CommandBody::IndexFile {
+            file: self.file.clone(),
+            first,
+            items: heads,
+        };
+        self.control.propose(index).await.map(drop)
+    }
+
+    async fn finish(self) -> Result<FileRecord, Failure> {
+        let finish = CommandBody::FinishFile {
+            file: self.file,
+            bytes: self.bytes,
+            items: Vec::new(),
+        };
+        match self.control.propose(finish).await? {
+            Outcome::File(record) => Ok(record),
+            _ => Err(unexpected()),
+        }
+    }
+}
--- a/crates/gateway/src/http/incoming.rs
+++ b/crates/gateway/src/http/incoming.rs
@@ -9,6 +9,14 @@
 
 /// A request taken out of gotham's state.
 pub(crate) struct Incoming {
+    /// Everything but the body.
+    pub(crate) head: RequestHead,
+    /// Its body, not yet read.
+    pub(crate) body: Body,
+}
+
+/// A request without its body.
+pub(crate) struct RequestHead {
     /// The id given to it on arrival.
     pub(crate) id: RequestId,
     /// Its method.
@@ -17,22 +25,25 @@
     pub(crate) uri: Uri,
     /// Its headers.
     pub(crate) headers: HeaderMap,
-    /// Its body, not yet read.
-    pub(crate) body: Body,
 }
 
 impl Incoming {
     /// Takes the request's parts; the state keeps none of them.
     pub(crate) fn take_from(state: &mut State) -> Self {
-        Incoming {
+        let head = RequestHead {
             id: RequestId(request_id(state).to_owned()),
             method: Method::borrow_from(state).clone(),
             uri: Uri::take_from(state),
             headers: HeaderMap::take_from(state),
+        };
+        Incoming {
+            head,
             body: Body::take_from(state),
         }
     }
+}
 
+impl RequestHead {
     /// The path's segment at a position, from 0.
     pub(crate) fn segment(&self, position: usize) -> &str {
         self.uri
@@ -47,4 +58,13 @@
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
+
+    /// A parameter of the query string, as it stands there.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        self.uri
+            .query()?
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
 }
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -26,6 +26,24 @@
     ListModels,
     /// `GET /v1/models/{id}`
     GetModel,
+    /// `POST /v1/files`
+    CreateFile,
+    /// `GET /v1/files`
+    ListFiles,
+    /// `GET /v1/files/{id}`
+    GetFile,
+    /// `DELETE /v1/files/{id}`
+    DeleteFile,
+    /// `GET /v1/files/{id}/content`
+    FileContent,
+    /// `POST /v1/batches`
+    CreateBatch,
+    /// `GET /v1/batches`
+    ListBatches,
+    /// `GET /v1/batches/{id}`
+    GetBatch,
+    /// `POST /v1/batches/{id}/cancel`
+    CancelBatch,
     /// `GET /healthz`
     Health,
     /// `GET /readyz`
@@ -87,6 +105,33 @@
         route
             .request(get(), "/v1/models/:model")
             .to_new_handler(to(Endpoint::GetModel));
+        route
+            .post("/v1/files")
+            .to_new_handler(to(Endpoint::CreateFile));
+        route
+            .request(get(), "/v1/files")
+            .to_new_handler(to(Endpoint::ListFiles));
+        route
+            .request(get(), "/v1/files/:file")
+            .to_new_handler(to(Endpoint::GetFile));
+        route
+            .delete("/v1/files/:file")
+            .to_new_handler(to(Endpoint::DeleteFile));
+        route
+            .request(get(), "/v1/files/:file/content")
+            .to_new_handler(to(Endpoint::FileContent));
+        route
+            .post("/v1/batches")
+            .to_new_handler(to(Endpoint::CreateBatch));
+        route
+            .request(get(), "/v1/batches")
+            .to_new_handler(to(Endpoint::ListBatches));
+        route
+            .request(get(), "/v1/batches/:batch")
+            .to_new_handler(to(Endpoint::GetBatch));
+        route
+            .post("/v1/batches/:batch/cancel")
+            .to_new_handler(to(Endpoint::CancelBatch));
         route
             .request(get(), "/healthz")
             .to_new_handler(to(Endpoint::Health));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,9 +7,14 @@
 
 #![allow(dead_code, reason = "parts that the next changes use")]
 
+mod batches;
+mod claims;
 mod clock;
+pub mod configuration;
+pub mod control;
 mod decisions;
 mod engine;
+mod files;
 mod http;
 mod identifiers;
 mod models;
--- a/crates/gateway/src/models.rs
+++ b/crates/gateway/src/models.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::{
-    http::{answer::json_response, incoming::Incoming},
+    http::{answer::json_response, incoming::RequestHead},
     state::Gateway,
 };
 
@@ -50,8 +50,8 @@
     })
 }
 
-pub(crate) fn list(gateway: &Gateway, incoming: &Incoming) -> Result<Response<Body>, Failure> {
-    let (active, _) = gateway.authenticate(incoming)?;
+pub(crate) fn list(gateway: &Gateway, head: &RequestHead) -> Result<Response<Body>, Failure> {
+    let (active, _) = gateway.authenticate(head)?;
     let body = ModelList {
         object: "list",
         data: names(&active.fleet).map(ModelObject::new).collect(),
@@ -59,9 +59,9 @@
     Ok(json_response(StatusCode::OK, &body))
 }
 
-pub(crate) fn get(gateway: &Gateway, incoming: &Incoming) -> Result<Response<Body>, Failure> {
-    let (active, _) = gateway.authenticate(incoming)?;
-    let wanted = incoming
+pub(crate) fn get(gateway: &Gateway, head: &RequestHead) -> Result<Response<Body>, Failure> {
+    let (active, _) = gateway.authenticate(head)?;
+    let wanted = head
         .segment(MODEL_SEGMENT)
         .replace("%3A", ":")
         .replace("%3a", ":");
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -25,12 +25,17 @@
     incoming: Incoming,
 ) -> Result<Response<Body>, Failure> {
     let arrived = gateway.clock().now();
-    let (active, tenant) = gateway.authenticate(&incoming)?;
-    let Incoming {
-        id, headers, body, ..
-    } = incoming;
-    let bytes = read_whole(&headers, body, active.body_limits()).await?;
-    let request = CompletionRequest::parse(endpoint, id, &headers, &bytes, &active.fleet, arrived)?;
+    let (active, tenant) = gateway.authenticate(&incoming.head)?;
+    let Incoming { head, body } = incoming;
+    let bytes = read_whole(&head.headers, body, active.body_limits()).await?;
+    let request = CompletionRequest::parse(
+        endpoint,
+        head.id,
+        &head.headers,
+        &bytes,
+        &active.fleet,
+        arrived,
+    )?;
     let estimate = request.prompt_tokens.saturating_add(request.output_tokens);
     let pass = gateway
         .decisions
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,16 +17,21 @@
 };
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::ids::Revision;
+use parking_lot::Mutex;
 use slog::Logger;
 
 use crate::{
+    batches,
     clock::Clock,
+    configuration::{follower::Follower, store::ConfigurationStore},
+    control::{client::ControlClient, session::SessionState},
     decisions::Decisions,
     engine::client::BackEndClient,
+    files,
     http::{
         answer::{failure_response, json_response},
         body::BodyLimits,
-        incoming::Incoming,
+        incoming::{Incoming, RequestHead},
         routes::Endpoint,
     },
     models, online,
@@ -72,11 +77,22 @@
     pub(crate) configuration: ArcSwapOption<ActiveConfiguration>,
     pub(crate) decisions: Arc<Decisions>,
     pub(crate) back_ends: BackEndClient,
+    pub(crate) control: ControlClient,
+    pub(crate) follower: Mutex<Follower>,
+    /// `None` when the configuration is given instead of learnt.
+    pub(crate) store: Option<ConfigurationStore>,
+    pub(crate) session: SessionState,
     stopping: AtomicBool,
+    has_replicas: AtomicBool,
 }
 
 impl Gateway {
-    pub(crate) fn new(settings: GatewaySettings, timeouts: EngineTimeouts, logger: Logger) -> Self {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        timeouts: EngineTimeouts,
+        store: Option<ConfigurationStore>,
+        logger: Logger,
+    ) -> Self {
         let zone = settings.zone.as_str().into();
         let seed = xxhash_rust::xxh3::xxh3_64(settings.gateway_id.as_bytes());
         Gateway {
@@ -86,10 +102,39 @@
             configuration: ArcSwapOption::empty(),
             decisions: Arc::new(Decisions::new(zone, Clock::start(), seed)),
             back_ends: BackEndClient::new(timeouts.connect),
+            control: ControlClient::new(),
+            follower: Mutex::default(),
+            store,
+            session: SessionState::default(),
             stopping: AtomicBool::new(false),
+            has_replicas: AtomicBool::new(false),
         }
     }
 
+    /// Puts a configuration in force for everything that starts from now on.
+    pub(crate) fn put_in_force(&self, revision: Revision, fleet: Fleet) {
+        self.decisions.set_fleet(&fleet);
+        let active = ActiveConfiguration::new(revision, fleet);
+        self.configuration.store(Some(Arc::new(active)));
+    }
+
+    /// A list of replicas has arrived.
+    pub(crate) fn on_first_replicas(&self) {
+        self.has_replicas.store(true, Ordering::Release);
+    }
+
+    /// Whether callers may be sent here.
+    fn ready(&self) -> Result<(), Failure> {
+        self.active()?;
+        if self.has_replicas.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        Err(
+            Failure::new(ErrorKind::NotReady, "no list of back ends has arrived yet")
+                .with_retry_after(RESTART_RETRY_AFTER),
+        )
+    }
+
     /// The process's clock.
     pub(crate) fn clock(&self) -> Clock {
         self.decisions.clock
@@ -117,10 +162,10 @@
     /// The tenant of a request and the configuration that it runs under.
     pub(crate) fn authenticate(
         &self,
-        incoming: &Incoming,
+        head: &RequestHead,
     ) -> Result<(Arc<ActiveConfiguration>, Arc<Tenant>), Failure> {
         let active = self.active()?;
-        let tenant = active.tenants.authenticate(&incoming.headers)?;
+        let tenant = active.tenants.authenticate(&head.headers)?;
         Ok((active, tenant))
     }
 
@@ -134,11 +179,20 @@
             Endpoint::ChatCompletions | Endpoint::Completions => {
                 online::answer(self, endpoint, incoming).await
             }
-            Endpoint::ListModels => models::list(self, &incoming),
-            Endpoint::GetModel => models::get(self, &incoming),
+            Endpoint::ListModels => models::list(self, &incoming.head),
+            Endpoint::GetModel => models::get(self, &incoming.head),
+            Endpoint::CreateFile => files::create(self, incoming).await,
+            Endpoint::ListFiles => files::list(self, &incoming.head).await,
+            Endpoint::GetFile => files::get(self, &incoming.head).await,
+            Endpoint::DeleteFile => files::delete(self, &incoming.head).await,
+            Endpoint::FileContent => files::content(self, &incoming.head).await,
+            Endpoint::CreateBatch => batches::create(self, incoming).await,
+            Endpoint::ListBatches => batches::list(self, &incoming.head).await,
+            Endpoint::GetBatch => batches::get(self, &incoming.head).await,
+            Endpoint::CancelBatch => batches::cancel(self, &incoming.head).await,
             Endpoint::Health => Ok(json_response(StatusCode::OK, &StatusBody { status: "ok" })),
             Endpoint::Ready => self
-                .active()
+                .ready()
                 .map(|_| json_response(StatusCode::OK, &StatusBody { status: "ready" })),
         };
         answered.unwrap_or_else(|failure| failure_response(&failure))
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use http::{Method, StatusCode};
 use linnethitch_config::settings::{GatewayLimits, GatewaySettings, LogSettings};
 use linnethitch_gateway::{
     options::{EngineTimeouts, FixedFleet, GatewayOptions},
@@ -15,6 +16,11 @@
 use slog::{Discard, Logger, o};
 use tempfile::TempDir;
 
+use super::{
+    caller::{call, request},
+    control::CLUSTER_KEY,
+};
+
 /// The bearer key of tenant `one`.
 pub(crate) const KEY: &str = "test-key";
 /// The bearer key of tenant `limited`.
@@ -68,7 +74,7 @@
 pub(crate) struct TestGateway {
     pub(crate) handle: Option<GatewayHandle>,
     pub(crate) address: SocketAddr,
-    _folder: TempDir,
+    pub(crate) folder: TempDir,
 }
 
 impl TestGateway {
@@ -89,11 +95,7 @@
             .enumerate()
             .map(|(number, address)| application(number, *address));
         let options = GatewayOptions {
-            engine_timeouts: EngineTimeouts {
-                connect: Duration::from_millis(500),
-                first_token: HANG_LIMIT,
-                between_tokens: HANG_LIMIT,
-            },
+            engine_timeouts: timeouts(),
             fixed: Some(FixedFleet {
                 content: fleet_file(),
                 replicas: engines.chain(applications).collect(),
@@ -105,16 +107,78 @@
         TestGateway {
             address: handle.address(),
             handle: Some(handle),
-            _folder: folder,
+            folder,
+        }
+    }
+
+    /// Starts a gateway that follows the given control members.
+    pub(crate) async fn attached(members: &[SocketAddr]) -> Self {
+        let gateway = Self::attached_in(TempDir::new().expect("a folder"), members).await;
+        gateway.wait_until_ready().await;
+        gateway
+    }
+
+    /// Starts a gateway over an existing data folder, without waiting for anything.
+    pub(crate) async fn attached_in(folder: TempDir, members: &[SocketAddr]) -> Self {
+        let mut settings = settings(&folder);
+        settings.control_addresses = members.to_vec();
+        std::fs::write(&settings.cluster_key_file, CLUSTER_KEY).expect("a key file");
+        let options = GatewayOptions {
+            engine_timeouts: timeouts(),
+            fixed: None,
+        };
+        let handle = GatewayProcess::start_with(settings, options, logger())
+            .await
+            .expect("the gateway starts");
+        TestGateway {
+            address: handle.address(),
+            handle: Some(handle),
+            folder,
         }
     }
 
+    /// Waits until `/readyz` says so.
+    pub(crate) async fn wait_until_ready(&self) {
+        wait_until("the gateway is ready", async || self.is_ready().await).await;
+    }
+
+    /// Whether `/readyz` answers 200.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let answer = call(request(Method::GET, self.url("/readyz"), "")).await;
+        answer.status == StatusCode::OK
+    }
+
+    /// Stops the gateway and gives its data folder back.
+    pub(crate) async fn stop(mut self) -> TempDir {
+        self.handle.take().expect("running").stop().await;
+        self.folder
+    }
+
     /// The URL of a path.
     pub(crate) fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 }
 
+/// Waits for a condition, for ten seconds at most.
+pub(crate) async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    for _ in 0..1_000 {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not reached in ten seconds: {what}");
+}
+
+fn timeouts() -> EngineTimeouts {
+    EngineTimeouts {
+        connect: Duration::from_millis(500),
+        first_token: HANG_LIMIT,
+        between_tokens: HANG_LIMIT,
+    }
+}
+
 fn logger() -> Logger {
     Logger::root(Discard, o!())
 }
@@ -153,7 +217,7 @@
     }
 }
 
-fn engine(number: usize, address: SocketAddr) -> ReplicaInfo {
+pub(crate) fn engine(number: usize, address: SocketAddr) -> ReplicaInfo {
     let state = EngineState {
         model: Some("m".into()),
         version: "1".to_owned(),
@@ -168,7 +232,7 @@
     )
 }
 
-fn application(number: usize, address: SocketAddr) -> ReplicaInfo {
+pub(crate) fn application(number: usize, address: SocketAddr) -> ReplicaInfo {
     let kind = BackEndKind::Application(ServiceId("tariffs".to_owned()));
     replica(
         format!("application-{number}"),
--- a/crates/gateway/tests/all/support/mod.rs
+++ b/crates/gateway/tests/all/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fake engines, a gateway beside them and a small HTTP client.
 
 pub(crate) mod caller;
+pub(crate) mod control;
 pub(crate) mod engine;
 pub(crate) mod gateway;
