--- a/crates/config/src/settings/control.rs
+++ b/crates/config/src/settings/control.rs
@@ -34,7 +34,7 @@
 }
 
 /// Complete settings of a control member.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ControlSettings {
     /// Number of this machine, unique among the control machines.
     pub machine: u32,
--- a/crates/config/src/settings/gateway.rs
+++ b/crates/config/src/settings/gateway.rs
@@ -51,7 +51,7 @@
 }
 
 /// Complete settings of a gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct GatewaySettings {
     /// Name of the process, unique in the fleet.
     pub gateway_id: String,
--- a/crates/config/tests/all/main.rs
+++ b/crates/config/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod examples;
 mod fleet;
 mod large;
+mod reference;
 mod settings;
--- /dev/null
+++ b/crates/config/tests/all/reference.rs
@@ -0,0 +1,215 @@
+//! The reference pages list what the code has, with its defaults and bounds.
+
+use std::{collections::BTreeSet, fs, path::PathBuf};
+
+use linnethitch_config::{
+    fleet::Fleet,
+    settings::{ControlSettings, GatewaySettings},
+};
+use toml::Value;
+
+use crate::settings::{CONTROL, GATEWAY};
+
+/// A fleet that uses every field, each optional one included.
+const FULL: &str = r#"name = "full"
+
+[[zone]]
+name = "z"
+region = "r"
+
+[[model]]
+name = "m"
+version = "1"
+placement = [{ zone = "z", replicas = 1 }]
+
+[[model.adapter]]
+name = "a"
+version = "1"
+
+[[service]]
+name = "s"
+placement = [{ zone = "z", replicas = 1 }]
+
+[[tenant]]
+name = "t"
+key_sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+requests_per_second = 1.0
+tokens_per_second = 1.0
+max_in_flight = 1
+weight = 2
+"#;
+
+/// One row of a reference table.
+#[derive(Debug)]
+struct Row {
+    field: String,
+    cells: Vec<String>,
+}
+
+fn page(name: &str) -> String {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/reference");
+    fs::read_to_string(folder.join(name)).unwrap()
+}
+
+/// The rows that begin with a field's name.
+fn rows(text: &str) -> Vec<Row> {
+    text.lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .map(|line| {
+            let (field, rest) = line.split_once('`').unwrap();
+            let cells = rest.replace("\\|", "/");
+            let cells = cells.split('|').skip(1).map(|cell| cell.trim().to_owned());
+            Row {
+                field: field.to_owned(),
+                cells: cells.collect(),
+            }
+        })
+        .collect()
+}
+
+/// The names of all fields of a value, lists and tables joined by dots.
+fn fields_of(value: &Value, path: &str, fields: &mut BTreeSet<String>) {
+    match value {
+        Value::Table(table) => {
+            for (key, value) in table {
+                let path = if path.is_empty() {
+                    key.clone()
+                } else {
+                    format!("{path}.{key}")
+                };
+                fields_of(value, &path, fields);
+            }
+        }
+        Value::Array(elements) if elements.iter().all(Value::is_table) => {
+            if path.contains('.') {
+                fields.insert(path.to_owned());
+            }
+            for element in elements {
+                fields_of(element, path, fields);
+            }
+        }
+        _ => {
+            fields.insert(path.to_owned());
+        }
+    }
+}
+
+fn fields(value: &Value) -> BTreeSet<String> {
+    let mut fields = BTreeSet::new();
+    fields_of(value, "", &mut fields);
+    fields
+}
+
+fn full_fleet() -> Value {
+    Value::try_from(Fleet::parse(FULL).unwrap()).unwrap()
+}
+
+/// The place of a field in the first element of each list on the way.
+fn place<'a>(value: &'a mut Value, field: &str) -> &'a mut Value {
+    let mut place = value;
+    for key in field.split('.') {
+        if place.is_array() {
+            place = &mut place[0];
+        }
+        place = place.as_table_mut().unwrap().get_mut(key).unwrap();
+    }
+    place
+}
+
+#[test]
+fn the_fleet_page_lists_every_field_once() {
+    let rows = rows(&page("fleet-file.md"));
+    let documented: BTreeSet<String> = rows.iter().map(|row| row.field.clone()).collect();
+    assert_eq!(documented.len(), rows.len());
+    assert_eq!(documented, fields(&full_fleet()));
+}
+
+#[test]
+fn the_fleet_page_gives_the_defaults() {
+    let mut checked = 0;
+    for row in rows(&page("fleet-file.md")) {
+        let mut value = full_fleet();
+        let default = &row.cells[1];
+        if ["required", "none", "empty"].contains(&default.as_str())
+            || row.field.starts_with("tenant.")
+        {
+            continue;
+        }
+        assert_eq!(
+            place(&mut value, &row.field).to_string(),
+            *default,
+            "{}",
+            row.field
+        );
+        checked += 1;
+    }
+    assert!(checked >= 20, "{checked} defaults");
+}
+
+#[test]
+fn the_fleet_page_gives_the_bounds() {
+    let mut checked = 0;
+    for row in rows(&page("fleet-file.md")) {
+        let Some((least, most)) = row.cells[2].split_once(" to ") else {
+            continue;
+        };
+        let (least, most): (i64, i64) = (least.parse().unwrap(), most.parse().unwrap());
+        let accepts = |number: i64| {
+            let mut value = full_fleet();
+            let place = place(&mut value, &row.field);
+            *place = match place {
+                Value::Float(_) => Value::Float(number as f64),
+                _ => Value::Integer(number),
+            };
+            Fleet::parse(&toml::to_string(&value).unwrap()).is_ok()
+        };
+        assert!(
+            accepts(least) && accepts(most),
+            "{}: {least} to {most}",
+            row.field
+        );
+        assert!(
+            !accepts(least - 1) && !accepts(most + 1),
+            "{}: {least} to {most}",
+            row.field
+        );
+        checked += 1;
+    }
+    assert!(checked >= 20, "{checked} bounds");
+}
+
+#[test]
+fn the_settings_page_lists_every_field_with_its_default() {
+    let page = page("settings.md");
+    let (gateway_page, control_page) = page.split_once("## Control").unwrap();
+    let gateway: GatewaySettings = crate::settings::gateway(GATEWAY);
+    let control: ControlSettings = crate::settings::control(CONTROL);
+    for (page, settings) in [
+        (gateway_page, Value::try_from(gateway).unwrap()),
+        (control_page, Value::try_from(control).unwrap()),
+    ] {
+        let rows = rows(page);
+        let documented: BTreeSet<String> = rows.iter().map(|row| row.field.clone()).collect();
+        let mut known: BTreeSet<String> = fields(&settings)
+            .into_iter()
+            .map(|field| {
+                if field.starts_with("peers.") {
+                    "peers".to_owned()
+                } else {
+                    field
+                }
+            })
+            .collect();
+        known.insert("log.modules".to_owned());
+        assert_eq!(documented, known);
+        for row in rows {
+            let default = &row.cells[0];
+            if default.parse::<i64>().is_ok() {
+                assert_eq!(
+                    place(&mut settings.clone(), &row.field).to_string(),
+                    *default
+                );
+            }
+        }
+    }
+}
--- a/crates/config/tests/all/settings.rs
+++ b/crates/config/tests/all/settings.rs
@@ -7,7 +7,7 @@
 };
 use rstest::rstest;
 
-const GATEWAY: &str = r#"gateway_id = "gateway-1"
+pub(crate) const GATEWAY: &str = r#"gateway_id = "gateway-1"
 zone = "worcester"
 region = "new-england"
 listen_address = "127.0.0.1:8080"
@@ -17,7 +17,7 @@
 data_dir = "data"
 "#;
 
-const CONTROL: &str = r#"machine = 2
+pub(crate) const CONTROL: &str = r#"machine = 2
 zone = "worcester"
 region = "new-england"
 peer_address = "127.0.0.1:7102"
@@ -38,6 +38,16 @@
 address = "127.0.0.1:7102"
 "#;
 
+/// The settings in a valid gateway file.
+pub(crate) fn gateway(text: &str) -> GatewaySettings {
+    load_gateway(text, GatewayValues::default()).unwrap()
+}
+
+/// The settings in a valid control file.
+pub(crate) fn control(text: &str) -> ControlSettings {
+    load_control(text).unwrap()
+}
+
 fn load_gateway(text: &str, flags: GatewayValues) -> Result<GatewaySettings, String> {
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("gateway.toml");
