--- a/crates/errors/src/lib.rs
+++ b/crates/errors/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod answer;
 mod kind;
+mod reference;
 
 pub use answer::{Answer, Executed, Failure};
 pub use kind::ErrorKind;
+pub use reference::reference_table;
--- a/crates/errors/tests/table.rs
+++ b/crates/errors/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use linnethitch_errors::{ErrorKind, Executed, Failure};
+use linnethitch_errors::{ErrorKind, Executed, Failure, reference_table};
 
 #[test]
 fn codes_are_unique_and_found_again() {
@@ -44,3 +44,17 @@
     assert_eq!(body["error"]["param"], "model");
     assert_eq!(failure.retry_after_seconds(), Some(2));
 }
+
+#[test]
+fn the_reference_page_holds_the_table_of_the_code() {
+    let page =
+        std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/reference/errors.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let (_, rest) = page.split_once("<!-- table -->\n").unwrap();
+    let (table, _) = rest.split_once("<!-- end of table -->").unwrap();
+    assert_eq!(
+        table,
+        reference_table(),
+        "put the right-hand side between the markers of docs/reference/errors.md"
+    );
+}
