--- a/crates/routing/src/reason.rs
+++ b/crates/routing/src/reason.rs
@@ -104,6 +104,14 @@
     YieldedToOnline => "yielded_to_online";
     /// The capacity grant for batch work ended.
     GrantExpired => "grant_expired";
+    /// The item's lease or the gateway's session ended, so its run was stopped.
+    LeaseEnded => "lease_ended";
+    /// The item's job was cancelled, so its run was stopped.
+    JobCancelled => "job_cancelled";
+    /// The caller went away, so its request was stopped.
+    CallerGone => "caller_gone";
+    /// The request was answered in full.
+    Answered => "answered";
     /// The replica has idle capacity for batch work.
     IdleCapacity => "idle_capacity";
     /// The replica's load report is too old to grant capacity on it.
