--- a/crates/config/tests/all/examples.rs
+++ b/crates/config/tests/all/examples.rs
@@ -2,13 +2,22 @@
 
 use std::{fs, path::PathBuf};
 
-use linnethitch_config::{digest::key_sha256, fleet::Fleet};
+use linnethitch_config::{
+    digest::key_sha256,
+    fleet::Fleet,
+    settings::{ControlSettings, ControlValues, GatewaySettings, GatewayValues},
+};
 use rstest::rstest;
 
+/// A file under `examples/`.
+fn example_file(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    folder.join(name)
+}
+
 /// The text of a file under `examples/`.
 pub(crate) fn example(name: &str) -> String {
-    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
-    fs::read_to_string(folder.join(name)).unwrap()
+    fs::read_to_string(example_file(name)).unwrap()
 }
 
 #[rstest]
@@ -49,3 +58,28 @@
             .any(|tenant| tenant.max_in_flight.is_some())
     );
 }
+
+#[test]
+fn the_one_host_settings_agree_with_its_fleet_file() {
+    let fleet = Fleet::parse(&example("one-host/fleet.toml")).unwrap();
+    let zones: Vec<&str> = fleet.zones.iter().map(|zone| zone.name.as_str()).collect();
+    let mut attach_addresses = Vec::new();
+    for machine in 1..=5 {
+        let file = example_file(&format!("one-host/control-{machine}.toml"));
+        let settings = ControlSettings::load(Some(&file), ControlValues::default()).unwrap();
+        assert_eq!(
+            (settings.machine, settings.cluster),
+            (machine, fleet.name.clone())
+        );
+        assert_eq!(settings.operator_key_sha256, key_sha256("lh-dev-operator"));
+        assert!(zones.contains(&settings.zone.as_str()));
+        attach_addresses.push(settings.attach_address);
+    }
+    for number in 1..=2 {
+        let file = example_file(&format!("one-host/gateway-{number}.toml"));
+        let settings = GatewaySettings::load(Some(&file), GatewayValues::default()).unwrap();
+        assert_eq!(settings.cluster, fleet.name);
+        assert_eq!(settings.control_addresses, attach_addresses);
+        assert!(zones.contains(&settings.zone.as_str()));
+    }
+}
