--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -130,29 +130,30 @@
     }
 
     /// An append without entries. It stands at the end of what was sent, so that
-    /// a lost append is noticed; while a snapshot is sent it stands at index 0,
-    /// where all logs agree.
+    /// a lost append is noticed. Where the log no longer reaches back to there,
+    /// the entry that has to follow is gone as well, and a snapshot is due.
+    /// While a snapshot is sent it stands at index 0, where all logs agree.
     fn send_heartbeat(
         &self,
         to: MemberId,
         progress: &mut Progress,
         outbox: &mut Vec<ConsensusMessage>,
     ) {
-        let mut previous_index = LogIndex(progress.next.0 - 1);
-        if matches!(progress.state, SendState::Snapshot(_)) {
-            previous_index = LogIndex(0);
-        }
-        let term = self.pending.term(previous_index, self.log);
-        let batch = Batch {
-            previous_index: if term.is_some() {
-                previous_index
-            } else {
-                LogIndex(0)
-            },
-            previous_term: term.unwrap_or_default(),
-            entries: Vec::new(),
+        let previous_index = match progress.state {
+            SendState::Snapshot(_) => LogIndex(0),
+            SendState::Probe { .. } | SendState::Replicate => LogIndex(progress.next.0 - 1),
         };
-        outbox.push(self.append(to, progress, batch));
+        match self.pending.term(previous_index, self.log) {
+            Some(previous_term) => {
+                let batch = Batch {
+                    previous_index,
+                    previous_term,
+                    entries: Vec::new(),
+                };
+                outbox.push(self.append(to, progress, batch));
+            }
+            None => self.start_snapshot(to, progress, outbox),
+        }
     }
 
     fn start_snapshot(
--- a/crates/consensus/tests/all/replication.rs
+++ b/crates/consensus/tests/all/replication.rs
@@ -173,11 +173,16 @@
 }
 
 #[rstest]
-#[case::everything_at_once(1_000_000)]
-#[case::in_small_chunks(7)]
-fn a_member_behind_the_logs_start_gets_a_snapshot(#[case] chunk_bytes: usize) {
+#[case::everything_at_once(1_000_000, 64)]
+#[case::in_small_chunks(7, 64)]
+#[case::after_a_lost_window_of_appends(7, 2)]
+fn a_member_behind_the_logs_start_gets_a_snapshot(
+    #[case] chunk_bytes: usize,
+    #[case] window: usize,
+) {
     let mut cluster = Cluster::with_settings(3, |settings| {
         settings.snapshot_chunk_bytes = chunk_bytes;
+        settings.max_inflight_appends = window;
     });
     let leader = cluster.elect();
     let away = cluster.follower_of(leader);
