Add the capacity page and the generator of its measured tables

Cause: the plan's size is to be designed for, and a page whose figures are typed drifts from the code.

Tests fail when page and measurements differ, or when a file, item or command that the page names no longer exists.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{application, dev, engine, load, platform, process::exit_code};
+use crate::{application, capacity, dev, engine, load, platform, process::exit_code};
 
 /// Runs a linnethitch fleet on one machine, puts load on it and measures it.
 ///
@@ -28,6 +28,9 @@
     /// Put load on running gateways and check every answer
     #[bpaf(command)]
     Load(#[bpaf(external(load::arguments))] load::Arguments),
+    /// Write the measured tables of the capacity page anew, or check them
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::arguments))] capacity::Arguments),
 }
 
 /// Reads the command line; prints help and ends the process where asked to.
@@ -44,6 +47,7 @@
             Command::Application(arguments) => application::run(&arguments),
             Command::Platform(arguments) => platform::run(&arguments),
             Command::Load(arguments) => load::run(arguments),
+            Command::Capacity(arguments) => capacity::run(&arguments),
         })
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 //! ends, load, experiments and measurements.
 
 mod application;
+mod capacity;
 mod commands;
 mod dev;
 mod engine;
--- a/crates/lab/tests/all/main.rs
+++ b/crates/lab/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the built `linnethitch-lab` as processes.
 
+mod capacity;
 mod dev;
 mod load;
 mod support;
