Count a loading replica, and one without its adapters, as away in a roll-out

Cause: an engine that loads a model shows none, so the planner no longer counted it as changing: a pool of four could have two replicas away where a quarter may be. A replica with the new version and without its adapters counted as serving, so a roll-out could leave an adapter without a replica. A replica that missed a poll was either counted on or replaced at once.

Change: a replica is changing until its load is over and its adapters are there. Health is answering, silent or dead: a silent replica gets no orders and is not counted on, but is not replaced either.

Proved by rows of placement::a_roll_out_counts_replicas_that_are_changing_already (while_it_loads and while_its_adapters_are_missing failed before) and of placement::missing_replicas_are_placed.

--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -34,13 +34,25 @@
     }
 }
 
+/// Whether a replica is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaHealth {
+    /// It answers.
+    Answering,
+    /// It has not answered lately: it gets no orders and is not counted on,
+    /// but is not replaced either.
+    Silent,
+    /// It has been silent for so long that it has to be replaced.
+    Dead,
+}
+
 /// A replica as placement sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlacedReplica {
     /// What it is and has loaded.
     pub info: ReplicaInfo,
-    /// Whether it answers.
-    pub alive: bool,
+    /// Whether it is there.
+    pub health: ReplicaHealth,
     /// Online requests running or waiting on it.
     pub online: u32,
     /// Sequences that it runs at once.
@@ -102,13 +114,18 @@
         self.placed.info.machine.zone.as_str()
     }
 
-    /// Takes orders: alive, staying, and none under way.
+    /// Takes orders: it answers, stays, and none is under way.
     fn is_free(&self) -> bool {
-        self.is_staying() && self.order.is_none() && !self.planned
+        self.is_answering() && self.order.is_none() && !self.planned
     }
 
+    fn is_answering(&self) -> bool {
+        self.placed.health == ReplicaHealth::Answering && self.is_staying()
+    }
+
+    /// Neither dead nor leaving.
     fn is_staying(&self) -> bool {
-        self.placed.alive
+        self.placed.health != ReplicaHealth::Dead
             && self.placed.info.machine.state == MachineState::Live
             && !self.placed.info.engine.leaving
     }
@@ -130,9 +147,14 @@
         self.planned || matches!(self.order, Some(EngineOrder::LoadModel { .. }))
     }
 
+    /// Has the model loaded, or an order to load it.
+    fn involves(&self, model: &str) -> bool {
+        self.loaded() == Some(model) || self.model() == Some(model)
+    }
+
     /// Serves the model now.
     fn serves(&self, model: &str) -> bool {
-        self.is_staying() && !self.is_changing() && self.loaded() == Some(model)
+        self.is_answering() && !self.is_changing() && self.loaded() == Some(model)
     }
 }
 
--- a/crates/routing/src/placement/models.rs
+++ b/crates/routing/src/placement/models.rs
@@ -1,6 +1,6 @@
 //! Which engine loads which model, version and adapter.
 
-use linnethitch_config::fleet::ModelPool;
+use linnethitch_config::fleet::{Adapter, ModelPool};
 use linnethitch_protocol::{command::EngineOrder, ids::ModelId};
 
 use super::{Engine, Planner};
@@ -128,17 +128,21 @@
     /// the pool changes at once, and a zone with several serving replicas
     /// keeps one. A pool's only replica may change when nothing runs on it or
     /// none else could ever serve: then waiting would not help.
+    ///
+    /// A replica is changing until its load is over and its adapters are there.
     fn may_take_away(&self, pool: &ModelPool, leaving: &Engine<'_>) -> bool {
-        let serving: Vec<&Engine<'_>> = self
+        let (serving, unfinished): (Vec<&Engine<'_>>, Vec<&Engine<'_>>) = self
             .engines
             .iter()
             .filter(|engine| engine.serves(&pool.name))
-            .collect();
-        let changing = self
+            .partition(|engine| !lacks_adapters(pool, engine));
+        let loading = self
             .engines
             .iter()
-            .filter(|engine| engine.is_changing() && engine.loaded() == Some(&pool.name))
+            .filter(|engine| engine.is_changing())
+            .filter(|engine| engine.involves(&pool.name))
             .count();
+        let changing = loading + unfinished.len();
         if serving.len() <= 1 {
             return changing == 0 && wanted_in_all(pool) <= 1;
         }
@@ -181,6 +185,13 @@
     }
 }
 
+/// Whether a replica has the wanted version, but not yet all its adapters.
+fn lacks_adapters(pool: &ModelPool, engine: &Engine<'_>) -> bool {
+    let state = &engine.placed.info.engine;
+    let has = |adapter: &Adapter| state.adapters.contains(&adapter.name);
+    state.version == pool.version && !pool.adapters.iter().all(has)
+}
+
 /// Replicas of the model wanted in a zone.
 pub(super) fn wanted_in(pool: &ModelPool, zone: &str) -> usize {
     pool.placement
--- a/crates/routing/tests/all/placement.rs
+++ b/crates/routing/tests/all/placement.rs
@@ -8,7 +8,9 @@
 };
 use linnethitch_routing::{
     ReasonCode,
-    placement::{OpenOrder, PlacedReplica, PlacementSettings, Plan, plan},
+    placement::{
+        OpenOrder, PlacedReplica, PlacementSettings, Plan, PlannedOrder, ReplicaHealth, plan,
+    },
 };
 use rstest::rstest;
 
@@ -41,7 +43,7 @@
     info.engine.adapters.clear();
     PlacedReplica {
         info,
-        alive: true,
+        health: ReplicaHealth::Answering,
         online: 0,
         max_running: 64,
     }
@@ -60,7 +62,12 @@
 }
 
 fn dead(mut replica: PlacedReplica) -> PlacedReplica {
-    replica.alive = false;
+    replica.health = ReplicaHealth::Dead;
+    replica
+}
+
+fn silent(mut replica: PlacedReplica) -> PlacedReplica {
+    replica.health = ReplicaHealth::Silent;
     replica
 }
 
@@ -112,6 +119,8 @@
 #[case::retired_model_gives_way(vec![placed("e1", "a"), dead(placed("e2", "a")), other_model("e3", "a")], &["e3"], &[])]
 #[case::empty_goes_before_retired(vec![placed("e1", "a"), other_model("e2", "a"), empty("e3", "a")], &["e3"], &[])]
 #[case::no_engine_left(vec![placed("e1", "a"), dead(placed("e2", "a"))], &[], &[PlacementMissing])]
+#[case::silent_one_is_not_replaced(vec![placed("e1", "a"), silent(placed("e2", "a")), empty("e3", "a")], &[], &[])]
+#[case::silent_spare_is_no_spare(vec![placed("e1", "a"), silent(empty("e2", "a"))], &[], &[PlacementMissing])]
 #[case::dead_spare_is_no_spare(vec![placed("e1", "a"), dead(empty("e2", "a"))], &[], &[PlacementMissing])]
 #[case::another_zones_engine_stays_there(vec![placed("e1", "a"), empty("e2", "b")], &[], &[PlacementMissing])]
 #[case::applications_are_no_engines(vec![placed("e1", "a"), PlacedReplica { info: application("t1", "a"), ..placed("t1", "a") }], &[], &[PlacementMissing])]
@@ -243,14 +252,25 @@
     assert_eq!(postponed(&plan), [PlacementMissing, CapacityGuard]);
 }
 
-#[test]
-fn a_roll_out_counts_replicas_that_are_changing_already() {
-    let replicas: Vec<_> = (0..4)
+#[rstest]
+#[case::before_the_load(|_: &mut PlacedReplica| {}, true)]
+#[case::while_it_loads(|replica: &mut PlacedReplica| replica.info.engine.model = None, true)]
+#[case::while_its_adapters_are_missing(|replica: &mut PlacedReplica| replica.info.engine.version = "v1".to_owned(), false)]
+#[case::while_it_is_silent(|replica: &mut PlacedReplica| replica.health = ReplicaHealth::Silent, true)]
+fn a_roll_out_counts_replicas_that_are_changing_already(
+    #[case] change: fn(&mut PlacedReplica),
+    #[case] has_order: bool,
+) {
+    let adapter = "[[model.adapter]]\nname = \"lane\"\nversion = \"3\"";
+    let mut replicas: Vec<_> = (0..4)
         .map(|number| old_version(&format!("e{number}"), "a", 0))
         .collect();
+    change(&mut replicas[0]);
     let open_orders = [open("e0", load())];
-    let plan = planned(&fleet(4, 0, ""), &replicas, &open_orders, LOADS);
-    assert_eq!(ordered(&plan), []);
+    let open_orders = if has_order { &open_orders[..] } else { &[] };
+    let plan = planned(&fleet(4, 0, adapter), &replicas, open_orders, LOADS);
+    let is_load = |order: &&PlannedOrder| matches!(order.order, EngineOrder::LoadModel { .. });
+    assert_eq!(plan.orders.iter().find(is_load), None);
     assert_eq!(postponed(&plan), [CapacityGuard]);
 }
 
