Give load limits, a report folder, and a count of unanswered requests

Cause: requests that were still running when load gave up were dropped without a trace, so a hung gateway could end with exit status 0.

--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -7,20 +7,18 @@
 mod arrivals;
 mod batch;
 mod client;
+mod folder;
+mod limits;
 mod online;
 mod progress;
 mod prompts;
 mod report;
 mod service;
+mod sources;
 mod sse;
 mod tally;
 
-use std::{
-    net::SocketAddr,
-    path::PathBuf,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Instant};
 
 use bpaf::Bpaf;
 use error_stack::{Report, ResultExt};
@@ -28,9 +26,9 @@
 use tokio::{sync::mpsc, task::JoinSet};
 
 use self::{
-    arrivals::{Arrivals, Pattern},
+    arrivals::Pattern,
     client::GatewayClient,
-    prompts::{PromptMix, Prompts},
+    limits::Limits,
     report::LoadReport,
     tally::{Observation, Tally},
 };
@@ -38,8 +36,6 @@
 
 /// Observations that may wait for the tally.
 const OBSERVATION_QUEUE: usize = 65_536;
-/// How long requests may go on after the last one was due.
-const DRAIN: Duration = Duration::from_secs(60);
 
 /// What is asked, of whom, how often:
 #[derive(Clone, Debug, Bpaf)]
@@ -57,6 +53,9 @@
     /// How long new online requests start, in seconds
     #[bpaf(argument("SECONDS"), fallback(20.0), display_fallback)]
     seconds: f64,
+    /// How long a request may still run after them until it counts as unanswered, in seconds
+    #[bpaf(argument("SECONDS"), fallback(60.0), display_fallback)]
+    drain: f64,
     /// Online requests a second, on average
     #[bpaf(argument("RATE"), fallback(20.0), display_fallback)]
     rate: f64,
@@ -96,13 +95,18 @@
     /// Write the result as JSON to this file
     #[bpaf(argument("FILE"))]
     output: Option<PathBuf>,
+    /// Write result, table and percentile distributions to this folder
+    #[bpaf(argument("FOLDER"))]
+    report: Option<PathBuf>,
+    #[bpaf(external(limits::limits))]
+    limits: Limits,
     /// Print the result as JSON instead of a table
     json: bool,
     /// Show no progress
     quiet: bool,
 }
 
-/// Runs the load; the verdict is bad when an answer was not whole and right.
+/// Runs the load; the verdict is bad when an answer was not whole and right, or a limit passed.
 pub(crate) fn run(arguments: Arguments) -> Outcome {
     runtime()?.block_on(drive(arguments))
 }
@@ -131,15 +135,18 @@
     };
     let started = Instant::now();
     let tally = tokio::spawn(progress::collect(receiver, started, arguments.quiet));
-    let mut sources = JoinSet::new();
-    sources.spawn(online_source(driver.clone(), arguments.clone(), started));
-    sources.spawn(service_source(driver.clone(), arguments.clone(), started));
-    sources.spawn(batch_source(driver, arguments.clone(), started));
-    while sources.join_next().await.is_some() {}
+    let mut running = JoinSet::new();
+    running.spawn(sources::online(driver.clone(), arguments.clone(), started));
+    running.spawn(sources::service(driver.clone(), arguments.clone(), started));
+    running.spawn(sources::batch(driver, arguments.clone(), started));
+    while running.join_next().await.is_some() {}
     let tally: Tally = tally.await.change_context(ErrorKind::Internal)?;
-    let report = LoadReport::new(&tally, started.elapsed());
+    let report = LoadReport::new(&tally, started.elapsed(), &arguments.limits);
     publish(&arguments, &report)?;
-    Ok(if report.all_right() {
+    if let Some(folder) = &arguments.report {
+        folder::write(folder, &report, &tally)?;
+    }
+    Ok(if report.is_good() {
         Verdict::Good
     } else {
         Verdict::Bad
@@ -156,75 +163,3 @@
     crate::output::say(&if arguments.json { json } else { report.table() });
     Ok(())
 }
-
-/// Starts online requests when they are due and waits for all of them.
-async fn online_source(driver: Driver, arguments: Arguments, started: Instant) {
-    let mix = PromptMix {
-        long_percent: arguments.long_percent,
-        whole_percent: arguments.whole_percent,
-    };
-    let mut prompts = Prompts::new(mix, arguments.seed);
-    let mut arrivals = Arrivals::new(arguments.arrivals, arguments.rate, arguments.seed);
-    let end = Duration::from_secs_f64(arguments.seconds.max(0.0));
-    let mut requests = JoinSet::new();
-    while let Some(due) = arrivals.next().filter(|due| *due < end) {
-        let due = started + due;
-        tokio::time::sleep_until(due.into()).await;
-        requests.spawn(online::ask(driver.clone(), prompts.next(), due));
-        while requests.try_join_next().is_some() {}
-    }
-    drain(requests).await;
-}
-
-/// Starts service calls when they are due and waits for all of them.
-async fn service_source(driver: Driver, arguments: Arguments, started: Instant) {
-    let Some(service) = arguments.service else {
-        return;
-    };
-    let service: Arc<str> = Arc::from(service);
-    let seed = arguments.seed.wrapping_add(1);
-    let mut arrivals = Arrivals::new(arguments.arrivals, arguments.service_rate, seed);
-    let end = Duration::from_secs_f64(arguments.seconds.max(0.0));
-    let mut calls = JoinSet::new();
-    let mut number = 0;
-    while let Some(due) = arrivals.next().filter(|due| *due < end) {
-        let due = started + due;
-        tokio::time::sleep_until(due.into()).await;
-        number += 1;
-        calls.spawn(service::call(
-            driver.clone(),
-            Arc::clone(&service),
-            number,
-            due,
-        ));
-        while calls.try_join_next().is_some() {}
-    }
-    drain(calls).await;
-}
-
-/// Starts batch jobs in heaps and waits for all of them.
-async fn batch_source(driver: Driver, arguments: Arguments, started: Instant) {
-    if arguments.batch_items == 0 {
-        return;
-    }
-    let interval = Duration::from_secs_f64(arguments.batch_interval.max(0.0));
-    let timeout = Duration::from_secs_f64(arguments.batch_timeout.max(0.0));
-    let mut jobs = JoinSet::new();
-    for number in 0..arguments.batch_jobs {
-        tokio::time::sleep_until((started + interval * number).into()).await;
-        let plan = batch::JobPlan {
-            seed: arguments.seed,
-            number,
-            items: arguments.batch_items,
-            timeout,
-        };
-        jobs.spawn(batch::run_job(driver.clone(), plan));
-    }
-    while jobs.join_next().await.is_some() {}
-}
-
-async fn drain(mut requests: JoinSet<()>) {
-    let all = async { while requests.join_next().await.is_some() {} };
-    // Requests still running then are dropped and counted as never answered.
-    let _ = tokio::time::timeout(DRAIN, all).await;
-}
--- a/crates/lab/src/load/online.rs
+++ b/crates/lab/src/load/online.rs
@@ -12,7 +12,7 @@
     client::{Call, Failed},
     prompts::Prompt,
     sse::EventReader,
-    tally::{Kind, Observation, Served},
+    tally::Served,
 };
 
 #[derive(Serialize)]
@@ -101,22 +101,12 @@
     }
 }
 
-/// Sends a request that was due at `due` and reports what came of it.
-pub(super) async fn ask(driver: Driver, prompt: Prompt, due: Instant) {
-    let kind = match (prompt.stream, prompt.long) {
-        (false, _) => Kind::Whole,
-        (true, false) => Kind::Short,
-        (true, true) => Kind::Long,
-    };
-    let observation = match served(&driver, &prompt, due).await {
-        Ok(served) => Observation::Served(kind, served),
-        Err(failed) => Observation::Failed(kind, failed),
-    };
-    // The tally ends only after all senders.
-    let _ = driver.observations.send(observation).await;
-}
-
-async fn served(driver: &Driver, prompt: &Prompt, due: Instant) -> Result<Served, Failed> {
+/// Sends a request that was due at `due` and reads its answer.
+pub(super) async fn served(
+    driver: &Driver,
+    prompt: &Prompt,
+    due: Instant,
+) -> Result<Served, Failed> {
     let body = ChatBody {
         model: &driver.model,
         messages: [ChatMessage {
--- a/crates/lab/src/load/prompts.rs
+++ b/crates/lab/src/load/prompts.rs
@@ -4,6 +4,8 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::tally::Kind;
+
 /// Different documents that long prompts begin with.
 const DOCUMENTS: u32 = 12;
 /// Sentences of a document.
@@ -27,6 +29,15 @@
 }
 
 impl Prompt {
+    /// What it is counted as.
+    pub(super) fn kind(&self) -> Kind {
+        match (self.stream, self.long) {
+            (false, _) => Kind::Whole,
+            (true, false) => Kind::Short,
+            (true, true) => Kind::Long,
+        }
+    }
+
     /// The answer's key.
     pub(super) fn key(&self) -> PromptKey {
         user_key(&self.text)
--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -5,7 +5,11 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use super::tally::{JobResult, Kind, KindTally, Tally};
+use super::{
+    limits::{Limits, Reached},
+    sources::UNANSWERED,
+    tally::{JobResult, Kind, KindTally, Tally},
+};
 
 const MICROS_PER_MILLI: f64 = 1_000.0;
 
@@ -68,11 +72,14 @@
     online_tokens: u64,
     kinds: Vec<KindReport>,
     jobs: Vec<JobResult>,
+    /// A sentence for each limit of the command line that was passed.
+    limits_passed: Vec<String>,
 }
 
 impl LoadReport {
-    pub(super) fn new(tally: &Tally, elapsed: Duration) -> LoadReport {
+    pub(super) fn new(tally: &Tally, elapsed: Duration, limits: &Limits) -> LoadReport {
         LoadReport {
+            limits_passed: limits.passed(&reached(tally)),
             seconds: elapsed.as_secs_f64(),
             online_tokens: tally.tokens,
             kinds: tally
@@ -84,11 +91,16 @@
         }
     }
 
-    /// Whether every answer that was given was right and every job whole.
+    /// Whether all is right and no limit was passed.
+    pub(super) fn is_good(&self) -> bool {
+        self.all_right() && self.limits_passed.is_empty()
+    }
+
+    /// Whether every request was answered, every answer that was given was right and every job whole.
     /// Refused requests are no fault of the answers.
-    pub(super) fn all_right(&self) -> bool {
-        let answers = self.kinds.iter().all(|kind| kind.wrong == 0);
-        answers && self.jobs.iter().all(JobResult::all_right)
+    fn all_right(&self) -> bool {
+        let right = |kind: &KindReport| kind.wrong == 0 && !kind.failures.contains_key(UNANSWERED);
+        self.kinds.iter().all(right) && self.jobs.iter().all(JobResult::all_right)
     }
 
     /// The result for people.
@@ -117,6 +129,9 @@
         for job in &self.jobs {
             write_job(&mut table, job);
         }
+        for limit in &self.limits_passed {
+            let _ = writeln!(table, "LIMIT PASSED: {limit}");
+        }
         let verdict = if self.all_right() {
             "every answer was whole and its own"
         } else {
@@ -127,6 +142,19 @@
     }
 }
 
+/// The figures that limits are put on.
+fn reached(tally: &Tally) -> Reached {
+    let counts = tally.counts();
+    let ended = counts.served + counts.failed;
+    let short = tally.kinds.get(&Kind::Short);
+    let p95 = |histogram| Latency::new(histogram).map(|latency| latency.p95_ms);
+    Reached {
+        failed_percent: 100.0 * counts.failed as f64 / ended.max(1) as f64,
+        first_token_p95_ms: short.and_then(|short| p95(&short.first)),
+        between_tokens_p95_ms: short.and_then(|short| p95(&short.between)),
+    }
+}
+
 fn write_kind(table: &mut String, kind: &KindReport) {
     let _ = writeln!(
         table,
--- a/crates/lab/src/load/service.rs
+++ b/crates/lab/src/load/service.rs
@@ -1,13 +1,13 @@
 //! One call of an application service.
 
-use std::{sync::Arc, time::Instant};
+use std::time::Instant;
 
 use serde::Deserialize;
 
 use super::{
     Driver,
-    client::Call,
-    tally::{Kind, Observation, Served},
+    client::{Call, Failed},
+    tally::Served,
 };
 
 /// What an emulated replica echoes.
@@ -18,20 +18,19 @@
 }
 
 /// Calls a service and checks that the echo is of this very call.
-pub(super) async fn call(driver: Driver, service: Arc<str>, number: u64, due: Instant) {
+pub(super) async fn served(
+    driver: &Driver,
+    service: &str,
+    number: u64,
+    due: Instant,
+) -> Result<Served, Failed> {
     let body = format!("{{\"lookup\":{number}}}");
     let call = Call::post(
         format!("/services/{service}/lookups/{number}"),
         body.clone(),
     );
-    let observation = match driver.client.fetch_json::<Echo>(call).await {
-        Err(failed) => Observation::Failed(Kind::Service, failed),
-        Ok(echo) => {
-            let mut served = Served::new(due);
-            served.right = echo.body == body && echo.path.ends_with(&format!("/lookups/{number}"));
-            Observation::Served(Kind::Service, served)
-        }
-    };
-    // The tally ends only after all senders.
-    let _ = driver.observations.send(observation).await;
+    let echo: Echo = driver.client.fetch_json(call).await?;
+    let mut served = Served::new(due);
+    served.right = echo.body == body && echo.path.ends_with(&format!("/lookups/{number}"));
+    Ok(served)
 }
