--- /dev/null
+++ b/crates/gateway/src/batch/driver.rs
@@ -0,0 +1,258 @@
+//! Carries the executor's actions out in a running gateway.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_observability::journal::{JournalRecord, Subject};
+use linnethitch_protocol::{
+    attach::GatewayMessage,
+    command::{CommandBody, Outcome},
+    ids::{GatewayId, Timestamp},
+};
+use slog::{Logger, debug, info, o};
+use tokio::{sync::mpsc, task::JoinSet};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    batch::{
+        BatchAction, BatchDecision, BatchEvent, BatchExecutor, BatchSession, CallAnswer,
+        ExecutorSettings, RunId, run::run_item,
+    },
+    control::session::Session,
+    state::Gateway,
+};
+
+/// Longest time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(20);
+/// Events that may wait for the executor.
+pub(crate) const MAX_WAITING_EVENTS: usize = 1_024;
+
+/// The executor of one gateway and the tasks that it started.
+struct Driver {
+    gateway: Arc<Gateway>,
+    executor: BatchExecutor,
+    events: mpsc::Receiver<BatchEvent>,
+    runs: HashMap<RunId, CancellationToken>,
+    tasks: JoinSet<BatchEvent>,
+    gateway_id: GatewayId,
+    logger: Logger,
+}
+
+/// Executes batch items until the process stops and everything that ran has ended.
+pub(crate) async fn run(gateway: Arc<Gateway>, events: mpsc::Receiver<BatchEvent>) {
+    let mut driver = Driver {
+        executor: BatchExecutor::new(settings(&gateway)),
+        events,
+        runs: HashMap::new(),
+        tasks: JoinSet::new(),
+        gateway_id: GatewayId(gateway.settings.gateway_id.clone()),
+        logger: gateway.logger.new(o!("part" => "batch")),
+        gateway,
+    };
+    let limit = Duration::from_millis(driver.gateway.settings.limits.drain_timeout_ms);
+    driver.run_until_stop().await;
+    if tokio::time::timeout(limit, driver.drain()).await.is_err() {
+        info!(driver.logger, "items still running at the end of the planned stop";
+            "items" => driver.executor.held());
+    }
+}
+
+fn settings(gateway: &Gateway) -> ExecutorSettings {
+    let policy = gateway.configuration.load();
+    ExecutorSettings {
+        max_items: gateway.settings.limits.max_batch_items,
+        max_attempts: policy
+            .as_ref()
+            .map_or(ExecutorSettings::default().max_attempts, |active| {
+                active.fleet.batch.max_attempts
+            }),
+        ..ExecutorSettings::default()
+    }
+}
+
+impl Driver {
+    async fn run_until_stop(&mut self) {
+        let stopping = self.gateway.stopping.clone();
+        loop {
+            tokio::select! {
+                () = stopping.cancelled() => return,
+                () = self.step() => {}
+            }
+        }
+    }
+
+    /// Leases nothing more, gives back what does not run, and lets the rest finish.
+    async fn drain(&mut self) {
+        self.handle(BatchEvent::Drain);
+        while !self.executor.is_idle() {
+            self.step().await;
+        }
+    }
+
+    /// Waits for the next thing that happens and takes it in. Safe to drop while it waits.
+    async fn step(&mut self) {
+        let changed = Arc::clone(&self.gateway.decisions.batch_room_changed);
+        let mut session = self.gateway.session.subscribe();
+        let event = tokio::select! {
+            biased;
+            () = changed.notified() => BatchEvent::Tick,
+            Some(Ok(event)) = self.tasks.join_next() => event,
+            Some(event) = self.events.recv() => event,
+            Ok(()) = session.changed() => BatchEvent::Tick,
+            () = tokio::time::sleep(TICK) => BatchEvent::Tick,
+        };
+        self.refresh();
+        self.handle(event);
+    }
+
+    /// Tells the executor what it may use now.
+    fn refresh(&mut self) {
+        let session = self.gateway.session.current(self.now());
+        let session = session.map(|Session { epoch, until }| BatchSession { epoch, until });
+        self.executor.set_settings(settings(&self.gateway));
+        self.handle(BatchEvent::Session(session));
+        self.handle(BatchEvent::Room(self.gateway.decisions.batch_rooms()));
+    }
+
+    fn now(&self) -> Timestamp {
+        self.gateway.clock().now()
+    }
+
+    fn handle(&mut self, event: BatchEvent) {
+        if let BatchEvent::RunEnded { run, .. } = &event {
+            self.runs.remove(run);
+        }
+        let now = self.now();
+        for action in self.executor.handle(now, event) {
+            self.act(now, action);
+        }
+    }
+
+    fn act(&mut self, now: Timestamp, action: BatchAction) {
+        match action {
+            BatchAction::Wish(wishes) => {
+                let message = GatewayMessage::WantGrants(wishes);
+                self.gateway.control.notify(&message);
+            }
+            BatchAction::Run(order) => {
+                let stop = CancellationToken::new();
+                self.runs.insert(order.run, stop.clone());
+                self.tasks
+                    .spawn(run_item(Arc::clone(&self.gateway), order, stop));
+            }
+            BatchAction::Stop { run } => {
+                if let Some(stop) = self.runs.get(&run) {
+                    stop.cancel();
+                }
+            }
+            BatchAction::Decided(decision) => self.record(now, decision),
+            call => self.call(call),
+        }
+    }
+
+    /// Makes a call to control; its answer comes back as an event.
+    fn call(&mut self, action: BatchAction) {
+        let control = self.gateway.control.clone();
+        let gateway = self.gateway_id.clone();
+        match action {
+            BatchAction::Lease {
+                session,
+                sequence,
+                wanted,
+            } => {
+                let until = self.gateway.session.current(self.now());
+                let command = CommandBody::LeaseItems {
+                    gateway,
+                    session,
+                    sequence,
+                    wanted: vec![wanted],
+                    until: until.map_or(Timestamp(0), |session| session.until),
+                };
+                self.tasks.spawn(async move {
+                    let answer = match control.propose(command).await {
+                        Ok(Outcome::Leased(items)) => CallAnswer::Done(items),
+                        other => unsuccessful(other),
+                    };
+                    BatchEvent::Leased { sequence, answer }
+                });
+            }
+            BatchAction::MarkStarted {
+                session,
+                number,
+                keys,
+            } => {
+                let command = CommandBody::StartItems {
+                    gateway,
+                    session,
+                    items: keys,
+                };
+                self.tasks.spawn(async move {
+                    let answer = match control.propose(command).await {
+                        Ok(Outcome::Started(granted)) => CallAnswer::Done(granted),
+                        other => unsuccessful(other),
+                    };
+                    BatchEvent::Started { number, answer }
+                });
+            }
+            BatchAction::Commit {
+                session,
+                number,
+                results,
+            } => {
+                let command = CommandBody::CompleteItems {
+                    gateway,
+                    session,
+                    results,
+                };
+                self.tasks.spawn(async move {
+                    let answer = match control.propose(command).await {
+                        Ok(Outcome::Completed { .. }) => CallAnswer::Done(()),
+                        other => unsuccessful(other),
+                    };
+                    BatchEvent::Committed { number, answer }
+                });
+            }
+            BatchAction::Release { session, keys } => {
+                let command = CommandBody::ReleaseItems {
+                    gateway,
+                    session,
+                    items: keys,
+                };
+                self.tasks.spawn(async move {
+                    let _ = control.propose(command).await;
+                    BatchEvent::Tick
+                });
+            }
+            BatchAction::Wish(_)
+            | BatchAction::Run(_)
+            | BatchAction::Stop { .. }
+            | BatchAction::Decided(_) => {}
+        }
+    }
+
+    fn record(&self, now: Timestamp, decision: BatchDecision) {
+        debug!(self.logger, "item";
+            "job" => %decision.job,
+            "item" => decision.item.0,
+            "replica" => decision.replica.as_ref().map(ToString::to_string),
+            "reason" => decision.reason.as_str(),
+            "outcome" => &decision.outcome);
+        let mut subject = Subject::item(decision.job.0, decision.item.0);
+        if let Some(replica) = decision.replica {
+            subject = subject.on_replica(replica.0);
+        }
+        let reason = decision.reason.as_str();
+        let record = JournalRecord::new(now.0, decision.kind, subject, reason);
+        self.gateway
+            .journal
+            .record(record.with_outcome(decision.outcome));
+    }
+}
+
+/// Sorts a call that was not carried out by whether it is worth making again.
+fn unsuccessful<T>(outcome: Result<Outcome, linnethitch_errors::Failure>) -> CallAnswer<T> {
+    match outcome {
+        Err(failure) if failure.kind == ErrorKind::InvalidState => CallAnswer::Fenced,
+        _ => CallAnswer::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/batch/mod.rs
@@ -0,0 +1,20 @@
+//! Execution of batch items.
+//!
+//! [`BatchExecutor`] decides: which items to lease, where each one runs, when it
+//! steps aside, and which results are committed. It reads no clock and opens no
+//! socket; the gateway's driver and the simulator carry its actions out.
+
+pub(crate) mod driver;
+mod executor;
+mod item;
+mod leasing;
+mod messages;
+mod outbox;
+mod placing;
+mod run;
+
+pub use executor::BatchExecutor;
+pub use messages::{
+    BatchAction, BatchDecision, BatchEvent, BatchSession, CallAnswer, ExecutorSettings, KeptTokens,
+    ReplicaRoom, RunEnd, RunId, RunOrder,
+};
--- /dev/null
+++ b/crates/gateway/src/batch/run.rs
@@ -0,0 +1,193 @@
+//! One run of an item on one engine.
+
+use std::sync::Arc;
+
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::ids::RequestId;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    batch::{BatchEvent, KeptTokens, RunEnd, RunOrder},
+    batches::line::BatchLine,
+    decisions::{Placement, Wanted},
+    engine::{
+        client::{EngineRequest, Priority, load_of, says},
+        fault::AttemptFault,
+        stream::{EngineStream, Progress, StreamEvent},
+    },
+    online::{generation::rejected, request::CompletionRequest, whole_answer::WholeAnswer},
+    state::Gateway,
+};
+
+/// Runs an item to its end, or until it is told to stop.
+pub(super) async fn run_item(
+    gateway: Arc<Gateway>,
+    order: RunOrder,
+    stop: CancellationToken,
+) -> BatchEvent {
+    let run = order.run;
+    let end = match parse(&gateway, &order) {
+        Ok(request) => ItemRun::new(gateway, order, request).run(&stop).await,
+        Err(failure) => RunEnd::Rejected {
+            kind: failure.kind,
+            message: failure.message.clone(),
+        },
+    };
+    BatchEvent::RunEnded { run, end }
+}
+
+/// The request of an item's line under the configuration in force.
+fn parse(gateway: &Gateway, order: &RunOrder) -> Result<CompletionRequest, Failure> {
+    let active = gateway
+        .configuration
+        .load_full()
+        .ok_or_else(|| Failure::from(ErrorKind::NotReady))?;
+    let key = &order.item.key;
+    let id = RequestId(format!("req_{}_{}_{}", key.job, key.item, order.run.0));
+    let line = BatchLine::parse(&order.item.line)?;
+    let kind = line.kind()?;
+    let mut request = CompletionRequest::from_body(kind, id, line.body, &active.fleet)?;
+    request.priority = Priority::Batch;
+    request.deadline = order.item.deadline;
+    request.at_most_once = order.item.at_most_once;
+    Ok(request)
+}
+
+struct ItemRun {
+    gateway: Arc<Gateway>,
+    order: RunOrder,
+    request: CompletionRequest,
+    wanted: Wanted,
+    progress: Progress,
+}
+
+impl ItemRun {
+    fn new(gateway: Arc<Gateway>, order: RunOrder, request: CompletionRequest) -> Self {
+        let progress = Progress {
+            tokens: order.kept.tokens,
+            text: order.kept.text.clone(),
+            ..Progress::default()
+        };
+        let mut wanted = request.wanted();
+        wanted.prompt_tokens = wanted.prompt_tokens.saturating_add(progress.tokens);
+        wanted.output_tokens = wanted.output_tokens.saturating_sub(progress.tokens).max(1);
+        ItemRun {
+            gateway,
+            order,
+            request,
+            wanted,
+            progress,
+        }
+    }
+
+    async fn run(mut self, stop: &CancellationToken) -> RunEnd {
+        let decisions = &self.gateway.decisions;
+        let Some(mut placement) = decisions.place_at(&self.wanted, &self.order.replica) else {
+            return self.failed(false, "the replica takes no new work".to_owned());
+        };
+        let outcome = tokio::select! {
+            biased;
+            () = stop.cancelled() => None,
+            outcome = attempt(&self.gateway, &self.request, &mut self.progress, &mut placement) => Some(outcome),
+        };
+        if self.progress.finish_reason.is_some() {
+            // The answer is whole; only the end of the stream is missing, if anything.
+            placement.finished();
+            return self.answered();
+        }
+        match outcome {
+            None => RunEnd::Stopped { kept: self.kept() },
+            Some(Ok(())) => {
+                placement.finished();
+                self.answered()
+            }
+            Some(Err(fault)) => {
+                self.gateway.decisions.learn(placement, &fault);
+                self.faulted(&fault)
+            }
+        }
+    }
+
+    fn answered(&self) -> RunEnd {
+        let answer = WholeAnswer::new(&self.request, &self.progress);
+        match serde_json::to_vec(&answer) {
+            Ok(body) => RunEnd::Answered { status: 200, body },
+            Err(error) => RunEnd::Rejected {
+                kind: ErrorKind::Internal,
+                message: error.to_string(),
+            },
+        }
+    }
+
+    fn faulted(&self, fault: &AttemptFault) -> RunEnd {
+        match fault {
+            AttemptFault::Rejected { status, message } => {
+                let failure = rejected(*status, message);
+                RunEnd::Rejected {
+                    kind: failure.kind,
+                    message: failure.message,
+                }
+            }
+            fault => self.failed(!fault.not_started(), fault.to_string()),
+        }
+    }
+
+    fn failed(&self, may_have_started: bool, message: String) -> RunEnd {
+        RunEnd::Failed {
+            may_have_started,
+            kept: self.kept(),
+            message,
+        }
+    }
+
+    /// What the next run goes on after.
+    fn kept(&self) -> KeptTokens {
+        if self.progress.not_resumable {
+            return KeptTokens::default();
+        }
+        KeptTokens {
+            tokens: self.progress.tokens,
+            text: self.progress.text.clone(),
+        }
+    }
+}
+
+/// Sends the request and reads the answer to its end.
+async fn attempt(
+    gateway: &Gateway,
+    request: &CompletionRequest,
+    progress: &mut Progress,
+    placement: &mut Placement,
+) -> Result<(), AttemptFault> {
+    let limit = gateway.timeouts.batch_silence;
+    let body = request
+        .engine_body(progress)
+        .map_err(|failure| AttemptFault::Protocol(failure.message))?;
+    let message = EngineRequest {
+        address: placement.address.clone(),
+        path: request.kind.path(),
+        id: request.id.0.clone(),
+        priority: request.priority,
+        deadline: gateway.clock().until(request.deadline),
+        body,
+    };
+    let response = tokio::time::timeout(limit, gateway.back_ends.generate(message))
+        .await
+        .map_err(|_| AttemptFault::Hung(limit))??;
+    let decisions = &gateway.decisions;
+    if let Some(load) = load_of(response.headers(), "x-engine-load") {
+        decisions.on_load(&placement.replica, load);
+    }
+    if says(response.headers(), "x-engine-leaving", "yes") {
+        decisions.on_leaving(&placement.replica);
+    }
+    let mut stream = EngineStream::new(response, request.id.0.clone());
+    let mut first = true;
+    loop {
+        match stream.next(progress, limit).await? {
+            StreamEvent::Token(_) => placement.on_token(std::mem::take(&mut first)),
+            StreamEvent::Usage(_) => {}
+            StreamEvent::Done => return Ok(()),
+        }
+    }
+}
--- a/crates/gateway/src/control/events.rs
+++ b/crates/gateway/src/control/events.rs
@@ -10,6 +10,7 @@
 use slog::{error, info, warn};
 
 use crate::{
+    batch::BatchEvent,
     configuration::follower::{FollowerAction, StoredConfiguration},
     control::attachment::AfterMessage,
     state::Gateway,
@@ -35,14 +36,23 @@
                 self.decisions.serve_queues();
             }
             ControlMessage::Answer { call, body } => self.control.on_answer(call, body),
-            ControlMessage::Attached { .. }
-            | ControlMessage::Freshness { .. }
-            | ControlMessage::Grants(_)
-            | ControlMessage::CancelJobs(_) => {}
+            ControlMessage::Grants(grants) => self.decisions.on_grants(&grants),
+            ControlMessage::Freshness { pending, .. } => {
+                self.tell_batch(BatchEvent::Pending(pending)).await;
+            }
+            ControlMessage::CancelJobs(jobs) => {
+                self.tell_batch(BatchEvent::JobsCancelled(jobs)).await;
+            }
+            ControlMessage::Attached { .. } => {}
         }
         AfterMessage::Continue
     }
 
+    /// Hands an event to the batch executor, if it runs.
+    async fn tell_batch(&self, event: BatchEvent) {
+        let _ = self.batch_events.send(event).await;
+    }
+
     fn on_replicas(self: &Arc<Self>, full: bool, changed: Vec<ReplicaInfo>, removed: &[ReplicaId]) {
         if full {
             self.decisions.set_replicas(changed);
--- a/crates/gateway/src/control/session.rs
+++ b/crates/gateway/src/control/session.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Tells of every change.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Session>> {
+        self.current.subscribe()
+    }
+
     fn set(&self, session: Option<Session>) {
         self.current.send_replace(session);
     }
--- /dev/null
+++ b/crates/gateway/src/decisions/batch.rs
@@ -0,0 +1,79 @@
+//! Capacity for batch work: grants of control, and what online work leaves of them.
+
+use std::sync::Arc;
+
+use linnethitch_protocol::{attach::Grant, fleet::BackEndKind, ids::ReplicaId};
+use linnethitch_routing::{Choice, ReasonCode, profile::MAX_ALTERNATIVES, view::Standing};
+
+use crate::{
+    batch::ReplicaRoom,
+    decisions::{Decisions, Placement, Wanted},
+};
+
+impl Decisions {
+    /// Takes in grants of control.
+    pub(crate) fn on_grants(&self, grants: &[Grant]) {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        for grant in grants {
+            if let Some(index) = core.router.view().index_of(&grant.replica) {
+                let valid_ms = u64::from(grant.valid_ms);
+                core.capacity
+                    .on_grant(now, index, grant.sequences, valid_ms);
+            }
+        }
+        drop(core);
+        self.batch_room_changed.notify_one();
+    }
+
+    /// The room that batch has now on every granted replica.
+    pub(crate) fn batch_rooms(&self) -> Vec<ReplicaRoom> {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        let core = &mut *core;
+        core.capacity.forget_expired(now);
+        let view = core.router.view();
+        let replicas = core.capacity.replicas();
+        let rooms = replicas.into_iter().filter_map(|index| {
+            let info = view.replica(index).info();
+            let model = match &info.machine.kind {
+                BackEndKind::Engine => info.engine.model.clone()?,
+                BackEndKind::Application(_) => return None,
+            };
+            let room = core.capacity.room(now, view, index);
+            Some(ReplicaRoom {
+                replica: info.machine.replica.clone(),
+                model,
+                adapters: info.engine.adapters.clone(),
+                sequences: room.sequences,
+                reason: room.reason,
+            })
+        });
+        rooms.collect()
+    }
+
+    /// A place for a batch item on a named replica, unless it takes no work now.
+    pub(crate) fn place_at(
+        self: &Arc<Self>,
+        wanted: &Wanted,
+        replica: &ReplicaId,
+    ) -> Option<Placement> {
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        let index = core.router.view().index_of(replica)?;
+        if !matches!(
+            core.router.view().standing(now, index),
+            Standing::Available(_)
+        ) {
+            return None;
+        }
+        let choice = Choice {
+            replica: index,
+            expected_wait_ms: 0.0,
+            cached_tokens: 0,
+            reason: ReasonCode::IdleCapacity,
+            alternatives: [None; MAX_ALTERNATIVES],
+        };
+        Some(self.place(&mut core, now, wanted, &choice))
+    }
+}
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -1,5 +1,6 @@
 //! Applies the decisions of `linnethitch-routing` to real time and real requests.
 
+mod batch;
 mod limits;
 mod placement;
 mod queue;
@@ -13,7 +14,8 @@
     ids::{ReplicaId, ZoneId},
 };
 use linnethitch_routing::{
-    Choice, NoChoice, RetryBudget, Router,
+    Choice, NoChoice, ReasonCode, RetryBudget, Router,
+    batch::yielding::BatchCapacity,
     limits::Limits,
     profile::Target,
     retry::{FailedAttempt, Next, after_failure},
@@ -21,18 +23,21 @@
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use tokio::sync::Notify;
 
 pub(crate) use limits::TenantPass;
 pub(crate) use placement::Placement;
 pub(crate) use queue::{Refused, no_choice};
 pub(crate) use wanted::{Wanted, WantedTarget};
 
-use crate::{clock::Clock, decisions::queue::PoolQueue};
+use crate::{clock::Clock, decisions::queue::PoolQueue, engine::fault::AttemptFault};
 
 /// All decisions of one gateway, behind one lock that is held for microseconds.
 pub(crate) struct Decisions {
     pub(crate) clock: Clock,
     core: Mutex<Core>,
+    /// Told when online work or a grant changed what batch may use.
+    pub(crate) batch_room_changed: Arc<Notify>,
 }
 
 /// What the decisions work on.
@@ -43,6 +48,7 @@
     budget: RetryBudget,
     queues: HashMap<WantedTarget, PoolQueue>,
     policy: linnethitch_config::fleet::RoutingPolicy,
+    capacity: BatchCapacity,
 }
 
 impl Decisions {
@@ -56,10 +62,12 @@
             budget: RetryBudget::new(clock.now(), &policy),
             queues: HashMap::new(),
             policy,
+            capacity: BatchCapacity::default(),
         };
         Decisions {
             clock,
             core: Mutex::new(core),
+            batch_room_changed: Arc::default(),
         }
     }
 
@@ -102,6 +110,8 @@
         if let Some(index) = core.router.view().index_of(replica) {
             core.router.view_mut().on_load_report(index, load);
         }
+        drop(core);
+        self.batch_room_changed.notify_one();
     }
 
     /// Takes in that a replica said that it is leaving.
@@ -113,6 +123,20 @@
         }
     }
 
+    /// Takes in how an attempt failed; tells whether this took the replica out.
+    pub(crate) fn learn(&self, placement: Placement, fault: &AttemptFault) -> Option<ReasonCode> {
+        if let AttemptFault::Refused { leaving: true, .. } = fault {
+            self.on_leaving(&placement.replica);
+        }
+        match fault.as_failure_kind() {
+            Some(kind) => placement.failed(kind),
+            None => {
+                placement.finished();
+                None
+            }
+        }
+    }
+
     /// Decides what follows a failed attempt.
     pub(crate) fn after_failure(
         &self,
--- a/crates/gateway/src/decisions/placement.rs
+++ b/crates/gateway/src/decisions/placement.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_protocol::ids::{ReplicaId, Timestamp};
 use linnethitch_routing::{
-    Choice, ReasonCode, Ticket, profile::MAX_ALTERNATIVES, view::FailureKind,
+    Choice, Class, ReasonCode, Ticket, profile::MAX_ALTERNATIVES, view::FailureKind,
 };
 
 use crate::decisions::{Core, Decisions, Wanted};
@@ -43,6 +43,9 @@
         choice: &Choice,
     ) -> Placement {
         let work = wanted.work(choice.cached_tokens);
+        if wanted.class == Class::Online {
+            self.batch_room_changed.notify_one();
+        }
         let view = core.router.view_mut();
         let ticket = view.on_sent(now, choice.replica, work, &wanted.prefix_hashes);
         let machine = &view.replica(choice.replica).info().machine;
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -1,15 +1,6 @@
 //! Accepts connections and serves each until it ends or the process stops.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    panic::AssertUnwindSafe,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, net::SocketAddr, panic::AssertUnwindSafe, time::Duration};
 
 use gotham::{helpers::http::Body, router::Router, service::call_handler, state::State};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -18,8 +9,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use linnethitch_errors::{ErrorKind, Failure};
 use slog::{Logger, debug, warn};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     http::{
@@ -45,8 +39,8 @@
     socket: TcpListener,
     router: Router,
     logger: Logger,
-    connections: TaskTracker,
-    open: Arc<AtomicUsize>,
+    /// Open connections; dropping them cuts them off.
+    connections: JoinSet<()>,
     stopping: CancellationToken,
 }
 
@@ -62,17 +56,17 @@
             socket,
             router,
             logger,
-            connections: TaskTracker::new(),
-            open: Arc::default(),
+            connections: JoinSet::new(),
             stopping,
         }
     }
 
     /// Accepts until told to stop, then waits until every open connection is served.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         loop {
             tokio::select! {
                 () = self.stopping.cancelled() => break,
+                Some(_) = self.connections.join_next() => {}
                 accepted = self.socket.accept() => match accepted {
                     Ok((stream, peer)) => self.accept(stream, peer),
                     Err(error) => {
@@ -83,17 +77,14 @@
             }
         }
         drop(self.socket);
-        self.connections.close();
-        self.connections.wait().await;
+        while self.connections.join_next().await.is_some() {}
     }
 
-    fn accept(&self, stream: TcpStream, peer: SocketAddr) {
-        if self.open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+    fn accept(&mut self, stream: TcpStream, peer: SocketAddr) {
+        if self.connections.len() >= MAX_CONNECTIONS {
             warn!(self.logger, "connection refused: too many are open"; "peer" => %peer);
             return;
         }
-        self.open.fetch_add(1, Ordering::Relaxed);
-        let open = Arc::clone(&self.open);
         let connection = serve(
             stream,
             peer,
@@ -101,10 +92,7 @@
             self.stopping.clone(),
             self.logger.clone(),
         );
-        self.connections.spawn(async move {
-            connection.await;
-            open.fetch_sub(1, Ordering::Relaxed);
-        });
+        self.connections.spawn(connection);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![allow(dead_code, reason = "parts that the next changes use")]
 
+pub mod batch;
 mod batches;
 mod claims;
 mod clock;
--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation.rs
@@ -251,7 +251,8 @@
         let replica = placement
             .as_ref()
             .map(|placement| placement.replica.to_string());
-        let ejected = placement.and_then(|placement| self.learn(*placement, &fault));
+        let ejected =
+            placement.and_then(|placement| self.gateway.decisions.learn(*placement, &fault));
         self.started |= !fault.not_started();
         let attempt = self.failed_attempt(&fault);
         let next = self
@@ -274,20 +275,6 @@
         }
     }
 
-    /// Tells the view of the fleet how the attempt failed.
-    fn learn(&self, placement: Placement, fault: &AttemptFault) -> Option<ReasonCode> {
-        if let AttemptFault::Refused { leaving: true, .. } = fault {
-            self.gateway.decisions.on_leaving(&placement.replica);
-        }
-        match fault.as_failure_kind() {
-            Some(kind) => placement.failed(kind),
-            None => {
-                placement.finished();
-                None
-            }
-        }
-    }
-
     fn final_failure(&self, kind: ErrorKind, executed: Executed, fault: &AttemptFault) -> Failure {
         if let AttemptFault::Rejected { status, message } = fault {
             return rejected(*status, message);
@@ -323,7 +310,7 @@
 }
 
 /// An engine found the request itself wrong: the caller has to change it.
-fn rejected(status: u16, message: &str) -> Failure {
+pub(crate) fn rejected(status: u16, message: &str) -> Failure {
     let kind = match status {
         404 => ErrorKind::UnknownModel,
         413 => ErrorKind::BodyTooLarge,
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -4,7 +4,7 @@
 mod prefix;
 pub(crate) mod request;
 mod stream_answer;
-mod whole_answer;
+pub(crate) mod whole_answer;
 
 use std::sync::Arc;
 
--- a/crates/gateway/src/online/whole_answer.rs
+++ b/crates/gateway/src/online/whole_answer.rs
@@ -8,7 +8,7 @@
 use crate::{
     engine::{
         chunk::{FinishReason, Usage},
-        stream::StreamEvent,
+        stream::{Progress, StreamEvent},
     },
     http::answer::json_response,
     online::{
@@ -20,7 +20,7 @@
 /// Waits for the whole answer.
 pub(crate) async fn respond(mut generation: Generation) -> Result<Response<Body>, Failure> {
     while generation.next().await? != StreamEvent::Done {}
-    let body = WholeAnswer::new(&generation);
+    let body = WholeAnswer::new(&generation.request, &generation.progress);
     Ok(json_response(StatusCode::OK, &body))
 }
 
@@ -56,9 +56,8 @@
 }
 
 impl WholeAnswer {
-    pub(crate) fn new(generation: &Generation) -> Self {
-        let request = &generation.request;
-        let progress = &generation.progress;
+    /// The answer to a request of which everything was received.
+    pub(crate) fn new(request: &CompletionRequest, progress: &Progress) -> Self {
         let (object, output) = match request.kind {
             CompletionKind::Chat => (
                 "chat.completion",
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -31,6 +31,9 @@
     pub first_token: Duration,
     /// Between two tokens.
     pub between_tokens: Duration,
+    /// From one sign of life of a batch run to the next; longer, since the engine may
+    /// preempt it for online work.
+    pub batch_silence: Duration,
 }
 
 impl Default for EngineTimeouts {
@@ -39,6 +42,7 @@
             connect: Duration::from_millis(1_000),
             first_token: Duration::from_secs(20),
             between_tokens: Duration::from_secs(5),
+            batch_silence: Duration::from_secs(60),
         }
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -5,20 +5,21 @@
 use error_stack::{Report, ResultExt};
 use linnethitch_config::{fleet::Fleet, settings::GatewaySettings};
 use linnethitch_errors::ErrorKind;
+use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::Revision;
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use slog::{Logger, info};
-use tokio::{
-    net::TcpListener,
-    task::{JoinHandle, JoinSet},
-};
-use tokio_util::sync::CancellationToken;
+use tokio::{net::TcpListener, sync::mpsc, task::JoinSet};
 
 use crate::{
+    batch::{
+        BatchEvent,
+        driver::{self, MAX_WAITING_EVENTS},
+    },
     configuration::{follower::Follower, store::ConfigurationStore},
     control::{attachment, session},
     http::{listener::Listener, routes::build_router},
-    options::{EngineTimeouts, FixedFleet, GatewayOptions},
+    options::{FixedFleet, GatewayOptions},
     state::Gateway,
 };
 
@@ -26,14 +27,14 @@
 #[derive(Debug)]
 pub struct GatewayProcess;
 
-/// A running gateway.
+/// A running gateway. Dropping it ends it at once, as a crash would.
 pub struct GatewayHandle {
     address: SocketAddr,
     gateway: Arc<Gateway>,
-    stopping: CancellationToken,
-    listener: JoinHandle<()>,
-    /// Tasks that run as long as the process; dropping the set ends them.
-    tasks: JoinSet<()>,
+    /// Tasks that finish what is in progress at a planned stop: listener and batch executor.
+    work: JoinSet<()>,
+    /// Tasks that run as long as the process.
+    background: JoinSet<()>,
 }
 
 impl GatewayProcess {
@@ -59,25 +60,34 @@
     ) -> Result<GatewayHandle, Report<ErrorKind>> {
         let socket = bind(settings.listen_address).await?;
         let address = socket.local_addr().change_context(ErrorKind::Io)?;
-        let gateway = match options.fixed {
-            Some(fixed) => start_fixed(settings, options.engine_timeouts, fixed, &logger)?,
-            None => start_following(settings, options.engine_timeouts, &logger)?,
+        let (batch_events, events) = mpsc::channel(MAX_WAITING_EVENTS);
+        let journal = Journal::open(&settings.data_dir, settings.journal_max_bytes)
+            .change_context(ErrorKind::Io)
+            .attach("cannot open the decision journal")?;
+        let store = match options.fixed {
+            Some(_) => None,
+            None => Some(ConfigurationStore::open(&settings.data_dir)?),
         };
-        let tasks = spawn_tasks(&gateway)?;
-        let stopping = CancellationToken::new();
-        let listener = Listener::new(
-            socket,
-            build_router(&gateway),
-            stopping.clone(),
+        let gateway = Arc::new(Gateway::new(
+            settings,
+            options.engine_timeouts,
+            store,
+            journal,
+            batch_events,
             logger.clone(),
-        );
+        ));
+        match options.fixed {
+            Some(fixed) => use_fixed(&gateway, fixed)?,
+            None => use_stored(&gateway)?,
+        }
+        let background = spawn_background(&gateway)?;
+        let work = spawn_work(&gateway, socket, events);
         info!(logger, "gateway listens"; "address" => %address);
         Ok(GatewayHandle {
             address,
             gateway,
-            stopping,
-            listener: tokio::spawn(listener.run()),
-            tasks,
+            work,
+            background,
         })
     }
 }
@@ -93,15 +103,14 @@
     pub async fn stop(self) {
         let GatewayHandle {
             gateway,
-            stopping,
-            listener,
-            mut tasks,
+            mut work,
+            mut background,
             ..
         } = self;
         gateway.begin_stop();
-        stopping.cancel();
-        let _ = listener.await;
-        tasks.shutdown().await;
+        while work.join_next().await.is_some() {}
+        background.shutdown().await;
+        gateway.journal.flush();
     }
 }
 
@@ -112,48 +121,33 @@
         .attach_with(|| format!("cannot listen on {address}"))
 }
 
-/// A gateway whose fleet is given.
-fn start_fixed(
-    settings: GatewaySettings,
-    timeouts: EngineTimeouts,
-    fixed: FixedFleet,
-    logger: &Logger,
-) -> Result<Arc<Gateway>, Report<ErrorKind>> {
+/// Puts a given fleet in force.
+fn use_fixed(gateway: &Arc<Gateway>, fixed: FixedFleet) -> Result<(), Report<ErrorKind>> {
     let fleet = Fleet::parse(&fixed.content).change_context(ErrorKind::InvalidConfiguration)?;
-    let gateway = Gateway::new(settings, timeouts, None, logger.clone());
-    let gateway = Arc::new(gateway);
     gateway.put_in_force(Revision(1), fleet);
     gateway.decisions.set_replicas(fixed.replicas);
     gateway.on_first_replicas();
-    Ok(gateway)
+    Ok(())
 }
 
-/// A gateway that follows control, from the configuration that it had stored.
-fn start_following(
-    settings: GatewaySettings,
-    timeouts: EngineTimeouts,
-    logger: &Logger,
-) -> Result<Arc<Gateway>, Report<ErrorKind>> {
-    let store = ConfigurationStore::open(&settings.data_dir)?;
-    let stored = store.load()?;
-    let gateway = Arc::new(Gateway::new(
-        settings,
-        timeouts,
-        Some(store),
-        logger.clone(),
-    ));
-    if let Some(stored) = stored {
-        let fleet =
-            Fleet::parse(&stored.content).change_context(ErrorKind::InvalidConfiguration)?;
-        info!(logger, "stored configuration in force"; "revision" => stored.revision.0);
-        gateway.put_in_force(stored.revision, fleet);
-        *gateway.follower.lock() = Follower::new(Some(stored));
-    }
-    Ok(gateway)
+/// Goes on from the configuration that the gateway had stored, if it had.
+fn use_stored(gateway: &Arc<Gateway>) -> Result<(), Report<ErrorKind>> {
+    let stored = match &gateway.store {
+        Some(store) => store.load()?,
+        None => None,
+    };
+    let Some(stored) = stored else {
+        return Ok(());
+    };
+    let fleet = Fleet::parse(&stored.content).change_context(ErrorKind::InvalidConfiguration)?;
+    info!(gateway.logger, "stored configuration in force"; "revision" => stored.revision.0);
+    gateway.put_in_force(stored.revision, fleet);
+    *gateway.follower.lock() = Follower::new(Some(stored));
+    Ok(())
 }
 
-/// Starts what runs beside the listener.
-fn spawn_tasks(gateway: &Arc<Gateway>) -> Result<JoinSet<()>, Report<ErrorKind>> {
+/// Starts what follows control; nothing when the fleet is given.
+fn spawn_background(gateway: &Arc<Gateway>) -> Result<JoinSet<()>, Report<ErrorKind>> {
     let mut tasks = JoinSet::new();
     let settings = &gateway.settings;
     if settings.control_addresses.is_empty() {
@@ -167,3 +161,23 @@
     tasks.spawn(session::keep(Arc::clone(gateway)));
     Ok(tasks)
 }
+
+/// Starts what takes work.
+fn spawn_work(
+    gateway: &Arc<Gateway>,
+    socket: TcpListener,
+    events: mpsc::Receiver<BatchEvent>,
+) -> JoinSet<()> {
+    let mut work = JoinSet::new();
+    let listener = Listener::new(
+        socket,
+        build_router(gateway),
+        gateway.stopping.clone(),
+        gateway.logger.clone(),
+    );
+    work.spawn(listener.run());
+    if !gateway.settings.control_addresses.is_empty() {
+        work.spawn(driver::run(Arc::clone(gateway), events));
+    }
+    work
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,11 +16,15 @@
     settings::GatewaySettings,
 };
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::Revision;
 use parking_lot::Mutex;
 use slog::Logger;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
+    batch::BatchEvent,
     batches,
     clock::Clock,
     configuration::{follower::Follower, store::ConfigurationStore},
@@ -70,7 +74,6 @@
 
 /// The shared state of one gateway process.
 pub(crate) struct Gateway {
-    #[allow(dead_code)]
     pub(crate) settings: GatewaySettings,
     pub(crate) timeouts: EngineTimeouts,
     pub(crate) logger: Logger,
@@ -82,7 +85,11 @@
     /// `None` when the configuration is given instead of learnt.
     pub(crate) store: Option<ConfigurationStore>,
     pub(crate) session: SessionState,
-    stopping: AtomicBool,
+    /// Cancelled when a planned stop begins.
+    pub(crate) stopping: CancellationToken,
+    pub(crate) journal: Journal,
+    /// What the batch executor is told; nobody receives when the fleet is given.
+    pub(crate) batch_events: mpsc::Sender<BatchEvent>,
     has_replicas: AtomicBool,
 }
 
@@ -91,6 +98,8 @@
         settings: GatewaySettings,
         timeouts: EngineTimeouts,
         store: Option<ConfigurationStore>,
+        journal: Journal,
+        batch_events: mpsc::Sender<BatchEvent>,
         logger: Logger,
     ) -> Self {
         let zone = settings.zone.as_str().into();
@@ -106,7 +115,9 @@
             follower: Mutex::default(),
             store,
             session: SessionState::default(),
-            stopping: AtomicBool::new(false),
+            stopping: CancellationToken::new(),
+            journal,
+            batch_events,
             has_replicas: AtomicBool::new(false),
         }
     }
@@ -142,12 +153,12 @@
 
     /// From now on no new work is taken.
     pub(crate) fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+        self.stopping.cancel();
     }
 
     /// The configuration in force, if new work may be taken.
     pub(crate) fn active(&self) -> Result<Arc<ActiveConfiguration>, Failure> {
-        if self.stopping.load(Ordering::Acquire) {
+        if self.stopping.is_cancelled() {
             return Err(
                 Failure::new(ErrorKind::Stopping, "this gateway is stopping")
                     .with_retry_after(RESTART_RETRY_AFTER),
--- /dev/null
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -0,0 +1,261 @@
+//! Batch jobs from the caller's file to the caller's results, over control and engines.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use http::Method;
+use linnethitch_protocol::{attach::ReplicaLoad, fleet::LoadReport, ids::Timestamp};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::{
+    files::{line, lines, upload},
+    support::{
+        caller::{call, request},
+        control::{FakeControl, Shared},
+        engine::{FakeEngine, Script, Step, text_of},
+        gateway::{TestGateway, engine, fleet_file, wait_until},
+    },
+};
+
+/// Sequences granted on the engine.
+const GRANTED: usize = 4;
+
+struct Fixture {
+    control: FakeControl,
+    engine: FakeEngine,
+    gateway: TestGateway,
+}
+
+impl Fixture {
+    async fn start(scripts: Vec<Script>) -> Self {
+        let engine_server = FakeEngine::start(scripts).await;
+        let replicas = vec![engine(0, engine_server.address)];
+        let content = format!("{}\n[batch]\nlease_ms = 1000\n", fleet_file());
+        let control = FakeControl::start(Shared::new(&content, replicas)).await;
+        control.shared.grant(GRANTED);
+        let gateway = TestGateway::attached(&[control.address]).await;
+        Fixture {
+            control,
+            engine: engine_server,
+            gateway,
+        }
+    }
+
+    async fn create(&self, content: String) -> String {
+        let file = upload(&self.gateway, content).await.json();
+        let body = json!({"input_file_id": file["id"], "endpoint": "/v1/chat/completions",
+            "completion_window": "24h"});
+        let url = self.gateway.url("/v1/batches");
+        let job = call(request(Method::POST, url, body.to_string())).await;
+        job.json()["id"].as_str().expect("a job").to_owned()
+    }
+
+    async fn job(&self, id: &str) -> Value {
+        let url = self.gateway.url(&format!("/v1/batches/{id}"));
+        call(request(Method::GET, url, "")).await.json()
+    }
+
+    async fn wait_for(&self, id: &str, status: &str) -> Value {
+        wait_until(status, async || self.job(id).await["status"] == status).await;
+        self.job(id).await
+    }
+
+    async fn wait_for_generations(&self, count: usize) {
+        wait_until("the items run", async || {
+            self.engine.generations().len() >= count
+        })
+        .await;
+    }
+
+    /// Results by custom id; panics when one comes twice.
+    async fn results(&self, job: &Value, kind: &str) -> BTreeMap<String, Value> {
+        let Some(file) = job[kind].as_str() else {
+            return BTreeMap::new();
+        };
+        let url = self.gateway.url(&format!("/v1/files/{file}/content"));
+        let answer = call(request(Method::GET, url, "")).await;
+        let mut results = BTreeMap::new();
+        for line in String::from_utf8_lossy(&answer.body).lines() {
+            let result: Value = serde_json::from_str(line).expect("a result");
+            let id = result["custom_id"].as_str().expect("an id").to_owned();
+            assert!(results.insert(id, result).is_none(), "{line} came twice");
+        }
+        results
+    }
+}
+
+fn at_most_once(custom_id: &str) -> String {
+    let mut line: Value = serde_json::from_str(&line(custom_id)).expect("a line");
+    line["run"] = json!("at-most-once");
+    line.to_string() + "\n"
+}
+
+fn broken_after(tokens: u32) -> Script {
+    let steps = (0..tokens).map(Step::Token);
+    Script::Stream(steps.chain([Step::Break]).collect())
+}
+
+/// Tokens, then nothing until the gateway goes away.
+fn endless(tokens: u32) -> Script {
+    let steps = (0..tokens).map(Step::Token);
+    Script::Stream(steps.chain([Step::Hang]).collect())
+}
+
+#[rstest]
+#[case::healthy(vec![])]
+#[case::full(vec![Script::Status(429, vec![("x-engine-started", "no")], "full"); 3])]
+#[case::broken_streams(vec![broken_after(3), broken_after(0), broken_after(1)])]
+#[case::errors(vec![Script::Status(500, vec![], "defect"), Script::Status(500, vec![], "defect")])]
+#[case::end_of_stream_lost(vec![Script::Stream(vec![Step::Token(0), Step::Last(1), Step::Break])])]
+#[tokio::test]
+async fn every_item_is_answered_once_and_in_full(#[case] scripts: Vec<Script>) {
+    let short = matches!(scripts.first(), Some(Script::Stream(steps)) if steps.len() == 3 && matches!(steps[1], Step::Last(1)));
+    let fixture = Fixture::start(scripts).await;
+    let id = fixture.create(lines(40)).await;
+    let job = fixture.wait_for(&id, "completed").await;
+    assert_eq!(
+        job["request_counts"],
+        json!({"total": 40, "completed": 40, "failed": 0})
+    );
+    let results = fixture.results(&job, "output_file_id").await;
+    assert_eq!(results.len(), 40);
+    let texts = results.values().map(|result| {
+        assert_eq!(result["response"]["status_code"], 200);
+        result["response"]["body"]["choices"][0]["message"]["content"].clone()
+    });
+    let shorter = texts.filter(|text| *text != text_of(10)).count();
+    assert_eq!(shorter, usize::from(short));
+}
+
+#[tokio::test]
+async fn a_cancelled_job_stops_at_the_engine() {
+    let fixture = Fixture::start(vec![endless(2); GRANTED]).await;
+    let id = fixture.create(lines(20)).await;
+    fixture.wait_for_generations(GRANTED).await;
+    let url = fixture.gateway.url(&format!("/v1/batches/{id}/cancel"));
+    let cancelled = call(request(Method::POST, url, "")).await.json();
+    assert!(
+        ["cancelling", "cancelled"].contains(&cancelled["status"].as_str().unwrap_or_default()),
+        "{cancelled}"
+    );
+    fixture.wait_for(&id, "cancelled").await;
+    wait_until("the streams are closed", async || {
+        fixture.engine.closed_early() == GRANTED
+    })
+    .await;
+    assert_eq!(fixture.engine.generations().len(), GRANTED);
+}
+
+#[tokio::test]
+async fn silence_and_lost_answers_of_control_cost_no_result_and_double_none() {
+    let fixture = Fixture::start(Vec::new()).await;
+    let id = fixture.create(lines(40)).await;
+    fixture.wait_for_generations(GRANTED).await;
+    fixture.control.shared.set_answering(false);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fixture.control.shared.lose_answers(5);
+    fixture.control.shared.set_answering(true);
+    let job = fixture.wait_for(&id, "completed").await;
+    assert_eq!(fixture.results(&job, "output_file_id").await.len(), 40);
+}
+
+/// Why batch has to leave the engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Pressure {
+    GrantEnds,
+    OnlineLoad,
+}
+
+fn load(running_online: u32) -> Vec<ReplicaLoad> {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let load = LoadReport {
+        measured_at: Timestamp(elapsed.expect("a time after 1970").as_millis() as u64),
+        running_online,
+        max_running: 16,
+        ..LoadReport::default()
+    };
+    vec![ReplicaLoad {
+        replica: "engine-0".into(),
+        load,
+    }]
+}
+
+#[rstest]
+#[case(Pressure::GrantEnds)]
+#[case(Pressure::OnlineLoad)]
+#[tokio::test]
+async fn batch_leaves_at_once_and_goes_on_later_after_its_tokens(#[case] pressure: Pressure) {
+    let fixture = Fixture::start(vec![endless(4); GRANTED]).await;
+    let id = fixture.create(lines(GRANTED)).await;
+    fixture.wait_for_generations(GRANTED).await;
+    match pressure {
+        Pressure::GrantEnds => fixture.control.shared.grant(0),
+        Pressure::OnlineLoad => fixture.control.shared.send_loads(load(16)),
+    }
+    wait_until("the streams are closed", async || {
+        fixture.engine.closed_early() == GRANTED
+    })
+    .await;
+    match pressure {
+        Pressure::GrantEnds => fixture.control.shared.grant(GRANTED),
+        Pressure::OnlineLoad => fixture.control.shared.send_loads(load(0)),
+    }
+    let job = fixture.wait_for(&id, "completed").await;
+    let results = fixture.results(&job, "output_file_id").await;
+    assert_eq!(results.len(), GRANTED);
+    let resumed = fixture.engine.generations().split_off(GRANTED);
+    for received in resumed {
+        assert_eq!(
+            received.body["resume"],
+            json!({"text": text_of(4), "tokens": 4})
+        );
+    }
+}
+
+#[rstest]
+#[case::killed(false)]
+#[case::stopped(true)]
+#[tokio::test]
+async fn another_gateway_finishes_what_one_leaves(#[case] planned: bool) {
+    let pause = Step::Pause(Duration::from_millis(200));
+    let slow = [
+        vec![Step::Token(0), pause],
+        (1..9).map(Step::Token).collect(),
+    ]
+    .concat();
+    let slow = [slow, vec![Step::Last(9), Step::Usage, Step::Done]].concat();
+    let mut fixture = Fixture::start(vec![Script::Stream(slow); GRANTED]).await;
+    let content = [at_most_once("tender"), lines(20)].concat();
+    let id = fixture.create(content).await;
+    fixture.wait_for_generations(GRANTED).await;
+    let other = TestGateway::attached_as("g2", &[fixture.control.address]).await;
+    let first = std::mem::replace(&mut fixture.gateway, other);
+    if planned {
+        first.stop().await;
+        assert_eq!(
+            fixture.engine.closed_early(),
+            0,
+            "a planned stop cuts nothing off"
+        );
+    } else {
+        drop(first);
+    }
+    let job = fixture.wait_for(&id, "completed").await;
+    let results = fixture.results(&job, "output_file_id").await;
+    let errors = fixture.results(&job, "error_file_id").await;
+    assert_eq!(results.len() + errors.len(), 21);
+    if planned {
+        assert!(errors.is_empty(), "{errors:?}");
+    } else {
+        // It was started, and nobody knows whether it was done: it is told so and never rerun.
+        assert_eq!(errors["tender"]["error"]["code"], "outcome_unknown");
+        let tenders = fixture.engine.generations();
+        let tenders = tenders
+            .iter()
+            .filter(|sent| sent.body["messages"][0]["content"] == "tender");
+        assert_eq!(tenders.count(), 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/all/batch_executor.rs
@@ -0,0 +1,381 @@
+//! The batch executor without sockets: events in, actions out.
+
+use std::collections::VecDeque;
+
+use linnethitch_gateway::batch::{
+    BatchAction, BatchEvent, BatchExecutor, BatchSession, CallAnswer, ExecutorSettings, KeptTokens,
+    ReplicaRoom, RunEnd, RunOrder,
+};
+use linnethitch_protocol::{
+    attach::PendingItems,
+    command::{LeasedItem, LeasedItemKey},
+    ids::{ItemNumber, JobId, LeaseEpoch, SessionEpoch, Timestamp},
+};
+use linnethitch_routing::ReasonCode;
+use rstest::rstest;
+
+/// A deadline that no test reaches.
+const FAR: Timestamp = Timestamp(1_000_000);
+/// Longer than any wait of the executor.
+const LONG_MS: u64 = 5_000;
+
+/// An executor with a ledger that hands out items of one job.
+struct Fixture {
+    executor: BatchExecutor,
+    now: u64,
+    actions: VecDeque<BatchAction>,
+}
+
+fn session(epoch: u64) -> Option<BatchSession> {
+    Some(BatchSession {
+        epoch: SessionEpoch(epoch),
+        until: FAR,
+    })
+}
+
+fn item(number: u32, at_most_once: bool) -> LeasedItem {
+    LeasedItem {
+        key: LeasedItemKey {
+            job: "batch_1".into(),
+            item: ItemNumber(number),
+            lease: LeaseEpoch(7),
+        },
+        tenant: "one".into(),
+        line: Vec::new(),
+        at_most_once,
+        deadline: FAR,
+    }
+}
+
+fn room(replica: &str, sequences: u32) -> ReplicaRoom {
+    ReplicaRoom {
+        replica: replica.into(),
+        model: "m".into(),
+        adapters: Vec::new(),
+        sequences,
+        reason: ReasonCode::IdleCapacity,
+    }
+}
+
+fn kept(tokens: u32) -> KeptTokens {
+    KeptTokens {
+        tokens,
+        text: "t".repeat(tokens as usize),
+    }
+}
+
+fn failed(may_have_started: bool) -> RunEnd {
+    RunEnd::Failed {
+        may_have_started,
+        kept: kept(3),
+        message: "the engine died".to_owned(),
+    }
+}
+
+fn answered() -> RunEnd {
+    RunEnd::Answered {
+        status: 200,
+        body: b"{}".to_vec(),
+    }
+}
+
+impl Fixture {
+    /// An executor with one granted replica `a` of two sequences and so many leased items.
+    fn with_items(count: u32, at_most_once: bool) -> Self {
+        let settings = ExecutorSettings {
+            max_attempts: 2,
+            lease_ahead_percent: 0,
+            ..ExecutorSettings::default()
+        };
+        let mut fixture = Fixture {
+            executor: BatchExecutor::new(settings),
+            now: 1_000,
+            actions: VecDeque::new(),
+        };
+        fixture.tell(BatchEvent::Session(session(1)));
+        fixture.tell(BatchEvent::Pending(vec![PendingItems {
+            model: "m".into(),
+            count: u64::from(count),
+        }]));
+        fixture.tell(BatchEvent::Room(vec![room("a", 2)]));
+        let (sequence, wanted) = fixture.lease().expect("a lease is asked for");
+        assert_eq!(wanted, count.min(2), "as many as are granted");
+        let items = (0..wanted).map(|number| item(number, at_most_once));
+        fixture.tell(BatchEvent::Leased {
+            sequence,
+            answer: CallAnswer::Done(items.collect()),
+        });
+        fixture
+    }
+
+    fn tell(&mut self, event: BatchEvent) {
+        let actions = self.executor.handle(Timestamp(self.now), event);
+        self.actions.extend(actions);
+    }
+
+    fn pass(&mut self, milliseconds: u64) {
+        self.now += milliseconds;
+        self.tell(BatchEvent::Tick);
+    }
+
+    /// Takes the first action that matches out, and drops those before it.
+    fn find<T>(&mut self, mut matching: impl FnMut(&BatchAction) -> Option<T>) -> Option<T> {
+        while let Some(action) = self.actions.pop_front() {
+            if let Some(found) = matching(&action) {
+                return Some(found);
+            }
+        }
+        None
+    }
+
+    fn lease(&mut self) -> Option<(u64, u32)> {
+        self.find(|action| match action {
+            BatchAction::Lease {
+                sequence, wanted, ..
+            } => Some((*sequence, wanted.count)),
+            _ => None,
+        })
+    }
+
+    fn run(&mut self) -> Option<RunOrder> {
+        self.find(|action| match action {
+            BatchAction::Run(order) => Some(order.clone()),
+            _ => None,
+        })
+    }
+
+    fn stops(&mut self) -> usize {
+        let stop = |action: &&BatchAction| matches!(action, BatchAction::Stop { .. });
+        let count = self.actions.iter().filter(stop).count();
+        self.actions.clear();
+        count
+    }
+
+    fn marked(&mut self) -> Option<u64> {
+        self.find(|action| match action {
+            BatchAction::MarkStarted { number, .. } => Some(*number),
+            _ => None,
+        })
+    }
+
+    /// The next commit: its number, and the error code of each result.
+    fn commit(&mut self) -> Option<(u64, Vec<String>)> {
+        self.find(|action| match action {
+            BatchAction::Commit {
+                number, results, ..
+            } => {
+                let outcomes = results.iter().flat_map(|job| &job.outcomes);
+                let codes = outcomes.map(|(_, outcome)| outcome.error_code.clone());
+                Some((*number, codes.collect()))
+            }
+            _ => None,
+        })
+    }
+
+    fn released(&mut self) -> Option<usize> {
+        self.find(|action| match action {
+            BatchAction::Release { keys, .. } => Some(keys.len()),
+            _ => None,
+        })
+    }
+
+    fn end(&mut self, order: &RunOrder, end: RunEnd) {
+        self.tell(BatchEvent::RunEnded {
+            run: order.run,
+            end,
+        });
+    }
+}
+
+#[test]
+fn a_lost_commit_is_made_again_until_it_is_answered() {
+    let mut fixture = Fixture::with_items(1, false);
+    let order = fixture.run().expect("it runs");
+    fixture.end(&order, answered());
+    fixture.pass(100);
+    let (number, codes) = fixture.commit().expect("a commit");
+    assert_eq!(codes, [""]);
+    for _ in 0..3 {
+        fixture.tell(BatchEvent::Committed {
+            number,
+            answer: CallAnswer::Unknown,
+        });
+        assert_eq!(fixture.commit(), None, "not before the wait is over");
+        fixture.pass(LONG_MS);
+        assert_eq!(fixture.commit(), Some((number, codes.clone())));
+    }
+    // Even a lost session does not lose the result.
+    fixture.tell(BatchEvent::Session(None));
+    assert_eq!(fixture.executor.uncommitted(), 1);
+    fixture.tell(BatchEvent::Committed {
+        number,
+        answer: CallAnswer::Done(()),
+    });
+    assert!(fixture.executor.is_idle());
+}
+
+#[rstest]
+#[case::lost(BatchEvent::Session(None))]
+#[case::another(BatchEvent::Session(session(2)))]
+#[case::over(BatchEvent::Tick)]
+fn a_session_that_ended_stops_everything_that_ran_under_it(#[case] end: BatchEvent) {
+    let mut fixture = Fixture::with_items(2, false);
+    let order = fixture.run().expect("it runs");
+    if end == BatchEvent::Tick {
+        fixture.now = FAR.0;
+    }
+    fixture.actions.clear();
+    fixture.tell(end);
+    assert_eq!(fixture.stops(), 2);
+    assert_eq!(fixture.executor.held(), 0);
+    fixture.end(&order, answered());
+    fixture.pass(LONG_MS);
+    assert_eq!(fixture.commit(), None, "the item belongs to another now");
+}
+
+#[rstest]
+#[case::stopped(RunEnd::Stopped { kept: kept(2) }, "cancelled")]
+#[case::answered_meanwhile(answered(), "")]
+#[case::failed_meanwhile(failed(true), "cancelled")]
+fn a_cancelled_job_stops_at_once(#[case] end: RunEnd, #[case] told: &str) {
+    let mut fixture = Fixture::with_items(1, false);
+    let order = fixture.run().expect("it runs");
+    fixture.tell(BatchEvent::JobsCancelled(vec![JobId::from("batch_1")]));
+    assert_eq!(fixture.stops(), 1);
+    fixture.end(&order, end);
+    fixture.pass(LONG_MS);
+    // The ledger drops the result and counts the item as returned.
+    let (_, codes) = fixture.commit().expect("the item is returned");
+    assert_eq!(codes, [told]);
+    assert_eq!(fixture.run(), None);
+}
+
+#[test]
+fn an_item_yields_with_its_tokens_and_goes_on_elsewhere() {
+    let mut fixture = Fixture::with_items(2, false);
+    let first = fixture.run().expect("it runs");
+    let second = fixture.run().expect("it runs");
+    fixture.tell(BatchEvent::Room(vec![room("a", 1), room("b", 1)]));
+    assert_eq!(fixture.stops(), 1, "the newer one gives way");
+    fixture.end(&second, RunEnd::Stopped { kept: kept(5) });
+    let resumed = fixture.run().expect("it goes on");
+    assert_eq!(
+        (resumed.replica.as_str(), &resumed.kept, &resumed.item),
+        ("b", &kept(5), &second.item)
+    );
+    fixture.tell(BatchEvent::Room(vec![room("b", 1)]));
+    assert_eq!(fixture.stops(), 1, "the other one too, without its grant");
+    fixture.end(&first, RunEnd::Stopped { kept: kept(1) });
+    assert_eq!(fixture.run(), None);
+    fixture.pass(LONG_MS);
+    assert_eq!(fixture.released(), Some(1), "nobody waits for ever");
+}
+
+#[rstest]
+#[case::engine_died(false, vec![failed(true), answered()], "")]
+#[case::engine_died_every_time(false, vec![failed(true), failed(true)], "back_end_failed")]
+#[case::refusals_count_for_nothing(false, vec![failed(false), failed(false), failed(false), answered()], "")]
+#[case::at_most_once_answered(true, vec![answered()], "")]
+#[case::at_most_once_engine_died(true, vec![failed(true)], "outcome_unknown")]
+#[case::at_most_once_never_sent(true, vec![failed(false), answered()], "")]
+fn an_item_ends_once_whatever_its_runs_do(
+    #[case] at_most_once: bool,
+    #[case] ends: Vec<RunEnd>,
+    #[case] told: &str,
+) {
+    let mut fixture = Fixture::with_items(1, at_most_once);
+    if at_most_once {
+        let number = fixture.marked().expect("the start is recorded first");
+        assert_eq!(fixture.run(), None, "nothing is sent before the answer");
+        fixture.tell(BatchEvent::Started {
+            number,
+            answer: CallAnswer::Done(vec![true]),
+        });
+    }
+    for end in ends {
+        let order = fixture.run().expect("it runs");
+        fixture.end(&order, end);
+        fixture.pass(LONG_MS);
+    }
+    let (_, codes) = fixture.commit().expect("a result");
+    assert_eq!(codes, [told]);
+    assert_eq!(fixture.executor.held(), 0);
+}
+
+#[rstest]
+#[case::refused(CallAnswer::Done(vec![false]), 0)]
+#[case::fenced(CallAnswer::Fenced, 0)]
+#[case::answer_lost(CallAnswer::Unknown, 1)]
+fn an_at_most_once_item_is_not_sent_without_its_mark(
+    #[case] answer: CallAnswer<Vec<bool>>,
+    #[case] held: usize,
+) {
+    let mut fixture = Fixture::with_items(1, true);
+    let number = fixture.marked().expect("the start is recorded first");
+    fixture.tell(BatchEvent::Started { number, answer });
+    assert_eq!(fixture.run(), None);
+    assert_eq!(fixture.executor.held(), held);
+    // The start may be recorded: the item is asked for again, never given back.
+    fixture.pass(LONG_MS);
+    assert_eq!(fixture.marked().is_some(), held == 1);
+    assert_eq!(fixture.released(), None);
+}
+
+#[test]
+fn a_started_at_most_once_item_is_not_stopped_for_room() {
+    let mut fixture = Fixture::with_items(1, true);
+    let number = fixture.marked().expect("the start is recorded first");
+    fixture.tell(BatchEvent::Started {
+        number,
+        answer: CallAnswer::Done(vec![true]),
+    });
+    fixture.tell(BatchEvent::Room(Vec::new()));
+    assert_eq!(fixture.stops(), 0);
+    fixture.tell(BatchEvent::Session(None));
+    assert_eq!(fixture.stops(), 1, "but with the end of its lease");
+}
+
+#[test]
+fn a_lost_lease_is_asked_for_again_with_its_number() {
+    let mut fixture = Fixture::with_items(1, false);
+    let order = fixture.run().expect("it runs");
+    fixture.tell(BatchEvent::Pending(vec![PendingItems {
+        model: "m".into(),
+        count: 9,
+    }]));
+    let (sequence, wanted) = fixture.lease().expect("for the free sequence");
+    assert_eq!(wanted, 1);
+    fixture.tell(BatchEvent::Leased {
+        sequence,
+        answer: CallAnswer::Unknown,
+    });
+    assert_eq!(fixture.lease(), None);
+    fixture.pass(LONG_MS);
+    assert_eq!(fixture.lease(), Some((sequence, 1)));
+    // A planned stop: nothing new is leased, what runs is finished.
+    fixture.tell(BatchEvent::Drain);
+    fixture.tell(BatchEvent::Leased {
+        sequence,
+        answer: CallAnswer::Done(vec![item(5, false)]),
+    });
+    let late = fixture
+        .run()
+        .expect("what was leased late has room and runs");
+    fixture.tell(BatchEvent::Room(Vec::new()));
+    fixture.end(&late, RunEnd::Stopped { kept: kept(1) });
+    assert_eq!(
+        fixture.released(),
+        Some(1),
+        "what does not run is given back"
+    );
+    fixture.end(&order, answered());
+    fixture.pass(LONG_MS);
+    let (number, _) = fixture.commit().expect("a result");
+    assert!(!fixture.executor.is_idle());
+    fixture.tell(BatchEvent::Committed {
+        number,
+        answer: CallAnswer::Done(()),
+    });
+    assert!(fixture.executor.is_idle());
+    assert_eq!(fixture.lease(), None);
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Contract tests of the gateway against fake engines over loopback.
 
+mod batch_execution;
+mod batch_executor;
 mod batches;
 mod completions;
 mod configuration;
--- a/crates/gateway/tests/all/support/control.rs
+++ b/crates/gateway/tests/all/support/control.rs
@@ -68,7 +68,6 @@
     Timestamp(elapsed.as_millis() as u64)
 }
 
-#[allow(dead_code, reason = "the batch tests use the rest")]
 impl Shared {
     /// State with a configuration in force.
     pub(crate) fn new(content: &str, replicas: Vec<ReplicaInfo>) -> Arc<Self> {
@@ -298,6 +297,7 @@
 }
 
 fn stamp(shared: &Shared, sender: &MessageSender<ControlMessage>) {
+    shared.apply(CommandBody::Expire);
     let (revision, pending, replicas) = {
         let ledger = shared.ledger.lock();
         (
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -118,9 +118,27 @@
         gateway
     }
 
+    /// Starts a further gateway with a name of its own.
+    pub(crate) async fn attached_as(name: &str, members: &[SocketAddr]) -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let mut settings = settings(&folder);
+        settings.gateway_id = name.to_owned();
+        let gateway = Self::follow(folder, settings, members).await;
+        gateway.wait_until_ready().await;
+        gateway
+    }
+
     /// Starts a gateway over an existing data folder, without waiting for anything.
     pub(crate) async fn attached_in(folder: TempDir, members: &[SocketAddr]) -> Self {
-        let mut settings = settings(&folder);
+        let settings = settings(&folder);
+        Self::follow(folder, settings, members).await
+    }
+
+    async fn follow(
+        folder: TempDir,
+        mut settings: GatewaySettings,
+        members: &[SocketAddr],
+    ) -> Self {
         settings.control_addresses = members.to_vec();
         std::fs::write(&settings.cluster_key_file, CLUSTER_KEY).expect("a key file");
         let options = GatewayOptions {
@@ -176,6 +194,7 @@
         connect: Duration::from_millis(500),
         first_token: HANG_LIMIT,
         between_tokens: HANG_LIMIT,
+        ..EngineTimeouts::default()
     }
 }
 
