Read payloads outside of apply; a failed read stops the member

Cause: leasing read the items' lines while the command was applied. A read error half way answered Refused after items had left the queue, so they were lost; and since the error was one of the local disk, the replicas' states went apart. The same held for every command that read a payload in apply. Ruled out: rolling the command back, which would still let a local disk decide the outcome of a replicated command.

Change: apply changes the state without reading payloads and returns an Answer; the member that answers the caller reads the lines when it builds the outcome. A payload store that fails is fatal to the member, never a refusal. Releasing items under an ended session is refused before anything changes.

Before: the new cases of ledger/tests/all/faults.rs fail. After: they pass. No speed was measured.

Conclusion: apply depends on the log alone.

--- a/crates/control/src/member/core.rs
+++ b/crates/control/src/member/core.rs
@@ -8,10 +8,10 @@
     repair::{self, RepairPolicy},
 };
 use linnethitch_errors::ErrorKind;
-use linnethitch_ledger::Ledger;
+use linnethitch_ledger::{Answer, Ledger};
 use linnethitch_protocol::{
     attach::{ControlAnswer, PeerMessage},
-    command::{Command, CommandBody, Outcome},
+    command::{Command, CommandBody},
     consensus::{ConsensusMessage, Entry, EntryPayload, Membership},
     frame,
     ids::{DiskId, LogIndex, MachineId, MemberId, Revision, Term},
@@ -395,7 +395,7 @@
     }
 
     fn apply(&mut self, entry: &Entry) -> Result<(), Report<ErrorKind>> {
-        let outcome = match &entry.payload {
+        let answer = match &entry.payload {
             EntryPayload::Command(bytes) => Some(self.apply_command(entry.index, bytes)?),
             EntryPayload::Membership(_, membership) => {
                 self.applied_membership = membership.clone();
@@ -406,9 +406,9 @@
         self.applied = entry.index;
         match self.calls.take_proposed(entry.index, entry.term) {
             TakenProposal::Own(origin) => {
-                if let Some(outcome) = outcome {
-                    let body = ControlAnswer::Outcome(outcome);
-                    self.answer(origin, body);
+                if let Some(answer) = answer {
+                    let outcome = self.ledger.outcome(answer)?;
+                    self.answer(origin, ControlAnswer::Outcome(outcome));
                 }
             }
             TakenProposal::Replaced(origin) => {
@@ -424,17 +424,13 @@
         &mut self,
         index: LogIndex,
         bytes: &[u8],
-    ) -> Result<Outcome, Report<ErrorKind>> {
+    ) -> Result<Answer, Report<ErrorKind>> {
         let command: Command =
             frame::decode(bytes).map_err(|report| report.change_context(ErrorKind::Corrupted))?;
         let revision = self.ledger.revision();
-        let outcome = self.ledger.apply(index, &command);
-        if let Some(failure) = self.ledger.failure() {
-            return Err(Report::new(*failure.current_context())
-                .attach(format!("the state machine has stopped: {failure:?}")));
-        }
+        let answer = self.ledger.apply(index, &command)?;
         self.note_effects(&command.body, revision);
-        Ok(outcome)
+        Ok(answer)
     }
 
     fn note_effects(&mut self, body: &CommandBody, before: Revision) {
--- a/crates/gateway/tests/all/support/control.rs
+++ b/crates/gateway/tests/all/support/control.rs
@@ -95,7 +95,15 @@
         let mut ledger = self.ledger.lock();
         ledger.1 += 1;
         let index = LogIndex(ledger.1);
-        ledger.0.apply(index, &Command { now: now(), body })
+        let command = Command { now: now(), body };
+        let answer = ledger
+            .0
+            .apply(index, &command)
+            .expect("the payloads are in memory");
+        ledger
+            .0
+            .outcome(answer)
+            .expect("the payloads are in memory")
     }
 
     /// Reads.
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -12,13 +12,15 @@
     ids::{GatewayId, IdempotencyKey, SessionEpoch, TenantId, Timestamp},
     query::{ClaimRecord, KeptAnswer},
 };
+use linnethitch_storage::StorageResult;
 use rkyv::{Archive, Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 use crate::{
+    answer::Answer,
     ledger::Ledger,
     limits::{MAX_ANSWER_BYTES, MAX_CLAIMS, MAX_CLAIMS_PER_SESSION, MAX_NAME_BYTES},
-    refusal::{Applied, Rejection, refuse},
+    refusal::{Applied, Rejection, ready, refuse},
     stored_bytes::Piece,
     timers::{TimerKey, after},
 };
@@ -182,12 +184,12 @@
                 state: ClaimState::Running(Box::new(holder)),
             },
         );
-        Ok(Outcome::Claim(ClaimOutcome::Granted))
+        ready(Outcome::Claim(ClaimOutcome::Granted))
     }
 
     fn answer_claim(&self, claim: &Claim, new: &NewClaim) -> Applied {
         if claim.content_digest != new.content_digest {
-            return Ok(Outcome::Claim(ClaimOutcome::ContentDiffers));
+            return ready(Outcome::Claim(ClaimOutcome::ContentDiffers));
         }
         let outcome = match &claim.state {
             ClaimState::Running(holder) => {
@@ -200,15 +202,15 @@
                     ClaimOutcome::InProgress
                 }
             }
-            ClaimState::Answered(piece) => ClaimOutcome::Answered(self.kept_answer(piece)?),
+            ClaimState::Answered(piece) => return Ok(Answer::kept(*piece)),
             ClaimState::OutcomeUnknown => ClaimOutcome::OutcomeUnknown,
         };
-        Ok(Outcome::Claim(outcome))
+        ready(Outcome::Claim(outcome))
     }
 
-    fn kept_answer(&self, piece: &Piece) -> Result<KeptAnswer, Rejection> {
+    pub(crate) fn kept_answer(&self, piece: &Piece) -> StorageResult<KeptAnswer> {
         let encoded = self.payloads.read(&piece.payload)?;
-        Ok(frame::decode(&encoded)?)
+        frame::decode(&encoded)
     }
 
     pub(crate) fn finish_claim(
@@ -224,14 +226,14 @@
         let Some(claim) = self.state.claims.get(&key) else {
             // A resend of the command that freed the key.
             return match answer {
-                None => Ok(Outcome::Done),
+                None => ready(Outcome::Done),
                 Some(_) => refuse(ErrorKind::InvalidState, "the key is not claimed"),
             };
         };
         match &claim.state {
             ClaimState::Running(holder)
                 if holder.gateway == *gateway && holder.session == epoch => {}
-            ClaimState::Answered(_) => return Ok(Outcome::Done),
+            ClaimState::Answered(_) => return ready(Outcome::Done),
             ClaimState::Running(_) => {
                 return refuse(ErrorKind::InvalidState, "another run holds the key");
             }
@@ -246,7 +248,7 @@
             Some(answer) => self.keep_answer(key, answer),
             None => {
                 self.drop_claim(key);
-                Ok(Outcome::Done)
+                ready(Outcome::Done)
             }
         }
     }
@@ -264,7 +266,7 @@
             self.timers
                 .reset(&mut claim.expires_at, expires_at, TimerKey::Claim(key));
         }
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     /// Frees a key and releases its answer.
--- a/crates/ledger/src/completion.rs
+++ b/crates/ledger/src/completion.rs
@@ -13,7 +13,7 @@
     job::{JobNumber, JobPhase},
     ledger::Ledger,
     limits::MAX_RESULT_BODY_BYTES,
-    refusal::{Applied, Rejection, refuse},
+    refusal::{Applied, Rejection, ready, refuse},
     results::{failure, is_failure},
     sessions::LeasedEntry,
 };
@@ -39,7 +39,7 @@
             return refuse(ErrorKind::InvalidState, "the session has ended");
         }
         let started = keys.iter().map(|key| self.start_item(gateway, epoch, key));
-        Ok(Outcome::Started(started.collect()))
+        ready(Outcome::Started(started.collect()))
     }
 
     /// Records a start; returns whether the item may be sent.
@@ -95,7 +95,7 @@
             self.end_finished_job(number)?;
             self.end_cancelled_job(number)?;
         }
-        Ok(Outcome::Completed { stored, dropped })
+        ready(Outcome::Completed { stored, dropped })
     }
 
     /// Returns whether the result was stored.
--- a/crates/ledger/src/configuration.rs
+++ b/crates/ledger/src/configuration.rs
@@ -20,7 +20,7 @@
         KEPT_CHANGES, KEPT_DELTAS, MAX_CHANGES, MAX_DELTA_BYTES, MAX_INVALID_MESSAGE_BYTES,
         MAX_NAME_BYTES,
     },
-    refusal::{Applied, refuse},
+    refusal::{Applied, ready, refuse},
 };
 
 /// The remembered end of a change.
@@ -207,7 +207,7 @@
             } else {
                 ApplyOutcome::ChangeIdReused
             };
-            return Ok(Outcome::Configuration(outcome));
+            return ready(Outcome::Configuration(outcome));
         }
         let outcome = self.decide(expected, content, hash);
         self.remember(
@@ -218,7 +218,7 @@
                 at: now,
             },
         );
-        Ok(Outcome::Configuration(outcome))
+        ready(Outcome::Configuration(outcome))
     }
 
     fn decide(&mut self, expected: Revision, content: &str, hash: [u8; 32]) -> ApplyOutcome {
--- a/crates/ledger/src/expire.rs
+++ b/crates/ledger/src/expire.rs
@@ -14,7 +14,7 @@
     job::{JobNumber, JobPhase},
     ledger::Ledger,
     limits::{EXPIRE_STEPS, MAX_SESSIONS},
-    refusal::{Applied, Rejection, refuse},
+    refusal::{Applied, Rejection, ready, refuse},
     results::failure,
     sessions::Session,
     timers::{TimerKey, after},
@@ -24,7 +24,7 @@
     pub(crate) fn open_session(&mut self, gateway: &GatewayId, nonce: u64) -> Applied {
         let known = self.sessions.by_gateway.get(gateway);
         if let Some(session) = known.filter(|session| session.nonce == nonce) {
-            return Ok(Outcome::Session(session.epoch));
+            return ready(Outcome::Session(session.epoch));
         }
         if known.is_none() && self.sessions.by_gateway.len() >= MAX_SESSIONS {
             return refuse(ErrorKind::Overloaded, "too many sessions are open");
@@ -36,7 +36,7 @@
         let session = Session::new(epoch, nonce, until);
         self.timers.add(until, TimerKey::Session(gateway.clone()));
         self.sessions.by_gateway.insert(gateway.clone(), session);
-        Ok(Outcome::Session(epoch))
+        ready(Outcome::Session(epoch))
     }
 
     /// Ends a gateway's session and all that it held; returns the steps taken.
@@ -68,7 +68,7 @@
                 TimerKey::Claim(key) => self.expire_claim(key),
             };
         }
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     /// Takes the step of a job that is due; returns the steps taken.
--- a/crates/ledger/src/files.rs
+++ b/crates/ledger/src/files.rs
@@ -16,7 +16,7 @@
         UNFINISHED_FILE_MS,
     },
     line_index::LineIndex,
-    refusal::{Applied, Rejection, refuse},
+    refusal::{Applied, Rejection, ready, refuse},
     stored_bytes::StoredBytes,
     timers::{TimerKey, after},
 };
@@ -90,7 +90,7 @@
         if let Some(known) = self.state.files.get(file) {
             let same = known.tenant == *tenant && known.filename == filename;
             if same && known.phase != FilePhase::Dropping {
-                return Ok(Outcome::Done);
+                return ready(Outcome::Done);
             }
             return refuse(ErrorKind::InvalidState, "the file id is taken");
         }
@@ -111,7 +111,7 @@
             open_jobs: 0,
         };
         self.state.files.insert(file.clone(), Arc::new(created));
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     pub(crate) fn append_file(&mut self, file: &FileId, offset: u64, data: &[u8]) -> Applied {
@@ -124,7 +124,7 @@
         let length = stored.content.len();
         let end = offset.saturating_add(data.len() as u64);
         if end <= length {
-            return Ok(Outcome::Done);
+            return ready(Outcome::Done);
         }
         if stored.phase != FilePhase::Unfinished {
             return refuse(ErrorKind::InvalidState, "the file is finished");
@@ -149,7 +149,7 @@
             expires_at,
             TimerKey::File(file.clone()),
         );
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     pub(crate) fn index_file(
@@ -166,7 +166,7 @@
         }
         let already = (known - first.0) as usize;
         if already >= heads.len() {
-            return Ok(Outcome::Done);
+            return ready(Outcome::Done);
         }
         if stored.phase != FilePhase::Unfinished {
             return refuse(ErrorKind::InvalidState, "the file is finished");
@@ -174,7 +174,7 @@
         let heads = &heads[already..];
         self.check_heads(stored, heads)?;
         self.add_heads(file, heads)?;
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     pub(crate) fn finish_file(&mut self, file: &FileId, bytes: u64, heads: &[ItemHead]) -> Applied {
@@ -187,7 +187,7 @@
             return refuse(ErrorKind::TruncatedUpload, message);
         }
         if let Some(record) = stored.finished_record(file) {
-            return Ok(Outcome::File(record));
+            return ready(Outcome::File(record));
         }
         self.check_heads(stored, heads)?;
         let new_bytes: u64 = heads.iter().map(|head| u64::from(head.bytes)).sum();
@@ -212,7 +212,7 @@
             expires_at,
             TimerKey::File(file.clone()),
         );
-        Ok(Outcome::File(stored.record(file, now)))
+        ready(Outcome::File(stored.record(file, now)))
     }
 
     pub(crate) fn delete_file(&mut self, tenant: &TenantId, file: &FileId) -> Applied {
@@ -224,7 +224,7 @@
             return refuse(ErrorKind::InvalidState, "a job still needs the file");
         }
         self.begin_dropping_file(file);
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     /// Hides a file and leaves its payloads to `Expire`.
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     command::{NewJob, Outcome},
@@ -11,6 +12,7 @@
 use roaring::RoaringBitmap;
 
 use crate::{
+    answer::Answer,
     configuration::ModelUse,
     files::{FilePhase, InputFile},
     job::{Job, JobNumber, JobPhase, PendingQueue},
@@ -20,7 +22,7 @@
         MIN_RESULT_BLOCK_BYTES, RESULT_BUFFER_BYTES,
     },
     line_index::position_in_chunk,
-    refusal::{Applied, Rejection, refuse},
+    refusal::{Applied, Rejection, ready, refuse},
     results::{ResultStream, is_failure, render},
     timers::{TimerKey, after},
 };
@@ -44,11 +46,11 @@
         let record = job.record();
         self.index_job(number, &job);
         self.state.jobs.insert(number, Arc::new(job));
-        Ok(Outcome::Job(record))
+        ready(Outcome::Job(record))
     }
 
     /// The answer to a job that was accepted before.
-    fn resent_job(&self, new: &NewJob) -> Result<Option<Outcome>, Rejection> {
+    fn resent_job(&self, new: &NewJob) -> Result<Option<Answer>, Rejection> {
         if let Some(key) = &new.idempotency {
             let holder = (new.tenant.clone(), key.clone());
             if let Some(job) = self
@@ -57,7 +59,7 @@
                 .and_then(|n| self.state.jobs.get(n))
             {
                 if job.content_digest == new.content_digest {
-                    return Ok(Some(Outcome::Job(job.record())));
+                    return Ok(Some(Answer::ready(Outcome::Job(job.record()))));
                 }
                 return refuse(
                     ErrorKind::IdempotencyConflict,
@@ -77,7 +79,7 @@
             && job.content_digest == new.content_digest
             && job.phase != JobPhase::Dropping;
         if same {
-            return Ok(Some(Outcome::Job(job.record())));
+            return Ok(Some(Answer::ready(Outcome::Job(job.record()))));
         }
         refuse(ErrorKind::InvalidState, "the job id is taken")
     }
@@ -149,7 +151,7 @@
         match job.phase {
             JobPhase::Running | JobPhase::GivingUp => {}
             JobPhase::Cancelling(_) | JobPhase::Cancelled => {
-                return Ok(Outcome::Job(job.record()));
+                return ready(Outcome::Job(job.record()));
             }
             JobPhase::Completed | JobPhase::Expired | JobPhase::Dropping => {
                 return refuse(ErrorKind::InvalidState, "the job has ended");
@@ -167,7 +169,7 @@
         }
         self.end_cancelled_job(number)?;
         match self.state.jobs.get(&number) {
-            Some(job) => Ok(Outcome::Job(job.record())),
+            Some(job) => ready(Outcome::Job(job.record())),
             None => refuse(ErrorKind::Internal, "the job vanished"),
         }
     }
@@ -242,7 +244,8 @@
             return Ok(());
         };
         let Some(file) = self.state.files.get(&job.input) else {
-            return refuse(ErrorKind::Internal, "the input file is gone");
+            let message = format!("the input file of {} is gone", job.id);
+            return Err(Report::new(ErrorKind::Internal).attach(message).into());
         };
         let chunk = self
             .chunks
--- a/crates/ledger/src/leasing.rs
+++ b/crates/ledger/src/leasing.rs
@@ -4,18 +4,19 @@
 
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
-    command::{LeasedItem, LeasedItemKey, Outcome, WantedItems},
+    command::{LeasedItemKey, Outcome, WantedItems},
     ids::{GatewayId, ItemNumber, LeaseEpoch, ModelId, SessionEpoch, Timestamp},
 };
 
 use crate::{
+    answer::Answer,
     job::{JobNumber, JobPhase},
     ledger::Ledger,
     limits::{
         FAIRNESS_QUANTUM, MAX_ITEMS_PER_LEASE, MAX_ITEMS_PER_SESSION, MAX_LEASE_BYTES, MAX_LEASE_MS,
     },
-    line_index::position_in_chunk,
-    refusal::{Applied, Rejection, refuse},
+    line_index::LineBounds,
+    refusal::{Applied, Rejection, ready, refuse},
     scheduler::Turn,
     sessions::{Lease, LeasedEntry},
     timers::{TimerKey, after},
@@ -47,10 +48,10 @@
             return refuse(ErrorKind::InvalidState, "the session has ended");
         };
         if let Some(lease) = session.lease_of_sequence(sequence) {
-            return self.leased_outcome(gateway, lease);
+            return Ok(Answer::lease(gateway, lease));
         }
         if sequence <= session.highest_sequence {
-            return Ok(Outcome::Leased(Vec::new()));
+            return ready(Outcome::Leased(Vec::new()));
         }
         session.highest_sequence = sequence;
         let room = MAX_ITEMS_PER_SESSION.saturating_sub(session.leased) as usize;
@@ -60,10 +61,10 @@
         };
         let mut items = Vec::new();
         for wish in wanted {
-            self.take_items(wish, &mut allowance, &mut items)?;
+            self.take_items(wish, &mut allowance, &mut items);
         }
         if items.is_empty() {
-            return Ok(Outcome::Leased(Vec::new()));
+            return ready(Outcome::Leased(Vec::new()));
         }
         items.sort_unstable();
         self.state.last_lease = LeaseEpoch(self.state.last_lease.0 + 1);
@@ -72,7 +73,7 @@
             session.leased += items.len() as u32;
             session.leases.insert(lease, Lease { sequence, items });
         }
-        self.leased_outcome(gateway, lease)
+        Ok(Answer::lease(gateway, lease))
     }
 
     fn take_items(
@@ -80,7 +81,7 @@
         wish: &WantedItems,
         allowance: &mut Allowance,
         items: &mut Vec<LeasedEntry>,
-    ) -> Result<(), Rejection> {
+    ) {
         let mut wanted = wish.count as usize;
         while wanted > 0 && !allowance.is_used_up() {
             let Some(turn) = self.scheduler.next(&wish.model) else {
@@ -89,7 +90,7 @@
             let weight = self.configuration.weight(turn.tenant.as_str());
             let quantum = FAIRNESS_QUANTUM.saturating_mul(u64::from(weight)) as usize;
             let most = wanted.min(quantum).min(allowance.items);
-            let taken = self.take_turn(&wish.model, &turn, most, allowance, items)?;
+            let taken = self.take_turn(&wish.model, &turn, most, allowance, items);
             if taken == 0 {
                 break;
             }
@@ -98,7 +99,6 @@
             self.unqueue_if_empty(&wish.model, turn.job);
             wanted -= taken;
         }
-        Ok(())
     }
 
     /// Takes up to `most` items of one job; stops when the lines grow too long together.
@@ -109,26 +109,24 @@
         most: usize,
         allowance: &mut Allowance,
         items: &mut Vec<LeasedEntry>,
-    ) -> Result<usize, Rejection> {
+    ) -> usize {
         let Some(job) = self.state.jobs.get_mut(&turn.job).map(Arc::make_mut) else {
-            return Ok(0);
+            return 0;
         };
         let Some(file) = self.state.files.get(&job.input) else {
-            return refuse(ErrorKind::Internal, "the input file is gone");
+            return 0;
         };
         let Some(queue) = job.pending.iter_mut().find(|queue| queue.model == *model) else {
-            return Ok(0);
+            return 0;
         };
+        let mut bounds = LineBounds::new(&file.index);
         let mut taken = 0;
         while taken < most {
             let Some(item) = queue.items.min().map(ItemNumber) else {
                 break;
             };
-            let chunk = self
-                .chunks
-                .chunk(self.payloads.as_ref(), &file.index, item)?;
-            let (_, bytes) = chunk.line(position_in_chunk(item)).unwrap_or_default();
-            if u64::from(bytes) > allowance.bytes && !items.is_empty() {
+            let bytes = bounds.next(item);
+            if bytes > allowance.bytes && !items.is_empty() {
                 allowance.bytes = 0;
                 break;
             }
@@ -138,13 +136,13 @@
                 job: turn.job,
                 item,
             });
-            allowance.bytes = allowance.bytes.saturating_sub(u64::from(bytes));
+            allowance.bytes = allowance.bytes.saturating_sub(bytes);
             taken += 1;
         }
         allowance.items -= taken;
         job.leased += taken as u32;
         self.scheduler.remove_pending(model, taken as u64);
-        Ok(taken)
+        taken
     }
 
     /// Takes a job without pending items of a model out of the model's queue.
@@ -203,53 +201,15 @@
         self.unqueue_if_empty(&model, entry.job);
     }
 
-    /// The items of a lease that are still out, with their lines.
-    fn leased_outcome(&mut self, gateway: &GatewayId, lease: LeaseEpoch) -> Applied {
-        let session = self.sessions.by_gateway.get(gateway);
-        let Some(held) = session.and_then(|session| session.leases.get(&lease)) else {
-            return Ok(Outcome::Leased(Vec::new()));
-        };
-        let mut items = Vec::with_capacity(held.items.len());
-        for entry in &held.items {
-            let Some(job) = self.state.jobs.get(&entry.job) else {
-                continue;
-            };
-            let Some(file) = self.state.files.get(&job.input) else {
-                continue;
-            };
-            if !job.takes_results() || !job.open.contains(entry.item.0) {
-                continue;
-            }
-            let chunk = self
-                .chunks
-                .chunk(self.payloads.as_ref(), &file.index, entry.item)?;
-            let (offset, bytes) = chunk
-                .line(position_in_chunk(entry.item))
-                .unwrap_or_default();
-            let line = file
-                .content
-                .read(self.payloads.as_ref(), offset, bytes as usize)?;
-            items.push(LeasedItem {
-                key: LeasedItemKey {
-                    job: job.id.clone(),
-                    item: entry.item,
-                    lease,
-                },
-                tenant: job.tenant.clone(),
-                line,
-                at_most_once: file.index.at_most_once.contains(entry.item.0),
-                deadline: job.deadline,
-            });
-        }
-        Ok(Outcome::Leased(items))
-    }
-
     pub(crate) fn release_items(
         &mut self,
         gateway: &GatewayId,
         epoch: SessionEpoch,
         keys: &[LeasedItemKey],
     ) -> Applied {
+        if self.sessions.running(gateway, epoch).is_none() {
+            return refuse(ErrorKind::InvalidState, "the session has ended");
+        }
         for key in keys {
             let Some(&number) = self.job_numbers.get(&key.job) else {
                 continue;
@@ -266,16 +226,14 @@
             if started.is_some() {
                 continue;
             }
-            let Some(session) = self.sessions.running(gateway, epoch) else {
-                return refuse(ErrorKind::InvalidState, "the session has ended");
-            };
-            if session.give_back(key.lease, entry) {
+            let session = self.sessions.running(gateway, epoch);
+            if session.is_some_and(|session| session.give_back(key.lease, entry)) {
                 self.count_returned(number);
                 self.requeue(entry);
                 self.end_cancelled_job(number)?;
             }
         }
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 
     /// Counts an item of a job that came back from its lease.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -11,16 +11,17 @@
     command::{Command, CommandBody, Outcome, Refusal},
     ids::{FileId, IdempotencyKey, JobId, LeaseEpoch, LogIndex, SessionEpoch, TenantId, Timestamp},
 };
-use linnethitch_storage::Payloads;
+use linnethitch_storage::{Payloads, StorageResult};
 
 use crate::{
+    answer::Answer,
     claims::{ClaimKey, Claims},
     configuration::{Configuration, PreparedConfiguration},
     files::InputFile,
     job::{Job, JobNumber},
     line_index::ChunkCache,
     orders::Orders,
-    refusal::{Applied, Rejection},
+    refusal::{Applied, Rejection, ready},
     scheduler::Scheduler,
     sessions::Sessions,
     timers::Timers,
@@ -65,7 +66,7 @@
 pub struct Ledger {
     pub(crate) payloads: Box<dyn Payloads + Send>,
     pub(crate) overrides: SafetyOverrides,
-    failure: Option<Report<ErrorKind>>,
+    failure: Option<ErrorKind>,
     pub(crate) state: State,
     pub(crate) configuration: Configuration,
     pub(crate) sessions: Sessions,
@@ -127,16 +128,6 @@
         self.payloads.as_mut()
     }
 
-    /// Why this member's state machine stopped.
-    ///
-    /// A payload store that fails in the middle of a command leaves this
-    /// member's state unlike the others'. Such a member must stop; it comes back
-    /// from its last snapshot and the log. No outcome of it may be told.
-    #[must_use]
-    pub fn failure(&self) -> Option<&Report<ErrorKind>> {
-        self.failure.as_ref()
-    }
-
     /// The last command applied.
     #[must_use]
     pub fn applied_index(&self) -> LogIndex {
@@ -156,27 +147,32 @@
 
     /// Carries one committed command out.
     ///
-    /// Never panics. A command against the rules gives [`Outcome::Refused`] and
+    /// Never panics. A command against the rules answers [`Outcome::Refused`] and
     /// changes nothing but the applied index and the time. Indexes must rise;
     /// gaps (entries without a command) are allowed.
-    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Outcome {
-        if let Some(failure) = &self.failure {
-            let kind = *failure.current_context();
-            return Outcome::Refused(Refusal::new(kind, "the payload store has failed"));
+    ///
+    /// # Errors
+    /// `Corrupted`, `NotFound`, `Io` or `StorageFull` when this member's payload
+    /// store failed in the middle of the command. Its state may then differ from
+    /// the others': the member must stop, tell nothing, and come back from its
+    /// last snapshot and the log. Every later command gives an error too.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> StorageResult<Answer> {
+        if let Some(kind) = self.failure {
+            return Err(Report::new(kind).attach("the state machine has stopped before"));
         }
         if index <= self.state.applied {
             let message = format!("the command {index} was applied before");
-            return Outcome::Refused(Refusal::new(ErrorKind::Internal, message));
+            let refusal = Refusal::new(ErrorKind::Internal, message);
+            return Ok(Answer::ready(Outcome::Refused(refusal)));
         }
         self.state.applied = index;
         self.state.now = self.state.now.max(command.now);
         match self.dispatch(&command.body) {
-            Ok(outcome) => outcome,
-            Err(Rejection::Refused(refusal)) => Outcome::Refused(refusal),
-            Err(Rejection::Storage(report)) => {
-                let kind = *report.current_context();
-                self.failure = Some(report);
-                Outcome::Refused(Refusal::new(kind, "the payload store has failed"))
+            Ok(answer) => Ok(answer),
+            Err(Rejection::Refused(refusal)) => Ok(Answer::ready(Outcome::Refused(refusal))),
+            Err(Rejection::Fatal(report)) => {
+                self.failure = Some(*report.current_context());
+                Err(report.attach(format!("the state machine stops at command {index}")))
             }
         }
     }
@@ -209,7 +205,7 @@
                 until,
             } => {
                 self.extend_session(gateway, *session, *until)?;
-                Ok(Outcome::Done)
+                ready(Outcome::Done)
             }
             CommandBody::LeaseItems {
                 gateway,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![allow(missing_docs, reason = "rkyv's derive generates undocumented items")]
 
+mod answer;
 mod claims;
 mod completion;
 mod configuration;
@@ -32,6 +33,7 @@
 mod timers;
 mod views;
 
+pub use answer::Answer;
 pub use configuration::PreparedConfiguration;
 pub use ledger::{Ledger, SafetyOverrides};
 pub use orders::OpenOrder;
--- a/crates/ledger/src/line_index.rs
+++ b/crates/ledger/src/line_index.rs
@@ -43,6 +43,17 @@
         self.id_ends.push(self.custom_ids.len() as u32);
     }
 
+    fn bytes(&self) -> u32 {
+        self.line_ends.last().copied().unwrap_or(0)
+    }
+
+    fn longest(&self) -> u32 {
+        let positions = 0..self.line_ends.len();
+        let lengths = positions
+            .map(|position| self.line_ends[position] - preceding(&self.line_ends, position));
+        lengths.max().unwrap_or(0)
+    }
+
     /// Offset and length of a line of this chunk in the file.
     pub(crate) fn line(&self, position: usize) -> Option<(u64, u32)> {
         let end = *self.line_ends.get(position)?;
@@ -68,6 +79,10 @@
 pub(crate) struct StoredChunk {
     /// Hash of the encoded chunk.
     pub(crate) checksum: u64,
+    /// Bytes of its lines.
+    pub(crate) bytes: u32,
+    /// Bytes of its longest line.
+    pub(crate) longest: u32,
     /// Where this member stores it.
     pub(crate) payload: PayloadRef,
 }
@@ -202,6 +217,8 @@
         let encoded = frame::encode(&chunk)?;
         self.chunks.push(StoredChunk {
             checksum: xxh3_64(&encoded),
+            bytes: chunk.bytes(),
+            longest: chunk.longest(),
             payload: payloads.append(&encoded)?,
         });
         Ok(())
@@ -272,6 +289,48 @@
     }
 }
 
+/// Upper bounds for the bytes of lines, from what memory holds of each chunk.
+///
+/// The length of a single line lies in the payload store, and what a command
+/// does must not depend on a read. Of `n` lines of a chunk it is known that
+/// they have at most `n` times the longest line's bytes, and at most the chunk's.
+pub(crate) struct LineBounds<'a> {
+    index: &'a LineIndex,
+    chunk: Option<usize>,
+    counted: u64,
+    taken: u64,
+}
+
+impl<'a> LineBounds<'a> {
+    /// Bounds for lines of a finished file.
+    pub(crate) fn new(index: &'a LineIndex) -> Self {
+        LineBounds {
+            index,
+            chunk: None,
+            counted: 0,
+            taken: 0,
+        }
+    }
+
+    /// By how many bytes one more line raises the bound; lines come in rising order.
+    pub(crate) fn next(&mut self, item: ItemNumber) -> u64 {
+        let number = item.0 as usize / INDEX_CHUNK_ITEMS;
+        if self.chunk != Some(number) {
+            self.chunk = Some(number);
+            self.counted = 0;
+            self.taken = 0;
+        }
+        let Some(chunk) = self.index.chunks.get(number) else {
+            return 0;
+        };
+        self.taken += 1;
+        let bound = (self.taken * u64::from(chunk.longest)).min(u64::from(chunk.bytes));
+        let more = bound - self.counted;
+        self.counted = bound;
+        more
+    }
+}
+
 /// Position of an item in its chunk.
 pub(crate) fn position_in_chunk(item: ItemNumber) -> usize {
     item.0 as usize % INDEX_CHUNK_ITEMS
--- a/crates/ledger/src/orders.rs
+++ b/crates/ledger/src/orders.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     limits::MAX_OPEN_ORDERS,
-    refusal::{Applied, refuse},
+    refusal::{Applied, ready, refuse},
 };
 
 /// An order that is not settled.
@@ -62,7 +62,7 @@
             issued_at: now,
         };
         self.open.insert(replica.clone(), open);
-        Ok(Outcome::Order(self.last_token))
+        ready(Outcome::Order(self.last_token))
     }
 
     pub(crate) fn settle(&mut self, replica: &ReplicaId, token: FencingToken) -> Applied {
@@ -73,6 +73,6 @@
         {
             self.open.remove(replica);
         }
-        Ok(Outcome::Done)
+        ready(Outcome::Done)
     }
 }
--- a/crates/ledger/src/queries.rs
+++ b/crates/ledger/src/queries.rs
@@ -34,7 +34,7 @@
     pub fn query(&self, query: &Query) -> Result<QueryAnswer, Refusal> {
         self.answer(query).map_err(|rejection| match rejection {
             Rejection::Refused(refusal) => refusal,
-            Rejection::Storage(report) => {
+            Rejection::Fatal(report) => {
                 Refusal::new(*report.current_context(), "the payload store failed")
             }
         })
--- /dev/null
+++ b/crates/ledger/tests/all/faults.rs
@@ -0,0 +1,193 @@
+//! Payload stores that fail in the middle of commands.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_ledger::{Answer, Ledger};
+use linnethitch_protocol::{
+    command::{Command, CommandBody, JobResults, Outcome, WantedItems},
+    ids::{GatewayId, ItemNumber, JobId, LeaseEpoch, LogIndex, ModelId, SessionEpoch, Timestamp},
+};
+use linnethitch_storage::{MemoryPayloads, PayloadMark, PayloadRef, Payloads, StorageResult};
+use rstest::rstest;
+
+use crate::support::{Fixture, MODEL, answer, new_claim, success};
+
+/// Payloads in memory whose reads and appends fail on demand.
+struct FailingPayloads {
+    payloads: MemoryPayloads,
+    failing: Arc<AtomicBool>,
+}
+
+impl FailingPayloads {
+    fn check(&self) -> StorageResult<()> {
+        match self.failing.load(Ordering::Relaxed) {
+            true => Err(Report::new(ErrorKind::Io)),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Payloads for FailingPayloads {
+    fn append(&mut self, data: &[u8]) -> StorageResult<PayloadRef> {
+        self.check()?;
+        self.payloads.append(data)
+    }
+
+    fn read(&self, payload: &PayloadRef) -> StorageResult<Vec<u8>> {
+        self.check()?;
+        self.payloads.read(payload)
+    }
+
+    fn read_range(
+        &self,
+        payload: &PayloadRef,
+        offset: u32,
+        length: usize,
+    ) -> StorageResult<Vec<u8>> {
+        self.check()?;
+        self.payloads.read_range(payload, offset, length)
+    }
+
+    fn adopt(&mut self, payload: &PayloadRef) -> StorageResult<()> {
+        self.payloads.adopt(payload)
+    }
+
+    fn release(&mut self, payload: &PayloadRef) {
+        self.payloads.release(payload);
+    }
+
+    fn sync(&mut self) -> StorageResult<()> {
+        self.payloads.sync()
+    }
+
+    fn live_bytes(&self) -> u64 {
+        self.payloads.live_bytes()
+    }
+
+    fn checkpoint(&mut self) -> StorageResult<PayloadMark> {
+        self.payloads.checkpoint()
+    }
+
+    fn settle(&mut self, mark: PayloadMark) -> StorageResult<()> {
+        self.payloads.settle(mark)
+    }
+}
+
+/// Two members that get the same commands; the payload store of one can fail.
+struct Pair {
+    intact: Fixture,
+    weak: Fixture,
+    failing: Arc<AtomicBool>,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let failing = Arc::new(AtomicBool::new(false));
+        let mut weak = Fixture::empty();
+        weak.ledger = Ledger::new(Box::new(FailingPayloads {
+            payloads: MemoryPayloads::new(),
+            failing: Arc::clone(&failing),
+        }));
+        let mut pair = Pair {
+            intact: Fixture::empty(),
+            weak,
+            failing,
+        };
+        pair.both(|fixture| {
+            fixture.configure("first", 0, crate::support::FLEET);
+            fixture.simple_job("batch_1", 600);
+            let session = fixture.session("gateway", 1);
+            assert_eq!(session, SESSION);
+            fixture.claim(new_claim("key", "gateway", session));
+            fixture.finish_claim("key", "gateway", session, Some(answer("kept")));
+        });
+        pair
+    }
+
+    fn both<T>(&mut self, act: impl Fn(&mut Fixture) -> T) -> [T; 2] {
+        [act(&mut self.intact), act(&mut self.weak)]
+    }
+
+    fn fail(&self, failing: bool) {
+        self.failing.store(failing, Ordering::Relaxed);
+    }
+}
+
+const SESSION: SessionEpoch = SessionEpoch(1);
+
+fn lease_command() -> CommandBody {
+    CommandBody::LeaseItems {
+        gateway: GatewayId::from("gateway"),
+        session: SESSION,
+        sequence: 77,
+        wanted: vec![WantedItems {
+            model: ModelId::from(MODEL),
+            count: 500,
+        }],
+        until: Timestamp(0),
+    }
+}
+
+fn claim_command() -> CommandBody {
+    CommandBody::ClaimRequest(new_claim("key", "other", SESSION))
+}
+
+/// Applies a command without asking for its outcome's payloads.
+fn apply(fixture: &mut Fixture, body: CommandBody) -> StorageResult<Answer> {
+    fixture.index += 1;
+    let command = Command {
+        now: Timestamp(fixture.now),
+        body,
+    };
+    fixture.ledger.apply(LogIndex(fixture.index), &command)
+}
+
+/// Whether a command was applied, and its outcome if that can be told.
+fn step(fixture: &mut Fixture, body: CommandBody) -> (bool, Option<Outcome>) {
+    let answer = apply(fixture, body);
+    let applied = answer.is_ok();
+    let outcome = answer.and_then(|answer| fixture.ledger.outcome(answer));
+    (applied, outcome.ok())
+}
+
+#[rstest]
+#[case::lines_of_a_lease(lease_command())]
+#[case::a_kept_answer(claim_command())]
+fn a_failed_read_decides_nothing_and_the_resend_is_answered(#[case] body: CommandBody) {
+    let mut pair = Pair::new();
+    pair.fail(true);
+    let [intact, weak] = pair.both(|fixture| step(fixture, body.clone()));
+    assert!(intact.0 && weak.0, "both members carry the command out");
+    assert_eq!(weak.1, None, "the weak one has no words for it");
+    assert_eq!(pair.weak.ledger.digest(), pair.intact.ledger.digest());
+    pair.fail(false);
+    let [again, later] = pair.both(|fixture| step(fixture, body.clone()));
+    assert_eq!((&again.1, &later.1), (&intact.1, &intact.1));
+}
+
+#[test]
+fn a_store_that_fails_in_a_command_stops_the_member() {
+    let mut pair = Pair::new();
+    // The answer is not asked for, so nothing of the file is cached yet.
+    assert!(apply(&mut pair.weak, lease_command()).is_ok());
+    pair.fail(true);
+    let outcomes = (0..500).map(|item| (LeaseEpoch(1), success(ItemNumber(item))));
+    let results = vec![JobResults {
+        job: JobId::from("batch_1"),
+        outcomes: outcomes.collect(),
+    }];
+    let complete = CommandBody::CompleteItems {
+        gateway: GatewayId::from("gateway"),
+        session: SESSION,
+        results,
+    };
+    assert_eq!(step(&mut pair.weak, complete), (false, None));
+    // Nothing more is done or told, also once the store works again.
+    pair.fail(false);
+    assert_eq!(step(&mut pair.weak, CommandBody::Expire), (false, None));
+}
--- a/crates/ledger/tests/all/main.rs
+++ b/crates/ledger/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod configuration;
+mod faults;
 mod files;
 mod items;
 mod jobs;
--- a/crates/ledger/tests/all/snapshots.rs
+++ b/crates/ledger/tests/all/snapshots.rs
@@ -123,7 +123,8 @@
         now: Timestamp(fixture.now + 1_000_000),
         body: CommandBody::Expire,
     };
-    fixture.ledger.apply(LogIndex(fixture.index), &command);
+    let repeated = fixture.ledger.apply(LogIndex(fixture.index), &command);
+    assert!(repeated.is_ok());
     assert_eq!(fixture.ledger.digest(), digest);
 }
 
--- a/crates/ledger/tests/all/support.rs
+++ b/crates/ledger/tests/all/support.rs
@@ -92,7 +92,9 @@
             now: Timestamp(self.now),
             body,
         };
-        self.ledger.apply(LogIndex(self.index), &command)
+        let answer = self.ledger.apply(LogIndex(self.index), &command);
+        let outcome = answer.and_then(|answer| self.ledger.outcome(answer));
+        outcome.expect("the payloads are in memory")
     }
 
     pub(crate) fn advance(&mut self, ms: u64) {
