Fence the end of a claim by its attempt

Cause: FinishClaim named gateway and session only, so a late resend that freed a key could free a later claim of the same key by the same session, and an at-most-once request could have run twice. Change: the command carries the attempt; the ledger compares the whole holder. Conclusion: a stale resend is refused (ledger test a_freed_key_can_be_claimed_again).

--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -216,8 +216,7 @@
     pub(crate) fn finish_claim(
         &mut self,
         key: ClaimKey,
-        gateway: &GatewayId,
-        epoch: SessionEpoch,
+        finisher: &ClaimHolder,
         answer: Option<&KeptAnswer>,
     ) -> Applied {
         if answer.is_some_and(|answer| answer.body.len() > MAX_ANSWER_BYTES) {
@@ -231,8 +230,7 @@
             };
         };
         match &claim.state {
-            ClaimState::Running(holder)
-                if holder.gateway == *gateway && holder.session == epoch => {}
+            ClaimState::Running(holder) if **holder == *finisher => {}
             ClaimState::Answered(_) => return ready(Outcome::Done),
             ClaimState::Running(_) => {
                 return refuse(ErrorKind::InvalidState, "another run holds the key");
@@ -241,7 +239,7 @@
                 return refuse(ErrorKind::OutcomeUnknown, "the key's run was given up");
             }
         }
-        if let Some(session) = self.sessions.running(gateway, epoch) {
+        if let Some(session) = self.sessions.running(&finisher.gateway, finisher.session) {
             session.claims.remove(&key);
         }
         match answer {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     answer::Answer,
-    claims::{ClaimKey, Claims},
+    claims::{ClaimHolder, ClaimKey, Claims},
     configuration::{Configuration, PreparedConfiguration},
     files::InputFile,
     job::{Job, JobNumber},
@@ -235,10 +235,16 @@
                 key,
                 gateway,
                 session,
+                attempt,
                 answer,
             } => {
                 let key = ClaimKey::new(tenant, key);
-                self.finish_claim(key, gateway, *session, answer.as_ref())
+                let holder = ClaimHolder {
+                    gateway: gateway.clone(),
+                    session: *session,
+                    attempt: *attempt,
+                };
+                self.finish_claim(key, &holder, answer.as_ref())
             }
             CommandBody::IssueOrder {
                 replica,
--- a/crates/ledger/tests/all/claims.rs
+++ b/crates/ledger/tests/all/claims.rs
@@ -109,6 +109,13 @@
     // The first run's resend must not end the second run.
     let stale = fixture.finish_claim("key", "gateway", session, None);
     assert_eq!(refusal_code(&stale), "invalid_state");
+    // Nor an earlier attempt's resend a later attempt of the same session.
+    fixture.claim(NewClaim {
+        attempt: 2,
+        ..new_claim("twice", "gateway", session)
+    });
+    let stale = fixture.finish_claim("twice", "gateway", session, None);
+    assert_eq!(refusal_code(&stale), "invalid_state");
 }
 
 #[test]
--- a/crates/ledger/tests/all/support.rs
+++ b/crates/ledger/tests/all/support.rs
@@ -365,6 +365,7 @@
             key: IdempotencyKey::from(key),
             gateway: GatewayId::from(gateway),
             session,
+            attempt: 1,
             answer,
         })
     }
--- a/crates/protocol/src/command.rs
+++ b/crates/protocol/src/command.rs
@@ -159,6 +159,8 @@
         gateway: GatewayId,
         /// Its session.
         session: SessionEpoch,
+        /// The attempt of the claim; a late resend for an earlier one changes nothing.
+        attempt: u64,
         /// The answer to give from now on; `None` frees the key: nothing ran.
         answer: Option<KeptAnswer>,
     },
