Read a changed configuration in a gateway by its changed sections

Cause: a gateway parsed the whole fleet file with each change.

Change: the follower holds the file as a FleetDocument and replaces it by the new text, so unchanged sections and their values are shared; a stored configuration is its revision and that document, so the text is held once.

--- a/crates/gateway/src/configuration/follower.rs
+++ b/crates/gateway/src/configuration/follower.rs
@@ -4,22 +4,61 @@
 //! update is checked as a whole; only then is it given out to be stored, and
 //! only once it is stored does it count. It never steps back.
 
-use linnethitch_config::{digest::content_digest, fleet::Fleet};
+use std::sync::Arc;
+
+use linnethitch_config::{
+    digest::content_digest,
+    fleet::{Fleet, FleetDocument, FleetError},
+};
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, TextEdit},
     ids::Revision,
     text_edit::apply_edits,
 };
 
-/// A configuration with its revision.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A configuration with its revision. Clones share the text and what it says.
+#[derive(Clone, Debug)]
 pub struct StoredConfiguration {
     /// Its revision.
     pub revision: Revision,
-    /// Digest of the text.
-    pub digest: u64,
+    document: Arc<FleetDocument>,
+}
+
+impl StoredConfiguration {
+    /// Parses an operator's file.
+    ///
+    /// # Errors
+    /// The first fault of the file, with line and field.
+    pub fn parse(revision: Revision, content: String) -> Result<Self, FleetError> {
+        Ok(StoredConfiguration {
+            revision,
+            document: Arc::new(FleetDocument::parse(content)?),
+        })
+    }
+
     /// The operator's file.
-    pub content: String,
+    #[must_use]
+    pub fn content(&self) -> &str {
+        self.document.text()
+    }
+
+    /// Digest of the file.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.document.digest()
+    }
+
+    /// What the file says.
+    #[must_use]
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        self.document.fleet()
+    }
+}
+
+impl PartialEq for StoredConfiguration {
+    fn eq(&self, other: &Self) -> bool {
+        self.revision == other.revision && self.content() == other.content()
+    }
 }
 
 /// What is to be done with an update.
@@ -27,8 +66,8 @@
 pub enum FollowerAction {
     /// It is older than what is held, or the same: nothing changes. Confirm what is held.
     ConfirmHeld(Revision),
-    /// Store and sync it, put the fleet in force, then call [`Follower::on_stored`].
-    Store(StoredConfiguration, Box<Fleet>),
+    /// Store and sync it, put it in force, then call [`Follower::on_stored`].
+    Store(StoredConfiguration),
     /// It does not fit what is held: attach anew, asking for the whole text.
     AskForWhole(UpdateFault),
 }
@@ -81,7 +120,7 @@
     /// The digest held; 0 when none is.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        self.held.as_ref().map_or(0, |held| held.digest)
+        self.held.as_ref().map_or(0, StoredConfiguration::digest)
     }
 
     /// Decides what to do with an update.
@@ -138,7 +177,7 @@
             return Some("");
         }
         let held = self.held.as_ref()?;
-        (held.revision == revision).then_some(held.content.as_str())
+        (held.revision == revision).then_some(held.content())
     }
 
     fn on_text(&self, revision: Revision, content: String, digest: u64) -> FollowerAction {
@@ -156,16 +195,20 @@
                 FollowerAction::AskForWhole(UpdateFault::OtherContent(revision))
             };
         }
-        match Fleet::parse(&content) {
-            Ok(fleet) => {
-                let stored = StoredConfiguration {
-                    revision,
-                    digest,
-                    content,
-                };
-                FollowerAction::Store(stored, Box::new(fleet))
-            }
+        match self.read(content) {
+            Ok(document) => FollowerAction::Store(StoredConfiguration {
+                revision,
+                document: Arc::new(document),
+            }),
             Err(error) => FollowerAction::AskForWhole(UpdateFault::Invalid(error.to_string())),
         }
     }
+
+    /// Parses a text; what did not change is taken over from the one held.
+    fn read(&self, content: String) -> Result<FleetDocument, FleetError> {
+        match &self.held {
+            Some(held) => held.document.replaced_by(content),
+            None => FleetDocument::parse(content),
+        }
+    }
 }
--- a/crates/gateway/src/configuration/store.rs
+++ b/crates/gateway/src/configuration/store.rs
@@ -3,7 +3,6 @@
 use std::{path::Path, sync::Arc};
 
 use error_stack::{Report, ResultExt};
-use linnethitch_config::digest::content_digest;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::Revision;
 use linnethitch_storage::{RealFileSystem, RevisionFile};
@@ -39,9 +38,9 @@
         &self,
         configuration: &StoredConfiguration,
     ) -> Result<(), Report<ErrorKind>> {
-        let mut bytes = Vec::with_capacity(REVISION_BYTES + configuration.content.len());
+        let mut bytes = Vec::with_capacity(REVISION_BYTES + configuration.content().len());
         bytes.extend_from_slice(&configuration.revision.0.to_le_bytes());
-        bytes.extend_from_slice(configuration.content.as_bytes());
+        bytes.extend_from_slice(configuration.content().as_bytes());
         self.file.store(&bytes)
     }
 }
@@ -51,9 +50,6 @@
         Report::new(ErrorKind::Corrupted).attach("the stored configuration is too short")
     })?;
     let content = String::from_utf8(content.to_vec()).change_context(ErrorKind::Corrupted)?;
-    Ok(StoredConfiguration {
-        revision: Revision(u64::from_le_bytes(*revision)),
-        digest: content_digest(&content),
-        content,
-    })
+    let revision = Revision(u64::from_le_bytes(*revision));
+    StoredConfiguration::parse(revision, content).change_context(ErrorKind::InvalidConfiguration)
 }
--- a/crates/gateway/src/control/events.rs
+++ b/crates/gateway/src/control/events.rs
@@ -70,13 +70,14 @@
                 warn!(self.logger, "configuration update not used"; "fault" => ?fault);
                 return AfterMessage::AskForWhole;
             }
-            FollowerAction::Store(stored, fleet) => {
+            FollowerAction::Store(stored) => {
                 if !self.store_configuration(stored.clone()).await {
                     return AfterMessage::Continue;
                 }
                 let revision = stored.revision;
+                let fleet = Arc::clone(stored.fleet());
                 self.follower.lock().on_stored(stored);
-                self.put_in_force(revision, *fleet);
+                self.put_in_force(revision, fleet);
                 self.confirm(revision);
                 info!(self.logger, "configuration in force"; "revision" => revision.0);
             }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -124,7 +124,7 @@
 /// Puts a given fleet in force.
 fn use_fixed(gateway: &Arc<Gateway>, fixed: FixedFleet) -> Result<(), Report<ErrorKind>> {
     let fleet = Fleet::parse(&fixed.content).change_context(ErrorKind::InvalidConfiguration)?;
-    gateway.put_in_force(Revision(1), fleet);
+    gateway.put_in_force(Revision(1), Arc::new(fleet));
     gateway.decisions.set_replicas(fixed.replicas);
     gateway.on_first_replicas();
     Ok(())
@@ -139,9 +139,8 @@
     let Some(stored) = stored else {
         return Ok(());
     };
-    let fleet = Fleet::parse(&stored.content).change_context(ErrorKind::InvalidConfiguration)?;
     info!(gateway.logger, "stored configuration in force"; "revision" => stored.revision.0);
-    gateway.put_in_force(stored.revision, fleet);
+    gateway.put_in_force(stored.revision, Arc::clone(stored.fleet()));
     *gateway.follower.lock() = Follower::new(Some(stored));
     Ok(())
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -50,12 +50,12 @@
 #[derive(Debug)]
 pub(crate) struct ActiveConfiguration {
     pub(crate) revision: Revision,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: Arc<Fleet>,
     pub(crate) tenants: TenantDirectory,
 }
 
 impl ActiveConfiguration {
-    pub(crate) fn new(revision: Revision, fleet: Fleet) -> Self {
+    pub(crate) fn new(revision: Revision, fleet: Arc<Fleet>) -> Self {
         let tenants = TenantDirectory::new(&fleet);
         ActiveConfiguration {
             revision,
@@ -123,7 +123,7 @@
     }
 
     /// Puts a configuration in force for everything that starts from now on.
-    pub(crate) fn put_in_force(&self, revision: Revision, fleet: Fleet) {
+    pub(crate) fn put_in_force(&self, revision: Revision, fleet: Arc<Fleet>) {
         self.decisions.set_fleet(&fleet);
         let active = ActiveConfiguration::new(revision, fleet);
         self.configuration.store(Some(Arc::new(active)));
--- a/crates/gateway/tests/all/configuration.rs
+++ b/crates/gateway/tests/all/configuration.rs
@@ -21,20 +21,15 @@
 }
 
 fn stored(revision: u64) -> StoredConfiguration {
-    let content = text(revision);
-    StoredConfiguration {
-        revision: Revision(revision),
-        digest: content_digest(&content),
-        content,
-    }
+    StoredConfiguration::parse(Revision(revision), text(revision)).expect("a fleet file")
 }
 
 fn full(revision: u64) -> ConfigurationUpdate {
-    let stored = stored(revision);
+    let content = text(revision);
     ConfigurationUpdate::Full {
-        revision: stored.revision,
-        content: stored.content,
-        digest: stored.digest,
+        revision: Revision(revision),
+        digest: content_digest(&content),
+        content,
     }
 }
 
@@ -103,7 +98,7 @@
 ) {
     let follower = Follower::new(Some(stored(5)));
     let found = match follower.on_update(&update) {
-        FollowerAction::Store(configuration, _) => {
+        FollowerAction::Store(configuration) => {
             assert_eq!(configuration, stored(configuration.revision.0));
             Expected::Store(configuration.revision.0)
         }
