--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,3 +3,5 @@
 //! [`capacity`] turns measured slopes into the tables of `docs/CAPACITY.md`.
 
 pub mod capacity;
+pub mod fleet;
+pub mod usage;
