Add placement: a reconciler and its driver for fenced orders to engines

Cause: the planner of loads, versions, adapters and roles had nobody to call it, and the ledger's fenced orders nobody to issue, send and settle them.

Change: the crate placement. Its Reconciler, without clock and sockets, takes the platform's list, engines' states and answers, and moves each order from a reservation of weights over the commit in the ledger, the sending and the effect to its settlement. A new leader looks at every engine before it orders, waits for what an engine has accepted, and issues what an engine does not have again under its own term, so that the old leader is fenced off. PlacementDriver runs it over HTTP while its host, a control member behind the narrow trait PlacementHost, leads. Ten reason codes tell of the steps.

Proved in virtual time over the emulator's engines and platform and the real ledger (placement/tests/all/reconciler.rs), and over loopback against its servers (engines_http.rs).

--- /dev/null
+++ b/crates/placement/src/reconciler/observed.rs
@@ -0,0 +1,227 @@
+//! What is known of the platform's machines and of what they run.
+
+use std::collections::BTreeMap;
+
+use linnethitch_protocol::{
+    fleet::{BackEndKind, EngineState, LoadReport, Machine, ReplicaInfo},
+    ids::{ReplicaId, Timestamp},
+};
+use linnethitch_routing::placement::{PlacedReplica, ReplicaHealth};
+
+use crate::settings::PlacementLimits;
+
+/// A replica to be asked for its state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Poll {
+    /// Which.
+    pub replica: ReplicaId,
+    /// What it runs.
+    pub kind: BackEndKind,
+    /// `IP:port` of its HTTP interface.
+    pub address: String,
+}
+
+/// What a replica answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// What its engine has loaded; default for applications.
+    pub engine: EngineState,
+    /// Its load, when it told it.
+    pub load: Option<LoadReport>,
+}
+
+/// One replica.
+#[derive(Debug)]
+struct Observed {
+    machine: Machine,
+    engine: EngineState,
+    load: LoadReport,
+    /// Its last answer; at first, when it was listed.
+    heard_at: Timestamp,
+    /// Whether it has answered this leader.
+    answered: bool,
+    polling: bool,
+    poll_at: Timestamp,
+}
+
+impl Observed {
+    fn health(&self, now: Timestamp, limits: &PlacementLimits) -> ReplicaHealth {
+        let silent_ms = now.0.saturating_sub(self.heard_at.0);
+        if silent_ms >= limits.dead_after_ms {
+            ReplicaHealth::Dead
+        } else if silent_ms >= limits.silent_after_ms || !self.answered {
+            ReplicaHealth::Silent
+        } else {
+            ReplicaHealth::Answering
+        }
+    }
+
+    fn info(&self) -> ReplicaInfo {
+        ReplicaInfo {
+            machine: self.machine.clone(),
+            engine: self.engine.clone(),
+        }
+    }
+}
+
+/// All replicas of the platform's list.
+#[derive(Debug)]
+pub(super) struct ObservedFleet {
+    limits: PlacementLimits,
+    replicas: BTreeMap<ReplicaId, Observed>,
+    /// States that an earlier leader knew, until the list is there.
+    inherited: BTreeMap<ReplicaId, EngineState>,
+    /// Whether the list was read at all.
+    listed: bool,
+    /// Whether anything changed since the last [`ObservedFleet::take_changed`].
+    changed: bool,
+}
+
+impl ObservedFleet {
+    pub(super) fn new(limits: PlacementLimits, known: Vec<ReplicaInfo>) -> Self {
+        let inherited = known.into_iter();
+        ObservedFleet {
+            limits,
+            replicas: BTreeMap::new(),
+            inherited: inherited
+                .map(|info| (info.machine.replica, info.engine))
+                .collect(),
+            listed: false,
+            changed: false,
+        }
+    }
+
+    /// Takes the platform's list.
+    pub(super) fn list(&mut self, now: Timestamp, machines: Vec<Machine>) {
+        let mut before = std::mem::take(&mut self.replicas);
+        for machine in machines {
+            let id = machine.replica.clone();
+            let observed = match before.remove(&id) {
+                Some(known) if known.machine == machine => known,
+                // Another address is another process, of which nothing is known.
+                Some(known) if known.machine.address != machine.address => {
+                    self.first_seen(now, machine)
+                }
+                Some(known) => {
+                    self.changed = true;
+                    Observed { machine, ..known }
+                }
+                None => self.first_seen(now, machine),
+            };
+            self.replicas.insert(id, observed);
+        }
+        self.changed |= !before.is_empty();
+        self.listed = true;
+        self.inherited.clear();
+    }
+
+    fn first_seen(&mut self, now: Timestamp, machine: Machine) -> Observed {
+        self.changed = true;
+        let engine = self.inherited.remove(&machine.replica);
+        Observed {
+            machine,
+            engine: engine.unwrap_or_default(),
+            load: LoadReport::default(),
+            heard_at: now,
+            answered: false,
+            polling: false,
+            poll_at: now,
+        }
+    }
+
+    /// Replicas whose state is to be asked for now.
+    pub(super) fn due_polls(&mut self, now: Timestamp) -> Vec<Poll> {
+        let interval_ms = self.limits.poll_interval_ms;
+        let due = self
+            .replicas
+            .iter_mut()
+            .filter(|(_, observed)| !observed.polling && observed.poll_at <= now);
+        due.map(|(replica, observed)| {
+            observed.polling = true;
+            observed.poll_at = Timestamp(now.0 + interval_ms);
+            Poll {
+                replica: replica.clone(),
+                kind: observed.machine.kind.clone(),
+                address: observed.machine.address.clone(),
+            }
+        })
+        .collect()
+    }
+
+    /// Takes a replica's answer, or that there was none.
+    pub(super) fn polled(&mut self, now: Timestamp, poll: &Poll, answer: Option<Observation>) {
+        let Some(observed) = self.replicas.get_mut(&poll.replica) else {
+            return;
+        };
+        if observed.machine.address != poll.address {
+            return;
+        }
+        observed.polling = false;
+        let Some(answer) = answer else {
+            return;
+        };
+        observed.heard_at = now;
+        observed.answered = true;
+        observed.load = answer.load.unwrap_or(observed.load);
+        self.changed |= observed.engine != answer.engine;
+        observed.engine = answer.engine;
+    }
+
+    /// Asks a replica at the next occasion.
+    pub(super) fn poll_soon(&mut self, replica: &ReplicaId) {
+        if let Some(observed) = self.replicas.get_mut(replica) {
+            observed.poll_at = Timestamp(0);
+        }
+    }
+
+    /// Whether each replica has answered this leader or had the time to.
+    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
+        let is_known = |observed: &Observed| {
+            observed.answered || observed.health(now, &self.limits) == ReplicaHealth::Dead
+        };
+        self.listed && self.replicas.values().all(is_known)
+    }
+
+    pub(super) fn health(&self, now: Timestamp, replica: &ReplicaId) -> Option<ReplicaHealth> {
+        let observed = self.replicas.get(replica)?;
+        Some(observed.health(now, &self.limits))
+    }
+
+    /// Whether the list, once read, does not name the replica.
+    pub(super) fn is_gone(&self, replica: &ReplicaId) -> bool {
+        self.listed && !self.replicas.contains_key(replica)
+    }
+
+    /// What the engine said last to this leader.
+    pub(super) fn engine(&self, replica: &ReplicaId) -> Option<&EngineState> {
+        let observed = self.replicas.get(replica)?;
+        observed.answered.then_some(&observed.engine)
+    }
+
+    pub(super) fn address(&self, replica: &ReplicaId) -> Option<&str> {
+        let observed = self.replicas.get(replica)?;
+        Some(&observed.machine.address)
+    }
+
+    /// The replicas for the planner, in the order of their names.
+    pub(super) fn placed(&self, now: Timestamp) -> Vec<PlacedReplica> {
+        let replicas = self.replicas.values();
+        replicas
+            .map(|observed| PlacedReplica {
+                info: observed.info(),
+                health: observed.health(now, &self.limits),
+                online: observed
+                    .load
+                    .running_online
+                    .saturating_add(observed.load.waiting),
+                max_running: observed.load.max_running,
+            })
+            .collect()
+    }
+
+    /// All replicas, if anything changed since the last call.
+    pub(super) fn take_changed(&mut self) -> Option<Vec<ReplicaInfo>> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.then(|| self.replicas.values().map(Observed::info).collect())
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/all/reconciler.rs
@@ -0,0 +1,233 @@
+//! The reconciler against the emulator's engines and platform in virtual time.
+
+use linnethitch_placement::reconciler::{Action, OrderAnswer};
+use linnethitch_protocol::fleet::EngineRole;
+use rstest::rstest;
+
+use crate::world::{Held, World, fleet_file};
+
+const SECOND: u64 = 1_000;
+const MINUTE: u64 = 60 * SECOND;
+
+#[test]
+fn empty_engines_are_loaded_and_orders_settled() {
+    let adapter = "prefill_percent = 25\n[[model.adapter]]\nname = \"lane\"\nversion = \"3\"";
+    let mut world = World::new(&fleet_file("v1", 4, 0, adapter)).with("a", 4, None);
+    world.run_ms(MINUTE);
+    let complete = world.serving_any("a", |state| state.adapters == ["lane"]);
+    assert_eq!((world.serving("a", "v1"), complete), (4, 4));
+    let prefill = world.serving_any("a", |state| state.role == EngineRole::Prefill);
+    let decode = world.serving_any("a", |state| state.role == EngineRole::Decode);
+    assert_eq!((prefill, decode), (1, 3));
+    assert_eq!(world.ledger.open_orders(), []);
+    assert_eq!(world.loads(), 4, "each engine loads once");
+}
+
+/// What happens to the engine `a01`, and whether the spare is loaded for it.
+#[rstest]
+#[case::process_dead_but_listed(|world: &mut World| world.engine("a01").answers = false, true)]
+#[case::off_the_list(|world: &mut World| { world.platform.remove_machine(linnethitch_emulator::Time::from_millis(world.now_ms), &"a01".into()); }, true)]
+#[case::leaving(|world: &mut World| world.engine("a01").core.set_leaving(true), true)]
+#[case::restarted_with_nothing_loaded(|world: &mut World| world.restart_empty("a01"), false)]
+fn a_dead_replicas_model_is_placed_again(#[case] fault: fn(&mut World), #[case] on_spare: bool) {
+    let mut world = World::new(&fleet_file("v1", 2, 0, ""))
+        .with("a", 2, Some("v1"))
+        .with("a", 1, None);
+    world.run_ms(5 * SECOND);
+    assert_eq!(world.loads(), 0);
+    fault(&mut world);
+    world.run_ms(30 * SECOND);
+    assert_eq!(world.engine("a03").loads, u32::from(on_spare));
+    assert_eq!(world.loads(), 1);
+    assert!(world.serving("a", "v1") >= 2);
+    assert_eq!(world.ledger.open_orders(), []);
+}
+
+#[test]
+fn a_replica_that_is_silent_for_a_moment_is_not_replaced() {
+    let mut world = World::new(&fleet_file("v1", 2, 0, ""))
+        .with("a", 2, Some("v1"))
+        .with("a", 1, None);
+    world.run_ms(5 * SECOND);
+    world.engine("a01").answers = false;
+    world.run_ms(8 * SECOND);
+    world.engine("a01").answers = true;
+    world.run_ms(30 * SECOND);
+    assert_eq!(world.loads(), 0);
+}
+
+/// A leader that has just begun does not take what it has not asked yet for dead.
+#[test]
+fn a_new_leader_looks_before_it_orders() {
+    let mut world = World::new(&fleet_file("v1", 2, 0, ""))
+        .with("a", 2, Some("v1"))
+        .with("a", 1, None);
+    world.engine("a01").answers = false;
+    world.run_ms(5 * SECOND);
+    world.change_leader();
+    world.run_ms(5 * SECOND);
+    world.engine("a01").answers = true;
+    world.run_ms(10 * SECOND);
+    assert_eq!(world.loads(), 0);
+}
+
+/// The leader is cut off at some point of an order, another one takes over,
+/// and what the first one held back arrives late.
+#[rstest]
+#[case::before_the_reservation(Held::Reserve, false)]
+#[case::before_the_commit(Held::Issue, false)]
+#[case::before_the_engine_got_it(Held::Send, true)]
+#[case::before_it_was_settled(Held::Settle, false)]
+fn an_order_is_carried_out_once_across_a_leader_change(
+    #[case] hold: Held,
+    #[case] taken_over: bool,
+) {
+    let mut world = World::new(&fleet_file("v1", 1, 0, "")).with("a", 1, None);
+    world.hold = Some(hold);
+    world.run_ms(10 * SECOND);
+    assert_eq!(world.held.len(), 1, "the first leader came that far");
+    world.hold = None;
+    world.change_leader();
+    world.run_ms(10 * SECOND);
+    assert_eq!(world.serving("a", "v1"), 1);
+    assert_eq!(world.decided("order_taken_over"), taken_over);
+    for late in std::mem::take(&mut world.held) {
+        match late {
+            Action::Send { order, .. } => {
+                assert_eq!(world.deliver(&order), OrderAnswer::Fenced);
+            }
+            other => world.carry_out(other),
+        }
+    }
+    world.run_ms(10 * SECOND);
+    assert_eq!(world.loads(), 1);
+    assert_eq!(world.serving("a", "v1"), 1);
+    assert_eq!(world.ledger.open_orders(), []);
+}
+
+/// An order that the engine accepted before the leader changed is waited for.
+#[test]
+fn a_load_under_way_is_not_begun_again_by_a_new_leader() {
+    let mut world = World::new(&fleet_file("v1", 1, 0, "")).with("a", 1, None);
+    world.run_ms(4 * SECOND);
+    assert_eq!((world.loads(), world.serving("a", "v1")), (1, 0));
+    world.change_leader();
+    world.run_ms(20 * SECOND);
+    assert_eq!((world.loads(), world.serving("a", "v1")), (1, 1));
+    assert_eq!(world.ledger.open_orders(), []);
+}
+
+#[test]
+fn an_order_is_sent_again_to_an_engine_that_lost_it() {
+    let mut world = World::new(&fleet_file("v1", 1, 0, "")).with("a", 1, None);
+    world.run_ms(4 * SECOND);
+    assert_eq!(world.loads(), 1);
+    world.restart_empty("a01");
+    world.run_ms(10 * SECOND);
+    assert_eq!((world.loads(), world.serving("a", "v1")), (2, 1));
+    assert_eq!(world.store_grants, 1, "the weights are on the machine");
+}
+
+#[test]
+fn an_order_for_a_dead_engine_is_given_up() {
+    let mut world = World::new(&fleet_file("v1", 1, 0, "")).with("a", 2, None);
+    world.hold = Some(Held::Send);
+    world.run_ms(5 * SECOND);
+    world.hold = None;
+    let held = world.held.len();
+    assert_eq!(held, 1);
+    world.engine("a01").answers = false;
+    world.run_ms(30 * SECOND);
+    assert!(world.decided("replica_gone"));
+    assert_eq!(world.engine("a02").loads, 1, "another engine loads instead");
+    assert_eq!(world.ledger.open_orders(), []);
+}
+
+/// The emulated store starts 8 transfers at once and then 4 a second.
+#[test]
+fn the_weight_stores_rate_is_kept() {
+    let mut world = World::new(&fleet_file("v1", 40, 0, "")).with("a", 40, None);
+    world.run_ms(MINUTE);
+    assert_eq!(world.serving("a", "v1"), 40);
+    assert_eq!(world.store_grants, 40);
+    let asked_in_vain = world.store_refusals;
+    assert!(asked_in_vain < 80, "{asked_in_vain} refused reservations");
+}
+
+/// A roll-out under load. Zone `b` may fall out in the middle of it.
+#[rstest]
+#[case::idle(6, 0, false)]
+#[case::half_loaded(6, 32, false)]
+#[case::zone_down(6, 20, true)]
+#[case::small_pool(2, 10, false)]
+fn a_roll_out_keeps_the_capacity_that_online_needs(
+    #[case] in_each: u32,
+    #[case] online: u32,
+    #[case] zone_down: bool,
+) {
+    let old = fleet_file("v0", in_each, in_each, "");
+    let mut world = World::new(&old)
+        .with("a", in_each, Some("v0"))
+        .with("b", in_each, Some("v0"));
+    for engine in world.engines.values_mut() {
+        engine.online = online;
+    }
+    world.run_ms(5 * SECOND);
+    world
+        .ledger
+        .apply_fleet(&fleet_file("v1", in_each, in_each, ""));
+    world.run_ms(6 * SECOND);
+    if zone_down {
+        let in_b = world.engines.values_mut().filter(|one| one.zone == "b");
+        in_b.for_each(|engine| engine.answers = false);
+        let in_a = world.engines.values_mut().filter(|one| one.zone == "a");
+        // What ran in b now runs in a.
+        in_a.for_each(|engine| engine.online = online * 2);
+        world.run_ms(4 * SECOND);
+    }
+    let whole = (if zone_down { 1 } else { 2 }) * in_each as usize;
+    let least = whole - (whole / 4).max(1);
+    world.run_checked(3 * MINUTE, |world| {
+        let in_a = world.serving_any("a", |_| true);
+        let serving = in_a + world.serving_any("b", |_| true);
+        assert!(in_a > 0, "zone a is empty");
+        assert!(serving >= least, "{serving} of {whole} serve");
+    });
+    assert_eq!(world.serving("a", "v1"), in_each as usize);
+    for engine in world.engines.values_mut() {
+        engine.answers = true;
+        engine.online = online;
+    }
+    world.run_ms(3 * MINUTE);
+    assert_eq!(world.serving("b", "v1"), in_each as usize);
+    assert_eq!(world.ledger.open_orders(), []);
+}
+
+#[test]
+fn a_roll_out_waits_while_online_needs_every_replica() {
+    let mut world = World::new(&fleet_file("v1", 4, 0, "")).with("a", 4, Some("v0"));
+    for engine in world.engines.values_mut() {
+        engine.online = 60;
+    }
+    world.run_ms(MINUTE);
+    assert_eq!((world.loads(), world.serving("a", "v0")), (0, 4));
+    assert!(world.decided("capacity_guard"));
+    for engine in world.engines.values_mut() {
+        engine.online = 10;
+    }
+    world.run_ms(MINUTE);
+    assert_eq!(world.serving("a", "v1"), 4);
+}
+
+/// The file changes while weights are on their way: the order is not given any more.
+#[test]
+fn an_order_that_is_out_of_date_is_not_issued() {
+    let mut world = World::new(&fleet_file("v1", 1, 0, "")).with("a", 1, None);
+    while world.store_grants == 0 {
+        world.run_ms(SECOND / 4);
+    }
+    world.ledger.apply_fleet(&fleet_file("v2", 1, 0, ""));
+    world.run_ms(20 * SECOND);
+    assert!(world.decided("order_outdated"));
+    assert_eq!((world.loads(), world.serving("a", "v2")), (1, 1));
+}
--- a/crates/routing/src/reason.rs
+++ b/crates/routing/src/reason.rs
@@ -128,6 +128,26 @@
     CapacityGuard => "capacity_guard";
     /// The change waits for the weight store.
     WeightStoreBusy => "weight_store_busy";
+    /// The weight store did not answer.
+    WeightStoreUnreachable => "weight_store_unreachable";
+    /// The weight store has begun to bring the weights to the machine.
+    WeightsReserved => "weights_reserved";
+    /// The engine accepted the order.
+    OrderAccepted => "order_accepted";
+    /// The engine shows the order's effect.
+    OrderInEffect => "order_in_effect";
+    /// The engine has seen an order with a higher token.
+    OrderFenced => "order_fenced";
+    /// The engine will not carry the order out.
+    OrderRefused => "order_refused";
+    /// The order came to nothing for too long.
+    OrderTimedOut => "order_timed_out";
+    /// The fleet file no longer wants what the order would do.
+    OrderOutdated => "order_outdated";
+    /// The engine does not have an earlier leader's order, so it was issued again in the new term.
+    OrderTakenOver => "order_taken_over";
+    /// The replica is dead or no longer on the platform's list.
+    ReplicaGone => "replica_gone";
 }
 
 impl ReasonCode {
