Run keyed requests under claims of the ledger, at most once where asked

Cause: Idempotency-Key and Linnethitch-Run were not served for completions. Change: a keyed request claims its key before anything runs; a resend with the same content gets the kept answer (whole or streamed), other content 409, a running one 409 with Retry-After. At-most-once runs go on when their caller leaves, and an unknown outcome is kept as such. Without control a keyed request is refused with executed: no, and a claim taken all the same is given back. Conclusion: tests claims, over lost answers, silence of control, engine death, caller's departure, gateways killed and stopped.

--- a/crates/config/src/settings/gateway.rs
+++ b/crates/config/src/settings/gateway.rs
@@ -35,6 +35,8 @@
     pub max_batch_items: u32,
     /// Longest planned stop: requests still running then are ended with an error, in milliseconds.
     pub drain_timeout_ms: u64,
+    /// Longest wait for control's answer to a call that a caller waits for, in milliseconds.
+    pub control_timeout_ms: u64,
 }
 
 impl Default for GatewayLimits {
@@ -46,6 +48,7 @@
             upload_buffer_bytes: 1024 * 1024,
             max_batch_items: 256,
             drain_timeout_ms: 300_000,
+            control_timeout_ms: 5_000,
         }
     }
 }
@@ -178,6 +181,7 @@
             ("header_timeout_ms", self.header_timeout_ms),
             ("upload_buffer_bytes", u64::from(self.upload_buffer_bytes)),
             ("drain_timeout_ms", self.drain_timeout_ms),
+            ("control_timeout_ms", self.control_timeout_ms),
         ];
         for (field, value) in limits {
             checker.positive_in("limits", field, value)?;
--- a/crates/gateway/src/batch/driver.rs
+++ b/crates/gateway/src/batch/driver.rs
@@ -9,7 +9,7 @@
     command::{CommandBody, Outcome},
     ids::{GatewayId, Timestamp},
 };
-use slog::{Logger, debug, info, o};
+use slog::{Logger, debug, o};
 use tokio::{sync::mpsc, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 
@@ -49,12 +49,8 @@
         logger: gateway.logger.new(o!("part" => "batch")),
         gateway,
     };
-    let limit = Duration::from_millis(driver.gateway.settings.limits.drain_timeout_ms);
     driver.run_until_stop().await;
-    if tokio::time::timeout(limit, driver.drain()).await.is_err() {
-        info!(driver.logger, "items still running at the end of the planned stop";
-            "items" => driver.executor.held());
-    }
+    driver.drain().await;
 }
 
 fn settings(gateway: &Gateway) -> ExecutorSettings {
--- a/crates/gateway/src/control/client.rs
+++ b/crates/gateway/src/control/client.rs
@@ -23,8 +23,6 @@
     time::{Instant, timeout_at},
 };
 
-/// Longest time for a call whose caller names none.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Wait before a call that was refused for the moment is sent again.
 const RESEND_DELAY: Duration = Duration::from_millis(50);
 /// Calls under way at once.
@@ -51,6 +49,8 @@
     pending: Mutex<HashMap<CallId, oneshot::Sender<ControlAnswer>>>,
     link: watch::Sender<Option<Link>>,
     permits: Semaphore,
+    /// Longest time for a call whose caller names none.
+    timeout: Duration,
 }
 
 /// Takes a call out of the pending ones whichever way it ends.
@@ -66,8 +66,8 @@
 }
 
 impl ControlClient {
-    /// A client without a connection.
-    pub(crate) fn new() -> Self {
+    /// A client without a connection, with the longest time for a call.
+    pub(crate) fn new(timeout: Duration) -> Self {
         ControlClient {
             shared: Arc::new(Shared {
                 next_call: AtomicU64::new(1),
@@ -75,6 +75,7 @@
                 pending: Mutex::default(),
                 link: watch::Sender::new(None),
                 permits: Semaphore::new(MAX_CALLS),
+                timeout,
             }),
         }
     }
@@ -111,7 +112,7 @@
     /// Commits a command. It is sent again until it is answered or the time is over; all
     /// commands bear that, since each names what it makes.
     pub(crate) async fn propose(&self, command: CommandBody) -> Result<Outcome, Failure> {
-        self.propose_within(command, CALL_TIMEOUT).await
+        self.propose_within(command, self.shared.timeout).await
     }
 
     /// Commits a command within a time.
@@ -130,7 +131,7 @@
     /// Reads.
     pub(crate) async fn query(&self, query: Query) -> Result<QueryAnswer, Failure> {
         match self
-            .call(ControlCall::Query(query), false, CALL_TIMEOUT)
+            .call(ControlCall::Query(query), false, self.shared.timeout)
             .await?
         {
             ControlAnswer::Answer(answer) => Ok(answer),
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -1,5 +1,6 @@
 //! Online requests: completions, streamed and whole.
 
+mod claimed;
 pub(crate) mod generation;
 mod prefix;
 pub(crate) mod request;
@@ -11,8 +12,10 @@
 use gotham::helpers::http::Body;
 use http::Response;
 use linnethitch_errors::Failure;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    claims::{Claimed, claim, run_rules},
     http::{body::read_whole, incoming::Incoming, routes::Endpoint},
     online::{generation::Generation, request::CompletionRequest},
     state::Gateway,
@@ -25,10 +28,11 @@
     incoming: Incoming,
 ) -> Result<Response<Body>, Failure> {
     let arrived = gateway.clock().now();
+    let rules = run_rules(&incoming.head.headers)?;
     let (active, tenant) = gateway.authenticate(&incoming.head)?;
     let Incoming { head, body } = incoming;
     let bytes = read_whole(&head.headers, body, active.body_limits()).await?;
-    let request = CompletionRequest::parse(
+    let mut request = CompletionRequest::parse(
         endpoint,
         head.id,
         &head.headers,
@@ -41,6 +45,13 @@
         .decisions
         .pass_limits(&tenant, estimate)
         .map_err(|refused| refused.failure)?;
+    request.at_most_once = rules.at_most_once;
+    let digest = content_digest(&request, &bytes);
+    match claim(gateway, &tenant.name, &rules, digest).await? {
+        Claimed::NotNeeded => {}
+        Claimed::Granted(claim) => return claimed::respond(gateway, claim, request, pass).await,
+        Claimed::Answered(kept) => return Ok(claimed::replay(kept)),
+    }
     let stream = request.stream;
     let generation = Generation::start(Arc::clone(gateway), request, pass).await?;
     if stream {
@@ -49,3 +60,12 @@
         whole_answer::respond(generation).await
     }
 }
+
+/// Tells a resend from another request under the same key.
+fn content_digest(request: &CompletionRequest, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(request.kind.path().as_bytes());
+    hasher.update(&[u8::from(request.at_most_once)]);
+    hasher.update(body);
+    hasher.digest()
+}
--- a/crates/gateway/src/online/stream_answer.rs
+++ b/crates/gateway/src/online/stream_answer.rs
@@ -15,32 +15,52 @@
 
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
+/// A part of a streamed answer.
+pub(super) enum Piece {
+    /// An event with more to follow.
+    Event(Bytes),
+    /// The end of a whole answer.
+    Last,
+    /// The stream ends without being the whole answer.
+    Failed(Failure),
+}
+
+impl Piece {
+    /// What the caller is sent.
+    pub(super) fn bytes(&self) -> Bytes {
+        match self {
+            Piece::Event(event) => event.clone(),
+            Piece::Last => Bytes::from_static(DONE_EVENT),
+            Piece::Failed(failure) => Bytes::from(format!("data: {}\n\n", failure.body())),
+        }
+    }
+}
+
 /// The response of a generation that has begun.
 pub(crate) fn respond(generation: Generation) -> Response<Body> {
     let pieces = stream::unfold(Some(generation), |state| async move {
         let mut generation = state?;
-        let (piece, more) = next_piece(&mut generation).await;
-        Some((Ok::<Bytes, io::Error>(piece), more.then_some(generation)))
+        let piece = next_piece(&mut generation).await;
+        let more = matches!(piece, Piece::Event(_));
+        Some((
+            Ok::<Bytes, io::Error>(piece.bytes()),
+            more.then_some(generation),
+        ))
     });
     event_stream_response(pieces)
 }
 
-/// The next bytes for the caller, and whether more follow.
-async fn next_piece(generation: &mut Generation) -> (Bytes, bool) {
+/// The next part for the caller.
+pub(super) async fn next_piece(generation: &mut Generation) -> Piece {
     loop {
         match generation.next().await {
-            Ok(StreamEvent::Token(event)) => return (event, true),
+            Ok(StreamEvent::Token(event)) => return Piece::Event(event),
             Ok(StreamEvent::Usage(event)) if generation.request.include_usage => {
-                return (event, true);
+                return Piece::Event(event);
             }
             Ok(StreamEvent::Usage(_)) => {}
-            Ok(StreamEvent::Done) => return (Bytes::from_static(DONE_EVENT), false),
-            Err(failure) => return (error_event(&failure), false),
+            Ok(StreamEvent::Done) => return Piece::Last,
+            Err(failure) => return Piece::Failed(failure),
         }
     }
 }
-
-/// An event that says that the stream is not the whole answer.
-fn error_event(failure: &Failure) -> Bytes {
-    Bytes::from(format!("data: {}\n\n", failure.body()))
-}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and planned stop of a gateway process.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use error_stack::{Report, ResultExt};
 use linnethitch_config::{fleet::Fleet, settings::GatewaySettings};
@@ -8,8 +8,9 @@
 use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::Revision;
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::{net::TcpListener, sync::mpsc, task::JoinSet};
+use tokio_util::sync::DropGuard;
 
 use crate::{
     batch::{
@@ -35,6 +36,7 @@
     work: JoinSet<()>,
     /// Tasks that run as long as the process.
     background: JoinSet<()>,
+    _dropped: DropGuard,
 }
 
 impl GatewayProcess {
@@ -85,6 +87,7 @@
         info!(logger, "gateway listens"; "address" => %address);
         Ok(GatewayHandle {
             address,
+            _dropped: gateway.dropped.clone().drop_guard(),
             gateway,
             work,
             background,
@@ -107,8 +110,19 @@
             mut background,
             ..
         } = self;
+        let limit = Duration::from_millis(gateway.settings.limits.drain_timeout_ms);
         gateway.begin_stop();
-        while work.join_next().await.is_some() {}
+        let finished = tokio::time::timeout(limit, async {
+            while work.join_next().await.is_some() {}
+            gateway.finish_tracked().await;
+        });
+        if finished.await.is_err() {
+            warn!(
+                gateway.logger,
+                "cut off what still ran at the end of the planned stop"
+            );
+            work.shutdown().await;
+        }
         background.shutdown().await;
         gateway.journal.flush();
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What the parts of a gateway share.
 
 use std::{
+    future::Future,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -20,8 +21,8 @@
 use linnethitch_protocol::ids::Revision;
 use parking_lot::Mutex;
 use slog::Logger;
-use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
+use tokio::{sync::mpsc, task::JoinHandle};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     batch::BatchEvent,
@@ -87,6 +88,10 @@
     pub(crate) session: SessionState,
     /// Cancelled when a planned stop begins.
     pub(crate) stopping: CancellationToken,
+    /// Runs that go on without their caller.
+    tracked: TaskTracker,
+    /// Cancelled when the process is dropped instead of stopped.
+    pub(crate) dropped: CancellationToken,
     pub(crate) journal: Journal,
     /// What the batch executor is told; nobody receives when the fleet is given.
     pub(crate) batch_events: mpsc::Sender<BatchEvent>,
@@ -103,6 +108,7 @@
         logger: Logger,
     ) -> Self {
         let zone = settings.zone.as_str().into();
+        let control_timeout = Duration::from_millis(settings.limits.control_timeout_ms);
         let seed = xxhash_rust::xxh3::xxh3_64(settings.gateway_id.as_bytes());
         Gateway {
             settings,
@@ -111,11 +117,13 @@
             configuration: ArcSwapOption::empty(),
             decisions: Arc::new(Decisions::new(zone, Clock::start(), seed)),
             back_ends: BackEndClient::new(timeouts.connect),
-            control: ControlClient::new(),
+            control: ControlClient::new(control_timeout),
             follower: Mutex::default(),
             store,
             session: SessionState::default(),
             stopping: CancellationToken::new(),
+            tracked: TaskTracker::new(),
+            dropped: CancellationToken::new(),
             journal,
             batch_events,
             has_replicas: AtomicBool::new(false),
@@ -151,6 +159,23 @@
         self.decisions.clock
     }
 
+    /// Runs a task to its end, also beyond the connection that asked for it; a planned stop
+    /// waits for it.
+    pub(crate) fn spawn_tracked(
+        &self,
+        task: impl Future<Output = ()> + Send + 'static,
+    ) -> JoinHandle<Option<()>> {
+        let dropped = self.dropped.clone();
+        self.tracked
+            .spawn(async move { dropped.run_until_cancelled(task).await })
+    }
+
+    /// Waits until every tracked task has ended.
+    pub(crate) async fn finish_tracked(&self) {
+        self.tracked.close();
+        self.tracked.wait().await;
+    }
+
     /// From now on no new work is taken.
     pub(crate) fn begin_stop(&self) {
         self.stopping.cancel();
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod batch_execution;
 mod batch_executor;
 mod batches;
+mod claims;
 mod completions;
 mod configuration;
 mod files;
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -28,6 +28,9 @@
 /// Time after which a fake engine counts as hung.
 pub(crate) const HANG_LIMIT: Duration = Duration::from_millis(300);
 
+/// Longest wait for control's answer, in milliseconds.
+const CONTROL_TIMEOUT_MS: u64 = 1_000;
+
 /// The fleet file of the tests.
 pub(crate) fn fleet_file() -> String {
     format!(
@@ -214,7 +217,10 @@
         data_dir: folder.path().to_owned(),
         log: LogSettings::default(),
         journal_max_bytes: 1 << 20,
-        limits: GatewayLimits::default(),
+        limits: GatewayLimits {
+            control_timeout_ms: CONTROL_TIMEOUT_MS,
+            ..GatewayLimits::default()
+        },
     }
 }
 
