Test catching up over a faulty network as one table

Ten faults of the way to a member that was away (appends, refusals, chunks, answers lost, repeated or damaged), each with a narrow and a wide window of appends.

--- a/crates/consensus/tests/all/cluster.rs
+++ b/crates/consensus/tests/all/cluster.rs
@@ -70,12 +70,31 @@
     pub(crate) committed: BTreeMap<LogIndex, Entry>,
 }
 
+/// What becomes of a message on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It arrives, and may have been changed.
+    Arrives,
+    /// It is lost.
+    Lost,
+    /// It arrives, and again after everything under way now.
+    ArrivesTwice,
+}
+
+/// A fault of the network that meets a number of messages.
+pub(crate) struct NetworkFault {
+    /// `None` for a message that it does not meet.
+    pub(crate) meets: fn(&mut ConsensusBody) -> Option<Fate>,
+    pub(crate) left: u32,
+}
+
 /// The cluster.
 pub(crate) struct Cluster {
     pub(crate) members: BTreeMap<MemberId, Member>,
     pub(crate) network: VecDeque<ConsensusMessage>,
     /// Pairs of sender and receiver that lose every message.
     pub(crate) cut: BTreeSet<(MemberId, MemberId)>,
+    pub(crate) network_fault: Option<NetworkFault>,
     pub(crate) observed: Observed,
     /// Whether disks are synced as soon as they are written.
     pub(crate) sync_at_once: bool,
@@ -93,6 +112,7 @@
             members: BTreeMap::new(),
             network: VecDeque::new(),
             cut: BTreeSet::new(),
+            network_fault: None,
             observed: Observed::default(),
             sync_at_once: true,
             violation: None,
@@ -369,16 +389,33 @@
         true
     }
 
-    pub(crate) fn deliver(&mut self, message: ConsensusMessage) {
+    pub(crate) fn deliver(&mut self, mut message: ConsensusMessage) {
         if self.cut.contains(&(message.from, message.to)) {
             return;
         }
+        match self.fate_of(&mut message.body) {
+            Fate::Arrives => {}
+            Fate::Lost => return,
+            Fate::ArrivesTwice => self.network.push_back(message.clone()),
+        }
         let receiver = self.receiver_of(&message);
         if let Some(id) = receiver.filter(|id| self.is_up(*id)) {
             self.with_node(id, |node, disk| node.step(message, disk));
         }
     }
 
+    fn fate_of(&mut self, body: &mut ConsensusBody) -> Fate {
+        let fault = self.network_fault.as_mut().filter(|fault| fault.left > 0);
+        let Some((fault, fate)) = fault.and_then(|fault| {
+            let fate = (fault.meets)(body)?;
+            Some((fault, fate))
+        }) else {
+            return Fate::Arrives;
+        };
+        fault.left -= 1;
+        fate
+    }
+
     /// Messages travel to machines; the disk is checked by the node.
     fn receiver_of(&self, message: &ConsensusMessage) -> Option<MemberId> {
         if self.members.contains_key(&message.to) {
--- a/crates/consensus/tests/all/replication.rs
+++ b/crates/consensus/tests/all/replication.rs
@@ -1,10 +1,13 @@
 //! Scenarios of replication.
 
 use linnethitch_consensus::{LogView, MembershipError, ProposeError, ReadError};
-use linnethitch_protocol::{consensus::MembershipChange, ids::LogIndex};
+use linnethitch_protocol::{
+    consensus::{ConsensusBody, MembershipChange},
+    ids::LogIndex,
+};
 use rstest::rstest;
 
-use crate::cluster::{Cluster, member, member_on};
+use crate::cluster::{Cluster, Fate, NetworkFault, member, member_on};
 
 fn numbered(range: std::ops::Range<u32>) -> Vec<String> {
     range.map(|number| format!("command {number}")).collect()
@@ -224,6 +227,113 @@
     assert_eq!(cluster.commands(away), numbered(0..30));
 }
 
+fn meets_append(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(body, ConsensusBody::Append { entries, .. } if !entries.is_empty());
+    is_met.then_some(Fate::Lost)
+}
+
+fn meets_refusal(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(
+        body,
+        ConsensusBody::AppendResponse {
+            accepted: false,
+            ..
+        }
+    );
+    is_met.then_some(Fate::Lost)
+}
+
+fn repeats_refusal(body: &mut ConsensusBody) -> Option<Fate> {
+    meets_refusal(body).map(|_| Fate::ArrivesTwice)
+}
+
+fn meets_first_chunk(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(body, ConsensusBody::SnapshotChunk { offset: 0, .. });
+    is_met.then_some(Fate::Lost)
+}
+
+fn meets_last_chunk(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(body, ConsensusBody::SnapshotChunk { last: true, .. });
+    is_met.then_some(Fate::Lost)
+}
+
+fn repeats_chunk(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(body, ConsensusBody::SnapshotChunk { .. });
+    is_met.then_some(Fate::ArrivesTwice)
+}
+
+fn damages_last_chunk(body: &mut ConsensusBody) -> Option<Fate> {
+    match body {
+        ConsensusBody::SnapshotChunk { data, last, .. } if *last => {
+            data.truncate(data.len() / 2);
+            Some(Fate::Arrives)
+        }
+        _ => None,
+    }
+}
+
+fn meets_snapshot_answer(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(body, ConsensusBody::SnapshotResponse { .. });
+    is_met.then_some(Fate::Lost)
+}
+
+fn meets_installed(body: &mut ConsensusBody) -> Option<Fate> {
+    let is_met = matches!(
+        body,
+        ConsensusBody::SnapshotResponse {
+            installed: true,
+            ..
+        }
+    );
+    is_met.then_some(Fate::Lost)
+}
+
+/// A member that was away catches up, by the log or a snapshot, although
+/// messages are lost, repeated or damaged on the way; the leader stays.
+#[rstest]
+#[case::appends_lost(meets_append, 12, false)]
+#[case::refusals_lost(meets_refusal, 5, false)]
+#[case::refusals_repeated(repeats_refusal, 5, false)]
+#[case::appends_lost_before_a_snapshot(meets_append, 12, true)]
+#[case::first_chunk_lost(meets_first_chunk, 3, true)]
+#[case::last_chunk_lost(meets_last_chunk, 3, true)]
+#[case::chunks_repeated(repeats_chunk, 20, true)]
+#[case::last_chunk_damaged(damages_last_chunk, 2, true)]
+#[case::answers_lost(meets_snapshot_answer, 4, true)]
+#[case::installation_unanswered(meets_installed, 2, true)]
+fn a_member_catches_up_over_a_faulty_network(
+    #[case] meets: fn(&mut ConsensusBody) -> Option<Fate>,
+    #[case] left: u32,
+    #[case] compact: bool,
+    #[values(2, 64)] window: usize,
+) {
+    let mut cluster = Cluster::with_settings(3, |settings| {
+        settings.max_inflight_appends = window;
+        settings.max_append_bytes = 100;
+        settings.snapshot_chunk_bytes = 40;
+    });
+    let leader = cluster.elect();
+    let away = cluster.follower_of(leader);
+    cluster.crash(away);
+    propose_numbered(&mut cluster, leader, 0..30);
+    cluster.settle();
+    if compact {
+        cluster.compact(leader);
+    }
+    propose_numbered(&mut cluster, leader, 30..40);
+    cluster.settle();
+    cluster.restart(away);
+    cluster.network_fault = Some(NetworkFault { meets, left });
+    cluster.run(300);
+    let fault = cluster.network_fault.take().expect("it was set");
+    assert_eq!(fault.left, 0, "the fault met too few messages");
+    assert_eq!(cluster.commands(away), numbered(0..40));
+    assert_eq!(cluster.leader(), Some(leader));
+    propose_numbered(&mut cluster, leader, 40..50);
+    cluster.run(5);
+    assert_eq!(cluster.commands(away), numbered(0..50));
+}
+
 #[test]
 fn a_new_disk_joins_as_learner_and_is_promoted() {
     let mut cluster = Cluster::new(3);
