Add hollow gateways: everything towards control, nothing for callers

Cause: 410 whole gateways do not fit on one machine, each with a parsed file of 45,000 tenants, so what control meets at that size could not be measured.

Change: HollowGateway runs the real attachment, configuration follower, session and confirmations without listener, batch executor and lookup of tenants. Followers of one process may share parsed documents; the table of update cases runs with and without sharing. Bytes and frames exchanged with control are counted in each gateway.

--- a/crates/gateway/src/configuration/follower.rs
+++ b/crates/gateway/src/configuration/follower.rs
@@ -16,6 +16,8 @@
     text_edit::apply_edits,
 };
 
+use super::shared_documents::SharedDocuments;
+
 /// A configuration with its revision. Clones share the text and what it says.
 #[derive(Clone, Debug)]
 pub struct StoredConfiguration {
@@ -96,13 +98,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct Follower {
     held: Option<StoredConfiguration>,
+    shared: Option<Arc<SharedDocuments>>,
 }
 
 impl Follower {
     /// A follower that holds what was stored before the process started.
     #[must_use]
     pub fn new(held: Option<StoredConfiguration>) -> Self {
-        Follower { held }
+        Follower { held, shared: None }
+    }
+
+    /// A follower that holds nothing and shares documents with others of its process.
+    #[must_use]
+    pub fn sharing(documents: Arc<SharedDocuments>) -> Self {
+        Follower {
+            held: None,
+            shared: Some(documents),
+        }
     }
 
     /// What is held, if anything.
@@ -165,10 +177,11 @@
                 held,
             });
         };
-        match apply_edits(base, edits) {
-            Ok(content) => self.on_text(to, content, digest),
-            Err(_) => FollowerAction::AskForWhole(UpdateFault::EditsDoNotFit),
-        }
+        let read = || {
+            let content = apply_edits(base, edits).map_err(|_| UpdateFault::EditsDoNotFit)?;
+            self.read(content, digest)
+        };
+        store_or_ask(to, self.read_once(digest, read))
     }
 
     /// The text of a revision, if it is held; revision 0 is the empty text.
@@ -185,30 +198,51 @@
         if revision < held {
             return FollowerAction::ConfirmHeld(held);
         }
-        if content_digest(&content) != digest {
-            return FollowerAction::AskForWhole(UpdateFault::DigestDiffers);
-        }
         if revision == held {
-            return if digest == self.digest() || revision == Revision(0) {
+            return if content_digest(&content) != digest {
+                FollowerAction::AskForWhole(UpdateFault::DigestDiffers)
+            } else if digest == self.digest() || revision == Revision(0) {
                 FollowerAction::ConfirmHeld(held)
             } else {
                 FollowerAction::AskForWhole(UpdateFault::OtherContent(revision))
             };
         }
-        match self.read(content) {
-            Ok(document) => FollowerAction::Store(StoredConfiguration {
-                revision,
-                document: Arc::new(document),
-            }),
-            Err(error) => FollowerAction::AskForWhole(UpdateFault::Invalid(error.to_string())),
+        let read = || self.read(content, digest);
+        store_or_ask(revision, self.read_once(digest, read))
+    }
+
+    /// Reads a text, unless another follower of the process has done so.
+    fn read_once(
+        &self,
+        digest: u64,
+        read: impl FnOnce() -> Result<Arc<FleetDocument>, UpdateFault>,
+    ) -> Result<Arc<FleetDocument>, UpdateFault> {
+        match &self.shared {
+            Some(shared) => shared.get_or_make(digest, read),
+            None => read(),
         }
     }
 
-    /// Parses a text; what did not change is taken over from the one held.
-    fn read(&self, content: String) -> Result<FleetDocument, FleetError> {
-        match &self.held {
+    /// Checks and parses a text; what did not change is taken over from the one held.
+    fn read(&self, content: String, digest: u64) -> Result<Arc<FleetDocument>, UpdateFault> {
+        if content_digest(&content) != digest {
+            return Err(UpdateFault::DigestDiffers);
+        }
+        let read = match &self.held {
             Some(held) => held.document.replaced_by(content),
             None => FleetDocument::parse(content),
-        }
+        };
+        read.map(Arc::new)
+            .map_err(|error| UpdateFault::Invalid(error.to_string()))
+    }
+}
+
+fn store_or_ask(
+    revision: Revision,
+    read: Result<Arc<FleetDocument>, UpdateFault>,
+) -> FollowerAction {
+    match read {
+        Ok(document) => FollowerAction::Store(StoredConfiguration { revision, document }),
+        Err(fault) => FollowerAction::AskForWhole(fault),
     }
 }
--- a/crates/gateway/src/configuration/mod.rs
+++ b/crates/gateway/src/configuration/mod.rs
@@ -1,4 +1,5 @@
 //! The configuration in force: followed, stored, never stepped back.
 
 pub mod follower;
+pub mod shared_documents;
 pub(crate) mod store;
--- a/crates/gateway/src/control/attachment.rs
+++ b/crates/gateway/src/control/attachment.rs
@@ -51,9 +51,9 @@
     let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY, rand::random());
     let mut attachment = Attachment {
         logger: gateway.logger.new(o!("part" => "attachment")),
+        traffic: Arc::clone(&gateway.traffic),
         gateway,
         identity,
-        traffic: Arc::new(Traffic::default()),
         ask_for_whole: false,
     };
     while let Some(address) = order.next_address() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod decisions;
 mod engine;
 mod files;
+pub mod hollow;
 mod http;
 mod identifiers;
 mod models;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::Revision;
+use linnethitch_transport::Traffic;
 use parking_lot::Mutex;
 use slog::Logger;
 use tokio::{sync::mpsc, task::JoinHandle};
@@ -28,7 +29,9 @@
     batch::BatchEvent,
     batches,
     clock::Clock,
-    configuration::{follower::Follower, store::ConfigurationStore},
+    configuration::{
+        follower::Follower, shared_documents::SharedDocuments, store::ConfigurationStore,
+    },
     control::{client::ControlClient, session::SessionState},
     decisions::Decisions,
     engine::client::BackEndClient,
@@ -56,15 +59,6 @@
 }
 
 impl ActiveConfiguration {
-    pub(crate) fn new(revision: Revision, fleet: Arc<Fleet>) -> Self {
-        let tenants = TenantDirectory::new(&fleet);
-        ActiveConfiguration {
-            revision,
-            fleet,
-            tenants,
-        }
-    }
-
     pub(crate) fn body_limits(&self) -> BodyLimits {
         BodyLimits {
             bytes: self.fleet.limits.max_body_bytes,
@@ -82,6 +76,8 @@
     pub(crate) decisions: Arc<Decisions>,
     pub(crate) back_ends: BackEndClient,
     pub(crate) control: ControlClient,
+    /// Bytes and frames exchanged with control.
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) follower: Mutex<Follower>,
     /// `None` when the configuration is given instead of learnt.
     pub(crate) store: Option<ConfigurationStore>,
@@ -96,6 +92,8 @@
     /// What the batch executor is told; nobody receives when the fleet is given.
     pub(crate) batch_events: mpsc::Sender<BatchEvent>,
     has_replicas: AtomicBool,
+    /// Whether callers are served; a hollow gateway keeps no lookup of tenants.
+    serves_callers: bool,
 }
 
 impl Gateway {
@@ -118,6 +116,7 @@
             decisions: Arc::new(Decisions::new(zone, Clock::start(), seed)),
             back_ends: BackEndClient::new(timeouts.connect),
             control: ControlClient::new(control_timeout),
+            traffic: Arc::default(),
             follower: Mutex::default(),
             store,
             session: SessionState::default(),
@@ -127,13 +126,31 @@
             journal,
             batch_events,
             has_replicas: AtomicBool::new(false),
+            serves_callers: true,
+        }
+    }
+
+    /// The same without callers, sharing parsed configurations with others of the process.
+    pub(crate) fn without_callers(self, documents: Arc<SharedDocuments>) -> Self {
+        Gateway {
+            follower: Mutex::new(Follower::sharing(documents)),
+            serves_callers: false,
+            ..self
         }
     }
 
     /// Puts a configuration in force for everything that starts from now on.
     pub(crate) fn put_in_force(&self, revision: Revision, fleet: Arc<Fleet>) {
-        self.decisions.set_fleet(&fleet);
-        let active = ActiveConfiguration::new(revision, fleet);
+        let mut tenants = TenantDirectory::default();
+        if self.serves_callers {
+            self.decisions.set_fleet(&fleet);
+            tenants = TenantDirectory::new(&fleet);
+        }
+        let active = ActiveConfiguration {
+            revision,
+            fleet,
+            tenants,
+        };
         self.configuration.store(Some(Arc::new(active)));
     }
 
--- a/crates/gateway/tests/all/configuration.rs
+++ b/crates/gateway/tests/all/configuration.rs
@@ -95,8 +95,13 @@
 fn updates_are_checked_before_they_are_stored(
     #[case] update: ConfigurationUpdate,
     #[case] expected: Expected,
+    #[values(false, true)] shares_documents: bool,
 ) {
-    let follower = Follower::new(Some(stored(5)));
+    let mut follower = match shares_documents {
+        true => Follower::sharing(Arc::default()),
+        false => Follower::default(),
+    };
+    follower.on_stored(stored(5));
     let found = match follower.on_update(&update) {
         FollowerAction::Store(configuration) => {
             assert_eq!(configuration, stored(configuration.revision.0));
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod completions;
 mod configuration;
 mod files;
+mod hollow;
 mod support;
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -137,13 +137,8 @@
         Self::follow(folder, settings, members).await
     }
 
-    async fn follow(
-        folder: TempDir,
-        mut settings: GatewaySettings,
-        members: &[SocketAddr],
-    ) -> Self {
-        settings.control_addresses = members.to_vec();
-        std::fs::write(&settings.cluster_key_file, CLUSTER_KEY).expect("a key file");
+    async fn follow(folder: TempDir, settings: GatewaySettings, members: &[SocketAddr]) -> Self {
+        let settings = attached(settings, members);
         let options = GatewayOptions {
             engine_timeouts: timeouts(),
             fixed: None,
@@ -266,3 +261,16 @@
         EngineState::default(),
     )
 }
+
+/// Settings of a gateway in a folder that follows control members.
+pub(crate) fn attached_settings(folder: &TempDir, members: &[SocketAddr]) -> GatewaySettings {
+    attached(settings(folder), members)
+}
+
+fn attached(settings: GatewaySettings, members: &[SocketAddr]) -> GatewaySettings {
+    std::fs::write(&settings.cluster_key_file, CLUSTER_KEY).expect("a key file");
+    GatewaySettings {
+        control_addresses: members.to_vec(),
+        ..settings
+    }
+}
