Add experiments in virtual time: isolation against baselines and oracles

Cause: nothing told how much harm batch does to online requests nor how much of the idle capacity it uses.

Change: linnethitch-lab experiment runs the router, the grant book and the yielding rules against the emulated engines, on traces modelled on both example deployments, with stale loads, beside round robin, least in flight, a shared queue, a static split, no yielding and oracles.

--- /dev/null
+++ b/crates/experiments/src/deployment.rs
@@ -0,0 +1,119 @@
+//! The deployments that experiments are modelled on.
+
+use linnethitch_config::fleet::{Fleet, RoutingPolicy};
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    fleet::{BackEndKind, EngineRole, EngineState, Machine, MachineState, ReplicaInfo},
+    ids::{ModelId, ReplicaId, ZoneId},
+};
+
+use crate::trace::Workload;
+
+/// Gateways beside the callers of each zone in the modelled deployments.
+const GATEWAYS_PER_ZONE: usize = 4;
+
+/// One-way latency to another zone in New England, in microseconds.
+const NEW_ENGLAND_ZONE_MICROS: u64 = 1_000;
+
+/// One-way latency to another zone in Yeongnam, in microseconds.
+const YEONGNAM_ZONE_MICROS: u64 = 500;
+
+/// A fleet of engines, the gateways before it and what its callers do.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name.
+    pub name: String,
+    /// Its zones.
+    pub zones: Vec<ZoneId>,
+    /// Its model, the first of the fleet file.
+    pub model: ModelId,
+    /// The zone of each engine, as a position in `zones`.
+    pub engine_zones: Vec<usize>,
+    /// The zone of each gateway, as a position in `zones`.
+    pub gateway_zones: Vec<usize>,
+    /// One-way latency to another zone, in microseconds.
+    pub zone_micros: u64,
+    /// The rules of routing.
+    pub routing: RoutingPolicy,
+    /// What callers send.
+    pub(crate) workload: Workload,
+}
+
+impl Deployment {
+    /// Granite Lane as its example file describes it.
+    ///
+    /// # Errors
+    /// [`ErrorKind::InvalidConfiguration`] when the example file is not valid.
+    pub fn granite_lane() -> Result<Deployment, ErrorKind> {
+        let text = include_str!("../../../examples/granite-lane.toml");
+        Deployment::from_fleet_file(text, NEW_ENGLAND_ZONE_MICROS, Workload::granite_lane())
+    }
+
+    /// Hanbit Gate Systems as its example file describes it.
+    ///
+    /// # Errors
+    /// [`ErrorKind::InvalidConfiguration`] when the example file is not valid.
+    pub fn hanbit() -> Result<Deployment, ErrorKind> {
+        let text = include_str!("../../../examples/hanbit.toml");
+        Deployment::from_fleet_file(text, YEONGNAM_ZONE_MICROS, Workload::hanbit())
+    }
+
+    fn from_fleet_file(
+        text: &str,
+        zone_micros: u64,
+        workload: Workload,
+    ) -> Result<Deployment, ErrorKind> {
+        let fleet = Fleet::parse(text).map_err(|_| ErrorKind::InvalidConfiguration)?;
+        let pool = fleet
+            .models
+            .first()
+            .ok_or(ErrorKind::InvalidConfiguration)?;
+        let position = |name: &str| fleet.zones.iter().position(|zone| zone.name == name);
+        let mut engine_zones = Vec::new();
+        for placement in &pool.placement {
+            let zone = position(&placement.zone).ok_or(ErrorKind::InvalidConfiguration)?;
+            engine_zones.extend(std::iter::repeat_n(zone, placement.replicas as usize));
+        }
+        let gateway_zones = (0..fleet.zones.len() * GATEWAYS_PER_ZONE)
+            .map(|gateway| gateway % fleet.zones.len())
+            .collect();
+        Ok(Deployment {
+            name: fleet.name.clone(),
+            zones: fleet
+                .zones
+                .iter()
+                .map(|zone| ZoneId(zone.name.clone()))
+                .collect(),
+            model: ModelId(pool.name.clone()),
+            engine_zones,
+            gateway_zones,
+            zone_micros,
+            routing: fleet.routing,
+            workload,
+        })
+    }
+
+    /// What an engine of this deployment has loaded from the start.
+    pub(crate) fn engine_state(&self) -> EngineState {
+        EngineState {
+            model: Some(self.model.clone()),
+            version: "1".to_owned(),
+            role: EngineRole::Mixed,
+            ..EngineState::default()
+        }
+    }
+
+    /// An engine as the list of replicas shows it.
+    pub(crate) fn replica(&self, engine: usize) -> ReplicaInfo {
+        ReplicaInfo {
+            machine: Machine {
+                replica: ReplicaId(format!("engine-{engine:03}")),
+                kind: BackEndKind::Engine,
+                zone: self.zones[self.engine_zones[engine]].clone(),
+                address: format!("engine-{engine:03}"),
+                state: MachineState::Live,
+            },
+            engine: self.engine_state(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/experiment.rs
@@ -0,0 +1,85 @@
+//! The experiments by name.
+
+mod isolation;
+
+use linnethitch_emulator::{Time, engine::EngineModel};
+use linnethitch_errors::ErrorKind;
+
+use crate::{Deployment, Table, simulation::RunSettings};
+
+/// Parameters of an experiment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Everything random is drawn from it.
+    pub seed: u64,
+    /// Length of a run in virtual time, in seconds.
+    pub seconds: u64,
+    /// Time before measuring begins, in seconds.
+    pub warm_up_seconds: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            seed: 1,
+            seconds: 100,
+            warm_up_seconds: 10,
+        }
+    }
+}
+
+impl Settings {
+    fn run(&self) -> RunSettings {
+        RunSettings {
+            seed: self.seed,
+            warm_up: Time::from_millis(self.warm_up_seconds * 1_000),
+            end: Time::from_millis(self.seconds * 1_000),
+            engine: EngineModel::default(),
+        }
+    }
+}
+
+/// What an experiment found.
+#[derive(Clone, Debug, Default)]
+pub struct Finding {
+    /// Its tables.
+    pub tables: Vec<Table>,
+}
+
+/// A named experiment.
+#[derive(Clone, Copy, Debug)]
+pub struct Experiment {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it asks.
+    pub question: &'static str,
+    run: fn(&Settings) -> Result<Finding, ErrorKind>,
+}
+
+/// All experiments, in the order of the report.
+pub const EXPERIMENTS: [Experiment; 1] = [Experiment {
+    name: "isolation",
+    question: "What does batch work cost online requests, and how much batch work gets done?",
+    run: isolation::run,
+}];
+
+impl Experiment {
+    /// The experiment with a name.
+    #[must_use]
+    pub fn find(name: &str) -> Option<Experiment> {
+        EXPERIMENTS.into_iter().find(|one| one.name == name)
+    }
+
+    /// Runs it.
+    ///
+    /// # Errors
+    /// The kind of what went wrong.
+    pub fn run(&self, settings: &Settings) -> Result<Finding, ErrorKind> {
+        (self.run)(settings)
+    }
+}
+
+/// The deployments that experiments run on.
+fn deployments() -> Result<[Deployment; 2], ErrorKind> {
+    Ok([Deployment::granite_lane()?, Deployment::hanbit()?])
+}
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -1,1 +1,15 @@
-//! See `docs/ARCHITECTURE.md`.
+//! Experiments in virtual time: the real decisions of `linnethitch-routing`
+//! against the emulated engines, with the same figures on every machine for
+//! the same seed.
+
+pub mod deployment;
+pub mod experiment;
+mod outcome;
+mod simulation;
+mod strategy;
+mod table;
+mod trace;
+
+pub use deployment::Deployment;
+pub use experiment::{Experiment, Finding, Settings};
+pub use table::Table;
--- /dev/null
+++ b/crates/experiments/src/simulation/online.rs
@@ -0,0 +1,232 @@
+//! Online requests from their arrival to their last token.
+
+use linnethitch_emulator::{Time, engine::Refusal};
+use linnethitch_protocol::ids::Timestamp;
+use linnethitch_routing::{
+    Class, Phase, ReplicaIndex, RequestProfile, Target, costs::Work, view::FailureKind,
+};
+
+use super::{
+    Simulation,
+    attempt::{Attempt, AttemptId, Owner},
+};
+use crate::strategy::{BatchDispatch, OnlineDispatch};
+
+/// What became of an online request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct OnlineState {
+    pub(super) tokens: u32,
+    pub(super) last_token_at: Option<Time>,
+    pub(super) refused: bool,
+}
+
+impl Simulation<'_> {
+    pub(super) fn on_online_arrival(&mut self, request: usize) {
+        if self.strategy.online == OnlineDispatch::SharedQueue {
+            self.shared_queue.push_back(Owner::Online(request));
+            self.serve_shared_queue();
+            return;
+        }
+        let gateway = self.trace.online[request].gateway;
+        match self.choose_engine(gateway, Owner::Online(request)) {
+            Some(engine) => self.send_from_gateway(Owner::Online(request), gateway, engine),
+            None => {
+                self.online[request].refused = true;
+                self.outcome.online_refused += 1;
+            }
+        }
+    }
+
+    /// The engine that a gateway's own rules name for a request.
+    pub(super) fn choose_engine(&mut self, gateway: usize, owner: Owner) -> Option<usize> {
+        match self.strategy.online {
+            OnlineDispatch::Router => self.choose_by_router(gateway, owner),
+            OnlineDispatch::RoundRobin => {
+                let one = &mut self.gateways[gateway];
+                one.turn += 1;
+                Some(one.turn % self.engines.len())
+            }
+            OnlineDispatch::LeastInFlight => {
+                let one = &mut self.gateways[gateway];
+                one.turn += 1;
+                let engines = self.engines.len();
+                // Ties go to the next in turn.
+                (0..engines)
+                    .map(|step| (one.turn + step) % engines)
+                    .min_by_key(|engine| one.in_flight[*engine])
+            }
+            OnlineDispatch::SharedQueue => None,
+        }
+    }
+
+    fn choose_by_router(&mut self, gateway: usize, owner: Owner) -> Option<usize> {
+        let now = self.timestamp();
+        let prompt = self.prompt(owner);
+        let profile = RequestProfile {
+            target: Target::Model {
+                name: self.deployment.model.as_str(),
+                adapter: None,
+                version: None,
+            },
+            class: class_of(owner),
+            phase: Phase::Whole,
+            prompt_tokens: prompt.prompt_tokens,
+            expected_output_tokens: prompt.output_tokens,
+            prefix_hashes: &prompt.prefix_hashes,
+            deadline: Timestamp(now.0 + self.deployment.routing.default_deadline_ms),
+            exclude: &[],
+        };
+        let one = &mut self.gateways[gateway];
+        let choice = one.router.choose(now, &profile, &mut one.random).ok()?;
+        Some(choice.replica.0 as usize)
+    }
+
+    /// Sends a request or item, counted in its gateway's view.
+    pub(super) fn send_from_gateway(&mut self, owner: Owner, gateway: usize, engine: usize) {
+        let now = self.timestamp();
+        let replica = ReplicaIndex(engine as u32);
+        let resume_tokens = self.delivered_tokens(owner);
+        let prompt = self.prompt(owner);
+        let (prompt_tokens, output_tokens) = (prompt.prompt_tokens, prompt.output_tokens);
+        let hashes = prompt.prefix_hashes.clone();
+        let one = &mut self.gateways[gateway];
+        one.in_flight[engine] += 1;
+        let view = one.router.view_mut();
+        let cached = view.prefixes().cached_blocks(replica, &hashes) as u32
+            * linnethitch_routing::profile::PREFIX_BLOCK_TOKENS;
+        let work = Work {
+            class: class_of(owner),
+            prefill_tokens: (prompt_tokens + resume_tokens).saturating_sub(cached),
+            output_tokens: output_tokens - resume_tokens,
+        };
+        let ticket = view.on_sent(now, replica, work, &hashes);
+        let latency = self.latency(gateway, engine);
+        let attempt = Attempt {
+            owner,
+            engine,
+            gateway,
+            ticket: Some(ticket),
+            resume_tokens,
+            started: false,
+            over: false,
+        };
+        let id = self.send(attempt, latency);
+        match owner {
+            Owner::Online(_) => self.pump(gateway),
+            Owner::Item(_) => self.gateways[gateway].batch[engine].push(id),
+        }
+    }
+
+    pub(super) fn on_online_token(&mut self, id: AttemptId, request: usize, at: Time) {
+        let gateway = self.attempts[id.0].gateway;
+        let engine = self.attempts[id.0].engine;
+        let seen_at = at + self.latency(gateway, engine);
+        self.on_any_token(id);
+        let arrival = &self.trace.online[request];
+        let state = &mut self.online[request];
+        let last = state.last_token_at.replace(seen_at);
+        state.tokens += 1;
+        if arrival.at < self.settings.warm_up {
+            return;
+        }
+        match last {
+            Some(last) => self
+                .outcome
+                .between_tokens
+                .record(seen_at.micros_since(last)),
+            None => {
+                let wait = seen_at.micros_since(arrival.at);
+                self.outcome.on_first_token(wait, arrival.long);
+            }
+        }
+    }
+
+    /// Tells the gateway's view of a token; with the first one comes a load report.
+    pub(super) fn on_any_token(&mut self, id: AttemptId) {
+        let now = self.timestamp();
+        let attempt = &mut self.attempts[id.0];
+        let (owner, engine) = (attempt.owner, attempt.engine);
+        let first = !std::mem::replace(&mut attempt.started, true);
+        let prompt_tokens = self.prompt(owner).prompt_tokens;
+        let attempt = &mut self.attempts[id.0];
+        if first && matches!(owner, Owner::Online(_)) {
+            self.engines[engine].online_prefill_tokens -= prompt_tokens;
+        }
+        let Some(ticket) = &mut attempt.ticket else {
+            return;
+        };
+        let view = self.gateways[attempt.gateway].router.view_mut();
+        if first {
+            view.on_first_token(now, ticket);
+            let report = self.engines[engine].core.load_report(self.now);
+            view.on_load_report(ReplicaIndex(engine as u32), report);
+        } else {
+            view.on_tokens(now, ticket, 1);
+        }
+    }
+
+    pub(super) fn on_online_finished(&mut self, id: AttemptId, request: usize) {
+        if self.trace.online[request].at >= self.settings.warm_up {
+            self.outcome.online_finished += 1;
+        }
+        self.finish(id);
+    }
+
+    /// Closes an attempt that ended well.
+    pub(super) fn finish(&mut self, id: AttemptId) {
+        self.close(id);
+        let now = self.timestamp();
+        let attempt = &mut self.attempts[id.0];
+        if let Some(ticket) = attempt.ticket.take() {
+            let one = &mut self.gateways[attempt.gateway];
+            one.in_flight[attempt.engine] -= 1;
+            one.router.view_mut().on_finished(now, ticket);
+        }
+    }
+
+    /// An engine did not take a request, or broke its stream.
+    pub(super) fn on_refused(&mut self, id: AttemptId, refusal: Refusal) {
+        self.close(id);
+        let now = self.timestamp();
+        let attempt = &mut self.attempts[id.0];
+        let (owner, gateway, engine) = (attempt.owner, attempt.gateway, attempt.engine);
+        if let Some(ticket) = attempt.ticket.take() {
+            let one = &mut self.gateways[gateway];
+            one.in_flight[engine] -= 1;
+            let kind = failure_kind(refusal);
+            one.router.view_mut().on_failure(now, ticket, kind);
+        }
+        match owner {
+            Owner::Online(request) => {
+                self.online[request].refused = true;
+                self.outcome.online_failed += 1;
+            }
+            Owner::Item(item) => self.return_item(gateway, engine, id, item),
+        }
+    }
+
+    /// Online engines of a static split come first, those of batch last.
+    pub(super) fn online_engines(&self) -> usize {
+        let engines = self.engines.len();
+        match self.strategy.batch {
+            BatchDispatch::Split(percent) => engines - engines * percent as usize / 100,
+            _ => engines,
+        }
+    }
+}
+
+fn failure_kind(refusal: Refusal) -> FailureKind {
+    match refusal {
+        Refusal::Dead => FailureKind::Unreachable,
+        Refusal::Full => FailureKind::Full,
+        Refusal::Fault => FailureKind::Disconnected,
+        _ => FailureKind::NotServed,
+    }
+}
+
+pub(super) fn class_of(owner: Owner) -> Class {
+    match owner {
+        Owner::Online(_) => Class::Online,
+        Owner::Item(_) => Class::Batch,
+    }
+}
--- /dev/null
+++ b/crates/experiments/tests/all/isolation.rs
@@ -0,0 +1,40 @@
+//! The isolation experiment on a short run.
+
+use linnethitch_experiments::{Experiment, Settings, Table};
+
+/// Row and column of the lower figure, then the row of the higher.
+const ORDERINGS: [(&str, &str, &str); 4] = [
+    ("online alone", "between p99 ms", "no yielding"),
+    ("linnethitch", "first p99 ms", "shared queue"),
+    ("linnethitch", "first p99 ms", "static split"),
+    ("linnethitch", "between p50 ms", "no yielding"),
+];
+
+fn run() -> Vec<Table> {
+    let settings = Settings {
+        seed: 7,
+        seconds: 13,
+        warm_up_seconds: 4,
+    };
+    let experiment = Experiment::find("isolation").expect("the experiment exists");
+    experiment.run(&settings).expect("it runs").tables
+}
+
+fn figure(table: &Table, row: &str, column: &str) -> f64 {
+    let cell = table.cell(row, column);
+    let cell = cell.unwrap_or_else(|| panic!("no {column} of {row} in {}", table.title));
+    cell.parse().expect("the cell is a number")
+}
+
+#[test]
+fn same_seed_gives_the_same_bytes_and_the_expected_orderings() {
+    let tables = run();
+    let print = |tables: &[Table]| tables.iter().map(Table::to_text).collect::<String>();
+    assert_eq!(print(&tables), print(&run()));
+    for table in &tables {
+        for (low, column, high) in ORDERINGS {
+            let (low, high) = (figure(table, low, column), figure(table, high, column));
+            assert!(low < high, "{}: {column} {low} >= {high}", table.title);
+        }
+    }
+}
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{application, capacity, dev, engine, load, platform, process::exit_code};
+use crate::{application, capacity, dev, engine, experiment, load, platform, process::exit_code};
 
 /// Runs a linnethitch fleet on one machine, puts load on it and measures it.
 ///
@@ -31,6 +31,9 @@
     /// Write the measured tables of the capacity page anew, or check them
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::arguments))] capacity::Arguments),
+    /// Measure the decisions against emulated engines in virtual time
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::arguments))] experiment::Arguments),
 }
 
 /// Reads the command line; prints help and ends the process where asked to.
@@ -48,6 +51,7 @@
             Command::Platform(arguments) => platform::run(&arguments),
             Command::Load(arguments) => load::run(arguments),
             Command::Capacity(arguments) => capacity::run(&arguments),
+            Command::Experiment(arguments) => experiment::run(&arguments),
         })
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod dev;
 mod engine;
+mod experiment;
 mod load;
 mod output;
 mod platform;
