--- /dev/null
+++ b/crates/control/src/clock.rs
@@ -0,0 +1,38 @@
+//! The clocks of a process.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use linnethitch_protocol::ids::Timestamp;
+
+use crate::member::MemberTime;
+
+/// Monotonic time since the start, and the time of day.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub(crate) fn start() -> Self {
+        Clock {
+            started: Instant::now(),
+        }
+    }
+
+    /// Both clocks, for a member.
+    pub(crate) fn member_time(self) -> MemberTime {
+        MemberTime {
+            monotonic_ms: self.started.elapsed().as_millis() as u64,
+            wall: self.wall(),
+        }
+    }
+
+    /// The time of day; a clock set before 1970 counts as 1970.
+    pub(crate) fn wall(self) -> Timestamp {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Timestamp(since.as_millis() as u64)
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,15 @@
 //! and the operators' interface.
 //!
 //! [`member`] holds the decisions of one member without clock, threads or
-//! network.
+//! network; [`process`] runs one over real files and sockets.
 
+mod attach;
+mod clock;
+mod driver;
 pub mod member;
+mod metrics;
+mod operator;
+mod peers;
+pub mod process;
+mod record;
+mod soft_state;
--- a/crates/control/src/member/output.rs
+++ b/crates/control/src/member/output.rs
@@ -59,3 +59,21 @@
     /// The disk is full; what was received is kept in memory and tried again.
     DiskFull,
 }
+
+impl MemberNotice {
+    /// The notice's code in logs and in the decision journal.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            MemberNotice::Leader { .. } => "leader_changed",
+            MemberNotice::Configuration(_) => "configuration_committed",
+            MemberNotice::JobCancelled(_) => "job_cancelled",
+            MemberNotice::ClusterStarted => "cluster_started",
+            MemberNotice::MembershipProposed(_) => "membership_proposed",
+            MemberNotice::SnapshotStored { .. } => "snapshot_stored",
+            MemberNotice::SnapshotInstalled(_) => "snapshot_installed",
+            MemberNotice::DamagedLogSetAside(_) => "damaged_log",
+            MemberNotice::DiskFull => "disk_full",
+        }
+    }
+}
--- a/crates/control/src/member/view.rs
+++ b/crates/control/src/member/view.rs
@@ -32,6 +32,8 @@
     pub pending: Vec<PendingItems>,
     /// The members, on the leader only.
     pub members: Vec<MemberStatus>,
+    /// Disks that vote.
+    pub voters: usize,
     /// Where gateways attach to this and to other members.
     pub attach_addresses: Arc<Vec<String>>,
     /// Whether this disk takes part in a running cluster or may have.
@@ -57,6 +59,7 @@
             applied: self.applied,
             pending: self.ledger.pending_items(),
             members: self.member_statuses(),
+            voters: status.membership.voters.len(),
             attach_addresses: Arc::new(self.attach_addresses()),
             formatted: self.is_formatted(),
             log_bytes: self.log_bytes(),
--- /dev/null
+++ b/crates/control/src/operator/apply.rs
@@ -0,0 +1,130 @@
+//! `PUT /v1/configuration`: one change, and waiting until it is in force.
+
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::{
+    command::{ApplyOutcome, CommandBody, Outcome},
+    ids::{ChangeId, Revision},
+    query::{Query, QueryAnswer},
+};
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use super::{Operator, OperatorRequest, RequestHead, answers::json_response, unexpected};
+
+/// Header with the id of the change, made once by the operator's tool.
+const CHANGE_HEADER: &str = "linnethitch-change";
+/// Header with the revision that the change builds on.
+const EXPECTED_HEADER: &str = "linnethitch-expected-revision";
+/// Query parameter: wait up to so many milliseconds until every live gateway has confirmed.
+const WAIT_PARAMETER: &str = "wait_ms";
+/// Longest id of a change, in bytes.
+const MAX_CHANGE_ID_BYTES: usize = 128;
+/// Longest wait for confirmations.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Pause between two looks at the revisions in force.
+const WAIT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Serialize)]
+struct AcceptedBody {
+    revision: u64,
+    /// Whether every live gateway has confirmed it; absent when that was not asked for.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    in_force: Option<bool>,
+}
+
+/// Applies a fleet file as a whole.
+pub(super) async fn apply(
+    operator: &Operator,
+    request: OperatorRequest,
+) -> Result<Response<Body>, Failure> {
+    let change = change_id(&request.head)?;
+    let expected = expected_revision(&request.head)?;
+    let wait = wait_limit(&request.head)?;
+    let content = request.into_text().await?;
+    let command = CommandBody::ApplyConfiguration {
+        change,
+        expected,
+        content,
+    };
+    let revision = match operator.propose(command).await? {
+        Outcome::Configuration(outcome) => accepted_revision(outcome)?,
+        _ => return Err(unexpected()),
+    };
+    let in_force = match wait {
+        Some(limit) => Some(wait_until_in_force(operator, revision, limit).await),
+        None => None,
+    };
+    Ok(json_response(&AcceptedBody {
+        revision: revision.0,
+        in_force,
+    }))
+}
+
+fn change_id(head: &RequestHead) -> Result<ChangeId, Failure> {
+    let id = head.required_header(CHANGE_HEADER)?;
+    if id.len() > MAX_CHANGE_ID_BYTES {
+        let message = format!("a change id has at most {MAX_CHANGE_ID_BYTES} bytes");
+        return Err(Failure::new(ErrorKind::InvalidValue, message).with_param(CHANGE_HEADER));
+    }
+    Ok(ChangeId::from(id))
+}
+
+fn expected_revision(head: &RequestHead) -> Result<Revision, Failure> {
+    let text = head.required_header(EXPECTED_HEADER)?;
+    let number = text.parse().map_err(|_| {
+        Failure::new(ErrorKind::InvalidValue, "a revision is a number").with_param(EXPECTED_HEADER)
+    })?;
+    Ok(Revision(number))
+}
+
+fn wait_limit(head: &RequestHead) -> Result<Option<Duration>, Failure> {
+    let Some(text) = head.parameter(WAIT_PARAMETER) else {
+        return Ok(None);
+    };
+    let milliseconds = text.parse().map_err(|_| {
+        Failure::new(
+            ErrorKind::InvalidValue,
+            "the wait is a number of milliseconds",
+        )
+        .with_param(WAIT_PARAMETER)
+    })?;
+    Ok(Some(Duration::from_millis(milliseconds).min(MAX_WAIT)))
+}
+
+fn accepted_revision(outcome: ApplyOutcome) -> Result<Revision, Failure> {
+    match outcome {
+        ApplyOutcome::Accepted(revision) => Ok(revision),
+        ApplyOutcome::Conflict(current) => Err(Failure::new(
+            ErrorKind::RevisionConflict,
+            format!("the revision in force is {current}"),
+        )),
+        ApplyOutcome::Invalid(message) => {
+            Err(Failure::new(ErrorKind::InvalidConfiguration, message))
+        }
+        ApplyOutcome::ChangeIdReused => Err(Failure::new(
+            ErrorKind::ChangeConflict,
+            "the change id was used before with other content",
+        )),
+    }
+}
+
+/// Whether every live gateway has confirmed a revision within a time.
+async fn wait_until_in_force(operator: &Operator, revision: Revision, limit: Duration) -> bool {
+    let deadline = Instant::now() + limit;
+    loop {
+        // A lost leader is found again before the deadline or not at all.
+        if let Ok(QueryAnswer::Status(status)) = operator.query(Query::Status).await
+            && status.lowest_in_force >= revision
+        {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        sleep(WAIT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/operator/explain.rs
@@ -0,0 +1,31 @@
+//! `GET /v1/explain/{id}`: what this member's decision journal knows.
+
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_observability::journal::JournalRecord;
+use serde::Serialize;
+
+use super::{Operator, RequestHead, answers::json_response};
+
+#[derive(Serialize)]
+struct Explanation {
+    records: Vec<JournalRecord>,
+}
+
+/// Answers with all records about a job, item, replica, tenant or revision.
+pub(super) async fn explain(
+    operator: &Arc<Operator>,
+    head: &RequestHead,
+) -> Result<Response<Body>, Failure> {
+    let id = head.names.id.as_deref().unwrap_or_default().join("/");
+    let recorder = operator.recorder.clone();
+    let lookup = tokio::task::spawn_blocking(move || recorder.lookup(&id)).await;
+    match lookup {
+        Ok(Ok(records)) => Ok(json_response(&Explanation { records })),
+        Ok(Err(error)) => Err(Failure::new(ErrorKind::Io, error.to_string())),
+        Err(error) => Err(Failure::new(ErrorKind::Internal, error.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/control/src/operator/jobs.rs
@@ -0,0 +1,99 @@
+//! `GET /v1/jobs/{tenant}[/{job}]`: batch jobs as operators see them.
+
+use gotham::helpers::http::Body;
+use http::Response;
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::{
+    ids::{JobId, TenantId},
+    query::{JobRecord, JobState, Query, QueryAnswer},
+};
+use serde::Serialize;
+
+use super::{Operator, RequestHead, answers::json_response, unexpected};
+
+/// Jobs of one page.
+const PAGE_JOBS: u32 = 100;
+
+#[derive(Serialize)]
+struct JobBody {
+    job: String,
+    tenant: String,
+    state: &'static str,
+    endpoint: String,
+    total: u32,
+    completed: u32,
+    failed: u32,
+    created_at_ms: u64,
+    deadline_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    finished_at_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct JobsBody {
+    jobs: Vec<JobBody>,
+    more: bool,
+}
+
+/// A page of a tenant's jobs, newest first; `?after=JOB` gives the next one.
+pub(super) async fn list(
+    operator: &Operator,
+    head: &RequestHead,
+) -> Result<Response<Body>, Failure> {
+    let query = Query::Jobs {
+        tenant: tenant(head),
+        after: head.parameter("after").map(JobId::from),
+        limit: PAGE_JOBS,
+    };
+    match operator.query(query).await? {
+        QueryAnswer::Jobs { jobs, more } => Ok(json_response(&JobsBody {
+            jobs: jobs.into_iter().map(JobBody::from).collect(),
+            more,
+        })),
+        _ => Err(unexpected()),
+    }
+}
+
+/// One job.
+pub(super) async fn get(
+    operator: &Operator,
+    head: &RequestHead,
+) -> Result<Response<Body>, Failure> {
+    let job = JobId::from(head.names.job.as_deref().unwrap_or_default());
+    match operator.query(Query::Job(tenant(head), job)).await? {
+        QueryAnswer::Job(Some(record)) => Ok(json_response(&JobBody::from(record))),
+        QueryAnswer::Job(None) => Err(Failure::new(ErrorKind::NotFound, "no such job")),
+        _ => Err(unexpected()),
+    }
+}
+
+fn tenant(head: &RequestHead) -> TenantId {
+    TenantId::from(head.names.tenant.as_deref().unwrap_or_default())
+}
+
+impl From<JobRecord> for JobBody {
+    fn from(record: JobRecord) -> Self {
+        JobBody {
+            job: record.job.0,
+            tenant: record.tenant.0,
+            state: state_name(record.state),
+            endpoint: record.endpoint,
+            total: record.total,
+            completed: record.completed,
+            failed: record.failed,
+            created_at_ms: record.created_at.0,
+            deadline_ms: record.deadline.0,
+            finished_at_ms: record.finished_at.map(|at| at.0),
+        }
+    }
+}
+
+fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::InProgress => "in_progress",
+        JobState::Completed => "completed",
+        JobState::Cancelling => "cancelling",
+        JobState::Cancelled => "cancelled",
+        JobState::Expired => "expired",
+    }
+}
--- /dev/null
+++ b/crates/control/src/operator/routes.rs
@@ -0,0 +1,114 @@
+//! The routes of the operators' interface.
+
+use std::{panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+
+use futures_util::FutureExt;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    router::{
+        Router,
+        builder::{DefineSingleRoute, DrawRoutes, build_simple_router},
+        response::StaticResponseExtender,
+    },
+    state::{State, StateData},
+};
+use http::{Method, Response};
+use serde::Deserialize;
+
+use super::{Endpoint, Operator, request::OperatorRequest};
+
+/// Names in a path, decoded.
+#[derive(Debug, Default, Deserialize)]
+pub(super) struct PathNames {
+    /// A tenant.
+    pub(super) tenant: Option<String>,
+    /// A job.
+    pub(super) job: Option<String>,
+    /// Parts of what is to be explained.
+    pub(super) id: Option<Vec<String>>,
+}
+
+impl StateData for PathNames {}
+
+impl StaticResponseExtender for PathNames {
+    type ResBody = Body;
+
+    fn extend(_: &mut State, _: &mut Response<Body>) {}
+}
+
+/// Makes a handler of one endpoint for each request.
+struct EndpointHandler {
+    operator: AssertUnwindSafe<Arc<Operator>>,
+    endpoint: Endpoint,
+}
+
+impl Clone for EndpointHandler {
+    fn clone(&self) -> Self {
+        EndpointHandler {
+            operator: AssertUnwindSafe(Arc::clone(&self.operator)),
+            endpoint: self.endpoint,
+        }
+    }
+}
+
+impl NewHandler for EndpointHandler {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for EndpointHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        async move {
+            let request = OperatorRequest::take_from(&mut state);
+            let operator = Arc::clone(&self.operator);
+            let response = operator.answer(self.endpoint, request).await;
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
+
+/// Builds the router of a control member.
+pub(crate) fn build_router(operator: &Arc<Operator>) -> Router {
+    let to = |endpoint| EndpointHandler {
+        operator: AssertUnwindSafe(Arc::clone(operator)),
+        endpoint,
+    };
+    build_simple_router(|route| {
+        let get = || vec![Method::GET, Method::HEAD];
+        route
+            .request(get(), "/v1/configuration")
+            .to_new_handler(to(Endpoint::Configuration));
+        route
+            .put("/v1/configuration")
+            .to_new_handler(to(Endpoint::Apply));
+        route
+            .request(get(), "/v1/status")
+            .to_new_handler(to(Endpoint::Status));
+        route
+            .request(get(), "/v1/jobs/:tenant")
+            .with_path_extractor::<PathNames>()
+            .to_new_handler(to(Endpoint::Jobs));
+        route
+            .request(get(), "/v1/jobs/:tenant/:job")
+            .with_path_extractor::<PathNames>()
+            .to_new_handler(to(Endpoint::Job));
+        route
+            .request(get(), "/v1/explain/*id")
+            .with_path_extractor::<PathNames>()
+            .to_new_handler(to(Endpoint::Explain));
+        route
+            .request(get(), "/healthz")
+            .to_new_handler(to(Endpoint::Health));
+        route
+            .request(get(), "/readyz")
+            .to_new_handler(to(Endpoint::Ready));
+        route
+            .request(get(), "/metrics")
+            .to_new_handler(to(Endpoint::Metrics));
+    })
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,210 @@
+//! Connections between control members.
+//!
+//! A member opens one connection to every other and sends on it; it receives
+//! on the connections that the others open. The first message of a connection
+//! says who speaks, and only listed machines may.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use linnethitch_protocol::{attach::PeerMessage, ids::MachineId};
+use linnethitch_transport::{
+    Backoff, ClusterIdentity, Connection, ConnectionOptions, IncomingConnection, Listener,
+    MessageSender, SendRefused, Traffic, connect,
+};
+use parking_lot::Mutex;
+use slog::{Logger, debug, info, o, warn};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{clock::Clock, driver::Driver, soft_state::SharedSoftState};
+
+/// First and longest wait before a machine is connected to again.
+const FIRST_RETRY: Duration = Duration::from_millis(20);
+const LONGEST_RETRY: Duration = Duration::from_millis(500);
+/// Longest time for a peer to say who it is.
+const HELLO_LIMIT: Duration = Duration::from_secs(2);
+/// A machine may connect anew before its old connection is found dead.
+const CONNECTIONS_PER_MACHINE: usize = 4;
+/// Limits of a connection between members: a silent one is given up soon.
+const OPTIONS: ConnectionOptions = ConnectionOptions {
+    open_timeout: Duration::from_secs(1),
+    keep_alive: Duration::from_millis(500),
+    idle_timeout: Duration::from_secs(2),
+    write_timeout: Duration::from_secs(3),
+    queue_frames: 4_096,
+    queue_bytes: 64 * 1024 * 1024,
+};
+
+type PeerSender = MessageSender<PeerMessage>;
+
+/// The open connections to other machines. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerLinks {
+    senders: Arc<Mutex<BTreeMap<MachineId, PeerSender>>>,
+}
+
+impl PeerLinks {
+    /// Queues a message, if a connection is open and has room.
+    ///
+    /// # Errors
+    /// Why it was certainly not sent.
+    pub(crate) fn send(&self, to: MachineId, message: &PeerMessage) -> Result<(), SendRefused> {
+        let sender = self.senders.lock().get(&to).cloned();
+        sender.ok_or(SendRefused::Closed)?.try_send(message)
+    }
+
+    /// Queues soft state, which gives way to newer soft state.
+    pub(crate) fn send_soft(&self, to: MachineId, message: &PeerMessage) -> bool {
+        let sender = self.senders.lock().get(&to).cloned();
+        sender.is_some_and(|sender| sender.send_soft(message).is_ok())
+    }
+
+    fn open(&self, machine: MachineId, sender: PeerSender) {
+        self.senders.lock().insert(machine, sender);
+    }
+
+    fn close(&self, machine: MachineId) {
+        self.senders.lock().remove(&machine);
+    }
+}
+
+/// What the connections of a member share.
+#[derive(Clone)]
+pub(crate) struct Peering {
+    pub(crate) identity: ClusterIdentity,
+    /// The other machines and their peer addresses.
+    pub(crate) others: BTreeMap<MachineId, SocketAddr>,
+    /// Where gateways attach to this member.
+    pub(crate) attach_address: String,
+    pub(crate) links: PeerLinks,
+    pub(crate) driver: Driver,
+    pub(crate) soft_state: SharedSoftState,
+    pub(crate) clock: Clock,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) logger: Logger,
+}
+
+impl Peering {
+    /// Connects to all other machines and receives from them, for ever.
+    pub(crate) async fn run(self, listener: Listener) {
+        let mut tasks = JoinSet::new();
+        for (machine, address) in self.others.clone() {
+            tasks.spawn(self.clone().keep_connected(machine, address));
+        }
+        self.accept(listener).await;
+    }
+
+    /// The listener for the other members.
+    pub(crate) fn listener(&self, socket: TcpListener) -> Listener {
+        Listener::new(
+            socket,
+            self.identity.clone(),
+            OPTIONS,
+            Arc::clone(&self.traffic),
+            CONNECTIONS_PER_MACHINE * self.others.len().max(1),
+            self.logger.clone(),
+        )
+    }
+
+    async fn keep_connected(self, machine: MachineId, address: SocketAddr) {
+        let logger = self.logger.new(o!("machine" => machine.0));
+        let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY, rand::random());
+        loop {
+            let traffic = Arc::clone(&self.traffic);
+            match connect(&address.to_string(), &self.identity, OPTIONS, traffic).await {
+                Ok(connection) => {
+                    backoff.reset();
+                    info!(logger, "connected to a peer"; "address" => %address);
+                    self.hold(machine, connection).await;
+                    info!(logger, "connection to a peer ended");
+                }
+                Err(report) => {
+                    debug!(logger, "peer not reached"; "error" => ?report.current_context());
+                }
+            }
+            sleep(backoff.next_wait()).await;
+        }
+    }
+
+    /// Offers a connection for sending until it ends.
+    async fn hold(&self, machine: MachineId, connection: Connection<PeerMessage, PeerMessage>) {
+        let (sender, mut receiver) = connection.split();
+        if sender.try_send(&self.hello()).is_err() {
+            return;
+        }
+        self.links.open(machine, sender);
+        // Nothing is received here but the other side's signs of life.
+        while let Ok(Some(_)) = receiver.receive().await {}
+        self.links.close(machine);
+    }
+
+    fn hello(&self) -> PeerMessage {
+        let view = self.driver.view();
+        PeerMessage::Hello {
+            member: view.id,
+            formatted: view.formatted,
+            attach_address: self.attach_address.clone(),
+        }
+    }
+
+    async fn accept(&self, listener: Listener) {
+        let mut connections = JoinSet::new();
+        loop {
+            let incoming = listener.accept().await;
+            connections.spawn(self.clone().receive_from(incoming));
+            while connections.try_join_next().is_some() {}
+        }
+    }
+
+    async fn receive_from(self, incoming: IncomingConnection) {
+        let Ok(mut connection) = incoming.establish::<PeerMessage, PeerMessage>().await else {
+            return;
+        };
+        let first = timeout(HELLO_LIMIT, connection.receiver.receive()).await;
+        let Ok(Ok(Some(hello @ PeerMessage::Hello { member, .. }))) = first else {
+            warn!(self.logger, "peer refused: it did not say who it is";
+                "reason" => "peer_refused", "peer" => %connection.peer);
+            return;
+        };
+        let machine = member.machine;
+        if !self.others.contains_key(&machine) {
+            warn!(self.logger, "peer refused: the machine is not listed";
+                "reason" => "peer_refused", "peer" => %connection.peer, "machine" => machine.0);
+            return;
+        }
+        let mut next = Some(hello);
+        while let Some(message) = next {
+            if !self.take(machine, message).await {
+                return;
+            }
+            next = match connection.receiver.receive().await {
+                Ok(received) => received,
+                Err(report) => {
+                    info!(self.logger, "connection of a peer lost";
+                        "machine" => machine.0, "error" => ?report);
+                    return;
+                }
+            };
+        }
+    }
+
+    /// Hands a message to whom it concerns; `false` when the member has stopped.
+    async fn take(&self, from: MachineId, message: PeerMessage) -> bool {
+        match message {
+            PeerMessage::Digest(digest) if digest.machine == from => {
+                let now_ms = self.clock.member_time().monotonic_ms;
+                self.soft_state.lock().take_digest(digest, now_ms);
+                true
+            }
+            PeerMessage::Broadcast(broadcast) => {
+                self.soft_state.lock().take_broadcast(broadcast);
+                true
+            }
+            PeerMessage::Digest(_) => true,
+            message => self.driver.deliver(from, message).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/process.rs
@@ -0,0 +1,320 @@
+//! Start and planned stop of a control process.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use error_stack::{Report, ResultExt};
+use linnethitch_config::settings::ControlSettings;
+use linnethitch_errors::ErrorKind;
+use linnethitch_observability::metrics::Metrics;
+use linnethitch_protocol::ids::{DiskId, MachineId};
+use linnethitch_transport::{ClusterIdentity, ClusterKey, Traffic};
+use parking_lot::Mutex;
+use slog::{Logger, info};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    attach::AttachServer,
+    clock::Clock,
+    driver::{Driver, DriverEnd, DriverSetup},
+    member::MemberSettings,
+    metrics::ControlMetrics,
+    operator::{Operator, OperatorKey, OperatorServer, build_router},
+    peers::{PeerLinks, Peering},
+    record::Recorder,
+    soft_state::{FleetVersion, SharedSoftState, SoftState, rounds::Rounds},
+};
+
+/// Starts control members; several may run in one operating system process.
+#[derive(Debug)]
+pub struct ControlProcess;
+
+/// The sockets of a control member, bound before anything starts.
+#[derive(Debug)]
+pub struct ControlSockets {
+    peer: TcpListener,
+    attach: TcpListener,
+    operator: TcpListener,
+}
+
+/// Where a control member listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ControlAddresses {
+    /// For other control members.
+    pub peer: SocketAddr,
+    /// For gateways.
+    pub attach: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// A running control member.
+pub struct ControlHandle {
+    addresses: ControlAddresses,
+    driver: Driver,
+    end: DriverEnd,
+    stopping: CancellationToken,
+    operator_server: JoinHandle<()>,
+    /// Tasks that run as long as the process; dropping the set ends them.
+    tasks: JoinSet<()>,
+}
+
+impl ControlSockets {
+    /// Binds the addresses; port 0 lets the system choose.
+    ///
+    /// # Errors
+    /// `Io` when an address cannot be listened on.
+    pub async fn bind(
+        peer: SocketAddr,
+        attach: SocketAddr,
+        operator: SocketAddr,
+    ) -> Result<Self, Report<ErrorKind>> {
+        Ok(ControlSockets {
+            peer: bind(peer).await?,
+            attach: bind(attach).await?,
+            operator: bind(operator).await?,
+        })
+    }
+
+    /// The addresses with the ports that were chosen.
+    ///
+    /// # Errors
+    /// `Io` when the system does not tell them.
+    pub fn addresses(&self) -> Result<ControlAddresses, Report<ErrorKind>> {
+        let local = |socket: &TcpListener| socket.local_addr().change_context(ErrorKind::Io);
+        Ok(ControlAddresses {
+            peer: local(&self.peer)?,
+            attach: local(&self.attach)?,
+            operator: local(&self.operator)?,
+        })
+    }
+}
+
+impl ControlProcess {
+    /// Starts a control member on the addresses of its settings.
+    ///
+    /// # Errors
+    /// `Io` when an address cannot be listened on or a file not be read,
+    /// `DataFolderRefused` when the data folder is not this member's,
+    /// `InvalidValue` for a key of wrong form, `StorageFull`.
+    pub async fn start(
+        settings: ControlSettings,
+        logger: Logger,
+    ) -> Result<ControlHandle, Report<ErrorKind>> {
+        let sockets = ControlSockets::bind(
+            settings.peer_address,
+            settings.attach_address,
+            settings.operator_address,
+        )
+        .await?;
+        Self::start_on(settings, sockets, logger).await
+    }
+
+    /// Starts a control member on sockets that are bound already; the
+    /// addresses to listen on in the settings do not count then.
+    ///
+    /// # Errors
+    /// As [`ControlProcess::start`].
+    pub async fn start_on(
+        settings: ControlSettings,
+        sockets: ControlSockets,
+        logger: Logger,
+    ) -> Result<ControlHandle, Report<ErrorKind>> {
+        let addresses = sockets.addresses()?;
+        let shared = Shared::new(&settings, addresses, logger.clone())?;
+        let key = OperatorKey::from_hexadecimal(&settings.operator_key_sha256)?;
+        let started = Driver::start(shared.driver_setup(&settings)).await?;
+        let driver = started.driver;
+        let operator = shared.operator(key, &driver, started.recorder);
+        let stopping = CancellationToken::new();
+        let operator_server = OperatorServer {
+            router: build_router(&Arc::new(operator)),
+            socket: sockets.operator,
+            stopping: stopping.clone(),
+            logger: logger.clone(),
+        };
+        let operator_server = tokio::spawn(operator_server.run());
+        let tasks = shared.spawn(&driver, sockets.peer, sockets.attach);
+        info!(logger, "control member runs";
+            "member" => %driver.view().id,
+            "peer_address" => %addresses.peer,
+            "attach_address" => %addresses.attach,
+            "operator_address" => %addresses.operator);
+        Ok(ControlHandle {
+            addresses,
+            driver,
+            end: started.end,
+            stopping,
+            operator_server,
+            tasks,
+        })
+    }
+}
+
+impl ControlHandle {
+    /// Where the member listens.
+    #[must_use]
+    pub fn addresses(&self) -> ControlAddresses {
+        self.addresses
+    }
+
+    /// Whether this member leads and has everything of earlier terms.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.driver.view().leads
+    }
+
+    /// Resolves when the member ends by itself, such as by a failed disk.
+    ///
+    /// # Errors
+    /// `Io` or `Corrupted` when the disk failed.
+    pub async fn failed(&mut self) -> Result<(), Report<ErrorKind>> {
+        (&mut self.end)
+            .await
+            .unwrap_or_else(|_| Err(Report::new(ErrorKind::Internal)))
+    }
+
+    /// Planned stop: hands leadership over, answers operators' requests in
+    /// progress, and closes the data folder. Gateways move to other members.
+    pub async fn stop(self) {
+        let ControlHandle {
+            driver,
+            end,
+            stopping,
+            operator_server,
+            mut tasks,
+            ..
+        } = self;
+        stopping.cancel();
+        driver.stop().await;
+        // A failed disk has been told by `failed` or is logged by its reader.
+        let _ = end.await;
+        // The member answers nothing any more, so what still waits is refused at once.
+        let _ = operator_server.await;
+        tasks.shutdown().await;
+    }
+}
+
+/// What the parts of a process share.
+struct Shared {
+    identity: ClusterIdentity,
+    machine: MachineId,
+    /// The other machines and their peer addresses.
+    others: BTreeMap<MachineId, SocketAddr>,
+    attach_address: String,
+    clock: Clock,
+    links: PeerLinks,
+    soft_state: SharedSoftState,
+    traffic: Arc<Traffic>,
+    logger: Logger,
+}
+
+impl Shared {
+    fn new(
+        settings: &ControlSettings,
+        addresses: ControlAddresses,
+        logger: Logger,
+    ) -> Result<Self, Report<ErrorKind>> {
+        let machine = MachineId(settings.machine);
+        let peers = settings.peers.iter();
+        let peers = peers.map(|peer| (MachineId(peer.machine), peer.address));
+        Ok(Shared {
+            identity: ClusterIdentity {
+                name: settings.cluster.clone(),
+                key: ClusterKey::from_file(&settings.cluster_key_file)?,
+            },
+            machine,
+            others: peers.filter(|(other, _)| *other != machine).collect(),
+            attach_address: addresses.attach.to_string(),
+            clock: Clock::start(),
+            links: PeerLinks::default(),
+            soft_state: Arc::new(Mutex::new(SoftState::new(machine))),
+            traffic: Arc::new(Traffic::default()),
+            logger,
+        })
+    }
+
+    fn driver_setup(&self, settings: &ControlSettings) -> DriverSetup {
+        let machines = self.others.keys().copied().chain([self.machine]).collect();
+        let member = MemberSettings {
+            bootstrap: settings.bootstrap,
+            attach_address: self.attach_address.clone(),
+            snapshot_log_bytes: settings.snapshot_log_bytes,
+            seed: rand::random(),
+            ..MemberSettings::new(&settings.cluster, self.machine, machines)
+        };
+        DriverSetup {
+            settings: member,
+            data_dir: settings.data_dir.clone(),
+            new_disk: DiskId(rand::random()),
+            clock: self.clock,
+            links: self.links.clone(),
+            soft_state: Arc::clone(&self.soft_state),
+            logger: self.logger.clone(),
+        }
+    }
+
+    fn operator(&self, key: OperatorKey, driver: &Driver, recorder: Recorder) -> Operator {
+        let metrics = Metrics::new();
+        Operator {
+            driver: driver.clone(),
+            key,
+            recorder,
+            gauges: ControlMetrics::new(&metrics, Arc::clone(&self.traffic)),
+            metrics,
+            clock: self.clock,
+            machines: self.others.len() + 1,
+        }
+    }
+
+    /// Starts what runs beside the member's thread and the operators' server.
+    fn spawn(self, driver: &Driver, peer: TcpListener, attach: TcpListener) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
+        let (fleet_changed, fleet_version) = watch::channel(FleetVersion::default());
+        let rounds = Rounds {
+            soft_state: Arc::clone(&self.soft_state),
+            driver: driver.clone(),
+            links: self.links.clone(),
+            others: self.others.keys().copied().collect(),
+            clock: self.clock,
+            fleet_changed,
+        };
+        tasks.spawn(rounds.run());
+        let attach_server = AttachServer {
+            driver: driver.clone(),
+            soft_state: Arc::clone(&self.soft_state),
+            fleet_changed: fleet_version,
+            clock: self.clock,
+            logger: self.logger.clone(),
+        };
+        let identity = self.identity.clone();
+        let traffic = Arc::clone(&self.traffic);
+        let listener = AttachServer::listener(attach, identity, traffic, self.logger.clone());
+        tasks.spawn(attach_server.run(listener));
+        let peering = Peering {
+            identity: self.identity,
+            others: self.others,
+            attach_address: self.attach_address,
+            links: self.links,
+            driver: driver.clone(),
+            soft_state: self.soft_state,
+            clock: self.clock,
+            traffic: self.traffic,
+            logger: self.logger,
+        };
+        let listener = peering.listener(peer);
+        tasks.spawn(peering.run(listener));
+        tasks
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<ErrorKind>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(ErrorKind::Io)
+        .attach_with(|| format!("cannot listen on {address}"))
+}
--- /dev/null
+++ b/crates/control/src/soft_state/fleet.rs
@@ -0,0 +1,196 @@
+//! Replicas and loads with versions, so that changes can be told without the rest.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use linnethitch_protocol::{
+    attach::ReplicaLoad,
+    fleet::{BackEndKind, LoadReport, MachineState, ReplicaInfo},
+    ids::ReplicaId,
+    query::ReplicaStatus,
+};
+
+/// Removals that are remembered; whoever has missed older ones gets everything.
+const KEPT_REMOVALS: usize = 1_024;
+
+/// Grows with every change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct FleetVersion(pub(crate) u64);
+
+#[derive(Clone, Debug)]
+struct Versioned<T> {
+    value: T,
+    version: FleetVersion,
+}
+
+/// Replicas and their loads.
+#[derive(Debug, Default)]
+pub(crate) struct VersionedFleet {
+    version: FleetVersion,
+    replicas: BTreeMap<ReplicaId, Versioned<ReplicaInfo>>,
+    loads: BTreeMap<ReplicaId, Versioned<LoadReport>>,
+    removals: VecDeque<(FleetVersion, ReplicaId)>,
+    /// Removals up to here are forgotten.
+    forgotten: FleetVersion,
+}
+
+/// What has changed between two versions.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct FleetDelta {
+    /// Whether `changed` is the whole list.
+    pub(crate) full: bool,
+    pub(crate) changed: Vec<ReplicaInfo>,
+    pub(crate) removed: Vec<ReplicaId>,
+    pub(crate) loads: Vec<ReplicaLoad>,
+    /// The version that it builds on.
+    pub(crate) base: FleetVersion,
+    /// The version that results.
+    pub(crate) version: FleetVersion,
+}
+
+impl FleetDelta {
+    /// Whether the list of replicas is the same in both versions.
+    pub(crate) fn keeps_replicas(&self) -> bool {
+        !self.full && self.changed.is_empty() && self.removed.is_empty()
+    }
+}
+
+impl VersionedFleet {
+    /// The version now.
+    pub(crate) fn version(&self) -> FleetVersion {
+        self.version
+    }
+
+    /// All replicas in the order of their names.
+    pub(crate) fn replicas(&self) -> impl Iterator<Item = &ReplicaInfo> {
+        self.replicas.values().map(|entry| &entry.value)
+    }
+
+    /// Adds or changes a replica.
+    pub(crate) fn put(&mut self, info: ReplicaInfo) {
+        let id = info.machine.replica.clone();
+        if self
+            .replicas
+            .get(&id)
+            .is_some_and(|known| known.value == info)
+        {
+            return;
+        }
+        let version = self.next_version();
+        let value = Versioned {
+            value: info,
+            version,
+        };
+        self.replicas.insert(id, value);
+    }
+
+    /// Takes a replica off.
+    pub(crate) fn remove(&mut self, replica: &ReplicaId) {
+        self.loads.remove(replica);
+        if self.replicas.remove(replica).is_none() {
+            return;
+        }
+        let version = self.next_version();
+        self.removals.push_back((version, replica.clone()));
+        if self.removals.len() > KEPT_REMOVALS
+            && let Some((version, _)) = self.removals.pop_front()
+        {
+            self.forgotten = version;
+        }
+    }
+
+    /// Makes the list this one.
+    pub(crate) fn replace(&mut self, all: Vec<ReplicaInfo>) {
+        let gone: Vec<ReplicaId> = {
+            let kept = all.iter().map(|info| &info.machine.replica);
+            let kept: std::collections::BTreeSet<&ReplicaId> = kept.collect();
+            let known = self.replicas.keys();
+            known.filter(|id| !kept.contains(id)).cloned().collect()
+        };
+        for replica in &gone {
+            self.remove(replica);
+        }
+        for info in all {
+            self.put(info);
+        }
+    }
+
+    /// Takes a load, unless a newer one of this replica is known.
+    pub(crate) fn put_load(&mut self, replica: &ReplicaId, load: LoadReport) {
+        let known = self.loads.get(replica);
+        let is_newer = known.is_none_or(|known| known.value.measured_at < load.measured_at);
+        if !is_newer || !self.replicas.contains_key(replica) {
+            return;
+        }
+        let version = self.next_version();
+        let value = Versioned {
+            value: load,
+            version,
+        };
+        self.loads.insert(replica.clone(), value);
+    }
+
+    /// Everything.
+    pub(crate) fn whole(&self) -> FleetDelta {
+        FleetDelta {
+            full: true,
+            changed: self.replicas().cloned().collect(),
+            removed: Vec::new(),
+            loads: self.loads_since(FleetVersion(0)),
+            base: FleetVersion(0),
+            version: self.version,
+        }
+    }
+
+    /// What has changed since a version; everything, where that is not known any more.
+    pub(crate) fn since(&self, base: FleetVersion) -> FleetDelta {
+        if base < self.forgotten || base > self.version {
+            return self.whole();
+        }
+        let changed = self.replicas.values().filter(|entry| entry.version > base);
+        let removed = self
+            .removals
+            .iter()
+            .filter(|(version, id)| *version > base && !self.replicas.contains_key(id));
+        FleetDelta {
+            full: false,
+            changed: changed.map(|entry| entry.value.clone()).collect(),
+            removed: removed.map(|(_, id)| id.clone()).collect(),
+            loads: self.loads_since(base),
+            base,
+            version: self.version,
+        }
+    }
+
+    fn loads_since(&self, base: FleetVersion) -> Vec<ReplicaLoad> {
+        let changed = self.loads.iter().filter(|(_, entry)| entry.version > base);
+        let load = |(replica, entry): (&ReplicaId, &Versioned<LoadReport>)| ReplicaLoad {
+            replica: replica.clone(),
+            load: entry.value,
+        };
+        changed.map(load).collect()
+    }
+
+    fn next_version(&mut self) -> FleetVersion {
+        self.version.0 += 1;
+        self.version
+    }
+}
+
+/// A replica as `status` shows it.
+pub(super) fn replica_status(info: &ReplicaInfo) -> ReplicaStatus {
+    let serves = match (&info.machine.kind, &info.engine.model) {
+        (BackEndKind::Application(service), _) => service.0.clone(),
+        (BackEndKind::Engine, Some(model)) => format!("{model} {}", info.engine.version),
+        (BackEndKind::Engine, None) => "nothing".to_owned(),
+    };
+    let state = match info.machine.state {
+        MachineState::Live if !info.engine.leaving => "live",
+        MachineState::Live | MachineState::Leaving => "leaving",
+    };
+    ReplicaStatus {
+        replica: info.machine.replica.clone(),
+        zone: info.machine.zone.0.clone(),
+        serves,
+        state: state.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/control/tests/all/process.rs
@@ -0,0 +1,112 @@
+//! A control process as operators and gateways see it.
+
+use http::{Method, StatusCode};
+use rstest::rstest;
+use tempfile::TempDir;
+
+use crate::{
+    cluster::fleet_file,
+    processes::{TestControl, call, wait_until},
+};
+
+#[rstest]
+#[case::one(1)]
+#[case::three(3)]
+#[case::five(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_reaches_a_gateway_and_outlives_restarts(#[case] size: u32) {
+    let mut control = TestControl::start(size).await;
+    let folder = TempDir::new().expect("a folder");
+    let all: Vec<u32> = (1..=size).collect();
+    let gateway = control.gateway(&folder, &all).await;
+    let applied = control.apply(size, "first", 0, &fleet_file("one")).await;
+    assert_eq!(applied.status, StatusCode::OK, "{applied:?}");
+    assert_eq!(applied.body["revision"], 1);
+    assert_eq!(applied.body["in_force"], true);
+    for number in 1..=size {
+        control.stop(number).await;
+        control.restart(number).await;
+        control.wait_until_ready().await;
+    }
+    let again = control.apply(1, "first", 0, &fleet_file("one")).await;
+    assert_eq!(again.body["revision"], 1, "{again:?}");
+    let second = control.apply(1, "second", 1, &fleet_file("two")).await;
+    assert_eq!(second.body["in_force"], true, "{second:?}");
+    let configuration = control.get(size, "/v1/configuration").await;
+    assert_eq!(configuration.body["revision"], 2);
+    assert_eq!(configuration.body["content"], fleet_file("two"));
+    gateway.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_tells_of_members_and_gateways_through_any_member() {
+    let control = TestControl::start(3).await;
+    let folder = TempDir::new().expect("a folder");
+    let gateway = control.gateway(&folder, &[2]).await;
+    control.apply(1, "first", 0, &fleet_file("one")).await;
+    for number in control.running() {
+        let status = control.get(number, "/v1/status").await.body;
+        let members = status["members"].as_array().expect("members");
+        let leaders = members.iter().filter(|member| member["leader"] == true);
+        assert_eq!(leaders.count(), 1, "{status}");
+        assert!(members.iter().all(|member| member["voter"] == true));
+        assert_eq!(status["gateways"][0]["gateway"], "gateway-1");
+        assert_eq!(status["lowest_in_force"], 1, "{status}");
+        assert_eq!(status["highest_in_force"], 1);
+    }
+    gateway.stop().await;
+}
+
+#[rstest]
+#[case::no_key(Method::GET, "/v1/status", "", &[], 401, "invalid_api_key")]
+#[case::wrong_key(Method::GET, "/v1/status", "Bearer wrong", &[], 401, "invalid_api_key")]
+#[case::no_change_id(Method::PUT, "/v1/configuration", "key", &[], 400, "malformed_request")]
+#[case::no_number(Method::PUT, "/v1/configuration", "key", &[("linnethitch-change", "c"), ("linnethitch-expected-revision", "x")], 400, "invalid_value")]
+#[case::not_a_fleet(Method::PUT, "/v1/configuration", "key", &[("linnethitch-change", "c"), ("linnethitch-expected-revision", "0")], 422, "invalid_configuration")]
+#[case::no_path(Method::GET, "/v1/nothing", "key", &[], 404, "not_found")]
+#[case::no_job(Method::GET, "/v1/jobs/one/batch_1", "key", &[], 404, "not_found")]
+#[case::no_method(Method::DELETE, "/v1/status", "key", &[], 405, "method_not_allowed")]
+#[tokio::test]
+async fn a_wrong_request_gets_the_answer_of_the_error_table(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] headers: &[(&'static str, &'static str)],
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let control = TestControl::start(1).await;
+    let mut request = control.request(1, method, path, "nonsense = 1");
+    if key != "key" {
+        let value = key.parse().expect("a value");
+        request.headers_mut().insert("authorization", value);
+    }
+    for (name, value) in headers {
+        let value = value.parse().expect("a value");
+        request.headers_mut().insert(*name, value);
+    }
+    let answer = call(request).await;
+    assert_eq!(answer.status.as_u16(), status, "{answer:?}");
+    assert_eq!(answer.code(), code);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_of_the_leader_hands_over_and_loses_nothing() {
+    let mut control = TestControl::start(3).await;
+    control.apply(1, "first", 0, &fleet_file("one")).await;
+    let leader = control.leader().await;
+    control.stop(leader).await;
+    let other = control.running()[0];
+    wait_until("the change is read through another member", async || {
+        control.get(other, "/v1/configuration").await.body["revision"] == 1
+    })
+    .await;
+    let explained = control.get(other, "/v1/explain/1").await;
+    assert_eq!(
+        explained.body["records"][0]["reason"], "configuration_committed",
+        "{explained:?}"
+    );
+    let metrics = control.get(other, "/metrics").await.body;
+    let text = metrics.as_str().expect("a text");
+    assert!(text.contains("linnethitch_control_revision 1"), "{text}");
+}
--- /dev/null
+++ b/crates/control/tests/all/processes.rs
@@ -0,0 +1,300 @@
+//! Control processes and gateways over loopback sockets and real files.
+
+use std::{collections::BTreeMap, fs, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use linnethitch_config::settings::{
+    ControlPeer, ControlSettings, DEFAULT_SNAPSHOT_LOG_BYTES, GatewayLimits, GatewaySettings,
+    LogSettings,
+};
+use linnethitch_control::process::{
+    ControlAddresses, ControlHandle, ControlProcess, ControlSockets,
+};
+use linnethitch_gateway::process::{GatewayHandle, GatewayProcess};
+use linnethitch_observability::log::discard;
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+use tokio::time::timeout;
+
+/// The operators' bearer key of the tests.
+pub(crate) const OPERATOR_KEY: &str = "operator-key";
+const CLUSTER_KEY: &str = "a key of the cluster of the tests";
+const ANY_PORT: &str = "127.0.0.1:0";
+/// Longest wait for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+/// Stands for an answer that never came.
+pub(crate) const NO_ANSWER: StatusCode = StatusCode::IM_A_TEAPOT;
+
+/// A member's folder, addresses and, while it runs, its process.
+pub(crate) struct TestMember {
+    folder: TempDir,
+    pub(crate) addresses: ControlAddresses,
+    pub(crate) handle: Option<ControlHandle>,
+}
+
+/// Control members, one a machine, numbered from 1.
+pub(crate) struct TestControl {
+    pub(crate) members: BTreeMap<u32, TestMember>,
+    pub(crate) platform: SocketAddr,
+    pub(crate) snapshot_log_bytes: u64,
+}
+
+/// An operator's answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Value,
+}
+
+impl Answer {
+    /// The code of the error table.
+    pub(crate) fn code(&self) -> &str {
+        self.body["error"]["code"].as_str().unwrap_or("")
+    }
+}
+
+impl TestControl {
+    /// Starts members that form a cluster, and waits until all vote.
+    pub(crate) async fn start(size: u32) -> Self {
+        let nowhere = ANY_PORT.parse().expect("an address");
+        Self::start_with(size, nowhere, DEFAULT_SNAPSHOT_LOG_BYTES).await
+    }
+
+    /// Starts members with a platform and a size of the log at which snapshots are taken.
+    pub(crate) async fn start_with(
+        size: u32,
+        platform: SocketAddr,
+        snapshot_log_bytes: u64,
+    ) -> Self {
+        let mut sockets = BTreeMap::new();
+        let mut members = BTreeMap::new();
+        for number in 1..=size {
+            let bound = bind(ANY_PORT.parse().expect("an address")).await;
+            let member = TestMember {
+                folder: TempDir::new().expect("a folder"),
+                addresses: bound.addresses().expect("addresses"),
+                handle: None,
+            };
+            members.insert(number, member);
+            sockets.insert(number, bound);
+        }
+        let mut control = TestControl {
+            members,
+            platform,
+            snapshot_log_bytes,
+        };
+        for (number, bound) in sockets {
+            control.start_on(number, bound).await;
+        }
+        control.wait_until_all_vote().await;
+        control
+    }
+
+    async fn start_on(&mut self, number: u32, sockets: ControlSockets) {
+        let settings = self.settings(number);
+        let handle = ControlProcess::start_on(settings, sockets, discard())
+            .await
+            .expect("the member starts");
+        self.member(number).handle = Some(handle);
+    }
+
+    /// Starts a stopped member again on its folder and addresses.
+    pub(crate) async fn restart(&mut self, number: u32) {
+        let addresses = self.members[&number].addresses;
+        let sockets = ControlSockets::bind(addresses.peer, addresses.attach, addresses.operator)
+            .await
+            .expect("the ports are free again");
+        self.start_on(number, sockets).await;
+    }
+
+    /// Planned stop of a member.
+    pub(crate) async fn stop(&mut self, number: u32) {
+        let handle = self.member(number).handle.take();
+        handle.expect("the member runs").stop().await;
+    }
+
+    /// Waits until every running member says that it is ready.
+    pub(crate) async fn wait_until_ready(&self) {
+        for number in self.running() {
+            wait_until("the member is ready", async || {
+                self.get(number, "/readyz").await.status == StatusCode::OK
+            })
+            .await;
+        }
+    }
+
+    /// Waits until the disks of all machines vote.
+    pub(crate) async fn wait_until_all_vote(&self) {
+        self.wait_until_ready().await;
+        wait_until("all disks vote", async || {
+            let status = self.get(self.running()[0], "/v1/status").await.body;
+            let members = status["members"].as_array().cloned().unwrap_or_default();
+            members.len() == self.members.len()
+                && members.iter().all(|member| member["voter"] == true)
+        })
+        .await;
+    }
+
+    /// The numbers of the running members.
+    pub(crate) fn running(&self) -> Vec<u32> {
+        let running = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.handle.is_some());
+        running.map(|(number, _)| *number).collect()
+    }
+
+    /// The member that leads.
+    pub(crate) async fn leader(&self) -> u32 {
+        let leads = |number: &u32| {
+            let handle = self.members[number].handle.as_ref();
+            handle.is_some_and(ControlHandle::leads)
+        };
+        wait_until("a member leads", async || self.running().iter().any(leads)).await;
+        self.running().into_iter().find(leads).expect("a leader")
+    }
+
+    pub(crate) fn member(&mut self, number: u32) -> &mut TestMember {
+        self.members.get_mut(&number).expect("a known member")
+    }
+
+    /// Asks a member's operator interface.
+    pub(crate) async fn get(&self, number: u32, path: &str) -> Answer {
+        call(self.request(number, Method::GET, path, "")).await
+    }
+
+    /// Sends a change.
+    pub(crate) async fn apply(
+        &self,
+        number: u32,
+        change: &str,
+        expected: u64,
+        content: &str,
+    ) -> Answer {
+        let mut request = self.request(
+            number,
+            Method::PUT,
+            "/v1/configuration?wait_ms=10000",
+            content,
+        );
+        let headers = request.headers_mut();
+        headers.insert("linnethitch-change", change.parse().expect("a value"));
+        headers.insert("linnethitch-expected-revision", expected.into());
+        call(request).await
+    }
+
+    /// A request with the operators' key.
+    pub(crate) fn request(
+        &self,
+        number: u32,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Request<Full<Bytes>> {
+        let address = self.members[&number].addresses.operator;
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("a request")
+    }
+
+    fn settings(&self, number: u32) -> ControlSettings {
+        let member = &self.members[&number];
+        let key_file = member.folder.path().join("cluster.key");
+        fs::write(&key_file, CLUSTER_KEY).expect("a key file");
+        let peers = self.members.iter().map(|(machine, member)| ControlPeer {
+            machine: *machine,
+            address: member.addresses.peer,
+        });
+        ControlSettings {
+            machine: number,
+            zone: "z".to_owned(),
+            region: "r".to_owned(),
+            peer_address: member.addresses.peer,
+            attach_address: member.addresses.attach,
+            operator_address: member.addresses.operator,
+            peers: peers.collect(),
+            bootstrap: true,
+            cluster: "test".to_owned(),
+            cluster_key_file: key_file,
+            operator_key_sha256: hash(OPERATOR_KEY),
+            platform_address: self.platform,
+            data_dir: member.folder.path().join("data"),
+            snapshot_log_bytes: self.snapshot_log_bytes,
+            log: LogSettings::default(),
+        }
+    }
+
+    /// Starts a gateway that attaches to the given members.
+    pub(crate) async fn gateway(&self, folder: &TempDir, members: &[u32]) -> GatewayHandle {
+        let key_file = folder.path().join("cluster.key");
+        fs::write(&key_file, CLUSTER_KEY).expect("a key file");
+        let attach = |number: &u32| self.members[number].addresses.attach;
+        let settings = GatewaySettings {
+            gateway_id: "gateway-1".to_owned(),
+            zone: "z".to_owned(),
+            region: "r".to_owned(),
+            listen_address: ANY_PORT.parse().expect("an address"),
+            control_addresses: members.iter().map(attach).collect(),
+            cluster: "test".to_owned(),
+            cluster_key_file: key_file,
+            data_dir: folder.path().join("data"),
+            log: LogSettings::default(),
+            journal_max_bytes: 1 << 20,
+            limits: GatewayLimits::default(),
+        };
+        GatewayProcess::start(settings, discard())
+            .await
+            .expect("the gateway starts")
+    }
+}
+
+async fn bind(address: SocketAddr) -> ControlSockets {
+    ControlSockets::bind(address, address, address)
+        .await
+        .expect("free ports")
+}
+
+/// SHA-256 of a key, in hexadecimal.
+pub(crate) fn hash(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+/// Sends a request; an answer that never comes counts as [`NO_ANSWER`].
+pub(crate) async fn call(request: Request<Full<Bytes>>) -> Answer {
+    let client: Client<HttpConnector, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let response = timeout(CALL_LIMIT, client.request(request)).await;
+    let Ok(Ok(response)) = response else {
+        return Answer {
+            status: NO_ANSWER,
+            body: Value::Null,
+        };
+    };
+    let status = response.status();
+    let bytes = response.into_body().collect().await;
+    let bytes = bytes.expect("a whole body").to_bytes();
+    let body = serde_json::from_slice(&bytes)
+        .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&bytes).into_owned()));
+    Answer { status, body }
+}
+
+/// Waits for a condition, for twenty seconds at most.
+pub(crate) async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    for _ in 0..2_000 {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not reached in twenty seconds: {what}");
+}
--- a/crates/emulator/src/engine/server/mod.rs
+++ b/crates/emulator/src/engine/server/mod.rs
@@ -1,6 +1,5 @@
 //! The emulated engine behind its HTTP interface.
 
-mod answers;
 mod bodies;
 mod output;
 mod reply;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,5 @@
 mod online;
 pub mod options;
 pub mod process;
-mod services;
 mod state;
 mod tenants;
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,5 +8,4 @@
 mod configuration;
 mod files;
 mod hollow;
-mod services;
 mod support;
--- a/crates/ledger/src/views.rs
+++ b/crates/ledger/src/views.rs
@@ -65,6 +65,12 @@
         jobs.map(|job| job.id.clone()).collect()
     }
 
+    /// The command that stopped a job last; 0 when none did.
+    #[must_use]
+    pub fn last_stopped(&self) -> LogIndex {
+        self.stopped.last().map_or(LogIndex(0), |(index, _)| *index)
+    }
+
     /// Whether an `Expire` command has anything to do at the given time.
     #[must_use]
     pub fn is_expiry_due(&self, now: Timestamp) -> bool {
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -49,14 +49,34 @@
         let listener = TcpListener::bind(address).await.map_err(|error| {
             Report::new(ErrorKind::Io).attach(format!("listen on {address}: {error}"))
         })?;
-        Ok(Listener {
+        Ok(Listener::new(
+            listener,
+            identity,
+            options,
+            traffic,
+            max_connections,
+            logger,
+        ))
+    }
+
+    /// Listens on a socket that is bound already; otherwise as [`Listener::bind`].
+    #[must_use]
+    pub fn new(
+        listener: TcpListener,
+        identity: ClusterIdentity,
+        options: ConnectionOptions,
+        traffic: Arc<Traffic>,
+        max_connections: usize,
+        logger: Logger,
+    ) -> Self {
+        Listener {
             listener,
             identity,
             options,
             traffic,
             connections: Arc::new(Semaphore::new(max_connections)),
             logger,
-        })
+        }
     }
 
     /// The address in use, with the port that was chosen.
