Add the command that runs a control member

Cause: control ran only inside tests. Change: linnethitch control takes its settings from file and flags as the gateway does, hands leadership over on SIGINT or SIGTERM, and ends with an error when its disk fails.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -49,6 +49,7 @@
 fn run(command: Command) -> Result<ExitStatus, CommandError> {
     match command {
         Command::Gateway(options) => serve::gateway(options),
+        Command::Control(options) => serve::control(&options),
         Command::Validate(options) => files::validate(&options),
         Command::Diff(options) => client_runtime()?.block_on(files::diff(&options)),
         Command::Apply(options) => client_runtime()?.block_on(apply::run(&options)),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod batch;
+mod control;
 mod gateway;
 
 use std::{net::SocketAddr, path::PathBuf};
@@ -8,6 +9,7 @@
 use bpaf::Bpaf;
 
 pub(crate) use batch::{BatchCommand, CallerOptions, SubmitOptions};
+pub(crate) use control::ControlOptions;
 pub(crate) use gateway::GatewayOptions;
 
 /// linnethitch serves online and batch inference on one fleet.
@@ -37,6 +39,19 @@
     #[bpaf(command)]
     Gateway(#[bpaf(external(gateway::gateway_options))] GatewayOptions),
 
+    /// Run a control member
+    ///
+    ///
+    /// Control members keep the replicated state: configuration, batch jobs and
+    /// claims. Gateways attach to them and operators ask them over HTTP. Run five
+    /// on machines with disks. On SIGINT or SIGTERM a member hands leadership
+    /// over and stops; a second signal ends it at once.
+    ///
+    ///
+    /// Example: linnethitch control --settings /etc/linnethitch/control.toml
+    #[bpaf(command)]
+    Control(#[bpaf(external(control::control_options))] ControlOptions),
+
     /// Check a fleet file without applying it
     ///
     ///
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,8 +1,11 @@
-//! Running gateway processes until a signal ends them.
+//! Running gateways and control members until a signal ends them.
 
 use std::future::Future;
 
-use linnethitch_config::settings::{GatewaySettings, SettingsError, read_cluster_key};
+use linnethitch_config::settings::{
+    ControlSettings, GatewaySettings, SettingsError, read_cluster_key,
+};
+use linnethitch_control::process::ControlProcess;
 use linnethitch_errors::ErrorKind;
 use linnethitch_gateway::process::GatewayProcess;
 use linnethitch_observability::log::Logging;
@@ -11,7 +14,7 @@
 
 use crate::{
     exit::{CommandError, ExitStatus},
-    options::GatewayOptions,
+    options::{ControlOptions, GatewayOptions},
 };
 
 /// Runs a gateway.
@@ -32,6 +35,30 @@
     })
 }
 
+/// Runs a control member.
+pub(crate) fn control(options: &ControlOptions) -> Result<ExitStatus, CommandError> {
+    let settings =
+        ControlSettings::load(options.settings.as_deref(), options.values()).map_err(refused)?;
+    read_cluster_key(&settings.cluster_key_file).map_err(refused)?;
+    let logging = Logging::to_stderr(&settings.log);
+    let logger = logging.logger();
+    server_runtime()?.block_on(async {
+        let mut signals = StopSignals::listen()?;
+        let mut process = ControlProcess::start(settings, logger.clone())
+            .await
+            .map_err(|report| start_error(&report))?;
+        println!(
+            "control member listens on {} for operators",
+            process.addresses().operator
+        );
+        tokio::select! {
+            () = signals.first(&logger) => {}
+            ended = process.failed() => return Err(member_error(ended)),
+        }
+        stopped(process.stop(), &mut signals, &logger).await
+    })
+}
+
 fn server_runtime() -> Result<tokio::runtime::Runtime, CommandError> {
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -48,6 +75,17 @@
     CommandError::from_kind(kind, format!("cannot start: {report:?}"))
 }
 
+/// A member that ended by itself must be looked at by somebody.
+fn member_error(ended: Result<(), error_stack::Report<ErrorKind>>) -> CommandError {
+    match ended {
+        Ok(()) => CommandError::failed("the control member ended without being told to"),
+        Err(report) => {
+            let kind = *report.current_context();
+            CommandError::from_kind(kind, format!("the control member failed: {report:?}"))
+        }
+    }
+}
+
 /// Waits for a planned stop; a second signal gives it up.
 async fn stopped(
     stop: impl Future<Output = ()>,
--- a/crates/cli/tests/all/help.rs
+++ b/crates/cli/tests/all/help.rs
@@ -7,6 +7,7 @@
 #[rstest]
 #[case::program(&["--help"], &["validate", "apply", "explain", "Exit status: 0 done"])]
 #[case::gateway(&["gateway", "--help"], &["--settings=FILE", "--listen-address", "SIGTERM", "Example:"])]
+#[case::control(&["control", "--help"], &["--settings=FILE", "--peer=", "--bootstrap", "SIGTERM", "Example:"])]
 #[case::validate(&["validate", "--help"], &["FILE", "Nothing is contacted"])]
 #[case::diff(&["diff", "--help"], &["--operator", "--key-file", "Nothing is changed"])]
 #[case::apply(&["apply", "--help"], &["--change-id", "--expected-revision", "--wait", "FILE.change"])]
@@ -32,6 +33,7 @@
 #[case::unknown_flag(&["validate", "--wat", "x"], "`--wat` is not expected")]
 #[case::no_operator(&["status", "--key-file", "k"], "at least one --operator IP:PORT is needed")]
 #[case::bad_address(&["status", "--operator", "here", "--key-file", "k"], "couldn't parse `here`")]
+#[case::bad_peer(&["control", "--peer", "1:127.0.0.1:7101"], "a peer is N=IP:PORT")]
 #[case::explain_whom(&["explain", "--key-file", "/dev/null", "x"], "")]
 fn a_wrong_command_line_is_told_apart(#[case] arguments: &[&str], #[case] expected: &str) {
     let finished = run(arguments);
