--- a/crates/emulator/src/engine/server/mod.rs
+++ b/crates/emulator/src/engine/server/mod.rs
@@ -1,5 +1,6 @@
 //! The emulated engine behind its HTTP interface.
 
+mod answers;
 mod bodies;
 mod output;
 mod reply;
--- a/crates/emulator/src/engine/server/reply.rs
+++ b/crates/emulator/src/engine/server/reply.rs
@@ -183,7 +183,10 @@
     bytes.into()
 }
 
-fn broken() -> io::Error {
+/// The error that breaks a connection, once the server has sent what came before it:
+/// it sends when its body has nothing for it, and drops what it holds on an error.
+pub(super) async fn broken() -> io::Error {
+    tokio::task::yield_now().await;
     io::ErrorKind::ConnectionReset.into()
 }
 
@@ -238,7 +241,7 @@
             Some(OutputKind::Broken { cleanly: true }) => return None,
             Some(OutputKind::Broken { cleanly: false }) | None => {
                 self.ended = true;
-                Err(broken())
+                Err(broken().await)
             }
         })
     }
--- a/crates/emulator/src/engine/server/routes.rs
+++ b/crates/emulator/src/engine/server/routes.rs
@@ -3,21 +3,21 @@
 use std::{io, sync::Arc};
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use gotham::helpers::http::Body;
 use http::{Method, Response, StatusCode, header};
 use http_body::Frame;
 use http_body_util::StreamBody;
-use linnethitch_protocol::fleet::{EngineRole, EngineState};
-use serde::Serialize;
 
 use super::{
+    answers::{CacheEventsBody, CancelBody, HandleBody, LeavingBody, StatusBody},
     bodies::{CompletionBody, ExportBody, OrderBody, format_handle, parse_handle},
-    reply::{AnswerHead, Form, created_now, stream_answer, whole_answer},
+    reply::{AnswerHead, Form, broken, created_now, stream_answer, whole_answer},
     service::EngineService,
 };
 use crate::{
     answer::{PromptKey, block_hashes, count_tokens},
-    engine::{CacheChange, CacheEvent, EngineRequest, Fault, Priority, Refusal},
+    engine::{EngineRequest, Fault, Priority, Refusal},
     http::{IncomingRequest, Reply, Service, header_text},
     wire::{EngineLoadBody, ExecutionsBody},
 };
@@ -269,95 +269,8 @@
 
 /// A body that breaks its connection after its first bytes.
 fn broken_body() -> Body {
-    let frames = [
-        Ok(Frame::data(Bytes::from_static(b"{\"id\":"))),
-        Err(io::ErrorKind::ConnectionReset.into()),
-    ];
-    Body::new(StreamBody::new(futures_util::stream::iter(frames)))
-}
-
-#[derive(Serialize)]
-struct CancelBody {
-    cancelled: bool,
-}
-
-#[derive(Serialize)]
-struct HandleBody {
-    handle: String,
-    tokens: u32,
-}
-
-#[derive(serde::Deserialize)]
-struct LeavingBody {
-    leaving: bool,
-}
-
-#[derive(Serialize)]
-struct StatusBody {
-    model: Option<String>,
-    version: String,
-    adapters: Vec<String>,
-    role: &'static str,
-    fence: FenceBody,
-    leaving: bool,
-}
-
-#[derive(Serialize)]
-struct FenceBody {
-    term: u64,
-    sequence: u64,
-}
-
-impl StatusBody {
-    fn new(state: &EngineState) -> StatusBody {
-        StatusBody {
-            model: state.model.as_ref().map(|model| model.0.clone()),
-            version: state.version.clone(),
-            adapters: state.adapters.clone(),
-            role: match state.role {
-                EngineRole::Mixed => "mixed",
-                EngineRole::Prefill => "prefill",
-                EngineRole::Decode => "decode",
-            },
-            fence: FenceBody {
-                term: state.fence.term.0,
-                sequence: state.fence.sequence,
-            },
-            leaving: state.leaving,
-        }
-    }
-}
-
-#[derive(Serialize)]
-struct CacheEventsBody {
-    events: Vec<CacheEventBody>,
-}
-
-#[derive(Serialize)]
-struct CacheEventBody {
-    sequence: u64,
-    #[serde(rename = "type")]
-    kind: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    block: Option<String>,
-}
-
-impl CacheEventsBody {
-    fn new(events: &[CacheEvent]) -> CacheEventsBody {
-        let events = events.iter().map(|event| {
-            let (kind, block) = match event.change {
-                CacheChange::Stored(block) => ("stored", Some(block)),
-                CacheChange::Removed(block) => ("removed", Some(block)),
-                CacheChange::Cleared => ("cleared", None),
-            };
-            CacheEventBody {
-                sequence: event.sequence,
-                kind,
-                block: block.map(|hash| format!("{hash:016x}")),
-            }
-        });
-        CacheEventsBody {
-            events: events.collect(),
-        }
-    }
+    let first = Ok(Frame::data(Bytes::from_static(b"{\"id\":")));
+    let first = futures_util::stream::iter([first]);
+    let end = futures_util::stream::once(async { Err(broken().await) });
+    Body::new(StreamBody::new(first.chain(end)))
 }
--- a/crates/gateway/src/claims/claim.rs
+++ b/crates/gateway/src/claims/claim.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Whether the request must never run twice.
+    pub(crate) fn at_most_once(&self) -> bool {
+        self.new.at_most_once
+    }
+
     fn command(&self) -> CommandBody {
         CommandBody::ClaimRequest(self.new.clone())
     }
--- a/crates/gateway/src/engine/client.rs
+++ b/crates/gateway/src/engine/client.rs
@@ -24,6 +24,9 @@
 /// Most bytes buffered for reading on one connection.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Longest time to read a refusal's body.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How urgent a request is to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Priority {
@@ -155,32 +158,38 @@
 async fn refusal(response: Response<Incoming>) -> AttemptFault {
     let status = response.status().as_u16();
     let headers = response.headers();
-    let started = !says(headers, "x-engine-started", "no");
     let leaving = says(headers, "x-engine-leaving", "yes");
-    let retry_after = headers
+    if says(headers, "x-engine-started", "no") {
+        return refused_unstarted(response, leaving).await;
+    }
+    if status >= 500 {
+        return AttemptFault::Failed { status };
+    }
+    let message = refusal_message(response).await;
+    AttemptFault::Rejected { status, message }
+}
+
+/// The refusal of a back end that says that it did not start the request.
+pub(crate) async fn refused_unstarted(response: Response<Incoming>, leaving: bool) -> AttemptFault {
+    let status = response.status().as_u16();
+    let retry_after = response
+        .headers()
         .get(header::RETRY_AFTER)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map(Duration::from_secs);
-    if started && status >= 500 {
-        return AttemptFault::Failed { status };
+    AttemptFault::Refused {
+        status,
+        leaving,
+        retry_after,
+        message: refusal_message(response).await,
     }
-    let body = tokio::time::timeout(
-        CANCEL_TIMEOUT,
-        Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect(),
-    );
-    let message = match body.await {
+}
+
+async fn refusal_message(response: Response<Incoming>) -> String {
+    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+    match tokio::time::timeout(REFUSAL_TIMEOUT, body).await {
         Ok(Ok(collected)) => message_of(&collected.to_bytes()),
         _ => String::new(),
-    };
-    if started {
-        AttemptFault::Rejected { status, message }
-    } else {
-        AttemptFault::Refused {
-            status,
-            leaving,
-            retry_after,
-            message,
-        }
     }
 }
 
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -44,6 +44,8 @@
     GetBatch,
     /// `POST /v1/batches/{id}/cancel`
     CancelBatch,
+    /// `ANY /services/{name}/…`
+    Service,
     /// `GET /healthz`
     Health,
     /// `GET /readyz`
@@ -85,6 +87,19 @@
     }
 }
 
+/// Every method that an application service may take.
+fn any() -> Vec<Method> {
+    vec![
+        Method::GET,
+        Method::HEAD,
+        Method::POST,
+        Method::PUT,
+        Method::PATCH,
+        Method::DELETE,
+        Method::OPTIONS,
+    ]
+}
+
 /// Builds the router of a gateway.
 pub(crate) fn build_router(gateway: &Arc<Gateway>) -> Router {
     let to = |endpoint| EndpointHandler {
@@ -132,6 +147,11 @@
         route
             .post("/v1/batches/:batch/cancel")
             .to_new_handler(to(Endpoint::CancelBatch));
+        for path in ["/services/:service", "/services/:service/*"] {
+            route
+                .request(any(), path)
+                .to_new_handler(to(Endpoint::Service));
+        }
         route
             .request(get(), "/healthz")
             .to_new_handler(to(Endpoint::Health));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,5 +23,6 @@
 mod online;
 pub mod options;
 pub mod process;
+mod services;
 mod state;
 mod tenants;
--- a/crates/gateway/src/online/claimed.rs
+++ b/crates/gateway/src/online/claimed.rs
@@ -1,22 +1,21 @@
 //! Requests that run under a claim: their answer is kept, and an at-most-once run goes on
 //! to its end even when its caller goes away.
 
-use std::{future::Future, io, sync::Arc};
+use std::{io, sync::Arc};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use gotham::helpers::http::Body;
-use http::{HeaderValue, Response, StatusCode, header};
-use linnethitch_errors::{ErrorKind, Executed, Failure};
+use http::{HeaderValue, StatusCode};
+use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::query::KeptAnswer;
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
-    claims::Claim,
+    claims::{Answered, Claim, Record, outcome_unknown},
     decisions::TenantPass,
     engine::stream::StreamEvent,
-    http::answer::{EXECUTED_HEADER, bytes_response, event_stream_response},
+    http::answer::{bytes_response, event_stream_response},
     online::{
         generation::Generation,
         request::CompletionRequest,
@@ -26,15 +25,8 @@
     state::Gateway,
 };
 
-/// Largest answer that is kept, in bytes.
-const MAX_KEPT_BYTES: usize = 8 * 1024 * 1024;
 /// Pieces of a stream that wait for a slow caller.
 const MAX_WAITING_PIECES: usize = 64;
-/// Header of an answer that was kept from an earlier run.
-const REPLAYED_HEADER: &str = "linnethitch-replayed";
-
-type Answered = Result<Response<Body>, Failure>;
-
 /// Runs a claimed request and answers its caller.
 pub(crate) async fn respond(
     gateway: &Arc<Gateway>,
@@ -44,7 +36,6 @@
 ) -> Answered {
     let (caller, answered) = oneshot::channel();
     let run = ClaimedRun {
-        at_most_once: request.at_most_once,
         gateway: Arc::clone(gateway),
         claim,
     };
@@ -54,29 +45,9 @@
         .unwrap_or_else(|_| Err(Failure::from(ErrorKind::Internal)))
 }
 
-/// The answer of an earlier run.
-pub(crate) fn replay(kept: KeptAnswer) -> Response<Body> {
-    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let content_type = HeaderValue::from_str(&kept.content_type)
-        .unwrap_or(HeaderValue::from_static("application/json"));
-    let mut response = bytes_response(status, content_type, kept.body);
-    let headers = response.headers_mut();
-    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("yes"));
-    if !status.is_success() {
-        let unknown = HeaderValue::from_static(Executed::Unknown.as_str());
-        headers.insert(EXECUTED_HEADER, unknown);
-        headers.insert("x-should-retry", HeaderValue::from_static("false"));
-    }
-    if kept.content_type == "text/event-stream" {
-        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-    }
-    response
-}
-
 struct ClaimedRun {
     gateway: Arc<Gateway>,
     claim: Claim,
-    at_most_once: bool,
 }
 
 impl ClaimedRun {
@@ -88,53 +59,29 @@
     ) {
         let stream = request.stream;
         let starting = Generation::start(Arc::clone(&self.gateway), request, pass);
-        let Some(started) = self.unless_gone(starting, caller.closed()).await else {
+        let Some(started) = self.claim.unless_gone(starting, caller.closed()).await else {
             return self.claim.free().await;
         };
         match started {
-            Err(failure) => self.fail(failure, caller).await,
+            Err(failure) => self.claim.fail(failure, caller).await,
             Ok(generation) if stream => self.relay(generation, caller).await,
             Ok(generation) => self.collect(generation, caller).await,
         }
     }
 
-    /// Waits for a step of the run. A repeatable run is given up when its caller goes away.
-    async fn unless_gone<T>(
-        &self,
-        step: impl Future<Output = T>,
-        gone: impl Future<Output = ()>,
-    ) -> Option<T> {
-        if self.at_most_once {
-            return Some(step.await);
-        }
-        tokio::select! {
-            biased;
-            done = step => Some(done),
-            () = gone => None,
-        }
-    }
-
-    /// Answers with a failure. What an at-most-once request may have done is never repeated.
-    async fn fail(self, failure: Failure, caller: oneshot::Sender<Answered>) {
-        if self.at_most_once && failure.executed() != Executed::No {
-            let kept = outcome_unknown(&failure);
-            let _ = caller.send(Err(failure));
-            return self.claim.keep(kept).await;
-        }
-        // Freed first, so that a resend is not told that the request still runs.
-        self.claim.free().await;
-        let _ = caller.send(Err(failure));
-    }
-
     /// Collects a whole answer, has it kept and gives it to the caller.
     async fn collect(self, mut generation: Generation, mut caller: oneshot::Sender<Answered>) {
         loop {
-            match self.unless_gone(generation.next(), caller.closed()).await {
+            match self
+                .claim
+                .unless_gone(generation.next(), caller.closed())
+                .await
+            {
                 None => {
                     drop(generation);
                     return self.claim.free().await;
                 }
-                Some(Err(failure)) => return self.fail(failure, caller).await,
+                Some(Err(failure)) => return self.claim.fail(failure, caller).await,
                 Some(Ok(StreamEvent::Done)) => break,
                 Some(Ok(_)) => {}
             }
@@ -160,7 +107,7 @@
         let mut record = Record::default();
         loop {
             let next = next_piece(&mut generation);
-            let piece = match self.unless_gone(next, pieces.closed()).await {
+            let piece = match self.claim.unless_gone(next, pieces.closed()).await {
                 None => {
                     drop(generation);
                     return self.claim.free().await;
@@ -182,7 +129,7 @@
                 Piece::Failed(failure) => {
                     let _ = pieces.send(bytes).await;
                     drop((generation, pieces));
-                    return if self.at_most_once {
+                    return if self.claim.at_most_once() {
                         self.claim.keep(outcome_unknown(&failure)).await;
                     } else {
                         self.claim.free().await;
@@ -192,52 +139,3 @@
         }
     }
 }
-
-/// What a resend gets after an at-most-once run whose outcome nobody knows.
-fn outcome_unknown(failure: &Failure) -> KeptAnswer {
-    let message = format!(
-        "the request was started and is not run again: {}",
-        failure.message
-    );
-    kept_failure(&Failure::new(ErrorKind::OutcomeUnknown, message))
-}
-
-fn kept_failure(failure: &Failure) -> KeptAnswer {
-    KeptAnswer {
-        status: failure.kind.answer().status,
-        content_type: "application/json".to_owned(),
-        body: failure.body().to_string().into_bytes(),
-    }
-}
-
-/// The bytes of a stream, as long as they are few enough to be kept.
-#[derive(Default)]
-struct Record {
-    bytes: Vec<u8>,
-    too_long: bool,
-}
-
-impl Record {
-    fn add(&mut self, bytes: &[u8]) {
-        self.too_long |= self.bytes.len() + bytes.len() > MAX_KEPT_BYTES;
-        if self.too_long {
-            self.bytes = Vec::new();
-        } else {
-            self.bytes.extend_from_slice(bytes);
-        }
-    }
-
-    fn answer(self) -> KeptAnswer {
-        if self.too_long {
-            let message = "the request ran; its answer was given once and was too long to be kept";
-            return kept_failure(
-                &Failure::new(ErrorKind::OutcomeUnknown, message).with_executed(Executed::Yes),
-            );
-        }
-        KeptAnswer {
-            status: StatusCode::OK.as_u16(),
-            content_type: "text/event-stream".to_owned(),
-            body: self.bytes,
-        }
-    }
-}
--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation.rs
@@ -22,7 +22,7 @@
 };
 
 /// When a caller should come back after a failure that a retry can help.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A running generation. Dropping it cancels the run at the engine.
 pub(crate) struct Generation {
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    claims::{Claimed, claim, run_rules},
+    claims::{Claimed, claim, replay, run_rules},
     http::{body::read_whole, incoming::Incoming, routes::Endpoint},
     online::{generation::Generation, request::CompletionRequest},
     state::Gateway,
@@ -50,7 +50,7 @@
     match claim(gateway, &tenant.name, &rules, digest).await? {
         Claimed::NotNeeded => {}
         Claimed::Granted(claim) => return claimed::respond(gateway, claim, request, pass).await,
-        Claimed::Answered(kept) => return Ok(claimed::replay(kept)),
+        Claimed::Answered(kept) => return Ok(replay(kept)),
     }
     let stream = request.stream;
     let generation = Generation::start(Arc::clone(gateway), request, pass).await?;
--- a/crates/gateway/src/online/request.rs
+++ b/crates/gateway/src/online/request.rs
@@ -1,5 +1,7 @@
 //! Parsing and checking of completion requests.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use linnethitch_config::fleet::Fleet;
@@ -181,14 +183,23 @@
 }
 
 fn deadline_ms(headers: &HeaderMap, fleet: &Fleet) -> Result<u64, Failure> {
+    let wanted = caller_deadline(headers)?;
+    Ok(wanted.map_or(fleet.routing.default_deadline_ms, |wanted| {
+        u64::try_from(wanted.as_millis()).unwrap_or(u64::MAX)
+    }))
+}
+
+/// The time that the caller gives its request, if it says so.
+pub(crate) fn caller_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Failure> {
     let Some(value) = headers.get(DEADLINE_HEADER) else {
-        return Ok(fleet.routing.default_deadline_ms);
+        return Ok(None);
     };
     value
         .to_str()
         .ok()
         .and_then(|text| text.trim().parse::<u64>().ok())
         .filter(|milliseconds| *milliseconds > 0)
+        .map(|milliseconds| Some(Duration::from_millis(milliseconds)))
         .ok_or_else(|| {
             invalid(
                 DEADLINE_HEADER,
--- /dev/null
+++ b/crates/gateway/src/services/attempt.rs
@@ -0,0 +1,182 @@
+//! Sends a request to one replica after another, as far as that is safe.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use linnethitch_errors::{ErrorKind, Executed, Failure};
+use linnethitch_protocol::ids::{ReplicaId, RequestId};
+use linnethitch_routing::retry::{FailedAttempt, Next, Sent, Started};
+use slog::info;
+
+use crate::{
+    decisions::{Placement, TenantPass, Wanted, no_choice},
+    engine::{
+        client::{load_of, refused_unstarted, says},
+        fault::AttemptFault,
+    },
+    online::generation::RETRY_AFTER,
+    state::Gateway,
+};
+
+/// A request to a service.
+pub(super) struct ServiceRequest {
+    pub(super) id: RequestId,
+    pub(super) method: Method,
+    /// Path and query at the replica.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    /// Whether it may be sent again although a replica may have started it.
+    pub(super) repeatable: bool,
+    pub(super) at_most_once: bool,
+    pub(super) wanted: Wanted,
+}
+
+/// A request with its way through the replicas.
+pub(super) struct ServiceCall {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) request: ServiceRequest,
+    pub(super) pass: TenantPass,
+    tried: Vec<ReplicaId>,
+    attempts: u32,
+    started: bool,
+}
+
+/// A replica's answer with its body unread.
+pub(super) struct ServiceAnswer {
+    pub(super) placement: Placement,
+    pub(super) response: Response<Incoming>,
+}
+
+impl ServiceCall {
+    pub(super) fn new(gateway: Arc<Gateway>, request: ServiceRequest, pass: TenantPass) -> Self {
+        ServiceCall {
+            gateway,
+            request,
+            pass,
+            tried: Vec::new(),
+            attempts: 0,
+            started: false,
+        }
+    }
+
+    /// Sends the request until a replica answers it or no further attempt is allowed.
+    pub(super) async fn send(&mut self) -> Result<ServiceAnswer, Failure> {
+        let wanted = Arc::new(self.request.wanted.clone());
+        let admitted = self.gateway.decisions.admit(&wanted, &self.pass).await;
+        let mut placement = admitted.map_err(|refused| refused.failure)?.placement;
+        loop {
+            self.attempts += 1;
+            self.tried.push(placement.replica.clone());
+            let fault = match self.attempt(&placement).await {
+                Ok(response) => {
+                    return Ok(ServiceAnswer {
+                        placement,
+                        response,
+                    });
+                }
+                Err(fault) => fault,
+            };
+            placement = self.after_fault(placement, &fault)?;
+        }
+    }
+
+    async fn attempt(&mut self, placement: &Placement) -> Result<Response<Incoming>, AttemptFault> {
+        let limit = self.gateway.clock().until(self.request.wanted.deadline);
+        let message = self.message(placement)?;
+        let sent = tokio::time::timeout(limit, self.gateway.back_ends.send(message)).await;
+        let response = sent.map_err(|_| AttemptFault::Hung(limit))??;
+        let decisions = &self.gateway.decisions;
+        let headers = response.headers();
+        if let Some(load) = load_of(headers, "x-application-load") {
+            decisions.on_load(&placement.replica, load);
+        }
+        let leaving = says(headers, "x-application-leaving", "yes");
+        if leaving {
+            decisions.on_leaving(&placement.replica);
+        }
+        if says(headers, "x-application-started", "no") {
+            return Err(refused_unstarted(response, leaving).await);
+        }
+        self.started = true;
+        Ok(response)
+    }
+
+    fn message(&self, placement: &Placement) -> Result<Request<Full<Bytes>>, AttemptFault> {
+        let mut builder = Request::builder()
+            .method(self.request.method.clone())
+            .uri(format!("http://{}{}", placement.address, self.request.path));
+        if let Some(headers) = builder.headers_mut() {
+            headers.clone_from(&self.request.headers);
+            let left = self.gateway.clock().until(self.request.wanted.deadline);
+            let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+            headers.insert("x-deadline-ms", HeaderValue::from(left_ms));
+        }
+        builder
+            .body(Full::new(self.request.body.clone()))
+            .map_err(|error| AttemptFault::Connect(error.to_string()))
+    }
+
+    /// The place of the next attempt, or the final answer.
+    fn after_fault(
+        &mut self,
+        placement: Placement,
+        fault: &AttemptFault,
+    ) -> Result<Placement, Failure> {
+        let decisions = &self.gateway.decisions;
+        let replica = placement.replica.to_string();
+        decisions.learn(placement, fault);
+        self.started |= !fault.not_started();
+        let attempt = FailedAttempt {
+            sent: match fault {
+                AttemptFault::Connect(_) => Sent::Nothing,
+                _ => Sent::Some,
+            },
+            at_most_once: !self.request.repeatable || self.request.at_most_once,
+            failure: fault.as_attempt_failure(),
+            started: Started::Nothing,
+        };
+        let deadline = self.request.wanted.deadline;
+        let next = decisions.after_failure(&attempt, self.attempts, deadline);
+        info!(self.gateway.logger, "attempt failed";
+            "request" => %self.request.id, "replica" => replica, "fault" => %fault);
+        if let Next::Answer { kind, executed, .. } = next {
+            return Err(self.final_failure(kind, executed, fault));
+        }
+        decisions
+            .choose_again(&self.request.wanted, &self.tried)
+            .map_err(|none| match attempt.answer(none.reason) {
+                Next::Answer { kind, executed, .. } => self.final_failure(kind, executed, fault),
+                _ => no_choice(&none).failure,
+            })
+    }
+
+    /// The answer after the last attempt; an earlier one may have run although the last did not.
+    pub(super) fn final_failure(
+        &self,
+        kind: ErrorKind,
+        executed: Executed,
+        fault: &AttemptFault,
+    ) -> Failure {
+        let executed = if self.started {
+            Executed::Unknown
+        } else {
+            executed
+        };
+        let kind = match (kind, executed, fault) {
+            (_, Executed::No, _) => kind,
+            _ if self.request.at_most_once => ErrorKind::OutcomeUnknown,
+            (_, _, AttemptFault::Hung(_)) => ErrorKind::DeadlineExceeded,
+            _ => ErrorKind::BackEndFailed,
+        };
+        let message = format!("no replica completed the request; the last attempt: {fault}");
+        let failure = Failure::new(kind, message).with_executed(executed);
+        if kind.answer().retryable {
+            return failure.with_retry_after(fault.retry_after().unwrap_or(RETRY_AFTER));
+        }
+        failure
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/services/relay.rs
@@ -0,0 +1,161 @@
+//! Gives a replica's answer to the caller.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream;
+use gotham::helpers::http::Body;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, Limited, StreamBody};
+use hyper::body::Incoming;
+use linnethitch_errors::{ErrorKind, Executed, Failure};
+use linnethitch_protocol::query::KeptAnswer;
+use linnethitch_routing::view::FailureKind;
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::{
+    claims::{Answered, Claim, MAX_KEPT_BYTES},
+    decisions::{Placement, TenantPass},
+    engine::fault::AttemptFault,
+    http::answer::whole_body,
+    services::{
+        attempt::{ServiceAnswer, ServiceCall},
+        headers::returned,
+    },
+    state::Gateway,
+};
+
+/// Sends a request and passes the answer on piece by piece.
+pub(super) async fn respond(mut call: ServiceCall) -> Answered {
+    let ServiceAnswer {
+        placement,
+        response,
+    } = call.send().await?;
+    let (head, body) = response.into_parts();
+    let left = call.gateway.clock().until(call.request.wanted.deadline);
+    let relayed = RelayedBody {
+        body,
+        status: head.status,
+        deadline: Instant::now() + left,
+        limit: left,
+        placement: Some(placement),
+        _pass: call.pass,
+    };
+    let frames = stream::unfold(relayed, RelayedBody::next);
+    let mut answer = Response::new(Body::new(StreamBody::new(frames)));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = returned(&head.headers);
+    if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
+        answer
+            .headers_mut()
+            .insert(header::CONTENT_LENGTH, length.clone());
+    }
+    Ok(answer)
+}
+
+/// A body on its way to the caller; the work counts at the replica until its end.
+struct RelayedBody {
+    body: Incoming,
+    status: StatusCode,
+    deadline: Instant,
+    limit: Duration,
+    placement: Option<Placement>,
+    _pass: TenantPass,
+}
+
+impl RelayedBody {
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, io::Error>, Self)> {
+        self.placement.as_ref()?;
+        let failed = match tokio::time::timeout_at(self.deadline, self.body.frame()).await {
+            Ok(Some(Ok(frame))) => return Some((Ok(frame), self)),
+            Ok(None) => {
+                end(self.placement.take(), self.status);
+                return None;
+            }
+            Ok(Some(Err(error))) => AttemptFault::Broken(error.to_string()),
+            Err(_) => AttemptFault::Hung(self.limit),
+        };
+        if let (Some(placement), Some(kind)) = (self.placement.take(), failed.as_failure_kind()) {
+            placement.failed(kind);
+        }
+        // The connection breaks, so that the caller does not take the part for the whole.
+        Some((Err(io::Error::other(failed.to_string())), self))
+    }
+}
+
+/// Ends the work of a whole answer; a server error speaks against the replica.
+fn end(placement: Option<Placement>, status: StatusCode) {
+    let Some(placement) = placement else {
+        return;
+    };
+    if status.is_server_error() {
+        placement.failed(FailureKind::BadAnswer);
+    } else {
+        placement.finished();
+    }
+}
+
+/// Sends a claimed request; its answer is kept before the caller gets it.
+pub(super) async fn respond_claimed(
+    gateway: &Arc<Gateway>,
+    claim: Claim,
+    call: ServiceCall,
+) -> Answered {
+    let (caller, answered) = oneshot::channel();
+    gateway.spawn_tracked(run_claimed(claim, call, caller));
+    answered
+        .await
+        .unwrap_or_else(|_| Err(Failure::from(ErrorKind::Internal)))
+}
+
+async fn run_claimed(claim: Claim, mut call: ServiceCall, mut caller: oneshot::Sender<Answered>) {
+    let collected = claim.unless_gone(collect(&mut call), caller.closed()).await;
+    match collected {
+        None => claim.free().await,
+        Some(Err(failure)) => claim.fail(failure, caller).await,
+        Some(Ok((headers, kept))) => {
+            claim.keep(kept.clone()).await;
+            let mut answer = Response::new(whole_body(kept.body));
+            *answer.status_mut() =
+                StatusCode::from_u16(kept.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            *answer.headers_mut() = headers;
+            let _ = caller.send(Ok(answer));
+        }
+    }
+}
+
+/// Reads a whole answer, within the bound of what can be kept.
+async fn collect(call: &mut ServiceCall) -> Result<(HeaderMap, KeptAnswer), Failure> {
+    let ServiceAnswer {
+        placement,
+        response,
+    } = call.send().await?;
+    let (head, body) = response.into_parts();
+    let left = call.gateway.clock().until(call.request.wanted.deadline);
+    let reading = Limited::new(body, MAX_KEPT_BYTES).collect();
+    let fault = match tokio::time::timeout(left, reading).await {
+        Ok(Ok(collected)) => {
+            end(Some(placement), head.status);
+            let headers = returned(&head.headers);
+            let kept = KeptAnswer {
+                status: head.status.as_u16(),
+                content_type: content_type(&headers),
+                body: collected.to_bytes().to_vec(),
+            };
+            return Ok((headers, kept));
+        }
+        Ok(Err(error)) => AttemptFault::Broken(error.to_string()),
+        Err(_) => AttemptFault::Hung(left),
+    };
+    call.gateway.decisions.learn(placement, &fault);
+    Err(call.final_failure(ErrorKind::BackEndFailed, Executed::Unknown, &fault))
+}
+
+fn content_type(headers: &HeaderMap) -> String {
+    headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value: &HeaderValue| value.to_str().ok())
+        .unwrap_or("application/octet-stream")
+        .to_owned()
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -44,6 +44,7 @@
     },
     models, online,
     options::EngineTimeouts,
+    services,
     tenants::TenantDirectory,
 };
 
@@ -243,6 +244,7 @@
             Endpoint::ListBatches => batches::list(self, &incoming.head).await,
             Endpoint::GetBatch => batches::get(self, &incoming.head).await,
             Endpoint::CancelBatch => batches::cancel(self, &incoming.head).await,
+            Endpoint::Service => services::answer(self, incoming).await,
             Endpoint::Health => Ok(json_response(StatusCode::OK, &StatusBody { status: "ok" })),
             Endpoint::Ready => self
                 .ready()
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod configuration;
 mod files;
 mod hollow;
+mod services;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/all/services.rs
@@ -0,0 +1,245 @@
+//! Application services over emulated replicas.
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use linnethitch_emulator::{
+    application::{ApplicationServer, ApplicationSettings},
+    engine::Fault,
+};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{
+    caller::{call, request},
+    control::{FakeControl, Shared},
+    gateway::{TestGateway, application, fleet_file, wait_until},
+};
+
+struct Fixture {
+    replicas: Vec<ApplicationServer>,
+    gateway: TestGateway,
+    _control: FakeControl,
+}
+
+impl Fixture {
+    async fn start(count: usize) -> Self {
+        let mut replicas = Vec::new();
+        for number in 0..count {
+            let name = format!("application-{number}");
+            let settings = ApplicationSettings::new(&name, "z", "tariffs");
+            let started = ApplicationServer::start(settings).await;
+            replicas.push(started.expect("a replica"));
+        }
+        let infos = replicas.iter().enumerate();
+        let infos = infos.map(|(number, replica)| application(number, replica.address()));
+        let control = FakeControl::start(Shared::new(&fleet_file(), infos.collect())).await;
+        let gateway = TestGateway::attached(&[control.address]).await;
+        Fixture {
+            replicas,
+            gateway,
+            _control: control,
+        }
+    }
+
+    fn request(&self, method: Method, path: &str, body: &str) -> Request<Full<Bytes>> {
+        request(method, self.gateway.url(path), body.to_owned())
+    }
+
+    fn executions(&self) -> u64 {
+        self.replicas
+            .iter()
+            .map(ApplicationServer::executions)
+            .sum()
+    }
+}
+
+fn keyed(mut message: Request<Full<Bytes>>, at_most_once: bool) -> Request<Full<Bytes>> {
+    let headers = message.headers_mut();
+    headers.insert("idempotency-key", "tender".parse().expect("a value"));
+    if at_most_once {
+        headers.insert("linnethitch-run", "at-most-once".parse().expect("a value"));
+    }
+    message
+}
+
+#[rstest]
+#[case::root("/services/tariffs", "/", None)]
+#[case::query_only("/services/tariffs?lane=7", "/", Some("lane=7"))]
+#[case::deep(
+    "/services/tariffs/lanes/7/quote?to=Hartford",
+    "/lanes/7/quote",
+    Some("to=Hartford")
+)]
+#[case::escaped("/services/tariffs/a%2Fb", "/a%2Fb", None)]
+#[tokio::test]
+async fn a_request_reaches_a_replica_as_it_was_sent(
+    #[case] path: &str,
+    #[case] expected: &str,
+    #[case] query: Option<&str>,
+    #[values(Method::GET, Method::POST, Method::DELETE)] method: Method,
+) {
+    let fixture = Fixture::start(1).await;
+    let answer = call(fixture.request(method.clone(), path, "{\"weight\":3}")).await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    let echo = answer.json();
+    assert_eq!(echo["method"], method.as_str());
+    assert_eq!(
+        (&echo["path"], &echo["query"]),
+        (&json!(expected), &json!(query))
+    );
+    assert_eq!(echo["body"], "{\"weight\":3}");
+    assert_eq!(echo["request_id"], answer.header("x-request-id"));
+    assert_eq!(
+        answer.header("x-application-load"),
+        "",
+        "meant for the gateway"
+    );
+}
+
+#[rstest]
+#[case::unknown("/services/weather/x", 404, "service_not_found")]
+#[case::no_name("/services", 404, "not_found")]
+#[case::too_large("/services/tariffs/x", 413, "body_too_large")]
+#[tokio::test]
+async fn a_wrong_request_reaches_no_replica(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let fixture = Fixture::start(1).await;
+    let body = "x".repeat(if status == 413 { 70_000 } else { 1 });
+    let answer = call(fixture.request(Method::POST, path, &body)).await;
+    assert_eq!(
+        (answer.status.as_u16(), answer.error_code().as_str()),
+        (status, code)
+    );
+    assert_eq!(fixture.executions(), 0);
+}
+
+/// How the replicas behave, and what a caller then sees.
+#[rstest]
+#[case::refused_then_served(Method::POST, &[Fault::Refuse], 200, "", "")]
+#[case::all_refuse(Method::POST, &[Fault::Refuse, Fault::Refuse], 503, "no_back_end", "no")]
+#[case::dead_then_served(Method::POST, &[Fault::Die], 200, "", "")]
+#[case::all_dead(Method::GET, &[Fault::Die, Fault::Die], 503, "no_back_end", "no")]
+#[case::hung(Method::POST, &[Fault::Hang, Fault::Hang], 504, "deadline_exceeded", "unknown")]
+#[tokio::test]
+async fn only_safe_retries_are_made(
+    #[case] method: Method,
+    #[case] faults: &[Fault],
+    #[case] status: u16,
+    #[case] code: &str,
+    #[case] executed: &str,
+) {
+    let fixture = Fixture::start(2).await;
+    for (replica, fault) in fixture.replicas.iter().zip(faults) {
+        replica.inject(*fault);
+    }
+    for _ in 0..4 {
+        let mut message = fixture.request(method.clone(), "/services/tariffs/x", "");
+        let deadline = "200".parse().expect("a value");
+        message
+            .headers_mut()
+            .insert("linnethitch-deadline-ms", deadline);
+        let answer = call(message).await;
+        assert_eq!(answer.status.as_u16(), status, "{answer:?}");
+        if status != 200 {
+            assert_eq!(answer.error_code(), code);
+            assert_eq!(answer.header("linnethitch-executed"), executed);
+            assert!(!answer.header("retry-after").is_empty());
+        }
+    }
+}
+
+#[rstest]
+#[case::safe(Method::GET, None, 200)]
+#[case::unsafe_to_repeat(Method::POST, Some("back_end_failed"), 502)]
+#[tokio::test]
+async fn a_replica_that_dies_at_work_is_replaced_only_for_safe_methods(
+    #[case] method: Method,
+    #[case] code: Option<&str>,
+    #[case] status: u16,
+) {
+    let fixture = Fixture::start(2).await;
+    for replica in &fixture.replicas {
+        replica.inject(Fault::Late { millis: 300 });
+    }
+    let message = fixture.request(method, "/services/tariffs/x", "");
+    let answer = tokio::spawn(call(message));
+    wait_until("it runs", async || fixture.executions() == 1).await;
+    let busy = fixture.replicas.iter().find(|one| one.executions() == 1);
+    busy.expect("one runs it").inject(Fault::Die);
+    let answer = answer.await.expect("an answer");
+    assert_eq!(answer.status.as_u16(), status, "{answer:?}");
+    if let Some(code) = code {
+        assert_eq!(answer.error_code(), code);
+        assert_eq!(answer.header("linnethitch-executed"), "unknown");
+    }
+    assert_eq!(fixture.executions(), if code.is_some() { 1 } else { 2 });
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_keyed_request_runs_once_and_is_answered_again(
+    #[values(false, true)] at_most_once: bool,
+) {
+    let fixture = Fixture::start(2).await;
+    let message = || {
+        keyed(
+            fixture.request(Method::POST, "/services/tariffs/x", "7"),
+            at_most_once,
+        )
+    };
+    let first = call(message()).await;
+    let again = call(message()).await;
+    assert_eq!((first.status, &first.body), (again.status, &again.body));
+    assert_eq!(again.header("linnethitch-replayed"), "yes");
+    let other = keyed(
+        fixture.request(Method::POST, "/services/tariffs/y", "7"),
+        at_most_once,
+    );
+    assert_eq!(call(other).await.error_code(), "idempotency_conflict");
+    assert_eq!(fixture.executions(), 1);
+}
+
+#[tokio::test]
+async fn an_at_most_once_call_whose_replica_died_is_never_run_again() {
+    let fixture = Fixture::start(2).await;
+    for replica in &fixture.replicas {
+        replica.inject(Fault::Late { millis: 300 });
+    }
+    let message = || {
+        keyed(
+            fixture.request(Method::POST, "/services/tariffs/x", "7"),
+            true,
+        )
+    };
+    let answer = tokio::spawn(call(message()));
+    wait_until("it runs", async || fixture.executions() == 1).await;
+    for replica in &fixture.replicas {
+        replica.inject(Fault::Die);
+    }
+    let answer = answer.await.expect("an answer");
+    assert_eq!(answer.error_code(), "outcome_unknown");
+    for replica in &fixture.replicas {
+        replica.restart().await.expect("the replica is back");
+    }
+    wait_until("the outcome is kept", async || {
+        call(message()).await.error_code() == "outcome_unknown"
+    })
+    .await;
+    assert_eq!(fixture.executions(), 1);
+}
+
+#[tokio::test]
+async fn a_leaving_replica_gets_nothing_more() {
+    let fixture = Fixture::start(2).await;
+    fixture.replicas[0].set_leaving(true);
+    for _ in 0..20 {
+        let message = fixture.request(Method::GET, "/services/tariffs/x", "");
+        assert_eq!(call(message).await.status, StatusCode::OK);
+    }
+    // At most the answer that told of it.
+    assert!(fixture.replicas[0].executions() <= 1);
+}
