--- a/crates/gateway/src/batch/driver.rs
+++ b/crates/gateway/src/batch/driver.rs
@@ -3,7 +3,6 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use linnethitch_errors::ErrorKind;
-use linnethitch_observability::journal::{JournalRecord, Subject};
 use linnethitch_protocol::{
     attach::GatewayMessage,
     command::{CommandBody, Outcome},
@@ -16,7 +15,7 @@
 use crate::{
     batch::{
         BatchAction, BatchDecision, BatchEvent, BatchExecutor, BatchSession, CallAnswer,
-        ExecutorSettings, RunId, run::run_item,
+        ExecutorSettings, ReplicaRoom, RunId, run::run_item,
     },
     control::session::Session,
     state::Gateway,
@@ -107,7 +106,21 @@
         let session = session.map(|Session { epoch, until }| BatchSession { epoch, until });
         self.executor.set_settings(settings(&self.gateway));
         self.handle(BatchEvent::Session(session));
-        self.handle(BatchEvent::Room(self.gateway.decisions.batch_rooms()));
+        let rooms = self.gateway.decisions.batch_rooms();
+        self.observe(&rooms);
+        self.handle(BatchEvent::Room(rooms));
+    }
+
+    fn observe(&self, rooms: &[ReplicaRoom]) {
+        let metrics = &self.gateway.observer.metrics;
+        let room: i64 = rooms.iter().map(|room| i64::from(room.sequences)).sum();
+        metrics.batch_room.set(room);
+        metrics
+            .batch_items_held
+            .set(self.executor.held().try_into().unwrap_or(i64::MAX));
+        metrics
+            .batch_results_waiting
+            .set(self.executor.uncommitted().try_into().unwrap_or(i64::MAX));
     }
 
     fn now(&self) -> Timestamp {
@@ -233,15 +246,7 @@
             "replica" => decision.replica.as_ref().map(ToString::to_string),
             "reason" => decision.reason.as_str(),
             "outcome" => &decision.outcome);
-        let mut subject = Subject::item(decision.job.0, decision.item.0);
-        if let Some(replica) = decision.replica {
-            subject = subject.on_replica(replica.0);
-        }
-        let reason = decision.reason.as_str();
-        let record = JournalRecord::new(now.0, decision.kind, subject, reason);
-        self.gateway
-            .journal
-            .record(record.with_outcome(decision.outcome));
+        self.gateway.observer.batch(now, decision);
     }
 }
 
--- a/crates/gateway/src/batch/executor.rs
+++ b/crates/gateway/src/batch/executor.rs
@@ -302,12 +302,17 @@
         let Some(session) = self.epoch() else {
             return;
         };
+        let kind = if reason == ReasonCode::JobCancelled {
+            DecisionKind::Cancel
+        } else {
+            DecisionKind::Lease
+        };
         let told = if outcome.error_code.is_empty() {
             "answered"
         } else {
             &outcome.error_code
         };
-        self.note(&item, DecisionKind::Lease, reason, told);
+        self.note(&item, kind, reason, told);
         let key = item.leased.key.clone();
         self.outbox.push(now, session, key, outcome);
     }
@@ -547,6 +552,7 @@
     fn note(&mut self, item: &Item, kind: DecisionKind, reason: ReasonCode, outcome: &str) {
         self.actions.push(BatchAction::Decided(BatchDecision {
             kind,
+            tenant: item.leased.tenant.clone(),
             job: item.leased.key.job.clone(),
             item: item.leased.key.item,
             replica: item.replica().cloned(),
--- a/crates/gateway/src/batch/messages.rs
+++ b/crates/gateway/src/batch/messages.rs
@@ -7,7 +7,7 @@
 use linnethitch_protocol::{
     attach::{GrantWish, PendingItems},
     command::{JobResults, LeasedItem, LeasedItemKey, WantedItems},
-    ids::{ItemNumber, JobId, ModelId, ReplicaId, SessionEpoch, Timestamp},
+    ids::{ItemNumber, JobId, ModelId, ReplicaId, SessionEpoch, TenantId, Timestamp},
 };
 use linnethitch_routing::ReasonCode;
 
@@ -242,6 +242,8 @@
 pub struct BatchDecision {
     /// What kind.
     pub kind: DecisionKind,
+    /// Whose item it is.
+    pub tenant: TenantId,
     /// The item's job.
     pub job: JobId,
     /// The item.
--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -1,6 +1,6 @@
 //! One run of an item on one engine.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::ids::RequestId;
@@ -15,6 +15,7 @@
         fault::AttemptFault,
         stream::{EngineStream, Progress, StreamEvent},
     },
+    observe::BATCH,
     online::{generation::rejected, request::CompletionRequest, whole_answer::WholeAnswer},
     state::Gateway,
 };
@@ -81,6 +82,18 @@
     }
 
     async fn run(mut self, stop: &CancellationToken) -> RunEnd {
+        let gateway = Arc::clone(&self.gateway);
+        let metrics = &gateway.observer.metrics;
+        let before = self.progress.tokens;
+        metrics.running.get_or_create(&BATCH).inc();
+        let end = self.run_at_replica(stop).await;
+        metrics.running.get_or_create(&BATCH).dec();
+        let tokens = u64::from(self.progress.tokens.saturating_sub(before));
+        metrics.tokens.get_or_create(&BATCH).inc_by(tokens);
+        end
+    }
+
+    async fn run_at_replica(&mut self, stop: &CancellationToken) -> RunEnd {
         let decisions = &self.gateway.decisions;
         let Some(mut placement) = decisions.place_at(&self.wanted, &self.order.replica) else {
             return self.failed(false, "the replica takes no new work".to_owned());
@@ -102,7 +115,7 @@
                 self.answered()
             }
             Some(Err(fault)) => {
-                self.gateway.decisions.learn(placement, &fault);
+                self.gateway.learn(placement, &fault);
                 self.faulted(&fault)
             }
         }
@@ -159,6 +172,7 @@
     progress: &mut Progress,
     placement: &mut Placement,
 ) -> Result<(), AttemptFault> {
+    let started = Instant::now();
     let limit = gateway.timeouts.batch_silence;
     let body = request
         .engine_body(progress)
@@ -185,7 +199,17 @@
     let mut first = true;
     loop {
         match stream.next(progress, limit).await? {
-            StreamEvent::Token(_) => placement.on_token(std::mem::take(&mut first)),
+            StreamEvent::Token(_) => {
+                if first {
+                    let seconds = started.elapsed().as_secs_f64();
+                    let metrics = &gateway.observer.metrics;
+                    metrics
+                        .first_token_seconds
+                        .get_or_create(&BATCH)
+                        .observe(seconds);
+                }
+                placement.on_token(std::mem::take(&mut first));
+            }
             StreamEvent::Usage(_) => {}
             StreamEvent::Done => return Ok(()),
         }
--- a/crates/gateway/src/claims/claim.rs
+++ b/crates/gateway/src/claims/claim.rs
@@ -5,13 +5,15 @@
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::{
     command::{ClaimOutcome, CommandBody, NewClaim, Outcome},
-    ids::{GatewayId, TenantId},
+    ids::{GatewayId, RequestId, TenantId},
     query::KeptAnswer,
 };
 use slog::warn;
 use tokio::sync::oneshot;
 
-use crate::{claims::RunRules, control::client::unexpected, state::Gateway};
+use crate::{
+    claims::RunRules, control::client::unexpected, observe::RequestSubject, state::Gateway,
+};
 
 /// Longest wait for the gateway's session, so that a request is refused at once while
 /// control is away.
@@ -47,6 +49,7 @@
 /// `IdempotencyInProgress`, `IdempotencyConflict` and `OutcomeUnknown` as the ledger says.
 pub(crate) async fn claim(
     gateway: &Arc<Gateway>,
+    request: &RequestId,
     tenant: &str,
     rules: &RunRules,
     content_digest: u64,
@@ -68,9 +71,22 @@
         gateway: Arc::clone(gateway),
         new,
     };
+    let subject = RequestSubject {
+        request: request.clone(),
+        tenant: tenant.into(),
+    };
     let (caller, claimed) = oneshot::channel();
     gateway.spawn_tracked(claim.take(caller));
-    claimed.await.unwrap_or_else(|_| Err(unexpected()))
+    let claimed = claimed.await.unwrap_or_else(|_| Err(unexpected()));
+    let told = match &claimed {
+        Ok(Claimed::NotNeeded | Claimed::Granted(_)) => "granted",
+        Ok(Claimed::Answered(_)) => "answered",
+        Err(failure) => failure.kind.answer().code,
+    };
+    gateway
+        .observer
+        .claimed(gateway.clock().now(), &subject, told);
+    claimed
 }
 
 impl Claim {
--- a/crates/gateway/src/decisions/limits.rs
+++ b/crates/gateway/src/decisions/limits.rs
@@ -4,6 +4,7 @@
 
 use linnethitch_config::fleet::Tenant;
 use linnethitch_errors::Failure;
+use linnethitch_protocol::ids::TenantId;
 use linnethitch_routing::{
     ReasonCode,
     limits::{LimitRefusal, Reservation, TenantNumber},
@@ -14,6 +15,8 @@
 /// A tenant's right to one request in flight; dropping it gives the right back.
 pub(crate) struct TenantPass {
     pub(crate) tenant: TenantNumber,
+    /// Whose it is.
+    pub(crate) owner: TenantId,
     pub(crate) weight: u32,
     /// Tokens used so far, settled at the end.
     pub(crate) used_tokens: u32,
@@ -38,6 +41,7 @@
         drop(core);
         Ok(TenantPass {
             tenant: number,
+            owner: tenant.name.as_str().into(),
             weight: tenant.weight.max(1),
             used_tokens: 0,
             decisions: Arc::clone(self),
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -125,7 +125,7 @@
 
     /// Takes in how an attempt failed; tells whether this took the replica out.
     pub(crate) fn learn(&self, placement: Placement, fault: &AttemptFault) -> Option<ReasonCode> {
-        if let AttemptFault::Refused { leaving: true, .. } = fault {
+        if fault.says_leaving() {
             self.on_leaving(&placement.replica);
         }
         match fault.as_failure_kind() {
@@ -167,6 +167,12 @@
         Ok(self.place(&mut core, now, wanted, &choice))
     }
 
+    /// Online requests that wait for a back end.
+    pub(crate) fn queue_length(&self) -> usize {
+        let core = self.core.lock();
+        core.queues.values().map(PoolQueue::len).sum()
+    }
+
     /// Whether a replica of the target is known at all.
     pub(crate) fn knows(&self, target: &WantedTarget) -> bool {
         self.core
--- a/crates/gateway/src/decisions/queue.rs
+++ b/crates/gateway/src/decisions/queue.rs
@@ -29,6 +29,13 @@
     waiting: HashMap<EntryId, Waiting>,
 }
 
+impl PoolQueue {
+    /// Requests that wait.
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+}
+
 struct Waiting {
     wanted: Arc<Wanted>,
     verdict: oneshot::Sender<Verdict>,
@@ -63,11 +70,12 @@
         wanted: &Arc<Wanted>,
         pass: &TenantPass,
     ) -> Result<AdmittedRequest, Refused> {
+        let arrived = self.clock.now();
         let (entry, verdict) = match self.offer(wanted, pass)? {
             Offered::Placed(placement) => {
                 return Ok(AdmittedRequest {
                     placement: *placement,
-                    queued: false,
+                    waited_ms: None,
                 });
             }
             Offered::Queued(entry, verdict) => (entry, verdict),
@@ -81,7 +89,7 @@
         drop(place);
         verdict.map(|placement| AdmittedRequest {
             placement,
-            queued: true,
+            waited_ms: Some(self.clock.now().0.saturating_sub(arrived.0)),
         })
     }
 
@@ -188,8 +196,8 @@
 pub(crate) struct AdmittedRequest {
     /// Its place.
     pub(crate) placement: Placement,
-    /// Whether it waited.
-    pub(crate) queued: bool,
+    /// How long it waited, if it did.
+    pub(crate) waited_ms: Option<u64>,
 }
 
 /// How often a waiting request looks at the clock.
--- a/crates/gateway/src/engine/fault.rs
+++ b/crates/gateway/src/engine/fault.rs
@@ -52,6 +52,11 @@
         )
     }
 
+    /// Whether the back end said that it is leaving.
+    pub(crate) fn says_leaving(&self) -> bool {
+        matches!(self, AttemptFault::Refused { leaving: true, .. })
+    }
+
     /// The failure in the words of the retry rules.
     pub(crate) fn as_attempt_failure(&self) -> AttemptFailure {
         match self {
--- a/crates/gateway/src/hollow.rs
+++ b/crates/gateway/src/hollow.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use linnethitch_config::settings::GatewaySettings;
 use linnethitch_errors::ErrorKind;
 use linnethitch_observability::journal::Journal;
@@ -45,14 +45,12 @@
             name: settings.cluster.clone(),
             key: ClusterKey::from_file(&settings.cluster_key_file)?,
         };
-        let journal = Journal::open(&settings.data_dir, settings.journal_max_bytes)
-            .change_context(ErrorKind::Io)?;
         let (batch_events, events) = mpsc::channel(MAX_WAITING_EVENTS);
         let gateway = Gateway::new(
             settings,
             EngineTimeouts::default(),
             None,
-            journal,
+            Journal::disabled(),
             batch_events,
             logger,
         );
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -46,12 +46,42 @@
     CancelBatch,
     /// `ANY /services/{name}/…`
     Service,
+    /// `GET /v1/explain/{id}`
+    Explain,
+    /// `GET /metrics`
+    Metrics,
     /// `GET /healthz`
     Health,
     /// `GET /readyz`
     Ready,
 }
 
+impl Endpoint {
+    /// The name of the route in metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Endpoint::ChatCompletions => "chat_completions",
+            Endpoint::Completions => "completions",
+            Endpoint::ListModels => "list_models",
+            Endpoint::GetModel => "get_model",
+            Endpoint::CreateFile => "create_file",
+            Endpoint::ListFiles => "list_files",
+            Endpoint::GetFile => "get_file",
+            Endpoint::DeleteFile => "delete_file",
+            Endpoint::FileContent => "file_content",
+            Endpoint::CreateBatch => "create_batch",
+            Endpoint::ListBatches => "list_batches",
+            Endpoint::GetBatch => "get_batch",
+            Endpoint::CancelBatch => "cancel_batch",
+            Endpoint::Service => "service",
+            Endpoint::Explain => "explain",
+            Endpoint::Metrics => "metrics",
+            Endpoint::Health => "health",
+            Endpoint::Ready => "ready",
+        }
+    }
+}
+
 /// Makes a handler of one endpoint for each request.
 struct EndpointHandler {
     gateway: AssertUnwindSafe<Arc<Gateway>>,
@@ -147,6 +177,12 @@
         route
             .post("/v1/batches/:batch/cancel")
             .to_new_handler(to(Endpoint::CancelBatch));
+        route
+            .request(get(), "/v1/explain/*")
+            .to_new_handler(to(Endpoint::Explain));
+        route
+            .request(get(), "/metrics")
+            .to_new_handler(to(Endpoint::Metrics));
         for path in ["/services/:service", "/services/:service/*"] {
             route
                 .request(any(), path)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,9 +20,12 @@
 mod http;
 mod identifiers;
 mod models;
+mod observe;
 mod online;
 pub mod options;
 pub mod process;
 mod services;
 mod state;
 mod tenants;
+
+pub use observe::metric_descriptions;
--- /dev/null
+++ b/crates/gateway/src/observe/explain.rs
@@ -0,0 +1,88 @@
+//! `GET /v1/explain/{id}` and `GET /metrics`.
+
+use std::{borrow::Cow, sync::Arc};
+
+use gotham::helpers::http::Body;
+use http::{HeaderValue, Response, StatusCode};
+use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_observability::{journal::JournalRecord, metrics::CONTENT_TYPE};
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+
+use crate::{
+    http::{
+        answer::{bytes_response, json_response},
+        incoming::RequestHead,
+    },
+    state::Gateway,
+};
+
+/// What precedes the id in the path.
+const PATH_PREFIX: &str = "/v1/explain/";
+
+#[derive(Debug, Serialize)]
+struct Explanation {
+    object: &'static str,
+    id: String,
+    records: Vec<JournalRecord>,
+}
+
+/// Tells what the journal knows of a request, job, item (`JOB/NUMBER`), replica or revision.
+/// A tenant sees records of its own work and those that are about no tenant's work.
+pub(crate) async fn explain(
+    gateway: &Arc<Gateway>,
+    head: &RequestHead,
+) -> Result<Response<Body>, Failure> {
+    let (_, tenant) = gateway.authenticate(head)?;
+    let id = asked_id(head)?;
+    let journal = gateway.observer.journal.clone();
+    let asked = id.clone();
+    let found = tokio::task::spawn_blocking(move || journal.lookup(&asked)).await;
+    let mut records = match found {
+        Ok(Ok(records)) => records,
+        Ok(Err(error)) => return Err(Failure::new(ErrorKind::Io, error.to_string())),
+        Err(_) => return Err(Failure::from(ErrorKind::Internal)),
+    };
+    records.retain(|record| {
+        let owner = record.subject.tenant.as_deref();
+        owner.is_none_or(|owner| owner == tenant.name)
+    });
+    let explanation = Explanation {
+        object: "explanation",
+        id,
+        records,
+    };
+    Ok(json_response(StatusCode::OK, &explanation))
+}
+
+fn asked_id(head: &RequestHead) -> Result<String, Failure> {
+    let path = head.uri.path();
+    let encoded = path.strip_prefix(PATH_PREFIX).unwrap_or_default();
+    percent_decode_str(encoded)
+        .decode_utf8()
+        .ok()
+        .map(Cow::into_owned)
+        .filter(|id| !id.is_empty())
+        .ok_or_else(|| Failure::new(ErrorKind::InvalidValue, "the path must end with an id"))
+}
+
+/// The metrics as text.
+pub(crate) fn metrics(gateway: &Gateway) -> Response<Body> {
+    let observer = &gateway.observer;
+    let metrics = &observer.metrics;
+    let losses = observer.journal.losses();
+    metrics
+        .journal_records_lost
+        .set(to_gauge(losses.dropped + losses.failed));
+    metrics
+        .queue_length
+        .set(to_gauge(gateway.decisions.queue_length() as u64));
+    let attached = gateway.control.is_attached();
+    metrics.control_attached.set(i64::from(attached));
+    let text = observer.registry.text();
+    bytes_response(StatusCode::OK, HeaderValue::from_static(CONTENT_TYPE), text)
+}
+
+fn to_gauge(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation.rs
@@ -1,6 +1,9 @@
 //! One generation over as many attempts as it takes.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use linnethitch_errors::{ErrorKind, Executed, Failure};
 use linnethitch_protocol::ids::{ReplicaId, Timestamp};
@@ -17,6 +20,7 @@
         fault::AttemptFault,
         stream::{EngineStream, Progress, StreamEvent},
     },
+    observe::{ONLINE, ReasonLabel, RequestSubject},
     online::request::CompletionRequest,
     state::Gateway,
 };
@@ -36,6 +40,10 @@
     attempts: u32,
     /// Whether any attempt may have run.
     started: bool,
+    subject: RequestSubject,
+    began: Instant,
+    /// Whether the caller has got, or is being told, the end of it.
+    ended: bool,
     deadline: Timestamp,
     /// How the last attempt failed.
     last_fault: Option<AttemptFault>,
@@ -64,7 +72,15 @@
         request: CompletionRequest,
         pass: TenantPass,
     ) -> Result<Self, Failure> {
+        let running = &gateway.observer.metrics.running;
+        running.get_or_create(&ONLINE).inc();
         let mut generation = Generation {
+            subject: RequestSubject {
+                request: request.id.clone(),
+                tenant: pass.owner.clone(),
+            },
+            began: Instant::now(),
+            ended: false,
             deadline: request.deadline,
             wanted: Arc::new(request.wanted()),
             gateway,
@@ -92,6 +108,24 @@
     }
 
     async fn receive(&mut self) -> Result<StreamEvent, Failure> {
+        let received = self.receive_with_retries().await;
+        let now = self.gateway.clock().now();
+        let observer = &self.gateway.observer;
+        match &received {
+            Ok(StreamEvent::Done) => {
+                self.ended = true;
+                observer.finished(now, &self.subject, self.told_tokens());
+            }
+            Ok(_) => {}
+            Err(failure) => {
+                self.ended = true;
+                observer.failed(now, &self.subject, failure);
+            }
+        }
+        received
+    }
+
+    async fn receive_with_retries(&mut self) -> Result<StreamEvent, Failure> {
         loop {
             match self.receive_once().await {
                 Ok(event) => return Ok(event),
@@ -101,6 +135,10 @@
         }
     }
 
+    fn told_tokens(&self) -> String {
+        format!("{} tokens", self.progress.tokens)
+    }
+
     /// Opens an attempt if there is none, and reads one event of it.
     async fn receive_once(&mut self) -> Result<StreamEvent, Step> {
         let mut attempt = match self.attempt.take() {
@@ -133,6 +171,9 @@
             Ok(event) => {
                 if matches!(event, StreamEvent::Token(_)) {
                     attempt.placement.on_token(first);
+                    if first && attempt.tokens_before == 0 {
+                        self.observe_first_token();
+                    }
                 }
                 self.attempt = Some(attempt);
                 Ok(event)
@@ -140,6 +181,24 @@
         }
     }
 
+    /// Counts an answer that ends with an error after its status was sent.
+    pub(crate) fn count_broken(&self, failure: &Failure) {
+        let metrics = &self.gateway.observer.metrics;
+        let label = ReasonLabel {
+            reason: failure.kind.answer().code,
+        };
+        metrics.broken_answers.get_or_create(&label).inc();
+    }
+
+    fn observe_first_token(&self) {
+        let seconds = self.began.elapsed().as_secs_f64();
+        let metrics = &self.gateway.observer.metrics;
+        metrics
+            .first_token_seconds
+            .get_or_create(&ONLINE)
+            .observe(seconds);
+    }
+
     fn time_left(&self) -> Result<Duration, Step> {
         let left = self.gateway.clock().until(self.deadline);
         if left.is_zero() {
@@ -204,11 +263,16 @@
     /// A place at a replica: through the queue at first, at once when trying again.
     async fn place(&mut self) -> Result<Placement, Step> {
         let decisions = &self.gateway.decisions;
+        let observer = &self.gateway.observer;
         let Some(fault) = &self.last_fault else {
             let admitted = decisions.admit(&self.wanted, &self.pass).await;
-            return admitted
-                .map(|admitted| admitted.placement)
-                .map_err(|refused| Step::Final(refused.failure));
+            let now = self.gateway.clock().now();
+            let admitted = admitted.map_err(|refused| {
+                observer.refused(now, &self.subject, &refused);
+                Step::Final(refused.failure)
+            })?;
+            observer.placed(now, &self.subject, &admitted.placement, admitted.waited_ms);
+            return Ok(admitted.placement);
         };
         let elsewhere = decisions.choose_again(&self.wanted, &self.tried);
         let placed = match elsewhere {
@@ -216,14 +280,17 @@
             Err(_) if !fault.not_started() => decisions.choose_again(&self.wanted, &[]),
             placed => placed,
         };
-        placed.map_err(|none| {
+        let placed = placed.map_err(|none| {
             let refused = no_choice(&none);
             let attempt = self.failed_attempt(fault);
             Step::Final(match attempt.answer(none.reason) {
                 Next::Answer { kind, executed, .. } => self.final_failure(kind, executed, fault),
                 _ => refused.failure,
             })
-        })
+        })?;
+        let now = self.gateway.clock().now();
+        observer.placed(now, &self.subject, &placed, None);
+        Ok(placed)
     }
 
     fn failed_attempt(&self, fault: &AttemptFault) -> FailedAttempt {
@@ -251,8 +318,7 @@
         let replica = placement
             .as_ref()
             .map(|placement| placement.replica.to_string());
-        let ejected =
-            placement.and_then(|placement| self.gateway.decisions.learn(*placement, &fault));
+        let ejected = placement.and_then(|placement| self.gateway.learn(*placement, &fault));
         self.started |= !fault.not_started();
         let attempt = self.failed_attempt(&fault);
         let next = self
@@ -261,11 +327,18 @@
             .after_failure(&attempt, self.attempts, self.deadline);
         info!(self.gateway.logger, "attempt failed";
             "request" => %self.request.id,
-            "replica" => replica,
+            "replica" => &replica,
             "tokens" => self.progress.tokens,
             "ejected" => ejected.map(ReasonCode::as_str),
             "reason" => reason_of(&next).as_str(),
             "fault" => %fault);
+        self.gateway.observer.attempt_failed(
+            self.gateway.clock().now(),
+            &self.subject,
+            replica.as_deref().unwrap_or_default(),
+            reason_of(&next),
+            &fault.to_string(),
+        );
         match next {
             Next::Retry(_) | Next::Resume(_) => {
                 self.last_fault = Some(fault);
@@ -303,7 +376,21 @@
     }
 }
 
-fn reason_of(next: &Next) -> ReasonCode {
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let observer = &self.gateway.observer;
+        let metrics = &observer.metrics;
+        metrics.running.get_or_create(&ONLINE).dec();
+        let tokens = u64::from(self.progress.tokens);
+        metrics.tokens.get_or_create(&ONLINE).inc_by(tokens);
+        if !self.ended {
+            let now = self.gateway.clock().now();
+            observer.caller_gone(now, &self.subject, self.told_tokens());
+        }
+    }
+}
+
+pub(crate) fn reason_of(next: &Next) -> ReasonCode {
     match next {
         Next::Retry(reason) | Next::Resume(reason) | Next::Answer { reason, .. } => *reason,
     }
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -41,13 +41,10 @@
         arrived,
     )?;
     let estimate = request.prompt_tokens.saturating_add(request.output_tokens);
-    let pass = gateway
-        .decisions
-        .pass_limits(&tenant, estimate)
-        .map_err(|refused| refused.failure)?;
+    let pass = gateway.pass_limits(&request.id, &tenant, estimate)?;
     request.at_most_once = rules.at_most_once;
     let digest = content_digest(&request, &bytes);
-    match claim(gateway, &tenant.name, &rules, digest).await? {
+    match claim(gateway, &request.id, &tenant.name, &rules, digest).await? {
         Claimed::NotNeeded => {}
         Claimed::Granted(claim) => return claimed::respond(gateway, claim, request, pass).await,
         Claimed::Answered(kept) => return Ok(replay(kept)),
--- a/crates/gateway/src/online/stream_answer.rs
+++ b/crates/gateway/src/online/stream_answer.rs
@@ -60,7 +60,10 @@
             }
             Ok(StreamEvent::Usage(_)) => {}
             Ok(StreamEvent::Done) => return Piece::Last,
-            Err(failure) => return Piece::Failed(failure),
+            Err(failure) => {
+                generation.count_broken(&failure);
+                return Piece::Failed(failure);
+            }
         }
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -124,7 +124,7 @@
             work.shutdown().await;
         }
         background.shutdown().await;
-        gateway.journal.flush();
+        gateway.observer.journal.flush();
     }
 }
 
--- a/crates/gateway/src/services/attempt.rs
+++ b/crates/gateway/src/services/attempt.rs
@@ -17,7 +17,8 @@
         client::{load_of, refused_unstarted, says},
         fault::AttemptFault,
     },
-    online::generation::RETRY_AFTER,
+    observe::RequestSubject,
+    online::generation::{RETRY_AFTER, reason_of},
     state::Gateway,
 };
 
@@ -40,6 +41,7 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) request: ServiceRequest,
     pub(super) pass: TenantPass,
+    subject: RequestSubject,
     tried: Vec<ReplicaId>,
     attempts: u32,
     started: bool,
@@ -54,6 +56,10 @@
 impl ServiceCall {
     pub(super) fn new(gateway: Arc<Gateway>, request: ServiceRequest, pass: TenantPass) -> Self {
         ServiceCall {
+            subject: RequestSubject {
+                request: request.id.clone(),
+                tenant: pass.owner.clone(),
+            },
             gateway,
             request,
             pass,
@@ -65,9 +71,21 @@
 
     /// Sends the request until a replica answers it or no further attempt is allowed.
     pub(super) async fn send(&mut self) -> Result<ServiceAnswer, Failure> {
-        let wanted = Arc::new(self.request.wanted.clone());
-        let admitted = self.gateway.decisions.admit(&wanted, &self.pass).await;
-        let mut placement = admitted.map_err(|refused| refused.failure)?.placement;
+        let sent = self.send_with_retries().await;
+        let now = self.gateway.clock().now();
+        let observer = &self.gateway.observer;
+        match &sent {
+            Ok(answer) => {
+                let outcome = format!("status {}", answer.response.status().as_u16());
+                observer.finished(now, &self.subject, outcome);
+            }
+            Err(failure) => observer.failed(now, &self.subject, failure),
+        }
+        sent
+    }
+
+    async fn send_with_retries(&mut self) -> Result<ServiceAnswer, Failure> {
+        let mut placement = self.admit().await?;
         loop {
             self.attempts += 1;
             self.tried.push(placement.replica.clone());
@@ -84,6 +102,20 @@
         }
     }
 
+    async fn admit(&self) -> Result<Placement, Failure> {
+        let wanted = Arc::new(self.request.wanted.clone());
+        let admitted = self.gateway.decisions.admit(&wanted, &self.pass).await;
+        let now = self.gateway.clock().now();
+        let observer = &self.gateway.observer;
+        let admitted = admitted.map_err(|refused| {
+            observer.refused(now, &self.subject, &refused);
+            refused.failure
+        })?;
+        let placement = admitted.placement;
+        observer.placed(now, &self.subject, &placement, admitted.waited_ms);
+        Ok(placement)
+    }
+
     async fn attempt(&mut self, placement: &Placement) -> Result<Response<Incoming>, AttemptFault> {
         let limit = self.gateway.clock().until(self.request.wanted.deadline);
         let message = self.message(placement)?;
@@ -128,7 +160,7 @@
     ) -> Result<Placement, Failure> {
         let decisions = &self.gateway.decisions;
         let replica = placement.replica.to_string();
-        decisions.learn(placement, fault);
+        self.gateway.learn(placement, fault);
         self.started |= !fault.not_started();
         let attempt = FailedAttempt {
             sent: match fault {
@@ -142,16 +174,22 @@
         let deadline = self.request.wanted.deadline;
         let next = decisions.after_failure(&attempt, self.attempts, deadline);
         info!(self.gateway.logger, "attempt failed";
-            "request" => %self.request.id, "replica" => replica, "fault" => %fault);
+            "request" => %self.request.id, "replica" => &replica, "fault" => %fault);
+        let now = self.gateway.clock().now();
+        let observer = &self.gateway.observer;
+        let reason = reason_of(&next);
+        observer.attempt_failed(now, &self.subject, &replica, reason, &fault.to_string());
         if let Next::Answer { kind, executed, .. } = next {
             return Err(self.final_failure(kind, executed, fault));
         }
-        decisions
+        let placement = decisions
             .choose_again(&self.request.wanted, &self.tried)
             .map_err(|none| match attempt.answer(none.reason) {
                 Next::Answer { kind, executed, .. } => self.final_failure(kind, executed, fault),
                 _ => no_choice(&none).failure,
-            })
+            })?;
+        observer.placed(now, &self.subject, &placement, None);
+        Ok(placement)
     }
 
     /// The answer after the last attempt; an earlier one may have run although the last did not.
--- a/crates/gateway/src/services/mod.rs
+++ b/crates/gateway/src/services/mod.rs
@@ -56,11 +56,8 @@
         id: head.id,
         body: bytes,
     };
-    let pass = gateway
-        .decisions
-        .pass_limits(&tenant, 0)
-        .map_err(|refused| refused.failure)?;
-    let claimed = claim(gateway, &tenant.name, &rules, digest).await?;
+    let pass = gateway.pass_limits(&request.id, &tenant, 0)?;
+    let claimed = claim(gateway, &request.id, &tenant.name, &rules, digest).await?;
     let call = ServiceCall::new(Arc::clone(gateway), request, pass);
     match claimed {
         Claimed::NotNeeded => relay::respond(call).await,
--- a/crates/gateway/src/services/relay.rs
+++ b/crates/gateway/src/services/relay.rs
@@ -148,7 +148,7 @@
         Ok(Err(error)) => AttemptFault::Broken(error.to_string()),
         Err(_) => AttemptFault::Hung(left),
     };
-    call.gateway.decisions.learn(placement, &fault);
+    call.gateway.learn(placement, &fault);
     Err(call.final_failure(ErrorKind::BackEndFailed, Executed::Unknown, &fault))
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
@@ -18,7 +18,8 @@
 };
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_observability::journal::Journal;
-use linnethitch_protocol::ids::Revision;
+use linnethitch_protocol::ids::{RequestId, Revision};
+use linnethitch_routing::ReasonCode;
 use linnethitch_transport::Traffic;
 use parking_lot::Mutex;
 use slog::Logger;
@@ -33,8 +34,8 @@
         follower::Follower, shared_documents::SharedDocuments, store::ConfigurationStore,
     },
     control::{client::ControlClient, session::SessionState},
-    decisions::Decisions,
-    engine::client::BackEndClient,
+    decisions::{Decisions, Placement, TenantPass},
+    engine::{client::BackEndClient, fault::AttemptFault},
     files,
     http::{
         answer::{failure_response, json_response},
@@ -42,7 +43,9 @@
         incoming::{Incoming, RequestHead},
         routes::Endpoint,
     },
-    models, online,
+    models,
+    observe::{Observer, RequestSubject, explain},
+    online,
     options::EngineTimeouts,
     services,
     tenants::TenantDirectory,
@@ -89,7 +92,7 @@
     tracked: TaskTracker,
     /// Cancelled when the process is dropped instead of stopped.
     pub(crate) dropped: CancellationToken,
-    pub(crate) journal: Journal,
+    pub(crate) observer: Observer,
     /// What the batch executor is told; nobody receives when the fleet is given.
     pub(crate) batch_events: mpsc::Sender<BatchEvent>,
     has_replicas: AtomicBool,
@@ -124,7 +127,7 @@
             stopping: CancellationToken::new(),
             tracked: TaskTracker::new(),
             dropped: CancellationToken::new(),
-            journal,
+            observer: Observer::new(journal),
             batch_events,
             has_replicas: AtomicBool::new(false),
             serves_callers: true,
@@ -153,6 +156,7 @@
             tenants,
         };
         self.configuration.store(Some(Arc::new(active)));
+        self.observer.configured(self.clock().now(), revision);
     }
 
     /// A list of replicas has arrived.
@@ -172,6 +176,39 @@
         )
     }
 
+    /// Takes a request of a tenant from its limits.
+    pub(crate) fn pass_limits(
+        &self,
+        request: &RequestId,
+        tenant: &Tenant,
+        estimated_tokens: u32,
+    ) -> Result<TenantPass, Failure> {
+        let passed = self.decisions.pass_limits(tenant, estimated_tokens);
+        passed.map_err(|refused| {
+            let subject = RequestSubject {
+                request: request.clone(),
+                tenant: tenant.name.as_str().into(),
+            };
+            self.observer
+                .refused(self.clock().now(), &subject, &refused);
+            refused.failure
+        })
+    }
+
+    /// Takes in how an attempt at a replica failed.
+    pub(crate) fn learn(&self, placement: Placement, fault: &AttemptFault) -> Option<ReasonCode> {
+        let replica = placement.replica.to_string();
+        let now = self.clock().now();
+        if fault.says_leaving() {
+            self.observer.leaving(now, &replica);
+        }
+        let ejected = self.decisions.learn(placement, fault);
+        if let Some(reason) = ejected {
+            self.observer.ejected(now, &replica, reason);
+        }
+        ejected
+    }
+
     /// The process's clock.
     pub(crate) fn clock(&self) -> Clock {
         self.decisions.clock
@@ -229,6 +266,7 @@
         endpoint: Endpoint,
         incoming: Incoming,
     ) -> Response<Body> {
+        let started = Instant::now();
         let answered = match endpoint {
             Endpoint::ChatCompletions | Endpoint::Completions => {
                 online::answer(self, endpoint, incoming).await
@@ -245,11 +283,21 @@
             Endpoint::GetBatch => batches::get(self, &incoming.head).await,
             Endpoint::CancelBatch => batches::cancel(self, &incoming.head).await,
             Endpoint::Service => services::answer(self, incoming).await,
+            Endpoint::Explain => explain::explain(self, &incoming.head).await,
+            Endpoint::Metrics => Ok(explain::metrics(self)),
             Endpoint::Health => Ok(json_response(StatusCode::OK, &StatusBody { status: "ok" })),
             Endpoint::Ready => self
                 .ready()
                 .map(|_| json_response(StatusCode::OK, &StatusBody { status: "ready" })),
         };
+        let outcome = match &answered {
+            Ok(_) => "ok",
+            Err(failure) => failure.kind.answer().code,
+        };
+        let seconds = started.elapsed().as_secs_f64();
+        self.observer
+            .metrics
+            .answered(endpoint.name(), outcome, seconds);
         answered.unwrap_or_else(|failure| failure_response(&failure))
     }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod completions;
 mod configuration;
+mod explain;
 mod files;
 mod hollow;
 mod services;
