Run placement in the leading control member

Cause: the driver of placement was there but no process ran it, so engines were never ordered to load anything and gateways never heard of replicas.

In the control crate this is placement.rs, one input of the thread, and the spawning.

Conclusion: control/tests/all/placement.rs loads a model on an emulated engine through three processes, stops the leader, takes the engine off the list, and sees the next leader place it again under a higher fence and explain it.

--- a/crates/control/src/driver/input.rs
+++ b/crates/control/src/driver/input.rs
@@ -1,5 +1,6 @@
 //! What the member's thread is asked.
 
+use linnethitch_placement::PlacementView;
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, ControlAnswer, ControlCall, PeerMessage},
     ids::{JobId, LogIndex, MachineId, Revision},
@@ -24,6 +25,10 @@
         stopped_after: LogIndex,
         reply: oneshot::Sender<Changes>,
     },
+    /// What placement reads of the replicated state.
+    Placement {
+        reply: oneshot::Sender<PlacementView>,
+    },
     /// A planned stop.
     Stop,
 }
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
+use linnethitch_placement::PlacementView;
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall, PeerMessage},
     command::Refusal,
@@ -168,6 +169,15 @@
         answer.await.ok()
     }
 
+    /// What placement reads of the replicated state; empty when the member has stopped.
+    pub(crate) async fn placement_view(&self) -> PlacementView {
+        let (reply, answer) = oneshot::channel();
+        if self.inputs.send(Input::Placement { reply }).await.is_err() {
+            return PlacementView::default();
+        }
+        answer.await.unwrap_or_default()
+    }
+
     /// Hands leadership over and ends the thread.
     pub(crate) async fn stop(&self) {
         // A thread that has ended already needs no telling.
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -12,6 +12,7 @@
 use linnethitch_config::digest::content_digest;
 use linnethitch_consensus::TICK_MILLISECONDS;
 use linnethitch_errors::ErrorKind;
+use linnethitch_placement::{PlacementView, reconciler::IssuedOrder};
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, ControlAnswer, ControlCall, PeerMessage},
     command::CommandBody,
@@ -162,6 +163,10 @@
                 // The gateway may have gone.
                 let _ = reply.send(self.changes(held, stopped_after));
             }
+            Input::Placement { reply } => {
+                // The driver of placement may have been ended.
+                let _ = reply.send(self.placement_view());
+            }
             Input::Stop => {
                 self.stop_at.get_or_insert(Instant::now() + HAND_OVER_LIMIT);
                 self.member.hand_leadership_over();
@@ -186,6 +191,19 @@
         }
     }
 
+    fn placement_view(&self) -> PlacementView {
+        let ledger = self.member.ledger();
+        let open = ledger.open_orders().map(|(replica, open)| IssuedOrder {
+            replica: replica.clone(),
+            token: open.token,
+            order: open.order.clone(),
+        });
+        PlacementView {
+            fleet: ledger.fleet(),
+            open_orders: open.collect(),
+        }
+    }
+
     fn configuration_updates(&self, held: Held) -> Vec<ConfigurationUpdate> {
         let ledger = self.member.ledger();
         let revision = ledger.revision();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod operator;
 mod peers;
+mod placement;
 pub mod process;
 mod record;
 mod soft_state;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -6,6 +6,7 @@
 use linnethitch_config::settings::ControlSettings;
 use linnethitch_errors::ErrorKind;
 use linnethitch_observability::metrics::Metrics;
+use linnethitch_placement::{PlacementDriver, PlacementLimits};
 use linnethitch_protocol::ids::{DiskId, MachineId};
 use linnethitch_transport::{ClusterIdentity, ClusterKey, Traffic};
 use parking_lot::Mutex;
@@ -25,6 +26,7 @@
     metrics::ControlMetrics,
     operator::{Operator, OperatorKey, OperatorServer, build_router},
     peers::{PeerLinks, Peering},
+    placement::ControlPlacement,
     record::Recorder,
     soft_state::{FleetVersion, SharedSoftState, SoftState, rounds::Rounds},
 };
@@ -129,7 +131,8 @@
         let key = OperatorKey::from_hexadecimal(&settings.operator_key_sha256)?;
         let started = Driver::start(shared.driver_setup(&settings)).await?;
         let driver = started.driver;
-        let operator = shared.operator(key, &driver, started.recorder);
+        let operator = shared.operator(key, &driver, started.recorder.clone());
+        let placement = shared.placement(&settings, &driver, started.recorder);
         let stopping = CancellationToken::new();
         let operator_server = OperatorServer {
             router: build_router(&Arc::new(operator)),
@@ -138,7 +141,8 @@
             logger: logger.clone(),
         };
         let operator_server = tokio::spawn(operator_server.run());
-        let tasks = shared.spawn(&driver, sockets.peer, sockets.attach);
+        let mut tasks = shared.spawn(&driver, sockets.peer, sockets.attach);
+        tasks.spawn(placement.run());
         info!(logger, "control member runs";
             "member" => %driver.view().id,
             "peer_address" => %addresses.peer,
@@ -271,6 +275,21 @@
         }
     }
 
+    fn placement(
+        &self,
+        settings: &ControlSettings,
+        driver: &Driver,
+        recorder: Recorder,
+    ) -> PlacementDriver<ControlPlacement> {
+        let host = ControlPlacement {
+            driver: driver.clone(),
+            soft_state: Arc::clone(&self.soft_state),
+            recorder,
+        };
+        let limits = PlacementLimits::default();
+        PlacementDriver::new(Arc::new(host), settings.platform_address, limits)
+    }
+
     /// Starts what runs beside the member's thread and the operators' server.
     fn spawn(self, driver: &Driver, peer: TcpListener, attach: TcpListener) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
--- a/crates/control/src/soft_state/leader.rs
+++ b/crates/control/src/soft_state/leader.rs
@@ -79,6 +79,11 @@
             .retain(|_, known| now_ms.saturating_sub(known.heard_ms) <= SHOWN_MS);
     }
 
+    /// Replicas found dead or leaving by data paths since the last call.
+    pub(super) fn take_suspects(&mut self) -> Vec<ReplicaId> {
+        std::mem::take(&mut self.suspects).into_iter().collect()
+    }
+
     /// A gateway that moves is told of by two members for a while: the newest word counts.
     fn note_gateway(&mut self, status: GatewayStatus, now_ms: u64) {
         let heard_ms = now_ms.saturating_sub(status.silent_ms);
--- a/crates/control/src/soft_state/mod.rs
+++ b/crates/control/src/soft_state/mod.rs
@@ -14,7 +14,7 @@
 
 use linnethitch_protocol::{
     attach::{LeaderBroadcast, MemberDigest},
-    ids::{GatewayId, LogIndex, MachineId, SessionEpoch, Term, Timestamp},
+    ids::{GatewayId, LogIndex, MachineId, ReplicaId, SessionEpoch, Term, Timestamp},
     query::{FleetStatus, ReplicaStatus},
 };
 use parking_lot::Mutex;
@@ -81,6 +81,11 @@
         self.leader.take_digest(digest, now_ms);
     }
 
+    /// Replicas that data paths found dead or leaving since the last call.
+    pub(crate) fn take_suspects(&mut self) -> Vec<ReplicaId> {
+        self.leader.take_suspects()
+    }
+
     /// Begins or goes on to lead in a term.
     pub(crate) fn lead(&mut self, term: Term, now_ms: u64) {
         if self.leader.begin(term, now_ms) {
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -25,5 +25,6 @@
     let digest = cluster.member(1).ledger().digest();
     assert_eq!(cluster.member(3).ledger().digest(), digest);
 }
+mod placement;
 mod process;
 mod processes;
--- a/crates/placement/src/driver.rs
+++ b/crates/placement/src/driver.rs
@@ -139,7 +139,7 @@
             leadership = leadership.filter(|leading| Some(leading.reconciler.term()) == term);
             match (&mut leadership, event, term) {
                 (Some(leading), Some(Ok(event)), _) => self.take(leading, event),
-                (Some(leading), None, _) => self.step(leading),
+                (Some(leading), None, _) => self.step(leading).await,
                 // What it was for would never be answered: begin with what the ledger holds.
                 (Some(_), Some(Err(_panicked)), _) => leadership = None,
                 (None, _, Some(term)) => leadership = Some(self.begin(term)),
@@ -157,7 +157,7 @@
         }
     }
 
-    fn step(&self, leading: &mut Leadership) {
+    async fn step(&self, leading: &mut Leadership) {
         let now = self.clock.now();
         self.read_list_if_due(leading, now);
         for replica in self.host.take_suspects() {
@@ -166,7 +166,7 @@
         for poll in leading.reconciler.due_polls(now) {
             self.poll(leading, poll);
         }
-        let view = self.host.view();
+        let view = self.host.view().await;
         if let Some(fleet) = view.fleet {
             let actions = leading.reconciler.step(now, &fleet, &view.open_orders);
             for action in actions {
--- a/crates/placement/src/host.rs
+++ b/crates/placement/src/host.rs
@@ -29,7 +29,7 @@
     fn leading_term(&self) -> Option<Term>;
 
     /// The replicated state as applied here.
-    fn view(&self) -> PlacementView;
+    fn view(&self) -> impl Future<Output = PlacementView> + Send;
 
     /// Commits a command.
     fn propose(&self, command: CommandBody) -> impl Future<Output = ControlAnswer> + Send;
--- a/crates/placement/tests/all/engines_http.rs
+++ b/crates/placement/tests/all/engines_http.rs
@@ -71,7 +71,7 @@
         *self.term.lock()
     }
 
-    fn view(&self) -> PlacementView {
+    async fn view(&self) -> PlacementView {
         let ledger = self.ledger.lock();
         PlacementView {
             fleet: ledger.state().fleet(),
