Test the example of one host as processes: a change over a killed leader

Cause: nothing ran the roles as processes of their own. Change: a harness copies examples/one-host, replaces its ports by ones that the system chooses, and starts the commands of its Procfile. First test: a change is sent, the leading member killed by SIGKILL, the change sent again: both answers name one revision, a late change gets revision_conflict, both gateways have it in force.

--- a/crates/lab/tests/all/main.rs
+++ b/crates/lab/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod capacity;
 mod dev;
 mod load;
+mod one_host;
 mod support;
--- a/crates/lab/tests/all/support/caller.rs
+++ b/crates/lab/tests/all/support/caller.rs
@@ -1,6 +1,6 @@
 //! A caller of HTTP interfaces.
 
-use std::{net::SocketAddr, time::Instant};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -12,7 +12,7 @@
 };
 use serde_json::Value;
 
-use super::process::PATIENCE;
+use super::wait_until;
 
 /// Sends requests with one bearer key.
 pub(crate) struct Caller {
@@ -81,13 +81,29 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Answer {
-        let response = self.send(method, path, headers, body).await.unwrap();
+        let answer = self.try_ask(method, path, headers, body).await;
+        answer.unwrap_or_else(|| panic!("{method} {path} is not answered"))
+    }
+
+    /// Sends a request and reads its whole answer; `None` when the connection breaks.
+    pub(crate) async fn try_ask(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Option<Answer> {
+        let response = self.send(method, path, headers, body).await.ok()?;
         let (parts, incoming) = response.into_parts();
-        Answer {
+        Some(Answer {
             status: parts.status,
             headers: parts.headers,
-            bytes: incoming.collect().await.unwrap().to_bytes(),
-        }
+            bytes: incoming.collect().await.ok()?.to_bytes(),
+        })
+    }
+
+    pub(crate) async fn try_get(&self, path: &str) -> Option<Answer> {
+        self.try_ask("GET", path, &[], Bytes::new()).await
     }
 
     pub(crate) async fn get(&self, path: &str) -> Answer {
@@ -100,14 +116,10 @@
 
     /// Waits until a path answers 200.
     pub(crate) async fn wait_for(&self, path: &str) {
-        let end = Instant::now() + PATIENCE;
-        loop {
-            let answer = self.send("GET", path, &[], Bytes::new()).await;
-            if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
-                return;
-            }
-            assert!(Instant::now() < end, "{path} does not answer 200");
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-        }
+        wait_until(path, async || {
+            let answer = self.try_get(path).await;
+            answer.is_some_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
     }
 }
--- /dev/null
+++ b/crates/lab/tests/all/support/one_host.rs
@@ -0,0 +1,219 @@
+//! The example of one host: every process of a fleet on its own, on free ports.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::task::JoinHandle;
+
+use super::{Answer, Caller, ChildProcess, ports::Ports, wait_until};
+
+/// The tenant's key in the example's fleet file.
+const TENANT_KEY: &str = "lh-dev-key";
+const OPERATOR_KEY: &str = "lh-dev-operator";
+const CLUSTER_KEY: &str = "the cluster key of a process test";
+const EXAMPLE: &str = "examples/one-host";
+const DATA: &str = "one-host-data";
+/// Control members of the example.
+const MEMBERS: u16 = 5;
+/// Ports of the example.
+const FIRST_GATEWAY_PORT: u16 = 8080;
+const FIRST_OPERATOR_PORT: u16 = 8090;
+
+/// The fleet; its processes are killed and its files deleted with it.
+pub(crate) struct OneHost {
+    running: BTreeMap<String, ChildProcess>,
+    /// Names of the processes and their commands, as the Procfile has them.
+    commands: Vec<(String, Vec<String>)>,
+    ports: Ports,
+    folder: TempDir,
+}
+
+impl OneHost {
+    /// Starts every process but those named, applies the fleet file and waits until it serves.
+    pub(crate) async fn start_without(left_out: &[&str]) -> OneHost {
+        let mut host = OneHost::prepare();
+        for (name, _) in host.commands.clone() {
+            if !left_out.contains(&name.as_str()) {
+                host.start(&name);
+            }
+        }
+        let answer = host.apply("first", 0, &host.fleet_text()).await;
+        assert_eq!(answer.json()["revision"], 1, "{}", answer.text());
+        host.wait_until_ready().await;
+        host
+    }
+
+    /// Copies the example with its ports replaced, and writes its keys.
+    fn prepare() -> OneHost {
+        let folder = TempDir::new().unwrap();
+        let copy = folder.path().join(EXAMPLE);
+        fs::create_dir_all(&copy).unwrap();
+        fs::create_dir(folder.path().join(DATA)).unwrap();
+        fs::write(folder.path().join(DATA).join("cluster.key"), CLUSTER_KEY).unwrap();
+        let mut ports = Ports::default();
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+        for entry in fs::read_dir(root.join(EXAMPLE)).unwrap() {
+            let entry = entry.unwrap();
+            let text = fs::read_to_string(entry.path()).unwrap();
+            fs::write(copy.join(entry.file_name()), ports.replace_in(&text)).unwrap();
+        }
+        let procfile = fs::read_to_string(copy.join("Procfile")).unwrap();
+        let commands = procfile.lines().map(command_of).collect();
+        OneHost {
+            running: BTreeMap::new(),
+            commands,
+            ports,
+            folder,
+        }
+    }
+
+    /// Starts a process that does not run.
+    pub(crate) fn start(&mut self, name: &str) {
+        let (_, words) = self
+            .commands
+            .iter()
+            .find(|(known, _)| known == name)
+            .unwrap();
+        let mut command = Command::new(program(&words[0]));
+        command.args(&words[1..]).current_dir(self.folder.path());
+        let process = ChildProcess::spawn(command);
+        assert!(self.running.insert(name.to_owned(), process).is_none());
+    }
+
+    /// Ends a process by SIGKILL.
+    pub(crate) fn kill(&mut self, name: &str) {
+        self.running.remove(name).unwrap().kill();
+    }
+
+    /// The fleet file of the example.
+    pub(crate) fn fleet_text(&self) -> String {
+        fs::read_to_string(self.folder.path().join(EXAMPLE).join("fleet.toml")).unwrap()
+    }
+
+    /// A caller of a gateway, numbered from 1.
+    pub(crate) fn gateway(&mut self, number: u16) -> Caller {
+        let address = self.ports.of(FIRST_GATEWAY_PORT + number - 1);
+        Caller::new(address, TENANT_KEY)
+    }
+
+    fn operator(&mut self, number: u16) -> Caller {
+        let address = self.ports.of(FIRST_OPERATOR_PORT + number - 1);
+        Caller::new(address, OPERATOR_KEY)
+    }
+
+    fn is_running(&self, name: &str) -> bool {
+        self.running.contains_key(name)
+    }
+
+    /// Sends a change to one member in the background; its answer, if there is one.
+    pub(crate) fn send_change(
+        &mut self,
+        member: u16,
+        change: &str,
+        expected: u64,
+        content: &str,
+    ) -> JoinHandle<Option<Answer>> {
+        let operator = self.operator(member);
+        let (change, content) = (change.to_owned(), content.to_owned());
+        tokio::spawn(async move {
+            let expected = expected.to_string();
+            let headers = [
+                ("linnethitch-change", change.as_str()),
+                ("linnethitch-expected-revision", expected.as_str()),
+            ];
+            operator
+                .try_ask("PUT", "/v1/configuration", &headers, content)
+                .await
+        })
+    }
+
+    /// Sends a change to one member after the other until one answers for good.
+    pub(crate) async fn apply(&mut self, change: &str, expected: u64, content: &str) -> Answer {
+        let mut settled = None;
+        wait_until("a change is answered for good", async || {
+            for member in 1..=MEMBERS {
+                let sent = self.send_change(member, change, expected, content);
+                let answer = sent.await.unwrap();
+                settled = answer.filter(|answer| !answer.status.is_server_error());
+                if settled.is_some() {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+        settled.unwrap()
+    }
+
+    /// What the first member that answers knows of the fleet; null when none does.
+    pub(crate) async fn status(&mut self) -> Value {
+        for number in 1..=MEMBERS {
+            if !self.is_running(&format!("control-{number}")) {
+                continue;
+            }
+            let answer = self.operator(number).try_get("/v1/status").await;
+            if let Some(answer) = answer.filter(|answer| answer.status == 200) {
+                return answer.json();
+            }
+        }
+        Value::Null
+    }
+
+    /// Name of the process of the control member that leads.
+    pub(crate) async fn leader(&mut self) -> String {
+        let mut leader = None;
+        wait_until("a control member leads", async || {
+            let status = self.status().await;
+            leader = members(&status)
+                .iter()
+                .find(|member| member["leader"] == true)
+                .map(|member| format!("control-{}", member["machine"]));
+            leader.is_some()
+        })
+        .await;
+        leader.unwrap()
+    }
+
+    /// Waits until all members vote and all running gateways serve.
+    pub(crate) async fn wait_until_ready(&mut self) {
+        wait_until("five members vote", async || {
+            let status = self.status().await;
+            let voters = members(&status)
+                .iter()
+                .filter(|member| member["voter"] == true);
+            voters.count() == usize::from(MEMBERS)
+        })
+        .await;
+        for number in 1..=2 {
+            if self.is_running(&format!("gateway-{number}")) {
+                let gateway = self.gateway(number);
+                gateway.wait_for("/readyz").await;
+                gateway.wait_for("/v1/models/quote-writer").await;
+            }
+        }
+    }
+}
+
+fn members(status: &Value) -> &[Value] {
+    status["members"].as_array().map_or(&[], Vec::as_slice)
+}
+
+fn command_of(line: &str) -> (String, Vec<String>) {
+    let (name, command) = line.split_once(": ").unwrap();
+    let words = command.split_whitespace().map(str::to_owned);
+    (name.to_owned(), words.collect())
+}
+
+/// The program beside the one under test.
+fn program(name: &str) -> PathBuf {
+    let lab = Path::new(env!("CARGO_BIN_EXE_linnethitch-lab"));
+    let program = lab.with_file_name(name);
+    assert!(program.exists(), "`cargo build --workspace` makes {name}");
+    program
+}
--- a/crates/lab/tests/all/support/process.rs
+++ b/crates/lab/tests/all/support/process.rs
@@ -5,12 +5,10 @@
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
     sync::mpsc::{self, Receiver},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-/// Longest wait for anything that a process should do.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(10);
+use super::{PATIENCE, POLL};
 
 /// A running program; killed when dropped.
 pub(crate) struct ChildProcess {
@@ -21,13 +19,12 @@
 
 impl ChildProcess {
     /// Starts a program.
-    pub(crate) fn start(program: &str, arguments: &[&str]) -> ChildProcess {
-        let mut child = Command::new(program)
-            .args(arguments)
+    pub(crate) fn spawn(mut command: Command) -> ChildProcess {
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
-            .unwrap_or_else(|error| panic!("{program}: {error}"));
+            .unwrap_or_else(|error| panic!("{command:?}: {error}"));
         let output = child.stdout.take().unwrap();
         let (sender, lines) = mpsc::channel();
         std::thread::spawn(move || {
@@ -46,7 +43,9 @@
 
     /// Starts `linnethitch-lab`.
     pub(crate) fn lab(arguments: &[&str]) -> ChildProcess {
-        ChildProcess::start(env!("CARGO_BIN_EXE_linnethitch-lab"), arguments)
+        let mut command = Command::new(env!("CARGO_BIN_EXE_linnethitch-lab"));
+        command.args(arguments);
+        ChildProcess::spawn(command)
     }
 
     /// The next line of its output that holds `text`.
@@ -74,6 +73,12 @@
             .unwrap_or_else(|_| panic!("no address in `{line}`"))
     }
 
+    /// Ends it by SIGKILL.
+    pub(crate) fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Asks it to stop by SIGTERM.
     pub(crate) fn terminate(&self) {
         let process = self.child.id().to_string();
