Grant batch capacity from the leader, and bound the bytes of loads told to gateways

Cause: gateways wished for capacity and nobody granted it, and loads would have been told unbounded. Change: the leader allocates grants four times in a grant's life from the wishes in the members' digests and passes them on through the members; a new leader waits until the last one's grants have ended. A gateway is told coarse changes of loads, its own zone's first, in at most 800 bytes/s. No list of replicas is sent before one is known, so a gateway is not ready on an empty list. The book's rules can be changed (one method in routing).

--- a/crates/control/src/attach/mod.rs
+++ b/crates/control/src/attach/mod.rs
@@ -1,6 +1,7 @@
 //! The server that gateways attach to.
 
 mod calls;
+mod load_budget;
 mod push;
 mod session;
 
@@ -11,12 +12,12 @@
     ClusterIdentity, ConnectionOptions, IncomingConnection, Listener, Traffic,
 };
 use slog::Logger;
-use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+use tokio::{net::TcpListener, task::JoinSet};
 
 use crate::{
     clock::Clock,
     driver::Driver,
-    soft_state::{FleetVersion, SharedSoftState},
+    soft_state::{SharedSoftState, rounds::SoftBell},
 };
 use session::Session;
 
@@ -28,7 +29,7 @@
 pub(crate) struct AttachServer {
     pub(crate) driver: Driver,
     pub(crate) soft_state: SharedSoftState,
-    pub(crate) fleet_changed: watch::Receiver<FleetVersion>,
+    pub(crate) bell: SoftBell,
     pub(crate) clock: Clock,
     pub(crate) logger: Logger,
 }
--- a/crates/control/src/attach/push.rs
+++ b/crates/control/src/attach/push.rs
@@ -1,16 +1,19 @@
 //! What a gateway is told without asking: configuration, stopped jobs,
 //! replicas, loads and how fresh this member's knowledge is.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use linnethitch_protocol::{attach::ControlMessage, ids::LogIndex};
+use linnethitch_protocol::{
+    attach::ControlMessage,
+    ids::{GatewayId, LogIndex, ZoneId},
+};
 use linnethitch_transport::SendRefused;
 use tokio::{sync::watch, time::MissedTickBehavior};
 
-use super::{AttachServer, session::GatewaySender};
+use super::{AttachServer, load_budget::LoadBudget, session::GatewaySender};
 use crate::{
     driver::{ChangeMark, Driver, Held},
-    soft_state::{FleetVersion, SharedSoftState},
+    soft_state::{FleetVersion, SharedSoftState, SoftMark, VersionedFleet},
 };
 
 /// Time between two freshness stamps.
@@ -23,24 +26,36 @@
     clock: crate::clock::Clock,
     sender: GatewaySender,
     marks: watch::Receiver<ChangeMark>,
-    fleet_changed: watch::Receiver<FleetVersion>,
+    soft_changes: watch::Receiver<SoftMark>,
+    gateway: GatewayId,
     held: Held,
     stopped_told: LogIndex,
     fleet_told: Option<FleetVersion>,
+    loads: LoadBudget,
+}
+
+/// A gateway and what it holds when it attaches.
+pub(super) struct Told {
+    pub(super) gateway: GatewayId,
+    pub(super) zone: ZoneId,
+    pub(super) held: Held,
 }
 
 impl Push {
-    pub(super) fn new(server: &AttachServer, sender: &GatewaySender, held: Held) -> Self {
+    pub(super) fn new(server: &AttachServer, sender: &GatewaySender, told: Told) -> Self {
+        let now_ms = server.clock.member_time().monotonic_ms;
         Push {
             driver: server.driver.clone(),
             soft_state: server.soft_state.clone(),
             clock: server.clock,
             sender: sender.clone(),
             marks: server.driver.marks(),
-            fleet_changed: server.fleet_changed.clone(),
-            held,
+            soft_changes: server.bell.hear(),
+            gateway: told.gateway,
+            held: told.held,
             stopped_told: LogIndex(0),
             fleet_told: None,
+            loads: LoadBudget::new(told.zone, now_ms),
         }
     }
 
@@ -61,7 +76,7 @@
         if !self.tell_changes().await? {
             return Ok(());
         }
-        self.tell_fleet()?;
+        self.tell_soft_state()?;
         let mut stamps = tokio::time::interval(STAMP_INTERVAL);
         stamps.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -72,8 +87,12 @@
                         return Ok(());
                     }
                 }
-                Ok(()) = self.fleet_changed.changed() => self.tell_fleet()?,
-                _ = stamps.tick() => self.stamp()?,
+                Ok(()) = self.soft_changes.changed() => self.tell_soft_state()?,
+                _ = stamps.tick() => {
+                    self.stamp()?;
+                    // Loads that were over the budget earlier.
+                    self.tell_soft_state()?;
+                }
             }
         }
     }
@@ -102,30 +121,47 @@
         Ok(true)
     }
 
-    /// Sends replicas and loads that have changed.
-    fn tell_fleet(&mut self) -> Result<(), SendRefused> {
-        self.fleet_changed.borrow_and_update();
-        let delta = {
-            let fleet = &self.soft_state.lock().fleet;
-            match self.fleet_told {
-                Some(told) => fleet.since(told),
-                None => fleet.whole(),
-            }
-        };
-        self.fleet_told = Some(delta.version);
-        if !delta.keeps_replicas() {
-            self.send(&ControlMessage::Replicas {
-                full: delta.full,
-                changed: delta.changed,
-                removed: delta.removed,
-            })?;
+    /// Sends what has changed of replicas, loads and grants.
+    fn tell_soft_state(&mut self) -> Result<(), SendRefused> {
+        self.soft_changes.borrow_and_update();
+        let now_ms = self.clock.member_time().monotonic_ms;
+        let shared = Arc::clone(&self.soft_state);
+        let mut soft_state = shared.lock();
+        let replicas = self.replica_changes(&soft_state.fleet);
+        let loads = self.loads.choose(soft_state.fleet.known_loads(), now_ms);
+        let grants = soft_state.attached.take_grants(&self.gateway);
+        drop(soft_state);
+        if let Some(replicas) = replicas {
+            self.send(&replicas)?;
         }
-        if !delta.loads.is_empty() {
-            self.send_soft(&ControlMessage::Loads(delta.loads))?;
+        if !loads.is_empty() {
+            self.send_soft(&ControlMessage::Loads(loads))?;
+        }
+        if !grants.is_empty() {
+            self.send_soft(&ControlMessage::Grants(grants))?;
         }
         Ok(())
     }
 
+    /// Replicas that have changed, once any list of them is known.
+    fn replica_changes(&mut self, fleet: &VersionedFleet) -> Option<ControlMessage> {
+        if !fleet.is_known() {
+            return None;
+        }
+        let delta = match self.fleet_told {
+            Some(told) => fleet.since(told),
+            None => fleet.whole(),
+        };
+        self.fleet_told = Some(delta.version);
+        self.loads.forget(&delta.removed);
+        let news = delta.full || !delta.changed.is_empty() || !delta.removed.is_empty();
+        news.then_some(ControlMessage::Replicas {
+            full: delta.full,
+            changed: delta.changed,
+            removed: delta.removed,
+        })
+    }
+
     fn stamp(&self) -> Result<(), SendRefused> {
         let view = self.driver.view();
         self.send_soft(&ControlMessage::Freshness {
--- a/crates/control/src/attach/session.rs
+++ b/crates/control/src/attach/session.rs
@@ -10,7 +10,11 @@
 use slog::{Logger, info, o, warn};
 use tokio::time::timeout;
 
-use super::{AttachServer, calls::CallRelay, push::Push};
+use super::{
+    AttachServer,
+    calls::CallRelay,
+    push::{Push, Told},
+};
 use crate::{driver::Held, soft_state::ConnectionNumber};
 
 /// Longest time for a gateway to say who it is.
@@ -57,7 +61,12 @@
             revision,
             digest: Some(digest),
         };
-        let mut push = Push::new(&server, &sender, held);
+        let told = Told {
+            gateway: gateway.clone(),
+            zone,
+            held,
+        };
+        let mut push = Push::new(&server, &sender, told);
         let session = Session {
             calls: CallRelay::new(server.driver.clone(), sender.clone()),
             server: server.clone(),
--- a/crates/control/src/member/view.rs
+++ b/crates/control/src/member/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use linnethitch_config::fleet::Fleet;
 use linnethitch_consensus::TICK_MILLISECONDS;
 use linnethitch_protocol::{
     attach::PendingItems,
@@ -26,6 +27,8 @@
     pub confirmed_at: Timestamp,
     /// The revision applied here.
     pub revision: Revision,
+    /// The configuration applied here.
+    pub fleet: Option<Arc<Fleet>>,
     /// The last index applied here.
     pub applied: LogIndex,
     /// Items pending, by model.
@@ -56,6 +59,7 @@
             leads: self.node.is_leader() && self.leads_settled(),
             confirmed_at: self.confirmed_at(),
             revision: self.ledger.revision(),
+            fleet: self.ledger.fleet(),
             applied: self.applied,
             pending: self.ledger.pending_items(),
             members: self.member_statuses(),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -19,7 +19,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{clock::Clock, driver::Driver, soft_state::SharedSoftState};
+use crate::{
+    clock::Clock,
+    driver::Driver,
+    soft_state::{SharedSoftState, rounds::SoftBell},
+};
 
 /// First and longest wait before a machine is connected to again.
 const FIRST_RETRY: Duration = Duration::from_millis(20);
@@ -82,6 +86,7 @@
     pub(crate) links: PeerLinks,
     pub(crate) driver: Driver,
     pub(crate) soft_state: SharedSoftState,
+    pub(crate) bell: SoftBell,
     pub(crate) clock: Clock,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) logger: Logger,
@@ -200,7 +205,12 @@
                 true
             }
             PeerMessage::Broadcast(broadcast) => {
-                self.soft_state.lock().take_broadcast(broadcast);
+                let mark = {
+                    let mut soft_state = self.soft_state.lock();
+                    soft_state.take_broadcast(broadcast);
+                    soft_state.mark()
+                };
+                self.bell.ring(mark);
                 true
             }
             PeerMessage::Digest(_) => true,
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -13,7 +13,6 @@
 use slog::{Logger, info};
 use tokio::{
     net::TcpListener,
-    sync::watch,
     task::{JoinHandle, JoinSet},
 };
 use tokio_util::sync::CancellationToken;
@@ -28,7 +27,10 @@
     peers::{PeerLinks, Peering},
     placement::ControlPlacement,
     record::Recorder,
-    soft_state::{FleetVersion, SharedSoftState, SoftState, rounds::Rounds},
+    soft_state::{
+        SharedSoftState, SoftState,
+        rounds::{Rounds, SoftBell},
+    },
 };
 
 /// Starts control members; several may run in one operating system process.
@@ -293,20 +295,20 @@
     /// Starts what runs beside the member's thread and the operators' server.
     fn spawn(self, driver: &Driver, peer: TcpListener, attach: TcpListener) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
-        let (fleet_changed, fleet_version) = watch::channel(FleetVersion::default());
+        let bell = SoftBell::new();
         let rounds = Rounds {
             soft_state: Arc::clone(&self.soft_state),
             driver: driver.clone(),
             links: self.links.clone(),
             others: self.others.keys().copied().collect(),
             clock: self.clock,
-            fleet_changed,
+            bell: bell.clone(),
         };
         tasks.spawn(rounds.run());
         let attach_server = AttachServer {
             driver: driver.clone(),
             soft_state: Arc::clone(&self.soft_state),
-            fleet_changed: fleet_version,
+            bell: bell.clone(),
             clock: self.clock,
             logger: self.logger.clone(),
         };
@@ -321,6 +323,7 @@
             links: self.links,
             driver: driver.clone(),
             soft_state: self.soft_state,
+            bell,
             clock: self.clock,
             traffic: self.traffic,
             logger: self.logger,
--- a/crates/control/src/soft_state/attached.rs
+++ b/crates/control/src/soft_state/attached.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethitch_protocol::{
-    attach::{GatewayWishes, GrantWish, ReplicaLoad},
+    attach::{GatewayWishes, Grant, GrantWish, ReplicaLoad},
     fleet::LoadReport,
     ids::{GatewayId, ReplicaId, Revision, ZoneId},
     query::GatewayStatus,
@@ -25,6 +25,8 @@
     revision: Revision,
     heard_ms: u64,
     wishes: Vec<GrantWish>,
+    /// Granted and not yet passed on.
+    grants: Vec<Grant>,
 }
 
 /// All gateways attached here and what they have told.
@@ -53,6 +55,7 @@
             revision,
             heard_ms: now_ms,
             wishes: Vec::new(),
+            grants: Vec::new(),
         };
         self.gateways.insert(gateway.clone(), attached);
         connection
@@ -91,6 +94,19 @@
         }
     }
 
+    /// The leader granted a gateway capacity; grants not yet passed on are replaced.
+    pub(super) fn grant(&mut self, gateway: &GatewayId, grants: Vec<Grant>) {
+        if let Some(attached) = self.gateways.get_mut(gateway) {
+            attached.grants = grants;
+        }
+    }
+
+    /// What is granted to a gateway and not yet passed on.
+    pub(crate) fn take_grants(&mut self, gateway: &GatewayId) -> Vec<Grant> {
+        let attached = self.gateways.get_mut(gateway);
+        attached.map_or_else(Vec::new, |attached| std::mem::take(&mut attached.grants))
+    }
+
     /// A gateway has seen loads.
     pub(crate) fn loads(&mut self, loads: Vec<ReplicaLoad>) {
         for seen in loads {
--- a/crates/control/src/soft_state/fleet.rs
+++ b/crates/control/src/soft_state/fleet.rs
@@ -5,7 +5,7 @@
 use linnethitch_protocol::{
     attach::ReplicaLoad,
     fleet::{BackEndKind, LoadReport, MachineState, ReplicaInfo},
-    ids::ReplicaId,
+    ids::{ReplicaId, ZoneId},
     query::ReplicaStatus,
 };
 
@@ -47,11 +47,12 @@
     pub(crate) version: FleetVersion,
 }
 
-impl FleetDelta {
-    /// Whether the list of replicas is the same in both versions.
-    pub(crate) fn keeps_replicas(&self) -> bool {
-        !self.full && self.changed.is_empty() && self.removed.is_empty()
-    }
+/// A replica whose load is known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownLoad<'a> {
+    pub(crate) replica: &'a ReplicaId,
+    pub(crate) zone: &'a ZoneId,
+    pub(crate) load: LoadReport,
 }
 
 impl VersionedFleet {
@@ -65,6 +66,27 @@
         self.replicas.values().map(|entry| &entry.value)
     }
 
+    /// The newest known load of a replica.
+    pub(crate) fn load(&self, replica: &ReplicaId) -> Option<LoadReport> {
+        self.loads.get(replica).map(|entry| entry.value)
+    }
+
+    /// All known loads.
+    pub(crate) fn known_loads(&self) -> impl Iterator<Item = KnownLoad<'_>> {
+        self.loads.iter().filter_map(|(replica, entry)| {
+            Some(KnownLoad {
+                replica,
+                zone: &self.replicas.get(replica)?.value.machine.zone,
+                load: entry.value,
+            })
+        })
+    }
+
+    /// Whether a list of replicas was ever told, if only an empty one.
+    pub(crate) fn is_known(&self) -> bool {
+        self.version > FleetVersion(0)
+    }
+
     /// Adds or changes a replica.
     pub(crate) fn put(&mut self, info: ReplicaInfo) {
         let id = info.machine.replica.clone();
@@ -112,6 +134,9 @@
         for info in all {
             self.put(info);
         }
+        if !self.is_known() {
+            self.next_version();
+        }
     }
 
     /// Takes a load, unless a newer one of this replica is known.
--- a/crates/control/src/soft_state/mod.rs
+++ b/crates/control/src/soft_state/mod.rs
@@ -7,20 +7,23 @@
 
 mod attached;
 mod fleet;
+mod grants;
 mod leader;
 pub(crate) mod rounds;
 
 use std::sync::Arc;
 
+use linnethitch_config::fleet::Fleet;
 use linnethitch_protocol::{
-    attach::{LeaderBroadcast, MemberDigest},
+    attach::{Grant, LeaderBroadcast, MemberDigest},
     ids::{GatewayId, LogIndex, MachineId, ReplicaId, SessionEpoch, Term, Timestamp},
     query::{FleetStatus, ReplicaStatus},
 };
 use parking_lot::Mutex;
 
 pub(crate) use attached::{AttachedGateways, ConnectionNumber};
-pub(crate) use fleet::{FleetVersion, VersionedFleet};
+pub(crate) use fleet::{FleetVersion, KnownLoad, VersionedFleet};
+use grants::GrantDesk;
 use leader::LeaderView;
 
 use crate::member::MemberTime;
@@ -39,6 +42,16 @@
     /// Whose fleet this is, and its version as the leader counts.
     held: HeldFleet,
     leader: LeaderView,
+    grants: GrantDesk,
+    /// Grows when gateways attached here are granted capacity.
+    granted: u64,
+}
+
+/// Grows when something has changed that gateways attached here must hear of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SoftMark {
+    fleet: FleetVersion,
+    granted: u64,
 }
 
 /// The leader's count of what was received last.
@@ -57,6 +70,8 @@
             fleet: VersionedFleet::default(),
             held: HeldFleet::default(),
             leader: LeaderView::default(),
+            grants: GrantDesk::default(),
+            granted: 0,
         }
     }
 
@@ -74,10 +89,12 @@
     }
 
     /// Takes what another member, or this one, tells of its gateways.
-    pub(crate) fn take_digest(&mut self, digest: MemberDigest, now_ms: u64) {
+    pub(crate) fn take_digest(&mut self, mut digest: MemberDigest, now_ms: u64) {
         for known in &digest.loads {
             self.fleet.put_load(&known.replica, known.load);
         }
+        let wishes = std::mem::take(&mut digest.wishes);
+        self.grants.take_wishes(digest.machine, wishes, now_ms);
         self.leader.take_digest(digest, now_ms);
     }
 
@@ -86,9 +103,18 @@
         self.leader.take_suspects()
     }
 
+    /// What gateways attached here must hear of.
+    pub(crate) fn mark(&self) -> SoftMark {
+        SoftMark {
+            fleet: self.fleet.version(),
+            granted: self.granted,
+        }
+    }
+
     /// Begins or goes on to lead in a term.
     pub(crate) fn lead(&mut self, term: Term, now_ms: u64) {
         if self.leader.begin(term, now_ms) {
+            self.grants.begin(now_ms);
             self.held = HeldFleet {
                 term,
                 version: self.fleet.version(),
@@ -96,6 +122,22 @@
         }
     }
 
+    /// Grants batch capacity where that is due.
+    pub(crate) fn allocate_grants(&mut self, rules: &Fleet, now: MemberTime) {
+        let now_ms = now.monotonic_ms;
+        let allocated = self.grants.allocate(rules, &self.fleet, now_ms, now.wall);
+        if allocated {
+            self.pass_grants_on(self.grants.of(self.machine));
+        }
+    }
+
+    fn pass_grants_on(&mut self, grants: Vec<(GatewayId, Vec<Grant>)>) {
+        self.granted += u64::from(!grants.is_empty());
+        for (gateway, grants) in grants {
+            self.attached.grant(&gateway, grants);
+        }
+    }
+
     /// What a member must hear of this leader, given what its last digest said it holds.
     pub(crate) fn broadcast(&self, to: MachineId, applied: LogIndex) -> LeaderBroadcast {
         let term = self.leader.term();
@@ -109,7 +151,7 @@
             changed: delta.changed,
             removed: delta.removed,
             loads: delta.loads,
-            grants: Vec::new(),
+            grants: self.grants.of(to),
             term,
             base: delta.base.0,
             version: delta.version.0,
@@ -124,6 +166,7 @@
         {
             return;
         }
+        self.pass_grants_on(broadcast.grants);
         if broadcast.full {
             self.fleet.replace(broadcast.changed);
         } else if same_leader && broadcast.base <= self.held.version.0 {
--- a/crates/routing/src/grants.rs
+++ b/crates/routing/src/grants.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Puts other rules in force; grants given so far stay as they are.
+    pub fn set_settings(&mut self, settings: GrantSettings) {
+        self.settings = settings;
+    }
+
     /// Sequences that gateways may believe to have on a replica.
     #[must_use]
     pub fn granted(&self, now: Timestamp, replica: &ReplicaId) -> u32 {
