Report loads and suspects to control; connection limits from the settings

Cause: control heard nothing of back ends from the data path, so it could not grant batch capacity on fresh loads; limits.max_connections, max_header_bytes, header_timeout_ms and upload_buffer_bytes were read and not used; a stream that broke between its last token and [DONE] was run again. Change: twice a second a gateway tells loads that changed or are 2 s old, at most 16, and replicas that it found dead or leaving. The listener and uploads use their settings. An answer whose finish reason has come is whole. Conclusion: tests overload (limits, full queue, leaving and dead engines); the planned stop is now tested with 200 streams in progress, none cut off.

--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -190,7 +190,7 @@
         .map_err(|_| AttemptFault::Hung(limit))??;
     let decisions = &gateway.decisions;
     if let Some(load) = load_of(response.headers(), "x-engine-load") {
-        decisions.on_load(&placement.replica, load);
+        decisions.on_seen_load(&placement.replica, load);
     }
     if says(response.headers(), "x-engine-leaving", "yes") {
         decisions.on_leaving(&placement.replica);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod client;
 mod events;
 pub mod members;
+pub(crate) mod reports;
 pub(crate) mod session;
--- /dev/null
+++ b/crates/gateway/src/control/reports.rs
@@ -0,0 +1,33 @@
+//! Tells control what the data path saw of back ends.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_protocol::attach::GatewayMessage;
+use tokio::time::MissedTickBehavior;
+
+use crate::state::Gateway;
+
+/// Time between two reports.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reports until the process stops. A report that finds no connection is lost; what is
+/// still so is seen again.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut ticks = tokio::time::interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if !gateway.control.is_attached() {
+            continue;
+        }
+        let report = gateway.decisions.take_sightings();
+        if !report.loads.is_empty() {
+            gateway.control.notify(&GatewayMessage::Loads(report.loads));
+        }
+        if !report.suspects.is_empty() {
+            gateway
+                .control
+                .notify(&GatewayMessage::Suspect(report.suspects));
+        }
+    }
+}
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod placement;
 mod queue;
+mod sightings;
 mod wanted;
 
 use std::{collections::HashMap, sync::Arc};
@@ -28,9 +29,14 @@
 pub(crate) use limits::TenantPass;
 pub(crate) use placement::Placement;
 pub(crate) use queue::{Refused, no_choice};
+pub(crate) use sightings::Report;
 pub(crate) use wanted::{Wanted, WantedTarget};
 
-use crate::{clock::Clock, decisions::queue::PoolQueue, engine::fault::AttemptFault};
+use crate::{
+    clock::Clock,
+    decisions::{queue::PoolQueue, sightings::Sightings},
+    engine::fault::AttemptFault,
+};
 
 /// All decisions of one gateway, behind one lock that is held for microseconds.
 pub(crate) struct Decisions {
@@ -49,6 +55,8 @@
     queues: HashMap<WantedTarget, PoolQueue>,
     policy: linnethitch_config::fleet::RoutingPolicy,
     capacity: BatchCapacity,
+    /// What the data path saw since control was last told.
+    sightings: Sightings,
 }
 
 impl Decisions {
@@ -63,6 +71,7 @@
             queues: HashMap::new(),
             policy,
             capacity: BatchCapacity::default(),
+            sightings: Sightings::default(),
         };
         Decisions {
             clock,
@@ -104,7 +113,19 @@
         self.serve_queues();
     }
 
-    /// Takes in the load that a replica reported.
+    /// Takes in the load that an answer of a replica carried.
+    pub(crate) fn on_seen_load(&self, replica: &ReplicaId, load: LoadReport) {
+        self.core.lock().sightings.on_load(replica, load);
+        self.on_load(replica, load);
+    }
+
+    /// What control should hear of back ends now.
+    pub(crate) fn take_sightings(&self) -> Report {
+        let now = self.clock.now();
+        self.core.lock().sightings.take(now)
+    }
+
+    /// Takes in the load of a replica that control told of.
     pub(crate) fn on_load(&self, replica: &ReplicaId, load: LoadReport) {
         let mut core = self.core.lock();
         if let Some(index) = core.router.view().index_of(replica) {
@@ -121,6 +142,9 @@
         if let Some(index) = core.router.view().index_of(replica) {
             core.router.view_mut().on_leaving(now, index);
         }
+        core.sightings.on_suspect(replica);
+        drop(core);
+        self.batch_room_changed.notify_one();
     }
 
     /// Takes in how an attempt failed; tells whether this took the replica out.
@@ -128,8 +152,16 @@
         if fault.says_leaving() {
             self.on_leaving(&placement.replica);
         }
+        let replica = placement.replica.clone();
         match fault.as_failure_kind() {
-            Some(kind) => placement.failed(kind),
+            Some(kind) => {
+                let ejected = placement.failed(kind);
+                if ejected.is_some() {
+                    self.core.lock().sightings.on_suspect(&replica);
+                    self.batch_room_changed.notify_one();
+                }
+                ejected
+            }
             None => {
                 placement.finished();
                 None
--- a/crates/gateway/src/files/lines.rs
+++ b/crates/gateway/src/files/lines.rs
@@ -12,8 +12,6 @@
 
 /// Items of one command, so that each stays short.
 const HEADS_PER_COMMAND: usize = 2_048;
-/// Bytes of one piece.
-const PIECE_BYTES: usize = 256 * 1024;
 
 /// Checked lines on their way to control.
 #[derive(Debug, Default)]
@@ -26,8 +24,8 @@
 
 impl Checked {
     /// Whether it is time to send.
-    pub(super) fn is_full(&self) -> bool {
-        self.bytes.len() >= PIECE_BYTES || self.heads.len() >= HEADS_PER_COMMAND
+    pub(super) fn is_full(&self, piece_bytes: usize) -> bool {
+        self.bytes.len() >= piece_bytes || self.heads.len() >= HEADS_PER_COMMAND
     }
 }
 
--- a/crates/gateway/src/files/upload.rs
+++ b/crates/gateway/src/files/upload.rs
@@ -30,6 +30,9 @@
 
 /// The only purpose that is taken.
 const PURPOSE: &str = "batch";
+/// Copies of a piece at once: as checked, as a call that may be sent again, as encoded for
+/// the connection, and the lines that follow.
+const COPIES_OF_A_PIECE: usize = 4;
 
 /// Takes an upload.
 pub(crate) async fn create(
@@ -55,7 +58,9 @@
         file: Some(file.clone()),
     };
     gateway.control.propose(command).await?;
-    let mut writer = FileWriter::new(gateway.control.clone(), file);
+    let buffer_bytes = gateway.settings.limits.upload_buffer_bytes as usize;
+    let piece_bytes = buffer_bytes / COPIES_OF_A_PIECE;
+    let mut writer = FileWriter::new(gateway.control.clone(), file, piece_bytes);
     writer.copy(&mut upload, fleet).await?;
     check_purpose(upload.finish().await?.as_deref())?;
     let record = writer.finish().await?;
@@ -103,15 +108,17 @@
     file: FileId,
     bytes: u64,
     items: u32,
+    piece_bytes: usize,
 }
 
 impl FileWriter {
-    fn new(control: ControlClient, file: FileId) -> Self {
+    fn new(control: ControlClient, file: FileId, piece_bytes: usize) -> Self {
         FileWriter {
             control,
             file,
             bytes: 0,
             items: 0,
+            piece_bytes,
         }
     }
 
@@ -126,7 +133,7 @@
             }
             checker.push(&bytes);
             while checker.check_next(fleet, &mut checked)? {
-                if checked.is_full() {
+                if checked.is_full(self.piece_bytes) {
                     self.send(&mut checked).await?;
                 }
             }
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -7,6 +7,7 @@
 use http_body::Body as _;
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use linnethitch_config::settings::GatewayLimits;
 use linnethitch_errors::{ErrorKind, Failure};
 use slog::{Logger, debug, warn};
 use tokio::{
@@ -23,14 +24,10 @@
     identifiers::new_request_id,
 };
 
-/// Longest time for a caller to send a request's head.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest time that a caller may take nothing of an answer.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// Connections served at once.
-const MAX_CONNECTIONS: usize = 8_192;
-/// Most bytes buffered for reading on one connection.
-const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Smallest read buffer that hyper takes, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Wait after a failed accept, so that exhausted descriptors do not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -41,14 +38,37 @@
     logger: Logger,
     /// Open connections; dropping them cuts them off.
     connections: JoinSet<()>,
+    limits: ConnectionLimits,
     stopping: CancellationToken,
 }
 
+/// Bounds of callers' connections.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionLimits {
+    /// Connections at once; more wait in the listen queue.
+    connections: usize,
+    /// Bytes of a request's head.
+    header_bytes: usize,
+    /// Longest time to send it.
+    header_time: Duration,
+}
+
+impl From<&GatewayLimits> for ConnectionLimits {
+    fn from(limits: &GatewayLimits) -> Self {
+        ConnectionLimits {
+            connections: limits.max_connections as usize,
+            header_bytes: (limits.max_header_bytes as usize).max(MIN_READ_BUFFER_BYTES),
+            header_time: Duration::from_millis(limits.header_timeout_ms),
+        }
+    }
+}
+
 impl Listener {
     /// Wraps a bound socket.
     pub(crate) fn new(
         socket: TcpListener,
         router: Router,
+        limits: &GatewayLimits,
         stopping: CancellationToken,
         logger: Logger,
     ) -> Self {
@@ -57,6 +77,7 @@
             router,
             logger,
             connections: JoinSet::new(),
+            limits: limits.into(),
             stopping,
         }
     }
@@ -67,7 +88,7 @@
             tokio::select! {
                 () = self.stopping.cancelled() => break,
                 Some(_) = self.connections.join_next() => {}
-                accepted = self.socket.accept() => match accepted {
+                accepted = self.socket.accept(), if self.connections.len() < self.limits.connections => match accepted {
                     Ok((stream, peer)) => self.accept(stream, peer),
                     Err(error) => {
                         warn!(self.logger, "accept failed"; "error" => %error);
@@ -81,14 +102,11 @@
     }
 
     fn accept(&mut self, stream: TcpStream, peer: SocketAddr) {
-        if self.connections.len() >= MAX_CONNECTIONS {
-            warn!(self.logger, "connection refused: too many are open"; "peer" => %peer);
-            return;
-        }
         let connection = serve(
             stream,
             peer,
             self.router.clone(),
+            self.limits,
             self.stopping.clone(),
             self.logger.clone(),
         );
@@ -100,6 +118,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     router: Router,
+    limits: ConnectionLimits,
     stopping: CancellationToken,
     logger: Logger,
 ) {
@@ -107,8 +126,8 @@
     let service = service_fn(move |request| answer(router.clone(), request, peer));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .header_read_timeout(limits.header_time)
+        .max_buf_size(limits.header_bytes)
         .serve_connection(
             TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT)),
             service,
--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Whether everything that the caller asked for has come.
+    fn is_complete(&self) -> bool {
+        let usage_due = self.request.stream && self.request.include_usage;
+        self.progress.finish_reason.is_some() && (!usage_due || self.progress.usage.is_some())
+    }
+
     fn told_tokens(&self) -> String {
         format!("{} tokens", self.progress.tokens)
     }
@@ -163,6 +169,11 @@
             .saturating_add(self.progress.tokens);
         match event {
             Err(AttemptFault::Hung(_)) if left <= limit => Err(self.out_of_time()),
+            Err(fault) if self.is_complete() => {
+                // Only the end of the stream is missing.
+                self.gateway.learn(attempt.placement, &fault);
+                Ok(StreamEvent::Done)
+            }
             Err(fault) => Err(Step::Fault(fault, Some(Box::new(attempt.placement)))),
             Ok(StreamEvent::Done) => {
                 attempt.placement.finished();
@@ -248,7 +259,7 @@
         self.started = true;
         let decisions = &self.gateway.decisions;
         if let Some(load) = load_of(response.headers(), "x-engine-load") {
-            decisions.on_load(&placement.replica, load);
+            decisions.on_seen_load(&placement.replica, load);
         }
         if says(response.headers(), "x-engine-leaving", "yes") {
             decisions.on_leaving(&placement.replica);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -18,7 +18,7 @@
         driver::{self, MAX_WAITING_EVENTS},
     },
     configuration::{follower::Follower, store::ConfigurationStore},
-    control::{attachment, session},
+    control::{attachment, reports, session},
     http::{listener::Listener, routes::build_router},
     options::{FixedFleet, GatewayOptions},
     state::Gateway,
@@ -172,6 +172,7 @@
     };
     tasks.spawn(attachment::run(Arc::clone(gateway), identity));
     tasks.spawn(session::keep(Arc::clone(gateway)));
+    tasks.spawn(reports::run(Arc::clone(gateway)));
     Ok(tasks)
 }
 
@@ -185,6 +186,7 @@
     let listener = Listener::new(
         socket,
         build_router(gateway),
+        &gateway.settings.limits,
         gateway.stopping.clone(),
         gateway.logger.clone(),
     );
--- a/crates/gateway/src/services/attempt.rs
+++ b/crates/gateway/src/services/attempt.rs
@@ -124,7 +124,7 @@
         let decisions = &self.gateway.decisions;
         let headers = response.headers();
         if let Some(load) = load_of(headers, "x-application-load") {
-            decisions.on_load(&placement.replica, load);
+            decisions.on_seen_load(&placement.replica, load);
         }
         let leaving = says(headers, "x-application-leaving", "yes");
         if leaving {
--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -1,12 +1,8 @@
 //! Batch jobs from the caller's file to the caller's results, over control and engines.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use http::Method;
-use linnethitch_protocol::{attach::ReplicaLoad, fleet::LoadReport, ids::Timestamp};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -14,7 +10,7 @@
     files::{line, lines, upload},
     support::{
         caller::{call, request},
-        control::{FakeControl, Shared},
+        control::{FakeControl, Shared, load},
         engine::{FakeEngine, Script, Step, text_of},
         gateway::{TestGateway, engine, fleet_file, wait_until},
     },
@@ -169,20 +165,6 @@
     OnlineLoad,
 }
 
-fn load(running_online: u32) -> Vec<ReplicaLoad> {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let load = LoadReport {
-        measured_at: Timestamp(elapsed.expect("a time after 1970").as_millis() as u64),
-        running_online,
-        max_running: 16,
-        ..LoadReport::default()
-    };
-    vec![ReplicaLoad {
-        replica: "engine-0".into(),
-        load,
-    }]
-}
-
 #[rstest]
 #[case(Pressure::GrantEnds)]
 #[case(Pressure::OnlineLoad)]
--- a/crates/gateway/tests/all/completions.rs
+++ b/crates/gateway/tests/all/completions.rs
@@ -85,7 +85,8 @@
 #[case::not_json(vec![Step::Token(0), Step::Raw("data: {oops\n\n")])]
 #[case::cut_inside_an_event(vec![Step::Token(0), Step::Raw("data: {\"id\"")])]
 #[case::error_in_the_stream(vec![Step::Token(0), Step::Raw("data: {\"error\":{\"message\":\"x\"}}\n\n")])]
-#[case::token_after_the_finish(vec![Step::Token(0), Step::Break])]
+#[case::broken_after_one_token(vec![Step::Token(0), Step::Break])]
+#[case::broken_after_the_last_token((0..9).map(Step::Token).chain([Step::Last(9), Step::Break]).collect())]
 #[tokio::test]
 async fn a_broken_stream_goes_on_elsewhere_without_a_lost_or_repeated_token(
     #[case] steps: Vec<Step>,
@@ -340,26 +341,32 @@
     panic!("the engine's stream was not closed");
 }
 
+/// Streams in progress at a planned stop.
+const STREAMS: usize = 200;
+
 #[tokio::test]
 async fn a_planned_stop_cuts_no_stream_off() {
-    let steps = [Step::Token(0), Step::Pause(Duration::from_millis(150))]
+    let steps = [Step::Token(0), Step::Pause(Duration::from_millis(250))]
         .into_iter()
         .chain(whole(10).into_iter().skip(1));
-    let engine = FakeEngine::start(vec![Script::Stream(steps.collect())]).await;
+    let scripts = vec![Script::Stream(steps.collect()); STREAMS];
+    let engine = FakeEngine::start(scripts).await;
     let mut gateway = TestGateway::start(&[engine.address]).await;
-    let mut response = send(chat(gateway.url(CHAT), true)).await;
-    let first = response.body_mut().frame().await;
-    assert!(first.is_some());
+    let started = (0..STREAMS).map(async |_| {
+        let mut response = send(chat(gateway.url(CHAT), true)).await;
+        let first = response.body_mut().frame().await;
+        assert!(first.is_some());
+        response
+    });
+    let responses = futures_util::future::join_all(started).await;
     let handle = gateway.handle.take().expect("running");
     let stop = tokio::spawn(handle.stop());
-    let rest = response
-        .into_body()
-        .collect()
-        .await
-        .expect("a whole body")
-        .to_bytes();
-    let text = String::from_utf8_lossy(&rest);
-    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    for response in responses {
+        let rest = response.into_body().collect().await;
+        let rest = rest.expect("a whole body").to_bytes();
+        let text = String::from_utf8_lossy(&rest);
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    }
     stop.await.expect("stopped");
     assert!(
         tokio::net::TcpStream::connect(gateway.address)
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,5 +9,6 @@
 mod explain;
 mod files;
 mod hollow;
+mod overload;
 mod services;
 mod support;
--- a/crates/gateway/tests/all/support/control.rs
+++ b/crates/gateway/tests/all/support/control.rs
@@ -12,8 +12,8 @@
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall, ControlMessage, GatewayMessage, Grant, ReplicaLoad},
     command::{Command, CommandBody, Outcome, Refusal},
-    fleet::ReplicaInfo,
-    ids::{ChangeId, DiskId, JobId, LogIndex, MachineId, MemberId, Revision, Timestamp},
+    fleet::{LoadReport, ReplicaInfo},
+    ids::{ChangeId, DiskId, JobId, LogIndex, MachineId, MemberId, ReplicaId, Revision, Timestamp},
     query::{Query, QueryAnswer},
 };
 use linnethitch_storage::MemoryPayloads;
@@ -45,6 +45,8 @@
     answering: AtomicBool,
     confirmed: Mutex<Vec<Revision>>,
     attached: AtomicUsize,
+    /// Loads and suspects that gateways told of.
+    told: Mutex<(Vec<ReplicaLoad>, Vec<ReplicaId>)>,
     senders: Mutex<Vec<MessageSender<ControlMessage>>>,
 }
 
@@ -61,6 +63,20 @@
     }
 }
 
+/// A load of `engine-0` of sixteen sequences, measured now.
+pub(crate) fn load(running_online: u32) -> Vec<ReplicaLoad> {
+    let load = LoadReport {
+        measured_at: now(),
+        running_online,
+        max_running: 16,
+        ..LoadReport::default()
+    };
+    vec![ReplicaLoad {
+        replica: "engine-0".into(),
+        load,
+    }]
+}
+
 fn now() -> Timestamp {
     let elapsed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -80,6 +96,7 @@
             answering: AtomicBool::new(true),
             confirmed: Mutex::default(),
             attached: AtomicUsize::new(0),
+            told: Mutex::default(),
             senders: Mutex::default(),
         };
         shared.apply(CommandBody::ApplyConfiguration {
@@ -162,6 +179,11 @@
         self.confirmed.lock().clone()
     }
 
+    /// Loads and suspects that gateways told of so far.
+    pub(crate) fn told(&self) -> (Vec<ReplicaLoad>, Vec<ReplicaId>) {
+        self.told.lock().clone()
+    }
+
     /// How often a gateway has attached.
     pub(crate) fn attached(&self) -> usize {
         self.attached.load(Ordering::SeqCst)
@@ -226,6 +248,8 @@
 fn handle(shared: &Shared, sender: &MessageSender<ControlMessage>, message: GatewayMessage) {
     match message {
         GatewayMessage::Attach { revision, .. } => attach(shared, sender, revision),
+        GatewayMessage::Loads(loads) => shared.told.lock().0.extend(loads),
+        GatewayMessage::Suspect(suspects) => shared.told.lock().1.extend(suspects),
         GatewayMessage::Confirm(revision) => shared.confirmed.lock().push(revision),
         GatewayMessage::Call { call, body } => {
             if !shared.answering.load(Ordering::SeqCst) {
