Test faults of control over real sockets; bound the memory of calls

Cause: silent cuts, races, lost answers and long histories were shown for the member only, without processes; calls that wait for the member were bounded in number (1,024) but not in bytes.

--- a/crates/control/src/driver/input.rs
+++ b/crates/control/src/driver/input.rs
@@ -5,7 +5,7 @@
     attach::{ConfigurationUpdate, ControlAnswer, ControlCall, PeerMessage},
     ids::{JobId, LogIndex, MachineId, Revision},
 };
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 /// One request to the thread.
 pub(super) enum Input {
@@ -17,7 +17,7 @@
     /// A call of a gateway, an operator or this process.
     Call {
         body: ControlCall,
-        reply: oneshot::Sender<ControlAnswer>,
+        call: PendingCall,
     },
     /// What a gateway has not heard of yet.
     Changes {
@@ -33,6 +33,13 @@
     Stop,
 }
 
+/// A call that waits for its answer.
+pub(super) struct PendingCall {
+    pub(super) reply: oneshot::Sender<ControlAnswer>,
+    /// Its share of the memory for calls, held until it is answered.
+    pub(super) permit: OwnedSemaphorePermit,
+}
+
 /// The configuration that a gateway holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Held {
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -5,6 +5,7 @@
 
 mod input;
 mod notices;
+mod room;
 mod thread;
 
 use std::{path::PathBuf, sync::Arc, time::Duration};
@@ -29,8 +30,9 @@
     soft_state::SharedSoftState,
 };
 
-use input::Input;
 pub(crate) use input::{ChangeMark, Changes, Held};
+use input::{Input, PendingCall};
+use room::CallRoom;
 use thread::{MemberThread, Shared};
 
 /// Inputs that may wait for the member; senders wait when it is full.
@@ -65,6 +67,7 @@
 #[derive(Clone)]
 pub(crate) struct Driver {
     inputs: mpsc::Sender<Input>,
+    room: CallRoom,
     view: Arc<ArcSwap<MemberView>>,
     marks: watch::Receiver<ChangeMark>,
 }
@@ -107,6 +110,7 @@
             .unwrap_or_else(|_| Err(Report::new(ErrorKind::Internal)))?;
         let driver = Driver {
             inputs,
+            room: CallRoom::new(),
             view,
             marks,
         };
@@ -142,7 +146,9 @@
         body: ControlCall,
     ) -> Option<oneshot::Receiver<ControlAnswer>> {
         let (reply, answer) = oneshot::channel();
-        self.inputs.send(Input::Call { body, reply }).await.ok()?;
+        let permit = self.room.enter(&body).await?;
+        let call = PendingCall { reply, permit };
+        self.inputs.send(Input::Call { body, call }).await.ok()?;
         Some(answer)
     }
 
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -23,13 +23,13 @@
 use slog::{Logger, debug};
 use tokio::{
     runtime::Runtime,
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
     time::timeout,
 };
 
 use super::{
     DriverSetup, HAND_OVER_LIMIT,
-    input::{ChangeMark, Changes, Held, Input},
+    input::{ChangeMark, Changes, Held, Input, PendingCall},
     notices,
 };
 use crate::{
@@ -63,7 +63,7 @@
     soft_state: SharedSoftState,
     recorder: Recorder,
     logger: Logger,
-    replies: HashMap<CallId, oneshot::Sender<ControlAnswer>>,
+    replies: HashMap<CallId, PendingCall>,
     last_call: u64,
     /// The `Expire` command under way.
     expiry: Option<CallId>,
@@ -151,9 +151,9 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Peer { from, message } => self.member.receive(from, message),
-            Input::Call { body, reply } => {
-                let call = self.start_call(body);
-                self.replies.insert(call, reply);
+            Input::Call { body, call } => {
+                let number = self.start_call(body);
+                self.replies.insert(number, call);
             }
             Input::Changes {
                 held,
@@ -266,9 +266,10 @@
             return;
         }
         self.complete_status(&mut body);
-        if let Some(reply) = self.replies.remove(&call) {
+        if let Some(PendingCall { reply, permit }) = self.replies.remove(&call) {
             // The asker may have given up.
             let _ = reply.send(body);
+            drop(permit);
         }
     }
 
--- a/crates/control/src/operator/request.rs
+++ b/crates/control/src/operator/request.rs
@@ -9,14 +9,15 @@
 };
 use http::{HeaderMap, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use linnethitch_consensus::MAX_ENTRY_BYTES;
 use linnethitch_errors::{ErrorKind, Failure};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
 use super::routes::PathNames;
 
-/// Largest fleet file, in bytes.
-const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+/// Largest fleet file, in bytes: it must fit into one entry of the log.
+const MAX_BODY_BYTES: usize = MAX_ENTRY_BYTES;
 /// Longest time to send it.
 const BODY_LIMIT: Duration = Duration::from_secs(30);
 
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the control crate.
 
 mod cluster;
+mod faults;
 mod member;
+mod network;
 
 use linnethitch_control::member::MemberNotice;
 use linnethitch_protocol::ids::MachineId;
--- a/crates/control/tests/all/processes.rs
+++ b/crates/control/tests/all/processes.rs
@@ -23,6 +23,8 @@
 use tempfile::TempDir;
 use tokio::time::timeout;
 
+use crate::network::Relay;
+
 /// The operators' bearer key of the tests.
 pub(crate) const OPERATOR_KEY: &str = "operator-key";
 const CLUSTER_KEY: &str = "a key of the cluster of the tests";
@@ -44,6 +46,8 @@
     pub(crate) members: BTreeMap<u32, TestMember>,
     pub(crate) platform: SocketAddr,
     pub(crate) snapshot_log_bytes: u64,
+    /// The ways between members, from one to another.
+    ways: BTreeMap<(u32, u32), Relay>,
 }
 
 /// An operator's answer.
@@ -89,7 +93,9 @@
             members,
             platform,
             snapshot_log_bytes,
+            ways: BTreeMap::new(),
         };
+        control.lay_ways().await;
         for (number, bound) in sockets {
             control.start_on(number, bound).await;
         }
@@ -97,6 +103,32 @@
         control
     }
 
+    async fn lay_ways(&mut self) {
+        for from in self.members.keys() {
+            for (to, member) in self.members.iter().filter(|(to, _)| *to != from) {
+                let relay = Relay::start(member.addresses.peer).await;
+                self.ways.insert((*from, *to), relay);
+            }
+        }
+    }
+
+    /// Cuts a member off from all others without closing a connection, or joins it again.
+    pub(crate) fn set_cut_off(&self, number: u32, cut_off: bool) {
+        for ((from, to), way) in &self.ways {
+            if *from == number || *to == number {
+                way.set_open(!cut_off);
+            }
+        }
+    }
+
+    /// The member's disk is lost; it starts again on a blank one.
+    pub(crate) async fn lose_disk(&mut self, number: u32) {
+        self.stop(number).await;
+        let folder = self.members[&number].folder.path().join("data");
+        fs::remove_dir_all(folder).expect("the folder is removed");
+        self.restart(number).await;
+    }
+
     async fn start_on(&mut self, number: u32, sockets: ControlSockets) {
         let settings = self.settings(number);
         let handle = ControlProcess::start_on(settings, sockets, discard())
@@ -213,7 +245,10 @@
         fs::write(&key_file, CLUSTER_KEY).expect("a key file");
         let peers = self.members.iter().map(|(machine, member)| ControlPeer {
             machine: *machine,
-            address: member.addresses.peer,
+            address: match self.ways.get(&(number, *machine)) {
+                Some(way) => way.address,
+                None => member.addresses.peer,
+            },
         });
         ControlSettings {
             machine: number,
