Carry loads to gateways in twelve bytes each, within a bound

Cause: a gateway at the plan's size may spend 2 KB/s on control. Whole loads are about 70 bytes each, so the 800 bytes/s that control kept to told a gateway of 12 replicas a second out of 600.

Change: protocol::load_digest holds a load in twelve bytes, a test counts them; control::load_teller takes the place of the load budget: whole loads once, then at most 75 changes a second, by size, zone and time held back.

A test holds all 600 changing each second: every replica is told of within 24 s, those of the own zone sooner.

--- a/crates/control/src/attach/mod.rs
+++ b/crates/control/src/attach/mod.rs
@@ -1,7 +1,6 @@
 //! The server that gateways attach to.
 
 mod calls;
-mod load_budget;
 mod push;
 mod session;
 
--- a/crates/control/src/attach/push.rs
+++ b/crates/control/src/attach/push.rs
@@ -10,9 +10,10 @@
 use linnethitch_transport::SendRefused;
 use tokio::{sync::watch, time::MissedTickBehavior};
 
-use super::{AttachServer, load_budget::LoadBudget, session::GatewaySender};
+use super::{AttachServer, session::GatewaySender};
 use crate::{
     driver::{ChangeMark, Driver, Held},
+    load_teller::{LoadNews, LoadTeller},
     soft_state::{FleetVersion, SharedSoftState, SoftMark, VersionedFleet},
 };
 
@@ -31,7 +32,7 @@
     held: Held,
     stopped_told: LogIndex,
     fleet_told: Option<FleetVersion>,
-    loads: LoadBudget,
+    loads: LoadTeller,
 }
 
 /// A gateway and what it holds when it attaches.
@@ -43,7 +44,6 @@
 
 impl Push {
     pub(super) fn new(server: &AttachServer, sender: &GatewaySender, told: Told) -> Self {
-        let now_ms = server.clock.member_time().monotonic_ms;
         Push {
             driver: server.driver.clone(),
             soft_state: server.soft_state.clone(),
@@ -55,7 +55,7 @@
             held: told.held,
             stopped_told: LogIndex(0),
             fleet_told: None,
-            loads: LoadBudget::new(told.zone, now_ms),
+            loads: LoadTeller::new(told.zone),
         }
     }
 
@@ -128,21 +128,36 @@
         let shared = Arc::clone(&self.soft_state);
         let mut soft_state = shared.lock();
         let replicas = self.replica_changes(&soft_state.fleet);
-        let loads = self.loads.choose(soft_state.fleet.known_loads(), now_ms);
+        let loads = self.loads.next(now_ms, soft_state.fleet.known_loads());
         let grants = soft_state.attached.take_grants(&self.gateway);
         drop(soft_state);
         if let Some(replicas) = replicas {
             self.send(&replicas)?;
         }
-        if !loads.is_empty() {
-            self.send_soft(&ControlMessage::Loads(loads))?;
-        }
+        self.tell_loads(loads)?;
         if !grants.is_empty() {
             self.send_soft(&ControlMessage::Grants(grants))?;
         }
         Ok(())
     }
 
+    fn tell_loads(&mut self, news: LoadNews) -> Result<(), SendRefused> {
+        let mut messages = Vec::new();
+        if !news.whole.is_empty() {
+            messages.push(ControlMessage::Loads(news.whole));
+        }
+        if !news.digest.loads.is_empty() {
+            messages.push(ControlMessage::LoadDigest(news.digest));
+        }
+        for message in messages {
+            match self.sender.send_soft(&message) {
+                Err(SendRefused::Full) => self.loads.forget_all(),
+                outcome => outcome?,
+            }
+        }
+        Ok(())
+    }
+
     /// Replicas that have changed, once any list of them is known.
     fn replica_changes(&mut self, fleet: &VersionedFleet) -> Option<ControlMessage> {
         if !fleet.is_known() {
@@ -153,7 +168,6 @@
             None => fleet.whole(),
         };
         self.fleet_told = Some(delta.version);
-        self.loads.forget(&delta.removed);
         let news = delta.full || !delta.changed.is_empty() || !delta.removed.is_empty();
         news.then_some(ControlMessage::Replicas {
             full: delta.full,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod attach;
 mod clock;
 mod driver;
+pub mod load_teller;
 pub mod member;
 mod metrics;
 mod operator;
--- a/crates/control/src/soft_state/fleet.rs
+++ b/crates/control/src/soft_state/fleet.rs
@@ -5,10 +5,12 @@
 use linnethitch_protocol::{
     attach::ReplicaLoad,
     fleet::{BackEndKind, LoadReport, MachineState, ReplicaInfo},
-    ids::{ReplicaId, ZoneId},
+    ids::ReplicaId,
     query::ReplicaStatus,
 };
 
+use crate::load_teller::KnownLoad;
+
 /// Removals that are remembered; whoever has missed older ones gets everything.
 const KEPT_REMOVALS: usize = 1_024;
 
@@ -47,14 +49,6 @@
     pub(crate) version: FleetVersion,
 }
 
-/// A replica whose load is known.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct KnownLoad<'a> {
-    pub(crate) replica: &'a ReplicaId,
-    pub(crate) zone: &'a ZoneId,
-    pub(crate) load: LoadReport,
-}
-
 impl VersionedFleet {
     /// The version now.
     pub(crate) fn version(&self) -> FleetVersion {
--- a/crates/control/src/soft_state/mod.rs
+++ b/crates/control/src/soft_state/mod.rs
@@ -22,7 +22,7 @@
 use parking_lot::Mutex;
 
 pub(crate) use attached::{AttachedGateways, ConnectionNumber};
-pub(crate) use fleet::{FleetVersion, KnownLoad, VersionedFleet};
+pub(crate) use fleet::{FleetVersion, VersionedFleet};
 use grants::GrantDesk;
 use leader::LeaderView;
 
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod faults;
+mod load_teller;
 mod member;
 mod network;
 
--- a/crates/gateway/src/control/events.rs
+++ b/crates/gateway/src/control/events.rs
@@ -35,6 +35,10 @@
                 }
                 self.decisions.serve_queues();
             }
+            ControlMessage::LoadDigest(digest) => {
+                self.decisions.on_load_digest(&digest);
+                self.decisions.serve_queues();
+            }
             ControlMessage::Answer { call, body } => self.control.on_answer(call, body),
             ControlMessage::Grants(grants) => self.decisions.on_grants(&grants),
             ControlMessage::Freshness { pending, .. } => {
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -13,9 +13,10 @@
 use linnethitch_protocol::{
     fleet::{LoadReport, ReplicaInfo},
     ids::{ReplicaId, ZoneId},
+    load_digest::{LoadDigest, ShortReplicaId},
 };
 use linnethitch_routing::{
-    Choice, NoChoice, ReasonCode, RetryBudget, Router,
+    Choice, NoChoice, ReasonCode, ReplicaIndex, RetryBudget, Router,
     batch::yielding::BatchCapacity,
     limits::Limits,
     profile::Target,
@@ -135,6 +136,28 @@
         self.batch_room_changed.notify_one();
     }
 
+    /// Takes in loads that changed; those of replicas without an earlier whole load are ignored.
+    pub(crate) fn on_load_digest(&self, digest: &LoadDigest) {
+        let mut core = self.core.lock();
+        let view = core.router.view_mut();
+        let known: HashMap<ShortReplicaId, ReplicaIndex> = view
+            .replicas()
+            .filter(|(_, replica)| replica.is_listed())
+            .map(|(index, replica)| (ShortReplicaId::from(&replica.info().machine.replica), index))
+            .collect();
+        for compact in &digest.loads {
+            let Some(index) = known.get(&compact.replica) else {
+                continue;
+            };
+            if let Some(earlier) = view.replica(*index).report() {
+                let report = digest.report(compact, earlier);
+                view.on_load_report(*index, report);
+            }
+        }
+        drop(core);
+        self.batch_room_changed.notify_one();
+    }
+
     /// Takes in that a replica said that it is leaving.
     pub(crate) fn on_leaving(&self, replica: &ReplicaId) {
         let now = self.clock.now();
--- a/crates/gateway/src/hollow.rs
+++ b/crates/gateway/src/hollow.rs
@@ -12,7 +12,10 @@
 use linnethitch_config::settings::GatewaySettings;
 use linnethitch_errors::ErrorKind;
 use linnethitch_observability::journal::Journal;
-use linnethitch_protocol::ids::Revision;
+use linnethitch_protocol::{
+    fleet::LoadReport,
+    ids::{ReplicaId, Revision},
+};
 use linnethitch_transport::{ClusterIdentity, ClusterKey, TrafficSnapshot};
 use slog::Logger;
 use tokio::{sync::mpsc, task::JoinSet};
@@ -20,7 +23,7 @@
 use crate::{
     batch::{BatchEvent, driver::MAX_WAITING_EVENTS},
     configuration::shared_documents::SharedDocuments,
-    control::{attachment, session},
+    control::{attachment, reports, session},
     options::EngineTimeouts,
     state::Gateway,
 };
@@ -58,6 +61,7 @@
         let mut background = JoinSet::new();
         background.spawn(attachment::run(Arc::clone(&gateway), identity));
         background.spawn(session::keep(Arc::clone(&gateway)));
+        background.spawn(reports::run(Arc::clone(&gateway)));
         background.spawn(ignore(events));
         Ok(HollowGateway {
             gateway,
@@ -87,6 +91,11 @@
         self.gateway.session.current(now).is_some()
     }
 
+    /// Tells it of a load as a response of the replica would.
+    pub fn on_response_load(&self, replica: &ReplicaId, load: LoadReport) {
+        self.gateway.decisions.on_seen_load(replica, load);
+    }
+
     /// Bytes and frames exchanged with control since the start.
     #[must_use]
     pub fn traffic(&self) -> TrafficSnapshot {
--- a/crates/protocol/src/attach.rs
+++ b/crates/protocol/src/attach.rs
@@ -11,6 +11,7 @@
         CallId, GatewayId, JobId, LogIndex, MachineId, MemberId, ModelId, ReplicaId, Revision,
         Term, Timestamp, ZoneId,
     },
+    load_digest::LoadDigest,
     query::{Query, QueryAnswer},
 };
 
@@ -90,6 +91,8 @@
     },
     /// Loads known through other gateways and polls; only what changed.
     Loads(Vec<ReplicaLoad>),
+    /// Loads that changed, of replicas whose whole load the gateway was told before.
+    LoadDigest(LoadDigest),
     /// Capacity for batch work.
     Grants(Vec<Grant>),
     /// Jobs whose items must stop.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod fleet;
 pub mod frame;
 pub mod ids;
+pub mod load_digest;
 pub mod query;
 pub mod text_edit;
