Test batch jobs from the callers' interface through control to engines

Cause: grants, leases and placement were each tested alone; nothing showed that a job is accepted, granted, run and readable over real processes.

--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the control crate.
 
+mod back_ends;
+mod batch;
 mod cluster;
 mod faults;
 mod load_teller;
--- a/crates/control/tests/all/placement.rs
+++ b/crates/control/tests/all/placement.rs
@@ -1,52 +1,18 @@
 //! Placement by control processes, against the emulator's platform and engines.
 
 use linnethitch_config::settings::DEFAULT_SNAPSHOT_LOG_BYTES;
-use linnethitch_emulator::{
-    engine::server::{EngineServer, EngineSettings},
-    platform::{PlatformServer, PlatformSettings},
-};
-use linnethitch_protocol::{
-    fleet::{BackEndKind, Machine, MachineState},
-    ids::{ReplicaId, ZoneId},
-};
+use linnethitch_emulator::{engine::server::EngineServer, platform::PlatformServer};
 
 use crate::{
+    back_ends::{MODEL, engine, platform},
     cluster::fleet_file,
     processes::{TestControl, wait_until},
 };
 
-/// How many times as fast as real time the back ends run.
-const COMPRESSION: u32 = 20;
-const MODEL: &str = "\n[[model]]\nname = \"quote\"\nversion = \"v1\"\nplacement = [{ zone = \"a\", replicas = 1 }]\n";
-
-async fn engine(name: &str) -> EngineServer {
-    let settings = EngineSettings {
-        time_compression: COMPRESSION,
-        ..EngineSettings::new(name, "a")
-    };
-    EngineServer::start(settings).await.expect("a free port")
-}
-
-fn machine(engine: &EngineServer) -> Machine {
-    Machine {
-        replica: ReplicaId::from(engine.settings().name.as_str()),
-        kind: BackEndKind::Engine,
-        zone: ZoneId::from("a"),
-        address: engine.address().to_string(),
-        state: MachineState::Live,
-    }
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_model_is_placed_and_placed_again_by_the_next_leader() {
     let engines = [engine("e1").await, engine("e2").await];
-    let platform = PlatformServer::start(PlatformSettings {
-        machines: engines.iter().map(machine).collect(),
-        time_compression: COMPRESSION,
-        ..PlatformSettings::default()
-    })
-    .await
-    .expect("a free port");
+    let platform: PlatformServer = platform(&engines).await;
     let mut control =
         TestControl::start_with(3, platform.address(), DEFAULT_SNAPSHOT_LOG_BYTES).await;
     let file = fleet_file("placed") + MODEL;
--- a/crates/control/tests/all/processes.rs
+++ b/crates/control/tests/all/processes.rs
@@ -271,12 +271,22 @@
 
     /// Starts a gateway that attaches to the given members.
     pub(crate) async fn gateway(&self, folder: &TempDir, members: &[u32]) -> GatewayHandle {
+        self.gateway_named("gateway-1", folder, members).await
+    }
+
+    /// Starts a gateway of a name.
+    pub(crate) async fn gateway_named(
+        &self,
+        name: &str,
+        folder: &TempDir,
+        members: &[u32],
+    ) -> GatewayHandle {
         let key_file = folder.path().join("cluster.key");
         fs::write(&key_file, CLUSTER_KEY).expect("a key file");
         let attach = |number: &u32| self.members[number].addresses.attach;
         let settings = GatewaySettings {
-            gateway_id: "gateway-1".to_owned(),
-            zone: "z".to_owned(),
+            gateway_id: name.to_owned(),
+            zone: "a".to_owned(),
             region: "r".to_owned(),
             listen_address: ANY_PORT.parse().expect("an address"),
             control_addresses: members.iter().map(attach).collect(),
