Show open orders to operators, bound slow readers, test the reason codes of logs

Cause: orders could not be seen; a client that reads nothing kept one of 256 operator connections for ever; no test showed that a member's notices are logged as JSON with their codes. Change: GET /v1/orders; a write limit of 10 s by tokio-io-timeout; a test reads the log of three members.

--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod explain;
 mod jobs;
+mod orders;
 mod request;
 mod routes;
 mod server;
@@ -47,6 +48,8 @@
     Jobs,
     /// `GET /v1/jobs/{tenant}/{job}`
     Job,
+    /// `GET /v1/orders`
+    Orders,
     /// `GET /v1/explain/{id}`
     Explain,
     /// `GET /healthz`
@@ -105,6 +108,7 @@
             Endpoint::Status => status::status(&self).await,
             Endpoint::Jobs => jobs::list(&self, &request.head).await,
             Endpoint::Job => jobs::get(&self, &request.head).await,
+            Endpoint::Orders => Ok(orders::list(&self).await),
             Endpoint::Explain => explain::explain(&self, &request.head).await,
             Endpoint::Health => Ok(json_response(&HealthBody { status: "ok" })),
             Endpoint::Ready => self.ready(),
--- a/crates/control/src/operator/routes.rs
+++ b/crates/control/src/operator/routes.rs
@@ -97,6 +97,9 @@
             .request(get(), "/v1/jobs/:tenant/:job")
             .with_path_extractor::<PathNames>()
             .to_new_handler(to(Endpoint::Job));
+        route
+            .request(get(), "/v1/orders")
+            .to_new_handler(to(Endpoint::Orders));
         route
             .request(get(), "/v1/explain/*id")
             .with_path_extractor::<PathNames>()
--- a/crates/control/src/operator/server.rs
+++ b/crates/control/src/operator/server.rs
@@ -15,12 +15,15 @@
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
 };
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::answers::failure_response;
 
 /// Longest time to send a request's head.
 const HEADER_READ_LIMIT: Duration = Duration::from_secs(10);
+/// Longest time that an operator may take nothing of an answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
 /// Connections served at once; further ones wait.
 const MAX_CONNECTIONS: usize = 256;
 /// Most bytes buffered for reading on one connection.
@@ -89,12 +92,14 @@
     stopping: CancellationToken,
     logger: Logger,
 ) {
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(WRITE_LIMIT));
     let service = service_fn(move |request| answer(router.clone(), request, peer));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_LIMIT)
         .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/crates/control/tests/all/process.rs
+++ b/crates/control/tests/all/process.rs
@@ -1,9 +1,19 @@
 //! A control process as operators and gateways see it.
 
+use std::{
+    io::{self, Write},
+    sync::Arc,
+};
+
 use http::{Method, StatusCode};
+use parking_lot::Mutex;
 use rstest::rstest;
 use tempfile::TempDir;
 
+use linnethitch_config::settings::{DEFAULT_SNAPSHOT_LOG_BYTES, LogSettings};
+use linnethitch_observability::log::Logging;
+use serde_json::Value;
+
 use crate::{
     cluster::fleet_file,
     processes::{TestControl, call, wait_until},
@@ -106,7 +116,61 @@
         explained.body["records"][0]["reason"], "configuration_committed",
         "{explained:?}"
     );
+    let orders = control.get(other, "/v1/orders").await;
+    assert_eq!(orders.body, serde_json::json!({"orders": []}));
     let metrics = control.get(other, "/metrics").await.body;
     let text = metrics.as_str().expect("a text");
     assert!(text.contains("linnethitch_control_revision 1"), "{text}");
 }
+
+/// A log that can be read while it is written.
+#[derive(Clone, Default)]
+struct SharedLog(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedLog {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl SharedLog {
+    /// The reason codes of all lines, each of which is JSON.
+    fn reasons(&self) -> Vec<String> {
+        let text = String::from_utf8(self.0.lock().clone()).expect("UTF-8");
+        let lines = text
+            .lines()
+            .map(|line| serde_json::from_str(line).expect(line));
+        let reasons = lines.filter_map(|line: Value| Some(line["reason"].as_str()?.to_owned()));
+        reasons.collect()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_happens_to_a_member_is_logged_with_a_reason_code() {
+    let log = SharedLog::default();
+    let logging = Logging::start(&LogSettings::default(), log.clone());
+    let nowhere = ([127, 0, 0, 1], 1).into();
+    let logger = logging.logger();
+    let mut control = TestControl::blank(3, nowhere, DEFAULT_SNAPSHOT_LOG_BYTES, logger).await;
+    control.wait_until_all_vote().await;
+    control.apply(1, "first", 0, &fleet_file("one")).await;
+    let leader = control.leader().await;
+    control.stop(leader).await;
+    drop(logging);
+    let reasons = log.reasons();
+    for expected in [
+        "cluster_started",
+        "membership_proposed",
+        "leader_changed",
+        "configuration_committed",
+    ] {
+        assert!(
+            reasons.iter().any(|reason| reason == expected),
+            "{reasons:?}"
+        );
+    }
+}
--- a/crates/control/tests/all/processes.rs
+++ b/crates/control/tests/all/processes.rs
@@ -20,6 +20,7 @@
 use linnethitch_observability::log::discard;
 use serde_json::Value;
 use sha2::{Digest, Sha256};
+use slog::Logger;
 use tempfile::TempDir;
 use tokio::time::timeout;
 
@@ -46,6 +47,8 @@
     pub(crate) members: BTreeMap<u32, TestMember>,
     pub(crate) platform: SocketAddr,
     pub(crate) snapshot_log_bytes: u64,
+    /// Where members log to.
+    pub(crate) logger: Logger,
     /// The ways between members, from one to another.
     ways: BTreeMap<(u32, u32), Relay>,
 }
@@ -76,6 +79,18 @@
         size: u32,
         platform: SocketAddr,
         snapshot_log_bytes: u64,
+    ) -> Self {
+        let control = Self::blank(size, platform, snapshot_log_bytes, discard()).await;
+        control.wait_until_all_vote().await;
+        control
+    }
+
+    /// Starts members on blank disks.
+    pub(crate) async fn blank(
+        size: u32,
+        platform: SocketAddr,
+        snapshot_log_bytes: u64,
+        logger: Logger,
     ) -> Self {
         let mut sockets = BTreeMap::new();
         let mut members = BTreeMap::new();
@@ -93,13 +108,13 @@
             members,
             platform,
             snapshot_log_bytes,
+            logger,
             ways: BTreeMap::new(),
         };
         control.lay_ways().await;
         for (number, bound) in sockets {
             control.start_on(number, bound).await;
         }
-        control.wait_until_all_vote().await;
         control
     }
 
@@ -131,7 +146,7 @@
 
     async fn start_on(&mut self, number: u32, sockets: ControlSockets) {
         let settings = self.settings(number);
-        let handle = ControlProcess::start_on(settings, sockets, discard())
+        let handle = ControlProcess::start_on(settings, sockets, self.logger.clone())
             .await
             .expect("the member starts");
         self.member(number).handle = Some(handle);
