--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -6,7 +6,8 @@
 use bpaf::Bpaf;
 
 use crate::{
-    application, capacity, dev, engine, experiment, load, platform, process::exit_code, simulate,
+    application, capacity, dev, engine, experiment, load, measure, platform, process::exit_code,
+    simulate,
 };
 
 /// Runs a linnethitch fleet on one machine, puts load on it and measures it.
@@ -30,6 +31,9 @@
     /// Put load on running gateways and check every answer
     #[bpaf(command)]
     Load(#[bpaf(external(load::arguments))] load::Arguments),
+    /// Measure what state and work cost on this machine
+    #[bpaf(command)]
+    Measure(#[bpaf(external(measure::arguments))] measure::Arguments),
     /// Write the measured tables of the capacity page anew, or check them
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::arguments))] capacity::Arguments),
@@ -55,6 +59,7 @@
             Command::Application(arguments) => application::run(&arguments),
             Command::Platform(arguments) => platform::run(&arguments),
             Command::Load(arguments) => load::run(arguments),
+            Command::Measure(arguments) => measure::run(&arguments),
             Command::Capacity(arguments) => capacity::run(&arguments),
             Command::Experiment(arguments) => experiment::run(&arguments),
             Command::Simulate(arguments) => simulate::run(&arguments),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,8 @@
 mod engine;
 mod experiment;
 mod load;
+mod measure;
+mod memory;
 mod output;
 mod platform;
 mod process;
--- /dev/null
+++ b/crates/lab/src/measure/state/day.rs
@@ -0,0 +1,105 @@
+//! All jobs of the plan at once, and the rate at which one member applies their items.
+
+use std::{path::Path, time::Duration};
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use serde::Serialize;
+
+use super::{
+    Arguments,
+    commands::{Executor, JobPlan, MODELS, accept, configure, fleet_file, upload},
+    member::{Costs, MeasuredMember},
+};
+use crate::memory::allocated_bytes;
+
+/// Bytes of a line while the jobs are built: the lines themselves are not measured here.
+const SHORT_LINE_BYTES: usize = 64;
+/// Items of each model that a gateway asks for at once.
+const LEASE_ITEMS: u32 = 16;
+/// Each gateway leases and completes so many times.
+const ROUNDS: u64 = 8;
+/// Time between two rounds of leases.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// The figures of the plan's jobs at once.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Day {
+    /// Open jobs.
+    pub(super) jobs: u64,
+    /// Their items.
+    pub(super) items: u64,
+    /// Uploading and accepting them.
+    pub(super) accepting: Costs,
+    /// Memory of all of it, in bytes.
+    pub(super) accepted_bytes: u64,
+    /// Memory once each gateway holds items and each job has results, in bytes.
+    pub(super) running_bytes: u64,
+    /// Items leased and completed for the rate.
+    pub(super) completed: u64,
+    /// What that cost.
+    pub(super) running: Costs,
+}
+
+impl Day {
+    /// Items a second that one member could lease and complete.
+    pub(super) fn items_per_second(&self) -> f64 {
+        self.completed as f64 / self.running.seconds().max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Accepts all jobs and runs some of their items; the member goes on to the next measurement.
+pub(super) fn measure(
+    arguments: &Arguments,
+    folder: &Path,
+) -> Result<(Day, MeasuredMember), Report<ErrorKind>> {
+    let before = allocated_bytes();
+    let mut member = MeasuredMember::new(folder, true)?;
+    configure(&mut member, fleet_file(arguments.tenants, 0))?;
+    member.take_costs();
+    let share = (arguments.items / arguments.jobs.max(1)).max(1);
+    for number in 0..arguments.jobs {
+        let plan = JobPlan::new(number, arguments.tenants, share, SHORT_LINE_BYTES);
+        upload(&mut member, &plan)?;
+        accept(&mut member, &plan)?;
+    }
+    member.sync()?;
+    let accepting = member.take_costs();
+    let accepted_bytes = allocated_bytes().saturating_sub(before);
+    let completed = run_rounds(arguments, &mut member)?;
+    member.sync()?;
+    let running = member.take_costs();
+    let day = Day {
+        jobs: arguments.jobs,
+        items: share * arguments.jobs,
+        accepting,
+        accepted_bytes,
+        running_bytes: allocated_bytes().saturating_sub(before),
+        completed,
+        running,
+    };
+    Ok((day, member))
+}
+
+/// Every gateway leases, and completes what it had leased the round before.
+fn run_rounds(
+    arguments: &Arguments,
+    member: &mut MeasuredMember,
+) -> Result<u64, Report<ErrorKind>> {
+    let mut executors = Vec::new();
+    for gateway in 0..arguments.gateways {
+        executors.push((Executor::open(member, gateway)?, Vec::new()));
+    }
+    let mut completed = 0;
+    for _ in 0..ROUNDS {
+        for (executor, held) in &mut executors {
+            let leased = executor.lease(member, &MODELS, LEASE_ITEMS)?;
+            let done = std::mem::replace(held, leased);
+            if !done.is_empty() {
+                completed += executor.complete(member, &done, arguments.line_bytes)?;
+            }
+        }
+        member.advance(ROUND);
+    }
+    Ok(completed)
+}
--- a/crates/lab/tests/all/capacity.rs
+++ b/crates/lab/tests/all/capacity.rs
@@ -16,12 +16,13 @@
         .collect()
 }
 
-fn help_of(subcommand: &str) -> String {
+fn help_of(subcommand: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_linnethitch-lab"))
-        .args([subcommand, "--help"])
+        .args(subcommand)
+        .arg("--help")
         .output()
         .unwrap();
-    assert!(output.status.success(), "no command `{subcommand}`");
+    assert!(output.status.success(), "no command {subcommand:?}");
     String::from_utf8(output.stdout).unwrap()
 }
 
@@ -31,10 +32,12 @@
     let lines = command_lines(&fs::read_to_string(page).unwrap());
     assert!(lines.len() >= 2, "only {lines:?}");
     for line in lines {
-        let mut words = line.split_whitespace().skip(1);
-        let subcommand = words.next().expect("a subcommand");
-        let help = help_of(subcommand);
-        for flag in words.filter(|word| word.starts_with("--")) {
+        let words: Vec<&str> = line.split_whitespace().skip(1).collect();
+        let names = words.iter().take_while(|word| !word.starts_with("--"));
+        let subcommand: Vec<&str> = names.copied().collect();
+        assert!(!subcommand.is_empty(), "`{line}` names no subcommand");
+        let help = help_of(&subcommand);
+        for flag in words.iter().filter(|word| word.starts_with("--")) {
             let flag = flag.split('=').next().unwrap_or(flag);
             assert!(help.contains(flag), "`{line}`: no flag {flag} in\n{help}");
         }
--- a/crates/lab/tests/all/main.rs
+++ b/crates/lab/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod capacity;
 mod dev;
 mod load;
+mod measure;
 mod one_host;
 mod support;
