--- a/crates/control/tests/all/process.rs
+++ b/crates/control/tests/all/process.rs
@@ -123,6 +123,29 @@
     assert!(text.contains("linnethitch_control_revision 1"), "{text}");
 }
 
+#[tokio::test]
+async fn every_call_of_the_reference_page_is_known() {
+    let control = TestControl::start(1).await;
+    let page = include_str!("../../../../docs/reference/operators-interface.md");
+    let calls: Vec<(&str, &str)> = page
+        .lines()
+        .filter_map(|line| {
+            line.strip_prefix("| `")?
+                .split_once('`')?
+                .0
+                .split_once(" /")
+        })
+        .collect();
+    assert!(calls.len() >= 10, "{calls:?}");
+    for (method, path) in calls {
+        let method: Method = method.parse().expect("a method");
+        let answer = call(control.request(1, method, &format!("/{path}"), "")).await;
+        let message = answer.body["error"]["message"].as_str().unwrap_or("");
+        assert!(!message.contains("no such path"), "{path}: {answer:?}");
+        assert_ne!(answer.code(), "method_not_allowed", "{path}");
+    }
+}
+
 /// A log that can be read while it is written.
 #[derive(Clone, Default)]
 struct SharedLog(Arc<Mutex<Vec<u8>>>);
