Test jobs over real control members, gateways and emulated engines

Cause: the batch path was tested over a stand-in of control only. Change: three control members with synced files, the emulator's platform and two engines, and two gateways in one process: a job is cancelled while it runs, and another is finished by the second gateway after the first one was dropped in the middle of it.

--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -66,24 +66,32 @@
         .await;
     }
 
-    /// Results by custom id; panics when one comes twice.
     async fn results(&self, job: &Value, kind: &str) -> BTreeMap<String, Value> {
-        let Some(file) = job[kind].as_str() else {
-            return BTreeMap::new();
-        };
-        let url = self.gateway.url(&format!("/v1/files/{file}/content"));
-        let answer = call(request(Method::GET, url, "")).await;
-        let mut results = BTreeMap::new();
-        for line in String::from_utf8_lossy(&answer.body).lines() {
-            let result: Value = serde_json::from_str(line).expect("a result");
-            let id = result["custom_id"].as_str().expect("an id").to_owned();
-            assert!(results.insert(id, result).is_none(), "{line} came twice");
-        }
-        results
+        results(&self.gateway, job, kind).await
+    }
+}
+
+/// Results of a job by custom id; panics when one comes twice.
+pub(crate) async fn results(
+    gateway: &TestGateway,
+    job: &Value,
+    kind: &str,
+) -> BTreeMap<String, Value> {
+    let Some(file) = job[kind].as_str() else {
+        return BTreeMap::new();
+    };
+    let url = gateway.url(&format!("/v1/files/{file}/content"));
+    let answer = call(request(Method::GET, url, "")).await;
+    let mut results = BTreeMap::new();
+    for line in String::from_utf8_lossy(&answer.body).lines() {
+        let result: Value = serde_json::from_str(line).expect("a result");
+        let id = result["custom_id"].as_str().expect("an id").to_owned();
+        assert!(results.insert(id, result).is_none(), "{line} came twice");
     }
+    results
 }
 
-fn at_most_once(custom_id: &str) -> String {
+pub(crate) fn at_most_once(custom_id: &str) -> String {
     let mut line: Value = serde_json::from_str(&line(custom_id)).expect("a line");
     line["run"] = json!("at-most-once");
     line.to_string() + "\n"
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod overload;
 mod services;
 mod support;
+mod system;
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -69,7 +69,7 @@
     )
 }
 
-fn hash(key: &str) -> String {
+pub(crate) fn hash(key: &str) -> String {
     hex::encode(Sha256::digest(key.as_bytes()))
 }
 
--- a/crates/gateway/tests/all/support/mod.rs
+++ b/crates/gateway/tests/all/support/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod control;
 pub(crate) mod engine;
 pub(crate) mod gateway;
+pub(crate) mod members;
