Test slow engines by a gate in place of pauses

Change: an engine that is slow on purpose goes on when the test opens its gate; gateways of such tests have the time limits of real ones, and replicas of services are late for longer than any test waits.

--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -210,9 +210,8 @@
 #[case::stopped(true)]
 #[tokio::test]
 async fn another_gateway_finishes_what_one_leaves(#[case] planned: bool) {
-    let pause = Step::Pause(Duration::from_millis(200));
     let slow = [
-        vec![Step::Token(0), pause],
+        vec![Step::Token(0), Step::Gate],
         (1..9).map(Step::Token).collect(),
     ]
     .concat();
@@ -224,7 +223,9 @@
     let other = TestGateway::attached_as("g2", &[fixture.control.address]).await;
     let first = std::mem::replace(&mut fixture.gateway, other);
     if planned {
-        first.stop().await;
+        let stop = tokio::spawn(first.stop());
+        fixture.engine.open_gate();
+        stop.await.expect("stopped");
         assert_eq!(
             fixture.engine.closed_early(),
             0,
@@ -232,6 +233,7 @@
         );
     } else {
         drop(first);
+        fixture.engine.open_gate();
     }
     let job = fixture.wait_for(&id, "completed").await;
     let results = fixture.results(&job, "output_file_id").await;
--- a/crates/gateway/tests/all/claims.rs
+++ b/crates/gateway/tests/all/claims.rs
@@ -1,7 +1,5 @@
 //! Idempotency keys and at-most-once requests.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -65,10 +63,10 @@
     (status, code.to_owned(), executed.to_owned())
 }
 
-/// Two tokens, a wait, and the rest.
+/// Two tokens, and the rest once the gate is open.
 fn slow() -> Script {
     let mut steps = whole(4);
-    steps.insert(2, Step::Pause(Duration::from_millis(250)));
+    steps.insert(2, Step::Gate);
     Script::Stream(steps)
 }
 
@@ -199,6 +197,15 @@
     );
     assert!(!meanwhile.header("retry-after").is_empty());
     drop(response);
+    if at_most_once {
+        fixture.engine.open_gate();
+    } else {
+        wait_until("the run is stopped", async || {
+            fixture.engine.closed_early() == 1
+        })
+        .await;
+        fixture.engine.open_gate();
+    }
     wait_until("the resend is answered", async || {
         let again = call(fixture.keyed(true, at_most_once)).await;
         again.status == StatusCode::OK && again.streamed_text() == "t0 t1 t2 t3 "
@@ -219,10 +226,13 @@
     let first = std::mem::replace(&mut fixture.gateway, other);
     let status = if planned {
         drop(response);
-        first.stop().await;
+        let stop = tokio::spawn(first.stop());
+        fixture.engine.open_gate();
+        stop.await.expect("stopped");
         StatusCode::OK
     } else {
         drop(first);
+        fixture.engine.open_gate();
         StatusCode::CONFLICT
     };
     wait_until("the outcome is told", async || {
--- a/crates/gateway/tests/all/completions.rs
+++ b/crates/gateway/tests/all/completions.rs
@@ -10,7 +10,7 @@
 use crate::support::{
     caller::{call, chat, request, send},
     engine::{FakeEngine, Script, Step, text_of, whole},
-    gateway::TestGateway,
+    gateway::{TestGateway, wait_until},
 };
 
 const CHAT: &str = "/v1/chat/completions";
@@ -346,12 +346,12 @@
 
 #[tokio::test]
 async fn a_planned_stop_cuts_no_stream_off() {
-    let steps = [Step::Token(0), Step::Pause(Duration::from_millis(250))]
+    let steps = [Step::Token(0), Step::Gate]
         .into_iter()
         .chain(whole(10).into_iter().skip(1));
     let scripts = vec![Script::Stream(steps.collect()); STREAMS];
     let engine = FakeEngine::start(scripts).await;
-    let mut gateway = TestGateway::start(&[engine.address]).await;
+    let mut gateway = TestGateway::start_patient(&[engine.address]).await;
     let started = (0..STREAMS).map(async |_| {
         let mut response = send(chat(gateway.url(CHAT), true)).await;
         let first = response.body_mut().frame().await;
@@ -361,6 +361,12 @@
     let responses = futures_util::future::join_all(started).await;
     let handle = gateway.handle.take().expect("running");
     let stop = tokio::spawn(handle.stop());
+    wait_until("no new connection is taken", async || {
+        let connected = tokio::net::TcpStream::connect(gateway.address).await;
+        connected.is_err()
+    })
+    .await;
+    engine.open_gate();
     for response in responses {
         let rest = response.into_body().collect().await;
         let rest = rest.expect("a whole body").to_bytes();
@@ -368,9 +374,4 @@
         assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
     }
     stop.await.expect("stopped");
-    assert!(
-        tokio::net::TcpStream::connect(gateway.address)
-            .await
-            .is_err()
-    );
 }
--- a/crates/gateway/tests/all/overload.rs
+++ b/crates/gateway/tests/all/overload.rs
@@ -31,7 +31,7 @@
 
 fn slow() -> Script {
     let mut steps = whole(3);
-    steps.insert(1, Step::Pause(Duration::from_millis(200)));
+    steps.insert(1, Step::Gate);
     Script::Stream(steps)
 }
 
@@ -52,6 +52,12 @@
     let (_control, gateway) = start(&engine, limit, "").await;
     let calls = (0..4).map(|_| tokio::spawn(call(chat(gateway.url(CHAT), false))));
     let calls: Vec<_> = calls.collect();
+    wait_until("every call runs or is refused", async || {
+        let refused = calls.iter().filter(|call| call.is_finished()).count();
+        engine.generations().len() + refused == calls.len()
+    })
+    .await;
+    engine.open_gate();
     let mut refused = 0;
     for answered in calls {
         let answer = answered.await.expect("an answer");
--- a/crates/gateway/tests/all/services.rs
+++ b/crates/gateway/tests/all/services.rs
@@ -16,6 +16,9 @@
     gateway::{TestGateway, application, fleet_file, wait_until},
 };
 
+/// Longer than any test waits.
+const LATE: Fault = Fault::Late { millis: 30_000 };
+
 struct Fixture {
     replicas: Vec<ApplicationServer>,
     gateway: TestGateway,
@@ -138,7 +141,9 @@
     }
     for _ in 0..4 {
         let mut message = fixture.request(method.clone(), "/services/tariffs/x", "");
-        let deadline = "200".parse().expect("a value");
+        let hangs = faults[0] == Fault::Hang;
+        let deadline = if hangs { "200" } else { "10000" };
+        let deadline = deadline.parse().expect("a value");
         message
             .headers_mut()
             .insert("linnethitch-deadline-ms", deadline);
@@ -163,13 +168,15 @@
 ) {
     let fixture = Fixture::start(2).await;
     for replica in &fixture.replicas {
-        replica.inject(Fault::Late { millis: 300 });
+        replica.inject(LATE);
     }
     let message = fixture.request(method, "/services/tariffs/x", "");
     let answer = tokio::spawn(call(message));
     wait_until("it runs", async || fixture.executions() == 1).await;
-    let busy = fixture.replicas.iter().find(|one| one.executions() == 1);
-    busy.expect("one runs it").inject(Fault::Die);
+    for replica in &fixture.replicas {
+        let busy = replica.executions() == 1;
+        replica.inject(if busy { Fault::Die } else { Fault::Recover });
+    }
     let answer = answer.await.expect("an answer");
     assert_eq!(answer.status.as_u16(), status, "{answer:?}");
     if let Some(code) = code {
@@ -207,7 +214,7 @@
 async fn an_at_most_once_call_whose_replica_died_is_never_run_again() {
     let fixture = Fixture::start(2).await;
     for replica in &fixture.replicas {
-        replica.inject(Fault::Late { millis: 300 });
+        replica.inject(LATE);
     }
     let message = || {
         keyed(
--- a/crates/gateway/tests/all/support/engine.rs
+++ b/crates/gateway/tests/all/support/engine.rs
@@ -22,7 +22,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 /// One step of a scripted stream.
 #[derive(Clone, Debug)]
@@ -39,8 +39,8 @@
     Done,
     /// Sends these bytes as they are.
     Raw(&'static str),
-    /// Waits.
-    Pause(Duration),
+    /// Waits until the test opens the engine's gate.
+    Gate,
     /// Never goes on.
     Hang,
     /// Breaks the connection off.
@@ -75,6 +75,7 @@
     scripts: Mutex<VecDeque<Script>>,
     received: Mutex<Vec<Received>>,
     closed_early: AtomicUsize,
+    gate: watch::Sender<bool>,
 }
 
 /// A fake engine on a loopback port.
@@ -139,6 +140,11 @@
             .collect()
     }
 
+    /// Lets every [`Step::Gate`] pass from now on.
+    pub(crate) fn open_gate(&self) {
+        self.shared.gate.send_replace(true);
+    }
+
     /// Streams that the gateway closed before their end.
     pub(crate) fn closed_early(&self) -> usize {
         self.shared.closed_early.load(Ordering::SeqCst)
@@ -254,8 +260,9 @@
                     return None;
                 };
                 let bytes = match step {
-                    Step::Pause(time) => {
-                        tokio::time::sleep(time).await;
+                    Step::Gate => {
+                        let mut gate = watch.shared.gate.subscribe();
+                        let _ = gate.wait_for(|open| *open).await;
                         continue;
                     }
                     Step::Hang => std::future::pending().await,
@@ -288,7 +295,7 @@
             "usage": {"prompt_tokens": 3, "completion_tokens": 10, "total_tokens": 13}}),
         Step::Done => return Bytes::from_static(b"data: [DONE]\n\n"),
         Step::Raw(text) => return Bytes::from_static(text.as_bytes()),
-        Step::Pause(_) | Step::Hang | Step::Break => return Bytes::new(),
+        Step::Gate | Step::Hang | Step::Break => return Bytes::new(),
     };
     Bytes::from(format!("data: {event}\n\n"))
 }
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -83,25 +83,25 @@
 impl TestGateway {
     /// Starts a gateway in front of engines that serve the model `m`.
     pub(crate) async fn start(engines: &[SocketAddr]) -> Self {
-        Self::start_with(engines, &[]).await
+        Self::start_with(engines, timeouts()).await
     }
 
-    /// Starts a gateway in front of engines and of application replicas of `tariffs`.
-    pub(crate) async fn start_with(engines: &[SocketAddr], applications: &[SocketAddr]) -> Self {
+    /// The same with the time limits of a real gateway, for engines that are slow on purpose.
+    pub(crate) async fn start_patient(engines: &[SocketAddr]) -> Self {
+        Self::start_with(engines, EngineTimeouts::default()).await
+    }
+
+    async fn start_with(engines: &[SocketAddr], engine_timeouts: EngineTimeouts) -> Self {
         let folder = TempDir::new().expect("a folder");
         let engines = engines
             .iter()
             .enumerate()
             .map(|(number, address)| engine(number, *address));
-        let applications = applications
-            .iter()
-            .enumerate()
-            .map(|(number, address)| application(number, *address));
         let options = GatewayOptions {
-            engine_timeouts: timeouts(),
+            engine_timeouts,
             fixed: Some(FixedFleet {
                 content: fleet_file(),
-                replicas: engines.chain(applications).collect(),
+                replicas: engines.collect(),
             }),
         };
         let handle = GatewayProcess::start_with(settings(&folder), options, logger())
@@ -140,7 +140,7 @@
     async fn follow(folder: TempDir, settings: GatewaySettings, members: &[SocketAddr]) -> Self {
         let settings = attached(settings, members);
         let options = GatewayOptions {
-            engine_timeouts: timeouts(),
+            engine_timeouts: EngineTimeouts::default(),
             fixed: None,
         };
         let handle = GatewayProcess::start_with(settings, options, logger())
