--- a/crates/gateway/tests/all/explain.rs
+++ b/crates/gateway/tests/all/explain.rs
@@ -12,6 +12,9 @@
     gateway::{KEY, LIMITED_KEY, TestGateway},
 };
 
+/// Routes of the callers' interface.
+const ENDPOINTS: usize = 18;
+
 async fn explain(gateway: &TestGateway, id: &str, key: &str) -> Vec<Value> {
     let mut message = request(Method::GET, gateway.url(&format!("/v1/explain/{id}")), "");
     let bearer = format!("Bearer {key}").parse().expect("a value");
@@ -115,3 +118,30 @@
         expected.join("\n")
     );
 }
+
+/// A path for a route of the page.
+fn example(path: &str) -> String {
+    path.replace("{id}", "x").replace("{name}/…", "tariffs/x")
+}
+
+#[tokio::test]
+async fn the_reference_page_lists_calls_that_exist() {
+    let page =
+        PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/reference/callers-interface.md");
+    let page = fs::read_to_string(page).expect("the page");
+    let gateway = TestGateway::start(&[]).await;
+    let calls = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let calls = calls.filter_map(|row| row.split_once('`')?.0.split_once(" /"));
+    let calls: Vec<_> = calls.collect();
+    assert_eq!(calls.len(), ENDPOINTS);
+    let checks = calls.into_iter().map(async |(method, path)| {
+        let method = if method == "ANY" { "PUT" } else { method };
+        let method = method.parse().expect("a method");
+        let url = gateway.url(&example(&format!("/{path}")));
+        let answer = call(request(method, url, "")).await;
+        let message = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_ne!(answer.status, StatusCode::METHOD_NOT_ALLOWED, "{path}");
+        assert!(!message.contains("no such path"), "{path}: {message}");
+    });
+    futures_util::future::join_all(checks).await;
+}
