--- a/crates/control/src/attach/calls.rs
+++ b/crates/control/src/attach/calls.rs
@@ -2,10 +2,8 @@
 
 use std::sync::Arc;
 
-use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
-    attach::{ControlAnswer, ControlCall, ControlMessage},
-    command::Refusal,
+    attach::{ControlCall, ControlMessage},
     ids::CallId,
 };
 use tokio::sync::Semaphore;
@@ -34,30 +32,16 @@
 
     /// Hands a call in, waiting for room; its answer is sent when it comes.
     pub(super) async fn relay(&self, call: CallId, body: ControlCall) {
-        let changes = matches!(body, ControlCall::Propose(_));
         let Ok(permit) = Arc::clone(&self.permits).acquire_owned().await else {
             return;
         };
         let pending = self.driver.submit(body).await;
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let body = match pending {
-                Some(answer) => answer.await.unwrap_or_else(|_| lost(changes)),
-                None => lost(false),
-            };
+            let body = pending.wait().await;
             // A gateway that has gone asks again elsewhere.
             let _ = sender.send(&ControlMessage::Answer { call, body }).await;
             drop(permit);
         });
     }
 }
-
-/// The answer when the member stops before it answers.
-fn lost(changes: bool) -> ControlAnswer {
-    let kind = if changes {
-        ErrorKind::ControlOutcomeUnknown
-    } else {
-        ErrorKind::ControlUnavailable
-    };
-    ControlAnswer::Refused(Refusal::new(kind, "this control member is stopping"))
-}
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -133,18 +133,17 @@
 
     /// Makes a call and waits for its answer.
     pub(crate) async fn call(&self, body: ControlCall) -> ControlAnswer {
+        self.submit(body).await.wait().await
+    }
+
+    /// Hands a call in, waiting for room, in the order of submission.
+    pub(crate) async fn submit(&self, body: ControlCall) -> PendingAnswer {
         let changes = matches!(body, ControlCall::Propose(_));
-        match self.submit(body).await {
-            Some(answer) => answer.await.unwrap_or_else(|_| lost_answer(changes)),
-            None => unavailable(),
-        }
+        let answer = self.try_submit(body).await;
+        PendingAnswer { answer, changes }
     }
 
-    /// Hands a call in, waiting for room; `None` when the member has stopped.
-    pub(crate) async fn submit(
-        &self,
-        body: ControlCall,
-    ) -> Option<oneshot::Receiver<ControlAnswer>> {
+    async fn try_submit(&self, body: ControlCall) -> Option<oneshot::Receiver<ControlAnswer>> {
         let (reply, answer) = oneshot::channel();
         let permit = self.room.enter(&body).await?;
         let call = PendingCall { reply, permit };
@@ -191,17 +190,28 @@
     }
 }
 
-fn unavailable() -> ControlAnswer {
-    let refusal = Refusal::new(ErrorKind::ControlUnavailable, "this member is stopping");
-    ControlAnswer::Refused(refusal)
+/// The answer to a call that was handed in.
+pub(crate) struct PendingAnswer {
+    /// `None` when the member had stopped before.
+    answer: Option<oneshot::Receiver<ControlAnswer>>,
+    changes: bool,
 }
 
-fn lost_answer(changes: bool) -> ControlAnswer {
-    if !changes {
-        return unavailable();
+impl PendingAnswer {
+    /// Waits for the answer; a member that stops first leaves changes in doubt.
+    pub(crate) async fn wait(self) -> ControlAnswer {
+        match self.answer {
+            Some(answer) => answer.await.unwrap_or_else(|_| stopped(self.changes)),
+            None => stopped(false),
+        }
     }
-    ControlAnswer::Refused(Refusal::new(
-        ErrorKind::ControlOutcomeUnknown,
-        "this member stopped before the change was answered",
-    ))
+}
+
+fn stopped(in_doubt: bool) -> ControlAnswer {
+    let kind = if in_doubt {
+        ErrorKind::ControlOutcomeUnknown
+    } else {
+        ErrorKind::ControlUnavailable
+    };
+    ControlAnswer::Refused(Refusal::new(kind, "this control member is stopping"))
 }
--- /dev/null
+++ b/crates/control/src/member/apply.rs
@@ -0,0 +1,86 @@
+//! Applying committed entries to the ledger.
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_ledger::Answer;
+use linnethitch_protocol::{
+    attach::ControlAnswer,
+    command::{Command, CommandBody},
+    consensus::{Entry, EntryPayload},
+    frame,
+    ids::{LogIndex, Revision},
+};
+
+use super::{
+    calls::{TakenProposal, not_committed},
+    core::Member,
+    output::MemberNotice,
+};
+
+/// Bytes of entries that are read at once to be applied.
+const APPLY_READ_BYTES: usize = 4 * 1024 * 1024;
+
+impl Member {
+    pub(super) fn apply_committed(&mut self) -> Result<(), Report<ErrorKind>> {
+        let status = self.node.status();
+        let committed = status.committed.min(status.synced);
+        while self.applied < committed {
+            let next = LogIndex(self.applied.0 + 1);
+            let end = LogIndex(committed.0 + 1);
+            let entries = self.store.log.entries(next, end, APPLY_READ_BYTES)?;
+            for entry in &entries {
+                self.apply(entry)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) -> Result<(), Report<ErrorKind>> {
+        let answer = match &entry.payload {
+            EntryPayload::Command(bytes) => Some(self.apply_command(entry.index, bytes)?),
+            EntryPayload::Membership(_, membership) => {
+                self.applied_membership = membership.clone();
+                None
+            }
+            EntryPayload::Empty => None,
+        };
+        self.applied = entry.index;
+        match self.calls.take_proposed(entry.index, entry.term) {
+            TakenProposal::Own(origin) => {
+                if let Some(answer) = answer {
+                    let outcome = self.ledger.outcome(answer)?;
+                    self.answer(origin, ControlAnswer::Outcome(outcome));
+                }
+            }
+            TakenProposal::Replaced(origin) => {
+                let due = not_committed(origin);
+                self.answer(due.origin, due.body);
+            }
+            TakenProposal::None => {}
+        }
+        Ok(())
+    }
+
+    fn apply_command(
+        &mut self,
+        index: LogIndex,
+        bytes: &[u8],
+    ) -> Result<Answer, Report<ErrorKind>> {
+        let command: Command =
+            frame::decode(bytes).map_err(|report| report.change_context(ErrorKind::Corrupted))?;
+        let revision = self.ledger.revision();
+        let answer = self.ledger.apply(index, &command)?;
+        self.note_effects(&command.body, revision);
+        Ok(answer)
+    }
+
+    fn note_effects(&mut self, body: &CommandBody, before: Revision) {
+        let revision = self.ledger.revision();
+        if revision != before {
+            self.notice(MemberNotice::Configuration(revision));
+        }
+        if let CommandBody::CancelJob { job, .. } = body {
+            self.notice(MemberNotice::JobCancelled(job.clone()));
+        }
+    }
+}
--- a/crates/control/src/member/mod.rs
+++ b/crates/control/src/member/mod.rs
@@ -5,15 +5,18 @@
 //! lets it work with [`Member::flush`] and carries out its [`MemberOutput`]s.
 //! Everything fed between two flushes shares one sync (group commit).
 
+mod apply;
 mod calls;
 mod core;
 mod formation;
 mod log_store;
 mod opening;
 mod output;
+mod persist;
 mod proposals;
 mod settings;
 mod snapshots;
+mod upkeep;
 mod view;
 
 pub use self::core::Member;
--- a/crates/control/src/member/opening.rs
+++ b/crates/control/src/member/opening.rs
@@ -1,7 +1,8 @@
 //! Opening what a member stored: its log and snapshots, or a blank state in
-//! place of a damaged one.
+//! place of a damaged one; and starting consensus from it.
 
 use error_stack::Report;
+use linnethitch_consensus::{LogView, Node, RestoredState, Settings};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::{DiskId, LogIndex};
 use linnethitch_storage::{
@@ -10,7 +11,7 @@
     snapshot::SnapshotStore,
 };
 
-use super::log_store::LogStore;
+use super::{log_store::LogStore, settings::MemberSettings, upkeep::load_first_membership};
 
 /// Log and snapshots of a folder.
 pub(super) struct OpenedStore {
@@ -72,3 +73,23 @@
         }
     }
 }
+
+/// Starts consensus from what is stored.
+///
+/// # Errors
+/// `Io` or `Corrupted` when the first membership cannot be read.
+pub(super) fn start_node(
+    settings: &MemberSettings,
+    folder: &DataFolder,
+    store: &LogStore,
+) -> Result<Node, Report<ErrorKind>> {
+    let mut consensus = Settings::new(folder.member(), settings.seed);
+    consensus.safety = settings.safety;
+    let restored = RestoredState {
+        hard_state: store.log.hard_state().clone(),
+        membership: load_first_membership(folder)?,
+        damaged_up_to: None,
+        partial_snapshot: None,
+    };
+    Ok(Node::new(consensus, restored, store as &dyn LogView))
+}
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -27,30 +27,30 @@
     /// Registers the gauges.
     pub(crate) fn new(metrics: &Metrics, traffic: Arc<Traffic>) -> Self {
         ControlMetrics {
-            leads: metrics.gauge("control_leads", "1 while this member leads, else 0."),
-            term: metrics.gauge("control_term", "The consensus term."),
+            leads: metrics.gauge("control_leads", "1 while this member leads, else 0"),
+            term: metrics.gauge("control_term", "The consensus term"),
             revision: metrics.gauge(
                 "control_revision",
-                "The configuration revision applied here.",
+                "The configuration revision applied here",
             ),
             applied: metrics.gauge(
                 "control_applied_index",
-                "The last index of the replicated log applied here.",
+                "The last index of the replicated log applied here",
             ),
-            voters: metrics.gauge("control_voters", "Disks that vote."),
-            log_bytes: metrics.gauge("control_log_bytes", "Bytes of the replicated log on disk."),
+            voters: metrics.gauge("control_voters", "Disks that vote"),
+            log_bytes: metrics.gauge("control_log_bytes", "Bytes of the replicated log on disk"),
             disk_full: metrics.gauge(
                 "control_disk_full",
-                "1 while new work is refused for want of space, else 0.",
+                "1 while new work is refused for want of space, else 0",
             ),
-            pending_items: metrics.gauge("control_pending_items", "Batch items that wait."),
+            pending_items: metrics.gauge("control_pending_items", "Batch items that wait"),
             sent_bytes: metrics.gauge(
                 "control_sent_bytes",
-                "Bytes sent to gateways and other members since the start.",
+                "Bytes sent to gateways and other members since the start",
             ),
             received_bytes: metrics.gauge(
                 "control_received_bytes",
-                "Bytes received from gateways and other members since the start.",
+                "Bytes received from gateways and other members since the start",
             ),
             traffic,
         }
--- a/crates/control/tests/all/process.rs
+++ b/crates/control/tests/all/process.rs
@@ -146,6 +146,29 @@
     }
 }
 
+#[tokio::test]
+async fn the_reference_page_lists_the_metrics_of_the_code() {
+    let control = TestControl::start(1).await;
+    let text = control.get(1, "/metrics").await.body;
+    let names_and_help = text.as_str().expect("a text").lines();
+    let expected: Vec<String> = names_and_help
+        .filter_map(|line| line.strip_prefix("# HELP ")?.split_once(' '))
+        .map(|(name, help)| format!("| `{name}` | gauge | {} |", help.trim_end_matches('.')))
+        .collect();
+    let page = include_str!("../../../../docs/reference/metrics.md");
+    let (_, section) = page.split_once("## Control").expect("the section");
+    let rows = section
+        .lines()
+        .filter(|line| line.starts_with("| `linnethitch_"));
+    let rows: Vec<&str> = rows.collect();
+    assert_eq!(
+        rows,
+        expected,
+        "put these rows into the page:\n{}",
+        expected.join("\n")
+    );
+}
+
 /// A log that can be read while it is written.
 #[derive(Clone, Default)]
 struct SharedLog(Arc<Mutex<Vec<u8>>>);
