ledger: parse only what a change of the configuration changed

Change: the ledger keeps the parsed document and derives the next one from it, so that sections of tenants that did not change are shared. The unused way to hand in a text parsed elsewhere is gone.

--- a/crates/ledger/src/configuration.rs
+++ b/crates/ledger/src/configuration.rs
@@ -5,7 +5,10 @@
     sync::Arc,
 };
 
-use linnethitch_config::{digest::content_digest, fleet::Fleet};
+use linnethitch_config::{
+    digest::content_digest,
+    fleet::{Fleet, FleetDocument},
+};
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, TextEdit},
     command::{ApplyOutcome, Outcome},
@@ -73,34 +76,10 @@
     pub(crate) changes: Arc<Changes>,
 }
 
-/// A configuration text parsed ahead of its command, so that applying a large one is short.
-#[derive(Clone, Debug)]
-pub struct PreparedConfiguration {
-    content: [u8; 32],
-    parsed: Result<Arc<Fleet>, String>,
-}
-
-impl PreparedConfiguration {
-    /// Parses a text; may run on any thread.
-    #[must_use]
-    pub fn new(content: &str) -> Self {
-        PreparedConfiguration {
-            content: content_hash(content),
-            parsed: parse(content),
-        }
-    }
-}
-
 fn content_hash(content: &str) -> [u8; 32] {
     Sha256::digest(content.as_bytes()).into()
 }
 
-fn parse(content: &str) -> Result<Arc<Fleet>, String> {
-    Fleet::parse(content)
-        .map(Arc::new)
-        .map_err(|error| shortened(error.to_string()))
-}
-
 /// Cuts a message to its allowed length, at a character's boundary.
 fn shortened(mut message: String) -> String {
     let mut end = message.len().min(MAX_INVALID_MESSAGE_BYTES);
@@ -117,10 +96,9 @@
     /// The replicated part.
     pub(crate) state: ConfigurationState,
     /// The content, parsed; `None` while there is none.
-    pub(crate) fleet: Option<Arc<Fleet>>,
+    document: Option<FleetDocument>,
     /// Weight of each tenant that has one above the default.
     weights: BTreeMap<String, u32>,
-    prepared: Option<PreparedConfiguration>,
 }
 
 impl Configuration {
@@ -128,25 +106,36 @@
     pub(crate) fn from_state(state: ConfigurationState) -> Self {
         let mut configuration = Configuration::default();
         if state.revision > Revision(0) {
-            configuration.set_fleet(parse(&state.content).ok());
+            configuration.set_document(configuration.parse(&state.content).ok());
         }
         configuration.state = state;
         configuration
     }
 
-    /// Keeps a parsed text for the command that brings it.
-    pub(crate) fn prepare(&mut self, prepared: PreparedConfiguration) {
-        self.prepared = Some(prepared);
+    /// Parses a text; what stands in the one in force too is not parsed again.
+    fn parse(&self, content: &str) -> Result<FleetDocument, String> {
+        let text = content.to_owned();
+        let parsed = match &self.document {
+            Some(document) => document.replaced_by(text),
+            None => FleetDocument::parse(text),
+        };
+        parsed.map_err(|error| shortened(error.to_string()))
     }
 
-    fn set_fleet(&mut self, fleet: Option<Arc<Fleet>>) {
+    /// The content, parsed; `None` while there is none.
+    pub(crate) fn fleet(&self) -> Option<&Arc<Fleet>> {
+        self.document.as_ref().map(FleetDocument::fleet)
+    }
+
+    fn set_document(&mut self, document: Option<FleetDocument>) {
+        let fleet = document.as_ref().map(FleetDocument::fleet);
         self.weights = fleet
             .iter()
             .flat_map(|fleet| &fleet.tenants)
             .filter(|tenant| tenant.weight != 1)
             .map(|tenant| (tenant.name.clone(), tenant.weight))
             .collect();
-        self.fleet = fleet;
+        self.document = document;
     }
 
     /// A tenant's share relative to others, at least 1.
@@ -161,8 +150,7 @@
 
     /// The rules of batch work in force.
     pub(crate) fn batch(&self) -> linnethitch_config::fleet::BatchPolicy {
-        self.fleet
-            .as_ref()
+        self.fleet()
             .map(|fleet| fleet.batch.clone())
             .unwrap_or_default()
     }
@@ -173,7 +161,7 @@
             Some((name, adapter)) => (name, Some(adapter)),
             None => (model, None),
         };
-        let mut pools = self.fleet.iter().flat_map(|fleet| &fleet.models);
+        let mut pools = self.fleet().into_iter().flat_map(|fleet| &fleet.models);
         let Some(pool) = pools.find(|pool| pool.name == name) else {
             return ModelUse::Unknown;
         };
@@ -209,7 +197,7 @@
             };
             return ready(Outcome::Configuration(outcome));
         }
-        let outcome = self.decide(expected, content, hash);
+        let outcome = self.decide(expected, content);
         self.remember(
             change,
             ChangeRecord {
@@ -221,25 +209,23 @@
         ready(Outcome::Configuration(outcome))
     }
 
-    fn decide(&mut self, expected: Revision, content: &str, hash: [u8; 32]) -> ApplyOutcome {
+    fn decide(&mut self, expected: Revision, content: &str) -> ApplyOutcome {
         if expected != self.state.revision {
             return ApplyOutcome::Conflict(self.state.revision);
         }
-        let prepared = self.prepared.take().filter(|ready| ready.content == hash);
-        let parsed = prepared.map_or_else(|| parse(content), |ready| ready.parsed);
-        match parsed {
-            Ok(fleet) => ApplyOutcome::Accepted(self.accept(content, fleet)),
+        match self.parse(content) {
+            Ok(document) => ApplyOutcome::Accepted(self.accept(content, document)),
             Err(message) => ApplyOutcome::Invalid(message),
         }
     }
 
-    fn accept(&mut self, content: &str, fleet: Arc<Fleet>) -> Revision {
+    fn accept(&mut self, content: &str, document: FleetDocument) -> Revision {
         let state = &mut self.state;
         let to = Revision(state.revision.0 + 1);
         state.deltas.push_back(Arc::new(Delta {
             to,
             edits: line_edits(&state.content, content),
-            digest: content_digest(content),
+            digest: document.digest(),
         }));
         let mut bytes: usize = state.deltas.iter().map(|delta| delta.bytes()).sum();
         while state.deltas.len() > KEPT_DELTAS || bytes > MAX_DELTA_BYTES {
@@ -250,7 +236,7 @@
         }
         state.revision = to;
         state.content = Arc::from(content);
-        self.set_fleet(Some(fleet));
+        self.set_document(Some(document));
         to
     }
 
@@ -311,7 +297,10 @@
         ConfigurationUpdate::Full {
             revision: self.state.revision,
             content: self.state.content.to_string(),
-            digest: content_digest(&self.state.content),
+            digest: match &self.document {
+                Some(document) => document.digest(),
+                None => content_digest(&self.state.content),
+            },
         }
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -16,7 +16,7 @@
 use crate::{
     answer::Answer,
     claims::{ClaimHolder, ClaimKey, Claims},
-    configuration::{Configuration, PreparedConfiguration},
+    configuration::Configuration,
     files::InputFile,
     job::{Job, JobNumber},
     line_index::ChunkCache,
@@ -140,11 +140,6 @@
         self.state.now
     }
 
-    /// Keeps a configuration that was parsed on another thread, for the command that brings it.
-    pub fn prepare_configuration(&mut self, prepared: PreparedConfiguration) {
-        self.configuration.prepare(prepared);
-    }
-
     /// Carries one committed command out.
     ///
     /// Never panics. A command against the rules answers [`Outcome::Refused`] and
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -34,7 +34,6 @@
 mod views;
 
 pub use answer::Answer;
-pub use configuration::PreparedConfiguration;
 pub use ledger::{Ledger, SafetyOverrides};
 pub use orders::OpenOrder;
 pub use snapshot::{Restorer, SnapshotScope, SnapshotWriter};
--- a/crates/ledger/src/views.rs
+++ b/crates/ledger/src/views.rs
@@ -26,7 +26,7 @@
     /// The configuration in force, parsed.
     #[must_use]
     pub fn fleet(&self) -> Option<Arc<Fleet>> {
-        self.configuration.fleet.clone()
+        self.configuration.fleet().cloned()
     }
 
     /// The configuration in force as one update.
