Add linnethitch-lab measure consensus: commits, reads, loss of the leader

Cause: the choices of consensus (group commit, read index, no lease) had no figures that anybody could take again.

Change: a measurement of groups of one, three and five members of control in one process, each on a thread with a real folder and real syncs, beside the disk's own rate of synced appends measured just before.

Conclusion: measure::a_group_of_members_is_measured runs it whole in small.

--- a/crates/lab/tests/all/measure.rs
+++ b/crates/lab/tests/all/measure.rs
@@ -70,3 +70,26 @@
     let page = fs::read_to_string(&page).unwrap();
     assert!(page.contains("leasing and completing an item"), "{page}");
 }
+
+#[test]
+fn a_group_of_members_is_measured() {
+    let folder = tempfile::tempdir().unwrap();
+    let run = Command::new(env!("CARGO_BIN_EXE_linnethitch-lab"))
+        .args(["measure", "consensus", "--seconds", "0.05", "--losses", "1"])
+        .arg("--output")
+        .arg(folder.path())
+        .output()
+        .unwrap();
+    assert!(run.status.success(), "{run:?}");
+    let results = fs::read(folder.path().join("results.json")).unwrap();
+    let results: Value = serde_json::from_slice(&results).unwrap();
+    for kind in ["commits", "reads"] {
+        let rows = results[kind].as_array().unwrap();
+        assert_eq!(rows.len(), 12, "three sizes at four rates");
+        let all_ran = rows
+            .iter()
+            .all(|row| row["per_second"].as_f64() > Some(0.0));
+        assert!(all_ran, "{rows:?}");
+    }
+    assert_eq!(results["recoveries"].as_array().unwrap().len(), 2);
+}
