Give the messages of replication types of their own

Cause: the node took the four larger messages apart field by field and put three of them together again in types of its own (ReceivedAppend, SnapshotAnswer, arguments), so that the same lists of fields stood twice and the dispatch of messages was seventy lines long.

Change: Append, AppendResponse, SnapshotChunk and SnapshotResponse are structs of the protocol and are passed on as they are. No behaviour changes.

Conclusion: the tests of consensus, protocol and control pass unchanged but for the patterns that name the fields.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -274,57 +274,13 @@
                 leadership_transfer: _,
             } => self.on_vote_request(from, last_index, last_term),
             ConsensusBody::VoteResponse { granted } => self.on_vote_response(from, granted),
-            ConsensusBody::Append {
-                previous_index,
-                previous_term,
-                entries,
-                commit,
-                round,
-            } => {
-                let append = follower::ReceivedAppend {
-                    from,
-                    previous_index,
-                    previous_term,
-                    entries,
-                    commit,
-                    round,
-                };
-                self.on_append(append, log);
+            ConsensusBody::Append(append) => self.on_append(from, append, log),
+            ConsensusBody::AppendResponse(response) => {
+                self.on_append_response(from, &response, log);
             }
-            ConsensusBody::AppendResponse {
-                accepted,
-                matched,
-                round,
-            } => self.on_append_response(from, accepted, matched, round, log),
-            ConsensusBody::SnapshotChunk {
-                meta,
-                offset,
-                data,
-                last,
-                round,
-            } => {
-                let chunk = ReceivedChunk {
-                    from,
-                    meta,
-                    offset,
-                    data,
-                    last,
-                };
-                self.on_snapshot_chunk(chunk, round);
-            }
-            ConsensusBody::SnapshotResponse {
-                index,
-                next_offset,
-                installed,
-                round,
-            } => {
-                let answer = snapshot::SnapshotAnswer {
-                    index,
-                    next_offset,
-                    installed,
-                    round,
-                };
-                self.on_snapshot_response(from, &answer, log);
+            ConsensusBody::SnapshotChunk(chunk) => self.on_snapshot_chunk(from, chunk),
+            ConsensusBody::SnapshotResponse(response) => {
+                self.on_snapshot_response(from, &response, log);
             }
             ConsensusBody::TransferLeadership => self.on_transfer_request(from),
         }
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -1,7 +1,9 @@
 //! Terms, votes and changes of role.
 
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, ConsensusMessage, EntryPayload},
+    consensus::{
+        Append, AppendResponse, ConsensusBody, ConsensusMessage, EntryPayload, SnapshotChunk,
+    },
     ids::{LogIndex, MemberId, Term},
 };
 
@@ -44,12 +46,13 @@
     /// it cannot stay behind for good.
     fn answer_late(&mut self, message: &ConsensusMessage) {
         let body = match &message.body {
-            ConsensusBody::Append { round, .. } | ConsensusBody::SnapshotChunk { round, .. } => {
-                ConsensusBody::AppendResponse {
+            ConsensusBody::Append(Append { round, .. })
+            | ConsensusBody::SnapshotChunk(SnapshotChunk { round, .. }) => {
+                ConsensusBody::AppendResponse(AppendResponse {
                     accepted: false,
                     matched: LogIndex(0),
                     round: *round,
-                }
+                })
             }
             ConsensusBody::PreVoteRequest { .. } => {
                 ConsensusBody::PreVoteResponse { granted: false }
@@ -273,6 +276,6 @@
 fn is_from_leader(body: &ConsensusBody) -> bool {
     matches!(
         body,
-        ConsensusBody::Append { .. } | ConsensusBody::SnapshotChunk { .. }
+        ConsensusBody::Append(_) | ConsensusBody::SnapshotChunk(_)
     )
 }
--- a/crates/consensus/src/node/follower.rs
+++ b/crates/consensus/src/node/follower.rs
@@ -1,57 +1,46 @@
 //! How a member takes entries from the leader.
 
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, Entry},
+    consensus::{Append, AppendResponse, ConsensusBody, Entry},
     ids::{LogIndex, MemberId, Term},
 };
 
 use super::Node;
 use crate::log_view::LogView;
 
-/// An append message of the leader.
-pub(super) struct ReceivedAppend {
-    pub(super) from: MemberId,
-    pub(super) previous_index: LogIndex,
-    pub(super) previous_term: Term,
-    pub(super) entries: Vec<Entry>,
-    pub(super) commit: LogIndex,
-    pub(super) round: u64,
-}
-
-impl ReceivedAppend {
-    /// Whether the entries follow each other and none is of a term above `term`.
-    fn is_well_formed(&self, term: Term) -> bool {
-        let mut index = self.previous_index;
-        let mut least_term = self.previous_term;
-        for entry in &self.entries {
-            let follows = index.0.checked_add(1) == Some(entry.index.0);
-            if !follows || entry.term < least_term || entry.term > term {
-                return false;
-            }
-            index = entry.index;
-            least_term = entry.term;
+/// Whether the entries follow each other and none is of a term above `term`.
+fn is_well_formed(append: &Append, term: Term) -> bool {
+    let mut index = append.previous_index;
+    let mut least_term = append.previous_term;
+    for entry in &append.entries {
+        let follows = index.0.checked_add(1) == Some(entry.index.0);
+        if !follows || entry.term < least_term || entry.term > term {
+            return false;
         }
-        true
+        index = entry.index;
+        least_term = entry.term;
     }
+    true
+}
 
-    fn last_index(&self) -> LogIndex {
-        LogIndex(self.previous_index.0 + self.entries.len() as u64)
-    }
+/// The index of the last entry, or of the point where a heartbeat stands.
+fn last_index(append: &Append) -> LogIndex {
+    LogIndex(append.previous_index.0 + append.entries.len() as u64)
 }
 
 impl Node {
-    pub(super) fn on_append(&mut self, mut append: ReceivedAppend, log: &dyn LogView) {
-        if !append.is_well_formed(self.term) {
+    pub(super) fn on_append(&mut self, from: MemberId, mut append: Append, log: &dyn LogView) {
+        if !is_well_formed(&append, self.term) {
             return;
         }
         self.skip_committed(&mut append, log);
         let held_term = self.pending.term(append.previous_index, log);
         if held_term != Some(append.previous_term) {
-            self.refuse_append(&append, log);
+            self.refuse_append(from, &append, log);
             return;
         }
-        let (from, round) = (append.from, append.round);
-        let matched = append.last_index();
+        let round = append.round;
+        let matched = last_index(&append);
         let has_entries = !append.entries.is_empty();
         let commit = append.commit.min(matched);
         self.take_entries(append.entries, log);
@@ -64,7 +53,7 @@
     }
 
     /// Cuts off what is committed here; those entries are the leader's as well.
-    fn skip_committed(&self, append: &mut ReceivedAppend, log: &dyn LogView) {
+    fn skip_committed(&self, append: &mut Append, log: &dyn LogView) {
         if append.previous_index >= self.commit {
             return;
         }
@@ -105,11 +94,11 @@
 
     fn answer_append(&mut self, to: MemberId, matched: LogIndex, round: u64) {
         self.answered_round = round;
-        let body = ConsensusBody::AppendResponse {
+        let body = ConsensusBody::AppendResponse(AppendResponse {
             accepted: true,
             matched,
             round,
-        };
+        });
         let answer = self.answer(to, self.term, body);
         if self.settings.safety.skip_append_sync {
             self.before_sync.push(answer);
@@ -125,28 +114,28 @@
             return;
         }
         self.answered_round = round;
-        let body = ConsensusBody::AppendResponse {
+        let body = ConsensusBody::AppendResponse(AppendResponse {
             accepted: true,
             matched: matched.min(self.synced),
             round,
-        };
+        });
         let answer = self.answer(to, self.term, body);
         self.before_sync.push(answer);
     }
 
-    fn refuse_append(&mut self, append: &ReceivedAppend, log: &dyn LogView) {
-        let body = ConsensusBody::AppendResponse {
+    fn refuse_append(&mut self, to: MemberId, append: &Append, log: &dyn LogView) {
+        let body = ConsensusBody::AppendResponse(AppendResponse {
             accepted: false,
             matched: self.agreement_hint(append, log),
             round: append.round,
-        };
-        let answer = self.answer(append.from, self.term, body);
+        });
+        let answer = self.answer(to, self.term, body);
         self.before_sync.push(answer);
     }
 
     /// The highest index below the refused one where the logs may agree: terms
     /// never fall along a log, so nothing of a later term can.
-    fn agreement_hint(&self, append: &ReceivedAppend, log: &dyn LogView) -> LogIndex {
+    fn agreement_hint(&self, append: &Append, log: &dyn LogView) -> LogIndex {
         let below = LogIndex(append.previous_index.0.saturating_sub(1));
         let mut hint = below.min(self.pending.last_index());
         while hint > self.commit {
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -1,7 +1,7 @@
 //! How the leader replicates, commits and confirms reads.
 
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, Entry, EntryPayload},
+    consensus::{AppendResponse, ConsensusBody, Entry, EntryPayload},
     ids::{LogIndex, MemberId},
 };
 
@@ -150,9 +150,7 @@
     pub(super) fn on_append_response(
         &mut self,
         from: MemberId,
-        accepted: bool,
-        matched: LogIndex,
-        round: u64,
+        response: &AppendResponse,
         log: &dyn LogView,
     ) {
         let last_index = self.pending.last_index();
@@ -162,16 +160,16 @@
         let Some(progress) = leadership.peers.get_mut(&from) else {
             return;
         };
-        if matched > last_index || round > leadership.round {
+        if response.matched > last_index || response.round > leadership.round {
             return;
         }
-        progress.heard(round);
-        if accepted {
-            progress.accepted(matched);
+        progress.heard(response.round);
+        if response.accepted {
+            progress.accepted(response.matched);
             self.commit_if_possible(log);
             self.ask_successor_if_ready();
         } else {
-            progress.rejected(matched);
+            progress.rejected(response.matched);
         }
     }
 
--- a/crates/consensus/src/node/snapshot.rs
+++ b/crates/consensus/src/node/snapshot.rs
@@ -1,7 +1,7 @@
 //! Snapshots for members that are behind the log's start.
 
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, SnapshotMeta},
+    consensus::{ConsensusBody, SnapshotChunk, SnapshotMeta, SnapshotResponse},
     ids::{LogIndex, MemberId},
 };
 
@@ -10,14 +10,6 @@
     log_view::LogView, membership::MembershipHistory, pending_log::PendingLog, ready::ReceivedChunk,
 };
 
-/// A member's answer to a snapshot chunk.
-pub(super) struct SnapshotAnswer {
-    pub(super) index: LogIndex,
-    pub(super) next_offset: u64,
-    pub(super) installed: bool,
-    pub(super) round: u64,
-}
-
 impl Node {
     /// The driver has installed and synced a received snapshot, and its log now
     /// starts after it. Entries beyond it may be kept only where the log holds
@@ -51,15 +43,15 @@
         }
     }
 
-    pub(super) fn on_snapshot_chunk(&mut self, chunk: ReceivedChunk, round: u64) {
-        self.answered_round = round;
-        let (from, index) = (chunk.from, chunk.meta.index);
+    pub(super) fn on_snapshot_chunk(&mut self, from: MemberId, chunk: SnapshotChunk) {
+        self.answered_round = chunk.round;
+        let index = chunk.meta.index;
         if index <= self.commit {
             let has_all = index <= self.synced;
             self.answer_snapshot(from, index, 0, has_all);
             return;
         }
-        if !self.is_receiving(&chunk) {
+        if !self.is_receiving(from, &chunk.meta) {
             self.receiving = (chunk.offset == 0).then(|| Receiving {
                 partial: PartialSnapshot {
                     from,
@@ -69,25 +61,31 @@
                 complete: false,
             });
         }
-        let next_offset = self.receive(chunk);
+        let next_offset = self.receive(from, chunk);
         self.answer_snapshot(from, index, next_offset, false);
     }
 
-    fn is_receiving(&self, chunk: &ReceivedChunk) -> bool {
+    fn is_receiving(&self, from: MemberId, meta: &SnapshotMeta) -> bool {
         self.receiving.as_ref().is_some_and(|receiving| {
-            receiving.partial.from == chunk.from && receiving.partial.meta == chunk.meta
+            receiving.partial.from == from && receiving.partial.meta == *meta
         })
     }
 
     /// Takes the chunk if it is the one wanted; tells the next byte wanted.
-    fn receive(&mut self, chunk: ReceivedChunk) -> u64 {
+    fn receive(&mut self, from: MemberId, chunk: SnapshotChunk) -> u64 {
         let Some(receiving) = &mut self.receiving else {
             return 0;
         };
         if chunk.offset == receiving.partial.next_offset && !receiving.complete {
             receiving.partial.next_offset += chunk.data.len() as u64;
             receiving.complete = chunk.last;
-            self.chunks.push(chunk);
+            self.chunks.push(ReceivedChunk {
+                from,
+                meta: chunk.meta,
+                offset: chunk.offset,
+                data: chunk.data,
+                last: chunk.last,
+            });
         }
         receiving.partial.next_offset
     }
@@ -99,12 +97,12 @@
         next_offset: u64,
         installed: bool,
     ) {
-        let body = ConsensusBody::SnapshotResponse {
+        let body = ConsensusBody::SnapshotResponse(SnapshotResponse {
             index,
             next_offset,
             installed,
             round: self.answered_round,
-        };
+        });
         let answer = self.answer(to, self.term, body);
         self.after_sync.push(answer);
     }
@@ -112,7 +110,7 @@
     pub(super) fn on_snapshot_response(
         &mut self,
         from: MemberId,
-        answer: &SnapshotAnswer,
+        answer: &SnapshotResponse,
         log: &dyn LogView,
     ) {
         let last_index = self.pending.last_index();
--- a/crates/consensus/src/plausible.rs
+++ b/crates/consensus/src/plausible.rs
@@ -8,8 +8,8 @@
 /// Whether the numbers of a message leave room to count on from.
 pub(crate) fn is_plausible(message: &ConsensusMessage) -> bool {
     let highest_index = match &message.body {
-        ConsensusBody::SnapshotChunk { meta, offset, .. } => meta.index.0.max(*offset),
-        ConsensusBody::Append { previous_index, .. } => previous_index.0,
+        ConsensusBody::SnapshotChunk(chunk) => chunk.meta.index.0.max(chunk.offset),
+        ConsensusBody::Append(append) => append.previous_index.0,
         _ => 0,
     };
     message.term.0 <= MAX_NUMBER && highest_index <= MAX_NUMBER
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,7 +1,7 @@
 //! Builds the leader's messages to one member.
 
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, ConsensusMessage, Entry},
+    consensus::{Append, ConsensusBody, ConsensusMessage, Entry, SnapshotChunk},
     ids::{LogIndex, MemberId, Term},
 };
 
@@ -114,13 +114,13 @@
         progress.told_commit = progress.told_commit.max(self.commit.min(covered));
         self.message(
             to,
-            ConsensusBody::Append {
+            ConsensusBody::Append(Append {
                 previous_index: batch.previous_index,
                 previous_term: batch.previous_term,
                 entries: batch.entries,
                 commit: self.commit,
                 round: self.round,
-            },
+            }),
         )
     }
 
@@ -210,13 +210,13 @@
     }
 
     fn chunk_body(&self, transfer: &SnapshotTransfer, data: Vec<u8>, last: bool) -> ConsensusBody {
-        ConsensusBody::SnapshotChunk {
+        ConsensusBody::SnapshotChunk(SnapshotChunk {
             meta: transfer.meta.clone(),
             offset: transfer.offset,
             data,
             last,
             round: self.round,
-        }
+        })
     }
 
     fn message(&self, to: MemberId, body: ConsensusBody) -> ConsensusMessage {
--- a/crates/consensus/tests/all/hostile_input.rs
+++ b/crates/consensus/tests/all/hostile_input.rs
@@ -77,7 +77,8 @@
 /// What a decoded message takes in memory.
 fn decoded_bytes(message: &ConsensusMessage) -> usize {
     let inner = match &message.body {
-        ConsensusBody::Append { entries, .. } => entries
+        ConsensusBody::Append(append) => append
+            .entries
             .iter()
             .map(|entry| {
                 let payload = match &entry.payload {
@@ -90,9 +91,10 @@
                 payload + size_of_val(entry)
             })
             .sum(),
-        ConsensusBody::SnapshotChunk { meta, data, .. } => {
-            let members = meta.membership.voters.len() + meta.membership.learners.len();
-            data.len() + members * 16
+        ConsensusBody::SnapshotChunk(chunk) => {
+            let membership = &chunk.meta.membership;
+            let members = membership.voters.len() + membership.learners.len();
+            chunk.data.len() + members * 16
         }
         _ => 0,
     };
--- a/crates/consensus/tests/all/messages.rs
+++ b/crates/consensus/tests/all/messages.rs
@@ -2,8 +2,8 @@
 
 use linnethitch_protocol::{
     consensus::{
-        ConsensusBody, ConsensusMessage, Entry, EntryPayload, Membership, MembershipChange,
-        SnapshotMeta,
+        Append, AppendResponse, ConsensusBody, ConsensusMessage, Entry, EntryPayload, Membership,
+        MembershipChange, SnapshotChunk, SnapshotMeta, SnapshotResponse,
     },
     ids::{LogIndex, MemberId, Term},
 };
@@ -100,36 +100,40 @@
             } else {
                 arbitrary
             };
-            ConsensusBody::Append {
+            ConsensusBody::Append(Append {
                 previous_index,
                 previous_term,
                 entries,
                 commit,
                 round,
-            }
+            })
         },
     )
 }
 
 fn snapshot_chunk() -> impl Strategy<Value = ConsensusBody> {
     (snapshot_meta(), number(), bytes(), any::<bool>(), number()).prop_map(
-        |(meta, offset, data, last, round)| ConsensusBody::SnapshotChunk {
-            meta,
-            offset,
-            data,
-            last,
-            round,
+        |(meta, offset, data, last, round)| {
+            ConsensusBody::SnapshotChunk(SnapshotChunk {
+                meta,
+                offset,
+                data,
+                last,
+                round,
+            })
         },
     )
 }
 
 fn snapshot_response() -> impl Strategy<Value = ConsensusBody> {
     (index(), number(), any::<bool>(), number()).prop_map(
-        |(index, next_offset, installed, round)| ConsensusBody::SnapshotResponse {
-            index,
-            next_offset,
-            installed,
-            round,
+        |(index, next_offset, installed, round)| {
+            ConsensusBody::SnapshotResponse(SnapshotResponse {
+                index,
+                next_offset,
+                installed,
+                round,
+            })
         },
     )
 }
@@ -155,11 +159,11 @@
         any::<bool>().prop_map(|granted| ConsensusBody::VoteResponse { granted }),
         append(),
         (any::<bool>(), index(), number()).prop_map(|(accepted, matched, round)| {
-            ConsensusBody::AppendResponse {
+            ConsensusBody::AppendResponse(AppendResponse {
                 accepted,
                 matched,
                 round,
-            }
+            })
         }),
         snapshot_chunk(),
         snapshot_response(),
--- a/crates/consensus/tests/all/replication.rs
+++ b/crates/consensus/tests/all/replication.rs
@@ -2,7 +2,7 @@
 
 use linnethitch_consensus::{LogView, MembershipError, ProposeError, ReadError};
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, MembershipChange},
+    consensus::{AppendResponse, ConsensusBody, MembershipChange, SnapshotResponse},
     ids::LogIndex,
 };
 use rstest::rstest;
@@ -228,17 +228,17 @@
 }
 
 fn meets_append(body: &mut ConsensusBody) -> Option<Fate> {
-    let is_met = matches!(body, ConsensusBody::Append { entries, .. } if !entries.is_empty());
+    let is_met = matches!(body, ConsensusBody::Append(append) if !append.entries.is_empty());
     is_met.then_some(Fate::Lost)
 }
 
 fn meets_refusal(body: &mut ConsensusBody) -> Option<Fate> {
     let is_met = matches!(
         body,
-        ConsensusBody::AppendResponse {
+        ConsensusBody::AppendResponse(AppendResponse {
             accepted: false,
             ..
-        }
+        })
     );
     is_met.then_some(Fate::Lost)
 }
@@ -248,24 +248,24 @@
 }
 
 fn meets_first_chunk(body: &mut ConsensusBody) -> Option<Fate> {
-    let is_met = matches!(body, ConsensusBody::SnapshotChunk { offset: 0, .. });
+    let is_met = matches!(body, ConsensusBody::SnapshotChunk(chunk) if chunk.offset == 0);
     is_met.then_some(Fate::Lost)
 }
 
 fn meets_last_chunk(body: &mut ConsensusBody) -> Option<Fate> {
-    let is_met = matches!(body, ConsensusBody::SnapshotChunk { last: true, .. });
+    let is_met = matches!(body, ConsensusBody::SnapshotChunk(chunk) if chunk.last);
     is_met.then_some(Fate::Lost)
 }
 
 fn repeats_chunk(body: &mut ConsensusBody) -> Option<Fate> {
-    let is_met = matches!(body, ConsensusBody::SnapshotChunk { .. });
+    let is_met = matches!(body, ConsensusBody::SnapshotChunk(_));
     is_met.then_some(Fate::ArrivesTwice)
 }
 
 fn damages_last_chunk(body: &mut ConsensusBody) -> Option<Fate> {
     match body {
-        ConsensusBody::SnapshotChunk { data, last, .. } if *last => {
-            data.truncate(data.len() / 2);
+        ConsensusBody::SnapshotChunk(chunk) if chunk.last => {
+            chunk.data.truncate(chunk.data.len() / 2);
             Some(Fate::Arrives)
         }
         _ => None,
@@ -273,17 +273,17 @@
 }
 
 fn meets_snapshot_answer(body: &mut ConsensusBody) -> Option<Fate> {
-    let is_met = matches!(body, ConsensusBody::SnapshotResponse { .. });
+    let is_met = matches!(body, ConsensusBody::SnapshotResponse(_));
     is_met.then_some(Fate::Lost)
 }
 
 fn meets_installed(body: &mut ConsensusBody) -> Option<Fate> {
     let is_met = matches!(
         body,
-        ConsensusBody::SnapshotResponse {
+        ConsensusBody::SnapshotResponse(SnapshotResponse {
             installed: true,
             ..
-        }
+        })
     );
     is_met.then_some(Fate::Lost)
 }
--- a/crates/protocol/src/consensus.rs
+++ b/crates/protocol/src/consensus.rs
@@ -110,52 +110,68 @@
         /// Whether the vote was given (and synced).
         granted: bool,
     },
-    /// Entries after `previous_index`; none makes it a heartbeat.
-    Append {
-        /// Index before the first entry.
-        previous_index: LogIndex,
-        /// Term of that index.
-        previous_term: Term,
-        /// The entries.
-        entries: Vec<Entry>,
-        /// The leader's commit index.
-        commit: LogIndex,
-        /// Round number of the leader for reads and check-quorum.
-        round: u64,
-    },
+    /// Entries of the leader, or its heartbeat.
+    Append(Append),
     /// Answer to an append.
-    AppendResponse {
-        /// Whether the entries fit; if so they are synced up to `matched`.
-        accepted: bool,
-        /// Synced up to here (accepted), or a hint where to go on (refused).
-        matched: LogIndex,
-        /// The round being answered.
-        round: u64,
-    },
+    AppendResponse(AppendResponse),
     /// A piece of a snapshot for a member that is behind the log's start.
-    SnapshotChunk {
-        /// What the snapshot stands for.
-        meta: SnapshotMeta,
-        /// Byte offset of this piece.
-        offset: u64,
-        /// The piece.
-        data: Vec<u8>,
-        /// Whether this is the last piece.
-        last: bool,
-        /// Round number of the leader.
-        round: u64,
-    },
+    SnapshotChunk(SnapshotChunk),
     /// Answer to a snapshot piece.
-    SnapshotResponse {
-        /// The snapshot being received.
-        index: LogIndex,
-        /// The next byte wanted.
-        next_offset: u64,
-        /// Whether the snapshot is installed and synced.
-        installed: bool,
-        /// The round being answered.
-        round: u64,
-    },
+    SnapshotResponse(SnapshotResponse),
     /// The leader asks the receiver to stand for election at once.
     TransferLeadership,
 }
+
+/// Entries after `previous_index`; none makes it a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Append {
+    /// Index before the first entry.
+    pub previous_index: LogIndex,
+    /// Term of that index.
+    pub previous_term: Term,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// The leader's commit index.
+    pub commit: LogIndex,
+    /// Round number of the leader for reads and check-quorum.
+    pub round: u64,
+}
+
+/// Answer to an append.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct AppendResponse {
+    /// Whether the entries fit; if so they are synced up to `matched`.
+    pub accepted: bool,
+    /// Synced up to here (accepted), or a hint where to go on (refused).
+    pub matched: LogIndex,
+    /// The round being answered.
+    pub round: u64,
+}
+
+/// A piece of a snapshot for a member that is behind the log's start.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct SnapshotChunk {
+    /// What the snapshot stands for.
+    pub meta: SnapshotMeta,
+    /// Byte offset of this piece.
+    pub offset: u64,
+    /// The piece.
+    pub data: Vec<u8>,
+    /// Whether this is the last piece.
+    pub last: bool,
+    /// Round number of the leader.
+    pub round: u64,
+}
+
+/// Answer to a snapshot piece.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct SnapshotResponse {
+    /// The snapshot being received.
+    pub index: LogIndex,
+    /// The next byte wanted.
+    pub next_offset: u64,
+    /// Whether the snapshot is installed and synced.
+    pub installed: bool,
+    /// The round being answered.
+    pub round: u64,
+}
