Run control in dev; test faults of separate processes with SIGKILL

Cause: dev ran gateways with a given fleet, and no test ran the whole path. Change: dev starts five control members with synced files, attaches gateways, applies the fleet file as revision 1, is ready once every back end is known, prints command lines that a test runs in a shell, and stops gateways first. A second start on the folder keeps revision, jobs and files (tested). Process tests over examples/one-host: engine killed mid-stream (12 streams, each whole), planned stop of a gateway during streams, and a job of 400 items over a killed gateway, a killed leader, two members with their folders deleted, and a planned restart of everything: each item once with its own answer, the resent creation finds the job.

--- a/crates/lab/src/dev/back_ends.rs
+++ b/crates/lab/src/dev/back_ends.rs
@@ -11,7 +11,7 @@
 };
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
-    fleet::{BackEndKind, EngineState, Machine, MachineState, ReplicaInfo},
+    fleet::{BackEndKind, EngineState, Machine, MachineState},
     ids::{ModelId, ReplicaId, ServiceId, ZoneId},
 };
 
@@ -19,8 +19,7 @@
 pub(super) struct BackEnds {
     engines: Vec<EngineServer>,
     applications: Vec<ApplicationServer>,
-    /// Runs as long as this value lives.
-    _platform: PlatformServer,
+    platform: PlatformServer,
 }
 
 impl BackEnds {
@@ -46,7 +45,7 @@
         Ok(BackEnds {
             engines,
             applications,
-            _platform: platform,
+            platform,
         })
     }
 
@@ -58,17 +57,9 @@
         self.applications.len()
     }
 
-    /// The replicas as they are now.
-    pub(super) fn replicas(&self) -> Vec<ReplicaInfo> {
-        let engines = self.engines.iter().map(|engine| ReplicaInfo {
-            machine: engine_machine(engine),
-            engine: engine.state(),
-        });
-        let applications = self.applications.iter().map(|replica| ReplicaInfo {
-            machine: application_machine(replica),
-            engine: EngineState::default(),
-        });
-        engines.chain(applications).collect()
+    /// Where the platform listens.
+    pub(super) fn platform(&self) -> SocketAddr {
+        self.platform.address()
     }
 }
 
--- a/crates/lab/src/dev/gateways.rs
+++ b/crates/lab/src/dev/gateways.rs
@@ -8,13 +8,10 @@
     settings::{DEFAULT_JOURNAL_MAX_BYTES, GatewayLimits, GatewaySettings, LogSettings},
 };
 use linnethitch_errors::ErrorKind;
-use linnethitch_gateway::{
-    options::{FixedFleet, GatewayOptions},
-    process::{GatewayHandle, GatewayProcess},
-};
+use linnethitch_gateway::process::{GatewayHandle, GatewayProcess};
 use slog::{Logger, o};
 
-use super::{Arguments, back_ends::BackEnds};
+use super::Arguments;
 
 /// A gateway and its name.
 struct Named {
@@ -22,39 +19,35 @@
     handle: GatewayHandle,
 }
 
+/// What the gateways have in common.
+pub(super) struct GatewayPlan<'a> {
+    pub(super) arguments: &'a Arguments,
+    pub(super) fleet: &'a Fleet,
+    pub(super) cluster_key: &'a Path,
+    /// Attach addresses of the control members.
+    pub(super) control_addresses: Vec<SocketAddr>,
+    pub(super) logger: Logger,
+}
+
 /// All gateways, the first on the address of the command line.
 pub(super) struct Gateways {
     gateways: Vec<Named>,
 }
 
 impl Gateways {
-    pub(super) async fn start(
-        arguments: &Arguments,
-        fleet: &Fleet,
-        text: &str,
-        cluster_key: &Path,
-        back_ends: &BackEnds,
-        logger: Logger,
-    ) -> Result<Gateways, Report<ErrorKind>> {
+    /// Starts the gateways of every zone, attached to the control members.
+    pub(super) async fn start(plan: GatewayPlan<'_>) -> Result<Gateways, Report<ErrorKind>> {
         let mut gateways = Vec::new();
-        for zone in &fleet.zones {
-            for number in 1..=arguments.gateways {
+        for zone in &plan.fleet.zones {
+            for number in 1..=plan.arguments.gateways {
                 let name = format!("gateway-{}-{number}", zone.name);
-                let listen = if gateways.is_empty() {
-                    arguments.gateway_address
-                } else {
-                    SocketAddr::from(([127, 0, 0, 1], 0))
+                let listen = match gateways.is_empty() {
+                    true => plan.arguments.gateway_address,
+                    false => SocketAddr::from(([127, 0, 0, 1], 0)),
                 };
-                let settings = settings(arguments, fleet, zone, &name, listen, cluster_key);
-                let options = GatewayOptions {
-                    fixed: Some(FixedFleet {
-                        content: text.to_owned(),
-                        replicas: back_ends.replicas(),
-                    }),
-                    ..GatewayOptions::default()
-                };
-                let logger = logger.new(o!("gateway" => name.clone()));
-                let handle = GatewayProcess::start_with(settings, options, logger).await?;
+                let settings = plan.settings(zone, &name, listen);
+                let logger = plan.logger.new(o!("gateway" => name.clone()));
+                let handle = GatewayProcess::start(settings, logger).await?;
                 gateways.push(Named { name, handle });
             }
         }
@@ -83,25 +76,20 @@
     }
 }
 
-fn settings(
-    arguments: &Arguments,
-    fleet: &Fleet,
-    zone: &Zone,
-    name: &str,
-    listen: SocketAddr,
-    cluster_key: &Path,
-) -> GatewaySettings {
-    GatewaySettings {
-        gateway_id: name.to_owned(),
-        zone: zone.name.clone(),
-        region: zone.region.clone(),
-        listen_address: listen,
-        control_addresses: Vec::new(),
-        cluster: fleet.name.clone(),
-        cluster_key_file: cluster_key.to_owned(),
-        data_dir: arguments.data_dir.join(name),
-        log: LogSettings::default(),
-        journal_max_bytes: DEFAULT_JOURNAL_MAX_BYTES,
-        limits: GatewayLimits::default(),
+impl GatewayPlan<'_> {
+    fn settings(&self, zone: &Zone, name: &str, listen: SocketAddr) -> GatewaySettings {
+        GatewaySettings {
+            gateway_id: name.to_owned(),
+            zone: zone.name.clone(),
+            region: zone.region.clone(),
+            listen_address: listen,
+            control_addresses: self.control_addresses.clone(),
+            cluster: self.fleet.name.clone(),
+            cluster_key_file: self.cluster_key.to_owned(),
+            data_dir: self.arguments.data_dir.join(name),
+            log: LogSettings::default(),
+            journal_max_bytes: DEFAULT_JOURNAL_MAX_BYTES,
+            limits: GatewayLimits::default(),
+        }
     }
 }
--- a/crates/lab/src/dev/keys.rs
+++ b/crates/lab/src/dev/keys.rs
@@ -1,4 +1,4 @@
-//! The cluster key of a data folder.
+//! The key files of a data folder.
 
 use std::{
     fs::{self, File, OpenOptions},
@@ -10,28 +10,59 @@
 use error_stack::{Report, ResultExt};
 use linnethitch_errors::ErrorKind;
 
-const FILE_NAME: &str = "cluster.key";
 const KEY_BYTES: usize = 32;
 /// Readable by the owner alone.
 const FILE_MODE: u32 = 0o600;
 
-/// Makes the data folder and its cluster key unless they exist; the key's file.
-pub(super) fn prepare(data_dir: &Path) -> Result<PathBuf, Report<ErrorKind>> {
-    fs::create_dir_all(data_dir)
-        .change_context(ErrorKind::Io)
-        .attach_with(|| format!("can not make the folder {}", data_dir.display()))?;
-    let file = data_dir.join(FILE_NAME);
-    if !file.exists() {
-        write_key(data_dir, &file)
+/// Where the keys are.
+pub(super) struct KeyFiles {
+    /// Proves membership of the cluster; made once.
+    pub(super) cluster: PathBuf,
+    /// The operators' bearer key, for `linnethitch … --key-file`.
+    pub(super) operator: PathBuf,
+    /// The tenant's bearer key, for `linnethitch batch … --key-file`.
+    pub(super) tenant: PathBuf,
+}
+
+impl KeyFiles {
+    /// Makes the data folder and its key files; an existing cluster key is kept.
+    ///
+    /// # Errors
+    /// `Io` with the file that can not be written.
+    pub(super) fn prepare(
+        data_dir: &Path,
+        operator_key: &str,
+        tenant_key: &str,
+    ) -> Result<KeyFiles, Report<ErrorKind>> {
+        fs::create_dir_all(data_dir)
             .change_context(ErrorKind::Io)
-            .attach_with(|| format!("can not write {}", file.display()))?;
+            .attach_with(|| format!("can not make the folder {}", data_dir.display()))?;
+        let files = KeyFiles {
+            cluster: data_dir.join("cluster.key"),
+            operator: data_dir.join("operator.key"),
+            tenant: data_dir.join("tenant.key"),
+        };
+        if !files.cluster.exists() {
+            let mut key = [0; KEY_BYTES];
+            getrandom::fill(&mut key).change_context(ErrorKind::Io)?;
+            write_key(&files.cluster, &hex::encode(key))?;
+        }
+        write_key(&files.operator, operator_key)?;
+        write_key(&files.tenant, tenant_key)?;
+        sync_folder(data_dir)
+            .change_context(ErrorKind::Io)
+            .attach_with(|| format!("can not sync {}", data_dir.display()))?;
+        Ok(files)
     }
-    Ok(file)
 }
 
-fn write_key(data_dir: &Path, file: &Path) -> std::io::Result<()> {
-    let mut key = [0; KEY_BYTES];
-    getrandom::fill(&mut key).map_err(std::io::Error::other)?;
+fn write_key(file: &Path, key: &str) -> Result<(), Report<ErrorKind>> {
+    replace(file, key)
+        .change_context(ErrorKind::Io)
+        .attach_with(|| format!("can not write {}", file.display()))
+}
+
+fn replace(file: &Path, key: &str) -> std::io::Result<()> {
     let draft = file.with_extension("draft");
     let mut output = OpenOptions::new()
         .write(true)
@@ -39,8 +70,11 @@
         .truncate(true)
         .mode(FILE_MODE)
         .open(&draft)?;
-    output.write_all(hex::encode(key).as_bytes())?;
+    output.write_all(key.as_bytes())?;
     output.sync_all()?;
-    fs::rename(&draft, file)?;
-    File::open(data_dir)?.sync_all()
+    fs::rename(&draft, file)
+}
+
+fn sync_folder(folder: &Path) -> std::io::Result<()> {
+    File::open(folder)?.sync_all()
 }
--- a/crates/lab/src/dev/mod.rs
+++ b/crates/lab/src/dev/mod.rs
@@ -1,10 +1,12 @@
 //! `linnethitch-lab dev`: a whole fleet in one process, over real loopback sockets.
 
 mod back_ends;
+mod control;
 mod deployment;
 mod gateways;
 mod hints;
 mod keys;
+mod ready;
 
 use std::{net::SocketAddr, path::PathBuf};
 
@@ -17,7 +19,17 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_observability::log::Logging;
 
-use self::{back_ends::BackEnds, deployment::Deployment, gateways::Gateways};
+use slog::Logger;
+
+use self::{
+    back_ends::BackEnds,
+    control::{Control, ControlPlan},
+    deployment::Deployment,
+    gateways::{GatewayPlan, Gateways},
+    hints::Hints,
+    keys::KeyFiles,
+    ready::ReadyClient,
+};
 use crate::{
     output::say,
     process::{Outcome, Verdict, runtime, stop_signal},
@@ -40,6 +52,12 @@
     /// Where the first gateway listens for callers
     #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 8080))), display_fallback)]
     gateway_address: SocketAddr,
+    /// Where the first control member listens for operators
+    #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 8090))), display_fallback)]
+    operator_address: SocketAddr,
+    /// Bearer key of the operators
+    #[bpaf(argument("KEY"), fallback("lh-dev-operator".to_owned()), display_fallback)]
+    operator_key: String,
     /// Bearer key of the tenant `development`
     #[bpaf(argument("KEY"), fallback(deployment::DEFAULT_API_KEY.to_owned()), display_fallback)]
     api_key: String,
@@ -65,37 +83,118 @@
 }
 
 async fn serve(arguments: &Arguments, logging: &Logging) -> Outcome {
-    let text = arguments.deployment.fleet_text(&arguments.api_key);
-    let fleet = parse(&text)?;
-    let keys = keys::prepare(&arguments.data_dir)?;
-    let back_ends = BackEnds::start(&fleet, arguments.speed).await?;
-    say(&format!(
-        "{}: {} engines and {} application replicas run",
-        fleet.name,
-        back_ends.engine_count(),
-        back_ends.application_count()
-    ));
-    let gateways = Gateways::start(
-        arguments,
-        &fleet,
-        &text,
-        &keys,
-        &back_ends,
-        logging.logger(),
-    )
-    .await?;
-    for (name, address) in gateways.addresses() {
-        say(&format!("gateway {name} listens on {address}"));
-    }
-    say(&hints::text(&fleet, gateways.first(), &arguments.api_key));
-    say("ready");
-    stop_signal().await?;
+    let mut running = Running::start(arguments, &logging.logger()).await?;
+    running.say_addresses();
+    let ended = running.serve(arguments).await;
     say("stopping: requests in progress are finished first");
-    gateways.stop().await;
+    running.stop().await;
     say("stopped");
-    Ok(Verdict::Good)
+    ended.map(|()| Verdict::Good)
 }
 
-fn parse(text: &str) -> Result<Fleet, Report<ErrorKind>> {
-    Fleet::parse(text).change_context(ErrorKind::InvalidConfiguration)
+/// All that runs, and what it was made from.
+struct Running {
+    fleet: Fleet,
+    fleet_text: String,
+    key_files: KeyFiles,
+    back_ends: BackEnds,
+    control: Control,
+    gateways: Gateways,
+}
+
+impl Running {
+    async fn start(arguments: &Arguments, logger: &Logger) -> Result<Running, Report<ErrorKind>> {
+        let fleet_text = arguments.deployment.fleet_text(&arguments.api_key);
+        let fleet = Fleet::parse(&fleet_text).change_context(ErrorKind::InvalidConfiguration)?;
+        let key_files = KeyFiles::prepare(
+            &arguments.data_dir,
+            &arguments.operator_key,
+            &arguments.api_key,
+        )?;
+        let back_ends = BackEnds::start(&fleet, arguments.speed).await?;
+        let control = Control::start(ControlPlan {
+            arguments,
+            fleet: &fleet,
+            cluster_key: &key_files.cluster,
+            platform: back_ends.platform(),
+            logger: logger.clone(),
+        })
+        .await?;
+        let attach = control.addresses().into_iter().map(|member| member.attach);
+        let gateways = Gateways::start(GatewayPlan {
+            arguments,
+            fleet: &fleet,
+            cluster_key: &key_files.cluster,
+            control_addresses: attach.collect(),
+            logger: logger.clone(),
+        })
+        .await?;
+        Ok(Running {
+            fleet,
+            fleet_text,
+            key_files,
+            back_ends,
+            control,
+            gateways,
+        })
+    }
+
+    fn say_addresses(&self) {
+        say(&format!(
+            "{}: {} engines and {} application replicas run",
+            self.fleet.name,
+            self.back_ends.engine_count(),
+            self.back_ends.application_count()
+        ));
+        for (index, member) in self.control.addresses().iter().enumerate() {
+            let number = index + 1;
+            say(&format!(
+                "control member {number} listens for operators on {}",
+                member.operator
+            ));
+        }
+        for (name, address) in self.gateways.addresses() {
+            say(&format!("gateway {name} listens on {address}"));
+        }
+    }
+
+    /// Makes the fleet ready and serves until a signal comes or a control member fails.
+    async fn serve(&mut self, arguments: &Arguments) -> Result<(), Report<ErrorKind>> {
+        let operator = self.control.addresses()[0].operator;
+        let client = ReadyClient::new(operator, &arguments.operator_key);
+        let hints = Hints {
+            fleet: &self.fleet,
+            gateway: self.gateways.first(),
+            operator,
+            api_key: &arguments.api_key,
+            operator_key: &arguments.operator_key,
+            files: &self.key_files,
+        };
+        let serving = async {
+            let in_force = client.configure(&self.fleet_text).await?;
+            say(&format!("revision {} is in force", in_force.revision));
+            if in_force.differs {
+                say("it is not the deployment's file: the folder's own configuration stays");
+            }
+            let back_ends = self.back_ends.engine_count() + self.back_ends.application_count();
+            client.wait_for_replicas(back_ends).await?;
+            for (_, address) in self.gateways.addresses() {
+                client.wait_for_gateway(address).await?;
+            }
+            say(&hints.text());
+            say("ready");
+            std::future::pending().await
+        };
+        tokio::select! {
+            failed = serving => failed,
+            failed = self.control.failed() => failed,
+            signal = stop_signal() => signal,
+        }
+    }
+
+    /// Planned stop: gateways finish their requests while control is still there.
+    async fn stop(self) {
+        self.gateways.stop().await;
+        self.control.stop().await;
+    }
 }
--- a/crates/lab/tests/all/dev.rs
+++ b/crates/lab/tests/all/dev.rs
@@ -1,5 +1,7 @@
 //! `dev` as a process: it serves, answers errors by the table, stops cleanly.
 
+use std::{path::Path, process::Command};
+
 use http::StatusCode;
 use linnethitch_emulator::answer::{PromptKey, chat_prompt};
 use linnethitch_errors::ErrorKind;
@@ -12,16 +14,17 @@
 const CHAT: &str = "/v1/chat/completions";
 const KEY: &str = "lh-dev-key";
 
-/// A running `dev`; its folder lives as long.
+/// A running `dev`.
 struct Dev {
     process: ChildProcess,
     caller: Caller,
+    operator: Caller,
     model: &'static str,
-    _folder: TempDir,
+    /// The command lines that it prints to try.
+    hints: String,
 }
 
-async fn dev(deployment: &'static str) -> Dev {
-    let folder = TempDir::new().unwrap();
+fn dev(deployment: &'static str, folder: &TempDir) -> Dev {
     let data = folder.path().to_str().unwrap().to_owned();
     let mut process = ChildProcess::lab(&[
         "dev",
@@ -33,39 +36,97 @@
         "10",
         "--gateway-address",
         "127.0.0.1:0",
+        "--operator-address",
+        "127.0.0.1:0",
     ]);
+    let operator = process.address_after("control member 1 listens");
     let address = process.address_after("gateway gateway-");
-    process.line_with("ready");
-    let caller = Caller::new(address, KEY);
-    caller.wait_for("/readyz").await;
+    process.line_with("# Try:");
     Dev {
+        hints: process.lines_until("ready"),
         process,
-        caller,
+        caller: Caller::new(address, KEY),
+        operator: Caller::new(operator, "lh-dev-operator"),
         model: match deployment {
             "hanbit" => "gate-writer",
             _ => "quote-writer",
         },
-        _folder: folder,
     }
 }
 
+impl Dev {
+    fn stop(&mut self) {
+        self.process.terminate();
+        assert_eq!(self.process.wait().code(), Some(0));
+        assert!(self.process.rest_of_output().ends_with("stopped"));
+    }
+
+    async fn revision(&self) -> Value {
+        self.operator.get("/v1/configuration").await.json()["revision"].clone()
+    }
+}
+
+/// Runs command lines in a shell that stops at the first failure; what they print.
+fn run_in_shell(script: &str, folder: &TempDir) -> String {
+    let programs = Path::new(env!("CARGO_BIN_EXE_linnethitch-lab")).parent();
+    let path = std::env::var("PATH").unwrap();
+    let output = Command::new("sh")
+        .args(["-e", "-c", script])
+        .env("PATH", format!("{}:{path}", programs.unwrap().display()))
+        .current_dir(folder.path())
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
 #[rstest]
 #[case::granite_lane("granite-lane")]
 #[case::hanbit("hanbit")]
 #[tokio::test]
-async fn an_answer_is_whole_and_the_stop_is_clean(#[case] deployment: &'static str) {
-    let mut dev = dev(deployment).await;
-    let models = dev.caller.get("/v1/models").await.json();
-    assert_eq!(models["data"][0]["id"], dev.model);
-    let body = json!({"model": dev.model, "messages": [{"role": "user", "content": "hello"}]});
-    let answer = dev.caller.post(CHAT, &body).await;
+async fn it_serves_what_it_prints_and_keeps_it_over_a_restart(#[case] deployment: &'static str) {
+    let (data, work) = (TempDir::new().unwrap(), TempDir::new().unwrap());
+    let mut first = dev(deployment, &data);
+    assert_eq!(first.caller.get("/readyz").await.status, StatusCode::OK);
+    let models = first.caller.get("/v1/models").await.json();
+    assert_eq!(models["data"][0]["id"], first.model);
+    let printed = run_in_shell(&first.hints, &work);
+    let expected = [
+        "data: [DONE]",
+        "lane-1",
+        "lane-2",
+        "lane-3",
+        "completed",
+        "voter",
+    ];
+    for part in expected {
+        assert!(printed.contains(part), "{part} is not in {printed}");
+    }
+    let job = std::fs::read_to_string(work.path().join("job.json")).unwrap();
+    let job: Value = serde_json::from_str(&job).unwrap();
+    let output = job["output_file_id"].as_str().unwrap();
+    let results = first
+        .caller
+        .get(&format!("/v1/files/{output}/content"))
+        .await;
+    assert_eq!(results.text().lines().count(), 3);
+    let revision = first.revision().await;
+    first.stop();
+
+    let mut second = dev(deployment, &data);
+    assert_eq!(second.revision().await, revision);
+    let again = second
+        .caller
+        .get(&format!("/v1/files/{output}/content"))
+        .await;
+    assert_eq!(again.text(), results.text());
+    let body = json!({"model": second.model, "messages": [{"role": "user", "content": "hello"}]});
+    let answer = second.caller.post(CHAT, &body).await;
     assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
     let key = PromptKey::of(&chat_prompt([("user", "hello")]));
     let message = &answer.json()["choices"][0]["message"]["content"];
     assert_eq!(*message, key.text(key.natural_length()));
-    dev.process.terminate();
-    assert_eq!(dev.process.wait().code(), Some(0));
-    assert!(dev.process.rest_of_output().ends_with("stopped"));
+    second.stop();
 }
 
 /// A request that must be refused, and how.
@@ -213,7 +274,8 @@
 
 #[tokio::test]
 async fn errors_are_answered_by_the_table() {
-    let dev = dev("granite-lane").await;
+    let folder = TempDir::new().unwrap();
+    let dev = dev("granite-lane", &folder);
     let mut wrong = Vec::new();
     for refused in refused_requests(dev.model) {
         let caller = Caller::new(dev.caller.address(), refused.key);
--- a/crates/lab/tests/all/one_host.rs
+++ b/crates/lab/tests/all/one_host.rs
@@ -1,7 +1,142 @@
 //! Faults of real processes: SIGKILL, lost disks, planned stops. Each test is
 //! the example of one host with one thing done to it.
 
-use crate::support::{OneHost, wait_until};
+use linnethitch_emulator::answer::PromptKey;
+use rstest::rstest;
+
+use crate::support::{Job, OneHost, Stream, key_of, wait_until};
+
+/// Streams in progress when the fault comes.
+const STREAMS: usize = 12;
+/// Tokens of each stream that have arrived then.
+const TOKENS_BEFORE: usize = 10;
+/// Length of an answer that is still under way then, in tokens.
+const LONG_ANSWER: u32 = 150;
+/// Items of a job.
+const ITEMS: u32 = 400;
+
+/// Prompts whose answers are long.
+fn long_prompts() -> impl Iterator<Item = String> {
+    let prompts = (0..).map(|number| format!("Quote number {number}, please."));
+    prompts.filter(|prompt| key_of(prompt).natural_length() >= LONG_ANSWER)
+}
+
+/// Streams through the first gateway, all under way.
+async fn streams_under_way(host: &mut OneHost) -> Vec<Stream> {
+    let gateway = host.gateway(1);
+    let mut streams = Vec::new();
+    for prompt in long_prompts().take(STREAMS) {
+        streams.push(Stream::open(&gateway, &prompt).await);
+    }
+    wait_until("every stream is under way", async || {
+        streams
+            .iter()
+            .all(|stream| stream.tokens() >= TOKENS_BEFORE)
+    })
+    .await;
+    streams
+}
+
+/// The engine that runs a prompt, and how often it has started it.
+async fn engine_of(host: &mut OneHost, key: PromptKey) -> u16 {
+    for number in 1..=4 {
+        let path = format!("/emulator/executions?prompt={:016x}", key.0);
+        let answer = host.engine(number).get(&path).await;
+        if answer.json()["started"] != 0 {
+            return number;
+        }
+    }
+    panic!("no engine has started the prompt");
+}
+
+#[tokio::test]
+async fn an_engine_killed_mid_stream_loses_no_token() {
+    let mut host = OneHost::start_without(&[]).await;
+    let streams = streams_under_way(&mut host).await;
+    let engine = engine_of(&mut host, streams[0].key).await;
+    assert!(!streams[0].has_ended());
+    host.kill(&format!("engine-{engine}"));
+    for stream in streams {
+        stream.assert_whole().await;
+    }
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_a_gateway_cuts_off_nothing() {
+    let mut host = OneHost::start_without(&[]).await;
+    let streams = streams_under_way(&mut host).await;
+    host.terminate("gateway-1");
+    let first = host.gateway(1);
+    wait_until("the gateway takes no new work", async || {
+        let answer = first.try_get("/readyz").await;
+        answer.is_none_or(|answer| answer.status != 200)
+    })
+    .await;
+    assert!(!streams[0].has_ended(), "the stop came too late");
+    for stream in streams {
+        stream.assert_whole().await;
+    }
+    assert_eq!(host.wait("gateway-1").code(), Some(0));
+    let second = host.gateway(2);
+    let prompt = long_prompts().next().unwrap();
+    Stream::open(&second, &prompt).await.assert_whole().await;
+}
+
+/// What happens while a job runs.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// The gateway that runs all of its items is killed.
+    Gateway,
+    /// The leading control member is killed.
+    Leader,
+    /// Two control members are killed and their folders deleted.
+    TwoDisks,
+    /// Everything is stopped as planned and started again.
+    Restart,
+}
+
+#[rstest]
+#[case::of_a_gateway_with_items_in_flight(Fault::Gateway)]
+#[case::of_the_leading_control_member(Fault::Leader)]
+#[case::of_two_control_members_with_their_disks(Fault::TwoDisks)]
+#[case::by_a_planned_restart_of_everything(Fault::Restart)]
+#[tokio::test]
+async fn an_accepted_job_completes_exactly_once_after_the_loss(#[case] fault: Fault) {
+    // Only one gateway runs items until the fault, so its death finds some in flight.
+    let mut host = OneHost::start_without(&["gateway-2"]).await;
+    let first = host.gateway(1);
+    let job = Job::submit(&first, ITEMS).await;
+    job.wait_until_under_way(&first).await;
+    match fault {
+        Fault::Gateway => host.kill("gateway-1"),
+        Fault::Leader => {
+            let leader = host.leader().await;
+            host.kill(&leader);
+            assert_eq!(job.create(&first).await, job.id);
+            host.start(&leader);
+        }
+        Fault::TwoDisks => {
+            let leader = host.leader().await;
+            let other = ["control-1", "control-2"]
+                .into_iter()
+                .find(|name| *name != leader);
+            let lost = [leader, other.unwrap().to_owned()];
+            for name in &lost {
+                host.kill(name);
+                host.wipe(name);
+            }
+            for name in &lost {
+                host.start(name);
+            }
+        }
+        Fault::Restart => host.restart().await,
+    }
+    host.start("gateway-2");
+    host.wait_until_ready().await;
+    let second = host.gateway(2);
+    job.assert_completes(&second).await;
+    assert_eq!(job.create(&second).await, job.id, "a resend finds the job");
+}
 
 #[tokio::test]
 async fn a_change_sent_again_after_the_leader_was_killed_takes_effect_once() {
--- a/crates/lab/tests/all/support/mod.rs
+++ b/crates/lab/tests/all/support/mod.rs
@@ -1,16 +1,20 @@
 //! What the tests share: child processes, an HTTP client, the example of one host.
 
 mod caller;
+mod job;
 mod one_host;
 mod ports;
 mod process;
+mod stream;
 
 use std::time::{Duration, Instant};
 
 pub(crate) use self::{
     caller::{Answer, Caller},
+    job::Job,
     one_host::OneHost,
     process::ChildProcess,
+    stream::{Stream, key_of},
 };
 
 /// Longest wait for anything that a process should do.
--- a/crates/lab/tests/all/support/one_host.rs
+++ b/crates/lab/tests/all/support/one_host.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     fs,
     path::{Path, PathBuf},
-    process::Command,
+    process::{Command, ExitStatus},
 };
 
 use serde_json::Value;
@@ -21,9 +21,12 @@
 const DATA: &str = "one-host-data";
 /// Control members of the example.
 const MEMBERS: u16 = 5;
+/// Machines that the example's platform lists.
+const MACHINES: usize = 5;
 /// Ports of the example.
 const FIRST_GATEWAY_PORT: u16 = 8080;
 const FIRST_OPERATOR_PORT: u16 = 8090;
+const FIRST_ENGINE_PORT: u16 = 7501;
 
 /// The fleet; its processes are killed and its files deleted with it.
 pub(crate) struct OneHost {
@@ -91,6 +94,40 @@
         self.running.remove(name).unwrap().kill();
     }
 
+    /// Asks a process to stop by SIGTERM.
+    pub(crate) fn terminate(&self, name: &str) {
+        self.running[name].terminate();
+    }
+
+    /// Waits for the end of a process that was asked to stop.
+    pub(crate) fn wait(&mut self, name: &str) -> ExitStatus {
+        self.running.remove(name).unwrap().wait()
+    }
+
+    /// Stops every process of linnethitch as planned, gateways first, and starts them again.
+    pub(crate) async fn restart(&mut self) {
+        let mut stopped = Vec::new();
+        for role in ["gateway", "control"] {
+            let names = self.running.keys().filter(|name| name.starts_with(role));
+            let names: Vec<String> = names.cloned().collect();
+            for name in &names {
+                self.terminate(name);
+            }
+            for name in &names {
+                assert_eq!(self.wait(name).code(), Some(0), "{name}");
+            }
+            stopped.extend(names);
+        }
+        for name in stopped {
+            self.start(&name);
+        }
+    }
+
+    /// Deletes everything that a process has stored.
+    pub(crate) fn wipe(&self, name: &str) {
+        fs::remove_dir_all(self.folder.path().join(DATA).join(name)).unwrap();
+    }
+
     /// The fleet file of the example.
     pub(crate) fn fleet_text(&self) -> String {
         fs::read_to_string(self.folder.path().join(EXAMPLE).join("fleet.toml")).unwrap()
@@ -102,6 +139,11 @@
         Caller::new(address, TENANT_KEY)
     }
 
+    /// A caller of an engine, numbered from 1.
+    pub(crate) fn engine(&mut self, number: u16) -> Caller {
+        Caller::new(self.ports.of(FIRST_ENGINE_PORT + number - 1), "")
+    }
+
     fn operator(&mut self, number: u16) -> Caller {
         let address = self.ports.of(FIRST_OPERATOR_PORT + number - 1);
         Caller::new(address, OPERATOR_KEY)
@@ -180,14 +222,16 @@
         leader.unwrap()
     }
 
-    /// Waits until all members vote and all running gateways serve.
+    /// Waits until all members vote, all replicas are known and all running gateways serve.
     pub(crate) async fn wait_until_ready(&mut self) {
-        wait_until("five members vote", async || {
+        wait_until("five members vote and all replicas are known", async || {
             let status = self.status().await;
             let voters = members(&status)
                 .iter()
                 .filter(|member| member["voter"] == true);
+            let replicas = status["replicas"].as_array();
             voters.count() == usize::from(MEMBERS)
+                && replicas.is_some_and(|replicas| replicas.len() == MACHINES)
         })
         .await;
         for number in 1..=2 {
--- a/crates/lab/tests/all/support/process.rs
+++ b/crates/lab/tests/all/support/process.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Its output up to a line that is `text`.
+    pub(crate) fn lines_until(&mut self, text: &str) -> String {
+        let from = self.seen.len();
+        while self.line_with(text) != text {}
+        self.seen[from..self.seen.len() - 1].join("\n")
+    }
+
     /// The address at the end of the next line that holds `text`.
     pub(crate) fn address_after(&mut self, text: &str) -> SocketAddr {
         let line = self.line_with(text);
