Keep known back ends while a new leader knows of none

Cause: a leader that has not read the platform's list yet broadcasts an empty whole fleet; members took it and told their gateways so. A gateway then was ready without back ends and answered no_back_end, and a change of leader could take the known ones away. Change: the fleet of a broadcast of version 0 is passed over.

--- a/crates/control/src/soft_state/mod.rs
+++ b/crates/control/src/soft_state/mod.rs
@@ -167,6 +167,10 @@
             return;
         }
         self.pass_grants_on(broadcast.grants);
+        if broadcast.version == 0 {
+            // The leader knows of no list yet; what an earlier one told stays.
+            return;
+        }
         if broadcast.full {
             self.fleet.replace(broadcast.changed);
         } else if same_leader && broadcast.base <= self.held.version.0 {
