--- a/crates/control/src/member/core.rs
+++ b/crates/control/src/member/core.rs
@@ -1,6 +1,10 @@
 //! The member itself: opening, time, messages and the work between two syncs.
 
-use std::{cmp::Reverse, collections::VecDeque, sync::Arc};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use error_stack::Report;
 use linnethitch_consensus::{Node, Status, TICK_MILLISECONDS};
@@ -12,7 +16,7 @@
     ids::{DiskId, LogIndex, MachineId, MemberId, Term},
 };
 use linnethitch_storage::{
-    FileSystem,
+    FileSystem, PayloadMark,
     folder::{DataFolder, FolderIdentity, FolderRole},
 };
 
@@ -20,12 +24,11 @@
     calls::PendingCalls,
     formation::Presence,
     log_store::LogStore,
-    opening::{OpenedStore, open_store, start_node},
+    opening::{OpenedState, open_state, start_node},
     output::{MemberNotice, MemberOutput},
     persist::Unsynced,
     settings::{MemberSettings, MemberTime},
-    snapshots::{self, SnapshotBuild},
-    upkeep::load_first_membership,
+    snapshots::SnapshotBuild,
 };
 
 /// Ticks made up for at once after a pause.
@@ -48,6 +51,10 @@
     /// The membership as of `applied`.
     pub(super) applied_membership: Membership,
     pub(super) snapshot_build: Option<SnapshotBuild>,
+    /// When a piece of a snapshot last went out.
+    pub(super) snapshot_sent_ms: Option<u64>,
+    /// Checkpoints of the payload store that the snapshots kept here belong to.
+    pub(super) payload_marks: BTreeMap<LogIndex, PayloadMark>,
     /// Size of the log when the last snapshot was stored or given up, in bytes.
     pub(super) snapshot_retry_bytes: u64,
     pub(super) outputs: Vec<MemberOutput>,
@@ -88,13 +95,17 @@
         let mut folder = DataFolder::open_or_format(file_system, &identity, new_disk)?;
         let mut outputs = Vec::new();
         let mut may_start_cluster = settings.bootstrap;
-        let OpenedStore { store, set_aside } = open_store(&mut folder, new_disk)?;
-        if let Some(damage) = set_aside {
+        let opened = open_state(&mut folder, new_disk)?;
+        if let Some(damage) = opened.set_aside {
             may_start_cluster = false;
             let notice = MemberNotice::DamagedLogSetAside(damage);
             outputs.push(MemberOutput::Notice(notice));
         }
-        let mut restored = snapshots::restore_ledger(&store, load_first_membership(&folder)?)?;
+        let OpenedState {
+            store,
+            mut restored,
+            ..
+        } = opened;
         restored.ledger.set_safety_overrides(settings.ledger_safety);
         let node = start_node(&settings, &folder, &store)?;
         Ok(Member {
@@ -111,6 +122,8 @@
             applied: restored.applied,
             applied_membership: restored.membership,
             snapshot_build: None,
+            snapshot_sent_ms: None,
+            payload_marks: BTreeMap::new(),
             snapshot_retry_bytes: 0,
             outputs,
             disk_full: false,
--- a/crates/control/src/member/log_store.rs
+++ b/crates/control/src/member/log_store.rs
@@ -1,6 +1,6 @@
 //! The durable log and its snapshots, as consensus reads them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use error_stack::Report;
 use linnethitch_consensus::{LogView, SnapshotPiece};
@@ -9,12 +9,25 @@
     consensus::{Entry, SnapshotMeta},
     ids::{LogIndex, Term},
 };
-use linnethitch_storage::{log::Log, snapshot::SnapshotStore};
+use linnethitch_storage::{SnapshotInfo, log::Log, snapshot::SnapshotStore};
+
+/// What consensus found when it wanted to send a snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SnapshotWish {
+    /// One that can be sent.
+    Served,
+    /// None that holds the payloads.
+    Missing,
+}
 
 /// Log and snapshots of one member.
 pub(crate) struct LogStore {
     pub(crate) log: Log,
     pub(crate) snapshots: SnapshotStore,
+    /// The snapshot that holds the payloads too, so that it can be sent to others.
+    sendable: Option<LogIndex>,
+    /// Whether a snapshot was asked for to send it, and whether there was none.
+    asked: Cell<Option<SnapshotWish>>,
     /// The first failed read; consensus itself is told of an empty result.
     read_failure: RefCell<Option<Report<ErrorKind>>>,
 }
@@ -24,6 +37,8 @@
         LogStore {
             log,
             snapshots,
+            sendable: None,
+            asked: Cell::new(None),
             read_failure: RefCell::new(None),
         }
     }
@@ -36,6 +51,20 @@
         self.read_failure.take().map_or(Ok(()), Err)
     }
 
+    /// Notes that the snapshot at an index holds the payloads too.
+    pub(crate) fn set_sendable(&mut self, index: LogIndex) {
+        self.sendable = Some(index);
+    }
+
+    /// Whether consensus wanted to send a snapshot since the last call.
+    pub(crate) fn take_wish(&self) -> Option<SnapshotWish> {
+        self.asked.take()
+    }
+
+    fn sendable(&self) -> Option<&SnapshotInfo> {
+        self.sendable.and_then(|index| self.snapshots.find(index))
+    }
+
     fn note_failure(&self, report: Report<ErrorKind>) {
         self.read_failure.borrow_mut().get_or_insert(report);
     }
@@ -69,8 +98,8 @@
     }
 
     fn snapshot_meta(&self) -> SnapshotMeta {
-        self.snapshots
-            .latest()
+        self.sendable()
+            .or_else(|| self.snapshots.latest())
             .map(|info| info.meta.clone())
             .unwrap_or_default()
     }
@@ -81,7 +110,11 @@
         offset: u64,
         max_bytes: usize,
     ) -> Option<SnapshotPiece> {
-        let info = self.snapshots.find(meta.index)?;
+        let Some(info) = self.sendable() else {
+            self.asked.set(Some(SnapshotWish::Missing));
+            return None;
+        };
+        self.asked.set(Some(SnapshotWish::Served));
         if info.meta != *meta || offset >= info.file_bytes {
             return None;
         }
--- a/crates/control/src/member/opening.rs
+++ b/crates/control/src/member/opening.rs
@@ -11,49 +11,74 @@
     snapshot::SnapshotStore,
 };
 
-use super::{log_store::LogStore, settings::MemberSettings, upkeep::load_first_membership};
+use super::{
+    log_store::LogStore,
+    settings::MemberSettings,
+    snapshots::{RestoredLedger, restore_ledger},
+    upkeep::load_first_membership,
+};
 
-/// Log and snapshots of a folder.
-pub(super) struct OpenedStore {
+/// What a folder holds.
+pub(super) struct OpenedState {
     pub(super) store: LogStore,
+    pub(super) restored: RestoredLedger,
     /// Why what was stored before had to be set aside, if it had.
     pub(super) set_aside: Option<String>,
 }
 
-/// Opens log and snapshots. A state that has lost something is set aside: the
-/// folder then is a blank one under `new_disk`.
+/// Opens log, snapshots and payloads. A state that has lost something is set
+/// aside: the folder then is a blank one under `new_disk`.
 ///
 /// # Errors
 /// `StorageFull`, `Io`; `Corrupted` when even a new log cannot be read.
-pub(super) fn open_store(
+pub(super) fn open_state(
     folder: &mut DataFolder,
     new_disk: DiskId,
-) -> Result<OpenedStore, Report<ErrorKind>> {
-    let damage = match folder.open_log(LogLimits::default())? {
-        OpenedLog::Damaged(damage) => damage.to_string(),
-        OpenedLog::Intact(log) => {
-            let snapshots = SnapshotStore::open(folder.file_system())?;
-            match find_gap(&log, &snapshots) {
-                Some(gap) => gap,
-                None => {
-                    let store = LogStore::new(log, snapshots);
-                    return Ok(OpenedStore {
-                        store,
-                        set_aside: None,
-                    });
-                }
-            }
-        }
+) -> Result<OpenedState, Report<ErrorKind>> {
+    let damage = match open_stored(folder)? {
+        Ok(opened) => return Ok(opened),
+        Err(damage) => damage,
     };
     folder.reformat(new_disk)?;
     let log = open_blank_log(folder)?;
     let snapshots = SnapshotStore::open(folder.file_system())?;
-    Ok(OpenedStore {
-        store: LogStore::new(log, snapshots),
+    let store = LogStore::new(log, snapshots);
+    Ok(OpenedState {
+        restored: restore(folder, &store)?,
+        store,
         set_aside: Some(damage),
     })
 }
 
+/// Opens what is stored, or tells what of it is lost.
+fn open_stored(folder: &mut DataFolder) -> Result<Result<OpenedState, String>, Report<ErrorKind>> {
+    let log = match folder.open_log(LogLimits::default())? {
+        OpenedLog::Damaged(damage) => return Ok(Err(damage.to_string())),
+        OpenedLog::Intact(log) => log,
+    };
+    let snapshots = SnapshotStore::open(folder.file_system())?;
+    if let Some(gap) = find_gap(&log, &snapshots) {
+        return Ok(Err(gap));
+    }
+    let store = LogStore::new(log, snapshots);
+    match restore(folder, &store) {
+        Ok(restored) => Ok(Ok(OpenedState {
+            store,
+            restored,
+            set_aside: None,
+        })),
+        Err(report) if *report.current_context() == ErrorKind::Corrupted => {
+            Ok(Err(format!("the state cannot be restored: {report:?}")))
+        }
+        Err(report) => Err(report),
+    }
+}
+
+fn restore(folder: &DataFolder, store: &LogStore) -> Result<RestoredLedger, Report<ErrorKind>> {
+    let membership = load_first_membership(folder)?;
+    restore_ledger(store, folder.file_system(), membership)
+}
+
 /// The log begins after the state of a snapshot; without a whole snapshot that
 /// reaches up to it, the state cannot be built again.
 fn find_gap(log: &Log, snapshots: &SnapshotStore) -> Option<String> {
--- a/crates/control/src/member/snapshots.rs
+++ b/crates/control/src/member/snapshots.rs
@@ -1,4 +1,11 @@
 //! Snapshots of the ledger: written bit by bit, restored, received from the leader.
+//!
+//! Payloads lie in files of their own, so an ordinary snapshot leaves them out
+//! and names the checkpoint of the payload store that it belongs to. Only when
+//! another member needs a snapshot does the next one bring them along. It
+//! counts as an ordinary one too: a restart from it stores its payloads anew.
+
+use std::sync::Arc;
 
 use error_stack::Report;
 use linnethitch_consensus::ReceivedChunk;
@@ -8,14 +15,24 @@
     consensus::{Membership, SnapshotMeta},
     ids::LogIndex,
 };
-use linnethitch_storage::{MemoryPayloads, SnapshotWriter as FileWriter};
+use linnethitch_storage::{
+    FileSystem, MemoryPayloads, PayloadLimits, PayloadMark, PayloadStore, Payloads,
+    SnapshotWriter as FileWriter,
+};
 
-use super::{core::Member, log_store::LogStore, output::MemberNotice};
+use super::{
+    core::Member,
+    log_store::{LogStore, SnapshotWish},
+    output::MemberNotice,
+};
 
 /// Bytes that are read at once from a snapshot.
 const READ_BYTES: usize = 1024 * 1024;
 /// Bytes of a snapshot written between two flushes, so that none takes long.
 const WRITE_BYTES_PER_FLUSH: usize = 4 * 1024 * 1024;
+/// While pieces of a snapshot go out at least this often, no other is begun, so that
+/// it stays and the log after it too.
+const SENDING_PAUSE_MS: u64 = 30_000;
 
 /// The state as of the newest snapshot on disk.
 pub(super) struct RestoredLedger {
@@ -27,6 +44,7 @@
 /// A snapshot being written.
 pub(super) struct SnapshotBuild {
     meta: SnapshotMeta,
+    scope: SnapshotScope,
     ledger: LedgerWriter,
     file: FileWriter,
 }
@@ -34,25 +52,38 @@
 /// Reads the newest snapshot; an empty ledger where there is none.
 pub(super) fn restore_ledger(
     store: &LogStore,
+    file_system: Arc<dyn FileSystem>,
     first_membership: Membership,
 ) -> Result<RestoredLedger, Report<ErrorKind>> {
     let Some(info) = store.snapshots.latest() else {
         return Ok(RestoredLedger {
-            ledger: Ledger::new(Box::new(MemoryPayloads::default())),
+            ledger: Ledger::new(open_payloads(file_system, PayloadMark::default())?),
             applied: LogIndex(0),
             membership: first_membership,
         });
     };
     let index = info.meta.index;
     Ok(RestoredLedger {
-        ledger: read_ledger(store, index)?,
+        ledger: read_ledger(store, file_system, index)?,
         applied: index,
         membership: info.meta.membership.clone(),
     })
 }
 
-fn read_ledger(store: &LogStore, index: LogIndex) -> Result<Ledger, Report<ErrorKind>> {
-    let mut restorer = Restorer::new(Box::new(MemoryPayloads::default()));
+fn open_payloads(
+    file_system: Arc<dyn FileSystem>,
+    mark: PayloadMark,
+) -> Result<Box<dyn Payloads + Send>, Report<ErrorKind>> {
+    let store = PayloadStore::open(file_system, PayloadLimits::default(), mark)?;
+    Ok(Box::new(store))
+}
+
+fn read_ledger(
+    store: &LogStore,
+    file_system: Arc<dyn FileSystem>,
+    index: LogIndex,
+) -> Result<Ledger, Report<ErrorKind>> {
+    let mut restorer = Restorer::new(Box::new(|mark| open_payloads(file_system, mark)));
     let mut offset = 0;
     loop {
         let piece = store.snapshots.read_content(index, offset, READ_BYTES)?;
@@ -67,8 +98,16 @@
 impl Member {
     /// Begins a snapshot when the log has grown enough, and goes on with one begun.
     pub(super) fn snapshot_if_due(&mut self) -> Result<(), Report<ErrorKind>> {
-        if self.snapshot_build.is_none() && self.is_snapshot_due() {
-            self.begin_snapshot()?;
+        let wish = self.store.take_wish();
+        if wish == Some(SnapshotWish::Served) {
+            self.snapshot_sent_ms = Some(self.time.monotonic_ms);
+        }
+        if self.snapshot_build.is_none() {
+            if wish == Some(SnapshotWish::Missing) {
+                self.begin_snapshot(SnapshotScope::Transfer)?;
+            } else if self.is_snapshot_due() {
+                self.begin_snapshot(SnapshotScope::Local)?;
+            }
         }
         let Some(mut build) = self.snapshot_build.take() else {
             return Ok(());
@@ -89,7 +128,13 @@
     fn is_snapshot_due(&self) -> bool {
         let log_bytes = self.store.log.disk_bytes();
         let grown = log_bytes.saturating_sub(self.snapshot_retry_bytes);
-        grown >= self.settings.snapshot_log_bytes && self.applied > self.newest_snapshot()
+        let now_ms = self.time.monotonic_ms;
+        let is_sending = self
+            .snapshot_sent_ms
+            .is_some_and(|sent_ms| now_ms < sent_ms + SENDING_PAUSE_MS);
+        grown >= self.settings.snapshot_log_bytes
+            && self.applied > self.newest_snapshot()
+            && !is_sending
     }
 
     fn newest_snapshot(&self) -> LogIndex {
@@ -97,7 +142,7 @@
         latest.map_or(LogIndex(0), |info| info.meta.index)
     }
 
-    fn begin_snapshot(&mut self) -> Result<(), Report<ErrorKind>> {
+    fn begin_snapshot(&mut self, scope: SnapshotScope) -> Result<(), Report<ErrorKind>> {
         let Some(term) = self.store.log.term(self.applied) else {
             return Ok(());
         };
@@ -106,8 +151,16 @@
             term,
             membership: self.applied_membership.clone(),
         };
-        let file = match self.store.snapshots.begin(meta.clone()) {
-            Ok(file) => file,
+        let begun = match self.ledger.snapshot_writer(scope) {
+            Ok(ledger) => self
+                .store
+                .snapshots
+                .begin(meta.clone())
+                .map(|file| (ledger, file)),
+            Err(report) => Err(report),
+        };
+        let (ledger, file) = match begun {
+            Ok(begun) => begun,
             Err(report) if *report.current_context() == ErrorKind::StorageFull => {
                 self.snapshot_retry_bytes = self.store.log.disk_bytes();
                 return Ok(());
@@ -116,7 +169,8 @@
         };
         self.snapshot_build = Some(SnapshotBuild {
             meta,
-            ledger: self.ledger.snapshot_writer(SnapshotScope::Transfer),
+            scope,
+            ledger,
             file,
         });
         Ok(())
@@ -141,7 +195,32 @@
             index: build.meta.index,
             bytes: info.file_bytes,
         });
-        self.compact_log()
+        match build.scope {
+            SnapshotScope::Transfer => self.store.set_sendable(build.meta.index),
+            SnapshotScope::Local => {
+                self.payload_marks
+                    .insert(build.meta.index, build.ledger.mark());
+            }
+        }
+        self.compact_log()?;
+        self.settle_payloads()
+    }
+
+    /// Gives the space of payloads back that no snapshot kept here needs.
+    fn settle_payloads(&mut self) -> Result<(), Report<ErrorKind>> {
+        let Some(oldest) = self.store.snapshots.oldest() else {
+            return Ok(());
+        };
+        let oldest = oldest.meta.index;
+        self.payload_marks.retain(|index, _| *index >= oldest);
+        let Some(mark) = self.payload_marks.get(&oldest).copied() else {
+            return Ok(());
+        };
+        self.ledger.payloads().settle(mark)?;
+        match self.ledger.compact_payloads() {
+            Err(report) if *report.current_context() == ErrorKind::StorageFull => Ok(()),
+            compacted => compacted.map(|_| ()),
+        }
     }
 
     /// Gives the log back up to the oldest snapshot that is kept.
@@ -190,7 +269,11 @@
         if let Some(build) = self.snapshot_build.take() {
             self.store.snapshots.abandon(build.file)?;
         }
-        self.ledger = read_ledger(&self.store, meta.index)?;
+        // Closes the payload store whose place the snapshot's payloads take.
+        self.ledger = Ledger::new(Box::new(MemoryPayloads::default()));
+        self.payload_marks.clear();
+        self.ledger = read_ledger(&self.store, self.folder.file_system(), meta.index)?;
+        self.store.set_sendable(meta.index);
         self.ledger
             .set_safety_overrides(self.settings.ledger_safety);
         self.applied = meta.index;
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod load_teller;
 mod member;
 mod network;
+mod payloads;
 
 use linnethitch_control::member::MemberNotice;
 use linnethitch_protocol::ids::MachineId;
--- /dev/null
+++ b/crates/control/tests/all/payloads.rs
@@ -0,0 +1,157 @@
+//! Files' contents lie beside the snapshots and survive whatever the state survives.
+
+use linnethitch_control::member::MemberNotice;
+use linnethitch_protocol::{
+    attach::{ControlAnswer, ControlCall},
+    command::{CommandBody, Outcome},
+    ids::{FileId, TenantId},
+    query::{Query, QueryAnswer},
+};
+use linnethitch_storage::payload::PAYLOAD_DIRECTORY;
+use rstest::rstest;
+
+use crate::cluster::Cluster;
+
+const PIECE_BYTES: usize = 16 * 1024;
+const PIECES: usize = 40;
+/// Small enough that the upload passes several snapshots.
+const SNAPSHOT_LOG_BYTES: u64 = 64 * 1024;
+
+/// What happens once the file is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    AllRestart,
+    LostDisk,
+    LostDiskAndRestart,
+    TwoLostDisks,
+    CutSegment,
+}
+
+fn content() -> Vec<u8> {
+    (0..PIECES * PIECE_BYTES)
+        .map(|position| (position / 7 % 251) as u8)
+        .collect()
+}
+
+fn propose(cluster: &mut Cluster, body: CommandBody) {
+    match cluster.call(1, ControlCall::Propose(body)) {
+        ControlAnswer::Outcome(Outcome::Done | Outcome::File(_)) => {}
+        other => panic!("{other:?}"),
+    }
+}
+
+fn upload(cluster: &mut Cluster) {
+    let file = FileId::from("file-1");
+    let create = CommandBody::CreateFile {
+        file: file.clone(),
+        tenant: TenantId::from("acme"),
+        purpose: "notes".to_owned(),
+        filename: "notes.txt".to_owned(),
+    };
+    propose(cluster, create);
+    let content = content();
+    for (number, piece) in content.chunks(PIECE_BYTES).enumerate() {
+        let append = CommandBody::AppendFile {
+            file: file.clone(),
+            offset: (number * PIECE_BYTES) as u64,
+            data: piece.to_vec(),
+        };
+        propose(cluster, append);
+    }
+    let finish = CommandBody::FinishFile {
+        file,
+        bytes: content.len() as u64,
+        items: Vec::new(),
+    };
+    propose(cluster, finish);
+}
+
+/// The file's content as one member holds it.
+fn held(cluster: &Cluster, number: u32) -> Option<Vec<u8>> {
+    let query = Query::FileContent {
+        tenant: TenantId::from("acme"),
+        file: FileId::from("file-1"),
+        cursor: 0,
+        limit: u32::MAX,
+    };
+    match cluster.member(number).ledger().query(&query) {
+        Ok(QueryAnswer::FileContent { data, next: None }) => Some(data),
+        _ => None,
+    }
+}
+
+fn strike(cluster: &mut Cluster, fault: Fault) {
+    match fault {
+        Fault::AllRestart => {
+            for number in 1..=5 {
+                cluster.crash(number);
+            }
+            for number in 1..=5 {
+                cluster.start(number);
+            }
+        }
+        Fault::LostDisk | Fault::LostDiskAndRestart => cluster.lose_disk(3),
+        Fault::TwoLostDisks => {
+            cluster.lose_disk(3);
+            cluster.lose_disk(4);
+        }
+        Fault::CutSegment => {
+            cluster.crash(3);
+            let disk = cluster.machine(3).disk.clone();
+            let files = disk.files();
+            let mut segments = files
+                .iter()
+                .filter(|path| path.starts_with(PAYLOAD_DIRECTORY));
+            let segment = segments.next().expect("a payload segment");
+            disk.damage(segment, |bytes| bytes.truncate(PIECE_BYTES));
+            cluster.start(3);
+        }
+    }
+}
+
+#[rstest]
+fn a_file_is_whole_on_every_member_after(
+    #[values(
+        Fault::AllRestart,
+        Fault::LostDisk,
+        Fault::LostDiskAndRestart,
+        Fault::TwoLostDisks,
+        Fault::CutSegment
+    )]
+    fault: Fault,
+) {
+    let mut cluster = Cluster::blank_with_snapshots(5, SNAPSHOT_LOG_BYTES);
+    cluster.run_until_all_vote();
+    upload(&mut cluster);
+    cluster.run_ms(200);
+    let stored = cluster
+        .notices
+        .iter()
+        .filter_map(|(_, notice)| match notice {
+            MemberNotice::SnapshotStored { bytes, .. } => Some(*bytes),
+            _ => None,
+        });
+    let largest = stored.max().expect("snapshots were taken");
+    assert!(
+        largest < 64 * 1024,
+        "a snapshot of {largest} bytes holds payloads"
+    );
+
+    strike(&mut cluster, fault);
+    cluster.run_until("every member holds the file", |cluster| {
+        (1..=5).all(|number| held(cluster, number).is_some())
+    });
+    if fault == Fault::LostDiskAndRestart {
+        cluster.crash(3);
+        cluster.start(3);
+        cluster.run_until("it holds the file again", |cluster| {
+            held(cluster, 3).is_some()
+        });
+    }
+    cluster.run_until_all_vote();
+    for number in 1..=5 {
+        assert!(held(&cluster, number) == Some(content()), "member {number}");
+    }
+    let digest = cluster.member(1).ledger().digest();
+    assert_eq!(cluster.member(3).ledger().digest(), digest);
+}
--- a/crates/lab/src/measure/state/full.rs
+++ b/crates/lab/src/measure/state/full.rs
@@ -4,7 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use linnethitch_errors::ErrorKind;
-use linnethitch_ledger::{Ledger, SnapshotScope};
+use linnethitch_ledger::{Ledger, OpenPayloads, SnapshotScope};
 use linnethitch_storage::RealFileSystem;
 use serde::Serialize;
 
@@ -71,19 +71,18 @@
         configure(&mut member, fleet_file(arguments.tenants, mark))?;
     }
     let changes = member.take_costs();
-    let mark = member.ledger.payloads().checkpoint()?;
     let payload_bytes = member.ledger.payloads().live_bytes();
     let memory_bytes = allocated_bytes();
     let path = folder.join("snapshot");
-    let written = write_snapshot(&member.ledger, &path)?;
+    let written = write_snapshot(&mut member.ledger, &path)?;
     let digest = member.ledger.digest();
     drop(member);
     reset_peak();
     let started = Instant::now();
     let file_system = Arc::new(RealFileSystem::new(folder)?);
-    let payloads = Box::new(open_payloads(file_system, mark)?);
+    let open: OpenPayloads = Box::new(move |mark| Ok(Box::new(open_payloads(file_system, mark)?)));
     let mut file = File::open(&path).change_context(ErrorKind::Io)?;
-    let ledger = Ledger::restore(payloads, &mut file)?;
+    let ledger = Ledger::restore(open, &mut file)?;
     let restore_seconds = started.elapsed().as_secs_f64();
     let restore_peak_bytes = peak_bytes().saturating_sub(allocated_bytes());
     if ledger.digest() != digest {
@@ -113,11 +112,11 @@
     peak_bytes: u64,
 }
 
-fn write_snapshot(ledger: &Ledger, path: &Path) -> Result<Written, Report<ErrorKind>> {
+fn write_snapshot(ledger: &mut Ledger, path: &Path) -> Result<Written, Report<ErrorKind>> {
     let before = allocated_bytes();
     reset_peak();
     let started = Instant::now();
-    let mut writer = ledger.snapshot_writer(SnapshotScope::Local);
+    let mut writer = ledger.snapshot_writer(SnapshotScope::Local)?;
     let freeze_seconds = started.elapsed().as_secs_f64();
     let mut file = File::create(path).change_context(ErrorKind::Io)?;
     let mut bytes = 0;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -36,4 +36,4 @@
 pub use answer::Answer;
 pub use ledger::{Ledger, SafetyOverrides};
 pub use orders::OpenOrder;
-pub use snapshot::{Restorer, SnapshotScope, SnapshotWriter};
+pub use snapshot::{OpenPayloads, Restorer, SnapshotScope, SnapshotWriter};
--- a/crates/ledger/src/snapshot/mod.rs
+++ b/crates/ledger/src/snapshot/mod.rs
@@ -11,7 +11,7 @@
 mod restore;
 mod writer;
 
-pub use restore::Restorer;
+pub use restore::{OpenPayloads, Restorer};
 pub use writer::{SnapshotScope, SnapshotWriter};
 
 /// Version of the stream that this build writes and reads.
--- a/crates/ledger/src/snapshot/records.rs
+++ b/crates/ledger/src/snapshot/records.rs
@@ -8,7 +8,7 @@
     ChangeId, FencingToken, FileId, GatewayId, IdempotencyKey, JobId, LeaseEpoch, LogIndex,
     ModelId, ReplicaId, Revision, SessionEpoch, TenantId, Timestamp,
 };
-use linnethitch_storage::PayloadRef;
+use linnethitch_storage::{PayloadMark, PayloadRef};
 use rkyv::{Archive, Deserialize, Serialize};
 use roaring::RoaringBitmap;
 
@@ -54,6 +54,9 @@
     pub(crate) next_job: u64,
     pub(crate) last_lease: LeaseEpoch,
     pub(crate) last_session: SessionEpoch,
+    /// Up to where this member's payload store belongs to the state; only
+    /// meaningful without payloads.
+    pub(crate) mark: PayloadMark,
 }
 
 /// A set of item numbers, in the portable format of roaring bitmaps.
--- a/crates/ledger/src/snapshot/restore.rs
+++ b/crates/ledger/src/snapshot/restore.rs
@@ -5,13 +5,13 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::frame;
-use linnethitch_storage::{PayloadRef, Payloads};
+use linnethitch_storage::{MemoryPayloads, PayloadMark, PayloadRef, Payloads};
 
 use super::{
     MAX_SECTION_BYTES, PAYLOAD_SECTION, RECORD_SECTION, SECTION_HEADER_BYTES, SNAPSHOT_MAGIC,
     SNAPSHOT_VERSION,
     records::{Header, Record, claim_payload, file_payloads, job_payloads},
-    writer::checksum,
+    writer::{checksum, references},
 };
 use crate::{
     configuration::{Changes, Configuration, ConfigurationState},
@@ -32,11 +32,17 @@
     Ended,
 }
 
+/// Opens the payload store of the ledger to be, as of a checkpoint: that of the
+/// snapshot if it is this member's own, the default if it brings its payloads.
+pub type OpenPayloads =
+    Box<dyn FnOnce(PayloadMark) -> Result<Box<dyn Payloads + Send>, Report<ErrorKind>> + Send>;
+
 /// A ledger in the making. Bytes may arrive in pieces of any size.
 ///
 /// Nothing of a half-read snapshot is ever visible: the ledger comes out of
 /// [`Restorer::finish`] once the stream has ended as it should.
 pub struct Restorer {
+    open: Option<OpenPayloads>,
     ledger: Ledger,
     configuration: ConfigurationState,
     changes: Changes,
@@ -61,12 +67,12 @@
 }
 
 impl Restorer {
-    /// Begins over a payload store: this member's own for a local snapshot, an
-    /// empty one for a snapshot that brings its payloads.
+    /// Begins; the payload store is opened once the snapshot has told how.
     #[must_use]
-    pub fn new(payloads: Box<dyn Payloads + Send>) -> Self {
+    pub fn new(open: OpenPayloads) -> Self {
         Restorer {
-            ledger: Ledger::new(payloads),
+            open: Some(open),
+            ledger: Ledger::new(Box::new(MemoryPayloads::new())),
             configuration: ConfigurationState::default(),
             changes: Changes::default(),
             times: Vec::new(),
@@ -80,6 +86,7 @@
     /// Takes the next bytes of the stream.
     ///
     /// # Errors
+    /// Those of opening the payload store, and
     /// `Corrupted` for a damaged or foreign stream, `DataFolderRefused` for
     /// one of another format version, `StorageFull` or `Io` of the payload store.
     pub fn push(&mut self, data: &[u8]) -> Result<(), Report<ErrorKind>> {
@@ -148,6 +155,9 @@
             return Err(Report::new(ErrorKind::DataFolderRefused).attach(message));
         }
         self.with_payloads = header.with_payloads;
+        if let Some(open) = self.open.take() {
+            self.ledger.payloads = open(header.mark)?;
+        }
         self.ledger.state = State {
             applied: header.applied,
             now: header.now,
@@ -216,6 +226,8 @@
         }
         if self.with_payloads {
             self.place_payloads()?;
+        } else {
+            self.adopt_payloads()?;
         }
         self.stage = Stage::Ended;
         Ok(())
@@ -254,6 +266,14 @@
         Ok(())
     }
 
+    /// Names every payload of the state to the store that holds it already.
+    fn adopt_payloads(&mut self) -> Result<(), Report<ErrorKind>> {
+        for payload in references(&self.ledger.state) {
+            self.ledger.payloads.adopt(&payload)?;
+        }
+        Ok(())
+    }
+
     /// The ledger, once the whole stream has arrived.
     ///
     /// # Errors
@@ -275,11 +295,8 @@
     ///
     /// # Errors
     /// Those of [`Restorer::push`] and [`Restorer::finish`], and `Io` of the reader.
-    pub fn restore(
-        payloads: Box<dyn Payloads + Send>,
-        reader: &mut dyn Read,
-    ) -> Result<Ledger, Report<ErrorKind>> {
-        let mut restorer = Restorer::new(payloads);
+    pub fn restore(open: OpenPayloads, reader: &mut dyn Read) -> Result<Ledger, Report<ErrorKind>> {
+        let mut restorer = Restorer::new(open);
         let mut buffer = vec![0; READ_BYTES];
         loop {
             let read = reader
--- a/crates/ledger/src/snapshot/writer.rs
+++ b/crates/ledger/src/snapshot/writer.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::frame;
-use linnethitch_storage::PayloadRef;
+use linnethitch_storage::{PayloadMark, PayloadRef};
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
@@ -30,7 +30,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SnapshotScope {
     /// For this member's own disk: without payloads, which lie there already.
-    /// The payload store must be synced before the snapshot counts as durable.
     Local,
     /// For another member: with all live payloads.
     Transfer,
@@ -52,6 +51,7 @@
 pub struct SnapshotWriter {
     records: Records,
     references: References,
+    mark: PayloadMark,
     payloads: u64,
     ended: bool,
 }
@@ -65,7 +65,7 @@
 }
 
 impl Frozen {
-    fn header(&self, scope: SnapshotScope) -> Header {
+    fn header(&self, scope: SnapshotScope, mark: PayloadMark) -> Header {
         Header {
             magic: SNAPSHOT_MAGIC,
             version: SNAPSHOT_VERSION,
@@ -75,12 +75,13 @@
             next_job: self.state.next_job,
             last_lease: self.state.last_lease,
             last_session: self.state.last_session,
+            mark,
         }
     }
 
     /// All records; references are masked for a digest.
-    fn records(self, scope: SnapshotScope, masked: bool) -> Records {
-        let header = Record::Header(self.header(scope));
+    fn records(self, scope: SnapshotScope, mark: PayloadMark, masked: bool) -> Records {
+        let header = Record::Header(self.header(scope, mark));
         let configuration = Record::Configuration {
             revision: self.configuration.revision,
             content: self.configuration.content.to_string(),
@@ -141,7 +142,7 @@
 }
 
 /// References to all payloads, in the order of the records.
-fn references(state: &State) -> References {
+pub(super) fn references(state: &State) -> References {
     let files = state.files.clone().into_values().flat_map(|file| {
         let mut file = owned(file);
         file_payloads(&mut file)
@@ -178,18 +179,27 @@
     }
 
     /// Begins a snapshot of the state as applied so far.
-    #[must_use]
-    pub fn snapshot_writer(&self, scope: SnapshotScope) -> SnapshotWriter {
-        let references: References = match scope {
-            SnapshotScope::Local => Box::new(iter::empty()),
-            SnapshotScope::Transfer => references(&self.state),
+    ///
+    /// One for this member's own disk first syncs the payload store and makes a
+    /// checkpoint in it.
+    ///
+    /// # Errors
+    /// `StorageFull` or `Io` of the payload store.
+    pub fn snapshot_writer(
+        &mut self,
+        scope: SnapshotScope,
+    ) -> Result<SnapshotWriter, Report<ErrorKind>> {
+        let (mark, references): (_, References) = match scope {
+            SnapshotScope::Local => (self.payloads.checkpoint()?, Box::new(iter::empty())),
+            SnapshotScope::Transfer => (PayloadMark::default(), references(&self.state)),
         };
-        SnapshotWriter {
-            records: self.freeze().records(scope, false),
+        Ok(SnapshotWriter {
+            records: self.freeze().records(scope, mark, false),
             references,
+            mark,
             payloads: 0,
             ended: false,
-        }
+        })
     }
 
     /// The next chunk of a snapshot; `None` after the last.
@@ -224,11 +234,29 @@
         Ok((!chunk.is_empty()).then_some(chunk))
     }
 
+    /// Rewrites one payload segment that is mostly dead; returns whether there was one.
+    ///
+    /// Looks at all references of the state, so it is not for every command.
+    ///
+    /// # Errors
+    /// `Corrupted`, `StorageFull` (nothing has changed then) or `Io` of the payload store.
+    pub fn compact_payloads(&mut self) -> Result<bool, Report<ErrorKind>> {
+        let Some(segment) = self.payloads.compaction_candidate() else {
+            return Ok(false);
+        };
+        let live: Vec<PayloadRef> = references(&self.state)
+            .filter(|payload| payload.segment == segment)
+            .collect();
+        self.payloads.compact(segment, &live)?;
+        Ok(true)
+    }
+
     /// A digest of the replicated state, equal on members that applied the same commands.
     #[must_use]
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for record in self.freeze().records(SnapshotScope::Local, true) {
+        let mark = PayloadMark::default();
+        for record in self.freeze().records(SnapshotScope::Local, mark, true) {
             if let Ok(encoded) = frame::encode(&record) {
                 hasher.update(&encoded);
             }
@@ -238,6 +266,15 @@
 }
 
 impl SnapshotWriter {
+    /// The checkpoint of the payload store that the snapshot belongs to.
+    ///
+    /// Once no older snapshot is kept, [`Ledger::payloads`] may be told that
+    /// this checkpoint is settled.
+    #[must_use]
+    pub fn mark(&self) -> PayloadMark {
+        self.mark
+    }
+
     /// The next chunk of the state proper, without the ledger: may run on another thread.
     ///
     /// `None` once the records are through; payloads and the end follow from
--- a/crates/ledger/tests/all/faults.rs
+++ b/crates/ledger/tests/all/faults.rs
@@ -76,6 +76,14 @@
     fn settle(&mut self, mark: PayloadMark) -> StorageResult<()> {
         self.payloads.settle(mark)
     }
+
+    fn compaction_candidate(&self) -> Option<u32> {
+        self.payloads.compaction_candidate()
+    }
+
+    fn compact(&mut self, segment: u32, live: &[PayloadRef]) -> StorageResult<()> {
+        self.payloads.compact(segment, live)
+    }
 }
 
 /// Two members that get the same commands; the payload store of one can fail.
--- a/crates/ledger/tests/all/snapshots.rs
+++ b/crates/ledger/tests/all/snapshots.rs
@@ -5,10 +5,11 @@
     command::{Command, CommandBody},
     ids::{LogIndex, Timestamp},
 };
-use linnethitch_storage::MemoryPayloads;
 use rstest::rstest;
 
-use crate::support::{Fixture, Line, MODEL, answer, new_claim, restored, snapshot_bytes};
+use crate::support::{
+    Fixture, Line, MODEL, answer, in_memory, new_claim, restored, snapshot_bytes,
+};
 
 /// A ledger with something of everything.
 fn busy() -> Fixture {
@@ -34,13 +35,13 @@
 
 #[test]
 fn a_restored_ledger_equals_the_original() {
-    let fixture = busy();
-    let copy = restored(&fixture.ledger);
+    let mut fixture = busy();
+    let mut copy = restored(&mut fixture.ledger);
     assert_eq!(copy.digest(), fixture.ledger.digest());
     assert_eq!(copy.applied_index(), fixture.ledger.applied_index());
     assert_eq!(
-        snapshot_bytes(&copy).len(),
-        snapshot_bytes(&fixture.ledger).len()
+        snapshot_bytes(&mut copy).len(),
+        snapshot_bytes(&mut fixture.ledger).len()
     );
 }
 
@@ -48,10 +49,13 @@
 fn a_snapshot_shows_the_state_at_its_beginning() {
     let mut fixture = busy();
     let digest = fixture.ledger.digest();
-    let mut writer = fixture.ledger.snapshot_writer(SnapshotScope::Transfer);
+    let mut writer = fixture
+        .ledger
+        .snapshot_writer(SnapshotScope::Transfer)
+        .expect("in memory");
     fixture.simple_job("batch_after", 3);
     fixture.cancel("heavy", "batch_open");
-    let mut restorer = Restorer::new(Box::new(MemoryPayloads::new()));
+    let mut restorer = Restorer::new(in_memory());
     while let Some(chunk) = fixture
         .ledger
         .next_snapshot_chunk(&mut writer)
@@ -70,7 +74,10 @@
         ..Line::new(MODEL)
     };
     fixture.job_of("acme", "batch_1", &[line]);
-    let mut writer = fixture.ledger.snapshot_writer(SnapshotScope::Local);
+    let mut writer = fixture
+        .ledger
+        .snapshot_writer(SnapshotScope::Local)
+        .expect("in memory");
     let mut size = 0;
     while let Some(chunk) = fixture
         .ledger
@@ -84,21 +91,19 @@
 
 #[rstest]
 fn a_snapshot_cut_short_is_refused(#[values(0, 1, 8, 40, 500, 2_000)] cut: usize) {
-    let bytes = snapshot_bytes(&busy().ledger);
+    let bytes = snapshot_bytes(&mut busy().ledger);
     let kept = if cut == 0 { bytes.len() - 1 } else { cut };
     let mut reader = &bytes[..kept];
-    let payloads = Box::new(MemoryPayloads::new());
-    assert!(Ledger::restore(payloads, &mut reader).is_err());
+    assert!(Ledger::restore(in_memory(), &mut reader).is_err());
 }
 
 #[test]
 fn a_flipped_bit_anywhere_is_refused() {
-    let bytes = snapshot_bytes(&busy().ledger);
+    let bytes = snapshot_bytes(&mut busy().ledger);
     for position in (0..bytes.len()).step_by(37) {
         let mut damaged = bytes.clone();
         damaged[position] ^= 0x10;
-        let payloads = Box::new(MemoryPayloads::new());
-        let outcome = Ledger::restore(payloads, &mut damaged.as_slice());
+        let outcome = Ledger::restore(in_memory(), &mut damaged.as_slice());
         assert!(outcome.is_err(), "byte {position} of {}", bytes.len());
     }
 }
@@ -110,8 +115,7 @@
         &[0; 4096],
         &[1, 255, 255, 255, 255, 0, 0, 0, 0],
     ] {
-        let payloads = Box::new(MemoryPayloads::new());
-        assert!(Ledger::restore(payloads, &mut &foreign[..]).is_err());
+        assert!(Ledger::restore(in_memory(), &mut &foreign[..]).is_err());
     }
 }
 
--- a/crates/ledger/tests/all/support.rs
+++ b/crates/ledger/tests/all/support.rs
@@ -1,6 +1,6 @@
 //! A ledger in memory with short ways to say the usual commands.
 
-use linnethitch_ledger::{Ledger, SnapshotScope};
+use linnethitch_ledger::{Ledger, OpenPayloads, Restorer, SnapshotScope};
 use linnethitch_protocol::{
     command::{
         ApplyOutcome, ClaimOutcome, Command, CommandBody, ItemHead, JobResults, LeasedItem,
@@ -372,22 +372,29 @@
 
     /// Replaces the ledger by one restored from its own transfer snapshot.
     pub(crate) fn through_snapshot(&mut self) {
-        self.ledger = restored(&self.ledger);
+        self.ledger = restored(&mut self.ledger);
     }
 }
 
+/// Opens an empty payload store in memory.
+pub(crate) fn in_memory() -> OpenPayloads {
+    Box::new(|_| Ok(Box::new(MemoryPayloads::new())))
+}
+
 /// A ledger restored from another one's transfer snapshot, fed in uneven pieces.
-pub(crate) fn restored(ledger: &Ledger) -> Ledger {
+pub(crate) fn restored(ledger: &mut Ledger) -> Ledger {
     let bytes = snapshot_bytes(ledger);
-    let mut restorer = linnethitch_ledger::Restorer::new(Box::new(MemoryPayloads::new()));
+    let mut restorer = Restorer::new(in_memory());
     for piece in bytes.chunks(977) {
         restorer.push(piece).expect("the snapshot is whole");
     }
     restorer.finish().expect("the snapshot is whole")
 }
 
-pub(crate) fn snapshot_bytes(ledger: &Ledger) -> Vec<u8> {
-    let mut writer = ledger.snapshot_writer(SnapshotScope::Transfer);
+pub(crate) fn snapshot_bytes(ledger: &mut Ledger) -> Vec<u8> {
+    let mut writer = ledger
+        .snapshot_writer(SnapshotScope::Transfer)
+        .expect("in memory");
     let mut bytes = Vec::new();
     while let Some(chunk) = ledger
         .next_snapshot_chunk(&mut writer)
--- a/crates/storage/src/payload/files.rs
+++ b/crates/storage/src/payload/files.rs
@@ -29,6 +29,8 @@
 pub const MAX_PAYLOAD_BYTES: usize = 64 * 1024 * 1024;
 /// Appended bytes held in memory before they are written.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+/// Appended bytes that wait in memory at most while the disk is full.
+const MAX_WAITING_BYTES: usize = 64 * 1024 * 1024;
 
 /// Bounds of a payload store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -174,54 +176,6 @@
         self.segments.insert(number, segment);
     }
 
-    /// A segment that is mostly dead, if there is one, to hand to [`PayloadStore::compact`].
-    #[must_use]
-    pub fn compaction_candidate(&self) -> Option<u32> {
-        let newest = self.segments.keys().next_back()?;
-        let threshold = u64::from(self.limits.compact_below_percent);
-        self.segments
-            .iter()
-            .filter(|(number, _)| *number != newest)
-            .filter(|(_, segment)| segment.held_bytes * 100 < segment.length * threshold)
-            .min_by_key(|(_, segment)| segment.held_bytes)
-            .map(|(number, _)| *number)
-    }
-
-    /// Rewrites a segment without its dead records; references stay valid.
-    ///
-    /// `live` are all live payloads of that segment.
-    ///
-    /// # Errors
-    /// `Corrupted`, `StorageFull` (the segment stays as it was), `Io`.
-    pub fn compact(&mut self, number: u32, live: &[PayloadRef]) -> StorageResult<()> {
-        let mut kept: Vec<PayloadRef> = live
-            .iter()
-            .chain(&self.releases)
-            .filter(|payload| payload.segment == number)
-            .copied()
-            .collect();
-        kept.sort_unstable();
-        kept.dedup();
-        let mut records = Vec::with_capacity(kept.len());
-        for payload in &kept {
-            records.push((payload.offset, self.read(payload)?));
-        }
-        let file = write_compacted(self.file_system.as_ref(), number, &records)?;
-        let path = compacted_path(number);
-        let compacted = Compacted::load(file.as_ref(), &path)?;
-        if self.file_system.exists(&segment_path(number))? {
-            self.file_system.remove(&segment_path(number))?;
-        }
-        let Some(segment) = self.segments.get_mut(&number) else {
-            return Ok(());
-        };
-        segment.length = file.length()?;
-        segment.held_bytes = kept.iter().map(record_bytes).sum();
-        segment.file = file;
-        segment.compacted = Some(compacted);
-        Ok(())
-    }
-
     /// Bytes of all segment files.
     #[must_use]
     pub fn disk_bytes(&self) -> u64 {
@@ -244,7 +198,13 @@
             Some((number, _, _)) => number + 1,
             None => 1,
         };
-        self.sync()?;
+        let synced = self.sync();
+        if let (Some((number, _, false)), true) = (newest, is_full(&synced)) {
+            // The newest one grows beyond its size until there is room again.
+            self.wait_for_room(synced)?;
+            return Ok(number);
+        }
+        synced?;
         let path = segment_path(next);
         let file = self.file_system.open(&path, OpenMode::CreateOrTruncate)?;
         self.insert_segment(next, file, None, 0);
@@ -278,6 +238,15 @@
         Ok(())
     }
 
+    /// Lets appended records wait in memory while the disk is full, within a bound:
+    /// what was committed can be applied, and the log refuses new work meanwhile.
+    fn wait_for_room(&mut self, written: StorageResult<()>) -> StorageResult<()> {
+        if is_full(&written) && self.buffer.len() < MAX_WAITING_BYTES {
+            return Ok(());
+        }
+        self.note_failure(written)
+    }
+
     fn note_failure<T>(&mut self, result: StorageResult<T>) -> StorageResult<T> {
         if let Err(error) = &result {
             self.failed |= *error.current_context() != ErrorKind::StorageFull;
@@ -367,7 +336,7 @@
         }
         if self.buffer.len() >= MAX_BUFFERED_BYTES {
             let written = self.write_buffer();
-            self.note_failure(written)?;
+            self.wait_for_room(written)?;
         }
         let number = self.writable_segment()?;
         let before = self.buffer.len();
@@ -480,6 +449,52 @@
         }
         self.reclaim()
     }
+
+    fn compaction_candidate(&self) -> Option<u32> {
+        let newest = self.segments.keys().next_back()?;
+        let threshold = u64::from(self.limits.compact_below_percent);
+        self.segments
+            .iter()
+            .filter(|(number, _)| *number != newest)
+            .filter(|(_, segment)| segment.held_bytes * 100 < segment.length * threshold)
+            .min_by_key(|(_, segment)| segment.held_bytes)
+            .map(|(number, _)| *number)
+    }
+
+    fn compact(&mut self, number: u32, live: &[PayloadRef]) -> StorageResult<()> {
+        let mut kept: Vec<PayloadRef> = live
+            .iter()
+            .chain(&self.releases)
+            .filter(|payload| payload.segment == number)
+            .copied()
+            .collect();
+        kept.sort_unstable();
+        kept.dedup();
+        let mut records = Vec::with_capacity(kept.len());
+        for payload in &kept {
+            records.push((payload.offset, self.read(payload)?));
+        }
+        let file = write_compacted(self.file_system.as_ref(), number, &records)?;
+        let path = compacted_path(number);
+        let compacted = Compacted::load(file.as_ref(), &path)?;
+        if self.file_system.exists(&segment_path(number))? {
+            self.file_system.remove(&segment_path(number))?;
+        }
+        let Some(segment) = self.segments.get_mut(&number) else {
+            return Ok(());
+        };
+        segment.length = file.length()?;
+        segment.held_bytes = kept.iter().map(record_bytes).sum();
+        segment.file = file;
+        segment.compacted = Some(compacted);
+        Ok(())
+    }
+}
+
+fn is_full(written: &StorageResult<()>) -> bool {
+    written
+        .as_ref()
+        .is_err_and(|report| *report.current_context() == ErrorKind::StorageFull)
 }
 
 /// Bytes that a payload takes in its segment.
--- a/crates/storage/src/payload/memory.rs
+++ b/crates/storage/src/payload/memory.rs
@@ -89,4 +89,12 @@
     fn settle(&mut self, _mark: PayloadMark) -> StorageResult<()> {
         Ok(())
     }
+
+    fn compaction_candidate(&self) -> Option<u32> {
+        None
+    }
+
+    fn compact(&mut self, _segment: u32, _live: &[PayloadRef]) -> StorageResult<()> {
+        Ok(())
+    }
 }
--- a/crates/storage/src/payload/mod.rs
+++ b/crates/storage/src/payload/mod.rs
@@ -113,4 +113,15 @@
     /// # Errors
     /// `Io`.
     fn settle(&mut self, mark: PayloadMark) -> StorageResult<()>;
+
+    /// A segment that is mostly dead, if there is one, to hand to [`Payloads::compact`].
+    fn compaction_candidate(&self) -> Option<u32>;
+
+    /// Rewrites a segment without its dead records; references stay valid.
+    ///
+    /// `live` are all live payloads of that segment.
+    ///
+    /// # Errors
+    /// `Corrupted`, `StorageFull` (the segment stays as it was), `Io`.
+    fn compact(&mut self, segment: u32, live: &[PayloadRef]) -> StorageResult<()>;
 }
