ledger: limit a tenant's open jobs; count dropped results

Cause: the bound on open jobs was one for all tenants, so that one tenant could take the room of the others; results that are dropped (another was first, the job was cancelled) were told to their gateway only.

Tests: one_tenant_cannot_take_the_room_of_the_others_for_jobs; the model of tests/all/model.rs now predicts the number of dropped results too.

--- a/crates/control/src/member/view.rs
+++ b/crates/control/src/member/view.rs
@@ -33,6 +33,10 @@
     pub applied: LogIndex,
     /// Items pending, by model.
     pub pending: Vec<PendingItems>,
+    /// Results dropped so far, since another was first or the job had stopped.
+    pub dropped_results: u64,
+    /// Bytes of the files and results that are kept.
+    pub payload_bytes: u64,
     /// The members, on the leader only.
     pub members: Vec<MemberStatus>,
     /// Disks that vote.
@@ -62,6 +66,8 @@
             fleet: self.ledger.fleet(),
             applied: self.applied,
             pending: self.ledger.pending_items(),
+            dropped_results: self.ledger.dropped_results(),
+            payload_bytes: self.ledger.payload_bytes(),
             members: self.member_statuses(),
             voters: status.membership.voters.len(),
             attach_addresses: Arc::new(self.attach_addresses()),
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -18,6 +18,8 @@
     log_bytes: Gauge,
     disk_full: Gauge,
     pending_items: Gauge,
+    dropped_results: Gauge,
+    payload_bytes: Gauge,
     sent_bytes: Gauge,
     received_bytes: Gauge,
     traffic: Arc<Traffic>,
@@ -44,6 +46,14 @@
                 "1 while new work is refused for want of space, else 0",
             ),
             pending_items: metrics.gauge("control_pending_items", "Batch items that wait"),
+            dropped_results: metrics.gauge(
+                "control_dropped_results",
+                "Results of batch items that were dropped: another was first, or the job had stopped",
+            ),
+            payload_bytes: metrics.gauge(
+                "control_payload_bytes",
+                "Bytes of files, results and answers that are kept",
+            ),
             sent_bytes: metrics.gauge(
                 "control_sent_bytes",
                 "Bytes sent to gateways and other members since the start",
@@ -67,6 +77,8 @@
         self.disk_full.set(i64::from(view.disk_full));
         let pending = view.pending.iter().map(|pending| pending.count).sum();
         self.pending_items.set(as_gauge(pending));
+        self.dropped_results.set(as_gauge(view.dropped_results));
+        self.payload_bytes.set(as_gauge(view.payload_bytes));
         let traffic = self.traffic.snapshot();
         self.sent_bytes.set(as_gauge(traffic.sent_bytes()));
         self.received_bytes.set(as_gauge(traffic.received_bytes()));
--- a/crates/ledger/src/completion.rs
+++ b/crates/ledger/src/completion.rs
@@ -95,6 +95,7 @@
             self.end_finished_job(number)?;
             self.end_cancelled_job(number)?;
         }
+        self.state.dropped_results += u64::from(dropped);
         ready(Outcome::Completed { stored, dropped })
     }
 
--- a/crates/ledger/src/files.rs
+++ b/crates/ledger/src/files.rs
@@ -94,12 +94,12 @@
             }
             return refuse(ErrorKind::InvalidState, "the file id is taken");
         }
-        if self.unfinished_files(tenant) >= MAX_UNFINISHED_FILES_PER_TENANT {
+        if self.unfinished_files_of.of(tenant) >= MAX_UNFINISHED_FILES_PER_TENANT {
             return refuse(ErrorKind::Overloaded, "too many unfinished files");
         }
         let expires_at = after(self.state.now, UNFINISHED_FILE_MS);
         self.timers.add(expires_at, TimerKey::File(file.clone()));
-        self.count_unfinished(tenant, 1);
+        self.unfinished_files_of.add(tenant);
         let created = InputFile {
             tenant: tenant.clone(),
             purpose: purpose.to_owned(),
@@ -198,7 +198,7 @@
         }
         let tenant = stored.tenant.clone();
         self.add_heads(file, heads)?;
-        self.count_unfinished(&tenant, -1);
+        self.unfinished_files_of.remove(&tenant);
         let now = self.state.now;
         let expires_at = after(now, self.configuration.retention_ms());
         let Some(stored) = self.state.files.get_mut(file).map(Arc::make_mut) else {
@@ -239,7 +239,7 @@
             .reset(&mut stored.expires_at, now, TimerKey::File(file.clone()));
         let tenant = stored.tenant.clone();
         if was_unfinished {
-            self.count_unfinished(&tenant, -1);
+            self.unfinished_files_of.remove(&tenant);
         }
     }
 
--- a/crates/ledger/src/indexes.rs
+++ b/crates/ledger/src/indexes.rs
@@ -1,5 +1,7 @@
 //! Lookups derived from the replicated state; rebuilt after a restore.
 
+use std::collections::BTreeMap;
+
 use linnethitch_protocol::ids::TenantId;
 
 use crate::{
@@ -9,6 +11,33 @@
     timers::TimerKey,
 };
 
+/// How many of something each tenant has.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TenantCounts(BTreeMap<TenantId, usize>);
+
+impl TenantCounts {
+    /// The count of a tenant.
+    pub(crate) fn of(&self, tenant: &TenantId) -> usize {
+        self.0.get(tenant).copied().unwrap_or(0)
+    }
+
+    /// Counts one more.
+    pub(crate) fn add(&mut self, tenant: &TenantId) {
+        *self.0.entry(tenant.clone()).or_default() += 1;
+    }
+
+    /// Counts one less.
+    pub(crate) fn remove(&mut self, tenant: &TenantId) {
+        let Some(count) = self.0.get_mut(tenant) else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.0.remove(tenant);
+        }
+    }
+}
+
 impl Ledger {
     /// Enters a job into all lookups and, while it runs, into the scheduler.
     pub(crate) fn index_job(&mut self, number: JobNumber, job: &Job) {
@@ -24,6 +53,7 @@
         }
         if !job.has_ended() {
             self.open_jobs += 1;
+            self.open_jobs_of.add(&job.tenant);
         }
         for queue in &job.pending {
             if !queue.items.is_empty() {
@@ -44,21 +74,6 @@
         self.timers.remove(job.due, TimerKey::Job(number));
     }
 
-    /// Counts a tenant's unfinished files up or down.
-    pub(crate) fn count_unfinished(&mut self, tenant: &TenantId, change: isize) {
-        let count = self.unfinished_files(tenant).saturating_add_signed(change);
-        if count == 0 {
-            self.unfinished.remove(tenant);
-        } else {
-            self.unfinished.insert(tenant.clone(), count);
-        }
-    }
-
-    /// Unfinished files of a tenant.
-    pub(crate) fn unfinished_files(&self, tenant: &TenantId) -> usize {
-        self.unfinished.get(tenant).copied().unwrap_or(0)
-    }
-
     /// Builds all lookups of a restored state.
     pub(crate) fn rebuild_indexes(&mut self) {
         let jobs = self.state.jobs.clone();
@@ -69,7 +84,7 @@
         for (id, file) in &files {
             self.timers.add(file.expires_at, TimerKey::File(id.clone()));
             if file.phase == FilePhase::Unfinished {
-                self.count_unfinished(&file.tenant, 1);
+                self.unfinished_files_of.add(&file.tenant);
             }
         }
         for (key, claim) in self.state.claims.iter() {
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -18,8 +18,8 @@
     job::{Job, JobNumber, JobPhase, PendingQueue},
     ledger::Ledger,
     limits::{
-        MAX_METADATA_BYTES, MAX_NAME_BYTES, MAX_OPEN_JOBS, MAX_RESULT_BLOCK_BYTES, MAX_WINDOW_MS,
-        MIN_RESULT_BLOCK_BYTES, RESULT_BUFFER_BYTES,
+        MAX_METADATA_BYTES, MAX_NAME_BYTES, MAX_OPEN_JOBS, MAX_OPEN_JOBS_PER_TENANT,
+        MAX_RESULT_BLOCK_BYTES, MAX_WINDOW_MS, MIN_RESULT_BLOCK_BYTES, RESULT_BUFFER_BYTES,
     },
     line_index::position_in_chunk,
     refusal::{Applied, Rejection, ready, refuse},
@@ -96,6 +96,12 @@
         if self.open_jobs >= MAX_OPEN_JOBS {
             return refuse(ErrorKind::Overloaded, "too many jobs are open");
         }
+        if self.open_jobs_of.of(&new.tenant) >= MAX_OPEN_JOBS_PER_TENANT {
+            return refuse(
+                ErrorKind::TooManyInFlight,
+                "too many jobs of the tenant are open",
+            );
+        }
         Ok(())
     }
 
@@ -216,6 +222,7 @@
         self.timers.reset(&mut job.due, due, TimerKey::Job(number));
         let input = job.input.clone();
         self.open_jobs = self.open_jobs.saturating_sub(1);
+        self.open_jobs_of.remove(&job.tenant);
         self.leave_file(&input);
         Ok(())
     }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -18,6 +18,7 @@
     claims::{ClaimHolder, ClaimKey, Claims},
     configuration::Configuration,
     files::InputFile,
+    indexes::TenantCounts,
     job::{Job, JobNumber},
     line_index::ChunkCache,
     orders::Orders,
@@ -51,6 +52,8 @@
     pub(crate) last_lease: LeaseEpoch,
     /// The newest session.
     pub(crate) last_session: SessionEpoch,
+    /// Results that were dropped, since another was first or the job had stopped.
+    pub(crate) dropped_results: u64,
     /// Files by id.
     pub(crate) files: BTreeMap<FileId, Arc<InputFile>>,
     /// Jobs in the order of their acceptance.
@@ -78,8 +81,9 @@
     pub(crate) job_keys: BTreeMap<(TenantId, IdempotencyKey), JobNumber>,
     pub(crate) tenant_jobs: BTreeSet<(TenantId, JobNumber)>,
     pub(crate) stopped: BTreeSet<(LogIndex, JobNumber)>,
-    pub(crate) unfinished: BTreeMap<TenantId, usize>,
+    pub(crate) unfinished_files_of: TenantCounts,
     pub(crate) open_jobs: usize,
+    pub(crate) open_jobs_of: TenantCounts,
     pub(crate) chunks: ChunkCache,
 }
 
@@ -112,8 +116,9 @@
             job_keys: BTreeMap::new(),
             tenant_jobs: BTreeSet::new(),
             stopped: BTreeSet::new(),
-            unfinished: BTreeMap::new(),
+            unfinished_files_of: TenantCounts::default(),
             open_jobs: 0,
+            open_jobs_of: TenantCounts::default(),
             chunks: ChunkCache::default(),
         }
     }
--- a/crates/ledger/src/limits.rs
+++ b/crates/ledger/src/limits.rs
@@ -69,6 +69,8 @@
 pub const MAX_SESSIONS: usize = 16_384;
 /// Jobs not yet at an end.
 pub const MAX_OPEN_JOBS: usize = 50_000;
+/// Jobs not yet at an end, of one tenant.
+pub const MAX_OPEN_JOBS_PER_TENANT: usize = 2_000;
 
 /// Steps of one `Expire` command: a payload released, an item given up, a record dropped.
 pub const EXPIRE_STEPS: usize = 8_192;
--- a/crates/ledger/src/snapshot/records.rs
+++ b/crates/ledger/src/snapshot/records.rs
@@ -54,6 +54,7 @@
     pub(crate) next_job: u64,
     pub(crate) last_lease: LeaseEpoch,
     pub(crate) last_session: SessionEpoch,
+    pub(crate) dropped_results: u64,
     /// Up to where this member's payload store belongs to the state; only
     /// meaningful without payloads.
     pub(crate) mark: PayloadMark,
--- a/crates/ledger/src/snapshot/restore.rs
+++ b/crates/ledger/src/snapshot/restore.rs
@@ -164,6 +164,7 @@
             next_job: header.next_job,
             last_lease: header.last_lease,
             last_session: header.last_session,
+            dropped_results: header.dropped_results,
             ..State::default()
         };
         self.stage = Stage::State;
--- a/crates/ledger/src/snapshot/writer.rs
+++ b/crates/ledger/src/snapshot/writer.rs
@@ -75,6 +75,7 @@
             next_job: self.state.next_job,
             last_lease: self.state.last_lease,
             last_session: self.state.last_session,
+            dropped_results: self.state.dropped_results,
             mark,
         }
     }
--- a/crates/ledger/src/views.rs
+++ b/crates/ledger/src/views.rs
@@ -55,6 +55,18 @@
         pending.collect()
     }
 
+    /// Results that were dropped so far: another had been first, or the job had stopped.
+    #[must_use]
+    pub fn dropped_results(&self) -> u64 {
+        self.state.dropped_results
+    }
+
+    /// Bytes of the payloads that the state refers to.
+    #[must_use]
+    pub fn payload_bytes(&self) -> u64 {
+        self.payloads.live_bytes()
+    }
+
     /// Jobs that were cancelled or passed their deadline after the given
     /// command; their running items must be stopped.
     #[must_use]
--- a/crates/ledger/tests/all/jobs.rs
+++ b/crates/ledger/tests/all/jobs.rs
@@ -1,5 +1,6 @@
 //! Accepting, listing, cancelling, expiring and dropping jobs.
 
+use linnethitch_ledger::limits::MAX_OPEN_JOBS_PER_TENANT;
 use linnethitch_protocol::{
     command::{NewJob, Outcome},
     ids::{IdempotencyKey, JobId, LogIndex, TenantId},
@@ -359,3 +360,30 @@
         fixture.through_snapshot();
     }
 }
+
+#[test]
+fn one_tenant_cannot_take_the_room_of_the_others_for_jobs() {
+    let mut fixture = Fixture::new();
+    for tenant in ["acme", "heavy"] {
+        fixture.upload(tenant, &format!("file-{tenant}"), &[Line::new(MODEL)]);
+    }
+    let job = |tenant: &str, number| {
+        new_job(
+            tenant,
+            &format!("batch_{tenant}_{number}"),
+            &format!("file-{tenant}"),
+        )
+    };
+    let taken = |outcome| matches!(outcome, Outcome::Job(_));
+    for number in 0..MAX_OPEN_JOBS_PER_TENANT {
+        assert!(taken(fixture.create_job(job("acme", number))));
+    }
+    fixture.through_snapshot();
+    let refused = fixture.create_job(job("acme", MAX_OPEN_JOBS_PER_TENANT));
+    assert_eq!(refusal_code(&refused), "too_many_in_flight");
+    assert!(taken(fixture.create_job(job("heavy", 0))));
+    fixture.cancel("acme", "batch_acme_7");
+    assert!(taken(
+        fixture.create_job(job("acme", MAX_OPEN_JOBS_PER_TENANT))
+    ));
+}
--- a/crates/ledger/tests/all/model.rs
+++ b/crates/ledger/tests/all/model.rs
@@ -89,6 +89,7 @@
 struct Model {
     jobs: BTreeMap<String, Job>,
     sessions: [Session; GATEWAYS],
+    dropped: u64,
 }
 
 impl Model {
@@ -222,6 +223,7 @@
                 let items = [item];
                 let counts = run.both(|ledger| ledger.complete(&name, holder.session, &items));
                 assert_eq!(counts, (expected, 1 - expected));
+                run.model.dropped += u64::from(1 - expected);
             }),
             Step::Release(choice) => self.with_leased(*choice, |run, holder, item| {
                 run.model.release(holder, &item.key);
@@ -337,6 +339,7 @@
     fn check(&mut self) {
         let [plain, restored] = &self.ledgers;
         assert_eq!(plain.ledger.digest(), restored.ledger.digest());
+        assert_eq!(restored.ledger.dropped_results(), self.model.dropped);
         for (name, job) in &self.model.jobs {
             let record = plain.job("acme", name).expect("jobs outlive the test");
             assert_eq!(record.state, Model::state(job, plain.now), "{name}");
