Measure what a gateway adds to a stream

Cause: the gateway's added latency and processor time a token were not known. Change: linnethitch-lab measure gateway compares streams straight to an engine with streams through a gateway in one run, and counts the processor time of the gateway's one worker thread. The end of a generation reads the clock, not each of its events.

--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation.rs
@@ -109,20 +109,20 @@
 
     async fn receive(&mut self) -> Result<StreamEvent, Failure> {
         let received = self.receive_with_retries().await;
+        if matches!(received, Ok(StreamEvent::Done) | Err(_)) {
+            self.ended = true;
+            self.record_end(received.as_ref().err());
+        }
+        received
+    }
+
+    fn record_end(&self, failure: Option<&Failure>) {
         let now = self.gateway.clock().now();
         let observer = &self.gateway.observer;
-        match &received {
-            Ok(StreamEvent::Done) => {
-                self.ended = true;
-                observer.finished(now, &self.subject, self.told_tokens());
-            }
-            Ok(_) => {}
-            Err(failure) => {
-                self.ended = true;
-                observer.failed(now, &self.subject, failure);
-            }
+        match failure {
+            None => observer.finished(now, &self.subject, self.told_tokens()),
+            Some(failure) => observer.failed(now, &self.subject, failure),
         }
-        received
     }
 
     async fn receive_with_retries(&mut self) -> Result<StreamEvent, Failure> {
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! `linnethitch-lab measure`: what state and work cost, measured on this machine.
 
 mod consensus;
+mod gateway;
 mod state;
 
 use bpaf::Bpaf;
@@ -17,6 +18,9 @@
     /// Measure the state machine of control at the plan's size: memory, times, bytes
     #[bpaf(command)]
     State(#[bpaf(external(state::arguments))] state::Arguments),
+    /// Measure what a gateway adds to streams: first token, processor time a token
+    #[bpaf(command)]
+    Gateway(#[bpaf(external(gateway::arguments))] gateway::Arguments),
 }
 
 /// Runs one measurement.
@@ -24,5 +28,6 @@
     match arguments {
         Arguments::Consensus(arguments) => consensus::run(arguments),
         Arguments::State(arguments) => state::run(arguments),
+        Arguments::Gateway(arguments) => gateway::run(arguments),
     }
 }
