Measure the disk beside each count of commits

Cause: on a shared disk the rate of syncs moves between hundreds and tens of thousands a second within minutes, so a rate taken once before a group says nothing of the counts that follow.

Change: the disk is measured just before each count of commits, for a fifth of its duration, and the table gives commits a sync. The report has a file of its own.

--- a/crates/lab/src/measure/consensus/mod.rs
+++ b/crates/lab/src/measure/consensus/mod.rs
@@ -7,10 +7,10 @@
 
 mod disk;
 mod group;
+mod report;
 mod runs;
 
 use std::{
-    fmt::Write,
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -18,11 +18,11 @@
 use bpaf::Bpaf;
 use error_stack::{Report, ResultExt};
 use linnethitch_errors::ErrorKind;
-use serde::Serialize;
 
 use self::{
     group::Group,
-    runs::{Kind, Recovery, Throughput},
+    report::{CommitRate, ConsensusReport},
+    runs::Kind,
 };
 use crate::{
     output::say,
@@ -34,6 +34,9 @@
 /// Calls under way at once.
 const OUTSTANDING: [usize; 4] = [1, 16, 256, 4_096];
 
+/// The disk is measured for this part of each measurement's duration.
+const DISK_SHARE: u32 = 5;
+
 /// What is measured:
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(arguments))]
@@ -53,22 +56,6 @@
     output: PathBuf,
 }
 
-/// Synced appends a second of the disk itself.
-#[derive(Clone, Debug, Serialize)]
-struct DiskRate {
-    files: u32,
-    per_second: f64,
-}
-
-/// Everything that was measured.
-#[derive(Clone, Debug, Default, Serialize)]
-struct ConsensusReport {
-    disk: Vec<DiskRate>,
-    commits: Vec<Throughput>,
-    reads: Vec<Throughput>,
-    recoveries: Vec<Recovery>,
-}
-
 /// Measures everything.
 pub(crate) fn run(arguments: &Arguments) -> Outcome {
     let data = arguments.output.join("data");
@@ -88,17 +75,16 @@
     let mut report = ConsensusReport::default();
     std::fs::create_dir_all(data).change_context(ErrorKind::Io)?;
     for members in GROUP_SIZES {
-        let per_second = disk::syncs_per_second(data, members, duration)?;
-        report.disk.push(DiskRate {
-            files: members,
-            per_second,
-        });
         let folder = data.join(format!("group-{members}"));
         let mut group = Group::start(&folder, members)?;
         for outstanding in OUTSTANDING {
+            let disk = disk::syncs_per_second(data, members, duration / DISK_SHARE)?;
             let commits =
                 runs::throughput(&mut group, members, Kind::Commit, outstanding, duration)?;
-            report.commits.push(commits);
+            report.commits.push(CommitRate {
+                disk_per_second: disk / f64::from(members),
+                commits,
+            });
         }
         for outstanding in OUTSTANDING {
             let reads = runs::throughput(&mut group, members, Kind::Read, outstanding, duration)?;
@@ -120,46 +106,3 @@
     }
     Ok(())
 }
-
-impl ConsensusReport {
-    fn write(&self, folder: &Path) -> Result<(), Report<ErrorKind>> {
-        std::fs::create_dir_all(folder).change_context(ErrorKind::Io)?;
-        let json = serde_json::to_string_pretty(self).change_context(ErrorKind::Internal)?;
-        std::fs::write(folder.join("results.json"), json).change_context(ErrorKind::Io)?;
-        std::fs::write(folder.join("results.md"), self.markdown()).change_context(ErrorKind::Io)
-    }
-
-    fn markdown(&self) -> String {
-        let mut text =
-            String::from("\n| Synced appends of the disk, files at once | a second |\n|---|---|\n");
-        for rate in &self.disk {
-            // Writing into a string never fails.
-            let _ = writeln!(text, "| {} | {:.0} |", rate.files, rate.per_second);
-        }
-        write_throughput(&mut text, "Commits", &self.commits);
-        write_throughput(&mut text, "Reads", &self.reads);
-        text.push_str("\n| Members | Losses of the leader | Next commit after (least / median / most), ms |\n|---|---|---|\n");
-        for one in &self.recoveries {
-            let _ = writeln!(
-                text,
-                "| {} | {} | {:.0} / {:.0} / {:.0} |",
-                one.members, one.losses, one.least_ms, one.median_ms, one.most_ms
-            );
-        }
-        text
-    }
-}
-
-fn write_throughput(text: &mut String, title: &str, rows: &[Throughput]) {
-    let _ = writeln!(
-        text,
-        "\n| {title}: members | outstanding | a second | median, ms | 99th percentile, ms |\n|---|---|---|---|---|"
-    );
-    for row in rows {
-        let _ = writeln!(
-            text,
-            "| {} | {} | {:.0} | {:.2} | {:.2} |",
-            row.members, row.outstanding, row.per_second, row.median_ms, row.p99_ms
-        );
-    }
-}
