Let operators explain what a gateway decided

Change: the gateway's setting operator_key_sha256 (and its flag) names the hash of a key that may explain everything; compared in constant time.

--- a/crates/cli/src/options/gateway.rs
+++ b/crates/cli/src/options/gateway.rs
@@ -39,6 +39,9 @@
     /// Size of the decision journal
     #[bpaf(argument("BYTES"))]
     journal_max_bytes: Option<u64>,
+    /// SHA-256 of the bearer key that may explain everything
+    #[bpaf(argument("HEX"))]
+    operator_key_sha256: Option<String>,
     /// critical, error, warning, info or debug
     #[bpaf(argument("LEVEL"))]
     log_level: Option<LogLevel>,
@@ -59,6 +62,7 @@
             data_dir: self.data_dir.clone(),
             log: self.log_level.map(log_settings),
             journal_max_bytes: self.journal_max_bytes,
+            operator_key_sha256: self.operator_key_sha256.clone(),
             limits: None,
         }
     }
--- a/crates/config/src/settings/gateway.rs
+++ b/crates/config/src/settings/gateway.rs
@@ -12,7 +12,7 @@
     check::Checker,
     load::{LoadedFile, read_values},
 };
-use crate::locate::FieldError;
+use crate::{digest::is_key_hash, locate::FieldError};
 
 /// Default size of the decision journal, in bytes.
 pub const DEFAULT_JOURNAL_MAX_BYTES: u64 = 64 * 1024 * 1024;
@@ -76,6 +76,9 @@
     pub log: LogSettings,
     /// Size of the decision journal, in bytes.
     pub journal_max_bytes: u64,
+    /// SHA-256 of the bearer key, in hexadecimal, that may explain everything; without it
+    /// tenants see their own work only.
+    pub operator_key_sha256: Option<String>,
     /// Limits of this process.
     pub limits: GatewayLimits,
 }
@@ -95,6 +98,7 @@
     pub data_dir: Option<PathBuf>,
     pub log: Option<LogSettings>,
     pub journal_max_bytes: Option<u64>,
+    pub operator_key_sha256: Option<String>,
     pub limits: Option<GatewayLimits>,
 }
 
@@ -113,6 +117,7 @@
             data_dir: flags.data_dir.or(self.data_dir),
             log: flags.log.or(self.log),
             journal_max_bytes: flags.journal_max_bytes.or(self.journal_max_bytes),
+            operator_key_sha256: flags.operator_key_sha256.or(self.operator_key_sha256),
             limits: flags.limits.or(self.limits),
         }
     }
@@ -130,6 +135,7 @@
             data_dir: checker.required("data_dir", self.data_dir)?,
             log: self.log.unwrap_or_default(),
             journal_max_bytes: self.journal_max_bytes.unwrap_or(DEFAULT_JOURNAL_MAX_BYTES),
+            operator_key_sha256: self.operator_key_sha256,
             limits: self.limits.unwrap_or_default(),
         };
         settings.check(&checker)?;
@@ -164,6 +170,13 @@
         for address in &self.control_addresses {
             checker.reachable("control_addresses", *address)?;
         }
+        let key = self.operator_key_sha256.as_deref();
+        if key.is_some_and(|key| !is_key_hash(key)) {
+            return checker.fail(
+                "operator_key_sha256",
+                "must be a SHA-256 in 64 lower-case hexadecimal characters",
+            );
+        }
         checker.at_least(
             "journal_max_bytes",
             self.journal_max_bytes,
--- a/crates/config/tests/all/reference.rs
+++ b/crates/config/tests/all/reference.rs
@@ -182,7 +182,10 @@
 fn the_settings_page_lists_every_field_with_its_default() {
     let page = page("settings.md");
     let (gateway_page, control_page) = page.split_once("## Control").unwrap();
-    let gateway: GatewaySettings = crate::settings::gateway(GATEWAY);
+    // Fields without a default are listed too.
+    let operators = format!("operator_key_sha256 = \"{}\"\n", "0".repeat(64));
+    let gateway: GatewaySettings =
+        crate::settings::gateway(&[GATEWAY, operators.as_str()].concat());
     let control: ControlSettings = crate::settings::control(CONTROL);
     for (page, settings) in [
         (gateway_page, Value::try_from(gateway).unwrap()),
--- a/crates/control/tests/all/processes.rs
+++ b/crates/control/tests/all/processes.rs
@@ -310,6 +310,7 @@
             data_dir: folder.path().join("data"),
             log: LogSettings::default(),
             journal_max_bytes: 1 << 20,
+            operator_key_sha256: None,
             limits: GatewayLimits::default(),
         };
         GatewayProcess::start(settings, discard())
--- a/crates/gateway/src/observe/explain.rs
+++ b/crates/gateway/src/observe/explain.rs
@@ -15,6 +15,7 @@
         incoming::RequestHead,
     },
     state::Gateway,
+    tenants::presents_key_of,
 };
 
 /// What precedes the id in the path.
@@ -28,12 +29,13 @@
 }
 
 /// Tells what the journal knows of a request, job, item (`JOB/NUMBER`), replica or revision.
-/// A tenant sees records of its own work and those that are about no tenant's work.
+/// An operator sees everything; a tenant records of its own work and those that are about no
+/// tenant's work.
 pub(crate) async fn explain(
     gateway: &Arc<Gateway>,
     head: &RequestHead,
 ) -> Result<Response<Body>, Failure> {
-    let (_, tenant) = gateway.authenticate(head)?;
+    let reader = reader(gateway, head)?;
     let id = asked_id(head)?;
     let journal = gateway.observer.journal.clone();
     let asked = id.clone();
@@ -43,10 +45,7 @@
         Ok(Err(error)) => return Err(Failure::new(ErrorKind::Io, error.to_string())),
         Err(_) => return Err(Failure::from(ErrorKind::Internal)),
     };
-    records.retain(|record| {
-        let owner = record.subject.tenant.as_deref();
-        owner.is_none_or(|owner| owner == tenant.name)
-    });
+    records.retain(|record| reader.may_see(record));
     let explanation = Explanation {
         object: "explanation",
         id,
@@ -55,6 +54,30 @@
     Ok(json_response(StatusCode::OK, &explanation))
 }
 
+/// Who asks.
+enum Reader {
+    Operator,
+    Tenant(String),
+}
+
+impl Reader {
+    fn may_see(&self, record: &JournalRecord) -> bool {
+        match (self, record.subject.tenant.as_deref()) {
+            (Reader::Operator, _) | (Reader::Tenant(_), None) => true,
+            (Reader::Tenant(name), Some(owner)) => owner == name,
+        }
+    }
+}
+
+fn reader(gateway: &Gateway, head: &RequestHead) -> Result<Reader, Failure> {
+    let operators = gateway.settings.operator_key_sha256.as_deref();
+    if operators.is_some_and(|hash| presents_key_of(&head.headers, hash)) {
+        return Ok(Reader::Operator);
+    }
+    let (_, tenant) = gateway.authenticate(head)?;
+    Ok(Reader::Tenant(tenant.name.clone()))
+}
+
 fn asked_id(head: &RequestHead) -> Result<String, Failure> {
     let path = head.uri.path();
     let encoded = path.strip_prefix(PATH_PREFIX).unwrap_or_default();
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -6,6 +6,7 @@
 use linnethitch_config::fleet::{Fleet, Tenant};
 use linnethitch_errors::{ErrorKind, Failure};
 use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
 
 type KeyHash = [u8; 32];
 
@@ -44,6 +45,16 @@
     }
 }
 
+/// Whether the request carries the key of this hash.
+pub(crate) fn presents_key_of(headers: &HeaderMap, hash: &str) -> bool {
+    let presented: Option<KeyHash> =
+        bearer_key(headers).map(|key| Sha256::digest(key.as_bytes()).into());
+    match (presented, parse_hash(hash)) {
+        (Some(presented), Some(known)) => presented.ct_eq(&known).into(),
+        _ => false,
+    }
+}
+
 fn parse_hash(text: &str) -> Option<KeyHash> {
     hex::decode(text).ok()?.try_into().ok()
 }
--- a/crates/gateway/tests/all/explain.rs
+++ b/crates/gateway/tests/all/explain.rs
@@ -9,7 +9,7 @@
 use crate::support::{
     caller::{Answer, call, chat, request},
     engine::{FakeEngine, Script, Step},
-    gateway::{KEY, LIMITED_KEY, TestGateway},
+    gateway::{KEY, LIMITED_KEY, OPERATOR_KEY, TestGateway},
 };
 
 /// Routes of the callers' interface.
@@ -61,6 +61,8 @@
     );
     let other = explain(&gateway, &id, LIMITED_KEY).await;
     assert_eq!(other.len(), 0, "another tenant's request");
+    let operator = explain(&gateway, &id, OPERATOR_KEY).await;
+    assert_eq!(operator, records);
 }
 
 #[tokio::test]
--- a/crates/gateway/tests/all/support/gateway.rs
+++ b/crates/gateway/tests/all/support/gateway.rs
@@ -23,6 +23,8 @@
 
 /// The bearer key of tenant `one`.
 pub(crate) const KEY: &str = "test-key";
+/// The operators' bearer key.
+pub(crate) const OPERATOR_KEY: &str = "operator-key";
 /// The bearer key of tenant `limited`.
 pub(crate) const LIMITED_KEY: &str = "limited-key";
 /// Time after which a fake engine counts as hung.
@@ -212,6 +214,7 @@
         data_dir: folder.path().to_owned(),
         log: LogSettings::default(),
         journal_max_bytes: 1 << 20,
+        operator_key_sha256: Some(hash(OPERATOR_KEY)),
         limits: GatewayLimits {
             control_timeout_ms: CONTROL_TIMEOUT_MS,
             ..GatewayLimits::default()
--- a/crates/lab/src/dev/gateways.rs
+++ b/crates/lab/src/dev/gateways.rs
@@ -89,6 +89,7 @@
             data_dir: self.arguments.data_dir.join(name),
             log: LogSettings::default(),
             journal_max_bytes: DEFAULT_JOURNAL_MAX_BYTES,
+            operator_key_sha256: None,
             limits: GatewayLimits::default(),
         }
     }
--- a/crates/lab/src/measure/gateway/mod.rs
+++ b/crates/lab/src/measure/gateway/mod.rs
@@ -153,6 +153,7 @@
         data_dir: folder.to_owned(),
         log: LogSettings::default(),
         journal_max_bytes: 1 << 20,
+        operator_key_sha256: None,
         limits: GatewayLimits::default(),
     }
 }
