--- a/crates/control/src/member/core.rs
+++ b/crates/control/src/member/core.rs
@@ -51,8 +51,6 @@
     /// The membership as of `applied`.
     pub(super) applied_membership: Membership,
     pub(super) snapshot_build: Option<SnapshotBuild>,
-    /// When a piece of a snapshot last went out.
-    pub(super) snapshot_sent_ms: Option<u64>,
     /// Checkpoints of the payload store that the snapshots kept here belong to.
     pub(super) payload_marks: BTreeMap<LogIndex, PayloadMark>,
     /// Size of the log when the last snapshot was stored or given up, in bytes.
@@ -122,7 +120,6 @@
             applied: restored.applied,
             applied_membership: restored.membership,
             snapshot_build: None,
-            snapshot_sent_ms: None,
             payload_marks: BTreeMap::new(),
             snapshot_retry_bytes: 0,
             outputs,
--- a/crates/control/src/member/log_store.rs
+++ b/crates/control/src/member/log_store.rs
@@ -11,23 +11,14 @@
 };
 use linnethitch_storage::{SnapshotInfo, log::Log, snapshot::SnapshotStore};
 
-/// What consensus found when it wanted to send a snapshot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SnapshotWish {
-    /// One that can be sent.
-    Served,
-    /// None that holds the payloads.
-    Missing,
-}
-
 /// Log and snapshots of one member.
 pub(crate) struct LogStore {
     pub(crate) log: Log,
     pub(crate) snapshots: SnapshotStore,
     /// The snapshot that holds the payloads too, so that it can be sent to others.
     sendable: Option<LogIndex>,
-    /// Whether a snapshot was asked for to send it, and whether there was none.
-    asked: Cell<Option<SnapshotWish>>,
+    /// Whether consensus wanted to send a snapshot and there was none that holds payloads.
+    missed: Cell<bool>,
     /// The first failed read; consensus itself is told of an empty result.
     read_failure: RefCell<Option<Report<ErrorKind>>>,
 }
@@ -38,7 +29,7 @@
             log,
             snapshots,
             sendable: None,
-            asked: Cell::new(None),
+            missed: Cell::new(false),
             read_failure: RefCell::new(None),
         }
     }
@@ -56,9 +47,9 @@
         self.sendable = Some(index);
     }
 
-    /// Whether consensus wanted to send a snapshot since the last call.
-    pub(crate) fn take_wish(&self) -> Option<SnapshotWish> {
-        self.asked.take()
+    /// Whether consensus missed a snapshot that it could send, since the last call.
+    pub(crate) fn take_missed(&self) -> bool {
+        self.missed.take()
     }
 
     fn sendable(&self) -> Option<&SnapshotInfo> {
@@ -111,10 +102,9 @@
         max_bytes: usize,
     ) -> Option<SnapshotPiece> {
         let Some(info) = self.sendable() else {
-            self.asked.set(Some(SnapshotWish::Missing));
+            self.missed.set(true);
             return None;
         };
-        self.asked.set(Some(SnapshotWish::Served));
         if info.meta != *meta || offset >= info.file_bytes {
             return None;
         }
--- a/crates/control/src/member/snapshots.rs
+++ b/crates/control/src/member/snapshots.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use error_stack::Report;
-use linnethitch_consensus::ReceivedChunk;
+use linnethitch_consensus::{PeerState, ReceivedChunk};
 use linnethitch_errors::ErrorKind;
 use linnethitch_ledger::{Ledger, Restorer, SnapshotScope, SnapshotWriter as LedgerWriter};
 use linnethitch_protocol::{
@@ -20,19 +20,17 @@
     SnapshotWriter as FileWriter,
 };
 
-use super::{
-    core::Member,
-    log_store::{LogStore, SnapshotWish},
-    output::MemberNotice,
-};
+use super::{core::Member, log_store::LogStore, output::MemberNotice};
 
 /// Bytes that are read at once from a snapshot.
 const READ_BYTES: usize = 1024 * 1024;
 /// Bytes of a snapshot written between two flushes, so that none takes long.
 const WRITE_BYTES_PER_FLUSH: usize = 4 * 1024 * 1024;
-/// While pieces of a snapshot go out at least this often, no other is begun, so that
-/// it stays and the log after it too.
-const SENDING_PAUSE_MS: u64 = 30_000;
+/// A member that was heard of within so many ticks can take a snapshot.
+const PRESENT_TICKS: u32 = 100;
+/// While a member takes a snapshot no other is begun, so that it stays and the
+/// log after it too; the log may become so many times as long for that.
+const LONGEST_WAIT: u64 = 32;
 
 /// The state as of the newest snapshot on disk.
 pub(super) struct RestoredLedger {
@@ -98,12 +96,9 @@
 impl Member {
     /// Begins a snapshot when the log has grown enough, and goes on with one begun.
     pub(super) fn snapshot_if_due(&mut self) -> Result<(), Report<ErrorKind>> {
-        let wish = self.store.take_wish();
-        if wish == Some(SnapshotWish::Served) {
-            self.snapshot_sent_ms = Some(self.time.monotonic_ms);
-        }
+        let missed = self.store.take_missed();
         if self.snapshot_build.is_none() {
-            if wish == Some(SnapshotWish::Missing) {
+            if missed && self.is_snapshot_awaited() {
                 self.begin_snapshot(SnapshotScope::Transfer)?;
             } else if self.is_snapshot_due() {
                 self.begin_snapshot(SnapshotScope::Local)?;
@@ -128,13 +123,21 @@
     fn is_snapshot_due(&self) -> bool {
         let log_bytes = self.store.log.disk_bytes();
         let grown = log_bytes.saturating_sub(self.snapshot_retry_bytes);
-        let now_ms = self.time.monotonic_ms;
-        let is_sending = self
-            .snapshot_sent_ms
-            .is_some_and(|sent_ms| now_ms < sent_ms + SENDING_PAUSE_MS);
-        grown >= self.settings.snapshot_log_bytes
+        let limit = self.settings.snapshot_log_bytes;
+        let may_wait = grown < limit.saturating_mul(LONGEST_WAIT);
+        grown >= limit
             && self.applied > self.newest_snapshot()
-            && !is_sending
+            && !(may_wait && self.is_snapshot_awaited())
+    }
+
+    /// Whether a member that is present is to get a snapshot. One that is silent
+    /// must not keep this one from its own.
+    fn is_snapshot_awaited(&self) -> bool {
+        let status = self.node.status();
+        status
+            .peers
+            .iter()
+            .any(|peer| peer.state == PeerState::Snapshot && peer.ticks_since_heard < PRESENT_TICKS)
     }
 
     fn newest_snapshot(&self) -> LogIndex {
--- a/crates/control/tests/all/payloads.rs
+++ b/crates/control/tests/all/payloads.rs
@@ -40,8 +40,8 @@
     }
 }
 
-fn upload(cluster: &mut Cluster) {
-    let file = FileId::from("file-1");
+fn upload(cluster: &mut Cluster, file: &str) {
+    let file = FileId::from(file);
     let create = CommandBody::CreateFile {
         file: file.clone(),
         tenant: TenantId::from("acme"),
@@ -80,6 +80,20 @@
     }
 }
 
+/// Each snapshot so far must be far smaller than what the files hold.
+fn assert_snapshots_without_payloads(cluster: &Cluster) {
+    let notices = cluster.notices.iter();
+    let stored = notices.filter_map(|(_, notice)| match notice {
+        MemberNotice::SnapshotStored { bytes, .. } => Some(*bytes),
+        _ => None,
+    });
+    let largest = stored.max().expect("snapshots were taken");
+    assert!(
+        largest < 64 * 1024,
+        "a snapshot of {largest} bytes holds payloads"
+    );
+}
+
 fn strike(cluster: &mut Cluster, fault: Fault) {
     match fault {
         Fault::AllRestart => {
@@ -122,20 +136,9 @@
 ) {
     let mut cluster = Cluster::blank_with_snapshots(5, SNAPSHOT_LOG_BYTES);
     cluster.run_until_all_vote();
-    upload(&mut cluster);
+    upload(&mut cluster, "file-1");
     cluster.run_ms(200);
-    let stored = cluster
-        .notices
-        .iter()
-        .filter_map(|(_, notice)| match notice {
-            MemberNotice::SnapshotStored { bytes, .. } => Some(*bytes),
-            _ => None,
-        });
-    let largest = stored.max().expect("snapshots were taken");
-    assert!(
-        largest < 64 * 1024,
-        "a snapshot of {largest} bytes holds payloads"
-    );
+    assert_snapshots_without_payloads(&cluster);
 
     strike(&mut cluster, fault);
     cluster.run_until("every member holds the file", |cluster| {
@@ -155,3 +158,27 @@
     let digest = cluster.member(1).ledger().digest();
     assert_eq!(cluster.member(3).ledger().digest(), digest);
 }
+
+#[test]
+fn a_silent_member_far_behind_neither_stops_snapshots_nor_makes_them_large() {
+    let mut cluster = Cluster::blank_with_snapshots(3, SNAPSHOT_LOG_BYTES);
+    cluster.run_until_all_vote();
+    let silent = if cluster.leader() == Some(3) { 2 } else { 3 };
+    cluster.crash(silent);
+    for number in 1..=3 {
+        upload(&mut cluster, &format!("file-{number}"));
+        // Long enough for the leader to try to send a snapshot.
+        cluster.run_ms(5_000);
+    }
+    assert_snapshots_without_payloads(&cluster);
+    let leader = cluster.leader().expect("a leader");
+    let taken = cluster.notices.iter().filter(|(machine, notice)| {
+        machine.0 == leader && matches!(notice, MemberNotice::SnapshotStored { .. })
+    });
+    let taken = taken.count();
+    assert!(taken >= 20, "{taken} snapshots for 30 times their distance");
+    cluster.start(silent);
+    cluster.run_until("it holds the file", |cluster| {
+        held(cluster, silent).is_some()
+    });
+}
