Tell of replicas three seconds after a leader change at the latest

Cause: a new leader told gateways of replicas only once each had answered or been silent for ten seconds, so one dead engine on the list kept all others from a gateway that had none, for ten seconds after every start of control.

Change: it tells once each has answered or been silent for three seconds, with the inherited state of those that have not answered. Orders still wait for ten.

Conclusion: reconciler::a_new_leader_tells_of_replicas_in_time; the case in_time failed before the change by its definition (5 s are fewer than 10).

--- a/crates/placement/src/reconciler/mod.rs
+++ b/crates/placement/src/reconciler/mod.rs
@@ -139,7 +139,7 @@
     /// told before each replica has had the time to answer, so that a new
     /// leader does not withdraw what it has not looked at yet.
     pub fn take_changed_replicas(&mut self, now: Timestamp) -> Option<Vec<ReplicaInfo>> {
-        if !self.observed.is_complete(now) {
+        if !self.observed.may_be_told(now) {
             return None;
         }
         self.observed.take_changed()
--- a/crates/placement/src/reconciler/observed.rs
+++ b/crates/placement/src/reconciler/observed.rs
@@ -174,12 +174,20 @@
         }
     }
 
-    /// Whether each replica has answered this leader or had the time to.
+    /// Whether each replica has answered this leader or is dead.
     pub(super) fn is_complete(&self, now: Timestamp) -> bool {
-        let is_known = |observed: &Observed| {
-            observed.answered || observed.health(now, &self.limits) == ReplicaHealth::Dead
-        };
-        self.listed && self.replicas.values().all(is_known)
+        self.all_answered_within(now, self.limits.dead_after_ms)
+    }
+
+    /// Whether each replica has answered this leader or is silent.
+    pub(super) fn may_be_told(&self, now: Timestamp) -> bool {
+        self.all_answered_within(now, self.limits.silent_after_ms)
+    }
+
+    fn all_answered_within(&self, now: Timestamp, limit_ms: u64) -> bool {
+        let had_time = |observed: &Observed| now.0.saturating_sub(observed.heard_at.0) >= limit_ms;
+        let mut replicas = self.replicas.values();
+        self.listed && replicas.all(|observed| observed.answered || had_time(observed))
     }
 
     pub(super) fn health(&self, now: Timestamp, replica: &ReplicaId) -> Option<ReplicaHealth> {
--- a/crates/placement/tests/all/reconciler.rs
+++ b/crates/placement/tests/all/reconciler.rs
@@ -1,7 +1,7 @@
 //! The reconciler against the emulator's engines and platform in virtual time.
 
 use linnethitch_placement::reconciler::{Action, OrderAnswer};
-use linnethitch_protocol::fleet::EngineRole;
+use linnethitch_protocol::{fleet::EngineRole, ids::Timestamp};
 use rstest::rstest;
 
 use crate::world::{Held, World, fleet_file};
@@ -71,6 +71,24 @@
     assert_eq!(world.loads(), 0);
 }
 
+/// One engine that does not answer holds the others back for a moment only.
+#[rstest]
+#[case::all_answer(true, 2 * SECOND, Some(3))]
+#[case::not_yet(false, 2 * SECOND, None)]
+#[case::in_time(false, 5 * SECOND, Some(3))]
+fn a_new_leader_tells_of_replicas_in_time(
+    #[case] answers: bool,
+    #[case] after_ms: u64,
+    #[case] told: Option<usize>,
+) {
+    let mut world = World::new(&fleet_file("v1", 3, 0, "")).with("a", 3, Some("v1"));
+    world.engine("a01").answers = answers;
+    world.run_ms(after_ms);
+    let now = Timestamp(world.now_ms);
+    let replicas = world.leader.take_changed_replicas(now);
+    assert_eq!(replicas.map(|replicas| replicas.len()), told);
+}
+
 /// The leader is cut off at some point of an order, another one takes over,
 /// and what the first one held back arrives late.
 #[rstest]
