Keep the configured control members of a gateway beside those it is told

Cause: a member that has just started knows only itself and told gateways so; they took that for the whole list. When it was killed, such a gateway tried its dead address for ever. Change: the members of the settings stay in the order, whatever is told. The test names the last status when it waits in vain.

--- a/crates/gateway/src/control/attachment.rs
+++ b/crates/gateway/src/control/attachment.rs
@@ -138,7 +138,7 @@
                     };
                     match message {
                         ControlMessage::Attached { members, .. } => {
-                            order.set_addresses(&self.gateway.settings.gateway_id, &members);
+                            order.learn(&members);
                             self.gateway.control.set_link(sender.clone());
                             attached = true;
                             info!(self.logger, "attached"; "member" => address);
--- a/crates/gateway/src/control/members.rs
+++ b/crates/gateway/src/control/members.rs
@@ -13,6 +13,9 @@
 /// that gateways spread evenly and those of a lost member spread over the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MemberOrder {
+    gateway: String,
+    /// Those of the settings; they stay whatever a member tells.
+    configured: Vec<String>,
     addresses: Vec<String>,
     next: usize,
 }
@@ -20,18 +23,23 @@
 impl MemberOrder {
     /// The order for a gateway.
     #[must_use]
-    pub fn new(gateway: &str, addresses: &[String]) -> Self {
-        let mut addresses = addresses.to_vec();
-        addresses.sort_by_cached_key(|address| xxh3_64(format!("{gateway}\n{address}").as_bytes()));
-        addresses.dedup();
-        MemberOrder { addresses, next: 0 }
+    pub fn new(gateway: &str, configured: &[String]) -> Self {
+        MemberOrder {
+            gateway: gateway.to_owned(),
+            configured: configured.to_vec(),
+            addresses: ordered(gateway, configured.to_vec()),
+            next: 0,
+        }
     }
 
-    /// Takes over a new list of members; the next one tried is the new order's first.
-    pub fn set_addresses(&mut self, gateway: &str, addresses: &[String]) {
-        let new = MemberOrder::new(gateway, addresses);
-        if !new.addresses.is_empty() && new.addresses != self.addresses {
-            *self = new;
+    /// Takes over the members that one of them knows, beside those of the settings: a member
+    /// that has just started knows itself alone. The next one tried is a new order's first.
+    pub fn learn(&mut self, told: &[String]) {
+        let all = self.configured.iter().chain(told).cloned();
+        let addresses = ordered(&self.gateway, all.collect());
+        if addresses != self.addresses {
+            self.addresses = addresses;
+            self.next = 0;
         }
     }
 
@@ -44,6 +52,12 @@
     }
 }
 
+fn ordered(gateway: &str, mut addresses: Vec<String>) -> Vec<String> {
+    addresses.sort_by_cached_key(|address| xxh3_64(format!("{gateway}\n{address}").as_bytes()));
+    addresses.dedup();
+    addresses
+}
+
 /// Judges by its freshness stamps whether a member still follows the fleet.
 ///
 /// Times are offsets of one monotonic clock of the gateway.
--- a/crates/gateway/tests/all/configuration.rs
+++ b/crates/gateway/tests/all/configuration.rs
@@ -7,7 +7,11 @@
 };
 use linnethitch_protocol::{attach::ConfigurationUpdate, ids::Revision, text_edit::line_edits};
 use rstest::rstest;
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::support::{
     caller::{call, chat, request},
@@ -166,6 +170,20 @@
     );
 }
 
+#[rstest]
+#[case::only_itself(&["10.0.0.1:7000"], 2)]
+#[case::those_of_the_settings(&["10.0.0.2:7000", "10.0.0.1:7000"], 2)]
+#[case::a_replaced_machine(&["10.0.0.1:7000", "10.0.0.3:7000"], 3)]
+fn what_a_member_tells_adds_to_the_settings(#[case] told: &[&str], #[case] known: usize) {
+    let settings = ["10.0.0.1:7000", "10.0.0.2:7000"].map(str::to_owned);
+    let mut order = MemberOrder::new("gateway-1", &settings);
+    order.learn(&told.iter().map(ToString::to_string).collect::<Vec<_>>());
+    let tried = (0..2 * known).filter_map(|_| order.next_address());
+    let tried: HashSet<String> = tried.collect();
+    assert_eq!(tried.len(), known);
+    assert!(settings.iter().all(|address| tried.contains(address)));
+}
+
 #[test]
 fn a_member_is_stale_when_its_stamps_are_old_or_missing() {
     let ms = Duration::from_millis;
--- a/crates/lab/tests/all/one_host.rs
+++ b/crates/lab/tests/all/one_host.rs
@@ -155,12 +155,9 @@
     }
     let late = host.apply("third", 1, &host.fleet_text()).await;
     assert_eq!(late.json()["error"]["code"], "revision_conflict");
-    wait_until("revision 2 is in force on both gateways", async || {
-        let status = host.status().await;
-        status["gateways"]
-            .as_array()
-            .is_some_and(|gateways| gateways.len() == 2)
-            && status["lowest_in_force"] == 2
+    host.wait_for_status("revision 2 is in force on both gateways", |status| {
+        let gateways = status["gateways"].as_array().map_or(0, Vec::len);
+        gateways == 2 && status["lowest_in_force"] == 2
     })
     .await;
 }
--- a/crates/lab/tests/all/support/one_host.rs
+++ b/crates/lab/tests/all/support/one_host.rs
@@ -5,13 +5,14 @@
     fs,
     path::{Path, PathBuf},
     process::{Command, ExitStatus},
+    time::Instant,
 };
 
 use serde_json::Value;
 use tempfile::TempDir;
 use tokio::task::JoinHandle;
 
-use super::{Answer, Caller, ChildProcess, ports::Ports, wait_until};
+use super::{Answer, Caller, ChildProcess, PATIENCE, POLL, ports::Ports, wait_until};
 
 /// The tenant's key in the example's fleet file.
 const TENANT_KEY: &str = "lh-dev-key";
@@ -207,6 +208,19 @@
         Value::Null
     }
 
+    /// Waits until the status is as it should be.
+    pub(crate) async fn wait_for_status(&mut self, what: &str, is_right: impl Fn(&Value) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let status = self.status().await;
+            if is_right(&status) {
+                return;
+            }
+            assert!(Instant::now() < end, "waited in vain: {what}: {status}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// Name of the process of the control member that leads.
     pub(crate) async fn leader(&mut self) -> String {
         let mut leader = None;
@@ -224,14 +238,12 @@
 
     /// Waits until all members vote, all replicas are known and all running gateways serve.
     pub(crate) async fn wait_until_ready(&mut self) {
-        wait_until("five members vote and all replicas are known", async || {
-            let status = self.status().await;
-            let voters = members(&status)
+        self.wait_for_status("five voters and all replicas", |status| {
+            let voters = members(status)
                 .iter()
                 .filter(|member| member["voter"] == true);
-            let replicas = status["replicas"].as_array();
-            voters.count() == usize::from(MEMBERS)
-                && replicas.is_some_and(|replicas| replicas.len() == MACHINES)
+            let replicas = status["replicas"].as_array().map_or(0, Vec::len);
+            voters.count() == usize::from(MEMBERS) && replicas == MACHINES
         })
         .await;
         for number in 1..=2 {
