Add the scale run: 410 gateways, 600 engines and five control members on one machine

Cause: nothing showed what control costs a node, and how fast it is, at the plan's size.

Change: `linnethitch-lab scale` starts control members and some gateways as processes, hollow gateways and emulated engines in its own, grows tenants and then gateways, and measures processor time (per process and per thread), memory, bytes on the wire, the time until a change is in force everywhere, a burst, and the deaths of a follower, of the leader and of all members. It writes report.md, results.json and plots, checks the budgets, and its last line is the verdict. A test runs it with six gateways.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     application, capacity, dev, engine, experiment, load, measure, platform, process::exit_code,
-    simulate,
+    scale, simulate,
 };
 
 /// Runs a linnethitch fleet on one machine, puts load on it and measures it.
@@ -34,6 +34,12 @@
     /// Measure what state and work cost on this machine
     #[bpaf(command)]
     Measure(#[bpaf(external(measure::arguments))] measure::Arguments),
+    /// Put a fleet of the plan's size on this machine and check the budgets
+    #[bpaf(command)]
+    Scale(#[bpaf(external(scale::arguments))] scale::Arguments),
+    /// Run one member of a scale run; started by `scale`
+    #[bpaf(command("scale-member"), hide)]
+    ScaleMember(#[bpaf(external(scale::member_arguments))] scale::MemberArguments),
     /// Write the measured tables of the capacity page anew, or check them
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::arguments))] capacity::Arguments),
@@ -60,6 +66,8 @@
             Command::Platform(arguments) => platform::run(&arguments),
             Command::Load(arguments) => load::run(arguments),
             Command::Measure(arguments) => measure::run(&arguments),
+            Command::Scale(arguments) => scale::run(&arguments),
+            Command::ScaleMember(arguments) => scale::run_member(&arguments),
             Command::Capacity(arguments) => capacity::run(&arguments),
             Command::Experiment(arguments) => experiment::run(&arguments),
             Command::Simulate(arguments) => simulate::run(&arguments),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 mod output;
 mod platform;
 mod process;
+mod scale;
 mod simulate;
 
 use std::process::ExitCode;
--- a/crates/lab/tests/all/main.rs
+++ b/crates/lab/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod load;
 mod measure;
 mod one_host;
+mod scale;
 mod support;
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -22,6 +22,17 @@
     pub regions: u64,
 }
 
+/// The replicas of one model in one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cell {
+    /// The model.
+    pub model: String,
+    /// The zone.
+    pub zone: String,
+    /// How many.
+    pub replicas: u64,
+}
+
 impl FleetPlan {
     /// The plan for the next two years.
     pub const LETTER: FleetPlan = FleetPlan {
@@ -56,6 +67,18 @@
         format!("model-{}", number % self.models.max(1) + 1)
     }
 
+    /// The replicas by model and zone.
+    #[must_use]
+    pub fn cells(&self) -> Vec<Cell> {
+        let count = (self.models * self.zones).max(1);
+        let cell = |number: u64| Cell {
+            model: self.model(number / self.zones),
+            zone: self.zone(number % self.zones),
+            replicas: self.replicas / count + u64::from(number < self.replicas % count),
+        };
+        (0..count).map(cell).collect()
+    }
+
     /// The fleet file. Files that differ only in `version` differ in one line of one tenant.
     #[must_use]
     pub fn text(&self, version: u64) -> String {
@@ -67,8 +90,8 @@
                 format_args!("\n[[zone]]\nname = \"{name}\"\nregion = \"{region}\"\n"),
             );
         }
-        for model in 0..self.models {
-            self.push_model(&mut text, model);
+        for model in self.cells().chunks(self.zones as usize) {
+            push_model(&mut text, model);
         }
         for tenant in 0..self.tenants {
             push_tenant(&mut text, tenant, self.weight(tenant, version));
@@ -76,25 +99,6 @@
         text
     }
 
-    fn push_model(&self, text: &mut String, model: u64) {
-        let name = self.model(model);
-        push(
-            text,
-            format_args!("\n[[model]]\nname = \"{name}\"\nversion = \"1\"\nplacement = [\n"),
-        );
-        let cells = self.models * self.zones;
-        for zone in 0..self.zones {
-            let cell = model * self.zones + zone;
-            let replicas = self.replicas / cells + u64::from(cell < self.replicas % cells);
-            let name = self.zone(zone);
-            push(
-                text,
-                format_args!("    {{ zone = \"{name}\", replicas = {replicas} }},\n"),
-            );
-        }
-        text.push_str("]\n");
-    }
-
     /// A tenant's weight: that of one tenant tells the version.
     fn weight(&self, tenant: u64, version: u64) -> u64 {
         const WEIGHTS: u64 = 900;
@@ -112,6 +116,21 @@
     let _ = text.write_fmt(part);
 }
 
+fn push_model(text: &mut String, cells: &[Cell]) {
+    let name = &cells[0].model;
+    push(
+        text,
+        format_args!("\n[[model]]\nname = \"{name}\"\nversion = \"1\"\nplacement = [\n"),
+    );
+    for Cell { zone, replicas, .. } in cells {
+        push(
+            text,
+            format_args!("    {{ zone = \"{zone}\", replicas = {replicas} }},\n"),
+        );
+    }
+    text.push_str("]\n");
+}
+
 fn push_tenant(text: &mut String, tenant: u64, weight: u64) {
     let name = format!("tenant-{tenant:05}");
     let hash = key_sha256(&name);
