Yield to long prompts that the engine's own steps show

Cause: a gateway learned of another gateway's long prompt from a load report up to half a second late, when most of its prefill was over; and under pressure each step aside made the gateway's share of the same old report smaller, so that batch shrank towards nothing.

Change: the time between tokens of a gateway's own streams is watched; two consecutive steps as long as a full prefill chunk are pressure. A share worked out under pressure stays until a report measured after it. 16 sequences stay under pressure (12 before), batch returns after 100 ms (200).

--- a/crates/experiments/src/experiment/isolation.rs
+++ b/crates/experiments/src/experiment/isolation.rs
@@ -38,6 +38,7 @@
     OracleLimits {
         full_sequences,
         pressed_sequences,
+        beside_sequences: full_sequences,
         pressed_prefill_tokens: 1_024,
     }
 }
@@ -64,7 +65,8 @@
 }
 
 fn strategies() -> Vec<Strategy> {
-    let mut strategies = vec![Strategy::linnethitch(), Strategy::without_yielding()];
+    let mut strategies = vec![Strategy::linnethitch()];
+    strategies.extend(Strategy::ablations());
     strategies.extend(Strategy::baselines());
     strategies.extend(ORACLES.map(|(name, limits)| Strategy::oracle(name, limits)));
     strategies
--- a/crates/experiments/src/strategy.rs
+++ b/crates/experiments/src/strategy.rs
@@ -39,6 +39,8 @@
     pub(crate) full_sequences: u32,
     /// Batch sequences while an online prompt is prefilled.
     pub(crate) pressed_sequences: u32,
+    /// Batch sequences beside online requests that decode.
+    pub(crate) beside_sequences: u32,
     /// Online prompt tokens left to prefill from which on an engine is pressed.
     pub(crate) pressed_prefill_tokens: u32,
 }
@@ -103,6 +105,43 @@
         }
     }
 
+    /// linnethitch with one mechanism switched off at a time.
+    pub(crate) fn ablations() -> Vec<Strategy> {
+        let base = Strategy::linnethitch();
+        let no_watch = YieldSettings {
+            watches_steps: false,
+            ..base.yielding
+        };
+        let no_pressure = YieldSettings {
+            watches_steps: false,
+            pressed_prefill_tokens: f64::INFINITY,
+            ..base.yielding
+        };
+        vec![
+            Strategy {
+                name: "without watching steps",
+                yielding: no_watch,
+                ..base
+            },
+            Strategy {
+                name: "without pressure",
+                yielding: no_pressure,
+                ..base
+            },
+            Strategy::without_yielding(),
+            Strategy {
+                name: "without engine priority",
+                engine_priority: false,
+                ..base
+            },
+            Strategy {
+                name: "without grants",
+                batch: BatchDispatch::Fixed,
+                ..base
+            },
+        ]
+    }
+
     /// The baselines without linnethitch's decisions.
     pub(crate) fn baselines() -> Vec<Strategy> {
         vec![
--- a/crates/routing/src/batch/yielding.rs
+++ b/crates/routing/src/batch/yielding.rs
@@ -23,6 +23,8 @@
     pub pressed_prefill_tokens: f64,
     /// Batch sequences of all gateways that stay on a pressed replica.
     pub pressed_sequences: u32,
+    /// Whether long steps of the engine count as pressure.
+    pub watches_steps: bool,
     /// Batch returns to a replica that was not pressed for this long, in milliseconds.
     pub return_after_ms: u64,
 }
@@ -32,8 +34,9 @@
         YieldSettings {
             reserve_sequences: 4,
             pressed_prefill_tokens: 1_024.0,
-            pressed_sequences: 12,
-            return_after_ms: 200,
+            pressed_sequences: 16,
+            watches_steps: true,
+            return_after_ms: 100,
         }
     }
 }
@@ -53,6 +56,61 @@
     sequences: u32,
     until: Timestamp,
     pressed_at: Option<Timestamp>,
+    share: Option<Share>,
+}
+
+/// A gateway's part of what all batch may have on a replica.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    set_at: Timestamp,
+    most: f64,
+    sequences: f64,
+}
+
+impl HeldGrant {
+    /// This gateway's part of what batch may have on the replica.
+    ///
+    /// While all batch together fits, the grant decides. When it does not, each
+    /// gateway keeps the share that it has of all batch there. The share stays
+    /// until a report tells what the others made of it: worked out anew from the
+    /// old report it would shrink with each step aside.
+    fn own_part(
+        &mut self,
+        now: Timestamp,
+        most: f64,
+        measured_at: Timestamp,
+        own_batch: u32,
+        all_batch: f64,
+    ) -> u32 {
+        let own_batch = f64::from(own_batch);
+        let kept = self.share.filter(|share| share.set_at >= measured_at);
+        let sequences = match kept {
+            Some(share) if most >= share.most => share.sequences,
+            Some(share) => {
+                let sequences = share.sequences * most / share.most;
+                self.share = Some(Share {
+                    set_at: now,
+                    most,
+                    sequences,
+                });
+                sequences
+            }
+            None if all_batch <= most || own_batch == 0.0 => {
+                self.share = None;
+                (most - all_batch + own_batch).max(0.0)
+            }
+            None => {
+                let sequences = most * own_batch / all_batch;
+                self.share = Some(Share {
+                    set_at: now,
+                    most,
+                    sequences,
+                });
+                sequences
+            }
+        };
+        (sequences.round() as u32).min(self.sequences)
+    }
 }
 
 /// The grants of one gateway and what is left of them.
@@ -80,13 +138,16 @@
         sequences: u32,
         valid_ms: u64,
     ) {
-        let pressed_at = self.grants.get(&replica).and_then(|held| held.pressed_at);
+        let known = self.grants.get(&replica);
+        let pressed_at = known.and_then(|held| held.pressed_at);
+        let share = known.and_then(|held| held.share);
         self.grants.insert(
             replica,
             HeldGrant {
                 sequences,
                 until: Timestamp(now.0 + valid_ms),
                 pressed_at,
+                share,
             },
         );
     }
@@ -127,6 +188,9 @@
         if load.queued_online_prefill_tokens >= settings.pressed_prefill_tokens {
             held.pressed_at = Some(now);
         }
+        if settings.watches_steps && load.online >= 1.0 {
+            held.pressed_at = held.pressed_at.max(state.steps().long_prefill_at());
+        }
         let pressed = held
             .pressed_at
             .is_some_and(|at| now.0.saturating_sub(at.0) < settings.return_after_ms);
@@ -136,12 +200,8 @@
         } else {
             free
         };
-        let own = own_share(
-            most,
-            f64::from(state.own_batch()),
-            load.batch,
-            held.sequences,
-        );
+        let measured_at = state.report().map_or(now, |report| report.measured_at);
+        let own = held.own_part(now, most, measured_at, state.own_batch(), load.batch);
         if own < held.sequences {
             BatchRoom {
                 sequences: own,
@@ -170,15 +230,3 @@
     }
     (max_running - online - f64::from(settings.reserve_sequences)).max(0.0)
 }
-
-/// This gateway's part of what batch may have on the replica.
-///
-/// While all batch together fits, the grant decides. When it does not, each
-/// gateway keeps the share that it has of all batch there.
-fn own_share(most: f64, own_batch: f64, all_batch: f64, granted: u32) -> u32 {
-    if all_batch <= most || own_batch == 0.0 {
-        let left = (most - all_batch + own_batch).max(0.0);
-        return (left as u32).min(granted);
-    }
-    ((most * own_batch / all_batch) as u32).min(granted)
-}
--- a/crates/routing/src/view/mod.rs
+++ b/crates/routing/src/view/mod.rs
@@ -4,6 +4,7 @@
 mod names;
 mod prefixes;
 mod replica;
+mod steps;
 
 use std::collections::HashMap;
 
@@ -17,6 +18,7 @@
 pub use names::{NameIndex, Names};
 pub use prefixes::PrefixTable;
 pub use replica::{CorrectedLoad, ReplicaView};
+pub use steps::StepWatch;
 
 use crate::{costs::Work, profile::Class, reason::ReasonCode};
 
--- a/crates/routing/src/view/replica.rs
+++ b/crates/routing/src/view/replica.rs
@@ -6,7 +6,7 @@
     ids::Timestamp,
 };
 
-use super::{Health, PoolKey, Standing};
+use super::{Health, PoolKey, Standing, StepWatch};
 use crate::{
     costs::{EngineCosts, Work},
     profile::{Class, Phase, Target},
@@ -92,6 +92,7 @@
     own_batch: u32,
     correction: Correction,
     pace: f64,
+    steps: StepWatch,
     last_sign_at: Timestamp,
 }
 
@@ -135,6 +136,7 @@
             own_batch: 0,
             correction: Correction::default(),
             pace: 1.0,
+            steps: StepWatch::default(),
             last_sign_at: Timestamp(0),
         }
     }
@@ -200,6 +202,12 @@
         self.pace
     }
 
+    /// What its streams tell of its steps.
+    #[must_use]
+    pub fn steps(&self) -> &StepWatch {
+        &self.steps
+    }
+
     /// Whether the request's model version, adapter and phase are served here.
     #[must_use]
     pub fn serves(&self, target: &Target<'_>, phase: Phase) -> bool {
@@ -336,7 +344,9 @@
         self.last_sign_at = now;
         let load = self.corrected_load(now);
         let expected_ms = EngineCosts::default().decode_step_ms(load.online + load.batch);
-        let observed = elapsed_ms as f64 / f64::from(count.max(1)) / expected_ms;
+        let gap_ms = elapsed_ms as f64 / f64::from(count.max(1));
+        self.steps.on_gap(now, gap_ms, &EngineCosts::default());
+        let observed = gap_ms / expected_ms;
         let bounded = observed.clamp(PACE_RANGE.0, PACE_RANGE.1);
         self.pace += PACE_WEIGHT * (bounded - self.pace);
     }
