Count leases and deadlines on control's clock

Cause: a gateway asked for leases until a time of its own clock and took items' deadlines as times of it. Change: freshness stamps tell how far control's clock is; ends of leases are sent on control's clock and deadlines taken in on the gateway's. Conclusion: the test with clocks 25 hours apart, in both directions, fails without the conversion and passes with it.

--- a/crates/gateway/src/batch/driver.rs
+++ b/crates/gateway/src/batch/driver.rs
@@ -169,17 +169,24 @@
                 sequence,
                 wanted,
             } => {
-                let until = self.gateway.session.current(self.now());
+                let held = self.gateway.session.current(self.now());
+                let until = held.map_or(Timestamp(0), |session| session.until);
+                let shared = Arc::clone(&self.gateway);
                 let command = CommandBody::LeaseItems {
                     gateway,
                     session,
                     sequence,
                     wanted: vec![wanted],
-                    until: until.map_or(Timestamp(0), |session| session.until),
+                    until: shared.clock_offset.to_control(until),
                 };
                 self.tasks.spawn(async move {
                     let answer = match control.propose(command).await {
-                        Ok(Outcome::Leased(items)) => CallAnswer::Done(items),
+                        Ok(Outcome::Leased(mut items)) => {
+                            for item in &mut items {
+                                item.deadline = shared.clock_offset.to_own(item.deadline);
+                            }
+                            CallAnswer::Done(items)
+                        }
                         other => unsuccessful(other),
                     };
                     BatchEvent::Leased { sequence, answer }
--- a/crates/gateway/src/control/events.rs
+++ b/crates/gateway/src/control/events.rs
@@ -41,7 +41,8 @@
             }
             ControlMessage::Answer { call, body } => self.control.on_answer(call, body),
             ControlMessage::Grants(grants) => self.decisions.on_grants(&grants),
-            ControlMessage::Freshness { pending, .. } => {
+            ControlMessage::Freshness { pending, now, .. } => {
+                self.clock_offset.observe(self.clock().now(), now);
                 self.tell_batch(BatchEvent::Pending(pending)).await;
             }
             ControlMessage::CancelJobs(jobs) => {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod attachment;
 pub(crate) mod client;
+pub(crate) mod clock_offset;
 mod events;
 pub mod members;
 pub(crate) mod reports;
--- a/crates/gateway/src/control/session.rs
+++ b/crates/gateway/src/control/session.rs
@@ -113,7 +113,7 @@
         let command = CommandBody::RenewSession {
             gateway: id.clone(),
             session: epoch,
-            until: wanted,
+            until: gateway.clock_offset.to_control(wanted),
         };
         let left = clock.until(until).max(lease / RENEWALS_PER_LEASE);
         match gateway.control.propose_within(command, left).await {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,7 +33,7 @@
     configuration::{
         follower::Follower, shared_documents::SharedDocuments, store::ConfigurationStore,
     },
-    control::{client::ControlClient, session::SessionState},
+    control::{client::ControlClient, clock_offset::ClockOffset, session::SessionState},
     decisions::{Decisions, Placement, TenantPass},
     engine::{client::BackEndClient, fault::AttemptFault},
     files,
@@ -86,6 +86,7 @@
     /// `None` when the configuration is given instead of learnt.
     pub(crate) store: Option<ConfigurationStore>,
     pub(crate) session: SessionState,
+    pub(crate) clock_offset: ClockOffset,
     /// Cancelled when a planned stop begins.
     pub(crate) stopping: CancellationToken,
     /// Runs that go on without their caller.
@@ -124,6 +125,7 @@
             follower: Mutex::default(),
             store,
             session: SessionState::default(),
+            clock_offset: ClockOffset::default(),
             stopping: CancellationToken::new(),
             tracked: TaskTracker::new(),
             dropped: CancellationToken::new(),
--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -166,6 +166,31 @@
     assert_eq!(fixture.results(&job, "output_file_id").await.len(), 40);
 }
 
+/// A day and an hour.
+const SKEW_MS: i64 = 25 * 60 * 60 * 1_000;
+
+#[rstest]
+#[case::behind(-SKEW_MS)]
+#[case::ahead(SKEW_MS)]
+#[tokio::test]
+async fn a_clock_apart_from_controls_ends_no_lease_and_no_item(#[case] skew_ms: i64) {
+    let engine_server = FakeEngine::start(Vec::new()).await;
+    let replicas = vec![engine(0, engine_server.address)];
+    let shared = Shared::new(&fleet_file(), replicas);
+    shared.skew_clock(skew_ms);
+    let control = FakeControl::start(shared).await;
+    control.shared.grant(GRANTED);
+    let gateway = TestGateway::attached(&[control.address]).await;
+    let fixture = Fixture {
+        control,
+        engine: engine_server,
+        gateway,
+    };
+    let id = fixture.create(lines(20)).await;
+    let job = fixture.wait_for(&id, "completed").await;
+    assert_eq!(fixture.results(&job, "output_file_id").await.len(), 20);
+}
+
 /// Why batch has to leave the engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Pressure {
--- a/crates/gateway/tests/all/support/control.rs
+++ b/crates/gateway/tests/all/support/control.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -45,6 +45,8 @@
     answering: AtomicBool,
     confirmed: Mutex<Vec<Revision>>,
     attached: AtomicUsize,
+    /// Control's clock less this machine's, in milliseconds.
+    clock_skew: AtomicI64,
     /// Loads and suspects that gateways told of.
     told: Mutex<(Vec<ReplicaLoad>, Vec<ReplicaId>)>,
     senders: Mutex<Vec<MessageSender<ControlMessage>>>,
@@ -96,6 +98,7 @@
             answering: AtomicBool::new(true),
             confirmed: Mutex::default(),
             attached: AtomicUsize::new(0),
+            clock_skew: AtomicI64::new(0),
             told: Mutex::default(),
             senders: Mutex::default(),
         };
@@ -112,7 +115,10 @@
         let mut ledger = self.ledger.lock();
         ledger.1 += 1;
         let index = LogIndex(ledger.1);
-        let command = Command { now: now(), body };
+        let command = Command {
+            now: self.clock(),
+            body,
+        };
         let answer = ledger
             .0
             .apply(index, &command)
@@ -123,6 +129,16 @@
             .expect("the payloads are in memory")
     }
 
+    fn clock(&self) -> Timestamp {
+        let skew = self.clock_skew.load(Ordering::SeqCst);
+        Timestamp(now().0.saturating_add_signed(skew))
+    }
+
+    /// Sets control's clock off; it goes on from there.
+    pub(crate) fn skew_clock(&self, milliseconds: i64) {
+        self.clock_skew.store(milliseconds, Ordering::SeqCst);
+    }
+
     /// Reads.
     pub(crate) fn query(&self, query: &Query) -> Result<QueryAnswer, Refusal> {
         self.ledger.lock().0.query(query)
@@ -344,8 +360,8 @@
         60_000
     };
     let _ = sender.try_send(&ControlMessage::Freshness {
-        confirmed_at: Timestamp(now().0 - age),
-        now: now(),
+        confirmed_at: Timestamp(shared.clock().0 - age),
+        now: shared.clock(),
         revision,
         pending,
     });
