Serve callers and operators by one HTTP server crate

Cause: the gateway and control each had an accept loop, bounds of connections, reading of bodies, answers by the error table and a handler per endpoint; the operators' copy lacked the reading of the rest of a refused body, the Allow header and request ids. The gateway also had its own guard against peers that stop reading, for which a library exists.

Change: crates/http-server holds what the two share; each interface keeps its paths. tokio-io-timeout replaces the guard.

Conclusion: one place to change how HTTP is served; the emulator keeps its own server, so that a fault of ours does not hide in the stand-in.

--- a/crates/control/src/operator/apply.rs
+++ b/crates/control/src/operator/apply.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{Response, StatusCode};
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_http_server::{IncomingRequest, RequestHead, answer::json_response};
 use linnethitch_protocol::{
     command::{ApplyOutcome, CommandBody, Outcome},
     ids::{ChangeId, Revision},
@@ -13,7 +14,11 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
-use super::{Operator, OperatorRequest, RequestHead, answers::json_response, unexpected};
+use super::{
+    Operator,
+    request::{read_text, required_header},
+    unexpected,
+};
 
 /// Header with the id of the change, made once by the operator's tool.
 const CHANGE_HEADER: &str = "linnethitch-change";
@@ -39,12 +44,12 @@
 /// Applies a fleet file as a whole.
 pub(super) async fn apply(
     operator: &Operator,
-    request: OperatorRequest,
+    request: IncomingRequest,
 ) -> Result<Response<Body>, Failure> {
     let change = change_id(&request.head)?;
     let expected = expected_revision(&request.head)?;
     let wait = wait_limit(&request.head)?;
-    let content = request.into_text().await?;
+    let content = read_text(request).await?;
     let command = CommandBody::ApplyConfiguration {
         change,
         expected,
@@ -58,14 +63,17 @@
         Some(limit) => Some(wait_until_in_force(operator, revision, limit).await),
         None => None,
     };
-    Ok(json_response(&AcceptedBody {
-        revision: revision.0,
-        in_force,
-    }))
+    Ok(json_response(
+        StatusCode::OK,
+        &AcceptedBody {
+            revision: revision.0,
+            in_force,
+        },
+    ))
 }
 
 fn change_id(head: &RequestHead) -> Result<ChangeId, Failure> {
-    let id = head.required_header(CHANGE_HEADER)?;
+    let id = required_header(head, CHANGE_HEADER)?;
     if id.len() > MAX_CHANGE_ID_BYTES {
         let message = format!("a change id has at most {MAX_CHANGE_ID_BYTES} bytes");
         return Err(Failure::new(ErrorKind::InvalidValue, message).with_param(CHANGE_HEADER));
@@ -74,7 +82,7 @@
 }
 
 fn expected_revision(head: &RequestHead) -> Result<Revision, Failure> {
-    let text = head.required_header(EXPECTED_HEADER)?;
+    let text = required_header(head, EXPECTED_HEADER)?;
     let number = text.parse().map_err(|_| {
         Failure::new(ErrorKind::InvalidValue, "a revision is a number").with_param(EXPECTED_HEADER)
     })?;
@@ -82,7 +90,7 @@
 }
 
 fn wait_limit(head: &RequestHead) -> Result<Option<Duration>, Failure> {
-    let Some(text) = head.parameter(WAIT_PARAMETER) else {
+    let Some(text) = head.query(WAIT_PARAMETER) else {
         return Ok(None);
     };
     let milliseconds = text.parse().map_err(|_| {
--- a/crates/control/src/operator/explain.rs
+++ b/crates/control/src/operator/explain.rs
@@ -1,14 +1,13 @@
 //! `GET /v1/explain/{id}`: what this member's decision journal knows.
 
-use std::sync::Arc;
-
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{Response, StatusCode};
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_http_server::answer::json_response;
 use linnethitch_observability::journal::JournalRecord;
 use serde::Serialize;
 
-use super::{Operator, RequestHead, answers::json_response};
+use super::{Operator, OperatorRequest};
 
 #[derive(Serialize)]
 struct Explanation {
@@ -17,14 +16,14 @@
 
 /// Answers with all records about a job, item, replica, tenant or revision.
 pub(super) async fn explain(
-    operator: &Arc<Operator>,
-    head: &RequestHead,
+    operator: &Operator,
+    request: OperatorRequest,
 ) -> Result<Response<Body>, Failure> {
-    let id = head.names.id.as_deref().unwrap_or_default().join("/");
+    let id = request.names.id.as_deref().unwrap_or_default().join("/");
     let recorder = operator.recorder.clone();
     let lookup = tokio::task::spawn_blocking(move || recorder.lookup(&id)).await;
     match lookup {
-        Ok(Ok(records)) => Ok(json_response(&Explanation { records })),
+        Ok(Ok(records)) => Ok(json_response(StatusCode::OK, &Explanation { records })),
         Ok(Err(error)) => Err(Failure::new(ErrorKind::Io, error.to_string())),
         Err(error) => Err(Failure::new(ErrorKind::Internal, error.to_string())),
     }
--- a/crates/control/src/operator/jobs.rs
+++ b/crates/control/src/operator/jobs.rs
@@ -1,15 +1,16 @@
 //! `GET /v1/jobs/{tenant}[/{job}]`: batch jobs as operators see them.
 
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{Response, StatusCode};
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_http_server::answer::json_response;
 use linnethitch_protocol::{
     ids::{JobId, TenantId},
     query::{JobRecord, JobState, Query, QueryAnswer},
 };
 use serde::Serialize;
 
-use super::{Operator, RequestHead, answers::json_response, unexpected};
+use super::{Operator, OperatorRequest, unexpected};
 
 /// Jobs of one page.
 const PAGE_JOBS: u32 = 100;
@@ -38,18 +39,21 @@
 /// A page of a tenant's jobs, newest first; `?after=JOB` gives the next one.
 pub(super) async fn list(
     operator: &Operator,
-    head: &RequestHead,
+    request: OperatorRequest,
 ) -> Result<Response<Body>, Failure> {
     let query = Query::Jobs {
-        tenant: tenant(head),
-        after: head.parameter("after").map(JobId::from),
+        tenant: tenant(&request),
+        after: request.incoming.head.query("after").map(JobId::from),
         limit: PAGE_JOBS,
     };
     match operator.query(query).await? {
-        QueryAnswer::Jobs { jobs, more } => Ok(json_response(&JobsBody {
-            jobs: jobs.into_iter().map(JobBody::from).collect(),
-            more,
-        })),
+        QueryAnswer::Jobs { jobs, more } => Ok(json_response(
+            StatusCode::OK,
+            &JobsBody {
+                jobs: jobs.into_iter().map(JobBody::from).collect(),
+                more,
+            },
+        )),
         _ => Err(unexpected()),
     }
 }
@@ -57,18 +61,18 @@
 /// One job.
 pub(super) async fn get(
     operator: &Operator,
-    head: &RequestHead,
+    request: OperatorRequest,
 ) -> Result<Response<Body>, Failure> {
-    let job = JobId::from(head.names.job.as_deref().unwrap_or_default());
-    match operator.query(Query::Job(tenant(head), job)).await? {
-        QueryAnswer::Job(Some(record)) => Ok(json_response(&JobBody::from(record))),
+    let job = JobId::from(request.names.job.as_deref().unwrap_or_default());
+    match operator.query(Query::Job(tenant(&request), job)).await? {
+        QueryAnswer::Job(Some(record)) => Ok(json_response(StatusCode::OK, &JobBody::from(record))),
         QueryAnswer::Job(None) => Err(Failure::new(ErrorKind::NotFound, "no such job")),
         _ => Err(unexpected()),
     }
 }
 
-fn tenant(head: &RequestHead) -> TenantId {
-    TenantId::from(head.names.tenant.as_deref().unwrap_or_default())
+fn tenant(request: &OperatorRequest) -> TenantId {
+    TenantId::from(request.names.tenant.as_deref().unwrap_or_default())
 }
 
 impl From<JobRecord> for JobBody {
--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -1,20 +1,22 @@
 //! The operators' HTTP interface.
 
-mod answers;
 mod apply;
 mod explain;
 mod jobs;
 mod orders;
 mod request;
 mod routes;
-mod server;
 mod status;
 
 use std::{sync::Arc, time::Duration};
 
 use gotham::helpers::http::Body;
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_http_server::{
+    ConnectionLimits, Endpoints,
+    answer::{bytes_response, failure_response, json_response},
+};
 use linnethitch_observability::metrics::{self, Metrics};
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall},
@@ -24,17 +26,23 @@
 use serde::Serialize;
 
 use crate::{clock::Clock, driver::Driver, metrics::ControlMetrics, record::Recorder};
-use answers::{bytes_response, failure_response, json_response};
 pub(crate) use request::OperatorKey;
-use request::{OperatorRequest, RequestHead};
+use request::OperatorRequest;
 pub(crate) use routes::build_router;
-pub(crate) use server::OperatorServer;
 
 /// When an operator should come back after control could not answer.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Knowledge older than this does not count as following a leader, in milliseconds.
 const MAX_CONFIRMED_AGE_MS: u64 = 2_000;
 
+/// Bounds of operators' connections.
+pub(crate) const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
+    connections: 256,
+    header_bytes: 64 * 1024,
+    header_time: Duration::from_secs(10),
+    write_stall: Duration::from_secs(10),
+};
+
 /// What a path of the interface does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Endpoint {
@@ -91,40 +99,38 @@
 }
 
 impl Operator {
-    /// Answers one request.
-    pub(crate) async fn answer(
-        self: Arc<Self>,
+    /// Does what an operator asks.
+    async fn respond(
+        &self,
         endpoint: Endpoint,
         request: OperatorRequest,
-    ) -> Response<Body> {
-        if endpoint.is_protected()
-            && let Err(failure) = self.key.check(&request.head)
-        {
-            return failure_response(&failure);
+    ) -> Result<Response<Body>, Failure> {
+        if endpoint.is_protected() {
+            self.key.check(&request.incoming.head)?;
         }
-        let answered = match endpoint {
+        match endpoint {
             Endpoint::Configuration => self.configuration().await,
-            Endpoint::Apply => apply::apply(&self, request).await,
-            Endpoint::Status => status::status(&self).await,
-            Endpoint::Jobs => jobs::list(&self, &request.head).await,
-            Endpoint::Job => jobs::get(&self, &request.head).await,
-            Endpoint::Orders => Ok(orders::list(&self).await),
-            Endpoint::Explain => explain::explain(&self, &request.head).await,
-            Endpoint::Health => Ok(json_response(&HealthBody { status: "ok" })),
+            Endpoint::Apply => apply::apply(self, request.incoming).await,
+            Endpoint::Status => status::status(self).await,
+            Endpoint::Jobs => jobs::list(self, request).await,
+            Endpoint::Job => jobs::get(self, request).await,
+            Endpoint::Orders => Ok(orders::list(self).await),
+            Endpoint::Explain => explain::explain(self, request).await,
+            Endpoint::Health => Ok(json_response(StatusCode::OK, &HealthBody { status: "ok" })),
             Endpoint::Ready => self.ready(),
             Endpoint::Metrics => Ok(self.metrics_text()),
-        };
-        answered.unwrap_or_else(|failure| failure_response(&failure))
+        }
     }
 
     async fn configuration(&self) -> Result<Response<Body>, Failure> {
         match self.query(Query::Configuration).await? {
-            QueryAnswer::Configuration { revision, content } => {
-                Ok(json_response(&ConfigurationBody {
+            QueryAnswer::Configuration { revision, content } => Ok(json_response(
+                StatusCode::OK,
+                &ConfigurationBody {
                     revision: revision.0,
                     content,
-                }))
-            }
+                },
+            )),
             _ => Err(unexpected()),
         }
     }
@@ -139,13 +145,17 @@
         if view.voters / 2 < self.machines / 2 {
             return Err(not_ready("too few disks vote"));
         }
-        Ok(json_response(&HealthBody { status: "ready" }))
+        Ok(json_response(
+            StatusCode::OK,
+            &HealthBody { status: "ready" },
+        ))
     }
 
     fn metrics_text(&self) -> Response<Body> {
         self.gauges.update(&self.driver.view());
         let text = self.metrics.text();
-        bytes_response(StatusCode::OK, metrics::CONTENT_TYPE, text)
+        let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
+        bytes_response(StatusCode::OK, content_type, text)
     }
 
     /// Reads the replicated state after a confirmed read index.
@@ -172,6 +182,20 @@
     }
 }
 
+impl Endpoints for Operator {
+    type Endpoint = Endpoint;
+    type Request = OperatorRequest;
+
+    async fn answer(
+        self: Arc<Self>,
+        endpoint: Endpoint,
+        request: OperatorRequest,
+    ) -> Response<Body> {
+        let answered = self.respond(endpoint, request).await;
+        answered.unwrap_or_else(|failure| failure_response(&failure))
+    }
+}
+
 fn not_ready(message: &str) -> Failure {
     Failure::new(ErrorKind::NotReady, message).with_retry_after(RETRY_AFTER)
 }
--- a/crates/control/src/operator/orders.rs
+++ b/crates/control/src/operator/orders.rs
@@ -1,12 +1,13 @@
 //! `GET /v1/orders`: orders to engines that are not settled.
 
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{Response, StatusCode};
+use linnethitch_http_server::answer::json_response;
 use linnethitch_placement::reconciler::IssuedOrder;
 use linnethitch_protocol::{command::EngineOrder, fleet::EngineRole};
 use serde::Serialize;
 
-use super::{Operator, answers::json_response};
+use super::Operator;
 
 #[derive(Serialize)]
 struct OrdersBody {
@@ -34,7 +35,7 @@
 pub(super) async fn list(operator: &Operator) -> Response<Body> {
     let view = operator.driver.placement_view().await;
     let orders = view.open_orders.into_iter().map(OrderBody::from).collect();
-    json_response(&OrdersBody { orders })
+    json_response(StatusCode::OK, &OrdersBody { orders })
 }
 
 impl From<IssuedOrder> for OrderBody {
--- a/crates/control/src/operator/request.rs
+++ b/crates/control/src/operator/request.rs
@@ -2,99 +2,55 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use gotham::{
-    helpers::http::Body,
-    state::{FromState, State},
-};
-use http::{HeaderMap, Uri, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use gotham::state::{FromState, State};
+use http::header;
 use linnethitch_consensus::MAX_ENTRY_BYTES;
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_http_server::{
+    IncomingRequest, RequestHead, TakenFromState,
+    body::{BodyLimits, read_whole},
+};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
 use super::routes::PathNames;
 
-/// Largest fleet file, in bytes: it must fit into one entry of the log.
-const MAX_BODY_BYTES: usize = MAX_ENTRY_BYTES;
-/// Longest time to send it.
-const BODY_LIMIT: Duration = Duration::from_secs(30);
+/// Bounds of a fleet file: it must fit into one entry of the log.
+const BODY_LIMITS: BodyLimits = BodyLimits {
+    bytes: MAX_ENTRY_BYTES as u64,
+    time: Duration::from_secs(30),
+};
 
-/// A request taken out of gotham's state.
+/// A request and the names in its path.
 pub(crate) struct OperatorRequest {
-    /// Everything but the body.
-    pub(super) head: RequestHead,
-    body: Body,
-}
-
-/// A request without its body.
-pub(crate) struct RequestHead {
-    /// What stands in the path in place of names.
     pub(super) names: PathNames,
-    uri: Uri,
-    headers: HeaderMap,
+    pub(super) incoming: IncomingRequest,
 }
 
-impl OperatorRequest {
-    /// Takes the request's parts; the state keeps none of them.
-    pub(super) fn take_from(state: &mut State) -> Self {
+impl TakenFromState for OperatorRequest {
+    fn take_from(state: &mut State) -> Self {
         OperatorRequest {
-            head: RequestHead {
-                names: PathNames::try_take_from(state).unwrap_or_default(),
-                uri: Uri::take_from(state),
-                headers: HeaderMap::take_from(state),
-            },
-            body: Body::take_from(state),
+            names: PathNames::try_take_from(state).unwrap_or_default(),
+            incoming: IncomingRequest::take_from(state),
         }
     }
-
-    /// The whole body as text.
-    pub(super) async fn into_text(self) -> Result<String, Failure> {
-        let reading = Limited::new(self.body, MAX_BODY_BYTES).collect();
-        let bytes: Bytes = match tokio::time::timeout(BODY_LIMIT, reading).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                let message = format!("a fleet file has at most {MAX_BODY_BYTES} bytes");
-                return Err(Failure::new(ErrorKind::BodyTooLarge, message));
-            }
-            Ok(Err(error)) => {
-                return Err(Failure::new(ErrorKind::TruncatedUpload, error.to_string()));
-            }
-            Err(_) => {
-                let message = "the body did not arrive in time";
-                return Err(Failure::new(ErrorKind::RequestTimeout, message));
-            }
-        };
-        String::from_utf8(bytes.into())
-            .map_err(|_| Failure::new(ErrorKind::MalformedRequest, "the body is not UTF-8"))
-    }
 }
 
-impl RequestHead {
-    /// A header's value as text.
-    pub(super) fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name)?.to_str().ok()
-    }
-
-    /// A header's value that must be there.
-    pub(super) fn required_header(&self, name: &str) -> Result<&str, Failure> {
-        self.header(name)
-            .filter(|value| !value.is_empty())
-            .ok_or_else(|| {
-                let message = format!("the header {name} is needed");
-                Failure::new(ErrorKind::MalformedRequest, message).with_param(name)
-            })
-    }
+/// The whole body as text.
+pub(super) async fn read_text(request: IncomingRequest) -> Result<String, Failure> {
+    let bytes = read_whole(&request.head.headers, request.body, BODY_LIMITS).await?;
+    String::from_utf8(bytes.into())
+        .map_err(|_| Failure::new(ErrorKind::MalformedRequest, "the body is not UTF-8"))
+}
 
-    /// A parameter of the query string, as it stands there.
-    pub(super) fn parameter(&self, name: &str) -> Option<&str> {
-        self.uri
-            .query()?
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .find_map(|(key, value)| (key == name).then_some(value))
-    }
+/// A header's value that must be there.
+pub(super) fn required_header<'a>(head: &'a RequestHead, name: &str) -> Result<&'a str, Failure> {
+    head.header(name)
+        .filter(|value| !value.is_empty())
+        .ok_or_else(|| {
+            let message = format!("the header {name} is needed");
+            Failure::new(ErrorKind::MalformedRequest, message).with_param(name)
+        })
 }
 
 /// SHA-256 of the operators' key.
--- a/crates/control/src/operator/routes.rs
+++ b/crates/control/src/operator/routes.rs
@@ -1,10 +1,8 @@
 //! The routes of the operators' interface.
 
-use std::{panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+use std::sync::Arc;
 
-use futures_util::FutureExt;
 use gotham::{
-    handler::{Handler, HandlerFuture, NewHandler},
     helpers::http::Body,
     router::{
         Router,
@@ -14,9 +12,10 @@
     state::{State, StateData},
 };
 use http::{Method, Response};
+use linnethitch_http_server::Route;
 use serde::Deserialize;
 
-use super::{Endpoint, Operator, request::OperatorRequest};
+use super::{Endpoint, Operator};
 
 /// Names in a path, decoded.
 #[derive(Debug, Default, Deserialize)]
@@ -37,47 +36,9 @@
     fn extend(_: &mut State, _: &mut Response<Body>) {}
 }
 
-/// Makes a handler of one endpoint for each request.
-struct EndpointHandler {
-    operator: AssertUnwindSafe<Arc<Operator>>,
-    endpoint: Endpoint,
-}
-
-impl Clone for EndpointHandler {
-    fn clone(&self) -> Self {
-        EndpointHandler {
-            operator: AssertUnwindSafe(Arc::clone(&self.operator)),
-            endpoint: self.endpoint,
-        }
-    }
-}
-
-impl NewHandler for EndpointHandler {
-    type Instance = Self;
-
-    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
-        Ok(self.clone())
-    }
-}
-
-impl Handler for EndpointHandler {
-    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
-        async move {
-            let request = OperatorRequest::take_from(&mut state);
-            let operator = Arc::clone(&self.operator);
-            let response = operator.answer(self.endpoint, request).await;
-            Ok((state, response))
-        }
-        .boxed()
-    }
-}
-
 /// Builds the router of a control member.
 pub(crate) fn build_router(operator: &Arc<Operator>) -> Router {
-    let to = |endpoint| EndpointHandler {
-        operator: AssertUnwindSafe(Arc::clone(operator)),
-        endpoint,
-    };
+    let to = |endpoint| Route::new(operator, endpoint);
     build_simple_router(|route| {
         let get = || vec![Method::GET, Method::HEAD];
         route
--- a/crates/control/src/operator/status.rs
+++ b/crates/control/src/operator/status.rs
@@ -1,14 +1,15 @@
 //! `GET /v1/status`: the fleet at a glance.
 
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{Response, StatusCode};
 use linnethitch_errors::Failure;
+use linnethitch_http_server::answer::json_response;
 use linnethitch_protocol::query::{
     FleetStatus, GatewayStatus, MemberStatus, Query, QueryAnswer, ReplicaStatus,
 };
 use serde::Serialize;
 
-use super::{Operator, answers::json_response, unexpected};
+use super::{Operator, unexpected};
 
 #[derive(Serialize)]
 struct StatusBody {
@@ -51,7 +52,7 @@
 /// Answers with what the leader knows.
 pub(super) async fn status(operator: &Operator) -> Result<Response<Body>, Failure> {
     match operator.query(Query::Status).await? {
-        QueryAnswer::Status(status) => Ok(json_response(&StatusBody::from(status))),
+        QueryAnswer::Status(status) => Ok(json_response(StatusCode::OK, &StatusBody::from(status))),
         _ => Err(unexpected()),
     }
 }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -5,6 +5,7 @@
 use error_stack::{Report, ResultExt};
 use linnethitch_config::settings::ControlSettings;
 use linnethitch_errors::ErrorKind;
+use linnethitch_http_server::Listener;
 use linnethitch_observability::metrics::Metrics;
 use linnethitch_placement::{PlacementDriver, PlacementLimits};
 use linnethitch_protocol::ids::{DiskId, MachineId};
@@ -23,7 +24,7 @@
     driver::{Driver, DriverEnd, DriverSetup},
     member::MemberSettings,
     metrics::ControlMetrics,
-    operator::{Operator, OperatorKey, OperatorServer, build_router},
+    operator::{CONNECTION_LIMITS, Operator, OperatorKey, build_router},
     peers::{PeerLinks, Peering},
     placement::ControlPlacement,
     record::Recorder,
@@ -136,12 +137,13 @@
         let operator = shared.operator(key, &driver, started.recorder.clone());
         let placement = shared.placement(&settings, &driver, started.recorder);
         let stopping = CancellationToken::new();
-        let operator_server = OperatorServer {
-            router: build_router(&Arc::new(operator)),
-            socket: sockets.operator,
-            stopping: stopping.clone(),
-            logger: logger.clone(),
-        };
+        let operator_server = Listener::new(
+            sockets.operator,
+            build_router(&Arc::new(operator)),
+            CONNECTION_LIMITS,
+            stopping.clone(),
+            logger.clone(),
+        );
         let operator_server = tokio::spawn(operator_server.run());
         let mut tasks = shared.spawn(&driver, sockets.peer, sockets.attach);
         tasks.spawn(placement.run());
--- a/crates/gateway/src/batches/create.rs
+++ b/crates/gateway/src/batches/create.rs
@@ -17,7 +17,7 @@
     batches::object::batch_response,
     claims::idempotency_key,
     control::client::unexpected,
-    http::{body::read_whole, incoming::Incoming},
+    http::{IncomingRequest, body::read_whole},
     identifiers::new_job_id,
     online::request::CompletionKind,
     state::Gateway,
@@ -42,7 +42,7 @@
 /// Accepts a job.
 pub(crate) async fn create(
     gateway: &Arc<Gateway>,
-    incoming: Incoming,
+    incoming: IncomingRequest,
 ) -> Result<Response<Body>, Failure> {
     let (active, tenant) = gateway.authenticate(&incoming.head)?;
     let key = idempotency_key(&incoming.head.headers)?;
--- a/crates/gateway/src/batches/object.rs
+++ b/crates/gateway/src/batches/object.rs
@@ -16,8 +16,8 @@
 use crate::{
     control::client::unexpected,
     http::{
+        RequestHead,
         answer::json_response,
-        incoming::RequestHead,
         page::{Page, list_response},
     },
     state::Gateway,
--- a/crates/gateway/src/files/content.rs
+++ b/crates/gateway/src/files/content.rs
@@ -16,7 +16,7 @@
 use crate::{
     control::client::unexpected,
     files::object::{FILE_SEGMENT, no_such_file},
-    http::incoming::RequestHead,
+    http::RequestHead,
     state::Gateway,
 };
 
--- a/crates/gateway/src/files/object.rs
+++ b/crates/gateway/src/files/object.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     control::client::unexpected,
-    http::{answer::json_response, incoming::RequestHead, page::Page},
+    http::{RequestHead, answer::json_response, page::Page},
     state::Gateway,
 };
 
--- a/crates/gateway/src/files/source.rs
+++ b/crates/gateway/src/files/source.rs
@@ -10,7 +10,7 @@
 use linnethitch_errors::{ErrorKind, Failure};
 use multer::{Constraints, Field, Multipart, SizeLimit};
 
-use crate::http::{body::body_timeout, incoming::Incoming};
+use crate::http::{IncomingRequest, body::body_timeout};
 
 /// Longest plain field of a form, in bytes.
 const MAX_TEXT_FIELD_BYTES: u64 = 4 * 1024;
@@ -73,7 +73,7 @@
 impl Upload {
     /// Reads up to where the file begins.
     pub(super) async fn open(
-        incoming: Incoming,
+        incoming: IncomingRequest,
         max_bytes: u64,
         stall_limit: Duration,
     ) -> Result<Self, Failure> {
--- a/crates/gateway/src/files/upload.rs
+++ b/crates/gateway/src/files/upload.rs
@@ -20,9 +20,9 @@
         source::Upload,
     },
     http::{
+        IncomingRequest,
         answer::json_response,
         body::{body_too_large, check_announced_length},
-        incoming::Incoming,
     },
     identifiers::new_file_id,
     state::Gateway,
@@ -37,7 +37,7 @@
 /// Takes an upload.
 pub(crate) async fn create(
     gateway: &Arc<Gateway>,
-    incoming: Incoming,
+    incoming: IncomingRequest,
 ) -> Result<Response<Body>, Failure> {
     let (active, tenant) = gateway.authenticate(&incoming.head)?;
     let fleet = &active.fleet;
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -1,9 +1,23 @@
-//! The HTTP server towards callers.
+//! The HTTP interface towards callers.
 
-pub(crate) mod answer;
-pub(crate) mod body;
-pub(crate) mod incoming;
-pub(crate) mod listener;
 pub(crate) mod page;
 pub(crate) mod routes;
-mod stall;
+
+use std::time::Duration;
+
+use linnethitch_config::settings::GatewayLimits;
+use linnethitch_http_server::ConnectionLimits;
+pub(crate) use linnethitch_http_server::{IncomingRequest, RequestHead, answer, body};
+
+/// Longest time that a caller may take nothing of an answer.
+const WRITE_STALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// The bounds of callers' connections that the settings give.
+pub(crate) fn connection_limits(limits: &GatewayLimits) -> ConnectionLimits {
+    ConnectionLimits {
+        connections: limits.max_connections as usize,
+        header_bytes: limits.max_header_bytes as usize,
+        header_time: Duration::from_millis(limits.header_timeout_ms),
+        write_stall: WRITE_STALL_LIMIT,
+    }
+}
--- a/crates/gateway/src/http/page.rs
+++ b/crates/gateway/src/http/page.rs
@@ -5,7 +5,7 @@
 use linnethitch_errors::{ErrorKind, Failure};
 use serde::Serialize;
 
-use crate::http::{answer::json_response, incoming::RequestHead};
+use crate::http::{RequestHead, answer::json_response};
 
 /// Entries of a page when the caller names no limit.
 const DEFAULT_LIMIT: u32 = 20;
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -1,19 +1,15 @@
 //! The routes of the callers' interface.
 
-use std::{panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+use std::sync::Arc;
 
-use futures_util::FutureExt;
-use gotham::{
-    handler::{Handler, HandlerFuture, NewHandler},
-    router::{
-        Router,
-        builder::{DefineSingleRoute, DrawRoutes, build_simple_router},
-    },
-    state::State,
+use gotham::router::{
+    Router,
+    builder::{DefineSingleRoute, DrawRoutes, build_simple_router},
 };
 use http::Method;
+use linnethitch_http_server::Route;
 
-use crate::{http::incoming::Incoming, state::Gateway};
+use crate::state::Gateway;
 
 /// What a route does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,41 +78,6 @@
     }
 }
 
-/// Makes a handler of one endpoint for each request.
-struct EndpointHandler {
-    gateway: AssertUnwindSafe<Arc<Gateway>>,
-    endpoint: Endpoint,
-}
-
-impl Clone for EndpointHandler {
-    fn clone(&self) -> Self {
-        EndpointHandler {
-            gateway: AssertUnwindSafe(Arc::clone(&self.gateway)),
-            endpoint: self.endpoint,
-        }
-    }
-}
-
-impl NewHandler for EndpointHandler {
-    type Instance = Self;
-
-    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
-        Ok(self.clone())
-    }
-}
-
-impl Handler for EndpointHandler {
-    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
-        async move {
-            let incoming = Incoming::take_from(&mut state);
-            let gateway = Arc::clone(&self.gateway);
-            let response = gateway.answer(self.endpoint, incoming).await;
-            Ok((state, response))
-        }
-        .boxed()
-    }
-}
-
 /// Every method that an application service may take.
 fn any() -> Vec<Method> {
     vec![
@@ -132,10 +93,7 @@
 
 /// Builds the router of a gateway.
 pub(crate) fn build_router(gateway: &Arc<Gateway>) -> Router {
-    let to = |endpoint| EndpointHandler {
-        gateway: AssertUnwindSafe(Arc::clone(gateway)),
-        endpoint,
-    };
+    let to = |endpoint| Route::new(gateway, endpoint);
     build_simple_router(|route| {
         let get = || vec![Method::GET, Method::HEAD];
         route
--- a/crates/gateway/src/identifiers.rs
+++ b/crates/gateway/src/identifiers.rs
@@ -1,6 +1,6 @@
-//! Random identifiers of requests, files and jobs.
+//! Random identifiers of files and jobs.
 
-use linnethitch_protocol::ids::{FileId, JobId, RequestId};
+use linnethitch_protocol::ids::{FileId, JobId};
 
 const RANDOM_BYTES: usize = 12;
 
@@ -9,19 +9,12 @@
     hex::encode(bytes)
 }
 
-/// A new request id.
-pub(crate) fn new_request_id() -> RequestId {
-    RequestId(format!("req_{}", random_hex()))
-}
-
 /// A new file id.
-#[allow(dead_code)]
 pub(crate) fn new_file_id() -> FileId {
     FileId(format!("file-{}", random_hex()))
 }
 
 /// A new job id.
-#[allow(dead_code)]
 pub(crate) fn new_job_id() -> JobId {
     JobId(format!("batch_{}", random_hex()))
 }
--- a/crates/gateway/src/models.rs
+++ b/crates/gateway/src/models.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::{
-    http::{answer::json_response, incoming::RequestHead},
+    http::{RequestHead, answer::json_response},
     state::Gateway,
 };
 
--- a/crates/gateway/src/observe/explain.rs
+++ b/crates/gateway/src/observe/explain.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     http::{
+        RequestHead,
         answer::{bytes_response, json_response},
-        incoming::RequestHead,
     },
     state::Gateway,
     tenants::presents_key_of,
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     claims::{Claimed, claim, replay, run_rules},
-    http::{body::read_whole, incoming::Incoming, routes::Endpoint},
+    http::{IncomingRequest, body::read_whole, routes::Endpoint},
     online::{generation::Generation, request::CompletionRequest},
     state::Gateway,
 };
@@ -25,12 +25,12 @@
 pub(crate) async fn answer(
     gateway: &Arc<Gateway>,
     endpoint: Endpoint,
-    incoming: Incoming,
+    incoming: IncomingRequest,
 ) -> Result<Response<Body>, Failure> {
     let arrived = gateway.clock().now();
     let rules = run_rules(&incoming.head.headers)?;
     let (active, tenant) = gateway.authenticate(&incoming.head)?;
-    let Incoming { head, body } = incoming;
+    let IncomingRequest { head, body } = incoming;
     let bytes = read_whole(&head.headers, body, active.body_limits()).await?;
     let mut request = CompletionRequest::parse(
         endpoint,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -5,6 +5,7 @@
 use error_stack::{Report, ResultExt};
 use linnethitch_config::{fleet::Fleet, settings::GatewaySettings};
 use linnethitch_errors::ErrorKind;
+use linnethitch_http_server::Listener;
 use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::Revision;
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
@@ -19,7 +20,7 @@
     },
     configuration::{follower::Follower, store::ConfigurationStore},
     control::{attachment, reports, session},
-    http::{listener::Listener, routes::build_router},
+    http::{connection_limits, routes::build_router},
     options::{FixedFleet, GatewayOptions},
     state::Gateway,
 };
@@ -186,7 +187,7 @@
     let listener = Listener::new(
         socket,
         build_router(gateway),
-        &gateway.settings.limits,
+        connection_limits(&gateway.settings.limits),
         gateway.stopping.clone(),
         gateway.logger.clone(),
     );
--- a/crates/gateway/src/services/mod.rs
+++ b/crates/gateway/src/services/mod.rs
@@ -18,10 +18,7 @@
 use crate::{
     claims::{Claimed, claim, replay, run_rules},
     decisions::{Wanted, WantedTarget},
-    http::{
-        body::read_whole,
-        incoming::{Incoming, RequestHead},
-    },
+    http::{IncomingRequest, RequestHead, body::read_whole},
     online::request::caller_deadline,
     services::{
         attempt::{ServiceCall, ServiceRequest},
@@ -36,13 +33,13 @@
 /// Passes a request on to a replica of the service that its path names.
 pub(crate) async fn answer(
     gateway: &Arc<Gateway>,
-    incoming: Incoming,
+    incoming: IncomingRequest,
 ) -> Result<Response<Body>, Failure> {
     let arrived = gateway.clock().now();
     let rules = run_rules(&incoming.head.headers)?;
     let (active, tenant) = gateway.authenticate(&incoming.head)?;
     let service = service_of(&incoming.head, &active.fleet)?;
-    let Incoming { head, body } = incoming;
+    let IncomingRequest { head, body } = incoming;
     let deadline = deadline(&head, service, arrived)?;
     let bytes = read_whole(&head.headers, body, active.body_limits()).await?;
     let digest = content_digest(&head, rules.at_most_once, &bytes);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
     settings::GatewaySettings,
 };
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_http_server::Endpoints;
 use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::{RequestId, Revision};
 use linnethitch_routing::ReasonCode;
@@ -38,9 +39,9 @@
     engine::{client::BackEndClient, fault::AttemptFault},
     files,
     http::{
+        IncomingRequest, RequestHead,
         answer::{failure_response, json_response},
         body::BodyLimits,
-        incoming::{Incoming, RequestHead},
         routes::Endpoint,
     },
     models,
@@ -262,14 +263,13 @@
         Ok((active, tenant))
     }
 
-    /// Answers a request of a caller.
-    pub(crate) async fn answer(
+    /// Does what a caller asks.
+    async fn respond(
         self: &Arc<Self>,
         endpoint: Endpoint,
-        incoming: Incoming,
-    ) -> Response<Body> {
-        let started = Instant::now();
-        let answered = match endpoint {
+        incoming: IncomingRequest,
+    ) -> Result<Response<Body>, Failure> {
+        match endpoint {
             Endpoint::ChatCompletions | Endpoint::Completions => {
                 online::answer(self, endpoint, incoming).await
             }
@@ -291,7 +291,21 @@
             Endpoint::Ready => self
                 .ready()
                 .map(|_| json_response(StatusCode::OK, &StatusBody { status: "ready" })),
-        };
+        }
+    }
+}
+
+impl Endpoints for Gateway {
+    type Endpoint = Endpoint;
+    type Request = IncomingRequest;
+
+    async fn answer(
+        self: Arc<Self>,
+        endpoint: Endpoint,
+        request: IncomingRequest,
+    ) -> Response<Body> {
+        let started = Instant::now();
+        let answered = self.respond(endpoint, request).await;
         let outcome = match &answered {
             Ok(_) => "ok",
             Err(failure) => failure.kind.answer().code,
--- a/crates/gateway/src/http/answer.rs
+++ b/crates/http-server/src/answer.rs
@@ -1,4 +1,4 @@
-//! Responses to callers.
+//! Responses: JSON, event streams, and failures as the error table says.
 
 use std::io;
 
@@ -6,23 +6,23 @@
 use gotham::helpers::http::Body;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use linnethitch_errors::Failure;
+use linnethitch_errors::{ErrorKind, Failure};
 use serde::Serialize;
 
 /// Header that says whether a refused request ran.
-pub(crate) const EXECUTED_HEADER: &str = "linnethitch-executed";
+pub const EXECUTED_HEADER: &str = "linnethitch-executed";
 /// Header that carries the request's id.
-pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// A body that is known as a whole.
-pub(crate) fn whole_body(bytes: impl Into<Bytes>) -> Body {
+pub fn whole_body(bytes: impl Into<Bytes>) -> Body {
     Body::new(Full::new(bytes.into()).map_err(|never| match never {}))
 }
 
 /// A response with the given content type.
-pub(crate) fn bytes_response(
+pub fn bytes_response(
     status: StatusCode,
     content_type: HeaderValue,
     bytes: impl Into<Bytes>,
@@ -36,18 +36,15 @@
 }
 
 /// A JSON response.
-pub(crate) fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+pub fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
     match serde_json::to_vec(value) {
         Ok(bytes) => bytes_response(status, JSON, bytes),
-        Err(error) => failure_response(&Failure::new(
-            linnethitch_errors::ErrorKind::Internal,
-            error.to_string(),
-        )),
+        Err(error) => failure_response(&Failure::new(ErrorKind::Internal, error.to_string())),
     }
 }
 
 /// The answer to a failure, as the error table says.
-pub(crate) fn failure_response(failure: &Failure) -> Response<Body> {
+pub fn failure_response(failure: &Failure) -> Response<Body> {
     let answer = failure.kind.answer();
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = bytes_response(status, JSON, failure.body().to_string());
@@ -67,7 +64,7 @@
 }
 
 /// An event stream from a stream of byte pieces.
-pub(crate) fn event_stream_response(
+pub fn event_stream_response(
     pieces: impl futures_util::Stream<Item = Result<Bytes, io::Error>> + Send + 'static,
 ) -> Response<Body> {
     use futures_util::TryStreamExt;
--- a/crates/gateway/src/http/body.rs
+++ b/crates/http-server/src/body.rs
@@ -16,15 +16,18 @@
 
 /// Bounds of a request body.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct BodyLimits {
+pub struct BodyLimits {
     /// Largest size in bytes.
-    pub(crate) bytes: u64,
+    pub bytes: u64,
     /// Longest time to send it.
-    pub(crate) time: Duration,
+    pub time: Duration,
 }
 
 /// Reads a whole body.
-pub(crate) async fn read_whole(
+///
+/// # Errors
+/// `BodyTooLarge`, `RequestTimeout`, `TruncatedUpload`.
+pub async fn read_whole(
     headers: &HeaderMap,
     body: Body,
     limits: BodyLimits,
@@ -71,7 +74,10 @@
 }
 
 /// Refuses a body whose announced length is over the limit before reading it.
-pub(crate) fn check_announced_length(headers: &HeaderMap, limit: u64) -> Result<(), Failure> {
+///
+/// # Errors
+/// `BodyTooLarge`.
+pub fn check_announced_length(headers: &HeaderMap, limit: u64) -> Result<(), Failure> {
     let announced = headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok())
@@ -82,14 +88,18 @@
     }
 }
 
-pub(crate) fn body_too_large(limit: u64) -> Failure {
+/// The refusal of a body over the limit, in bytes.
+#[must_use]
+pub fn body_too_large(limit: u64) -> Failure {
     Failure::new(
         ErrorKind::BodyTooLarge,
         format!("the request body is larger than {limit} bytes"),
     )
 }
 
-pub(crate) fn body_timeout(limit: Duration) -> Failure {
+/// The refusal of a body that took too long.
+#[must_use]
+pub fn body_timeout(limit: Duration) -> Failure {
     Failure::new(
         ErrorKind::RequestTimeout,
         format!(
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/http-server/src/listener.rs
@@ -7,32 +7,26 @@
 use http_body::Body as _;
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use linnethitch_config::settings::GatewayLimits;
 use linnethitch_errors::{ErrorKind, Failure};
 use slog::{Logger, debug, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
 };
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    http::{
-        answer::{REQUEST_ID_HEADER, failure_response},
-        stall::StallGuard,
-    },
-    identifiers::new_request_id,
-};
+use crate::answer::{REQUEST_ID_HEADER, failure_response};
 
-/// Longest time that a caller may take nothing of an answer.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Smallest read buffer that hyper takes, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Random bytes of a request id.
+const REQUEST_ID_BYTES: usize = 12;
 /// Wait after a failed accept, so that exhausted descriptors do not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// The accept loop and its connections.
-pub(crate) struct Listener {
+pub struct Listener {
     socket: TcpListener,
     router: Router,
     logger: Logger,
@@ -42,33 +36,26 @@
     stopping: CancellationToken,
 }
 
-/// Bounds of callers' connections.
+/// Bounds of the connections of an interface.
 #[derive(Clone, Copy, Debug)]
-struct ConnectionLimits {
+pub struct ConnectionLimits {
     /// Connections at once; more wait in the listen queue.
-    connections: usize,
-    /// Bytes of a request's head.
-    header_bytes: usize,
+    pub connections: usize,
+    /// Bytes of a request's head; raised to what hyper needs.
+    pub header_bytes: usize,
     /// Longest time to send it.
-    header_time: Duration,
-}
-
-impl From<&GatewayLimits> for ConnectionLimits {
-    fn from(limits: &GatewayLimits) -> Self {
-        ConnectionLimits {
-            connections: limits.max_connections as usize,
-            header_bytes: (limits.max_header_bytes as usize).max(MIN_READ_BUFFER_BYTES),
-            header_time: Duration::from_millis(limits.header_timeout_ms),
-        }
-    }
+    pub header_time: Duration,
+    /// Longest time that the peer may take nothing of an answer.
+    pub write_stall: Duration,
 }
 
 impl Listener {
     /// Wraps a bound socket.
-    pub(crate) fn new(
+    #[must_use]
+    pub fn new(
         socket: TcpListener,
         router: Router,
-        limits: &GatewayLimits,
+        limits: ConnectionLimits,
         stopping: CancellationToken,
         logger: Logger,
     ) -> Self {
@@ -77,13 +64,13 @@
             router,
             logger,
             connections: JoinSet::new(),
-            limits: limits.into(),
+            limits,
             stopping,
         }
     }
 
     /// Accepts until told to stop, then waits until every open connection is served.
-    pub(crate) async fn run(mut self) {
+    pub async fn run(mut self) {
         loop {
             tokio::select! {
                 () = self.stopping.cancelled() => break,
@@ -123,15 +110,14 @@
     logger: Logger,
 ) {
     let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(limits.write_stall));
     let service = service_fn(move |request| answer(router.clone(), request, peer));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
-        .max_buf_size(limits.header_bytes)
-        .serve_connection(
-            TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT)),
-            service,
-        );
+        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     tokio::pin!(connection);
     let mut told = false;
     loop {
@@ -150,15 +136,21 @@
     }
 }
 
+/// A random id for a request.
+fn new_request_id() -> HeaderValue {
+    let bytes: [u8; REQUEST_ID_BYTES] = rand::random();
+    let id = format!("req_{}", hex::encode(bytes));
+    HeaderValue::from_str(&id).unwrap_or(HeaderValue::from_static(""))
+}
+
 /// Answers one request through gotham's router.
 async fn answer(
     router: Router,
     mut request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Result<Response<Body>, Infallible> {
-    let id = new_request_id();
-    let id_value = HeaderValue::from_str(id.as_str()).unwrap_or(HeaderValue::from_static(""));
-    // The caller's own value is not trusted: ids name requests at engines and in journals.
+    // The peer's own value is not trusted: ids name requests at engines and in journals.
+    let id_value = new_request_id();
     request
         .headers_mut()
         .insert(REQUEST_ID_HEADER, id_value.clone());
--- a/crates/gateway/src/http/incoming.rs
+++ b/crates/http-server/src/request.rs
@@ -7,36 +7,41 @@
 use http::{HeaderMap, Method, Uri};
 use linnethitch_protocol::ids::RequestId;
 
+/// What a handler takes out of gotham's state.
+pub trait TakenFromState {
+    /// Takes the parts; the state keeps none of them.
+    fn take_from(state: &mut State) -> Self;
+}
+
 /// A request taken out of gotham's state.
-pub(crate) struct Incoming {
+pub struct IncomingRequest {
     /// Everything but the body.
-    pub(crate) head: RequestHead,
+    pub head: RequestHead,
     /// Its body, not yet read.
-    pub(crate) body: Body,
+    pub body: Body,
 }
 
 /// A request without its body.
-pub(crate) struct RequestHead {
-    /// The id given to it on arrival.
-    pub(crate) id: RequestId,
+pub struct RequestHead {
+    /// The id that the listener gave to it.
+    pub id: RequestId,
     /// Its method.
-    pub(crate) method: Method,
+    pub method: Method,
     /// Its path and query.
-    pub(crate) uri: Uri,
+    pub uri: Uri,
     /// Its headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
 }
 
-impl Incoming {
-    /// Takes the request's parts; the state keeps none of them.
-    pub(crate) fn take_from(state: &mut State) -> Self {
+impl TakenFromState for IncomingRequest {
+    fn take_from(state: &mut State) -> Self {
         let head = RequestHead {
             id: RequestId(request_id(state).to_owned()),
             method: Method::borrow_from(state).clone(),
             uri: Uri::take_from(state),
             headers: HeaderMap::take_from(state),
         };
-        Incoming {
+        IncomingRequest {
             head,
             body: Body::take_from(state),
         }
@@ -44,8 +49,9 @@
 }
 
 impl RequestHead {
-    /// The path's segment at a position, from 0.
-    pub(crate) fn segment(&self, position: usize) -> &str {
+    /// The path's segment at a position, from 0, as it stands there.
+    #[must_use]
+    pub fn segment(&self, position: usize) -> &str {
         self.uri
             .path()
             .split('/')
@@ -55,12 +61,14 @@
     }
 
     /// A header's value as text.
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
 
     /// A parameter of the query string, as it stands there.
-    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+    #[must_use]
+    pub fn query(&self, name: &str) -> Option<&str> {
         self.uri
             .query()?
             .split('&')
