--- a/crates/placement/src/driver.rs
+++ b/crates/placement/src/driver.rs
@@ -170,7 +170,8 @@
         if let Some(fleet) = view.fleet {
             let actions = leading.reconciler.step(now, &fleet, &view.open_orders);
             for action in actions {
-                self.carry_out(leading, action);
+                let carried_out = carry_out(self.client.clone(), Arc::clone(&self.host), action);
+                leading.tasks.spawn(carried_out);
             }
         }
         self.publish(leading, now);
@@ -208,51 +209,6 @@
         });
     }
 
-    fn carry_out(&self, leading: &mut Leadership, action: Action) {
-        let client = self.client.clone();
-        let host = Arc::clone(&self.host);
-        match action {
-            Action::Reserve {
-                replica,
-                model,
-                version,
-            } => leading.tasks.spawn(async move {
-                let answer = client.reserve(&replica, &model, &version).await;
-                Event::Reserved { replica, answer }
-            }),
-            Action::Issue {
-                replica,
-                order,
-                term,
-            } => leading.tasks.spawn(async move {
-                let command = CommandBody::IssueOrder {
-                    replica: replica.clone(),
-                    order,
-                    term,
-                };
-                let token = token_of(host.propose(command).await);
-                Event::Issued { replica, token }
-            }),
-            Action::Send { order, address } => leading.tasks.spawn(async move {
-                let answer = client.order(&address, &order).await;
-                Event::Sent {
-                    replica: order.replica,
-                    token: order.token,
-                    answer,
-                }
-            }),
-            Action::Settle { replica, token } => leading.tasks.spawn(async move {
-                let command = CommandBody::SettleOrder {
-                    replica: replica.clone(),
-                    token,
-                };
-                let answer = host.propose(command).await;
-                let ok = answer == ControlAnswer::Outcome(Outcome::Done);
-                Event::Settled { replica, token, ok }
-            }),
-        };
-    }
-
     fn take(&self, leading: &mut Leadership, event: Event) {
         let now = self.clock.now();
         let reconciler = &mut leading.reconciler;
@@ -284,6 +240,52 @@
     }
 }
 
+/// Does what the reconciler wants; what came of it.
+async fn carry_out<H: PlacementHost>(client: BackEndClient, host: Arc<H>, action: Action) -> Event {
+    match action {
+        Action::Reserve {
+            replica,
+            model,
+            version,
+        } => {
+            let answer = client.reserve(&replica, &model, &version).await;
+            Event::Reserved { replica, answer }
+        }
+        Action::Issue {
+            replica,
+            order,
+            term,
+        } => {
+            let command = CommandBody::IssueOrder {
+                replica: replica.clone(),
+                order,
+                term,
+            };
+            let token = token_of(host.propose(command).await);
+            Event::Issued { replica, token }
+        }
+        Action::Send { order, address } => {
+            let answer = client.order(&address, &order).await;
+            Event::Sent {
+                replica: order.replica,
+                token: order.token,
+                answer,
+            }
+        }
+        Action::Settle { replica, token } => {
+            let command = CommandBody::SettleOrder {
+                replica: replica.clone(),
+                token,
+            };
+            let answer = host.propose(command).await;
+            let ok = answer == ControlAnswer::Outcome(Outcome::Done);
+            Event::Settled { replica, token, ok }
+        }
+    }
+}
+
+/// The token under which an order was committed; `None` when it was not, or
+/// that is not known.
 fn token_of(answer: ControlAnswer) -> Option<FencingToken> {
     match answer {
         ControlAnswer::Outcome(Outcome::Order(token)) => Some(token),
