Let the virtual leader's view of the ledger lag by a step

Cause: tried by switching rules of the reconciler off one by one (looking before ordering, issuing anew in the new term, giving up for a dead engine, waiting for the weight store, passing over orders that are settled), all were found by the tests but the last, since the tests' view of the ledger was never late.

Change: the view is one step late, as the process's can be, and each order has to end exactly once.

Conclusion: each of the five rules, switched off, now fails a test.

--- a/crates/placement/tests/all/reconciler.rs
+++ b/crates/placement/tests/all/reconciler.rs
@@ -21,6 +21,8 @@
     assert_eq!((prefill, decode), (1, 3));
     assert_eq!(world.ledger.open_orders(), []);
     assert_eq!(world.loads(), 4, "each engine loads once");
+    let ended = world.reasons.iter().filter(|one| *one == "order_in_effect");
+    assert_eq!(ended.count(), 12, "a model, an adapter and a role each");
 }
 
 /// What happens to the engine `a01`, and whether the spare is loaded for it.
--- a/crates/placement/tests/all/world.rs
+++ b/crates/placement/tests/all/world.rs
@@ -47,6 +47,8 @@
     pub(crate) platform: PlatformCore,
     pub(crate) ledger: OrderLedger,
     pub(crate) leader: Reconciler,
+    /// The open orders of the ledger as the leader sees them, a step late.
+    view: Vec<IssuedOrder>,
     /// Actions of this kind are not carried out but kept.
     pub(crate) hold: Option<Held>,
     pub(crate) held: Vec<Action>,
@@ -105,6 +107,7 @@
             platform: PlatformCore::new(PlatformModel::default(), Vec::new()),
             ledger: OrderLedger::new(fleet_file),
             leader: Reconciler::new(PlacementLimits::default(), Term(1), Vec::new()),
+            view: Vec::new(),
             hold: None,
             held: Vec::new(),
             reasons: Vec::new(),
@@ -153,6 +156,7 @@
         let term = Term(self.leader.term().0 + 1);
         let next = Reconciler::new(PlacementLimits::default(), term, Vec::new());
         self.leader = next;
+        self.view = self.ledger.open_orders();
     }
 
     /// A process starts again with nothing loaded.
@@ -197,7 +201,7 @@
             .state()
             .fleet()
             .expect("a fleet file is in force");
-        let open = self.ledger.open_orders();
+        let open = std::mem::replace(&mut self.view, self.ledger.open_orders());
         for action in self.leader.step(now, &fleet, &open) {
             if self.hold.is_some_and(|held| held.is(&action)) {
                 self.held.push(action);
