Fold heartbeats into other messages; take scale runs into the capacity page

Cause: at 410 gateways and 600 engines a node exchanged 2,065 bytes/s with control, over the budget of 2,048; half of it loads told, 200 bytes/s heartbeats beside reports that show the same.

Change: a heartbeat is only sent when nothing else was since the last; a gateway is told of at most 60 changed loads a second instead of 75. The capacity command takes the results of a scale run into the measurements.

--- a/crates/control/src/load_teller.rs
+++ b/crates/control/src/load_teller.rs
@@ -17,8 +17,8 @@
 
 /// Time between two rounds, in milliseconds.
 const ROUND_MS: u64 = 1_000;
-/// Compact loads that a gateway is told of in one round of a second: 900 bytes.
-pub const MAX_LOADS_A_ROUND: usize = 75;
+/// Compact loads that a gateway is told of in one round of a second: 720 bytes.
+pub const MAX_LOADS_A_ROUND: usize = 60;
 /// How much more a change in the gateway's own zone weighs.
 const OWN_ZONE_WEIGHT: u64 = 4;
 
--- a/crates/gateway/src/control/attachment.rs
+++ b/crates/gateway/src/control/attachment.rs
@@ -124,6 +124,7 @@
         let mut receiver = connection.receiver;
         let mut checks = tokio::time::interval(CHECK_INTERVAL);
         let mut heartbeats = tokio::time::interval(HEARTBEAT_INTERVAL);
+        let mut sent_before = 0;
         let mut attached = false;
         loop {
             tokio::select! {
@@ -159,7 +160,12 @@
                     return false;
                 },
                 _ = heartbeats.tick(), if attached => {
-                    let _ = sender.try_send(&GatewayMessage::Heartbeat);
+                    let sent = self.traffic.snapshot().gateway.sent_frames;
+                    // Any message shows that the gateway lives.
+                    if sent == sent_before {
+                        let _ = sender.try_send(&GatewayMessage::Heartbeat);
+                    }
+                    sent_before = sent;
                 }
             }
         }
--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -1,17 +1,26 @@
 //! `linnethitch-lab capacity`: the measured tables of the capacity page.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use bpaf::Bpaf;
 use error_stack::{Report, ResultExt};
 use linnethitch_errors::ErrorKind;
-use linnethitch_scale::capacity::{MeasuredFile, render_page};
+use linnethitch_scale::{
+    capacity::{MeasuredFile, Source, render_page},
+    run::{ScaleResults, measurements},
+};
 
 use crate::{
     output::say,
     process::{Outcome, Verdict},
 };
 
+/// The command whose results are taken in.
+const SCALE_COMMAND: &str = "linnethitch-lab scale";
+
 /// The page and the measurements that its tables are made of:
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(arguments))]
@@ -23,19 +32,31 @@
         debug_fallback
     )]
     page: PathBuf,
-    /// The measurements, as `scale --measured` and `measure` write them
+    /// The measurements, as `measure state --measured` writes them
     #[bpaf(
         argument("FILE"),
         fallback(PathBuf::from("docs/capacity/measured.json")),
         debug_fallback
     )]
     measured: PathBuf,
+    /// Take the figures of a scale run in first: its results.json
+    #[bpaf(argument("FILE"))]
+    scale_results: Option<PathBuf>,
+    /// The commit that the scale run measured
+    #[bpaf(argument("COMMIT"), fallback("unknown".to_owned()), display_fallback)]
+    commit: String,
+    /// The day of the scale run, as 2026-01-31
+    #[bpaf(argument("DATE"), fallback("unknown".to_owned()), display_fallback)]
+    date: String,
     /// Change nothing; the exit status is 1 when the page differs from what it should be
     check: bool,
 }
 
 /// Renders the page; the verdict is bad when a check found it different.
 pub(crate) fn run(arguments: &Arguments) -> Outcome {
+    if let Some(results) = &arguments.scale_results {
+        take_in(arguments, results)?;
+    }
     let page = fs::read_to_string(&arguments.page)
         .change_context(ErrorKind::Io)
         .attach_with(|| arguments.page.display().to_string())?;
@@ -55,6 +76,26 @@
     Ok(Verdict::Good)
 }
 
+/// Puts the figures of a scale run into the measurements.
+fn take_in(arguments: &Arguments, results: &Path) -> Result<(), Report<ErrorKind>> {
+    let text = fs::read_to_string(results)
+        .change_context(ErrorKind::Io)
+        .attach_with(|| results.display().to_string())?;
+    let results: ScaleResults =
+        serde_json::from_str(&text).change_context(ErrorKind::MalformedRequest)?;
+    let source = Source {
+        command: SCALE_COMMAND.to_owned(),
+        commit: arguments.commit.clone(),
+        date: arguments.date.clone(),
+    };
+    let mut measured =
+        MeasuredFile::read(&arguments.measured).change_context(ErrorKind::MalformedRequest)?;
+    measured.merge(measurements(&results, &source));
+    measured
+        .write(&arguments.measured)
+        .change_context(ErrorKind::Io)
+}
+
 fn write_page(page: &PathBuf, text: &str) -> Result<(), Report<ErrorKind>> {
     fs::write(page, text)
         .change_context(ErrorKind::Io)
--- a/crates/scale/src/run/mod.rs
+++ b/crates/scale/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod back_ends;
 mod hollow_fleet;
 mod loads;
+mod measurements;
 mod operator;
 mod phases;
 mod processes;
@@ -18,6 +19,7 @@
 
 use crate::fleet::FleetPlan;
 use back_ends::BackEnds;
+pub use measurements::measurements;
 use phases::Phases;
 pub use processes::{MemberRole, run_member};
 pub use results::{Check, ScaleResults, Step};
--- a/crates/scale/src/run/phases.rs
+++ b/crates/scale/src/run/phases.rs
@@ -457,11 +457,11 @@
         return Vec::new();
     };
     let cores = last.hollow.cores + full.gateway_change_seconds * CHANGES_A_SECOND;
-    let check = |name, limit, found, unit| Check {
-        name,
+    let check = |name: &str, limit, found, unit: &str| Check {
+        name: name.to_owned(),
         limit,
         found,
-        unit,
+        unit: unit.to_owned(),
     };
     vec![
         check("processor of a node", 1.1, cores * 100.0, "% of a core"),
--- a/crates/scale/src/run/report.rs
+++ b/crates/scale/src/run/report.rs
@@ -86,7 +86,7 @@
     writeln!(text, "| Budget | Limit | Found | |\n|---|---|---|---|")?;
     for check in &results.checks {
         let kept = if check.is_kept() { "kept" } else { "BROKEN" };
-        let (limit, found, unit) = (check.limit, check.found, check.unit);
+        let (limit, found, unit) = (check.limit, check.found, &check.unit);
         writeln!(
             text,
             "| {} | {limit} {unit} | {found:.3} {unit} | {kept} |",
--- a/crates/scale/src/run/results.rs
+++ b/crates/scale/src/run/results.rs
@@ -1,9 +1,9 @@
 //! What a scale run found.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Cost of a role in a steady time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoleCost {
     /// Cores.
     pub cores: f64,
@@ -16,7 +16,7 @@
 }
 
 /// A number of tenants, with the real gateways attached.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TenantStep {
     /// Tenants of the fleet file.
     pub tenants: u64,
@@ -37,7 +37,7 @@
 }
 
 /// A number of gateways.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Step {
     /// Gateways, real ones included.
     pub gateways: u64,
@@ -57,7 +57,7 @@
 }
 
 /// What happens once, at the full size.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Events {
     /// Changes of the burst.
     pub burst_changes: u64,
@@ -80,16 +80,16 @@
 }
 
 /// A budget and what was found.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Check {
     /// What is limited.
-    pub name: &'static str,
+    pub name: String,
     /// The limit.
     pub limit: f64,
     /// What was found.
     pub found: f64,
     /// The unit of both.
-    pub unit: &'static str,
+    pub unit: String,
 }
 
 impl Check {
@@ -101,7 +101,7 @@
 }
 
 /// Everything that was found.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ScaleResults {
     /// Emulated replicas.
     pub replicas: u64,
@@ -131,7 +131,7 @@
             .checks
             .iter()
             .filter(|check| !check.is_kept())
-            .map(|check| check.name)
+            .map(|check| check.name.as_str())
             .collect();
         if broken.is_empty() {
             "PASS: every budget is kept".to_owned()
