--- a/crates/lab/src/measure/state/measurements.rs
+++ b/crates/lab/src/measure/state/measurements.rs
@@ -63,20 +63,6 @@
             Dimension::ItemsOfOneJob,
             point(heap.items, heap.step_seconds("accepted")),
         ));
-        measurements.push(template(
-            "time.ledger.restore",
-            Kind::Time,
-            "restoring the full state from its snapshot",
-            Dimension::Tenants,
-            point(arguments.tenants, full.restore_seconds),
-        ));
-        measurements.push(template(
-            "disk.ledger.snapshot",
-            Kind::Disk,
-            "a snapshot without payloads",
-            Dimension::Jobs,
-            point(day.jobs, full.snapshot_bytes as f64),
-        ));
         measurements.push(Measurement {
             each: Some(Frequency::Item),
             ..template(
