Write reports with plots; experiments on routing and decision cost

Cause: experiments printed tables only, and nothing asked what stale loads, many gateways, mixed lengths and prefix affinity are worth, nor what a decision costs.

--- a/crates/experiments/src/deployment.rs
+++ b/crates/experiments/src/deployment.rs
@@ -18,6 +18,18 @@
 /// One-way latency to another zone in Yeongnam, in microseconds.
 const YEONGNAM_ZONE_MICROS: u64 = 500;
 
+/// Zones of the size to design for.
+const DESIGN_ZONES: usize = 7;
+
+/// Replicas of the size to design for.
+const DESIGN_ENGINES: usize = 600;
+
+/// Gateways of the size to design for.
+const DESIGN_GATEWAYS: usize = 410;
+
+/// Online requests per second and replica at the peak of the size to design for.
+const DESIGN_REQUESTS_PER_ENGINE: f64 = 2.0;
+
 /// A fleet of engines, the gateways before it and what its callers do.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -58,6 +70,23 @@
         Deployment::from_fleet_file(text, YEONGNAM_ZONE_MICROS, Workload::hanbit())
     }
 
+    /// 600 replicas before 410 gateways in seven zones, each replica and caller like
+    /// those of Granite Lane at the peak of 1,200 requests a second.
+    ///
+    /// # Errors
+    /// [`ErrorKind::InvalidConfiguration`] when the example file is not valid.
+    pub fn design_size() -> Result<Deployment, ErrorKind> {
+        let mut design = Deployment::granite_lane()?;
+        design.name = "design-size".to_owned();
+        design.zones = (1..=DESIGN_ZONES)
+            .map(|zone| ZoneId(format!("zone-{zone}")))
+            .collect();
+        design.engine_zones = (0..DESIGN_ENGINES).map(|one| one % DESIGN_ZONES).collect();
+        design.gateway_zones = (0..DESIGN_GATEWAYS).map(|one| one % DESIGN_ZONES).collect();
+        design.workload.online_per_engine = DESIGN_REQUESTS_PER_ENGINE;
+        Ok(design)
+    }
+
     fn from_fleet_file(
         text: &str,
         zone_micros: u64,
--- a/crates/experiments/src/experiment.rs
+++ b/crates/experiments/src/experiment.rs
@@ -1,12 +1,16 @@
 //! The experiments by name.
 
 mod batch_fill;
+mod decision_cost;
 mod isolation;
+mod routing;
 
 use linnethitch_emulator::{Time, engine::EngineModel};
 use linnethitch_errors::ErrorKind;
 
-use crate::{Deployment, Table, simulation::RunSettings};
+use crate::{Deployment, Table, plot::Plot, simulation::RunSettings};
+
+pub use decision_cost::{loaded_router, request};
 
 /// Parameters of an experiment.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,6 +49,8 @@
 pub struct Finding {
     /// Its tables.
     pub tables: Vec<Table>,
+    /// Its plots.
+    pub plots: Vec<Plot>,
 }
 
 /// A named experiment.
@@ -58,7 +64,7 @@
 }
 
 /// All experiments, in the order of the report.
-pub const EXPERIMENTS: [Experiment; 3] = [
+pub const EXPERIMENTS: [Experiment; 6] = [
     Experiment {
         name: "isolation",
         question: "What does batch work cost online requests, and how much batch work gets done?",
@@ -74,13 +80,38 @@
         question: "How much of the idle capacity does batch work use, next to an oracle?",
         run: batch_fill::run,
     },
+    Experiment {
+        name: "stale-load",
+        question: "What do load reports cost that are 0.1 to 5 s old?",
+        run: routing::run_stale_load,
+    },
+    Experiment {
+        name: "herding",
+        question: "Do 410 gateways with the same stale view run to the same replicas?",
+        run: routing::run_herding,
+    },
+    Experiment {
+        name: "mixed-lengths",
+        question: "Do short requests wait behind long ones, and what is prefix affinity worth?",
+        run: routing::run_mixed_lengths,
+    },
 ];
 
+/// Measured on the clock of this machine, so not part of `all`.
+pub const DECISION_COST: Experiment = Experiment {
+    name: "decision-cost",
+    question: "What do one choice and one admission cost?",
+    run: decision_cost::run,
+};
+
 impl Experiment {
     /// The experiment with a name.
     #[must_use]
     pub fn find(name: &str) -> Option<Experiment> {
-        EXPERIMENTS.into_iter().find(|one| one.name == name)
+        EXPERIMENTS
+            .into_iter()
+            .chain([DECISION_COST])
+            .find(|one| one.name == name)
     }
 
     /// Runs it.
--- a/crates/experiments/src/experiment/batch_fill.rs
+++ b/crates/experiments/src/experiment/batch_fill.rs
@@ -10,6 +10,7 @@
 use crate::{
     Deployment, Table,
     outcome::Outcome,
+    plot::{Mark, Plot, Series},
     strategy::{OracleLimits, Strategy},
     trace::generate,
 };
@@ -60,12 +61,14 @@
 pub(super) fn run(settings: &Settings) -> Result<Finding, ErrorKind> {
     let mut finding = Finding::default();
     for deployment in deployments()? {
-        finding.tables.push(sweep(&deployment, settings));
+        let rows = sweep(&deployment, settings);
+        finding.tables.push(to_table(&deployment.name, &rows));
+        finding.plots.push(frontier(&deployment.name, &rows));
     }
     Ok(finding)
 }
 
-fn sweep(deployment: &Deployment, settings: &Settings) -> Table {
+fn sweep(deployment: &Deployment, settings: &Settings) -> Vec<Row> {
     let trace = generate(deployment, settings.seconds as f64, settings.seed);
     let alone = run_one(deployment, &trace, Strategy::without_batch(), settings);
     let linnethitch = run_one(deployment, &trace, Strategy::linnethitch(), settings);
@@ -78,7 +81,27 @@
         );
         rows.push(Row::new(name, &outcome, &alone));
     }
-    to_table(&deployment.name, &rows)
+    rows
+}
+
+/// Throughput over harm.
+fn frontier(deployment: &str, rows: &[Row]) -> Plot {
+    let point = |row: &Row| (row.between_harm.max(row.first_harm), row.rate);
+    let series = |name: &str, rows: &[Row]| Series {
+        name: name.to_owned(),
+        points: rows.iter().map(point).collect(),
+    };
+    Plot {
+        name: format!("batch-fill-{deployment}-frontier"),
+        title: format!("batch-fill, {deployment}: throughput over harm"),
+        x_label: "the larger of both harms",
+        y_label: "batch tokens/s",
+        mark: Mark::Point,
+        series: vec![
+            series("linnethitch", &rows[..1]),
+            series("oracle", &rows[1..]),
+        ],
+    }
 }
 
 fn oracles() -> Vec<OracleLimits> {
--- a/crates/experiments/src/experiment/isolation.rs
+++ b/crates/experiments/src/experiment/isolation.rs
@@ -6,6 +6,7 @@
 use crate::{
     Deployment, Table,
     outcome::Outcome,
+    plot::{Mark, Plot, Series},
     simulation::Simulation,
     strategy::Strategy,
     trace::{Trace, generate},
@@ -49,20 +50,54 @@
     for deployment in deployments()? {
         let title = format!("{name}: {}", deployment.name);
         let mut table = Table::new(title, &COLUMNS);
-        for (strategy, outcome, alone) in measure(&deployment, strategies, settings) {
-            table.push(row(strategy.name, &outcome, &alone));
+        let measured = measure(&deployment, strategies, settings);
+        for (strategy, outcome, alone) in &measured {
+            table.push(row(strategy.name, outcome, alone));
         }
         finding.tables.push(table);
+        finding
+            .plots
+            .extend(plots(name, &deployment.name, &measured));
     }
     Ok(finding)
 }
 
+type Measured = (Strategy, Outcome, Outcome);
+
+fn plots(experiment: &str, deployment: &str, measured: &[Measured]) -> [Plot; 3] {
+    let plot = |kind: &str, x_label, y_label, points: &dyn Fn(&Outcome) -> Vec<(f64, f64)>| Plot {
+        name: format!("{experiment}-{deployment}-{kind}"),
+        title: format!("{experiment}, {deployment}: {kind}"),
+        x_label,
+        y_label,
+        mark: Mark::Line,
+        series: measured
+            .iter()
+            .filter(|(strategy, ..)| strategy.name != "shared queue")
+            .map(|(strategy, outcome, _)| Series {
+                name: strategy.name.to_owned(),
+                points: points(outcome),
+            })
+            .collect(),
+    };
+    [
+        plot("first-token", "ms", "share", &|outcome| {
+            outcome.first_token.distribution()
+        }),
+        plot("between-tokens", "ms", "share", &|outcome| {
+            outcome.between_tokens.distribution()
+        }),
+        plot("batch-timeline", "s", "batch tokens/s", &|outcome| {
+            let seconds = outcome.batch_timeline.iter().enumerate();
+            seconds
+                .map(|(second, tokens)| (second as f64, *tokens as f64))
+                .collect()
+        }),
+    ]
+}
+
 /// Runs online alone and then each strategy, on one trace.
-fn measure(
-    deployment: &Deployment,
-    strategies: &[Strategy],
-    settings: &Settings,
-) -> Vec<(Strategy, Outcome, Outcome)> {
+fn measure(deployment: &Deployment, strategies: &[Strategy], settings: &Settings) -> Vec<Measured> {
     let trace = generate(deployment, settings.seconds as f64, settings.seed);
     let alone = run_one(deployment, &trace, Strategy::without_batch(), settings);
     let mut measured = vec![(Strategy::without_batch(), alone.clone(), alone.clone())];
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod deployment;
 pub mod experiment;
 mod outcome;
+pub mod plot;
+pub mod report;
 mod simulation;
 mod strategy;
 mod table;
--- a/crates/experiments/src/outcome.rs
+++ b/crates/experiments/src/outcome.rs
@@ -31,6 +31,15 @@
         self.histogram.saturating_record(micros.max(1));
     }
 
+    /// The cumulative distribution as pairs of milliseconds and share.
+    pub(crate) fn distribution(&self) -> Vec<(f64, f64)> {
+        const STEPS: u32 = 500;
+        (1..STEPS)
+            .map(|step| f64::from(step) / f64::from(STEPS))
+            .map(|share| (self.percentile_ms(share * 100.0), share))
+            .collect()
+    }
+
     /// A percentile, in milliseconds.
     pub(crate) fn percentile_ms(&self, percentile: f64) -> f64 {
         self.histogram.value_at_percentile(percentile) as f64 / MICROS_PER_MILLI
--- a/crates/experiments/src/simulation/online.rs
+++ b/crates/experiments/src/simulation/online.rs
@@ -72,7 +72,11 @@
             phase: Phase::Whole,
             prompt_tokens: prompt.prompt_tokens,
             expected_output_tokens: prompt.output_tokens,
-            prefix_hashes: &prompt.prefix_hashes,
+            prefix_hashes: if self.strategy.prefix_affinity {
+                &prompt.prefix_hashes
+            } else {
+                &[]
+            },
             deadline: Timestamp(now.0 + self.deployment.routing.default_deadline_ms),
             exclude: &[],
         };
--- a/crates/experiments/src/strategy.rs
+++ b/crates/experiments/src/strategy.rs
@@ -52,6 +52,8 @@
     pub(crate) online: OnlineDispatch,
     /// How batch items find theirs.
     pub(crate) batch: BatchDispatch,
+    /// Whether the router looks for engines that hold a prompt's prefix.
+    pub(crate) prefix_affinity: bool,
     /// Whether engines know that batch is less urgent.
     pub(crate) engine_priority: bool,
     /// Whether batch steps aside on the gateways' word.
@@ -69,6 +71,7 @@
             name: "linnethitch",
             online: OnlineDispatch::Router,
             batch: BatchDispatch::Granted,
+            prefix_affinity: true,
             engine_priority: true,
             yields: true,
             yielding: YieldSettings::default(),
--- a/crates/experiments/src/table.rs
+++ b/crates/experiments/src/table.rs
@@ -2,8 +2,10 @@
 
 use std::fmt::Write;
 
+use serde::Serialize;
+
 /// A table with a title.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Table {
     /// What it shows.
     pub title: String,
@@ -70,6 +72,22 @@
             .collect()
     }
 
+    /// The table in HTML, with its title above.
+    #[must_use]
+    pub fn to_html(&self) -> String {
+        let line = |cells: &[String], tag: &str| {
+            let cells = cells.iter().map(|cell| format!("<{tag}>{cell}</{tag}>"));
+            format!("<tr>{}</tr>", cells.collect::<String>())
+        };
+        let rows = self.rows.iter().map(|row| line(row, "td"));
+        format!(
+            "<h3>{}</h3><table>{}{}</table>",
+            self.title,
+            line(&self.columns, "th"),
+            rows.collect::<String>()
+        )
+    }
+
     /// The table in Markdown, with its title above.
     #[must_use]
     pub fn to_markdown(&self) -> String {
--- a/crates/experiments/tests/all/main.rs
+++ b/crates/experiments/tests/all/main.rs
@@ -2,3 +2,4 @@
 //! linnethitch is built for.
 
 mod isolation;
+mod report;
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,9 +1,15 @@
 //! `linnethitch-lab experiment`: the decisions against emulated engines in virtual time.
 
+use std::path::PathBuf;
+
 use bpaf::Bpaf;
 use error_stack::{Report, ResultExt};
 use linnethitch_errors::ErrorKind;
-use linnethitch_experiments::{Experiment, Settings, experiment::EXPERIMENTS};
+use linnethitch_experiments::{
+    Experiment, Settings,
+    experiment::{DECISION_COST, EXPERIMENTS},
+    report::{self, Section},
+};
 
 use crate::{
     output::say,
@@ -20,6 +26,9 @@
     /// Length of a run in virtual time, in seconds
     #[bpaf(argument("SECONDS"), fallback(100), display_fallback)]
     seconds: u64,
+    /// Folder for the report; made where it is missing
+    #[bpaf(argument("DIR"))]
+    output: Option<PathBuf>,
     /// Name of the experiment, or `all`; without one, the names are listed
     #[bpaf(positional("NAME"))]
     name: Option<String>,
@@ -37,6 +46,7 @@
         seconds: arguments.seconds,
         ..Settings::default()
     };
+    let mut sections = Vec::new();
     for experiment in chosen {
         let finding = experiment
             .run(&settings)
@@ -45,12 +55,21 @@
         for table in &finding.tables {
             say(&table.to_text());
         }
+        sections.push(Section {
+            experiment,
+            finding,
+        });
+    }
+    if let Some(folder) = &arguments.output {
+        report::write(folder, &settings, &sections)
+            .map_err(Report::new)
+            .attach_with(|| format!("can not write the report to {}", folder.display()))?;
     }
     Ok(Verdict::Good)
 }
 
 fn list() {
-    for experiment in EXPERIMENTS {
+    for experiment in EXPERIMENTS.into_iter().chain([DECISION_COST]) {
         say(&format!("{:<16} {}", experiment.name, experiment.question));
     }
 }
