--- a/crates/control/src/member/view.rs
+++ b/crates/control/src/member/view.rs
@@ -33,6 +33,8 @@
     pub applied: LogIndex,
     /// Items pending, by model.
     pub pending: Vec<PendingItems>,
+    /// Orders to engines that are not settled.
+    pub open_orders: usize,
     /// Results dropped so far, since another was first or the job had stopped.
     pub dropped_results: u64,
     /// Bytes of the files and results that are kept.
@@ -66,6 +68,7 @@
             fleet: self.ledger.fleet(),
             applied: self.applied,
             pending: self.ledger.pending_items(),
+            open_orders: self.ledger.open_orders().count(),
             dropped_results: self.ledger.dropped_results(),
             payload_bytes: self.ledger.payload_bytes(),
             members: self.member_statuses(),
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -18,6 +18,7 @@
     log_bytes: Gauge,
     disk_full: Gauge,
     pending_items: Gauge,
+    open_orders: Gauge,
     dropped_results: Gauge,
     payload_bytes: Gauge,
     sent_bytes: Gauge,
@@ -46,6 +47,10 @@
                 "1 while new work is refused for want of space, else 0",
             ),
             pending_items: metrics.gauge("control_pending_items", "Batch items that wait"),
+            open_orders: metrics.gauge(
+                "control_open_orders",
+                "Orders to engines that are not settled",
+            ),
             dropped_results: metrics.gauge(
                 "control_dropped_results",
                 "Results of batch items that were dropped: another was first, or the job had stopped",
@@ -77,6 +82,7 @@
         self.disk_full.set(i64::from(view.disk_full));
         let pending = view.pending.iter().map(|pending| pending.count).sum();
         self.pending_items.set(as_gauge(pending));
+        self.open_orders.set(as_gauge(view.open_orders as u64));
         self.dropped_results.set(as_gauge(view.dropped_results));
         self.payload_bytes.set(as_gauge(view.payload_bytes));
         let traffic = self.traffic.snapshot();
