Bound what a leader sends and a member applies between two heartbeats

Cause: a trial (five members in one process, debug build, a job of 60,000 items, one disk wiped) never repaired the disk: a leader read and encoded up to 64 MiB of log for the blank disk in one step, was silent for longer than an election timeout, and lost leadership again and again; stacks showed it in reading the log for the learner. Change: appends under way to one member are bounded by 4 MiB besides their number; one flush applies about 4 MiB and goes on with the next one, so that ticks and messages pass in between.

--- a/crates/consensus/src/inflight.rs
+++ b/crates/consensus/src/inflight.rs
@@ -4,33 +4,42 @@
 
 use linnethitch_protocol::ids::LogIndex;
 
-/// The last index of each append message that is not yet acknowledged.
+/// One append message.
+struct InflightAppend {
+    last_index: LogIndex,
+    bytes: usize,
+}
+
+/// The append messages that are not yet acknowledged.
 #[derive(Default)]
 pub(crate) struct InflightAppends {
-    last_indexes: VecDeque<LogIndex>,
+    appends: VecDeque<InflightAppend>,
+    bytes: usize,
 }
 
 impl InflightAppends {
-    pub(crate) fn len(&self) -> usize {
-        self.last_indexes.len()
+    /// Whether another message may be sent; one always may when none is under way.
+    pub(crate) fn has_room(&self, max_appends: usize, max_bytes: usize) -> bool {
+        self.appends.is_empty() || (self.appends.len() < max_appends && self.bytes < max_bytes)
     }
 
-    pub(crate) fn add(&mut self, last_index: LogIndex) {
-        self.last_indexes.push_back(last_index);
+    pub(crate) fn add(&mut self, last_index: LogIndex, bytes: usize) {
+        self.bytes += bytes;
+        self.appends.push_back(InflightAppend { last_index, bytes });
     }
 
     /// Frees the messages whose entries are all acknowledged.
     pub(crate) fn acknowledge(&mut self, matched: LogIndex) {
-        while self
-            .last_indexes
-            .front()
-            .is_some_and(|last| *last <= matched)
+        while let Some(append) = self.appends.front()
+            && append.last_index <= matched
         {
-            self.last_indexes.pop_front();
+            self.bytes -= append.bytes;
+            self.appends.pop_front();
         }
     }
 
     pub(crate) fn clear(&mut self) {
-        self.last_indexes.clear();
+        self.appends.clear();
+        self.bytes = 0;
     }
 }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     log_view::LogView,
-    pending_log::PendingLog,
+    pending_log::{PendingLog, entry_bytes},
     progress::{Progress, SendState, SnapshotTransfer},
     settings::Settings,
 };
@@ -77,19 +77,26 @@
         outbox: &mut Vec<ConsensusMessage>,
     ) {
         let last_index = self.pending.last_index();
-        let window = self.settings.max_inflight_appends;
-        while progress.next <= last_index && progress.inflight.len() < window {
+        while progress.next <= last_index && self.has_room(progress) {
             let Some(batch) = self.batch(progress.next) else {
                 self.start_snapshot(to, progress, outbox);
                 return;
             };
             let sent_to = LogIndex(batch.previous_index.0 + batch.entries.len() as u64);
-            progress.inflight.add(sent_to);
+            let bytes = batch.entries.iter().map(entry_bytes).sum();
+            progress.inflight.add(sent_to, bytes);
             progress.next = LogIndex(sent_to.0 + 1);
             outbox.push(self.append(to, progress, batch));
         }
     }
 
+    fn has_room(&self, progress: &Progress) -> bool {
+        let settings = self.settings;
+        progress
+            .inflight
+            .has_room(settings.max_inflight_appends, settings.max_inflight_bytes)
+    }
+
     /// The entries from an index on; `None` when the log does not reach back to it.
     fn batch(&self, next: LogIndex) -> Option<Batch> {
         let previous_index = LogIndex(next.0 - 1);
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -11,6 +11,7 @@
 const DEFAULT_HEARTBEAT_TICKS: u32 = 3;
 const DEFAULT_APPEND_BYTES: usize = 1024 * 1024;
 const DEFAULT_INFLIGHT_APPENDS: usize = 64;
+const DEFAULT_INFLIGHT_BYTES: usize = 4 * 1024 * 1024;
 const DEFAULT_UNCOMMITTED_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_SNAPSHOT_CHUNK_BYTES: usize = 1024 * 1024;
 
@@ -28,6 +29,10 @@
     pub max_append_bytes: usize,
     /// Append messages under way to one member before the leader waits.
     pub max_inflight_appends: usize,
+    /// Bytes of entries under way to one member after which no further append
+    /// is sent. All of it may be read and encoded between two heartbeats, so it
+    /// must take far less time than an election timeout.
+    pub max_inflight_bytes: usize,
     /// Payload bytes proposed and not yet committed before proposals are refused.
     pub max_uncommitted_bytes: usize,
     /// Bytes of one snapshot chunk.
@@ -49,6 +54,7 @@
             heartbeat_ticks: DEFAULT_HEARTBEAT_TICKS,
             max_append_bytes: DEFAULT_APPEND_BYTES,
             max_inflight_appends: DEFAULT_INFLIGHT_APPENDS,
+            max_inflight_bytes: DEFAULT_INFLIGHT_BYTES,
             max_uncommitted_bytes: DEFAULT_UNCOMMITTED_BYTES,
             snapshot_chunk_bytes: DEFAULT_SNAPSHOT_CHUNK_BYTES,
             seed,
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -126,10 +126,15 @@
         }
     }
 
-    /// Takes what has come, waiting until the next tick at most; `false` when
+    /// Takes what has come, waiting until the next tick at most, and not at all
+    /// while there is work left; `false` when
     /// nobody is left who could send anything.
     fn take_inputs(&mut self) -> bool {
-        let wait = self.next_tick.saturating_duration_since(Instant::now());
+        let wait = if self.member.has_unapplied() {
+            Duration::ZERO
+        } else {
+            self.next_tick.saturating_duration_since(Instant::now())
+        };
         let inputs = &mut self.shared.inputs;
         let first = self
             .waiting
--- a/crates/control/src/member/apply.rs
+++ b/crates/control/src/member/apply.rs
@@ -17,24 +17,37 @@
     output::MemberNotice,
 };
 
-/// Bytes of entries that are read at once to be applied.
-const APPLY_READ_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of entries that are applied in one flush, about.
+const APPLY_BYTES: usize = 4 * 1024 * 1024;
 
 impl Member {
+    /// Applies committed entries, at most so much that messages and time do not
+    /// wait long for it.
     pub(super) fn apply_committed(&mut self) -> Result<(), Report<ErrorKind>> {
-        let status = self.node.status();
-        let committed = status.committed.min(status.synced);
-        while self.applied < committed {
-            let next = LogIndex(self.applied.0 + 1);
-            let end = LogIndex(committed.0 + 1);
-            let entries = self.store.log.entries(next, end, APPLY_READ_BYTES)?;
-            for entry in &entries {
-                self.apply(entry)?;
-            }
+        if !self.has_unapplied() {
+            return Ok(());
+        }
+        let next = LogIndex(self.applied.0 + 1);
+        let end = LogIndex(self.appliable().0 + 1);
+        let entries = self.store.log.entries(next, end, APPLY_BYTES)?;
+        for entry in &entries {
+            self.apply(entry)?;
         }
         Ok(())
     }
 
+    /// Whether committed entries wait to be applied: the next flush goes on with them.
+    #[must_use]
+    pub fn has_unapplied(&self) -> bool {
+        self.applied < self.appliable()
+    }
+
+    /// The last index that is committed and stored here.
+    fn appliable(&self) -> LogIndex {
+        let status = self.node.status();
+        status.committed.min(status.synced)
+    }
+
     fn apply(&mut self, entry: &Entry) -> Result<(), Report<ErrorKind>> {
         let answer = match &entry.payload {
             EntryPayload::Command(bytes) => Some(self.apply_command(entry.index, bytes)?),
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -6,6 +6,7 @@
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall, PeerMessage},
     command::{ApplyOutcome, CommandBody, Outcome},
+    frame,
     ids::{CallId, ChangeId, DiskId, MachineId, MemberId, Revision, Timestamp},
     query::{Query, QueryAnswer},
 };
@@ -42,6 +43,8 @@
     pub(crate) answers: BTreeMap<(MachineId, CallId), ControlAnswer>,
     pub(crate) notices: Vec<(MachineId, MemberNotice)>,
     pub(crate) snapshot_log_bytes: u64,
+    /// The most bytes that one flush has given out.
+    pub(crate) largest_burst: usize,
     messages: Vec<Message>,
     next_call: u64,
     next_disk: u64,
@@ -69,6 +72,7 @@
             answers: BTreeMap::new(),
             notices: Vec::new(),
             snapshot_log_bytes,
+            largest_burst: 0,
             messages: Vec::new(),
             next_call: 0,
             next_disk: 100,
@@ -199,13 +203,17 @@
             if let Err(report) = member.flush() {
                 panic!("member {number} stopped: {report:?}");
             }
+            let mut burst = 0;
             for output in member.take_outputs() {
                 match output {
-                    MemberOutput::Send { to, message } => self.messages.push(Message {
-                        from: *number,
-                        to,
-                        message,
-                    }),
+                    MemberOutput::Send { to, message } => {
+                        burst += frame::encode(&message).expect("a frame").len();
+                        self.messages.push(Message {
+                            from: *number,
+                            to,
+                            message,
+                        });
+                    }
                     MemberOutput::Answer { call, body } => {
                         let earlier = self.answers.insert((*number, call), body);
                         assert_eq!(earlier, None, "a call was answered twice");
@@ -213,6 +221,7 @@
                     MemberOutput::Notice(notice) => self.notices.push((*number, notice)),
                 }
             }
+            self.largest_burst = self.largest_burst.max(burst);
         }
     }
 
--- a/crates/control/tests/all/member.rs
+++ b/crates/control/tests/all/member.rs
@@ -6,7 +6,8 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall},
-    ids::{DiskId, MachineId},
+    command::CommandBody,
+    ids::{DiskId, FileId, MachineId, TenantId},
     query::Query,
 };
 use rstest::rstest;
@@ -157,6 +158,42 @@
     assert_eq!(cluster.apply(4, "after", 20, "after"), accepted(21));
 }
 
+#[test]
+fn a_replaced_disk_is_filled_in_bursts_that_leave_time_for_heartbeats() {
+    const PIECE: usize = 256 * 1024;
+    const LARGEST_BURST: usize = 6 * 1024 * 1024;
+    let mut cluster = Cluster::formed(3);
+    let leader = cluster.leader().expect("a leader");
+    let other = leader % 3 + 1;
+    let file = FileId::from("file-1");
+    let create = CommandBody::CreateFile {
+        file: file.clone(),
+        tenant: TenantId::from("one"),
+        purpose: "batch".to_owned(),
+        filename: String::new(),
+    };
+    cluster.call(leader, ControlCall::Propose(create));
+    for piece in 0..64 {
+        let append = CommandBody::AppendFile {
+            file: file.clone(),
+            offset: piece * PIECE as u64,
+            data: vec![b'x'; PIECE],
+        };
+        cluster.call(leader, ControlCall::Propose(append));
+    }
+    cluster.largest_burst = 0;
+    cluster.lose_disk(other);
+    cluster.run_until_all_vote();
+    cluster.run_until("it has everything", |cluster| {
+        cluster.member(other).applied() == cluster.member(leader).applied()
+    });
+    assert!(
+        cluster.largest_burst < LARGEST_BURST,
+        "{} bytes at once",
+        cluster.largest_burst
+    );
+}
+
 #[test]
 fn two_machines_lost_right_after_a_repair_of_two_lose_nothing() {
     let mut cluster = Cluster::formed(5);
