Pass an empty list of the platform over while replicas answer

Cause: one empty answer of the platform would have taken every back end from every gateway and made placement give all open orders up.

Change: an empty list is not believed while some replica answers, with the reason list_empty once. When none answers any more it counts.

Conclusion: reconciler::an_empty_list_is_not_believed_while_engines_answer.

--- a/crates/placement/src/reconciler/mod.rs
+++ b/crates/placement/src/reconciler/mod.rs
@@ -81,6 +81,8 @@
     work: BTreeMap<ReplicaId, Work>,
     /// The newest token of each engine's orders that are over.
     over: BTreeMap<ReplicaId, FencingToken>,
+    /// Whether the last list was empty and not believed.
+    list_was_empty: bool,
     /// What had to wait at the last step, to be told once.
     postponed: Vec<Postponed>,
     records: Vec<JournalRecord>,
@@ -97,6 +99,7 @@
             store: WeightStore::default(),
             work: BTreeMap::new(),
             over: BTreeMap::new(),
+            list_was_empty: false,
             postponed: Vec::new(),
             records: Vec::new(),
         }
@@ -108,8 +111,13 @@
         self.term
     }
 
-    /// Takes the platform's list.
+    /// Takes the platform's list. An empty one is not believed while replicas
+    /// answer: it would take every back end from every gateway.
     pub fn listed(&mut self, now: Timestamp, machines: Vec<Machine>) {
+        if machines.is_empty() && self.observed.any_answers(now) {
+            return self.note_empty_list(now);
+        }
+        self.list_was_empty = false;
         self.observed.list(now, machines);
         self.over
             .retain(|replica, _| !self.observed.is_gone(replica));
@@ -214,6 +222,18 @@
         self.work.insert(replica, work);
     }
 
+    /// Journals the first of the empty lists that follow each other.
+    fn note_empty_list(&mut self, now: Timestamp) {
+        if self.list_was_empty {
+            return;
+        }
+        self.list_was_empty = true;
+        let reason = ReasonCode::ListEmpty.as_str();
+        let subject = Subject::default();
+        let record = JournalRecord::new(now.0, DecisionKind::Placement, subject, reason);
+        self.records.push(record);
+    }
+
     /// Journals what waits, when that differs from the last step.
     fn note_postponed(&mut self, now: Timestamp, postponed: Vec<Postponed>) {
         for waits in &postponed {
--- a/crates/placement/src/reconciler/observed.rs
+++ b/crates/placement/src/reconciler/observed.rs
@@ -115,6 +115,12 @@
         self.inherited.clear();
     }
 
+    /// Whether some replica of the list answers.
+    pub(super) fn any_answers(&self, now: Timestamp) -> bool {
+        let mut replicas = self.replicas.values();
+        replicas.any(|observed| observed.health(now, &self.limits) == ReplicaHealth::Answering)
+    }
+
     fn first_seen(&mut self, now: Timestamp, machine: Machine) -> Observed {
         self.changed = true;
         let engine = self.inherited.remove(&machine.replica);
--- a/crates/placement/tests/all/reconciler.rs
+++ b/crates/placement/tests/all/reconciler.rs
@@ -73,6 +73,37 @@
     assert_eq!(world.loads(), 0);
 }
 
+#[test]
+fn an_empty_list_is_not_believed_while_engines_answer() {
+    let mut world = World::new(&fleet_file("v1", 2, 0, "")).with("a", 2, Some("v1"));
+    world.run_ms(5 * SECOND);
+    let listed = world.platform.current().to_vec();
+    let set = |world: &mut World, machines| {
+        let now = linnethitch_emulator::Time::from_millis(world.now_ms);
+        world.platform.set_machines(now, machines);
+    };
+    set(&mut world, Vec::new());
+    world.leader.take_changed_replicas(Timestamp(world.now_ms));
+    world.run_ms(10 * SECOND);
+    let now = Timestamp(world.now_ms);
+    assert_eq!(world.leader.take_changed_replicas(now), None);
+    assert!(world.decided("list_empty"));
+    world
+        .engines
+        .values_mut()
+        .for_each(|one| one.answers = false);
+    world.run_ms(10 * SECOND);
+    let now = Timestamp(world.now_ms);
+    assert_eq!(world.leader.take_changed_replicas(now), Some(Vec::new()));
+    set(&mut world, listed);
+    world
+        .engines
+        .values_mut()
+        .for_each(|one| one.answers = true);
+    world.run_ms(10 * SECOND);
+    assert_eq!((world.loads(), world.serving("a", "v1")), (0, 2));
+}
+
 /// One engine that does not answer holds the others back for a moment only.
 #[rstest]
 #[case::all_answer(true, 2 * SECOND, Some(3))]
--- a/crates/routing/src/reason.rs
+++ b/crates/routing/src/reason.rs
@@ -148,6 +148,8 @@
     OrderTakenOver => "order_taken_over";
     /// The replica is dead or no longer on the platform's list.
     ReplicaGone => "replica_gone";
+    /// The platform's list was empty although replicas answer, so it was passed over.
+    ListEmpty => "list_empty";
 }
 
 impl ReasonCode {
