Make the test of clocks apart fail without the conversion

Change: control's clock is off from its first command on, and the test waits for a renewal and reads the session's end in the ledger. A session is opened once the first stamp has told the offset, so that no renewal goes out without it.

--- a/crates/gateway/src/control/clock_offset.rs
+++ b/crates/gateway/src/control/clock_offset.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicI64, Ordering};
 
 use linnethitch_protocol::ids::Timestamp;
+use tokio::sync::watch;
 
 /// The offset as the newest freshness stamp shows it.
 ///
@@ -13,6 +14,7 @@
 pub(crate) struct ClockOffset {
     /// Control's time less the gateway's, in milliseconds.
     milliseconds: AtomicI64,
+    known: watch::Sender<bool>,
 }
 
 impl ClockOffset {
@@ -20,6 +22,14 @@
     pub(crate) fn observe(&self, own: Timestamp, control: Timestamp) {
         let offset = i64::try_from(i128::from(control.0) - i128::from(own.0)).unwrap_or(0);
         self.milliseconds.store(offset, Ordering::Relaxed);
+        self.known
+            .send_if_modified(|known| !std::mem::replace(known, true));
+    }
+
+    /// Waits for the first stamp.
+    pub(crate) async fn wait_until_known(&self) {
+        // The sender lives as long as this does.
+        let _ = self.known.subscribe().wait_for(|known| *known).await;
     }
 
     /// A time of the gateway's clock on control's.
--- a/crates/gateway/src/control/session.rs
+++ b/crates/gateway/src/control/session.rs
@@ -79,6 +79,7 @@
 /// Opens a session and renews it until the process stops.
 pub(crate) async fn keep(gateway: Arc<Gateway>) {
     let id = GatewayId(gateway.settings.gateway_id.clone());
+    gateway.clock_offset.wait_until_known().await;
     loop {
         let nonce: u64 = rand::random();
         if let Some(epoch) = open(&gateway, &id, nonce).await {
--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use http::Method;
+use linnethitch_protocol::ids::Timestamp;
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -168,6 +169,8 @@
 
 /// A day and an hour.
 const SKEW_MS: i64 = 25 * 60 * 60 * 1_000;
+/// Lease time of a fleet file that names none.
+const LEASE_MS: u64 = 10_000;
 
 #[rstest]
 #[case::behind(-SKEW_MS)]
@@ -176,8 +179,7 @@
 async fn a_clock_apart_from_controls_ends_no_lease_and_no_item(#[case] skew_ms: i64) {
     let engine_server = FakeEngine::start(Vec::new()).await;
     let replicas = vec![engine(0, engine_server.address)];
-    let shared = Shared::new(&fleet_file(), replicas);
-    shared.skew_clock(skew_ms);
+    let shared = Shared::with_clock(&fleet_file(), replicas, skew_ms);
     let control = FakeControl::start(shared).await;
     control.shared.grant(GRANTED);
     let gateway = TestGateway::attached(&[control.address]).await;
@@ -186,6 +188,21 @@
         engine: engine_server,
         gateway,
     };
+    let shared = &fixture.control.shared;
+    wait_until("the session is open", async || {
+        shared.session_end().is_some()
+    })
+    .await;
+    let first_end = shared.session_end();
+    wait_until("the session is renewed", async || {
+        shared.session_end() > first_end
+    })
+    .await;
+    let latest = Timestamp(shared.clock().0 + LEASE_MS);
+    assert!(
+        shared.session_end() <= Some(latest),
+        "no longer than a lease"
+    );
     let id = fixture.create(lines(20)).await;
     let job = fixture.wait_for(&id, "completed").await;
     assert_eq!(fixture.results(&job, "output_file_id").await.len(), 20);
--- a/crates/gateway/tests/all/support/control.rs
+++ b/crates/gateway/tests/all/support/control.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -46,7 +46,7 @@
     confirmed: Mutex<Vec<Revision>>,
     attached: AtomicUsize,
     /// Control's clock less this machine's, in milliseconds.
-    clock_skew: AtomicI64,
+    clock_skew_ms: i64,
     /// Loads and suspects that gateways told of.
     told: Mutex<(Vec<ReplicaLoad>, Vec<ReplicaId>)>,
     senders: Mutex<Vec<MessageSender<ControlMessage>>>,
@@ -89,6 +89,15 @@
 impl Shared {
     /// State with a configuration in force.
     pub(crate) fn new(content: &str, replicas: Vec<ReplicaInfo>) -> Arc<Self> {
+        Self::with_clock(content, replicas, 0)
+    }
+
+    /// The same with a clock that is so many milliseconds off.
+    pub(crate) fn with_clock(
+        content: &str,
+        replicas: Vec<ReplicaInfo>,
+        clock_skew_ms: i64,
+    ) -> Arc<Self> {
         let shared = Shared {
             ledger: Mutex::new((Ledger::new(Box::new(MemoryPayloads::new())), 0)),
             replicas: Mutex::new(replicas),
@@ -98,7 +107,7 @@
             answering: AtomicBool::new(true),
             confirmed: Mutex::default(),
             attached: AtomicUsize::new(0),
-            clock_skew: AtomicI64::new(0),
+            clock_skew_ms,
             told: Mutex::default(),
             senders: Mutex::default(),
         };
@@ -129,14 +138,16 @@
             .expect("the payloads are in memory")
     }
 
-    fn clock(&self) -> Timestamp {
-        let skew = self.clock_skew.load(Ordering::SeqCst);
-        Timestamp(now().0.saturating_add_signed(skew))
+    /// When the gateway's session ends, once it has one.
+    pub(crate) fn session_end(&self) -> Option<Timestamp> {
+        let ledger = self.ledger.lock();
+        let mut sessions = ledger.0.sessions();
+        sessions.next().map(|(_, _, until)| until)
     }
 
-    /// Sets control's clock off; it goes on from there.
-    pub(crate) fn skew_clock(&self, milliseconds: i64) {
-        self.clock_skew.store(milliseconds, Ordering::SeqCst);
+    /// Control's time.
+    pub(crate) fn clock(&self) -> Timestamp {
+        Timestamp(now().0.saturating_add_signed(self.clock_skew_ms))
     }
 
     /// Reads.
