Count a machine that is listed twice once

Cause: the second line of a name took the place of the first as a machine never seen, so its state was forgotten with each read of the list and gateways were told of a change every second.

Change: the first line of a name counts.

Conclusion: reconciler::a_machine_that_is_listed_twice_counts_once, which failed before.

--- a/crates/placement/src/reconciler/observed.rs
+++ b/crates/placement/src/reconciler/observed.rs
@@ -96,6 +96,10 @@
         let mut before = std::mem::take(&mut self.replicas);
         for machine in machines {
             let id = machine.replica.clone();
+            if self.replicas.contains_key(&id) {
+                // Named twice: the first line counts.
+                continue;
+            }
             let observed = match before.remove(&id) {
                 Some(known) if known.machine == machine => known,
                 // Another address is another process, of which nothing is known.
--- a/crates/placement/tests/all/reconciler.rs
+++ b/crates/placement/tests/all/reconciler.rs
@@ -104,6 +104,24 @@
     assert_eq!((world.loads(), world.serving("a", "v1")), (0, 2));
 }
 
+#[test]
+fn a_machine_that_is_listed_twice_counts_once() {
+    let mut world = World::new(&fleet_file("v1", 1, 0, "")).with("a", 1, Some("v1"));
+    let machine = world.platform.current()[0].clone();
+    let now = linnethitch_emulator::Time::ZERO;
+    world
+        .platform
+        .set_machines(now, vec![machine.clone(), machine]);
+    world.run_ms(20 * SECOND);
+    let replicas = world.leader.take_changed_replicas(Timestamp(world.now_ms));
+    assert_eq!(replicas.map(|replicas| replicas.len()), Some(1));
+    let replicas = world.leader.take_changed_replicas(Timestamp(world.now_ms));
+    assert_eq!((replicas, world.loads()), (None, 0));
+    world.run_ms(5 * SECOND);
+    let replicas = world.leader.take_changed_replicas(Timestamp(world.now_ms));
+    assert_eq!(replicas, None, "nothing changes");
+}
+
 /// One engine that does not answer holds the others back for a moment only.
 #[rstest]
 #[case::all_answer(true, 2 * SECOND, Some(3))]
