--- a/crates/experiments/src/experiment.rs
+++ b/crates/experiments/src/experiment.rs
@@ -2,6 +2,7 @@
 
 mod batch_fill;
 mod decision_cost;
+mod failures;
 mod isolation;
 mod routing;
 
@@ -40,6 +41,7 @@
             warm_up: Time::from_millis(self.warm_up_seconds * 1_000),
             end: Time::from_millis(self.seconds * 1_000),
             engine: EngineModel::default(),
+            incidents: Vec::new(),
         }
     }
 }
@@ -64,7 +66,7 @@
 }
 
 /// All experiments, in the order of the report.
-pub const EXPERIMENTS: [Experiment; 6] = [
+pub const EXPERIMENTS: [Experiment; 7] = [
     Experiment {
         name: "isolation",
         question: "What does batch work cost online requests, and how much batch work gets done?",
@@ -95,6 +97,11 @@
         question: "Do short requests wait behind long ones, and what is prefix affinity worth?",
         run: routing::run_mixed_lengths,
     },
+    Experiment {
+        name: "failures",
+        question: "What do callers see when engines die, slow down or leave?",
+        run: failures::run,
+    },
 ];
 
 /// Measured on the clock of this machine, so not part of `all`.
--- a/crates/experiments/src/outcome.rs
+++ b/crates/experiments/src/outcome.rs
@@ -69,6 +69,8 @@
     pub(crate) yields: u64,
     /// Batch runs preempted by an engine.
     pub(crate) preemptions: u64,
+    /// Online requests sent again after a failure, or gone on elsewhere.
+    pub(crate) retries: u64,
     /// Batch tokens delivered in each second of the run.
     pub(crate) batch_timeline: Vec<u64>,
     /// Measured time, in seconds.
--- a/crates/experiments/src/simulation/agenda.rs
+++ b/crates/experiments/src/simulation/agenda.rs
@@ -9,7 +9,7 @@
 use linnethitch_emulator::Time;
 use linnethitch_protocol::fleet::LoadReport;
 
-use super::{attempt::AttemptId, control::GrantedBatch};
+use super::{attempt::AttemptId, control::GrantedBatch, incidents::Incident};
 
 /// Something that happens at a time.
 #[derive(Clone, Debug)]
@@ -22,6 +22,10 @@
     Submit(AttemptId),
     /// A cancellation reaches its engine.
     Cancel(AttemptId),
+    /// A gateway sees the connection of a request break.
+    Broken(AttemptId),
+    /// Something happens to an engine.
+    Incident(Incident),
     /// An engine has something to do.
     Wake(usize),
     /// Control reads the loads of all engines.
--- a/crates/experiments/src/simulation/batch.rs
+++ b/crates/experiments/src/simulation/batch.rs
@@ -110,7 +110,7 @@
             let Some(item) = self.gateways[gateway].leased.pop_front() else {
                 return;
             };
-            match self.choose_engine(gateway, Owner::Item(item)) {
+            match self.choose_engine(gateway, Owner::Item(item), &[]) {
                 Some(engine) => self.send_from_gateway(Owner::Item(item), gateway, engine),
                 None => {
                     self.gateways[gateway].leased.push_front(item);
--- a/crates/experiments/src/simulation/control.rs
+++ b/crates/experiments/src/simulation/control.rs
@@ -51,7 +51,12 @@
         let loads: Vec<LoadReport> = self
             .engines
             .iter()
-            .map(|slot| slot.core.load_report(self.now))
+            .enumerate()
+            .map(|(engine, slot)| match self.control.loads.get(engine) {
+                // A dead engine answers nothing; its last report grows old.
+                Some(last) if slot.dead => *last,
+                _ => slot.core.load_report(self.now),
+            })
             .collect();
         self.control.loads.clone_from(&loads);
         let arrives = self.now + CONTROL_MICROS;
--- a/crates/experiments/src/simulation/engines.rs
+++ b/crates/experiments/src/simulation/engines.rs
@@ -17,6 +17,8 @@
     pub(super) core: EngineCore,
     /// The wake-up that counts; others on the agenda are outdated.
     wake_at: Option<Time>,
+    /// Whether it has died.
+    pub(super) dead: bool,
     /// Online attempts sent and not over.
     pub(super) online: u32,
     /// Prompt tokens of online attempts without a first token.
@@ -30,6 +32,7 @@
         EngineSlot {
             core,
             wake_at: None,
+            dead: false,
             online: 0,
             online_prefill_tokens: 0,
             batch: Vec::new(),
--- a/crates/experiments/src/simulation/gateway.rs
+++ b/crates/experiments/src/simulation/gateway.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use linnethitch_config::fleet::RoutingPolicy;
-use linnethitch_protocol::ids::{GatewayId, ZoneId};
-use linnethitch_routing::{Router, batch::yielding::BatchCapacity};
+use linnethitch_protocol::ids::{GatewayId, Timestamp, ZoneId};
+use linnethitch_routing::{RetryBudget, Router, batch::yielding::BatchCapacity};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -27,6 +27,8 @@
     pub(super) lease_asked: bool,
     /// Requests of this gateway on each engine.
     pub(super) in_flight: Vec<u32>,
+    /// Bounds what it sends again.
+    pub(super) budget: RetryBudget,
     /// Position of round robin.
     pub(super) turn: usize,
 }
@@ -43,6 +45,7 @@
         Gateway {
             id: GatewayId(format!("gateway-{number:03}")),
             zone: zone.clone(),
+            budget: RetryBudget::new(Timestamp(0), &policy),
             router: Router::new(zone, policy),
             random: Pcg64Mcg::seed_from_u64(seed ^ number as u64),
             capacity: BatchCapacity::new(strategy.yielding),
--- a/crates/experiments/src/simulation/mod.rs
+++ b/crates/experiments/src/simulation/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod engines;
 mod gateway;
+mod incidents;
 mod online;
 
 use std::collections::VecDeque;
@@ -18,6 +19,7 @@
 use linnethitch_protocol::ids::Timestamp;
 use linnethitch_routing::grants::GrantBook;
 
+pub(crate) use self::incidents::{Incident, IncidentKind};
 use self::{
     agenda::{Agenda, Event},
     attempt::{Attempt, Owner},
@@ -50,6 +52,8 @@
     pub(crate) end: Time,
     /// The engines.
     pub(crate) engine: EngineModel,
+    /// What happens to engines.
+    pub(crate) incidents: Vec<Incident>,
 }
 
 /// The state of a run.
@@ -138,6 +142,9 @@
         for (heap, arrival) in self.trace.heaps.iter().enumerate() {
             self.agenda.add(arrival.at, Event::Heap(heap));
         }
+        for incident in &self.settings.incidents {
+            self.agenda.add(incident.at, Event::Incident(*incident));
+        }
         self.start_control();
         self.agenda.add(self.now, Event::Pump);
         while let Some((at, event)) = self.agenda.next() {
@@ -172,6 +179,8 @@
             Event::Heap(heap) => self.on_heap(heap),
             Event::Submit(attempt) => self.on_submit(attempt),
             Event::Cancel(attempt) => self.on_cancel(attempt),
+            Event::Broken(attempt) => self.on_broken(attempt),
+            Event::Incident(incident) => self.on_incident(incident),
             Event::Wake(engine) => self.on_wake(engine),
             Event::Poll => self.on_poll(),
             Event::Digest(loads) => self.on_digest(&loads),
--- a/crates/experiments/src/simulation/online.rs
+++ b/crates/experiments/src/simulation/online.rs
@@ -2,13 +2,12 @@
 
 use linnethitch_emulator::{Time, engine::Refusal};
 use linnethitch_protocol::ids::Timestamp;
-use linnethitch_routing::{
-    Class, Phase, ReplicaIndex, RequestProfile, Target, costs::Work, view::FailureKind,
-};
+use linnethitch_routing::{Class, Phase, ReplicaIndex, RequestProfile, Target, costs::Work};
 
 use super::{
     Simulation,
     attempt::{Attempt, AttemptId, Owner},
+    incidents::failure_kind,
 };
 use crate::strategy::{BatchDispatch, OnlineDispatch};
 
@@ -18,6 +17,7 @@
     pub(super) tokens: u32,
     pub(super) last_token_at: Option<Time>,
     pub(super) refused: bool,
+    pub(super) attempts: u32,
 }
 
 impl Simulation<'_> {
@@ -28,7 +28,8 @@
             return;
         }
         let gateway = self.trace.online[request].gateway;
-        match self.choose_engine(gateway, Owner::Online(request)) {
+        self.gateways[gateway].budget.on_request();
+        match self.choose_engine(gateway, Owner::Online(request), &[]) {
             Some(engine) => self.send_from_gateway(Owner::Online(request), gateway, engine),
             None => {
                 self.online[request].refused = true;
@@ -38,9 +39,14 @@
     }
 
     /// The engine that a gateway's own rules name for a request.
-    pub(super) fn choose_engine(&mut self, gateway: usize, owner: Owner) -> Option<usize> {
+    pub(super) fn choose_engine(
+        &mut self,
+        gateway: usize,
+        owner: Owner,
+        exclude: &[ReplicaIndex],
+    ) -> Option<usize> {
         match self.strategy.online {
-            OnlineDispatch::Router => self.choose_by_router(gateway, owner),
+            OnlineDispatch::Router => self.choose_by_router(gateway, owner, exclude),
             OnlineDispatch::RoundRobin => {
                 let one = &mut self.gateways[gateway];
                 one.turn += 1;
@@ -59,7 +65,12 @@
         }
     }
 
-    fn choose_by_router(&mut self, gateway: usize, owner: Owner) -> Option<usize> {
+    fn choose_by_router(
+        &mut self,
+        gateway: usize,
+        owner: Owner,
+        exclude: &[ReplicaIndex],
+    ) -> Option<usize> {
         let now = self.timestamp();
         let prompt = self.prompt(owner);
         let profile = RequestProfile {
@@ -78,7 +89,7 @@
                 &[]
             },
             deadline: Timestamp(now.0 + self.deployment.routing.default_deadline_ms),
-            exclude: &[],
+            exclude,
         };
         let one = &mut self.gateways[gateway];
         let choice = one.router.choose(now, &profile, &mut one.random).ok()?;
@@ -116,7 +127,10 @@
         };
         let id = self.send(attempt, latency);
         match owner {
-            Owner::Online(_) => self.pump(gateway),
+            Owner::Online(request) => {
+                self.online[request].attempts += 1;
+                self.pump(gateway);
+            }
             Owner::Item(_) => self.gateways[gateway].batch[engine].push(id),
         }
     }
@@ -198,13 +212,14 @@
             let one = &mut self.gateways[gateway];
             one.in_flight[engine] -= 1;
             let kind = failure_kind(refusal);
-            one.router.view_mut().on_failure(now, ticket, kind);
+            let view = one.router.view_mut();
+            view.on_failure(now, ticket, kind);
+            if refusal == Refusal::Leaving {
+                view.on_leaving(now, ReplicaIndex(engine as u32));
+            }
         }
         match owner {
-            Owner::Online(request) => {
-                self.online[request].refused = true;
-                self.outcome.online_failed += 1;
-            }
+            Owner::Online(request) => self.retry_online(request, engine, refusal),
             Owner::Item(item) => self.return_item(gateway, engine, id, item),
         }
     }
@@ -219,15 +234,6 @@
     }
 }
 
-fn failure_kind(refusal: Refusal) -> FailureKind {
-    match refusal {
-        Refusal::Dead => FailureKind::Unreachable,
-        Refusal::Full => FailureKind::Full,
-        Refusal::Fault => FailureKind::Disconnected,
-        _ => FailureKind::NotServed,
-    }
-}
-
 pub(super) fn class_of(owner: Owner) -> Class {
     match owner {
         Owner::Online(_) => Class::Online,
