ledger: random sequences cover keys, changes and orders too

Cause: the property test of the ledger had items, sessions and jobs only; idempotency keys, change ids and orders were checked by tables alone.

--- a/crates/ledger/tests/all/main.rs
+++ b/crates/ledger/tests/all/main.rs
@@ -7,5 +7,6 @@
 mod items;
 mod jobs;
 mod model;
+mod sequences;
 mod snapshots;
 mod support;
--- a/crates/ledger/tests/all/model.rs
+++ b/crates/ledger/tests/all/model.rs
@@ -1,99 +1,81 @@
-//! Any sequence of commands against a small model of the rules for items, with
-//! a second ledger that goes through snapshots.
+//! The rules of the ledger, said once more and simply.
 
 use std::collections::BTreeMap;
 
-use linnethitch_ledger::SafetyOverrides;
 use linnethitch_protocol::{
-    command::{LeasedItem, LeasedItemKey, Outcome},
-    ids::{GatewayId, LeaseEpoch, SessionEpoch},
+    command::{ApplyOutcome, ClaimOutcome, LeasedItemKey},
+    ids::{LeaseEpoch, Revision, SessionEpoch},
     query::JobState,
 };
-use proptest::prelude::*;
 
-use crate::support::{Fixture, Line, MODEL};
+use crate::support::answer;
 
-/// How long a session lasts without renewal, as the fleet file of the tests says.
-const LEASE_MS: u64 = 10_000;
-const GATEWAYS: usize = 3;
+pub(crate) const GATEWAYS: usize = 3;
 
-/// One step; numbers choose among what there is at the time.
+/// An idempotency key.
 #[derive(Clone, Debug)]
-enum Step {
-    /// Accepts a job; each item is at most once where the flag is set.
-    Accept(Vec<bool>),
-    /// A gateway starts anew.
-    Restart(usize),
-    Lease(usize, u32),
-    Start(usize),
-    Complete(usize),
-    Release(usize),
-    Cancel(usize),
-    /// Time passes and what is due expires.
-    Pass(u64),
-    /// The second ledger is replaced by one restored from its snapshot.
-    Snapshot,
+pub(crate) struct Claim {
+    pub(crate) at_most_once: bool,
+    pub(crate) state: ClaimState,
+    pub(crate) attempt: u64,
 }
 
-fn step() -> impl Strategy<Value = Step> {
-    prop_oneof![
-        2 => prop::collection::vec(any::<bool>(), 1..5).prop_map(Step::Accept),
-        1 => (0..GATEWAYS).prop_map(Step::Restart),
-        4 => ((0..GATEWAYS), 1_u32..4).prop_map(|(gateway, count)| Step::Lease(gateway, count)),
-        3 => any::<usize>().prop_map(Step::Start),
-        4 => any::<usize>().prop_map(Step::Complete),
-        2 => any::<usize>().prop_map(Step::Release),
-        1 => any::<usize>().prop_map(Step::Cancel),
-        2 => (1_000_u64..LEASE_MS).prop_map(Step::Pass),
-        1 => Just(Step::Snapshot),
-    ]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ClaimState {
+    /// On this gateway.
+    Running(usize),
+    Answered(String),
+    Unknown,
 }
 
 /// Who holds an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Holder {
-    gateway: usize,
-    session: SessionEpoch,
-    lease: LeaseEpoch,
+pub(crate) struct Holder {
+    pub(crate) gateway: usize,
+    pub(crate) session: SessionEpoch,
+    pub(crate) lease: LeaseEpoch,
 }
 
 #[derive(Clone, Debug, Default)]
-struct Item {
-    at_most_once: bool,
-    done: bool,
-    holder: Option<Holder>,
-    started: Option<LeaseEpoch>,
+pub(crate) struct Item {
+    pub(crate) at_most_once: bool,
+    pub(crate) done: bool,
+    pub(crate) holder: Option<Holder>,
+    pub(crate) started: Option<LeaseEpoch>,
 }
 
 #[derive(Clone, Debug, Default)]
-struct Job {
-    items: Vec<Item>,
-    cancelled: bool,
+pub(crate) struct Job {
+    pub(crate) items: Vec<Item>,
+    pub(crate) cancelled: bool,
     /// When its cancel ends even if leases are still out.
-    cancel_ends: u64,
-    completed: u32,
-    failed: u32,
+    pub(crate) cancel_ends: u64,
+    pub(crate) completed: u32,
+    pub(crate) failed: u32,
 }
 
 /// A gateway's newest session: its number, its end, its nonce.
 #[derive(Clone, Copy, Debug, Default)]
-struct Session {
-    epoch: SessionEpoch,
-    until: u64,
-    nonce: u64,
-    running: bool,
+pub(crate) struct Session {
+    pub(crate) epoch: SessionEpoch,
+    pub(crate) until: u64,
+    pub(crate) nonce: u64,
+    pub(crate) running: bool,
 }
 
 /// The rules, said once more and simply.
 #[derive(Default)]
-struct Model {
-    jobs: BTreeMap<String, Job>,
-    sessions: [Session; GATEWAYS],
-    dropped: u64,
+pub(crate) struct Model {
+    pub(crate) jobs: BTreeMap<String, Job>,
+    pub(crate) sessions: [Session; GATEWAYS],
+    pub(crate) dropped: u64,
+    pub(crate) claims: BTreeMap<String, Claim>,
+    pub(crate) revision: u64,
+    pub(crate) changes: BTreeMap<String, ApplyOutcome>,
 }
 
 impl Model {
-    fn item(&mut self, key: &LeasedItemKey) -> (&mut Item, bool) {
+    pub(crate) fn item(&mut self, key: &LeasedItemKey) -> (&mut Item, bool) {
         let job = self.jobs.get_mut(&key.job.0).expect("a job of the test");
         let wanted = !job.cancelled;
         let item = &mut job.items[key.item.0 as usize];
@@ -101,8 +83,16 @@
         (item, open)
     }
 
-    fn end_session(&mut self, gateway: usize) {
+    pub(crate) fn end_session(&mut self, gateway: usize) {
         self.sessions[gateway].running = false;
+        let ended = ClaimState::Running(gateway);
+        self.claims
+            .retain(|_, claim| claim.state != ended || claim.at_most_once);
+        for claim in self.claims.values_mut() {
+            if claim.state == ended {
+                claim.state = ClaimState::Unknown;
+            }
+        }
         for job in self.jobs.values_mut() {
             for item in &mut job.items {
                 let held = item.holder.filter(|holder| holder.gateway == gateway);
@@ -117,7 +107,7 @@
     }
 
     /// Whether the holder may start the item.
-    fn start(&mut self, holder: Holder, key: &LeasedItemKey) -> bool {
+    pub(crate) fn start(&mut self, holder: Holder, key: &LeasedItemKey) -> bool {
         let running = self.is_running(holder);
         let (item, open) = self.item(key);
         let allowed = running && open && item.holder == Some(holder);
@@ -129,7 +119,7 @@
     }
 
     /// Whether a result is stored.
-    fn complete(&mut self, holder: Holder, key: &LeasedItemKey) -> bool {
+    pub(crate) fn complete(&mut self, holder: Holder, key: &LeasedItemKey) -> bool {
         let running = self.is_running(holder);
         let (item, open) = self.item(key);
         let held = running && item.holder == Some(holder);
@@ -147,7 +137,7 @@
         stored
     }
 
-    fn release(&mut self, holder: Holder, key: &LeasedItemKey) {
+    pub(crate) fn release(&mut self, holder: Holder, key: &LeasedItemKey) {
         let running = self.is_running(holder);
         let (item, _) = self.item(key);
         if running && item.holder == Some(holder) && item.started.is_none() {
@@ -160,7 +150,7 @@
         session.running && session.epoch == holder.session
     }
 
-    fn state(job: &Job, now: u64) -> JobState {
+    pub(crate) fn state(job: &Job, now: u64) -> JobState {
         let held = job.items.iter().any(|item| item.holder.is_some()) && now < job.cancel_ends;
         let finished = job.items.iter().all(|item| item.done);
         match (job.cancelled, held, finished) {
@@ -170,235 +160,38 @@
             (false, _, false) => JobState::InProgress,
         }
     }
-}
-
-/// The model, and two ledgers of which one goes through snapshots.
-struct Run {
-    model: Model,
-    ledgers: [Fixture; 2],
-    /// Every item that was ever leased, and to whom.
-    leased: Vec<(Holder, LeasedItem)>,
-}
-
-fn gateway_name(gateway: usize) -> String {
-    format!("gateway-{gateway}")
-}
-
-impl Run {
-    fn new() -> Self {
-        Run {
-            model: Model::default(),
-            ledgers: [Fixture::new(), Fixture::new()],
-            leased: Vec::new(),
-        }
-    }
-
-    /// Does the same to both ledgers, which must answer alike.
-    fn both<T: PartialEq + std::fmt::Debug>(&mut self, act: impl Fn(&mut Fixture) -> T) -> T {
-        let [plain, restored] = &mut self.ledgers;
-        let answer = act(plain);
-        assert_eq!(
-            answer,
-            act(restored),
-            "the restored ledger answers otherwise"
-        );
-        answer
-    }
-
-    fn take(&mut self, step: &Step) {
-        match step {
-            Step::Accept(flags) => self.accept(flags),
-            Step::Restart(gateway) => self.restart(*gateway),
-            Step::Lease(gateway, count) => self.lease(*gateway, *count),
-            Step::Start(choice) => self.with_leased(*choice, |run, holder, item| {
-                let expected = run.model.start(holder, &item.key);
-                let name = gateway_name(holder.gateway);
-                let items = [item];
-                let started = run.both(|ledger| ledger.start(&name, holder.session, &items));
-                assert_eq!(started, [expected]);
-            }),
-            Step::Complete(choice) => self.with_leased(*choice, |run, holder, item| {
-                let expected = u32::from(run.model.complete(holder, &item.key));
-                let name = gateway_name(holder.gateway);
-                let items = [item];
-                let counts = run.both(|ledger| ledger.complete(&name, holder.session, &items));
-                assert_eq!(counts, (expected, 1 - expected));
-                run.model.dropped += u64::from(1 - expected);
-            }),
-            Step::Release(choice) => self.with_leased(*choice, |run, holder, item| {
-                run.model.release(holder, &item.key);
-                let name = gateway_name(holder.gateway);
-                let items = [item];
-                run.both(|ledger| ledger.release(&name, holder.session, &items));
-            }),
-            Step::Cancel(choice) => self.cancel(*choice),
-            Step::Pass(ms) => self.pass(*ms),
-            Step::Snapshot => self.ledgers[1].through_snapshot(),
-        }
-        self.check();
-    }
-
-    fn accept(&mut self, flags: &[bool]) {
-        let name = format!("batch_{}", self.model.jobs.len());
-        let line = |flag: &bool| match flag {
-            true => Line::at_most_once(),
-            false => Line::new(MODEL),
-        };
-        let lines: Vec<Line> = flags.iter().map(line).collect();
-        self.both(|ledger| ledger.job_of("acme", &name, &lines));
-        let items = flags.iter().map(|flag| Item {
-            at_most_once: *flag,
-            ..Item::default()
-        });
-        let job = Job {
-            items: items.collect(),
-            ..Job::default()
-        };
-        self.model.jobs.insert(name, job);
-    }
-
-    fn restart(&mut self, gateway: usize) {
-        self.model.end_session(gateway);
-        let nonce = self.model.sessions[gateway].nonce + 1;
-        let name = gateway_name(gateway);
-        let epoch = self.both(|ledger| ledger.session(&name, nonce));
-        self.model.sessions[gateway] = Session {
-            epoch,
-            until: self.ledgers[0].now + LEASE_MS,
-            nonce,
-            running: true,
-        };
-    }
-
-    fn lease(&mut self, gateway: usize, count: u32) {
-        if !self.model.sessions[gateway].running {
-            self.restart(gateway);
-        }
-        let session = self.model.sessions[gateway].epoch;
-        let name = gateway_name(gateway);
-        let items = self.both(|ledger| ledger.lease(&name, session, MODEL, count));
-        self.model.sessions[gateway].until = self.ledgers[0].now + LEASE_MS;
-        assert!(items.len() <= count as usize);
-        for item in items {
-            let holder = Holder {
-                gateway,
-                session,
-                lease: item.key.lease,
-            };
-            let (modelled, open) = self.model.item(&item.key);
-            assert!(open && modelled.holder.is_none(), "{item:?} was not free");
-            assert!(modelled.started.is_none(), "{item:?} may have run");
-            modelled.holder = Some(holder);
-            self.leased.push((holder, item));
-        }
-    }
 
-    fn with_leased(&mut self, choice: usize, act: impl Fn(&mut Run, Holder, LeasedItem)) {
-        if self.leased.is_empty() {
-            return;
-        }
-        let (holder, item) = self.leased[choice % self.leased.len()].clone();
-        act(self, holder, item);
-    }
-
-    fn cancel(&mut self, choice: usize) {
-        let Some(name) = self
-            .model
-            .jobs
-            .keys()
-            .nth(choice % self.model.jobs.len().max(1))
-        else {
-            return;
-        };
-        let name = name.clone();
-        let outcome = self.both(|ledger| ledger.cancel("acme", &name));
-        let job = self.model.jobs.get_mut(&name).expect("a job of the test");
-        let ended = job.items.iter().all(|item| item.done);
-        let refused = matches!(outcome, Outcome::Refused(_));
-        assert_eq!(refused, ended && !job.cancelled, "{outcome:?}");
-        if refused || job.cancelled {
-            return;
-        }
-        job.cancelled = true;
-        let holders = job.items.iter().filter_map(|item| item.holder);
-        let ends = holders.map(|holder| self.model.sessions[holder.gateway].until);
-        job.cancel_ends = ends.max().unwrap_or_default();
-    }
-
-    fn pass(&mut self, ms: u64) {
-        self.both(|ledger| ledger.expire_after(ms));
-        let now = self.ledgers[0].now;
-        for gateway in 0..GATEWAYS {
-            let session = self.model.sessions[gateway];
-            if session.running && session.until <= now {
-                self.model.end_session(gateway);
+    /// What a claim of a key is answered; it is never a resend of the same attempt.
+    pub(crate) fn claim(&mut self, gateway: usize, key: &str, at_most_once: bool) -> ClaimOutcome {
+        let known = self.claims.get(key).map(|claim| claim.state.clone());
+        match known {
+            Some(ClaimState::Running(_)) => ClaimOutcome::InProgress,
+            Some(ClaimState::Answered(text)) => ClaimOutcome::Answered(answer(&text)),
+            Some(ClaimState::Unknown) => ClaimOutcome::OutcomeUnknown,
+            None => {
+                let claim = Claim {
+                    at_most_once,
+                    state: ClaimState::Running(gateway),
+                    attempt: 0,
+                };
+                self.claims.insert(key.to_owned(), claim);
+                ClaimOutcome::Granted
             }
         }
     }
 
-    fn check(&mut self) {
-        let [plain, restored] = &self.ledgers;
-        assert_eq!(plain.ledger.digest(), restored.ledger.digest());
-        assert_eq!(restored.ledger.dropped_results(), self.model.dropped);
-        for (name, job) in &self.model.jobs {
-            let record = plain.job("acme", name).expect("jobs outlive the test");
-            assert_eq!(record.state, Model::state(job, plain.now), "{name}");
-            assert_eq!(
-                (record.completed, record.failed),
-                (job.completed, job.failed)
-            );
-            let (output, errors) = plain.results("acme", name);
-            assert_eq!(output.len(), job.completed as usize);
-            assert_eq!(errors.len(), job.failed as usize);
-        }
-        let running = self.model.sessions.iter().enumerate();
-        let running = running.filter(|(_, session)| session.running);
-        let expected: Vec<(GatewayId, SessionEpoch)> = running
-            .map(|(gateway, session)| (GatewayId(gateway_name(gateway)), session.epoch))
-            .collect();
-        let sessions = plain.ledger.sessions();
-        let sessions: Vec<(GatewayId, SessionEpoch)> = sessions
-            .map(|(gateway, epoch, _)| (gateway.clone(), epoch))
-            .collect();
-        assert_eq!(sessions, expected);
-    }
-}
-
-#[test]
-#[should_panic(expected = "was not free")]
-fn the_model_finds_a_ledger_without_fencing() {
-    let mut run = Run::new();
-    for fixture in &mut run.ledgers {
-        fixture.ledger.set_safety_overrides(SafetyOverrides {
-            skip_lease_fencing: true,
-            ..SafetyOverrides::default()
-        });
-    }
-    run.accept(&[true]);
-    run.lease(0, 1);
-    run.with_leased(0, |run, holder, item| {
-        run.model.start(holder, &item.key);
-        run.both(|ledger| ledger.start("gateway-0", holder.session, std::slice::from_ref(&item)));
-    });
-    run.both(|ledger| ledger.expire_after(LEASE_MS));
-    run.lease(1, 1);
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 128,
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
-        ..ProptestConfig::default()
-    })]
-
-    #[test]
-    fn any_sequence_follows_the_rules_and_survives_snapshots(
-        steps in prop::collection::vec(step(), 1..60),
-    ) {
-        let mut run = Run::new();
-        for step in &steps {
-            run.take(step);
+    /// What a change of the configuration is answered.
+    pub(crate) fn change(&mut self, id: &str, expected: u64) -> ApplyOutcome {
+        if let Some(outcome) = self.changes.get(id) {
+            return outcome.clone();
         }
+        let outcome = if expected == self.revision {
+            self.revision += 1;
+            ApplyOutcome::Accepted(Revision(self.revision))
+        } else {
+            ApplyOutcome::Conflict(Revision(self.revision))
+        };
+        self.changes.insert(id.to_owned(), outcome.clone());
+        outcome
     }
 }
