--- a/crates/scale/src/capacity/page.rs
+++ b/crates/scale/src/capacity/page.rs
@@ -19,6 +19,12 @@
 const END: &str = "<!-- end measured -->";
 const BUDGETS_MARKER: &str = "budgets";
 const NOT_MEASURED: &str = "not yet measured";
+/// Costs that are contained in another one of the same role: end of the id, and
+/// that of the containing one. They are shown and not summed.
+const PARTS: [(&str, &str); 2] = [
+    ("memory.ledger.tenants", "memory.process"),
+    ("cpu.ledger.changes", "cpu.changes"),
+];
 const SIZES: [FleetSize; 3] = [GRANITE_LANE, HANBIT, LETTER];
 
 /// Why a page cannot be rendered.
@@ -102,10 +108,15 @@
             missing.push(kind.name());
         }
         for row in &rows {
-            push_line(&mut text, &row_of(row));
+            push_line(&mut text, &row_of(row, is_part(row, &rows)));
         }
+        let summed: Vec<&Measurement> = rows
+            .iter()
+            .copied()
+            .filter(|row| !is_part(row, &rows))
+            .collect();
         if rows.len() > 1 && kind != Kind::Time {
-            push_line(&mut text, &total_of(kind, &rows));
+            push_line(&mut text, &total_of(kind, &summed));
         }
     }
     if !missing.is_empty() {
@@ -126,13 +137,21 @@
     )
 }
 
-fn row_of(measurement: &Measurement) -> String {
+/// Whether another row contains this cost.
+fn is_part(row: &Measurement, rows: &[&Measurement]) -> bool {
+    PARTS.iter().any(|(part, whole)| {
+        row.id.ends_with(part) && rows.iter().any(|other| other.id.ends_with(whole))
+    })
+}
+
+fn row_of(measurement: &Measurement, is_part: bool) -> String {
+    let note = if is_part { ", part of another row" } else { "" };
     let cells: Vec<String> = SIZES
         .iter()
         .map(|size| cell(measurement.kind, measurement.sustained_at(size)))
         .collect();
     format!(
-        "| {}: {} (`{}`) | {} | {} | {} |",
+        "| {}: {} (`{}`{note}) | {} | {} | {} |",
         measurement.kind.name(),
         measurement.what,
         measurement.id,
--- a/crates/scale/tests/all/page.rs
+++ b/crates/scale/tests/all/page.rs
@@ -72,6 +72,21 @@
     assert!(page.contains(expected), "{page}");
 }
 
+#[test]
+fn a_cost_that_another_row_contains_is_shown_and_not_summed() {
+    let row = |id| measurement(id, Kind::Memory, &[(410, 1024.0)]);
+    let mut measured = MeasuredFile::default();
+    let ids = [
+        "a.memory.process",
+        "a.memory.ledger.tenants",
+        "a.memory.other",
+    ];
+    measured.merge(ids.map(row).to_vec());
+    let page = render_page(&page_with_all_roles(), &measured).unwrap();
+    assert!(page.contains("(`a.memory.ledger.tenants`, part of another row)"));
+    assert!(page.contains("| **2.00 KiB** |"), "{page}");
+}
+
 #[rstest]
 #[case::unknown(
     "<!-- measured: nobody -->\n<!-- end measured -->\n",
