--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -96,6 +96,8 @@
     /// Set while this member leads.
     leadership: Option<Leadership>,
     receiving: Option<Receiving>,
+    /// Ticks for which no snapshot is taken, since the driver refused one.
+    snapshot_pause_ticks: u32,
     damaged_up_to: Option<LogIndex>,
     /// Identity under which the current message is answered.
     answers_as: MemberId,
@@ -137,6 +139,7 @@
             vote_for_self_pending: false,
             leadership: None,
             receiving: None,
+            snapshot_pause_ticks: 0,
             damaged_up_to: None,
             answers_as: settings.id,
             answered_round: 0,
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -13,6 +13,7 @@
 impl Node {
     pub(super) fn tick_follower(&mut self) {
         self.election_elapsed = self.election_elapsed.saturating_add(1);
+        self.snapshot_pause_ticks = self.snapshot_pause_ticks.saturating_sub(1);
         if self.election_elapsed >= self.election_timeout && self.may_stand() {
             self.start_pre_vote();
         }
--- a/crates/consensus/src/node/snapshot.rs
+++ b/crates/consensus/src/node/snapshot.rs
@@ -32,9 +32,12 @@
         self.answer_snapshot(receiving.partial.from, meta.index, offset, true);
     }
 
-    /// The driver found a received snapshot to be damaged; it is asked for anew.
+    /// The driver found a received snapshot to be damaged, or has no room for
+    /// it. It is asked for anew after an election timeout: at once would send
+    /// it to a full disk without end.
     pub fn report_snapshot_refused(&mut self) {
         self.receiving = None;
+        self.snapshot_pause_ticks = self.settings.election_ticks;
     }
 
     fn unsynced_end_at(&mut self, last_index: LogIndex) {
@@ -51,6 +54,10 @@
             self.answer_snapshot(from, index, 0, has_all);
             return;
         }
+        if self.snapshot_pause_ticks > 0 {
+            // The leader takes the chunk for lost and sends it again.
+            return;
+        }
         if !self.is_receiving(from, &chunk.meta) {
             self.receiving = (chunk.offset == 0).then(|| Receiving {
                 partial: PartialSnapshot {
--- a/crates/consensus/tests/all/replication.rs
+++ b/crates/consensus/tests/all/replication.rs
@@ -334,6 +334,35 @@
     assert_eq!(cluster.commands(away), numbered(0..50));
 }
 
+/// A member that can not store a snapshot is not sent it without end.
+#[test]
+fn a_refused_snapshot_is_sent_again_after_a_pause() {
+    const FAULTS: u32 = 1_000;
+    const TICKS: u32 = 200;
+    /// The snapshot, and twice its empty end: sent into the pause and repeated after it.
+    const CHUNKS_IN_A_PAUSE: u32 = 3;
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    let away = cluster.follower_of(leader);
+    cluster.crash(away);
+    propose_numbered(&mut cluster, leader, 0..30);
+    cluster.settle();
+    cluster.compact(leader);
+    cluster.restart(away);
+    cluster.network_fault = Some(NetworkFault {
+        meets: damages_last_chunk,
+        left: FAULTS,
+    });
+    let pause = cluster.members[&leader].settings.election_ticks;
+    cluster.run(TICKS);
+    let fault = cluster.network_fault.take().expect("it was set");
+    let sent = FAULTS - fault.left;
+    let most = CHUNKS_IN_A_PAUSE * TICKS / pause;
+    assert!((2..=most).contains(&sent), "sent {sent} times, not {most}");
+    cluster.run(100);
+    assert_eq!(cluster.commands(away), numbered(0..30));
+}
+
 #[test]
 fn a_new_disk_joins_as_learner_and_is_promoted() {
     let mut cluster = Cluster::new(3);
