Split the batch executor and the generation into modules of one job

An item whose start the ledger refused was dropped, while its lease still counted it, so that its cancelled job stayed cancelling until the lease ended. Change: the executor is its state, what it makes of outcomes, and its rules; a generation is its events and its attempts; Gateway::open_stream serves both classes. An item whose start is refused is given back.

--- /dev/null
+++ b/crates/gateway/src/batch/executor/outcomes.rs
@@ -0,0 +1,249 @@
+//! What the executor does with answers of control and ends of runs.
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_observability::journal::DecisionKind;
+use linnethitch_protocol::{
+    command::LeasedItem,
+    ids::{JobId, ModelId, Timestamp},
+    query::ItemOutcome,
+};
+use linnethitch_routing::ReasonCode;
+
+use super::BatchExecutor;
+use crate::batch::{
+    item::{AfterStop, Item, ItemState, Slot, StartMark},
+    messages::{BatchAction, CallAnswer, KeptTokens, RunEnd, RunId},
+};
+
+/// Most doublings of the wait before a failed item runs again.
+const MAX_RETRY_DOUBLINGS: u32 = 6;
+
+impl BatchExecutor {
+    pub(super) fn on_leased(
+        &mut self,
+        now: Timestamp,
+        sequence: u64,
+        answer: CallAnswer<Vec<LeasedItem>>,
+    ) {
+        let Some(call) = self.leasing.answered(sequence) else {
+            return;
+        };
+        match answer {
+            CallAnswer::Done(items) => {
+                self.leasing.on_leased(&call.wanted.model, items.len());
+                for item in items {
+                    self.take_in(now, item, &call.wanted.model);
+                }
+            }
+            CallAnswer::Fenced => self.lose_session(),
+            CallAnswer::Unknown => self.leasing.retry(call, self.call_retry(now)),
+        }
+    }
+
+    fn take_in(&mut self, now: Timestamp, leased: LeasedItem, model: &ModelId) {
+        let item = Item::new(leased, model.clone(), now);
+        self.note(
+            &item,
+            DecisionKind::Lease,
+            ReasonCode::IdleCapacity,
+            "leased",
+        );
+        self.items.insert(item);
+    }
+
+    pub(super) fn on_started(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        answer: &CallAnswer<Vec<bool>>,
+    ) {
+        let Some(call) = self.mark_call.take_if(|call| call.number == number) else {
+            return;
+        };
+        if *answer == CallAnswer::Fenced {
+            return self.lose_session();
+        }
+        let mut refused = Vec::new();
+        for (position, slot) in call.slots.into_iter().enumerate() {
+            match answer {
+                CallAnswer::Done(granted) if granted.get(position) == Some(&true) => {
+                    self.start_marked(slot);
+                }
+                // Its job was stopped; the lease still counts it.
+                CallAnswer::Done(_) => refused.push(slot),
+                _ => {
+                    if let Some(item) = self.items.get_mut(slot) {
+                        item.mark = StartMark::Uncertain;
+                        item.wait(now, self.settings.call_retry_ms);
+                    }
+                }
+            }
+        }
+        self.release(&refused);
+    }
+
+    /// Runs an item whose start is recorded where its room was kept.
+    fn start_marked(&mut self, slot: Slot) {
+        let Some(item) = self.items.get_mut(slot) else {
+            return;
+        };
+        item.mark = StartMark::Recorded;
+        if let ItemState::Marking { replica } = item.state.clone() {
+            self.run(slot, replica);
+        }
+    }
+
+    pub(super) fn on_run_ended(&mut self, now: Timestamp, run: RunId, end: RunEnd) {
+        let Some((slot, item)) = self.items.end_run(run) else {
+            return;
+        };
+        let stopping = match item.state {
+            ItemState::Running { stopping, .. } => stopping,
+            _ => None,
+        };
+        match end {
+            RunEnd::Answered { status, body } => {
+                let outcome = ItemOutcome {
+                    item: item.leased.key.item,
+                    status,
+                    error_code: String::new(),
+                    body,
+                };
+                self.finish(now, slot, outcome, ReasonCode::Answered);
+            }
+            RunEnd::Rejected { kind, message } => {
+                let outcome = item.failed(kind, &message);
+                self.finish(now, slot, outcome, ReasonCode::FinalAnswer);
+            }
+            RunEnd::Failed { .. } | RunEnd::Stopped { .. }
+                if matches!(stopping, Some(AfterStop::End(_))) =>
+            {
+                if let Some(AfterStop::End(kind)) = stopping {
+                    self.end_unrun(now, slot, kind);
+                }
+            }
+            RunEnd::Stopped { kept } => self.on_stopped(now, slot, kept),
+            RunEnd::Failed {
+                may_have_started,
+                kept,
+                message,
+            } => self.on_failed(now, slot, may_have_started, kept, &message),
+        }
+    }
+
+    fn on_stopped(&mut self, now: Timestamp, slot: Slot, kept: KeptTokens) {
+        if let Some(item) = self.items.get_mut(slot) {
+            item.kept = kept;
+            item.wait(now, 0);
+        }
+    }
+
+    /// Decides whether a failed item runs again.
+    fn on_failed(
+        &mut self,
+        now: Timestamp,
+        slot: Slot,
+        may_have_started: bool,
+        kept: KeptTokens,
+        message: &str,
+    ) {
+        let Some(item) = self.items.get_mut(slot) else {
+            return;
+        };
+        let at_most_once = item.mark != StartMark::NotNeeded;
+        item.failures += u32::from(may_have_started);
+        item.setbacks += 1;
+        if may_have_started && at_most_once {
+            let outcome = item.failed(ErrorKind::OutcomeUnknown, message);
+            return self.finish(now, slot, outcome, ReasonCode::AtMostOnce);
+        }
+        if item.failures >= self.settings.max_attempts {
+            let outcome = item.failed(ErrorKind::BackEndFailed, message);
+            return self.finish(now, slot, outcome, ReasonCode::AttemptsUsedUp);
+        }
+        let reason = if may_have_started {
+            ReasonCode::RetriedRepeatable
+        } else {
+            ReasonCode::RetriedUnstarted
+        };
+        let doublings = (item.setbacks - 1).min(MAX_RETRY_DOUBLINGS);
+        let delay = self.settings.item_retry_ms << doublings;
+        let failed = item.clone();
+        item.kept = kept;
+        item.wait(now, delay);
+        self.note(&failed, DecisionKind::Retry, reason, message);
+    }
+
+    /// Hands a result to the ledger.
+    fn finish(&mut self, now: Timestamp, slot: Slot, outcome: ItemOutcome, reason: ReasonCode) {
+        let Some(item) = self.items.remove(slot) else {
+            return;
+        };
+        let Some(session) = self.epoch() else {
+            return;
+        };
+        let kind = if reason == ReasonCode::JobCancelled {
+            DecisionKind::Cancel
+        } else {
+            DecisionKind::Lease
+        };
+        let told = if outcome.error_code.is_empty() {
+            "answered"
+        } else {
+            &outcome.error_code
+        };
+        self.note(&item, kind, reason, told);
+        let key = item.leased.key.clone();
+        self.outbox.push(now, session, key, outcome);
+    }
+
+    /// Ends an item from outside; at a cancelled job the ledger drops the result and counts
+    /// the item as returned.
+    fn end_unrun(&mut self, now: Timestamp, slot: Slot, kind: ErrorKind) {
+        let Some(item) = self.items.get_mut(slot) else {
+            return;
+        };
+        let ran = matches!(item.state, ItemState::Running { .. });
+        let told = if ran && kind != ErrorKind::Cancelled && item.mark == StartMark::Recorded {
+            ErrorKind::OutcomeUnknown
+        } else {
+            kind
+        };
+        let outcome = item.failed(told, told.description().trim());
+        self.finish(now, slot, outcome, Item::end_reason(kind));
+    }
+
+    pub(super) fn on_cancelled(&mut self, now: Timestamp, jobs: &[JobId]) {
+        let cancelled = self
+            .items
+            .iter()
+            .filter(|(_, item)| jobs.contains(&item.leased.key.job));
+        let slots: Vec<Slot> = cancelled.map(|(slot, _)| slot).collect();
+        self.end_all(now, &slots, ErrorKind::Cancelled);
+    }
+
+    /// Ends items that are not running, and stops the others first.
+    pub(super) fn end_all(&mut self, now: Timestamp, slots: &[Slot], kind: ErrorKind) {
+        for slot in slots {
+            let state = self.items.get_mut(*slot).map(|item| &item.state);
+            match state {
+                Some(ItemState::Running { .. }) => self.stop(*slot, AfterStop::End(kind)),
+                Some(_) => self.end_unrun(now, *slot, kind),
+                None => {}
+            }
+        }
+    }
+
+    pub(super) fn stop(&mut self, slot: Slot, after: AfterStop) {
+        let Some(item) = self.items.get_mut(slot) else {
+            return;
+        };
+        let ItemState::Running { run, stopping, .. } = &mut item.state else {
+            return;
+        };
+        let told_before = stopping.replace(after).is_some();
+        if !told_before {
+            self.actions.push(BatchAction::Stop { run: *run });
+        }
+    }
+}
--- a/crates/gateway/src/batch/item.rs
+++ b/crates/gateway/src/batch/item.rs
@@ -187,6 +187,10 @@
         Some(item)
     }
 
+    pub(super) fn get(&self, slot: Slot) -> Option<&Item> {
+        self.items.get(&slot)
+    }
+
     pub(super) fn get_mut(&mut self, slot: Slot) -> Option<&mut Item> {
         self.items.get_mut(&slot)
     }
--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -11,9 +11,9 @@
     batches::line::BatchLine,
     decisions::{Placement, Wanted},
     engine::{
-        client::{EngineRequest, Priority, load_of, says},
+        client::Priority,
         fault::AttemptFault,
-        stream::{EngineStream, Progress, StreamEvent},
+        stream::{Progress, StreamEvent},
     },
     observe::BATCH,
     online::{generation::rejected, request::CompletionRequest, whole_answer::WholeAnswer},
@@ -174,28 +174,11 @@
 ) -> Result<(), AttemptFault> {
     let started = Instant::now();
     let limit = gateway.timeouts.batch_silence;
-    let body = request
-        .engine_body(progress)
+    let deadline = gateway.clock().until(request.deadline);
+    let message = request
+        .for_engine(&placement.address, deadline, progress)
         .map_err(|failure| AttemptFault::Protocol(failure.message))?;
-    let message = EngineRequest {
-        address: placement.address.clone(),
-        path: request.kind.path(),
-        id: request.id.0.clone(),
-        priority: request.priority,
-        deadline: gateway.clock().until(request.deadline),
-        body,
-    };
-    let response = tokio::time::timeout(limit, gateway.back_ends.generate(message))
-        .await
-        .map_err(|_| AttemptFault::Hung(limit))??;
-    let decisions = &gateway.decisions;
-    if let Some(load) = load_of(response.headers(), "x-engine-load") {
-        decisions.on_seen_load(&placement.replica, load);
-    }
-    if says(response.headers(), "x-engine-leaving", "yes") {
-        decisions.on_leaving(&placement.replica);
-    }
-    let mut stream = EngineStream::new(response, request.id.0.clone());
+    let mut stream = gateway.open_stream(message, placement, limit).await?;
     let mut first = true;
     loop {
         match stream.next(progress, limit).await? {
--- /dev/null
+++ b/crates/gateway/src/engine/opening.rs
@@ -0,0 +1,38 @@
+//! Opens the stream of a generation at the engine that it was placed on.
+
+use std::time::Duration;
+
+use crate::{
+    decisions::Placement,
+    engine::{
+        client::{EngineRequest, load_of, says},
+        fault::AttemptFault,
+        stream::EngineStream,
+    },
+    state::Gateway,
+};
+
+impl Gateway {
+    /// Sends a request and waits until the engine begins to answer, at most for `limit`. Takes
+    /// in what the engine says of itself.
+    pub(crate) async fn open_stream(
+        &self,
+        request: EngineRequest,
+        placement: &Placement,
+        limit: Duration,
+    ) -> Result<EngineStream, AttemptFault> {
+        let id = request.id.clone();
+        let response = tokio::time::timeout(limit, self.back_ends.generate(request))
+            .await
+            .map_err(|_| AttemptFault::Hung(limit))??;
+        if let Some(load) = load_of(response.headers(), "x-engine-load") {
+            self.decisions.on_seen_load(&placement.replica, load);
+        }
+        if says(response.headers(), "x-engine-leaving", "yes") {
+            self.observer
+                .leaving(self.clock().now(), placement.replica.as_str());
+            self.decisions.on_leaving(&placement.replica);
+        }
+        Ok(EngineStream::new(response, id))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/online/generation/attempts.rs
@@ -0,0 +1,179 @@
+//! The attempts of a generation: where each runs, and what follows when it fails.
+
+use std::time::Duration;
+
+use linnethitch_errors::{ErrorKind, Executed, Failure};
+use linnethitch_routing::{
+    ReasonCode,
+    retry::{FailedAttempt, Next, Sent, Started},
+};
+use slog::info;
+
+use super::{Attempt, Generation, Step};
+use crate::{
+    decisions::{Placement, no_choice},
+    engine::fault::AttemptFault,
+};
+
+/// When a caller should come back after a failure that a retry can help.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Generation {
+    /// Places the request and opens a stream.
+    pub(super) async fn open(&mut self) -> Result<Attempt, Step> {
+        let placement = self.place().await?;
+        let left = self.time_left()?;
+        self.tried.push(placement.replica.clone());
+        self.attempts += 1;
+        let request = self
+            .request
+            .for_engine(&placement.address, left, &self.progress)
+            .map_err(Step::Final)?;
+        let limit = self.gateway.timeouts.first_token.min(left);
+        let opened = self.gateway.open_stream(request, &placement, limit).await;
+        let stream = match opened {
+            Ok(stream) => stream,
+            Err(fault) => return Err(Step::Fault(fault, Some(Box::new(placement)))),
+        };
+        self.started = true;
+        Ok(Attempt {
+            stream,
+            placement,
+            tokens_before: self.progress.tokens,
+        })
+    }
+
+    /// A place at a replica: through the queue at first, at once when trying again.
+    async fn place(&mut self) -> Result<Placement, Step> {
+        let decisions = &self.gateway.decisions;
+        let observer = &self.gateway.observer;
+        let Some(fault) = &self.last_fault else {
+            let admitted = decisions.admit(&self.wanted, &self.pass).await;
+            let now = self.gateway.clock().now();
+            let admitted = admitted.map_err(|refused| {
+                observer.refused(now, &self.subject, &refused);
+                Step::Final(refused.failure)
+            })?;
+            observer.placed(now, &self.subject, &admitted.placement, admitted.waited_ms);
+            return Ok(admitted.placement);
+        };
+        let elsewhere = decisions.choose_again(&self.wanted, &self.tried);
+        let placed = match elsewhere {
+            // The only replica may well finish a stream that merely broke.
+            Err(_) if !fault.not_started() => decisions.choose_again(&self.wanted, &[]),
+            placed => placed,
+        };
+        let placed = placed.map_err(|none| {
+            let refused = no_choice(&none);
+            let attempt = self.failed_attempt(fault);
+            Step::Final(match attempt.answer(none.reason) {
+                Next::Answer { kind, executed, .. } => self.final_failure(kind, executed, fault),
+                _ => refused.failure,
+            })
+        })?;
+        let now = self.gateway.clock().now();
+        observer.placed(now, &self.subject, &placed, None);
+        Ok(placed)
+    }
+
+    fn failed_attempt(&self, fault: &AttemptFault) -> FailedAttempt {
+        FailedAttempt {
+            sent: match fault {
+                AttemptFault::Connect(_) => Sent::Nothing,
+                _ => Sent::Some,
+            },
+            at_most_once: self.request.at_most_once,
+            failure: fault.as_attempt_failure(),
+            started: match (self.progress.tokens, self.progress.not_resumable) {
+                (0, _) => Started::Nothing,
+                (_, false) => Started::Resumable,
+                (_, true) => Started::NotResumable,
+            },
+        }
+    }
+
+    /// Decides whether another attempt may follow; an error is final.
+    pub(super) fn after_fault(
+        &mut self,
+        fault: AttemptFault,
+        placement: Option<Box<Placement>>,
+    ) -> Result<(), Failure> {
+        let replica = placement
+            .as_ref()
+            .map(|placement| placement.replica.to_string());
+        let ejected = placement.and_then(|placement| self.gateway.learn(*placement, &fault));
+        self.started |= !fault.not_started();
+        let attempt = self.failed_attempt(&fault);
+        let next = self
+            .gateway
+            .decisions
+            .after_failure(&attempt, self.attempts, self.deadline);
+        info!(self.gateway.logger, "attempt failed";
+            "request" => %self.request.id,
+            "replica" => &replica,
+            "tokens" => self.progress.tokens,
+            "ejected" => ejected.map(ReasonCode::as_str),
+            "reason" => reason_of(&next).as_str(),
+            "fault" => %fault);
+        self.gateway.observer.attempt_failed(
+            self.gateway.clock().now(),
+            &self.subject,
+            replica.as_deref().unwrap_or_default(),
+            reason_of(&next),
+            &fault.to_string(),
+        );
+        match next {
+            Next::Retry(_) | Next::Resume(_) => {
+                self.last_fault = Some(fault);
+                Ok(())
+            }
+            Next::Answer { kind, executed, .. } => Err(self.final_failure(kind, executed, &fault)),
+        }
+    }
+
+    fn final_failure(&self, kind: ErrorKind, executed: Executed, fault: &AttemptFault) -> Failure {
+        if let AttemptFault::Rejected { status, message } = fault {
+            return rejected(*status, message);
+        }
+        // A hung engine is not the caller's deadline, and an earlier attempt may have run
+        // although the last one did not.
+        let hung = matches!(fault, AttemptFault::Hung(_)) && kind == ErrorKind::DeadlineExceeded;
+        let (kind, executed) = if hung {
+            (ErrorKind::BackEndFailed, executed)
+        } else if self.started && executed == Executed::No {
+            (ErrorKind::BackEndFailed, Executed::Unknown)
+        } else {
+            (kind, executed)
+        };
+        let message = match kind {
+            ErrorKind::OutcomeUnknown => {
+                format!("the request was sent to a back end and is not sent again: {fault}")
+            }
+            _ => format!("no back end completed the request; the last attempt: {fault}"),
+        };
+        let failure = Failure::new(kind, message).with_executed(executed);
+        if !kind.answer().retryable {
+            return failure;
+        }
+        failure.with_retry_after(fault.retry_after().unwrap_or(RETRY_AFTER))
+    }
+}
+
+pub(crate) fn reason_of(next: &Next) -> ReasonCode {
+    match next {
+        Next::Retry(reason) | Next::Resume(reason) | Next::Answer { reason, .. } => *reason,
+    }
+}
+
+/// An engine found the request itself wrong: the caller has to change it.
+pub(crate) fn rejected(status: u16, message: &str) -> Failure {
+    let kind = match status {
+        404 => ErrorKind::UnknownModel,
+        413 => ErrorKind::BodyTooLarge,
+        _ => ErrorKind::InvalidValue,
+    };
+    Failure::new(
+        kind,
+        format!("the back end rejected the request: {message}"),
+    )
+}
--- a/crates/gateway/src/online/generation.rs
+++ b/crates/gateway/src/online/generation/mod.rs
@@ -1,22 +1,18 @@
 //! One generation over as many attempts as it takes.
 
+mod attempts;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use linnethitch_errors::{ErrorKind, Executed, Failure};
+use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::ids::{ReplicaId, Timestamp};
-use linnethitch_routing::{
-    ReasonCode,
-    retry::{FailedAttempt, Next, Sent, Started},
-};
-use slog::info;
 
 use crate::{
-    decisions::{Placement, TenantPass, Wanted, no_choice},
+    decisions::{Placement, TenantPass, Wanted},
     engine::{
-        client::{EngineRequest, load_of, says},
         fault::AttemptFault,
         stream::{EngineStream, Progress, StreamEvent},
     },
@@ -25,8 +21,7 @@
     state::Gateway,
 };
 
-/// When a caller should come back after a failure that a retry can help.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) use attempts::{RETRY_AFTER, reason_of, rejected};
 
 /// A running generation. Dropping it cancels the run at the engine.
 pub(crate) struct Generation {
@@ -227,164 +222,6 @@
         };
         Step::Final(Failure::new(kind, "the request's deadline passed"))
     }
-
-    async fn open(&mut self) -> Result<Attempt, Step> {
-        let placement = self.place().await?;
-        let left = self.time_left()?;
-        self.tried.push(placement.replica.clone());
-        self.attempts += 1;
-        let request = EngineRequest {
-            address: placement.address.clone(),
-            path: self.request.kind.path(),
-            id: self.request.id.0.clone(),
-            priority: self.request.priority,
-            deadline: left,
-            body: self
-                .request
-                .engine_body(&self.progress)
-                .map_err(Step::Final)?,
-        };
-        let limit = self.gateway.timeouts.first_token.min(left);
-        let sent = tokio::time::timeout(limit, self.gateway.back_ends.generate(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(fault)) => return Err(Step::Fault(fault, Some(Box::new(placement)))),
-            Err(_) => {
-                return Err(Step::Fault(
-                    AttemptFault::Hung(limit),
-                    Some(Box::new(placement)),
-                ));
-            }
-        };
-        self.started = true;
-        let decisions = &self.gateway.decisions;
-        if let Some(load) = load_of(response.headers(), "x-engine-load") {
-            decisions.on_seen_load(&placement.replica, load);
-        }
-        if says(response.headers(), "x-engine-leaving", "yes") {
-            decisions.on_leaving(&placement.replica);
-        }
-        Ok(Attempt {
-            stream: EngineStream::new(response, self.request.id.0.clone()),
-            placement,
-            tokens_before: self.progress.tokens,
-        })
-    }
-
-    /// A place at a replica: through the queue at first, at once when trying again.
-    async fn place(&mut self) -> Result<Placement, Step> {
-        let decisions = &self.gateway.decisions;
-        let observer = &self.gateway.observer;
-        let Some(fault) = &self.last_fault else {
-            let admitted = decisions.admit(&self.wanted, &self.pass).await;
-            let now = self.gateway.clock().now();
-            let admitted = admitted.map_err(|refused| {
-                observer.refused(now, &self.subject, &refused);
-                Step::Final(refused.failure)
-            })?;
-            observer.placed(now, &self.subject, &admitted.placement, admitted.waited_ms);
-            return Ok(admitted.placement);
-        };
-        let elsewhere = decisions.choose_again(&self.wanted, &self.tried);
-        let placed = match elsewhere {
-            // The only replica may well finish a stream that merely broke.
-            Err(_) if !fault.not_started() => decisions.choose_again(&self.wanted, &[]),
-            placed => placed,
-        };
-        let placed = placed.map_err(|none| {
-            let refused = no_choice(&none);
-            let attempt = self.failed_attempt(fault);
-            Step::Final(match attempt.answer(none.reason) {
-                Next::Answer { kind, executed, .. } => self.final_failure(kind, executed, fault),
-                _ => refused.failure,
-            })
-        })?;
-        let now = self.gateway.clock().now();
-        observer.placed(now, &self.subject, &placed, None);
-        Ok(placed)
-    }
-
-    fn failed_attempt(&self, fault: &AttemptFault) -> FailedAttempt {
-        FailedAttempt {
-            sent: match fault {
-                AttemptFault::Connect(_) => Sent::Nothing,
-                _ => Sent::Some,
-            },
-            at_most_once: self.request.at_most_once,
-            failure: fault.as_attempt_failure(),
-            started: match (self.progress.tokens, self.progress.not_resumable) {
-                (0, _) => Started::Nothing,
-                (_, false) => Started::Resumable,
-                (_, true) => Started::NotResumable,
-            },
-        }
-    }
-
-    /// Decides whether another attempt may follow; an error is final.
-    fn after_fault(
-        &mut self,
-        fault: AttemptFault,
-        placement: Option<Box<Placement>>,
-    ) -> Result<(), Failure> {
-        let replica = placement
-            .as_ref()
-            .map(|placement| placement.replica.to_string());
-        let ejected = placement.and_then(|placement| self.gateway.learn(*placement, &fault));
-        self.started |= !fault.not_started();
-        let attempt = self.failed_attempt(&fault);
-        let next = self
-            .gateway
-            .decisions
-            .after_failure(&attempt, self.attempts, self.deadline);
-        info!(self.gateway.logger, "attempt failed";
-            "request" => %self.request.id,
-            "replica" => &replica,
-            "tokens" => self.progress.tokens,
-            "ejected" => ejected.map(ReasonCode::as_str),
-            "reason" => reason_of(&next).as_str(),
-            "fault" => %fault);
-        self.gateway.observer.attempt_failed(
-            self.gateway.clock().now(),
-            &self.subject,
-            replica.as_deref().unwrap_or_default(),
-            reason_of(&next),
-            &fault.to_string(),
-        );
-        match next {
-            Next::Retry(_) | Next::Resume(_) => {
-                self.last_fault = Some(fault);
-                Ok(())
-            }
-            Next::Answer { kind, executed, .. } => Err(self.final_failure(kind, executed, &fault)),
-        }
-    }
-
-    fn final_failure(&self, kind: ErrorKind, executed: Executed, fault: &AttemptFault) -> Failure {
-        if let AttemptFault::Rejected { status, message } = fault {
-            return rejected(*status, message);
-        }
-        // A hung engine is not the caller's deadline, and an earlier attempt may have run
-        // although the last one did not.
-        let hung = matches!(fault, AttemptFault::Hung(_)) && kind == ErrorKind::DeadlineExceeded;
-        let (kind, executed) = if hung {
-            (ErrorKind::BackEndFailed, executed)
-        } else if self.started && executed == Executed::No {
-            (ErrorKind::BackEndFailed, Executed::Unknown)
-        } else {
-            (kind, executed)
-        };
-        let message = match kind {
-            ErrorKind::OutcomeUnknown => {
-                format!("the request was sent to a back end and is not sent again: {fault}")
-            }
-            _ => format!("no back end completed the request; the last attempt: {fault}"),
-        };
-        let failure = Failure::new(kind, message).with_executed(executed);
-        if !kind.answer().retryable {
-            return failure;
-        }
-        failure.with_retry_after(fault.retry_after().unwrap_or(RETRY_AFTER))
-    }
 }
 
 impl Drop for Generation {
@@ -400,22 +237,3 @@
         }
     }
 }
-
-pub(crate) fn reason_of(next: &Next) -> ReasonCode {
-    match next {
-        Next::Retry(reason) | Next::Resume(reason) | Next::Answer { reason, .. } => *reason,
-    }
-}
-
-/// An engine found the request itself wrong: the caller has to change it.
-pub(crate) fn rejected(status: u16, message: &str) -> Failure {
-    let kind = match status {
-        404 => ErrorKind::UnknownModel,
-        413 => ErrorKind::BodyTooLarge,
-        _ => ErrorKind::InvalidValue,
-    };
-    Failure::new(
-        kind,
-        format!("the back end rejected the request: {message}"),
-    )
-}
--- a/crates/gateway/src/online/request.rs
+++ b/crates/gateway/src/online/request.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     decisions::{Wanted, WantedTarget},
-    engine::{client::Priority, stream::Progress},
+    engine::{
+        client::{EngineRequest, Priority},
+        stream::Progress,
+    },
     http::routes::Endpoint,
     online::prefix::prefix_hashes,
 };
@@ -132,8 +135,24 @@
         })
     }
 
-    /// The body for an engine, which continues after what was already received.
-    pub(crate) fn engine_body(&self, progress: &Progress) -> Result<Bytes, Failure> {
+    /// The request to an engine, which continues after what was already received.
+    pub(crate) fn for_engine(
+        &self,
+        address: &str,
+        deadline: Duration,
+        progress: &Progress,
+    ) -> Result<EngineRequest, Failure> {
+        Ok(EngineRequest {
+            address: address.to_owned(),
+            path: self.kind.path(),
+            id: self.id.0.clone(),
+            priority: self.priority,
+            deadline,
+            body: self.engine_body(progress)?,
+        })
+    }
+
+    fn engine_body(&self, progress: &Progress) -> Result<Bytes, Failure> {
         let mut body = self.body.clone();
         body.insert("stream".to_owned(), Value::Bool(true));
         body.insert("stream_options".to_owned(), json!({"include_usage": true}));
--- a/crates/gateway/src/services/attempt.rs
+++ b/crates/gateway/src/services/attempt.rs
@@ -128,6 +128,10 @@
         }
         let leaving = says(headers, "x-application-leaving", "yes");
         if leaving {
+            let now = self.gateway.clock().now();
+            self.gateway
+                .observer
+                .leaving(now, placement.replica.as_str());
             decisions.on_leaving(&placement.replica);
         }
         if says(headers, "x-application-started", "no") {
--- a/crates/gateway/tests/all/batch_executor.rs
+++ b/crates/gateway/tests/all/batch_executor.rs
@@ -316,18 +316,21 @@
 }
 
 #[rstest]
-#[case::refused(CallAnswer::Done(vec![false]), 0)]
-#[case::fenced(CallAnswer::Fenced, 0)]
-#[case::answer_lost(CallAnswer::Unknown, 1)]
+#[case::refused(CallAnswer::Done(vec![false]), 0, Some(1))]
+#[case::fenced(CallAnswer::Fenced, 0, None)]
+#[case::answer_lost(CallAnswer::Unknown, 1, None)]
 fn an_at_most_once_item_is_not_sent_without_its_mark(
     #[case] answer: CallAnswer<Vec<bool>>,
     #[case] held: usize,
+    #[case] given_back: Option<usize>,
 ) {
     let mut fixture = Fixture::with_items(1, true);
     let number = fixture.marked().expect("the start is recorded first");
     fixture.tell(BatchEvent::Started { number, answer });
-    assert_eq!(fixture.run(), None);
+    let sends = |action: &BatchAction| matches!(action, BatchAction::Run(_));
+    assert!(!fixture.actions.iter().any(sends));
     assert_eq!(fixture.executor.held(), held);
+    assert_eq!(fixture.released(), given_back);
     // The start may be recorded: the item is asked for again, never given back.
     fixture.pass(LONG_MS);
     assert_eq!(fixture.marked().is_some(), held == 1);
