Let a resent batch submit find its first job; test the commands against real processes

No second job was created.

Change: with a key, the id of the upload is kept in FILE.upload beside the input, and used again while key, size and time of the input are the same.

Before: the resent submit ended with status 4.

--- a/crates/cli/src/batch.rs
+++ b/crates/cli/src/batch.rs
@@ -1,11 +1,15 @@
 //! `batch`: jobs over the callers' interface.
 
-use std::{path::Path, time::Duration};
+use std::{
+    path::Path,
+    time::{Duration, UNIX_EPOCH},
+};
 
 use futures_util::TryStreamExt;
 use http::Method;
 use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::Frame;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::{
     fs::File,
@@ -21,6 +25,8 @@
 
 /// Pause between two looks at a job that is waited for.
 const WAIT_PAUSE: Duration = Duration::from_millis(500);
+/// Ends the name of the file beside the input that keeps its upload.
+const UPLOAD_SUFFIX: &str = ".upload";
 /// States that a job does not leave.
 const LAST_STATES: [&str; 4] = ["completed", "failed", "cancelled", "expired"];
 
@@ -76,7 +82,10 @@
 
 async fn submit(options: &SubmitOptions) -> Result<ExitStatus, CommandError> {
     let client = client_of(&options.caller_options)?;
-    let file = upload(&client, &options.file).await?;
+    let file = match &options.idempotency_key {
+        Some(key) => upload_once(&client, &options.file, key).await?,
+        None => upload(&client, &options.file).await?,
+    };
     let body = json!({
         "input_file_id": file,
         "endpoint": options.endpoint,
@@ -103,6 +112,48 @@
         .is_some_and(|status| LAST_STATES.contains(&status))
 }
 
+/// An upload that a resend of the same submission uses again.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct KeptUpload {
+    idempotency_key: String,
+    bytes: u64,
+    modified_ms: u128,
+    file_id: String,
+}
+
+/// Uploads a file, unless it was uploaded under this key and has not changed.
+///
+/// The key belongs to a job of one input file: a second upload would be another file.
+async fn upload_once(client: &ApiClient, path: &Path, key: &str) -> Result<String, CommandError> {
+    let file_error = |error| CommandError::refused(format!("{}: {error}", path.display()));
+    let metadata = tokio::fs::metadata(path).await.map_err(file_error)?;
+    let modified = metadata.modified().map_err(file_error)?;
+    let since = modified.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut memo_path = path.as_os_str().to_owned();
+    memo_path.push(UPLOAD_SUFFIX);
+    let mut kept = KeptUpload {
+        idempotency_key: key.to_owned(),
+        bytes: metadata.len(),
+        modified_ms: since.as_millis(),
+        file_id: String::new(),
+    };
+    if let Ok(text) = tokio::fs::read(&memo_path).await
+        && let Ok(earlier) = serde_json::from_slice::<KeptUpload>(&text)
+    {
+        kept.file_id = earlier.file_id.clone();
+        if kept == earlier {
+            return Ok(kept.file_id);
+        }
+    }
+    kept.file_id = upload(client, path).await?;
+    let text = serde_json::to_vec_pretty(&kept)
+        .map_err(|error| CommandError::failed(error.to_string()))?;
+    tokio::fs::write(&memo_path, text)
+        .await
+        .map_err(file_error)?;
+    Ok(kept.file_id)
+}
+
 /// Uploads a file as it is read; it is never whole in memory.
 async fn upload(client: &ApiClient, path: &Path) -> Result<String, CommandError> {
     let file_error = |error| CommandError::refused(format!("{}: {error}", path.display()));
--- a/crates/cli/src/options/batch.rs
+++ b/crates/cli/src/options/batch.rs
@@ -54,7 +54,7 @@
     /// Completion window, such as 24h
     #[bpaf(argument("DURATION"), fallback("24h".to_owned()))]
     pub(crate) window: String,
-    /// Key under which a resend finds the first job
+    /// Key under which a resend finds the first job; the upload is kept in FILE.upload for it
     #[bpaf(argument("KEY"))]
     pub(crate) idempotency_key: Option<String>,
     /// Wait until the job is at its end
--- a/crates/cli/tests/all/main.rs
+++ b/crates/cli/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod files;
 mod help;
 mod program;
+mod real_fleet;
 mod scripted_server;
 mod status;
