--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -175,12 +175,17 @@
         self.send_snapshot_chunk(to, progress, outbox);
     }
 
+    /// Sends the next chunk, or a lost one again. A member that is silent gets
+    /// heartbeats only until it answers one.
     fn send_snapshot_chunk(
         &self,
         to: MemberId,
         progress: &mut Progress,
         outbox: &mut Vec<ConsensusMessage>,
     ) {
+        if progress.ticks_since_heard >= self.settings.election_ticks {
+            return;
+        }
         let SendState::Snapshot(transfer) = &mut progress.state else {
             return;
         };
--- a/crates/consensus/tests/all/replication.rs
+++ b/crates/consensus/tests/all/replication.rs
@@ -334,6 +334,30 @@
     assert_eq!(cluster.commands(away), numbered(0..50));
 }
 
+/// Chunks are read and sent for members that are there.
+#[test]
+fn a_member_that_is_down_is_sent_no_snapshot() {
+    const MANY: u32 = 1_000;
+    let mut cluster = Cluster::with_settings(3, |settings| settings.max_inflight_appends = 2);
+    let leader = cluster.elect();
+    let away = cluster.follower_of(leader);
+    cluster.crash(away);
+    propose_numbered(&mut cluster, leader, 0..30);
+    cluster.settle();
+    cluster.run(100);
+    cluster.compact(leader);
+    cluster.network_fault = Some(NetworkFault {
+        meets: meets_first_chunk,
+        left: MANY,
+    });
+    cluster.run(200);
+    let fault = cluster.network_fault.take().expect("it was set");
+    assert_eq!(fault.left, MANY, "chunks were sent");
+    cluster.restart(away);
+    cluster.run(10);
+    assert_eq!(cluster.commands(away), numbered(0..30));
+}
+
 /// A member that can not store a snapshot is not sent it without end.
 #[test]
 fn a_refused_snapshot_is_sent_again_after_a_pause() {
