--- a/crates/gateway/src/batches/create.rs
+++ b/crates/gateway/src/batches/create.rs
@@ -19,7 +19,7 @@
     control::client::unexpected,
     http::{IncomingRequest, body::read_whole},
     identifiers::new_job_id,
-    online::request::CompletionKind,
+    online::{checks::invalid, request::CompletionKind},
     state::Gateway,
 };
 
@@ -67,10 +67,6 @@
     }
 }
 
-fn invalid(param: &str, message: impl Into<String>) -> Failure {
-    Failure::new(ErrorKind::InvalidValue, message).with_param(param)
-}
-
 impl CreateBatch {
     fn check(&self) -> Result<(), Failure> {
         if CompletionKind::of_path(&self.endpoint).is_none() {
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -227,16 +227,6 @@
         let core = self.core.lock();
         core.queues.values().map(PoolQueue::len).sum()
     }
-
-    /// Whether a replica of the target is known at all.
-    pub(crate) fn knows(&self, target: &WantedTarget) -> bool {
-        self.core
-            .lock()
-            .router
-            .view()
-            .pool(&target.as_target())
-            .is_some()
-    }
 }
 
 impl Core {
--- a/crates/gateway/src/engine/client.rs
+++ b/crates/gateway/src/engine/client.rs
@@ -33,7 +33,6 @@
     /// A caller waits.
     Online,
     /// May be preempted.
-    #[allow(dead_code)]
     Batch,
 }
 
@@ -127,22 +126,8 @@
             }
         })
     }
-
-    /// Tells an engine to stop a request; best effort.
-    pub(crate) async fn cancel(&self, address: &str, id: &str) {
-        let message = Request::builder()
-            .method(Method::DELETE)
-            .uri(format!("http://{address}/engine/requests/{id}"))
-            .body(Full::default());
-        if let Ok(message) = message {
-            let _ = tokio::time::timeout(CANCEL_TIMEOUT, self.client.request(message)).await;
-        }
-    }
 }
 
-/// Longest wait for the answer to a cancel.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
-
 fn with_causes(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,6 @@
 //! services, stores files and batch jobs through control, and runs batch
 //! items under leases.
 
-#![allow(dead_code, reason = "parts that the next changes use")]
-
 pub mod batch;
 mod batches;
 mod claims;
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -1,5 +1,6 @@
 //! Online requests: completions, streamed and whole.
 
+pub(crate) mod checks;
 mod claimed;
 pub(crate) mod generation;
 mod prefix;
