Test at-most-once items over SIGKILL and a cancelled job, as processes

Cause: no process test proved that an item unsafe to repeat never runs again, or that a cancel reaches the engines. Change: a job of 400 at-most-once items over a killed gateway and a killed engine; starts are counted at the engines that live, and some items must have ended as outcome_unknown, so that the loss is known to have found items in flight. A cancelled job leaves no batch work at any engine and gains no further result.

--- a/crates/lab/tests/all/one_host.rs
+++ b/crates/lab/tests/all/one_host.rs
@@ -4,7 +4,7 @@
 use linnethitch_emulator::answer::PromptKey;
 use rstest::rstest;
 
-use crate::support::{Job, OneHost, Stream, key_of, wait_until};
+use crate::support::{Job, OneHost, Run, Stream, key_of, wait_until};
 
 /// Streams in progress when the fault comes.
 const STREAMS: usize = 12;
@@ -12,6 +12,8 @@
 const TOKENS_BEFORE: usize = 10;
 /// Length of an answer that is still under way then, in tokens.
 const LONG_ANSWER: u32 = 150;
+/// Engines of the example.
+const ENGINES: u16 = 4;
 /// Items of a job.
 const ITEMS: u32 = 400;
 
@@ -37,12 +39,10 @@
     streams
 }
 
-/// The engine that runs a prompt, and how often it has started it.
+/// The engine that runs a prompt.
 async fn engine_of(host: &mut OneHost, key: PromptKey) -> u16 {
-    for number in 1..=4 {
-        let path = format!("/emulator/executions?prompt={:016x}", key.0);
-        let answer = host.engine(number).get(&path).await;
-        if answer.json()["started"] != 0 {
+    for number in 1..=ENGINES {
+        if host.engine(number).executions_of(key).await > 0 {
             return number;
         }
     }
@@ -105,7 +105,7 @@
     // Only one gateway runs items until the fault, so its death finds some in flight.
     let mut host = OneHost::start_without(&["gateway-2"]).await;
     let first = host.gateway(1);
-    let job = Job::submit(&first, ITEMS).await;
+    let job = Job::submit(&first, ITEMS, Run::Ordinary).await;
     job.wait_until_under_way(&first).await;
     match fault {
         Fault::Gateway => host.kill("gateway-1"),
@@ -138,6 +138,45 @@
     assert_eq!(job.create(&second).await, job.id, "a resend finds the job");
 }
 
+#[rstest]
+#[case::of_the_gateway("gateway-1")]
+#[case::of_an_engine("engine-1")]
+#[tokio::test]
+async fn an_item_unsafe_to_repeat_is_started_once_at_most_over_the_loss(#[case] lost: &str) {
+    let mut host = OneHost::start_without(&["gateway-2"]).await;
+    let first = host.gateway(1);
+    let job = Job::submit(&first, ITEMS, Run::AtMostOnce).await;
+    job.wait_until_under_way(&first).await;
+    host.kill(lost);
+    host.start("gateway-2");
+    let second = host.gateway(2);
+    second.wait_for("/readyz").await;
+    // What a killed engine had started is not known any more.
+    let alive = (1..=ENGINES).filter(|number| format!("engine-{number}") != lost);
+    let engines: Vec<_> = alive.map(|number| host.engine(number)).collect();
+    job.assert_ran_at_most_once(&second, &engines).await;
+}
+
+#[tokio::test]
+async fn a_cancelled_job_stops_at_the_engines() {
+    let mut host = OneHost::start_without(&[]).await;
+    let gateway = host.gateway(1);
+    let job = Job::submit(&gateway, ITEMS, Run::Ordinary).await;
+    job.wait_until_under_way(&gateway).await;
+    job.cancel(&gateway).await;
+    let results = job.results(&gateway, "cancelled").await;
+    assert!(results.len() < ITEMS as usize);
+    for number in 1..=ENGINES {
+        let engine = host.engine(number);
+        wait_until("the engine has nothing to do", async || {
+            let load = engine.get("/engine/load").await.json();
+            load["running_batch"] == 0 && load["waiting"] == 0
+        })
+        .await;
+    }
+    assert_eq!(job.results(&host.gateway(2), "cancelled").await, results);
+}
+
 #[tokio::test]
 async fn a_change_sent_again_after_the_leader_was_killed_takes_effect_once() {
     let mut host = OneHost::start_without(&[]).await;
--- a/crates/lab/tests/all/support/caller.rs
+++ b/crates/lab/tests/all/support/caller.rs
@@ -10,6 +10,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use linnethitch_emulator::answer::PromptKey;
 use serde_json::Value;
 
 use super::wait_until;
@@ -110,6 +111,12 @@
         self.ask("GET", path, &[], Bytes::new()).await
     }
 
+    /// How often an emulated engine has started a prompt.
+    pub(crate) async fn executions_of(&self, key: PromptKey) -> u64 {
+        let path = format!("/emulator/executions?prompt={:016x}", key.0);
+        self.get(&path).await.json()["started"].as_u64().unwrap()
+    }
+
     pub(crate) async fn post(&self, path: &str, body: &Value) -> Answer {
         self.ask("POST", path, &[], body.to_string()).await
     }
--- a/crates/lab/tests/all/support/job.rs
+++ b/crates/lab/tests/all/support/job.rs
@@ -10,6 +10,22 @@
 /// Limit of each answer, in tokens; long enough that a fault finds items in flight.
 const MAX_TOKENS: u32 = 64;
 
+/// How the items of a job may be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Run {
+    Ordinary,
+    AtMostOnce,
+}
+
+/// What became of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ItemResult {
+    /// The text of its answer.
+    Answered(String),
+    /// The code of its error.
+    Failed(String),
+}
+
 /// A job that was accepted.
 pub(crate) struct Job {
     pub(crate) id: String,
@@ -20,8 +36,9 @@
 
 impl Job {
     /// Uploads an input file and creates a job of it.
-    pub(crate) async fn submit(gateway: &Caller, items: u32) -> Job {
-        let lines: Vec<String> = (0..items).map(input_line).collect();
+    pub(crate) async fn submit(gateway: &Caller, items: u32, run: Run) -> Job {
+        let lines = (0..items).map(|item| input_line(item, run));
+        let lines: Vec<String> = lines.collect();
         let path = "/v1/files?purpose=batch";
         let headers = [("content-type", "application/jsonl")];
         let uploaded = insist(gateway, "POST", path, &headers, lines.join("\n")).await;
@@ -66,31 +83,84 @@
         .await;
     }
 
-    /// Waits for the end; every item must have its own result, once.
-    pub(crate) async fn assert_completes(&self, gateway: &Caller) {
+    /// Cancels it; what is answered then is the last word.
+    pub(crate) async fn cancel(&self, gateway: &Caller) {
+        let path = format!("/v1/batches/{}/cancel", self.id);
+        insist(gateway, "POST", &path, &[], "").await;
+    }
+
+    /// Waits until it is at an end of this kind; its results by item, each there once.
+    pub(crate) async fn results(
+        &self,
+        gateway: &Caller,
+        end: &str,
+    ) -> BTreeMap<String, ItemResult> {
         let mut ended = Value::Null;
-        wait_until("the job is completed", async || {
+        wait_until(end, async || {
             ended = self.get(gateway).await;
-            ended["status"] == "completed"
+            ended["status"] == end
         })
         .await;
-        assert_eq!(ended["request_counts"]["completed"], self.items, "{ended}");
-        let path = format!(
-            "/v1/files/{}/content",
-            ended["output_file_id"].as_str().unwrap()
-        );
-        let output = insist(gateway, "GET", &path, &[], "").await.text();
         let mut results = BTreeMap::new();
-        for line in output.lines() {
-            let line: Value = serde_json::from_str(line).unwrap();
-            let content = line["response"]["body"]["choices"][0]["message"]["content"].clone();
-            let id = line["custom_id"].as_str().unwrap().to_owned();
-            let earlier = results.insert(id, content);
-            assert!(earlier.is_none(), "a second result: {line}");
+        for member in ["output_file_id", "error_file_id"] {
+            let Some(file) = ended[member].as_str() else {
+                continue;
+            };
+            let path = format!("/v1/files/{file}/content");
+            let content = insist(gateway, "GET", &path, &[], "").await.text();
+            for line in content.lines() {
+                let line: Value = serde_json::from_str(line).unwrap();
+                let id = line["custom_id"].as_str().unwrap().to_owned();
+                let earlier = results.insert(id, result_of(&line));
+                assert!(earlier.is_none(), "a second result: {line}");
+            }
         }
+        let counts = &ended["request_counts"];
+        let counted = counts["completed"].as_u64().unwrap() + counts["failed"].as_u64().unwrap();
+        assert_eq!(counted, results.len() as u64, "{ended}");
+        results
+    }
+
+    /// Waits for the end; every item must have its own answer.
+    pub(crate) async fn assert_completes(&self, gateway: &Caller) {
         let expected = (0..self.items).map(|item| (custom_id(item), expected(item)));
+        let results = self.results(gateway, "completed").await;
         assert_eq!(results, expected.collect());
     }
+
+    /// Waits for the end; every item must have been started once at the most, and
+    /// have its own answer or an unknown outcome.
+    pub(crate) async fn assert_ran_at_most_once(&self, gateway: &Caller, engines: &[Caller]) {
+        let results = self.results(gateway, "completed").await;
+        assert_eq!(results.len(), self.items as usize);
+        let unknown = ItemResult::Failed("outcome_unknown".to_owned());
+        let in_flight = results.values().any(|result| *result == unknown);
+        assert!(in_flight, "the loss found nothing in flight");
+        for item in 0..self.items {
+            let result = &results[&custom_id(item)];
+            assert!(
+                *result == expected(item) || *result == unknown,
+                "{result:?}"
+            );
+            let mut started = 0;
+            for engine in engines {
+                started += engine.executions_of(key_of(&prompt(item))).await;
+            }
+            assert!(started <= 1, "item {item} was started {started} times");
+        }
+    }
+}
+
+fn result_of(line: &Value) -> ItemResult {
+    let body = &line["response"]["body"];
+    match body["choices"][0]["message"]["content"].as_str() {
+        Some(text) => ItemResult::Answered(text.to_owned()),
+        None => {
+            let codes = [&line["error"]["code"], &body["error"]["code"]];
+            let code = codes.into_iter().find_map(Value::as_str);
+            ItemResult::Failed(code.unwrap_or_default().to_owned())
+        }
+    }
 }
 
 fn custom_id(item: u32) -> String {
@@ -102,19 +172,22 @@
 }
 
 /// The answer that the engines must give.
-fn expected(item: u32) -> Value {
+fn expected(item: u32) -> ItemResult {
     let key = key_of(&prompt(item));
-    Value::from(key.text(key.natural_length().min(MAX_TOKENS)))
+    ItemResult::Answered(key.text(key.natural_length().min(MAX_TOKENS)))
 }
 
-fn input_line(item: u32) -> String {
-    let line = json!({
+fn input_line(item: u32, run: Run) -> String {
+    let mut line = json!({
         "custom_id": custom_id(item), "method": "POST", "url": "/v1/chat/completions",
         "body": {
             "model": "quote-writer", "max_tokens": MAX_TOKENS,
             "messages": [{"role": "user", "content": prompt(item)}],
         },
     });
+    if run == Run::AtMostOnce {
+        line["run"] = json!("at-most-once");
+    }
     line.to_string()
 }
 
--- a/crates/lab/tests/all/support/mod.rs
+++ b/crates/lab/tests/all/support/mod.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use self::{
     caller::{Answer, Caller},
-    job::Job,
+    job::{Job, Run},
     one_host::OneHost,
     process::ChildProcess,
     stream::{Stream, key_of},
