Use a lost session never again

Cause: when the ledger refused a call because the session had ended, the executor dropped the session, got the same one from the gateway's state with the next tick, and asked under it again, up to fifty times a second until the renewal failed too (3 s); with 410 gateways just when control comes back. Change: the executor remembers the session that it lost last and waits for another one.

--- a/crates/gateway/src/batch/executor/mod.rs
+++ b/crates/gateway/src/batch/executor/mod.rs
@@ -28,6 +28,8 @@
 pub struct BatchExecutor {
     settings: ExecutorSettings,
     session: Option<BatchSession>,
+    /// The session that was lost last; it is never used again.
+    lost_session: Option<SessionEpoch>,
     rooms: Rooms,
     items: ItemTable,
     leasing: Leasing,
@@ -106,6 +108,7 @@
     }
 
     fn on_session(&mut self, session: Option<BatchSession>) {
+        let session = session.filter(|session| Some(session.epoch) != self.lost_session);
         let same = session.map(|session| session.epoch) == self.epoch();
         if !same {
             self.lose_session();
@@ -117,7 +120,9 @@
     /// nothing here may go on; results already in the outbox are still committed, because the
     /// ledger takes the first result of a repeatable item whoever brings it.
     fn lose_session(&mut self) {
-        self.session = None;
+        if let Some(session) = self.session.take() {
+            self.lost_session = Some(session.epoch);
+        }
         self.leasing.forget_call();
         self.releases.forget();
         self.mark_call = None;
--- a/crates/gateway/tests/all/batch_executor.rs
+++ b/crates/gateway/tests/all/batch_executor.rs
@@ -337,6 +337,24 @@
     assert_eq!(fixture.released(), None);
 }
 
+#[test]
+fn a_session_that_the_ledger_ended_is_not_used_again() {
+    let mut fixture = Fixture::with_items(1, true);
+    let number = fixture.marked().expect("the start is recorded first");
+    fixture.tell(BatchEvent::Started {
+        number,
+        answer: CallAnswer::Fenced,
+    });
+    for (epoch, leases) in [(1, false), (2, true)] {
+        fixture.tell(BatchEvent::Session(session(epoch)));
+        fixture.tell(BatchEvent::Pending(vec![PendingItems {
+            model: "m".into(),
+            count: 9,
+        }]));
+        assert_eq!(fixture.lease().is_some(), leases, "session {epoch}");
+    }
+}
+
 #[test]
 fn a_started_at_most_once_item_is_not_stopped_for_room() {
     let mut fixture = Fixture::with_items(1, true);
