--- a/crates/simulator/src/actors/mod.rs
+++ b/crates/simulator/src/actors/mod.rs
@@ -1,6 +1,7 @@
 //! Processes around control: operators, callers, gateways.
 
 pub(crate) mod batch_caller;
+mod callers_job;
 pub(crate) mod calls;
 pub(crate) mod fleet_text;
 pub(crate) mod gateway;
--- /dev/null
+++ b/crates/simulator/src/world/machines.rs
@@ -0,0 +1,172 @@
+//! Control machines: starting, working, failing.
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::ids::{DiskId, MachineId};
+use rand::Rng;
+
+use super::{DIGEST_INTERVAL_MS, World};
+use crate::{
+    checker::Invariant,
+    events::Event,
+    machine::{ControlMachine, WorkResult},
+};
+
+/// How often a member's timer fires, in milliseconds.
+const TICK_MS: u64 = 20;
+/// Wait before a process that failed is started again, in milliseconds.
+const RESTART_MS: std::ops::Range<u64> = 500..5_000;
+
+impl World {
+    pub(crate) fn machine(&mut self, id: MachineId) -> Option<&mut ControlMachine> {
+        self.machines.get_mut(&id)
+    }
+
+    /// Schedules the start of a machine's process.
+    pub(crate) fn restart_in(&mut self, id: MachineId, milliseconds: u64) {
+        self.events
+            .push(self.now_ms + milliseconds, Event::Restart(id));
+    }
+
+    pub(super) fn restart(&mut self, id: MachineId) {
+        let now_ms = self.now_ms;
+        self.next_disk += 1;
+        let new_disk = DiskId(self.next_disk);
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return;
+        };
+        if machine.member.is_some() {
+            return;
+        }
+        machine.disk.fail_syncs(0, 0);
+        match machine.start(&self.plan, new_disk, now_ms) {
+            Ok(()) => {
+                self.events.push(now_ms, Event::Tick(id));
+                self.log(|| format!("member {id} starts"));
+            }
+            Err(report) => {
+                machine.crash();
+                let kind = *report.current_context();
+                self.log(|| format!("member {id} does not start: {report:?}"));
+                let damaged = self.damaged.iter().any(|member| member.machine == id);
+                match kind {
+                    ErrorKind::StorageFull => self.restart_in(id, 1_000),
+                    // An operator sees the refusal and replaces the disk.
+                    _ if damaged => self.replace_disk(id),
+                    _ => self.checker.violate(
+                        Invariant::Starts,
+                        format!("member {id} does not start: {report:?}"),
+                    ),
+                }
+            }
+        }
+    }
+
+    pub(super) fn replace_disk(&mut self, id: MachineId) {
+        if let Some(machine) = self.machines.get_mut(&id) {
+            machine.lose_disk();
+        }
+        self.restart_in(id, 1_000);
+    }
+
+    pub(super) fn tick(&mut self, id: MachineId) {
+        let now_ms = self.now_ms;
+        let Some(machine) = self.machines.get(&id) else {
+            return;
+        };
+        if machine.member.is_none() {
+            return;
+        }
+        let busy_until_ms = machine.busy_until_ms;
+        if busy_until_ms > now_ms {
+            self.events.push(busy_until_ms, Event::Tick(id));
+            return;
+        }
+        self.events.push(now_ms + TICK_MS, Event::Tick(id));
+        self.work(id, true);
+        self.compare_states();
+    }
+
+    pub(super) fn work(&mut self, id: MachineId, tick: bool) {
+        let now_ms = self.now_ms;
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return;
+        };
+        if !tick {
+            machine.work_scheduled = false;
+        }
+        if machine.busy_until_ms > now_ms {
+            self.schedule_work(id);
+            return;
+        }
+        let result = machine.work(now_ms, tick);
+        self.finish_work(id, result);
+    }
+
+    pub(super) fn finish_work(&mut self, id: MachineId, result: WorkResult) {
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return;
+        };
+        let syncing_ms = result.syncs * machine.sync_ms;
+        machine.busy_until_ms = machine.busy_until_ms.max(self.now_ms + syncing_ms);
+        if let Some(member) = &machine.member {
+            self.checker.on_member(id, member);
+        }
+        for notice in &result.notices {
+            self.checker.on_notice(id, notice);
+            self.log(|| format!("member {id}: {notice:?}"));
+        }
+        for envelope in result.sent {
+            self.send(envelope, syncing_ms);
+        }
+        if let Some(report) = result.failure {
+            self.fail(id, *report.current_context());
+        }
+    }
+
+    /// A member stopped itself, since its disk failed.
+    pub(super) fn fail(&mut self, id: MachineId, kind: ErrorKind) {
+        let torn = self.tearing.remove(&id);
+        self.log(|| format!("member {id} stopped itself: {kind}"));
+        self.checker.on_stop(id);
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return;
+        };
+        if torn {
+            machine.crash();
+        } else {
+            machine.stop_process();
+        }
+        let damaged = self.damaged.iter().any(|member| member.machine == id);
+        let expected = kind == ErrorKind::Io || damaged;
+        self.checker.require(expected, Invariant::Starts, || {
+            format!("member {id} stopped itself: {kind}")
+        });
+        let wait = self.random.random_range(RESTART_MS);
+        self.restart_in(id, wait);
+    }
+
+    /// Work is done as soon as the machine is free; one event is enough for many messages.
+    pub(super) fn schedule_work(&mut self, id: MachineId) {
+        let now_ms = self.now_ms;
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return;
+        };
+        if machine.member.is_some() && !machine.work_scheduled {
+            machine.work_scheduled = true;
+            let at_ms = machine.busy_until_ms.max(now_ms);
+            self.events.push(at_ms, Event::Work(id));
+        }
+    }
+
+    pub(super) fn compare_states(&mut self) {
+        if self.now_ms < self.digests_at_ms {
+            return;
+        }
+        self.digests_at_ms = self.now_ms + DIGEST_INTERVAL_MS;
+        for (id, machine) in &self.machines {
+            if let Some(member) = &machine.member {
+                self.checker.on_digest(*id, member);
+            }
+        }
+    }
+}
