Make the batch driver's calls to control in one place

Change: Driver::propose commits a command, reads the outcome and tells the executor; each call says only what it sends and reads.

--- a/crates/gateway/src/batch/driver.rs
+++ b/crates/gateway/src/batch/driver.rs
@@ -5,8 +5,8 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     attach::GatewayMessage,
-    command::{CommandBody, Outcome},
-    ids::{GatewayId, Timestamp},
+    command::{CommandBody, Outcome, WantedItems},
+    ids::{GatewayId, SessionEpoch, Timestamp},
 };
 use slog::{Logger, debug, o};
 use tokio::{sync::mpsc, task::JoinSet};
@@ -161,91 +161,55 @@
 
     /// Makes a call to control; its answer comes back as an event.
     fn call(&mut self, action: BatchAction) {
-        let control = self.gateway.control.clone();
         let gateway = self.gateway_id.clone();
         match action {
             BatchAction::Lease {
                 session,
                 sequence,
                 wanted,
-            } => {
-                let held = self.gateway.session.current(self.now());
-                let until = held.map_or(Timestamp(0), |session| session.until);
-                let shared = Arc::clone(&self.gateway);
-                let command = CommandBody::LeaseItems {
-                    gateway,
-                    session,
-                    sequence,
-                    wanted: vec![wanted],
-                    until: shared.clock_offset.to_control(until),
-                };
-                self.tasks.spawn(async move {
-                    let answer = match control.propose(command).await {
-                        Ok(Outcome::Leased(mut items)) => {
-                            for item in &mut items {
-                                item.deadline = shared.clock_offset.to_own(item.deadline);
-                            }
-                            CallAnswer::Done(items)
-                        }
-                        other => unsuccessful(other),
-                    };
-                    BatchEvent::Leased { sequence, answer }
-                });
-            }
+            } => self.lease(session, sequence, wanted),
             BatchAction::MarkStarted {
                 session,
                 number,
-                keys,
-            } => {
-                let command = CommandBody::StartItems {
+                keys: items,
+            } => self.propose(
+                CommandBody::StartItems {
                     gateway,
                     session,
-                    items: keys,
-                };
-                self.tasks.spawn(async move {
-                    let answer = match control.propose(command).await {
-                        Ok(Outcome::Started(granted)) => CallAnswer::Done(granted),
-                        other => unsuccessful(other),
-                    };
-                    BatchEvent::Started { number, answer }
-                });
-            }
+                    items,
+                },
+                |outcome| match outcome {
+                    Outcome::Started(granted) => Some(granted),
+                    _ => None,
+                },
+                move |answer| BatchEvent::Started { number, answer },
+            ),
             BatchAction::Commit {
                 session,
                 number,
                 results,
-            } => {
-                let command = CommandBody::CompleteItems {
+            } => self.propose(
+                CommandBody::CompleteItems {
                     gateway,
                     session,
                     results,
-                };
-                self.tasks.spawn(async move {
-                    let answer = match control.propose(command).await {
-                        Ok(Outcome::Completed { .. }) => CallAnswer::Done(()),
-                        other => unsuccessful(other),
-                    };
-                    BatchEvent::Committed { number, answer }
-                });
-            }
+                },
+                |outcome| matches!(outcome, Outcome::Completed { .. }).then_some(()),
+                move |answer| BatchEvent::Committed { number, answer },
+            ),
             BatchAction::Release {
                 session,
                 number,
-                keys,
-            } => {
-                let command = CommandBody::ReleaseItems {
+                keys: items,
+            } => self.propose(
+                CommandBody::ReleaseItems {
                     gateway,
                     session,
-                    items: keys,
-                };
-                self.tasks.spawn(async move {
-                    let answer = match control.propose(command).await {
-                        Ok(Outcome::Done) => CallAnswer::Done(()),
-                        other => unsuccessful(other),
-                    };
-                    BatchEvent::Released { number, answer }
-                });
-            }
+                    items,
+                },
+                |outcome| (outcome == Outcome::Done).then_some(()),
+                move |answer| BatchEvent::Released { number, answer },
+            ),
             BatchAction::Wish(_)
             | BatchAction::Run(_)
             | BatchAction::Stop { .. }
@@ -253,6 +217,51 @@
         }
     }
 
+    /// Asks for items. Times go to control on its clock and come back on the gateway's.
+    fn lease(&mut self, session: SessionEpoch, sequence: u64, wanted: WantedItems) {
+        let held = self.gateway.session.current(self.now());
+        let until = held.map_or(Timestamp(0), |session| session.until);
+        let command = CommandBody::LeaseItems {
+            gateway: self.gateway_id.clone(),
+            session,
+            sequence,
+            wanted: vec![wanted],
+            until: self.gateway.clock_offset.to_control(until),
+        };
+        let shared = Arc::clone(&self.gateway);
+        let leased = move |outcome| match outcome {
+            Outcome::Leased(mut items) => {
+                for item in &mut items {
+                    item.deadline = shared.clock_offset.to_own(item.deadline);
+                }
+                Some(items)
+            }
+            _ => None,
+        };
+        self.propose(command, leased, move |answer| BatchEvent::Leased {
+            sequence,
+            answer,
+        });
+    }
+
+    /// Commits a command; `read` takes what is wanted from its outcome, `event` tells the executor.
+    fn propose<T: Send + 'static>(
+        &mut self,
+        command: CommandBody,
+        read: impl FnOnce(Outcome) -> Option<T> + Send + 'static,
+        event: impl FnOnce(CallAnswer<T>) -> BatchEvent + Send + 'static,
+    ) {
+        let control = self.gateway.control.clone();
+        self.tasks.spawn(async move {
+            let answer = match control.propose(command).await {
+                Ok(outcome) => read(outcome).map_or(CallAnswer::Unknown, CallAnswer::Done),
+                Err(failure) if failure.kind == ErrorKind::InvalidState => CallAnswer::Fenced,
+                Err(_) => CallAnswer::Unknown,
+            };
+            event(answer)
+        });
+    }
+
     fn record(&self, now: Timestamp, decision: BatchDecision) {
         debug!(self.logger, "item";
             "job" => %decision.job,
@@ -263,11 +272,3 @@
         self.gateway.observer.batch(now, decision);
     }
 }
-
-/// Sorts a call that was not carried out by whether it is worth making again.
-fn unsuccessful<T>(outcome: Result<Outcome, linnethitch_errors::Failure>) -> CallAnswer<T> {
-    match outcome {
-        Err(failure) if failure.kind == ErrorKind::InvalidState => CallAnswer::Fenced,
-        _ => CallAnswer::Unknown,
-    }
-}
