Say what limits.max_batch_items bounds

Cause: the settings page called it items running at once; the executor bounds items under lease, running, waiting, or with a result on its way. Change: the page and the comment say so, and that 0 runs none.

--- a/crates/config/src/settings/gateway.rs
+++ b/crates/config/src/settings/gateway.rs
@@ -31,7 +31,7 @@
     pub header_timeout_ms: u64,
     /// Bytes of an uploaded file that are held in memory at once.
     pub upload_buffer_bytes: u32,
-    /// Batch items running at once.
+    /// Batch items under lease at once, running or not; 0 runs none.
     pub max_batch_items: u32,
     /// Longest planned stop: requests still running then are ended with an error, in milliseconds.
     pub drain_timeout_ms: u64,
