storage: test that payloads wait while the disk is full

Cause: since members keep payloads in files, a full disk must not stop the applying of what was committed; that rule had no test of its own.

Change: a table, within a segment and at the end of each: 2.4 MB are appended to a full disk, read back from memory, refused by the checkpoint with StorageFull, and are all there after room, checkpoint and crash.

--- a/crates/storage/tests/all/payloads.rs
+++ b/crates/storage/tests/all/payloads.rs
@@ -160,6 +160,33 @@
     }
 }
 
+#[rstest]
+#[case::within_a_segment(PayloadLimits::default())]
+#[case::at_the_end_of_each_segment(LIMITS)]
+fn while_the_disk_is_full_appended_payloads_wait(#[case] limits: PayloadLimits) {
+    let disk = VirtualDisk::new(1);
+    let files: Arc<dyn FileSystem> = Arc::new(disk.clone());
+    let mut store = PayloadStore::open(files, limits, PayloadMark::default()).unwrap();
+    let large = vec![7; 300_000];
+    let first = store.append(&large).unwrap();
+    store.sync().unwrap();
+    disk.set_capacity(disk.used_bytes());
+    let waiting: Vec<PayloadRef> = (0..8).map(|_| store.append(&large).unwrap()).collect();
+    let refused = store.checkpoint().unwrap_err();
+    assert_eq!(*refused.current_context(), ErrorKind::StorageFull);
+    for payload in waiting.iter().chain([&first]) {
+        assert_eq!(store.read(payload).unwrap(), large);
+    }
+    disk.set_capacity(u64::MAX);
+    let mark = store.checkpoint().unwrap();
+    drop(store);
+    disk.crash();
+    let store = restore(&disk, mark, &waiting).unwrap();
+    for payload in &waiting {
+        assert_eq!(store.read(payload).unwrap(), large);
+    }
+}
+
 #[test]
 fn a_failed_sync_is_final() {
     let disk = VirtualDisk::new(7);
