--- a/crates/lab/tests/all/support/one_host.rs
+++ b/crates/lab/tests/all/support/one_host.rs
@@ -47,8 +47,7 @@
                 host.start(&name);
             }
         }
-        let answer = host.apply("first", 0, &host.fleet_text()).await;
-        assert_eq!(answer.json()["revision"], 1, "{}", answer.text());
+        host.apply_by_command_line();
         host.wait_until_ready().await;
         host
     }
@@ -60,6 +59,7 @@
         fs::create_dir_all(&copy).unwrap();
         fs::create_dir(folder.path().join(DATA)).unwrap();
         fs::write(folder.path().join(DATA).join("cluster.key"), CLUSTER_KEY).unwrap();
+        fs::write(folder.path().join(DATA).join("operator.key"), OPERATOR_KEY).unwrap();
         let mut ports = Ports::default();
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
         for entry in fs::read_dir(root.join(EXAMPLE)).unwrap() {
@@ -77,6 +77,21 @@
         }
     }
 
+    /// Applies the fleet file as the example says.
+    fn apply_by_command_line(&mut self) {
+        let mut command = Command::new(program("linnethitch"));
+        command
+            .current_dir(self.folder.path())
+            .args(["apply", "examples/one-host/fleet.toml", "--wait"])
+            .args(["--key-file", "one-host-data/operator.key"]);
+        for number in 0..2 {
+            let operator = self.ports.of(FIRST_OPERATOR_PORT + number).to_string();
+            command.args(["--operator", &operator]);
+        }
+        let output = command.output().unwrap();
+        assert!(output.status.success(), "{output:?}");
+    }
+
     /// Starts a process that does not run.
     pub(crate) fn start(&mut self, name: &str) {
         let (_, words) = self
