--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -217,11 +217,18 @@
         profile: &RequestProfile<'_>,
     ) -> Option<Scored> {
         let key = *profile.prefix_hashes.first()?;
+        let weight =
+            |member: &ReplicaIndex| rendezvous_weight(key, self.view.replica(*member).id_hash());
+        let first = members.iter().copied().max_by_key(weight)?;
+        if let Some(scored) = self.score(now, first, profile, true) {
+            return Some(scored);
+        }
+        // Seldom: the first one is out, so the next that takes work is searched.
         let preferred = members
             .iter()
             .copied()
             .filter(|member| self.takes_work(now, *member, profile))
-            .max_by_key(|member| rendezvous_weight(key, self.view.replica(*member).id_hash()))?;
+            .max_by_key(weight)?;
         self.score(now, preferred, profile, true)
     }
 
