--- a/crates/scale/src/run/mod.rs
+++ b/crates/scale/src/run/mod.rs
@@ -2,6 +2,7 @@
 //! hollow gateways in this one, and the budgets of a node checked.
 
 mod back_ends;
+mod evaluation;
 mod hollow_fleet;
 mod loads;
 mod measurements;
--- a/crates/scale/src/run/phases.rs
+++ b/crates/scale/src/run/phases.rs
@@ -13,12 +13,13 @@
 use super::{
     ScaleSettings,
     back_ends::BackEnds,
-    hollow_fleet::{HollowFleet, HollowUsage},
+    evaluation::{CHANGES, MEBI, Usages, checks, seconds, step_of, tenant_step_of},
+    hollow_fleet::HollowFleet,
     operator::{Operator, Status},
     processes::{ControlMembers, Member, start_gateways},
-    results::{Check, Events, RoleCost, ScaleResults, Step, TenantStep},
+    results::{Events, ScaleResults, Step, TenantStep},
 };
-use crate::{fleet::FleetPlan, usage::ProcessUsage};
+use crate::fleet::FleetPlan;
 
 /// Longest wait for the fleet to do what it should.
 const LIMIT: Duration = Duration::from_secs(30);
@@ -27,11 +28,8 @@
 const SETTLE: Duration = Duration::from_secs(2);
 /// Hollow gateways that start with blank folders at once.
 const STARTED_AT_ONCE: usize = 20;
-/// Changes whose cost is averaged.
-const CHANGES: u64 = 3;
 /// Shares of the tenants that are measured, in percent.
 const TENANT_PERCENTS: [u64; 3] = [0, 33, 100];
-const MEBI: f64 = 1024.0 * 1024.0;
 
 /// A running fleet and what was found so far.
 pub(super) struct Phases<'a> {
@@ -46,15 +44,6 @@
     revision: u64,
 }
 
-/// What each process has used at a moment.
-struct Usages {
-    at: Instant,
-    hollow: HollowUsage,
-    real: Vec<ProcessUsage>,
-    control: Vec<ProcessUsage>,
-    control_bytes: Vec<u64>,
-}
-
 impl<'a> Phases<'a> {
     /// Starts control and the real gateways.
     pub(super) fn new(
@@ -126,29 +115,8 @@
         }
         let after = self.usages()?;
         let leader = self.leader()?;
-        let change = |used: f64| used / CHANGES as f64;
-        let members = || before.control.iter().zip(&after.control);
-        let (leaders, followers): (Vec<_>, Vec<_>) = members()
-            .enumerate()
-            .partition(|(member, _)| *member == leader);
-        let cpu = |(_, (before, after)): &(usize, (&ProcessUsage, &ProcessUsage))| {
-            seconds(after.cpu) - seconds(before.cpu)
-        };
-        let memory =
-            |(_, (_, after)): &(usize, (&ProcessUsage, &ProcessUsage))| after.resident_bytes as f64;
-        let real = before.real.iter().zip(&after.real);
-        let step = TenantStep {
-            tenants,
-            file_bytes: self.plan.text(self.revision).len() as u64,
-            gateway_change_seconds: change(mean(
-                real.map(|(before, after)| seconds(after.cpu) - seconds(before.cpu)),
-            )),
-            leader_change_seconds: change(mean(leaders.iter().map(cpu))),
-            follower_change_seconds: change(mean(followers.iter().map(cpu))),
-            gateway_memory_bytes: mean(after.real.iter().map(|used| used.resident_bytes as f64)),
-            leader_memory_bytes: mean(leaders.iter().map(memory)),
-            follower_memory_bytes: mean(followers.iter().map(memory)),
-        };
+        let file_bytes = self.plan.text(self.revision).len() as u64;
+        let step = tenant_step_of(tenants, file_bytes, &before, &after, leader);
         self.say(&format!(
             "{tenants} tenants: a change takes {:.0} ms of a gateway's processor, its memory is {:.0} MiB",
             step.gateway_change_seconds * 1e3,
@@ -389,131 +357,6 @@
     gateway.is_some_and(|known| known.revision >= revision)
 }
 
-fn step_of(
-    gateways: u64,
-    before: &Usages,
-    after: &Usages,
-    leader: usize,
-    change_seconds: f64,
-) -> Step {
-    let elapsed = seconds(after.at - before.at);
-    let hollow = gateways.saturating_sub(before.real.len() as u64).max(1) as f64;
-    let member = |index: usize| RoleCost {
-        bytes_per_second: (after.control_bytes[index].saturating_sub(before.control_bytes[index]))
-            as f64
-            / elapsed,
-        ..cost(&before.control[index], &after.control[index], elapsed)
-    };
-    let followers: Vec<RoleCost> = (0..before.control.len())
-        .filter(|index| *index != leader)
-        .map(member)
-        .collect();
-    let real: Vec<RoleCost> = before
-        .real
-        .iter()
-        .zip(&after.real)
-        .map(|(before, after)| cost(before, after, elapsed))
-        .collect();
-    let per_hollow = |used: f64| used / elapsed / hollow;
-    Step {
-        gateways,
-        hollow: RoleCost {
-            cores: per_hollow(seconds(after.hollow.cpu) - seconds(before.hollow.cpu)),
-            bytes_per_second: per_hollow((after.hollow.bytes - before.hollow.bytes) as f64),
-            ..RoleCost::default()
-        },
-        hollow_frames_per_second: per_hollow((after.hollow.frames - before.hollow.frames) as f64),
-        real: average(&real),
-        leader: member(leader),
-        follower: average(&followers),
-        change_seconds,
-    }
-}
-
-fn cost(before: &ProcessUsage, after: &ProcessUsage, elapsed: f64) -> RoleCost {
-    RoleCost {
-        cores: (seconds(after.cpu) - seconds(before.cpu)) / elapsed,
-        bytes_per_second: 0.0,
-        memory_bytes: after.resident_bytes as f64,
-        peak_memory_bytes: after.peak_bytes as f64,
-    }
-}
-
-fn average(costs: &[RoleCost]) -> RoleCost {
-    let of = |field: fn(&RoleCost) -> f64| mean(costs.iter().map(field));
-    RoleCost {
-        cores: of(|cost| cost.cores),
-        bytes_per_second: of(|cost| cost.bytes_per_second),
-        memory_bytes: of(|cost| cost.memory_bytes),
-        peak_memory_bytes: of(|cost| cost.peak_memory_bytes),
-    }
-}
-
-/// Changes of the configuration in a second, at 2,000 a day.
-const CHANGES_A_SECOND: f64 = 2_000.0 / 86_400.0;
-
-fn checks(tenants: &[TenantStep], steps: &[Step], events: &Events, peak: f64) -> Vec<Check> {
-    let (Some(full), Some(last)) = (tenants.last(), steps.last()) else {
-        return Vec::new();
-    };
-    let cores = last.hollow.cores + full.gateway_change_seconds * CHANGES_A_SECOND;
-    let check = |name: &str, limit, found, unit: &str| Check {
-        name: name.to_owned(),
-        limit,
-        found,
-        unit: unit.to_owned(),
-    };
-    vec![
-        check("processor of a node", 1.1, cores * 100.0, "% of a core"),
-        check("memory of a node, most", 256.0, peak / MEBI, "MiB"),
-        check(
-            "bytes of a node",
-            2_048.0,
-            last.hollow.bytes_per_second,
-            "B/s",
-        ),
-        check(
-            "a change in force everywhere",
-            4.0,
-            last.change_seconds,
-            "s",
-        ),
-        check(
-            "a change of a burst in force everywhere",
-            4.0,
-            events.burst_slowest_seconds,
-            "s",
-        ),
-        check(
-            "the burst's last change, real gateways too",
-            4.0,
-            events.burst_in_force_seconds,
-            "s",
-        ),
-        check(
-            "attached again after a follower's death",
-            4.0,
-            events.follower_killed_seconds,
-            "s",
-        ),
-        check(
-            "attached again after the leader's death",
-            4.0,
-            events.leader_killed_seconds,
-            "s",
-        ),
-    ]
-}
-
 fn gave_up(what: &str) -> Report<ErrorKind> {
     Report::new(ErrorKind::DeadlineExceeded).attach(format!("gave up waiting: {what}"))
 }
-
-fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let values: Vec<f64> = values.collect();
-    values.iter().sum::<f64>() / values.len().max(1) as f64
-}
-
-fn seconds(duration: Duration) -> f64 {
-    duration.as_secs_f64()
-}
