Give the gateways attached to a simulated machine a file of their own

Change: what attached gateways are told moves to machine/attached.rs. Conclusion: nothing else changes.

--- a/crates/simulator/src/machine.rs
+++ b/crates/simulator/src/machine.rs
@@ -1,5 +1,7 @@
 //! A control machine: its disk, its clock, its process and the driver around it.
 
+mod attached;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::Arc,
@@ -9,12 +11,13 @@
 use linnethitch_control::member::{Member, MemberNotice, MemberOutput, MemberSettings, MemberTime};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
-    attach::{ControlAnswer, ControlCall, ControlMessage},
+    attach::{ControlAnswer, ControlCall},
     command::CommandBody,
-    ids::{CallId, DiskId, MachineId, MemberId, Revision, Timestamp},
+    ids::{CallId, DiskId, MachineId, MemberId, Timestamp},
 };
 use linnethitch_storage::VirtualDisk;
 
+use self::attached::AttachedGateway;
 use crate::{
     actors::ActorId,
     network::{Address, Envelope, Packet},
@@ -29,8 +32,6 @@
 const RESERVED_BYTES: u64 = 16 * 1024;
 /// How often the leader looks for what has expired, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
-/// How often a member tells gateways how fresh it is, in milliseconds.
-const FRESHNESS_INTERVAL_MS: u64 = 400;
 /// Stands for the id of a disk that was not formatted yet.
 const BLANK: DiskId = DiskId(0);
 /// Parts per million of a clock that runs right.
@@ -72,15 +73,6 @@
     number: u64,
 }
 
-/// A gateway that is attached here.
-#[derive(Clone, Copy, Debug)]
-struct AttachedGateway {
-    connection: u64,
-    next_sequence: u64,
-    /// The revision that it has or was sent.
-    revision: Revision,
-}
-
 /// What a piece of work gave.
 #[derive(Default)]
 pub(crate) struct WorkResult {
@@ -265,13 +257,7 @@
                     revision,
                 },
             ) => {
-                let attached = AttachedGateway {
-                    connection,
-                    next_sequence: 0,
-                    revision,
-                };
-                self.attached.insert(actor, attached);
-                self.send_configuration(member, actor, result);
+                self.attach(member, actor, connection, revision, result);
             }
             _ => {}
         }
@@ -296,23 +282,6 @@
         }
     }
 
-    /// Tells attached gateways how fresh this member is.
-    fn tell_freshness(&mut self, member: &Member, time: MemberTime, result: &mut WorkResult) {
-        let due = time.monotonic_ms >= self.freshness_told_ms + FRESHNESS_INTERVAL_MS;
-        if !due || self.attached.is_empty() {
-            return;
-        }
-        self.freshness_told_ms = time.monotonic_ms;
-        let confirmed_at = member.view().confirmed_at;
-        let message = ControlMessage::Freshness {
-            confirmed_at,
-            now: time.wall,
-            revision: member.ledger().revision(),
-            pending: member.ledger().pending_items(),
-        };
-        self.tell_all(&message, result);
-    }
-
     fn carry_out(&mut self, member: &Member, output: MemberOutput, result: &mut WorkResult) {
         match output {
             MemberOutput::Send { to, message } => {
@@ -337,62 +306,6 @@
         }
     }
 
-    fn tell_gateways(&mut self, member: &Member, notice: &MemberNotice, result: &mut WorkResult) {
-        let actors: Vec<ActorId> = self.attached.keys().copied().collect();
-        match notice {
-            MemberNotice::Configuration(_) | MemberNotice::SnapshotInstalled(_) => {
-                for actor in actors {
-                    self.send_configuration(member, actor, result);
-                }
-            }
-            MemberNotice::JobCancelled(job) => {
-                self.tell_all(&ControlMessage::CancelJobs(vec![job.clone()]), result);
-            }
-            _ => {}
-        }
-    }
-
-    /// Sends what a gateway lacks, as deltas where the history reaches back far enough.
-    fn send_configuration(&mut self, member: &Member, actor: ActorId, result: &mut WorkResult) {
-        let newest = member.ledger().revision();
-        let Some(attached) = self.attached.get_mut(&actor) else {
-            return;
-        };
-        let known = attached.revision;
-        if newest <= known {
-            return;
-        }
-        attached.revision = newest;
-        let updates = member
-            .ledger()
-            .configuration_updates_since(known)
-            .unwrap_or_else(|| vec![member.ledger().configuration_full()]);
-        for update in updates {
-            self.tell(actor, ControlMessage::Configuration(update), result);
-        }
-    }
-
-    fn tell_all(&mut self, message: &ControlMessage, result: &mut WorkResult) {
-        let actors: Vec<ActorId> = self.attached.keys().copied().collect();
-        for actor in actors {
-            self.tell(actor, message.clone(), result);
-        }
-    }
-
-    /// Sends to an attached gateway.
-    fn tell(&mut self, actor: ActorId, message: ControlMessage, result: &mut WorkResult) {
-        let Some(attached) = self.attached.get_mut(&actor) else {
-            return;
-        };
-        let packet = Packet::Attached {
-            connection: attached.connection,
-            sequence: attached.next_sequence,
-            message,
-        };
-        attached.next_sequence += 1;
-        self.send(Address::Actor(actor), packet, result);
-    }
-
     fn send(&self, to: Address, packet: Packet, result: &mut WorkResult) {
         result.sent.push(Envelope {
             from: Address::Control(self.id),
