--- a/crates/experiments/src/experiment.rs
+++ b/crates/experiments/src/experiment.rs
@@ -11,8 +11,6 @@
 
 use crate::{Deployment, Table, plot::Plot, simulation::RunSettings};
 
-pub use decision_cost::{loaded_router, request};
-
 /// Parameters of an experiment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/experiments/src/experiment/decision_cost.rs
+++ b/crates/experiments/src/experiment/decision_cost.rs
@@ -52,8 +52,7 @@
 }
 
 /// A router that knows so many replicas of one zone, each with requests.
-#[must_use]
-pub fn loaded_router(design: &Deployment, replicas: usize) -> Router {
+fn loaded_router(design: &Deployment, replicas: usize) -> Router {
     let mut router = Router::new(design.zones[0].clone(), design.routing.clone());
     let view = router.view_mut();
     view.set_replicas((0..replicas).map(|engine| {
@@ -75,8 +74,7 @@
 }
 
 /// The request that is placed.
-#[must_use]
-pub fn request(design: &Deployment) -> RequestProfile<'_> {
+fn request(design: &Deployment) -> RequestProfile<'_> {
     RequestProfile {
         target: Target::Model {
             name: design.model.as_str(),
