Test that the next replica by rendezvous is considered when the first leaves

Cause: the search by weight asks for the standing of the first replica only, and of all of them when that one is out; nothing held the second part.

Change: a test that finds the replica considered in every choice, lets it leave, and finds exactly one other.

Conclusion: both parts are held.

--- a/crates/routing/tests/all/router.rs
+++ b/crates/routing/tests/all/router.rs
@@ -321,6 +321,33 @@
     }
 }
 
+#[test]
+fn when_the_replica_preferred_for_a_prefix_leaves_the_next_is_always_considered() {
+    let names = ["e1", "e2", "e3", "e4", "e5", "e6"];
+    let mut router = router(names.map(|name| engine(name, "a")));
+    let profile = RequestProfile {
+        prefix_hashes: &[11],
+        ..request()
+    };
+    let mut generator = rng();
+    let mut always_considered = |router: &Router| {
+        let mut common: Vec<_> = names.map(|name| index(router, name)).to_vec();
+        for _ in 0..40 {
+            let choice = router.choose(NOW, &profile, &mut generator).unwrap();
+            let others = choice.alternatives.iter().flatten();
+            let considered: Vec<_> = others.map(|other| other.replica).collect();
+            common.retain(|one| *one == choice.replica || considered.contains(one));
+        }
+        common
+    };
+    let preferred = always_considered(&router);
+    assert_eq!(preferred.len(), 1);
+    router.view_mut().on_leaving(NOW, preferred[0]);
+    let next = always_considered(&router);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next, preferred);
+}
+
 #[test]
 fn the_same_seed_gives_the_same_choices() {
     let names = ["e1", "e2", "e3", "e4", "e5", "e6"];
