Keep probes of a member's log short

Cause: a probe carried up to 1 MiB and is sent again after every answered heartbeat; a slow learner thus made its leader read and encode the same piece again and again (seen in stacks of a trial with a job of 60,000 items). Change: a probe carries about 16 KiB, or one entry.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -12,6 +12,10 @@
     settings::Settings,
 };
 
+/// Bytes of entries in a probe, about: it may have to be sent many times, and
+/// its answer is only whether the logs agree.
+const PROBE_BYTES: usize = 16 * 1024;
+
 /// What all messages of one `Ready` share.
 pub(crate) struct Replication<'a> {
     pub(crate) settings: &'a Settings,
@@ -61,7 +65,8 @@
         if !has_entries && !progress.heartbeat_due {
             return;
         }
-        match self.batch(progress.next) {
+        let max_bytes = PROBE_BYTES.min(self.settings.max_append_bytes);
+        match self.batch(progress.next, max_bytes) {
             Some(batch) => {
                 progress.state = SendState::Probe { sent: true };
                 outbox.push(self.append(to, progress, batch));
@@ -78,7 +83,7 @@
     ) {
         let last_index = self.pending.last_index();
         while progress.next <= last_index && self.has_room(progress) {
-            let Some(batch) = self.batch(progress.next) else {
+            let Some(batch) = self.batch(progress.next, self.settings.max_append_bytes) else {
                 self.start_snapshot(to, progress, outbox);
                 return;
             };
@@ -98,13 +103,12 @@
     }
 
     /// The entries from an index on; `None` when the log does not reach back to it.
-    fn batch(&self, next: LogIndex) -> Option<Batch> {
+    fn batch(&self, next: LogIndex, max_bytes: usize) -> Option<Batch> {
         let previous_index = LogIndex(next.0 - 1);
         let previous_term = self.pending.term(previous_index, self.log)?;
         let mut entries = Vec::new();
         if next <= self.pending.last_index() {
-            let limit = self.settings.max_append_bytes;
-            entries = self.pending.entries(next, limit, self.log);
+            entries = self.pending.entries(next, max_bytes, self.log);
             if entries.is_empty() {
                 return None;
             }
--- /dev/null
+++ b/crates/lab/src/measure/jobs/cluster.rs
@@ -0,0 +1,260 @@
+//! Control members in this process, on loopback sockets and files with real syncs.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use linnethitch_config::settings::{
+    ControlPeer, ControlSettings, DEFAULT_SNAPSHOT_LOG_BYTES, LogSettings,
+};
+use linnethitch_control::process::{
+    ControlAddresses, ControlHandle, ControlProcess, ControlSockets,
+};
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    attach::{ControlAnswer, ControlCall},
+    query::{FleetStatus, Query, QueryAnswer},
+};
+use linnethitch_transport::{ClusterIdentity, ClusterKey};
+use slog::{Discard, Logger, o};
+
+use super::caller::Caller;
+
+const CLUSTER: &str = "measured";
+const CLUSTER_KEY: &str = "a key of the measured cluster";
+/// Pause between two looks at the group.
+pub(super) const LOOK: Duration = Duration::from_millis(5);
+
+struct Machine {
+    addresses: ControlAddresses,
+    handle: Option<ControlHandle>,
+}
+
+/// A running group.
+pub(super) struct Cluster {
+    folder: PathBuf,
+    machines: BTreeMap<u32, Machine>,
+    pub(super) identity: ClusterIdentity,
+}
+
+impl Cluster {
+    /// Starts members on blank disks and waits until all of them vote.
+    pub(super) async fn start(size: u32, folder: &Path) -> Result<Self, Report<ErrorKind>> {
+        fs::create_dir_all(folder).change_context(ErrorKind::Io)?;
+        fs::write(folder.join("cluster.key"), CLUSTER_KEY).change_context(ErrorKind::Io)?;
+        let mut cluster = Cluster {
+            folder: folder.to_owned(),
+            machines: BTreeMap::new(),
+            identity: ClusterIdentity {
+                name: CLUSTER.to_owned(),
+                key: ClusterKey::new(CLUSTER_KEY)?,
+            },
+        };
+        let mut bound = BTreeMap::new();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        for number in 1..=size {
+            let sockets = ControlSockets::bind(any_port, any_port, any_port).await?;
+            let machine = Machine {
+                addresses: sockets.addresses()?,
+                handle: None,
+            };
+            cluster.machines.insert(number, machine);
+            bound.insert(number, sockets);
+        }
+        for (number, sockets) in bound {
+            cluster.start_on(number, sockets).await?;
+        }
+        cluster.wait_for_voters(size as usize).await?;
+        Ok(cluster)
+    }
+
+    /// Starts an ended member again.
+    pub(super) async fn restart(&mut self, number: u32) -> Result<(), Report<ErrorKind>> {
+        let at = self.machines[&number].addresses;
+        let sockets = ControlSockets::bind(at.peer, at.attach, at.operator).await?;
+        self.start_on(number, sockets).await
+    }
+
+    /// Ends a member as a crash would.
+    pub(super) async fn crash(&mut self, number: u32) {
+        if let Some(handle) = self.handle(number) {
+            handle.abort().await;
+        }
+    }
+
+    /// Planned stop of a member.
+    pub(super) async fn stop(&mut self, number: u32) {
+        if let Some(handle) = self.handle(number) {
+            handle.stop().await;
+        }
+    }
+
+    /// Empties the disk of an ended member.
+    pub(super) fn wipe(&self, number: u32) -> Result<(), Report<ErrorKind>> {
+        fs::remove_dir_all(self.data_dir(number)).change_context(ErrorKind::Io)
+    }
+
+    /// The member that leads.
+    pub(super) async fn leader(&self) -> u32 {
+        loop {
+            let leads = |machine: &Machine| {
+                let handle = machine.handle.as_ref();
+                handle.is_some_and(ControlHandle::leads)
+            };
+            let leader = self.machines.iter().find(|(_, machine)| leads(machine));
+            if let Some((number, _)) = leader {
+                return *number;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// The running members but one.
+    pub(super) fn others(&self, than: u32) -> Vec<u32> {
+        let running = self
+            .machines
+            .iter()
+            .filter(|(_, machine)| machine.handle.is_some());
+        running
+            .map(|(number, _)| *number)
+            .filter(|number| *number != than)
+            .collect()
+    }
+
+    /// Attaches a caller to a member.
+    pub(super) async fn attach(
+        &self,
+        number: u32,
+        name: &str,
+    ) -> Result<Caller, Report<ErrorKind>> {
+        let address = self.machines[&number].addresses.attach;
+        Caller::attach(address, &self.identity, name).await
+    }
+
+    /// Waits until so many disks vote.
+    pub(super) async fn wait_for_voters(&self, count: usize) -> Result<(), Report<ErrorKind>> {
+        loop {
+            let through = self.leader().await;
+            let caller = self.attach(through, "observer").await?;
+            let answer = caller.call(ControlCall::Query(Query::Status)).await;
+            if let Ok(ControlAnswer::Answer(QueryAnswer::Status(status))) = answer
+                && voters(&status) == count
+                && status.members.len() == count
+            {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until so many disks vote and one of them has what the others have.
+    pub(super) async fn wait_for_all(
+        &self,
+        number: u32,
+        count: usize,
+    ) -> Result<(), Report<ErrorKind>> {
+        self.wait_for_voters(count).await?;
+        loop {
+            let through = self.leader().await;
+            let caller = self.attach(through, "observer").await?;
+            let answer = caller.call(ControlCall::Query(Query::Status)).await;
+            if let Ok(ControlAnswer::Answer(QueryAnswer::Status(status))) = answer
+                && has_everything(&status, number)
+            {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Ends all members.
+    pub(super) async fn end(mut self) {
+        let numbers: Vec<u32> = self.machines.keys().copied().collect();
+        for number in numbers {
+            self.crash(number).await;
+        }
+    }
+
+    /// Bytes of a member's files.
+    pub(super) fn disk_bytes(&self, number: u32) -> u64 {
+        bytes_below(&self.data_dir(number))
+    }
+
+    fn handle(&mut self, number: u32) -> Option<ControlHandle> {
+        self.machines.get_mut(&number)?.handle.take()
+    }
+
+    async fn start_on(
+        &mut self,
+        number: u32,
+        sockets: ControlSockets,
+    ) -> Result<(), Report<ErrorKind>> {
+        let settings = self.settings(number);
+        let logger = Logger::root(Discard, o!());
+        let handle = ControlProcess::start_on(settings, sockets, logger).await?;
+        if let Some(machine) = self.machines.get_mut(&number) {
+            machine.handle = Some(handle);
+        }
+        Ok(())
+    }
+
+    fn data_dir(&self, number: u32) -> PathBuf {
+        self.folder.join(format!("member-{number}"))
+    }
+
+    fn settings(&self, number: u32) -> ControlSettings {
+        let own = self.machines[&number].addresses;
+        let peers = self.machines.iter().map(|(machine, at)| ControlPeer {
+            machine: *machine,
+            address: at.addresses.peer,
+        });
+        ControlSettings {
+            machine: number,
+            zone: "zone-1".to_owned(),
+            region: "one".to_owned(),
+            peer_address: own.peer,
+            attach_address: own.attach,
+            operator_address: own.operator,
+            peers: peers.collect(),
+            bootstrap: true,
+            cluster: CLUSTER.to_owned(),
+            cluster_key_file: self.folder.join("cluster.key"),
+            operator_key_sha256: "0".repeat(64),
+            // Nothing listens there: there are no back ends in this measurement.
+            platform_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            data_dir: self.data_dir(number),
+            snapshot_log_bytes: DEFAULT_SNAPSHOT_LOG_BYTES,
+            log: LogSettings::default(),
+        }
+    }
+}
+
+fn voters(status: &FleetStatus) -> usize {
+    status.members.iter().filter(|member| member.voter).count()
+}
+
+/// Whether a machine's disk is synced as far as the leader's, as that one knows.
+fn has_everything(status: &FleetStatus, machine: u32) -> bool {
+    let newest = status.members.iter().map(|member| member.matched).max();
+    let own = status
+        .members
+        .iter()
+        .find(|member| member.member.machine.0 == machine);
+    own.map(|member| member.matched) == newest
+}
+
+/// Bytes of all files below a folder; what disappears meanwhile does not count.
+fn bytes_below(folder: &Path) -> u64 {
+    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
+    let bytes = entries.map(|entry| match entry.metadata() {
+        Ok(metadata) if metadata.is_dir() => bytes_below(&entry.path()),
+        Ok(metadata) => metadata.len(),
+        Err(_) => 0,
+    });
+    bytes.sum()
+}
--- /dev/null
+++ b/crates/lab/src/measure/jobs/mod.rs
@@ -0,0 +1,185 @@
+//! `linnethitch-lab measure group`: control members as a group.
+//!
+//! The members run in this process with their own threads, sockets on loopback
+//! and files with real syncs. All share one disk, so figures are told beside the
+//! rate at which the same disk syncs one small write after the other.
+
+mod caller;
+mod cluster;
+mod losses;
+mod report;
+mod syncs;
+mod work;
+
+use std::{
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bpaf::Bpaf;
+use error_stack::{Report, ResultExt};
+use linnethitch_errors::ErrorKind;
+
+use self::{
+    cluster::Cluster,
+    report::{Claims, GroupReport},
+    work::{Job, JobSize, Latencies, Worker},
+};
+use crate::{
+    output::say,
+    process::{Outcome, Verdict, runtime},
+};
+
+/// Calls under way at once, in turn.
+const CONCURRENCIES: [usize; 4] = [1, 16, 256, 2_048];
+/// Callers that execute items.
+const EXECUTORS: usize = 16;
+
+/// Sizes:
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(arguments))]
+pub(crate) struct Arguments {
+    /// Control members
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    members: u32,
+    /// Items of the job
+    #[bpaf(argument("N"), fallback(270_000), display_fallback)]
+    items: u32,
+    /// Bytes of each line and result
+    #[bpaf(argument("BYTES"), fallback(300), display_fallback)]
+    line_bytes: u32,
+    /// Seconds of each measurement of commits and claims
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    seconds: u64,
+    /// Leaders lost, and disks repaired, one after the other
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    losses: u32,
+    /// Where `results.json` and, while it runs, the data go
+    #[bpaf(
+        argument("DIR"),
+        fallback(PathBuf::from("target/measure-group")),
+        debug_fallback
+    )]
+    output: PathBuf,
+}
+
+/// Measures everything.
+pub(crate) fn run(arguments: &Arguments) -> Outcome {
+    let data = arguments.output.join("data");
+    clear(&data)?;
+    let report = runtime()?.block_on(measure(arguments, &data));
+    clear(&data)?;
+    let report = report?;
+    report.write(&arguments.output)?;
+    say(&report.text());
+    Ok(Verdict::Good)
+}
+
+async fn measure(
+    arguments: &Arguments,
+    data: &std::path::Path,
+) -> Result<GroupReport, Report<ErrorKind>> {
+    let time = Duration::from_secs(arguments.seconds);
+    say("syncs of the disk alone");
+    let syncs = syncs::measure(data, arguments.members, time)?;
+    let mut cluster = Cluster::start(arguments.members, data).await?;
+    let workers = workers(&cluster, arguments.members).await?;
+    work::configure(&cluster.attach(1, "operator").await?).await?;
+    let mut commits = Vec::new();
+    for concurrency in CONCURRENCIES {
+        say(&format!("commits, {concurrency} at once"));
+        commits.push(work::commits(&workers, concurrency, time).await?);
+    }
+    say("claims, and a job");
+    let idle = claims_for(&workers[0], 0, time).await?;
+    let (job, heap) = job_beside_claims(arguments, &workers).await?;
+    drop(workers);
+    say("losses and repairs");
+    let losses = losses::measure(&mut cluster, arguments.losses).await?;
+    cluster.end().await;
+    Ok(GroupReport {
+        members: arguments.members,
+        syncs,
+        commits,
+        claims: Claims { idle, heap },
+        job,
+        losses,
+    })
+}
+
+async fn workers(cluster: &Cluster, members: u32) -> Result<Vec<Arc<Worker>>, Report<ErrorKind>> {
+    let mut workers = Vec::new();
+    for number in 0..EXECUTORS {
+        let member = number as u32 % members + 1;
+        let name = format!("gateway-{number}");
+        workers.push(Arc::new(Worker::open(cluster, member, &name).await?));
+    }
+    Ok(workers)
+}
+
+async fn claims_for(
+    worker: &Arc<Worker>,
+    first: u64,
+    time: Duration,
+) -> Result<Latencies, Report<ErrorKind>> {
+    let end = Arc::new(AtomicBool::new(false));
+    let claiming = work::claim_until(Arc::clone(worker), first, Arc::clone(&end));
+    let ending = async {
+        tokio::time::sleep(time).await;
+        end.store(true, Ordering::Relaxed);
+    };
+    let (latencies, ()) = tokio::join!(claiming, ending);
+    latencies
+}
+
+/// Uploads, accepts and executes a job while keys are claimed.
+async fn job_beside_claims(
+    arguments: &Arguments,
+    workers: &[Arc<Worker>],
+) -> Result<(Job, Latencies), Report<ErrorKind>> {
+    let end = Arc::new(AtomicBool::new(false));
+    let first = u64::from(u32::MAX);
+    let claiming = work::claim_until(Arc::clone(&workers[0]), first, Arc::clone(&end));
+    let claiming = tokio::spawn(claiming);
+    let job = run_job(arguments, &workers[1..]).await;
+    end.store(true, Ordering::Relaxed);
+    let latencies = claiming.await.change_context(ErrorKind::Internal)??;
+    Ok((job?, latencies))
+}
+
+async fn run_job(arguments: &Arguments, workers: &[Arc<Worker>]) -> Result<Job, Report<ErrorKind>> {
+    let size = JobSize {
+        number: 1,
+        items: arguments.items,
+        line_bytes: arguments.line_bytes,
+    };
+    let (upload_seconds, accept_seconds) = work::submit(&workers[0], size).await?;
+    let started = Instant::now();
+    let done = work::execute(workers, arguments.line_bytes).await?;
+    let run_seconds = started.elapsed().as_secs_f64();
+    if done != u64::from(arguments.items) {
+        let message = format!("{done} of {} items were completed", arguments.items);
+        return Err(Report::new(ErrorKind::Internal).attach(message));
+    }
+    Ok(Job {
+        items: arguments.items,
+        line_bytes: arguments.line_bytes,
+        upload_seconds,
+        accept_ms: accept_seconds * 1_000.0,
+        run_seconds,
+        items_per_second: f64::from(arguments.items) / run_seconds,
+    })
+}
+
+fn clear(folder: &std::path::Path) -> Result<(), Report<ErrorKind>> {
+    if !folder.exists() {
+        return Ok(());
+    }
+    std::fs::remove_dir_all(folder)
+        .change_context(ErrorKind::Io)
+        .attach_with(|| folder.display().to_string())
+}
