Measure control processes with a large job, restarts and repairs

Cause: the cost of claims beside a heap, restarts and repairs of real control processes was not measured. Change: linnethitch-lab measure jobs; a control process can be ended as by a crash (ControlHandle::abort).

--- a/crates/control/src/driver/input.rs
+++ b/crates/control/src/driver/input.rs
@@ -31,6 +31,8 @@
     },
     /// A planned stop.
     Stop,
+    /// An end as by a crash.
+    Abort,
 }
 
 /// A call that waits for its answer.
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -188,6 +188,12 @@
         // A thread that has ended already needs no telling.
         let _ = self.inputs.send(Input::Stop).await;
     }
+
+    /// Ends the thread at once, as a crash would.
+    pub(crate) async fn abort(&self) {
+        // A thread that has ended already needs no telling.
+        let _ = self.inputs.send(Input::Abort).await;
+    }
 }
 
 /// The answer to a call that was handed in.
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -71,6 +71,7 @@
     next_tick: Instant,
     /// When to end although leadership could not be handed over.
     stop_at: Option<Instant>,
+    aborted: bool,
 }
 
 impl MemberThread {
@@ -99,6 +100,7 @@
             expiry: None,
             next_tick: Instant::now(),
             stop_at: None,
+            aborted: false,
         };
         thread.publish();
         Ok(thread)
@@ -113,6 +115,9 @@
     pub(super) fn run(mut self) -> Result<(), Report<ErrorKind>> {
         loop {
             let open = self.take_inputs();
+            if self.aborted {
+                return Ok(());
+            }
             if Instant::now() >= self.next_tick {
                 self.next_tick = Instant::now() + TICK;
                 self.member.tick(self.clock.member_time());
@@ -173,6 +178,7 @@
                 // The driver of placement may have been ended.
                 let _ = reply.send(self.placement_view());
             }
+            Input::Abort => self.aborted = true,
             Input::Stop => {
                 self.stop_at.get_or_insert(Instant::now() + HAND_OVER_LIMIT);
                 self.member.hand_leadership_over();
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -205,6 +205,23 @@
         let _ = operator_server.await;
         tasks.shutdown().await;
     }
+
+    /// Ends at once without handing leadership over, as a crash would; for
+    /// harnesses that run members in their own process.
+    pub async fn abort(self) {
+        let ControlHandle {
+            driver,
+            end,
+            operator_server,
+            mut tasks,
+            ..
+        } = self;
+        operator_server.abort();
+        tasks.shutdown().await;
+        driver.abort().await;
+        // However it ended, the data folder is free again.
+        let _ = end.await;
+    }
 }
 
 /// What the parts of a process share.
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 mod consensus;
 mod gateway;
+mod jobs;
 mod state;
 
 use bpaf::Bpaf;
@@ -15,6 +16,9 @@
     /// Measure a group of control members: commits, reads, loss of the leader
     #[bpaf(command)]
     Consensus(#[bpaf(external(consensus::arguments))] consensus::Arguments),
+    /// Measure control processes: a large job beside claims, repairs and restarts
+    #[bpaf(command)]
+    Jobs(#[bpaf(external(jobs::arguments))] jobs::Arguments),
     /// Measure the state machine of control at the plan's size: memory, times, bytes
     #[bpaf(command)]
     State(#[bpaf(external(state::arguments))] state::Arguments),
@@ -27,6 +31,7 @@
 pub(crate) fn run(arguments: &Arguments) -> Outcome {
     match arguments {
         Arguments::Consensus(arguments) => consensus::run(arguments),
+        Arguments::Jobs(arguments) => jobs::run(arguments),
         Arguments::State(arguments) => state::run(arguments),
         Arguments::Gateway(arguments) => gateway::run(arguments),
     }
