--- a/crates/control/src/attach/push.rs
+++ b/crates/control/src/attach/push.rs
@@ -12,6 +12,7 @@
 
 use super::{AttachServer, session::GatewaySender};
 use crate::{
+    clock::Clock,
     driver::{ChangeMark, Driver, Held},
     load_teller::{LoadNews, LoadTeller},
     soft_state::{FleetVersion, SharedSoftState, SoftMark, VersionedFleet},
@@ -24,7 +25,7 @@
 pub(super) struct Push {
     driver: Driver,
     soft_state: SharedSoftState,
-    clock: crate::clock::Clock,
+    clock: Clock,
     sender: GatewaySender,
     marks: watch::Receiver<ChangeMark>,
     soft_changes: watch::Receiver<SoftMark>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,4 +16,5 @@
 mod placement;
 pub mod process;
 mod record;
+mod sockets;
 mod soft_state;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use linnethitch_config::settings::ControlSettings;
 use linnethitch_errors::ErrorKind;
 use linnethitch_http_server::Listener;
@@ -34,29 +34,12 @@
     },
 };
 
+pub use crate::sockets::{ControlAddresses, ControlSockets};
+
 /// Starts control members; several may run in one operating system process.
 #[derive(Debug)]
 pub struct ControlProcess;
 
-/// The sockets of a control member, bound before anything starts.
-#[derive(Debug)]
-pub struct ControlSockets {
-    peer: TcpListener,
-    attach: TcpListener,
-    operator: TcpListener,
-}
-
-/// Where a control member listens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ControlAddresses {
-    /// For other control members.
-    pub peer: SocketAddr,
-    /// For gateways.
-    pub attach: SocketAddr,
-    /// For operators.
-    pub operator: SocketAddr,
-}
-
 /// A running control member.
 pub struct ControlHandle {
     addresses: ControlAddresses,
@@ -68,37 +51,6 @@
     tasks: JoinSet<()>,
 }
 
-impl ControlSockets {
-    /// Binds the addresses; port 0 lets the system choose.
-    ///
-    /// # Errors
-    /// `Io` when an address cannot be listened on.
-    pub async fn bind(
-        peer: SocketAddr,
-        attach: SocketAddr,
-        operator: SocketAddr,
-    ) -> Result<Self, Report<ErrorKind>> {
-        Ok(ControlSockets {
-            peer: bind(peer).await?,
-            attach: bind(attach).await?,
-            operator: bind(operator).await?,
-        })
-    }
-
-    /// The addresses with the ports that were chosen.
-    ///
-    /// # Errors
-    /// `Io` when the system does not tell them.
-    pub fn addresses(&self) -> Result<ControlAddresses, Report<ErrorKind>> {
-        let local = |socket: &TcpListener| socket.local_addr().change_context(ErrorKind::Io);
-        Ok(ControlAddresses {
-            peer: local(&self.peer)?,
-            attach: local(&self.attach)?,
-            operator: local(&self.operator)?,
-        })
-    }
-}
-
 impl ControlProcess {
     /// Starts a control member on the addresses of its settings.
     ///
@@ -352,10 +304,3 @@
         tasks
     }
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, Report<ErrorKind>> {
-    TcpListener::bind(address)
-        .await
-        .change_context(ErrorKind::Io)
-        .attach_with(|| format!("cannot listen on {address}"))
-}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,8 +1,8 @@
 //! Framed, authenticated TCP connections between linnethitch's own processes.
 //!
 //! A connection starts with a handshake in which both sides prove that they
-//! hold the cluster key . After it, typed messages travel in
-//! frames ([`linnethitch_protocol::frame`]). Send queues are bounded
+//! hold the cluster key. After it, typed messages travel in frames
+//! ([`linnethitch_protocol::frame`]). Send queues are bounded
 //! ([`ConnectionOptions`]); silence and slow readers end a
 //! connection after a fixed time. The connection is authenticated at its start
 //! only and is not encrypted: it is meant for a private network.
