Add load counts of an engine without overflow

Cause: the gateway added two counts of a load report as they came; a report with the largest count made the sum overflow, which ends the request's task in a build with checks and tells a nearly idle engine without them. Found by reading.

Change: the sum stops at the largest count. A row of the table of refusals has an engine send such a report.

Figures: the row fails before (attempt to add with overflow) and passes after.

Conclusion: no other sum of counts from outside stands in this function.

--- a/crates/gateway/src/engine/client.rs
+++ b/crates/gateway/src/engine/client.rs
@@ -223,7 +223,7 @@
     let load: LoadHeader = serde_json::from_slice(headers.get(name)?.as_bytes()).ok()?;
     Some(LoadReport {
         measured_at: Timestamp(load.measured_at_ms),
-        running_online: load.running_online + load.running,
+        running_online: load.running_online.saturating_add(load.running),
         running_batch: load.running_batch,
         waiting: load.waiting,
         queued_prefill_tokens: load.queued_prefill_tokens,
--- a/crates/gateway/tests/all/completions.rs
+++ b/crates/gateway/tests/all/completions.rs
@@ -160,6 +160,7 @@
 #[case::refused_before_the_start(Script::Status(503, vec![("x-engine-started", "no")], "busy"), 503, "no_back_end", "no")]
 #[case::full(Script::Status(429, vec![("x-engine-started", "no")], "full"), 503, "no_back_end", "no")]
 #[case::failed_after_the_start(Script::Status(500, vec![], "oops"), 502, "back_end_failed", "unknown")]
+#[case::load_beyond_any_count(Script::Status(200, vec![("x-engine-load", r#"{"running_online":4294967295,"running":1}"#)], "no stream"), 502, "back_end_failed", "unknown")]
 #[case::rejected(Script::Status(400, vec![], "bad temperature"), 400, "invalid_value", "no")]
 #[case::silent(Script::Silent, 502, "back_end_failed", "unknown")]
 #[case::protocol(Script::Stream(vec![Step::Foreign(0)]), 502, "back_end_protocol", "unknown")]
