Read one long record alone, not all that follow it in 17 MB

Cause: where the first record was longer than the read window, the log read 17 MB and gave out every entry in it, far over the limit asked for. Change: the second, larger read gives out the first record only.

--- a/crates/storage/src/log/mod.rs
+++ b/crates/storage/src/log/mod.rs
@@ -323,6 +323,7 @@
         let (segment, start) = found.ok_or_else(missing)?;
         let file = segment.file.as_ref().ok_or_else(missing)?;
         let mut window = READ_BYTES.min(max_bytes as u64).max(4096);
+        let mut end = end;
         loop {
             let length = window.min(segment.length.saturating_sub(start));
             let mut bytes = vec![0; length as usize];
@@ -344,7 +345,8 @@
             if entries.len() > before {
                 return Ok(());
             }
-            // The first record is longer than what was read.
+            // The first record is longer than what was read: it alone is read now.
+            end = from.0 + 1;
             window = (record::MAX_RECORD_BYTES + record::RECORD_HEADER_BYTES) as u64;
         }
     }
