Test that a read of the log stops at its limit after a long entry

Cause: the read of the log that gave out 17 MB after an entry longer than its window was mended without a test. Change: a table over the length of the first entry, forty of 200 KiB behind it.

--- a/crates/storage/tests/all/log_faults.rs
+++ b/crates/storage/tests/all/log_faults.rs
@@ -1,8 +1,11 @@
 //! What a log does when its disk tears, loses, flips, fills up or fails.
 
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::ids::{LogIndex, Term};
-use linnethitch_storage::{FileSystem, Log, OpenedLog, VirtualDisk};
+use linnethitch_protocol::{
+    consensus::{Entry, EntryPayload},
+    ids::{LogIndex, Term},
+};
+use linnethitch_storage::{FileSystem, Log, OpenedLog, VirtualDisk, log::LogLimits};
 use rstest::rstest;
 
 use crate::support::{
@@ -311,6 +314,37 @@
     assert_eq!(*error.current_context(), ErrorKind::Corrupted);
 }
 
+/// Entry 1 is as long as told, forty others have 200 KiB each.
+#[rstest]
+#[case::short(1_000)]
+#[case::as_long_as_the_limit(1 << 20)]
+#[case::longer_than_a_read(6 << 20)]
+fn a_read_stops_at_its_limit_whatever_the_first_entry(#[case] first_bytes: usize) {
+    const LIMIT: usize = 1 << 20;
+    const OTHER: usize = 200 << 10;
+    let disk = VirtualDisk::new(9);
+    let mut log = Log::create(files(&disk), LogLimits::default()).unwrap();
+    for index in 1..=41 {
+        let length = if index == 1 { first_bytes } else { OTHER };
+        let payload = EntryPayload::Command(vec![7; length]);
+        let entry = Entry {
+            payload,
+            ..entry(index, 1)
+        };
+        log.append(&[entry]).unwrap();
+    }
+    log.sync().unwrap();
+    drop(log);
+    let log = intact(Log::open(files(&disk), LogLimits::default()).unwrap());
+    let entries = log.entries(LogIndex(1), LogIndex(42), LIMIT).unwrap();
+    let most = if first_bytes < LIMIT {
+        1 + LIMIT.div_ceil(OTHER)
+    } else {
+        1
+    };
+    assert!((1..=most).contains(&entries.len()), "{}", entries.len());
+}
+
 #[test]
 fn the_index_takes_four_bytes_an_entry() {
     let disk = VirtualDisk::new(9);
