Apply only after the gateway is known, in the test of status

A gateway that had been started but not yet heard of is not waited for by a change; it was told of right after, with revision 0, and the test took that for a fault.

Change: the test waits until the leader knows of the gateway, and then asks as before that the change is in force on it as soon as apply answers. That is stricter than before, where the answer could come without any gateway.

--- a/crates/control/tests/all/process.rs
+++ b/crates/control/tests/all/process.rs
@@ -53,6 +53,11 @@
     let control = TestControl::start(3).await;
     let folder = TempDir::new().expect("a folder");
     let gateway = control.gateway(&folder, &[2]).await;
+    wait_until("the leader knows of the gateway", async || {
+        let status = control.get(1, "/v1/status").await.body;
+        status["gateways"][0]["gateway"] == "gateway-1"
+    })
+    .await;
     control.apply(1, "first", 0, &fleet_file("one")).await;
     for number in control.running() {
         let status = control.get(number, "/v1/status").await.body;
