--- a/crates/lab/src/dev/gateways.rs
+++ b/crates/lab/src/dev/gateways.rs
@@ -11,7 +11,7 @@
 use linnethitch_gateway::process::{GatewayHandle, GatewayProcess};
 use slog::{Logger, o};
 
-use super::Arguments;
+use super::{Arguments, deployment::key_hash};
 
 /// A gateway and its name.
 struct Named {
@@ -89,7 +89,7 @@
             data_dir: self.arguments.data_dir.join(name),
             log: LogSettings::default(),
             journal_max_bytes: DEFAULT_JOURNAL_MAX_BYTES,
-            operator_key_sha256: None,
+            operator_key_sha256: Some(key_hash(&self.arguments.operator_key)),
             limits: GatewayLimits::default(),
         }
     }
