--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -199,7 +199,7 @@
     pub(crate) async fn run(mut self) -> Result<(), Report<ErrorKind>> {
         let mut next_tick = Instant::now();
         loop {
-            let until = if self.member.has_unapplied() {
+            let until = if self.member.has_unapplied() || self.member.is_writing_snapshot() {
                 Instant::now()
             } else {
                 next_tick
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -3,10 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use linnethitch_group::{CallFailure, GroupMember};
-use linnethitch_protocol::{
-    frame,
-    ids::{MachineId, MemberId},
-};
+use linnethitch_protocol::ids::{MachineId, MemberId};
 use linnethitch_registry::{Registry, RegistryAnswer, RegistryCommand};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -107,8 +104,8 @@
         now: Now,
     ) -> Begin<RegistryReply> {
         match call {
-            RegistryCall::Propose(command) => match frame::encode(command) {
-                Ok(bytes) => Begin::Propose(bytes.into_vec()),
+            RegistryCall::Propose(command) => match command.to_stored() {
+                Ok(bytes) => Begin::Propose(bytes),
                 Err(_) => Begin::Reply(RegistryReply::Refused),
             },
             RegistryCall::Document => Begin::Read,
@@ -159,8 +156,10 @@
         let registry = member.state();
         let mut commands = self.silent_replicas(registry, now.steady_ms);
         commands.extend(self.store_to_form(registry, now.steady_ms));
-        let encoded = commands.iter().filter_map(|c| frame::encode(c).ok());
-        encoded.map(|bytes| bytes.into_vec()).collect()
+        let encoded = commands
+            .iter()
+            .filter_map(|command| command.to_stored().ok());
+        encoded.collect()
     }
 
     fn flushed(&mut self, member: &GroupMember<Registry>) {
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -22,6 +22,13 @@
     store_service::StoreService,
 };
 
+/// A snapshot is taken when the log has grown by this many bytes. Texts that came
+/// since are in memory, so this bounds what a member holds of them.
+const SNAPSHOT_LOG_BYTES: u64 = 6 * 1024 * 1024;
+/// Bytes of a segment of the log, the unit in which space is given back.
+const SEGMENT_BYTES: u64 = 2 * 1024 * 1024;
+/// Texts make a snapshot as large as everything that is kept, so only the newest stays.
+const KEPT_SNAPSHOTS: usize = 1;
 /// How often links and members are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -132,6 +139,9 @@
         let mut group = GroupSettings::new("linnethitch", FolderRole::Store, own, new_disk);
         group.first_members = first;
         group.most_voters = self.settings.voters;
+        group.snapshot_log_bytes = SNAPSHOT_LOG_BYTES;
+        group.log_limits.segment_bytes = SEGMENT_BYTES;
+        group.kept_snapshots = KEPT_SNAPSHOTS;
         group.seed ^= u64::from(own.0);
         let kept_ms = self.settings.kept.as_millis() as u64;
         let service = StoreService::new(kept_ms, Arc::clone(&self.told));
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -6,7 +6,6 @@
 use linnethitch_job_store::{
     Dispatcher, JobStore, StoreAnswer, StoreCall, StoreCommand, StoreReply,
 };
-use linnethitch_protocol::frame;
 use parking_lot::Mutex;
 
 use crate::{
@@ -90,8 +89,8 @@
             },
             StoreCall::End(job) => StoreCommand::End { job: job.clone() },
         };
-        match frame::encode(&command) {
-            Ok(bytes) => Begin::Propose(bytes.into_vec()),
+        match command.to_stored() {
+            Ok(bytes) => Begin::Propose(bytes),
             Err(_) => Begin::Reply(StoreReply::Refused),
         }
     }
@@ -118,9 +117,10 @@
                 job,
                 since,
                 most_bytes,
-            } => store
-                .results(job, *since, *most_bytes)
-                .map_or(StoreReply::NotFound, StoreReply::Results),
+            } => match store.results(job, *since, *most_bytes) {
+                Ok(page) => page.map_or(StoreReply::NotFound, StoreReply::Results),
+                Err(_) => StoreReply::Refused,
+            },
             StoreCall::Body { job, item } => store
                 .body(job, item)
                 .map_or(StoreReply::NotFound, |body| StoreReply::Body(body.to_vec())),
@@ -157,8 +157,7 @@
             elapsed_ms,
             kept_ms: self.kept_ms,
         };
-        let encoded = frame::encode(&command).ok();
-        encoded.into_iter().map(|bytes| bytes.into_vec()).collect()
+        command.to_stored().ok().into_iter().collect()
     }
 
     fn flushed(&mut self, member: &GroupMember<JobStore>) {
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -22,4 +22,4 @@
 pub use opening::bootstrap_disk;
 pub use output::{CallFailure, GroupNotice, GroupOutput};
 pub use settings::GroupSettings;
-pub use state_machine::StateMachine;
+pub use state_machine::{SnapshotSource, StateMachine, WholeSnapshot, read_whole_snapshot};
--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -21,6 +21,7 @@
     output::{CallFailure, GroupNotice, GroupOutput},
     persist::Unsynced,
     settings::GroupSettings,
+    snapshots::SnapshotInProgress,
     state_machine::StateMachine,
 };
 
@@ -46,6 +47,7 @@
     pub(crate) applied_membership: Membership,
     /// Size of the log when the last snapshot was stored or given up, in bytes.
     pub(crate) snapshot_retry_bytes: u64,
+    pub(crate) snapshot: Option<SnapshotInProgress<S>>,
     pub(crate) outputs: Vec<GroupOutput<S::Answer>>,
     pub(crate) disk_full: bool,
     pub(crate) unsynced: VecDeque<Unsynced>,
@@ -89,6 +91,7 @@
             applied: opened.applied,
             applied_membership: opened.membership,
             snapshot_retry_bytes: 0,
+            snapshot: None,
             outputs,
             disk_full: false,
             unsynced: VecDeque::new(),
--- a/crates/group/src/opening.rs
+++ b/crates/group/src/opening.rs
@@ -11,7 +11,7 @@
     ids::{DiskId, LogIndex, MachineId},
 };
 use linnethitch_storage::{
-    DataFolder, FileSystem, FolderIdentity, Log, LogLimits, OpenedLog, RevisionFile, SnapshotStore,
+    DataFolder, FileSystem, FolderIdentity, Log, OpenedLog, RevisionFile, SnapshotStore,
 };
 
 use crate::{log_store::LogStore, settings::GroupSettings, state_machine::StateMachine};
@@ -64,12 +64,12 @@
     let mut folder = DataFolder::open_or_format(file_system, &identity, settings.new_disk)?;
     prepare_blank(settings, &mut folder)?;
     let mut set_aside = None;
-    let (store, restored) = match open_stored::<S>(settings.log_limits, &mut folder)? {
+    let (store, restored) = match open_stored::<S>(settings, &mut folder)? {
         Ok(stored) => stored,
         Err(damage) => {
             set_aside = Some(damage);
             folder.reformat(settings.new_disk)?;
-            open_stored::<S>(settings.log_limits, &mut folder)?
+            open_stored::<S>(settings, &mut folder)?
                 .map_err(|damage| Report::new(ErrorKind::Corrupted).attach(damage))?
         }
     };
@@ -114,14 +114,14 @@
 }
 
 fn open_stored<S: StateMachine + Default>(
-    limits: LogLimits,
+    settings: &GroupSettings,
     folder: &mut DataFolder,
 ) -> Result<Stored<S>, Report<ErrorKind>> {
-    let log = match folder.open_log(limits)? {
+    let log = match folder.open_log(settings.log_limits)? {
         OpenedLog::Damaged(damage) => return Ok(Err(damage.to_string())),
         OpenedLog::Intact(log) => log,
     };
-    let snapshots = SnapshotStore::open(folder.file_system())?;
+    let snapshots = SnapshotStore::open_keeping(folder.file_system(), settings.kept_snapshots)?;
     if let Some(gap) = find_gap(&log, &snapshots) {
         return Ok(Err(gap));
     }
@@ -147,10 +147,9 @@
             membership: first,
         });
     };
-    let length = info.content_bytes() as usize;
-    let content = store.snapshots.read_content(info.meta.index, 0, length)?;
+    let content = store.snapshots.reader(info.meta.index)?;
     Ok(Restored {
-        state: S::from_snapshot(&content)?,
+        state: S::from_snapshot(content)?,
         applied: info.meta.index,
         membership: info.meta.membership.clone(),
     })
--- a/crates/group/src/settings.rs
+++ b/crates/group/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a group member.
 
 use linnethitch_protocol::ids::{DiskId, MachineId, MemberId};
-use linnethitch_storage::{LogLimits, folder::FolderRole};
+use linnethitch_storage::{LogLimits, folder::FolderRole, snapshot::KEPT_SNAPSHOTS};
 
 /// Settings of a group member; times are in ticks of `tick_ms`.
 #[derive(Clone, Debug)]
@@ -30,6 +30,9 @@
     pub lost_ticks: u32,
     /// Log size at which a snapshot is taken, in bytes.
     pub snapshot_log_bytes: u64,
+    /// Complete snapshots that are kept, at least one. Log entries since the
+    /// snapshot before the newest one are kept in any case.
+    pub kept_snapshots: usize,
     /// Bounds of the log.
     pub log_limits: LogLimits,
     /// Seed of the election jitter.
@@ -60,6 +63,7 @@
             heartbeat_ticks: DEFAULT_HEARTBEAT_TICKS,
             lost_ticks: DEFAULT_LOST_TICKS,
             snapshot_log_bytes: DEFAULT_SNAPSHOT_LOG_BYTES,
+            kept_snapshots: KEPT_SNAPSHOTS,
             log_limits: LogLimits {
                 segment_bytes: DEFAULT_SEGMENT_BYTES,
                 cache_bytes: DEFAULT_CACHE_BYTES,
--- a/crates/group/src/snapshots.rs
+++ b/crates/group/src/snapshots.rs
@@ -4,11 +4,12 @@
 use linnethitch_consensus::{PeerState, ReceivedChunk};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{consensus::SnapshotMeta, ids::LogIndex};
+use linnethitch_storage::SnapshotWriter;
 
 use crate::{
     member::GroupMember,
     output::{CallFailure, GroupNotice},
-    state_machine::StateMachine,
+    state_machine::{SnapshotSource, StateMachine},
 };
 
 /// A member that was heard of within so many ticks can take a snapshot.
@@ -17,29 +18,38 @@
 /// many times as long for that.
 const LONGEST_WAIT: u64 = 4;
 
+/// Bytes of a snapshot that are written in one flush, about; messages and time wait for it.
+const WRITE_BYTES: usize = 1024 * 1024;
+
+/// A snapshot that is being written while the state goes on.
+pub(crate) struct SnapshotInProgress<S: StateMachine> {
+    writer: SnapshotWriter,
+    source: S::Snapshot,
+}
+
 impl<S: StateMachine> GroupMember<S> {
-    /// Takes a snapshot when the log has grown enough.
+    /// Goes on with a snapshot, or begins one when the log has grown enough.
     pub(crate) fn snapshot_if_due(&mut self) -> Result<(), Report<ErrorKind>> {
-        if !self.is_snapshot_due() {
-            return Ok(());
-        }
-        let Some(term) = self.store.log.term(self.applied) else {
-            return Ok(());
-        };
-        let meta = SnapshotMeta {
-            index: self.applied,
-            term,
-            membership: self.applied_membership.clone(),
+        let written = match self.snapshot.take() {
+            Some(snapshot) => self.write_snapshot(snapshot),
+            None if self.is_snapshot_due() => self.begin_snapshot(),
+            None => return Ok(()),
         };
-        match self.store_snapshot(meta) {
+        match written {
             Err(report) if *report.current_context() == ErrorKind::StorageFull => {
                 self.snapshot_retry_bytes = self.store.log.disk_bytes();
                 Ok(())
             }
-            stored => stored,
+            written => written,
         }
     }
 
+    /// Whether a snapshot is being written: the next flush goes on with it.
+    #[must_use]
+    pub fn is_writing_snapshot(&self) -> bool {
+        self.snapshot.is_some()
+    }
+
     fn is_snapshot_due(&self) -> bool {
         let log_bytes = self.store.log.disk_bytes();
         let grown = log_bytes.saturating_sub(self.snapshot_retry_bytes);
@@ -57,29 +67,67 @@
             .any(|peer| peer.state == PeerState::Snapshot && peer.ticks_since_heard < PRESENT_TICKS)
     }
 
-    fn store_snapshot(&mut self, meta: SnapshotMeta) -> Result<(), Report<ErrorKind>> {
-        let index = meta.index;
-        let content = self.state.to_snapshot()?;
-        let mut writer = self.store.snapshots.begin(meta)?;
-        if let Err(report) = writer.write(&content) {
-            self.store.snapshots.abandon(writer)?;
-            return Err(report);
+    fn begin_snapshot(&mut self) -> Result<(), Report<ErrorKind>> {
+        let Some(term) = self.store.log.term(self.applied) else {
+            return Ok(());
+        };
+        let meta = SnapshotMeta {
+            index: self.applied,
+            term,
+            membership: self.applied_membership.clone(),
+        };
+        let source = self.state.begin_snapshot()?;
+        let writer = self.store.snapshots.begin(meta)?;
+        self.write_snapshot(SnapshotInProgress { writer, source })
+    }
+
+    fn write_snapshot(
+        &mut self,
+        mut snapshot: SnapshotInProgress<S>,
+    ) -> Result<(), Report<ErrorKind>> {
+        match write_pieces(&mut snapshot) {
+            Ok(true) => self.finish_snapshot(snapshot),
+            Ok(false) => {
+                self.snapshot = Some(snapshot);
+                Ok(())
+            }
+            Err(report) => {
+                self.store.snapshots.abandon(snapshot.writer)?;
+                Err(report)
+            }
         }
-        self.store.snapshots.finish(writer)?;
+    }
+
+    fn finish_snapshot(
+        &mut self,
+        snapshot: SnapshotInProgress<S>,
+    ) -> Result<(), Report<ErrorKind>> {
+        let before = self.store.snapshots.latest().map(|info| info.meta.clone());
+        let stored = self.store.snapshots.finish(snapshot.writer)?;
+        let index = stored.meta.index;
+        let content = self.store.snapshots.reader(index)?;
+        self.state.snapshot_stored(snapshot.source, content);
         self.notice(GroupNotice::SnapshotStored(index));
-        self.compact_log()
+        self.compact_log(before)
     }
 
-    /// Gives the log back up to the oldest snapshot that is kept.
-    fn compact_log(&mut self) -> Result<(), Report<ErrorKind>> {
-        if let Some(oldest) = self.store.snapshots.oldest() {
-            let SnapshotMeta { index, term, .. } = oldest.meta;
+    /// Gives the log back up to the snapshot before the newest one, so that a
+    /// member that is a little behind needs no snapshot.
+    fn compact_log(&mut self, before: Option<SnapshotMeta>) -> Result<(), Report<ErrorKind>> {
+        if let Some(SnapshotMeta { index, term, .. }) = before {
             self.store.log.compact_to(index, term)?;
         }
         self.snapshot_retry_bytes = self.store.log.disk_bytes();
         Ok(())
     }
 
+    fn abandon_snapshot(&mut self) -> Result<(), Report<ErrorKind>> {
+        match self.snapshot.take() {
+            Some(snapshot) => self.store.snapshots.abandon(snapshot.writer),
+            None => Ok(()),
+        }
+    }
+
     /// Stores a piece of the leader's snapshot and installs it when it is whole.
     pub(crate) fn receive_snapshot_chunk(
         &mut self,
@@ -106,10 +154,9 @@
     }
 
     fn install_snapshot(&mut self, meta: &SnapshotMeta) -> Result<(), Report<ErrorKind>> {
-        let info = self.store.snapshots.find(meta.index);
-        let length = info.map_or(0, |info| info.content_bytes()) as usize;
-        let content = self.store.snapshots.read_content(meta.index, 0, length)?;
-        self.state = S::from_snapshot(&content)?;
+        self.abandon_snapshot()?;
+        let content = self.store.snapshots.reader(meta.index)?;
+        self.state = S::from_snapshot(content)?;
         self.applied = meta.index;
         self.applied_membership = meta.membership.clone();
         if self.store.log.term(meta.index) == Some(meta.term) {
@@ -134,3 +181,18 @@
         }
     }
 }
+
+/// Writes the next pieces; true when there are no more.
+fn write_pieces<S: StateMachine>(
+    snapshot: &mut SnapshotInProgress<S>,
+) -> Result<bool, Report<ErrorKind>> {
+    let mut written = 0;
+    while written < WRITE_BYTES {
+        let Some(piece) = snapshot.source.next_piece()? else {
+            return Ok(true);
+        };
+        snapshot.writer.write(&piece)?;
+        written += piece.len();
+    }
+    Ok(false)
+}
--- a/crates/group/tests/all/support.rs
+++ b/crates/group/tests/all/support.rs
@@ -8,16 +8,19 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{
-    CallFailure, GroupMember, GroupOutput, GroupSettings, StateMachine, bootstrap_disk,
+    CallFailure, GroupMember, GroupOutput, GroupSettings, SnapshotSource, StateMachine,
+    bootstrap_disk, read_whole_snapshot,
 };
 use linnethitch_protocol::{
     consensus::ConsensusMessage,
     ids::{DiskId, LogIndex, MachineId, MemberId},
 };
-use linnethitch_storage::{FolderRole, VirtualDisk};
+use linnethitch_storage::{FolderRole, SnapshotReader, VirtualDisk};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+/// Line ends after each word of a snapshot.
+const EMPTY_LINES: usize = 100_000;
 /// Virtual milliseconds of one step.
 const STEP_MS: u64 = 10;
 
@@ -29,6 +32,7 @@
 
 impl StateMachine for Words {
     type Answer = usize;
+    type Snapshot = WordsSnapshot;
 
     fn apply(&mut self, _: LogIndex, command: &[u8]) -> Result<usize, Report<ErrorKind>> {
         self.words
@@ -36,17 +40,38 @@
         Ok(self.words.len())
     }
 
-    fn to_snapshot(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-        Ok(self.words.join("\n").into_bytes())
+    fn begin_snapshot(&self) -> Result<WordsSnapshot, Report<ErrorKind>> {
+        let mut left = self.words.clone();
+        left.reverse();
+        Ok(WordsSnapshot { left })
     }
 
-    fn from_snapshot(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        let text = String::from_utf8_lossy(bytes);
-        let words = text.lines().map(str::to_owned).collect();
+    fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
+        let bytes = read_whole_snapshot(&content)?;
+        let text = String::from_utf8_lossy(&bytes);
+        let lines = text.lines().filter(|line| !line.is_empty());
+        let words = lines.map(str::to_owned).collect();
         Ok(Words { words })
     }
 }
 
+/// Words that are still to be written, the next one last. Every word is a piece,
+/// filled up so that a snapshot takes several flushes.
+#[derive(Debug)]
+pub(crate) struct WordsSnapshot {
+    left: Vec<String>,
+}
+
+impl SnapshotSource for WordsSnapshot {
+    fn next_piece(&mut self) -> Result<Option<Vec<u8>>, Report<ErrorKind>> {
+        let word = self.left.pop();
+        Ok(word.map(|word| {
+            let empty_lines = "\n".repeat(EMPTY_LINES);
+            format!("{word}{empty_lines}").into_bytes()
+        }))
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Ended {
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -1,9 +1,15 @@
 //! Commands of the job store and their answers.
 
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::stored;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::job::JobSpec;
 
+/// Layout of commands that this build writes and reads.
+const COMMAND_LAYOUT: u8 = 1;
+
 /// An item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
 pub struct ItemRef {
@@ -56,6 +62,24 @@
     },
 }
 
+impl StoreCommand {
+    /// The command as the log holds it.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+        stored::encode(COMMAND_LAYOUT, self)
+    }
+
+    /// Reads a command of the log.
+    ///
+    /// # Errors
+    /// `DataFolderRefused` when it is of another layout, `Corrupted`.
+    pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        stored::decode(COMMAND_LAYOUT, bytes)
+    }
+}
+
 /// What applying a command answers.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum StoreAnswer {
--- a/crates/job-store/src/job.rs
+++ b/crates/job-store/src/job.rs
@@ -1,7 +1,11 @@
 //! A job, its items and its results.
 
+use std::sync::Arc;
+
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::text::Text;
+
 /// One item as it was submitted.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ItemSpec {
@@ -57,18 +61,18 @@
 }
 
 /// A result at its position.
-#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Listed {
     /// The item's number in its job.
     pub(crate) item: u32,
     /// How it ended.
     pub(crate) state: ListedState,
     /// Its text; empty for one that was given up.
-    pub(crate) text: String,
+    pub(crate) text: Text,
 }
 
 /// An accepted job.
-#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Job {
     pub(crate) spec: JobSpec,
     /// Time since it was accepted that leaders have counted, in milliseconds; never
@@ -126,7 +130,11 @@
         held.listed = true;
         held.spec.body = Vec::new();
         held.spec.headers = Vec::new();
-        self.results.push(Listed { item, state, text });
+        self.results.push(Listed {
+            item,
+            state,
+            text: Text::Held(Arc::from(text)),
+        });
         true
     }
 }
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -9,10 +9,13 @@
 mod command;
 mod dispatcher;
 mod job;
+mod snapshot;
 mod store;
+mod text;
 
 pub use call::{ItemResult, ItemWork, ResultsPage, StoreCall, StoreReply};
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
 pub use dispatcher::{Dispatcher, LEASE_MS, SETTLE_MS};
 pub use job::{ItemSpec, Job, JobSpec, ListedState};
+pub use snapshot::JobStoreSnapshot;
 pub use store::JobStore;
--- /dev/null
+++ b/crates/job-store/src/snapshot.rs
@@ -0,0 +1,211 @@
+//! The store's snapshots: texts of results first, then an index of everything else.
+//!
+//! Content: the texts one after the other, the index as a stored value
+//! ([`stored`]), then the length of the index as a little-endian `u64`. Texts
+//! never change, so they are written piece by piece while the store goes on, and
+//! a restored store leaves them where they are: memory holds only the texts
+//! that came after the newest snapshot.
+
+use std::collections::BTreeMap;
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_group::SnapshotSource;
+use linnethitch_protocol::stored;
+use linnethitch_storage::SnapshotReader;
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    job::{Item, Job, JobSpec, Listed, ListedState},
+    store::JobStore,
+    text::{StoredText, Text},
+};
+
+/// Layout of the index that this build writes and reads.
+const INDEX_LAYOUT: u8 = 1;
+/// Bytes of the length at the end of the content.
+const LENGTH_BYTES: usize = 8;
+/// Texts are written in pieces of about so many bytes.
+const PIECE_BYTES: usize = 256 * 1024;
+
+#[derive(Archive, Serialize, Deserialize)]
+struct Index {
+    jobs: Vec<IndexedJob>,
+    accepted: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct IndexedJob {
+    spec: JobSpec,
+    age_ms: u64,
+    number: u64,
+    items: Vec<Item>,
+    results: Vec<IndexedResult>,
+    ended: bool,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct IndexedResult {
+    item: u32,
+    state: ListedState,
+    text: StoredText,
+}
+
+/// Where the texts of a job are put, by position.
+struct PlacedJob {
+    id: String,
+    number: u64,
+    texts: Vec<StoredText>,
+}
+
+/// The store at one index, written while the store goes on.
+pub struct JobStoreSnapshot {
+    /// Where texts lie that were stored before.
+    before: Option<SnapshotReader>,
+    texts: std::vec::IntoIter<Text>,
+    placed: Vec<PlacedJob>,
+    /// The index and its length; `None` once written.
+    index: Option<Vec<u8>>,
+}
+
+impl JobStoreSnapshot {
+    /// A snapshot of the store as it is now.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub(crate) fn of(store: &JobStore) -> Result<Self, Report<ErrorKind>> {
+        let mut layout = TextLayout::default();
+        let jobs = store.jobs.values().map(|job| layout.index(job)).collect();
+        let index = Index {
+            jobs,
+            accepted: store.accepted,
+        };
+        let mut index = stored::encode(INDEX_LAYOUT, &index)?;
+        let length = index.len() as u64;
+        index.extend_from_slice(&length.to_le_bytes());
+        Ok(JobStoreSnapshot {
+            before: store.snapshot.clone(),
+            texts: layout.texts.into_iter(),
+            placed: layout.placed,
+            index: Some(index),
+        })
+    }
+
+    /// Leaves the texts that the snapshot holds to it.
+    pub(crate) fn move_texts(self, jobs: &mut BTreeMap<String, Job>) {
+        for placed in self.placed {
+            let held = jobs.get_mut(&placed.id);
+            let Some(job) = held.filter(|job| job.number == placed.number) else {
+                continue;
+            };
+            for (listed, stored) in job.results.iter_mut().zip(placed.texts) {
+                listed.text = Text::Stored(stored);
+            }
+        }
+    }
+}
+
+impl SnapshotSource for JobStoreSnapshot {
+    fn next_piece(&mut self) -> Result<Option<Vec<u8>>, Report<ErrorKind>> {
+        let mut piece = Vec::new();
+        while piece.len() < PIECE_BYTES {
+            let Some(text) = self.texts.next() else {
+                break;
+            };
+            piece.extend_from_slice(text.read(self.before.as_ref())?.as_bytes());
+        }
+        if piece.is_empty() {
+            return Ok(self.index.take());
+        }
+        Ok(Some(piece))
+    }
+}
+
+/// Puts texts one after the other.
+#[derive(Default)]
+struct TextLayout {
+    texts: Vec<Text>,
+    placed: Vec<PlacedJob>,
+    next_offset: u64,
+}
+
+impl TextLayout {
+    fn index(&mut self, job: &Job) -> IndexedJob {
+        let results: Vec<IndexedResult> = job
+            .results
+            .iter()
+            .map(|listed| IndexedResult {
+                item: listed.item,
+                state: listed.state,
+                text: self.place(&listed.text),
+            })
+            .collect();
+        self.placed.push(PlacedJob {
+            id: job.spec.id.clone(),
+            number: job.number,
+            texts: results.iter().map(|result| result.text).collect(),
+        });
+        IndexedJob {
+            spec: job.spec.clone(),
+            age_ms: job.age_ms,
+            number: job.number,
+            items: job.items.clone(),
+            results,
+            ended: job.ended,
+        }
+    }
+
+    fn place(&mut self, text: &Text) -> StoredText {
+        let stored = StoredText {
+            offset: self.next_offset,
+            bytes: text.bytes() as u32,
+        };
+        self.next_offset += u64::from(stored.bytes);
+        self.texts.push(text.clone());
+        stored
+    }
+}
+
+/// The store of a stored snapshot; its texts stay there.
+///
+/// # Errors
+/// `Corrupted` when the content is no snapshot of a store, `DataFolderRefused`
+/// when it is of another layout, `Io`.
+pub(crate) fn restore(content: SnapshotReader) -> Result<JobStore, Report<ErrorKind>> {
+    let index: Index = stored::decode(INDEX_LAYOUT, &read_index(&content)?)?;
+    let jobs = index.jobs.into_iter().map(restore_job);
+    Ok(JobStore {
+        jobs: jobs.map(|job| (job.spec.id.clone(), job)).collect(),
+        accepted: index.accepted,
+        snapshot: Some(content),
+    })
+}
+
+fn read_index(content: &SnapshotReader) -> Result<Vec<u8>, Report<ErrorKind>> {
+    let too_short = || Report::new(ErrorKind::Corrupted).attach("a snapshot without an index");
+    let bytes = content.content_bytes();
+    let end = bytes
+        .checked_sub(LENGTH_BYTES as u64)
+        .ok_or_else(too_short)?;
+    let length = content.read(end, LENGTH_BYTES)?;
+    let length: [u8; LENGTH_BYTES] = length.try_into().map_err(|_| too_short())?;
+    let length = u64::from_le_bytes(length);
+    let start = end.checked_sub(length).ok_or_else(too_short)?;
+    content.read(start, length as usize)
+}
+
+fn restore_job(job: IndexedJob) -> Job {
+    let results = job.results.into_iter().map(|result| Listed {
+        item: result.item,
+        state: result.state,
+        text: Text::Stored(result.text),
+    });
+    Job {
+        spec: job.spec,
+        age_ms: job.age_ms,
+        number: job.number,
+        items: job.items,
+        results: results.collect(),
+        ended: job.ended,
+    }
+}
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -5,27 +5,23 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::StateMachine;
-use linnethitch_protocol::{frame, ids::LogIndex};
-use rkyv::{Archive, Deserialize, Serialize};
+use linnethitch_protocol::ids::LogIndex;
+use linnethitch_storage::SnapshotReader;
 
 use crate::{
     call::{ItemResult, ResultsPage},
     command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand},
     job::{Job, JobSpec, ListedState},
+    snapshot::{self, JobStoreSnapshot},
 };
 
 /// Every job that was accepted and not yet dropped.
-#[derive(Clone, Debug, Default)]
+#[derive(Default)]
 pub struct JobStore {
-    jobs: BTreeMap<String, Job>,
-    accepted: u64,
-}
-
-/// What a snapshot holds.
-#[derive(Archive, Serialize, Deserialize)]
-struct StoreSnapshot {
-    jobs: Vec<Job>,
-    accepted: u64,
+    pub(crate) jobs: BTreeMap<String, Job>,
+    pub(crate) accepted: u64,
+    /// The newest stored snapshot, which holds older texts.
+    pub(crate) snapshot: Option<SnapshotReader>,
 }
 
 impl JobStore {
@@ -52,6 +48,13 @@
         self.jobs.is_empty()
     }
 
+    /// Bytes of texts that are in memory, since no stored snapshot holds them yet.
+    #[must_use]
+    pub fn held_text_bytes(&self) -> usize {
+        let results = self.jobs.values().flat_map(|job| &job.results);
+        results.map(|listed| listed.text.held_bytes()).sum()
+    }
+
     /// Whether an item may still run.
     #[must_use]
     pub fn is_item_open(&self, item: &ItemRef) -> bool {
@@ -59,28 +62,38 @@
         job.is_some_and(|job| job.is_item_open(item.item))
     }
 
-    /// Results from a position on; at least one if there is one.
-    #[must_use]
-    pub fn results(&self, job: &str, since: u32, most_bytes: u32) -> Option<ResultsPage> {
-        let job = self.jobs.get(job)?;
+    /// Results from a position on; at least one if there is one. `None` when there
+    /// is no such job.
+    ///
+    /// # Errors
+    /// `Corrupted` or `Io` when a stored text cannot be read.
+    pub fn results(
+        &self,
+        job: &str,
+        since: u32,
+        most_bytes: u32,
+    ) -> Result<Option<ResultsPage>, Report<ErrorKind>> {
+        let Some(job) = self.jobs.get(job) else {
+            return Ok(None);
+        };
         let listed = job.results.iter().skip(since as usize);
         let mut bytes = 0;
         let mut results = Vec::new();
         for entry in listed {
-            bytes += entry.text.len();
+            bytes += entry.text.bytes();
             if !results.is_empty() && bytes > most_bytes as usize {
                 break;
             }
             results.push(ItemResult {
                 id: job.items[entry.item as usize].spec.id.clone(),
                 state: entry.state,
-                text: entry.text.clone(),
+                text: entry.text.read(self.snapshot.as_ref())?,
             });
         }
-        Some(ResultsPage {
+        Ok(Some(ResultsPage {
             total: job.items.len() as u32,
             results,
-        })
+        }))
     }
 
     /// The body of an item that is not listed, until its job is ended.
@@ -165,11 +178,10 @@
 
 impl StateMachine for JobStore {
     type Answer = StoreAnswer;
+    type Snapshot = JobStoreSnapshot;
 
     fn apply(&mut self, _: LogIndex, command: &[u8]) -> Result<Self::Answer, Report<ErrorKind>> {
-        let command = frame::decode::<StoreCommand>(command)
-            .map_err(|report| report.change_context(ErrorKind::Corrupted))?;
-        Ok(match command {
+        Ok(match StoreCommand::from_stored(command)? {
             StoreCommand::Submit(job) => self.submit(job),
             StoreCommand::Report { item, outcome } => self.report(&item, outcome),
             StoreCommand::End { job } => self.end(&job),
@@ -180,21 +192,16 @@
         })
     }
 
-    fn to_snapshot(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-        let snapshot = StoreSnapshot {
-            jobs: self.jobs.values().cloned().collect(),
-            accepted: self.accepted,
-        };
-        frame::encode(&snapshot).map(|bytes| bytes.into_vec())
+    fn begin_snapshot(&self) -> Result<JobStoreSnapshot, Report<ErrorKind>> {
+        JobStoreSnapshot::of(self)
     }
 
-    fn from_snapshot(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        let snapshot = frame::decode::<StoreSnapshot>(bytes)
-            .map_err(|report| report.change_context(ErrorKind::Corrupted))?;
-        let jobs = snapshot.jobs.into_iter();
-        Ok(JobStore {
-            jobs: jobs.map(|job| (job.spec.id.clone(), job)).collect(),
-            accepted: snapshot.accepted,
-        })
+    fn snapshot_stored(&mut self, snapshot: JobStoreSnapshot, content: SnapshotReader) {
+        snapshot.move_texts(&mut self.jobs);
+        self.snapshot = Some(content);
+    }
+
+    fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
+        snapshot::restore(content)
     }
 }
--- /dev/null
+++ b/crates/job-store/tests/all/layout.rs
@@ -0,0 +1,60 @@
+//! Commands of the log stay readable by later builds.
+
+use linnethitch_errors::ErrorKind;
+use linnethitch_job_store::{ItemOutcome, StoreCommand};
+use rstest::rstest;
+
+use crate::support::{item, job};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Commands as the first layout stores them. A change of these bytes needs a new layout.
+#[rstest]
+#[case::submit(
+    StoreCommand::Submit(job("j", 1)),
+    "016465736b2e6578616d706c65782d6d6f64656cff6dffffffffffffff000000006a2d6974656d2d302f6c61\
+     6e65732f30dcffffff01000000e4ffffff04000000640000000000000000000000000000006affffffffffff\
+     ff8c000000a8ffffff2f6c616e65732fff0300000000000000204e0000000000003075000000000000a0ffff\
+     ff01000000"
+)]
+#[case::succeeded(
+    StoreCommand::Report { item: item("j", 3), outcome: ItemOutcome::Succeeded("text".to_owned()) },
+    "01010000006affffffffffffff030000000000000074657874ffffffff000000000000000000000000000000\
+     000000000000000000000000000000000000000000"
+)]
+#[case::failed(
+    StoreCommand::Report { item: item("j", 3), outcome: ItemOutcome::Failed { failures_before: 1 } },
+    "01010000006affffffffffffff03000000020000000100000000000000000000000000000000000000000000\
+     000000000000000000000000000000000000000000"
+)]
+#[case::end(StoreCommand::End { job: "j".to_owned() }, "01020000006affffffffffffff00000000000000000000000000000000000000000000000000000000000000\
+     000000000000000000000000000000000000000000")]
+#[case::pass(StoreCommand::Pass { elapsed_ms: 2_000, kept_ms: 140_000 }, "010300000000000000d007000000000000e02202000000000000000000000000000000000000000000000000\
+     000000000000000000000000000000000000000000")]
+fn stored_commands_stay_readable(#[case] command: StoreCommand, #[case] stored: &str) {
+    let bytes = command.to_stored().expect("it is encoded");
+    assert_eq!(hex(&bytes), stored);
+    let read = StoreCommand::from_stored(&unhex(stored)).expect("it is read");
+    assert_eq!(read, command);
+}
+
+/// First bytes of stored values that this build does not read, and what is said of them.
+#[rstest]
+#[case::newer(&[2], ErrorKind::DataFolderRefused)]
+#[case::without_a_layout(&[0x6a], ErrorKind::DataFolderRefused)]
+#[case::damaged(&[1, 9, 9], ErrorKind::Corrupted)]
+#[case::empty(&[], ErrorKind::Corrupted)]
+fn other_layouts_and_damage_are_told_apart(#[case] bytes: &[u8], #[case] kind: ErrorKind) {
+    let refused = StoreCommand::from_stored(bytes).expect_err("it is refused");
+    assert_eq!(*refused.current_context(), kind);
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let pairs = text.as_bytes().chunks(2);
+    let digits = pairs.map(|pair| std::str::from_utf8(pair).expect("ASCII"));
+    digits
+        .map(|digits| u8::from_str_radix(digits, 16).expect("hexadecimal"))
+        .collect()
+}
--- a/crates/job-store/tests/all/main.rs
+++ b/crates/job-store/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the job store.
 
 mod dispatcher;
+mod layout;
+mod snapshots;
 mod store;
 mod support;
--- a/crates/job-store/tests/all/store.rs
+++ b/crates/job-store/tests/all/store.rs
@@ -4,12 +4,13 @@
 use linnethitch_job_store::{ItemOutcome, JobStore, ListedState, StoreAnswer, StoreCommand};
 use rstest::rstest;
 
-use crate::support::{apply, item, job, pass, report, submit};
+use crate::support::{apply, item, job, pass, report, snapshots, store_snapshot, submit};
 
 const PAGE: u32 = 1_000_000;
 
 fn texts(store: &JobStore, job: &str, since: u32) -> Vec<(String, ListedState, String)> {
-    let page = store.results(job, since, PAGE).expect("the job is held");
+    let page = store.results(job, since, PAGE).expect("texts are read");
+    let page = page.expect("the job is held");
     let results = page.results.into_iter();
     results.map(|r| (r.id, r.state, r.text)).collect()
 }
@@ -179,7 +180,8 @@
     }
     let lengths = [(1, 1), (150, 1), (250, 2), (300, 3)];
     for (most_bytes, expected) in lengths {
-        let page = store.results("j", 0, most_bytes).expect("held");
+        let page = store.results("j", 0, most_bytes).expect("texts are read");
+        let page = page.expect("held");
         assert_eq!(page.results.len(), expected, "{most_bytes} bytes");
         assert_eq!(page.total, 3);
     }
@@ -199,7 +201,11 @@
         item("j", 0),
         ItemOutcome::Failed { failures_before: 0 },
     );
-    let bytes = store.to_snapshot().expect("a snapshot");
-    let restored = JobStore::from_snapshot(&bytes).expect("it is read");
+    let mut snapshot = store.begin_snapshot().expect("a snapshot");
+    let content = store_snapshot(&mut snapshots(), 1, &mut snapshot);
+    store.snapshot_stored(snapshot, content.clone());
+    let restored = JobStore::from_snapshot(content).expect("it is read");
     assert_eq!(restored.job("j"), store.job("j"));
+    assert_eq!(texts(&restored, "j", 0), texts(&store, "j", 0));
+    assert_eq!(texts(&restored, "j", 0)[0].2, "a");
 }
--- a/crates/job-store/tests/all/support.rs
+++ b/crates/job-store/tests/all/support.rs
@@ -1,10 +1,13 @@
 //! Jobs and commands for tests.
 
-use linnethitch_group::StateMachine;
+use std::sync::Arc;
+
+use linnethitch_group::{SnapshotSource, StateMachine};
 use linnethitch_job_store::{
     ItemOutcome, ItemRef, ItemSpec, JobSpec, JobStore, StoreAnswer, StoreCommand,
 };
-use linnethitch_protocol::{frame, ids::LogIndex};
+use linnethitch_protocol::{consensus::SnapshotMeta, ids::LogIndex};
+use linnethitch_storage::{SnapshotReader, SnapshotStore, VirtualDisk};
 
 pub(crate) fn job(id: &str, items: u32) -> JobSpec {
     let items = (0..items).map(|number| ItemSpec {
@@ -33,7 +36,7 @@
 }
 
 pub(crate) fn apply(store: &mut JobStore, command: &StoreCommand) -> StoreAnswer {
-    let bytes = frame::encode(command).expect("a command encodes");
+    let bytes = command.to_stored().expect("a command encodes");
     store.apply(LogIndex(1), &bytes).expect("it applies")
 }
 
@@ -56,3 +59,27 @@
 pub(crate) fn report(store: &mut JobStore, item: ItemRef, outcome: ItemOutcome) -> StoreAnswer {
     apply(store, &StoreCommand::Report { item, outcome })
 }
+
+/// Snapshots on a virtual disk, of which the newest is kept.
+pub(crate) fn snapshots() -> SnapshotStore {
+    let disk = Arc::new(VirtualDisk::new(1));
+    SnapshotStore::open_keeping(disk, 1).expect("it opens")
+}
+
+/// Stores a snapshot at an index.
+pub(crate) fn store_snapshot(
+    snapshots: &mut SnapshotStore,
+    index: u64,
+    source: &mut impl SnapshotSource,
+) -> SnapshotReader {
+    let meta = SnapshotMeta {
+        index: LogIndex(index),
+        ..SnapshotMeta::default()
+    };
+    let mut writer = snapshots.begin(meta).expect("it begins");
+    while let Some(piece) = source.next_piece().expect("a piece") {
+        writer.write(&piece).expect("it is written");
+    }
+    snapshots.finish(writer).expect("it is finished");
+    snapshots.reader(LogIndex(index)).expect("it is read")
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod ids;
 pub mod load_digest;
 pub mod query;
+pub mod stored;
 pub mod text_edit;
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -1,10 +1,18 @@
 //! Commands of the registry and their answers.
 
-use linnethitch_protocol::ids::{MachineId, MemberId};
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    ids::{MachineId, MemberId},
+    stored,
+};
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{replica::ReplicaChange, routes::RouteTable};
 
+/// Layout of commands that this build writes and reads.
+const COMMAND_LAYOUT: u8 = 1;
+
 /// A change of the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum RegistryCommand {
@@ -25,6 +33,24 @@
     RetireStore(MachineId),
 }
 
+impl RegistryCommand {
+    /// The command as the log holds it.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+        stored::encode(COMMAND_LAYOUT, self)
+    }
+
+    /// Reads a command of the log.
+    ///
+    /// # Errors
+    /// `DataFolderRefused` when it is of another layout, `Corrupted`.
+    pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        stored::decode(COMMAND_LAYOUT, bytes)
+    }
+}
+
 /// What applying a command answers.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum RegistryAnswer {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -4,11 +4,12 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
-use linnethitch_group::StateMachine;
+use linnethitch_group::{StateMachine, WholeSnapshot, read_whole_snapshot};
 use linnethitch_protocol::{
-    frame,
     ids::{LogIndex, MachineId, MemberId},
+    stored,
 };
+use linnethitch_storage::SnapshotReader;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
@@ -40,6 +41,9 @@
     changed_at: LogIndex,
 }
 
+/// Layout of snapshots that this build writes and reads.
+const SNAPSHOT_LAYOUT: u8 = 1;
+
 /// What a snapshot holds.
 #[derive(Archive, Serialize, Deserialize)]
 struct RegistrySnapshot {
@@ -138,15 +142,14 @@
 
 impl StateMachine for Registry {
     type Answer = RegistryAnswer;
+    type Snapshot = WholeSnapshot;
 
     fn apply(
         &mut self,
         index: LogIndex,
         command: &[u8],
     ) -> Result<Self::Answer, Report<ErrorKind>> {
-        let command = frame::decode::<RegistryCommand>(command)
-            .map_err(|report| report.change_context(ErrorKind::Corrupted))?;
-        match command {
+        match RegistryCommand::from_stored(command)? {
             RegistryCommand::PutRoutes { table, document } => {
                 return Ok(self.put_routes(index, table, document));
             }
@@ -176,7 +179,7 @@
         Ok(RegistryAnswer::Done)
     }
 
-    fn to_snapshot(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+    fn begin_snapshot(&self) -> Result<WholeSnapshot, Report<ErrorKind>> {
         let snapshot = RegistrySnapshot {
             table: self.table.as_ref().map(|table| table.as_ref().clone()),
             document: self.document.as_ref().clone(),
@@ -186,12 +189,12 @@
             store_at: self.store_at,
             changed_at: self.changed_at,
         };
-        frame::encode(&snapshot).map(|bytes| bytes.into_vec())
+        stored::encode(SNAPSHOT_LAYOUT, &snapshot).map(WholeSnapshot::new)
     }
 
-    fn from_snapshot(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        let snapshot = frame::decode::<RegistrySnapshot>(bytes)
-            .map_err(|report| report.change_context(ErrorKind::Corrupted))?;
+    fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
+        let bytes = read_whole_snapshot(&content)?;
+        let snapshot: RegistrySnapshot = stored::decode(SNAPSHOT_LAYOUT, &bytes)?;
         let replicas = snapshot.replicas.into_iter();
         Ok(Registry {
             table: snapshot.table.map(Arc::new),
--- a/crates/registry/tests/all/registry.rs
+++ b/crates/registry/tests/all/registry.rs
@@ -1,10 +1,12 @@
 //! The replicated state: versions, incarnations, snapshots.
 
-use linnethitch_group::StateMachine;
+use linnethitch_errors::ErrorKind;
+use linnethitch_group::{StateMachine, WholeSnapshot};
+use linnethitch_protocol::ids::MachineId;
 use linnethitch_registry::{Registry, RegistryAnswer, RegistryCommand, ReplicaState};
 use rstest::rstest;
 
-use crate::support::{Applied, replica};
+use crate::support::{Applied, replica, store_snapshot};
 
 #[rstest]
 #[case::higher(8, 8, "new")]
@@ -71,8 +73,8 @@
     applied.put(7, "document");
     let change = replica("i-1", "10.0.0.1:80", ReplicaState::Draining, 4);
     applied.apply(&RegistryCommand::Replica(change));
-    let bytes = applied.registry.to_snapshot().expect("a snapshot");
-    let restored = Registry::from_snapshot(&bytes).expect("it is read");
+    let snapshot = applied.registry.begin_snapshot().expect("a snapshot");
+    let restored = Registry::from_snapshot(store_snapshot(snapshot)).expect("it is read");
     assert_eq!(restored.document(), applied.registry.document());
     assert_eq!(restored.table(), applied.registry.table());
     assert_eq!(restored.replica("i-1"), applied.registry.replica("i-1"));
@@ -83,7 +85,45 @@
 #[case::empty(&[])]
 #[case::noise(&[7; 40])]
 fn damaged_bytes_are_refused(#[case] bytes: &[u8]) {
-    assert!(Registry::from_snapshot(bytes).is_err());
+    let snapshot = WholeSnapshot::new(bytes.to_vec());
+    assert!(Registry::from_snapshot(store_snapshot(snapshot)).is_err());
     let mut registry = Registry::default();
     assert!(registry.apply(Default::default(), bytes).is_err());
 }
+
+/// Commands as the first layout stores them. A change of these bytes needs a new layout.
+#[rstest]
+#[case::remove(RegistryCommand::RemoveReplica("i-7".to_owned()), "0102000000692d37ffffffffff00000000000000000000000000000000000000000000000000000000000000\
+     000000000000000000000000000000000000000000")]
+#[case::retire(
+    RegistryCommand::RetireStore(MachineId(7)),
+    "0104000000070000000000000000000000000000000000000000000000000000000000000000000000000000\
+     000000000000000000000000000000000000000000"
+)]
+fn stored_commands_stay_readable(#[case] command: RegistryCommand, #[case] stored: &str) {
+    let bytes = command.to_stored().expect("it is encoded");
+    assert_eq!(hex(&bytes), stored);
+    let read = RegistryCommand::from_stored(&unhex(stored)).expect("it is read");
+    assert_eq!(read, command);
+}
+
+#[test]
+fn a_command_of_another_layout_is_refused_not_taken_for_damage() {
+    let command = RegistryCommand::RemoveReplica("i-7".to_owned());
+    let mut bytes = command.to_stored().expect("it is encoded");
+    bytes[0] = 2;
+    let refused = RegistryCommand::from_stored(&bytes).expect_err("it is refused");
+    assert_eq!(*refused.current_context(), ErrorKind::DataFolderRefused);
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let pairs = text.as_bytes().chunks(2);
+    let digits = pairs.map(|pair| std::str::from_utf8(pair).expect("ASCII"));
+    digits
+        .map(|digits| u8::from_str_radix(digits, 16).expect("hexadecimal"))
+        .collect()
+}
--- a/crates/registry/tests/all/support.rs
+++ b/crates/registry/tests/all/support.rs
@@ -1,11 +1,29 @@
 //! Tables, replicas and commands for tests.
 
-use linnethitch_group::StateMachine;
-use linnethitch_protocol::{frame, ids::LogIndex};
+use std::sync::Arc;
+
+use linnethitch_group::{SnapshotSource, StateMachine};
+use linnethitch_protocol::{consensus::SnapshotMeta, ids::LogIndex};
 use linnethitch_registry::{
     Backend, CallerLimits, Registry, RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaState,
     Route, RouteKind, RouteTable, ServiceTraits,
 };
+use linnethitch_storage::{SnapshotReader, SnapshotStore, VirtualDisk};
+
+/// Stores a snapshot on a virtual disk.
+pub(crate) fn store_snapshot(mut source: impl SnapshotSource) -> SnapshotReader {
+    let mut snapshots = SnapshotStore::open(Arc::new(VirtualDisk::new(1))).expect("it opens");
+    let meta = SnapshotMeta {
+        index: LogIndex(1),
+        ..SnapshotMeta::default()
+    };
+    let mut writer = snapshots.begin(meta).expect("it begins");
+    while let Some(piece) = source.next_piece().expect("a piece") {
+        writer.write(&piece).expect("it is written");
+    }
+    snapshots.finish(writer).expect("it is finished");
+    snapshots.reader(LogIndex(1)).expect("it is read")
+}
 
 pub(crate) fn route(name: &str, prefix: &str, service: &str) -> Route {
     Route {
@@ -74,7 +92,7 @@
 impl Applied {
     pub(crate) fn apply(&mut self, command: &RegistryCommand) -> RegistryAnswer {
         self.index += 1;
-        let bytes = frame::encode(command).expect("a command encodes");
+        let bytes = command.to_stored().expect("a command encodes");
         self.registry
             .apply(LogIndex(self.index), &bytes)
             .expect("a command applies")
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -24,5 +24,5 @@
 pub use payload::{MemoryPayloads, PayloadLimits, PayloadMark, PayloadRef, PayloadStore, Payloads};
 pub use real::RealFileSystem;
 pub use revision::RevisionFile;
-pub use snapshot::{ReceiveProgress, SnapshotInfo, SnapshotStore, SnapshotWriter};
+pub use snapshot::{ReceiveProgress, SnapshotInfo, SnapshotReader, SnapshotStore, SnapshotWriter};
 pub use virtual_disk::VirtualDisk;
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -15,7 +15,7 @@
 
 /// Directory of the snapshots in the data folder.
 pub const SNAPSHOT_DIRECTORY: &str = "snapshots";
-/// How many complete snapshots are kept.
+/// How many complete snapshots are kept where nothing else is asked for.
 pub const KEPT_SNAPSHOTS: usize = 2;
 /// Version of the snapshot format.
 pub const SNAPSHOT_FORMAT_VERSION: u32 = 1;
@@ -61,6 +61,47 @@
     file_system: Arc<dyn FileSystem>,
     /// Complete and checked, oldest first.
     complete: Vec<SnapshotInfo>,
+    /// How many of them are kept, at least one.
+    kept: usize,
+}
+
+/// Reads the content of one complete snapshot piece by piece. Clones share the file.
+#[derive(Clone)]
+pub struct SnapshotReader {
+    file: Arc<dyn File>,
+    content_start: u64,
+    content_bytes: u64,
+}
+
+impl SnapshotReader {
+    /// Bytes of the content.
+    #[must_use]
+    pub fn content_bytes(&self) -> u64 {
+        self.content_bytes
+    }
+
+    /// Reads exactly this range of the content.
+    ///
+    /// # Errors
+    /// `Corrupted` when the range leaves the content or the file ends within it, `Io`.
+    pub fn read(&self, offset: u64, length: usize) -> StorageResult<Vec<u8>> {
+        let end = offset.checked_add(length as u64);
+        if end.is_none_or(|end| end > self.content_bytes) {
+            return Err(cut_short(offset, length));
+        }
+        let mut data = vec![0; length];
+        let read = self.file.read_at(self.content_start + offset, &mut data)?;
+        if read < length {
+            return Err(cut_short(offset, length));
+        }
+        Ok(data)
+    }
+}
+
+fn cut_short(offset: u64, length: usize) -> Report<ErrorKind> {
+    Report::new(ErrorKind::Corrupted).attach(format!(
+        "a snapshot does not hold {length} bytes at {offset}"
+    ))
 }
 
 /// A snapshot being written.
@@ -103,6 +144,14 @@
     /// # Errors
     /// `StorageFull`, `Io`.
     pub fn open(file_system: Arc<dyn FileSystem>) -> StorageResult<Self> {
+        Self::open_keeping(file_system, KEPT_SNAPSHOTS)
+    }
+
+    /// Like [`SnapshotStore::open`], but keeps this many complete snapshots, at least one.
+    ///
+    /// # Errors
+    /// `StorageFull`, `Io`.
+    pub fn open_keeping(file_system: Arc<dyn FileSystem>, kept: usize) -> StorageResult<Self> {
         if !file_system.exists(SNAPSHOT_DIRECTORY)? {
             file_system.create_directory(SNAPSHOT_DIRECTORY)?;
             file_system.sync_directory("")?;
@@ -123,6 +172,7 @@
         Ok(SnapshotStore {
             file_system,
             complete,
+            kept: kept.max(1),
         })
     }
 
@@ -203,7 +253,7 @@
     }
 
     fn remove_older(&mut self) -> StorageResult<()> {
-        while self.complete.len() > KEPT_SNAPSHOTS {
+        while self.complete.len() > self.kept {
             let oldest = self.complete.remove(0);
             self.file_system.remove(&snapshot_path(oldest.meta.index))?;
         }
@@ -245,6 +295,22 @@
         self.read_file(index, info.content_start + offset, length)
     }
 
+    /// A reader of a snapshot's content.
+    ///
+    /// # Errors
+    /// `NotFound` when the snapshot is gone, `Io`.
+    pub fn reader(&self, index: LogIndex) -> StorageResult<SnapshotReader> {
+        let info = self.find(index).ok_or_else(|| missing(index))?;
+        let file = self
+            .file_system
+            .open(&snapshot_path(index), OpenMode::Read)?;
+        Ok(SnapshotReader {
+            file: Arc::from(file),
+            content_start: info.content_start,
+            content_bytes: info.content_bytes(),
+        })
+    }
+
     fn read_file(&self, index: LogIndex, offset: u64, length: usize) -> StorageResult<Vec<u8>> {
         let file = self
             .file_system
