Let gateways know each other's work; fill the slots with batch; late jobs wait

Cause 1: with 54 gateways before 89 replicas of 7 slots a gateway knows next to nothing of a replica's load: reports come with its own answers only, one in 15 s for each. Gateways now exchange what they have under way through control's leader (200 ms, at most 1.5 KB/s a gateway), where there are more than two of them for each slot of a replica; elsewhere even spreading of one's own is as good. Cause 4: late jobs came first and made all after them late; they come last now and stay patient.

Ruled out: the store's processor time (0.03 of a core), calls for work (want was 0).

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -22,7 +22,8 @@
     clock::Clock,
     incoming::Inbound,
     links::Links,
-    message::{NodeMessage, NodeRole, Pulse},
+    loads::RunningCounts,
+    message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings},
 };
 
@@ -30,7 +31,8 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// A machine that no pulse has named for so long is no longer linked to.
 const FORGOTTEN_MS: u64 = 10_000;
-
+/// Longest time for an exchange of loads; a later answer would be too old.
+const LOADS_LIMIT: Duration = Duration::from_millis(400);
 /// What a control machine told counts for this long.
 const TOLD_VALID_MS: u64 = 3_000;
 
@@ -40,6 +42,8 @@
     fleet: watch::Receiver<Arc<FleetView>>,
     links: Links,
     store: GroupClient<StoreCall>,
+    registry: GroupClient<RegistryCall>,
+    own: MachineId,
     control: Arc<Mutex<BTreeMap<MachineId, u64>>>,
     /// What each control machine told last of the gateways.
     gateways: Arc<Mutex<BTreeMap<MachineId, ToldGateways>>>,
@@ -57,6 +61,8 @@
             fleet,
             links: base.links.clone(),
             store: GroupClient::new(base.links.clone(), None),
+            registry: GroupClient::new(base.links.clone(), None),
+            own: settings.machine(),
             control: Arc::default(),
             gateways: Arc::default(),
             clock: base.clock,
@@ -120,6 +126,19 @@
         self.store.call(call, limit).await
     }
 
+    /// Tells control's leader what this gateway has under way; returns what all
+    /// others have. `None` when no leader answers in time.
+    pub async fn exchange_loads(&self, counts: RunningCounts) -> Option<RunningCounts> {
+        let call = RegistryCall::Loads {
+            gateway: self.own,
+            counts,
+        };
+        match self.registry.call(call, LOADS_LIMIT).await {
+            RegistryReply::Loads(others) => Some(others),
+            _ => None,
+        }
+    }
+
     /// The clock of this process.
     #[must_use]
     pub fn clock(&self) -> Clock {
@@ -215,6 +234,8 @@
             let mut control = self.gateway.control.lock();
             control.retain(|_, at_ms| is_kept(at_ms));
             wanted.extend(control.keys());
+            let machines = control.keys().copied().collect();
+            self.gateway.registry.set_machines(machines);
             if control.is_empty() {
                 wanted.extend(&self.seeds);
             }
--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -1,1 +1,3 @@
 //! Tests of this crate.
+
+mod loads;
--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -74,7 +74,8 @@
             .retain(|item, lease| lease.gateway != gateway || running.contains(item));
     }
 
-    /// Leases up to `want` items to a gateway: those due first, each job's in order.
+    /// Leases up to `want` items to a gateway: those due first, then late ones,
+    /// each job's in order.
     pub fn lease(
         &mut self,
         store: &JobStore,
@@ -88,7 +89,8 @@
         self.leases.retain(|_, lease| lease.until_ms > now_ms);
         self.paused.retain(|_, until_ms| *until_ms > now_ms);
         let mut jobs: Vec<_> = store.open_jobs().collect();
-        jobs.sort_by_key(|job| (job.due_in_ms(), job.number));
+        // A late job is late whatever is done: it waits for those that are not.
+        jobs.sort_by_key(|job| (job.due_in_ms() == 0, job.due_in_ms(), job.number));
         let mut begin = Vec::new();
         for job in jobs {
             for (number, item) in job.items.iter().enumerate() {
--- a/crates/job-store/tests/all/dispatcher.rs
+++ b/crates/job-store/tests/all/dispatcher.rs
@@ -34,6 +34,19 @@
     assert!(lease(&mut dispatcher, &store, "c", 3, 0).is_empty());
 }
 
+/// The failure this is for: where there was too much to do, late jobs came first
+/// and made every one after them late too.
+#[test]
+fn late_jobs_wait_for_those_that_can_be_in_time() {
+    let mut store = JobStore::default();
+    submit(&mut store, job("late", 1));
+    pass(&mut store, 20_000);
+    submit(&mut store, job("in-time", 1));
+    let mut dispatcher = Dispatcher::default();
+    let leased = lease(&mut dispatcher, &store, "a", 2, 0);
+    assert_eq!(leased, [item("in-time", 0), item("late", 0)]);
+}
+
 #[test]
 fn a_lease_that_is_not_renewed_ends() {
     let store = two_jobs();
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -18,11 +18,13 @@
 };
 
 use crate::{
+    batch_shares::BatchShares,
     counters::ItemEnd,
     events::{EventSplitter, data_of},
     exchange::{Exchange, Limits, Opened, Outgoing, exchange},
     relay::Relay,
-    shared::{ROOM_SHARE, Shared},
+    shared::Shared,
+    urgency::Urgency,
 };
 
 /// Settings of batch execution.
@@ -32,8 +34,6 @@
     pub name: String,
     /// Most items at once.
     pub most_items: u32,
-    /// Share of a replica's slots that batch items may fill, online requests included.
-    pub busy_share: f64,
 }
 
 /// Pause between two calls for work.
@@ -52,12 +52,6 @@
 const ITEM_LIMIT: Duration = Duration::from_secs(60);
 /// Pause before a replica is looked for again.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(100);
-/// An item that is due within this no longer gives way.
-const URGENT_BEFORE_DUE: Duration = Duration::from_secs(8);
-/// Share of a service's slots up to which items begin, online requests included.
-const START_SHARE: f64 = ROOM_SHARE - 0.15;
-/// Share of a replica's slots that such items may fill, online requests included.
-const URGENT_BUSY_SHARE: f64 = 0.95;
 /// Status that says that an item can never be done.
 const UNPROCESSABLE: u16 = 422;
 
@@ -73,7 +67,7 @@
         let want = if is_stopping {
             0
         } else {
-            wanted(&relay, &settings, held.len() as u32)
+            wanted(&relay, settings.most_items, held.len() as u32)
         };
         if want == 0 && held.is_empty() {
             if is_stopping {
@@ -99,46 +93,41 @@
             info!(relay.shared.logger, "item: begins"; "item" => &work.spec.id,
                 "job" => &work.item.job, "failures" => work.failures,
                 "due_in_ms" => work.due_in_ms);
-            start(&relay.shared, &settings, &running, work);
+            start(&relay.shared, &running, work);
         }
     }
 }
 
-fn wanted(relay: &Relay, settings: &BatchSettings, held: u32) -> u32 {
+fn wanted(relay: &Relay, most_items: u32, held: u32) -> u32 {
     let Some(table) = relay.table() else {
         return 0;
     };
     let batch = table.routes.iter().filter(|r| r.kind == RouteKind::Batch);
     let services = batch.flat_map(|route| route.backends.iter());
     let free: u32 = services
-        .map(|backend| free_for_batch(relay, settings, &backend.service))
+        .map(|backend| free_for_batch(relay, &backend.service))
         .max()
         .unwrap_or(0);
-    settings
-        .most_items
-        .saturating_sub(held)
-        .min(free)
-        .min(ITEMS_AT_ONCE)
+    most_items.saturating_sub(held).min(free).min(ITEMS_AT_ONCE)
 }
 
 /// Slots of a service that items of this gateway may begin on.
-fn free_for_batch(relay: &Relay, settings: &BatchSettings, service: &str) -> u32 {
+fn free_for_batch(relay: &Relay, service: &str) -> u32 {
     let shared = &relay.shared;
-    let part = shared.fair_part(service, START_SHARE);
+    let shares = shared.batch_shares();
+    let part = shared.fair_part(service, shares.start);
     let left = part.saturating_sub(shared.own_running(service));
-    left.min(shared.free_slots(service, settings.busy_share))
+    left.min(shared.free_slots(service, shares.replica))
 }
 
-fn start(shared: &Arc<Shared>, settings: &BatchSettings, running: &Running, work: ItemWork) {
+fn start(shared: &Arc<Shared>, running: &Running, work: ItemWork) {
     let item = work.item.clone();
     let run = ItemRun {
         shared: Arc::clone(shared),
-        busy_share: settings.busy_share,
         splitter: EventSplitter::default(),
         data: Vec::new(),
         tried: Vec::new(),
-        yields_until: Instant::now()
-            + Duration::from_millis(work.due_in_ms).saturating_sub(URGENT_BEFORE_DUE),
+        urgency: Urgency::due_in(work.due_in_ms, Instant::now()),
         work,
     };
     let running_after = Arc::clone(running);
@@ -154,15 +143,13 @@
 /// One item while it runs.
 struct ItemRun {
     shared: Arc<Shared>,
-    busy_share: f64,
     work: ItemWork,
     splitter: EventSplitter,
     /// Data of the whole events so far.
     data: Vec<String>,
     /// Replicas that failed it.
     tried: Vec<String>,
-    /// It gives way to online requests only before this.
-    yields_until: Instant,
+    urgency: Urgency,
 }
 
 /// How one send of an item ended.
@@ -233,7 +220,8 @@
             service: &service,
             prompt: &prompt.parts,
             except: &self.tried,
-            busy_share: Some(self.busy_share_now()),
+            busy_share: Some(self.shares().replica),
+            yielding: None,
         };
         let Some(chosen) = self.shared.choose(&need) else {
             self.tried.clear();
@@ -244,7 +232,7 @@
         let run = self
             .shared
             .batch_runs
-            .begin(&service, &chosen.id, self.yields_until);
+            .begin(&service, &chosen.id, self.urgency);
         let limits = Limits {
             until,
             head_until: until.min(Instant::now() + FIRST_EVENT_LIMIT),
@@ -285,20 +273,15 @@
 
     /// Whether this gateway has room for the item within its part of the slots.
     fn has_part_left(&self, service: &str) -> bool {
-        let share = if Instant::now() < self.yields_until {
-            START_SHARE
-        } else {
-            URGENT_BUSY_SHARE
-        };
-        self.shared.own_running(service) < self.shared.fair_part(service, share)
+        let part = self.shared.fair_part(service, self.shares().start);
+        self.shared.own_running(service) < part
     }
 
-    /// An item whose time runs out may fill more of a replica.
-    fn busy_share_now(&self) -> f64 {
-        if Instant::now() < self.yields_until {
-            self.busy_share
+    fn shares(&self) -> BatchShares {
+        if self.urgency.is_urgent(Instant::now()) {
+            BatchShares::URGENT
         } else {
-            URGENT_BUSY_SHARE
+            self.shared.batch_shares()
         }
     }
 
--- a/crates/relay/src/batch_runs.rs
+++ b/crates/relay/src/batch_runs.rs
@@ -1,11 +1,16 @@
 //! Batch items under way, so that they can give way to online requests.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::urgency::Urgency;
+
 /// Runs of batch items. Clones share them.
 #[derive(Clone, Default)]
 pub(crate) struct BatchRuns {
@@ -21,8 +26,7 @@
 struct Run {
     service: String,
     replica: String,
-    /// The item gives way only before this.
-    yields_until: Instant,
+    urgency: Urgency,
     stop: CancellationToken,
 }
 
@@ -36,7 +40,7 @@
 
 impl BatchRuns {
     /// Notes a run.
-    pub(crate) fn begin(&self, service: &str, replica: &str, yields_until: Instant) -> BatchRun {
+    pub(crate) fn begin(&self, service: &str, replica: &str, urgency: Urgency) -> BatchRun {
         let stop = CancellationToken::new();
         let mut runs = self.runs.lock();
         runs.begun += 1;
@@ -44,7 +48,7 @@
         let run = Run {
             service: service.to_owned(),
             replica: replica.to_owned(),
-            yields_until,
+            urgency,
             stop: stop.clone(),
         };
         runs.by_number.insert(number, run);
@@ -59,6 +63,18 @@
         self.runs.lock().by_number.is_empty()
     }
 
+    /// Items that give way to online requests, by replica.
+    pub(crate) fn patient_by_replica(&self) -> HashMap<String, u32> {
+        let now = Instant::now();
+        let runs = self.runs.lock();
+        let patient = runs.by_number.values();
+        let mut counts = HashMap::new();
+        for run in patient.filter(|run| !run.urgency.is_urgent(now)) {
+            *counts.entry(run.replica.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Stops the item of a service that can wait longest, if one can.
     pub(crate) fn give_way(&self, service: &str) {
         self.stop_most_patient(|run| run.service == service);
@@ -75,8 +91,8 @@
         let may_yield = runs
             .by_number
             .iter()
-            .filter(|(_, run)| run.yields_until > now && concerns(run));
-        let most_patient = may_yield.max_by_key(|(_, run)| run.yields_until);
+            .filter(|(_, run)| !run.urgency.is_urgent(now) && concerns(run));
+        let most_patient = may_yield.max_by_key(|(_, run)| run.urgency.patience(now));
         let Some(number) = most_patient.map(|(number, _)| *number) else {
             return;
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod batch;
 mod batch_runs;
+mod batch_shares;
 mod connections;
 mod counters;
 mod dialect;
@@ -17,6 +18,7 @@
 mod relay;
 mod server;
 mod shared;
+mod urgency;
 
 pub use answer::{AnswerBody, own_answer, own_body};
 pub use batch::{BatchSettings, run_items};
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -171,11 +171,13 @@
     async fn resume(&mut self) -> Option<Source> {
         self.splitter.drop_partial();
         while self.settings.resumable && self.settings.sends_left > 0 {
+            let yielding = self.shared.yielding();
             let need = Need {
                 service: &self.settings.service,
                 prompt: &self.settings.prompt,
                 except: &self.settings.tried,
                 busy_share: None,
+                yielding: Some(&yielding),
             };
             let chosen = self.shared.choose(&need)?;
             self.settings.sends_left -= 1;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use linnethitch_cluster::GatewayNode;
+use linnethitch_cluster::{GatewayNode, RunningCounts};
 use linnethitch_errors::ErrorKind;
 use linnethitch_registry::{Route, RouteKind, RouteTable};
 use linnethitch_routing::dispatch::{FailureKind, Need};
@@ -79,6 +79,7 @@
     ) -> Self {
         let shared = Arc::new(Shared::new(gateway.clone(), dialect, zone, seed, logger));
         tokio::spawn(follow_fleet(Arc::clone(&shared), gateway));
+        tokio::spawn(exchange_loads(Arc::clone(&shared)));
         Relay { shared, stopping }
     }
 
@@ -176,11 +177,13 @@
 impl Attempt<'_> {
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
+            let yielding = self.shared.yielding();
             let need = Need {
                 service: &self.service,
                 prompt: &self.prompt.parts,
                 except: &self.tried,
                 busy_share: None,
+                yielding: Some(&yielding),
             };
             let Some(chosen) = self.shared.choose(&need) else {
                 if self.may_wait() {
@@ -482,3 +485,19 @@
         }
     }
 }
+
+/// Tells control what is under way here and learns what others have.
+async fn exchange_loads(shared: Arc<Shared>) {
+    let mut interval = RunningCounts::default().interval();
+    loop {
+        sleep(interval).await;
+        if !shared.needs_others() {
+            continue;
+        }
+        let counts = shared.running_counts();
+        if let Some(others) = shared.gateway.exchange_loads(counts).await {
+            interval = others.interval();
+            shared.note_others(&others);
+        }
+    }
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use linnethitch_cluster::{Clock, GatewayNode};
+use linnethitch_cluster::{Clock, GatewayNode, ReplicaKey, RunningCounts};
 use linnethitch_registry::{FleetView, ReplicaState, Route, RouteTable};
 use linnethitch_routing::dispatch::{
     Board, Chosen, FailureKind, Need, PromptPart, ReplicaTraits, ReportedLoad, RunningWork,
@@ -19,12 +19,10 @@
 use slog::Logger;
 
 use crate::{
-    batch_runs::BatchRuns, connections::Connections, counters::Counters, dialect::Dialect,
+    batch_runs::BatchRuns, batch_shares::BatchShares, connections::Connections, counters::Counters,
+    dialect::Dialect,
 };
 
-/// Share of a service's slots beyond which batch items give way.
-pub(crate) const ROOM_SHARE: f64 = 0.85;
-
 /// Successes for each one that is logged; failures, refusals, retries and resumes
 /// always are.
 const SUCCESSES_PER_LINE: u64 = 64;
@@ -123,9 +121,35 @@
     /// Requests and items that this gateway may have under way at a service so
     /// that all gateways together leave some slots free: its part of a share.
     pub(crate) fn fair_part(&self, service: &str, share: f64) -> u32 {
-        let slots = f64::from(self.board.lock().slots(service));
-        let gateways = f64::from(self.gateway.gateways());
-        (slots * share / gateways).ceil() as u32
+        let now_ms = self.clock.now_ms();
+        let gateways = self.gateway.gateways();
+        self.board
+            .lock()
+            .fair_part(service, share, gateways, now_ms)
+    }
+
+    /// Whether gateways have to tell each other what they have under way.
+    pub(crate) fn needs_others(&self) -> bool {
+        let gateways = self.gateway.gateways();
+        self.board.lock().needs_others(gateways)
+    }
+
+    /// Requests and items under way, by replica.
+    pub(crate) fn running_counts(&self) -> RunningCounts {
+        let board = self.board.lock();
+        let mut counts = RunningCounts::default();
+        for (id, own) in board.own_counts() {
+            counts.push(ReplicaKey::of(id), own);
+        }
+        counts
+    }
+
+    /// Takes what all other gateways have under way.
+    pub(crate) fn note_others(&self, others: &RunningCounts) {
+        let others: HashMap<ReplicaKey, u32> = others.iter().collect();
+        let now_ms = self.clock.now_ms();
+        let of = |id: &str| others.get(&ReplicaKey::of(id)).copied().unwrap_or(0);
+        self.board.lock().note_others(of, now_ms);
     }
 
     /// Own requests and items under way at a service.
@@ -133,6 +157,24 @@
         self.board.lock().own_running(service)
     }
 
+    /// Shares of slots that batch items may take now.
+    pub(crate) fn batch_shares(&self) -> BatchShares {
+        if self.needs_others() {
+            BatchShares::INFORMED
+        } else {
+            BatchShares::BLIND
+        }
+    }
+
+    /// Own batch items by replica that can be stopped for an online request. Where
+    /// the work of others is not known, nothing shows that a slot is wanted.
+    pub(crate) fn yielding(&self) -> HashMap<String, u32> {
+        if self.batch_runs.is_empty() || !self.needs_others() {
+            return HashMap::new();
+        }
+        self.batch_runs.patient_by_replica()
+    }
+
     /// Lets batch items give way when more is under way than this gateway's
     /// part, or when the replica chosen for an online request is full.
     pub(crate) fn make_room(&self, service: &str, chosen: &Chosen) {
@@ -142,7 +184,7 @@
         if self.batch_runs.is_empty() {
             return;
         }
-        if self.own_running(service) > self.fair_part(service, ROOM_SHARE) {
+        if self.own_running(service) > self.fair_part(service, self.batch_shares().room) {
             self.batch_runs.give_way(service);
         }
     }
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -19,6 +19,17 @@
 const COST_PER_OWN_MS: f64 = 10.0;
 /// Cost of each request that others have there, in milliseconds.
 const COST_PER_OTHER_MS: f64 = 1.0;
+/// Cost of a replica whose slots are all taken over an idle one, in milliseconds,
+/// where control tells what others have there. It spreads requests evenly, but
+/// less dearly than reading a long shared prompt anew.
+const FULL_COST_MS: f64 = 40.0;
+/// Gateways tell each other their loads where there are more of them than this
+/// for each slot of a replica.
+const GATEWAYS_PER_SLOT: u32 = 2;
+/// Replicas that are compared where control tells what others have.
+const DRAWN_REPLICAS: usize = 3;
+/// A replica that keeps so much of a prompt is always compared, in tokens.
+const WORTHWHILE_TOKENS: u32 = 1_000;
 /// Cost of leaving the zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 1.0;
 /// Part of a shared prompt that is expected to be kept at its home replica,
@@ -39,6 +50,17 @@
     /// Share of the slots that may be taken for it to start; 1 for online
     /// requests, less for batch items. Nothing is chosen beyond it.
     pub busy_share: Option<f64>,
+    /// Own batch items by replica that can be stopped at once for this request.
+    pub yielding: Option<&'a HashMap<String, u32>>,
+}
+
+impl Need<'_> {
+    fn yielding_at(&self, replica: &Replica) -> u32 {
+        let held = self
+            .yielding
+            .and_then(|items| items.get(&replica.traits.id));
+        held.copied().unwrap_or(0).min(replica.own)
+    }
 }
 
 /// A choice.
@@ -109,9 +131,16 @@
             .filter(|replica| replica.is_open(now_ms) && has_room(replica, need, now_ms))
             .collect();
         let home = home(&open, need.prompt).map(|home| home.traits.id.as_str());
+        let drawn = draw(&open, now_ms, rng);
         let mut best: Option<(f64, &Replica)> = None;
-        for replica in open {
+        for (number, replica) in open.into_iter().enumerate() {
             let is_home = home == Some(replica.traits.id.as_str());
+            let keeps_prompt = replica.kept.reusable(need.prompt) >= WORTHWHILE_TOKENS;
+            let is_drawn = drawn.as_ref().is_none_or(|drawn| drawn.contains(&number));
+            let yields = need.yielding_at(replica) > 0;
+            if !is_drawn && !is_home && !keeps_prompt && !yields {
+                continue;
+            }
             let expected_ms = self.expected_ms(replica, need, is_home, now_ms);
             let score = expected_ms + rng.random::<f64>() * JITTER_MS;
             if best.is_none_or(|(lowest, _)| score < lowest) {
@@ -157,6 +186,49 @@
             .sum()
     }
 
+    /// Whether gateways have to tell each other what they have under way.
+    ///
+    /// While a gateway has a good part of each replica's slots for itself, gateways
+    /// that spread their own requests evenly spread all evenly. Where there are many
+    /// more gateways than a replica has slots, each knows next to nothing alone.
+    #[must_use]
+    pub fn needs_others(&self, gateways: u32) -> bool {
+        let ready = self.replicas.values().filter(|r| r.traits.ready);
+        ready
+            .into_iter()
+            .any(|replica| gateways > replica.slots() * GATEWAYS_PER_SLOT)
+    }
+
+    /// Own requests under way, by replica.
+    pub fn own_counts(&self) -> impl Iterator<Item = (&str, u32)> {
+        let replicas = self.replicas.iter();
+        replicas.map(|(id, replica)| (id.as_str(), replica.own))
+    }
+
+    /// Notes what other gateways have under way at every replica.
+    pub fn note_others(&mut self, others: impl Fn(&str) -> u32, now_ms: u64) {
+        for (id, replica) in &mut self.replicas {
+            replica.note_shared(others(id), now_ms);
+        }
+    }
+
+    /// Requests and items that a gateway may have under way at a service so that
+    /// all together take no more than this share of its slots. Where control tells
+    /// what others have, it is an even part of what is left (or of what is too
+    /// much), else an even part of the whole.
+    #[must_use]
+    pub fn fair_part(&self, service: &str, share: f64, gateways: u32, now_ms: u64) -> u32 {
+        let gateways = f64::from(gateways.max(1));
+        let usable = f64::from(self.slots(service)) * share;
+        let is_shared = self.of(service).all(|r| r.shared_others(now_ms).is_some());
+        if !is_shared {
+            return (usable / gateways).ceil() as u32;
+        }
+        let busy: u32 = self.of(service).map(|replica| replica.busy(now_ms)).sum();
+        let left = ((usable - f64::from(busy)) / gateways).ceil();
+        (f64::from(self.own_running(service)) + left).max(0.0) as u32
+    }
+
     /// Notes that a request is sent.
     pub fn begin(
         &mut self,
@@ -204,9 +276,10 @@
     }
 
     fn expected_ms(&self, replica: &Replica, need: &Need<'_>, is_home: bool, now_ms: u64) -> f64 {
-        let waiting_ms = replica.waiting(now_ms) * COST_PER_WAITING_MS;
-        let own_ms = f64::from(replica.own) * COST_PER_OWN_MS;
-        let running_ms = own_ms + replica.others(now_ms) * COST_PER_OTHER_MS;
+        let yielding = need.yielding_at(replica);
+        let waiting = replica.waiting(now_ms) - f64::from(yielding);
+        let waiting_ms = waiting.max(0.0) * COST_PER_WAITING_MS;
+        let running_ms = running_cost_ms(replica, now_ms);
         let zone_ms = if replica.traits.zone == self.zone {
             0.0
         } else {
@@ -219,6 +292,40 @@
     }
 }
 
+/// What the requests under way at a replica cost a further one, in milliseconds.
+fn running_cost_ms(replica: &Replica, now_ms: u64) -> f64 {
+    match replica.shared_others(now_ms) {
+        Some(others) => {
+            let taken = f64::from(replica.own + others) / f64::from(replica.slots());
+            taken.min(1.0) * FULL_COST_MS
+        }
+        None => {
+            let own_ms = f64::from(replica.own) * COST_PER_OWN_MS;
+            own_ms + replica.others(now_ms) * COST_PER_OTHER_MS
+        }
+    }
+}
+
+/// Numbers of the replicas that are compared, drawn by lot; `None` for all.
+///
+/// Counts of other gateways are a little old, and all gateways see the same ones.
+/// If each took the best of all, the emptiest replicas would be overrun between
+/// two exchanges; the best of a few drawn by lot differs for each request.
+fn draw(open: &[&Replica], now_ms: u64, rng: &mut impl Rng) -> Option<Vec<usize>> {
+    let all_shared = open.iter().all(|r| r.shared_others(now_ms).is_some());
+    if !all_shared || open.len() <= DRAWN_REPLICAS {
+        return None;
+    }
+    let mut drawn = Vec::with_capacity(DRAWN_REPLICAS);
+    while drawn.len() < DRAWN_REPLICAS {
+        let number = rng.random_range(0..open.len());
+        if !drawn.contains(&number) {
+            drawn.push(number);
+        }
+    }
+    Some(drawn)
+}
+
 /// The replica where a shared prompt has its home: the same one for every
 /// gateway, by rendezvous hashing on its first part.
 fn home<'a>(replicas: &[&'a Replica], prompt: &[PromptPart]) -> Option<&'a Replica> {
--- a/crates/routing/src/dispatch/replica.rs
+++ b/crates/routing/src/dispatch/replica.rs
@@ -12,6 +12,8 @@
 const WORK_FAILURES: u32 = 2;
 /// Pause of a replica that refused a request since it is full, in milliseconds.
 const FULL_PAUSE_MS: u64 = 80;
+/// What control told of other gateways counts for this long, in milliseconds.
+const SHARED_VALID_MS: u64 = 1_200;
 /// A reported load counts for this long, in milliseconds.
 const LOAD_VALID_MS: u64 = 3_000;
 /// A request without its first event after this time holds up those behind it, in milliseconds.
@@ -108,6 +110,7 @@
     /// Measured over expected time to the first event.
     pace: f64,
     load: Option<Load>,
+    shared: Option<SharedLoad>,
     pub(crate) kept: KeptParts,
     failures: u32,
     paused_until_ms: u64,
@@ -123,6 +126,13 @@
     own_then: u32,
 }
 
+/// What other gateways have under way there, as control summed it.
+#[derive(Clone, Copy, Debug)]
+struct SharedLoad {
+    others: u32,
+    at_ms: u64,
+}
+
 impl Load {
     /// How much of it still counts: half after each half-life.
     fn freshness(&self, now_ms: u64) -> f64 {
@@ -141,6 +151,7 @@
             begun: 0,
             pace: 1.0,
             load: None,
+            shared: None,
             kept: KeptParts::default(),
             failures: 0,
             paused_until_ms: 0,
@@ -153,8 +164,24 @@
         self.traits.ready && !self.replaced && self.paused_until_ms <= now_ms
     }
 
+    /// What other gateways have under way there, if control told it lately.
+    pub(crate) fn shared_others(&self, now_ms: u64) -> Option<u32> {
+        let shared = self.shared?;
+        (now_ms < shared.at_ms + SHARED_VALID_MS).then_some(shared.others)
+    }
+
+    pub(crate) fn note_shared(&mut self, others: u32, now_ms: u64) {
+        self.shared = Some(SharedLoad {
+            others,
+            at_ms: now_ms,
+        });
+    }
+
     /// Requests that run or wait there, as far as can be told.
     pub(crate) fn busy(&self, now_ms: u64) -> u32 {
+        if let Some(others) = self.shared_others(now_ms) {
+            return self.own + others;
+        }
         let reported = self.load.filter(|load| now_ms < load.at_ms + LOAD_VALID_MS);
         let told = reported.map_or(0, |load| {
             let total = load.told.running + load.told.waiting;
@@ -166,6 +193,10 @@
     /// Requests that wait there beyond the slots, by the last report, which
     /// counts less the older it is.
     pub(crate) fn waiting(&self, now_ms: u64) -> f64 {
+        if let Some(others) = self.shared_others(now_ms) {
+            // A further request waits as soon as every slot is taken.
+            return f64::from((self.own + others + 1).saturating_sub(self.slots()));
+        }
         self.load.map_or(0.0, |load| {
             f64::from(load.told.waiting) * load.freshness(now_ms)
         })
@@ -182,6 +213,9 @@
 
     /// Whether a recent report said that every slot is taken.
     pub(crate) fn is_full(&self, now_ms: u64) -> bool {
+        if let Some(others) = self.shared_others(now_ms) {
+            return self.own + others >= self.slots();
+        }
         self.own >= self.slots()
             || self.load.is_some_and(|load| {
                 now_ms < load.at_ms + FULL_VALID_MS && load.told.running >= load.told.slots
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -32,6 +32,7 @@
         prompt,
         except,
         busy_share: None,
+        yielding: None,
     }
 }
 
@@ -200,6 +201,107 @@
     assert!(!choose(&board, 2_000, &mut random).expect("one").is_full);
 }
 
+/// Gateways that all see the same counts, a little old.
+fn informed_boards(gateways: usize, replicas: usize, others: &[(&str, u32)]) -> Vec<Board> {
+    let mut boards = vec![board(replicas); gateways];
+    for board in &mut boards {
+        let told = |id: &str| {
+            let found = others.iter().find(|(replica, _)| *replica == id);
+            found.map_or(2, |(_, running)| *running)
+        };
+        board.note_others(told, 0);
+    }
+    boards
+}
+
+/// The failure this is for: gateways that saw the same counts all chose the
+/// emptiest replica, and 28 requests waited there while others were idle.
+#[test]
+fn gateways_that_see_the_same_counts_do_not_overrun_the_emptiest_replica() {
+    let mut random = random();
+    let mut boards = informed_boards(50, 60, &[("r3", 0)]);
+    let mut counts = std::collections::BTreeMap::<String, u32>::new();
+    for board in &mut boards {
+        let chosen = choose(board, 10, &mut random).expect("a replica");
+        board.begin(&chosen, &[], 10);
+        *counts.entry(chosen.id).or_default() += 1;
+    }
+    let most = counts.values().max().expect("a count");
+    assert!(*most <= 6, "{counts:?}");
+}
+
+#[test]
+fn a_replica_that_others_filled_is_avoided_while_the_counts_are_fresh() {
+    let mut random = random();
+    let boards = informed_boards(1, 3, &[("r0", 6), ("r1", 0), ("r2", 6)]);
+    for _ in 0..20 {
+        let chosen = choose(&boards[0], 100, &mut random).expect("a replica");
+        assert_eq!(chosen.id, "r1");
+    }
+    let mut chosen_later = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        let chosen = choose(&boards[0], 5_000, &mut random).expect("a replica");
+        chosen_later.insert(chosen.id);
+    }
+    assert_eq!(
+        chosen_later.len(),
+        3,
+        "counts that are too old decide nothing"
+    );
+}
+
+/// Where every slot is taken, a request goes where an own item can be stopped.
+#[test]
+fn a_request_goes_where_an_own_item_can_be_stopped() {
+    let mut random = random();
+    let mut boards = informed_boards(1, 40, &[]);
+    let board = &mut boards[0];
+    board.note_others(|_| 4, 0);
+    let item = Chosen {
+        id: "r17".to_owned(),
+        address: "r17:80".to_owned(),
+        expected_ms: 0.0,
+        is_full: false,
+    };
+    board.begin(&item, &[], 0);
+    board.note_others(|id| if id == "r17" { 3 } else { 4 }, 10);
+    let yielding = std::collections::HashMap::from([("r17".to_owned(), 1)]);
+    let mut request = need(&[], &[]);
+    request.yielding = Some(&yielding);
+    let chosen = board.choose(&request, 10, &mut random).expect("a replica");
+    assert_eq!(chosen.id, "r17");
+    assert!(chosen.is_full, "the item has to give way");
+}
+
+/// Gateways, slots of a replica, and whether they have to tell each other.
+#[rstest]
+#[case::few_gateways(8, 19, false)]
+#[case::one_slot_for_two(8, 4, false)]
+#[case::many_gateways(54, 7, true)]
+fn loads_are_told_where_a_gateway_knows_little_alone(
+    #[case] gateways: u32,
+    #[case] slots: u32,
+    #[case] needed: bool,
+) {
+    let mut board = Board::new("worcester");
+    let mut traits = replica("r0");
+    traits.slots = slots;
+    board.set_replicas(vec![traits]);
+    assert_eq!(board.needs_others(gateways), needed);
+}
+
+/// Slots that others take, and this gateway's part of what is left of 0.75 of 16.
+#[rstest]
+#[case::idle(0, 3)]
+#[case::nearly_taken(2, 1)]
+#[case::too_much(4, 0)]
+fn a_part_is_even_in_what_is_left(#[case] others: u32, #[case] part: u32) {
+    let mut board = board(4);
+    assert_eq!(board.fair_part("models", 0.75, 4, 0), 3);
+    board.note_others(|_| others, 0);
+    assert_eq!(board.fair_part("models", 0.75, 4, 10), part);
+}
+
 #[rstest]
 #[case::nine_to_one(&[90, 10], 100, &[90, 10])]
 #[case::one_of_two(&[0, 5], 10, &[0, 10])]
