--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -489,13 +489,19 @@
 /// Tells control what is under way here and learns what others have.
 async fn exchange_loads(shared: Arc<Shared>) {
     let mut interval = RunningCounts::default().interval();
+    let mut was_answered = false;
     loop {
         sleep(interval).await;
         if !shared.needs_others() {
             continue;
         }
         let counts = shared.running_counts();
-        if let Some(others) = shared.gateway.exchange_loads(counts).await {
+        let others = shared.gateway.exchange_loads(counts).await;
+        if others.is_some() != was_answered {
+            was_answered = others.is_some();
+            info!(shared.logger, "loads of others"; "known" => was_answered);
+        }
+        if let Some(others) = others {
             interval = others.interval();
             shared.note_others(&others);
         }
