Read the change once more: one notion of known loads, smaller files, no double logic

Whether a gateway is informed was asked in two ways: by the number of gateways (shares of batch items, own items that yield) and by the age of the counts (choice, parts). So items kept to the larger shares while control was away, and each request built the list of gateways three times. Now it is the age of the counts everywhere; the number of gateways only decides whether they are exchanged.

Tests keep their assertions; one more says that counts that are too old are not known.

--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use linnethitch_protocol::ids::MachineId;
+use linnethitch_protocol::{hash::fnv1a, ids::MachineId};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// What a gateway told counts for this long, in milliseconds.
@@ -28,13 +28,11 @@
 pub struct ReplicaKey(u16);
 
 impl ReplicaKey {
-    /// The key of a replica (FNV-1a, folded).
+    /// The key of a replica.
     #[must_use]
     pub fn of(id: &str) -> Self {
-        let hash = id.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
-            (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
-        });
-        ReplicaKey((hash ^ (hash >> 16)) as u16)
+        let hash = fnv1a(id.bytes());
+        ReplicaKey((hash ^ (hash >> 32)) as u16)
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod consensus;
 pub mod fleet;
 pub mod frame;
+pub mod hash;
 pub mod ids;
 pub mod load_digest;
 pub mod query;
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -114,7 +114,7 @@
 /// Slots of a service that items of this gateway may begin on.
 fn free_for_batch(relay: &Relay, service: &str) -> u32 {
     let shared = &relay.shared;
-    let shares = shared.batch_shares();
+    let shares = shared.batch_shares(service);
     let part = shared.fair_part(service, shares.start);
     let left = part.saturating_sub(shared.own_running(service));
     left.min(shared.free_slots(service, shares.replica))
@@ -220,7 +220,7 @@
             service: &service,
             prompt: &prompt.parts,
             except: &self.tried,
-            busy_share: Some(self.shares().replica),
+            busy_share: Some(self.shares(&service).replica),
             yielding: None,
         };
         let Some(chosen) = self.shared.choose(&need) else {
@@ -273,15 +273,15 @@
 
     /// Whether this gateway has room for the item within its part of the slots.
     fn has_part_left(&self, service: &str) -> bool {
-        let part = self.shared.fair_part(service, self.shares().start);
+        let part = self.shared.fair_part(service, self.shares(service).start);
         self.shared.own_running(service) < part
     }
 
-    fn shares(&self) -> BatchShares {
+    fn shares(&self, service: &str) -> BatchShares {
         if self.urgency.is_urgent(Instant::now()) {
             BatchShares::URGENT
         } else {
-            self.shared.batch_shares()
+            self.shared.batch_shares(service)
         }
     }
 
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -171,7 +171,7 @@
     async fn resume(&mut self) -> Option<Source> {
         self.splitter.drop_partial();
         while self.settings.resumable && self.settings.sends_left > 0 {
-            let yielding = self.shared.yielding();
+            let yielding = self.shared.yielding(&self.settings.service);
             let need = Need {
                 service: &self.settings.service,
                 prompt: &self.settings.prompt,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use linnethitch_cluster::{GatewayNode, RunningCounts};
+use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
 use linnethitch_registry::{Route, RouteKind, RouteTable};
 use linnethitch_routing::dispatch::{FailureKind, Need};
@@ -19,9 +19,11 @@
 
 use crate::{
     answer::{AnswerBody, BodyFailure, own_answer, whole},
+    body::read_body,
     counters::RequestEnd,
     dialect::{Dialect, Prompt},
     exchange::{Exchange, Limits, Opened, Outgoing, exchange, strip_connection_headers},
+    following::{exchange_loads, follow_fleet},
     pump::{Pump, PumpSettings},
     shared::Shared,
 };
@@ -177,7 +179,7 @@
 impl Attempt<'_> {
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
-            let yielding = self.shared.yielding();
+            let yielding = self.shared.yielding(&self.service);
             let need = Need {
                 service: &self.service,
                 prompt: &self.prompt.parts,
@@ -425,85 +427,3 @@
 fn parse_number(value: &HeaderValue) -> Option<u64> {
     value.to_str().ok()?.trim().parse().ok()
 }
-
-/// Reads a body within its bound.
-///
-/// # Errors
-/// `BodyTooLarge`, `MalformedRequest` when it breaks off, `RequestTimeout`.
-pub async fn read_body(
-    mut body: Incoming,
-    most_bytes: usize,
-    until: Instant,
-) -> Result<Bytes, ErrorKind> {
-    if body.size_hint().lower() > most_bytes as u64 {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
-    loop {
-        let frame = match timeout_at(until, body.frame()).await {
-            Ok(None) => break,
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(ErrorKind::MalformedRequest),
-            Err(_) => return Err(ErrorKind::RequestTimeout),
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        match &first {
-            None => first = Some(data),
-            Some(_) => rest.extend_from_slice(&data),
-        }
-        let length = first.as_ref().map_or(0, Bytes::len) + rest.len();
-        if length > most_bytes {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-    }
-    let first = first.unwrap_or_default();
-    if rest.is_empty() {
-        return Ok(first);
-    }
-    let mut whole = BytesMut::with_capacity(first.len() + rest.len());
-    whole.extend_from_slice(&first);
-    whole.extend_from_slice(&rest);
-    Ok(whole.freeze())
-}
-
-/// Takes every newer view of the fleet, and drops what no longer serves.
-async fn follow_fleet(shared: Arc<Shared>, gateway: GatewayNode) {
-    let mut views = gateway.follow();
-    loop {
-        let view = Arc::clone(&views.borrow_and_update());
-        shared.take_fleet(&view);
-        let known: std::collections::HashSet<String> = view
-            .live_replicas()
-            .map(|record| record.told.id.clone())
-            .collect();
-        shared.connections.sweep(|id| known.contains(id));
-        if views.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Tells control what is under way here and learns what others have.
-async fn exchange_loads(shared: Arc<Shared>) {
-    let mut interval = RunningCounts::default().interval();
-    let mut was_answered = false;
-    loop {
-        sleep(interval).await;
-        if !shared.needs_others() {
-            continue;
-        }
-        let counts = shared.running_counts();
-        let others = shared.gateway.exchange_loads(counts).await;
-        if others.is_some() != was_answered {
-            was_answered = others.is_some();
-            info!(shared.logger, "loads of others"; "known" => was_answered);
-        }
-        if let Some(others) = others {
-            interval = others.interval();
-            shared.note_others(&others);
-        }
-    }
-}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -157,9 +157,9 @@
         self.board.lock().own_running(service)
     }
 
-    /// Shares of slots that batch items may take now.
-    pub(crate) fn batch_shares(&self) -> BatchShares {
-        if self.needs_others() {
+    /// Shares of a service's slots that batch items may take now.
+    pub(crate) fn batch_shares(&self, service: &str) -> BatchShares {
+        if self.knows_others(service) {
             BatchShares::INFORMED
         } else {
             BatchShares::BLIND
@@ -168,13 +168,18 @@
 
     /// Own batch items by replica that can be stopped for an online request. Where
     /// the work of others is not known, nothing shows that a slot is wanted.
-    pub(crate) fn yielding(&self) -> HashMap<String, u32> {
-        if self.batch_runs.is_empty() || !self.needs_others() {
+    pub(crate) fn yielding(&self, service: &str) -> HashMap<String, u32> {
+        if self.batch_runs.is_empty() || !self.knows_others(service) {
             return HashMap::new();
         }
         self.batch_runs.patient_by_replica()
     }
 
+    fn knows_others(&self, service: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.board.lock().knows_others(service, now_ms)
+    }
+
     /// Lets batch items give way when more is under way than this gateway's
     /// part, or when the replica chosen for an online request is full.
     pub(crate) fn make_room(&self, service: &str, chosen: &Chosen) {
@@ -184,7 +189,7 @@
         if self.batch_runs.is_empty() {
             return;
         }
-        if self.own_running(service) > self.fair_part(service, self.batch_shares().room) {
+        if self.own_running(service) > self.fair_part(service, self.batch_shares(service).room) {
             self.batch_runs.give_way(service);
         }
     }
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use linnethitch_protocol::hash::fnv1a;
 use rand::Rng;
 
 use super::{
@@ -193,10 +194,14 @@
     /// more gateways than a replica has slots, each knows next to nothing alone.
     #[must_use]
     pub fn needs_others(&self, gateways: u32) -> bool {
-        let ready = self.replicas.values().filter(|r| r.traits.ready);
-        ready
-            .into_iter()
-            .any(|replica| gateways > replica.slots() * GATEWAYS_PER_SLOT)
+        let mut ready = self.replicas.values().filter(|r| r.traits.ready);
+        ready.any(|replica| gateways > replica.slots() * GATEWAYS_PER_SLOT)
+    }
+
+    /// Whether control told lately what other gateways have under way at a service.
+    #[must_use]
+    pub fn knows_others(&self, service: &str, now_ms: u64) -> bool {
+        all_shared(self.of(service), now_ms)
     }
 
     /// Own requests under way, by replica.
@@ -220,8 +225,7 @@
     pub fn fair_part(&self, service: &str, share: f64, gateways: u32, now_ms: u64) -> u32 {
         let gateways = f64::from(gateways.max(1));
         let usable = f64::from(self.slots(service)) * share;
-        let is_shared = self.of(service).all(|r| r.shared_others(now_ms).is_some());
-        if !is_shared {
+        if !self.knows_others(service, now_ms) {
             return (usable / gateways).ceil() as u32;
         }
         let busy: u32 = self.of(service).map(|replica| replica.busy(now_ms)).sum();
@@ -306,14 +310,17 @@
     }
 }
 
+fn all_shared<'a>(mut replicas: impl Iterator<Item = &'a Replica>, now_ms: u64) -> bool {
+    replicas.all(|replica| replica.shared_others(now_ms).is_some())
+}
+
 /// Numbers of the replicas that are compared, drawn by lot; `None` for all.
 ///
 /// Counts of other gateways are a little old, and all gateways see the same ones.
 /// If each took the best of all, the emptiest replicas would be overrun between
 /// two exchanges; the best of a few drawn by lot differs for each request.
 fn draw(open: &[&Replica], now_ms: u64, rng: &mut impl Rng) -> Option<Vec<usize>> {
-    let all_shared = open.iter().all(|r| r.shared_others(now_ms).is_some());
-    if !all_shared || open.len() <= DRAWN_REPLICAS {
+    if open.len() <= DRAWN_REPLICAS || !all_shared(open.iter().copied(), now_ms) {
         return None;
     }
     let mut drawn = Vec::with_capacity(DRAWN_REPLICAS);
@@ -361,9 +368,7 @@
 /// A hash of a part and a replica, spread over all numbers (FNV-1a, then a mix).
 fn spread(part: u64, id: &str) -> u64 {
     let bytes = part.to_le_bytes().into_iter().chain(id.bytes());
-    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let hash = fnv1a(bytes);
     let mixed = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed ^ (mixed >> 29)
 }
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -298,8 +298,13 @@
 fn a_part_is_even_in_what_is_left(#[case] others: u32, #[case] part: u32) {
     let mut board = board(4);
     assert_eq!(board.fair_part("models", 0.75, 4, 0), 3);
+    assert!(!board.knows_others("models", 0));
     board.note_others(|_| others, 0);
+    assert!(board.knows_others("models", 10));
     assert_eq!(board.fair_part("models", 0.75, 4, 10), part);
+    // What is too old is not known: the part is one of the whole again.
+    assert!(!board.knows_others("models", 5_000));
+    assert_eq!(board.fair_part("models", 0.75, 4, 5_000), 3);
 }
 
 #[rstest]
