--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -3,15 +3,17 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
     sync::Arc,
     time::Duration,
 };
 
 use linnethitch_job_store::{StoreCall, StoreReply};
-use linnethitch_protocol::ids::MachineId;
+use linnethitch_protocol::{ids::MachineId, slots::SlotMessage};
 use linnethitch_registry::{DirectoryNode, FleetView, near};
+use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use tokio::{
     sync::{mpsc, watch},
     time::interval,
@@ -22,17 +24,14 @@
     clock::Clock,
     incoming::Inbound,
     links::Links,
-    loads::RunningCounts,
-    message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
-    node::{NodeBase, NodeSettings},
+    message::{NodeMessage, NodeRole, Pulse},
+    node::{NodeBase, NodeSettings, address_of, machine_of},
 };
 
 /// How often links are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// A machine that no pulse has named for so long is no longer linked to.
 const FORGOTTEN_MS: u64 = 10_000;
-/// Longest time for an exchange of loads; a later answer would be too old.
-const LOADS_LIMIT: Duration = Duration::from_millis(400);
 /// What a control machine told counts for this long.
 const TOLD_VALID_MS: u64 = 3_000;
 
@@ -42,11 +41,14 @@
     fleet: watch::Receiver<Arc<FleetView>>,
     links: Links,
     store: GroupClient<StoreCall>,
-    registry: GroupClient<RegistryCall>,
     own: MachineId,
+    port: u16,
+    datagrams: Option<Datagrams<SlotMessage>>,
     control: Arc<Mutex<BTreeMap<MachineId, u64>>>,
     /// What each control machine told last of the gateways.
     gateways: Arc<Mutex<BTreeMap<MachineId, ToldGateways>>>,
+    /// Machines of the ready gateways, as of the newest pulse.
+    ready_machines: Arc<Mutex<Arc<Vec<MachineId>>>>,
     clock: Clock,
 }
 
@@ -61,10 +63,12 @@
             fleet,
             links: base.links.clone(),
             store: GroupClient::new(base.links.clone(), None),
-            registry: GroupClient::new(base.links.clone(), None),
             own: settings.machine(),
+            port: settings.port,
+            datagrams: bind_datagrams(settings),
             control: Arc::default(),
             gateways: Arc::default(),
+            ready_machines: Arc::default(),
             clock: base.clock,
         };
         let learner = Learner {
@@ -91,10 +95,28 @@
         self.fleet.clone()
     }
 
-    /// Number of gateways that share the replicas, this one among them.
+    /// This machine.
     #[must_use]
-    pub fn gateways(&self) -> u32 {
-        self.known_gateways().len().max(1) as u32
+    pub fn machine(&self) -> MachineId {
+        self.own
+    }
+
+    /// Machines of the ready gateways, in a fixed order, as control told lately.
+    #[must_use]
+    pub fn ready_machines(&self) -> Arc<Vec<MachineId>> {
+        Arc::clone(&self.ready_machines.lock())
+    }
+
+    /// Datagrams to and from other gateways; `None` where their port is taken.
+    #[must_use]
+    pub fn datagrams(&self) -> Option<Datagrams<SlotMessage>> {
+        self.datagrams.clone()
+    }
+
+    /// Where a machine takes datagrams.
+    #[must_use]
+    pub fn datagram_address(&self, machine: MachineId) -> SocketAddrV4 {
+        SocketAddrV4::new(address_of(machine), self.port)
     }
 
     /// Addresses of ready gateways near a caller. While control is away, those
@@ -126,19 +148,6 @@
         self.store.call(call, limit).await
     }
 
-    /// Tells control's leader what this gateway has under way; returns what all
-    /// others have. `None` when no leader answers in time.
-    pub async fn exchange_loads(&self, counts: RunningCounts) -> Option<RunningCounts> {
-        let call = RegistryCall::Loads {
-            gateway: self.own,
-            counts,
-        };
-        match self.registry.call(call, LOADS_LIMIT).await {
-            RegistryReply::Loads(others) => Some(others),
-            _ => None,
-        }
-    }
-
     /// The clock of this process.
     #[must_use]
     pub fn clock(&self) -> Clock {
@@ -146,6 +155,18 @@
     }
 }
 
+/// Without datagrams a gateway serves all the same, blind to the others' work.
+fn bind_datagrams(settings: &NodeSettings) -> Option<Datagrams<SlotMessage>> {
+    let address = SocketAddrV4::new(settings.address, settings.port);
+    match Datagrams::bind(address, settings.identity.clone()) {
+        Ok(datagrams) => Some(datagrams),
+        Err(report) => {
+            error!(settings.logger, "no datagrams"; "cause" => format!("{report:?}"));
+            None
+        }
+    }
+}
+
 /// Ready gateways as one control machine told them.
 struct ToldGateways {
     nodes: Vec<DirectoryNode>,
@@ -222,6 +243,21 @@
             }
             (None, None) => {}
         }
+        drop(told);
+        self.note_ready_machines();
+    }
+
+    fn note_ready_machines(&self) {
+        let known = self.gateway.known_gateways();
+        let addresses = known.iter().filter_map(|node| node.address.parse().ok());
+        let mut machines: Vec<MachineId> = addresses
+            .map(|address: SocketAddrV4| machine_of(*address.ip()))
+            .collect();
+        machines.sort_unstable();
+        let mut held = self.gateway.ready_machines.lock();
+        if **held != machines {
+            *held = Arc::new(machines);
+        }
     }
 
     fn keep_links(&mut self) {
@@ -234,8 +270,6 @@
             let mut control = self.gateway.control.lock();
             control.retain(|_, at_ms| is_kept(at_ms));
             wanted.extend(control.keys());
-            let machines = control.keys().copied().collect();
-            self.gateway.registry.set_machines(machines);
             if control.is_empty() {
                 wanted.extend(&self.seeds);
             }
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -12,8 +12,6 @@
 use linnethitch_transport::WireMessage;
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::loads::RunningCounts;
-
 /// What a node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum NodeRole {
@@ -85,13 +83,6 @@
     Document,
     /// Replicas that were heard of.
     Alive(Vec<String>),
-    /// What a gateway has under way, for what all others have.
-    Loads {
-        /// The gateway.
-        gateway: MachineId,
-        /// Its requests under way.
-        counts: RunningCounts,
-    },
 }
 
 /// An answer of the registry.
@@ -101,8 +92,6 @@
     /// The document in force; `None` before the first.
     Document(Option<Vec<u8>>),
     Noted,
-    /// What all other gateways have under way.
-    Loads(RunningCounts),
     NotLeader(Option<MachineId>),
     /// Nothing was done.
     Refused,
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     driver::{Begin, GroupService, Now},
-    loads::LoadTable,
     message::{RegistryCall, RegistryReply},
     presence::Presence,
 };
@@ -49,7 +48,6 @@
     /// When each replica was last heard of, as far as this leader knows.
     alive: BTreeMap<String, u64>,
     led: bool,
-    loads: LoadTable,
     /// Flushes since a leader was first heard of.
     flushes_led: u32,
     store_voters: usize,
@@ -61,7 +59,6 @@
             shared,
             alive: BTreeMap::new(),
             led: false,
-            loads: LoadTable::default(),
             flushes_led: 0,
             store_voters,
         }
@@ -112,14 +109,10 @@
                 Err(_) => Begin::Reply(RegistryReply::Refused),
             },
             RegistryCall::Document => Begin::Read,
-            RegistryCall::Alive(_) | RegistryCall::Loads { .. } if !member.is_leader() => {
+            RegistryCall::Alive(_) if !member.is_leader() => {
                 let leader = member.leader().map(|leader| leader.machine);
                 Begin::Reply(RegistryReply::NotLeader(leader))
             }
-            RegistryCall::Loads { gateway, counts } => {
-                let others = self.loads.exchange(*gateway, counts.clone(), now.steady_ms);
-                Begin::Reply(RegistryReply::Loads(others))
-            }
             RegistryCall::Alive(replicas) => {
                 for id in replicas {
                     self.alive.insert(id.clone(), now.steady_ms);
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -51,10 +51,7 @@
         if !member.is_leader() {
             return not_leader(member);
         }
-        if !self.led {
-            self.led = true;
-            self.dispatcher = Dispatcher::begin(now.steady_ms);
-        }
+        self.lead(now);
         let store = member.state();
         let stop = self
             .dispatcher
@@ -64,6 +61,16 @@
     }
 }
 
+impl StoreService {
+    /// Begins to lead, if it does not yet.
+    fn lead(&mut self, now: Now) {
+        if !self.led {
+            self.led = true;
+            self.dispatcher = Dispatcher::begin(now.steady_ms);
+        }
+    }
+}
+
 fn not_leader(member: &GroupMember<JobStore>) -> StoreReply {
     StoreReply::NotLeader(member.leader().map(|leader| leader.machine.0))
 }
@@ -88,6 +95,7 @@
                 outcome: outcome.clone(),
             },
             StoreCall::End(job) => StoreCommand::End { job: job.clone() },
+            StoreCall::Progress(progress) => StoreCommand::Progress(progress.clone()),
         };
         match command.to_stored() {
             Ok(bytes) => Begin::Propose(bytes),
@@ -108,6 +116,7 @@
         match answer {
             StoreAnswer::Done => StoreReply::Done,
             StoreAnswer::UnknownJob => StoreReply::NotFound,
+            StoreAnswer::TellAgain(items) => StoreReply::TellAgain(items),
         }
     }
 
@@ -141,6 +150,7 @@
     }
 
     fn upkeep(&mut self, member: &GroupMember<JobStore>, now: Now) -> Vec<Vec<u8>> {
+        self.lead(now);
         // What passed before this member led is not counted: an item is given up
         // late rather than early.
         let since_ms = self.counted_ms.unwrap_or(now.steady_ms);
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -5,6 +5,7 @@
 use crate::{
     command::{ItemOutcome, ItemRef},
     job::{ItemSpec, JobSpec, ListedState},
+    progress::{ItemProgress, MadeEvents},
 };
 
 /// A call of a gateway.
@@ -37,6 +38,8 @@
         /// The item's id.
         item: String,
     },
+    /// Keep what runs of items have made since they told last.
+    Progress(Vec<ItemProgress>),
     /// Renew leases and ask for more.
     Work {
         /// The gateway, as IP:PORT.
@@ -81,6 +84,8 @@
     pub failures: u32,
     /// Time until it is due, in milliseconds; 0 when that has passed.
     pub due_in_ms: u64,
+    /// What earlier runs made; it goes on after the last event.
+    pub made: MadeEvents,
 }
 
 /// The leader's answer.
@@ -101,6 +106,8 @@
         /// Running items that need not be finished.
         stop: Vec<ItemRef>,
     },
+    /// The change is committed, but of these items all has to be told again.
+    TellAgain(Vec<ItemRef>),
     /// The machine asked does not lead; the leader's number if it is known.
     NotLeader(Option<u32>),
     /// Nothing was done, and nothing will be.
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -5,10 +5,12 @@
 use linnethitch_protocol::stored;
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::job::JobSpec;
+use crate::{job::JobSpec, progress::ItemProgress};
 
-/// Layout of commands that this build writes and reads.
-const COMMAND_LAYOUT: u8 = 1;
+/// Layout of commands that every build reads.
+const FIRST_LAYOUT: u8 = 1;
+/// Layout of commands that came later; builds that know only the first refuse them.
+const PROGRESS_LAYOUT: u8 = 2;
 
 /// An item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
@@ -60,6 +62,8 @@
         /// Age beyond which a job is dropped once nothing of it is open, in milliseconds.
         kept_ms: u64,
     },
+    /// Keeps what runs of items have made.
+    Progress(Vec<ItemProgress>),
 }
 
 impl StoreCommand {
@@ -68,7 +72,7 @@
     /// # Errors
     /// `Internal` when it cannot be encoded.
     pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-        stored::encode(COMMAND_LAYOUT, self)
+        stored::encode(self.layout(), self)
     }
 
     /// Reads a command of the log.
@@ -76,7 +80,14 @@
     /// # Errors
     /// `DataFolderRefused` when it is of another layout, `Corrupted`.
     pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        stored::decode(COMMAND_LAYOUT, bytes)
+        stored::decode(&[FIRST_LAYOUT, PROGRESS_LAYOUT], bytes)
+    }
+
+    fn layout(&self) -> u8 {
+        match self {
+            StoreCommand::Progress(_) => PROGRESS_LAYOUT,
+            _ => FIRST_LAYOUT,
+        }
     }
 }
 
@@ -87,4 +98,6 @@
     Done,
     /// There is no such job.
     UnknownJob,
+    /// It is in force, but of these items all has to be told again.
+    TellAgain(Vec<ItemRef>),
 }
--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -5,9 +5,9 @@
 use crate::{call::ItemWork, command::ItemRef, store::JobStore};
 
 /// A lease ends this long after it was given or renewed, in milliseconds.
-pub const LEASE_MS: u64 = 3_000;
+pub const LEASE_MS: u64 = 1_800;
 /// Gateways say what they work on several times in this time, in milliseconds.
-pub const SETTLE_MS: u64 = 900;
+pub const SETTLE_MS: u64 = 600;
 /// Pause before an item whose run failed is given out again, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 150;
 
@@ -110,6 +110,7 @@
                 };
                 self.leases.insert(reference.clone(), lease);
                 begin.push(ItemWork {
+                    made: store.made.of(&reference),
                     item: reference,
                     host: job.spec.host.clone(),
                     spec: item.spec.clone(),
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -17,12 +17,15 @@
 
 use crate::{
     job::{Item, Job, JobSpec, Listed, ListedState},
+    progress::{MadeOfItem, ProgressTable},
     store::JobStore,
     text::{StoredText, Text},
 };
 
-/// Layout of the index that this build writes and reads.
-const INDEX_LAYOUT: u8 = 1;
+/// Layout of an index without the progress of items, which is still read.
+const FIRST_LAYOUT: u8 = 1;
+/// Layout of the index that this build writes.
+const INDEX_LAYOUT: u8 = 2;
 /// Bytes of the length at the end of the content.
 const LENGTH_BYTES: usize = 8;
 /// Texts are written in pieces of about so many bytes.
@@ -34,6 +37,13 @@
     accepted: u64,
 }
 
+/// The index as it is written now.
+#[derive(Archive, Serialize, Deserialize)]
+struct FullIndex {
+    index: Index,
+    made: Vec<MadeOfItem>,
+}
+
 #[derive(Archive, Serialize, Deserialize)]
 struct IndexedJob {
     spec: JobSpec,
@@ -76,9 +86,12 @@
     pub(crate) fn of(store: &JobStore) -> Result<Self, Report<ErrorKind>> {
         let mut layout = TextLayout::default();
         let jobs = store.jobs.values().map(|job| layout.index(job)).collect();
-        let index = Index {
-            jobs,
-            accepted: store.accepted,
+        let index = FullIndex {
+            index: Index {
+                jobs,
+                accepted: store.accepted,
+            },
+            made: store.made.to_list(),
         };
         let mut index = stored::encode(INDEX_LAYOUT, &index)?;
         let length = index.len() as u64;
@@ -172,12 +185,23 @@
 /// `Corrupted` when the content is no snapshot of a store, `DataFolderRefused`
 /// when it is of another layout, `Io`.
 pub(crate) fn restore(content: SnapshotReader) -> Result<JobStore, Report<ErrorKind>> {
-    let index: Index = stored::decode(INDEX_LAYOUT, &read_index(&content)?)?;
+    let FullIndex { index, made } = decode_index(&read_index(&content)?)?;
     let jobs = index.jobs.into_iter().map(restore_job);
     Ok(JobStore {
         jobs: jobs.map(|job| (job.spec.id.clone(), job)).collect(),
         accepted: index.accepted,
         snapshot: Some(content),
+        made: ProgressTable::from_list(made),
+    })
+}
+
+fn decode_index(bytes: &[u8]) -> Result<FullIndex, Report<ErrorKind>> {
+    if stored::layout_of(bytes) != Some(FIRST_LAYOUT) {
+        return stored::decode(&[INDEX_LAYOUT], bytes);
+    }
+    Ok(FullIndex {
+        index: stored::decode(&[FIRST_LAYOUT], bytes)?,
+        made: Vec::new(),
     })
 }
 
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -12,6 +12,7 @@
     call::{ItemResult, ResultsPage},
     command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand},
     job::{Job, JobSpec, ListedState},
+    progress::{ItemProgress, ProgressTable},
     snapshot::{self, JobStoreSnapshot},
 };
 
@@ -22,6 +23,8 @@
     pub(crate) accepted: u64,
     /// The newest stored snapshot, which holds older texts.
     pub(crate) snapshot: Option<SnapshotReader>,
+    /// What unfinished items have made.
+    pub(crate) made: ProgressTable,
 }
 
 impl JobStore {
@@ -55,6 +58,12 @@
         results.map(|listed| listed.text.held_bytes()).sum()
     }
 
+    /// Bytes of text that are kept of unfinished items.
+    #[must_use]
+    pub fn progress_bytes(&self) -> u64 {
+        self.made.bytes()
+    }
+
     /// Whether an item may still run.
     #[must_use]
     pub fn is_item_open(&self, item: &ItemRef) -> bool {
@@ -129,6 +138,9 @@
                 count_failure(job, item.item, failures_before);
             }
         }
+        if !job.is_item_open(item.item) {
+            self.made.forget(item);
+        }
         StoreAnswer::Done
     }
 
@@ -140,14 +152,31 @@
         for item in &mut job.items {
             item.spec.body = Vec::new();
         }
+        self.made.forget_job(id);
         StoreAnswer::Done
     }
 
+    fn keep(&mut self, progress: Vec<ItemProgress>) -> StoreAnswer {
+        let mut tell_again = Vec::new();
+        for told in progress {
+            let item = told.item.clone();
+            if self.is_item_open(&item) && !self.made.take(told) {
+                tell_again.push(item);
+            }
+        }
+        if tell_again.is_empty() {
+            StoreAnswer::Done
+        } else {
+            StoreAnswer::TellAgain(tell_again)
+        }
+    }
+
     fn pass(&mut self, elapsed_ms: u64, kept_ms: u64) -> StoreAnswer {
         for job in self.jobs.values_mut() {
             job.age_ms += elapsed_ms;
             if job.is_open() && job.age_ms > job.spec.give_up_ms {
                 give_up_all(job);
+                self.made.forget_job(&job.spec.id);
             }
         }
         self.jobs
@@ -185,6 +214,7 @@
             StoreCommand::Submit(job) => self.submit(job),
             StoreCommand::Report { item, outcome } => self.report(&item, outcome),
             StoreCommand::End { job } => self.end(&job),
+            StoreCommand::Progress(progress) => self.keep(progress),
             StoreCommand::Pass {
                 elapsed_ms,
                 kept_ms,
--- a/crates/job-store/tests/all/main.rs
+++ b/crates/job-store/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod dispatcher;
 mod layout;
+mod progress;
 mod snapshots;
 mod store;
 mod support;
--- /dev/null
+++ b/crates/job-store/tests/all/progress.rs
@@ -0,0 +1,101 @@
+//! What unfinished items have made is kept, and the next run goes on after it.
+
+use linnethitch_group::StateMachine;
+use linnethitch_job_store::{
+    Dispatcher, ItemOutcome, ItemProgress, ItemRef, JobStore, MadeEvents, StoreAnswer, StoreCommand,
+};
+use rstest::rstest;
+
+use crate::support::{apply, item, job, pass, report, snapshots, store_snapshot, submit};
+
+fn made(events: &[&str], last_event: u64) -> MadeEvents {
+    MadeEvents {
+        events: events.iter().map(|event| (*event).to_owned()).collect(),
+        last_event: Some(last_event),
+    }
+}
+
+fn tell(store: &mut JobStore, item: ItemRef, told_before: u32, made: MadeEvents) -> StoreAnswer {
+    let progress = ItemProgress {
+        item,
+        told_before,
+        made,
+    };
+    apply(store, &StoreCommand::Progress(vec![progress]))
+}
+
+/// What a gateway that leases the first open item of a job goes on from.
+fn next_run(store: &JobStore) -> MadeEvents {
+    let mut dispatcher = Dispatcher::default();
+    let work = dispatcher.lease(store, "gateway", 1, 0);
+    work.into_iter().next().expect("an open item").made
+}
+
+fn store_with_progress() -> JobStore {
+    let mut store = JobStore::default();
+    submit(&mut store, job("j", 1));
+    let answer = tell(&mut store, item("j", 0), 0, made(&["a", "b"], 2));
+    assert_eq!(answer, StoreAnswer::Done);
+    store
+}
+
+/// What is told next, the answer, and what the next run goes on from.
+#[rstest]
+#[case::further_events(2, made(&["c"], 3), StoreAnswer::Done, made(&["a", "b", "c"], 3))]
+#[case::all_again(0, made(&["a", "b", "c"], 3), StoreAnswer::Done, made(&["a", "b", "c"], 3))]
+#[case::a_gap(3, made(&["d"], 4), StoreAnswer::TellAgain(vec![item("j", 0)]), made(&["a", "b"], 2))]
+#[case::an_overlap(1, made(&["b"], 2), StoreAnswer::TellAgain(vec![item("j", 0)]), made(&["a", "b"], 2))]
+#[case::less_than_is_held(0, made(&["a"], 1), StoreAnswer::TellAgain(vec![item("j", 0)]), made(&["a", "b"], 2))]
+fn events_are_kept_once_and_without_gaps(
+    #[case] told_before: u32,
+    #[case] told: MadeEvents,
+    #[case] answer: StoreAnswer,
+    #[case] kept: MadeEvents,
+) {
+    let mut store = store_with_progress();
+    assert_eq!(tell(&mut store, item("j", 0), told_before, told), answer);
+    assert_eq!(next_run(&store), kept);
+}
+
+/// The failure this is for: after a loss of power every item ran again from its start.
+#[test]
+fn progress_is_kept_over_a_restart() {
+    let store = store_with_progress();
+    let mut snapshot = store.begin_snapshot().expect("a snapshot");
+    let content = store_snapshot(&mut snapshots(), 1, &mut snapshot);
+    let mut restored = JobStore::from_snapshot(content).expect("it is read");
+    assert_eq!(next_run(&restored), made(&["a", "b"], 2));
+    let answer = tell(&mut restored, item("j", 0), 2, made(&["c"], 3));
+    assert_eq!(answer, StoreAnswer::Done);
+    assert_eq!(next_run(&restored), made(&["a", "b", "c"], 3));
+}
+
+/// What ends an item, after which nothing is kept of it.
+#[rstest]
+#[case::listed(|store: &mut JobStore| {
+    report(store, item("j", 0), ItemOutcome::Succeeded("ab".to_owned()));
+})]
+#[case::job_ended(|store: &mut JobStore| {
+    apply(store, &StoreCommand::End { job: "j".to_owned() });
+})]
+#[case::given_up(|store: &mut JobStore| { pass(store, 30_001); })]
+fn progress_goes_with_its_item(#[case] end: fn(&mut JobStore)) {
+    let mut store = store_with_progress();
+    assert_eq!(store.progress_bytes(), 2);
+    end(&mut store);
+    assert_eq!(store.progress_bytes(), 0);
+    let late = tell(&mut store, item("j", 0), 2, made(&["c"], 3));
+    assert_eq!(late, StoreAnswer::Done);
+    assert_eq!(store.progress_bytes(), 0);
+}
+
+#[test]
+fn progress_beyond_the_bound_is_not_kept() {
+    let mut store = JobStore::default();
+    submit(&mut store, job("j", 40));
+    let megabyte = "x".repeat(1024 * 1024);
+    for number in 0..40 {
+        tell(&mut store, item("j", number), 0, made(&[&megabyte], 1));
+    }
+    assert_eq!(store.progress_bytes(), 8 * 1024 * 1024);
+}
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -38,6 +38,8 @@
     Peer = 4,
     /// Messages of the nodes of a fleet that caller directories lead to.
     Node = 5,
+    /// [`crate::slots::SlotMessage`], in datagrams.
+    Slots = 6,
 }
 
 impl FrameKind {
@@ -48,6 +50,7 @@
             3 => Some(FrameKind::Control),
             4 => Some(FrameKind::Peer),
             5 => Some(FrameKind::Node),
+            6 => Some(FrameKind::Slots),
             _ => None,
         }
     }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod ids;
 pub mod load_digest;
 pub mod query;
+pub mod slots;
 pub mod stored;
 pub mod text_edit;
--- a/crates/protocol/src/stored.rs
+++ b/crates/protocol/src/stored.rs
@@ -33,12 +33,12 @@
     Ok(bytes)
 }
 
-/// Decodes a value that was stored in a layout.
+/// Decodes a value that was stored in one of these layouts, which hold the same type.
 ///
 /// # Errors
 /// `DataFolderRefused` when the bytes are of another layout, `Corrupted` when
 /// they are no valid value of this one.
-pub fn decode<T>(layout: u8, bytes: &[u8]) -> Result<T, Report<ErrorKind>>
+pub fn decode<T>(layouts: &[u8], bytes: &[u8]) -> Result<T, Report<ErrorKind>>
 where
     T: Archive,
     T::Archived: for<'a> CheckBytes<HighValidator<'a, rancor::Error>>
@@ -47,10 +47,16 @@
     let Some((found, encoded)) = bytes.split_first() else {
         return Err(Report::new(ErrorKind::Corrupted).attach("a stored value is empty"));
     };
-    if *found != layout {
+    if !layouts.contains(found) {
         return Err(Report::new(ErrorKind::DataFolderRefused).attach(format!(
-            "a stored value is of layout {found}, this program reads layout {layout}"
+            "a stored value is of layout {found}, this program reads {layouts:?}"
         )));
     }
     frame::decode(encoded).map_err(|report| report.change_context(ErrorKind::Corrupted))
 }
+
+/// The layout that a stored value names.
+#[must_use]
+pub fn layout_of(bytes: &[u8]) -> Option<u8> {
+    bytes.first().copied()
+}
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -47,7 +47,7 @@
     /// # Errors
     /// `DataFolderRefused` when it is of another layout, `Corrupted`.
     pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        stored::decode(COMMAND_LAYOUT, bytes)
+        stored::decode(&[COMMAND_LAYOUT], bytes)
     }
 }
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -194,7 +194,7 @@
 
     fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
         let bytes = read_whole_snapshot(&content)?;
-        let snapshot: RegistrySnapshot = stored::decode(SNAPSHOT_LAYOUT, &bytes)?;
+        let snapshot: RegistrySnapshot = stored::decode(&[SNAPSHOT_LAYOUT], &bytes)?;
         let replicas = snapshot.replicas.into_iter();
         Ok(Registry {
             table: snapshot.table.map(Arc::new),
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -1,30 +1,27 @@
 //! Running batch items under leases of the job store, on slots that online
 //! requests leave free.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use linnethitch_job_store::{ItemOutcome, ItemRef, ItemWork, StoreCall, StoreReply};
+use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::{Route, RouteKind};
-use linnethitch_routing::dispatch::{FailureKind, Need};
-use parking_lot::Mutex;
+use linnethitch_routing::dispatch::{Chosen, FailureKind};
 use slog::info;
-use tokio::{
-    task::AbortHandle,
-    time::{Instant, sleep, timeout},
-};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    batch_shares::BatchShares,
     counters::ItemEnd,
     events::{EventSplitter, data_of},
     exchange::{Exchange, Limits, Opened, Outgoing, exchange},
     relay::Relay,
+    running_items::{Made, RunningItems},
     shared::Shared,
-    urgency::Urgency,
+    slots::ItemSlot,
 };
 
 /// Settings of batch execution.
@@ -36,10 +33,13 @@
     pub most_items: u32,
 }
 
-/// Pause between two calls for work.
-const WORK_INTERVAL: Duration = Duration::from_millis(350);
+/// Shortest pause between two calls for work.
+const WORK_INTERVAL: Duration = Duration::from_millis(150);
+/// Pauses after which leases are renewed and progress is told, also where no
+/// further item is wanted.
+const PAUSES_PER_RENEWAL: u32 = 3;
 /// Items asked for at once, so that gateways share a heap.
-const ITEMS_AT_ONCE: u32 = 6;
+const ITEMS_AT_ONCE: u32 = 12;
 /// Longest time for a call for work.
 const WORK_LIMIT: Duration = Duration::from_millis(1_000);
 /// Longest time for a report; the lease ends and the item runs again after it.
@@ -50,54 +50,75 @@
 const FIRST_EVENT_LIMIT: Duration = Duration::from_secs(6);
 /// Time given to a replica for an item.
 const ITEM_LIMIT: Duration = Duration::from_secs(60);
-/// Pause before a replica is looked for again.
-const NO_ROOM_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for a slot before the item is given back, so that another
+/// gateway goes on with it.
+const SLOT_WAIT: Duration = Duration::from_millis(400);
+/// Pause after a replica did not take an item.
+const NOT_TAKEN_PAUSE: Duration = Duration::from_millis(100);
 /// Status that says that an item can never be done.
 const UNPROCESSABLE: u16 = 422;
 
-type Running = Arc<Mutex<BTreeMap<ItemRef, AbortHandle>>>;
-
 /// Runs items until the process stops. What runs then is given back.
 pub async fn run_items(relay: Relay, settings: BatchSettings) {
-    let running: Running = Arc::default();
+    let running = RunningItems::default();
+    let mut pauses = 0;
     loop {
         sleep(WORK_INTERVAL).await;
+        pauses += 1;
         let is_stopping = relay.is_stopping();
-        let held: Vec<ItemRef> = running.lock().keys().cloned().collect();
+        if is_stopping && running.is_empty() {
+            return;
+        }
         let want = if is_stopping {
             0
         } else {
-            wanted(&relay, settings.most_items, held.len() as u32)
+            wanted(&relay, settings.most_items, running.len() as u32)
         };
-        if want == 0 && held.is_empty() {
-            if is_stopping {
-                return;
-            }
-            continue;
+        let is_due = pauses >= PAUSES_PER_RENEWAL && !running.is_empty();
+        if is_due || is_stopping || running.has_given_back() {
+            tell_progress(&relay, &running).await;
         }
-        let call = StoreCall::Work {
-            gateway: settings.name.clone(),
-            running: held,
-            want,
-        };
-        let reply = relay.shared.gateway.call_store(call, WORK_LIMIT).await;
-        let StoreReply::Work { begin, stop } = reply else {
-            continue;
-        };
-        for item in stop {
-            if let Some(task) = running.lock().remove(&item) {
-                task.abort();
-            }
-        }
-        for work in begin {
-            info!(relay.shared.logger, "item: begins"; "item" => &work.spec.id,
-                "job" => &work.item.job, "failures" => work.failures,
-                "due_in_ms" => work.due_in_ms);
-            start(&relay.shared, &running, work);
+        if want > 0 || is_due || is_stopping {
+            pauses = 0;
+            call_for_work(&relay, &settings, &running, want).await;
         }
     }
 }
 
+/// Lets the job store keep what runs have made, so that others can go on.
+async fn tell_progress(relay: &Relay, items: &RunningItems) {
+    let progress = items.to_tell();
+    if progress.is_empty() {
+        return;
+    }
+    let call = StoreCall::Progress(progress.clone());
+    match relay.shared.gateway.call_store(call, WORK_LIMIT).await {
+        StoreReply::Done => {}
+        StoreReply::TellAgain(behind) => behind.iter().for_each(|item| items.tell_again(item)),
+        _ => items.not_told(progress),
+    }
+}
+
+/// Tells what runs, renews its leases and begins what is leased besides.
+async fn call_for_work(relay: &Relay, settings: &BatchSettings, items: &RunningItems, want: u32) {
+    let call = StoreCall::Work {
+        gateway: settings.name.clone(),
+        running: items.running(),
+        want,
+    };
+    let reply = relay.shared.gateway.call_store(call, WORK_LIMIT).await;
+    let StoreReply::Work { begin, stop } = reply else {
+        return;
+    };
+    stop.iter().for_each(|item| items.stop(item));
+    for work in begin {
+        info!(relay.shared.logger, "item: begins"; "item" => &work.spec.id,
+            "job" => &work.item.job, "failures" => work.failures,
+            "due_in_ms" => work.due_in_ms, "last_event" => work.made.last_event);
+        start(relay, items, work);
+    }
+}
+
 fn wanted(relay: &Relay, most_items: u32, held: u32) -> u32 {
     let Some(table) = relay.table() else {
         return 0;
@@ -105,51 +126,55 @@
     let batch = table.routes.iter().filter(|r| r.kind == RouteKind::Batch);
     let services = batch.flat_map(|route| route.backends.iter());
     let free: u32 = services
-        .map(|backend| free_for_batch(relay, &backend.service))
+        .map(|backend| relay.shared.slots.free_for_items(&backend.service))
         .max()
         .unwrap_or(0);
     most_items.saturating_sub(held).min(free).min(ITEMS_AT_ONCE)
 }
 
-/// Slots of a service that items of this gateway may begin on.
-fn free_for_batch(relay: &Relay, service: &str) -> u32 {
-    let shared = &relay.shared;
-    let shares = shared.batch_shares(service);
-    let part = shared.fair_part(service, shares.start);
-    let left = part.saturating_sub(shared.own_running(service));
-    left.min(shared.free_slots(service, shares.replica))
-}
-
-fn start(shared: &Arc<Shared>, running: &Running, work: ItemWork) {
+fn start(relay: &Relay, items: &RunningItems, mut work: ItemWork) {
     let item = work.item.clone();
+    let made = Made::new(std::mem::take(&mut work.made));
     let run = ItemRun {
-        shared: Arc::clone(shared),
+        shared: Arc::clone(&relay.shared),
+        stopping: relay.stopping(),
         splitter: EventSplitter::default(),
-        data: Vec::new(),
+        made: made.clone(),
         tried: Vec::new(),
-        urgency: Urgency::due_in(work.due_in_ms, Instant::now()),
+        due: Instant::now() + Duration::from_millis(work.due_in_ms),
         work,
     };
-    let running_after = Arc::clone(running);
-    let mut map = running.lock();
-    let task = tokio::spawn(async move {
-        let item = run.work.item.clone();
-        run.run().await;
-        running_after.lock().remove(&item);
+    let after = items.clone();
+    let told = made.events();
+    items.begin(item, made, told, || {
+        let task = tokio::spawn(async move {
+            let item = run.work.item.clone();
+            match run.run().await {
+                ItemEnding::Reported => after.end(&item),
+                ItemEnding::GivenBack => after.give_back(&item),
+            }
+        });
+        task.abort_handle()
     });
-    map.insert(item, task.abort_handle());
 }
 
 /// One item while it runs.
 struct ItemRun {
     shared: Arc<Shared>,
+    stopping: CancellationToken,
     work: ItemWork,
     splitter: EventSplitter,
-    /// Data of the whole events so far.
-    data: Vec<String>,
+    made: Made,
     /// Replicas that failed it.
     tried: Vec<String>,
-    urgency: Urgency,
+    due: Instant,
+}
+
+/// How an item's task ended.
+enum ItemEnding {
+    Reported,
+    /// Another gateway goes on.
+    GivenBack,
 }
 
 /// How one send of an item ended.
@@ -157,18 +182,24 @@
     Outcome(ItemOutcome),
     /// It goes on at another replica after the last whole event.
     GoOn,
+    /// It goes on at another gateway.
+    GiveBack,
 }
 
 impl ItemRun {
-    async fn run(mut self) {
+    async fn run(mut self) -> ItemEnding {
         let until = Instant::now() + ITEM_LIMIT;
-        while Instant::now() < until {
-            let end = self.send_once(until).await;
-            if let RunEnd::Outcome(outcome) = end {
-                self.report(outcome).await;
-                return;
+        while Instant::now() < until && !self.stopping.is_cancelled() {
+            match self.send_once(until).await {
+                RunEnd::GoOn => {}
+                RunEnd::GiveBack => break,
+                RunEnd::Outcome(outcome) => {
+                    self.report(outcome).await;
+                    return ItemEnding::Reported;
+                }
             }
         }
+        ItemEnding::GivenBack
     }
 
     async fn report(&self, outcome: ItemOutcome) {
@@ -206,33 +237,16 @@
             return RunEnd::Outcome(ItemOutcome::RouteRemoved);
         };
         let Some(service) = self.shared.pick_service(&route) else {
-            return RunEnd::GoOn;
+            return RunEnd::GiveBack;
         };
         let Some(outgoing) = outgoing(&self.shared, &self.work) else {
             return RunEnd::Outcome(ItemOutcome::Unprocessable);
         };
-        if !self.has_part_left(&service) {
-            sleep(NO_ROOM_PAUSE).await;
-            return RunEnd::GoOn;
-        }
-        let prompt = self.shared.dialect.prompt(&outgoing.headers);
-        let need = Need {
-            service: &service,
-            prompt: &prompt.parts,
-            except: &self.tried,
-            busy_share: Some(self.shares(&service).replica),
-            yielding: None,
-        };
-        let Some(chosen) = self.shared.choose(&need) else {
-            self.tried.clear();
-            sleep(NO_ROOM_PAUSE).await;
-            return RunEnd::GoOn;
+        let Some((chosen, slot)) = self.wait_for_slot(&service).await else {
+            return RunEnd::GiveBack;
         };
-        let last_event = self.splitter.last_id();
-        let run = self
-            .shared
-            .batch_runs
-            .begin(&service, &chosen.id, self.urgency);
+        let prompt = self.shared.dialect.prompt(&outgoing.headers);
+        let last_event = self.made.last_event();
         let limits = Limits {
             until,
             head_until: until.min(Instant::now() + FIRST_EVENT_LIMIT),
@@ -242,21 +256,27 @@
             &chosen,
             &outgoing,
             &prompt.parts,
+            None,
             last_event,
             limits,
         );
         let exchanged = tokio::select! {
             exchanged = exchanged => exchanged,
-            () = run.stop.cancelled() => return self.give_way(&chosen.id),
+            () = slot.stop.cancelled() => return self.give_way(&chosen.id),
+            () = self.stopping.cancelled() => return RunEnd::GiveBack,
         };
         match exchanged {
-            Exchange::Answered(opened) => tokio::select! {
-                end = self.read(*opened) => end,
-                () = run.stop.cancelled() => self.give_way(&chosen.id),
-            },
+            Exchange::Answered(opened) => {
+                let stopping = self.stopping.clone();
+                tokio::select! {
+                    end = self.read(*opened) => end,
+                    () = slot.stop.cancelled() => self.give_way(&chosen.id),
+                    () = stopping.cancelled() => RunEnd::GiveBack,
+                }
+            }
             Exchange::NotRun(_) => {
                 self.tried.push(chosen.id);
-                sleep(NO_ROOM_PAUSE).await;
+                sleep(NOT_TAKEN_PAUSE).await;
                 RunEnd::GoOn
             }
             Exchange::Unknown => {
@@ -271,18 +291,13 @@
         }
     }
 
-    /// Whether this gateway has room for the item within its part of the slots.
-    fn has_part_left(&self, service: &str) -> bool {
-        let part = self.shared.fair_part(service, self.shares(service).start);
-        self.shared.own_running(service) < part
-    }
-
-    fn shares(&self, service: &str) -> BatchShares {
-        if self.urgency.is_urgent(Instant::now()) {
-            BatchShares::URGENT
-        } else {
-            self.shared.batch_shares(service)
-        }
+    /// Waits for a slot of a replica; not too long, since the route may change.
+    async fn wait_for_slot(&mut self, service: &str) -> Option<(Chosen, ItemSlot)> {
+        let avoid = self.tried.clone();
+        let mut slot = self.shared.slots.want_slot(service, self.due, avoid);
+        let replica = timeout(SLOT_WAIT, slot.granted()).await.ok()??;
+        let chosen = self.shared.chosen_at(&replica)?;
+        Some((chosen, slot))
     }
 
     /// It goes on after its last whole event, once there is room.
@@ -290,7 +305,7 @@
         self.shared.counters.item_ended(ItemEnd::Interrupted);
         self.splitter.drop_partial();
         info!(self.shared.logger, "item: gives way"; "item" => &self.work.spec.id,
-            "replica" => replica, "last_event" => self.splitter.last_id());
+            "replica" => replica, "last_event" => self.made.last_event());
         RunEnd::GoOn
     }
 
@@ -317,8 +332,7 @@
         if opened.connection.is_usable_again().await {
             self.shared.connections.give_back(opened.connection);
         }
-        let text = std::mem::take(&mut self.data).join("\n");
-        RunEnd::Outcome(ItemOutcome::Succeeded(text))
+        RunEnd::Outcome(ItemOutcome::Succeeded(self.made.text()))
     }
 
     /// Whether the stream came to its whole end.
@@ -335,7 +349,9 @@
                     let Some(events) = self.splitter.push(&data) else {
                         return false;
                     };
-                    self.data.extend(data_of(&events));
+                    if !events.is_empty() {
+                        self.made.push(data_of(&events), self.splitter.last_id());
+                    }
                 }
                 Ok(Some(Err(_))) | Err(_) => return false,
             }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,6 +14,7 @@
 use crate::{
     connections::{Connection, SendFailure},
     shared::{RunningGuard, Shared},
+    slots::SlotLease,
 };
 
 /// Headers that pertain to one connection only.
@@ -97,16 +98,18 @@
     }
 }
 
-/// Sends a request to a replica and waits for the head of the answer.
+/// Sends a request to a replica and waits for the head of the answer. Online
+/// requests bring the lease of their slot.
 pub(crate) async fn exchange(
     shared: &Arc<Shared>,
     chosen: &Chosen,
     outgoing: &Outgoing,
     prompt: &[PromptPart],
+    lease: Option<SlotLease>,
     last_event: Option<u64>,
     limits: Limits,
 ) -> Exchange {
-    let Some(mut running) = RunningGuard::begin(shared, chosen, prompt) else {
+    let Some(mut running) = RunningGuard::begin(shared, chosen, prompt, lease) else {
         return Exchange::NotRun(FailureKind::Replaced);
     };
     loop {
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -1,12 +1,16 @@
 //! What a gateway follows: the fleet, and the work of other gateways.
 
-use std::{collections::HashSet, sync::Arc};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use linnethitch_cluster::{GatewayNode, RunningCounts};
-use slog::info;
+use linnethitch_cluster::GatewayNode;
 use tokio::time::sleep;
 
-use crate::shared::Shared;
+use crate::{shared::Shared, slots::receive_slot_messages};
+
+/// How often the engines that are coordinated here are looked at.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Looks for each time that held leases are told.
+const ROUNDS_PER_TELLING: u32 = 5;
 
 /// Takes every newer view of the fleet, and drops what no longer serves.
 pub(crate) async fn follow_fleet(shared: Arc<Shared>, gateway: GatewayNode) {
@@ -14,6 +18,7 @@
     loop {
         let view = Arc::clone(&views.borrow_and_update());
         shared.take_fleet(&view);
+        shared.slots.set_engines(shared.engines());
         let known: HashSet<String> = view
             .live_replicas()
             .map(|record| record.told.id.clone())
@@ -25,24 +30,25 @@
     }
 }
 
-/// Tells control what is under way here and learns what others have.
-pub(crate) async fn exchange_loads(shared: Arc<Shared>) {
-    let mut interval = RunningCounts::default().interval();
-    let mut was_answered = false;
+/// Takes what other gateways say about slots.
+pub(crate) async fn follow_slots(shared: Arc<Shared>, gateway: GatewayNode) {
+    receive_slot_messages(gateway, |from, message| {
+        let loads = shared.slots.take_message(from, message);
+        shared.note_told(&loads);
+    })
+    .await;
+}
+
+/// Keeps the engines that are coordinated here up to date, and tells other
+/// coordinators from time to time which leases this gateway holds.
+pub(crate) async fn keep_slots(shared: Arc<Shared>) {
+    let mut rounds: u32 = 0;
     loop {
-        sleep(interval).await;
-        if !shared.needs_others() {
-            continue;
-        }
-        let counts = shared.running_counts();
-        let others = shared.gateway.exchange_loads(counts).await;
-        if others.is_some() != was_answered {
-            was_answered = others.is_some();
-            info!(shared.logger, "loads of others"; "known" => was_answered);
-        }
-        if let Some(others) = others {
-            interval = others.interval();
-            shared.note_others(&others);
+        sleep(UPKEEP_INTERVAL).await;
+        shared.slots.set_engines(shared.engines());
+        rounds = rounds.wrapping_add(1);
+        if rounds.is_multiple_of(ROUNDS_PER_TELLING) {
+            shared.slots.tell_held();
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,8 +7,6 @@
 
 mod answer;
 mod batch;
-mod batch_runs;
-mod batch_shares;
 mod body;
 mod connections;
 mod counters;
@@ -18,9 +16,11 @@
 mod following;
 mod pump;
 mod relay;
+mod running_items;
+mod search;
 mod server;
 mod shared;
-mod urgency;
+mod slots;
 
 pub use answer::{AnswerBody, own_answer, own_body};
 pub use batch::{BatchSettings, run_items};
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use linnethitch_routing::dispatch::{FailureKind, Need, PromptPart};
+use linnethitch_routing::dispatch::{FailureKind, PromptPart};
 use slog::info;
 use tokio::{
     sync::mpsc,
@@ -19,6 +19,7 @@
     counters::RequestEnd,
     events::EventSplitter,
     exchange::{Exchange, Limits, Outgoing, exchange},
+    search::{Placed, Search},
     shared::{RunningGuard, Shared},
 };
 
@@ -171,15 +172,15 @@
     async fn resume(&mut self) -> Option<Source> {
         self.splitter.drop_partial();
         while self.settings.resumable && self.settings.sends_left > 0 {
-            let yielding = self.shared.yielding(&self.settings.service);
-            let need = Need {
+            let search = Search {
+                shared: &self.shared,
                 service: &self.settings.service,
                 prompt: &self.settings.prompt,
                 except: &self.settings.tried,
-                busy_share: None,
-                yielding: Some(&yielding),
+                due: Instant::now() + self.settings.gap,
+                until: self.settings.until,
             };
-            let chosen = self.shared.choose(&need)?;
+            let Placed { chosen, lease } = search.run().await?;
             self.settings.sends_left -= 1;
             self.settings.tried.push(chosen.id.clone());
             let exchanged = exchange(
@@ -187,6 +188,7 @@
                 &chosen,
                 &self.settings.outgoing,
                 &self.settings.prompt,
+                Some(lease),
                 self.splitter.last_id(),
                 Limits {
                     until: self.settings.until,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,7 +9,7 @@
 use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
 use linnethitch_registry::{Route, RouteKind, RouteTable};
-use linnethitch_routing::dispatch::{FailureKind, Need};
+use linnethitch_routing::dispatch::FailureKind;
 use slog::{Logger, info};
 use tokio::{
     sync::mpsc,
@@ -23,8 +23,9 @@
     counters::RequestEnd,
     dialect::{Dialect, Prompt},
     exchange::{Exchange, Limits, Opened, Outgoing, exchange, strip_connection_headers},
-    following::{exchange_loads, follow_fleet},
+    following::{follow_fleet, follow_slots, keep_slots},
     pump::{Pump, PumpSettings},
+    search::{Placed, Search},
     shared::Shared,
 };
 
@@ -80,8 +81,9 @@
         logger: Logger,
     ) -> Self {
         let shared = Arc::new(Shared::new(gateway.clone(), dialect, zone, seed, logger));
-        tokio::spawn(follow_fleet(Arc::clone(&shared), gateway));
-        tokio::spawn(exchange_loads(Arc::clone(&shared)));
+        tokio::spawn(follow_fleet(Arc::clone(&shared), gateway.clone()));
+        tokio::spawn(follow_slots(Arc::clone(&shared), gateway));
+        tokio::spawn(keep_slots(Arc::clone(&shared)));
         Relay { shared, stopping }
     }
 
@@ -127,6 +129,11 @@
         self.stopping.is_cancelled()
     }
 
+    /// Cancelled when the process is to stop.
+    pub(crate) fn stopping(&self) -> CancellationToken {
+        self.stopping.clone()
+    }
+
     /// Relays a request of a route.
     pub async fn relay(
         &self,
@@ -179,28 +186,28 @@
 impl Attempt<'_> {
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
-            let yielding = self.shared.yielding(&self.service);
-            let need = Need {
+            let search = Search {
+                shared: self.shared,
                 service: &self.service,
                 prompt: &self.prompt.parts,
                 except: &self.tried,
-                busy_share: None,
-                yielding: Some(&yielding),
+                due: self.arrived + Duration::from_millis(self.route.target_ms),
+                until: self.until,
             };
-            let Some(chosen) = self.shared.choose(&need) else {
+            let Some(Placed { chosen, lease }) = search.run().await else {
                 if self.may_wait() {
                     sleep(LOOK_AGAIN_AFTER).await;
                     continue;
                 }
                 return self.give_up("no replica");
             };
-            self.shared.make_room(&self.service, &chosen);
             let limits = self.limits(chosen.expected_ms);
             let result = exchange(
                 self.shared,
                 &chosen,
                 &self.outgoing,
                 &self.prompt.parts,
+                Some(lease),
                 None,
                 limits,
             )
--- /dev/null
+++ b/crates/relay/src/search.rs
@@ -0,0 +1,75 @@
+//! Finding a replica for an online request, and leasing one of its slots.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_protocol::slots::AskMode;
+use linnethitch_routing::dispatch::{Chosen, Need, PromptPart};
+use tokio::time::Instant;
+
+use crate::{
+    shared::Shared,
+    slots::{Asked, SlotLease},
+};
+
+/// Replicas that are asked for a slot before the request waits for one.
+const MOST_PROBES: usize = 4;
+/// A request waits for a slot until it is late, and for this long at least.
+const SHORTEST_WAIT: Duration = Duration::from_millis(600);
+
+/// What a request needs.
+pub(crate) struct Search<'a> {
+    pub(crate) shared: &'a Arc<Shared>,
+    pub(crate) service: &'a str,
+    pub(crate) prompt: &'a [PromptPart],
+    /// Replicas that it must not be sent to (again).
+    pub(crate) except: &'a [String],
+    /// When it is late.
+    pub(crate) due: Instant,
+    /// When its time is up.
+    pub(crate) until: Instant,
+}
+
+/// Where a request goes.
+pub(crate) struct Placed {
+    pub(crate) chosen: Chosen,
+    pub(crate) lease: SlotLease,
+}
+
+impl Search<'_> {
+    /// The best replica with a free slot; where none of those asked has one, a
+    /// slot that it waited for. `None` when no replica may be given it.
+    pub(crate) async fn run(&self) -> Option<Placed> {
+        let mut full = Vec::new();
+        while full.len() < MOST_PROBES {
+            let Some(chosen) = self.choose(&full) else {
+                break;
+            };
+            match self.ask(&chosen, AskMode::Probe).await {
+                Asked::Leased(lease) => return Some(Placed { chosen, lease }),
+                Asked::Full => full.push(chosen.id),
+            }
+        }
+        let chosen = self.choose(&[])?;
+        match self.ask(&chosen, AskMode::Wait).await {
+            Asked::Leased(lease) => Some(Placed { chosen, lease }),
+            Asked::Full => None,
+        }
+    }
+
+    fn choose(&self, full: &[String]) -> Option<Chosen> {
+        let except: Vec<String> = self.except.iter().chain(full).cloned().collect();
+        self.shared.choose(&Need {
+            service: self.service,
+            prompt: self.prompt,
+            except: &except,
+        })
+    }
+
+    async fn ask(&self, chosen: &Chosen, mode: AskMode) -> Asked {
+        let slots = &self.shared.slots;
+        let wait_until = self.due.max(Instant::now() + SHORTEST_WAIT).min(self.until);
+        let asked = slots.ask(&chosen.id, self.due, mode, wait_until).await;
+        self.shared.note_told(&slots.own_loads_beside(&chosen.id));
+        asked
+    }
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,19 +8,22 @@
     },
 };
 
-use linnethitch_cluster::{Clock, GatewayNode, ReplicaKey, RunningCounts};
+use linnethitch_cluster::{Clock, GatewayNode};
+use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{FleetView, ReplicaState, Route, RouteTable};
 use linnethitch_routing::dispatch::{
-    Board, Chosen, FailureKind, Need, PromptPart, ReplicaTraits, ReportedLoad, RunningWork,
-    WeightedTurns,
+    Board, Chosen, CoordinatedReplica, FailureKind, Need, PromptPart, ReplicaTraits, ReportedLoad,
+    RunningWork, WeightedTurns, WorkKind,
 };
 use parking_lot::Mutex;
 use rand_pcg::{Pcg64Mcg, rand_core::SeedableRng};
 use slog::Logger;
 
 use crate::{
-    batch_runs::BatchRuns, batch_shares::BatchShares, connections::Connections, counters::Counters,
+    connections::Connections,
+    counters::Counters,
     dialect::Dialect,
+    slots::{SlotLease, Slots},
 };
 
 /// Successes for each one that is logged; failures, refusals, retries and resumes
@@ -32,7 +35,7 @@
     pub(crate) gateway: GatewayNode,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Connections,
-    pub(crate) batch_runs: BatchRuns,
+    pub(crate) slots: Arc<Slots>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) clock: Clock,
     pub(crate) logger: Logger,
@@ -52,10 +55,10 @@
     ) -> Self {
         Shared {
             clock: gateway.clock(),
+            slots: Arc::new(Slots::new(gateway.clone(), seed)),
             gateway,
             dialect,
             connections: Connections::default(),
-            batch_runs: BatchRuns::default(),
             counters: Arc::default(),
             logger,
             successes: AtomicU64::new(0),
@@ -113,43 +116,25 @@
         self.board.lock().choose(need, now_ms, &mut *random)
     }
 
-    pub(crate) fn free_slots(&self, service: &str, busy_share: f64) -> u32 {
+    /// One replica as a choice, if it may be given new work.
+    pub(crate) fn chosen_at(&self, replica: &str) -> Option<Chosen> {
         let now_ms = self.clock.now_ms();
-        self.board.lock().free_slots(service, busy_share, now_ms)
+        self.board.lock().chosen_at(replica, now_ms)
     }
 
-    /// Requests and items that this gateway may have under way at a service so
-    /// that all gateways together leave some slots free: its part of a share.
-    pub(crate) fn fair_part(&self, service: &str, share: f64) -> u32 {
+    /// Engines, as their coordinators need them.
+    pub(crate) fn engines(&self) -> Vec<CoordinatedReplica> {
         let now_ms = self.clock.now_ms();
-        let gateways = self.gateway.gateways();
-        self.board
-            .lock()
-            .fair_part(service, share, gateways, now_ms)
+        self.board.lock().engines(now_ms)
     }
 
-    /// Whether gateways have to tell each other what they have under way.
-    pub(crate) fn needs_others(&self) -> bool {
-        let gateways = self.gateway.gateways();
-        self.board.lock().needs_others(gateways)
-    }
-
-    /// Requests and items under way, by replica.
-    pub(crate) fn running_counts(&self) -> RunningCounts {
-        let board = self.board.lock();
-        let mut counts = RunningCounts::default();
-        for (id, own) in board.own_counts() {
-            counts.push(ReplicaKey::of(id), own);
-        }
-        counts
-    }
-
-    /// Takes what all other gateways have under way.
-    pub(crate) fn note_others(&self, others: &RunningCounts) {
-        let others: HashMap<ReplicaKey, u32> = others.iter().collect();
+    /// Takes what coordinators told of replicas.
+    pub(crate) fn note_told(&self, loads: &[SlotLoad]) {
         let now_ms = self.clock.now_ms();
-        let of = |id: &str| others.get(&ReplicaKey::of(id)).copied().unwrap_or(0);
-        self.board.lock().note_others(of, now_ms);
+        let mut board = self.board.lock();
+        for load in loads {
+            board.note_told(load, now_ms);
+        }
     }
 
     /// Own requests and items under way at a service.
@@ -157,43 +142,6 @@
         self.board.lock().own_running(service)
     }
 
-    /// Shares of a service's slots that batch items may take now.
-    pub(crate) fn batch_shares(&self, service: &str) -> BatchShares {
-        if self.knows_others(service) {
-            BatchShares::INFORMED
-        } else {
-            BatchShares::BLIND
-        }
-    }
-
-    /// Own batch items by replica that can be stopped for an online request. Where
-    /// the work of others is not known, nothing shows that a slot is wanted.
-    pub(crate) fn yielding(&self, service: &str) -> HashMap<String, u32> {
-        if self.batch_runs.is_empty() || !self.knows_others(service) {
-            return HashMap::new();
-        }
-        self.batch_runs.patient_by_replica()
-    }
-
-    fn knows_others(&self, service: &str) -> bool {
-        let now_ms = self.clock.now_ms();
-        self.board.lock().knows_others(service, now_ms)
-    }
-
-    /// Lets batch items give way when more is under way than this gateway's
-    /// part, or when the replica chosen for an online request is full.
-    pub(crate) fn make_room(&self, service: &str, chosen: &Chosen) {
-        if chosen.is_full {
-            self.batch_runs.give_way_at(&chosen.id);
-        }
-        if self.batch_runs.is_empty() {
-            return;
-        }
-        if self.own_running(service) > self.fair_part(service, self.batch_shares(service).room) {
-            self.batch_runs.give_way(service);
-        }
-    }
-
     /// Whether a success is to be logged: one in [`SUCCESSES_PER_LINE`].
     pub(crate) fn is_sampled(&self) -> bool {
         let number = self.successes.fetch_add(1, Ordering::Relaxed);
@@ -225,6 +173,8 @@
     shared: Arc<Shared>,
     replica: String,
     work: RunningWork,
+    /// The slot that it has; a batch item keeps its own elsewhere.
+    _lease: Option<SlotLease>,
 }
 
 impl RunningGuard {
@@ -232,13 +182,19 @@
         shared: &Arc<Shared>,
         chosen: &Chosen,
         prompt: &[PromptPart],
+        lease: Option<SlotLease>,
     ) -> Option<Self> {
+        let kind = match lease {
+            Some(_) => WorkKind::Online,
+            None => WorkKind::Item,
+        };
         let now_ms = shared.clock.now_ms();
-        let work = shared.board.lock().begin(chosen, prompt, now_ms)?;
+        let work = shared.board.lock().begin(chosen, prompt, kind, now_ms)?;
         Some(RunningGuard {
             shared: Arc::clone(shared),
             replica: chosen.id.clone(),
             work,
+            _lease: lease,
         })
     }
 
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -2,12 +2,14 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use linnethitch_protocol::hash::fnv1a;
+use linnethitch_protocol::slots::SlotLoad;
 use rand::Rng;
 
 use super::{
+    coordinator::CoordinatedReplica,
     kept_parts::PromptPart,
-    replica::{FailureKind, Replica, ReplicaTraits, ReportedLoad, RunningWork},
+    rendezvous::spread,
+    replica::{FailureKind, Replica, ReplicaTraits, ReportedLoad, RunningWork, WorkKind},
 };
 
 /// Prompt tokens that an engine reads in a millisecond.
@@ -21,16 +23,9 @@
 /// Cost of each request that others have there, in milliseconds.
 const COST_PER_OTHER_MS: f64 = 1.0;
 /// Cost of a replica whose slots are all taken over an idle one, in milliseconds,
-/// where control tells what others have there. It spreads requests evenly, but
+/// where its coordinator told what others have there. It spreads requests evenly, but
 /// less dearly than reading a long shared prompt anew.
 const FULL_COST_MS: f64 = 40.0;
-/// Gateways tell each other their loads where there are more of them than this
-/// for each slot of a replica.
-const GATEWAYS_PER_SLOT: u32 = 2;
-/// Replicas that are compared where control tells what others have.
-const DRAWN_REPLICAS: usize = 3;
-/// A replica that keeps so much of a prompt is always compared, in tokens.
-const WORTHWHILE_TOKENS: u32 = 1_000;
 /// Cost of leaving the zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 1.0;
 /// Part of a shared prompt that is expected to be kept at its home replica,
@@ -38,7 +33,6 @@
 const HOME_KEPT_SHARE: f64 = 0.7;
 /// Scores closer than this count as equal, in milliseconds.
 const JITTER_MS: f64 = 1.0;
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -48,20 +42,6 @@
     pub prompt: &'a [PromptPart],
     /// Replicas that it must not be sent to (again).
     pub except: &'a [String],
-    /// Share of the slots that may be taken for it to start; 1 for online
-    /// requests, less for batch items. Nothing is chosen beyond it.
-    pub busy_share: Option<f64>,
-    /// Own batch items by replica that can be stopped at once for this request.
-    pub yielding: Option<&'a HashMap<String, u32>>,
-}
-
-impl Need<'_> {
-    fn yielding_at(&self, replica: &Replica) -> u32 {
-        let held = self
-            .yielding
-            .and_then(|items| items.get(&replica.traits.id));
-        held.copied().unwrap_or(0).min(replica.own)
-    }
 }
 
 /// A choice.
@@ -73,8 +53,6 @@
     pub address: String,
     /// Expected time to the first event, in milliseconds.
     pub expected_ms: f64,
-    /// Whether every slot there is taken, as far as can be told.
-    pub is_full: bool,
 }
 
 /// Every replica that this gateway knows.
@@ -129,19 +107,12 @@
             .iter()
             .filter(|id| !need.except.contains(id))
             .filter_map(|id| self.replicas.get(id))
-            .filter(|replica| replica.is_open(now_ms) && has_room(replica, need, now_ms))
+            .filter(|replica| replica.is_open(now_ms))
             .collect();
         let home = home(&open, need.prompt).map(|home| home.traits.id.as_str());
-        let drawn = draw(&open, now_ms, rng);
         let mut best: Option<(f64, &Replica)> = None;
-        for (number, replica) in open.into_iter().enumerate() {
+        for replica in open {
             let is_home = home == Some(replica.traits.id.as_str());
-            let keeps_prompt = replica.kept.reusable(need.prompt) >= WORTHWHILE_TOKENS;
-            let is_drawn = drawn.as_ref().is_none_or(|drawn| drawn.contains(&number));
-            let yields = need.yielding_at(replica) > 0;
-            if !is_drawn && !is_home && !keeps_prompt && !yields {
-                continue;
-            }
             let expected_ms = self.expected_ms(replica, need, is_home, now_ms);
             let score = expected_ms + rng.random::<f64>() * JITTER_MS;
             if best.is_none_or(|(lowest, _)| score < lowest) {
@@ -149,13 +120,18 @@
             }
         }
         best.map(|(score, replica)| Chosen {
-            id: replica.traits.id.clone(),
-            address: replica.traits.address.clone(),
             expected_ms: score,
-            is_full: replica.is_full(now_ms),
+            ..chosen(replica)
         })
     }
 
+    /// One replica as a choice, if it may be given new work.
+    #[must_use]
+    pub fn chosen_at(&self, id: &str, now_ms: u64) -> Option<Chosen> {
+        let replica = self.replicas.get(id)?;
+        replica.is_open(now_ms).then(|| chosen(replica))
+    }
+
     /// Own requests and batch items under way at a service.
     #[must_use]
     pub fn own_running(&self, service: &str) -> u32 {
@@ -163,74 +139,30 @@
         replicas.map(|replica| replica.own).sum()
     }
 
-    /// Slots of a service's ready replicas.
-    #[must_use]
-    pub fn slots(&self, service: &str) -> u32 {
-        let ready = self.of(service).filter(|replica| replica.traits.ready);
-        ready.map(Replica::slots).sum()
-    }
-
     fn of(&self, service: &str) -> impl Iterator<Item = &Replica> {
         let ids = self.by_service.get(service).into_iter().flatten();
         ids.filter_map(|id| self.replicas.get(id))
     }
 
-    /// Slots of a service that are free at open replicas, as far as can be told.
+    /// Engines, as their coordinators need them.
     #[must_use]
-    pub fn free_slots(&self, service: &str, busy_share: f64, now_ms: u64) -> u32 {
-        self.of(service)
-            .filter(|replica| replica.is_open(now_ms))
-            .map(|replica| {
-                let usable = (f64::from(replica.slots()) * busy_share) as u32;
-                usable.saturating_sub(replica.busy(now_ms))
+    pub fn engines(&self, now_ms: u64) -> Vec<CoordinatedReplica> {
+        let engines = self.replicas.values().filter(|r| r.traits.kv_tokens > 0);
+        engines
+            .map(|replica| CoordinatedReplica {
+                id: replica.traits.id.clone(),
+                service: replica.traits.service.clone(),
+                slots: replica.slots(),
+                open: replica.is_open(now_ms),
             })
-            .sum()
+            .collect()
     }
 
-    /// Whether gateways have to tell each other what they have under way.
-    ///
-    /// While a gateway has a good part of each replica's slots for itself, gateways
-    /// that spread their own requests evenly spread all evenly. Where there are many
-    /// more gateways than a replica has slots, each knows next to nothing alone.
-    #[must_use]
-    pub fn needs_others(&self, gateways: u32) -> bool {
-        let mut ready = self.replicas.values().filter(|r| r.traits.ready);
-        ready.any(|replica| gateways > replica.slots() * GATEWAYS_PER_SLOT)
-    }
-
-    /// Whether control told lately what other gateways have under way at a service.
-    #[must_use]
-    pub fn knows_others(&self, service: &str, now_ms: u64) -> bool {
-        all_shared(self.of(service), now_ms)
-    }
-
-    /// Own requests under way, by replica.
-    pub fn own_counts(&self) -> impl Iterator<Item = (&str, u32)> {
-        let replicas = self.replicas.iter();
-        replicas.map(|(id, replica)| (id.as_str(), replica.own))
-    }
-
-    /// Notes what other gateways have under way at every replica.
-    pub fn note_others(&mut self, others: impl Fn(&str) -> u32, now_ms: u64) {
-        for (id, replica) in &mut self.replicas {
-            replica.note_shared(others(id), now_ms);
-        }
-    }
-
-    /// Requests and items that a gateway may have under way at a service so that
-    /// all together take no more than this share of its slots. Where control tells
-    /// what others have, it is an even part of what is left (or of what is too
-    /// much), else an even part of the whole.
-    #[must_use]
-    pub fn fair_part(&self, service: &str, share: f64, gateways: u32, now_ms: u64) -> u32 {
-        let gateways = f64::from(gateways.max(1));
-        let usable = f64::from(self.slots(service)) * share;
-        if !self.knows_others(service, now_ms) {
-            return (usable / gateways).ceil() as u32;
+    /// Notes what a replica's coordinator told of it.
+    pub fn note_told(&mut self, load: &SlotLoad, now_ms: u64) {
+        if let Some(replica) = self.replicas.get_mut(&load.replica) {
+            replica.note_told(load, now_ms);
         }
-        let busy: u32 = self.of(service).map(|replica| replica.busy(now_ms)).sum();
-        let left = ((usable - f64::from(busy)) / gateways).ceil();
-        (f64::from(self.own_running(service)) + left).max(0.0) as u32
     }
 
     /// Notes that a request is sent.
@@ -238,10 +170,11 @@
         &mut self,
         chosen: &Chosen,
         prompt: &[PromptPart],
+        kind: WorkKind,
         now_ms: u64,
     ) -> Option<RunningWork> {
         let replica = self.replicas.get_mut(&chosen.id)?;
-        Some(replica.begin(prompt, chosen.expected_ms, now_ms))
+        Some(replica.begin(prompt, kind, chosen.expected_ms, now_ms))
     }
 
     /// Notes that the first event of a request came.
@@ -280,9 +213,7 @@
     }
 
     fn expected_ms(&self, replica: &Replica, need: &Need<'_>, is_home: bool, now_ms: u64) -> f64 {
-        let yielding = need.yielding_at(replica);
-        let waiting = replica.waiting(now_ms) - f64::from(yielding);
-        let waiting_ms = waiting.max(0.0) * COST_PER_WAITING_MS;
+        let waiting_ms = replica.waiting(now_ms) * COST_PER_WAITING_MS;
         let running_ms = running_cost_ms(replica, now_ms);
         let zone_ms = if replica.traits.zone == self.zone {
             0.0
@@ -298,7 +229,7 @@
 
 /// What the requests under way at a replica cost a further one, in milliseconds.
 fn running_cost_ms(replica: &Replica, now_ms: u64) -> f64 {
-    match replica.shared_others(now_ms) {
+    match replica.told_others(now_ms) {
         Some(others) => {
             let taken = f64::from(replica.own + others) / f64::from(replica.slots());
             taken.min(1.0) * FULL_COST_MS
@@ -310,27 +241,12 @@
     }
 }
 
-fn all_shared<'a>(mut replicas: impl Iterator<Item = &'a Replica>, now_ms: u64) -> bool {
-    replicas.all(|replica| replica.shared_others(now_ms).is_some())
-}
-
-/// Numbers of the replicas that are compared, drawn by lot; `None` for all.
-///
-/// Counts of other gateways are a little old, and all gateways see the same ones.
-/// If each took the best of all, the emptiest replicas would be overrun between
-/// two exchanges; the best of a few drawn by lot differs for each request.
-fn draw(open: &[&Replica], now_ms: u64, rng: &mut impl Rng) -> Option<Vec<usize>> {
-    if open.len() <= DRAWN_REPLICAS || !all_shared(open.iter().copied(), now_ms) {
-        return None;
-    }
-    let mut drawn = Vec::with_capacity(DRAWN_REPLICAS);
-    while drawn.len() < DRAWN_REPLICAS {
-        let number = rng.random_range(0..open.len());
-        if !drawn.contains(&number) {
-            drawn.push(number);
-        }
+fn chosen(replica: &Replica) -> Chosen {
+    Chosen {
+        id: replica.traits.id.clone(),
+        address: replica.traits.address.clone(),
+        expected_ms: 0.0,
     }
-    Some(drawn)
 }
 
 /// The replica where a shared prompt has its home: the same one for every
@@ -341,13 +257,6 @@
     replicas.max_by_key(|replica| spread(first.id, &replica.traits.id))
 }
 
-fn has_room(replica: &Replica, need: &Need<'_>, now_ms: u64) -> bool {
-    need.busy_share.is_none_or(|share| {
-        let usable = f64::from(replica.slots()) * share;
-        f64::from(replica.busy(now_ms) + 1) <= usable
-    })
-}
-
 /// Tokens of a prompt that a replica would have to read.
 fn unread_tokens(replica: &Replica, prompt: &[PromptPart], is_home: bool) -> f64 {
     let total: u32 = prompt.iter().map(|part| part.tokens).sum();
@@ -364,11 +273,3 @@
     };
     f64::from(total) - kept.max(expected)
 }
-
-/// A hash of a part and a replica, spread over all numbers (FNV-1a, then a mix).
-fn spread(part: u64, id: &str) -> u64 {
-    let bytes = part.to_le_bytes().into_iter().chain(id.bytes());
-    let hash = fnv1a(bytes);
-    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    mixed ^ (mixed >> 29)
-}
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -7,11 +7,17 @@
 //! expected time to the first event. Times are of a steady clock, in milliseconds.
 
 mod board;
+mod coordinator;
 mod kept_parts;
+mod rendezvous;
 mod replica;
 mod weights;
 
 pub use board::{Board, Chosen, Need};
+pub use coordinator::{
+    Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, SlotCoordinator, WaitingItem,
+};
 pub use kept_parts::PromptPart;
-pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork};
+pub use rendezvous::coordinator_of;
+pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork, WorkKind};
 pub use weights::WeightedTurns;
--- a/crates/routing/src/dispatch/replica.rs
+++ b/crates/routing/src/dispatch/replica.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use linnethitch_protocol::slots::SlotLoad;
+
 use super::kept_parts::{KeptParts, PromptPart};
 
 /// First pause after a failure, in milliseconds; it doubles with each further one.
@@ -12,10 +14,8 @@
 const WORK_FAILURES: u32 = 2;
 /// Pause of a replica that refused a request since it is full, in milliseconds.
 const FULL_PAUSE_MS: u64 = 80;
-/// What control told of other gateways counts for this long, in milliseconds.
-const SHARED_VALID_MS: u64 = 1_200;
-/// A reported load counts for this long, in milliseconds.
-const LOAD_VALID_MS: u64 = 3_000;
+/// What a coordinator told counts for this long, in milliseconds.
+const TOLD_VALID_MS: u64 = 1_200;
 /// A request without its first event after this time holds up those behind it, in milliseconds.
 const OVERDUE_AFTER_MS: u64 = 150;
 /// Weight of the newest measurement in a replica's pace.
@@ -27,8 +27,6 @@
 const BASE_MS: f64 = 25.0;
 /// A report counts half as much after this time, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 400.0;
-/// A report that every slot is taken counts for this long, in milliseconds.
-const FULL_VALID_MS: u64 = 500;
 /// Share of the KV cache that kept parts are assumed to have.
 const KEPT_SHARE: f64 = 0.6;
 
@@ -75,10 +73,20 @@
     Replaced,
 }
 
+/// What kind of work is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkKind {
+    /// An online request.
+    Online,
+    /// A batch item, which an online request can stop.
+    Item,
+}
+
 /// A request under way.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunningWork {
     number: u64,
+    kind: WorkKind,
     /// Prompt tokens that the replica has to read.
     unread_tokens: u32,
     begun_ms: u64,
@@ -100,8 +108,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
     pub(crate) traits: ReplicaTraits,
-    /// Own requests under way.
+    /// Own online requests under way.
     pub(crate) own: u32,
+    /// Own batch items under way.
+    pub(crate) own_items: u32,
     /// Own prompt tokens whose first event is outstanding.
     pub(crate) unread_tokens: u64,
     /// Own requests whose first event is outstanding, and when they were sent.
@@ -110,7 +120,7 @@
     /// Measured over expected time to the first event.
     pace: f64,
     load: Option<Load>,
-    shared: Option<SharedLoad>,
+    told: Option<ToldLoad>,
     pub(crate) kept: KeptParts,
     failures: u32,
     paused_until_ms: u64,
@@ -126,10 +136,13 @@
     own_then: u32,
 }
 
-/// What other gateways have under way there, as control summed it.
+/// What its coordinator told.
 #[derive(Clone, Copy, Debug)]
-struct SharedLoad {
+struct ToldLoad {
+    /// Online requests of other gateways that have a slot.
     others: u32,
+    /// Online requests that wait for a slot.
+    waiting: u32,
     at_ms: u64,
 }
 
@@ -146,12 +159,13 @@
         Replica {
             traits,
             own: 0,
+            own_items: 0,
             unread_tokens: 0,
             awaited: BTreeMap::new(),
             begun: 0,
             pace: 1.0,
             load: None,
-            shared: None,
+            told: None,
             kept: KeptParts::default(),
             failures: 0,
             paused_until_ms: 0,
@@ -164,38 +178,30 @@
         self.traits.ready && !self.replaced && self.paused_until_ms <= now_ms
     }
 
-    /// What other gateways have under way there, if control told it lately.
-    pub(crate) fn shared_others(&self, now_ms: u64) -> Option<u32> {
-        let shared = self.shared?;
-        (now_ms < shared.at_ms + SHARED_VALID_MS).then_some(shared.others)
+    fn told(&self, now_ms: u64) -> Option<ToldLoad> {
+        self.told.filter(|told| now_ms < told.at_ms + TOLD_VALID_MS)
     }
 
-    pub(crate) fn note_shared(&mut self, others: u32, now_ms: u64) {
-        self.shared = Some(SharedLoad {
-            others,
-            at_ms: now_ms,
-        });
+    /// Online requests of other gateways there, if its coordinator told lately.
+    pub(crate) fn told_others(&self, now_ms: u64) -> Option<u32> {
+        self.told(now_ms).map(|told| told.others)
     }
 
-    /// Requests that run or wait there, as far as can be told.
-    pub(crate) fn busy(&self, now_ms: u64) -> u32 {
-        if let Some(others) = self.shared_others(now_ms) {
-            return self.own + others;
-        }
-        let reported = self.load.filter(|load| now_ms < load.at_ms + LOAD_VALID_MS);
-        let told = reported.map_or(0, |load| {
-            let total = load.told.running + load.told.waiting;
-            (total + self.own).saturating_sub(load.own_then)
+    pub(crate) fn note_told(&mut self, load: &SlotLoad, now_ms: u64) {
+        self.told = Some(ToldLoad {
+            others: u32::from(load.online).saturating_sub(self.own),
+            waiting: u32::from(load.waiting),
+            at_ms: now_ms,
         });
-        told.max(self.own)
     }
 
-    /// Requests that wait there beyond the slots, by the last report, which
-    /// counts less the older it is.
+    /// Requests that wait there beyond the slots: as its coordinator told, else by
+    /// the last report, which counts less the older it is.
     pub(crate) fn waiting(&self, now_ms: u64) -> f64 {
-        if let Some(others) = self.shared_others(now_ms) {
+        if let Some(told) = self.told(now_ms) {
             // A further request waits as soon as every slot is taken.
-            return f64::from((self.own + others + 1).saturating_sub(self.slots()));
+            let beyond = (self.own + told.others + 1).saturating_sub(self.slots());
+            return f64::from(beyond + told.waiting);
         }
         self.load.map_or(0.0, |load| {
             f64::from(load.told.waiting) * load.freshness(now_ms)
@@ -211,17 +217,6 @@
         })
     }
 
-    /// Whether a recent report said that every slot is taken.
-    pub(crate) fn is_full(&self, now_ms: u64) -> bool {
-        if let Some(others) = self.shared_others(now_ms) {
-            return self.own + others >= self.slots();
-        }
-        self.own >= self.slots()
-            || self.load.is_some_and(|load| {
-                now_ms < load.at_ms + FULL_VALID_MS && load.told.running >= load.told.slots
-            })
-    }
-
     pub(crate) fn slots(&self) -> u32 {
         let told = self.load.map(|load| load.told.slots);
         told.filter(|slots| *slots > 0)
@@ -245,6 +240,7 @@
     pub(crate) fn begin(
         &mut self,
         prompt: &[PromptPart],
+        kind: WorkKind,
         expected_ms: f64,
         now_ms: u64,
     ) -> RunningWork {
@@ -252,12 +248,13 @@
         let unread_tokens = total - self.kept.reusable(prompt);
         let most_tokens = (self.traits.kv_tokens as f64 * KEPT_SHARE) as u64;
         self.kept.note(prompt, most_tokens, now_ms);
-        self.own += 1;
+        *self.running(kind) += 1;
         self.unread_tokens += u64::from(unread_tokens);
         self.begun += 1;
         self.awaited.insert(self.begun, now_ms);
         RunningWork {
             number: self.begun,
+            kind,
             unread_tokens,
             begun_ms: now_ms,
             expected_ms,
@@ -286,14 +283,22 @@
 
     pub(crate) fn end(&mut self, mut work: RunningWork) {
         self.finish_reading(&mut work);
-        self.own = self.own.saturating_sub(1);
+        let running = self.running(work.kind);
+        *running = running.saturating_sub(1);
+    }
+
+    fn running(&mut self, kind: WorkKind) -> &mut u32 {
+        match kind {
+            WorkKind::Online => &mut self.own,
+            WorkKind::Item => &mut self.own_items,
+        }
     }
 
     pub(crate) fn note_load(&mut self, told: ReportedLoad, now_ms: u64) {
         self.load = Some(Load {
             told,
             at_ms: now_ms,
-            own_then: self.own,
+            own_then: self.own + self.own_items,
         });
     }
 
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, one module each.
 
 mod admission;
+mod coordinator;
 mod dispatch;
 mod fixture;
 mod grants;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod backoff;
 mod connection;
+mod datagrams;
 mod handshake;
 mod key;
 mod listener;
@@ -21,6 +22,7 @@
 
 pub use backoff::Backoff;
 pub use connection::{Connection, MessageSender, connect};
+pub use datagrams::Datagrams;
 pub use key::{ClusterIdentity, ClusterKey};
 pub use listener::{IncomingConnection, Listener};
 pub use message::WireMessage;
--- a/crates/transport/src/traffic.rs
+++ b/crates/transport/src/traffic.rs
@@ -5,7 +5,7 @@
 use linnethitch_protocol::frame::FrameKind;
 
 /// Number of frame kinds that are counted.
-const KINDS: usize = 5;
+const KINDS: usize = 6;
 
 fn slot(kind: FrameKind) -> usize {
     match kind {
@@ -14,6 +14,7 @@
         FrameKind::Control => 2,
         FrameKind::Peer => 3,
         FrameKind::Node => 4,
+        FrameKind::Slots => 5,
     }
 }
 
@@ -60,6 +61,8 @@
     pub peer: KindTraffic,
     /// Messages of nodes that caller directories lead to.
     pub node: KindTraffic,
+    /// Datagrams about slots.
+    pub slots: KindTraffic,
 }
 
 impl TrafficSnapshot {
@@ -82,6 +85,7 @@
             self.control,
             self.peer,
             self.node,
+            self.slots,
         ]
     }
 }
@@ -114,6 +118,7 @@
             control: self.of(FrameKind::Control),
             peer: self.of(FrameKind::Peer),
             node: self.of(FrameKind::Node),
+            slots: self.of(FrameKind::Slots),
         }
     }
 
--- /dev/null
+++ b/crates/transport/tests/all/datagrams.rs
@@ -0,0 +1,78 @@
+//! Datagrams: taken from holders of the cluster key only.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+use linnethitch_protocol::{
+    frame::{self, FrameKind},
+    slots::SlotMessage,
+};
+use linnethitch_transport::{ClusterIdentity, ClusterKey, Datagrams};
+use rstest::rstest;
+use tokio::net::UdpSocket;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn identity(name: &str, key: &str) -> ClusterIdentity {
+    ClusterIdentity {
+        name: name.to_owned(),
+        key: ClusterKey::new(key).expect("long enough"),
+    }
+}
+
+/// A socket on a free port, and its address.
+fn bind(identity: ClusterIdentity) -> (Datagrams<SlotMessage>, SocketAddrV4) {
+    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    let datagrams = Datagrams::bind(any, identity).expect("a free port");
+    let address = datagrams.local_address().expect("it is bound");
+    (datagrams, address)
+}
+
+fn end(number: u64) -> SlotMessage {
+    SlotMessage::End { number }
+}
+
+#[tokio::test]
+async fn a_message_arrives_with_its_sender() {
+    let (receiver, to) = bind(identity("fleet", "a key for tests only"));
+    let (sender, from) = bind(identity("fleet", "a key for tests only"));
+    sender.send(to, &end(7));
+    let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
+    let received = received.expect("in time").expect("the socket works");
+    assert_eq!(received, (from, end(7)));
+}
+
+/// Senders that are no members; what comes after them from a member is the first taken.
+#[rstest]
+#[case::other_key("fleet", "another key for tests")]
+#[case::other_cluster("other", "a key for tests only")]
+#[tokio::test]
+async fn messages_of_others_are_passed_over(#[case] name: &str, #[case] key: &str) {
+    let (receiver, to) = bind(identity("fleet", "a key for tests only"));
+    let (stranger, _) = bind(identity(name, key));
+    let (member, _) = bind(identity("fleet", "a key for tests only"));
+    stranger.send(to, &end(1));
+    member.send(to, &end(2));
+    let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
+    let (_, message) = received.expect("in time").expect("the socket works");
+    assert_eq!(message, end(2));
+}
+
+#[rstest]
+#[case::empty(Vec::new())]
+#[case::short(vec![1, 2, 3])]
+#[case::noise(vec![9; 200])]
+#[case::without_a_proof(frame::write_frame(FrameKind::Slots, &end(1)).expect("small"))]
+#[tokio::test]
+async fn bytes_that_are_no_datagram_are_passed_over(#[case] bytes: Vec<u8>) {
+    let (receiver, to) = bind(identity("fleet", "a key for tests only"));
+    let (member, _) = bind(identity("fleet", "a key for tests only"));
+    let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    stranger.send_to(&bytes, to).await.expect("it is sent");
+    member.send(to, &end(2));
+    let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
+    let (_, message) = received.expect("in time").expect("the socket works");
+    assert_eq!(message, end(2));
+}
--- a/crates/transport/tests/all/main.rs
+++ b/crates/transport/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod backoff;
 mod connection;
+mod datagrams;
 mod handshake;
 mod support;
