--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -385,6 +385,7 @@
         control: control.into_iter().collect(),
         stores: presence.stores(now_ms),
         gateways: (now_ms >= HEARD_OF_ALL_MS).then(|| presence.gateways().ready(now_ms)),
+        coordinators: Some(presence.coordinators(now_ms)),
         update,
     }
 }
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -25,7 +25,7 @@
     incoming::Inbound,
     links::Links,
     message::{NodeMessage, NodeRole, Pulse},
-    node::{NodeBase, NodeSettings, address_of, machine_of},
+    node::{NodeBase, NodeSettings, address_of},
 };
 
 /// How often links are looked at.
@@ -47,8 +47,7 @@
     control: Arc<Mutex<BTreeMap<MachineId, u64>>>,
     /// What each control machine told last of the gateways.
     gateways: Arc<Mutex<BTreeMap<MachineId, ToldGateways>>>,
-    /// Machines of the ready gateways, as of the newest pulse.
-    ready_machines: Arc<Mutex<Arc<Vec<MachineId>>>>,
+    coordinators: Arc<Mutex<ToldCoordinators>>,
     clock: Clock,
 }
 
@@ -68,7 +67,7 @@
             datagrams: bind_datagrams(settings),
             control: Arc::default(),
             gateways: Arc::default(),
-            ready_machines: Arc::default(),
+            coordinators: Arc::default(),
             clock: base.clock,
         };
         let learner = Learner {
@@ -101,10 +100,15 @@
         self.own
     }
 
-    /// Machines of the ready gateways, in a fixed order, as control told lately.
+    /// Gateways that coordinate slots, in a fixed order, as control told lately.
     #[must_use]
-    pub fn ready_machines(&self) -> Arc<Vec<MachineId>> {
-        Arc::clone(&self.ready_machines.lock())
+    pub fn coordinators(&self) -> Arc<Vec<MachineId>> {
+        Arc::clone(&self.coordinators.lock().merged)
+    }
+
+    /// Tells control that this gateway stops: others coordinate its slots.
+    pub fn stop_coordinating(&self) {
+        self.links.say(|hello| hello.coordinates = false);
     }
 
     /// Datagrams to and from other gateways; `None` where their port is taken.
@@ -174,6 +178,33 @@
     at_ms: u64,
 }
 
+/// Gateways that coordinate slots, as control told.
+#[derive(Default)]
+struct ToldCoordinators {
+    by_control: BTreeMap<MachineId, ToldMachines>,
+    /// Those that any control machine told lately.
+    merged: Arc<Vec<MachineId>>,
+}
+
+#[derive(Default)]
+struct ToldMachines {
+    machines: Vec<MachineId>,
+    /// When the control machine was last heard of.
+    at_ms: u64,
+}
+
+impl ToldCoordinators {
+    fn merge(&mut self, now_ms: u64) {
+        let valid_from = now_ms.saturating_sub(TOLD_VALID_MS);
+        let told = self.by_control.values();
+        let recent = told.filter(|told| told.at_ms >= valid_from);
+        let merged: BTreeSet<MachineId> = recent.flat_map(|told| &told.machines).copied().collect();
+        if !self.merged.iter().eq(merged.iter()) {
+            self.merged = Arc::new(merged.into_iter().collect());
+        }
+    }
+}
+
 /// Takes what control tells.
 struct Learner {
     gateway: GatewayNode,
@@ -204,6 +235,7 @@
     fn take(&mut self, from: MachineId, pulse: Pulse) {
         let now_ms = self.gateway.clock.now_ms();
         self.take_gateways(from, pulse.gateways, now_ms);
+        self.take_coordinators(from, pulse.coordinators, now_ms);
         let mut is_news = false;
         {
             let mut control = self.gateway.control.lock();
@@ -243,21 +275,14 @@
             }
             (None, None) => {}
         }
-        drop(told);
-        self.note_ready_machines();
     }
 
-    fn note_ready_machines(&self) {
-        let known = self.gateway.known_gateways();
-        let addresses = known.iter().filter_map(|node| node.address.parse().ok());
-        let mut machines: Vec<MachineId> = addresses
-            .map(|address: SocketAddrV4| machine_of(*address.ip()))
-            .collect();
-        machines.sort_unstable();
-        let mut held = self.gateway.ready_machines.lock();
-        if **held != machines {
-            *held = Arc::new(machines);
-        }
+    fn take_coordinators(&self, from: MachineId, list: Option<Vec<MachineId>>, now_ms: u64) {
+        let mut told = self.gateway.coordinators.lock();
+        let held = told.by_control.entry(from).or_default();
+        held.at_ms = now_ms;
+        held.machines = list.unwrap_or_else(|| std::mem::take(&mut held.machines));
+        told.merge(now_ms);
     }
 
     fn keep_links(&mut self) {
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -77,6 +77,7 @@
     let mut peer = Peer {
         pulsed_upto: hello.upto,
         told_gateways: None,
+        told_coordinators: None,
         hello: hello.clone(),
         sender,
         inbox,
@@ -95,6 +96,7 @@
     hello: NodeHello,
     pulsed_upto: LogIndex,
     told_gateways: Option<Vec<DirectoryNode>>,
+    told_coordinators: Option<Vec<MachineId>>,
     sender: MessageSender<NodeMessage>,
     inbox: mpsc::Sender<Inbound>,
 }
@@ -147,6 +149,11 @@
         } else if pulse.gateways.is_some() {
             self.told_gateways.clone_from(&pulse.gateways);
         }
+        if pulse.coordinators == self.told_coordinators {
+            pulse.coordinators = None;
+        } else {
+            self.told_coordinators.clone_from(&pulse.coordinators);
+        }
         let upto = pulse.update.as_ref().map(|update| update.upto);
         if self.sender.try_send(&NodeMessage::Pulse(pulse)).is_err() {
             return false;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -46,6 +46,8 @@
     pub(crate) callers: Option<String>,
     /// Whether callers may go there.
     pub(crate) ready: bool,
+    /// A gateway that coordinates slots: one that does not stop.
+    pub(crate) coordinates: bool,
     /// The newest change of the registry that it knows.
     pub(crate) upto: LogIndex,
     /// The job store, told by its leader.
@@ -70,6 +72,9 @@
     /// Gateways that are ready, where they changed since the last pulse on this
     /// connection; `None` also while control has not yet heard of all.
     pub(crate) gateways: Option<Vec<DirectoryNode>>,
+    /// Gateways that coordinate slots, where they changed since the last pulse on
+    /// this connection.
+    pub(crate) coordinators: Option<Vec<MachineId>>,
     /// What changed since the last pulse on this connection.
     pub(crate) update: Option<FleetUpdate>,
 }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -113,6 +113,7 @@
             forming: false,
             callers: None,
             ready: false,
+            coordinates: role == NodeRole::Gateway,
             upto: Default::default(),
             store_group: None,
         };
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use linnethitch_protocol::ids::{MachineId, MemberId};
-use linnethitch_registry::{DirectoryNode, NodeList};
+use linnethitch_registry::{DirectoryNode, NodeList, READY_FOR_MS};
 
 use crate::message::{NodeHello, NodeRole, PresentStore, StoreGroupView};
 
@@ -19,6 +19,8 @@
 #[derive(Default)]
 pub(crate) struct Presence {
     gateways: NodeList,
+    /// Gateways that coordinate slots, and when they said so.
+    coordinators: BTreeMap<MachineId, u64>,
     stores: BTreeMap<MachineId, Heard>,
     control: BTreeMap<MachineId, u64>,
     /// When the newest store appeared.
@@ -32,7 +34,7 @@
         match hello.role {
             NodeRole::Gateway => {
                 self.note_gateway(&hello, now_ms);
-                false
+                self.note_coordinator(&hello, now_ms)
             }
             NodeRole::Control => self.control.insert(hello.machine, now_ms).is_none(),
             NodeRole::Store => self.note_store(hello, now_ms),
@@ -44,6 +46,16 @@
         if let Some(address) = &hello.callers {
             self.gateways.lose(address);
         }
+        self.coordinators.remove(&hello.machine);
+    }
+
+    /// Gateways that coordinate slots, in a fixed order.
+    pub(crate) fn coordinators(&self, now_ms: u64) -> Vec<MachineId> {
+        let heard = self.coordinators.iter();
+        heard
+            .filter(|(_, at_ms)| now_ms.saturating_sub(**at_ms) <= READY_FOR_MS)
+            .map(|(machine, _)| *machine)
+            .collect()
     }
 
     pub(crate) fn gateways(&self) -> &NodeList {
@@ -94,6 +106,13 @@
         }
     }
 
+    fn note_coordinator(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
+        if !hello.coordinates {
+            return self.coordinators.remove(&hello.machine).is_some();
+        }
+        self.coordinators.insert(hello.machine, now_ms).is_none()
+    }
+
     fn note_store(&mut self, hello: NodeHello, now_ms: u64) -> bool {
         if let Some(group) = &hello.store_group {
             let held = self.store_group.as_ref();
--- a/crates/cluster/tests/all/gateways.rs
+++ b/crates/cluster/tests/all/gateways.rs
@@ -40,7 +40,7 @@
 }
 
 #[tokio::test]
-async fn ready_gateways_know_and_reach_each_other() {
+async fn gateways_know_and_reach_each_other_until_one_stops() {
     let seed = host(0);
     let free = TcpListener::bind((seed, 0)).await.expect("a port");
     let port = free.local_addr().expect("an address").port();
@@ -53,15 +53,12 @@
     };
     let (_control, running) = ControlNode::start(settings).await.expect("it starts");
     tokio::spawn(running);
-    let gateways = [host(1), host(2)].map(|address| {
-        let gateway = GatewayNode::start(&node(address, seed, port), format!("{address}:80"));
-        gateway.set_ready(true);
-        gateway
-    });
+    let gateways = [host(1), host(2)]
+        .map(|address| GatewayNode::start(&node(address, seed, port), format!("{address}:80")));
     let machines = vec![machine_of(host(1)), machine_of(host(2))];
     let known = async {
         for gateway in &gateways {
-            while *gateway.ready_machines() != machines {
+            while *gateway.coordinators() != machines {
                 sleep(Duration::from_millis(10)).await;
             }
         }
@@ -75,4 +72,13 @@
     let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
     let (from, received) = received.expect("in time").expect("the socket works");
     assert_eq!((*from.ip(), received), (host(1), message));
+    second.stop_coordinating();
+    let only_first = async {
+        while *first.coordinators() != vec![machine_of(host(1))] {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, only_first)
+        .await
+        .expect("in time");
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -89,6 +89,8 @@
     /// Ticks since the leader was heard of or the election began.
     election_elapsed: u32,
     election_timeout: u32,
+    /// Whether a leader was heard of since this member was opened.
+    knew_leader: bool,
     /// Answers to this member's (pre-)vote requests.
     votes: BTreeMap<MemberId, bool>,
     /// Whether the vote for itself waits to be handed over.
@@ -135,6 +137,7 @@
             membership: restore_membership(restored.membership, log),
             election_elapsed: 0,
             election_timeout: 0,
+            knew_leader: false,
             votes: BTreeMap::new(),
             vote_for_self_pending: false,
             leadership: None,
@@ -299,8 +302,15 @@
     }
 
     fn draw_election_timeout(&mut self) {
-        let shortest = self.settings.election_ticks;
-        self.election_timeout = self.random.random_range(shortest..shortest * 2);
+        let usual = self.settings.election_ticks;
+        // A member that has just started asks sooner: where all were restarted,
+        // nobody leads, and where somebody does, its voters refuse the question.
+        let range = if self.knew_leader {
+            usual..usual * 2
+        } else {
+            (usual / FIRST_ELECTION_PART).max(1)..usual.max(2)
+        };
+        self.election_timeout = self.random.random_range(range);
     }
 
     /// A damaged log must not vote. Raising the term makes a leader that
@@ -320,6 +330,9 @@
     }
 }
 
+/// A member that knows no leader yet stands from this part of the usual silence on.
+const FIRST_ELECTION_PART: u32 = 3;
+
 /// Collects the memberships that the log holds above its snapshot.
 fn restore_membership(initial: Membership, log: &dyn LogView) -> MembershipHistory {
     let snapshot = log.snapshot_meta();
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -71,6 +71,7 @@
         if self.role == Role::Leader {
             return false;
         }
+        self.knew_leader = true;
         if self.role != Role::Follower || self.leader != Some(leader) {
             self.become_follower(self.term, Some(leader));
         }
--- a/crates/relay/src/slots.rs
+++ b/crates/relay/src/slots.rs
@@ -286,7 +286,7 @@
     /// Takes the engines that are known now; each is coordinated by one gateway.
     pub(crate) fn set_engines(&self, engines: Vec<CoordinatedReplica>) {
         let now_ms = self.clock.now_ms();
-        let gateways = self.gateway.ready_machines();
+        let gateways = self.gateway.coordinators();
         let mut coordinators = HashMap::new();
         let mut coordinated = Vec::new();
         for engine in engines {
