--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_group::{CallFailure, GroupMember};
 use linnethitch_job_store::{
-    Dispatcher, JobStore, StoreAnswer, StoreCall, StoreCommand, StoreReply,
+    Dispatcher, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand, StoreReply,
 };
 use parking_lot::Mutex;
 
@@ -19,6 +19,7 @@
 /// Carries out the job store's calls.
 pub(crate) struct StoreService {
     dispatcher: Dispatcher,
+    gate: QueueGate,
     led: bool,
     /// Up to when this leader has counted the time; `None` before it leads.
     counted_ms: Option<u64>,
@@ -32,6 +33,7 @@
     pub(crate) fn new(kept_ms: u64, told: Arc<Mutex<Option<StoreGroupView>>>) -> Self {
         StoreService {
             dispatcher: Dispatcher::default(),
+            gate: QueueGate::default(),
             led: false,
             counted_ms: None,
             kept_ms,
@@ -67,6 +69,7 @@
         if !self.led {
             self.led = true;
             self.dispatcher = Dispatcher::begin(now.steady_ms);
+            self.gate = QueueGate::default();
         }
     }
 }
@@ -89,7 +92,14 @@
         let command = match call {
             StoreCall::Work { .. } => return Begin::Reply(self.work(member, call, now)),
             StoreCall::Results { .. } | StoreCall::Body { .. } => return Begin::Read,
-            StoreCall::Submit(job) => StoreCommand::Submit(job.clone()),
+            StoreCall::Submit { job, bound } => {
+                let is_leader = member.is_leader();
+                let bound = bound.as_ref();
+                if is_leader && !self.gate.admits(member.state(), job, bound, now.steady_ms) {
+                    return Begin::Reply(StoreReply::QueueFull);
+                }
+                StoreCommand::Submit(job.clone())
+            }
             StoreCall::Report { item, outcome } => StoreCommand::Report {
                 item: item.clone(),
                 outcome: outcome.clone(),
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -11,8 +11,13 @@
 /// A call of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum StoreCall {
-    /// Accept a job.
-    Submit(JobSpec),
+    /// Accept a job, if it fits.
+    Submit {
+        /// The job.
+        job: JobSpec,
+        /// Bound of what may wait on its route; `None` where there is none.
+        bound: Option<QueueBound>,
+    },
     /// A run of an item ended.
     Report {
         /// The item.
@@ -51,6 +56,25 @@
     },
 }
 
+/// Bound of the tokens of unfinished items on a route.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct QueueBound {
+    /// The host of the route.
+    pub host: String,
+    /// Its prefix of paths.
+    pub path_prefix: String,
+    /// Most tokens.
+    pub tokens: u64,
+}
+
+impl QueueBound {
+    /// Whether a job waits on the route.
+    #[must_use]
+    pub fn concerns(&self, job: &JobSpec) -> bool {
+        job.host.eq_ignore_ascii_case(&self.host) && job.path.starts_with(&self.path_prefix)
+    }
+}
+
 /// A result at its position.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ItemResult {
@@ -110,6 +134,8 @@
     TellAgain(Vec<ItemRef>),
     /// The machine asked does not lead; the leader's number if it is known.
     NotLeader(Option<u32>),
+    /// A job does not fit beside what waits on its route; nothing was done.
+    QueueFull,
     /// Nothing was done, and nothing will be.
     Refused,
     /// It may or may not have been done.
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -10,14 +10,16 @@
 mod dispatcher;
 mod job;
 mod progress;
+mod queue;
 mod snapshot;
 mod store;
 mod text;
 
-pub use call::{ItemResult, ItemWork, ResultsPage, StoreCall, StoreReply};
+pub use call::{ItemResult, ItemWork, QueueBound, ResultsPage, StoreCall, StoreReply};
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
 pub use dispatcher::{Dispatcher, LEASE_MS, SETTLE_MS};
 pub use job::{ItemSpec, Job, JobSpec, ListedState};
 pub use progress::{ItemProgress, MadeEvents};
+pub use queue::QueueGate;
 pub use snapshot::JobStoreSnapshot;
 pub use store::JobStore;
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -9,7 +9,7 @@
 use linnethitch_storage::SnapshotReader;
 
 use crate::{
-    call::{ItemResult, ResultsPage},
+    call::{ItemResult, QueueBound, ResultsPage},
     command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand},
     job::{Job, JobSpec, ListedState},
     progress::{ItemProgress, ProgressTable},
@@ -58,6 +58,15 @@
         results.map(|listed| listed.text.held_bytes()).sum()
     }
 
+    /// Tokens of items that are not listed, of open jobs on a route.
+    #[must_use]
+    pub fn waiting_tokens(&self, bound: &QueueBound) -> u64 {
+        let jobs = self.open_jobs().filter(|job| bound.concerns(&job.spec));
+        let items = jobs.flat_map(|job| &job.items);
+        let waiting = items.filter(|item| !item.listed);
+        waiting.map(|item| item.spec.tokens).sum()
+    }
+
     /// Bytes of text that are kept of unfinished items.
     #[must_use]
     pub fn progress_bytes(&self) -> u64 {
--- a/crates/job-store/tests/all/main.rs
+++ b/crates/job-store/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod dispatcher;
 mod layout;
 mod progress;
+mod queue;
 mod snapshots;
 mod store;
 mod support;
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -8,10 +8,12 @@
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{replica::ReplicaChange, routes::RouteTable};
+use crate::{first_layout::FirstCommand, replica::ReplicaChange, routes::RouteTable};
 
-/// Layout of commands that this build writes and reads.
-const COMMAND_LAYOUT: u8 = 1;
+/// Layout of route tables whose routes have a bound of queued tokens.
+const ROUTES_LAYOUT: u8 = 2;
+/// Layout of all other commands, and of the first route tables.
+pub(crate) const FIRST_LAYOUT: u8 = 1;
 
 /// A change of the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -39,7 +41,11 @@
     /// # Errors
     /// `Internal` when it cannot be encoded.
     pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-        stored::encode(COMMAND_LAYOUT, self)
+        let layout = match self {
+            RegistryCommand::PutRoutes { .. } => ROUTES_LAYOUT,
+            _ => FIRST_LAYOUT,
+        };
+        stored::encode(layout, self)
     }
 
     /// Reads a command of the log.
@@ -47,7 +53,11 @@
     /// # Errors
     /// `DataFolderRefused` when it is of another layout, `Corrupted`.
     pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        stored::decode(&[COMMAND_LAYOUT], bytes)
+        if stored::layout_of(bytes) == Some(FIRST_LAYOUT) {
+            let first: FirstCommand = stored::decode(&[FIRST_LAYOUT], bytes)?;
+            return Ok(first.into());
+        }
+        stored::decode(&[ROUTES_LAYOUT], bytes)
     }
 }
 
--- /dev/null
+++ b/crates/registry/src/first_layout.rs
@@ -0,0 +1,121 @@
+//! Stored values as the first layout holds them: routes had no bound of queued
+//! tokens. Read, never written.
+
+use linnethitch_protocol::ids::{LogIndex, MachineId, MemberId};
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    command::RegistryCommand,
+    registry::{RegistrySnapshot, StoreMembers},
+    replica::{ReplicaChange, ReplicaRecord},
+    routes::{Backend, CallerLimits, Route, RouteKind, RouteTable, ServiceTraits},
+};
+
+#[derive(Archive, Serialize, Deserialize)]
+struct FirstRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: RouteKind,
+    timeout_ms: u64,
+    target_ms: u64,
+    priority: u8,
+    backends: Vec<Backend>,
+    max_attempts: u32,
+    resumable: bool,
+    gap_target_ms: u64,
+    completion_ms: u64,
+    give_up_ms: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FirstRouteTable {
+    version: u64,
+    routes: Vec<FirstRoute>,
+    services: Vec<ServiceTraits>,
+    limits: CallerLimits,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) enum FirstCommand {
+    PutRoutes {
+        table: FirstRouteTable,
+        document: Vec<u8>,
+    },
+    Replica(ReplicaChange),
+    RemoveReplica(String),
+    FormStore(Vec<MemberId>),
+    RetireStore(MachineId),
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FirstSnapshot {
+    table: Option<FirstRouteTable>,
+    document: Vec<u8>,
+    table_at: LogIndex,
+    replicas: Vec<ReplicaRecord>,
+    store: StoreMembers,
+    store_at: LogIndex,
+    changed_at: LogIndex,
+}
+
+impl From<FirstRoute> for Route {
+    fn from(first: FirstRoute) -> Self {
+        Route {
+            name: first.name,
+            host: first.host,
+            path_prefix: first.path_prefix,
+            kind: first.kind,
+            timeout_ms: first.timeout_ms,
+            target_ms: first.target_ms,
+            priority: first.priority,
+            backends: first.backends,
+            max_attempts: first.max_attempts,
+            resumable: first.resumable,
+            gap_target_ms: first.gap_target_ms,
+            completion_ms: first.completion_ms,
+            give_up_ms: first.give_up_ms,
+            max_queued_tokens: 0,
+        }
+    }
+}
+
+impl From<FirstRouteTable> for RouteTable {
+    fn from(first: FirstRouteTable) -> Self {
+        RouteTable {
+            version: first.version,
+            routes: first.routes.into_iter().map(Route::from).collect(),
+            services: first.services,
+            limits: first.limits,
+        }
+    }
+}
+
+impl From<FirstCommand> for RegistryCommand {
+    fn from(first: FirstCommand) -> Self {
+        match first {
+            FirstCommand::PutRoutes { table, document } => RegistryCommand::PutRoutes {
+                table: table.into(),
+                document,
+            },
+            FirstCommand::Replica(change) => RegistryCommand::Replica(change),
+            FirstCommand::RemoveReplica(id) => RegistryCommand::RemoveReplica(id),
+            FirstCommand::FormStore(members) => RegistryCommand::FormStore(members),
+            FirstCommand::RetireStore(machine) => RegistryCommand::RetireStore(machine),
+        }
+    }
+}
+
+impl From<FirstSnapshot> for RegistrySnapshot {
+    fn from(first: FirstSnapshot) -> Self {
+        RegistrySnapshot {
+            table: first.table.map(RouteTable::from),
+            document: first.document,
+            table_at: first.table_at,
+            replicas: first.replicas,
+            store: first.store,
+            store_at: first.store_at,
+            changed_at: first.changed_at,
+        }
+    }
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,6 +7,7 @@
 //! any order, and never steps back.
 
 mod command;
+mod first_layout;
 mod node_list;
 mod registry;
 mod replica;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -13,7 +13,9 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
+    command::FIRST_LAYOUT,
     command::{RegistryAnswer, RegistryCommand},
+    first_layout::FirstSnapshot,
     replica::{ReplicaRecord, ReplicaState},
     routes::RouteTable,
     sequence,
@@ -41,19 +43,19 @@
     changed_at: LogIndex,
 }
 
-/// Layout of snapshots that this build writes and reads.
-const SNAPSHOT_LAYOUT: u8 = 1;
+/// Layout of snapshots that this build writes; the first one is still read.
+const SNAPSHOT_LAYOUT: u8 = 2;
 
 /// What a snapshot holds.
 #[derive(Archive, Serialize, Deserialize)]
-struct RegistrySnapshot {
-    table: Option<RouteTable>,
-    document: Vec<u8>,
-    table_at: LogIndex,
-    replicas: Vec<ReplicaRecord>,
-    store: StoreMembers,
-    store_at: LogIndex,
-    changed_at: LogIndex,
+pub(crate) struct RegistrySnapshot {
+    pub(crate) table: Option<RouteTable>,
+    pub(crate) document: Vec<u8>,
+    pub(crate) table_at: LogIndex,
+    pub(crate) replicas: Vec<ReplicaRecord>,
+    pub(crate) store: StoreMembers,
+    pub(crate) store_at: LogIndex,
+    pub(crate) changed_at: LogIndex,
 }
 
 impl Registry {
@@ -194,7 +196,7 @@
 
     fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
         let bytes = read_whole_snapshot(&content)?;
-        let snapshot: RegistrySnapshot = stored::decode(&[SNAPSHOT_LAYOUT], &bytes)?;
+        let snapshot = decode_snapshot(&bytes)?;
         let replicas = snapshot.replicas.into_iter();
         Ok(Registry {
             table: snapshot.table.map(Arc::new),
@@ -207,3 +209,11 @@
         })
     }
 }
+
+fn decode_snapshot(bytes: &[u8]) -> Result<RegistrySnapshot, Report<ErrorKind>> {
+    if stored::layout_of(bytes) != Some(FIRST_LAYOUT) {
+        return stored::decode(&[SNAPSHOT_LAYOUT], bytes);
+    }
+    let first: FirstSnapshot = stored::decode(&[FIRST_LAYOUT], bytes)?;
+    Ok(first.into())
+}
--- a/crates/registry/src/routes.rs
+++ b/crates/registry/src/routes.rs
@@ -53,6 +53,9 @@
     pub completion_ms: u64,
     /// Time after which an item of a job may be given up, in milliseconds; 0 for other kinds.
     pub give_up_ms: u64,
+    /// Tokens of accepted items that may wait on the route, of all callers together;
+    /// 0 where there is no bound.
+    pub max_queued_tokens: u64,
 }
 
 impl Route {
--- a/crates/registry/tests/all/registry.rs
+++ b/crates/registry/tests/all/registry.rs
@@ -107,11 +107,37 @@
     assert_eq!(read, command);
 }
 
+/// A route table as the first layout stores it: its routes have no bound of
+/// queued tokens.
+#[test]
+fn the_first_route_tables_stay_readable() {
+    let stored = "0173ffffffffffffff040000000000000072ffffffffffffff68ffffffffffffff2f612fffffffffff030000\
+     00000000000100000000000000020000000000000003000000bcffffff010000000500000001000000000000\
+     00060000000000000007000000000000000800000000000000646f6300000000000000000000000000030000\
+     000000000088ffffff01000000e0ffffff00000000090000000a0000000b000000000000000c000000000000\
+     00c0ffffff03000000";
+    let read = RegistryCommand::from_stored(&unhex(stored)).expect("it is read");
+    let RegistryCommand::PutRoutes { table, document } = read else {
+        panic!("it is a route table: {read:?}");
+    };
+    assert_eq!(document, b"doc");
+    assert_eq!(table.version, 3);
+    assert_eq!(table.limits.idle_ms, 12);
+    let route = &table.routes[0];
+    assert_eq!((route.path_prefix.as_str(), route.give_up_ms), ("/a/", 8));
+    assert_eq!(route.max_queued_tokens, 0);
+    let written = RegistryCommand::PutRoutes { table, document };
+    let bytes = written.to_stored().expect("it is encoded");
+    assert_eq!(bytes[0], 2);
+    let read = RegistryCommand::from_stored(&bytes).expect("it is read");
+    assert_eq!(read, written);
+}
+
 #[test]
 fn a_command_of_another_layout_is_refused_not_taken_for_damage() {
     let command = RegistryCommand::RemoveReplica("i-7".to_owned());
     let mut bytes = command.to_stored().expect("it is encoded");
-    bytes[0] = 2;
+    bytes[0] = 3;
     let refused = RegistryCommand::from_stored(&bytes).expect_err("it is refused");
     assert_eq!(*refused.current_context(), ErrorKind::DataFolderRefused);
 }
--- a/crates/registry/tests/all/support.rs
+++ b/crates/registry/tests/all/support.rs
@@ -43,6 +43,7 @@
         gap_target_ms: 0,
         completion_ms: 0,
         give_up_ms: 0,
+        max_queued_tokens: 0,
     }
 }
 
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -215,6 +215,7 @@
         gap_target_ms: 500,
         completion_ms: 0,
         give_up_ms: 0,
+        max_queued_tokens: 0,
     }
 }
 
