--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -46,6 +46,7 @@
             gateway,
             running,
             want,
+            item_ms,
         } = call
         else {
             return StoreReply::Refused;
@@ -58,7 +59,9 @@
         let stop = self
             .dispatcher
             .renew(store, gateway, running, now.steady_ms);
-        let begin = self.dispatcher.lease(store, gateway, *want, now.steady_ms);
+        let begin = self
+            .dispatcher
+            .lease(store, gateway, *want, *item_ms, now.steady_ms);
         StoreReply::Work { begin, stop }
     }
 }
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -53,6 +53,9 @@
         running: Vec<ItemRef>,
         /// Items that it can take besides.
         want: u32,
+        /// Time that a whole item has to run, as the gateway learned it, in
+        /// milliseconds; 0 where it does not know.
+        item_ms: u64,
     },
 }
 
--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -74,13 +74,14 @@
             .retain(|item, lease| lease.gateway != gateway || running.contains(item));
     }
 
-    /// Leases up to `want` items to a gateway: those due first, then late ones,
-    /// each job's in order.
+    /// Leases up to `want` items to a gateway: those due first, then those that
+    /// cannot be done in time, each job's in order. An item takes `item_ms`.
     pub fn lease(
         &mut self,
         store: &JobStore,
         gateway: &str,
         want: u32,
+        item_ms: u64,
         now_ms: u64,
     ) -> Vec<ItemWork> {
         if want == 0 || now_ms < self.settled_ms {
@@ -89,8 +90,12 @@
         self.leases.retain(|_, lease| lease.until_ms > now_ms);
         self.paused.retain(|_, until_ms| *until_ms > now_ms);
         let mut jobs: Vec<_> = store.open_jobs().collect();
-        // A late job is late whatever is done: it waits for those that are not.
-        jobs.sort_by_key(|job| (job.due_in_ms() == 0, job.due_in_ms(), job.number));
+        // A job that is late whatever is done waits for those that are not.
+        jobs.sort_by_key(|job| {
+            let due_in_ms = job.due_in_ms();
+            let is_late = due_in_ms == 0 || due_in_ms < item_ms;
+            (is_late, due_in_ms, job.number)
+        });
         let mut begin = Vec::new();
         for job in jobs {
             for (number, item) in job.items.iter().enumerate() {
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -105,6 +105,7 @@
         gateway: settings.name.clone(),
         running: items.running(),
         want,
+        item_ms: longest_item_ms(relay),
     };
     let reply = relay.shared.gateway.call_store(call, WORK_LIMIT).await;
     let StoreReply::Work { begin, stop } = reply else {
@@ -119,14 +120,30 @@
     }
 }
 
-fn wanted(relay: &Relay, most_items: u32, held: u32) -> u32 {
+/// Expected time of a whole item, of the service where it is longest.
+fn longest_item_ms(relay: &Relay) -> u64 {
+    let services = batch_services(relay);
+    let times = services.iter().map(|service| {
+        let pace = relay.shared.item_pace(service);
+        pace.left_ms(0)
+    });
+    times.max().unwrap_or(0)
+}
+
+fn batch_services(relay: &Relay) -> Vec<String> {
     let Some(table) = relay.table() else {
-        return 0;
+        return Vec::new();
     };
     let batch = table.routes.iter().filter(|r| r.kind == RouteKind::Batch);
-    let services = batch.flat_map(|route| route.backends.iter());
+    let backends = batch.flat_map(|route| route.backends.iter());
+    backends.map(|backend| backend.service.clone()).collect()
+}
+
+fn wanted(relay: &Relay, most_items: u32, held: u32) -> u32 {
+    let services = batch_services(relay);
     let free: u32 = services
-        .map(|backend| relay.shared.slots.free_for_items(&backend.service))
+        .iter()
+        .map(|service| relay.shared.slots.free_for_items(service))
         .max()
         .unwrap_or(0);
     most_items.saturating_sub(held).min(free).min(ITEMS_AT_ONCE)
@@ -269,7 +286,7 @@
             Exchange::Answered(opened) => {
                 let stopping = self.stopping.clone();
                 tokio::select! {
-                    end = self.read(*opened) => end,
+                    end = self.read(&service, *opened) => end,
                     () = slot.stop.cancelled() => self.give_way(&chosen.id),
                     () = stopping.cancelled() => RunEnd::GiveBack,
                 }
@@ -294,7 +311,11 @@
     /// Waits for a slot of a replica; not too long, since the route may change.
     async fn wait_for_slot(&mut self, service: &str) -> Option<(Chosen, ItemSlot)> {
         let avoid = self.tried.clone();
-        let mut slot = self.shared.slots.want_slot(service, self.due, avoid);
+        let left_ms = self.shared.item_pace(service).left_ms(self.made.events());
+        let now = Instant::now();
+        let time = self.due.saturating_duration_since(now);
+        let begin_by = now + time.saturating_sub(Duration::from_millis(left_ms));
+        let mut slot = self.shared.slots.want_slot(service, begin_by, avoid);
         let replica = timeout(SLOT_WAIT, slot.granted()).await.ok()??;
         let chosen = self.shared.chosen_at(&replica)?;
         Some((chosen, slot))
@@ -309,7 +330,7 @@
         RunEnd::GoOn
     }
 
-    async fn read(&mut self, mut opened: Opened) -> RunEnd {
+    async fn read(&mut self, service: &str, mut opened: Opened) -> RunEnd {
         let status = opened.response.status();
         if status.as_u16() == UNPROCESSABLE {
             return RunEnd::Outcome(ItemOutcome::Unprocessable);
@@ -319,7 +340,7 @@
                 failures_before: self.work.failures,
             });
         }
-        let whole = self.read_events(&mut opened).await;
+        let whole = self.read_events(service, &mut opened).await;
         if !whole {
             self.shared
                 .note_failure(&opened.replica, FailureKind::Broken);
@@ -332,20 +353,33 @@
         if opened.connection.is_usable_again().await {
             self.shared.connections.give_back(opened.connection);
         }
+        let events = self.made.events();
+        self.shared
+            .learn_item_pace(service, |pace| pace.note_item(events));
         RunEnd::Outcome(ItemOutcome::Succeeded(self.made.text()))
     }
 
     /// Whether the stream came to its whole end.
-    async fn read_events(&mut self, opened: &mut Opened) -> bool {
+    async fn read_events(&mut self, service: &str, opened: &mut Opened) -> bool {
+        let before = self.made.events();
+        let mut began = None;
         let body: &mut Incoming = opened.response.body_mut();
         loop {
             match timeout(SILENCE_LIMIT, body.frame()).await {
-                Ok(None) => return !self.splitter.has_partial(),
+                Ok(None) => {
+                    let events = self.made.events() - before;
+                    let took = began.map_or(Duration::ZERO, |began: Instant| began.elapsed());
+                    let took_ms = took.as_millis() as u64;
+                    self.shared
+                        .learn_item_pace(service, |pace| pace.note_run(events, took_ms));
+                    return !self.splitter.has_partial();
+                }
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
                     opened.running.first_event();
+                    began.get_or_insert_with(Instant::now);
                     let Some(events) = self.splitter.push(&data) else {
                         return false;
                     };
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use linnethitch_protocol::slots::SlotLoad;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -41,6 +42,24 @@
     end: RequestEnd,
 }
 
+/// What coordinated slots are used by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum SlotUse {
+    /// Every slot, free ones included.
+    All,
+    /// Online requests.
+    Online,
+    /// Batch items.
+    Items,
+    /// Online requests that wait for one.
+    Waiting,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SlotLabels {
+    used_by: SlotUse,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ItemLabels {
     end: ItemEnd,
@@ -58,6 +77,8 @@
     /// Connections opened to replicas.
     pub(crate) connections: Counter,
     first_event: Histogram,
+    slot_wait: Histogram,
+    slots: Family<SlotLabels, Gauge>,
     /// The version of the route table in force.
     pub(crate) table_version: Gauge,
     /// Replicas that may be given new work.
@@ -74,6 +95,8 @@
             resumes: Counter::default(),
             connections: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS),
+            slot_wait: Histogram::new(LATENCY_BUCKETS),
+            slots: Family::default(),
             table_version: Gauge::default(),
             ready_replicas: Gauge::default(),
         };
@@ -99,6 +122,12 @@
         let first_event = self.first_event.clone();
         let help = "Seconds from a request's arrival to the first byte of its answer";
         registry.register("relay_first_byte_seconds", help, first_event);
+        let slot_wait = self.slot_wait.clone();
+        let help = "Seconds from the search for a replica to the lease of a slot";
+        registry.register("relay_slot_wait_seconds", help, slot_wait);
+        let slots = self.slots.clone();
+        let help = "Slots that this gateway coordinates, by who has them; waiting requests";
+        registry.register("relay_coordinated_slots", help, slots);
         let version = self.table_version.clone();
         registry.register("relay_table_version", "Route table in force", version);
         let ready = self.ready_replicas.clone();
@@ -117,6 +146,25 @@
         self.items.get_or_create(&ItemLabels { end }).inc();
     }
 
+    pub(crate) fn slot_after(&self, time: Duration) {
+        self.slot_wait.observe(time.as_secs_f64());
+    }
+
+    /// Notes the slots that this gateway coordinates.
+    pub(crate) fn note_slots(&self, loads: &[SlotLoad]) {
+        let sum =
+            |count: fn(&SlotLoad) -> u16| loads.iter().map(|load| i64::from(count(load))).sum();
+        let uses: [(SlotUse, i64); 4] = [
+            (SlotUse::All, sum(|load| load.slots)),
+            (SlotUse::Online, sum(|load| load.online)),
+            (SlotUse::Items, sum(|load| load.items)),
+            (SlotUse::Waiting, sum(|load| load.waiting)),
+        ];
+        for (used_by, count) in uses {
+            self.slots.get_or_create(&SlotLabels { used_by }).set(count);
+        }
+    }
+
     pub(crate) fn first_byte_after(&self, time: Duration) {
         self.first_event.observe(time.as_secs_f64());
     }
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -49,6 +49,7 @@
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(ROUNDS_PER_TELLING) {
             shared.slots.tell_held();
+            shared.counters.note_slots(&shared.slots.own_loads());
         }
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -41,6 +41,8 @@
 /// begins within this, or within a multiple of the expected time.
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(900);
 const PATIENCE: f64 = 4.0;
+/// A wait for a slot that is longer than this is logged.
+const LONG_SLOT_WAIT: Duration = Duration::from_millis(100);
 /// Refusals by replicas after which a request is refused here.
 const MAX_REFUSALS: usize = 4;
 /// Frames of a stream that wait for a slow caller.
@@ -194,6 +196,7 @@
                 due: self.arrived + Duration::from_millis(self.route.target_ms),
                 until: self.until,
             };
+            let began = Instant::now();
             let Some(Placed { chosen, lease }) = search.run().await else {
                 if self.may_wait() {
                     sleep(LOOK_AGAIN_AFTER).await;
@@ -201,6 +204,7 @@
                 }
                 return self.give_up("no replica");
             };
+            self.note_slot(&chosen.id, began.elapsed());
             let limits = self.limits(chosen.expected_ms);
             let result = exchange(
                 self.shared,
@@ -284,6 +288,14 @@
             "ms" => self.arrived.elapsed().as_millis() as u64);
     }
 
+    /// Notes how long it was until the request had a slot.
+    fn note_slot(&self, replica: &str, took: Duration) {
+        self.shared.counters.slot_after(took);
+        if took > LONG_SLOT_WAIT {
+            self.log("waited for a slot", replica);
+        }
+    }
+
     /// Whether it may wait a little for a replica; it was not sent yet.
     fn may_wait(&self) -> bool {
         let wait = Duration::from_millis(self.route.target_ms) / WAIT_SHARE_OF_TARGET;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,8 +12,8 @@
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{FleetView, ReplicaState, Route, RouteTable};
 use linnethitch_routing::dispatch::{
-    Board, Chosen, CoordinatedReplica, FailureKind, Need, PromptPart, ReplicaTraits, ReportedLoad,
-    RunningWork, WeightedTurns, WorkKind,
+    Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, PromptPart, ReplicaTraits,
+    ReportedLoad, RunningWork, WeightedTurns, WorkKind,
 };
 use parking_lot::Mutex;
 use rand_pcg::{Pcg64Mcg, rand_core::SeedableRng};
@@ -43,6 +43,8 @@
     board: Mutex<Board>,
     random: Mutex<Pcg64Mcg>,
     turns: Mutex<HashMap<String, WeightedTurns>>,
+    /// How long items take, by service.
+    item_paces: Mutex<HashMap<String, ItemPace>>,
 }
 
 impl Shared {
@@ -65,6 +67,7 @@
             board: Mutex::new(Board::new(zone)),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
             turns: Mutex::default(),
+            item_paces: Mutex::default(),
         }
     }
 
@@ -137,6 +140,22 @@
         }
     }
 
+    /// How long a service's items take.
+    pub(crate) fn item_pace(&self, service: &str) -> ItemPace {
+        let paces = self.item_paces.lock();
+        paces.get(service).copied().unwrap_or_default()
+    }
+
+    /// Learns how long a service's items take.
+    pub(crate) fn learn_item_pace(&self, service: &str, learn: impl FnOnce(&mut ItemPace)) {
+        learn(
+            self.item_paces
+                .lock()
+                .entry(service.to_owned())
+                .or_default(),
+        );
+    }
+
     /// Own requests and items under way at a service.
     pub(crate) fn own_running(&self, service: &str) -> u32 {
         self.board.lock().own_running(service)
--- a/crates/relay/src/slots.rs
+++ b/crates/relay/src/slots.rs
@@ -389,6 +389,11 @@
         self.state.lock().coordinator.loads_beside(replica)
     }
 
+    /// Loads of all replicas that are coordinated here.
+    pub(crate) fn own_loads(&self) -> Vec<SlotLoad> {
+        self.state.lock().coordinator.all_loads()
+    }
+
     fn own_key(&self, number: u64) -> LeaseKey {
         LeaseKey {
             holder: self.own,
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod events;
 mod requests;
+mod slots;
 mod streams;
 mod support;
--- a/crates/routing/src/dispatch/coordinator.rs
+++ b/crates/routing/src/dispatch/coordinator.rs
@@ -110,7 +110,7 @@
     pub run: RunNumber,
     /// Its service.
     pub service: String,
-    /// When it is late.
+    /// When it has to begin to be done in time.
     pub due: Due,
     /// Replicas that failed it.
     pub avoid: Vec<String>,
@@ -123,10 +123,17 @@
     settled_ms: u64,
     /// Leases of online requests, and when they were last heard of.
     online: BTreeMap<LeaseKey, u64>,
-    items: BTreeMap<RunNumber, Due>,
+    items: BTreeMap<RunNumber, RunningItem>,
     queue: BTreeMap<LeaseKey, Due>,
 }
 
+/// An item that has a slot.
+#[derive(Clone, Copy, Debug)]
+struct RunningItem {
+    due: Due,
+    started_ms: u64,
+}
+
 impl ReplicaSlots {
     fn taken(&self) -> u32 {
         (self.online.len() + self.items.len()) as u32
@@ -144,10 +151,12 @@
         (self.online.len() as u32) < self.traits.slots
     }
 
-    /// Stops items until all fit into the slots: late ones first, then those due last.
-    fn stop_items(&mut self, now_ms: u64, actions: &mut Vec<SlotAction>) {
+    /// Stops items until all fit into the slots: first those that were too late
+    /// when they began, then those due last.
+    fn stop_items(&mut self, actions: &mut Vec<SlotAction>) {
         while self.taken() > self.traits.slots {
-            let last = self.items.iter().max_by_key(|(_, due)| due.turn(now_ms));
+            let items = self.items.iter();
+            let last = items.max_by_key(|(_, item)| item.due.turn(item.started_ms));
             let Some(run) = last.map(|(run, _)| *run) else {
                 return;
             };
@@ -158,7 +167,7 @@
 
     fn lease(&mut self, key: LeaseKey, now_ms: u64, actions: &mut Vec<SlotAction>) {
         self.online.insert(key, now_ms);
-        self.stop_items(now_ms, actions);
+        self.stop_items(actions);
     }
 
     /// Gives free slots to the online requests that wait.
@@ -338,7 +347,11 @@
             let Some(slots) = self.replicas.get_mut(&replica) else {
                 continue;
             };
-            slots.items.insert(run, due);
+            let item = RunningItem {
+                due,
+                started_ms: now_ms,
+            };
+            slots.items.insert(run, item);
             self.waiting.remove(&run);
             actions.push(SlotAction::Start { run, replica });
         }
@@ -375,6 +388,12 @@
         free.saturating_sub(waiting.count() as u32)
     }
 
+    /// Loads of every replica.
+    #[must_use]
+    pub fn all_loads(&self) -> Vec<SlotLoad> {
+        self.replicas.values().map(ReplicaSlots::load).collect()
+    }
+
     /// Loads of a service's replicas.
     #[must_use]
     pub fn loads(&self, service: &str) -> Vec<SlotLoad> {
