--- /dev/null
+++ b/crates/relay/src/item_run.rs
@@ -0,0 +1,297 @@
+//! One leased batch item: it runs on slots that online requests leave free, goes
+//! on after its last event, and ends with a report or is given back.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall};
+use linnethitch_registry::{Route, RouteKind};
+use linnethitch_routing::dispatch::{Chosen, FailureKind};
+use slog::info;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    counters::ItemEnd,
+    events::{EventSplitter, data_of},
+    exchange::{Exchange, Limits, Opened, Outgoing, exchange},
+    running_items::Made,
+    shared::Shared,
+    slots::ItemSlot,
+};
+
+/// Longest time for a report; the lease ends and the item runs again after it.
+const REPORT_LIMIT: Duration = Duration::from_secs(10);
+/// Longest silence of a replica in the middle of an item.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Longest wait for the first event.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_secs(6);
+/// Time given to a replica for an item.
+const ITEM_LIMIT: Duration = Duration::from_secs(60);
+/// Longest wait for a slot before the item is given back, so that another
+/// gateway goes on with it.
+const SLOT_WAIT: Duration = Duration::from_millis(400);
+/// Pause after a replica did not take an item.
+const NOT_TAKEN_PAUSE: Duration = Duration::from_millis(100);
+/// Status that says that an item can never be done.
+const UNPROCESSABLE: u16 = 422;
+
+/// One item while it runs.
+pub(crate) struct ItemRun {
+    shared: Arc<Shared>,
+    stopping: CancellationToken,
+    work: ItemWork,
+    splitter: EventSplitter,
+    made: Made,
+    /// Replicas that failed it.
+    tried: Vec<String>,
+    due: Instant,
+}
+
+/// How an item's task ended.
+pub(crate) enum ItemEnding {
+    /// Its outcome was reported.
+    Reported,
+    /// Another gateway goes on.
+    GivenBack,
+}
+
+/// How one send of an item ended.
+enum RunEnd {
+    Outcome(ItemOutcome),
+    /// It goes on at another replica after the last whole event.
+    GoOn,
+    /// It goes on at another gateway.
+    GiveBack,
+}
+
+impl ItemRun {
+    /// A run of leased work that goes on after what was made.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        stopping: CancellationToken,
+        work: ItemWork,
+        made: Made,
+    ) -> Self {
+        ItemRun {
+            shared,
+            stopping,
+            splitter: EventSplitter::default(),
+            made,
+            tried: Vec::new(),
+            due: Instant::now() + Duration::from_millis(work.due_in_ms),
+            work,
+        }
+    }
+
+    /// Runs it until it is done or has to be given back.
+    pub(crate) async fn run(mut self) -> ItemEnding {
+        let until = Instant::now() + ITEM_LIMIT;
+        while Instant::now() < until && !self.stopping.is_cancelled() {
+            match self.send_once(until).await {
+                RunEnd::GoOn => {}
+                RunEnd::GiveBack => break,
+                RunEnd::Outcome(outcome) => {
+                    self.report(outcome).await;
+                    return ItemEnding::Reported;
+                }
+            }
+        }
+        ItemEnding::GivenBack
+    }
+
+    async fn report(&self, outcome: ItemOutcome) {
+        let kind = match &outcome {
+            ItemOutcome::Succeeded(_) => "succeeded",
+            ItemOutcome::Unprocessable => "unprocessable",
+            ItemOutcome::Failed { .. } => "failed",
+            ItemOutcome::RouteRemoved => "route removed",
+        };
+        if kind != "succeeded" {
+            info!(self.shared.logger, "item: {}", kind; "item" => &self.work.spec.id,
+                "job" => &self.work.item.job, "failures" => self.work.failures);
+        }
+        let end = match &outcome {
+            ItemOutcome::Succeeded(_) => ItemEnd::Succeeded,
+            _ => ItemEnd::Failed,
+        };
+        self.shared.counters.item_ended(end);
+        let call = StoreCall::Report {
+            item: self.work.item.clone(),
+            outcome,
+        };
+        self.shared.gateway.call_store(call, REPORT_LIMIT).await;
+    }
+
+    /// The route as of now: a changed one holds for items too.
+    fn route(&self) -> Option<Route> {
+        let table = self.shared.table()?;
+        let route = table.find(&self.work.host, &self.work.spec.path)?;
+        (route.kind == RouteKind::Batch).then(|| route.clone())
+    }
+
+    async fn send_once(&mut self, until: Instant) -> RunEnd {
+        let Some(route) = self.route() else {
+            return RunEnd::Outcome(ItemOutcome::RouteRemoved);
+        };
+        let Some(service) = self.shared.pick_service(&route) else {
+            return RunEnd::GiveBack;
+        };
+        let Some(outgoing) = outgoing(&self.shared, &self.work) else {
+            return RunEnd::Outcome(ItemOutcome::Unprocessable);
+        };
+        let Some((chosen, slot)) = self.wait_for_slot(&service).await else {
+            return RunEnd::GiveBack;
+        };
+        let prompt = self.shared.dialect.prompt(&outgoing.headers);
+        let last_event = self.made.last_event();
+        let limits = Limits {
+            until,
+            head_until: until.min(Instant::now() + FIRST_EVENT_LIMIT),
+        };
+        let exchanged = exchange(
+            &self.shared,
+            &chosen,
+            &outgoing,
+            &prompt.parts,
+            None,
+            last_event,
+            limits,
+        );
+        let exchanged = tokio::select! {
+            exchanged = exchanged => exchanged,
+            () = slot.stop.cancelled() => return self.give_way(&chosen.id),
+            () = self.stopping.cancelled() => return RunEnd::GiveBack,
+        };
+        match exchanged {
+            Exchange::Answered(opened) => {
+                let stopping = self.stopping.clone();
+                tokio::select! {
+                    end = self.read(&service, *opened) => end,
+                    () = slot.stop.cancelled() => self.give_way(&chosen.id),
+                    () = stopping.cancelled() => RunEnd::GiveBack,
+                }
+            }
+            Exchange::NotRun(_) => {
+                self.tried.push(chosen.id);
+                sleep(NOT_TAKEN_PAUSE).await;
+                RunEnd::GoOn
+            }
+            Exchange::Unknown => {
+                self.tried.push(chosen.id);
+                RunEnd::GoOn
+            }
+            Exchange::TimedOut => {
+                self.shared.note_failure(&chosen.id, FailureKind::Broken);
+                self.tried.push(chosen.id);
+                RunEnd::GoOn
+            }
+        }
+    }
+
+    /// Waits for a slot of a replica; not too long, since the route may change.
+    async fn wait_for_slot(&mut self, service: &str) -> Option<(Chosen, ItemSlot)> {
+        let avoid = self.tried.clone();
+        let left_ms = self.shared.item_pace(service).left_ms(self.made.events());
+        let now = Instant::now();
+        let time = self.due.saturating_duration_since(now);
+        let begin_by = now + time.saturating_sub(Duration::from_millis(left_ms));
+        let mut slot = self.shared.slots.want_slot(service, begin_by, avoid);
+        let replica = timeout(SLOT_WAIT, slot.granted()).await.ok()??;
+        let chosen = self.shared.chosen_at(&replica)?;
+        Some((chosen, slot))
+    }
+
+    /// It goes on after its last whole event, once there is room.
+    fn give_way(&mut self, replica: &str) -> RunEnd {
+        self.shared.counters.item_ended(ItemEnd::Interrupted);
+        self.splitter.drop_partial();
+        info!(self.shared.logger, "item: gives way"; "item" => &self.work.spec.id,
+            "replica" => replica, "last_event" => self.made.last_event());
+        RunEnd::GoOn
+    }
+
+    async fn read(&mut self, service: &str, mut opened: Opened) -> RunEnd {
+        let status = opened.response.status();
+        if status.as_u16() == UNPROCESSABLE {
+            return RunEnd::Outcome(ItemOutcome::Unprocessable);
+        }
+        if !status.is_success() {
+            return RunEnd::Outcome(ItemOutcome::Failed {
+                failures_before: self.work.failures,
+            });
+        }
+        let whole = self.read_events(service, &mut opened).await;
+        if !whole {
+            self.shared
+                .note_failure(&opened.replica, FailureKind::Broken);
+            self.tried.push(opened.replica);
+            self.splitter.drop_partial();
+            return RunEnd::GoOn;
+        }
+        self.shared.note_success(&opened.replica);
+        drop(opened.running);
+        if opened.connection.is_usable_again().await {
+            self.shared.connections.give_back(opened.connection);
+        }
+        let events = self.made.events();
+        self.shared
+            .learn_item_pace(service, |pace| pace.note_item(events));
+        RunEnd::Outcome(ItemOutcome::Succeeded(self.made.text()))
+    }
+
+    /// Whether the stream came to its whole end.
+    async fn read_events(&mut self, service: &str, opened: &mut Opened) -> bool {
+        let before = self.made.events();
+        let mut began = None;
+        let body: &mut Incoming = opened.response.body_mut();
+        loop {
+            match timeout(SILENCE_LIMIT, body.frame()).await {
+                Ok(None) => {
+                    let events = self.made.events() - before;
+                    let took = began.map_or(Duration::ZERO, |began: Instant| began.elapsed());
+                    let took_ms = took.as_millis() as u64;
+                    self.shared
+                        .learn_item_pace(service, |pace| pace.note_run(events, took_ms));
+                    return !self.splitter.has_partial();
+                }
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    opened.running.first_event();
+                    began.get_or_insert_with(Instant::now);
+                    let Some(events) = self.splitter.push(&data) else {
+                        return false;
+                    };
+                    if !events.is_empty() {
+                        self.made.push(data_of(&events), self.splitter.last_id());
+                    }
+                }
+                Ok(Some(Err(_))) | Err(_) => return false,
+            }
+        }
+    }
+}
+
+fn outgoing(shared: &Shared, work: &ItemWork) -> Option<Outgoing> {
+    let names = shared.dialect.names();
+    let mut headers = HeaderMap::new();
+    for (name, value) in &work.spec.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    let request_id = HeaderValue::from_str(&work.spec.id).ok()?;
+    headers.insert(names.request_id.clone(), request_id.clone());
+    headers.insert(http::header::HOST, HeaderValue::from_str(&work.host).ok()?);
+    Some(Outgoing {
+        method: Method::POST,
+        uri: work.spec.path.parse::<Uri>().ok()?,
+        headers,
+        body: Bytes::from(work.spec.body.clone()),
+        request_id,
+    })
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod events;
 mod exchange;
 mod following;
+mod item_run;
 mod pump;
 mod relay;
 mod running_items;
--- /dev/null
+++ b/crates/relay/src/slots/coordination.rs
@@ -0,0 +1,175 @@
+//! What a gateway does as the coordinator of some engines' slots, and how it
+//! learns who coordinates the others.
+
+use std::collections::{BTreeMap, HashMap};
+
+use linnethitch_cluster::{GatewayNode, machine_of};
+use linnethitch_protocol::{
+    ids::MachineId,
+    slots::{HeldLease, SlotLoad, SlotMessage},
+};
+use linnethitch_routing::dispatch::{
+    Ask, CoordinatedReplica, Due, LeaseKey, SlotAction, coordinator_of,
+};
+
+use super::{Slots, State};
+
+impl Slots {
+    /// Takes the engines that are known now; each is coordinated by one gateway.
+    pub(crate) fn set_engines(&self, engines: Vec<CoordinatedReplica>) {
+        let now_ms = self.clock.now_ms();
+        let gateways = self.gateway.coordinators();
+        let mut coordinators = HashMap::new();
+        let mut coordinated = Vec::new();
+        for engine in engines {
+            let Some(coordinator) = coordinator_of(&engine.id, &gateways) else {
+                continue;
+            };
+            coordinators.insert(engine.id.clone(), coordinator);
+            if coordinator == self.own {
+                coordinated.push(engine);
+            }
+        }
+        let mut state = self.state.lock();
+        let has_moved = state.coordinators != coordinators;
+        state.coordinators = coordinators;
+        let mut actions = state.coordinator.set_replicas(coordinated, now_ms);
+        actions.extend(state.coordinator.tick(now_ms));
+        self.carry_out(&mut state, actions);
+        drop(state);
+        if has_moved {
+            self.tell_held();
+        }
+    }
+
+    /// Tells each coordinator which leases this gateway holds of it.
+    pub(crate) fn tell_held(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.lock();
+        let mut by_coordinator: BTreeMap<MachineId, Vec<HeldLease>> = BTreeMap::new();
+        let State {
+            held, coordinators, ..
+        } = &mut *state;
+        for (number, lease) in held {
+            if let Some(coordinator) = coordinators.get(&lease.replica) {
+                lease.coordinator = *coordinator;
+            }
+            let named = by_coordinator.entry(lease.coordinator).or_default();
+            named.push(HeldLease {
+                replica: lease.replica.clone(),
+                number: *number,
+            });
+        }
+        for (coordinator, leases) in by_coordinator {
+            if coordinator == self.own {
+                let actions = state.coordinator.note_held(self.own, &leases, now_ms);
+                self.carry_out(&mut state, actions);
+            } else {
+                self.send(coordinator, &SlotMessage::Held { leases });
+            }
+        }
+    }
+
+    /// Takes a datagram of another gateway; returns loads that it told.
+    pub(crate) fn take_message(&self, from: MachineId, message: SlotMessage) -> Vec<SlotLoad> {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.lock();
+        let actions = match message {
+            SlotMessage::Ask {
+                number,
+                replica,
+                due_in_ms,
+                mode,
+            } => {
+                let ask = Ask {
+                    key: LeaseKey {
+                        holder: from,
+                        number,
+                    },
+                    replica,
+                    due: Due {
+                        at_ms: now_ms + u64::from(due_in_ms),
+                    },
+                    mode,
+                };
+                state.coordinator.ask(ask, now_ms)
+            }
+            SlotMessage::Answer {
+                number,
+                verdict,
+                loads,
+            } => {
+                state.silent.remove(&from);
+                state.deliver(number, verdict);
+                return loads;
+            }
+            SlotMessage::End { number } => {
+                let key = LeaseKey {
+                    holder: from,
+                    number,
+                };
+                state.coordinator.end(key, now_ms)
+            }
+            SlotMessage::Held { leases } => state.coordinator.note_held(from, &leases, now_ms),
+        };
+        self.carry_out(&mut state, actions);
+        Vec::new()
+    }
+
+    /// Loads of the replicas that are coordinated here, beside one.
+    pub(crate) fn own_loads_beside(&self, replica: &str) -> Vec<SlotLoad> {
+        self.state.lock().coordinator.loads_beside(replica)
+    }
+
+    /// Loads of all replicas that are coordinated here.
+    pub(crate) fn own_loads(&self) -> Vec<SlotLoad> {
+        self.state.lock().coordinator.all_loads()
+    }
+
+    pub(super) fn carry_out(&self, state: &mut State, actions: Vec<SlotAction>) {
+        for action in actions {
+            match action {
+                SlotAction::Answer { key, verdict, .. } if key.holder == self.own => {
+                    state.deliver(key.number, verdict);
+                }
+                SlotAction::Answer {
+                    key,
+                    replica,
+                    verdict,
+                } => {
+                    let answer = SlotMessage::Answer {
+                        number: key.number,
+                        verdict,
+                        loads: state.coordinator.loads_beside(&replica),
+                    };
+                    self.send(key.holder, &answer);
+                }
+                SlotAction::Stop(run) => {
+                    if let Some(item) = state.runs.get(&run) {
+                        item.stop.cancel();
+                    }
+                }
+                SlotAction::Start { run, replica } => {
+                    let item = state.runs.get_mut(&run);
+                    if let Some(start) = item.and_then(|item| item.start.take()) {
+                        // Its task ends the run if it is gone.
+                        let _ = start.send(replica);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Takes the datagrams of other gateways; returns when there are none to come.
+pub(crate) async fn receive_slot_messages(
+    gateway: GatewayNode,
+    mut take: impl FnMut(MachineId, SlotMessage),
+) {
+    let Some(datagrams) = gateway.datagrams() else {
+        return;
+    };
+    while let Ok((from, message)) = datagrams.receive().await {
+        take(machine_of(*from.ip()), message);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/slots/items.rs
@@ -0,0 +1,94 @@
+//! Batch items that wait for a slot of the engines that are coordinated here, or
+//! have one.
+
+use std::sync::Arc;
+
+use linnethitch_routing::dispatch::{Due, RunNumber, WaitingItem};
+use tokio::{sync::oneshot, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+use super::Slots;
+
+/// A batch item that waits for a slot or has one, until this is dropped.
+pub(crate) struct ItemSlot {
+    slots: Arc<Slots>,
+    run: RunNumber,
+    /// Cancelled when the item is to stop.
+    pub(crate) stop: CancellationToken,
+    start: oneshot::Receiver<String>,
+}
+
+/// What an item's task is told.
+pub(super) struct ItemHandle {
+    pub(super) start: Option<oneshot::Sender<String>>,
+    pub(super) stop: CancellationToken,
+}
+
+impl Slots {
+    /// Lets an item wait for a slot of a service's replicas that are coordinated here.
+    pub(crate) fn want_slot(
+        self: &Arc<Self>,
+        service: &str,
+        due: Instant,
+        avoid: Vec<String>,
+    ) -> ItemSlot {
+        let due_in = due.saturating_duration_since(Instant::now());
+        let now_ms = self.clock.now_ms();
+        let (starter, start) = oneshot::channel();
+        let stop = CancellationToken::new();
+        let mut state = self.state.lock();
+        let run = RunNumber(state.next_number());
+        let held = ItemHandle {
+            start: Some(starter),
+            stop: stop.clone(),
+        };
+        state.runs.insert(run, held);
+        let item = WaitingItem {
+            run,
+            service: service.to_owned(),
+            due: Due {
+                at_ms: now_ms + due_in.as_millis() as u64,
+            },
+            avoid,
+        };
+        let actions = state.coordinator.want_slot(item, now_ms);
+        self.carry_out(&mut state, actions);
+        drop(state);
+        ItemSlot {
+            slots: Arc::clone(self),
+            run,
+            stop,
+            start,
+        }
+    }
+
+    fn item_ended(&self, run: RunNumber) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.lock();
+        state.runs.remove(&run);
+        let actions = state.coordinator.item_ended(run, now_ms);
+        self.carry_out(&mut state, actions);
+    }
+
+    /// Slots that further items of a service could have now.
+    pub(crate) fn free_for_items(&self, service: &str) -> u32 {
+        let now_ms = self.clock.now_ms();
+        self.state
+            .lock()
+            .coordinator
+            .free_for_items(service, now_ms)
+    }
+}
+
+impl ItemSlot {
+    /// Waits for a slot; returns its replica.
+    pub(crate) async fn granted(&mut self) -> Option<String> {
+        (&mut self.start).await.ok()
+    }
+}
+
+impl Drop for ItemSlot {
+    fn drop(&mut self) {
+        self.slots.item_ended(self.run);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/slots/mod.rs
@@ -0,0 +1,270 @@
+//! Leases of engines' slots: asked of each replica's coordinator, kept while a
+//! request runs, and given out here for the replicas that this gateway coordinates.
+
+mod coordination;
+mod items;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use linnethitch_cluster::{Clock, GatewayNode};
+use linnethitch_protocol::{
+    ids::MachineId,
+    slots::{AskMode, SlotMessage, Verdict},
+};
+use linnethitch_routing::dispatch::{Ask, Due, LeaseKey, RunNumber, SlotCoordinator};
+use parking_lot::Mutex;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout, timeout_at},
+};
+
+use self::items::ItemHandle;
+pub(crate) use self::{coordination::receive_slot_messages, items::ItemSlot};
+
+/// A coordinator that does not answer within this is not waited for.
+const SILENCE_LIMIT: Duration = Duration::from_millis(25);
+/// After that it is told of requests, but not waited for, for so long, in milliseconds.
+const SILENT_FOR_MS: u64 = 300;
+/// Verdicts on one ask.
+const VERDICTS: usize = 2;
+
+/// Slots of all engines, as this gateway asks for them and gives them out.
+pub(crate) struct Slots {
+    gateway: GatewayNode,
+    own: MachineId,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    coordinator: SlotCoordinator,
+    coordinators: HashMap<String, MachineId>,
+    /// Asks whose verdict is outstanding.
+    asks: HashMap<u64, mpsc::Sender<Verdict>>,
+    /// Leases of this gateway.
+    held: BTreeMap<u64, Held>,
+    runs: HashMap<RunNumber, ItemHandle>,
+    /// Coordinators that did not answer lately, and until when they are not waited for.
+    silent: HashMap<MachineId, u64>,
+    last_number: u64,
+}
+
+struct Held {
+    replica: String,
+    coordinator: MachineId,
+}
+
+/// How an ask for a slot came out.
+pub(crate) enum Asked {
+    /// The request may be sent.
+    Leased(SlotLease),
+    /// Online requests have every slot.
+    Full,
+}
+
+/// A lease of a slot, given back when this is dropped.
+pub(crate) struct SlotLease {
+    slots: Arc<Slots>,
+    /// `None` where nobody coordinates the replica.
+    number: Option<u64>,
+}
+
+impl Slots {
+    pub(crate) fn new(gateway: GatewayNode, first_number: u64) -> Self {
+        Slots {
+            own: gateway.machine(),
+            clock: gateway.clock(),
+            gateway,
+            state: Mutex::new(State {
+                last_number: first_number,
+                ..State::default()
+            }),
+        }
+    }
+
+    /// Asks for a slot of a replica, waiting no longer than until the given time.
+    pub(crate) async fn ask(
+        self: &Arc<Self>,
+        replica: &str,
+        due: Instant,
+        mode: AskMode,
+        wait_until: Instant,
+    ) -> Asked {
+        let (sender, mut verdicts) = mpsc::channel(VERDICTS);
+        let due_in = due.saturating_duration_since(Instant::now());
+        let Some((mut lease, is_silent)) = self.send_ask(replica, due_in, mode, sender) else {
+            return Asked::Leased(self.no_lease());
+        };
+        if is_silent || mode == AskMode::Take {
+            return Asked::Leased(lease);
+        }
+        let Ok(first) = timeout(SILENCE_LIMIT, verdicts.recv()).await else {
+            self.note_silence(&lease);
+            return Asked::Leased(lease);
+        };
+        match first {
+            Some(Verdict::Full) => {
+                lease.forget();
+                return Asked::Full;
+            }
+            Some(Verdict::Queued) => {}
+            Some(Verdict::Granted | Verdict::NotHere) | None => return Asked::Leased(lease),
+        }
+        let granted = timeout_at(wait_until, verdicts.recv()).await;
+        if granted.is_err() {
+            self.take(&lease);
+        }
+        Asked::Leased(lease)
+    }
+
+    fn no_lease(self: &Arc<Self>) -> SlotLease {
+        SlotLease {
+            slots: Arc::clone(self),
+            number: None,
+        }
+    }
+
+    /// The lease, and whether its coordinator is known to be silent.
+    fn send_ask(
+        self: &Arc<Self>,
+        replica: &str,
+        due_in: Duration,
+        mode: AskMode,
+        verdicts: mpsc::Sender<Verdict>,
+    ) -> Option<(SlotLease, bool)> {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.lock();
+        let coordinator = *state.coordinators.get(replica)?;
+        let number = state.next_number();
+        state.asks.insert(number, verdicts);
+        let held = Held {
+            replica: replica.to_owned(),
+            coordinator,
+        };
+        state.held.insert(number, held);
+        let due_in_ms = due_in.as_millis() as u64;
+        self.ask_coordinator(&mut state, number, due_in_ms, mode);
+        let is_silent = state.is_silent(coordinator, now_ms);
+        let lease = SlotLease {
+            slots: Arc::clone(self),
+            number: Some(number),
+        };
+        Some((lease, is_silent))
+    }
+
+    fn ask_coordinator(&self, state: &mut State, number: u64, due_in_ms: u64, mode: AskMode) {
+        let Some(held) = state.held.get(&number) else {
+            return;
+        };
+        let replica = held.replica.clone();
+        if held.coordinator == self.own {
+            let now_ms = self.clock.now_ms();
+            let ask = Ask {
+                key: self.own_key(number),
+                replica,
+                due: Due {
+                    at_ms: now_ms + due_in_ms,
+                },
+                mode,
+            };
+            let actions = state.coordinator.ask(ask, now_ms);
+            self.carry_out(state, actions);
+            return;
+        }
+        let ask = SlotMessage::Ask {
+            number,
+            replica,
+            due_in_ms: due_in_ms.min(u64::from(u32::MAX)) as u32,
+            mode,
+        };
+        self.send(held.coordinator, &ask);
+    }
+
+    /// The request is sent although no slot is free; its coordinator counts it.
+    fn take(&self, lease: &SlotLease) {
+        if let Some(number) = lease.number {
+            let mut state = self.state.lock();
+            self.ask_coordinator(&mut state, number, 0, AskMode::Take);
+        }
+    }
+
+    fn note_silence(&self, lease: &SlotLease) {
+        let mut state = self.state.lock();
+        let held = lease.number.and_then(|number| state.held.get(&number));
+        if let Some(coordinator) = held.map(|held| held.coordinator) {
+            let until_ms = self.clock.now_ms() + SILENT_FOR_MS;
+            state.silent.insert(coordinator, until_ms);
+        }
+    }
+
+    fn give_back(&self, number: u64) {
+        let mut state = self.state.lock();
+        state.asks.remove(&number);
+        let Some(held) = state.held.remove(&number) else {
+            return;
+        };
+        if held.coordinator == self.own {
+            let now_ms = self.clock.now_ms();
+            let actions = state.coordinator.end(self.own_key(number), now_ms);
+            self.carry_out(&mut state, actions);
+        } else {
+            self.send(held.coordinator, &SlotMessage::End { number });
+        }
+    }
+
+    fn own_key(&self, number: u64) -> LeaseKey {
+        LeaseKey {
+            holder: self.own,
+            number,
+        }
+    }
+
+    fn send(&self, to: MachineId, message: &SlotMessage) {
+        if let Some(datagrams) = self.gateway.datagrams() {
+            datagrams.send(self.gateway.datagram_address(to), message);
+        }
+    }
+}
+
+impl State {
+    fn next_number(&mut self) -> u64 {
+        self.last_number = self.last_number.wrapping_add(1);
+        self.last_number
+    }
+
+    fn deliver(&mut self, number: u64, verdict: Verdict) {
+        if let Some(ask) = self.asks.get(&number) {
+            // An asker that no longer waits ends its lease itself.
+            let _ = ask.try_send(verdict);
+        }
+    }
+
+    fn is_silent(&self, coordinator: MachineId, now_ms: u64) -> bool {
+        let until_ms = self.silent.get(&coordinator);
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+    }
+}
+
+impl SlotLease {
+    /// There is nothing to give back.
+    fn forget(&mut self) {
+        if let Some(number) = self.number.take() {
+            let mut state = self.slots.state.lock();
+            state.asks.remove(&number);
+            state.held.remove(&number);
+        }
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        if let Some(number) = self.number {
+            self.slots.give_back(number);
+        }
+    }
+}
--- a/crates/routing/src/dispatch/coordinator.rs
+++ b/crates/routing/src/dispatch/coordinator/mod.rs
@@ -10,6 +10,9 @@
 //! Nothing here reads a clock or a socket: callers pass the time, steady and in
 //! milliseconds, and carry out the returned [`SlotAction`]s.
 
+mod replica_slots;
+mod types;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethitch_protocol::{
@@ -17,6 +20,9 @@
     slots::{AskMode, HeldLease, SlotLoad, Verdict},
 };
 
+use self::replica_slots::{ReplicaSlots, RunningItem, answer};
+pub use self::types::{Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, WaitingItem};
+
 /// A new coordinator begins no items until every gateway has had time to say
 /// which slots it holds, in milliseconds.
 const SETTLE_MS: u64 = 250;
@@ -26,183 +32,6 @@
 /// in milliseconds.
 const YOUNG_MS: u64 = 400;
 
-/// A lease of a slot: its holder and the holder's number of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LeaseKey {
-    /// The gateway.
-    pub holder: MachineId,
-    /// Its number of the lease.
-    pub number: u64,
-}
-
-/// The number of a batch item's run, unique in this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RunNumber(pub u64);
-
-/// When work is due. Work that is late waits for what can still be on time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Due {
-    /// The time at which it is late, in milliseconds.
-    pub at_ms: u64,
-}
-
-impl Due {
-    /// Its place among others that wait: those on time by their due times, then
-    /// late ones by the same.
-    fn turn(self, now_ms: u64) -> (bool, u64) {
-        (self.at_ms <= now_ms, self.at_ms)
-    }
-}
-
-/// What a replica is, as its coordinator needs it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CoordinatedReplica {
-    /// The incarnation.
-    pub id: String,
-    /// Its service.
-    pub service: String,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Whether it may be given new work.
-    pub open: bool,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SlotAction {
-    /// Answer the holder of a lease.
-    Answer {
-        /// The lease.
-        key: LeaseKey,
-        /// The replica.
-        replica: String,
-        /// What was decided.
-        verdict: Verdict,
-    },
-    /// Stop an item's run; its slot is given to another.
-    Stop(RunNumber),
-    /// Begin an item's run at a replica.
-    Start {
-        /// The run that waited.
-        run: RunNumber,
-        /// The replica.
-        replica: String,
-    },
-}
-
-/// An online request that wants a slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The lease that it would have.
-    pub key: LeaseKey,
-    /// The replica.
-    pub replica: String,
-    /// When it is late.
-    pub due: Due,
-    /// What happens when no slot is free.
-    pub mode: AskMode,
-}
-
-/// A batch item that wants a slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WaitingItem {
-    /// Its run.
-    pub run: RunNumber,
-    /// Its service.
-    pub service: String,
-    /// When it has to begin to be done in time.
-    pub due: Due,
-    /// Replicas that failed it.
-    pub avoid: Vec<String>,
-}
-
-#[derive(Clone, Debug)]
-struct ReplicaSlots {
-    traits: CoordinatedReplica,
-    /// When items may begin.
-    settled_ms: u64,
-    /// Leases of online requests, and when they were last heard of.
-    online: BTreeMap<LeaseKey, u64>,
-    items: BTreeMap<RunNumber, RunningItem>,
-    queue: BTreeMap<LeaseKey, Due>,
-}
-
-/// An item that has a slot.
-#[derive(Clone, Copy, Debug)]
-struct RunningItem {
-    due: Due,
-    started_ms: u64,
-}
-
-impl ReplicaSlots {
-    fn taken(&self) -> u32 {
-        (self.online.len() + self.items.len()) as u32
-    }
-
-    fn free(&self) -> u32 {
-        self.traits.slots.saturating_sub(self.taken())
-    }
-
-    fn may_begin_items(&self, now_ms: u64) -> bool {
-        self.traits.open && self.settled_ms <= now_ms
-    }
-
-    fn has_online_slot(&self) -> bool {
-        (self.online.len() as u32) < self.traits.slots
-    }
-
-    /// Stops items until all fit into the slots: first those that were too late
-    /// when they began, then those due last.
-    fn stop_items(&mut self, actions: &mut Vec<SlotAction>) {
-        while self.taken() > self.traits.slots {
-            let items = self.items.iter();
-            let last = items.max_by_key(|(_, item)| item.due.turn(item.started_ms));
-            let Some(run) = last.map(|(run, _)| *run) else {
-                return;
-            };
-            self.items.remove(&run);
-            actions.push(SlotAction::Stop(run));
-        }
-    }
-
-    fn lease(&mut self, key: LeaseKey, now_ms: u64, actions: &mut Vec<SlotAction>) {
-        self.online.insert(key, now_ms);
-        self.stop_items(actions);
-    }
-
-    /// Gives free slots to the online requests that wait.
-    fn serve_queue(&mut self, now_ms: u64, actions: &mut Vec<SlotAction>) {
-        while self.has_online_slot() {
-            let next = self.queue.iter().min_by_key(|(_, due)| due.turn(now_ms));
-            let Some(key) = next.map(|(key, _)| *key) else {
-                return;
-            };
-            self.queue.remove(&key);
-            self.lease(key, now_ms, actions);
-            actions.push(answer(&self.traits.id, key, Verdict::Granted));
-        }
-    }
-
-    fn load(&self) -> SlotLoad {
-        let count = |number: usize| number.min(usize::from(u16::MAX)) as u16;
-        SlotLoad {
-            replica: self.traits.id.clone(),
-            slots: count(self.traits.slots as usize),
-            online: count(self.online.len()),
-            items: count(self.items.len()),
-            waiting: count(self.queue.len()),
-        }
-    }
-}
-
-fn answer(replica: &str, key: LeaseKey, verdict: Verdict) -> SlotAction {
-    SlotAction::Answer {
-        key,
-        replica: replica.to_owned(),
-        verdict,
-    }
-}
-
 /// Slots of the replicas that this gateway coordinates.
 #[derive(Clone, Debug, Default)]
 pub struct SlotCoordinator {
