--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -64,9 +64,7 @@
             .lease(store, gateway, *want, *item_ms, now.steady_ms);
         StoreReply::Work { begin, stop }
     }
-}
 
-impl StoreService {
     /// Begins to lead, if it does not yet.
     fn lead(&mut self, now: Now) {
         if !self.led {
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -5,6 +5,7 @@
 
 use linnethitch_job_store::{ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::RouteKind;
+use linnethitch_routing::dispatch::{WorkRhythm, WorkState};
 use slog::info;
 use tokio::time::sleep;
 
@@ -23,11 +24,8 @@
     pub most_items: u32,
 }
 
-/// Shortest pause between two calls for work.
+/// Pause between two looks at what to call the job store for.
 const WORK_INTERVAL: Duration = Duration::from_millis(150);
-/// Pauses after which leases are renewed and progress is told, also where no
-/// further item is wanted.
-const PAUSES_PER_RENEWAL: u32 = 3;
 /// Items asked for at once, so that gateways share a heap.
 const ITEMS_AT_ONCE: u32 = 12;
 /// Longest time for a call for work.
@@ -36,10 +34,9 @@
 /// Runs items until the process stops. What runs then is given back.
 pub async fn run_items(relay: Relay, settings: BatchSettings) {
     let running = RunningItems::default();
-    let mut pauses = 0;
+    let mut rhythm = WorkRhythm::default();
     loop {
         sleep(WORK_INTERVAL).await;
-        pauses += 1;
         let is_stopping = relay.is_stopping();
         if is_stopping && running.is_empty() {
             return;
@@ -49,12 +46,16 @@
         } else {
             wanted(&relay, settings.most_items, running.len() as u32)
         };
-        let is_due = pauses >= PAUSES_PER_RENEWAL && !running.is_empty();
-        if is_due || is_stopping || running.has_given_back() {
+        let calls = rhythm.after_pause(WorkState {
+            wanted: want,
+            holds_items: !running.is_empty(),
+            gave_back: running.has_given_back(),
+            stops: is_stopping,
+        });
+        if calls.tell_progress {
             tell_progress(&relay, &running).await;
         }
-        if want > 0 || is_due || is_stopping {
-            pauses = 0;
+        if calls.ask_for_work {
             call_for_work(&relay, &settings, &running, want).await;
         }
     }
--- a/crates/routing/src/dispatch/coordinator/mod.rs
+++ b/crates/routing/src/dispatch/coordinator/mod.rs
@@ -126,7 +126,11 @@
                 holder,
                 number: lease.number,
             };
-            if let Some(replica) = self.replicas.get_mut(&lease.replica) {
+            let Some(replica) = self.replicas.get_mut(&lease.replica) else {
+                continue;
+            };
+            // An ask that still waits here is named too; it has no slot yet.
+            if !replica.queue.contains_key(&key) {
                 replica.lease(key, now_ms, &mut actions);
             }
         }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod rendezvous;
 mod replica;
 mod weights;
+mod work_calls;
 
 pub use board::{Board, Chosen, Need};
 pub use coordinator::{
@@ -23,3 +24,4 @@
 pub use rendezvous::coordinator_of;
 pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork, WorkKind};
 pub use weights::WeightedTurns;
+pub use work_calls::{WorkCalls, WorkRhythm, WorkState};
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -227,6 +227,19 @@
     assert_eq!(actions, [answer(2, "r0", verdict)]);
 }
 
+/// The failure this is for: a gateway names asks that still wait beside its
+/// leases; they were counted as holding slots, and nobody was served.
+#[test]
+fn an_ask_that_is_named_while_it_waits_holds_no_slot() {
+    let mut coordinator = coordinator(1, 1);
+    coordinator.ask(ask(1, "r0", 300, AskMode::Probe), 0);
+    coordinator.ask(ask(2, "r0", 9_000, AskMode::Wait), 0);
+    let named = [held("r0", 1), held("r0", 2)];
+    assert!(coordinator.note_held(MachineId(1), &named, 500).is_empty());
+    let actions = coordinator.end(key(1, 1), 510);
+    assert_eq!(actions, [answer(2, "r0", Verdict::Granted)]);
+}
+
 #[test]
 fn a_lease_of_a_silent_gateway_ends() {
     let mut coordinator = coordinator(1, 1);
@@ -442,9 +455,8 @@
         if let Some(first) = first.filter(|_| !all) {
             self.online.remove(&first);
         }
-        let leases: Vec<HeldLease> = self
-            .online
-            .iter()
+        let named = self.online.iter().chain(&self.queued);
+        let leases: Vec<HeldLease> = named
             .map(|(number, replica)| held(replica, *number))
             .collect();
         self.coordinator
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -11,4 +11,5 @@
 mod reason;
 mod retry;
 mod router;
+mod work_calls;
 mod yielding;
