--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -11,7 +11,7 @@
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
 use linnethitch_registry::{
-    RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaState, RouteTable,
+    FleetUpdate, RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaState, RouteTable,
 };
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
@@ -24,11 +24,12 @@
     client::GroupClient,
     clock::Clock,
     driver::{self, GroupHandle},
-    incoming::{Answers, Inbound, PulseSource},
+    incoming::{Answers, Inbound},
     links::Links,
-    message::{CallBody, NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply, ReplyBody},
+    message::{CallBody, NodeMessage, NodeRole, RegistryCall, RegistryReply, ReplyBody},
     node::{self, NodeBase, NodeSettings},
     presence::Presence,
+    pulse::{PresentFleet, PulseSource},
     registry_service::{RegistryService, RegistryShared, RegistryView},
 };
 
@@ -283,12 +284,14 @@
     }
 
     fn pulse_source(&self, own: MachineId) -> PulseSource {
-        let shared = Arc::clone(&self.shared);
         let clock = self.clock;
-        PulseSource {
-            changes: self.shared.changes.subscribe(),
-            pulse: Arc::new(move |since| pulse(&shared, own, since, clock.now_ms())),
-        }
+        let for_present = Arc::clone(&self.shared);
+        let for_update = Arc::clone(&self.shared);
+        PulseSource::new(
+            self.shared.changes.subscribe(),
+            move || present_fleet(&for_present, own, clock.now_ms()),
+            move |since| update_since(&for_update, since),
+        )
     }
 
     async fn take_messages(self, mut inbox: mpsc::Receiver<Inbound>) {
@@ -373,20 +376,28 @@
     }
 }
 
-fn pulse(shared: &RegistryShared, own: MachineId, since: LogIndex, now_ms: u64) -> Pulse {
+fn update_since(shared: &RegistryShared, since: LogIndex) -> Option<FleetUpdate> {
+    let view = Arc::clone(&shared.view.lock());
+    let has_news = view.is_current && view.registry.changed_at() > since;
+    has_news.then(|| view.registry.update_since(since))
+}
+
+fn present_fleet(shared: &RegistryShared, own: MachineId, now_ms: u64) -> PresentFleet {
     let view = Arc::clone(&shared.view.lock());
     let presence = shared.presence.lock();
     let mut control: BTreeSet<MachineId> = view.members.iter().copied().collect();
     control.extend(presence.control(now_ms));
     control.insert(own);
-    let has_news = view.is_current && view.registry.changed_at() > since;
-    let update = has_news.then(|| view.registry.update_since(since));
-    Pulse {
-        control: control.into_iter().collect(),
-        stores: presence.stores(now_ms),
-        gateways: (now_ms >= HEARD_OF_ALL_MS).then(|| presence.gateways().ready(now_ms)),
-        coordinators: Some(presence.coordinators(now_ms)),
-        update,
+    let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
+    let store_group = presence.store_group();
+    PresentFleet {
+        control,
+        stores: presence.stores(now_ms).into_iter().collect(),
+        store_members: store_group
+            .map(|group| group.machines.iter().copied().collect())
+            .unwrap_or_default(),
+        gateways: heard_of_all.then(|| presence.gateways().ready(now_ms).into_iter().collect()),
+        coordinators: presence.coordinators(now_ms).into_iter().collect(),
     }
 }
 
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -1,12 +1,7 @@
 //! A gateway as the other nodes see it: it learns the fleet from control and
 //! calls the job store.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddrV4,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::SlotMessage};
@@ -26,14 +21,11 @@
     links::Links,
     message::{NodeMessage, NodeRole, Pulse},
     node::{NodeBase, NodeSettings, address_of},
+    told_fleet::ToldFleet,
 };
 
 /// How often links are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// A machine that no pulse has named for so long is no longer linked to.
-const FORGOTTEN_MS: u64 = 10_000;
-/// What a control machine told counts for this long.
-const TOLD_VALID_MS: u64 = 3_000;
 
 /// A running gateway. Clones share it.
 #[derive(Clone)]
@@ -44,10 +36,9 @@
     own: MachineId,
     port: u16,
     datagrams: Option<Datagrams<SlotMessage>>,
-    control: Arc<Mutex<BTreeMap<MachineId, u64>>>,
-    /// What each control machine told last of the gateways.
-    gateways: Arc<Mutex<BTreeMap<MachineId, ToldGateways>>>,
-    coordinators: Arc<Mutex<ToldCoordinators>>,
+    told: Arc<Mutex<ToldFleet>>,
+    /// Gateways that coordinate slots, in a fixed order.
+    coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
     clock: Clock,
 }
 
@@ -65,15 +56,13 @@
             own: settings.machine(),
             port: settings.port,
             datagrams: bind_datagrams(settings),
-            control: Arc::default(),
-            gateways: Arc::default(),
+            told: Arc::default(),
             coordinators: Arc::default(),
             clock: base.clock,
         };
         let learner = Learner {
             gateway: gateway.clone(),
             seeds: settings.seed_machines(),
-            stores: BTreeMap::new(),
             fleet: FleetView::default(),
             teller,
             logger: settings.logger.clone(),
@@ -103,7 +92,7 @@
     /// Gateways that coordinate slots, in a fixed order, as control told lately.
     #[must_use]
     pub fn coordinators(&self) -> Arc<Vec<MachineId>> {
-        Arc::clone(&self.coordinators.lock().merged)
+        Arc::clone(&self.coordinators.lock())
     }
 
     /// Tells control that this gateway stops: others coordinate its slots.
@@ -127,21 +116,10 @@
     /// that it told last.
     #[must_use]
     pub fn gateways_near(&self, region: &str, zone: &str, most: usize) -> Vec<String> {
-        let known: Vec<DirectoryNode> = self.known_gateways().into_iter().collect();
+        let known: Vec<DirectoryNode> = self.told.lock().gateways().into_iter().collect();
         near(&known, region, zone, most)
     }
 
-    /// What any control machine told lately; one that is cut off from some
-    /// gateways does not know all.
-    fn known_gateways(&self) -> BTreeSet<DirectoryNode> {
-        let now_ms = self.clock.now_ms();
-        let told = self.gateways.lock();
-        let newest_ms = told.values().map(|told| told.at_ms).max().unwrap_or(0);
-        let valid_from = now_ms.saturating_sub(TOLD_VALID_MS).min(newest_ms);
-        let recent = told.values().filter(|told| told.at_ms >= valid_from);
-        recent.flat_map(|told| told.nodes.iter().cloned()).collect()
-    }
-
     /// Tells control whether callers may come here.
     pub fn set_ready(&self, ready: bool) {
         self.links.say(|hello| hello.ready = ready);
@@ -171,45 +149,10 @@
     }
 }
 
-/// Ready gateways as one control machine told them.
-struct ToldGateways {
-    nodes: Vec<DirectoryNode>,
-    /// When it was last heard of.
-    at_ms: u64,
-}
-
-/// Gateways that coordinate slots, as control told.
-#[derive(Default)]
-struct ToldCoordinators {
-    by_control: BTreeMap<MachineId, ToldMachines>,
-    /// Those that any control machine told lately.
-    merged: Arc<Vec<MachineId>>,
-}
-
-#[derive(Default)]
-struct ToldMachines {
-    machines: Vec<MachineId>,
-    /// When the control machine was last heard of.
-    at_ms: u64,
-}
-
-impl ToldCoordinators {
-    fn merge(&mut self, now_ms: u64) {
-        let valid_from = now_ms.saturating_sub(TOLD_VALID_MS);
-        let told = self.by_control.values();
-        let recent = told.filter(|told| told.at_ms >= valid_from);
-        let merged: BTreeSet<MachineId> = recent.flat_map(|told| &told.machines).copied().collect();
-        if !self.merged.iter().eq(merged.iter()) {
-            self.merged = Arc::new(merged.into_iter().collect());
-        }
-    }
-}
-
 /// Takes what control tells.
 struct Learner {
     gateway: GatewayNode,
     seeds: Vec<MachineId>,
-    stores: BTreeMap<MachineId, u64>,
     fleet: FleetView,
     teller: watch::Sender<Arc<FleetView>>,
     logger: Logger,
@@ -220,7 +163,10 @@
         let mut ticks = interval(UPKEEP_INTERVAL);
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.keep_links(),
+                _ = ticks.tick() => {
+                    self.keep_links();
+                    self.note_coordinators();
+                }
                 inbound = inbox.recv() => match inbound {
                     Some(Inbound::Message { from, message: NodeMessage::Pulse(pulse), .. }) => {
                         self.take(from, pulse);
@@ -232,23 +178,16 @@
         }
     }
 
-    fn take(&mut self, from: MachineId, pulse: Pulse) {
+    fn take(&mut self, from: MachineId, mut pulse: Pulse) {
         let now_ms = self.gateway.clock.now_ms();
-        self.take_gateways(from, pulse.gateways, now_ms);
-        self.take_coordinators(from, pulse.coordinators, now_ms);
-        let mut is_news = false;
-        {
-            let mut control = self.gateway.control.lock();
-            for machine in pulse.control {
-                is_news |= control.insert(machine, now_ms).is_none();
-            }
-        }
-        for store in pulse.stores {
-            is_news |= self.stores.insert(store.machine, now_ms).is_none();
-        }
-        if is_news {
+        let has_coordinators = pulse.coordinators.is_some();
+        let names_others = self.gateway.told.lock().take(from, &mut pulse, now_ms);
+        if names_others {
             self.keep_links();
         }
+        if has_coordinators {
+            self.note_coordinators();
+        }
         let Some(update) = pulse.update else {
             return;
         };
@@ -262,43 +201,22 @@
         }
     }
 
-    fn take_gateways(&self, from: MachineId, nodes: Option<Vec<DirectoryNode>>, now_ms: u64) {
-        let mut told = self.gateway.gateways.lock();
-        match (told.get_mut(&from), nodes) {
-            (Some(held), nodes) => {
-                held.at_ms = now_ms;
-                held.nodes = nodes.unwrap_or_else(|| std::mem::take(&mut held.nodes));
-            }
-            (None, Some(nodes)) => {
-                let at_ms = now_ms;
-                told.insert(from, ToldGateways { nodes, at_ms });
-            }
-            (None, None) => {}
+    fn note_coordinators(&self) {
+        let told = self.gateway.told.lock().coordinators();
+        let mut held = self.gateway.coordinators.lock();
+        if !held.iter().eq(&told) {
+            *held = Arc::new(told.into_iter().collect());
         }
     }
 
-    fn take_coordinators(&self, from: MachineId, list: Option<Vec<MachineId>>, now_ms: u64) {
-        let mut told = self.gateway.coordinators.lock();
-        let held = told.by_control.entry(from).or_default();
-        held.at_ms = now_ms;
-        held.machines = list.unwrap_or_else(|| std::mem::take(&mut held.machines));
-        told.merge(now_ms);
-    }
-
-    fn keep_links(&mut self) {
+    fn keep_links(&self) {
         let now_ms = self.gateway.clock.now_ms();
-        let is_kept = |at_ms: &u64| now_ms.saturating_sub(*at_ms) < FORGOTTEN_MS;
-        self.stores.retain(|_, at_ms| is_kept(at_ms));
-        let mut wanted: BTreeSet<MachineId> = self.stores.keys().copied().collect();
-        self.gateway.store.set_machines(wanted.clone());
-        {
-            let mut control = self.gateway.control.lock();
-            control.retain(|_, at_ms| is_kept(at_ms));
-            wanted.extend(control.keys());
-            if control.is_empty() {
-                wanted.extend(&self.seeds);
-            }
-        }
+        let told = self.gateway.told.lock();
+        let store_members = told.store_members();
+        let mut wanted = told.control(&self.seeds, now_ms);
+        drop(told);
+        wanted.extend(&store_members);
+        self.gateway.store.set_machines(store_members);
         self.gateway.links.keep(&wanted);
     }
 }
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -1,19 +1,24 @@
 //! Connections that other nodes open to this one.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use linnethitch_protocol::ids::{CallId, LogIndex, MachineId};
-use linnethitch_registry::DirectoryNode;
+use linnethitch_protocol::ids::{CallId, MachineId};
 use linnethitch_transport::{Connection, Listener, MessageReceiver, MessageSender};
 use tokio::{
-    sync::{mpsc, watch},
+    sync::mpsc,
     time::{Instant, sleep_until},
 };
 
-use crate::message::{NodeHello, NodeMessage, Pulse, ReplyBody};
+use crate::{
+    message::{NodeHello, NodeMessage, ReplyBody},
+    pulse::{PulseSource, ToldPulses},
+};
 
 /// How often control says that it is there when nothing changes.
 const PULSE_INTERVAL: Duration = Duration::from_millis(500);
+/// Changes that come closer together than this share a pulse. A start of the whole
+/// fleet brings hundreds of them.
+const SHORTEST_PULSE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A message of another node.
 pub(crate) enum Inbound {
@@ -39,15 +44,6 @@
     }
 }
 
-/// Where pulses come from.
-#[derive(Clone)]
-pub(crate) struct PulseSource {
-    /// Changes whenever a pulse is worth sending at once.
-    pub(crate) changes: watch::Receiver<u64>,
-    /// A pulse with what changed after an entry.
-    pub(crate) pulse: Arc<dyn Fn(LogIndex) -> Pulse + Send + Sync>,
-}
-
 pub(crate) async fn accept_all(
     listener: Listener,
     inbox: mpsc::Sender<Inbound>,
@@ -75,9 +71,7 @@
         return;
     };
     let mut peer = Peer {
-        pulsed_upto: hello.upto,
-        told_gateways: None,
-        told_coordinators: None,
+        told: ToldPulses::new(hello.role, hello.upto),
         hello: hello.clone(),
         sender,
         inbox,
@@ -94,9 +88,7 @@
 /// The node at the other end.
 struct Peer {
     hello: NodeHello,
-    pulsed_upto: LogIndex,
-    told_gateways: Option<Vec<DirectoryNode>>,
-    told_coordinators: Option<Vec<MachineId>>,
+    told: ToldPulses,
     sender: MessageSender<NodeMessage>,
     inbox: mpsc::Sender<Inbound>,
 }
@@ -115,6 +107,7 @@
         receiver: &mut MessageReceiver<NodeMessage>,
         mut pulses: PulseSource,
     ) {
+        let mut last = None;
         let mut next = Instant::now();
         loop {
             tokio::select! {
@@ -130,43 +123,36 @@
                     if changed.is_err() {
                         return;
                     }
-                    next = Instant::now();
+                    let earliest = last.map(|last| last + SHORTEST_PULSE_INTERVAL);
+                    next = next.min(earliest.unwrap_or(next)).max(Instant::now());
                 }
                 () = sleep_until(next) => {
                     if !self.send_pulse(&pulses) {
                         return;
                     }
+                    last = Some(Instant::now());
                     next = Instant::now() + PULSE_INTERVAL;
                 }
             }
         }
     }
 
+    /// False when the connection is to end.
     fn send_pulse(&mut self, pulses: &PulseSource) -> bool {
-        let mut pulse = (pulses.pulse)(self.pulsed_upto);
-        if pulse.gateways == self.told_gateways {
-            pulse.gateways = None;
-        } else if pulse.gateways.is_some() {
-            self.told_gateways.clone_from(&pulse.gateways);
-        }
-        if pulse.coordinators == self.told_coordinators {
-            pulse.coordinators = None;
-        } else {
-            self.told_coordinators.clone_from(&pulse.coordinators);
-        }
-        let upto = pulse.update.as_ref().map(|update| update.upto);
-        if self.sender.try_send(&NodeMessage::Pulse(pulse)).is_err() {
-            return false;
-        }
-        self.pulsed_upto = upto.unwrap_or(self.pulsed_upto);
-        true
+        let pulse = self.told.next(pulses);
+        self.sender.try_send(&NodeMessage::Pulse(pulse)).is_ok()
     }
 
     /// False when the node has stopped.
     async fn pass_on(&mut self, message: NodeMessage) -> bool {
-        if let NodeMessage::Hello(hello) = &message {
-            self.hello = hello.clone();
-        }
+        let message = match message {
+            NodeMessage::Hello(hello) => {
+                self.hello = hello.clone();
+                NodeMessage::Hello(hello)
+            }
+            NodeMessage::Alive => NodeMessage::Hello(self.hello.clone()),
+            other => other,
+        };
         let inbound = Inbound::Message {
             from: self.hello.machine,
             message,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -18,9 +18,12 @@
 mod message;
 mod node;
 mod presence;
+mod pulse;
 mod registry_service;
 mod store;
 mod store_service;
+mod told_fleet;
+mod told_set;
 
 pub use clock::Clock;
 pub use control::{ControlNode, ControlSettings, RetireState, Unavailable};
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -24,7 +24,7 @@
     node::{NodeSettings, address_of, connection_options},
 };
 
-/// How often a node says that it is there.
+/// How often a node says to control that it is there.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 const FIRST_RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_RECONNECT_PAUSE: Duration = Duration::from_millis(250);
@@ -211,7 +211,10 @@
     mut receiver: MessageReceiver<NodeMessage>,
 ) {
     let mut hellos = links.inner.hello.subscribe();
+    let mut said: Option<NodeHello> = None;
     let mut next_hello = Instant::now();
+    // Control sends pulses; nobody else counts who is there.
+    let mut is_control = false;
     loop {
         tokio::select! {
             received = receiver.receive() => match received {
@@ -221,6 +224,7 @@
                     }
                 }
                 Ok(Some(message)) => {
+                    is_control |= matches!(message, NodeMessage::Pulse(_));
                     let inbound = Inbound::Message { from: machine, message, answers: None };
                     if links.inner.inbox.send(inbound).await.is_err() {
                         return;
@@ -236,7 +240,7 @@
             }
             () = sleep_until(next_hello) => {
                 let hello = hellos.borrow_and_update().clone();
-                if sender.try_send(&NodeMessage::Hello(hello)).is_err() {
+                if !say_hello(&sender, &mut said, hello, is_control) {
                     return;
                 }
                 next_hello = Instant::now() + HELLO_INTERVAL;
@@ -244,3 +248,19 @@
         }
     }
 }
+
+/// Says what this node is where that changed, else to control that it is there.
+/// False when the link is to end.
+fn say_hello(
+    sender: &MessageSender<NodeMessage>,
+    said: &mut Option<NodeHello>,
+    hello: NodeHello,
+    is_control: bool,
+) -> bool {
+    let is_same = said.as_ref().is_some_and(|said| said.says_the_same(&hello));
+    if is_same {
+        return !is_control || sender.try_send(&NodeMessage::Alive).is_ok();
+    }
+    *said = Some(hello.clone());
+    sender.try_send(&NodeMessage::Hello(hello)).is_ok()
+}
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -12,6 +12,8 @@
 use linnethitch_transport::WireMessage;
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::told_set::SetChange;
+
 /// What a node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum NodeRole {
@@ -30,7 +32,7 @@
     pub(crate) healthy_voters: u32,
 }
 
-/// What a node says of itself: first on a connection, then from time to time.
+/// What a node says of itself: first on a connection, then whenever it changes.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) struct NodeHello {
     pub(crate) role: NodeRole,
@@ -54,28 +56,41 @@
     pub(crate) store_group: Option<StoreGroupView>,
 }
 
+impl NodeHello {
+    /// Whether nothing that others act on differs: how far a node knows the
+    /// registry counts at the opening of a connection only.
+    pub(crate) fn says_the_same(&self, other: &NodeHello) -> bool {
+        let other = NodeHello {
+            upto: self.upto,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
+
 /// A member of the job store that is present.
-#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
 pub(crate) struct PresentStore {
     pub(crate) name: String,
     pub(crate) machine: MachineId,
     pub(crate) member: Option<MemberId>,
 }
 
-/// What control tells every node that is connected.
-#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+/// What control tells every node that is connected: that it is there, and what
+/// changed since the last pulse on this connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) struct Pulse {
     /// Machines of control.
-    pub(crate) control: Vec<MachineId>,
-    /// Members of the job store that are present.
-    pub(crate) stores: Vec<PresentStore>,
-    /// Gateways that are ready, where they changed since the last pulse on this
-    /// connection; `None` also while control has not yet heard of all.
-    pub(crate) gateways: Option<Vec<DirectoryNode>>,
-    /// Gateways that coordinate slots, where they changed since the last pulse on
-    /// this connection.
-    pub(crate) coordinators: Option<Vec<MachineId>>,
-    /// What changed since the last pulse on this connection.
+    pub(crate) control: Option<SetChange<MachineId>>,
+    /// Machines with disks for the job store; told to stores.
+    pub(crate) stores: Option<SetChange<PresentStore>>,
+    /// Voters and learners of the job store.
+    pub(crate) store_members: Option<SetChange<MachineId>>,
+    /// Gateways that are ready; told to gateways, not before control has heard of all.
+    pub(crate) gateways: Option<SetChange<DirectoryNode>>,
+    /// Gateways that coordinate slots; told to gateways.
+    pub(crate) coordinators: Option<SetChange<MachineId>>,
+    /// The registry.
     pub(crate) update: Option<FleetUpdate>,
 }
 
@@ -122,10 +137,18 @@
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum NodeMessage {
     Hello(NodeHello),
+    /// The sender is there and what it said in its last hello holds.
+    Alive,
     Pulse(Pulse),
     Consensus(ConsensusMessage),
-    Call { call: CallId, body: CallBody },
-    Reply { call: CallId, body: ReplyBody },
+    Call {
+        call: CallId,
+        body: CallBody,
+    },
+    Reply {
+        call: CallId,
+        body: ReplyBody,
+    },
 }
 
 impl WireMessage for NodeMessage {
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -11,9 +11,10 @@
 
 use crate::{
     clock::Clock,
-    incoming::{self, Inbound, PulseSource},
+    incoming::{self, Inbound},
     links::Links,
     message::{NodeHello, NodeRole},
+    pulse::PulseSource,
 };
 
 /// Messages that may wait for a node; senders wait when it is full.
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -114,12 +114,7 @@
     }
 
     fn note_store(&mut self, hello: NodeHello, now_ms: u64) -> bool {
-        if let Some(group) = &hello.store_group {
-            let held = self.store_group.as_ref();
-            if held.is_none_or(|held| held.term <= group.term) {
-                self.store_group = Some(group.clone());
-            }
-        }
+        let has_new_members = self.note_store_group(hello.store_group.as_ref());
         let machine = hello.machine;
         let member = hello.member;
         let heard = Heard {
@@ -130,7 +125,19 @@
         if before.is_none() {
             self.newest_store_ms = now_ms;
         }
-        before.is_none_or(|before| before.hello.member != member)
+        has_new_members || before.is_none_or(|before| before.hello.member != member)
+    }
+
+    /// True when the job store has other members than were known.
+    fn note_store_group(&mut self, group: Option<&StoreGroupView>) -> bool {
+        let held = self.store_group.as_ref();
+        let newer = group.filter(|group| held.is_none_or(|held| held.term <= group.term));
+        let Some(newer) = newer else {
+            return false;
+        };
+        let is_news = held.is_none_or(|held| held.machines != newer.machines);
+        self.store_group = Some(newer.clone());
+        is_news
     }
 
     fn present_stores(&self, now_ms: u64) -> impl Iterator<Item = &NodeHello> {
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -6,20 +6,20 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_job_store::{StoreCall, StoreReply};
-use linnethitch_protocol::ids::{MachineId, MemberId};
+use linnethitch_protocol::ids::MemberId;
 use linnethitch_registry::FleetView;
 use linnethitch_storage::folder::{FolderRole, IDENTITY_FILE};
-use parking_lot::Mutex;
 use slog::info;
-use tokio::time::interval;
+use tokio::{sync::watch, time::interval};
 
 use crate::{
     control::random_disk,
     driver::{self, GroupDriver, GroupHandle},
     incoming::Inbound,
-    message::{CallBody, NodeMessage, NodeRole, PresentStore, ReplyBody, StoreGroupView},
+    message::{CallBody, NodeMessage, NodeRole, ReplyBody},
     node::{self, NodeBase, NodeSettings},
-    store_service::StoreService,
+    store_service::{GroupSeen, StoreService},
+    told_fleet::ToldFleet,
 };
 
 /// A snapshot is taken when the log has grown by this many bytes. Texts that came
@@ -50,9 +50,9 @@
     settings: StoreSettings,
     base: NodeBase,
     fleet: FleetView,
-    control: BTreeSet<MachineId>,
-    present: Vec<PresentStore>,
-    told: Arc<Mutex<Option<StoreGroupView>>>,
+    told: ToldFleet,
+    /// The group as this member sees it.
+    seen: watch::Sender<GroupSeen>,
     handle: Option<GroupHandle<StoreCall, StoreReply>>,
 }
 
@@ -68,12 +68,11 @@
         let (base, inbox) = NodeBase::start(&settings.node, NodeRole::Store);
         node::listen(&settings.node, inbox, Arc::clone(&base.traffic), None).await?;
         let mut store = StoreNode {
-            control: settings.node.seed_machines().into_iter().collect(),
             settings,
             base,
             fleet: FleetView::default(),
-            present: Vec::new(),
-            told: Arc::default(),
+            told: ToldFleet::default(),
+            seen: watch::channel(GroupSeen::default()).0,
             handle: None,
         };
         let driver = store.wait_for_group().await?;
@@ -144,7 +143,7 @@
         group.kept_snapshots = KEPT_SNAPSHOTS;
         group.seed ^= u64::from(own.0);
         let kept_ms = self.settings.kept.as_millis() as u64;
-        let service = StoreService::new(kept_ms, Arc::clone(&self.told));
+        let service = StoreService::new(kept_ms, self.seen.clone());
         let (driver, handle) = driver::open(
             group,
             &self.settings.data_dir,
@@ -162,12 +161,15 @@
 
     async fn serve(&mut self) {
         let mut ticks = interval(UPKEEP_INTERVAL);
+        let mut seen = self.seen.subscribe();
         loop {
             tokio::select! {
                 _ = ticks.tick() => {
                     self.keep_links();
                     self.tell_members().await;
                 }
+                // The sender is this node's own and stays.
+                Ok(()) = seen.changed() => self.keep_links(),
                 inbound = self.base.inbox.recv() => match inbound {
                     Some(inbound) => self.take(inbound).await,
                     None => return,
@@ -191,9 +193,12 @@
                     handle.message(message).await;
                 }
             }
-            NodeMessage::Pulse(pulse) => {
-                self.control.extend(pulse.control);
-                self.present = pulse.stores;
+            NodeMessage::Pulse(mut pulse) => {
+                let now_ms = self.base.clock.now_ms();
+                let names_others = self.told.take(from, &mut pulse, now_ms);
+                if names_others {
+                    self.keep_links();
+                }
                 if let Some(update) = pulse.update {
                     self.fleet.take(update);
                     let upto = self.fleet.upto();
@@ -218,14 +223,16 @@
     }
 
     fn keep_links(&self) {
-        let mut wanted = self.control.clone();
-        wanted.extend(self.present.iter().map(|store| store.machine));
-        let told = self.told.lock().clone();
-        if let Some(group) = &told {
-            wanted.extend(&group.machines);
-        }
+        let now_ms = self.base.clock.now_ms();
+        let seeds = self.settings.node.seed_machines();
+        let mut wanted = self.told.control(&seeds, now_ms);
+        wanted.extend(self.told.store_members());
+        let first = self.fleet.store().first.iter();
+        wanted.extend(first.map(|member| member.machine));
+        let seen = self.seen.borrow().clone();
+        wanted.extend(&seen.members);
         self.base.links.keep(&wanted);
-        self.base.links.note(|hello| hello.store_group = told);
+        self.base.links.say(|hello| hello.store_group = seen.led);
     }
 
     async fn tell_members(&self) {
@@ -233,14 +240,14 @@
             return;
         };
         let own = self.settings.node.machine();
-        for store in &self.present {
+        for store in self.told.stores() {
             if let Some(member) = store.member
                 && store.machine != own
             {
                 handle.present(member).await;
             }
         }
-        let retiring = self.fleet.store().retiring.iter().copied().collect();
+        let retiring: BTreeSet<_> = self.fleet.store().retiring.iter().copied().collect();
         handle.retiring(retiring).await;
     }
 }
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -1,12 +1,12 @@
 //! The job store as its group serves it.
 
-use std::sync::Arc;
-
 use linnethitch_group::{CallFailure, GroupMember};
 use linnethitch_job_store::{
     Dispatcher, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand, StoreReply,
 };
-use parking_lot::Mutex;
+
+use linnethitch_protocol::ids::MachineId;
+use tokio::sync::watch;
 
 use crate::{
     driver::{Begin, GroupService, Now},
@@ -16,6 +16,15 @@
 /// How often the leader counts the time that passed, in milliseconds.
 const PASS_INTERVAL_MS: u64 = 2_000;
 
+/// The group as a member sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct GroupSeen {
+    /// Voters and learners by this member's log.
+    pub(crate) members: Vec<MachineId>,
+    /// What a leader tells control; `None` on others.
+    pub(crate) led: Option<StoreGroupView>,
+}
+
 /// Carries out the job store's calls.
 pub(crate) struct StoreService {
     dispatcher: Dispatcher,
@@ -25,19 +34,18 @@
     counted_ms: Option<u64>,
     /// Jobs stay for this long after they were accepted, in milliseconds.
     kept_ms: u64,
-    /// What the leader tells control; `None` on others.
-    told: Arc<Mutex<Option<StoreGroupView>>>,
+    seen: watch::Sender<GroupSeen>,
 }
 
 impl StoreService {
-    pub(crate) fn new(kept_ms: u64, told: Arc<Mutex<Option<StoreGroupView>>>) -> Self {
+    pub(crate) fn new(kept_ms: u64, seen: watch::Sender<GroupSeen>) -> Self {
         StoreService {
             dispatcher: Dispatcher::default(),
             gate: QueueGate::default(),
             led: false,
             counted_ms: None,
             kept_ms,
-            told,
+            seen,
         }
     }
 
@@ -185,22 +193,32 @@
         if !member.is_leader() {
             self.led = false;
             self.counted_ms = None;
-            *self.told.lock() = None;
-            return;
         }
+        let seen = group_seen(member);
+        self.seen.send_if_modified(|held| {
+            let is_news = *held != seen;
+            *held = seen;
+            is_news
+        });
+    }
+}
+
+fn group_seen(member: &GroupMember<JobStore>) -> GroupSeen {
+    let membership = member.membership();
+    let all = membership.voters.iter().chain(&membership.learners);
+    let members: Vec<MachineId> = all.map(|member| member.machine).collect();
+    let led = member.is_leader().then(|| {
         let status = member.status();
-        let membership = member.membership();
-        let all = membership.voters.iter().chain(&membership.learners);
         let healthy = status.peers.iter().filter(|peer| {
             peer.voter && peer.member != status.id && peer.ticks_since_heard < HEALTHY_TICKS
         });
-        let view = StoreGroupView {
+        StoreGroupView {
             term: status.term,
-            machines: all.map(|member| member.machine).collect(),
+            machines: members.clone(),
             healthy_voters: healthy.count() as u32 + 1,
-        };
-        *self.told.lock() = Some(view);
-    }
+        }
+    });
+    GroupSeen { members, led }
 }
 
 /// A voter heard of within so many ticks is healthy.
--- /dev/null
+++ b/crates/cluster/src/told_fleet.rs
@@ -0,0 +1,126 @@
+//! Who is present, as a node without a part in control learned it from control's
+//! members. While control is away, what it told last holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use linnethitch_protocol::ids::MachineId;
+use linnethitch_registry::DirectoryNode;
+
+use crate::message::{PresentStore, Pulse};
+
+/// What a control member told counts for this long after it was last heard of,
+/// compared with the one that was heard of last, in milliseconds.
+const TOLD_VALID_MS: u64 = 3_000;
+/// A machine that no pulse has named for so long is no longer linked to, in milliseconds.
+const FORGOTTEN_MS: u64 = 10_000;
+
+/// What one control member told.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    /// When it was last heard of.
+    at_ms: u64,
+    control: BTreeSet<MachineId>,
+    stores: BTreeSet<PresentStore>,
+    store_members: BTreeSet<MachineId>,
+    gateways: BTreeSet<DirectoryNode>,
+    coordinators: BTreeSet<MachineId>,
+}
+
+/// What all control members told.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ToldFleet {
+    by_control: BTreeMap<MachineId, Told>,
+    /// Machines of control, and when one was last named.
+    control: BTreeMap<MachineId, u64>,
+    /// Members of the job store, and when one was last named.
+    store_members: BTreeMap<MachineId, u64>,
+}
+
+impl ToldFleet {
+    /// Takes a pulse of a control member; true when it named a machine that was
+    /// not known before.
+    pub(crate) fn take(&mut self, from: MachineId, pulse: &mut Pulse, now_ms: u64) -> bool {
+        let told = self.by_control.entry(from).or_default();
+        told.at_ms = now_ms;
+        if let Some(change) = pulse.control.take() {
+            change.apply_to(&mut told.control);
+        }
+        if let Some(change) = pulse.stores.take() {
+            change.apply_to(&mut told.stores);
+        }
+        if let Some(change) = pulse.store_members.take() {
+            change.apply_to(&mut told.store_members);
+        }
+        if let Some(change) = pulse.gateways.take() {
+            change.apply_to(&mut told.gateways);
+        }
+        if let Some(change) = pulse.coordinators.take() {
+            change.apply_to(&mut told.coordinators);
+        }
+        let new_control = note_named(&mut self.control, &told.control, now_ms);
+        let new_store = note_named(&mut self.store_members, &told.store_members, now_ms);
+        self.by_control
+            .retain(|_, told| now_ms.saturating_sub(told.at_ms) < FORGOTTEN_MS);
+        new_control || new_store
+    }
+
+    /// Machines of control to link to; the seeds too where none was heard of lately.
+    pub(crate) fn control(&self, seeds: &[MachineId], now_ms: u64) -> BTreeSet<MachineId> {
+        let mut machines: BTreeSet<MachineId> = self.control.keys().copied().collect();
+        if now_ms.saturating_sub(self.newest_ms()) >= TOLD_VALID_MS || machines.is_empty() {
+            machines.extend(seeds);
+        }
+        machines
+    }
+
+    /// Members of the job store to link to.
+    pub(crate) fn store_members(&self) -> BTreeSet<MachineId> {
+        self.store_members.keys().copied().collect()
+    }
+
+    /// Machines with disks for the job store that any control member sees.
+    pub(crate) fn stores(&self) -> BTreeSet<PresentStore> {
+        let told = self.recent();
+        told.flat_map(|told| &told.stores).cloned().collect()
+    }
+
+    /// Ready gateways that any control member sees; one that is cut off from some
+    /// gateways does not know all.
+    pub(crate) fn gateways(&self) -> BTreeSet<DirectoryNode> {
+        let told = self.recent();
+        told.flat_map(|told| &told.gateways).cloned().collect()
+    }
+
+    /// Gateways that coordinate slots, in a fixed order.
+    pub(crate) fn coordinators(&self) -> BTreeSet<MachineId> {
+        let told = self.recent();
+        told.flat_map(|told| &told.coordinators).copied().collect()
+    }
+
+    fn newest_ms(&self) -> u64 {
+        let told = self.by_control.values();
+        told.map(|told| told.at_ms).max().unwrap_or(0)
+    }
+
+    /// What was told lately, as of the newest pulse.
+    fn recent(&self) -> impl Iterator<Item = &Told> {
+        let valid_from = self.newest_ms().saturating_sub(TOLD_VALID_MS);
+        let told = self.by_control.values();
+        told.filter(move |told| told.at_ms >= valid_from)
+    }
+}
+
+/// Notes what was named just now, and forgets what was not named for long; true
+/// when there is a new name.
+fn note_named(
+    named: &mut BTreeMap<MachineId, u64>,
+    now_named: &BTreeSet<MachineId>,
+    now_ms: u64,
+) -> bool {
+    let mut is_news = false;
+    for machine in now_named {
+        is_news |= named.insert(*machine, now_ms).is_none();
+    }
+    named.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FORGOTTEN_MS);
+    is_news
+}
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -1,7 +1,10 @@
 //! What a gateway does as the coordinator of some engines' slots, and how it
 //! learns who coordinates the others.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use linnethitch_cluster::{GatewayNode, machine_of};
 use linnethitch_protocol::{
@@ -19,20 +22,10 @@
     pub(crate) fn set_engines(&self, engines: Vec<CoordinatedReplica>) {
         let now_ms = self.clock.now_ms();
         let gateways = self.gateway.coordinators();
-        let mut coordinators = HashMap::new();
-        let mut coordinated = Vec::new();
-        for engine in engines {
-            let Some(coordinator) = coordinator_of(&engine.id, &gateways) else {
-                continue;
-            };
-            coordinators.insert(engine.id.clone(), coordinator);
-            if coordinator == self.own {
-                coordinated.push(engine);
-            }
-        }
         let mut state = self.state.lock();
-        let has_moved = state.coordinators != coordinators;
-        state.coordinators = coordinators;
+        let has_moved = state.assign(&gateways, &engines);
+        let mut coordinated = engines;
+        coordinated.retain(|engine| state.coordinators.get(&engine.id) == Some(&self.own));
         let mut actions = state.coordinator.set_replicas(coordinated, now_ms);
         actions.extend(state.coordinator.tick(now_ms));
         self.carry_out(&mut state, actions);
@@ -161,6 +154,29 @@
     }
 }
 
+impl State {
+    /// Finds the coordinator of each engine, if gateways or engines are others
+    /// than before; true when an engine has another coordinator now.
+    fn assign(&mut self, gateways: &Arc<Vec<MachineId>>, engines: &[CoordinatedReplica]) -> bool {
+        let is_known = |engine: &CoordinatedReplica| self.coordinators.contains_key(&engine.id);
+        let is_same = Arc::ptr_eq(&self.gateways, gateways)
+            && self.coordinators.len() == engines.len()
+            && engines.iter().all(is_known);
+        if is_same {
+            return false;
+        }
+        let assigned = engines.iter().filter_map(|engine| {
+            let coordinator = coordinator_of(&engine.id, gateways)?;
+            Some((engine.id.clone(), coordinator))
+        });
+        let coordinators: HashMap<String, MachineId> = assigned.collect();
+        let has_moved = self.coordinators != coordinators;
+        self.coordinators = coordinators;
+        self.gateways = Arc::clone(gateways);
+        has_moved
+    }
+}
+
 /// Takes the datagrams of other gateways; returns when there are none to come.
 pub(crate) async fn receive_slot_messages(
     gateway: GatewayNode,
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -43,7 +43,9 @@
 #[derive(Default)]
 struct State {
     coordinator: SlotCoordinator,
+    /// The coordinator of each engine, as found among `gateways`.
     coordinators: HashMap<String, MachineId>,
+    gateways: Arc<Vec<MachineId>>,
     /// Asks whose verdict is outstanding.
     asks: HashMap<u64, mpsc::Sender<Verdict>>,
     /// Leases of this gateway.
