--- a/crates/job-store/src/job.rs
+++ b/crates/job-store/src/job.rs
@@ -82,6 +82,8 @@
     pub(crate) number: u64,
     pub(crate) items: Vec<Item>,
     pub(crate) results: Vec<Listed>,
+    /// Tokens of items that are not listed.
+    pub(crate) waiting_tokens: u64,
     /// Whether its caller ended it.
     pub(crate) ended: bool,
 }
@@ -90,6 +92,7 @@
     pub(crate) fn new(mut spec: JobSpec, number: u64) -> Self {
         let items = std::mem::take(&mut spec.items).into_iter();
         Job {
+            waiting_tokens: items.as_slice().iter().map(|item| item.tokens).sum(),
             items: items
                 .map(|spec| Item {
                     spec,
@@ -128,6 +131,7 @@
         }
         let held = &mut self.items[item as usize];
         held.listed = true;
+        self.waiting_tokens -= held.spec.tokens;
         held.spec.body = Vec::new();
         held.spec.headers = Vec::new();
         self.results.push(Listed {
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -9,6 +9,8 @@
 mod command;
 mod dispatcher;
 mod job;
+mod lease_times;
+mod plan;
 mod progress;
 mod queue;
 mod snapshot;
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -187,8 +187,11 @@
 pub(crate) fn restore(content: SnapshotReader) -> Result<JobStore, Report<ErrorKind>> {
     let FullIndex { index, made } = decode_index(&read_index(&content)?)?;
     let jobs = index.jobs.into_iter().map(restore_job);
+    let jobs: BTreeMap<String, Job> = jobs.map(|job| (job.spec.id.clone(), job)).collect();
+    let open = jobs.values().filter(|job| job.is_open());
     Ok(JobStore {
-        jobs: jobs.map(|job| (job.spec.id.clone(), job)).collect(),
+        open: open.map(|job| job.spec.id.clone()).collect(),
+        jobs,
         accepted: index.accepted,
         snapshot: Some(content),
         made: ProgressTable::from_list(made),
@@ -224,7 +227,9 @@
         state: result.state,
         text: Text::Stored(result.text),
     });
+    let waiting = job.items.iter().filter(|item| !item.listed);
     Job {
+        waiting_tokens: waiting.map(|item| item.spec.tokens).sum(),
         spec: job.spec,
         age_ms: job.age_ms,
         number: job.number,
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -1,6 +1,6 @@
 //! The replicated state.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
@@ -20,6 +20,8 @@
 #[derive(Default)]
 pub struct JobStore {
     pub(crate) jobs: BTreeMap<String, Job>,
+    /// Jobs with items that may still run.
+    pub(crate) open: BTreeSet<String>,
     pub(crate) accepted: u64,
     /// The newest stored snapshot, which holds older texts.
     pub(crate) snapshot: Option<SnapshotReader>,
@@ -36,7 +38,20 @@
 
     /// Jobs with items that may still run.
     pub fn open_jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.values().filter(|job| job.is_open())
+        self.open.iter().filter_map(|id| self.jobs.get(id))
+    }
+
+    /// Number of jobs that were ever accepted.
+    #[must_use]
+    pub fn accepted(&self) -> u64 {
+        self.accepted
+    }
+
+    /// Notes whether a job that changed is still open.
+    fn note_open(&mut self, id: &str) {
+        if !self.jobs.get(id).is_some_and(Job::is_open) {
+            self.open.remove(id);
+        }
     }
 
     /// Number of jobs held.
@@ -62,9 +77,7 @@
     #[must_use]
     pub fn waiting_tokens(&self, bound: &QueueBound) -> u64 {
         let jobs = self.open_jobs().filter(|job| bound.concerns(&job.spec));
-        let items = jobs.flat_map(|job| &job.items);
-        let waiting = items.filter(|item| !item.listed);
-        waiting.map(|item| item.spec.tokens).sum()
+        jobs.map(|job| job.waiting_tokens).sum()
     }
 
     /// Bytes of text that are kept of unfinished items.
@@ -127,7 +140,9 @@
         if !self.jobs.contains_key(&spec.id) {
             self.accepted += 1;
             let id = spec.id.clone();
-            self.jobs.insert(id, Job::new(spec, self.accepted));
+            self.open.insert(id.clone());
+            self.jobs.insert(id.clone(), Job::new(spec, self.accepted));
+            self.note_open(&id);
         }
         StoreAnswer::Done
     }
@@ -150,6 +165,7 @@
         if !job.is_item_open(item.item) {
             self.made.forget(item);
         }
+        self.note_open(&item.job);
         StoreAnswer::Done
     }
 
@@ -162,6 +178,7 @@
             item.spec.body = Vec::new();
         }
         self.made.forget_job(id);
+        self.note_open(id);
         StoreAnswer::Done
     }
 
@@ -190,6 +207,9 @@
         }
         self.jobs
             .retain(|_, job| job.is_open() || job.age_ms <= kept_ms);
+        let jobs = &self.jobs;
+        self.open
+            .retain(|id| jobs.get(id).is_some_and(Job::is_open));
         StoreAnswer::Done
     }
 }
