--- a/crates/job-store/src/plan.rs
+++ b/crates/job-store/src/plan.rs
@@ -43,7 +43,7 @@
     jobs.sort_by_key(|job| (job.due_in_ms, job.number));
     let is_late = |job: &JobDemand| job.due_in_ms == 0 || job.due_in_ms < item_ms;
     let (late, in_time): (Vec<JobDemand>, Vec<JobDemand>) = jobs.into_iter().partition(is_late);
-    let share = even_share(&in_time, slots, slot_ms);
+    let share = even_share(&in_time, slots, item_ms, slot_ms);
     let first = in_time.iter().map(|job| Turn {
         job: job.job.clone(),
         items: goal(job, share).saturating_sub(job.done + job.leased),
@@ -56,14 +56,15 @@
 }
 
 /// The largest share of every job's items that the slots can carry in time.
-fn even_share(jobs: &[JobDemand], slots: u32, slot_ms: u64) -> f64 {
-    if slot_ms == 0 || carries(jobs, slots, slot_ms, 1.0) {
+fn even_share(jobs: &[JobDemand], slots: u32, item_ms: u64, slot_ms: u64) -> f64 {
+    let carries = |share| carries(jobs, slots, item_ms, slot_ms, share);
+    if slot_ms == 0 || carries(1.0) {
         return 1.0;
     }
     let (mut low, mut high) = (0.0, 1.0);
     for _ in 0..SHARE_STEPS {
         let middle = (low + high) / 2.0;
-        if carries(jobs, slots, slot_ms, middle) {
+        if carries(middle) {
             low = middle;
         } else {
             high = middle;
@@ -72,16 +73,15 @@
     low
 }
 
-/// Whether the slots carry a share of every job until each due time.
-fn carries(jobs: &[JobDemand], slots: u32, slot_ms: u64, share: f64) -> bool {
-    let mut work_ms = 0.0;
+/// Whether a share of every job can begin early enough to be done by each due time.
+/// Each slot begins another item once in `slot_ms`.
+fn carries(jobs: &[JobDemand], slots: u32, item_ms: u64, slot_ms: u64, share: f64) -> bool {
+    let mut begun_ms = 0.0;
     jobs.iter().all(|job| {
-        let to_do = goal(job, share).saturating_sub(job.done);
-        // A leased item has run for half of its time, on average.
-        let leased = job.leased.min(to_do);
-        let items = f64::from(to_do) - f64::from(leased) / 2.0;
-        work_ms += items * slot_ms as f64;
-        work_ms <= f64::from(slots) * job.due_in_ms as f64
+        let to_begin = goal(job, share).saturating_sub(job.done + job.leased);
+        begun_ms += f64::from(to_begin) * slot_ms as f64;
+        let begin_by_ms = job.due_in_ms.saturating_sub(item_ms);
+        to_begin == 0 || begun_ms <= f64::from(slots) * begin_by_ms as f64
     })
 }
 
