--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -82,7 +82,10 @@
         now_ms: u64,
     ) -> Vec<ItemRef> {
         self.end_silent(now_ms);
-        self.gateways.entry(gateway.to_owned()).or_default().heard_ms = now_ms;
+        self.gateways
+            .entry(gateway.to_owned())
+            .or_default()
+            .heard_ms = now_ms;
         let mut stop = Vec::new();
         for item in running {
             let holder = self.leases.get(item);
@@ -234,9 +237,9 @@
     /// Finds the order of jobs anew where it is old or a job was accepted since.
     fn keep_plan(&mut self, store: &JobStore, item_ms: u64, now_ms: u64) {
         let accepted = store.accepted();
-        let holds = self.planned.is_some_and(|(at_ms, of_jobs)| {
-            of_jobs == accepted && now_ms < at_ms + PLAN_VALID_MS
-        });
+        let holds = self
+            .planned
+            .is_some_and(|(at_ms, of_jobs)| of_jobs == accepted && now_ms < at_ms + PLAN_VALID_MS);
         if holds {
             return;
         }
--- a/crates/job-store/src/plan.rs
+++ b/crates/job-store/src/plan.rs
@@ -34,12 +34,7 @@
 
 /// The order in which items begin. An item has to run for `item_ms` and costs
 /// `slot_ms` of a slot, interruptions included; 0 where it is not known.
-pub(crate) fn turns(
-    mut jobs: Vec<JobDemand>,
-    slots: u32,
-    item_ms: u64,
-    slot_ms: u64,
-) -> Vec<Turn> {
+pub(crate) fn turns(mut jobs: Vec<JobDemand>, slots: u32, item_ms: u64, slot_ms: u64) -> Vec<Turn> {
     jobs.sort_by_key(|job| (job.due_in_ms, job.number));
     let is_late = |job: &JobDemand| job.due_in_ms == 0 || job.due_in_ms < item_ms;
     let (late, in_time): (Vec<JobDemand>, Vec<JobDemand>) = jobs.into_iter().partition(is_late);
--- a/crates/job-store/tests/all/main.rs
+++ b/crates/job-store/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod dispatcher;
 mod layout;
+mod plan;
 mod progress;
 mod queue;
 mod snapshots;
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -15,6 +15,8 @@
     Wait,
     /// It sends its request all the same, which has to be counted.
     Take,
+    /// It tries another replica, and does so too where batch items have the slots.
+    Free,
 }
 
 /// What a coordinator answers.
@@ -22,7 +24,7 @@
 pub enum Verdict {
     /// A slot is the asker's.
     Granted,
-    /// Online requests have every slot.
+    /// Online requests have every slot; asked for a free one, no slot is free.
     Full,
     /// The asker is told when a slot is its own.
     Queued,
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -5,7 +5,7 @@
 
 use linnethitch_job_store::{ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::RouteKind;
-use linnethitch_routing::dispatch::{WorkRhythm, WorkState};
+use linnethitch_routing::dispatch::{ItemGrowth, ItemRoom, WorkRhythm, WorkState};
 use slog::info;
 use tokio::time::sleep;
 
@@ -35,6 +35,8 @@
 pub async fn run_items(relay: Relay, settings: BatchSettings) {
     let running = RunningItems::default();
     let mut rhythm = WorkRhythm::default();
+    let mut growth = ItemGrowth::default();
+    let mut found_none = false;
     loop {
         sleep(WORK_INTERVAL).await;
         let is_stopping = relay.is_stopping();
@@ -44,19 +46,25 @@
         let want = if is_stopping {
             0
         } else {
-            wanted(&relay, settings.most_items, running.len() as u32)
+            let held = running.len() as u32;
+            let wanted = growth.wanted(room_for_items(&relay), held);
+            let left = settings.most_items.saturating_sub(held);
+            wanted.min(left).min(ITEMS_AT_ONCE)
         };
         let calls = rhythm.after_pause(WorkState {
             wanted: want,
             holds_items: !running.is_empty(),
             gave_back: running.has_given_back(),
             stops: is_stopping,
+            found_none,
         });
         if calls.tell_progress {
             tell_progress(&relay, &running).await;
         }
         if calls.ask_for_work {
-            call_for_work(&relay, &settings, &running, want).await;
+            let begun = call_for_work(&relay, &settings, &running, want).await;
+            found_none = begun == 0;
+            growth.note_held(running.len() as u32);
         }
     }
 }
@@ -75,8 +83,14 @@
     }
 }
 
-/// Tells what runs, renews its leases and begins what is leased besides.
-async fn call_for_work(relay: &Relay, settings: &BatchSettings, items: &RunningItems, want: u32) {
+/// Tells what runs, renews its leases and begins what is leased besides; returns
+/// how many items that are.
+async fn call_for_work(
+    relay: &Relay,
+    settings: &BatchSettings,
+    items: &RunningItems,
+    want: u32,
+) -> usize {
     let call = StoreCall::Work {
         gateway: settings.name.clone(),
         running: items.running(),
@@ -85,15 +99,17 @@
     };
     let reply = relay.shared.gateway.call_store(call, WORK_LIMIT).await;
     let StoreReply::Work { begin, stop } = reply else {
-        return;
+        return 0;
     };
     stop.iter().for_each(|item| items.stop(item));
+    let begun = begin.len();
     for work in begin {
         info!(relay.shared.logger, "item: begins"; "item" => &work.spec.id,
             "job" => &work.item.job, "failures" => work.failures,
             "due_in_ms" => work.due_in_ms, "last_event" => work.made.last_event);
         start(relay, items, work);
     }
+    begun
 }
 
 /// Expected time of a whole item, of the service where it is longest.
@@ -115,14 +131,13 @@
     backends.map(|backend| backend.service.clone()).collect()
 }
 
-fn wanted(relay: &Relay, most_items: u32, held: u32) -> u32 {
+/// Room for items at the service that has most.
+fn room_for_items(relay: &Relay) -> ItemRoom {
     let services = batch_services(relay);
-    let free: u32 = services
+    let rooms = services
         .iter()
-        .map(|service| relay.shared.slots.free_for_items(service))
-        .max()
-        .unwrap_or(0);
-    most_items.saturating_sub(held).min(free).min(ITEMS_AT_ONCE)
+        .map(|service| relay.shared.slots.room_for_items(service));
+    rooms.max_by_key(|room| room.slots).unwrap_or_default()
 }
 
 fn start(relay: &Relay, items: &RunningItems, mut work: ItemWork) {
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -11,6 +11,12 @@
     slots::{Asked, SlotLease},
 };
 
+/// Replicas that are asked for a free slot before an item is stopped.
+const MOST_FREE_PROBES: usize = 3;
+/// What stopping an item costs, in milliseconds: it reads its prompt of some 1,800
+/// tokens again (21 ms at 85 tokens a millisecond) after two further calls. A
+/// replica where the request would begin later than that is not tried instead.
+const STOPPED_ITEM_COST_MS: f64 = 30.0;
 /// Replicas that are asked for a slot before the request waits for one.
 const MOST_PROBES: usize = 4;
 /// A request waits for a slot until it is late, and for this long at least.
@@ -39,6 +45,9 @@
     /// The best replica with a free slot; where none of those asked has one, a
     /// slot that it waited for. `None` when no replica may be given it.
     pub(crate) async fn run(&self) -> Option<Placed> {
+        if let Some(placed) = self.find_free().await {
+            return Some(placed);
+        }
         let mut full = Vec::new();
         while full.len() < MOST_PROBES {
             let Some(chosen) = self.choose(&full) else {
@@ -56,6 +65,25 @@
         }
     }
 
+    /// A slot that nobody has, at a replica that serves the request about as soon
+    /// as the best one.
+    async fn find_free(&self) -> Option<Placed> {
+        let mut taken: Vec<String> = Vec::new();
+        let mut best_ms = None;
+        while taken.len() < MOST_FREE_PROBES {
+            let chosen = self.choose(&taken)?;
+            let best_ms = *best_ms.get_or_insert(chosen.expected_ms);
+            if chosen.expected_ms > best_ms + STOPPED_ITEM_COST_MS {
+                return None;
+            }
+            match self.ask(&chosen, AskMode::Free).await {
+                Asked::Leased(lease) => return Some(Placed { chosen, lease }),
+                Asked::Full => taken.push(chosen.id),
+            }
+        }
+        None
+    }
+
     fn choose(&self, full: &[String]) -> Option<Chosen> {
         let except: Vec<String> = self.except.iter().chain(full).cloned().collect();
         self.shared.choose(&Need {
--- a/crates/relay/src/slots/items.rs
+++ b/crates/relay/src/slots/items.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use linnethitch_routing::dispatch::{Due, RunNumber, WaitingItem};
+use linnethitch_routing::dispatch::{Due, ItemRoom, RunNumber, WaitingItem};
 use tokio::{sync::oneshot, time::Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -70,13 +70,11 @@
         self.carry_out(&mut state, actions);
     }
 
-    /// Slots that further items of a service could have now.
-    pub(crate) fn free_for_items(&self, service: &str) -> u32 {
+    /// Room for further items of a service.
+    pub(crate) fn room_for_items(&self, service: &str) -> ItemRoom {
         let now_ms = self.clock.now_ms();
-        self.state
-            .lock()
-            .coordinator
-            .free_for_items(service, now_ms)
+        let state = self.state.lock();
+        state.coordinator.room_for_items(service, now_ms)
     }
 }
 
--- a/crates/routing/src/dispatch/coordinator/mod.rs
+++ b/crates/routing/src/dispatch/coordinator/mod.rs
@@ -20,6 +20,8 @@
     slots::{AskMode, HeldLease, SlotLoad, Verdict},
 };
 
+use super::item_growth::ItemRoom;
+
 use self::replica_slots::{ReplicaSlots, RunningItem, answer};
 pub use self::types::{Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, WaitingItem};
 
@@ -75,7 +77,12 @@
         };
         replica.queue.remove(&ask.key);
         let is_leased = replica.online.contains_key(&ask.key);
-        let verdict = if is_leased || replica.has_online_slot() || ask.mode == AskMode::Take {
+        let has_slot = match ask.mode {
+            AskMode::Free => replica.free() > 0,
+            AskMode::Probe | AskMode::Wait => replica.has_online_slot(),
+            AskMode::Take => true,
+        };
+        let verdict = if is_leased || has_slot {
             replica.lease(ask.key, now_ms, &mut actions);
             Verdict::Granted
         } else if ask.mode == AskMode::Wait {
@@ -212,13 +219,26 @@
     /// Slots that further items of a service could have now.
     #[must_use]
     pub fn free_for_items(&self, service: &str, now_ms: u64) -> u32 {
-        let replicas = self
+        self.room_for_items(service, now_ms).slots
+    }
+
+    /// Room for further items of a service.
+    #[must_use]
+    pub fn room_for_items(&self, service: &str, now_ms: u64) -> ItemRoom {
+        let of_service = self
             .replicas
             .values()
             .filter(|replica| replica.traits.service == service && replica.may_begin_items(now_ms));
-        let free: u32 = replicas.map(ReplicaSlots::free).sum();
+        let free: Vec<u32> = of_service
+            .map(ReplicaSlots::free)
+            .filter(|free| *free > 0)
+            .collect();
         let waiting = self.waiting.values().filter(|w| w.service == service);
-        free.saturating_sub(waiting.count() as u32)
+        let waiting = waiting.count() as u32;
+        ItemRoom {
+            slots: free.iter().sum::<u32>().saturating_sub(waiting),
+            replicas: (free.len() as u32).saturating_sub(waiting),
+        }
     }
 
     /// Loads of every replica.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod board;
 mod coordinator;
+mod item_growth;
 mod item_pace;
 mod kept_parts;
 mod rendezvous;
@@ -19,6 +20,7 @@
 pub use coordinator::{
     Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, SlotCoordinator, WaitingItem,
 };
+pub use item_growth::{ItemGrowth, ItemRoom};
 pub use item_pace::ItemPace;
 pub use kept_parts::PromptPart;
 pub use rendezvous::coordinator_of;
--- a/crates/routing/src/dispatch/work_calls.rs
+++ b/crates/routing/src/dispatch/work_calls.rs
@@ -1,7 +1,8 @@
 //! When a gateway calls the job store: to tell what its items have made, to renew
 //! its leases, and to ask for more.
 
-/// Pauses after which leases are renewed and progress is told.
+/// Pauses after which leases are renewed, progress is told, and work is asked for
+/// again where there was none.
 const PAUSES_PER_RENEWAL: u32 = 3;
 
 /// What a gateway has after a pause.
@@ -15,6 +16,8 @@
     pub gave_back: bool,
     /// Whether the process stops.
     pub stops: bool,
+    /// Whether the last call for work brought nothing.
+    pub found_none: bool,
 }
 
 /// Which calls are made after a pause.
@@ -36,14 +39,16 @@
     /// The calls after one more pause.
     pub fn after_pause(&mut self, state: WorkState) -> WorkCalls {
         self.pauses += 1;
-        let is_due = self.pauses >= PAUSES_PER_RENEWAL && state.holds_items;
+        let is_long = self.pauses >= PAUSES_PER_RENEWAL;
+        let is_due = is_long && state.holds_items;
         let tell_progress = is_due || state.gave_back || state.stops;
-        if is_due {
+        let wants_work = state.wanted > 0 && (is_long || !state.found_none);
+        if is_due || (is_long && wants_work) {
             self.pauses = 0;
         }
         WorkCalls {
             tell_progress,
-            ask_for_work: is_due || state.wanted > 0 || state.stops,
+            ask_for_work: is_due || wants_work || state.stops,
         }
     }
 }
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -7,8 +7,8 @@
     slots::{AskMode, HeldLease, Verdict},
 };
 use linnethitch_routing::dispatch::{
-    Ask, Board, CoordinatedReplica, Due, LeaseKey, Need, ReplicaTraits, RunNumber, SlotAction,
-    SlotCoordinator, WaitingItem, coordinator_of,
+    Ask, Board, CoordinatedReplica, Due, ItemRoom, LeaseKey, Need, ReplicaTraits, RunNumber,
+    SlotAction, SlotCoordinator, WaitingItem, coordinator_of,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -136,6 +136,41 @@
     assert_eq!(actions, [answer(2, "r0", verdict)]);
 }
 
+/// The failure this is for: an item was stopped although another replica had a free
+/// slot. Items that run, and what an asker for a free slot is told.
+#[rstest]
+#[case::a_slot_is_free(1, Verdict::Granted)]
+#[case::items_have_all(2, Verdict::Full)]
+fn an_ask_for_a_free_slot_stops_no_item(#[case] items: u64, #[case] verdict: Verdict) {
+    let mut coordinator = coordinator(1, 2);
+    for run in 1..=items {
+        coordinator.want_slot(item(run, 20_000), SETTLED_MS);
+    }
+    let actions = coordinator.ask(ask(1, "r0", 2_000, AskMode::Free), SETTLED_MS);
+    assert_eq!(actions, [answer(1, "r0", verdict)]);
+}
+
+/// Items that wait for room, and the room that is left for others at three replicas
+/// of two slots, one of which an online request has.
+#[rstest]
+#[case::none(0, 5, 3)]
+#[case::one(1, 4, 3)]
+#[case::three(3, 2, 2)]
+#[case::all(5, 0, 0)]
+fn room_for_items_counts_slots_and_replicas(
+    #[case] items: u64,
+    #[case] slots: u32,
+    #[case] replicas: u32,
+) {
+    let mut coordinator = coordinator(3, 2);
+    coordinator.ask(ask(1, "r0", 2_000, AskMode::Free), SETTLED_MS);
+    for run in 1..=items {
+        coordinator.want_slot(item(run, 20_000), SETTLED_MS);
+    }
+    let room = coordinator.room_for_items(SERVICE, SETTLED_MS);
+    assert_eq!(room, ItemRoom { slots, replicas });
+}
+
 #[test]
 fn those_that_can_be_on_time_come_first_then_the_late_ones() {
     let mut coordinator = coordinator(1, 1);
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod fixture;
 mod grants;
+mod item_growth;
 mod item_pace;
 mod limits;
 mod placement;
--- a/crates/routing/tests/all/work_calls.rs
+++ b/crates/routing/tests/all/work_calls.rs
@@ -14,6 +14,12 @@
     &[1, 2, 3, 4, 5, 6, 7]
 )]
 #[case::free(WorkState { wanted: 4, ..WorkState::default() }, &[], &[1, 2, 3, 4, 5, 6, 7])]
+// The failure this is for: idle gateways asked seven times a second.
+#[case::free_and_found_none(
+    WorkState { wanted: 4, found_none: true, ..WorkState::default() },
+    &[],
+    &[3, 6]
+)]
 #[case::gave_back(
     WorkState { holds_items: true, gave_back: true, ..WorkState::default() },
     &[1, 2, 3, 4, 5, 6, 7],
