--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -287,9 +287,12 @@
         let clock = self.clock;
         let for_present = Arc::clone(&self.shared);
         let for_update = Arc::clone(&self.shared);
+        let for_news = Arc::clone(&self.shared);
         PulseSource::new(
+            own,
             self.shared.changes.subscribe(),
             move || present_fleet(&for_present, own, clock.now_ms()),
+            move |since| has_news(&for_news.view.lock(), since),
             move |since| update_since(&for_update, since),
         )
     }
@@ -378,8 +381,11 @@
 
 fn update_since(shared: &RegistryShared, since: LogIndex) -> Option<FleetUpdate> {
     let view = Arc::clone(&shared.view.lock());
-    let has_news = view.is_current && view.registry.changed_at() > since;
-    has_news.then(|| view.registry.update_since(since))
+    has_news(&view, since).then(|| view.registry.update_since(since))
+}
+
+fn has_news(view: &RegistryView, since: LogIndex) -> bool {
+    view.is_current && view.registry.changed_at() > since
 }
 
 fn present_fleet(shared: &RegistryShared, own: MachineId, now_ms: u64) -> PresentFleet {
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -193,7 +193,7 @@
         };
         if self.fleet.take(update) {
             let upto = self.fleet.upto();
-            self.gateway.links.note(|hello| hello.upto = upto);
+            self.gateway.links.say(|hello| hello.upto = upto);
             let version = self.fleet.table().map(|table| table.version);
             info!(self.logger, "fleet changed"; "upto" => upto.0, "version" => version,
                 "replicas" => self.fleet.live_replicas().count());
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -71,7 +71,7 @@
         return;
     };
     let mut peer = Peer {
-        told: ToldPulses::new(hello.role, hello.upto),
+        told: ToldPulses::new(&hello),
         hello: hello.clone(),
         sender,
         inbox,
@@ -131,7 +131,8 @@
                         return;
                     }
                     last = Some(Instant::now());
-                    next = Instant::now() + PULSE_INTERVAL;
+                    let pause = self.told.withheld_for().unwrap_or(PULSE_INTERVAL);
+                    next = Instant::now() + pause;
                 }
             }
         }
@@ -150,7 +151,10 @@
                 self.hello = hello.clone();
                 NodeMessage::Hello(hello)
             }
-            NodeMessage::Alive => NodeMessage::Hello(self.hello.clone()),
+            NodeMessage::Alive { upto } => {
+                self.told.note_known(upto);
+                NodeMessage::Hello(self.hello.clone())
+            }
             other => other,
         };
         let inbound = Inbound::Message {
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -259,7 +259,8 @@
 ) -> bool {
     let is_same = said.as_ref().is_some_and(|said| said.says_the_same(&hello));
     if is_same {
-        return !is_control || sender.try_send(&NodeMessage::Alive).is_ok();
+        let alive = NodeMessage::Alive { upto: hello.upto };
+        return !is_control || sender.try_send(&alive).is_ok();
     }
     *said = Some(hello.clone());
     sender.try_send(&NodeMessage::Hello(hello)).is_ok()
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -138,7 +138,10 @@
 pub(crate) enum NodeMessage {
     Hello(NodeHello),
     /// The sender is there and what it said in its last hello holds.
-    Alive,
+    Alive {
+        /// The newest change of the registry that it knows.
+        upto: LogIndex,
+    },
     Pulse(Pulse),
     Consensus(ConsensusMessage),
     Call {
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -3,19 +3,26 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use linnethitch_protocol::ids::{LogIndex, MachineId};
+use linnethitch_protocol::{
+    hash::fnv1a,
+    ids::{LogIndex, MachineId},
+};
 use linnethitch_registry::{DirectoryNode, FleetUpdate};
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    message::{NodeRole, PresentStore, Pulse},
+    message::{NodeHello, NodeRole, PresentStore, Pulse},
     told_set::ToldSet,
 };
 
 /// Connections share one view of who is present that is no older than this.
 const SHARED_FOR: Duration = Duration::from_millis(20);
 
+/// A node is told of a change of the registry by one control member at once. The
+/// others tell it after this, should it not have said meanwhile that it knows.
+const WITHHELD_FOR: Duration = Duration::from_millis(300);
+
 /// Who is present, as a control member sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PresentFleet {
@@ -36,21 +43,28 @@
 pub(crate) struct PulseSource {
     /// Changes whenever a pulse is worth sending at once.
     pub(crate) changes: watch::Receiver<u64>,
+    own: MachineId,
     present: Arc<dyn Fn() -> PresentFleet + Send + Sync>,
+    has_news: Arc<dyn Fn(LogIndex) -> bool + Send + Sync>,
     update: Arc<dyn Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync>,
     shared: Arc<Mutex<Option<(Instant, Arc<PresentFleet>)>>>,
 }
 
 impl PulseSource {
-    /// A source that asks who is present, and what changed after an entry.
+    /// A source of a control member that asks who is present, whether the registry
+    /// changed after an entry, and what changed.
     pub(crate) fn new(
+        own: MachineId,
         changes: watch::Receiver<u64>,
         present: impl Fn() -> PresentFleet + Send + Sync + 'static,
+        has_news: impl Fn(LogIndex) -> bool + Send + Sync + 'static,
         update: impl Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync + 'static,
     ) -> Self {
         PulseSource {
+            own,
             changes,
             present: Arc::new(present),
+            has_news: Arc::new(has_news),
             update: Arc::new(update),
             shared: Arc::default(),
         }
@@ -78,8 +92,12 @@
 
 /// What one connection was told.
 pub(crate) struct ToldPulses {
+    machine: MachineId,
     role: NodeRole,
+    /// The newest change of the registry that the node was told or knows.
     upto: LogIndex,
+    /// Since when a change is withheld that another control member tells.
+    withheld_since: Option<Instant>,
     last: Option<Arc<PresentFleet>>,
     control: ToldSet<MachineId>,
     stores: ToldSet<PresentStore>,
@@ -89,11 +107,13 @@
 }
 
 impl ToldPulses {
-    /// Nothing was told yet to a node that knows the registry up to an entry.
-    pub(crate) fn new(role: NodeRole, upto: LogIndex) -> Self {
+    /// Nothing was told yet to a node.
+    pub(crate) fn new(hello: &NodeHello) -> Self {
         ToldPulses {
-            role,
-            upto,
+            machine: hello.machine,
+            role: hello.role,
+            upto: hello.upto,
+            withheld_since: None,
             last: None,
             control: ToldSet::default(),
             stores: ToldSet::default(),
@@ -103,16 +123,46 @@
         }
     }
 
+    /// Notes that the node knows the registry up to an entry, whoever told it.
+    pub(crate) fn note_known(&mut self, upto: LogIndex) {
+        self.upto = self.upto.max(upto);
+    }
+
+    /// How long a change is still withheld; `None` where none is.
+    pub(crate) fn withheld_for(&self) -> Option<Duration> {
+        let since = self.withheld_since?;
+        Some(WITHHELD_FOR.saturating_sub(since.elapsed()))
+    }
+
+    /// What changed in the registry, if this member is to tell it now.
+    fn update(
+        &mut self,
+        source: &PulseSource,
+        control: &BTreeSet<MachineId>,
+    ) -> Option<FleetUpdate> {
+        if !(source.has_news)(self.upto) {
+            self.withheld_since = None;
+            return None;
+        }
+        if teller_of(self.machine, control) != Some(source.own) {
+            let since = *self.withheld_since.get_or_insert_with(Instant::now);
+            if since.elapsed() < WITHHELD_FOR {
+                return None;
+            }
+        }
+        self.withheld_since = None;
+        let update = (source.update)(self.upto)?;
+        self.upto = update.upto;
+        Some(update)
+    }
+
     /// The next pulse. It counts as told: the connection ends if it is not sent.
     pub(crate) fn next(&mut self, source: &PulseSource) -> Pulse {
+        let fleet = source.present();
         let mut pulse = Pulse {
-            update: (source.update)(self.upto),
+            update: self.update(source, &fleet.control),
             ..Pulse::default()
         };
-        if let Some(update) = &pulse.update {
-            self.upto = update.upto;
-        }
-        let fleet = source.present();
         if self
             .last
             .as_ref()
@@ -135,3 +185,13 @@
         pulse
     }
 }
+
+/// The control member that tells a node of changes at once: alike for all members
+/// that see the same ones, and another one for each node.
+fn teller_of(node: MachineId, control: &BTreeSet<MachineId>) -> Option<MachineId> {
+    let key = |member: &MachineId| {
+        let pair = [node.0.to_le_bytes(), member.0.to_le_bytes()];
+        fnv1a(pair.concat())
+    };
+    control.iter().copied().max_by_key(key)
+}
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -202,7 +202,7 @@
                 if let Some(update) = pulse.update {
                     self.fleet.take(update);
                     let upto = self.fleet.upto();
-                    self.base.links.note(|hello| hello.upto = upto);
+                    self.base.links.say(|hello| hello.upto = upto);
                 }
             }
             NodeMessage::Call {
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -115,6 +115,7 @@
             },
             StoreCall::End(job) => StoreCommand::End { job: job.clone() },
             StoreCall::Progress(progress) => StoreCommand::Progress(progress.clone()),
+            StoreCall::Finish(last) => StoreCommand::Finish(last.clone()),
         };
         match command.to_stored() {
             Ok(bytes) => Begin::Propose(bytes),
@@ -129,8 +130,12 @@
         answer: StoreAnswer,
         now: Now,
     ) -> StoreReply {
-        if let StoreCall::Report { item, .. } = call {
-            self.dispatcher.release(item, now.steady_ms);
+        match call {
+            StoreCall::Report { item, .. } => self.dispatcher.release(item, now.steady_ms),
+            StoreCall::Finish(last) if answer == StoreAnswer::Done => {
+                self.dispatcher.release(&last.item, now.steady_ms);
+            }
+            _ => {}
         }
         match answer {
             StoreAnswer::Done => StoreReply::Done,
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -25,6 +25,8 @@
         /// How.
         outcome: ItemOutcome,
     },
+    /// An item is done: its whole answer is what was told before and these events.
+    Finish(ItemProgress),
     /// End a job.
     End(String),
     /// Read results.
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -9,8 +9,9 @@
 
 /// Layout of commands that every build reads.
 const FIRST_LAYOUT: u8 = 1;
-/// Layout of commands that came later; builds that know only the first refuse them.
+/// Layouts of commands that came later; builds that know only earlier ones refuse them.
 const PROGRESS_LAYOUT: u8 = 2;
+const FINISH_LAYOUT: u8 = 3;
 
 /// An item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
@@ -64,6 +65,8 @@
     },
     /// Keeps what runs of items have made.
     Progress(Vec<ItemProgress>),
+    /// An item is done: its whole answer is what was told before and these events.
+    Finish(ItemProgress),
 }
 
 impl StoreCommand {
@@ -80,12 +83,13 @@
     /// # Errors
     /// `DataFolderRefused` when it is of another layout, `Corrupted`.
     pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        stored::decode(&[FIRST_LAYOUT, PROGRESS_LAYOUT], bytes)
+        stored::decode(&[FIRST_LAYOUT, PROGRESS_LAYOUT, FINISH_LAYOUT], bytes)
     }
 
     fn layout(&self) -> u8 {
         match self {
             StoreCommand::Progress(_) => PROGRESS_LAYOUT,
+            StoreCommand::Finish(_) => FINISH_LAYOUT,
             _ => FIRST_LAYOUT,
         }
     }
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -169,6 +169,31 @@
         StoreAnswer::Done
     }
 
+    /// Lists an item whose last events came; where what was told before is not held,
+    /// its whole text has to be reported.
+    fn finish(&mut self, last: ItemProgress) -> StoreAnswer {
+        let ItemProgress {
+            item,
+            told_before,
+            made,
+        } = last;
+        if !self.jobs.contains_key(&item.job) {
+            return StoreAnswer::UnknownJob;
+        }
+        if !self.is_item_open(&item) {
+            return StoreAnswer::Done;
+        }
+        let mut events = self.made.of(&item).events;
+        if told_before == 0 {
+            events.clear();
+        }
+        if events.len() != told_before as usize {
+            return StoreAnswer::TellAgain(vec![item]);
+        }
+        events.extend(made.events);
+        self.report(&item, ItemOutcome::Succeeded(events.join("\n")))
+    }
+
     fn end(&mut self, id: &str) -> StoreAnswer {
         let Some(job) = self.jobs.get_mut(id) else {
             return StoreAnswer::UnknownJob;
@@ -244,6 +269,7 @@
             StoreCommand::Report { item, outcome } => self.report(&item, outcome),
             StoreCommand::End { job } => self.end(&job),
             StoreCommand::Progress(progress) => self.keep(progress),
+            StoreCommand::Finish(last) => self.finish(last),
             StoreCommand::Pass {
                 elapsed_ms,
                 kept_ms,
--- a/crates/job-store/tests/all/progress.rs
+++ b/crates/job-store/tests/all/progress.rs
@@ -31,6 +31,55 @@
     work.into_iter().next().expect("an open item").made
 }
 
+/// Events that are told with the end of an item of which "a" and "b" were told, the
+/// answer, and the text that is listed.
+#[rstest]
+#[case::the_last_ones(2, made(&["c"], 3), StoreAnswer::Done, Some("a\nb\nc"))]
+#[case::none_is_left(2, made(&[], 2), StoreAnswer::Done, Some("a\nb"))]
+#[case::all_of_them(0, made(&["a", "b", "c"], 3), StoreAnswer::Done, Some("a\nb\nc"))]
+#[case::a_gap(3, made(&["d"], 4), StoreAnswer::TellAgain(vec![item("j", 0)]), None)]
+#[case::less_told_than_held(1, made(&["b"], 2), StoreAnswer::TellAgain(vec![item("j", 0)]), None)]
+fn an_item_ends_with_its_last_events(
+    #[case] told_before: u32,
+    #[case] made: MadeEvents,
+    #[case] expected: StoreAnswer,
+    #[case] listed: Option<&str>,
+) {
+    let mut store = store_with_progress();
+    let last = ItemProgress {
+        item: item("j", 0),
+        told_before,
+        made,
+    };
+    assert_eq!(apply(&mut store, &StoreCommand::Finish(last)), expected);
+    let page = store.results("j", 0, 1_000).expect("it is read");
+    let results = page.expect("a job").results;
+    let texts: Vec<&str> = results.iter().map(|result| result.text.as_str()).collect();
+    assert_eq!(texts, listed.into_iter().collect::<Vec<&str>>());
+}
+
+/// The end of an item may be told twice, and of a job that is gone.
+#[test]
+fn the_end_of_an_item_counts_once() {
+    let mut store = store_with_progress();
+    let last = ItemProgress {
+        item: item("j", 0),
+        told_before: 2,
+        made: made(&["c"], 3),
+    };
+    let finish = StoreCommand::Finish(last.clone());
+    assert_eq!(apply(&mut store, &finish), StoreAnswer::Done);
+    assert_eq!(apply(&mut store, &finish), StoreAnswer::Done);
+    let page = store.results("j", 0, 1_000).expect("it is read");
+    assert_eq!(page.expect("a job").results.len(), 1);
+    let unknown = ItemProgress {
+        item: item("gone", 0),
+        ..last
+    };
+    let answer = apply(&mut store, &StoreCommand::Finish(unknown));
+    assert_eq!(answer, StoreAnswer::UnknownJob);
+}
+
 fn store_with_progress() -> JobStore {
     let mut store = JobStore::default();
     submit(&mut store, job("j", 1));
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -151,8 +151,7 @@
         made.clone(),
     );
     let after = items.clone();
-    let told = made.events();
-    items.begin(item, made, told, || {
+    items.begin(item, made, || {
         let task = tokio::spawn(async move {
             match run.run().await {
                 ItemEnding::Reported => after.end(&reference),
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall};
+use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::{Route, RouteKind};
 use linnethitch_routing::dispatch::{Chosen, FailureKind};
 use slog::info;
@@ -119,6 +119,10 @@
             _ => ItemEnd::Failed,
         };
         self.shared.counters.item_ended(end);
+        let is_done = matches!(outcome, ItemOutcome::Succeeded(_));
+        if is_done && self.finish().await {
+            return;
+        }
         let call = StoreCall::Report {
             item: self.work.item.clone(),
             outcome,
@@ -126,6 +130,14 @@
         self.shared.gateway.call_store(call, REPORT_LIMIT).await;
     }
 
+    /// Reports the last events of a whole answer; false when the job store does not
+    /// hold those before them.
+    async fn finish(&self) -> bool {
+        let call = StoreCall::Finish(self.made.last_part(&self.work.item));
+        let reply = self.shared.gateway.call_store(call, REPORT_LIMIT).await;
+        !matches!(reply, StoreReply::TellAgain(_))
+    }
+
     /// The route as of now: a changed one holds for items too.
     fn route(&self) -> Option<Route> {
         let table = self.shared.table()?;
--- a/crates/relay/src/running_items.rs
+++ b/crates/relay/src/running_items.rs
@@ -8,55 +8,76 @@
 
 /// What a run has made, shared with who tells the job store of it.
 #[derive(Clone, Default)]
-pub(crate) struct Made(Arc<Mutex<MadeEvents>>);
+pub(crate) struct Made(Arc<Mutex<MadeState>>);
+
+#[derive(Default)]
+struct MadeState {
+    made: MadeEvents,
+    /// Events of which the job store was told.
+    told: u32,
+}
 
 impl Made {
+    /// What earlier runs made, as the job store holds it.
     pub(crate) fn new(made: MadeEvents) -> Self {
-        Made(Arc::new(Mutex::new(made)))
+        let told = made.events.len() as u32;
+        Made(Arc::new(Mutex::new(MadeState { made, told })))
     }
 
     /// The id of the last event.
     pub(crate) fn last_event(&self) -> Option<u64> {
-        self.0.lock().last_event
+        self.0.lock().made.last_event
     }
 
     /// Events so far.
     pub(crate) fn events(&self) -> u32 {
-        self.0.lock().events.len() as u32
+        self.0.lock().made.events.len() as u32
     }
 
     /// Adds whole events.
     pub(crate) fn push(&self, events: Vec<String>, last_event: Option<u64>) {
-        let mut made = self.0.lock();
+        let made = &mut self.0.lock().made;
         made.events.extend(events);
         made.last_event = last_event.or(made.last_event);
     }
 
     /// All of it as one text.
     pub(crate) fn text(&self) -> String {
-        self.0.lock().events.join("\n")
+        self.0.lock().made.events.join("\n")
     }
 
-    /// What came after so many events; `None` when nothing did.
-    fn since(&self, item: &ItemRef, told_before: u32) -> Option<ItemProgress> {
-        let made = self.0.lock();
-        let events = made.events.get(told_before as usize..)?;
-        (!events.is_empty()).then(|| ItemProgress {
+    /// What the job store was not told of, possibly nothing.
+    pub(crate) fn last_part(&self, item: &ItemRef) -> ItemProgress {
+        let state = self.0.lock();
+        let events = state.made.events.get(state.told as usize..);
+        ItemProgress {
             item: item.clone(),
-            told_before,
+            told_before: state.told,
             made: MadeEvents {
-                events: events.to_vec(),
-                last_event: made.last_event,
+                events: events.unwrap_or_default().to_vec(),
+                last_event: state.made.last_event,
             },
-        })
+        }
+    }
+
+    /// What the job store was not told of; it counts as told from now on. `None`
+    /// when that is nothing.
+    fn take_untold(&self, item: &ItemRef) -> Option<ItemProgress> {
+        let part = self.last_part(item);
+        let events = part.made.events.len() as u32;
+        self.0.lock().told += events;
+        (events > 0).then_some(part)
+    }
+
+    /// The job store has to be told all of it.
+    fn forget_told(&self) {
+        self.0.lock().told = 0;
     }
 }
 
 struct RunningItem {
     task: AbortHandle,
     made: Made,
-    /// Events of which the job store was told.
-    told: u32,
 }
 
 /// Leased items. Clones share them.
@@ -74,16 +95,10 @@
 
 impl RunningItems {
     /// Begins an item's task and notes it, before the task can end.
-    pub(crate) fn begin(
-        &self,
-        item: ItemRef,
-        made: Made,
-        told: u32,
-        spawn: impl FnOnce() -> AbortHandle,
-    ) {
+    pub(crate) fn begin(&self, item: ItemRef, made: Made, spawn: impl FnOnce() -> AbortHandle) {
         let mut inner = self.inner.lock();
         let task = spawn();
-        inner.running.insert(item, RunningItem { task, made, told });
+        inner.running.insert(item, RunningItem { task, made });
     }
 
     /// A task ended and its outcome was reported.
@@ -95,7 +110,7 @@
     pub(crate) fn give_back(&self, item: &ItemRef) {
         let mut inner = self.inner.lock();
         if let Some(held) = inner.running.remove(item) {
-            let progress = held.made.since(item, held.told);
+            let progress = held.made.take_untold(item);
             inner.given_back.extend(progress);
         }
     }
@@ -109,8 +124,8 @@
 
     /// All of an item has to be told again.
     pub(crate) fn tell_again(&self, item: &ItemRef) {
-        if let Some(held) = self.inner.lock().running.get_mut(item) {
-            held.told = 0;
+        if let Some(held) = self.inner.lock().running.get(item) {
+            held.made.forget_told();
         }
     }
 
@@ -140,12 +155,8 @@
     pub(crate) fn to_tell(&self) -> Vec<ItemProgress> {
         let mut inner = self.inner.lock();
         let mut progress = std::mem::take(&mut inner.given_back);
-        for (item, held) in &mut inner.running {
-            if let Some(made) = held.made.since(item, held.told) {
-                held.told += made.made.events.len() as u32;
-                progress.push(made);
-            }
-        }
+        let running = inner.running.iter();
+        progress.extend(running.filter_map(|(item, held)| held.made.take_untold(item)));
         progress
     }
 
@@ -153,8 +164,8 @@
     pub(crate) fn not_told(&self, progress: Vec<ItemProgress>) {
         let mut inner = self.inner.lock();
         for told in progress {
-            match inner.running.get_mut(&told.item) {
-                Some(held) => held.told = 0,
+            match inner.running.get(&told.item) {
+                Some(held) => held.made.forget_told(),
                 None => inner.given_back.push(told),
             }
         }
