--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -169,7 +169,7 @@
                 }
                 inbound = inbox.recv() => match inbound {
                     Some(Inbound::Message { from, message: NodeMessage::Pulse(pulse), .. }) => {
-                        self.take(from, pulse);
+                        self.take(from, *pulse);
                     }
                     Some(_) => {}
                     None => return,
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -141,7 +141,8 @@
     /// False when the connection is to end.
     fn send_pulse(&mut self, pulses: &PulseSource) -> bool {
         let pulse = self.told.next(pulses);
-        self.sender.try_send(&NodeMessage::Pulse(pulse)).is_ok()
+        let message = NodeMessage::Pulse(Box::new(pulse));
+        self.sender.try_send(&message).is_ok()
     }
 
     /// False when the node has stopped.
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -142,7 +142,7 @@
         /// The newest change of the registry that it knows.
         upto: LogIndex,
     },
-    Pulse(Pulse),
+    Pulse(Box<Pulse>),
     Consensus(ConsensusMessage),
     Call {
         call: CallId,
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -38,6 +38,12 @@
     pub(crate) coordinators: BTreeSet<MachineId>,
 }
 
+/// Who was present at one moment.
+struct TakenFleet {
+    at: Instant,
+    fleet: Arc<PresentFleet>,
+}
+
 /// Where pulses come from. Clones share it.
 #[derive(Clone)]
 pub(crate) struct PulseSource {
@@ -47,7 +53,7 @@
     present: Arc<dyn Fn() -> PresentFleet + Send + Sync>,
     has_news: Arc<dyn Fn(LogIndex) -> bool + Send + Sync>,
     update: Arc<dyn Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync>,
-    shared: Arc<Mutex<Option<(Instant, Arc<PresentFleet>)>>>,
+    shared: Arc<Mutex<Option<TakenFleet>>>,
 }
 
 impl PulseSource {
@@ -74,18 +80,21 @@
     fn present(&self) -> Arc<PresentFleet> {
         let mut shared = self.shared.lock();
         let now = Instant::now();
-        if let Some((taken, fleet)) = shared.as_ref()
-            && now.duration_since(*taken) < SHARED_FOR
+        if let Some(taken) = shared.as_ref()
+            && now.duration_since(taken.at) < SHARED_FOR
         {
-            return Arc::clone(fleet);
+            return Arc::clone(&taken.fleet);
         }
         let fleet = (self.present)();
-        let held = shared.take().map(|(_, held)| held);
+        let held = shared.take().map(|taken| taken.fleet);
         let fleet = match held {
             Some(held) if *held == fleet => held,
             _ => Arc::new(fleet),
         };
-        *shared = Some((now, Arc::clone(&fleet)));
+        *shared = Some(TakenFleet {
+            at: now,
+            fleet: Arc::clone(&fleet),
+        });
         fleet
     }
 }
