--- /dev/null
+++ b/crates/cluster/src/pulse.rs
@@ -0,0 +1,206 @@
+//! What control tells the nodes that are connected to it: each role learns what
+//! it needs, and only what changed since it was told last.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use linnethitch_protocol::{
+    hash::fnv1a,
+    ids::{LogIndex, MachineId},
+};
+use linnethitch_registry::{DirectoryNode, FleetUpdate};
+use parking_lot::Mutex;
+use tokio::{sync::watch, time::Instant};
+
+use crate::{
+    message::{NodeHello, NodeRole, PresentStore, Pulse},
+    told_set::ToldSet,
+};
+
+/// Connections share one view of who is present that is no older than this.
+const SHARED_FOR: Duration = Duration::from_millis(20);
+
+/// A node is told of a change of the registry by one control member at once. The
+/// others tell it after this, should it not have said meanwhile that it knows.
+const WITHHELD_FOR: Duration = Duration::from_millis(300);
+
+/// Who is present, as a control member sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PresentFleet {
+    /// Machines of control.
+    pub(crate) control: BTreeSet<MachineId>,
+    /// Machines with disks for the job store.
+    pub(crate) stores: BTreeSet<PresentStore>,
+    /// Voters and learners of the job store.
+    pub(crate) store_members: BTreeSet<MachineId>,
+    /// Gateways that are ready; `None` while control has not yet heard of all.
+    pub(crate) gateways: Option<BTreeSet<DirectoryNode>>,
+    /// Gateways that coordinate slots.
+    pub(crate) coordinators: BTreeSet<MachineId>,
+}
+
+/// Who was present at one moment.
+struct TakenFleet {
+    at: Instant,
+    fleet: Arc<PresentFleet>,
+}
+
+/// Where pulses come from. Clones share it.
+#[derive(Clone)]
+pub(crate) struct PulseSource {
+    /// Changes whenever a pulse is worth sending at once.
+    pub(crate) changes: watch::Receiver<u64>,
+    own: MachineId,
+    present: Arc<dyn Fn() -> PresentFleet + Send + Sync>,
+    has_news: Arc<dyn Fn(LogIndex) -> bool + Send + Sync>,
+    update: Arc<dyn Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync>,
+    shared: Arc<Mutex<Option<TakenFleet>>>,
+}
+
+impl PulseSource {
+    /// A source of a control member that asks who is present, whether the registry
+    /// changed after an entry, and what changed.
+    pub(crate) fn new(
+        own: MachineId,
+        changes: watch::Receiver<u64>,
+        present: impl Fn() -> PresentFleet + Send + Sync + 'static,
+        has_news: impl Fn(LogIndex) -> bool + Send + Sync + 'static,
+        update: impl Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync + 'static,
+    ) -> Self {
+        PulseSource {
+            own,
+            changes,
+            present: Arc::new(present),
+            has_news: Arc::new(has_news),
+            update: Arc::new(update),
+            shared: Arc::default(),
+        }
+    }
+
+    /// Who is present now. The same value is returned as long as nothing changed.
+    fn present(&self) -> Arc<PresentFleet> {
+        let mut shared = self.shared.lock();
+        let now = Instant::now();
+        if let Some(taken) = shared.as_ref()
+            && now.duration_since(taken.at) < SHARED_FOR
+        {
+            return Arc::clone(&taken.fleet);
+        }
+        let fleet = (self.present)();
+        let held = shared.take().map(|taken| taken.fleet);
+        let fleet = match held {
+            Some(held) if *held == fleet => held,
+            _ => Arc::new(fleet),
+        };
+        *shared = Some(TakenFleet {
+            at: now,
+            fleet: Arc::clone(&fleet),
+        });
+        fleet
+    }
+}
+
+/// What one connection was told.
+pub(crate) struct ToldPulses {
+    machine: MachineId,
+    role: NodeRole,
+    /// The newest change of the registry that the node was told or knows.
+    upto: LogIndex,
+    /// Since when a change is withheld that another control member tells.
+    withheld_since: Option<Instant>,
+    last: Option<Arc<PresentFleet>>,
+    control: ToldSet<MachineId>,
+    stores: ToldSet<PresentStore>,
+    store_members: ToldSet<MachineId>,
+    gateways: ToldSet<DirectoryNode>,
+    coordinators: ToldSet<MachineId>,
+}
+
+impl ToldPulses {
+    /// Nothing was told yet to a node.
+    pub(crate) fn new(hello: &NodeHello) -> Self {
+        ToldPulses {
+            machine: hello.machine,
+            role: hello.role,
+            upto: hello.upto,
+            withheld_since: None,
+            last: None,
+            control: ToldSet::default(),
+            stores: ToldSet::default(),
+            store_members: ToldSet::default(),
+            gateways: ToldSet::default(),
+            coordinators: ToldSet::default(),
+        }
+    }
+
+    /// Notes that the node knows the registry up to an entry, whoever told it.
+    pub(crate) fn note_known(&mut self, upto: LogIndex) {
+        self.upto = self.upto.max(upto);
+    }
+
+    /// How long a change is still withheld; `None` where none is.
+    pub(crate) fn withheld_for(&self) -> Option<Duration> {
+        let since = self.withheld_since?;
+        Some(WITHHELD_FOR.saturating_sub(since.elapsed()))
+    }
+
+    /// What changed in the registry, if this member is to tell it now.
+    fn update(
+        &mut self,
+        source: &PulseSource,
+        control: &BTreeSet<MachineId>,
+    ) -> Option<FleetUpdate> {
+        if !(source.has_news)(self.upto) {
+            self.withheld_since = None;
+            return None;
+        }
+        if teller_of(self.machine, control) != Some(source.own) {
+            let since = *self.withheld_since.get_or_insert_with(Instant::now);
+            if since.elapsed() < WITHHELD_FOR {
+                return None;
+            }
+        }
+        self.withheld_since = None;
+        let update = (source.update)(self.upto)?;
+        self.upto = update.upto;
+        Some(update)
+    }
+
+    /// The next pulse. It counts as told: the connection ends if it is not sent.
+    pub(crate) fn next(&mut self, source: &PulseSource) -> Pulse {
+        let fleet = source.present();
+        let mut pulse = Pulse {
+            update: self.update(source, &fleet.control),
+            ..Pulse::default()
+        };
+        if self
+            .last
+            .as_ref()
+            .is_some_and(|last| Arc::ptr_eq(last, &fleet))
+        {
+            return pulse;
+        }
+        pulse.control = self.control.change_to(&fleet.control);
+        pulse.store_members = self.store_members.change_to(&fleet.store_members);
+        match self.role {
+            NodeRole::Store => pulse.stores = self.stores.change_to(&fleet.stores),
+            NodeRole::Gateway => {
+                let gateways = fleet.gateways.as_ref();
+                pulse.gateways = gateways.and_then(|list| self.gateways.change_to(list));
+                pulse.coordinators = self.coordinators.change_to(&fleet.coordinators);
+            }
+            NodeRole::Control => {}
+        }
+        self.last = Some(fleet);
+        pulse
+    }
+}
+
+/// The control member that tells a node of changes at once: alike for all members
+/// that see the same ones, and another one for each node.
+fn teller_of(node: MachineId, control: &BTreeSet<MachineId>) -> Option<MachineId> {
+    let key = |member: &MachineId| {
+        let pair = [node.0.to_le_bytes(), member.0.to_le_bytes()];
+        fnv1a(pair.concat())
+    };
+    control.iter().copied().max_by_key(key)
+}
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -1,6 +1,6 @@
 //! The replicated state.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
@@ -20,6 +20,8 @@
 #[derive(Default)]
 pub struct JobStore {
     pub(crate) jobs: BTreeMap<String, Job>,
+    /// Jobs with items that may still run.
+    pub(crate) open: BTreeSet<String>,
     pub(crate) accepted: u64,
     /// The newest stored snapshot, which holds older texts.
     pub(crate) snapshot: Option<SnapshotReader>,
@@ -36,7 +38,20 @@
 
     /// Jobs with items that may still run.
     pub fn open_jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.values().filter(|job| job.is_open())
+        self.open.iter().filter_map(|id| self.jobs.get(id))
+    }
+
+    /// Number of jobs that were ever accepted.
+    #[must_use]
+    pub fn accepted(&self) -> u64 {
+        self.accepted
+    }
+
+    /// Notes whether a job that changed is still open.
+    fn note_open(&mut self, id: &str) {
+        if !self.jobs.get(id).is_some_and(Job::is_open) {
+            self.open.remove(id);
+        }
     }
 
     /// Number of jobs held.
@@ -62,9 +77,7 @@
     #[must_use]
     pub fn waiting_tokens(&self, bound: &QueueBound) -> u64 {
         let jobs = self.open_jobs().filter(|job| bound.concerns(&job.spec));
-        let items = jobs.flat_map(|job| &job.items);
-        let waiting = items.filter(|item| !item.listed);
-        waiting.map(|item| item.spec.tokens).sum()
+        jobs.map(|job| job.waiting_tokens).sum()
     }
 
     /// Bytes of text that are kept of unfinished items.
@@ -127,7 +140,9 @@
         if !self.jobs.contains_key(&spec.id) {
             self.accepted += 1;
             let id = spec.id.clone();
-            self.jobs.insert(id, Job::new(spec, self.accepted));
+            self.open.insert(id.clone());
+            self.jobs.insert(id.clone(), Job::new(spec, self.accepted));
+            self.note_open(&id);
         }
         StoreAnswer::Done
     }
@@ -150,9 +165,35 @@
         if !job.is_item_open(item.item) {
             self.made.forget(item);
         }
+        self.note_open(&item.job);
         StoreAnswer::Done
     }
 
+    /// Lists an item whose last events came; where what was told before is not held,
+    /// its whole text has to be reported.
+    fn finish(&mut self, last: ItemProgress) -> StoreAnswer {
+        let ItemProgress {
+            item,
+            told_before,
+            made,
+        } = last;
+        if !self.jobs.contains_key(&item.job) {
+            return StoreAnswer::UnknownJob;
+        }
+        if !self.is_item_open(&item) {
+            return StoreAnswer::Done;
+        }
+        let mut events = self.made.of(&item).events;
+        if told_before == 0 {
+            events.clear();
+        }
+        if events.len() != told_before as usize {
+            return StoreAnswer::TellAgain(vec![item]);
+        }
+        events.extend(made.events);
+        self.report(&item, ItemOutcome::Succeeded(events.join("\n")))
+    }
+
     fn end(&mut self, id: &str) -> StoreAnswer {
         let Some(job) = self.jobs.get_mut(id) else {
             return StoreAnswer::UnknownJob;
@@ -162,6 +203,7 @@
             item.spec.body = Vec::new();
         }
         self.made.forget_job(id);
+        self.note_open(id);
         StoreAnswer::Done
     }
 
@@ -190,6 +232,9 @@
         }
         self.jobs
             .retain(|_, job| job.is_open() || job.age_ms <= kept_ms);
+        let jobs = &self.jobs;
+        self.open
+            .retain(|id| jobs.get(id).is_some_and(Job::is_open));
         StoreAnswer::Done
     }
 }
@@ -224,6 +269,7 @@
             StoreCommand::Report { item, outcome } => self.report(&item, outcome),
             StoreCommand::End { job } => self.end(&job),
             StoreCommand::Progress(progress) => self.keep(progress),
+            StoreCommand::Finish(last) => self.finish(last),
             StoreCommand::Pass {
                 elapsed_ms,
                 kept_ms,
