--- a/crates/job-store/tests/all/queue.rs
+++ b/crates/job-store/tests/all/queue.rs
@@ -1,9 +1,10 @@
 //! A job is taken only where it fits beside what waits on its route.
 
+use linnethitch_group::StateMachine;
 use linnethitch_job_store::{ItemOutcome, JobStore, QueueBound, QueueGate, StoreCommand};
 use rstest::rstest;
 
-use crate::support::{apply, item, job, report, submit};
+use crate::support::{apply, item, job, report, snapshots, store_snapshot, submit};
 
 /// Each item of the tests' jobs has 100 tokens.
 fn bound(tokens: u64) -> QueueBound {
@@ -82,3 +83,25 @@
     // The first never came: its command was lost.
     assert!(gate.admits(&store, &job("second", 2), Some(&bound(500)), 5_000));
 }
+
+/// Totals and open jobs are found again when a member restarts from a snapshot.
+#[test]
+fn totals_and_open_jobs_are_the_same_after_a_restart() {
+    let mut store = store();
+    submit(&mut store, job("ended", 1));
+    submit(&mut store, job("done", 1));
+    report(&mut store, item("waiting", 0), ItemOutcome::Unprocessable);
+    report(&mut store, item("done", 0), ItemOutcome::Unprocessable);
+    let end = StoreCommand::End {
+        job: "ended".to_owned(),
+    };
+    apply(&mut store, &end);
+    let mut snapshots = snapshots();
+    let mut snapshot = store.begin_snapshot().expect("a snapshot");
+    let content = store_snapshot(&mut snapshots, 1, &mut snapshot);
+    let restored = JobStore::from_snapshot(content).expect("it is read");
+    for store in [&store, &restored] {
+        assert_eq!(store.waiting_tokens(&bound(0)), 100);
+        assert_eq!(store.open_jobs().count(), 1);
+    }
+}
