--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -8,7 +8,7 @@
 use linnethitch_registry::{DirectoryNode, FleetView, near};
 use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
-use slog::{Logger, error, info};
+use slog::{Logger, error, info, warn};
 use tokio::{
     sync::{mpsc, watch},
     time::interval,
@@ -26,6 +26,9 @@
 
 /// How often links are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Control counts as lost when none of its members was heard of for so long, in
+/// milliseconds: three of its pulses were missed.
+const CONTROL_LOST_MS: u64 = 1_800;
 
 /// A running gateway. Clones share it.
 #[derive(Clone)]
@@ -65,6 +68,7 @@
             seeds: settings.seed_machines(),
             fleet: FleetView::default(),
             teller,
+            control_lost: false,
             logger: settings.logger.clone(),
         };
         tokio::spawn(learner.run(base.inbox));
@@ -120,6 +124,13 @@
         near(&known, region, zone, most)
     }
 
+    /// How long no control member has been heard of, in milliseconds: what is in
+    /// force here is at least so old.
+    #[must_use]
+    pub fn control_silent_ms(&self) -> u64 {
+        self.told.lock().silent_ms(self.clock.now_ms())
+    }
+
     /// Tells control whether callers may come here.
     pub fn set_ready(&self, ready: bool) {
         self.links.say(|hello| hello.ready = ready);
@@ -155,6 +166,8 @@
     seeds: Vec<MachineId>,
     fleet: FleetView,
     teller: watch::Sender<Arc<FleetView>>,
+    /// No control member was heard of for [`CONTROL_LOST_MS`].
+    control_lost: bool,
     logger: Logger,
 }
 
@@ -166,6 +179,7 @@
                 _ = ticks.tick() => {
                     self.keep_links();
                     self.note_coordinators();
+                    self.look_for_control();
                 }
                 inbound = inbox.recv() => match inbound {
                     Some(Inbound::Message { from, message: NodeMessage::Pulse(pulse), .. }) => {
@@ -180,6 +194,7 @@
 
     fn take(&mut self, from: MachineId, mut pulse: Pulse) {
         let now_ms = self.gateway.clock.now_ms();
+        self.note_control_heard(from, now_ms);
         let has_coordinators = pulse.coordinators.is_some();
         let names_others = self.gateway.told.lock().take(from, &mut pulse, now_ms);
         if names_others {
@@ -196,11 +211,33 @@
             self.gateway.links.say(|hello| hello.upto = upto);
             let version = self.fleet.table().map(|table| table.version);
             info!(self.logger, "fleet changed"; "upto" => upto.0, "version" => version,
+                "from" => address_of(from).to_string(),
                 "replicas" => self.fleet.live_replicas().count());
             self.teller.send_replace(Arc::new(self.fleet.clone()));
         }
     }
 
+    /// Says once that control is away: what is in force here may be old from now on.
+    fn look_for_control(&mut self) {
+        let silent_ms = self.gateway.control_silent_ms();
+        if self.control_lost || silent_ms < CONTROL_LOST_MS {
+            return;
+        }
+        self.control_lost = true;
+        let version = self.fleet.table().map(|table| table.version);
+        warn!(self.logger, "control lost"; "silent_ms" => silent_ms,
+            "upto" => self.fleet.upto().0, "version" => version);
+    }
+
+    fn note_control_heard(&mut self, from: MachineId, now_ms: u64) {
+        if !std::mem::take(&mut self.control_lost) {
+            return;
+        }
+        let silent_ms = self.gateway.told.lock().silent_ms(now_ms);
+        info!(self.logger, "control heard of again"; "silent_ms" => silent_ms,
+            "from" => address_of(from).to_string());
+    }
+
     fn note_coordinators(&self) {
         let told = self.gateway.told.lock().coordinators();
         let mut held = self.gateway.coordinators.lock();
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use linnethitch_protocol::ids::{CallId, MachineId};
-use linnethitch_transport::{Connection, Listener, MessageReceiver, MessageSender};
+use linnethitch_transport::{Connection, Listener, MessageReceiver, MessageSender, SendRefused};
+use slog::{Logger, info};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep_until},
 };
 
 use crate::{
+    connection_end::ConnectionEnd,
     message::{NodeHello, NodeMessage, ReplyBody},
     pulse::{PulseSource, ToldPulses},
 };
@@ -48,14 +50,16 @@
     listener: Listener,
     inbox: mpsc::Sender<Inbound>,
     pulses: Option<PulseSource>,
+    logger: Logger,
 ) {
     loop {
         let incoming = listener.accept().await;
         let inbox = inbox.clone();
         let pulses = pulses.clone();
+        let logger = logger.clone();
         tokio::spawn(async move {
             if let Ok(connection) = incoming.establish::<NodeMessage, NodeMessage>().await {
-                serve(connection, inbox, pulses).await;
+                serve(connection, inbox, pulses, &logger).await;
             }
         });
     }
@@ -65,6 +69,7 @@
     connection: Connection<NodeMessage, NodeMessage>,
     inbox: mpsc::Sender<Inbound>,
     pulses: Option<PulseSource>,
+    logger: &Logger,
 ) {
     let (sender, mut receiver) = connection.split();
     let Ok(Some(NodeMessage::Hello(hello))) = receiver.receive().await else {
@@ -76,12 +81,10 @@
         sender,
         inbox,
     };
-    if peer.pass_on(NodeMessage::Hello(hello)).await {
-        match pulses {
-            Some(pulses) => peer.serve_with_pulses(&mut receiver, pulses).await,
-            None => peer.serve(&mut receiver).await,
-        }
-    }
+    info!(logger, "node connected"; "node" => &peer.hello.name, "upto" => peer.hello.upto.0);
+    let end = peer.run(&mut receiver, pulses).await;
+    info!(logger, "node lost"; "node" => &peer.hello.name, "cause" => end.to_string(),
+        "silent_ms" => receiver.silent_for().as_millis() as u64, "told" => peer.told.upto().0);
     let _ = peer.inbox.send(Inbound::Closed(peer.hello)).await;
 }
 
@@ -94,10 +97,31 @@
 }
 
 impl Peer {
-    async fn serve(&mut self, receiver: &mut MessageReceiver<NodeMessage>) {
-        while let Ok(Some(message)) = receiver.receive().await {
-            if !self.pass_on(message).await {
-                return;
+    /// Serves the connection to its end.
+    async fn run(
+        &mut self,
+        receiver: &mut MessageReceiver<NodeMessage>,
+        pulses: Option<PulseSource>,
+    ) -> ConnectionEnd {
+        if !self.pass_on(NodeMessage::Hello(self.hello.clone())).await {
+            return ConnectionEnd::Stopping;
+        }
+        match pulses {
+            Some(pulses) => self.serve_with_pulses(receiver, pulses).await,
+            None => self.serve(receiver).await,
+        }
+    }
+
+    async fn serve(&mut self, receiver: &mut MessageReceiver<NodeMessage>) -> ConnectionEnd {
+        loop {
+            match receiver.receive().await {
+                Ok(Some(message)) => {
+                    if !self.pass_on(message).await {
+                        return ConnectionEnd::Stopping;
+                    }
+                }
+                Ok(None) => return ConnectionEnd::ByPeer,
+                Err(report) => return ConnectionEnd::Broken(report),
             }
         }
     }
@@ -106,7 +130,7 @@
         &mut self,
         receiver: &mut MessageReceiver<NodeMessage>,
         mut pulses: PulseSource,
-    ) {
+    ) -> ConnectionEnd {
         let mut last = None;
         let mut next = Instant::now();
         loop {
@@ -114,21 +138,22 @@
                 received = receiver.receive() => match received {
                     Ok(Some(message)) => {
                         if !self.pass_on(message).await {
-                            return;
+                            return ConnectionEnd::Stopping;
                         }
                     }
-                    _ => return,
+                    Ok(None) => return ConnectionEnd::ByPeer,
+                    Err(report) => return ConnectionEnd::Broken(report),
                 },
                 changed = pulses.changes.changed() => {
                     if changed.is_err() {
-                        return;
+                        return ConnectionEnd::Stopping;
                     }
                     let earliest = last.map(|last| last + SHORTEST_PULSE_INTERVAL);
                     next = next.min(earliest.unwrap_or(next)).max(Instant::now());
                 }
                 () = sleep_until(next) => {
-                    if !self.send_pulse(&pulses) {
-                        return;
+                    if let Err(refused) = self.send_pulse(&pulses) {
+                        return ConnectionEnd::NotSent(refused);
                     }
                     last = Some(Instant::now());
                     let pause = self.told.withheld_for().unwrap_or(PULSE_INTERVAL);
@@ -138,11 +163,11 @@
         }
     }
 
-    /// False when the connection is to end.
-    fn send_pulse(&mut self, pulses: &PulseSource) -> bool {
+    /// The connection is to end where this fails: the pulse counts as told.
+    fn send_pulse(&mut self, pulses: &PulseSource) -> Result<(), SendRefused> {
         let pulse = self.told.next(pulses);
         let message = NodeMessage::Pulse(Box::new(pulse));
-        self.sender.try_send(&message).is_ok()
+        self.sender.try_send(&message)
     }
 
     /// False when the node has stopped.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod client;
 mod clock;
+mod connection_end;
 mod control;
 mod driver;
 mod gateway;
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -8,7 +8,7 @@
 
 use linnethitch_protocol::ids::{CallId, MachineId};
 use linnethitch_transport::{
-    Backoff, ClusterIdentity, MessageReceiver, MessageSender, Traffic, connect,
+    Backoff, ClusterIdentity, MessageReceiver, MessageSender, SendRefused, Traffic, connect,
 };
 use parking_lot::Mutex;
 use slog::{Logger, info};
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    connection_end::ConnectionEnd,
     incoming::Inbound,
     message::{CallBody, NodeHello, NodeMessage, ReplyBody},
     node::{NodeSettings, address_of, connection_options},
@@ -192,12 +193,13 @@
             traffic,
         );
         if let Ok(connection) = opened.await {
-            let (sender, receiver) = connection.split();
+            let (sender, mut receiver) = connection.split();
             info!(inner.logger, "link up"; "to" => &address);
             links.set_sender(machine, Some(sender.clone()));
-            run_link(&links, machine, sender, receiver).await;
+            let end = run_link(&links, machine, sender, &mut receiver).await;
             links.set_sender(machine, None);
-            info!(inner.logger, "link lost"; "to" => &address);
+            info!(inner.logger, "link lost"; "to" => &address, "cause" => end.to_string(),
+                "silent_ms" => receiver.silent_for().as_millis() as u64);
             backoff.reset();
         }
         sleep(backoff.next_wait()).await;
@@ -208,8 +210,8 @@
     links: &Links,
     machine: MachineId,
     sender: MessageSender<NodeMessage>,
-    mut receiver: MessageReceiver<NodeMessage>,
-) {
+    receiver: &mut MessageReceiver<NodeMessage>,
+) -> ConnectionEnd {
     let mut hellos = links.inner.hello.subscribe();
     let mut said: Option<NodeHello> = None;
     let mut next_hello = Instant::now();
@@ -227,21 +229,22 @@
                     is_control |= matches!(message, NodeMessage::Pulse(_));
                     let inbound = Inbound::Message { from: machine, message, answers: None };
                     if links.inner.inbox.send(inbound).await.is_err() {
-                        return;
+                        return ConnectionEnd::Stopping;
                     }
                 }
-                _ => return,
+                Ok(None) => return ConnectionEnd::ByPeer,
+                Err(report) => return ConnectionEnd::Broken(report),
             },
             changed = hellos.changed() => {
                 if changed.is_err() {
-                    return;
+                    return ConnectionEnd::Stopping;
                 }
                 next_hello = Instant::now();
             }
             () = sleep_until(next_hello) => {
                 let hello = hellos.borrow_and_update().clone();
-                if !say_hello(&sender, &mut said, hello, is_control) {
-                    return;
+                if let Err(refused) = say_hello(&sender, &mut said, hello, is_control) {
+                    return ConnectionEnd::NotSent(refused);
                 }
                 next_hello = Instant::now() + HELLO_INTERVAL;
             }
@@ -250,18 +253,22 @@
 }
 
 /// Says what this node is where that changed, else to control that it is there.
-/// False when the link is to end.
+/// The link is to end where that cannot be sent.
 fn say_hello(
     sender: &MessageSender<NodeMessage>,
     said: &mut Option<NodeHello>,
     hello: NodeHello,
     is_control: bool,
-) -> bool {
+) -> Result<(), SendRefused> {
     let is_same = said.as_ref().is_some_and(|said| said.says_the_same(&hello));
     if is_same {
         let alive = NodeMessage::Alive { upto: hello.upto };
-        return !is_control || sender.try_send(&alive).is_ok();
+        return if is_control {
+            sender.try_send(&alive)
+        } else {
+            Ok(())
+        };
     }
     *said = Some(hello.clone());
-    sender.try_send(&NodeMessage::Hello(hello)).is_ok()
+    sender.try_send(&NodeMessage::Hello(hello))
 }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -149,6 +149,7 @@
         settings.logger.clone(),
     )
     .await?;
-    tokio::spawn(incoming::accept_all(listener, inbox, pulses));
+    let logger = settings.logger.clone();
+    tokio::spawn(incoming::accept_all(listener, inbox, pulses, logger));
     Ok(())
 }
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -137,6 +137,11 @@
         self.upto = self.upto.max(upto);
     }
 
+    /// The newest change of the registry that the node was told or knows.
+    pub(crate) fn upto(&self) -> LogIndex {
+        self.upto
+    }
+
     /// How long a change is still withheld; `None` where none is.
     pub(crate) fn withheld_for(&self) -> Option<Duration> {
         let since = self.withheld_since?;
--- a/crates/cluster/src/told_fleet.rs
+++ b/crates/cluster/src/told_fleet.rs
@@ -67,7 +67,7 @@
     /// Machines of control to link to; the seeds too where none was heard of lately.
     pub(crate) fn control(&self, seeds: &[MachineId], now_ms: u64) -> BTreeSet<MachineId> {
         let mut machines: BTreeSet<MachineId> = self.control.keys().copied().collect();
-        if now_ms.saturating_sub(self.newest_ms()) >= TOLD_VALID_MS || machines.is_empty() {
+        if self.silent_ms(now_ms) >= TOLD_VALID_MS || machines.is_empty() {
             machines.extend(seeds);
         }
         machines
@@ -97,6 +97,11 @@
         told.flat_map(|told| &told.coordinators).copied().collect()
     }
 
+    /// How long no control member has been heard of, in milliseconds.
+    pub(crate) fn silent_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.newest_ms())
+    }
+
     fn newest_ms(&self) -> u64 {
         let told = self.by_control.values();
         told.map(|told| told.at_ms).max().unwrap_or(0)
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -83,6 +83,8 @@
     pub(crate) table_version: Gauge,
     /// Replicas that may be given new work.
     pub(crate) ready_replicas: Gauge,
+    /// How long no control member has been heard of, in milliseconds.
+    pub(crate) control_silent_ms: Gauge,
 }
 
 impl Default for Counters {
@@ -99,6 +101,7 @@
             slots: Family::default(),
             table_version: Gauge::default(),
             ready_replicas: Gauge::default(),
+            control_silent_ms: Gauge::default(),
         };
         counters.register();
         counters
@@ -132,6 +135,9 @@
         registry.register("relay_table_version", "Route table in force", version);
         let ready = self.ready_replicas.clone();
         registry.register("relay_ready_replicas", "Replicas open for work", ready);
+        let silent = self.control_silent_ms.clone();
+        let help = "Milliseconds since a control member was heard of";
+        registry.register("relay_control_silent_milliseconds", help, silent);
     }
 
     pub(crate) fn request_ended(&self, route: &str, end: RequestEnd) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -116,6 +116,8 @@
     /// Figures since the start, as Prometheus text.
     #[must_use]
     pub fn figures(&self) -> String {
+        let silent_ms = self.shared.gateway.control_silent_ms();
+        self.shared.counters.control_silent_ms.set(silent_ms as i64);
         self.shared.counters.to_text()
     }
 
--- a/crates/transport/src/receiver.rs
+++ b/crates/transport/src/receiver.rs
@@ -1,12 +1,17 @@
 //! The receiving half of a connection.
 
-use std::{marker::PhantomData, sync::Arc};
+use std::{marker::PhantomData, sync::Arc, time::Duration};
 
 use bytes::{Buf, BytesMut};
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::frame::{self, FrameHeader, FrameKind, HEADER_BYTES};
-use tokio::{io::AsyncReadExt, net::tcp::OwnedReadHalf, sync::watch, time::timeout};
+use tokio::{
+    io::AsyncReadExt,
+    net::tcp::OwnedReadHalf,
+    sync::watch,
+    time::{Instant, timeout},
+};
 
 use crate::{message::WireMessage, options::ConnectionOptions, queue::SendQueue, traffic::Traffic};
 
@@ -21,6 +26,8 @@
 pub struct MessageReceiver<Incoming> {
     socket: OwnedReadHalf,
     buffer: BytesMut,
+    /// When the last byte of the peer came.
+    heard_at: Instant,
     queue: Arc<SendQueue>,
     writer_ended: watch::Receiver<bool>,
     options: ConnectionOptions,
@@ -39,6 +46,7 @@
         MessageReceiver {
             socket,
             buffer: BytesMut::new(),
+            heard_at: Instant::now(),
             queue,
             writer_ended,
             options,
@@ -72,6 +80,12 @@
         }
     }
 
+    /// How long nothing has come from the peer.
+    #[must_use]
+    pub fn silent_for(&self) -> Duration {
+        self.heard_at.elapsed()
+    }
+
     /// Cuts one whole frame off the buffer, if there is one.
     fn take_frame(&mut self) -> Result<Option<(FrameHeader, BytesMut)>, Report<ErrorKind>> {
         let Some(first) = self.buffer.first_chunk::<HEADER_BYTES>() else {
@@ -105,7 +119,10 @@
             Ok(Err(error)) => Err(broken(&error.to_string())),
             Ok(Ok(0)) if self.buffer.is_empty() => Ok(false),
             Ok(Ok(0)) => Err(broken("the connection ended within a frame")),
-            Ok(Ok(_)) => Ok(true),
+            Ok(Ok(_)) => {
+                self.heard_at = Instant::now();
+                Ok(true)
+            }
         }
     }
 }
