--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -1,3 +1,5 @@
-//! Tests of this crate.
+//! Nodes of one process over loopback sockets.
 
 mod gateways;
+mod silence;
+mod support;
--- /dev/null
+++ b/crates/cluster/tests/all/silence.rs
@@ -0,0 +1,153 @@
+//! Links between nodes that fall silent without a word, while new ones work: what
+//! is in force must reach every node all the same.
+//!
+//! Nodes reach each other at their own port, so that a proxy at a peer's address
+//! and that port stands between the two.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use linnethitch_cluster::{ControlNode, GatewayNode};
+use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
+use tempfile::TempDir;
+
+use crate::support::{LIMIT, free_port, host, node, start_control, table, until};
+
+/// Puts a version in force, which may take a while after a start.
+async fn put(control: &ControlNode, version: u64) {
+    let held = control.put_routes(table(version), Vec::new(), LIMIT).await;
+    assert_eq!(held, Ok(version));
+}
+
+fn version(gateway: &GatewayNode) -> u64 {
+    let fleet = gateway.fleet();
+    fleet.table().map_or(0, |table| table.version)
+}
+
+fn socket(address: Ipv4Addr, port: u16) -> SocketAddr {
+    (address, port).into()
+}
+
+/// A control member and a gateway with a proxy between them.
+struct Pair {
+    control: ControlNode,
+    gateway: GatewayNode,
+    proxy: Proxy,
+    _network: Network,
+    _folder: TempDir,
+}
+
+impl Pair {
+    async fn start(first_host: u8) -> Self {
+        let (seed, own) = (host(first_host), host(first_host + 1));
+        let control_port = free_port(seed);
+        let (control, folder) = start_control(node(seed, &[seed], control_port)).await;
+        let network = Network::start().expect("threads");
+        let proxy = network
+            .streams(socket(seed, 0), socket(seed, control_port))
+            .expect("a port");
+        let settings = node(own, &[seed], proxy.address.port());
+        let gateway = GatewayNode::start(&settings, format!("{own}:80"));
+        gateway.set_ready(true);
+        Pair {
+            control,
+            gateway,
+            proxy,
+            _network: network,
+            _folder: folder,
+        }
+    }
+
+    fn is_listed(&self) -> bool {
+        !self.control.gateways_near("region", "zone", 64).is_empty()
+    }
+}
+
+#[tokio::test]
+async fn a_gateway_learns_what_is_in_force_after_its_link_fell_silent() {
+    let pair = Pair::start(20).await;
+    put(&pair.control, 1).await;
+    until("the first version", || version(&pair.gateway) == 1).await;
+    until("it is listed", || pair.is_listed()).await;
+    pair.proxy.silence_open(Way::Both);
+    put(&pair.control, 2).await;
+    until("the second version", || version(&pair.gateway) == 2).await;
+    until("it is listed again", || pair.is_listed()).await;
+}
+
+/// Three control members, each with a port of its own, and proxies between them.
+struct Members {
+    control: Vec<(ControlNode, TempDir)>,
+    /// Proxies of the links from and to the last member.
+    around_last: Vec<Proxy>,
+    network: Network,
+    addresses: Vec<Ipv4Addr>,
+    ports: Vec<u16>,
+}
+
+impl Members {
+    async fn start(first_host: u8) -> Self {
+        let addresses: Vec<Ipv4Addr> = (0..3).map(|number| host(first_host + number)).collect();
+        let ports: Vec<u16> = addresses
+            .iter()
+            .map(|address| free_port(*address))
+            .collect();
+        let mut members = Members {
+            control: Vec::new(),
+            around_last: Vec::new(),
+            network: Network::start().expect("threads"),
+            addresses,
+            ports,
+        };
+        members.join();
+        for (address, port) in members.addresses.iter().zip(&members.ports) {
+            let settings = node(*address, &members.addresses, *port);
+            members.control.push(start_control(settings).await);
+        }
+        members
+    }
+
+    /// A proxy for each ordered pair: at the target's address, on the caller's port.
+    fn join(&mut self) {
+        let last = self.addresses.len() - 1;
+        for from in 0..=last {
+            for to in (0..=last).filter(|to| *to != from) {
+                let listen = socket(self.addresses[to], self.ports[from]);
+                let target = socket(self.addresses[to], self.ports[to]);
+                let proxy = self.network.streams(listen, target).expect("a free port");
+                if from == last || to == last {
+                    self.around_last.push(proxy);
+                }
+            }
+        }
+    }
+
+    /// A gateway that reaches only the last member.
+    fn gateway_of_last(&self, number: u8) -> GatewayNode {
+        let last = self.addresses.len() - 1;
+        let at = self.addresses[last];
+        let target = socket(at, self.ports[last]);
+        let proxy = self.network.streams(socket(at, 0), target).expect("a port");
+        let own = host(number);
+        let settings = node(own, &[at], proxy.address.port());
+        GatewayNode::start(&settings, format!("{own}:80"))
+    }
+}
+
+/// What the member was told before holds at the gateway; what is put in force while
+/// the member is cut off reaches it through this member only.
+#[tokio::test]
+async fn a_control_member_catches_up_after_its_links_fell_silent() {
+    let members = Members::start(30).await;
+    let (first, _) = &members.control[0];
+    put(first, 1).await;
+    let gateway = members.gateway_of_last(39);
+    until("the first version", || version(&gateway) == 1).await;
+    for proxy in &members.around_last {
+        proxy.set(Mode::Silent(Way::Both));
+    }
+    put(first, 2).await;
+    for proxy in &members.around_last {
+        proxy.set(Mode::Pass);
+    }
+    until("the second version", || version(&gateway) == 2).await;
+}
--- /dev/null
+++ b/crates/cluster/tests/all/support.rs
@@ -0,0 +1,91 @@
+//! Nodes of a test on loopback addresses of its process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings};
+use linnethitch_registry::{CallerLimits, RouteTable};
+use linnethitch_transport::{ClusterIdentity, ClusterKey};
+use slog::{Discard, Logger, o};
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+/// Longest wait for anything that is to happen.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+/// An address of this test process, so that tests never share a port.
+pub(crate) fn host(number: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(
+        127,
+        3 + (process >> 8) as u8 % 240,
+        process as u8,
+        1 + number,
+    )
+}
+
+/// A port that is free at an address now.
+pub(crate) fn free_port(address: Ipv4Addr) -> u16 {
+    let free = std::net::TcpListener::bind(SocketAddrV4::new(address, 0)).expect("a port");
+    free.local_addr().expect("an address").port()
+}
+
+pub(crate) fn node(address: Ipv4Addr, seeds: &[Ipv4Addr], port: u16) -> NodeSettings {
+    NodeSettings {
+        name: address.to_string(),
+        zone: "zone".to_owned(),
+        region: "region".to_owned(),
+        address,
+        port,
+        seeds: seeds.to_vec(),
+        bootstrap: true,
+        tolerated_losses: 0,
+        identity: ClusterIdentity {
+            name: "test".to_owned(),
+            key: ClusterKey::new(*b"a key for tests only").expect("long enough"),
+        },
+        logger: Logger::root(Discard, o!()),
+    }
+}
+
+/// A running control member with a folder of its own.
+pub(crate) async fn start_control(node: NodeSettings) -> (ControlNode, TempDir) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let settings = ControlSettings {
+        node,
+        data_dir: folder.path().display().to_string(),
+        store_voters: 1,
+    };
+    let (control, running) = ControlNode::start(settings).await.expect("it starts");
+    tokio::spawn(running);
+    (control, folder)
+}
+
+/// A table without routes.
+pub(crate) fn table(version: u64) -> RouteTable {
+    RouteTable {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        },
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    if tokio::time::timeout(LIMIT, waiting).await.is_err() {
+        panic!("not in time: {what}");
+    }
+}
--- /dev/null
+++ b/crates/fault-proxy/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Contract of the proxies.
+
+mod datagrams;
+mod streams;
--- a/crates/transport/tests/all/connection.rs
+++ b/crates/transport/tests/all/connection.rs
@@ -1,8 +1,9 @@
 //! Messages, limits and ends of open connections.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use linnethitch_errors::ErrorKind;
+use linnethitch_fault_proxy::{Mode, Network, Way};
 use linnethitch_protocol::{
     attach::GatewayMessage,
     frame::{FrameKind, HEADER_BYTES},
@@ -13,6 +14,9 @@
 
 use crate::support::{pair, quick};
 
+/// Longest wait for anything that is to happen.
+const LIMIT: Duration = Duration::from_secs(20);
+
 fn large(bytes: usize) -> GatewayMessage {
     GatewayMessage::Suspect(vec![ReplicaId("r".repeat(bytes))])
 }
@@ -65,6 +69,44 @@
     assert!(client_end.is_err(), "nothing arrives and nothing breaks");
 }
 
+/// A connection ends after its idle timeout whatever else its owner waits for
+/// beside it: the time that a peer has been silent does not begin anew.
+#[rstest]
+#[case::nothing_else(None)]
+#[case::a_timer_that_fires_sooner(Some(100))]
+#[tokio::test]
+async fn a_silent_peer_is_given_up(#[case] wakes_after_ms: Option<u64>) {
+    let network = Network::start().expect("threads");
+    let (listener, address) = crate::support::listen(quick()).await;
+    let target = address.parse().expect("an address");
+    let proxy = network.streams(any_port(), target).expect("a port");
+    let identity = crate::support::own_identity();
+    let proxied = proxy.address.to_string();
+    let (server, client) = tokio::join!(
+        async { listener.accept().await.establish().await },
+        crate::support::dial(&proxied, &identity, quick())
+    );
+    let _server: crate::support::ServerSide = server.expect("accepted");
+    let mut client = client.expect("connected");
+    proxy.set(Mode::Silent(Way::FromTarget));
+    let wakes_after = wakes_after_ms.map_or(LIMIT, Duration::from_millis);
+    let waiting = async {
+        loop {
+            tokio::select! {
+                received = client.receiver.receive() => break received,
+                () = tokio::time::sleep(wakes_after) => {}
+            }
+        }
+    };
+    let ended = tokio::time::timeout(LIMIT, waiting).await;
+    let report = ended.expect("it ends").expect_err("by an error");
+    assert_eq!(*report.current_context(), ErrorKind::Io);
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
 #[tokio::test]
 async fn a_peer_that_does_not_read_costs_only_its_own_connection() {
     let options = ConnectionOptions {
