Give up a connection by its last byte, whatever its owner waits for beside it

Links and control's side of them call it in a select with a timer of half a second, which drops the call and begins the two seconds anew; a link that had gone silent ended only when TCP gave up or its peer reset it. A gateway that was cut off went on with what it knew until TCP sent again what it had kept, seconds after the cut was over, and so would a control or store member. Class: a deadline that lives in a future which its owner drops and makes anew. Change: the receiver keeps when the last byte came, and waits until that plus the idle timeout. Nothing at the owners changes.

That of a gateway is now a table of three directions with the same assertions and one more (it is listed by control again); one test more holds that a process which stood still itself keeps a peer that spoke meanwhile.

--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -8,6 +8,7 @@
 
 use linnethitch_cluster::{ControlNode, GatewayNode};
 use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
+use rstest::rstest;
 use tempfile::TempDir;
 
 use crate::support::{LIMIT, free_port, host, node, start_control, table, until};
@@ -62,13 +63,25 @@
     }
 }
 
+/// Control lists a gateway that it hears; one whose messages are lost is listed
+/// again once it has opened a new link.
+#[rstest]
+#[case::neither_way(Way::Both, 20)]
+#[case::nothing_reaches_control(Way::ToTarget, 22)]
+#[case::nothing_reaches_the_gateway(Way::FromTarget, 24)]
 #[tokio::test]
-async fn a_gateway_learns_what_is_in_force_after_its_link_fell_silent() {
-    let pair = Pair::start(20).await;
+async fn a_gateway_and_control_find_each_other_after_their_link_fell_silent(
+    #[case] way: Way,
+    #[case] first_host: u8,
+) {
+    let pair = Pair::start(first_host).await;
     put(&pair.control, 1).await;
     until("the first version", || version(&pair.gateway) == 1).await;
     until("it is listed", || pair.is_listed()).await;
-    pair.proxy.silence_open(Way::Both);
+    pair.proxy.silence_open(way);
+    if way != Way::FromTarget {
+        until("it is not listed", || !pair.is_listed()).await;
+    }
     put(&pair.control, 2).await;
     until("the second version", || version(&pair.gateway) == 2).await;
     until("it is listed again", || pair.is_listed()).await;
--- a/crates/transport/src/receiver.rs
+++ b/crates/transport/src/receiver.rs
@@ -10,7 +10,7 @@
     io::AsyncReadExt,
     net::tcp::OwnedReadHalf,
     sync::watch,
-    time::{Instant, timeout},
+    time::{Instant, timeout_at},
 };
 
 use crate::{message::WireMessage, options::ConnectionOptions, queue::SendQueue, traffic::Traffic};
@@ -57,7 +57,8 @@
 
     /// The next message; `None` when the peer ended the connection between two frames.
     ///
-    /// Cancel safe: a call that is dropped loses nothing.
+    /// Cancel safe: a call that is dropped loses nothing, and the time that the peer
+    /// has been silent goes on from its last byte, however often this is called.
     ///
     /// # Errors
     /// `Io` when the connection broke or fell silent, `MalformedRequest` or
@@ -108,8 +109,9 @@
     /// Reads more; `false` at the end of the stream.
     async fn fill(&mut self) -> Result<bool, Report<ErrorKind>> {
         self.buffer.reserve(READ_CHUNK_BYTES);
+        let silent_until = self.heard_at + self.options.idle_timeout;
         let read = tokio::select! {
-            read = timeout(self.options.idle_timeout, self.socket.read_buf(&mut self.buffer)) => read,
+            read = timeout_at(silent_until, self.socket.read_buf(&mut self.buffer)) => read,
             _ = self.writer_ended.wait_for(|ended| *ended) => {
                 return Err(broken("the peer takes no more data"));
             }
--- a/crates/transport/tests/all/connection.rs
+++ b/crates/transport/tests/all/connection.rs
@@ -5,7 +5,7 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_fault_proxy::{Mode, Network, Way};
 use linnethitch_protocol::{
-    attach::GatewayMessage,
+    attach::{ControlMessage, GatewayMessage},
     frame::{FrameKind, HEADER_BYTES},
     ids::{ReplicaId, Revision},
 };
@@ -103,6 +103,31 @@
     assert_eq!(*report.current_context(), ErrorKind::Io);
 }
 
+/// A process that stands still for longer than the idle timeout finds what its peer
+/// has said meanwhile, and does not take its own silence for the peer's.
+#[tokio::test]
+async fn a_peer_that_spoke_while_this_process_stood_still_is_kept() {
+    let patient = ConnectionOptions {
+        idle_timeout: LIMIT,
+        ..quick()
+    };
+    let (listener, address) = crate::support::listen(patient).await;
+    let identity = crate::support::own_identity();
+    let accepting = async { listener.accept().await.establish().await };
+    let (server, client) = tokio::join!(
+        accepting,
+        crate::support::dial(&address, &identity, quick())
+    );
+    let server: crate::support::ServerSide = server.expect("accepted");
+    let mut client = client.expect("connected");
+    let said = ControlMessage::CancelJobs(Vec::new());
+    server.sender.send(&said).await.expect("sent");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    std::thread::sleep(quick().idle_timeout * 2);
+    let received = client.receiver.receive().await.expect("not given up");
+    assert_eq!(received, Some(said));
+}
+
 fn any_port() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
 }
