--- a/crates/observability/src/journal.rs
+++ b/crates/observability/src/journal.rs
@@ -17,7 +17,7 @@
         mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
@@ -167,18 +167,25 @@
             counters.failed.fetch_add(1, Ordering::Relaxed);
         }
     };
+    let mut flush_at = Instant::now() + FLUSH_INTERVAL;
     loop {
-        match records.recv_timeout(FLUSH_INTERVAL) {
+        let left = flush_at.saturating_duration_since(Instant::now());
+        match records.recv_timeout(left) {
             Ok(Message::Record(record)) => count_failure(segments.append(&record)),
             Ok(Message::Flush(done)) => {
                 count_failure(segments.flush());
+                // Whoever asked may have gone.
                 let _ = done.send(());
             }
-            Err(RecvTimeoutError::Timeout) => count_failure(segments.flush()),
+            Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => {
                 count_failure(segments.flush());
                 return;
             }
         }
+        if Instant::now() >= flush_at {
+            count_failure(segments.flush());
+            flush_at = Instant::now() + FLUSH_INTERVAL;
+        }
     }
 }
--- a/crates/observability/tests/all/journal.rs
+++ b/crates/observability/tests/all/journal.rs
@@ -1,6 +1,6 @@
 //! The journal keeps what was decided, within its size, and finds it by id.
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, thread, time::Duration};
 
 use linnethitch_observability::journal::{
     Considered, DecisionKind, Journal, JournalRecord, MAX_FOUND_RECORDS, Subject, lookup_in,
@@ -62,6 +62,24 @@
     assert_eq!(times, [7, 9]);
 }
 
+/// A record is written out after a while also where others go on coming: before
+/// they fill the writer's buffer, which would write it out as well.
+#[test]
+fn a_record_is_written_out_while_others_come() {
+    const FEWER_THAN_FILL_THE_BUFFER: u64 = 40;
+    let folder = tempfile::tempdir().unwrap();
+    let journal = Journal::open(folder.path(), MAX_BYTES).unwrap();
+    let files = folder.path().join("journal");
+    let is_written = (0..FEWER_THAN_FILL_THE_BUFFER).any(|number| {
+        let subject = Subject::request(&format!("req_{number}"));
+        let record = JournalRecord::new(number, DecisionKind::Choice, subject, "lowest_wait");
+        journal.record(record);
+        thread::sleep(Duration::from_millis(50));
+        !lookup_in(&files, "req_0").unwrap().is_empty()
+    });
+    assert!(is_written);
+}
+
 #[rstest]
 #[case::job("batch_1", 2)]
 #[case::item("batch_1/17", 1)]
