--- a/crates/observability/src/log.rs
+++ b/crates/observability/src/log.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 
+use error_stack::{Report, fmt::ColorMode};
 use linnethitch_config::settings::{LogLevel, LogSettings};
 use slog::{Drain, FnValue, Level, Logger, OwnedKVList, PushFnValue, Record, o};
 
@@ -38,6 +39,8 @@
     where
         W: io::Write + Send + 'static,
     {
+        // Reports become fields of lines, where a terminal's colours are noise.
+        Report::set_color_mode(ColorMode::None);
         let json = slog_json::Json::new(writer)
             .set_flush(true)
             .add_key_value(o!(
--- a/crates/observability/tests/all/journal.rs
+++ b/crates/observability/tests/all/journal.rs
@@ -71,7 +71,7 @@
     let journal = Journal::open(folder.path(), MAX_BYTES).unwrap();
     let files = folder.path().join("journal");
     let is_written = (0..FEWER_THAN_FILL_THE_BUFFER).any(|number| {
-        let subject = Subject::request(&format!("req_{number}"));
+        let subject = Subject::request(format!("req_{number}"));
         let record = JournalRecord::new(number, DecisionKind::Choice, subject, "lowest_wait");
         journal.record(record);
         thread::sleep(Duration::from_millis(50));
--- a/crates/observability/tests/all/log.rs
+++ b/crates/observability/tests/all/log.rs
@@ -5,7 +5,9 @@
     sync::{Arc, Mutex},
 };
 
+use error_stack::Report;
 use linnethitch_config::settings::{LogLevel, LogSettings};
+use linnethitch_errors::ErrorKind;
 use linnethitch_observability::{log::Logging, time::rfc3339};
 use rstest::rstest;
 use slog::{debug, info, warn};
@@ -53,6 +55,17 @@
     assert!(line["module"].as_str().unwrap().ends_with("::log"));
 }
 
+#[test]
+fn a_report_is_logged_without_terminal_colours() {
+    let lines = lines_of(&LogSettings::default(), |logger| {
+        let report = Report::new(ErrorKind::Io).attach("the peer has been silent for too long");
+        info!(logger, "link lost"; "cause" => format!("{report:?}"));
+    });
+    let cause = lines[0]["cause"].as_str().unwrap();
+    assert!(cause.contains("silent"), "{cause}");
+    assert!(!cause.contains('\u{1b}'), "{cause:?}");
+}
+
 #[rstest]
 #[case::general_level("unrelated", LogLevel::Debug, LogLevel::Warning, &["warned"])]
 #[case::own_module("all::log", LogLevel::Debug, LogLevel::Warning, &["debugged", "warned"])]
