A control member tells what is in force only while it knows it

A member counted as current for good after four flushes since it had first heard a leader. Change: consensus tells what the leader of this term told to be committed, once an entry of that term is committed here (Status::known_commit). A member tells the registry's changes while it heard the leader within a second and has applied that much; a line says when that changes. A gateway that starts while no member knows stays not ready (503, come back), where it answered by an older table before.

Tests: silence::a_gateway_that_starts_beside_a_member_cut_off_takes_nothing_old and ..._that_catches_up_..., both failed before; consensus known_commit, and an invariant checked in every test of the cluster (a trial without the condition on the term fails a_new_leaders_first_words_do_not_count).

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -104,7 +104,8 @@
             changes: watch::channel(0).0,
             presence: Mutex::new(Presence::default()),
         });
-        let service = RegistryService::new(Arc::clone(&shared), settings.store_voters);
+        let logger = node.logger.clone();
+        let service = RegistryService::new(Arc::clone(&shared), settings.store_voters, logger);
         let (driver, handle) = driver::open(
             group_settings(&node),
             &settings.data_dir,
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -6,6 +6,7 @@
 use linnethitch_protocol::ids::{MachineId, MemberId};
 use linnethitch_registry::{Registry, RegistryAnswer, RegistryCommand};
 use parking_lot::Mutex;
+use slog::{Logger, info};
 use tokio::sync::watch;
 
 use crate::{
@@ -20,8 +21,10 @@
 /// The job store is formed once no further member has appeared for this long.
 const STORE_FORMING_MS: u64 = 400;
 
-/// A leader's heartbeats have told what is committed after so many flushes.
-const FLUSHES_UNTIL_CURRENT: u32 = 4;
+/// A member that has not heard its leader for so many ticks of the group, about a
+/// second, does not know what is in force: twice the shortest silence after which
+/// another member may stand for election.
+const LEADER_SILENT_TICKS: u32 = 25;
 
 /// What the rest of the node sees of the group.
 #[derive(Clone, Default)]
@@ -29,8 +32,8 @@
     pub(crate) registry: Registry,
     /// Voters and learners.
     pub(crate) members: Vec<MachineId>,
-    /// Whether a leader was heard of for a while since the start, so that what was
-    /// committed before it is known. Before, the state may be an older one.
+    /// Whether this holds what the leader, which is heard, told to be committed. A
+    /// member that is cut off or catches up may hold something older, and tells nobody.
     pub(crate) is_current: bool,
 }
 
@@ -48,22 +51,42 @@
     /// When each replica was last heard of, as far as this leader knows.
     alive: BTreeMap<String, u64>,
     led: bool,
-    /// Flushes since a leader was first heard of.
-    flushes_led: u32,
+    is_current: bool,
     store_voters: usize,
+    logger: Logger,
 }
 
 impl RegistryService {
-    pub(crate) fn new(shared: Arc<RegistryShared>, store_voters: usize) -> Self {
+    pub(crate) fn new(shared: Arc<RegistryShared>, store_voters: usize, logger: Logger) -> Self {
         RegistryService {
             shared,
             alive: BTreeMap::new(),
             led: false,
-            flushes_led: 0,
+            is_current: false,
             store_voters,
+            logger,
         }
     }
 
+    /// Finds out whether the member holds what is in force.
+    fn note_current(&mut self, member: &GroupMember<Registry>) {
+        let status = member.status();
+        let hears_leader =
+            status.leader.is_some() && status.ticks_since_leader < LEADER_SILENT_TICKS;
+        let holds_all = status
+            .known_commit
+            .is_some_and(|commit| member.applied() >= commit);
+        let is_current = hears_leader && holds_all;
+        if is_current == self.is_current {
+            return;
+        }
+        self.is_current = is_current;
+        let version = member.state().table().map(|table| table.version);
+        info!(self.logger, "registry state"; "is_current" => is_current, "version" => version,
+            "applied" => member.applied().0, "committed" => status.committed.0,
+            "ticks_since_leader" => status.ticks_since_leader, "term" => status.term.0);
+    }
+
     fn silent_replicas(&mut self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
         if !self.led {
             self.led = true;
@@ -166,11 +189,8 @@
         if !member.is_leader() {
             self.led = false;
         }
-        let status = member.status();
-        if status.leader.is_some() && member.applied() >= status.committed {
-            self.flushes_led = self.flushes_led.saturating_add(1);
-        }
-        let is_current = self.flushes_led >= FLUSHES_UNTIL_CURRENT;
+        self.note_current(member);
+        let is_current = self.is_current;
         let held = Arc::clone(&self.shared.view.lock());
         let membership = member.membership();
         let all = membership.voters.iter().chain(&membership.learners);
--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -4,15 +4,22 @@
 //! Nodes reach each other at their own port, so that a proxy at a peer's address
 //! and that port stands between the two.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
-use linnethitch_cluster::{ControlNode, GatewayNode};
+use linnethitch_cluster::{ControlNode, GatewayNode, NodeSettings, Unavailable};
 use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
 use rstest::rstest;
 use tempfile::TempDir;
+use tokio::time::sleep;
 
 use crate::support::{LIMIT, free_port, host, node, start_control, table, until};
 
+/// Long enough for a member that is cut off to find that it hears no leader.
+const CUT_FOR: Duration = Duration::from_millis(2_500);
+
 /// Puts a version in force, which may take a while after a start.
 async fn put(control: &ControlNode, version: u64) {
     let held = control.put_routes(table(version), Vec::new(), LIMIT).await;
@@ -140,12 +147,37 @@
         let at = self.addresses[last];
         let target = socket(at, self.ports[last]);
         let proxy = self.network.streams(socket(at, 0), target).expect("a port");
-        let own = host(number);
-        let settings = node(own, &[at], proxy.address.port());
-        GatewayNode::start(&settings, format!("{own}:80"))
+        gateway_of(host(number), at, proxy.address.port())
+    }
+
+    /// Cuts the last member off from the others: what is open stays silent.
+    fn cut_last_off(&self) {
+        for proxy in &self.around_last {
+            proxy.set(Mode::Silent(Way::Both));
+        }
+    }
+
+    fn join_last_again(&self) {
+        for proxy in &self.around_last {
+            proxy.set(Mode::Pass);
+        }
     }
 }
 
+/// A gateway that reaches one control member only.
+fn gateway_of(own: Ipv4Addr, control: Ipv4Addr, port: u16) -> GatewayNode {
+    GatewayNode::start(&node(own, &[control], port), format!("{own}:80"))
+}
+
+/// The version of the first table that a gateway takes.
+async fn first_version(gateway: &GatewayNode) -> u64 {
+    let mut fleet = gateway.follow();
+    let known = fleet.wait_for(|fleet| fleet.table().is_some());
+    let known = tokio::time::timeout(LIMIT, known).await;
+    let fleet = known.expect("in time").expect("the gateway runs").clone();
+    fleet.table().map_or(0, |table| table.version)
+}
+
 /// What the member was told before holds at the gateway; what is put in force while
 /// the member is cut off reaches it through this member only.
 #[tokio::test]
@@ -155,12 +187,57 @@
     put(first, 1).await;
     let gateway = members.gateway_of_last(39);
     until("the first version", || version(&gateway) == 1).await;
-    for proxy in &members.around_last {
-        proxy.set(Mode::Silent(Way::Both));
-    }
+    members.cut_last_off();
     put(first, 2).await;
-    for proxy in &members.around_last {
-        proxy.set(Mode::Pass);
-    }
+    members.join_last_again();
     until("the second version", || version(&gateway) == 2).await;
 }
+
+/// A control member that is cut off does not know what is in force. A gateway that
+/// starts then and reaches no other one takes nothing, and what is in force later.
+#[tokio::test]
+async fn a_gateway_that_starts_beside_a_member_cut_off_takes_nothing_old() {
+    let members = Members::start(40).await;
+    let (first, _) = &members.control[0];
+    let (last, _) = &members.control[2];
+    put(first, 1).await;
+    assert!(last.document(LIMIT).await.is_ok());
+    members.cut_last_off();
+    put(first, 2).await;
+    // It cannot be sure any more, and says so.
+    assert_eq!(last.document(CUT_FOR).await, Err(Unavailable));
+    let gateway = members.gateway_of_last(49);
+    let first_taken = first_version(&gateway);
+    let joined_again = async {
+        sleep(CUT_FOR).await;
+        members.join_last_again();
+    };
+    let (taken, ()) = tokio::join!(first_taken, joined_again);
+    assert_eq!(taken, 2);
+}
+
+/// A control member with an empty disk learns all that was ever in force, in order.
+/// A gateway that starts beside it takes the last of it only.
+#[tokio::test]
+async fn a_gateway_that_starts_beside_a_member_that_catches_up_takes_nothing_old() {
+    const VERSIONS: u64 = 60;
+    const DOCUMENT_BYTES: usize = 300 * 1024;
+    let (seed, joining) = (host(50), host(51));
+    let port = free_port(seed);
+    let (control, _folder) = start_control(node(seed, &[seed], port)).await;
+    for version in 1..=VERSIONS {
+        let document = vec![0; DOCUMENT_BYTES];
+        let held = control.put_routes(table(version), document, LIMIT).await;
+        assert_eq!(held, Ok(version));
+    }
+    let settings = NodeSettings {
+        bootstrap: false,
+        ..node(joining, &[seed], port)
+    };
+    let network = Network::start().expect("threads");
+    let target = socket(joining, port);
+    let proxy = network.streams(socket(joining, 0), target).expect("a port");
+    let gateway = gateway_of(host(52), joining, proxy.address.port());
+    let (_joined, _its_folder) = start_control(settings).await;
+    assert_eq!(first_version(&gateway).await, VERSIONS);
+}
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -83,6 +83,10 @@
     role: Role,
     leader: Option<MemberId>,
     commit: LogIndex,
+    /// The highest commit index that the present leader told.
+    told_commit: LogIndex,
+    /// Whether an entry of the present leader's term is known to be committed.
+    term_committed: bool,
     synced: LogIndex,
     pending: PendingLog,
     membership: MembershipHistory,
@@ -132,6 +136,8 @@
             role: Role::Follower,
             leader: None,
             commit,
+            told_commit: LogIndex(0),
+            term_committed: false,
             synced: last_index,
             pending: PendingLog::new(log),
             membership: restore_membership(restored.membership, log),
@@ -203,6 +209,7 @@
             leader: self.leader,
             ticks_since_leader: self.ticks_since_leader(),
             committed: self.commit,
+            known_commit: self.known_commit(),
             synced: self.synced,
             last_index: self.pending.last_index(),
             membership: latest.clone(),
@@ -238,6 +245,13 @@
         }
     }
 
+    fn known_commit(&self) -> Option<LogIndex> {
+        match &self.leadership {
+            Some(leadership) => self.is_settled(leadership).then_some(self.commit),
+            None => self.term_committed.then_some(self.told_commit),
+        }
+    }
+
     fn peer_status(&self, latest: &Membership) -> Vec<PeerStatus> {
         let Some(leadership) = &self.leadership else {
             return Vec::new();
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -103,6 +103,8 @@
         }
         self.role = Role::Follower;
         self.leader = leader;
+        self.told_commit = LogIndex(0);
+        self.term_committed = false;
         self.votes.clear();
         self.vote_for_self_pending = false;
         self.answered_round = 0;
--- a/crates/consensus/src/node/follower.rs
+++ b/crates/consensus/src/node/follower.rs
@@ -33,6 +33,7 @@
         if !is_well_formed(&append, self.term) {
             return;
         }
+        self.told_commit = self.told_commit.max(append.commit);
         self.skip_committed(&mut append, log);
         let held_term = self.pending.term(append.previous_index, log);
         if held_term != Some(append.previous_term) {
@@ -45,6 +46,7 @@
         let commit = append.commit.min(matched);
         self.take_entries(append.entries, log);
         self.commit_to(commit);
+        self.term_committed |= self.pending.term(self.commit, log) == Some(self.term);
         if has_entries {
             self.answer_append(from, matched, round);
         } else {
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -61,6 +61,10 @@
     pub ticks_since_leader: u32,
     /// Highest index known to be committed.
     pub committed: LogIndex,
+    /// What the leader of this term told to be committed, or knows so itself, once an
+    /// entry of this term is committed here: whatever was committed in earlier terms is
+    /// below it. `None` until then, and while no leader is known.
+    pub known_commit: Option<LogIndex>,
     /// Highest index synced here.
     pub synced: LogIndex,
     /// Last index of the log here.
--- a/crates/consensus/tests/all/cluster.rs
+++ b/crates/consensus/tests/all/cluster.rs
@@ -347,6 +347,27 @@
         assert_eq!(self.violation, None);
         self.check_logs_match();
         self.check_leader_completeness();
+        self.check_known_commits();
+    }
+
+    /// Whatever was committed before a member's term is below what it knows of that term.
+    fn check_known_commits(&self) {
+        let nodes = self
+            .members
+            .values()
+            .filter_map(|member| member.node.as_ref());
+        for status in nodes.map(Node::status) {
+            let Some(known) = status.known_commit else {
+                continue;
+            };
+            let committed = self.observed.committed.iter();
+            let earlier = committed.filter(|(_, entry)| entry.term < status.term);
+            let newest = earlier.map(|(index, _)| *index).next_back();
+            assert!(
+                newest <= Some(known),
+                "{newest:?} was committed: {status:?}"
+            );
+        }
     }
 
     /// Equal index and term mean equal logs up to there.
--- a/crates/consensus/tests/all/main.rs
+++ b/crates/consensus/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod elections;
 mod hostile_input;
+mod known_commit;
 mod messages;
 mod random_faults;
 mod repair;
--- a/crates/consensus/tests/all/repair.rs
+++ b/crates/consensus/tests/all/repair.rs
@@ -51,6 +51,7 @@
         leader: Some(leader),
         ticks_since_leader: 0,
         committed: COMMITTED,
+        known_commit: Some(COMMITTED),
         synced: COMMITTED,
         last_index: COMMITTED,
         membership,
