--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -31,6 +31,7 @@
     presence::Presence,
     pulse::{PresentFleet, PulseSource},
     registry_service::{RegistryService, RegistryShared, RegistryView},
+    seeds::Seeds,
 };
 
 /// Most voters of control.
@@ -128,7 +129,7 @@
         let pulses = control.pulse_source(own);
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
         tokio::spawn(control.clone().take_messages(base.inbox));
-        tokio::spawn(control.clone().keep_links(node.seed_machines(), own));
+        tokio::spawn(control.clone().keep_links(node.seeds.clone(), own));
         tokio::spawn(control.clone().tell_alive());
         Ok((control, driver.run()))
     }
@@ -339,7 +340,7 @@
         }
     }
 
-    async fn keep_links(self, seeds: Vec<MachineId>, own: MachineId) {
+    async fn keep_links(self, seeds: Seeds, own: MachineId) {
         let mut known: BTreeMap<MachineId, u64> = BTreeMap::new();
         let mut ticks = interval(UPKEEP_INTERVAL);
         loop {
@@ -354,7 +355,7 @@
             }
             known.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FORGOTTEN_MS);
             let mut wanted: BTreeSet<MachineId> = known.keys().copied().collect();
-            wanted.extend(&seeds);
+            wanted.extend(seeds.machines());
             self.links.keep(&wanted);
             let group = if members.is_empty() {
                 wanted
@@ -411,7 +412,7 @@
 /// On the first start of the cluster the seeds are its first members.
 fn group_settings(node: &NodeSettings) -> GroupSettings {
     let own = node.machine();
-    let seeds = node.seed_machines();
+    let seeds = node.seeds.machines();
     let forms = node.bootstrap && seeds.contains(&own);
     let new_disk = if forms {
         bootstrap_disk(own)
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -21,6 +21,7 @@
     links::Links,
     message::{NodeMessage, NodeRole, Pulse},
     node::{NodeBase, NodeSettings, address_of},
+    seeds::Seeds,
     told_fleet::ToldFleet,
 };
 
@@ -65,7 +66,7 @@
         };
         let learner = Learner {
             gateway: gateway.clone(),
-            seeds: settings.seed_machines(),
+            seeds: settings.seeds.clone(),
             fleet: FleetView::default(),
             teller,
             control_lost: false,
@@ -163,7 +164,7 @@
 /// Takes what control tells.
 struct Learner {
     gateway: GatewayNode,
-    seeds: Vec<MachineId>,
+    seeds: Seeds,
     fleet: FleetView,
     teller: watch::Sender<Arc<FleetView>>,
     /// No control member was heard of for [`CONTROL_LOST_MS`].
@@ -250,7 +251,7 @@
         let now_ms = self.gateway.clock.now_ms();
         let told = self.gateway.told.lock();
         let store_members = told.store_members();
-        let mut wanted = told.control(&self.seeds, now_ms);
+        let mut wanted = told.control(&self.seeds.machines(), now_ms);
         drop(told);
         wanted.extend(&store_members);
         self.gateway.store.set_machines(store_members);
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -15,6 +15,7 @@
     links::Links,
     message::{NodeHello, NodeRole},
     pulse::PulseSource,
+    seeds::Seeds,
 };
 
 /// Messages that may wait for a node; senders wait when it is full.
@@ -36,7 +37,7 @@
     /// The port on which every node listens for others.
     pub port: u16,
     /// Control machines to begin with.
-    pub seeds: Vec<Ipv4Addr>,
+    pub seeds: Seeds,
     /// Whether the whole cluster starts for the first time.
     pub bootstrap: bool,
     /// Machines that may be lost at once.
@@ -54,12 +55,6 @@
         machine_of(self.address)
     }
 
-    /// The control machines to begin with.
-    #[must_use]
-    pub fn seed_machines(&self) -> Vec<MachineId> {
-        self.seeds.iter().map(|seed| machine_of(*seed)).collect()
-    }
-
     /// Voters that survive the tolerated losses.
     #[must_use]
     pub fn full_voters(&self) -> usize {
--- /dev/null
+++ b/crates/cluster/src/seeds.rs
@@ -0,0 +1,36 @@
+//! The control machines that a node begins with.
+
+use std::{net::Ipv4Addr, sync::Arc};
+
+use linnethitch_protocol::ids::MachineId;
+use parking_lot::Mutex;
+
+use crate::node::machine_of;
+
+/// Control machines to begin with, and to go back to when no other one is heard of.
+/// They may change while the node runs. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Seeds(Arc<Mutex<Vec<Ipv4Addr>>>);
+
+impl Seeds {
+    /// Seeds at these addresses.
+    #[must_use]
+    pub fn new(addresses: Vec<Ipv4Addr>) -> Self {
+        Seeds(Arc::new(Mutex::new(addresses)))
+    }
+
+    /// Replaces them; true when they are other ones.
+    pub fn set(&self, addresses: Vec<Ipv4Addr>) -> bool {
+        let mut held = self.0.lock();
+        let are_others = *held != addresses;
+        *held = addresses;
+        are_others
+    }
+
+    /// The machines now.
+    #[must_use]
+    pub fn machines(&self) -> Vec<MachineId> {
+        let addresses = self.0.lock();
+        addresses.iter().map(|seed| machine_of(*seed)).collect()
+    }
+}
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -224,7 +224,7 @@
 
     fn keep_links(&self) {
         let now_ms = self.base.clock.now_ms();
-        let seeds = self.settings.node.seed_machines();
+        let seeds = self.settings.node.seeds.machines();
         let mut wanted = self.told.control(&seeds, now_ms);
         wanted.extend(self.told.store_members());
         let first = self.fleet.store().first.iter();
--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -241,3 +241,30 @@
     let (_joined, _its_folder) = start_control(settings).await;
     assert_eq!(first_version(&gateway).await, VERSIONS);
 }
+
+/// All control machines that a gateway knows are gone for good and others have taken
+/// their place, as its settings say by now.
+#[tokio::test]
+async fn a_gateway_finds_control_by_seeds_that_were_changed_while_it_ran() {
+    const NEWEST: u64 = 9;
+    let (old, new) = (host(60), host(61));
+    let port = free_port(old);
+    let (first, _folder) = start_control(node(old, &[old], port)).await;
+    put(&first, 1).await;
+    let network = Network::start().expect("threads");
+    let proxy = network
+        .streams(socket(old, 0), socket(old, port))
+        .expect("a port");
+    let own_port = proxy.address.port();
+    let settings = node(host(62), &[old], own_port);
+    let gateway = GatewayNode::start(&settings, format!("{}:80", host(62)));
+    until("the first version", || version(&gateway) == 1).await;
+    proxy.set(Mode::Silent(Way::Both));
+    let (second, _other_folder) = start_control(node(new, &[new], own_port)).await;
+    // Its log is longer than that of those whose place it takes.
+    for version in 2..=NEWEST {
+        put(&second, version).await;
+    }
+    settings.seeds.set(vec![new]);
+    until("the newest version", || version(&gateway) == NEWEST).await;
+}
--- a/crates/cluster/tests/all/support.rs
+++ b/crates/cluster/tests/all/support.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings};
+use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings, Seeds};
 use linnethitch_registry::{CallerLimits, RouteTable};
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use slog::{Discard, Logger, o};
@@ -39,7 +39,7 @@
         region: "region".to_owned(),
         address,
         port,
-        seeds: seeds.to_vec(),
+        seeds: Seeds::new(seeds.to_vec()),
         bootstrap: true,
         tolerated_losses: 0,
         identity: ClusterIdentity {
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -12,7 +12,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
-use linnethitch_cluster::{ControlNode, ControlSettings, GatewayNode, NodeSettings};
+use linnethitch_cluster::{ControlNode, ControlSettings, GatewayNode, NodeSettings, Seeds};
 use linnethitch_registry::{
     Backend, CallerLimits, EngineTraits, ReplicaChange, ReplicaState, Route, RouteKind, RouteTable,
     ServiceTraits,
@@ -283,7 +283,7 @@
             region: "region".to_owned(),
             address,
             port: free_port(address).await,
-            seeds: vec![address],
+            seeds: Seeds::new(vec![address]),
             bootstrap: true,
             tolerated_losses: 0,
             identity: ClusterIdentity {
