Job store: count the time before a job is accepted, so that none grows older than it is

Cause: the leader counts time in parts of two seconds and a bit, and a job grows older by each part as a whole; one that was accepted just before a part ended got all of it, and its items could be given up almost two seconds before their time (at 29,971 ms of 30,000 in the test). Change: the time up to now is counted before a job is proposed, by a command of the leader's own in front of it. When the time is counted is a value of job-store (AgeClock), tested against the store itself. No stored layout changes.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -37,7 +37,11 @@
 /// How a call begins.
 pub(crate) enum Begin<Reply> {
     /// With a proposal of this command.
-    Propose(Vec<u8>),
+    Propose {
+        /// A command of the leader's own that goes before it.
+        first: Option<Vec<u8>>,
+        command: Vec<u8>,
+    },
     /// With a linearizable read.
     Read,
     /// It has ended already.
@@ -250,7 +254,8 @@
         let now = self.now();
         match self.service.begin(&self.member, &call, now) {
             Begin::Reply(body) => reply(body),
-            Begin::Propose(command) => {
+            Begin::Propose { first, command } => {
+                first.into_iter().for_each(|own| self.propose_own(own));
                 let number = self.open_call(call, reply);
                 self.member.propose(number, command);
             }
@@ -272,12 +277,17 @@
         self.member.tick(now.steady_ms);
         if self.member.is_leader() && self.stopping.is_none() {
             for command in self.service.upkeep(&self.member, now) {
-                self.next_call += 1;
-                self.member.propose(self.next_call, command);
+                self.propose_own(command);
             }
         }
     }
 
+    /// Proposes a command that nobody waits for.
+    fn propose_own(&mut self, command: Vec<u8>) {
+        self.next_call += 1;
+        self.member.propose(self.next_call, command);
+    }
+
     fn pass_outputs_on(&mut self) {
         for output in self.member.take_outputs() {
             match output {
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -128,7 +128,10 @@
     ) -> Begin<RegistryReply> {
         match call {
             RegistryCall::Propose(command) => match command.to_stored() {
-                Ok(bytes) => Begin::Propose(bytes),
+                Ok(command) => Begin::Propose {
+                    first: None,
+                    command,
+                },
                 Err(_) => Begin::Reply(RegistryReply::Refused),
             },
             RegistryCall::Document => Begin::Read,
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -2,7 +2,7 @@
 
 use linnethitch_group::{CallFailure, GroupMember};
 use linnethitch_job_store::{
-    Dispatcher, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand, StoreReply,
+    AgeClock, Dispatcher, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand, StoreReply,
 };
 
 use linnethitch_protocol::ids::MachineId;
@@ -13,9 +13,6 @@
     message::StoreGroupView,
 };
 
-/// How often the leader counts the time that passed, in milliseconds.
-const PASS_INTERVAL_MS: u64 = 2_000;
-
 /// The group as a member sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct GroupSeen {
@@ -30,8 +27,7 @@
     dispatcher: Dispatcher,
     gate: QueueGate,
     led: bool,
-    /// Up to when this leader has counted the time; `None` before it leads.
-    counted_ms: Option<u64>,
+    age_clock: AgeClock,
     /// Jobs stay for this long after they were accepted, in milliseconds.
     kept_ms: u64,
     seen: watch::Sender<GroupSeen>,
@@ -43,7 +39,7 @@
             dispatcher: Dispatcher::default(),
             gate: QueueGate::default(),
             led: false,
-            counted_ms: None,
+            age_clock: AgeClock::default(),
             kept_ms,
             seen,
         }
@@ -73,6 +69,23 @@
         StoreReply::Work { begin, stop }
     }
 
+    /// The command that counts a part of the time.
+    fn pass(&self, elapsed_ms: u64) -> Option<Vec<u8>> {
+        let command = StoreCommand::Pass {
+            elapsed_ms,
+            kept_ms: self.kept_ms,
+        };
+        // A part that is not counted makes jobs younger than they are, which is safe.
+        command.to_stored().ok()
+    }
+
+    /// The time that has to be counted before a job is accepted.
+    fn pass_before_job(&mut self, member: &GroupMember<JobStore>, now: Now) -> Option<Vec<u8>> {
+        let is_empty = member.state().is_empty();
+        let part_ms = self.age_clock.part_before_job(now.steady_ms, is_empty)?;
+        self.pass(part_ms)
+    }
+
     /// Begins to lead, if it does not yet.
     fn lead(&mut self, now: Now) {
         if !self.led {
@@ -83,6 +96,14 @@
     }
 }
 
+/// Begins a call by its command, after one that goes first.
+fn begin(first: Option<Vec<u8>>, command: &StoreCommand) -> Begin<StoreReply> {
+    match command.to_stored() {
+        Ok(command) => Begin::Propose { first, command },
+        Err(_) => Begin::Reply(StoreReply::Refused),
+    }
+}
+
 fn not_leader(member: &GroupMember<JobStore>) -> StoreReply {
     StoreReply::NotLeader(member.leader().map(|leader| leader.machine.0))
 }
@@ -107,7 +128,10 @@
                 if is_leader && !self.gate.admits(member.state(), job, bound, now.steady_ms) {
                     return Begin::Reply(StoreReply::QueueFull);
                 }
-                StoreCommand::Submit(job.clone())
+                let first = is_leader
+                    .then(|| self.pass_before_job(member, now))
+                    .flatten();
+                return begin(first, &StoreCommand::Submit(job.clone()));
             }
             StoreCall::Report { item, outcome } => StoreCommand::Report {
                 item: item.clone(),
@@ -117,10 +141,7 @@
             StoreCall::Progress(progress) => StoreCommand::Progress(progress.clone()),
             StoreCall::Finish(last) => StoreCommand::Finish(last.clone()),
         };
-        match command.to_stored() {
-            Ok(bytes) => Begin::Propose(bytes),
-            Err(_) => Begin::Reply(StoreReply::Refused),
-        }
+        begin(None, &command)
     }
 
     fn applied(
@@ -175,29 +196,18 @@
 
     fn upkeep(&mut self, member: &GroupMember<JobStore>, now: Now) -> Vec<Vec<u8>> {
         self.lead(now);
-        // What passed before this member led is not counted: an item is given up
-        // late rather than early.
-        let since_ms = self.counted_ms.unwrap_or(now.steady_ms);
-        let is_idle = self.counted_ms.is_none() || member.state().is_empty();
-        let elapsed_ms = now.steady_ms.saturating_sub(since_ms);
-        if !is_idle && elapsed_ms < PASS_INTERVAL_MS {
-            return Vec::new();
-        }
-        self.counted_ms = Some(now.steady_ms);
-        if is_idle {
-            return Vec::new();
-        }
-        let command = StoreCommand::Pass {
-            elapsed_ms,
-            kept_ms: self.kept_ms,
-        };
-        command.to_stored().ok().into_iter().collect()
+        let is_empty = member.state().is_empty();
+        let part_ms = self.age_clock.part_due(now.steady_ms, is_empty);
+        part_ms
+            .and_then(|part_ms| self.pass(part_ms))
+            .into_iter()
+            .collect()
     }
 
     fn flushed(&mut self, member: &GroupMember<JobStore>) {
         if !member.is_leader() {
             self.led = false;
-            self.counted_ms = None;
+            self.age_clock.stop();
         }
         let seen = group_seen(member);
         self.seen.send_if_modified(|held| {
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -5,6 +5,7 @@
 //! the leader: which gateway holds a lease of which item. An item may run more
 //! than once; the first committed result counts.
 
+mod age_clock;
 mod call;
 mod command;
 mod dispatcher;
@@ -17,6 +18,7 @@
 mod store;
 mod text;
 
+pub use age_clock::AgeClock;
 pub use call::{ItemResult, ItemWork, QueueBound, ResultsPage, StoreCall, StoreReply};
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
 pub use dispatcher::{Dispatcher, LEASE_MS, SETTLE_MS};
--- a/crates/job-store/tests/all/main.rs
+++ b/crates/job-store/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the job store.
 
+mod age_clock;
 mod dispatcher;
 mod layout;
 mod plan;
--- a/crates/job-store/tests/all/support.rs
+++ b/crates/job-store/tests/all/support.rs
@@ -9,6 +9,9 @@
 use linnethitch_protocol::{consensus::SnapshotMeta, ids::LogIndex};
 use linnethitch_storage::{SnapshotReader, SnapshotStore, VirtualDisk};
 
+/// Age at which items of jobs of tests are given up, in milliseconds.
+pub(crate) const GIVE_UP_MS: u64 = 30_000;
+
 pub(crate) fn job(id: &str, items: u32) -> JobSpec {
     let items = (0..items).map(|number| ItemSpec {
         id: format!("{id}-item-{number}"),
@@ -23,7 +26,7 @@
         path: "/lanes/".to_owned(),
         max_attempts: 3,
         completion_ms: 20_000,
-        give_up_ms: 30_000,
+        give_up_ms: GIVE_UP_MS,
         items: items.collect(),
     }
 }
