--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -7,7 +7,6 @@
 mod faults;
 mod load_teller;
 mod member;
-mod network;
 mod payloads;
 
 use linnethitch_control::member::MemberNotice;
--- a/crates/control/tests/all/processes.rs
+++ b/crates/control/tests/all/processes.rs
@@ -16,6 +16,7 @@
 use linnethitch_control::process::{
     ControlAddresses, ControlHandle, ControlProcess, ControlSockets,
 };
+use linnethitch_fault_proxy::{Mode, Network, Proxy};
 use linnethitch_gateway::process::{GatewayHandle, GatewayProcess};
 use linnethitch_observability::log::discard;
 use serde_json::Value;
@@ -24,8 +25,6 @@
 use tempfile::TempDir;
 use tokio::time::timeout;
 
-use crate::network::Relay;
-
 /// The operators' bearer key of the tests.
 pub(crate) const OPERATOR_KEY: &str = "operator-key";
 const CLUSTER_KEY: &str = "a key of the cluster of the tests";
@@ -49,7 +48,8 @@
     /// Where members log to.
     pub(crate) logger: Logger,
     /// The ways between members, from one to another.
-    ways: BTreeMap<(u32, u32), Relay>,
+    ways: BTreeMap<(u32, u32), Proxy>,
+    network: Network,
 }
 
 /// An operator's answer.
@@ -109,19 +109,20 @@
             snapshot_log_bytes,
             logger,
             ways: BTreeMap::new(),
+            network: Network::start().expect("threads"),
         };
-        control.lay_ways().await;
+        control.lay_ways();
         for (number, bound) in sockets {
             control.start_on(number, bound).await;
         }
         control
     }
 
-    async fn lay_ways(&mut self) {
+    fn lay_ways(&mut self) {
         for from in self.members.keys() {
             for (to, member) in self.members.iter().filter(|(to, _)| *to != from) {
-                let relay = Relay::start(member.addresses.peer).await;
-                self.ways.insert((*from, *to), relay);
+                let proxy = self.network.streams(any_port(), member.addresses.peer);
+                self.ways.insert((*from, *to), proxy.expect("a port"));
             }
         }
     }
@@ -130,7 +131,7 @@
     pub(crate) fn set_cut_off(&self, number: u32, cut_off: bool) {
         for ((from, to), way) in &self.ways {
             if *from == number || *to == number {
-                way.set_open(!cut_off);
+                way.set(if cut_off { Mode::Hold } else { Mode::Pass });
             }
         }
     }
