A member whose disk is full does not count as current either

Change: whether a member holds what is committed is asked of the group (GroupMember::is_current), which knows of that too.

--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -21,11 +21,6 @@
 /// The job store is formed once no further member has appeared for this long.
 const STORE_FORMING_MS: u64 = 400;
 
-/// A member that has not heard its leader for so many ticks of the group, about a
-/// second, does not know what is in force: twice the shortest silence after which
-/// another member may stand for election.
-const LEADER_SILENT_TICKS: u32 = 25;
-
 /// What the rest of the node sees of the group.
 #[derive(Clone, Default)]
 pub(crate) struct RegistryView {
@@ -70,17 +65,12 @@
 
     /// Finds out whether the member holds what is in force.
     fn note_current(&mut self, member: &GroupMember<Registry>) {
-        let status = member.status();
-        let hears_leader =
-            status.leader.is_some() && status.ticks_since_leader < LEADER_SILENT_TICKS;
-        let holds_all = status
-            .known_commit
-            .is_some_and(|commit| member.applied() >= commit);
-        let is_current = hears_leader && holds_all;
+        let is_current = member.is_current();
         if is_current == self.is_current {
             return;
         }
         self.is_current = is_current;
+        let status = member.status();
         let version = member.state().table().map(|table| table.version);
         info!(self.logger, "registry state"; "is_current" => is_current, "version" => version,
             "applied" => member.applied().0, "committed" => status.committed.0,
--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -28,6 +28,11 @@
 /// Ticks made up for at once after a pause.
 const MAX_TICKS_AT_ONCE: u64 = 25;
 
+/// A member that has not heard its leader for so many ticks, about a second, does not
+/// know what is committed: twice the usual silence after which another member may stand
+/// for election.
+const LEADER_SILENT_TICKS: u32 = 25;
+
 /// A proposal that waits to be applied.
 pub(crate) struct PendingProposal {
     pub(crate) term: Term,
@@ -234,6 +239,19 @@
         self.applied < self.appliable()
     }
 
+    /// Whether the state holds what the leader, which was heard lately, told to be
+    /// committed. A member that is cut off, whose disk is full, or that catches up may
+    /// hold something older.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        let status = self.node.status();
+        let hears_leader =
+            status.leader.is_some() && status.ticks_since_leader < LEADER_SILENT_TICKS;
+        let commit = status.known_commit;
+        let holds_all = commit.is_some_and(|commit| self.applied >= commit);
+        hears_leader && holds_all && !self.is_blocked()
+    }
+
     /// This member: its machine and disk.
     #[must_use]
     pub fn id(&self) -> MemberId {
--- a/crates/group/tests/all/support.rs
+++ b/crates/group/tests/all/support.rs
@@ -166,6 +166,13 @@
         self.cut.insert(machine);
     }
 
+    /// The machine's disk takes no more bytes, or takes them again.
+    pub(crate) fn fill_disk(&mut self, machine: u32, full: bool) {
+        let disk = &self.disks[&machine];
+        let capacity = if full { disk.used_bytes() } else { u64::MAX };
+        disk.set_capacity(capacity);
+    }
+
     pub(crate) fn heal(&mut self) {
         self.cut.clear();
     }
