--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,11 +1,16 @@
-//! `explain`: decisions about one request, job, item, replica, tenant or revision.
+//! `explain`: decisions about one request, job, item, replica, tenant or revision, from
+//! the decision journals of running processes or from log files.
+
+use std::path::Path;
 
 use linnethitch_observability::{journal::JournalRecord, time::rfc3339};
 use serde::Deserialize;
 
 use crate::{
+    clock_offsets::{self, ClockOffset},
     exit::{CommandError, ExitStatus},
     http_client::{ApiClient, ApiError, ApiRequest, read_key},
+    log_files::{self, LogFile, LogLine},
     options::ExplainOptions,
 };
 
@@ -21,9 +26,76 @@
     record: JournalRecord,
 }
 
-/// Asks every named process and shows what they know in the order of time.
+/// Shows what is known, in the order of time: by log files where a folder is named, else
+/// by every named process.
 pub(crate) async fn run(options: &ExplainOptions) -> Result<ExitStatus, CommandError> {
-    let key = read_key(&options.key_file)?;
+    match &options.logs {
+        Some(folder) => explain_by_logs(options, folder),
+        None => explain_by_journals(options).await,
+    }
+}
+
+/// Shows the lines about an id, each at its time by the clock of one machine.
+fn explain_by_logs(options: &ExplainOptions, folder: &Path) -> Result<ExitStatus, CommandError> {
+    let files = log_files::read_folder(folder)?;
+    let offsets = clock_offsets::estimate(&files);
+    let mut found = Vec::new();
+    for (file, offset) in files.iter().zip(&offsets) {
+        let about = file.lines.iter().filter(|line| line.is_about(&options.id));
+        let placed = about.map(|line| (line.time_ms - offset.ahead_ms, file, line));
+        let before = found.len();
+        found.extend(placed);
+        if found.len() > before {
+            eprintln!("{}", clock_remark(file, *offset));
+        }
+    }
+    // The lines of one process keep their order.
+    found.sort_by_key(|(time_ms, ..)| *time_ms);
+    for (time_ms, file, line) in &found {
+        println!("{}", render_line(options.json, file, line, *time_ms));
+    }
+    if found.is_empty() {
+        return Err(CommandError::new(
+            ExitStatus::NotFound,
+            format!("no line in {} is about `{}`", folder.display(), options.id),
+        ));
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn clock_remark(file: &LogFile, offset: ClockOffset) -> String {
+    let name = &file.name;
+    let foreign = match file.foreign {
+        0 => String::new(),
+        count => format!("; {count} lines are none of a node"),
+    };
+    match offset.versions {
+        0 => format!("linnethitch: {name}: its clock could not be compared{foreign}"),
+        versions => format!(
+            "linnethitch: {name}: clock ahead by {} ms, by {versions} versions{foreign}",
+            offset.ahead_ms
+        ),
+    }
+}
+
+fn render_line(json: bool, file: &LogFile, line: &LogLine, time_ms: i64) -> String {
+    if !json {
+        return line.render(&file.name, time_ms);
+    }
+    let mut fields = line.fields.clone();
+    fields.insert("machine".to_owned(), file.name.clone().into());
+    fields.insert("shared_time_ms".to_owned(), time_ms.into());
+    serde_json::Value::Object(fields).to_string()
+}
+
+async fn explain_by_journals(options: &ExplainOptions) -> Result<ExitStatus, CommandError> {
+    let Some(key_file) = &options.key_file else {
+        return Err(CommandError::new(
+            ExitStatus::Usage,
+            "--key-file is needed to ask running processes; --logs reads files instead",
+        ));
+    };
+    let key = read_key(key_file)?;
     let addresses: Vec<_> = options.operator.iter().chain(&options.gateway).collect();
     if addresses.is_empty() {
         return Err(CommandError::new(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,10 +3,12 @@
 
 mod apply;
 mod batch;
+mod clock_offsets;
 mod exit;
 mod explain;
 mod files;
 mod http_client;
+mod log_files;
 mod operator;
 mod options;
 mod serve;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -101,10 +101,14 @@
     ///
     /// Asks the decision journals for everything about a request (req_...), a
     /// batch job (batch_...), an item (batch_.../17), a replica, a tenant or a
-    /// revision, and shows it in the order of time.
+    /// revision, and shows it in the order of time. With --logs it reads log files
+    /// of nodes instead, and places their lines by one clock.
     ///
     ///
     /// Example: linnethitch explain req_42 --operator 127.0.0.1:8090 --key-file operator.key
+    ///
+    ///
+    /// Example: linnethitch explain 9c41d07be2a35f68 --logs /var/log/linnethitch
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_options))] ExplainOptions),
 
@@ -190,9 +194,12 @@
     /// Gateway whose journal is asked; may be given several times
     #[bpaf(argument("IP:PORT"))]
     pub(crate) gateway: Vec<SocketAddr>,
-    /// File with the operators' bearer key
+    /// File with the operators' bearer key; needed to ask processes
     #[bpaf(argument("FILE"))]
-    pub(crate) key_file: PathBuf,
+    pub(crate) key_file: Option<PathBuf>,
+    /// Folder with log files of nodes, one a process; nobody is asked then
+    #[bpaf(argument("DIR"))]
+    pub(crate) logs: Option<PathBuf>,
     /// Print JSON lines instead of text
     pub(crate) json: bool,
     /// Request, job, item, replica, tenant or revision
--- a/crates/cli/tests/all/explain.rs
+++ b/crates/cli/tests/all/explain.rs
@@ -1,7 +1,11 @@
 //! `explain` merges journals in the order of time.
 
+use std::fs;
+
+use rstest::rstest;
+
 use crate::{
-    program::Workplace,
+    program::{Finished, Workplace, run},
     scripted_server::{Reply, ScriptedServer, dead_address},
 };
 
@@ -46,3 +50,97 @@
     let finished = workplace.operate("explain", &[server.address], &["req_1"]);
     assert_eq!(finished.status, 7, "{finished:?}");
 }
+
+/// Lines of a control member and of two gateways whose clocks are 5 s ahead and 2 s
+/// behind; the second one tells of no version that control tells of.
+const CONTROL_LOG: &str = r#"
+{"time":"2026-12-02T10:00:01.000Z","level":"info","message":"configuration","version":5,"held":"Ok(5)"}
+{"time":"2026-12-02T10:00:05.000Z","level":"info","message":"configuration","version":6,"held":"Err(Unavailable)"}
+{"time":"2026-12-02T10:00:09.000Z","level":"info","message":"configuration","version":7,"held":"Ok(7)"}
+"#;
+const FIRST_LOG: &str = r#"
+  1.004 front-1 {"time":"2026-12-02T10:00:06.004Z","level":"info","message":"fleet changed","version":5}
+{"time":"2026-12-02T10:00:08.200Z","level":"info","message":"request: send failed","request":"r-1","runs":1}
+not a line of a node
+{"time":"2026-12-02T10:00:11.100Z","level":"info","message":"fleet changed","version":6}
+{"time":"2026-12-02T10:00:14.004Z","level":"info","message":"fleet changed","version":7}
+"#;
+const SECOND_LOG: &str = r#"
+{"time":"2026-12-02T10:00:01.700Z","level":"info","message":"request: served","request":"r-1","ms":9}
+{"time":"2026-12-02T10:00:01.800Z","level":"info","message":"request: served","request":"r-2","ms":9}
+{"time":"2026-12-02T10:00:04.100Z","level":"info","message":"fleet changed","version":6}
+"#;
+
+fn explain_logs(id: &str, more: &[&str]) -> Finished {
+    let folder = tempfile::tempdir().expect("a folder");
+    for (name, text) in [
+        ("control", CONTROL_LOG),
+        ("front-1", FIRST_LOG),
+        ("front-2", SECOND_LOG),
+    ] {
+        fs::write(folder.path().join(format!("{name}.log")), text).expect("written");
+    }
+    let path = folder.path().display().to_string();
+    run(&[&["explain", id, "--logs", path.as_str()], more].concat())
+}
+
+#[test]
+fn lines_of_machines_whose_clocks_differ_are_put_in_order() {
+    let finished = explain_logs("r-1", &[]);
+    assert_eq!(finished.status, 0, "{finished:?}");
+    let lines: Vec<&str> = finished.output.lines().collect();
+    // By the clock of front-1, which tells of the most versions.
+    assert_eq!(
+        lines,
+        [
+            "2026-12-02T10:00:08.200Z front-1 request: send failed request=\"r-1\" runs=1",
+            "2026-12-02T10:00:08.700Z front-2 request: served ms=9 request=\"r-1\"",
+        ]
+    );
+    let remarks = &finished.errors;
+    assert!(
+        remarks.contains("front-1: clock ahead by 0 ms, by 3 versions; 1 lines"),
+        "{remarks}"
+    );
+    assert!(
+        remarks.contains("front-2: clock ahead by -7000 ms, by 1 versions"),
+        "{remarks}"
+    );
+}
+
+#[test]
+fn lines_of_logs_are_shown_as_json_with_machine_and_shared_time() {
+    let finished = explain_logs("r-2", &["--json"]);
+    assert_eq!(finished.status, 0, "{finished:?}");
+    let line: serde_json::Value = serde_json::from_str(&finished.output).expect("JSON");
+    assert_eq!(line["machine"], "front-2");
+    assert_eq!(line["shared_time_ms"], 1_796_205_608_800_i64);
+}
+
+#[rstest]
+#[case::an_id_that_no_line_has(&["explain", "r-9", "--logs", "LOGS"], 7, "r-9")]
+#[case::no_such_folder(&["explain", "r-1", "--logs", "/nonexistent"], 3, "/nonexistent")]
+#[case::no_lines_of_nodes(&["explain", "r-1", "--logs", "EMPTY"], 3, "no file in")]
+#[case::neither_logs_nor_a_key(&["explain", "r-1"], 2, "--key-file")]
+fn what_is_wrong_with_logs_is_told(
+    #[case] arguments: &[&str],
+    #[case] status: i32,
+    #[case] told: &str,
+) {
+    let (logs, empty) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+    fs::write(logs.path().join("front-1.log"), FIRST_LOG).unwrap();
+    let folders = [
+        ("LOGS", logs.path().display().to_string()),
+        ("EMPTY", empty.path().display().to_string()),
+    ];
+    let arguments: Vec<&str> = arguments
+        .iter()
+        .map(|argument| {
+            let folder = folders.iter().find(|(name, _)| name == argument);
+            folder.map_or(*argument, |(_, path)| path.as_str())
+        })
+        .collect();
+    let finished = run(&arguments);
+    assert_eq!(finished.status, status, "{finished:?}");
+    assert!(finished.errors.contains(told), "{finished:?}");
+}
