Requests that broke off: say whether their replica ended, and what copies have in common

A gateway now asks the address of a replica where a request broke off: refused connections, or another incarnation in its place within 6 s, mean that it ended ("replica ended", with the evidence and how many requests), anything else that it lives on. "request: replica ended under it" names the content's fingerprint, alike for all copies. What is decided about requests is unchanged. One connection more for each replica where something breaks off.

--- /dev/null
+++ b/crates/registry/src/fingerprint.rs
@@ -0,0 +1,61 @@
+//! What tells copies of one request from other requests.
+
+use std::fmt;
+
+use rkyv::{Archive, Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Bytes of the digest that a fingerprint keeps: 128 bits, so that nobody finds a
+/// second content for a fingerprint.
+const KEPT_BYTES: usize = 16;
+
+/// What a request says, whatever id and headers of the connection it comes with.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host that it names.
+    pub host: &'a [u8],
+    /// Path and query.
+    pub path: &'a str,
+    /// Who the caller says to be; empty where callers name nobody.
+    pub caller: &'a [u8],
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+/// Alike for all copies of a request, at any gateway, and for no other request.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize,
+)]
+#[rkyv(derive(PartialEq, Eq, PartialOrd, Ord))]
+pub struct RequestFingerprint(pub u128);
+
+impl RequestFingerprint {
+    /// The fingerprint of a request's content.
+    #[must_use]
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        let parts = [
+            content.method.as_bytes(),
+            content.host,
+            content.path.as_bytes(),
+            content.caller,
+            content.body,
+        ];
+        let mut digest = Sha256::new();
+        for part in parts {
+            // With its length, so that no part can pass for the beginning of the next.
+            digest.update((part.len() as u64).to_le_bytes());
+            digest.update(part);
+        }
+        let mut kept = [0; KEPT_BYTES];
+        kept.copy_from_slice(&digest.finalize()[..KEPT_BYTES]);
+        RequestFingerprint(u128::from_be_bytes(kept))
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,6 +7,7 @@
 //! any order, and never steps back.
 
 mod command;
+mod fingerprint;
 mod first_layout;
 mod node_list;
 mod registry;
@@ -18,6 +19,7 @@
 mod view;
 
 pub use command::{RegistryAnswer, RegistryCommand};
+pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use node_list::{DirectoryNode, NodeList, READY_FOR_MS, near};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -37,6 +37,12 @@
         replicas.filter(|record| record.told.state != ReplicaState::Gone)
     }
 
+    /// A replica by its incarnation, whatever its state; `None` before it was heard of.
+    #[must_use]
+    pub fn replica(&self, id: &str) -> Option<&ReplicaRecord> {
+        self.replicas.get(id)
+    }
+
     /// The job store as control knows it.
     #[must_use]
     pub fn store(&self) -> &StoreMembers {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,6 +8,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
+use linnethitch_registry::{RequestContent, RequestFingerprint};
 use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
 use tokio::time::{Instant, timeout_at};
 
@@ -30,7 +31,6 @@
 const PROXY_CONNECTION: &str = "proxy-connection";
 
 /// A request as it is sent to any replica.
-#[derive(Clone)]
 pub(crate) struct Outgoing {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -41,6 +41,29 @@
     pub(crate) request_id: HeaderValue,
 }
 
+impl Outgoing {
+    /// The caller's id of it, for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.request_id.to_str().unwrap_or_default()
+    }
+
+    /// Alike for all copies of it.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let value = |name| {
+            self.headers
+                .get(name)
+                .map_or(&[][..], HeaderValue::as_bytes)
+        };
+        RequestFingerprint::of(&RequestContent {
+            method: self.method.as_str(),
+            host: value(header::HOST),
+            path: self.uri.path_and_query().map_or("", |path| path.as_str()),
+            caller: value(header::AUTHORIZATION),
+            body: &self.body,
+        })
+    }
+}
+
 /// An answer whose head has come.
 pub(crate) struct Opened {
     pub(crate) replica: String,
@@ -103,13 +126,13 @@
 pub(crate) async fn exchange(
     shared: &Arc<Shared>,
     chosen: &Chosen,
-    outgoing: &Outgoing,
+    outgoing: &Arc<Outgoing>,
     prompt: &[PromptPart],
     lease: Option<SlotLease>,
     last_event: Option<u64>,
     limits: Limits,
 ) -> Exchange {
-    let Some(mut running) = RunningGuard::begin(shared, chosen, prompt, lease) else {
+    let Some(mut running) = RunningGuard::begin(shared, chosen, outgoing, prompt, lease) else {
         return Exchange::NotRun(FailureKind::Replaced);
     };
     loop {
@@ -143,7 +166,7 @@
             }
             Err(NoHead::Stale) => {}
             Err(NoHead::Failed) => {
-                shared.note_failure(&chosen.id, FailureKind::Broken);
+                running.broke();
                 return Exchange::Unknown;
             }
             Err(NoHead::TimedOut) => {
@@ -165,7 +188,7 @@
 async fn send(
     shared: &Shared,
     chosen: &Chosen,
-    outgoing: &Outgoing,
+    outgoing: &Arc<Outgoing>,
     last_event: Option<u64>,
     connection: &mut Connection,
     limits: Limits,
@@ -185,7 +208,7 @@
 fn build(
     shared: &Shared,
     chosen: &Chosen,
-    outgoing: &Outgoing,
+    outgoing: &Arc<Outgoing>,
     last_event: Option<u64>,
     left: Duration,
 ) -> Option<Request<Full<Bytes>>> {
@@ -211,7 +234,7 @@
 fn judge(
     shared: &Shared,
     chosen: &Chosen,
-    outgoing: &Outgoing,
+    outgoing: &Arc<Outgoing>,
     running: RunningGuard,
     connection: Connection,
     response: Response<Incoming>,
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -238,8 +238,7 @@
         }
         let whole = self.read_events(service, &mut opened).await;
         if !whole {
-            self.shared
-                .note_failure(&opened.replica, FailureKind::Broken);
+            opened.running.broke();
             self.tried.push(opened.replica);
             self.splitter.drop_partial();
             return RunEnd::GoOn;
@@ -289,7 +288,7 @@
     }
 }
 
-fn outgoing(shared: &Shared, work: &ItemWork) -> Option<Outgoing> {
+fn outgoing(shared: &Shared, work: &ItemWork) -> Option<Arc<Outgoing>> {
     let names = shared.dialect.names();
     let mut headers = HeaderMap::new();
     for (name, value) in &work.spec.headers {
@@ -299,11 +298,11 @@
     let request_id = HeaderValue::from_str(&work.spec.id).ok()?;
     headers.insert(names.request_id.clone(), request_id.clone());
     headers.insert(http::header::HOST, HeaderValue::from_str(&work.host).ok()?);
-    Some(Outgoing {
+    Some(Arc::new(Outgoing {
         method: Method::POST,
         uri: work.spec.path.parse::<Uri>().ok()?,
         headers,
         body: Bytes::from(work.spec.body.clone()),
         request_id,
-    })
+    }))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod item_run;
 mod pump;
 mod relay;
+mod replica_ends;
 mod running_items;
 mod search;
 mod server;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use linnethitch_routing::dispatch::{FailureKind, PromptPart};
+use linnethitch_routing::dispatch::PromptPart;
 use slog::info;
 use tokio::{
     sync::mpsc,
@@ -32,7 +32,7 @@
 pub(crate) struct PumpSettings {
     pub(crate) route: String,
     pub(crate) service: String,
-    pub(crate) outgoing: Outgoing,
+    pub(crate) outgoing: Arc<Outgoing>,
     pub(crate) prompt: Vec<PromptPart>,
     pub(crate) until: Instant,
     pub(crate) resumable: bool,
@@ -104,10 +104,7 @@
                     let _ = sender.send(Err("time is up".into())).await;
                     return;
                 }
-                SourceEnd::Broken => {
-                    let replica = &self.source.replica;
-                    self.shared.note_failure(replica, FailureKind::Broken);
-                }
+                SourceEnd::Broken => self.source.running.broke(),
             }
             let Some(source) = self.resume().await else {
                 self.log("stream broken");
@@ -234,13 +231,7 @@
     }
 
     fn log(&self, what: &str) {
-        let id = self
-            .settings
-            .outgoing
-            .request_id
-            .to_str()
-            .unwrap_or_default();
-        info!(self.shared.logger, "request: {}", what; "request" => id,
+        info!(self.shared.logger, "request: {}", what; "request" => self.settings.outgoing.id(),
             "replica" => &self.source.replica, "last_event" => self.splitter.last_id());
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -60,7 +60,7 @@
     shared: &'a Arc<Shared>,
     route: &'a Route,
     service: String,
-    outgoing: Outgoing,
+    outgoing: Arc<Outgoing>,
     prompt: Prompt,
     until: Instant,
     arrived: Instant,
@@ -169,13 +169,13 @@
             shared: &self.shared,
             route,
             service,
-            outgoing: Outgoing {
+            outgoing: Arc::new(Outgoing {
                 method: head.method,
                 uri: head.uri,
                 headers,
                 body,
                 request_id,
-            },
+            }),
             prompt,
             until,
             arrived,
@@ -284,8 +284,7 @@
     }
 
     fn log(&self, what: &str, replica: &str) {
-        let id = self.outgoing.request_id.to_str().unwrap_or_default();
-        info!(self.shared.logger, "request: {}", what; "request" => id,
+        info!(self.shared.logger, "request: {}", what; "request" => self.outgoing.id(),
             "replica" => replica, "runs" => self.runs, "refusals" => self.refusals,
             "ms" => self.arrived.elapsed().as_millis() as u64);
     }
@@ -366,7 +365,11 @@
                         bytes.extend_from_slice(&data);
                     }
                 }
-                Ok(Some(Err(_))) | Err(_) => {
+                Ok(Some(Err(_))) => {
+                    running.broke();
+                    return None;
+                }
+                Err(_) => {
                     self.shared.note_failure(&replica, FailureKind::Broken);
                     return None;
                 }
@@ -405,7 +408,7 @@
             PumpSettings {
                 route: self.route.name.clone(),
                 service: self.service.clone(),
-                outgoing: self.outgoing.clone(),
+                outgoing: Arc::clone(&self.outgoing),
                 prompt: self.prompt.parts.clone(),
                 until: self.until,
                 resumable,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -23,6 +23,8 @@
     connections::Connections,
     counters::Counters,
     dialect::Dialect,
+    exchange::Outgoing,
+    replica_ends::{self, BrokenRun, BrokenRuns},
     slots::{SlotLease, Slots},
 };
 
@@ -36,6 +38,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Connections,
     pub(crate) slots: Arc<Slots>,
+    pub(crate) broken_runs: BrokenRuns,
     pub(crate) counters: Arc<Counters>,
     pub(crate) clock: Clock,
     pub(crate) logger: Logger,
@@ -61,6 +64,7 @@
             gateway,
             dialect,
             connections: Connections::default(),
+            broken_runs: BrokenRuns::default(),
             counters: Arc::default(),
             logger,
             successes: AtomicU64::new(0),
@@ -191,6 +195,8 @@
 pub(crate) struct RunningGuard {
     shared: Arc<Shared>,
     replica: String,
+    address: String,
+    outgoing: Arc<Outgoing>,
     work: RunningWork,
     /// The slot that it has; a batch item keeps its own elsewhere.
     _lease: Option<SlotLease>,
@@ -200,6 +206,7 @@
     pub(crate) fn begin(
         shared: &Arc<Shared>,
         chosen: &Chosen,
+        outgoing: &Arc<Outgoing>,
         prompt: &[PromptPart],
         lease: Option<SlotLease>,
     ) -> Option<Self> {
@@ -212,11 +219,26 @@
         Some(RunningGuard {
             shared: Arc::clone(shared),
             replica: chosen.id.clone(),
+            address: chosen.address.clone(),
+            outgoing: Arc::clone(outgoing),
             work,
             _lease: lease,
         })
     }
 
+    /// The connection broke, or the answer ended before it was whole: perhaps the
+    /// replica ended.
+    pub(crate) fn broke(&self) {
+        self.shared.note_failure(&self.replica, FailureKind::Broken);
+        if self.shared.is_known_ready(&self.replica) {
+            let run = BrokenRun {
+                fingerprint: self.outgoing.fingerprint(),
+                request: self.outgoing.id().to_owned(),
+            };
+            replica_ends::find_out(&self.shared, &self.replica, &self.address, run);
+        }
+    }
+
     /// The first event came: the prompt was read.
     pub(crate) fn first_event(&mut self) {
         if self.work.is_awaited() {
