--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay.
 
+mod ending_requests;
 mod events;
 mod requests;
 mod slots;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -163,6 +163,11 @@
 
 /// Reads a head and its body; returns the head.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    Some(read_whole_request(stream).await?.0)
+}
+
+/// Reads a head and its body.
+pub(crate) async fn read_whole_request(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -179,7 +184,8 @@
                     .filter(|read| *read > 0)?;
                 bytes.extend_from_slice(&buffer[..read]);
             }
-            return Some(head);
+            let body = String::from_utf8_lossy(&bytes[end + 4..whole]).into_owned();
+            return Some((head, body));
         }
         let read = stream
             .read(&mut buffer)
@@ -239,11 +245,29 @@
     }
 }
 
+/// A table whose only service is one of model engines.
+pub(crate) fn engine_table(route: Route) -> RouteTable {
+    let mut table = table(route);
+    table.services[0].engine = Some(EngineTraits {
+        slots: 4,
+        kv_tokens: 100_000,
+    });
+    table
+}
+
+/// A gateway and its callers' interface.
+pub(crate) struct Gateway {
+    pub(crate) callers: SocketAddr,
+    pub(crate) relay: Relay,
+}
+
 /// A control member, a gateway and its callers' interface.
 pub(crate) struct Fleet {
     pub(crate) callers: SocketAddr,
     pub(crate) relay: Relay,
     control: ControlNode,
+    node: NodeSettings,
+    gateways: AtomicU8,
     pub(crate) stopping: CancellationToken,
     _folder: tempfile::TempDir,
 }
@@ -257,12 +281,7 @@
     /// The same before model engines, whose slots are coordinated, once this
     /// gateway knows that it coordinates them.
     pub(crate) async fn start_engines(route: Route, replicas: &[Replica]) -> Self {
-        let mut table = table(route);
-        table.services[0].engine = Some(EngineTraits {
-            slots: 4,
-            kv_tokens: 100_000,
-        });
-        let fleet = Self::start_with(table, replicas).await;
+        let fleet = Self::start_with(engine_table(route), replicas).await;
         let mut known = false;
         while !known {
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -272,7 +291,8 @@
         fleet
     }
 
-    async fn start_with(table: RouteTable, replicas: &[Replica]) -> Self {
+    /// The same with this table.
+    pub(crate) async fn start_with(table: RouteTable, replicas: &[Replica]) -> Self {
         let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
@@ -304,32 +324,14 @@
             .put_routes(table, b"document".to_vec(), LIMIT)
             .await
             .expect("the table is held");
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a port");
-        let callers = listener.local_addr().expect("an address");
-        let gateway_node = NodeSettings {
-            address: Ipv4Addr::from(u32::from(address) + 128),
-            ..node
-        };
-        let gateway = GatewayNode::start(&gateway_node, callers.to_string());
         let stopping = CancellationToken::new();
-        let dialect = Arc::new(TestDialect::new());
-        let relay = Relay::new(gateway, dialect, "zone", 1, stopping.clone(), logger);
-        let clock = relay.gateway().clock();
-        let limits = Arc::new(ServerLimits::default());
-        let front = Front(relay.clone());
-        tokio::spawn(serve_callers(
-            listener,
-            front,
-            limits,
-            clock,
-            stopping.clone(),
-        ));
+        let first = start_gateway(&node, 0, &stopping).await;
         let fleet = Fleet {
-            callers,
-            relay,
+            callers: first.callers,
+            relay: first.relay,
             control,
+            node,
+            gateways: AtomicU8::new(1),
             stopping,
             _folder: folder,
         };
@@ -342,6 +344,28 @@
         fleet
     }
 
+    /// Starts another gateway and waits until it knows what the first one knows.
+    pub(crate) async fn add_gateway(&self) -> Gateway {
+        let number = self.gateways.fetch_add(1, Ordering::Relaxed);
+        let gateway = start_gateway(&self.node, number, &self.stopping).await;
+        let upto = self.relay.gateway().fleet().upto();
+        let mut views = gateway.relay.gateway().follow();
+        let knows = views.wait_for(|view| view.upto() >= upto);
+        tokio::time::timeout(LIMIT, knows)
+            .await
+            .expect("in time")
+            .expect("the gateway runs");
+        gateway
+    }
+
+    /// The first gateway.
+    pub(crate) fn first_gateway(&self) -> Gateway {
+        Gateway {
+            callers: self.callers,
+            relay: self.relay.clone(),
+        }
+    }
+
     pub(crate) async fn register(
         &self,
         number: usize,
@@ -396,10 +420,24 @@
 
     /// Opens a connection and sends a request.
     pub(crate) async fn open(&self, id: &str, more_headers: &str) -> TcpStream {
+        self.first_gateway().open(id, more_headers, "body").await
+    }
+}
+
+impl Gateway {
+    /// Sends a request with this body and reads until the answer or the connection ends.
+    pub(crate) async fn ask(&self, id: &str, body: &str) -> Answer {
+        let mut stream = self.open(id, "", body).await;
+        read_answer(&mut stream).await
+    }
+
+    /// Opens a connection and sends a request.
+    pub(crate) async fn open(&self, id: &str, more_headers: &str, body: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
+        let length = body.len();
         let request = format!(
             "POST /a/x?y=1 HTTP/1.1\r\nhost: desk.example\r\nrequest-id: {id}\r\n\
-             {more_headers}content-length: 4\r\nconnection: close\r\n\r\nbody"
+             {more_headers}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
         );
         stream
             .write_all(request.as_bytes())
@@ -409,6 +447,29 @@
     }
 }
 
+/// Starts a gateway beside others of the same fleet.
+async fn start_gateway(node: &NodeSettings, number: u8, stopping: &CancellationToken) -> Gateway {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port");
+    let callers = listener.local_addr().expect("an address");
+    let gateway_node = NodeSettings {
+        address: Ipv4Addr::from(u32::from(node.address) + 128 + u32::from(number)),
+        ..node.clone()
+    };
+    let gateway = GatewayNode::start(&gateway_node, callers.to_string());
+    let dialect = Arc::new(TestDialect::new());
+    let seed = u64::from(number) + 1;
+    let logger = node.logger.clone();
+    let relay = Relay::new(gateway, dialect, "zone", seed, stopping.clone(), logger);
+    let clock = relay.gateway().clock();
+    let limits = Arc::new(ServerLimits::default());
+    let front = Front(relay.clone());
+    let serving = serve_callers(listener, front, limits, clock, stopping.clone());
+    tokio::spawn(serving);
+    Gateway { callers, relay }
+}
+
 /// Another address that leads to the same stand-in.
 async fn twin(replica: &Replica) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
