--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -5,7 +5,9 @@
 
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::SlotMessage};
-use linnethitch_registry::{DirectoryNode, FleetView, near};
+use linnethitch_registry::{
+    DirectoryNode, EndedRun, FleetView, RegistryCommand, RequestFingerprint, near,
+};
 use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
 use slog::{Logger, error, info, warn};
@@ -19,7 +21,7 @@
     clock::Clock,
     incoming::Inbound,
     links::Links,
-    message::{NodeMessage, NodeRole, Pulse},
+    message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
     seeds::Seeds,
     told_fleet::ToldFleet,
@@ -37,6 +39,7 @@
     fleet: watch::Receiver<Arc<FleetView>>,
     links: Links,
     store: GroupClient<StoreCall>,
+    control: GroupClient<RegistryCall>,
     own: MachineId,
     port: u16,
     datagrams: Option<Datagrams<SlotMessage>>,
@@ -57,6 +60,7 @@
             fleet,
             links: base.links.clone(),
             store: GroupClient::new(base.links.clone(), None),
+            control: GroupClient::new(base.links.clone(), None),
             own: settings.machine(),
             port: settings.port,
             datagrams: bind_datagrams(settings),
@@ -142,6 +146,33 @@
         self.store.call(call, limit).await
     }
 
+    /// Tells control that a replica ended under runs of this gateway; false when
+    /// that was not held within the limit.
+    pub async fn tell_replica_ended(
+        &self,
+        replica: &str,
+        runs: Vec<EndedRun>,
+        limit: Duration,
+    ) -> bool {
+        let command = RegistryCommand::ReplicaEnded {
+            replica: replica.to_owned(),
+            runs,
+        };
+        self.tell_control(command, limit).await
+    }
+
+    /// Tells control that a copy of a suspected request came to a whole answer; false
+    /// when that was not held within the limit.
+    pub async fn tell_cleared(&self, cleared: RequestFingerprint, limit: Duration) -> bool {
+        let command = RegistryCommand::ClearSuspicions(vec![cleared]);
+        self.tell_control(command, limit).await
+    }
+
+    async fn tell_control(&self, command: RegistryCommand, limit: Duration) -> bool {
+        let reply = self.control.call(RegistryCall::Propose(command), limit);
+        matches!(reply.await, RegistryReply::Answer(_))
+    }
+
     /// The clock of this process.
     #[must_use]
     pub fn clock(&self) -> Clock {
@@ -253,6 +284,7 @@
         let store_members = told.store_members();
         let mut wanted = told.control(&self.seeds.machines(), now_ms);
         drop(told);
+        self.gateway.control.set_machines(wanted.clone());
         wanted.extend(&store_members);
         self.gateway.store.set_machines(store_members);
         self.gateway.links.keep(&wanted);
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use linnethitch_group::{CallFailure, GroupMember};
-use linnethitch_protocol::ids::{MachineId, MemberId};
-use linnethitch_registry::{Registry, RegistryAnswer, RegistryCommand};
+use linnethitch_protocol::ids::{LogIndex, MachineId, MemberId};
+use linnethitch_registry::{Registry, RegistryAnswer, RegistryCommand, RequestFingerprint};
 use parking_lot::Mutex;
 use slog::{Logger, info};
 use tokio::sync::watch;
@@ -18,6 +18,10 @@
 /// A replica that is silent for this long is taken off the list, in milliseconds.
 /// Gateways notice a failed one far earlier by their own requests.
 const REPLICA_SILENCE_MS: u64 = 20_000;
+/// A request under which replicas ended is tried again, or no longer suspected, when
+/// nothing was heard of it for so long, in milliseconds: ten minutes, so that one that
+/// callers send for hours costs six replicas an hour at most.
+const SUSPICION_HELD_MS: u64 = 600_000;
 /// The job store is formed once no further member has appeared for this long.
 const STORE_FORMING_MS: u64 = 400;
 
@@ -45,6 +49,8 @@
     shared: Arc<RegistryShared>,
     /// When each replica was last heard of, as far as this leader knows.
     alive: BTreeMap<String, u64>,
+    /// Entries that changed suspicions last, and when this leader first saw them.
+    suspected: BTreeMap<RequestFingerprint, (LogIndex, u64)>,
     led: bool,
     is_current: bool,
     store_voters: usize,
@@ -56,6 +62,7 @@
         RegistryService {
             shared,
             alive: BTreeMap::new(),
+            suspected: BTreeMap::new(),
             led: false,
             is_current: false,
             store_voters,
@@ -81,6 +88,7 @@
         if !self.led {
             self.led = true;
             self.alive.clear();
+            self.suspected.clear();
         }
         let mut silent = Vec::new();
         for record in registry.live_replicas() {
@@ -94,6 +102,24 @@
         silent
     }
 
+    /// Suspicions that nothing has changed for [`SUSPICION_HELD_MS`].
+    fn old_suspicions(&mut self, registry: &Registry, now_ms: u64) -> Option<RegistryCommand> {
+        let suspicions = registry.suspicions();
+        self.suspected.retain(|fingerprint, (changed_at, _)| {
+            let held = suspicions.get(fingerprint);
+            held.is_some_and(|held| held.ends > 0 && held.changed_at == *changed_at)
+        });
+        let mut old = Vec::new();
+        for record in suspicions.open() {
+            let seen = self.suspected.entry(record.fingerprint);
+            let (_, since_ms) = *seen.or_insert((record.changed_at, now_ms));
+            if now_ms.saturating_sub(since_ms) > SUSPICION_HELD_MS {
+                old.push(record.fingerprint);
+            }
+        }
+        (!old.is_empty()).then_some(RegistryCommand::EaseSuspicions(old))
+    }
+
     fn store_to_form(&self, registry: &Registry, now_ms: u64) -> Option<RegistryCommand> {
         if !registry.store().first.is_empty() {
             return None;
@@ -171,6 +197,7 @@
     fn upkeep(&mut self, member: &GroupMember<Registry>, now: Now) -> Vec<Vec<u8>> {
         let registry = member.state();
         let mut commands = self.silent_replicas(registry, now.steady_ms);
+        commands.extend(self.old_suspicions(registry, now.steady_ms));
         commands.extend(self.store_to_form(registry, now.steady_ms));
         let encoded = commands
             .iter()
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -17,6 +17,9 @@
     Take,
     /// It tries another replica, and does so too where batch items have the slots.
     Free,
+    /// It waits for a slot here while no other such request has one: a request under
+    /// which replicas ended must not run beside another one.
+    Alone,
 }
 
 /// What a coordinator answers.
@@ -54,6 +57,8 @@
     pub replica: String,
     /// The holder's number of the lease.
     pub number: u64,
+    /// Whether it was asked for by [`AskMode::Alone`].
+    pub alone: bool,
 }
 
 /// A datagram about slots.
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -8,10 +8,15 @@
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{first_layout::FirstCommand, replica::ReplicaChange, routes::RouteTable};
+use crate::{
+    fingerprint::RequestFingerprint, first_layout::FirstCommand, replica::ReplicaChange,
+    routes::RouteTable, suspicion::EndedRun,
+};
 
 /// Layout of route tables whose routes have a bound of queued tokens.
 const ROUTES_LAYOUT: u8 = 2;
+/// Layout of commands about requests under which replicas ended.
+const SUSPICION_LAYOUT: u8 = 3;
 /// Layout of all other commands, and of the first route tables.
 pub(crate) const FIRST_LAYOUT: u8 = 1;
 
@@ -33,6 +38,17 @@
     FormStore(Vec<MemberId>),
     /// A store machine is to be emptied.
     RetireStore(MachineId),
+    /// A replica ended under these runs of one gateway.
+    ReplicaEnded {
+        /// The incarnation.
+        replica: String,
+        /// What broke off there.
+        runs: Vec<EndedRun>,
+    },
+    /// Copies of these requests came to whole answers.
+    ClearSuspicions(Vec<RequestFingerprint>),
+    /// Nothing was heard of these requests for long.
+    EaseSuspicions(Vec<RequestFingerprint>),
 }
 
 impl RegistryCommand {
@@ -43,6 +59,9 @@
     pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
         let layout = match self {
             RegistryCommand::PutRoutes { .. } => ROUTES_LAYOUT,
+            RegistryCommand::ReplicaEnded { .. }
+            | RegistryCommand::ClearSuspicions(_)
+            | RegistryCommand::EaseSuspicions(_) => SUSPICION_LAYOUT,
             _ => FIRST_LAYOUT,
         };
         stored::encode(layout, self)
@@ -57,7 +76,7 @@
             let first: FirstCommand = stored::decode(&[FIRST_LAYOUT], bytes)?;
             return Ok(first.into());
         }
-        stored::decode(&[ROUTES_LAYOUT], bytes)
+        stored::decode(&[ROUTES_LAYOUT, SUSPICION_LAYOUT], bytes)
     }
 }
 
--- a/crates/registry/src/fingerprint.rs
+++ b/crates/registry/src/fingerprint.rs
@@ -28,8 +28,7 @@
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize,
 )]
-#[rkyv(derive(PartialEq, Eq, PartialOrd, Ord))]
-pub struct RequestFingerprint(pub u128);
+pub struct RequestFingerprint(pub [u8; KEPT_BYTES]);
 
 impl RequestFingerprint {
     /// The fingerprint of a request's content.
@@ -50,12 +49,21 @@
         }
         let mut kept = [0; KEPT_BYTES];
         kept.copy_from_slice(&digest.finalize()[..KEPT_BYTES]);
-        RequestFingerprint(u128::from_be_bytes(kept))
+        RequestFingerprint(kept)
+    }
+
+    /// A number that spreads requests over replicas.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        let bytes = self.0.first_chunk().copied().unwrap_or_default();
+        u64::from_be_bytes(bytes)
     }
 }
 
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:032x}", self.0)
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
--- a/crates/registry/src/first_layout.rs
+++ b/crates/registry/src/first_layout.rs
@@ -116,6 +116,7 @@
             store: first.store,
             store_at: first.store_at,
             changed_at: first.changed_at,
+            suspicions: Vec::new(),
         }
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -13,7 +13,9 @@
 mod registry;
 mod replica;
 mod routes;
+mod second_layout;
 mod sequence;
+mod suspicion;
 mod update;
 mod validate;
 mod view;
@@ -26,6 +28,7 @@
 pub use routes::{
     Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
+pub use suspicion::{ENDS_BEFORE_REFUSAL, EndedRun, Suspicion, Suspicions};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
 pub use view::FleetView;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -18,7 +18,9 @@
     first_layout::FirstSnapshot,
     replica::{ReplicaRecord, ReplicaState},
     routes::RouteTable,
+    second_layout::SecondSnapshot,
     sequence,
+    suspicion::{Suspicion, Suspicions},
     update::FleetUpdate,
 };
 
@@ -40,11 +42,14 @@
     replicas: BTreeMap<String, ReplicaRecord>,
     store: StoreMembers,
     store_at: LogIndex,
+    suspicions: Suspicions,
     changed_at: LogIndex,
 }
 
-/// Layout of snapshots that this build writes; the first one is still read.
-const SNAPSHOT_LAYOUT: u8 = 2;
+/// Layout of snapshots that this build writes; the two before are still read.
+const SNAPSHOT_LAYOUT: u8 = 3;
+/// Layout of snapshots without requests that are suspected.
+const SECOND_LAYOUT: u8 = 2;
 
 /// What a snapshot holds.
 #[derive(Archive, Serialize, Deserialize)]
@@ -56,6 +61,7 @@
     pub(crate) store: StoreMembers,
     pub(crate) store_at: LogIndex,
     pub(crate) changed_at: LogIndex,
+    pub(crate) suspicions: Vec<Suspicion>,
 }
 
 impl Registry {
@@ -89,6 +95,12 @@
         &self.store
     }
 
+    /// Requests under which replicas ended.
+    #[must_use]
+    pub fn suspicions(&self) -> &Suspicions {
+        &self.suspicions
+    }
+
     /// The newest entry that changed anything.
     #[must_use]
     pub fn changed_at(&self) -> LogIndex {
@@ -101,11 +113,14 @@
         let table = self.table.as_ref().filter(|_| self.table_at > since);
         let replicas = self.replicas.values();
         let changed = replicas.filter(|record| record.changed_at > since);
+        let suspected = self.suspicions.records();
+        let suspected = suspected.filter(|record| record.changed_at > since);
         FleetUpdate {
             table: table.map(|table| table.as_ref().clone()),
             replicas: changed.cloned().collect(),
             store: (self.store_at > since).then(|| self.store.clone()),
             store_at: self.store_at,
+            suspicions: suspected.cloned().collect(),
             upto: self.changed_at,
         }
     }
@@ -128,7 +143,7 @@
         RegistryAnswer::RoutesHeld(version)
     }
 
-    fn note_replicas(&mut self, index: LogIndex, changed: bool) {
+    fn note_change(&mut self, index: LogIndex, changed: bool) {
         if changed {
             self.changed_at = index;
         }
@@ -157,11 +172,11 @@
             }
             RegistryCommand::Replica(change) => {
                 let changed = sequence::apply_change(&mut self.replicas, index, &change);
-                self.note_replicas(index, changed);
+                self.note_change(index, changed);
             }
             RegistryCommand::RemoveReplica(id) => {
                 let changed = sequence::remove(&mut self.replicas, index, &id);
-                self.note_replicas(index, changed);
+                self.note_change(index, changed);
             }
             RegistryCommand::FormStore(members) => {
                 let changed = self.store.first.is_empty();
@@ -177,6 +192,18 @@
                 }
                 self.note_store(index, changed);
             }
+            RegistryCommand::ReplicaEnded { replica, runs } => {
+                let changed = self.suspicions.note_end(index, &replica, &runs);
+                self.note_change(index, changed);
+            }
+            RegistryCommand::ClearSuspicions(cleared) => {
+                let changed = self.suspicions.clear(index, &cleared);
+                self.note_change(index, changed);
+            }
+            RegistryCommand::EaseSuspicions(eased) => {
+                let changed = self.suspicions.ease(index, &eased);
+                self.note_change(index, changed);
+            }
         }
         Ok(RegistryAnswer::Done)
     }
@@ -190,6 +217,7 @@
             store: self.store.clone(),
             store_at: self.store_at,
             changed_at: self.changed_at,
+            suspicions: self.suspicions.records().cloned().collect(),
         };
         stored::encode(SNAPSHOT_LAYOUT, &snapshot).map(WholeSnapshot::new)
     }
@@ -205,15 +233,22 @@
             replicas: replicas.map(|r| (r.told.id.clone(), r)).collect(),
             store: snapshot.store,
             store_at: snapshot.store_at,
+            suspicions: snapshot.suspicions.into_iter().collect(),
             changed_at: snapshot.changed_at,
         })
     }
 }
 
 fn decode_snapshot(bytes: &[u8]) -> Result<RegistrySnapshot, Report<ErrorKind>> {
-    if stored::layout_of(bytes) != Some(FIRST_LAYOUT) {
-        return stored::decode(&[SNAPSHOT_LAYOUT], bytes);
+    match stored::layout_of(bytes) {
+        Some(FIRST_LAYOUT) => {
+            let first: FirstSnapshot = stored::decode(&[FIRST_LAYOUT], bytes)?;
+            Ok(first.into())
+        }
+        Some(SECOND_LAYOUT) => {
+            let second: SecondSnapshot = stored::decode(&[SECOND_LAYOUT], bytes)?;
+            Ok(second.into())
+        }
+        _ => stored::decode(&[SNAPSHOT_LAYOUT], bytes),
     }
-    let first: FirstSnapshot = stored::decode(&[FIRST_LAYOUT], bytes)?;
-    Ok(first.into())
 }
--- a/crates/registry/src/update.rs
+++ b/crates/registry/src/update.rs
@@ -3,7 +3,9 @@
 use linnethitch_protocol::ids::LogIndex;
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable};
+use crate::{
+    registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable, suspicion::Suspicion,
+};
 
 /// The parts of the registry that changed after an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -16,6 +18,8 @@
     pub store: Option<StoreMembers>,
     /// The entry that changed them.
     pub store_at: LogIndex,
+    /// Requests under which replicas ended, as far as that changed.
+    pub suspicions: Vec<Suspicion>,
     /// The newest change that this update covers.
     pub upto: LogIndex,
 }
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -8,6 +8,7 @@
     registry::StoreMembers,
     replica::{ReplicaRecord, ReplicaState},
     routes::RouteTable,
+    suspicion::Suspicions,
     update::FleetUpdate,
 };
 
@@ -21,6 +22,7 @@
     replicas: BTreeMap<String, ReplicaRecord>,
     store: StoreMembers,
     store_at: LogIndex,
+    suspicions: Suspicions,
     upto: LogIndex,
 }
 
@@ -49,6 +51,12 @@
         &self.store
     }
 
+    /// Requests under which replicas ended.
+    #[must_use]
+    pub fn suspicions(&self) -> &Suspicions {
+        &self.suspicions
+    }
+
     /// The newest change known here.
     #[must_use]
     pub fn upto(&self) -> LogIndex {
@@ -75,6 +83,9 @@
             self.store_at = update.store_at;
             changed = true;
         }
+        for suspicion in update.suspicions {
+            changed |= self.suspicions.take(suspicion);
+        }
         self.upto = self.upto.max(update.upto);
         changed
     }
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod registry;
 mod routes;
 mod support;
+mod suspicions;
 mod view;
--- /dev/null
+++ b/crates/registry/tests/all/suspicions.rs
@@ -0,0 +1,154 @@
+//! Requests under which replicas ended: who is suspected, how much, and what ends it.
+
+use linnethitch_group::StateMachine;
+use linnethitch_protocol::ids::LogIndex;
+use linnethitch_registry::{
+    EndedRun, FleetView, Registry, RegistryCommand, RequestContent, RequestFingerprint,
+};
+use rstest::rstest;
+
+use crate::support::{Applied, store_snapshot};
+
+/// The bound of what is remembered.
+const MOST: usize = 1_024;
+
+fn request(body: &str) -> RequestFingerprint {
+    RequestFingerprint::of(&RequestContent {
+        method: "POST",
+        host: b"desk.example",
+        path: "/quotes/1",
+        caller: b"",
+        body: body.as_bytes(),
+    })
+}
+
+fn run(body: &str, known_ends: u32) -> EndedRun {
+    EndedRun {
+        fingerprint: request(body),
+        known_ends,
+    }
+}
+
+fn ended(replica: &str, runs: &[EndedRun]) -> RegistryCommand {
+    RegistryCommand::ReplicaEnded {
+        replica: replica.to_owned(),
+        runs: runs.to_vec(),
+    }
+}
+
+fn ends(applied: &Applied, body: &str) -> u32 {
+    let held = applied.registry.suspicions().get(&request(body));
+    held.map_or(0, |held| held.ends)
+}
+
+/// What is told, one after the other, and how many ends count in the end.
+#[rstest]
+#[case::one_after_the_other(&[("i-1", 0), ("i-2", 1), ("i-3", 2)], 3)]
+#[case::copies_beside_each_other(&[("i-1", 0), ("i-2", 0), ("i-3", 0), ("i-4", 0)], 1)]
+#[case::one_replica_told_by_two_gateways(&[("i-1", 0), ("i-1", 0)], 1)]
+#[case::a_gateway_that_was_cut_off(&[("i-1", 0), ("i-2", 1), ("i-3", 0)], 2)]
+#[case::told_late_of_a_replica(&[("i-1", 0), ("i-2", 1), ("i-2", 1)], 2)]
+fn an_end_counts_if_the_run_began_knowing_of_the_ends_before(
+    #[case] told: &[(&str, u32)],
+    #[case] counted: u32,
+) {
+    let mut applied = Applied::default();
+    for (replica, known) in told {
+        applied.apply(&ended(replica, &[run("a", *known)]));
+    }
+    assert_eq!(ends(&applied, "a"), counted);
+}
+
+#[test]
+fn a_copy_that_comes_to_a_whole_answer_ends_the_suspicion() {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("guilty", 0), run("beside", 0)]));
+    applied.apply(&RegistryCommand::ClearSuspicions(vec![request("beside")]));
+    applied.apply(&ended("i-2", &[run("guilty", 1), run("beside", 0)]));
+    assert_eq!((ends(&applied, "guilty"), ends(&applied, "beside")), (2, 1));
+    // It was cleared while this run was under way, which knew of an end.
+    applied.apply(&RegistryCommand::ClearSuspicions(vec![request("beside")]));
+    applied.apply(&ended("i-3", &[run("beside", 1)]));
+    assert_eq!(ends(&applied, "beside"), 1);
+}
+
+/// How many ends count before nothing was heard for long, and after it.
+#[rstest]
+#[case::suspected(1, 0)]
+#[case::almost_refused(2, 0)]
+#[case::refused(3, 2)]
+fn time_eases_a_suspicion(#[case] before: u32, #[case] after: u32) {
+    let mut applied = Applied::default();
+    for number in 0..before {
+        applied.apply(&ended(&format!("i-{number}"), &[run("a", number)]));
+    }
+    applied.apply(&RegistryCommand::EaseSuspicions(vec![request("a")]));
+    assert_eq!(ends(&applied, "a"), after);
+}
+
+#[test]
+fn endless_different_requests_displace_their_own_kind_only() {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("a", 0)]));
+    applied.apply(&ended("i-2", &[run("a", 1)]));
+    for number in 0..2 * MOST {
+        applied.apply(&ended("i-3", &[run(&format!("other {number}"), 0)]));
+    }
+    assert_eq!(ends(&applied, "a"), 2);
+    let suspicions = applied.registry.suspicions();
+    assert_eq!(
+        (suspicions.len(), suspicions.records().count()),
+        (MOST, MOST)
+    );
+}
+
+#[test]
+fn a_restart_forgets_nothing() {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("a", 0)]));
+    let snapshot = applied.registry.begin_snapshot().expect("it is encoded");
+    let restored = Registry::from_snapshot(store_snapshot(snapshot)).expect("it is read");
+    let held = restored.suspicions().get(&request("a"));
+    assert_eq!(held, applied.registry.suspicions().get(&request("a")));
+    assert_eq!(restored.suspicions().len(), 1);
+}
+
+#[test]
+fn a_gateway_learns_only_what_changed_and_never_steps_back() {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("a", 0), run("b", 0)]));
+    let early = applied.registry.update_since(LogIndex(0));
+    applied.apply(&RegistryCommand::ClearSuspicions(vec![request("a")]));
+    let late = applied.registry.update_since(early.upto);
+    assert_eq!(late.suspicions.len(), 1);
+    let mut view = FleetView::default();
+    assert!(view.take(early.clone()));
+    assert_eq!(view.suspicions().len(), 2);
+    assert!(view.take(late));
+    assert!(!view.take(early));
+    assert_eq!(view.suspicions().len(), 1);
+    let held = view.suspicions().get(&request("b"));
+    assert_eq!(held.map(|held| held.ends), Some(1));
+}
+
+#[rstest]
+#[case::body("POST", "/quotes/1", "", "other")]
+#[case::path("POST", "/quotes/2", "", "body")]
+#[case::method("PUT", "/quotes/1", "", "body")]
+#[case::caller("POST", "/quotes/1", "key", "body")]
+#[case::where_parts_meet("POST", "/quotes/1", "bo", "dy")]
+fn other_content_is_another_request(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] caller: &str,
+    #[case] body: &str,
+) {
+    let other = RequestFingerprint::of(&RequestContent {
+        method,
+        host: b"desk.example",
+        path,
+        caller: caller.as_bytes(),
+        body: body.as_bytes(),
+    });
+    assert_ne!(other, request("body"));
+}
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -21,6 +21,8 @@
     Served,
     /// Refused; it did not run.
     Refused,
+    /// Refused: replicas ended under such requests.
+    EndsReplicas,
     /// Without a replica's whole answer after it was sent.
     Failed,
 }
@@ -83,6 +85,8 @@
     pub(crate) table_version: Gauge,
     /// Replicas that may be given new work.
     pub(crate) ready_replicas: Gauge,
+    /// Requests under which replicas ended and that are suspected.
+    pub(crate) suspected_requests: Gauge,
     /// How long no control member has been heard of, in milliseconds.
     pub(crate) control_silent_ms: Gauge,
 }
@@ -101,6 +105,7 @@
             slots: Family::default(),
             table_version: Gauge::default(),
             ready_replicas: Gauge::default(),
+            suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
         };
         counters.register();
@@ -138,6 +143,9 @@
         let silent = self.control_silent_ms.clone();
         let help = "Milliseconds since a control member was heard of";
         registry.register("relay_control_silent_milliseconds", help, silent);
+        let suspected = self.suspected_requests.clone();
+        let help = "Requests under which replicas ended and that are suspected";
+        registry.register("relay_suspected_requests", help, suspected);
     }
 
     pub(crate) fn request_ended(&self, route: &str, end: RequestEnd) {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,7 +8,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use linnethitch_registry::{RequestContent, RequestFingerprint};
+use linnethitch_registry::{ENDS_BEFORE_REFUSAL, RequestContent, RequestFingerprint};
 use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
 use tokio::time::{Instant, timeout_at};
 
@@ -82,6 +82,9 @@
     Unknown,
     /// Time was up; the replica may run it.
     TimedOut,
+    /// More replicas ended under such requests than was known at the search for this
+    /// one; it was not sent.
+    Suspected,
 }
 
 /// How long an exchange may take.
@@ -93,6 +96,18 @@
     pub(crate) head_until: Instant,
 }
 
+/// Where and how a request is sent.
+pub(crate) struct Target<'a> {
+    pub(crate) chosen: &'a Chosen,
+    /// Replicas that ended under such requests, as was known at the choice.
+    pub(crate) known_ends: u32,
+    /// The slot of an online request, or of one that runs alone.
+    pub(crate) lease: Option<SlotLease>,
+    /// The last event that the asker has.
+    pub(crate) last_event: Option<u64>,
+    pub(crate) limits: Limits,
+}
+
 /// Whether a header pertains to one connection only.
 pub(crate) fn is_connection_header(name: &HeaderName) -> bool {
     CONNECTION_HEADERS.contains(name) || name == KEEP_ALIVE || name == PROXY_CONNECTION
@@ -123,16 +138,23 @@
 
 /// Sends a request to a replica and waits for the head of the answer. Online
 /// requests bring the lease of their slot.
+///
+/// Everything that is sent to replicas goes through here, so that nothing is sent
+/// again under which replicas ended.
 pub(crate) async fn exchange(
     shared: &Arc<Shared>,
-    chosen: &Chosen,
     outgoing: &Arc<Outgoing>,
     prompt: &[PromptPart],
-    lease: Option<SlotLease>,
-    last_event: Option<u64>,
-    limits: Limits,
+    target: Target<'_>,
 ) -> Exchange {
-    let Some(mut running) = RunningGuard::begin(shared, chosen, outgoing, prompt, lease) else {
+    let Target {
+        chosen,
+        known_ends,
+        last_event,
+        limits,
+        ..
+    } = target;
+    let Some(mut running) = RunningGuard::begin(shared, outgoing, prompt, target) else {
         return Exchange::NotRun(FailureKind::Replaced);
     };
     loop {
@@ -151,6 +173,10 @@
         if !shared.is_known_ready(&chosen.id) {
             return Exchange::NotRun(FailureKind::Replaced);
         }
+        let ends = shared.ends(outgoing);
+        if ends > known_ends || ends >= ENDS_BEFORE_REFUSAL {
+            return Exchange::Suspected;
+        }
         match send(
             shared,
             chosen,
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
-use linnethitch_registry::{Route, RouteKind};
+use linnethitch_registry::{ENDS_BEFORE_REFUSAL, Route, RouteKind};
 use linnethitch_routing::dispatch::{Chosen, FailureKind};
 use slog::info;
 use tokio::time::{Instant, sleep, timeout};
@@ -17,10 +17,11 @@
 use crate::{
     counters::ItemEnd,
     events::{EventSplitter, data_of},
-    exchange::{Exchange, Limits, Opened, Outgoing, exchange},
+    exchange::{Exchange, Limits, Opened, Outgoing, Target, exchange},
     running_items::Made,
+    search::{Placed, Search},
     shared::Shared,
-    slots::ItemSlot,
+    slots::{ItemSlot, SlotLease},
 };
 
 /// Longest time for a report; the lease ends and the item runs again after it.
@@ -34,6 +35,9 @@
 /// Longest wait for a slot before the item is given back, so that another
 /// gateway goes on with it.
 const SLOT_WAIT: Duration = Duration::from_millis(400);
+/// How long an item under which replicas end rests at a gateway. Each gateway that it
+/// rests at costs two calls of the job store.
+const SET_ASIDE_FOR: Duration = Duration::from_secs(5);
 /// Pause after a replica did not take an item.
 const NOT_TAKEN_PAUSE: Duration = Duration::from_millis(100);
 /// Status that says that an item can never be done.
@@ -51,6 +55,15 @@
     due: Instant,
 }
 
+/// Where an item runs.
+struct ItemPlace {
+    chosen: Chosen,
+    /// The slot that it has while online requests do not need it.
+    slot: Option<ItemSlot>,
+    /// The slot of an item that runs alone.
+    lease: Option<SlotLease>,
+}
+
 /// How an item's task ended.
 pub(crate) enum ItemEnding {
     /// Its outcome was reported.
@@ -155,27 +168,43 @@
         let Some(outgoing) = outgoing(&self.shared, &self.work) else {
             return RunEnd::Outcome(ItemOutcome::Unprocessable);
         };
-        let Some((chosen, slot)) = self.wait_for_slot(&service).await else {
+        let prompt = self.shared.dialect.prompt(&outgoing.headers);
+        let known_ends = self.shared.known_ends(&outgoing).await;
+        if known_ends >= ENDS_BEFORE_REFUSAL {
+            return self.set_aside(&outgoing).await;
+        }
+        let placed = if known_ends > 0 {
+            self.place_apart(&service, &outgoing, known_ends).await
+        } else {
+            self.wait_for_slot(&service).await
+        };
+        let Some(ItemPlace {
+            chosen,
+            slot,
+            lease,
+        }) = placed
+        else {
             return RunEnd::GiveBack;
         };
-        let prompt = self.shared.dialect.prompt(&outgoing.headers);
+        // One that runs alone has an online request's slot and does not give way.
+        let stop = slot.as_ref().map(|slot| slot.stop.clone());
+        let stop = stop.unwrap_or_default();
         let last_event = self.made.last_event();
         let limits = Limits {
             until,
             head_until: until.min(Instant::now() + FIRST_EVENT_LIMIT),
         };
-        let exchanged = exchange(
-            &self.shared,
-            &chosen,
-            &outgoing,
-            &prompt.parts,
-            None,
+        let target = Target {
+            chosen: &chosen,
+            known_ends,
+            lease,
             last_event,
             limits,
-        );
+        };
+        let exchanged = exchange(&self.shared, &outgoing, &prompt.parts, target);
         let exchanged = tokio::select! {
             exchanged = exchanged => exchanged,
-            () = slot.stop.cancelled() => return self.give_way(&chosen.id),
+            () = stop.cancelled() => return self.give_way(&chosen.id),
             () = self.stopping.cancelled() => return RunEnd::GiveBack,
         };
         match exchanged {
@@ -183,7 +212,7 @@
                 let stopping = self.stopping.clone();
                 tokio::select! {
                     end = self.read(&service, *opened) => end,
-                    () = slot.stop.cancelled() => self.give_way(&chosen.id),
+                    () = stop.cancelled() => self.give_way(&chosen.id),
                     () = stopping.cancelled() => RunEnd::GiveBack,
                 }
             }
@@ -192,6 +221,7 @@
                 sleep(NOT_TAKEN_PAUSE).await;
                 RunEnd::GoOn
             }
+            Exchange::Suspected => RunEnd::GoOn,
             Exchange::Unknown => {
                 self.tried.push(chosen.id);
                 RunEnd::GoOn
@@ -205,7 +235,7 @@
     }
 
     /// Waits for a slot of a replica; not too long, since the route may change.
-    async fn wait_for_slot(&mut self, service: &str) -> Option<(Chosen, ItemSlot)> {
+    async fn wait_for_slot(&self, service: &str) -> Option<ItemPlace> {
         let avoid = self.tried.clone();
         let left_ms = self.shared.item_pace(service).left_ms(self.made.events());
         let now = Instant::now();
@@ -214,7 +244,50 @@
         let mut slot = self.shared.slots.want_slot(service, begin_by, avoid);
         let replica = timeout(SLOT_WAIT, slot.granted()).await.ok()??;
         let chosen = self.shared.chosen_at(&replica)?;
-        Some((chosen, slot))
+        Some(ItemPlace {
+            chosen,
+            slot: Some(slot),
+            lease: None,
+        })
+    }
+
+    /// A slot where no other request runs under which replicas ended.
+    async fn place_apart(
+        &self,
+        service: &str,
+        outgoing: &Outgoing,
+        known_ends: u32,
+    ) -> Option<ItemPlace> {
+        let by = Instant::now() + SLOT_WAIT;
+        let search = Search {
+            shared: &self.shared,
+            service,
+            prompt: &[],
+            outgoing,
+            known_ends,
+            except: &self.tried,
+            due: by,
+            until: by,
+        };
+        let Placed { chosen, lease } = search.run().await?;
+        Some(ItemPlace {
+            chosen,
+            slot: None,
+            lease: Some(lease),
+        })
+    }
+
+    /// Replicas end under it: it is not run. It cannot be given up either before its
+    /// time is over, so it rests here for a while, then elsewhere.
+    async fn set_aside(&self, outgoing: &Outgoing) -> RunEnd {
+        info!(self.shared.logger, "item: set aside, replicas end under it";
+            "item" => &self.work.spec.id, "job" => &self.work.item.job,
+            "content" => outgoing.fingerprint().to_string());
+        tokio::select! {
+            () = sleep(SET_ASIDE_FOR) => {}
+            () = self.stopping.cancelled() => {}
+        }
+        RunEnd::GiveBack
     }
 
     /// It goes on after its last whole event, once there is room.
@@ -243,7 +316,7 @@
             self.splitter.drop_partial();
             return RunEnd::GoOn;
         }
-        self.shared.note_success(&opened.replica);
+        opened.running.came_to_an_end();
         drop(opened.running);
         if opened.connection.is_usable_again().await {
             self.shared.connections.give_back(opened.connection);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod server;
 mod shared;
 mod slots;
+mod suspicions;
 
 pub use answer::{AnswerBody, own_answer, own_body};
 pub use batch::{BatchSettings, run_items};
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use linnethitch_registry::ENDS_BEFORE_REFUSAL;
 use linnethitch_routing::dispatch::PromptPart;
 use slog::info;
 use tokio::{
@@ -18,7 +19,7 @@
     connections::Connection,
     counters::RequestEnd,
     events::EventSplitter,
-    exchange::{Exchange, Limits, Outgoing, exchange},
+    exchange::{Exchange, Limits, Outgoing, Target, exchange},
     search::{Placed, Search},
     shared::{RunningGuard, Shared},
 };
@@ -169,10 +170,17 @@
     async fn resume(&mut self) -> Option<Source> {
         self.splitter.drop_partial();
         while self.settings.resumable && self.settings.sends_left > 0 {
+            let outgoing = &self.settings.outgoing;
+            let known_ends = self.shared.known_ends(outgoing).await;
+            if known_ends >= ENDS_BEFORE_REFUSAL {
+                return None;
+            }
             let search = Search {
                 shared: &self.shared,
                 service: &self.settings.service,
                 prompt: &self.settings.prompt,
+                outgoing,
+                known_ends,
                 except: &self.settings.tried,
                 due: Instant::now() + self.settings.gap,
                 until: self.settings.until,
@@ -180,20 +188,18 @@
             let Placed { chosen, lease } = search.run().await?;
             self.settings.sends_left -= 1;
             self.settings.tried.push(chosen.id.clone());
-            let exchanged = exchange(
-                &self.shared,
-                &chosen,
-                &self.settings.outgoing,
-                &self.settings.prompt,
-                Some(lease),
-                self.splitter.last_id(),
-                Limits {
+            let target = Target {
+                chosen: &chosen,
+                known_ends,
+                lease: Some(lease),
+                last_event: self.splitter.last_id(),
+                limits: Limits {
                     until: self.settings.until,
                     head_until: self.settings.until,
                 },
-            )
-            .await;
-            match exchanged {
+            };
+            let sending = exchange(&self.shared, outgoing, &self.settings.prompt, target);
+            match sending.await {
                 Exchange::Answered(opened) if opened.response.status().is_success() => {
                     self.shared.counters.resumes.inc();
                     self.log("stream resumed");
@@ -204,7 +210,7 @@
                         running: opened.running,
                     });
                 }
-                Exchange::NotRun(_) => self.settings.sends_left += 1,
+                Exchange::NotRun(_) | Exchange::Suspected => self.settings.sends_left += 1,
                 Exchange::Answered(_) | Exchange::Unknown => {}
                 Exchange::TimedOut => return None,
             }
@@ -214,7 +220,7 @@
 
     async fn finish(mut self) {
         self.ended(RequestEnd::Served);
-        self.shared.note_success(&self.source.replica);
+        self.source.running.came_to_an_end();
         drop(self.source.running);
         if self.source.connection.is_usable_again().await {
             self.shared.connections.give_back(self.source.connection);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
-use linnethitch_registry::{Route, RouteKind, RouteTable};
+use linnethitch_registry::{ENDS_BEFORE_REFUSAL, Route, RouteKind, RouteTable};
 use linnethitch_routing::dispatch::FailureKind;
 use slog::{Logger, info};
 use tokio::{
@@ -22,7 +22,7 @@
     body::read_body,
     counters::RequestEnd,
     dialect::{Dialect, Prompt},
-    exchange::{Exchange, Limits, Opened, Outgoing, exchange, strip_connection_headers},
+    exchange::{Exchange, Limits, Opened, Outgoing, Target, exchange, strip_connection_headers},
     following::{follow_fleet, follow_slots, keep_slots},
     pump::{Pump, PumpSettings},
     search::{Placed, Search},
@@ -190,10 +190,16 @@
 impl Attempt<'_> {
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
+            let known_ends = self.shared.known_ends(&self.outgoing).await;
+            if known_ends >= ENDS_BEFORE_REFUSAL {
+                return self.refuse_as_ending();
+            }
             let search = Search {
                 shared: self.shared,
                 service: &self.service,
                 prompt: &self.prompt.parts,
+                outgoing: &self.outgoing,
+                known_ends,
                 except: &self.tried,
                 due: self.arrived + Duration::from_millis(self.route.target_ms),
                 until: self.until,
@@ -208,17 +214,15 @@
             };
             self.note_slot(&chosen.id, began.elapsed());
             let limits = self.limits(chosen.expected_ms);
-            let result = exchange(
-                self.shared,
-                &chosen,
-                &self.outgoing,
-                &self.prompt.parts,
-                Some(lease),
-                None,
+            let target = Target {
+                chosen: &chosen,
+                known_ends,
+                lease: Some(lease),
+                last_event: None,
                 limits,
-            )
-            .await;
-            match result {
+            };
+            let sending = exchange(self.shared, &self.outgoing, &self.prompt.parts, target);
+            match sending.await {
                 Exchange::Answered(opened) => {
                     if let Some(response) = self.pass_on(*opened).await {
                         return response;
@@ -232,6 +236,7 @@
                     }
                     continue;
                 }
+                Exchange::Suspected => continue,
                 Exchange::Unknown => self.note_run(&chosen.id),
                 Exchange::TimedOut if limits.head_until < self.until => {
                     self.shared.note_failure(&chosen.id, FailureKind::Broken);
@@ -313,6 +318,19 @@
             .first_byte_after(self.arrived.elapsed());
     }
 
+    /// The final answer of a request under which replicas end, at once. Where this
+    /// attempt has not run it is one that clients do not repeat by themselves.
+    fn refuse_as_ending(&self) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.give_up("replicas end under it");
+        }
+        info!(self.shared.logger, "request: refused, replicas end under it";
+            "request" => self.outgoing.id(),
+            "content" => self.outgoing.fingerprint().to_string());
+        self.ended(RequestEnd::EndsReplicas);
+        own_answer(ErrorKind::EndsReplicas, None)
+    }
+
     /// The final answer of a request that no replica answered, at once.
     fn give_up(&self, why: &str) -> Response<AnswerBody> {
         self.log(why, "");
@@ -375,8 +393,8 @@
                 }
             }
         }
+        running.came_to_an_end();
         drop(running);
-        self.shared.note_success(&replica);
         if connection.is_usable_again().await {
             self.shared.connections.give_back(connection);
         }
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -6,18 +6,20 @@
 //! another incarnation has its place. A replica that was told to be leaving ends
 //! by plan, and nobody is to blame.
 
-use std::{collections::HashMap, io::ErrorKind as IoErrorKind, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, future::Future, io::ErrorKind as IoErrorKind, sync::Arc, time::Duration,
+};
 
-use linnethitch_registry::{ReplicaState, RequestFingerprint};
+use linnethitch_registry::{EndedRun, ReplicaState, RequestFingerprint};
 use parking_lot::Mutex;
-use slog::info;
+use slog::{info, warn};
 use tokio::{
     net::TcpStream,
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-use crate::shared::Shared;
+use crate::{shared::Shared, suspicions::TELL_LIMIT};
 
 /// Runs that break off within this of each other are looked into together: a
 /// process that ends breaks all its connections within two milliseconds.
@@ -34,7 +36,7 @@
 /// A request whose run broke off.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenRun {
-    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) run: EndedRun,
     /// The caller's id of it.
     pub(crate) request: String,
 }
@@ -42,41 +44,112 @@
 /// Runs that broke off lately, by replica, each with a task that finds out why.
 #[derive(Default)]
 pub(crate) struct BrokenRuns {
-    inquiries: Mutex<HashMap<String, mpsc::Sender<BrokenRun>>>,
+    state: Mutex<State>,
+    /// Changes whenever a replica was asked.
+    asked: watch::Sender<()>,
 }
 
-/// What shows that a replica ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Evidence {
-    /// Its address refuses connections.
-    Refused,
-    /// Control told that its place was taken, or that it is gone.
-    Replaced,
+#[derive(Default)]
+struct State {
+    /// Inquiries under way, by replica.
+    inquiries: HashMap<String, mpsc::Sender<BrokenRun>>,
+    /// Requests that broke off at replicas that were not asked yet.
+    unasked: Vec<Unasked>,
+}
+
+struct Unasked {
+    fingerprint: RequestFingerprint,
+    replica: String,
+}
+
+impl BrokenRuns {
+    /// Whether every replica where something broke off was asked.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.state.lock().unasked.is_empty()
+    }
+
+    /// Waits until the replicas where copies of a request broke off were asked, some
+    /// milliseconds: the next copy is not to be sent in ignorance of the one before.
+    pub(crate) async fn settled(&self, fingerprint: &RequestFingerprint) {
+        let mut asked = self.asked.subscribe();
+        let until = Instant::now() + GATHER_FOR + CONNECT_LIMIT;
+        while self.is_unasked(fingerprint) {
+            if timeout_at(until, asked.changed()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn is_unasked(&self, fingerprint: &RequestFingerprint) -> bool {
+        let state = self.state.lock();
+        let mut unasked = state.unasked.iter();
+        unasked.any(|unasked| unasked.fingerprint == *fingerprint)
+    }
+
+    /// Notes a run; the receiver of further ones, where a new inquiry is to begin.
+    fn note(&self, replica: &str, run: BrokenRun) -> Option<mpsc::Receiver<BrokenRun>> {
+        let mut state = self.state.lock();
+        state.unasked.push(Unasked {
+            fingerprint: run.run.fingerprint,
+            replica: replica.to_owned(),
+        });
+        if let Some(open) = state.inquiries.get(replica) {
+            // Beyond the bound the replica has more witnesses than it needs.
+            let _ = open.try_send(run);
+            return None;
+        }
+        let (sender, runs) = mpsc::channel(MOST_RUNS);
+        let _ = sender.try_send(run);
+        state.inquiries.insert(replica.to_owned(), sender);
+        Some(runs)
+    }
+
+    fn note_asked(&self, replica: &str) {
+        let mut state = self.state.lock();
+        state.unasked.retain(|unasked| unasked.replica != replica);
+        self.asked.send_replace(());
+    }
+
+    fn end_inquiry(&self, replica: &str) {
+        self.state.lock().inquiries.remove(replica);
+        self.note_asked(replica);
+    }
 }
 
 /// Notes that a run broke off at a replica, and finds out whether that has ended.
 pub(crate) fn find_out(shared: &Arc<Shared>, replica: &str, address: &str, run: BrokenRun) {
-    let mut inquiries = shared.broken_runs.inquiries.lock();
-    if let Some(open) = inquiries.get(replica)
-        && !open.is_closed()
-    {
-        // Beyond the bound the replica has more witnesses than it needs.
-        let _ = open.try_send(run);
+    let Some(incoming) = shared.broken_runs.note(replica, run) else {
         return;
-    }
-    let (sender, runs) = mpsc::channel(MOST_RUNS);
-    let _ = sender.try_send(run);
-    inquiries.insert(replica.to_owned(), sender);
+    };
     let inquiry = Inquiry {
         shared: Arc::clone(shared),
         replica: replica.to_owned(),
         address: address.to_owned(),
-        incoming: runs,
+        incoming,
         runs: Vec::new(),
     };
     tokio::spawn(inquiry.run());
 }
 
+/// What shows that a replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// Its address refuses connections.
+    Refused,
+    /// Control told that its place was taken, or that it is gone.
+    Replaced,
+}
+
+/// What happened while an inquiry waited.
+enum News {
+    /// Another run broke off there.
+    BrokeAgain,
+    /// The replica is gone and had not been leaving.
+    Replaced,
+    /// It is leaving, or nothing happened.
+    None,
+}
+
 /// Looks into the end of one replica.
 struct Inquiry {
     shared: Arc<Shared>,
@@ -88,26 +161,33 @@
 
 impl Inquiry {
     async fn run(mut self) {
-        let evidence = loop {
+        let evidence = self.look_for_evidence().await;
+        self.gather();
+        self.log(evidence);
+        let telling = evidence.map(|_| self.blame());
+        self.shared.broken_runs.end_inquiry(&self.replica);
+        if let Some(telling) = telling
+            && !telling.await
+        {
+            warn!(self.shared.logger, "end of a replica not told"; "replica" => &self.replica);
+        }
+    }
+
+    async fn look_for_evidence(&mut self) -> Option<Evidence> {
+        loop {
             sleep(GATHER_FOR).await;
             self.gather();
             let until = Instant::now() + SUCCESSOR_LIMIT;
             if refuses_connections(&self.address).await {
-                self.gather();
-                break Some(Evidence::Refused);
+                return Some(Evidence::Refused);
             }
+            self.shared.broken_runs.note_asked(&self.replica);
             match self.wait_for_news(until).await {
                 News::BrokeAgain => {}
-                News::Replaced => break Some(Evidence::Replaced),
-                News::None => break None,
+                News::Replaced => return Some(Evidence::Replaced),
+                News::None => return None,
             }
-        };
-        self.shared
-            .broken_runs
-            .inquiries
-            .lock()
-            .remove(&self.replica);
-        self.conclude(evidence);
+        }
     }
 
     /// Takes the runs that broke off meanwhile.
@@ -145,7 +225,19 @@
         }
     }
 
-    fn conclude(self, evidence: Option<Evidence>) {
+    /// Suspects everything that broke off here, at once at this gateway; the returned
+    /// future tells control and is true once that holds it.
+    fn blame(&self) -> impl Future<Output = bool> + use<> {
+        let runs: Vec<EndedRun> = self.runs.iter().map(|broken| broken.run).collect();
+        for run in &runs {
+            self.shared.note_end(run);
+        }
+        let gateway = self.shared.gateway.clone();
+        let replica = self.replica.clone();
+        async move { gateway.tell_replica_ended(&replica, runs, TELL_LIMIT).await }
+    }
+
+    fn log(&self, evidence: Option<Evidence>) {
         let logger = &self.shared.logger;
         let Some(evidence) = evidence else {
             info!(logger, "replica lives on"; "replica" => &self.replica,
@@ -154,23 +246,14 @@
         };
         info!(logger, "replica ended"; "replica" => &self.replica,
             "evidence" => ?evidence, "requests" => self.runs.len());
-        for run in &self.runs {
-            info!(logger, "request: replica ended under it"; "request" => &run.request,
-                "replica" => &self.replica, "content" => run.fingerprint.to_string());
+        for broken in &self.runs {
+            info!(logger, "request: replica ended under it"; "request" => &broken.request,
+                "replica" => &self.replica, "content" => broken.run.fingerprint.to_string(),
+                "known_ends" => broken.run.known_ends);
         }
     }
 }
 
-/// What happened while an inquiry waited.
-enum News {
-    /// Another run broke off there.
-    BrokeAgain,
-    /// The replica is gone and had not been leaving.
-    Replaced,
-    /// It is leaving, or nothing happened.
-    None,
-}
-
 /// Whether nobody listens at an address any more, and its machine says so.
 async fn refuses_connections(address: &str) -> bool {
     let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    exchange::Outgoing,
     shared::Shared,
     slots::{Asked, SlotLease},
 };
@@ -27,6 +28,10 @@
     pub(crate) shared: &'a Arc<Shared>,
     pub(crate) service: &'a str,
     pub(crate) prompt: &'a [PromptPart],
+    /// The request.
+    pub(crate) outgoing: &'a Outgoing,
+    /// Replicas that ended under such requests: one of them runs at a time where it goes.
+    pub(crate) known_ends: u32,
     /// Replicas that it must not be sent to (again).
     pub(crate) except: &'a [String],
     /// When it is late.
@@ -45,6 +50,9 @@
     /// The best replica with a free slot; where none of those asked has one, a
     /// slot that it waited for. `None` when no replica may be given it.
     pub(crate) async fn run(&self) -> Option<Placed> {
+        if self.known_ends > 0 {
+            return self.place_apart().await;
+        }
         if let Some(placed) = self.find_free().await {
             return Some(placed);
         }
@@ -65,6 +73,16 @@
         }
     }
 
+    /// A slot of a replica where no other suspected request runs.
+    async fn place_apart(&self) -> Option<Placed> {
+        let need = self.need(self.except);
+        let chosen = self.shared.choose_apart(&need, self.outgoing)?;
+        match self.ask(&chosen, AskMode::Alone).await {
+            Asked::Leased(lease) => Some(Placed { chosen, lease }),
+            Asked::Full => None,
+        }
+    }
+
     /// A slot that nobody has, at a replica that serves the request about as soon
     /// as the best one.
     async fn find_free(&self) -> Option<Placed> {
@@ -86,11 +104,15 @@
 
     fn choose(&self, full: &[String]) -> Option<Chosen> {
         let except: Vec<String> = self.except.iter().chain(full).cloned().collect();
-        self.shared.choose(&Need {
+        self.shared.choose(&self.need(&except))
+    }
+
+    fn need<'b>(&'b self, except: &'b [String]) -> Need<'b> {
+        Need {
             service: self.service,
             prompt: self.prompt,
-            except: &except,
-        })
+            except,
+        }
     }
 
     async fn ask(&self, chosen: &Chosen, mode: AskMode) -> Asked {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -10,22 +10,23 @@
 
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_protocol::slots::SlotLoad;
-use linnethitch_registry::{FleetView, ReplicaState, Route, RouteTable};
+use linnethitch_registry::{EndedRun, FleetView, ReplicaState, Route, RouteTable};
 use linnethitch_routing::dispatch::{
     Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, PromptPart, ReplicaTraits,
     ReportedLoad, RunningWork, WeightedTurns, WorkKind,
 };
 use parking_lot::Mutex;
 use rand_pcg::{Pcg64Mcg, rand_core::SeedableRng};
-use slog::Logger;
+use slog::{Logger, info};
 
 use crate::{
     connections::Connections,
     counters::Counters,
     dialect::Dialect,
-    exchange::Outgoing,
+    exchange::{Outgoing, Target},
     replica_ends::{self, BrokenRun, BrokenRuns},
     slots::{SlotLease, Slots},
+    suspicions::{OwnNews, TELL_LIMIT},
 };
 
 /// Successes for each one that is logged; failures, refusals, retries and resumes
@@ -39,6 +40,7 @@
     pub(crate) connections: Connections,
     pub(crate) slots: Arc<Slots>,
     pub(crate) broken_runs: BrokenRuns,
+    own_news: OwnNews,
     pub(crate) counters: Arc<Counters>,
     pub(crate) clock: Clock,
     pub(crate) logger: Logger,
@@ -65,6 +67,7 @@
             dialect,
             connections: Connections::default(),
             broken_runs: BrokenRuns::default(),
+            own_news: OwnNews::default(),
             counters: Arc::default(),
             logger,
             successes: AtomicU64::new(0),
@@ -95,6 +98,8 @@
         let list: Vec<ReplicaTraits> = list.collect();
         let ready = list.iter().filter(|replica| replica.ready).count();
         self.counters.ready_replicas.set(ready as i64);
+        let suspected = fleet.suspicions().len();
+        self.counters.suspected_requests.set(suspected as i64);
         let version = table.map_or(0, |table| table.version);
         self.counters.table_version.set(version as i64);
         self.board.lock().set_replicas(list);
@@ -123,6 +128,13 @@
         self.board.lock().choose(need, now_ms, &mut *random)
     }
 
+    /// Where a request goes under which replicas ended: each to a replica of its own.
+    pub(crate) fn choose_apart(&self, need: &Need<'_>, outgoing: &Outgoing) -> Option<Chosen> {
+        let now_ms = self.clock.now_ms();
+        let number = outgoing.fingerprint().number();
+        self.board.lock().choose_apart(need, number, now_ms)
+    }
+
     /// One replica as a choice, if it may be given new work.
     pub(crate) fn chosen_at(&self, replica: &str) -> Option<Chosen> {
         let now_ms = self.clock.now_ms();
@@ -160,6 +172,54 @@
         );
     }
 
+    /// Replicas that ended under copies of a request in a row; it is to be sent alone
+    /// if there are any, and not at all from [`ENDS_BEFORE_REFUSAL`] on. Waits until a
+    /// replica where a copy has just broken off was asked.
+    pub(crate) async fn known_ends(&self, outgoing: &Outgoing) -> u32 {
+        if !self.broken_runs.is_settled() {
+            self.broken_runs.settled(&outgoing.fingerprint()).await;
+        }
+        self.ends(outgoing)
+    }
+
+    /// The same without waiting.
+    pub(crate) fn ends(&self, outgoing: &Outgoing) -> u32 {
+        let fleet = self.gateway.fleet();
+        if fleet.suspicions().is_empty() && self.own_news.is_empty() {
+            return 0;
+        }
+        let now_ms = self.clock.now_ms();
+        self.own_news.ends(&outgoing.fingerprint(), &fleet, now_ms)
+    }
+
+    /// A replica ended under a run: this gateway acts on it before control tells it.
+    pub(crate) fn note_end(&self, run: &EndedRun) {
+        let fleet = self.gateway.fleet();
+        let now_ms = self.clock.now_ms();
+        let ends = self.own_news.ends(&run.fingerprint, &fleet, now_ms);
+        if run.known_ends >= ends {
+            let ends = ends + 1;
+            self.own_news
+                .note(run.fingerprint, ends, fleet.upto(), now_ms);
+        }
+    }
+
+    /// A copy of a request came to a whole answer: it is no longer suspected.
+    fn clear(self: &Arc<Self>, outgoing: &Outgoing) {
+        if self.ends(outgoing) == 0 {
+            return;
+        }
+        let fingerprint = outgoing.fingerprint();
+        let upto = self.gateway.fleet().upto();
+        self.own_news
+            .note(fingerprint, 0, upto, self.clock.now_ms());
+        info!(self.logger, "request: cleared of suspicion"; "request" => outgoing.id(),
+            "content" => fingerprint.to_string());
+        let gateway = self.gateway.clone();
+        // Where control does not hear of it, the next copy that ends well clears it.
+        tokio::spawn(async move { gateway.tell_cleared(fingerprint, TELL_LIMIT).await });
+    }
+
     /// Own requests and items under way at a service.
     pub(crate) fn own_running(&self, service: &str) -> u32 {
         self.board.lock().own_running(service)
@@ -197,6 +257,8 @@
     replica: String,
     address: String,
     outgoing: Arc<Outgoing>,
+    /// Replicas that had ended under it, as was known when it was sent.
+    known_ends: u32,
     work: RunningWork,
     /// The slot that it has; a batch item keeps its own elsewhere.
     _lease: Option<SlotLease>,
@@ -205,11 +267,16 @@
 impl RunningGuard {
     pub(crate) fn begin(
         shared: &Arc<Shared>,
-        chosen: &Chosen,
         outgoing: &Arc<Outgoing>,
         prompt: &[PromptPart],
-        lease: Option<SlotLease>,
+        target: Target<'_>,
     ) -> Option<Self> {
+        let Target {
+            chosen,
+            known_ends,
+            lease,
+            ..
+        } = target;
         let kind = match lease {
             Some(_) => WorkKind::Online,
             None => WorkKind::Item,
@@ -221,6 +288,7 @@
             replica: chosen.id.clone(),
             address: chosen.address.clone(),
             outgoing: Arc::clone(outgoing),
+            known_ends,
             work,
             _lease: lease,
         })
@@ -232,13 +300,22 @@
         self.shared.note_failure(&self.replica, FailureKind::Broken);
         if self.shared.is_known_ready(&self.replica) {
             let run = BrokenRun {
-                fingerprint: self.outgoing.fingerprint(),
+                run: EndedRun {
+                    fingerprint: self.outgoing.fingerprint(),
+                    known_ends: self.known_ends,
+                },
                 request: self.outgoing.id().to_owned(),
             };
             replica_ends::find_out(&self.shared, &self.replica, &self.address, run);
         }
     }
 
+    /// The whole answer came: the replica lives on, whatever it was asked.
+    pub(crate) fn came_to_an_end(&self) {
+        self.shared.note_success(&self.replica);
+        self.shared.clear(&self.outgoing);
+    }
+
     /// The first event came: the prompt was read.
     pub(crate) fn first_event(&mut self) {
         if self.work.is_awaited() {
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -51,6 +51,7 @@
             named.push(HeldLease {
                 replica: lease.replica.clone(),
                 number: *number,
+                alone: lease.alone,
             });
         }
         for (coordinator, leases) in by_coordinator {
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -59,6 +59,8 @@
 struct Held {
     replica: String,
     coordinator: MachineId,
+    /// Asked for by [`AskMode::Alone`].
+    alone: bool,
 }
 
 /// How an ask for a slot came out.
@@ -119,6 +121,9 @@
         }
         let granted = timeout_at(wait_until, verdicts.recv()).await;
         if granted.is_err() {
+            if mode == AskMode::Alone {
+                return Asked::Full;
+            }
             self.take(&lease);
         }
         Asked::Leased(lease)
@@ -147,6 +152,7 @@
         let held = Held {
             replica: replica.to_owned(),
             coordinator,
+            alone: mode == AskMode::Alone,
         };
         state.held.insert(number, held);
         let due_in_ms = due_in.as_millis() as u64;
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -28,8 +28,12 @@
 
 use crate::support::{Fleet, Gateway, OK, engine_table, header, read_whole_request, route, table};
 
-/// A replica ends when it runs a request with this body.
+/// A replica ends when it runs a request whose body begins so.
 const FATAL: &str = "fatal";
+/// A replica takes a while over requests that begin so.
+const SLOW: &str = "slow";
+/// How long that is.
+const SLOW_FOR: Duration = Duration::from_millis(100);
 /// How long a replica runs a request before it ends under it.
 const FATAL_FOR: Duration = Duration::from_millis(30);
 /// A caller's pause before it sends a request again.
@@ -64,12 +68,15 @@
 
 async fn serve(mut stream: TcpStream, process: &CancellationToken, ended: &AtomicUsize) {
     while let Some((head, body)) = read_whole_request(&mut stream).await {
-        if body == FATAL {
+        if body.starts_with(FATAL) {
             sleep(FATAL_FOR).await;
             ended.fetch_add(1, Ordering::SeqCst);
             process.cancel();
             return;
         }
+        if body.starts_with(SLOW) {
+            sleep(SLOW_FOR).await;
+        }
         let id = header(&head, "request-id").unwrap_or_default();
         let _ = stream.write_all(OK.replace("{id}", id).as_bytes()).await;
     }
@@ -144,4 +151,64 @@
     assert_eq!(statuses.last(), Some(&400), "{statuses:?}");
     let other = gateways[0].ask("other-1", "other").await;
     assert_eq!(other.status, 200);
+    // A gateway that has just started refuses it too.
+    let new = service.fleet.add_gateway().await;
+    assert_eq!(new.ask("fatal-new", FATAL).await.status, 400);
+}
+
+/// What runs beside a request that ends replicas is broken off with it, and is suspected
+/// like it. Sent again, it is served, at whatever gateway, and is never refused.
+#[rstest]
+#[case::popular(true)]
+#[case::each_of_its_own(false)]
+#[tokio::test]
+async fn requests_beside_it_are_served(#[case] popular: bool) {
+    let service = Service::start(RouteKind::Streaming, 1, true, 8).await;
+    let first = service.fleet.first_gateway();
+    let second = service.fleet.add_gateway().await;
+    let gateways = [&first, &second];
+    let callers = (0..24).map(|number| {
+        let body = if popular {
+            SLOW.to_owned()
+        } else {
+            format!("{SLOW} {number}")
+        };
+        async move {
+            let mut statuses = Vec::new();
+            while statuses.last() != Some(&200) && statuses.len() < 20 {
+                let gateway = gateways[(number + statuses.len()) % 2];
+                let id = format!("beside-{number}-{}", statuses.len());
+                statuses.push(gateway.ask(&id, &body).await.status);
+            }
+            statuses
+        }
+    });
+    let (beside, guilty) = tokio::join!(
+        futures_util::future::join_all(callers),
+        send_again_and_again(std::slice::from_ref(&first), 9)
+    );
+    assert!(service.ended() <= MOST_ENDS, "{} ended", service.ended());
+    assert_eq!(guilty.last(), Some(&400), "{guilty:?}");
+    for statuses in beside {
+        assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
+        assert!(!statuses.contains(&400), "{statuses:?}");
+    }
+}
+
+/// Replicas that end by themselves, one after the other, under a request that has
+/// nothing to do with it.
+#[tokio::test]
+async fn replicas_that_end_of_something_else_make_nobody_refused() {
+    let service = Service::start(RouteKind::Safe, 1, false, 10).await;
+    let gateway = service.fleet.first_gateway();
+    for number in 0..8 {
+        let killer_id = format!("killer-{number}");
+        let killer_body = format!("{FATAL} {number}");
+        let killer = gateway.ask(&killer_id, &killer_body);
+        let innocent_id = format!("innocent-{number}");
+        let innocent = gateway.ask(&innocent_id, SLOW);
+        let (_, answer) = tokio::join!(killer, innocent);
+        assert_ne!(answer.status, 400, "number {number}");
+    }
+    assert_eq!(gateway.ask("innocent-last", SLOW).await.status, 200);
 }
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -102,13 +102,7 @@
 
     /// Chooses the replica with the shortest expected time to the first event.
     pub fn choose(&self, need: &Need<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Chosen> {
-        let ids = self.by_service.get(need.service)?;
-        let open: Vec<&Replica> = ids
-            .iter()
-            .filter(|id| !need.except.contains(id))
-            .filter_map(|id| self.replicas.get(id))
-            .filter(|replica| replica.is_open(now_ms))
-            .collect();
+        let open: Vec<&Replica> = self.open_replicas(need, now_ms).collect();
         let home = home(&open, need.prompt).map(|home| home.traits.id.as_str());
         let mut best: Option<(f64, &Replica)> = None;
         for replica in open {
@@ -212,6 +206,26 @@
         }
     }
 
+    /// Chooses for a request under which replicas ended: copies of one request go to the
+    /// same replica, one after the other, and different ones are spread over all, so
+    /// that what ends this replica too does so in few companies.
+    pub fn choose_apart(&self, need: &Need<'_>, number: u64, now_ms: u64) -> Option<Chosen> {
+        let open = self.open_replicas(need, now_ms);
+        let replica = open.max_by_key(|replica| spread(number, &replica.traits.id))?;
+        Some(chosen(replica))
+    }
+
+    fn open_replicas<'a>(
+        &'a self,
+        need: &'a Need<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Replica> {
+        let ids = self.by_service.get(need.service).into_iter().flatten();
+        ids.filter(|id| !need.except.contains(id))
+            .filter_map(|id| self.replicas.get(id))
+            .filter(move |replica| replica.is_open(now_ms))
+    }
+
     fn expected_ms(&self, replica: &Replica, need: &Need<'_>, is_home: bool, now_ms: u64) -> f64 {
         let waiting_ms = replica.waiting(now_ms) * COST_PER_WAITING_MS;
         let running_ms = running_cost_ms(replica, now_ms);
--- a/crates/routing/src/dispatch/coordinator/mod.rs
+++ b/crates/routing/src/dispatch/coordinator/mod.rs
@@ -22,7 +22,7 @@
 
 use super::item_growth::ItemRoom;
 
-use self::replica_slots::{ReplicaSlots, RunningItem, answer};
+use self::replica_slots::{ReplicaSlots, RunningItem, Waiter, answer};
 pub use self::types::{Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, WaitingItem};
 
 /// A new coordinator begins no items until every gateway has had time to say
@@ -80,13 +80,16 @@
         let has_slot = match ask.mode {
             AskMode::Free => replica.free() > 0,
             AskMode::Probe | AskMode::Wait => replica.has_online_slot(),
+            AskMode::Alone => replica.has_online_slot() && !replica.runs_one_alone(),
             AskMode::Take => true,
         };
+        let alone = ask.mode == AskMode::Alone;
         let verdict = if is_leased || has_slot {
-            replica.lease(ask.key, now_ms, &mut actions);
+            replica.lease(ask.key, alone, now_ms, &mut actions);
             Verdict::Granted
-        } else if ask.mode == AskMode::Wait {
-            replica.queue.insert(ask.key, ask.due);
+        } else if alone || ask.mode == AskMode::Wait {
+            let due = ask.due;
+            replica.queue.insert(ask.key, Waiter { due, alone });
             Verdict::Queued
         } else {
             Verdict::Full
@@ -122,9 +125,9 @@
             .collect();
         let mut actions = Vec::new();
         for (id, replica) in &mut self.replicas {
-            replica.online.retain(|key, heard_ms| {
+            replica.online.retain(|key, held| {
                 key.holder != holder
-                    || now_ms < *heard_ms + YOUNG_MS
+                    || now_ms < held.heard_ms + YOUNG_MS
                     || named.contains(&(id.as_str(), key.number))
             });
         }
@@ -138,7 +141,7 @@
             };
             // An ask that still waits here is named too; it has no slot yet.
             if !replica.queue.contains_key(&key) {
-                replica.lease(key, now_ms, &mut actions);
+                replica.lease(key, lease.alone, now_ms, &mut actions);
             }
         }
         actions.extend(self.tick(now_ms));
@@ -151,7 +154,7 @@
         for replica in self.replicas.values_mut() {
             replica
                 .online
-                .retain(|_, heard_ms| now_ms < *heard_ms + LEASE_MS);
+                .retain(|_, held| now_ms < held.heard_ms + LEASE_MS);
             replica.serve_queue(now_ms, &mut actions);
         }
         actions.extend(self.start_items(now_ms));
--- a/crates/routing/src/dispatch/coordinator/replica_slots.rs
+++ b/crates/routing/src/dispatch/coordinator/replica_slots.rs
@@ -12,10 +12,27 @@
     pub(super) traits: CoordinatedReplica,
     /// When items may begin.
     pub(super) settled_ms: u64,
-    /// Leases of online requests, and when they were last heard of.
-    pub(super) online: BTreeMap<LeaseKey, u64>,
+    /// Leases of online requests.
+    pub(super) online: BTreeMap<LeaseKey, OnlineLease>,
     pub(super) items: BTreeMap<RunNumber, RunningItem>,
-    pub(super) queue: BTreeMap<LeaseKey, Due>,
+    pub(super) queue: BTreeMap<LeaseKey, Waiter>,
+}
+
+/// An online request that has a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OnlineLease {
+    /// When it was last heard of.
+    pub(super) heard_ms: u64,
+    /// No other such request may have a slot beside it.
+    pub(super) alone: bool,
+}
+
+/// An online request that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiter {
+    pub(super) due: Due,
+    /// It waits for those that run alone, too.
+    pub(super) alone: bool,
 }
 
 /// An item that has a slot.
@@ -42,6 +59,11 @@
         (self.online.len() as u32) < self.traits.slots
     }
 
+    /// Whether a request that runs alone has a slot.
+    pub(super) fn runs_one_alone(&self) -> bool {
+        self.online.values().any(|lease| lease.alone)
+    }
+
     /// Stops items until all fit into the slots: first those that were too late
     /// when they began, then those due last.
     fn stop_items(&mut self, actions: &mut Vec<SlotAction>) {
@@ -56,20 +78,34 @@
         }
     }
 
-    pub(super) fn lease(&mut self, key: LeaseKey, now_ms: u64, actions: &mut Vec<SlotAction>) {
-        self.online.insert(key, now_ms);
+    pub(super) fn lease(
+        &mut self,
+        key: LeaseKey,
+        alone: bool,
+        now_ms: u64,
+        actions: &mut Vec<SlotAction>,
+    ) {
+        let lease = OnlineLease {
+            heard_ms: now_ms,
+            alone,
+        };
+        self.online.insert(key, lease);
         self.stop_items(actions);
     }
 
     /// Gives free slots to the online requests that wait.
     pub(super) fn serve_queue(&mut self, now_ms: u64, actions: &mut Vec<SlotAction>) {
         while self.has_online_slot() {
-            let next = self.queue.iter().min_by_key(|(_, due)| due.turn(now_ms));
-            let Some(key) = next.map(|(key, _)| *key) else {
+            let runs_one_alone = self.runs_one_alone();
+            let waiting = self.queue.iter();
+            let next = waiting
+                .filter(|(_, waiter)| !(waiter.alone && runs_one_alone))
+                .min_by_key(|(_, waiter)| waiter.due.turn(now_ms));
+            let Some((key, waiter)) = next.map(|(key, waiter)| (*key, *waiter)) else {
                 return;
             };
             self.queue.remove(&key);
-            self.lease(key, now_ms, actions);
+            self.lease(key, waiter.alone, now_ms, actions);
             actions.push(answer(&self.traits.id, key, Verdict::Granted));
         }
     }
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -226,6 +226,7 @@
     HeldLease {
         replica: replica.to_owned(),
         number,
+        alone: false,
     }
 }
 
@@ -557,3 +558,33 @@
         }
     }
 }
+
+/// Of the requests under which replicas ended one runs at a time; others run beside it.
+#[test]
+fn one_of_the_requests_that_run_alone_has_a_slot_at_a_time() {
+    let mut coordinator = coordinator(1, 3);
+    let granted = |number| vec![answer(number, "r0", Verdict::Granted)];
+    let queued = |number| vec![answer(number, "r0", Verdict::Queued)];
+    let first = coordinator.ask(ask(1, "r0", 100, AskMode::Alone), 0);
+    assert_eq!(first, granted(1));
+    let second = coordinator.ask(ask(2, "r0", 100, AskMode::Alone), 0);
+    assert_eq!(second, queued(2));
+    let other = coordinator.ask(ask(3, "r0", 100, AskMode::Probe), 0);
+    assert_eq!(other, granted(3));
+    // A slot that falls free is none for a second request that runs alone.
+    assert_eq!(coordinator.end(key(1, 3), 1), vec![]);
+    assert_eq!(coordinator.end(key(1, 1), 2), granted(2));
+}
+
+/// A new coordinator learns which leases run alone.
+#[test]
+fn a_lease_that_runs_alone_does_so_at_a_new_coordinator() {
+    let mut coordinator = coordinator(1, 3);
+    let alone = HeldLease {
+        alone: true,
+        ..held("r0", 1)
+    };
+    coordinator.note_held(MachineId(1), &[alone], 0);
+    let second = coordinator.ask(ask(2, "r0", 100, AskMode::Alone), 1);
+    assert_eq!(second, vec![answer(2, "r0", Verdict::Queued)]);
+}
