--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use linnethitch_clock::testing::suspend_for;
 use linnethitch_cluster::{ControlNode, GatewayNode, NodeSettings, Unavailable};
 use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
 use rstest::rstest;
@@ -94,6 +95,20 @@
     until("it is listed again", || pair.is_listed()).await;
 }
 
+/// What a gateway was told before its machine was suspended is that old when it wakes
+/// up, and its link is opened anew.
+#[tokio::test]
+async fn a_gateway_whose_machine_was_suspended_knows_how_old_its_news_are() {
+    let pair = Pair::start(90).await;
+    put(&pair.control, 1).await;
+    until("the first version", || version(&pair.gateway) == 1).await;
+    pair.proxy.silence_open(Way::Both);
+    put(&pair.control, 2).await;
+    suspend_for(Duration::from_secs(60));
+    assert!(pair.gateway.control_silent_ms() >= 60_000);
+    until("the second version", || version(&pair.gateway) == 2).await;
+}
+
 /// Three control members, each with a port of its own, and proxies between them.
 struct Members {
     control: Vec<(ControlNode, TempDir)>,
--- a/crates/relay/tests/all/requests.rs
+++ b/crates/relay/tests/all/requests.rs
@@ -1,7 +1,10 @@
 //! What a caller gets for what a replica does, and how often replicas are sent
 //! the request.
 
+use std::time::Duration;
+
 use http::StatusCode;
+use linnethitch_clock::testing::suspend_for;
 use linnethitch_registry::{ReplicaState, RouteKind};
 use rstest::rstest;
 
@@ -175,3 +178,28 @@
     assert_eq!(answer.status, 200);
     assert_eq!(header(&answer.head, "connection"), Some("close"));
 }
+
+/// A request that is sent again after the machine was suspended has only the time left
+/// that its caller still waits.
+#[tokio::test]
+async fn time_of_a_suspension_is_gone_for_a_request_under_way() {
+    let replica = Replica::start(vec![Act::Silence, Act::Send(OK)]).await;
+    let route = route(RouteKind::Safe, 2, false);
+    let fleet = Fleet::start(route, std::slice::from_ref(&replica)).await;
+    fleet.add_twin(&replica).await;
+    let asking = fleet.ask("request-1");
+    let suspending = async {
+        while replica.requests() == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        suspend_for(Duration::from_secs(3));
+    };
+    let (answer, ()) = tokio::join!(asking, suspending);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let heads = replica.heads.lock().clone();
+    let left_ms = heads.iter().map(|head| header(head, "deadline-ms"));
+    let left_ms: Vec<u64> = left_ms.flatten().flat_map(str::parse).collect();
+    assert_eq!(left_ms.len(), 2, "{heads:?}");
+    // Of the route's four seconds three are gone.
+    assert!(left_ms[1] <= 1_000, "{left_ms:?}");
+}
--- a/crates/transport/tests/all/connection.rs
+++ b/crates/transport/tests/all/connection.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use linnethitch_clock::testing::suspend_for;
 use linnethitch_errors::ErrorKind;
 use linnethitch_fault_proxy::{Mode, Network, Way};
 use linnethitch_protocol::{
@@ -103,6 +104,36 @@
     assert_eq!(*report.current_context(), ErrorKind::Io);
 }
 
+/// The clock of timers stands still while the machine is suspended; a peer has been
+/// silent all the same.
+#[tokio::test]
+async fn a_peer_that_fell_silent_is_given_up_after_a_suspension() {
+    let patient = ConnectionOptions {
+        idle_timeout: Duration::from_secs(600),
+        ..quick()
+    };
+    let network = Network::start().expect("threads");
+    let (listener, address) = crate::support::listen(patient).await;
+    let target = address.parse().expect("an address");
+    let proxy = network.streams(any_port(), target).expect("a port");
+    let identity = crate::support::own_identity();
+    let proxied = proxy.address.to_string();
+    let (server, client) = tokio::join!(
+        async { listener.accept().await.establish().await },
+        crate::support::dial(&proxied, &identity, patient)
+    );
+    let _server: crate::support::ServerSide = server.expect("accepted");
+    let mut client = client.expect("connected");
+    proxy.set(Mode::Silent(Way::FromTarget));
+    let waiting = tokio::spawn(async move { client.receiver.receive().await });
+    tokio::task::yield_now().await;
+    suspend_for(Duration::from_secs(601));
+    let ended = tokio::time::timeout(LIMIT, waiting).await;
+    let received = ended.expect("it ends").expect("it ran");
+    let report = received.expect_err("by an error");
+    assert_eq!(*report.current_context(), ErrorKind::Io);
+}
+
 /// A process that stands still for longer than the idle timeout finds what its peer
 /// has said meanwhile, and does not take its own silence for the peer's.
 #[tokio::test]
