Count leases, ages, silences and deadlines by a clock that goes on while a machine is suspended

Cause: the steady clock of the standard library and the runtime's timers stand still while a machine is suspended. What was heard, leased or promised before passed for as young as it was. Class: an age that is counted by a clock which does not count all time.

Nodes, links, relay, the product's own gateway, control and placement count by linnethitch-clock (CLOCK_BOOTTIME); waits look at it twice a second, so that what fell due during a suspension is found within half a second of running.

--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::ids::MachineId;
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     driver::GroupHandle,
--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -7,6 +7,7 @@
 };
 
 use error_stack::Report;
+use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
@@ -22,7 +23,6 @@
 
 use crate::{
     client::GroupClient,
-    clock::Clock,
     driver::{self, GroupHandle},
     incoming::{Answers, Inbound},
     links::Links,
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use error_stack::Report;
+use linnethitch_clock::{Clock, Instant, timeout_at};
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{
     CallFailure, GroupMember, GroupNotice, GroupOutput, GroupSettings, StateMachine,
@@ -13,12 +14,9 @@
 };
 use linnethitch_storage::RealFileSystem;
 use slog::{Logger, info, warn};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
-};
+use tokio::sync::mpsc;
 
-use crate::{clock::Clock, links::Links, message::NodeMessage, node::address_of};
+use crate::{links::Links, message::NodeMessage, node::address_of};
 
 /// Inputs that may wait for the member.
 const QUEUE_INPUTS: usize = 4_096;
@@ -128,7 +126,7 @@
     pub(crate) async fn stop(&self) {
         let (done, stopped) = tokio::sync::oneshot::channel();
         if self.inputs.send(Input::Stop(done)).await.is_ok() {
-            let _ = tokio::time::timeout(HAND_OVER_LIMIT, stopped).await;
+            let _ = linnethitch_clock::timeout(HAND_OVER_LIMIT, stopped).await;
         }
     }
 }
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use linnethitch_clock::Clock;
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::SlotMessage};
 use linnethitch_registry::{
@@ -18,7 +19,6 @@
 
 use crate::{
     client::GroupClient,
-    clock::Clock,
     incoming::Inbound,
     links::Links,
     message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
+use linnethitch_clock::{Instant, sleep_until};
 use linnethitch_protocol::ids::{CallId, MachineId};
 use linnethitch_transport::{Connection, Listener, MessageReceiver, MessageSender, SendRefused};
 use slog::{Logger, info};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until},
-};
+use tokio::sync::mpsc;
 
 use crate::{
     connection_end::ConnectionEnd,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,7 +9,6 @@
 //! [`MachineId`]: linnethitch_protocol::ids::MachineId
 
 mod client;
-mod clock;
 mod connection_end;
 mod control;
 mod driver;
@@ -27,9 +26,9 @@
 mod told_fleet;
 mod told_set;
 
-pub use clock::Clock;
 pub use control::{ControlNode, ControlSettings, RetireState, Unavailable};
 pub use gateway::GatewayNode;
+pub use linnethitch_clock::Clock;
 pub use node::{NodeSettings, address_of, machine_of};
 pub use seeds::Seeds;
 pub use store::{StoreNode, StoreSettings};
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use linnethitch_clock::{Instant, sleep, sleep_until};
 use linnethitch_protocol::ids::{CallId, MachineId};
 use linnethitch_transport::{
     Backoff, ClusterIdentity, MessageReceiver, MessageSender, SendRefused, Traffic, connect,
@@ -15,7 +16,6 @@
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
-    time::{Instant, sleep, sleep_until},
 };
 
 use crate::{
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -3,6 +3,7 @@
 use std::{net::Ipv4Addr, sync::Arc, time::Duration};
 
 use error_stack::Report;
+use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_transport::{ClusterIdentity, ConnectionOptions, Listener, Traffic};
@@ -10,7 +11,6 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    clock::Clock,
     incoming::{self, Inbound},
     links::Links,
     message::{NodeHello, NodeRole},
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -3,13 +3,14 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use linnethitch_clock::Instant;
 use linnethitch_protocol::{
     hash::fnv1a,
     ids::{LogIndex, MachineId},
 };
 use linnethitch_registry::{DirectoryNode, FleetUpdate};
 use parking_lot::Mutex;
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 
 use crate::{
     message::{NodeHello, NodeRole, PresentStore, Pulse},
@@ -81,7 +82,7 @@
         let mut shared = self.shared.lock();
         let now = Instant::now();
         if let Some(taken) = shared.as_ref()
-            && now.duration_since(taken.at) < SHARED_FOR
+            && now.saturating_duration_since(taken.at) < SHARED_FOR
         {
             return Arc::clone(&taken.fleet);
         }
--- a/crates/control/src/clock.rs
+++ b/crates/control/src/clock.rs
@@ -1,7 +1,8 @@
 //! The clocks of a process.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use linnethitch_clock::Instant;
 use linnethitch_protocol::ids::Timestamp;
 
 use crate::member::MemberTime;
--- a/crates/control/src/operator/apply.rs
+++ b/crates/control/src/operator/apply.rs
@@ -4,6 +4,7 @@
 
 use gotham::helpers::http::Body;
 use http::{Response, StatusCode};
+use linnethitch_clock::{Instant, sleep};
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_http_server::{IncomingRequest, RequestHead, answer::json_response};
 use linnethitch_protocol::{
@@ -12,7 +13,6 @@
     query::{Query, QueryAnswer},
 };
 use serde::Serialize;
-use tokio::time::{Instant, sleep};
 
 use super::{
     Operator,
--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -1,7 +1,8 @@
 //! One run of an item on one engine.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
+use linnethitch_clock::Instant;
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::ids::RequestId;
 use tokio_util::sync::CancellationToken;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,7 +1,8 @@
 //! The process's clock: Unix milliseconds that never go back.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use linnethitch_clock::Instant;
 use linnethitch_protocol::ids::Timestamp;
 
 /// Unix time read once, then carried on by the monotonic clock.
--- a/crates/gateway/src/control/attachment.rs
+++ b/crates/gateway/src/control/attachment.rs
@@ -1,10 +1,8 @@
 //! Keeps the gateway attached to one control member.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
+use linnethitch_clock::Instant;
 use linnethitch_protocol::{
     attach::{ControlMessage, GatewayMessage},
     ids::{GatewayId, Revision, ZoneId},
--- a/crates/gateway/src/control/client.rs
+++ b/crates/gateway/src/control/client.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use linnethitch_clock::{Instant, timeout_at};
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall, GatewayMessage},
@@ -18,10 +19,7 @@
 };
 use linnethitch_transport::MessageSender;
 use parking_lot::Mutex;
-use tokio::{
-    sync::{Semaphore, oneshot, watch},
-    time::{Instant, timeout_at},
-};
+use tokio::sync::{Semaphore, oneshot, watch};
 
 /// Wait before a call that was refused for the moment is sent again.
 const RESEND_DELAY: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/online/generation/mod.rs
+++ b/crates/gateway/src/online/generation/mod.rs
@@ -2,11 +2,9 @@
 
 mod attempts;
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
+use linnethitch_clock::Instant;
 use linnethitch_errors::{ErrorKind, Failure};
 use linnethitch_protocol::ids::{ReplicaId, Timestamp};
 
--- a/crates/gateway/src/services/relay.rs
+++ b/crates/gateway/src/services/relay.rs
@@ -9,10 +9,11 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::Incoming;
+use linnethitch_clock::Instant;
 use linnethitch_errors::{ErrorKind, Executed, Failure};
 use linnethitch_protocol::query::KeptAnswer;
 use linnethitch_routing::view::FailureKind;
-use tokio::{sync::oneshot, time::Instant};
+use tokio::sync::oneshot;
 
 use crate::{
     claims::{Answered, Claim, MAX_KEPT_BYTES},
@@ -67,7 +68,7 @@
 impl RelayedBody {
     async fn next(mut self) -> Option<(Result<Frame<Bytes>, io::Error>, Self)> {
         self.placement.as_ref()?;
-        let failed = match tokio::time::timeout_at(self.deadline, self.body.frame()).await {
+        let failed = match linnethitch_clock::timeout_at(self.deadline, self.body.frame()).await {
             Ok(Some(Ok(frame))) => return Some((Ok(frame), self)),
             Ok(None) => {
                 end(self.placement.take(), self.status);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,12 +6,13 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
 use gotham::helpers::http::Body;
 use http::{Response, StatusCode};
+use linnethitch_clock::Instant;
 use linnethitch_config::{
     fleet::{Fleet, Tenant},
     settings::GatewaySettings,
--- a/crates/placement/src/driver.rs
+++ b/crates/placement/src/driver.rs
@@ -3,9 +3,10 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use linnethitch_clock::Instant;
 use linnethitch_protocol::{
     attach::{ControlAnswer, ReplicaLoad},
     command::{CommandBody, Outcome},
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -3,11 +3,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use linnethitch_clock::sleep;
 use linnethitch_job_store::{ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::RouteKind;
 use linnethitch_routing::dispatch::{ItemGrowth, ItemRoom, WorkRhythm, WorkState};
 use slog::info;
-use tokio::time::sleep;
 
 use crate::{
     item_run::{ItemEnding, ItemRun},
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -3,8 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use linnethitch_clock::{Instant, timeout_at};
 use linnethitch_errors::ErrorKind;
-use tokio::time::{Instant, timeout_at};
 
 /// Reads a body within its bound.
 ///
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,19 +1,16 @@
 //! Connections to replicas, kept for further requests.
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use hyper_util::rt::TokioIo;
+use linnethitch_clock::{Instant, timeout};
 use parking_lot::Mutex;
 use socket2::SockRef;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::net::TcpStream;
 
 /// Longest time to open a connection. A replica that takes longer is dark.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,9 +8,9 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
+use linnethitch_clock::{Instant, timeout_at};
 use linnethitch_registry::{ENDS_BEFORE_REFUSAL, RequestContent, RequestFingerprint};
 use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
-use tokio::time::{Instant, timeout_at};
 
 use crate::{
     connections::{Connection, SendFailure},
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
+use linnethitch_clock::sleep;
 use linnethitch_cluster::GatewayNode;
-use tokio::time::sleep;
 
 use crate::{shared::Shared, slots::receive_slot_messages};
 
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -7,11 +7,12 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::{ENDS_BEFORE_REFUSAL, Route, RouteKind};
 use linnethitch_routing::dispatch::{Chosen, FailureKind};
 use slog::info;
-use tokio::time::{Instant, sleep, timeout};
+
 use tokio_util::sync::CancellationToken;
 
 use crate::{
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,13 +6,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use linnethitch_clock::{Instant, sleep_until};
 use linnethitch_registry::ENDS_BEFORE_REFUSAL;
 use linnethitch_routing::dispatch::PromptPart;
 use slog::info;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until},
-};
+use tokio::sync::mpsc;
 
 use crate::{
     answer::BodyFailure,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,15 +6,13 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
+use linnethitch_clock::{Instant, sleep, timeout_at};
 use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
 use linnethitch_registry::{ENDS_BEFORE_REFUSAL, Route, RouteKind, RouteTable};
 use linnethitch_routing::dispatch::FailureKind;
 use slog::{Logger, info};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep, timeout_at},
-};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -103,7 +101,10 @@
         }
         let mut views = self.shared.gateway.follow();
         let arrives = views.wait_for(|view| view.table().is_some());
-        let view = tokio::time::timeout(limit, arrives).await.ok()?.ok()?;
+        let view = linnethitch_clock::timeout(limit, arrives)
+            .await
+            .ok()?
+            .ok()?;
         view.table().cloned()
     }
 
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -10,13 +10,13 @@
     collections::HashMap, future::Future, io::ErrorKind as IoErrorKind, sync::Arc, time::Duration,
 };
 
+use linnethitch_clock::{Instant, sleep, timeout, timeout_at};
 use linnethitch_registry::{EndedRun, ReplicaState, RequestFingerprint};
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::{
     net::TcpStream,
     sync::{mpsc, watch},
-    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{shared::Shared, suspicions::TELL_LIMIT};
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use linnethitch_clock::Instant;
 use linnethitch_protocol::slots::AskMode;
 use linnethitch_routing::dispatch::{Chosen, Need, PromptPart};
-use tokio::time::Instant;
 
 use crate::{
     exchange::Outgoing,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -80,7 +80,7 @@
     let sweeper = tokio::spawn(sweep(Arc::clone(&open), Arc::clone(&limits), clock));
     let linger_over = async {
         stopping.cancelled().await;
-        tokio::time::sleep(LINGER).await;
+        linnethitch_clock::sleep(LINGER).await;
     };
     tokio::pin!(linger_over);
     loop {
@@ -89,7 +89,7 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            linnethitch_clock::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let activity = Arc::new(Activity::new(clock.now_ms()));
@@ -168,7 +168,7 @@
 
 async fn sweep(open: Arc<Mutex<Vec<Arc<Activity>>>>, limits: Arc<ServerLimits>, clock: Clock) {
     loop {
-        tokio::time::sleep(SWEEP_INTERVAL).await;
+        linnethitch_clock::sleep(SWEEP_INTERVAL).await;
         let now_ms = clock.now_ms();
         open.lock().retain(|activity| {
             if activity.is_over(&limits, now_ms) {
--- a/crates/relay/src/slots/items.rs
+++ b/crates/relay/src/slots/items.rs
@@ -3,8 +3,9 @@
 
 use std::sync::Arc;
 
+use linnethitch_clock::Instant;
 use linnethitch_routing::dispatch::{Due, ItemRoom, RunNumber, WaitingItem};
-use tokio::{sync::oneshot, time::Instant};
+use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 use super::Slots;
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use linnethitch_clock::{Instant, timeout, timeout_at};
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_protocol::{
     ids::MachineId,
@@ -17,10 +18,7 @@
 };
 use linnethitch_routing::dispatch::{Ask, Due, LeaseKey, RunNumber, SlotCoordinator};
 use parking_lot::Mutex;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::sync::mpsc;
 
 use self::items::ItemHandle;
 pub(crate) use self::{coordination::receive_slot_messages, items::ItemSlot};
--- a/crates/transport/src/receiver.rs
+++ b/crates/transport/src/receiver.rs
@@ -4,14 +4,10 @@
 
 use bytes::{Buf, BytesMut};
 use error_stack::Report;
+use linnethitch_clock::{Instant, timeout_at};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::frame::{self, FrameHeader, FrameKind, HEADER_BYTES};
-use tokio::{
-    io::AsyncReadExt,
-    net::tcp::OwnedReadHalf,
-    sync::watch,
-    time::{Instant, timeout_at},
-};
+use tokio::{io::AsyncReadExt, net::tcp::OwnedReadHalf, sync::watch};
 
 use crate::{message::WireMessage, options::ConnectionOptions, queue::SendQueue, traffic::Traffic};
 
