Test that fails: a late first heartbeat takes a replica's place for good

Of two incarnations at one address the one that is heard of last counts, so that a first heartbeat that was delayed by a cut makes the replica which is there count as gone, and it is not heard any more.

--- a/crates/relay/tests/all/requests.rs
+++ b/crates/relay/tests/all/requests.rs
@@ -8,7 +8,7 @@
 use linnethitch_registry::{ReplicaState, RouteKind};
 use rstest::rstest;
 
-use crate::support::{Act, FULL, Fleet, OK, Replica, header, route};
+use crate::support::{Act, FULL, Fleet, OK, OTHER_INCARNATION, Replica, header, route};
 
 const UNSIGNED: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 5\r\n\r\nwrong";
 const OTHERS: &str =
@@ -18,7 +18,6 @@
 const NOISE: &str = "these bytes are no answer\r\n\r\n";
 const ERROR: &str =
     "HTTP/1.1 500 Oops\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 4\r\n\r\noops";
-const OTHER_INCARNATION: &str = "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n";
 
 /// The first act of the first replica asked; everything after it succeeds.
 /// The last two columns: status, and requests that replicas read.
@@ -203,3 +202,32 @@
     // Of the route's four seconds three are gone.
     assert!(left_ms[1] <= 1_000, "{left_ms:?}");
 }
+
+/// Seen by reading: the first heartbeat of a replica that has crashed comes late, after
+/// the next one has registered at its address. What is at the address tells the two
+/// apart: it does not take requests for the one that is gone.
+#[tokio::test]
+async fn a_replica_serves_on_after_the_late_first_heartbeat_of_one_before_it() {
+    let replica = Replica::start(vec![Act::SendIfExpected("i-0", OK)]).await;
+    let route = route(RouteKind::Safe, 1, false);
+    let fleet = Fleet::start(route, std::slice::from_ref(&replica)).await;
+    fleet
+        .register(7, replica.address, ReplicaState::Ready, 1)
+        .await;
+    fleet.wait_until_known(7).await;
+    let served = async {
+        let mut number = 0;
+        while fleet.ask(&format!("request-{number}")).await.status != 200 {
+            number += 1;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(crate::support::LIMIT, served)
+        .await
+        .expect("it serves again");
+    // Another heartbeat of the one that is gone changes nothing.
+    fleet
+        .register(7, replica.address, ReplicaState::Ready, 2)
+        .await;
+    assert_eq!(fleet.ask("request-last").await.status, 200);
+}
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -89,6 +89,8 @@
     SendAndClose(&'static str),
     /// Sends these bytes and resets.
     SendAndReset(&'static str),
+    /// Sends these bytes where this incarnation is asked for, else 421.
+    SendIfExpected(&'static str, &'static str),
     /// Sends nothing and keeps the connection.
     Silence,
 }
@@ -96,6 +98,8 @@
 /// A whole answer of a replica.
 pub(crate) const OK: &str =
     "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 5\r\n\r\nhello";
+/// The refusal of another incarnation than the one that was asked for.
+pub(crate) const OTHER_INCARNATION: &str = "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n";
 /// A refusal of a replica that did not run the request.
 pub(crate) const FULL: &str =
     "HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
@@ -133,6 +137,7 @@
 async fn serve(mut stream: TcpStream, acts: Arc<Mutex<Vec<Act>>>, seen: Arc<Mutex<Vec<String>>>) {
     while let Some(head) = read_request(&mut stream).await {
         let id = header(&head, "request-id").unwrap_or_default().to_owned();
+        let expected = header(&head, "expect").unwrap_or_default().to_owned();
         seen.lock().push(head);
         let act = {
             let mut acts = acts.lock();
@@ -146,6 +151,8 @@
             Act::Send(text) => (text, false, false),
             Act::SendAndClose(text) => (text, true, false),
             Act::SendAndReset(text) => (text, true, true),
+            Act::SendIfExpected(own, text) if own == expected => (text, false, false),
+            Act::SendIfExpected(..) => (OTHER_INCARNATION, false, false),
             Act::Silence => ("", false, false),
         };
         let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
@@ -395,6 +402,16 @@
         self.wait_for(2).await;
     }
 
+    /// Waits until the gateway has heard of a replica.
+    pub(crate) async fn wait_until_known(&self, number: usize) {
+        let mut views = self.relay.gateway().follow();
+        let known = views.wait_for(|view| view.replica(&format!("i-{number}")).is_some());
+        tokio::time::timeout(LIMIT, known)
+            .await
+            .expect("in time")
+            .expect("the gateway runs");
+    }
+
     /// Waits until the gateway knows so many ready replicas.
     pub(crate) async fn wait_for(&self, ready: usize) {
         let mut views = self.relay.gateway().follow();
