A replica that was displaced by a late first heartbeat gets its place back

Which of them is there cannot be told from heartbeats; it shows where requests go, which name the incarnation that they are for. The earlier one now counts as displaced; a gateway that is answered 421 tells control, which gives the place back. Where no request shows it, the one that has been silent for 6 s is taken for gone. One that leaves, or says so while displaced, does not come back.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -174,10 +174,12 @@
         self.heard.lock().insert(change.id.clone());
         let view = self.view();
         let held = view.registry.replica(&change.id);
-        let is_news = held.is_none_or(|held| {
-            held.told.state != ReplicaState::Gone
-                && held.told.sequence < change.sequence
-                && change.differs_from(&held.told)
+        let is_news = held.is_none_or(|held| match held.told.state {
+            ReplicaState::Gone => false,
+            ReplicaState::Displaced => change.state == ReplicaState::Draining,
+            ReplicaState::Ready | ReplicaState::Draining => {
+                held.told.sequence < change.sequence && change.differs_from(&held.told)
+            }
         });
         if !is_news {
             return Ok(());
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -168,6 +168,13 @@
         self.tell_control(command, limit).await
     }
 
+    /// Tells control that another incarnation answers at a replica's address; false when
+    /// that was not held within the limit.
+    pub async fn tell_not_there(&self, replica: &str, limit: Duration) -> bool {
+        let command = RegistryCommand::NotThere(replica.to_owned());
+        self.tell_control(command, limit).await
+    }
+
     async fn tell_control(&self, command: RegistryCommand, limit: Duration) -> bool {
         let reply = self.control.call(RegistryCall::Propose(command), limit);
         matches!(reply.await, RegistryReply::Answer(_))
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -18,6 +18,9 @@
 /// A replica that is silent for this long is taken off the list, in milliseconds.
 /// Gateways notice a failed one far earlier by their own requests.
 const REPLICA_SILENCE_MS: u64 = 20_000;
+/// Of two incarnations at one address the one that has been silent for this long is not
+/// there, in milliseconds. Heartbeats come about every 1.2 s and are told every 2 s.
+const DISPLACED_SILENCE_MS: u64 = 6_000;
 /// A request under which replicas ended is tried again, or no longer suspected, when
 /// nothing was heard of it for so long, in milliseconds: ten minutes, so that one that
 /// callers send for hours costs six replicas an hour at most.
@@ -98,10 +101,35 @@
                 silent.push(RegistryCommand::RemoveReplica(id.clone()));
             }
         }
+        silent.extend(self.settle_addresses(registry, now_ms));
         self.alive.retain(|id, _| registry.replica(id).is_some());
         silent
     }
 
+    /// Finds out which of two incarnations at one address is there, where no request
+    /// has shown it: the one that is still heard of.
+    fn settle_addresses(&mut self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
+        let mut settled = Vec::new();
+        for displaced in registry.displaced_replicas() {
+            let address = &displaced.told.address;
+            let mut live = registry.live_replicas();
+            let other = live.find(|record| record.told.address == *address);
+            if self.is_silent(&displaced.told.id, now_ms) {
+                settled.push(RegistryCommand::RemoveReplica(displaced.told.id.clone()));
+            } else if let Some(other) = other
+                && self.is_silent(&other.told.id, now_ms)
+            {
+                settled.push(RegistryCommand::NotThere(other.told.id.clone()));
+            }
+        }
+        settled
+    }
+
+    fn is_silent(&mut self, replica: &str, now_ms: u64) -> bool {
+        let heard_ms = *self.alive.entry(replica.to_owned()).or_insert(now_ms);
+        now_ms.saturating_sub(heard_ms) > DISPLACED_SILENCE_MS
+    }
+
     /// Suspicions that nothing has changed for [`SUSPICION_HELD_MS`].
     fn old_suspicions(&mut self, registry: &Registry, now_ms: u64) -> Option<RegistryCommand> {
         let suspicions = registry.suspicions();
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -15,8 +15,9 @@
 
 /// Layout of route tables whose routes have a bound of queued tokens.
 const ROUTES_LAYOUT: u8 = 2;
-/// Layout of commands about requests under which replicas ended.
-const SUSPICION_LAYOUT: u8 = 3;
+/// Layout of commands about requests under which replicas ended, and about replicas
+/// that are not where they registered.
+const THIRD_LAYOUT: u8 = 3;
 /// Layout of all other commands, and of the first route tables.
 pub(crate) const FIRST_LAYOUT: u8 = 1;
 
@@ -49,6 +50,8 @@
     ClearSuspicions(Vec<RequestFingerprint>),
     /// Nothing was heard of these requests for long.
     EaseSuspicions(Vec<RequestFingerprint>),
+    /// Another incarnation answers at the address of this one.
+    NotThere(String),
 }
 
 impl RegistryCommand {
@@ -61,7 +64,8 @@
             RegistryCommand::PutRoutes { .. } => ROUTES_LAYOUT,
             RegistryCommand::ReplicaEnded { .. }
             | RegistryCommand::ClearSuspicions(_)
-            | RegistryCommand::EaseSuspicions(_) => SUSPICION_LAYOUT,
+            | RegistryCommand::EaseSuspicions(_)
+            | RegistryCommand::NotThere(_) => THIRD_LAYOUT,
             _ => FIRST_LAYOUT,
         };
         stored::encode(layout, self)
@@ -76,7 +80,7 @@
             let first: FirstCommand = stored::decode(&[FIRST_LAYOUT], bytes)?;
             return Ok(first.into());
         }
-        stored::decode(&[ROUTES_LAYOUT, SUSPICION_LAYOUT], bytes)
+        stored::decode(&[ROUTES_LAYOUT, THIRD_LAYOUT], bytes)
     }
 }
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -86,7 +86,13 @@
     /// Every replica that is not gone.
     pub fn live_replicas(&self) -> impl Iterator<Item = &ReplicaRecord> {
         let replicas = self.replicas.values();
-        replicas.filter(|record| record.told.state != ReplicaState::Gone)
+        replicas.filter(|record| record.told.state.is_live())
+    }
+
+    /// Every replica whose place another incarnation has taken.
+    pub fn displaced_replicas(&self) -> impl Iterator<Item = &ReplicaRecord> {
+        let replicas = self.replicas.values();
+        replicas.filter(|record| record.told.state == ReplicaState::Displaced)
     }
 
     /// The job store as control knows it.
@@ -178,6 +184,10 @@
                 let changed = sequence::remove(&mut self.replicas, index, &id);
                 self.note_change(index, changed);
             }
+            RegistryCommand::NotThere(id) => {
+                let changed = sequence::not_there(&mut self.replicas, index, &id);
+                self.note_change(index, changed);
+            }
             RegistryCommand::FormStore(members) => {
                 let changed = self.store.first.is_empty();
                 if changed {
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -12,6 +12,17 @@
     Draining,
     /// Nothing; this incarnation does not come back.
     Gone,
+    /// Nothing: another incarnation has registered at its address. It comes back if that
+    /// one turns out not to be there, since its heartbeat came late.
+    Displaced,
+}
+
+impl ReplicaState {
+    /// Whether the replica is taken to be there.
+    #[must_use]
+    pub fn is_live(self) -> bool {
+        matches!(self, ReplicaState::Ready | ReplicaState::Draining)
+    }
 }
 
 /// What a replica says of itself. An id is one incarnation.
--- a/crates/registry/src/sequence.rs
+++ b/crates/registry/src/sequence.rs
@@ -20,12 +20,15 @@
         if is_late || held.told.state == ReplicaState::Gone {
             return false;
         }
+        if held.told.state == ReplicaState::Displaced {
+            return leave(held, index, change);
+        }
         if !change.differs_from(&held.told) {
             held.told.sequence = change.sequence;
             return false;
         }
     }
-    end_predecessors(replicas, index, change);
+    displace_predecessors(replicas, index, change);
     let record = ReplicaRecord {
         told: change.clone(),
         changed_at: index,
@@ -34,6 +37,39 @@
     true
 }
 
+/// A displaced replica is given nothing while it is. One that says that it leaves is not
+/// to come back.
+fn leave(held: &mut ReplicaRecord, index: LogIndex, change: &ReplicaChange) -> bool {
+    if change.state != ReplicaState::Draining {
+        return false;
+    }
+    held.told.state = ReplicaState::Gone;
+    held.changed_at = index;
+    true
+}
+
+/// A replica turned out not to be at its address: it is gone, and the one whose place it
+/// had taken last has it again. False when it did not count as there.
+pub(crate) fn not_there(
+    replicas: &mut BTreeMap<String, ReplicaRecord>,
+    index: LogIndex,
+    id: &str,
+) -> bool {
+    let Some(record) = replicas.get(id).filter(|r| r.told.state.is_live()) else {
+        return false;
+    };
+    let address = record.told.address.clone();
+    remove(replicas, index, id);
+    let displaced = replicas
+        .values_mut()
+        .filter(|held| held.told.state == ReplicaState::Displaced && held.told.address == address);
+    if let Some(last) = displaced.max_by_key(|held| held.changed_at) {
+        last.told.state = ReplicaState::Ready;
+        last.changed_at = index;
+    }
+    true
+}
+
 /// Marks a replica as gone; false when it is gone already. One that was never
 /// heard of is noted too, so that a heartbeat that comes late does not count.
 pub(crate) fn remove(
@@ -68,8 +104,10 @@
     }
 }
 
-/// Another incarnation at the same address means that the earlier one ended.
-fn end_predecessors(
+/// Another incarnation at the same address means that the earlier one ended, unless
+/// the heartbeat of the other one came late. Which of them is there shows by itself:
+/// requests name the incarnation that they are for.
+fn displace_predecessors(
     replicas: &mut BTreeMap<String, ReplicaRecord>,
     index: LogIndex,
     change: &ReplicaChange,
@@ -78,16 +116,19 @@
     let same_address = others.filter(|held| {
         held.told.address == change.address
             && held.told.id != change.id
-            && held.told.state != ReplicaState::Gone
+            && held.told.state.is_live()
     });
     for held in same_address {
-        held.told.state = ReplicaState::Gone;
+        held.told.state = match held.told.state {
+            ReplicaState::Ready => ReplicaState::Displaced,
+            _ => ReplicaState::Gone,
+        };
         held.changed_at = index;
     }
 }
 
 fn drop_oldest_gone(replicas: &mut BTreeMap<String, ReplicaRecord>) {
-    let gone = |record: &&ReplicaRecord| record.told.state == ReplicaState::Gone;
+    let gone = |record: &&ReplicaRecord| !record.told.state.is_live();
     if replicas.values().filter(gone).count() <= KEPT_GONE {
         return;
     }
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -5,10 +5,7 @@
 use linnethitch_protocol::ids::LogIndex;
 
 use crate::{
-    registry::StoreMembers,
-    replica::{ReplicaRecord, ReplicaState},
-    routes::RouteTable,
-    suspicion::Suspicions,
+    registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable, suspicion::Suspicions,
     update::FleetUpdate,
 };
 
@@ -36,7 +33,7 @@
     /// Replicas that are not gone.
     pub fn live_replicas(&self) -> impl Iterator<Item = &ReplicaRecord> {
         let replicas = self.replicas.values();
-        replicas.filter(|record| record.told.state != ReplicaState::Gone)
+        replicas.filter(|record| record.told.state.is_live())
     }
 
     /// A replica by its incarnation, whatever its state; `None` before it was heard of.
@@ -101,7 +98,7 @@
     }
 
     fn drop_oldest_gone(&mut self) {
-        let gone = |record: &&ReplicaRecord| record.told.state == ReplicaState::Gone;
+        let gone = |record: &&ReplicaRecord| !record.told.state.is_live();
         if self.replicas.len() <= KEPT_GONE {
             return;
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -294,6 +294,9 @@
             FailureKind::Full
         };
         shared.note_failure(&chosen.id, kind);
+        if kind == FailureKind::Replaced {
+            shared.tell_not_there(&chosen.id);
+        }
         return Exchange::NotRun(kind);
     }
     if !headers.contains_key(&names.signature) {
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -206,7 +206,7 @@
             };
             match state {
                 Some(ReplicaState::Ready) => {}
-                Some(ReplicaState::Gone) => return News::Replaced,
+                Some(ReplicaState::Gone | ReplicaState::Displaced) => return News::Replaced,
                 Some(ReplicaState::Draining) | None => return News::None,
             }
             tokio::select! {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -204,6 +204,21 @@
         }
     }
 
+    /// Another incarnation answered at a replica's address; control learns it, unless it
+    /// knows already.
+    pub(crate) fn tell_not_there(&self, replica: &str) {
+        let fleet = self.gateway.fleet();
+        let record = fleet.replica(replica);
+        if !record.is_some_and(|record| record.told.state.is_live()) {
+            return;
+        }
+        info!(self.logger, "replica is not there"; "replica" => replica);
+        let gateway = self.gateway.clone();
+        let replica = replica.to_owned();
+        // Where control does not hear of it, the next request that goes there tells it.
+        tokio::spawn(async move { gateway.tell_not_there(&replica, TELL_LIMIT).await });
+    }
+
     /// A copy of a request came to a whole answer: it is no longer suspected.
     fn clear(self: &Arc<Self>, outgoing: &Outgoing) {
         if self.ends(outgoing) == 0 {
