--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod ending_requests;
 mod events;
 mod requests;
+mod silent_connections;
 mod slots;
 mod streams;
 mod support;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -91,6 +91,9 @@
     SendAndReset(&'static str),
     /// Sends these bytes where this incarnation is asked for, else 421.
     SendIfExpected(&'static str, &'static str),
+    /// Sends these bytes after a moment, so that further requests need connections of
+    /// their own, and keeps the connection.
+    SendLater(&'static str),
     /// Sends nothing and keeps the connection.
     Silence,
 }
@@ -153,6 +156,10 @@
             Act::SendAndReset(text) => (text, true, true),
             Act::SendIfExpected(own, text) if own == expected => (text, false, false),
             Act::SendIfExpected(..) => (OTHER_INCARNATION, false, false),
+            Act::SendLater(text) => {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                (text, false, false)
+            }
             Act::Silence => ("", false, false),
         };
         let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
