Find silent connections to replicas by keep-alive; trust none that rested beside one

A connection that goes silent without a reset was found only by the request that waited on it, once for each connection that rested: at-most-once requests and streams on them failed at the end of their time, others were sent again after 0.9 s each. The kernel now asks after a second without a byte and gives a connection up within 2.5 s, at rest or while an answer is awaited; a request that waits in vain on a reused connection lets the replica's other resting connections be forgotten. That the kernel finds it is not held by a test here: a proxy on loopback answers the kernel's probes.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -9,13 +9,20 @@
 use hyper_util::rt::TokioIo;
 use linnethitch_clock::{Instant, timeout};
 use parking_lot::Mutex;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 /// Longest time to open a connection. A replica that takes longer is dark.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Bytes that were sent and not acknowledged for this long end the connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(900);
+/// A connection on which nothing came for so long is asked by the kernel whether its
+/// peer is there, and so often before it is given up. One that went silent is found
+/// within 2.5 s, at rest or while an answer is awaited; a replica that is merely slow
+/// answers by its kernel.
+const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(1);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+const KEEP_ALIVE_PROBES: u32 = 3;
 /// A connection whose replica names no time rests this long at most.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 /// Share of the time that a replica names after which a connection is not used again.
@@ -77,6 +84,12 @@
         }
     }
 
+    /// Forgets the connections of a replica that rest: one that had rested beside them
+    /// has gone silent.
+    pub(crate) fn distrust(&self, replica: &str) {
+        self.resting.lock().remove(replica);
+    }
+
     /// Forgets connections that rested too long, and those of replicas that are gone.
     pub(crate) fn sweep(&self, is_known: impl Fn(&str) -> bool) {
         let now = Instant::now();
@@ -133,8 +146,14 @@
     let connecting = TcpStream::connect(address);
     let stream = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
-    // Without it a silent peer is noticed late; it is no reason to fail.
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let socket = SockRef::from(&stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_AFTER)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_PROBES);
+    // Without them a silent peer is noticed late; that is no reason to fail.
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let _ = socket.set_tcp_keepalive(&keep_alive);
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.ok()?;
     tokio::spawn(async move {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -196,6 +196,9 @@
                 return Exchange::Unknown;
             }
             Err(NoHead::TimedOut) => {
+                if connection.is_reused {
+                    shared.connections.distrust(&chosen.id);
+                }
                 running.first_event();
                 return Exchange::TimedOut;
             }
