Ends that came after runs of different lengths are not held against a request

What ends replicas does so after about the same time, so that ends count in a row only if the runs lasted the same, give or take 500 ms and an eighth.

--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -10,6 +10,9 @@
 //!   one end, however many replicas are lost at that moment.
 //! * A copy that comes to a whole answer ends the suspicion: of what ends every
 //!   replica none does.
+//! * What ends replicas does so after about the same time. Ends that came after runs
+//!   of different lengths had other causes; a long run is likely to be hit by one, and
+//!   would be refused for it otherwise.
 //!
 //! After [`ENDS_BEFORE_REFUSAL`] ends in a row a request is refused.
 
@@ -29,6 +32,12 @@
 /// ended each displaces its own kind before it displaces what more ended under.
 const MOST_SUSPICIONS: usize = 1_024;
 
+/// Runs that end their replicas last equally long up to this, in milliseconds, and up
+/// to a part of their length: reading of a prompt and a slow replica make a difference.
+const SAME_LENGTH_MS: u32 = 500;
+/// That part, as a divisor.
+const SAME_LENGTH_PART: u32 = 8;
+
 /// A run that broke off when its replica ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct EndedRun {
@@ -36,6 +45,8 @@
     pub fingerprint: RequestFingerprint,
     /// Ends that were known where the run began, when it began.
     pub known_ends: u32,
+    /// How long it had run, in milliseconds.
+    pub ran_ms: u32,
 }
 
 /// What the fleet knows of one request.
@@ -47,10 +58,50 @@
     pub ends: u32,
     /// The replica that ended last.
     pub replica: String,
+    /// How long the first run of this row had run, in milliseconds.
+    pub ran_ms: u32,
     /// The log entry that changed this last.
     pub changed_at: LogIndex,
 }
 
+impl Suspicion {
+    /// What is known after a replica ended under a run; `None` where that end does not
+    /// count, since it was told before or the run began before the last one was known.
+    #[must_use]
+    pub fn after_end(
+        held: Option<&Suspicion>,
+        replica: &str,
+        run: &EndedRun,
+        changed_at: LogIndex,
+    ) -> Option<Suspicion> {
+        let open = held.filter(|held| held.ends > 0);
+        let is_told = open.is_some_and(|open| open.replica == replica);
+        if is_told || open.is_some_and(|open| run.known_ends < open.ends) {
+            return None;
+        }
+        let in_row = open.filter(|open| lasted_the_same(open.ran_ms, run.ran_ms));
+        Some(Suspicion {
+            fingerprint: run.fingerprint,
+            ends: in_row.map_or(0, |open| open.ends) + 1,
+            replica: replica.to_owned(),
+            ran_ms: in_row.map_or(run.ran_ms, |open| open.ran_ms),
+            changed_at,
+        })
+    }
+
+    /// What is known after a copy came to a whole answer.
+    #[must_use]
+    pub fn cleared(fingerprint: RequestFingerprint, changed_at: LogIndex) -> Suspicion {
+        Suspicion {
+            fingerprint,
+            ends: 0,
+            replica: String::new(),
+            ran_ms: 0,
+            changed_at,
+        }
+    }
+}
+
 /// Every request that is suspected, or was lately.
 #[derive(Clone, Debug, Default)]
 pub struct Suspicions {
@@ -93,18 +144,10 @@
         let mut changed = false;
         for run in runs {
             let held = self.records.get(&run.fingerprint);
-            let ends = held.map_or(0, |held| held.ends);
-            let is_told = held.is_some_and(|held| held.ends > 0 && held.replica == replica);
-            if is_told || run.known_ends < ends {
-                continue;
+            if let Some(record) = Suspicion::after_end(held, replica, run, index) {
+                self.put(record);
+                changed = true;
             }
-            self.put(Suspicion {
-                fingerprint: run.fingerprint,
-                ends: ends + 1,
-                replica: replica.to_owned(),
-                changed_at: index,
-            });
-            changed = true;
         }
         changed
     }
@@ -196,3 +239,9 @@
         suspicions
     }
 }
+
+/// Whether two runs lasted about the same time, so that both may have ended their replica.
+fn lasted_the_same(one_ms: u32, other_ms: u32) -> bool {
+    let tolerance_ms = SAME_LENGTH_MS + one_ms.min(other_ms) / SAME_LENGTH_PART;
+    one_ms.abs_diff(other_ms) <= tolerance_ms
+}
--- a/crates/registry/tests/all/suspicions.rs
+++ b/crates/registry/tests/all/suspicions.rs
@@ -23,9 +23,14 @@
 }
 
 fn run(body: &str, known_ends: u32) -> EndedRun {
+    long_run(body, known_ends, 100)
+}
+
+fn long_run(body: &str, known_ends: u32, ran_ms: u32) -> EndedRun {
     EndedRun {
         fingerprint: request(body),
         known_ends,
+        ran_ms,
     }
 }
 
@@ -59,6 +64,28 @@
     assert_eq!(ends(&applied, "a"), counted);
 }
 
+/// How long runs lasted before their replicas ended, and how many of these ends count.
+#[rstest]
+#[case::at_once(&[20, 60, 140], 3)]
+#[case::at_once_at_slow_replicas(&[100, 480, 90], 3)]
+#[case::late_in_a_long_run(&[4_000, 4_300, 3_700], 3)]
+#[case::at_different_times(&[300, 2_900, 1_400], 1)]
+#[case::the_last_two_alike(&[300, 2_900, 2_700], 2)]
+fn ends_after_runs_of_different_lengths_had_other_causes(
+    #[case] lasted_ms: &[u32],
+    #[case] counted: u32,
+) {
+    let mut applied = Applied::default();
+    for (number, ran_ms) in lasted_ms.iter().enumerate() {
+        let known = ends(&applied, "a");
+        applied.apply(&ended(
+            &format!("i-{number}"),
+            &[long_run("a", known, *ran_ms)],
+        ));
+    }
+    assert_eq!(ends(&applied, "a"), counted);
+}
+
 #[test]
 fn a_copy_that_comes_to_a_whole_answer_ends_the_suspicion() {
     let mut applied = Applied::default();
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -230,7 +230,7 @@
     fn blame(&self) -> impl Future<Output = bool> + use<> {
         let runs: Vec<EndedRun> = self.runs.iter().map(|broken| broken.run).collect();
         for run in &runs {
-            self.shared.note_end(run);
+            self.shared.note_end(&self.replica, run);
         }
         let gateway = self.shared.gateway.clone();
         let replica = self.replica.clone();
@@ -249,7 +249,7 @@
         for broken in &self.runs {
             info!(logger, "request: replica ended under it"; "request" => &broken.request,
                 "replica" => &self.replica, "content" => broken.run.fingerprint.to_string(),
-                "known_ends" => broken.run.known_ends);
+                "known_ends" => broken.run.known_ends, "ran_ms" => broken.run.ran_ms);
         }
     }
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,9 +8,10 @@
     },
 };
 
+use linnethitch_clock::Instant;
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_protocol::slots::SlotLoad;
-use linnethitch_registry::{EndedRun, FleetView, ReplicaState, Route, RouteTable};
+use linnethitch_registry::{EndedRun, FleetView, ReplicaState, Route, RouteTable, Suspicion};
 use linnethitch_routing::dispatch::{
     Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, PromptPart, ReplicaTraits,
     ReportedLoad, RunningWork, WeightedTurns, WorkKind,
@@ -173,7 +174,7 @@
     }
 
     /// Replicas that ended under copies of a request in a row; it is to be sent alone
-    /// if there are any, and not at all from [`ENDS_BEFORE_REFUSAL`] on. Waits until a
+    /// if there are any, and not at all from `ENDS_BEFORE_REFUSAL` on. Waits until a
     /// replica where a copy has just broken off was asked.
     pub(crate) async fn known_ends(&self, outgoing: &Outgoing) -> u32 {
         if !self.broken_runs.is_settled() {
@@ -189,18 +190,18 @@
             return 0;
         }
         let now_ms = self.clock.now_ms();
-        self.own_news.ends(&outgoing.fingerprint(), &fleet, now_ms)
+        let fingerprint = outgoing.fingerprint();
+        let known = self.own_news.suspicion(&fingerprint, &fleet, now_ms);
+        known.map_or(0, |known| known.ends)
     }
 
     /// A replica ended under a run: this gateway acts on it before control tells it.
-    pub(crate) fn note_end(&self, run: &EndedRun) {
+    pub(crate) fn note_end(&self, replica: &str, run: &EndedRun) {
         let fleet = self.gateway.fleet();
         let now_ms = self.clock.now_ms();
-        let ends = self.own_news.ends(&run.fingerprint, &fleet, now_ms);
-        if run.known_ends >= ends {
-            let ends = ends + 1;
-            self.own_news
-                .note(run.fingerprint, ends, fleet.upto(), now_ms);
+        let held = self.own_news.suspicion(&run.fingerprint, &fleet, now_ms);
+        if let Some(news) = Suspicion::after_end(held.as_ref(), replica, run, fleet.upto()) {
+            self.own_news.note(news, now_ms);
         }
     }
 
@@ -227,7 +228,7 @@
         let fingerprint = outgoing.fingerprint();
         let upto = self.gateway.fleet().upto();
         self.own_news
-            .note(fingerprint, 0, upto, self.clock.now_ms());
+            .note(Suspicion::cleared(fingerprint, upto), self.clock.now_ms());
         info!(self.logger, "request: cleared of suspicion"; "request" => outgoing.id(),
             "content" => fingerprint.to_string());
         let gateway = self.gateway.clone();
@@ -274,6 +275,7 @@
     outgoing: Arc<Outgoing>,
     /// Replicas that had ended under it, as was known when it was sent.
     known_ends: u32,
+    began: Instant,
     work: RunningWork,
     /// The slot that it has; a batch item keeps its own elsewhere.
     _lease: Option<SlotLease>,
@@ -304,6 +306,7 @@
             address: chosen.address.clone(),
             outgoing: Arc::clone(outgoing),
             known_ends,
+            began: Instant::now(),
             work,
             _lease: lease,
         })
@@ -318,6 +321,7 @@
                 run: EndedRun {
                     fingerprint: self.outgoing.fingerprint(),
                     known_ends: self.known_ends,
+                    ran_ms: self.began.elapsed().as_millis().min(u128::from(u32::MAX)) as u32,
                 },
                 request: self.outgoing.id().to_owned(),
             };
--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -3,13 +3,12 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use linnethitch_protocol::ids::LogIndex;
-use linnethitch_registry::{FleetView, RequestFingerprint};
+use linnethitch_registry::{FleetView, RequestFingerprint, Suspicion};
 use parking_lot::Mutex;
 
 /// Own news count for this long where control does not answer, in milliseconds.
 const NEWS_HELD_MS: u64 = 60_000;
-/// Own news that are kept; older ones are dropped first.
+/// Own news that are kept; the oldest are dropped first.
 const MOST_NEWS: usize = 512;
 /// Longest time to tell control; meanwhile this gateway acts on its own news.
 pub(crate) const TELL_LIMIT: Duration = Duration::from_secs(10);
@@ -20,56 +19,49 @@
     news: Mutex<HashMap<RequestFingerprint, News>>,
 }
 
-#[derive(Clone, Copy, Debug)]
 struct News {
-    ends: u32,
-    /// What was known of the fleet; a newer record of it counts more.
-    upto: LogIndex,
+    /// As of what was known of the fleet then; a newer record of it counts more.
+    record: Suspicion,
     at_ms: u64,
 }
 
 impl OwnNews {
-    /// Notes how many replicas ended under a request as far as is known here.
-    pub(crate) fn note(
-        &self,
-        fingerprint: RequestFingerprint,
-        ends: u32,
-        upto: LogIndex,
-        now_ms: u64,
-    ) {
+    /// Notes what is known of a request, as of the fleet's newest change known here.
+    pub(crate) fn note(&self, record: Suspicion, now_ms: u64) {
         let mut news = self.news.lock();
         news.retain(|_, held| now_ms.saturating_sub(held.at_ms) < NEWS_HELD_MS);
-        if news.len() >= MOST_NEWS
-            && let Some(oldest) = news.iter().min_by_key(|(_, held)| held.at_ms)
-        {
-            let oldest = *oldest.0;
-            news.remove(&oldest);
+        if news.len() >= MOST_NEWS {
+            let oldest = news.iter().min_by_key(|(_, held)| held.at_ms);
+            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+                news.remove(&oldest);
+            }
         }
         let at_ms = now_ms;
-        news.insert(fingerprint, News { ends, upto, at_ms });
+        news.insert(record.fingerprint, News { record, at_ms });
     }
 
-    /// Whether nothing is suspected, so that no fingerprint is needed.
+    /// Whether there are none.
     pub(crate) fn is_empty(&self) -> bool {
         self.news.lock().is_empty()
     }
 
-    /// Replicas that ended under a request in a row, by the newest that is known.
-    pub(crate) fn ends(
+    /// The newest that is known of a request.
+    pub(crate) fn suspicion(
         &self,
         fingerprint: &RequestFingerprint,
         fleet: &FleetView,
         now_ms: u64,
-    ) -> u32 {
+    ) -> Option<Suspicion> {
         let told = fleet.suspicions().get(fingerprint);
         let mut news = self.news.lock();
         if let Some(own) = news.get(fingerprint) {
             let is_old = now_ms.saturating_sub(own.at_ms) >= NEWS_HELD_MS;
-            if !is_old && told.is_none_or(|told| told.changed_at <= own.upto) {
-                return own.ends;
+            let is_newest = told.is_none_or(|told| told.changed_at <= own.record.changed_at);
+            if !is_old && is_newest {
+                return Some(own.record.clone());
             }
             news.remove(fingerprint);
         }
-        told.map_or(0, |told| told.ends)
+        told.cloned()
     }
 }
