A request that runs for seconds is refused after one more end for each

The chance of being hit by an unrelated end grows with the length of a run, so that a longer run needs more ends in a row: three, and one for each second. What ends a replica at once is refused as before.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -28,7 +28,7 @@
 pub use routes::{
     Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
-pub use suspicion::{ENDS_BEFORE_REFUSAL, EndedRun, Suspicion, Suspicions};
+pub use suspicion::{EndedRun, Suspicion, Suspicions};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
 pub use view::FleetView;
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -14,7 +14,8 @@
 //!   of different lengths had other causes; a long run is likely to be hit by one, and
 //!   would be refused for it otherwise.
 //!
-//! After [`ENDS_BEFORE_REFUSAL`] ends in a row a request is refused.
+//! After three ends in a row a request is refused; one that runs for seconds, and is hit
+//! by unrelated ends the more, after one more for each second.
 
 use std::collections::{BTreeMap, btree_map::Entry};
 
@@ -24,9 +25,12 @@
 use crate::fingerprint::RequestFingerprint;
 
 /// Replicas that end under a request, one after the other, before copies of it are
-/// refused. An innocent request is refused only if three unrelated ends hit three of
-/// its runs in a row.
-pub const ENDS_BEFORE_REFUSAL: u32 = 3;
+/// refused, where each ends at once. An innocent request is refused only if three
+/// unrelated ends hit three of its runs in a row.
+const ENDS_BEFORE_REFUSAL: u32 = 3;
+/// One end more is needed for each such time that a run lasted, in milliseconds: the
+/// chance of being hit by an unrelated end grows with it.
+const FURTHER_END_PER_MS: u32 = 1_000;
 /// Requests that are remembered: some 100 bytes each, so 100 KB at most, and what a
 /// gateway is told at its start. A flood of different requests under which one replica
 /// ended each displaces its own kind before it displaces what more ended under.
@@ -89,6 +93,16 @@
         })
     }
 
+    /// Whether copies of the request are refused.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        self.ends >= self.ends_before_refusal()
+    }
+
+    fn ends_before_refusal(&self) -> u32 {
+        ENDS_BEFORE_REFUSAL + self.ran_ms / FURTHER_END_PER_MS
+    }
+
     /// What is known after a copy came to a whole answer.
     #[must_use]
     pub fn cleared(fingerprint: RequestFingerprint, changed_at: LogIndex) -> Suspicion {
@@ -160,9 +174,9 @@
     /// Nothing was heard of these requests for long. One that is refused may be tried
     /// again, and is refused anew at the first end; others are no longer suspected.
     pub(crate) fn ease(&mut self, index: LogIndex, eased: &[RequestFingerprint]) -> bool {
-        self.set_ends(index, eased, |ends| {
-            if ends >= ENDS_BEFORE_REFUSAL {
-                ENDS_BEFORE_REFUSAL - 1
+        self.set_ends(index, eased, |held| {
+            if held.is_refused() {
+                held.ends_before_refusal() - 1
             } else {
                 0
             }
@@ -173,7 +187,7 @@
         &mut self,
         index: LogIndex,
         fingerprints: &[RequestFingerprint],
-        ends_after: impl Fn(u32) -> u32,
+        ends_after: impl Fn(&Suspicion) -> u32,
     ) -> bool {
         let mut changed = false;
         for fingerprint in fingerprints {
@@ -181,7 +195,7 @@
                 continue;
             };
             let record = Suspicion {
-                ends: ends_after(held.ends),
+                ends: ends_after(held),
                 changed_at: index,
                 ..held.clone()
             };
--- a/crates/registry/tests/all/suspicions.rs
+++ b/crates/registry/tests/all/suspicions.rs
@@ -3,7 +3,7 @@
 use linnethitch_group::StateMachine;
 use linnethitch_protocol::ids::LogIndex;
 use linnethitch_registry::{
-    EndedRun, FleetView, Registry, RegistryCommand, RequestContent, RequestFingerprint,
+    EndedRun, FleetView, Registry, RegistryCommand, RequestContent, RequestFingerprint, Suspicion,
 };
 use rstest::rstest;
 
@@ -86,6 +86,25 @@
     assert_eq!(ends(&applied, "a"), counted);
 }
 
+/// After how many ends in a row a request is refused, by how long it ran each time.
+#[rstest]
+#[case::at_once(100, 3)]
+#[case::within_a_second(999, 3)]
+#[case::after_seconds(3_700, 6)]
+fn a_longer_run_needs_more_ends(#[case] ran_ms: u32, #[case] needed: u32) {
+    let mut applied = Applied::default();
+    for number in 0..needed {
+        let held = applied.registry.suspicions().get(&request("a"));
+        assert!(!held.is_some_and(Suspicion::is_refused), "{held:?}");
+        applied.apply(&ended(
+            &format!("i-{number}"),
+            &[long_run("a", number, ran_ms)],
+        ));
+    }
+    let held = applied.registry.suspicions().get(&request("a"));
+    assert!(held.is_some_and(Suspicion::is_refused), "{held:?}");
+}
+
 #[test]
 fn a_copy_that_comes_to_a_whole_answer_ends_the_suspicion() {
     let mut applied = Applied::default();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, timeout_at};
-use linnethitch_registry::{ENDS_BEFORE_REFUSAL, RequestContent, RequestFingerprint};
+use linnethitch_registry::{RequestContent, RequestFingerprint};
 use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
 
 use crate::{
@@ -173,8 +173,7 @@
         if !shared.is_known_ready(&chosen.id) {
             return Exchange::NotRun(FailureKind::Replaced);
         }
-        let ends = shared.ends(outgoing);
-        if ends > known_ends || ends >= ENDS_BEFORE_REFUSAL {
+        if shared.ends(outgoing).is_none_or(|ends| ends > known_ends) {
             return Exchange::Suspected;
         }
         match send(
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
-use linnethitch_registry::{ENDS_BEFORE_REFUSAL, Route, RouteKind};
+use linnethitch_registry::{Route, RouteKind};
 use linnethitch_routing::dispatch::{Chosen, FailureKind};
 use slog::info;
 
@@ -170,10 +170,9 @@
             return RunEnd::Outcome(ItemOutcome::Unprocessable);
         };
         let prompt = self.shared.dialect.prompt(&outgoing.headers);
-        let known_ends = self.shared.known_ends(&outgoing).await;
-        if known_ends >= ENDS_BEFORE_REFUSAL {
+        let Some(known_ends) = self.shared.known_ends(&outgoing).await else {
             return self.set_aside(&outgoing).await;
-        }
+        };
         let placed = if known_ends > 0 {
             self.place_apart(&service, &outgoing, known_ends).await
         } else {
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -7,7 +7,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, sleep_until};
-use linnethitch_registry::ENDS_BEFORE_REFUSAL;
 use linnethitch_routing::dispatch::PromptPart;
 use slog::info;
 use tokio::sync::mpsc;
@@ -169,10 +168,7 @@
         self.splitter.drop_partial();
         while self.settings.resumable && self.settings.sends_left > 0 {
             let outgoing = &self.settings.outgoing;
-            let known_ends = self.shared.known_ends(outgoing).await;
-            if known_ends >= ENDS_BEFORE_REFUSAL {
-                return None;
-            }
+            let known_ends = self.shared.known_ends(outgoing).await?;
             let search = Search {
                 shared: &self.shared,
                 service: &self.settings.service,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,7 +9,7 @@
 use linnethitch_clock::{Instant, sleep, timeout_at};
 use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
-use linnethitch_registry::{ENDS_BEFORE_REFUSAL, Route, RouteKind, RouteTable};
+use linnethitch_registry::{Route, RouteKind, RouteTable};
 use linnethitch_routing::dispatch::FailureKind;
 use slog::{Logger, info};
 use tokio::sync::mpsc;
@@ -191,10 +191,9 @@
 impl Attempt<'_> {
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
-            let known_ends = self.shared.known_ends(&self.outgoing).await;
-            if known_ends >= ENDS_BEFORE_REFUSAL {
+            let Some(known_ends) = self.shared.known_ends(&self.outgoing).await else {
                 return self.refuse_as_ending();
-            }
+            };
             let search = Search {
                 shared: self.shared,
                 service: &self.service,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -174,9 +174,9 @@
     }
 
     /// Replicas that ended under copies of a request in a row; it is to be sent alone
-    /// if there are any, and not at all from `ENDS_BEFORE_REFUSAL` on. Waits until a
-    /// replica where a copy has just broken off was asked.
-    pub(crate) async fn known_ends(&self, outgoing: &Outgoing) -> u32 {
+    /// if there are any. `None` where it is refused. Waits until a replica where a copy
+    /// has just broken off was asked.
+    pub(crate) async fn known_ends(&self, outgoing: &Outgoing) -> Option<u32> {
         if !self.broken_runs.is_settled() {
             self.broken_runs.settled(&outgoing.fingerprint()).await;
         }
@@ -184,15 +184,18 @@
     }
 
     /// The same without waiting.
-    pub(crate) fn ends(&self, outgoing: &Outgoing) -> u32 {
+    pub(crate) fn ends(&self, outgoing: &Outgoing) -> Option<u32> {
         let fleet = self.gateway.fleet();
         if fleet.suspicions().is_empty() && self.own_news.is_empty() {
-            return 0;
+            return Some(0);
         }
         let now_ms = self.clock.now_ms();
         let fingerprint = outgoing.fingerprint();
-        let known = self.own_news.suspicion(&fingerprint, &fleet, now_ms);
-        known.map_or(0, |known| known.ends)
+        match self.own_news.suspicion(&fingerprint, &fleet, now_ms) {
+            Some(known) if known.is_refused() => None,
+            Some(known) => Some(known.ends),
+            None => Some(0),
+        }
     }
 
     /// A replica ended under a run: this gateway acts on it before control tells it.
@@ -222,7 +225,7 @@
 
     /// A copy of a request came to a whole answer: it is no longer suspected.
     fn clear(self: &Arc<Self>, outgoing: &Outgoing) {
-        if self.ends(outgoing) == 0 {
+        if self.ends(outgoing) == Some(0) {
             return;
         }
         let fingerprint = outgoing.fingerprint();
