--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! come from a [`Dialect`], so that this crate knows no platform.
 
 mod answer;
+mod attempt;
 mod batch;
 mod body;
 mod connections;
