Gateways tell each other of ends under requests, whatever control does

A gateway that finds an end now sends it to all others as a datagram too, which takes a millisecond and no leader. The fingerprint and the run that ended are types of the protocol now, and SlotMessage is GatewayDatagram, since it is no longer only about slots.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use linnethitch_clock::Clock;
 use linnethitch_job_store::{StoreCall, StoreReply};
-use linnethitch_protocol::{ids::MachineId, slots::SlotMessage};
+use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
     DirectoryNode, EndedRun, FleetView, RegistryCommand, RequestFingerprint, near,
 };
@@ -42,7 +42,7 @@
     control: GroupClient<RegistryCall>,
     own: MachineId,
     port: u16,
-    datagrams: Option<Datagrams<SlotMessage>>,
+    datagrams: Option<Datagrams<GatewayDatagram>>,
     told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
@@ -111,7 +111,7 @@
 
     /// Datagrams to and from other gateways; `None` where their port is taken.
     #[must_use]
-    pub fn datagrams(&self) -> Option<Datagrams<SlotMessage>> {
+    pub fn datagrams(&self) -> Option<Datagrams<GatewayDatagram>> {
         self.datagrams.clone()
     }
 
@@ -146,6 +146,17 @@
         self.store.call(call, limit).await
     }
 
+    /// Sends a datagram to every other gateway that is known; it may not arrive.
+    pub fn tell_gateways(&self, message: &GatewayDatagram) {
+        let Some(datagrams) = &self.datagrams else {
+            return;
+        };
+        let gateways = self.coordinators();
+        for gateway in gateways.iter().filter(|gateway| **gateway != self.own) {
+            datagrams.send(self.datagram_address(*gateway), message);
+        }
+    }
+
     /// Tells control that a replica ended under runs of this gateway; false when
     /// that was not held within the limit.
     pub async fn tell_replica_ended(
@@ -188,7 +199,7 @@
 }
 
 /// Without datagrams a gateway serves all the same, blind to the others' work.
-fn bind_datagrams(settings: &NodeSettings) -> Option<Datagrams<SlotMessage>> {
+fn bind_datagrams(settings: &NodeSettings) -> Option<Datagrams<GatewayDatagram>> {
     let address = SocketAddrV4::new(settings.address, settings.port);
     match Datagrams::bind(address, settings.identity.clone()) {
         Ok(datagrams) => Some(datagrams),
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -38,7 +38,7 @@
     Peer = 4,
     /// Messages of the nodes of a fleet that caller directories lead to.
     Node = 5,
-    /// [`crate::slots::SlotMessage`], in datagrams.
+    /// [`crate::slots::GatewayDatagram`], in datagrams.
     Slots = 6,
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod query;
 pub mod slots;
 pub mod stored;
+pub mod suspicion;
 pub mod text_edit;
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -6,6 +6,8 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::suspicion::EndedRun;
+
 /// What an asker does when no slot is free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum AskMode {
@@ -61,9 +63,9 @@
     pub alone: bool,
 }
 
-/// A datagram about slots.
+/// A datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
-pub enum SlotMessage {
+pub enum GatewayDatagram {
     /// A request needs a slot.
     Ask {
         /// The asker's number of the lease.
@@ -94,4 +96,12 @@
         /// The leases.
         leases: Vec<HeldLease>,
     },
+    /// A replica ended under these runs of the sender. Control tells it too, a little
+    /// later, and not at all while it has no leader.
+    ReplicaEnded {
+        /// The incarnation.
+        replica: String,
+        /// What broke off there.
+        runs: Vec<EndedRun>,
+    },
 }
--- a/crates/registry/src/fingerprint.rs
+++ b/crates/protocol/src/suspicion.rs
@@ -1,4 +1,4 @@
-//! What tells copies of one request from other requests.
+//! What gateways say of requests under which replicas ended.
 
 use std::fmt;
 
@@ -67,3 +67,14 @@
             .try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
+
+/// A run that broke off when its replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EndedRun {
+    /// What ran.
+    pub fingerprint: RequestFingerprint,
+    /// Ends that were known where the run began, when it began.
+    pub known_ends: u32,
+    /// How long it had run, in milliseconds.
+    pub ran_ms: u32,
+}
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -5,13 +5,11 @@
 use linnethitch_protocol::{
     ids::{MachineId, MemberId},
     stored,
+    suspicion::{EndedRun, RequestFingerprint},
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{
-    fingerprint::RequestFingerprint, first_layout::FirstCommand, replica::ReplicaChange,
-    routes::RouteTable, suspicion::EndedRun,
-};
+use crate::{first_layout::FirstCommand, replica::ReplicaChange, routes::RouteTable};
 
 /// Layout of route tables whose routes have a bound of queued tokens.
 const ROUTES_LAYOUT: u8 = 2;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,7 +7,6 @@
 //! any order, and never steps back.
 
 mod command;
-mod fingerprint;
 mod first_layout;
 mod node_list;
 mod registry;
@@ -21,14 +20,14 @@
 mod view;
 
 pub use command::{RegistryAnswer, RegistryCommand};
-pub use fingerprint::{RequestContent, RequestFingerprint};
+pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
 pub use node_list::{DirectoryNode, NodeList, READY_FOR_MS, near};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
 pub use routes::{
     Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
-pub use suspicion::{EndedRun, Suspicion, Suspicions};
+pub use suspicion::{Suspicion, Suspicions};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
 pub use view::FleetView;
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -19,11 +19,12 @@
 
 use std::collections::{BTreeMap, btree_map::Entry};
 
-use linnethitch_protocol::ids::LogIndex;
+use linnethitch_protocol::{
+    ids::LogIndex,
+    suspicion::{EndedRun, RequestFingerprint},
+};
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::fingerprint::RequestFingerprint;
-
 /// Replicas that end under a request, one after the other, before copies of it are
 /// refused, where each ends at once. An innocent request is refused only if three
 /// unrelated ends hit three of its runs in a row.
@@ -42,17 +43,6 @@
 /// That part, as a divisor.
 const SAME_LENGTH_PART: u32 = 8;
 
-/// A run that broke off when its replica ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
-pub struct EndedRun {
-    /// What ran.
-    pub fingerprint: RequestFingerprint,
-    /// Ends that were known where the run began, when it began.
-    pub known_ends: u32,
-    /// How long it had run, in milliseconds.
-    pub ran_ms: u32,
-}
-
 /// What the fleet knows of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Suspicion {
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -4,8 +4,9 @@
 
 use linnethitch_clock::sleep;
 use linnethitch_cluster::GatewayNode;
+use linnethitch_protocol::slots::GatewayDatagram;
 
-use crate::{shared::Shared, slots::receive_slot_messages};
+use crate::{shared::Shared, slots::receive_messages};
 
 /// How often the engines that are coordinated here are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -30,11 +31,16 @@
     }
 }
 
-/// Takes what other gateways say about slots.
-pub(crate) async fn follow_slots(shared: Arc<Shared>, gateway: GatewayNode) {
-    receive_slot_messages(gateway, |from, message| {
-        let loads = shared.slots.take_message(from, message);
-        shared.note_told(&loads);
+/// Takes what other gateways say.
+pub(crate) async fn follow_gateways(shared: Arc<Shared>, gateway: GatewayNode) {
+    receive_messages(gateway, |from, message| match message {
+        GatewayDatagram::ReplicaEnded { replica, runs } => {
+            runs.iter().for_each(|run| shared.note_end(&replica, run));
+        }
+        about_slots => {
+            let loads = shared.slots.take_message(from, about_slots);
+            shared.note_told(&loads);
+        }
     })
     .await;
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,7 +17,7 @@
     body::read_body,
     dialect::Dialect,
     exchange::{Outgoing, strip_connection_headers},
-    following::{follow_fleet, follow_slots, keep_slots},
+    following::{follow_fleet, follow_gateways, keep_slots},
     shared::Shared,
 };
 
@@ -41,7 +41,7 @@
     ) -> Self {
         let shared = Arc::new(Shared::new(gateway.clone(), dialect, zone, seed, logger));
         tokio::spawn(follow_fleet(Arc::clone(&shared), gateway.clone()));
-        tokio::spawn(follow_slots(Arc::clone(&shared), gateway));
+        tokio::spawn(follow_gateways(Arc::clone(&shared), gateway));
         tokio::spawn(keep_slots(Arc::clone(&shared)));
         Relay { shared, stopping }
     }
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -11,6 +11,7 @@
 };
 
 use linnethitch_clock::{Instant, sleep, timeout, timeout_at};
+use linnethitch_protocol::slots::GatewayDatagram;
 use linnethitch_registry::{EndedRun, ReplicaState, RequestFingerprint};
 use parking_lot::Mutex;
 use slog::{info, warn};
@@ -225,8 +226,9 @@
         }
     }
 
-    /// Suspects everything that broke off here, at once at this gateway; the returned
-    /// future tells control and is true once that holds it.
+    /// Suspects everything that broke off here, at once at this gateway and, if datagrams
+    /// arrive, at all others: the bound holds for the fleet while control has no leader.
+    /// The returned future tells control and is true once that holds it.
     fn blame(&self) -> impl Future<Output = bool> + use<> {
         let runs: Vec<EndedRun> = self.runs.iter().map(|broken| broken.run).collect();
         for run in &runs {
@@ -234,6 +236,10 @@
         }
         let gateway = self.shared.gateway.clone();
         let replica = self.replica.clone();
+        gateway.tell_gateways(&GatewayDatagram::ReplicaEnded {
+            replica: replica.clone(),
+            runs: runs.clone(),
+        });
         async move { gateway.tell_replica_ended(&replica, runs, TELL_LIMIT).await }
     }
 
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -9,7 +9,7 @@
 use linnethitch_cluster::{GatewayNode, machine_of};
 use linnethitch_protocol::{
     ids::MachineId,
-    slots::{HeldLease, SlotLoad, SlotMessage},
+    slots::{GatewayDatagram, HeldLease, SlotLoad},
 };
 use linnethitch_routing::dispatch::{
     Ask, CoordinatedReplica, Due, LeaseKey, SlotAction, coordinator_of,
@@ -59,17 +59,17 @@
                 let actions = state.coordinator.note_held(self.own, &leases, now_ms);
                 self.carry_out(&mut state, actions);
             } else {
-                self.send(coordinator, &SlotMessage::Held { leases });
+                self.send(coordinator, &GatewayDatagram::Held { leases });
             }
         }
     }
 
     /// Takes a datagram of another gateway; returns loads that it told.
-    pub(crate) fn take_message(&self, from: MachineId, message: SlotMessage) -> Vec<SlotLoad> {
+    pub(crate) fn take_message(&self, from: MachineId, message: GatewayDatagram) -> Vec<SlotLoad> {
         let now_ms = self.clock.now_ms();
         let mut state = self.state.lock();
         let actions = match message {
-            SlotMessage::Ask {
+            GatewayDatagram::Ask {
                 number,
                 replica,
                 due_in_ms,
@@ -88,7 +88,7 @@
                 };
                 state.coordinator.ask(ask, now_ms)
             }
-            SlotMessage::Answer {
+            GatewayDatagram::Answer {
                 number,
                 verdict,
                 loads,
@@ -97,14 +97,16 @@
                 state.deliver(number, verdict);
                 return loads;
             }
-            SlotMessage::End { number } => {
+            GatewayDatagram::End { number } => {
                 let key = LeaseKey {
                     holder: from,
                     number,
                 };
                 state.coordinator.end(key, now_ms)
             }
-            SlotMessage::Held { leases } => state.coordinator.note_held(from, &leases, now_ms),
+            GatewayDatagram::Held { leases } => state.coordinator.note_held(from, &leases, now_ms),
+            // Not about slots.
+            GatewayDatagram::ReplicaEnded { .. } => Vec::new(),
         };
         self.carry_out(&mut state, actions);
         Vec::new()
@@ -131,7 +133,7 @@
                     replica,
                     verdict,
                 } => {
-                    let answer = SlotMessage::Answer {
+                    let answer = GatewayDatagram::Answer {
                         number: key.number,
                         verdict,
                         loads: state.coordinator.loads_beside(&replica),
@@ -179,9 +181,9 @@
 }
 
 /// Takes the datagrams of other gateways; returns when there are none to come.
-pub(crate) async fn receive_slot_messages(
+pub(crate) async fn receive_messages(
     gateway: GatewayNode,
-    mut take: impl FnMut(MachineId, SlotMessage),
+    mut take: impl FnMut(MachineId, GatewayDatagram),
 ) {
     let Some(datagrams) = gateway.datagrams() else {
         return;
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -14,14 +14,14 @@
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_protocol::{
     ids::MachineId,
-    slots::{AskMode, SlotMessage, Verdict},
+    slots::{AskMode, GatewayDatagram, Verdict},
 };
 use linnethitch_routing::dispatch::{Ask, Due, LeaseKey, RunNumber, SlotCoordinator};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
 use self::items::ItemHandle;
-pub(crate) use self::{coordination::receive_slot_messages, items::ItemSlot};
+pub(crate) use self::{coordination::receive_messages, items::ItemSlot};
 
 /// A coordinator that does not answer within this is not waited for.
 const SILENCE_LIMIT: Duration = Duration::from_millis(25);
@@ -182,7 +182,7 @@
             self.carry_out(state, actions);
             return;
         }
-        let ask = SlotMessage::Ask {
+        let ask = GatewayDatagram::Ask {
             number,
             replica,
             due_in_ms: due_in_ms.min(u64::from(u32::MAX)) as u32,
@@ -219,7 +219,7 @@
             let actions = state.coordinator.end(self.own_key(number), now_ms);
             self.carry_out(&mut state, actions);
         } else {
-            self.send(held.coordinator, &SlotMessage::End { number });
+            self.send(held.coordinator, &GatewayDatagram::End { number });
         }
     }
 
@@ -230,7 +230,7 @@
         }
     }
 
-    fn send(&self, to: MachineId, message: &SlotMessage) {
+    fn send(&self, to: MachineId, message: &GatewayDatagram) {
         if let Some(datagrams) = self.gateway.datagrams() {
             datagrams.send(self.gateway.datagram_address(to), message);
         }
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -156,6 +156,31 @@
     assert_eq!(new.ask("fatal-new", FATAL).await.status, 400);
 }
 
+/// Seen in a run of faults: while control had no leader each gateway counted for itself,
+/// and eight replicas ended.
+#[tokio::test]
+async fn gateways_tell_each_other_while_control_takes_no_changes() {
+    let service = Service::start(RouteKind::Streaming, 1, true, 10).await;
+    let gateways = [
+        service.fleet.first_gateway(),
+        service.fleet.add_gateway().await,
+        service.fleet.add_gateway().await,
+    ];
+    for gateway in &gateways {
+        while gateway.relay.gateway().coordinators().len() < gateways.len() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    service.fleet.stop_control();
+    let statuses = send_again_and_again(&gateways, 9).await;
+    assert!(
+        service.ended() <= MOST_ENDS,
+        "{} replicas ended, answers {statuses:?}",
+        service.ended()
+    );
+    assert_eq!(statuses.last(), Some(&400), "{statuses:?}");
+}
+
 /// What runs beside a request that ends replicas is broken off with it, and is suspected
 /// like it. Sent again, it is served, at whatever gateway, and is never refused.
 #[rstest]
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -25,6 +25,7 @@
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use parking_lot::Mutex;
 use slog::{Discard, Logger, o};
+use tokio::task::AbortHandle;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -280,6 +281,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) relay: Relay,
     control: ControlNode,
+    control_running: AbortHandle,
     node: NodeSettings,
     gateways: AtomicU8,
     pub(crate) stopping: CancellationToken,
@@ -333,7 +335,7 @@
             store_voters: 1,
         };
         let (control, running) = ControlNode::start(settings).await.expect("control starts");
-        tokio::spawn(running);
+        let control_running = tokio::spawn(running).abort_handle();
         control
             .put_routes(table, b"document".to_vec(), LIMIT)
             .await
@@ -344,6 +346,7 @@
             callers: first.callers,
             relay: first.relay,
             control,
+            control_running,
             node,
             gateways: AtomicU8::new(1),
             stopping,
@@ -372,6 +375,11 @@
         gateway
     }
 
+    /// From now on control takes no changes.
+    pub(crate) fn stop_control(&self) {
+        self.control_running.abort();
+    }
+
     /// The first gateway.
     pub(crate) fn first_gateway(&self) -> Gateway {
         Gateway {
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -5,7 +5,7 @@
 use linnethitch_protocol::{
     attach::{ControlMessage, GatewayMessage, PeerMessage},
     frame::{self, FrameHeader, FrameKind},
-    slots::SlotMessage,
+    slots::GatewayDatagram,
 };
 
 /// A message type that travels in frames of one kind.
@@ -50,5 +50,5 @@
     GatewayMessage => Gateway,
     ControlMessage => Control,
     PeerMessage => Peer,
-    SlotMessage => Slots,
+    GatewayDatagram => Slots,
 }
--- a/crates/transport/tests/all/datagrams.rs
+++ b/crates/transport/tests/all/datagrams.rs
@@ -7,7 +7,7 @@
 
 use linnethitch_protocol::{
     frame::{self, FrameKind},
-    slots::SlotMessage,
+    slots::GatewayDatagram,
 };
 use linnethitch_transport::{ClusterIdentity, ClusterKey, Datagrams};
 use rstest::rstest;
@@ -23,15 +23,15 @@
 }
 
 /// A socket on a free port, and its address.
-fn bind(identity: ClusterIdentity) -> (Datagrams<SlotMessage>, SocketAddrV4) {
+fn bind(identity: ClusterIdentity) -> (Datagrams<GatewayDatagram>, SocketAddrV4) {
     let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
     let datagrams = Datagrams::bind(any, identity).expect("a free port");
     let address = datagrams.local_address().expect("it is bound");
     (datagrams, address)
 }
 
-fn end(number: u64) -> SlotMessage {
-    SlotMessage::End { number }
+fn end(number: u64) -> GatewayDatagram {
+    GatewayDatagram::End { number }
 }
 
 #[tokio::test]
