What control commits late does not replace what a gateway knows of a later end

A gateway that had seen two ends sent twice knowing of one: control had had no leader, then committed the first end, and that record, being newer, replaced the gateway's own news of the second. Of the same row the longer one counts now, until a copy is answered whole.

--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -93,6 +93,15 @@
         ENDS_BEFORE_REFUSAL + self.ran_ms / FURTHER_END_PER_MS
     }
 
+    /// Whether a gateway's own news count more than what control tells. Control may commit
+    /// late what happened before them: of the same row the longer one counts.
+    #[must_use]
+    pub fn outweighs(&self, told: &Suspicion) -> bool {
+        let is_newer = told.changed_at <= self.changed_at;
+        let is_longer = told.ends > 0 && self.ends > told.ends;
+        is_newer || is_longer
+    }
+
     /// What is known after a copy came to a whole answer.
     #[must_use]
     pub fn cleared(fingerprint: RequestFingerprint, changed_at: LogIndex) -> Suspicion {
--- a/crates/registry/tests/all/suspicions.rs
+++ b/crates/registry/tests/all/suspicions.rs
@@ -105,6 +105,25 @@
     assert!(held.is_some_and(Suspicion::is_refused), "{held:?}");
 }
 
+/// Own news of a gateway (ends, as of an entry) beside what control told.
+#[rstest]
+#[case::control_has_not_told_yet((2, 7), (1, 7), true)]
+#[case::control_commits_late_what_was_before((2, 7), (1, 9), true)]
+#[case::control_knows_more((1, 7), (3, 9), false)]
+#[case::cleared_meanwhile((2, 7), (0, 9), false)]
+#[case::suspected_again((0, 7), (1, 9), false)]
+fn news_count_until_control_knows_as_much(
+    #[case] own: (u32, u64),
+    #[case] told: (u32, u64),
+    #[case] counts: bool,
+) {
+    let record = |(ends, at): (u32, u64)| Suspicion {
+        ends,
+        ..Suspicion::cleared(request("a"), LogIndex(at))
+    };
+    assert_eq!(record(own).outweighs(&record(told)), counts);
+}
+
 #[test]
 fn a_copy_that_comes_to_a_whole_answer_ends_the_suspicion() {
     let mut applied = Applied::default();
--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -56,8 +56,7 @@
         let mut news = self.news.lock();
         if let Some(own) = news.get(fingerprint) {
             let is_old = now_ms.saturating_sub(own.at_ms) >= NEWS_HELD_MS;
-            let is_newest = told.is_none_or(|told| told.changed_at <= own.record.changed_at);
-            if !is_old && is_newest {
+            if !is_old && told.is_none_or(|told| own.record.outweighs(told)) {
                 return Some(own.record.clone());
             }
             news.remove(fingerprint);
