Registry: starts of replicas, cold replicas, homes and evacuations in one stored layout

Cause: two further customers need all four, and four parts built side by side would each bring a stored layout. Commands about replicas hold their content apart, so that commands without new content keep the bytes of their first layout (stored_commands_stay_readable is unchanged). ZoneMap: zones and regions of the deployment, from the settings. Nothing acts on the new fields yet.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -193,7 +193,7 @@
         if !is_news {
             return Ok(());
         }
-        let command = RegistryCommand::Replica(change);
+        let command = RegistryCommand::Replica(Box::new(change));
         self.propose(command, limit).await.map(|_| ())
     }
 
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -6,6 +6,7 @@
 use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::MachineId;
+use linnethitch_registry::ZoneMap;
 use linnethitch_transport::{ClusterIdentity, ConnectionOptions, Listener, Traffic};
 use slog::Logger;
 use tokio::sync::mpsc;
@@ -32,6 +33,8 @@
     pub zone: String,
     /// Its region.
     pub region: String,
+    /// All zones of the deployment.
+    pub zones: ZoneMap,
     /// Its address.
     pub address: Ipv4Addr,
     /// The port on which every node listens for others.
--- a/crates/cluster/tests/all/support.rs
+++ b/crates/cluster/tests/all/support.rs
@@ -6,7 +6,7 @@
 };
 
 use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings, Seeds};
-use linnethitch_registry::{CallerLimits, Configuration, RouteTable};
+use linnethitch_registry::{CallerLimits, Configuration, RouteTable, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use slog::{Discard, Logger, o};
 use tempfile::TempDir;
@@ -37,6 +37,7 @@
         name: address.to_string(),
         zone: "zone".to_owned(),
         region: "region".to_owned(),
+        zones: ZoneMap::default(),
         address,
         port,
         seeds: Seeds::new(seeds.to_vec()),
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -10,11 +10,14 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
-    configuration::Declared, first_layout::FirstCommand, replica::ReplicaChange,
-    routes::RouteTable, second_layout::SecondCommand,
+    configuration::Declared, first_layout::FirstCommand, fourth_layout::FourthCommand,
+    replica::ReplicaChange, routes::RouteTable, second_layout::SecondCommand,
 };
 
-/// Layout of configurations that may list tenants.
+/// Layout of replicas that tell which start of theirs speaks, of configurations with homes
+/// and cold replicas, and of evacuations.
+const FIFTH_LAYOUT: u8 = 5;
+/// Layout of configurations that may list tenants; read, not written.
 const TENANTS_LAYOUT: u8 = 4;
 /// Layout of route tables whose routes have a bound of queued tokens; read, not written.
 const ROUTES_LAYOUT: u8 = 2;
@@ -35,8 +38,8 @@
         /// first layouts gave them.
         declared: Box<Declared>,
     },
-    /// A replica said something new.
-    Replica(ReplicaChange),
+    /// A replica said something new. Apart, like what a configuration declares.
+    Replica(Box<ReplicaChange>),
     /// A replica ended.
     RemoveReplica(String),
     /// The first members of the job store; the first such command counts.
@@ -56,6 +59,10 @@
     EaseSuspicions(Vec<RequestFingerprint>),
     /// Another incarnation answers at the address of this one.
     NotThere(String),
+    /// Nothing more is to be sent to the replicas of a zone.
+    EvacuateZone(String),
+    /// The replicas of a zone may be given work again.
+    RestoreZone(String),
 }
 
 impl RegistryCommand {
@@ -65,7 +72,10 @@
     /// `Internal` when it cannot be encoded.
     pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
         let layout = match self {
-            RegistryCommand::PutConfiguration { .. } => TENANTS_LAYOUT,
+            RegistryCommand::PutConfiguration { .. }
+            | RegistryCommand::Replica(_)
+            | RegistryCommand::EvacuateZone(_)
+            | RegistryCommand::RestoreZone(_) => FIFTH_LAYOUT,
             RegistryCommand::ReplicaEnded { .. }
             | RegistryCommand::ClearSuspicions(_)
             | RegistryCommand::EaseSuspicions(_)
@@ -89,7 +99,11 @@
                 let second: SecondCommand = stored::decode(&[ROUTES_LAYOUT], bytes)?;
                 Ok(second.into())
             }
-            _ => stored::decode(&[THIRD_LAYOUT, TENANTS_LAYOUT], bytes),
+            Some(TENANTS_LAYOUT) => {
+                let fourth: FourthCommand = stored::decode(&[TENANTS_LAYOUT], bytes)?;
+                Ok(fourth.into())
+            }
+            _ => stored::decode(&[THIRD_LAYOUT, FIFTH_LAYOUT], bytes),
         }
     }
 }
--- /dev/null
+++ b/crates/registry/src/evacuations.rs
@@ -0,0 +1,76 @@
+//! Zones that operators have evacuated: nothing more is sent to their replicas.
+
+use std::collections::BTreeMap;
+
+use linnethitch_protocol::ids::LogIndex;
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// What operators last asked of a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EvacuationRecord {
+    /// The zone.
+    pub zone: String,
+    /// Whether its replicas are given nothing new; false once that was taken back.
+    pub evacuated: bool,
+    /// The log entry that changed it last.
+    pub changed_at: LogIndex,
+}
+
+/// What operators last asked of each zone. A taken-back evacuation stays as a record, so
+/// that an older update cannot bring it back; there are as many records as zones at most.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    zones: BTreeMap<String, EvacuationRecord>,
+}
+
+impl Evacuations {
+    /// Whether the replicas of a zone are given nothing new.
+    #[must_use]
+    pub fn contains(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(|record| record.evacuated)
+    }
+
+    /// The zones that are evacuated, by name.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        let evacuated = self.zones.values().filter(|record| record.evacuated);
+        evacuated.map(|record| record.zone.as_str())
+    }
+
+    /// Every record, by zone.
+    pub fn records(&self) -> impl Iterator<Item = &EvacuationRecord> {
+        self.zones.values()
+    }
+
+    /// Evacuates a zone, or takes that back; false where it is so already.
+    pub(crate) fn set(&mut self, index: LogIndex, zone: &str, evacuated: bool) -> bool {
+        if self.contains(zone) == evacuated {
+            return false;
+        }
+        let record = EvacuationRecord {
+            zone: zone.to_owned(),
+            evacuated,
+            changed_at: index,
+        };
+        self.zones.insert(zone.to_owned(), record);
+        true
+    }
+
+    /// Takes a record that control told; false where it is not newer than the one held.
+    pub(crate) fn take(&mut self, record: EvacuationRecord) -> bool {
+        let held = self.zones.get(&record.zone);
+        if held.is_some_and(|held| held.changed_at >= record.changed_at) {
+            return false;
+        }
+        self.zones.insert(record.zone.clone(), record);
+        true
+    }
+}
+
+impl FromIterator<EvacuationRecord> for Evacuations {
+    fn from_iter<I: IntoIterator<Item = EvacuationRecord>>(records: I) -> Self {
+        let records = records.into_iter();
+        Evacuations {
+            zones: records.map(|r| (r.zone.clone(), r)).collect(),
+        }
+    }
+}
--- a/crates/registry/src/first_layout.rs
+++ b/crates/registry/src/first_layout.rs
@@ -8,9 +8,10 @@
 use crate::{
     command::RegistryCommand,
     configuration::Declared,
+    fourth_layout::{FourthReplicaChange, FourthReplicaRecord, FourthService},
     registry::{RegistrySnapshot, StoreMembers},
-    replica::{ReplicaChange, ReplicaRecord},
-    routes::{Backend, CallerLimits, Route, RouteKind, RouteTable, ServiceTraits},
+    replica::ReplicaRecord,
+    routes::{Backend, CallerLimits, Route, RouteKind, RouteTable},
 };
 
 #[derive(Archive, Serialize, Deserialize)]
@@ -34,7 +35,7 @@
 pub(crate) struct FirstRouteTable {
     version: u64,
     routes: Vec<FirstRoute>,
-    services: Vec<ServiceTraits>,
+    services: Vec<FourthService>,
     limits: CallerLimits,
 }
 
@@ -44,7 +45,7 @@
         table: FirstRouteTable,
         document: Vec<u8>,
     },
-    Replica(ReplicaChange),
+    Replica(FourthReplicaChange),
     RemoveReplica(String),
     FormStore(Vec<MemberId>),
     RetireStore(MachineId),
@@ -55,7 +56,7 @@
     table: Option<FirstRouteTable>,
     document: Vec<u8>,
     table_at: LogIndex,
-    replicas: Vec<ReplicaRecord>,
+    replicas: Vec<FourthReplicaRecord>,
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
@@ -79,6 +80,7 @@
             completion_ms: first.completion_ms,
             give_up_ms: first.give_up_ms,
             max_queued_tokens: 0,
+            homes: Vec::new(),
         }
     }
 }
@@ -88,7 +90,7 @@
         RouteTable {
             version: first.version,
             routes: first.routes.into_iter().map(Route::from).collect(),
-            services: first.services,
+            services: first.services.into_iter().map(Into::into).collect(),
             limits: first.limits,
         }
     }
@@ -104,7 +106,7 @@
                     document,
                 }),
             },
-            FirstCommand::Replica(change) => RegistryCommand::Replica(change),
+            FirstCommand::Replica(change) => RegistryCommand::Replica(Box::new(change.into())),
             FirstCommand::RemoveReplica(id) => RegistryCommand::RemoveReplica(id),
             FirstCommand::FormStore(members) => RegistryCommand::FormStore(members),
             FirstCommand::RetireStore(machine) => RegistryCommand::RetireStore(machine),
@@ -118,12 +120,17 @@
             table: first.table.map(RouteTable::from),
             document: first.document,
             table_at: first.table_at,
-            replicas: first.replicas,
+            replicas: first
+                .replicas
+                .into_iter()
+                .map(ReplicaRecord::from)
+                .collect(),
             store: first.store,
             store_at: first.store_at,
             changed_at: first.changed_at,
             suspicions: Vec::new(),
             tenants: TenantsUpdate::default(),
+            evacuations: Vec::new(),
         }
     }
 }
--- /dev/null
+++ b/crates/registry/src/fourth_layout.rs
@@ -0,0 +1,255 @@
+//! Stored values as the layouts up to the fourth hold them: replicas told neither which
+//! start of theirs speaks nor that they are cold, routes and tenants had no homes, and
+//! no zone was evacuated. Read, never written.
+
+use linnethitch_protocol::ids::LogIndex;
+use linnethitch_tenants::{KeyDigest, QuotaLimit, Tenant, TenantChange, TenantsUpdate};
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    command::RegistryCommand,
+    configuration::Declared,
+    registry::{RegistrySnapshot, StoreMembers},
+    replica::{ReplicaChange, ReplicaRecord, ReplicaState},
+    routes::{Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits},
+    suspicion::Suspicion,
+};
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthService {
+    name: String,
+    health_path: String,
+    max_connections: u32,
+    engine: Option<EngineTraits>,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct FourthRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: RouteKind,
+    timeout_ms: u64,
+    target_ms: u64,
+    priority: u8,
+    public: bool,
+    backends: Vec<Backend>,
+    max_attempts: u32,
+    resumable: bool,
+    gap_target_ms: u64,
+    completion_ms: u64,
+    give_up_ms: u64,
+    max_queued_tokens: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthRouteTable {
+    version: u64,
+    routes: Vec<FourthRoute>,
+    services: Vec<FourthService>,
+    limits: CallerLimits,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct FourthTenant {
+    name: String,
+    keys: Vec<KeyDigest>,
+    rank: Option<u8>,
+    quota: Option<QuotaLimit>,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct FourthTenantChange {
+    name: String,
+    tenant: Option<FourthTenant>,
+    changed_at: LogIndex,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct FourthTenantsUpdate {
+    are_listed: bool,
+    listed_at: LogIndex,
+    is_whole: bool,
+    changed: Vec<FourthTenantChange>,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthDeclared {
+    tenants: Option<Vec<FourthTenant>>,
+    document: Vec<u8>,
+}
+
+/// The only command that the fourth layout stored.
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) enum FourthCommand {
+    PutConfiguration {
+        table: FourthRouteTable,
+        declared: Box<FourthDeclared>,
+    },
+}
+
+/// What a replica said of itself, as commands of the first layout hold it too.
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthReplicaChange {
+    id: String,
+    service: String,
+    address: String,
+    zone: String,
+    slots: u32,
+    state: ReplicaState,
+    sequence: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthReplicaRecord {
+    told: FourthReplicaChange,
+    changed_at: LogIndex,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthSnapshot {
+    table: Option<FourthRouteTable>,
+    document: Vec<u8>,
+    table_at: LogIndex,
+    replicas: Vec<FourthReplicaRecord>,
+    store: StoreMembers,
+    store_at: LogIndex,
+    changed_at: LogIndex,
+    suspicions: Vec<Suspicion>,
+    tenants: FourthTenantsUpdate,
+}
+
+impl From<FourthService> for ServiceTraits {
+    fn from(fourth: FourthService) -> Self {
+        ServiceTraits {
+            name: fourth.name,
+            health_path: fourth.health_path,
+            max_connections: fourth.max_connections,
+            engine: fourth.engine,
+            cold: None,
+        }
+    }
+}
+
+impl From<FourthRoute> for Route {
+    fn from(fourth: FourthRoute) -> Self {
+        Route {
+            name: fourth.name,
+            host: fourth.host,
+            path_prefix: fourth.path_prefix,
+            kind: fourth.kind,
+            timeout_ms: fourth.timeout_ms,
+            target_ms: fourth.target_ms,
+            priority: fourth.priority,
+            public: fourth.public,
+            backends: fourth.backends,
+            max_attempts: fourth.max_attempts,
+            resumable: fourth.resumable,
+            gap_target_ms: fourth.gap_target_ms,
+            completion_ms: fourth.completion_ms,
+            give_up_ms: fourth.give_up_ms,
+            max_queued_tokens: fourth.max_queued_tokens,
+            homes: Vec::new(),
+        }
+    }
+}
+
+impl From<FourthRouteTable> for RouteTable {
+    fn from(fourth: FourthRouteTable) -> Self {
+        RouteTable {
+            version: fourth.version,
+            routes: fourth.routes.into_iter().map(Route::from).collect(),
+            services: fourth.services.into_iter().map(Into::into).collect(),
+            limits: fourth.limits,
+        }
+    }
+}
+
+impl From<FourthTenant> for Tenant {
+    fn from(fourth: FourthTenant) -> Self {
+        Tenant {
+            name: fourth.name,
+            keys: fourth.keys,
+            rank: fourth.rank,
+            quota: fourth.quota,
+            homes: Vec::new(),
+        }
+    }
+}
+
+impl From<FourthTenantChange> for TenantChange {
+    fn from(fourth: FourthTenantChange) -> Self {
+        TenantChange {
+            name: fourth.name,
+            tenant: fourth.tenant.map(Tenant::from),
+            changed_at: fourth.changed_at,
+        }
+    }
+}
+
+impl From<FourthTenantsUpdate> for TenantsUpdate {
+    fn from(fourth: FourthTenantsUpdate) -> Self {
+        TenantsUpdate {
+            are_listed: fourth.are_listed,
+            listed_at: fourth.listed_at,
+            is_whole: fourth.is_whole,
+            changed: fourth.changed.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<FourthCommand> for RegistryCommand {
+    fn from(fourth: FourthCommand) -> Self {
+        let FourthCommand::PutConfiguration { table, declared } = fourth;
+        let tenants = declared.tenants;
+        RegistryCommand::PutConfiguration {
+            table: table.into(),
+            declared: Box::new(Declared {
+                tenants: tenants.map(|list| list.into_iter().map(Tenant::from).collect()),
+                document: declared.document,
+            }),
+        }
+    }
+}
+
+impl From<FourthReplicaChange> for ReplicaChange {
+    fn from(fourth: FourthReplicaChange) -> Self {
+        ReplicaChange {
+            id: fourth.id,
+            service: fourth.service,
+            address: fourth.address,
+            zone: fourth.zone,
+            slots: fourth.slots,
+            state: fourth.state,
+            sequence: fourth.sequence,
+            born: 0,
+            cold_ms: 0,
+        }
+    }
+}
+
+impl From<FourthReplicaRecord> for ReplicaRecord {
+    fn from(fourth: FourthReplicaRecord) -> Self {
+        ReplicaRecord {
+            told: fourth.told.into(),
+            changed_at: fourth.changed_at,
+        }
+    }
+}
+
+impl From<FourthSnapshot> for RegistrySnapshot {
+    fn from(fourth: FourthSnapshot) -> Self {
+        RegistrySnapshot {
+            table: fourth.table.map(RouteTable::from),
+            document: fourth.document,
+            table_at: fourth.table_at,
+            replicas: fourth.replicas.into_iter().map(Into::into).collect(),
+            store: fourth.store,
+            store_at: fourth.store_at,
+            changed_at: fourth.changed_at,
+            suspicions: fourth.suspicions,
+            tenants: fourth.tenants.into(),
+            evacuations: Vec::new(),
+        }
+    }
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod command;
 mod configuration;
+mod evacuations;
 mod first_layout;
+mod fourth_layout;
 mod node_list;
 mod registry;
 mod replica;
@@ -19,17 +21,20 @@
 mod update;
 mod validate;
 mod view;
+mod zone_map;
 
 pub use command::{RegistryAnswer, RegistryCommand};
 pub use configuration::{Configuration, ConfigurationError, Declared};
+pub use evacuations::{EvacuationRecord, Evacuations};
 pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
 pub use node_list::{DirectoryNode, NodeList, READY_FOR_MS, near};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
 pub use routes::{
-    Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
+    Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
 pub use suspicion::{Suspicion, Suspicions};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
 pub use view::FleetView;
+pub use zone_map::ZoneMap;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -17,7 +17,9 @@
     command::FIRST_LAYOUT,
     command::{RegistryAnswer, RegistryCommand},
     configuration::Declared,
+    evacuations::{EvacuationRecord, Evacuations},
     first_layout::FirstSnapshot,
+    fourth_layout::FourthSnapshot,
     replica::{ReplicaRecord, ReplicaState},
     routes::RouteTable,
     second_layout::{SecondSnapshot, ThirdSnapshot},
@@ -46,11 +48,14 @@
     store: StoreMembers,
     store_at: LogIndex,
     suspicions: Suspicions,
+    evacuations: Evacuations,
     changed_at: LogIndex,
 }
 
 /// Layout of snapshots that this build writes; those before are still read.
-const SNAPSHOT_LAYOUT: u8 = 4;
+const SNAPSHOT_LAYOUT: u8 = 5;
+/// Layout of snapshots without evacuations, homes and starts of replicas.
+const FOURTH_LAYOUT: u8 = 4;
 /// Layout of snapshots without tenants.
 const THIRD_LAYOUT: u8 = 3;
 /// Layout of snapshots without requests that are suspected.
@@ -68,6 +73,7 @@
     pub(crate) changed_at: LogIndex,
     pub(crate) suspicions: Vec<Suspicion>,
     pub(crate) tenants: TenantsUpdate,
+    pub(crate) evacuations: Vec<EvacuationRecord>,
 }
 
 impl Registry {
@@ -119,6 +125,12 @@
         &self.suspicions
     }
 
+    /// Zones to whose replicas nothing more is sent.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// The newest entry that changed anything.
     #[must_use]
     pub fn changed_at(&self) -> LogIndex {
@@ -134,7 +146,10 @@
         let changed = replicas.filter(|record| record.changed_at > since);
         let suspected = self.suspicions.records();
         let suspected = suspected.filter(|record| record.changed_at > since);
+        let evacuations = self.evacuations.records();
+        let evacuations = evacuations.filter(|record| record.changed_at > since);
         FleetUpdate {
+            evacuations: evacuations.cloned().collect(),
             table: table.map(|table| table.as_ref().clone()),
             tenants,
             replicas: changed.cloned().collect(),
@@ -203,6 +218,14 @@
                 let changed = sequence::not_there(&mut self.replicas, index, &id);
                 self.note_change(index, changed);
             }
+            RegistryCommand::EvacuateZone(zone) => {
+                let changed = self.evacuations.set(index, &zone, true);
+                self.note_change(index, changed);
+            }
+            RegistryCommand::RestoreZone(zone) => {
+                let changed = self.evacuations.set(index, &zone, false);
+                self.note_change(index, changed);
+            }
             RegistryCommand::FormStore(members) => {
                 let changed = self.store.first.is_empty();
                 if changed {
@@ -244,6 +267,7 @@
             changed_at: self.changed_at,
             tenants: self.tenants.to_update(),
             suspicions: self.suspicions.records().cloned().collect(),
+            evacuations: self.evacuations.records().cloned().collect(),
         };
         stored::encode(SNAPSHOT_LAYOUT, &snapshot).map(WholeSnapshot::new)
     }
@@ -261,6 +285,7 @@
             store: snapshot.store,
             store_at: snapshot.store_at,
             suspicions: snapshot.suspicions.into_iter().collect(),
+            evacuations: snapshot.evacuations.into_iter().collect(),
             changed_at: snapshot.changed_at,
         })
     }
@@ -280,6 +305,10 @@
             let third: ThirdSnapshot = stored::decode(&[THIRD_LAYOUT], bytes)?;
             Ok(third.into())
         }
+        Some(FOURTH_LAYOUT) => {
+            let fourth: FourthSnapshot = stored::decode(&[FOURTH_LAYOUT], bytes)?;
+            Ok(fourth.into())
+        }
         _ => stored::decode(&[SNAPSHOT_LAYOUT], bytes),
     }
 }
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -40,8 +40,13 @@
     pub slots: u32,
     /// What it may be given.
     pub state: ReplicaState,
-    /// Rises with each heartbeat, so that a late one can be known.
+    /// Rises with each heartbeat of one start, so that a late one can be known.
     pub sequence: u64,
+    /// Which start of the replica says it: a later start has a higher number. 0 where the
+    /// replica does not tell.
+    pub born: u64,
+    /// How much longer it is cold, in milliseconds, when it said so; 0 where it is warm.
+    pub cold_ms: u64,
 }
 
 impl ReplicaChange {
--- a/crates/registry/src/routes.rs
+++ b/crates/registry/src/routes.rs
@@ -58,6 +58,8 @@
     /// Tokens of a tenant's accepted items that may wait on the route, or of all callers
     /// where no tenants are listed; 0 where there is no bound.
     pub max_queued_tokens: u64,
+    /// Regions in which its requests may be served, cached and stored; empty where any may.
+    pub homes: Vec<String>,
 }
 
 impl Route {
@@ -81,6 +83,15 @@
     pub kv_tokens: u64,
 }
 
+/// How much a replica bears for some time after it began to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ColdTraits {
+    /// How long a replica stays cold after a start, in milliseconds.
+    pub start_ms: u64,
+    /// Requests that a cold replica bears, in thousandths of a request a second.
+    pub rate_milli: u64,
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ServiceTraits {
@@ -92,6 +103,8 @@
     pub max_connections: u32,
     /// Set where its replicas are model engines.
     pub engine: Option<EngineTraits>,
+    /// Set where a replica that has just started bears less.
+    pub cold: Option<ColdTraits>,
 }
 
 /// Bounds of what callers may send.
--- a/crates/registry/src/second_layout.rs
+++ b/crates/registry/src/second_layout.rs
@@ -9,9 +9,10 @@
 use crate::{
     command::RegistryCommand,
     configuration::Declared,
+    fourth_layout::{FourthReplicaRecord, FourthService},
     registry::{RegistrySnapshot, StoreMembers},
     replica::ReplicaRecord,
-    routes::{Backend, CallerLimits, Route, RouteKind, RouteTable, ServiceTraits},
+    routes::{Backend, CallerLimits, Route, RouteKind, RouteTable},
     suspicion::Suspicion,
 };
 
@@ -37,7 +38,7 @@
 pub(crate) struct SecondRouteTable {
     version: u64,
     routes: Vec<SecondRoute>,
-    services: Vec<ServiceTraits>,
+    services: Vec<FourthService>,
     limits: CallerLimits,
 }
 
@@ -55,7 +56,7 @@
     table: Option<SecondRouteTable>,
     document: Vec<u8>,
     table_at: LogIndex,
-    replicas: Vec<ReplicaRecord>,
+    replicas: Vec<FourthReplicaRecord>,
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
@@ -66,7 +67,7 @@
     table: Option<SecondRouteTable>,
     document: Vec<u8>,
     table_at: LogIndex,
-    replicas: Vec<ReplicaRecord>,
+    replicas: Vec<FourthReplicaRecord>,
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
@@ -91,6 +92,7 @@
             completion_ms: second.completion_ms,
             give_up_ms: second.give_up_ms,
             max_queued_tokens: second.max_queued_tokens,
+            homes: Vec::new(),
         }
     }
 }
@@ -100,7 +102,7 @@
         RouteTable {
             version: second.version,
             routes: second.routes.into_iter().map(Route::from).collect(),
-            services: second.services,
+            services: second.services.into_iter().map(Into::into).collect(),
             limits: second.limits,
         }
     }
@@ -141,12 +143,17 @@
             table: third.table.map(RouteTable::from),
             document: third.document,
             table_at: third.table_at,
-            replicas: third.replicas,
+            replicas: third
+                .replicas
+                .into_iter()
+                .map(ReplicaRecord::from)
+                .collect(),
             store: third.store,
             store_at: third.store_at,
             changed_at: third.changed_at,
             suspicions: third.suspicions,
             tenants: TenantsUpdate::default(),
+            evacuations: Vec::new(),
         }
     }
 }
--- a/crates/registry/src/sequence.rs
+++ b/crates/registry/src/sequence.rs
@@ -99,6 +99,8 @@
             slots: 0,
             state: ReplicaState::Draining,
             sequence: u64::MAX,
+            born: 0,
+            cold_ms: 0,
         },
         changed_at: LogIndex(0),
     }
--- a/crates/registry/src/update.rs
+++ b/crates/registry/src/update.rs
@@ -5,7 +5,8 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
-    registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable, suspicion::Suspicion,
+    evacuations::EvacuationRecord, registry::StoreMembers, replica::ReplicaRecord,
+    routes::RouteTable, suspicion::Suspicion,
 };
 
 /// The parts of the registry that changed after an entry.
@@ -23,6 +24,8 @@
     pub store_at: LogIndex,
     /// Requests under which replicas ended, as far as that changed.
     pub suspicions: Vec<Suspicion>,
+    /// Zones that were evacuated, or are no longer, as far as that changed.
+    pub evacuations: Vec<EvacuationRecord>,
     /// The newest change that this update covers.
     pub upto: LogIndex,
 }
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -6,8 +6,8 @@
 use linnethitch_tenants::TenantDirectory;
 
 use crate::{
-    registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable, suspicion::Suspicions,
-    update::FleetUpdate,
+    evacuations::Evacuations, registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable,
+    suspicion::Suspicions, update::FleetUpdate,
 };
 
 /// Gone replicas kept, so that an older update cannot bring them back.
@@ -22,6 +22,7 @@
     store: StoreMembers,
     store_at: LogIndex,
     suspicions: Suspicions,
+    evacuations: Evacuations,
     upto: LogIndex,
 }
 
@@ -62,6 +63,12 @@
         &self.suspicions
     }
 
+    /// Zones to whose replicas nothing more is sent.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// The newest change known here.
     #[must_use]
     pub fn upto(&self) -> LogIndex {
@@ -94,6 +101,9 @@
         for suspicion in update.suspicions {
             changed |= self.suspicions.take(suspicion);
         }
+        for record in update.evacuations {
+            changed |= self.evacuations.take(record);
+        }
         self.upto = self.upto.max(update.upto);
         changed
     }
--- /dev/null
+++ b/crates/registry/tests/all/fourth_layout.rs
@@ -0,0 +1,71 @@
+//! Values as the first and fourth layouts store them stay readable.
+
+use linnethitch_group::{StateMachine, WholeSnapshot};
+use linnethitch_registry::{Registry, RegistryCommand, ReplicaState};
+use linnethitch_tenants::KeyDigest;
+
+use crate::support::{hex_bytes, store_snapshot};
+
+/// A configuration: its route, service and tenant have no homes, and no replica is cold.
+const CONFIGURATION: &str = "046465736b2e6578616d706c657261746573ffffff0100000061ffffffffffffff8c000000e0ffffff2f612f\
+    ffffffffff0000000000000000a00f0000000000002c0100000000000000010000c0ffffff01000000010000\
+    0000000000000000000000000000000000000000000000000000000000000000000900000000000000726174\
+    6573ffffff2f6865616c7468ff64000000000000000000000000000000000000000000000000000000000000\
+    002c70e12b7a0646f92279f427c7b38e7361ffffffffffffffe8ffffff010000000101000000000000010000\
+    000000000010270000000000008813000000000000646f630001000000c8ffffff01000000f0ffffff030000\
+    000000000000000000070000000000000000ffffff0100000060ffffff010000000040000000004000b80b00\
+    0000000000983a000000000000b4ffffff00000000";
+/// A replica that tells neither which start of its speaks nor that it is cold.
+const REPLICA: &str = "0131302e302e302e313a3830776f72636573746572000000000100000000000000692d37ffffffffff726174\
+    6573ffffff8b000000d0ffffff89000000d3ffffff0600000001000000040000000000000000000000000000\
+    00";
+/// A registry that holds both.
+const SNAPSHOT: &str = "046465736b2e6578616d706c657261746573ffffff0100000061ffffffffffffff8c000000e0ffffff2f612f\
+    ffffffffff0000000000000000a00f0000000000002c0100000000000000010000c0ffffff01000000010000\
+    0000000000000000000000000000000000000000000000000000000000000000000900000000000000726174\
+    6573ffffff2f6865616c7468ff64000000000000000000000000000000000000000000000000000000000000\
+    00646f6331302e302e302e313a3830776f7263657374657200692d37ffffffffff7261746573ffffff8b0000\
+    00dbffffff89000000deffffff0600000001000000040000000000000002000000000000002c70e12b7a0646\
+    f92279f427c7b38e7361ffffffffffffff010000000000000061ffffffffffffffd8ffffff01000000010100\
+    0000000000010000000000000010270000000000008813000000000000010000000000000001000000000000\
+    000700000000000000b0feffff0100000010ffffff010000000040000000004000b80b000000000000983a00\
+    000000000020ffffff03000000010000000000000028ffffff0100000058ffffff0000000050ffffff000000\
+    000000000000000000020000000000000038ffffff0000000001000000000000000100000000000000010000\
+    002cffffff0100000000000000";
+
+#[test]
+fn a_configuration_without_homes_is_read() {
+    let read = RegistryCommand::from_stored(&hex_bytes(CONFIGURATION)).expect("it is read");
+    let RegistryCommand::PutConfiguration { table, declared } = read else {
+        panic!("it is a configuration: {read:?}");
+    };
+    let route = &table.routes[0];
+    assert_eq!((route.public, route.max_queued_tokens), (true, 9));
+    assert!(route.homes.is_empty());
+    assert_eq!(table.services[0].cold, None);
+    let tenants = declared.tenants.expect("they are listed");
+    assert_eq!(tenants[0].keys, [KeyDigest::of("key")]);
+    assert!(tenants[0].homes.is_empty());
+}
+
+#[test]
+fn a_replica_without_starts_is_read() {
+    let read = RegistryCommand::from_stored(&hex_bytes(REPLICA)).expect("it is read");
+    let RegistryCommand::Replica(change) = read else {
+        panic!("it is a replica: {read:?}");
+    };
+    assert_eq!((change.id.as_str(), change.sequence), ("i-7", 4));
+    assert_eq!(change.state, ReplicaState::Draining);
+    assert_eq!((change.born, change.cold_ms), (0, 0));
+}
+
+#[test]
+fn a_snapshot_without_evacuations_is_read() {
+    let snapshot = WholeSnapshot::new(hex_bytes(SNAPSHOT));
+    let restored = Registry::from_snapshot(store_snapshot(snapshot)).expect("it is read");
+    assert_eq!(restored.table().map(|table| table.version), Some(7));
+    let replica = restored.replica("i-7").expect("it is held");
+    assert_eq!((replica.told.slots, replica.told.born), (6, 0));
+    assert!(restored.tenants().holder(&KeyDigest::of("key")).is_some());
+    assert_eq!(restored.evacuations().zones().count(), 0);
+}
--- a/crates/registry/tests/all/support.rs
+++ b/crates/registry/tests/all/support.rs
@@ -46,6 +46,7 @@
         completion_ms: 0,
         give_up_ms: 0,
         max_queued_tokens: 0,
+        homes: Vec::new(),
     }
 }
 
@@ -58,6 +59,7 @@
             health_path: "/health".to_owned(),
             max_connections: 100,
             engine: None,
+            cold: None,
         }],
         limits: CallerLimits {
             header_bytes: 16_384,
@@ -82,6 +84,8 @@
         slots: 6,
         state,
         sequence,
+        born: 0,
+        cold_ms: 0,
     }
 }
 
@@ -124,3 +128,12 @@
         self.registry.replica(id).map(|record| record.told.state)
     }
 }
+
+/// The bytes that hexadecimal digits name.
+pub(crate) fn hex_bytes(text: &str) -> Vec<u8> {
+    let pairs = text.as_bytes().chunks(2);
+    let digits = pairs.map(|pair| std::str::from_utf8(pair).expect("ASCII"));
+    digits
+        .map(|digits| u8::from_str_radix(digits, 16).expect("hexadecimal"))
+        .collect()
+}
--- a/crates/registry/tests/all/tenants.rs
+++ b/crates/registry/tests/all/tenants.rs
@@ -13,6 +13,7 @@
         keys: vec![KeyDigest::of(key)],
         rank: Some(1),
         quota: None,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/relay/tests/all/keys.rs
+++ b/crates/relay/tests/all/keys.rs
@@ -20,6 +20,7 @@
         keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
         rank: None,
         quota,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/routing/tests/all/quota/model.rs
+++ b/crates/routing/tests/all/quota/model.rs
@@ -566,5 +566,6 @@
         keys: vec![KeyDigest::of("key")],
         rank: None,
         quota: QuotaLimit::new(rate, burst).expect("it is a limit"),
+        homes: Vec::new(),
     }
 }
--- a/crates/tenants/src/tenant.rs
+++ b/crates/tenants/src/tenant.rs
@@ -90,4 +90,6 @@
     pub rank: Option<u8>,
     /// What it may use; `None` where there is no limit.
     pub quota: Option<QuotaLimit>,
+    /// Regions in which its requests may be served, cached and stored; empty where any may.
+    pub homes: Vec<String>,
 }
--- a/crates/tenants/tests/all/main.rs
+++ b/crates/tenants/tests/all/main.rs
@@ -12,5 +12,6 @@
         keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
         rank: None,
         quota: QuotaLimit::new(10.0, 5.0).expect("it is a limit"),
+        homes: Vec::new(),
     }
 }
