Fleet file: a zone may be evacuated

Cause: operators of the product's own interface apply files; they had no way to take the work of a zone away at once. Change: zone.evacuated in the fleet file, so that an evacuation is replicated, resent, raced and restored like every change. The router gives the zone's replicas nothing new (reason zone_evacuated), batch runs there give way, control grants no capacity there, status names the zones, the simulator's operators evacuate and restore one.

--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -36,6 +36,9 @@
     pub(crate) members: Vec<Member>,
     pub(crate) gateways: Vec<Gateway>,
     pub(crate) replicas: Vec<Replica>,
+    /// Missing where control is of an earlier build.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) evacuated_zones: Vec<String>,
     pub(crate) open_jobs: u64,
     pub(crate) pending_items: u64,
     pub(crate) leased_items: u64,
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -25,6 +25,10 @@
 }
 
 fn render(status: &Status) -> String {
+    let evacuated = match status.evacuated_zones.as_slice() {
+        [] => String::new(),
+        zones => format!("evacuated zones: {}\n", zones.join(", ")),
+    };
     let summary = format!(
         "revision {}; in force: lowest {}, highest {}\nbatch: {} open jobs, {} items pending, {} leased\n",
         status.revision,
@@ -40,7 +44,7 @@
         ("replicas", replicas(status)),
     ];
     let sections = sections.map(|(title, table)| format!("\n{title}\n{table}"));
-    summary + &sections.concat()
+    summary + &evacuated + &sections.concat()
 }
 
 fn members(status: &Status) -> Table {
--- a/crates/cli/tests/all/status.rs
+++ b/crates/cli/tests/all/status.rs
@@ -6,7 +6,7 @@
 };
 
 const STATUS: &str = r#"{
-    "revision": 12, "lowest_in_force": 11, "highest_in_force": 12,
+    "revision": 12, "evacuated_zones": ["portland"], "lowest_in_force": 11, "highest_in_force": 12,
     "members": [
         {"machine": 1, "disk": "00000000000000ab", "voter": true, "leader": true, "matched": 90, "silent_ms": 0},
         {"machine": 2, "disk": "00000000000000cd", "voter": false, "leader": false, "matched": 7, "silent_ms": 1500}
@@ -24,6 +24,7 @@
     assert_eq!(finished.status, 0, "{}", finished.errors);
     for line in [
         "revision 12; in force: lowest 11, highest 12",
+        "evacuated zones: portland",
         "batch: 2 open jobs, 300 items pending, 4 leased",
         "  machine  disk              role     synced to  silent",
         "  1        00000000000000ab  leader   90         0 ms",
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -48,6 +48,17 @@
     pub name: String,
     /// The region that it is in.
     pub region: String,
+    /// Whether nothing new is sent to its replicas.
+    #[serde(default)]
+    pub evacuated: bool,
+}
+
+impl Fleet {
+    /// Names of the zones to whose replicas nothing new is sent.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &str> {
+        let evacuated = self.zones.iter().filter(|zone| zone.evacuated);
+        evacuated.map(|zone| zone.name.as_str())
+    }
 }
 
 /// A model and the engines that serve it.
--- a/crates/control/src/soft_state/grants.rs
+++ b/crates/control/src/soft_state/grants.rs
@@ -127,6 +127,8 @@
         let model = info.engine.model.as_ref();
         model.is_some_and(|model| names.contains(&model.as_str()))
     });
+    let evacuated: Vec<&str> = rules.evacuated_zones().collect();
+    let engines = engines.filter(|info| !evacuated.contains(&info.machine.zone.as_str()));
     let engines = engines.filter_map(|info| batch_replica(info, fleet));
     engines.collect()
 }
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -86,6 +86,8 @@
         let mut core = self.core.lock();
         core.policy = fleet.routing.clone();
         core.router.view_mut().set_policy(fleet.routing.clone());
+        let evacuated = fleet.evacuated_zones().map(ZoneId::from);
+        core.router.view_mut().set_evacuated_zones(evacuated);
         core.budget.set_policy(&fleet.routing);
         core.limits
             .set_tenants(fleet.tenants.iter().map(AsRef::as_ref));
--- a/crates/ledger/src/queries.rs
+++ b/crates/ledger/src/queries.rs
@@ -173,7 +173,10 @@
     }
 
     fn status(&self) -> FleetStatus {
+        let fleet = self.fleet();
+        let evacuated = fleet.iter().flat_map(|fleet| fleet.evacuated_zones());
         FleetStatus {
+            evacuated_zones: evacuated.map(str::to_owned).collect(),
             revision: self.configuration.state.revision,
             open_jobs: self.open_jobs as u64,
             pending_items: self.scheduler.pending().map(|(_, count)| count).sum(),
--- a/crates/ledger/tests/all/configuration.rs
+++ b/crates/ledger/tests/all/configuration.rs
@@ -131,3 +131,21 @@
         Some(Vec::new())
     );
 }
+
+/// An operator evacuates a zone, and takes that back, by the fleet file.
+#[rstest]
+fn a_status_names_the_evacuated_zones(#[values(0, 1)] snapshots: usize) {
+    let mut fixture = Fixture::new();
+    let mut evacuated = |revision: u64, content: &str| {
+        fixture.configure(&format!("change-{revision}"), revision, content);
+        (0..snapshots).for_each(|_| fixture.through_snapshot());
+        match fixture.ledger.query(&Query::Status) {
+            Ok(QueryAnswer::Status(status)) => status.evacuated_zones,
+            other => panic!("{other:?}"),
+        }
+    };
+    let region = "region = \"new-england\"\n";
+    let order = FLEET.replace(region, &format!("{region}evacuated = true\n"));
+    assert_eq!(evacuated(1, &order), ["worcester"]);
+    assert!(evacuated(2, FLEET).is_empty());
+}
--- a/crates/protocol/src/query.rs
+++ b/crates/protocol/src/query.rs
@@ -196,6 +196,8 @@
     pub gateways: Vec<GatewayStatus>,
     /// Replicas.
     pub replicas: Vec<ReplicaStatus>,
+    /// Zones to whose replicas nothing new is sent.
+    pub evacuated_zones: Vec<String>,
     /// Jobs not yet at an end.
     pub open_jobs: u64,
     /// Items pending.
--- a/crates/routing/src/reason.rs
+++ b/crates/routing/src/reason.rs
@@ -48,6 +48,8 @@
     AllEjected => "all_ejected";
     /// The model or service has no replica at all.
     UnknownTarget => "unknown_target";
+    /// The replica's zone is evacuated, or those of all replicas that serve the target.
+    ZoneEvacuated => "zone_evacuated";
     /// Replicas exist, but each is leaving, has failed or was already tried.
     NoReplicaTakesWork => "no_replica_takes_work";
     /// No replica has loaded the version or adapter.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -122,7 +122,7 @@
         let chosen = self
             .prefer(local, remote)
             .or_else(|| self.last_resort(now, pool, profile, rng))
-            .ok_or_else(|| self.why_none(pool, profile))?;
+            .ok_or_else(|| self.why_none(now, pool, profile))?;
         self.check_deadline(now, profile, &chosen)?;
         Ok(Choice {
             replica: chosen.replica,
@@ -366,16 +366,21 @@
             })
     }
 
-    fn why_none(&self, pool: &Pool, profile: &RequestProfile<'_>) -> NoChoice {
-        let loaded = pool.all().iter().any(|member| {
-            self.view
-                .replica(*member)
-                .serves(&profile.target, profile.phase)
-        });
-        refused(if loaded {
-            ReasonCode::NoReplicaTakesWork
+    fn why_none(&self, now: Timestamp, pool: &Pool, profile: &RequestProfile<'_>) -> NoChoice {
+        let serves = |member: &ReplicaIndex| {
+            let replica = self.view.replica(*member);
+            replica.serves(&profile.target, profile.phase)
+        };
+        let mut loaded = pool.all().iter().copied().filter(serves).peekable();
+        if loaded.peek().is_none() {
+            return refused(ReasonCode::NotLoaded);
+        }
+        let is_evacuated =
+            |member| self.view.standing(now, member) == Standing::Out(ReasonCode::ZoneEvacuated);
+        refused(if loaded.all(is_evacuated) {
+            ReasonCode::ZoneEvacuated
         } else {
-            ReasonCode::NotLoaded
+            ReasonCode::NoReplicaTakesWork
         })
     }
 
--- a/crates/routing/src/view/mod.rs
+++ b/crates/routing/src/view/mod.rs
@@ -6,7 +6,7 @@
 mod replica;
 mod steps;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use linnethitch_config::fleet::RoutingPolicy;
 use linnethitch_protocol::{
@@ -107,6 +107,8 @@
 pub struct FleetView {
     own_zone: ZoneId,
     policy: RoutingPolicy,
+    /// Zones to whose replicas nothing new goes.
+    evacuated: BTreeSet<ZoneId>,
     names: Names,
     numbers: HashMap<ReplicaId, ReplicaIndex>,
     replicas: Vec<ReplicaView>,
@@ -121,6 +123,7 @@
         FleetView {
             own_zone,
             policy,
+            evacuated: BTreeSet::new(),
             names: Names::default(),
             numbers: HashMap::new(),
             replicas: Vec::new(),
@@ -134,6 +137,12 @@
         self.policy = policy;
     }
 
+    /// Takes over the zones that a new configuration says are evacuated: their replicas are
+    /// given nothing new, and what is known of them stays.
+    pub fn set_evacuated_zones(&mut self, zones: impl IntoIterator<Item = ZoneId>) {
+        self.evacuated = zones.into_iter().collect();
+    }
+
     /// The routing rules in force.
     #[must_use]
     pub fn policy(&self) -> &RoutingPolicy {
@@ -251,7 +260,11 @@
     /// Whether the replica may get new work now, and if not, why.
     #[must_use]
     pub fn standing(&self, now: Timestamp, index: ReplicaIndex) -> Standing {
-        self.replicas[index.slot()].standing(now, &self.policy)
+        let replica = &self.replicas[index.slot()];
+        if self.evacuated.contains(&replica.info.machine.zone) {
+            return Standing::Out(ReasonCode::ZoneEvacuated);
+        }
+        replica.standing(now, &self.policy)
     }
 
     /// Prefixes that this gateway sent to replicas or heard of in cache events.
--- /dev/null
+++ b/crates/routing/tests/all/evacuation.rs
@@ -0,0 +1,81 @@
+//! Zones that the fleet file says are evacuated.
+
+use linnethitch_protocol::ids::ZoneId;
+use linnethitch_routing::{
+    Class, ReasonCode, Router,
+    batch::yielding::{BatchCapacity, YieldSettings},
+    view::{FailureKind, Standing},
+};
+use rstest::rstest;
+
+use crate::fixture::{NOW, engine, index, name_of, request, rng, router, work};
+
+fn evacuate(router: &mut Router, zones: &[&str]) {
+    let zones = zones.iter().copied().map(ZoneId::from);
+    router.view_mut().set_evacuated_zones(zones);
+}
+
+#[rstest]
+#[case::own_zone(&["a"], Ok("b1"))]
+#[case::other_zone(&["b"], Ok("a1"))]
+#[case::all(&["a", "b"], Err(ReasonCode::ZoneEvacuated))]
+fn nothing_new_goes_to_an_evacuated_zone(
+    #[case] zones: &[&str],
+    #[case] expected: Result<&str, ReasonCode>,
+) {
+    let mut router = router([engine("a1", "a"), engine("b1", "b")]);
+    evacuate(&mut router, zones);
+    let chosen = router.choose(NOW, &request(), &mut rng());
+    let chosen = chosen.map(|choice| name_of(&router, choice.replica));
+    let chosen = chosen.map_err(|refused| refused.reason);
+    assert_eq!(chosen, expected.map(str::to_owned));
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    let mut router = router([engine("a1", "a")]);
+    evacuate(&mut router, &["a"]);
+    let refused = router.choose(NOW, &request(), &mut rng());
+    assert!(refused.expect_err("refused").retry_after_ms.is_some());
+}
+
+#[test]
+fn an_evacuated_replica_is_no_last_resort() {
+    let mut router = router([engine("a1", "a"), engine("b1", "b")]);
+    let failing = index(&router, "b1");
+    let kind = FailureKind::Unreachable;
+    router.view_mut().on_replica_failure(NOW, failing, kind);
+    evacuate(&mut router, &["a"]);
+    let choice = router.choose(NOW, &request(), &mut rng()).expect("one");
+    assert_eq!(choice.replica, failing);
+}
+
+#[test]
+fn what_is_taken_back_serves_again_as_it_was() {
+    let mut router = router([engine("a1", "a")]);
+    let replica = index(&router, "a1");
+    evacuate(&mut router, &["a"]);
+    let standing = router.view().standing(NOW, replica);
+    assert_eq!(standing, Standing::Out(ReasonCode::ZoneEvacuated));
+    evacuate(&mut router, &[]);
+    let standing = router.view().standing(NOW, replica);
+    assert_eq!(standing, Standing::Available(1.0));
+}
+
+#[test]
+fn batch_work_leaves_an_evacuated_zone() {
+    let mut router = router([engine("a1", "a")]);
+    let replica = index(&router, "a1");
+    let mut capacity = BatchCapacity::new(YieldSettings::default());
+    capacity.on_grant(NOW, replica, 4, 2_000);
+    let ticket = router
+        .view_mut()
+        .on_sent(NOW, replica, work(Class::Batch, 50), &[]);
+    evacuate(&mut router, &["a"]);
+    let room = capacity.room(NOW, router.view(), replica);
+    assert_eq!(
+        (room.sequences, room.reason),
+        (0, ReasonCode::ZoneEvacuated)
+    );
+    router.view_mut().on_cancelled(NOW, ticket);
+}
--- a/crates/simulator/src/actors/fleet_text.rs
+++ b/crates/simulator/src/actors/fleet_text.rs
@@ -5,8 +5,9 @@
 /// The tenant of all jobs and requests.
 pub(crate) const TENANT: &str = "acme";
 
-/// A valid fleet file that differs by its note and by a limit.
+/// A valid fleet file that differs by its note and by whether a zone is evacuated.
 pub(crate) fn fleet_text(note: &str) -> String {
+    let evacuated = note.len() % 2 == 0;
     format!(
         r#"# {note}
 name = "simulated"
@@ -15,6 +16,11 @@
 name = "worcester"
 region = "new-england"
 
+[[zone]]
+name = "portland"
+region = "new-england"
+evacuated = {evacuated}
+
 [[model]]
 name = "{MODEL}"
 version = "1"
