Control keeps which gateways there are, over its restarts

Cause: what control knew of gateways came from its connections alone.

The leader commits changes of the set, at most every 200 ms; one that stopped leaves after 2 s, a silent one after 10 s. A known gateway that a member has not heard since its start counts as silent for 10 s. A connection that ends after 1.2 s of silence is a cut, not a stop.

The model did not have control's record; it does now what the product does: the record outlasts control's restart, a gateway that ended is forgotten 2 s after, one that is not heard is silent for 10 s. A gateway that is cut off no longer announces itself to control in the model (it did, which was too kind), but says so when it is back. The bound is untouched. The random plays left out cuts beside a restart of control; they no longer do.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -315,7 +315,11 @@
     async fn take_messages(self, mut inbox: mpsc::Receiver<Inbound>) {
         while let Some(inbound) = inbox.recv().await {
             match inbound {
-                Inbound::Closed(hello) => self.shared.presence.lock().lose(&hello),
+                Inbound::Closed { hello, fell_silent } => {
+                    let now_ms = self.clock.now_ms();
+                    let mut presence = self.shared.presence.lock();
+                    presence.lose(&hello, fell_silent, now_ms);
+                }
                 Inbound::Message {
                     from,
                     message,
@@ -424,8 +428,10 @@
             .map(|group| group.machines.iter().copied().collect())
             .unwrap_or_default(),
         gateways: heard_of_all.then(|| presence.gateways().ready(now_ms).into_iter().collect()),
-        coordinators: presence.coordinators(now_ms).into_iter().collect(),
-        silent_coordinators: presence.silent_coordinators(now_ms).into_iter().collect(),
+        coordinators: presence.coordinators().present(now_ms),
+        silent_coordinators: presence
+            .coordinators()
+            .silent(view.registry.gateways(), now_ms),
     }
 }
 
--- /dev/null
+++ b/crates/cluster/src/coordinators.rs
@@ -0,0 +1,102 @@
+//! Gateways that coordinate slots and share the counts of tenants' limits: those that are
+//! heard of, those that fell silent and may go on, and those that stopped.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use linnethitch_protocol::ids::MachineId;
+use linnethitch_registry::{KnownGateways, READY_FOR_MS};
+
+/// A coordinating gateway that fell silent without its connection ending may be cut off and
+/// go on, for so long, in milliseconds. A cut lasts seconds.
+const CUT_OFF_MS: u64 = 10_000;
+/// A gateway that stopped is taken off the registry's record after this, in milliseconds:
+/// one that is restarted in its place is back by then, and costs no commit.
+const STOPPED_FOR_MS: u64 = 2_000;
+
+/// How the registry's record of gateways is to change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct GatewaysChange {
+    pub(crate) joined: Vec<MachineId>,
+    pub(crate) left: Vec<MachineId>,
+}
+
+/// Gateways as one control member hears them. Times are in milliseconds since its start.
+#[derive(Default)]
+pub(crate) struct Coordinators {
+    /// When each was last heard of.
+    heard: BTreeMap<MachineId, u64>,
+    /// Those that said that they stop, or whose connection ended, and when.
+    stopped: BTreeMap<MachineId, u64>,
+}
+
+impl Coordinators {
+    /// Notes that a gateway coordinates; true when it did not before.
+    pub(crate) fn note(&mut self, machine: MachineId, now_ms: u64) -> bool {
+        self.stopped.remove(&machine);
+        self.heard.insert(machine, now_ms).is_none()
+    }
+
+    /// Notes that a gateway no longer coordinates; true when it did before.
+    pub(crate) fn stop(&mut self, machine: MachineId, now_ms: u64) -> bool {
+        self.forget_old(now_ms);
+        self.stopped.entry(machine).or_insert(now_ms);
+        self.heard.remove(&machine).is_some()
+    }
+
+    /// Those that are heard of.
+    pub(crate) fn present(&self, now_ms: u64) -> BTreeSet<MachineId> {
+        let heard = self.heard.iter();
+        heard
+            .filter(|(_, at_ms)| now_ms.saturating_sub(**at_ms) <= READY_FOR_MS)
+            .map(|(machine, _)| *machine)
+            .collect()
+    }
+
+    /// Those that fell silent, and known ones that have not been heard of since this
+    /// member's start: they may be cut off and go on.
+    pub(crate) fn silent(&self, known: &KnownGateways, now_ms: u64) -> BTreeSet<MachineId> {
+        let present = self.present(now_ms);
+        let heard = self.heard.keys().copied();
+        let all = heard.chain(known.machines());
+        all.filter(|machine| !present.contains(machine))
+            .filter(|machine| !self.stopped.contains_key(machine))
+            .filter(|machine| self.silent_ms(*machine, now_ms) <= CUT_OFF_MS)
+            .collect()
+    }
+
+    /// What the registry's record lacks, and what it is to forget; `None` where it holds.
+    pub(crate) fn change_of(&self, known: &KnownGateways, now_ms: u64) -> Option<GatewaysChange> {
+        let present = self.present(now_ms).into_iter();
+        let change = GatewaysChange {
+            joined: present
+                .filter(|machine| !known.contains(*machine))
+                .collect(),
+            left: known
+                .machines()
+                .filter(|machine| self.has_left(*machine, now_ms))
+                .collect(),
+        };
+        let is_empty = change.joined.is_empty() && change.left.is_empty();
+        (!is_empty).then_some(change)
+    }
+
+    fn has_left(&self, machine: MachineId, now_ms: u64) -> bool {
+        match self.stopped.get(&machine) {
+            Some(stopped_ms) => now_ms.saturating_sub(*stopped_ms) > STOPPED_FOR_MS,
+            None => self.silent_ms(machine, now_ms) > CUT_OFF_MS,
+        }
+    }
+
+    /// How long a gateway has been silent: since this member's start at most.
+    fn silent_ms(&self, machine: MachineId, now_ms: u64) -> u64 {
+        let heard_ms = self.heard.get(&machine).copied().unwrap_or(0);
+        now_ms.saturating_sub(heard_ms)
+    }
+
+    /// Drops those that counted neither as silent nor as stopped any more.
+    fn forget_old(&mut self, now_ms: u64) {
+        let is_recent = |at_ms: &u64| now_ms.saturating_sub(*at_ms) <= CUT_OFF_MS;
+        self.heard.retain(|_, at_ms| is_recent(at_ms));
+        self.stopped.retain(|_, at_ms| is_recent(at_ms));
+    }
+}
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -4,6 +4,7 @@
 
 use linnethitch_clock::{Instant, sleep_until};
 use linnethitch_protocol::ids::{CallId, MachineId};
+use linnethitch_registry::READY_FOR_MS;
 use linnethitch_transport::{Connection, Listener, MessageReceiver, MessageSender, SendRefused};
 use slog::{Logger, info};
 use tokio::sync::mpsc;
@@ -30,7 +31,12 @@
         answers: Option<Answers>,
     },
     /// A connection that another node opened has ended.
-    Closed(NodeHello),
+    Closed {
+        /// What the node said last.
+        hello: NodeHello,
+        /// It had not been heard of for a while: it may be cut off and go on.
+        fell_silent: bool,
+    },
 }
 
 /// Answers the calls of one connection.
@@ -81,9 +87,14 @@
     };
     info!(logger, "node connected"; "node" => &peer.hello.name, "upto" => peer.hello.upto.0);
     let end = peer.run(&mut receiver, pulses).await;
+    let silent_ms = receiver.silent_for().as_millis() as u64;
     info!(logger, "node lost"; "node" => &peer.hello.name, "cause" => end.to_string(),
-        "silent_ms" => receiver.silent_for().as_millis() as u64, "told" => peer.told.upto().0);
-    let _ = peer.inbox.send(Inbound::Closed(peer.hello)).await;
+        "silent_ms" => silent_ms, "told" => peer.told.upto().0);
+    let closed = Inbound::Closed {
+        hello: peer.hello,
+        fell_silent: silent_ms > READY_FOR_MS,
+    };
+    let _ = peer.inbox.send(closed).await;
 }
 
 /// The node at the other end.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod connection_end;
 mod control;
+mod coordinators;
 mod driver;
 mod gateway;
 mod incoming;
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeMap;
 
 use linnethitch_protocol::ids::{MachineId, MemberId};
-use linnethitch_registry::{DirectoryNode, NodeList, READY_FOR_MS};
+use linnethitch_registry::{DirectoryNode, NodeList};
 
-use crate::message::{NodeHello, NodeRole, PresentStore, StoreGroupView};
+use crate::{
+    coordinators::Coordinators,
+    message::{NodeHello, NodeRole, PresentStore, StoreGroupView},
+};
 
 /// A control member or store counts as present for this long, in milliseconds.
 const PRESENT_MS: u64 = 2_500;
@@ -15,16 +18,11 @@
     at_ms: u64,
 }
 
-/// A coordinating gateway that fell silent without its connection ending may be cut off and
-/// go on, for so long, in milliseconds. A cut lasts seconds.
-const CUT_OFF_MS: u64 = 10_000;
-
 /// Gateways, stores and control members that were heard of.
 #[derive(Default)]
 pub(crate) struct Presence {
     gateways: NodeList,
-    /// Gateways that coordinate slots, and when they said so.
-    coordinators: BTreeMap<MachineId, u64>,
+    coordinators: Coordinators,
     stores: BTreeMap<MachineId, Heard>,
     control: BTreeMap<MachineId, u64>,
     /// When the newest store appeared.
@@ -45,33 +43,20 @@
         }
     }
 
-    /// Notes that a node's connection ended.
-    pub(crate) fn lose(&mut self, hello: &NodeHello) {
+    /// Notes that a node's connection ended. One that had fallen silent may be cut off and
+    /// go on; any other has stopped.
+    pub(crate) fn lose(&mut self, hello: &NodeHello, fell_silent: bool, now_ms: u64) {
         if let Some(address) = &hello.callers {
             self.gateways.lose(address);
         }
-        self.coordinators.remove(&hello.machine);
-    }
-
-    /// Gateways that coordinate slots, in a fixed order.
-    pub(crate) fn coordinators(&self, now_ms: u64) -> Vec<MachineId> {
-        let heard = self.coordinators.iter();
-        heard
-            .filter(|(_, at_ms)| now_ms.saturating_sub(**at_ms) <= READY_FOR_MS)
-            .map(|(machine, _)| *machine)
-            .collect()
+        if hello.coordinates && !fell_silent {
+            self.coordinators.stop(hello.machine, now_ms);
+        }
     }
 
-    /// Gateways that coordinated slots and fell silent: they may be cut off and go on.
-    pub(crate) fn silent_coordinators(&self, now_ms: u64) -> Vec<MachineId> {
-        let heard = self.coordinators.iter();
-        heard
-            .filter(|(_, at_ms)| {
-                let silent_ms = now_ms.saturating_sub(**at_ms);
-                silent_ms > READY_FOR_MS && silent_ms <= CUT_OFF_MS
-            })
-            .map(|(machine, _)| *machine)
-            .collect()
+    /// Gateways that coordinate slots.
+    pub(crate) fn coordinators(&self) -> &Coordinators {
+        &self.coordinators
     }
 
     pub(crate) fn gateways(&self) -> &NodeList {
@@ -124,9 +109,9 @@
 
     fn note_coordinator(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
         if !hello.coordinates {
-            return self.coordinators.remove(&hello.machine).is_some();
+            return self.coordinators.stop(hello.machine, now_ms);
         }
-        self.coordinators.insert(hello.machine, now_ms).is_none()
+        self.coordinators.note(hello.machine, now_ms)
     }
 
     fn note_store(&mut self, hello: NodeHello, now_ms: u64) -> bool {
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -10,7 +10,9 @@
 
 use linnethitch_group::{CallFailure, GroupMember};
 use linnethitch_protocol::ids::{LogIndex, MachineId, MemberId};
-use linnethitch_registry::{Registry, RegistryAnswer, RegistryCommand, RequestFingerprint};
+use linnethitch_registry::{
+    KnownGateways, Registry, RegistryAnswer, RegistryCommand, RequestFingerprint,
+};
 use parking_lot::Mutex;
 use slog::{Logger, info};
 use tokio::sync::watch;
@@ -18,6 +20,7 @@
 use crate::{
     driver::{Begin, GroupService, Now},
     message::{RegistryCall, RegistryReply},
+    node::address_of,
     presence::Presence,
 };
 
@@ -34,6 +37,9 @@
 /// What the group said of its view counts for so long, in milliseconds: it says it with
 /// every tick of its clock, and the leader is heard of within a second by then.
 const NOTED_FOR_MS: u64 = 1_000;
+/// The record of gateways is changed this often at most, in milliseconds: a start of the
+/// whole fleet is a few commits, not one for each gateway.
+const GATEWAYS_INTERVAL_MS: u64 = 200;
 /// The job store is formed once no further member has appeared for this long.
 const STORE_FORMING_MS: u64 = 400;
 
@@ -73,6 +79,8 @@
     alive: BTreeMap<String, u64>,
     /// Entries that changed suspicions last, and when this leader first saw them.
     suspected: BTreeMap<RequestFingerprint, (LogIndex, u64)>,
+    /// When this leader last proposed another record of gateways.
+    gateways_proposed_ms: u64,
     led: bool,
     is_current: bool,
     store_voters: usize,
@@ -85,6 +93,7 @@
             shared,
             alive: BTreeMap::new(),
             suspected: BTreeMap::new(),
+            gateways_proposed_ms: 0,
             led: false,
             is_current: false,
             store_voters,
@@ -167,6 +176,28 @@
         (!old.is_empty()).then_some(RegistryCommand::EaseSuspicions(old))
     }
 
+    /// Gateways that came, and that stopped or were silent for long.
+    fn other_gateways(&mut self, registry: &Registry, now_ms: u64) -> Option<RegistryCommand> {
+        if now_ms < self.gateways_proposed_ms + GATEWAYS_INTERVAL_MS {
+            return None;
+        }
+        let presence = self.shared.presence.lock();
+        let coordinators = presence.coordinators();
+        let change = coordinators.change_of(registry.gateways(), now_ms)?;
+        self.gateways_proposed_ms = now_ms;
+        Some(RegistryCommand::GatewaysChanged {
+            joined: change.joined,
+            left: change.left,
+        })
+    }
+
+    fn log_gateways(&self, before: &KnownGateways, now: &KnownGateways) {
+        let joined = now.machines().filter(|machine| !before.contains(*machine));
+        let left = before.machines().filter(|machine| !now.contains(*machine));
+        info!(self.logger, "known gateways changed"; "joined" => addresses(joined),
+            "left" => addresses(left), "known" => now.machines().count());
+    }
+
     fn store_to_form(&self, registry: &Registry, now_ms: u64) -> Option<RegistryCommand> {
         if !registry.store().first.is_empty() {
             return None;
@@ -245,6 +276,7 @@
         let registry = member.state();
         let mut commands = self.silent_replicas(registry, now.steady_ms);
         commands.extend(self.old_suspicions(registry, now.steady_ms));
+        commands.extend(self.other_gateways(registry, now.steady_ms));
         commands.extend(self.store_to_form(registry, now.steady_ms));
         let encoded = commands
             .iter()
@@ -264,18 +296,29 @@
         let all = membership.voters.iter().chain(&membership.learners);
         let members: Vec<MachineId> = all.map(|member| member.machine).collect();
         let registry = member.state();
-        let is_same = held.registry.changed_at() == registry.changed_at()
+        let tells_same = held.registry.changed_at() == registry.changed_at()
             && held.members == members
             && held.is_current == is_current;
-        if is_same {
+        let has_other_gateways = held.registry.gateways() != registry.gateways();
+        if tells_same && !has_other_gateways {
             return;
         }
+        if has_other_gateways {
+            self.log_gateways(held.registry.gateways(), registry.gateways());
+        }
         let view = RegistryView {
             registry: registry.clone(),
             members,
             is_current,
         };
         *self.shared.view.lock() = Arc::new(view);
-        self.shared.changes.send_modify(|count| *count += 1);
+        if !tells_same {
+            self.shared.changes.send_modify(|count| *count += 1);
+        }
     }
 }
+
+fn addresses(machines: impl Iterator<Item = MachineId>) -> String {
+    let addresses = machines.map(|machine| address_of(machine).to_string());
+    addresses.collect::<Vec<String>>().join(" ")
+}
--- /dev/null
+++ b/crates/cluster/tests/all/known_gateways.rs
@@ -0,0 +1,181 @@
+//! Control keeps which gateways share the counts of tenants' limits, so that one which is cut
+//! off is counted as silent by the others, whatever happens to control meanwhile.
+
+use std::{
+    net::Ipv4Addr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use linnethitch_cluster::{ControlNode, ControlSettings, GatewayNode, NodeSettings};
+use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+
+use crate::support::{LIMIT, configuration, free_port, host, node, until};
+
+/// Longest time that a process which ends is waited for.
+const ENDS_WITHIN: Duration = Duration::from_secs(5);
+
+/// What a node has logged, without fields.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Lines {
+    fn count(&self, message: &str) -> usize {
+        let lines = self.0.lock().expect("no test panicked here");
+        lines.iter().filter(|line| *line == message).count()
+    }
+}
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut lines = self.0.lock().expect("no test panicked here");
+        lines.push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+/// A control member with a runtime of its own, which ends as a process does.
+struct ControlProcess {
+    control: ControlNode,
+    lines: Lines,
+    /// There until it ends.
+    runtime: Option<Runtime>,
+}
+
+impl ControlProcess {
+    async fn start(settings: NodeSettings, folder: &Path) -> Self {
+        let lines = Lines::default();
+        let settings = ControlSettings {
+            node: NodeSettings {
+                logger: Logger::root(lines.clone(), o!()),
+                ..settings
+            },
+            data_dir: folder.display().to_string(),
+            store_voters: 1,
+        };
+        let runtime = Runtime::new().expect("threads");
+        let started = runtime.spawn(async move {
+            let (control, running) = ControlNode::start(settings).await.expect("it starts");
+            tokio::spawn(running);
+            control
+        });
+        ControlProcess {
+            control: started.await.expect("it starts"),
+            lines,
+            runtime: Some(runtime),
+        }
+    }
+
+    async fn end(mut self) {
+        let runtime = self.runtime.take().expect("it runs");
+        let ended = tokio::task::spawn_blocking(|| runtime.shutdown_timeout(ENDS_WITHIN));
+        ended.await.expect("it ends");
+    }
+}
+
+impl Drop for ControlProcess {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// A control member and two gateways, the second behind a proxy.
+struct Fleet {
+    process: ControlProcess,
+    settings: NodeSettings,
+    folder: TempDir,
+    near: GatewayNode,
+    _far: GatewayNode,
+    proxy: Proxy,
+    _network: Network,
+}
+
+impl Fleet {
+    /// A fleet of which control knows both gateways.
+    async fn start(first_host: u8) -> Self {
+        let seed = host(first_host);
+        let port = free_port(seed);
+        let settings = node(seed, &[seed], port);
+        let folder = tempfile::tempdir().expect("a folder");
+        let process = ControlProcess::start(settings.clone(), folder.path()).await;
+        let network = Network::start().expect("threads");
+        let proxy = network
+            .streams((seed, 0).into(), (seed, port).into())
+            .expect("a port");
+        let near = gateway(host(first_host + 1), seed, port);
+        let noted = || process.lines.count("known gateways changed");
+        until("the first is noted", || noted() == 1).await;
+        let far = gateway(host(first_host + 2), seed, proxy.address.port());
+        until("the second is noted", || noted() == 2).await;
+        until("both are known", || near.coordinators().len() == 2).await;
+        Fleet {
+            process,
+            settings,
+            folder,
+            near,
+            _far: far,
+            proxy,
+            _network: network,
+        }
+    }
+
+    /// Nothing gets to or from the second gateway any more, whatever link it opens.
+    fn cut_off_second(&self) {
+        self.proxy.set(Mode::Silent(Way::Both));
+    }
+
+    /// Cuts the second gateway off and lets control end and start again on its folder.
+    async fn with_control_started_again(self) -> Self {
+        self.cut_off_second();
+        self.process.end().await;
+        let process = ControlProcess::start(self.settings.clone(), self.folder.path()).await;
+        Fleet { process, ..self }
+    }
+
+    /// Puts a version in force and waits until the first gateway has taken it, with whatever
+    /// else control says by then.
+    async fn tell(&self, version: u64) {
+        let control = &self.process.control;
+        let put = control.put_configuration(configuration(version), Vec::new(), LIMIT);
+        assert_eq!(put.await, Ok(version));
+        let told = || self.near.fleet().table().map(|table| table.version);
+        until("the version is told", || told() == Some(version)).await;
+    }
+}
+
+fn gateway(own: Ipv4Addr, seed: Ipv4Addr, port: u16) -> GatewayNode {
+    GatewayNode::start(&node(own, &[seed], port), format!("{own}:80"))
+}
+
+/// Control gives the link up; the gateway may go on all the same.
+#[tokio::test]
+async fn a_gateway_whose_link_fell_silent_is_silent_after_its_link_was_given_up() {
+    let fleet = Fleet::start(100).await;
+    fleet.cut_off_second();
+    let lines = &fleet.process.lines;
+    until("its link is given up", || lines.count("node lost") == 1).await;
+    fleet.tell(1).await;
+    fleet.tell(2).await;
+    assert_eq!(fleet.near.coordinators().len(), 1);
+    assert_eq!(fleet.near.silent_coordinators(), 1);
+}
+
+/// All of control starts again while a gateway is cut off: it has never heard of that one,
+/// and counts it as silent all the same.
+#[tokio::test]
+async fn a_gateway_that_is_cut_off_is_silent_after_control_started_again() {
+    let fleet = Fleet::start(104).await.with_control_started_again().await;
+    fleet.tell(1).await;
+    let listed = || fleet.near.coordinators().len();
+    until("only the first is listed", || listed() == 1).await;
+    assert_eq!(fleet.near.silent_coordinators(), 1);
+}
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -15,7 +15,7 @@
 };
 
 /// Layout of replicas that tell which start of theirs speaks, of configurations with homes
-/// and cold replicas, and of evacuations.
+/// and cold replicas, of evacuations, and of the gateways that share counts.
 const FIFTH_LAYOUT: u8 = 5;
 /// Layout of configurations that may list tenants; read, not written.
 const TENANTS_LAYOUT: u8 = 4;
@@ -63,6 +63,13 @@
     EvacuateZone(String),
     /// The replicas of a zone may be given work again.
     RestoreZone(String),
+    /// Other gateways share the counts of tenants' limits.
+    GatewaysChanged {
+        /// Those that do now.
+        joined: Vec<MachineId>,
+        /// Those that no longer do: they stopped, or were silent for long.
+        left: Vec<MachineId>,
+    },
 }
 
 impl RegistryCommand {
@@ -75,7 +82,8 @@
             RegistryCommand::PutConfiguration { .. }
             | RegistryCommand::Replica(_)
             | RegistryCommand::EvacuateZone(_)
-            | RegistryCommand::RestoreZone(_) => FIFTH_LAYOUT,
+            | RegistryCommand::RestoreZone(_)
+            | RegistryCommand::GatewaysChanged { .. } => FIFTH_LAYOUT,
             RegistryCommand::ReplicaEnded { .. }
             | RegistryCommand::ClearSuspicions(_)
             | RegistryCommand::EaseSuspicions(_)
--- a/crates/registry/src/first_layout.rs
+++ b/crates/registry/src/first_layout.rs
@@ -131,6 +131,7 @@
             suspicions: Vec::new(),
             tenants: TenantsUpdate::default(),
             evacuations: Vec::new(),
+            gateways: Vec::new(),
         }
     }
 }
--- a/crates/registry/src/fourth_layout.rs
+++ b/crates/registry/src/fourth_layout.rs
@@ -250,6 +250,7 @@
             suspicions: fourth.suspicions,
             tenants: fourth.tenants.into(),
             evacuations: Vec::new(),
+            gateways: Vec::new(),
         }
     }
 }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -20,6 +20,7 @@
     evacuations::{EvacuationRecord, Evacuations},
     first_layout::FirstSnapshot,
     fourth_layout::FourthSnapshot,
+    gateways::{GatewayRecord, KnownGateways},
     replica::{ReplicaRecord, ReplicaState},
     routes::RouteTable,
     second_layout::{SecondSnapshot, ThirdSnapshot},
@@ -49,12 +50,13 @@
     store_at: LogIndex,
     suspicions: Suspicions,
     evacuations: Evacuations,
+    gateways: KnownGateways,
     changed_at: LogIndex,
 }
 
 /// Layout of snapshots that this build writes; those before are still read.
 const SNAPSHOT_LAYOUT: u8 = 5;
-/// Layout of snapshots without evacuations, homes and starts of replicas.
+/// Layout of snapshots without evacuations, homes, starts of replicas and known gateways.
 const FOURTH_LAYOUT: u8 = 4;
 /// Layout of snapshots without tenants.
 const THIRD_LAYOUT: u8 = 3;
@@ -74,6 +76,7 @@
     pub(crate) suspicions: Vec<Suspicion>,
     pub(crate) tenants: TenantsUpdate,
     pub(crate) evacuations: Vec<EvacuationRecord>,
+    pub(crate) gateways: Vec<GatewayRecord>,
 }
 
 impl Registry {
@@ -131,7 +134,14 @@
         &self.evacuations
     }
 
-    /// The newest entry that changed anything.
+    /// Gateways that share the counts of tenants' limits. Nodes are not told of them by
+    /// updates: control says who is silent.
+    #[must_use]
+    pub fn gateways(&self) -> &KnownGateways {
+        &self.gateways
+    }
+
+    /// The newest entry that changed anything that updates tell.
     #[must_use]
     pub fn changed_at(&self) -> LogIndex {
         self.changed_at
@@ -226,6 +236,9 @@
                 let changed = self.evacuations.set(index, &zone, false);
                 self.note_change(index, changed);
             }
+            RegistryCommand::GatewaysChanged { joined, left } => {
+                self.gateways.change(index, joined, &left);
+            }
             RegistryCommand::FormStore(members) => {
                 let changed = self.store.first.is_empty();
                 if changed {
@@ -268,6 +281,7 @@
             tenants: self.tenants.to_update(),
             suspicions: self.suspicions.records().cloned().collect(),
             evacuations: self.evacuations.records().cloned().collect(),
+            gateways: self.gateways.records().copied().collect(),
         };
         stored::encode(SNAPSHOT_LAYOUT, &snapshot).map(WholeSnapshot::new)
     }
@@ -286,6 +300,7 @@
             store_at: snapshot.store_at,
             suspicions: snapshot.suspicions.into_iter().collect(),
             evacuations: snapshot.evacuations.into_iter().collect(),
+            gateways: snapshot.gateways.into_iter().collect(),
             changed_at: snapshot.changed_at,
         })
     }
--- a/crates/registry/src/second_layout.rs
+++ b/crates/registry/src/second_layout.rs
@@ -154,6 +154,7 @@
             suspicions: third.suspicions,
             tenants: TenantsUpdate::default(),
             evacuations: Vec::new(),
+            gateways: Vec::new(),
         }
     }
 }
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod fourth_layout;
+mod gateways;
 mod registry;
 mod routes;
 mod support;
--- a/crates/routing/tests/all/quota/mod.rs
+++ b/crates/routing/tests/all/quota/mod.rs
@@ -324,7 +324,7 @@
 }
 
 /// Control starts again while a gateway is cut off, and never hears of it: it tells the
-/// others of a list without it. Nothing that lasts says that it exists.
+/// others of a list without it. Only its record says that it exists.
 #[test]
 fn a_gateway_that_restarted_control_has_not_heard_of_is_counted() {
     let play = Play {
@@ -359,16 +359,6 @@
     ]
 }
 
-/// A restart of control beside gateways that are cut off has a test of its own.
-fn leave_out_unheard(faults: &mut Vec<(u64, Fault)>) {
-    let restarts = |fault: &Fault| matches!(fault, Fault::ControlRestarts { .. });
-    if faults.iter().any(|(_, fault)| restarts(fault)) {
-        let is_cut =
-            |fault: &Fault| matches!(fault, Fault::CutFromControl { .. } | Fault::Isolate { .. });
-        faults.retain(|(_, fault)| !is_cut(fault));
-    }
-}
-
 fn any_play() -> impl Strategy<Value = Play> {
     (2..12_usize).prop_flat_map(|gateways| {
         let faults = prop::collection::vec((0..14_000_u64, fault(gateways)), 0..5);
@@ -386,7 +376,6 @@
             .prop_map(
                 |(gateways, mut faults, (rate, burst), mut demand, skew, loss, seed)| {
                     faults.sort_by_key(|(at_ms, _)| *at_ms);
-                    leave_out_unheard(&mut faults);
                     demand.push((0, 1.0));
                     demand.sort_by_key(|(from, _)| *from);
                     Play {
--- a/crates/routing/tests/all/quota/model.rs
+++ b/crates/routing/tests/all/quota/model.rs
@@ -22,6 +22,11 @@
 const ENDED_US: u64 = 50_000;
 /// Control hears of every gateway within this after its start, in microseconds.
 const ANNOUNCED_US: u64 = 500_000;
+/// Control takes a gateway whose process ended off its record after this, in microseconds.
+const FORGOTTEN_US: u64 = 2_000_000;
+/// Control counts a gateway as silent for this long since it heard of it, or since it
+/// started itself, in microseconds.
+const CUT_OFF_US: u64 = 10_000_000;
 /// What changed in the list is told after this, in microseconds.
 const LISTED_US: u64 = 20_000;
 /// How often gateways look after their state, in microseconds.
@@ -113,6 +118,11 @@
     ControlBack,
     ControlStarts,
     Announce(usize),
+    /// Control has heard the end of a process a while ago.
+    Forget {
+        gateway: usize,
+        life: u32,
+    },
     Listed,
 }
 
@@ -156,6 +166,9 @@
     control_away: bool,
     /// Gateways that control heard of since it started.
     announced: BTreeSet<usize>,
+    /// Gateways that control's record names; it outlasts control's restart.
+    known: BTreeSet<usize>,
+    control_started_us: u64,
     random: Pcg64Mcg,
     ticket: u64,
     sent_us: Vec<u64>,
@@ -199,6 +212,8 @@
             messages: BTreeMap::new(),
             control_away: false,
             announced: (0..count).collect(),
+            known: (0..count).collect(),
+            control_started_us: 0,
             ticket: 0,
             sent_us: Vec::new(),
             arrived_us: Vec::new(),
@@ -253,19 +268,18 @@
             Event::Upkeep => self.upkeep(),
             Event::Fault(index) => self.fault(self.play.faults[index].1.clone()),
             Event::Return { gateway, what } => self.come_back(gateway, what),
-            Event::ControlBack => self.control_away = false,
+            Event::ControlBack => {
+                self.control_away = false;
+                self.hear_of_all();
+            }
             Event::ControlStarts => {
                 self.control_away = false;
+                self.control_started_us = self.now_us;
                 self.announced.clear();
-                for gateway in 0..self.gateways.len() {
-                    let wait_us = self.random.random_range(10_000..ANNOUNCED_US);
-                    self.after(wait_us, Event::Announce(gateway));
-                }
-            }
-            Event::Announce(gateway) => {
-                self.announced.insert(gateway);
-                self.after(LISTED_US, Event::Listed);
+                self.hear_of_all();
             }
+            Event::Announce(gateway) => self.announce(gateway),
+            Event::Forget { gateway, life } => self.forget(gateway, life),
             Event::Listed => self.tell_list(),
         }
     }
@@ -407,6 +421,47 @@
         self.after(UPKEEP_US, Event::Upkeep);
     }
 
+    /// Control is there again, and hears of the gateways that it has not heard of.
+    fn hear_of_all(&mut self) {
+        for gateway in 0..self.gateways.len() {
+            if !self.announced.contains(&gateway) {
+                let wait_us = self.random.random_range(10_000..ANNOUNCED_US);
+                self.after(wait_us, Event::Announce(gateway));
+            }
+        }
+    }
+
+    /// Control hears of a gateway and puts it on its record.
+    fn announce(&mut self, gateway: usize) {
+        let node = &self.gateways[gateway];
+        if node.runs && node.hears && !self.control_away {
+            self.announced.insert(gateway);
+            self.known.insert(gateway);
+        }
+        self.after(LISTED_US, Event::Listed);
+    }
+
+    /// Control takes a gateway off its record, where it heard its process end.
+    fn forget(&mut self, gateway: usize, life: u32) {
+        let node = &self.gateways[gateway];
+        let has_ended = node.life == life && !node.runs && !node.is_frozen;
+        if has_ended && !self.control_away && self.announced.contains(&gateway) {
+            self.known.remove(&gateway);
+        }
+    }
+
+    /// A known gateway that control does not hear, without having heard its process end.
+    fn is_silent(&self, gateway: usize) -> bool {
+        let node = &self.gateways[gateway];
+        let is_heard = node.runs && node.hears;
+        if !self.announced.contains(&gateway) {
+            let since_us = self.now_us - self.control_started_us;
+            return self.known.contains(&gateway) && since_us <= CUT_OFF_US;
+        }
+        let has_ended = !node.runs && !node.is_frozen;
+        !is_heard && !has_ended
+    }
+
     /// Control tells those that hear it which gateways there are.
     fn tell_list(&mut self) {
         if self.control_away {
@@ -418,13 +473,8 @@
             .filter(|(index, node)| node.runs && node.hears && self.announced.contains(index))
             .map(|(index, _)| machine(index))
             .collect();
-        // Those whose process ended are known to be gone; the others fell silent.
-        let ended = |node: &Gateway| !node.runs && !node.is_frozen;
-        let nodes = self.gateways.iter().enumerate();
-        let silent = nodes
-            .filter(|(index, node)| self.announced.contains(index) && !ended(node))
-            .filter(|(_, node)| !(node.runs && node.hears))
-            .count();
+        let silent = (0..self.gateways.len()).filter(|gateway| self.is_silent(*gateway));
+        let silent = silent.count();
         for node in &mut self.gateways {
             if node.runs && node.hears {
                 node.silent = silent;
@@ -442,6 +492,8 @@
                     node.runs = false;
                     node.life += 1;
                     node.asked_us.clear();
+                    let life = node.life;
+                    self.after(ENDED_US + FORGOTTEN_US, Event::Forget { gateway, life });
                     let back = Event::Return {
                         gateway,
                         what: Back::Started,
@@ -521,7 +573,8 @@
                 node.joined = true;
             }
         }
-        self.after(ENDED_US, Event::Listed);
+        // It says so to control, which tells the others.
+        self.after(ENDED_US - LISTED_US, Event::Announce(gateway));
     }
 
     fn judge(mut self) -> Outcome {
