Job store: a text goes on only with the run that told it, or that began with it

Cause: what a run told was joined by length alone. The gateway of a zone that was cut off ended its run while a part of its text was still on its way, and told the rest ("74 were told before") after another gateway had told 74 events of its own: the text that was listed began with one run and ended with another.

Change: each run has a mark that its gateway draws. A part names its run and the run whose text it continues, and is taken only where the text held was told last by that one and has the length told before; the end of an item likewise. A gateway ends a run by its mark, so that an old run does not take the place of a newer one.

--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -152,8 +152,8 @@
                     tenant: tenant.clone(),
                 },
             },
-            StoreCall::Progress(progress) => StoreCommand::Progress(progress.clone()),
-            StoreCall::Finish(last) => StoreCommand::Finish(last.clone()),
+            StoreCall::Progress(progress) => StoreCommand::KeepProgress(progress.clone()),
+            StoreCall::Finish(last) => StoreCommand::FinishRun(Box::new(last.clone())),
         };
         begin(None, &command)
     }
@@ -168,7 +168,7 @@
         match call {
             StoreCall::Report { item, .. } => self.dispatcher.release(item, now.steady_ms),
             StoreCall::Finish(last) if answer == StoreAnswer::Done => {
-                self.dispatcher.release(&last.item, now.steady_ms);
+                self.dispatcher.release(&last.progress.item, now.steady_ms);
             }
             _ => {}
         }
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -5,7 +5,7 @@
 use crate::{
     command::{ItemOutcome, ItemRef},
     job::{ItemSpec, JobSpec, ListedState},
-    progress::{ItemProgress, MadeEvents},
+    progress::{HeldProgress, RunProgress},
 };
 
 /// A call of a gateway.
@@ -27,8 +27,8 @@
         /// How.
         outcome: ItemOutcome,
     },
-    /// An item is done: its whole answer is what was told before and these events.
-    Finish(ItemProgress),
+    /// An item is done: its whole answer is what its run told before and these events.
+    Finish(RunProgress),
     /// End a job.
     End {
         /// The job.
@@ -57,7 +57,7 @@
         item: String,
     },
     /// Keep what runs of items have made since they told last.
-    Progress(Vec<ItemProgress>),
+    Progress(Vec<RunProgress>),
     /// Renew leases and ask for more.
     Work {
         /// The gateway, as IP:PORT.
@@ -131,7 +131,7 @@
     /// Time until it is due, in milliseconds; 0 when that has passed.
     pub due_in_ms: u64,
     /// What earlier runs made; it goes on after the last event.
-    pub made: MadeEvents,
+    pub made: HeldProgress,
 }
 
 /// The leader's answer.
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     job::{JobSpec, TenantJob},
-    progress::ItemProgress,
+    progress::{ItemProgress, RunProgress},
 };
 
 /// Layout of commands that every build reads.
@@ -16,6 +16,7 @@
 const PROGRESS_LAYOUT: u8 = 2;
 const FINISH_LAYOUT: u8 = 3;
 const TENANTS_LAYOUT: u8 = 4;
+const RUNS_LAYOUT: u8 = 5;
 
 /// An item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
@@ -67,9 +68,9 @@
         /// Age beyond which a job is dropped once nothing of it is open, in milliseconds.
         kept_ms: u64,
     },
-    /// Keeps what runs of items have made.
+    /// Keeps what runs without marks have made, as earlier builds wrote it.
     Progress(Vec<ItemProgress>),
-    /// An item is done: its whole answer is what was told before and these events.
+    /// The end of an item whose run has no mark, as earlier builds wrote it.
     Finish(ItemProgress),
     /// Accepts a tenant's job; one of it with the same id is accepted already.
     SubmitFor(Box<TenantJob>),
@@ -80,6 +81,10 @@
         /// The tenant.
         tenant: String,
     },
+    /// Keeps what runs of items have made.
+    KeepProgress(Vec<RunProgress>),
+    /// An item is done: its whole answer is what its run told before and these events.
+    FinishRun(Box<RunProgress>),
 }
 
 impl StoreCommand {
@@ -97,7 +102,13 @@
     /// `DataFolderRefused` when it is of another layout, `Corrupted`.
     pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
         stored::decode(
-            &[FIRST_LAYOUT, PROGRESS_LAYOUT, FINISH_LAYOUT, TENANTS_LAYOUT],
+            &[
+                FIRST_LAYOUT,
+                PROGRESS_LAYOUT,
+                FINISH_LAYOUT,
+                TENANTS_LAYOUT,
+                RUNS_LAYOUT,
+            ],
             bytes,
         )
     }
@@ -107,6 +118,7 @@
             StoreCommand::Progress(_) => PROGRESS_LAYOUT,
             StoreCommand::Finish(_) => FINISH_LAYOUT,
             StoreCommand::SubmitFor(_) | StoreCommand::EndFor { .. } => TENANTS_LAYOUT,
+            StoreCommand::KeepProgress(_) | StoreCommand::FinishRun(_) => RUNS_LAYOUT,
             _ => FIRST_LAYOUT,
         }
     }
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -23,7 +23,7 @@
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
 pub use dispatcher::{Dispatcher, LEASE_MS, SETTLE_MS};
 pub use job::{ItemSpec, Job, JobSpec, ListedState, TenantJob};
-pub use progress::{ItemProgress, MadeEvents};
+pub use progress::{HeldProgress, ItemProgress, MadeEvents, RunMark, RunProgress};
 pub use queue::QueueGate;
 pub use snapshot::JobStoreSnapshot;
 pub use store::JobStore;
--- a/crates/job-store/src/progress.rs
+++ b/crates/job-store/src/progress.rs
@@ -1,7 +1,7 @@
 //! What unfinished runs of items have made, so that another gateway goes on
 //! after the last event, also after a loss of power.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, iter::repeat};
 
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -31,6 +31,75 @@
     pub made: MadeEvents,
 }
 
+/// Marks a run of an item under one lease: drawn at random by its gateway.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct RunMark(pub u64);
+
+impl RunMark {
+    /// The run is not known: nothing was told yet, or without a mark.
+    pub const UNKNOWN: RunMark = RunMark(0);
+
+    /// The mark of a number drawn at random.
+    #[must_use]
+    pub fn of(random: u64) -> Self {
+        RunMark(random.max(1))
+    }
+}
+
+/// What a run has made since it told last, and whose text it goes on with.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct RunProgress {
+    /// The run that tells.
+    pub run: RunMark,
+    /// The run whose text this continues: the one that the lease began with, its own once
+    /// it told anything. Without meaning where all is told.
+    pub continues: RunMark,
+    /// What it made.
+    pub progress: ItemProgress,
+}
+
+impl RunProgress {
+    /// What was told without marks.
+    pub(crate) fn unmarked(progress: ItemProgress) -> Self {
+        RunProgress {
+            run: RunMark::UNKNOWN,
+            continues: RunMark::UNKNOWN,
+            progress,
+        }
+    }
+}
+
+/// What earlier runs made of an item, and which of them told it last.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct HeldProgress {
+    /// The events.
+    pub made: MadeEvents,
+    /// The run that told the last of them.
+    pub told_by: RunMark,
+}
+
+impl HeldProgress {
+    /// Whether a part goes on exactly where this ends, in the text of the same run.
+    fn is_continued_by(&self, part: &RunProgress) -> bool {
+        self.told_by == part.continues
+            && self.made.events.len() == part.progress.told_before as usize
+    }
+
+    /// The whole text of a run whose last part this is; `None` where that does not
+    /// continue what is held.
+    pub(crate) fn whole_text(self, last: RunProgress) -> Option<String> {
+        if last.progress.told_before == 0 {
+            return Some(last.progress.made.events.join("\n"));
+        }
+        if !self.is_continued_by(&last) {
+            return None;
+        }
+        let mut events = self.made.events;
+        events.extend(last.progress.made.events);
+        Some(events.join("\n"))
+    }
+}
+
 /// What was made of one item, as a snapshot holds it.
 #[derive(Clone, Debug, Archive, Serialize, Deserialize)]
 pub(crate) struct MadeOfItem {
@@ -41,7 +110,7 @@
 /// Progress of unfinished items.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ProgressTable {
-    held: BTreeMap<ItemRef, MadeEvents>,
+    held: BTreeMap<ItemRef, HeldProgress>,
     bytes: u64,
 }
 
@@ -49,36 +118,43 @@
     /// All of it, for a snapshot.
     pub(crate) fn to_list(&self) -> Vec<MadeOfItem> {
         let held = self.held.iter();
-        held.map(|(item, made)| MadeOfItem {
+        held.map(|(item, held)| MadeOfItem {
             item: item.clone(),
-            made: made.clone(),
+            made: held.made.clone(),
         })
         .collect()
     }
 
-    /// The table of a snapshot.
-    pub(crate) fn from_list(list: Vec<MadeOfItem>) -> Self {
+    /// Who told each entry of [`Self::to_list`].
+    pub(crate) fn tellers(&self) -> Vec<RunMark> {
+        self.held.values().map(|held| held.told_by).collect()
+    }
+
+    /// The table of a snapshot. An entry without a teller was told without a mark.
+    pub(crate) fn from_list(list: Vec<MadeOfItem>, tellers: &[RunMark]) -> Self {
         let bytes = list.iter().map(|held| text_bytes(&held.made.events)).sum();
-        let held = list.into_iter().map(|held| (held.item, held.made));
+        let tellers = tellers.iter().copied().chain(repeat(RunMark::UNKNOWN));
+        let held = list.into_iter().zip(tellers).map(|(entry, told_by)| {
+            let made = entry.made;
+            (entry.item, HeldProgress { made, told_by })
+        });
         ProgressTable {
             held: held.collect(),
             bytes,
         }
     }
 
-    /// Takes what a run made; false when what it told before is not held here.
-    pub(crate) fn take(&mut self, progress: ItemProgress) -> bool {
-        let ItemProgress {
-            item,
-            told_before,
-            made,
-        } = progress;
-        let held = self.held.entry(item).or_default();
-        let is_whole = told_before == 0 && made.events.len() >= held.events.len();
+    /// Takes what a run made; false when what it told before is not held here, be it
+    /// that another run has told something else meanwhile.
+    pub(crate) fn take(&mut self, told: RunProgress) -> bool {
+        let held = self.held.entry(told.progress.item.clone()).or_default();
+        let made = &told.progress.made;
+        let is_whole =
+            told.progress.told_before == 0 && made.events.len() >= held.made.events.len();
         if is_whole {
-            self.bytes -= text_bytes(&held.events);
-            *held = MadeEvents::default();
-        } else if held.events.len() != told_before as usize {
+            self.bytes -= text_bytes(&held.made.events);
+            *held = HeldProgress::default();
+        } else if !held.is_continued_by(&told) {
             return false;
         }
         let more = text_bytes(&made.events);
@@ -86,8 +162,9 @@
             return true;
         }
         self.bytes += more;
-        held.events.extend(made.events);
-        held.last_event = made.last_event;
+        held.told_by = told.run;
+        held.made.events.extend(told.progress.made.events);
+        held.made.last_event = told.progress.made.last_event;
         true
     }
 
@@ -97,14 +174,14 @@
     }
 
     /// What is held of an item.
-    pub(crate) fn of(&self, item: &ItemRef) -> MadeEvents {
+    pub(crate) fn of(&self, item: &ItemRef) -> HeldProgress {
         self.held.get(item).cloned().unwrap_or_default()
     }
 
     /// Forgets an item that is listed.
     pub(crate) fn forget(&mut self, item: &ItemRef) {
-        if let Some(made) = self.held.remove(item) {
-            self.bytes -= text_bytes(&made.events);
+        if let Some(held) = self.held.remove(item) {
+            self.bytes -= text_bytes(&held.made.events);
         }
     }
 
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     job::{Item, Job, JobSpec, Listed, ListedState},
-    progress::{MadeOfItem, ProgressTable},
+    progress::{MadeOfItem, ProgressTable, RunMark},
     store::JobStore,
     text::{StoredText, Text},
 };
@@ -26,8 +26,10 @@
 const FIRST_LAYOUT: u8 = 1;
 /// Layout of an index without tenants, which is still read.
 const PROGRESS_LAYOUT: u8 = 2;
+/// Layout of an index that does not say which runs told the progress, which is still read.
+const TENANTS_LAYOUT: u8 = 3;
 /// Layout of the index that this build writes.
-const INDEX_LAYOUT: u8 = 3;
+const INDEX_LAYOUT: u8 = 4;
 /// Bytes of the length at the end of the content.
 const LENGTH_BYTES: usize = 8;
 /// Texts are written in pieces of about so many bytes.
@@ -46,11 +48,21 @@
     made: Vec<MadeOfItem>,
 }
 
+/// The index with tenants.
+#[derive(Archive, Serialize, Deserialize)]
+struct TenantsIndex {
+    index: Index,
+    made: Vec<MadeOfItem>,
+    tenants: Vec<JobTenant>,
+}
+
 /// The index as it is written now.
 #[derive(Archive, Serialize, Deserialize)]
 struct FullIndex {
     index: Index,
     made: Vec<MadeOfItem>,
+    /// Who told each entry of `made`; those beyond its end were told without marks.
+    tellers: Vec<RunMark>,
     tenants: Vec<JobTenant>,
 }
 
@@ -109,6 +121,7 @@
                 accepted: store.accepted,
             },
             made: store.made.to_list(),
+            tellers: store.made.tellers(),
             tenants: store.jobs.values().filter_map(tenant_of).collect(),
         };
         let mut index = stored::encode(INDEX_LAYOUT, &index)?;
@@ -206,6 +219,7 @@
     let FullIndex {
         index,
         made,
+        tellers,
         tenants,
     } = decode_index(&read_index(&content)?)?;
     let jobs = index.jobs.into_iter().map(restore_job);
@@ -221,7 +235,7 @@
         jobs,
         accepted: index.accepted,
         snapshot: Some(content),
-        made: ProgressTable::from_list(made),
+        made: ProgressTable::from_list(made, &tellers),
     })
 }
 
@@ -230,6 +244,7 @@
         Some(FIRST_LAYOUT) => Ok(FullIndex {
             index: stored::decode(&[FIRST_LAYOUT], bytes)?,
             made: Vec::new(),
+            tellers: Vec::new(),
             tenants: Vec::new(),
         }),
         Some(PROGRESS_LAYOUT) => {
@@ -237,9 +252,23 @@
             Ok(FullIndex {
                 index,
                 made,
+                tellers: Vec::new(),
                 tenants: Vec::new(),
             })
         }
+        Some(TENANTS_LAYOUT) => {
+            let TenantsIndex {
+                index,
+                made,
+                tenants,
+            } = stored::decode(&[TENANTS_LAYOUT], bytes)?;
+            Ok(FullIndex {
+                index,
+                made,
+                tellers: Vec::new(),
+                tenants,
+            })
+        }
         _ => stored::decode(&[INDEX_LAYOUT], bytes),
     }
 }
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -12,7 +12,7 @@
     call::{ItemResult, QueueBound, ResultsPage},
     command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand},
     job::{Job, JobSpec, ListedState},
-    progress::{ItemProgress, ProgressTable},
+    progress::{ProgressTable, RunProgress},
     snapshot::{self, JobStoreSnapshot},
 };
 
@@ -186,27 +186,18 @@
 
     /// Lists an item whose last events came; where what was told before is not held,
     /// its whole text has to be reported.
-    fn finish(&mut self, last: ItemProgress) -> StoreAnswer {
-        let ItemProgress {
-            item,
-            told_before,
-            made,
-        } = last;
+    fn finish(&mut self, last: RunProgress) -> StoreAnswer {
+        let item = last.progress.item.clone();
         if !self.jobs.contains_key(&item.job) {
             return StoreAnswer::UnknownJob;
         }
         if !self.is_item_open(&item) {
             return StoreAnswer::Done;
         }
-        let mut events = self.made.of(&item).events;
-        if told_before == 0 {
-            events.clear();
+        match self.made.of(&item).whole_text(last) {
+            Some(text) => self.report(&item, ItemOutcome::Succeeded(text)),
+            None => StoreAnswer::TellAgain(vec![item]),
         }
-        if events.len() != told_before as usize {
-            return StoreAnswer::TellAgain(vec![item]);
-        }
-        events.extend(made.events);
-        self.report(&item, ItemOutcome::Succeeded(events.join("\n")))
     }
 
     fn end(&mut self, id: &str, caller: Option<&str>) -> StoreAnswer {
@@ -223,10 +214,10 @@
         StoreAnswer::Done
     }
 
-    fn keep(&mut self, progress: Vec<ItemProgress>) -> StoreAnswer {
+    fn keep(&mut self, progress: impl IntoIterator<Item = RunProgress>) -> StoreAnswer {
         let mut tell_again = Vec::new();
         for told in progress {
-            let item = told.item.clone();
+            let item = told.progress.item.clone();
             if self.is_item_open(&item) && !self.made.take(told) {
                 tell_again.push(item);
             }
@@ -288,8 +279,12 @@
             StoreCommand::Report { item, outcome } => self.report(&item, outcome),
             StoreCommand::End { job } => self.end(&job, None),
             StoreCommand::EndFor { job, tenant } => self.end(&job, Some(&tenant)),
-            StoreCommand::Progress(progress) => self.keep(progress),
-            StoreCommand::Finish(last) => self.finish(last),
+            StoreCommand::Progress(progress) => {
+                self.keep(progress.into_iter().map(RunProgress::unmarked))
+            }
+            StoreCommand::Finish(last) => self.finish(RunProgress::unmarked(last)),
+            StoreCommand::KeepProgress(progress) => self.keep(progress),
+            StoreCommand::FinishRun(last) => self.finish(*last),
             StoreCommand::Pass {
                 elapsed_ms,
                 kept_ms,
--- a/crates/job-store/tests/all/layout.rs
+++ b/crates/job-store/tests/all/layout.rs
@@ -1,16 +1,37 @@
 //! Commands of the log stay readable by later builds.
 
 use linnethitch_errors::ErrorKind;
-use linnethitch_job_store::{ItemOutcome, StoreCommand};
+use linnethitch_job_store::{
+    ItemOutcome, ItemProgress, MadeEvents, RunMark, RunProgress, StoreCommand,
+};
 use rstest::rstest;
 
-use crate::support::{item, job};
+use crate::support::{item, job, unhex};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// Commands as the first layout stores them. A change of these bytes needs a new layout.
+fn progress() -> ItemProgress {
+    ItemProgress {
+        item: item("j", 3),
+        told_before: 2,
+        made: MadeEvents {
+            events: vec!["c".to_owned()],
+            last_event: Some(3),
+        },
+    }
+}
+
+fn run_progress() -> RunProgress {
+    RunProgress {
+        run: RunMark(22),
+        continues: RunMark(11),
+        progress: progress(),
+    }
+}
+
+/// Commands as their layouts store them. A change of these bytes needs a new layout.
 #[rstest]
 #[case::submit(
     StoreCommand::Submit(job("j", 1)),
@@ -33,6 +54,23 @@
      000000000000000000000000000000000000000000")]
 #[case::pass(StoreCommand::Pass { elapsed_ms: 2_000, kept_ms: 140_000 }, "010300000000000000d007000000000000e02202000000000000000000000000000000000000000000000000\
      000000000000000000000000000000000000000000")]
+#[case::progress_without_marks(StoreCommand::Progress(vec![progress()]), "0263ffffffffffffff6affffffffffffff0300000002000000e8ffffff010000000100000000000000030000\
+     000000000004000000d4ffffff01000000000000000000000000000000000000000000000000000000000000\
+     00000000000000000000000000000000000000000000000000")]
+#[case::finish_without_marks(
+    StoreCommand::Finish(progress()),
+    "0363ffffffffffffff05000000000000006affffffffffffff0300000002000000e0ffffff01000000010000\
+     0000000000030000000000000000000000000000000000000000000000"
+)]
+#[case::progress(StoreCommand::KeepProgress(vec![run_progress()]), "0563ffffffffffffff16000000000000000b000000000000006affffffffffffff0300000002000000d8ffff\
+     ff010000000100000000000000030000000000000008000000c4ffffff010000000000000000000000000000\
+     0000000000000000000000000000000000000000000000000000000000000000000000000000000000")]
+#[case::finish(
+    StoreCommand::FinishRun(Box::new(run_progress())),
+    "0563ffffffffffffff16000000000000000b000000000000006affffffffffffff0300000002000000d8ffff\
+     ff010000000100000000000000030000000000000009000000c4ffffff000000000000000000000000000000\
+     0000000000000000000000000000000000000000000000000000000000000000000000000000000000"
+)]
 fn stored_commands_stay_readable(#[case] command: StoreCommand, #[case] stored: &str) {
     let bytes = command.to_stored().expect("it is encoded");
     assert_eq!(hex(&bytes), stored);
@@ -42,7 +80,8 @@
 
 /// First bytes of stored values that this build does not read, and what is said of them.
 #[rstest]
-#[case::newer(&[5], ErrorKind::DataFolderRefused)]
+#[case::newer(&[6], ErrorKind::DataFolderRefused)]
+#[case::damaged_runs(&[5, 9, 9], ErrorKind::Corrupted)]
 #[case::damaged_tenants(&[4, 9, 9], ErrorKind::Corrupted)]
 #[case::damaged_finish(&[3, 9, 9], ErrorKind::Corrupted)]
 #[case::damaged_progress(&[2, 9, 9], ErrorKind::Corrupted)]
@@ -53,11 +92,3 @@
     let refused = StoreCommand::from_stored(bytes).expect_err("it is refused");
     assert_eq!(*refused.current_context(), kind);
 }
-
-fn unhex(text: &str) -> Vec<u8> {
-    let pairs = text.as_bytes().chunks(2);
-    let digits = pairs.map(|pair| std::str::from_utf8(pair).expect("ASCII"));
-    digits
-        .map(|digits| u8::from_str_radix(digits, 16).expect("hexadecimal"))
-        .collect()
-}
--- a/crates/job-store/tests/all/progress.rs
+++ b/crates/job-store/tests/all/progress.rs
@@ -2,7 +2,8 @@
 
 use linnethitch_group::StateMachine;
 use linnethitch_job_store::{
-    Dispatcher, ItemOutcome, ItemProgress, ItemRef, JobStore, MadeEvents, StoreAnswer, StoreCommand,
+    Dispatcher, HeldProgress, ItemOutcome, ItemProgress, ItemRef, JobStore, MadeEvents, RunMark,
+    RunProgress, StoreAnswer, StoreCommand,
 };
 use rstest::rstest;
 
@@ -26,6 +27,11 @@
 
 /// What a gateway that leases the first open item of a job goes on from.
 fn next_run(store: &JobStore) -> MadeEvents {
+    next_lease(store).made
+}
+
+/// The same with the run that told it.
+fn next_lease(store: &JobStore) -> HeldProgress {
     let mut dispatcher = Dispatcher::default();
     let work = dispatcher.lease(store, "gateway", 1, 0, 0);
     work.into_iter().next().expect("an open item").made
@@ -148,3 +154,198 @@
     }
     assert_eq!(store.progress_bytes(), 8 * 1024 * 1024);
 }
+
+/// Runs of one item: the second and the third began with what the first had told.
+const FIRST: RunMark = RunMark(11);
+const SECOND: RunMark = RunMark(22);
+const THIRD: RunMark = RunMark(33);
+
+/// What a run tells: events that were told before, the run whose text they continue,
+/// and the further ones.
+fn part(run: RunMark, told_before: u32, continues: RunMark, events: &[&str]) -> RunProgress {
+    let last_event = u64::from(told_before) + events.len() as u64;
+    RunProgress {
+        run,
+        continues,
+        progress: ItemProgress {
+            item: item("j", 0),
+            told_before,
+            made: made(events, last_event),
+        },
+    }
+}
+
+fn whole(run: RunMark, events: &[&str]) -> RunProgress {
+    part(run, 0, RunMark::UNKNOWN, events)
+}
+
+fn keep(store: &mut JobStore, told: RunProgress) -> StoreAnswer {
+    apply(store, &StoreCommand::KeepProgress(vec![told]))
+}
+
+fn tell_again() -> StoreAnswer {
+    StoreAnswer::TellAgain(vec![item("j", 0)])
+}
+
+/// What was told before, each taken, then a part, and what is held after it. "a1" is an
+/// event of the first run, "b2" the second event of the second run.
+#[rstest]
+#[case::its_own_text(
+    &[whole(FIRST, &["a1", "a2"])],
+    part(FIRST, 2, FIRST, &["a3"]),
+    StoreAnswer::Done,
+    &["a1", "a2", "a3"], FIRST
+)]
+#[case::what_its_lease_began_with(
+    &[whole(FIRST, &["a1", "a2"])],
+    part(SECOND, 2, FIRST, &["b3"]),
+    StoreAnswer::Done,
+    &["a1", "a2", "b3"], SECOND
+)]
+#[case::an_older_run_told_all_again_and_lengths_agree(
+    &[whole(FIRST, &["a1", "a2"]), part(SECOND, 2, FIRST, &["b3"]), whole(FIRST, &["a1", "a2", "a3"])],
+    part(SECOND, 3, SECOND, &["b4"]),
+    tell_again(),
+    &["a1", "a2", "a3"], FIRST
+)]
+#[case::an_older_run_goes_on_after_a_newer_one(
+    &[whole(FIRST, &["a1", "a2"]), part(SECOND, 2, FIRST, &["b3"])],
+    part(FIRST, 3, FIRST, &["a4"]),
+    tell_again(),
+    &["a1", "a2", "b3"], SECOND
+)]
+#[case::a_third_run_began_with_the_same_text(
+    &[whole(FIRST, &["a1", "a2"]), part(SECOND, 2, FIRST, &["b3"])],
+    part(THIRD, 2, FIRST, &["c3"]),
+    tell_again(),
+    &["a1", "a2", "b3"], SECOND
+)]
+#[case::a_first_part_that_comes_twice(
+    &[whole(FIRST, &["a1", "a2"]), part(SECOND, 2, FIRST, &["b3"])],
+    part(SECOND, 2, FIRST, &["b3"]),
+    tell_again(),
+    &["a1", "a2", "b3"], SECOND
+)]
+#[case::a_later_part_that_comes_twice(
+    &[whole(SECOND, &["b1", "b2"]), part(SECOND, 2, SECOND, &["b3"])],
+    part(SECOND, 2, SECOND, &["b3"]),
+    tell_again(),
+    &["b1", "b2", "b3"], SECOND
+)]
+#[case::a_whole_text_replaces_another_run_s(
+    &[whole(FIRST, &["a1", "a2", "a3"])],
+    whole(SECOND, &["a1", "a2", "b3"]),
+    StoreAnswer::Done,
+    &["a1", "a2", "b3"], SECOND
+)]
+#[case::a_whole_text_that_is_shorter(
+    &[whole(FIRST, &["a1", "a2", "a3"])],
+    whole(SECOND, &["b1", "b2"]),
+    tell_again(),
+    &["a1", "a2", "a3"], FIRST
+)]
+#[case::without_marks_after_one_with(
+    &[whole(FIRST, &["a1", "a2"])],
+    part(RunMark::UNKNOWN, 2, RunMark::UNKNOWN, &["x3"]),
+    tell_again(),
+    &["a1", "a2"], FIRST
+)]
+fn a_text_is_of_one_run_and_what_that_began_with(
+    #[case] before: &[RunProgress],
+    #[case] told: RunProgress,
+    #[case] answer: StoreAnswer,
+    #[case] events: &[&str],
+    #[case] told_by: RunMark,
+) {
+    let mut store = JobStore::default();
+    submit(&mut store, job("j", 1));
+    for earlier in before {
+        assert_eq!(keep(&mut store, earlier.clone()), StoreAnswer::Done);
+    }
+    assert_eq!(keep(&mut store, told), answer);
+    let held = next_lease(&store);
+    assert_eq!(
+        (held.made.events.as_slice(), held.told_by),
+        (strings(events).as_slice(), told_by)
+    );
+}
+
+/// The end of a run after what was told before: the answer, and the text that is listed.
+#[rstest]
+#[case::its_own_text(
+    &[whole(SECOND, &["b1", "b2"])],
+    part(SECOND, 2, SECOND, &["b3"]),
+    StoreAnswer::Done,
+    Some("b1\nb2\nb3")
+)]
+#[case::at_once_after_what_its_lease_began_with(
+    &[whole(FIRST, &["a1", "a2"])],
+    part(SECOND, 2, FIRST, &["b3"]),
+    StoreAnswer::Done,
+    Some("a1\na2\nb3")
+)]
+#[case::another_run_told_as_much(
+    &[whole(FIRST, &["a1", "a2"]), part(SECOND, 2, FIRST, &["b3"]), whole(FIRST, &["a1", "a2", "a3"])],
+    part(SECOND, 3, SECOND, &["b4"]),
+    tell_again(),
+    None
+)]
+#[case::nothing_is_left_and_another_run_told_as_much(
+    &[whole(SECOND, &["b1", "b2"]), whole(FIRST, &["a1", "a2"])],
+    part(SECOND, 2, SECOND, &[]),
+    tell_again(),
+    None
+)]
+#[case::all_of_it_whoever_told_before(
+    &[whole(FIRST, &["a1", "a2", "a3"])],
+    whole(SECOND, &["b1", "b2"]),
+    StoreAnswer::Done,
+    Some("b1\nb2")
+)]
+fn an_item_ends_with_the_text_of_one_run(
+    #[case] before: &[RunProgress],
+    #[case] last: RunProgress,
+    #[case] answer: StoreAnswer,
+    #[case] listed: Option<&str>,
+) {
+    let mut store = JobStore::default();
+    submit(&mut store, job("j", 1));
+    for earlier in before {
+        assert_eq!(keep(&mut store, earlier.clone()), StoreAnswer::Done);
+    }
+    let finish = StoreCommand::FinishRun(Box::new(last));
+    assert_eq!(apply(&mut store, &finish), answer);
+    let page = store.results("j", 0, 1_000).expect("it is read");
+    let results = page.expect("a job").results;
+    let texts: Vec<&str> = results.iter().map(|result| result.text.as_str()).collect();
+    assert_eq!(texts, listed.into_iter().collect::<Vec<&str>>());
+}
+
+#[test]
+fn a_snapshot_says_whose_text_is_held() {
+    let mut store = JobStore::default();
+    submit(&mut store, job("j", 2));
+    let mut second = whole(SECOND, &["b1"]);
+    second.progress.item = item("j", 1);
+    assert_eq!(keep(&mut store, second), StoreAnswer::Done);
+    assert_eq!(
+        keep(&mut store, whole(FIRST, &["a1", "a2"])),
+        StoreAnswer::Done
+    );
+    let mut snapshot = store.begin_snapshot().expect("a snapshot");
+    let content = store_snapshot(&mut snapshots(), 1, &mut snapshot);
+    let mut restored = JobStore::from_snapshot(content).expect("it is read");
+    assert_eq!(next_lease(&restored).told_by, FIRST);
+    assert_eq!(
+        keep(&mut restored, part(SECOND, 2, SECOND, &["b3"])),
+        tell_again()
+    );
+    assert_eq!(
+        keep(&mut restored, part(FIRST, 2, FIRST, &["a3"])),
+        StoreAnswer::Done
+    );
+}
+
+fn strings(events: &[&str]) -> Vec<String> {
+    events.iter().map(|event| (*event).to_owned()).collect()
+}
--- a/crates/job-store/tests/all/snapshots.rs
+++ b/crates/job-store/tests/all/snapshots.rs
@@ -6,12 +6,12 @@
 use linnethitch_group::{
     GroupMember, GroupOutput, GroupSettings, StateMachine, WholeSnapshot, bootstrap_disk,
 };
-use linnethitch_job_store::{ItemOutcome, JobStore, StoreCommand};
+use linnethitch_job_store::{Dispatcher, ItemOutcome, JobStore, RunMark, StoreCommand};
 use linnethitch_protocol::ids::{MachineId, MemberId};
 use linnethitch_storage::{FolderRole, VirtualDisk};
 use rstest::rstest;
 
-use crate::support::{item, job, report, snapshots, store_snapshot, submit};
+use crate::support::{item, job, report, snapshots, store_snapshot, submit, unhex};
 
 const PAGE: u32 = 1_000_000;
 
@@ -57,7 +57,8 @@
 #[case::empty(&[], ErrorKind::Corrupted)]
 #[case::noise(&[7; 40], ErrorKind::Corrupted)]
 #[case::damaged_tenants(&[3, 9, 9, 9, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::Corrupted)]
-#[case::other_layout(&[4, 0, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::DataFolderRefused)]
+#[case::damaged_runs(&[4, 9, 9, 9, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::Corrupted)]
+#[case::other_layout(&[5, 0, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::DataFolderRefused)]
 fn damage_and_other_layouts_are_told_apart(#[case] content: &[u8], #[case] kind: ErrorKind) {
     let mut source = WholeSnapshot::new(content.to_vec());
     let content = store_snapshot(&mut snapshots(), 1, &mut source);
@@ -138,3 +139,26 @@
         assert_eq!(result.text, format!("{number:0>TEXT_BYTES$}"));
     }
 }
+
+/// A snapshot as a build without marks of runs wrote it: of tenant "t" the job "j", whose
+/// item made "a" and "b".
+const UNMARKED_SNAPSHOT: &str = "036465736b2e6578616d706c650000000000000000000000006a2d6974656d2d302f6c616e65732f30e8ffff\
+     ff00000000e0ffffff04000000640000000000000000000000000000006affffffffffffff8c000000b0ffff\
+     ff2f6c616e65732fff0300000000000000204e000000000000307500000000000098ffffff00000000000000\
+     0000000000010000000000000088ffffff01000000b0ffffff00000000000000000000000061ffffffffffff\
+     ff62ffffffffffffff6affffffffffffff0000000000000000e0ffffff020000000100000000000000020000\
+     00000000006affffffffffffff74ffffffffffffff58ffffff010000000100000000000000b8ffffff010000\
+     00d8ffffff010000001101000000000000";
+
+#[test]
+fn a_snapshot_without_marks_of_runs_is_read() {
+    let bytes = unhex(UNMARKED_SNAPSHOT);
+    let mut source = WholeSnapshot::new(bytes);
+    let content = store_snapshot(&mut snapshots(), 1, &mut source);
+    let store = JobStore::from_snapshot(content).expect("it is read");
+    assert!(store.is_visible("j", Some("t")) && !store.is_visible("j", Some("u")));
+    let work = Dispatcher::default().lease(&store, "gateway", 1, 0, 0);
+    let made = &work.first().expect("an open item").made;
+    assert_eq!(made.made.events, ["a", "b"]);
+    assert_eq!(made.told_by, RunMark::UNKNOWN);
+}
--- a/crates/job-store/tests/all/support.rs
+++ b/crates/job-store/tests/all/support.rs
@@ -86,3 +86,12 @@
     snapshots.finish(writer).expect("it is finished");
     snapshots.reader(LogIndex(index)).expect("it is read")
 }
+
+/// Bytes of their hexadecimal digits.
+pub(crate) fn unhex(text: &str) -> Vec<u8> {
+    let pairs = text.as_bytes().chunks(2);
+    let digits = pairs.map(|pair| std::str::from_utf8(pair).expect("ASCII"));
+    digits
+        .map(|digits| u8::from_str_radix(digits, 16).expect("hexadecimal"))
+        .collect()
+}
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -106,7 +106,7 @@
     for work in begin {
         info!(relay.shared.logger, "item: begins"; "item" => &work.spec.id,
             "job" => &work.item.job, "failures" => work.failures,
-            "due_in_ms" => work.due_in_ms, "last_event" => work.made.last_event);
+            "due_in_ms" => work.due_in_ms, "last_event" => work.made.made.last_event);
         start(relay, items, work);
     }
     begun
@@ -142,9 +142,10 @@
 
 fn start(relay: &Relay, items: &RunningItems, mut work: ItemWork) {
     let item = work.item.clone();
-    let made = Made::new(std::mem::take(&mut work.made));
+    let run = relay.shared.draw_run();
+    let made = Made::new(std::mem::take(&mut work.made), run);
     let reference = item.clone();
-    let run = ItemRun::new(
+    let task = ItemRun::new(
         Arc::clone(&relay.shared),
         relay.stopping(),
         work,
@@ -152,12 +153,12 @@
     );
     let after = items.clone();
     items.begin(item, made, || {
-        let task = tokio::spawn(async move {
-            match run.run().await {
-                ItemEnding::Reported => after.end(&reference),
-                ItemEnding::GivenBack => after.give_back(&reference),
+        let spawned = tokio::spawn(async move {
+            match task.run().await {
+                ItemEnding::Reported => after.end(&reference, run),
+                ItemEnding::GivenBack => after.give_back(&reference, run),
             }
         });
-        task.abort_handle()
+        spawned.abort_handle()
     });
 }
--- a/crates/relay/src/running_items.rs
+++ b/crates/relay/src/running_items.rs
@@ -2,26 +2,41 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use linnethitch_job_store::{ItemProgress, ItemRef, MadeEvents};
+use linnethitch_job_store::{
+    HeldProgress, ItemProgress, ItemRef, MadeEvents, RunMark, RunProgress,
+};
 use parking_lot::Mutex;
 use tokio::task::AbortHandle;
 
 /// What a run has made, shared with who tells the job store of it.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Made(Arc<Mutex<MadeState>>);
 
-#[derive(Default)]
 struct MadeState {
     made: MadeEvents,
+    /// Marks this run, from the beginning of its lease on.
+    run: RunMark,
+    /// The run whose text the next part continues: its own once it told anything.
+    continues: RunMark,
     /// Events of which the job store was told.
     told: u32,
 }
 
 impl Made {
-    /// What earlier runs made, as the job store holds it.
-    pub(crate) fn new(made: MadeEvents) -> Self {
-        let told = made.events.len() as u32;
-        Made(Arc::new(Mutex::new(MadeState { made, told })))
+    /// What earlier runs made, as the job store holds it, and a run that goes on with it.
+    pub(crate) fn new(held: HeldProgress, run: RunMark) -> Self {
+        let told = held.made.events.len() as u32;
+        Made(Arc::new(Mutex::new(MadeState {
+            made: held.made,
+            run,
+            continues: held.told_by,
+            told,
+        })))
+    }
+
+    /// The run's mark.
+    pub(crate) fn run(&self) -> RunMark {
+        self.0.lock().run
     }
 
     /// The id of the last event.
@@ -47,26 +62,22 @@
     }
 
     /// What the job store was not told of, possibly nothing.
-    pub(crate) fn last_part(&self, item: &ItemRef) -> ItemProgress {
-        let state = self.0.lock();
-        let events = state.made.events.get(state.told as usize..);
-        ItemProgress {
-            item: item.clone(),
-            told_before: state.told,
-            made: MadeEvents {
-                events: events.unwrap_or_default().to_vec(),
-                last_event: state.made.last_event,
-            },
-        }
+    pub(crate) fn last_part(&self, item: &ItemRef) -> RunProgress {
+        self.0.lock().last_part(item)
     }
 
     /// What the job store was not told of; it counts as told from now on. `None`
     /// when that is nothing.
-    fn take_untold(&self, item: &ItemRef) -> Option<ItemProgress> {
-        let part = self.last_part(item);
-        let events = part.made.events.len() as u32;
-        self.0.lock().told += events;
-        (events > 0).then_some(part)
+    fn take_untold(&self, item: &ItemRef) -> Option<RunProgress> {
+        let mut state = self.0.lock();
+        let part = state.last_part(item);
+        let events = part.progress.made.events.len() as u32;
+        if events == 0 {
+            return None;
+        }
+        state.told += events;
+        state.continues = state.run;
+        Some(part)
     }
 
     /// The job store has to be told all of it.
@@ -75,6 +86,25 @@
     }
 }
 
+impl MadeState {
+    fn last_part(&self, item: &ItemRef) -> RunProgress {
+        let events = self.made.events.get(self.told as usize..);
+        let progress = ItemProgress {
+            item: item.clone(),
+            told_before: self.told,
+            made: MadeEvents {
+                events: events.unwrap_or_default().to_vec(),
+                last_event: self.made.last_event,
+            },
+        };
+        RunProgress {
+            run: self.run,
+            continues: self.continues,
+            progress,
+        }
+    }
+}
+
 struct RunningItem {
     task: AbortHandle,
     made: Made,
@@ -90,7 +120,7 @@
 struct Inner {
     running: BTreeMap<ItemRef, RunningItem>,
     /// Progress of items that were given back and of which nobody was told yet.
-    given_back: Vec<ItemProgress>,
+    given_back: Vec<RunProgress>,
 }
 
 impl RunningItems {
@@ -101,15 +131,15 @@
         inner.running.insert(item, RunningItem { task, made });
     }
 
-    /// A task ended and its outcome was reported.
-    pub(crate) fn end(&self, item: &ItemRef) {
-        self.inner.lock().running.remove(item);
+    /// A run ended and its outcome was reported.
+    pub(crate) fn end(&self, item: &ItemRef, run: RunMark) {
+        self.inner.lock().take(item, run);
     }
 
-    /// A task ended before its item did: the next gateway goes on.
-    pub(crate) fn give_back(&self, item: &ItemRef) {
+    /// A run ended before its item did: the next gateway goes on.
+    pub(crate) fn give_back(&self, item: &ItemRef, run: RunMark) {
         let mut inner = self.inner.lock();
-        if let Some(held) = inner.running.remove(item) {
+        if let Some(held) = inner.take(item, run) {
             let progress = held.made.take_untold(item);
             inner.given_back.extend(progress);
         }
@@ -147,12 +177,12 @@
     /// Items that run here: leased, and not given back.
     pub(crate) fn running(&self) -> Vec<ItemRef> {
         let inner = self.inner.lock();
-        let waiting = inner.given_back.iter().map(|told| &told.item);
+        let waiting = inner.given_back.iter().map(|told| &told.progress.item);
         inner.running.keys().chain(waiting).cloned().collect()
     }
 
     /// Progress to tell now. [`Self::not_told`] takes it back where it did not arrive.
-    pub(crate) fn to_tell(&self) -> Vec<ItemProgress> {
+    pub(crate) fn to_tell(&self) -> Vec<RunProgress> {
         let mut inner = self.inner.lock();
         let mut progress = std::mem::take(&mut inner.given_back);
         let running = inner.running.iter();
@@ -161,13 +191,26 @@
     }
 
     /// Progress may not have arrived: it is told again.
-    pub(crate) fn not_told(&self, progress: Vec<ItemProgress>) {
+    pub(crate) fn not_told(&self, progress: Vec<RunProgress>) {
         let mut inner = self.inner.lock();
         for told in progress {
-            match inner.running.get(&told.item) {
-                Some(held) => held.made.forget_told(),
+            match inner.running.get(&told.progress.item) {
+                Some(held) if held.made.run() == told.run => held.made.forget_told(),
+                // A newer run of the item tells what it goes on with itself.
+                Some(_) => {}
                 None => inner.given_back.push(told),
             }
         }
     }
 }
+
+impl Inner {
+    /// Takes a run off the list, unless a newer one of the same item has its place.
+    fn take(&mut self, item: &ItemRef, run: RunMark) -> Option<RunningItem> {
+        let held = self.running.get(item)?;
+        if held.made.run() != run {
+            return None;
+        }
+        self.running.remove(item)
+    }
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, HeaderValue};
 use linnethitch_clock::Instant;
 use linnethitch_cluster::{Clock, GatewayNode};
+use linnethitch_job_store::RunMark;
 use linnethitch_protocol::slots::{RunOutcome, SlotLoad};
 use linnethitch_registry::{EndedRun, FleetView, ReplicaState, Route, RouteTable, Suspicion};
 use linnethitch_routing::dispatch::{
@@ -19,6 +20,7 @@
     ReportedLoad, RunningWork, WeightedTurns, WorkKind,
 };
 use parking_lot::Mutex;
+use rand::Rng as _;
 use rand_pcg::{Pcg64Mcg, rand_core::SeedableRng};
 use slog::{Logger, info};
 
@@ -199,6 +201,11 @@
         Some(route.backends[index].service.clone())
     }
 
+    /// A mark for a run of an item that begins.
+    pub(crate) fn draw_run(&self) -> RunMark {
+        RunMark::of(self.random.lock().random())
+    }
+
     pub(crate) fn choose(&self, need: &Need<'_>) -> Option<Chosen> {
         let now_ms = self.clock.now_ms();
         let mut random = self.random.lock();
