Replicas that start again under their id: what is kept belongs to one start

Cause: sequence numbers alone decided, so heartbeats of a new start, which count from one again, were taken for late ones; and what was known of the start before (its end, its pauses, its closed state, kept connections, work under way) would have stayed with the id. Change: a start has a key (the id, and `#` and its number where it tells one), and all that is kept by key belongs to one start; only the header that names the expected replica has the plain id. The registry compares starts before sequence numbers. DELETE, ends, signs of life and "not there" name a start and concern no other; a DELETE that meets a later start than its receiver knew is answered "come back" and does nothing. More cold time left, or none any more, is news; less is not. Three log lines.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -1,6 +1,7 @@
 //! A control member: registry, directory, and what operators and replicas ask.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, atomic::AtomicU64},
     time::Duration,
@@ -13,10 +14,11 @@
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
 use linnethitch_registry::{
     Configuration, Declared, FleetUpdate, RegistryAnswer, RegistryCommand, ReplicaChange,
-    ReplicaState,
+    ReplicaRecord, ReplicaState,
 };
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
+use slog::{Logger, info};
 use tokio::{
     sync::{mpsc, watch},
     time::interval,
@@ -84,8 +86,10 @@
     handle: GroupHandle<RegistryCall, RegistryReply>,
     links: Links,
     clock: Clock,
+    /// Keys of starts that were heard of since the leader was last told.
     heard: Arc<Mutex<BTreeSet<String>>>,
     store_voters: usize,
+    logger: Logger,
 }
 
 impl ControlNode {
@@ -127,6 +131,7 @@
             clock: base.clock,
             heard: Arc::default(),
             store_voters: settings.store_voters,
+            logger: node.logger.clone(),
         };
         let pulses = control.pulse_source(own);
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
@@ -156,7 +161,7 @@
         };
         match self.propose(command, limit).await? {
             RegistryAnswer::RoutesHeld(version) => Ok(version),
-            RegistryAnswer::Done => Err(Unavailable),
+            RegistryAnswer::Done | RegistryAnswer::OtherStart => Err(Unavailable),
         }
     }
 
@@ -180,35 +185,40 @@
         change: ReplicaChange,
         limit: Duration,
     ) -> Result<(), Unavailable> {
-        self.heard.lock().insert(change.id.clone());
+        let key = change.start_key();
         let view = self.view();
         let held = view.registry.replica(&change.id);
-        let is_news = held.is_none_or(|held| match held.told.state {
-            ReplicaState::Gone => false,
-            ReplicaState::Displaced => change.state == ReplicaState::Draining,
-            ReplicaState::Ready | ReplicaState::Draining => {
-                held.told.sequence < change.sequence && change.differs_from(&held.told)
-            }
-        });
-        if !is_news {
+        self.log_other_start(held, &change, &key);
+        self.heard.lock().insert(key);
+        if !held.is_none_or(|held| is_news(&held.told, &change)) {
             return Ok(());
         }
         let command = RegistryCommand::Replica(Box::new(change));
         self.propose(command, limit).await.map(|_| ())
     }
 
-    /// Notes that a replica ends.
+    /// Notes that a replica ends: the start of it that is known here.
     ///
     /// # Errors
-    /// [`Unavailable`] when this cannot be committed in time.
+    /// [`Unavailable`] when this cannot be committed in time, or when another start is in
+    /// force than is known here.
     pub async fn remove_replica(&self, id: &str, limit: Duration) -> Result<(), Unavailable> {
         let view = self.view();
-        let held = view.registry.replica(id);
-        if held.is_some_and(|held| held.told.state == ReplicaState::Gone) {
+        let held = view.registry.replica(id).map(|held| &held.told);
+        let is_over = |held: &ReplicaChange| held.state == ReplicaState::Gone && held.born == 0;
+        if held.is_some_and(is_over) {
             return Ok(());
         }
-        let command = RegistryCommand::RemoveReplica(id.to_owned());
-        self.propose(command, limit).await.map(|_| ())
+        // Where starts are told, a later one may have registered at another member.
+        let key = held.map_or_else(|| id.to_owned(), ReplicaChange::start_key);
+        let command = RegistryCommand::RemoveReplica(key);
+        match self.propose(command, limit).await? {
+            RegistryAnswer::OtherStart => {
+                info!(self.logger, "end of a replica concerns another start"; "replica" => id);
+                Err(Unavailable)
+            }
+            _ => Ok(()),
+        }
     }
 
     /// Addresses of ready gateways near a caller.
@@ -277,6 +287,22 @@
         self.handle.stop().await;
     }
 
+    fn log_other_start(&self, held: Option<&ReplicaRecord>, change: &ReplicaChange, key: &str) {
+        let Some(held) = held.map(|held| &held.told) else {
+            return;
+        };
+        let (logger, held_key) = (&self.logger, held.start_key());
+        match change.born.cmp(&held.born) {
+            Ordering::Greater => {
+                info!(logger, "replica starts again"; "replica" => key, "held" => held_key);
+            }
+            Ordering::Less => {
+                info!(logger, "heartbeat of an earlier start"; "replica" => key, "held" => held_key);
+            }
+            Ordering::Equal => {}
+        }
+    }
+
     fn view(&self) -> Arc<RegistryView> {
         Arc::clone(&self.shared.view.lock())
     }
@@ -394,6 +420,22 @@
     }
 }
 
+/// Whether a heartbeat changes what is held of its replica. Others are not committed.
+fn is_news(held: &ReplicaChange, change: &ReplicaChange) -> bool {
+    match change.born.cmp(&held.born) {
+        Ordering::Less => return false,
+        Ordering::Greater => return true,
+        Ordering::Equal => {}
+    }
+    match held.state {
+        ReplicaState::Gone => false,
+        ReplicaState::Displaced => change.state == ReplicaState::Draining,
+        ReplicaState::Ready | ReplicaState::Draining => {
+            held.sequence < change.sequence && change.differs_from(held)
+        }
+    }
+}
+
 fn update_since(shared: &RegistryShared, since: LogIndex, now_ms: u64) -> Option<FleetUpdate> {
     let view = Arc::clone(&shared.view.lock());
     has_news(shared, since, now_ms).then(|| view.registry.update_since(since))
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -69,7 +69,7 @@
 /// Carries out the registry's calls.
 pub(crate) struct RegistryService {
     shared: Arc<RegistryShared>,
-    /// When each replica was last heard of, as far as this leader knows.
+    /// When each start of a replica was last heard of, as far as this leader knows.
     alive: BTreeMap<String, u64>,
     /// Entries that changed suspicions last, and when this leader first saw them.
     suspected: BTreeMap<RequestFingerprint, (LogIndex, u64)>,
@@ -114,14 +114,14 @@
         }
         let mut silent = Vec::new();
         for record in registry.live_replicas() {
-            let id = &record.told.id;
-            let heard_ms = *self.alive.entry(id.clone()).or_insert(now_ms);
+            let key = record.told.start_key();
+            let heard_ms = *self.alive.entry(key.clone()).or_insert(now_ms);
             if now_ms.saturating_sub(heard_ms) > REPLICA_SILENCE_MS {
-                silent.push(RegistryCommand::RemoveReplica(id.clone()));
+                silent.push(RegistryCommand::RemoveReplica(key));
             }
         }
         silent.extend(self.settle_addresses(registry, now_ms));
-        self.alive.retain(|id, _| registry.replica(id).is_some());
+        self.alive.retain(|key, _| registry.holds_start(key));
         silent
     }
 
@@ -133,19 +133,21 @@
             let address = &displaced.told.address;
             let mut live = registry.live_replicas();
             let other = live.find(|record| record.told.address == *address);
-            if self.is_silent(&displaced.told.id, now_ms) {
-                settled.push(RegistryCommand::RemoveReplica(displaced.told.id.clone()));
+            let displaced = displaced.told.start_key();
+            let other = other.map(|other| other.told.start_key());
+            if self.is_silent(&displaced, now_ms) {
+                settled.push(RegistryCommand::RemoveReplica(displaced));
             } else if let Some(other) = other
-                && self.is_silent(&other.told.id, now_ms)
+                && self.is_silent(&other, now_ms)
             {
-                settled.push(RegistryCommand::NotThere(other.told.id.clone()));
+                settled.push(RegistryCommand::NotThere(other));
             }
         }
         settled
     }
 
-    fn is_silent(&mut self, replica: &str, now_ms: u64) -> bool {
-        let heard_ms = *self.alive.entry(replica.to_owned()).or_insert(now_ms);
+    fn is_silent(&mut self, start: &str, now_ms: u64) -> bool {
+        let heard_ms = *self.alive.entry(start.to_owned()).or_insert(now_ms);
         now_ms.saturating_sub(heard_ms) > DISPLACED_SILENCE_MS
     }
 
@@ -203,8 +205,8 @@
                 Begin::Reply(RegistryReply::NotLeader(leader))
             }
             RegistryCall::Alive(replicas) => {
-                for id in replicas {
-                    self.alive.insert(id.clone(), now.steady_ms);
+                for start in replicas {
+                    self.alive.insert(start.clone(), now.steady_ms);
                 }
                 Begin::Reply(RegistryReply::Noted)
             }
@@ -219,7 +221,7 @@
         now: Now,
     ) -> RegistryReply {
         if let RegistryCall::Propose(RegistryCommand::Replica(change)) = call {
-            self.alive.insert(change.id.clone(), now.steady_ms);
+            self.alive.insert(change.start_key(), now.steady_ms);
         }
         RegistryReply::Answer(answer)
     }
--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod gateways;
 mod silence;
+mod starts;
 mod support;
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -40,7 +40,7 @@
     },
     /// A replica said something new. Apart, like what a configuration declares.
     Replica(Box<ReplicaChange>),
-    /// A replica ended.
+    /// The start of a replica ended, by its key.
     RemoveReplica(String),
     /// The first members of the job store; the first such command counts.
     FormStore(Vec<MemberId>),
@@ -48,7 +48,7 @@
     RetireStore(MachineId),
     /// A replica ended under these runs of one gateway.
     ReplicaEnded {
-        /// The incarnation.
+        /// The key of its start.
         replica: String,
         /// What broke off there.
         runs: Vec<EndedRun>,
@@ -57,7 +57,7 @@
     ClearSuspicions(Vec<RequestFingerprint>),
     /// Nothing was heard of these requests for long.
     EaseSuspicions(Vec<RequestFingerprint>),
-    /// Another incarnation answers at the address of this one.
+    /// Another incarnation answers at the address of this start, by its key.
     NotThere(String),
     /// Nothing more is to be sent to the replicas of a zone.
     EvacuateZone(String),
@@ -115,4 +115,6 @@
     RoutesHeld(u64),
     /// The command is in force, or said nothing new.
     Done,
+    /// It concerns another start of the replica than the one held; nothing was done.
+    OtherStart,
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -17,6 +17,7 @@
 mod routes;
 mod second_layout;
 mod sequence;
+mod start;
 mod suspicion;
 mod update;
 mod validate;
@@ -33,6 +34,7 @@
 pub use routes::{
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
+pub use start::{parse_start_key, start_key};
 pub use suspicion::{Suspicion, Suspicions};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -23,7 +23,8 @@
     replica::{ReplicaRecord, ReplicaState},
     routes::RouteTable,
     second_layout::{SecondSnapshot, ThirdSnapshot},
-    sequence,
+    sequence::{self, Removal},
+    start::parse_start_key,
     suspicion::{Suspicion, Suspicions},
     update::FleetUpdate,
 };
@@ -95,12 +96,20 @@
         &self.tenants
     }
 
-    /// A replica by its incarnation.
+    /// The newest start of a replica, by its id.
     #[must_use]
     pub fn replica(&self, id: &str) -> Option<&ReplicaRecord> {
         self.replicas.get(id)
     }
 
+    /// Whether a start is the newest one of its replica, by its key.
+    #[must_use]
+    pub fn holds_start(&self, key: &str) -> bool {
+        let (id, _) = parse_start_key(key);
+        let held = self.replicas.get(id);
+        held.is_some_and(|record| record.told.is_of_start(key))
+    }
+
     /// Every replica that is not gone.
     pub fn live_replicas(&self) -> impl Iterator<Item = &ReplicaRecord> {
         let replicas = self.replicas.values();
@@ -210,12 +219,15 @@
                 let changed = sequence::apply_change(&mut self.replicas, index, &change);
                 self.note_change(index, changed);
             }
-            RegistryCommand::RemoveReplica(id) => {
-                let changed = sequence::remove(&mut self.replicas, index, &id);
-                self.note_change(index, changed);
+            RegistryCommand::RemoveReplica(key) => {
+                let removal = sequence::remove(&mut self.replicas, index, &key);
+                self.note_change(index, removal == Removal::Removed);
+                if removal == Removal::OtherStart {
+                    return Ok(RegistryAnswer::OtherStart);
+                }
             }
-            RegistryCommand::NotThere(id) => {
-                let changed = sequence::not_there(&mut self.replicas, index, &id);
+            RegistryCommand::NotThere(key) => {
+                let changed = sequence::not_there(&mut self.replicas, index, &key);
                 self.note_change(index, changed);
             }
             RegistryCommand::EvacuateZone(zone) => {
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -3,6 +3,8 @@
 use linnethitch_protocol::ids::LogIndex;
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::start::{parse_start_key, start_key};
+
 /// What a replica may be given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum ReplicaState {
@@ -25,10 +27,10 @@
     }
 }
 
-/// What a replica says of itself. An id is one incarnation.
+/// What a replica says of itself. Its id and its start make one incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ReplicaChange {
-    /// The incarnation.
+    /// The replica. It may start again under its id.
     pub id: String,
     /// The service that it belongs to.
     pub service: String,
@@ -50,7 +52,25 @@
 }
 
 impl ReplicaChange {
-    /// Whether a heartbeat says something new beside its number.
+    /// The key of the start that speaks.
+    #[must_use]
+    pub fn start_key(&self) -> String {
+        start_key(&self.id, self.born)
+    }
+
+    /// Whether a key names the start that speaks.
+    #[must_use]
+    pub fn is_of_start(&self, key: &str) -> bool {
+        parse_start_key(key) == (self.id.as_str(), self.born)
+    }
+
+    /// Whether it said that it is cold.
+    fn is_cold(&self) -> bool {
+        self.cold_ms > 0
+    }
+
+    /// Whether a heartbeat of the same start says something new beside its number. That
+    /// less of the cold time is left says nothing new; that more is left does.
     #[must_use]
     pub fn differs_from(&self, held: &ReplicaChange) -> bool {
         self.state != held.state
@@ -58,6 +78,8 @@
             || self.service != held.service
             || self.slots != held.slots
             || self.zone != held.zone
+            || self.cold_ms > held.cold_ms
+            || self.is_cold() != held.is_cold()
     }
 }
 
--- a/crates/registry/src/sequence.rs
+++ b/crates/registry/src/sequence.rs
@@ -1,10 +1,13 @@
 //! Records that change over time, and which of them changed since when.
 
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
 use linnethitch_protocol::ids::LogIndex;
 
-use crate::replica::{ReplicaChange, ReplicaRecord, ReplicaState};
+use crate::{
+    replica::{ReplicaChange, ReplicaRecord, ReplicaState},
+    start::parse_start_key,
+};
 
 /// Replicas that are gone and kept, so that a late heartbeat is known as such.
 const KEPT_GONE: usize = 2_048;
@@ -16,16 +19,15 @@
     change: &ReplicaChange,
 ) -> bool {
     if let Some(held) = replicas.get_mut(&change.id) {
-        let is_late = change.sequence <= held.told.sequence;
-        if is_late || held.told.state == ReplicaState::Gone {
-            return false;
-        }
-        if held.told.state == ReplicaState::Displaced {
-            return leave(held, index, change);
-        }
-        if !change.differs_from(&held.told) {
-            held.told.sequence = change.sequence;
-            return false;
+        match change.born.cmp(&held.told.born) {
+            Ordering::Less => return false,
+            Ordering::Equal => {
+                if let Some(changed) = settle_in_place(held, index, change) {
+                    return changed;
+                }
+            }
+            // A new start, whatever became of the earlier one.
+            Ordering::Greater => {}
         }
     }
     displace_predecessors(replicas, index, change);
@@ -37,6 +39,27 @@
     true
 }
 
+/// What a heartbeat of the start that is held does without taking its place; `None` where
+/// it says something new.
+fn settle_in_place(
+    held: &mut ReplicaRecord,
+    index: LogIndex,
+    change: &ReplicaChange,
+) -> Option<bool> {
+    let is_late = change.sequence <= held.told.sequence;
+    if is_late || held.told.state == ReplicaState::Gone {
+        return Some(false);
+    }
+    if held.told.state == ReplicaState::Displaced {
+        return Some(leave(held, index, change));
+    }
+    if change.differs_from(&held.told) {
+        return None;
+    }
+    held.told.sequence = change.sequence;
+    Some(false)
+}
+
 /// A displaced replica is given nothing while it is. One that says that it leaves is not
 /// to come back.
 fn leave(held: &mut ReplicaRecord, index: LogIndex, change: &ReplicaChange) -> bool {
@@ -48,18 +71,20 @@
     true
 }
 
-/// A replica turned out not to be at its address: it is gone, and the one whose place it
-/// had taken last has it again. False when it did not count as there.
+/// The start of a replica turned out not to be at its address: it is gone, and the one
+/// whose place it had taken last has it again. False when it did not count as there.
 pub(crate) fn not_there(
     replicas: &mut BTreeMap<String, ReplicaRecord>,
     index: LogIndex,
-    id: &str,
+    key: &str,
 ) -> bool {
-    let Some(record) = replicas.get(id).filter(|r| r.told.state.is_live()) else {
+    let (id, _) = parse_start_key(key);
+    let record = replicas.get(id).filter(|r| r.told.is_of_start(key));
+    let Some(record) = record.filter(|r| r.told.state.is_live()) else {
         return false;
     };
     let address = record.told.address.clone();
-    remove(replicas, index, id);
+    remove(replicas, index, key);
     let displaced = replicas
         .values_mut()
         .filter(|held| held.told.state == ReplicaState::Displaced && held.told.address == address);
@@ -70,26 +95,41 @@
     true
 }
 
-/// Marks a replica as gone; false when it is gone already. One that was never
-/// heard of is noted too, so that a heartbeat that comes late does not count.
+/// How the end of a start was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Removal {
+    /// It is gone from now on.
+    Removed,
+    /// It was gone.
+    WasGone,
+    /// Another start of the replica is held; nothing was done.
+    OtherStart,
+}
+
+/// Marks the start of a replica as gone. One that was never heard of is noted too, so
+/// that a heartbeat that comes late does not count.
 pub(crate) fn remove(
     replicas: &mut BTreeMap<String, ReplicaRecord>,
     index: LogIndex,
-    id: &str,
-) -> bool {
+    key: &str,
+) -> Removal {
+    let (id, born) = parse_start_key(key);
     let record = replicas
         .entry(id.to_owned())
-        .or_insert_with(|| never_heard_of(id));
+        .or_insert_with(|| never_heard_of(id, born));
+    if !record.told.is_of_start(key) {
+        return Removal::OtherStart;
+    }
     if record.told.state == ReplicaState::Gone {
-        return false;
+        return Removal::WasGone;
     }
     record.told.state = ReplicaState::Gone;
     record.changed_at = index;
     drop_oldest_gone(replicas);
-    true
+    Removal::Removed
 }
 
-fn never_heard_of(id: &str) -> ReplicaRecord {
+fn never_heard_of(id: &str, born: u64) -> ReplicaRecord {
     ReplicaRecord {
         told: ReplicaChange {
             id: id.to_owned(),
@@ -99,7 +139,7 @@
             slots: 0,
             state: ReplicaState::Draining,
             sequence: u64::MAX,
-            born: 0,
+            born,
             cold_ms: 0,
         },
         changed_at: LogIndex(0),
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -1,13 +1,18 @@
 //! What a node without a disk keeps of the registry.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{cmp::Ordering, collections::BTreeMap, sync::Arc};
 
 use linnethitch_protocol::ids::LogIndex;
 use linnethitch_tenants::TenantDirectory;
 
 use crate::{
-    evacuations::Evacuations, registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable,
-    suspicion::Suspicions, update::FleetUpdate,
+    evacuations::Evacuations,
+    registry::StoreMembers,
+    replica::{ReplicaRecord, ReplicaState},
+    routes::RouteTable,
+    start::parse_start_key,
+    suspicion::Suspicions,
+    update::FleetUpdate,
 };
 
 /// Gone replicas kept, so that an older update cannot bring them back.
@@ -45,12 +50,26 @@
         replicas.filter(|record| record.told.state.is_live())
     }
 
-    /// A replica by its incarnation, whatever its state; `None` before it was heard of.
+    /// The newest start of a replica by its id, whatever its state; `None` before it was
+    /// heard of.
     #[must_use]
     pub fn replica(&self, id: &str) -> Option<&ReplicaRecord> {
         self.replicas.get(id)
     }
 
+    /// The state of a start by its key: gone where a later one is known, `None` before it
+    /// was heard of.
+    #[must_use]
+    pub fn state_of_start(&self, key: &str) -> Option<ReplicaState> {
+        let (id, born) = parse_start_key(key);
+        let told = &self.replicas.get(id)?.told;
+        match told.born.cmp(&born) {
+            Ordering::Less => None,
+            Ordering::Equal => Some(told.state),
+            Ordering::Greater => Some(ReplicaState::Gone),
+        }
+    }
+
     /// The job store as control knows it.
     #[must_use]
     pub fn store(&self) -> &StoreMembers {
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod fourth_layout;
 mod registry;
 mod routes;
+mod starts;
 mod support;
 mod suspicions;
 mod tenants;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, timeout_at};
 use linnethitch_protocol::slots::RunOutcome;
-use linnethitch_registry::{RequestContent, RequestFingerprint};
+use linnethitch_registry::{RequestContent, RequestFingerprint, parse_start_key};
 use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
 
 use crate::{
@@ -270,7 +270,7 @@
     *headers = outgoing.headers.clone();
     headers.insert(
         names.expect_replica.clone(),
-        HeaderValue::from_str(&chosen.id).ok()?,
+        HeaderValue::from_str(parse_start_key(&chosen.id).0).ok()?,
     );
     let left_ms = left.as_millis().max(1) as u64;
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -22,7 +22,7 @@
         shared.slots.set_engines(shared.engines());
         let known: HashSet<String> = view
             .live_replicas()
-            .map(|record| record.told.id.clone())
+            .map(|record| record.told.start_key())
             .collect();
         shared.connections.sweep(|id| known.contains(id));
         if views.changed().await.is_err() {
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -203,7 +203,7 @@
         loop {
             let state = {
                 let view = views.borrow_and_update();
-                view.replica(&self.replica).map(|record| record.told.state)
+                view.state_of_start(&self.replica)
             };
             match state {
                 Some(ReplicaState::Ready) => {}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -104,7 +104,7 @@
             let service = table.and_then(|table| table.service(&record.told.service));
             let engine = service.and_then(|service| service.engine.as_ref());
             ReplicaTraits {
-                id: record.told.id.clone(),
+                id: record.told.start_key(),
                 service: record.told.service.clone(),
                 address: record.told.address.clone(),
                 zone: record.told.zone.clone(),
@@ -295,8 +295,8 @@
     /// knows already.
     pub(crate) fn tell_not_there(&self, replica: &str) {
         let fleet = self.gateway.fleet();
-        let record = fleet.replica(replica);
-        if !record.is_some_and(|record| record.told.state.is_live()) {
+        let state = fleet.state_of_start(replica);
+        if !state.is_some_and(ReplicaState::is_live) {
             return;
         }
         info!(self.logger, "replica is not there"; "replica" => replica);
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod requests;
 mod silent_connections;
 mod slots;
+mod starts;
 mod streams;
 mod support;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -435,6 +435,19 @@
         address: SocketAddr,
         state: ReplicaState,
         sequence: u64,
+    ) {
+        self.register_start(number, address, 0, state, sequence)
+            .await;
+    }
+
+    /// Registers a start of a replica.
+    pub(crate) async fn register_start(
+        &self,
+        number: usize,
+        address: SocketAddr,
+        born: u64,
+        state: ReplicaState,
+        sequence: u64,
     ) {
         let change = ReplicaChange {
             id: format!("i-{number}"),
@@ -444,7 +457,7 @@
             slots: 4,
             state,
             sequence,
-            born: 0,
+            born,
             cold_ms: 0,
         };
         self.control
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -47,7 +47,7 @@
 /// A choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chosen {
-    /// The incarnation.
+    /// The key of the replica's start.
     pub id: String,
     /// Where it listens.
     pub address: String,
--- a/crates/routing/src/dispatch/replica.rs
+++ b/crates/routing/src/dispatch/replica.rs
@@ -33,7 +33,7 @@
 /// What a replica registered with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaTraits {
-    /// The incarnation.
+    /// The key of its start: what is known of one start counts for no other.
     pub id: String,
     /// Its service.
     pub service: String,
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -252,3 +252,24 @@
 fn without_weight_nobody_has_a_turn() {
     assert_eq!(WeightedTurns::default().next(&[0, 0]), None);
 }
+
+/// A request under way at one start of a replica is not taken off what the next one has.
+#[test]
+fn work_at_an_earlier_start_does_not_count_for_the_next_one() {
+    let mut board = Board::new("worcester");
+    board.set_replicas(vec![replica("r0#1")]);
+    let earlier = board.chosen_at("r0#1", 0).expect("it is open");
+    let under_way = board.begin(&earlier, &[], WorkKind::Online, 0);
+    let under_way = under_way.expect("it is known");
+    board.set_replicas(vec![replica("r0#2")]);
+    assert_eq!(board.own_running("models"), 0);
+    let next = board.chosen_at("r0#2", 0).expect("it is open");
+    let begun = board.begin(&next, &[], WorkKind::Online, 0);
+    board.end("r0#1", under_way);
+    board.note_failure("r0#1", FailureKind::Replaced, 0);
+    assert_eq!(board.own_running("models"), 1);
+    assert!(board.chosen_at("r0#2", 0).is_some());
+    assert!(board.begin(&earlier, &[], WorkKind::Online, 0).is_none());
+    board.end("r0#2", begun.expect("it is known"));
+    assert_eq!(board.own_running("models"), 0);
+}
