--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod gateways;
 mod known_gateways;
 mod silence;
+mod starts;
 mod support;
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod gateways;
 mod registry;
 mod routes;
+mod starts;
 mod support;
 mod suspicions;
 mod tenants;
