Registry: an order about a zone is of effect only upon the record that it has seen

Cause: an order to evacuate a zone may be on its way for seconds and be sent again elsewhere meanwhile. A late copy, applied after the opposite order was acknowledged, would evacuate the zone again with nobody to take that back. Change: orders name the entry that changed the zone last, as the member that took them knew it; the answer tells the record in force. Tests: with the comparison taken out, a_late_copy_of_an_order_is_of_no_effect (both cases) and one_order_is_in_force_everywhere fail; with FleetView taking older records, an_older_update_does_not_bring_an_evacuation_back and one_order_is_in_force_everywhere fail.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -156,7 +156,7 @@
         };
         match self.propose(command, limit).await? {
             RegistryAnswer::RoutesHeld(version) => Ok(version),
-            RegistryAnswer::Done => Err(Unavailable),
+            _ => Err(Unavailable),
         }
     }
 
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -3,15 +3,16 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
-    ids::{MachineId, MemberId},
+    ids::{LogIndex, MachineId, MemberId},
     stored,
     suspicion::{EndedRun, RequestFingerprint},
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
-    configuration::Declared, first_layout::FirstCommand, fourth_layout::FourthCommand,
-    replica::ReplicaChange, routes::RouteTable, second_layout::SecondCommand,
+    configuration::Declared, evacuations::EvacuationOrder, first_layout::FirstCommand,
+    fourth_layout::FourthCommand, replica::ReplicaChange, routes::RouteTable,
+    second_layout::SecondCommand,
 };
 
 /// Layout of replicas that tell which start of theirs speaks, of configurations with homes
@@ -60,9 +61,9 @@
     /// Another incarnation answers at the address of this one.
     NotThere(String),
     /// Nothing more is to be sent to the replicas of a zone.
-    EvacuateZone(String),
+    EvacuateZone(EvacuationOrder),
     /// The replicas of a zone may be given work again.
-    RestoreZone(String),
+    RestoreZone(EvacuationOrder),
 }
 
 impl RegistryCommand {
@@ -113,6 +114,13 @@
 pub enum RegistryAnswer {
     /// A table of this version is held; it may be higher than the one sent.
     RoutesHeld(u64),
+    /// What operators last asked of the zone of an order.
+    ZoneHeld {
+        /// Whether it is evacuated.
+        evacuated: bool,
+        /// The entry that changed it last; 0 where none did.
+        changed_at: LogIndex,
+    },
     /// The command is in force, or said nothing new.
     Done,
 }
--- a/crates/registry/src/evacuations.rs
+++ b/crates/registry/src/evacuations.rs
@@ -16,6 +16,16 @@
     pub changed_at: LogIndex,
 }
 
+/// What an operator asks of a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EvacuationOrder {
+    /// The zone.
+    pub zone: String,
+    /// The entry that had changed it last, as the member that took the order knew it; 0
+    /// where none had. The order is of no effect once another one came between.
+    pub seen: LogIndex,
+}
+
 /// What operators last asked of each zone. A taken-back evacuation stays as a record, so
 /// that an older update cannot bring it back; there are as many records as zones at most.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -41,17 +51,32 @@
         self.zones.values()
     }
 
-    /// Evacuates a zone, or takes that back; false where it is so already.
-    pub(crate) fn set(&mut self, index: LogIndex, zone: &str, evacuated: bool) -> bool {
-        if self.contains(zone) == evacuated {
+    /// The entry that changed a zone last; 0 where none did.
+    #[must_use]
+    pub fn changed_at(&self, zone: &str) -> LogIndex {
+        let record = self.zones.get(zone);
+        record.map_or(LogIndex(0), |record| record.changed_at)
+    }
+
+    /// Whether operators ever asked anything of a zone.
+    #[must_use]
+    pub fn has_record(&self, zone: &str) -> bool {
+        self.zones.contains_key(zone)
+    }
+
+    /// Evacuates a zone, or takes that back; false where it is so already, or where
+    /// another order came between.
+    pub(crate) fn set(&mut self, index: LogIndex, order: EvacuationOrder, evacuated: bool) -> bool {
+        let zone = order.zone;
+        if self.contains(&zone) == evacuated || self.changed_at(&zone) != order.seen {
             return false;
         }
         let record = EvacuationRecord {
-            zone: zone.to_owned(),
+            zone: zone.clone(),
             evacuated,
             changed_at: index,
         };
-        self.zones.insert(zone.to_owned(), record);
+        self.zones.insert(zone, record);
         true
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use command::{RegistryAnswer, RegistryCommand};
 pub use configuration::{Configuration, ConfigurationError, Declared};
-pub use evacuations::{EvacuationRecord, Evacuations};
+pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
 pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
 pub use node_list::{DirectoryNode, NodeList, READY_FOR_MS, near};
 pub use registry::{Registry, StoreMembers};
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -17,7 +17,7 @@
     command::FIRST_LAYOUT,
     command::{RegistryAnswer, RegistryCommand},
     configuration::Declared,
-    evacuations::{EvacuationRecord, Evacuations},
+    evacuations::{EvacuationOrder, EvacuationRecord, Evacuations},
     first_layout::FirstSnapshot,
     fourth_layout::FourthSnapshot,
     replica::{ReplicaRecord, ReplicaState},
@@ -179,6 +179,21 @@
         RegistryAnswer::RoutesHeld(version)
     }
 
+    fn order_evacuation(
+        &mut self,
+        index: LogIndex,
+        order: EvacuationOrder,
+        evacuated: bool,
+    ) -> RegistryAnswer {
+        let zone = order.zone.clone();
+        let changed = self.evacuations.set(index, order, evacuated);
+        self.note_change(index, changed);
+        RegistryAnswer::ZoneHeld {
+            evacuated: self.evacuations.contains(&zone),
+            changed_at: self.evacuations.changed_at(&zone),
+        }
+    }
+
     fn note_change(&mut self, index: LogIndex, changed: bool) {
         if changed {
             self.changed_at = index;
@@ -218,13 +233,11 @@
                 let changed = sequence::not_there(&mut self.replicas, index, &id);
                 self.note_change(index, changed);
             }
-            RegistryCommand::EvacuateZone(zone) => {
-                let changed = self.evacuations.set(index, &zone, true);
-                self.note_change(index, changed);
+            RegistryCommand::EvacuateZone(order) => {
+                return Ok(self.order_evacuation(index, order, true));
             }
-            RegistryCommand::RestoreZone(zone) => {
-                let changed = self.evacuations.set(index, &zone, false);
-                self.note_change(index, changed);
+            RegistryCommand::RestoreZone(order) => {
+                return Ok(self.order_evacuation(index, order, false));
             }
             RegistryCommand::FormStore(members) => {
                 let changed = self.store.first.is_empty();
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the registry crate.
 
 mod directory;
+mod evacuations;
 mod fourth_layout;
 mod registry;
 mod routes;
