Control: operators evacuate a zone and take that back

Cause: the calls were not served. Test nodes have a zone map. Gateways learn of orders by their updates and do not act on them yet.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -13,7 +13,7 @@
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
 use linnethitch_registry::{
     Configuration, Declared, FleetUpdate, RegistryAnswer, RegistryCommand, ReplicaChange,
-    ReplicaState,
+    ReplicaState, ZoneMap,
 };
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
@@ -86,6 +86,7 @@
     clock: Clock,
     heard: Arc<Mutex<BTreeSet<String>>>,
     store_voters: usize,
+    zones: Arc<ZoneMap>,
 }
 
 impl ControlNode {
@@ -127,6 +128,7 @@
             clock: base.clock,
             heard: Arc::default(),
             store_voters: settings.store_voters,
+            zones: Arc::new(node.zones.clone()),
         };
         let pulses = control.pulse_source(own);
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
@@ -277,11 +279,16 @@
         self.handle.stop().await;
     }
 
-    fn view(&self) -> Arc<RegistryView> {
+    /// All zones of the deployment.
+    pub(crate) fn zones(&self) -> &ZoneMap {
+        &self.zones
+    }
+
+    pub(crate) fn view(&self) -> Arc<RegistryView> {
         Arc::clone(&self.shared.view.lock())
     }
 
-    async fn propose(
+    pub(crate) async fn propose(
         &self,
         command: RegistryCommand,
         limit: Duration,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_end;
 mod control;
 mod driver;
+mod evacuation;
 mod gateway;
 mod incoming;
 mod links;
@@ -27,6 +28,7 @@
 mod told_set;
 
 pub use control::{ControlNode, ControlSettings, RetireState, Unavailable};
+pub use evacuation::ZoneOrder;
 pub use gateway::GatewayNode;
 pub use linnethitch_clock::Clock;
 pub use node::{NodeSettings, address_of, machine_of};
--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -10,13 +10,13 @@
 };
 
 use linnethitch_clock::testing::suspend_for;
-use linnethitch_cluster::{ControlNode, GatewayNode, NodeSettings, Unavailable};
+use linnethitch_cluster::{ControlNode, GatewayNode, NodeSettings, Unavailable, ZoneOrder};
 use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
 use rstest::rstest;
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-use crate::support::{LIMIT, configuration, free_port, host, node, start_control, until};
+use crate::support::{LIMIT, ZONE, configuration, free_port, host, node, start_control, until};
 
 /// Long enough for a member that is cut off to find that it hears no leader.
 const CUT_FOR: Duration = Duration::from_millis(2_500);
@@ -233,6 +233,27 @@
     assert_eq!(taken, 2);
 }
 
+/// A member that is cut off believes that an evacuation is held which was taken back. It
+/// acknowledges no repeat of it, and once it is joined again an order is given upon what
+/// is in force then.
+#[tokio::test]
+async fn a_member_cut_off_acknowledges_no_evacuation_that_was_taken_back() {
+    let members = Members::start(180).await;
+    let (first, _) = &members.control[0];
+    let (last, _) = &members.control[2];
+    put(first, 1).await;
+    let held = last.evacuate_zone(ZONE, LIMIT).await;
+    assert!(matches!(held, Ok(ZoneOrder::Held(_))), "{held:?}");
+    members.cut_last_off();
+    let restored = first.restore_zone(ZONE, LIMIT).await;
+    assert!(matches!(restored, Ok(ZoneOrder::Held(_))), "{restored:?}");
+    assert_eq!(last.evacuate_zone(ZONE, CUT_FOR).await, Err(Unavailable));
+    members.join_last_again();
+    let again = last.evacuate_zone(ZONE, LIMIT).await;
+    assert!(matches!(again, Ok(ZoneOrder::Held(_))), "{again:?}");
+    assert_ne!(again, held);
+}
+
 /// A control member with an empty disk learns all that was ever in force, in order.
 /// A gateway that starts beside it takes the last of it only.
 #[tokio::test]
--- a/crates/cluster/tests/all/support.rs
+++ b/crates/cluster/tests/all/support.rs
@@ -32,12 +32,16 @@
     free.local_addr().expect("an address").port()
 }
 
+/// The only zone of the test deployments.
+pub(crate) const ZONE: &str = "zone";
+
 pub(crate) fn node(address: Ipv4Addr, seeds: &[Ipv4Addr], port: u16) -> NodeSettings {
+    let zones = [(ZONE.to_owned(), "region".to_owned())];
     NodeSettings {
         name: address.to_string(),
-        zone: "zone".to_owned(),
+        zone: ZONE.to_owned(),
         region: "region".to_owned(),
-        zones: ZoneMap::default(),
+        zones: zones.into_iter().collect::<ZoneMap>(),
         address,
         port,
         seeds: Seeds::new(seeds.to_vec()),
