Gateways: nothing new is sent to the replicas of an evacuated zone

Cause: gateways held evacuations and did not act on them. Change: the board leaves their replicas out of every choice and keeps what it knows of them; coordinators grant nothing there, turn away what waits and tell others that nothing is to be sent there; requests that wait for a slot there give their place up; the last look before a send stops what has a slot. Where all ready replicas of a service are evacuated a request is refused at once with 503 and a second to come back; coordinators report no room for items, so that these stay in the store. What runs finishes, and breaks there blame no request. Gauges of evacuated zones and replicas, counters of stopped sends and of refusals; fleet changed names the zones. Two literals of CoordinatedReplica in older tests name the new field.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -295,7 +295,9 @@
             let upto = self.fleet.upto();
             self.gateway.links.say(|hello| hello.upto = upto);
             let version = self.fleet.table().map(|table| table.version);
+            let evacuated: Vec<&str> = self.fleet.evacuations().zones().collect();
             info!(self.logger, "fleet changed"; "upto" => upto.0, "version" => version,
+                "evacuated" => evacuated.join(" "),
                 "from" => address_of(from).to_string(),
                 "replicas" => self.fleet.live_replicas().count());
             self.teller.send_replace(Arc::new(self.fleet.clone()));
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -64,7 +64,8 @@
     pub items: u16,
     /// Online requests that wait for a slot.
     pub waiting: u16,
-    /// Whether it fails what it is given, so that nothing is to be sent there.
+    /// Whether nothing is to be sent there: it fails what it is given, or its zone is
+    /// evacuated.
     pub closed: bool,
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -27,6 +27,9 @@
 
 /// A caller is told to come back after this long where nothing says better.
 pub(crate) const COME_BACK_AFTER: Duration = Duration::from_millis(150);
+/// A caller is told to come back after this long where all replicas are in evacuated zones:
+/// evacuations last for seconds, and their end is known within one.
+const COME_BACK_AFTER_EVACUATION: Duration = Duration::from_secs(1);
 /// Longest body of an answer that is held back until it is whole.
 const MAX_HELD_BYTES: usize = 512 * 1024;
 /// A request waits this share of its target for a replica, then it is refused.
@@ -95,6 +98,9 @@
             };
             let began = Instant::now();
             let Some(Placed { chosen, lease }) = search.run().await else {
+                if self.shared.is_service_evacuated(&self.service) {
+                    return self.refuse_as_evacuated();
+                }
                 if self.wait_for_replica().await {
                     continue;
                 }
@@ -122,7 +128,8 @@
                     self.note_refusal(&chosen.id, kind);
                     continue;
                 }
-                Exchange::Suspected => continue,
+                // It was not sent, and is searched for again without that replica.
+                Exchange::Suspected | Exchange::Evacuated => continue,
                 Exchange::KeyRefused(refusal) => return self.refuse_key(refusal),
                 Exchange::Unknown => self.note_run(&chosen.id),
                 Exchange::TimedOut if limits.head_until < self.until => {
@@ -250,6 +257,17 @@
         own_answer(ErrorKind::EndsReplicas, None)
     }
 
+    /// The final answer of a request whose replicas are all in evacuated zones, at once:
+    /// waiting a little does not help.
+    fn refuse_as_evacuated(&self) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.give_up("every replica is evacuated");
+        }
+        self.log("refused, every replica is evacuated", "");
+        self.ended(RequestEnd::Evacuated);
+        own_answer(ErrorKind::NoBackEnd, Some(COME_BACK_AFTER_EVACUATION))
+    }
+
     /// The final answer of a request whose key was taken away before it was sent.
     fn refuse_key(&self, refusal: KeyRefusal) -> Response<AnswerBody> {
         if self.runs > 0 {
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -26,6 +26,8 @@
     Refused,
     /// Refused: replicas ended under such requests.
     EndsReplicas,
+    /// Refused: all replicas that could serve it are in evacuated zones.
+    Evacuated,
     /// Refused: it carries no key that is known here.
     KeyRefused,
     /// Refused: it is beyond its tenant's limit.
@@ -95,6 +97,12 @@
     pub(crate) table_version: Gauge,
     /// Replicas that may be given new work.
     pub(crate) ready_replicas: Gauge,
+    /// Zones that are evacuated.
+    pub(crate) evacuated_zones: Gauge,
+    /// Replicas that are ready, in evacuated zones.
+    pub(crate) evacuated_replicas: Gauge,
+    /// Sends that were stopped since the replica's zone was evacuated meanwhile.
+    pub(crate) evacuated_sends: Counter,
     /// Requests under which replicas ended and that are suspected.
     pub(crate) suspected_requests: Gauge,
     /// How long no control member has been heard of, in milliseconds.
@@ -117,6 +125,9 @@
             slots: Family::default(),
             table_version: Gauge::default(),
             ready_replicas: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_replicas: Gauge::default(),
+            evacuated_sends: Counter::default(),
             suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
         };
@@ -158,6 +169,14 @@
         registry.register("relay_table_version", "Route table in force", version);
         let ready = self.ready_replicas.clone();
         registry.register("relay_ready_replicas", "Replicas open for work", ready);
+        let zones = self.evacuated_zones.clone();
+        registry.register("relay_evacuated_zones", "Zones that are evacuated", zones);
+        let evacuated = self.evacuated_replicas.clone();
+        let help = "Ready replicas in evacuated zones";
+        registry.register("relay_evacuated_replicas", help, evacuated);
+        let stopped = self.evacuated_sends.clone();
+        let help = "Sends stopped since the zone of the replica was evacuated meanwhile";
+        registry.register("relay_evacuated_sends", help, stopped);
         let silent = self.control_silent_ms.clone();
         let help = "Milliseconds since a control member was heard of";
         registry.register("relay_control_silent_milliseconds", help, silent);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{RequestContent, RequestFingerprint};
 use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
+use slog::info;
 
 use crate::{
     callers::{Caller, KeyRefusal},
@@ -97,6 +98,8 @@
     TimedOut,
     /// Its key was taken away, or keys are not known to be in force; it was not sent.
     KeyRefused(KeyRefusal),
+    /// The replica's zone is evacuated; it was not sent.
+    Evacuated,
     /// More replicas ended under such requests than was known at the search for this
     /// one; it was not sent.
     Suspected,
@@ -171,6 +174,10 @@
         limits,
         ..
     } = target;
+    // Before it counts there, and before a connection is opened.
+    if shared.is_evacuated(&chosen.id) {
+        return evacuated(shared, outgoing, chosen);
+    }
     let Some(mut running) = RunningGuard::begin(shared, outgoing, prompt, target) else {
         return Exchange::NotRun(FailureKind::Replaced);
     };
@@ -188,6 +195,9 @@
         if !connection.is_reused {
             shared.counters.connections.inc();
         }
+        if shared.is_evacuated(&chosen.id) {
+            return evacuated(shared, outgoing, chosen);
+        }
         if !shared.is_known_ready(&chosen.id) {
             return Exchange::NotRun(FailureKind::Replaced);
         }
@@ -227,6 +237,14 @@
     }
 }
 
+/// What was to be sent is not: its zone was evacuated since the replica was chosen.
+fn evacuated(shared: &Shared, outgoing: &Outgoing, chosen: &Chosen) -> Exchange {
+    shared.counters.evacuated_sends.inc();
+    info!(shared.logger, "request: not sent, zone evacuated"; "request" => outgoing.id(),
+        "replica" => &chosen.id, "upto" => shared.gateway.fleet().upto().0);
+    Exchange::Evacuated
+}
+
 /// Why no head of an answer came.
 enum NoHead {
     /// A resting connection was closed before anything was sent.
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -226,7 +226,7 @@
                 RunEnd::GoOn
             }
             // Items carry no key.
-            Exchange::Suspected | Exchange::KeyRefused(_) => RunEnd::GoOn,
+            Exchange::Suspected | Exchange::KeyRefused(_) | Exchange::Evacuated => RunEnd::GoOn,
             Exchange::Unknown => {
                 self.tried.push(chosen.id);
                 RunEnd::GoOn
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -208,6 +208,7 @@
                         running: opened.running,
                     });
                 }
+                Exchange::Evacuated => self.not_sent(),
                 Exchange::NotRun(_) | Exchange::Suspected => self.settings.sends_left += 1,
                 Exchange::Answered(_) | Exchange::Unknown => {}
                 Exchange::TimedOut | Exchange::KeyRefused(_) => return None,
@@ -216,6 +217,13 @@
         None
     }
 
+    /// The replica that it was to go on at was not sent it, and may be once its zone is no
+    /// longer evacuated.
+    fn not_sent(&mut self) {
+        self.settings.sends_left += 1;
+        self.settings.tried.pop();
+    }
+
     async fn finish(mut self) {
         self.ended(RequestEnd::Served);
         self.source.running.came_to_an_end();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,7 +1,7 @@
 //! What all requests of a gateway share.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -112,13 +112,21 @@
             }
         });
         let list: Vec<ReplicaTraits> = list.collect();
-        let ready = list.iter().filter(|replica| replica.ready).count();
-        self.counters.ready_replicas.set(ready as i64);
+        let zones: BTreeSet<String> = fleet.evacuations().zones().map(str::to_owned).collect();
+        self.counters.evacuated_zones.set(zones.len() as i64);
         let suspected = fleet.suspicions().len();
         self.counters.suspected_requests.set(suspected as i64);
         let version = table.map_or(0, |table| table.version);
         self.counters.table_version.set(version as i64);
-        self.board.lock().set_replicas(list);
+        let ready = {
+            let mut board = self.board.lock();
+            board.set_replicas(list);
+            board.set_evacuated(zones);
+            board.ready_replicas()
+        };
+        self.counters.ready_replicas.set(ready.open as i64);
+        let evacuated = ready.evacuated as i64;
+        self.counters.evacuated_replicas.set(evacuated);
     }
 
     /// The table in force here.
@@ -326,7 +334,18 @@
         number.is_multiple_of(SUCCESSES_PER_LINE)
     }
 
-    /// Whether control has not said meanwhile that a replica leaves.
+    /// Whether a replica's zone is evacuated: nothing more is sent there.
+    pub(crate) fn is_evacuated(&self, replica: &str) -> bool {
+        self.board.lock().is_evacuated(replica)
+    }
+
+    /// Whether all replicas of a service that could serve are in evacuated zones.
+    pub(crate) fn is_service_evacuated(&self, service: &str) -> bool {
+        self.board.lock().is_service_evacuated(service)
+    }
+
+    /// Whether control has not said meanwhile that a replica leaves or that its zone is
+    /// evacuated.
     pub(crate) fn is_known_ready(&self, replica: &str) -> bool {
         self.board.lock().is_known_ready(replica)
     }
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -2,14 +2,14 @@
 //! learns who coordinates the others.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
 };
 
 use linnethitch_cluster::{GatewayNode, machine_of};
 use linnethitch_protocol::{
     ids::MachineId,
-    slots::{GatewayDatagram, HeldLease, SlotLoad},
+    slots::{GatewayDatagram, HeldLease, SlotLoad, Verdict},
 };
 use linnethitch_routing::dispatch::{
     Ask, CoordinatedReplica, Due, LeaseKey, SlotAction, coordinator_of,
@@ -25,6 +25,7 @@
         let gateways = self.gateway.coordinators();
         let mut state = self.state.lock();
         let has_moved = state.assign(&gateways, &engines);
+        state.leave_evacuated(&engines);
         let mut coordinated = engines;
         coordinated.retain(|engine| state.coordinators.get(&engine.id) == Some(&self.own));
         let mut actions = state.coordinator.set_replicas(coordinated, now_ms);
@@ -167,6 +168,22 @@
 }
 
 impl State {
+    /// Own requests that wait for a slot of an evacuated replica wait no longer, also where
+    /// its coordinator does not know yet. They find the replica evacuated before they are
+    /// sent, give their place back and choose again.
+    fn leave_evacuated(&self, engines: &[CoordinatedReplica]) {
+        let evacuated: HashSet<&str> = engines
+            .iter()
+            .filter(|engine| engine.evacuated)
+            .map(|engine| engine.id.as_str())
+            .collect();
+        for (number, held) in &self.held {
+            if evacuated.contains(held.replica.as_str()) {
+                self.deliver(*number, Verdict::NotHere);
+            }
+        }
+    }
+
     /// Finds the coordinator of each engine, if gateways or engines are others
     /// than before; true when an engine has another coordinator now.
     fn assign(&mut self, gateways: &Arc<Vec<MachineId>>, engines: &[CoordinatedReplica]) -> bool {
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -284,7 +284,7 @@
         self.last_number
     }
 
-    fn deliver(&mut self, number: u64, verdict: Verdict) {
+    fn deliver(&self, number: u64, verdict: Verdict) {
         if let Some(ask) = self.asks.get(&number) {
             // An asker that no longer waits ends its lease itself.
             let _ = ask.try_send(verdict);
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay.
 
 mod ending_requests;
+mod evacuations;
 mod events;
 mod keys;
 mod requests;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -34,6 +34,10 @@
 
 /// Each test gets loopback addresses of its own.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+/// The zone of gateways, and of replicas where no other one is named.
+pub(crate) const ZONE: &str = "zone";
+/// Another zone of the same region.
+pub(crate) const OTHER_ZONE: &str = "other-zone";
 /// Longest time for anything in a test.
 pub(crate) const LIMIT: Duration = Duration::from_secs(20);
 
@@ -337,11 +341,12 @@
         let process = std::process::id();
         let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
         let logger = Logger::root(Discard, o!());
+        let zones = [ZONE, OTHER_ZONE].map(|zone| (zone.to_owned(), "region".to_owned()));
         let node = NodeSettings {
             name: "node".to_owned(),
-            zone: "zone".to_owned(),
+            zone: ZONE.to_owned(),
             region: "region".to_owned(),
-            zones: ZoneMap::default(),
+            zones: zones.into_iter().collect::<ZoneMap>(),
             address,
             port: free_port(address).await,
             seeds: Seeds::new(vec![address]),
@@ -436,23 +441,61 @@
         state: ReplicaState,
         sequence: u64,
     ) {
-        let change = ReplicaChange {
+        self.heartbeat(ReplicaChange {
             id: format!("i-{number}"),
             service: "service".to_owned(),
             address: address.to_string(),
-            zone: "zone".to_owned(),
+            zone: ZONE.to_owned(),
             slots: 4,
             state,
             sequence,
             born: 0,
             cold_ms: 0,
-        };
+        })
+        .await;
+    }
+
+    /// Registers a replica of the other zone and waits until it is known.
+    pub(crate) async fn add_in_other_zone(&self, number: usize, replica: &Replica) {
+        self.heartbeat(ReplicaChange {
+            id: format!("i-{number}"),
+            service: "service".to_owned(),
+            address: replica.address.to_string(),
+            zone: OTHER_ZONE.to_owned(),
+            slots: 4,
+            state: ReplicaState::Ready,
+            sequence: 1,
+            born: 0,
+            cold_ms: 0,
+        })
+        .await;
+        self.wait_until_known(number).await;
+    }
+
+    async fn heartbeat(&self, change: ReplicaChange) {
         self.control
             .heartbeat(change, LIMIT)
             .await
             .expect("it is held");
     }
 
+    /// Evacuates a zone, or takes that back, and waits until the gateway acts on it.
+    pub(crate) async fn evacuate(&self, zone: &str, evacuated: bool) {
+        let ordered = if evacuated {
+            self.control.evacuate_zone(zone, LIMIT).await
+        } else {
+            self.control.restore_zone(zone, LIMIT).await
+        };
+        ordered.expect("it is held");
+        let known = async {
+            let figure = format!("relay_evacuated_zones {}", u8::from(evacuated));
+            while !self.relay.figures().contains(&figure) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, known).await.expect("in time");
+    }
+
     /// Registers another replica that does the acts of this one, its only fellow.
     pub(crate) async fn add_twin(&self, replica: &Replica) {
         let address = twin(replica).await;
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -1,6 +1,6 @@
 //! The replicas of all services, and the choice among them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use linnethitch_protocol::slots::SlotLoad;
 use rand::Rng;
@@ -55,12 +55,23 @@
     pub expected_ms: f64,
 }
 
+/// How many replicas control says to be ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadyReplicas {
+    /// Those that may be given new work.
+    pub open: usize,
+    /// Those in evacuated zones.
+    pub evacuated: usize,
+}
+
 /// Every replica that this gateway knows.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     zone: String,
     replicas: BTreeMap<String, Replica>,
     by_service: HashMap<String, Vec<String>>,
+    /// Zones whose replicas are given nothing new.
+    evacuated: BTreeSet<String>,
 }
 
 impl Board {
@@ -92,12 +103,57 @@
         }
     }
 
+    /// Replaces the zones that are evacuated. What is known of their replicas is kept; only
+    /// what coordinators told of those that are open again is not, since they were closed.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<String>) {
+        let before = std::mem::replace(&mut self.evacuated, zones);
+        for replica in self.replicas.values_mut() {
+            let zone = &replica.traits.zone;
+            if before.contains(zone) && !self.evacuated.contains(zone) {
+                replica.forget_told();
+            }
+        }
+    }
+
+    /// Whether a replica's zone is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, id: &str) -> bool {
+        let replica = self.replicas.get(id);
+        replica.is_some_and(|replica| self.evacuated.contains(&replica.traits.zone))
+    }
+
+    /// Whether all replicas of a service that control says to be ready are in evacuated
+    /// zones; false where there are none.
+    #[must_use]
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
+        let mut ready = self.of(service).filter(|replica| replica.traits.ready);
+        let is_evacuated = |replica: &Replica| self.evacuated.contains(&replica.traits.zone);
+        ready.next().is_some_and(is_evacuated) && ready.all(is_evacuated)
+    }
+
+    /// Replicas that are ready, in evacuated zones and in others.
+    #[must_use]
+    pub fn ready_replicas(&self) -> ReadyReplicas {
+        let ready = self.replicas.values().filter(|r| r.traits.ready);
+        let is_evacuated = |replica: &&Replica| self.evacuated.contains(&replica.traits.zone);
+        let evacuated = ready.clone().filter(is_evacuated).count();
+        ReadyReplicas {
+            open: ready.count() - evacuated,
+            evacuated,
+        }
+    }
+
     /// Whether a replica may be given new work, as far as control told.
     #[must_use]
     pub fn is_known_ready(&self, id: &str) -> bool {
-        self.replicas
-            .get(id)
-            .is_some_and(|replica| replica.traits.ready)
+        let replica = self.replicas.get(id);
+        replica.is_some_and(|replica| {
+            replica.traits.ready && !self.evacuated.contains(&replica.traits.zone)
+        })
+    }
+
+    fn is_open(&self, replica: &Replica, now_ms: u64) -> bool {
+        replica.is_open(now_ms) && !self.evacuated.contains(&replica.traits.zone)
     }
 
     /// Chooses the replica with the shortest expected time to the first event.
@@ -123,7 +179,7 @@
     #[must_use]
     pub fn chosen_at(&self, id: &str, now_ms: u64) -> Option<Chosen> {
         let replica = self.replicas.get(id)?;
-        replica.is_open(now_ms).then(|| chosen(replica))
+        self.is_open(replica, now_ms).then(|| chosen(replica))
     }
 
     /// Own requests and batch items under way at a service.
@@ -147,7 +203,8 @@
                 id: replica.traits.id.clone(),
                 service: replica.traits.service.clone(),
                 slots: replica.slots(),
-                open: replica.is_open(now_ms),
+                open: self.is_open(replica, now_ms),
+                evacuated: self.evacuated.contains(&replica.traits.zone),
             })
             .collect()
     }
@@ -222,7 +279,10 @@
         need: &'a Need<'_>,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a Replica> {
-        let open = || self.of(need.service).filter(move |r| r.is_open(now_ms));
+        let open = move || {
+            let replicas = self.of(need.service);
+            replicas.filter(move |replica| self.is_open(replica, now_ms))
+        };
         let closed = open().filter(|r| r.is_told_closed(now_ms)).count();
         let leaves_out = closed * 2 <= open().count();
         open()
--- a/crates/routing/src/dispatch/coordinator/mod.rs
+++ b/crates/routing/src/dispatch/coordinator/mod.rs
@@ -47,7 +47,8 @@
 
 impl SlotCoordinator {
     /// Replaces the list of replicas. Items stop at those that are coordinated
-    /// elsewhere now or that take no new work; they go on where there is room.
+    /// elsewhere now or that take no new work; they go on where there is room. What waits
+    /// for a replica whose zone is evacuated goes elsewhere; what runs there goes on.
     pub fn set_replicas(&mut self, list: Vec<CoordinatedReplica>, now_ms: u64) -> Vec<SlotAction> {
         let mut actions = Vec::new();
         let mut before = std::mem::take(&mut self.replicas);
@@ -66,6 +67,11 @@
             };
             self.replicas.insert(id, slots);
         }
+        for replica in self.replicas.values_mut() {
+            if replica.traits.evacuated {
+                replica.turn_queue_away(&mut actions);
+            }
+        }
         for (id, left) in before {
             actions.extend(left.items.into_keys().map(SlotAction::Stop));
             let asked = left.queue.into_keys();
@@ -82,7 +88,7 @@
         };
         replica.queue.remove(&ask.key);
         let is_leased = replica.online.contains_key(&ask.key);
-        let admits = replica.health.admits(now_ms);
+        let admits = replica.admits_online(now_ms);
         let has_slot = match ask.mode {
             AskMode::Free => admits && replica.free() > 0,
             AskMode::Probe | AskMode::Wait => admits && replica.has_online_slot(),
@@ -93,7 +99,7 @@
         let verdict = if is_leased || has_slot {
             replica.lease(ask.key, alone, now_ms, &mut actions);
             Verdict::Granted
-        } else if replica.health.is_closed() {
+        } else if replica.is_closed() {
             Verdict::Full
         } else if alone || ask.mode == AskMode::Wait {
             let waiter = Waiter {
--- a/crates/routing/src/dispatch/coordinator/replica_slots.rs
+++ b/crates/routing/src/dispatch/coordinator/replica_slots.rs
@@ -74,6 +74,16 @@
         self.traits.open && self.settled_ms <= now_ms && self.health.admits(now_ms)
     }
 
+    /// Whether an online request may be given a slot, if there is one.
+    pub(super) fn admits_online(&self, now_ms: u64) -> bool {
+        !self.traits.evacuated && self.health.admits(now_ms)
+    }
+
+    /// Whether nothing is to be sent there, but for trials.
+    pub(super) fn is_closed(&self) -> bool {
+        self.traits.evacuated || self.health.is_closed()
+    }
+
     pub(super) fn has_online_slot(&self) -> bool {
         (self.online.len() as u32) < self.traits.slots
     }
@@ -118,7 +128,7 @@
 
     /// Gives free slots to the online requests that wait.
     pub(super) fn serve_queue(&mut self, now_ms: u64, actions: &mut Vec<SlotAction>) {
-        while self.has_online_slot() && self.health.admits(now_ms) {
+        while self.has_online_slot() && self.admits_online(now_ms) {
             let runs_one_alone = self.runs_one_alone();
             let waiting = self.queue.iter();
             let next = waiting
@@ -158,6 +168,11 @@
         if !has_closed {
             return;
         }
+        self.turn_queue_away(actions);
+    }
+
+    /// Those that wait go elsewhere.
+    pub(super) fn turn_queue_away(&mut self, actions: &mut Vec<SlotAction>) {
         let waiting = std::mem::take(&mut self.queue).into_keys();
         actions.extend(waiting.map(|key| answer(&self.traits.id, key, Verdict::Full)));
     }
@@ -170,7 +185,7 @@
             online: count(self.online.len()),
             items: count(self.items.len()),
             waiting: count(self.queue.len()),
-            closed: self.health.is_closed(),
+            closed: self.is_closed(),
         }
     }
 }
--- a/crates/routing/src/dispatch/coordinator/types.rs
+++ b/crates/routing/src/dispatch/coordinator/types.rs
@@ -44,6 +44,8 @@
     pub slots: u32,
     /// Whether it may be given new work.
     pub open: bool,
+    /// Whether its zone is evacuated: nothing waits there either.
+    pub evacuated: bool,
 }
 
 /// What is to be done.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -16,7 +16,7 @@
 mod weights;
 mod work_calls;
 
-pub use board::{Board, Chosen, Need};
+pub use board::{Board, Chosen, Need, ReadyReplicas};
 pub use coordinator::{
     Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, SlotCoordinator, WaitingItem,
 };
--- a/crates/routing/src/dispatch/replica.rs
+++ b/crates/routing/src/dispatch/replica.rs
@@ -203,6 +203,10 @@
         });
     }
 
+    pub(crate) fn forget_told(&mut self) {
+        self.told = None;
+    }
+
     /// Requests that wait there beyond the slots: as its coordinator told, else by
     /// the last report, which counts less the older it is.
     pub(crate) fn waiting(&self, now_ms: u64) -> f64 {
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -25,6 +25,7 @@
         service: SERVICE.to_owned(),
         slots,
         open: true,
+        evacuated: false,
     }
 }
 
--- a/crates/routing/tests/all/replica_health.rs
+++ b/crates/routing/tests/all/replica_health.rs
@@ -21,6 +21,7 @@
         service: "models".to_owned(),
         slots: 4,
         open: true,
+        evacuated: false,
     };
     coordinator.set_replicas(vec![replica], 0);
     coordinator
