Gateways: one that stood still waits for news before it sends

Pulses that waited too look like news. Change: a process that did not run for a second sends nothing to replicas until control has told what is in force over a link opened since, or 150 ms later over an older one, for 1.8 s at most. It says so in a line.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use linnethitch_clock::Clock;
+use linnethitch_clock::{Clock, sleep};
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
@@ -31,11 +31,14 @@
     message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
     seeds::Seeds,
+    standstill::Standstill,
     told_fleet::ToldFleet,
 };
 
 /// How often links are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between two looks whether news came after a standstill.
+const NEWS_LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
@@ -56,6 +59,8 @@
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
     current_at_ms: Arc<AtomicU64>,
+    standstill: Arc<Standstill>,
+    logger: Logger,
 }
 
 impl GatewayNode {
@@ -77,6 +82,8 @@
             coordinators: Arc::default(),
             clock: base.clock,
             current_at_ms: Arc::default(),
+            standstill: Arc::default(),
+            logger: settings.logger.clone(),
         };
         let learner = Learner {
             gateway: gateway.clone(),
@@ -162,6 +169,22 @@
         self.clock.now_ms().saturating_sub(current_at_ms)
     }
 
+    /// Waits, after this process stood still, until control has said what is in force now,
+    /// or counts as lost. At any other time it returns at once.
+    pub async fn news_after_standstill(&self) {
+        self.note_running();
+        while self.standstill.awaits_news() {
+            sleep(NEWS_LOOK_INTERVAL).await;
+        }
+    }
+
+    fn note_running(&self) {
+        if let Some(still) = self.standstill.note_running() {
+            warn!(self.logger, "stood still"; "still_ms" => still.as_millis() as u64,
+                "upto" => self.fleet().upto().0);
+        }
+    }
+
     /// Tells control whether callers may come here.
     pub fn set_ready(&self, ready: bool) {
         self.links.say(|hello| hello.ready = ready);
@@ -253,6 +276,7 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => {
+                    self.gateway.note_running();
                     self.keep_links();
                     self.note_coordinators();
                     self.look_for_control();
@@ -287,6 +311,16 @@
             .is_some_and(|current| current <= self.fleet.upto())
         {
             self.gateway.current_at_ms.store(now_ms, Ordering::Relaxed);
+            self.note_news(from);
+        }
+    }
+
+    /// A member told all that is in force. A process that has just woken up learns by this
+    /// that it stood still, before it takes what had waited for news.
+    fn note_news(&self, from: MachineId) {
+        self.gateway.note_running();
+        if let Some(opened) = self.gateway.links.opened(from) {
+            self.gateway.standstill.note_news(opened);
         }
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -22,6 +22,7 @@
 mod pulse;
 mod registry_service;
 mod seeds;
+mod standstill;
 mod store;
 mod store_service;
 mod told_fleet;
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -60,6 +60,8 @@
 /// One link; without a sender while it is down.
 struct Link {
     sender: Option<MessageSender<NodeMessage>>,
+    /// When it was opened last.
+    opened: Option<Instant>,
     calls: HashMap<CallId, oneshot::Sender<ReplyBody>>,
     task: JoinHandle<()>,
 }
@@ -103,6 +105,7 @@
             let task = tokio::spawn(keep_link(self.clone(), *machine));
             let link = Link {
                 sender: None,
+                opened: None,
                 calls: HashMap::new(),
                 task,
             };
@@ -160,6 +163,11 @@
         links.get(&to).and_then(|link| link.sender.clone())
     }
 
+    /// When the link to a machine was opened last.
+    pub(crate) fn opened(&self, machine: MachineId) -> Option<Instant> {
+        self.inner.links.lock().get(&machine)?.opened
+    }
+
     fn next_call(&self) -> CallId {
         let mut next = self.inner.next_call.lock();
         *next += 1;
@@ -168,6 +176,9 @@
 
     fn set_sender(&self, machine: MachineId, sender: Option<MessageSender<NodeMessage>>) {
         if let Some(link) = self.inner.links.lock().get_mut(&machine) {
+            if sender.is_some() {
+                link.opened = Some(Instant::now());
+            }
             link.sender = sender;
             link.calls.clear();
         }
--- /dev/null
+++ b/crates/cluster/src/standstill.rs
@@ -0,0 +1,70 @@
+//! Whether this process stood still, as a suspended or frozen machine makes it, and
+//! whether control has spoken to it since.
+//!
+//! A process that wakes up first reads what had come before or while it stood still, and
+//! knows only later that it is old. Links that fell silent meanwhile are opened anew, and
+//! what control says on a new link is said after the wake.
+
+use std::time::Duration;
+
+use linnethitch_clock::Instant;
+use parking_lot::Mutex;
+
+/// A process that notes every 250 ms that it runs stood still if it did not for so long.
+const STOOD_STILL_AFTER: Duration = Duration::from_secs(1);
+/// On a link that outlived the standstill, what is read after this was said since: what
+/// waited there is read within milliseconds.
+const READ_UP_WITHIN: Duration = Duration::from_millis(150);
+/// News are waited for no longer than this: by then control counts as lost, and the
+/// process goes on by what it knows, like any that is cut off.
+const NEWS_LIMIT: Duration = Duration::from_millis(1_800);
+
+/// When this process woke up last, and whether control has spoken since.
+#[derive(Debug)]
+pub(crate) struct Standstill(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    ran: Instant,
+    /// When it woke up, while it waits for news.
+    woke: Option<Instant>,
+}
+
+impl Default for Standstill {
+    fn default() -> Self {
+        let ran = Instant::now();
+        Standstill(Mutex::new(State { ran, woke: None }))
+    }
+}
+
+impl Standstill {
+    /// The process runs now; how long it stood still before, where it did.
+    pub(crate) fn note_running(&self) -> Option<Duration> {
+        let now = Instant::now();
+        let mut state = self.0.lock();
+        let still = now.saturating_duration_since(state.ran);
+        state.ran = now;
+        if still < STOOD_STILL_AFTER {
+            return None;
+        }
+        state.woke = Some(now);
+        Some(still)
+    }
+
+    /// Control told over a link that was opened then what is in force.
+    pub(crate) fn note_news(&self, link_opened: Instant) {
+        let mut state = self.0.lock();
+        let is_news = state
+            .woke
+            .is_none_or(|woke| link_opened >= woke || woke.elapsed() >= READ_UP_WITHIN);
+        if is_news {
+            state.woke = None;
+        }
+    }
+
+    /// Whether the process woke up and has no news yet, but may soon.
+    pub(crate) fn awaits_news(&self) -> bool {
+        let woke = self.0.lock().woke;
+        woke.is_some_and(|woke| woke.elapsed() < NEWS_LIMIT)
+    }
+}
--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -111,6 +111,34 @@
     until("the second version", || version(&pair.gateway) == 2).await;
 }
 
+/// Whoever waits for news after a suspension has them then.
+#[tokio::test]
+async fn a_gateway_whose_machine_was_suspended_waits_for_news_of_what_is_in_force() {
+    let pair = Pair::start(94).await;
+    put(&pair.control, 1).await;
+    until("the first version", || version(&pair.gateway) == 1).await;
+    pair.gateway.news_after_standstill().await;
+    pair.proxy.silence_open(Way::Both);
+    let evacuated = pair.control.evacuate_zone(ZONE, LIMIT).await;
+    assert!(matches!(evacuated, Ok(ZoneOrder::Held(_))), "{evacuated:?}");
+    suspend_for(Duration::from_secs(60));
+    pair.gateway.news_after_standstill().await;
+    assert!(pair.gateway.fleet().evacuations().contains(ZONE));
+}
+
+/// It does not wait for long where control does not speak to it.
+#[tokio::test]
+async fn a_gateway_that_wakes_up_cut_off_goes_on_by_what_it_knows() {
+    let pair = Pair::start(96).await;
+    put(&pair.control, 1).await;
+    until("the first version", || version(&pair.gateway) == 1).await;
+    pair.proxy.set(Mode::Silent(Way::Both));
+    suspend_for(Duration::from_secs(60));
+    let waited = tokio::time::timeout(LIMIT, pair.gateway.news_after_standstill());
+    waited.await.expect("in time");
+    assert_eq!(version(&pair.gateway), 1);
+}
+
 /// Three control members, each with a port of its own, and proxies between them.
 struct Members {
     control: Vec<(ControlNode, TempDir)>,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -174,6 +174,7 @@
         limits,
         ..
     } = target;
+    shared.gateway.news_after_standstill().await;
     // Before it counts there, and before a connection is opened.
     if shared.is_evacuated(&chosen.id) {
         return evacuated(shared, outgoing, chosen);
