Relay tests: a stream that breaks off after an evacuation goes on outside the zone

A stand-in replica can be told when to reset. The texts of streams are shared between two test modules.

--- a/crates/relay/tests/all/evacuations.rs
+++ b/crates/relay/tests/all/evacuations.rs
@@ -1,15 +1,21 @@
 //! Nothing new is sent to the replicas of an evacuated zone.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use linnethitch_registry::{Route, RouteKind};
 use rstest::rstest;
 use tokio::{
     net::TcpStream,
+    sync::Notify,
     time::{sleep, timeout},
 };
 
-use crate::support::{Act, Answer, Fleet, LIMIT, OK, OTHER_ZONE, Replica, ZONE, header, route};
+use crate::{
+    streams::{BOTH, BROKEN, REST},
+    support::{
+        Act, Answer, Fleet, LIMIT, OK, OTHER_ZONE, Replica, ZONE, header, read_answer, route,
+    },
+};
 
 /// Requests that would be spread over two replicas.
 const REQUESTS: usize = 20;
@@ -148,6 +154,27 @@
     assert_eq!(figure(&fleet, "relay_evacuated_sends"), "1");
 }
 
+/// Its stream broke off after the evacuation; a fellow of its replica waits for work there.
+#[tokio::test]
+async fn a_stream_goes_on_outside_the_evacuated_zone() {
+    let breaks: Arc<Notify> = Arc::default();
+    let act = Act::SendAndResetWhen(BROKEN, Arc::clone(&breaks));
+    let here = Replica::start(vec![act, Act::Send(REST)]).await;
+    let there = Replica::start(vec![Act::Send(REST)]).await;
+    let resumable = route(RouteKind::Streaming, 2, true);
+    let fleet = Fleet::start(resumable, std::slice::from_ref(&here)).await;
+    fleet.add_twin(&here).await;
+    let mut caller = fleet.open("request-1", "").await;
+    reached_by(&here, 1).await;
+    fleet.add_in_other_zone(2, &there).await;
+    fleet.evacuate(ZONE, true).await;
+    breaks.notify_one();
+    let answer = read_answer(&mut caller).await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.body, BOTH);
+    assert_eq!((here.requests(), there.requests()), (1, 1));
+}
+
 /// Another zone's evacuation concerns nobody here.
 #[tokio::test]
 async fn replicas_of_other_zones_serve_as_before() {
--- a/crates/relay/tests/all/streams.rs
+++ b/crates/relay/tests/all/streams.rs
@@ -9,13 +9,13 @@
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
     f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 /// One whole event and part of the second.
-const BROKEN: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
+pub(crate) const BROKEN: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
     f\r\nid: 1\ndata: a\n\n\r\n9\r\nid: 2\ndat\r\n";
-const REST: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: other\r\n\
+pub(crate) const REST: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: other\r\n\
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
     f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
-const BOTH: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+pub(crate) const BOTH: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 #[tokio::test]
 async fn a_whole_stream_is_passed_on() {
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -29,6 +29,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Notify,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -96,6 +97,8 @@
     SendAndClose(&'static str),
     /// Sends these bytes and resets.
     SendAndReset(&'static str),
+    /// Sends these bytes and resets once it is told to.
+    SendAndResetWhen(&'static str, Arc<Notify>),
     /// Sends these bytes where this incarnation is asked for, else 421.
     SendIfExpected(&'static str, &'static str),
     /// Sends these bytes after a moment, so that further requests need connections of
@@ -157,10 +160,15 @@
                 acts[0].clone()
             }
         };
+        let mut reset_when = None;
         let (text, closes, resets) = match act {
             Act::Send(text) => (text, false, false),
             Act::SendAndClose(text) => (text, true, false),
             Act::SendAndReset(text) => (text, true, true),
+            Act::SendAndResetWhen(text, told) => {
+                reset_when = Some(told);
+                (text, true, true)
+            }
             Act::SendIfExpected(own, text) if own == expected => (text, false, false),
             Act::SendIfExpected(..) => (OTHER_INCARNATION, false, false),
             Act::SendLater(text) => {
@@ -171,6 +179,9 @@
         };
         let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
         let _ = stream.flush().await;
+        if let Some(told) = reset_when {
+            told.notified().await;
+        }
         if resets {
             // What was sent must arrive before the reset does.
             tokio::time::sleep(Duration::from_millis(50)).await;
