--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -14,7 +14,7 @@
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
 use linnethitch_registry::{
     Configuration, Declared, FleetUpdate, RegistryAnswer, RegistryCommand, ReplicaChange,
-    ReplicaRecord, ReplicaState,
+    ReplicaRecord, ReplicaState, ZoneMap,
 };
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
@@ -90,6 +90,7 @@
     heard: Arc<Mutex<BTreeSet<String>>>,
     store_voters: usize,
     logger: Logger,
+    zones: Arc<ZoneMap>,
 }
 
 impl ControlNode {
@@ -132,6 +133,7 @@
             heard: Arc::default(),
             store_voters: settings.store_voters,
             logger: node.logger.clone(),
+            zones: Arc::new(node.zones.clone()),
         };
         let pulses = control.pulse_source(own);
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
@@ -161,7 +163,7 @@
         };
         match self.propose(command, limit).await? {
             RegistryAnswer::RoutesHeld(version) => Ok(version),
-            RegistryAnswer::Done | RegistryAnswer::OtherStart => Err(Unavailable),
+            _ => Err(Unavailable),
         }
     }
 
@@ -303,11 +305,16 @@
         }
     }
 
-    fn view(&self) -> Arc<RegistryView> {
+    /// All zones of the deployment.
+    pub(crate) fn zones(&self) -> &ZoneMap {
+        &self.zones
+    }
+
+    pub(crate) fn view(&self) -> Arc<RegistryView> {
         Arc::clone(&self.shared.view.lock())
     }
 
-    async fn propose(
+    pub(crate) async fn propose(
         &self,
         command: RegistryCommand,
         limit: Duration,
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -29,11 +29,16 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Notify,
 };
 use tokio_util::sync::CancellationToken;
 
 /// Each test gets loopback addresses of its own.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+/// The zone of gateways, and of replicas where no other one is named.
+pub(crate) const ZONE: &str = "zone";
+/// Another zone of the same region.
+pub(crate) const OTHER_ZONE: &str = "other-zone";
 /// Longest time for anything in a test.
 pub(crate) const LIMIT: Duration = Duration::from_secs(20);
 
@@ -92,6 +97,8 @@
     SendAndClose(&'static str),
     /// Sends these bytes and resets.
     SendAndReset(&'static str),
+    /// Sends these bytes and resets once it is told to.
+    SendAndResetWhen(&'static str, Arc<Notify>),
     /// Sends these bytes where this incarnation is asked for, else 421.
     SendIfExpected(&'static str, &'static str),
     /// Sends these bytes after a moment, so that further requests need connections of
@@ -153,10 +160,15 @@
                 acts[0].clone()
             }
         };
+        let mut reset_when = None;
         let (text, closes, resets) = match act {
             Act::Send(text) => (text, false, false),
             Act::SendAndClose(text) => (text, true, false),
             Act::SendAndReset(text) => (text, true, true),
+            Act::SendAndResetWhen(text, told) => {
+                reset_when = Some(told);
+                (text, true, true)
+            }
             Act::SendIfExpected(own, text) if own == expected => (text, false, false),
             Act::SendIfExpected(..) => (OTHER_INCARNATION, false, false),
             Act::SendLater(text) => {
@@ -167,6 +179,9 @@
         };
         let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
         let _ = stream.flush().await;
+        if let Some(told) = reset_when {
+            told.notified().await;
+        }
         if resets {
             // What was sent must arrive before the reset does.
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -337,11 +352,12 @@
         let process = std::process::id();
         let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
         let logger = Logger::root(Discard, o!());
+        let zones = [ZONE, OTHER_ZONE].map(|zone| (zone.to_owned(), "region".to_owned()));
         let node = NodeSettings {
             name: "node".to_owned(),
-            zone: "zone".to_owned(),
+            zone: ZONE.to_owned(),
             region: "region".to_owned(),
-            zones: ZoneMap::default(),
+            zones: zones.into_iter().collect::<ZoneMap>(),
             address,
             port: free_port(address).await,
             seeds: Seeds::new(vec![address]),
@@ -449,23 +465,61 @@
         state: ReplicaState,
         sequence: u64,
     ) {
-        let change = ReplicaChange {
+        self.heartbeat(ReplicaChange {
             id: format!("i-{number}"),
             service: "service".to_owned(),
             address: address.to_string(),
-            zone: "zone".to_owned(),
+            zone: ZONE.to_owned(),
             slots: 4,
             state,
             sequence,
             born,
             cold_ms: 0,
-        };
+        })
+        .await;
+    }
+
+    /// Registers a replica of the other zone and waits until it is known.
+    pub(crate) async fn add_in_other_zone(&self, number: usize, replica: &Replica) {
+        self.heartbeat(ReplicaChange {
+            id: format!("i-{number}"),
+            service: "service".to_owned(),
+            address: replica.address.to_string(),
+            zone: OTHER_ZONE.to_owned(),
+            slots: 4,
+            state: ReplicaState::Ready,
+            sequence: 1,
+            born: 0,
+            cold_ms: 0,
+        })
+        .await;
+        self.wait_until_known(number).await;
+    }
+
+    async fn heartbeat(&self, change: ReplicaChange) {
         self.control
             .heartbeat(change, LIMIT)
             .await
             .expect("it is held");
     }
 
+    /// Evacuates a zone, or takes that back, and waits until the gateway acts on it.
+    pub(crate) async fn evacuate(&self, zone: &str, evacuated: bool) {
+        let ordered = if evacuated {
+            self.control.evacuate_zone(zone, LIMIT).await
+        } else {
+            self.control.restore_zone(zone, LIMIT).await
+        };
+        ordered.expect("it is held");
+        let known = async {
+            let figure = format!("relay_evacuated_zones {}", u8::from(evacuated));
+            while !self.relay.figures().contains(&figure) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, known).await.expect("in time");
+    }
+
     /// Registers another replica that does the acts of this one, its only fellow.
     pub(crate) async fn add_twin(&self, replica: &Replica) {
         let address = twin(replica).await;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -3,7 +3,7 @@
 mod admission;
 mod coordinator;
 mod dispatch;
-mod evacuation;
+mod evacuated_zones;
 mod fixture;
 mod grants;
 mod item_growth;
@@ -15,5 +15,6 @@
 mod replica_health;
 mod retry;
 mod router;
+mod router_evacuation;
 mod work_calls;
 mod yielding;
