Registry, cluster: gateways are told what changed, by the control member nearest to them

Cause: each change of the configuration sent each gateway the whole route table, from any control member. With 1,200 routes and 33 gateways in a far region one change is 7 MB on the link between the regions, and more than one member tells where the first word is late.

Change: the registry keeps which entry changed each route and service and tells those only. Members tell in the order of their distance, each 300 ms after the one before.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -12,7 +12,7 @@
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
 use linnethitch_registry::{
-    Configuration, Declared, FleetUpdate, RegistryAnswer, RegistryCommand, ReplicaChange,
+    Configuration, Declared, FleetUpdate, Place, RegistryAnswer, RegistryCommand, ReplicaChange,
     ReplicaState,
 };
 use linnethitch_storage::folder::FolderRole;
@@ -128,7 +128,7 @@
             heard: Arc::default(),
             store_voters: settings.store_voters,
         };
-        let pulses = control.pulse_source(own);
+        let pulses = control.pulse_source(own, node.place());
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
         tokio::spawn(control.clone().take_messages(base.inbox));
         tokio::spawn(control.clone().keep_links(node.seeds.clone(), own));
@@ -296,7 +296,7 @@
         }
     }
 
-    fn pulse_source(&self, own: MachineId) -> PulseSource {
+    fn pulse_source(&self, own: MachineId, place: Place) -> PulseSource {
         let clock = self.clock;
         let for_present = Arc::clone(&self.shared);
         let for_update = Arc::clone(&self.shared);
@@ -305,7 +305,7 @@
         PulseSource::new(
             own,
             self.shared.changes.subscribe(),
-            move || present_fleet(&for_present, own, clock.now_ms()),
+            move || present_fleet(&for_present, own, &place, clock.now_ms()),
             move |since| has_news(&for_news, since, clock.now_ms()),
             move |since| update_since(&for_update, since, clock.now_ms()),
             move || current(&for_current, clock.now_ms()),
@@ -363,7 +363,7 @@
             for machine in members.iter().copied() {
                 known.insert(machine, now_ms);
             }
-            for machine in self.shared.presence.lock().control(now_ms) {
+            for (machine, _) in self.shared.presence.lock().control(now_ms) {
                 known.insert(machine, now_ms);
             }
             known.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FORGOTTEN_MS);
@@ -409,16 +409,25 @@
     current(shared, now_ms).is_some_and(|changed_at| changed_at > since)
 }
 
-fn present_fleet(shared: &RegistryShared, own: MachineId, now_ms: u64) -> PresentFleet {
+fn present_fleet(
+    shared: &RegistryShared,
+    own: MachineId,
+    own_place: &Place,
+    now_ms: u64,
+) -> PresentFleet {
     let view = Arc::clone(&shared.view.lock());
     let presence = shared.presence.lock();
     let mut control: BTreeSet<MachineId> = view.members.iter().copied().collect();
-    control.extend(presence.control(now_ms));
+    let heard = presence.control(now_ms);
+    let mut tellers: BTreeMap<_, _> = heard.map(|(at, place)| (at, place.clone())).collect();
+    control.extend(tellers.keys());
     control.insert(own);
+    tellers.insert(own, own_place.clone());
     let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
     let store_group = presence.store_group();
     PresentFleet {
         control,
+        tellers,
         stores: presence.stores(now_ms).into_iter().collect(),
         store_members: store_group
             .map(|group| group.machines.iter().copied().collect())
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -300,6 +300,19 @@
                 "replicas" => self.fleet.live_replicas().count());
             self.teller.send_replace(Arc::new(self.fleet.clone()));
         }
+        if self.fleet.needs_whole() {
+            self.ask_for_all(from);
+        }
+    }
+
+    /// What this control member told builds on something that is not known here, such as
+    /// when another group took the place of the one that told before.
+    fn ask_for_all(&self, from: MachineId) {
+        let upto = self.fleet.upto();
+        warn!(self.logger, "fleet not known"; "upto" => upto.0,
+            "from" => address_of(from).to_string());
+        self.gateway.links.say(|hello| hello.upto = upto);
+        self.gateway.links.send(from, &NodeMessage::TellAll);
     }
 
     /// Says once that control is away: what is in force here may be old from now on.
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -154,7 +154,8 @@
                         return ConnectionEnd::NotSent(refused);
                     }
                     last = Some(Instant::now());
-                    let pause = self.told.withheld_for().unwrap_or(PULSE_INTERVAL);
+                    let withheld = self.told.withheld_for();
+                    let pause = withheld.map_or(PULSE_INTERVAL, |left| left.min(PULSE_INTERVAL));
                     next = Instant::now() + pause;
                 }
             }
@@ -179,6 +180,10 @@
                 self.told.note_known(upto);
                 NodeMessage::Hello(self.hello.clone())
             }
+            NodeMessage::TellAll => {
+                self.told.forget();
+                NodeMessage::Hello(self.hello.clone())
+            }
             other => other,
         };
         let inbound = Inbound::Message {
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -8,7 +8,7 @@
     frame::{self, FrameHeader, FrameKind},
     ids::{CallId, LogIndex, MachineId, MemberId, Term},
 };
-use linnethitch_registry::{DirectoryNode, FleetUpdate, RegistryAnswer, RegistryCommand};
+use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, RegistryAnswer, RegistryCommand};
 use linnethitch_transport::WireMessage;
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -57,6 +57,14 @@
 }
 
 impl NodeHello {
+    /// Where it is.
+    pub(crate) fn place(&self) -> Place {
+        Place {
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+        }
+    }
+
     /// Whether nothing that others act on differs: how far a node knows the
     /// registry counts at the opening of a connection only.
     pub(crate) fn says_the_same(&self, other: &NodeHello) -> bool {
@@ -157,6 +165,8 @@
         call: CallId,
         body: ReplyBody,
     },
+    /// The sender lacks what the last pulse builds on: everything is to be told once more.
+    TellAll,
 }
 
 impl WireMessage for NodeMessage {
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -6,7 +6,7 @@
 use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::MachineId;
-use linnethitch_registry::ZoneMap;
+use linnethitch_registry::{Place, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ConnectionOptions, Listener, Traffic};
 use slog::Logger;
 use tokio::sync::mpsc;
@@ -58,6 +58,14 @@
         machine_of(self.address)
     }
 
+    /// Where it is.
+    pub(crate) fn place(&self) -> Place {
+        Place {
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+        }
+    }
+
     /// Voters that survive the tolerated losses.
     #[must_use]
     pub fn full_voters(&self) -> usize {
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use linnethitch_protocol::ids::{MachineId, MemberId};
-use linnethitch_registry::{DirectoryNode, NodeList, READY_FOR_MS};
+use linnethitch_registry::{DirectoryNode, NodeList, Place, READY_FOR_MS};
 
 use crate::message::{NodeHello, NodeRole, PresentStore, StoreGroupView};
 
@@ -26,7 +26,8 @@
     /// Gateways that coordinate slots, and when they said so.
     coordinators: BTreeMap<MachineId, u64>,
     stores: BTreeMap<MachineId, Heard>,
-    control: BTreeMap<MachineId, u64>,
+    /// Control members: where they are and when they said so.
+    control: BTreeMap<MachineId, (Place, u64)>,
     /// When the newest store appeared.
     newest_store_ms: u64,
     store_group: Option<StoreGroupView>,
@@ -40,7 +41,10 @@
                 self.note_gateway(&hello, now_ms);
                 self.note_coordinator(&hello, now_ms)
             }
-            NodeRole::Control => self.control.insert(hello.machine, now_ms).is_none(),
+            NodeRole::Control => {
+                let heard = (hello.place(), now_ms);
+                self.control.insert(hello.machine, heard).is_none()
+            }
             NodeRole::Store => self.note_store(hello, now_ms),
         }
     }
@@ -90,12 +94,12 @@
             .collect()
     }
 
-    /// Control machines that are present.
-    pub(crate) fn control(&self, now_ms: u64) -> impl Iterator<Item = MachineId> {
+    /// Control machines that are present, and where they are.
+    pub(crate) fn control(&self, now_ms: u64) -> impl Iterator<Item = (MachineId, &Place)> {
         let heard = self.control.iter();
         heard
-            .filter(move |(_, at_ms)| is_present(**at_ms, now_ms))
-            .map(|(machine, _)| *machine)
+            .filter(move |(_, (_, at_ms))| is_present(*at_ms, now_ms))
+            .map(|(machine, (place, _))| (*machine, place))
     }
 
     /// The job store as its leader told last.
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -1,14 +1,15 @@
 //! What control tells the nodes that are connected to it: each role learns what
 //! it needs, and only what changed since it was told last.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use linnethitch_clock::Instant;
-use linnethitch_protocol::{
-    hash::fnv1a,
-    ids::{LogIndex, MachineId},
-};
-use linnethitch_registry::{DirectoryNode, FleetUpdate};
+use linnethitch_protocol::ids::{LogIndex, MachineId};
+use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, tell_rank};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
@@ -20,15 +21,21 @@
 /// Connections share one view of who is present that is no older than this.
 const SHARED_FOR: Duration = Duration::from_millis(20);
 
-/// A node is told of a change of the registry by one control member at once. The
-/// others tell it after this, should it not have said meanwhile that it knows.
+/// A node is told of a change of the registry by the nearest control member at once. Each
+/// further one tells it so much later than the one before, should it not have said meanwhile
+/// that it knows: its word comes back over a link between regions that carries traffic.
 const WITHHELD_FOR: Duration = Duration::from_millis(300);
+/// Members after this one tell together with it, so that a node whose nearest members are all
+/// gone is told 1.2 s late at most.
+const LAST_RANK: u32 = 4;
 
 /// Who is present, as a control member sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PresentFleet {
     /// Machines of control.
     pub(crate) control: BTreeSet<MachineId>,
+    /// Where those of them are that were heard of lately, this one too.
+    pub(crate) tellers: BTreeMap<MachineId, Place>,
     /// Machines with disks for the job store.
     pub(crate) stores: BTreeSet<PresentStore>,
     /// Voters and learners of the job store.
@@ -108,11 +115,14 @@
 /// What one connection was told.
 pub(crate) struct ToldPulses {
     machine: MachineId,
+    place: Place,
     role: NodeRole,
     /// The newest change of the registry that the node was told or knows.
     upto: LogIndex,
     /// Since when a change is withheld that another control member tells.
     withheld_since: Option<Instant>,
+    /// How long it is withheld.
+    withheld: Duration,
     last: Option<Arc<PresentFleet>>,
     control: ToldSet<MachineId>,
     stores: ToldSet<PresentStore>,
@@ -127,9 +137,11 @@
     pub(crate) fn new(hello: &NodeHello) -> Self {
         ToldPulses {
             machine: hello.machine,
+            place: hello.place(),
             role: hello.role,
             upto: hello.upto,
             withheld_since: None,
+            withheld: Duration::ZERO,
             last: None,
             control: ToldSet::default(),
             stores: ToldSet::default(),
@@ -142,7 +154,16 @@
 
     /// Notes that the node knows the registry up to an entry, whoever told it.
     pub(crate) fn note_known(&mut self, upto: LogIndex) {
-        self.upto = self.upto.max(upto);
+        if upto > self.upto {
+            self.upto = upto;
+            // Somebody tells it: what is still missing is on its way.
+            self.withheld_since = None;
+        }
+    }
+
+    /// Notes that the node lacks what it was told before: everything is told once more.
+    pub(crate) fn forget(&mut self) {
+        self.upto = LogIndex(0);
     }
 
     /// The newest change of the registry that the node was told or knows.
@@ -153,24 +174,25 @@
     /// How long a change is still withheld; `None` where none is.
     pub(crate) fn withheld_for(&self) -> Option<Duration> {
         let since = self.withheld_since?;
-        Some(WITHHELD_FOR.saturating_sub(since.elapsed()))
+        Some(self.withheld.saturating_sub(since.elapsed()))
     }
 
     /// What changed in the registry, if this member is to tell it now.
     fn update(
         &mut self,
         source: &PulseSource,
-        control: &BTreeSet<MachineId>,
+        tellers: &BTreeMap<MachineId, Place>,
     ) -> Option<FleetUpdate> {
         if !(source.has_news)(self.upto) {
             self.withheld_since = None;
             return None;
         }
-        if teller_of(self.machine, control) != Some(source.own) {
-            let since = *self.withheld_since.get_or_insert_with(Instant::now);
-            if since.elapsed() < WITHHELD_FOR {
-                return None;
-            }
+        let tellers = tellers.iter().map(|(machine, place)| (*machine, place));
+        let rank = tell_rank(self.machine, &self.place, source.own, tellers);
+        self.withheld = WITHHELD_FOR * LAST_RANK.min(rank as u32);
+        let since = *self.withheld_since.get_or_insert_with(Instant::now);
+        if since.elapsed() < self.withheld {
+            return None;
         }
         self.withheld_since = None;
         let update = (source.update)(self.upto)?;
@@ -182,7 +204,7 @@
     pub(crate) fn next(&mut self, source: &PulseSource) -> Pulse {
         let fleet = source.present();
         let mut pulse = Pulse {
-            update: self.update(source, &fleet.control),
+            update: self.update(source, &fleet.tellers),
             current: (source.current)(),
             ..Pulse::default()
         };
@@ -210,13 +232,3 @@
         pulse
     }
 }
-
-/// The control member that tells a node of changes at once: alike for all members
-/// that see the same ones, and another one for each node.
-fn teller_of(node: MachineId, control: &BTreeSet<MachineId>) -> Option<MachineId> {
-    let key = |member: &MachineId| {
-        let pair = [node.0.to_le_bytes(), member.0.to_le_bytes()];
-        fnv1a(pair.concat())
-    };
-    control.iter().copied().max_by_key(key)
-}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -18,6 +18,9 @@
 mod second_layout;
 mod sequence;
 mod suspicion;
+mod table_history;
+mod table_update;
+mod tell_order;
 mod update;
 mod validate;
 mod view;
@@ -34,6 +37,8 @@
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
 pub use suspicion::{Suspicion, Suspicions};
+pub use table_update::{RoutePlace, TableUpdate};
+pub use tell_order::{Place, tell_rank};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
 pub use view::FleetView;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -25,6 +25,7 @@
     second_layout::{SecondSnapshot, ThirdSnapshot},
     sequence,
     suspicion::{Suspicion, Suspicions},
+    table_history::TableHistory,
     update::FleetUpdate,
 };
 
@@ -40,9 +41,8 @@
 /// Route table, replicas and members of the job store.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
-    table: Option<Arc<RouteTable>>,
+    table: Option<Arc<TableHistory>>,
     document: Arc<Vec<u8>>,
-    table_at: LogIndex,
     tenants: Arc<TenantDirectory>,
     replicas: BTreeMap<String, ReplicaRecord>,
     store: StoreMembers,
@@ -80,7 +80,7 @@
     /// The route table in force.
     #[must_use]
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
-        self.table.as_ref()
+        self.table.as_ref().map(|history| history.table())
     }
 
     /// The document of the table in force, as the operator sent it.
@@ -140,8 +140,9 @@
     /// What changed after an entry; everything after entry 0.
     #[must_use]
     pub fn update_since(&self, since: LogIndex) -> FleetUpdate {
-        let table = self.table.as_ref().filter(|_| self.table_at > since);
-        let tenants = table.map(|_| self.tenants.update_since(since));
+        let history = self.table.as_ref();
+        let table = history.and_then(|history| history.update_since(since));
+        let tenants = table.as_ref().map(|_| self.tenants.update_since(since));
         let replicas = self.replicas.values();
         let changed = replicas.filter(|record| record.changed_at > since);
         let suspected = self.suspicions.records();
@@ -150,7 +151,8 @@
         let evacuations = evacuations.filter(|record| record.changed_at > since);
         FleetUpdate {
             evacuations: evacuations.cloned().collect(),
-            table: table.map(|table| table.as_ref().clone()),
+            since,
+            table,
             tenants,
             replicas: changed.cloned().collect(),
             store: (self.store_at > since).then(|| self.store.clone()),
@@ -166,15 +168,17 @@
         table: RouteTable,
         declared: Declared,
     ) -> RegistryAnswer {
-        let held = self.table.as_ref().map(|table| table.version);
+        let held = self.table().map(|table| table.version);
         if held.is_some_and(|held| held >= table.version) {
             return RegistryAnswer::RoutesHeld(held.unwrap_or_default());
         }
         let version = table.version;
-        self.table = Some(Arc::new(table));
+        match &mut self.table {
+            Some(history) => Arc::make_mut(history).replace(table, index),
+            None => self.table = Some(Arc::new(TableHistory::new(table, index))),
+        }
         self.document = Arc::new(declared.document);
         Arc::make_mut(&mut self.tenants).replace(declared.tenants, index);
-        self.table_at = index;
         self.changed_at = index;
         RegistryAnswer::RoutesHeld(version)
     }
@@ -258,9 +262,12 @@
 
     fn begin_snapshot(&self) -> Result<WholeSnapshot, Report<ErrorKind>> {
         let snapshot = RegistrySnapshot {
-            table: self.table.as_ref().map(|table| table.as_ref().clone()),
+            table: self.table().map(|table| table.as_ref().clone()),
             document: self.document.as_ref().clone(),
-            table_at: self.table_at,
+            table_at: self
+                .table
+                .as_ref()
+                .map_or(LogIndex(0), |history| history.changed_at()),
             replicas: self.replicas.values().cloned().collect(),
             store: self.store.clone(),
             store_at: self.store_at,
@@ -277,10 +284,12 @@
         let snapshot = decode_snapshot(&bytes)?;
         let replicas = snapshot.replicas.into_iter();
         Ok(Registry {
-            table: snapshot.table.map(Arc::new),
+            table: snapshot.table.map(|table| {
+                // Which route changed when is not kept: nodes that know less are told all.
+                Arc::new(TableHistory::new(table, snapshot.table_at))
+            }),
             tenants: Arc::new(TenantDirectory::from_update(snapshot.tenants)),
             document: Arc::new(snapshot.document),
-            table_at: snapshot.table_at,
             replicas: replicas.map(|r| (r.told.id.clone(), r)).collect(),
             store: snapshot.store,
             store_at: snapshot.store_at,
--- a/crates/registry/src/update.rs
+++ b/crates/registry/src/update.rs
@@ -6,14 +6,17 @@
 
 use crate::{
     evacuations::EvacuationRecord, registry::StoreMembers, replica::ReplicaRecord,
-    routes::RouteTable, suspicion::Suspicion,
+    suspicion::Suspicion, table_update::TableUpdate,
 };
 
 /// The parts of the registry that changed after an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct FleetUpdate {
-    /// The route table, if it changed.
-    pub table: Option<RouteTable>,
+    /// It says what changed after this entry: a node that does not know what was in force
+    /// then lacks more than it says.
+    pub since: LogIndex,
+    /// What changed of the route table.
+    pub table: Option<TableUpdate>,
     /// What changed among the tenants, told with the table of the same configuration.
     pub tenants: Option<TenantsUpdate>,
     /// Replicas that changed, gone ones too.
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -3,11 +3,11 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use linnethitch_protocol::ids::LogIndex;
-use linnethitch_tenants::TenantDirectory;
+use linnethitch_tenants::{TenantDirectory, TenantsUpdate};
 
 use crate::{
     evacuations::Evacuations, registry::StoreMembers, replica::ReplicaRecord, routes::RouteTable,
-    suspicion::Suspicions, update::FleetUpdate,
+    suspicion::Suspicions, table_update::TableUpdate, update::FleetUpdate,
 };
 
 /// Gone replicas kept, so that an older update cannot bring them back.
@@ -24,6 +24,8 @@
     suspicions: Suspicions,
     evacuations: Evacuations,
     upto: LogIndex,
+    /// Something that was told could not be taken without what it builds on.
+    needs_whole: bool,
 }
 
 impl FleetView {
@@ -75,18 +77,20 @@
         self.upto
     }
 
+    /// Whether what was told last builds on something that is not known here: control has
+    /// to tell everything once more.
+    #[must_use]
+    pub fn needs_whole(&self) -> bool {
+        self.needs_whole
+    }
+
     /// Takes an update; true when it brought anything new.
     pub fn take(&mut self, update: FleetUpdate) -> bool {
+        let knows_base = update.since <= self.upto;
         let mut changed = false;
-        if let Some(table) = update.table {
-            let held = self.table.as_ref().map(|table| table.version);
-            if held.is_none_or(|held| held < table.version) {
-                self.table = Some(Arc::new(table));
-                changed = true;
-            }
-        }
-        if let Some(tenants) = update.tenants {
-            Arc::make_mut(&mut self.tenants).take(tenants);
+        self.needs_whole = !knows_base;
+        if knows_base {
+            changed |= self.take_configuration(update.table, update.tenants);
         }
         for record in update.replicas {
             changed |= self.take_replica(record);
@@ -104,10 +108,36 @@
         for record in update.evacuations {
             changed |= self.evacuations.take(record);
         }
-        self.upto = self.upto.max(update.upto);
+        if self.needs_whole {
+            self.upto = if knows_base { LogIndex(0) } else { self.upto };
+        } else {
+            self.upto = self.upto.max(update.upto);
+        }
         changed
     }
 
+    /// Takes table and tenants of a newer configuration, both or neither.
+    fn take_configuration(
+        &mut self,
+        table: Option<TableUpdate>,
+        tenants: Option<TenantsUpdate>,
+    ) -> bool {
+        let held = self.table.as_deref();
+        let is_newer = |table: &TableUpdate| held.is_none_or(|held| held.version < table.version);
+        let Some(table) = table.filter(is_newer) else {
+            return false;
+        };
+        let Some(table) = table.apply(held) else {
+            self.needs_whole = true;
+            return false;
+        };
+        self.table = Some(Arc::new(table));
+        if let Some(tenants) = tenants {
+            Arc::make_mut(&mut self.tenants).take(tenants);
+        }
+        true
+    }
+
     fn take_replica(&mut self, record: ReplicaRecord) -> bool {
         let held = self.replicas.get(&record.told.id);
         if held.is_some_and(|held| held.changed_at >= record.changed_at) {
--- /dev/null
+++ b/crates/registry/tests/all/told_tables.rs
@@ -0,0 +1,216 @@
+//! Tables told as changes: a node's configuration is one that control put in force, as a
+//! whole, whatever members tell it and in whatever order.
+
+use std::collections::BTreeMap;
+
+use linnethitch_group::StateMachine;
+use linnethitch_protocol::ids::LogIndex;
+use linnethitch_registry::{
+    Declared, FleetUpdate, FleetView, Registry, RegistryCommand, ReplicaState, Route, RouteTable,
+};
+use linnethitch_tenants::{KeyDigest, Tenant};
+use rkyv::rancor;
+use rstest::rstest;
+
+use crate::support::{replica, route, store_snapshot, table};
+
+/// Numbers that look random, the same for each seed.
+struct Numbers(u64);
+
+impl Numbers {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as usize % bound
+    }
+
+    fn is(&mut self, one_in: usize) -> bool {
+        self.below(one_in) == 0
+    }
+}
+
+fn tenant(name: String, key: usize) -> Tenant {
+    Tenant {
+        keys: vec![KeyDigest::of(&format!("key {key}"))],
+        name,
+        rank: None,
+        quota: None,
+        homes: Vec::new(),
+    }
+}
+
+fn some_table(version: u64, numbers: &mut Numbers) -> RouteTable {
+    let mut routes = Vec::new();
+    for number in 0..8 {
+        if numbers.is(3) {
+            continue;
+        }
+        let service = format!("s-{}", numbers.below(3));
+        let mut route = route(&format!("r-{number}"), &format!("/{number}/"), &service);
+        route.target_ms += numbers.below(2) as u64;
+        routes.push(route);
+    }
+    let mut made = table(version, routes);
+    made.services.push(made.services[0].clone());
+    made.services[1].name = format!("s-{}", numbers.below(3));
+    made.limits.idle_ms += numbers.below(2) as u64;
+    // Operators list them in any order.
+    let turned = numbers.below(3).min(made.routes.len());
+    made.routes.rotate_left(turned);
+    made
+}
+
+fn some_command(version: u64, numbers: &mut Numbers) -> RegistryCommand {
+    if numbers.is(3) {
+        let told = replica("i-1", "10.0.0.1:80", ReplicaState::Ready, version);
+        return RegistryCommand::Replica(Box::new(told));
+    }
+    let mut tenants = Vec::new();
+    for number in 0..4 {
+        if !numbers.is(3) {
+            let key = number * 2 + numbers.below(2);
+            tenants.push(tenant(format!("t-{number}"), key));
+        }
+    }
+    RegistryCommand::PutConfiguration {
+        table: some_table(version, numbers),
+        declared: Box::new(Declared {
+            tenants: Some(tenants),
+            document: Vec::new(),
+        }),
+    }
+}
+
+/// The tenants of a configuration, by name.
+fn tenants_of<'a>(held: impl Iterator<Item = &'a std::sync::Arc<Tenant>>) -> Vec<Tenant> {
+    held.map(|tenant| tenant.as_ref().clone()).collect()
+}
+
+/// Control members that applied more and more of one log.
+struct Log {
+    members: Vec<Registry>,
+    /// What each version is.
+    in_force: BTreeMap<u64, (RouteTable, Vec<Tenant>)>,
+}
+
+impl Log {
+    fn new(entries: u64, numbers: &mut Numbers) -> Self {
+        let mut registry = Registry::default();
+        let mut log = Log {
+            members: Vec::new(),
+            in_force: BTreeMap::new(),
+        };
+        for index in 1..=entries {
+            let command = some_command(index, numbers)
+                .to_stored()
+                .expect("it encodes");
+            registry
+                .apply(LogIndex(index), &command)
+                .expect("it applies");
+            if numbers.is(12) {
+                let snapshot = registry.begin_snapshot().expect("it is written");
+                registry = Registry::from_snapshot(store_snapshot(snapshot)).expect("it is read");
+            }
+            if let Some(table) = registry.table() {
+                let tenants = tenants_of(registry.tenants().iter());
+                let held = (table.as_ref().clone(), tenants);
+                log.in_force.insert(table.version, held);
+            }
+            log.members.push(registry.clone());
+        }
+        log
+    }
+
+    fn check(&self, view: &FleetView) {
+        let Some(table) = view.table() else {
+            assert_eq!(view.tenants().len(), 0);
+            return;
+        };
+        let (in_force, tenants) = &self.in_force[&table.version];
+        assert_eq!(table.as_ref(), in_force);
+        assert_eq!(&tenants_of(view.tenants().iter()), tenants);
+    }
+}
+
+/// Members at any progress tell a node what changed since entries that it may or may not
+/// know; what they tell arrives late, twice, in any order or not at all.
+#[rstest]
+fn a_node_has_one_of_controls_configurations_whatever_it_is_told(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    let mut numbers = Numbers(seed);
+    let log = Log::new(60, &mut numbers);
+    let mut view = FleetView::default();
+    let mut on_the_way: Vec<FleetUpdate> = Vec::new();
+    let mut newest = 0;
+    for step in 0..600 {
+        let member = &log.members[numbers.below(1 + step / 10)];
+        let known = view.upto().0 + numbers.below(4) as u64 * numbers.below(2) as u64;
+        on_the_way.push(member.update_since(LogIndex(known)));
+        let update = on_the_way[numbers.below(on_the_way.len())].clone();
+        view.take(update);
+        log.check(&view);
+        let version = view.table().map_or(0, |table| table.version);
+        assert!(newest <= version, "a version went back");
+        newest = version;
+    }
+    let last = log.members.last().expect("there are members");
+    view.take(last.update_since(view.upto()));
+    assert!(!view.needs_whole());
+    assert_eq!(view.table(), last.table());
+    assert_eq!(view.upto(), last.changed_at());
+    log.check(&view);
+}
+
+/// Another group took the place of the one that told before, and its log has other
+/// configurations at the same entries.
+#[test]
+fn a_change_of_another_log_is_not_taken_until_all_is_told() {
+    let mut numbers = Numbers(7);
+    let (first, other) = (Log::new(9, &mut numbers), Log::new(20, &mut numbers));
+    let newest = other.members.last().expect("there are members");
+    let mut view = FleetView::default();
+    view.take(first.members[8].update_since(LogIndex(0)));
+    let before = view.table().cloned();
+    assert!(!view.take(newest.update_since(view.upto())) || view.table() == newest.table());
+    if view.needs_whole() {
+        assert_eq!((view.table().cloned(), view.upto()), (before, LogIndex(0)));
+    }
+    view.take(newest.update_since(LogIndex(0)));
+    assert_eq!(view.table(), newest.table());
+    other.check(&view);
+}
+
+fn many_routes(version: u64, routes: usize, target_ms: u64) -> RegistryCommand {
+    let mut routes: Vec<Route> = (0..routes)
+        .map(|number| route(&format!("route-{number}"), &format!("/{number}/"), "rates"))
+        .collect();
+    routes[0].target_ms = target_ms;
+    RegistryCommand::PutConfiguration {
+        table: table(version, routes),
+        declared: Box::new(Declared {
+            tenants: None,
+            document: Vec::new(),
+        }),
+    }
+}
+
+/// One route among 1,200 costs a node one route's bytes.
+#[test]
+fn a_change_of_one_route_tells_that_route_only() {
+    const ONE_ROUTE_BYTES: usize = 1_000;
+    let mut registry = Registry::default();
+    for version in 1..=2 {
+        let command = many_routes(version, 1_200, version)
+            .to_stored()
+            .expect("it encodes");
+        registry
+            .apply(LogIndex(version), &command)
+            .expect("it applies");
+    }
+    let update = registry.update_since(LogIndex(1));
+    let bytes = rkyv::to_bytes::<rancor::Error>(&update).expect("it encodes");
+    assert!(bytes.len() < ONE_ROUTE_BYTES, "{} bytes", bytes.len());
+}
