Cluster, relay: bytes of messages by kind and zone

Cause: nobody could say which messages cross between zones and regions.

Change: each node counts the messages of links that others opened to it, both ways, by kind and the other's zone; a gateway counts the bytes of its connections to replicas by their zone, and those of its datagrams. A store asks for all like a gateway where it lacks what an update builds on.

--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -1,6 +1,6 @@
 //! Connections that other nodes open to this one.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use linnethitch_clock::{Instant, sleep_until};
 use linnethitch_protocol::ids::{CallId, MachineId};
@@ -11,6 +11,7 @@
 use crate::{
     connection_end::ConnectionEnd,
     message::{NodeHello, NodeMessage, ReplyBody},
+    message_bytes::{MessageBytes, Way},
     pulse::{PulseSource, ToldPulses},
 };
 
@@ -35,7 +36,7 @@
 
 /// Answers the calls of one connection.
 #[derive(Clone)]
-pub(crate) struct Answers(MessageSender<NodeMessage>);
+pub(crate) struct Answers(CountedSender);
 
 impl Answers {
     pub(crate) fn answer(&self, call: CallId, body: ReplyBody) {
@@ -44,20 +45,43 @@
     }
 }
 
+/// Sends to the node at the other end and counts its bytes.
+#[derive(Clone)]
+struct CountedSender {
+    sender: MessageSender<NodeMessage>,
+    bytes: MessageBytes,
+    peer_zone: Arc<str>,
+}
+
+impl CountedSender {
+    fn try_send(&self, message: &NodeMessage) -> Result<(), SendRefused> {
+        let bytes = self.sender.try_send_counted(message)?;
+        self.bytes.count(message, &self.peer_zone, Way::Sent, bytes);
+        Ok(())
+    }
+
+    fn count_received(&self, message: &NodeMessage, bytes: usize) {
+        self.bytes
+            .count(message, &self.peer_zone, Way::Received, bytes);
+    }
+}
+
 pub(crate) async fn accept_all(
     listener: Listener,
     inbox: mpsc::Sender<Inbound>,
     pulses: Option<PulseSource>,
+    bytes: MessageBytes,
     logger: Logger,
 ) {
     loop {
         let incoming = listener.accept().await;
         let inbox = inbox.clone();
         let pulses = pulses.clone();
+        let bytes = bytes.clone();
         let logger = logger.clone();
         tokio::spawn(async move {
             if let Ok(connection) = incoming.establish::<NodeMessage, NodeMessage>().await {
-                serve(connection, inbox, pulses, &logger).await;
+                serve(connection, inbox, pulses, bytes, &logger).await;
             }
         });
     }
@@ -67,6 +91,7 @@
     connection: Connection<NodeMessage, NodeMessage>,
     inbox: mpsc::Sender<Inbound>,
     pulses: Option<PulseSource>,
+    bytes: MessageBytes,
     logger: &Logger,
 ) {
     let (sender, mut receiver) = connection.split();
@@ -76,7 +101,11 @@
     let mut peer = Peer {
         told: ToldPulses::new(&hello),
         hello: hello.clone(),
-        sender,
+        sender: CountedSender {
+            sender,
+            bytes,
+            peer_zone: hello.zone.as_str().into(),
+        },
         inbox,
     };
     info!(logger, "node connected"; "node" => &peer.hello.name, "upto" => peer.hello.upto.0);
@@ -90,7 +119,7 @@
 struct Peer {
     hello: NodeHello,
     told: ToldPulses,
-    sender: MessageSender<NodeMessage>,
+    sender: CountedSender,
     inbox: mpsc::Sender<Inbound>,
 }
 
@@ -114,6 +143,8 @@
         loop {
             match receiver.receive().await {
                 Ok(Some(message)) => {
+                    self.sender
+                        .count_received(&message, receiver.last_frame_bytes());
                     if !self.pass_on(message).await {
                         return ConnectionEnd::Stopping;
                     }
@@ -135,6 +166,7 @@
             tokio::select! {
                 received = receiver.receive() => match received {
                     Ok(Some(message)) => {
+                        self.sender.count_received(&message, receiver.last_frame_bytes());
                         if !self.pass_on(message).await {
                             return ConnectionEnd::Stopping;
                         }
--- /dev/null
+++ b/crates/cluster/src/message_bytes.rs
@@ -0,0 +1,125 @@
+//! Bytes of the messages between nodes, by kind of message and the other node's zone.
+//! Counted where a link was opened to, both ways, so that each message counts once.
+
+use std::sync::Arc;
+
+use linnethitch_job_store::{StoreCall, StoreReply};
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
+    metrics::{counter::Counter, family::Family},
+    registry::Registry,
+};
+
+use crate::message::{CallBody, NodeMessage, ReplyBody};
+
+/// Which way a message went, as the node that counts it sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum Way {
+    Received,
+    Sent,
+}
+
+/// What a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum MessageKind {
+    Hello,
+    Pulse,
+    /// A pulse that tells of a change of the registry.
+    PulseWithUpdate,
+    Consensus,
+    RegistryCall,
+    RegistryReply,
+    StoreSubmit,
+    StoreReport,
+    StoreFinish,
+    StoreProgress,
+    StoreWork,
+    /// Ends of jobs, and reads of results and bodies.
+    StoreOther,
+    /// Leases, with the bodies of their items.
+    StoreWorkReply,
+    StoreReply,
+}
+
+impl MessageKind {
+    fn of(message: &NodeMessage) -> Self {
+        match message {
+            NodeMessage::Hello(_) | NodeMessage::Alive { .. } | NodeMessage::TellAll => {
+                MessageKind::Hello
+            }
+            NodeMessage::Pulse(pulse) if pulse.update.is_some() => MessageKind::PulseWithUpdate,
+            NodeMessage::Pulse(_) => MessageKind::Pulse,
+            NodeMessage::Consensus(_) => MessageKind::Consensus,
+            NodeMessage::Call { body, .. } => MessageKind::of_call(body),
+            NodeMessage::Reply { body, .. } => match body {
+                ReplyBody::Registry(_) => MessageKind::RegistryReply,
+                ReplyBody::Store(StoreReply::Work { .. }) => MessageKind::StoreWorkReply,
+                ReplyBody::Store(_) => MessageKind::StoreReply,
+            },
+        }
+    }
+
+    fn of_call(body: &CallBody) -> Self {
+        let CallBody::Store(call) = body else {
+            return MessageKind::RegistryCall;
+        };
+        match call {
+            StoreCall::Submit { .. } => MessageKind::StoreSubmit,
+            StoreCall::Report { .. } => MessageKind::StoreReport,
+            StoreCall::Finish(_) => MessageKind::StoreFinish,
+            StoreCall::Progress(_) => MessageKind::StoreProgress,
+            StoreCall::Work { .. } => MessageKind::StoreWork,
+            StoreCall::End { .. } | StoreCall::Results { .. } | StoreCall::Body { .. } => {
+                MessageKind::StoreOther
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MessageLabels {
+    message: MessageKind,
+    peer_zone: String,
+    way: Way,
+}
+
+/// Counts of one node since its start. Clones share them.
+#[derive(Clone)]
+pub struct MessageBytes {
+    registry: Arc<Mutex<Registry>>,
+    bytes: Family<MessageLabels, Counter>,
+}
+
+impl Default for MessageBytes {
+    fn default() -> Self {
+        let bytes: Family<MessageLabels, Counter> = Family::default();
+        let mut registry = Registry::with_prefix("linnethitch");
+        let help = "Bytes of messages on links that other nodes opened, by kind and their zone";
+        registry.register("node_message_bytes", help, bytes.clone());
+        MessageBytes {
+            registry: Arc::new(Mutex::new(registry)),
+            bytes,
+        }
+    }
+}
+
+impl MessageBytes {
+    /// All of it as Prometheus text.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry.lock());
+        text
+    }
+
+    pub(crate) fn count(&self, message: &NodeMessage, peer_zone: &str, way: Way, bytes: usize) {
+        let labels = MessageLabels {
+            message: MessageKind::of(message),
+            peer_zone: peer_zone.to_owned(),
+            way,
+        };
+        self.bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+}
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -15,6 +15,7 @@
     incoming::{self, Inbound},
     links::Links,
     message::{NodeHello, NodeRole},
+    message_bytes::MessageBytes,
     pulse::PulseSource,
     seeds::Seeds,
 };
@@ -47,6 +48,8 @@
     pub tolerated_losses: usize,
     /// Name and key of the cluster.
     pub identity: ClusterIdentity,
+    /// Counts the bytes of messages.
+    pub bytes: MessageBytes,
     /// Where it logs.
     pub logger: Logger,
 }
@@ -156,6 +159,7 @@
     )
     .await?;
     let logger = settings.logger.clone();
-    tokio::spawn(incoming::accept_all(listener, inbox, pulses, logger));
+    let bytes = settings.bytes.clone();
+    tokio::spawn(incoming::accept_all(listener, inbox, pulses, bytes, logger));
     Ok(())
 }
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -203,6 +203,9 @@
                     self.fleet.take(update);
                     let upto = self.fleet.upto();
                     self.base.links.say(|hello| hello.upto = upto);
+                    if self.fleet.needs_whole() {
+                        self.base.links.send(from, &NodeMessage::TellAll);
+                    }
                 }
             }
             NodeMessage::Call {
--- a/crates/cluster/tests/all/support.rs
+++ b/crates/cluster/tests/all/support.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings, Seeds};
+use linnethitch_cluster::{ControlNode, ControlSettings, MessageBytes, NodeSettings, Seeds};
 use linnethitch_registry::{CallerLimits, Configuration, RouteTable, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use slog::{Discard, Logger, o};
@@ -43,6 +43,7 @@
         seeds: Seeds::new(seeds.to_vec()),
         bootstrap: true,
         tolerated_losses: 0,
+        bytes: MessageBytes::default(),
         identity: ClusterIdentity {
             name: "test".to_owned(),
             key: ClusterKey::new(*b"a key for tests only").expect("long enough"),
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -12,6 +12,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::counted_stream::{CountedStream, ReplicaBytes};
+
 /// Longest time to open a connection. A replica that takes longer is dark.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Bytes that were sent and not acknowledged for this long end the connection.
@@ -62,11 +64,16 @@
 
 impl Connections {
     /// A resting connection, or a new one.
-    pub(crate) async fn get(&self, replica: &str, address: &str) -> Option<Connection> {
+    pub(crate) async fn get(
+        &self,
+        replica: &str,
+        address: &str,
+        bytes: impl FnOnce() -> ReplicaBytes,
+    ) -> Option<Connection> {
         if let Some(connection) = self.take_resting(replica) {
             return Some(connection);
         }
-        open(replica, address).await
+        open(replica, address, bytes()).await
     }
 
     /// Gives a connection back once its answer was read whole.
@@ -142,7 +149,7 @@
     }
 }
 
-async fn open(replica: &str, address: &str) -> Option<Connection> {
+async fn open(replica: &str, address: &str, bytes: ReplicaBytes) -> Option<Connection> {
     let connecting = TcpStream::connect(address);
     let stream = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -154,7 +161,8 @@
     // Without them a silent peer is noticed late; that is no reason to fail.
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
     let _ = socket.set_tcp_keepalive(&keep_alive);
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let handshake =
+        hyper::client::conn::http1::handshake(TokioIo::new(CountedStream::new(stream, bytes)));
     let (sender, connection) = handshake.await.ok()?;
     tokio::spawn(async move {
         // Its end shows at the sender.
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -9,6 +9,8 @@
     registry::Registry,
 };
 
+use crate::counted_stream::ReplicaBytes;
+
 /// Upper bounds of the buckets of latencies, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 12.0,
@@ -51,6 +53,19 @@
     end: RequestEnd,
 }
 
+/// Which way bytes went, as the gateway sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum Way {
+    Received,
+    Sent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReplicaLabels {
+    zone: String,
+    way: Way,
+}
+
 /// What coordinated slots are used by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 enum SlotUse {
@@ -85,6 +100,9 @@
     pub(crate) resumes: Counter,
     /// Connections opened to replicas.
     pub(crate) connections: Counter,
+    replica_bytes: Family<ReplicaLabels, Counter>,
+    /// Bytes of datagrams sent to other gateways.
+    pub(crate) datagram_bytes: Gauge,
     first_event: Histogram,
     slot_wait: Histogram,
     quota_wait: Histogram,
@@ -110,6 +128,8 @@
             retries: Counter::default(),
             resumes: Counter::default(),
             connections: Counter::default(),
+            replica_bytes: Family::default(),
+            datagram_bytes: Gauge::default(),
             first_event: Histogram::new(LATENCY_BUCKETS),
             slot_wait: Histogram::new(LATENCY_BUCKETS),
             quota_wait: Histogram::new(QUOTA_BUCKETS),
@@ -139,6 +159,12 @@
         let connections = self.connections.clone();
         let help = "Connections opened to replicas";
         registry.register("relay_connections", help, connections);
+        let replica_bytes = self.replica_bytes.clone();
+        let help = "Bytes of requests to replicas and of their answers, by zone";
+        registry.register("relay_replica_bytes", help, replica_bytes);
+        let datagram_bytes = self.datagram_bytes.clone();
+        let help = "Bytes of datagrams sent to other gateways";
+        registry.register("relay_datagram_bytes", help, datagram_bytes);
         let first_event = self.first_event.clone();
         let help = "Seconds from a request's arrival to the first byte of its answer";
         registry.register("relay_first_byte_seconds", help, first_event);
@@ -178,6 +204,19 @@
         self.items.get_or_create(&ItemLabels { end }).inc();
     }
 
+    /// Counts bytes to and from the replicas of a zone.
+    pub(crate) fn replica_bytes(&self, zone: &str) -> ReplicaBytes {
+        let counter = |way| {
+            let zone = zone.to_owned();
+            let labels = ReplicaLabels { zone, way };
+            self.replica_bytes.get_or_create(&labels).clone()
+        };
+        ReplicaBytes {
+            sent: counter(Way::Sent),
+            received: counter(Way::Received),
+        }
+    }
+
     pub(crate) fn slot_after(&self, time: Duration) {
         self.slot_wait.observe(time.as_secs_f64());
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -175,7 +175,8 @@
         return Exchange::NotRun(FailureKind::Replaced);
     };
     loop {
-        let connecting = shared.connections.get(&chosen.id, &chosen.address);
+        let bytes = || shared.replica_bytes(&chosen.id);
+        let connecting = shared.connections.get(&chosen.id, &chosen.address, bytes);
         let mut connection = match timeout_at(limits.head_until, connecting).await {
             Ok(Some(connection)) => connection,
             Ok(None) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod body;
 mod callers;
 mod connections;
+mod counted_stream;
 mod counters;
 mod dialect;
 mod events;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::{
     callers::{Caller, KeyPolicy, KeyRefusal, KnownKeys},
     connections::Connections,
+    counted_stream::ReplicaBytes,
     counters::Counters,
     dialect::Dialect,
     exchange::{Outgoing, Target},
@@ -121,6 +122,13 @@
         self.board.lock().set_replicas(list);
     }
 
+    /// Counts bytes to and from a replica, by its zone.
+    pub(crate) fn replica_bytes(&self, id: &str) -> ReplicaBytes {
+        let fleet = self.gateway.fleet();
+        let zone = fleet.replica(id).map(|record| record.told.zone.as_str());
+        self.counters.replica_bytes(zone.unwrap_or_default())
+    }
+
     /// The table in force here.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         self.gateway.fleet().table().cloned()
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -12,7 +12,9 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
-use linnethitch_cluster::{ControlNode, ControlSettings, GatewayNode, NodeSettings, Seeds};
+use linnethitch_cluster::{
+    ControlNode, ControlSettings, GatewayNode, MessageBytes, NodeSettings, Seeds,
+};
 use linnethitch_registry::{
     Backend, CallerLimits, Configuration, EngineTraits, ReplicaChange, ReplicaState, Route,
     RouteKind, RouteTable, ServiceTraits, ZoneMap,
@@ -347,6 +349,7 @@
             seeds: Seeds::new(vec![address]),
             bootstrap: true,
             tolerated_losses: 0,
+            bytes: MessageBytes::default(),
             identity: ClusterIdentity {
                 name: "test".to_owned(),
                 key: ClusterKey::new(*b"a key for tests only").expect("long enough"),
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -106,9 +106,18 @@
     /// # Errors
     /// The reason why it was not queued.
     pub fn try_send(&self, message: &Outgoing) -> Result<(), SendRefused> {
-        self.queue
-            .push(encode(message, false)?)
-            .map_err(|(reason, _)| reason)
+        self.try_send_counted(message).map(|_| ())
+    }
+
+    /// Queues a message if there is room now, and tells the bytes of its frame.
+    ///
+    /// # Errors
+    /// The reason why it was not queued.
+    pub fn try_send_counted(&self, message: &Outgoing) -> Result<usize, SendRefused> {
+        let frame = encode(message, false)?;
+        let bytes = frame.bytes.len();
+        self.queue.push(frame).map_err(|(reason, _)| reason)?;
+        Ok(bytes)
     }
 
     /// Queues a message that loses its worth when a newer one follows; where
--- a/crates/transport/src/datagrams.rs
+++ b/crates/transport/src/datagrams.rs
@@ -5,7 +5,14 @@
 //! doubled or late, and a copy of it proves as much as the first: its messages
 //! have to bear that.
 
-use std::{marker::PhantomData, net::SocketAddrV4, sync::Arc};
+use std::{
+    marker::PhantomData,
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use error_stack::{Report, ResultExt};
 use hmac::Mac;
@@ -29,6 +36,8 @@
     /// The same socket: a send needs no word of the runtime that it may be tried.
     sender: Arc<std::net::UdpSocket>,
     identity: ClusterIdentity,
+    /// Bytes of datagrams that the socket took.
+    sent_bytes: Arc<AtomicU64>,
     message: PhantomData<fn() -> M>,
 }
 
@@ -38,6 +47,7 @@
             socket: Arc::clone(&self.socket),
             sender: Arc::clone(&self.sender),
             identity: self.identity.clone(),
+            sent_bytes: Arc::clone(&self.sent_bytes),
             message: PhantomData,
         }
     }
@@ -71,6 +81,7 @@
             socket: Arc::new(socket),
             sender: Arc::new(sender),
             identity,
+            sent_bytes: Arc::default(),
             message: PhantomData,
         })
     }
@@ -93,10 +104,18 @@
         datagram.extend_from_slice(&proof);
         if datagram.len() <= MAX_DATAGRAM_BYTES {
             // A datagram may be lost on its way just as well.
-            let _ = self.sender.send_to(&datagram, to);
+            if let Ok(bytes) = self.sender.send_to(&datagram, to) {
+                self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+            }
         }
     }
 
+    /// Bytes of datagrams that were sent, without headers of UDP and IP.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// The next message whose sender holds the cluster key.
     ///
     /// # Errors
--- a/crates/transport/src/receiver.rs
+++ b/crates/transport/src/receiver.rs
@@ -24,6 +24,8 @@
     buffer: BytesMut,
     /// When the last byte of the peer came.
     heard_at: Instant,
+    /// Bytes of the frame that was taken last.
+    last_frame_bytes: usize,
     queue: Arc<SendQueue>,
     writer_ended: watch::Receiver<bool>,
     options: ConnectionOptions,
@@ -43,6 +45,7 @@
             socket,
             buffer: BytesMut::new(),
             heard_at: Instant::now(),
+            last_frame_bytes: 0,
             queue,
             writer_ended,
             options,
@@ -83,6 +86,12 @@
         self.heard_at.elapsed()
     }
 
+    /// Bytes of the frame that held the last message, its header included.
+    #[must_use]
+    pub fn last_frame_bytes(&self) -> usize {
+        self.last_frame_bytes
+    }
+
     /// Cuts one whole frame off the buffer, if there is one.
     fn take_frame(&mut self) -> Result<Option<(FrameHeader, BytesMut)>, Report<ErrorKind>> {
         let Some(first) = self.buffer.first_chunk::<HEADER_BYTES>() else {
@@ -94,6 +103,7 @@
             return Ok(None);
         }
         self.traffic.count_received(header.kind, whole);
+        self.last_frame_bytes = whole;
         self.buffer.advance(HEADER_BYTES);
         let payload = self.buffer.split_to(header.length);
         if self.buffer.is_empty() && payload.len() > KEPT_BUFFER_BYTES {
