Relay, routing: a replica is coordinated from its zone, and far coordinators are waited for

Cause: coordinators of slots lay in any region. Their word from another region takes 24 ms, and one that does not answer within 25 ms was not waited for, and for 300 ms not at all: half of the requests went out uncoordinated.

Change: a replica's slots are coordinated by a gateway of its zone, else (fewer than two there) of its region, else any; control tells where gateways are. The wait for a coordinator begins after the round trip to its replica's zone, as connections to replicas of the zone took.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -2,6 +2,7 @@
 //! calls the job store.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -14,7 +15,8 @@
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
-    DirectoryNode, EndedRun, FleetUpdate, FleetView, RegistryCommand, RequestFingerprint, near,
+    DirectoryNode, EndedRun, FleetUpdate, FleetView, RegistryCommand, RequestFingerprint, ZoneMap,
+    near,
 };
 use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
@@ -28,7 +30,7 @@
     client::GroupClient,
     incoming::Inbound,
     links::Links,
-    message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
+    message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
     seeds::Seeds,
     told_fleet::ToldFleet,
@@ -53,6 +55,9 @@
     told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
+    /// The same ones, and where each is.
+    placed: Arc<Mutex<Arc<Vec<PlacedGateway>>>>,
+    zones: Arc<ZoneMap>,
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
     current_at_ms: Arc<AtomicU64>,
@@ -75,6 +80,8 @@
             datagrams: bind_datagrams(settings),
             told: Arc::default(),
             coordinators: Arc::default(),
+            placed: Arc::default(),
+            zones: Arc::new(settings.zones.clone()),
             clock: base.clock,
             current_at_ms: Arc::default(),
         };
@@ -114,6 +121,18 @@
         Arc::clone(&self.coordinators.lock())
     }
 
+    /// The same gateways, and where each is.
+    #[must_use]
+    pub fn placed_coordinators(&self) -> Arc<Vec<PlacedGateway>> {
+        Arc::clone(&self.placed.lock())
+    }
+
+    /// The zones of the deployment.
+    #[must_use]
+    pub fn zones(&self) -> &ZoneMap {
+        &self.zones
+    }
+
     /// Number of gateways that control no longer hears though it did lately: they may be cut
     /// off and go on.
     #[must_use]
@@ -338,10 +357,13 @@
 
     fn note_coordinators(&self) {
         let told = self.gateway.told.lock().coordinators();
-        let mut held = self.gateway.coordinators.lock();
-        if !held.iter().eq(&told) {
-            *held = Arc::new(told.into_iter().collect());
+        let mut placed = self.gateway.placed.lock();
+        if placed.iter().eq(&told) {
+            return;
         }
+        let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
+        *self.gateway.coordinators.lock() = Arc::new(machines.into_iter().collect());
+        *placed = Arc::new(told.into_iter().collect());
     }
 
     fn keep_links(&self) {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -30,6 +30,7 @@
 pub use control::{ControlNode, ControlSettings, RetireState, Unavailable};
 pub use gateway::GatewayNode;
 pub use linnethitch_clock::Clock;
+pub use message::PlacedGateway;
 pub use message_bytes::MessageBytes;
 pub use node::{NodeSettings, address_of, machine_of};
 pub use seeds::Seeds;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -84,6 +84,15 @@
     pub(crate) member: Option<MemberId>,
 }
 
+/// A gateway and where it is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+pub struct PlacedGateway {
+    /// Its machine.
+    pub machine: MachineId,
+    /// Where it is.
+    pub place: Place,
+}
+
 /// What control tells every node that is connected: that it is there, and what
 /// changed since the last pulse on this connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -97,7 +106,7 @@
     /// Gateways that are ready; told to gateways, not before control has heard of all.
     pub(crate) gateways: Option<SetChange<DirectoryNode>>,
     /// Gateways that coordinate slots; told to gateways.
-    pub(crate) coordinators: Option<SetChange<MachineId>>,
+    pub(crate) coordinators: Option<SetChange<PlacedGateway>>,
     /// Gateways that did and fell silent, so that they may be cut off and go on; told to
     /// gateways.
     pub(crate) silent_coordinators: Option<SetChange<MachineId>>,
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -5,7 +5,7 @@
 use linnethitch_protocol::ids::{MachineId, MemberId};
 use linnethitch_registry::{DirectoryNode, NodeList, Place, READY_FOR_MS};
 
-use crate::message::{NodeHello, NodeRole, PresentStore, StoreGroupView};
+use crate::message::{NodeHello, NodeRole, PlacedGateway, PresentStore, StoreGroupView};
 
 /// A control member or store counts as present for this long, in milliseconds.
 const PRESENT_MS: u64 = 2_500;
@@ -25,6 +25,8 @@
     gateways: NodeList,
     /// Gateways that coordinate slots, and when they said so.
     coordinators: BTreeMap<MachineId, u64>,
+    /// Where gateways are that coordinate slots.
+    places: BTreeMap<MachineId, Place>,
     stores: BTreeMap<MachineId, Heard>,
     /// Control members: where they are and when they said so.
     control: BTreeMap<MachineId, (Place, u64)>,
@@ -55,14 +57,18 @@
             self.gateways.lose(address);
         }
         self.coordinators.remove(&hello.machine);
+        self.places.remove(&hello.machine);
     }
 
     /// Gateways that coordinate slots, in a fixed order.
-    pub(crate) fn coordinators(&self, now_ms: u64) -> Vec<MachineId> {
+    pub(crate) fn coordinators(&self, now_ms: u64) -> Vec<PlacedGateway> {
         let heard = self.coordinators.iter();
         heard
             .filter(|(_, at_ms)| now_ms.saturating_sub(**at_ms) <= READY_FOR_MS)
-            .map(|(machine, _)| *machine)
+            .map(|(machine, _)| PlacedGateway {
+                machine: *machine,
+                place: self.places.get(machine).cloned().unwrap_or_default(),
+            })
             .collect()
     }
 
@@ -130,6 +136,7 @@
         if !hello.coordinates {
             return self.coordinators.remove(&hello.machine).is_some();
         }
+        self.places.insert(hello.machine, hello.place());
         self.coordinators.insert(hello.machine, now_ms).is_none()
     }
 
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    message::{NodeHello, NodeRole, PresentStore, Pulse},
+    message::{NodeHello, NodeRole, PlacedGateway, PresentStore, Pulse},
     told_set::ToldSet,
 };
 
@@ -43,7 +43,7 @@
     /// Gateways that are ready; `None` while control has not yet heard of all.
     pub(crate) gateways: Option<BTreeSet<DirectoryNode>>,
     /// Gateways that coordinate slots.
-    pub(crate) coordinators: BTreeSet<MachineId>,
+    pub(crate) coordinators: BTreeSet<PlacedGateway>,
     /// Gateways that did and fell silent.
     pub(crate) silent_coordinators: BTreeSet<MachineId>,
 }
@@ -128,7 +128,7 @@
     stores: ToldSet<PresentStore>,
     store_members: ToldSet<MachineId>,
     gateways: ToldSet<DirectoryNode>,
-    coordinators: ToldSet<MachineId>,
+    coordinators: ToldSet<PlacedGateway>,
     silent_coordinators: ToldSet<MachineId>,
 }
 
--- a/crates/cluster/src/told_fleet.rs
+++ b/crates/cluster/src/told_fleet.rs
@@ -6,7 +6,7 @@
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_registry::DirectoryNode;
 
-use crate::message::{PresentStore, Pulse};
+use crate::message::{PlacedGateway, PresentStore, Pulse};
 
 /// What a control member told counts for this long after it was last heard of,
 /// compared with the one that was heard of last, in milliseconds.
@@ -23,7 +23,7 @@
     stores: BTreeSet<PresentStore>,
     store_members: BTreeSet<MachineId>,
     gateways: BTreeSet<DirectoryNode>,
-    coordinators: BTreeSet<MachineId>,
+    coordinators: BTreeSet<PlacedGateway>,
     silent_coordinators: BTreeSet<MachineId>,
 }
 
@@ -96,15 +96,16 @@
     }
 
     /// Gateways that coordinate slots, in a fixed order.
-    pub(crate) fn coordinators(&self) -> BTreeSet<MachineId> {
+    pub(crate) fn coordinators(&self) -> BTreeSet<PlacedGateway> {
         let told = self.recent();
-        told.flat_map(|told| &told.coordinators).copied().collect()
+        told.flat_map(|told| &told.coordinators).cloned().collect()
     }
 
     /// Gateways that no control member hears though some did lately: they may be cut off
     /// and go on.
     pub(crate) fn silent_coordinators(&self) -> BTreeSet<MachineId> {
         let heard = self.coordinators();
+        let heard: BTreeSet<MachineId> = heard.iter().map(|gateway| gateway.machine).collect();
         let told = self.recent();
         let silent = told.flat_map(|told| &told.silent_coordinators).copied();
         silent.filter(|machine| !heard.contains(machine)).collect()
--- a/crates/registry/src/tell_order.rs
+++ b/crates/registry/src/tell_order.rs
@@ -2,9 +2,12 @@
 //! between regions once for each member there and not once for each node.
 
 use linnethitch_protocol::{hash::fnv1a, ids::MachineId};
+use rkyv::{Archive, Deserialize, Serialize};
 
 /// Where a node is.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(
+    Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize,
+)]
 pub struct Place {
     /// Its zone.
     pub zone: String,
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -51,6 +51,8 @@
     replica: String,
     /// Whether it carried a request before.
     pub(crate) is_reused: bool,
+    /// How long it took to open it, where it is new.
+    pub(crate) opened_in: Option<Duration>,
     rest: Duration,
 }
 
@@ -117,6 +119,7 @@
                     sender: candidate.sender,
                     replica: replica.to_owned(),
                     is_reused: true,
+                    opened_in: None,
                     rest: DEFAULT_REST,
                 });
             }
@@ -150,8 +153,10 @@
 }
 
 async fn open(replica: &str, address: &str, bytes: ReplicaBytes) -> Option<Connection> {
+    let began = Instant::now();
     let connecting = TcpStream::connect(address);
     let stream = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
+    let opened_in = began.elapsed();
     stream.set_nodelay(true).ok()?;
     let socket = SockRef::from(&stream);
     let keep_alive = TcpKeepalive::new()
@@ -172,6 +177,7 @@
         sender,
         replica: replica.to_owned(),
         is_reused: false,
+        opened_in: Some(opened_in),
         rest: DEFAULT_REST,
     })
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -186,8 +186,9 @@
             }
             Err(_) => return Exchange::NotRun(FailureKind::Unreachable),
         };
-        if !connection.is_reused {
+        if let Some(opened_in) = connection.opened_in {
             shared.counters.connections.inc();
+            shared.note_connected(&chosen.id, opened_in);
         }
         if !shared.is_known_ready(&chosen.id) {
             return Exchange::NotRun(FailureKind::Replaced);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -334,6 +334,18 @@
         number.is_multiple_of(SUCCESSES_PER_LINE)
     }
 
+    /// Notes how long it took to open a connection to a replica.
+    pub(crate) fn note_connected(&self, replica: &str, opened_in: Duration) {
+        let round_trip_ms = opened_in.as_secs_f64() * 1_000.0;
+        self.board.lock().note_connected(replica, round_trip_ms);
+    }
+
+    /// The round trip to a replica, as connections to its zone took.
+    pub(crate) fn round_trip(&self, replica: &str) -> Duration {
+        let round_trip_ms = self.board.lock().round_trip_ms(replica);
+        Duration::from_secs_f64(round_trip_ms / 1_000.0)
+    }
+
     /// Whether control has not said meanwhile that a replica leaves.
     pub(crate) fn is_known_ready(&self, replica: &str) -> bool {
         self.board.lock().is_known_ready(replica)
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -6,13 +6,14 @@
     sync::Arc,
 };
 
-use linnethitch_cluster::{GatewayNode, machine_of};
+use linnethitch_cluster::{GatewayNode, PlacedGateway, machine_of};
 use linnethitch_protocol::{
     ids::MachineId,
     slots::{GatewayDatagram, HeldLease, SlotLoad},
 };
+use linnethitch_registry::{FleetView, ZoneMap};
 use linnethitch_routing::dispatch::{
-    Ask, CoordinatedReplica, Due, LeaseKey, SlotAction, coordinator_of,
+    Ask, CoordinatedReplica, Due, LeaseKey, NearGateways, SlotAction,
 };
 use slog::info;
 
@@ -22,9 +23,10 @@
     /// Takes the engines that are known now; each is coordinated by one gateway.
     pub(crate) fn set_engines(&self, engines: Vec<CoordinatedReplica>) {
         let now_ms = self.clock.now_ms();
-        let gateways = self.gateway.coordinators();
+        let gateways = self.gateway.placed_coordinators();
+        let fleet = self.gateway.fleet();
         let mut state = self.state.lock();
-        let has_moved = state.assign(&gateways, &engines);
+        let has_moved = state.assign(&gateways, &engines, &fleet, self.gateway.zones());
         let mut coordinated = engines;
         coordinated.retain(|engine| state.coordinators.get(&engine.id) == Some(&self.own));
         let mut actions = state.coordinator.set_replicas(coordinated, now_ms);
@@ -169,7 +171,13 @@
 impl State {
     /// Finds the coordinator of each engine, if gateways or engines are others
     /// than before; true when an engine has another coordinator now.
-    fn assign(&mut self, gateways: &Arc<Vec<MachineId>>, engines: &[CoordinatedReplica]) -> bool {
+    fn assign(
+        &mut self,
+        gateways: &Arc<Vec<PlacedGateway>>,
+        engines: &[CoordinatedReplica],
+        fleet: &FleetView,
+        zones: &ZoneMap,
+    ) -> bool {
         let is_known = |engine: &CoordinatedReplica| self.coordinators.contains_key(&engine.id);
         let is_same = Arc::ptr_eq(&self.gateways, gateways)
             && self.coordinators.len() == engines.len()
@@ -177,8 +185,14 @@
         if is_same {
             return false;
         }
+        let mut near = NearGateways::default();
+        for gateway in gateways.iter() {
+            near.add(gateway.machine, &gateway.place.zone, &gateway.place.region);
+        }
         let assigned = engines.iter().filter_map(|engine| {
-            let coordinator = coordinator_of(&engine.id, gateways)?;
+            let replica = fleet.replica(&engine.id);
+            let zone = replica.map_or("", |replica| replica.told.zone.as_str());
+            let coordinator = near.coordinator_of(&engine.id, zone, zones.region_of(zone))?;
             Some((engine.id.clone(), coordinator))
         });
         let coordinators: HashMap<String, MachineId> = assigned.collect();
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use linnethitch_clock::{Instant, timeout, timeout_at};
-use linnethitch_cluster::{Clock, GatewayNode};
+use linnethitch_cluster::{Clock, GatewayNode, PlacedGateway};
 use linnethitch_protocol::{
     ids::MachineId,
     slots::{AskMode, GatewayDatagram, RunOutcome, Verdict},
@@ -24,7 +24,8 @@
 use self::items::ItemHandle;
 pub(crate) use self::{coordination::receive_messages, items::ItemSlot};
 
-/// A coordinator that does not answer within this is not waited for.
+/// A coordinator that does not answer within this, beyond the round trip to its replica, is
+/// not waited for.
 const SILENCE_LIMIT: Duration = Duration::from_millis(25);
 /// After that it is told of requests, but not waited for, for so long, in milliseconds.
 const SILENT_FOR_MS: u64 = 300;
@@ -45,7 +46,7 @@
     coordinator: SlotCoordinator,
     /// The coordinator of each engine, as found among `gateways`.
     coordinators: HashMap<String, MachineId>,
-    gateways: Arc<Vec<MachineId>>,
+    gateways: Arc<Vec<PlacedGateway>>,
     /// Asks whose verdict is outstanding.
     asks: HashMap<u64, mpsc::Sender<Verdict>>,
     /// Leases of this gateway.
@@ -70,6 +71,8 @@
     pub(crate) due: Instant,
     /// Its rank; 0 is the highest.
     pub(crate) rank: u8,
+    /// The round trip to the replica; its coordinator is near it.
+    pub(crate) round_trip: Duration,
 }
 
 /// How an ask for a slot came out.
@@ -131,7 +134,7 @@
         if is_silent || mode == AskMode::Take {
             return Asked::Leased(lease);
         }
-        let Ok(first) = timeout(SILENCE_LIMIT, verdicts.recv()).await else {
+        let Ok(first) = timeout(SILENCE_LIMIT + place.round_trip, verdicts.recv()).await else {
             self.note_silence(&lease);
             return Asked::Leased(lease);
         };
@@ -232,6 +235,7 @@
             let place = Place {
                 due: Instant::now(),
                 rank: u8::MAX,
+                round_trip: Duration::ZERO,
             };
             self.ask_coordinator(&mut state, number, place, AskMode::Take);
         }
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -7,6 +7,7 @@
 
 use super::{
     coordinator::CoordinatedReplica,
+    distances::Distances,
     kept_parts::PromptPart,
     rendezvous::spread,
     replica::{FailureKind, Replica, ReplicaTraits, ReportedLoad, RunningWork, WorkKind},
@@ -59,6 +60,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     zone: String,
+    distances: Distances,
     replicas: BTreeMap<String, Replica>,
     by_service: HashMap<String, Vec<String>>,
 }
@@ -152,6 +154,22 @@
             .collect()
     }
 
+    /// Notes how long it took to open a connection to a replica, in milliseconds.
+    pub fn note_connected(&mut self, id: &str, round_trip_ms: f64) {
+        if let Some(replica) = self.replicas.get(id) {
+            self.distances.note(&replica.traits.zone, round_trip_ms);
+        }
+    }
+
+    /// The round trip to a replica, as connections to its zone took, in milliseconds.
+    #[must_use]
+    pub fn round_trip_ms(&self, id: &str) -> f64 {
+        let replica = self.replicas.get(id);
+        replica.map_or(0.0, |replica| {
+            self.distances.round_trip_ms(&replica.traits.zone)
+        })
+    }
+
     /// Notes what a replica's coordinator told of it.
     pub fn note_told(&mut self, load: &SlotLoad, now_ms: u64) {
         if let Some(replica) = self.replicas.get_mut(&load.replica) {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod board;
 mod coordinator;
+mod distances;
 mod item_growth;
 mod item_pace;
 mod kept_parts;
@@ -20,11 +21,12 @@
 pub use coordinator::{
     Ask, CoordinatedReplica, Due, LeaseKey, RunNumber, SlotAction, SlotCoordinator, WaitingItem,
 };
+pub use distances::Distances;
 pub use item_growth::{ItemGrowth, ItemRoom};
 pub use item_pace::ItemPace;
 pub use kept_parts::PromptPart;
-pub use rendezvous::coordinator_of;
 pub(crate) use rendezvous::spread;
+pub use rendezvous::{NearGateways, coordinator_of};
 pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork, WorkKind};
 pub use weights::WeightedTurns;
 pub use work_calls::{WorkCalls, WorkRhythm, WorkState};
--- a/crates/routing/src/dispatch/rendezvous.rs
+++ b/crates/routing/src/dispatch/rendezvous.rs
@@ -1,6 +1,8 @@
 //! Which of several machines or replicas a key belongs to, alike for everyone
 //! who knows the same ones, and changing little when one comes or goes.
 
+use std::collections::HashMap;
+
 use linnethitch_protocol::{hash::fnv1a, ids::MachineId};
 
 /// The gateway that coordinates the slots of a replica; `None` without gateways.
@@ -10,6 +12,44 @@
     gateways.max_by_key(|gateway| spread(u64::from(gateway.0), replica))
 }
 
+/// With fewer gateways than this in a replica's zone, its region's coordinate it: one alone
+/// would bear what is meant for many.
+const FEWEST_IN_ZONE: usize = 2;
+
+/// Gateways that coordinate slots, by where they are.
+#[derive(Clone, Debug, Default)]
+pub struct NearGateways {
+    all: Vec<MachineId>,
+    by_zone: HashMap<String, Vec<MachineId>>,
+    by_region: HashMap<String, Vec<MachineId>>,
+}
+
+impl NearGateways {
+    /// Notes a gateway.
+    pub fn add(&mut self, gateway: MachineId, zone: &str, region: &str) {
+        self.all.push(gateway);
+        let by_zone = self.by_zone.entry(zone.to_owned());
+        by_zone.or_default().push(gateway);
+        let by_region = self.by_region.entry(region.to_owned());
+        by_region.or_default().push(gateway);
+    }
+
+    /// The gateway that coordinates the slots of a replica: one of its zone, else of its
+    /// region, else any. A replica whose zone is cut off has its coordinator there.
+    #[must_use]
+    pub fn coordinator_of(
+        &self,
+        replica: &str,
+        zone: &str,
+        region: Option<&str>,
+    ) -> Option<MachineId> {
+        let in_zone = self.by_zone.get(zone);
+        let in_region = region.and_then(|region| self.by_region.get(region));
+        let near = in_zone.filter(|list| list.len() >= FEWEST_IN_ZONE);
+        coordinator_of(replica, near.or(in_region).unwrap_or(&self.all))
+    }
+}
+
 /// A hash of a number and a name, spread over all numbers (FNV-1a, then a mix).
 pub(crate) fn spread(number: u64, name: &str) -> u64 {
     let bytes = number.to_le_bytes().into_iter().chain(name.bytes());
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod coordinator;
 mod dispatch;
+mod distance;
 mod fixture;
 mod grants;
 mod item_growth;
