Routing: the choice of a replica counts measured round trips, not a constant

Cause: any other zone cost 1 ms, also one that is 24 ms away.

Change: each further round trip costs what connections to the zone took: two to an engine (its coordinator is near it) and one to any other replica.

Test: of eight requests sent at once four stayed near an idle engine beside one 24 ms away; six or more do now.

--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -27,8 +27,11 @@
 /// where its coordinator told what others have there. It spreads requests evenly, but
 /// less dearly than reading a long shared prompt anew.
 const FULL_COST_MS: f64 = 40.0;
-/// Cost of leaving the zone, in milliseconds.
-const OTHER_ZONE_MS: f64 = 1.0;
+/// Round trips of a request to an engine: one to its coordinator, which is near it, and one
+/// to itself.
+const ENGINE_ROUND_TRIPS: f64 = 2.0;
+/// Round trips of a request to another replica.
+const ROUND_TRIPS: f64 = 1.0;
 /// Part of a shared prompt that is expected to be kept at its home replica,
 /// though this gateway has not sent it there.
 const HOME_KEPT_SHARE: f64 = 0.7;
@@ -251,15 +254,16 @@
     fn expected_ms(&self, replica: &Replica, need: &Need<'_>, is_home: bool, now_ms: u64) -> f64 {
         let waiting_ms = replica.waiting(now_ms) * COST_PER_WAITING_MS;
         let running_ms = running_cost_ms(replica, now_ms);
-        let zone_ms = if replica.traits.zone == self.zone {
-            0.0
+        let round_trips = if replica.traits.kv_tokens > 0 {
+            ENGINE_ROUND_TRIPS
         } else {
-            OTHER_ZONE_MS
+            ROUND_TRIPS
         };
+        let beyond_ms = self.distances.beyond_ms(&self.zone, &replica.traits.zone);
         let unread = unread_tokens(replica, need.prompt, is_home);
         let reading_ms = (unread + replica.unread_tokens as f64) / READ_TOKENS_PER_MS;
         let expected_ms = waiting_ms + running_ms + reading_ms;
-        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + zone_ms
+        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + round_trips * beyond_ms
     }
 }
 
--- a/crates/routing/tests/all/distance.rs
+++ b/crates/routing/tests/all/distance.rs
@@ -1,7 +1,11 @@
 //! Which gateway coordinates a replica, and what distance counts at a choice.
 
 use linnethitch_protocol::ids::MachineId;
-use linnethitch_routing::dispatch::{Distances, NearGateways, coordinator_of};
+use linnethitch_routing::dispatch::{
+    Board, Distances, NearGateways, Need, ReplicaTraits, WorkKind, coordinator_of,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
 const ZONES: [(&str, &str); 4] = [
@@ -74,3 +78,41 @@
     assert!(distances.beyond_ms("near", "far") > 73.0);
     assert_eq!(distances.beyond_ms("far", "near"), 0.0);
 }
+
+fn replica(id: &str, zone: &str) -> ReplicaTraits {
+    ReplicaTraits {
+        id: id.to_owned(),
+        service: "models".to_owned(),
+        address: format!("{id}:80"),
+        zone: zone.to_owned(),
+        slots: 4,
+        kv_tokens: 100_000,
+        ready: true,
+    }
+}
+
+/// Of eight requests sent at once to a replica of the own zone and one further away, so
+/// many stay near.
+#[rstest]
+#[case::as_near(0.5, 4)]
+#[case::another_region(24.0, 6)]
+fn requests_stay_near_as_far_as_that_is_quicker(#[case] far_ms: f64, #[case] fewest_near: usize) {
+    let mut board = Board::new("north-a");
+    let list = [replica("near", "north-a"), replica("far", "south-a")];
+    board.set_replicas(list.into_iter().collect());
+    board.note_connected("near", 0.4);
+    board.note_connected("far", far_ms);
+    let mut random = Pcg64Mcg::seed_from_u64(3);
+    let mut near = 0;
+    for _ in 0..8 {
+        let need = Need {
+            service: "models",
+            prompt: &[],
+            except: &[],
+        };
+        let chosen = board.choose(&need, 0, &mut random).expect("a replica");
+        board.begin(&chosen, &[], WorkKind::Online, 0);
+        near += usize::from(chosen.id == "near");
+    }
+    assert!(near >= fewest_near && near < 8, "{near}");
+}
