Cluster: control sends no pulse without news before it is due, and short ones then

Change: a pulse that says nothing is sent when it is due only (500 ms after the last), as a beat; what is long in a message between nodes lies apart.

Test: a beat and a gateway's word that it is there take 64 bytes at most; before, 164 bytes a beat (the test fails).

--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -182,23 +182,34 @@
                     next = next.min(earliest.unwrap_or(next)).max(Instant::now());
                 }
                 () = sleep_until(next) => {
-                    if let Err(refused) = self.send_pulse(&pulses) {
-                        return ConnectionEnd::NotSent(refused);
+                    let now = Instant::now();
+                    let is_due = last.is_none_or(|last| now >= last + PULSE_INTERVAL);
+                    match self.send_pulse(&pulses, is_due) {
+                        Ok(true) => last = Some(now),
+                        Ok(false) => {}
+                        Err(refused) => return ConnectionEnd::NotSent(refused),
                     }
-                    last = Some(Instant::now());
+                    let due = last.unwrap_or(now) + PULSE_INTERVAL;
                     let withheld = self.told.withheld_for();
-                    let pause = withheld.map_or(PULSE_INTERVAL, |left| left.min(PULSE_INTERVAL));
-                    next = Instant::now() + pause;
+                    next = withheld.map_or(due, |left| due.min(now + left));
                 }
             }
         }
     }
 
-    /// The connection is to end where this fails: the pulse counts as told.
-    fn send_pulse(&mut self, pulses: &PulseSource) -> Result<(), SendRefused> {
+    /// Sends a pulse, if it is due or tells anything; false where it was not sent. The
+    /// connection is to end where this fails: the pulse counts as told.
+    fn send_pulse(&mut self, pulses: &PulseSource, is_due: bool) -> Result<bool, SendRefused> {
         let pulse = self.told.next(pulses);
-        let message = NodeMessage::Pulse(Box::new(pulse));
-        self.sender.try_send(&message)
+        let message = match pulse.is_quiet() {
+            true if !is_due => return Ok(false),
+            true => NodeMessage::Beat {
+                current: pulse.current,
+            },
+            false => NodeMessage::Pulse(Box::new(pulse)),
+        };
+        self.sender.try_send(&message)?;
+        Ok(true)
     }
 
     /// False when the node has stopped.
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -21,7 +21,7 @@
 use crate::{
     connection_end::ConnectionEnd,
     incoming::Inbound,
-    message::{CallBody, NodeHello, NodeMessage, ReplyBody},
+    message::{CallBody, NodeHello, NodeMessage, Pulse, ReplyBody},
     node::{NodeSettings, address_of, connection_options},
 };
 
@@ -226,6 +226,7 @@
                     }
                 }
                 Ok(Some(message)) => {
+                    let message = as_pulse(message);
                     is_control |= matches!(message, NodeMessage::Pulse(_));
                     let inbound = Inbound::Message { from: machine, message, answers: None };
                     if links.inner.inbox.send(inbound).await.is_err() {
@@ -252,6 +253,17 @@
     }
 }
 
+/// A beat is a pulse that tells nothing else.
+fn as_pulse(message: NodeMessage) -> NodeMessage {
+    match message {
+        NodeMessage::Beat { current } => NodeMessage::Pulse(Box::new(Pulse {
+            current,
+            ..Pulse::default()
+        })),
+        other => other,
+    }
+}
+
 /// Says what this node is where that changed, else to control that it is there.
 /// The link is to end where that cannot be sent.
 fn say_hello(
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -10,7 +10,7 @@
 };
 use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, RegistryAnswer, RegistryCommand};
 use linnethitch_transport::WireMessage;
-use rkyv::{Archive, Deserialize, Serialize};
+use rkyv::{Archive, Deserialize, Serialize, with::AsBox};
 
 use crate::told_set::SetChange;
 
@@ -116,6 +116,17 @@
     pub(crate) current: Option<LogIndex>,
 }
 
+impl Pulse {
+    /// Whether it tells nothing but that its sender is there and how far it knows.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let quiet = Pulse {
+            current: self.current,
+            ..Pulse::default()
+        };
+        *self == quiet
+    }
+}
+
 /// A call of the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum RegistryCall {
@@ -155,23 +166,31 @@
     Store(StoreReply),
 }
 
-/// A message between two nodes.
+/// A message between two nodes. What is long lies apart, so that what is sent all the time
+/// stays short.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum NodeMessage {
-    Hello(NodeHello),
+    Hello(#[rkyv(with = AsBox)] NodeHello),
     /// The sender is there and what it said in its last hello holds.
     Alive {
         /// The newest change of the registry that it knows.
         upto: LogIndex,
     },
     Pulse(Box<Pulse>),
-    Consensus(ConsensusMessage),
+    /// A pulse of a control member that has nothing else to tell.
+    Beat {
+        /// The newest change that the sender knows, where it knows what is in force.
+        current: Option<LogIndex>,
+    },
+    Consensus(#[rkyv(with = AsBox)] ConsensusMessage),
     Call {
         call: CallId,
+        #[rkyv(with = AsBox)]
         body: CallBody,
     },
     Reply {
         call: CallId,
+        #[rkyv(with = AsBox)]
         body: ReplyBody,
     },
     /// The sender lacks what the last pulse builds on: everything is to be told once more.
--- a/crates/cluster/src/message_bytes.rs
+++ b/crates/cluster/src/message_bytes.rs
@@ -49,7 +49,7 @@
                 MessageKind::Hello
             }
             NodeMessage::Pulse(pulse) if pulse.update.is_some() => MessageKind::PulseWithUpdate,
-            NodeMessage::Pulse(_) => MessageKind::Pulse,
+            NodeMessage::Pulse(_) | NodeMessage::Beat { .. } => MessageKind::Pulse,
             NodeMessage::Consensus(_) => MessageKind::Consensus,
             NodeMessage::Call { body, .. } => MessageKind::of_call(body),
             NodeMessage::Reply { body, .. } => match body {
@@ -89,17 +89,22 @@
 pub struct MessageBytes {
     registry: Arc<Mutex<Registry>>,
     bytes: Family<MessageLabels, Counter>,
+    messages: Family<MessageLabels, Counter>,
 }
 
 impl Default for MessageBytes {
     fn default() -> Self {
         let bytes: Family<MessageLabels, Counter> = Family::default();
+        let messages: Family<MessageLabels, Counter> = Family::default();
         let mut registry = Registry::with_prefix("linnethitch");
         let help = "Bytes of messages on links that other nodes opened, by kind and their zone";
         registry.register("node_message_bytes", help, bytes.clone());
+        let help = "Messages on links that other nodes opened, by kind and their zone";
+        registry.register("node_messages", help, messages.clone());
         MessageBytes {
             registry: Arc::new(Mutex::new(registry)),
             bytes,
+            messages,
         }
     }
 }
@@ -120,6 +125,7 @@
             peer_zone: peer_zone.to_owned(),
             way,
         };
+        self.messages.get_or_create(&labels).inc();
         self.bytes.get_or_create(&labels).inc_by(bytes as u64);
     }
 }
--- a/crates/cluster/tests/all/regions.rs
+++ b/crates/cluster/tests/all/regions.rs
@@ -1,6 +1,7 @@
 //! Changes of the configuration told by the control member of the same region.
 
 use linnethitch_cluster::{ControlNode, GatewayNode, NodeSettings};
+use rstest::rstest;
 use tempfile::TempDir;
 
 use crate::support::{LIMIT, configuration, free_port, host, node, start_control, until};
@@ -20,12 +21,20 @@
     }
 }
 
+/// A figure of what a member told nodes of a zone, or heard of them.
+fn figure(settings: &NodeSettings, name: &str, message: &str, zone: &str, way: &str) -> u64 {
+    let start = format!(
+        r#"linnethitch_{name}_total{{message="{message}",peer_zone="{zone}",way="{way}"}} "#
+    );
+    let text = settings.bytes.to_text();
+    let value = text.lines().find_map(|line| line.strip_prefix(&start));
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
+
 /// Bytes of changes of the registry that a member told nodes of a zone.
 fn told_bytes(settings: &NodeSettings, zone: &str) -> u64 {
-    let labels = format!(r#"{{message="PulseWithUpdate",peer_zone="{zone}",way="Sent"}} "#);
-    let text = settings.bytes.to_text();
-    let line = text.lines().find_map(|line| line.split_once(&labels));
-    line.map_or(0, |(_, bytes)| bytes.parse().expect("a number"))
+    let name = "node_message_bytes";
+    figure(settings, name, "PulseWithUpdate", zone, "Sent")
 }
 
 struct Member {
@@ -81,3 +90,34 @@
     let near = told_bytes(&south.settings, "south-a") - near_before;
     assert!(far * TOLD_TWICE <= near, "far {far}, near {near} bytes");
 }
+
+/// Control and a gateway say all the time that they are there, in a few bytes.
+#[rstest]
+#[case::control("Pulse", "Sent", 80)]
+#[case::the_gateway("Hello", "Received", 90)]
+#[tokio::test]
+async fn what_is_said_all_the_time_is_short(
+    #[case] message: &str,
+    #[case] way: &str,
+    #[case] first_host: u8,
+) {
+    const MESSAGES: u64 = 4;
+    const MOST_BYTES: u64 = 64;
+    let (seed, own) = (host(first_host), host(first_host + 1));
+    let port = free_port(seed);
+    let member = Member::start(at(node(seed, &[seed], port), "north")).await;
+    let gateway = GatewayNode::start(&at(node(own, &[seed], port), "north"), format!("{own}:80"));
+    let put = member
+        .control
+        .put_configuration(configuration(1), Vec::new(), LIMIT);
+    assert_eq!(put.await, Ok(1));
+    until("it knows", || gateway.fleet().table().is_some()).await;
+    let said = |name| figure(&member.settings, name, message, "north-a", way);
+    let quiet = said("node_messages") + 2;
+    until("all is told", || said("node_messages") >= quiet).await;
+    let before = (said("node_messages"), said("node_message_bytes"));
+    until("more", || said("node_messages") >= before.0 + MESSAGES).await;
+    let messages = said("node_messages") - before.0;
+    let bytes = said("node_message_bytes") - before.1;
+    assert!(bytes <= messages * MOST_BYTES, "{bytes} for {messages}");
+}
