--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -2,6 +2,7 @@
 //! calls the job store.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -14,7 +15,8 @@
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
-    DirectoryNode, EndedRun, FleetUpdate, FleetView, RegistryCommand, RequestFingerprint, near,
+    DirectoryNode, EndedRun, FleetUpdate, FleetView, RegistryCommand, RequestFingerprint, ZoneMap,
+    near,
 };
 use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
@@ -28,7 +30,7 @@
     client::GroupClient,
     incoming::Inbound,
     links::Links,
-    message::{NodeMessage, NodeRole, Pulse, RegistryCall, RegistryReply},
+    message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
     seeds::Seeds,
     standstill::Standstill,
@@ -56,6 +58,9 @@
     told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
+    /// The same ones, and where each is.
+    placed: Arc<Mutex<Arc<Vec<PlacedGateway>>>>,
+    zones: Arc<ZoneMap>,
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
     current_at_ms: Arc<AtomicU64>,
@@ -80,6 +85,8 @@
             datagrams: bind_datagrams(settings),
             told: Arc::default(),
             coordinators: Arc::default(),
+            placed: Arc::default(),
+            zones: Arc::new(settings.zones.clone()),
             clock: base.clock,
             current_at_ms: Arc::default(),
             standstill: Arc::default(),
@@ -121,6 +128,18 @@
         Arc::clone(&self.coordinators.lock())
     }
 
+    /// The same gateways, and where each is.
+    #[must_use]
+    pub fn placed_coordinators(&self) -> Arc<Vec<PlacedGateway>> {
+        Arc::clone(&self.placed.lock())
+    }
+
+    /// The zones of the deployment.
+    #[must_use]
+    pub fn zones(&self) -> &ZoneMap {
+        &self.zones
+    }
+
     /// Number of gateways that control no longer hears though it did lately: they may be cut
     /// off and go on.
     #[must_use]
@@ -336,6 +355,19 @@
                 "replicas" => self.fleet.live_replicas().count());
             self.teller.send_replace(Arc::new(self.fleet.clone()));
         }
+        if self.fleet.needs_whole() {
+            self.ask_for_all(from);
+        }
+    }
+
+    /// What this control member told builds on something that is not known here, such as
+    /// when another group took the place of the one that told before.
+    fn ask_for_all(&self, from: MachineId) {
+        let upto = self.fleet.upto();
+        warn!(self.logger, "fleet not known"; "upto" => upto.0,
+            "from" => address_of(from).to_string());
+        self.gateway.links.say(|hello| hello.upto = upto);
+        self.gateway.links.send(from, &NodeMessage::TellAll);
     }
 
     /// Says once that control is away: what is in force here may be old from now on.
@@ -361,10 +393,13 @@
 
     fn note_coordinators(&self) {
         let told = self.gateway.told.lock().coordinators();
-        let mut held = self.gateway.coordinators.lock();
-        if !held.iter().eq(&told) {
-            *held = Arc::new(told.into_iter().collect());
+        let mut placed = self.gateway.placed.lock();
+        if placed.iter().eq(&told) {
+            return;
         }
+        let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
+        *self.gateway.coordinators.lock() = Arc::new(machines.into_iter().collect());
+        *placed = Arc::new(told.into_iter().collect());
     }
 
     fn keep_links(&self) {
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -1,6 +1,6 @@
 //! Connections that other nodes open to this one.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use linnethitch_clock::{Instant, sleep_until};
 use linnethitch_protocol::ids::{CallId, MachineId};
@@ -12,6 +12,7 @@
 use crate::{
     connection_end::ConnectionEnd,
     message::{NodeHello, NodeMessage, ReplyBody},
+    message_bytes::{MessageBytes, Way},
     pulse::{PulseSource, ToldPulses},
 };
 
@@ -41,7 +42,7 @@
 
 /// Answers the calls of one connection.
 #[derive(Clone)]
-pub(crate) struct Answers(MessageSender<NodeMessage>);
+pub(crate) struct Answers(CountedSender);
 
 impl Answers {
     pub(crate) fn answer(&self, call: CallId, body: ReplyBody) {
@@ -50,20 +51,43 @@
     }
 }
 
+/// Sends to the node at the other end and counts its bytes.
+#[derive(Clone)]
+struct CountedSender {
+    sender: MessageSender<NodeMessage>,
+    bytes: MessageBytes,
+    peer_zone: Arc<str>,
+}
+
+impl CountedSender {
+    fn try_send(&self, message: &NodeMessage) -> Result<(), SendRefused> {
+        let bytes = self.sender.try_send_counted(message)?;
+        self.bytes.count(message, &self.peer_zone, Way::Sent, bytes);
+        Ok(())
+    }
+
+    fn count_received(&self, message: &NodeMessage, bytes: usize) {
+        self.bytes
+            .count(message, &self.peer_zone, Way::Received, bytes);
+    }
+}
+
 pub(crate) async fn accept_all(
     listener: Listener,
     inbox: mpsc::Sender<Inbound>,
     pulses: Option<PulseSource>,
+    bytes: MessageBytes,
     logger: Logger,
 ) {
     loop {
         let incoming = listener.accept().await;
         let inbox = inbox.clone();
         let pulses = pulses.clone();
+        let bytes = bytes.clone();
         let logger = logger.clone();
         tokio::spawn(async move {
             if let Ok(connection) = incoming.establish::<NodeMessage, NodeMessage>().await {
-                serve(connection, inbox, pulses, &logger).await;
+                serve(connection, inbox, pulses, bytes, &logger).await;
             }
         });
     }
@@ -73,6 +97,7 @@
     connection: Connection<NodeMessage, NodeMessage>,
     inbox: mpsc::Sender<Inbound>,
     pulses: Option<PulseSource>,
+    bytes: MessageBytes,
     logger: &Logger,
 ) {
     let (sender, mut receiver) = connection.split();
@@ -82,7 +107,11 @@
     let mut peer = Peer {
         told: ToldPulses::new(&hello),
         hello: hello.clone(),
-        sender,
+        sender: CountedSender {
+            sender,
+            bytes,
+            peer_zone: hello.zone.as_str().into(),
+        },
         inbox,
     };
     info!(logger, "node connected"; "node" => &peer.hello.name, "upto" => peer.hello.upto.0);
@@ -101,7 +130,7 @@
 struct Peer {
     hello: NodeHello,
     told: ToldPulses,
-    sender: MessageSender<NodeMessage>,
+    sender: CountedSender,
     inbox: mpsc::Sender<Inbound>,
 }
 
@@ -125,6 +154,8 @@
         loop {
             match receiver.receive().await {
                 Ok(Some(message)) => {
+                    self.sender
+                        .count_received(&message, receiver.last_frame_bytes());
                     if !self.pass_on(message).await {
                         return ConnectionEnd::Stopping;
                     }
@@ -146,6 +177,7 @@
             tokio::select! {
                 received = receiver.receive() => match received {
                     Ok(Some(message)) => {
+                        self.sender.count_received(&message, receiver.last_frame_bytes());
                         if !self.pass_on(message).await {
                             return ConnectionEnd::Stopping;
                         }
@@ -161,22 +193,34 @@
                     next = next.min(earliest.unwrap_or(next)).max(Instant::now());
                 }
                 () = sleep_until(next) => {
-                    if let Err(refused) = self.send_pulse(&pulses) {
-                        return ConnectionEnd::NotSent(refused);
+                    let now = Instant::now();
+                    let is_due = last.is_none_or(|last| now >= last + PULSE_INTERVAL);
+                    match self.send_pulse(&pulses, is_due) {
+                        Ok(true) => last = Some(now),
+                        Ok(false) => {}
+                        Err(refused) => return ConnectionEnd::NotSent(refused),
                     }
-                    last = Some(Instant::now());
-                    let pause = self.told.withheld_for().unwrap_or(PULSE_INTERVAL);
-                    next = Instant::now() + pause;
+                    let due = last.unwrap_or(now) + PULSE_INTERVAL;
+                    let withheld = self.told.withheld_for();
+                    next = withheld.map_or(due, |left| due.min(now + left));
                 }
             }
         }
     }
 
-    /// The connection is to end where this fails: the pulse counts as told.
-    fn send_pulse(&mut self, pulses: &PulseSource) -> Result<(), SendRefused> {
+    /// Sends a pulse, if it is due or tells anything; false where it was not sent. The
+    /// connection is to end where this fails: the pulse counts as told.
+    fn send_pulse(&mut self, pulses: &PulseSource, is_due: bool) -> Result<bool, SendRefused> {
         let pulse = self.told.next(pulses);
-        let message = NodeMessage::Pulse(Box::new(pulse));
-        self.sender.try_send(&message)
+        let message = match pulse.is_quiet() {
+            true if !is_due => return Ok(false),
+            true => NodeMessage::Beat {
+                current: pulse.current,
+            },
+            false => NodeMessage::Pulse(Box::new(pulse)),
+        };
+        self.sender.try_send(&message)?;
+        Ok(true)
     }
 
     /// False when the node has stopped.
@@ -190,6 +234,10 @@
                 self.told.note_known(upto);
                 NodeMessage::Hello(self.hello.clone())
             }
+            NodeMessage::TellAll => {
+                self.told.forget();
+                NodeMessage::Hello(self.hello.clone())
+            }
             other => other,
         };
         let inbound = Inbound::Message {
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -8,9 +8,9 @@
     frame::{self, FrameHeader, FrameKind},
     ids::{CallId, LogIndex, MachineId, MemberId, Term},
 };
-use linnethitch_registry::{DirectoryNode, FleetUpdate, RegistryAnswer, RegistryCommand};
+use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, RegistryAnswer, RegistryCommand};
 use linnethitch_transport::WireMessage;
-use rkyv::{Archive, Deserialize, Serialize};
+use rkyv::{Archive, Deserialize, Serialize, with::AsBox};
 
 use crate::told_set::SetChange;
 
@@ -57,6 +57,14 @@
 }
 
 impl NodeHello {
+    /// Where it is.
+    pub(crate) fn place(&self) -> Place {
+        Place {
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+        }
+    }
+
     /// Whether nothing that others act on differs: how far a node knows the
     /// registry counts at the opening of a connection only.
     pub(crate) fn says_the_same(&self, other: &NodeHello) -> bool {
@@ -76,6 +84,15 @@
     pub(crate) member: Option<MemberId>,
 }
 
+/// A gateway and where it is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+pub struct PlacedGateway {
+    /// Its machine.
+    pub machine: MachineId,
+    /// Where it is.
+    pub place: Place,
+}
+
 /// What control tells every node that is connected: that it is there, and what
 /// changed since the last pulse on this connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -89,7 +106,7 @@
     /// Gateways that are ready; told to gateways, not before control has heard of all.
     pub(crate) gateways: Option<SetChange<DirectoryNode>>,
     /// Gateways that coordinate slots; told to gateways.
-    pub(crate) coordinators: Option<SetChange<MachineId>>,
+    pub(crate) coordinators: Option<SetChange<PlacedGateway>>,
     /// Gateways that did and fell silent, so that they may be cut off and go on; told to
     /// gateways.
     pub(crate) silent_coordinators: Option<SetChange<MachineId>>,
@@ -99,6 +116,17 @@
     pub(crate) current: Option<LogIndex>,
 }
 
+impl Pulse {
+    /// Whether it tells nothing but that its sender is there and how far it knows.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let quiet = Pulse {
+            current: self.current,
+            ..Pulse::default()
+        };
+        *self == quiet
+    }
+}
+
 /// A call of the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum RegistryCall {
@@ -138,25 +166,35 @@
     Store(StoreReply),
 }
 
-/// A message between two nodes.
+/// A message between two nodes. What is long lies apart, so that what is sent all the time
+/// stays short.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) enum NodeMessage {
-    Hello(NodeHello),
+    Hello(#[rkyv(with = AsBox)] NodeHello),
     /// The sender is there and what it said in its last hello holds.
     Alive {
         /// The newest change of the registry that it knows.
         upto: LogIndex,
     },
     Pulse(Box<Pulse>),
-    Consensus(ConsensusMessage),
+    /// A pulse of a control member that has nothing else to tell.
+    Beat {
+        /// The newest change that the sender knows, where it knows what is in force.
+        current: Option<LogIndex>,
+    },
+    Consensus(#[rkyv(with = AsBox)] ConsensusMessage),
     Call {
         call: CallId,
+        #[rkyv(with = AsBox)]
         body: CallBody,
     },
     Reply {
         call: CallId,
+        #[rkyv(with = AsBox)]
         body: ReplyBody,
     },
+    /// The sender lacks what the last pulse builds on: everything is to be told once more.
+    TellAll,
 }
 
 impl WireMessage for NodeMessage {
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -6,7 +6,7 @@
 use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::ids::MachineId;
-use linnethitch_registry::ZoneMap;
+use linnethitch_registry::{Place, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ConnectionOptions, Listener, Traffic};
 use slog::Logger;
 use tokio::sync::mpsc;
@@ -15,6 +15,7 @@
     incoming::{self, Inbound},
     links::Links,
     message::{NodeHello, NodeRole},
+    message_bytes::MessageBytes,
     pulse::PulseSource,
     seeds::Seeds,
 };
@@ -47,6 +48,8 @@
     pub tolerated_losses: usize,
     /// Name and key of the cluster.
     pub identity: ClusterIdentity,
+    /// Counts the bytes of messages.
+    pub bytes: MessageBytes,
     /// Where it logs.
     pub logger: Logger,
 }
@@ -58,6 +61,14 @@
         machine_of(self.address)
     }
 
+    /// Where it is.
+    pub(crate) fn place(&self) -> Place {
+        Place {
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+        }
+    }
+
     /// Voters that survive the tolerated losses.
     #[must_use]
     pub fn full_voters(&self) -> usize {
@@ -148,6 +159,7 @@
     )
     .await?;
     let logger = settings.logger.clone();
-    tokio::spawn(incoming::accept_all(listener, inbox, pulses, logger));
+    let bytes = settings.bytes.clone();
+    tokio::spawn(incoming::accept_all(listener, inbox, pulses, bytes, logger));
     Ok(())
 }
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -1,13 +1,13 @@
 //! Which nodes are present, as control hears it from them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use linnethitch_protocol::ids::{MachineId, MemberId};
-use linnethitch_registry::{DirectoryNode, NodeList};
+use linnethitch_registry::{DirectoryNode, NodeList, Place};
 
 use crate::{
     coordinators::Coordinators,
-    message::{NodeHello, NodeRole, PresentStore, StoreGroupView},
+    message::{NodeHello, NodeRole, PlacedGateway, PresentStore, StoreGroupView},
 };
 
 /// A control member or store counts as present for this long, in milliseconds.
@@ -23,8 +23,11 @@
 pub(crate) struct Presence {
     gateways: NodeList,
     coordinators: Coordinators,
+    /// Where gateways are that coordinate slots.
+    places: BTreeMap<MachineId, Place>,
     stores: BTreeMap<MachineId, Heard>,
-    control: BTreeMap<MachineId, u64>,
+    /// Control members: where they are and when they said so.
+    control: BTreeMap<MachineId, (Place, u64)>,
     /// When the newest store appeared.
     newest_store_ms: u64,
     store_group: Option<StoreGroupView>,
@@ -38,7 +41,10 @@
                 self.note_gateway(&hello, now_ms);
                 self.note_coordinator(&hello, now_ms)
             }
-            NodeRole::Control => self.control.insert(hello.machine, now_ms).is_none(),
+            NodeRole::Control => {
+                let heard = (hello.place(), now_ms);
+                self.control.insert(hello.machine, heard).is_none()
+            }
             NodeRole::Store => self.note_store(hello, now_ms),
         }
     }
@@ -51,6 +57,7 @@
         }
         if hello.coordinates && !fell_silent {
             self.coordinators.stop(hello.machine, now_ms);
+            self.places.remove(&hello.machine);
         }
     }
 
@@ -59,6 +66,16 @@
         &self.coordinators
     }
 
+    /// Gateways that coordinate slots and are heard of, and where they are.
+    pub(crate) fn placed_coordinators(&self, now_ms: u64) -> BTreeSet<PlacedGateway> {
+        let present = self.coordinators.present(now_ms).into_iter();
+        let placed = present.map(|machine| PlacedGateway {
+            place: self.places.get(&machine).cloned().unwrap_or_default(),
+            machine,
+        });
+        placed.collect()
+    }
+
     pub(crate) fn gateways(&self) -> &NodeList {
         &self.gateways
     }
@@ -75,12 +92,12 @@
             .collect()
     }
 
-    /// Control machines that are present.
-    pub(crate) fn control(&self, now_ms: u64) -> impl Iterator<Item = MachineId> {
+    /// Control machines that are present, and where they are.
+    pub(crate) fn control(&self, now_ms: u64) -> impl Iterator<Item = (MachineId, &Place)> {
         let heard = self.control.iter();
         heard
-            .filter(move |(_, at_ms)| is_present(**at_ms, now_ms))
-            .map(|(machine, _)| *machine)
+            .filter(move |(_, (_, at_ms))| is_present(*at_ms, now_ms))
+            .map(|(machine, (place, _))| (*machine, place))
     }
 
     /// The job store as its leader told last.
@@ -111,6 +128,7 @@
         if !hello.coordinates {
             return self.coordinators.stop(hello.machine, now_ms);
         }
+        self.places.insert(hello.machine, hello.place());
         self.coordinators.note(hello.machine, now_ms)
     }
 
--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod gateways;
 mod known_gateways;
+mod regions;
 mod silence;
 mod starts;
 mod support;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -20,6 +20,9 @@
 mod sequence;
 mod start;
 mod suspicion;
+mod table_history;
+mod table_update;
+mod tell_order;
 mod update;
 mod validate;
 mod view;
@@ -38,6 +41,8 @@
 };
 pub use start::{parse_start_key, start_key};
 pub use suspicion::{Suspicion, Suspicions};
+pub use table_update::{RoutePlace, TableUpdate};
+pub use tell_order::{Place, tell_rank};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
 pub use view::FleetView;
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Ordering, collections::BTreeMap, sync::Arc};
 
 use linnethitch_protocol::ids::LogIndex;
-use linnethitch_tenants::TenantDirectory;
+use linnethitch_tenants::{TenantDirectory, TenantsUpdate};
 
 use crate::{
     evacuations::Evacuations,
@@ -12,6 +12,7 @@
     routes::RouteTable,
     start::parse_start_key,
     suspicion::Suspicions,
+    table_update::TableUpdate,
     update::FleetUpdate,
 };
 
@@ -29,6 +30,8 @@
     suspicions: Suspicions,
     evacuations: Evacuations,
     upto: LogIndex,
+    /// Something that was told could not be taken without what it builds on.
+    needs_whole: bool,
 }
 
 impl FleetView {
@@ -70,6 +73,15 @@
         }
     }
 
+    /// The zone of a replica by the key of any start of it; `None` before it was heard of.
+    #[must_use]
+    pub fn zone_of_start(&self, key: &str) -> Option<&str> {
+        let (id, _) = parse_start_key(key);
+        self.replicas
+            .get(id)
+            .map(|record| record.told.zone.as_str())
+    }
+
     /// The job store as control knows it.
     #[must_use]
     pub fn store(&self) -> &StoreMembers {
@@ -94,18 +106,20 @@
         self.upto
     }
 
+    /// Whether what was told last builds on something that is not known here: control has
+    /// to tell everything once more.
+    #[must_use]
+    pub fn needs_whole(&self) -> bool {
+        self.needs_whole
+    }
+
     /// Takes an update; true when it brought anything new.
     pub fn take(&mut self, update: FleetUpdate) -> bool {
+        let knows_base = update.since <= self.upto;
         let mut changed = false;
-        if let Some(table) = update.table {
-            let held = self.table.as_ref().map(|table| table.version);
-            if held.is_none_or(|held| held < table.version) {
-                self.table = Some(Arc::new(table));
-                changed = true;
-            }
-        }
-        if let Some(tenants) = update.tenants {
-            Arc::make_mut(&mut self.tenants).take(tenants);
+        self.needs_whole = !knows_base;
+        if knows_base {
+            changed |= self.take_configuration(update.table, update.tenants);
         }
         for record in update.replicas {
             changed |= self.take_replica(record);
@@ -123,10 +137,36 @@
         for record in update.evacuations {
             changed |= self.evacuations.take(record);
         }
-        self.upto = self.upto.max(update.upto);
+        if self.needs_whole {
+            self.upto = if knows_base { LogIndex(0) } else { self.upto };
+        } else {
+            self.upto = self.upto.max(update.upto);
+        }
         changed
     }
 
+    /// Takes table and tenants of a newer configuration, both or neither.
+    fn take_configuration(
+        &mut self,
+        table: Option<TableUpdate>,
+        tenants: Option<TenantsUpdate>,
+    ) -> bool {
+        let held = self.table.as_deref();
+        let is_newer = |table: &TableUpdate| held.is_none_or(|held| held.version < table.version);
+        let Some(table) = table.filter(is_newer) else {
+            return false;
+        };
+        let Some(table) = table.apply(held) else {
+            self.needs_whole = true;
+            return false;
+        };
+        self.table = Some(Arc::new(table));
+        if let Some(tenants) = tenants {
+            Arc::make_mut(&mut self.tenants).take(tenants);
+        }
+        true
+    }
+
     fn take_replica(&mut self, record: ReplicaRecord) -> bool {
         let held = self.replicas.get(&record.told.id);
         if held.is_some_and(|held| held.changed_at >= record.changed_at) {
--- a/crates/registry/tests/all/starts.rs
+++ b/crates/registry/tests/all/starts.rs
@@ -192,3 +192,17 @@
     };
     assert_eq!(change(told).differs_from(&change(held)), is_news);
 }
+
+/// Where a replica is does not depend on which start of it is asked for.
+#[rstest]
+#[case::not_told("i-1", Some("worcester"))]
+#[case::held("i-1#2", Some("worcester"))]
+#[case::earlier("i-1#1", Some("worcester"))]
+#[case::unknown("i-9#1", None)]
+fn the_zone_of_a_start_is_its_replicas(#[case] key: &str, #[case] zone: Option<&str>) {
+    let mut registry = Registry::default();
+    apply(&mut registry, 1, &heartbeat("i-1", 2, 1, READY));
+    let mut view = FleetView::default();
+    view.take(registry.update_since(LogIndex(0)));
+    assert_eq!(view.zone_of_start(key), zone);
+}
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -12,6 +12,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::counted_stream::{CountedStream, ReplicaBytes};
+
 /// Longest time to open a connection. A replica that takes longer is dark.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Bytes that were sent and not acknowledged for this long end the connection.
@@ -49,6 +51,8 @@
     replica: String,
     /// Whether it carried a request before.
     pub(crate) is_reused: bool,
+    /// How long it took to open it, where it is new.
+    pub(crate) opened_in: Option<Duration>,
     rest: Duration,
 }
 
@@ -62,11 +66,16 @@
 
 impl Connections {
     /// A resting connection, or a new one.
-    pub(crate) async fn get(&self, replica: &str, address: &str) -> Option<Connection> {
+    pub(crate) async fn get(
+        &self,
+        replica: &str,
+        address: &str,
+        bytes: impl FnOnce() -> ReplicaBytes,
+    ) -> Option<Connection> {
         if let Some(connection) = self.take_resting(replica) {
             return Some(connection);
         }
-        open(replica, address).await
+        open(replica, address, bytes()).await
     }
 
     /// Gives a connection back once its answer was read whole.
@@ -110,6 +119,7 @@
                     sender: candidate.sender,
                     replica: replica.to_owned(),
                     is_reused: true,
+                    opened_in: None,
                     rest: DEFAULT_REST,
                 });
             }
@@ -142,9 +152,11 @@
     }
 }
 
-async fn open(replica: &str, address: &str) -> Option<Connection> {
+async fn open(replica: &str, address: &str, bytes: ReplicaBytes) -> Option<Connection> {
+    let began = Instant::now();
     let connecting = TcpStream::connect(address);
     let stream = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
+    let opened_in = began.elapsed();
     stream.set_nodelay(true).ok()?;
     let socket = SockRef::from(&stream);
     let keep_alive = TcpKeepalive::new()
@@ -154,7 +166,8 @@
     // Without them a silent peer is noticed late; that is no reason to fail.
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
     let _ = socket.set_tcp_keepalive(&keep_alive);
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let handshake =
+        hyper::client::conn::http1::handshake(TokioIo::new(CountedStream::new(stream, bytes)));
     let (sender, connection) = handshake.await.ok()?;
     tokio::spawn(async move {
         // Its end shows at the sender.
@@ -164,6 +177,7 @@
         sender,
         replica: replica.to_owned(),
         is_reused: false,
+        opened_in: Some(opened_in),
         rest: DEFAULT_REST,
     })
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -183,7 +183,8 @@
         return Exchange::NotRun(FailureKind::Replaced);
     };
     loop {
-        let connecting = shared.connections.get(&chosen.id, &chosen.address);
+        let bytes = || shared.replica_bytes(&chosen.id);
+        let connecting = shared.connections.get(&chosen.id, &chosen.address, bytes);
         let mut connection = match timeout_at(limits.head_until, connecting).await {
             Ok(Some(connection)) => connection,
             Ok(None) => {
@@ -193,8 +194,9 @@
             }
             Err(_) => return Exchange::NotRun(FailureKind::Unreachable),
         };
-        if !connection.is_reused {
+        if let Some(opened_in) = connection.opened_in {
             shared.counters.connections.inc();
+            shared.note_connected(&chosen.id, opened_in);
         }
         if shared.is_evacuated(&chosen.id) {
             return evacuated(shared, outgoing, chosen);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::{
     callers::{Caller, KeyPolicy, KeyRefusal, KnownKeys},
     connections::Connections,
+    counted_stream::ReplicaBytes,
     counters::Counters,
     dialect::Dialect,
     exchange::{Outgoing, Target},
@@ -131,6 +132,13 @@
         self.counters.evacuated_replicas.set(evacuated);
     }
 
+    /// Counts bytes to and from a replica, by its zone.
+    pub(crate) fn replica_bytes(&self, replica: &str) -> ReplicaBytes {
+        let fleet = self.gateway.fleet();
+        let zone = fleet.zone_of_start(replica).unwrap_or_default();
+        self.counters.replica_bytes(zone)
+    }
+
     /// The table in force here.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         self.gateway.fleet().table().cloned()
@@ -341,6 +349,18 @@
         number.is_multiple_of(SUCCESSES_PER_LINE)
     }
 
+    /// Notes how long it took to open a connection to a replica.
+    pub(crate) fn note_connected(&self, replica: &str, opened_in: Duration) {
+        let round_trip_ms = opened_in.as_secs_f64() * 1_000.0;
+        self.board.lock().note_connected(replica, round_trip_ms);
+    }
+
+    /// The round trip to a replica, as connections to its zone took.
+    pub(crate) fn round_trip(&self, replica: &str) -> Duration {
+        let round_trip_ms = self.board.lock().round_trip_ms(replica);
+        Duration::from_secs_f64(round_trip_ms / 1_000.0)
+    }
+
     /// Whether a replica's zone is evacuated: nothing more is sent there.
     pub(crate) fn is_evacuated(&self, replica: &str) -> bool {
         self.board.lock().is_evacuated(replica)
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod coordinator;
 mod dispatch;
+mod distance;
 mod evacuated_zones;
 mod fixture;
 mod grants;
