--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -183,8 +183,8 @@
         }
     }
 
-    /// Tells control that a replica ended under runs of this gateway; false when
-    /// that was not held within the limit.
+    /// Tells control that the start of a replica, by its key, ended under runs of this
+    /// gateway; false when that was not held within the limit.
     pub async fn tell_replica_ended(
         &self,
         replica: &str,
@@ -205,7 +205,7 @@
         self.tell_control(command, limit).await
     }
 
-    /// Tells control that another incarnation answers at a replica's address; false when
+    /// Tells control that another incarnation answers in the place of this start; false when
     /// that was not held within the limit.
     pub async fn tell_not_there(&self, replica: &str, limit: Duration) -> bool {
         let command = RegistryCommand::NotThere(replica.to_owned());
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -119,7 +119,7 @@
     /// A replica ended under these runs of the sender. Control tells it too, a little
     /// later, and not at all while it has no leader.
     ReplicaEnded {
-        /// The incarnation.
+        /// The key of its start.
         replica: String,
         /// What broke off there.
         runs: Vec<EndedRun>,
--- a/crates/routing/src/dispatch/coordinator/types.rs
+++ b/crates/routing/src/dispatch/coordinator/types.rs
@@ -36,7 +36,7 @@
 /// What a replica is, as its coordinator needs it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CoordinatedReplica {
-    /// The incarnation.
+    /// The key of its start.
     pub id: String,
     /// Its service.
     pub service: String,
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -14,5 +14,6 @@
 mod replica_health;
 mod retry;
 mod router;
+mod starts;
 mod work_calls;
 mod yielding;
