--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -17,5 +17,6 @@
 mod retry;
 mod router;
 mod router_evacuation;
+mod starts;
 mod work_calls;
 mod yielding;
