Routing: parts of a cold replica's bound for a few gateways

Change: routing::cold, without clock or socket: which gateways have a part of a cold replica's bound and how much, and what of their own sends counts in a second; a send counts until a second after its answer began. A model of gateways over a network that delays, loses, cuts and splits, with restarts and suspensions, at 3 and 66 gateways, counts every sliding second.

--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// The replicas of a service.
+    #[must_use]
+    pub fn ids(&self, service: &str) -> Vec<String> {
+        self.by_service.get(service).cloned().unwrap_or_default()
+    }
+
     /// Whether a replica may be given new work, as far as control told.
     #[must_use]
     pub fn is_known_ready(&self, id: &str) -> bool {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod batch;
+pub mod cold;
 pub mod costs;
 pub mod dispatch;
 pub mod grants;
--- /dev/null
+++ b/crates/routing/tests/all/cold/mod.rs
@@ -0,0 +1,267 @@
+//! What a cold replica gets: the bound over all gateways whatever happens, and what one
+//! gateway does for it.
+
+mod model;
+
+use linnethitch_protocol::ids::MachineId;
+use linnethitch_routing::cold::{
+    ColdChange, ColdReplicas, ColdSettings, ColdState, ColdView, Refusal, SendEnd, Share, is_holder,
+};
+use rstest::rstest;
+
+use self::model::{Fault, Play, REPLICA, arrivals, cold_replica, most_in_a_second, random_faults};
+
+/// What a cold replica of the tests bears, in thousandths of a request a second.
+const RATE_MILLI: u64 = 17_000;
+/// Most requests that it may get in a second by the default settings.
+const MOST: usize = 30;
+const OWN: MachineId = MachineId(1);
+/// Control was heard just now, some time after the gateway's start.
+const LATER: ColdView = ColdView {
+    now_ms: 10_000,
+    control_silent_ms: 0,
+};
+
+fn at(now_ms: u64) -> ColdView {
+    ColdView { now_ms, ..LATER }
+}
+
+/// The replicas of a gateway that is alone and has known one replica for long.
+fn alone(cold_ms: u64) -> ColdReplicas {
+    let mut cold = ColdReplicas::new(ColdSettings::default(), OWN, 0);
+    cold.note_gateways(&[OWN], 0);
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, cold_ms, 1)], LATER.now_ms);
+    cold
+}
+
+fn play(gateways: usize, seed: u64, faults: Vec<(u64, Fault)>) -> Play {
+    Play {
+        gateways,
+        rate_milli: RATE_MILLI,
+        faults,
+        length_ms: 16_000,
+        seed,
+    }
+}
+
+fn every(gateways: usize, step: usize, first: usize) -> Vec<usize> {
+    (first..gateways).step_by(step).collect()
+}
+
+#[rstest]
+#[case::many_gateways(30, 66, 15, 1)]
+#[case::few_gateways(30, 3, 3, 5)]
+#[case::one_gateway(30, 1, 1, 15)]
+#[case::a_large_rate(2_000, 66, 66, 15)]
+#[case::one_request(1, 66, 1, 1)]
+#[case::no_request(0, 66, 0, 0)]
+#[case::no_gateway(30, 0, 0, 0)]
+fn two_lists_of_other_gateways_share_the_bound(
+    #[case] most: u32,
+    #[case] gateways: usize,
+    #[case] holders: u32,
+    #[case] sends: u32,
+) {
+    assert_eq!(Share::of(most, gateways), Share { holders, sends });
+}
+
+#[rstest]
+fn as_many_gateways_as_that_hold_a_part(#[values(1, 3, 66, 410)] count: u32) {
+    let gateways: Vec<MachineId> = (1..=count).map(MachineId).collect();
+    for replica in ["a", "b", "c"] {
+        let holders = gateways.iter();
+        let holders = holders.filter(|own| is_holder(**own, replica, &gateways, 15));
+        assert_eq!(holders.count() as u32, count.min(15));
+    }
+}
+
+#[test]
+fn a_part_is_used_once_a_second() {
+    let mut cold = alone(60_000);
+    for _ in 0..15 {
+        let number = cold.begin(REPLICA, LATER).expect("a part");
+        cold.end(REPLICA, number, SendEnd::Arrived, LATER.now_ms + 50);
+    }
+    assert_eq!(cold.begin(REPLICA, at(11_050)), Err(Refusal::Used));
+    assert_eq!(cold.next_in_ms("service", at(11_050)), Some(2));
+    assert!(cold.begin(REPLICA, at(11_052)).is_ok());
+}
+
+#[test]
+fn a_warm_replica_gets_whatever_comes() {
+    let mut cold = alone(0);
+    for _ in 0..500 {
+        assert!(cold.begin(REPLICA, LATER).is_ok());
+    }
+    assert!(cold.not_warm("service", LATER).is_empty());
+}
+
+#[test]
+fn what_was_sent_before_a_suspension_counts_until_it_is_answered() {
+    let mut cold = alone(60_000);
+    let sent: Vec<_> = (0..15).map(|_| cold.begin(REPLICA, LATER)).collect();
+    assert_eq!(cold.begin(REPLICA, at(19_000)), Err(Refusal::Used));
+    for number in sent {
+        let number = number.expect("a part");
+        cold.end(REPLICA, number, SendEnd::Arrived, 19_010);
+    }
+    assert_eq!(cold.begin(REPLICA, at(20_000)), Err(Refusal::Used));
+    assert!(cold.begin(REPLICA, at(20_012)).is_ok());
+}
+
+#[rstest]
+#[case::refused_by_another_incarnation(SendEnd::NotCounted, 10_000)]
+#[case::answered(SendEnd::Arrived, 11_002)]
+#[case::may_still_arrive(SendEnd::Unknown, 12_002)]
+fn a_send_counts_by_what_became_of_it(#[case] end: SendEnd, #[case] free_ms: u64) {
+    let mut cold = alone(60_000);
+    for _ in 0..15 {
+        let number = cold.begin(REPLICA, LATER).expect("a part");
+        cold.end(REPLICA, number, end, LATER.now_ms);
+        if end == SendEnd::NotCounted {
+            assert!(cold.may_send(REPLICA, LATER).is_ok());
+        }
+    }
+    if free_ms > LATER.now_ms {
+        assert!(cold.may_send(REPLICA, at(free_ms - 1)).is_err());
+    }
+    assert!(cold.may_send(REPLICA, at(free_ms)).is_ok());
+}
+
+#[test]
+fn what_was_sent_while_it_was_warm_counts_when_it_is_cold_again() {
+    let mut cold = alone(0);
+    for _ in 0..40 {
+        let number = cold.begin(REPLICA, LATER).expect("warm");
+        cold.end(REPLICA, number, SendEnd::Arrived, LATER.now_ms);
+    }
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, 3_000, 2)], 10_100);
+    assert_eq!(cold.state(REPLICA, at(10_100)), ColdState::Cold);
+    assert_eq!(cold.begin(REPLICA, at(10_100)), Err(Refusal::Used));
+    assert!(cold.begin(REPLICA, at(11_100)).is_ok());
+    assert_eq!(cold.state(REPLICA, at(13_100)), ColdState::Warm);
+}
+
+#[rstest]
+#[case::the_same_word_again(1, 3_000, 13_000)]
+#[case::cold_again(2, 3_000, 15_000)]
+#[case::warm(2, 0, 12_000)]
+fn news_of_a_replica_counts_from_when_it_came(
+    #[case] changed_at: u64,
+    #[case] cold_ms: u64,
+    #[case] warm_at_ms: u64,
+) {
+    let mut cold = alone(3_000);
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, cold_ms, changed_at)], 12_000);
+    assert_eq!(cold.state(REPLICA, at(warm_at_ms)), ColdState::Warm);
+    assert_eq!(cold.state(REPLICA, at(warm_at_ms - 1)), ColdState::Cold);
+}
+
+#[test]
+fn one_that_failed_may_be_starting_again() {
+    let mut cold = alone(0);
+    cold.may_have_ended(REPLICA, 10_000);
+    assert_eq!(cold.state(REPLICA, at(12_999)), ColdState::Cold);
+    assert_eq!(cold.state(REPLICA, at(13_000)), ColdState::Warm);
+}
+
+#[test]
+fn without_control_every_replica_is_bounded() {
+    let mut cold = alone(0);
+    let cut_off = ColdView {
+        control_silent_ms: 3_001,
+        ..LATER
+    };
+    assert_eq!(cold.state(REPLICA, cut_off), ColdState::Unsure);
+    let sent = (0..100).filter(|_| cold.begin(REPLICA, cut_off).is_ok());
+    assert_eq!(sent.count(), 15);
+}
+
+#[rstest]
+#[case::just_started(2_999, true, Some(Refusal::NoPartYet))]
+#[case::knows_no_gateways(3_000, false, Some(Refusal::NoPartYet))]
+#[case::knows_them(3_000, true, None)]
+fn a_gateway_that_has_just_started_has_no_part(
+    #[case] now_ms: u64,
+    #[case] knows_gateways: bool,
+    #[case] refusal: Option<Refusal>,
+) {
+    let mut cold = ColdReplicas::new(ColdSettings::default(), OWN, 0);
+    if knows_gateways {
+        cold.note_gateways(&[OWN], 0);
+    }
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, 60_000, 1)], 0);
+    assert_eq!(cold.begin(REPLICA, at(now_ms)).err(), refusal);
+}
+
+#[test]
+fn one_that_is_named_no_longer_keeps_its_part() {
+    let gateways: Vec<MachineId> = (1..=66).map(MachineId).collect();
+    let holder = |own: &&MachineId| is_holder(**own, REPLICA, &gateways, 15);
+    let own = *gateways
+        .iter()
+        .find(|own| !holder(own))
+        .expect("one without");
+    let mut cold = ColdReplicas::new(ColdSettings::default(), own, 0);
+    cold.note_gateways(&gateways, 0);
+    cold.note_gateways(&[own], 5_000);
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, 60_000, 1)], 5_000);
+    assert_eq!(cold.begin(REPLICA, LATER), Err(Refusal::NoPart));
+}
+
+#[test]
+fn a_change_is_told_once() {
+    let mut cold = alone(3_000);
+    let change = |cold_ms| ColdChange {
+        replica: REPLICA.to_owned(),
+        cold_ms,
+    };
+    assert_eq!(cold.take_changes(10_000), [change(3_000)]);
+    assert_eq!(cold.take_changes(10_100), []);
+    assert_eq!(cold.take_changes(13_000), [change(0)]);
+}
+
+/// The bound is of use, too: a flood of all gateways gets a good part of the rate.
+#[rstest]
+fn a_cold_replica_gets_work(#[values(3, 66)] gateways: usize) {
+    let arrived = arrivals(&play(gateways, 5, Vec::new()), ColdSettings::default());
+    let a_second = arrived.iter().filter(|at_ms| **at_ms >= 4_000).count() / 12;
+    assert!((8..=15).contains(&a_second), "{a_second} a second");
+}
+
+#[rstest]
+#[case::nothing(|_| Vec::new())]
+#[case::all_stand_still(|n| vec![(6_000, Fault::Suspend { gateways: every(n, 1, 0), for_ms: 2_500 })])]
+#[case::all_restart(|n| vec![(6_000, Fault::Kill { gateways: every(n, 1, 0), down_ms: 300 })])]
+#[case::a_part_is_cut_off_and_the_rest_restarts(|n| vec![
+    (4_500, Fault::Cut { gateways: every(n, 3, 0), for_ms: 11_000 }),
+    (6_000, Fault::Kill { gateways: every(n, 3, 1), down_ms: 300 }),
+    (6_300, Fault::Kill { gateways: every(n, 3, 2), down_ms: 300 }),
+])]
+#[case::control_in_three_parts_and_all_restart(|n| vec![
+    (4_500, Fault::Split { parts: (0..3).map(|first| every(n, 3, first)).collect(), for_ms: 11_000 }),
+    (6_000, Fault::Kill { gateways: every(n, 1, 0), down_ms: 300 }),
+])]
+fn no_second_has_more_than_the_bound(
+    #[case] faults: fn(usize) -> Vec<(u64, Fault)>,
+    #[values(3, 66)] gateways: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let arrived = arrivals(
+        &play(gateways, seed, faults(gateways)),
+        ColdSettings::default(),
+    );
+    let most = most_in_a_second(&arrived);
+    assert!(most <= MOST, "{most} in a second");
+}
+
+#[rstest]
+fn the_bound_holds_whatever_happens(
+    #[values(3, 66)] gateways: usize,
+    #[values(11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22)] seed: u64,
+) {
+    let faults = random_faults(gateways, seed);
+    let arrived = arrivals(&play(gateways, seed, faults), ColdSettings::default());
+    let most = most_in_a_second(&arrived);
+    assert!(most <= MOST, "{most} in a second");
+}
