Relay: cold replicas get few requests, warm ones come first

Cause: a replica that has just started was given as much as any other, more since it is idle; services' rates were not read. Change: every send passes routing::cold right before it is written (online, repeats, resumed streams, sent without a slot, suspected, items); warm replicas with a free slot come first, then cold ones by this gateway's part, then the wait at warm ones; items do not begin at cold replicas; who cannot be sent soon enough is refused at once and told when to come back. Two log lines, a gauge, two counters.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -98,7 +98,7 @@
                 if self.wait_for_replica().await {
                     continue;
                 }
-                return self.give_up("no replica");
+                return self.give_up_unplaced();
             };
             self.note_slot(&chosen.id, began.elapsed());
             let limits = self.limits(chosen.expected_ms);
@@ -122,7 +122,7 @@
                     self.note_refusal(&chosen.id, kind);
                     continue;
                 }
-                Exchange::Suspected => continue,
+                Exchange::Suspected | Exchange::Cold => continue,
                 Exchange::KeyRefused(refusal) => return self.refuse_key(refusal),
                 Exchange::Unknown => self.note_run(&chosen.id),
                 Exchange::TimedOut if limits.head_until < self.until => {
@@ -214,6 +214,11 @@
             sleep(if is_late { LATE_FULL_PAUSE } else { FULL_PAUSE }).await;
             return true;
         }
+        if let Some(next) = self.next_cold() {
+            self.full.clear();
+            sleep(next.max(LOOK_AGAIN_AFTER)).await;
+            return true;
+        }
         if self.may_wait() {
             sleep(LOOK_AGAIN_AFTER).await;
             return true;
@@ -221,6 +226,23 @@
         false
     }
 
+    /// How long until a replica that is cold may be sent this request, where it can still
+    /// be on time then.
+    fn next_cold(&self) -> Option<Duration> {
+        let next = self.shared.cold.next_in(&self.service)?;
+        let left = self
+            .due()
+            .min(self.until)
+            .saturating_duration_since(Instant::now());
+        (!next.is_zero() && next < left / 2).then_some(next)
+    }
+
+    /// When a caller that is refused is to come back.
+    fn come_back_after(&self) -> Duration {
+        let next = self.shared.cold.next_in(&self.service);
+        next.map_or(COME_BACK_AFTER, |next| next.max(COME_BACK_AFTER))
+    }
+
     /// Whether it may wait a little for a replica; it was not sent yet.
     fn may_wait(&self) -> bool {
         let wait = Duration::from_millis(self.route.target_ms) / WAIT_SHARE_OF_TARGET;
@@ -259,12 +281,21 @@
         refusal.answer()
     }
 
+    /// The final answer of a request that no replica may be given, at once.
+    fn give_up_unplaced(&self) -> Response<AnswerBody> {
+        if self.shared.cold.not_warm(&self.service).is_empty() {
+            self.give_up("no replica")
+        } else {
+            self.give_up("replicas are cold")
+        }
+    }
+
     /// The final answer of a request that no replica answered, at once.
     fn give_up(&self, why: &str) -> Response<AnswerBody> {
         self.log(why, "");
         if self.runs == 0 {
             self.ended(RequestEnd::Refused);
-            return own_answer(ErrorKind::NoBackEnd, Some(COME_BACK_AFTER));
+            return own_answer(ErrorKind::NoBackEnd, Some(self.come_back_after()));
         }
         self.ended(RequestEnd::Failed);
         let kind = if Instant::now() >= self.until {
--- /dev/null
+++ b/crates/relay/src/cold_replicas.rs
@@ -0,0 +1,204 @@
+//! Sends to replicas that may be cold: asks [`ColdReplicas`] before each, and tells what
+//! became of it.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_cluster::{Clock, GatewayNode};
+use linnethitch_registry::{FleetView, ReplicaRecord};
+use linnethitch_routing::cold::{
+    ColdReplica, ColdReplicas, ColdSettings, ColdState, ColdView, Refusal, SendEnd, SendNumber,
+};
+use linnethitch_routing::dispatch::CoordinatedReplica;
+use parking_lot::Mutex;
+use slog::{Logger, info};
+
+use crate::{counters::Counters, exchange::Outgoing};
+
+/// Older knowledge of which gateways there are is not taken, in milliseconds: a member of
+/// control without the leader may hear of a part of them only.
+const CURRENT_MS: u64 = 2_000;
+
+/// Which replicas may be given a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ColdUse {
+    /// Warm ones.
+    Never,
+    /// Those that are not warm and to which this gateway may send now.
+    Only,
+}
+
+/// Sends of this gateway to replicas that may be cold.
+pub(crate) struct ColdSends {
+    gateway: GatewayNode,
+    clock: Clock,
+    counters: Arc<Counters>,
+    logger: Logger,
+    replicas: Mutex<ColdReplicas>,
+}
+
+impl ColdSends {
+    pub(crate) fn new(
+        gateway: GatewayNode,
+        settings: ColdSettings,
+        counters: Arc<Counters>,
+        logger: Logger,
+    ) -> Self {
+        let clock = gateway.clock();
+        let replicas = ColdReplicas::new(settings, gateway.machine(), clock.now_ms());
+        ColdSends {
+            replicas: Mutex::new(replicas),
+            gateway,
+            clock,
+            counters,
+            logger,
+        }
+    }
+
+    /// Takes a newer view of the fleet.
+    pub(crate) fn take_fleet(&self, fleet: &FleetView) {
+        let records = fleet.live_replicas();
+        let list = records.filter_map(|record| cold_replica(fleet, record));
+        let list: Vec<ColdReplica> = list.collect();
+        self.replicas.lock().set_replicas(list, self.clock.now_ms());
+        self.upkeep();
+    }
+
+    /// Takes the gateways that control names now, and tells which replicas became cold or
+    /// warm.
+    pub(crate) fn upkeep(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut replicas = self.replicas.lock();
+        if self.gateway.knowledge_age_ms() <= CURRENT_MS {
+            replicas.note_gateways(&self.gateway.coordinators(), now_ms);
+        }
+        let changes = replicas.take_changes(now_ms);
+        self.counters.cold_replicas.set(replicas.cold() as i64);
+        drop(replicas);
+        for change in changes {
+            info!(self.logger, "replica: cold or warm"; "replica" => change.replica,
+                "cold_ms" => change.cold_ms);
+        }
+    }
+
+    /// Replicas of a service that are not to be chosen now.
+    pub(crate) fn barred(&self, service: &str, cold_use: ColdUse) -> Vec<String> {
+        let view = self.view();
+        let replicas = self.replicas.lock();
+        match cold_use {
+            ColdUse::Never => replicas.not_warm(service, view),
+            ColdUse::Only => replicas.closed(service, view),
+        }
+    }
+
+    /// Replicas of a service that are not warm.
+    pub(crate) fn not_warm(&self, service: &str) -> Vec<String> {
+        self.replicas.lock().not_warm(service, self.view())
+    }
+
+    /// Items do not begin at replicas that are cold, and at others only where online
+    /// requests may.
+    pub(crate) fn bar_items(&self, engines: &mut [CoordinatedReplica]) {
+        let view = self.view();
+        let replicas = self.replicas.lock();
+        for engine in engines {
+            let is_cold = replicas.state(&engine.id, view) == ColdState::Cold;
+            engine.open &= !is_cold && replicas.may_send(&engine.id, view).is_ok();
+        }
+    }
+
+    /// How long until this gateway may send to a replica of a service that is not warm;
+    /// `None` where all are warm, or it is not known.
+    pub(crate) fn next_in(&self, service: &str) -> Option<Duration> {
+        let next_ms = self.replicas.lock().next_in_ms(service, self.view())?;
+        Some(Duration::from_millis(next_ms))
+    }
+
+    /// A replica broke off or accepts no connection: it may be starting again.
+    pub(crate) fn may_have_ended(&self, replica: &str) {
+        let now_ms = self.clock.now_ms();
+        self.replicas.lock().may_have_ended(replica, now_ms);
+    }
+
+    /// A request is about to be sent; `None` where it must not be.
+    pub(crate) fn begin(
+        self: &Arc<Self>,
+        replica: &str,
+        outgoing: &Outgoing,
+    ) -> Option<CountedSend> {
+        let view = self.view();
+        let mut replicas = self.replicas.lock();
+        let is_warm = replicas.state(replica, view) == ColdState::Warm;
+        let begun = replicas.begin(replica, view);
+        drop(replicas);
+        match begun {
+            Ok(number) => {
+                if !is_warm {
+                    self.counters.cold_sends.inc();
+                }
+                Some(CountedSend {
+                    sends: Arc::clone(self),
+                    replica: replica.to_owned(),
+                    number,
+                    end: SendEnd::Unknown,
+                })
+            }
+            Err(refusal) => {
+                self.turned_away(replica, outgoing, refusal);
+                None
+            }
+        }
+    }
+
+    fn turned_away(&self, replica: &str, outgoing: &Outgoing, refusal: Refusal) {
+        self.counters.cold_turned_away.inc();
+        info!(self.logger, "request: not sent, the replica is cold"; "request" => outgoing.id(),
+            "replica" => replica, "cause" => refusal.as_str(),
+            "control_silent_ms" => self.gateway.control_silent_ms());
+    }
+
+    fn view(&self) -> ColdView {
+        ColdView {
+            now_ms: self.clock.now_ms(),
+            control_silent_ms: self.gateway.control_silent_ms(),
+        }
+    }
+}
+
+/// A send that counts for a replica. Where this is dropped without a word it may still
+/// arrive.
+pub(crate) struct CountedSend {
+    sends: Arc<ColdSends>,
+    replica: String,
+    number: SendNumber,
+    end: SendEnd,
+}
+
+impl CountedSend {
+    /// It is known what became of it.
+    pub(crate) fn ended(mut self, end: SendEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for CountedSend {
+    fn drop(&mut self) {
+        let now_ms = self.sends.clock.now_ms();
+        let mut replicas = self.sends.replicas.lock();
+        replicas.end(&self.replica, self.number, self.end, now_ms);
+    }
+}
+
+/// A replica whose service declares what cold ones bear.
+fn cold_replica(fleet: &FleetView, record: &ReplicaRecord) -> Option<ColdReplica> {
+    let table = fleet.table()?;
+    let service = table.service(&record.told.service)?;
+    let cold = service.cold?;
+    Some(ColdReplica {
+        id: record.told.id.clone(),
+        service: record.told.service.clone(),
+        start_ms: cold.start_ms,
+        rate_milli: cold.rate_milli,
+        cold_ms: record.told.cold_ms,
+        changed_at: record.changed_at,
+    })
+}
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -91,6 +91,12 @@
     /// Requests whose leave no coordinator answered in time.
     pub(crate) quota_unanswered: Counter,
     slots: Family<SlotLabels, Gauge>,
+    /// Replicas that are cold, as far as is known here.
+    pub(crate) cold_replicas: Gauge,
+    /// Requests sent to replicas that were not warm.
+    pub(crate) cold_sends: Counter,
+    /// Requests that were not sent to a replica since it is cold.
+    pub(crate) cold_turned_away: Counter,
     /// The version of the route table in force.
     pub(crate) table_version: Gauge,
     /// Replicas that may be given new work.
@@ -115,6 +121,9 @@
             quota_wait: Histogram::new(QUOTA_BUCKETS),
             quota_unanswered: Counter::default(),
             slots: Family::default(),
+            cold_replicas: Gauge::default(),
+            cold_sends: Counter::default(),
+            cold_turned_away: Counter::default(),
             table_version: Gauge::default(),
             ready_replicas: Gauge::default(),
             suspected_requests: Gauge::default(),
@@ -154,6 +163,8 @@
         let slots = self.slots.clone();
         let help = "Slots that this gateway coordinates, by who has them; waiting requests";
         registry.register("relay_coordinated_slots", help, slots);
+        self.register_cold();
+        let registry = &mut self.registry;
         let version = self.table_version.clone();
         registry.register("relay_table_version", "Route table in force", version);
         let ready = self.ready_replicas.clone();
@@ -166,6 +177,18 @@
         registry.register("relay_suspected_requests", help, suspected);
     }
 
+    fn register_cold(&mut self) {
+        let registry = &mut self.registry;
+        let cold = self.cold_replicas.clone();
+        registry.register("relay_cold_replicas", "Replicas that are cold", cold);
+        let sends = self.cold_sends.clone();
+        let help = "Requests sent to replicas that were cold or not known to be warm";
+        registry.register("relay_cold_sends", help, sends);
+        let turned_away = self.cold_turned_away.clone();
+        let help = "Requests that were not sent to a replica since it is cold";
+        registry.register("relay_cold_turned_away", help, turned_away);
+    }
+
     pub(crate) fn request_ended(&self, route: &str, end: RequestEnd) {
         let labels = RequestLabels {
             route: route.to_owned(),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -11,7 +11,10 @@
 use linnethitch_clock::{Instant, timeout_at};
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{RequestContent, RequestFingerprint};
-use linnethitch_routing::dispatch::{Chosen, FailureKind, PromptPart};
+use linnethitch_routing::{
+    cold::SendEnd,
+    dispatch::{Chosen, FailureKind, PromptPart},
+};
 
 use crate::{
     callers::{Caller, KeyRefusal},
@@ -97,6 +100,8 @@
     TimedOut,
     /// Its key was taken away, or keys are not known to be in force; it was not sent.
     KeyRefused(KeyRefusal),
+    /// The replica is cold and this gateway may send nothing to it now; it was not sent.
+    Cold,
     /// More replicas ended under such requests than was known at the search for this
     /// one; it was not sent.
     Suspected,
@@ -197,6 +202,9 @@
         if let Err(refusal) = shared.still_admits(outgoing) {
             return Exchange::KeyRefused(refusal);
         }
+        let Some(counted) = shared.cold.begin(&chosen.id, outgoing) else {
+            return Exchange::Cold;
+        };
         shared.count_send(outgoing);
         match send(
             shared,
@@ -209,9 +217,13 @@
         .await
         {
             Ok(response) => {
+                counted.ended(arrival(&response));
                 return judge(shared, chosen, outgoing, running, connection, response);
             }
-            Err(NoHead::Stale) => shared.not_sent(outgoing),
+            Err(NoHead::Stale) => {
+                counted.ended(SendEnd::NotCounted);
+                shared.not_sent(outgoing);
+            }
             Err(NoHead::Failed) => {
                 running.broke();
                 return Exchange::Unknown;
@@ -227,6 +239,16 @@
     }
 }
 
+/// What an answer tells of its request's arrival at a cold replica: one that was meant for
+/// another incarnation does not count.
+fn arrival(response: &Response<Incoming>) -> SendEnd {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        SendEnd::NotCounted
+    } else {
+        SendEnd::Arrived
+    }
+}
+
 /// Why no head of an answer came.
 enum NoHead {
     /// A resting connection was closed before anything was sent.
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -52,6 +52,7 @@
     let mut rounds: u32 = 0;
     loop {
         sleep(UPKEEP_INTERVAL).await;
+        shared.cold.upkeep();
         shared.slots.set_engines(shared.engines());
         shared.quotas.upkeep();
         rounds = rounds.wrapping_add(1);
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -225,6 +225,10 @@
                 sleep(NOT_TAKEN_PAUSE).await;
                 RunEnd::GoOn
             }
+            Exchange::Cold => {
+                sleep(NOT_TAKEN_PAUSE).await;
+                RunEnd::GoOn
+            }
             // Items carry no key.
             Exchange::Suspected | Exchange::KeyRefused(_) => RunEnd::GoOn,
             Exchange::Unknown => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod batch;
 mod body;
 mod callers;
+mod cold_replicas;
 mod connections;
 mod counters;
 mod dialect;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -209,6 +209,11 @@
                     });
                 }
                 Exchange::NotRun(_) | Exchange::Suspected => self.settings.sends_left += 1,
+                Exchange::Cold => {
+                    // It may go there later.
+                    self.settings.tried.pop();
+                    self.settings.sends_left += 1;
+                }
                 Exchange::Answered(_) | Exchange::Unknown => {}
                 Exchange::TimedOut | Exchange::KeyRefused(_) => return None,
             }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,7 +9,7 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_job_store::ItemSpec;
 use linnethitch_registry::{FleetView, Route, RouteTable};
-use linnethitch_routing::quota::QuotaSettings;
+use linnethitch_routing::{cold::ColdSettings, quota::QuotaSettings};
 use slog::{Logger, info};
 use tokio_util::sync::CancellationToken;
 
@@ -36,6 +36,8 @@
     pub keys: KeyPolicy,
     /// How tenants' limits are counted.
     pub quota: QuotaSettings,
+    /// How far the fleet may go beyond what cold replicas bear.
+    pub cold: ColdSettings,
 }
 
 /// Relays callers' requests. Clones share it.
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -7,6 +7,7 @@
 use linnethitch_routing::dispatch::{Chosen, Need, PromptPart};
 
 use crate::{
+    cold_replicas::ColdUse,
     exchange::Outgoing,
     shared::Shared,
     slots::{Asked, Place, SlotLease},
@@ -55,12 +56,16 @@
         if self.known_ends > 0 {
             return self.place_apart().await;
         }
-        if let Some(placed) = self.find_free().await {
+        if let Some(placed) = self.find_free(ColdUse::Never).await {
+            return Some(placed);
+        }
+        // Before it waits at warm replicas it goes to a cold one, where it may.
+        if let Some(placed) = self.find_free(ColdUse::Only).await {
             return Some(placed);
         }
         let mut full = Vec::new();
         while full.len() < MOST_PROBES {
-            let Some(chosen) = self.choose(&full) else {
+            let Some(chosen) = self.choose(&full, ColdUse::Never) else {
                 break;
             };
             match self.ask(&chosen, AskMode::Probe).await {
@@ -76,7 +81,8 @@
     async fn wait(&self) -> Option<Placed> {
         let mut failing = Vec::new();
         while failing.len() < MOST_PROBES {
-            let chosen = self.choose(&failing)?;
+            let warm = self.choose(&failing, ColdUse::Never);
+            let chosen = warm.or_else(|| self.choose(&failing, ColdUse::Only))?;
             match self.ask(&chosen, AskMode::Wait).await {
                 Asked::Leased(lease) => return Some(Placed { chosen, lease }),
                 Asked::Full => failing.push(chosen.id),
@@ -97,11 +103,11 @@
 
     /// A slot that nobody has, at a replica that serves the request about as soon
     /// as the best one.
-    async fn find_free(&self) -> Option<Placed> {
+    async fn find_free(&self, cold_use: ColdUse) -> Option<Placed> {
         let mut taken: Vec<String> = Vec::new();
         let mut best_ms = None;
         while taken.len() < MOST_FREE_PROBES {
-            let chosen = self.choose(&taken)?;
+            let chosen = self.choose(&taken, cold_use)?;
             let best_ms = *best_ms.get_or_insert(chosen.expected_ms);
             if chosen.expected_ms > best_ms + STOPPED_ITEM_COST_MS {
                 return None;
@@ -114,9 +120,9 @@
         None
     }
 
-    fn choose(&self, full: &[String]) -> Option<Chosen> {
+    fn choose(&self, full: &[String], cold_use: ColdUse) -> Option<Chosen> {
         let except: Vec<String> = self.except.iter().chain(full).cloned().collect();
-        self.shared.choose(&self.need(&except))
+        self.shared.choose(&self.need(&except), cold_use)
     }
 
     fn need<'b>(&'b self, except: &'b [String]) -> Need<'b> {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     callers::{Caller, KeyPolicy, KeyRefusal, KnownKeys},
+    cold_replicas::{ColdSends, ColdUse},
     connections::Connections,
     counters::Counters,
     dialect::Dialect,
@@ -50,6 +51,7 @@
     pub(crate) connections: Connections,
     pub(crate) slots: Arc<Slots>,
     pub(crate) quotas: Quotas,
+    pub(crate) cold: Arc<ColdSends>,
     keys: KeyPolicy,
     pub(crate) broken_runs: BrokenRuns,
     own_news: OwnNews,
@@ -74,8 +76,15 @@
         let seed = settings.seed;
         let counters: Arc<Counters> = Arc::default();
         let quotas = Quotas::new(gateway.clone(), settings.quota, Arc::clone(&counters));
+        let cold = ColdSends::new(
+            gateway.clone(),
+            settings.cold,
+            Arc::clone(&counters),
+            logger.clone(),
+        );
         Shared {
             clock: gateway.clock(),
+            cold: Arc::new(cold),
             slots: Arc::new(Slots::new(gateway.clone(), seed, logger.clone())),
             quotas,
             keys: settings.keys,
@@ -119,6 +128,7 @@
         let version = table.map_or(0, |table| table.version);
         self.counters.table_version.set(version as i64);
         self.board.lock().set_replicas(list);
+        self.cold.take_fleet(fleet);
     }
 
     /// The table in force here.
@@ -199,14 +209,40 @@
         Some(route.backends[index].service.clone())
     }
 
-    pub(crate) fn choose(&self, need: &Need<'_>) -> Option<Chosen> {
+    pub(crate) fn choose(&self, need: &Need<'_>, cold_use: ColdUse) -> Option<Chosen> {
+        let mut except = self.cold.barred(need.service, cold_use);
+        if cold_use == ColdUse::Only {
+            self.bar_warm(need.service, &mut except)?;
+        }
+        except.extend_from_slice(need.except);
+        let need = &Need {
+            except: &except,
+            ..*need
+        };
         let now_ms = self.clock.now_ms();
         let mut random = self.random.lock();
         self.board.lock().choose(need, now_ms, &mut *random)
     }
 
+    /// Leaves the replicas of a service that are not warm; `None` where all are.
+    fn bar_warm(&self, service: &str, except: &mut Vec<String>) -> Option<()> {
+        let not_warm = self.cold.not_warm(service);
+        if not_warm.len() == except.len() {
+            return None;
+        }
+        let all = self.board.lock().ids(service);
+        except.extend(all.into_iter().filter(|id| !not_warm.contains(id)));
+        Some(())
+    }
+
     /// Where a request goes under which replicas ended: each to a replica of its own.
     pub(crate) fn choose_apart(&self, need: &Need<'_>, outgoing: &Outgoing) -> Option<Chosen> {
+        let mut except = self.cold.barred(need.service, ColdUse::Only);
+        except.extend_from_slice(need.except);
+        let need = &Need {
+            except: &except,
+            ..*need
+        };
         let now_ms = self.clock.now_ms();
         let number = outgoing.fingerprint().number();
         self.board.lock().choose_apart(need, number, now_ms)
@@ -221,7 +257,9 @@
     /// Engines, as their coordinators need them.
     pub(crate) fn engines(&self) -> Vec<CoordinatedReplica> {
         let now_ms = self.clock.now_ms();
-        self.board.lock().engines(now_ms)
+        let mut engines = self.board.lock().engines(now_ms);
+        self.cold.bar_items(&mut engines);
+        engines
     }
 
     /// Takes what coordinators told of replicas.
@@ -341,6 +379,9 @@
     }
 
     pub(crate) fn note_failure(&self, replica: &str, kind: FailureKind) {
+        if kind == FailureKind::Unreachable {
+            self.cold.may_have_ended(replica);
+        }
         let now_ms = self.clock.now_ms();
         self.board.lock().note_failure(replica, kind, now_ms);
     }
@@ -400,6 +441,7 @@
     pub(crate) fn broke(&self) {
         self.report.note(RunOutcome::Failed);
         self.shared.note_failure(&self.replica, FailureKind::Broken);
+        self.shared.cold.may_have_ended(&self.replica);
         if self.shared.is_known_ready(&self.replica) {
             let run = BrokenRun {
                 run: EndedRun {
--- /dev/null
+++ b/crates/relay/tests/all/cold.rs
@@ -0,0 +1,115 @@
+//! Replicas that bear little for some time after a start get few requests.
+
+use std::time::Duration;
+
+use linnethitch_clock::testing::suspend_for;
+use linnethitch_registry::{ColdTraits, Route, RouteKind, RouteTable};
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::support::{Act, Fleet, OK, OTHER_INCARNATION, Replica, engine_table, route, table};
+
+/// Longer than any test.
+const LONG_MS: u64 = 600_000;
+/// A gateway sends nothing to cold replicas for so long after its start.
+const FIRST: Duration = Duration::from_secs(3);
+/// Until control was heard of again after a suspension.
+const HEARD_AGAIN: Duration = Duration::from_millis(400);
+/// Longer than a request waits for a slot before it is sent without one.
+const LONGER_THAN_THE_WAIT: Duration = Duration::from_millis(900);
+/// What one gateway alone may send in a second: half of 2 x 1.5 + 5.
+const PART: usize = 4;
+
+fn bearing_two_a_second(mut table: RouteTable) -> RouteTable {
+    table.services[0].cold = Some(ColdTraits {
+        start_ms: 3_000,
+        rate_milli: 2_000,
+    });
+    table
+}
+
+fn safe_route() -> Route {
+    route(RouteKind::Safe, 2, false)
+}
+
+/// A gateway that has run for a while and knows one replica, which is cold.
+async fn before_a_cold(replica: &Replica, table: RouteTable) -> Fleet {
+    let fleet = Fleet::start_with(bearing_two_a_second(table), &[]).await;
+    fleet.register_cold(0, replica.address, LONG_MS).await;
+    fleet.wait_for(1).await;
+    suspend_for(FIRST);
+    sleep(HEARD_AGAIN).await;
+    fleet
+}
+
+#[tokio::test]
+async fn warm_replicas_come_first() {
+    let replicas = [
+        Replica::start(vec![Act::Send(OK)]).await,
+        Replica::start(vec![Act::Send(OK)]).await,
+    ];
+    let table = bearing_two_a_second(table(safe_route()));
+    let fleet = Fleet::start_with(table, &replicas[..1]).await;
+    fleet.register_cold(1, replicas[1].address, LONG_MS).await;
+    fleet.wait_for(2).await;
+    for number in 0..20 {
+        let answer = fleet.ask(&format!("request-{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(replicas[1].requests(), 0);
+}
+
+#[tokio::test]
+async fn a_gateway_that_has_just_started_sends_nothing_to_a_cold_replica() {
+    let replica = Replica::start(vec![Act::Send(OK)]).await;
+    let table = bearing_two_a_second(table(safe_route()));
+    let fleet = Fleet::start_with(table, &[]).await;
+    fleet.register_cold(0, replica.address, LONG_MS).await;
+    fleet.wait_for(1).await;
+    let answer = fleet.ask("request").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(replica.requests(), 0);
+}
+
+#[rstest]
+#[case::answers(OK)]
+#[case::failures(
+    "HTTP/1.1 500 Failed\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 0\r\n\r\n"
+)]
+#[tokio::test]
+async fn a_cold_replica_gets_the_part_of_its_gateway(#[case] answer: &'static str) {
+    let replica = Replica::start(vec![Act::Send(answer)]).await;
+    let fleet = before_a_cold(&replica, table(safe_route())).await;
+    let asks = (0..20).map(|number| {
+        let fleet = &fleet;
+        async move { fleet.ask(&format!("request-{number}")).await }
+    });
+    let answers = futures_util::future::join_all(asks).await;
+    assert_eq!(replica.requests(), PART);
+    let refused: Vec<_> = answers.iter().filter(|a| a.status == 503).collect();
+    assert!(!refused.is_empty());
+    assert!(refused.iter().all(|a| a.head.contains("retry-after: ")));
+}
+
+#[tokio::test]
+async fn refusals_of_another_incarnation_do_not_count() {
+    let replica = Replica::start(vec![Act::Send(OTHER_INCARNATION)]).await;
+    let fleet = before_a_cold(&replica, table(safe_route())).await;
+    fleet.ask("request").await;
+    assert!(fleet.relay.figures().contains("cold_sends_total 1"));
+    assert_eq!(replica.requests(), 1);
+}
+
+/// A request whose wait for a slot is over is sent without one; not to a cold replica.
+#[tokio::test]
+async fn no_request_is_sent_in_spite_of_the_bound_once_its_wait_is_over() {
+    let engine = Replica::start(vec![Act::Silence]).await;
+    let streaming = route(RouteKind::Streaming, 1, false);
+    let fleet = before_a_cold(&engine, engine_table(streaming)).await;
+    let mut streams = Vec::new();
+    for number in 0..2 * PART {
+        streams.push(fleet.open(&format!("request-{number}"), "").await);
+    }
+    sleep(LONGER_THAN_THE_WAIT).await;
+    assert_eq!(engine.requests(), PART);
+}
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay.
 
+mod cold;
 mod ending_requests;
 mod events;
 mod keys;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -436,17 +436,20 @@
         state: ReplicaState,
         sequence: u64,
     ) {
+        let change = replica_change(number, address, state, sequence);
+        self.heartbeat(change).await;
+    }
+
+    /// Registers a replica that is cold for so long.
+    pub(crate) async fn register_cold(&self, number: usize, address: SocketAddr, cold_ms: u64) {
         let change = ReplicaChange {
-            id: format!("i-{number}"),
-            service: "service".to_owned(),
-            address: address.to_string(),
-            zone: "zone".to_owned(),
-            slots: 4,
-            state,
-            sequence,
-            born: 0,
-            cold_ms: 0,
+            cold_ms,
+            ..replica_change(number, address, ReplicaState::Ready, 1)
         };
+        self.heartbeat(change).await;
+    }
+
+    async fn heartbeat(&self, change: ReplicaChange) {
         self.control
             .heartbeat(change, LIMIT)
             .await
@@ -523,6 +526,25 @@
 }
 
 /// Starts a gateway beside others of the same fleet.
+fn replica_change(
+    number: usize,
+    address: SocketAddr,
+    state: ReplicaState,
+    sequence: u64,
+) -> ReplicaChange {
+    ReplicaChange {
+        id: format!("i-{number}"),
+        service: "service".to_owned(),
+        address: address.to_string(),
+        zone: "zone".to_owned(),
+        slots: 4,
+        state,
+        sequence,
+        born: 0,
+        cold_ms: 0,
+    }
+}
+
 async fn start_gateway(
     node: &NodeSettings,
     number: u8,
