Cold replicas: a gateway's part begins 3 s after it first heard of the others

Cause: the pause counted from the process's start; one that hears of control much later could take its place by a list that is not whole. Change: it counts from the first list of gateways.

--- a/crates/relay/src/cold_replicas.rs
+++ b/crates/relay/src/cold_replicas.rs
@@ -44,7 +44,7 @@
         logger: Logger,
     ) -> Self {
         let clock = gateway.clock();
-        let replicas = ColdReplicas::new(settings, gateway.machine(), clock.now_ms());
+        let replicas = ColdReplicas::new(settings, gateway.machine());
         ColdSends {
             replicas: Mutex::new(replicas),
             gateway,
--- a/crates/relay/tests/all/cold.rs
+++ b/crates/relay/tests/all/cold.rs
@@ -11,10 +11,10 @@
 
 /// Longer than any test.
 const LONG_MS: u64 = 600_000;
-/// A gateway sends nothing to cold replicas for so long after its start.
+/// A gateway sends nothing to cold replicas for so long after it heard of others.
 const FIRST: Duration = Duration::from_secs(3);
-/// Until control was heard of again after a suspension.
-const HEARD_AGAIN: Duration = Duration::from_millis(400);
+/// Until control was heard of, also after a suspension.
+const HEARD: Duration = Duration::from_millis(400);
 /// Longer than a request waits for a slot before it is sent without one.
 const LONGER_THAN_THE_WAIT: Duration = Duration::from_millis(900);
 /// What one gateway alone may send in a second: half of 2 x 1.5 + 5.
@@ -37,8 +37,9 @@
     let fleet = Fleet::start_with(bearing_two_a_second(table), &[]).await;
     fleet.register_cold(0, replica.address, LONG_MS).await;
     fleet.wait_for(1).await;
+    sleep(HEARD).await;
     suspend_for(FIRST);
-    sleep(HEARD_AGAIN).await;
+    sleep(HEARD).await;
     fleet
 }
 
--- a/crates/routing/src/cold/mod.rs
+++ b/crates/routing/src/cold/mod.rs
@@ -26,8 +26,8 @@
     share::{Share, is_holder},
 };
 
-/// A gateway that has just started has no part for so long, in milliseconds: what it sent
-/// before its start is under way, and control has not named all gateways yet.
+/// A gateway has no part for so long after control named the first gateways, in
+/// milliseconds: what it sent before its start is under way, and not all are named yet.
 const FIRST_MS: u64 = 3_000;
 /// After so long without a word of control a replica may have started again unheard, in
 /// milliseconds. Members of control are heard several times a second.
@@ -64,7 +64,7 @@
 /// Why nothing may be sent to a cold replica now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// This gateway has just started, or knows no gateways.
+    /// This gateway has known other gateways for a short time only, or none.
     NoPartYet,
     /// Other gateways have the parts of this replica.
     NoPart,
@@ -118,7 +118,8 @@
 pub struct ColdReplicas {
     settings: ColdSettings,
     own: MachineId,
-    started_ms: u64,
+    /// When control named the first gateways.
+    listed_ms: Option<u64>,
     gateways: KnownGateways,
     replicas: BTreeMap<String, Known>,
     last_number: u64,
@@ -127,11 +128,11 @@
 impl ColdReplicas {
     /// Those of a gateway that has just started.
     #[must_use]
-    pub fn new(settings: ColdSettings, own: MachineId, now_ms: u64) -> Self {
+    pub fn new(settings: ColdSettings, own: MachineId) -> Self {
         ColdReplicas {
             settings,
             own,
-            started_ms: now_ms,
+            listed_ms: None,
             gateways: KnownGateways::default(),
             replicas: BTreeMap::new(),
             last_number: 0,
@@ -143,6 +144,7 @@
         if !self.gateways.note(listed, now_ms) {
             return;
         }
+        self.listed_ms.get_or_insert(now_ms);
         let mut replicas = std::mem::take(&mut self.replicas);
         for known in replicas.values_mut() {
             known.part = self.part_of(&known.told);
@@ -236,8 +238,9 @@
 
     /// This gateway's requests of any second to a cold replica.
     fn part(&self, known: &Known, view: ColdView) -> Result<u32, Refusal> {
-        if self.gateways.list().is_empty() || view.now_ms < self.started_ms + FIRST_MS {
-            return Err(Refusal::NoPartYet);
+        match self.listed_ms {
+            Some(listed_ms) if listed_ms + FIRST_MS <= view.now_ms => {}
+            _ => return Err(Refusal::NoPartYet),
         }
         if known.part == 0 {
             return Err(Refusal::NoPart);
--- a/crates/routing/tests/all/cold/mod.rs
+++ b/crates/routing/tests/all/cold/mod.rs
@@ -28,7 +28,7 @@
 
 /// The replicas of a gateway that is alone and has known one replica for long.
 fn alone(cold_ms: u64) -> ColdReplicas {
-    let mut cold = ColdReplicas::new(ColdSettings::default(), OWN, 0);
+    let mut cold = ColdReplicas::new(ColdSettings::default(), OWN);
     cold.note_gateways(&[OWN], 0);
     cold.set_replicas(vec![cold_replica(RATE_MILLI, cold_ms, 1)], LATER.now_ms);
     cold
@@ -178,17 +178,18 @@
 }
 
 #[rstest]
-#[case::just_started(2_999, true, Some(Refusal::NoPartYet))]
-#[case::knows_no_gateways(3_000, false, Some(Refusal::NoPartYet))]
-#[case::knows_them(3_000, true, None)]
-fn a_gateway_that_has_just_started_has_no_part(
+#[case::knows_no_gateways(9_000, None, Some(Refusal::NoPartYet))]
+#[case::has_just_started(2_999, Some(0), Some(Refusal::NoPartYet))]
+#[case::has_just_heard_of_them(8_999, Some(6_000), Some(Refusal::NoPartYet))]
+#[case::has_known_them(9_000, Some(6_000), None)]
+fn a_gateway_has_a_part_when_it_has_known_the_others_for_a_while(
     #[case] now_ms: u64,
-    #[case] knows_gateways: bool,
+    #[case] listed_ms: Option<u64>,
     #[case] refusal: Option<Refusal>,
 ) {
-    let mut cold = ColdReplicas::new(ColdSettings::default(), OWN, 0);
-    if knows_gateways {
-        cold.note_gateways(&[OWN], 0);
+    let mut cold = ColdReplicas::new(ColdSettings::default(), OWN);
+    if let Some(listed_ms) = listed_ms {
+        cold.note_gateways(&[OWN], listed_ms);
     }
     cold.set_replicas(vec![cold_replica(RATE_MILLI, 60_000, 1)], 0);
     assert_eq!(cold.begin(REPLICA, at(now_ms)).err(), refusal);
@@ -202,7 +203,7 @@
         .iter()
         .find(|own| !holder(own))
         .expect("one without");
-    let mut cold = ColdReplicas::new(ColdSettings::default(), own, 0);
+    let mut cold = ColdReplicas::new(ColdSettings::default(), own);
     cold.note_gateways(&gateways, 0);
     cold.note_gateways(&[own], 5_000);
     cold.set_replicas(vec![cold_replica(RATE_MILLI, 60_000, 1)], 5_000);
--- a/crates/routing/tests/all/cold/model.rs
+++ b/crates/routing/tests/all/cold/model.rs
@@ -145,7 +145,7 @@
 impl<'a> Model<'a> {
     fn new(play: &'a Play, settings: ColdSettings) -> Self {
         let gateways = (0..play.gateways).map(|index| Gateway {
-            cold: ColdReplicas::new(settings, machine(index), 0),
+            cold: ColdReplicas::new(settings, machine(index)),
             down_until_ms: 0,
             stands_until_ms: 0,
             cut_until_ms: 0,
@@ -211,7 +211,7 @@
                 self.arrived.push(flight.arrives_ms);
             }
         }
-        gateway.cold = ColdReplicas::new(self.settings, machine(index), back_ms);
+        gateway.cold = ColdReplicas::new(self.settings, machine(index));
         gateway.down_until_ms = back_ms;
         gateway.heard_ms = 0;
     }
