--- a/crates/routing/tests/all/starts.rs
+++ b/crates/routing/tests/all/starts.rs
@@ -20,6 +20,7 @@
         service: "models".to_owned(),
         slots: 4,
         open: true,
+        evacuated: false,
     };
     coordinator.set_replicas(vec![replica], now_ms)
 }
