--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// Number of gateways that share the counts of tenants' limits, as control keeps them.
+    #[must_use]
+    pub fn known_gateways(&self) -> usize {
+        self.view().registry.gateways().machines().count()
+    }
+
     /// Addresses of ready gateways near a caller.
     #[must_use]
     pub fn gateways_near(&self, region: &str, zone: &str, most: usize) -> Vec<String> {
@@ -357,6 +363,7 @@
                     from,
                     message,
                     answers,
+                    ..
                 } => self.take_message(from, message, answers).await,
             }
         }
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use linnethitch_clock::{Clock, sleep};
+use linnethitch_clock::{Clock, Instant, sleep};
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
@@ -301,9 +301,12 @@
                     self.look_for_control();
                 }
                 inbound = inbox.recv() => match inbound {
-                    Some(Inbound::Message { from, message: NodeMessage::Pulse(pulse), .. }) => {
-                        self.take(from, *pulse);
-                    }
+                    Some(Inbound::Message {
+                        from,
+                        message: NodeMessage::Pulse(pulse),
+                        link_opened,
+                        ..
+                    }) => self.take(from, *pulse, link_opened),
                     Some(_) => {}
                     None => return,
                 },
@@ -311,7 +314,7 @@
         }
     }
 
-    fn take(&mut self, from: MachineId, mut pulse: Pulse) {
+    fn take(&mut self, from: MachineId, mut pulse: Pulse, link_opened: Option<Instant>) {
         let now_ms = self.gateway.clock.now_ms();
         self.note_control_heard(from, now_ms);
         let has_coordinators = pulse.coordinators.is_some();
@@ -330,15 +333,15 @@
             .is_some_and(|current| current <= self.fleet.upto())
         {
             self.gateway.current_at_ms.store(now_ms, Ordering::Relaxed);
-            self.note_news(from);
+            self.note_news(link_opened);
         }
     }
 
     /// A member told all that is in force. A process that has just woken up learns by this
     /// that it stood still, before it takes what had waited for news.
-    fn note_news(&self, from: MachineId) {
+    fn note_news(&self, link_opened: Option<Instant>) {
         self.gateway.note_running();
-        if let Some(opened) = self.gateway.links.opened(from) {
+        if let Some(opened) = link_opened {
             self.gateway.standstill.note_news(opened);
         }
     }
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -30,6 +30,8 @@
         message: NodeMessage,
         /// Answers calls; `None` on a link that this node opened.
         answers: Option<Answers>,
+        /// When this node opened the link that it came over; `None` where it did not.
+        link_opened: Option<Instant>,
     },
     /// A connection that another node opened has ended.
     Closed {
@@ -244,6 +246,7 @@
             from: self.hello.machine,
             message,
             answers: Some(Answers(self.sender.clone())),
+            link_opened: None,
         };
         self.inbox.send(inbound).await.is_ok()
     }
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -60,8 +60,6 @@
 /// One link; without a sender while it is down.
 struct Link {
     sender: Option<MessageSender<NodeMessage>>,
-    /// When it was opened last.
-    opened: Option<Instant>,
     calls: HashMap<CallId, oneshot::Sender<ReplyBody>>,
     task: JoinHandle<()>,
 }
@@ -105,7 +103,6 @@
             let task = tokio::spawn(keep_link(self.clone(), *machine));
             let link = Link {
                 sender: None,
-                opened: None,
                 calls: HashMap::new(),
                 task,
             };
@@ -163,11 +160,6 @@
         links.get(&to).and_then(|link| link.sender.clone())
     }
 
-    /// When the link to a machine was opened last.
-    pub(crate) fn opened(&self, machine: MachineId) -> Option<Instant> {
-        self.inner.links.lock().get(&machine)?.opened
-    }
-
     fn next_call(&self) -> CallId {
         let mut next = self.inner.next_call.lock();
         *next += 1;
@@ -176,9 +168,6 @@
 
     fn set_sender(&self, machine: MachineId, sender: Option<MessageSender<NodeMessage>>) {
         if let Some(link) = self.inner.links.lock().get_mut(&machine) {
-            if sender.is_some() {
-                link.opened = Some(Instant::now());
-            }
             link.sender = sender;
             link.calls.clear();
         }
@@ -226,6 +215,7 @@
     let mut hellos = links.inner.hello.subscribe();
     let mut said: Option<NodeHello> = None;
     let mut next_hello = Instant::now();
+    let opened = Instant::now();
     // Control sends pulses; nobody else counts who is there.
     let mut is_control = false;
     loop {
@@ -239,7 +229,12 @@
                 Ok(Some(message)) => {
                     let message = as_pulse(message);
                     is_control |= matches!(message, NodeMessage::Pulse(_));
-                    let inbound = Inbound::Message { from: machine, message, answers: None };
+                    let inbound = Inbound::Message {
+                        from: machine,
+                        message,
+                        answers: None,
+                        link_opened: Some(opened),
+                    };
                     if links.inner.inbox.send(inbound).await.is_err() {
                         return ConnectionEnd::Stopping;
                     }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -22,6 +22,8 @@
 
 /// Messages that may wait for a node; senders wait when it is full.
 const INBOX_MESSAGES: usize = 4_096;
+/// A link on which nothing came for so long is given up, at both ends.
+pub(crate) const LINK_SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Connections of other nodes at once.
 const MAX_CONNECTIONS: usize = 1_500;
 
@@ -93,7 +95,7 @@
     ConnectionOptions {
         open_timeout: Duration::from_millis(300),
         keep_alive: Duration::from_millis(900),
-        idle_timeout: Duration::from_millis(2_000),
+        idle_timeout: LINK_SILENCE_LIMIT,
         write_timeout: Duration::from_millis(2_000),
         queue_frames: 2_048,
         queue_bytes: 16 * 1024 * 1024,
--- a/crates/cluster/src/standstill.rs
+++ b/crates/cluster/src/standstill.rs
@@ -10,10 +10,13 @@
 use linnethitch_clock::Instant;
 use parking_lot::Mutex;
 
+use crate::node::LINK_SILENCE_LIMIT;
+
 /// A process that notes every 250 ms that it runs stood still if it did not for so long.
 const STOOD_STILL_AFTER: Duration = Duration::from_secs(1);
-/// On a link that outlived the standstill, what is read after this was said since: what
-/// waited there is read within milliseconds.
+/// On a link that outlived a short standstill, what is read after this was said since: what
+/// waited there is read within milliseconds. Links do not outlive one as long as
+/// [`LINK_SILENCE_LIMIT`], and what is read of them then is old, however late.
 const READ_UP_WITHIN: Duration = Duration::from_millis(150);
 /// News are waited for no longer than this: by then control counts as lost, and the
 /// process goes on by what it knows, like any that is cut off.
@@ -28,12 +31,18 @@
     ran: Instant,
     /// When it woke up, while it waits for news.
     woke: Option<Instant>,
+    /// Whether it stood still so long that no link outlived it.
+    lost_links: bool,
 }
 
 impl Default for Standstill {
     fn default() -> Self {
         let ran = Instant::now();
-        Standstill(Mutex::new(State { ran, woke: None }))
+        Standstill(Mutex::new(State {
+            ran,
+            woke: None,
+            lost_links: false,
+        }))
     }
 }
 
@@ -48,15 +57,17 @@
             return None;
         }
         state.woke = Some(now);
+        state.lost_links = still >= LINK_SILENCE_LIMIT;
         Some(still)
     }
 
     /// Control told over a link that was opened then what is in force.
     pub(crate) fn note_news(&self, link_opened: Instant) {
         let mut state = self.0.lock();
+        let has_read_up = |woke: Instant| !state.lost_links && woke.elapsed() >= READ_UP_WITHIN;
         let is_news = state
             .woke
-            .is_none_or(|woke| link_opened >= woke || woke.elapsed() >= READ_UP_WITHIN);
+            .is_none_or(|woke| link_opened >= woke || has_read_up(woke));
         if is_news {
             state.woke = None;
         }
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -183,6 +183,7 @@
             from,
             message,
             answers,
+            ..
         } = inbound
         else {
             return;
--- a/crates/cluster/tests/all/starts.rs
+++ b/crates/cluster/tests/all/starts.rs
@@ -23,6 +23,8 @@
         let (control, folder) = start_control(node(seed, &[seed], port)).await;
         let address = host(first_host + 1);
         let gateway = GatewayNode::start(&node(address, &[seed], port), format!("{address}:80"));
+        // Control commits that it knows the gateway: that is not what tests here count.
+        until("the gateway is known", || control.known_gateways() == 1).await;
         Fleet {
             control,
             gateway,
