Suspicion: stalls, lost news and another order no longer hide a fatal request

Change: RunLengths holds the lengths; a stall only stretches, so of the latest six ends under runs of less than a second three must be as short as the shortest of them. A run's end is one more than its gateway knew of, whether the others were heard of or not. Ends are told to every gateway that control named in the last minute, and who knows more answers.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -2,6 +2,7 @@
 //! calls the job store.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -39,6 +40,9 @@
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
+/// A gateway that control named is told of replicas that end for so long, in milliseconds:
+/// as long as it acts on its own news while control takes none.
+const NAMED_FOR_MS: u64 = 60_000;
 
 /// A running gateway. Clones share it.
 #[derive(Clone)]
@@ -53,6 +57,8 @@
     told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
+    /// Gateways that control named lately, also as silent, and when it did so last.
+    named: Arc<Mutex<BTreeMap<MachineId, u64>>>,
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
     current_at_ms: Arc<AtomicU64>,
@@ -75,6 +81,7 @@
             datagrams: bind_datagrams(settings),
             told: Arc::default(),
             coordinators: Arc::default(),
+            named: Arc::default(),
             clock: base.clock,
             current_at_ms: Arc::default(),
         };
@@ -172,14 +179,19 @@
         self.store.call(call, limit).await
     }
 
-    /// Sends a datagram to every other gateway that is known; it may not arrive.
+    /// Sends a datagram to every other gateway that control named lately, to those too that
+    /// control does not hear now: they may serve on. It may not arrive.
     pub fn tell_gateways(&self, message: &GatewayDatagram) {
-        let Some(datagrams) = &self.datagrams else {
-            return;
-        };
-        let gateways = self.coordinators();
-        for gateway in gateways.iter().filter(|gateway| **gateway != self.own) {
-            datagrams.send(self.datagram_address(*gateway), message);
+        let named: Vec<MachineId> = self.named.lock().keys().copied().collect();
+        for gateway in named.into_iter().filter(|gateway| *gateway != self.own) {
+            self.tell_gateway(gateway, message);
+        }
+    }
+
+    /// Sends a datagram to another gateway; it may not arrive.
+    pub fn tell_gateway(&self, gateway: MachineId, message: &GatewayDatagram) {
+        if let Some(datagrams) = &self.datagrams {
+            datagrams.send(self.datagram_address(gateway), message);
         }
     }
 
@@ -323,8 +335,19 @@
             "from" => address_of(from).to_string());
     }
 
+    fn note_named(&self, named: impl IntoIterator<Item = MachineId>) {
+        let now_ms = self.gateway.clock.now_ms();
+        let mut held = self.gateway.named.lock();
+        held.retain(|_, at_ms| now_ms < *at_ms + NAMED_FOR_MS);
+        held.extend(named.into_iter().map(|gateway| (gateway, now_ms)));
+    }
+
     fn note_coordinators(&self) {
-        let told = self.gateway.told.lock().coordinators();
+        let (told, silent) = {
+            let told = self.gateway.told.lock();
+            (told.coordinators(), told.silent_coordinators())
+        };
+        self.note_named(told.union(&silent).copied());
         let mut held = self.gateway.coordinators.lock();
         if !held.iter().eq(&told) {
             *held = Arc::new(told.into_iter().collect());
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod replica;
 mod routes;
+mod run_lengths;
 mod second_layout;
 mod sequence;
 mod suspicion;
@@ -33,6 +34,7 @@
 pub use routes::{
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
+pub use run_lengths::RunLengths;
 pub use suspicion::{Suspicion, Suspicions};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
--- a/crates/registry/tests/all/suspicions.rs
+++ b/crates/registry/tests/all/suspicions.rs
@@ -53,6 +53,9 @@
 #[case::one_replica_told_by_two_gateways(&[("i-1", 0), ("i-1", 0)], 1)]
 #[case::a_gateway_that_was_cut_off(&[("i-1", 0), ("i-2", 1), ("i-3", 0)], 2)]
 #[case::told_late_of_a_replica(&[("i-1", 0), ("i-2", 1), ("i-2", 1)], 2)]
+#[case::told_in_another_order(&[("i-3", 2), ("i-1", 0), ("i-2", 1)], 3)]
+#[case::the_ends_between_were_never_told(&[("i-1", 0), ("i-4", 3)], 4)]
+#[case::one_that_was_never_told_at_the_same_replica(&[("i-2", 0), ("i-2", 1)], 2)]
 fn an_end_counts_if_the_run_began_knowing_of_the_ends_before(
     #[case] told: &[(&str, u32)],
     #[case] counted: u32,
@@ -71,6 +74,10 @@
 #[case::late_in_a_long_run(&[4_000, 4_300, 3_700], 3)]
 #[case::at_different_times(&[300, 2_900, 1_400], 1)]
 #[case::the_last_two_alike(&[300, 2_900, 2_700], 2)]
+#[case::stalls_stretch_some_of_them(&[31, 5_000, 30, 2_000, 32], 3)]
+#[case::stalls_stretch_most_of_them(&[31, 5_000, 30, 2_000, 9_000, 4_000, 32], 2)]
+#[case::one_came_sooner_than_the_others(&[2_900, 2_700, 300], 1)]
+#[case::long_ones_are_not_taken_for_stretched(&[1_900, 4_000, 1_900, 4_000, 1_900, 4_000], 2)]
 fn ends_after_runs_of_different_lengths_had_other_causes(
     #[case] lasted_ms: &[u32],
     #[case] counted: u32,
@@ -86,6 +93,25 @@
     assert_eq!(ends(&applied, "a"), counted);
 }
 
+/// How long runs lasted one after the other, and whether the request is refused then.
+#[rstest]
+#[case::one_of_three_stretched(&[31, 1_066, 30], false)]
+#[case::one_of_four_stretched(&[31, 1_066, 30, 33], true)]
+#[case::three_of_six_stretched(&[31, 1_066, 10_700, 30, 4_000, 33], true)]
+#[case::long_ones_that_differ(&[3_100, 900, 3_900, 2_200, 3_500, 1_600], false)]
+fn a_row_that_stalls_stretch_is_refused_after_as_many_ends_alike(
+    #[case] lasted_ms: &[u32],
+    #[case] refused: bool,
+) {
+    let mut applied = Applied::default();
+    for (number, ran_ms) in lasted_ms.iter().enumerate() {
+        let run = long_run("a", ends(&applied, "a"), *ran_ms);
+        applied.apply(&ended(&format!("i-{number}"), &[run]));
+    }
+    let held = applied.registry.suspicions().get(&request("a"));
+    assert_eq!(held.is_some_and(Suspicion::is_refused), refused, "{held:?}");
+}
+
 /// After how many ends in a row a request is refused, by how long it ran each time.
 #[rstest]
 #[case::at_once(100, 3)]
