Slots: what one end breaks off is one failure, and an ended replica is not closed

Change, way (a): of the runs that broke off, those that began before the first of them was heard of are one failure, until one that began later breaks off too; the pause doubles only after a failed trial; a served run opens the replica; refused connections are no failures.

No test yet for refused connections.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -178,8 +178,8 @@
         let connecting = shared.connections.get(&chosen.id, &chosen.address);
         let mut connection = match timeout_at(limits.head_until, connecting).await {
             Ok(Some(connection)) => connection,
+            // It is not there: each gateway finds that out at once and at no cost.
             Ok(None) => {
-                running.report.note(RunOutcome::Failed);
                 shared.note_failure(&chosen.id, FailureKind::Unreachable);
                 return Exchange::NotRun(FailureKind::Unreachable);
             }
--- a/crates/routing/src/dispatch/coordinator/health.rs
+++ b/crates/routing/src/dispatch/coordinator/health.rs
@@ -27,9 +27,6 @@
 const FIRST_PAUSE_MS: u64 = 500;
 /// Longest such time, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 8_000;
-/// One that is closed again this soon after it was opened is closed twice as long, in
-/// milliseconds.
-const RELAPSE_MS: u64 = 5_000;
 /// A trial of which nothing was heard for so long is followed by another, in milliseconds.
 const TRIAL_MS: u64 = 3_000;
 
@@ -46,6 +43,15 @@
     trial: Option<(Trial, u64)>,
 }
 
+/// Runs that broke off, perhaps all by one event.
+#[derive(Clone, Copy, Debug)]
+struct Break {
+    /// When the first of them was heard of.
+    seen_ms: u64,
+    /// Whether a run broke off that began after that.
+    is_confirmed: bool,
+}
+
 /// What the runs of all gateways tell of a replica.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReplicaHealth {
@@ -53,9 +59,10 @@
     recent: VecDeque<(MachineId, bool)>,
     closed: Option<Closed>,
     pause_ms: u64,
-    opened_ms: u64,
     /// When a run was served last.
     served_ms: Option<u64>,
+    /// The break after which no run was served yet that began later.
+    seen_break: Option<Break>,
 }
 
 impl ReplicaHealth {
@@ -94,7 +101,7 @@
     ) -> bool {
         let has_failed = match outcome {
             RunOutcome::Served => {
-                self.served_ms = Some(now_ms);
+                self.note_served(began_ms, now_ms);
                 false
             }
             RunOutcome::Failed => true,
@@ -108,8 +115,13 @@
         if let Some(closed) = self.closed {
             if closed.trial.is_some_and(|(trial, _)| trial == run) {
                 self.judge_trial(has_failed, now_ms);
+            } else if outcome == RunOutcome::Served {
+                // It had begun before, and shows that not everything fails.
+                self.closed = None;
             }
-            // Other runs had begun before it was closed.
+            return false;
+        }
+        if outcome == RunOutcome::Failed && self.is_of_one_break(began_ms, now_ms) {
             return false;
         }
         self.remember(seen_by, has_failed);
@@ -132,24 +144,46 @@
             self.close(now_ms);
         } else {
             self.closed = None;
-            self.opened_ms = now_ms;
         }
     }
 
+    /// Closes it for longer only where a trial failed: one that served its trial is not the
+    /// one that failed before.
     fn close(&mut self, now_ms: u64) {
-        let has_relapsed = self.is_closed() || now_ms < self.opened_ms + RELAPSE_MS;
-        self.pause_ms = if has_relapsed && self.pause_ms > 0 {
+        self.pause_ms = if self.is_closed() {
             (self.pause_ms * 2).min(LONGEST_PAUSE_MS)
         } else {
             FIRST_PAUSE_MS
         };
         self.recent.clear();
+        self.seen_break = None;
         self.closed = Some(Closed {
             until_ms: now_ms + self.pause_ms,
             trial: None,
         });
     }
 
+    /// Whether a run that broke off tells nothing new. What ends a replica, or resets its
+    /// connections, breaks off all its runs at once; only one that began afterwards shows
+    /// whether it fails what it is given.
+    fn is_of_one_break(&mut self, began_ms: u64, now_ms: u64) -> bool {
+        let Some(seen) = &mut self.seen_break else {
+            self.seen_break = Some(Break {
+                seen_ms: now_ms,
+                is_confirmed: false,
+            });
+            return false;
+        };
+        seen.is_confirmed |= began_ms >= seen.seen_ms;
+        !seen.is_confirmed
+    }
+
+    /// A run was served. If it began after the break, the replica serves again.
+    fn note_served(&mut self, began_ms: u64, now_ms: u64) {
+        self.served_ms = Some(now_ms);
+        self.seen_break = self.seen_break.filter(|seen| began_ms < seen.seen_ms);
+    }
+
     fn remember(&mut self, seen_by: MachineId, has_failed: bool) {
         self.recent.push_back((seen_by, has_failed));
         if self.recent.len() > REMEMBERED {
--- a/crates/routing/tests/all/replica_health.rs
+++ b/crates/routing/tests/all/replica_health.rs
@@ -102,6 +102,74 @@
     assert!(!is_closed(&coordinator));
 }
 
+/// Runs of several gateways are under way when something breaks them all off: a process
+/// that ends, a reset of all connections. How runs come out that begin afterwards.
+#[rstest]
+#[case::nothing_begins(&[], false)]
+#[case::one_fails(&[BAD], false)]
+#[case::it_serves_again(&[BAD, OK, BAD, BAD], false)]
+#[case::two_fail(&[BAD, BAD], true)]
+fn what_one_event_breaks_off_is_one_failure(#[case] begun_later: &[RunOutcome], #[case] is: bool) {
+    let mut coordinator = coordinator();
+    for holder in 1..=4 {
+        ask(&mut coordinator, key(holder, 1), AskMode::Take, START_MS);
+    }
+    for holder in 1..=4 {
+        coordinator.note_run(key(holder, 1), BAD, START_MS + 10);
+        coordinator.end(key(holder, 1), START_MS + 10);
+    }
+    assert!(!is_closed(&coordinator));
+    let later: Vec<_> = begun_later.iter().map(|outcome| (5, *outcome)).collect();
+    run(&mut coordinator, &later, START_MS + 20);
+    assert_eq!(is_closed(&coordinator), is);
+}
+
+/// A machine that hangs keeps all its runs waiting; none is broken off.
+#[test]
+fn runs_that_hang_beside_each_other_count_each() {
+    let mut coordinator = coordinator();
+    for holder in 1..=3 {
+        ask(&mut coordinator, key(holder, 1), AskMode::Take, START_MS);
+    }
+    for holder in 1..=3 {
+        coordinator.note_run(key(holder, 1), HUNG, START_MS + 1_200);
+    }
+    assert!(is_closed(&coordinator));
+}
+
+/// A run that had begun before it was closed is served: not everything fails there.
+#[test]
+fn a_run_that_is_served_opens_it() {
+    let mut coordinator = coordinator();
+    ask(&mut coordinator, key(4, 1), AskMode::Take, START_MS);
+    run(&mut coordinator, &[(1, BAD), (2, BAD), (3, BAD)], START_MS);
+    assert!(is_closed(&coordinator));
+    coordinator.note_run(key(4, 1), OK, START_MS + 50);
+    assert!(!is_closed(&coordinator));
+}
+
+/// It served its trial, so that what comes next is another failure.
+#[test]
+fn the_pause_begins_anew_after_a_trial_that_was_served() {
+    let mut coordinator = closed();
+    let tried = START_MS + 500;
+    run(&mut coordinator, &[(1, OK)], tried);
+    assert!(!is_closed(&coordinator));
+    run(
+        &mut coordinator,
+        &[(1, BAD), (2, BAD), (3, BAD)],
+        tried + 100,
+    );
+    assert!(is_closed(&coordinator));
+    let verdict = ask(
+        &mut coordinator,
+        key(4, 1),
+        AskMode::Probe,
+        tried + 100 + 500,
+    );
+    assert_eq!(verdict, Verdict::Granted);
+}
+
 fn closed() -> SlotCoordinator {
     let mut coordinator = coordinator();
     run(&mut coordinator, &[(1, BAD), (2, BAD), (3, BAD)], START_MS);
