--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod replica;
 mod routes;
+mod run_lengths;
 mod second_layout;
 mod sequence;
 mod start;
@@ -39,6 +40,7 @@
 pub use routes::{
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
+pub use run_lengths::RunLengths;
 pub use start::{parse_start_key, start_key};
 pub use suspicion::{Suspicion, Suspicions};
 pub use table_update::{RoutePlace, TableUpdate};
