--- a/crates/simulator/src/actors/fleet_text.rs
+++ b/crates/simulator/src/actors/fleet_text.rs
@@ -7,7 +7,7 @@
 
 /// A valid fleet file that differs by its note and by whether a zone is evacuated.
 pub(crate) fn fleet_text(note: &str) -> String {
-    let evacuated = note.len() % 2 == 0;
+    let evacuated = note.len().is_multiple_of(2);
     format!(
         r#"# {note}
 name = "simulated"
