--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -1,7 +1,6 @@
 //! A control member: registry, directory, and what operators and replicas ask.
 
 use std::{
-    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, atomic::AtomicU64},
     time::Duration,
@@ -11,14 +10,11 @@
 use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
-use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
-use linnethitch_registry::{
-    Configuration, Declared, FleetUpdate, Place, RegistryAnswer, RegistryCommand, ReplicaChange,
-    ReplicaRecord, ReplicaState, ZoneMap,
-};
+use linnethitch_protocol::ids::{DiskId, MachineId, MemberId};
+use linnethitch_registry::{Configuration, Declared, RegistryAnswer, RegistryCommand, ZoneMap};
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
-use slog::{Logger, info};
+use slog::Logger;
 use tokio::{
     sync::{mpsc, watch},
     time::interval,
@@ -26,13 +22,13 @@
 
 use crate::{
     client::GroupClient,
+    control_pulses::pulse_source,
     driver::{self, GroupHandle},
     incoming::{Answers, Inbound},
     links::Links,
     message::{CallBody, NodeMessage, NodeRole, RegistryCall, RegistryReply, ReplyBody},
     node::{self, NodeBase, NodeSettings},
     presence::Presence,
-    pulse::{PresentFleet, PulseSource},
     registry_service::{RegistryService, RegistryShared, RegistryView},
     seeds::Seeds,
 };
@@ -45,8 +41,6 @@
 const ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest time to tell it.
 const ALIVE_LIMIT: Duration = Duration::from_secs(1);
-/// A control member has heard of every gateway by this time after its start.
-const HEARD_OF_ALL_MS: u64 = 1_200;
 /// A control machine that is not heard of for so long is no longer linked to.
 const FORGOTTEN_MS: u64 = 30_000;
 
@@ -81,15 +75,15 @@
 /// A running control member. Clones share it.
 #[derive(Clone)]
 pub struct ControlNode {
-    shared: Arc<RegistryShared>,
+    pub(crate) shared: Arc<RegistryShared>,
     client: GroupClient<RegistryCall>,
     handle: GroupHandle<RegistryCall, RegistryReply>,
     links: Links,
     clock: Clock,
     /// Keys of starts that were heard of since the leader was last told.
-    heard: Arc<Mutex<BTreeSet<String>>>,
+    pub(crate) heard: Arc<Mutex<BTreeSet<String>>>,
     store_voters: usize,
-    logger: Logger,
+    pub(crate) logger: Logger,
     zones: Arc<ZoneMap>,
 }
 
@@ -135,7 +129,7 @@
             logger: node.logger.clone(),
             zones: Arc::new(node.zones.clone()),
         };
-        let pulses = control.pulse_source(own, node.place());
+        let pulses = pulse_source(&control.shared, own, node.place(), base.clock);
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
         tokio::spawn(control.clone().take_messages(base.inbox));
         tokio::spawn(control.clone().keep_links(node.seeds.clone(), own));
@@ -178,51 +172,6 @@
         }
     }
 
-    /// Takes a heartbeat. What it changes is committed before this returns.
-    ///
-    /// # Errors
-    /// [`Unavailable`] when a change cannot be committed in time.
-    pub async fn heartbeat(
-        &self,
-        change: ReplicaChange,
-        limit: Duration,
-    ) -> Result<(), Unavailable> {
-        let key = change.start_key();
-        let view = self.view();
-        let held = view.registry.replica(&change.id);
-        self.log_other_start(held, &change, &key);
-        self.heard.lock().insert(key);
-        if !held.is_none_or(|held| is_news(&held.told, &change)) {
-            return Ok(());
-        }
-        let command = RegistryCommand::Replica(Box::new(change));
-        self.propose(command, limit).await.map(|_| ())
-    }
-
-    /// Notes that a replica ends: the start of it that is known here.
-    ///
-    /// # Errors
-    /// [`Unavailable`] when this cannot be committed in time, or when another start is in
-    /// force than is known here.
-    pub async fn remove_replica(&self, id: &str, limit: Duration) -> Result<(), Unavailable> {
-        let view = self.view();
-        let held = view.registry.replica(id).map(|held| &held.told);
-        let is_over = |held: &ReplicaChange| held.state == ReplicaState::Gone && held.born == 0;
-        if held.is_some_and(is_over) {
-            return Ok(());
-        }
-        // Where starts are told, a later one may have registered at another member.
-        let key = held.map_or_else(|| id.to_owned(), ReplicaChange::start_key);
-        let command = RegistryCommand::RemoveReplica(key);
-        match self.propose(command, limit).await? {
-            RegistryAnswer::OtherStart => {
-                info!(self.logger, "end of a replica concerns another start"; "replica" => id);
-                Err(Unavailable)
-            }
-            _ => Ok(()),
-        }
-    }
-
     /// Number of gateways that share the counts of tenants' limits, as control keeps them.
     #[must_use]
     pub fn known_gateways(&self) -> usize {
@@ -295,22 +244,6 @@
         self.handle.stop().await;
     }
 
-    fn log_other_start(&self, held: Option<&ReplicaRecord>, change: &ReplicaChange, key: &str) {
-        let Some(held) = held.map(|held| &held.told) else {
-            return;
-        };
-        let (logger, held_key) = (&self.logger, held.start_key());
-        match change.born.cmp(&held.born) {
-            Ordering::Greater => {
-                info!(logger, "replica starts again"; "replica" => key, "held" => held_key);
-            }
-            Ordering::Less => {
-                info!(logger, "heartbeat of an earlier start"; "replica" => key, "held" => held_key);
-            }
-            Ordering::Equal => {}
-        }
-    }
-
     /// All zones of the deployment.
     pub(crate) fn zones(&self) -> &ZoneMap {
         &self.zones
@@ -335,22 +268,6 @@
         }
     }
 
-    fn pulse_source(&self, own: MachineId, place: Place) -> PulseSource {
-        let clock = self.clock;
-        let for_present = Arc::clone(&self.shared);
-        let for_update = Arc::clone(&self.shared);
-        let for_news = Arc::clone(&self.shared);
-        let for_current = Arc::clone(&self.shared);
-        PulseSource::new(
-            own,
-            self.shared.changes.subscribe(),
-            move || present_fleet(&for_present, own, &place, clock.now_ms()),
-            move |since| has_news(&for_news, since, clock.now_ms()),
-            move |since| update_since(&for_update, since, clock.now_ms()),
-            move || current(&for_current, clock.now_ms()),
-        )
-    }
-
     async fn take_messages(self, mut inbox: mpsc::Receiver<Inbound>) {
         while let Some(inbound) = inbox.recv().await {
             match inbound {
@@ -438,68 +355,6 @@
     }
 }
 
-/// Whether a heartbeat changes what is held of its replica. Others are not committed.
-fn is_news(held: &ReplicaChange, change: &ReplicaChange) -> bool {
-    match change.born.cmp(&held.born) {
-        Ordering::Less => return false,
-        Ordering::Greater => return true,
-        Ordering::Equal => {}
-    }
-    match held.state {
-        ReplicaState::Gone => false,
-        ReplicaState::Displaced => change.state == ReplicaState::Draining,
-        ReplicaState::Ready | ReplicaState::Draining => {
-            held.sequence < change.sequence && change.differs_from(held)
-        }
-    }
-}
-
-fn update_since(shared: &RegistryShared, since: LogIndex, now_ms: u64) -> Option<FleetUpdate> {
-    let view = Arc::clone(&shared.view.lock());
-    has_news(shared, since, now_ms).then(|| view.registry.update_since(since))
-}
-
-/// The newest change, where the member knows what is in force.
-fn current(shared: &RegistryShared, now_ms: u64) -> Option<LogIndex> {
-    let changed_at = shared.view.lock().registry.changed_at();
-    shared.is_current(now_ms).then_some(changed_at)
-}
-
-fn has_news(shared: &RegistryShared, since: LogIndex, now_ms: u64) -> bool {
-    current(shared, now_ms).is_some_and(|changed_at| changed_at > since)
-}
-
-fn present_fleet(
-    shared: &RegistryShared,
-    own: MachineId,
-    own_place: &Place,
-    now_ms: u64,
-) -> PresentFleet {
-    let view = Arc::clone(&shared.view.lock());
-    let presence = shared.presence.lock();
-    let mut control: BTreeSet<MachineId> = view.members.iter().copied().collect();
-    let heard = presence.control(now_ms);
-    let mut tellers: BTreeMap<_, _> = heard.map(|(at, place)| (at, place.clone())).collect();
-    control.extend(tellers.keys());
-    control.insert(own);
-    tellers.insert(own, own_place.clone());
-    let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
-    let store_group = presence.store_group();
-    PresentFleet {
-        control,
-        tellers,
-        stores: presence.stores(now_ms).into_iter().collect(),
-        store_members: store_group
-            .map(|group| group.machines.iter().copied().collect())
-            .unwrap_or_default(),
-        gateways: heard_of_all.then(|| presence.gateways().ready(now_ms).into_iter().collect()),
-        coordinators: presence.placed_coordinators(now_ms),
-        silent_coordinators: presence
-            .coordinators()
-            .silent(view.registry.gateways(), now_ms),
-    }
-}
-
 /// On the first start of the cluster the seeds are its first members.
 fn group_settings(node: &NodeSettings) -> GroupSettings {
     let own = node.machine();
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod connection_end;
 mod control;
+mod control_pulses;
 mod coordinators;
 mod driver;
 mod evacuation;
@@ -23,6 +24,7 @@
 mod presence;
 mod pulse;
 mod registry_service;
+mod replica_heartbeats;
 mod seeds;
 mod standstill;
 mod store;
--- /dev/null
+++ b/crates/cluster/src/replica_heartbeats.rs
@@ -0,0 +1,89 @@
+//! What replicas say of themselves at a control member.
+
+use std::{cmp::Ordering, time::Duration};
+
+use linnethitch_registry::{
+    RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaRecord, ReplicaState,
+};
+use slog::info;
+
+use crate::control::{ControlNode, Unavailable};
+
+impl ControlNode {
+    /// Takes a heartbeat. What it changes is committed before this returns.
+    ///
+    /// # Errors
+    /// [`Unavailable`] when a change cannot be committed in time.
+    pub async fn heartbeat(
+        &self,
+        change: ReplicaChange,
+        limit: Duration,
+    ) -> Result<(), Unavailable> {
+        let key = change.start_key();
+        let view = self.view();
+        let held = view.registry.replica(&change.id);
+        self.log_other_start(held, &change, &key);
+        self.heard.lock().insert(key);
+        if !held.is_none_or(|held| is_news(&held.told, &change)) {
+            return Ok(());
+        }
+        let command = RegistryCommand::Replica(Box::new(change));
+        self.propose(command, limit).await.map(|_| ())
+    }
+
+    /// Notes that a replica ends: the start of it that is known here.
+    ///
+    /// # Errors
+    /// [`Unavailable`] when this cannot be committed in time, or when another start is in
+    /// force than is known here.
+    pub async fn remove_replica(&self, id: &str, limit: Duration) -> Result<(), Unavailable> {
+        let view = self.view();
+        let held = view.registry.replica(id).map(|held| &held.told);
+        let is_over = |held: &ReplicaChange| held.state == ReplicaState::Gone && held.born == 0;
+        if held.is_some_and(is_over) {
+            return Ok(());
+        }
+        // Where starts are told, a later one may have registered at another member.
+        let key = held.map_or_else(|| id.to_owned(), ReplicaChange::start_key);
+        let command = RegistryCommand::RemoveReplica(key);
+        match self.propose(command, limit).await? {
+            RegistryAnswer::OtherStart => {
+                info!(self.logger, "end of a replica concerns another start"; "replica" => id);
+                Err(Unavailable)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn log_other_start(&self, held: Option<&ReplicaRecord>, change: &ReplicaChange, key: &str) {
+        let Some(held) = held.map(|held| &held.told) else {
+            return;
+        };
+        let (logger, held_key) = (&self.logger, held.start_key());
+        match change.born.cmp(&held.born) {
+            Ordering::Greater => {
+                info!(logger, "replica starts again"; "replica" => key, "held" => held_key);
+            }
+            Ordering::Less => {
+                info!(logger, "heartbeat of an earlier start"; "replica" => key, "held" => held_key);
+            }
+            Ordering::Equal => {}
+        }
+    }
+}
+
+/// Whether a heartbeat changes what is held of its replica. Others are not committed.
+fn is_news(held: &ReplicaChange, change: &ReplicaChange) -> bool {
+    match change.born.cmp(&held.born) {
+        Ordering::Less => return false,
+        Ordering::Greater => return true,
+        Ordering::Equal => {}
+    }
+    match held.state {
+        ReplicaState::Gone => false,
+        ReplicaState::Displaced => change.state == ReplicaState::Draining,
+        ReplicaState::Ready | ReplicaState::Draining => {
+            held.sequence < change.sequence && change.differs_from(held)
+        }
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -21,7 +21,8 @@
     callers::{Caller, KeyRefusal},
     connections::{Connection, SendFailure},
     quotas::Leave,
-    shared::{RunningGuard, Shared},
+    running_guard::RunningGuard,
+    shared::Shared,
     slots::{RunReport, SlotLease},
 };
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod quotas;
 mod relay;
 mod replica_ends;
+mod running_guard;
 mod running_items;
 mod search;
 mod server;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -17,8 +17,9 @@
     counters::RequestEnd,
     events::EventSplitter,
     exchange::{Exchange, Limits, Outgoing, Target, exchange},
+    running_guard::RunningGuard,
     search::{Placed, Search},
-    shared::{RunningGuard, Shared},
+    shared::Shared,
 };
 
 /// A resumable stream that pauses for this many times its allowed gap goes on elsewhere.
--- a/crates/relay/tests/all/cold.rs
+++ b/crates/relay/tests/all/cold.rs
@@ -40,6 +40,8 @@
     sleep(HEARD).await;
     suspend_for(FIRST);
     sleep(HEARD).await;
+    // After a suspension nothing is sent before control has spoken.
+    fleet.relay.gateway().news_after_standstill().await;
     fleet
 }
 
