Faults where the parts meet, found by reading

* A process that stands still while a connection is opened, or again before it has had news, went on with what it knew: the wait for news also comes right before the last look, and a second standstill does not forget that the first outlasted links.
No test: both need a standstill at one moment of a few milliseconds.
* An engine whose zone is told anew kept its coordinator here while gateways that assign later chose another: the zone counts.
* A whole route table with another digest was refused, and asked for again with each pulse: it stands for itself (a_whole_table_is_taken_whatever_its_digest fails before), and a member is asked once a second at most.
* Places of gateways that fell silent were kept for ever by control.

--- a/crates/cluster/src/coordinators.rs
+++ b/crates/cluster/src/coordinators.rs
@@ -32,6 +32,7 @@
 impl Coordinators {
     /// Notes that a gateway coordinates; true when it did not before.
     pub(crate) fn note(&mut self, machine: MachineId, now_ms: u64) -> bool {
+        self.forget_old(now_ms);
         self.stopped.remove(&machine);
         self.heard.insert(machine, now_ms).is_none()
     }
@@ -43,6 +44,11 @@
         self.heard.remove(&machine).is_some()
     }
 
+    /// Whether a gateway was heard of lately and has not stopped since.
+    pub(crate) fn was_heard(&self, machine: MachineId) -> bool {
+        self.heard.contains_key(&machine)
+    }
+
     /// Those that are heard of.
     pub(crate) fn present(&self, now_ms: u64) -> BTreeSet<MachineId> {
         let heard = self.heard.iter();
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -39,6 +39,9 @@
 
 /// How often links are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// A member that was asked for everything is asked again after this: everything is a few
+/// hundred kilobytes, and takes that long over a narrow link.
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// Pause between two looks whether news came after a standstill.
 const NEWS_LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// Control counts as lost when none of its members was heard of for so long, in
@@ -104,6 +107,7 @@
             fleet: FleetView::default(),
             teller,
             control_lost: false,
+            asked_for_all: BTreeMap::new(),
             logger: settings.logger.clone(),
         };
         tokio::spawn(learner.run(base.inbox));
@@ -297,6 +301,8 @@
     teller: watch::Sender<Arc<FleetView>>,
     /// No control member was heard of for [`CONTROL_LOST_MS`].
     control_lost: bool,
+    /// When each member was asked for everything last.
+    asked_for_all: BTreeMap<MachineId, Instant>,
     logger: Logger,
 }
 
@@ -376,7 +382,13 @@
 
     /// What this control member told builds on something that is not known here, such as
     /// when another group took the place of the one that told before.
-    fn ask_for_all(&self, from: MachineId) {
+    fn ask_for_all(&mut self, from: MachineId) {
+        let now = Instant::now();
+        let asked = self.asked_for_all.get(&from);
+        if asked.is_some_and(|asked| now < *asked + ASK_AGAIN_AFTER) {
+            return;
+        }
+        self.asked_for_all.insert(from, now);
         let upto = self.fleet.upto();
         warn!(self.logger, "fleet not known"; "upto" => upto.0,
             "from" => address_of(from).to_string());
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -126,10 +126,17 @@
 
     fn note_coordinator(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
         if !hello.coordinates {
+            self.places.remove(&hello.machine);
             return self.coordinators.stop(hello.machine, now_ms);
         }
         self.places.insert(hello.machine, hello.place());
-        self.coordinators.note(hello.machine, now_ms)
+        let is_new = self.coordinators.note(hello.machine, now_ms);
+        if is_new {
+            let coordinators = &self.coordinators;
+            self.places
+                .retain(|machine, _| coordinators.was_heard(*machine));
+        }
+        is_new
     }
 
     fn note_store(&mut self, hello: NodeHello, now_ms: u64) -> bool {
--- a/crates/cluster/src/standstill.rs
+++ b/crates/cluster/src/standstill.rs
@@ -56,8 +56,9 @@
         if still < STOOD_STILL_AFTER {
             return None;
         }
-        state.woke = Some(now);
-        state.lost_links = still >= LINK_SILENCE_LIMIT;
+        // One that stands still again before it had news has those of neither.
+        let waited = state.woke.replace(now).is_some();
+        state.lost_links = still >= LINK_SILENCE_LIMIT || (waited && state.lost_links);
         Some(still)
     }
 
--- a/crates/registry/src/table_update.rs
+++ b/crates/registry/src/table_update.rs
@@ -33,7 +33,7 @@
 
 impl TableUpdate {
     /// The table that results; `None` where the held one is not the one that the change
-    /// was made for.
+    /// was made for. A whole table stands for itself, whatever was held.
     #[must_use]
     pub fn apply(self, held: Option<&RouteTable>) -> Option<RouteTable> {
         let before = held.filter(|_| !self.is_whole);
@@ -61,7 +61,7 @@
                 .collect(),
             limits: self.limits,
         };
-        (table.digest() == self.digest).then_some(table)
+        (self.is_whole || table.digest() == self.digest).then_some(table)
     }
 }
 
--- a/crates/registry/tests/all/told_tables.rs
+++ b/crates/registry/tests/all/told_tables.rs
@@ -214,3 +214,20 @@
     let bytes = rkyv::to_bytes::<rancor::Error>(&update).expect("it encodes");
     assert!(bytes.len() < ONE_ROUTE_BYTES, "{} bytes", bytes.len());
 }
+
+/// A whole table needs nothing that was held; its digest may be of a build that encodes
+/// tables differently.
+#[test]
+fn a_whole_table_is_taken_whatever_its_digest() {
+    let mut numbers = Numbers(3);
+    let log = Log::new(4, &mut numbers);
+    let newest = log.members.last().expect("there are members");
+    let mut update = newest.update_since(LogIndex(0));
+    let table = update.table.as_mut().expect("there is a table");
+    assert!(table.is_whole);
+    table.digest = table.digest.map(|digest| digest ^ 1);
+    let mut view = FleetView::default();
+    assert!(view.take(update));
+    assert!(!view.needs_whole());
+    log.check(&view);
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -204,6 +204,8 @@
             shared.counters.connections.inc();
             shared.note_connected(&chosen.id, opened_in);
         }
+        // The process may have stood still while the connection was opened.
+        shared.gateway.news_after_standstill().await;
         if shared.is_evacuated(&chosen.id) {
             return evacuated(shared, outgoing, chosen);
         }
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -195,9 +195,13 @@
         fleet: &FleetView,
         zones: &ZoneMap,
     ) -> bool {
-        let is_known = |engine: &CoordinatedReplica| self.coordinators.contains_key(&engine.id);
+        let zone_of = |engine: &CoordinatedReplica| fleet.zone_of_start(&engine.id);
+        let is_known = |engine: &CoordinatedReplica| {
+            let zone = self.engine_zones.get(&engine.id).map(String::as_str);
+            zone.is_some() && zone == zone_of(engine)
+        };
         let is_same = Arc::ptr_eq(&self.gateways, gateways)
-            && self.coordinators.len() == engines.len()
+            && self.engine_zones.len() == engines.len()
             && engines.iter().all(is_known);
         if is_same {
             return false;
@@ -207,13 +211,18 @@
             near.add(gateway.machine, &gateway.place.zone, &gateway.place.region);
         }
         let assigned = engines.iter().filter_map(|engine| {
-            let zone = fleet.zone_of_start(&engine.id).unwrap_or_default();
+            let zone = zone_of(engine).unwrap_or_default();
             let coordinator = near.coordinator_of(&engine.id, zone, zones.region_of(zone))?;
             Some((engine.id.clone(), coordinator))
         });
         let coordinators: HashMap<String, MachineId> = assigned.collect();
         let has_moved = self.coordinators != coordinators;
         self.coordinators = coordinators;
+        let placed = engines.iter().filter_map(|engine| {
+            let zone = zone_of(engine)?;
+            Some((engine.id.clone(), zone.to_owned()))
+        });
+        self.engine_zones = placed.collect();
         self.gateways = Arc::clone(gateways);
         has_moved
     }
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -47,6 +47,8 @@
     /// The coordinator of each engine, as found among `gateways`.
     coordinators: HashMap<String, MachineId>,
     gateways: Arc<Vec<PlacedGateway>>,
+    /// The zone of each engine when its coordinator was found.
+    engine_zones: HashMap<String, String>,
     /// Asks whose verdict is outstanding.
     asks: HashMap<u64, mpsc::Sender<Verdict>>,
     /// Leases of this gateway.
