Suspicion: the end of a replica counts once, however often it is told

Cause: an end was refused only where the run knew of fewer ends than are held, and the number of ends in a row may stay or fall by an end. With two runs of 1,000 ms held, one of 100 ms that knew of two made it 1; the same command applied again made it 3: refused. Commands are applied again after a lost answer, datagrams come twice, two copies at one replica are told at once.

No test was changed.

Left: a gateway's own news of a whole answer begin anew, so an end told again there counts until control tells of the answer.

--- a/crates/registry/src/fourth_layout.rs
+++ b/crates/registry/src/fourth_layout.rs
@@ -10,6 +10,7 @@
 use crate::{
     command::RegistryCommand,
     configuration::Declared,
+    counted_ends::CountedEnds,
     registry::{RegistrySnapshot, StoreMembers},
     replica::{ReplicaChange, ReplicaRecord, ReplicaState},
     routes::{Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits},
@@ -250,11 +251,16 @@
 
 impl From<FourthSuspicion> for Suspicion {
     fn from(fourth: FourthSuspicion) -> Self {
+        let counted = match fourth.ends {
+            0 => CountedEnds::default(),
+            ends => CountedEnds::one(&fourth.replica, ends - 1),
+        };
         Suspicion {
             fingerprint: fourth.fingerprint,
             ends: fourth.ends,
             replica: fourth.replica,
             lengths: RunLengths::alike(fourth.ran_ms, fourth.ends),
+            counted,
             changed_at: fourth.changed_at,
         }
     }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod command;
 mod configuration;
+mod counted_ends;
 mod evacuations;
 mod first_layout;
 mod fourth_layout;
@@ -31,6 +32,7 @@
 
 pub use command::{RegistryAnswer, RegistryCommand};
 pub use configuration::{Configuration, ConfigurationError, Declared};
+pub use counted_ends::CountedEnds;
 pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
 pub use gateways::{GatewayRecord, KnownGateways};
 pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -5,6 +5,8 @@
 //! ends a replica is not told by anybody; all requests that broke off there are
 //! suspected, and the innocent ones must lose the suspicion:
 //!
+//! * Each replica's end counts once, however often and by whomever it is told: see
+//!   [`CountedEnds`].
 //! * An end counts for a request only if its run began after the end before was known
 //!   where the run began. So a popular request that has many copies under way counts
 //!   one end, however many replicas are lost at that moment.
@@ -27,11 +29,15 @@
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::run_lengths::{Row, RunLengths};
+use crate::{
+    counted_ends::CountedEnds,
+    run_lengths::{Row, RunLengths},
+};
 
-/// Requests that are remembered: some 100 bytes each, and four for each end, so 350 KB at
-/// most, and what a gateway is told at its start. A flood of different requests under which one replica
-/// ended each displaces its own kind before it displaces what more ended under.
+/// Requests that are remembered, and what a gateway is told at its start: some 100 bytes
+/// each, four for each end of a row, and a replica's key for each of the last ends. A flood
+/// of different requests under which one replica ended each displaces its own kind before
+/// it displaces what more ended under.
 const MOST_SUSPICIONS: usize = 1_024;
 
 /// What the fleet knows of one request.
@@ -45,6 +51,8 @@
     pub replica: String,
     /// How long the runs had lasted under which replicas ended.
     pub lengths: RunLengths,
+    /// The ends that were counted last, also those before a whole answer.
+    pub counted: CountedEnds,
     /// The log entry that changed this last.
     pub changed_at: LogIndex,
 }
@@ -63,6 +71,11 @@
         if run.known_ends < known {
             return None;
         }
+        let mut counted = held.map(|held| held.counted.clone()).unwrap_or_default();
+        if counted.holds(replica, run.known_ends) {
+            return None;
+        }
+        counted.note(replica, run.known_ends);
         let open = held.filter(|held| held.ends > 0);
         let was_cleared = held.is_some() && open.is_none();
         let unheard = if was_cleared {
@@ -77,6 +90,7 @@
             ends: lengths.row().map_or(0, |row| row.ends),
             replica: replica.to_owned(),
             lengths,
+            counted,
             changed_at,
         })
     }
@@ -118,6 +132,7 @@
             ends: 0,
             replica: String::new(),
             lengths: RunLengths::default(),
+            counted: CountedEnds::default(),
             changed_at,
         }
     }
