Control: a replica that becomes cold again while it is cold is heard

Cause: a heartbeat was compared with the cold time that was committed first. One that said as much again some seconds later was no news, so gateways counted the replica as warm from the first time's end while it was cold. The log takes every cold time of a newer sequence. Not covered: a start that tells of a shorter cold time by another member after it was warm meanwhile may be missed at a member that remembers a longer one.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     client::GroupClient,
+    cold_times::ColdTimes,
     control_pulses::pulse_source,
     driver::{self, GroupHandle},
     incoming::{Answers, Inbound},
@@ -79,9 +80,10 @@
     client: GroupClient<RegistryCall>,
     handle: GroupHandle<RegistryCall, RegistryReply>,
     links: Links,
-    clock: Clock,
+    pub(crate) clock: Clock,
     /// Keys of starts that were heard of since the leader was last told.
     pub(crate) heard: Arc<Mutex<BTreeSet<String>>>,
+    pub(crate) cold_times: Arc<Mutex<ColdTimes>>,
     store_voters: usize,
     pub(crate) logger: Logger,
     zones: Arc<ZoneMap>,
@@ -125,6 +127,7 @@
             links: base.links.clone(),
             clock: base.clock,
             heard: Arc::default(),
+            cold_times: Arc::default(),
             store_voters: settings.store_voters,
             logger: node.logger.clone(),
             zones: Arc::new(node.zones.clone()),
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`MachineId`]: linnethitch_protocol::ids::MachineId
 
 mod client;
+mod cold_times;
 mod connection_end;
 mod control;
 mod control_pulses;
--- a/crates/cluster/src/replica_heartbeats.rs
+++ b/crates/cluster/src/replica_heartbeats.rs
@@ -23,12 +23,20 @@
         let view = self.view();
         let held = view.registry.replica(&change.id);
         self.log_other_start(held, &change, &key);
-        self.heard.lock().insert(key);
-        if !held.is_none_or(|held| is_news(&held.told, &change)) {
+        self.heard.lock().insert(key.clone());
+        let now_ms = self.clock.now_ms();
+        let is_longer_cold = self.cold_times.lock().is_longer(&key, &change, now_ms);
+        if !held.is_none_or(|held| is_news(&held.told, &change, is_longer_cold)) {
             return Ok(());
         }
+        let cold_ms = change.cold_ms;
         let command = RegistryCommand::Replica(Box::new(change));
-        self.propose(command, limit).await.map(|_| ())
+        self.propose(command, limit).await?;
+        let view = self.view();
+        let is_held = |key: &str| view.registry.holds_start(key);
+        let mut cold_times = self.cold_times.lock();
+        cold_times.committed(key, cold_ms, now_ms, is_held);
+        Ok(())
     }
 
     /// Notes that a replica ends: the start of it that is known here.
@@ -72,8 +80,9 @@
     }
 }
 
-/// Whether a heartbeat changes what is held of its replica. Others are not committed.
-fn is_news(held: &ReplicaChange, change: &ReplicaChange) -> bool {
+/// Whether a heartbeat changes what is held of its replica, or says that it is cold for
+/// longer than was proposed. Others are not committed.
+fn is_news(held: &ReplicaChange, change: &ReplicaChange, is_longer_cold: bool) -> bool {
     match change.born.cmp(&held.born) {
         Ordering::Less => return false,
         Ordering::Greater => return true,
@@ -83,7 +92,7 @@
         ReplicaState::Gone => false,
         ReplicaState::Displaced => change.state == ReplicaState::Draining,
         ReplicaState::Ready | ReplicaState::Draining => {
-            held.sequence < change.sequence && change.differs_from(held)
+            held.sequence < change.sequence && (is_longer_cold || change.differs_from(held))
         }
     }
 }
--- a/crates/cluster/tests/all/starts.rs
+++ b/crates/cluster/tests/all/starts.rs
@@ -1,8 +1,11 @@
 //! Heartbeats and ends of a replica that starts again under its id, at a control member.
 
+use std::time::Duration;
+
 use linnethitch_cluster::{ControlNode, GatewayNode};
 use linnethitch_registry::{ReplicaChange, ReplicaState};
 use tempfile::TempDir;
+use tokio::time::sleep;
 
 use crate::support::{LIMIT, free_port, host, node, start_control, until};
 
@@ -33,6 +36,17 @@
     }
 
     async fn beat(&self, id: &str, born: u64, sequence: u64, state: ReplicaState) {
+        self.beat_cold(id, born, sequence, state, 0).await;
+    }
+
+    async fn beat_cold(
+        &self,
+        id: &str,
+        born: u64,
+        sequence: u64,
+        state: ReplicaState,
+        cold_ms: u64,
+    ) {
         let change = ReplicaChange {
             id: id.to_owned(),
             service: "service".to_owned(),
@@ -42,7 +56,7 @@
             state,
             sequence,
             born,
-            cold_ms: 0,
+            cold_ms,
         };
         let beaten = self.control.heartbeat(change, LIMIT).await;
         beaten.expect("it is acknowledged");
@@ -107,3 +121,33 @@
     fleet.settle("marker").await;
     assert_eq!(fleet.gateway.fleet().upto().0, committed.0 + 1);
 }
+
+/// The failure this is for: a replica that said for the second time that it is cold for
+/// as long as the first time was not heard, and counted as warm while it was cold.
+#[tokio::test]
+async fn a_replica_that_is_cold_again_while_it_is_cold_is_heard() {
+    const COLD_MS: u64 = 10_000;
+    let fleet = Fleet::start(60).await;
+    fleet
+        .beat_cold(ID, 0, 1, ReplicaState::Ready, COLD_MS)
+        .await;
+    fleet.settle("marker-1").await;
+    let committed = fleet.gateway.fleet().upto();
+    // Less is left, as of a replica that only grows warm.
+    for sequence in 2..10 {
+        fleet
+            .beat_cold(ID, 0, sequence, ReplicaState::Ready, COLD_MS / 2)
+            .await;
+    }
+    fleet.settle("marker-2").await;
+    assert_eq!(fleet.gateway.fleet().upto().0, committed.0 + 1);
+    sleep(Duration::from_millis(500)).await;
+    fleet
+        .beat_cold(ID, 0, 10, ReplicaState::Ready, COLD_MS)
+        .await;
+    fleet.settle("marker-3").await;
+    assert_eq!(fleet.gateway.fleet().upto().0, committed.0 + 3);
+    let fleet = fleet.gateway.fleet();
+    let held = fleet.replica(ID).expect("it is held");
+    assert_eq!((held.told.sequence, held.told.cold_ms), (10, COLD_MS));
+}
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -65,12 +65,13 @@
     }
 
     /// Whether it said that it is cold.
-    fn is_cold(&self) -> bool {
+    pub(crate) fn is_cold(&self) -> bool {
         self.cold_ms > 0
     }
 
     /// Whether a heartbeat of the same start says something new beside its number. That
-    /// less of the cold time is left says nothing new; that more is left does.
+    /// less of the cold time is left says nothing new; that more is left does. Whether it
+    /// became cold again since then only who knows when that was said can tell.
     #[must_use]
     pub fn differs_from(&self, held: &ReplicaChange) -> bool {
         self.state != held.state
--- a/crates/registry/src/sequence.rs
+++ b/crates/registry/src/sequence.rs
@@ -53,7 +53,8 @@
     if held.told.state == ReplicaState::Displaced {
         return Some(leave(held, index, change));
     }
-    if change.differs_from(&held.told) {
+    // Gateways count a cold time from the entry that told it: each that was proposed is new.
+    if change.is_cold() || change.differs_from(&held.told) {
         return None;
     }
     held.told.sequence = change.sequence;
--- a/crates/registry/tests/all/starts.rs
+++ b/crates/registry/tests/all/starts.rs
@@ -193,6 +193,30 @@
     assert_eq!(change(told).differs_from(&change(held)), is_news);
 }
 
+/// How long a gateway counts a replica as cold goes by the entry of the log that said so:
+/// each cold time that was proposed is one, unless it comes late.
+#[rstest]
+#[case::as_much_again(2, 4_900, 2)]
+#[case::less(2, 1_200, 2)]
+#[case::late(1, 4_900, 1)]
+fn a_cold_time_that_was_proposed_is_taken(
+    #[case] sequence: u64,
+    #[case] cold_ms: u64,
+    #[case] changed_at: u64,
+) {
+    let mut registry = Registry::default();
+    let beat = |sequence, cold_ms| {
+        RegistryCommand::Replica(Box::new(ReplicaChange {
+            cold_ms,
+            ..replica("i-1", "10.0.0.1:80", READY, sequence)
+        }))
+    };
+    apply(&mut registry, 1, &beat(1, 4_900));
+    apply(&mut registry, 2, &beat(sequence, cold_ms));
+    let held = registry.replica("i-1").expect("it is held");
+    assert_eq!(held.changed_at, LogIndex(changed_at));
+}
+
 /// Where a replica is does not depend on which start of it is asked for.
 #[rstest]
 #[case::not_told("i-1", Some("worcester"))]
