--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -30,6 +30,10 @@
 /// A caller is told to come back after this long where all replicas are in evacuated zones:
 /// evacuations last for seconds, and their end is known within one.
 const COME_BACK_AFTER_EVACUATION: Duration = Duration::from_secs(1);
+/// A caller is told to come back after this long at most where replicas are cold: for a gateway
+/// without a part it would be the whole time that one is cold, which may be a day, while
+/// other gateways have parts of each second and others may grow warm sooner.
+const LONGEST_COME_BACK_AFTER_COLD: Duration = Duration::from_secs(1);
 /// Longest body of an answer that is held back until it is whole.
 const MAX_HELD_BYTES: usize = 512 * 1024;
 /// A request waits this share of its target for a replica, then it is refused.
@@ -247,7 +251,9 @@
     /// When a caller that is refused is to come back.
     fn come_back_after(&self) -> Duration {
         let next = self.shared.cold.next_in(&self.service);
-        next.map_or(COME_BACK_AFTER, |next| next.max(COME_BACK_AFTER))
+        next.map_or(COME_BACK_AFTER, |next| {
+            next.clamp(COME_BACK_AFTER, LONGEST_COME_BACK_AFTER_COLD)
+        })
     }
 
     /// Whether it may wait a little for a replica; it was not sent yet.
--- a/crates/relay/tests/all/cold.rs
+++ b/crates/relay/tests/all/cold.rs
@@ -7,7 +7,9 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use crate::support::{Act, Fleet, OK, OTHER_INCARNATION, Replica, engine_table, route, table};
+use crate::support::{
+    Act, Fleet, OK, OTHER_INCARNATION, Replica, engine_table, header, route, table,
+};
 
 /// Longer than any test.
 const LONG_MS: u64 = 600_000;
@@ -72,6 +74,12 @@
     let answer = fleet.ask("request").await;
     assert_eq!(answer.status, 503);
     assert_eq!(replica.requests(), 0);
+    // Other gateways may send there: the caller is not told to wait until it is warm.
+    let come_back = header(&answer.head, "retry-after").expect("it is told when");
+    assert!(
+        come_back.parse::<f64>().expect("seconds") <= 1.0,
+        "{come_back}"
+    );
 }
 
 #[rstest]
