Routing: what is known of a cold replica outlasts its absence from the list

Cause: a replica that was displaced and came back, or was off the list for another reason, began with no counted sends and as if it had not ended, so this gateway could send its part twice in a second. Change: entries off the list are kept until their last send no longer counts and the time after which they may have ended is over; sends that end or begin meanwhile are counted. One that is back stays cold for the rest of that time.

--- a/crates/routing/src/cold/mod.rs
+++ b/crates/routing/src/cold/mod.rs
@@ -122,6 +122,9 @@
     listed_ms: Option<u64>,
     gateways: KnownGateways,
     replicas: BTreeMap<String, Known>,
+    /// Those off the list while it matters what was sent there, or that they may have ended:
+    /// a displaced one may be back soon.
+    dropped: BTreeMap<String, Known>,
     last_number: u64,
 }
 
@@ -135,6 +138,7 @@
             listed_ms: None,
             gateways: KnownGateways::default(),
             replicas: BTreeMap::new(),
+            dropped: BTreeMap::new(),
             last_number: 0,
         }
     }
@@ -166,22 +170,52 @@
                     part: self.part_of(&told),
                     ..known.told_again(told, now_ms)
                 },
-                None => Known {
-                    part: self.part_of(&told),
-                    cold_until_ms: now_ms + told.cold_ms,
-                    was_cold: false,
-                    sends: RecentSends::default(),
-                    told,
-                },
+                None => self.listed_again_or_new(told, now_ms),
             };
             self.replicas.insert(id, known);
         }
+        let newly = before
+            .into_iter()
+            .map(|(id, known)| (id, known.dropped(now_ms)));
+        self.dropped.extend(newly);
+        self.dropped.retain(|_, known| known.still_matters(now_ms));
+    }
+
+    fn listed_again_or_new(&mut self, told: ColdReplica, now_ms: u64) -> Known {
+        let part = self.part_of(&told);
+        let cold_until_ms = now_ms + told.cold_ms;
+        match self.dropped.remove(&told.id) {
+            // That it is back may be the word of control, not its own.
+            Some(known) => Known {
+                part,
+                cold_until_ms: known.cold_until_ms.max(cold_until_ms),
+                told,
+                ..known
+            },
+            None => Known {
+                part,
+                cold_until_ms,
+                was_cold: false,
+                sends: RecentSends::default(),
+                told,
+            },
+        }
+    }
+
+    fn known(&self, replica: &str) -> Option<&Known> {
+        let listed = self.replicas.get(replica);
+        listed.or_else(|| self.dropped.get(replica))
+    }
+
+    fn known_mut(&mut self, replica: &str) -> Option<&mut Known> {
+        let listed = self.replicas.get_mut(replica);
+        listed.or_else(|| self.dropped.get_mut(replica))
     }
 
     /// A replica broke off or accepts no connection: it may have ended and be starting again
     /// under the same id.
     pub fn may_have_ended(&mut self, replica: &str, now_ms: u64) {
-        if let Some(known) = self.replicas.get_mut(replica) {
+        if let Some(known) = self.known_mut(replica) {
             known.cold_until_ms = known.cold_until_ms.max(now_ms + known.told.start_ms);
         }
     }
@@ -189,7 +223,7 @@
     /// What is believed of a replica.
     #[must_use]
     pub fn state(&self, replica: &str, view: ColdView) -> ColdState {
-        let known = self.replicas.get(replica);
+        let known = self.known(replica);
         known.map_or(ColdState::Warm, |known| known.state(view))
     }
 
@@ -202,7 +236,7 @@
         let may = self.may_send(replica, view);
         self.last_number += 1;
         let number = SendNumber(self.last_number);
-        if let Some(known) = self.replicas.get_mut(replica) {
+        if let Some(known) = self.known_mut(replica) {
             may?;
             known.sends.drop_old(view.now_ms);
             known.sends.begin(number);
@@ -212,7 +246,7 @@
 
     /// What became of a send.
     pub fn end(&mut self, replica: &str, number: SendNumber, end: SendEnd, now_ms: u64) {
-        if let Some(known) = self.replicas.get_mut(replica) {
+        if let Some(known) = self.known_mut(replica) {
             known.sends.end(number, end, now_ms);
         }
     }
@@ -222,7 +256,7 @@
     /// # Errors
     /// Why it may not.
     pub fn may_send(&self, replica: &str, view: ColdView) -> Result<(), Refusal> {
-        let Some(known) = self.replicas.get(replica) else {
+        let Some(known) = self.known(replica) else {
             return Ok(());
         };
         if known.state(view) == ColdState::Warm {
@@ -336,6 +370,20 @@
         }
     }
 
+    /// What is kept of one that is off the list. A longer cold time that it told is told
+    /// again when it is back.
+    fn dropped(self, now_ms: u64) -> Known {
+        let longest_ms = now_ms + self.told.start_ms;
+        Known {
+            cold_until_ms: self.cold_until_ms.min(longest_ms),
+            ..self
+        }
+    }
+
+    fn still_matters(&self, now_ms: u64) -> bool {
+        self.is_cold(now_ms) || self.sends.is_any(now_ms)
+    }
+
     fn is_cold(&self, now_ms: u64) -> bool {
         now_ms < self.cold_until_ms
     }
--- a/crates/routing/src/cold/sends.rs
+++ b/crates/routing/src/cold/sends.rs
@@ -61,6 +61,11 @@
             .retain(|send| send.until_ms.is_none_or(|until_ms| now_ms < until_ms));
     }
 
+    /// Whether any counts.
+    pub(super) fn is_any(&self, now_ms: u64) -> bool {
+        self.counted(now_ms).next().is_some()
+    }
+
     /// Whether a further one may be sent beside those that count.
     pub(super) fn admit(&self, most: u32, now_ms: u64) -> bool {
         self.counted(now_ms).count() < most as usize
--- a/crates/routing/tests/all/cold/mod.rs
+++ b/crates/routing/tests/all/cold/mod.rs
@@ -142,6 +142,48 @@
     assert_eq!(cold.state(REPLICA, at(13_100)), ColdState::Warm);
 }
 
+/// It was displaced and is back, or was off the list for another reason.
+#[rstest]
+#[case::under_way(None, 30_000, 40_000)]
+#[case::answered(Some(10_000), 10_500, 11_002)]
+fn what_was_sent_before_it_was_off_the_list_counts(
+    #[case] answered_ms: Option<u64>,
+    #[case] back_ms: u64,
+    #[case] free_ms: u64,
+) {
+    let mut cold = alone(60_000);
+    let sent: Vec<_> = (0..15).map(|_| cold.begin(REPLICA, LATER)).collect();
+    cold.set_replicas(Vec::new(), 10_000);
+    let answer = |cold: &mut ColdReplicas, at_ms| {
+        for number in &sent {
+            cold.end(REPLICA, number.expect("a part"), SendEnd::Arrived, at_ms);
+        }
+    };
+    if let Some(at_ms) = answered_ms {
+        answer(&mut cold, at_ms);
+    }
+    cold.set_replicas(Vec::new(), back_ms - 1);
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, 60_000, 2)], back_ms);
+    assert_eq!(cold.begin(REPLICA, at(back_ms)), Err(Refusal::Used));
+    if answered_ms.is_none() {
+        answer(&mut cold, free_ms - 1_002);
+    }
+    assert_eq!(cold.begin(REPLICA, at(free_ms - 1)), Err(Refusal::Used));
+    assert!(cold.begin(REPLICA, at(free_ms)).is_ok());
+}
+
+/// Where it was displaced it is control that says that it is back, by a newer entry.
+#[rstest]
+fn one_that_may_have_ended_is_cold_when_it_is_back_on_the_list(#[values(1, 2)] changed_at: u64) {
+    let mut cold = alone(0);
+    cold.may_have_ended(REPLICA, 10_000);
+    cold.set_replicas(Vec::new(), 10_100);
+    assert!(cold.not_warm("service", at(10_200)).is_empty());
+    cold.set_replicas(vec![cold_replica(RATE_MILLI, 0, changed_at)], 10_500);
+    assert_eq!(cold.state(REPLICA, at(12_999)), ColdState::Cold);
+    assert_eq!(cold.state(REPLICA, at(13_000)), ColdState::Warm);
+}
+
 #[rstest]
 #[case::the_same_word_again(1, 3_000, 13_000)]
 #[case::cold_again(2, 3_000, 15_000)]
