--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -306,7 +306,8 @@
     }
 
     /// All zones of the deployment.
-    pub(crate) fn zones(&self) -> &ZoneMap {
+    #[must_use]
+    pub fn zones(&self) -> &ZoneMap {
         &self.zones
     }
 
