Serve requests in homes of their route and tenant only

Cause: homes were read and nothing kept to them: a request went to whichever replica answered soonest, in any region.

Change: a choice knows the zones that are homes of the route and the tenant (both bind), and the last look before a send asks again by the configuration then in force, for requests, retries, requests sent apart, resumed streams and batch items alike. A replica of an unknown zone is in no region. Where nothing is in common, or a service has replicas and none was ever heard of in the homes: 403 outside_homes at once, a kind of its own, since 503 asks clients to repeat what cannot succeed; replicas of the homes that are away for the moment stay 503 with Retry-After.

Board::is_service_evacuated takes a need, so that homes count; its test asks the same. The tests' other zone is in a region of its own now.

--- a/crates/errors/src/kind.rs
+++ b/crates/errors/src/kind.rs
@@ -58,6 +58,8 @@
     InvalidKey => 401, "invalid_api_key", No, false;
     /// The key is known but may not do this.
     Forbidden => 403, "forbidden", No, false;
+    /// No replica stands in the regions in which the route and the tenant may be served, or they have none in common.
+    OutsideHomes => 403, "outside_homes", No, false;
     /// The model is not in the configuration in force.
     UnknownModel => 404, "model_not_found", No, false;
     /// The application service is not in the configuration in force.
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -53,6 +53,13 @@
         replicas.filter(|record| record.told.state.is_live())
     }
 
+    /// Zones of the replicas of a service that were ever heard of, as far as they are kept.
+    pub fn service_zones(&self, service: &str) -> impl Iterator<Item = &str> {
+        let replicas = self.replicas.values();
+        let replicas = replicas.filter(move |record| record.told.service == service);
+        replicas.map(|record| record.told.zone.as_str())
+    }
+
     /// The newest start of a replica by its id, whatever its state; `None` before it was
     /// heard of.
     #[must_use]
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod evacuations;
 mod fourth_layout;
 mod gateways;
+mod homes;
 mod narrow_link;
 mod registry;
 mod routes;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -84,6 +84,10 @@
             let Some(known_ends) = self.shared.known_ends(&self.outgoing).await else {
                 return self.refuse_as_ending();
             };
+            let homes = self.shared.homes(&self.outgoing);
+            if self.shared.has_no_home(&self.service, &homes) {
+                return self.refuse_outside_homes();
+            }
             let except: Vec<String> = self.tried.iter().chain(&self.full).cloned().collect();
             let search = Search {
                 shared: self.shared,
@@ -92,13 +96,14 @@
                 outgoing: &self.outgoing,
                 known_ends,
                 except: &except,
+                homes: &homes,
                 rank: self.rank,
                 due: self.due(),
                 until: self.until,
             };
             let began = Instant::now();
             let Some(Placed { chosen, lease }) = search.run().await else {
-                if self.shared.is_service_evacuated(&self.service) {
+                if self.shared.is_service_evacuated(&self.service, &homes) {
                     return self.refuse_as_evacuated();
                 }
                 if self.wait_for_replica().await {
@@ -129,7 +134,10 @@
                     continue;
                 }
                 // It was not sent, and is searched for again.
-                Exchange::Suspected | Exchange::Evacuated | Exchange::Cold => continue,
+                Exchange::Suspected
+                | Exchange::Evacuated
+                | Exchange::OutsideHomes
+                | Exchange::Cold => continue,
                 Exchange::KeyRefused(refusal) => return self.refuse_key(refusal),
                 Exchange::Unknown => self.note_run(&chosen.id),
                 Exchange::TimedOut if limits.head_until < self.until => {
@@ -290,6 +298,19 @@
         own_answer(ErrorKind::NoBackEnd, Some(COME_BACK_AFTER_EVACUATION))
     }
 
+    /// The final answer of a request that has no home at its service, at once.
+    fn refuse_outside_homes(&self) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.give_up("no replica is in its homes");
+        }
+        let tenant = self.outgoing.tenant.as_deref();
+        self.shared
+            .counters
+            .first_byte_after(self.arrived.elapsed());
+        self.shared
+            .refuse_outside_homes(self.outgoing.id(), self.route, tenant)
+    }
+
     /// The final answer of a request whose key was taken away before it was sent.
     fn refuse_key(&self, refusal: KeyRefusal) -> Response<AnswerBody> {
         if self.runs > 0 {
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -30,6 +30,8 @@
     EndsReplicas,
     /// Refused: all replicas that could serve it are in evacuated zones.
     Evacuated,
+    /// Refused: no replica that could serve it stands in its homes.
+    OutsideHomes,
     /// Refused: it carries no key that is known here.
     KeyRefused,
     /// Refused: it is beyond its tenant's limit.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -46,6 +46,10 @@
     pub(crate) body: Bytes,
     /// The caller's id of it.
     pub(crate) request_id: HeaderValue,
+    /// The tenant; `None` where no key is needed.
+    pub(crate) tenant: Option<String>,
+    /// Homes of its route as it arrived.
+    pub(crate) homes: Vec<String>,
     /// Whose it is; `None` for batch items, and where no key is needed.
     pub(crate) admitted: Option<Admitted>,
 }
@@ -103,6 +107,8 @@
     KeyRefused(KeyRefusal),
     /// The replica's zone is evacuated; it was not sent.
     Evacuated,
+    /// The replica stands outside its homes; it was not sent.
+    OutsideHomes,
     /// The replica is cold and this gateway may send nothing to it now; it was not sent.
     Cold,
     /// More replicas ended under such requests than was known at the search for this
@@ -206,6 +212,9 @@
         if shared.is_evacuated(&chosen.id) {
             return evacuated(shared, outgoing, chosen);
         }
+        if shared.is_outside_homes(outgoing, &chosen.id) {
+            return shared.not_sent_outside(outgoing, &chosen.id);
+        }
         if !shared.is_known_ready(&chosen.id) {
             return Exchange::NotRun(FailureKind::Replaced);
         }
--- /dev/null
+++ b/crates/relay/src/homes.rs
@@ -0,0 +1,100 @@
+//! Where a request may be served: in regions that are homes of its route and of its tenant.
+
+use std::collections::BTreeSet;
+
+use http::{Response, header};
+use linnethitch_errors::ErrorKind;
+use linnethitch_registry::{FleetView, Route, ZoneMap};
+use linnethitch_tenants::Tenant;
+use slog::info;
+
+use crate::{
+    answer::{AnswerBody, own_answer},
+    counters::RequestEnd,
+    exchange::{Exchange, Outgoing},
+    shared::Shared,
+};
+
+/// Zones in which something may be served; `None` where any may.
+pub(crate) type HomeZones = Option<BTreeSet<String>>;
+
+/// The zones for a route and a tenant. Where both have homes, both bind.
+pub(crate) fn home_zones(
+    zones: &ZoneMap,
+    of_route: &[String],
+    tenant: Option<&Tenant>,
+) -> HomeZones {
+    let of_tenant = tenant.map_or(&[][..], |tenant| &tenant.homes);
+    zones.home_zones(&[of_route, of_tenant])
+}
+
+/// Whether no replica can be given something: no zone is a home, or the service has
+/// replicas and none, gone ones included, was ever heard of in a home.
+fn has_no_home(fleet: &FleetView, service: &str, homes: &HomeZones) -> bool {
+    let Some(homes) = homes else {
+        return false;
+    };
+    let mut zones = fleet.service_zones(service).peekable();
+    let is_served = zones.peek().is_some();
+    homes.is_empty() || (is_served && !zones.any(|zone| homes.contains(zone)))
+}
+
+impl Shared {
+    /// The zones in which a request may be served, by what is in force now.
+    pub(crate) fn homes(&self, outgoing: &Outgoing) -> HomeZones {
+        let fleet = self.gateway.fleet();
+        let of_route = fleet.table().and_then(|table| {
+            let host = outgoing.headers.get(header::HOST)?.to_str().ok()?;
+            table.find(host, outgoing.uri.path())
+        });
+        // One whose route is gone stays where it was bound to.
+        let of_route = of_route.map_or(&outgoing.homes, |route| &route.homes);
+        let tenant = outgoing.tenant.as_deref();
+        let tenant = tenant.and_then(|name| fleet.tenants().get(name));
+        let tenant = tenant.map(|tenant| tenant.as_ref());
+        home_zones(self.gateway.zones(), of_route, tenant)
+    }
+
+    /// Whether a request has no home at a service: waiting does not help.
+    pub(crate) fn has_no_home(&self, service: &str, homes: &HomeZones) -> bool {
+        has_no_home(&self.gateway.fleet(), service, homes)
+    }
+
+    /// Whether a request must not be sent to a replica. One whose zone is not known is in
+    /// no region.
+    pub(crate) fn is_outside_homes(&self, outgoing: &Outgoing, replica: &str) -> bool {
+        let Some(homes) = self.homes(outgoing) else {
+            return false;
+        };
+        let fleet = self.gateway.fleet();
+        let zone = fleet.zone_of_start(replica);
+        !zone.is_some_and(|zone| homes.contains(zone))
+    }
+
+    /// What was to be sent is not: homes changed since the replica was chosen.
+    pub(crate) fn not_sent_outside(&self, outgoing: &Outgoing, replica: &str) -> Exchange {
+        let version = self.table().map(|table| table.version);
+        info!(self.logger, "request: not sent, outside its homes"; "request" => outgoing.id(),
+            "replica" => replica, "version" => version);
+        Exchange::OutsideHomes
+    }
+
+    /// The final answer to what must not be served where it could be, at once. Clients do
+    /// not repeat it by themselves.
+    pub(crate) fn refuse_outside_homes(
+        &self,
+        request: &str,
+        route: &Route,
+        tenant: Option<&str>,
+    ) -> Response<AnswerBody> {
+        let fleet = self.gateway.fleet();
+        let of_tenant = tenant.and_then(|name| fleet.tenants().get(name));
+        let of_tenant = of_tenant.map(|tenant| tenant.homes.join(","));
+        info!(self.logger, "request: outside its homes"; "request" => request,
+            "route" => &route.name, "tenant" => tenant, "homes" => route.homes.join(","),
+            "tenant_homes" => of_tenant, "version" => fleet.table().map(|table| table.version));
+        self.counters
+            .request_ended(&route.name, RequestEnd::OutsideHomes);
+        own_answer(ErrorKind::OutsideHomes, None)
+    }
+}
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -177,7 +177,7 @@
         let placed = if known_ends > 0 {
             self.place_apart(&service, &outgoing, known_ends).await
         } else {
-            self.wait_for_slot(&service).await
+            self.wait_for_slot(&service, &outgoing).await
         };
         let Some(ItemPlace {
             chosen,
@@ -225,7 +225,7 @@
                 sleep(NOT_TAKEN_PAUSE).await;
                 RunEnd::GoOn
             }
-            Exchange::Cold => {
+            Exchange::Cold | Exchange::OutsideHomes => {
                 sleep(NOT_TAKEN_PAUSE).await;
                 RunEnd::GoOn
             }
@@ -244,8 +244,10 @@
     }
 
     /// Waits for a slot of a replica; not too long, since the route may change.
-    async fn wait_for_slot(&self, service: &str) -> Option<ItemPlace> {
-        let avoid = self.tried.clone();
+    async fn wait_for_slot(&self, service: &str, outgoing: &Outgoing) -> Option<ItemPlace> {
+        let mut avoid = self.tried.clone();
+        let homes = self.shared.homes(outgoing);
+        avoid.extend(self.shared.ids_outside(service, &homes));
         let left_ms = self.shared.item_pace(service).left_ms(self.made.events());
         let now = Instant::now();
         let time = self.due.saturating_duration_since(now);
@@ -268,6 +270,7 @@
         known_ends: u32,
     ) -> Option<ItemPlace> {
         let by = Instant::now() + SLOT_WAIT;
+        let homes = self.shared.homes(outgoing);
         let search = Search {
             shared: &self.shared,
             service,
@@ -275,6 +278,7 @@
             outgoing,
             known_ends,
             except: &self.tried,
+            homes: &homes,
             rank: u8::MAX,
             due: by,
             until: by,
@@ -388,6 +392,8 @@
         headers,
         body: Bytes::from(work.spec.body.clone()),
         request_id,
+        tenant: work.tenant.clone(),
+        homes: Vec::new(),
         admitted: None,
     }))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod events;
 mod exchange;
 mod following;
+mod homes;
 mod item_run;
 mod pump;
 mod quotas;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -171,6 +171,7 @@
         while self.settings.resumable && self.settings.sends_left > 0 {
             let outgoing = &self.settings.outgoing;
             let known_ends = self.shared.known_ends(outgoing).await?;
+            let homes = self.shared.homes(outgoing);
             let search = Search {
                 shared: &self.shared,
                 service: &self.settings.service,
@@ -178,6 +179,7 @@
                 outgoing,
                 known_ends,
                 except: &self.settings.tried,
+                homes: &homes,
                 rank: self.settings.rank,
                 due: Instant::now() + self.settings.gap,
                 until: self.settings.until,
@@ -208,7 +210,7 @@
                         running: opened.running,
                     });
                 }
-                Exchange::Evacuated => self.not_sent(),
+                Exchange::Evacuated | Exchange::OutsideHomes => self.not_sent(),
                 Exchange::NotRun(_) | Exchange::Suspected => self.settings.sends_left += 1,
                 Exchange::Cold => {
                     // It may go there later.
@@ -223,7 +225,7 @@
     }
 
     /// The replica that it was to go on at was not sent it, and may be once its zone is no
-    /// longer evacuated.
+    /// longer evacuated, or is a home again.
     fn not_sent(&mut self) {
         self.settings.sends_left += 1;
         self.settings.tried.pop();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -200,6 +200,8 @@
                 headers,
                 body,
                 request_id,
+                tenant,
+                homes: route.homes.clone(),
                 admitted,
             }),
             rank: rank.unwrap_or(route.priority),
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -9,6 +9,7 @@
 use crate::{
     cold_replicas::ColdUse,
     exchange::Outgoing,
+    homes::HomeZones,
     shared::Shared,
     slots::{Asked, Place, SlotLease},
 };
@@ -35,6 +36,8 @@
     pub(crate) known_ends: u32,
     /// Replicas that it must not be sent to (again).
     pub(crate) except: &'a [String],
+    /// Zones in which it may be served.
+    pub(crate) homes: &'a HomeZones,
     /// Its rank; 0 is the highest.
     pub(crate) rank: u8,
     /// When it is late.
@@ -130,6 +133,7 @@
             service: self.service,
             prompt: self.prompt,
             except,
+            homes: self.homes.as_ref(),
         }
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -32,6 +32,7 @@
     counters::Counters,
     dialect::Dialect,
     exchange::{Outgoing, Target},
+    homes::HomeZones,
     quotas::Quotas,
     relay::RelaySettings,
     replica_ends::{self, BrokenRun, BrokenRuns},
@@ -277,6 +278,14 @@
         self.board.lock().chosen_at(replica, now_ms)
     }
 
+    /// Replicas of a service outside these homes.
+    pub(crate) fn ids_outside(&self, service: &str, homes: &HomeZones) -> Vec<String> {
+        let Some(homes) = homes else {
+            return Vec::new();
+        };
+        self.board.lock().ids_outside(service, homes)
+    }
+
     /// Engines, as their coordinators need them.
     pub(crate) fn engines(&self) -> Vec<CoordinatedReplica> {
         let now_ms = self.clock.now_ms();
@@ -404,9 +413,15 @@
         self.board.lock().is_evacuated(replica)
     }
 
-    /// Whether all replicas of a service that could serve are in evacuated zones.
-    pub(crate) fn is_service_evacuated(&self, service: &str) -> bool {
-        self.board.lock().is_service_evacuated(service)
+    /// Whether all replicas of a service that could serve in these homes are in evacuated zones.
+    pub(crate) fn is_service_evacuated(&self, service: &str, homes: &HomeZones) -> bool {
+        let need = Need {
+            service,
+            prompt: &[],
+            except: &[],
+            homes: homes.as_ref(),
+        };
+        self.board.lock().is_service_evacuated(&need)
     }
 
     /// Whether control has not said meanwhile that a replica leaves or that its zone is
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod ending_requests;
 mod evacuations;
 mod events;
+mod homes;
 mod keys;
 mod requests;
 mod silent_connections;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -39,6 +39,10 @@
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 /// The zone of gateways, and of replicas where no other one is named.
 pub(crate) const ZONE: &str = "zone";
+/// Its region.
+pub(crate) const REGION: &str = "region";
+/// The region of the other zone.
+pub(crate) const OTHER_REGION: &str = "other-region";
 /// Another zone of the same region.
 pub(crate) const OTHER_ZONE: &str = "other-zone";
 /// Longest time for anything in a test.
@@ -354,11 +358,12 @@
         let process = std::process::id();
         let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
         let logger = Logger::root(Discard, o!());
-        let zones = [ZONE, OTHER_ZONE].map(|zone| (zone.to_owned(), "region".to_owned()));
+        let zones = [(ZONE, REGION), (OTHER_ZONE, OTHER_REGION)];
+        let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
         let node = NodeSettings {
             name: "node".to_owned(),
             zone: ZONE.to_owned(),
-            region: "region".to_owned(),
+            region: REGION.to_owned(),
             zones: zones.into_iter().collect::<ZoneMap>(),
             address,
             port: free_port(address).await,
@@ -484,11 +489,16 @@
 
     /// Registers a replica of the other zone and waits until it is known.
     pub(crate) async fn add_in_other_zone(&self, number: usize, replica: &Replica) {
+        self.add_in_zone(number, replica, OTHER_ZONE).await;
+    }
+
+    /// The same of this zone.
+    pub(crate) async fn add_in_zone(&self, number: usize, replica: &Replica, zone: &str) {
         self.heartbeat(ReplicaChange {
             id: format!("i-{number}"),
             service: "service".to_owned(),
             address: replica.address.to_string(),
-            zone: OTHER_ZONE.to_owned(),
+            zone: zone.to_owned(),
             slots: 4,
             state: ReplicaState::Ready,
             sequence: 1,
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -46,6 +46,15 @@
     pub prompt: &'a [PromptPart],
     /// Replicas that it must not be sent to (again).
     pub except: &'a [String],
+    /// Zones in which it may be served; `None` where any may.
+    pub homes: Option<&'a BTreeSet<String>>,
+}
+
+impl Need<'_> {
+    fn may_be_in(&self, replica: &Replica) -> bool {
+        let mut homes = self.homes.into_iter();
+        homes.all(|zones| zones.contains(&replica.traits.zone))
+    }
 }
 
 /// A choice.
@@ -127,11 +136,12 @@
         replica.is_some_and(|replica| self.evacuated.contains(&replica.traits.zone))
     }
 
-    /// Whether all replicas of a service that control says to be ready are in evacuated
+    /// Whether all replicas for a need that control says to be ready are in evacuated
     /// zones; false where there are none.
     #[must_use]
-    pub fn is_service_evacuated(&self, service: &str) -> bool {
-        let mut ready = self.of(service).filter(|replica| replica.traits.ready);
+    pub fn is_service_evacuated(&self, need: &Need<'_>) -> bool {
+        let ready = self.of(need.service).filter(|replica| replica.traits.ready);
+        let mut ready = ready.filter(|replica| need.may_be_in(replica));
         let is_evacuated = |replica: &Replica| self.evacuated.contains(&replica.traits.zone);
         ready.next().is_some_and(is_evacuated) && ready.all(is_evacuated)
     }
@@ -154,6 +164,13 @@
         self.by_service.get(service).cloned().unwrap_or_default()
     }
 
+    /// The replicas of a service outside these zones.
+    #[must_use]
+    pub fn ids_outside(&self, service: &str, homes: &BTreeSet<String>) -> Vec<String> {
+        let outside = self.of(service).filter(|r| !homes.contains(&r.traits.zone));
+        outside.map(|replica| replica.traits.id.clone()).collect()
+    }
+
     /// Whether a replica may be given new work, as far as control told.
     #[must_use]
     pub fn is_known_ready(&self, id: &str) -> bool {
@@ -308,6 +325,7 @@
     ) -> impl Iterator<Item = &'a Replica> {
         let open = move || {
             let replicas = self.of(need.service);
+            let replicas = replicas.filter(move |replica| need.may_be_in(replica));
             replicas.filter(move |replica| self.is_open(replica, now_ms))
         };
         let closed = open().filter(|r| r.is_told_closed(now_ms)).count();
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -357,6 +357,7 @@
                 service: SERVICE,
                 prompt: &[],
                 except: &full,
+                homes: None,
             };
             let chosen = board.choose(&need, 0, &mut random).expect("one is free");
             let asked = ask(gateway, &chosen.id, 300, AskMode::Probe);
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -32,6 +32,7 @@
         service: "models",
         prompt,
         except,
+        homes: None,
     }
 }
 
--- a/crates/routing/tests/all/distance.rs
+++ b/crates/routing/tests/all/distance.rs
@@ -109,6 +109,7 @@
             service: "models",
             prompt: &[],
             except: &[],
+            homes: None,
         };
         let chosen = board.choose(&need, 0, &mut random).expect("a replica");
         board.begin(&chosen, &[], WorkKind::Online, 0);
--- a/crates/routing/tests/all/evacuated_zones.rs
+++ b/crates/routing/tests/all/evacuated_zones.rs
@@ -47,6 +47,7 @@
         service: SERVICE,
         prompt,
         except: &[],
+        homes: None,
     }
 }
 
@@ -119,8 +120,12 @@
 ) {
     let mut board = board(&["a", "b"]);
     board.set_evacuated(zones(evacuated));
-    assert_eq!(board.is_service_evacuated(SERVICE), expected);
-    assert!(!board.is_service_evacuated("without replicas"));
+    assert_eq!(board.is_service_evacuated(&need(&[])), expected);
+    let other = Need {
+        service: "without replicas",
+        ..need(&[])
+    };
+    assert!(!board.is_service_evacuated(&other));
 }
 
 fn engine(id: &str, evacuated: bool) -> CoordinatedReplica {
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod evacuated_zones;
 mod fixture;
 mod grants;
+mod homes;
 mod item_growth;
 mod item_pace;
 mod limits;
