Relay: only cold replicas that can be given the request yield a time

Cause: a cold replica of an evacuated zone, or one that was tried already, gave a time after which the request slept again and again, or that its caller was told though it could not help. Change: the candidates that are open on the board and were not tried are asked for the next time.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{Route, RouteKind};
-use linnethitch_routing::dispatch::FailureKind;
+use linnethitch_routing::dispatch::{FailureKind, Need};
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -237,10 +237,20 @@
         false
     }
 
+    /// How long until a cold replica that it was not sent to may be sent a request.
+    fn next_cold_in(&self) -> Option<Duration> {
+        let need = Need {
+            service: &self.service,
+            prompt: &self.prompt.parts,
+            except: &self.tried,
+        };
+        self.shared.next_cold_in(&need)
+    }
+
     /// How long until a replica that is cold may be sent this request, where it can still
     /// be on time then.
     fn next_cold(&self) -> Option<Duration> {
-        let next = self.shared.cold.next_in(&self.service)?;
+        let next = self.next_cold_in()?;
         let left = self
             .due()
             .min(self.until)
@@ -250,7 +260,7 @@
 
     /// When a caller that is refused is to come back.
     fn come_back_after(&self) -> Duration {
-        let next = self.shared.cold.next_in(&self.service);
+        let next = self.next_cold_in();
         next.map_or(COME_BACK_AFTER, |next| {
             next.clamp(COME_BACK_AFTER, LONGEST_COME_BACK_AFTER_COLD)
         })
--- a/crates/relay/src/cold_replicas.rs
+++ b/crates/relay/src/cold_replicas.rs
@@ -106,10 +106,11 @@
         }
     }
 
-    /// How long until this gateway may send to a replica of a service that is not warm;
+    /// How long until this gateway may send to one of these replicas that is not warm;
     /// `None` where all are warm, or it is not known.
-    pub(crate) fn next_in(&self, service: &str) -> Option<Duration> {
-        let next_ms = self.replicas.lock().next_in_ms(service, self.view())?;
+    pub(crate) fn next_in(&self, candidates: &[String]) -> Option<Duration> {
+        let view = self.view();
+        let next_ms = self.replicas.lock().next_in_ms(candidates, view)?;
         Some(Duration::from_millis(next_ms))
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -245,6 +245,14 @@
         self.board.lock().choose(need, now_ms, &mut *random)
     }
 
+    /// How long until this gateway may send to a cold replica that is open otherwise and
+    /// not excluded; `None` where there is none, or it is not known.
+    pub(crate) fn next_cold_in(&self, need: &Need<'_>) -> Option<Duration> {
+        let now_ms = self.clock.now_ms();
+        let candidates = self.board.lock().open_ids(need, now_ms);
+        self.cold.next_in(&candidates)
+    }
+
     /// Leaves the replicas of a service that are not warm; `None` where all are.
     fn bar_warm(&self, service: &str, except: &mut Vec<String>) -> Option<()> {
         let not_warm = self.cold.not_warm(service);
--- a/crates/relay/tests/all/cold.rs
+++ b/crates/relay/tests/all/cold.rs
@@ -5,10 +5,10 @@
 use linnethitch_clock::testing::suspend_for;
 use linnethitch_registry::{ColdTraits, Route, RouteKind, RouteTable};
 use rstest::rstest;
-use tokio::time::sleep;
+use tokio::{net::TcpSocket, time::sleep};
 
 use crate::support::{
-    Act, Fleet, OK, OTHER_INCARNATION, Replica, engine_table, header, route, table,
+    Act, Fleet, OK, OTHER_INCARNATION, Replica, ZONE, engine_table, header, route, table,
 };
 
 /// Longer than any test.
@@ -124,3 +124,29 @@
     sleep(LONGER_THAN_THE_WAIT).await;
     assert_eq!(engine.requests(), PART);
 }
+
+/// Another replica of the service was tried and accepts no connection. Neither that one nor
+/// a cold one in an evacuated zone can help: the caller is not told to wait for them.
+#[rstest]
+#[case::tried(false)]
+#[case::tried_and_evacuated(true)]
+#[tokio::test]
+async fn a_time_of_replicas_that_cannot_help_is_not_told(#[case] evacuated: bool) {
+    let replica = Replica::start(vec![Act::Send(OK)]).await;
+    // It is bound, so that nobody else takes the port, and does not listen.
+    let nobody = TcpSocket::new_v4().expect("a socket");
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    nobody.bind(any_port).expect("a port");
+    let address = nobody.local_addr().expect("its address");
+    let fleet = Fleet::start_with(bearing_two_a_second(table(safe_route())), &[]).await;
+    if evacuated {
+        fleet.register_cold(0, replica.address, LONG_MS).await;
+        fleet.wait_for(1).await;
+        fleet.evacuate(ZONE, true).await;
+    }
+    fleet.add_address_in_other_zone(1, address).await;
+    let answer = fleet.ask("request").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(header(&answer.head, "retry-after"), Some("0.15"));
+    assert_eq!(replica.requests(), 0);
+}
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -491,10 +491,16 @@
 
     /// Registers a replica of the other zone and waits until it is known.
     pub(crate) async fn add_in_other_zone(&self, number: usize, replica: &Replica) {
+        self.add_address_in_other_zone(number, replica.address)
+            .await;
+    }
+
+    /// The same for a replica that may not be there.
+    pub(crate) async fn add_address_in_other_zone(&self, number: usize, address: SocketAddr) {
         self.heartbeat(ReplicaChange {
             id: format!("i-{number}"),
             service: "service".to_owned(),
-            address: replica.address.to_string(),
+            address: address.to_string(),
             zone: OTHER_ZONE.to_owned(),
             slots: 4,
             state: ReplicaState::Ready,
--- a/crates/routing/src/cold/mod.rs
+++ b/crates/routing/src/cold/mod.rs
@@ -308,12 +308,13 @@
         closed.cloned().collect()
     }
 
-    /// When this gateway may send to a replica of a service that is not warm, in
+    /// When this gateway may send to one of these replicas that is not warm, in
     /// milliseconds: by its part, or since the replica will be warm. `None` where all
     /// are warm or it is not known.
     #[must_use]
-    pub fn next_in_ms(&self, service: &str, view: ColdView) -> Option<u64> {
-        let not_warm = self.of(service, view);
+    pub fn next_in_ms(&self, candidates: &[String], view: ColdView) -> Option<u64> {
+        let known = candidates.iter().filter_map(|id| self.replicas.get(id));
+        let not_warm = known.filter(|known| known.state(view) != ColdState::Warm);
         let waits = not_warm.filter_map(|known| {
             let warm_in_ms = known.warm_in_ms(view);
             let part = self.part(known, view).ok();
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -299,6 +299,13 @@
         Some(chosen(replica))
     }
 
+    /// Replicas that may be given a request, cold ones too.
+    #[must_use]
+    pub fn open_ids(&self, need: &Need<'_>, now_ms: u64) -> Vec<String> {
+        let open = self.open_replicas(need, now_ms);
+        open.map(|replica| replica.traits.id.clone()).collect()
+    }
+
     /// Replicas that may be given a request. Those that fail what they are given are left
     /// out, unless most of the service do: then something else is at fault.
     fn open_replicas<'a>(
--- a/crates/routing/tests/all/cold/mod.rs
+++ b/crates/routing/tests/all/cold/mod.rs
@@ -83,7 +83,8 @@
         cold.end(REPLICA, number, SendEnd::Arrived, LATER.now_ms + 50);
     }
     assert_eq!(cold.begin(REPLICA, at(11_050)), Err(Refusal::Used));
-    assert_eq!(cold.next_in_ms("service", at(11_050)), Some(2));
+    assert_eq!(cold.next_in_ms(&[REPLICA.to_owned()], at(11_050)), Some(2));
+    assert_eq!(cold.next_in_ms(&[], at(11_050)), None);
     assert!(cold.begin(REPLICA, at(11_052)).is_ok());
 }
 
