--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -51,6 +51,8 @@
     pub(crate) tenant: Option<String>,
     /// Homes of its route as it arrived.
     pub(crate) homes: Vec<String>,
+    /// The version of the table that they are of; `None` for batch items.
+    pub(crate) table_version: Option<u64>,
     /// Whose it is; `None` for batch items, and where no key is needed.
     pub(crate) admitted: Option<Admitted>,
 }
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -43,7 +43,11 @@
     /// The zones in which a request may be served, by what is in force now.
     pub(crate) fn homes(&self, outgoing: &Outgoing) -> HomeZones {
         let fleet = self.gateway.fleet();
-        let of_route = fleet.table().and_then(|table| {
+        // A table of a thousand routes is searched again only where it changed.
+        let newer = fleet
+            .table()
+            .filter(|table| outgoing.table_version != Some(table.version));
+        let of_route = newer.and_then(|table| {
             let host = outgoing.headers.get(header::HOST)?.to_str().ok()?;
             table.find(host, outgoing.uri.path())
         });
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -394,6 +394,7 @@
         request_id,
         tenant: work.tenant.clone(),
         homes: Vec::new(),
+        table_version: None,
         admitted: None,
     }))
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -202,6 +202,7 @@
                 request_id,
                 tenant,
                 homes: route.homes.clone(),
+                table_version: Some(table.version),
                 admitted,
             }),
             rank: rank.unwrap_or(route.priority),
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -501,10 +501,20 @@
 
     /// The same of this zone.
     pub(crate) async fn add_in_zone(&self, number: usize, replica: &Replica, zone: &str) {
+        self.add_address_in_zone(number, replica.address, zone)
+            .await;
+    }
+
+    /// The same for a replica that may not be there.
+    pub(crate) async fn add_address_in_other_zone(&self, number: usize, address: SocketAddr) {
+        self.add_address_in_zone(number, address, OTHER_ZONE).await;
+    }
+
+    async fn add_address_in_zone(&self, number: usize, address: SocketAddr, zone: &str) {
         self.heartbeat(ReplicaChange {
             id: format!("i-{number}"),
             service: "service".to_owned(),
-            address: replica.address.to_string(),
+            address: address.to_string(),
             zone: zone.to_owned(),
             slots: 4,
             state: ReplicaState::Ready,
