--- a/crates/relay/src/cold_replicas.rs
+++ b/crates/relay/src/cold_replicas.rs
@@ -67,9 +67,12 @@
     /// warm.
     pub(crate) fn upkeep(&self) {
         let now_ms = self.clock.now_ms();
+        // The gateway has locks of its own.
+        let is_current = self.gateway.knowledge_age_ms() <= CURRENT_MS;
+        let gateways = is_current.then(|| self.gateway.coordinators());
         let mut replicas = self.replicas.lock();
-        if self.gateway.knowledge_age_ms() <= CURRENT_MS {
-            replicas.note_gateways(&self.gateway.coordinators(), now_ms);
+        if let Some(gateways) = gateways {
+            replicas.note_gateways(&gateways, now_ms);
         }
         let changes = replicas.take_changes(now_ms);
         self.counters.cold_replicas.set(replicas.cold() as i64);
@@ -92,7 +95,8 @@
 
     /// Replicas of a service that are not warm.
     pub(crate) fn not_warm(&self, service: &str) -> Vec<String> {
-        self.replicas.lock().not_warm(service, self.view())
+        let view = self.view();
+        self.replicas.lock().not_warm(service, view)
     }
 
     /// Items do not begin at replicas that are cold, and at others only where online
--- a/crates/routing/src/cold/share.rs
+++ b/crates/routing/src/cold/share.rs
@@ -31,7 +31,7 @@
 }
 
 /// Whether a gateway is among the first so many of a list for a replica (rendezvous
-/// hashing). The replica's coordinator is the first.
+/// hashing).
 #[must_use]
 pub fn is_holder(own: MachineId, replica: &str, gateways: &[MachineId], holders: u32) -> bool {
     let weight = |gateway: MachineId| (spread(u64::from(gateway.0), replica), gateway);
