--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -13,8 +13,8 @@
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, LogIndex, MachineId, MemberId};
 use linnethitch_registry::{
-    Configuration, Declared, FleetUpdate, Place, RegistryAnswer, RegistryCommand, ReplicaChange,
-    ReplicaRecord, ReplicaState, ZoneMap,
+    Configuration, Declared, DirectoryQuestion, FleetUpdate, Place, RegistryAnswer,
+    RegistryCommand, ReplicaChange, ReplicaRecord, ReplicaState, ZoneMap,
 };
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
@@ -225,10 +225,13 @@
 
     /// Addresses of ready gateways near a caller.
     #[must_use]
-    pub fn gateways_near(&self, region: &str, zone: &str, most: usize) -> Vec<String> {
+    pub fn gateways_near(&self, question: &DirectoryQuestion<'_>) -> Vec<String> {
+        let view = self.view();
+        let table = view.registry.table();
+        let homes = table.and_then(|table| table.host_homes(question.host, &self.zones));
         let presence = self.shared.presence.lock();
         let gateways = presence.gateways();
-        gateways.near(region, zone, most, self.clock.now_ms())
+        gateways.near(question, homes.as_ref(), self.clock.now_ms())
     }
 
     /// Asks that a store machine be emptied.
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -15,8 +15,8 @@
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
-    DirectoryNode, EndedRun, FleetUpdate, FleetView, RegistryCommand, RequestFingerprint, ZoneMap,
-    near,
+    DirectoryNode, DirectoryQuestion, EndedRun, FleetUpdate, FleetView, RegistryCommand,
+    RequestFingerprint, ZoneMap, near,
 };
 use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
@@ -167,9 +167,12 @@
     /// Addresses of ready gateways near a caller. While control is away, those
     /// that it told last.
     #[must_use]
-    pub fn gateways_near(&self, region: &str, zone: &str, most: usize) -> Vec<String> {
+    pub fn gateways_near(&self, question: &DirectoryQuestion<'_>) -> Vec<String> {
+        let fleet = self.fleet();
+        let table = fleet.table();
+        let homes = table.and_then(|table| table.host_homes(question.host, &self.zones));
         let known: Vec<DirectoryNode> = self.told.lock().gateways().into_iter().collect();
-        near(&known, region, zone, most)
+        near(&known, question, homes.as_ref())
     }
 
     /// How long no control member has been heard of, in milliseconds: what is in
--- a/crates/cluster/tests/all/gateways.rs
+++ b/crates/cluster/tests/all/gateways.rs
@@ -3,7 +3,7 @@
 use linnethitch_cluster::{ControlNode, GatewayNode, machine_of};
 use linnethitch_protocol::slots::{GatewayDatagram, RunOutcome};
 
-use crate::support::{LIMIT, free_port, host, node, start_control, until};
+use crate::support::{LIMIT, free_port, host, node, question, start_control, until};
 
 /// A control member, and two gateways that learn of each other from it.
 struct Fleet {
@@ -34,7 +34,7 @@
 async fn a_gateway_learns_who_becomes_ready_and_who_no_longer_is() {
     let fleet = Fleet::start(10).await;
     let [first, second] = &fleet.gateways;
-    let near = || first.gateways_near("region", "zone", 64);
+    let near = || first.gateways_near(&question());
     first.set_ready(true);
     second.set_ready(true);
     until("both are ready", || near().len() == 2).await;
--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -16,7 +16,9 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-use crate::support::{LIMIT, ZONE, configuration, free_port, host, node, start_control, until};
+use crate::support::{
+    LIMIT, ZONE, configuration, free_port, host, node, question, start_control, until,
+};
 
 /// Long enough for a member that is cut off to find that it hears no leader.
 const CUT_FOR: Duration = Duration::from_millis(2_500);
@@ -69,7 +71,7 @@
     }
 
     fn is_listed(&self) -> bool {
-        !self.control.gateways_near("region", "zone", 64).is_empty()
+        !self.control.gateways_near(&question()).is_empty()
     }
 }
 
--- a/crates/cluster/tests/all/support.rs
+++ b/crates/cluster/tests/all/support.rs
@@ -6,7 +6,7 @@
 };
 
 use linnethitch_cluster::{ControlNode, ControlSettings, MessageBytes, NodeSettings, Seeds};
-use linnethitch_registry::{CallerLimits, Configuration, RouteTable, ZoneMap};
+use linnethitch_registry::{CallerLimits, Configuration, DirectoryQuestion, RouteTable, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use slog::{Discard, Logger, o};
 use tempfile::TempDir;
@@ -88,6 +88,16 @@
     }
 }
 
+/// A caller of the only zone.
+pub(crate) fn question() -> DirectoryQuestion<'static> {
+    DirectoryQuestion {
+        host: "desk.example",
+        region: "region",
+        zone: ZONE,
+        most: 64,
+    }
+}
+
 /// Waits until something holds.
 pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let waiting = async {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -33,7 +33,7 @@
 pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
 pub use gateways::{GatewayRecord, KnownGateways};
 pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
-pub use node_list::{DirectoryNode, NodeList, READY_FOR_MS, near};
+pub use node_list::{DirectoryNode, DirectoryQuestion, NodeList, READY_FOR_MS, near};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
 pub use routes::{
--- a/crates/registry/src/node_list.rs
+++ b/crates/registry/src/node_list.rs
@@ -1,6 +1,6 @@
 //! The directory: which gateways callers may go to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -21,6 +21,19 @@
     pub region: String,
 }
 
+/// Who asks where to go, and for what.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectoryQuestion<'a> {
+    /// The host of its requests.
+    pub host: &'a str,
+    /// The caller's region.
+    pub region: &'a str,
+    /// The caller's zone.
+    pub zone: &'a str,
+    /// Most addresses of an answer.
+    pub most: usize,
+}
+
 #[derive(Clone, Debug)]
 struct Heard {
     node: DirectoryNode,
@@ -52,8 +65,13 @@
 
     /// Addresses of ready gateways near a caller; see [`near`].
     #[must_use]
-    pub fn near(&self, region: &str, zone: &str, most: usize, now_ms: u64) -> Vec<String> {
-        near(&self.ready(now_ms), region, zone, most)
+    pub fn near(
+        &self,
+        question: &DirectoryQuestion<'_>,
+        homes: Option<&BTreeSet<String>>,
+        now_ms: u64,
+    ) -> Vec<String> {
+        near(&self.ready(now_ms), question, homes)
     }
 
     /// Gateways that are ready, by address.
@@ -69,17 +87,26 @@
 }
 
 /// Addresses of the gateways near a caller: those of its zone. Where these are
-/// fewer than [`FEWEST_NEAR`], those of its region; without any, all.
+/// fewer than [`FEWEST_NEAR`], those of its region; without any, those of the zones that
+/// are homes of what it asks for, where there are such; else all.
 #[must_use]
-pub fn near(nodes: &[DirectoryNode], region: &str, zone: &str, most: usize) -> Vec<String> {
-    let mut chosen = addresses(nodes.iter().filter(|node| node.zone == zone));
+pub fn near(
+    nodes: &[DirectoryNode],
+    question: &DirectoryQuestion<'_>,
+    homes: Option<&BTreeSet<String>>,
+) -> Vec<String> {
+    let mut chosen = addresses(nodes.iter().filter(|node| node.zone == question.zone));
     if chosen.len() < FEWEST_NEAR {
-        chosen = addresses(nodes.iter().filter(|node| node.region == region));
+        let of_region = nodes.iter().filter(|node| node.region == question.region);
+        chosen = addresses(of_region);
+    }
+    if let (true, Some(homes)) = (chosen.is_empty(), homes) {
+        chosen = addresses(nodes.iter().filter(|node| homes.contains(&node.zone)));
     }
     if chosen.is_empty() {
         chosen = addresses(nodes.iter());
     }
-    chosen.truncate(most);
+    chosen.truncate(question.most);
     chosen
 }
 
--- a/crates/registry/src/routes.rs
+++ b/crates/registry/src/routes.rs
@@ -1,7 +1,11 @@
 //! The route table: which requests go to which services, and within what limits.
 
+use std::collections::BTreeSet;
+
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::zone_map::ZoneMap;
+
 /// What may be done with the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum RouteKind {
@@ -156,6 +160,16 @@
         })
     }
 
+    /// Zones that are homes of every route of a host that has any; `None` where none binds.
+    #[must_use]
+    pub fn host_homes(&self, host: &str, zones: &ZoneMap) -> Option<BTreeSet<String>> {
+        let host = host.split(':').next().unwrap_or(host);
+        let routes = self.routes.iter();
+        let routes = routes.filter(|route| route.host.eq_ignore_ascii_case(host));
+        let lists: Vec<&[String]> = routes.map(|route| route.homes.as_slice()).collect();
+        zones.home_zones(&lists)
+    }
+
     /// A service by name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceTraits> {
--- a/crates/registry/tests/all/homes.rs
+++ b/crates/registry/tests/all/homes.rs
@@ -3,6 +3,8 @@
 use linnethitch_registry::ZoneMap;
 use rstest::rstest;
 
+use crate::support::{route, table};
+
 fn zones() -> ZoneMap {
     let zones = [("a", "east"), ("b", "east"), ("c", "west"), ("d", "south")];
     let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
@@ -37,3 +39,29 @@
     let homes = ZoneMap::default().home_zones(&[&owned(&["east"])]);
     assert_eq!(homes, Some(std::collections::BTreeSet::new()));
 }
+
+/// Homes of two routes of a host, of which the second may be of another one.
+#[rstest]
+#[case::of_neither(&[], &[], true, None)]
+#[case::of_one(&["west"], &[], true, Some(&["c"][..]))]
+#[case::of_both(&["west", "east"], &["east"], true, Some(&["a", "b"][..]))]
+#[case::of_another_host(&[], &["east"], false, None)]
+fn homes_of_a_host_are_those_of_its_routes(
+    #[case] first: &[&str],
+    #[case] second: &[&str],
+    #[case] is_same_host: bool,
+    #[case] expected: Option<&[&str]>,
+) {
+    let mut table = table(1, vec![route("r", "/a/", "s")]);
+    let mut other = table.routes[0].clone();
+    table.routes[0].homes = owned(first);
+    other.homes = owned(second);
+    if !is_same_host {
+        other.host = "other.example".to_owned();
+    }
+    table.routes = vec![table.routes[0].clone(), other];
+    let host = format!("{}:80", table.routes[0].host.to_uppercase());
+    let homes = table.host_homes(&host, &zones());
+    let homes: Option<Vec<String>> = homes.map(|zones| zones.into_iter().collect());
+    assert_eq!(homes, expected.map(owned));
+}
