Relay: a replica that answers nothing is closed again, one that refuses connections is not

Cause: a connection that could not be opened counted for nothing, reasoned for refused ones, but open told refusals, 300 ms of silence and failed socket options alike. Each request to a dark replica waited 300 ms, and it was not closed for all.

Change: open says whether the connection was refused or the replica silent (everything that is no refusal); a silent one is a failed run for its coordinator again, a refused one is not.

Tests: unopened_connections, before an address that refuses and one whose queue is full; the fleet of the tests keeps the messages of its log for it. The silent case fails on the code before; the refused case fails where refusals are counted too (trial). No test was changed.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,6 +1,11 @@
 //! Connections to replicas, kept for further requests.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io::{Error as IoError, ErrorKind as IoErrorKind},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -56,6 +61,24 @@
     rest: Duration,
 }
 
+/// Why a connection was not opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OpenFailure {
+    /// The replica's machine says that nobody listens there.
+    Refused,
+    /// No answer within [`CONNECT_LIMIT`], or no way there.
+    Silent,
+}
+
+impl OpenFailure {
+    fn of(error: &IoError) -> Self {
+        match error.kind() {
+            IoErrorKind::ConnectionRefused => OpenFailure::Refused,
+            _ => OpenFailure::Silent,
+        }
+    }
+}
+
 /// Why a request got no answer.
 pub(crate) enum SendFailure {
     /// No byte of it was sent.
@@ -66,14 +89,18 @@
 
 impl Connections {
     /// A resting connection, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenFailure`] where none rests and no new one was opened.
     pub(crate) async fn get(
         &self,
         replica: &str,
         address: &str,
         bytes: impl FnOnce() -> ReplicaBytes,
-    ) -> Option<Connection> {
+    ) -> Result<Connection, OpenFailure> {
         if let Some(connection) = self.take_resting(replica) {
-            return Some(connection);
+            return Ok(connection);
         }
         open(replica, address, bytes()).await
     }
@@ -152,12 +179,19 @@
     }
 }
 
-async fn open(replica: &str, address: &str, bytes: ReplicaBytes) -> Option<Connection> {
+async fn open(
+    replica: &str,
+    address: &str,
+    bytes: ReplicaBytes,
+) -> Result<Connection, OpenFailure> {
     let began = Instant::now();
     let connecting = TcpStream::connect(address);
-    let stream = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
+    let connected = timeout(CONNECT_LIMIT, connecting).await;
+    let connected = connected.map_err(|_| OpenFailure::Silent)?;
+    let stream = connected.map_err(|error| OpenFailure::of(&error))?;
     let opened_in = began.elapsed();
-    stream.set_nodelay(true).ok()?;
+    let without_delay = stream.set_nodelay(true);
+    without_delay.map_err(|error| OpenFailure::of(&error))?;
     let socket = SockRef::from(&stream);
     let keep_alive = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_AFTER)
@@ -168,12 +202,12 @@
     let _ = socket.set_tcp_keepalive(&keep_alive);
     let handshake =
         hyper::client::conn::http1::handshake(TokioIo::new(CountedStream::new(stream, bytes)));
-    let (sender, connection) = handshake.await.ok()?;
+    let (sender, connection) = handshake.await.map_err(|_| OpenFailure::Silent)?;
     tokio::spawn(async move {
         // Its end shows at the sender.
         let _ = connection.await;
     });
-    Some(Connection {
+    Ok(Connection {
         sender,
         replica: replica.to_owned(),
         is_reused: false,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     callers::{Caller, KeyRefusal},
-    connections::{Connection, SendFailure},
+    connections::{Connection, OpenFailure, SendFailure},
     quotas::Leave,
     running_guard::RunningGuard,
     shared::Shared,
@@ -192,9 +192,13 @@
         let bytes = || shared.replica_bytes(&chosen.id);
         let connecting = shared.connections.get(&chosen.id, &chosen.address, bytes);
         let mut connection = match timeout_at(limits.head_until, connecting).await {
-            Ok(Some(connection)) => connection,
-            // It is not there: each gateway finds that out at once and at no cost.
-            Ok(None) => {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(failure)) => {
+                // Each gateway finds out at once and at no cost that a replica is not there,
+                // but waits each time for one that is silent.
+                if failure == OpenFailure::Silent {
+                    running.report.note(RunOutcome::Failed);
+                }
                 shared.note_failure(&chosen.id, FailureKind::Unreachable);
                 return Exchange::NotRun(FailureKind::Unreachable);
             }
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -11,3 +11,4 @@
 mod starts;
 mod streams;
 mod support;
+mod unopened_connections;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -26,7 +26,7 @@
 use linnethitch_routing::dispatch::ReportedLoad;
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use parking_lot::Mutex;
-use slog::{Discard, Logger, o};
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use tokio::task::AbortHandle;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -298,6 +298,28 @@
     pub(crate) relay: Relay,
 }
 
+/// What the nodes of a fleet have logged, without fields.
+#[derive(Clone, Default)]
+pub(crate) struct LogLines(Arc<std::sync::Mutex<Vec<String>>>);
+
+impl LogLines {
+    pub(crate) fn contains(&self, message: &str) -> bool {
+        let lines = self.0.lock().expect("no test panicked here");
+        lines.iter().any(|line| line == message)
+    }
+}
+
+impl Drain for LogLines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut lines = self.0.lock().expect("no test panicked here");
+        lines.push(record.msg().to_string());
+        Ok(())
+    }
+}
+
 /// A control member, a gateway and its callers' interface.
 pub(crate) struct Fleet {
     pub(crate) callers: SocketAddr,
@@ -308,6 +330,7 @@
     policy: KeyPolicy,
     gateways: AtomicU8,
     pub(crate) stopping: CancellationToken,
+    pub(crate) log: LogLines,
     _folder: tempfile::TempDir,
 }
 
@@ -353,7 +376,8 @@
         let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
-        let logger = Logger::root(Discard, o!());
+        let log = LogLines::default();
+        let logger = Logger::root(log.clone(), o!());
         let zones = [ZONE, OTHER_ZONE].map(|zone| (zone.to_owned(), "region".to_owned()));
         let node = NodeSettings {
             name: "node".to_owned(),
@@ -395,6 +419,7 @@
             policy,
             gateways: AtomicU8::new(1),
             stopping,
+            log,
             _folder: folder,
         };
         for (number, replica) in replicas.iter().enumerate() {
