--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -11,7 +11,9 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, MachineId, MemberId};
-use linnethitch_registry::{Configuration, Declared, DirectoryQuestion, RegistryAnswer, RegistryCommand, ZoneMap};
+use linnethitch_registry::{
+    Configuration, Declared, DirectoryQuestion, RegistryAnswer, RegistryCommand, ZoneMap,
+};
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
 use slog::Logger;
