Relay: a request waits for news after a standstill for half of its time at most

Cause: after a suspension of 3 s a request of 4 s that is sent again waited up to 1.8 s for news of control, and its time was over. Its caller gains nothing by that. Change: after half of the time that it has left it is sent by what is known here, as where control is away.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,7 +8,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use linnethitch_clock::{Instant, timeout_at};
+use linnethitch_clock::{Instant, timeout, timeout_at};
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{RequestContent, RequestFingerprint, parse_start_key};
 use linnethitch_routing::{
@@ -188,7 +188,7 @@
         limits,
         ..
     } = target;
-    shared.gateway.news_after_standstill().await;
+    news_after_standstill(shared, limits).await;
     // Before it counts there, and before a connection is opened.
     if shared.is_evacuated(&chosen.id) {
         return evacuated(shared, outgoing, chosen);
@@ -217,7 +217,7 @@
             shared.note_connected(&chosen.id, opened_in);
         }
         // The process may have stood still while the connection was opened.
-        shared.gateway.news_after_standstill().await;
+        news_after_standstill(shared, limits).await;
         if shared.is_evacuated(&chosen.id) {
             return evacuated(shared, outgoing, chosen);
         }
@@ -270,6 +270,14 @@
     }
 }
 
+/// Waits for news where the process stood still, for half of the request's time at most: then
+/// it is sent by what is known here. Its caller is not served by a longer wait.
+async fn news_after_standstill(shared: &Shared, limits: Limits) {
+    let left = limits.until.saturating_duration_since(Instant::now());
+    // Where time is over, the request goes on as well.
+    let _ = timeout(left / 2, shared.gateway.news_after_standstill()).await;
+}
+
 /// What was to be sent is not: its zone was evacuated since the replica was chosen.
 fn evacuated(shared: &Shared, outgoing: &Outgoing, chosen: &Chosen) -> Exchange {
     shared.counters.evacuated_sends.inc();
