Suspicion: take back the change of lengths and of lost news

An end counted as one more than its gateway knew of; supposed from the code: also where that gateway had not heard that the request was cleared. Refusing innocent callers is worse than the fault that it mended.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -47,9 +47,6 @@
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
-/// A gateway that control named is told of replicas that end for so long, in milliseconds:
-/// as long as it acts on its own news while control takes none.
-const NAMED_FOR_MS: u64 = 60_000;
 
 /// A running gateway. Clones share it.
 #[derive(Clone)]
@@ -67,8 +64,6 @@
     /// The same ones, and where each is.
     placed: Arc<Mutex<Arc<Vec<PlacedGateway>>>>,
     zones: Arc<ZoneMap>,
-    /// Gateways that control named lately, also as silent, and when it did so last.
-    named: Arc<Mutex<BTreeMap<MachineId, u64>>>,
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
     current_at_ms: Arc<AtomicU64>,
@@ -95,7 +90,6 @@
             coordinators: Arc::default(),
             placed: Arc::default(),
             zones: Arc::new(settings.zones.clone()),
-            named: Arc::default(),
             clock: base.clock,
             current_at_ms: Arc::default(),
             standstill: Arc::default(),
@@ -227,19 +221,14 @@
         self.store.call(call, limit).await
     }
 
-    /// Sends a datagram to every other gateway that control named lately, to those too that
-    /// control does not hear now: they may serve on. It may not arrive.
+    /// Sends a datagram to every other gateway that is known; it may not arrive.
     pub fn tell_gateways(&self, message: &GatewayDatagram) {
-        let named: Vec<MachineId> = self.named.lock().keys().copied().collect();
-        for gateway in named.into_iter().filter(|gateway| *gateway != self.own) {
-            self.tell_gateway(gateway, message);
-        }
-    }
-
-    /// Sends a datagram to another gateway; it may not arrive.
-    pub fn tell_gateway(&self, gateway: MachineId, message: &GatewayDatagram) {
-        if let Some(datagrams) = &self.datagrams {
-            datagrams.send(self.datagram_address(gateway), message);
+        let Some(datagrams) = &self.datagrams else {
+            return;
+        };
+        let gateways = self.coordinators();
+        for gateway in gateways.iter().filter(|gateway| **gateway != self.own) {
+            datagrams.send(self.datagram_address(*gateway), message);
         }
     }
 
@@ -420,20 +409,9 @@
             "from" => address_of(from).to_string());
     }
 
-    fn note_named(&self, named: impl IntoIterator<Item = MachineId>) {
-        let now_ms = self.gateway.clock.now_ms();
-        let mut held = self.gateway.named.lock();
-        held.retain(|_, at_ms| now_ms < *at_ms + NAMED_FOR_MS);
-        held.extend(named.into_iter().map(|gateway| (gateway, now_ms)));
-    }
-
     fn note_coordinators(&self) {
-        let (told, silent) = {
-            let told = self.gateway.told.lock();
-            (told.coordinators(), told.silent_coordinators())
-        };
+        let told = self.gateway.told.lock().coordinators();
         let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
-        self.note_named(machines.union(&silent).copied());
         let mut placed = self.gateway.placed.lock();
         if placed.iter().eq(&told) {
             return;
--- a/crates/registry/src/fourth_layout.rs
+++ b/crates/registry/src/fourth_layout.rs
@@ -1,20 +1,17 @@
 //! Stored values as the layouts up to the fourth hold them: replicas told neither which
-//! start of theirs speaks nor that they are cold, routes and tenants had no homes, no zone
-//! was evacuated, and of the runs that ended their replicas one length was held. Read,
-//! never written.
+//! start of theirs speaks nor that they are cold, routes and tenants had no homes, and
+//! no zone was evacuated. Read, never written.
 
-use linnethitch_protocol::{ids::LogIndex, suspicion::RequestFingerprint};
+use linnethitch_protocol::ids::LogIndex;
 use linnethitch_tenants::{KeyDigest, QuotaLimit, Tenant, TenantChange, TenantsUpdate};
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
     command::RegistryCommand,
     configuration::Declared,
-    counted_ends::CountedEnds,
     registry::{RegistrySnapshot, StoreMembers},
     replica::{ReplicaChange, ReplicaRecord, ReplicaState},
     routes::{Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits},
-    run_lengths::RunLengths,
     suspicion::Suspicion,
 };
 
@@ -109,15 +106,6 @@
     changed_at: LogIndex,
 }
 
-#[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthSuspicion {
-    fingerprint: RequestFingerprint,
-    ends: u32,
-    replica: String,
-    ran_ms: u32,
-    changed_at: LogIndex,
-}
-
 #[derive(Archive, Serialize, Deserialize)]
 pub(crate) struct FourthSnapshot {
     table: Option<FourthRouteTable>,
@@ -127,7 +115,7 @@
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
-    suspicions: Vec<FourthSuspicion>,
+    suspicions: Vec<Suspicion>,
     tenants: FourthTenantsUpdate,
 }
 
@@ -249,23 +237,6 @@
     }
 }
 
-impl From<FourthSuspicion> for Suspicion {
-    fn from(fourth: FourthSuspicion) -> Self {
-        let counted = match fourth.ends {
-            0 => CountedEnds::default(),
-            ends => CountedEnds::one(&fourth.replica, ends - 1),
-        };
-        Suspicion {
-            fingerprint: fourth.fingerprint,
-            ends: fourth.ends,
-            replica: fourth.replica,
-            lengths: RunLengths::alike(fourth.ran_ms, fourth.ends),
-            counted,
-            changed_at: fourth.changed_at,
-        }
-    }
-}
-
 impl From<FourthSnapshot> for RegistrySnapshot {
     fn from(fourth: FourthSnapshot) -> Self {
         RegistrySnapshot {
@@ -276,7 +247,7 @@
             store: fourth.store,
             store_at: fourth.store_at,
             changed_at: fourth.changed_at,
-            suspicions: fourth.suspicions.into_iter().map(Into::into).collect(),
+            suspicions: fourth.suspicions,
             tenants: fourth.tenants.into(),
             evacuations: Vec::new(),
             gateways: Vec::new(),
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,7 +8,6 @@
 
 mod command;
 mod configuration;
-mod counted_ends;
 mod evacuations;
 mod first_layout;
 mod fourth_layout;
@@ -17,7 +16,6 @@
 mod registry;
 mod replica;
 mod routes;
-mod run_lengths;
 mod second_layout;
 mod sequence;
 mod start;
@@ -32,7 +30,6 @@
 
 pub use command::{RegistryAnswer, RegistryCommand};
 pub use configuration::{Configuration, ConfigurationError, Declared};
-pub use counted_ends::CountedEnds;
 pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
 pub use gateways::{GatewayRecord, KnownGateways};
 pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
@@ -42,7 +39,6 @@
 pub use routes::{
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
-pub use run_lengths::RunLengths;
 pub use start::{parse_start_key, start_key};
 pub use suspicion::{Suspicion, Suspicions};
 pub use table_update::{RoutePlace, TableUpdate};
--- a/crates/registry/src/second_layout.rs
+++ b/crates/registry/src/second_layout.rs
@@ -9,10 +9,11 @@
 use crate::{
     command::RegistryCommand,
     configuration::Declared,
-    fourth_layout::{FourthReplicaRecord, FourthService, FourthSuspicion},
+    fourth_layout::{FourthReplicaRecord, FourthService},
     registry::{RegistrySnapshot, StoreMembers},
     replica::ReplicaRecord,
     routes::{Backend, CallerLimits, Route, RouteKind, RouteTable},
+    suspicion::Suspicion,
 };
 
 #[derive(Archive, Serialize, Deserialize)]
@@ -70,7 +71,7 @@
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
-    suspicions: Vec<FourthSuspicion>,
+    suspicions: Vec<Suspicion>,
 }
 
 impl From<SecondRoute> for Route {
@@ -150,7 +151,7 @@
             store: third.store,
             store_at: third.store_at,
             changed_at: third.changed_at,
-            suspicions: third.suspicions.into_iter().map(Into::into).collect(),
+            suspicions: third.suspicions,
             tenants: TenantsUpdate::default(),
             evacuations: Vec::new(),
             gateways: Vec::new(),
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -5,21 +5,17 @@
 //! ends a replica is not told by anybody; all requests that broke off there are
 //! suspected, and the innocent ones must lose the suspicion:
 //!
-//! * Each replica's end counts once, however often and by whomever it is told: see
-//!   [`CountedEnds`].
 //! * An end counts for a request only if its run began after the end before was known
 //!   where the run began. So a popular request that has many copies under way counts
 //!   one end, however many replicas are lost at that moment.
 //! * A copy that comes to a whole answer ends the suspicion: of what ends every
 //!   replica none does.
-//! * What ends replicas does so after about the same time: see [`RunLengths`].
+//! * What ends replicas does so after about the same time. Ends that came after runs
+//!   of different lengths had other causes; a long run is likely to be hit by one, and
+//!   would be refused for it otherwise.
 //!
 //! After three ends in a row a request is refused; one that runs for seconds, and is hit
 //! by unrelated ends the more, after one more for each second.
-//!
-//! What is told may come late, in another order, or never: gateways end, and control is
-//! without a leader at times. So a run tells how many ends were known where it began, and
-//! its own end is one more than these, whether the others were heard of or not.
 
 use std::collections::{BTreeMap, btree_map::Entry};
 
@@ -29,17 +25,24 @@
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{
-    counted_ends::CountedEnds,
-    run_lengths::{Row, RunLengths},
-};
-
-/// Requests that are remembered, and what a gateway is told at its start: some 100 bytes
-/// each, four for each end of a row, and a replica's key for each of the last ends. A flood
-/// of different requests under which one replica ended each displaces its own kind before
-/// it displaces what more ended under.
+/// Replicas that end under a request, one after the other, before copies of it are
+/// refused, where each ends at once. An innocent request is refused only if three
+/// unrelated ends hit three of its runs in a row.
+const ENDS_BEFORE_REFUSAL: u32 = 3;
+/// One end more is needed for each such time that a run lasted, in milliseconds: the
+/// chance of being hit by an unrelated end grows with it.
+const FURTHER_END_PER_MS: u32 = 1_000;
+/// Requests that are remembered: some 100 bytes each, so 100 KB at most, and what a
+/// gateway is told at its start. A flood of different requests under which one replica
+/// ended each displaces its own kind before it displaces what more ended under.
 const MOST_SUSPICIONS: usize = 1_024;
 
+/// Runs that end their replicas last equally long up to this, in milliseconds, and up
+/// to a part of their length: reading of a prompt and a slow replica make a difference.
+const SAME_LENGTH_MS: u32 = 500;
+/// That part, as a divisor.
+const SAME_LENGTH_PART: u32 = 8;
+
 /// What the fleet knows of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Suspicion {
@@ -49,10 +52,8 @@
     pub ends: u32,
     /// The replica that ended last.
     pub replica: String,
-    /// How long the runs had lasted under which replicas ended.
-    pub lengths: RunLengths,
-    /// The ends that were counted last, also those before a whole answer.
-    pub counted: CountedEnds,
+    /// How long the first run of this row had run, in milliseconds.
+    pub ran_ms: u32,
     /// The log entry that changed this last.
     pub changed_at: LogIndex,
 }
@@ -67,52 +68,29 @@
         run: &EndedRun,
         changed_at: LogIndex,
     ) -> Option<Suspicion> {
-        let known = held.map_or(0, |held| held.ends);
-        if run.known_ends < known {
-            return None;
-        }
-        let mut counted = held.map(|held| held.counted.clone()).unwrap_or_default();
-        if counted.holds(replica, run.known_ends) {
+        let open = held.filter(|held| held.ends > 0);
+        let is_told = open.is_some_and(|open| open.replica == replica);
+        if is_told || open.is_some_and(|open| run.known_ends < open.ends) {
             return None;
         }
-        counted.note(replica, run.known_ends);
-        let open = held.filter(|held| held.ends > 0);
-        let was_cleared = held.is_some() && open.is_none();
-        let unheard = if was_cleared {
-            0
-        } else {
-            run.known_ends - known
-        };
-        let mut lengths = open.map(|open| open.lengths.clone()).unwrap_or_default();
-        lengths.note(run.ran_ms, unheard + 1);
+        let in_row = open.filter(|open| lasted_the_same(open.ran_ms, run.ran_ms));
         Some(Suspicion {
             fingerprint: run.fingerprint,
-            ends: lengths.row().map_or(0, |row| row.ends),
+            ends: in_row.map_or(0, |open| open.ends) + 1,
             replica: replica.to_owned(),
-            lengths,
-            counted,
+            ran_ms: in_row.map_or(run.ran_ms, |open| open.ran_ms),
             changed_at,
         })
     }
 
-    /// The last run of the row: it tells everything to one that has heard of nothing.
-    #[must_use]
-    pub fn last_run(&self) -> EndedRun {
-        EndedRun {
-            fingerprint: self.fingerprint,
-            known_ends: self.ends.saturating_sub(1),
-            ran_ms: self.lengths.row().map_or(0, |row| row.shortest_ms),
-        }
-    }
-
     /// Whether copies of the request are refused.
     #[must_use]
     pub fn is_refused(&self) -> bool {
-        self.refused_row().is_some()
+        self.ends >= self.ends_before_refusal()
     }
 
-    fn refused_row(&self) -> Option<Row> {
-        self.lengths.row().filter(|row| row.is_refused())
+    fn ends_before_refusal(&self) -> u32 {
+        ENDS_BEFORE_REFUSAL + self.ran_ms / FURTHER_END_PER_MS
     }
 
     /// Whether a gateway's own news count more than what control tells. Control may commit
@@ -131,8 +109,7 @@
             fingerprint,
             ends: 0,
             replica: String::new(),
-            lengths: RunLengths::default(),
-            counted: CountedEnds::default(),
+            ran_ms: 0,
             changed_at,
         }
     }
@@ -190,33 +167,34 @@
 
     /// Copies of these requests came to whole answers; true when that changed anything.
     pub(crate) fn clear(&mut self, index: LogIndex, cleared: &[RequestFingerprint]) -> bool {
-        self.set_lengths(index, cleared, |_| RunLengths::default())
+        self.set_ends(index, cleared, |_| 0)
     }
 
     /// Nothing was heard of these requests for long. One that is refused may be tried
     /// again, and is refused anew at the first end; others are no longer suspected.
     pub(crate) fn ease(&mut self, index: LogIndex, eased: &[RequestFingerprint]) -> bool {
-        self.set_lengths(index, eased, |held| {
-            let refused = held.refused_row();
-            refused.map_or_else(RunLengths::default, RunLengths::one_before_refusal)
+        self.set_ends(index, eased, |held| {
+            if held.is_refused() {
+                held.ends_before_refusal() - 1
+            } else {
+                0
+            }
         })
     }
 
-    fn set_lengths(
+    fn set_ends(
         &mut self,
         index: LogIndex,
         fingerprints: &[RequestFingerprint],
-        lengths_after: impl Fn(&Suspicion) -> RunLengths,
+        ends_after: impl Fn(&Suspicion) -> u32,
     ) -> bool {
         let mut changed = false;
         for fingerprint in fingerprints {
             let Some(held) = self.records.get(fingerprint).filter(|held| held.ends > 0) else {
                 continue;
             };
-            let lengths = lengths_after(held);
             let record = Suspicion {
-                ends: lengths.row().map_or(0, |row| row.ends),
-                lengths,
+                ends: ends_after(held),
                 changed_at: index,
                 ..held.clone()
             };
@@ -274,3 +252,9 @@
         suspicions
     }
 }
+
+/// Whether two runs lasted about the same time, so that both may have ended their replica.
+fn lasted_the_same(one_ms: u32, other_ms: u32) -> bool {
+    let tolerance_ms = SAME_LENGTH_MS + one_ms.min(other_ms) / SAME_LENGTH_PART;
+    one_ms.abs_diff(other_ms) <= tolerance_ms
+}
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -37,7 +37,6 @@
         GatewayDatagram::Quota(message) => shared.quotas.take_message(from, message),
         GatewayDatagram::ReplicaEnded { replica, runs } => {
             runs.iter().for_each(|run| shared.note_end(&replica, run));
-            shared.tell_unheard(from, &runs);
         }
         about_slots => {
             let loads = shared.slots.take_message(from, about_slots);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,10 +12,7 @@
 use http::{HeaderMap, HeaderValue};
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_job_store::RunMark;
-use linnethitch_protocol::{
-    ids::MachineId,
-    slots::{GatewayDatagram, SlotLoad},
-};
+use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{EndedRun, FleetView, ReplicaState, Route, RouteTable, Suspicion};
 use linnethitch_routing::dispatch::{
     Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, ReplicaTraits, ReportedLoad,
@@ -360,27 +357,6 @@
         }
     }
 
-    /// A gateway found an end under runs that knew of fewer ends than are known here: it has
-    /// just started, or was cut off. It is told, so that it finds no more of its own.
-    pub(crate) fn tell_unheard(&self, gateway: MachineId, runs: &[EndedRun]) {
-        let fleet = self.gateway.fleet();
-        let now_ms = self.clock.now_ms();
-        for run in runs {
-            let held = self.own_news.suspicion(&run.fingerprint, &fleet, now_ms);
-            let Some(held) = held.filter(|held| held.ends > run.known_ends + 1) else {
-                continue;
-            };
-            info!(self.logger, "gateway had not heard of ends"; "gateway" => gateway.0,
-                "content" => run.fingerprint.to_string(), "known_ends" => run.known_ends,
-                "ends" => held.ends);
-            let message = GatewayDatagram::ReplicaEnded {
-                replica: held.replica.clone(),
-                runs: vec![held.last_run()],
-            };
-            self.gateway.tell_gateway(gateway, &message);
-        }
-    }
-
     /// Another incarnation answered at a replica's address; control learns it, unless it
     /// knows already.
     pub(crate) fn tell_not_there(&self, replica: &str) {
