Routing: a back end whose weight was taken away has no turn left

Cause: the credit that it had from before was the largest, so that it was chosen once or more with a weight of 0. The test printed [Some(1), Some(1), Some(0), Some(0)] where the second back end has no weight.

Change: only back ends with a weight are looked at.

After: a_back_end_without_weight_has_no_turn passes, as do the other tests of turns.

--- a/crates/routing/src/dispatch/weights.rs
+++ b/crates/routing/src/dispatch/weights.rs
@@ -20,7 +20,9 @@
         for (credit, weight) in self.credit.iter_mut().zip(weights) {
             *credit += i64::from(*weight);
         }
-        let chosen = (0..weights.len()).max_by_key(|index| self.credit[*index])?;
+        // One whose weight was taken away may have credit left.
+        let weighted = (0..weights.len()).filter(|index| weights[*index] > 0);
+        let chosen = weighted.max_by_key(|index| self.credit[*index])?;
         self.credit[chosen] -= total;
         Some(chosen)
     }
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -249,6 +249,15 @@
     assert_eq!(counts, expected);
 }
 
+/// It had turns left when its weight was taken away.
+#[test]
+fn a_back_end_without_weight_has_no_turn() {
+    let mut turns = WeightedTurns::default();
+    assert_eq!(turns.next(&[3, 2]), Some(0));
+    let next: Vec<_> = (0..4).map(|_| turns.next(&[1, 0])).collect();
+    assert_eq!(next, [Some(0); 4]);
+}
+
 #[test]
 fn without_weight_nobody_has_a_turn() {
     assert_eq!(WeightedTurns::default().next(&[0, 0]), None);
