Homes: items are tested, and a weighted route turns to a service that is at home

Cause: a weighted route picked its service by the weights alone. An item whose services have no replica in its homes at all was leased and given back all the time; the test found no line 'item: set aside, outside its homes'.

Change: where homes bind, services with a ready replica in them have the turns of the others; without any, those that had one, so that callers are told to come back. An attempt whose service has no home after a change of homes picks again. An item without a home rests like one under which replicas end.

The relay's fleet of tests can have a job store.

The test of log lines learns how 'item: set aside, {}' is completed; it is as strict as before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,6 +20,7 @@
     counters::RequestEnd,
     dialect::Prompt,
     exchange::{Exchange, Limits, Opened, Outgoing, Target, exchange, strip_connection_headers},
+    homes::HomeZones,
     pump::{Pump, PumpSettings},
     search::{Placed, Search},
     shared::Shared,
@@ -89,7 +90,7 @@
                 return self.refuse_as_ending();
             };
             let homes = self.shared.homes(&self.outgoing);
-            if self.shared.has_no_home(&self.service, &homes) {
+            if !self.turn_to_home(&homes) {
                 return self.refuse_outside_homes();
             }
             let except: Vec<String> = self.tried.iter().chain(&self.full).cloned().collect();
@@ -160,6 +161,17 @@
         }
     }
 
+    /// Whether its service, or another one of its route, has a home for it: homes may have
+    /// changed since the service was picked.
+    fn turn_to_home(&mut self, homes: &HomeZones) -> bool {
+        if !self.shared.has_no_home(&self.service, homes) {
+            return true;
+        }
+        let picked = self.shared.pick_service(self.route, homes);
+        self.service = picked.unwrap_or_else(|| self.service.clone());
+        !self.shared.has_no_home(&self.service, homes)
+    }
+
     /// When it is late.
     fn due(&self) -> Instant {
         self.arrived + Duration::from_millis(self.route.target_ms)
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -39,6 +39,17 @@
     homes.is_empty() || (is_served && !zones.any(|zone| homes.contains(zone)))
 }
 
+/// The weights of a route's services, 0 for those that are not wanted; `None` where none is.
+fn weights_of(route: &Route, is_wanted: impl Fn(&str) -> bool) -> Option<Vec<u32>> {
+    let backends = route.backends.iter();
+    let weights = backends.map(|backend| {
+        let wanted = is_wanted(&backend.service);
+        if wanted { backend.weight } else { 0 }
+    });
+    let weights: Vec<u32> = weights.collect();
+    weights.iter().any(|weight| *weight > 0).then_some(weights)
+}
+
 impl Shared {
     /// The zones in which a request may be served, by what is in force now.
     pub(crate) fn homes(&self, outgoing: &Outgoing) -> HomeZones {
@@ -59,6 +70,29 @@
         home_zones(self.gateway.zones(), of_route, tenant)
     }
 
+    /// The zones in which requests of a route may be served, by what is in force now.
+    pub(crate) fn homes_of(&self, route: &Route, tenant: Option<&str>) -> HomeZones {
+        let fleet = self.gateway.fleet();
+        let tenant = tenant.and_then(|name| fleet.tenants().get(name));
+        let tenant = tenant.map(|tenant| tenant.as_ref());
+        home_zones(self.gateway.zones(), &route.homes, tenant)
+    }
+
+    /// The service of a route whose turn it is. Where homes bind, those that can serve in
+    /// them now have the turns of the others; without any, those that may again.
+    pub(crate) fn pick_service(&self, route: &Route, homes: &HomeZones) -> Option<String> {
+        if let [only] = route.backends.as_slice() {
+            return Some(only.service.clone());
+        }
+        let weights: Vec<u32> = route.backends.iter().map(|b| b.weight).collect();
+        let at_home = homes.as_ref().and_then(|_| {
+            let ready = weights_of(route, |service| self.has_ready_replica(service, homes));
+            ready.or_else(|| weights_of(route, |service| !self.has_no_home(service, homes)))
+        });
+        let index = self.next_turn(&route.name, &at_home.unwrap_or(weights))?;
+        Some(route.backends[index].service.clone())
+    }
+
     /// Whether a request has no home at a service: waiting does not help.
     pub(crate) fn has_no_home(&self, service: &str, homes: &HomeZones) -> bool {
         has_no_home(&self.gateway.fleet(), service, homes)
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -37,7 +37,7 @@
 /// Longest wait for a slot before the item is given back, so that another
 /// gateway goes on with it.
 const SLOT_WAIT: Duration = Duration::from_millis(400);
-/// How long an item under which replicas end rests at a gateway. Each gateway that it
+/// How long an item that cannot be run for now rests at a gateway. Each gateway that it
 /// rests at costs two calls of the job store.
 const SET_ASIDE_FOR: Duration = Duration::from_secs(5);
 /// Pause after a replica did not take an item.
@@ -164,15 +164,19 @@
         let Some(route) = self.route() else {
             return RunEnd::Outcome(ItemOutcome::RouteRemoved);
         };
-        let Some(service) = self.shared.pick_service(&route) else {
+        let homes = self.shared.homes_of(&route, self.work.tenant.as_deref());
+        let Some(service) = self.shared.pick_service(&route, &homes) else {
             return RunEnd::GiveBack;
         };
         let Some(outgoing) = outgoing(&self.shared, &self.work) else {
             return RunEnd::Outcome(ItemOutcome::Unprocessable);
         };
+        if self.shared.has_no_home(&service, &homes) {
+            return self.set_aside("outside its homes", &outgoing).await;
+        }
         let prompt = self.shared.dialect.prompt(&outgoing.headers);
         let Some(known_ends) = self.shared.known_ends(&outgoing).await else {
-            return self.set_aside(&outgoing).await;
+            return self.set_aside("replicas end under it", &outgoing).await;
         };
         let placed = if known_ends > 0 {
             self.place_apart(&service, &outgoing, known_ends).await
@@ -291,10 +295,10 @@
         })
     }
 
-    /// Replicas end under it: it is not run. It cannot be given up either before its
-    /// time is over, so it rests here for a while, then elsewhere.
-    async fn set_aside(&self, outgoing: &Outgoing) -> RunEnd {
-        info!(self.shared.logger, "item: set aside, replicas end under it";
+    /// It is not run now: replicas end under it, or it has no home. It cannot be given up
+    /// either before its time is over, so it rests here for a while, then elsewhere.
+    async fn set_aside(&self, why: &str, outgoing: &Outgoing) -> RunEnd {
+        info!(self.shared.logger, "item: set aside, {}", why;
             "item" => &self.work.spec.id, "job" => &self.work.item.job,
             "content" => outgoing.fingerprint().to_string());
         tokio::select! {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -202,7 +202,8 @@
             Ok(admitted) => admitted,
             Err(answer) => return *answer,
         };
-        let Some(service) = self.shared.pick_service(route) else {
+        let homes = self.shared.homes_of(route, tenant.as_deref());
+        let Some(service) = self.shared.pick_service(route, &homes) else {
             return own_answer(ErrorKind::NoBackEnd, Some(COME_BACK_AFTER));
         };
         let prompt = self.shared.dialect.prompt(&head.headers);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -13,7 +13,7 @@
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_job_store::RunMark;
 use linnethitch_protocol::slots::SlotLoad;
-use linnethitch_registry::{EndedRun, FleetView, ReplicaState, Route, RouteTable, Suspicion};
+use linnethitch_registry::{EndedRun, FleetView, ReplicaState, RouteTable, Suspicion};
 use linnethitch_routing::dispatch::{
     Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, ReplicaTraits, ReportedLoad,
     WeightedTurns,
@@ -211,16 +211,10 @@
         }
     }
 
-    /// The service of a route whose turn it is.
-    pub(crate) fn pick_service(&self, route: &Route) -> Option<String> {
-        if let [only] = route.backends.as_slice() {
-            return Some(only.service.clone());
-        }
-        let weights: Vec<u32> = route.backends.iter().map(|b| b.weight).collect();
+    /// The index of the back end of a route whose turn it is.
+    pub(crate) fn next_turn(&self, route: &str, weights: &[u32]) -> Option<usize> {
         let mut turns = self.turns.lock();
-        let turn = turns.entry(route.name.clone()).or_default();
-        let index = turn.next(&weights)?;
-        Some(route.backends[index].service.clone())
+        turns.entry(route.to_owned()).or_default().next(weights)
     }
 
     /// A mark for a run of an item that begins.
@@ -427,6 +421,17 @@
         self.board.lock().is_service_evacuated(&need)
     }
 
+    /// Whether a service has a replica in these homes that control says to be ready.
+    pub(crate) fn has_ready_replica(&self, service: &str, homes: &HomeZones) -> bool {
+        let need = Need {
+            service,
+            prompt: &[],
+            except: &[],
+            homes: homes.as_ref(),
+        };
+        self.board.lock().has_ready_replica(&need)
+    }
+
     /// Whether control has not said meanwhile that a replica leaves or that its zone is
     /// evacuated.
     pub(crate) fn is_known_ready(&self, replica: &str) -> bool {
--- a/crates/relay/tests/all/evacuations.rs
+++ b/crates/relay/tests/all/evacuations.rs
@@ -13,7 +13,8 @@
 use crate::{
     streams::{BOTH, BROKEN, REST},
     support::{
-        Act, Answer, Fleet, LIMIT, OK, OTHER_ZONE, Replica, ZONE, header, read_answer, route,
+        Act, Answer, Fleet, LIMIT, OK, OTHER_ZONE, Replica, ZONE, header, reached_by, read_answer,
+        route,
     },
 };
 
@@ -120,15 +121,6 @@
     assert_eq!(fleet.ask("request-2").await.status, 200);
 }
 
-async fn reached_by(replica: &Replica, requests: usize) {
-    let reached = async {
-        while replica.requests() < requests {
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(LIMIT, reached).await.expect("in time");
-}
-
 /// It would wait for most of a minute; those that have a slot keep it. It is released with
 /// a place that it must not use: the last look before the send stops it.
 #[tokio::test]
--- a/crates/relay/tests/all/homes.rs
+++ b/crates/relay/tests/all/homes.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use linnethitch_registry::{Configuration, ReplicaState, Route, RouteKind, RouteTable};
+use linnethitch_registry::{
+    Backend, Configuration, ReplicaState, Route, RouteKind, RouteTable, ServiceTraits,
+};
 use linnethitch_relay::KeyPolicy;
 use linnethitch_tenants::{KeyDigest, Tenant};
 use rstest::rstest;
@@ -16,7 +18,7 @@
     streams::{BROKEN, REST},
     support::{
         Act, Answer, Fleet, LIMIT, OK, OTHER_REGION, OTHER_ZONE, REGION, Replica, engine_table,
-        header, read_answer, route, table,
+        header, reached_by, read_answer, route, table,
     },
 };
 
@@ -24,6 +26,7 @@
 const REQUESTS: usize = 20;
 /// Slots of an engine of the tests.
 const SLOTS: usize = 4;
+const OTHER_SERVICE: &str = "other-service";
 const KEY: &str = "Authorization: Bearer key\r\n";
 
 fn owned(regions: &[&str]) -> Vec<String> {
@@ -156,6 +159,93 @@
     assert_eq!(refusals(&pair.fleet), "1");
 }
 
+/// A table whose route is served by two services alike.
+fn two_services(homes: &[&str]) -> RouteTable {
+    let mut table = table(safe_route(homes));
+    let other = ServiceTraits {
+        name: OTHER_SERVICE.to_owned(),
+        ..table.services[0].clone()
+    };
+    table.services.push(other);
+    table.routes[0].backends.push(Backend {
+        service: OTHER_SERVICE.to_owned(),
+        weight: 1,
+    });
+    table
+}
+
+/// A replica of one service in this region, and one of the other service in the other.
+async fn two_services_apart(homes: &[&str]) -> Pair {
+    let here = Replica::start(vec![Act::Send(OK)]).await;
+    let there = Replica::start(vec![Act::Send(OK)]).await;
+    let configuration = configuration(two_services(homes), &[]);
+    let replicas = std::slice::from_ref(&here);
+    let fleet = Fleet::start_by(configuration, KeyPolicy::default(), replicas).await;
+    let zone = OTHER_ZONE;
+    fleet.add_of_service(1, &there, zone, OTHER_SERVICE).await;
+    Pair { fleet, here, there }
+}
+
+/// The service whose turn it is has no replica at home: the one that has serves.
+#[rstest]
+#[case::the_first(&[REGION], (REQUESTS, 0))]
+#[case::the_second(&[OTHER_REGION], (0, REQUESTS))]
+#[tokio::test]
+async fn a_service_that_is_at_home_takes_the_turns_of_one_that_is_not(
+    #[case] homes: &[&str],
+    #[case] reached: (usize, usize),
+) {
+    let pair = two_services_apart(homes).await;
+    for number in 0..REQUESTS {
+        let answer = pair.ask(&format!("request-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(pair.requests(), reached);
+}
+
+/// Both services were heard of at home, and one of them serves there now.
+#[tokio::test]
+async fn a_service_that_is_at_home_now_serves_before_one_that_was() {
+    let pair = two_services_apart(&[OTHER_REGION]).await;
+    let fleet = &pair.fleet;
+    let gone = Replica::start(vec![Act::Send(OK)]).await;
+    fleet.add_in_zone(2, &gone, OTHER_ZONE).await;
+    fleet
+        .remove_of_service(2, &gone, OTHER_ZONE, "service")
+        .await;
+    for number in 0..REQUESTS {
+        let answer = pair.ask(&format!("request-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(pair.requests(), (0, REQUESTS));
+    assert_eq!(gone.requests(), 0);
+}
+
+/// One of them is at home, though nobody is there for the moment: callers come back.
+#[tokio::test]
+async fn a_route_of_which_one_service_may_be_at_home_again_is_worth_coming_back_to() {
+    let pair = two_services_apart(&[OTHER_REGION]).await;
+    pair.fleet
+        .remove_of_service(1, &pair.there, OTHER_ZONE, OTHER_SERVICE)
+        .await;
+    for number in 0..REQUESTS {
+        let answer = pair.ask(&format!("request-{number}")).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    assert_eq!(pair.requests(), (0, 0));
+}
+
+/// With none of them at home it is refused.
+#[tokio::test]
+async fn a_route_of_which_no_service_is_at_home_refuses() {
+    let mut table = two_services(&[OTHER_REGION]);
+    table.routes[0].homes = owned(&[OTHER_REGION]);
+    let pair = Pair::start_with(table, &[REGION], vec![Act::Send(OK)], OTHER_ZONE).await;
+    let answer = pair.ask("request-1").await;
+    assert_eq!(answer.status, 403, "{answer:?}");
+    assert_eq!(pair.requests(), (0, 0));
+}
+
 #[rstest]
 #[case::leaving(ReplicaState::Draining)]
 #[case::gone(ReplicaState::Gone)]
@@ -191,15 +281,6 @@
     assert_eq!(pair.requests(), (1, 0));
 }
 
-async fn reached_by(replica: &Replica, requests: usize) {
-    let reached = async {
-        while replica.requests() < requests {
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(LIMIT, reached).await.expect("in time");
-}
-
 /// A newer configuration with these homes of the route.
 async fn put(fleet: &Fleet, mut table: RouteTable, homes: &[&str]) {
     table.version += 1;
--- /dev/null
+++ b/crates/relay/tests/all/items.rs
@@ -0,0 +1,268 @@
+//! Batch items run in homes of their route and of their tenant only, whenever these were
+//! declared.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_job_store::{
+    HeldProgress, ItemProgress, ItemRef, ItemSpec, JobSpec, MadeEvents, ResultsPage, RunMark,
+    RunProgress, StoreCall, StoreReply,
+};
+use linnethitch_registry::{Configuration, Route, RouteKind};
+use linnethitch_relay::{BatchSettings, KeyPolicy, run_items};
+use linnethitch_tenants::{KeyDigest, Tenant};
+use rstest::rstest;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    streams::{BROKEN, REST, WHOLE},
+    support::{
+        Act, Fleet, LIMIT, OTHER_REGION, OTHER_ZONE, REGION, Replica, engine_table, header,
+        reached_by, route,
+    },
+};
+
+const JOB: &str = "job";
+/// Items that would be spread over two engines.
+const ITEMS: u32 = 8;
+/// Longer than an item rests or waits for a slot before another gateway may go on with it.
+const SEVERAL_TRIES: Duration = Duration::from_secs(2);
+
+fn owned(regions: &[&str]) -> Vec<String> {
+    regions.iter().map(|region| (*region).to_owned()).collect()
+}
+
+/// A configuration with these homes of the route and of the tenant.
+fn homed(version: u64, of_route: &[&str], of_tenant: &[&str]) -> Configuration {
+    let mut table = engine_table(Route {
+        completion_ms: 18_000,
+        give_up_ms: 60_000,
+        homes: owned(of_route),
+        ..route(RouteKind::Batch, 3, true)
+    });
+    table.version = version;
+    let tenant = Tenant {
+        name: "desk".to_owned(),
+        keys: vec![KeyDigest::of("key")],
+        rank: None,
+        quota: None,
+        homes: owned(of_tenant),
+    };
+    Configuration {
+        table,
+        tenants: Some(vec![tenant]),
+    }
+}
+
+/// A fleet with a job store and an engine in each region.
+struct Pair {
+    fleet: Fleet,
+    here: Replica,
+    there: Replica,
+}
+
+impl Pair {
+    async fn start(acts_here: Vec<Act>, acts_there: Vec<Act>) -> Self {
+        let here = Replica::start(acts_here).await;
+        let there = Replica::start(acts_there).await;
+        let replicas = std::slice::from_ref(&here);
+        let fleet = Fleet::start_by(homed(1, &[], &[]), KeyPolicy::default(), replicas).await;
+        fleet.wait_until_coordinated().await;
+        fleet.start_store().await;
+        Pair { fleet, here, there }
+    }
+
+    async fn add_there(&self) {
+        self.fleet.add_in_zone(1, &self.there, OTHER_ZONE).await;
+    }
+
+    async fn call(&self, call: StoreCall) -> StoreReply {
+        self.fleet.relay.gateway().call_store(call, LIMIT).await
+    }
+
+    async fn submit(&self, items: u32) {
+        let items = (0..items).map(|number| ItemSpec {
+            id: format!("item-{number}"),
+            path: "/a/x".to_owned(),
+            headers: Vec::new(),
+            body: b"body".to_vec(),
+            tokens: 100,
+        });
+        let job = JobSpec {
+            id: JOB.to_owned(),
+            host: "desk.example".to_owned(),
+            path: "/a/".to_owned(),
+            max_attempts: 3,
+            completion_ms: 18_000,
+            give_up_ms: 60_000,
+            items: items.collect(),
+        };
+        let submit = StoreCall::Submit {
+            job,
+            tenant: Some("desk".to_owned()),
+            bound: None,
+        };
+        assert_eq!(self.call(submit).await, StoreReply::Done);
+    }
+
+    fn run(&self) {
+        let settings = BatchSettings {
+            name: "127.0.0.1:1".to_owned(),
+            most_items: 8,
+        };
+        tokio::spawn(run_items(self.fleet.relay.clone(), settings));
+    }
+
+    /// The results, once all are there.
+    async fn results(&self) -> ResultsPage {
+        let all = async {
+            loop {
+                let results = StoreCall::Results {
+                    job: JOB.to_owned(),
+                    tenant: Some("desk".to_owned()),
+                    since: 0,
+                    most_bytes: 100_000,
+                };
+                match self.call(results).await {
+                    StoreReply::Results(page) if page.results.len() as u32 == page.total => {
+                        return page;
+                    }
+                    _ => sleep(Duration::from_millis(20)).await,
+                }
+            }
+        };
+        timeout(LIMIT, all).await.expect("all are done in time")
+    }
+
+    fn requests(&self) -> (usize, usize) {
+        (self.here.requests(), self.there.requests())
+    }
+}
+
+#[rstest]
+#[case::of_the_route(&[OTHER_REGION], &[])]
+#[case::of_the_tenant(&[], &[OTHER_REGION])]
+#[case::of_both(&[REGION, OTHER_REGION], &[OTHER_REGION])]
+#[tokio::test]
+async fn items_of_a_job_from_before_run_in_the_homes(
+    #[case] of_route: &[&str],
+    #[case] of_tenant: &[&str],
+) {
+    let pair = Pair::start(vec![Act::Send(WHOLE)], vec![Act::Send(WHOLE)]).await;
+    pair.add_there().await;
+    pair.submit(ITEMS).await;
+    pair.fleet.put(homed(2, of_route, of_tenant)).await;
+    pair.run();
+    pair.results().await;
+    assert_eq!(pair.requests(), (0, ITEMS as usize));
+}
+
+/// The other engine at home takes it; the one that is nearer to its gateway never does.
+#[tokio::test]
+async fn a_failed_item_runs_again_in_the_homes() {
+    let acts = vec![Act::SendAndReset("HTTP/1.1 200 OK\r\n"), Act::Send(WHOLE)];
+    let pair = Pair::start(vec![Act::Send(WHOLE)], acts).await;
+    pair.add_there().await;
+    pair.fleet
+        .add_twin_in_zone(2, &pair.there, OTHER_ZONE)
+        .await;
+    pair.fleet.put(homed(2, &[OTHER_REGION], &[])).await;
+    pair.submit(1).await;
+    pair.run();
+    pair.results().await;
+    assert_eq!(pair.requests(), (0, 2));
+}
+
+/// What another gateway's run told before it gave the item back.
+async fn run_elsewhere(pair: &Pair) {
+    let item = ItemRef {
+        job: JOB.to_owned(),
+        item: 0,
+    };
+    let work = |running: Vec<ItemRef>, want| StoreCall::Work {
+        gateway: "127.0.0.1:2".to_owned(),
+        running,
+        want,
+        item_ms: 0,
+    };
+    let leases = async {
+        loop {
+            match pair.call(work(Vec::new(), 1)).await {
+                StoreReply::Work { begin, .. } if begin.len() == 1 => return,
+                _ => sleep(Duration::from_millis(20)).await,
+            }
+        }
+    };
+    timeout(LIMIT, leases).await.expect("it is leased in time");
+    let progress = ItemProgress {
+        item: item.clone(),
+        told_before: 0,
+        made: MadeEvents {
+            events: vec!["a".to_owned()],
+            last_event: Some(1),
+        },
+    };
+    let told = RunProgress {
+        run: RunMark::of(7),
+        continues: HeldProgress::default().told_by,
+        progress,
+    };
+    let told = pair.call(StoreCall::Progress(vec![told])).await;
+    assert_eq!(told, StoreReply::Done);
+    pair.call(work(Vec::new(), 0)).await;
+}
+
+#[tokio::test]
+async fn an_item_that_goes_on_at_another_gateway_does_so_in_the_homes() {
+    let pair = Pair::start(vec![Act::Send(REST)], vec![Act::Send(REST)]).await;
+    pair.add_there().await;
+    pair.submit(1).await;
+    run_elsewhere(&pair).await;
+    pair.fleet.put(homed(2, &[], &[OTHER_REGION])).await;
+    pair.run();
+    let page = pair.results().await;
+    assert_eq!(page.results[0].text, "a\nb");
+    assert_eq!(pair.requests(), (0, 1));
+    let heads = pair.there.heads.lock().clone();
+    assert_eq!(header(&heads[0], "last-event-id"), Some("1"));
+}
+
+/// What runs already goes on to its end; where it breaks off, it goes on at home.
+#[tokio::test]
+async fn homes_that_change_while_an_item_runs_bind_what_is_left_of_it() {
+    let breaks: Arc<Notify> = Arc::default();
+    let act = Act::SendAndResetWhen(BROKEN, Arc::clone(&breaks));
+    let pair = Pair::start(vec![act, Act::Send(REST)], vec![Act::Send(REST)]).await;
+    pair.fleet.add_twin(&pair.here).await;
+    pair.submit(1).await;
+    pair.run();
+    reached_by(&pair.here, 1).await;
+    pair.fleet.add_in_zone(2, &pair.there, OTHER_ZONE).await;
+    pair.fleet.put(homed(2, &[OTHER_REGION], &[])).await;
+    breaks.notify_one();
+    let page = pair.results().await;
+    assert_eq!(page.results[0].text, "a\nb");
+    assert_eq!(pair.requests(), (1, 1));
+}
+
+/// It rests instead of being handed from gateway to gateway, and runs once it has a home.
+#[tokio::test]
+async fn an_item_without_a_home_rests_until_it_has_one() {
+    let pair = Pair::start(vec![Act::Send(WHOLE)], vec![Act::Send(WHOLE)]).await;
+    pair.fleet.put(homed(2, &[OTHER_REGION], &[])).await;
+    pair.submit(1).await;
+    pair.run();
+    sleep(SEVERAL_TRIES).await;
+    assert_eq!(pair.requests(), (0, 0));
+    assert_eq!(pair.fleet.log.count("item: begins"), 1);
+    assert!(
+        pair.fleet
+            .log
+            .contains("item: set aside, outside its homes")
+    );
+    pair.add_there().await;
+    pair.results().await;
+    assert_eq!(pair.requests(), (0, 1));
+}
--- a/crates/relay/tests/all/streams.rs
+++ b/crates/relay/tests/all/streams.rs
@@ -5,7 +5,7 @@
 
 use crate::support::{Act, Fleet, Replica, header, route};
 
-const WHOLE: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
+pub(crate) const WHOLE: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
     f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 /// One whole event and part of the second.
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -13,8 +13,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use linnethitch_cluster::{
-    ControlNode, ControlSettings, GatewayNode, MessageBytes, NodeSettings, Seeds,
+    ControlNode, ControlSettings, GatewayNode, MessageBytes, NodeSettings, Seeds, StoreNode,
+    StoreSettings,
 };
+use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_registry::{
     Backend, CallerLimits, Configuration, EngineTraits, ReplicaChange, ReplicaState, Route,
     RouteKind, RouteTable, ServiceTraits, ZoneMap,
@@ -311,6 +313,12 @@
         let lines = self.0.lock().expect("no test panicked here");
         lines.iter().any(|line| line == message)
     }
+
+    /// How often it was logged.
+    pub(crate) fn count(&self, message: &str) -> usize {
+        let lines = self.0.lock().expect("no test panicked here");
+        lines.iter().filter(|line| *line == message).count()
+    }
 }
 
 impl Drain for LogLines {
@@ -335,7 +343,7 @@
     gateways: AtomicU8,
     pub(crate) stopping: CancellationToken,
     pub(crate) log: LogLines,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 impl Fleet {
@@ -425,7 +433,7 @@
             gateways: AtomicU8::new(1),
             stopping,
             log,
-            _folder: folder,
+            folder,
         };
         for (number, replica) in replicas.iter().enumerate() {
             fleet
@@ -465,6 +473,30 @@
         gateway
     }
 
+    /// Starts a job store of one member and waits until it answers.
+    pub(crate) async fn start_store(&self) {
+        let settings = StoreSettings {
+            node: NodeSettings {
+                name: "store".to_owned(),
+                address: Ipv4Addr::from(u32::from(self.node.address) + 64),
+                ..self.node.clone()
+            },
+            data_dir: self.folder.path().join("store").display().to_string(),
+            voters: 1,
+            kept: 2 * LIMIT,
+        };
+        tokio::spawn(StoreNode::run(settings, std::future::pending()));
+        let answers = async {
+            let any = StoreCall::End {
+                job: "none".to_owned(),
+                tenant: None,
+            };
+            let gateway = self.relay.gateway();
+            while gateway.call_store(any.clone(), LIMIT).await != StoreReply::NotFound {}
+        };
+        tokio::time::timeout(LIMIT, answers).await.expect("in time");
+    }
+
     /// From now on control takes no changes.
     pub(crate) fn stop_control(&self) {
         self.control_running.abort();
@@ -529,18 +561,51 @@
     }
 
     async fn add_address_in_zone(&self, number: usize, address: SocketAddr, zone: &str) {
-        self.heartbeat(ReplicaChange {
-            id: format!("i-{number}"),
-            service: "service".to_owned(),
-            address: address.to_string(),
+        let change = ReplicaChange {
             zone: zone.to_owned(),
-            slots: 4,
-            state: ReplicaState::Ready,
-            sequence: 1,
-            born: 0,
-            cold_ms: 0,
-        })
-        .await;
+            ..replica_change(number, address, ReplicaState::Ready, 1)
+        };
+        self.heartbeat(change).await;
+        self.wait_until_known(number).await;
+    }
+
+    /// Registers the end of a replica of a zone and waits until it is known.
+    pub(crate) async fn remove_of_service(
+        &self,
+        number: usize,
+        replica: &Replica,
+        zone: &str,
+        service: &str,
+    ) {
+        let change = ReplicaChange {
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            ..replica_change(number, replica.address, ReplicaState::Gone, 2)
+        };
+        self.heartbeat(change).await;
+        let id = format!("i-{number}");
+        let mut views = self.relay.gateway().follow();
+        let gone = views.wait_for(|view| !view.live_replicas().any(|r| r.told.id == id));
+        tokio::time::timeout(LIMIT, gone)
+            .await
+            .expect("in time")
+            .expect("the gateway runs");
+    }
+
+    /// Registers a replica of another service and waits until it is known.
+    pub(crate) async fn add_of_service(
+        &self,
+        number: usize,
+        replica: &Replica,
+        zone: &str,
+        service: &str,
+    ) {
+        let change = ReplicaChange {
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            ..replica_change(number, replica.address, ReplicaState::Ready, 1)
+        };
+        self.heartbeat(change).await;
         self.wait_until_known(number).await;
     }
 
@@ -584,6 +649,12 @@
         self.wait_for(2).await;
     }
 
+    /// The same in a zone, as one of several.
+    pub(crate) async fn add_twin_in_zone(&self, number: usize, replica: &Replica, zone: &str) {
+        let address = twin(replica).await;
+        self.add_address_in_zone(number, address, zone).await;
+    }
+
     /// Waits until the gateway has heard of a replica.
     pub(crate) async fn wait_until_known(&self, number: usize) {
         let mut views = self.relay.gateway().follow();
@@ -665,6 +736,16 @@
     }
 }
 
+/// Waits until a replica has read so many requests.
+pub(crate) async fn reached_by(replica: &Replica, requests: usize) {
+    let reached = async {
+        while replica.requests() < requests {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, reached).await.expect("in time");
+}
+
 /// Starts a gateway beside others of the same fleet.
 async fn start_gateway(
     node: &NodeSettings,
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -146,6 +146,14 @@
         ready.next().is_some_and(is_evacuated) && ready.all(is_evacuated)
     }
 
+    /// Whether any replica for a need is one that control says to be ready, and not in an
+    /// evacuated zone.
+    #[must_use]
+    pub fn has_ready_replica(&self, need: &Need<'_>) -> bool {
+        let mut replicas = self.of(need.service);
+        replicas.any(|replica| need.may_be_in(replica) && self.is_known_ready(&replica.traits.id))
+    }
+
     /// Replicas that are ready, in evacuated zones and in others.
     #[must_use]
     pub fn ready_replicas(&self) -> ReadyReplicas {
