--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -4,6 +4,7 @@
 
 use http::{Response, header};
 use linnethitch_errors::ErrorKind;
+use linnethitch_job_store::JobSpec;
 use linnethitch_registry::{FleetView, Route, ZoneMap};
 use linnethitch_tenants::Tenant;
 use slog::info;
@@ -12,6 +13,7 @@
     answer::{AnswerBody, own_answer},
     counters::RequestEnd,
     exchange::{Exchange, Outgoing},
+    relay::Relay,
     shared::Shared,
 };
 
@@ -136,3 +138,38 @@
         own_answer(ErrorKind::OutsideHomes, None)
     }
 }
+
+/// All regions share one job store: jobs whose homes leave any region out cannot be kept in
+/// the right place.
+impl Relay {
+    /// Whether jobs of a route and a tenant may be kept, by the tenants in force now.
+    #[must_use]
+    pub fn may_keep_jobs(&self, route: &Route, tenant: Option<&str>) -> bool {
+        self.shared.homes_of(route, tenant).is_none()
+    }
+
+    /// A route of a job or of its items because of which it may not be kept, by what is in
+    /// force now.
+    #[must_use]
+    pub fn route_outside(&self, job: &JobSpec, tenant: Option<&str>) -> Option<Route> {
+        let table = self.shared.table()?;
+        let items = job.items.iter().map(|item| item.path.as_str());
+        let mut paths: Vec<&str> = items.chain([job.path.as_str()]).collect();
+        paths.sort_unstable();
+        paths.dedup();
+        let routes = paths.iter().filter_map(|path| table.find(&job.host, path));
+        let mut bound = routes.filter(|route| !self.may_keep_jobs(route, tenant));
+        bound.next().cloned()
+    }
+
+    /// The final answer to a job that cannot be kept in its homes.
+    #[must_use]
+    pub fn refuse_job(
+        &self,
+        job: &str,
+        route: &Route,
+        tenant: Option<&str>,
+    ) -> Response<AnswerBody> {
+        self.shared.refuse_outside_homes(job, route, tenant)
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -22,7 +22,6 @@
     dialect::Dialect,
     exchange::{Admitted, Outgoing, strip_connection_headers},
     following::{follow_fleet, follow_gateways, keep_slots},
-    homes::home_zones,
     shared::Shared,
 };
 
@@ -112,27 +111,6 @@
         }
     }
 
-    /// Lets a batch job in. All regions share one job store, so that one whose homes leave
-    /// any region out cannot be kept in the right place.
-    ///
-    /// # Errors
-    /// The final answer to the caller.
-    pub fn admit_job(
-        &self,
-        job: &str,
-        route: &Route,
-        caller: Option<&Caller>,
-    ) -> Result<(), Box<Response<AnswerBody>>> {
-        let tenant = caller.map(|caller| caller.tenant.as_ref());
-        let zones = self.shared.gateway.zones();
-        if home_zones(zones, &route.homes, tenant).is_none() {
-            return Ok(());
-        }
-        let name = tenant.map(|tenant| tenant.name.as_str());
-        let refusal = self.shared.refuse_outside_homes(job, route, name);
-        Err(Box::new(refusal))
-    }
-
     /// Requests and items under way at a service.
     #[must_use]
     pub fn own_running(&self, service: &str) -> u32 {
