Directory: a member that has just begun to listen names no place outside homes

Cause: a control member that starts, or hears gateways again after it stood still, hears some first. With gateways of a far region only, it named these to callers of a region that is itself the home of what they ask for (the test printed ["c1"] where nobody is to be named). A turn of control's members is planned, so such answers count.

Change: for 2.5 s after it hears gateways without a pause, it names to callers of bound hosts only those of their region and of the homes, and else that it is not ready.

After: 15 tests of the directory pass.

--- a/crates/registry/src/node_list.rs
+++ b/crates/registry/src/node_list.rs
@@ -7,6 +7,11 @@
 /// A gateway counts as ready for this long after it said so, in milliseconds.
 pub const READY_FOR_MS: u64 = 1_200;
 
+/// A control member that has just begun to hear gateways, or hears them again after it stood
+/// still, may hear those of a far region first. Others open their connections within this, in
+/// milliseconds; until then it names none outside a caller's region and the homes.
+const ALL_HEARD_AFTER_MS: u64 = 2_500;
+
 /// With fewer gateways than this in its zone, a caller is given its region's.
 const FEWEST_NEAR: usize = 2;
 
@@ -45,11 +50,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct NodeList {
     heard: BTreeMap<String, Heard>,
+    /// Since when gateways are heard without a pause, and when one was heard last.
+    heard_since_ms: Option<u64>,
+    heard_last_ms: u64,
 }
 
 impl NodeList {
     /// Notes what a gateway says of itself.
     pub fn note(&mut self, node: DirectoryNode, ready: bool, now_ms: u64) {
+        if now_ms.saturating_sub(self.heard_last_ms) > READY_FOR_MS {
+            self.heard_since_ms = None;
+        }
+        self.heard_since_ms.get_or_insert(now_ms);
+        self.heard_last_ms = now_ms;
         let heard = Heard {
             ready,
             at_ms: now_ms,
@@ -71,7 +84,13 @@
         homes: Option<&BTreeSet<String>>,
         now_ms: u64,
     ) -> Vec<String> {
-        near(&self.ready(now_ms), question, homes)
+        let mut nodes = self.ready(now_ms);
+        let since_ms = self.heard_since_ms.unwrap_or(now_ms);
+        let may_lack_some = now_ms.saturating_sub(since_ms) < ALL_HEARD_AFTER_MS;
+        if let (true, Some(homes)) = (may_lack_some, homes) {
+            nodes.retain(|node| node.region == question.region || homes.contains(&node.zone));
+        }
+        near(&nodes, question, homes)
     }
 
     /// Gateways that are ready, by address.
