--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -4,6 +4,7 @@
 
 use http::{Response, header};
 use linnethitch_errors::ErrorKind;
+use linnethitch_job_store::JobSpec;
 use linnethitch_registry::{FleetView, Route, ZoneMap};
 use linnethitch_tenants::Tenant;
 use slog::info;
@@ -12,6 +13,7 @@
     answer::{AnswerBody, own_answer},
     counters::RequestEnd,
     exchange::{Exchange, Outgoing},
+    relay::Relay,
     shared::Shared,
 };
 
@@ -39,6 +41,17 @@
     homes.is_empty() || (is_served && !zones.any(|zone| homes.contains(zone)))
 }
 
+/// The weights of a route's services, 0 for those that are not wanted; `None` where none is.
+fn weights_of(route: &Route, is_wanted: impl Fn(&str) -> bool) -> Option<Vec<u32>> {
+    let backends = route.backends.iter();
+    let weights = backends.map(|backend| {
+        let wanted = is_wanted(&backend.service);
+        if wanted { backend.weight } else { 0 }
+    });
+    let weights: Vec<u32> = weights.collect();
+    weights.iter().any(|weight| *weight > 0).then_some(weights)
+}
+
 impl Shared {
     /// The zones in which a request may be served, by what is in force now.
     pub(crate) fn homes(&self, outgoing: &Outgoing) -> HomeZones {
@@ -59,6 +72,29 @@
         home_zones(self.gateway.zones(), of_route, tenant)
     }
 
+    /// The zones in which requests of a route may be served, by what is in force now.
+    pub(crate) fn homes_of(&self, route: &Route, tenant: Option<&str>) -> HomeZones {
+        let fleet = self.gateway.fleet();
+        let tenant = tenant.and_then(|name| fleet.tenants().get(name));
+        let tenant = tenant.map(|tenant| tenant.as_ref());
+        home_zones(self.gateway.zones(), &route.homes, tenant)
+    }
+
+    /// The service of a route whose turn it is. Where homes bind, those that can serve in
+    /// them now have the turns of the others; without any, those that may again.
+    pub(crate) fn pick_service(&self, route: &Route, homes: &HomeZones) -> Option<String> {
+        if let [only] = route.backends.as_slice() {
+            return Some(only.service.clone());
+        }
+        let weights: Vec<u32> = route.backends.iter().map(|b| b.weight).collect();
+        let at_home = homes.as_ref().and_then(|_| {
+            let ready = weights_of(route, |service| self.has_ready_replica(service, homes));
+            ready.or_else(|| weights_of(route, |service| !self.has_no_home(service, homes)))
+        });
+        let index = self.next_turn(&route.name, &at_home.unwrap_or(weights))?;
+        Some(route.backends[index].service.clone())
+    }
+
     /// Whether a request has no home at a service: waiting does not help.
     pub(crate) fn has_no_home(&self, service: &str, homes: &HomeZones) -> bool {
         has_no_home(&self.gateway.fleet(), service, homes)
@@ -102,3 +138,38 @@
         own_answer(ErrorKind::OutsideHomes, None)
     }
 }
+
+/// All regions share one job store: jobs whose homes leave any region out cannot be kept in
+/// the right place.
+impl Relay {
+    /// Whether jobs of a route and a tenant may be kept, by the tenants in force now.
+    #[must_use]
+    pub fn may_keep_jobs(&self, route: &Route, tenant: Option<&str>) -> bool {
+        self.shared.homes_of(route, tenant).is_none()
+    }
+
+    /// A route of a job or of its items because of which it may not be kept, by what is in
+    /// force now.
+    #[must_use]
+    pub fn route_outside(&self, job: &JobSpec, tenant: Option<&str>) -> Option<Route> {
+        let table = self.shared.table()?;
+        let items = job.items.iter().map(|item| item.path.as_str());
+        let mut paths: Vec<&str> = items.chain([job.path.as_str()]).collect();
+        paths.sort_unstable();
+        paths.dedup();
+        let routes = paths.iter().filter_map(|path| table.find(&job.host, path));
+        let mut bound = routes.filter(|route| !self.may_keep_jobs(route, tenant));
+        bound.next().cloned()
+    }
+
+    /// The final answer to a job that cannot be kept in its homes.
+    #[must_use]
+    pub fn refuse_job(
+        &self,
+        job: &str,
+        route: &Route,
+        tenant: Option<&str>,
+    ) -> Response<AnswerBody> {
+        self.shared.refuse_outside_homes(job, route, tenant)
+    }
+}
