Metrics: connections by why they were opened, datagrams by zone

linnethitch_relay_datagram_bytes was a gauge without zones and is a counter with the other gateway's zone; linnethitch_relay_connections_total tells why each connection was opened. The test of starts read the counter without labels and now adds up its reasons.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     client::GroupClient,
+    datagram_bytes::DatagramBytes,
     incoming::Inbound,
     links::Links,
     message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
@@ -58,6 +59,7 @@
     own: MachineId,
     port: u16,
     datagrams: Option<Datagrams<GatewayDatagram>>,
+    datagram_bytes: DatagramBytes,
     told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
@@ -86,6 +88,7 @@
             own: settings.machine(),
             port: settings.port,
             datagrams: bind_datagrams(settings),
+            datagram_bytes: DatagramBytes::default(),
             told: Arc::default(),
             coordinators: Arc::default(),
             placed: Arc::default(),
@@ -162,10 +165,25 @@
         self.datagrams.clone()
     }
 
-    /// Where a machine takes datagrams.
+    /// Sends a datagram to another gateway; it may not arrive.
+    pub fn send_datagram(&self, to: MachineId, message: &GatewayDatagram) {
+        let Some(datagrams) = &self.datagrams else {
+            return;
+        };
+        let address = SocketAddrV4::new(address_of(to), self.port);
+        let bytes = datagrams.send(address, message);
+        // By machine, as control's set of them is.
+        let placed = self.placed_coordinators();
+        let found = placed.binary_search_by_key(&to, |gateway| gateway.machine);
+        // One that is not known any more has no zone.
+        let zone = found.map_or("", |at| placed[at].place.zone.as_str());
+        self.datagram_bytes.count(zone, bytes);
+    }
+
+    /// Bytes of the datagrams that were sent.
     #[must_use]
-    pub fn datagram_address(&self, machine: MachineId) -> SocketAddrV4 {
-        SocketAddrV4::new(address_of(machine), self.port)
+    pub fn datagram_bytes(&self) -> &DatagramBytes {
+        &self.datagram_bytes
     }
 
     /// Addresses of ready gateways near a caller. While control is away, those
@@ -223,12 +241,9 @@
 
     /// Sends a datagram to every other gateway that is known; it may not arrive.
     pub fn tell_gateways(&self, message: &GatewayDatagram) {
-        let Some(datagrams) = &self.datagrams else {
-            return;
-        };
         let gateways = self.coordinators();
         for gateway in gateways.iter().filter(|gateway| **gateway != self.own) {
-            datagrams.send(self.datagram_address(*gateway), message);
+            self.send_datagram(*gateway, message);
         }
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -14,6 +14,7 @@
 mod control;
 mod control_pulses;
 mod coordinators;
+mod datagram_bytes;
 mod driver;
 mod evacuation;
 mod gateway;
@@ -34,6 +35,7 @@
 mod told_set;
 
 pub use control::{ControlNode, ControlSettings, RetireState, Unavailable};
+pub use datagram_bytes::DatagramBytes;
 pub use evacuation::ZoneOrder;
 pub use gateway::GatewayNode;
 pub use linnethitch_clock::Clock;
--- a/crates/cluster/tests/all/gateways.rs
+++ b/crates/cluster/tests/all/gateways.rs
@@ -2,6 +2,7 @@
 
 use linnethitch_cluster::{ControlNode, GatewayNode, machine_of};
 use linnethitch_protocol::slots::{GatewayDatagram, RunOutcome};
+use prometheus_client::{encoding::text::encode, registry::Registry};
 
 use crate::support::{LIMIT, free_port, host, node, question, start_control, until};
 
@@ -60,12 +61,21 @@
         number: 5,
         outcome: RunOutcome::Served,
     };
-    let sender = first.datagrams().expect("its port is free");
-    sender.send(second.datagram_address(second.machine()), &message);
+    first.send_datagram(second.machine(), &message);
     let receiver = second.datagrams().expect("its port is free");
     let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
     let (from, received) = received.expect("in time").expect("the socket works");
     assert_eq!((*from.ip(), received), (host(1), message));
+    let mut figures = Registry::default();
+    first
+        .datagram_bytes()
+        .register(&mut figures, "datagram_bytes");
+    let mut text = String::new();
+    encode(&mut text, &figures).expect("text");
+    let zone = "datagram_bytes_total{peer_zone=\"zone\"} ";
+    let bytes = text.lines().find_map(|line| line.strip_prefix(zone));
+    let bytes: u64 = bytes.expect(&text).parse().expect("a number");
+    assert!(bytes > 0, "{text}");
     second.stop_coordinating();
     until("one has stopped", || {
         *first.coordinators() == vec![machine_of(host(1))]
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use linnethitch_clock::{Instant, timeout};
 use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelValue;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
@@ -44,20 +45,108 @@
     until: Instant,
 }
 
+/// Why a connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum OpenReason {
+    /// There was none to the replica yet.
+    First,
+    /// More are in use than ever before.
+    AllInUse,
+    /// One was given up since its answer was not read to the end, or said so.
+    NotKept,
+    /// One had rested for too long.
+    Rested,
+    /// One was closed by the replica while it rested.
+    Closed,
+    /// One that rested was not trusted any more.
+    Distrusted,
+}
+
+/// Connections of one replica.
+#[derive(Default)]
+struct Pool {
+    resting: Vec<Resting>,
+    in_use: usize,
+    /// Why connections went that were not opened again, the latest last.
+    gone: Vec<OpenReason>,
+}
+
+impl Pool {
+    fn note_gone(&mut self, reason: OpenReason) {
+        if self.gone.len() < MAX_RESTING {
+            self.gone.push(reason);
+        }
+    }
+
+    /// Forgets connections that can't be used again.
+    fn drop_unusable(&mut self, now: Instant) {
+        let all = std::mem::take(&mut self.resting);
+        for resting in all {
+            if resting.sender.is_closed() {
+                self.note_gone(OpenReason::Closed);
+            } else if resting.until <= now {
+                self.note_gone(OpenReason::Rested);
+            } else {
+                self.resting.push(resting);
+            }
+        }
+    }
+
+    /// A further connection is opened.
+    fn reason_to_open(&mut self) -> OpenReason {
+        let reason = match self.gone.pop() {
+            Some(reason) => reason,
+            None if self.in_use > 0 => OpenReason::AllInUse,
+            None => OpenReason::First,
+        };
+        self.in_use += 1;
+        reason
+    }
+}
+
+type Pools = Arc<Mutex<HashMap<String, Pool>>>;
+
 /// Connections that rest, by replica.
 #[derive(Clone, Default)]
 pub(crate) struct Connections {
-    resting: Arc<Mutex<HashMap<String, Vec<Resting>>>>,
+    pools: Pools,
+}
+
+/// Counts a connection as in use until this is dropped.
+struct InUse {
+    pools: Pools,
+    replica: String,
+    /// Whether it rests afterwards.
+    is_kept: bool,
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        let mut pools = self.pools.lock();
+        let Some(pool) = pools.get_mut(&self.replica) else {
+            return;
+        };
+        pool.in_use = pool.in_use.saturating_sub(1);
+        if !self.is_kept {
+            pool.note_gone(OpenReason::NotKept);
+        }
+    }
+}
+
+/// How a connection was opened.
+pub(crate) struct Opening {
+    pub(crate) took: Duration,
+    pub(crate) reason: OpenReason,
 }
 
 /// A connection in use.
 pub(crate) struct Connection {
     sender: Sender,
-    replica: String,
+    in_use: InUse,
     /// Whether it carried a request before.
     pub(crate) is_reused: bool,
-    /// How long it took to open it, where it is new.
-    pub(crate) opened_in: Option<Duration>,
+    /// Where it is new.
+    pub(crate) opened: Option<Opening>,
     rest: Duration,
 }
 
@@ -102,56 +191,91 @@
         if let Some(connection) = self.take_resting(replica) {
             return Ok(connection);
         }
-        open(replica, address, bytes()).await
+        let mut in_use = self.in_use(replica);
+        let reason = self.reason_to_open(replica);
+        let opened = open(address, bytes()).await;
+        // One that was not opened has not gone.
+        in_use.is_kept = opened.is_err();
+        let (sender, took) = opened?;
+        Ok(Connection {
+            sender,
+            in_use,
+            is_reused: false,
+            opened: Some(Opening { took, reason }),
+            rest: DEFAULT_REST,
+        })
     }
 
     /// Gives a connection back once its answer was read whole.
     pub(crate) fn give_back(&self, connection: Connection) {
+        let mut in_use = connection.in_use;
         if connection.sender.is_closed() {
             return;
         }
-        let mut resting = self.resting.lock();
-        let list = resting.entry(connection.replica).or_default();
-        if list.len() < MAX_RESTING {
-            list.push(Resting {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(in_use.replica.clone()).or_default();
+        in_use.is_kept = pool.resting.len() < MAX_RESTING;
+        if in_use.is_kept {
+            pool.resting.push(Resting {
                 sender: connection.sender,
                 until: Instant::now() + connection.rest,
             });
         }
+        drop(pools);
     }
 
     /// Forgets the connections of a replica that rest: one that had rested beside them
     /// has gone silent.
     pub(crate) fn distrust(&self, replica: &str) {
-        self.resting.lock().remove(replica);
+        let mut pools = self.pools.lock();
+        let Some(pool) = pools.get_mut(replica) else {
+            return;
+        };
+        for _ in std::mem::take(&mut pool.resting) {
+            pool.note_gone(OpenReason::Distrusted);
+        }
     }
 
     /// Forgets connections that rested too long, and those of replicas that are gone.
     pub(crate) fn sweep(&self, is_known: impl Fn(&str) -> bool) {
         let now = Instant::now();
-        self.resting.lock().retain(|replica, list| {
-            list.retain(|resting| resting.until > now && !resting.sender.is_closed());
-            !list.is_empty() && is_known(replica)
+        self.pools.lock().retain(|replica, pool| {
+            pool.drop_unusable(now);
+            is_known(replica)
         });
     }
 
     fn take_resting(&self, replica: &str) -> Option<Connection> {
-        let mut resting = self.resting.lock();
-        let list = resting.get_mut(replica)?;
-        let now = Instant::now();
-        while let Some(candidate) = list.pop() {
-            let is_usable = candidate.sender.is_ready() && !candidate.sender.is_closed();
-            if is_usable && candidate.until > now {
-                return Some(Connection {
-                    sender: candidate.sender,
-                    replica: replica.to_owned(),
-                    is_reused: true,
-                    opened_in: None,
-                    rest: DEFAULT_REST,
-                });
-            }
+        let mut pools = self.pools.lock();
+        let pool = pools.get_mut(replica)?;
+        pool.drop_unusable(Instant::now());
+        let at = pool.resting.iter().rposition(|one| one.sender.is_ready())?;
+        let found = pool.resting.remove(at);
+        pool.in_use += 1;
+        Some(Connection {
+            sender: found.sender,
+            in_use: self.in_use(replica),
+            is_reused: true,
+            opened: None,
+            rest: DEFAULT_REST,
+        })
+    }
+
+    /// Why a connection is opened that counts as in use from now on.
+    fn reason_to_open(&self, replica: &str) -> OpenReason {
+        let mut pools = self.pools.lock();
+        pools
+            .entry(replica.to_owned())
+            .or_default()
+            .reason_to_open()
+    }
+
+    fn in_use(&self, replica: &str) -> InUse {
+        InUse {
+            pools: Arc::clone(&self.pools),
+            replica: replica.to_owned(),
+            is_kept: false,
         }
-        None
     }
 }
 
@@ -179,11 +303,8 @@
     }
 }
 
-async fn open(
-    replica: &str,
-    address: &str,
-    bytes: ReplicaBytes,
-) -> Result<Connection, OpenFailure> {
+/// A new connection, and how long it took to open it.
+async fn open(address: &str, bytes: ReplicaBytes) -> Result<(Sender, Duration), OpenFailure> {
     let began = Instant::now();
     let connecting = TcpStream::connect(address);
     let connected = timeout(CONNECT_LIMIT, connecting).await;
@@ -207,13 +328,7 @@
         // Its end shows at the sender.
         let _ = connection.await;
     });
-    Ok(Connection {
-        sender,
-        replica: replica.to_owned(),
-        is_reused: false,
-        opened_in: Some(opened_in),
-        rest: DEFAULT_REST,
-    })
+    Ok((sender, opened_in))
 }
 
 /// How long a connection may rest, by `Keep-Alive: timeout=N`.
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use linnethitch_cluster::DatagramBytes;
 use linnethitch_protocol::slots::SlotLoad;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -9,7 +10,7 @@
     registry::Registry,
 };
 
-use crate::counted_stream::ReplicaBytes;
+use crate::{connections::OpenReason, counted_stream::ReplicaBytes};
 
 /// Upper bounds of the buckets of latencies, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -88,6 +89,11 @@
     used_by: SlotUse,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabels {
+    reason: OpenReason,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ItemLabels {
     end: ItemEnd,
@@ -102,11 +108,8 @@
     pub(crate) retries: Counter,
     /// Streams resumed at another replica.
     pub(crate) resumes: Counter,
-    /// Connections opened to replicas.
-    pub(crate) connections: Counter,
+    connections: Family<ConnectionLabels, Counter>,
     replica_bytes: Family<ReplicaLabels, Counter>,
-    /// Bytes of datagrams sent to other gateways.
-    pub(crate) datagram_bytes: Gauge,
     first_event: Histogram,
     slot_wait: Histogram,
     quota_wait: Histogram,
@@ -143,9 +146,8 @@
             items: Family::default(),
             retries: Counter::default(),
             resumes: Counter::default(),
-            connections: Counter::default(),
+            connections: Family::default(),
             replica_bytes: Family::default(),
-            datagram_bytes: Gauge::default(),
             first_event: Histogram::new(LATENCY_BUCKETS),
             slot_wait: Histogram::new(LATENCY_BUCKETS),
             quota_wait: Histogram::new(QUOTA_BUCKETS),
@@ -168,6 +170,13 @@
 }
 
 impl Counters {
+    /// Counts that show what a gateway sends to others as well.
+    pub(crate) fn of(datagrams: &DatagramBytes) -> Self {
+        let mut counters = Counters::default();
+        datagrams.register(&mut counters.registry, "relay_datagram_bytes");
+        counters
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         let requests = self.requests.clone();
@@ -179,14 +188,11 @@
         let resumes = self.resumes.clone();
         registry.register("relay_resumes", "Streams resumed elsewhere", resumes);
         let connections = self.connections.clone();
-        let help = "Connections opened to replicas";
+        let help = "Connections opened to replicas, by why";
         registry.register("relay_connections", help, connections);
         let replica_bytes = self.replica_bytes.clone();
         let help = "Bytes of requests to replicas and of their answers, by zone";
         registry.register("relay_replica_bytes", help, replica_bytes);
-        let datagram_bytes = self.datagram_bytes.clone();
-        let help = "Bytes of datagrams sent to other gateways";
-        registry.register("relay_datagram_bytes", help, datagram_bytes);
         let first_event = self.first_event.clone();
         let help = "Seconds from a request's arrival to the first byte of its answer";
         registry.register("relay_first_byte_seconds", help, first_event);
@@ -261,6 +267,12 @@
         }
     }
 
+    /// Counts a connection that was opened to a replica.
+    pub(crate) fn connection_opened(&self, reason: OpenReason) {
+        let labels = ConnectionLabels { reason };
+        self.connections.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn slot_after(&self, time: Duration) {
         self.slot_wait.observe(time.as_secs_f64());
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -212,9 +212,9 @@
             }
             Err(_) => return Exchange::NotRun(FailureKind::Unreachable),
         };
-        if let Some(opened_in) = connection.opened_in {
-            shared.counters.connections.inc();
-            shared.note_connected(&chosen.id, opened_in);
+        if let Some(opened) = &connection.opened {
+            shared.counters.connection_opened(opened.reason);
+            shared.note_connected(&chosen.id, opened.took);
         }
         // The process may have stood still while the connection was opened.
         news_after_standstill(shared, limits).await;
--- a/crates/relay/src/quotas.rs
+++ b/crates/relay/src/quotas.rs
@@ -164,9 +164,7 @@
     }
 
     fn send(&self, to: MachineId, message: QuotaMessage) {
-        if let Some(datagrams) = self.gateway.datagrams() {
-            let address = self.gateway.datagram_address(to);
-            datagrams.send(address, &GatewayDatagram::Quota(message));
-        }
+        let datagram = GatewayDatagram::Quota(message);
+        self.gateway.send_datagram(to, &datagram);
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -144,10 +144,6 @@
     pub fn figures(&self) -> String {
         let silent_ms = self.shared.gateway.control_silent_ms();
         self.shared.counters.control_silent_ms.set(silent_ms as i64);
-        if let Some(datagrams) = self.shared.gateway.datagrams() {
-            let sent = datagrams.sent_bytes();
-            self.shared.counters.datagram_bytes.set(sent as i64);
-        }
         self.shared.counters.to_text()
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -73,7 +73,7 @@
         logger: Logger,
     ) -> Self {
         let seed = settings.seed;
-        let counters: Arc<Counters> = Arc::default();
+        let counters = Arc::new(Counters::of(gateway.datagram_bytes()));
         let quotas = Quotas::new(gateway.clone(), settings.quota, Arc::clone(&counters));
         let cold = ColdSends::new(
             gateway.clone(),
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -278,9 +278,7 @@
     }
 
     fn send(&self, to: MachineId, message: &GatewayDatagram) {
-        if let Some(datagrams) = self.gateway.datagrams() {
-            datagrams.send(self.gateway.datagram_address(to), message);
-        }
+        self.gateway.send_datagram(to, message);
     }
 }
 
--- /dev/null
+++ b/crates/relay/tests/all/kept_connections.rs
@@ -0,0 +1,52 @@
+//! Connections to replicas are used again, and those that are opened count by why.
+
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_registry::RouteKind;
+use tokio::{sync::Notify, time::sleep};
+
+use crate::support::{Act, Fleet, LIMIT, OK, Replica, route};
+
+/// An answer after which the connection is not to be used again.
+const LAST: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\nconnection: close\r\n\
+    content-length: 5\r\n\r\nhello";
+
+fn opened(fleet: &Fleet, reason: &str) -> u32 {
+    let figures = fleet.relay.figures();
+    let name = format!("linnethitch_relay_connections_total{{reason=\"{reason}\"}} ");
+    let count = figures.lines().find_map(|line| line.strip_prefix(&name));
+    count.map_or(0, |count| count.parse().expect("a number"))
+}
+
+async fn served(fleet: &Fleet, id: &str) {
+    assert_eq!(fleet.ask(id).await.status, 200);
+}
+
+#[tokio::test]
+async fn connections_count_by_why_they_were_opened() {
+    let end = Arc::new(Notify::new());
+    let acts = vec![
+        Act::Send(OK),
+        Act::Send(LAST),
+        Act::SendAndResetWhen(OK, Arc::clone(&end)),
+        Act::SendLater(OK),
+    ];
+    let replica = Replica::start(acts).await;
+    let fleet = Fleet::start(route(RouteKind::Safe, 1, false), &[replica]).await;
+    served(&fleet, "first").await;
+    assert_eq!((opened(&fleet, "First"), opened(&fleet, "NotKept")), (1, 0));
+    served(&fleet, "on the same, told that it is the last").await;
+    served(&fleet, "on a new one that rests").await;
+    assert_eq!((opened(&fleet, "First"), opened(&fleet, "NotKept")), (1, 1));
+    end.notify_one();
+    let closed = async {
+        while opened(&fleet, "Closed") == 0 {
+            sleep(Duration::from_millis(100)).await;
+            served(&fleet, "once the end of the one that rests was seen").await;
+        }
+    };
+    tokio::time::timeout(LIMIT, closed).await.expect("in time");
+    tokio::join!(served(&fleet, "one"), served(&fleet, "beside it"));
+    assert_eq!(opened(&fleet, "AllInUse"), 1);
+    assert_eq!(opened(&fleet, "Closed"), 1);
+}
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod events;
 mod homes;
+mod kept_connections;
 mod keys;
 mod requests;
 mod silent_connections;
--- a/crates/relay/tests/all/starts.rs
+++ b/crates/relay/tests/all/starts.rs
@@ -91,8 +91,9 @@
 /// Connections to replicas that the gateway has opened.
 fn connections(fleet: &Fleet) -> u32 {
     let figures = fleet.relay.figures();
-    let mut lines = figures.lines();
-    let line = lines.find(|line| line.starts_with("linnethitch_relay_connections_total "));
-    let count = line.and_then(|line| line.rsplit_once(' ')?.1.parse().ok());
-    count.expect("a counter of connections")
+    let name = "linnethitch_relay_connections_total{";
+    let counts = figures.lines().filter(|line| line.starts_with(name));
+    let counts = counts.map(|line| line.rsplit_once(' ').expect("a count").1);
+    let counts = counts.map(|count| count.parse::<u32>().expect("a number"));
+    counts.sum()
 }
--- a/crates/transport/src/datagrams.rs
+++ b/crates/transport/src/datagrams.rs
@@ -5,14 +5,7 @@
 //! doubled or late, and a copy of it proves as much as the first: its messages
 //! have to bear that.
 
-use std::{
-    marker::PhantomData,
-    net::SocketAddrV4,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-};
+use std::{marker::PhantomData, net::SocketAddrV4, sync::Arc};
 
 use error_stack::{Report, ResultExt};
 use hmac::Mac;
@@ -37,7 +30,6 @@
     sender: Arc<std::net::UdpSocket>,
     identity: ClusterIdentity,
     /// Bytes of datagrams that the socket took.
-    sent_bytes: Arc<AtomicU64>,
     message: PhantomData<fn() -> M>,
 }
 
@@ -47,7 +39,6 @@
             socket: Arc::clone(&self.socket),
             sender: Arc::clone(&self.sender),
             identity: self.identity.clone(),
-            sent_bytes: Arc::clone(&self.sent_bytes),
             message: PhantomData,
         }
     }
@@ -81,7 +72,6 @@
             socket: Arc::new(socket),
             sender: Arc::new(sender),
             identity,
-            sent_bytes: Arc::default(),
             message: PhantomData,
         })
     }
@@ -95,25 +85,19 @@
         }
     }
 
-    /// Sends a message if the socket takes it at once; else it is lost.
-    pub fn send(&self, to: SocketAddrV4, message: &M) {
+    /// Sends a message if the socket takes it at once; else it is lost. Returns the bytes that
+    /// were sent, without headers of UDP and IP.
+    pub fn send(&self, to: SocketAddrV4, message: &M) -> usize {
         let Ok(mut datagram) = message.to_frame() else {
-            return;
+            return 0;
         };
         let proof = self.proof(&datagram);
         datagram.extend_from_slice(&proof);
-        if datagram.len() <= MAX_DATAGRAM_BYTES {
-            // A datagram may be lost on its way just as well.
-            if let Ok(bytes) = self.sender.send_to(&datagram, to) {
-                self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
-            }
+        if datagram.len() > MAX_DATAGRAM_BYTES {
+            return 0;
         }
-    }
-
-    /// Bytes of datagrams that were sent, without headers of UDP and IP.
-    #[must_use]
-    pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes.load(Ordering::Relaxed)
+        // A datagram may be lost on its way just as well.
+        self.sender.send_to(&datagram, to).unwrap_or(0)
     }
 
     /// The next message whose sender holds the cluster key.
