--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod events;
 mod homes;
 mod items;
+mod kept_connections;
 mod keys;
 mod requests;
 mod silent_connections;
