Homes: bodies of items go to gateways in the homes only, and no item waits where it must not run

Causes: - The store gave items, with their bodies, to any gateway that asked. Of a job from before the homes were declared, a gateway in no home got 8 items of 8 (the test expects 0). - Coordinators took the replicas outside an item's homes for ones that had failed it. Where all that are open had, they are tried again: the item was granted one that it must not have, was stopped by the last look, and asked again every 100 ms while it kept its lease, for up to a minute (the test of homes that change while an item runs did not end in 20 s; the coordinator's printed a start at r0, which is excepted).

Change: a call for work names the batch routes and tenants outside whose homes the gateway stands; the longest prefix of an item's path decides. A waiting item has a list of replicas that it must not have, beside those that failed it.

The tests of items run them at a gateway of the other region besides, as a fleet of two regions does.

--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -52,6 +52,7 @@
             running,
             want,
             item_ms,
+            outside,
         } = call
         else {
             return StoreReply::Refused;
@@ -64,6 +65,7 @@
         let stop = self
             .dispatcher
             .renew(store, gateway, running, now.steady_ms);
+        self.dispatcher.keep_outside(gateway, outside);
         let begin = self
             .dispatcher
             .lease(store, gateway, *want, *item_ms, now.steady_ms);
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -5,6 +5,7 @@
 use crate::{
     command::{ItemOutcome, ItemRef},
     job::{ItemSpec, JobSpec, ListedState},
+    outside::WorkOutside,
     progress::{HeldProgress, RunProgress},
 };
 
@@ -69,6 +70,8 @@
         /// Time that a whole item has to run, as the gateway learned it, in
         /// milliseconds; 0 where it does not know.
         item_ms: u64,
+        /// Items that it must not be given.
+        outside: WorkOutside,
     },
 }
 
--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -11,6 +11,7 @@
     call::ItemWork,
     command::ItemRef,
     lease_times::LeaseTimes,
+    outside::WorkOutside,
     plan::{self, JobDemand, Turn},
     store::JobStore,
 };
@@ -32,6 +33,8 @@
     heard_ms: u64,
     /// Items that it could take besides, as it said last.
     free_slots: u32,
+    /// Items that it must not be given, as it said last.
+    outside: WorkOutside,
 }
 
 /// The items of an open job that are not listed.
@@ -112,6 +115,12 @@
         }
     }
 
+    /// A gateway must not be given these items.
+    pub fn keep_outside(&mut self, gateway: &str, outside: &WorkOutside) {
+        let holder = self.gateways.entry(gateway.to_owned()).or_default();
+        holder.outside.clone_from(outside);
+    }
+
     /// Leases up to `want` items to a gateway, in the order of the plan. An item
     /// takes `item_ms`, as the gateway learned; 0 where it does not know.
     pub fn lease(
@@ -125,6 +134,7 @@
         let holder = self.gateways.entry(gateway.to_owned()).or_default();
         holder.heard_ms = now_ms;
         holder.free_slots = want;
+        let outside = holder.outside.clone();
         if want == 0 || now_ms < self.settled_ms {
             return Vec::new();
         }
@@ -133,7 +143,7 @@
         self.keep_plan(store, item_ms, now_ms);
         let mut begin = Vec::new();
         while begin.len() < want as usize {
-            let Some((item, due_ms)) = self.next_item(store) else {
+            let Some((item, due_ms)) = self.next_item(store, &outside) else {
                 break;
             };
             self.give(&item, gateway, now_ms);
@@ -143,15 +153,16 @@
     }
 
     /// The next item by the order of the plan, and when it is due.
-    fn next_item(&mut self, store: &JobStore) -> Option<(ItemRef, u64)> {
+    fn next_item(&mut self, store: &JobStore, outside: &WorkOutside) -> Option<(ItemRef, u64)> {
         for turn in &mut self.turns {
             let Some(queue) = self.queues.get_mut(&turn.job) else {
                 continue;
             };
             while turn.items > 0 {
-                let Some(number) = queue.free.pop_first() else {
+                let Some(number) = next_free(store, &turn.job, &queue.free, outside) else {
                     break;
                 };
+                queue.free.remove(&number);
                 let item = ItemRef {
                     job: turn.job.clone(),
                     item: number,
@@ -295,6 +306,25 @@
     }
 }
 
+/// The first free item of a job that may be given out.
+fn next_free(
+    store: &JobStore,
+    job: &str,
+    free: &BTreeSet<u32>,
+    outside: &WorkOutside,
+) -> Option<u32> {
+    let held = store.job(job);
+    let is_outside = |number: &u32| {
+        let Some(job) = held else {
+            return false;
+        };
+        let item = job.items.get(*number as usize);
+        let tenant = job.tenant.as_deref();
+        item.is_some_and(|item| outside.holds(&job.spec.host, tenant, &item.spec.path))
+    };
+    free.iter().copied().find(|number| !is_outside(number))
+}
+
 fn work(store: &JobStore, item: ItemRef, due_in_ms: u64) -> Option<ItemWork> {
     let job = store.job(&item.job)?;
     let held = job.items.get(item.item as usize)?;
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -11,6 +11,7 @@
 mod dispatcher;
 mod job;
 mod lease_times;
+mod outside;
 mod plan;
 mod progress;
 mod queue;
@@ -23,6 +24,7 @@
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
 pub use dispatcher::{Dispatcher, LEASE_MS, SETTLE_MS};
 pub use job::{ItemSpec, Job, JobSpec, ListedState, TenantJob};
+pub use outside::{WorkOutside, WorkRoute};
 pub use progress::{HeldProgress, ItemProgress, MadeEvents, RunMark, RunProgress};
 pub use queue::QueueGate;
 pub use snapshot::JobStoreSnapshot;
--- a/crates/job-store/tests/all/dispatcher.rs
+++ b/crates/job-store/tests/all/dispatcher.rs
@@ -1,9 +1,12 @@
 //! Leases: each item at one gateway at a time, and again after a loss.
 
-use linnethitch_job_store::{Dispatcher, ItemOutcome, ItemRef, JobStore, LEASE_MS, SETTLE_MS};
+use linnethitch_job_store::{
+    Dispatcher, ItemOutcome, ItemRef, JobStore, LEASE_MS, SETTLE_MS, StoreCommand, TenantJob,
+    WorkOutside, WorkRoute,
+};
 use rstest::rstest;
 
-use crate::support::{item, job, pass, report, submit};
+use crate::support::{apply, item, job, pass, report, submit};
 
 fn two_jobs() -> JobStore {
     let mut store = JobStore::default();
@@ -62,6 +65,62 @@
     assert_eq!(work[0].item, item(first, 0));
 }
 
+fn route(path_prefix: &str, is_outside: bool) -> WorkRoute {
+    WorkRoute {
+        host: "desk.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        is_outside,
+    }
+}
+
+/// Items of the job have the paths /lanes/0 and /lanes/1, and are nobody's.
+#[rstest]
+#[case::of_a_route(vec![route("/lanes/", true)], &[], &[])]
+#[case::of_another_route(vec![route("/other/", true)], &[], &[0, 1])]
+#[case::not_of_a_longer_prefix(vec![route("/lanes/", true), route("/lanes/1", false)], &[], &[1])]
+#[case::of_a_longer_prefix(vec![route("/lanes/", false), route("/lanes/0", true)], &[], &[1])]
+#[case::of_another_tenant(Vec::new(), &["desk"], &[0, 1])]
+fn a_gateway_is_not_given_what_it_stands_outside_of(
+    #[case] routes: Vec<WorkRoute>,
+    #[case] tenants: &[&str],
+    #[case] given: &[u32],
+) {
+    let mut store = JobStore::default();
+    submit(&mut store, job("bound", 2));
+    let mut dispatcher = Dispatcher::default();
+    let tenants = tenants.iter().map(|name| (*name).to_owned());
+    let outside = WorkOutside {
+        routes,
+        tenants: tenants.collect(),
+    };
+    dispatcher.keep_outside("a", &outside);
+    let leased = lease(&mut dispatcher, &store, "a", 4, 0);
+    let items: Vec<ItemRef> = given.iter().map(|number| item("bound", *number)).collect();
+    assert_eq!(leased, items);
+    // Another gateway is given the rest.
+    let rest = lease(&mut dispatcher, &store, "b", 4, 0);
+    assert_eq!(rest.len(), 2 - given.len());
+}
+
+#[test]
+fn a_gateway_is_given_nothing_of_a_tenant_outside_whose_homes_it_stands() {
+    let mut store = JobStore::default();
+    let job = TenantJob {
+        tenant: "desk".to_owned(),
+        job: job("bound", 2),
+    };
+    apply(&mut store, &StoreCommand::SubmitFor(Box::new(job)));
+    let mut dispatcher = Dispatcher::default();
+    let outside = WorkOutside {
+        tenants: vec!["desk".to_owned()],
+        ..WorkOutside::default()
+    };
+    dispatcher.keep_outside("a", &outside);
+    assert!(lease(&mut dispatcher, &store, "a", 4, 0).is_empty());
+    dispatcher.keep_outside("a", &WorkOutside::default());
+    assert_eq!(lease(&mut dispatcher, &store, "a", 4, 0).len(), 2);
+}
+
 #[test]
 fn a_lease_that_is_not_renewed_ends() {
     let store = two_jobs();
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -96,6 +96,7 @@
         running: items.running(),
         want,
         item_ms: longest_item_ms(relay),
+        outside: relay.shared.work_outside(),
     };
     let reply = relay.shared.gateway.call_store(call, WORK_LIMIT).await;
     let StoreReply::Work { begin, stop } = reply else {
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -4,8 +4,8 @@
 
 use http::{Response, header};
 use linnethitch_errors::ErrorKind;
-use linnethitch_job_store::JobSpec;
-use linnethitch_registry::{FleetView, Route, ZoneMap};
+use linnethitch_job_store::{JobSpec, WorkOutside, WorkRoute};
+use linnethitch_registry::{FleetView, Route, RouteKind, RouteTable, ZoneMap};
 use linnethitch_tenants::Tenant;
 use slog::info;
 
@@ -52,6 +52,26 @@
     weights.iter().any(|weight| *weight > 0).then_some(weights)
 }
 
+/// Routes that items may have and outside whose homes a gateway stands, and those below.
+fn routes_outside(table: &RouteTable, is_outside: impl Fn(&[String]) -> bool) -> Vec<WorkRoute> {
+    let batch = table.routes.iter().filter(|r| r.kind == RouteKind::Batch);
+    let outside: Vec<&Route> = batch.filter(|route| is_outside(&route.homes)).collect();
+    let is_below = |route: &&Route| {
+        let mut outside = outside.iter();
+        outside.any(|above| {
+            above.host.eq_ignore_ascii_case(&route.host)
+                && route.path_prefix.starts_with(&above.path_prefix)
+        })
+    };
+    let routes = table.routes.iter().filter(is_below);
+    let routes = routes.map(|route| WorkRoute {
+        host: route.host.clone(),
+        path_prefix: route.path_prefix.clone(),
+        is_outside: is_outside(&route.homes),
+    });
+    routes.collect()
+}
+
 impl Shared {
     /// The zones in which a request may be served, by what is in force now.
     pub(crate) fn homes(&self, outgoing: &Outgoing) -> HomeZones {
@@ -95,6 +115,24 @@
         Some(route.backends[index].service.clone())
     }
 
+    /// Items that this gateway must not be given: it stands outside their homes, and their
+    /// bodies are not to come here.
+    pub(crate) fn work_outside(&self) -> WorkOutside {
+        let fleet = self.gateway.fleet();
+        let is_outside = |homes: &[String]| {
+            let zones = self.gateway.zones().home_zones(&[homes]);
+            zones.is_some_and(|zones| !zones.contains(&self.zone))
+        };
+        let tenants = fleet.tenants().iter();
+        let tenants = tenants.filter(|tenant| is_outside(&tenant.homes));
+        WorkOutside {
+            routes: fleet
+                .table()
+                .map_or_else(Vec::new, |table| routes_outside(table, is_outside)),
+            tenants: tenants.map(|tenant| tenant.name.clone()).collect(),
+        }
+    }
+
     /// Whether a request has no home at a service: waiting does not help.
     pub(crate) fn has_no_home(&self, service: &str, homes: &HomeZones) -> bool {
         has_no_home(&self.gateway.fleet(), service, homes)
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -249,14 +249,16 @@
 
     /// Waits for a slot of a replica; not too long, since the route may change.
     async fn wait_for_slot(&self, service: &str, outgoing: &Outgoing) -> Option<ItemPlace> {
-        let mut avoid = self.tried.clone();
         let homes = self.shared.homes(outgoing);
-        avoid.extend(self.shared.ids_outside(service, &homes));
+        let outside = self.shared.ids_outside(service, &homes);
         let left_ms = self.shared.item_pace(service).left_ms(self.made.events());
         let now = Instant::now();
         let time = self.due.saturating_duration_since(now);
         let begin_by = now + time.saturating_sub(Duration::from_millis(left_ms));
-        let mut slot = self.shared.slots.want_slot(service, begin_by, avoid);
+        let mut slot = self
+            .shared
+            .slots
+            .want_slot(service, begin_by, self.tried.clone(), outside);
         let replica = timeout(SLOT_WAIT, slot.granted()).await.ok()??;
         let chosen = self.shared.chosen_at(&replica)?;
         Some(ItemPlace {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -46,6 +46,8 @@
 /// Shared state; one lock at a time, none held over a wait.
 pub(crate) struct Shared {
     pub(crate) gateway: GatewayNode,
+    /// The zone of this gateway.
+    pub(crate) zone: String,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Connections,
     pub(crate) slots: Arc<Slots>,
@@ -87,6 +89,7 @@
             slots: Arc::new(Slots::new(gateway.clone(), seed, logger.clone())),
             quotas,
             keys: settings.keys,
+            zone: settings.zone.clone(),
             gateway,
             dialect,
             connections: Connections::default(),
--- a/crates/relay/src/slots/items.rs
+++ b/crates/relay/src/slots/items.rs
@@ -28,12 +28,14 @@
 }
 
 impl Slots {
-    /// Lets an item wait for a slot of a service's replicas that are coordinated here.
+    /// Lets an item wait for a slot of a service's replicas that are coordinated here, other
+    /// than those it must not have.
     pub(crate) fn want_slot(
         self: &Arc<Self>,
         service: &str,
         due: Instant,
         avoid: Vec<String>,
+        except: Vec<String>,
     ) -> ItemSlot {
         let due_in = due.saturating_duration_since(Instant::now());
         let now_ms = self.clock.now_ms();
@@ -53,6 +55,7 @@
                 at_ms: now_ms + due_in.as_millis() as u64,
             },
             avoid,
+            except,
         };
         let actions = state.coordinator.want_slot(item, now_ms);
         self.carry_out(&mut state, actions);
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -5,10 +5,10 @@
 
 use linnethitch_job_store::{
     HeldProgress, ItemProgress, ItemRef, ItemSpec, JobSpec, MadeEvents, ResultsPage, RunMark,
-    RunProgress, StoreCall, StoreReply,
+    RunProgress, StoreCall, StoreReply, WorkOutside,
 };
-use linnethitch_registry::{Configuration, Route, RouteKind};
-use linnethitch_relay::{BatchSettings, KeyPolicy, run_items};
+use linnethitch_registry::{Backend, Configuration, Route, RouteKind, ServiceTraits};
+use linnethitch_relay::{BatchSettings, KeyPolicy, Relay, run_items};
 use linnethitch_tenants::{KeyDigest, Tenant};
 use rstest::rstest;
 use tokio::{
@@ -25,6 +25,7 @@
 };
 
 const JOB: &str = "job";
+const OTHER_SERVICE: &str = "other-service";
 /// Items that would be spread over two engines.
 const ITEMS: u32 = 8;
 /// Longer than an item rests or waits for a slot before another gateway may go on with it.
@@ -107,12 +108,15 @@
         assert_eq!(self.call(submit).await, StoreReply::Done);
     }
 
+    /// Lets the gateway of this region run items.
     fn run(&self) {
-        let settings = BatchSettings {
-            name: "127.0.0.1:1".to_owned(),
-            most_items: 8,
-        };
-        tokio::spawn(run_items(self.fleet.relay.clone(), settings));
+        run(&self.fleet.relay, 1);
+    }
+
+    /// Starts a gateway in the other region that runs items.
+    async fn run_there(&self) {
+        let gateway = self.fleet.add_gateway_in(OTHER_ZONE, OTHER_REGION).await;
+        run(&gateway.relay, 2);
     }
 
     /// The results, once all are there.
@@ -141,6 +145,14 @@
     }
 }
 
+fn run(relay: &Relay, number: u8) {
+    let settings = BatchSettings {
+        name: format!("127.0.0.1:{number}"),
+        most_items: 8,
+    };
+    tokio::spawn(run_items(relay.clone(), settings));
+}
+
 #[rstest]
 #[case::of_the_route(&[OTHER_REGION], &[])]
 #[case::of_the_tenant(&[], &[OTHER_REGION])]
@@ -155,6 +167,7 @@
     pair.submit(ITEMS).await;
     pair.fleet.put(homed(2, of_route, of_tenant)).await;
     pair.run();
+    pair.run_there().await;
     pair.results().await;
     assert_eq!(pair.requests(), (0, ITEMS as usize));
 }
@@ -171,6 +184,7 @@
     pair.fleet.put(homed(2, &[OTHER_REGION], &[])).await;
     pair.submit(1).await;
     pair.run();
+    pair.run_there().await;
     pair.results().await;
     assert_eq!(pair.requests(), (0, 2));
 }
@@ -186,6 +200,7 @@
         running,
         want,
         item_ms: 0,
+        outside: WorkOutside::default(),
     };
     let leases = async {
         loop {
@@ -222,6 +237,7 @@
     run_elsewhere(&pair).await;
     pair.fleet.put(homed(2, &[], &[OTHER_REGION])).await;
     pair.run();
+    pair.run_there().await;
     let page = pair.results().await;
     assert_eq!(page.results[0].text, "a\nb");
     assert_eq!(pair.requests(), (0, 1));
@@ -238,6 +254,7 @@
     pair.fleet.add_twin(&pair.here).await;
     pair.submit(1).await;
     pair.run();
+    pair.run_there().await;
     reached_by(&pair.here, 1).await;
     pair.fleet.add_in_zone(2, &pair.there, OTHER_ZONE).await;
     pair.fleet.put(homed(2, &[OTHER_REGION], &[])).await;
@@ -247,22 +264,64 @@
     assert_eq!(pair.requests(), (1, 1));
 }
 
-/// It rests instead of being handed from gateway to gateway, and runs once it has a home.
+/// A gateway in no home is not given what it has no part in, with the bodies.
 #[tokio::test]
-async fn an_item_without_a_home_rests_until_it_has_one() {
+async fn items_are_not_given_to_gateways_outside_their_homes() {
     let pair = Pair::start(vec![Act::Send(WHOLE)], vec![Act::Send(WHOLE)]).await;
+    pair.add_there().await;
     pair.fleet.put(homed(2, &[OTHER_REGION], &[])).await;
-    pair.submit(1).await;
+    pair.submit(ITEMS).await;
     pair.run();
     sleep(SEVERAL_TRIES).await;
-    assert_eq!(pair.requests(), (0, 0));
-    assert_eq!(pair.fleet.log.count("item: begins"), 1);
-    assert!(
-        pair.fleet
-            .log
-            .contains("item: set aside, outside its homes")
-    );
+    assert_eq!(pair.fleet.log.count("item: begins"), 0);
+    pair.run_there().await;
+    pair.results().await;
+    assert_eq!(pair.requests(), (0, ITEMS as usize));
+}
+
+/// A configuration whose other batch route has a service of its own, which is at home.
+fn with_other_service() -> Configuration {
+    let mut configuration = homed(2, &[OTHER_REGION], &[]);
+    let table = &mut configuration.table;
+    table.services.push(ServiceTraits {
+        name: OTHER_SERVICE.to_owned(),
+        ..table.services[0].clone()
+    });
+    table.routes.push(Route {
+        name: "other".to_owned(),
+        path_prefix: "/b/".to_owned(),
+        backends: vec![Backend {
+            service: OTHER_SERVICE.to_owned(),
+            weight: 1,
+        }],
+        ..table.routes[0].clone()
+    });
+    configuration
+}
+
+/// It rests instead of being handed from gateway to gateway, and runs once it has a home. A
+/// gateway that has room for the other service's items is given it.
+#[tokio::test]
+async fn an_item_without_a_home_rests_until_it_has_one() {
+    let pair = Pair::start(vec![Act::Send(WHOLE)], vec![Act::Send(WHOLE)]).await;
+    let fleet = &pair.fleet;
+    fleet.put(with_other_service()).await;
+    let other = Replica::start(vec![Act::Send(WHOLE)]).await;
+    fleet
+        .add_of_service(2, &other, OTHER_ZONE, OTHER_SERVICE)
+        .await;
+    pair.submit(1).await;
+    pair.run_there().await;
+    let rests = async {
+        while !fleet.log.contains("item: set aside, outside its homes") {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, rests).await.expect("it is set aside");
+    sleep(SEVERAL_TRIES).await;
+    assert_eq!(fleet.log.count("item: begins"), 1);
+    assert_eq!((pair.requests(), other.requests()), ((0, 0), 0));
     pair.add_there().await;
     pair.results().await;
-    assert_eq!(pair.requests(), (0, 1));
+    assert_eq!((pair.requests(), other.requests()), ((0, 1), 0));
 }
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -461,8 +461,18 @@
 
     /// Starts another gateway and waits until it knows what the first one knows.
     pub(crate) async fn add_gateway(&self) -> Gateway {
+        self.add_gateway_in(ZONE, REGION).await
+    }
+
+    /// The same in this zone.
+    pub(crate) async fn add_gateway_in(&self, zone: &str, region: &str) -> Gateway {
         let number = self.gateways.fetch_add(1, Ordering::Relaxed);
-        let gateway = start_gateway(&self.node, number, &self.policy, &self.stopping).await;
+        let node = NodeSettings {
+            zone: zone.to_owned(),
+            region: region.to_owned(),
+            ..self.node.clone()
+        };
+        let gateway = start_gateway(&node, number, &self.policy, &self.stopping).await;
         let upto = self.relay.gateway().fleet().upto();
         let mut views = gateway.relay.gateway().follow();
         let knows = views.wait_for(|view| view.upto() >= upto);
@@ -766,7 +776,7 @@
     let seed = u64::from(number) + 1;
     let logger = node.logger.clone();
     let settings = RelaySettings {
-        zone: "zone".to_owned(),
+        zone: node.zone.clone(),
         seed,
         keys: *policy,
         ..RelaySettings::default()
--- a/crates/routing/src/dispatch/coordinator/mod.rs
+++ b/crates/routing/src/dispatch/coordinator/mod.rs
@@ -254,14 +254,15 @@
         actions
     }
 
-    /// The replica with most free slots among those that did not fail the item;
-    /// where all did, among all.
+    /// The replica with most free slots among those that the item may have and that did not
+    /// fail it; where all did, among all that it may have.
     fn room_for(&self, run: RunNumber, now_ms: u64) -> Option<String> {
         let item = self.waiting.get(&run)?;
         let of_service = self.replicas.values().filter(|replica| {
             replica.traits.service == item.service && replica.may_begin_items(now_ms)
         });
-        let candidates: Vec<&ReplicaSlots> = of_service.collect();
+        let may_have = of_service.filter(|replica| !item.except.contains(&replica.traits.id));
+        let candidates: Vec<&ReplicaSlots> = may_have.collect();
         let avoids = |replica: &ReplicaSlots| item.avoid.contains(&replica.traits.id);
         let all_failed = candidates.iter().all(|replica| avoids(replica));
         let usable = candidates
--- a/crates/routing/src/dispatch/coordinator/types.rs
+++ b/crates/routing/src/dispatch/coordinator/types.rs
@@ -104,4 +104,6 @@
     pub due: Due,
     /// Replicas that failed it.
     pub avoid: Vec<String>,
+    /// Replicas that it must not be given: those outside its homes.
+    pub except: Vec<String>,
 }
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -68,6 +68,7 @@
         service: SERVICE.to_owned(),
         due: Due { at_ms: due_ms },
         avoid: Vec::new(),
+        except: Vec::new(),
     }
 }
 
@@ -224,6 +225,24 @@
     );
 }
 
+/// All those that it may have failed it: one of them, rather than one that it must not have.
+#[test]
+fn an_item_does_not_begin_where_it_must_not() {
+    let mut coordinator = coordinator(2, 2);
+    let barred = WaitingItem {
+        avoid: vec!["r1".to_owned()],
+        except: vec!["r0".to_owned()],
+        ..item(1, 90_000)
+    };
+    let actions = coordinator.want_slot(barred, SETTLED_MS);
+    assert_eq!(actions, [start(1, "r1")]);
+    let nowhere = WaitingItem {
+        except: vec!["r0".to_owned(), "r1".to_owned()],
+        ..item(2, 90_000)
+    };
+    assert!(coordinator.want_slot(nowhere, SETTLED_MS).is_empty());
+}
+
 fn held(replica: &str, number: u64) -> HeldLease {
     HeldLease {
         replica: replica.to_owned(),
--- a/crates/routing/tests/all/evacuated_zones.rs
+++ b/crates/routing/tests/all/evacuated_zones.rs
@@ -177,6 +177,7 @@
         service: SERVICE.to_owned(),
         due: Due { at_ms: 60_000 },
         avoid: Vec::new(),
+        except: Vec::new(),
     }
 }
 
--- a/crates/routing/tests/all/replica_health.rs
+++ b/crates/routing/tests/all/replica_health.rs
@@ -241,6 +241,7 @@
         service: "models".to_owned(),
         due: Due { at_ms: 60_000 },
         avoid: Vec::new(),
+        except: Vec::new(),
     };
     assert!(coordinator.want_slot(item(1), START_MS + 100).is_empty());
     coordinator.want_slot(item(2), START_MS + 100);
