Cold replicas: a stream waits for the next part, and refusals name what keeps them

Causes: - A stream that broke off was cut where every other replica was cold and this gateway's part of the second used: of 6 streams that broke off together 4 went on, 2 were lost. - With sends under way whose answers had not begun, the next part counted as unknown, so that callers were told when the replica would be warm (59.5 s in the test, for 1.002 s). - 'request: replicas are cold' was written where one replica of the service was not warm, whatever kept the request from the others, and where control was silent.

Change: a resumed stream waits for the next part while it has time, and ends when its caller leaves. A send under way is free in a second at least. The refusal looks at the replicas that are open to the request: cold, may be cold (new line), or no replica. The line before a send says which state it is, and no longer that the replica is cold.

Tests that hold: items do not begin at a cold replica; three replicas that are all cold at once. Not tested in the relay: items while control is silent (the fleet of tests cannot silence it).

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,10 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{Route, RouteKind};
-use linnethitch_routing::dispatch::{FailureKind, Need};
+use linnethitch_routing::{
+    cold::ColdState,
+    dispatch::{FailureKind, Need},
+};
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -260,13 +263,17 @@
     /// How long until a cold replica that it was not sent to may be sent a request.
     fn next_cold_in(&self) -> Option<Duration> {
         let homes = self.shared.homes(&self.outgoing);
-        let need = Need {
+        self.shared.next_cold_in(&self.need(&homes))
+    }
+
+    /// What it needs of a replica that it was not sent to.
+    fn need<'b>(&'b self, homes: &'b HomeZones) -> Need<'b> {
+        Need {
             service: &self.service,
             prompt: &self.prompt.parts,
             except: &self.tried,
             homes: homes.as_ref(),
-        };
-        self.shared.next_cold_in(&need)
+        }
     }
 
     /// How long until a replica that is cold may be sent this request, where it can still
@@ -352,13 +359,19 @@
 
     /// The final answer of a request that no replica may be given, at once.
     fn give_up_unplaced(&self) -> Response<AnswerBody> {
-        if self.shared.cold.not_warm(&self.service).is_empty() {
-            self.give_up("no replica")
-        } else {
-            self.give_up("replicas are cold")
+        match self.state_of_open() {
+            ColdState::Warm => self.give_up("no replica"),
+            ColdState::Cold => self.give_up("replicas are cold"),
+            ColdState::Unsure => self.give_up("replicas may be cold"),
         }
     }
 
+    /// What keeps it from all the replicas that are open to it.
+    fn state_of_open(&self) -> ColdState {
+        let homes = self.shared.homes(&self.outgoing);
+        self.shared.state_of_open(&self.need(&homes))
+    }
+
     /// The final answer of a request that no replica answered, at once.
     fn give_up(&self, why: &str) -> Response<AnswerBody> {
         self.log(why, "");
--- a/crates/relay/src/cold_replicas.rs
+++ b/crates/relay/src/cold_replicas.rs
@@ -99,6 +99,12 @@
         self.replicas.lock().not_warm(service, view)
     }
 
+    /// What keeps a request from all of these replicas.
+    pub(crate) fn state_of_all(&self, replicas: &[String]) -> ColdState {
+        let view = self.view();
+        self.replicas.lock().state_of_all(replicas, view)
+    }
+
     /// Items do not begin at replicas that are cold, and at others only where online
     /// requests may.
     pub(crate) fn bar_items(&self, engines: &mut [CoordinatedReplica]) {
@@ -132,12 +138,12 @@
     ) -> Option<CountedSend> {
         let view = self.view();
         let mut replicas = self.replicas.lock();
-        let is_warm = replicas.state(replica, view) == ColdState::Warm;
+        let state = replicas.state(replica, view);
         let begun = replicas.begin(replica, view);
         drop(replicas);
         match begun {
             Ok(number) => {
-                if !is_warm {
+                if state != ColdState::Warm {
                     self.counters.cold_sends.inc();
                 }
                 Some(CountedSend {
@@ -148,16 +154,17 @@
                 })
             }
             Err(refusal) => {
-                self.turned_away(replica, outgoing, refusal);
+                self.turned_away(replica, outgoing, state, refusal);
                 None
             }
         }
     }
 
-    fn turned_away(&self, replica: &str, outgoing: &Outgoing, refusal: Refusal) {
+    fn turned_away(&self, replica: &str, outgoing: &Outgoing, state: ColdState, refusal: Refusal) {
         self.counters.cold_turned_away.inc();
-        info!(self.logger, "request: not sent, the replica is cold"; "request" => outgoing.id(),
-            "replica" => replica, "cause" => refusal.as_str(),
+        info!(self.logger, "request: not sent, the replica is not warm";
+            "request" => outgoing.id(), "replica" => replica, "state" => state.as_str(),
+            "cause" => refusal.as_str(),
             "control_silent_ms" => self.gateway.control_silent_ms());
     }
 
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use linnethitch_clock::{Instant, sleep_until};
-use linnethitch_routing::dispatch::PromptPart;
+use linnethitch_clock::{Instant, sleep, sleep_until};
+use linnethitch_routing::dispatch::{Need, PromptPart};
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -17,6 +17,7 @@
     counters::RequestEnd,
     events::EventSplitter,
     exchange::{Exchange, Limits, Outgoing, Target, exchange},
+    homes::HomeZones,
     running_guard::RunningGuard,
     search::{Placed, Search},
     shared::Shared,
@@ -107,7 +108,11 @@
                 }
                 SourceEnd::Broken => self.source.running.broke(),
             }
-            let Some(source) = self.resume().await else {
+            let resumed = tokio::select! {
+                resumed = self.resume() => resumed,
+                () = sender.closed() => return,
+            };
+            let Some(source) = resumed else {
                 self.log("stream broken");
                 self.ended(RequestEnd::Failed);
                 let _ = sender.send(Err("the stream broke".into())).await;
@@ -185,7 +190,10 @@
                 due: Instant::now() + self.settings.gap,
                 until: self.settings.until,
             };
-            let Placed { chosen, lease } = search.run().await?;
+            let Some(Placed { chosen, lease }) = search.run().await else {
+                self.wait_for_cold(&homes).await?;
+                continue;
+            };
             self.settings.sends_left -= 1;
             self.settings.tried.push(chosen.id.clone());
             let target = Target {
@@ -225,6 +233,26 @@
         None
     }
 
+    /// Waits until a cold replica may be sent the stream; `None` where none may in its time.
+    async fn wait_for_cold(&self, homes: &HomeZones) -> Option<()> {
+        let need = Need {
+            service: &self.settings.service,
+            prompt: &self.settings.prompt,
+            except: &self.settings.tried,
+            homes: homes.as_ref(),
+        };
+        let next = self.shared.next_cold_in(&need)?;
+        let left = self
+            .settings
+            .until
+            .saturating_duration_since(Instant::now());
+        if next.is_zero() || next >= left {
+            return None;
+        }
+        sleep(next).await;
+        Some(())
+    }
+
     /// The replica that it was to go on at was not sent it, and may be once its zone is no
     /// longer evacuated, or is a home again.
     fn not_sent(&mut self) {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -14,9 +14,12 @@
 use linnethitch_job_store::RunMark;
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{EndedRun, FleetView, ReplicaState, RouteTable, Suspicion};
-use linnethitch_routing::dispatch::{
-    Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, ReplicaTraits, ReportedLoad,
-    WeightedTurns,
+use linnethitch_routing::{
+    cold::ColdState,
+    dispatch::{
+        Board, Chosen, CoordinatedReplica, FailureKind, ItemPace, Need, ReplicaTraits,
+        ReportedLoad, WeightedTurns,
+    },
 };
 use parking_lot::Mutex;
 use rand::Rng as _;
@@ -248,6 +251,13 @@
         self.cold.next_in(&candidates)
     }
 
+    /// What keeps a request from all replicas that are open otherwise and not excluded.
+    pub(crate) fn state_of_open(&self, need: &Need<'_>) -> ColdState {
+        let now_ms = self.clock.now_ms();
+        let candidates = self.board.lock().open_ids(need, now_ms);
+        self.cold.state_of_all(&candidates)
+    }
+
     /// Leaves the replicas of a service that are not warm; `None` where all are.
     fn bar_warm(&self, service: &str, except: &mut Vec<String>) -> Option<()> {
         let not_warm = self.cold.not_warm(service);
--- a/crates/relay/tests/all/cold.rs
+++ b/crates/relay/tests/all/cold.rs
@@ -12,17 +12,17 @@
 };
 
 /// Longer than any test.
-const LONG_MS: u64 = 600_000;
+pub(crate) const LONG_MS: u64 = 600_000;
 /// A gateway sends nothing to cold replicas for so long after it heard of others.
-const FIRST: Duration = Duration::from_secs(3);
+pub(crate) const FIRST: Duration = Duration::from_secs(3);
 /// Until control was heard of, also after a suspension.
-const HEARD: Duration = Duration::from_millis(400);
+pub(crate) const HEARD: Duration = Duration::from_millis(400);
 /// Longer than a request waits for a slot before it is sent without one.
 const LONGER_THAN_THE_WAIT: Duration = Duration::from_millis(900);
 /// What one gateway alone may send in a second: half of 2 x 1.5 + 5.
-const PART: usize = 4;
+pub(crate) const PART: usize = 4;
 
-fn bearing_two_a_second(mut table: RouteTable) -> RouteTable {
+pub(crate) fn bearing_two_a_second(mut table: RouteTable) -> RouteTable {
     table.services[0].cold = Some(ColdTraits {
         start_ms: 3_000,
         rate_milli: 2_000,
@@ -39,12 +39,17 @@
     let fleet = Fleet::start_with(bearing_two_a_second(table), &[]).await;
     fleet.register_cold(0, replica.address, LONG_MS).await;
     fleet.wait_for(1).await;
+    has_run_for_a_while(&fleet).await;
+    fleet
+}
+
+/// Lets a gateway have heard of all gateways for so long that it has a part.
+pub(crate) async fn has_run_for_a_while(fleet: &Fleet) {
     sleep(HEARD).await;
     suspend_for(FIRST);
     sleep(HEARD).await;
     // After a suspension nothing is sent before control has spoken.
     fleet.relay.gateway().news_after_standstill().await;
-    fleet
 }
 
 #[tokio::test]
@@ -75,6 +80,7 @@
     assert_eq!(answer.status, 503);
     assert_eq!(replica.requests(), 0);
     // Other gateways may send there: the caller is not told to wait until it is warm.
+    assert!(fleet.log.contains("request: replicas are cold"));
     let come_back = header(&answer.head, "retry-after").expect("it is told when");
     assert!(
         come_back.parse::<f64>().expect("seconds") <= 1.0,
@@ -150,3 +156,59 @@
     assert_eq!(header(&answer.head, "retry-after"), Some("0.15"));
     assert_eq!(replica.requests(), 0);
 }
+
+/// How long replicas that started together are cold.
+const SHORT_MS: u64 = 1_000;
+/// Replicas of a small service.
+const FEW: usize = 3;
+
+/// A service whose few replicas are all cold, at a gateway without a part of any.
+async fn before_few_cold(replicas: &[Replica], cold_ms: u64, target_ms: u64) -> Fleet {
+    let patient = Route {
+        target_ms,
+        ..safe_route()
+    };
+    let fleet = Fleet::start_with(bearing_two_a_second(table(patient)), &[]).await;
+    for (number, replica) in replicas.iter().enumerate() {
+        let address = replica.address;
+        fleet.register_cold(number, address, cold_ms).await;
+    }
+    fleet.wait_for(replicas.len()).await;
+    fleet
+}
+
+async fn few() -> Vec<Replica> {
+    let replicas = (0..FEW).map(|_| Replica::start(vec![Act::Send(OK)]));
+    futures_util::future::join_all(replicas).await
+}
+
+fn requests(replicas: &[Replica]) -> usize {
+    replicas.iter().map(Replica::requests).sum()
+}
+
+/// It waits where they are warm while it can still be on time.
+#[tokio::test]
+async fn a_request_that_can_still_be_on_time_waits_until_all_are_warm() {
+    let replicas = few().await;
+    let fleet = before_few_cold(&replicas, SHORT_MS, 3_000).await;
+    let answer = fleet.ask("request").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(requests(&replicas), 1);
+}
+
+/// It is refused before its time is up, and served once they are warm.
+#[tokio::test]
+async fn a_request_that_cannot_is_told_to_come_back() {
+    let replicas = few().await;
+    let fleet = before_few_cold(&replicas, LONG_MS, 300).await;
+    let answer = fleet.ask("request").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(header(&answer.head, "retry-after"), Some("1.00"));
+    assert_eq!(requests(&replicas), 0);
+    for (number, replica) in replicas.iter().enumerate() {
+        let left = replicas.len() - number - 1;
+        fleet.register_warm(number, replica.address, left).await;
+    }
+    let answer = fleet.ask("request").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -36,7 +36,7 @@
 }
 
 /// A configuration with these homes of the route and of the tenant.
-fn homed(version: u64, of_route: &[&str], of_tenant: &[&str]) -> Configuration {
+pub(crate) fn homed(version: u64, of_route: &[&str], of_tenant: &[&str]) -> Configuration {
     let mut table = engine_table(Route {
         completion_ms: 18_000,
         give_up_ms: 60_000,
@@ -79,35 +79,6 @@
         self.fleet.add_in_zone(1, &self.there, OTHER_ZONE).await;
     }
 
-    async fn call(&self, call: StoreCall) -> StoreReply {
-        self.fleet.relay.gateway().call_store(call, LIMIT).await
-    }
-
-    async fn submit(&self, items: u32) {
-        let items = (0..items).map(|number| ItemSpec {
-            id: format!("item-{number}"),
-            path: "/a/x".to_owned(),
-            headers: Vec::new(),
-            body: b"body".to_vec(),
-            tokens: 100,
-        });
-        let job = JobSpec {
-            id: JOB.to_owned(),
-            host: "desk.example".to_owned(),
-            path: "/a/".to_owned(),
-            max_attempts: 3,
-            completion_ms: 18_000,
-            give_up_ms: 60_000,
-            items: items.collect(),
-        };
-        let submit = StoreCall::Submit {
-            job,
-            tenant: Some("desk".to_owned()),
-            bound: None,
-        };
-        assert_eq!(self.call(submit).await, StoreReply::Done);
-    }
-
     /// Lets the gateway of this region run items.
     fn run(&self) {
         run(&self.fleet.relay, 1);
@@ -119,25 +90,12 @@
         run(&gateway.relay, 2);
     }
 
-    /// The results, once all are there.
+    async fn submit(&self, items: u32) {
+        submit(&self.fleet, items).await;
+    }
+
     async fn results(&self) -> ResultsPage {
-        let all = async {
-            loop {
-                let results = StoreCall::Results {
-                    job: JOB.to_owned(),
-                    tenant: Some("desk".to_owned()),
-                    since: 0,
-                    most_bytes: 100_000,
-                };
-                match self.call(results).await {
-                    StoreReply::Results(page) if page.results.len() as u32 == page.total => {
-                        return page;
-                    }
-                    _ => sleep(Duration::from_millis(20)).await,
-                }
-            }
-        };
-        timeout(LIMIT, all).await.expect("all are done in time")
+        results(&self.fleet).await
     }
 
     fn requests(&self) -> (usize, usize) {
@@ -145,7 +103,38 @@
     }
 }
 
-fn run(relay: &Relay, number: u8) {
+async fn call(fleet: &Fleet, call: StoreCall) -> StoreReply {
+    fleet.relay.gateway().call_store(call, LIMIT).await
+}
+
+/// Submits a job of so many items of the tenant.
+pub(crate) async fn submit(fleet: &Fleet, items: u32) {
+    let items = (0..items).map(|number| ItemSpec {
+        id: format!("item-{number}"),
+        path: "/a/x".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec(),
+        tokens: 100,
+    });
+    let job = JobSpec {
+        id: JOB.to_owned(),
+        host: "desk.example".to_owned(),
+        path: "/a/".to_owned(),
+        max_attempts: 3,
+        completion_ms: 18_000,
+        give_up_ms: 60_000,
+        items: items.collect(),
+    };
+    let submit = StoreCall::Submit {
+        job,
+        tenant: Some("desk".to_owned()),
+        bound: None,
+    };
+    assert_eq!(call(fleet, submit).await, StoreReply::Done);
+}
+
+/// Lets a gateway run items.
+pub(crate) fn run(relay: &Relay, number: u8) {
     let settings = BatchSettings {
         name: format!("127.0.0.1:{number}"),
         most_items: 8,
@@ -153,6 +142,27 @@
     tokio::spawn(run_items(relay.clone(), settings));
 }
 
+/// The results, once all are there.
+pub(crate) async fn results(fleet: &Fleet) -> ResultsPage {
+    let all = async {
+        loop {
+            let results = StoreCall::Results {
+                job: JOB.to_owned(),
+                tenant: Some("desk".to_owned()),
+                since: 0,
+                most_bytes: 100_000,
+            };
+            match call(fleet, results).await {
+                StoreReply::Results(page) if page.results.len() as u32 == page.total => {
+                    return page;
+                }
+                _ => sleep(Duration::from_millis(20)).await,
+            }
+        }
+    };
+    timeout(LIMIT, all).await.expect("all are done in time")
+}
+
 #[rstest]
 #[case::of_the_route(&[OTHER_REGION], &[])]
 #[case::of_the_tenant(&[], &[OTHER_REGION])]
@@ -204,7 +214,7 @@
     };
     let leases = async {
         loop {
-            match pair.call(work(Vec::new(), 1)).await {
+            match call(&pair.fleet, work(Vec::new(), 1)).await {
                 StoreReply::Work { begin, .. } if begin.len() == 1 => return,
                 _ => sleep(Duration::from_millis(20)).await,
             }
@@ -224,9 +234,9 @@
         continues: HeldProgress::default().told_by,
         progress,
     };
-    let told = pair.call(StoreCall::Progress(vec![told])).await;
+    let told = call(&pair.fleet, StoreCall::Progress(vec![told])).await;
     assert_eq!(told, StoreReply::Done);
-    pair.call(work(Vec::new(), 0)).await;
+    call(&pair.fleet, work(Vec::new(), 0)).await;
 }
 
 #[tokio::test]
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay.
 
 mod cold;
+mod cold_runs;
 mod ending_requests;
 mod evacuations;
 mod events;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -628,6 +628,19 @@
         self.heartbeat(change).await;
     }
 
+    /// A replica that was cold is warm from now on; waits until so many are left.
+    pub(crate) async fn register_warm(&self, number: usize, address: SocketAddr, left: usize) {
+        let change = replica_change(number, address, ReplicaState::Ready, 2);
+        self.heartbeat(change).await;
+        let figure = format!("relay_cold_replicas {left}\n");
+        let warm = async {
+            while !self.relay.figures().contains(&figure) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, warm).await.expect("in time");
+    }
+
     async fn heartbeat(&self, change: ReplicaChange) {
         self.control
             .heartbeat(change, LIMIT)
--- a/crates/routing/src/cold/mod.rs
+++ b/crates/routing/src/cold/mod.rs
@@ -61,6 +61,18 @@
     Unsure,
 }
 
+impl ColdState {
+    /// For logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ColdState::Warm => "warm",
+            ColdState::Cold => "cold",
+            ColdState::Unsure => "unsure",
+        }
+    }
+}
+
 /// Why nothing may be sent to a cold replica now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -227,6 +239,20 @@
         known.map_or(ColdState::Warm, |known| known.state(view))
     }
 
+    /// What keeps a request from all of these replicas: cold where one of them is, unsure
+    /// where it is not known of any; warm where one is, and where there are none.
+    #[must_use]
+    pub fn state_of_all(&self, replicas: &[String], view: ColdView) -> ColdState {
+        let states: Vec<ColdState> = replicas.iter().map(|id| self.state(id, view)).collect();
+        if states.is_empty() || states.contains(&ColdState::Warm) {
+            ColdState::Warm
+        } else if states.contains(&ColdState::Cold) {
+            ColdState::Cold
+        } else {
+            ColdState::Unsure
+        }
+    }
+
     /// A request is about to be sent. To a cold replica it may be only by this gateway's
     /// part.
     ///
--- a/crates/routing/src/cold/sends.rs
+++ b/crates/routing/src/cold/sends.rs
@@ -71,19 +71,19 @@
         self.counted(now_ms).count() < most as usize
     }
 
-    /// When a further one may be, as far as is known, in milliseconds; `None` while too
-    /// many are under way.
+    /// When a further one may be, in milliseconds: one whose answer has not begun counts for
+    /// [`WINDOW_MS`] from now at least. `None` where none ever may.
     pub(super) fn next_in_ms(&self, most: u32, now_ms: u64) -> Option<u64> {
         let mut ends: Vec<u64> = self
             .counted(now_ms)
-            .map(|send| send.until_ms.unwrap_or(u64::MAX))
+            .map(|send| send.until_ms.unwrap_or(now_ms + WINDOW_MS))
             .collect();
         ends.sort_unstable();
         if ends.len() < most as usize {
             return Some(0);
         }
         let freed = ends.get(ends.len() - most as usize).copied()?;
-        (freed < u64::MAX).then(|| freed.saturating_sub(now_ms))
+        Some(freed.saturating_sub(now_ms))
     }
 
     fn counted(&self, now_ms: u64) -> impl Iterator<Item = &Send> {
--- a/crates/routing/tests/all/cold/mod.rs
+++ b/crates/routing/tests/all/cold/mod.rs
@@ -88,6 +88,41 @@
     assert!(cold.begin(REPLICA, at(11_052)).is_ok());
 }
 
+/// None of those under way has begun to be answered: a further one waits for a second at
+/// least, and is not told to wait until the replica is warm.
+#[test]
+fn a_part_that_is_under_way_is_free_in_a_second_at_least() {
+    let mut cold = alone(60_000);
+    for _ in 0..15 {
+        assert!(cold.begin(REPLICA, LATER).is_ok());
+    }
+    let replica = [REPLICA.to_owned()];
+    assert_eq!(cold.next_in_ms(&replica, at(10_500)), Some(1_002));
+}
+
+/// A second replica that is warm, and one that is not known to be.
+#[rstest]
+#[case::cold(60_000, 0, &[REPLICA], ColdState::Cold)]
+#[case::warm(0, 0, &[REPLICA], ColdState::Warm)]
+#[case::unsure(0, 3_001, &[REPLICA], ColdState::Unsure)]
+#[case::cold_and_unsure(60_000, 3_001, &[REPLICA], ColdState::Cold)]
+#[case::cold_beside_a_warm_one(60_000, 0, &[REPLICA, "other"], ColdState::Warm)]
+#[case::none(60_000, 0, &[], ColdState::Warm)]
+fn the_state_of_several_replicas_names_what_keeps_a_request_from_all(
+    #[case] cold_ms: u64,
+    #[case] control_silent_ms: u64,
+    #[case] replicas: &[&str],
+    #[case] state: ColdState,
+) {
+    let cold = alone(cold_ms);
+    let view = ColdView {
+        control_silent_ms,
+        ..LATER
+    };
+    let replicas: Vec<String> = replicas.iter().map(|id| (*id).to_owned()).collect();
+    assert_eq!(cold.state_of_all(&replicas, view), state);
+}
+
 #[test]
 fn a_warm_replica_gets_whatever_comes() {
     let mut cold = alone(0);
