Standstill: a further one while a request waits for news is noted, and news wake who waits

Cause: who waited for news after a standstill looked every 5 ms whether the time for it was over, and not whether the process had stood still again. After a second standstill the time of the first was over at once, and the request went by old knowledge: the test's gateway did not know an evacuation from between the two.

Change: who waits is woken by news, and looks for a further standstill whenever it wakes. The look every 5 ms is gone.

--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use linnethitch_clock::{Clock, Instant, sleep};
+use linnethitch_clock::{Clock, Instant, timeout};
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
@@ -42,8 +42,6 @@
 /// A member that was asked for everything is asked again after this: everything is a few
 /// hundred kilobytes, and takes that long over a narrow link.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
-/// Pause between two looks whether news came after a standstill.
-const NEWS_LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
@@ -198,9 +196,15 @@
     /// Waits, after this process stood still, until control has said what is in force now,
     /// or counts as lost. At any other time it returns at once.
     pub async fn news_after_standstill(&self) {
-        self.note_running();
-        while self.standstill.awaits_news() {
-            sleep(NEWS_LOOK_INTERVAL).await;
+        let mut news = self.standstill.follow();
+        loop {
+            // One that stood still again while it waited wants news of after that.
+            self.note_running();
+            let Some(left) = self.standstill.news_wait() else {
+                return;
+            };
+            // Where time is over it looks again, and goes on by what it knows.
+            let _ = timeout(left, news.changed()).await;
         }
     }
 
--- a/crates/cluster/src/standstill.rs
+++ b/crates/cluster/src/standstill.rs
@@ -9,6 +9,7 @@
 
 use linnethitch_clock::Instant;
 use parking_lot::Mutex;
+use tokio::sync::watch;
 
 use crate::node::LINK_SILENCE_LIMIT;
 
@@ -24,7 +25,11 @@
 
 /// When this process woke up last, and whether control has spoken since.
 #[derive(Debug)]
-pub(crate) struct Standstill(Mutex<State>);
+pub(crate) struct Standstill {
+    state: Mutex<State>,
+    /// Changes with news.
+    news: watch::Sender<()>,
+}
 
 #[derive(Debug)]
 struct State {
@@ -38,11 +43,13 @@
 impl Default for Standstill {
     fn default() -> Self {
         let ran = Instant::now();
-        Standstill(Mutex::new(State {
+        let state = Mutex::new(State {
             ran,
             woke: None,
             lost_links: false,
-        }))
+        });
+        let news = watch::channel(()).0;
+        Standstill { state, news }
     }
 }
 
@@ -50,7 +57,7 @@
     /// The process runs now; how long it stood still before, where it did.
     pub(crate) fn note_running(&self) -> Option<Duration> {
         let now = Instant::now();
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         let still = now.saturating_duration_since(state.ran);
         state.ran = now;
         if still < STOOD_STILL_AFTER {
@@ -64,19 +71,26 @@
 
     /// Control told over a link that was opened then what is in force.
     pub(crate) fn note_news(&self, link_opened: Instant) {
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         let has_read_up = |woke: Instant| !state.lost_links && woke.elapsed() >= READ_UP_WITHIN;
         let is_news = state
             .woke
             .is_none_or(|woke| link_opened >= woke || has_read_up(woke));
-        if is_news {
-            state.woke = None;
+        if is_news && state.woke.take().is_some() {
+            self.news.send_replace(());
         }
     }
 
-    /// Whether the process woke up and has no news yet, but may soon.
-    pub(crate) fn awaits_news(&self) -> bool {
-        let woke = self.0.lock().woke;
-        woke.is_some_and(|woke| woke.elapsed() < NEWS_LIMIT)
+    /// Follows news; those from now on are a change.
+    pub(crate) fn follow(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    /// How long news are to be waited for at most; `None` where none are wanted, or it was
+    /// long enough.
+    pub(crate) fn news_wait(&self) -> Option<Duration> {
+        let woke = self.state.lock().woke?;
+        let left = NEWS_LIMIT.saturating_sub(woke.elapsed());
+        (!left.is_zero()).then_some(left)
     }
 }
--- a/crates/cluster/tests/all/silence.rs
+++ b/crates/cluster/tests/all/silence.rs
@@ -128,6 +128,31 @@
     assert!(pair.gateway.fleet().evacuations().contains(ZONE));
 }
 
+/// It stands still once more before control has spoken, longer than it would have waited:
+/// what it then waits for is news of after that.
+#[tokio::test]
+async fn a_gateway_that_stands_still_again_while_it_waits_for_news_waits_for_later_news() {
+    let pair = Pair::start(98).await;
+    put(&pair.control, 1).await;
+    until("the first version", || version(&pair.gateway) == 1).await;
+    pair.proxy.set(Mode::Silent(Way::Both));
+    suspend_for(Duration::from_secs(60));
+    let gateway = pair.gateway.clone();
+    let waiting = tokio::spawn(async move {
+        gateway.news_after_standstill().await;
+        gateway.fleet().evacuations().contains(ZONE)
+    });
+    // It waits by now: everything here runs in one thread.
+    tokio::task::yield_now().await;
+    let evacuated = pair.control.evacuate_zone(ZONE, LIMIT).await;
+    assert!(matches!(evacuated, Ok(ZoneOrder::Held(_))), "{evacuated:?}");
+    assert!(!waiting.is_finished());
+    pair.proxy.set(Mode::Pass);
+    suspend_for(Duration::from_secs(60));
+    let knows = tokio::time::timeout(LIMIT, waiting).await;
+    assert!(knows.expect("in time").expect("no panic"));
+}
+
 /// It does not wait for long where control does not speak to it.
 #[tokio::test]
 async fn a_gateway_that_wakes_up_cut_off_goes_on_by_what_it_knows() {
--- a/crates/relay/tests/all/requests.rs
+++ b/crates/relay/tests/all/requests.rs
@@ -5,11 +5,13 @@
 
 use http::StatusCode;
 use linnethitch_clock::testing::suspend_for;
-use linnethitch_registry::{ReplicaState, RouteKind};
+use linnethitch_registry::{ReplicaState, Route, RouteKind};
 use rstest::rstest;
 
-use crate::support::{Act, FULL, Fleet, OK, OTHER_INCARNATION, Replica, header, route};
+use crate::support::{Act, FULL, Fleet, LIMIT, OK, OTHER_INCARNATION, Replica, header, route};
 
+/// No link outlives a standstill of this.
+const LONGER_THAN_LINKS_LAST: Duration = Duration::from_secs(3);
 const UNSIGNED: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 5\r\n\r\nwrong";
 const OTHERS: &str =
     "HTTP/1.1 200 OK\r\nrequest-id: other\r\nsignature: s\r\ncontent-length: 5\r\n\r\nother";
@@ -227,6 +229,36 @@
     assert!(left_ms[1] <= 1_000, "{left_ms:?}");
 }
 
+/// Its process stands still while the connection is opened, after the first look for news.
+#[tokio::test]
+async fn a_request_that_stood_still_right_before_its_send_waits_for_news() {
+    let replica = Replica::start(vec![Act::Send(OK)]).await;
+    let patient = Route {
+        timeout_ms: 4 * LIMIT.as_millis() as u64,
+        ..route(RouteKind::Safe, 1, false)
+    };
+    let fleet = Fleet::start(patient, &[]).await;
+    // A name is looked up in another thread, so that opening the connection takes a moment.
+    let named = format!("localhost:{}", replica.address.port());
+    fleet.add_named(0, &named).await;
+    let gateway = fleet.relay.gateway();
+    let asking = fleet.ask("request");
+    let standing_still = async {
+        while fleet.relay.own_running("service") == 0 {
+            tokio::task::yield_now().await;
+        }
+        suspend_for(LONGER_THAN_LINKS_LAST);
+        while replica.requests() == 0 {
+            tokio::task::yield_now().await;
+        }
+        gateway.control_silent_ms()
+    };
+    let (answer, silent_ms) = tokio::join!(asking, standing_still);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let still_ms = LONGER_THAN_LINKS_LAST.as_millis() as u64;
+    assert!(silent_ms < still_ms, "sent before control spoke");
+}
+
 /// Seen by reading: the first heartbeat of a replica that has crashed comes late, after
 /// the next one has registered at its address. What is at the address tells the two
 /// apart: it does not take requests for the one that is gone.
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -570,6 +570,17 @@
         self.add_address_in_zone(number, address, OTHER_ZONE).await;
     }
 
+    /// Registers a replica by a name of its machine and waits until it is known.
+    pub(crate) async fn add_named(&self, number: usize, address: &str) {
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let change = ReplicaChange {
+            address: address.to_owned(),
+            ..replica_change(number, nowhere, ReplicaState::Ready, 1)
+        };
+        self.heartbeat(change).await;
+        self.wait_until_known(number).await;
+    }
+
     async fn add_address_in_zone(&self, number: usize, address: SocketAddr, zone: &str) {
         let change = ReplicaChange {
             zone: zone.to_owned(),
