Evacuations, cold replicas: a moved replica, and parts of one off the list

Causes: - A replica that leaves an evacuated zone for another kept what its coordinator had told of it there, that it is closed, for as long as that counts: the test found only ["r1"] open, of r0 and r1. - Parts of a cold replica that is off the list for the moment stayed those of the gateways of before: a request that had been chosen for it could be one of 15 where 66 gateways have one each at most.

Change: what was told of a replica in an evacuated zone is forgotten when it moves; parts of those off the list are divided anew with the others.

Tests that hold: the new zone's evacuation counts at once; a gateway's place is forgotten ten minutes after it was named last.

--- a/crates/routing/src/cold/mod.rs
+++ b/crates/routing/src/cold/mod.rs
@@ -161,11 +161,18 @@
             return;
         }
         self.listed_ms.get_or_insert(now_ms);
-        let mut replicas = std::mem::take(&mut self.replicas);
+        let listed = std::mem::take(&mut self.replicas);
+        self.replicas = self.divided(listed);
+        let dropped = std::mem::take(&mut self.dropped);
+        self.dropped = self.divided(dropped);
+    }
+
+    /// Replicas with the parts of the gateways that are known now.
+    fn divided(&self, mut replicas: BTreeMap<String, Known>) -> BTreeMap<String, Known> {
         for known in replicas.values_mut() {
             known.part = self.part_of(&known.told);
         }
-        self.replicas = replicas;
+        replicas
     }
 
     /// Replaces the list of replicas. What one says newly counts from now: how old it is
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -108,6 +108,12 @@
             ids.push(id.clone());
             let replica = match before.remove(&id) {
                 Some(mut known) => {
+                    // Its coordinator closed it for the zone that it has left.
+                    if self.evacuated.contains(&known.traits.zone)
+                        && known.traits.zone != traits.zone
+                    {
+                        known.forget_told();
+                    }
                     known.traits = traits;
                     known
                 }
--- a/crates/routing/tests/all/cold/mod.rs
+++ b/crates/routing/tests/all/cold/mod.rs
@@ -288,6 +288,39 @@
     assert_eq!(cold.begin(REPLICA, LATER), Err(Refusal::NoPart));
 }
 
+/// Requests that may be sent to the replica in this second.
+fn may_be_sent(cold: &ColdReplicas, view: ColdView) -> usize {
+    let mut cold = cold.clone();
+    let sends = (0..=MOST).take_while(|_| cold.begin(REPLICA, view).is_ok());
+    sends.count()
+}
+
+/// Its place is forgotten ten minutes after it was named last.
+#[rstest]
+#[case::just_before(600_999, 7)]
+#[case::forgotten(601_000, 15)]
+fn one_that_was_not_named_for_long_leaves_its_part_to_others(
+    #[case] now_ms: u64,
+    #[case] sends: usize,
+) {
+    let mut cold = alone(3_600_000);
+    cold.note_gateways(&[OWN, MachineId(2)], 1_000);
+    cold.note_gateways(&[OWN], now_ms);
+    assert_eq!(may_be_sent(&cold, at(now_ms)), sends);
+}
+
+/// A request was chosen for it before it was off the list, and is sent after its parts are
+/// divided among more gateways.
+#[test]
+fn a_part_of_one_off_the_list_is_divided_anew_too() {
+    let mut cold = alone(60_000);
+    cold.set_replicas(Vec::new(), LATER.now_ms);
+    assert_eq!(may_be_sent(&cold, LATER), 15);
+    let many: Vec<MachineId> = (1..=66).map(MachineId).collect();
+    cold.note_gateways(&many, LATER.now_ms);
+    assert!(may_be_sent(&cold, LATER) <= 1);
+}
+
 #[test]
 fn a_change_is_told_once() {
     let mut cold = alone(3_000);
--- a/crates/routing/tests/all/evacuated_zones.rs
+++ b/crates/routing/tests/all/evacuated_zones.rs
@@ -56,6 +56,18 @@
     board.choose(&need(prompt), NOW_MS, &mut random)
 }
 
+/// What a coordinator tells of a replica that is closed.
+fn closed(replica: &str) -> SlotLoad {
+    SlotLoad {
+        replica: replica.to_owned(),
+        slots: 4,
+        online: 0,
+        items: 0,
+        waiting: 0,
+        closed: true,
+    }
+}
+
 /// Every way to a replica, once its zone is evacuated and once it no longer is.
 #[test]
 fn no_choice_leads_into_an_evacuated_zone_until_it_is_taken_back() {
@@ -97,19 +109,43 @@
     board.set_evacuated(zones(&[zone]));
     let other = choose(&board, &prompt).expect("one is open");
     assert_ne!(other.id, first.id);
-    let closed = SlotLoad {
-        replica: first.id.clone(),
-        slots: 4,
-        online: 0,
-        items: 0,
-        waiting: 0,
-        closed: true,
-    };
-    board.note_told(&closed, NOW_MS);
+    board.note_told(&closed(&first.id), NOW_MS);
     board.set_evacuated(zones(&[]));
     assert_eq!(choose(&board, &prompt).expect("both are open").id, first.id);
 }
 
+fn one_in(zone: &str) -> ReplicaTraits {
+    ReplicaTraits {
+        id: "r0".to_owned(),
+        service: SERVICE.to_owned(),
+        address: "r0:80".to_owned(),
+        zone: zone.to_owned(),
+        slots: 4,
+        kv_tokens: 100_000,
+        ready: true,
+    }
+}
+
+/// The zone that it is in now counts, and what was told of it in an evacuated one does not.
+#[test]
+fn a_replica_that_changes_its_zone_is_evacuated_by_the_new_one() {
+    let mut board = board(&["a", "b"]);
+    let other = || ReplicaTraits {
+        id: "r1".to_owned(),
+        ..one_in("b")
+    };
+    board.set_evacuated(zones(&["c"]));
+    board.set_replicas(vec![one_in("c"), other()]);
+    assert!(board.is_evacuated("r0") && !board.is_known_ready("r0"));
+    assert_eq!(choose(&board, &[]).expect("one is open").id, "r1");
+    assert!(board.engines(NOW_MS)[0].evacuated);
+    board.note_told(&closed("r0"), NOW_MS);
+    board.set_replicas(vec![one_in("a"), other()]);
+    assert!(!board.is_evacuated("r0") && board.is_known_ready("r0"));
+    assert!(!board.engines(NOW_MS)[0].evacuated);
+    assert_eq!(board.open_ids(&need(&[]), NOW_MS), ["r0", "r1"]);
+}
+
 #[rstest]
 #[case::none(&[], false)]
 #[case::some(&["a"], false)]
