--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -129,6 +129,8 @@
     pub(crate) evacuated_replicas: Gauge,
     /// Sends that were stopped since the replica's zone was evacuated meanwhile.
     pub(crate) evacuated_sends: Counter,
+    /// Sends that were stopped since the replica is no longer in the request's homes.
+    pub(crate) outside_homes_sends: Counter,
     /// Requests under which replicas ended and that are suspected.
     pub(crate) suspected_requests: Gauge,
     /// How long no control member has been heard of, in milliseconds.
@@ -159,6 +161,7 @@
             evacuated_zones: Gauge::default(),
             evacuated_replicas: Gauge::default(),
             evacuated_sends: Counter::default(),
+            outside_homes_sends: Counter::default(),
             suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
         };
@@ -216,6 +219,9 @@
         let stopped = self.evacuated_sends.clone();
         let help = "Sends stopped since the zone of the replica was evacuated meanwhile";
         registry.register("relay_evacuated_sends", help, stopped);
+        let outside = self.outside_homes_sends.clone();
+        let help = "Sends stopped since the replica is no longer in the homes";
+        registry.register("relay_outside_homes_sends", help, outside);
         let silent = self.control_silent_ms.clone();
         let help = "Milliseconds since a control member was heard of";
         registry.register("relay_control_silent_milliseconds", help, silent);
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -151,6 +151,7 @@
 
     /// What was to be sent is not: homes changed since the replica was chosen.
     pub(crate) fn not_sent_outside(&self, outgoing: &Outgoing, replica: &str) -> Exchange {
+        self.counters.outside_homes_sends.inc();
         let version = self.table().map(|table| table.version);
         info!(self.logger, "request: not sent, outside its homes"; "request" => outgoing.id(),
             "replica" => replica, "version" => version);
--- a/crates/relay/tests/all/homes.rs
+++ b/crates/relay/tests/all/homes.rs
@@ -343,4 +343,6 @@
     streams.drain(..SLOTS - 1);
     reached_by(&there, 1).await;
     assert_eq!(here.requests(), SLOTS);
+    let figures = fleet.relay.figures();
+    assert!(figures.contains("relay_outside_homes_sends_total 1"));
 }
