--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -25,6 +25,7 @@
 use crate::{
     client::GroupClient,
     cold_times::ColdTimes,
+    control_figures::ControlFigures,
     control_pulses::pulse_source,
     driver::{self, GroupHandle},
     incoming::{Answers, Inbound},
@@ -89,6 +90,7 @@
     store_voters: usize,
     pub(crate) logger: Logger,
     zones: Arc<ZoneMap>,
+    figures: ControlFigures,
 }
 
 impl ControlNode {
@@ -133,6 +135,7 @@
             store_voters: settings.store_voters,
             logger: node.logger.clone(),
             zones: Arc::new(node.zones.clone()),
+            figures: ControlFigures::new(node.bytes.clone()),
         };
         let pulses = pulse_source(&control.shared, own, node.place(), base.clock);
         node::listen(&node, inbox, Arc::clone(&base.traffic), Some(pulses)).await?;
@@ -183,6 +186,24 @@
         self.view().registry.gateways().machines().count()
     }
 
+    /// Number of gateways that this member does not hear though they may go on: their parts
+    /// of limits are kept back.
+    #[must_use]
+    pub fn silent_gateways(&self) -> usize {
+        let view = self.view();
+        let presence = self.shared.presence.lock();
+        let coordinators = presence.coordinators();
+        let known = view.registry.gateways();
+        coordinators.silent(known, self.clock.now_ms()).len()
+    }
+
+    /// Figures since the start, as Prometheus text.
+    #[must_use]
+    pub fn figures(&self) -> String {
+        let (known, silent) = (self.known_gateways(), self.silent_gateways());
+        self.figures.to_text(known, silent)
+    }
+
     /// Addresses of ready gateways near a caller.
     #[must_use]
     pub fn gateways_near(&self, question: &DirectoryQuestion<'_>) -> Vec<String> {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -12,6 +12,7 @@
 mod cold_times;
 mod connection_end;
 mod control;
+mod control_figures;
 mod control_pulses;
 mod coordinators;
 mod driver;
--- a/crates/cluster/tests/all/known_gateways.rs
+++ b/crates/cluster/tests/all/known_gateways.rs
@@ -167,6 +167,11 @@
     fleet.tell(2).await;
     assert_eq!(fleet.near.coordinators().len(), 1);
     assert_eq!(fleet.near.silent_coordinators().len(), 1);
+    let figures = fleet.process.control.figures();
+    let tells = |line: &str| figures.lines().any(|told| told == line);
+    assert!(tells("linnethitch_control_known_gateways 2"), "{figures}");
+    assert!(tells("linnethitch_control_silent_gateways 1"), "{figures}");
+    assert_eq!(figures.matches("# EOF").count(), 1, "{figures}");
 }
 
 /// All of control starts again while a gateway is cut off: it has never heard of that one,
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -133,6 +133,9 @@
     pub(crate) suspected_requests: Gauge,
     /// How long no control member has been heard of, in milliseconds.
     pub(crate) control_silent_ms: Gauge,
+    /// Gateways that share the counts of limits, and those besides that may go on unheard.
+    pub(crate) listed_gateways: Gauge,
+    pub(crate) silent_gateways: Gauge,
 }
 
 impl Default for Counters {
@@ -161,6 +164,8 @@
             evacuated_sends: Counter::default(),
             suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
+            listed_gateways: Gauge::default(),
+            silent_gateways: Gauge::default(),
         };
         counters.register();
         counters
@@ -219,6 +224,12 @@
         let silent = self.control_silent_ms.clone();
         let help = "Milliseconds since a control member was heard of";
         registry.register("relay_control_silent_milliseconds", help, silent);
+        let listed = self.listed_gateways.clone();
+        let help = "Gateways that share the counts of limits, as this one was told";
+        registry.register("relay_listed_gateways", help, listed);
+        let unheard = self.silent_gateways.clone();
+        let help = "Gateways that control does not hear and whose parts of limits are kept back";
+        registry.register("relay_silent_gateways", help, unheard);
         let suspected = self.suspected_requests.clone();
         let help = "Requests under which replicas ended and that are suspected";
         registry.register("relay_suspected_requests", help, suspected);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -142,8 +142,14 @@
     /// Figures since the start, as Prometheus text.
     #[must_use]
     pub fn figures(&self) -> String {
-        let silent_ms = self.shared.gateway.control_silent_ms();
-        self.shared.counters.control_silent_ms.set(silent_ms as i64);
+        let gateway = &self.shared.gateway;
+        let counters = &self.shared.counters;
+        let silent_ms = gateway.control_silent_ms();
+        counters.control_silent_ms.set(silent_ms as i64);
+        let listed = gateway.coordinators().len();
+        counters.listed_gateways.set(listed as i64);
+        let silent = gateway.silent_coordinators().len();
+        counters.silent_gateways.set(silent as i64);
         if let Some(datagrams) = self.shared.gateway.datagrams() {
             let sent = datagrams.sent_bytes();
             self.shared.counters.datagram_bytes.set(sent as i64);
