--- a/crates/routing/tests/all/quota/mod.rs
+++ b/crates/routing/tests/all/quota/mod.rs
@@ -580,3 +580,23 @@
     let refused = outcome.refused_below as f64 / outcome.admitted as f64;
     assert!(refused <= 0.01, "{refused} {:?}", short(&outcome));
 }
+
+/// Some gateways reach no others for eight seconds, the coordinator alone or among them, and
+/// all go on hearing control: nobody names another coordinator.
+#[rstest]
+fn a_coordinator_that_only_control_hears_holds(
+    #[values((6, 1), (50, 1), (50, 5))] split: (usize, usize),
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let (gateways, parted) = split;
+    let mut flood = play(gateways, 0.0);
+    (flood.rate, flood.burst) = (206.0, 20.0);
+    flood.demand = vec![(2_000, 206.0 * 12.0)];
+    flood.seed = seed;
+    let gateways = succession(gateways).into_iter().take(parted).collect();
+    let for_ms = 8_000;
+    flood.faults = vec![(6_000, Fault::Split { gateways, for_ms })];
+    let outcome = run(flood, leased);
+    println!("{split:?} {:?}", short(&outcome));
+    assert!(outcome.most_of_bound <= 1.0, "{:?}", short(&outcome));
+}
--- a/crates/routing/tests/all/quota/model.rs
+++ b/crates/routing/tests/all/quota/model.rs
@@ -46,6 +46,8 @@
     CutFromControl { gateways: Vec<usize>, for_ms: u64 },
     /// They are cut off from control and from the other gateways.
     Isolate { gateways: Vec<usize>, for_ms: u64 },
+    /// They hear control and each other, and no other gateway.
+    Split { gateways: Vec<usize>, for_ms: u64 },
     /// All of control is away.
     ControlAway { for_ms: u64 },
     /// All of control ends and starts again; it hears of each gateway within half a second.
@@ -132,6 +134,7 @@
     Thawed,
     Heard,
     Joined,
+    United,
 }
 
 /// Messages are kept beside the queue, since they have no order.
@@ -146,6 +149,8 @@
     hears: bool,
     /// It is reached by other gateways.
     joined: bool,
+    /// It reaches only gateways that are split off as well.
+    is_split: bool,
     heard_us: u64,
     list: Vec<MachineId>,
     silent: Vec<MachineId>,
@@ -191,6 +196,7 @@
             is_frozen: false,
             hears: true,
             joined: true,
+            is_split: false,
             heard_us: 0,
             list: list.clone(),
             silent: Vec::new(),
@@ -403,7 +409,9 @@
             return;
         };
         // A machine that stands still reads it later, one that is cut off never.
-        if !(self.gateways[from].joined && self.gateways[to].joined) {
+        let (sender, receiver) = (&self.gateways[from], &self.gateways[to]);
+        let is_reached = sender.joined && receiver.joined && sender.is_split == receiver.is_split;
+        if !is_reached {
             return;
         }
         self.act(to, |quota, _, view| {
@@ -538,6 +546,16 @@
                 }
                 self.after(SILENT_US, Event::Listed);
             }
+            Fault::Split { gateways, for_ms } => {
+                for gateway in gateways {
+                    self.gateways[gateway].is_split = true;
+                    let back = Event::Return {
+                        gateway,
+                        what: Back::United,
+                    };
+                    self.after(for_ms * 1_000, back);
+                }
+            }
             Fault::ControlAway { for_ms } => {
                 self.control_away = true;
                 self.after(for_ms * 1_000, Event::ControlBack);
@@ -569,6 +587,7 @@
                 node.is_frozen = false;
             }
             Back::Heard => node.hears = true,
+            Back::United => node.is_split = false,
             Back::Joined => {
                 node.hears = true;
                 node.joined = true;
