--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -47,6 +47,9 @@
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
+/// A gateway that control named is told what ends replicas for so long, in milliseconds: one
+/// that control does not hear, or that stops, may serve on.
+const NAMED_FOR_MS: u64 = 60_000;
 
 /// A running gateway. Clones share it.
 #[derive(Clone)]
@@ -63,6 +66,8 @@
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
     /// The same ones, and where each is.
     placed: Arc<Mutex<Arc<Vec<PlacedGateway>>>>,
+    /// Gateways that control named lately, also as silent, and when it did so last.
+    named: Arc<Mutex<BTreeMap<MachineId, u64>>>,
     zones: Arc<ZoneMap>,
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
@@ -89,6 +94,7 @@
             told: Arc::default(),
             coordinators: Arc::default(),
             placed: Arc::default(),
+            named: Arc::default(),
             zones: Arc::new(settings.zones.clone()),
             clock: base.clock,
             current_at_ms: Arc::default(),
@@ -186,6 +192,12 @@
         self.told.lock().silent_ms(self.clock.now_ms())
     }
 
+    /// Whether no control member was heard of for so long that three pulses were missed.
+    #[must_use]
+    pub fn is_control_lost(&self) -> bool {
+        self.control_silent_ms() >= CONTROL_LOST_MS
+    }
+
     /// How old what is known here may be, in milliseconds: the time since a control
     /// member that knew what is in force told no more than is known here. Such a member
     /// has heard the leader within a second.
@@ -221,13 +233,20 @@
         self.store.call(call, limit).await
     }
 
-    /// Sends a datagram to every other gateway that is known; it may not arrive.
-    pub fn tell_gateways(&self, message: &GatewayDatagram) {
+    /// Every other gateway that control named within the last minute, in a fixed order.
+    #[must_use]
+    pub fn other_gateways(&self) -> Vec<MachineId> {
+        let named = self.named.lock();
+        let others = named.keys().filter(|gateway| **gateway != self.own);
+        others.copied().collect()
+    }
+
+    /// Sends a datagram to other gateways; it may not arrive.
+    pub fn tell_gateways(&self, gateways: &[MachineId], message: &GatewayDatagram) {
         let Some(datagrams) = &self.datagrams else {
             return;
         };
-        let gateways = self.coordinators();
-        for gateway in gateways.iter().filter(|gateway| **gateway != self.own) {
+        for gateway in gateways {
             datagrams.send(self.datagram_address(*gateway), message);
         }
     }
@@ -391,7 +410,7 @@
     /// Says once that control is away: what is in force here may be old from now on.
     fn look_for_control(&mut self) {
         let silent_ms = self.gateway.control_silent_ms();
-        if self.control_lost || silent_ms < CONTROL_LOST_MS {
+        if self.control_lost || !self.gateway.is_control_lost() {
             return;
         }
         self.control_lost = true;
@@ -409,8 +428,18 @@
             "from" => address_of(from).to_string());
     }
 
+    fn note_named(&self, told: &BTreeSet<PlacedGateway>) {
+        let silent = self.gateway.told.lock().silent_coordinators();
+        let now_ms = self.gateway.clock.now_ms();
+        let heard = told.iter().map(|gateway| gateway.machine);
+        let mut named = self.gateway.named.lock();
+        named.retain(|_, at_ms| now_ms < *at_ms + NAMED_FOR_MS);
+        named.extend(heard.chain(silent).map(|gateway| (gateway, now_ms)));
+    }
+
     fn note_coordinators(&self) {
         let told = self.gateway.told.lock().coordinators();
+        self.note_named(&told);
         let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
         let mut placed = self.gateway.placed.lock();
         if placed.iter().eq(&told) {
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -165,7 +165,7 @@
         let suspicions = registry.suspicions();
         self.suspected.retain(|fingerprint, (changed_at, _)| {
             let held = suspicions.get(fingerprint);
-            held.is_some_and(|held| held.ends > 0 && held.changed_at == *changed_at)
+            held.is_some_and(|held| held.is_open() && held.changed_at == *changed_at)
         });
         let mut old = Vec::new();
         for record in suspicions.open() {
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -6,7 +6,7 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{quota::QuotaMessage, suspicion::EndedRun};
+use crate::{quota::QuotaMessage, suspicion::ToldSuspicion};
 
 /// What an asker does when no slot is free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -117,14 +117,9 @@
         /// The leases.
         leases: Vec<HeldLease>,
     },
-    /// A replica ended under these runs of the sender. Control tells it too, a little
-    /// later, and not at all while it has no leader.
-    ReplicaEnded {
-        /// The key of its start.
-        replica: String,
-        /// What broke off there.
-        runs: Vec<EndedRun>,
-    },
+    /// What the sender knows of requests under which replicas ended, or which were cleared
+    /// of that. Control tells it too, a little later, and not at all while it has no leader.
+    Suspicions(Vec<ToldSuspicion>),
     /// About tenants' limits.
     Quota(QuotaMessage),
 }
--- a/crates/protocol/src/suspicion.rs
+++ b/crates/protocol/src/suspicion.rs
@@ -68,13 +68,51 @@
     }
 }
 
+/// What is known of one request: a row of replicas that ended under it, one after the
+/// other, since a copy of it last came to a whole answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EndsInRow {
+    /// How often the request was cleared of suspicion; rows before the last time are over.
+    pub clearings: u32,
+    /// How long each run had lasted when its replica ended, in milliseconds, the newest
+    /// last.
+    pub lengths_ms: Vec<u32>,
+}
+
+impl EndsInRow {
+    /// Whether no replica ended.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lengths_ms.is_empty()
+    }
+
+    /// Whether this is known later than another: of two that know of the same clearings
+    /// the longer one is.
+    #[must_use]
+    pub fn outweighs(&self, other: &EndsInRow) -> bool {
+        let rank = |row: &EndsInRow| (row.clearings, row.lengths_ms.len());
+        rank(self) > rank(other)
+    }
+}
+
 /// A run that broke off when its replica ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct EndedRun {
     /// What ran.
     pub fingerprint: RequestFingerprint,
-    /// Ends that were known where the run began, when it began.
-    pub known_ends: u32,
+    /// What was known where the run began, when it began.
+    pub known: EndsInRow,
     /// How long it had run, in milliseconds.
     pub ran_ms: u32,
 }
+
+/// What a gateway knows of a request, as it tells others.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ToldSuspicion {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The replica that ended last, by the key of its start.
+    pub replica: String,
+    /// The ends under it.
+    pub row: EndsInRow,
+}
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -12,18 +12,19 @@
 use crate::{
     configuration::Declared, evacuations::EvacuationOrder, first_layout::FirstCommand,
     fourth_layout::FourthCommand, replica::ReplicaChange, routes::RouteTable,
-    second_layout::SecondCommand,
+    second_layout::SecondCommand, third_layout::ThirdCommand,
 };
 
 /// Layout of replicas that tell which start of theirs speaks, of configurations with homes
-/// and cold replicas, of evacuations, and of the gateways that share counts.
+/// and cold replicas, of evacuations, of the gateways that share counts, and of ends under
+/// runs that tell which ends were known.
 const FIFTH_LAYOUT: u8 = 5;
 /// Layout of configurations that may list tenants; read, not written.
 const TENANTS_LAYOUT: u8 = 4;
 /// Layout of route tables whose routes have a bound of queued tokens; read, not written.
 const ROUTES_LAYOUT: u8 = 2;
-/// Layout of commands about requests under which replicas ended, and about replicas
-/// that are not where they registered.
+/// Layout of commands about requests that are no longer suspected, and about replicas
+/// that are not where they registered; of ends under runs too, which it no longer writes.
 const THIRD_LAYOUT: u8 = 3;
 /// Layout of all other commands, and of the first route tables.
 pub(crate) const FIRST_LAYOUT: u8 = 1;
@@ -84,9 +85,9 @@
             | RegistryCommand::Replica(_)
             | RegistryCommand::EvacuateZone(_)
             | RegistryCommand::RestoreZone(_)
-            | RegistryCommand::GatewaysChanged { .. } => FIFTH_LAYOUT,
-            RegistryCommand::ReplicaEnded { .. }
-            | RegistryCommand::ClearSuspicions(_)
+            | RegistryCommand::GatewaysChanged { .. }
+            | RegistryCommand::ReplicaEnded { .. } => FIFTH_LAYOUT,
+            RegistryCommand::ClearSuspicions(_)
             | RegistryCommand::EaseSuspicions(_)
             | RegistryCommand::NotThere(_) => THIRD_LAYOUT,
             _ => FIRST_LAYOUT,
@@ -112,7 +113,11 @@
                 let fourth: FourthCommand = stored::decode(&[TENANTS_LAYOUT], bytes)?;
                 Ok(fourth.into())
             }
-            _ => stored::decode(&[THIRD_LAYOUT, FIFTH_LAYOUT], bytes),
+            Some(THIRD_LAYOUT) => {
+                let third: ThirdCommand = stored::decode(&[THIRD_LAYOUT], bytes)?;
+                Ok(third.into())
+            }
+            _ => stored::decode(&[FIFTH_LAYOUT], bytes),
         }
     }
 }
--- a/crates/registry/src/fourth_layout.rs
+++ b/crates/registry/src/fourth_layout.rs
@@ -1,8 +1,12 @@
 //! Stored values as the layouts up to the fourth hold them: replicas told neither which
-//! start of theirs speaks nor that they are cold, routes and tenants had no homes, and
-//! no zone was evacuated. Read, never written.
+//! start of theirs speaks nor that they are cold, routes and tenants had no homes, no zone
+//! was evacuated, and of the runs that ended their replicas one length was held. Read,
+//! never written.
 
-use linnethitch_protocol::ids::LogIndex;
+use linnethitch_protocol::{
+    ids::LogIndex,
+    suspicion::{EndsInRow, RequestFingerprint},
+};
 use linnethitch_tenants::{KeyDigest, QuotaLimit, Tenant, TenantChange, TenantsUpdate};
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -12,6 +16,7 @@
     registry::{RegistrySnapshot, StoreMembers},
     replica::{ReplicaChange, ReplicaRecord, ReplicaState},
     routes::{Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits},
+    run_lengths,
     suspicion::Suspicion,
 };
 
@@ -106,6 +111,15 @@
     changed_at: LogIndex,
 }
 
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct FourthSuspicion {
+    fingerprint: RequestFingerprint,
+    ends: u32,
+    replica: String,
+    ran_ms: u32,
+    changed_at: LogIndex,
+}
+
 #[derive(Archive, Serialize, Deserialize)]
 pub(crate) struct FourthSnapshot {
     table: Option<FourthRouteTable>,
@@ -115,7 +129,7 @@
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
-    suspicions: Vec<Suspicion>,
+    suspicions: Vec<FourthSuspicion>,
     tenants: FourthTenantsUpdate,
 }
 
@@ -237,6 +251,20 @@
     }
 }
 
+impl From<FourthSuspicion> for Suspicion {
+    fn from(fourth: FourthSuspicion) -> Self {
+        Suspicion {
+            fingerprint: fourth.fingerprint,
+            row: EndsInRow {
+                clearings: 0,
+                lengths_ms: run_lengths::alike(fourth.ran_ms, fourth.ends),
+            },
+            replica: fourth.replica,
+            changed_at: fourth.changed_at,
+        }
+    }
+}
+
 impl From<FourthSnapshot> for RegistrySnapshot {
     fn from(fourth: FourthSnapshot) -> Self {
         RegistrySnapshot {
@@ -247,7 +275,7 @@
             store: fourth.store,
             store_at: fourth.store_at,
             changed_at: fourth.changed_at,
-            suspicions: fourth.suspicions,
+            suspicions: fourth.suspicions.into_iter().map(Into::into).collect(),
             tenants: fourth.tenants.into(),
             evacuations: Vec::new(),
             gateways: Vec::new(),
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod replica;
 mod routes;
+mod run_lengths;
 mod second_layout;
 mod sequence;
 mod start;
@@ -23,6 +24,7 @@
 mod table_history;
 mod table_update;
 mod tell_order;
+mod third_layout;
 mod update;
 mod validate;
 mod view;
@@ -32,7 +34,9 @@
 pub use configuration::{Configuration, ConfigurationError, Declared};
 pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
 pub use gateways::{GatewayRecord, KnownGateways};
-pub use linnethitch_protocol::suspicion::{EndedRun, RequestContent, RequestFingerprint};
+pub use linnethitch_protocol::suspicion::{
+    EndedRun, EndsInRow, RequestContent, RequestFingerprint, ToldSuspicion,
+};
 pub use node_list::{DirectoryNode, DirectoryQuestion, NodeList, READY_FOR_MS, near};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
--- a/crates/registry/src/second_layout.rs
+++ b/crates/registry/src/second_layout.rs
@@ -9,11 +9,10 @@
 use crate::{
     command::RegistryCommand,
     configuration::Declared,
-    fourth_layout::{FourthReplicaRecord, FourthService},
+    fourth_layout::{FourthReplicaRecord, FourthService, FourthSuspicion},
     registry::{RegistrySnapshot, StoreMembers},
     replica::ReplicaRecord,
     routes::{Backend, CallerLimits, Route, RouteKind, RouteTable},
-    suspicion::Suspicion,
 };
 
 #[derive(Archive, Serialize, Deserialize)]
@@ -71,7 +70,7 @@
     store: StoreMembers,
     store_at: LogIndex,
     changed_at: LogIndex,
-    suspicions: Vec<Suspicion>,
+    suspicions: Vec<FourthSuspicion>,
 }
 
 impl From<SecondRoute> for Route {
@@ -151,7 +150,7 @@
             store: third.store,
             store_at: third.store_at,
             changed_at: third.changed_at,
-            suspicions: third.suspicions,
+            suspicions: third.suspicions.into_iter().map(Into::into).collect(),
             tenants: TenantsUpdate::default(),
             evacuations: Vec::new(),
             gateways: Vec::new(),
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -5,14 +5,19 @@
 //! ends a replica is not told by anybody; all requests that broke off there are
 //! suspected, and the innocent ones must lose the suspicion:
 //!
-//! * An end counts for a request only if its run began after the end before was known
-//!   where the run began. So a popular request that has many copies under way counts
-//!   one end, however many replicas are lost at that moment.
+//! * An end counts for a request only if its run began after the ends before were known
+//!   where the run began: it is one more than what was known there, whatever came between.
+//!   So a popular request that has many copies under way counts one end, however many
+//!   replicas are lost at that moment.
 //! * A copy that comes to a whole answer ends the suspicion: of what ends every
-//!   replica none does.
+//!   replica none does. Clearings are counted, and ends under runs that began before the
+//!   last one do not add up.
 //! * What ends replicas does so after about the same time. Ends that came after runs
 //!   of different lengths had other causes; a long run is likely to be hit by one, and
-//!   would be refused for it otherwise.
+//!   would be refused for it otherwise. A stall makes a run look longer.
+//!
+//! What is known at two places is put together by taking what is known later, in whatever
+//! order and however often it is told.
 //!
 //! After three ends in a row a request is refused; one that runs for seconds, and is hit
 //! by unrelated ends the more, after one more for each second.
@@ -21,39 +26,26 @@
 
 use linnethitch_protocol::{
     ids::LogIndex,
-    suspicion::{EndedRun, RequestFingerprint},
+    suspicion::{EndedRun, EndsInRow, RequestFingerprint, ToldSuspicion},
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-/// Replicas that end under a request, one after the other, before copies of it are
-/// refused, where each ends at once. An innocent request is refused only if three
-/// unrelated ends hit three of its runs in a row.
-const ENDS_BEFORE_REFUSAL: u32 = 3;
-/// One end more is needed for each such time that a run lasted, in milliseconds: the
-/// chance of being hit by an unrelated end grows with it.
-const FURTHER_END_PER_MS: u32 = 1_000;
-/// Requests that are remembered: some 100 bytes each, so 100 KB at most, and what a
-/// gateway is told at its start. A flood of different requests under which one replica
+use crate::run_lengths::{self, AlikeRuns};
+
+/// Requests that are remembered: some 100 bytes each, and four for each end of a row, so
+/// 350 KB at most, and what a gateway is told at its start. A flood of different requests under which one replica
 /// ended each displaces its own kind before it displaces what more ended under.
 const MOST_SUSPICIONS: usize = 1_024;
 
-/// Runs that end their replicas last equally long up to this, in milliseconds, and up
-/// to a part of their length: reading of a prompt and a slow replica make a difference.
-const SAME_LENGTH_MS: u32 = 500;
-/// That part, as a divisor.
-const SAME_LENGTH_PART: u32 = 8;
-
 /// What the fleet knows of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Suspicion {
     /// The request.
     pub fingerprint: RequestFingerprint,
-    /// Replicas that ended under it in a row; 0 where it is no longer suspected.
-    pub ends: u32,
+    /// Replicas that ended under it in a row; empty where it is no longer suspected.
+    pub row: EndsInRow,
     /// The replica that ended last.
     pub replica: String,
-    /// How long the first run of this row had run, in milliseconds.
-    pub ran_ms: u32,
     /// The log entry that changed this last.
     pub changed_at: LogIndex,
 }
@@ -68,49 +60,92 @@
         run: &EndedRun,
         changed_at: LogIndex,
     ) -> Option<Suspicion> {
-        let open = held.filter(|held| held.ends > 0);
-        let is_told = open.is_some_and(|open| open.replica == replica);
-        if is_told || open.is_some_and(|open| run.known_ends < open.ends) {
-            return None;
+        let mut row = run.known.clone();
+        if let Some(held) = held {
+            let began_before_clearing = row.clearings < held.row.clearings;
+            if began_before_clearing && (held.is_open() || held.replica == replica) {
+                return None;
+            }
+            if began_before_clearing {
+                row = held.row.clone();
+            } else if held.row.outweighs(&row) {
+                return None;
+            }
         }
-        let in_row = open.filter(|open| lasted_the_same(open.ran_ms, run.ran_ms));
+        run_lengths::note(&mut row.lengths_ms, run.ran_ms);
         Some(Suspicion {
             fingerprint: run.fingerprint,
-            ends: in_row.map_or(0, |open| open.ends) + 1,
+            row,
             replica: replica.to_owned(),
-            ran_ms: in_row.map_or(run.ran_ms, |open| open.ran_ms),
             changed_at,
         })
     }
 
-    /// Whether copies of the request are refused.
+    /// What another gateway told, as of what is known here of the fleet.
     #[must_use]
-    pub fn is_refused(&self) -> bool {
-        self.ends >= self.ends_before_refusal()
+    pub fn told(told: ToldSuspicion, changed_at: LogIndex) -> Self {
+        Suspicion {
+            fingerprint: told.fingerprint,
+            row: told.row,
+            replica: told.replica,
+            changed_at,
+        }
+    }
+
+    /// The same as other gateways are told.
+    #[must_use]
+    pub fn to_tell(&self) -> ToldSuspicion {
+        ToldSuspicion {
+            fingerprint: self.fingerprint,
+            replica: self.replica.clone(),
+            row: self.row.clone(),
+        }
     }
 
-    fn ends_before_refusal(&self) -> u32 {
-        ENDS_BEFORE_REFUSAL + self.ran_ms / FURTHER_END_PER_MS
+    /// Whether the request is suspected.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.row.is_empty()
     }
 
-    /// Whether a gateway's own news count more than what control tells. Control may commit
-    /// late what happened before them: of the same row the longer one counts.
+    /// Replicas that ended in a row after about the same time.
     #[must_use]
-    pub fn outweighs(&self, told: &Suspicion) -> bool {
-        let is_newer = told.changed_at <= self.changed_at;
-        let is_longer = told.ends > 0 && self.ends > told.ends;
-        is_newer || is_longer
+    pub fn ends(&self) -> u32 {
+        self.alike().map_or(0, |alike| alike.ends)
+    }
+
+    /// Whether copies of the request are refused.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        self.alike().is_some_and(AlikeRuns::is_refused)
+    }
+
+    fn alike(&self) -> Option<AlikeRuns> {
+        AlikeRuns::among(&self.row.lengths_ms)
     }
 
     /// What is known after a copy came to a whole answer.
     #[must_use]
-    pub fn cleared(fingerprint: RequestFingerprint, changed_at: LogIndex) -> Suspicion {
+    pub fn cleared(&self, changed_at: LogIndex) -> Suspicion {
+        self.begun_anew(Vec::new(), changed_at)
+    }
+
+    /// What is known after nothing was heard of it for long: if it is refused, it may be
+    /// tried again, and is refused anew at the first end; else it is no longer suspected.
+    fn eased(&self, changed_at: LogIndex) -> Suspicion {
+        let refused = self.alike().filter(|alike| alike.is_refused());
+        let lengths_ms = refused.map_or(Vec::new(), AlikeRuns::one_before_refusal);
+        self.begun_anew(lengths_ms, changed_at)
+    }
+
+    fn begun_anew(&self, lengths_ms: Vec<u32>, changed_at: LogIndex) -> Suspicion {
         Suspicion {
-            fingerprint,
-            ends: 0,
-            replica: String::new(),
-            ran_ms: 0,
+            row: EndsInRow {
+                clearings: self.row.clearings.saturating_add(1),
+                lengths_ms,
+            },
             changed_at,
+            ..self.clone()
         }
     }
 }
@@ -149,7 +184,7 @@
 
     /// Requests that are suspected.
     pub fn open(&self) -> impl Iterator<Item = &Suspicion> {
-        self.records.values().filter(|record| record.ends > 0)
+        self.records.values().filter(|record| record.is_open())
     }
 
     /// A replica ended under these runs; true when that changed anything.
@@ -167,37 +202,26 @@
 
     /// Copies of these requests came to whole answers; true when that changed anything.
     pub(crate) fn clear(&mut self, index: LogIndex, cleared: &[RequestFingerprint]) -> bool {
-        self.set_ends(index, cleared, |_| 0)
+        self.change_open(cleared, |held| held.cleared(index))
     }
 
-    /// Nothing was heard of these requests for long. One that is refused may be tried
-    /// again, and is refused anew at the first end; others are no longer suspected.
+    /// Nothing was heard of these requests for long.
     pub(crate) fn ease(&mut self, index: LogIndex, eased: &[RequestFingerprint]) -> bool {
-        self.set_ends(index, eased, |held| {
-            if held.is_refused() {
-                held.ends_before_refusal() - 1
-            } else {
-                0
-            }
-        })
+        self.change_open(eased, |held| held.eased(index))
     }
 
-    fn set_ends(
+    fn change_open(
         &mut self,
-        index: LogIndex,
         fingerprints: &[RequestFingerprint],
-        ends_after: impl Fn(&Suspicion) -> u32,
+        change: impl Fn(&Suspicion) -> Suspicion,
     ) -> bool {
         let mut changed = false;
         for fingerprint in fingerprints {
-            let Some(held) = self.records.get(fingerprint).filter(|held| held.ends > 0) else {
+            let held = self.records.get(fingerprint);
+            let Some(held) = held.filter(|held| held.is_open()) else {
                 continue;
             };
-            let record = Suspicion {
-                ends: ends_after(held),
-                changed_at: index,
-                ..held.clone()
-            };
+            let record = change(held);
             self.put(record);
             changed = true;
         }
@@ -215,10 +239,10 @@
     }
 
     fn put(&mut self, record: Suspicion) {
-        self.open += usize::from(record.ends > 0);
+        self.open += usize::from(record.is_open());
         match self.records.entry(record.fingerprint) {
             Entry::Occupied(mut held) => {
-                self.open -= usize::from(held.get().ends > 0);
+                self.open -= usize::from(held.get().is_open());
                 held.insert(record);
             }
             Entry::Vacant(free) => {
@@ -233,12 +257,15 @@
         if self.records.len() <= MOST_SUSPICIONS {
             return;
         }
-        let least = self.records.values().min_by_key(|r| (r.ends, r.changed_at));
+        let least = self
+            .records
+            .values()
+            .min_by_key(|r| (r.row.lengths_ms.len(), r.changed_at));
         let Some(fingerprint) = least.map(|record| record.fingerprint) else {
             return;
         };
         if let Some(dropped) = self.records.remove(&fingerprint) {
-            self.open -= usize::from(dropped.ends > 0);
+            self.open -= usize::from(dropped.is_open());
         }
     }
 }
@@ -252,9 +279,3 @@
         suspicions
     }
 }
-
-/// Whether two runs lasted about the same time, so that both may have ended their replica.
-fn lasted_the_same(one_ms: u32, other_ms: u32) -> bool {
-    let tolerance_ms = SAME_LENGTH_MS + one_ms.min(other_ms) / SAME_LENGTH_PART;
-    one_ms.abs_diff(other_ms) <= tolerance_ms
-}
--- /dev/null
+++ b/crates/registry/src/third_layout.rs
@@ -0,0 +1,75 @@
+//! Commands about suspected requests as the third layout holds them: runs told how many
+//! ends were known, not which. Read, never written.
+
+use linnethitch_protocol::{
+    ids::{MachineId, MemberId},
+    suspicion::{EndedRun, EndsInRow, RequestFingerprint},
+};
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    command::RegistryCommand, configuration::Declared, replica::ReplicaChange, routes::RouteTable,
+    run_lengths,
+};
+
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) struct ThirdEndedRun {
+    fingerprint: RequestFingerprint,
+    known_ends: u32,
+    ran_ms: u32,
+}
+
+/// The last four were stored; those before them keep their places.
+#[derive(Archive, Serialize, Deserialize)]
+pub(crate) enum ThirdCommand {
+    PutConfiguration {
+        table: RouteTable,
+        declared: Box<Declared>,
+    },
+    Replica(Box<ReplicaChange>),
+    RemoveReplica(String),
+    FormStore(Vec<MemberId>),
+    RetireStore(MachineId),
+    ReplicaEnded {
+        replica: String,
+        runs: Vec<ThirdEndedRun>,
+    },
+    ClearSuspicions(Vec<RequestFingerprint>),
+    EaseSuspicions(Vec<RequestFingerprint>),
+    NotThere(String),
+}
+
+impl From<ThirdEndedRun> for EndedRun {
+    /// The runs before are taken to have lasted as long as this one.
+    fn from(third: ThirdEndedRun) -> Self {
+        EndedRun {
+            fingerprint: third.fingerprint,
+            known: EndsInRow {
+                clearings: 0,
+                lengths_ms: run_lengths::alike(third.ran_ms, third.known_ends),
+            },
+            ran_ms: third.ran_ms,
+        }
+    }
+}
+
+impl From<ThirdCommand> for RegistryCommand {
+    fn from(third: ThirdCommand) -> Self {
+        match third {
+            ThirdCommand::PutConfiguration { table, declared } => {
+                RegistryCommand::PutConfiguration { table, declared }
+            }
+            ThirdCommand::Replica(change) => RegistryCommand::Replica(change),
+            ThirdCommand::RemoveReplica(key) => RegistryCommand::RemoveReplica(key),
+            ThirdCommand::FormStore(members) => RegistryCommand::FormStore(members),
+            ThirdCommand::RetireStore(machine) => RegistryCommand::RetireStore(machine),
+            ThirdCommand::ReplicaEnded { replica, runs } => RegistryCommand::ReplicaEnded {
+                replica,
+                runs: runs.into_iter().map(EndedRun::from).collect(),
+            },
+            ThirdCommand::ClearSuspicions(cleared) => RegistryCommand::ClearSuspicions(cleared),
+            ThirdCommand::EaseSuspicions(eased) => RegistryCommand::EaseSuspicions(eased),
+            ThirdCommand::NotThere(key) => RegistryCommand::NotThere(key),
+        }
+    }
+}
--- a/crates/registry/tests/all/fourth_layout.rs
+++ b/crates/registry/tests/all/fourth_layout.rs
@@ -1,4 +1,4 @@
-//! Values as the first and fourth layouts store them stay readable.
+//! Values as the first, third and fourth layouts store them stay readable.
 
 use linnethitch_group::{StateMachine, WholeSnapshot};
 use linnethitch_registry::{Registry, RegistryCommand, ReplicaState};
@@ -32,6 +32,21 @@
     000000000020ffffff03000000010000000000000028ffffff0100000058ffffff0000000050ffffff000000\
     000000000000000000020000000000000038ffffff0000000001000000000000000100000000000000010000\
     002cffffff0100000000000000";
+/// A registry that suspects two requests: one under which three replicas ended after
+/// 100 ms, another under which one ended after 4,200 ms.
+const SUSPICIONS: &str = "0404eff384cb64b2af99ebd5d54eddacc703000000692d32ffffffffff64000000030000000000000099f25a\
+    3acaddd695562a567d75a8df5f01000000692d33ffffffffff68100000040000000000000000000000000000\
+    0000000000000000000000000000000000000000000000000000000000000000000000000000000000000000\
+    000000000078ffffff00000000000000000000000068ffffff0000000060ffffff0000000058ffffff000000\
+    000000000000000000040000000000000040ffffff0200000000000000000000000000000000000000010000\
+    0074ffffff0000000000000000";
+/// A replica ended under a run of 100 ms that began knowing of one end.
+const REPLICA_ENDED: &str = "0304eff384cb64b2af99ebd5d54eddacc7010000006400000005000000692d32ffffffffffdcffffff01000\
+    0000000000000000000000000000000000000000000000000000000000000000000000000000000000000000\
+    000";
+/// The same request is no longer suspected.
+const CLEARED: &str = "0304eff384cb64b2af99ebd5d54eddacc706000000ecffffff0100000000000000000000000000000000000\
+    000000000000000000000000000000000000000000000000000000000000000000000000000";
 
 #[test]
 fn a_configuration_without_homes_is_read() {
@@ -69,3 +84,32 @@
     assert!(restored.tenants().holder(&KeyDigest::of("key")).is_some());
     assert_eq!(restored.evacuations().zones().count(), 0);
 }
+
+#[test]
+fn what_is_suspected_stays_so() {
+    let snapshot = WholeSnapshot::new(hex_bytes(SUSPICIONS));
+    let restored = Registry::from_snapshot(store_snapshot(snapshot)).expect("it is read");
+    let suspicions = restored.suspicions();
+    let mut held: Vec<_> = suspicions
+        .open()
+        .map(|held| (held.ends(), held.is_refused()))
+        .collect();
+    held.sort_unstable();
+    assert_eq!(held, [(1, false), (3, true)]);
+}
+
+#[test]
+fn ends_of_replicas_under_requests_are_read() {
+    let read = RegistryCommand::from_stored(&hex_bytes(REPLICA_ENDED)).expect("it is read");
+    let RegistryCommand::ReplicaEnded { replica, runs } = read else {
+        panic!("a replica ended: {read:?}");
+    };
+    assert_eq!((replica.as_str(), runs.len()), ("i-2", 1));
+    assert_eq!(runs[0].known.lengths_ms, [100]);
+    assert_eq!((runs[0].known.clearings, runs[0].ran_ms), (0, 100));
+    let read = RegistryCommand::from_stored(&hex_bytes(CLEARED)).expect("it is read");
+    let cleared = RegistryCommand::ClearSuspicions(vec![runs[0].fingerprint]);
+    assert_eq!(read, cleared);
+    let bytes = cleared.to_stored().expect("it is encoded");
+    assert_eq!(bytes, hex_bytes(CLEARED));
+}
--- a/crates/registry/tests/all/starts.rs
+++ b/crates/registry/tests/all/starts.rs
@@ -3,8 +3,8 @@
 use linnethitch_group::StateMachine;
 use linnethitch_protocol::ids::LogIndex;
 use linnethitch_registry::{
-    EndedRun, FleetUpdate, FleetView, Registry, RegistryAnswer, RegistryCommand, ReplicaChange,
-    ReplicaState, RequestContent, RequestFingerprint, parse_start_key, start_key,
+    EndedRun, EndsInRow, FleetUpdate, FleetView, Registry, RegistryAnswer, RegistryCommand,
+    ReplicaChange, ReplicaState, RequestContent, RequestFingerprint, parse_start_key, start_key,
 };
 use rstest::rstest;
 
@@ -150,18 +150,22 @@
     });
     let mut registry = Registry::default();
     for (index, (key, known_ends)) in (1..).zip([("i-1#1", 0), ("i-1#1", 0), ("i-1#2", 1)]) {
+        let known = EndsInRow {
+            clearings: 0,
+            lengths_ms: vec![80; known_ends],
+        };
         let ended = RegistryCommand::ReplicaEnded {
             replica: key.to_owned(),
             runs: vec![EndedRun {
                 fingerprint,
-                known_ends,
+                known,
                 ran_ms: 80,
             }],
         };
         apply(&mut registry, index, &ended);
     }
     let held = registry.suspicions().get(&fingerprint);
-    assert_eq!(held.expect("it is suspected").ends, 2);
+    assert_eq!(held.expect("it is suspected").ends(), 2);
 }
 
 #[rstest]
--- a/crates/registry/tests/all/suspicions.rs
+++ b/crates/registry/tests/all/suspicions.rs
@@ -3,7 +3,8 @@
 use linnethitch_group::StateMachine;
 use linnethitch_protocol::ids::LogIndex;
 use linnethitch_registry::{
-    EndedRun, FleetView, Registry, RegistryCommand, RequestContent, RequestFingerprint, Suspicion,
+    EndedRun, EndsInRow, FleetView, Registry, RegistryCommand, RequestContent, RequestFingerprint,
+    Suspicion, ToldSuspicion,
 };
 use rstest::rstest;
 
@@ -22,18 +23,26 @@
     })
 }
 
-fn run(body: &str, known_ends: u32) -> EndedRun {
-    long_run(body, known_ends, 100)
+/// A run that began knowing of so many ends of the first row, each after 100 ms.
+fn run(body: &str, known_ends: usize) -> EndedRun {
+    run_knowing(body, row(0, &vec![100; known_ends]), 100)
 }
 
-fn long_run(body: &str, known_ends: u32, ran_ms: u32) -> EndedRun {
+fn run_knowing(body: &str, known: EndsInRow, ran_ms: u32) -> EndedRun {
     EndedRun {
         fingerprint: request(body),
-        known_ends,
+        known,
         ran_ms,
     }
 }
 
+fn row(clearings: u32, lengths_ms: &[u32]) -> EndsInRow {
+    EndsInRow {
+        clearings,
+        lengths_ms: lengths_ms.to_vec(),
+    }
+}
+
 fn ended(replica: &str, runs: &[EndedRun]) -> RegistryCommand {
     RegistryCommand::ReplicaEnded {
         replica: replica.to_owned(),
@@ -43,7 +52,13 @@
 
 fn ends(applied: &Applied, body: &str) -> u32 {
     let held = applied.registry.suspicions().get(&request(body));
-    held.map_or(0, |held| held.ends)
+    held.map_or(0, Suspicion::ends)
+}
+
+/// What is known of a request here.
+fn known(applied: &Applied, body: &str) -> EndsInRow {
+    let held = applied.registry.suspicions().get(&request(body));
+    held.map(|held| held.row.clone()).unwrap_or_default()
 }
 
 /// What is told, one after the other, and how many ends count in the end.
@@ -53,8 +68,11 @@
 #[case::one_replica_told_by_two_gateways(&[("i-1", 0), ("i-1", 0)], 1)]
 #[case::a_gateway_that_was_cut_off(&[("i-1", 0), ("i-2", 1), ("i-3", 0)], 2)]
 #[case::told_late_of_a_replica(&[("i-1", 0), ("i-2", 1), ("i-2", 1)], 2)]
+#[case::told_in_another_order(&[("i-3", 2), ("i-1", 0), ("i-2", 1)], 3)]
+#[case::the_ends_between_were_never_told(&[("i-1", 0), ("i-4", 3)], 4)]
+#[case::the_same_one_again_at_a_gateway_that_hears_of_no_others(&[("i-1", 0), ("i-1", 1)], 2)]
 fn an_end_counts_if_the_run_began_knowing_of_the_ends_before(
-    #[case] told: &[(&str, u32)],
+    #[case] told: &[(&str, usize)],
     #[case] counted: u32,
 ) {
     let mut applied = Applied::default();
@@ -71,17 +89,19 @@
 #[case::late_in_a_long_run(&[4_000, 4_300, 3_700], 3)]
 #[case::at_different_times(&[300, 2_900, 1_400], 1)]
 #[case::the_last_two_alike(&[300, 2_900, 2_700], 2)]
+#[case::a_stall_stretches_one_of_them(&[31, 5_000, 30, 32], 3)]
+#[case::stalls_stretch_two_of_them(&[31, 5_000, 30, 2_000, 32], 2)]
+#[case::stalls_of_less_than_a_second(&[934, 31, 400], 3)]
+#[case::one_came_sooner_than_the_others(&[2_900, 2_700, 300], 1)]
+#[case::long_ones_are_not_taken_for_stretched(&[1_900, 4_000, 1_900, 4_000, 1_900, 4_000], 2)]
 fn ends_after_runs_of_different_lengths_had_other_causes(
     #[case] lasted_ms: &[u32],
     #[case] counted: u32,
 ) {
     let mut applied = Applied::default();
     for (number, ran_ms) in lasted_ms.iter().enumerate() {
-        let known = ends(&applied, "a");
-        applied.apply(&ended(
-            &format!("i-{number}"),
-            &[long_run("a", known, *ran_ms)],
-        ));
+        let run = run_knowing("a", known(&applied, "a"), *ran_ms);
+        applied.apply(&ended(&format!("i-{number}"), &[run]));
     }
     assert_eq!(ends(&applied, "a"), counted);
 }
@@ -96,32 +116,99 @@
     for number in 0..needed {
         let held = applied.registry.suspicions().get(&request("a"));
         assert!(!held.is_some_and(Suspicion::is_refused), "{held:?}");
-        applied.apply(&ended(
-            &format!("i-{number}"),
-            &[long_run("a", number, ran_ms)],
-        ));
+        let run = run_knowing("a", known(&applied, "a"), ran_ms);
+        applied.apply(&ended(&format!("i-{number}"), &[run]));
     }
     let held = applied.registry.suspicions().get(&request("a"));
     assert!(held.is_some_and(Suspicion::is_refused), "{held:?}");
 }
 
-/// Own news of a gateway (ends, as of an entry) beside what control told.
+/// Own news of a gateway (clearings, ends) beside what control told.
 #[rstest]
-#[case::control_has_not_told_yet((2, 7), (1, 7), true)]
-#[case::control_commits_late_what_was_before((2, 7), (1, 9), true)]
-#[case::control_knows_more((1, 7), (3, 9), false)]
-#[case::cleared_meanwhile((2, 7), (0, 9), false)]
-#[case::suspected_again((0, 7), (1, 9), false)]
+#[case::control_has_not_told_yet((0, 2), (0, 1), true)]
+#[case::control_knows_as_much((0, 2), (0, 2), false)]
+#[case::control_knows_more((0, 1), (0, 3), false)]
+#[case::cleared_meanwhile((0, 2), (1, 0), false)]
+#[case::cleared_here((1, 0), (0, 3), true)]
+#[case::suspected_again((1, 0), (1, 1), false)]
+#[case::cleared_and_suspected_again((0, 3), (1, 1), false)]
 fn news_count_until_control_knows_as_much(
-    #[case] own: (u32, u64),
-    #[case] told: (u32, u64),
+    #[case] own: (u32, usize),
+    #[case] told: (u32, usize),
     #[case] counts: bool,
 ) {
-    let record = |(ends, at): (u32, u64)| Suspicion {
-        ends,
-        ..Suspicion::cleared(request("a"), LogIndex(at))
+    let row = |(clearings, ends): (u32, usize)| row(clearings, &vec![100; ends]);
+    assert_eq!(row(own).outweighs(&row(told)), counts);
+}
+
+/// Seen in a run of faults: innocent requests were refused where ends counted that a
+/// gateway knew of which had not heard of a clearing.
+#[test]
+fn ends_before_a_clearing_do_not_add_up_with_those_after_it() {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("a", 0)]));
+    applied.apply(&RegistryCommand::ClearSuspicions(vec![request("a")]));
+    for (replica, known_ends) in [("i-2", 1), ("i-3", 2), ("i-4", 3)] {
+        applied.apply(&ended(replica, &[run("a", known_ends)]));
+    }
+    assert_eq!(ends(&applied, "a"), 1);
+    assert_eq!(known(&applied, "a").clearings, 1);
+}
+
+/// A command is applied again where its answer was lost.
+#[rstest]
+#[case::while_it_is_suspected(false, 2)]
+#[case::after_a_whole_answer(true, 0)]
+fn an_end_that_is_told_again_changes_nothing(#[case] cleared: bool, #[case] counted: u32) {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("a", 0)]));
+    applied.apply(&ended("i-2", &[run("a", 1)]));
+    if cleared {
+        applied.apply(&RegistryCommand::ClearSuspicions(vec![request("a")]));
+    }
+    applied.apply(&ended("i-2", &[run("a", 1)]));
+    applied.apply(&ended("i-2", &[run("a", 1)]));
+    assert_eq!(ends(&applied, "a"), counted);
+}
+
+/// Control heard of nothing while it had no leader: what a gateway knew where a run began
+/// holds there too, also that the request was cleared.
+#[test]
+fn a_run_tells_what_was_known_where_it_began() {
+    let mut applied = Applied::default();
+    applied.apply(&ended("i-1", &[run("a", 0)]));
+    let known = row(2, &[31, 30]);
+    applied.apply(&ended("i-9", &[run_knowing("a", known, 33)]));
+    let held = applied.registry.suspicions().get(&request("a"));
+    let held = held.expect("it is suspected");
+    assert_eq!(held.row, row(2, &[31, 30, 33]));
+    assert!(held.is_refused());
+}
+
+/// What gateways tell each other comes in any order, and is put together alike.
+#[test]
+fn what_is_told_in_any_order_comes_to_the_same() {
+    let rows = [row(0, &[30]), row(0, &[30, 31]), row(1, &[]), row(1, &[29])];
+    let told = |row: &EndsInRow| ToldSuspicion {
+        fingerprint: request("a"),
+        replica: "i-1".to_owned(),
+        row: row.clone(),
     };
-    assert_eq!(record(own).outweighs(&record(told)), counts);
+    for first in &rows {
+        for second in &rows {
+            for third in &rows {
+                let mut held = EndsInRow::default();
+                for row in [first, second, third, &rows[3], first] {
+                    let news = Suspicion::told(told(row), LogIndex(0));
+                    assert_eq!(news.to_tell(), told(row));
+                    if news.row.outweighs(&held) {
+                        held = news.row;
+                    }
+                }
+                assert_eq!(held, rows[3]);
+            }
+        }
+    }
 }
 
 #[test]
@@ -142,7 +229,7 @@
 #[case::suspected(1, 0)]
 #[case::almost_refused(2, 0)]
 #[case::refused(3, 2)]
-fn time_eases_a_suspicion(#[case] before: u32, #[case] after: u32) {
+fn time_eases_a_suspicion(#[case] before: usize, #[case] after: u32) {
     let mut applied = Applied::default();
     for number in 0..before {
         applied.apply(&ended(&format!("i-{number}"), &[run("a", number)]));
@@ -193,7 +280,7 @@
     assert!(!view.take(early));
     assert_eq!(view.suspicions().len(), 1);
     let held = view.suspicions().get(&request("b"));
-    assert_eq!(held.map(|held| held.ends), Some(1));
+    assert_eq!(held.map(Suspicion::ends), Some(1));
 }
 
 #[rstest]
@@ -234,8 +321,12 @@
         ("m-1-2", 1, 32),
     ];
     let mut applied = Applied::default();
-    for (replica, known, ran_ms) in told {
-        applied.apply(&ended(replica, &[long_run("a", known, ran_ms)]));
+    for (replica, known_ends, ran_ms) in told {
+        // Runs knew of the first ones that control was told.
+        let mut known = known(&applied, "a");
+        known.lengths_ms.truncate(known_ends);
+        assert_eq!(known.lengths_ms.len(), known_ends);
+        applied.apply(&ended(replica, &[run_knowing("a", known, ran_ms)]));
     }
     let held = applied.registry.suspicions().get(&request("a"));
     assert!(held.is_some_and(Suspicion::is_refused), "{held:?}");
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -98,7 +98,7 @@
                 service: &self.service,
                 prompt: &self.prompt.parts,
                 outgoing: &self.outgoing,
-                known_ends,
+                alone: !known_ends.is_empty(),
                 except: &except,
                 homes: &homes,
                 rank: self.rank,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, timeout, timeout_at};
 use linnethitch_protocol::slots::RunOutcome;
-use linnethitch_registry::{RequestContent, RequestFingerprint, parse_start_key};
+use linnethitch_registry::{EndsInRow, RequestContent, RequestFingerprint, parse_start_key};
 use linnethitch_routing::{
     cold::SendEnd,
     dispatch::{Chosen, FailureKind, PromptPart},
@@ -132,7 +132,7 @@
 pub(crate) struct Target<'a> {
     pub(crate) chosen: &'a Chosen,
     /// Replicas that ended under such requests, as was known at the choice.
-    pub(crate) known_ends: u32,
+    pub(crate) known_ends: EndsInRow,
     /// The slot of an online request, or of one that runs alone.
     pub(crate) lease: Option<SlotLease>,
     /// How it came out, for the replica's coordinator.
@@ -183,12 +183,15 @@
 ) -> Exchange {
     let Target {
         chosen,
-        known_ends,
         last_event,
         limits,
         ..
     } = target;
+    let known_ends = target.known_ends.clone();
     news_after_standstill(shared, limits).await;
+    if !known_ends.is_empty() {
+        news_while_cut_off(shared, limits).await;
+    }
     // Before it counts there, and before a connection is opened.
     if shared.is_evacuated(&chosen.id) {
         return evacuated(shared, outgoing, chosen);
@@ -227,7 +230,10 @@
         if !shared.is_known_ready(&chosen.id) {
             return Exchange::NotRun(FailureKind::Replaced);
         }
-        if shared.ends(outgoing).is_none_or(|ends| ends > known_ends) {
+        if shared
+            .ends(outgoing)
+            .is_none_or(|ends| !ends.is_empty() && ends.outweighs(&known_ends))
+        {
             return Exchange::Suspected;
         }
         if let Err(refusal) = shared.still_admits(outgoing) {
@@ -237,6 +243,7 @@
             return Exchange::Cold;
         };
         shared.count_send(outgoing);
+        running.is_sent();
         match send(
             shared,
             chosen,
@@ -278,6 +285,15 @@
     let _ = timeout(left / 2, shared.gateway.news_after_standstill()).await;
 }
 
+/// Waits for news of a suspected request where this gateway is cut off, for half of the
+/// request's time at most: others may know that it is refused, and each gateway that is cut
+/// off would let it end three replicas more.
+async fn news_while_cut_off(shared: &Shared, limits: Limits) {
+    let left = limits.until.saturating_duration_since(Instant::now());
+    // Where time is over, the request goes on as well.
+    let _ = timeout(left / 2, shared.news_while_cut_off()).await;
+}
+
 /// What was to be sent is not: its zone was evacuated since the replica was chosen.
 fn evacuated(shared: &Shared, outgoing: &Outgoing, chosen: &Chosen) -> Exchange {
     shared.counters.evacuated_sends.inc();
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -12,6 +12,8 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Looks for each time that held leases are told.
 const ROUNDS_PER_TELLING: u32 = 5;
+/// Looks for each time that news of suspected requests are told again.
+const ROUNDS_PER_NEWS: u32 = 2;
 
 /// Takes every newer view of the fleet, and drops what no longer serves.
 pub(crate) async fn follow_fleet(shared: Arc<Shared>, gateway: GatewayNode) {
@@ -33,14 +35,18 @@
 
 /// Takes what other gateways say.
 pub(crate) async fn follow_gateways(shared: Arc<Shared>, gateway: GatewayNode) {
-    receive_messages(gateway, |from, message| match message {
-        GatewayDatagram::Quota(message) => shared.quotas.take_message(from, message),
-        GatewayDatagram::ReplicaEnded { replica, runs } => {
-            runs.iter().for_each(|run| shared.note_end(&replica, run));
-        }
-        about_slots => {
-            let loads = shared.slots.take_message(from, about_slots);
-            shared.note_told(&loads);
+    receive_messages(gateway, |from, message| {
+        shared.note_gateway_heard();
+        match message {
+            GatewayDatagram::Quota(message) => shared.quotas.take_message(from, message),
+            GatewayDatagram::Suspicions(told) => {
+                told.into_iter()
+                    .for_each(|told| shared.take_told(from, told));
+            }
+            about_slots => {
+                let loads = shared.slots.take_message(from, about_slots);
+                shared.note_told(&loads);
+            }
         }
     })
     .await;
@@ -56,6 +62,9 @@
         shared.slots.set_engines(shared.engines());
         shared.quotas.upkeep();
         rounds = rounds.wrapping_add(1);
+        if rounds.is_multiple_of(ROUNDS_PER_NEWS) {
+            shared.tell_news_again();
+        }
         if rounds.is_multiple_of(ROUNDS_PER_TELLING) {
             shared.slots.tell_held();
             shared.counters.note_slots(&shared.slots.own_loads());
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -174,10 +174,10 @@
         let Some(known_ends) = self.shared.known_ends(&outgoing).await else {
             return self.set_aside(&outgoing).await;
         };
-        let placed = if known_ends > 0 {
-            self.place_apart(&service, &outgoing, known_ends).await
-        } else {
+        let placed = if known_ends.is_empty() {
             self.wait_for_slot(&service, &outgoing).await
+        } else {
+            self.place_apart(&service, &outgoing).await
         };
         let Some(ItemPlace {
             chosen,
@@ -263,12 +263,7 @@
     }
 
     /// A slot where no other request runs under which replicas ended.
-    async fn place_apart(
-        &self,
-        service: &str,
-        outgoing: &Outgoing,
-        known_ends: u32,
-    ) -> Option<ItemPlace> {
+    async fn place_apart(&self, service: &str, outgoing: &Outgoing) -> Option<ItemPlace> {
         let by = Instant::now() + SLOT_WAIT;
         let homes = self.shared.homes(outgoing);
         let search = Search {
@@ -276,7 +271,7 @@
             service,
             prompt: &[],
             outgoing,
-            known_ends,
+            alone: true,
             except: &self.tried,
             homes: &homes,
             rank: u8::MAX,
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -178,7 +178,7 @@
                 service: &self.settings.service,
                 prompt: &self.settings.prompt,
                 outgoing,
-                known_ends,
+                alone: !known_ends.is_empty(),
                 except: &self.settings.tried,
                 homes: &homes,
                 rank: self.settings.rank,
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -11,7 +11,6 @@
 };
 
 use linnethitch_clock::{Instant, sleep, timeout, timeout_at};
-use linnethitch_protocol::slots::GatewayDatagram;
 use linnethitch_registry::{EndedRun, ReplicaState, RequestFingerprint};
 use parking_lot::Mutex;
 use slog::{info, warn};
@@ -230,16 +229,10 @@
     /// arrive, at all others: the bound holds for the fleet while control has no leader.
     /// The returned future tells control and is true once that holds it.
     fn blame(&self) -> impl Future<Output = bool> + use<> {
-        let runs: Vec<EndedRun> = self.runs.iter().map(|broken| broken.run).collect();
-        for run in &runs {
-            self.shared.note_end(&self.replica, run);
-        }
+        let runs: Vec<EndedRun> = self.runs.iter().map(|b| b.run.clone()).collect();
+        self.shared.note_ends(&self.replica, runs.iter());
         let gateway = self.shared.gateway.clone();
         let replica = self.replica.clone();
-        gateway.tell_gateways(&GatewayDatagram::ReplicaEnded {
-            replica: replica.clone(),
-            runs: runs.clone(),
-        });
         async move { gateway.tell_replica_ended(&replica, runs, TELL_LIMIT).await }
     }
 
@@ -255,7 +248,9 @@
         for broken in &self.runs {
             info!(logger, "request: replica ended under it"; "request" => &broken.request,
                 "replica" => &self.replica, "content" => broken.run.fingerprint.to_string(),
-                "known_ends" => broken.run.known_ends, "ran_ms" => broken.run.ran_ms);
+                "known_ends" => broken.run.known.lengths_ms.len(),
+                "known_clearings" => broken.run.known.clearings,
+                "ran_ms" => broken.run.ran_ms);
         }
     }
 }
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_clock::Instant;
 use linnethitch_protocol::slots::RunOutcome;
-use linnethitch_registry::EndedRun;
+use linnethitch_registry::{EndedRun, EndsInRow};
 use linnethitch_routing::dispatch::{FailureKind, PromptPart, RunningWork, WorkKind};
 
 use crate::{
@@ -25,8 +25,10 @@
     address: String,
     outgoing: Arc<Outgoing>,
     /// Replicas that had ended under it, as was known when it was sent.
-    known_ends: u32,
+    known_ends: EndsInRow,
     began: Instant,
+    /// When it was sent last: opening a connection is no part of its run.
+    sent: Instant,
     work: RunningWork,
     /// How it came out, for the replica's coordinator.
     pub(crate) report: RunReport,
@@ -54,19 +56,26 @@
         };
         let now_ms = shared.clock.now_ms();
         let work = shared.board.lock().begin(chosen, prompt, kind, now_ms)?;
+        let began = Instant::now();
         Some(RunningGuard {
             shared: Arc::clone(shared),
             replica: chosen.id.clone(),
             address: chosen.address.clone(),
             outgoing: Arc::clone(outgoing),
             known_ends,
-            began: Instant::now(),
+            began,
+            sent: began,
             work,
             report,
             _lease: lease,
         })
     }
 
+    /// It is about to be sent.
+    pub(crate) fn is_sent(&mut self) {
+        self.sent = Instant::now();
+    }
+
     /// The connection broke, or the answer ended before it was whole: perhaps the
     /// replica ended.
     pub(crate) fn broke(&self) {
@@ -77,8 +86,8 @@
             let run = BrokenRun {
                 run: EndedRun {
                     fingerprint: self.outgoing.fingerprint(),
-                    known_ends: self.known_ends,
-                    ran_ms: self.began.elapsed().as_millis().min(u128::from(u32::MAX)) as u32,
+                    known: self.known_ends.clone(),
+                    ran_ms: self.sent.elapsed().as_millis().min(u128::from(u32::MAX)) as u32,
                 },
                 request: self.outgoing.id().to_owned(),
             };
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -32,8 +32,8 @@
     pub(crate) prompt: &'a [PromptPart],
     /// The request.
     pub(crate) outgoing: &'a Outgoing,
-    /// Replicas that ended under such requests: one of them runs at a time where it goes.
-    pub(crate) known_ends: u32,
+    /// Whether replicas ended under such requests: one of them runs at a time where it goes.
+    pub(crate) alone: bool,
     /// Replicas that it must not be sent to (again).
     pub(crate) except: &'a [String],
     /// Zones in which it may be served.
@@ -56,7 +56,7 @@
     /// The best replica with a free slot; where none of those asked has one, a
     /// slot that it waited for. `None` when no replica may be given it.
     pub(crate) async fn run(&self) -> Option<Placed> {
-        if self.known_ends > 0 {
+        if self.alone {
             return self.place_apart().await;
         }
         if let Some(placed) = self.find_free(ColdUse::Never).await {
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -114,7 +114,7 @@
             }
             GatewayDatagram::Held { leases } => state.coordinator.note_held(from, &leases, now_ms),
             // Not about slots.
-            GatewayDatagram::ReplicaEnded { .. } | GatewayDatagram::Quota(_) => Vec::new(),
+            GatewayDatagram::Suspicions(_) | GatewayDatagram::Quota(_) => Vec::new(),
         };
         self.carry_out(&mut state, actions);
         Vec::new()
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -17,16 +17,22 @@
     time::Duration,
 };
 
-use linnethitch_registry::{ReplicaState, RouteKind};
+use linnethitch_cluster::GatewayNode;
+use linnethitch_protocol::slots::GatewayDatagram;
+use linnethitch_registry::{
+    EndsInRow, ReplicaState, RequestContent, RequestFingerprint, RouteKind, ToldSuspicion,
+};
 use rstest::rstest;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::support::{Fleet, Gateway, OK, engine_table, header, read_whole_request, route, table};
+use crate::support::{
+    Fleet, Gateway, LIMIT, OK, engine_table, header, read_whole_request, route, table,
+};
 
 /// A replica ends when it runs a request whose body begins so.
 const FATAL: &str = "fatal";
@@ -181,6 +187,155 @@
     assert_eq!(statuses.last(), Some(&400), "{statuses:?}");
 }
 
+/// A gateway that control no longer names serves on, while it stops or is cut off.
+#[tokio::test]
+async fn gateways_tell_one_that_control_no_longer_names() {
+    let service = Service::start(RouteKind::Streaming, 1, true, 10).await;
+    let gateways = [
+        service.fleet.first_gateway(),
+        service.fleet.add_gateway().await,
+        service.fleet.add_gateway().await,
+    ];
+    let number_of_named = |gateway: &Gateway| gateway.relay.gateway().coordinators().len();
+    for gateway in &gateways {
+        while number_of_named(gateway) < gateways.len() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    gateways[2].relay.gateway().stop_coordinating();
+    for gateway in &gateways {
+        while number_of_named(gateway) == gateways.len() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    service.fleet.stop_control();
+    let statuses = send_again_and_again(&gateways, 9).await;
+    assert!(
+        service.ended() <= MOST_ENDS,
+        "{} replicas ended, answers {statuses:?}",
+        service.ended()
+    );
+    assert_eq!(statuses.last(), Some(&400), "{statuses:?}");
+}
+
+/// What a gateway without callers is told next of requests under which replicas ended, by
+/// what is looked for.
+async fn told_next(
+    other: &GatewayNode,
+    is_looked_for: impl Fn(&ToldSuspicion) -> bool,
+) -> ToldSuspicion {
+    let datagrams = other.datagrams().expect("its port is free");
+    let told = async {
+        loop {
+            let (_, message) = datagrams.receive().await.expect("a datagram");
+            let GatewayDatagram::Suspicions(told) = message else {
+                continue;
+            };
+            if let Some(told) = told.into_iter().find(|told| is_looked_for(told)) {
+                break told;
+            }
+        }
+    };
+    timeout(LIMIT, told).await.expect("in time")
+}
+
+/// A service, its only gateway, and another one without callers that both know of.
+async fn beside_another_gateway(replicas: usize) -> (Service, Gateway, GatewayNode) {
+    let service = Service::start(RouteKind::Safe, 1, false, replicas).await;
+    let first = service.fleet.first_gateway();
+    let other = service.fleet.add_bare_gateway();
+    while first.relay.gateway().other_gateways() != [other.machine()] {
+        sleep(Duration::from_millis(10)).await;
+    }
+    (service, first, other)
+}
+
+/// Datagrams are lost, and a gateway that starts while control takes no changes has not
+/// heard those before.
+#[tokio::test]
+async fn news_are_told_again() {
+    let (service, first, other) = beside_another_gateway(2).await;
+    service.fleet.stop_control();
+    first.ask("fatal-1", FATAL).await;
+    let told = told_next(&other, |_| true).await;
+    assert_eq!(told.row.lengths_ms.len(), 1);
+    assert_eq!(told_next(&other, |_| true).await, told);
+    assert_eq!(told_next(&other, |_| true).await, told);
+}
+
+/// A gateway that hears neither control nor other gateways does not know what they found.
+#[tokio::test]
+async fn a_suspected_request_waits_for_news_where_its_gateway_is_cut_off() {
+    let (service, first, other) = beside_another_gateway(3).await;
+    first.ask("fatal-1", FATAL).await;
+    assert_eq!(service.ended(), 1);
+    service.fleet.lose_control();
+    while !first.relay.gateway().is_control_lost() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let waiting = first.ask("fatal-2", FATAL);
+    let told_later = async {
+        sleep(CALLER_PAUSE).await;
+        let told = ToldSuspicion {
+            fingerprint: fingerprint(FATAL),
+            replica: "i-9".to_owned(),
+            row: EndsInRow {
+                clearings: 0,
+                lengths_ms: vec![30; MOST_ENDS],
+            },
+        };
+        let receivers = [first.relay.gateway().machine()];
+        other.tell_gateways(&receivers, &GatewayDatagram::Suspicions(vec![told]));
+    };
+    let (answer, ()) = tokio::join!(waiting, told_later);
+    assert_eq!((answer.status, service.ended()), (400, 1));
+}
+
+fn fingerprint(body: &str) -> RequestFingerprint {
+    RequestFingerprint::of(&RequestContent {
+        method: "POST",
+        host: b"desk.example",
+        path: "/a/x?y=1",
+        caller: b"",
+        body: body.as_bytes(),
+    })
+}
+
+/// Seen in a run of faults: innocent requests were refused by what gateways knew that had
+/// not heard that they were cleared.
+#[tokio::test]
+async fn clearings_are_told_like_ends_and_hold_against_those_before() {
+    let (service, first, other) = beside_another_gateway(1).await;
+    let (fatal, innocent) =
+        tokio::join!(first.ask("fatal-1", FATAL), first.ask("innocent-1", SLOW));
+    assert_eq!((fatal.status, innocent.status), (502, 502));
+    let about_innocent = |told: &ToldSuspicion| told.fingerprint == fingerprint(SLOW);
+    let told = told_next(&other, about_innocent).await;
+    assert_eq!((told.row.clearings, told.row.lengths_ms.len()), (0, 1));
+    let address = start_mortal_replica(&service.ended).await;
+    let fleet = &service.fleet;
+    fleet.register(1, address, ReplicaState::Ready, 1).await;
+    fleet.wait_for(2).await;
+    assert_eq!(first.ask("innocent-2", SLOW).await.status, 200);
+    let is_cleared = |told: &ToldSuspicion| about_innocent(told) && told.row.clearings > 0;
+    assert!(told_next(&other, is_cleared).await.row.is_empty());
+    let refused_elsewhere = |body| ToldSuspicion {
+        fingerprint: fingerprint(body),
+        replica: "i-9".to_owned(),
+        row: EndsInRow {
+            clearings: 0,
+            lengths_ms: vec![30; MOST_ENDS],
+        },
+    };
+    let late = ["other", SLOW].map(refused_elsewhere);
+    let receivers = [first.relay.gateway().machine()];
+    other.tell_gateways(&receivers, &GatewayDatagram::Suspicions(late.to_vec()));
+    while first.ask("other", "other").await.status != 400 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(first.ask("innocent-3", SLOW).await.status, 200);
+}
+
 /// What runs beside a request that ends replicas is broken off with it, and is suspected
 /// like it. Sent again, it is served, at whatever gateway, and is never refused.
 #[rstest]
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -27,12 +27,15 @@
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use parking_lot::Mutex;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
-use tokio::task::AbortHandle;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::Notify,
 };
+use tokio::{
+    runtime::{Builder, Runtime},
+    task::AbortHandle,
+};
 use tokio_util::sync::CancellationToken;
 
 /// Each test gets loopback addresses of its own.
@@ -330,6 +333,7 @@
     pub(crate) relay: Relay,
     control: ControlNode,
     control_running: AbortHandle,
+    control_machine: Mutex<ControlMachine>,
     node: NodeSettings,
     policy: KeyPolicy,
     gateways: AtomicU8,
@@ -407,8 +411,13 @@
             data_dir: folder.path().display().to_string(),
             store_voters: 1,
         };
-        let (control, running) = ControlNode::start(settings).await.expect("control starts");
-        let control_running = tokio::spawn(running).abort_handle();
+        let control_machine = ControlMachine::start();
+        let starting = control_machine
+            .runtime()
+            .spawn(ControlNode::start(settings));
+        let started = starting.await.expect("it starts");
+        let (control, running) = started.expect("control starts");
+        let control_running = control_machine.runtime().spawn(running).abort_handle();
         control
             .put_configuration(configuration, b"document".to_vec(), LIMIT)
             .await
@@ -420,6 +429,7 @@
             relay: first.relay,
             control,
             control_running,
+            control_machine: Mutex::new(control_machine),
             node,
             policy,
             gateways: AtomicU8::new(1),
@@ -465,11 +475,23 @@
         gateway
     }
 
+    /// Starts a gateway that takes no callers and only learns the fleet.
+    pub(crate) fn add_bare_gateway(&self) -> GatewayNode {
+        let number = self.gateways.fetch_add(1, Ordering::Relaxed);
+        let settings = gateway_settings(&self.node, number);
+        GatewayNode::start(&settings, "127.0.0.1:1".to_owned())
+    }
+
     /// From now on control takes no changes.
     pub(crate) fn stop_control(&self) {
         self.control_running.abort();
     }
 
+    /// From now on nothing is heard of control.
+    pub(crate) fn lose_control(&self) {
+        self.control_machine.lock().end();
+    }
+
     /// The first gateway.
     pub(crate) fn first_gateway(&self) -> Gateway {
         Gateway {
@@ -665,6 +687,41 @@
     }
 }
 
+/// What control runs on, so that it can end at once with all that it has under way.
+struct ControlMachine(Option<Runtime>);
+
+impl ControlMachine {
+    fn start() -> Self {
+        let mut runtime = Builder::new_multi_thread();
+        let runtime = runtime.worker_threads(1).enable_all().build();
+        ControlMachine(Some(runtime.expect("a thread")))
+    }
+
+    fn runtime(&self) -> &Runtime {
+        self.0.as_ref().expect("it runs")
+    }
+
+    fn end(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for ControlMachine {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// Each gateway has an address of its own.
+fn gateway_settings(node: &NodeSettings, number: u8) -> NodeSettings {
+    NodeSettings {
+        address: Ipv4Addr::from(u32::from(node.address) + 128 + u32::from(number)),
+        ..node.clone()
+    }
+}
+
 /// Starts a gateway beside others of the same fleet.
 async fn start_gateway(
     node: &NodeSettings,
@@ -676,11 +733,7 @@
         .await
         .expect("a port");
     let callers = listener.local_addr().expect("an address");
-    let gateway_node = NodeSettings {
-        address: Ipv4Addr::from(u32::from(node.address) + 128 + u32::from(number)),
-        ..node.clone()
-    };
-    let gateway = GatewayNode::start(&gateway_node, callers.to_string());
+    let gateway = GatewayNode::start(&gateway_settings(node, number), callers.to_string());
     let dialect = Arc::new(TestDialect::new());
     let seed = u64::from(number) + 1;
     let logger = node.logger.clone();
