Wait for coordinators of unmeasured zones as if they were far

Cause: a gateway that has just started has measured no distance, and a zone that was never measured counted as near also where an answer is waited for. Test: after_restart::no_engine_is_given_more_than_its_slots_when_all_gateways_start; before: 'an engine of 8 slots was given 36'.

--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -143,7 +143,7 @@
         let place = Place {
             due: self.due,
             rank: self.rank,
-            round_trip: self.shared.round_trip(&chosen.id),
+            answer_limit: self.shared.answer_limit(&chosen.id),
         };
         let asked = slots.ask(&chosen.id, place, mode, wait_until).await;
         self.shared.note_told(&slots.own_loads_beside(&chosen.id));
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -24,10 +24,8 @@
 use self::items::ItemHandle;
 pub(crate) use self::{coordination::receive_messages, items::ItemSlot};
 
-/// A coordinator that does not answer within this, beyond the round trip to its replica, is
-/// not waited for.
-const SILENCE_LIMIT: Duration = Duration::from_millis(25);
-/// After that it is told of requests, but not waited for, for so long, in milliseconds.
+/// A coordinator that did not answer in time is told of requests, but not waited for, for so
+/// long, in milliseconds.
 const SILENT_FOR_MS: u64 = 300;
 /// Verdicts on one ask.
 const VERDICTS: usize = 2;
@@ -73,8 +71,8 @@
     pub(crate) due: Instant,
     /// Its rank; 0 is the highest.
     pub(crate) rank: u8,
-    /// The round trip to the replica; its coordinator is near it.
-    pub(crate) round_trip: Duration,
+    /// How long the coordinator is waited for before it counts as silent.
+    pub(crate) answer_limit: Duration,
 }
 
 /// How an ask for a slot came out.
@@ -136,7 +134,7 @@
         if is_silent || mode == AskMode::Take {
             return Asked::Leased(lease);
         }
-        let Ok(first) = timeout(SILENCE_LIMIT + place.round_trip, verdicts.recv()).await else {
+        let Ok(first) = timeout(place.answer_limit, verdicts.recv()).await else {
             self.note_silence(&lease);
             return Asked::Leased(lease);
         };
@@ -237,7 +235,7 @@
             let place = Place {
                 due: Instant::now(),
                 rank: u8::MAX,
-                round_trip: Duration::ZERO,
+                answer_limit: Duration::ZERO,
             };
             self.ask_coordinator(&mut state, number, place, AskMode::Take);
         }
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, one module each.
 
 mod admission;
+mod after_restart;
 mod cold;
 mod coordinator;
 mod dispatch;
