Late requests wait in their coordinator's queue until their last call

Cause: a request that waits for a slot was sent without one after 600 ms. After an outage several waves of requests wait; sent so they stood in the engines' own queues before all calls that came later and could still be on time. What waits asks its coordinator again every 600 ms, which bounds the wait for a coordinator that ended as before. Test: slot_wait::new_calls_are_on_time_beside_the_backlog_of_an_outage; before: '0 of 16 new calls on time'.

--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -27,7 +27,10 @@
 /// A coordinator that did not answer in time is told of requests, but not waited for, for so
 /// long, in milliseconds.
 const SILENT_FOR_MS: u64 = 300;
-/// Verdicts on one ask.
+/// A request that waits in a coordinator's queue asks again after this: a coordinator that
+/// ended took its queue along.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(600);
+/// Verdicts on one ask that are not taken yet.
 const VERDICTS: usize = 2;
 
 /// Slots of all engines, as this gateway asks for them and gives them out.
@@ -146,17 +149,57 @@
             Some(Verdict::Queued) => {}
             Some(Verdict::Granted | Verdict::NotHere) | None => return Asked::Leased(lease),
         }
-        match timeout_at(wait_until, verdicts.recv()).await {
-            Ok(Some(Verdict::Full)) => {
+        self.wait(lease, place, mode, wait_until, &mut verdicts)
+            .await
+    }
+
+    /// Waits in a coordinator's queue, which is asked again now and then: it may have ended.
+    async fn wait(
+        self: &Arc<Self>,
+        mut lease: SlotLease,
+        place: Place,
+        mode: AskMode,
+        wait_until: Instant,
+        verdicts: &mut mpsc::Receiver<Verdict>,
+    ) -> Asked {
+        loop {
+            let look_again = wait_until.min(Instant::now() + ASK_AGAIN_AFTER);
+            let verdict = match timeout_at(look_again, verdicts.recv()).await {
+                Ok(verdict) => verdict,
+                Err(_) if look_again == wait_until && mode == AskMode::Alone => {
+                    return Asked::Full;
+                }
+                Err(_) if look_again == wait_until => {
+                    self.take(&lease);
+                    return Asked::Leased(lease);
+                }
+                Err(_) => {
+                    self.ask_again(&lease, place, mode);
+                    let answer = timeout(place.answer_limit, verdicts.recv()).await;
+                    let Ok(verdict) = answer else {
+                        self.note_silence(&lease);
+                        return Asked::Leased(lease);
+                    };
+                    verdict
+                }
+            };
+            match verdict {
                 // The replica fails what it is given: its queue was sent away.
-                lease.forget();
-                return Asked::Full;
+                Some(Verdict::Full) => {
+                    lease.forget();
+                    return Asked::Full;
+                }
+                Some(Verdict::Queued) => {}
+                Some(Verdict::Granted | Verdict::NotHere) | None => return Asked::Leased(lease),
             }
-            Ok(_) => {}
-            Err(_) if mode == AskMode::Alone => return Asked::Full,
-            Err(_) => self.take(&lease),
         }
-        Asked::Leased(lease)
+    }
+
+    fn ask_again(&self, lease: &SlotLease, place: Place, mode: AskMode) {
+        if let Some(number) = lease.number {
+            let mut state = self.state.lock();
+            self.ask_coordinator(&mut state, number, place, mode);
+        }
     }
 
     fn no_lease(self: &Arc<Self>) -> SlotLease {
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod retry;
 mod router;
 mod router_evacuation;
+mod slot_wait;
 mod starts;
 mod work_calls;
 mod yielding;
