--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{Route, RouteKind};
-use linnethitch_routing::dispatch::{FailureKind, LAST_CALL_SHARE, Need};
+use linnethitch_routing::dispatch::{FailureKind, Need};
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -55,6 +55,8 @@
 /// The same once it is late: it comes back when the burst may be over, and leaves the slots
 /// that fall free meanwhile to those that can still be on time.
 const LATE_FULL_PAUSE: Duration = Duration::from_millis(250);
+/// A request pauses so until this part of its time is over: the rest is for its run.
+const LAST_CALL_SHARE: f64 = 0.6;
 /// Frames of a stream that wait for a slow caller.
 const STREAM_FRAMES: usize = 8;
 
@@ -101,7 +103,6 @@
                 homes: &homes,
                 rank: self.rank,
                 due: self.due(),
-                last_call: self.last_call(),
                 until: self.until,
             };
             let began = Instant::now();
@@ -164,7 +165,7 @@
         self.arrived + Duration::from_millis(self.route.target_ms)
     }
 
-    /// Until when it may wait for slots and for replicas that were full.
+    /// Until when it may wait for replicas that were full.
     fn last_call(&self) -> Instant {
         let time = self.until.saturating_duration_since(self.arrived);
         self.arrived + time.mul_f64(LAST_CALL_SHARE)
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -281,7 +281,6 @@
             homes: &homes,
             rank: u8::MAX,
             due: by,
-            last_call: by,
             until: by,
         };
         let Placed { chosen, lease } = search.run().await?;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -183,8 +183,6 @@
                 homes: &homes,
                 rank: self.settings.rank,
                 due: Instant::now() + self.settings.gap,
-                // Its caller has seen the beginning and watches it pause.
-                last_call: Instant::now(),
                 until: self.settings.until,
             };
             let Placed { chosen, lease } = search.run().await?;
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -1,10 +1,10 @@
 //! Finding a replica for an online request, and leasing one of its slots.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use linnethitch_clock::Instant;
 use linnethitch_protocol::slots::AskMode;
-use linnethitch_routing::dispatch::{Chosen, Need, PromptPart, slot_wait};
+use linnethitch_routing::dispatch::{Chosen, Need, PromptPart};
 
 use crate::{
     cold_replicas::ColdUse,
@@ -22,6 +22,8 @@
 const STOPPED_ITEM_COST_MS: f64 = 30.0;
 /// Replicas that are asked for a slot before the request waits for one.
 const MOST_PROBES: usize = 4;
+/// A request waits for a slot until it is late, and for this long at least.
+const SHORTEST_WAIT: Duration = Duration::from_millis(600);
 
 /// What a request needs.
 pub(crate) struct Search<'a> {
@@ -40,8 +42,6 @@
     pub(crate) rank: u8,
     /// When it is late.
     pub(crate) due: Instant,
-    /// Until when it leaves slots that fall free to those that can still be on time.
-    pub(crate) last_call: Instant,
     /// When its time is up.
     pub(crate) until: Instant,
 }
@@ -139,17 +139,11 @@
 
     async fn ask(&self, chosen: &Chosen, mode: AskMode) -> Asked {
         let slots = &self.shared.slots;
-        let now = Instant::now();
-        let wait_until = now
-            + slot_wait(
-                self.due.saturating_duration_since(now),
-                self.last_call.saturating_duration_since(now),
-                self.until.saturating_duration_since(now),
-            );
+        let wait_until = self.due.max(Instant::now() + SHORTEST_WAIT).min(self.until);
         let place = Place {
             due: self.due,
             rank: self.rank,
-            answer_limit: self.shared.answer_limit(&chosen.id),
+            round_trip: self.shared.round_trip(&chosen.id),
         };
         let asked = slots.ask(&chosen.id, place, mode, wait_until).await;
         self.shared.note_told(&slots.own_loads_beside(&chosen.id));
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -405,10 +405,10 @@
         self.board.lock().note_connected(replica, round_trip_ms);
     }
 
-    /// How long a replica's coordinator is waited for before it counts as silent.
-    pub(crate) fn answer_limit(&self, replica: &str) -> Duration {
-        let limit_ms = self.board.lock().answer_limit_ms(replica);
-        Duration::from_secs_f64(limit_ms / 1_000.0)
+    /// The round trip to a replica, as connections to its zone took.
+    pub(crate) fn round_trip(&self, replica: &str) -> Duration {
+        let round_trip_ms = self.board.lock().round_trip_ms(replica);
+        Duration::from_secs_f64(round_trip_ms / 1_000.0)
     }
 
     /// Whether a replica's zone is evacuated: nothing more is sent there.
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -24,13 +24,12 @@
 use self::items::ItemHandle;
 pub(crate) use self::{coordination::receive_messages, items::ItemSlot};
 
-/// A coordinator that did not answer in time is told of requests, but not waited for, for so
-/// long, in milliseconds.
+/// A coordinator that does not answer within this, beyond the round trip to its replica, is
+/// not waited for.
+const SILENCE_LIMIT: Duration = Duration::from_millis(25);
+/// After that it is told of requests, but not waited for, for so long, in milliseconds.
 const SILENT_FOR_MS: u64 = 300;
-/// A request that waits in a coordinator's queue asks again after this: a coordinator that
-/// ended took its queue along.
-const ASK_AGAIN_AFTER: Duration = Duration::from_millis(600);
-/// Verdicts on one ask that are not taken yet.
+/// Verdicts on one ask.
 const VERDICTS: usize = 2;
 
 /// Slots of all engines, as this gateway asks for them and gives them out.
@@ -74,8 +73,8 @@
     pub(crate) due: Instant,
     /// Its rank; 0 is the highest.
     pub(crate) rank: u8,
-    /// How long the coordinator is waited for before it counts as silent.
-    pub(crate) answer_limit: Duration,
+    /// The round trip to the replica; its coordinator is near it.
+    pub(crate) round_trip: Duration,
 }
 
 /// How an ask for a slot came out.
@@ -137,7 +136,7 @@
         if is_silent || mode == AskMode::Take {
             return Asked::Leased(lease);
         }
-        let Ok(first) = timeout(place.answer_limit, verdicts.recv()).await else {
+        let Ok(first) = timeout(SILENCE_LIMIT + place.round_trip, verdicts.recv()).await else {
             self.note_silence(&lease);
             return Asked::Leased(lease);
         };
@@ -149,57 +148,17 @@
             Some(Verdict::Queued) => {}
             Some(Verdict::Granted | Verdict::NotHere) | None => return Asked::Leased(lease),
         }
-        self.wait(lease, place, mode, wait_until, &mut verdicts)
-            .await
-    }
-
-    /// Waits in a coordinator's queue, which is asked again now and then: it may have ended.
-    async fn wait(
-        self: &Arc<Self>,
-        mut lease: SlotLease,
-        place: Place,
-        mode: AskMode,
-        wait_until: Instant,
-        verdicts: &mut mpsc::Receiver<Verdict>,
-    ) -> Asked {
-        loop {
-            let look_again = wait_until.min(Instant::now() + ASK_AGAIN_AFTER);
-            let verdict = match timeout_at(look_again, verdicts.recv()).await {
-                Ok(verdict) => verdict,
-                Err(_) if look_again == wait_until && mode == AskMode::Alone => {
-                    return Asked::Full;
-                }
-                Err(_) if look_again == wait_until => {
-                    self.take(&lease);
-                    return Asked::Leased(lease);
-                }
-                Err(_) => {
-                    self.ask_again(&lease, place, mode);
-                    let answer = timeout(place.answer_limit, verdicts.recv()).await;
-                    let Ok(verdict) = answer else {
-                        self.note_silence(&lease);
-                        return Asked::Leased(lease);
-                    };
-                    verdict
-                }
-            };
-            match verdict {
+        match timeout_at(wait_until, verdicts.recv()).await {
+            Ok(Some(Verdict::Full)) => {
                 // The replica fails what it is given: its queue was sent away.
-                Some(Verdict::Full) => {
-                    lease.forget();
-                    return Asked::Full;
-                }
-                Some(Verdict::Queued) => {}
-                Some(Verdict::Granted | Verdict::NotHere) | None => return Asked::Leased(lease),
+                lease.forget();
+                return Asked::Full;
             }
+            Ok(_) => {}
+            Err(_) if mode == AskMode::Alone => return Asked::Full,
+            Err(_) => self.take(&lease),
         }
-    }
-
-    fn ask_again(&self, lease: &SlotLease, place: Place, mode: AskMode) {
-        if let Some(number) = lease.number {
-            let mut state = self.state.lock();
-            self.ask_coordinator(&mut state, number, place, mode);
-        }
+        Asked::Leased(lease)
     }
 
     fn no_lease(self: &Arc<Self>) -> SlotLease {
@@ -278,7 +237,7 @@
             let place = Place {
                 due: Instant::now(),
                 rank: u8::MAX,
-                answer_limit: Duration::ZERO,
+                round_trip: Duration::ZERO,
             };
             self.ask_coordinator(&mut state, number, place, AskMode::Take);
         }
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -244,13 +244,13 @@
         }
     }
 
-    /// How long the coordinator of a replica, which is near it, is waited for before it
-    /// counts as silent, in milliseconds.
+    /// The round trip to a replica, as connections to its zone took, in milliseconds.
     #[must_use]
-    pub fn answer_limit_ms(&self, id: &str) -> f64 {
+    pub fn round_trip_ms(&self, id: &str) -> f64 {
         let replica = self.replicas.get(id);
-        let zone = replica.map_or("", |replica| replica.traits.zone.as_str());
-        self.distances.answer_limit_ms(zone)
+        replica.map_or(0.0, |replica| {
+            self.distances.round_trip_ms(&replica.traits.zone)
+        })
     }
 
     /// Notes what a replica's coordinator told of it.
--- a/crates/routing/src/dispatch/distances.rs
+++ b/crates/routing/src/dispatch/distances.rs
@@ -5,15 +5,6 @@
 /// Weight of a longer measurement. Most are long since this machine was busy; the way itself
 /// has become longer only where many are.
 const LONGER_WEIGHT: f64 = 0.05;
-/// How long the answer of a machine that runs takes beyond the way there and back, in
-/// milliseconds: it may be busy with a burst.
-const ANSWERS_WITHIN_MS: f64 = 25.0;
-/// The longest round trip between regions of one continent, in milliseconds. A gateway that
-/// has just started knows no distance; what it sends meanwhile without leave is counted by
-/// nobody, and falls on the replicas that all gateways prefer. Where all gateways of two
-/// regions restarted, 310 of 650 asks went unheard for a millisecond within 0.2 s, and the
-/// engines of eight slots were given up to 57 requests more.
-const UNMEASURED_ROUND_TRIP_MS: f64 = 80.0;
 
 /// Round trips to the zones of replicas, in milliseconds. A zone that was never measured
 /// counts as near, so that it soon is.
@@ -40,14 +31,6 @@
         self.round_trips.get(zone).copied().unwrap_or_default()
     }
 
-    /// How long a machine near a zone is waited for before it counts as silent, in
-    /// milliseconds: for a zone that was never measured, as if it were far.
-    #[must_use]
-    pub fn answer_limit_ms(&self, zone: &str) -> f64 {
-        let measured = self.round_trips.get(zone).copied();
-        measured.unwrap_or(UNMEASURED_ROUND_TRIP_MS) + ANSWERS_WITHIN_MS
-    }
-
     /// How much longer the round trip to a zone is than that within one's own.
     #[must_use]
     pub fn beyond_ms(&self, own: &str, zone: &str) -> f64 {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -14,7 +14,6 @@
 mod kept_parts;
 mod rendezvous;
 mod replica;
-mod slot_wait;
 mod weights;
 mod work_calls;
 
@@ -29,6 +28,5 @@
 pub(crate) use rendezvous::spread;
 pub use rendezvous::{NearGateways, coordinator_of};
 pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork, WorkKind};
-pub use slot_wait::{LAST_CALL_SHARE, slot_wait};
 pub use weights::WeightedTurns;
 pub use work_calls::{WorkCalls, WorkRhythm, WorkState};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,7 +1,6 @@
 //! Tests of the decisions, one module each.
 
 mod admission;
-mod after_restart;
 mod cold;
 mod coordinator;
 mod dispatch;
@@ -20,7 +19,6 @@
 mod retry;
 mod router;
 mod router_evacuation;
-mod slot_wait;
 mod starts;
 mod work_calls;
 mod yielding;
