Relay: the test of a suspension leaves its request time at a high load

Of a route of 4 s a suspension took 3, the wait for news three quarters of the rest, so that a quarter of a second was left to send and answer.

Change: a route of 13 s. It is as strict: of these, the 3 s of the suspension must be gone (at most 10 s told to the replica that is sent the request again).

--- a/crates/relay/tests/all/requests.rs
+++ b/crates/relay/tests/all/requests.rs
@@ -209,7 +209,10 @@
 #[tokio::test]
 async fn time_of_a_suspension_is_gone_for_a_request_under_way() {
     let replica = Replica::start(vec![Act::Silence, Act::Send(OK)]).await;
-    let route = route(RouteKind::Safe, 2, false);
+    let route = Route {
+        timeout_ms: 13_000,
+        ..route(RouteKind::Safe, 2, false)
+    };
     let fleet = Fleet::start(route, std::slice::from_ref(&replica)).await;
     fleet.add_twin(&replica).await;
     let asking = fleet.ask("request-1");
@@ -225,8 +228,8 @@
     let left_ms = heads.iter().map(|head| header(head, "deadline-ms"));
     let left_ms: Vec<u64> = left_ms.flatten().flat_map(str::parse).collect();
     assert_eq!(left_ms.len(), 2, "{heads:?}");
-    // Of the route's four seconds three are gone.
-    assert!(left_ms[1] <= 1_000, "{left_ms:?}");
+    // Of the route's thirteen seconds three are gone.
+    assert!(left_ms[1] <= 10_000, "{left_ms:?}");
 }
 
 /// Its process stands still while the connection is opened, after the first look for news.
