Relay: the tests' support is split by topic

Moved, nothing else: stand-in replicas, tables, log lines, gateways, fleets, what control is told, and requests and answers as bytes.

--- /dev/null
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -0,0 +1,239 @@
+//! A control member, gateways, and a job store where a test needs one.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use linnethitch_cluster::{
+    ControlNode, ControlSettings, MessageBytes, NodeSettings, Seeds, StoreNode, StoreSettings,
+};
+use linnethitch_job_store::{StoreCall, StoreReply};
+use linnethitch_registry::{Configuration, ReplicaState, Route, RouteTable, ZoneMap};
+use linnethitch_relay::{KeyPolicy, Relay};
+use linnethitch_transport::{ClusterIdentity, ClusterKey};
+use slog::{Logger, o};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::AbortHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    LIMIT, OTHER_REGION, OTHER_ZONE, REGION, ZONE,
+    gateway::{Gateway, start_gateway},
+    http::{Answer, read_answer},
+    log_lines::LogLines,
+    replica::Replica,
+    tables::{engine_table, table},
+};
+
+/// Each test gets loopback addresses of its own.
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// A control member, a gateway and its callers' interface.
+pub(crate) struct Fleet {
+    pub(crate) callers: SocketAddr,
+    pub(crate) relay: Relay,
+    pub(super) control: ControlNode,
+    control_running: AbortHandle,
+    node: NodeSettings,
+    policy: KeyPolicy,
+    gateways: AtomicU8,
+    pub(crate) stopping: CancellationToken,
+    pub(crate) log: LogLines,
+    folder: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// Starts everything and waits until these replicas are known.
+    pub(crate) async fn start(route: Route, replicas: &[Replica]) -> Self {
+        Self::start_with(table(route), replicas).await
+    }
+
+    /// The same before model engines, whose slots are coordinated, once this
+    /// gateway knows that it coordinates them.
+    pub(crate) async fn start_engines(route: Route, replicas: &[Replica]) -> Self {
+        let fleet = Self::start_with(engine_table(route), replicas).await;
+        fleet.wait_until_coordinated().await;
+        fleet
+    }
+
+    /// Waits until this gateway knows that it coordinates the only engine.
+    pub(crate) async fn wait_until_coordinated(&self) {
+        let mut known = false;
+        while !known {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            let slots = r#"coordinated_slots{used_by="All"} 4"#;
+            known = self.relay.figures().contains(slots);
+        }
+    }
+
+    /// The same with this table.
+    pub(crate) async fn start_with(table: RouteTable, replicas: &[Replica]) -> Self {
+        let configuration = Configuration {
+            table,
+            tenants: None,
+        };
+        Self::start_by(configuration, KeyPolicy::default(), replicas).await
+    }
+
+    /// The same with this configuration and policy.
+    pub(crate) async fn start_by(
+        configuration: Configuration,
+        policy: KeyPolicy,
+        replicas: &[Replica],
+    ) -> Self {
+        let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
+        let log = LogLines::default();
+        let logger = Logger::root(log.clone(), o!());
+        let zones = [(ZONE, REGION), (OTHER_ZONE, OTHER_REGION)];
+        let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+        let node = NodeSettings {
+            name: "node".to_owned(),
+            zone: ZONE.to_owned(),
+            region: REGION.to_owned(),
+            zones: zones.into_iter().collect::<ZoneMap>(),
+            address,
+            port: free_port(address).await,
+            seeds: Seeds::new(vec![address]),
+            bootstrap: true,
+            tolerated_losses: 0,
+            bytes: MessageBytes::default(),
+            identity: ClusterIdentity {
+                name: "test".to_owned(),
+                key: ClusterKey::new(*b"a key for tests only").expect("long enough"),
+            },
+            logger: logger.clone(),
+        };
+        let folder = tempfile::tempdir().expect("a folder");
+        let settings = ControlSettings {
+            node: node.clone(),
+            data_dir: folder.path().display().to_string(),
+            store_voters: 1,
+        };
+        let (control, running) = ControlNode::start(settings).await.expect("control starts");
+        let control_running = tokio::spawn(running).abort_handle();
+        control
+            .put_configuration(configuration, b"document".to_vec(), LIMIT)
+            .await
+            .expect("the configuration is held");
+        let stopping = CancellationToken::new();
+        let first = start_gateway(&node, 0, &policy, &stopping).await;
+        let fleet = Fleet {
+            callers: first.callers,
+            relay: first.relay,
+            control,
+            control_running,
+            node,
+            policy,
+            gateways: AtomicU8::new(1),
+            stopping,
+            log,
+            folder,
+        };
+        for (number, replica) in replicas.iter().enumerate() {
+            fleet
+                .register(number, replica.address, ReplicaState::Ready, 1)
+                .await;
+        }
+        fleet.wait_for(replicas.len()).await;
+        fleet
+    }
+
+    /// Puts another configuration in force and waits until the gateway knows it.
+    pub(crate) async fn put(&self, configuration: Configuration) {
+        let version = configuration.table.version;
+        self.control
+            .put_configuration(configuration, b"document".to_vec(), LIMIT)
+            .await
+            .expect("the configuration is held");
+        let mut views = self.relay.gateway().follow();
+        let known = views.wait_for(|view| view.table().is_some_and(|t| t.version == version));
+        tokio::time::timeout(LIMIT, known)
+            .await
+            .expect("in time")
+            .expect("the gateway runs");
+    }
+
+    /// Starts another gateway and waits until it knows what the first one knows.
+    pub(crate) async fn add_gateway(&self) -> Gateway {
+        self.add_gateway_in(ZONE, REGION).await
+    }
+
+    /// The same in this zone.
+    pub(crate) async fn add_gateway_in(&self, zone: &str, region: &str) -> Gateway {
+        let number = self.gateways.fetch_add(1, Ordering::Relaxed);
+        let node = NodeSettings {
+            zone: zone.to_owned(),
+            region: region.to_owned(),
+            ..self.node.clone()
+        };
+        let gateway = start_gateway(&node, number, &self.policy, &self.stopping).await;
+        let upto = self.relay.gateway().fleet().upto();
+        let mut views = gateway.relay.gateway().follow();
+        let knows = views.wait_for(|view| view.upto() >= upto);
+        tokio::time::timeout(LIMIT, knows)
+            .await
+            .expect("in time")
+            .expect("the gateway runs");
+        gateway
+    }
+
+    /// Starts a job store of one member and waits until it answers.
+    pub(crate) async fn start_store(&self) {
+        let settings = StoreSettings {
+            node: NodeSettings {
+                name: "store".to_owned(),
+                address: Ipv4Addr::from(u32::from(self.node.address) + 64),
+                ..self.node.clone()
+            },
+            data_dir: self.folder.path().join("store").display().to_string(),
+            voters: 1,
+            kept: 2 * LIMIT,
+        };
+        tokio::spawn(StoreNode::run(settings, std::future::pending()));
+        let answers = async {
+            let any = StoreCall::End {
+                job: "none".to_owned(),
+                tenant: None,
+            };
+            let gateway = self.relay.gateway();
+            while gateway.call_store(any.clone(), LIMIT).await != StoreReply::NotFound {}
+        };
+        tokio::time::timeout(LIMIT, answers).await.expect("in time");
+    }
+
+    /// From now on control takes no changes.
+    pub(crate) fn stop_control(&self) {
+        self.control_running.abort();
+    }
+
+    /// The first gateway.
+    pub(crate) fn first_gateway(&self) -> Gateway {
+        Gateway {
+            callers: self.callers,
+            relay: self.relay.clone(),
+        }
+    }
+
+    /// Sends a request and reads until the answer or the connection ends.
+    pub(crate) async fn ask(&self, id: &str) -> Answer {
+        let mut stream = self.open(id, "").await;
+        read_answer(&mut stream).await
+    }
+
+    /// Opens a connection and sends a request.
+    pub(crate) async fn open(&self, id: &str, more_headers: &str) -> TcpStream {
+        self.first_gateway().open(id, more_headers, "body").await
+    }
+}
+
+/// A free port on a loopback address of its own.
+async fn free_port(address: Ipv4Addr) -> u16 {
+    let listener = TcpListener::bind((address, 0)).await.expect("a port");
+    listener.local_addr().expect("an address").port()
+}
--- /dev/null
+++ b/crates/relay/tests/all/support/gateway.rs
@@ -0,0 +1,134 @@
+//! A gateway and its callers' interface.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use linnethitch_cluster::{GatewayNode, NodeSettings};
+use linnethitch_relay::{
+    AnswerBody, CallerServer, Dialect, HeaderNames, KeyPolicy, Prompt, Relay, RelaySettings,
+    ServerLimits, own_answer, serve_callers,
+};
+use linnethitch_routing::dispatch::ReportedLoad;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    LIMIT,
+    http::{Answer, read_answer},
+};
+
+struct TestDialect(HeaderNames);
+
+impl TestDialect {
+    fn new() -> Self {
+        TestDialect(HeaderNames {
+            request_id: HeaderName::from_static("request-id"),
+            deadline_ms: HeaderName::from_static("deadline-ms"),
+            expect_replica: HeaderName::from_static("expect"),
+            signature: HeaderName::from_static("signature"),
+            not_run: HeaderName::from_static("not-run"),
+            load: HeaderName::from_static("load"),
+            tenant: HeaderName::from_static("tenant"),
+            last_event: HeaderName::from_static("last-event-id"),
+        })
+    }
+}
+
+impl Dialect for TestDialect {
+    fn names(&self) -> &HeaderNames {
+        &self.0
+    }
+
+    fn prompt(&self, _: &HeaderMap) -> Prompt {
+        Prompt::default()
+    }
+
+    fn load(&self, _: &HeaderValue) -> Option<ReportedLoad> {
+        None
+    }
+}
+
+#[derive(Clone)]
+struct Front(Relay);
+
+impl CallerServer for Front {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let fleet = self.0.first_fleet(LIMIT).await.expect("a table is there");
+        let table = fleet.table().expect("a table is there");
+        let path = request.uri().path().to_owned();
+        match table.find("desk.example", &path) {
+            Some(route) => self.0.relay(&fleet, table, route, request).await,
+            None => own_answer(linnethitch_errors::ErrorKind::NotFound, None),
+        }
+    }
+}
+
+/// A gateway and its callers' interface.
+pub(crate) struct Gateway {
+    pub(crate) callers: SocketAddr,
+    pub(crate) relay: Relay,
+}
+
+impl Gateway {
+    /// Sends a request with this body and reads until the answer or the connection ends.
+    pub(crate) async fn ask(&self, id: &str, body: &str) -> Answer {
+        let mut stream = self.open(id, "", body).await;
+        read_answer(&mut stream).await
+    }
+
+    /// Opens a connection and sends a request.
+    pub(crate) async fn open(&self, id: &str, more_headers: &str, body: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
+        let length = body.len();
+        let request = format!(
+            "POST /a/x?y=1 HTTP/1.1\r\nhost: desk.example\r\nrequest-id: {id}\r\n\
+             {more_headers}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it is sent");
+        stream
+    }
+}
+
+/// Starts a gateway beside others of the same fleet.
+pub(super) async fn start_gateway(
+    node: &NodeSettings,
+    number: u8,
+    policy: &KeyPolicy,
+    stopping: &CancellationToken,
+) -> Gateway {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port");
+    let callers = listener.local_addr().expect("an address");
+    let gateway_node = NodeSettings {
+        address: Ipv4Addr::from(u32::from(node.address) + 128 + u32::from(number)),
+        ..node.clone()
+    };
+    let gateway = GatewayNode::start(&gateway_node, callers.to_string());
+    let dialect = Arc::new(TestDialect::new());
+    let seed = u64::from(number) + 1;
+    let logger = node.logger.clone();
+    let settings = RelaySettings {
+        zone: node.zone.clone(),
+        seed,
+        keys: *policy,
+        ..RelaySettings::default()
+    };
+    let relay = Relay::new(gateway, dialect, &settings, stopping.clone(), logger);
+    let clock = relay.gateway().clock();
+    let limits = Arc::new(ServerLimits::default());
+    let front = Front(relay.clone());
+    let serving = serve_callers(listener, front, limits, clock, stopping.clone());
+    tokio::spawn(serving);
+    Gateway { callers, relay }
+}
--- /dev/null
+++ b/crates/relay/tests/all/support/log_lines.rs
@@ -0,0 +1,33 @@
+//! What nodes log.
+
+use std::sync::Arc;
+
+use slog::{Drain, Never, OwnedKVList, Record};
+
+/// What the nodes of a fleet have logged, without fields.
+#[derive(Clone, Default)]
+pub(crate) struct LogLines(Arc<std::sync::Mutex<Vec<String>>>);
+
+impl LogLines {
+    pub(crate) fn contains(&self, message: &str) -> bool {
+        let lines = self.0.lock().expect("no test panicked here");
+        lines.iter().any(|line| line == message)
+    }
+
+    /// How often it was logged.
+    pub(crate) fn count(&self, message: &str) -> usize {
+        let lines = self.0.lock().expect("no test panicked here");
+        lines.iter().filter(|line| *line == message).count()
+    }
+}
+
+impl Drain for LogLines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut lines = self.0.lock().expect("no test panicked here");
+        lines.push(record.msg().to_string());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/all/support/replica.rs
@@ -0,0 +1,151 @@
+//! A stand-in replica on a loopback socket.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
+
+use super::{
+    LIMIT,
+    http::{header, read_request},
+};
+
+/// What a stand-in replica does with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Sends these bytes and keeps the connection; `{id}` is the request's id.
+    Send(&'static str),
+    /// Sends these bytes and closes.
+    SendAndClose(&'static str),
+    /// Sends these bytes and resets.
+    SendAndReset(&'static str),
+    /// Sends these bytes and resets once it is told to.
+    SendAndResetWhen(&'static str, Arc<Notify>),
+    /// Sends these bytes where this incarnation is asked for, else 421.
+    SendIfExpected(&'static str, &'static str),
+    /// Sends these bytes after a moment, so that further requests need connections of
+    /// their own, and keeps the connection.
+    SendLater(&'static str),
+    /// Sends nothing and keeps the connection.
+    Silence,
+}
+
+/// A whole answer of a replica.
+pub(crate) const OK: &str =
+    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 5\r\n\r\nhello";
+/// The refusal of another incarnation than the one that was asked for.
+pub(crate) const OTHER_INCARNATION: &str = "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n";
+/// A refusal of a replica that did not run the request.
+pub(crate) const FULL: &str =
+    "HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// A stand-in replica and the heads of the requests that it read.
+#[derive(Clone)]
+pub(crate) struct Replica {
+    pub(crate) address: SocketAddr,
+    pub(crate) heads: Arc<Mutex<Vec<String>>>,
+}
+
+impl Replica {
+    /// Starts one that does these acts in turn, the last one again and again.
+    pub(crate) async fn start(acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let heads: Arc<Mutex<Vec<String>>> = Arc::default();
+        let seen = Arc::clone(&heads);
+        let acts = Arc::new(Mutex::new(acts));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&acts), Arc::clone(&seen)));
+            }
+        });
+        Replica { address, heads }
+    }
+
+    pub(crate) fn requests(&self) -> usize {
+        self.heads.lock().len()
+    }
+}
+
+async fn serve(mut stream: TcpStream, acts: Arc<Mutex<Vec<Act>>>, seen: Arc<Mutex<Vec<String>>>) {
+    while let Some(head) = read_request(&mut stream).await {
+        let id = header(&head, "request-id").unwrap_or_default().to_owned();
+        let expected = header(&head, "expect").unwrap_or_default().to_owned();
+        seen.lock().push(head);
+        let act = {
+            let mut acts = acts.lock();
+            if acts.len() > 1 {
+                acts.remove(0)
+            } else {
+                acts[0].clone()
+            }
+        };
+        let mut reset_when = None;
+        let (text, closes, resets) = match act {
+            Act::Send(text) => (text, false, false),
+            Act::SendAndClose(text) => (text, true, false),
+            Act::SendAndReset(text) => (text, true, true),
+            Act::SendAndResetWhen(text, told) => {
+                reset_when = Some(told);
+                (text, true, true)
+            }
+            Act::SendIfExpected(own, text) if own == expected => (text, false, false),
+            Act::SendIfExpected(..) => (OTHER_INCARNATION, false, false),
+            Act::SendLater(text) => {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                (text, false, false)
+            }
+            Act::Silence => ("", false, false),
+        };
+        let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+        let _ = stream.flush().await;
+        if let Some(told) = reset_when {
+            told.notified().await;
+        }
+        if resets {
+            // What was sent must arrive before the reset does.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+        if closes {
+            return;
+        }
+    }
+}
+
+/// Waits until a replica has read so many requests.
+pub(crate) async fn reached_by(replica: &Replica, requests: usize) {
+    let reached = async {
+        while replica.requests() < requests {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, reached).await.expect("in time");
+}
+
+/// Another address that leads to the same stand-in.
+pub(super) async fn twin(replica: &Replica) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let to = replica.address;
+    tokio::spawn(async move {
+        while let Ok((mut from, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                if let Ok(mut onward) = TcpStream::connect(to).await {
+                    let _ = tokio::io::copy_bidirectional(&mut from, &mut onward).await;
+                }
+            });
+        }
+    });
+    address
+}
