--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -38,7 +38,7 @@
 pub use gateway::GatewayNode;
 pub use linnethitch_clock::Clock;
 pub use message::PlacedGateway;
-pub use message_bytes::MessageBytes;
+pub use message_bytes::{MessageBytes, Way};
 pub use node::{NodeSettings, address_of, machine_of};
 pub use seeds::Seeds;
 pub use store::{StoreNode, StoreSettings};
--- a/crates/cluster/src/message_bytes.rs
+++ b/crates/cluster/src/message_bytes.rs
@@ -13,10 +13,12 @@
 
 use crate::message::{CallBody, NodeMessage, ReplyBody};
 
-/// Which way a message went, as the node that counts it sees it.
+/// Which way bytes went, as the node that counts them sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub(crate) enum Way {
+pub enum Way {
+    /// From the other one.
     Received,
+    /// To the other one.
     Sent,
 }
 
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use linnethitch_cluster::Way;
 use linnethitch_protocol::slots::SlotLoad;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -57,13 +58,6 @@
     end: RequestEnd,
 }
 
-/// Which way bytes went, as the gateway sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-enum Way {
-    Received,
-    Sent,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReplicaLabels {
     zone: String,
