--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -15,9 +15,10 @@
     second_layout::SecondCommand, third_layout::ThirdCommand,
 };
 
+/// Layout of ends under runs that tell which ends were known.
+const SIXTH_LAYOUT: u8 = 6;
 /// Layout of replicas that tell which start of theirs speaks, of configurations with homes
-/// and cold replicas, of evacuations, of the gateways that share counts, and of ends under
-/// runs that tell which ends were known.
+/// and cold replicas, of evacuations, and of the gateways that share counts.
 const FIFTH_LAYOUT: u8 = 5;
 /// Layout of configurations that may list tenants; read, not written.
 const TENANTS_LAYOUT: u8 = 4;
@@ -85,8 +86,8 @@
             | RegistryCommand::Replica(_)
             | RegistryCommand::EvacuateZone(_)
             | RegistryCommand::RestoreZone(_)
-            | RegistryCommand::GatewaysChanged { .. }
-            | RegistryCommand::ReplicaEnded { .. } => FIFTH_LAYOUT,
+            | RegistryCommand::GatewaysChanged { .. } => FIFTH_LAYOUT,
+            RegistryCommand::ReplicaEnded { .. } => SIXTH_LAYOUT,
             RegistryCommand::ClearSuspicions(_)
             | RegistryCommand::EaseSuspicions(_)
             | RegistryCommand::NotThere(_) => THIRD_LAYOUT,
@@ -117,7 +118,7 @@
                 let third: ThirdCommand = stored::decode(&[THIRD_LAYOUT], bytes)?;
                 Ok(third.into())
             }
-            _ => stored::decode(&[FIFTH_LAYOUT], bytes),
+            _ => stored::decode(&[FIFTH_LAYOUT, SIXTH_LAYOUT], bytes),
         }
     }
 }
--- a/crates/registry/src/fourth_layout.rs
+++ b/crates/registry/src/fourth_layout.rs
@@ -1,7 +1,6 @@
 //! Stored values as the layouts up to the fourth hold them: replicas told neither which
-//! start of theirs speaks nor that they are cold, routes and tenants had no homes, no zone
-//! was evacuated, and of the runs that ended their replicas one length was held. Read,
-//! never written.
+//! start of theirs speaks nor that they are cold, routes and tenants had no homes, and no
+//! zone was evacuated. Read, never written.
 
 use linnethitch_protocol::{
     ids::LogIndex,
@@ -111,6 +110,7 @@
     changed_at: LogIndex,
 }
 
+/// As the fifth layout holds it too: of the runs that ended their replicas one length.
 #[derive(Archive, Serialize, Deserialize)]
 pub(crate) struct FourthSuspicion {
     fingerprint: RequestFingerprint,
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -9,6 +9,7 @@
 mod command;
 mod configuration;
 mod evacuations;
+mod fifth_layout;
 mod first_layout;
 mod fourth_layout;
 mod gateways;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -18,6 +18,7 @@
     command::{RegistryAnswer, RegistryCommand},
     configuration::Declared,
     evacuations::{EvacuationOrder, EvacuationRecord, Evacuations},
+    fifth_layout::FifthSnapshot,
     first_layout::FirstSnapshot,
     fourth_layout::FourthSnapshot,
     gateways::{GatewayRecord, KnownGateways},
@@ -56,7 +57,9 @@
 }
 
 /// Layout of snapshots that this build writes; those before are still read.
-const SNAPSHOT_LAYOUT: u8 = 5;
+const SNAPSHOT_LAYOUT: u8 = 6;
+/// Layout of snapshots with one length of the runs that ended replicas.
+const FIFTH_LAYOUT: u8 = 5;
 /// Layout of snapshots without evacuations, homes, starts of replicas and known gateways.
 const FOURTH_LAYOUT: u8 = 4;
 /// Layout of snapshots without tenants.
@@ -358,6 +361,10 @@
             let fourth: FourthSnapshot = stored::decode(&[FOURTH_LAYOUT], bytes)?;
             Ok(fourth.into())
         }
+        Some(FIFTH_LAYOUT) => {
+            let fifth: FifthSnapshot = stored::decode(&[FIFTH_LAYOUT], bytes)?;
+            Ok(fifth.into())
+        }
         _ => stored::decode(&[SNAPSHOT_LAYOUT], bytes),
     }
 }
--- a/crates/registry/tests/all/fourth_layout.rs
+++ b/crates/registry/tests/all/fourth_layout.rs
@@ -1,8 +1,9 @@
-//! Values as the first, third and fourth layouts store them stay readable.
+//! Values as the first and the third to fifth layouts store them stay readable.
 
 use linnethitch_group::{StateMachine, WholeSnapshot};
 use linnethitch_registry::{Registry, RegistryCommand, ReplicaState};
 use linnethitch_tenants::KeyDigest;
+use rstest::rstest;
 
 use crate::support::{hex_bytes, store_snapshot};
 
@@ -47,6 +48,14 @@
 /// The same request is no longer suspected.
 const CLEARED: &str = "0304eff384cb64b2af99ebd5d54eddacc706000000ecffffff0100000000000000000000000000000000000\
     000000000000000000000000000000000000000000000000000000000000000000000000000";
+/// The same requests, and an evacuated zone, as the fifth layout stored them.
+const LATER_SUSPICIONS: &str = "0504eff384cb64b2af99ebd5d54eddacc703000000692d32ffffffffff64000000030000000000000099f25a\
+    3acaddd695562a567d75a8df5f01000000692d33ffffffffff6810000004000000000000007affffffffffff\
+    ff01000000000000000500000000000000000000000000000000000000000000000000000000000000000000\
+    000000000000000000000000000000000000000000000000000000000060ffffff0000000000000000000000\
+    0050ffffff0000000048ffffff0000000040ffffff000000000000000000000000050000000000000028ffff\
+    ff0200000000000000000000000000000000000000010000005cffffff000000000000000050ffffff010000\
+    0060ffffff00000000";
 
 #[test]
 fn a_configuration_without_homes_is_read() {
@@ -85,9 +94,11 @@
     assert_eq!(restored.evacuations().zones().count(), 0);
 }
 
-#[test]
-fn what_is_suspected_stays_so() {
-    let snapshot = WholeSnapshot::new(hex_bytes(SUSPICIONS));
+#[rstest]
+#[case::fourth(SUSPICIONS, 0)]
+#[case::fifth(LATER_SUSPICIONS, 1)]
+fn what_is_suspected_stays_so(#[case] stored: &str, #[case] evacuated: usize) {
+    let snapshot = WholeSnapshot::new(hex_bytes(stored));
     let restored = Registry::from_snapshot(store_snapshot(snapshot)).expect("it is read");
     let suspicions = restored.suspicions();
     let mut held: Vec<_> = suspicions
@@ -96,6 +107,7 @@
         .collect();
     held.sort_unstable();
     assert_eq!(held, [(1, false), (3, true)]);
+    assert_eq!(restored.evacuations().zones().count(), evacuated);
 }
 
 #[test]
