Quota: witnesses are ranked once for each gateway

Cause: the sort hashed both sides of every comparison, some 7,400 hashes for 410 gateways at each change of the list, at each gateway. Change: each is hashed once.

--- a/crates/routing/src/quota/witnesses.rs
+++ b/crates/routing/src/quota/witnesses.rs
@@ -48,7 +48,7 @@
     let name = coordinator.to_string();
     let others = gateways.iter().copied();
     let mut others: Vec<MachineId> = others.filter(|machine| *machine != coordinator).collect();
-    others.sort_by_key(|machine| Reverse((spread(u64::from(machine.0), &name), *machine)));
+    others.sort_by_cached_key(|machine| Reverse((spread(u64::from(machine.0), &name), *machine)));
     others.truncate(WITNESSES);
     others
 }
