--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -33,8 +33,9 @@
 use crate::run_lengths::{self, AlikeRuns};
 
 /// Requests that are remembered: some 100 bytes each, and four for each end of a row, so
-/// 350 KB at most, and what a gateway is told at its start. A flood of different requests under which one replica
-/// ended each displaces its own kind before it displaces what more ended under.
+/// 350 KB at most, and what a gateway is told at its start. A flood of different requests
+/// under which one replica ended each displaces its own kind before it displaces what more
+/// ended under.
 const MOST_SUSPICIONS: usize = 1_024;
 
 /// What the fleet knows of one request.
