Quota: what an earlier start of a gateway asked witnesses does not count

Cause: times in witnesses' messages are of the asker's clock, which begins at its start. An answer to its earlier start (a witness stood still, a datagram was late) reads as one to come, and counted until the new start was as old: a coordinator that nobody hears gave out the whole limit, and a gateway that is left alone its whole even part, for as long as the earlier start had run. The model has one clock for all, so that it could not show it. Asks of witnesses also went out where control is away, where nothing depends on them: fifty a second for each silent coordinator of each gateway.

Change: times to come are passed over; witnesses are asked while control is heard only.

--- a/crates/routing/src/quota/leased.rs
+++ b/crates/routing/src/quota/leased.rs
@@ -448,7 +448,8 @@
                 coordinator,
                 asked_ms,
             } => {
-                self.silences.take_unheard(from, coordinator, asked_ms);
+                self.silences
+                    .take_unheard(from, coordinator, asked_ms, view.now_ms);
                 Vec::new()
             }
             QuotaMessage::NotHere { tenant } => {
@@ -483,7 +484,10 @@
         });
         let mut actions = self.tell_away(view);
         self.hearing.look(now_ms);
-        actions.extend(self.silences.ask(&mut self.hearing, view));
+        if view.control_silent_ms < AWAY_AFTER_MS {
+            // Without control it does not matter whether others hear them.
+            actions.extend(self.silences.ask(&mut self.hearing, view));
+        }
         if self.coordinator.is_counting() {
             actions.extend(self.witnessed.tell(now_ms));
         } else {
--- a/crates/routing/src/quota/witnesses.rs
+++ b/crates/routing/src/quota/witnesses.rs
@@ -115,10 +115,14 @@
             .collect()
     }
 
-    /// Takes a witness's answer.
+    /// Takes a witness's answer. One to an earlier start of this gateway, whose clock had gone
+    /// on for longer, tells nothing.
     pub(super) fn take_answer(&mut self, from: MachineId, sent_ms: u64, now_ms: u64) {
         // A time without answers counts also where nobody looked in it.
         self.is_heard(now_ms);
+        if sent_ms > now_ms {
+            return;
+        }
         if let Some(newest_ms) = self.answered.get_mut(&from) {
             *newest_ms = sent_ms.max(*newest_ms);
         }
@@ -236,8 +240,18 @@
         actions
     }
 
-    /// A witness does not hear a coordinator.
-    pub(super) fn take_unheard(&mut self, from: MachineId, coordinator: MachineId, asked_ms: u64) {
+    /// A witness does not hear a coordinator. What an earlier start of this gateway asked, whose
+    /// clock had gone on for longer, tells nothing.
+    pub(super) fn take_unheard(
+        &mut self,
+        from: MachineId,
+        coordinator: MachineId,
+        asked_ms: u64,
+        now_ms: u64,
+    ) {
+        if asked_ms > now_ms {
+            return;
+        }
         if let Some(silence) = self.by_coordinator.get_mut(&coordinator) {
             silence.unheard.insert(from, asked_ms);
         }
--- a/crates/routing/tests/all/quota/mod.rs
+++ b/crates/routing/tests/all/quota/mod.rs
@@ -2,6 +2,7 @@
 //! cost beside each other.
 
 mod model;
+mod unheard;
 
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_routing::{
--- a/crates/routing/tests/all/quota/model.rs
+++ b/crates/routing/tests/all/quota/model.rs
@@ -633,7 +633,7 @@
     }
 }
 
-fn tenant(rate: f64, burst: f64) -> Tenant {
+pub(super) fn tenant(rate: f64, burst: f64) -> Tenant {
     Tenant {
         name: TENANT.to_owned(),
         keys: vec![KeyDigest::of("key")],
