Job store: a disk that may be a first member is set aside before control hears of it

Change: the disk is formatted with its bootstrap id before the word, and as long as it has that id, no log and no first membership it still is a first member, also where it is no first start any more. A lost disk has no such id.

--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -4,11 +4,14 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
-use linnethitch_group::{GroupSettings, bootstrap_disk};
+use linnethitch_group::{GroupSettings, bootstrap_disk, is_reserved_for_first_member};
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::ids::MemberId;
 use linnethitch_registry::FleetView;
-use linnethitch_storage::folder::{FolderRole, IDENTITY_FILE};
+use linnethitch_storage::{
+    FolderIdentity, RealFileSystem,
+    folder::{FolderRole, IDENTITY_FILE},
+};
 use slog::info;
 use tokio::{sync::watch, time::interval};
 
@@ -22,6 +25,8 @@
     told_fleet::ToldFleet,
 };
 
+/// The cluster that the data folder names.
+const CLUSTER: &str = "linnethitch";
 /// A snapshot is taken when the log has grown by this many bytes. Texts that came
 /// since are in memory, so this bounds what a member holds of them.
 const SNAPSHOT_LOG_BYTES: u64 = 6 * 1024 * 1024;
@@ -97,11 +102,11 @@
             machine: own,
             disk: bootstrap_disk(own),
         };
-        if self.is_formatted() {
+        let is_reserved = self.is_reserved()?;
+        if !is_reserved && self.is_formatted() {
             return self.open(None);
         }
-        let may_form = self.settings.node.bootstrap;
-        if may_form {
+        if is_reserved {
             self.base.links.say(|hello| {
                 hello.member = Some(first_member);
                 hello.forming = true;
@@ -116,10 +121,23 @@
         }
         self.base.links.say(|hello| hello.forming = false);
         let first = self.fleet.store().first.clone();
-        let forms = may_form && first.contains(&first_member);
+        let forms = is_reserved && first.contains(&first_member);
         self.open(forms.then_some(first))
     }
 
+    /// Whether this disk may be one of the group's first members. It was set aside for that
+    /// before control heard of it, so that a process that ends meanwhile takes its place
+    /// again; else one more lost disk could leave the group without a quorum for ever.
+    fn is_reserved(&self) -> Result<bool, Report<ErrorKind>> {
+        let file_system = Arc::new(RealFileSystem::new(&self.settings.data_dir)?);
+        let identity = FolderIdentity {
+            cluster: CLUSTER.to_owned(),
+            role: FolderRole::Store,
+            machine: self.settings.node.machine(),
+        };
+        is_reserved_for_first_member(file_system, &identity, self.settings.node.bootstrap)
+    }
+
     fn is_formatted(&self) -> bool {
         std::path::Path::new(&self.settings.data_dir)
             .join(IDENTITY_FILE)
@@ -135,7 +153,7 @@
             Some(_) => bootstrap_disk(own),
             None => random_disk(),
         };
-        let mut group = GroupSettings::new("linnethitch", FolderRole::Store, own, new_disk);
+        let mut group = GroupSettings::new(CLUSTER, FolderRole::Store, own, new_disk);
         group.first_members = first;
         group.most_voters = self.settings.voters;
         group.snapshot_log_bytes = SNAPSHOT_LOG_BYTES;
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -19,7 +19,7 @@
 mod state_machine;
 
 pub use member::GroupMember;
-pub use opening::bootstrap_disk;
+pub use opening::{bootstrap_disk, is_reserved_for_first_member};
 pub use output::{CallFailure, GroupNotice, GroupOutput};
 pub use settings::GroupSettings;
 pub use state_machine::{SnapshotSource, StateMachine, WholeSnapshot, read_whole_snapshot};
--- a/crates/group/src/opening.rs
+++ b/crates/group/src/opening.rs
@@ -12,6 +12,7 @@
 };
 use linnethitch_storage::{
     DataFolder, FileSystem, FolderIdentity, Log, OpenedLog, RevisionFile, SnapshotStore,
+    folder::IDENTITY_FILE,
 };
 
 use crate::{log_store::LogStore, settings::GroupSettings, state_machine::StateMachine};
@@ -29,6 +30,31 @@
     DiskId(u64::from(machine.0).wrapping_mul(BOOTSTRAP_SPREAD))
 }
 
+/// Whether this disk may still be one of a new group's first members: it was formatted for
+/// that, and has not learned who the others are. With `may_reserve` a blank disk is formatted
+/// so. A machine that says that it may be a first member does this before, so that it still
+/// is one after an end; a disk that was lost since is not.
+///
+/// # Errors
+/// As of [`crate::GroupMember::open`].
+pub fn is_reserved_for_first_member(
+    file_system: Arc<dyn FileSystem>,
+    identity: &FolderIdentity,
+    may_reserve: bool,
+) -> Result<bool, Report<ErrorKind>> {
+    let is_formatted = file_system
+        .list("")?
+        .iter()
+        .any(|name| name == IDENTITY_FILE);
+    if !is_formatted && !may_reserve {
+        return Ok(false);
+    }
+    let disk = bootstrap_disk(identity.machine);
+    let folder = DataFolder::open_or_format(file_system, identity, disk)?;
+    let knows_first = first_membership_file(&folder).load()?.is_some();
+    Ok(folder.is_blank() && folder.disk() == disk && !knows_first)
+}
+
 /// What a folder holds.
 pub(crate) struct Opened<S> {
     pub(crate) folder: DataFolder,
--- a/crates/group/tests/all/main.rs
+++ b/crates/group/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod current;
 mod faults;
+mod founding;
 mod repair;
 mod support;
--- a/crates/group/tests/all/support.rs
+++ b/crates/group/tests/all/support.rs
@@ -9,13 +9,13 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{
     CallFailure, GroupMember, GroupOutput, GroupSettings, SnapshotSource, StateMachine,
-    bootstrap_disk, read_whole_snapshot,
+    bootstrap_disk, is_reserved_for_first_member, read_whole_snapshot,
 };
 use linnethitch_protocol::{
     consensus::ConsensusMessage,
     ids::{DiskId, LogIndex, MachineId, MemberId},
 };
-use linnethitch_storage::{FolderRole, SnapshotReader, VirtualDisk};
+use linnethitch_storage::{FolderIdentity, FolderRole, SnapshotReader, VirtualDisk};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -123,6 +123,22 @@
         cluster
     }
 
+    /// Whether a machine's disk may still be one of the first members; `may_reserve` on a
+    /// first start.
+    pub(crate) fn is_reserved(&mut self, machine: u32, may_reserve: bool) -> bool {
+        let disk = self
+            .disks
+            .entry(machine)
+            .or_insert_with(|| VirtualDisk::new(u64::from(machine)));
+        let identity = FolderIdentity {
+            cluster: "test".to_owned(),
+            role: FolderRole::Store,
+            machine: MachineId(machine),
+        };
+        is_reserved_for_first_member(Arc::new(disk.clone()), &identity, may_reserve)
+            .expect("the folder opens")
+    }
+
     /// Starts a machine; `first` names the first members on a first start.
     pub(crate) fn start(&mut self, machine: u32, first: Option<&[u32]>) {
         let disk = self
