Relay: a gateway that is cut off tries a suspected request twice at most

Change: where neither control nor a gateway is heard and two replicas ended under a request, copies get 503 at once, with a second to come back; items rest.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -34,6 +34,9 @@
 /// A caller is told to come back after this long where all replicas are in evacuated zones:
 /// evacuations last for seconds, and their end is known within one.
 const COME_BACK_AFTER_EVACUATION: Duration = Duration::from_secs(1);
+/// Callers that are refused since their gateway is cut off come back to it after this: cuts
+/// last for seconds.
+const COME_BACK_AFTER_CUT_OFF: Duration = Duration::from_secs(1);
 /// A caller is told to come back after this long at most where replicas are cold: for a gateway
 /// without a part it would be the whole time that one is cold, which may be a day, while
 /// other gateways have parts of each second and others may grow warm sooner.
@@ -92,6 +95,9 @@
             let Some(known_ends) = self.shared.known_ends(&self.outgoing).await else {
                 return self.refuse_as_ending();
             };
+            if self.shared.is_tried_alone_enough(&known_ends) {
+                return self.refuse_while_cut_off();
+            }
             let homes = self.shared.homes(&self.outgoing);
             if !self.turn_to_home(&homes) {
                 return self.refuse_outside_homes();
@@ -324,6 +330,19 @@
         own_answer(ErrorKind::EndsReplicas, None)
     }
 
+    /// The final answer of a request under which replicas ended, at a gateway that is cut off.
+    fn refuse_while_cut_off(&self) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.give_up("replicas end under it, and this gateway is cut off");
+        }
+        self.log(
+            "refused, replicas end under it and this gateway is cut off",
+            "",
+        );
+        self.ended(RequestEnd::EndsReplicas);
+        own_answer(ErrorKind::NoBackEnd, Some(COME_BACK_AFTER_CUT_OFF))
+    }
+
     /// The final answer of a request whose replicas are all in evacuated zones, at once:
     /// waiting a little does not help.
     fn refuse_as_evacuated(&self) -> Response<AnswerBody> {
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -178,6 +178,9 @@
         let Some(known_ends) = self.shared.known_ends(&outgoing).await else {
             return self.set_aside("replicas end under it", &outgoing).await;
         };
+        if self.shared.is_tried_alone_enough(&known_ends) {
+            return self.set_aside("replicas end under it", &outgoing).await;
+        }
         let placed = if known_ends.is_empty() {
             self.wait_for_slot(&service, &outgoing).await
         } else {
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -177,6 +177,9 @@
         while self.settings.resumable && self.settings.sends_left > 0 {
             let outgoing = &self.settings.outgoing;
             let known_ends = self.shared.known_ends(outgoing).await?;
+            if self.shared.is_tried_alone_enough(&known_ends) {
+                return None;
+            }
             let homes = self.shared.homes(outgoing);
             let search = Search {
                 shared: &self.shared,
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -291,6 +291,24 @@
     assert_eq!((answer.status, service.ended()), (400, 1));
 }
 
+/// Seen in a run of faults: one that was cut off ended three, the others three, and those that
+/// were killed as they found an end two more.
+#[tokio::test]
+async fn a_gateway_that_is_cut_off_tries_a_suspected_request_no_more_than_twice() {
+    let (service, first, _other) = beside_another_gateway(3).await;
+    first.ask("fatal-1", FATAL).await;
+    first.ask("fatal-2", FATAL).await;
+    assert_eq!(service.ended(), 2);
+    service.fleet.lose_control();
+    while !first.relay.gateway().is_control_lost() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let answer = first.ask("fatal-3", FATAL).await;
+    assert_eq!((answer.status, service.ended()), (503, 2));
+    let answer = first.ask("innocent-1", SLOW).await;
+    assert_eq!((answer.status, service.ended()), (200, 2));
+}
+
 fn fingerprint(body: &str) -> RequestFingerprint {
     RequestFingerprint::of(&RequestContent {
         method: "POST",
