--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -243,7 +243,7 @@
             return Exchange::Cold;
         };
         shared.count_send(outgoing);
-        running.is_sent();
+        running.note_sent();
         match send(
             shared,
             chosen,
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -71,8 +71,8 @@
         })
     }
 
-    /// It is about to be sent.
-    pub(crate) fn is_sent(&mut self) {
+    /// Notes that it is about to be sent.
+    pub(crate) fn note_sent(&mut self) {
         self.sent = Instant::now();
     }
 
