Job store: new items go to gateways near its leader while those have room

What an item makes passes from the gateway that runs it to the leader: its progress, its last events, its lease. A gateway in another zone or region is given only the new items that nearer ones have no room for, by what they asked for within the last 500 ms. An item that was leased before goes to whoever asks, since those near may not be able to run it. Where a gateway is, its link says; nothing is added to a message.

Without it the new tests fail: a far gateway is given 3 of 3 items where 1 is expected.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -18,6 +18,7 @@
 mod driver;
 mod evacuation;
 mod gateway;
+mod gateway_places;
 mod incoming;
 mod links;
 mod message;
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -15,6 +15,7 @@
 use crate::{
     control::random_disk,
     driver::{self, GroupDriver, GroupHandle},
+    gateway_places::GatewayPlaces,
     incoming::Inbound,
     message::{CallBody, NodeMessage, NodeRole, ReplyBody},
     node::{self, NodeBase, NodeSettings},
@@ -51,6 +52,7 @@
     base: NodeBase,
     fleet: FleetView,
     told: ToldFleet,
+    places: GatewayPlaces,
     /// The group as this member sees it.
     seen: watch::Sender<GroupSeen>,
     handle: Option<GroupHandle<StoreCall, StoreReply>>,
@@ -67,11 +69,13 @@
     ) -> Result<(), Report<ErrorKind>> {
         let (base, inbox) = NodeBase::start(&settings.node, NodeRole::Store);
         node::listen(&settings.node, inbox, Arc::clone(&base.traffic), None).await?;
+        let places = GatewayPlaces::new(settings.node.place());
         let mut store = StoreNode {
             settings,
             base,
             fleet: FleetView::default(),
             told: ToldFleet::default(),
+            places,
             seen: watch::channel(GroupSeen::default()).0,
             handle: None,
         };
@@ -143,7 +147,7 @@
         group.kept_snapshots = KEPT_SNAPSHOTS;
         group.seed ^= u64::from(own.0);
         let kept_ms = self.settings.kept.as_millis() as u64;
-        let service = StoreService::new(kept_ms, self.seen.clone());
+        let service = StoreService::new(kept_ms, self.places.clone(), self.seen.clone());
         let (driver, handle) = driver::open(
             group,
             &self.settings.data_dir,
@@ -194,6 +198,9 @@
                     handle.message(message).await;
                 }
             }
+            NodeMessage::Hello(hello) if hello.role == NodeRole::Gateway => {
+                self.places.note(from, &hello.place());
+            }
             NodeMessage::Pulse(mut pulse) => {
                 let now_ms = self.base.clock.now_ms();
                 let names_others = self.told.take(from, &mut pulse, now_ms);
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -2,8 +2,8 @@
 
 use linnethitch_group::{CallFailure, GroupMember};
 use linnethitch_job_store::{
-    AgeClock, Dispatcher, JobSpec, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand,
-    StoreReply, TenantJob,
+    AgeClock, Asker, Dispatcher, JobSpec, JobStore, QueueGate, StoreAnswer, StoreCall,
+    StoreCommand, StoreReply, TenantJob,
 };
 
 use linnethitch_protocol::ids::MachineId;
@@ -11,6 +11,7 @@
 
 use crate::{
     driver::{Begin, GroupService, Now},
+    gateway_places::GatewayPlaces,
     message::StoreGroupView,
 };
 
@@ -27,6 +28,7 @@
 pub(crate) struct StoreService {
     dispatcher: Dispatcher,
     gate: QueueGate,
+    places: GatewayPlaces,
     led: bool,
     age_clock: AgeClock,
     /// Jobs stay for this long after they were accepted, in milliseconds.
@@ -35,10 +37,11 @@
 }
 
 impl StoreService {
-    pub(crate) fn new(kept_ms: u64, seen: watch::Sender<GroupSeen>) -> Self {
+    pub(crate) fn new(kept_ms: u64, places: GatewayPlaces, seen: watch::Sender<GroupSeen>) -> Self {
         StoreService {
             dispatcher: Dispatcher::default(),
             gate: QueueGate::default(),
+            places,
             led: false,
             age_clock: AgeClock::default(),
             kept_ms,
@@ -64,9 +67,13 @@
         let stop = self
             .dispatcher
             .renew(store, gateway, running, now.steady_ms);
-        let begin = self
-            .dispatcher
-            .lease(store, gateway, *want, *item_ms, now.steady_ms);
+        let asker = Asker {
+            gateway,
+            nearness: self.places.nearness(gateway),
+            want: *want,
+            item_ms: *item_ms,
+        };
+        let begin = self.dispatcher.lease(store, asker, now.steady_ms);
         StoreReply::Work { begin, stop }
     }
 
--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -24,6 +24,35 @@
 /// The order of jobs counts for so long where no job was accepted, in milliseconds.
 const PLAN_VALID_MS: u64 = 100;
 
+/// What a gateway could take counts for so long after it said so, in milliseconds: it asks
+/// again within this while it wants more.
+const ROOM_VALID_MS: u64 = 500;
+
+/// How far a gateway is from the leader. What its items make passes so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Nearness {
+    /// In its zone.
+    #[default]
+    Zone,
+    /// In another zone of its region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
+/// A gateway that asks for work.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker<'a> {
+    /// Its name.
+    pub gateway: &'a str,
+    /// How far it is.
+    pub nearness: Nearness,
+    /// Items that it can take besides.
+    pub want: u32,
+    /// Time that an item takes, as it learned, in milliseconds; 0 where it does not know.
+    pub item_ms: u64,
+}
+
 /// What a gateway holds.
 #[derive(Clone, Debug, Default)]
 struct Holder {
@@ -32,6 +61,9 @@
     heard_ms: u64,
     /// Items that it could take besides, as it said last.
     free_slots: u32,
+    /// The same, without what it was given since.
+    room: u32,
+    nearness: Nearness,
 }
 
 /// The items of an open job that are not listed.
@@ -39,11 +71,34 @@
 struct JobQueue {
     /// Those that may be leased.
     free: BTreeSet<u32>,
+    /// Those of them that were leased before.
+    again: BTreeSet<u32>,
     leased: u32,
     /// When every result is due.
     due_ms: u64,
 }
 
+impl JobQueue {
+    /// Items that nobody had yet.
+    fn unbegun(&self) -> u32 {
+        (self.free.len() - self.again.len()) as u32
+    }
+
+    /// Takes the first item, and tells whether nobody had it yet; the first that was leased
+    /// before where no other may be taken.
+    fn take(&mut self, may_begin_new: bool) -> Option<(u32, bool)> {
+        let first = if may_begin_new {
+            self.free.first()
+        } else {
+            self.again.first()
+        };
+        let number = *first?;
+        self.free.remove(&number);
+        let is_new = !self.again.remove(&number);
+        Some((number, is_new))
+    }
+}
+
 /// Who works on what. Times are of a steady clock, in milliseconds.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
@@ -57,6 +112,10 @@
     /// When the order was found, and how many jobs had been accepted by then.
     planned: Option<(u64, u64)>,
     times: LeaseTimes,
+    /// Items that nobody had yet, as of the order and what was taken since.
+    unbegun: u32,
+    /// Items that gateways in the leader's zone, and those in its region, could take; likewise.
+    room_near: [u32; 2],
     /// No item is given out before this.
     settled_ms: u64,
 }
@@ -112,19 +171,20 @@
         }
     }
 
-    /// Leases up to `want` items to a gateway, in the order of the plan. An item
-    /// takes `item_ms`, as the gateway learned; 0 where it does not know.
-    pub fn lease(
-        &mut self,
-        store: &JobStore,
-        gateway: &str,
-        want: u32,
-        item_ms: u64,
-        now_ms: u64,
-    ) -> Vec<ItemWork> {
+    /// Leases up to as many items to a gateway as it wants, in the order of the plan.
+    /// Items that nobody had yet are kept for gateways that are nearer and have room.
+    pub fn lease(&mut self, store: &JobStore, asker: Asker<'_>, now_ms: u64) -> Vec<ItemWork> {
+        let Asker {
+            gateway,
+            nearness,
+            want,
+            item_ms,
+        } = asker;
         let holder = self.gateways.entry(gateway.to_owned()).or_default();
         holder.heard_ms = now_ms;
         holder.free_slots = want;
+        holder.room = want;
+        holder.nearness = nearness;
         if want == 0 || now_ms < self.settled_ms {
             return Vec::new();
         }
@@ -133,25 +193,52 @@
         self.keep_plan(store, item_ms, now_ms);
         let mut begin = Vec::new();
         while begin.len() < want as usize {
-            let Some((item, due_ms)) = self.next_item(store) else {
+            let may_begin_new = self.unbegun > self.room_nearer_than(nearness);
+            let Some((item, due_ms)) = self.next_item(store, may_begin_new) else {
                 break;
             };
+            self.note_taken(gateway, nearness);
             self.give(&item, gateway, now_ms);
             begin.extend(work(store, item, due_ms.saturating_sub(now_ms)));
         }
         begin
     }
 
-    /// The next item by the order of the plan, and when it is due.
-    fn next_item(&mut self, store: &JobStore) -> Option<(ItemRef, u64)> {
+    /// Items that gateways nearer than this could take.
+    fn room_nearer_than(&self, nearness: Nearness) -> u32 {
+        let nearer = match nearness {
+            Nearness::Zone => 0,
+            Nearness::Region => 1,
+            Nearness::Elsewhere => 2,
+        };
+        self.room_near[..nearer].iter().sum()
+    }
+
+    /// A gateway was given one of the items that it could take.
+    fn note_taken(&mut self, gateway: &str, nearness: Nearness) {
+        if let Some(holder) = self.gateways.get_mut(gateway) {
+            holder.room = holder.room.saturating_sub(1);
+        }
+        let room = match nearness {
+            Nearness::Zone => &mut self.room_near[0],
+            Nearness::Region => &mut self.room_near[1],
+            Nearness::Elsewhere => return,
+        };
+        *room = room.saturating_sub(1);
+    }
+
+    /// The next item by the order of the plan, and when it is due; one that was leased before
+    /// where no other may be taken.
+    fn next_item(&mut self, store: &JobStore, may_begin_new: bool) -> Option<(ItemRef, u64)> {
         for turn in &mut self.turns {
             let Some(queue) = self.queues.get_mut(&turn.job) else {
                 continue;
             };
             while turn.items > 0 {
-                let Some(number) = queue.free.pop_first() else {
+                let Some((number, is_new)) = queue.take(may_begin_new) else {
                     break;
                 };
+                self.unbegun = self.unbegun.saturating_sub(u32::from(is_new));
                 let item = ItemRef {
                     job: turn.job.clone(),
                     item: number,
@@ -180,6 +267,7 @@
         holder.items.insert(item.clone(), now_ms);
         if let Some(queue) = self.queues.get_mut(&item.job) {
             queue.free.remove(&item.item);
+            queue.again.remove(&item.item);
             queue.leased += 1;
         }
     }
@@ -203,6 +291,7 @@
     fn free(&mut self, item: ItemRef) {
         if let Some(queue) = self.queues.get_mut(&item.job) {
             queue.free.insert(item.item);
+            queue.again.insert(item.item);
         }
     }
 
@@ -259,12 +348,24 @@
                 })
             })
             .collect();
+        self.unbegun = self.queues.values().map(JobQueue::unbegun).sum();
+        self.room_near = [Nearness::Zone, Nearness::Region].map(|near| self.room(near, now_ms));
         let running = self.leases.len() as u32;
         let free: u32 = self.gateways.values().map(|holder| holder.free_slots).sum();
         let slot_ms = self.times.slot_ms_per_item().unwrap_or(item_ms);
         self.turns = plan::turns(demands, running + free, item_ms, slot_ms);
     }
 
+    /// Items that gateways at a distance could take, as they said lately.
+    fn room(&self, nearness: Nearness, now_ms: u64) -> u32 {
+        let there = self
+            .gateways
+            .values()
+            .filter(|holder| holder.nearness == nearness);
+        let lately = there.filter(|holder| holder.heard_ms + ROOM_VALID_MS >= now_ms);
+        lately.map(|holder| holder.room).sum()
+    }
+
     /// Begins queues of new jobs and drops those of jobs that are not open.
     fn keep_queues(&mut self, store: &JobStore, now_ms: u64) {
         let queues = &mut self.queues;
@@ -276,6 +377,7 @@
             }
             let mut queue = JobQueue {
                 free: BTreeSet::new(),
+                again: BTreeSet::new(),
                 leased: 0,
                 due_ms: now_ms + job.due_in_ms(),
             };
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -21,7 +21,7 @@
 pub use age_clock::AgeClock;
 pub use call::{ItemResult, ItemWork, QueueBound, ResultsPage, StoreCall, StoreReply};
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
-pub use dispatcher::{Dispatcher, LEASE_MS, SETTLE_MS};
+pub use dispatcher::{Asker, Dispatcher, LEASE_MS, Nearness, SETTLE_MS};
 pub use job::{ItemSpec, Job, JobSpec, ListedState, TenantJob};
 pub use progress::{HeldProgress, ItemProgress, MadeEvents, RunMark, RunProgress};
 pub use queue::QueueGate;
--- a/crates/job-store/tests/all/dispatcher.rs
+++ b/crates/job-store/tests/all/dispatcher.rs
@@ -1,9 +1,11 @@
 //! Leases: each item at one gateway at a time, and again after a loss.
 
-use linnethitch_job_store::{Dispatcher, ItemOutcome, ItemRef, JobStore, LEASE_MS, SETTLE_MS};
+use linnethitch_job_store::{
+    Asker, Dispatcher, ItemOutcome, ItemRef, JobStore, LEASE_MS, Nearness, SETTLE_MS,
+};
 use rstest::rstest;
 
-use crate::support::{item, job, pass, report, submit};
+use crate::support::{asker, item, job, pass, report, submit};
 
 fn two_jobs() -> JobStore {
     let mut store = JobStore::default();
@@ -20,7 +22,7 @@
     want: u32,
     now: u64,
 ) -> Vec<ItemRef> {
-    let work = dispatcher.lease(store, who, want, 0, now);
+    let work = dispatcher.lease(store, asker(who, want), now);
     work.into_iter().map(|work| work.item).collect()
 }
 
@@ -58,7 +60,11 @@
     submit(&mut store, job("early", 1));
     pass(&mut store, 17_000);
     submit(&mut store, job("later", 1));
-    let work = Dispatcher::default().lease(&store, "a", 1, item_ms, 0);
+    let asker = Asker {
+        item_ms,
+        ..asker("a", 1)
+    };
+    let work = Dispatcher::default().lease(&store, asker, 0);
     assert_eq!(work[0].item, item(first, 0));
 }
 
@@ -125,3 +131,78 @@
     let given = lease(&mut dispatcher, &store, "a", 4, 1_000 + SETTLE_MS);
     assert_eq!(given, [item("early", 1), item("late", 0)]);
 }
+
+/// Items that a gateway at a distance is given.
+fn lease_from(
+    dispatcher: &mut Dispatcher,
+    store: &JobStore,
+    asker: Asker<'_>,
+    nearness: Nearness,
+    now: u64,
+) -> usize {
+    let asker = Asker { nearness, ..asker };
+    dispatcher.lease(store, asker, now).len()
+}
+
+/// What items make passes between the gateway that runs them and the leader: a far gateway
+/// is given only what nearer ones have no room for.
+#[rstest]
+#[case::zone_before_region(Nearness::Zone, Nearness::Region, 1)]
+#[case::zone_before_other_region(Nearness::Zone, Nearness::Elsewhere, 1)]
+#[case::region_before_other_region(Nearness::Region, Nearness::Elsewhere, 1)]
+#[case::none_is_nearer(Nearness::Region, Nearness::Region, 3)]
+#[case::the_nearer_one_comes_first(Nearness::Elsewhere, Nearness::Zone, 3)]
+fn new_items_are_kept_for_nearer_gateways_that_have_room(
+    #[case] idle: Nearness,
+    #[case] asking: Nearness,
+    #[case] given: usize,
+) {
+    let mut store = JobStore::default();
+    let mut dispatcher = Dispatcher::default();
+    lease_from(&mut dispatcher, &store, asker("idle", 2), idle, 0);
+    submit(&mut store, job("j", 3));
+    let taken = lease_from(&mut dispatcher, &store, asker("asking", 3), asking, 300);
+    assert_eq!(taken, given);
+    let left = lease_from(&mut dispatcher, &store, asker("idle", 3), idle, 400);
+    assert_eq!(left, 3 - given);
+}
+
+/// A near gateway that no longer asks keeps nothing from the others.
+#[test]
+fn items_are_not_kept_for_a_gateway_that_does_not_ask_again() {
+    let mut store = JobStore::default();
+    let mut dispatcher = Dispatcher::default();
+    lease_from(&mut dispatcher, &store, asker("near", 2), Nearness::Zone, 0);
+    submit(&mut store, job("j", 3));
+    let mut ask = |now| {
+        let far = asker("far", 1);
+        lease_from(&mut dispatcher, &store, far, Nearness::Elsewhere, now)
+    };
+    assert_eq!([ask(100), ask(200), ask(300)], [1, 0, 0]);
+    assert_eq!([ask(501), ask(502)], [1, 1]);
+}
+
+/// An item that came back is for whoever asks first: those near may not be able to run it.
+#[test]
+fn an_item_that_was_leased_before_is_kept_for_nobody() {
+    let mut store = JobStore::default();
+    submit(&mut store, job("j", 2));
+    let mut dispatcher = Dispatcher::default();
+    lease_from(&mut dispatcher, &store, asker("near", 2), Nearness::Zone, 0);
+    let idle = asker("idle", 2);
+    assert_eq!(
+        lease_from(&mut dispatcher, &store, idle, Nearness::Zone, 100),
+        0
+    );
+    dispatcher.renew(&store, "near", &[item("j", 0)], 150);
+    let far = dispatcher.lease(
+        &store,
+        Asker {
+            nearness: Nearness::Elsewhere,
+            ..asker("far", 2)
+        },
+        200,
+    );
+    let given: Vec<ItemRef> = far.into_iter().map(|work| work.item).collect();
+    assert_eq!(given, [item("j", 1)]);
+}
--- a/crates/job-store/tests/all/plan.rs
+++ b/crates/job-store/tests/all/plan.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use linnethitch_job_store::{Dispatcher, ItemOutcome, ItemRef, JobStore};
+use linnethitch_job_store::{Asker, Dispatcher, ItemOutcome, ItemRef, JobStore};
 use rstest::rstest;
 
-use crate::support::{job, pass, report, submit};
+use crate::support::{asker, job, pass, report, submit};
 
 /// Time that an item runs, in milliseconds.
 const ITEM_MS: u64 = 4_000;
@@ -51,9 +51,11 @@
             self.dispatcher
                 .renew(&self.store, "gateway", &named, self.now_ms);
             let want = (self.slots - self.running.len()) as u32;
-            let work = self
-                .dispatcher
-                .lease(&self.store, "gateway", want, ITEM_MS, self.now_ms);
+            let asker = Asker {
+                item_ms: ITEM_MS,
+                ..asker("gateway", want)
+            };
+            let work = self.dispatcher.lease(&self.store, asker, self.now_ms);
             let begun_ms = self.now_ms;
             self.running
                 .extend(work.into_iter().map(|work| (work.item, begun_ms)));
@@ -129,7 +131,7 @@
     let mut expected = 0;
     for call in 0..ITEMS / AT_ONCE {
         let gateway = format!("gateway-{}", call % 250);
-        let work = dispatcher.lease(&store, &gateway, AT_ONCE, 0, u64::from(call));
+        let work = dispatcher.lease(&store, asker(&gateway, AT_ONCE), u64::from(call));
         for work in work {
             assert_eq!(work.item.item, expected);
             expected += 1;
--- a/crates/job-store/tests/all/progress.rs
+++ b/crates/job-store/tests/all/progress.rs
@@ -7,7 +7,7 @@
 };
 use rstest::rstest;
 
-use crate::support::{apply, item, job, pass, report, snapshots, store_snapshot, submit};
+use crate::support::{apply, asker, item, job, pass, report, snapshots, store_snapshot, submit};
 
 fn made(events: &[&str], last_event: u64) -> MadeEvents {
     MadeEvents {
@@ -33,7 +33,7 @@
 /// The same with the run that told it.
 fn next_lease(store: &JobStore) -> HeldProgress {
     let mut dispatcher = Dispatcher::default();
-    let work = dispatcher.lease(store, "gateway", 1, 0, 0);
+    let work = dispatcher.lease(store, asker("gateway", 1), 0);
     work.into_iter().next().expect("an open item").made
 }
 
--- a/crates/job-store/tests/all/snapshots.rs
+++ b/crates/job-store/tests/all/snapshots.rs
@@ -11,7 +11,7 @@
 use linnethitch_storage::{FolderRole, VirtualDisk};
 use rstest::rstest;
 
-use crate::support::{item, job, report, snapshots, store_snapshot, submit, unhex};
+use crate::support::{asker, item, job, report, snapshots, store_snapshot, submit, unhex};
 
 const PAGE: u32 = 1_000_000;
 
@@ -157,7 +157,7 @@
     let content = store_snapshot(&mut snapshots(), 1, &mut source);
     let store = JobStore::from_snapshot(content).expect("it is read");
     assert!(store.is_visible("j", Some("t")) && !store.is_visible("j", Some("u")));
-    let work = Dispatcher::default().lease(&store, "gateway", 1, 0, 0);
+    let work = Dispatcher::default().lease(&store, asker("gateway", 1), 0);
     let made = &work.first().expect("an open item").made;
     assert_eq!(made.made.events, ["a", "b"]);
     assert_eq!(made.told_by, RunMark::UNKNOWN);
--- a/crates/job-store/tests/all/support.rs
+++ b/crates/job-store/tests/all/support.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_group::{SnapshotSource, StateMachine};
 use linnethitch_job_store::{
-    ItemOutcome, ItemRef, ItemSpec, JobSpec, JobStore, StoreAnswer, StoreCommand,
+    Asker, ItemOutcome, ItemRef, ItemSpec, JobSpec, JobStore, Nearness, StoreAnswer, StoreCommand,
 };
 use linnethitch_protocol::{consensus::SnapshotMeta, ids::LogIndex};
 use linnethitch_storage::{SnapshotReader, SnapshotStore, VirtualDisk};
@@ -95,3 +95,13 @@
         .map(|digits| u8::from_str_radix(digits, 16).expect("hexadecimal"))
         .collect()
 }
+
+/// A gateway of the leader's zone that has not learned how long items take.
+pub(crate) fn asker(gateway: &str, want: u32) -> Asker<'_> {
+    Asker {
+        gateway,
+        nearness: Nearness::Zone,
+        want,
+        item_ms: 0,
+    }
+}
