Routing: a replica to which a connection rests is chosen among equals

A new connection costs a round trip and work on both sides, which the choice did not count: each of 65 gateways opened one to each of 62 replicas.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -253,6 +253,7 @@
             prompt: &self.prompt.parts,
             except: &self.tried,
             homes: homes.as_ref(),
+            connected: None,
         };
         self.shared.next_cold_in(&need)
     }
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -134,6 +134,7 @@
             prompt: self.prompt,
             except,
             homes: self.homes.as_ref(),
+            connected: None,
         }
     }
 
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -32,13 +32,16 @@
 const ENGINE_ROUND_TRIPS: f64 = 2.0;
 /// Round trips of a request to another replica.
 const ROUND_TRIPS: f64 = 1.0;
+/// Cost of a new connection beyond its round trip, in milliseconds: work of the replica and of
+/// both kernels. Small beside a further request under way there.
+const OPENING_COST_MS: f64 = 2.0;
 /// Part of a shared prompt that is expected to be kept at its home replica,
 /// though this gateway has not sent it there.
 const HOME_KEPT_SHARE: f64 = 0.7;
 /// Scores closer than this count as equal, in milliseconds.
 const JITTER_MS: f64 = 1.0;
 /// What a request needs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Need<'a> {
     /// The service.
     pub service: &'a str,
@@ -48,6 +51,8 @@
     pub except: &'a [String],
     /// Zones in which it may be served; `None` where any may.
     pub homes: Option<&'a BTreeSet<String>>,
+    /// Replicas to which a connection rests; `None` where that is not known.
+    pub connected: Option<&'a BTreeSet<String>>,
 }
 
 impl Need<'_> {
@@ -55,6 +60,11 @@
         let mut homes = self.homes.into_iter();
         homes.all(|zones| zones.contains(&replica.traits.zone))
     }
+
+    fn has_connection(&self, replica: &Replica) -> bool {
+        let mut connected = self.connected.into_iter();
+        connected.all(|ids| ids.contains(&replica.traits.id))
+    }
 }
 
 /// A choice.
@@ -351,10 +361,16 @@
             ROUND_TRIPS
         };
         let beyond_ms = self.distances.beyond_ms(&self.zone, &replica.traits.zone);
+        let opening_ms = if need.has_connection(replica) {
+            0.0
+        } else {
+            self.distances.round_trip_ms(&replica.traits.zone) + OPENING_COST_MS
+        };
         let unread = unread_tokens(replica, need.prompt, is_home);
         let reading_ms = (unread + replica.unread_tokens as f64) / READ_TOKENS_PER_MS;
         let expected_ms = waiting_ms + running_ms + reading_ms;
-        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + round_trips * beyond_ms
+        let way_ms = opening_ms + round_trips * beyond_ms;
+        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + way_ms
     }
 }
 
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -33,6 +33,7 @@
         prompt,
         except,
         homes: None,
+        connected: None,
     }
 }
 
--- a/crates/routing/tests/all/distance.rs
+++ b/crates/routing/tests/all/distance.rs
@@ -1,5 +1,7 @@
 //! Which gateway coordinates a replica, and what distance counts at a choice.
 
+use std::collections::BTreeSet;
+
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_routing::dispatch::{
     Board, Distances, NearGateways, Need, ReplicaTraits, WorkKind, coordinator_of,
@@ -110,6 +112,7 @@
             prompt: &[],
             except: &[],
             homes: None,
+            connected: None,
         };
         let chosen = board.choose(&need, 0, &mut random).expect("a replica");
         board.begin(&chosen, &[], WorkKind::Online, 0);
@@ -117,3 +120,35 @@
     }
     assert!(near >= fewest_near && near < 8, "{near}");
 }
+
+/// A new connection costs a round trip and more: of replicas that are alike the one is chosen
+/// to which a connection rests, but a request that is under way there costs more than that.
+#[rstest]
+#[case::alike(0, "connected")]
+#[case::one_under_way_there(1, "other")]
+fn a_connection_is_used_again_where_that_is_quicker(
+    #[case] under_way: usize,
+    #[case] expected: &str,
+) {
+    for seed in 0..50 {
+        let mut board = Board::new("north-a");
+        board.set_replicas(vec![
+            replica("connected", "north-a"),
+            replica("other", "north-a"),
+        ]);
+        board.note_connected("other", 1.0);
+        let connected = BTreeSet::from(["connected".to_owned()]);
+        let need = Need {
+            service: "models",
+            connected: Some(&connected),
+            ..Need::default()
+        };
+        for _ in 0..under_way {
+            let there = board.chosen_at("connected", 0).expect("it is open");
+            board.begin(&there, &[], WorkKind::Online, 0);
+        }
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let chosen = board.choose(&need, 0, &mut random).expect("a replica");
+        assert_eq!(chosen.id, expected, "seed {seed}");
+    }
+}
--- a/crates/routing/tests/all/evacuated_zones.rs
+++ b/crates/routing/tests/all/evacuated_zones.rs
@@ -48,6 +48,7 @@
         prompt,
         except: &[],
         homes: None,
+        connected: None,
     }
 }
 
--- a/crates/routing/tests/all/homes.rs
+++ b/crates/routing/tests/all/homes.rs
@@ -37,6 +37,7 @@
         prompt: &[],
         except: &[],
         homes: Some(homes),
+        connected: None,
     }
 }
 
