Results of jobs come from the nearest member of the job store that holds them

Texts of results were answered by the leader alone. A gateway that has a member of the store nearer than the leader asks the leader how many results there are, a linearizable read of some hundred bytes, and that member for their texts: results stay at their positions, so a member that holds as many holds the same ones. Where it lacks some, or does not answer within 100 ms, the leader is asked for all. Control tells where members are.

--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -184,7 +184,11 @@
         }
     }
 
-    async fn ask(&self, target: MachineId, call: &C) -> Result<C::Reply, CallLost> {
+    /// Asks one machine, whether it leads or not.
+    ///
+    /// # Errors
+    /// [`CallLost`] where no answer came.
+    pub(crate) async fn ask(&self, target: MachineId, call: &C) -> Result<C::Reply, CallLost> {
         if let Some((own, handle)) = &self.local
             && *own == target
         {
@@ -212,6 +216,11 @@
         next
     }
 
+    /// The leader, as far as is known.
+    pub(crate) fn leader(&self) -> Option<MachineId> {
+        self.known.lock().leader
+    }
+
     fn note_leader(&self, leader: Option<MachineId>) {
         self.known.lock().leader = leader;
     }
--- a/crates/cluster/src/control_pulses.rs
+++ b/crates/cluster/src/control_pulses.rs
@@ -69,14 +69,11 @@
     control.insert(own);
     tellers.insert(own, own_place.clone());
     let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
-    let store_group = presence.store_group();
     PresentFleet {
         control,
         tellers,
         stores: presence.stores(now_ms).into_iter().collect(),
-        store_members: store_group
-            .map(|group| group.machines.iter().copied().collect())
-            .unwrap_or_default(),
+        store_members: presence.store_members(),
         gateways: heard_of_all.then(|| presence.gateways().ready(now_ms).into_iter().collect()),
         coordinators: presence.placed_coordinators(now_ms),
         silent_coordinators: presence
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -11,11 +11,11 @@
     time::Duration,
 };
 
-use linnethitch_clock::{Clock, Instant, sleep};
-use linnethitch_job_store::{StoreCall, StoreReply};
+use linnethitch_clock::{Clock, Instant, sleep, timeout};
+use linnethitch_job_store::{Nearness, ResultsPage, StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
-    DirectoryNode, DirectoryQuestion, EndedRun, FleetUpdate, FleetView, RegistryCommand,
+    DirectoryNode, DirectoryQuestion, EndedRun, FleetUpdate, FleetView, Place, RegistryCommand,
     RequestFingerprint, ZoneMap, near,
 };
 use linnethitch_transport::Datagrams;
@@ -29,10 +29,12 @@
 use crate::{
     client::GroupClient,
     datagram_bytes::DatagramBytes,
+    gateway_places::nearness,
     incoming::Inbound,
     links::Links,
     message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
+    results_wanted::ResultsWanted,
     seeds::Seeds,
     standstill::Standstill,
     told_fleet::ToldFleet,
@@ -45,6 +47,9 @@
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// Pause between two looks whether news came after a standstill.
 const NEWS_LOOK_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest wait for a near member's texts before the leader is asked for them. Several times a
+/// round trip within a region.
+const HELD_LIMIT: Duration = Duration::from_millis(100);
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
@@ -57,6 +62,7 @@
     store: GroupClient<StoreCall>,
     control: GroupClient<RegistryCall>,
     own: MachineId,
+    place: Place,
     port: u16,
     datagrams: Option<Datagrams<GatewayDatagram>>,
     datagram_bytes: DatagramBytes,
@@ -86,6 +92,7 @@
             store: GroupClient::new(base.links.clone(), None),
             control: GroupClient::new(base.links.clone(), None),
             own: settings.machine(),
+            place: settings.place(),
             port: settings.port,
             datagrams: bind_datagrams(settings),
             datagram_bytes: DatagramBytes::default(),
@@ -239,6 +246,41 @@
         self.store.call(call, limit).await
     }
 
+    /// Reads results of a job: how many there are from the job store's leader, and their
+    /// texts from a member that is nearer, where there is one.
+    pub async fn results(&self, wanted: ResultsWanted, limit: Duration) -> StoreReply {
+        let until = Instant::now() + limit;
+        if let Some(member) = self.nearer_member() {
+            let listed = self.call_store(wanted.listed(), limit).await;
+            let StoreReply::Listed { total, listed } = listed else {
+                return listed;
+            };
+            if listed <= wanted.since {
+                let results = Vec::new();
+                return StoreReply::Results(ResultsPage { total, results });
+            }
+            let call = wanted.held(listed);
+            let held = timeout(HELD_LIMIT, self.store.ask(member, &call)).await;
+            if let Ok(Ok(StoreReply::Results(page))) = held {
+                return StoreReply::Results(page);
+            }
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        self.call_store(wanted.whole(), left).await
+    }
+
+    /// The nearest member of the job store that is nearer than its leader.
+    fn nearer_member(&self) -> Option<MachineId> {
+        let places = self.told.lock().store_places();
+        let distance = |machine: &MachineId| {
+            let place = places.get(machine);
+            place.map_or(Nearness::Elsewhere, |place| nearness(&self.place, place))
+        };
+        let leader = self.store.leader()?;
+        let nearest = places.keys().copied().min_by_key(&distance)?;
+        (distance(&nearest) < distance(&leader)).then_some(nearest)
+    }
+
     /// Sends a datagram to every other gateway that is known; it may not arrive.
     pub fn tell_gateways(&self, message: &GatewayDatagram) {
         let gateways = self.coordinators();
--- a/crates/cluster/src/gateway_places.rs
+++ b/crates/cluster/src/gateway_places.rs
@@ -9,6 +9,17 @@
 
 use crate::node::machine_of;
 
+/// How far two places are from each other.
+pub(crate) fn nearness(one: &Place, other: &Place) -> Nearness {
+    if one.zone == other.zone {
+        Nearness::Zone
+    } else if one.region == other.region {
+        Nearness::Region
+    } else {
+        Nearness::Elsewhere
+    }
+}
+
 /// Distances of gateways from this member. Clones share them.
 #[derive(Clone)]
 pub(crate) struct GatewayPlaces {
@@ -26,13 +37,7 @@
 
     /// A gateway said where it is.
     pub(crate) fn note(&self, gateway: MachineId, place: &Place) {
-        let nearness = if place.zone == self.own.zone {
-            Nearness::Zone
-        } else if place.region == self.own.region {
-            Nearness::Region
-        } else {
-            Nearness::Elsewhere
-        };
+        let nearness = nearness(&self.own, place);
         self.nearness.lock().insert(gateway, nearness);
     }
 
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -84,6 +84,13 @@
     pub(crate) member: Option<MemberId>,
 }
 
+/// A member of the job store, and where it is as far as the sender knows.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+pub(crate) struct PlacedStore {
+    pub(crate) machine: MachineId,
+    pub(crate) place: Place,
+}
+
 /// A gateway and where it is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
 pub struct PlacedGateway {
@@ -101,8 +108,8 @@
     pub(crate) control: Option<SetChange<MachineId>>,
     /// Machines with disks for the job store; told to stores.
     pub(crate) stores: Option<SetChange<PresentStore>>,
-    /// Voters and learners of the job store.
-    pub(crate) store_members: Option<SetChange<MachineId>>,
+    /// Voters and learners of the job store, and where they are.
+    pub(crate) store_members: Option<SetChange<PlacedStore>>,
     /// Gateways that are ready; told to gateways, not before control has heard of all.
     pub(crate) gateways: Option<SetChange<DirectoryNode>>,
     /// Gateways that coordinate slots; told to gateways.
--- a/crates/cluster/src/message_bytes.rs
+++ b/crates/cluster/src/message_bytes.rs
@@ -70,9 +70,11 @@
             StoreCall::Finish(_) => MessageKind::StoreFinish,
             StoreCall::Progress(_) => MessageKind::StoreProgress,
             StoreCall::Work { .. } => MessageKind::StoreWork,
-            StoreCall::End { .. } | StoreCall::Results { .. } | StoreCall::Body { .. } => {
-                MessageKind::StoreOther
-            }
+            StoreCall::End { .. }
+            | StoreCall::Results { .. }
+            | StoreCall::Listed { .. }
+            | StoreCall::ResultsHeld { .. }
+            | StoreCall::Body { .. } => MessageKind::StoreOther,
         }
     }
 }
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     coordinators::Coordinators,
-    message::{NodeHello, NodeRole, PlacedGateway, PresentStore, StoreGroupView},
+    message::{NodeHello, NodeRole, PlacedGateway, PlacedStore, PresentStore, StoreGroupView},
 };
 
 /// A control member or store counts as present for this long, in milliseconds.
@@ -100,6 +100,21 @@
             .map(|(machine, (place, _))| (*machine, place))
     }
 
+    /// Members of the job store, and where those are that were heard of.
+    pub(crate) fn store_members(&self) -> BTreeSet<PlacedStore> {
+        let group = self.store_group.iter();
+        let machines = group.flat_map(|group| &group.machines);
+        let placed = machines.map(|machine| PlacedStore {
+            machine: *machine,
+            place: self
+                .stores
+                .get(machine)
+                .map(|heard| heard.hello.place())
+                .unwrap_or_default(),
+        });
+        placed.collect()
+    }
+
     /// The job store as its leader told last.
     pub(crate) fn store_group(&self) -> Option<&StoreGroupView> {
         self.store_group.as_ref()
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    message::{NodeHello, NodeRole, PlacedGateway, PresentStore, Pulse},
+    message::{NodeHello, NodeRole, PlacedGateway, PlacedStore, PresentStore, Pulse},
     told_set::ToldSet,
 };
 
@@ -39,7 +39,7 @@
     /// Machines with disks for the job store.
     pub(crate) stores: BTreeSet<PresentStore>,
     /// Voters and learners of the job store.
-    pub(crate) store_members: BTreeSet<MachineId>,
+    pub(crate) store_members: BTreeSet<PlacedStore>,
     /// Gateways that are ready; `None` while control has not yet heard of all.
     pub(crate) gateways: Option<BTreeSet<DirectoryNode>>,
     /// Gateways that coordinate slots.
@@ -126,7 +126,7 @@
     last: Option<Arc<PresentFleet>>,
     control: ToldSet<MachineId>,
     stores: ToldSet<PresentStore>,
-    store_members: ToldSet<MachineId>,
+    store_members: ToldSet<PlacedStore>,
     gateways: ToldSet<DirectoryNode>,
     coordinators: ToldSet<PlacedGateway>,
     silent_coordinators: ToldSet<MachineId>,
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -104,6 +104,33 @@
     }
 }
 
+fn results(store: &JobStore, job: &str, since: u32, most_bytes: u32) -> StoreReply {
+    match store.results(job, since, most_bytes) {
+        Ok(page) => page.map_or(StoreReply::NotFound, StoreReply::Results),
+        Err(_) => StoreReply::Refused,
+    }
+}
+
+/// Results as this member holds them, whether it leads or not; refused where it lacks some
+/// that there are.
+fn results_held(store: &JobStore, call: &StoreCall, there_are: u32) -> StoreReply {
+    let StoreCall::ResultsHeld {
+        job,
+        tenant,
+        since,
+        most_bytes,
+        ..
+    } = call
+    else {
+        return StoreReply::Refused;
+    };
+    let held = store.listed(job).map_or(0, |(_, listed)| listed);
+    if held < there_are || !store.is_visible(job, tenant.as_deref()) {
+        return StoreReply::Refused;
+    }
+    results(store, job, *since, *most_bytes)
+}
+
 /// Begins a call by its command, after one that goes first.
 fn begin(first: Option<Vec<u8>>, command: &StoreCommand) -> Begin<StoreReply> {
     match command.to_stored() {
@@ -136,7 +163,12 @@
     ) -> Begin<StoreReply> {
         let command = match call {
             StoreCall::Work { .. } => return Begin::Reply(self.work(member, call, now)),
-            StoreCall::Results { .. } | StoreCall::Body { .. } => return Begin::Read,
+            StoreCall::ResultsHeld { listed, .. } => {
+                return Begin::Reply(results_held(member.state(), call, *listed));
+            }
+            StoreCall::Results { .. } | StoreCall::Listed { .. } | StoreCall::Body { .. } => {
+                return Begin::Read;
+            }
             StoreCall::Submit { job, tenant, bound } => {
                 let is_leader = member.is_leader();
                 let bound = bound.as_ref();
@@ -189,7 +221,9 @@
 
     fn read(&mut self, store: &JobStore, call: &StoreCall) -> StoreReply {
         match call {
-            StoreCall::Results { job, tenant, .. } | StoreCall::Body { job, tenant, .. }
+            StoreCall::Results { job, tenant, .. }
+            | StoreCall::Listed { job, tenant }
+            | StoreCall::Body { job, tenant, .. }
                 if !store.is_visible(job, tenant.as_deref()) =>
             {
                 StoreReply::NotFound
@@ -199,10 +233,14 @@
                 since,
                 most_bytes,
                 ..
-            } => match store.results(job, *since, *most_bytes) {
-                Ok(page) => page.map_or(StoreReply::NotFound, StoreReply::Results),
-                Err(_) => StoreReply::Refused,
-            },
+            } => results(store, job, *since, *most_bytes),
+            StoreCall::Listed { job, .. } => {
+                let listed = store.listed(job);
+                listed.map_or(StoreReply::NotFound, |(total, listed)| StoreReply::Listed {
+                    total,
+                    listed,
+                })
+            }
             StoreCall::Body { job, item, .. } => store
                 .body(job, item)
                 .map_or(StoreReply::NotFound, |body| StoreReply::Body(body.to_vec())),
--- a/crates/cluster/src/told_fleet.rs
+++ b/crates/cluster/src/told_fleet.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethitch_protocol::ids::MachineId;
-use linnethitch_registry::DirectoryNode;
+use linnethitch_registry::{DirectoryNode, Place};
 
-use crate::message::{PlacedGateway, PresentStore, Pulse};
+use crate::message::{PlacedGateway, PlacedStore, PresentStore, Pulse};
 
 /// What a control member told counts for this long after it was last heard of,
 /// compared with the one that was heard of last, in milliseconds.
@@ -21,7 +21,7 @@
     at_ms: u64,
     control: BTreeSet<MachineId>,
     stores: BTreeSet<PresentStore>,
-    store_members: BTreeSet<MachineId>,
+    store_members: BTreeSet<PlacedStore>,
     gateways: BTreeSet<DirectoryNode>,
     coordinators: BTreeSet<PlacedGateway>,
     silent_coordinators: BTreeSet<MachineId>,
@@ -62,7 +62,9 @@
             change.apply_to(&mut told.silent_coordinators);
         }
         let new_control = note_named(&mut self.control, &told.control, now_ms);
-        let new_store = note_named(&mut self.store_members, &told.store_members, now_ms);
+        let members = told.store_members.iter();
+        let members = members.map(|member| member.machine).collect();
+        let new_store = note_named(&mut self.store_members, &members, now_ms);
         self.by_control
             .retain(|_, told| now_ms.saturating_sub(told.at_ms) < FORGOTTEN_MS);
         new_control || new_store
@@ -82,6 +84,15 @@
         self.store_members.keys().copied().collect()
     }
 
+    /// Where members of the job store are, as far as any control member knows.
+    pub(crate) fn store_places(&self) -> BTreeMap<MachineId, Place> {
+        let members = self.recent().flat_map(|told| &told.store_members);
+        let placed = members.filter(|member| !member.place.zone.is_empty());
+        placed
+            .map(|member| (member.machine, member.place.clone()))
+            .collect()
+    }
+
     /// Machines with disks for the job store that any control member sees.
     pub(crate) fn stores(&self) -> BTreeSet<PresentStore> {
         let told = self.recent();
--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod gateways;
 mod known_gateways;
 mod regions;
+mod results;
 mod silence;
 mod starts;
 mod support;
--- /dev/null
+++ b/crates/cluster/tests/all/results.rs
@@ -0,0 +1,170 @@
+//! Results of a job are read of the nearest member that holds them.
+
+use std::time::Duration;
+
+use linnethitch_cluster::{
+    ControlNode, ControlSettings, GatewayNode, NodeSettings, ResultsWanted, StoreNode,
+    StoreSettings,
+};
+use linnethitch_job_store::{
+    ItemOutcome, ItemRef, ItemSpec, JobSpec, ResultsPage, StoreCall, StoreReply,
+};
+use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
+
+use crate::support::{LIMIT, free_port, host, node};
+
+/// Members of the job store, each in a zone of its own.
+const STORES: usize = 3;
+const TEXT_BYTES: usize = 100_000;
+
+struct Fleet {
+    _control: ControlNode,
+    _folders: Vec<TempDir>,
+    stores: Vec<NodeSettings>,
+    /// One in the zone of each member.
+    gateways: Vec<GatewayNode>,
+}
+
+fn folder() -> (TempDir, String) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().display().to_string();
+    (folder, path)
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let seed = host(120);
+        let port = free_port(seed);
+        let at = |number, zone: usize| NodeSettings {
+            zone: format!("zone-{zone}"),
+            ..node(host(number), &[seed], port)
+        };
+        let (first_folder, data_dir) = folder();
+        let mut folders = vec![first_folder];
+        let settings = ControlSettings {
+            node: at(120, 0),
+            data_dir,
+            store_voters: STORES,
+        };
+        let (control, running) = ControlNode::start(settings).await.expect("it starts");
+        tokio::spawn(running);
+        let mut stores = Vec::new();
+        let mut gateways = Vec::new();
+        for zone in 0..STORES {
+            let node = at(121 + zone as u8, zone);
+            let (folder, data_dir) = folder();
+            folders.push(folder);
+            let settings = StoreSettings {
+                node: node.clone(),
+                data_dir,
+                voters: STORES,
+                kept: LIMIT * 2,
+            };
+            tokio::spawn(StoreNode::run(settings, std::future::pending()));
+            stores.push(node);
+            let settings = at(131 + zone as u8, zone);
+            let callers = format!("{}:80", settings.address);
+            gateways.push(GatewayNode::start(&settings, callers));
+        }
+        Fleet {
+            _control: control,
+            _folders: folders,
+            stores,
+            gateways,
+        }
+    }
+
+    /// Bytes of answers that each member sent to callers.
+    fn answered(&self) -> Vec<usize> {
+        let of = |store: &NodeSettings| {
+            let text = store.bytes.to_text();
+            let name = "linnethitch_node_message_bytes_total{message=\"StoreReply\"";
+            let counts = text.lines().filter(|line| line.starts_with(name));
+            let counts = counts.map(|line| line.rsplit_once(' ').expect("a count").1);
+            counts
+                .map(|count| count.parse::<usize>().expect("a number"))
+                .sum()
+        };
+        self.stores.iter().map(of).collect()
+    }
+}
+
+fn one_item() -> JobSpec {
+    JobSpec {
+        id: "job".to_owned(),
+        host: "desk.example".to_owned(),
+        path: "/jobs/".to_owned(),
+        max_attempts: 3,
+        completion_ms: 20_000,
+        give_up_ms: 30_000,
+        items: vec![ItemSpec {
+            id: "item".to_owned(),
+            path: "/jobs/0".to_owned(),
+            headers: Vec::new(),
+            body: b"{}".to_vec(),
+            tokens: 10,
+        }],
+    }
+}
+
+async fn results(gateway: &GatewayNode, since: u32) -> ResultsPage {
+    let wanted = ResultsWanted {
+        job: "job".to_owned(),
+        tenant: None,
+        since,
+        most_bytes: 1_000_000,
+    };
+    match gateway.results(wanted, LIMIT).await {
+        StoreReply::Results(page) => page,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn texts_come_from_the_member_in_the_zone_and_are_never_behind() {
+    let fleet = Fleet::start().await;
+    let gateway = &fleet.gateways[0];
+    let submit = StoreCall::Submit {
+        job: one_item(),
+        tenant: None,
+        bound: None,
+    };
+    assert_eq!(gateway.call_store(submit, LIMIT).await, StoreReply::Done);
+    assert_eq!(results(gateway, 0).await.results, []);
+    let text = "t".repeat(TEXT_BYTES);
+    let report = StoreCall::Report {
+        item: ItemRef {
+            job: "job".to_owned(),
+            item: 0,
+        },
+        outcome: ItemOutcome::Succeeded(text.clone()),
+    };
+    assert_eq!(gateway.call_store(report, LIMIT).await, StoreReply::Done);
+    // Whoever asks now is told of it, also by a member that does not hold it yet.
+    for gateway in &fleet.gateways {
+        let page = results(gateway, 0).await;
+        assert_eq!((page.total, page.results.len()), (1, 1));
+        assert_eq!(page.results[0].text, text);
+        assert_eq!(results(gateway, 1).await.results, []);
+    }
+    let each_by_its_own = async {
+        loop {
+            let before = fleet.answered();
+            for gateway in &fleet.gateways {
+                results(gateway, 0).await;
+            }
+            let after = fleet.answered();
+            let mut sent = before
+                .iter()
+                .zip(&after)
+                .map(|(before, after)| after - before);
+            if sent.all(|bytes| (TEXT_BYTES..2 * TEXT_BYTES).contains(&bytes)) {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let found = timeout(LIMIT, each_by_its_own).await;
+    found.unwrap_or_else(|_| panic!("answers of each member: {:?}", fleet.answered()));
+}
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -47,6 +47,27 @@
         /// Bytes of text after which the page ends.
         most_bytes: u32,
     },
+    /// Read how many results there are.
+    Listed {
+        /// The job.
+        job: String,
+        /// Who reads.
+        tenant: Option<String>,
+    },
+    /// Read results of any member that holds this many, without asking its leader: results
+    /// that are there stay as they are.
+    ResultsHeld {
+        /// The job.
+        job: String,
+        /// Who reads.
+        tenant: Option<String>,
+        /// The first position wanted, from 0.
+        since: u32,
+        /// Bytes of text after which the page ends.
+        most_bytes: u32,
+        /// Results that there are, as the leader said.
+        listed: u32,
+    },
     /// Read the body of an item that is not listed.
     Body {
         /// The job.
@@ -145,6 +166,13 @@
     OtherTenant,
     /// Results.
     Results(ResultsPage),
+    /// How many results there are.
+    Listed {
+        /// Items of the job.
+        total: u32,
+        /// Those that are listed.
+        listed: u32,
+    },
     /// The body of an item.
     Body(Vec<u8>),
     /// Leases.
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -136,6 +136,13 @@
         }))
     }
 
+    /// Items of a job and how many are listed; `None` when there is no such job.
+    #[must_use]
+    pub fn listed(&self, job: &str) -> Option<(u32, u32)> {
+        let job = self.jobs.get(job)?;
+        Some((job.items.len() as u32, job.results.len() as u32))
+    }
+
     /// The body of an item that is not listed, until its job is ended.
     #[must_use]
     pub fn body(&self, job: &str, item: &str) -> Option<&[u8]> {
