Job store: first members share a region and are spread over its zones

The first five machines by address became members: on a fleet of three zones with four store machines each, four of the five in one zone, so that the loss of that zone, which such a fleet is to outlive, took the job store's quorum. On a fleet of two regions three were in one and two in the other: each entry of the log crossed the link between them twice.

Now those of one region, where that has enough, zone by zone. The new test fails before: four and one of three zones, one each of four zones instead of five in the region that has enough.

--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -121,9 +121,14 @@
     }
 
     /// Disks that wait for a first membership, once none has appeared for a while.
-    pub(crate) fn forming_stores(&self, now_ms: u64, quiet_ms: u64) -> Option<Vec<MemberId>> {
+    pub(crate) fn forming_stores(
+        &self,
+        now_ms: u64,
+        quiet_ms: u64,
+    ) -> Option<Vec<(MemberId, Place)>> {
         let forming = self.present_stores(now_ms).filter(|hello| hello.forming);
-        let members: Vec<MemberId> = forming.filter_map(|hello| hello.member).collect();
+        let members = forming.filter_map(|hello| Some((hello.member?, hello.place())));
+        let members: Vec<(MemberId, Place)> = members.collect();
         let is_quiet = now_ms >= self.newest_store_ms + quiet_ms;
         (is_quiet && !members.is_empty()).then_some(members)
     }
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -9,9 +9,10 @@
 };
 
 use linnethitch_group::{CallFailure, GroupMember};
-use linnethitch_protocol::ids::{LogIndex, MachineId, MemberId};
+use linnethitch_protocol::ids::{LogIndex, MachineId};
 use linnethitch_registry::{
     KnownGateways, Registry, RegistryAnswer, RegistryCommand, RequestFingerprint,
+    first_store_members,
 };
 use parking_lot::Mutex;
 use slog::{Logger, info};
@@ -206,7 +207,7 @@
         }
         let presence = self.shared.presence.lock();
         let forming = presence.forming_stores(now_ms, STORE_FORMING_MS)?;
-        let first: Vec<MemberId> = forming.into_iter().take(self.store_voters).collect();
+        let first = first_store_members(&forming, self.store_voters);
         Some(RegistryCommand::FormStore(first))
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,6 +19,7 @@
 mod second_layout;
 mod sequence;
 mod start;
+mod store_members;
 mod suspicion;
 mod table_history;
 mod table_update;
@@ -40,6 +41,7 @@
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
 pub use start::{parse_start_key, start_key};
+pub use store_members::first_store_members;
 pub use suspicion::{Suspicion, Suspicions};
 pub use table_update::{RoutePlace, TableUpdate};
 pub use tell_order::{Place, tell_rank};
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod registry;
 mod routes;
 mod starts;
+mod store_members;
 mod support;
 mod suspicions;
 mod tenants;
