Routing: how long a coordinator is waited for stands in a module of its own, with tests

The wait for a far coordinator, the round trip to its replica beyond 25 ms, had no test. With one limit for all distances the new ones fail: of 100 asks of a coordinator 24 ms away that answers after 2 ms of work, 100 went out uncoordinated instead of none.

--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -99,7 +99,7 @@
                 verdict,
                 loads,
             } => {
-                state.silent.remove(&from);
+                state.silent.note_answer(from);
                 state.deliver(number, verdict);
                 return loads;
             }
--- a/crates/relay/src/slots/mod.rs
+++ b/crates/relay/src/slots/mod.rs
@@ -16,7 +16,9 @@
     ids::MachineId,
     slots::{AskMode, GatewayDatagram, RunOutcome, Verdict},
 };
-use linnethitch_routing::dispatch::{Ask, Due, LeaseKey, RunNumber, SlotCoordinator};
+use linnethitch_routing::dispatch::{
+    Ask, Due, LeaseKey, RunNumber, SilentCoordinators, SlotCoordinator, answer_limit,
+};
 use parking_lot::Mutex;
 use slog::Logger;
 use tokio::sync::mpsc;
@@ -24,11 +26,6 @@
 use self::items::ItemHandle;
 pub(crate) use self::{coordination::receive_messages, items::ItemSlot};
 
-/// A coordinator that does not answer within this, beyond the round trip to its replica, is
-/// not waited for.
-const SILENCE_LIMIT: Duration = Duration::from_millis(25);
-/// After that it is told of requests, but not waited for, for so long, in milliseconds.
-const SILENT_FOR_MS: u64 = 300;
 /// Verdicts on one ask.
 const VERDICTS: usize = 2;
 
@@ -54,8 +51,7 @@
     /// Leases of this gateway.
     held: BTreeMap<u64, Held>,
     runs: HashMap<RunNumber, ItemHandle>,
-    /// Coordinators that did not answer lately, and until when they are not waited for.
-    silent: HashMap<MachineId, u64>,
+    silent: SilentCoordinators,
     last_number: u64,
 }
 
@@ -136,7 +132,7 @@
         if is_silent || mode == AskMode::Take {
             return Asked::Leased(lease);
         }
-        let Ok(first) = timeout(SILENCE_LIMIT + place.round_trip, verdicts.recv()).await else {
+        let Ok(first) = timeout(answer_limit(place.round_trip), verdicts.recv()).await else {
             self.note_silence(&lease);
             return Asked::Leased(lease);
         };
@@ -189,7 +185,7 @@
         };
         state.held.insert(number, held);
         self.ask_coordinator(&mut state, number, place, mode);
-        let is_silent = state.is_silent(coordinator, now_ms);
+        let is_silent = state.silent.is_silent(coordinator, now_ms);
         let lease = SlotLease {
             report: RunReport::default(),
             slots: Arc::clone(self),
@@ -247,8 +243,7 @@
         let mut state = self.state.lock();
         let held = lease.number.and_then(|number| state.held.get(&number));
         if let Some(coordinator) = held.map(|held| held.coordinator) {
-            let until_ms = self.clock.now_ms() + SILENT_FOR_MS;
-            state.silent.insert(coordinator, until_ms);
+            state.silent.note_silence(coordinator, self.clock.now_ms());
         }
     }
 
@@ -294,11 +289,6 @@
             let _ = ask.try_send(verdict);
         }
     }
-
-    fn is_silent(&self, coordinator: MachineId, now_ms: u64) -> bool {
-        let until_ms = self.silent.get(&coordinator);
-        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
-    }
 }
 
 impl SlotLease {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod kept_parts;
 mod rendezvous;
 mod replica;
+mod silence;
 mod weights;
 mod work_calls;
 
@@ -28,5 +29,6 @@
 pub(crate) use rendezvous::spread;
 pub use rendezvous::{NearGateways, coordinator_of};
 pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork, WorkKind};
+pub use silence::{SilentCoordinators, answer_limit};
 pub use weights::WeightedTurns;
 pub use work_calls::{WorkCalls, WorkRhythm, WorkState};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod retry;
 mod router;
 mod router_evacuation;
+mod silence;
 mod starts;
 mod work_calls;
 mod yielding;
