Routing: a zone is chosen without regard to connections

Preferring a replica to which a connection rests kept requests away from a zone that was evacuated and is back: the relay's tests of evacuations and of homes that leave no region out failed, one replica of two getting all 20 requests. The cost of opening now counts only within a zone to one of whose replicas a connection rests.

--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -198,10 +198,13 @@
     pub fn choose(&self, need: &Need<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Chosen> {
         let open: Vec<&Replica> = self.open_replicas(need, now_ms).collect();
         let home = home(&open, need.prompt).map(|home| home.traits.id.as_str());
+        let connected = open.iter().filter(|replica| need.has_connection(replica));
+        let connected: BTreeSet<&str> = connected.map(|r| r.traits.zone.as_str()).collect();
         let mut best: Option<(f64, &Replica)> = None;
         for replica in open {
             let is_home = home == Some(replica.traits.id.as_str());
-            let expected_ms = self.expected_ms(replica, need, is_home, now_ms);
+            let expected_ms = self.expected_ms(replica, need, is_home, now_ms)
+                + self.opening_ms(replica, need, &connected);
             let score = expected_ms + rng.random::<f64>() * JITTER_MS;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, replica));
@@ -361,16 +364,21 @@
             ROUND_TRIPS
         };
         let beyond_ms = self.distances.beyond_ms(&self.zone, &replica.traits.zone);
-        let opening_ms = if need.has_connection(replica) {
-            0.0
-        } else {
-            self.distances.round_trip_ms(&replica.traits.zone) + OPENING_COST_MS
-        };
         let unread = unread_tokens(replica, need.prompt, is_home);
         let reading_ms = (unread + replica.unread_tokens as f64) / READ_TOKENS_PER_MS;
         let expected_ms = waiting_ms + running_ms + reading_ms;
-        let way_ms = opening_ms + round_trips * beyond_ms;
-        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + way_ms
+        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + round_trips * beyond_ms
+    }
+
+    /// What it costs to open a connection to a replica, in milliseconds; nothing where none
+    /// rests to any open one of its zone. So a zone is chosen without regard to connections,
+    /// and one that comes back is used again.
+    fn opening_ms(&self, replica: &Replica, need: &Need<'_>, connected: &BTreeSet<&str>) -> f64 {
+        let zone = replica.traits.zone.as_str();
+        if need.has_connection(replica) || !connected.contains(zone) {
+            return 0.0;
+        }
+        self.distances.round_trip_ms(zone) + OPENING_COST_MS
     }
 }
 
--- a/crates/routing/tests/all/distance.rs
+++ b/crates/routing/tests/all/distance.rs
@@ -152,3 +152,23 @@
         assert_eq!(chosen.id, expected, "seed {seed}");
     }
 }
+
+/// A zone that comes back is used again, though connections rest to another one only.
+#[test]
+fn a_zone_is_chosen_without_regard_to_connections() {
+    let mut board = Board::new("north-a");
+    board.set_replicas(vec![
+        replica("connected", "north-b"),
+        replica("back", "north-a"),
+    ]);
+    let connected = BTreeSet::from(["connected".to_owned()]);
+    let need = Need {
+        service: "models",
+        connected: Some(&connected),
+        ..Need::default()
+    };
+    let mut random = Pcg64Mcg::seed_from_u64(7);
+    let mut choose = || board.choose(&need, 0, &mut random).expect("a replica").id;
+    let back = (0..100).filter(|_| choose() == "back").count();
+    assert!((30..=70).contains(&back), "{back}");
+}
