Routing: take the preference for resting connections back

Counted over all zones it kept requests away from a zone that was evacuated and is back (tests of evacuations and homes failed). The counter by reason stays.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -253,7 +253,6 @@
             prompt: &self.prompt.parts,
             except: &self.tried,
             homes: homes.as_ref(),
-            connected: None,
         };
         self.shared.next_cold_in(&need)
     }
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,7 +1,7 @@
 //! Connections to replicas, kept for further requests.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     io::{Error as IoError, ErrorKind as IoErrorKind},
     sync::Arc,
     time::Duration,
@@ -92,11 +92,6 @@
         }
     }
 
-    fn has_usable(&self, now: Instant) -> bool {
-        let mut resting = self.resting.iter();
-        resting.any(|one| one.until > now && one.sender.is_ready())
-    }
-
     /// A further connection is opened.
     fn reason_to_open(&mut self) -> OpenReason {
         let reason = match self.gone.pop() {
@@ -229,14 +224,6 @@
         drop(pools);
     }
 
-    /// Replicas to which a connection rests that may be used.
-    pub(crate) fn resting(&self) -> BTreeSet<String> {
-        let now = Instant::now();
-        let pools = self.pools.lock();
-        let connected = pools.iter().filter(|(_, pool)| pool.has_usable(now));
-        connected.map(|(replica, _)| replica.clone()).collect()
-    }
-
     /// Forgets the connections of a replica that rest: one that had rested beside them
     /// has gone silent.
     pub(crate) fn distrust(&self, replica: &str) {
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -134,7 +134,6 @@
             prompt: self.prompt,
             except,
             homes: self.homes.as_ref(),
-            connected: None,
         }
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -234,10 +234,8 @@
             self.bar_warm(need.service, &mut except)?;
         }
         except.extend_from_slice(need.except);
-        let connected = self.connections.resting();
         let need = &Need {
             except: &except,
-            connected: Some(&connected),
             ..*need
         };
         let now_ms = self.clock.now_ms();
@@ -425,7 +423,6 @@
             prompt: &[],
             except: &[],
             homes: homes.as_ref(),
-            connected: None,
         };
         self.board.lock().is_service_evacuated(&need)
     }
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -32,16 +32,13 @@
 const ENGINE_ROUND_TRIPS: f64 = 2.0;
 /// Round trips of a request to another replica.
 const ROUND_TRIPS: f64 = 1.0;
-/// Cost of a new connection beyond its round trip, in milliseconds: work of the replica and of
-/// both kernels. Small beside a further request under way there.
-const OPENING_COST_MS: f64 = 2.0;
 /// Part of a shared prompt that is expected to be kept at its home replica,
 /// though this gateway has not sent it there.
 const HOME_KEPT_SHARE: f64 = 0.7;
 /// Scores closer than this count as equal, in milliseconds.
 const JITTER_MS: f64 = 1.0;
 /// What a request needs.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
     /// The service.
     pub service: &'a str,
@@ -51,8 +48,6 @@
     pub except: &'a [String],
     /// Zones in which it may be served; `None` where any may.
     pub homes: Option<&'a BTreeSet<String>>,
-    /// Replicas to which a connection rests; `None` where that is not known.
-    pub connected: Option<&'a BTreeSet<String>>,
 }
 
 impl Need<'_> {
@@ -60,11 +55,6 @@
         let mut homes = self.homes.into_iter();
         homes.all(|zones| zones.contains(&replica.traits.zone))
     }
-
-    fn has_connection(&self, replica: &Replica) -> bool {
-        let mut connected = self.connected.into_iter();
-        connected.all(|ids| ids.contains(&replica.traits.id))
-    }
 }
 
 /// A choice.
@@ -198,13 +188,10 @@
     pub fn choose(&self, need: &Need<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Chosen> {
         let open: Vec<&Replica> = self.open_replicas(need, now_ms).collect();
         let home = home(&open, need.prompt).map(|home| home.traits.id.as_str());
-        let connected = open.iter().filter(|replica| need.has_connection(replica));
-        let connected: BTreeSet<&str> = connected.map(|r| r.traits.zone.as_str()).collect();
         let mut best: Option<(f64, &Replica)> = None;
         for replica in open {
             let is_home = home == Some(replica.traits.id.as_str());
-            let expected_ms = self.expected_ms(replica, need, is_home, now_ms)
-                + self.opening_ms(replica, need, &connected);
+            let expected_ms = self.expected_ms(replica, need, is_home, now_ms);
             let score = expected_ms + rng.random::<f64>() * JITTER_MS;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, replica));
@@ -369,17 +356,6 @@
         let expected_ms = waiting_ms + running_ms + reading_ms;
         expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + round_trips * beyond_ms
     }
-
-    /// What it costs to open a connection to a replica, in milliseconds; nothing where none
-    /// rests to any open one of its zone. So a zone is chosen without regard to connections,
-    /// and one that comes back is used again.
-    fn opening_ms(&self, replica: &Replica, need: &Need<'_>, connected: &BTreeSet<&str>) -> f64 {
-        let zone = replica.traits.zone.as_str();
-        if need.has_connection(replica) || !connected.contains(zone) {
-            return 0.0;
-        }
-        self.distances.round_trip_ms(zone) + OPENING_COST_MS
-    }
 }
 
 /// What the requests under way at a replica cost a further one, in milliseconds.
