--- /dev/null
+++ b/crates/cluster/src/nearness.rs
@@ -0,0 +1,27 @@
+//! How far places are from each other.
+
+use linnethitch_registry::Place;
+
+/// How far one place is from another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Nearness {
+    /// In its zone.
+    Zone,
+    /// In another zone of its region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
+impl Nearness {
+    /// How far two places are from each other.
+    pub(crate) fn between(one: &Place, other: &Place) -> Self {
+        if one.zone == other.zone {
+            Nearness::Zone
+        } else if one.region == other.region {
+            Nearness::Region
+        } else {
+            Nearness::Elsewhere
+        }
+    }
+}
