--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -47,7 +47,7 @@
 };
 pub use start::{parse_start_key, start_key};
 pub use store_members::first_store_members;
-pub use suspicion::{Suspicion, Suspicions};
+pub use suspicion::{Suspicion, Suspicions, is_almost_refused};
 pub use table_update::{RoutePlace, TableUpdate};
 pub use tell_order::{Place, tell_rank};
 pub use update::FleetUpdate;
--- a/crates/registry/src/run_lengths.rs
+++ b/crates/registry/src/run_lengths.rs
@@ -54,6 +54,11 @@
         self.ends >= ends_before_refusal(self.shortest_ms)
     }
 
+    /// Whether one more run like them is enough for copies to be refused.
+    pub(crate) fn is_almost_refused(self) -> bool {
+        self.ends + 1 >= ends_before_refusal(self.shortest_ms)
+    }
+
     /// One run fewer than are needed for a refusal.
     pub(crate) fn one_before_refusal(self) -> Vec<u32> {
         let runs = ends_before_refusal(self.shortest_ms) - 1;
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -38,6 +38,12 @@
 /// ended under.
 const MOST_SUSPICIONS: usize = 1_024;
 
+/// Whether copies of a request are refused after one more end like those of a row.
+#[must_use]
+pub fn is_almost_refused(row: &EndsInRow) -> bool {
+    AlikeRuns::among(&row.lengths_ms).is_some_and(AlikeRuns::is_almost_refused)
+}
+
 /// What the fleet knows of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Suspicion {
--- a/crates/registry/tests/all/suspicions.rs
+++ b/crates/registry/tests/all/suspicions.rs
@@ -4,7 +4,7 @@
 use linnethitch_protocol::ids::LogIndex;
 use linnethitch_registry::{
     EndedRun, EndsInRow, FleetView, Registry, RegistryCommand, RequestContent, RequestFingerprint,
-    Suspicion, ToldSuspicion,
+    Suspicion, ToldSuspicion, is_almost_refused,
 };
 use rstest::rstest;
 
@@ -123,6 +123,17 @@
     assert!(held.is_some_and(Suspicion::is_refused), "{held:?}");
 }
 
+/// A gateway that is cut off does not try what one more end would refuse.
+#[rstest]
+#[case::first_end(&[30], false)]
+#[case::two_short_runs(&[30, 31], true)]
+#[case::two_of_different_lengths(&[300, 2_900], false)]
+#[case::long_runs_that_need_more(&[4_200; 5], false)]
+#[case::the_last_one_of_those(&[4_200; 6], true)]
+fn one_more_end_may_be_enough(#[case] lengths_ms: &[u32], #[case] is_enough: bool) {
+    assert_eq!(is_almost_refused(&row(0, lengths_ms)), is_enough);
+}
+
 /// Own news of a gateway (clearings, ends) beside what control told.
 #[rstest]
 #[case::control_has_not_told_yet((0, 2), (0, 1), true)]
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -20,6 +20,7 @@
 };
 use linnethitch_registry::{
     EndedRun, EndsInRow, FleetView, ReplicaState, RequestFingerprint, RouteTable, Suspicion,
+    is_almost_refused,
 };
 use linnethitch_routing::{
     cold::ColdState,
@@ -55,10 +56,6 @@
 /// Other gateways count as lost when none was heard of for so long, in milliseconds: each
 /// has told its leases three times meanwhile.
 const GATEWAYS_LOST_MS: u64 = 1_800;
-/// With so many ends known under a request, a gateway that is cut off does not send it any
-/// more. Its caller may go to another gateway, which knows more; one end may be chance, two
-/// hardly are.
-const MOST_ENDS_CUT_OFF: usize = 2;
 /// Pause between two looks whether this gateway is still cut off.
 const CUT_OFF_LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -431,10 +428,10 @@
             && !self.gateway.other_gateways().is_empty()
     }
 
-    /// Whether this gateway is cut off and knows of so many ends under a request, found here
-    /// or told before, that it does not try it once more: others may know that it is refused.
+    /// Whether this gateway is cut off and one more end is enough for a request to be refused:
+    /// others may know of it. Its caller may go to another gateway, which knows more.
     pub(crate) fn is_tried_alone_enough(&self, known_ends: &EndsInRow) -> bool {
-        known_ends.lengths_ms.len() >= MOST_ENDS_CUT_OFF && self.is_cut_off()
+        is_almost_refused(known_ends) && self.is_cut_off()
     }
 
     /// Waits while this gateway is cut off.
