--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -12,7 +12,7 @@
 };
 
 use linnethitch_clock::{Clock, Instant, timeout};
-use linnethitch_job_store::{ResultsPage, StoreCall, StoreReply};
+use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
     DirectoryNode, DirectoryQuestion, EndedRun, FleetUpdate, FleetView, Place, RegistryCommand,
@@ -32,9 +32,7 @@
     incoming::Inbound,
     links::Links,
     message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
-    nearness::Nearness,
     node::{NodeBase, NodeSettings, address_of},
-    results_wanted::ResultsWanted,
     seeds::Seeds,
     standstill::Standstill,
     told_fleet::ToldFleet,
@@ -45,9 +43,6 @@
 /// A member that was asked for everything is asked again after this: everything is a few
 /// hundred kilobytes, and takes that long over a narrow link.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
-/// Longest wait for a near member's texts before the leader is asked for them. Several times a
-/// round trip within a region.
-const HELD_LIMIT: Duration = Duration::from_millis(100);
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
@@ -60,14 +55,14 @@
 pub struct GatewayNode {
     fleet: watch::Receiver<Arc<FleetView>>,
     links: Links,
-    store: GroupClient<StoreCall>,
+    pub(crate) store: GroupClient<StoreCall>,
     control: GroupClient<RegistryCall>,
     own: MachineId,
-    place: Place,
+    pub(crate) place: Place,
     port: u16,
     datagrams: Option<Datagrams<GatewayDatagram>>,
     datagram_bytes: DatagramBytes,
-    told: Arc<Mutex<ToldFleet>>,
+    pub(crate) told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
     /// The same ones, and where each is.
@@ -263,43 +258,6 @@
         self.store.call(call, limit).await
     }
 
-    /// Reads results of a job: how many there are from the job store's leader, and their
-    /// texts from a member that is nearer, where there is one.
-    pub async fn results(&self, wanted: ResultsWanted, limit: Duration) -> StoreReply {
-        let until = Instant::now() + limit;
-        if let Some(member) = self.nearer_member() {
-            let listed = self.call_store(wanted.listed(), limit).await;
-            let StoreReply::Listed { total, listed } = listed else {
-                return listed;
-            };
-            if listed <= wanted.since {
-                let results = Vec::new();
-                return StoreReply::Results(ResultsPage { total, results });
-            }
-            let call = wanted.held(listed);
-            let held = timeout(HELD_LIMIT, self.store.ask(member, &call)).await;
-            if let Ok(Ok(StoreReply::Results(page))) = held {
-                return StoreReply::Results(page);
-            }
-        }
-        let left = until.saturating_duration_since(Instant::now());
-        self.call_store(wanted.whole(), left).await
-    }
-
-    /// The nearest member of the job store that is nearer than its leader.
-    fn nearer_member(&self) -> Option<MachineId> {
-        let places = self.told.lock().store_places();
-        let distance = |machine: &MachineId| {
-            let place = places.get(machine);
-            place.map_or(Nearness::Elsewhere, |place| {
-                Nearness::between(&self.place, place)
-            })
-        };
-        let leader = self.store.leader()?;
-        let nearest = places.keys().copied().min_by_key(&distance)?;
-        (distance(&nearest) < distance(&leader)).then_some(nearest)
-    }
-
     /// Every other gateway that control named within the last minute, in a fixed order.
     #[must_use]
     pub fn other_gateways(&self) -> Vec<MachineId> {
--- a/crates/cluster/src/results_wanted.rs
+++ b/crates/cluster/src/results_wanted.rs
@@ -1,6 +1,16 @@
-//! Results that a caller asks for.
+//! Results that a caller asks for, and how a gateway reads them.
 
-use linnethitch_job_store::StoreCall;
+use std::time::Duration;
+
+use linnethitch_clock::{Instant, timeout};
+use linnethitch_job_store::{ResultsPage, StoreCall, StoreReply};
+use linnethitch_protocol::ids::MachineId;
+
+use crate::{gateway::GatewayNode, nearness::Nearness};
+
+/// Longest wait for a near member's texts before the leader is asked for them. Several times a
+/// round trip within a region.
+const HELD_LIMIT: Duration = Duration::from_millis(100);
 
 /// Which results of which job are wanted.
 #[derive(Clone, Debug)]
@@ -45,3 +55,42 @@
         }
     }
 }
+
+impl GatewayNode {
+    /// Reads results of a job: how many there are from the job store's leader, and their
+    /// texts from a member that is nearer, where there is one.
+    pub async fn results(&self, wanted: ResultsWanted, limit: Duration) -> StoreReply {
+        let until = Instant::now() + limit;
+        if let Some(member) = self.nearer_member() {
+            let listed = self.call_store(wanted.listed(), limit).await;
+            let StoreReply::Listed { total, listed } = listed else {
+                return listed;
+            };
+            if listed <= wanted.since {
+                let results = Vec::new();
+                return StoreReply::Results(ResultsPage { total, results });
+            }
+            let call = wanted.held(listed);
+            let held = timeout(HELD_LIMIT, self.store.ask(member, &call)).await;
+            if let Ok(Ok(StoreReply::Results(page))) = held {
+                return StoreReply::Results(page);
+            }
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        self.call_store(wanted.whole(), left).await
+    }
+
+    /// The nearest member of the job store that is nearer than its leader.
+    fn nearer_member(&self) -> Option<MachineId> {
+        let places = self.told.lock().store_places();
+        let distance = |machine: &MachineId| {
+            let place = places.get(machine);
+            place.map_or(Nearness::Elsewhere, |place| {
+                Nearness::between(&self.place, place)
+            })
+        };
+        let leader = self.store.leader()?;
+        let nearest = places.keys().copied().min_by_key(&distance)?;
+        (distance(&nearest) < distance(&leader)).then_some(nearest)
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod server;
 mod shared;
 mod slots;
+mod suspected_requests;
 mod suspicions;
 
 pub use answer::{AnswerBody, own_answer, own_body};
