Cluster: presence is worked out once, told as what changed, by role; the leader looks at what is due

A gateway merged the lists of ten members (8,360 entries) fourteen times a second. The leader walked all replicas in each tick.

Change: present_fleet shares one view and the differences between views among connections; it is looked at again after news, else each 100 ms; a connection that will pulse anyway is not woken. Roles are told what they need. Merged lists are kept until one changes. The leader keeps when each replica is due (replica_silence) and forgets gone ones after two minutes. Cold times are swept when they have doubled.

--- a/crates/cluster/src/cold_times.rs
+++ b/crates/cluster/src/cold_times.rs
@@ -12,7 +12,15 @@
 
 /// When starts that are held grow warm, by their keys. Times are steady, in milliseconds.
 #[derive(Default)]
-pub(crate) struct ColdTimes(BTreeMap<String, u64>);
+pub(crate) struct ColdTimes {
+    until_ms: BTreeMap<String, u64>,
+    /// Starts that are no longer held are looked for once there are so many: a look at all for
+    /// each commit would cost the square of a fleet that starts cold.
+    look_at: usize,
+}
+
+/// So few are kept without a look.
+const FEW: usize = 64;
 
 impl ColdTimes {
     /// Whether a heartbeat says that its start is cold for longer than was proposed here.
@@ -26,7 +34,7 @@
         if change.cold_ms == 0 {
             return false;
         }
-        let proposed = self.0.get(key);
+        let proposed = self.until_ms.get(key);
         proposed.is_none_or(|until_ms| now_ms + change.cold_ms > until_ms + SLACK_MS)
     }
 
@@ -39,11 +47,14 @@
         now_ms: u64,
         is_held: impl Fn(&str) -> bool,
     ) {
-        self.0.retain(|key, _| is_held(key));
+        if self.until_ms.len() >= self.look_at.max(FEW) {
+            self.until_ms.retain(|key, _| is_held(key));
+            self.look_at = 2 * self.until_ms.len();
+        }
         if cold_ms > 0 {
-            self.0.insert(key, now_ms + cold_ms);
+            self.until_ms.insert(key, now_ms + cold_ms);
         } else {
-            self.0.remove(&key);
+            self.until_ms.remove(&key);
         }
     }
 }
--- a/crates/cluster/src/control_pulses.rs
+++ b/crates/cluster/src/control_pulses.rs
@@ -11,7 +11,9 @@
 use linnethitch_registry::{FleetUpdate, Place};
 
 use crate::{
-    pulse::{PresentFleet, PulseSource},
+    message::NodeRole,
+    present_fleet::PresentFleet,
+    pulse::{PulseRegistry, PulseSource},
     registry_service::RegistryShared,
 };
 
@@ -25,59 +27,79 @@
     place: Place,
     clock: Clock,
 ) -> PulseSource {
-    let for_present = Arc::clone(shared);
-    let for_update = Arc::clone(shared);
-    let for_news = Arc::clone(shared);
-    let for_current = Arc::clone(shared);
-    PulseSource::new(
+    let registry = ControlPulses {
+        shared: Arc::clone(shared),
         own,
-        shared.changes.subscribe(),
-        move || present_fleet(&for_present, own, &place, clock.now_ms()),
-        move |since| has_news(&for_news, since, clock.now_ms()),
-        move |since| update_since(&for_update, since, clock.now_ms()),
-        move || current(&for_current, clock.now_ms()),
-    )
+        place,
+        clock,
+    };
+    PulseSource::new(own, shared.changes.subscribe(), registry)
 }
 
-fn update_since(shared: &RegistryShared, since: LogIndex, now_ms: u64) -> Option<FleetUpdate> {
-    let view = Arc::clone(&shared.view.lock());
-    has_news(shared, since, now_ms).then(|| view.registry.update_since(since))
+/// What a control member knows.
+struct ControlPulses {
+    shared: Arc<RegistryShared>,
+    own: MachineId,
+    place: Place,
+    clock: Clock,
 }
 
-/// The newest change, where the member knows what is in force.
-fn current(shared: &RegistryShared, now_ms: u64) -> Option<LogIndex> {
-    let changed_at = shared.view.lock().registry.changed_at();
-    shared.is_current(now_ms).then_some(changed_at)
-}
+impl PulseRegistry for ControlPulses {
+    fn presence_news(&self) -> u64 {
+        self.shared.presence.lock().news()
+    }
 
-fn has_news(shared: &RegistryShared, since: LogIndex, now_ms: u64) -> bool {
-    current(shared, now_ms).is_some_and(|changed_at| changed_at > since)
-}
+    fn present(&self) -> PresentFleet {
+        let now_ms = self.clock.now_ms();
+        let view = Arc::clone(&self.shared.view.lock());
+        let presence = self.shared.presence.lock();
+        let mut control: BTreeSet<MachineId> = view.members.iter().copied().collect();
+        let heard = presence.control(now_ms);
+        let mut tellers: BTreeMap<_, _> = heard.map(|(at, place)| (at, place.clone())).collect();
+        control.extend(tellers.keys());
+        control.insert(self.own);
+        tellers.insert(self.own, self.place.clone());
+        let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
+        PresentFleet {
+            control,
+            tellers,
+            stores: presence.stores(now_ms).into_iter().collect(),
+            store_members: presence.store_members(),
+            gateways: heard_of_all.then(|| presence.gateways().ready(now_ms).into_iter().collect()),
+            coordinators: presence.placed_coordinators(now_ms),
+            silent_coordinators: presence
+                .coordinators()
+                .silent(view.registry.gateways(), now_ms),
+        }
+    }
 
-fn present_fleet(
-    shared: &RegistryShared,
-    own: MachineId,
-    own_place: &Place,
-    now_ms: u64,
-) -> PresentFleet {
-    let view = Arc::clone(&shared.view.lock());
-    let presence = shared.presence.lock();
-    let mut control: BTreeSet<MachineId> = view.members.iter().copied().collect();
-    let heard = presence.control(now_ms);
-    let mut tellers: BTreeMap<_, _> = heard.map(|(at, place)| (at, place.clone())).collect();
-    control.extend(tellers.keys());
-    control.insert(own);
-    tellers.insert(own, own_place.clone());
-    let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
-    PresentFleet {
-        control,
-        tellers,
-        stores: presence.stores(now_ms).into_iter().collect(),
-        store_members: presence.store_members(),
-        gateways: heard_of_all.then(|| presence.gateways().ready(now_ms).into_iter().collect()),
-        coordinators: presence.placed_coordinators(now_ms),
-        silent_coordinators: presence
-            .coordinators()
-            .silent(view.registry.gateways(), now_ms),
+    fn has_news(&self, role: NodeRole, since: LogIndex) -> bool {
+        if !self.shared.is_current(self.clock.now_ms()) {
+            return false;
+        }
+        let view = Arc::clone(&self.shared.view.lock());
+        match role {
+            NodeRole::Gateway => view.registry.changed_at() > since,
+            NodeRole::Store => view.registry.store_changed_at() > since,
+            // Members have the registry by their log.
+            NodeRole::Control => false,
+        }
+    }
+
+    fn update(&self, role: NodeRole, since: LogIndex) -> Option<FleetUpdate> {
+        if !self.has_news(role, since) {
+            return None;
+        }
+        let view = Arc::clone(&self.shared.view.lock());
+        Some(match role {
+            NodeRole::Store => view.registry.store_update_since(since),
+            NodeRole::Gateway | NodeRole::Control => view.registry.update_since(since),
+        })
+    }
+
+    fn current(&self) -> Option<LogIndex> {
+        let changed_at = self.shared.view.lock().registry.changed_at();
+        let is_current = self.shared.is_current(self.clock.now_ms());
+        is_current.then_some(changed_at)
     }
 }
--- a/crates/cluster/src/coordinators.rs
+++ b/crates/cluster/src/coordinators.rs
@@ -12,6 +12,9 @@
 /// A gateway that stopped is taken off the registry's record after this, in milliseconds:
 /// one that is restarted in its place is back by then, and costs no commit.
 const STOPPED_FOR_MS: u64 = 2_000;
+/// Old ones are looked for this often, in milliseconds: each gateway speaks twice a second,
+/// and a look at all of them for each would cost their square.
+const FORGET_INTERVAL_MS: u64 = 500;
 
 /// How the registry's record of gateways is to change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +30,8 @@
     heard: BTreeMap<MachineId, u64>,
     /// Those that said that they stop, or whose connection ended, and when.
     stopped: BTreeMap<MachineId, u64>,
+    /// When old ones were forgotten last.
+    forgot_ms: u64,
 }
 
 impl Coordinators {
@@ -34,14 +39,16 @@
     pub(crate) fn note(&mut self, machine: MachineId, now_ms: u64) -> bool {
         self.forget_old(now_ms);
         self.stopped.remove(&machine);
-        self.heard.insert(machine, now_ms).is_none()
+        let before = self.heard.insert(machine, now_ms);
+        before.is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > CUT_OFF_MS)
     }
 
     /// Notes that a gateway no longer coordinates; true when it did before.
     pub(crate) fn stop(&mut self, machine: MachineId, now_ms: u64) -> bool {
         self.forget_old(now_ms);
         self.stopped.entry(machine).or_insert(now_ms);
-        self.heard.remove(&machine).is_some()
+        let before = self.heard.remove(&machine);
+        before.is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) <= CUT_OFF_MS)
     }
 
     /// Whether a gateway was heard of lately and has not stopped since.
@@ -101,6 +108,10 @@
 
     /// Drops those that counted neither as silent nor as stopped any more.
     fn forget_old(&mut self, now_ms: u64) {
+        if now_ms < self.forgot_ms + FORGET_INTERVAL_MS {
+            return;
+        }
+        self.forgot_ms = now_ms;
         let is_recent = |at_ms: &u64| now_ms.saturating_sub(*at_ms) <= CUT_OFF_MS;
         self.heard.retain(|_, at_ms| is_recent(at_ms));
         self.stopped.retain(|_, at_ms| is_recent(at_ms));
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -15,7 +15,7 @@
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
-    DirectoryNode, DirectoryQuestion, EndedRun, FleetUpdate, FleetView, Place, RegistryCommand,
+    DirectoryQuestion, EndedRun, FleetUpdate, FleetView, Place, RegistryCommand,
     RequestFingerprint, ZoneMap, near,
 };
 use linnethitch_transport::Datagrams;
@@ -157,8 +157,7 @@
     /// on.
     #[must_use]
     pub fn silent_coordinators(&self) -> Vec<MachineId> {
-        let silent = self.told.lock().silent_coordinators();
-        silent.into_iter().collect()
+        self.told.lock().silent_coordinators().to_vec()
     }
 
     /// Tells control that this gateway stops: others coordinate its slots.
@@ -200,7 +199,7 @@
         let fleet = self.fleet();
         let table = fleet.table();
         let homes = table.and_then(|table| table.host_homes(question.host, &self.zones));
-        let known: Vec<DirectoryNode> = self.told.lock().gateways().into_iter().collect();
+        let known = self.told.lock().gateways();
         near(&known, question, homes.as_ref())
     }
 
@@ -405,7 +404,7 @@
             info!(self.logger, "fleet changed"; "upto" => upto.0, "version" => version,
                 "evacuated" => evacuated.join(" "),
                 "from" => address_of(from).to_string(),
-                "replicas" => self.fleet.live_replicas().count());
+                "replicas" => self.fleet.live_count());
             self.teller.send_replace(Arc::new(self.fleet.clone()));
         }
         if self.fleet.needs_whole() {
@@ -450,25 +449,26 @@
             "from" => address_of(from).to_string());
     }
 
-    fn note_named(&self, told: &BTreeSet<PlacedGateway>) {
+    fn note_named(&self, told: &[PlacedGateway]) {
         let silent = self.gateway.told.lock().silent_coordinators();
         let now_ms = self.gateway.clock.now_ms();
         let heard = told.iter().map(|gateway| gateway.machine);
         let mut named = self.gateway.named.lock();
         named.retain(|_, at_ms| now_ms < *at_ms + NAMED_FOR_MS);
-        named.extend(heard.chain(silent).map(|gateway| (gateway, now_ms)));
+        let all = heard.chain(silent.iter().copied());
+        named.extend(all.map(|gateway| (gateway, now_ms)));
     }
 
     fn note_coordinators(&self) {
         let told = self.gateway.told.lock().coordinators();
         self.note_named(&told);
-        let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
         let mut placed = self.gateway.placed.lock();
-        if placed.iter().eq(&told) {
+        if Arc::ptr_eq(&placed, &told) {
             return;
         }
+        let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
         *self.gateway.coordinators.lock() = Arc::new(machines.into_iter().collect());
-        *placed = Arc::new(told.into_iter().collect());
+        *placed = told;
     }
 
     fn keep_links(&self) {
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -175,6 +175,9 @@
     ) -> ConnectionEnd {
         let mut last = None;
         let mut next = Instant::now();
+        // A further change changes nothing until the next pulse: of hundreds a second a
+        // connection need not hear each.
+        let mut has_changed = false;
         loop {
             tokio::select! {
                 received = receiver.receive() => match received {
@@ -187,15 +190,18 @@
                     Ok(None) => return ConnectionEnd::ByPeer,
                     Err(report) => return ConnectionEnd::Broken(report),
                 },
-                changed = pulses.changes.changed() => {
+                changed = pulses.changes.changed(), if !has_changed => {
                     if changed.is_err() {
                         return ConnectionEnd::Stopping;
                     }
+                    has_changed = true;
                     let earliest = last.map(|last| last + SHORTEST_PULSE_INTERVAL);
                     next = next.min(earliest.unwrap_or(next)).max(Instant::now());
                 }
                 () = sleep_until(next) => {
                     let now = Instant::now();
+                    pulses.changes.mark_unchanged();
+                    has_changed = false;
                     let is_due = last.is_none_or(|last| now >= last + PULSE_INTERVAL);
                     match self.send_pulse(&pulses, is_due) {
                         Ok(true) => last = Some(now),
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -31,27 +31,40 @@
     /// When the newest store appeared.
     newest_store_ms: u64,
     store_group: Option<StoreGroupView>,
+    /// Counts what was said that is to be told.
+    news: u64,
 }
 
 impl Presence {
-    /// Notes what a node says of itself; true when others should learn of it.
+    /// Notes what a node says of itself; true when others should learn of it at once.
     pub(crate) fn note(&mut self, hello: NodeHello, now_ms: u64) -> bool {
-        match hello.role {
+        let is_urgent = match hello.role {
             NodeRole::Gateway => {
-                self.note_gateway(&hello, now_ms);
-                self.note_coordinator(&hello, now_ms)
+                let is_news = self.note_gateway(&hello, now_ms);
+                let is_urgent = self.note_coordinator(&hello, now_ms);
+                self.news += u64::from(is_news);
+                is_urgent
             }
             NodeRole::Control => {
                 let heard = (hello.place(), now_ms);
                 self.control.insert(hello.machine, heard).is_none()
             }
             NodeRole::Store => self.note_store(hello, now_ms),
-        }
+        };
+        self.news += u64::from(is_urgent);
+        is_urgent
+    }
+
+    /// Counts what nodes said, and connections that ended: who is present may differ where
+    /// this does, or where a node fell silent.
+    pub(crate) fn news(&self) -> u64 {
+        self.news
     }
 
     /// Notes that a node's connection ended. One that had fallen silent may be cut off and
     /// go on; any other has stopped.
     pub(crate) fn lose(&mut self, hello: &NodeHello, fell_silent: bool, now_ms: u64) {
+        self.news += 1;
         if let Some(address) = &hello.callers {
             self.gateways.lose(address);
         }
@@ -133,15 +146,17 @@
         (is_quiet && !members.is_empty()).then_some(members)
     }
 
-    fn note_gateway(&mut self, hello: &NodeHello, now_ms: u64) {
-        if let Some(address) = &hello.callers {
-            let node = DirectoryNode {
-                address: address.clone(),
-                zone: hello.zone.clone(),
-                region: hello.region.clone(),
-            };
-            self.gateways.note(node, hello.ready, now_ms);
-        }
+    /// True when that is another one than before.
+    fn note_gateway(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
+        let Some(address) = &hello.callers else {
+            return false;
+        };
+        let node = DirectoryNode {
+            address: address.clone(),
+            zone: hello.zone.clone(),
+            region: hello.region.clone(),
+        };
+        self.gateways.note(node, hello.ready, now_ms)
     }
 
     fn note_coordinator(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
--- /dev/null
+++ b/crates/cluster/src/present_fleet.rs
@@ -0,0 +1,159 @@
+//! Who is present, as a control member sees it, and what changed between two moments.
+//!
+//! Both are worked out once for all connections: what a connection costs is what it is told,
+//! and it holds no list of its own.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use linnethitch_clock::Instant;
+use linnethitch_protocol::ids::MachineId;
+use linnethitch_registry::{DirectoryNode, Place};
+
+use crate::{
+    message::{PlacedGateway, PlacedStore, PresentStore},
+    told_set::{SetChange, set_change},
+};
+
+/// Connections share one view of who is present that is no older than this where a node said
+/// something new since.
+const SHARED_FOR: Duration = Duration::from_millis(20);
+/// Where none did, a node may have fallen silent since: so long after it counts as silent the
+/// others learn of it at most.
+const SHARED_WITHOUT_NEWS_FOR: Duration = Duration::from_millis(100);
+/// Earlier moments whose difference to now is kept: connections are told every 100 ms while
+/// much happens, which is five moments.
+const KEPT_CHANGES: usize = 16;
+
+/// Who is present.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PresentFleet {
+    /// Machines of control.
+    pub(crate) control: BTreeSet<MachineId>,
+    /// Where those of them are that were heard of lately, this one too.
+    pub(crate) tellers: BTreeMap<MachineId, Place>,
+    /// Machines with disks for the job store.
+    pub(crate) stores: BTreeSet<PresentStore>,
+    /// Voters and learners of the job store.
+    pub(crate) store_members: BTreeSet<PlacedStore>,
+    /// Gateways that are ready; `None` while control has not yet heard of all.
+    pub(crate) gateways: Option<BTreeSet<DirectoryNode>>,
+    /// Gateways that coordinate slots.
+    pub(crate) coordinators: BTreeSet<PlacedGateway>,
+    /// Gateways that did and fell silent.
+    pub(crate) silent_coordinators: BTreeSet<MachineId>,
+}
+
+/// What changed between two moments.
+#[derive(Debug)]
+pub(crate) struct PresenceChange {
+    pub(crate) control: Option<SetChange<MachineId>>,
+    pub(crate) stores: Option<SetChange<PresentStore>>,
+    pub(crate) store_members: Option<SetChange<PlacedStore>>,
+    pub(crate) gateways: Option<SetChange<DirectoryNode>>,
+    pub(crate) coordinators: Option<SetChange<PlacedGateway>>,
+    pub(crate) silent_coordinators: Option<SetChange<MachineId>>,
+}
+
+impl PresenceChange {
+    /// From what was told last; `None` where nothing was.
+    fn between(told: Option<&PresentFleet>, now: &PresentFleet) -> Self {
+        let told_gateways = told.and_then(|told| told.gateways.as_ref());
+        PresenceChange {
+            control: set_change(told.map(|told| &told.control), &now.control),
+            stores: set_change(told.map(|told| &told.stores), &now.stores),
+            store_members: set_change(told.map(|told| &told.store_members), &now.store_members),
+            gateways: now
+                .gateways
+                .as_ref()
+                .and_then(|now| set_change(told_gateways, now)),
+            coordinators: set_change(told.map(|told| &told.coordinators), &now.coordinators),
+            silent_coordinators: set_change(
+                told.map(|told| &told.silent_coordinators),
+                &now.silent_coordinators,
+            ),
+        }
+    }
+}
+
+/// Who was present at the last look, and what changed since earlier ones.
+#[derive(Default)]
+pub(crate) struct SharedPresence {
+    taken: Option<Taken>,
+    changes: Vec<(Option<Arc<PresentFleet>>, Arc<PresenceChange>)>,
+}
+
+struct Taken {
+    at: Instant,
+    /// The number of news by then.
+    news: u64,
+    fleet: Arc<PresentFleet>,
+}
+
+impl SharedPresence {
+    /// Who is present now, after so many news. The same value is returned as long as nothing
+    /// changed.
+    pub(crate) fn now(
+        &mut self,
+        news: u64,
+        look: impl FnOnce() -> PresentFleet,
+    ) -> Arc<PresentFleet> {
+        let now = Instant::now();
+        if let Some(taken) = &self.taken {
+            let age = now.saturating_duration_since(taken.at);
+            let holds_for = if taken.news == news {
+                SHARED_WITHOUT_NEWS_FOR
+            } else {
+                SHARED_FOR
+            };
+            if age < holds_for {
+                return Arc::clone(&taken.fleet);
+            }
+        }
+        let fleet = look();
+        let held = self.taken.take().map(|taken| taken.fleet);
+        let fleet = match held {
+            Some(held) if *held == fleet => held,
+            _ => {
+                self.changes.clear();
+                Arc::new(fleet)
+            }
+        };
+        self.taken = Some(Taken {
+            at: now,
+            news,
+            fleet: Arc::clone(&fleet),
+        });
+        fleet
+    }
+
+    /// What is to be told of who is present now to one who was told `told` last.
+    pub(crate) fn change(
+        &mut self,
+        told: Option<&Arc<PresentFleet>>,
+        now: &Arc<PresentFleet>,
+    ) -> Arc<PresenceChange> {
+        let is_same = |from: &Option<Arc<PresentFleet>>| match (from, told) {
+            (None, None) => true,
+            (Some(from), Some(told)) => Arc::ptr_eq(from, told),
+            _ => false,
+        };
+        let is_newest = |taken: &Taken| Arc::ptr_eq(&taken.fleet, now);
+        if !self.taken.as_ref().is_some_and(is_newest) {
+            // Another look came between.
+            return Arc::new(PresenceChange::between(told.map(AsRef::as_ref), now));
+        }
+        if let Some((_, change)) = self.changes.iter().find(|(from, _)| is_same(from)) {
+            return Arc::clone(change);
+        }
+        let change = Arc::new(PresenceChange::between(told.map(AsRef::as_ref), now));
+        if self.changes.len() == KEPT_CHANGES {
+            self.changes.remove(0);
+        }
+        self.changes.push((told.cloned(), Arc::clone(&change)));
+        change
+    }
+}
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -1,26 +1,19 @@
 //! What control tells the nodes that are connected to it: each role learns what
 //! it needs, and only what changed since it was told last.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use linnethitch_clock::Instant;
 use linnethitch_protocol::ids::{LogIndex, MachineId};
-use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, tell_rank};
+use linnethitch_registry::{FleetUpdate, Place, tell_rank};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::{
-    message::{NodeHello, NodeRole, PlacedGateway, PlacedStore, PresentStore, Pulse},
-    told_set::ToldSet,
+    message::{NodeHello, NodeRole, Pulse},
+    present_fleet::{PresentFleet, SharedPresence},
 };
 
-/// Connections share one view of who is present that is no older than this.
-const SHARED_FOR: Duration = Duration::from_millis(20);
-
 /// A node is told of a change of the registry by the nearest control member at once. Each
 /// further one tells it so much later than the one before, should it not have said meanwhile
 /// that it knows: its word comes back over a link between regions that carries traffic.
@@ -29,86 +22,56 @@
 /// gone is told 1.2 s late at most.
 const LAST_RANK: u32 = 4;
 
-/// Who is present, as a control member sees it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct PresentFleet {
-    /// Machines of control.
-    pub(crate) control: BTreeSet<MachineId>,
-    /// Where those of them are that were heard of lately, this one too.
-    pub(crate) tellers: BTreeMap<MachineId, Place>,
-    /// Machines with disks for the job store.
-    pub(crate) stores: BTreeSet<PresentStore>,
-    /// Voters and learners of the job store.
-    pub(crate) store_members: BTreeSet<PlacedStore>,
-    /// Gateways that are ready; `None` while control has not yet heard of all.
-    pub(crate) gateways: Option<BTreeSet<DirectoryNode>>,
-    /// Gateways that coordinate slots.
-    pub(crate) coordinators: BTreeSet<PlacedGateway>,
-    /// Gateways that did and fell silent.
-    pub(crate) silent_coordinators: BTreeSet<MachineId>,
-}
-
-/// Who was present at one moment.
-struct TakenFleet {
-    at: Instant,
-    fleet: Arc<PresentFleet>,
-}
-
 /// Where pulses come from. Clones share it.
 #[derive(Clone)]
 pub(crate) struct PulseSource {
     /// Changes whenever a pulse is worth sending at once.
     pub(crate) changes: watch::Receiver<u64>,
     own: MachineId,
-    present: Arc<dyn Fn() -> PresentFleet + Send + Sync>,
-    has_news: Arc<dyn Fn(LogIndex) -> bool + Send + Sync>,
-    update: Arc<dyn Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync>,
-    current: Arc<dyn Fn() -> Option<LogIndex> + Send + Sync>,
-    shared: Arc<Mutex<Option<TakenFleet>>>,
+    registry: Arc<dyn PulseRegistry>,
+    present: Arc<Mutex<SharedPresence>>,
+}
+
+/// What a control member knows that pulses tell.
+pub(crate) trait PulseRegistry: Send + Sync {
+    /// Counts what nodes said that others should learn.
+    fn presence_news(&self) -> u64;
+
+    /// Who is present now.
+    fn present(&self) -> PresentFleet;
+
+    /// Whether anything that a role needs of the registry changed after an entry, as far as
+    /// this member knows what is in force.
+    fn has_news(&self, role: NodeRole, since: LogIndex) -> bool;
+
+    /// What changed after an entry of what a role needs of the registry; `None` where this
+    /// member does not know what is in force.
+    fn update(&self, role: NodeRole, since: LogIndex) -> Option<FleetUpdate>;
+
+    /// The newest change, where this member knows what is in force.
+    fn current(&self) -> Option<LogIndex>;
 }
 
 impl PulseSource {
-    /// A source of a control member that asks who is present, whether the registry
-    /// changed after an entry, what changed, and how far it knows what is in force.
+    /// The source of a control member.
     pub(crate) fn new(
         own: MachineId,
         changes: watch::Receiver<u64>,
-        present: impl Fn() -> PresentFleet + Send + Sync + 'static,
-        has_news: impl Fn(LogIndex) -> bool + Send + Sync + 'static,
-        update: impl Fn(LogIndex) -> Option<FleetUpdate> + Send + Sync + 'static,
-        current: impl Fn() -> Option<LogIndex> + Send + Sync + 'static,
+        registry: impl PulseRegistry + 'static,
     ) -> Self {
         PulseSource {
             own,
             changes,
-            present: Arc::new(present),
-            has_news: Arc::new(has_news),
-            update: Arc::new(update),
-            current: Arc::new(current),
-            shared: Arc::default(),
+            registry: Arc::new(registry),
+            present: Arc::default(),
         }
     }
 
     /// Who is present now. The same value is returned as long as nothing changed.
     fn present(&self) -> Arc<PresentFleet> {
-        let mut shared = self.shared.lock();
-        let now = Instant::now();
-        if let Some(taken) = shared.as_ref()
-            && now.saturating_duration_since(taken.at) < SHARED_FOR
-        {
-            return Arc::clone(&taken.fleet);
-        }
-        let fleet = (self.present)();
-        let held = shared.take().map(|taken| taken.fleet);
-        let fleet = match held {
-            Some(held) if *held == fleet => held,
-            _ => Arc::new(fleet),
-        };
-        *shared = Some(TakenFleet {
-            at: now,
-            fleet: Arc::clone(&fleet),
-        });
-        fleet
+        let mut present = self.present.lock();
+        let news = self.registry.presence_news();
+        present.now(news, || self.registry.present())
     }
 }
 
@@ -123,13 +86,8 @@
     withheld_since: Option<Instant>,
     /// How long it is withheld.
     withheld: Duration,
+    /// Who was present when it was told last.
     last: Option<Arc<PresentFleet>>,
-    control: ToldSet<MachineId>,
-    stores: ToldSet<PresentStore>,
-    store_members: ToldSet<PlacedStore>,
-    gateways: ToldSet<DirectoryNode>,
-    coordinators: ToldSet<PlacedGateway>,
-    silent_coordinators: ToldSet<MachineId>,
 }
 
 impl ToldPulses {
@@ -143,12 +101,6 @@
             withheld_since: None,
             withheld: Duration::ZERO,
             last: None,
-            control: ToldSet::default(),
-            stores: ToldSet::default(),
-            store_members: ToldSet::default(),
-            gateways: ToldSet::default(),
-            coordinators: ToldSet::default(),
-            silent_coordinators: ToldSet::default(),
         }
     }
 
@@ -183,7 +135,7 @@
         source: &PulseSource,
         tellers: &BTreeMap<MachineId, Place>,
     ) -> Option<FleetUpdate> {
-        if !(source.has_news)(self.upto) {
+        if !source.registry.has_news(self.role, self.upto) {
             self.withheld_since = None;
             return None;
         }
@@ -195,7 +147,7 @@
             return None;
         }
         self.withheld_since = None;
-        let update = (source.update)(self.upto)?;
+        let update = source.registry.update(self.role, self.upto)?;
         self.upto = update.upto;
         Some(update)
     }
@@ -205,7 +157,7 @@
         let fleet = source.present();
         let mut pulse = Pulse {
             update: self.update(source, &fleet.tellers),
-            current: (source.current)(),
+            current: source.registry.current(),
             ..Pulse::default()
         };
         if self
@@ -215,16 +167,16 @@
         {
             return pulse;
         }
-        pulse.control = self.control.change_to(&fleet.control);
-        pulse.store_members = self.store_members.change_to(&fleet.store_members);
+        let change = source.present.lock().change(self.last.as_ref(), &fleet);
+        pulse.control.clone_from(&change.control);
+        pulse.store_members.clone_from(&change.store_members);
         match self.role {
-            NodeRole::Store => pulse.stores = self.stores.change_to(&fleet.stores),
+            NodeRole::Store => pulse.stores.clone_from(&change.stores),
             NodeRole::Gateway => {
-                let gateways = fleet.gateways.as_ref();
-                pulse.gateways = gateways.and_then(|list| self.gateways.change_to(list));
-                pulse.coordinators = self.coordinators.change_to(&fleet.coordinators);
-                let silent = &fleet.silent_coordinators;
-                pulse.silent_coordinators = self.silent_coordinators.change_to(silent);
+                pulse.gateways.clone_from(&change.gateways);
+                pulse.coordinators.clone_from(&change.coordinators);
+                let silent = &change.silent_coordinators;
+                pulse.silent_coordinators.clone_from(silent);
             }
             NodeRole::Control => {}
         }
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -23,14 +23,9 @@
     message::{RegistryCall, RegistryReply},
     node::address_of,
     presence::Presence,
+    replica_silence::ReplicaSilence,
 };
 
-/// A replica that is silent for this long is taken off the list, in milliseconds.
-/// Gateways notice a failed one far earlier by their own requests.
-const REPLICA_SILENCE_MS: u64 = 20_000;
-/// Of two incarnations at one address the one that has been silent for this long is not
-/// there, in milliseconds. Heartbeats come about every 1.2 s and are told every 2 s.
-const DISPLACED_SILENCE_MS: u64 = 6_000;
 /// A request under which replicas ended is tried again, or no longer suspected, when
 /// nothing was heard of it for so long, in milliseconds: ten minutes, so that one that
 /// callers send for hours costs six replicas an hour at most.
@@ -76,8 +71,8 @@
 /// Carries out the registry's calls.
 pub(crate) struct RegistryService {
     shared: Arc<RegistryShared>,
-    /// When each start of a replica was last heard of, as far as this leader knows.
-    alive: BTreeMap<String, u64>,
+    /// Which replicas were heard of, as far as this leader knows.
+    silence: ReplicaSilence,
     /// Entries that changed suspicions last, and when this leader first saw them.
     suspected: BTreeMap<RequestFingerprint, (LogIndex, u64)>,
     /// When this leader last proposed another record of gateways.
@@ -92,7 +87,7 @@
     pub(crate) fn new(shared: Arc<RegistryShared>, store_voters: usize, logger: Logger) -> Self {
         RegistryService {
             shared,
-            alive: BTreeMap::new(),
+            silence: ReplicaSilence::default(),
             suspected: BTreeMap::new(),
             gateways_proposed_ms: 0,
             led: false,
@@ -116,49 +111,13 @@
             "ticks_since_leader" => status.ticks_since_leader, "term" => status.term.0);
     }
 
-    fn silent_replicas(&mut self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
+    /// Begins to lead, if it does not yet: what was heard of before counts for nothing.
+    fn lead(&mut self) {
         if !self.led {
             self.led = true;
-            self.alive.clear();
+            self.silence = ReplicaSilence::default();
             self.suspected.clear();
         }
-        let mut silent = Vec::new();
-        for record in registry.live_replicas() {
-            let key = record.told.start_key();
-            let heard_ms = *self.alive.entry(key.clone()).or_insert(now_ms);
-            if now_ms.saturating_sub(heard_ms) > REPLICA_SILENCE_MS {
-                silent.push(RegistryCommand::RemoveReplica(key));
-            }
-        }
-        silent.extend(self.settle_addresses(registry, now_ms));
-        self.alive.retain(|key, _| registry.holds_start(key));
-        silent
-    }
-
-    /// Finds out which of two incarnations at one address is there, where no request
-    /// has shown it: the one that is still heard of.
-    fn settle_addresses(&mut self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
-        let mut settled = Vec::new();
-        for displaced in registry.displaced_replicas() {
-            let address = &displaced.told.address;
-            let mut live = registry.live_replicas();
-            let other = live.find(|record| record.told.address == *address);
-            let displaced = displaced.told.start_key();
-            let other = other.map(|other| other.told.start_key());
-            if self.is_silent(&displaced, now_ms) {
-                settled.push(RegistryCommand::RemoveReplica(displaced));
-            } else if let Some(other) = other
-                && self.is_silent(&other, now_ms)
-            {
-                settled.push(RegistryCommand::NotThere(other));
-            }
-        }
-        settled
-    }
-
-    fn is_silent(&mut self, start: &str, now_ms: u64) -> bool {
-        let heard_ms = *self.alive.entry(start.to_owned()).or_insert(now_ms);
-        now_ms.saturating_sub(heard_ms) > DISPLACED_SILENCE_MS
     }
 
     /// Suspicions that nothing has changed for [`SUSPICION_HELD_MS`].
@@ -238,7 +197,7 @@
             }
             RegistryCall::Alive(replicas) => {
                 for start in replicas {
-                    self.alive.insert(start.clone(), now.steady_ms);
+                    self.silence.note_heard(start, now.steady_ms);
                 }
                 Begin::Reply(RegistryReply::Noted)
             }
@@ -253,7 +212,7 @@
         now: Now,
     ) -> RegistryReply {
         if let RegistryCall::Propose(RegistryCommand::Replica(change)) = call {
-            self.alive.insert(change.start_key(), now.steady_ms);
+            self.silence.note_heard(&change.start_key(), now.steady_ms);
         }
         RegistryReply::Answer(answer)
     }
@@ -277,7 +236,8 @@
 
     fn upkeep(&mut self, member: &GroupMember<Registry>, now: Now) -> Vec<Vec<u8>> {
         let registry = member.state();
-        let mut commands = self.silent_replicas(registry, now.steady_ms);
+        self.lead();
+        let mut commands = self.silence.look(registry, now.steady_ms);
         commands.extend(self.old_suspicions(registry, now.steady_ms));
         commands.extend(self.other_gateways(registry, now.steady_ms));
         commands.extend(self.store_to_form(registry, now.steady_ms));
--- /dev/null
+++ b/crates/cluster/src/replica_silence.rs
@@ -0,0 +1,154 @@
+//! Which replicas the leader of control has not heard of, and which gone ones it forgets.
+//!
+//! A replica is looked at when its time is up, not each time that another one is heard of:
+//! a look costs what is due, and what changed since the last one.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use linnethitch_protocol::ids::LogIndex;
+use linnethitch_registry::{Registry, RegistryCommand, ReplicaRecord, ReplicaState};
+
+/// A replica that is silent for this long is taken off the list, in milliseconds.
+/// Gateways notice a failed one far earlier by their own requests.
+const REPLICA_SILENCE_MS: u64 = 20_000;
+/// Of two incarnations at one address the one that has been silent for this long is not
+/// there, in milliseconds. Heartbeats come about every 1.2 s and are told every 2 s.
+const DISPLACED_SILENCE_MS: u64 = 6_000;
+/// What was proposed is proposed again after this where it was not committed, in milliseconds.
+const PROPOSE_AGAIN_MS: u64 = 1_000;
+/// Gone replicas are held for so long, in milliseconds: no node in touch lacks news that are
+/// two minutes old, and no heartbeat comes that late, since connections end within seconds.
+/// A node that was cut off for longer is told every replica that there is.
+const GONE_KEPT_MS: u64 = 120_000;
+/// How far the registry is, is noted this often, in milliseconds.
+const MARK_INTERVAL_MS: u64 = 10_000;
+
+/// What a leader knows of replicas. Times are steady, in milliseconds.
+#[derive(Default)]
+pub(crate) struct ReplicaSilence {
+    /// When each start that is held and not gone was heard of last.
+    heard: HashMap<String, u64>,
+    /// When live ones are looked at next.
+    due: BTreeSet<(u64, String)>,
+    /// The registry at the last look.
+    seen: Registry,
+    /// How far the registry was at some earlier times, the latest last.
+    marks: VecDeque<(u64, LogIndex)>,
+}
+
+impl ReplicaSilence {
+    /// A start of a replica was heard of.
+    pub(crate) fn note_heard(&mut self, start: &str, now_ms: u64) {
+        // One that is not held yet counts as heard of when it is.
+        if let Some(heard_ms) = self.heard.get_mut(start) {
+            *heard_ms = now_ms;
+        }
+    }
+
+    /// What is to be changed by now.
+    pub(crate) fn look(&mut self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
+        self.take_changes(registry, now_ms);
+        let mut commands = self.silent_ones(registry, now_ms);
+        commands.extend(self.settle_addresses(registry, now_ms));
+        commands.extend(self.forget_gone(registry, now_ms));
+        commands
+    }
+
+    fn take_changes(&mut self, registry: &Registry, now_ms: u64) {
+        let seen = std::mem::replace(&mut self.seen, registry.clone());
+        let is_held = |record: &&ReplicaRecord| record.told.state != ReplicaState::Gone;
+        for difference in registry.differences(&seen) {
+            let before = difference.before.filter(is_held);
+            let now = difference.now.filter(is_held);
+            let key = now.map(|now| now.told.start_key());
+            if let Some(before) = before.map(|before| before.told.start_key())
+                && key.as_ref() != Some(&before)
+            {
+                self.heard.remove(&before);
+            }
+            let (Some(now), Some(key)) = (now, key) else {
+                continue;
+            };
+            // What changed it was said by itself, or by one that tried to reach it.
+            self.heard.entry(key.clone()).or_insert(now_ms);
+            if now.told.state.is_live() {
+                self.due.insert((now_ms + REPLICA_SILENCE_MS, key));
+            }
+        }
+    }
+
+    /// Live ones that were silent for too long.
+    fn silent_ones(&mut self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
+        let mut silent = Vec::new();
+        while let Some((due_ms, _)) = self.due.first()
+            && *due_ms < now_ms
+        {
+            let Some((_, key)) = self.due.pop_first() else {
+                break;
+            };
+            let Some(heard_ms) = self.heard.get(&key).copied() else {
+                continue;
+            };
+            if !is_live(registry, &key) {
+                continue;
+            }
+            let silent_at_ms = heard_ms + REPLICA_SILENCE_MS;
+            if silent_at_ms < now_ms {
+                self.due.insert((now_ms + PROPOSE_AGAIN_MS, key.clone()));
+                silent.push(RegistryCommand::RemoveReplica(key));
+            } else {
+                self.due.insert((silent_at_ms, key));
+            }
+        }
+        silent
+    }
+
+    /// Finds out which of two incarnations at one address is there, where no request
+    /// has shown it: the one that is still heard of.
+    fn settle_addresses(&self, registry: &Registry, now_ms: u64) -> Vec<RegistryCommand> {
+        let mut settled = Vec::new();
+        for displaced in registry.displaced_replicas() {
+            let others = registry.at_address(&displaced.told.address);
+            let mut others = others.iter().filter_map(|id| registry.replica(id));
+            let other = others.find(|record| record.told.state.is_live());
+            let other = other.map(|other| other.told.start_key());
+            let displaced = displaced.told.start_key();
+            if self.is_silent(&displaced, now_ms) {
+                settled.push(RegistryCommand::RemoveReplica(displaced));
+            } else if let Some(other) = other
+                && self.is_silent(&other, now_ms)
+            {
+                settled.push(RegistryCommand::NotThere(other));
+            }
+        }
+        settled
+    }
+
+    fn is_silent(&self, start: &str, now_ms: u64) -> bool {
+        let heard_ms = self.heard.get(start).copied().unwrap_or(now_ms);
+        now_ms.saturating_sub(heard_ms) > DISPLACED_SILENCE_MS
+    }
+
+    fn forget_gone(&mut self, registry: &Registry, now_ms: u64) -> Option<RegistryCommand> {
+        let last = self.marks.back();
+        if last.is_none_or(|(at_ms, _)| *at_ms + MARK_INTERVAL_MS <= now_ms) {
+            self.marks.push_back((now_ms, registry.changed_at()));
+        }
+        let mut upto = None;
+        while let Some((at_ms, mark)) = self.marks.front()
+            && *at_ms + GONE_KEPT_MS <= now_ms
+        {
+            upto = Some(*mark);
+            self.marks.pop_front();
+        }
+        let upto = upto?;
+        let has_gone = registry.first_gone_at().is_some_and(|at| at <= upto);
+        has_gone.then_some(RegistryCommand::ForgetGone { upto })
+    }
+}
+
+fn is_live(registry: &Registry, start: &str) -> bool {
+    let (id, _) = linnethitch_registry::parse_start_key(start);
+    let held = registry.replica(id);
+    held.is_some_and(|held| held.told.state.is_live() && held.told.is_of_start(start))
+}
--- a/crates/cluster/src/told_fleet.rs
+++ b/crates/cluster/src/told_fleet.rs
@@ -1,7 +1,10 @@
 //! Who is present, as a node without a part in control learned it from control's
 //! members. While control is away, what it told last holds.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_registry::{DirectoryNode, Place};
@@ -35,6 +38,18 @@
     control: BTreeMap<MachineId, u64>,
     /// Members of the job store, and when one was last named.
     store_members: BTreeMap<MachineId, u64>,
+    merged: Merged,
+}
+
+/// What all that were heard of lately told of gateways. It is merged where one of them told
+/// something else, and shared: it is asked for many times a second.
+#[derive(Clone, Debug, Default)]
+struct Merged {
+    /// Those who told it; empty where it is to be merged anew.
+    tellers: Vec<MachineId>,
+    gateways: Arc<Vec<DirectoryNode>>,
+    coordinators: Arc<Vec<PlacedGateway>>,
+    silent_coordinators: Arc<Vec<MachineId>>,
 }
 
 impl ToldFleet {
@@ -43,6 +58,12 @@
     pub(crate) fn take(&mut self, from: MachineId, pulse: &mut Pulse, now_ms: u64) -> bool {
         let told = self.by_control.entry(from).or_default();
         told.at_ms = now_ms;
+        let tells_gateways = pulse.gateways.is_some()
+            || pulse.coordinators.is_some()
+            || pulse.silent_coordinators.is_some();
+        if tells_gateways {
+            self.merged.tellers.clear();
+        }
         if let Some(change) = pulse.control.take() {
             change.apply_to(&mut told.control);
         }
@@ -86,7 +107,7 @@
 
     /// Where members of the job store are, as far as any control member knows.
     pub(crate) fn store_places(&self) -> BTreeMap<MachineId, Place> {
-        let members = self.recent().flat_map(|told| &told.store_members);
+        let members = self.recent().flat_map(|(_, told)| &told.store_members);
         let placed = members.filter(|member| !member.place.zone.is_empty());
         placed
             .map(|member| (member.machine, member.place.clone()))
@@ -96,30 +117,62 @@
     /// Machines with disks for the job store that any control member sees.
     pub(crate) fn stores(&self) -> BTreeSet<PresentStore> {
         let told = self.recent();
-        told.flat_map(|told| &told.stores).cloned().collect()
+        told.flat_map(|(_, told)| &told.stores).cloned().collect()
     }
 
     /// Ready gateways that any control member sees; one that is cut off from some
     /// gateways does not know all.
-    pub(crate) fn gateways(&self) -> BTreeSet<DirectoryNode> {
-        let told = self.recent();
-        told.flat_map(|told| &told.gateways).cloned().collect()
+    pub(crate) fn gateways(&mut self) -> Arc<Vec<DirectoryNode>> {
+        Arc::clone(&self.merged().gateways)
     }
 
-    /// Gateways that coordinate slots, in a fixed order.
-    pub(crate) fn coordinators(&self) -> BTreeSet<PlacedGateway> {
-        let told = self.recent();
-        told.flat_map(|told| &told.coordinators).cloned().collect()
+    /// Gateways that coordinate slots, in a fixed order. The same value is returned as long
+    /// as they are the same.
+    pub(crate) fn coordinators(&mut self) -> Arc<Vec<PlacedGateway>> {
+        Arc::clone(&self.merged().coordinators)
     }
 
     /// Gateways that no control member hears though some did lately: they may be cut off
     /// and go on.
-    pub(crate) fn silent_coordinators(&self) -> BTreeSet<MachineId> {
-        let heard = self.coordinators();
-        let heard: BTreeSet<MachineId> = heard.iter().map(|gateway| gateway.machine).collect();
-        let told = self.recent();
-        let silent = told.flat_map(|told| &told.silent_coordinators).copied();
-        silent.filter(|machine| !heard.contains(machine)).collect()
+    pub(crate) fn silent_coordinators(&mut self) -> Arc<Vec<MachineId>> {
+        Arc::clone(&self.merged().silent_coordinators)
+    }
+
+    fn merged(&mut self) -> &Merged {
+        let tellers: Vec<MachineId> = self.recent().map(|(teller, _)| teller).collect();
+        if self.merged.tellers != tellers {
+            self.merge(tellers);
+        }
+        &self.merged
+    }
+
+    fn merge(&mut self, tellers: Vec<MachineId>) {
+        let told = || self.recent().map(|(_, told)| told);
+        let gateways: BTreeSet<&DirectoryNode> = told().flat_map(|told| &told.gateways).collect();
+        let coordinators: BTreeSet<&PlacedGateway> =
+            told().flat_map(|told| &told.coordinators).collect();
+        let heard: BTreeSet<MachineId> = coordinators.iter().map(|known| known.machine).collect();
+        let silent: BTreeSet<MachineId> = told()
+            .flat_map(|told| &told.silent_coordinators)
+            .copied()
+            .filter(|machine| !heard.contains(machine))
+            .collect();
+        let coordinators = if self
+            .merged
+            .coordinators
+            .iter()
+            .eq(coordinators.iter().copied())
+        {
+            Arc::clone(&self.merged.coordinators)
+        } else {
+            Arc::new(coordinators.into_iter().cloned().collect())
+        };
+        self.merged = Merged {
+            tellers,
+            gateways: Arc::new(gateways.into_iter().cloned().collect()),
+            coordinators,
+            silent_coordinators: Arc::new(silent.into_iter().collect()),
+        };
     }
 
     /// How long no control member has been heard of, in milliseconds.
@@ -132,11 +185,12 @@
         told.map(|told| told.at_ms).max().unwrap_or(0)
     }
 
-    /// What was told lately, as of the newest pulse.
-    fn recent(&self) -> impl Iterator<Item = &Told> {
+    /// What was told lately and by whom, as of the newest pulse.
+    fn recent(&self) -> impl Iterator<Item = (MachineId, &Told)> {
         let valid_from = self.newest_ms().saturating_sub(TOLD_VALID_MS);
-        let told = self.by_control.values();
-        told.filter(move |told| told.at_ms >= valid_from)
+        let told = self.by_control.iter();
+        told.filter(move |(_, told)| told.at_ms >= valid_from)
+            .map(|(teller, told)| (*teller, told))
     }
 }
 
--- a/crates/cluster/src/told_set.rs
+++ b/crates/cluster/src/told_set.rs
@@ -27,35 +27,23 @@
     }
 }
 
-/// The sender's side: what was told on one connection.
-#[derive(Clone, Debug)]
-pub(crate) struct ToldSet<T> {
-    told: Option<BTreeSet<T>>,
-}
-
-impl<T> Default for ToldSet<T> {
-    fn default() -> Self {
-        ToldSet { told: None }
-    }
-}
-
-impl<T: Ord + Clone> ToldSet<T> {
-    /// What is to be told so that the receiver holds `now`; `None` when it does.
-    pub(crate) fn change_to(&mut self, now: &BTreeSet<T>) -> Option<SetChange<T>> {
-        let change = match &self.told {
-            Some(told) if told == now => return None,
-            Some(told) => SetChange {
-                is_first: false,
-                added: now.difference(told).cloned().collect(),
-                removed: told.difference(now).cloned().collect(),
-            },
-            None => SetChange {
-                is_first: true,
-                added: now.iter().cloned().collect(),
-                removed: Vec::new(),
-            },
-        };
-        self.told = Some(now.clone());
-        Some(change)
+/// What is to be told so that a receiver who was told `told` holds `now`; `None` when it does.
+/// One that was told nothing yet is told all.
+pub(crate) fn set_change<T: Ord + Clone>(
+    told: Option<&BTreeSet<T>>,
+    now: &BTreeSet<T>,
+) -> Option<SetChange<T>> {
+    match told {
+        Some(told) if told == now => None,
+        Some(told) => Some(SetChange {
+            is_first: false,
+            added: now.difference(told).cloned().collect(),
+            removed: told.difference(now).cloned().collect(),
+        }),
+        None => Some(SetChange {
+            is_first: true,
+            added: now.iter().cloned().collect(),
+            removed: Vec::new(),
+        }),
     }
 }
