Relay: callers who read slowly hold neither replicas nor the process

Cause: the pump set the end of a stream's allowed pause before it handed a piece to the caller: one who read slowly let it pass, and the stream went on elsewhere as if its replica were silent (work done twice, a send spent). The replica's slot was held for the whole slowness. Nothing summed up what a process holds.

The replica's slot and connection are given back when its answer is whole.

Open: texts of items, bodies that a replica does not read (they end with the request's time).

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -24,8 +24,6 @@
 const INBOX_MESSAGES: usize = 4_096;
 /// A link on which nothing came for so long is given up, at both ends.
 pub(crate) const LINK_SILENCE_LIMIT: Duration = Duration::from_secs(2);
-/// Connections of other nodes at once.
-const MAX_CONNECTIONS: usize = 1_500;
 
 /// Who a node is and where it finds others.
 #[derive(Clone)]
@@ -44,6 +42,8 @@
     pub port: u16,
     /// Control machines to begin with.
     pub seeds: Seeds,
+    /// Most connections of other nodes at once.
+    pub most_connections: usize,
     /// Whether the whole cluster starts for the first time.
     pub bootstrap: bool,
     /// Machines that may be lost at once.
@@ -156,7 +156,7 @@
         settings.identity.clone(),
         connection_options(),
         traffic,
-        MAX_CONNECTIONS,
+        settings.most_connections,
         settings.logger.clone(),
     )
     .await?;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -418,7 +418,7 @@
             .size_hint()
             .upper()
             .is_none_or(|bytes| bytes <= MAX_HELD_BYTES as u64);
-        if is_stream || !is_short {
+        if is_stream || !is_short || !self.shared.held.has_room() {
             return Some(self.stream(opened));
         }
         self.hold(opened).await
@@ -435,6 +435,8 @@
         running.first_event();
         let (mut head, mut body) = response.into_parts();
         let mut bytes = BytesMut::new();
+        let expected = body.size_hint().lower();
+        let being_read = self.shared.held.hold(expected);
         loop {
             match timeout_at(self.until, body.frame()).await {
                 Ok(None) => break,
@@ -468,7 +470,9 @@
         self.ended(RequestEnd::Served);
         strip_connection_headers(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
-        Some(Response::from_parts(head, whole(bytes.freeze())))
+        let bytes = self.shared.held.keep(bytes.freeze());
+        drop(being_read);
+        Some(Response::from_parts(head, whole(bytes)))
     }
 
     /// Passes an answer on as it comes.
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -37,6 +37,8 @@
     KeyRefused,
     /// Refused: it is beyond its tenant's limit.
     OverLimit,
+    /// Refused: too much is held for others who read slowly.
+    NoRoom,
     /// Without a replica's whole answer after it was sent.
     Failed,
 }
@@ -131,6 +133,8 @@
     pub(crate) suspected_requests: Gauge,
     /// How long no control member has been heard of, in milliseconds.
     pub(crate) control_silent_ms: Gauge,
+    /// Bytes of requests and answers that are held.
+    pub(crate) held_bytes: Gauge,
     /// Gateways that share the counts of limits, and those besides that may go on unheard.
     pub(crate) listed_gateways: Gauge,
     pub(crate) silent_gateways: Gauge,
@@ -162,6 +166,7 @@
             outside_homes_sends: Counter::default(),
             suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
+            held_bytes: Gauge::default(),
             listed_gateways: Gauge::default(),
             silent_gateways: Gauge::default(),
         };
@@ -229,6 +234,9 @@
         let silent = self.control_silent_ms.clone();
         let help = "Milliseconds since a control member was heard of";
         registry.register("relay_control_silent_milliseconds", help, silent);
+        let held = self.held_bytes.clone();
+        let help = "Bytes of requests and answers that are held for others to read";
+        registry.register("relay_held_bytes", help, held);
         let listed = self.listed_gateways.clone();
         let help = "Gateways that share the counts of limits, as this one was told";
         registry.register("relay_listed_gateways", help, listed);
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -17,6 +17,7 @@
     counters::RequestEnd,
     events::EventSplitter,
     exchange::{Exchange, Limits, Outgoing, Target, exchange},
+    held_bytes::UnreadPieces,
     homes::HomeZones,
     running_guard::RunningGuard,
     search::{Placed, Search},
@@ -51,6 +52,8 @@
     settings: PumpSettings,
     splitter: EventSplitter,
     source: Source,
+    /// What came and its caller has not taken.
+    unread: UnreadPieces,
 }
 
 /// The replica that the stream comes from.
@@ -81,6 +84,7 @@
         running: RunningGuard,
     ) -> Self {
         Pump {
+            unread: UnreadPieces::new(shared.held.clone()),
             shared,
             settings,
             splitter: EventSplitter::default(),
@@ -96,15 +100,11 @@
     pub(crate) async fn run(mut self, sender: Sender) {
         loop {
             match self.pass_source(&sender).await {
-                SourceEnd::Whole => {
-                    self.finish().await;
-                    return;
-                }
+                SourceEnd::Whole => return self.finish(&sender).await,
                 SourceEnd::CallerGone => return,
                 SourceEnd::TimeUp => {
                     self.log("stream out of time");
-                    let _ = sender.send(Err("time is up".into())).await;
-                    return;
+                    return self.cut(&sender, "time is up").await;
                 }
                 SourceEnd::Broken => self.source.running.broke(),
             }
@@ -115,24 +115,41 @@
             let Some(source) = resumed else {
                 self.log("stream broken");
                 self.ended(RequestEnd::Failed);
-                let _ = sender.send(Err("the stream broke".into())).await;
-                return;
+                return self.cut(&sender, "the stream broke").await;
             };
             self.source = source;
         }
     }
 
+    /// Reads the source and hands on what came, each as fast as it goes: a caller who reads
+    /// slowly holds the replica up only once too much waits for it, and is no sign that the
+    /// replica is silent.
     async fn pass_source(&mut self, sender: &Sender) -> SourceEnd {
         let patience = (self.settings.gap * PATIENCE).max(SHORTEST_PATIENCE);
         let mut silent_until = self.silence_limit(patience);
         loop {
+            let may_read = self.unread.may_grow();
             let frame = tokio::select! {
-                frame = self.source.body.frame() => frame,
+                biased;
+                permit = sender.reserve(), if !self.unread.is_empty() => {
+                    let Ok(permit) = permit else {
+                        return SourceEnd::CallerGone;
+                    };
+                    if let Some(piece) = self.unread.pop() {
+                        permit.send(Ok(piece));
+                    }
+                    if !may_read {
+                        silent_until = self.silence_limit(patience);
+                    }
+                    continue;
+                }
+                frame = self.source.body.frame(), if may_read => frame,
                 () = sender.closed() => return SourceEnd::CallerGone,
-                () = sleep_until(silent_until) => {
+                () = sleep_until(silent_until), if may_read => {
                     let is_out_of_time = Instant::now() >= self.settings.until;
                     return if is_out_of_time { SourceEnd::TimeUp } else { SourceEnd::Broken };
                 }
+                () = sleep_until(self.settings.until), if !may_read => return SourceEnd::TimeUp,
             };
             let data = match frame {
                 None if self.splitter.has_partial() => return SourceEnd::Broken,
@@ -153,10 +170,29 @@
             } else {
                 data
             };
-            if !passed.is_empty() && sender.send(Ok(passed)).await.is_err() {
-                return SourceEnd::CallerGone;
+            self.unread.push(passed);
+        }
+    }
+
+    /// Hands on what waits for the caller; false where it has gone.
+    async fn hand_rest_on(unread: &mut UnreadPieces, sender: &Sender) -> bool {
+        while let Some(piece) = unread.pop() {
+            if sender.send(Ok(piece)).await.is_err() {
+                return false;
             }
         }
+        true
+    }
+
+    /// Hands on what came, then cuts the answer. The replica is let go before that.
+    async fn cut(self, sender: &Sender, why: &'static str) {
+        let Pump {
+            source, mut unread, ..
+        } = self;
+        drop(source);
+        if Self::hand_rest_on(&mut unread, sender).await {
+            let _ = sender.send(Err(why.into())).await;
+        }
     }
 
     /// A stream that cannot go on elsewhere is waited for until its time is up.
@@ -263,22 +299,44 @@
         self.settings.tried.pop();
     }
 
-    async fn finish(mut self) {
-        self.ended(RequestEnd::Served);
-        self.source.running.came_to_an_end();
-        drop(self.source.running);
-        if self.source.connection.is_usable_again().await {
-            self.shared.connections.give_back(self.source.connection);
+    /// The whole answer came. The replica is let go before its caller has taken it all.
+    async fn finish(self, sender: &Sender) {
+        let is_sampled = self.shared.is_sampled();
+        let Pump {
+            shared,
+            settings,
+            splitter,
+            source,
+            mut unread,
+        } = self;
+        let Source {
+            replica,
+            mut connection,
+            running,
+            ..
+        } = source;
+        running.came_to_an_end();
+        drop(running);
+        let keep = async {
+            if connection.is_usable_again().await {
+                shared.connections.give_back(connection);
+            }
+        };
+        let (is_taken, ()) = tokio::join!(Self::hand_rest_on(&mut unread, sender), keep);
+        if !is_taken {
+            return;
+        }
+        if is_sampled {
+            info!(shared.logger, "request: served"; "request" => settings.outgoing.id(),
+                "replica" => &replica, "last_event" => splitter.last_id());
         }
+        let counters = &shared.counters;
+        counters.request_ended(&settings.route, RequestEnd::Served);
     }
 
     fn ended(&self, end: RequestEnd) {
-        if end == RequestEnd::Served && self.shared.is_sampled() {
-            self.log("served");
-        }
-        self.shared
-            .counters
-            .request_ended(&self.settings.route, end);
+        let counters = &self.shared.counters;
+        counters.request_ended(&self.settings.route, end);
     }
 
     fn log(&self, what: &str) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -26,7 +26,7 @@
 };
 
 /// Settings of a relay.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RelaySettings {
     /// The zone of this gateway.
     pub zone: String,
@@ -38,6 +38,25 @@
     pub quota: QuotaSettings,
     /// How far the fleet may go beyond what cold replicas bear.
     pub cold: ColdSettings,
+    /// Bytes of requests and answers that may be held before new requests are refused.
+    pub most_held_bytes: u64,
+}
+
+/// A quarter of a small machine of 160 MB: the rest is the process itself, the fleet as it
+/// knows it, and what its connections hold.
+const DEFAULT_HELD_BYTES: u64 = 40 * 1024 * 1024;
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        RelaySettings {
+            zone: String::new(),
+            seed: 0,
+            keys: KeyPolicy::default(),
+            quota: QuotaSettings::default(),
+            cold: ColdSettings::default(),
+            most_held_bytes: DEFAULT_HELD_BYTES,
+        }
+    }
 }
 
 /// Relays callers' requests. Clones share it.
@@ -124,6 +143,7 @@
         let counters = &self.shared.counters;
         let silent_ms = gateway.control_silent_ms();
         counters.control_silent_ms.set(silent_ms as i64);
+        counters.held_bytes.set(self.shared.held.bytes() as i64);
         let listed = gateway.coordinators().len();
         counters.listed_gateways.set(listed as i64);
         let silent = gateway.silent_coordinators().len();
@@ -170,10 +190,13 @@
         let Some(request_id) = head.headers.get(&names.request_id).cloned() else {
             return own_answer(ErrorKind::MalformedRequest, None);
         };
+        if !self.shared.held.has_room() {
+            return self.refuse_without_room(&request_id, route);
+        }
         let limit = time_limit(&head.headers, names, route);
         let until = arrived + limit;
         let body = match read_body(body, table.limits.body_bytes, until).await {
-            Ok(body) => body,
+            Ok(body) => self.shared.held.keep(body),
             Err(kind) => return own_answer(kind, None),
         };
         let tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
@@ -221,6 +244,16 @@
         attempt.run().await
     }
 
+    /// The answer to a request that comes while too much is held for others who read slowly.
+    fn refuse_without_room(&self, request_id: &HeaderValue, route: &Route) -> Response<AnswerBody> {
+        let counters = &self.shared.counters;
+        counters.request_ended(&route.name, RequestEnd::NoRoom);
+        info!(self.shared.logger, "request: refused, too much is held for slow readers";
+            "request" => request_id.to_str().unwrap_or_default(),
+            "held_bytes" => self.shared.held.bytes());
+        own_answer(ErrorKind::Overloaded, Some(COME_BACK_AFTER))
+    }
+
     /// Lets a tenant's request in, if it is within the tenant's limit. What is beyond it
     /// is refused before it takes anything.
     async fn admit(
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -34,6 +34,7 @@
     dialect::Dialect,
     exchange::Outgoing,
     fleet_changes::{FleetChanges, replica_traits},
+    held_bytes::HeldBytes,
     homes::HomeZones,
     quotas::Quotas,
     relay::RelaySettings,
@@ -61,6 +62,8 @@
     pub(crate) news: SuspicionNews,
     /// When another gateway was heard of last.
     pub(crate) gateways_heard_ms: AtomicU64,
+    /// Bytes of requests and answers that are held.
+    pub(crate) held: HeldBytes,
     pub(crate) counters: Arc<Counters>,
     pub(crate) clock: Clock,
     pub(crate) logger: Logger,
@@ -101,6 +104,7 @@
             broken_runs: BrokenRuns::default(),
             news: SuspicionNews::default(),
             gateways_heard_ms: AtomicU64::new(0),
+            held: HeldBytes::new(settings.most_held_bytes),
             counters,
             logger,
             successes: AtomicU64::new(0),
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod requests;
 mod silent_connections;
 mod slots;
+mod slow_readers;
 mod starts;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/relay/tests/all/slow_readers.rs
@@ -0,0 +1,113 @@
+//! Callers who read slowly, or not at all: what they cost the process, the replica and others.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use linnethitch_registry::RouteKind;
+use linnethitch_relay::{Held, HeldBytes, UnreadPieces};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::support::{Act, Fleet, Replica, read_answer, route};
+
+/// More than the sockets between a caller and a replica hold.
+const EVENTS: usize = 400;
+const EVENT_BYTES: usize = 60_000;
+/// Longer than a stream may pause.
+const NOT_READING_FOR: Duration = Duration::from_millis(1_500);
+
+/// The stream is whole and was run once: that its caller did not read for a while is no sign
+/// that its replica is silent.
+#[tokio::test]
+async fn a_slow_caller_does_not_make_a_stream_look_broken() {
+    let replica = Replica::start(vec![Act::SendEvents(EVENTS, EVENT_BYTES)]).await;
+    let resumable = route(RouteKind::Streaming, 4, true);
+    let fleet = Fleet::start(resumable, std::slice::from_ref(&replica)).await;
+    fleet.add_twin(&replica).await;
+    let mut stream = fleet.open("request-1", "").await;
+    tokio::time::sleep(NOT_READING_FOR).await;
+    let answer = read_answer(&mut stream).await;
+    assert!(answer.complete, "{} bytes", answer.body.len());
+    assert!(answer.body.len() > EVENTS * EVENT_BYTES);
+    assert_eq!(replica.requests(), 1);
+}
+
+/// A bound of the process, in bytes.
+const MOST: u64 = 1_000_000;
+
+fn piece(bytes: usize) -> Bytes {
+    Bytes::from(vec![7; bytes])
+}
+
+/// A thousand callers who stopped reading, and as many who read a piece now and then.
+#[rstest]
+#[case::events(130)]
+#[case::large_pieces(16_000)]
+fn a_thousand_slow_readers_are_held_within_the_bound(#[case] bytes: usize) {
+    let held = HeldBytes::new(MOST);
+    let mut callers: Vec<UnreadPieces> = (0..2_000)
+        .map(|_| UnreadPieces::new(held.clone()))
+        .collect();
+    for round in 0..600 {
+        for (number, caller) in callers.iter_mut().enumerate() {
+            if caller.may_grow() {
+                caller.push(piece(bytes));
+            }
+            let reads = number % 2 == 0 && (number + round) % 50 == 0;
+            if reads {
+                caller.pop();
+            }
+        }
+        // One piece of each gets through whatever others do.
+        let most = MOST + (callers.len() * bytes) as u64;
+        assert!(held.bytes() <= most, "{} of {most}", held.bytes());
+    }
+    assert!(!held.has_room());
+    assert!(
+        callers
+            .iter()
+            .all(|caller| !caller.is_empty() || caller.may_grow())
+    );
+    drop(callers);
+    assert_eq!(held.bytes(), 0);
+    assert!(held.has_room());
+}
+
+/// What is passed on counts until nobody has it any more.
+#[test]
+fn bytes_count_as_long_as_anybody_has_them() {
+    let held = HeldBytes::new(MOST);
+    let kept = held.keep(piece(500));
+    let part = kept.slice(10..20);
+    drop(kept);
+    assert_eq!(held.bytes(), 500);
+    drop(part);
+    assert_eq!(held.bytes(), 0);
+}
+
+proptest! {
+    #[test]
+    fn what_is_held_is_what_waits(steps in proptest::collection::vec((0..4_u8, 1..5_000_usize), 1..200)) {
+        let held = HeldBytes::new(50_000);
+        let mut unread = UnreadPieces::new(held.clone());
+        let mut waiting = std::collections::VecDeque::new();
+        let mut others: Vec<Held> = Vec::new();
+        let mut of_others = 0;
+        for (step, bytes) in steps {
+            match step {
+                0 | 1 if unread.may_grow() => {
+                    unread.push(piece(bytes));
+                    waiting.push_back(bytes);
+                }
+                2 => prop_assert_eq!(unread.pop().map(|piece| piece.len()), waiting.pop_front()),
+                _ => {
+                    others.push(held.hold(bytes as u64));
+                    of_others += bytes;
+                }
+            }
+            let expected = waiting.iter().sum::<usize>() + of_others;
+            prop_assert_eq!(held.bytes(), expected as u64);
+            prop_assert_eq!(unread.is_empty(), waiting.is_empty());
+        }
+    }
+}
--- a/crates/relay/tests/all/support/fleet.rs
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -104,6 +104,7 @@
             address,
             port: free_port(address).await,
             seeds: Seeds::new(vec![address]),
+            most_connections: 100,
             bootstrap: true,
             tolerated_losses: 0,
             bytes: MessageBytes::default(),
--- a/crates/relay/tests/all/support/replica.rs
+++ b/crates/relay/tests/all/support/replica.rs
@@ -34,6 +34,8 @@
     /// Sends these bytes after a moment, so that further requests need connections of
     /// their own, and keeps the connection.
     SendLater(&'static str),
+    /// Sends a stream of so many events of so many bytes each, and keeps the connection.
+    SendEvents(usize, usize),
     /// Sends nothing and keeps the connection.
     Silence,
 }
@@ -105,6 +107,10 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 (text, false, false)
             }
+            Act::SendEvents(events, bytes) => {
+                let _ = send_events(&mut stream, &id, events, bytes).await;
+                ("", false, false)
+            }
             Act::Silence => ("", false, false),
         };
         let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
@@ -123,6 +129,25 @@
     }
 }
 
+async fn send_events(
+    stream: &mut TcpStream,
+    id: &str,
+    events: usize,
+    bytes: usize,
+) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    for number in 1..=events {
+        let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(bytes));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
 /// Waits until a replica has read so many requests.
 pub(crate) async fn reached_by(replica: &Replica, requests: usize) {
     let reached = async {
