Cluster: a gateway keeps links to five members of control, the others know it by their word

Change: linked_members chooses the nearest five that are heard; another one takes the place of one that was silent for 1.2 s. Members tell each other which gateways they hear and which stopped (relayed_presence), so that each names all; the end of a link that the gateway does not count among its own tells nothing of it. A change is told first by the nearest of the linked ones. For a call to a leader without a link one is opened for ten seconds. Cost: a gateway that falls silent is off the list of the members that do not hear it after 1.7 s instead of 1.2. Figure relay_control_links.

--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -145,6 +145,11 @@
         self.known.lock().machines = machines;
     }
 
+    /// The machines that may lead.
+    pub(crate) fn machines(&self) -> BTreeSet<MachineId> {
+        self.known.lock().machines.clone()
+    }
+
     /// Calls the leader until it answers or time is up. A call may be carried
     /// out more than once, so it must do no harm when repeated.
     pub(crate) async fn call(&self, call: C, limit: Duration) -> C::Reply {
@@ -167,7 +172,11 @@
                         return reply;
                     }
                     Verdict::NotLeader(leader) => {
-                        self.note_leader(leader.filter(|leader| *leader != target));
+                        let leader = leader.filter(|leader| *leader != target);
+                        if let Some(leader) = leader {
+                            self.links.reach(leader);
+                        }
+                        self.note_leader(leader);
                     }
                     Verdict::Refused => {}
                     Verdict::Unknown => may_be_done = true,
--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -79,6 +79,7 @@
 /// A running control member. Clones share it.
 #[derive(Clone)]
 pub struct ControlNode {
+    own: MachineId,
     pub(crate) shared: Arc<RegistryShared>,
     client: GroupClient<RegistryCall>,
     handle: GroupHandle<RegistryCall, RegistryReply>,
@@ -125,6 +126,7 @@
         let member = driver.id();
         base.links.note(|hello| hello.member = Some(member));
         let control = ControlNode {
+            own,
             client: GroupClient::new(base.links.clone(), Some((own, handle.clone()))),
             shared: Arc::clone(&shared),
             handle,
@@ -304,7 +306,8 @@
                 Inbound::Closed { hello, fell_silent } => {
                     let now_ms = self.clock.now_ms();
                     let mut presence = self.shared.presence.lock();
-                    presence.lose(&hello, fell_silent, now_ms);
+                    let is_linked = hello.is_linked_to(self.own);
+                    presence.lose(&hello, is_linked, fell_silent, now_ms);
                 }
                 Inbound::Message {
                     from,
@@ -330,6 +333,15 @@
                     self.shared.changes.send_modify(|count| *count += 1);
                 }
             }
+            NodeMessage::Pulse(pulse) => {
+                let now_ms = self.clock.now_ms();
+                let mut presence = self.shared.presence.lock();
+                let is_urgent = presence.note_relayed(from, pulse.heard, pulse.stopped, now_ms);
+                drop(presence);
+                if is_urgent {
+                    self.shared.changes.send_modify(|count| *count += 1);
+                }
+            }
             NodeMessage::Call {
                 call,
                 body: CallBody::Registry(body),
--- a/crates/cluster/src/control_pulses.rs
+++ b/crates/cluster/src/control_pulses.rs
@@ -11,7 +11,7 @@
 use linnethitch_registry::{FleetUpdate, Place};
 
 use crate::{
-    message::NodeRole,
+    message::{NodeRole, PlacedMachine},
     present_fleet::PresentFleet,
     pulse::{PulseRegistry, PulseSource},
     registry_service::RegistryShared,
@@ -53,12 +53,15 @@
         let now_ms = self.clock.now_ms();
         let view = Arc::clone(&self.shared.view.lock());
         let presence = self.shared.presence.lock();
-        let mut control: BTreeSet<MachineId> = view.members.iter().copied().collect();
         let heard = presence.control(now_ms);
         let mut tellers: BTreeMap<_, _> = heard.map(|(at, place)| (at, place.clone())).collect();
-        control.extend(tellers.keys());
-        control.insert(self.own);
         tellers.insert(self.own, self.place.clone());
+        let members = view.members.iter().chain(tellers.keys());
+        let control = members.map(|machine| PlacedMachine {
+            machine: *machine,
+            place: tellers.get(machine).cloned().unwrap_or_default(),
+        });
+        let control: BTreeSet<PlacedMachine> = control.collect();
         let heard_of_all = now_ms >= HEARD_OF_ALL_MS;
         PresentFleet {
             control,
@@ -70,6 +73,8 @@
             silent_coordinators: presence
                 .coordinators()
                 .silent(view.registry.gateways(), now_ms),
+            heard: presence.heard_itself(now_ms),
+            stopped: presence.coordinators().stopped(now_ms),
         }
     }
 
--- a/crates/cluster/src/coordinators.rs
+++ b/crates/cluster/src/coordinators.rs
@@ -51,6 +51,13 @@
         before.is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) <= CUT_OFF_MS)
     }
 
+    /// Those that stopped lately.
+    pub(crate) fn stopped(&self, now_ms: u64) -> BTreeSet<MachineId> {
+        let stopped = self.stopped.iter();
+        let lately = stopped.filter(|(_, at_ms)| now_ms.saturating_sub(**at_ms) <= CUT_OFF_MS);
+        lately.map(|(machine, _)| *machine).collect()
+    }
+
     /// Whether a gateway was heard of lately and has not stopped since.
     pub(crate) fn was_heard(&self, machine: MachineId) -> bool {
         self.heard.contains_key(&machine)
--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway.rs
@@ -30,6 +30,7 @@
     client::GroupClient,
     datagram_bytes::DatagramBytes,
     incoming::Inbound,
+    linked_members::{KnownMembers, LinkedMembers},
     links::Links,
     message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
@@ -110,6 +111,7 @@
             fleet: FleetView::default(),
             teller,
             control_lost: false,
+            linked: LinkedMembers::default(),
             asked_for_all: BTreeMap::new(),
             logger: settings.logger.clone(),
         };
@@ -153,6 +155,12 @@
         &self.zones
     }
 
+    /// Number of members of control to which this gateway keeps links.
+    #[must_use]
+    pub fn control_links(&self) -> usize {
+        self.links.count(&self.control.machines())
+    }
+
     /// Gateways that control no longer hears though it did lately: they may be cut off and go
     /// on.
     #[must_use]
@@ -333,6 +341,7 @@
     teller: watch::Sender<Arc<FleetView>>,
     /// No control member was heard of for [`CONTROL_LOST_MS`].
     control_lost: bool,
+    linked: LinkedMembers,
     /// When each member was asked for everything last.
     asked_for_all: BTreeMap<MachineId, Instant>,
     logger: Logger,
@@ -471,13 +480,27 @@
         *placed = told;
     }
 
-    fn keep_links(&self) {
+    fn keep_links(&mut self) {
         let now_ms = self.gateway.clock.now_ms();
         let told = self.gateway.told.lock();
         let store_members = told.store_members();
-        let mut wanted = told.control(&self.seeds.machines(), now_ms);
+        let machines = told.control(&self.seeds.machines(), now_ms);
+        let places = told.control_places();
+        let heard_ms = told.control_heard();
         drop(told);
+        let known = KnownMembers {
+            machines: &machines,
+            places: &places,
+            heard_ms: &heard_ms,
+        };
+        let choice = self
+            .linked
+            .choose(self.gateway.own, &self.gateway.place, &known, now_ms);
+        let mut wanted = choice.links;
         self.gateway.control.set_machines(wanted.clone());
+        self.gateway
+            .links
+            .say(|hello| hello.linked.clone_from(&choice.linked));
         wanted.extend(&store_members);
         self.gateway.store.set_machines(store_members);
         self.gateway.links.keep(&wanted);
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -235,6 +235,7 @@
     async fn pass_on(&mut self, message: NodeMessage) -> bool {
         let message = match message {
             NodeMessage::Hello(hello) => {
+                self.told.note_hello(&hello);
                 self.hello = hello.clone();
                 NodeMessage::Hello(hello)
             }
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -27,6 +27,8 @@
 
 /// How often a node says to control that it is there.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// A link to a leader that was opened for a call is kept for further ones.
+const REACHED_FOR: Duration = Duration::from_secs(10);
 const FIRST_RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_RECONNECT_PAUSE: Duration = Duration::from_millis(250);
 
@@ -62,6 +64,8 @@
     sender: Option<MessageSender<NodeMessage>>,
     calls: HashMap<CallId, oneshot::Sender<ReplyBody>>,
     task: JoinHandle<()>,
+    /// Until when it is kept though nobody else wants it.
+    reached_until: Option<Instant>,
 }
 
 impl Drop for Link {
@@ -92,24 +96,54 @@
         }
     }
 
-    /// Keeps links to exactly these machines, but none to this one.
+    /// Keeps links to exactly these machines and to those that are reached lately, but none
+    /// to this one.
     pub(crate) fn keep(&self, wanted: &BTreeSet<MachineId>) {
+        let now = Instant::now();
         let mut links = self.inner.links.lock();
-        links.retain(|machine, _| wanted.contains(machine));
+        links.retain(|machine, link| {
+            let is_reached = link.reached_until.is_some_and(|until| now < until);
+            wanted.contains(machine) || is_reached
+        });
         for machine in wanted {
-            if *machine == self.inner.own || links.contains_key(machine) {
-                continue;
+            if *machine != self.inner.own {
+                self.open(&mut links, *machine);
             }
-            let task = tokio::spawn(keep_link(self.clone(), *machine));
-            let link = Link {
-                sender: None,
-                calls: HashMap::new(),
-                task,
-            };
-            links.insert(*machine, link);
         }
     }
 
+    /// Opens a link to a machine for the calls of the next seconds, where there is none.
+    pub(crate) fn reach(&self, machine: MachineId) {
+        if machine == self.inner.own {
+            return;
+        }
+        let mut links = self.inner.links.lock();
+        let link = self.open(&mut links, machine);
+        link.reached_until = Some(Instant::now() + REACHED_FOR);
+    }
+
+    fn open<'a>(
+        &self,
+        links: &'a mut BTreeMap<MachineId, Link>,
+        machine: MachineId,
+    ) -> &'a mut Link {
+        links.entry(machine).or_insert_with(|| Link {
+            sender: None,
+            calls: HashMap::new(),
+            task: tokio::spawn(keep_link(self.clone(), machine)),
+            reached_until: None,
+        })
+    }
+
+    /// Number of links that are kept to some machines.
+    pub(crate) fn count(&self, machines: &BTreeSet<MachineId>) -> usize {
+        let links = self.inner.links.lock();
+        links
+            .keys()
+            .filter(|machine| machines.contains(machine))
+            .count()
+    }
+
     /// Changes what this node says of itself and says it at once.
     pub(crate) fn say(&self, change: impl FnOnce(&mut NodeHello)) {
         self.inner.hello.send_if_modified(|hello| {
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -52,6 +52,9 @@
     pub(crate) coordinates: bool,
     /// The newest change of the registry that it knows.
     pub(crate) upto: LogIndex,
+    /// Members of control to which it keeps links; empty where it does to all. The end of
+    /// another link tells nothing of it.
+    pub(crate) linked: Vec<MachineId>,
     /// The job store, told by its leader.
     pub(crate) store_group: Option<StoreGroupView>,
 }
@@ -65,6 +68,11 @@
         }
     }
 
+    /// Whether it keeps a link to a member of control.
+    pub(crate) fn is_linked_to(&self, member: MachineId) -> bool {
+        self.linked.is_empty() || self.linked.contains(&member)
+    }
+
     /// Whether nothing that others act on differs: how far a node knows the
     /// registry counts at the opening of a connection only.
     pub(crate) fn says_the_same(&self, other: &NodeHello) -> bool {
@@ -84,9 +92,9 @@
     pub(crate) member: Option<MemberId>,
 }
 
-/// A member of the job store, and where it is as far as the sender knows.
+/// A machine, and where it is as far as the sender knows.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
-pub(crate) struct PlacedStore {
+pub(crate) struct PlacedMachine {
     pub(crate) machine: MachineId,
     pub(crate) place: Place,
 }
@@ -100,16 +108,27 @@
     pub place: Place,
 }
 
+/// A gateway that a control member hears itself.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+pub(crate) struct HeardGateway {
+    pub(crate) machine: MachineId,
+    pub(crate) place: Place,
+    /// Its address for callers, as IP:PORT.
+    pub(crate) callers: Option<String>,
+    pub(crate) ready: bool,
+    pub(crate) coordinates: bool,
+}
+
 /// What control tells every node that is connected: that it is there, and what
 /// changed since the last pulse on this connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub(crate) struct Pulse {
-    /// Machines of control.
-    pub(crate) control: Option<SetChange<MachineId>>,
+    /// Machines of control, and where they are.
+    pub(crate) control: Option<SetChange<PlacedMachine>>,
     /// Machines with disks for the job store; told to stores.
     pub(crate) stores: Option<SetChange<PresentStore>>,
     /// Voters and learners of the job store, and where they are.
-    pub(crate) store_members: Option<SetChange<PlacedStore>>,
+    pub(crate) store_members: Option<SetChange<PlacedMachine>>,
     /// Gateways that are ready; told to gateways, not before control has heard of all.
     pub(crate) gateways: Option<SetChange<DirectoryNode>>,
     /// Gateways that coordinate slots; told to gateways.
@@ -117,6 +136,11 @@
     /// Gateways that did and fell silent, so that they may be cut off and go on; told to
     /// gateways.
     pub(crate) silent_coordinators: Option<SetChange<MachineId>>,
+    /// Gateways that the sender hears itself; told to other members of control.
+    pub(crate) heard: Option<SetChange<HeardGateway>>,
+    /// Gateways that said to the sender that they stop, or whose connection ended; told to
+    /// other members of control.
+    pub(crate) stopped: Option<SetChange<MachineId>>,
     /// The registry.
     pub(crate) update: Option<FleetUpdate>,
     /// The newest change that the sender knows, where it knows what is in force.
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -127,6 +127,7 @@
             ready: false,
             coordinates: role == NodeRole::Gateway,
             upto: Default::default(),
+            linked: Vec::new(),
             store_group: None,
         };
         let links = Links::new(settings, hello, sender.clone(), Arc::clone(&traffic));
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -3,16 +3,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethitch_protocol::ids::{MachineId, MemberId};
-use linnethitch_registry::{DirectoryNode, NodeList, Place};
+use linnethitch_registry::{DirectoryNode, NodeList, Place, READY_FOR_MS};
 
 use crate::{
     coordinators::Coordinators,
-    message::{NodeHello, NodeRole, PlacedGateway, PlacedStore, PresentStore, StoreGroupView},
+    message::{
+        HeardGateway, NodeHello, NodeRole, PlacedGateway, PlacedMachine, PresentStore,
+        StoreGroupView,
+    },
+    relayed_presence::RelayedPresence,
+    told_set::SetChange,
 };
 
 /// A control member or store counts as present for this long, in milliseconds.
 const PRESENT_MS: u64 = 2_500;
 
+/// What another member says of a gateway counts as so old, in milliseconds: it says it anew
+/// within this time, and the gateway is listed for as much less after its last word.
+const RELAYED_AGE_MS: u64 = 500;
+
 struct Heard {
     hello: NodeHello,
     at_ms: u64,
@@ -25,6 +34,9 @@
     coordinators: Coordinators,
     /// Where gateways are that coordinate slots.
     places: BTreeMap<MachineId, Place>,
+    /// Gateways that this member hears itself, and when it heard them last.
+    itself: BTreeMap<MachineId, (HeardGateway, u64)>,
+    relayed: RelayedPresence,
     stores: BTreeMap<MachineId, Heard>,
     /// Control members: where they are and when they said so.
     control: BTreeMap<MachineId, (Place, u64)>,
@@ -40,9 +52,12 @@
     pub(crate) fn note(&mut self, hello: NodeHello, now_ms: u64) -> bool {
         let is_urgent = match hello.role {
             NodeRole::Gateway => {
-                let is_news = self.note_gateway(&hello, now_ms);
-                let is_urgent = self.note_coordinator(&hello, now_ms);
-                self.news += u64::from(is_news);
+                let gateway = heard_gateway(&hello);
+                let is_urgent = self.note_gateway(&gateway, now_ms);
+                let said = (gateway, now_ms);
+                let before = self.itself.insert(hello.machine, said);
+                let heard = self.itself.get(&hello.machine).map(|(heard, _)| heard);
+                self.news += u64::from(before.as_ref().map(|(heard, _)| heard) != heard);
                 is_urgent
             }
             NodeRole::Control => {
@@ -63,8 +78,19 @@
 
     /// Notes that a node's connection ended. One that had fallen silent may be cut off and
     /// go on; any other has stopped.
-    pub(crate) fn lose(&mut self, hello: &NodeHello, fell_silent: bool, now_ms: u64) {
+    pub(crate) fn lose(
+        &mut self,
+        hello: &NodeHello,
+        is_linked: bool,
+        fell_silent: bool,
+        now_ms: u64,
+    ) {
         self.news += 1;
+        self.itself.remove(&hello.machine);
+        if !is_linked {
+            // It keeps links to other members: the end of this one tells nothing of it.
+            return;
+        }
         if let Some(address) = &hello.callers {
             self.gateways.lose(address);
         }
@@ -74,6 +100,51 @@
         }
     }
 
+    /// Takes what another member hears of gateways; true when others should learn of it at
+    /// once. What this member hears of one itself counts for more.
+    pub(crate) fn note_relayed(
+        &mut self,
+        member: MachineId,
+        heard: Option<SetChange<HeardGateway>>,
+        stopped: Option<SetChange<MachineId>>,
+        now_ms: u64,
+    ) -> bool {
+        let is_news = self.relayed.take(member, heard, stopped, now_ms);
+        self.news += u64::from(is_news);
+        let heard: Vec<HeardGateway> = self
+            .relayed
+            .heard_by(member)
+            .filter(|gateway| !self.hears_itself(gateway.machine, now_ms))
+            .cloned()
+            .collect();
+        let mut is_urgent = false;
+        for gateway in heard {
+            is_urgent |= self.note_gateway(&gateway, now_ms.saturating_sub(RELAYED_AGE_MS));
+        }
+        for machine in self.relayed.stopped_by(member, now_ms) {
+            if !self.hears_itself(machine, now_ms) && self.coordinators.was_heard(machine) {
+                is_urgent |= self.coordinators.stop(machine, now_ms);
+                self.places.remove(&machine);
+            }
+        }
+        self.news += u64::from(is_urgent);
+        is_urgent
+    }
+
+    fn hears_itself(&self, machine: MachineId, now_ms: u64) -> bool {
+        let heard = self.itself.get(&machine);
+        heard.is_some_and(|(_, at_ms)| now_ms.saturating_sub(*at_ms) <= READY_FOR_MS)
+    }
+
+    /// Gateways that this member hears itself.
+    pub(crate) fn heard_itself(&self, now_ms: u64) -> BTreeSet<HeardGateway> {
+        let heard = self.itself.values();
+        heard
+            .filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) <= READY_FOR_MS)
+            .map(|(gateway, _)| gateway.clone())
+            .collect()
+    }
+
     /// Gateways that coordinate slots.
     pub(crate) fn coordinators(&self) -> &Coordinators {
         &self.coordinators
@@ -114,10 +185,10 @@
     }
 
     /// Members of the job store, and where those are that were heard of.
-    pub(crate) fn store_members(&self) -> BTreeSet<PlacedStore> {
+    pub(crate) fn store_members(&self) -> BTreeSet<PlacedMachine> {
         let group = self.store_group.iter();
         let machines = group.flat_map(|group| &group.machines);
-        let placed = machines.map(|machine| PlacedStore {
+        let placed = machines.map(|machine| PlacedMachine {
             machine: *machine,
             place: self
                 .stores
@@ -146,26 +217,27 @@
         (is_quiet && !members.is_empty()).then_some(members)
     }
 
-    /// True when that is another one than before.
-    fn note_gateway(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
-        let Some(address) = &hello.callers else {
-            return false;
-        };
-        let node = DirectoryNode {
-            address: address.clone(),
-            zone: hello.zone.clone(),
-            region: hello.region.clone(),
-        };
-        self.gateways.note(node, hello.ready, now_ms)
+    /// Notes a gateway; true when others should learn of it at once.
+    fn note_gateway(&mut self, gateway: &HeardGateway, now_ms: u64) -> bool {
+        if let Some(address) = &gateway.callers {
+            let node = DirectoryNode {
+                address: address.clone(),
+                zone: gateway.place.zone.clone(),
+                region: gateway.place.region.clone(),
+            };
+            let is_news = self.gateways.note(node, gateway.ready, now_ms);
+            self.news += u64::from(is_news);
+        }
+        self.note_coordinator(gateway, now_ms)
     }
 
-    fn note_coordinator(&mut self, hello: &NodeHello, now_ms: u64) -> bool {
-        if !hello.coordinates {
-            self.places.remove(&hello.machine);
-            return self.coordinators.stop(hello.machine, now_ms);
+    fn note_coordinator(&mut self, gateway: &HeardGateway, now_ms: u64) -> bool {
+        if !gateway.coordinates {
+            self.places.remove(&gateway.machine);
+            return self.coordinators.stop(gateway.machine, now_ms);
         }
-        self.places.insert(hello.machine, hello.place());
-        let is_new = self.coordinators.note(hello.machine, now_ms);
+        self.places.insert(gateway.machine, gateway.place.clone());
+        let is_new = self.coordinators.note(gateway.machine, now_ms);
         if is_new {
             let coordinators = &self.coordinators;
             self.places
@@ -209,6 +281,16 @@
     }
 }
 
+fn heard_gateway(hello: &NodeHello) -> HeardGateway {
+    HeardGateway {
+        machine: hello.machine,
+        place: hello.place(),
+        callers: hello.callers.clone(),
+        ready: hello.ready,
+        coordinates: hello.coordinates,
+    }
+}
+
 fn is_present(at_ms: u64, now_ms: u64) -> bool {
     now_ms.saturating_sub(at_ms) <= PRESENT_MS
 }
--- a/crates/cluster/src/present_fleet.rs
+++ b/crates/cluster/src/present_fleet.rs
@@ -14,7 +14,7 @@
 use linnethitch_registry::{DirectoryNode, Place};
 
 use crate::{
-    message::{PlacedGateway, PlacedStore, PresentStore},
+    message::{HeardGateway, PlacedGateway, PlacedMachine, PresentStore},
     told_set::{SetChange, set_change},
 };
 
@@ -31,31 +31,37 @@
 /// Who is present.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PresentFleet {
-    /// Machines of control.
-    pub(crate) control: BTreeSet<MachineId>,
+    /// Machines of control, and where they are.
+    pub(crate) control: BTreeSet<PlacedMachine>,
     /// Where those of them are that were heard of lately, this one too.
     pub(crate) tellers: BTreeMap<MachineId, Place>,
     /// Machines with disks for the job store.
     pub(crate) stores: BTreeSet<PresentStore>,
     /// Voters and learners of the job store.
-    pub(crate) store_members: BTreeSet<PlacedStore>,
+    pub(crate) store_members: BTreeSet<PlacedMachine>,
     /// Gateways that are ready; `None` while control has not yet heard of all.
     pub(crate) gateways: Option<BTreeSet<DirectoryNode>>,
     /// Gateways that coordinate slots.
     pub(crate) coordinators: BTreeSet<PlacedGateway>,
     /// Gateways that did and fell silent.
     pub(crate) silent_coordinators: BTreeSet<MachineId>,
+    /// Gateways that this member hears itself.
+    pub(crate) heard: BTreeSet<HeardGateway>,
+    /// Gateways that stopped, as it heard itself.
+    pub(crate) stopped: BTreeSet<MachineId>,
 }
 
 /// What changed between two moments.
 #[derive(Debug)]
 pub(crate) struct PresenceChange {
-    pub(crate) control: Option<SetChange<MachineId>>,
+    pub(crate) control: Option<SetChange<PlacedMachine>>,
     pub(crate) stores: Option<SetChange<PresentStore>>,
-    pub(crate) store_members: Option<SetChange<PlacedStore>>,
+    pub(crate) store_members: Option<SetChange<PlacedMachine>>,
     pub(crate) gateways: Option<SetChange<DirectoryNode>>,
     pub(crate) coordinators: Option<SetChange<PlacedGateway>>,
     pub(crate) silent_coordinators: Option<SetChange<MachineId>>,
+    pub(crate) heard: Option<SetChange<HeardGateway>>,
+    pub(crate) stopped: Option<SetChange<MachineId>>,
 }
 
 impl PresenceChange {
@@ -75,6 +81,8 @@
                 told.map(|told| &told.silent_coordinators),
                 &now.silent_coordinators,
             ),
+            heard: set_change(told.map(|told| &told.heard), &now.heard),
+            stopped: set_change(told.map(|told| &told.stopped), &now.stopped),
         }
     }
 }
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -80,6 +80,8 @@
     machine: MachineId,
     place: Place,
     role: NodeRole,
+    /// Members to which the node keeps links; empty where it does to all.
+    linked: Vec<MachineId>,
     /// The newest change of the registry that the node was told or knows.
     upto: LogIndex,
     /// Since when a change is withheld that another control member tells.
@@ -97,6 +99,7 @@
             machine: hello.machine,
             place: hello.place(),
             role: hello.role,
+            linked: hello.linked.clone(),
             upto: hello.upto,
             withheld_since: None,
             withheld: Duration::ZERO,
@@ -104,6 +107,11 @@
         }
     }
 
+    /// Notes what the node says of itself by now.
+    pub(crate) fn note_hello(&mut self, hello: &NodeHello) {
+        self.linked.clone_from(&hello.linked);
+    }
+
     /// Notes that the node knows the registry up to an entry, whoever told it.
     pub(crate) fn note_known(&mut self, upto: LogIndex) {
         if upto > self.upto {
@@ -139,7 +147,10 @@
             self.withheld_since = None;
             return None;
         }
-        let tellers = tellers.iter().map(|(machine, place)| (*machine, place));
+        let is_linked =
+            |machine: &MachineId| self.linked.is_empty() || self.linked.contains(machine);
+        let tellers = tellers.iter().filter(|(machine, _)| is_linked(machine));
+        let tellers = tellers.map(|(machine, place)| (*machine, place));
         let rank = tell_rank(self.machine, &self.place, source.own, tellers);
         self.withheld = WITHHELD_FOR * LAST_RANK.min(rank as u32);
         let since = *self.withheld_since.get_or_insert_with(Instant::now);
@@ -178,7 +189,10 @@
                 let silent = &change.silent_coordinators;
                 pulse.silent_coordinators.clone_from(silent);
             }
-            NodeRole::Control => {}
+            NodeRole::Control => {
+                pulse.heard.clone_from(&change.heard);
+                pulse.stopped.clone_from(&change.stopped);
+            }
         }
         self.last = Some(fleet);
         pulse
--- a/crates/cluster/src/told_fleet.rs
+++ b/crates/cluster/src/told_fleet.rs
@@ -9,7 +9,7 @@
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_registry::{DirectoryNode, Place};
 
-use crate::message::{PlacedGateway, PlacedStore, PresentStore, Pulse};
+use crate::message::{PlacedGateway, PlacedMachine, PresentStore, Pulse};
 
 /// What a control member told counts for this long after it was last heard of,
 /// compared with the one that was heard of last, in milliseconds.
@@ -22,9 +22,9 @@
 struct Told {
     /// When it was last heard of.
     at_ms: u64,
-    control: BTreeSet<MachineId>,
+    control: BTreeSet<PlacedMachine>,
     stores: BTreeSet<PresentStore>,
-    store_members: BTreeSet<PlacedStore>,
+    store_members: BTreeSet<PlacedMachine>,
     gateways: BTreeSet<DirectoryNode>,
     coordinators: BTreeSet<PlacedGateway>,
     silent_coordinators: BTreeSet<MachineId>,
@@ -82,9 +82,12 @@
         if let Some(change) = pulse.silent_coordinators.take() {
             change.apply_to(&mut told.silent_coordinators);
         }
-        let new_control = note_named(&mut self.control, &told.control, now_ms);
-        let members = told.store_members.iter();
-        let members = members.map(|member| member.machine).collect();
+        let machines = |placed: &BTreeSet<PlacedMachine>| {
+            let machines = placed.iter().map(|placed| placed.machine);
+            machines.collect::<BTreeSet<MachineId>>()
+        };
+        let new_control = note_named(&mut self.control, &machines(&told.control), now_ms);
+        let members = machines(&told.store_members);
         let new_store = note_named(&mut self.store_members, &members, now_ms);
         self.by_control
             .retain(|_, told| now_ms.saturating_sub(told.at_ms) < FORGOTTEN_MS);
@@ -100,6 +103,17 @@
         machines
     }
 
+    /// Where machines of control are, as far as any of them knows.
+    pub(crate) fn control_places(&self) -> BTreeMap<MachineId, Place> {
+        places(self.recent().flat_map(|(_, told)| &told.control))
+    }
+
+    /// When each machine of control was heard of last.
+    pub(crate) fn control_heard(&self) -> BTreeMap<MachineId, u64> {
+        let told = self.by_control.iter();
+        told.map(|(machine, told)| (*machine, told.at_ms)).collect()
+    }
+
     /// Members of the job store to link to.
     pub(crate) fn store_members(&self) -> BTreeSet<MachineId> {
         self.store_members.keys().copied().collect()
@@ -107,11 +121,7 @@
 
     /// Where members of the job store are, as far as any control member knows.
     pub(crate) fn store_places(&self) -> BTreeMap<MachineId, Place> {
-        let members = self.recent().flat_map(|(_, told)| &told.store_members);
-        let placed = members.filter(|member| !member.place.zone.is_empty());
-        placed
-            .map(|member| (member.machine, member.place.clone()))
-            .collect()
+        places(self.recent().flat_map(|(_, told)| &told.store_members))
     }
 
     /// Machines with disks for the job store that any control member sees.
@@ -208,3 +218,11 @@
     named.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FORGOTTEN_MS);
     is_news
 }
+
+/// Where machines are, as far as it is known.
+fn places<'a>(machines: impl Iterator<Item = &'a PlacedMachine>) -> BTreeMap<MachineId, Place> {
+    let placed = machines.filter(|placed| !placed.place.zone.is_empty());
+    placed
+        .map(|placed| (placed.machine, placed.place.clone()))
+        .collect()
+}
--- a/crates/cluster/src/told_set.rs
+++ b/crates/cluster/src/told_set.rs
@@ -1,7 +1,7 @@
 //! A set that one node tells another as changes since it told last, so that
 //! telling costs what changed and not what there is.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -25,6 +25,17 @@
         }
         held.extend(self.added);
     }
+
+    /// The same where the receiver holds them by a key.
+    pub(crate) fn apply_to_map<K: Ord>(self, held: &mut BTreeMap<K, T>, key: impl Fn(&T) -> K) {
+        if self.is_first {
+            held.clear();
+        }
+        for entry in &self.removed {
+            held.remove(&key(entry));
+        }
+        held.extend(self.added.into_iter().map(|entry| (key(&entry), entry)));
+    }
 }
 
 /// What is to be told so that a receiver who was told `told` holds `now`; `None` when it does.
--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod gateways;
 mod known_gateways;
+mod links;
 mod regions;
 mod results;
 mod silence;
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -135,6 +135,8 @@
     pub(crate) control_silent_ms: Gauge,
     /// Bytes of requests and answers that are held.
     pub(crate) held_bytes: Gauge,
+    /// Members of control to which links are kept.
+    pub(crate) control_links: Gauge,
     /// Gateways that share the counts of limits, and those besides that may go on unheard.
     pub(crate) listed_gateways: Gauge,
     pub(crate) silent_gateways: Gauge,
@@ -167,6 +169,7 @@
             suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
             held_bytes: Gauge::default(),
+            control_links: Gauge::default(),
             listed_gateways: Gauge::default(),
             silent_gateways: Gauge::default(),
         };
@@ -237,6 +240,9 @@
         let held = self.held_bytes.clone();
         let help = "Bytes of requests and answers that are held for others to read";
         registry.register("relay_held_bytes", help, held);
+        let links = self.control_links.clone();
+        let help = "Members of control to which this gateway keeps links";
+        registry.register("relay_control_links", help, links);
         let listed = self.listed_gateways.clone();
         let help = "Gateways that share the counts of limits, as this one was told";
         registry.register("relay_listed_gateways", help, listed);
