Routing: a replica's present slowness, the fourth figure of its load, counts in its expected time

Cause: three figures of a load were read, the fourth (how long work takes there now) was dropped. Change: the expected time is longer by what is told, half as much after each 200 ms.

--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -13,7 +13,7 @@
     distances::Distances,
     kept_parts::PromptPart,
     rendezvous::spread,
-    replica::{FailureKind, Replica, ReplicaTraits, ReportedLoad, RunningWork, WorkKind},
+    replica::{BASE_MS, FailureKind, Replica, ReplicaTraits, ReportedLoad, RunningWork, WorkKind},
     service_replicas::{Key, ServiceReplicas},
 };
 
@@ -527,7 +527,10 @@
         let unread = unread_tokens(replica, need.prompt, is_home);
         let reading_ms = (unread + replica.unread_tokens as f64) / READ_TOKENS_PER_MS;
         let expected_ms = waiting_ms + running_ms + reading_ms;
-        expected_ms * replica.pace() + replica.overdue_ms(now_ms) as f64 + round_trips * beyond_ms
+        let slowed_by_ms = (expected_ms + BASE_MS) * (replica.slowness(now_ms) - 1.0);
+        (expected_ms + slowed_by_ms) * replica.pace()
+            + replica.overdue_ms(now_ms) as f64
+            + round_trips * beyond_ms
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -31,7 +31,9 @@
 pub use kept_parts::PromptPart;
 pub(crate) use rendezvous::spread;
 pub use rendezvous::{NearGateways, coordinator_of};
-pub use replica::{FailureKind, ReplicaTraits, ReportedLoad, RunningWork, WorkKind};
+pub use replica::{
+    FailureKind, ReplicaTraits, ReportedLoad, RunningWork, USUAL_SLOWNESS, WorkKind,
+};
 pub use silence::{SilentCoordinators, answer_limit};
 pub use weights::WeightedTurns;
 pub use work_calls::{WorkCalls, WorkRhythm, WorkState};
--- a/crates/routing/src/dispatch/replica.rs
+++ b/crates/routing/src/dispatch/replica.rs
@@ -24,9 +24,12 @@
 const SLOWEST_PACE: f64 = 10.0;
 const FASTEST_PACE: f64 = 0.7;
 /// Time to the first event of an idle replica that is not waiting or reading, in milliseconds.
-const BASE_MS: f64 = 25.0;
+pub(super) const BASE_MS: f64 = 25.0;
 /// A report counts half as much after this time, in milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 400.0;
+/// What is told of a replica's present slowness counts half as much after this time, in
+/// milliseconds: others share its machine, and come and go several times a second.
+const SLOWNESS_HALF_LIFE_MS: f64 = 200.0;
 /// Share of the KV cache that kept parts are assumed to have.
 const KEPT_SHARE: f64 = 0.6;
 
@@ -58,8 +61,13 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes there at that moment, in hundredths of what is usual.
+    pub slowness: u32,
 }
 
+/// The slowness of a replica that works as usual, or does not tell.
+pub const USUAL_SLOWNESS: u32 = 100;
+
 /// How a request failed at a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailureKind {
@@ -150,9 +158,9 @@
 
 impl Load {
     /// How much of it still counts: half after each half-life.
-    fn freshness(&self, now_ms: u64) -> f64 {
+    fn freshness(&self, now_ms: u64, half_life_ms: f64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        (-age_ms / LOAD_HALF_LIFE_MS).exp2()
+        (-age_ms / half_life_ms).exp2()
     }
 }
 
@@ -216,7 +224,7 @@
             return f64::from(beyond + told.waiting);
         }
         self.load.map_or(0.0, |load| {
-            f64::from(load.told.waiting) * load.freshness(now_ms)
+            f64::from(load.told.waiting) * load.freshness(now_ms, LOAD_HALF_LIFE_MS)
         })
     }
 
@@ -225,7 +233,7 @@
     pub(crate) fn others(&self, now_ms: u64) -> f64 {
         self.load.map_or(0.0, |load| {
             let others = load.told.running.saturating_sub(load.own_then);
-            f64::from(others) * load.freshness(now_ms)
+            f64::from(others) * load.freshness(now_ms, LOAD_HALF_LIFE_MS)
         })
     }
 
@@ -241,6 +249,15 @@
         self.pace
     }
 
+    /// How much longer work takes there now than usual, as a factor: as it told last, which
+    /// counts less the older it is.
+    pub(crate) fn slowness(&self, now_ms: u64) -> f64 {
+        self.load.map_or(1.0, |load| {
+            let told = f64::from(load.told.slowness) / f64::from(USUAL_SLOWNESS);
+            1.0 + (told - 1.0) * load.freshness(now_ms, SLOWNESS_HALF_LIFE_MS)
+        })
+    }
+
     /// How long the oldest request without its first event is overdue, in milliseconds.
     pub(crate) fn overdue_ms(&self, now_ms: u64) -> u64 {
         let oldest = self.awaited.values().next();
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -2,7 +2,8 @@
 
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_routing::dispatch::{
-    Board, Chosen, FailureKind, Need, PromptPart, ReplicaTraits, WeightedTurns, WorkKind,
+    Board, Chosen, FailureKind, Need, PromptPart, ReplicaTraits, ReportedLoad, WeightedTurns,
+    WorkKind,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -57,6 +58,34 @@
     assert!(counts.values().all(|count| *count == 10), "{counts:?}");
 }
 
+/// Others work on a replica's machine: it is left alone while that is known to be so. What
+/// was told a while ago counts for nothing.
+#[rstest]
+#[case::slow_now(250, 100, 0)]
+#[case::slow_a_while_ago(250, 4_000, 50)]
+#[case::as_usual(100, 100, 50)]
+fn a_replica_that_is_slow_at_present_is_left_alone(
+    #[case] slowness: u32,
+    #[case] later_ms: u64,
+    #[case] fewest: u32,
+) {
+    let mut board = board(2);
+    let told = ReportedLoad {
+        running: 0,
+        waiting: 0,
+        slots: 4,
+        slowness,
+    };
+    board.note_load("r0", told, 1_000);
+    let mut random = random();
+    let to_it = (0..200).filter(|_| {
+        let chosen = choose(&board, 1_000 + later_ms, &mut random);
+        chosen.is_some_and(|chosen| chosen.id == "r0")
+    });
+    let to_it = to_it.count() as u32;
+    assert!(to_it >= fewest && (fewest > 0 || to_it == 0), "{to_it}");
+}
+
 #[test]
 fn a_shared_prompt_goes_where_it_was_read() {
     let mut board = board(8);
