--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board.rs
@@ -508,10 +508,8 @@
             .collect();
         let closed = open.iter().filter(|r| r.is_told_closed(now_ms)).count();
         let leaves_out = closed * 2 <= open.len();
-        open.retain(|replica| {
-            !need.except.contains(&replica.traits.id)
-                && !(leaves_out && replica.is_told_closed(now_ms))
-        });
+        open.retain(|replica| !need.except.contains(&replica.traits.id));
+        open.retain(|replica| !leaves_out || !replica.is_told_closed(now_ms));
         open
     }
 
