--- a/crates/cluster/src/gateway.rs
+++ b/crates/cluster/src/gateway/mod.rs
@@ -1,8 +1,10 @@
 //! A gateway as the other nodes see it: it learns the fleet from control and
 //! calls the job store.
 
+mod learner;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -11,46 +13,33 @@
     time::Duration,
 };
 
-use linnethitch_clock::{Clock, Instant, timeout};
+use linnethitch_clock::{Clock, timeout};
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
-    DirectoryQuestion, EndedRun, FleetUpdate, FleetView, Place, RegistryCommand,
-    RequestFingerprint, ZoneMap, near,
+    DirectoryQuestion, EndedRun, FleetView, Place, RegistryCommand, RequestFingerprint, ZoneMap,
+    near,
 };
 use linnethitch_transport::Datagrams;
 use parking_lot::Mutex;
-use slog::{Logger, error, info, warn};
-use tokio::{
-    sync::{mpsc, watch},
-    time::interval,
-};
+use slog::{Logger, error, warn};
+use tokio::sync::watch;
 
+use self::learner::Learner;
 use crate::{
     client::GroupClient,
     datagram_bytes::DatagramBytes,
-    incoming::Inbound,
-    linked_members::{KnownMembers, LinkedMembers},
+    linked_members::LinkedMembers,
     links::Links,
-    message::{NodeMessage, NodeRole, PlacedGateway, Pulse, RegistryCall, RegistryReply},
+    message::{NodeRole, PlacedGateway, RegistryCall, RegistryReply},
     node::{NodeBase, NodeSettings, address_of},
-    seeds::Seeds,
     standstill::Standstill,
     told_fleet::ToldFleet,
 };
 
-/// How often links are looked at.
-const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// A member that was asked for everything is asked again after this: everything is a few
-/// hundred kilobytes, and takes that long over a narrow link.
-const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// Control counts as lost when none of its members was heard of for so long, in
 /// milliseconds: three of its pulses were missed.
 const CONTROL_LOST_MS: u64 = 1_800;
-/// A gateway that control named is told what ends replicas for so long, in milliseconds: one
-/// that control does not hear, or that stops, may serve on.
-const NAMED_FOR_MS: u64 = 60_000;
-
 /// A running gateway. Clones share it.
 #[derive(Clone)]
 pub struct GatewayNode {
@@ -332,177 +321,3 @@
         }
     }
 }
-
-/// Takes what control tells.
-struct Learner {
-    gateway: GatewayNode,
-    seeds: Seeds,
-    fleet: FleetView,
-    teller: watch::Sender<Arc<FleetView>>,
-    /// No control member was heard of for [`CONTROL_LOST_MS`].
-    control_lost: bool,
-    linked: LinkedMembers,
-    /// When each member was asked for everything last.
-    asked_for_all: BTreeMap<MachineId, Instant>,
-    logger: Logger,
-}
-
-impl Learner {
-    async fn run(mut self, mut inbox: mpsc::Receiver<Inbound>) {
-        let mut ticks = interval(UPKEEP_INTERVAL);
-        loop {
-            tokio::select! {
-                _ = ticks.tick() => {
-                    self.gateway.note_running();
-                    self.keep_links();
-                    self.note_coordinators();
-                    self.look_for_control();
-                }
-                inbound = inbox.recv() => match inbound {
-                    Some(Inbound::Message {
-                        from,
-                        message: NodeMessage::Pulse(pulse),
-                        link_opened,
-                        ..
-                    }) => self.take(from, *pulse, link_opened),
-                    Some(_) => {}
-                    None => return,
-                },
-            }
-        }
-    }
-
-    fn take(&mut self, from: MachineId, mut pulse: Pulse, link_opened: Option<Instant>) {
-        let now_ms = self.gateway.clock.now_ms();
-        self.note_control_heard(from, now_ms);
-        let has_coordinators = pulse.coordinators.is_some();
-        let names_others = self.gateway.told.lock().take(from, &mut pulse, now_ms);
-        if names_others {
-            self.keep_links();
-        }
-        if has_coordinators {
-            self.note_coordinators();
-        }
-        if let Some(update) = pulse.update {
-            self.take_update(from, update);
-        }
-        if pulse
-            .current
-            .is_some_and(|current| current <= self.fleet.upto())
-        {
-            self.gateway.current_at_ms.store(now_ms, Ordering::Relaxed);
-            self.note_news(link_opened);
-        }
-    }
-
-    /// A member told all that is in force. A process that has just woken up learns by this
-    /// that it stood still, before it takes what had waited for news.
-    fn note_news(&self, link_opened: Option<Instant>) {
-        self.gateway.note_running();
-        if let Some(opened) = link_opened {
-            self.gateway.standstill.note_news(opened);
-        }
-    }
-
-    fn take_update(&mut self, from: MachineId, update: FleetUpdate) {
-        if self.fleet.take(update) {
-            let upto = self.fleet.upto();
-            self.gateway.links.say(|hello| hello.upto = upto);
-            let version = self.fleet.table().map(|table| table.version);
-            let evacuated: Vec<&str> = self.fleet.evacuations().zones().collect();
-            info!(self.logger, "fleet changed"; "upto" => upto.0, "version" => version,
-                "evacuated" => evacuated.join(" "),
-                "from" => address_of(from).to_string(),
-                "replicas" => self.fleet.live_count());
-            self.teller.send_replace(Arc::new(self.fleet.clone()));
-        }
-        if self.fleet.needs_whole() {
-            self.ask_for_all(from);
-        }
-    }
-
-    /// What this control member told builds on something that is not known here, such as
-    /// when another group took the place of the one that told before.
-    fn ask_for_all(&mut self, from: MachineId) {
-        let now = Instant::now();
-        let asked = self.asked_for_all.get(&from);
-        if asked.is_some_and(|asked| now < *asked + ASK_AGAIN_AFTER) {
-            return;
-        }
-        self.asked_for_all.insert(from, now);
-        let upto = self.fleet.upto();
-        warn!(self.logger, "fleet not known"; "upto" => upto.0,
-            "from" => address_of(from).to_string());
-        self.gateway.links.say(|hello| hello.upto = upto);
-        self.gateway.links.send(from, &NodeMessage::TellAll);
-    }
-
-    /// Says once that control is away: what is in force here may be old from now on.
-    fn look_for_control(&mut self) {
-        let silent_ms = self.gateway.control_silent_ms();
-        if self.control_lost || !self.gateway.is_control_lost() {
-            return;
-        }
-        self.control_lost = true;
-        let version = self.fleet.table().map(|table| table.version);
-        warn!(self.logger, "control lost"; "silent_ms" => silent_ms,
-            "upto" => self.fleet.upto().0, "version" => version);
-    }
-
-    fn note_control_heard(&mut self, from: MachineId, now_ms: u64) {
-        if !std::mem::take(&mut self.control_lost) {
-            return;
-        }
-        let silent_ms = self.gateway.told.lock().silent_ms(now_ms);
-        info!(self.logger, "control heard of again"; "silent_ms" => silent_ms,
-            "from" => address_of(from).to_string());
-    }
-
-    fn note_named(&self, told: &[PlacedGateway]) {
-        let silent = self.gateway.told.lock().silent_coordinators();
-        let now_ms = self.gateway.clock.now_ms();
-        let heard = told.iter().map(|gateway| gateway.machine);
-        let mut named = self.gateway.named.lock();
-        named.retain(|_, at_ms| now_ms < *at_ms + NAMED_FOR_MS);
-        let all = heard.chain(silent.iter().copied());
-        named.extend(all.map(|gateway| (gateway, now_ms)));
-    }
-
-    fn note_coordinators(&self) {
-        let told = self.gateway.told.lock().coordinators();
-        self.note_named(&told);
-        let mut placed = self.gateway.placed.lock();
-        if Arc::ptr_eq(&placed, &told) {
-            return;
-        }
-        let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
-        *self.gateway.coordinators.lock() = Arc::new(machines.into_iter().collect());
-        *placed = told;
-    }
-
-    fn keep_links(&mut self) {
-        let now_ms = self.gateway.clock.now_ms();
-        let told = self.gateway.told.lock();
-        let store_members = told.store_members();
-        let machines = told.control(&self.seeds.machines(), now_ms);
-        let places = told.control_places();
-        let heard_ms = told.control_heard();
-        drop(told);
-        let known = KnownMembers {
-            machines: &machines,
-            places: &places,
-            heard_ms: &heard_ms,
-        };
-        let choice = self
-            .linked
-            .choose(self.gateway.own, &self.gateway.place, &known, now_ms);
-        let mut wanted = choice.links;
-        self.gateway.control.set_machines(wanted.clone());
-        self.gateway
-            .links
-            .say(|hello| hello.linked.clone_from(&choice.linked));
-        wanted.extend(&store_members);
-        self.gateway.store.set_machines(store_members);
-        self.gateway.links.keep(&wanted);
-    }
-}
--- a/crates/routing/src/dispatch/board.rs
+++ b/crates/routing/src/dispatch/board/mod.rs
@@ -1,5 +1,7 @@
 //! The replicas of all services, and the choice among them.
 
+mod candidates;
+
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
@@ -8,6 +10,7 @@
 use linnethitch_protocol::slots::SlotLoad;
 use rand::Rng;
 
+use self::candidates::Candidates;
 use super::{
     coordinator::CoordinatedReplica,
     distances::Distances,
@@ -17,19 +20,6 @@
     service_replicas::{Key, ServiceReplicas},
 };
 
-/// All replicas of a service with no more than these are weighed for each request: some 0.1
-/// ms of a core. Of a larger one those are that the request has most of: where its shared
-/// prompt is kept, where this gateway sent to lately, and some that are drawn.
-const MOST_WEIGHED: usize = 256;
-/// Replicas of a larger service that are drawn in this gateway's zone. The best of 32 that
-/// are drawn is among the least loaded 9 in 100 in 95 of 100 cases.
-const DRAWN_NEAR: usize = 32;
-/// Replicas of a larger service that are drawn in all zones, so that there are some where a
-/// zone is lost or small.
-const DRAWN_ANYWHERE: usize = 32;
-/// Replicas of a larger service among which a shared prompt has its home.
-const HOME_CANDIDATES: usize = 8;
-
 /// Prompt tokens that an engine reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 85.0;
 /// Expected wait for each request that waits there, in milliseconds.
@@ -278,11 +268,7 @@
         rng: &mut impl Rng,
     ) -> Option<Chosen> {
         let open = self.open_among(ids.iter().map(String::as_str), need, now_ms);
-        let candidates = Candidates {
-            home: home(&open, need.prompt),
-            open,
-        };
-        self.best(candidates, need, now_ms, rng)
+        self.best(Candidates::of(open, need.prompt), need, now_ms, rng)
     }
 
     fn best(
@@ -308,54 +294,6 @@
         })
     }
 
-    /// Replicas that are weighed for a request, and its prompt's home among them.
-    fn candidates(&self, need: &Need<'_>, now_ms: u64, rng: &mut impl Rng) -> Candidates<'_> {
-        let Some(service) = self.services.get(need.service) else {
-            return Candidates::default();
-        };
-        let all = || self.open_among(service.all().iter().map(Arc::as_ref), need, now_ms);
-        if service.all().len() <= MOST_WEIGHED {
-            let open = all();
-            return Candidates {
-                home: home(&open, need.prompt),
-                open,
-            };
-        }
-        let home = shared_part(need.prompt).and_then(|part| {
-            let near = self.following(part.id, need, now_ms);
-            home(&near, need.prompt)
-        });
-        let is_wanted = |zone: &str| need.may_be_in(zone) && !self.evacuated.contains(zone);
-        let mut drawn: Vec<&str> = service.recent().map(Arc::as_ref).collect();
-        if is_wanted(&self.zone) {
-            let near = service.draw_in(&self.zone, DRAWN_NEAR, rng);
-            drawn.extend(near.into_iter().map(Arc::as_ref));
-        }
-        let anywhere = service.draw(is_wanted, DRAWN_ANYWHERE, rng);
-        drawn.extend(anywhere.into_iter().map(Arc::as_ref));
-        drawn.extend(home.map(|home| home.traits.id.as_str()));
-        drawn.sort_unstable();
-        drawn.dedup();
-        let mut open = self.open_among(drawn.into_iter(), need, now_ms);
-        if open.is_empty() {
-            open = all();
-        }
-        Candidates { open, home }
-    }
-
-    /// Open replicas of a larger service to which a number belongs first, alike for every
-    /// gateway.
-    fn following(&self, number: u64, need: &Need<'_>, now_ms: u64) -> Vec<&Replica> {
-        let Some(service) = self.services.get(need.service) else {
-            return Vec::new();
-        };
-        let following = service.following(spread(number, "")).take(MOST_WEIGHED);
-        let replicas = following.filter_map(|id| self.replicas.get(id));
-        let open = replicas.filter(|replica| self.is_open_for(replica, need, now_ms));
-        let open = open.filter(|replica| !need.except.contains(&replica.traits.id));
-        open.take(HOME_CANDIDATES).collect()
-    }
-
     /// One replica as a choice, if it may be given new work.
     #[must_use]
     pub fn chosen_at(&self, id: &str, now_ms: u64) -> Option<Chosen> {
@@ -470,13 +408,7 @@
     /// same replica, one after the other, and different ones are spread over all, so
     /// that what ends this replica too does so in few companies.
     pub fn choose_apart(&self, need: &Need<'_>, number: u64, now_ms: u64) -> Option<Chosen> {
-        let service = self.services.get(need.service)?;
-        let open = if service.all().len() <= MOST_WEIGHED {
-            self.open_among(service.all().iter().map(Arc::as_ref), need, now_ms)
-        } else {
-            self.following(number, need, now_ms)
-        };
-        let open = open.into_iter();
+        let open = self.belonging(number, need, now_ms).into_iter();
         let replica = open.max_by_key(|replica| spread(number, &replica.traits.id))?;
         Some(chosen(replica))
     }
@@ -490,29 +422,6 @@
         open.into_iter().map(|r| r.traits.id.clone()).collect()
     }
 
-    fn is_open_for(&self, replica: &Replica, need: &Need<'_>, now_ms: u64) -> bool {
-        need.may_be_in(&replica.traits.zone) && self.is_open(replica, now_ms)
-    }
-
-    /// Those of some replicas that may be given a request. Those that fail what they are
-    /// given are left out, unless most of these do: then something else is at fault.
-    fn open_among<'a>(
-        &'a self,
-        ids: impl Iterator<Item = &'a str>,
-        need: &Need<'_>,
-        now_ms: u64,
-    ) -> Vec<&'a Replica> {
-        let replicas = ids.filter_map(|id| self.replicas.get(id));
-        let mut open: Vec<&Replica> = replicas
-            .filter(|replica| self.is_open_for(replica, need, now_ms))
-            .collect();
-        let closed = open.iter().filter(|r| r.is_told_closed(now_ms)).count();
-        let leaves_out = closed * 2 <= open.len();
-        open.retain(|replica| !need.except.contains(&replica.traits.id));
-        open.retain(|replica| !leaves_out || !replica.is_told_closed(now_ms));
-        open
-    }
-
     fn expected_ms(&self, replica: &Replica, need: &Need<'_>, is_home: bool, now_ms: u64) -> f64 {
         let waiting_ms = replica.waiting(now_ms) * COST_PER_WAITING_MS;
         let running_ms = running_cost_ms(replica, now_ms);
@@ -532,14 +441,6 @@
     }
 }
 
-/// Replicas that are weighed for a request.
-#[derive(Default)]
-struct Candidates<'a> {
-    open: Vec<&'a Replica>,
-    /// The home of its shared prompt.
-    home: Option<&'a Replica>,
-}
-
 /// What the requests under way at a replica cost a further one, in milliseconds.
 fn running_cost_ms(replica: &Replica, now_ms: u64) -> f64 {
     match replica.told_others(now_ms) {
@@ -562,19 +463,6 @@
     }
 }
 
-/// The part of a prompt that others share.
-fn shared_part(prompt: &[PromptPart]) -> Option<&PromptPart> {
-    prompt.first().filter(|_| prompt.len() > 1)
-}
-
-/// The replica where a shared prompt has its home: the same one for every
-/// gateway, by rendezvous hashing on its first part.
-fn home<'a>(replicas: &[&'a Replica], prompt: &[PromptPart]) -> Option<&'a Replica> {
-    let first = shared_part(prompt)?;
-    let replicas = replicas.iter().copied();
-    replicas.max_by_key(|replica| spread(first.id, &replica.traits.id))
-}
-
 /// Tokens of a prompt that a replica would have to read.
 fn unread_tokens(replica: &Replica, prompt: &[PromptPart], is_home: bool) -> f64 {
     let total: u32 = prompt.iter().map(|part| part.tokens).sum();
