Cluster: members go by another one's word only for gateways that keep no link to them

Cause: a pulse that another member had composed just before a gateway ended brought the gateway back on the lists of those that had seen it end, for up to 0.7 s; coordinators moved there and back, which stops items twice.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -336,7 +336,8 @@
             NodeMessage::Pulse(pulse) => {
                 let now_ms = self.clock.now_ms();
                 let mut presence = self.shared.presence.lock();
-                let is_urgent = presence.note_relayed(from, pulse.heard, pulse.stopped, now_ms);
+                let is_urgent =
+                    presence.note_relayed(self.own, from, pulse.heard, pulse.stopped, now_ms);
                 drop(presence);
                 if is_urgent {
                     self.shared.changes.send_modify(|count| *count += 1);
--- a/crates/cluster/src/control_pulses.rs
+++ b/crates/cluster/src/control_pulses.rs
@@ -74,7 +74,7 @@
                 .coordinators()
                 .silent(view.registry.gateways(), now_ms),
             heard: presence.heard_itself(now_ms),
-            stopped: presence.coordinators().stopped(now_ms),
+            stopped: presence.stopped_partly_linked(now_ms),
         }
     }
 
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -108,7 +108,7 @@
     pub place: Place,
 }
 
-/// A gateway that a control member hears itself.
+/// A gateway that a control member hears itself and that keeps links to some members only.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
 pub(crate) struct HeardGateway {
     pub(crate) machine: MachineId,
@@ -117,6 +117,8 @@
     pub(crate) callers: Option<String>,
     pub(crate) ready: bool,
     pub(crate) coordinates: bool,
+    /// Members to which it keeps links; empty where it does to all.
+    pub(crate) linked: Vec<MachineId>,
 }
 
 /// What control tells every node that is connected: that it is there, and what
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -37,6 +37,8 @@
     /// Gateways that this member hears itself, and when it heard them last.
     itself: BTreeMap<MachineId, (HeardGateway, u64)>,
     relayed: RelayedPresence,
+    /// Gateways that keep links to some members only, as this member or another one heard.
+    partly_linked: BTreeSet<MachineId>,
     stores: BTreeMap<MachineId, Heard>,
     /// Control members: where they are and when they said so.
     control: BTreeMap<MachineId, (Place, u64)>,
@@ -53,6 +55,11 @@
         let is_urgent = match hello.role {
             NodeRole::Gateway => {
                 let gateway = heard_gateway(&hello);
+                if gateway.linked.is_empty() {
+                    self.partly_linked.remove(&gateway.machine);
+                } else {
+                    self.partly_linked.insert(gateway.machine);
+                }
                 let is_urgent = self.note_gateway(&gateway, now_ms);
                 let said = (gateway, now_ms);
                 let before = self.itself.insert(hello.machine, said);
@@ -100,10 +107,12 @@
         }
     }
 
-    /// Takes what another member hears of gateways; true when others should learn of it at
-    /// once. What this member hears of one itself counts for more.
+    /// Takes what another member hears of gateways that keep no link to this one; true when
+    /// others should learn of it at once. Of all others this member goes by what it hears
+    /// itself: a word of another one would bring those back for a moment that have just ended.
     pub(crate) fn note_relayed(
         &mut self,
+        own: MachineId,
         member: MachineId,
         heard: Option<SetChange<HeardGateway>>,
         stopped: Option<SetChange<MachineId>>,
@@ -114,15 +123,19 @@
         let heard: Vec<HeardGateway> = self
             .relayed
             .heard_by(member)
+            .filter(|gateway| !gateway.linked.is_empty() && !gateway.linked.contains(&own))
             .filter(|gateway| !self.hears_itself(gateway.machine, now_ms))
             .cloned()
             .collect();
         let mut is_urgent = false;
         for gateway in heard {
+            self.partly_linked.insert(gateway.machine);
             is_urgent |= self.note_gateway(&gateway, now_ms.saturating_sub(RELAYED_AGE_MS));
         }
         for machine in self.relayed.stopped_by(member, now_ms) {
-            if !self.hears_itself(machine, now_ms) && self.coordinators.was_heard(machine) {
+            let is_relayed =
+                self.partly_linked.contains(&machine) && !self.hears_itself(machine, now_ms);
+            if is_relayed && self.coordinators.was_heard(machine) {
                 is_urgent |= self.coordinators.stop(machine, now_ms);
                 self.places.remove(&machine);
             }
@@ -136,12 +149,20 @@
         heard.is_some_and(|(_, at_ms)| now_ms.saturating_sub(*at_ms) <= READY_FOR_MS)
     }
 
-    /// Gateways that this member hears itself.
+    /// Gateways that stopped lately and kept links to some members only.
+    pub(crate) fn stopped_partly_linked(&self, now_ms: u64) -> BTreeSet<MachineId> {
+        let stopped = self.coordinators.stopped(now_ms);
+        stopped.intersection(&self.partly_linked).copied().collect()
+    }
+
+    /// Gateways that this member hears itself and that keep links to some members only.
     pub(crate) fn heard_itself(&self, now_ms: u64) -> BTreeSet<HeardGateway> {
         let heard = self.itself.values();
         heard
             .filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) <= READY_FOR_MS)
-            .map(|(gateway, _)| gateway.clone())
+            .map(|(gateway, _)| gateway)
+            .filter(|gateway| !gateway.linked.is_empty())
+            .cloned()
             .collect()
     }
 
@@ -288,6 +309,7 @@
         callers: hello.callers.clone(),
         ready: hello.ready,
         coordinates: hello.coordinates,
+        linked: hello.linked.clone(),
     }
 }
 
--- a/crates/cluster/src/present_fleet.rs
+++ b/crates/cluster/src/present_fleet.rs
@@ -45,9 +45,9 @@
     pub(crate) coordinators: BTreeSet<PlacedGateway>,
     /// Gateways that did and fell silent.
     pub(crate) silent_coordinators: BTreeSet<MachineId>,
-    /// Gateways that this member hears itself.
+    /// Gateways that this member hears itself and that keep links to some members only.
     pub(crate) heard: BTreeSet<HeardGateway>,
-    /// Gateways that stopped, as it heard itself.
+    /// Those of them that stopped, as it heard itself.
     pub(crate) stopped: BTreeSet<MachineId>,
 }
 
