Relay: the test of a slow caller fails without its mend

The test that landed with the mend passed on the untouched code as well: one pause of the caller shows the fault by chance only, and its route's time was over before more.

--- a/crates/relay/tests/all/slow_readers.rs
+++ b/crates/relay/tests/all/slow_readers.rs
@@ -3,32 +3,46 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use linnethitch_registry::RouteKind;
+use linnethitch_registry::{Route, RouteKind};
 use linnethitch_relay::{Held, HeldBytes, UnreadPieces};
 use proptest::prelude::*;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
 
-use crate::support::{Act, Fleet, Replica, read_answer, route};
+use crate::support::{Act, Fleet, Replica, route};
 
 /// More than the sockets between a caller and a replica hold.
 const EVENTS: usize = 400;
 const EVENT_BYTES: usize = 60_000;
 /// Longer than a stream may pause.
-const NOT_READING_FOR: Duration = Duration::from_millis(1_500);
+const NOT_READING_FOR: Duration = Duration::from_millis(1_700);
+/// How often the caller does not read, and what it reads in between, in bytes. One pause alone
+/// may pass by luck.
+const PAUSES: usize = 4;
+const BETWEEN_PAUSES: usize = 1_000_000;
 
 /// The stream is whole and was run once: that its caller did not read for a while is no sign
 /// that its replica is silent.
 #[tokio::test]
 async fn a_slow_caller_does_not_make_a_stream_look_broken() {
     let replica = Replica::start(vec![Act::SendEvents(EVENTS, EVENT_BYTES)]).await;
-    let resumable = route(RouteKind::Streaming, 4, true);
+    let resumable = Route {
+        timeout_ms: 20_000,
+        ..route(RouteKind::Streaming, 4, true)
+    };
     let fleet = Fleet::start(resumable, std::slice::from_ref(&replica)).await;
     fleet.add_twin(&replica).await;
     let mut stream = fleet.open("request-1", "").await;
-    tokio::time::sleep(NOT_READING_FOR).await;
-    let answer = read_answer(&mut stream).await;
-    assert!(answer.complete, "{} bytes", answer.body.len());
-    assert!(answer.body.len() > EVENTS * EVENT_BYTES);
+    let mut read = 0;
+    let mut part = vec![0; BETWEEN_PAUSES];
+    for _ in 0..PAUSES {
+        tokio::time::sleep(NOT_READING_FOR).await;
+        read += stream.read_exact(&mut part).await.expect("it goes on");
+    }
+    let mut rest = Vec::new();
+    read += stream.read_to_end(&mut rest).await.expect("it ends");
+    assert!(rest.ends_with(b"\r\n0\r\n\r\n"), "{read} bytes");
+    assert!(read > EVENTS * EVENT_BYTES);
     assert_eq!(replica.requests(), 1);
 }
 
