--- /dev/null
+++ b/crates/cluster/tests/all/builds.rs
@@ -0,0 +1,117 @@
+//! Nodes of two builds in one fleet.
+//!
+//! While machines were replaced one after the other, gateways of the build in production
+//! served by an older configuration for as long as they ran, and sent requests to a replica
+//! that had said it leaves. Their links to members of the new build were closed as soon as
+//! they opened: both called their format version 1, and neither could read the other's
+//! messages. The members of their own build, a minority by then, went on saying that they
+//! were there. Recorded messages of the build in production show it with one process: a
+//! control member closes the connection of a gateway that says who it is.
+
+use std::time::Duration;
+
+use error_stack::Report;
+use linnethitch_cluster::ControlNode;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::frame::{FrameHeader, FrameKind};
+use linnethitch_registry::{Backend, Configuration, Route, RouteKind};
+use linnethitch_transport::{ConnectionOptions, WireMessage, connect};
+use tokio::time::timeout;
+
+use crate::support::{LIMIT, configuration, free_port, host, node, start_control};
+
+/// Messages that the build of commit 4f0dab2 wrote, by name.
+const RECORDED: &str = include_str!("../recorded/format-1.txt");
+/// What the table in force is known by on the wire.
+const ROUTE_HOST: &str = "quotes.example";
+
+/// A frame as it is on the wire.
+struct Recorded(Vec<u8>);
+
+impl WireMessage for Recorded {
+    const KIND: FrameKind = FrameKind::Node;
+
+    fn to_frame(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+        Ok(self.0.clone())
+    }
+
+    fn from_payload(_: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        Ok(Recorded(payload.to_vec()))
+    }
+}
+
+fn recorded(name: &str) -> Recorded {
+    let mut lines = RECORDED.lines().filter_map(|line| line.split_once(' '));
+    let (_, hex) = lines.find(|(found, _)| *found == name).expect("recorded");
+    let digits = hex.as_bytes().chunks(2);
+    let bytes = digits.map(|pair| {
+        let pair = std::str::from_utf8(pair).expect("text");
+        u8::from_str_radix(pair, 16).expect("hex")
+    });
+    Recorded(bytes.collect())
+}
+
+fn with_route(version: u64) -> Configuration {
+    let mut configuration = configuration(version);
+    configuration.table.routes.push(Route {
+        name: "quotes".to_owned(),
+        host: ROUTE_HOST.to_owned(),
+        path_prefix: "/quotes/".to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        priority: 0,
+        public: true,
+        backends: Vec::<Backend>::new(),
+        max_attempts: 1,
+        resumable: false,
+        gap_target_ms: 0,
+        completion_ms: 0,
+        give_up_ms: 0,
+        max_queued_tokens: 0,
+        homes: Vec::new(),
+    });
+    configuration
+}
+
+async fn control_with_a_route() -> (ControlNode, tempfile::TempDir, String) {
+    let address = host(60);
+    let port = free_port(address);
+    let (control, folder) = start_control(node(address, &[address], port)).await;
+    let put = control.put_configuration(with_route(31), b"{}".to_vec(), LIMIT);
+    put.await.expect("it is held");
+    (control, folder, format!("{address}:{port}"))
+}
+
+fn options() -> ConnectionOptions {
+    ConnectionOptions {
+        open_timeout: Duration::from_secs(5),
+        keep_alive: Duration::from_millis(900),
+        idle_timeout: Duration::from_secs(5),
+        write_timeout: Duration::from_secs(5),
+        queue_frames: 64,
+        queue_bytes: 1 << 20,
+    }
+}
+
+#[tokio::test]
+async fn a_gateway_of_the_build_before_is_told_what_is_in_force() {
+    let (_control, _folder, address) = control_with_a_route().await;
+    let identity = node(host(60), &[], 0).identity;
+    let opened = connect::<Recorded, Recorded>(&address, &identity, options(), Default::default());
+    let (sender, mut receiver) = opened.await.expect("it opens").split();
+    sender.send(&recorded("hello-gateway")).await.expect("sent");
+    let told = async {
+        while let Ok(Some(Recorded(payload))) = receiver.receive().await {
+            if payload
+                .windows(ROUTE_HOST.len())
+                .any(|part| part == ROUTE_HOST.as_bytes())
+            {
+                return true;
+            }
+        }
+        false
+    };
+    let told = timeout(LIMIT, told).await.unwrap_or(false);
+    assert!(told, "the link ends before the table in force is told");
+}
--- a/crates/cluster/tests/all/main.rs
+++ b/crates/cluster/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Nodes of one process over loopback sockets.
 
+mod builds;
 mod evacuations;
 mod gateways;
 mod known_gateways;
