--- a/crates/cluster/src/control_pulses.rs
+++ b/crates/cluster/src/control_pulses.rs
@@ -7,7 +7,10 @@
 };
 
 use linnethitch_clock::Clock;
-use linnethitch_protocol::ids::{LogIndex, MachineId};
+use linnethitch_protocol::{
+    format::Format,
+    ids::{LogIndex, MachineId},
+};
 use linnethitch_registry::{FleetUpdate, Place};
 
 use crate::{
@@ -91,14 +94,14 @@
         }
     }
 
-    fn update(&self, role: NodeRole, since: LogIndex) -> Option<FleetUpdate> {
+    fn update(&self, role: NodeRole, format: Format, since: LogIndex) -> Option<FleetUpdate> {
         if !self.has_news(role, since) {
             return None;
         }
         let view = Arc::clone(&self.shared.view.lock());
         Some(match role {
             NodeRole::Store => view.registry.store_update_since(since),
-            NodeRole::Gateway | NodeRole::Control => view.registry.update_since(since),
+            NodeRole::Gateway | NodeRole::Control => view.registry.update_in(format, since),
         })
     }
 
--- a/crates/cluster/src/gateway/learner.rs
+++ b/crates/cluster/src/gateway/learner.rs
@@ -7,7 +7,7 @@
 };
 
 use linnethitch_clock::Instant;
-use linnethitch_protocol::ids::MachineId;
+use linnethitch_protocol::{format::Format, ids::MachineId};
 use linnethitch_registry::{FleetUpdate, FleetView};
 use slog::{Logger, info, warn};
 use tokio::{
@@ -176,6 +176,12 @@
             return;
         }
         let machines: BTreeSet<MachineId> = told.iter().map(|gateway| gateway.machine).collect();
+        let newest = self.gateway.links.newest_format();
+        let witnesses = told
+            .iter()
+            .filter(|gateway| gateway.common_format().min(newest) >= Format::Second);
+        let witnesses = witnesses.map(|gateway| gateway.machine).collect();
+        *self.gateway.witnesses.lock() = Arc::new(witnesses);
         *self.gateway.coordinators.lock() = Arc::new(machines.into_iter().collect());
         *placed = told;
     }
@@ -188,10 +194,13 @@
         let places = told.control_places();
         let heard_ms = told.control_heard();
         drop(told);
+        let links = &self.gateway.links;
+        let speaks_first = |machine| links.format_with(machine) == Some(Format::First);
         let known = KnownMembers {
             machines: &machines,
             places: &places,
             heard_ms: &heard_ms,
+            relay_nothing: machines.iter().any(|machine| speaks_first(*machine)),
         };
         let choice = self
             .linked
--- a/crates/cluster/src/gateway/mod.rs
+++ b/crates/cluster/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 
 use linnethitch_clock::{Clock, timeout};
 use linnethitch_job_store::{StoreCall, StoreReply};
-use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram};
+use linnethitch_protocol::{format::Format, ids::MachineId, slots::GatewayDatagram};
 use linnethitch_registry::{
     DirectoryQuestion, EndedRun, FleetView, Place, RegistryCommand, RequestFingerprint, ZoneMap,
     near,
@@ -44,7 +44,7 @@
 #[derive(Clone)]
 pub struct GatewayNode {
     fleet: watch::Receiver<Arc<FleetView>>,
-    links: Links,
+    pub(crate) links: Links,
     pub(crate) store: GroupClient<StoreCall>,
     control: GroupClient<RegistryCall>,
     own: MachineId,
@@ -55,6 +55,8 @@
     pub(crate) told: Arc<Mutex<ToldFleet>>,
     /// Gateways that coordinate slots, in a fixed order.
     coordinators: Arc<Mutex<Arc<Vec<MachineId>>>>,
+    /// Those of them that read the format in which there are witnesses of limits.
+    witnesses: Arc<Mutex<Arc<Vec<MachineId>>>>,
     /// The same ones, and where each is.
     placed: Arc<Mutex<Arc<Vec<PlacedGateway>>>>,
     /// Gateways that control named lately, also as silent, and when it did so last.
@@ -86,6 +88,7 @@
             datagram_bytes: DatagramBytes::default(),
             told: Arc::default(),
             coordinators: Arc::default(),
+            witnesses: Arc::default(),
             placed: Arc::default(),
             named: Arc::default(),
             zones: Arc::new(settings.zones.clone()),
@@ -132,7 +135,13 @@
         Arc::clone(&self.coordinators.lock())
     }
 
-    /// The same gateways, and where each is.
+    /// Gateways that can be witnesses of who counts a tenant's requests.
+    #[must_use]
+    pub fn witnesses(&self) -> Arc<Vec<MachineId>> {
+        Arc::clone(&self.witnesses.lock())
+    }
+
+    /// The gateways that coordinate slots, and where each is.
     #[must_use]
     pub fn placed_coordinators(&self) -> Arc<Vec<PlacedGateway>> {
         Arc::clone(&self.placed.lock())
@@ -174,13 +183,18 @@
             return;
         };
         let address = SocketAddrV4::new(address_of(to), self.port);
-        let bytes = datagrams.send(address, message);
         // By machine, as control's set of them is.
         let placed = self.placed_coordinators();
         let found = placed.binary_search_by_key(&to, |gateway| gateway.machine);
-        // One that is not known any more has no zone.
-        let zone = found.map_or("", |at| placed[at].place.zone.as_str());
-        self.datagram_bytes.count(zone, bytes);
+        let found = found.ok().map(|at| &placed[at]);
+        // One that is not known any more has no zone, and reads the oldest format.
+        let zone = found.map_or("", |gateway| gateway.place.zone.as_str());
+        let format = found.map_or(Format::OLDEST, PlacedGateway::common_format);
+        let format = format.min(self.links.newest_format());
+        for part in message.parts_in(format) {
+            let bytes = datagrams.send(address, format, &part);
+            self.datagram_bytes.count(zone, bytes);
+        }
     }
 
     /// Bytes of the datagrams that were sent.
--- a/crates/cluster/src/incoming.rs
+++ b/crates/cluster/src/incoming.rs
@@ -6,7 +6,7 @@
 use linnethitch_protocol::ids::{CallId, MachineId};
 use linnethitch_registry::READY_FOR_MS;
 use linnethitch_transport::{Connection, Listener, MessageReceiver, MessageSender, SendRefused};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -102,12 +102,20 @@
     bytes: MessageBytes,
     logger: &Logger,
 ) {
+    let (address, format) = (connection.peer, connection.format);
     let (sender, mut receiver) = connection.split();
-    let Ok(Some(NodeMessage::Hello(hello))) = receiver.receive().await else {
-        return;
+    let hello = match receiver.receive().await {
+        Ok(Some(NodeMessage::Hello(hello))) => hello,
+        Ok(None) => return,
+        other => {
+            let cause = other.err().map(|report| format!("{report:?}"));
+            warn!(logger, "node not understood"; "peer" => %address,
+                "format" => format.number(), "cause" => cause);
+            return;
+        }
     };
     let mut peer = Peer {
-        told: ToldPulses::new(&hello),
+        told: ToldPulses::new(&hello, format),
         hello: hello.clone(),
         sender: CountedSender {
             sender,
@@ -116,7 +124,9 @@
         },
         inbox,
     };
-    info!(logger, "node connected"; "node" => &peer.hello.name, "upto" => peer.hello.upto.0);
+    info!(logger, "node connected"; "node" => &peer.hello.name, "upto" => peer.hello.upto.0,
+        "format" => format.number(), "newest_format" => peer.hello.newest_format,
+        "build" => &peer.hello.build);
     let end = peer.run(&mut receiver, pulses).await;
     let silent_ms = receiver.silent_for().as_millis() as u64;
     info!(logger, "node lost"; "node" => &peer.hello.name, "cause" => end.to_string(),
--- a/crates/cluster/src/linked_members.rs
+++ b/crates/cluster/src/linked_members.rs
@@ -29,6 +29,9 @@
     pub(crate) places: &'a BTreeMap<MachineId, Place>,
     /// When each was heard of last, in milliseconds.
     pub(crate) heard_ms: &'a BTreeMap<MachineId, u64>,
+    /// Whether one of them speaks a format in which members do not tell each other of the
+    /// gateways that they hear: it has to hear each itself.
+    pub(crate) relay_nothing: bool,
 }
 
 /// Which links are kept.
@@ -58,7 +61,7 @@
         known: &KnownMembers<'_>,
         now_ms: u64,
     ) -> LinkChoice {
-        if known.machines.len() <= MOST_LINKED {
+        if known.machines.len() <= MOST_LINKED || known.relay_nothing {
             return LinkChoice {
                 links: known.machines.clone(),
                 linked: Vec::new(),
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -7,7 +7,10 @@
 };
 
 use linnethitch_clock::{Instant, sleep, sleep_until};
-use linnethitch_protocol::ids::{CallId, MachineId};
+use linnethitch_protocol::{
+    format::Format,
+    ids::{CallId, MachineId},
+};
 use linnethitch_transport::{
     Backoff, ClusterIdentity, MessageReceiver, MessageSender, SendRefused, Traffic, connect,
 };
@@ -50,6 +53,7 @@
 struct Inner {
     own: MachineId,
     port: u16,
+    newest_format: Format,
     identity: ClusterIdentity,
     traffic: Arc<Traffic>,
     inbox: mpsc::Sender<Inbound>,
@@ -85,6 +89,7 @@
             inner: Arc::new(Inner {
                 own: settings.machine(),
                 port: settings.port,
+                newest_format: settings.newest_format,
                 identity: settings.identity.clone(),
                 traffic,
                 inbox,
@@ -189,6 +194,16 @@
         answered.await.map_err(|_| CallLost::MayHaveArrived)
     }
 
+    /// The newest format that this node may speak.
+    pub(crate) fn newest_format(&self) -> Format {
+        self.inner.newest_format
+    }
+
+    /// The format that is spoken with a machine; `None` while the link to it is down.
+    pub(crate) fn format_with(&self, machine: MachineId) -> Option<Format> {
+        self.sender(machine).map(|sender| sender.format())
+    }
+
     fn sender(&self, to: MachineId) -> Option<MessageSender<NodeMessage>> {
         let links = self.inner.links.lock();
         links.get(&to).and_then(|link| link.sender.clone())
@@ -223,12 +238,13 @@
         let opened = connect::<NodeMessage, NodeMessage>(
             &address,
             &inner.identity,
-            connection_options(),
+            connection_options(inner.newest_format),
             traffic,
         );
         if let Ok(connection) = opened.await {
             let (sender, mut receiver) = connection.split();
-            info!(inner.logger, "link up"; "to" => &address);
+            info!(inner.logger, "link up"; "to" => &address,
+                "format" => sender.format().number());
             links.set_sender(machine, Some(sender.clone()));
             let end = run_link(&links, machine, sender, &mut receiver).await;
             links.set_sender(machine, None);
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -5,14 +5,15 @@
 use linnethitch_job_store::{StoreCall, StoreReply};
 use linnethitch_protocol::{
     consensus::ConsensusMessage,
-    frame::{self, FrameHeader, FrameKind},
+    format::Format,
+    frame::{self, FrameHeader, FrameKind, HEADER_BYTES},
     ids::{CallId, LogIndex, MachineId, MemberId, Term},
 };
 use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, RegistryAnswer, RegistryCommand};
 use linnethitch_transport::WireMessage;
 use rkyv::{Archive, Deserialize, Serialize, with::AsBox};
 
-use crate::told_set::SetChange;
+use crate::{first_format::FirstMessage, told_set::SetChange};
 
 /// What a node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -57,6 +58,10 @@
     pub(crate) linked: Vec<MachineId>,
     /// The job store, told by its leader.
     pub(crate) store_group: Option<StoreGroupView>,
+    /// The number of the newest format that it speaks.
+    pub(crate) newest_format: u16,
+    /// The build that it runs; empty where it does not tell.
+    pub(crate) build: String,
 }
 
 impl NodeHello {
@@ -90,6 +95,8 @@
     pub(crate) name: String,
     pub(crate) machine: MachineId,
     pub(crate) member: Option<MemberId>,
+    /// The number of the newest format that it speaks; 0 where the teller does not know.
+    pub(crate) newest_format: u16,
 }
 
 /// A machine, and where it is as far as the sender knows.
@@ -99,6 +106,12 @@
     pub(crate) place: Place,
 }
 
+/// The newest format that both a node and this build speak, by the number that the node
+/// told; `None` where that is not known.
+pub(crate) fn spoken_format(newest: u16) -> Option<Format> {
+    Format::from_number(newest.min(Format::NEWEST.number()))
+}
+
 /// A gateway and where it is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
 pub struct PlacedGateway {
@@ -106,6 +119,16 @@
     pub machine: MachineId,
     /// Where it is.
     pub place: Place,
+    /// The number of the newest format that it reads.
+    pub newest_format: u16,
+}
+
+impl PlacedGateway {
+    /// The newest format that both it and this build read.
+    #[must_use]
+    pub fn common_format(&self) -> Format {
+        spoken_format(self.newest_format).unwrap_or_default()
+    }
 }
 
 /// A gateway that a control member hears itself and that keeps links to some members only.
@@ -119,6 +142,8 @@
     pub(crate) coordinates: bool,
     /// Members to which it keeps links; empty where it does to all.
     pub(crate) linked: Vec<MachineId>,
+    /// The number of the newest format that it speaks.
+    pub(crate) newest_format: u16,
 }
 
 /// What control tells every node that is connected: that it is there, and what
@@ -199,6 +224,19 @@
     Store(StoreReply),
 }
 
+/// Reads a frame of a message between nodes and writes it again in its format: what recorded
+/// frames are checked with.
+///
+/// # Errors
+/// `MalformedRequest` or `Corrupted` when it is no such frame.
+pub fn rewrite_node_frame(bytes: &[u8]) -> Result<Vec<u8>, Report<ErrorKind>> {
+    let cut = || Report::new(ErrorKind::MalformedRequest).attach("a frame without a header");
+    let (header, payload) = bytes.split_first_chunk::<HEADER_BYTES>().ok_or_else(cut)?;
+    let header = frame::read_header(header)?;
+    let format = header.format;
+    NodeMessage::from_payload(&header, payload)?.to_frame(format)
+}
+
 /// A message between two nodes. What is long lies apart, so that what is sent all the time
 /// stays short.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -233,11 +271,20 @@
 impl WireMessage for NodeMessage {
     const KIND: FrameKind = FrameKind::Node;
 
-    fn to_frame(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-        frame::write_frame(Self::KIND, self)
+    fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match format {
+            Format::First => {
+                let first = FirstMessage::try_from(self.clone())?;
+                frame::write_frame(Self::KIND, format, &first)
+            }
+            Format::Second => frame::write_frame(Self::KIND, format, self),
+        }
     }
 
     fn from_payload(header: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>> {
-        frame::read_payload(header, payload)
+        match header.format {
+            Format::First => frame::read_payload::<FirstMessage>(header, payload).map(Into::into),
+            Format::Second => frame::read_payload(header, payload),
+        }
     }
 }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::ids::MachineId;
+use linnethitch_protocol::{format::Format, ids::MachineId};
 use linnethitch_registry::{Place, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ConnectionOptions, Listener, Traffic};
 use slog::Logger;
@@ -50,6 +50,10 @@
     pub tolerated_losses: usize,
     /// Name and key of the cluster.
     pub identity: ClusterIdentity,
+    /// The newest format that it speaks and that its groups store in.
+    pub newest_format: Format,
+    /// The build that it runs, as it tells others.
+    pub build: String,
     /// Counts the bytes of messages.
     pub bytes: MessageBytes,
     /// Where it logs.
@@ -91,7 +95,7 @@
 }
 
 /// Limits of connections between nodes: silence shows within two seconds.
-pub(crate) fn connection_options() -> ConnectionOptions {
+pub(crate) fn connection_options(newest_format: Format) -> ConnectionOptions {
     ConnectionOptions {
         open_timeout: Duration::from_millis(300),
         keep_alive: Duration::from_millis(900),
@@ -99,6 +103,7 @@
         write_timeout: Duration::from_millis(2_000),
         queue_frames: 2_048,
         queue_bytes: 16 * 1024 * 1024,
+        newest_format,
     }
 }
 
@@ -129,6 +134,8 @@
             upto: Default::default(),
             linked: Vec::new(),
             store_group: None,
+            newest_format: settings.newest_format.number(),
+            build: settings.build.clone(),
         };
         let links = Links::new(settings, hello, sender.clone(), Arc::clone(&traffic));
         let base = NodeBase {
@@ -155,7 +162,7 @@
     let listener = Listener::bind(
         &address,
         settings.identity.clone(),
-        connection_options(),
+        connection_options(settings.newest_format),
         traffic,
         settings.most_connections,
         settings.logger.clone(),
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -2,11 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use linnethitch_protocol::ids::{MachineId, MemberId};
+use linnethitch_protocol::{
+    format::Format,
+    ids::{MachineId, MemberId},
+};
 use linnethitch_registry::{DirectoryNode, NodeList, Place, READY_FOR_MS};
 
 use crate::{
     coordinators::Coordinators,
+    heard_formats::HeardFormats,
     message::{
         HeardGateway, NodeHello, NodeRole, PlacedGateway, PlacedMachine, PresentStore,
         StoreGroupView,
@@ -39,6 +43,8 @@
     relayed: RelayedPresence,
     /// Gateways that keep links to some members only, as this member or another one heard.
     partly_linked: BTreeSet<MachineId>,
+    /// What gateways speak.
+    formats: HeardFormats,
     stores: BTreeMap<MachineId, Heard>,
     /// Control members: where they are and when they said so.
     control: BTreeMap<MachineId, (Place, u64)>,
@@ -176,11 +182,17 @@
         let present = self.coordinators.present(now_ms).into_iter();
         let placed = present.map(|machine| PlacedGateway {
             place: self.places.get(&machine).cloned().unwrap_or_default(),
+            newest_format: self.formats.newest_of(machine),
             machine,
         });
         placed.collect()
     }
 
+    /// Whether every gateway that was heard of lately, and may still be there, reads a format.
+    pub(crate) fn gateways_read(&self, format: Format, now_ms: u64) -> bool {
+        self.formats.all_read(format, now_ms)
+    }
+
     pub(crate) fn gateways(&self) -> &NodeList {
         &self.gateways
     }
@@ -193,6 +205,7 @@
                 name: hello.name.clone(),
                 machine: hello.machine,
                 member: hello.member,
+                newest_format: hello.newest_format,
             })
             .collect()
     }
@@ -240,6 +253,9 @@
 
     /// Notes a gateway; true when others should learn of it at once.
     fn note_gateway(&mut self, gateway: &HeardGateway, now_ms: u64) -> bool {
+        let (machine, format) = (gateway.machine, gateway.newest_format);
+        let speaks_other = self.formats.note(machine, format, now_ms);
+        self.news += u64::from(speaks_other);
         if let Some(address) = &gateway.callers {
             let node = DirectoryNode {
                 address: address.clone(),
@@ -310,6 +326,7 @@
         ready: hello.ready,
         coordinates: hello.coordinates,
         linked: hello.linked.clone(),
+        newest_format: hello.newest_format,
     }
 }
 
--- a/crates/cluster/src/pulse.rs
+++ b/crates/cluster/src/pulse.rs
@@ -4,7 +4,10 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use linnethitch_clock::Instant;
-use linnethitch_protocol::ids::{LogIndex, MachineId};
+use linnethitch_protocol::{
+    format::Format,
+    ids::{LogIndex, MachineId},
+};
 use linnethitch_registry::{FleetUpdate, Place, tell_rank};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -44,9 +47,9 @@
     /// this member knows what is in force.
     fn has_news(&self, role: NodeRole, since: LogIndex) -> bool;
 
-    /// What changed after an entry of what a role needs of the registry; `None` where this
-    /// member does not know what is in force.
-    fn update(&self, role: NodeRole, since: LogIndex) -> Option<FleetUpdate>;
+    /// What changed after an entry of what a role needs of the registry, as a format can tell
+    /// it; `None` where this member does not know what is in force.
+    fn update(&self, role: NodeRole, format: Format, since: LogIndex) -> Option<FleetUpdate>;
 
     /// The newest change, where this member knows what is in force.
     fn current(&self) -> Option<LogIndex>;
@@ -77,6 +80,8 @@
 
 /// What one connection was told.
 pub(crate) struct ToldPulses {
+    /// The format of the connection.
+    format: Format,
     machine: MachineId,
     place: Place,
     role: NodeRole,
@@ -94,8 +99,9 @@
 
 impl ToldPulses {
     /// Nothing was told yet to a node.
-    pub(crate) fn new(hello: &NodeHello) -> Self {
+    pub(crate) fn new(hello: &NodeHello, format: Format) -> Self {
         ToldPulses {
+            format,
             machine: hello.machine,
             place: hello.place(),
             role: hello.role,
@@ -158,7 +164,7 @@
             return None;
         }
         self.withheld_since = None;
-        let update = source.registry.update(self.role, self.upto)?;
+        let update = source.registry.update(self.role, self.format, self.upto)?;
         self.upto = update.upto;
         Some(update)
     }
--- a/crates/cluster/src/results_wanted.rs
+++ b/crates/cluster/src/results_wanted.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_clock::{Instant, timeout};
 use linnethitch_job_store::{ResultsPage, StoreCall, StoreReply};
-use linnethitch_protocol::ids::MachineId;
+use linnethitch_protocol::{format::Format, ids::MachineId};
 
 use crate::{gateway::GatewayNode, nearness::Nearness};
 
@@ -90,7 +90,10 @@
             })
         };
         let leader = self.store.leader()?;
+        // Only the second format counts results and reads them of any member.
+        let counts = |machine| self.links.format_with(machine) >= Some(Format::Second);
         let nearest = places.keys().copied().min_by_key(&distance)?;
-        (distance(&nearest) < distance(&leader)).then_some(nearest)
+        let is_nearer = distance(&nearest) < distance(&leader);
+        (is_nearer && counts(nearest) && counts(leader)).then_some(nearest)
     }
 }
--- a/crates/cluster/src/told_fleet.rs
+++ b/crates/cluster/src/told_fleet.rs
@@ -159,8 +159,8 @@
     fn merge(&mut self, tellers: Vec<MachineId>) {
         let told = || self.recent().map(|(_, told)| told);
         let gateways: BTreeSet<&DirectoryNode> = told().flat_map(|told| &told.gateways).collect();
-        let coordinators: BTreeSet<&PlacedGateway> =
-            told().flat_map(|told| &told.coordinators).collect();
+        let told_coordinators = told().flat_map(|told| &told.coordinators);
+        let coordinators = told_best(told_coordinators);
         let heard: BTreeSet<MachineId> = coordinators.iter().map(|known| known.machine).collect();
         let silent: BTreeSet<MachineId> = told()
             .flat_map(|told| &told.silent_coordinators)
@@ -219,6 +219,23 @@
     is_news
 }
 
+/// Each gateway once, by machine: as a member told it that knows where it is, which one that
+/// speaks an older format does not.
+fn told_best<'a>(told: impl Iterator<Item = &'a PlacedGateway>) -> Vec<&'a PlacedGateway> {
+    let mut best: BTreeMap<MachineId, &PlacedGateway> = BTreeMap::new();
+    for gateway in told {
+        let held = best.entry(gateway.machine).or_insert(gateway);
+        let rank = |gateway: &PlacedGateway| {
+            let is_placed = !gateway.place.zone.is_empty();
+            (is_placed, gateway.newest_format)
+        };
+        if rank(gateway) > rank(held) {
+            *held = gateway;
+        }
+    }
+    best.into_values().collect()
+}
+
 /// Where machines are, as far as it is known.
 fn places<'a>(machines: impl Iterator<Item = &'a PlacedMachine>) -> BTreeMap<MachineId, Place> {
     let placed = machines.filter(|placed| !placed.place.zone.is_empty());
--- a/crates/cluster/tests/all/builds.rs
+++ b/crates/cluster/tests/all/builds.rs
@@ -11,10 +11,15 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use linnethitch_cluster::ControlNode;
+use linnethitch_cluster::{ControlNode, rewrite_node_frame};
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::frame::{FrameHeader, FrameKind};
-use linnethitch_registry::{Backend, Configuration, Route, RouteKind};
+use linnethitch_job_store::StoreCommand;
+use linnethitch_protocol::{
+    format::Format,
+    frame::{self, FrameHeader, FrameKind},
+    slots::GatewayDatagram,
+};
+use linnethitch_registry::{Backend, Configuration, RegistryCommand, Route, RouteKind};
 use linnethitch_transport::{ConnectionOptions, WireMessage, connect};
 use tokio::time::timeout;
 
@@ -31,7 +36,7 @@
 impl WireMessage for Recorded {
     const KIND: FrameKind = FrameKind::Node;
 
-    fn to_frame(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+    fn to_frame(&self, _: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         Ok(self.0.clone())
     }
 
@@ -41,14 +46,62 @@
 }
 
 fn recorded(name: &str) -> Recorded {
-    let mut lines = RECORDED.lines().filter_map(|line| line.split_once(' '));
-    let (_, hex) = lines.find(|(found, _)| *found == name).expect("recorded");
+    let mut lines = records();
+    let (_, bytes) = lines.find(|(found, _)| *found == name).expect("recorded");
+    Recorded(bytes)
+}
+
+/// Every recorded message and its name.
+fn records() -> impl Iterator<Item = (&'static str, Vec<u8>)> {
+    let lines = RECORDED.lines().filter_map(|line| line.split_once(' '));
+    lines.map(|(name, hex)| (name, from_hex(hex)))
+}
+
+fn from_hex(hex: &str) -> Vec<u8> {
     let digits = hex.as_bytes().chunks(2);
     let bytes = digits.map(|pair| {
         let pair = std::str::from_utf8(pair).expect("text");
         u8::from_str_radix(pair, 16).expect("hex")
     });
-    Recorded(bytes.collect())
+    bytes.collect()
+}
+
+/// Reads what the build before wrote, and writes it again as this build does for it.
+fn rewritten(name: &str, bytes: &[u8]) -> Option<Result<Vec<u8>, Report<ErrorKind>>> {
+    if name.ends_with("snapshot") {
+        return None;
+    }
+    if name.starts_with("stored-store-") {
+        let command = StoreCommand::from_stored(bytes);
+        return Some(command.and_then(|command| command.to_stored_in(Format::First)));
+    }
+    if name.starts_with("stored-") {
+        let command = RegistryCommand::from_stored(bytes);
+        return Some(command.and_then(|command| command.to_stored_in(Format::First)));
+    }
+    if name.starts_with("datagram-") {
+        let (header, payload) = bytes.split_first_chunk().expect("a header");
+        let header = frame::read_header(header).expect("a header");
+        let datagram = GatewayDatagram::from_payload(&header, payload);
+        return Some(datagram.and_then(|datagram| datagram.to_frame(Format::First)));
+    }
+    Some(rewrite_node_frame(bytes))
+}
+
+/// Two builds understand each other where one writes what the other did, to the byte: this
+/// fails where a message or stored command changes without a new format.
+#[test]
+fn what_the_build_before_wrote_is_written_again_byte_for_byte() {
+    let mut differs = Vec::new();
+    for (name, bytes) in records() {
+        match rewritten(name, &bytes) {
+            None => {}
+            Some(Ok(written)) if written == bytes => {}
+            Some(Ok(_)) => differs.push(format!("{name}: other bytes")),
+            Some(Err(report)) => differs.push(format!("{name}: {report}")),
+        }
+    }
+    assert_eq!(differs, Vec::<String>::new());
 }
 
 fn with_route(version: u64) -> Configuration {
@@ -91,6 +144,7 @@
         write_timeout: Duration::from_secs(5),
         queue_frames: 64,
         queue_bytes: 1 << 20,
+        newest_format: Format::First,
     }
 }
 
@@ -100,7 +154,10 @@
     let identity = node(host(60), &[], 0).identity;
     let opened = connect::<Recorded, Recorded>(&address, &identity, options(), Default::default());
     let (sender, mut receiver) = opened.await.expect("it opens").split();
-    sender.send(&recorded("hello-gateway")).await.expect("sent");
+    sender
+        .send(&recorded("hello-gateway-blank"))
+        .await
+        .expect("sent");
     let told = async {
         while let Ok(Some(Recorded(payload))) = receiver.receive().await {
             if payload
--- a/crates/cluster/tests/all/support.rs
+++ b/crates/cluster/tests/all/support.rs
@@ -6,6 +6,7 @@
 };
 
 use linnethitch_cluster::{ControlNode, ControlSettings, MessageBytes, NodeSettings, Seeds};
+use linnethitch_protocol::format::Format;
 use linnethitch_registry::{CallerLimits, Configuration, DirectoryQuestion, RouteTable, ZoneMap};
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
 use slog::{Discard, Logger, o};
@@ -48,6 +49,8 @@
         most_connections: 100,
         bootstrap: true,
         tolerated_losses: 0,
+        newest_format: Format::NEWEST,
+        build: String::new(),
         bytes: MessageBytes::default(),
         identity: ClusterIdentity {
             name: "test".to_owned(),
--- a/crates/consensus/tests/all/hostile_input.rs
+++ b/crates/consensus/tests/all/hostile_input.rs
@@ -4,6 +4,7 @@
     attach::{ControlMessage, GatewayMessage, PeerMessage},
     command::Command,
     consensus::{ConsensusBody, ConsensusMessage, EntryPayload},
+    format::Format,
     frame::{self, FrameKind, HEADER_BYTES, MAX_PAYLOAD_BYTES},
 };
 use proptest::{
@@ -116,7 +117,8 @@
 #[test]
 fn messages_survive_their_encoding() {
     let outcome = runner(RUNS).run(&messages::message(), |message| {
-        let bytes = frame::write_frame(FrameKind::Peer, &message).expect("it is small");
+        let bytes =
+            frame::write_frame(FrameKind::Peer, Format::NEWEST, &message).expect("it is small");
         let (header, payload) = bytes.split_first_chunk::<HEADER_BYTES>().expect("a header");
         let header = frame::read_header(header).expect("it is valid");
         prop_assert_eq!(header.length, payload.len());
@@ -162,7 +164,8 @@
         &(messages::message(), any::<prop::sample::Index>()),
         |case| {
             let (message, at) = case;
-            let mut bytes = frame::write_frame(FrameKind::Peer, &message).expect("it is small");
+            let mut bytes =
+                frame::write_frame(FrameKind::Peer, Format::NEWEST, &message).expect("it is small");
             let at = HEADER_BYTES + at.index(bytes.len() - HEADER_BYTES);
             bytes[at] ^= 1;
             let (header, payload) = bytes.split_first_chunk::<HEADER_BYTES>().expect("a header");
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use linnethitch_protocol::{attach::PeerMessage, ids::MachineId};
+use linnethitch_protocol::{attach::PeerMessage, format::Format, ids::MachineId};
 use linnethitch_transport::{
     Backoff, ClusterIdentity, Connection, ConnectionOptions, IncomingConnection, Listener,
     MessageSender, SendRefused, Traffic, connect,
@@ -40,6 +40,7 @@
     write_timeout: Duration::from_secs(3),
     queue_frames: 4_096,
     queue_bytes: 64 * 1024 * 1024,
+    newest_format: Format::NEWEST,
 };
 
 type PeerSender = MessageSender<PeerMessage>;
--- a/crates/group/src/state_machine.rs
+++ b/crates/group/src/state_machine.rs
@@ -2,7 +2,7 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::ids::LogIndex;
+use linnethitch_protocol::{format::Format, ids::LogIndex};
 use linnethitch_storage::SnapshotReader;
 
 /// A deterministic state machine. Members that applied the same entries hold
@@ -32,6 +32,12 @@
         drop((snapshot, content));
     }
 
+    /// The newest format that any entry or snapshot of this state had: every member of the
+    /// group reads it, and none that does not may join.
+    fn format(&self) -> Format {
+        Format::NEWEST
+    }
+
     /// The state of a stored snapshot.
     ///
     /// # Errors
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -2,7 +2,7 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::stored;
+use linnethitch_protocol::{format::Format, stored};
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
@@ -88,7 +88,42 @@
 }
 
 impl StoreCommand {
-    /// The command as the log holds it.
+    /// The command as the log holds it where all members of the group read a format: runs
+    /// have no marks in the first.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub fn to_stored_in(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match (format, self) {
+            (Format::First, StoreCommand::KeepProgress(told)) => {
+                let progress = told.iter().map(|told| told.progress.clone());
+                StoreCommand::Progress(progress.collect()).to_stored()
+            }
+            (Format::First, StoreCommand::FinishRun(last)) => {
+                StoreCommand::Finish(last.progress.clone()).to_stored()
+            }
+            _ => self.to_stored(),
+        }
+    }
+
+    /// The first command in the newest format: an entry of it says that all members read it,
+    /// and this one does nothing else.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub fn raise_format() -> Result<Vec<u8>, Report<ErrorKind>> {
+        StoreCommand::KeepProgress(Vec::new()).to_stored()
+    }
+
+    /// The format that a stored command belongs to.
+    pub(crate) fn format_of(stored: &[u8]) -> Format {
+        match stored::layout_of(stored) {
+            Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
+            _ => Format::First,
+        }
+    }
+
+    /// The command as the log holds it, in the layout of its kind.
     ///
     /// # Errors
     /// `Internal` when it cannot be encoded.
--- /dev/null
+++ b/crates/job-store/src/first_format.rs
@@ -0,0 +1,253 @@
+//! Calls of the job store and their answers in the first format. Frozen: a build that
+//! production runs writes them. Runs of items had no marks, gateways no homes.
+
+#![allow(
+    missing_docs,
+    reason = "variants and fields are those of the types of today"
+)]
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::first_format::not_in_first_format;
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    call::{ItemWork, QueueBound, ResultsPage, StoreCall, StoreReply},
+    command::{ItemOutcome, ItemRef},
+    job::{ItemSpec, JobSpec},
+    outside::WorkOutside,
+    progress::{HeldProgress, ItemProgress, MadeEvents, RunMark, RunProgress},
+};
+
+/// A call of a gateway.
+#[derive(Archive, Serialize, Deserialize)]
+pub enum FirstFormatCall {
+    Submit {
+        job: JobSpec,
+        tenant: Option<String>,
+        bound: Option<QueueBound>,
+    },
+    Report {
+        item: ItemRef,
+        outcome: ItemOutcome,
+    },
+    Finish(ItemProgress),
+    End {
+        job: String,
+        tenant: Option<String>,
+    },
+    Results {
+        job: String,
+        tenant: Option<String>,
+        since: u32,
+        most_bytes: u32,
+    },
+    Body {
+        job: String,
+        tenant: Option<String>,
+        item: String,
+    },
+    Progress(Vec<ItemProgress>),
+    Work {
+        gateway: String,
+        running: Vec<ItemRef>,
+        want: u32,
+        item_ms: u64,
+    },
+}
+
+/// An item to be run under a lease.
+#[derive(Archive, Serialize, Deserialize)]
+pub struct FirstFormatWork {
+    item: ItemRef,
+    host: String,
+    tenant: Option<String>,
+    spec: ItemSpec,
+    failures: u32,
+    due_in_ms: u64,
+    made: MadeEvents,
+}
+
+/// The leader's answer.
+#[derive(Archive, Serialize, Deserialize)]
+pub enum FirstFormatReply {
+    Done,
+    NotFound,
+    OtherTenant,
+    Results(ResultsPage),
+    Body(Vec<u8>),
+    Work {
+        begin: Vec<FirstFormatWork>,
+        stop: Vec<ItemRef>,
+    },
+    TellAgain(Vec<ItemRef>),
+    NotLeader(Option<u32>),
+    QueueFull,
+    Refused,
+    Unknown,
+}
+
+impl TryFrom<StoreCall> for FirstFormatCall {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(call: StoreCall) -> Result<Self, Self::Error> {
+        Ok(match call {
+            StoreCall::Submit { job, tenant, bound } => {
+                FirstFormatCall::Submit { job, tenant, bound }
+            }
+            StoreCall::Report { item, outcome } => FirstFormatCall::Report { item, outcome },
+            StoreCall::Finish(last) => FirstFormatCall::Finish(last.progress),
+            StoreCall::End { job, tenant } => FirstFormatCall::End { job, tenant },
+            StoreCall::Results {
+                job,
+                tenant,
+                since,
+                most_bytes,
+            } => FirstFormatCall::Results {
+                job,
+                tenant,
+                since,
+                most_bytes,
+            },
+            StoreCall::Listed { .. } => return Err(not_in_first_format("count of results")),
+            StoreCall::ResultsHeld { .. } => {
+                return Err(not_in_first_format(
+                    "results of a member that does not lead",
+                ));
+            }
+            StoreCall::Body { job, tenant, item } => FirstFormatCall::Body { job, tenant, item },
+            StoreCall::Progress(told) => {
+                FirstFormatCall::Progress(told.into_iter().map(|told| told.progress).collect())
+            }
+            StoreCall::Work {
+                gateway,
+                running,
+                want,
+                item_ms,
+                outside,
+            } => FirstFormatCall::Work {
+                // A leader that does not know homes could give items that must stay there.
+                want: if outside.is_empty() { want } else { 0 },
+                gateway,
+                running,
+                item_ms,
+            },
+        })
+    }
+}
+
+impl From<FirstFormatCall> for StoreCall {
+    fn from(first: FirstFormatCall) -> Self {
+        match first {
+            FirstFormatCall::Submit { job, tenant, bound } => {
+                StoreCall::Submit { job, tenant, bound }
+            }
+            FirstFormatCall::Report { item, outcome } => StoreCall::Report { item, outcome },
+            FirstFormatCall::Finish(last) => StoreCall::Finish(RunProgress::unmarked(last)),
+            FirstFormatCall::End { job, tenant } => StoreCall::End { job, tenant },
+            FirstFormatCall::Results {
+                job,
+                tenant,
+                since,
+                most_bytes,
+            } => StoreCall::Results {
+                job,
+                tenant,
+                since,
+                most_bytes,
+            },
+            FirstFormatCall::Body { job, tenant, item } => StoreCall::Body { job, tenant, item },
+            FirstFormatCall::Progress(told) => {
+                StoreCall::Progress(told.into_iter().map(RunProgress::unmarked).collect())
+            }
+            FirstFormatCall::Work {
+                gateway,
+                running,
+                want,
+                item_ms,
+            } => StoreCall::Work {
+                gateway,
+                running,
+                want,
+                item_ms,
+                outside: WorkOutside::default(),
+            },
+        }
+    }
+}
+
+impl From<ItemWork> for FirstFormatWork {
+    fn from(work: ItemWork) -> Self {
+        FirstFormatWork {
+            item: work.item,
+            host: work.host,
+            tenant: work.tenant,
+            spec: work.spec,
+            failures: work.failures,
+            due_in_ms: work.due_in_ms,
+            made: work.made.made,
+        }
+    }
+}
+
+impl From<FirstFormatWork> for ItemWork {
+    fn from(first: FirstFormatWork) -> Self {
+        ItemWork {
+            item: first.item,
+            host: first.host,
+            tenant: first.tenant,
+            spec: first.spec,
+            failures: first.failures,
+            due_in_ms: first.due_in_ms,
+            made: HeldProgress {
+                made: first.made,
+                told_by: RunMark::UNKNOWN,
+            },
+        }
+    }
+}
+
+impl TryFrom<StoreReply> for FirstFormatReply {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(reply: StoreReply) -> Result<Self, Self::Error> {
+        Ok(match reply {
+            StoreReply::Done => FirstFormatReply::Done,
+            StoreReply::NotFound => FirstFormatReply::NotFound,
+            StoreReply::OtherTenant => FirstFormatReply::OtherTenant,
+            StoreReply::Results(page) => FirstFormatReply::Results(page),
+            StoreReply::Listed { .. } => return Err(not_in_first_format("count of results")),
+            StoreReply::Body(body) => FirstFormatReply::Body(body),
+            StoreReply::Work { begin, stop } => FirstFormatReply::Work {
+                begin: begin.into_iter().map(FirstFormatWork::from).collect(),
+                stop,
+            },
+            StoreReply::TellAgain(items) => FirstFormatReply::TellAgain(items),
+            StoreReply::NotLeader(leader) => FirstFormatReply::NotLeader(leader),
+            StoreReply::QueueFull => FirstFormatReply::QueueFull,
+            StoreReply::Refused => FirstFormatReply::Refused,
+            StoreReply::Unknown => FirstFormatReply::Unknown,
+        })
+    }
+}
+
+impl From<FirstFormatReply> for StoreReply {
+    fn from(first: FirstFormatReply) -> Self {
+        match first {
+            FirstFormatReply::Done => StoreReply::Done,
+            FirstFormatReply::NotFound => StoreReply::NotFound,
+            FirstFormatReply::OtherTenant => StoreReply::OtherTenant,
+            FirstFormatReply::Results(page) => StoreReply::Results(page),
+            FirstFormatReply::Body(body) => StoreReply::Body(body),
+            FirstFormatReply::Work { begin, stop } => StoreReply::Work {
+                begin: begin.into_iter().map(ItemWork::from).collect(),
+                stop,
+            },
+            FirstFormatReply::TellAgain(items) => StoreReply::TellAgain(items),
+            FirstFormatReply::NotLeader(leader) => StoreReply::NotLeader(leader),
+            FirstFormatReply::QueueFull => StoreReply::QueueFull,
+            FirstFormatReply::Refused => StoreReply::Refused,
+            FirstFormatReply::Unknown => StoreReply::Unknown,
+        }
+    }
+}
--- a/crates/job-store/src/outside.rs
+++ b/crates/job-store/src/outside.rs
@@ -25,6 +25,11 @@
 }
 
 impl WorkOutside {
+    /// Whether it may be given every item.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.routes.is_empty() && self.tenants.is_empty()
+    }
+
     /// Whether an item must not be given out.
     pub(crate) fn holds(&self, host: &str, tenant: Option<&str>, path: &str) -> bool {
         let of_tenant = tenant.is_some_and(|name| self.tenants.iter().any(|held| held == name));
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -11,7 +11,7 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::SnapshotSource;
-use linnethitch_protocol::stored;
+use linnethitch_protocol::{format::Format, stored};
 use linnethitch_storage::SnapshotReader;
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -26,9 +26,9 @@
 const FIRST_LAYOUT: u8 = 1;
 /// Layout of an index without tenants, which is still read.
 const PROGRESS_LAYOUT: u8 = 2;
-/// Layout of an index that does not say which runs told the progress, which is still read.
+/// Layout of an index that does not say which runs told the progress: that of the first format.
 const TENANTS_LAYOUT: u8 = 3;
-/// Layout of the index that this build writes.
+/// Layout of the index in the newest format.
 const INDEX_LAYOUT: u8 = 4;
 /// Bytes of the length at the end of the content.
 const LENGTH_BYTES: usize = 8;
@@ -56,7 +56,7 @@
     tenants: Vec<JobTenant>,
 }
 
-/// The index as it is written now.
+/// The index in the newest format.
 #[derive(Archive, Serialize, Deserialize)]
 struct FullIndex {
     index: Index,
@@ -66,6 +66,23 @@
     tenants: Vec<JobTenant>,
 }
 
+impl FullIndex {
+    /// The index as all members read it: the first format does not say who told progress.
+    fn into_stored(self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match format {
+            Format::First => {
+                let index = TenantsIndex {
+                    index: self.index,
+                    made: self.made,
+                    tenants: self.tenants,
+                };
+                stored::encode(TENANTS_LAYOUT, &index)
+            }
+            Format::Second => stored::encode(INDEX_LAYOUT, &self),
+        }
+    }
+}
+
 /// Whose a job is.
 #[derive(Archive, Serialize, Deserialize)]
 struct JobTenant {
@@ -124,7 +141,7 @@
             tellers: store.made.tellers(),
             tenants: store.jobs.values().filter_map(tenant_of).collect(),
         };
-        let mut index = stored::encode(INDEX_LAYOUT, &index)?;
+        let mut index = index.into_stored(store.format)?;
         let length = index.len() as u64;
         index.extend_from_slice(&length.to_le_bytes());
         Ok(JobStoreSnapshot {
@@ -216,12 +233,17 @@
 /// `Corrupted` when the content is no snapshot of a store, `DataFolderRefused`
 /// when it is of another layout, `Io`.
 pub(crate) fn restore(content: SnapshotReader) -> Result<JobStore, Report<ErrorKind>> {
+    let stored_index = read_index(&content)?;
+    let format = match stored::layout_of(&stored_index) {
+        Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
+        _ => Format::First,
+    };
     let FullIndex {
         index,
         made,
         tellers,
         tenants,
-    } = decode_index(&read_index(&content)?)?;
+    } = decode_index(&stored_index)?;
     let jobs = index.jobs.into_iter().map(restore_job);
     let mut jobs: BTreeMap<String, Job> = jobs.map(|job| (job.spec.id.clone(), job)).collect();
     for JobTenant { job, tenant } in tenants {
@@ -236,6 +258,7 @@
         accepted: index.accepted,
         snapshot: Some(content),
         made: ProgressTable::from_list(made, &tellers),
+        format,
     })
 }
 
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::StateMachine;
-use linnethitch_protocol::ids::LogIndex;
+use linnethitch_protocol::{format::Format, ids::LogIndex};
 use linnethitch_storage::SnapshotReader;
 
 use crate::{
@@ -27,6 +27,8 @@
     pub(crate) snapshot: Option<SnapshotReader>,
     /// What unfinished items have made.
     pub(crate) made: ProgressTable,
+    /// The newest format among its entries: all members read it.
+    pub(crate) format: Format,
 }
 
 impl JobStore {
@@ -278,7 +280,9 @@
     type Snapshot = JobStoreSnapshot;
 
     fn apply(&mut self, _: LogIndex, command: &[u8]) -> Result<Self::Answer, Report<ErrorKind>> {
-        Ok(match StoreCommand::from_stored(command)? {
+        let parsed = StoreCommand::from_stored(command)?;
+        self.format = self.format.max(StoreCommand::format_of(command));
+        Ok(match parsed {
             StoreCommand::Submit(job) => self.submit(job, None),
             StoreCommand::SubmitFor(submitted) => {
                 self.submit(submitted.job, Some(submitted.tenant))
@@ -311,4 +315,8 @@
     fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
         snapshot::restore(content)
     }
+
+    fn format(&self) -> Format {
+        self.format
+    }
 }
--- /dev/null
+++ b/crates/protocol/src/first_format.rs
@@ -0,0 +1,288 @@
+//! Datagrams between gateways as the first format has them. Frozen: a build that production
+//! runs writes them.
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    format::Format,
+    quota::QuotaMessage,
+    slots::{AskMode, GatewayDatagram, HeldLease, RunOutcome, SlotLoad, Verdict},
+    suspicion::{EndedRun, EndsInRow, RequestFingerprint, ToldSuspicion},
+};
+
+/// A message that the first format does not have.
+pub fn not_in_first_format(message: &str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::InvalidState).attach(format!("format 1 has no {message}"))
+}
+
+/// A run that broke off when its replica ended: of the ends that were known their number.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct FirstEndedRun {
+    fingerprint: RequestFingerprint,
+    known_ends: u32,
+    ran_ms: u32,
+}
+
+/// A message about tenants' limits: nobody is a witness.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum FirstQuotaMessage {
+    /// As [`QuotaMessage::Ask`].
+    Ask {
+        tenant: String,
+        want: u32,
+        sent_again: u32,
+        sent_apart: u32,
+        sent_late: u32,
+        unused: u32,
+    },
+    /// As [`QuotaMessage::Grant`].
+    Grant {
+        tenant: String,
+        granted: u32,
+        again_in_ms: u32,
+    },
+    /// As [`QuotaMessage::WithoutControl`].
+    WithoutControl,
+    /// As [`QuotaMessage::NotHere`].
+    NotHere { tenant: String },
+}
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum FirstDatagram {
+    /// As [`GatewayDatagram::Ask`].
+    Ask {
+        number: u64,
+        replica: String,
+        due_in_ms: u32,
+        rank: u8,
+        mode: AskMode,
+    },
+    /// As [`GatewayDatagram::Answer`].
+    Answer {
+        number: u64,
+        verdict: Verdict,
+        loads: Vec<SlotLoad>,
+    },
+    /// As [`GatewayDatagram::End`].
+    End { number: u64, outcome: RunOutcome },
+    /// As [`GatewayDatagram::Held`].
+    Held { leases: Vec<HeldLease> },
+    /// A replica ended under these runs of the sender.
+    ReplicaEnded {
+        replica: String,
+        runs: Vec<FirstEndedRun>,
+    },
+    /// About tenants' limits.
+    Quota(FirstQuotaMessage),
+}
+
+impl GatewayDatagram {
+    /// The messages of a format that say the same: the first tells of one replica at a time,
+    /// and of no request that was cleared.
+    #[must_use]
+    pub fn parts_in(&self, format: Format) -> Vec<GatewayDatagram> {
+        match (format, self) {
+            (Format::First, GatewayDatagram::Suspicions(told)) => {
+                let open = told.iter().filter(|told| !told.row.is_empty());
+                open.map(|told| GatewayDatagram::Suspicions(vec![told.clone()]))
+                    .collect()
+            }
+            _ => vec![self.clone()],
+        }
+    }
+}
+
+impl From<FirstEndedRun> for EndedRun {
+    /// The runs before are taken to have lasted as long as this one.
+    fn from(first: FirstEndedRun) -> Self {
+        EndedRun {
+            fingerprint: first.fingerprint,
+            known: EndsInRow::alike(first.ran_ms, first.known_ends),
+            ran_ms: first.ran_ms,
+        }
+    }
+}
+
+impl From<EndedRun> for FirstEndedRun {
+    fn from(run: EndedRun) -> Self {
+        FirstEndedRun {
+            fingerprint: run.fingerprint,
+            known_ends: run.known.lengths_ms.len() as u32,
+            ran_ms: run.ran_ms,
+        }
+    }
+}
+
+fn ended_run(told: &ToldSuspicion) -> Option<FirstEndedRun> {
+    let (ran_ms, known) = told.row.lengths_ms.split_last()?;
+    Some(FirstEndedRun {
+        fingerprint: told.fingerprint,
+        known_ends: known.len() as u32,
+        ran_ms: *ran_ms,
+    })
+}
+
+fn told_suspicion(replica: &str, run: &FirstEndedRun) -> ToldSuspicion {
+    ToldSuspicion {
+        fingerprint: run.fingerprint,
+        replica: replica.to_owned(),
+        row: EndsInRow::alike(run.ran_ms, run.known_ends.saturating_add(1)),
+    }
+}
+
+impl TryFrom<GatewayDatagram> for FirstDatagram {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(datagram: GatewayDatagram) -> Result<Self, Self::Error> {
+        Ok(match datagram {
+            GatewayDatagram::Ask {
+                number,
+                replica,
+                due_in_ms,
+                rank,
+                mode,
+            } => FirstDatagram::Ask {
+                number,
+                replica,
+                due_in_ms,
+                rank,
+                mode,
+            },
+            GatewayDatagram::Answer {
+                number,
+                verdict,
+                loads,
+            } => FirstDatagram::Answer {
+                number,
+                verdict,
+                loads,
+            },
+            GatewayDatagram::End { number, outcome } => FirstDatagram::End { number, outcome },
+            GatewayDatagram::Held { leases } => FirstDatagram::Held { leases },
+            GatewayDatagram::Suspicions(told) => {
+                let one_replica = told.first().map(|first| first.replica.clone());
+                let one_replica =
+                    one_replica.filter(|replica| told.iter().all(|told| told.replica == *replica));
+                let replica =
+                    one_replica.ok_or_else(|| not_in_first_format("ends of several replicas"))?;
+                let runs: Vec<FirstEndedRun> = told.iter().filter_map(ended_run).collect();
+                FirstDatagram::ReplicaEnded { replica, runs }
+            }
+            GatewayDatagram::Quota(message) => FirstDatagram::Quota(message.try_into()?),
+        })
+    }
+}
+
+impl From<FirstDatagram> for GatewayDatagram {
+    fn from(first: FirstDatagram) -> Self {
+        match first {
+            FirstDatagram::Ask {
+                number,
+                replica,
+                due_in_ms,
+                rank,
+                mode,
+            } => GatewayDatagram::Ask {
+                number,
+                replica,
+                due_in_ms,
+                rank,
+                mode,
+            },
+            FirstDatagram::Answer {
+                number,
+                verdict,
+                loads,
+            } => GatewayDatagram::Answer {
+                number,
+                verdict,
+                loads,
+            },
+            FirstDatagram::End { number, outcome } => GatewayDatagram::End { number, outcome },
+            FirstDatagram::Held { leases } => GatewayDatagram::Held { leases },
+            FirstDatagram::ReplicaEnded { replica, runs } => GatewayDatagram::Suspicions(
+                runs.iter()
+                    .map(|run| told_suspicion(&replica, run))
+                    .collect(),
+            ),
+            FirstDatagram::Quota(message) => GatewayDatagram::Quota(message.into()),
+        }
+    }
+}
+
+impl TryFrom<QuotaMessage> for FirstQuotaMessage {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(message: QuotaMessage) -> Result<Self, Self::Error> {
+        Ok(match message {
+            QuotaMessage::Ask {
+                tenant,
+                want,
+                sent_again,
+                sent_apart,
+                sent_late,
+                unused,
+            } => FirstQuotaMessage::Ask {
+                tenant,
+                want,
+                sent_again,
+                sent_apart,
+                sent_late,
+                unused,
+            },
+            QuotaMessage::Grant {
+                tenant,
+                granted,
+                again_in_ms,
+            } => FirstQuotaMessage::Grant {
+                tenant,
+                granted,
+                again_in_ms,
+            },
+            QuotaMessage::WithoutControl => FirstQuotaMessage::WithoutControl,
+            QuotaMessage::NotHere { tenant } => FirstQuotaMessage::NotHere { tenant },
+            QuotaMessage::Counting { .. }
+            | QuotaMessage::Witnessed { .. }
+            | QuotaMessage::IsHeard { .. }
+            | QuotaMessage::Unheard { .. } => {
+                return Err(not_in_first_format("witnesses of limits"));
+            }
+        })
+    }
+}
+
+impl From<FirstQuotaMessage> for QuotaMessage {
+    fn from(first: FirstQuotaMessage) -> Self {
+        match first {
+            FirstQuotaMessage::Ask {
+                tenant,
+                want,
+                sent_again,
+                sent_apart,
+                sent_late,
+                unused,
+            } => QuotaMessage::Ask {
+                tenant,
+                want,
+                sent_again,
+                sent_apart,
+                sent_late,
+                unused,
+            },
+            FirstQuotaMessage::Grant {
+                tenant,
+                granted,
+                again_in_ms,
+            } => QuotaMessage::Grant {
+                tenant,
+                granted,
+                again_in_ms,
+            },
+            FirstQuotaMessage::WithoutControl => QuotaMessage::WithoutControl,
+            FirstQuotaMessage::NotHere { tenant } => QuotaMessage::NotHere { tenant },
+        }
+    }
+}
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -1,6 +1,6 @@
-//! Framing: length, format version, kind and checksum before each message.
+//! Framing: length, format, kind and checksum before each message.
 //!
-//! Layout, little endian: `u32` length of the payload, `u16` format version,
+//! Layout, little endian: `u32` length of the payload, `u16` number of the [`Format`],
 //! `u16` kind, `u32` CRC-32 of the payload, payload. The payload is padded by
 //! the reader into an aligned buffer before rkyv checks it.
 
@@ -15,10 +15,10 @@
     util::AlignedVec,
 };
 
-/// Version of the internal format that this build writes.
-pub const FORMAT_VERSION: u16 = 1;
-/// Oldest version that this build still reads.
-pub const OLDEST_READABLE_VERSION: u16 = 1;
+use crate::format::Format;
+
+/// Format of the frames that open a connection or keep it alive: every build reads it.
+pub const OPENING_FORMAT: Format = Format::First;
 /// Bytes before the payload.
 pub const HEADER_BYTES: usize = 12;
 /// Longest payload that is accepted, in bytes.
@@ -61,6 +61,8 @@
 pub struct FrameHeader {
     /// Bytes of the payload.
     pub length: usize,
+    /// The format of the payload.
+    pub format: Format,
     /// What it holds.
     pub kind: FrameKind,
     /// CRC-32 of the payload.
@@ -102,7 +104,11 @@
 ///
 /// # Errors
 /// `BodyTooLarge` when the message exceeds [`MAX_PAYLOAD_BYTES`].
-pub fn write_frame<T>(kind: FrameKind, message: &T) -> Result<Vec<u8>, Report<ErrorKind>>
+pub fn write_frame<T>(
+    kind: FrameKind,
+    format: Format,
+    message: &T,
+) -> Result<Vec<u8>, Report<ErrorKind>>
 where
     T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, rancor::Error>>,
 {
@@ -113,7 +119,7 @@
     }
     let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
     frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&FORMAT_VERSION.to_le_bytes());
+    frame.extend_from_slice(&format.number().to_le_bytes());
     frame.extend_from_slice(&(kind as u16).to_le_bytes());
     frame.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
     frame.extend_from_slice(&payload);
@@ -123,15 +129,14 @@
 /// Reads a header; nothing is allocated before the length is known to be allowed.
 ///
 /// # Errors
-/// `MalformedRequest` for an unknown kind, version or length.
+/// `MalformedRequest` for an unknown kind, format or length.
 pub fn read_header(bytes: &[u8; HEADER_BYTES]) -> Result<FrameHeader, Report<ErrorKind>> {
     let length = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize;
-    let version = u16::from_le_bytes([bytes[4], bytes[5]]);
+    let format = u16::from_le_bytes([bytes[4], bytes[5]]);
     let number = u16::from_le_bytes([bytes[6], bytes[7]]);
     let checksum = u32::from_le_bytes([bytes[8], bytes[9], bytes[10], bytes[11]]);
-    if !(OLDEST_READABLE_VERSION..=FORMAT_VERSION).contains(&version) {
-        return Err(malformed(format!("format version {version}")));
-    }
+    let format =
+        Format::from_number(format).ok_or_else(|| malformed(format!("format {format}")))?;
     if length > MAX_PAYLOAD_BYTES {
         return Err(malformed(format!("a payload of {length} bytes")));
     }
@@ -139,6 +144,7 @@
         .ok_or_else(|| malformed(format!("a frame of kind {number}")))?;
     Ok(FrameHeader {
         length,
+        format,
         kind,
         checksum,
     })
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod attach;
 pub mod command;
 pub mod consensus;
+pub mod first_format;
 pub mod fleet;
+pub mod format;
 pub mod frame;
 pub mod hash;
 pub mod ids;
--- a/crates/protocol/src/suspicion.rs
+++ b/crates/protocol/src/suspicion.rs
@@ -68,6 +68,10 @@
     }
 }
 
+/// Lengths of runs that are remembered of a row: as many ends as are needed under runs of a
+/// minute.
+pub const MOST_LENGTHS: usize = 64;
+
 /// What is known of one request: a row of replicas that ended under it, one after the
 /// other, since a copy of it last came to a whole answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -80,6 +84,15 @@
 }
 
 impl EndsInRow {
+    /// So many ends under runs of one length, never cleared.
+    #[must_use]
+    pub fn alike(ran_ms: u32, ends: u32) -> Self {
+        EndsInRow {
+            clearings: 0,
+            lengths_ms: vec![ran_ms; (ends as usize).min(MOST_LENGTHS)],
+        }
+    }
+
     /// Whether no replica ended.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -3,6 +3,7 @@
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
+    format::Format,
     ids::{LogIndex, MachineId, MemberId},
     stored,
     suspicion::{EndedRun, RequestFingerprint},
@@ -10,9 +11,9 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
-    configuration::Declared, evacuations::EvacuationOrder, first_layout::FirstCommand,
-    fourth_layout::FourthCommand, replica::ReplicaChange, routes::RouteTable,
-    second_layout::SecondCommand, third_layout::ThirdCommand,
+    configuration::Declared, evacuations::EvacuationOrder, first_format::FirstFormatCommand,
+    first_layout::FirstCommand, fourth_layout::FourthCommand, replica::ReplicaChange,
+    routes::RouteTable, second_layout::SecondCommand, third_layout::ThirdCommand,
 };
 
 /// Layout of commands to forget replicas.
@@ -22,13 +23,13 @@
 /// Layout of replicas that tell which start of theirs speaks, of configurations with homes
 /// and cold replicas, of evacuations, and of the gateways that share counts.
 const FIFTH_LAYOUT: u8 = 5;
-/// Layout of configurations that may list tenants; read, not written.
-const TENANTS_LAYOUT: u8 = 4;
+/// Layout of configurations that may list tenants: the last of the first format.
+pub(crate) const TENANTS_LAYOUT: u8 = 4;
 /// Layout of route tables whose routes have a bound of queued tokens; read, not written.
 const ROUTES_LAYOUT: u8 = 2;
 /// Layout of commands about requests that are no longer suspected, and about replicas
 /// that are not where they registered; of ends under runs too, which it no longer writes.
-const THIRD_LAYOUT: u8 = 3;
+pub(crate) const THIRD_LAYOUT: u8 = 3;
 /// Layout of all other commands, and of the first route tables.
 pub(crate) const FIRST_LAYOUT: u8 = 1;
 
@@ -84,7 +85,53 @@
 }
 
 impl RegistryCommand {
-    /// The command as the log holds it.
+    /// The command as the log holds it where all members of the group read a format.
+    ///
+    /// # Errors
+    /// `InvalidState` when the format has no such command, `Internal` when it cannot be
+    /// encoded.
+    pub fn to_stored_in(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match format {
+            Format::First => FirstFormatCommand::try_from(self.clone())?.to_stored(),
+            Format::Second => self.to_stored(),
+        }
+    }
+
+    /// Whether a format keeps all that the command says.
+    #[must_use]
+    pub fn is_whole_in(&self, format: Format) -> bool {
+        match self {
+            _ if format == Format::NEWEST => true,
+            RegistryCommand::PutConfiguration { table, declared } => {
+                let tenants = declared.tenants.iter().flatten();
+                let homes = table.routes.iter().map(|route| &route.homes);
+                let mut homes = homes.chain(tenants.map(|tenant| &tenant.homes));
+                let is_cold = table.services.iter().any(|service| service.cold.is_some());
+                !is_cold && homes.all(|homes| homes.is_empty())
+            }
+            _ => self.to_stored_in(format).is_ok(),
+        }
+    }
+
+    /// The first command in the newest format: an entry of it says that all members read it,
+    /// and this one does nothing else.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub fn raise_format() -> Result<Vec<u8>, Report<ErrorKind>> {
+        let upto = LogIndex(0);
+        RegistryCommand::ForgetGone { upto }.to_stored()
+    }
+
+    /// The format that a stored command belongs to.
+    pub(crate) fn format_of(stored: &[u8]) -> Format {
+        match stored::layout_of(stored) {
+            Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
+            _ => Format::First,
+        }
+    }
+
+    /// The command as the log holds it in the newest format.
     ///
     /// # Errors
     /// `Internal` when it cannot be encoded.
--- /dev/null
+++ b/crates/registry/src/first_format.rs
@@ -0,0 +1,238 @@
+//! What of the registry goes between nodes and into its log in the first format. Frozen: a
+//! build that production runs writes it.
+
+#![allow(
+    missing_docs,
+    reason = "variants and fields are those of the types of today"
+)]
+
+use error_stack::Report;
+use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::{
+    first_format::{FirstEndedRun, not_in_first_format},
+    ids::{LogIndex, MachineId, MemberId},
+    stored,
+    suspicion::{EndedRun, RequestFingerprint},
+};
+use rkyv::{Archive, Deserialize, Serialize};
+
+use crate::{
+    command::{FIRST_LAYOUT, RegistryAnswer, RegistryCommand, TENANTS_LAYOUT, THIRD_LAYOUT},
+    configuration::Declared,
+    fourth_layout::{
+        FourthDeclared, FourthReplicaChange, FourthReplicaRecord, FourthRouteTable,
+        FourthSuspicion, FourthTenantsUpdate,
+    },
+    registry::StoreMembers,
+    start::parse_start_key,
+    table_update::TableUpdate,
+    update::FleetUpdate,
+};
+
+/// A command.
+#[derive(Archive, Serialize, Deserialize)]
+pub enum FirstFormatCommand {
+    PutConfiguration {
+        table: FourthRouteTable,
+        declared: Box<FourthDeclared>,
+    },
+    Replica(FourthReplicaChange),
+    RemoveReplica(String),
+    FormStore(Vec<MemberId>),
+    RetireStore(MachineId),
+    ReplicaEnded {
+        replica: String,
+        runs: Vec<FirstEndedRun>,
+    },
+    ClearSuspicions(Vec<RequestFingerprint>),
+    EaseSuspicions(Vec<RequestFingerprint>),
+    NotThere(String),
+}
+
+impl FirstFormatCommand {
+    /// The command as the log holds it.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub(crate) fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+        let layout = match self {
+            FirstFormatCommand::PutConfiguration { .. } => TENANTS_LAYOUT,
+            FirstFormatCommand::ReplicaEnded { .. }
+            | FirstFormatCommand::ClearSuspicions(_)
+            | FirstFormatCommand::EaseSuspicions(_)
+            | FirstFormatCommand::NotThere(_) => THIRD_LAYOUT,
+            _ => FIRST_LAYOUT,
+        };
+        stored::encode(layout, self)
+    }
+}
+
+/// What applying a command answers.
+#[derive(Archive, Serialize, Deserialize)]
+pub enum FirstFormatAnswer {
+    RoutesHeld(u64),
+    Done,
+}
+
+/// What control tells nodes of the registry: always whole tables.
+#[derive(Archive, Serialize, Deserialize)]
+pub struct FirstFormatUpdate {
+    table: Option<FourthRouteTable>,
+    tenants: Option<FourthTenantsUpdate>,
+    replicas: Vec<FourthReplicaRecord>,
+    store: Option<StoreMembers>,
+    store_at: LogIndex,
+    suspicions: Vec<FourthSuspicion>,
+    upto: LogIndex,
+}
+
+/// Starts of replicas are not told apart.
+fn id_of_start(key: &str) -> String {
+    parse_start_key(key).0.to_owned()
+}
+
+impl TryFrom<RegistryCommand> for FirstFormatCommand {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(command: RegistryCommand) -> Result<Self, Self::Error> {
+        Ok(match command {
+            RegistryCommand::PutConfiguration { table, declared } => {
+                FirstFormatCommand::PutConfiguration {
+                    table: table.try_into()?,
+                    declared: Box::new((*declared).try_into()?),
+                }
+            }
+            RegistryCommand::Replica(change) => FirstFormatCommand::Replica((*change).into()),
+            RegistryCommand::RemoveReplica(key) => {
+                FirstFormatCommand::RemoveReplica(id_of_start(&key))
+            }
+            RegistryCommand::FormStore(members) => FirstFormatCommand::FormStore(members),
+            RegistryCommand::RetireStore(machine) => FirstFormatCommand::RetireStore(machine),
+            RegistryCommand::ReplicaEnded { replica, runs } => FirstFormatCommand::ReplicaEnded {
+                replica: id_of_start(&replica),
+                runs: runs.into_iter().map(FirstEndedRun::from).collect(),
+            },
+            RegistryCommand::ClearSuspicions(cleared) => {
+                FirstFormatCommand::ClearSuspicions(cleared)
+            }
+            RegistryCommand::EaseSuspicions(eased) => FirstFormatCommand::EaseSuspicions(eased),
+            RegistryCommand::NotThere(key) => FirstFormatCommand::NotThere(id_of_start(&key)),
+            RegistryCommand::EvacuateZone(_) | RegistryCommand::RestoreZone(_) => {
+                return Err(not_in_first_format("evacuations"));
+            }
+            RegistryCommand::GatewaysChanged { .. } => {
+                return Err(not_in_first_format("record of gateways"));
+            }
+            RegistryCommand::ForgetGone { .. } => {
+                return Err(not_in_first_format("forgotten replicas"));
+            }
+        })
+    }
+}
+
+impl From<FirstFormatCommand> for RegistryCommand {
+    fn from(first: FirstFormatCommand) -> Self {
+        match first {
+            FirstFormatCommand::PutConfiguration { table, declared } => {
+                RegistryCommand::PutConfiguration {
+                    table: table.into(),
+                    declared: Box::new(Declared::from(*declared)),
+                }
+            }
+            FirstFormatCommand::Replica(change) => {
+                RegistryCommand::Replica(Box::new(change.into()))
+            }
+            FirstFormatCommand::RemoveReplica(id) => RegistryCommand::RemoveReplica(id),
+            FirstFormatCommand::FormStore(members) => RegistryCommand::FormStore(members),
+            FirstFormatCommand::RetireStore(machine) => RegistryCommand::RetireStore(machine),
+            FirstFormatCommand::ReplicaEnded { replica, runs } => RegistryCommand::ReplicaEnded {
+                replica,
+                runs: runs.into_iter().map(EndedRun::from).collect(),
+            },
+            FirstFormatCommand::ClearSuspicions(cleared) => {
+                RegistryCommand::ClearSuspicions(cleared)
+            }
+            FirstFormatCommand::EaseSuspicions(eased) => RegistryCommand::EaseSuspicions(eased),
+            FirstFormatCommand::NotThere(id) => RegistryCommand::NotThere(id),
+        }
+    }
+}
+
+impl TryFrom<RegistryAnswer> for FirstFormatAnswer {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(answer: RegistryAnswer) -> Result<Self, Self::Error> {
+        match answer {
+            RegistryAnswer::RoutesHeld(version) => Ok(FirstFormatAnswer::RoutesHeld(version)),
+            // Who cannot tell starts apart has nothing else to do.
+            RegistryAnswer::Done | RegistryAnswer::OtherStart => Ok(FirstFormatAnswer::Done),
+            RegistryAnswer::ZoneHeld { .. } => Err(not_in_first_format("evacuations")),
+        }
+    }
+}
+
+impl From<FirstFormatAnswer> for RegistryAnswer {
+    fn from(first: FirstFormatAnswer) -> Self {
+        match first {
+            FirstFormatAnswer::RoutesHeld(version) => RegistryAnswer::RoutesHeld(version),
+            FirstFormatAnswer::Done => RegistryAnswer::Done,
+        }
+    }
+}
+
+impl TryFrom<TableUpdate> for FourthRouteTable {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(update: TableUpdate) -> Result<Self, Self::Error> {
+        if !update.is_whole {
+            return Err(not_in_first_format("changes of a table"));
+        }
+        let TableUpdate {
+            version,
+            routes,
+            services,
+            limits,
+            ..
+        } = update;
+        FourthRouteTable::whole(version, routes, services, limits)
+    }
+}
+
+impl TryFrom<FleetUpdate> for FirstFormatUpdate {
+    type Error = Report<ErrorKind>;
+
+    fn try_from(update: FleetUpdate) -> Result<Self, Self::Error> {
+        if !update.evacuations.is_empty() {
+            return Err(not_in_first_format("evacuations"));
+        }
+        Ok(FirstFormatUpdate {
+            table: update.table.map(FourthRouteTable::try_from).transpose()?,
+            tenants: update.tenants.map(TryFrom::try_from).transpose()?,
+            replicas: update.replicas.into_iter().map(Into::into).collect(),
+            store: update.store,
+            store_at: update.store_at,
+            suspicions: update.suspicions.into_iter().map(Into::into).collect(),
+            upto: update.upto,
+        })
+    }
+}
+
+impl From<FirstFormatUpdate> for FleetUpdate {
+    /// It tells all that changed since what its receiver said that it knows, so that it
+    /// builds on nothing else.
+    fn from(first: FirstFormatUpdate) -> Self {
+        FleetUpdate {
+            since: LogIndex(0),
+            table: first.table.map(|table| TableUpdate::whole(table.into())),
+            tenants: first.tenants.map(Into::into),
+            replicas: first.replicas.into_iter().map(Into::into).collect(),
+            replicas_whole: false,
+            forgotten: LogIndex(0),
+            store: first.store,
+            store_at: first.store_at,
+            suspicions: first.suspicions.into_iter().map(Into::into).collect(),
+            evacuations: Vec::new(),
+            upto: first.upto,
+        }
+    }
+}
--- a/crates/registry/src/fourth_layout/mod.rs
+++ b/crates/registry/src/fourth_layout/mod.rs
@@ -1,6 +1,8 @@
 //! Stored values as the layouts up to the fourth hold them: replicas told neither which
 //! start of theirs speaks nor that they are cold, routes and tenants had no homes, and no
-//! zone was evacuated. Read, never written.
+//! zone was evacuated. Written as long as a member of the group reads no other.
+
+mod written;
 
 use linnethitch_protocol::{
     ids::LogIndex,
@@ -15,12 +17,11 @@
     registry::{RegistrySnapshot, StoreMembers},
     replica::{ReplicaChange, ReplicaRecord, ReplicaState},
     routes::{Backend, CallerLimits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits},
-    run_lengths,
     suspicion::Suspicion,
 };
 
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthService {
+pub struct FourthService {
     name: String,
     health_path: String,
     max_connections: u32,
@@ -28,7 +29,7 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-struct FourthRoute {
+pub struct FourthRoute {
     name: String,
     host: String,
     path_prefix: String,
@@ -47,7 +48,7 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthRouteTable {
+pub struct FourthRouteTable {
     version: u64,
     routes: Vec<FourthRoute>,
     services: Vec<FourthService>,
@@ -55,7 +56,7 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-struct FourthTenant {
+pub struct FourthTenant {
     name: String,
     keys: Vec<KeyDigest>,
     rank: Option<u8>,
@@ -63,14 +64,14 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-struct FourthTenantChange {
+pub struct FourthTenantChange {
     name: String,
     tenant: Option<FourthTenant>,
     changed_at: LogIndex,
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-struct FourthTenantsUpdate {
+pub struct FourthTenantsUpdate {
     are_listed: bool,
     listed_at: LogIndex,
     is_whole: bool,
@@ -78,14 +79,14 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthDeclared {
+pub struct FourthDeclared {
     tenants: Option<Vec<FourthTenant>>,
     document: Vec<u8>,
 }
 
 /// The only command that the fourth layout stored.
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) enum FourthCommand {
+pub enum FourthCommand {
     PutConfiguration {
         table: FourthRouteTable,
         declared: Box<FourthDeclared>,
@@ -94,7 +95,7 @@
 
 /// What a replica said of itself, as commands of the first layout hold it too.
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthReplicaChange {
+pub struct FourthReplicaChange {
     id: String,
     service: String,
     address: String,
@@ -105,14 +106,14 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthReplicaRecord {
+pub struct FourthReplicaRecord {
     told: FourthReplicaChange,
     changed_at: LogIndex,
 }
 
 /// As the fifth layout holds it too: of the runs that ended their replicas one length.
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthSuspicion {
+pub struct FourthSuspicion {
     fingerprint: RequestFingerprint,
     ends: u32,
     replica: String,
@@ -121,7 +122,7 @@
 }
 
 #[derive(Archive, Serialize, Deserialize)]
-pub(crate) struct FourthSnapshot {
+pub struct FourthSnapshot {
     table: Option<FourthRouteTable>,
     document: Vec<u8>,
     table_at: LogIndex,
@@ -212,16 +213,22 @@
     }
 }
 
+impl From<FourthDeclared> for Declared {
+    fn from(fourth: FourthDeclared) -> Self {
+        let tenants = fourth.tenants;
+        Declared {
+            tenants: tenants.map(|list| list.into_iter().map(Tenant::from).collect()),
+            document: fourth.document,
+        }
+    }
+}
+
 impl From<FourthCommand> for RegistryCommand {
     fn from(fourth: FourthCommand) -> Self {
         let FourthCommand::PutConfiguration { table, declared } = fourth;
-        let tenants = declared.tenants;
         RegistryCommand::PutConfiguration {
             table: table.into(),
-            declared: Box::new(Declared {
-                tenants: tenants.map(|list| list.into_iter().map(Tenant::from).collect()),
-                document: declared.document,
-            }),
+            declared: Box::new((*declared).into()),
         }
     }
 }
@@ -255,10 +262,7 @@
     fn from(fourth: FourthSuspicion) -> Self {
         Suspicion {
             fingerprint: fourth.fingerprint,
-            row: EndsInRow {
-                clearings: 0,
-                lengths_ms: run_lengths::alike(fourth.ran_ms, fourth.ends),
-            },
+            row: EndsInRow::alike(fourth.ran_ms, fourth.ends),
             replica: fourth.replica,
             changed_at: fourth.changed_at,
         }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod evacuations;
 mod fifth_layout;
+mod first_format;
 mod first_layout;
 mod fourth_layout;
 mod gateways;
@@ -39,6 +40,7 @@
 pub use command::{RegistryAnswer, RegistryCommand};
 pub use configuration::{Configuration, ConfigurationError, Declared};
 pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
+pub use first_format::{FirstFormatAnswer, FirstFormatCommand, FirstFormatUpdate};
 pub use gateways::{GatewayRecord, KnownGateways};
 pub use linnethitch_protocol::suspicion::{
     EndedRun, EndsInRow, RequestContent, RequestFingerprint, ToldSuspicion,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -6,6 +6,7 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{StateMachine, WholeSnapshot, read_whole_snapshot};
 use linnethitch_protocol::{
+    format::Format,
     ids::{LogIndex, MachineId, MemberId},
     stored,
 };
@@ -59,6 +60,8 @@
     evacuations: Evacuations,
     gateways: KnownGateways,
     changed_at: LogIndex,
+    /// The newest format among its entries: all members read it.
+    format: Format,
 }
 
 /// Layout of snapshots that this build writes; those before are still read.
@@ -195,10 +198,19 @@
     /// are forgotten by now is told all replicas that there are.
     #[must_use]
     pub fn update_since(&self, since: LogIndex) -> FleetUpdate {
+        self.update_in(Format::NEWEST, since)
+    }
+
+    /// The same as a format can tell it: the first has no changes of a table.
+    #[must_use]
+    pub fn update_in(&self, format: Format, since: LogIndex) -> FleetUpdate {
         let is_whole = since < self.forgotten;
         let replicas_since = if is_whole { LogIndex(0) } else { since };
         let history = self.table.as_ref();
-        let table = history.and_then(|history| history.update_since(since));
+        let table = history.and_then(|history| match format {
+            Format::First => history.whole_since(since),
+            Format::Second => history.update_since(since),
+        });
         let tenants = table.as_ref().map(|_| self.tenants.update_since(since));
         let changed = self.replicas.changed_after(replicas_since);
         let suspected = self.suspicions.records();
@@ -309,7 +321,9 @@
         index: LogIndex,
         command: &[u8],
     ) -> Result<Self::Answer, Report<ErrorKind>> {
-        match RegistryCommand::from_stored(command)? {
+        let parsed = RegistryCommand::from_stored(command)?;
+        self.format = self.format.max(RegistryCommand::format_of(command));
+        match parsed {
             RegistryCommand::PutConfiguration { table, declared } => {
                 return Ok(self.put_configuration(index, table, *declared));
             }
@@ -386,12 +400,20 @@
             evacuations: self.evacuations.records().cloned().collect(),
             gateways: self.gateways.records().copied().collect(),
         };
-        stored::encode(SNAPSHOT_LAYOUT, &snapshot).map(WholeSnapshot::new)
+        let stored = match self.format {
+            Format::First => stored::encode(FOURTH_LAYOUT, &FourthSnapshot::try_from(snapshot)?),
+            Format::Second => stored::encode(SNAPSHOT_LAYOUT, &snapshot),
+        };
+        stored.map(WholeSnapshot::new)
     }
 
     fn from_snapshot(content: SnapshotReader) -> Result<Self, Report<ErrorKind>> {
         let bytes = read_whole_snapshot(&content)?;
         let snapshot = decode_snapshot(&bytes)?;
+        let format = match stored::layout_of(&bytes) {
+            Some(layout) if layout > FOURTH_LAYOUT => Format::Second,
+            _ => Format::First,
+        };
         Ok(Registry {
             table: snapshot.table.map(|table| {
                 // Which route changed when is not kept: nodes that know less are told all.
@@ -407,8 +429,13 @@
             evacuations: snapshot.evacuations.into_iter().collect(),
             gateways: snapshot.gateways.into_iter().collect(),
             changed_at: snapshot.changed_at,
+            format,
         })
     }
+
+    fn format(&self) -> Format {
+        self.format
+    }
 }
 
 fn decode_snapshot(bytes: &[u8]) -> Result<RegistrySnapshot, Report<ErrorKind>> {
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -1,6 +1,6 @@
 //! Replicas that register themselves.
 
-use linnethitch_protocol::ids::LogIndex;
+use linnethitch_protocol::{format::Format, ids::LogIndex};
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::start::{parse_start_key, start_key};
@@ -52,6 +52,19 @@
 }
 
 impl ReplicaChange {
+    /// What a format keeps of it: the first neither starts nor cold times.
+    #[must_use]
+    pub fn kept_in(self, format: Format) -> Self {
+        match format {
+            Format::First => ReplicaChange {
+                born: 0,
+                cold_ms: 0,
+                ..self
+            },
+            Format::Second => self,
+        }
+    }
+
     /// The key of the start that speaks.
     #[must_use]
     pub fn start_key(&self) -> String {
--- a/crates/registry/src/run_lengths.rs
+++ b/crates/registry/src/run_lengths.rs
@@ -10,6 +10,8 @@
 //! * one that was shorter ended before the request could have done it: the ends before
 //!   it had other causes.
 
+use linnethitch_protocol::suspicion::MOST_LENGTHS;
+
 /// Replicas that end under a request, one after the other, before copies of it are
 /// refused, where each ends at once. An innocent request is refused only if three
 /// unrelated ends hit three of its runs in a row.
@@ -28,8 +30,6 @@
 /// less than [`SHORT_RUN_MS`]. A long run is often hit by unrelated ends, so that none of
 /// its row may differ.
 const STRETCHED_RUNS: u32 = 1;
-/// Lengths that are remembered: as many ends as are needed under runs of a minute.
-const MOST_LENGTHS: usize = 64;
 
 /// Runs that may have ended their replicas by themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,11 +86,6 @@
     lengths_ms.drain(..beyond);
 }
 
-/// So many runs of one length.
-pub(crate) fn alike(ran_ms: u32, runs: u32) -> Vec<u32> {
-    vec![ran_ms; (runs as usize).min(MOST_LENGTHS)]
-}
-
 fn ends_before_refusal(ran_ms: u32) -> u32 {
     ENDS_BEFORE_REFUSAL + ran_ms / FURTHER_END_PER_MS
 }
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -121,6 +121,12 @@
         self.alike().map_or(0, |alike| alike.ends)
     }
 
+    /// The shortest run of those, in milliseconds; 0 where there is none.
+    #[must_use]
+    pub(crate) fn shortest_ms(&self) -> u32 {
+        self.alike().map_or(0, |alike| alike.shortest_ms)
+    }
+
     /// Whether copies of the request are refused.
     #[must_use]
     pub fn is_refused(&self) -> bool {
--- a/crates/registry/src/table_history.rs
+++ b/crates/registry/src/table_history.rs
@@ -125,6 +125,11 @@
         self.table = Arc::new(table);
     }
 
+    /// The whole table where it changed after an entry.
+    pub(crate) fn whole_since(&self, since: LogIndex) -> Option<TableUpdate> {
+        (self.changed_at > since).then(|| TableUpdate::whole(self.table.as_ref().clone()))
+    }
+
     /// What changed after an entry; the whole table where removals after it are no longer
     /// remembered. `None` where nothing changed.
     pub(crate) fn update_since(&self, since: LogIndex) -> Option<TableUpdate> {
--- a/crates/registry/src/table_update.rs
+++ b/crates/registry/src/table_update.rs
@@ -32,6 +32,22 @@
 }
 
 impl TableUpdate {
+    /// All of a table, whatever was held.
+    #[must_use]
+    pub(crate) fn whole(table: RouteTable) -> Self {
+        let table = table.in_order();
+        TableUpdate {
+            version: table.version,
+            is_whole: true,
+            digest: table.digest(),
+            routes: table.routes,
+            removed_routes: Vec::new(),
+            services: table.services,
+            removed_services: Vec::new(),
+            limits: table.limits,
+        }
+    }
+
     /// The table that results; `None` where the held one is not the one that the change
     /// was made for. A whole table stands for itself, whatever was held.
     #[must_use]
--- a/crates/registry/src/third_layout.rs
+++ b/crates/registry/src/third_layout.rs
@@ -9,7 +9,6 @@
 
 use crate::{
     command::RegistryCommand, configuration::Declared, replica::ReplicaChange, routes::RouteTable,
-    run_lengths,
 };
 
 #[derive(Archive, Serialize, Deserialize)]
@@ -44,10 +43,7 @@
     fn from(third: ThirdEndedRun) -> Self {
         EndedRun {
             fingerprint: third.fingerprint,
-            known: EndsInRow {
-                clearings: 0,
-                lengths_ms: run_lengths::alike(third.ran_ms, third.known_ends),
-            },
+            known: EndsInRow::alike(third.ran_ms, third.known_ends),
             ran_ms: third.ran_ms,
         }
     }
--- a/crates/relay/src/quotas.rs
+++ b/crates/relay/src/quotas.rs
@@ -152,11 +152,13 @@
     fn with_view<T>(&self, act: impl FnOnce(&mut State, &QuotaView<'_>) -> T) -> T {
         let fleet = self.gateway.fleet();
         let gateways = self.gateway.coordinators();
+        let witnesses = self.gateway.witnesses();
         let silent_gateways = self.gateway.silent_coordinators();
         let view = QuotaView {
             now_ms: self.clock.now_ms(),
             own: self.gateway.machine(),
             gateways: &gateways,
+            witnesses: &witnesses,
             silent_gateways: &silent_gateways,
             control_silent_ms: self.gateway.control_silent_ms(),
             tenants: fleet.tenants(),
--- a/crates/relay/tests/all/support/fleet.rs
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -11,6 +11,7 @@
     StoreSettings,
 };
 use linnethitch_job_store::{StoreCall, StoreReply};
+use linnethitch_protocol::format::Format;
 use linnethitch_registry::{Configuration, ReplicaState, Route, RouteTable, ZoneMap};
 use linnethitch_relay::{KeyPolicy, Relay};
 use linnethitch_transport::{ClusterIdentity, ClusterKey};
@@ -107,6 +108,8 @@
             most_connections: 100,
             bootstrap: true,
             tolerated_losses: 0,
+            newest_format: Format::NEWEST,
+            build: String::new(),
             bytes: MessageBytes::default(),
             identity: ClusterIdentity {
                 name: "test".to_owned(),
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -35,6 +35,9 @@
     pub own: MachineId,
     /// The gateways that share the count, as control told last.
     pub gateways: &'a [MachineId],
+    /// Those of them that can be witnesses of a coordinator: all but those of a build that
+    /// knows none.
+    pub witnesses: &'a [MachineId],
     /// Gateways besides that control no longer hears though it did lately: they may be cut
     /// off and give out their even parts.
     pub silent_gateways: &'a [MachineId],
--- a/crates/routing/src/quota/witnesses.rs
+++ b/crates/routing/src/quota/witnesses.rs
@@ -44,9 +44,9 @@
 const REMEMBERED_MS: u64 = 1_000;
 
 /// The witnesses of a coordinator, in a fixed order.
-fn witnesses_of(coordinator: MachineId, gateways: &[MachineId]) -> Vec<MachineId> {
+fn witnesses_of(coordinator: MachineId, can_witness: &[MachineId]) -> Vec<MachineId> {
     let name = coordinator.to_string();
-    let others = gateways.iter().copied();
+    let others = can_witness.iter().copied();
     let mut others: Vec<MachineId> = others.filter(|machine| *machine != coordinator).collect();
     others.sort_by_cached_key(|machine| Reverse((spread(u64::from(machine.0), &name), *machine)));
     others.truncate(WITNESSES);
@@ -84,15 +84,15 @@
             *self = Witnessed::default();
             return;
         }
-        if self.listed == view.gateways {
+        if self.listed == view.witnesses {
             return;
         }
-        let witnesses = witnesses_of(view.own, view.gateways).into_iter();
+        let witnesses = witnesses_of(view.own, view.witnesses).into_iter();
         let sent_ms = |machine: &MachineId| self.answered.get(machine).copied();
         self.answered = witnesses
             .map(|machine| (machine, sent_ms(&machine).unwrap_or(view.now_ms)))
             .collect();
-        self.listed = view.gateways.to_vec();
+        self.listed = view.witnesses.to_vec();
     }
 
     /// Nobody needs to hear a gateway that counts nothing.
@@ -223,7 +223,7 @@
             if now_ms < silence.since_ms + ASK_AFTER_MS {
                 continue;
             }
-            silence.witnesses = witnesses_of(*coordinator, view.gateways);
+            silence.witnesses = witnesses_of(*coordinator, view.witnesses);
             for witness in &silence.witnesses {
                 if *witness != view.own {
                     let message = QuotaMessage::IsHeard {
--- a/crates/routing/tests/all/quota/model.rs
+++ b/crates/routing/tests/all/quota/model.rs
@@ -361,6 +361,7 @@
             now_ms: now_us / 1_000,
             own: machine(gateway),
             gateways: &list,
+            witnesses: &list,
             silent_gateways: &silent,
             control_silent_ms: (now_us - node.heard_us) / 1_000,
             tenants: &self.directory,
--- a/crates/routing/tests/all/quota/unheard.rs
+++ b/crates/routing/tests/all/quota/unheard.rs
@@ -51,6 +51,7 @@
             now_ms,
             own: self.own,
             gateways: &self.gateways,
+            witnesses: &self.gateways,
             silent_gateways: &[],
             control_silent_ms: self.control_silent_ms,
             tenants: &self.tenants,
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -4,6 +4,7 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::format::Format;
 use tokio::{net::TcpStream, sync::watch, time::timeout};
 
 use crate::{
@@ -22,6 +23,8 @@
 pub struct Connection<Incoming, Outgoing> {
     /// The peer's address.
     pub peer: SocketAddr,
+    /// The format that both sides speak.
+    pub format: Format,
     /// Sends; cheap to clone.
     pub sender: MessageSender<Outgoing>,
     /// Receives; dropping it ends the connection.
@@ -32,6 +35,7 @@
     /// Starts the writer of a stream whose handshake is done.
     pub(crate) fn start(
         stream: TcpStream,
+        format: Format,
         peer: SocketAddr,
         options: ConnectionOptions,
         traffic: Arc<Traffic>,
@@ -54,11 +58,13 @@
         let sender = MessageSender {
             queue: Arc::clone(&queue),
             handles: Arc::new(CloseOnDrop(Arc::clone(&queue))),
+            format,
             message: PhantomData,
         };
         let receiver = MessageReceiver::new(read_half, queue, writer_ended, options, traffic);
         Connection {
             peer,
+            format,
             sender,
             receiver,
         }
@@ -87,6 +93,7 @@
 pub struct MessageSender<Outgoing> {
     queue: Arc<SendQueue>,
     handles: Arc<CloseOnDrop>,
+    format: Format,
     message: PhantomData<fn(Outgoing)>,
 }
 
@@ -95,12 +102,19 @@
         MessageSender {
             queue: Arc::clone(&self.queue),
             handles: Arc::clone(&self.handles),
+            format: self.format,
             message: PhantomData,
         }
     }
 }
 
 impl<Outgoing: WireMessage> MessageSender<Outgoing> {
+    /// The format that both sides of the connection speak.
+    #[must_use]
+    pub fn format(&self) -> Format {
+        self.format
+    }
+
     /// Queues a message if there is room now.
     ///
     /// # Errors
@@ -114,7 +128,7 @@
     /// # Errors
     /// The reason why it was not queued.
     pub fn try_send_counted(&self, message: &Outgoing) -> Result<usize, SendRefused> {
-        let frame = encode(message, false)?;
+        let frame = self.encode(message, false)?;
         let bytes = frame.bytes.len();
         self.queue.push(frame).map_err(|(reason, _)| reason)?;
         Ok(bytes)
@@ -126,7 +140,7 @@
     /// # Errors
     /// The reason why it was not queued.
     pub fn send_soft(&self, message: &Outgoing) -> Result<(), SendRefused> {
-        self.queue.push_dropping_oldest(encode(message, true)?)
+        self.queue.push_dropping_oldest(self.encode(message, true)?)
     }
 
     /// Queues a message, waiting for room.
@@ -134,7 +148,7 @@
     /// # Errors
     /// `Closed` when the connection has ended, `NotEncodable` for a message without a frame.
     pub async fn send(&self, message: &Outgoing) -> Result<(), SendRefused> {
-        let mut frame = encode(message, false)?;
+        let mut frame = self.encode(message, false)?;
         loop {
             let writable = self.queue.writable();
             frame = match self.queue.push(frame) {
@@ -156,17 +170,17 @@
     pub fn dropped(&self) -> u64 {
         self.queue.dropped()
     }
-}
 
-fn encode<M: WireMessage>(message: &M, droppable: bool) -> Result<QueuedFrame, SendRefused> {
-    let bytes = message
-        .to_frame()
-        .map_err(|report| SendRefused::NotEncodable(*report.current_context()))?;
-    Ok(QueuedFrame {
-        kind: M::KIND,
-        bytes,
-        droppable,
-    })
+    fn encode(&self, message: &Outgoing, droppable: bool) -> Result<QueuedFrame, SendRefused> {
+        let bytes = message
+            .to_frame(self.format)
+            .map_err(|report| SendRefused::NotEncodable(*report.current_context()))?;
+        Ok(QueuedFrame {
+            kind: Outgoing::KIND,
+            bytes,
+            droppable,
+        })
+    }
 }
 
 /// Connects to a listener and proves the cluster key.
@@ -191,16 +205,19 @@
         stream
             .set_nodelay(true)
             .map_err(|error| io_failed(address, &error.to_string()))?;
-        handshake::initiate(&mut stream, identity, &traffic).await?;
+        let newest = options.newest_format;
+        let format = handshake::initiate(&mut stream, identity, newest, &traffic).await?;
         let peer = stream
             .peer_addr()
             .map_err(|error| io_failed(address, &error.to_string()))?;
-        Ok::<_, Report<ErrorKind>>((stream, peer))
+        Ok::<_, Report<ErrorKind>>((stream, format, peer))
     };
-    let (stream, peer) = timeout(options.open_timeout, opening)
+    let (stream, format, peer) = timeout(options.open_timeout, opening)
         .await
         .map_err(|_| io_failed(address, "no answer in time"))??;
-    Ok(Connection::start(stream, peer, options, traffic, None))
+    Ok(Connection::start(
+        stream, format, peer, options, traffic, None,
+    ))
 }
 
 fn io_failed(address: &str, reason: &str) -> Report<ErrorKind> {
--- a/crates/transport/src/datagrams.rs
+++ b/crates/transport/src/datagrams.rs
@@ -10,7 +10,10 @@
 use error_stack::{Report, ResultExt};
 use hmac::Mac;
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::frame::{self, HEADER_BYTES};
+use linnethitch_protocol::{
+    format::Format,
+    frame::{self, HEADER_BYTES},
+};
 use tokio::net::UdpSocket;
 
 use crate::{key::ClusterIdentity, message::WireMessage};
@@ -85,10 +88,11 @@
         }
     }
 
-    /// Sends a message if the socket takes it at once; else it is lost. Returns the bytes that
-    /// were sent, without headers of UDP and IP.
-    pub fn send(&self, to: SocketAddrV4, message: &M) -> usize {
-        let Ok(mut datagram) = message.to_frame() else {
+    /// Sends a message in a format that the receiver reads, if the socket takes it at once and
+    /// the format has it; else it is lost. Returns the bytes that were sent, without headers of
+    /// UDP and IP.
+    pub fn send(&self, to: SocketAddrV4, format: Format, message: &M) -> usize {
+        let Ok(mut datagram) = message.to_frame(format) else {
             return 0;
         };
         let proof = self.proof(&datagram);
--- a/crates/transport/src/handshake.rs
+++ b/crates/transport/src/handshake.rs
@@ -6,19 +6,26 @@
 //! 4. The responder checks it and accepts.
 //!
 //! A proof is the HMAC-SHA-256 under the cluster key over the side's label,
-//! the cluster name, the format version and both nonces. Neither side can
+//! the cluster name, the format of the exchange and both nonces. Neither side can
 //! replay the other's proof, since the labels differ. Either side may answer
-//! with a refusal in place of its step; the format version is checked by the
-//! frame header of every message.
+//! with a refusal in place of its step.
+//!
+//! The end of each nonce names the formats that its side speaks ([`SpokenFormats`]), so that
+//! both know the newest common one without a further message, and nobody on the path can
+//! change that without breaking the proofs. A build that knows one format only takes it for
+//! random bytes, and its own nonce names none.
 
 use error_stack::Report;
 use hmac::Mac;
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::frame::{self, FORMAT_VERSION, FrameKind, HEADER_BYTES};
+use linnethitch_protocol::{
+    format::Format,
+    frame::{self, FrameKind, HEADER_BYTES, OPENING_FORMAT},
+};
 use rkyv::{Archive, Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
-use crate::{key::ClusterIdentity, traffic::Traffic};
+use crate::{key::ClusterIdentity, spoken_formats::SpokenFormats, traffic::Traffic};
 
 /// Longest handshake message, in bytes.
 const MAX_HANDSHAKE_BYTES: usize = 1024;
@@ -61,10 +68,11 @@
     Report::new(ErrorKind::Io).attach(format!("handshake: {error}"))
 }
 
-fn fresh_nonce() -> Result<Nonce, Report<ErrorKind>> {
+fn fresh_nonce(formats: SpokenFormats) -> Result<Nonce, Report<ErrorKind>> {
     let mut nonce = [0; NONCE_BYTES];
     getrandom::fill(&mut nonce)
         .map_err(|error| Report::new(ErrorKind::Io).attach(error.to_string()))?;
+    formats.write_to(&mut nonce);
     Ok(nonce)
 }
 
@@ -80,7 +88,7 @@
         self.identity.key.authenticate(&[
             label,
             self.identity.name.as_bytes(),
-            &FORMAT_VERSION.to_le_bytes(),
+            &OPENING_FORMAT.number().to_le_bytes(),
             &self.initiator,
             &self.responder,
         ])
@@ -98,19 +106,21 @@
     }
 }
 
-/// Runs the side that opened the TCP connection.
+/// Runs the side that opened the TCP connection, and tells the format that both sides speak.
 ///
 /// # Errors
 /// `PeerRefused` when either side refuses the other, `Io` when the stream breaks.
 pub(crate) async fn initiate<S>(
     stream: &mut S,
     identity: &ClusterIdentity,
+    newest: Format,
     traffic: &Traffic,
-) -> Result<(), Report<ErrorKind>>
+) -> Result<Format, Report<ErrorKind>>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let initiator = fresh_nonce()?;
+    let formats = SpokenFormats::up_to(newest);
+    let initiator = fresh_nonce(formats)?;
     let open = HandshakeMessage::Open {
         cluster: identity.name.clone(),
         nonce: initiator,
@@ -127,23 +137,28 @@
     if let Err(report) = transcript.verify(RESPONDER_LABEL, &proof) {
         return Err(refuse_peer(stream, report, "wrong cluster key", traffic).await);
     }
+    let common = match formats.common_with(&nonce) {
+        Ok(common) => common,
+        Err(report) => return Err(refuse_peer(stream, report, "no common format", traffic).await),
+    };
     let proof = transcript.proof(INITIATOR_LABEL);
     write_message(stream, &HandshakeMessage::Proof { proof }, traffic).await?;
     match read_message(stream, traffic).await? {
-        HandshakeMessage::Accepted => Ok(()),
+        HandshakeMessage::Accepted => Ok(common),
         _ => Err(refused("the peer did not accept the proof")),
     }
 }
 
-/// Runs the side that accepted the TCP connection.
+/// Runs the side that accepted the TCP connection, and tells the format that both sides speak.
 ///
 /// # Errors
 /// `PeerRefused` when either side refuses the other, `Io` when the stream breaks.
 pub(crate) async fn respond<S>(
     stream: &mut S,
     identity: &ClusterIdentity,
+    newest: Format,
     traffic: &Traffic,
-) -> Result<(), Report<ErrorKind>>
+) -> Result<Format, Report<ErrorKind>>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
@@ -154,10 +169,15 @@
         let report = refused(format!("a peer of cluster {cluster:?}"));
         return Err(refuse_peer(stream, report, "another cluster", traffic).await);
     }
+    let formats = SpokenFormats::up_to(newest);
+    let common = match formats.common_with(&nonce) {
+        Ok(common) => common,
+        Err(report) => return Err(refuse_peer(stream, report, "no common format", traffic).await),
+    };
     let transcript = Transcript {
         identity,
         initiator: nonce,
-        responder: fresh_nonce()?,
+        responder: fresh_nonce(formats)?,
     };
     let challenge = HandshakeMessage::Challenge {
         nonce: transcript.responder,
@@ -170,7 +190,8 @@
     if let Err(report) = transcript.verify(INITIATOR_LABEL, &proof) {
         return Err(refuse_peer(stream, report, "wrong cluster key", traffic).await);
     }
-    write_message(stream, &HandshakeMessage::Accepted, traffic).await
+    write_message(stream, &HandshakeMessage::Accepted, traffic).await?;
+    Ok(common)
 }
 
 /// Tells the peer that it is refused, as far as it still listens.
@@ -200,7 +221,7 @@
 where
     S: AsyncWrite + Unpin,
 {
-    let bytes = frame::write_frame(FrameKind::Handshake, message)?;
+    let bytes = frame::write_frame(FrameKind::Handshake, OPENING_FORMAT, message)?;
     stream
         .write_all(&bytes)
         .await
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 mod options;
 mod queue;
 mod receiver;
+mod spoken_formats;
 mod traffic;
 mod writer;
 
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -4,6 +4,7 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
+use linnethitch_protocol::format::Format;
 use slog::{Logger, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -144,16 +145,15 @@
         Incoming: WireMessage,
         Outgoing: WireMessage,
     {
-        let result = self.handshake().await;
-        if let Err(report) = result {
+        let format = self.handshake().await.inspect_err(|report| {
             warn!(self.logger, "peer refused";
                 "peer" => %self.peer,
                 "code" => report.current_context().answer().code,
                 "reason" => format!("{report:?}"));
-            return Err(report);
-        }
+        })?;
         Ok(Connection::start(
             self.stream,
+            format,
             self.peer,
             self.options,
             self.traffic,
@@ -161,11 +161,12 @@
         ))
     }
 
-    async fn handshake(&mut self) -> Result<(), Report<ErrorKind>> {
+    async fn handshake(&mut self) -> Result<Format, Report<ErrorKind>> {
         self.stream
             .set_nodelay(true)
             .map_err(|error| Report::new(ErrorKind::Io).attach(error.to_string()))?;
-        let handshake = handshake::respond(&mut self.stream, &self.identity, &self.traffic);
+        let newest = self.options.newest_format;
+        let handshake = handshake::respond(&mut self.stream, &self.identity, newest, &self.traffic);
         timeout(self.options.open_timeout, handshake)
             .await
             .unwrap_or_else(|_| {
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -4,6 +4,8 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     attach::{ControlMessage, GatewayMessage, PeerMessage},
+    first_format::FirstDatagram,
+    format::Format,
     frame::{self, FrameHeader, FrameKind},
     slots::GatewayDatagram,
 };
@@ -13,27 +15,28 @@
     /// The kind of its frames.
     const KIND: FrameKind;
 
-    /// Encodes header and payload.
+    /// Encodes header and payload in a format.
     ///
     /// # Errors
-    /// `BodyTooLarge` when the message exceeds the frame limit.
-    fn to_frame(&self) -> Result<Vec<u8>, Report<ErrorKind>>;
+    /// `BodyTooLarge` when the message exceeds the frame limit, `InvalidState` when the format
+    /// has no such message.
+    fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>>;
 
-    /// Checks and decodes a payload.
+    /// Checks and decodes a payload of the header's format.
     ///
     /// # Errors
     /// `Corrupted` or `MalformedRequest` when the payload is not this message.
     fn from_payload(header: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>>;
 }
 
-/// Implements [`WireMessage`] for a type with rkyv's traits.
+/// Implements [`WireMessage`] for a type with rkyv's traits that is the same in all formats.
 macro_rules! wire_message {
     ($($type:ty => $kind:ident),+ $(,)?) => { $(
         impl WireMessage for $type {
             const KIND: FrameKind = FrameKind::$kind;
 
-            fn to_frame(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-                frame::write_frame(Self::KIND, self)
+            fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+                frame::write_frame(Self::KIND, format, self)
             }
 
             fn from_payload(
@@ -50,5 +53,25 @@
     GatewayMessage => Gateway,
     ControlMessage => Control,
     PeerMessage => Peer,
-    GatewayDatagram => Slots,
+}
+
+impl WireMessage for GatewayDatagram {
+    const KIND: FrameKind = FrameKind::Slots;
+
+    fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match format {
+            Format::First => {
+                let first = FirstDatagram::try_from(self.clone())?;
+                frame::write_frame(Self::KIND, format, &first)
+            }
+            Format::Second => frame::write_frame(Self::KIND, format, self),
+        }
+    }
+
+    fn from_payload(header: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        match header.format {
+            Format::First => frame::read_payload::<FirstDatagram>(header, payload).map(Into::into),
+            Format::Second => frame::read_payload(header, payload),
+        }
+    }
 }
--- a/crates/transport/src/options.rs
+++ b/crates/transport/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use linnethitch_protocol::format::Format;
+
 /// Limits of a connection; every queue and every wait is bounded by one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionOptions {
@@ -17,6 +19,8 @@
     pub queue_frames: usize,
     /// Most bytes in the send queue; one larger frame is let through when it is empty.
     pub queue_bytes: usize,
+    /// The newest format that is spoken, whatever newer one this build knows.
+    pub newest_format: Format,
 }
 
 impl Default for ConnectionOptions {
@@ -28,6 +32,7 @@
             write_timeout: Duration::from_secs(5),
             queue_frames: 1024,
             queue_bytes: 32 * 1024 * 1024,
+            newest_format: Format::NEWEST,
         }
     }
 }
--- a/crates/transport/src/writer.rs
+++ b/crates/transport/src/writer.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use linnethitch_protocol::frame::{FORMAT_VERSION, FrameKind, HEADER_BYTES};
+use linnethitch_protocol::frame::{FrameKind, HEADER_BYTES, OPENING_FORMAT};
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
     sync::watch,
@@ -17,7 +17,7 @@
 /// A frame of kind handshake without a payload, sent to show that the sender lives.
 pub(crate) fn keep_alive_frame() -> [u8; HEADER_BYTES] {
     let mut frame = [0; HEADER_BYTES];
-    frame[4..6].copy_from_slice(&FORMAT_VERSION.to_le_bytes());
+    frame[4..6].copy_from_slice(&OPENING_FORMAT.number().to_le_bytes());
     frame[6..8].copy_from_slice(&(FrameKind::Handshake as u16).to_le_bytes());
     frame
 }
--- a/crates/transport/tests/all/connection.rs
+++ b/crates/transport/tests/all/connection.rs
@@ -7,6 +7,7 @@
 use linnethitch_fault_proxy::{Mode, Network, Way};
 use linnethitch_protocol::{
     attach::{ControlMessage, GatewayMessage},
+    format::Format,
     frame::{FrameKind, HEADER_BYTES},
     ids::{ReplicaId, Revision},
 };
@@ -243,7 +244,7 @@
 #[tokio::test]
 async fn a_cut_frame_is_an_error_not_an_end(#[case] bytes: usize, #[case] expected: ErrorKind) {
     let frame = GatewayMessage::Confirm(Revision(7))
-        .to_frame()
+        .to_frame(Format::NEWEST)
         .expect("a frame");
     let report = receive_raw(&frame[..bytes]).await.expect_err("broken");
     assert_eq!(*report.current_context(), expected);
@@ -257,7 +258,7 @@
 #[tokio::test]
 async fn a_damaged_frame_is_refused(#[case] position: usize, #[case] expected: ErrorKind) {
     let mut frame = GatewayMessage::Confirm(Revision(7))
-        .to_frame()
+        .to_frame(Format::NEWEST)
         .expect("a frame");
     frame[position] ^= 0x55;
     let report = receive_raw(&frame).await.expect_err("refused");
@@ -266,7 +267,9 @@
 
 #[tokio::test]
 async fn a_frame_of_another_kind_is_refused() {
-    let mut frame = GatewayMessage::Heartbeat.to_frame().expect("a frame");
+    let mut frame = GatewayMessage::Heartbeat
+        .to_frame(Format::NEWEST)
+        .expect("a frame");
     frame[6..8].copy_from_slice(&(FrameKind::Peer as u16).to_le_bytes());
     let report = receive_raw(&frame).await.expect_err("refused");
     assert_eq!(*report.current_context(), ErrorKind::MalformedRequest);
--- a/crates/transport/tests/all/datagrams.rs
+++ b/crates/transport/tests/all/datagrams.rs
@@ -6,6 +6,7 @@
 };
 
 use linnethitch_protocol::{
+    format::Format,
     frame::{self, FrameKind},
     slots::{GatewayDatagram, RunOutcome},
 };
@@ -41,7 +42,7 @@
 async fn a_message_arrives_with_its_sender() {
     let (receiver, to) = bind(identity("fleet", "a key for tests only"));
     let (sender, from) = bind(identity("fleet", "a key for tests only"));
-    sender.send(to, &end(7));
+    sender.send(to, Format::NEWEST, &end(7));
     let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
     let received = received.expect("in time").expect("the socket works");
     assert_eq!(received, (from, end(7)));
@@ -56,8 +57,8 @@
     let (receiver, to) = bind(identity("fleet", "a key for tests only"));
     let (stranger, _) = bind(identity(name, key));
     let (member, _) = bind(identity("fleet", "a key for tests only"));
-    stranger.send(to, &end(1));
-    member.send(to, &end(2));
+    stranger.send(to, Format::NEWEST, &end(1));
+    member.send(to, Format::NEWEST, &end(2));
     let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
     let (_, message) = received.expect("in time").expect("the socket works");
     assert_eq!(message, end(2));
@@ -67,14 +68,14 @@
 #[case::empty(Vec::new())]
 #[case::short(vec![1, 2, 3])]
 #[case::noise(vec![9; 200])]
-#[case::without_a_proof(frame::write_frame(FrameKind::Slots, &end(1)).expect("small"))]
+#[case::without_a_proof(frame::write_frame(FrameKind::Slots, Format::NEWEST, &end(1)).expect("small"))]
 #[tokio::test]
 async fn bytes_that_are_no_datagram_are_passed_over(#[case] bytes: Vec<u8>) {
     let (receiver, to) = bind(identity("fleet", "a key for tests only"));
     let (member, _) = bind(identity("fleet", "a key for tests only"));
     let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     stranger.send_to(&bytes, to).await.expect("it is sent");
-    member.send(to, &end(2));
+    member.send(to, Format::NEWEST, &end(2));
     let received = tokio::time::timeout(LIMIT, receiver.receive()).await;
     let (_, message) = received.expect("in time").expect("the socket works");
     assert_eq!(message, end(2));
