Cluster: a group stores what all of its members read, and raises that in its log

Cause: stored layouts were read downwards and always written in the newest. Which may be written is a fact of the whole group, and nothing knew it. Class: the same, on disks.

Mend: the format is part of the replicated state, the newest among its entries. Evacuations are refused (409) and configurations with homes wait as long as an older machine is known; at the start of a fleet of one build a configuration that the first format would cut waits for the raise.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -7,7 +7,7 @@
 };
 
 use error_stack::Report;
-use linnethitch_clock::Clock;
+use linnethitch_clock::{Clock, Instant};
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, MachineId, MemberId};
@@ -16,7 +16,7 @@
 };
 use linnethitch_storage::folder::FolderRole;
 use parking_lot::Mutex;
-use slog::Logger;
+use slog::{Logger, warn};
 use tokio::{
     sync::{mpsc, watch},
     time::interval,
@@ -30,7 +30,9 @@
     driver::{self, GroupHandle},
     incoming::{Answers, Inbound},
     links::Links,
-    message::{CallBody, NodeMessage, NodeRole, RegistryCall, RegistryReply, ReplyBody},
+    message::{
+        CallBody, NodeMessage, NodeRole, RegistryCall, RegistryReply, ReplyBody, spoken_format,
+    },
     node::{self, NodeBase, NodeSettings},
     presence::Presence,
     registry_service::{RegistryService, RegistryShared, RegistryView},
@@ -83,7 +85,7 @@
     pub(crate) shared: Arc<RegistryShared>,
     client: GroupClient<RegistryCall>,
     handle: GroupHandle<RegistryCall, RegistryReply>,
-    links: Links,
+    pub(crate) links: Links,
     pub(crate) clock: Clock,
     /// Keys of starts that were heard of since the leader was last told.
     pub(crate) heard: Arc<Mutex<BTreeSet<String>>>,
@@ -165,7 +167,19 @@
                 document,
             }),
         };
-        match self.propose(command, limit).await? {
+        let began = Instant::now();
+        if !command.is_whole_in(self.stored_format()) {
+            // Where a member stays away, what it can't read is left out after half of the time.
+            self.wait_for_newest_format(began + limit / 2).await;
+        }
+        let format = self.stored_format();
+        if let Err(report) = command.to_stored_in(format) {
+            warn!(self.logger, "configuration cannot be kept"; "stored_format" => format.number(),
+                "cause" => format!("{report:?}"));
+            return Err(Unavailable);
+        }
+        let left = limit.saturating_sub(began.elapsed());
+        match self.propose(command, left).await? {
             RegistryAnswer::RoutesHeld(version) => Ok(version),
             _ => Err(Unavailable),
         }
@@ -326,7 +340,8 @@
             }
             NodeMessage::Hello(hello) => {
                 if let (NodeRole::Control, Some(member)) = (hello.role, hello.member) {
-                    self.handle.present(member).await;
+                    let speaks = spoken_format(hello.newest_format);
+                    self.handle.present(member, speaks).await;
                 }
                 let now_ms = self.clock.now_ms();
                 if self.shared.presence.lock().note(hello, now_ms) {
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -9,7 +9,8 @@
     CallFailure, GroupMember, GroupNotice, GroupOutput, GroupSettings, StateMachine,
 };
 use linnethitch_protocol::{
-    consensus::ConsensusMessage,
+    consensus::{ConsensusBody, ConsensusMessage},
+    format::Format,
     ids::{MachineId, MemberId},
 };
 use linnethitch_storage::RealFileSystem;
@@ -78,6 +79,9 @@
     /// Commands that the leader proposes by itself.
     fn upkeep(&mut self, member: &GroupMember<Self::State>, now: Now) -> Vec<Vec<u8>>;
 
+    /// The first entry in the newest format; proposed once all members read that.
+    fn raise_format(&self) -> Option<Vec<u8>>;
+
     /// Looks at the member after each flush.
     fn flushed(&mut self, member: &GroupMember<Self::State>, now: Now);
 }
@@ -86,8 +90,15 @@
 
 enum Input<Call, Reply> {
     Message(ConsensusMessage),
-    Call { call: Call, reply: ReplyTo<Reply> },
-    Present(MemberId),
+    Call {
+        call: Call,
+        reply: ReplyTo<Reply>,
+    },
+    Present {
+        member: MemberId,
+        /// The newest format that it speaks, as far as that was told.
+        speaks: Option<Format>,
+    },
     Retiring(BTreeSet<MachineId>),
     Stop(tokio::sync::oneshot::Sender<()>),
 }
@@ -114,8 +125,8 @@
         let _ = self.inputs.send(Input::Call { call, reply }).await;
     }
 
-    pub(crate) async fn present(&self, member: MemberId) {
-        let _ = self.inputs.send(Input::Present(member)).await;
+    pub(crate) async fn present(&self, member: MemberId, speaks: Option<Format>) {
+        let _ = self.inputs.send(Input::Present { member, speaks }).await;
     }
 
     pub(crate) async fn retiring(&self, machines: BTreeSet<MachineId>) {
@@ -149,6 +160,10 @@
     next_call: u64,
     open: std::collections::HashMap<u64, OpenCall<S::Call, S::Reply>>,
     stopping: Option<tokio::sync::oneshot::Sender<()>>,
+    /// The format in which new entries may be, once what was proposed to raise it commits.
+    proposed_format: Format,
+    /// Members that lack entries which they cannot read, as far as that was logged.
+    unable: BTreeSet<MachineId>,
 }
 
 /// A driver, and the handle that reaches it.
@@ -184,6 +199,8 @@
         next_call: 0,
         open: std::collections::HashMap::new(),
         stopping: None,
+        proposed_format: Format::OLDEST,
+        unable: BTreeSet::new(),
     };
     Ok((driver, GroupHandle { inputs: sender }))
 }
@@ -240,7 +257,11 @@
         match input {
             Input::Message(message) => self.member.receive(message),
             Input::Call { call, reply } => self.begin(call, reply),
-            Input::Present(member) => self.member.note_present(member, self.clock.now_ms()),
+            Input::Present { member, speaks } => {
+                if self.may_join(member.machine, speaks) {
+                    self.member.note_present(member, self.clock.now_ms());
+                }
+            }
             Input::Retiring(machines) => self.member.set_retiring(machines),
             Input::Stop(done) => {
                 self.member.hand_leadership_over();
@@ -274,13 +295,83 @@
     fn tick(&mut self) {
         let now = self.now();
         self.member.tick(now.steady_ms);
-        if self.member.is_leader() && self.stopping.is_none() {
+        if !self.member.is_leader() {
+            self.proposed_format = Format::OLDEST;
+        } else if self.stopping.is_none() {
+            self.raise_format_if_due();
             for command in self.service.upkeep(&self.member, now) {
                 self.propose_own(command);
             }
         }
     }
 
+    /// What a group stores may be in a newer format once all of its members read that. An
+    /// entry that a member cannot read would stop it, and its machine could not go back to
+    /// the build before.
+    fn raise_format_if_due(&mut self) {
+        let newest = self.links.newest_format();
+        if self.format() >= newest || !self.all_members_read(newest) {
+            return;
+        }
+        let Some(command) = self.service.raise_format() else {
+            return;
+        };
+        info!(self.logger, "stored format raised"; "format" => newest.number(),
+            "before" => self.format().number());
+        self.proposed_format = newest;
+        self.propose_own(command);
+    }
+
+    /// The format of entries that are stored or proposed here.
+    fn format(&self) -> Format {
+        self.member.state().format().max(self.proposed_format)
+    }
+
+    fn all_members_read(&self, format: Format) -> bool {
+        let own = self.member.id().machine;
+        let membership = self.member.status().membership;
+        let mut others = membership.voters.iter().chain(&membership.learners);
+        others.all(|member| {
+            let machine = member.machine;
+            machine == own || self.links.format_with(machine) >= Some(format)
+        })
+    }
+
+    /// Whether a machine reads what the group stores. Where nobody told what it speaks, it is
+    /// asked over a link, and counts when it is heard of next.
+    fn may_join(&self, machine: MachineId, told: Option<Format>) -> bool {
+        let format = self.format();
+        if format == Format::OLDEST {
+            return true;
+        }
+        let speaks = told.or_else(|| self.links.format_with(machine));
+        if speaks.is_none() && self.member.is_leader() {
+            self.links.reach(machine);
+        }
+        speaks >= Some(format)
+    }
+
+    /// Whether a member can take a message: entries and snapshots that it cannot read would
+    /// stop it and stay on its disk.
+    fn can_take(&mut self, message: &ConsensusMessage) -> bool {
+        let stores = matches!(
+            message.body,
+            ConsensusBody::Append(_) | ConsensusBody::SnapshotChunk(_)
+        );
+        let (to, format) = (message.to.machine, self.format());
+        let spoken = self.links.format_with(to).unwrap_or(format);
+        if !stores || spoken >= format {
+            self.unable.remove(&to);
+            return true;
+        }
+        if self.unable.insert(to) {
+            warn!(self.logger, "member cannot read what is stored";
+                "member" => address_of(to).to_string(),
+                "reads" => spoken.number(), "stored" => format.number());
+        }
+        false
+    }
+
     /// Proposes a command that nobody waits for.
     fn propose_own(&mut self, command: Vec<u8>) {
         self.next_call += 1;
@@ -290,10 +381,11 @@
     fn pass_outputs_on(&mut self) {
         for output in self.member.take_outputs() {
             match output {
-                GroupOutput::Send(message) => {
+                GroupOutput::Send(message) if self.can_take(&message) => {
                     let to = message.to.machine;
                     self.links.send(to, &NodeMessage::Consensus(message));
                 }
+                GroupOutput::Send(_) => {}
                 GroupOutput::Applied { call, answer } => {
                     if let Some(open) = self.open.remove(&call) {
                         let now = self.now();
--- a/crates/cluster/src/evacuation.rs
+++ b/crates/cluster/src/evacuation.rs
@@ -15,6 +15,8 @@
     Held(LogIndex),
     /// There is no such zone.
     Unknown,
+    /// A node of a build that knows no evacuations would go on sending there; nothing was done.
+    NotYet,
 }
 
 impl ControlNode {
@@ -60,6 +62,14 @@
             }
             evacuations.changed_at(zone)
         };
+        let is_stored = self.wait_for_newest_format(until).await;
+        if self.has_older_member() || self.has_older_gateway() {
+            return Ok(ZoneOrder::NotYet);
+        }
+        if !is_stored {
+            // A member that is cut off does not know.
+            return Err(Unavailable);
+        }
         loop {
             let order = EvacuationOrder {
                 zone: zone.to_owned(),
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -40,6 +40,7 @@
 mod standstill;
 mod store;
 mod store_service;
+mod stored_format;
 mod told_fleet;
 mod told_set;
 
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -8,8 +8,11 @@
     },
 };
 
-use linnethitch_group::{CallFailure, GroupMember};
-use linnethitch_protocol::ids::{LogIndex, MachineId};
+use linnethitch_group::{CallFailure, GroupMember, StateMachine};
+use linnethitch_protocol::{
+    format::Format,
+    ids::{LogIndex, MachineId},
+};
 use linnethitch_registry::{
     KnownGateways, Registry, RegistryAnswer, RegistryCommand, RequestFingerprint,
     first_store_members,
@@ -153,6 +156,10 @@
         })
     }
 
+    fn all_gateways_read(&self, format: Format, now_ms: u64) -> bool {
+        self.shared.presence.lock().gateways_read(format, now_ms)
+    }
+
     fn log_gateways(&self, before: &KnownGateways, now: &KnownGateways) {
         let joined = now.machines().filter(|machine| !before.contains(*machine));
         let left = before.machines().filter(|machine| !now.contains(*machine));
@@ -183,12 +190,15 @@
         now: Now,
     ) -> Begin<RegistryReply> {
         match call {
-            RegistryCall::Propose(command) => match command.to_stored() {
+            RegistryCall::Propose(command) => match command.to_stored_in(member.state().format()) {
                 Ok(command) => Begin::Propose {
                     first: None,
                     command,
                 },
-                Err(_) => Begin::Reply(RegistryReply::Refused),
+                Err(report) => {
+                    info!(self.logger, "command refused"; "cause" => format!("{report:?}"));
+                    Begin::Reply(RegistryReply::Refused)
+                }
             },
             RegistryCall::Document => Begin::Read,
             RegistryCall::Alive(_) if !member.is_leader() => {
@@ -238,15 +248,25 @@
         let registry = member.state();
         self.lead();
         let mut commands = self.silence.look(registry, now.steady_ms);
+        if !self.all_gateways_read(Format::Second, now.steady_ms) {
+            // A gateway that does not would keep what it missed the end of.
+            commands.retain(|command| !matches!(command, RegistryCommand::ForgetGone { .. }));
+        }
         commands.extend(self.old_suspicions(registry, now.steady_ms));
         commands.extend(self.other_gateways(registry, now.steady_ms));
         commands.extend(self.store_to_form(registry, now.steady_ms));
+        // What members cannot read yet waits until they can.
+        let format = registry.format();
         let encoded = commands
             .iter()
-            .filter_map(|command| command.to_stored().ok());
+            .filter_map(|command| command.to_stored_in(format).ok());
         encoded.collect()
     }
 
+    fn raise_format(&self) -> Option<Vec<u8>> {
+        RegistryCommand::raise_format().ok()
+    }
+
     fn flushed(&mut self, member: &GroupMember<Registry>, now: Now) {
         self.shared.noted_ms.store(now.steady_ms, Ordering::Relaxed);
         if !member.is_leader() {
@@ -263,7 +283,8 @@
             && held.members == members
             && held.is_current == is_current;
         let has_other_gateways = held.registry.gateways() != registry.gateways();
-        if tells_same && !has_other_gateways {
+        let has_other_format = held.registry.format() != registry.format();
+        if tells_same && !has_other_gateways && !has_other_format {
             return;
         }
         if has_other_gateways {
--- a/crates/cluster/src/replica_heartbeats.rs
+++ b/crates/cluster/src/replica_heartbeats.rs
@@ -19,8 +19,10 @@
         change: ReplicaChange,
         limit: Duration,
     ) -> Result<(), Unavailable> {
-        let key = change.start_key();
         let view = self.view();
+        // What is held of it is compared with what can be held.
+        let change = change.kept_in(self.stored_format());
+        let key = change.start_key();
         let held = view.registry.replica(&change.id);
         self.log_other_start(held, &change, &key);
         self.heard.lock().insert(key.clone());
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -19,7 +19,7 @@
     control::random_disk,
     driver::{self, GroupDriver, GroupHandle},
     incoming::Inbound,
-    message::{CallBody, NodeMessage, NodeRole, ReplyBody},
+    message::{CallBody, NodeMessage, NodeRole, ReplyBody, spoken_format},
     node::{self, NodeBase, NodeSettings},
     store_service::{GroupSeen, StoreService},
     told_fleet::ToldFleet,
@@ -266,7 +266,8 @@
             if let Some(member) = store.member
                 && store.machine != own
             {
-                handle.present(member).await;
+                let speaks = spoken_format(store.newest_format);
+                handle.present(member, speaks).await;
             }
         }
         let retiring: BTreeSet<_> = self.fleet.store().retiring.iter().copied().collect();
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -1,12 +1,12 @@
 //! The job store as its group serves it.
 
-use linnethitch_group::{CallFailure, GroupMember};
+use linnethitch_group::{CallFailure, GroupMember, StateMachine};
 use linnethitch_job_store::{
     AgeClock, Dispatcher, JobSpec, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand,
     StoreReply, TenantJob,
 };
 
-use linnethitch_protocol::ids::MachineId;
+use linnethitch_protocol::{format::Format, ids::MachineId};
 use tokio::sync::watch;
 
 use crate::{
@@ -126,9 +126,9 @@
     results(store, job, *since, *most_bytes)
 }
 
-/// Begins a call by its command, after one that goes first.
-fn begin(first: Option<Vec<u8>>, command: &StoreCommand) -> Begin<StoreReply> {
-    match command.to_stored() {
+/// Begins a call by its command, after one that goes first, in the format that is stored.
+fn begin(first: Option<Vec<u8>>, command: &StoreCommand, format: Format) -> Begin<StoreReply> {
+    match command.to_stored_in(format) {
         Ok(command) => Begin::Propose { first, command },
         Err(_) => Begin::Reply(StoreReply::Refused),
     }
@@ -173,7 +173,8 @@
                 let first = is_leader
                     .then(|| self.pass_before_job(member, now))
                     .flatten();
-                return begin(first, &submission(job.clone(), tenant.clone()));
+                let command = submission(job.clone(), tenant.clone());
+                return begin(first, &command, member.state().format());
             }
             StoreCall::Report { item, outcome } => StoreCommand::Report {
                 item: item.clone(),
@@ -189,7 +190,7 @@
             StoreCall::Progress(progress) => StoreCommand::KeepProgress(progress.clone()),
             StoreCall::Finish(last) => StoreCommand::FinishRun(Box::new(last.clone())),
         };
-        begin(None, &command)
+        begin(None, &command, member.state().format())
     }
 
     fn applied(
@@ -265,6 +266,10 @@
             .collect()
     }
 
+    fn raise_format(&self) -> Option<Vec<u8>> {
+        StoreCommand::raise_format().ok()
+    }
+
     fn flushed(&mut self, member: &GroupMember<JobStore>, _: Now) {
         if !member.is_leader() {
             self.led = false;
--- /dev/null
+++ b/crates/cluster/src/stored_format.rs
@@ -0,0 +1,48 @@
+//! What a control member knows of the format that its group stores in, and of nodes of the
+//! build before.
+
+use std::time::Duration;
+
+use linnethitch_clock::{Instant, sleep};
+use linnethitch_group::StateMachine;
+use linnethitch_protocol::format::Format;
+
+use crate::control::ControlNode;
+
+/// Pause before it is seen again in which format control stores.
+const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(20);
+
+impl ControlNode {
+    /// The format in which control stores, as this member knows it.
+    pub(crate) fn stored_format(&self) -> Format {
+        self.view().registry.format()
+    }
+
+    /// Whether a member of control is known to be of a build before the newest format.
+    pub(crate) fn has_older_member(&self) -> bool {
+        let is_older = |member| {
+            let spoken = self.links.format_with(member);
+            spoken.is_some_and(|spoken| spoken < Format::NEWEST)
+        };
+        self.view().members.iter().copied().any(is_older)
+    }
+
+    /// Whether a gateway is of a build before the newest format.
+    pub(crate) fn has_older_gateway(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let presence = self.shared.presence.lock();
+        !presence.gateways_read(Format::NEWEST, now_ms)
+    }
+
+    /// Waits until control stores in the newest format, which it does soon after its start,
+    /// or is known not to; false where it did not within the time.
+    pub(crate) async fn wait_for_newest_format(&self, until: Instant) -> bool {
+        while self.stored_format() < Format::NEWEST && !self.has_older_member() {
+            if Instant::now() + LOOK_AGAIN_AFTER > until {
+                return false;
+            }
+            sleep(LOOK_AGAIN_AFTER).await;
+        }
+        self.stored_format() == Format::NEWEST
+    }
+}
--- /dev/null
+++ b/crates/job-store/tests/all/formats.rs
@@ -0,0 +1,51 @@
+//! A job store is stored as every member of its group reads it.
+
+use linnethitch_group::{SnapshotSource, StateMachine, WholeSnapshot};
+use linnethitch_job_store::{JobStore, StoreCommand};
+use linnethitch_protocol::{format::Format, ids::LogIndex};
+
+use crate::support::{snapshots, store_snapshot, unhex};
+
+/// Snapshots and commands that the build of commit 4f0dab2 wrote, by name.
+const RECORDED: &str = include_str!("../../../cluster/tests/recorded/format-1.txt");
+
+fn recorded(name: &str) -> Vec<u8> {
+    let mut lines = RECORDED.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.find(|(found, _)| *found == name);
+    unhex(found.expect("it is recorded").1)
+}
+
+fn restored(bytes: Vec<u8>) -> JobStore {
+    let mut source = WholeSnapshot::new(bytes);
+    let content = store_snapshot(&mut snapshots(), 1, &mut source);
+    JobStore::from_snapshot(content).expect("it is read")
+}
+
+fn snapshot_of(store: &JobStore) -> Vec<u8> {
+    let mut snapshot = store.begin_snapshot().expect("a snapshot");
+    let mut bytes = Vec::new();
+    while let Some(piece) = snapshot.next_piece().expect("a piece") {
+        bytes.extend(piece);
+    }
+    bytes
+}
+
+#[test]
+fn a_snapshot_is_written_for_members_of_the_build_before_as_they_wrote_it() {
+    let bytes = recorded("stored-store-snapshot");
+    let store = restored(bytes.clone());
+    assert_eq!(store.format(), Format::First);
+    assert_eq!(snapshot_of(&store), bytes);
+}
+
+#[test]
+fn one_entry_of_the_newest_format_raises_it_for_good() {
+    let mut store = restored(recorded("stored-store-snapshot"));
+    let raise = StoreCommand::raise_format().expect("it is encoded");
+    store.apply(LogIndex(50), &raise).expect("it is applied");
+    assert_eq!(store.format(), Format::Second);
+    let late = recorded("stored-store-progress");
+    store.apply(LogIndex(51), &late).expect("it is applied");
+    assert_eq!(store.format(), Format::Second);
+    assert_eq!(restored(snapshot_of(&store)).format(), Format::Second);
+}
--- a/crates/job-store/tests/all/main.rs
+++ b/crates/job-store/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod age_clock;
 mod dispatcher;
+mod formats;
 mod layout;
 mod plan;
 mod progress;
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod evacuations;
+mod formats;
 mod fourth_layout;
 mod gateways;
 mod homes;
