Cluster: a link that a peer refuses is said once and tried rarely; a gateway says how old what it acts on may be

Change: a peer that refuses (another cluster, no common format) is logged once with both formats and tried every 0.5 s, then up to 4 s; a link that ends within a second counts as no success for the pause before the next. A gateway logs once when members are heard of but none knows what is in force, and `linnethitch_relay_knowledge_age_milliseconds` tells the age.

Not changed: a gateway goes on serving however old what it knows is, as promised while control is away; refusing would turn a loss of control into a loss of service. Its age is visible now, and with a common format it is the true one.

--- a/crates/cluster/src/gateway/learner.rs
+++ b/crates/cluster/src/gateway/learner.rs
@@ -41,6 +41,9 @@
     pub(super) teller: watch::Sender<Arc<FleetView>>,
     /// No control member was heard of for [`super::CONTROL_LOST_MS`].
     pub(super) control_lost: bool,
+    /// Members are heard of, but for [`super::CONTROL_LOST_MS`] none that told all that is in
+    /// force.
+    pub(super) is_behind: bool,
     pub(super) linked: LinkedMembers,
     /// When each member was asked for everything last.
     pub(super) asked_for_all: BTreeMap<MachineId, Instant>,
@@ -57,6 +60,7 @@
                     self.keep_links();
                     self.note_coordinators();
                     self.look_for_control();
+                    self.look_for_news();
                 }
                 inbound = inbox.recv() => match inbound {
                     Some(Inbound::Message {
@@ -137,6 +141,24 @@
         self.gateway.links.send(from, &NodeMessage::TellAll);
     }
 
+    /// Says once that members are heard of, but none that knows what is in force: it may be
+    /// newer than what this gateway acts on.
+    fn look_for_news(&mut self) {
+        let age_ms = self.gateway.knowledge_age_ms();
+        let is_behind = age_ms >= super::CONTROL_LOST_MS && !self.gateway.is_control_lost();
+        if std::mem::replace(&mut self.is_behind, is_behind) == is_behind {
+            return;
+        }
+        let version = self.fleet.table().map(|table| table.version);
+        if is_behind {
+            warn!(self.logger, "no member knows what is in force"; "age_ms" => age_ms,
+                "upto" => self.fleet.upto().0, "version" => version);
+        } else {
+            info!(self.logger, "what is in force is known again"; "age_ms" => age_ms,
+                "upto" => self.fleet.upto().0, "version" => version);
+        }
+    }
+
     /// Says once that control is away: what is in force here may be old from now on.
     fn look_for_control(&mut self) {
         let silent_ms = self.gateway.control_silent_ms();
--- a/crates/cluster/src/gateway/mod.rs
+++ b/crates/cluster/src/gateway/mod.rs
@@ -103,6 +103,7 @@
             fleet: FleetView::default(),
             teller,
             control_lost: false,
+            is_behind: false,
             linked: LinkedMembers::default(),
             asked_for_all: BTreeMap::new(),
             logger: settings.logger.clone(),
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -7,6 +7,7 @@
 };
 
 use linnethitch_clock::{Instant, sleep, sleep_until};
+use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     format::Format,
     ids::{CallId, MachineId},
@@ -15,7 +16,7 @@
     Backoff, ClusterIdentity, MessageReceiver, MessageSender, SendRefused, Traffic, connect,
 };
 use parking_lot::Mutex;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
@@ -34,6 +35,12 @@
 const REACHED_FOR: Duration = Duration::from_secs(10);
 const FIRST_RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+/// A link that lasted for so long was of use: the next one is opened at once. One that a peer
+/// closes sooner is opened again after a growing pause.
+const STEADY_AFTER: Duration = Duration::from_secs(1);
+/// A peer that refuses this node goes on doing so until one of the two is replaced.
+const FIRST_REFUSED_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_REFUSED_PAUSE: Duration = Duration::from_secs(4);
 
 /// Why a call got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -233,6 +240,8 @@
     let address = format!("{}:{}", address_of(machine), inner.port);
     let seed = u64::from(inner.own.0) ^ u64::from(machine.0);
     let mut backoff = Backoff::new(FIRST_RECONNECT_PAUSE, LONGEST_RECONNECT_PAUSE, seed);
+    let mut refused_backoff = Backoff::new(FIRST_REFUSED_PAUSE, LONGEST_REFUSED_PAUSE, seed);
+    let mut is_refused = false;
     loop {
         let traffic = Arc::clone(&inner.traffic);
         let opened = connect::<NodeMessage, NodeMessage>(
@@ -241,7 +250,21 @@
             connection_options(inner.newest_format),
             traffic,
         );
-        if let Ok(connection) = opened.await {
+        let opened = opened.await;
+        if let Err(report) = &opened
+            && *report.current_context() == ErrorKind::PeerRefused
+        {
+            if !std::mem::replace(&mut is_refused, true) {
+                warn!(inner.logger, "link refused"; "to" => &address,
+                    "cause" => format!("{report:?}"));
+            }
+            sleep(refused_backoff.next_wait()).await;
+            continue;
+        }
+        if let Ok(connection) = opened {
+            is_refused = false;
+            refused_backoff.reset();
+            let up_since = Instant::now();
             let (sender, mut receiver) = connection.split();
             info!(inner.logger, "link up"; "to" => &address,
                 "format" => sender.format().number());
@@ -250,7 +273,9 @@
             links.set_sender(machine, None);
             info!(inner.logger, "link lost"; "to" => &address, "cause" => end.to_string(),
                 "silent_ms" => receiver.silent_for().as_millis() as u64);
-            backoff.reset();
+            if up_since.elapsed() >= STEADY_AFTER {
+                backoff.reset();
+            }
         }
         sleep(backoff.next_wait()).await;
     }
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -133,6 +133,8 @@
     pub(crate) suspected_requests: Gauge,
     /// How long no control member has been heard of, in milliseconds.
     pub(crate) control_silent_ms: Gauge,
+    /// How old what this gateway acts on may be, in milliseconds.
+    pub(crate) knowledge_age_ms: Gauge,
     /// Bytes of requests and answers that are held.
     pub(crate) held_bytes: Gauge,
     /// Members of control to which links are kept.
@@ -168,6 +170,7 @@
             outside_homes_sends: Counter::default(),
             suspected_requests: Gauge::default(),
             control_silent_ms: Gauge::default(),
+            knowledge_age_ms: Gauge::default(),
             held_bytes: Gauge::default(),
             control_links: Gauge::default(),
             listed_gateways: Gauge::default(),
@@ -237,6 +240,9 @@
         let silent = self.control_silent_ms.clone();
         let help = "Milliseconds since a control member was heard of";
         registry.register("relay_control_silent_milliseconds", help, silent);
+        let age = self.knowledge_age_ms.clone();
+        let help = "Milliseconds since a control member that knew what is in force told no more than is known here";
+        registry.register("relay_knowledge_age_milliseconds", help, age);
         let held = self.held_bytes.clone();
         let help = "Bytes of requests and answers that are held for others to read";
         registry.register("relay_held_bytes", help, held);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -143,6 +143,8 @@
         let counters = &self.shared.counters;
         let silent_ms = gateway.control_silent_ms();
         counters.control_silent_ms.set(silent_ms as i64);
+        let age_ms = gateway.knowledge_age_ms();
+        counters.knowledge_age_ms.set(age_ms as i64);
         counters.control_links.set(gateway.control_links() as i64);
         counters.held_bytes.set(self.shared.held.bytes() as i64);
         let listed = gateway.coordinators().len();
