--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -25,7 +25,7 @@
 use crate::{
     client::GroupClient,
     cold_times::ColdTimes,
-    control_figures::ControlFigures,
+    control_figures::{ControlFigures, FiguresNow},
     control_pulses::pulse_source,
     driver::{self, GroupHandle},
     incoming::{Answers, Inbound},
@@ -216,8 +216,16 @@
     /// Figures since the start, as Prometheus text.
     #[must_use]
     pub fn figures(&self) -> String {
-        let (known, silent) = (self.known_gateways(), self.silent_gateways());
-        self.figures.to_text(known, silent)
+        let builds = {
+            let presence = self.shared.presence.lock();
+            presence.builds(self.clock.now_ms())
+        };
+        self.figures.to_text(&FiguresNow {
+            known_gateways: self.known_gateways(),
+            silent_gateways: self.silent_gateways(),
+            stored_format: self.stored_format(),
+            builds: &builds,
+        })
     }
 
     /// Addresses of ready gateways near a caller.
--- a/crates/cluster/src/control_figures.rs
+++ b/crates/cluster/src/control_figures.rs
@@ -1,13 +1,32 @@
-//! Figures of a control member: the gateways that share the counts of tenants' limits.
+//! Figures of a control member: the gateways that share the counts of tenants' limits, the
+//! format that is stored, and the builds of nodes.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
+use linnethitch_protocol::format::Format;
 use parking_lot::Mutex;
 use prometheus_client::{
-    encoding::text::encode_registry, metrics::gauge::Gauge, registry::Registry,
+    encoding::{EncodeLabelSet, text::encode_registry},
+    metrics::{family::Family, gauge::Gauge},
+    registry::Registry,
 };
 
-use crate::message_bytes::MessageBytes;
+use crate::{heard_builds::NodeBuild, message_bytes::MessageBytes};
+
+/// What the gauges are set to.
+pub(crate) struct FiguresNow<'a> {
+    pub(crate) known_gateways: usize,
+    pub(crate) silent_gateways: usize,
+    pub(crate) stored_format: Format,
+    /// How many nodes run each build.
+    pub(crate) builds: &'a BTreeMap<NodeBuild, usize>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BuildLabels {
+    build: String,
+    newest_format: u32,
+}
 
 /// Gauges that are set when they are read. Clones share them.
 #[derive(Clone)]
@@ -15,6 +34,8 @@
     registry: Arc<Mutex<Registry>>,
     known: Gauge,
     silent: Gauge,
+    stored_format: Gauge,
+    nodes: Family<BuildLabels, Gauge>,
     bytes: MessageBytes,
 }
 
@@ -26,7 +47,14 @@
         registry.register("control_known_gateways", help, known.clone());
         let help = "Known gateways that this member does not hear and that may go on";
         registry.register("control_silent_gateways", help, silent.clone());
+        let (stored_format, nodes) = (Gauge::default(), Family::default());
+        let help = "Number of the format in which control stores";
+        registry.register("control_stored_format", help, stored_format.clone());
+        let help = "Nodes that this member hears, by build and the newest format that they speak";
+        registry.register("control_nodes", help, nodes.clone());
         ControlFigures {
+            stored_format,
+            nodes,
             registry: Arc::new(Mutex::new(registry)),
             known,
             silent,
@@ -35,9 +63,19 @@
     }
 
     /// These and the counts of messages as Prometheus text.
-    pub(crate) fn to_text(&self, known: usize, silent: usize) -> String {
-        self.known.set(known as i64);
-        self.silent.set(silent as i64);
+    pub(crate) fn to_text(&self, now: &FiguresNow<'_>) -> String {
+        self.known.set(now.known_gateways as i64);
+        self.silent.set(now.silent_gateways as i64);
+        self.stored_format
+            .set(i64::from(now.stored_format.number()));
+        self.nodes.clear();
+        for (node, count) in now.builds {
+            let labels = BuildLabels {
+                build: node.build.clone(),
+                newest_format: u32::from(node.newest_format),
+            };
+            self.nodes.get_or_create(&labels).set(*count as i64);
+        }
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode_registry(&mut text, &self.registry.lock());
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -20,6 +20,7 @@
 mod evacuation;
 mod first_format;
 mod gateway;
+mod heard_builds;
 mod heard_formats;
 mod incoming;
 mod linked_members;
--- a/crates/cluster/src/presence.rs
+++ b/crates/cluster/src/presence.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     coordinators::Coordinators,
+    heard_builds::{HeardBuilds, NodeBuild},
     heard_formats::HeardFormats,
     message::{
         HeardGateway, NodeHello, NodeRole, PlacedGateway, PlacedMachine, PresentStore,
@@ -45,6 +46,8 @@
     partly_linked: BTreeSet<MachineId>,
     /// What gateways speak.
     formats: HeardFormats,
+    /// What every node that is heard runs.
+    builds: HeardBuilds,
     stores: BTreeMap<MachineId, Heard>,
     /// Control members: where they are and when they said so.
     control: BTreeMap<MachineId, (Place, u64)>,
@@ -58,6 +61,7 @@
 impl Presence {
     /// Notes what a node says of itself; true when others should learn of it at once.
     pub(crate) fn note(&mut self, hello: NodeHello, now_ms: u64) -> bool {
+        self.builds.note(&hello, now_ms);
         let is_urgent = match hello.role {
             NodeRole::Gateway => {
                 let gateway = heard_gateway(&hello);
@@ -188,6 +192,11 @@
         placed.collect()
     }
 
+    /// How many nodes that this member hears run each build.
+    pub(crate) fn builds(&self, now_ms: u64) -> BTreeMap<NodeBuild, usize> {
+        self.builds.counts(now_ms)
+    }
+
     /// Whether every gateway that was heard of lately, and may still be there, reads a format.
     pub(crate) fn gateways_read(&self, format: Format, now_ms: u64) -> bool {
         self.formats.all_read(format, now_ms)
