Cluster: a member that is held to an older format than its group stores in ends with a clear refusal

A program started with `--newest-format 1` on a disk that had been raised would have spoken format 1 with all others, sent them nothing that is stored, and stood in the way of a quorum without a word. It now ends with DataFolderRefused, which names both formats, before anything is sent; the disk is as it was (test: refused, then opened again by the newest).

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -214,7 +214,8 @@
     /// Runs until the disk fails or every handle is gone.
     ///
     /// # Errors
-    /// Those of [`GroupMember::flush`].
+    /// Those of [`GroupMember::flush`]; `DataFolderRefused` where the group stores in a newer
+    /// format than this program may speak.
     pub(crate) async fn run(mut self) -> Result<(), Report<ErrorKind>> {
         let mut next_tick = Instant::now();
         loop {
@@ -233,6 +234,7 @@
                 self.tick();
             }
             self.member.flush()?;
+            self.check_format()?;
             self.pass_outputs_on();
             // What the outputs began is written before anything else is awaited.
             self.member.flush()?;
@@ -305,6 +307,16 @@
         }
     }
 
+    fn check_format(&self) -> Result<(), Report<ErrorKind>> {
+        let (stored, newest) = (self.member.state().format(), self.links.newest_format());
+        if stored <= newest {
+            return Ok(());
+        }
+        Err(Report::new(ErrorKind::DataFolderRefused).attach(format!(
+            "the group stores in format {stored}, this program is held to {newest}"
+        )))
+    }
+
     /// What a group stores may be in a newer format once all of its members read that. An
     /// entry that a member cannot read would stop it, and its machine could not go back to
     /// the build before.
--- a/crates/cluster/tests/all/builds.rs
+++ b/crates/cluster/tests/all/builds.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use linnethitch_cluster::{ControlNode, rewrite_node_frame};
+use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings, rewrite_node_frame};
 use linnethitch_errors::ErrorKind;
 use linnethitch_job_store::StoreCommand;
 use linnethitch_protocol::{
@@ -23,7 +23,7 @@
 use linnethitch_transport::{ConnectionOptions, WireMessage, connect};
 use tokio::time::timeout;
 
-use crate::support::{LIMIT, configuration, free_port, host, node, start_control};
+use crate::support::{LIMIT, configuration, free_port, host, node, start_control, until};
 
 /// Messages that the build of commit 4f0dab2 wrote, by name.
 const RECORDED: &str = include_str!("../recorded/format-1.txt");
@@ -172,3 +172,39 @@
     let told = timeout(LIMIT, told).await.unwrap_or(false);
     assert!(told, "the link ends before the table in force is told");
 }
+
+/// A process that is held to an older format than its disk was written in says so and leaves
+/// the disk as it is.
+#[test]
+fn a_program_held_to_an_older_format_refuses_the_disk_of_a_newer_one() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let address = host(61);
+    let settings = |newest_format| ControlSettings {
+        node: NodeSettings {
+            newest_format,
+            ..node(address, &[address], free_port(address))
+        },
+        data_dir: folder.path().display().to_string(),
+        store_voters: 1,
+    };
+    let runtime = || tokio::runtime::Runtime::new().expect("a runtime");
+    let raised = format!("linnethitch_control_stored_format {}\n", Format::NEWEST);
+    runtime().block_on(async {
+        let started = ControlNode::start(settings(Format::NEWEST)).await;
+        let (control, running) = started.expect("it starts");
+        tokio::spawn(running);
+        until("it is raised", || control.figures().contains(&raised)).await;
+    });
+    let refused = runtime().block_on(async {
+        let (_control, running) = ControlNode::start(settings(Format::First)).await?;
+        timeout(LIMIT, running).await.expect("it ends")
+    });
+    let refused = refused.expect_err("refused");
+    assert_eq!(*refused.current_context(), ErrorKind::DataFolderRefused);
+    runtime().block_on(async {
+        let again = ControlNode::start(settings(Format::NEWEST)).await;
+        let (control, running) = again.expect("it starts");
+        tokio::spawn(running);
+        until("it is as it was", || control.figures().contains(&raised)).await;
+    });
+}
