--- a/crates/protocol/src/first_format.rs
+++ b/crates/protocol/src/first_format.rs
@@ -1,12 +1,15 @@
-//! Datagrams between gateways as the first format has them. Frozen: a build that production
-//! runs writes them.
+//! Datagrams between gateways, and what control members answer, as the first format has them.
+//! Frozen: a build that production runs writes them.
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
+    attach::ControlAnswer,
     format::Format,
+    ids::Revision,
+    query::{FleetStatus, GatewayStatus, MemberStatus, QueryAnswer, ReplicaStatus},
     quota::QuotaMessage,
     slots::{AskMode, GatewayDatagram, HeldLease, RunOutcome, SlotLoad, Verdict},
     suspicion::{EndedRun, EndsInRow, RequestFingerprint, ToldSuspicion},
@@ -49,6 +52,77 @@
     NotHere { tenant: String },
 }
 
+/// The fleet as control sees it: no zone was evacuated.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct FirstFleetStatus {
+    revision: Revision,
+    lowest_in_force: Revision,
+    highest_in_force: Revision,
+    members: Vec<MemberStatus>,
+    gateways: Vec<GatewayStatus>,
+    replicas: Vec<ReplicaStatus>,
+    open_jobs: u64,
+    pending_items: u64,
+    leased_items: u64,
+}
+
+impl ControlAnswer {
+    /// The same answer as a format has it.
+    #[must_use]
+    pub fn written_in(self, format: Format) -> Self {
+        match (format, self) {
+            (Format::First, ControlAnswer::Answer(QueryAnswer::Status(status))) => {
+                ControlAnswer::Answer(QueryAnswer::FirstStatus(status.into()))
+            }
+            (_, other) => other,
+        }
+    }
+
+    /// The answer of today that was read.
+    #[must_use]
+    pub fn as_read(self) -> Self {
+        match self {
+            ControlAnswer::Answer(QueryAnswer::FirstStatus(first)) => {
+                ControlAnswer::Answer(QueryAnswer::Status(first.into()))
+            }
+            other => other,
+        }
+    }
+}
+
+impl From<FleetStatus> for FirstFleetStatus {
+    fn from(status: FleetStatus) -> Self {
+        FirstFleetStatus {
+            revision: status.revision,
+            lowest_in_force: status.lowest_in_force,
+            highest_in_force: status.highest_in_force,
+            members: status.members,
+            gateways: status.gateways,
+            replicas: status.replicas,
+            open_jobs: status.open_jobs,
+            pending_items: status.pending_items,
+            leased_items: status.leased_items,
+        }
+    }
+}
+
+impl From<FirstFleetStatus> for FleetStatus {
+    fn from(first: FirstFleetStatus) -> Self {
+        FleetStatus {
+            revision: first.revision,
+            lowest_in_force: first.lowest_in_force,
+            highest_in_force: first.highest_in_force,
+            members: first.members,
+            gateways: first.gateways,
+            replicas: first.replicas,
+            evacuated_zones: Vec::new(),
+            open_jobs: first.open_jobs,
+            pending_items: first.pending_items,
+            leased_items: first.leased_items,
+        }
+    }
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum FirstDatagram {
--- a/crates/protocol/src/query.rs
+++ b/crates/protocol/src/query.rs
@@ -2,9 +2,12 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::ids::{
-    ChangeId, FileId, GatewayId, IdempotencyKey, ItemNumber, JobId, MemberId, ReplicaId, Revision,
-    TenantId, Timestamp,
+use crate::{
+    first_format::FirstFleetStatus,
+    ids::{
+        ChangeId, FileId, GatewayId, IdempotencyKey, ItemNumber, JobId, MemberId, ReplicaId,
+        Revision, TenantId, Timestamp,
+    },
 };
 
 /// A read.
@@ -245,6 +248,8 @@
     },
     /// To [`Query::Claim`].
     Claim(Option<ClaimRecord>),
+    /// To [`Query::Status`], in the first format only.
+    FirstStatus(FirstFleetStatus),
     /// To [`Query::Status`].
     Status(FleetStatus),
 }
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -51,8 +51,56 @@
 
 wire_message! {
     GatewayMessage => Gateway,
-    ControlMessage => Control,
-    PeerMessage => Peer,
+}
+
+impl WireMessage for ControlMessage {
+    const KIND: FrameKind = FrameKind::Control;
+
+    fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match self {
+            ControlMessage::Answer { call, body } if format < Format::Second => {
+                let body = body.clone().written_in(format);
+                let call = *call;
+                frame::write_frame(Self::KIND, format, &ControlMessage::Answer { call, body })
+            }
+            _ => frame::write_frame(Self::KIND, format, self),
+        }
+    }
+
+    fn from_payload(header: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        Ok(match frame::read_payload(header, payload)? {
+            ControlMessage::Answer { call, body } => ControlMessage::Answer {
+                call,
+                body: body.as_read(),
+            },
+            other => other,
+        })
+    }
+}
+
+impl WireMessage for PeerMessage {
+    const KIND: FrameKind = FrameKind::Peer;
+
+    fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        match self {
+            PeerMessage::Forwarded { call, body } if format < Format::Second => {
+                let body = body.clone().written_in(format);
+                let call = *call;
+                frame::write_frame(Self::KIND, format, &PeerMessage::Forwarded { call, body })
+            }
+            _ => frame::write_frame(Self::KIND, format, self),
+        }
+    }
+
+    fn from_payload(header: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        Ok(match frame::read_payload(header, payload)? {
+            PeerMessage::Forwarded { call, body } => PeerMessage::Forwarded {
+                call,
+                body: body.as_read(),
+            },
+            other => other,
+        })
+    }
 }
 
 impl WireMessage for GatewayDatagram {
--- a/crates/transport/tests/all/main.rs
+++ b/crates/transport/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod backoff;
 mod connection;
 mod datagrams;
+mod formats;
 mod handshake;
 mod support;
