--- a/crates/cluster/src/replica_heartbeats.rs
+++ b/crates/cluster/src/replica_heartbeats.rs
@@ -2,6 +2,7 @@
 
 use std::{cmp::Ordering, time::Duration};
 
+use linnethitch_clock::Instant;
 use linnethitch_registry::{
     RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaRecord, ReplicaState,
 };
@@ -19,9 +20,10 @@
         change: ReplicaChange,
         limit: Duration,
     ) -> Result<(), Unavailable> {
+        let began = Instant::now();
+        let change = self.as_kept(change, limit / 2).await;
+        let limit = limit.saturating_sub(began.elapsed());
         let view = self.view();
-        // What is held of it is compared with what can be held.
-        let change = change.kept_in(self.stored_format());
         let key = change.start_key();
         let held = view.registry.replica(&change.id);
         self.log_other_start(held, &change, &key);
@@ -41,6 +43,16 @@
         Ok(())
     }
 
+    /// What can be held of a heartbeat, which is compared with what is held. At the start of
+    /// control one that would lose something waits for the format that keeps it.
+    async fn as_kept(&self, change: ReplicaChange, wait: Duration) -> ReplicaChange {
+        let is_whole = |format| change.clone().kept_in(format) == change;
+        if !is_whole(self.stored_format()) {
+            self.wait_for_newest_format(Instant::now() + wait).await;
+        }
+        change.kept_in(self.stored_format())
+    }
+
     /// Notes that a replica ends: the start of it that is known here.
     ///
     /// # Errors
