Cluster: a gateway that control does not hear is told in the format that it reads

What callers saw: nothing measured.

Cause: a datagram to a gateway that control did not name at that moment went in the first format, which every build reads and which tells of no cleared request, of no lengths of runs but the last, and of no witness. A gateway that control does not hear, though it goes on, learns from datagrams alone, so that these are just the ones that must say all.

Change: the format that control told last holds for as long as the gateway is remembered (60 s). One that is only known as silent is sent the newest format and the oldest.

Measured: both cases of the test fail without the change (nothing arrives in 20 s), both pass with it.

--- a/crates/cluster/src/gateway/learner.rs
+++ b/crates/cluster/src/gateway/learner.rs
@@ -15,7 +15,7 @@
     time::interval,
 };
 
-use super::GatewayNode;
+use super::{GatewayNode, NamedGateway};
 use crate::{
     incoming::Inbound,
     linked_members::{KnownMembers, LinkedMembers},
@@ -183,11 +183,16 @@
     fn note_named(&self, told: &[PlacedGateway]) {
         let silent = self.gateway.told.lock().silent_coordinators();
         let now_ms = self.gateway.clock.now_ms();
-        let heard = told.iter().map(|gateway| gateway.machine);
         let mut named = self.gateway.named.lock();
-        named.retain(|_, at_ms| now_ms < *at_ms + NAMED_FOR_MS);
-        let all = heard.chain(silent.iter().copied());
-        named.extend(all.map(|gateway| (gateway, now_ms)));
+        named.retain(|_, gateway| now_ms < gateway.at_ms + NAMED_FOR_MS);
+        for gateway in silent.iter() {
+            named.entry(*gateway).or_default().at_ms = now_ms;
+        }
+        for gateway in told {
+            let format = Some(gateway.common_format());
+            let at_ms = now_ms;
+            named.insert(gateway.machine, NamedGateway { at_ms, format });
+        }
     }
 
     fn note_coordinators(&self) {
--- a/crates/cluster/src/gateway/mod.rs
+++ b/crates/cluster/src/gateway/mod.rs
@@ -59,8 +59,8 @@
     witnesses: Arc<Mutex<Arc<Vec<MachineId>>>>,
     /// The same ones, and where each is.
     placed: Arc<Mutex<Arc<Vec<PlacedGateway>>>>,
-    /// Gateways that control named lately, also as silent, and when it did so last.
-    named: Arc<Mutex<BTreeMap<MachineId, u64>>>,
+    /// Gateways that control named lately, also as silent.
+    named: Arc<Mutex<BTreeMap<MachineId, NamedGateway>>>,
     zones: Arc<ZoneMap>,
     clock: Clock,
     /// When this gateway last knew all that a control member knew to be in force.
@@ -187,14 +187,28 @@
         // By machine, as control's set of them is.
         let placed = self.placed_coordinators();
         let found = placed.binary_search_by_key(&to, |gateway| gateway.machine);
-        let found = found.ok().map(|at| &placed[at]);
-        // One that is not known any more has no zone, and reads the oldest format.
-        let zone = found.map_or("", |gateway| gateway.place.zone.as_str());
-        let format = found.map_or(Format::OLDEST, PlacedGateway::common_format);
-        let format = format.min(self.links.newest_format());
-        for part in message.parts_in(format) {
-            let bytes = datagrams.send(address, format, &part);
-            self.datagram_bytes.count(zone, bytes);
+        // One that is not known any more has no zone.
+        let zone = found.map_or("", |at| placed[at].place.zone.as_str());
+        for format in self.formats_for(to, message) {
+            for part in message.parts_in(format) {
+                let bytes = datagrams.send(address, format, &part);
+                self.datagram_bytes.count(zone, bytes);
+            }
+        }
+    }
+
+    /// The formats in which a gateway is sent a message: the newest that both know. One that
+    /// control never heard while this gateway ran may be of any build: it is sent the newest
+    /// first, and the oldest after it.
+    fn formats_for(&self, to: MachineId, message: &GatewayDatagram) -> Vec<Format> {
+        let newest = self.links.newest_format();
+        let known = self.named.lock().get(&to).and_then(|named| named.format);
+        match known {
+            Some(format) => vec![format.min(newest)],
+            None if newest > Format::OLDEST && message.loses_in(Format::OLDEST) => {
+                vec![newest, Format::OLDEST]
+            }
+            None => vec![Format::OLDEST],
         }
     }
 
@@ -325,6 +339,17 @@
     }
 }
 
+/// What control told of another gateway.
+#[derive(Clone, Copy, Debug, Default)]
+struct NamedGateway {
+    /// When it was named last, in milliseconds.
+    at_ms: u64,
+    /// The newest format that it and this build read, as control heard it last. It holds while
+    /// control does not hear the gateway: such a one learns from datagrams alone. `None` where
+    /// control has only told that it is silent.
+    format: Option<Format>,
+}
+
 /// Without datagrams a gateway serves all the same, blind to the others' work.
 fn bind_datagrams(settings: &NodeSettings) -> Option<Datagrams<GatewayDatagram>> {
     let address = SocketAddrV4::new(settings.address, settings.port);
--- a/crates/cluster/tests/all/known_gateways.rs
+++ b/crates/cluster/tests/all/known_gateways.rs
@@ -2,17 +2,24 @@
 //! off is counted as silent by the others, whatever happens to control meanwhile.
 
 use std::{
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddrV4},
     path::Path,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use linnethitch_cluster::{ControlNode, ControlSettings, GatewayNode, NodeSettings};
+use linnethitch_cluster::{ControlNode, ControlSettings, GatewayNode, NodeSettings, machine_of};
 use linnethitch_fault_proxy::{Mode, Network, Proxy, Way};
+use linnethitch_protocol::{
+    ids::MachineId,
+    slots::GatewayDatagram,
+    suspicion::{EndsInRow, RequestFingerprint, ToldSuspicion},
+};
+use linnethitch_transport::Datagrams;
+use rstest::rstest;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use tempfile::TempDir;
-use tokio::runtime::Runtime;
+use tokio::{runtime::Runtime, time::timeout};
 
 use crate::support::{LIMIT, configuration, free_port, host, node, until};
 
@@ -174,6 +181,51 @@
     assert_eq!(figures.matches("# EOF").count(), 1, "{figures}");
 }
 
+/// A gateway that control does not hear learns from datagrams alone. It was sent the format
+/// that every build reads, which tells of no request that was cleared and of no witness, as
+/// soon as control did not name it any more.
+#[rstest]
+#[case::known_before(false)]
+#[case::only_known_as_silent(true)]
+#[tokio::test]
+async fn a_silent_gateway_is_told_all_that_it_reads(#[case] only_as_silent: bool) {
+    let first_host = 108 + 4 * u8::from(only_as_silent);
+    let fleet = Fleet::start(first_host).await;
+    let settings = &fleet.settings;
+    let (seed, port) = (settings.address, settings.port);
+    let far = host(first_host + 2);
+    let received =
+        Datagrams::<GatewayDatagram>::bind(SocketAddrV4::new(far, port), settings.identity.clone());
+    let received = received.expect("a free port");
+    fleet.cut_off_second();
+    let lines = &fleet.process.lines;
+    until("its link is given up", || lines.count("node lost") == 1).await;
+    let started = only_as_silent.then(|| gateway(host(first_host + 3), seed, port));
+    let teller = started.as_ref().unwrap_or(&fleet.near);
+    let silent = || teller.silent_coordinators().len();
+    until("it is known as silent", || silent() == 1).await;
+    let is_other = |gateway: &MachineId| *gateway == machine_of(far);
+    until("it is named", || {
+        teller.other_gateways().iter().any(is_other)
+    })
+    .await;
+    let cleared = ToldSuspicion {
+        fingerprint: RequestFingerprint([7; 16]),
+        replica: "i-1".to_owned(),
+        row: EndsInRow {
+            clearings: 1,
+            lengths_ms: Vec::new(),
+        },
+    };
+    let told = GatewayDatagram::Suspicions(vec![cleared]);
+    teller.tell_gateways(&[machine_of(far)], &told);
+    let (_, message) = timeout(LIMIT, received.receive())
+        .await
+        .expect("it is told")
+        .expect("a socket");
+    assert_eq!(message, told);
+}
+
 /// All of control starts again while a gateway is cut off: it has never heard of that one,
 /// and counts it as silent all the same.
 #[tokio::test]
--- a/crates/protocol/src/first_format.rs
+++ b/crates/protocol/src/first_format.rs
@@ -154,6 +154,19 @@
 }
 
 impl GatewayDatagram {
+    /// Whether a format says less than this message, or nothing.
+    #[must_use]
+    pub fn loses_in(&self, format: Format) -> bool {
+        let in_first = match self {
+            GatewayDatagram::Suspicions(_) => true,
+            GatewayDatagram::Quota(message) => {
+                FirstQuotaMessage::try_from(message.clone()).is_err()
+            }
+            _ => false,
+        };
+        format == Format::First && in_first
+    }
+
     /// The messages of a format that say the same: the first tells of one replica at a time,
     /// and of no request that was cleared.
     #[must_use]
