Cluster: the leader of control decides what its format leaves out; a configuration waits for the raise

Cause, from its logs: the first configuration was sent 0.1 s after the fleet's start. The member that took it waited for the newest format for half of the operator's time, 0.45 s, and then stored it in the first one, which has no cold replicas. The leader had proposed the raise 0.04 s before, but the format was taken from what was applied. Configuration 7 was acknowledged, and in force without its rule for cold replicas until version 9 came 1.4 s later.

Change: commands go to the leader whole, and it encodes them in the format that it may write, a proposed raise included. A configuration that would lose something is refused (and asked again by the member, 503 to the operator after his time) for as long as the raise may come soon: within 10 s of the leader's start, unless a member is known to read no more. Heartbeats wait as before and are proposed whole, since a member that has just started does not know the stored format. A member that does not lead refers proposals to the leader, and a refused call pauses 20 ms before it is made again.

--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -17,6 +17,8 @@
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(700);
 /// Pause when no leader is known.
 const NO_LEADER_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a leader refused: it has too much to do, or waits for other members.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
 
 /// What an answer means for the caller's search for the leader.
 pub(crate) enum Verdict {
@@ -178,7 +180,7 @@
                         }
                         self.note_leader(leader);
                     }
-                    Verdict::Refused => {}
+                    Verdict::Refused => sleep(REFUSED_PAUSE.min(left)).await,
                     Verdict::Unknown => may_be_done = true,
                 },
                 Ok(Err(CallLost::NotSent)) => self.note_leader(None),
--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -7,7 +7,7 @@
 };
 
 use error_stack::Report;
-use linnethitch_clock::{Clock, Instant};
+use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
 use linnethitch_protocol::ids::{DiskId, MachineId, MemberId};
@@ -167,19 +167,15 @@
                 document,
             }),
         };
-        let began = Instant::now();
-        if !command.is_whole_in(self.stored_format()) {
-            // Where a member stays away, what it can't read is left out after half of the time.
-            self.wait_for_newest_format(began + limit / 2).await;
-        }
         let format = self.stored_format();
-        if let Err(report) = command.to_stored_in(format) {
+        if self.has_older_member()
+            && let Err(report) = command.to_stored_in(format)
+        {
             warn!(self.logger, "configuration cannot be kept"; "stored_format" => format.number(),
                 "cause" => format!("{report:?}"));
             return Err(Unavailable);
         }
-        let left = limit.saturating_sub(began.elapsed());
-        match self.propose(command, left).await? {
+        match self.propose(command, limit).await? {
             RegistryAnswer::RoutesHeld(version) => Ok(version),
             _ => Err(Unavailable),
         }
--- a/crates/cluster/src/driver/formats.rs
+++ b/crates/cluster/src/driver/formats.rs
@@ -13,6 +13,10 @@
 use super::{GroupDriver, GroupService};
 use crate::node::address_of;
 
+/// A member that was not linked to for so long after the start of this one is away, in
+/// milliseconds: links are opened within a second, also beside much other work.
+const LINKED_WITHIN_MS: u64 = 10_000;
+
 impl<S: GroupService> GroupDriver<S> {
     /// # Errors
     /// `DataFolderRefused` where the group stores in a newer format than this program may speak.
@@ -44,18 +48,33 @@
     }
 
     /// The format of entries that are stored or proposed here.
-    fn format(&self) -> Format {
+    pub(super) fn format(&self) -> Format {
         self.member.state().format().max(self.proposed_format)
     }
 
+    /// Whether the format is the newest, or a member keeps it from being raised: one that is
+    /// known to read no more, or one that stays away.
+    pub(super) fn is_format_settled(&self, now_ms: u64) -> bool {
+        let newest = self.links.newest_format();
+        self.format() >= newest
+            || now_ms.saturating_sub(self.opened_ms) >= LINKED_WITHIN_MS
+            || self.other_members().any(|machine| {
+                let spoken = self.links.format_with(machine);
+                spoken.is_some_and(|spoken| spoken < newest)
+            })
+    }
+
     fn all_members_read(&self, format: Format) -> bool {
+        self.other_members()
+            .all(|machine| self.links.format_with(machine) >= Some(format))
+    }
+
+    fn other_members(&self) -> impl Iterator<Item = MachineId> {
         let own = self.member.id().machine;
         let membership = self.member.status().membership;
-        let mut others = membership.voters.iter().chain(&membership.learners);
-        others.all(|member| {
-            let machine = member.machine;
-            machine == own || self.links.format_with(machine) >= Some(format)
-        })
+        let members = membership.voters.into_iter().chain(membership.learners);
+        let machines = members.map(|member| member.machine);
+        machines.filter(move |machine| *machine != own)
     }
 
     /// Whether a machine reads what the group stores. Where nobody told what it speaks, it is
--- a/crates/cluster/src/driver/mod.rs
+++ b/crates/cluster/src/driver/mod.rs
@@ -28,11 +28,15 @@
 /// Longest time for leadership to pass on before a planned stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(800);
 
-/// The steady clock at one moment, in milliseconds. Nothing decides by the time of
-/// day, which may jump.
+/// What a service goes by at one moment.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Now {
+    /// The steady clock, in milliseconds. Nothing decides by the time of day, which may jump.
     pub(crate) steady_ms: u64,
+    /// The format in which this member writes if it leads.
+    pub(crate) format: Format,
+    /// Whether that will stay so for a while: what it lacks cannot wait for a newer one.
+    pub(crate) is_format_settled: bool,
 }
 
 /// How a call begins.
@@ -166,6 +170,8 @@
     proposed_format: Format,
     /// Members that are sent nothing which is stored, since they could not read it.
     unable: BTreeSet<MachineId>,
+    /// When this member was opened, by the steady clock in milliseconds.
+    opened_ms: u64,
 }
 
 /// A driver, and the handle that reaches it.
@@ -203,6 +209,7 @@
         stopping: None,
         proposed_format: Format::OLDEST,
         unable: BTreeSet::new(),
+        opened_ms: clock.now_ms(),
     };
     Ok((driver, GroupHandle { inputs: sender }))
 }
@@ -354,8 +361,11 @@
     }
 
     fn now(&self) -> Now {
+        let steady_ms = self.clock.now_ms();
         Now {
-            steady_ms: self.clock.now_ms(),
+            steady_ms,
+            format: self.format(),
+            is_format_settled: self.is_format_settled(steady_ms),
         }
     }
 }
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -160,6 +160,26 @@
         self.shared.presence.lock().gateways_read(format, now_ms)
     }
 
+    /// Begins a proposal. Only the leader knows in which format it may write: what a member
+    /// knows that has just started, or lags behind, may be older.
+    fn begin_proposal(&self, command: &RegistryCommand, now: Now) -> Begin<RegistryReply> {
+        if !now.is_format_settled && command.is_kept_for_long() && !command.is_whole_in(now.format)
+        {
+            info!(self.logger, "command waits for a newer format"; "format" => now.format.number());
+            return Begin::Reply(RegistryReply::Refused);
+        }
+        match command.to_stored_in(now.format) {
+            Ok(command) => Begin::Propose {
+                first: None,
+                command,
+            },
+            Err(report) => {
+                info!(self.logger, "command refused"; "cause" => format!("{report:?}"));
+                Begin::Reply(RegistryReply::Refused)
+            }
+        }
+    }
+
     fn log_gateways(&self, before: &KnownGateways, now: &KnownGateways) {
         let joined = now.machines().filter(|machine| !before.contains(*machine));
         let left = before.machines().filter(|machine| !now.contains(*machine));
@@ -190,21 +210,12 @@
         now: Now,
     ) -> Begin<RegistryReply> {
         match call {
-            RegistryCall::Propose(command) => match command.to_stored_in(member.state().format()) {
-                Ok(command) => Begin::Propose {
-                    first: None,
-                    command,
-                },
-                Err(report) => {
-                    info!(self.logger, "command refused"; "cause" => format!("{report:?}"));
-                    Begin::Reply(RegistryReply::Refused)
-                }
-            },
             RegistryCall::Document => Begin::Read,
-            RegistryCall::Alive(_) if !member.is_leader() => {
+            RegistryCall::Propose(_) | RegistryCall::Alive(_) if !member.is_leader() => {
                 let leader = member.leader().map(|leader| leader.machine);
                 Begin::Reply(RegistryReply::NotLeader(leader))
             }
+            RegistryCall::Propose(command) => self.begin_proposal(command, now),
             RegistryCall::Alive(replicas) => {
                 for start in replicas {
                     self.silence.note_heard(start, now.steady_ms);
@@ -216,13 +227,14 @@
 
     fn applied(
         &mut self,
-        _: &Registry,
+        registry: &Registry,
         call: &RegistryCall,
         answer: RegistryAnswer,
         now: Now,
     ) -> RegistryReply {
         if let RegistryCall::Propose(RegistryCommand::Replica(change)) = call {
-            self.silence.note_heard(&change.start_key(), now.steady_ms);
+            let held = change.clone().kept_in(registry.format());
+            self.silence.note_heard(&held.start_key(), now.steady_ms);
         }
         RegistryReply::Answer(answer)
     }
@@ -256,10 +268,9 @@
         commands.extend(self.other_gateways(registry, now.steady_ms));
         commands.extend(self.store_to_form(registry, now.steady_ms));
         // What members cannot read yet waits until they can.
-        let format = registry.format();
         let encoded = commands
             .iter()
-            .filter_map(|command| command.to_stored_in(format).ok());
+            .filter_map(|command| command.to_stored_in(now.format).ok());
         encoded.collect()
     }
 
--- a/crates/cluster/src/replica_heartbeats.rs
+++ b/crates/cluster/src/replica_heartbeats.rs
@@ -3,12 +3,16 @@
 use std::{cmp::Ordering, time::Duration};
 
 use linnethitch_clock::Instant;
+use linnethitch_group::StateMachine;
 use linnethitch_registry::{
     RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaRecord, ReplicaState,
 };
 use slog::info;
 
-use crate::control::{ControlNode, Unavailable};
+use crate::{
+    control::{ControlNode, Unavailable},
+    registry_service::RegistryView,
+};
 
 impl ControlNode {
     /// Takes a heartbeat. What it changes is committed before this returns.
@@ -21,38 +25,33 @@
         limit: Duration,
     ) -> Result<(), Unavailable> {
         let began = Instant::now();
-        let change = self.as_kept(change, limit / 2).await;
+        if as_kept(&change, &self.view()) != change {
+            // At the start of control it waits for the format that keeps all of it.
+            self.wait_for_newest_format(began + limit / 2).await;
+        }
         let limit = limit.saturating_sub(began.elapsed());
         let view = self.view();
-        let key = change.start_key();
+        let kept = as_kept(&change, &view);
+        let key = kept.start_key();
         let held = view.registry.replica(&change.id);
-        self.log_other_start(held, &change, &key);
+        self.log_other_start(held, &kept, &key);
         self.heard.lock().insert(key.clone());
         let now_ms = self.clock.now_ms();
-        let is_longer_cold = self.cold_times.lock().is_longer(&key, &change, now_ms);
-        if !held.is_none_or(|held| is_news(&held.told, &change, is_longer_cold)) {
+        let is_longer_cold = self.cold_times.lock().is_longer(&key, &kept, now_ms);
+        if !held.is_none_or(|held| is_news(&held.told, &kept, is_longer_cold)) {
             return Ok(());
         }
-        let cold_ms = change.cold_ms;
-        let command = RegistryCommand::Replica(Box::new(change));
+        // Whole: this member may not know yet that the leader keeps all of it.
+        let command = RegistryCommand::Replica(Box::new(change.clone()));
         self.propose(command, limit).await?;
         let view = self.view();
+        let kept = as_kept(&change, &view);
         let is_held = |key: &str| view.registry.holds_start(key);
         let mut cold_times = self.cold_times.lock();
-        cold_times.committed(key, cold_ms, now_ms, is_held);
+        cold_times.committed(kept.start_key(), kept.cold_ms, now_ms, is_held);
         Ok(())
     }
 
-    /// What can be held of a heartbeat, which is compared with what is held. At the start of
-    /// control one that would lose something waits for the format that keeps it.
-    async fn as_kept(&self, change: ReplicaChange, wait: Duration) -> ReplicaChange {
-        let is_whole = |format| change.clone().kept_in(format) == change;
-        if !is_whole(self.stored_format()) {
-            self.wait_for_newest_format(Instant::now() + wait).await;
-        }
-        change.kept_in(self.stored_format())
-    }
-
     /// Notes that a replica ends: the start of it that is known here.
     ///
     /// # Errors
@@ -94,6 +93,12 @@
     }
 }
 
+/// What is held of a heartbeat as far as a member knows, which is compared with what was held
+/// before.
+fn as_kept(change: &ReplicaChange, view: &RegistryView) -> ReplicaChange {
+    change.clone().kept_in(view.registry.format())
+}
+
 /// Whether a heartbeat changes what is held of its replica, or says that it is cold for
 /// longer than was proposed. Others are not committed.
 fn is_news(held: &ReplicaChange, change: &ReplicaChange, is_longer_cold: bool) -> bool {
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -1,6 +1,6 @@
 //! The job store as its group serves it.
 
-use linnethitch_group::{CallFailure, GroupMember, StateMachine};
+use linnethitch_group::{CallFailure, GroupMember};
 use linnethitch_job_store::{
     AgeClock, Dispatcher, JobSpec, JobStore, QueueGate, StoreAnswer, StoreCall, StoreCommand,
     StoreReply, TenantJob,
@@ -174,7 +174,7 @@
                     .then(|| self.pass_before_job(member, now))
                     .flatten();
                 let command = submission(job.clone(), tenant.clone());
-                return begin(first, &command, member.state().format());
+                return begin(first, &command, now.format);
             }
             StoreCall::Report { item, outcome } => StoreCommand::Report {
                 item: item.clone(),
@@ -190,7 +190,7 @@
             StoreCall::Progress(progress) => StoreCommand::KeepProgress(progress.clone()),
             StoreCall::Finish(last) => StoreCommand::FinishRun(Box::new(last.clone())),
         };
-        begin(None, &command, member.state().format())
+        begin(None, &command, now.format)
     }
 
     fn applied(
--- a/crates/cluster/tests/all/builds.rs
+++ b/crates/cluster/tests/all/builds.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use linnethitch_cluster::{ControlNode, ControlSettings, NodeSettings, rewrite_node_frame};
+use linnethitch_cluster::{
+    ControlNode, ControlSettings, GatewayNode, NodeSettings, Unavailable, rewrite_node_frame,
+};
 use linnethitch_errors::ErrorKind;
 use linnethitch_job_store::StoreCommand;
 use linnethitch_protocol::{
@@ -19,7 +21,9 @@
     frame::{self, FrameHeader, FrameKind},
     slots::GatewayDatagram,
 };
-use linnethitch_registry::{Backend, Configuration, RegistryCommand, Route, RouteKind};
+use linnethitch_registry::{
+    Backend, ColdTraits, Configuration, RegistryCommand, Route, RouteKind, ServiceTraits,
+};
 use linnethitch_transport::{ConnectionOptions, WireMessage, connect};
 use tokio::time::timeout;
 
@@ -173,6 +177,53 @@
     assert!(told, "the link ends before the table in force is told");
 }
 
+/// A configuration whose only service says what its cold replicas bear: the first format
+/// leaves that out.
+fn with_cold_replicas(version: u64) -> Configuration {
+    let mut configuration = configuration(version);
+    configuration.table.services.push(ServiceTraits {
+        name: "chilly".to_owned(),
+        health_path: "/health".to_owned(),
+        max_connections: 10,
+        engine: None,
+        cold: Some(ColdTraits {
+            start_ms: 3_000,
+            rate_milli: 10_000,
+        }),
+    });
+    configuration
+}
+
+/// At the start of a fleet beside much other work, a configuration was acknowledged before
+/// all members of control were linked to each other. It was stored in the first format, and
+/// cold replicas got what warm ones bear until the next configuration came: 126 requests in a
+/// second where 10 are borne. Now it is refused until its leader may store all of it.
+#[tokio::test]
+async fn what_is_acknowledged_at_the_start_is_held_whole() {
+    let seeds = [62, 63, 64].map(host);
+    let port = free_port(seeds[0]);
+    let first = start_control(node(seeds[0], &seeds, port)).await;
+    let _second = start_control(node(seeds[1], &seeds, port)).await;
+    let (control, _) = &first;
+    let put = |version, limit| {
+        control.put_configuration(with_cold_replicas(version), b"{}".to_vec(), limit)
+    };
+    // What the format has is held meanwhile: two of three are a quorum.
+    let plain = control.put_configuration(configuration(1), b"{}".to_vec(), LIMIT);
+    assert_eq!(plain.await, Ok(1));
+    assert_eq!(put(2, Duration::from_secs(2)).await, Err(Unavailable));
+    let _third = start_control(node(seeds[2], &seeds, port)).await;
+    assert_eq!(put(3, LIMIT).await, Ok(3));
+    let gateway = GatewayNode::start(&node(host(65), &seeds, port), String::new());
+    let declares_cold = || {
+        let fleet = gateway.fleet();
+        let services = fleet.table().map(|table| table.services.clone());
+        services.is_some_and(|services| services.iter().all(|service| service.cold.is_some()))
+    };
+    until("a table is told", || gateway.fleet().table().is_some()).await;
+    assert!(declares_cold());
+}
+
 /// A process that is held to an older format than its disk was written in says so and leaves
 /// the disk as it is.
 #[test]
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Whether what is left out of the command stays lost for as long as that is in force. A
+    /// replica says all of itself again within a second or two.
+    #[must_use]
+    pub fn is_kept_for_long(&self) -> bool {
+        matches!(self, RegistryCommand::PutConfiguration { .. })
+    }
+
     /// Whether a format keeps all that the command says.
     #[must_use]
     pub fn is_whole_in(&self, format: Format) -> bool {
