--- a/crates/cluster/src/driver/formats.rs
+++ b/crates/cluster/src/driver/formats.rs
@@ -1,4 +1,5 @@
-//! Which format a group stores in, and who may be a member of it.
+//! A driver's part in which format its group stores in: it asks the rules by what its links
+//! speak, and carries out what they say.
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
@@ -13,82 +14,78 @@
 use super::{GroupDriver, GroupService};
 use crate::node::address_of;
 
-/// A member that was not linked to for so long after the start of this one is away, in
-/// milliseconds: links are opened within a second, also beside much other work.
-const LINKED_WITHIN_MS: u64 = 10_000;
-
 impl<S: GroupService> GroupDriver<S> {
     /// # Errors
     /// `DataFolderRefused` where the group stores in a newer format than this program may speak.
     pub(super) fn check_format(&self) -> Result<(), Report<ErrorKind>> {
-        let (stored, newest) = (self.member.state().format(), self.links.newest_format());
-        if stored <= newest {
+        let stored = self.member.state().format();
+        if self.stored_format.is_understood(stored) {
             return Ok(());
         }
+        let newest = self.links.newest_format();
         Err(Report::new(ErrorKind::DataFolderRefused).attach(format!(
             "the group stores in format {stored}, this program is held to {newest}"
         )))
     }
 
-    /// What a group stores may be in a newer format once all of its members read that. An
-    /// entry that a member cannot read would stop it, and its machine could not go back to
-    /// the build before.
     pub(super) fn raise_format_if_due(&mut self) {
-        let newest = self.links.newest_format();
-        if self.format() >= newest || !self.all_members_read(newest) {
+        let before = self.format();
+        if before >= self.links.newest_format() {
             return;
         }
         let Some(command) = self.service.raise_format() else {
             return;
         };
-        info!(self.logger, "stored format raised"; "format" => newest.number(),
-            "before" => self.format().number());
-        self.proposed_format = newest;
+        let stored = self.member.state().format();
+        let spoken = self.spoken_with_others();
+        let Some(raised) = self.stored_format.raise(stored, spoken.into_iter()) else {
+            return;
+        };
+        info!(self.logger, "stored format raised"; "format" => raised.number(),
+            "before" => before.number());
         self.propose_own(command);
     }
 
-    /// The format of entries that are stored or proposed here.
+    /// The format in which this member writes if it leads.
     pub(super) fn format(&self) -> Format {
-        self.member.state().format().max(self.proposed_format)
+        self.stored_format.written(self.member.state().format())
     }
 
-    /// Whether the format is the newest, or a member keeps it from being raised: one that is
-    /// known to read no more, or one that stays away.
+    /// Whether what the format lacks cannot wait for a newer one.
     pub(super) fn is_format_settled(&self, now_ms: u64) -> bool {
-        let newest = self.links.newest_format();
-        self.format() >= newest
-            || now_ms.saturating_sub(self.opened_ms) >= LINKED_WITHIN_MS
-            || self.other_members().any(|machine| {
-                let spoken = self.links.format_with(machine);
-                spoken.is_some_and(|spoken| spoken < newest)
-            })
-    }
-
-    fn all_members_read(&self, format: Format) -> bool {
-        self.other_members()
-            .all(|machine| self.links.format_with(machine) >= Some(format))
+        if self.format() >= self.links.newest_format() {
+            return true;
+        }
+        let stored = self.member.state().format();
+        let spoken = self.spoken_with_others();
+        self.stored_format
+            .is_settled(stored, spoken.into_iter(), now_ms)
     }
 
-    fn other_members(&self) -> impl Iterator<Item = MachineId> {
+    /// What the links to all other members speak.
+    fn spoken_with_others(&self) -> Vec<Option<Format>> {
         let own = self.member.id().machine;
         let membership = self.member.status().membership;
-        let members = membership.voters.into_iter().chain(membership.learners);
-        let machines = members.map(|member| member.machine);
-        machines.filter(move |machine| *machine != own)
+        let members = membership.voters.iter().chain(&membership.learners);
+        let others = members
+            .map(|member| member.machine)
+            .filter(|machine| *machine != own);
+        others
+            .map(|machine| self.links.format_with(machine))
+            .collect()
     }
 
     /// Whether a machine reads what the group stores. Where nobody told what it speaks, it is
     /// asked over a link, and counts when it is heard of next.
     pub(super) fn may_join(&self, machine: MachineId, told: Option<Format>) -> bool {
-        let format = self.format();
-        if format == Format::OLDEST {
-            return true;
-        }
         let speaks = told.or_else(|| self.links.format_with(machine));
-        if speaks.is_none() && self.member.is_leader() {
+        let may_join = self
+            .stored_format
+            .may_join(self.member.state().format(), speaks);
+        if !may_join && speaks.is_none() && self.member.is_leader() {
             self.links.reach(machine);
         }
-        speaks >= Some(format)
+        may_join
     }
 
     /// Whether a member can take a message: entries and snapshots that it cannot read would
@@ -98,16 +95,17 @@
             message.body,
             ConsensusBody::Append(_) | ConsensusBody::SnapshotChunk(_)
         );
-        let (to, format) = (message.to.machine, self.format());
-        let spoken = self.links.format_with(to).unwrap_or(format);
-        if !stores || spoken >= format {
+        let to = message.to.machine;
+        let spoken = self.links.format_with(to);
+        let stored = self.member.state().format();
+        if !stores || self.stored_format.can_be_sent(stored, spoken) {
             self.unable.remove(&to);
             return true;
         }
         if self.unable.insert(to) {
             warn!(self.logger, "member cannot read what is stored";
                 "member" => address_of(to).to_string(),
-                "reads" => spoken.number(), "stored" => format.number());
+                "reads" => spoken.map(Format::number), "stored" => self.format().number());
         }
         false
     }
--- a/crates/cluster/src/driver/mod.rs
+++ b/crates/cluster/src/driver/mod.rs
@@ -8,7 +8,7 @@
 use linnethitch_clock::{Clock, Instant, timeout_at};
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{
-    CallFailure, GroupMember, GroupNotice, GroupOutput, GroupSettings, StateMachine,
+    CallFailure, GroupMember, GroupNotice, GroupOutput, GroupSettings, StateMachine, StoredFormat,
 };
 use linnethitch_protocol::{
     consensus::ConsensusMessage,
@@ -166,12 +166,9 @@
     next_call: u64,
     open: std::collections::HashMap<u64, OpenCall<S::Call, S::Reply>>,
     stopping: Option<tokio::sync::oneshot::Sender<()>>,
-    /// The newest format among entries that this member proposed as the leader.
-    proposed_format: Format,
+    stored_format: StoredFormat,
     /// Members that are sent nothing which is stored, since they could not read it.
     unable: BTreeSet<MachineId>,
-    /// When this member was opened, by the steady clock in milliseconds.
-    opened_ms: u64,
 }
 
 /// A driver, and the handle that reaches it.
@@ -196,6 +193,7 @@
     let tick = Duration::from_millis(settings.tick_ms);
     let member = GroupMember::open(settings, file_system, clock.now_ms())?;
     let (sender, inputs) = mpsc::channel(QUEUE_INPUTS);
+    let stored_format = StoredFormat::new(links.newest_format(), clock.now_ms());
     let driver = GroupDriver {
         member,
         service,
@@ -207,9 +205,8 @@
         next_call: 0,
         open: std::collections::HashMap::new(),
         stopping: None,
-        proposed_format: Format::OLDEST,
+        stored_format,
         unable: BTreeSet::new(),
-        opened_ms: clock.now_ms(),
     };
     Ok((driver, GroupHandle { inputs: sender }))
 }
@@ -307,7 +304,7 @@
         let now = self.now();
         self.member.tick(now.steady_ms);
         if !self.member.is_leader() {
-            self.proposed_format = Format::OLDEST;
+            self.stored_format.note_not_leading();
         } else if self.stopping.is_none() {
             self.raise_format_if_due();
             for command in self.service.upkeep(&self.member, now) {
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -17,9 +17,11 @@
 mod settings;
 mod snapshots;
 mod state_machine;
+mod stored_format;
 
 pub use member::GroupMember;
 pub use opening::{bootstrap_disk, is_reserved_for_first_member};
 pub use output::{CallFailure, GroupNotice, GroupOutput};
 pub use settings::GroupSettings;
 pub use state_machine::{SnapshotSource, StateMachine, WholeSnapshot, read_whole_snapshot};
+pub use stored_format::StoredFormat;
--- a/crates/group/tests/all/main.rs
+++ b/crates/group/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod founding;
 mod repair;
 mod support;
+mod two_builds;
