--- a/crates/group/tests/all/support.rs
+++ b/crates/group/tests/all/support/mod.rs
@@ -1,5 +1,7 @@
 //! A group of members over virtual disks and a virtual network.
 
+mod builds;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -12,7 +14,7 @@
     StoredFormat, bootstrap_disk, is_reserved_for_first_member, read_whole_snapshot,
 };
 use linnethitch_protocol::{
-    consensus::{ConsensusBody, ConsensusMessage, EntryPayload},
+    consensus::ConsensusMessage,
     format::Format,
     ids::{DiskId, LogIndex, MachineId, MemberId},
 };
@@ -20,14 +22,12 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use self::builds::{Builds, SECOND_MARK};
+
 /// Line ends after each word of a snapshot.
 const EMPTY_LINES: usize = 100_000;
 /// Virtual milliseconds of one step.
 const STEP_MS: u64 = 10;
-/// A link to a machine that lost its power, or was cut off, is taken for alive this long.
-const LINK_IDLE_MS: u64 = 1_500;
-/// What words of the second format begin with, where a cluster has two builds.
-const SECOND_MARK: &str = "2:";
 
 /// A state machine that remembers every command in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -115,17 +115,6 @@
     builds: Option<Builds>,
 }
 
-/// Which builds the machines run, by the newest format that each reads.
-#[derive(Default)]
-struct Builds {
-    reads: BTreeMap<u32, Format>,
-    rules: BTreeMap<u32, StoredFormat>,
-    /// What links speak, from one machine to another, and when that was last so.
-    links: BTreeMap<(u32, u32), (Format, u64)>,
-    /// Machines whose disks may hold an entry of the second format.
-    hold_second: BTreeSet<u32>,
-}
-
 impl Cluster {
     /// A new cluster of these machines, all blank.
     pub(crate) fn form(machines: &[u32], most_voters: usize, seed: u64) -> Self {
@@ -148,18 +137,6 @@
         cluster
     }
 
-    /// A new cluster whose machines all run the build that reads this format.
-    pub(crate) fn form_of_build(machines: &[u32], build: Format, seed: u64) -> Self {
-        let mut cluster = Cluster::form(&[], machines.len(), seed);
-        let reads = machines.iter().map(|machine| (*machine, build));
-        cluster.builds = Some(Builds {
-            reads: reads.collect(),
-            ..Builds::default()
-        });
-        cluster.form_members(machines, seed);
-        cluster
-    }
-
     fn form_members(&mut self, machines: &[u32], seed: u64) {
         for machine in machines {
             let disk = VirtualDisk::new(seed ^ u64::from(*machine));
@@ -168,37 +145,6 @@
         }
     }
 
-    /// Starts a machine with a build; false where that refuses the disk, which stays as it is.
-    pub(crate) fn start_build(&mut self, machine: u32, build: Format) -> bool {
-        let builds = self.builds.as_mut().expect("a cluster of two builds");
-        builds.reads.insert(machine, build);
-        let is_refused = build == Format::First && builds.hold_second.contains(&machine);
-        if !is_refused {
-            self.start(machine, None);
-        }
-        !is_refused
-    }
-
-    /// Starts a machine with the build that it had.
-    pub(crate) fn start_again(&mut self, machine: u32) {
-        let builds = self.builds.as_ref().expect("a cluster of two builds");
-        let build = builds.reads[&machine];
-        self.start_build(machine, build);
-    }
-
-    /// Whether the leader's group stores in the newest format.
-    pub(crate) fn is_raised(&self) -> bool {
-        let leader = self.leader().and_then(|leader| self.members.get(&leader));
-        leader.is_some_and(|leader| leader.state().format() == Format::NEWEST)
-    }
-
-    /// Machines with a build that does not read what the group stores.
-    pub(crate) fn left_behind(&self) -> Vec<u32> {
-        let reads = self.builds.iter().flat_map(|builds| &builds.reads);
-        let older = reads.filter(|(_, reads)| self.is_raised() && **reads < Format::NEWEST);
-        older.map(|(machine, _)| *machine).collect()
-    }
-
     /// Whether a machine's disk may still be one of the first members; `may_reserve` on a
     /// first start.
     pub(crate) fn is_reserved(&mut self, machine: u32, may_reserve: bool) -> bool {
@@ -336,97 +282,6 @@
         }
     }
 
-    /// Links end where a process does, or are found out to be dead after a while.
-    fn keep_links(&mut self) {
-        let Some(builds) = &mut self.builds else {
-            return;
-        };
-        let now_ms = self.now_ms;
-        let reaches =
-            |machine: &u32| self.members.contains_key(machine) && !self.cut.contains(machine);
-        for from in self.members.keys().filter(|from| reaches(from)) {
-            for to in self.members.keys().filter(|to| reaches(to)) {
-                let spoken = builds.reads[from].min(builds.reads[to]);
-                builds.links.insert((*from, *to), (spoken, now_ms));
-            }
-        }
-        builds.links.retain(|(from, _), (_, at_ms)| {
-            self.members.contains_key(from) && now_ms < *at_ms + LINK_IDLE_MS
-        });
-    }
-
-    fn spoken(&self, from: u32, to: u32) -> Option<Format> {
-        let links = &self.builds.as_ref()?.links;
-        links.get(&(from, to)).map(|(spoken, _)| *spoken)
-    }
-
-    fn may_join(&self, machine: u32, other: u32) -> bool {
-        let stored = self.members[&machine].state().format();
-        let rules = self.builds.as_ref().map(|builds| builds.rules[&machine]);
-        rules.is_none_or(|rules| rules.may_join(stored, self.spoken(machine, other)))
-    }
-
-    fn raise_if_due(&mut self, machine: u32) {
-        let member = &self.members[&machine];
-        let (stored, is_leader) = (member.state().format(), member.is_leader());
-        let membership = member.status().membership;
-        let members = membership.voters.iter().chain(&membership.learners);
-        let others = members.map(|member| member.machine.0);
-        let others = others.filter(|other| *other != machine);
-        let spoken: Vec<Option<Format>> = others.map(|other| self.spoken(machine, other)).collect();
-        let Some(builds) = &mut self.builds else {
-            return;
-        };
-        let rules = builds.rules.get_mut(&machine).expect("it runs");
-        if !is_leader {
-            rules.note_not_leading();
-        } else if rules.raise(stored, spoken.into_iter()).is_some() {
-            self.propose_at(machine, "raise");
-        }
-    }
-
-    fn can_be_sent(&self, message: &ConsensusMessage) -> bool {
-        let stores = matches!(
-            message.body,
-            ConsensusBody::Append(_) | ConsensusBody::SnapshotChunk(_)
-        );
-        let (from, to) = (message.from.machine.0, message.to.machine.0);
-        let stored = self.members[&from].state().format();
-        let rules = self.builds.as_ref().map(|builds| builds.rules[&from]);
-        !stores || rules.is_none_or(|rules| rules.can_be_sent(stored, self.spoken(from, to)))
-    }
-
-    /// A member that cannot read an entry must not get it, whether it is committed or not.
-    fn note_entries(&mut self, message: &ConsensusMessage) {
-        let ConsensusBody::Append(append) = &message.body else {
-            return;
-        };
-        let Some(builds) = &mut self.builds else {
-            return;
-        };
-        let is_second = append.entries.iter().any(|entry| match &entry.payload {
-            EntryPayload::Command(word) => word.starts_with(SECOND_MARK.as_bytes()),
-            _ => false,
-        });
-        if is_second {
-            let to = message.to.machine.0;
-            assert_eq!(builds.reads[&to], Format::Second, "{to} cannot read it");
-            builds.hold_second.insert(to);
-        }
-    }
-
-    fn assert_reads_what_it_holds(&mut self, machine: u32) {
-        let Some(builds) = &mut self.builds else {
-            return;
-        };
-        let holds = self.members[&machine].state().format();
-        let reads = builds.reads[&machine];
-        assert!(holds <= reads, "{machine} applied what it cannot read");
-        if holds == Format::Second {
-            builds.hold_second.insert(machine);
-        }
-    }
-
     fn deliver(&mut self, message: ConsensusMessage) {
         let (from, to) = (message.from.machine.0, message.to.machine.0);
         if self.cut.contains(&from) || self.cut.contains(&to) {
@@ -486,19 +341,6 @@
         self.next_call
     }
 
-    /// A word as the machine writes it if it leads.
-    fn written(&mut self, machine: u32, word: &str) -> String {
-        let stored = self.members[&machine].state().format();
-        let Some(builds) = &mut self.builds else {
-            return word.to_owned();
-        };
-        let format = builds.rules[&machine].written(stored);
-        if format == Format::Second {
-            builds.hold_second.insert(machine);
-        }
-        format!("{format}:{word}")
-    }
-
     /// Proposes at whichever machine leads, until a proposal is answered.
     pub(crate) fn commit(&mut self, word: &str, limit_ms: u64) -> bool {
         let until_ms = self.now_ms + limit_ms;
@@ -562,39 +404,6 @@
         wanted.len() == machines.len() && held == wanted && status.membership_committed
     }
 
-    /// Whether a machine, with the disk that it has, votes or learns.
-    pub(crate) fn is_member(&self, machine: u32) -> bool {
-        let own = self.members.get(&machine).map(GroupMember::id);
-        let leader = self.leader().map(|leader| self.members[&leader].status());
-        leader.zip(own).is_some_and(|(status, own)| {
-            let membership = status.membership;
-            membership.voters.contains(&own) || membership.learners.contains(&own)
-        })
-    }
-
-    /// Whether every machine votes that reads what the group stores.
-    pub(crate) fn is_whole_but_left_behind(&self) -> bool {
-        let Some(builds) = &self.builds else {
-            return false;
-        };
-        let left_behind = self.left_behind();
-        let all = builds.reads.keys().copied();
-        let wanted: Vec<u32> = all
-            .filter(|machine| !left_behind.contains(machine))
-            .collect();
-        let voters = self.voters();
-        let has_disk = |machine: &u32| {
-            let own = self.members.get(machine).map(GroupMember::id);
-            let leader = self.leader().map(|leader| self.members[&leader].status());
-            leader
-                .zip(own)
-                .is_some_and(|(status, own)| status.membership.voters.contains(&own))
-        };
-        wanted
-            .iter()
-            .all(|machine| voters.contains(machine) && has_disk(machine))
-    }
-
     /// Every acknowledged word is read back.
     pub(crate) fn assert_nothing_lost(&mut self) {
         let words = self.read(10_000).expect("a read is answered");
