Group: a new leader that has not applied the raise leaves nothing out

What an operator would have seen: a configuration acknowledged without its rules for cold replicas, in force until the next one.

Cause: a leader took the format for settled after ten seconds of its process, also where it had just been elected and the raise of the leader before it was in its log, but not applied. With that leader's link gone it could not raise again either.

Change: the format is settled only for a leader that is current, which holds what was committed before its term.

--- a/crates/cluster/src/driver/formats.rs
+++ b/crates/cluster/src/driver/formats.rs
@@ -59,7 +59,7 @@
         let stored = self.member.state().format();
         let spoken = self.spoken_with_others();
         self.stored_format
-            .is_settled(stored, spoken.into_iter(), now_ms)
+            .is_settled(stored, self.member.is_current(), spoken.into_iter(), now_ms)
     }
 
     /// What the links to all other members speak.
--- a/crates/group/src/stored_format.rs
+++ b/crates/group/src/stored_format.rs
@@ -64,17 +64,19 @@
     }
 
     /// Whether the format is the newest, or a member keeps it from being raised: one that is
-    /// known to read no more, or one that stays away.
+    /// known to read no more, or one that stays away. A new leader does not know until it is
+    /// current: the one before may have raised it.
     pub fn is_settled(
         &self,
         stored: Format,
+        is_current: bool,
         mut others: impl Iterator<Item = Option<Format>>,
         now_ms: u64,
     ) -> bool {
         let reads_less = |spoken: Option<Format>| spoken.is_some_and(|spoken| spoken < self.newest);
-        self.written(stored) >= self.newest
-            || now_ms.saturating_sub(self.opened_ms) >= LINKED_WITHIN_MS
-            || others.any(reads_less)
+        let is_long_open = now_ms.saturating_sub(self.opened_ms) >= LINKED_WITHIN_MS;
+        let is_held_back = is_long_open || others.any(reads_less);
+        self.written(stored) >= self.newest || (is_current && is_held_back)
     }
 
     /// Whether a machine reads what the group stores, so that it may join.
--- a/crates/group/tests/all/support/builds.rs
+++ b/crates/group/tests/all/support/builds.rs
@@ -50,6 +50,14 @@
         !is_refused
     }
 
+    /// A machine's process ends, which its links show at once.
+    pub(crate) fn kill(&mut self, machine: u32) {
+        self.lose_power(machine);
+        if let Some(builds) = &mut self.builds {
+            builds.links.retain(|(_, to), _| *to != machine);
+        }
+    }
+
     /// Starts a machine with the build that it had.
     pub(crate) fn start_again(&mut self, machine: u32) {
         let builds = self.builds.as_ref().expect("a cluster of two builds");
@@ -91,6 +99,14 @@
         wanted.all(votes)
     }
 
+    /// After the raise nothing is acknowledged that was written in the format before.
+    pub(crate) fn assert_nothing_left_out(&self) {
+        let words = self.acknowledged.iter();
+        let mut since_raise = words.skip_while(|word| !word.starts_with(SECOND_MARK));
+        let left_out = since_raise.find(|word| !word.starts_with(SECOND_MARK));
+        assert_eq!(left_out, None);
+    }
+
     /// The members as the leader knows them; none while nobody leads.
     fn membership(&self) -> Membership {
         let leader = self.leader().and_then(|leader| self.members.get(&leader));
@@ -127,14 +143,29 @@
         rules.is_none_or(|rules| rules.may_join(stored, self.spoken(machine, other)))
     }
 
-    pub(super) fn raise_if_due(&mut self, machine: u32) {
-        let member = &self.members[&machine];
-        let (stored, is_leader) = (member.state().format(), member.is_leader());
-        let membership = member.status().membership;
+    /// Whether a leader may leave out what its format lacks.
+    pub(super) fn is_settled(&self, leader: u32) -> bool {
+        let member = &self.members[&leader];
+        let stored = member.state().format();
+        let rules = self.builds.as_ref().map(|builds| builds.rules[&leader]);
+        rules.is_none_or(|rules| {
+            let spoken = self.spoken_with_others(leader);
+            rules.is_settled(stored, member.is_current(), spoken.into_iter(), self.now_ms)
+        })
+    }
+
+    fn spoken_with_others(&self, machine: u32) -> Vec<Option<Format>> {
+        let membership = self.members[&machine].status().membership;
         let members = membership.voters.iter().chain(&membership.learners);
         let others = members.map(|member| member.machine.0);
         let others = others.filter(|other| *other != machine);
-        let spoken: Vec<Option<Format>> = others.map(|other| self.spoken(machine, other)).collect();
+        others.map(|other| self.spoken(machine, other)).collect()
+    }
+
+    pub(super) fn raise_if_due(&mut self, machine: u32) {
+        let member = &self.members[&machine];
+        let (stored, is_leader) = (member.state().format(), member.is_leader());
+        let spoken = self.spoken_with_others(machine);
         let Some(builds) = &mut self.builds else {
             return;
         };
--- a/crates/group/tests/all/support/mod.rs
+++ b/crates/group/tests/all/support/mod.rs
@@ -349,6 +349,10 @@
                 self.step();
                 continue;
             };
+            if !self.is_settled(leader) {
+                self.step();
+                continue;
+            }
             let call = self.propose_at(leader, word);
             let answered = |cluster: &Cluster| cluster.ended.contains_key(&call);
             if self.run_until(1_000, answered)
--- a/crates/group/tests/all/two_builds.rs
+++ b/crates/group/tests/all/two_builds.rs
@@ -123,6 +123,7 @@
     assert!(cluster.run_until(LED_WITHIN_MS, Cluster::is_raised));
     assert!(cluster.commit("last", LED_WITHIN_MS));
     cluster.assert_nothing_lost();
+    cluster.assert_nothing_left_out();
 }
 
 /// A machine that goes back is taken before the raise; afterwards its disk is refused and
@@ -153,3 +154,27 @@
     assert!(cluster.run_until(LED_WITHIN_MS, |cluster| cluster.is_whole(&MACHINES)));
     cluster.assert_nothing_lost();
 }
+
+/// A new leader has not applied the raise that the one before it stored. What it takes then
+/// would be held in the format before, and what that lacks stay lost.
+#[rstest]
+fn a_new_leader_leaves_nothing_out(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = Cluster::form_of_build(&MACHINES, Format::First, seed);
+    cluster.run_ms(LED_WITHIN_MS);
+    for machine in MACHINES {
+        cluster.lose_power(machine);
+        cluster.start_build(machine, Format::NEWEST);
+        cluster.run_ms(if machine == MACHINES[4] {
+            0
+        } else {
+            LED_WITHIN_MS
+        });
+    }
+    assert!(cluster.run_until(LED_WITHIN_MS, Cluster::is_raised));
+    let leader = cluster.leader().expect("a leader");
+    // The others do not hear from it that the raise is committed.
+    cluster.cut_off(leader);
+    cluster.kill(leader);
+    assert!(cluster.commit("after", LED_WITHIN_MS));
+    cluster.assert_nothing_left_out();
+}
