--- a/crates/cluster/src/gateway/mod.rs
+++ b/crates/cluster/src/gateway/mod.rs
@@ -266,6 +266,14 @@
         }
     }
 
+    /// How long this process stood still since its start, up to now. What it measured meanwhile
+    /// looks longer by that.
+    #[must_use]
+    pub fn stood_still(&self) -> Duration {
+        self.note_running();
+        self.standstill.total()
+    }
+
     fn note_running(&self) {
         if let Some(still) = self.standstill.note_running() {
             warn!(self.logger, "stood still"; "still_ms" => still.as_millis() as u64,
--- a/crates/cluster/src/standstill.rs
+++ b/crates/cluster/src/standstill.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 struct State {
     ran: Instant,
+    /// How long it stood still since its start.
+    still: Duration,
     /// When it woke up, while it waits for news.
     woke: Option<Instant>,
     /// Whether it stood still so long that no link outlived it.
@@ -45,6 +47,7 @@
         let ran = Instant::now();
         let state = Mutex::new(State {
             ran,
+            still: Duration::ZERO,
             woke: None,
             lost_links: false,
         });
@@ -63,12 +66,19 @@
         if still < STOOD_STILL_AFTER {
             return None;
         }
+        state.still += still;
         // One that stands still again before it had news has those of neither.
         let waited = state.woke.replace(now).is_some();
         state.lost_links = still >= LINK_SILENCE_LIMIT || (waited && state.lost_links);
         Some(still)
     }
 
+    /// How long the process stood still since its start, standstills below
+    /// [`STOOD_STILL_AFTER`] left out.
+    pub(crate) fn total(&self) -> Duration {
+        self.state.lock().still
+    }
+
     /// Control told over a link that was opened then what is in force.
     pub(crate) fn note_news(&self, link_opened: Instant) {
         let mut state = self.state.lock();
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -29,6 +29,8 @@
     began: Instant,
     /// When it was sent last: opening a connection is no part of its run.
     sent: Instant,
+    /// How long this process had stood still by then, since its start.
+    still_before: Duration,
     work: RunningWork,
     /// How it came out, for the replica's coordinator.
     pub(crate) report: RunReport,
@@ -65,6 +67,7 @@
             known_ends,
             began,
             sent: began,
+            still_before: shared.gateway.stood_still(),
             work,
             report,
             _lease: lease,
@@ -74,6 +77,15 @@
     /// Notes that it is about to be sent.
     pub(crate) fn note_sent(&mut self) {
         self.sent = Instant::now();
+        self.still_before = self.shared.gateway.stood_still();
+    }
+
+    /// How long it has run, without the time for which this process stood still: that is no
+    /// sign of when the request ends its replica.
+    fn ran(&self) -> Duration {
+        let still = self.shared.gateway.stood_still();
+        let still = still.saturating_sub(self.still_before);
+        self.sent.elapsed().saturating_sub(still)
     }
 
     /// The connection broke, or the answer ended before it was whole: perhaps the
@@ -87,7 +99,7 @@
                 run: EndedRun {
                     fingerprint: self.outgoing.fingerprint(),
                     known: self.known_ends.clone(),
-                    ran_ms: self.sent.elapsed().as_millis().min(u128::from(u32::MAX)) as u32,
+                    ran_ms: self.ran().as_millis().min(u128::from(u32::MAX)) as u32,
                 },
                 request: self.outgoing.id().to_owned(),
             };
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -17,6 +17,7 @@
     time::Duration,
 };
 
+use linnethitch_clock::testing::suspend_for;
 use linnethitch_cluster::GatewayNode;
 use linnethitch_protocol::slots::GatewayDatagram;
 use linnethitch_registry::{
@@ -42,6 +43,10 @@
 const SLOW_FOR: Duration = Duration::from_millis(100);
 /// How long a replica runs a request before it ends under it.
 const FATAL_FOR: Duration = Duration::from_millis(30);
+/// The machine is suspended during the second run of this one: longer than runs that count as
+/// alike differ.
+const STALLED: &str = "fatal, stalled once";
+const STALLED_FOR: Duration = Duration::from_millis(1_500);
 /// A caller's pause before it sends a request again.
 const CALLER_PAUSE: Duration = Duration::from_millis(120);
 /// Replicas that may end under one request before it is known as what it is.
@@ -76,7 +81,10 @@
     while let Some((head, body)) = read_whole_request(&mut stream).await {
         if body.starts_with(FATAL) {
             sleep(FATAL_FOR).await;
-            ended.fetch_add(1, Ordering::SeqCst);
+            let ended_before = ended.fetch_add(1, Ordering::SeqCst);
+            if body.starts_with(STALLED) && ended_before == 1 {
+                suspend_for(STALLED_FOR);
+            }
             process.cancel();
             return;
         }
@@ -354,6 +362,21 @@
     assert_eq!(first.ask("innocent-3", SLOW).await.status, 200);
 }
 
+/// Seen in a run of faults: a gateway that stood still during a run told it as so long that the
+/// ends before and after it looked like other causes, and one replica more ended.
+#[tokio::test]
+async fn a_stall_of_the_gateway_does_not_lengthen_a_run() {
+    let service = Service::start(RouteKind::AtMostOnce, 1, false, MOST_ENDS + 2).await;
+    let gateway = service.fleet.first_gateway();
+    for number in 0..MOST_ENDS {
+        let answer = gateway.ask(&format!("fatal-{number}"), STALLED).await;
+        assert_eq!(answer.status, 502);
+        sleep(CALLER_PAUSE).await;
+    }
+    assert_eq!(gateway.ask("fatal-last", STALLED).await.status, 400);
+    assert_eq!(service.ended(), MOST_ENDS);
+}
+
 /// What runs beside a request that ends replicas is broken off with it, and is suspected
 /// like it. Sent again, it is served, at whatever gateway, and is never refused.
 #[rstest]
