--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -26,13 +26,13 @@
 use rstest::rstest;
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
-    Fleet, Gateway, LIMIT, OK, engine_table, header, read_whole_request, route, table,
+    Fleet, Gateway, LIMIT, OK, engine_table, header, listen_apart, read_whole_request, route, table,
 };
 
 /// A replica ends when it runs a request whose body begins so.
@@ -54,7 +54,7 @@
 
 /// Starts a replica whose process ends when it runs [`FATAL`]; returns its address.
 async fn start_mortal_replica(ended: &Arc<AtomicUsize>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let listener = listen_apart().await;
     let address = listener.local_addr().expect("an address");
     let process = CancellationToken::new();
     let ended = Arc::clone(ended);
--- a/crates/relay/tests/all/requests.rs
+++ b/crates/relay/tests/all/requests.rs
@@ -8,7 +8,9 @@
 use linnethitch_registry::{ReplicaState, Route, RouteKind};
 use rstest::rstest;
 
-use crate::support::{Act, FULL, Fleet, LIMIT, OK, OTHER_INCARNATION, Replica, header, route};
+use crate::support::{
+    Act, FULL, Fleet, LIMIT, OK, OTHER_INCARNATION, Replica, header, listen_apart, route,
+};
 
 /// No link outlives a standstill of this.
 const LONGER_THAN_LINKS_LAST: Duration = Duration::from_secs(3);
@@ -129,9 +131,7 @@
 
 #[tokio::test]
 async fn a_dead_replica_is_passed_over() {
-    let dead = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port");
+    let dead = listen_apart().await;
     let address = dead.local_addr().expect("an address");
     drop(dead);
     let replica = Replica::start(vec![Act::Send(OK)]).await;
--- a/crates/relay/tests/all/starts.rs
+++ b/crates/relay/tests/all/starts.rs
@@ -4,9 +4,8 @@
 
 use linnethitch_registry::{ReplicaState, RouteKind};
 use rstest::rstest;
-use tokio::net::TcpListener;
 
-use crate::support::{Act, Fleet, LIMIT, OK, Replica, header, route};
+use crate::support::{Act, Fleet, LIMIT, OK, Replica, header, listen_apart, route};
 
 /// The first start of the only replica.
 const FIRST: u64 = 1;
@@ -32,7 +31,7 @@
 
 /// An address where nobody listens.
 async fn refusing_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let listener = listen_apart().await;
     listener.local_addr().expect("an address")
 }
 
--- a/crates/relay/tests/all/support/fleet.rs
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -36,6 +36,22 @@
 /// Each test gets loopback addresses of its own.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 
+/// The last number of the address of replicas that end, beyond those of nodes.
+const MORTAL_HOST: u8 = 250;
+
+/// A loopback address of this test process.
+fn own_address(host: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host)
+}
+
+/// A listener whose address refuses connections once it is dropped: on the address that all
+/// tests share another one may take its port.
+pub(crate) async fn listen_apart() -> TcpListener {
+    let address = (own_address(MORTAL_HOST), 0);
+    TcpListener::bind(address).await.expect("a port")
+}
+
 /// A control member, a gateway and its callers' interface.
 pub(crate) struct Fleet {
     pub(crate) callers: SocketAddr,
@@ -91,8 +107,7 @@
         replicas: &[Replica],
     ) -> Self {
         let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-        let process = std::process::id();
-        let address = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host);
+        let address = own_address(host);
         let log = LogLines::default();
         let logger = Logger::root(log.clone(), o!());
         let zones = [(ZONE, REGION), (OTHER_ZONE, OTHER_REGION)];
--- a/crates/relay/tests/all/support/mod.rs
+++ b/crates/relay/tests/all/support/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 pub(crate) use self::{
-    fleet::Fleet,
+    fleet::{Fleet, listen_apart},
     gateway::Gateway,
     http::{Answer, header, read_answer, read_whole_request},
     replica::{Act, FULL, OK, OTHER_INCARNATION, Replica, reached_by},
