--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -9,11 +9,12 @@
 use linnethitch_observability::metrics::Metrics;
 use linnethitch_placement::{PlacementDriver, PlacementLimits};
 use linnethitch_protocol::ids::{DiskId, MachineId};
-use linnethitch_transport::{ClusterIdentity, ClusterKey, Traffic};
+use linnethitch_transport::{ClusterIdentity, ClusterKey, LinkRuntime, Traffic};
 use parking_lot::Mutex;
 use slog::{Logger, info};
 use tokio::{
     net::TcpListener,
+    runtime::Handle,
     task::{JoinHandle, JoinSet},
 };
 use tokio_util::sync::CancellationToken;
@@ -49,6 +50,7 @@
     operator_server: JoinHandle<()>,
     /// Tasks that run as long as the process; dropping the set ends them.
     tasks: JoinSet<()>,
+    _links: LinkRuntime,
 }
 
 impl ControlProcess {
@@ -97,7 +99,10 @@
             logger.clone(),
         );
         let operator_server = tokio::spawn(operator_server.run());
-        let mut tasks = shared.spawn(&driver, sockets.peer, sockets.attach);
+        let links = LinkRuntime::start("control-links")?;
+        let peer = links.adopt(sockets.peer)?;
+        let attach = links.adopt(sockets.attach)?;
+        let mut tasks = shared.spawn(&driver, links.handle(), peer, attach);
         tasks.spawn(placement.run());
         info!(logger, "control member runs";
             "member" => %driver.view().id,
@@ -111,6 +116,7 @@
             stopping,
             operator_server,
             tasks,
+            _links: links,
         })
     }
 }
@@ -263,8 +269,14 @@
         PlacementDriver::new(Arc::new(host), settings.platform_address, limits)
     }
 
-    /// Starts what runs beside the member's thread and the operators' server.
-    fn spawn(self, driver: &Driver, peer: TcpListener, attach: TcpListener) -> JoinSet<()> {
+    /// Starts the links to other members and to gateways.
+    fn spawn(
+        self,
+        driver: &Driver,
+        links: &Handle,
+        peer: TcpListener,
+        attach: TcpListener,
+    ) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let bell = SoftBell::new();
         let rounds = Rounds {
@@ -275,7 +287,7 @@
             clock: self.clock,
             bell: bell.clone(),
         };
-        tasks.spawn(rounds.run());
+        tasks.spawn_on(rounds.run(), links);
         let attach_server = AttachServer {
             driver: driver.clone(),
             soft_state: Arc::clone(&self.soft_state),
@@ -286,7 +298,7 @@
         let identity = self.identity.clone();
         let traffic = Arc::clone(&self.traffic);
         let listener = AttachServer::listener(attach, identity, traffic, self.logger.clone());
-        tasks.spawn(attach_server.run(listener));
+        tasks.spawn_on(attach_server.run(listener), links);
         let peering = Peering {
             identity: self.identity,
             others: self.others,
@@ -300,7 +312,7 @@
             logger: self.logger,
         };
         let listener = peering.listener(peer);
-        tasks.spawn(peering.run(listener));
+        tasks.spawn_on(peering.run(listener), links);
         tasks
     }
 }
--- a/crates/gateway/src/control/session.rs
+++ b/crates/gateway/src/control/session.rs
@@ -84,9 +84,10 @@
         let nonce: u64 = rand::random();
         if let Some(epoch) = open(&gateway, &id, nonce).await {
             info!(gateway.logger, "session opened"; "session" => epoch.0);
-            renew_while_it_lasts(&gateway, &id, epoch).await;
+            let end = renew_while_it_lasts(&gateway, &id, epoch).await;
             gateway.session.set(None);
-            warn!(gateway.logger, "session lost"; "session" => epoch.0);
+            warn!(gateway.logger, "session lost"; "session" => epoch.0,
+                "cause" => end.cause.as_str(), "asked_before_ms" => end.asked_before_ms);
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -103,8 +104,40 @@
     }
 }
 
+/// Why a session ended at the gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndCause {
+    /// The ledger has ended it.
+    Refused,
+    /// No renewal was answered before its end.
+    NotAnswered,
+    /// A renewal was answered, but after its end.
+    AnsweredLate,
+}
+
+impl EndCause {
+    fn as_str(self) -> &'static str {
+        match self {
+            EndCause::Refused => "refused",
+            EndCause::NotAnswered => "not answered",
+            EndCause::AnsweredLate => "answered late",
+        }
+    }
+}
+
+/// How a session ended at the gateway.
+struct SessionEnd {
+    cause: EndCause,
+    /// How long before its end the last renewal was asked for, in milliseconds.
+    asked_before_ms: u64,
+}
+
 /// Renews until the ledger refuses or the lease time runs out.
-async fn renew_while_it_lasts(gateway: &Gateway, id: &GatewayId, epoch: SessionEpoch) {
+async fn renew_while_it_lasts(
+    gateway: &Gateway,
+    id: &GatewayId,
+    epoch: SessionEpoch,
+) -> SessionEnd {
     let clock = gateway.clock();
     let mut until = clock.now();
     let mut renewed = false;
@@ -117,24 +150,33 @@
             session: epoch,
             until: gateway.clock_offset.to_control(wanted),
         };
+        let ended = |cause| SessionEnd {
+            cause,
+            asked_before_ms: clock.now().0.saturating_sub(asked_at.0),
+        };
         let left = clock.until(until).max(lease / RENEWALS_PER_LEASE);
         match gateway.control.propose_within(command, left).await {
             // It ended here before the answer came: what ran under it was given up, so
             // only its end in the ledger sets those items free.
-            Ok(Outcome::Done) if renewed && clock.now() >= until => return,
+            Ok(Outcome::Done) if renewed && clock.now() >= until => {
+                return ended(EndCause::AnsweredLate);
+            }
             Ok(Outcome::Done) => {
                 renewed = true;
                 until = wanted;
                 gateway.session.set(Some(Session { epoch, until }));
             }
-            Ok(_) => return warn_unexpected(gateway),
+            Ok(_) => {
+                warn_unexpected(gateway);
+                return ended(EndCause::Refused);
+            }
             Err(failure)
                 if failure.kind == ErrorKind::ControlUnavailable
                     || failure.kind == ErrorKind::ControlOutcomeUnknown => {}
-            Err(_) => return,
+            Err(_) => return ended(EndCause::Refused),
         }
         if clock.now() >= until {
-            return;
+            return ended(EndCause::NotAnswered);
         }
         tokio::time::sleep(lease / RENEWALS_PER_LEASE).await;
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -8,7 +8,7 @@
 use linnethitch_http_server::Listener;
 use linnethitch_observability::journal::Journal;
 use linnethitch_protocol::ids::Revision;
-use linnethitch_transport::{ClusterIdentity, ClusterKey};
+use linnethitch_transport::{ClusterIdentity, ClusterKey, LinkRuntime};
 use slog::{Logger, info, warn};
 use tokio::{net::TcpListener, sync::mpsc, task::JoinSet};
 use tokio_util::sync::DropGuard;
@@ -37,6 +37,8 @@
     work: JoinSet<()>,
     /// Tasks that run as long as the process.
     background: JoinSet<()>,
+    /// Where they run; `None` when nothing follows control.
+    _links: Option<LinkRuntime>,
     _dropped: DropGuard,
 }
 
@@ -83,7 +85,13 @@
             Some(fixed) => use_fixed(&gateway, fixed)?,
             None => use_stored(&gateway)?,
         }
-        let background = spawn_background(&gateway)?;
+        let links = follows_control(&gateway)
+            .then(|| LinkRuntime::start("gateway-links"))
+            .transpose()?;
+        let background = match &links {
+            Some(links) => spawn_background(&gateway, links)?,
+            None => JoinSet::new(),
+        };
         let work = spawn_work(&gateway, socket, events);
         info!(logger, "gateway listens"; "address" => %address);
         Ok(GatewayHandle {
@@ -92,6 +100,7 @@
             gateway,
             work,
             background,
+            _links: links,
         })
     }
 }
@@ -160,20 +169,26 @@
     Ok(())
 }
 
-/// Starts what follows control; nothing when the fleet is given.
-fn spawn_background(gateway: &Arc<Gateway>) -> Result<JoinSet<()>, Report<ErrorKind>> {
+/// Whether the fleet is learnt from control instead of given.
+fn follows_control(gateway: &Gateway) -> bool {
+    !gateway.settings.control_addresses.is_empty()
+}
+
+/// Starts what follows control.
+fn spawn_background(
+    gateway: &Arc<Gateway>,
+    links: &LinkRuntime,
+) -> Result<JoinSet<()>, Report<ErrorKind>> {
     let mut tasks = JoinSet::new();
     let settings = &gateway.settings;
-    if settings.control_addresses.is_empty() {
-        return Ok(tasks);
-    }
     let identity = ClusterIdentity {
         name: settings.cluster.clone(),
         key: ClusterKey::from_file(&settings.cluster_key_file)?,
     };
-    tasks.spawn(attachment::run(Arc::clone(gateway), identity));
-    tasks.spawn(session::keep(Arc::clone(gateway)));
-    tasks.spawn(reports::run(Arc::clone(gateway)));
+    let links = links.handle();
+    tasks.spawn_on(attachment::run(Arc::clone(gateway), identity), links);
+    tasks.spawn_on(session::keep(Arc::clone(gateway)), links);
+    tasks.spawn_on(reports::run(Arc::clone(gateway)), links);
     Ok(tasks)
 }
 
@@ -192,7 +207,7 @@
         gateway.logger.clone(),
     );
     work.spawn(listener.run());
-    if !gateway.settings.control_addresses.is_empty() {
+    if follows_control(gateway) {
         work.spawn(driver::run(Arc::clone(gateway), events));
     }
     work
--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -10,7 +10,7 @@
 use crate::{
     files::{line, lines, upload},
     support::{
-        caller::{call, request, until_taken},
+        caller::{call, request},
         control::{FakeControl, Shared, load},
         engine::{FakeEngine, Script, Step, text_of},
         gateway::{TestGateway, engine, fleet_file, wait_until},
@@ -82,7 +82,7 @@
         return BTreeMap::new();
     };
     let url = gateway.url(&format!("/v1/files/{file}/content"));
-    let answer = until_taken(async || call(request(Method::GET, url.clone(), "")).await).await;
+    let answer = call(request(Method::GET, url, "")).await;
     let mut results = BTreeMap::new();
     for line in String::from_utf8_lossy(&answer.body).lines() {
         let result: Value = serde_json::from_str(line).expect("a result");
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,12 +3,14 @@
 mod batch_execution;
 mod batch_executor;
 mod batches;
+mod busy_process;
 mod claims;
 mod completions;
 mod configuration;
 mod explain;
 mod files;
 mod hollow;
+mod killed_gateway;
 mod overload;
 mod services;
 mod support;
--- a/crates/gateway/tests/all/support/members.rs
+++ b/crates/gateway/tests/all/support/members.rs
@@ -35,7 +35,7 @@
     pub(crate) attach: Vec<SocketAddr>,
     operator: SocketAddr,
     _platform: PlatformServer,
-    _members: Vec<ControlHandle>,
+    members: Vec<ControlHandle>,
     _folder: TempDir,
 }
 
@@ -98,13 +98,20 @@
             attach: addresses.iter().map(|member| member.attach).collect(),
             operator: addresses[0].operator,
             _platform: platform,
-            _members: members,
+            members,
             _folder: folder,
         };
         system.apply(content).await;
         system
     }
 
+    /// The address at which gateways attach to the member that leads.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        let mut members = self.members.iter();
+        let leader = members.find(|member| member.leads())?;
+        Some(leader.addresses().attach)
+    }
+
     async fn apply(&self, content: &str) {
         wait_until("the configuration is accepted", async || {
             let url = format!("http://{}/v1/configuration", self.operator);
