--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -307,10 +307,17 @@
         self.tried.is_empty() && self.arrived.elapsed() < wait && Instant::now() < self.until
     }
 
-    fn ended(&self, end: RequestEnd) {
-        if end == RequestEnd::Served && self.shared.is_sampled() {
+    fn served(&self) {
+        if self.shared.is_sampled() {
             self.log("served", "");
         }
+        self.shared.note_served(&self.route.name, self.arrived);
+        self.shared
+            .counters
+            .first_byte_after(self.arrived.elapsed());
+    }
+
+    fn ended(&self, end: RequestEnd) {
         self.shared.counters.request_ended(&self.route.name, end);
         self.shared
             .counters
@@ -467,7 +474,7 @@
         if is_server_failure && self.may_send_after(self.runs + 1) {
             return None;
         }
-        self.ended(RequestEnd::Served);
+        self.served();
         strip_connection_headers(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let bytes = self.shared.held.keep(bytes.freeze());
@@ -496,6 +503,7 @@
                 service: self.service.clone(),
                 outgoing: Arc::clone(&self.outgoing),
                 prompt: self.prompt.parts.clone(),
+                arrived: self.arrived,
                 until: self.until,
                 resumable,
                 sends_left: self.route.max_attempts.saturating_sub(self.runs + 1),
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -39,6 +39,8 @@
     OverLimit,
     /// Refused: too much is held for others who read slowly.
     NoRoom,
+    /// Refused: this gateway ends before it may be answered.
+    Stopping,
     /// Without a replica's whole answer after it was sent.
     Failed,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod held_bytes;
 mod homes;
 mod item_run;
+mod planned_stop;
 mod pump;
 mod quotas;
 mod relay;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -37,6 +37,8 @@
     pub(crate) rank: u8,
     pub(crate) outgoing: Arc<Outgoing>,
     pub(crate) prompt: Vec<PromptPart>,
+    /// When its request came.
+    pub(crate) arrived: Instant,
     pub(crate) until: Instant,
     pub(crate) resumable: bool,
     /// Further replicas that it may be sent to.
@@ -330,8 +332,7 @@
             info!(shared.logger, "request: served"; "request" => settings.outgoing.id(),
                 "replica" => &replica, "last_event" => splitter.last_id());
         }
-        let counters = &shared.counters;
-        counters.request_ended(&settings.route, RequestEnd::Served);
+        shared.note_served(&settings.route, settings.arrived);
     }
 
     fn ended(&self, end: RequestEnd) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -22,6 +22,7 @@
     dialect::Dialect,
     exchange::{Admitted, Outgoing, strip_connection_headers},
     following::{follow_fleet, follow_gateways, keep_slots},
+    planned_stop::PlannedStop,
     shared::Shared,
 };
 
@@ -40,11 +41,15 @@
     pub cold: ColdSettings,
     /// Bytes of requests and answers that may be held before new requests are refused.
     pub most_held_bytes: u64,
+    /// Longest time from being told to stop to the end of the process.
+    pub ends_within: Duration,
 }
 
 /// A quarter of a small machine of 160 MB: the rest is the process itself, the fleet as it
 /// knows it, and what its connections hold.
 const DEFAULT_HELD_BYTES: u64 = 40 * 1024 * 1024;
+/// What service managers allow by default before they kill a process.
+const DEFAULT_ENDS_WITHIN: Duration = Duration::from_secs(30);
 
 impl Default for RelaySettings {
     fn default() -> Self {
@@ -55,6 +60,7 @@
             quota: QuotaSettings::default(),
             cold: ColdSettings::default(),
             most_held_bytes: DEFAULT_HELD_BYTES,
+            ends_within: DEFAULT_ENDS_WITHIN,
         }
     }
 }
@@ -76,7 +82,9 @@
         stopping: CancellationToken,
         logger: Logger,
     ) -> Self {
-        let shared = Arc::new(Shared::new(gateway.clone(), dialect, settings, logger));
+        let stop = PlannedStop::new(stopping.clone(), settings.ends_within);
+        let shared = Shared::new(gateway.clone(), dialect, settings, stop, logger);
+        let shared = Arc::new(shared);
         tokio::spawn(follow_fleet(Arc::clone(&shared), gateway.clone()));
         tokio::spawn(follow_gateways(Arc::clone(&shared), gateway));
         tokio::spawn(keep_slots(Arc::clone(&shared)));
@@ -193,10 +201,14 @@
         let Some(request_id) = head.headers.get(&names.request_id).cloned() else {
             return own_answer(ErrorKind::MalformedRequest, None);
         };
+        let limit = time_limit(&head.headers, names, route);
+        let now_ms = self.shared.clock.now_ms();
+        if let Some(left) = self.shared.stop.too_short_for(&route.name, limit, now_ms) {
+            return self.refuse_before_the_end(&request_id, route, left);
+        }
         if !self.shared.held.has_room() {
             return self.refuse_without_room(&request_id, route);
         }
-        let limit = time_limit(&head.headers, names, route);
         let until = arrived + limit;
         let body = match read_body(body, table.limits.body_bytes, until).await {
             Ok(body) => self.shared.held.keep(body),
@@ -247,6 +259,21 @@
         attempt.run().await
     }
 
+    /// The answer to a request that may outlast this process. Other gateways take it at once.
+    fn refuse_before_the_end(
+        &self,
+        request_id: &HeaderValue,
+        route: &Route,
+        left: Duration,
+    ) -> Response<AnswerBody> {
+        let counters = &self.shared.counters;
+        counters.request_ended(&route.name, RequestEnd::Stopping);
+        info!(self.shared.logger, "request: refused, this gateway ends before it may";
+            "request" => request_id.to_str().unwrap_or_default(), "route" => &route.name,
+            "left_ms" => left.as_millis() as u64);
+        own_answer(ErrorKind::Stopping, Some(Duration::ZERO))
+    }
+
     /// The answer to a request that comes while too much is held for others who read slowly.
     fn refuse_without_room(&self, request_id: &HeaderValue, route: &Route) -> Response<AnswerBody> {
         let counters = &self.shared.counters;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -10,6 +10,7 @@
 };
 
 use http::{HeaderMap, HeaderValue};
+use linnethitch_clock::Instant;
 use linnethitch_cluster::{Clock, GatewayNode};
 use linnethitch_job_store::RunMark;
 use linnethitch_protocol::slots::SlotLoad;
@@ -30,12 +31,13 @@
     cold_replicas::{ColdSends, ColdUse},
     connections::Connections,
     counted_stream::ReplicaBytes,
-    counters::Counters,
+    counters::{Counters, RequestEnd},
     dialect::Dialect,
     exchange::Outgoing,
     fleet_changes::{FleetChanges, replica_traits},
     held_bytes::HeldBytes,
     homes::HomeZones,
+    planned_stop::PlannedStop,
     quotas::Quotas,
     relay::RelaySettings,
     replica_ends::BrokenRuns,
@@ -64,6 +66,7 @@
     pub(crate) gateways_heard_ms: AtomicU64,
     /// Bytes of requests and answers that are held.
     pub(crate) held: HeldBytes,
+    pub(crate) stop: Arc<PlannedStop>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) clock: Clock,
     pub(crate) logger: Logger,
@@ -80,6 +83,7 @@
         gateway: GatewayNode,
         dialect: Arc<dyn Dialect>,
         settings: &RelaySettings,
+        stop: Arc<PlannedStop>,
         logger: Logger,
     ) -> Self {
         let seed = settings.seed;
@@ -105,6 +109,7 @@
             news: SuspicionNews::default(),
             gateways_heard_ms: AtomicU64::new(0),
             held: HeldBytes::new(settings.most_held_bytes),
+            stop,
             counters,
             logger,
             successes: AtomicU64::new(0),
@@ -115,6 +120,13 @@
         }
     }
 
+    /// Notes that a request of a route got a replica's whole answer.
+    pub(crate) fn note_served(&self, route: &str, arrived: Instant) {
+        self.counters.request_ended(route, RequestEnd::Served);
+        let now_ms = self.clock.now_ms();
+        self.stop.note_answer(route, arrived.elapsed(), now_ms);
+    }
+
     /// Takes what differs in a newer view of the fleet.
     pub(crate) fn take_fleet(&self, held: &FleetView, fleet: &FleetView) {
         let changes = FleetChanges::between(held, fleet);
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod items;
 mod kept_connections;
 mod keys;
+mod planned_stop;
 mod requests;
 mod silent_connections;
 mod slots;
--- a/crates/relay/tests/all/support/gateway.rs
+++ b/crates/relay/tests/all/support/gateway.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    LIMIT,
+    ENDS_WITHIN, LIMIT,
     http::{Answer, read_answer},
 };
 
@@ -126,6 +126,7 @@
         zone: node.zone.clone(),
         seed,
         keys: *policy,
+        ends_within: ENDS_WITHIN,
         ..RelaySettings::default()
     };
     let relay = Relay::new(gateway, dialect, &settings, stopping.clone(), logger);
--- a/crates/relay/tests/all/support/mod.rs
+++ b/crates/relay/tests/all/support/mod.rs
@@ -28,5 +28,7 @@
 pub(crate) const OTHER_REGION: &str = "other-region";
 /// A zone of the other region.
 pub(crate) const OTHER_ZONE: &str = "other-zone";
+/// From being told to stop to the end of a gateway; longer than any answer in a test takes.
+pub(crate) const ENDS_WITHIN: Duration = Duration::from_secs(10);
 /// Longest time for anything in a test.
 pub(crate) const LIMIT: Duration = Duration::from_secs(20);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 //! and in the fault simulator.
 
 pub mod admission;
+pub mod answer_times;
 pub mod batch;
 pub mod cold;
 pub mod costs;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, one module each.
 
 mod admission;
+mod answer_times;
 mod cold;
 mod coordinator;
 mod dispatch;
