--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -304,6 +304,15 @@
         }
     }
 
+    /// A member that starts again from a snapshot must hold what the others hold, so nothing is
+    /// held that a snapshot of the group's format leaves out.
+    fn note_suspicions(&mut self, index: LogIndex, changed: bool) {
+        if changed && self.format == Format::First {
+            self.suspicions.reduce_to_first_format(index);
+        }
+        self.note_change(index, changed);
+    }
+
     fn note_store(&mut self, index: LogIndex, changed: bool) {
         if changed {
             self.store_at = index;
@@ -367,16 +376,16 @@
             }
             RegistryCommand::ReplicaEnded { replica, runs } => {
                 let changed = self.suspicions.note_end(index, &replica, &runs);
-                self.note_change(index, changed);
+                self.note_suspicions(index, changed);
             }
             RegistryCommand::ClearSuspicions(cleared) => {
                 let changed = self.suspicions.clear(index, &cleared);
-                self.note_change(index, changed);
+                self.note_suspicions(index, changed);
             }
             RegistryCommand::ForgetGone { upto } => self.forget_gone(upto),
             RegistryCommand::EaseSuspicions(eased) => {
                 let changed = self.suspicions.ease(index, &eased);
-                self.note_change(index, changed);
+                self.note_suspicions(index, changed);
             }
         }
         Ok(RegistryAnswer::Done)
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -30,7 +30,10 @@
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::run_lengths::{self, AlikeRuns};
+use crate::{
+    fourth_layout::FourthSuspicion,
+    run_lengths::{self, AlikeRuns},
+};
 
 /// Requests that are remembered: some 100 bytes each, and four for each end of a row, so
 /// 350 KB at most, and what a gateway is told at its start. A flood of different requests
@@ -241,6 +244,15 @@
         changed
     }
 
+    /// Keeps of records that were changed by an entry what the first format holds: the number
+    /// of ends and the shortest run.
+    pub(crate) fn reduce_to_first_format(&mut self, changed_at: LogIndex) {
+        let records = self.records.values_mut();
+        for record in records.filter(|record| record.changed_at == changed_at) {
+            *record = FourthSuspicion::from(record.clone()).into();
+        }
+    }
+
     /// Takes a newer record; false when it is not newer.
     pub(crate) fn take(&mut self, record: Suspicion) -> bool {
         let held = self.records.get(&record.fingerprint);
--- a/crates/registry/tests/all/formats.rs
+++ b/crates/registry/tests/all/formats.rs
@@ -6,7 +6,10 @@
     format::Format,
     ids::{LogIndex, MachineId},
 };
-use linnethitch_registry::{EvacuationOrder, Registry, RegistryCommand, Route};
+use linnethitch_registry::{
+    EndedRun, EndsInRow, EvacuationOrder, Registry, RegistryCommand, RequestFingerprint, Route,
+    Suspicion,
+};
 use rstest::rstest;
 
 use crate::support::{hex_bytes, route, store_snapshot, table};
@@ -84,3 +87,43 @@
     assert_eq!(*refused.current_context(), ErrorKind::InvalidState);
     assert!(command.to_stored_in(Format::Second).is_ok());
 }
+
+/// Guards against members that hold different ends of a request: lengths of runs and clearings
+/// stayed with a member that ran on, and were lost to one that started again.
+#[test]
+fn a_member_that_starts_again_holds_the_same_ends() {
+    let end = |replica: &str, known: EndsInRow, ran_ms| RegistryCommand::ReplicaEnded {
+        replica: replica.to_owned(),
+        runs: vec![EndedRun {
+            fingerprint: RequestFingerprint([7; 16]),
+            known,
+            ran_ms,
+        }],
+    };
+    let cleared = || RegistryCommand::ClearSuspicions(vec![RequestFingerprint([7; 16])]);
+    let in_first_format = [
+        end("i-1", EndsInRow::default(), 300),
+        end("i-2", EndsInRow::alike(300, 1), 2_900),
+        end("i-3", EndsInRow::alike(300, 2), 90),
+        cleared(),
+        end("i-4", EndsInRow::alike(90, 1), 40),
+    ];
+    let stored = in_first_format.map(|command| command.to_stored_in(Format::First));
+    let raise = RegistryCommand::raise_format();
+    let after = end("i-5", EndsInRow::alike(40, 1), 60).to_stored();
+    let commands = stored.into_iter().chain([raise, after]);
+    let mut running = Registry::default();
+    let mut started_again = Registry::default();
+    for (index, command) in (1..).zip(commands) {
+        let command = command.expect("it is encoded");
+        for registry in [&mut running, &mut started_again] {
+            let applied = registry.apply(LogIndex(index), &command);
+            applied.expect("it is applied");
+        }
+        started_again = restored(snapshot_of(&started_again));
+        let held = |registry: &Registry| -> Vec<Suspicion> {
+            registry.suspicions().records().cloned().collect()
+        };
+        assert_eq!(held(&running), held(&started_again), "after entry {index}");
+    }
+}
