--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use linnethitch_protocol::suspicion::ToldSuspicion;
-use linnethitch_registry::{FleetView, RequestFingerprint, Suspicion};
+use linnethitch_registry::{EndsInRow, FleetView, RequestFingerprint, Suspicion};
 use parking_lot::Mutex;
 
 /// News count for this long where control does not answer, in milliseconds.
@@ -87,6 +87,15 @@
 impl News {
     /// Whether control has told less of the request.
     fn is_unheard(&self, told: Option<&Suspicion>) -> bool {
-        told.is_none_or(|told| self.record.row.outweighs(&told.row))
+        told.is_none_or(|told| {
+            !self.is_before_clearing(told) && self.record.row.outweighs(&told.row)
+        })
+    }
+
+    /// Whether control told of a clearing since, without its number: while it stores in the first
+    /// format, clearings cannot be compared. One of a gateway that has just started would never
+    /// outweigh those counted here, and ends of unrelated causes would add up to a refusal.
+    fn is_before_clearing(&self, told: &Suspicion) -> bool {
+        told.row == EndsInRow::default() && told.changed_at > self.record.changed_at
     }
 }
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -21,7 +21,7 @@
 use linnethitch_cluster::GatewayNode;
 use linnethitch_protocol::slots::GatewayDatagram;
 use linnethitch_registry::{
-    EndsInRow, ReplicaState, RequestContent, RequestFingerprint, RouteKind, ToldSuspicion,
+    EndedRun, EndsInRow, ReplicaState, RequestContent, RequestFingerprint, RouteKind, ToldSuspicion,
 };
 use rstest::rstest;
 use tokio::{
@@ -362,6 +362,50 @@
     assert_eq!(first.ask("innocent-3", SLOW).await.status, 200);
 }
 
+/// Guards against innocent requests that are refused during an upgrade: control tells of clearings
+/// without their number, and what a gateway had counted before went on to count.
+#[tokio::test]
+async fn a_clearing_that_older_control_tells_holds_against_what_was_known_before() {
+    let table = table(route(RouteKind::Safe, 1, false));
+    let fleet = Fleet::start_with_older_control(table).await;
+    let service = Service {
+        fleet,
+        ended: Arc::default(),
+    };
+    let address = start_mortal_replica(&service.ended).await;
+    service
+        .fleet
+        .register(0, address, ReplicaState::Ready, 1)
+        .await;
+    service.fleet.wait_for(1).await;
+    let first = service.fleet.first_gateway();
+    let other = service.fleet.add_bare_gateway();
+    let refused = ToldSuspicion {
+        fingerprint: fingerprint(SLOW),
+        replica: "i-9".to_owned(),
+        row: EndsInRow {
+            clearings: 1,
+            lengths_ms: vec![30; MOST_ENDS],
+        },
+    };
+    let receivers = [first.relay.gateway().machine()];
+    other.tell_gateways(&receivers, &GatewayDatagram::Suspicions(vec![refused]));
+    let answered = async |status: u16| {
+        while first.ask("innocent", SLOW).await.status != status {
+            sleep(CALLER_PAUSE).await;
+        }
+    };
+    timeout(LIMIT, answered(400)).await.expect("it is refused");
+    let ended = EndedRun {
+        fingerprint: fingerprint(SLOW),
+        known: EndsInRow::default(),
+        ran_ms: 30,
+    };
+    assert!(other.tell_replica_ended("i-9", vec![ended], LIMIT).await);
+    other.tell_cleared(fingerprint(SLOW), LIMIT).await;
+    timeout(LIMIT, answered(200)).await.expect("it is served");
+}
+
 /// Seen in a run of faults: a gateway that stood still during a run told it as so long that the
 /// ends before and after it looked like other causes, and one replica more ended.
 #[tokio::test]
--- a/crates/relay/tests/all/support/fleet.rs
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -100,11 +100,29 @@
         Self::start_by(configuration, KeyPolicy::default(), replicas).await
     }
 
+    /// The same before control that speaks and stores the first format only.
+    pub(crate) async fn start_with_older_control(table: RouteTable) -> Self {
+        let configuration = Configuration {
+            table,
+            tenants: None,
+        };
+        Self::start_in(configuration, KeyPolicy::default(), &[], Format::First).await
+    }
+
     /// The same with this configuration and policy.
     pub(crate) async fn start_by(
         configuration: Configuration,
         policy: KeyPolicy,
         replicas: &[Replica],
+    ) -> Self {
+        Self::start_in(configuration, policy, replicas, Format::NEWEST).await
+    }
+
+    async fn start_in(
+        configuration: Configuration,
+        policy: KeyPolicy,
+        replicas: &[Replica],
+        control_format: Format,
     ) -> Self {
         let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
         let address = own_address(host);
@@ -134,7 +152,10 @@
         };
         let folder = tempfile::tempdir().expect("a folder");
         let settings = ControlSettings {
-            node: node.clone(),
+            node: NodeSettings {
+                newest_format: control_format,
+                ..node.clone()
+            },
             data_dir: folder.path().display().to_string(),
             store_voters: 1,
         };
