--- a/crates/gateway/src/batch/driver.rs
+++ b/crates/gateway/src/batch/driver.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use linnethitch_clock::Instant;
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     attach::GatewayMessage,
@@ -172,18 +173,28 @@
                 session,
                 number,
                 keys: items,
-            } => self.propose(
-                CommandBody::StartItems {
-                    gateway,
-                    session,
-                    items,
-                },
-                |outcome| match outcome {
-                    Outcome::Started(granted) => Some(granted),
+            } => {
+                let asked_at = Instant::now();
+                let shared = Arc::clone(&self.gateway);
+                let started = move |outcome| match outcome {
+                    Outcome::Started(granted) => {
+                        let seconds = asked_at.elapsed().as_secs_f64();
+                        let metrics = &shared.observer.metrics;
+                        metrics.batch_start_record_seconds.observe(seconds);
+                        Some(granted)
+                    }
                     _ => None,
-                },
-                move |answer| BatchEvent::Started { number, answer },
-            ),
+                };
+                self.propose(
+                    CommandBody::StartItems {
+                        gateway,
+                        session,
+                        items,
+                    },
+                    started,
+                    move |answer| BatchEvent::Started { number, answer },
+                )
+            }
             BatchAction::Commit {
                 session,
                 number,
--- a/crates/gateway/src/control/session.rs
+++ b/crates/gateway/src/control/session.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use tokio::sync::watch;
 
-use crate::{control::client::unexpected, state::Gateway};
+use crate::{control::client::unexpected, observe::ReasonLabel, state::Gateway};
 
 /// Lease time before a configuration tells one.
 const DEFAULT_LEASE: Duration = Duration::from_secs(10);
@@ -86,8 +86,11 @@
             info!(gateway.logger, "session opened"; "session" => epoch.0);
             let end = renew_while_it_lasts(&gateway, &id, epoch).await;
             gateway.session.set(None);
+            let reason = end.cause.as_str();
+            let lost = &gateway.observer.metrics.sessions_lost;
+            lost.get_or_create(&ReasonLabel { reason }).inc();
             warn!(gateway.logger, "session lost"; "session" => epoch.0,
-                "cause" => end.cause.as_str(), "asked_before_ms" => end.asked_before_ms);
+                "cause" => reason, "asked_before_ms" => end.asked_before_ms);
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -119,8 +122,8 @@
     fn as_str(self) -> &'static str {
         match self {
             EndCause::Refused => "refused",
-            EndCause::NotAnswered => "not answered",
-            EndCause::AnsweredLate => "answered late",
+            EndCause::NotAnswered => "not_answered",
+            EndCause::AnsweredLate => "answered_late",
         }
     }
 }
@@ -155,7 +158,13 @@
             asked_before_ms: clock.now().0.saturating_sub(asked_at.0),
         };
         let left = clock.until(until).max(lease / RENEWALS_PER_LEASE);
-        match gateway.control.propose_within(command, left).await {
+        let answer = gateway.control.propose_within(command, left).await;
+        if answer.is_ok() {
+            let milliseconds = clock.now().0.saturating_sub(asked_at.0);
+            let renewals = &gateway.observer.metrics.session_renewal_seconds;
+            renewals.observe(milliseconds as f64 / 1_000.0);
+        }
+        match answer {
             // It ended here before the answer came: what ran under it was given up, so
             // only its end in the ledger sets those items free.
             Ok(Outcome::Done) if renewed && clock.now() >= until => {
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -73,6 +73,9 @@
     pub(crate) batch_items_given_back: Counter,
     pub(crate) batch_retries: Family<ReasonLabel, Counter>,
     pub(crate) batch_yields: Family<ReasonLabel, Counter>,
+    pub(crate) batch_start_record_seconds: Histogram,
+    pub(crate) session_renewal_seconds: Histogram,
+    pub(crate) sessions_lost: Family<ReasonLabel, Counter>,
     pub(crate) configuration_revision: Gauge,
     pub(crate) control_attached: Gauge,
     pub(crate) journal_records_lost: Gauge,
@@ -153,6 +156,18 @@
                 "batch_yields",
                 "Runs of batch items stopped to make room, by reason",
             ),
+            batch_start_record_seconds: registry.latency(
+                "batch_start_record_seconds",
+                "Time until control answered that items which may run once are recorded as started",
+            ),
+            session_renewal_seconds: registry.latency(
+                "session_renewal_seconds",
+                "Time until control answered a renewal of the session, of those it answered",
+            ),
+            sessions_lost: registry.counter_family(
+                "sessions_lost",
+                "Sessions that ended here with all leases under them, by cause",
+            ),
             configuration_revision: registry.gauge(
                 "configuration_revision",
                 "Revision of the configuration in force",
