--- a/crates/gateway/tests/all/batches.rs
+++ b/crates/gateway/tests/all/batches.rs
@@ -8,7 +8,7 @@
     files::{lines, start, upload},
     support::{
         caller::{Answer, call, request},
-        gateway::TestGateway,
+        gateway::{TestGateway, wait_until},
     },
 };
 
@@ -109,6 +109,12 @@
     let (control, gateway) = start().await;
     let file = input_file(&gateway, 1).await;
     drop(control);
+    // A call over a connection that is not known to be lost has an unknown outcome.
+    wait_until("the loss is noticed", async || {
+        let metrics = call(request(Method::GET, gateway.url("/metrics"), "")).await;
+        String::from_utf8_lossy(&metrics.body).contains("linnethitch_control_attached 0\n")
+    })
+    .await;
     let answer = create(&gateway, &batch(&file), None).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
     assert_eq!(answer.error_code(), "control_unavailable");
