Registry: software versions of replicas, in format 3

Types of format 2 stay as they are. The job store has the same content in formats 2 and 3. Evacuations need format 2, not the newest. Records of streams are datagrams of format 3 only.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -10,7 +10,10 @@
 use linnethitch_clock::Clock;
 use linnethitch_errors::ErrorKind;
 use linnethitch_group::{GroupSettings, bootstrap_disk};
-use linnethitch_protocol::ids::{DiskId, MachineId, MemberId};
+use linnethitch_protocol::{
+    format::Format,
+    ids::{DiskId, MachineId, MemberId},
+};
 use linnethitch_registry::{
     Configuration, Declared, DirectoryQuery, RegistryAnswer, RegistryCommand, ZoneMap,
 };
@@ -169,7 +172,7 @@
             }),
         };
         let format = self.stored_format();
-        if self.has_older_member()
+        if self.has_member_below(Format::NEWEST)
             && let Err(report) = command.to_stored_in(format)
         {
             warn!(self.logger, "configuration cannot be stored in the current format";
--- a/crates/cluster/src/evacuation.rs
+++ b/crates/cluster/src/evacuation.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 use linnethitch_clock::Instant;
-use linnethitch_protocol::ids::LogIndex;
+use linnethitch_protocol::{format::Format, ids::LogIndex};
 use linnethitch_registry::{EvacuationOrder, RegistryAnswer, RegistryCommand};
 
 use crate::control::{ControlNode, Unavailable};
 
+/// The first format with evacuations.
+const EVACUATIONS_FORMAT: Format = Format::Second;
+
 /// The outcome of an order about a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ZoneOrderOutcome {
@@ -63,8 +66,10 @@
             }
             evacuations.changed_at(zone)
         };
-        let is_stored = self.wait_for_newest_format(deadline).await;
-        if self.has_older_member() || self.has_older_gateway() {
+        let is_stored = self.wait_for_format(EVACUATIONS_FORMAT, deadline).await;
+        let has_older_node =
+            self.has_member_below(EVACUATIONS_FORMAT) || self.has_gateway_below(EVACUATIONS_FORMAT);
+        if has_older_node {
             return Ok(ZoneOrderOutcome::NotYet);
         }
         if !is_stored {
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -9,7 +9,10 @@
     frame::{self, FrameHeader, FrameKind, HEADER_BYTES},
     ids::{CallId, LogIndex, MachineId, MemberId, Term},
 };
-use linnethitch_registry::{DirectoryNode, FleetUpdate, Place, RegistryAnswer, RegistryCommand};
+use linnethitch_registry::{
+    DirectoryNode, FleetUpdate, Place, RegistryAnswer, RegistryCommand, ReplicaChange,
+    software::{self, ReplicaReports},
+};
 use linnethitch_transport::WireMessage;
 use rkyv::{Archive, Deserialize, Serialize, with::AsBox};
 
@@ -281,6 +284,11 @@
                 frame::write_frame(Self::KIND, format, &first)
             }
             Format::Second => frame::write_frame(Self::KIND, format, self),
+            Format::Third => {
+                let mut payload = frame::encode(self)?.into_vec();
+                software::append(&mut payload, &self.reports())?;
+                frame::frame_of(Self::KIND, format, &payload)
+            }
         }
     }
 
@@ -288,6 +296,43 @@
         match header.format {
             Format::First => frame::read_payload::<FirstMessage>(header, payload).map(Into::into),
             Format::Second => frame::read_payload(header, payload),
+            Format::Third => {
+                frame::verify_payload(header, payload)?;
+                let (encoded, versions) = software::split(payload)?;
+                let mut message: NodeMessage = frame::decode(encoded)?;
+                software::set(message.reports_mut(), versions)?;
+                Ok(message)
+            }
+        }
+    }
+}
+
+impl ReplicaReports for NodeMessage {
+    fn reports(&self) -> Vec<&ReplicaChange> {
+        match self {
+            NodeMessage::ControlHeartbeat(heartbeat) => {
+                let update = heartbeat.update.as_ref();
+                update.map_or_else(Vec::new, ReplicaReports::reports)
+            }
+            NodeMessage::Call {
+                body: CallBody::Registry(RegistryCall::Propose(command)),
+                ..
+            } => command.reports(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn reports_mut(&mut self) -> Vec<&mut ReplicaChange> {
+        match self {
+            NodeMessage::ControlHeartbeat(heartbeat) => {
+                let update = heartbeat.update.as_mut();
+                update.map_or_else(Vec::new, ReplicaReports::reports_mut)
+            }
+            NodeMessage::Call {
+                body: CallBody::Registry(RegistryCall::Propose(command)),
+                ..
+            } => command.reports_mut(),
+            _ => Vec::new(),
         }
     }
 }
--- a/crates/cluster/src/replica_heartbeats.rs
+++ b/crates/cluster/src/replica_heartbeats.rs
@@ -4,6 +4,7 @@
 
 use linnethitch_clock::Instant;
 use linnethitch_group::StateMachine;
+use linnethitch_protocol::format::Format;
 use linnethitch_registry::{
     RegistryAnswer, RegistryCommand, ReplicaChange, ReplicaRecord, ReplicaState,
 };
@@ -27,7 +28,8 @@
         let began = Instant::now();
         if stored_form(&change, &self.view()) != change {
             // Soon after the start of control this waits for the format that stores all fields.
-            self.wait_for_newest_format(began + limit / 2).await;
+            self.wait_for_format(Format::NEWEST, began + limit / 2)
+                .await;
         }
         let limit = limit.saturating_sub(began.elapsed());
         let view = self.view();
--- a/crates/cluster/src/stored_format.rs
+++ b/crates/cluster/src/stored_format.rs
@@ -18,31 +18,31 @@
         self.view().registry.format()
     }
 
-    /// Whether a control member is known to run a build that does not support the newest format.
-    pub(crate) fn has_older_member(&self) -> bool {
-        let is_older = |member| {
+    /// Whether a control member is known to run a build that does not support a format.
+    pub(crate) fn has_member_below(&self, format: Format) -> bool {
+        let is_below = |member| {
             let link_format = self.links.format_with(member);
-            link_format.is_some_and(|link_format| link_format < Format::NEWEST)
+            link_format.is_some_and(|link_format| link_format < format)
         };
-        self.view().members.iter().copied().any(is_older)
+        self.view().members.iter().copied().any(is_below)
     }
 
-    /// Whether a gateway runs a build that does not support the newest format.
-    pub(crate) fn has_older_gateway(&self) -> bool {
+    /// Whether a gateway runs a build that does not support a format.
+    pub(crate) fn has_gateway_below(&self, format: Format) -> bool {
         let now_ms = self.clock.now_ms();
         let presence = self.shared.presence.lock();
-        !presence.gateways_read(Format::NEWEST, now_ms)
+        !presence.gateways_read(format, now_ms)
     }
 
-    /// Waits until control stores in the newest format, which happens soon after its start, or is
-    /// known not to. False if it does not store in the newest format by the deadline.
-    pub(crate) async fn wait_for_newest_format(&self, deadline: Instant) -> bool {
-        while self.stored_format() < Format::NEWEST && !self.has_older_member() {
+    /// Waits until control stores in a format, which happens soon after its start, or is known not
+    /// to. False if it does not store in the format by the deadline.
+    pub(crate) async fn wait_for_format(&self, format: Format, deadline: Instant) -> bool {
+        while self.stored_format() < format && !self.has_member_below(format) {
             if Instant::now() + FORMAT_POLL_INTERVAL > deadline {
                 return false;
             }
             sleep(FORMAT_POLL_INTERVAL).await;
         }
-        self.stored_format() == Format::NEWEST
+        self.stored_format() >= format
     }
 }
--- a/crates/cluster/tests/all/incarnations.rs
+++ b/crates/cluster/tests/all/incarnations.rs
@@ -57,6 +57,7 @@
             sequence,
             incarnation: number,
             cold_ms,
+            software: None,
         };
         let acknowledged = self.control.heartbeat(change, LIMIT).await;
         acknowledged.expect("the heartbeat is acknowledged");
--- a/crates/group/tests/all/support/builds.rs
+++ b/crates/group/tests/all/support/builds.rs
@@ -13,7 +13,7 @@
 /// Time for which a link to a machine that lost power or was isolated still counts as open.
 const LINK_IDLE_MS: u64 = 1_500;
 /// Prefix of words of the second format.
-pub(super) const SECOND_MARK: &str = "2:";
+pub(super) const NEWEST_MARK: &str = "3:";
 
 /// The builds that the machines run, identified by the newest format that each reads.
 #[derive(Default)]
@@ -23,7 +23,7 @@
     /// Format of the link from one machine to another, and the last time the link was open.
     links: BTreeMap<(u32, u32), (Format, u64)>,
     /// Machines whose disks may contain an entry of the second format.
-    pub(super) may_store_second: BTreeSet<u32>,
+    pub(super) may_store_newest: BTreeSet<u32>,
 }
 
 impl Cluster {
@@ -44,7 +44,7 @@
     pub(crate) fn start_build(&mut self, machine: u32, build: Format) -> bool {
         let builds = self.builds.as_mut().expect("a cluster of two builds");
         builds.reads.insert(machine, build);
-        let is_refused = build == Format::First && builds.may_store_second.contains(&machine);
+        let is_refused = build == Format::First && builds.may_store_newest.contains(&machine);
         if !is_refused {
             self.start(machine, None);
         }
@@ -103,8 +103,8 @@
     /// Asserts that no command written in the older format was acknowledged after the raise.
     pub(crate) fn assert_nothing_written_in_old_format(&self) {
         let words = self.acknowledged.iter();
-        let mut since_raise = words.skip_while(|word| !word.starts_with(SECOND_MARK));
-        let in_old_format = since_raise.find(|word| !word.starts_with(SECOND_MARK));
+        let mut since_raise = words.skip_while(|word| !word.starts_with(NEWEST_MARK));
+        let in_old_format = since_raise.find(|word| !word.starts_with(NEWEST_MARK));
         assert_eq!(in_old_format, None);
     }
 
@@ -204,18 +204,18 @@
         let Some(builds) = &mut self.builds else {
             return;
         };
-        let is_second = append.entries.iter().any(|entry| match &entry.payload {
-            EntryPayload::Command(word) => word.starts_with(SECOND_MARK.as_bytes()),
+        let is_newest = append.entries.iter().any(|entry| match &entry.payload {
+            EntryPayload::Command(word) => word.starts_with(NEWEST_MARK.as_bytes()),
             _ => false,
         });
-        if is_second {
+        if is_newest {
             let to = message.to.machine.0;
             assert_eq!(
                 builds.reads[&to],
-                Format::Second,
+                Format::NEWEST,
                 "{to} cannot read the entry"
             );
-            builds.may_store_second.insert(to);
+            builds.may_store_newest.insert(to);
         }
     }
 
@@ -229,8 +229,8 @@
             applied <= reads,
             "{machine} applied an entry that it cannot read"
         );
-        if applied == Format::Second {
-            builds.may_store_second.insert(machine);
+        if applied == Format::NEWEST {
+            builds.may_store_newest.insert(machine);
         }
     }
 
@@ -241,8 +241,8 @@
             return word.to_owned();
         };
         let format = builds.rules[&machine].write_format(stored);
-        if format == Format::Second {
-            builds.may_store_second.insert(machine);
+        if format == Format::NEWEST {
+            builds.may_store_newest.insert(machine);
         }
         format!("{format}:{word}")
     }
--- a/crates/group/tests/all/support/mod.rs
+++ b/crates/group/tests/all/support/mod.rs
@@ -22,7 +22,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use self::builds::{Builds, SECOND_MARK};
+use self::builds::{Builds, NEWEST_MARK};
 
 /// Line breaks after each word of a snapshot.
 const EMPTY_LINES: usize = 100_000;
@@ -46,9 +46,9 @@
     }
 
     fn format(&self) -> Format {
-        let is_second = |word: &String| word.starts_with(SECOND_MARK);
-        if self.words.iter().any(is_second) {
-            Format::Second
+        let is_newest = |word: &String| word.starts_with(NEWEST_MARK);
+        if self.words.iter().any(is_newest) {
+            Format::NEWEST
         } else {
             Format::First
         }
@@ -206,7 +206,7 @@
         self.lose_power(machine);
         self.disks[&machine].wipe();
         if let Some(builds) = &mut self.builds {
-            builds.may_store_second.remove(&machine);
+            builds.may_store_newest.remove(&machine);
         }
     }
 
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -17,6 +17,8 @@
 const FINISH_LAYOUT: u8 = 3;
 const TENANTS_LAYOUT: u8 = 4;
 const RUNS_LAYOUT: u8 = 5;
+/// Layout of an entry that marks the third format, whose commands are those of the second.
+const THIRD_FORMAT_LAYOUT: u8 = 6;
 
 /// Reference to an item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
@@ -113,12 +115,13 @@
     /// # Errors
     /// `Internal` when the command cannot be encoded.
     pub fn raise_format() -> Result<Vec<u8>, Report<ErrorKind>> {
-        StoreCommand::KeepProgress(Vec::new()).to_stored()
+        stored::encode(THIRD_FORMAT_LAYOUT, &StoreCommand::KeepProgress(Vec::new()))
     }
 
     /// The format of a stored command.
     pub(crate) fn format_of(stored: &[u8]) -> Format {
         match stored::layout_of(stored) {
+            Some(layout) if layout >= THIRD_FORMAT_LAYOUT => Format::Third,
             Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
             _ => Format::First,
         }
@@ -144,6 +147,7 @@
                 FINISH_LAYOUT,
                 TENANTS_LAYOUT,
                 RUNS_LAYOUT,
+                THIRD_FORMAT_LAYOUT,
             ],
             bytes,
         )
--- a/crates/job-store/src/progress.rs
+++ b/crates/job-store/src/progress.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeMap, iter::repeat};
 
+use linnethitch_protocol::software::SoftwareFingerprint;
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::command::ItemRef;
@@ -31,7 +32,10 @@
     pub generated: GeneratedEvents,
 }
 
-/// Identifies the run of an item under one lease: a random number chosen by the gateway.
+/// Identifies a run of an item and the software that generates its text. The upper half is a
+/// random number chosen by the gateway, the lower half the fingerprint of the software version.
+/// Gateways that do not know software versions choose both halves at random, so that their
+/// texts match no version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct RunId(pub u64);
 
@@ -39,10 +43,16 @@
     /// The run is unknown: nothing was reported yet, or the report had no run id.
     pub const UNKNOWN: RunId = RunId(0);
 
-    /// The id for a random number; 0 is reserved for [`Self::UNKNOWN`].
+    /// The id of a run that continues or begins a text of this software.
     #[must_use]
-    pub fn from_random(random: u64) -> Self {
-        RunId(random.max(1))
+    pub fn new(random: u32, software: SoftwareFingerprint) -> Self {
+        RunId((u64::from(random.max(1)) << u32::BITS) | u64::from(software.number()))
+    }
+
+    /// The software version of the run's text.
+    #[must_use]
+    pub fn software(self) -> SoftwareFingerprint {
+        SoftwareFingerprint::from_number(self.0 as u32)
     }
 }
 
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -28,8 +28,10 @@
 /// Layout of an index with tenants and without the runs that reported progress: the first
 /// format.
 const TENANTS_LAYOUT: u8 = 3;
-/// Layout of the index in the newest format.
-const INDEX_LAYOUT: u8 = 4;
+/// Layout of the index in the second format.
+const RUNS_LAYOUT: u8 = 4;
+/// Layout of the index in the third format, with the content of the second.
+const INDEX_LAYOUT: u8 = 5;
 /// Size of the length field at the end of the content, in bytes.
 const LENGTH_BYTES: usize = 8;
 /// Approximate size of the pieces in which texts are written, in bytes.
@@ -79,7 +81,8 @@
                 };
                 stored::encode(TENANTS_LAYOUT, &index)
             }
-            Format::Second => stored::encode(INDEX_LAYOUT, &self),
+            Format::Second => stored::encode(RUNS_LAYOUT, &self),
+            Format::Third => stored::encode(INDEX_LAYOUT, &self),
         }
     }
 }
@@ -236,6 +239,7 @@
 pub(crate) fn restore(content: SnapshotReader) -> Result<JobStore, Report<ErrorKind>> {
     let stored_index = read_index(&content)?;
     let format = match stored::layout_of(&stored_index) {
+        Some(layout) if layout > RUNS_LAYOUT => Format::Third,
         Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
         _ => Format::First,
     };
@@ -293,7 +297,7 @@
                 tenants,
             })
         }
-        _ => stored::decode(&[INDEX_LAYOUT], bytes),
+        _ => stored::decode(&[RUNS_LAYOUT, INDEX_LAYOUT], bytes),
     }
 }
 
--- a/crates/job-store/tests/all/formats.rs
+++ b/crates/job-store/tests/all/formats.rs
@@ -43,9 +43,9 @@
     let mut store = restored(recorded("stored-store-snapshot"));
     let raise = StoreCommand::raise_format().expect("it is encoded");
     store.apply(LogIndex(50), &raise).expect("it is applied");
-    assert_eq!(store.format(), Format::Second);
+    assert_eq!(store.format(), Format::NEWEST);
     let late = recorded("stored-store-progress");
     store.apply(LogIndex(51), &late).expect("it is applied");
-    assert_eq!(store.format(), Format::Second);
-    assert_eq!(restored(snapshot_of(&store)).format(), Format::Second);
+    assert_eq!(store.format(), Format::NEWEST);
+    assert_eq!(restored(snapshot_of(&store)).format(), Format::NEWEST);
 }
--- a/crates/protocol/src/first_format.rs
+++ b/crates/protocol/src/first_format.rs
@@ -18,7 +18,13 @@
 
 /// The error for a message that the first format cannot represent.
 pub fn not_in_first_format(message: &str) -> Report<ErrorKind> {
-    Report::new(ErrorKind::InvalidState).attach(format!("format 1 cannot represent {message}"))
+    not_in_format(Format::First, message)
+}
+
+/// The error for a message that a format cannot represent.
+fn not_in_format(format: Format, message: &str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::InvalidState)
+        .attach(format!("format {format} cannot represent {message}"))
 }
 
 /// A run that was interrupted when its replica ended. Of the earlier ends, only the number is
@@ -89,7 +95,7 @@
                 items: starts.into_iter().map(|start| start.key).collect(),
             }),
             (Format::First, CommandBody::SettleStart { .. }) => {
-                Err(not_in_first_format("the settlement of a start"))
+                Err(not_in_format(format, "the settlement of a start"))
             }
             (_, other) => Ok(other),
         }
@@ -207,7 +213,8 @@
             }
             _ => false,
         };
-        format == Format::First && loses_in_first
+        (format == Format::First && loses_in_first)
+            || (format < Format::Third && self.is_about_streams())
     }
 
     /// The messages of a format with the same content. A message of the first format reports one
@@ -215,6 +222,7 @@
     #[must_use]
     pub fn messages_in(&self, format: Format) -> Vec<GatewayDatagram> {
         match (format, self) {
+            (Format::First | Format::Second, message) if message.is_about_streams() => Vec::new(),
             (Format::First, GatewayDatagram::Suspicions(reported)) => {
                 let open = reported
                     .iter()
@@ -310,6 +318,11 @@
                 FirstDatagram::ReplicaEnded { replica, runs }
             }
             GatewayDatagram::Quota(message) => FirstDatagram::Quota(message.try_into()?),
+            GatewayDatagram::StreamBegan(_)
+            | GatewayDatagram::FindStream { .. }
+            | GatewayDatagram::StreamFound { .. } => {
+                return Err(not_in_first_format("records of streams"));
+            }
         })
     }
 }
--- a/crates/protocol/src/format.rs
+++ b/crates/protocol/src/format.rs
@@ -15,15 +15,17 @@
     /// limits.
     #[default]
     First = 1,
-    /// The format that this build writes where all readers support it.
+    /// Without software versions of replicas, records of streams, and requests of started items.
     Second = 2,
+    /// The format that this build writes where all readers support it.
+    Third = 3,
 }
 
 impl Format {
     /// The oldest format that this build reads and writes.
     pub const OLDEST: Format = Format::First;
     /// The newest format that this build reads and writes.
-    pub const NEWEST: Format = Format::Second;
+    pub const NEWEST: Format = Format::Third;
 
     /// The number of the format on the wire.
     #[must_use]
@@ -37,6 +39,7 @@
         match number {
             1 => Some(Format::First),
             2 => Some(Format::Second),
+            3 => Some(Format::Third),
             _ => None,
         }
     }
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -112,7 +112,18 @@
 where
     T: for<'a> Serialize<HighSerializer<AlignedVec, ArenaHandle<'a>, rancor::Error>>,
 {
-    let payload = encode(message)?;
+    frame_of(kind, format, &encode(message)?)
+}
+
+/// Writes a header and an encoded payload into one buffer.
+///
+/// # Errors
+/// `BodyTooLarge` when the payload exceeds [`MAX_PAYLOAD_BYTES`].
+pub fn frame_of(
+    kind: FrameKind,
+    format: Format,
+    payload: &[u8],
+) -> Result<Vec<u8>, Report<ErrorKind>> {
     if payload.len() > MAX_PAYLOAD_BYTES {
         return Err(Report::new(ErrorKind::BodyTooLarge)
             .attach(format!("message too long: {} bytes", payload.len())));
@@ -121,8 +132,8 @@
     frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
     frame.extend_from_slice(&format.number().to_le_bytes());
     frame.extend_from_slice(&(kind as u16).to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-    frame.extend_from_slice(&payload);
+    frame.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    frame.extend_from_slice(payload);
     Ok(frame)
 }
 
@@ -161,8 +172,17 @@
     T::Archived: for<'a> CheckBytes<HighValidator<'a, rancor::Error>>
         + Deserialize<T, HighDeserializer<rancor::Error>>,
 {
+    verify_payload(header, payload)?;
+    decode(payload)
+}
+
+/// Verifies a payload against its header.
+///
+/// # Errors
+/// `Corrupted` when the checksum differs.
+pub fn verify_payload(header: &FrameHeader, payload: &[u8]) -> Result<(), Report<ErrorKind>> {
     if crc32fast::hash(payload) != header.checksum {
         return Err(Report::new(ErrorKind::Corrupted).attach("frame checksum mismatch"));
     }
-    decode(payload)
+    Ok(())
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod query;
 pub mod quota;
 pub mod slots;
+pub mod software;
 pub mod stored;
+pub mod streams;
 pub mod suspicion;
 pub mod text_edit;
--- a/crates/protocol/src/slots.rs
+++ b/crates/protocol/src/slots.rs
@@ -6,7 +6,7 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{quota::QuotaMessage, suspicion::ReportedSuspicion};
+use crate::{quota::QuotaMessage, streams::StreamRecord, suspicion::ReportedSuspicion};
 
 /// What the requesting gateway does when no slot is free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -122,4 +122,33 @@
     Suspicions(Vec<ReportedSuspicion>),
     /// A message about tenant limits.
     Quota(QuotaMessage),
+    /// A stream has brought its first event; the receiver keeps the record. Third format.
+    StreamBegan(Box<StreamRecord>),
+    /// Asks for the record of a stream. Third format.
+    FindStream {
+        /// The number of the question.
+        number: u64,
+        /// The stream.
+        stream: String,
+    },
+    /// The answer to [`GatewayDatagram::FindStream`]. Third format.
+    StreamFound {
+        /// The number of the question.
+        number: u64,
+        /// The record; `None` if the sender has none.
+        record: Option<Box<StreamRecord>>,
+    },
+}
+
+impl GatewayDatagram {
+    /// Whether the message is about records of streams, which the third format added.
+    #[must_use]
+    pub fn is_about_streams(&self) -> bool {
+        matches!(
+            self,
+            GatewayDatagram::StreamBegan(_)
+                | GatewayDatagram::FindStream { .. }
+                | GatewayDatagram::StreamFound { .. }
+        )
+    }
 }
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -13,9 +13,12 @@
 use crate::{
     configuration::Declared, evacuations::EvacuationOrder, first_format::FirstFormatCommand,
     first_layout::FirstCommand, fourth_layout::FourthCommand, replica::ReplicaChange,
-    routes::RouteTable, second_layout::SecondCommand, third_layout::ThirdCommand,
+    routes::RouteTable, second_layout::SecondCommand, software, software::ReplicaReports,
+    third_layout::ThirdCommand,
 };
 
+/// Layout of replica reports with a software version: the first layout of the third format.
+const EIGHTH_LAYOUT: u8 = 8;
 /// Layout of commands that delete the records of ended replicas.
 const SEVENTH_LAYOUT: u8 = 7;
 /// Layout of reported replica ends whose runs list the earlier ends that were known.
@@ -93,7 +96,8 @@
     pub fn to_stored_in(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         match format {
             Format::First => FirstFormatCommand::try_from(self.clone())?.to_stored(),
-            Format::Second => self.to_stored(),
+            Format::Second => self.to_stored_as(self.layout()),
+            Format::Third => self.to_stored(),
         }
     }
 
@@ -108,8 +112,7 @@
     #[must_use]
     pub fn is_lossless_in(&self, format: Format) -> bool {
         match self {
-            _ if format == Format::NEWEST => true,
-            RegistryCommand::PutConfiguration { table, declared } => {
+            RegistryCommand::PutConfiguration { table, declared } if format == Format::First => {
                 let tenants = declared.tenants.iter().flatten();
                 let homes = table.routes.iter().map(|route| &route.homes);
                 let mut homes = homes.chain(tenants.map(|tenant| &tenant.homes));
@@ -127,12 +130,13 @@
     /// `Internal` when it cannot be encoded.
     pub fn raise_format() -> Result<Vec<u8>, Report<ErrorKind>> {
         let up_to_index = LogIndex(0);
-        RegistryCommand::ForgetEnded { up_to_index }.to_stored()
+        RegistryCommand::ForgetEnded { up_to_index }.to_stored_as(EIGHTH_LAYOUT)
     }
 
     /// The format that a stored command belongs to.
     pub(crate) fn format_of(stored: &[u8]) -> Format {
         match stored::layout_of(stored) {
+            Some(layout) if layout >= EIGHTH_LAYOUT => Format::Third,
             Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
             _ => Format::First,
         }
@@ -143,7 +147,28 @@
     /// # Errors
     /// `Internal` when it cannot be encoded.
     pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
-        let layout = match self {
+        let has_software = self
+            .reports()
+            .iter()
+            .any(|report| report.software.is_some());
+        self.to_stored_as(if has_software {
+            EIGHTH_LAYOUT
+        } else {
+            self.layout()
+        })
+    }
+
+    /// Software versions are left out of earlier layouts than the eighth.
+    fn to_stored_as(&self, layout: u8) -> Result<Vec<u8>, Report<ErrorKind>> {
+        let mut stored = stored::encode(layout, self)?;
+        if layout >= EIGHTH_LAYOUT {
+            software::append(&mut stored, &self.reports())?;
+        }
+        Ok(stored)
+    }
+
+    fn layout(&self) -> u8 {
+        match self {
             RegistryCommand::PutConfiguration { .. }
             | RegistryCommand::Replica(_)
             | RegistryCommand::EvacuateZone(_)
@@ -155,8 +180,7 @@
             | RegistryCommand::DecaySuspicions(_)
             | RegistryCommand::NotAtAddress(_) => THIRD_LAYOUT,
             _ => FIRST_LAYOUT,
-        };
-        stored::encode(layout, self)
+        }
     }
 
     /// Decodes a command from the log.
@@ -181,11 +205,33 @@
                 let third: ThirdCommand = stored::decode(&[THIRD_LAYOUT], bytes)?;
                 Ok(third.into())
             }
+            Some(EIGHTH_LAYOUT) => {
+                let (command, software) = software::split(bytes)?;
+                let mut command: RegistryCommand = stored::decode(&[EIGHTH_LAYOUT], command)?;
+                software::set(command.reports_mut(), software)?;
+                Ok(command)
+            }
             _ => stored::decode(&[FIFTH_LAYOUT, SIXTH_LAYOUT, SEVENTH_LAYOUT], bytes),
         }
     }
 }
 
+impl ReplicaReports for RegistryCommand {
+    fn reports(&self) -> Vec<&ReplicaChange> {
+        match self {
+            RegistryCommand::Replica(change) => vec![change],
+            _ => Vec::new(),
+        }
+    }
+
+    fn reports_mut(&mut self) -> Vec<&mut ReplicaChange> {
+        match self {
+            RegistryCommand::Replica(change) => vec![change],
+            _ => Vec::new(),
+        }
+    }
+}
+
 /// The result of applying a command.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum RegistryAnswer {
--- a/crates/registry/src/fourth_layout/mod.rs
+++ b/crates/registry/src/fourth_layout/mod.rs
@@ -245,6 +245,7 @@
             sequence: fourth.sequence,
             incarnation: 0,
             cold_ms: 0,
+            software: None,
         }
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -27,6 +27,7 @@
 mod second_layout;
 mod service_zones;
 mod sixth_layout;
+pub mod software;
 mod store_members;
 mod suspicion;
 mod table_history;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -24,13 +24,14 @@
     fourth_layout::FourthSnapshot,
     gateways::{GatewayRecord, KnownGateways},
     incarnation_key::parse_incarnation_key,
-    replica::ReplicaRecord,
+    replica::{ReplicaChange, ReplicaRecord},
     replica_changes::{self, Removal},
     replica_index::ReplicaIndex,
     replica_records::{ReplicaDifference, ReplicaRecords},
     routes::RouteTable,
     second_layout::{SecondSnapshot, ThirdSnapshot},
     sixth_layout::SixthSnapshot,
+    software::{self, ReplicaReports},
     suspicion::{Suspicion, Suspicions},
     table_history::TableHistory,
     update::FleetUpdate,
@@ -65,7 +66,9 @@
 }
 
 /// Layout of snapshots that this build writes; earlier layouts are still read.
-const SNAPSHOT_LAYOUT: u8 = 7;
+const SNAPSHOT_LAYOUT: u8 = 8;
+/// Layout of snapshots without software versions of replicas: the second format.
+const SEVENTH_LAYOUT: u8 = 7;
 /// Layout of snapshots that do not record which ended replicas were deleted.
 const SIXTH_LAYOUT: u8 = 6;
 /// Layout of snapshots with a single run length per suspicion.
@@ -94,6 +97,18 @@
     pub(crate) forgotten_up_to: LogIndex,
 }
 
+impl ReplicaReports for RegistrySnapshot {
+    fn reports(&self) -> Vec<&ReplicaChange> {
+        let replicas = self.replicas.iter();
+        replicas.map(|record| &record.reported).collect()
+    }
+
+    fn reports_mut(&mut self) -> Vec<&mut ReplicaChange> {
+        let replicas = self.replicas.iter_mut();
+        replicas.map(|record| &mut record.reported).collect()
+    }
+}
+
 impl Registry {
     /// The route table in force.
     #[must_use]
@@ -211,7 +226,7 @@
         let history = self.table.as_ref();
         let table = history.and_then(|history| match format {
             Format::First => history.complete_since(since),
-            Format::Second => history.update_since(since),
+            Format::Second | Format::Third => history.update_since(since),
         });
         let tenants = table.as_ref().map(|_| self.tenants.update_since(since));
         let changed = self.replicas.changed_after(replicas_since);
@@ -413,7 +428,11 @@
         };
         let stored = match self.format {
             Format::First => stored::encode(FOURTH_LAYOUT, &FourthSnapshot::try_from(snapshot)?),
-            Format::Second => stored::encode(SNAPSHOT_LAYOUT, &snapshot),
+            Format::Second => stored::encode(SEVENTH_LAYOUT, &snapshot),
+            Format::Third => stored::encode(SNAPSHOT_LAYOUT, &snapshot).and_then(|mut stored| {
+                software::append(&mut stored, &snapshot.reports())?;
+                Ok(stored)
+            }),
         };
         stored.map(InMemorySnapshot::new)
     }
@@ -422,6 +441,7 @@
         let bytes = read_full_snapshot(&content)?;
         let snapshot = decode_snapshot(&bytes)?;
         let format = match stored::layout_of(&bytes) {
+            Some(layout) if layout > SEVENTH_LAYOUT => Format::Third,
             Some(layout) if layout > FOURTH_LAYOUT => Format::Second,
             _ => Format::First,
         };
@@ -476,6 +496,12 @@
             let sixth: SixthSnapshot = stored::decode(&[SIXTH_LAYOUT], bytes)?;
             Ok(sixth.into())
         }
-        _ => stored::decode(&[SNAPSHOT_LAYOUT], bytes),
+        Some(SNAPSHOT_LAYOUT) => {
+            let (snapshot, software) = software::split(bytes)?;
+            let mut snapshot: RegistrySnapshot = stored::decode(&[SNAPSHOT_LAYOUT], snapshot)?;
+            software::set(snapshot.reports_mut(), software)?;
+            Ok(snapshot)
+        }
+        _ => stored::decode(&[SEVENTH_LAYOUT], bytes),
     }
 }
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -1,7 +1,7 @@
 //! Replicas that register themselves.
 
 use linnethitch_protocol::{format::Format, ids::LogIndex};
-use rkyv::{Archive, Deserialize, Serialize};
+use rkyv::{Archive, Deserialize, Serialize, with::Skip};
 
 use crate::incarnation_key::{incarnation_key, parse_incarnation_key};
 
@@ -51,20 +51,29 @@
     /// The remaining time for which it is cold, at the time of the report, in milliseconds;
     /// 0 if it is warm.
     pub cold_ms: u64,
+    /// The version of its software; `None` if it is not reported. What two versions generate
+    /// must not be joined. Stored and sent beside the report, see [`crate::software`].
+    #[rkyv(with = Skip)]
+    pub software: Option<String>,
 }
 
 impl ReplicaChange {
     /// The report with only the fields that a format stores: the first format has neither
-    /// incarnations nor cold times.
+    /// incarnations nor cold times, the first two have no software versions.
     #[must_use]
     pub fn reduced_to(self, format: Format) -> Self {
         match format {
             Format::First => ReplicaChange {
                 incarnation: 0,
                 cold_ms: 0,
+                software: None,
                 ..self
             },
-            Format::Second => self,
+            Format::Second => ReplicaChange {
+                software: None,
+                ..self
+            },
+            Format::Third => self,
         }
     }
 
@@ -95,6 +104,7 @@
             || self.service != current.service
             || self.slots != current.slots
             || self.zone != current.zone
+            || self.software != current.software
             || self.cold_ms > current.cold_ms
             || self.is_cold() != current.is_cold()
     }
--- a/crates/registry/src/replica_changes.rs
+++ b/crates/registry/src/replica_changes.rs
@@ -141,6 +141,7 @@
             sequence: u64::MAX,
             incarnation,
             cold_ms: 0,
+            software: None,
         },
         changed_at: LogIndex(0),
     }
--- a/crates/registry/tests/all/formats.rs
+++ b/crates/registry/tests/all/formats.rs
@@ -47,12 +47,12 @@
     let before = registry.changed_at();
     let raise = RegistryCommand::raise_format().expect("it is encoded");
     registry.apply(LogIndex(50), &raise).expect("it is applied");
-    assert_eq!(registry.format(), Format::Second);
+    assert_eq!(registry.format(), Format::NEWEST);
     assert_eq!(registry.changed_at(), before);
     let late = recorded("stored-replica");
     registry.apply(LogIndex(51), &late).expect("it is applied");
-    assert_eq!(registry.format(), Format::Second);
-    assert_eq!(restored(snapshot_of(&registry)).format(), Format::Second);
+    assert_eq!(registry.format(), Format::NEWEST);
+    assert_eq!(restored(snapshot_of(&registry)).format(), Format::NEWEST);
 }
 
 fn with_homes() -> RegistryCommand {
--- a/crates/registry/tests/all/support.rs
+++ b/crates/registry/tests/all/support.rs
@@ -86,6 +86,7 @@
         sequence,
         incarnation: 0,
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/crates/relay/src/slots/coordination.rs
+++ b/crates/relay/src/slots/coordination.rs
@@ -159,7 +159,11 @@
                 state.coordinator.reconcile_leases(from, &leases, now_ms)
             }
             // Handled elsewhere.
-            GatewayDatagram::Suspicions(_) | GatewayDatagram::Quota(_) => Vec::new(),
+            GatewayDatagram::Suspicions(_)
+            | GatewayDatagram::Quota(_)
+            | GatewayDatagram::StreamBegan(_)
+            | GatewayDatagram::FindStream { .. }
+            | GatewayDatagram::StreamFound { .. } => Vec::new(),
         };
         self.apply_actions(&mut state, actions);
         Vec::new()
