--- a/crates/errors/src/kind.rs
+++ b/crates/errors/src/kind.rs
@@ -100,6 +100,10 @@
     Overloaded => 503, "overloaded", No, true;
     /// No back end for the model or service takes new work now.
     NoBackEnd => 503, "no_back_end", No, true;
+    /// It is not known which software version began the stream; another gateway may know, or the request begins anew.
+    StreamUnknown => 503, "stream_unknown", No, true;
+    /// No replica of the software version that began the stream takes work; the request begins anew, without a last event.
+    StreamVersionGone => 503, "stream_version_gone", No, true;
     /// The process is stopping and takes no new work.
     Stopping => 503, "stopping", No, true;
     /// No configuration is in force on this process yet.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -12,14 +12,14 @@
 use linnethitch_registry::{Route, RouteKind};
 use linnethitch_routing::{
     cold::ColdState,
-    dispatch::{FailureKind, RequestNeeds},
+    dispatch::{FailureKind, RequestNeeds, SoftwareNeed},
 };
 use slog::info;
 use tokio::sync::mpsc;
 
 use crate::{
     callers::KeyRefusal,
-    counters::RequestEnd,
+    counters::{RequestEnd, TakeUpOutcome},
     dialect::Prompt,
     exchange::{
         Exchange, Limits, OpenedResponse, Outgoing, Target, exchange, strip_connection_headers,
@@ -29,6 +29,7 @@
     response::{BodyFailure, ResponseBody, error_response, full_body},
     search::{Placement, Search},
     shared::Shared,
+    taken_up::StreamOrigin,
 };
 
 /// Default `Retry-After`, used where no better estimate is known.
@@ -89,6 +90,10 @@
     pub(crate) full: Vec<String>,
     /// Number of pauses after every replica had refused the request as full.
     pub(crate) pauses: u32,
+    /// The stream that the request begins or takes up, and the software that may serve it.
+    pub(crate) origin: StreamOrigin,
+    /// Until when the caller may take the stream up again.
+    pub(crate) take_up_until: Instant,
 }
 
 impl Attempt<'_> {
@@ -104,6 +109,9 @@
             if !self.ensure_home_service(&homes) {
                 return self.refuse_outside_homes();
             }
+            if !self.has_software() {
+                return self.refuse_version_gone();
+            }
             let except: Vec<String> = self.tried.iter().chain(&self.full).cloned().collect();
             let search = Search {
                 shared: self.shared,
@@ -113,6 +121,7 @@
                 exclusive: !known_ends.is_empty(),
                 except: &except,
                 homes: &homes,
+                software: &self.origin.software,
                 rank: self.rank,
                 due: self.due(),
                 deadline: self.deadline,
@@ -135,6 +144,7 @@
                 report: lease.report.clone(),
                 lease: Some(lease),
                 last_event: None,
+                software: &self.origin.software,
                 limits,
             };
             let sending = exchange(self.shared, &self.outgoing, &self.prompt.parts, target);
@@ -179,6 +189,10 @@
         if !self.shared.has_no_home(&self.service, homes) {
             return true;
         }
+        if self.origin.service.is_some() {
+            // A stream goes on at the service that began it.
+            return false;
+        }
         let picked = self.shared.pick_service(self.route, homes);
         self.service = picked.unwrap_or_else(|| self.service.clone());
         !self.shared.has_no_home(&self.service, homes)
@@ -291,6 +305,7 @@
             prompt: &self.prompt.parts,
             except: &self.tried,
             homes: homes.as_ref(),
+            software: &self.origin.software,
         }
     }
 
@@ -362,6 +377,23 @@
         error_response(ErrorKind::NoBackEnd, Some(ISOLATION_RETRY_AFTER))
     }
 
+    /// Whether any replica may serve the request, by its software.
+    fn has_software(&self) -> bool {
+        self.origin.software == SoftwareNeed::Any
+            || self
+                .shared
+                .has_software(&self.service, &self.origin.software)
+    }
+
+    /// Refuses a request whose stream no replica can continue, without waiting.
+    fn refuse_version_gone(&self) -> Response<ResponseBody> {
+        if self.runs > 0 {
+            return self.give_up("no replica of the stream's software");
+        }
+        let (id, software) = (self.outgoing.id(), &self.origin.software);
+        self.shared.refuse_version_gone(id, self.route, software)
+    }
+
     /// Refuses a request whose replicas are all in evacuated zones, without waiting: a short wait
     /// does not help.
     fn refuse_as_evacuated(&self) -> Response<ResponseBody> {
@@ -450,6 +482,7 @@
             response,
             mut connection,
             mut running,
+            ..
         } = opened;
         running.first_event();
         let (mut head, mut body) = response.into_parts();
@@ -496,7 +529,10 @@
 
     /// Forwards a response while it is being received.
     fn stream(&mut self, opened: OpenedResponse) -> Response<ResponseBody> {
-        let (mut head, body) = opened.response.into_parts();
+        let mut head = Response::new(());
+        *head.status_mut() = opened.response.status();
+        *head.headers_mut() = opened.response.headers().clone();
+        let (mut head, ()) = head.into_parts();
         let length = head.headers.get(header::CONTENT_LENGTH).cloned();
         strip_connection_headers(&mut head.headers);
         let is_events = is_event_stream(&head.headers);
@@ -507,6 +543,11 @@
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAMES);
         let gap = Duration::from_millis(self.route.gap_target_ms);
         self.tried.push(opened.replica.clone());
+        if self.origin.service.is_some() {
+            self.shared.counters.take_up_ended(TakeUpOutcome::Resumed);
+        }
+        let new_stream = StreamOrigin::new_stream(&self.outgoing.request_id);
+        let origin = std::mem::replace(&mut self.origin, new_stream);
         let pump = Pump::new(
             Arc::clone(self.shared),
             PumpSettings {
@@ -521,11 +562,10 @@
                 remaining_sends: self.route.max_attempts.saturating_sub(self.runs + 1),
                 gap,
                 tried: std::mem::take(&mut self.tried),
+                origin,
+                take_up_until: self.take_up_until,
             },
-            opened.replica,
-            body,
-            opened.connection,
-            opened.running,
+            opened,
         );
         tokio::spawn(pump.run(sender));
         Response::from_parts(head, channel_body(receiver))
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -12,7 +12,7 @@
 use crate::{
     item_run::{ItemEnding, ItemRun},
     relay::Relay,
-    running_items::{GeneratedProgress, RunningItems},
+    running_items::{GeneratedProgress, LeaseNumber, RunningItems},
 };
 
 /// Settings of batch execution.
@@ -161,8 +161,13 @@
 
 fn start(relay: &Relay, items: &RunningItems, mut work: ItemWork) {
     let item = work.item.clone();
-    let run = relay.shared.random_run_id();
-    let generated = GeneratedProgress::new(std::mem::take(&mut work.generated), run);
+    let lease = LeaseNumber(relay.shared.random_number());
+    let stored_events = work.generated.generated.events.len();
+    let generated = GeneratedProgress::new(std::mem::take(&mut work.generated), lease);
+    if stored_events > 0 && generated.events() == 0 {
+        info!(relay.shared.logger, "item: begins anew, software of its text unknown";
+            "item" => &work.spec.id, "job" => &work.item.job, "events" => stored_events);
+    }
     let reference = item.clone();
     let task = ItemRun::new(
         Arc::clone(&relay.shared),
@@ -174,8 +179,8 @@
     items.begin(item, generated, || {
         let spawned = tokio::spawn(async move {
             match task.run().await {
-                ItemEnding::Reported => after.end(&reference, run),
-                ItemEnding::Returned => after.return_item(&reference, run),
+                ItemEnding::Reported => after.end(&reference, lease),
+                ItemEnding::Returned => after.return_item(&reference, lease),
             }
         });
         spawned.abort_handle()
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -40,10 +40,25 @@
     NoRoom,
     /// Refused: this gateway may stop before the request is answered.
     Stopping,
+    /// Refused: not known which software began the stream that it takes up.
+    StreamUnknown,
+    /// Refused: no replica of the software that began its stream takes work.
+    VersionGone,
     /// Sent, but without a complete response.
     Failed,
 }
 
+/// How an attempt to take a stream up again ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum TakeUpOutcome {
+    /// It goes on at the software that began it.
+    Resumed,
+    /// Refused: not known what began it.
+    Unknown,
+    /// Refused or cut: no replica of the software that began it takes work.
+    VersionGone,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum ItemEnd {
     /// With a complete response.
@@ -89,6 +104,11 @@
     reason: OpenReason,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TakeUpLabels {
+    outcome: TakeUpOutcome,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ItemLabels {
     end: ItemEnd,
@@ -103,6 +123,11 @@
     pub(crate) retries: Counter,
     /// Streams resumed at another replica.
     pub(crate) resumes: Counter,
+    take_ups: Family<TakeUpLabels, Counter>,
+    /// Items whose events were dropped because no replica of their software is coordinated here.
+    pub(crate) items_begun_anew: Counter,
+    /// Records of streams that are kept here.
+    pub(crate) stream_records: Gauge,
     connections: Family<ConnectionLabels, Counter>,
     replica_bytes: Family<ReplicaLabels, Counter>,
     first_byte: Histogram,
@@ -153,6 +178,9 @@
             items: Family::default(),
             retries: Counter::default(),
             resumes: Counter::default(),
+            take_ups: Family::default(),
+            items_begun_anew: Counter::default(),
+            stream_records: Gauge::default(),
             connections: Family::default(),
             replica_bytes: Family::default(),
             first_byte: Histogram::new(LATENCY_BUCKETS),
@@ -200,6 +228,15 @@
         registry.register("relay_retries", "Sends after the first", retries);
         let resumes = self.resumes.clone();
         registry.register("relay_resumes", "Streams resumed elsewhere", resumes);
+        let take_ups = self.take_ups.clone();
+        let help = "Streams that callers or gateways took up again, by outcome";
+        registry.register("relay_stream_take_ups", help, take_ups);
+        let begun_anew = self.items_begun_anew.clone();
+        let help = "Items begun anew since no replica of their software was coordinated here";
+        registry.register("relay_items_begun_anew", help, begun_anew);
+        let stream_records = self.stream_records.clone();
+        let help = "Records of which software began a stream";
+        registry.register("relay_stream_records", help, stream_records);
         let connections = self.connections.clone();
         let help = "Connections opened to replicas, by why";
         registry.register("relay_connections", help, connections);
@@ -273,6 +310,10 @@
         registry.register("relay_cold_turned_away", help, log_refusal);
     }
 
+    pub(crate) fn take_up_ended(&self, outcome: TakeUpOutcome) {
+        self.take_ups.get_or_create(&TakeUpLabels { outcome }).inc();
+    }
+
     pub(crate) fn request_ended(&self, route: &str, end: RequestEnd) {
         let labels = RequestLabels {
             route: route.to_owned(),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -22,6 +22,8 @@
     pub load: HeaderName,
     /// The last event of a stream that the requester already has.
     pub last_event: HeaderName,
+    /// The id of the attempt that brought the first event of the stream that a request takes up.
+    pub resumes: HeaderName,
 }
 
 /// Description of a request's prompt.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,7 +15,7 @@
 };
 use linnethitch_routing::{
     cold::SendOutcome,
-    dispatch::{ChosenReplica, FailureKind, PromptPart},
+    dispatch::{ChosenReplica, FailureKind, PromptPart, SoftwareNeed},
 };
 use slog::info;
 
@@ -93,6 +93,8 @@
 /// A response whose head has been received.
 pub(crate) struct OpenedResponse {
     pub(crate) replica: String,
+    /// The version of the replica's software; `None` if it is unknown.
+    pub(crate) software: Option<String>,
     pub(crate) response: Response<Incoming>,
     pub(crate) connection: Connection,
     pub(crate) running: RunningGuard,
@@ -142,6 +144,8 @@
     pub(crate) report: RunReport,
     /// The last event that the requester already has.
     pub(crate) last_event: Option<u64>,
+    /// The software that may serve the request.
+    pub(crate) software: &'a SoftwareNeed,
     pub(crate) limits: Limits,
 }
 
@@ -186,6 +190,7 @@
     let Target {
         chosen,
         last_event,
+        software,
         limits,
         ..
     } = target;
@@ -231,7 +236,8 @@
         if shared.is_outside_homes(outgoing, &chosen.id) {
             return shared.not_sent_outside_homes(outgoing, &chosen.id);
         }
-        if !shared.is_known_ready(&chosen.id) {
+        let has_other_software = shared.has_other_software(&chosen.id, chosen.software.as_deref());
+        if !shared.is_known_ready(&chosen.id) || has_other_software {
             return Exchange::NotRun(FailureKind::Replaced);
         }
         if shared
@@ -260,7 +266,9 @@
         {
             Ok(response) => {
                 counted.ended(send_outcome(&response));
-                return interpret_head(shared, chosen, outgoing, running, connection, response);
+                let answered =
+                    interpret_head(shared, chosen, outgoing, running, connection, response);
+                return check_software(shared, chosen, software, answered);
             }
             Err(NoResponse::Stale) => {
                 counted.ended(SendOutcome::NotCounted);
@@ -422,8 +430,33 @@
     }
     Exchange::Answered(Box::new(OpenedResponse {
         replica: chosen.id.clone(),
+        software: chosen.software.clone(),
         response,
         connection,
         running,
     }))
 }
+
+/// Checks the software of the replica after its response: a replica that came back at its id with
+/// other software may have sent it. Such a response must not continue a stream, and nothing may
+/// continue it.
+fn check_software(
+    shared: &Shared,
+    chosen: &ChosenReplica,
+    software: &SoftwareNeed,
+    answered: Exchange,
+) -> Exchange {
+    let Exchange::Answered(mut opened) = answered else {
+        return answered;
+    };
+    if !shared.has_other_software(&chosen.id, chosen.software.as_deref()) {
+        return Exchange::Answered(opened);
+    }
+    info!(shared.logger, "replica has other software than when it was chosen";
+        "replica" => &chosen.id, "software" => &chosen.software);
+    if *software != SoftwareNeed::Any {
+        return Exchange::Unknown;
+    }
+    opened.software = None;
+    Exchange::Answered(opened)
+}
--- a/crates/relay/src/fleet_changes.rs
+++ b/crates/relay/src/fleet_changes.rs
@@ -63,5 +63,6 @@
         slots: record.reported.slots,
         kv_tokens: engine.map_or(0, |engine| engine.kv_tokens),
         ready: record.reported.state == ReplicaState::Ready,
+        software: record.reported.software.clone(),
     }
 }
--- a/crates/relay/src/following.rs
+++ b/crates/relay/src/following.rs
@@ -43,6 +43,9 @@
                 told.into_iter()
                     .for_each(|told| shared.handle_suspicion(from, told));
             }
+            about_streams if about_streams.is_about_streams() => {
+                shared.stream_records.handle_message(from, about_streams);
+            }
             about_slots => {
                 let loads = shared.slots.handle_message(from, about_slots);
                 shared.note_reported_loads(&loads);
@@ -67,6 +70,8 @@
         }
         if rounds.is_multiple_of(ROUNDS_PER_SWEEP) {
             shared.connections.sweep();
+            let records = shared.stream_records.run_maintenance();
+            shared.counters.stream_records.set(records as i64);
         }
         if rounds.is_multiple_of(ROUNDS_PER_LEASE_REPORT) {
             shared.slots.report_held_leases();
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -10,7 +10,7 @@
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::{Route, RouteKind};
-use linnethitch_routing::dispatch::{ChosenReplica, FailureKind};
+use linnethitch_routing::dispatch::{ChosenReplica, FailureKind, SoftwareNeed};
 use slog::info;
 
 use tokio_util::sync::CancellationToken;
@@ -163,7 +163,8 @@
             return RunEnd::Outcome(ItemOutcome::RouteRemoved);
         };
         let homes = self.shared.homes_of(&route, self.work.tenant.as_deref());
-        let Some(service) = self.shared.pick_service(&route, &homes) else {
+        let begun_at = self.service_of_text(&route);
+        let Some(service) = begun_at.or_else(|| self.shared.pick_service(&route, &homes)) else {
             return RunEnd::Return;
         };
         let Some(outgoing) = outgoing(&self.shared, &self.work) else {
@@ -197,6 +198,11 @@
         // A suspected item holds the slot of an online request and is not preempted.
         let stop = slot.as_ref().map(|slot| slot.stop.clone());
         let stop = stop.unwrap_or_default();
+        let software = self.generated.software();
+        if !self.shared.may_serve(&chosen.id, &software) {
+            // The replica came back with other software after the slot was requested.
+            return RunEnd::Continue;
+        }
         let last_event = self.generated.last_event();
         let limits = Limits {
             deadline,
@@ -210,6 +216,7 @@
             report: slot_report.or(lease_report).unwrap_or_default(),
             lease,
             last_event,
+            software: &software,
             limits,
         };
         let exchanged = exchange(&self.shared, &outgoing, &prompt.parts, target);
@@ -250,10 +257,39 @@
         }
     }
 
+    /// The service with replicas that are coordinated here and may continue the item's text. The
+    /// text is dropped if there is none: other gateways may coordinate such replicas, but waiting
+    /// for one of them to lease the item could last as long as they exist.
+    fn service_of_text(&mut self, route: &Route) -> Option<String> {
+        let software = self.generated.software();
+        if software == SoftwareNeed::Any {
+            return None;
+        }
+        let services = route.backends.iter().map(|backend| &backend.service);
+        let service = services.into_iter().find(|service| {
+            let (matching, _) = self.shared.coordinated_by_software(service, &software);
+            !matching.is_empty()
+        });
+        if service.is_none() {
+            info!(self.shared.logger, "item: begins anew, no replica of its software here";
+                "item" => &self.work.spec.id, "job" => &self.work.item.job,
+                "software" => format!("{software:?}"), "events" => self.generated.events());
+            self.shared.counters.items_begun_anew.inc();
+            self.generated.begin_anew(self.shared.random_number());
+            self.splitter = EventSplitter::default();
+        }
+        service.cloned()
+    }
+
     /// Waits briefly for a slot of a replica, since the route may change.
     async fn wait_for_slot(&self, service: &str, outgoing: &Outgoing) -> Option<ItemPlacement> {
         let homes = self.shared.homes(outgoing);
-        let outside = self.shared.coordinated_outside(&homes);
+        let mut outside = self.shared.coordinated_outside(&homes);
+        let software = self.generated.software();
+        if software != SoftwareNeed::Any {
+            let (_, others) = self.shared.coordinated_by_software(service, &software);
+            outside.extend(others);
+        }
         let remaining_ms = self
             .shared
             .item_pace(service)
@@ -288,6 +324,7 @@
             exclusive: true,
             except: &self.tried,
             homes: &homes,
+            software: &self.generated.software(),
             rank: u8::MAX,
             due: by,
             deadline: by,
@@ -353,6 +390,8 @@
 
     /// Reads the events; true if the stream was complete.
     async fn read_events(&mut self, service: &str, opened: &mut OpenedResponse) -> bool {
+        self.generated
+            .begin_at(service, &opened.replica, opened.software.as_deref());
         let before = self.generated.events();
         let mut began = None;
         let body: &mut Incoming = opened.response.body_mut();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,8 +32,10 @@
 mod server;
 mod shared;
 mod slots;
+mod stream_records;
 mod suspected_requests;
 mod suspicions;
+mod taken_up;
 
 pub use batch::{BatchSettings, run_items};
 pub use body::read_body;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -7,21 +7,23 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, sleep, sleep_until};
-use linnethitch_routing::dispatch::{PromptPart, RequestNeeds};
+use linnethitch_protocol::streams::StreamRecord;
+use linnethitch_routing::dispatch::{PromptPart, RequestNeeds, SoftwareNeed};
 use slog::info;
 use tokio::sync::mpsc;
 
 use crate::{
     buffered_bytes::UnreadBuffer,
     connections::Connection,
-    counters::RequestEnd,
+    counters::{RequestEnd, TakeUpOutcome},
     events::EventSplitter,
-    exchange::{Exchange, Limits, Outgoing, Target, exchange},
+    exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
     homes::HomeZones,
     response::BodyFailure,
     running_guard::RunningGuard,
     search::{Placement, Search},
     shared::Shared,
+    taken_up::StreamOrigin,
 };
 
 /// A resumable stream that stalls for this multiple of its gap target is resumed elsewhere.
@@ -45,6 +47,10 @@
     /// Target for the maximum gap between events; 0 if there is none.
     pub(crate) gap: Duration,
     pub(crate) tried: Vec<String>,
+    /// The stream, and the software that it may go on at.
+    pub(crate) origin: StreamOrigin,
+    /// Until when the caller may take the stream up again.
+    pub(crate) take_up_until: Instant,
 }
 
 /// Forwards one stream.
@@ -55,16 +61,32 @@
     source: Source,
     /// Data received from the replica and not yet taken by the caller.
     unread: UnreadBuffer,
+    /// Whether it is recorded what began the stream.
+    is_recorded: bool,
 }
 
 /// The replica that sends the stream.
 struct Source {
     replica: String,
+    /// The version of the replica's software; `None` if it is unknown.
+    software: Option<String>,
     body: Incoming,
     connection: Connection,
     running: RunningGuard,
 }
 
+impl From<OpenedResponse> for Source {
+    fn from(opened: OpenedResponse) -> Self {
+        Source {
+            replica: opened.replica,
+            software: opened.software,
+            body: opened.response.into_body(),
+            connection: opened.connection,
+            running: opened.running,
+        }
+    }
+}
+
 /// How one source ended.
 enum SourceEnd {
     Complete,
@@ -76,25 +98,14 @@
 type Sender = mpsc::Sender<Result<Bytes, BodyFailure>>;
 
 impl Pump {
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        settings: PumpSettings,
-        replica: String,
-        body: Incoming,
-        connection: Connection,
-        running: RunningGuard,
-    ) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, settings: PumpSettings, opened: OpenedResponse) -> Self {
         Pump {
             unread: UnreadBuffer::new(shared.buffered.clone()),
             shared,
             settings,
             splitter: EventSplitter::default(),
-            source: Source {
-                replica,
-                body,
-                connection,
-                running,
-            },
+            source: Source::from(opened),
+            is_recorded: false,
         }
     }
 
@@ -171,10 +182,41 @@
             } else {
                 data
             };
+            self.bind_to_software();
             self.unread.push(passed);
         }
     }
 
+    /// Binds a resumable stream to the software of its first event, and records that for attempts
+    /// to take the stream up at any gateway.
+    fn bind_to_software(&mut self) {
+        let PumpSettings {
+            origin,
+            service,
+            resumable,
+            take_up_until,
+            ..
+        } = &mut self.settings;
+        if !*resumable || self.is_recorded || self.splitter.events() == 0 {
+            return;
+        }
+        self.is_recorded = true;
+        let Source {
+            replica, software, ..
+        } = &self.source;
+        if origin.software == SoftwareNeed::Any {
+            origin.software = SoftwareNeed::same_as(replica, software.as_deref());
+        }
+        let remaining = take_up_until.saturating_duration_since(Instant::now());
+        self.shared.stream_records.began(StreamRecord {
+            stream: origin.id.clone(),
+            service: service.clone(),
+            replica: replica.clone(),
+            software: software.clone(),
+            remaining_ms: remaining.as_millis().min(u128::from(u32::MAX)) as u32,
+        });
+    }
+
     /// Forwards the buffered data; false if the caller has disconnected.
     async fn forward_remaining(unread: &mut UnreadBuffer, sender: &Sender) -> bool {
         while let Some(piece) = unread.pop() {
@@ -214,6 +256,12 @@
     async fn resume(&mut self) -> Option<Source> {
         self.splitter.drop_partial();
         while self.settings.resumable && self.settings.remaining_sends > 0 {
+            if !self.has_software() {
+                self.log("no replica of the stream's software");
+                let counters = &self.shared.counters;
+                counters.take_up_ended(TakeUpOutcome::VersionGone);
+                return None;
+            }
             let outgoing = &self.settings.outgoing;
             let known_ends = self.shared.known_ends(outgoing).await?;
             if self.shared.is_refused_while_isolated(&known_ends) {
@@ -228,6 +276,7 @@
                 exclusive: !known_ends.is_empty(),
                 except: &self.settings.tried,
                 homes: &homes,
+                software: &self.settings.origin.software,
                 rank: self.settings.rank,
                 due: Instant::now() + self.settings.gap,
                 deadline: self.settings.deadline,
@@ -244,6 +293,7 @@
                 report: lease.report.clone(),
                 lease: Some(lease),
                 last_event: self.splitter.last_id(),
+                software: &self.settings.origin.software,
                 limits: Limits {
                     deadline: self.settings.deadline,
                     head_deadline: self.settings.deadline,
@@ -253,13 +303,13 @@
             match sending.await {
                 Exchange::Answered(opened) if opened.response.status().is_success() => {
                     self.shared.counters.resumes.inc();
-                    self.log("stream resumed");
-                    return Some(Source {
-                        replica: opened.replica,
-                        body: opened.response.into_body(),
-                        connection: opened.connection,
-                        running: opened.running,
-                    });
+                    self.shared.counters.take_up_ended(TakeUpOutcome::Resumed);
+                    info!(self.shared.logger, "request: stream resumed"; "request" => outgoing.id(),
+                        "stream" => &self.settings.origin.id, "replica" => &opened.replica,
+                        "software" => &opened.software, "from_replica" => &self.source.replica,
+                        "from_software" => &self.source.software,
+                        "last_event" => self.splitter.last_id());
+                    return Some(Source::from(*opened));
                 }
                 Exchange::Evacuated | Exchange::OutsideHomes => self.undo_send(),
                 Exchange::NotRun(_) | Exchange::Suspected => self.settings.remaining_sends += 1,
@@ -283,6 +333,7 @@
             prompt: &self.settings.prompt,
             except: &self.settings.tried,
             homes: homes.as_ref(),
+            software: &self.settings.origin.software,
         };
         let next = self.shared.cold_send_delay(&need)?;
         let remaining = self
@@ -296,6 +347,14 @@
         Some(())
     }
 
+    /// Whether any replica may go on with the stream, by its software.
+    fn has_software(&self) -> bool {
+        let PumpSettings {
+            service, origin, ..
+        } = &self.settings;
+        self.shared.has_software(service, &origin.software)
+    }
+
     /// Takes a send back: the stream was not sent to the replica and may be once the zone is no
     /// longer evacuated or is a home again.
     fn undo_send(&mut self) {
@@ -312,6 +371,7 @@
             splitter,
             source,
             mut unread,
+            ..
         } = self;
         let Source {
             replica,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -24,6 +24,7 @@
     planned_stop::PlannedStop,
     response::{ResponseBody, error_response},
     shared::Shared,
+    stream_records::STREAM_LIFETIME_MS,
 };
 
 /// Settings of a relay.
@@ -51,6 +52,9 @@
 /// Default time that service managers allow before they kill a process.
 const DEFAULT_STOP_WITHIN: Duration = Duration::from_secs(30);
 
+/// Time by which a caller's attempt to take a stream up may arrive after its deadline.
+const TAKE_UP_SLACK: Duration = Duration::from_secs(1);
+
 impl Default for RelaySettings {
     fn default() -> Self {
         RelaySettings {
@@ -225,9 +229,16 @@
             Err(answer) => return *answer,
         };
         let homes = self.shared.homes_of(route, tenant.as_deref());
-        let Some(service) = self.shared.pick_service(route, &homes) else {
+        let origin = self.shared.stream_origin(fleet, route, &head.headers);
+        let origin = match origin.await {
+            Ok(origin) => origin,
+            Err(answer) => return *answer,
+        };
+        let begun_at = origin.service.clone();
+        let Some(service) = begun_at.or_else(|| self.shared.pick_service(route, &homes)) else {
             return error_response(ErrorKind::NoBackEnd, Some(DEFAULT_RETRY_AFTER));
         };
+        let take_up_until = arrived + take_up_limit(&head.headers, names, route);
         let prompt = self.shared.dialect.prompt(&head.headers);
         let mut headers = head.headers;
         strip_connection_headers(&mut headers);
@@ -259,6 +270,8 @@
             refusals: 0,
             full: Vec::new(),
             pauses: 0,
+            origin,
+            take_up_until,
         };
         attempt.run().await
     }
@@ -327,6 +340,20 @@
     Duration::from_millis(limit_ms)
 }
 
+/// Time after the arrival of a request within which its caller may take its stream up again: the
+/// caller's deadline, which may be later than the route's time-out.
+fn take_up_limit(
+    headers: &HeaderMap,
+    names: &crate::dialect::HeaderNames,
+    route: &Route,
+) -> Duration {
+    let requested = headers.get(&names.deadline_ms).and_then(parse_number);
+    let limit_ms = requested
+        .unwrap_or(STREAM_LIFETIME_MS)
+        .max(route.timeout_ms);
+    Duration::from_millis(limit_ms) + TAKE_UP_SLACK
+}
+
 fn parse_number(value: &HeaderValue) -> Option<u64> {
     value.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/relay/src/running_items.rs
+++ b/crates/relay/src/running_items.rs
@@ -5,6 +5,8 @@
 use linnethitch_job_store::{
     GeneratedEvents, ItemProgress, ItemRef, RunId, RunProgress, StoredProgress,
 };
+use linnethitch_protocol::software::SoftwareFingerprint;
+use linnethitch_routing::dispatch::SoftwareNeed;
 use parking_lot::Mutex;
 use tokio::task::AbortHandle;
 
@@ -12,9 +14,18 @@
 #[derive(Clone)]
 pub(crate) struct GeneratedProgress(Arc<Mutex<GeneratedState>>);
 
+/// Identifies the task of an item among those of this gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LeaseNumber(pub(crate) u32);
+
 struct GeneratedState {
     generated: GeneratedEvents,
-    /// Identifies this run from the beginning of its lease.
+    lease: LeaseNumber,
+    /// The software that the events are from.
+    software: SoftwareNeed,
+    /// Random part of the id of the run.
+    random: u32,
+    /// Identifies this run and its software once there are events.
     run: RunId,
     /// The run that the next reported part continues: this run once it has reported anything.
     continues: RunId,
@@ -23,19 +34,66 @@
 }
 
 impl GeneratedProgress {
-    /// Starts a run that continues the progress stored by the job store.
-    pub(crate) fn new(stored: StoredProgress, run: RunId) -> Self {
-        let reported = stored.generated.events.len() as u32;
+    /// Starts a run that continues the progress stored by the job store. Events of an unknown
+    /// software version cannot be continued and are dropped.
+    pub(crate) fn new(stored: StoredProgress, lease: LeaseNumber) -> Self {
+        let fingerprint = stored.reported_by.software();
+        let is_known = fingerprint != SoftwareFingerprint::UNKNOWN;
+        let is_continued = is_known && !stored.generated.events.is_empty();
+        let stored = if is_continued {
+            stored
+        } else {
+            StoredProgress::default()
+        };
+        let software = if is_continued {
+            SoftwareNeed::Fingerprint(fingerprint)
+        } else {
+            SoftwareNeed::Any
+        };
         GeneratedProgress(Arc::new(Mutex::new(GeneratedState {
+            reported: stored.generated.events.len() as u32,
             generated: stored.generated,
-            run,
+            lease,
+            random: lease.0,
+            software,
+            run: RunId::new(lease.0, fingerprint),
             continues: stored.reported_by,
-            reported,
         })))
     }
 
-    pub(crate) fn run(&self) -> RunId {
-        self.0.lock().run
+    pub(crate) fn lease(&self) -> LeaseNumber {
+        self.0.lock().lease
+    }
+
+    /// The software that may generate the next events.
+    pub(crate) fn software(&self) -> SoftwareNeed {
+        let state = self.0.lock();
+        if state.generated.events.is_empty() {
+            return SoftwareNeed::Any;
+        }
+        state.software.clone()
+    }
+
+    /// Records what generates the events that follow, if there are none yet.
+    pub(crate) fn begin_at(&self, service: &str, replica: &str, version: Option<&str>) {
+        let mut state = self.0.lock();
+        if !state.generated.events.is_empty() {
+            return;
+        }
+        let fingerprint = version.map(|version| SoftwareFingerprint::of(service, version));
+        state.software = SoftwareNeed::same_as(replica, version);
+        state.run = RunId::new(state.random, fingerprint.unwrap_or_default());
+        state.continues = state.run;
+    }
+
+    /// Drops all events: the item begins anew, at any software. The random number keeps the new
+    /// text apart from the dropped one if both are from one version.
+    pub(crate) fn begin_anew(&self, random: u32) {
+        let mut state = self.0.lock();
+        state.generated = GeneratedEvents::default();
+        state.software = SoftwareNeed::Any;
+        state.random = random;
+        state.reported = 0;
     }
 
     pub(crate) fn last_event(&self) -> Option<u64> {
@@ -78,6 +136,11 @@
         Some(part)
     }
 
+    /// Whether progress reported under an id is of the events that are continued now.
+    fn reports_as(&self, run: RunId) -> bool {
+        self.0.lock().run == run
+    }
+
     /// Marks all events as unreported.
     fn reset_reported(&self) {
         self.0.lock().reported = 0;
@@ -135,14 +198,14 @@
     }
 
     /// Removes a run whose outcome was reported.
-    pub(crate) fn end(&self, item: &ItemRef, run: RunId) {
-        self.inner.lock().take(item, run);
+    pub(crate) fn end(&self, item: &ItemRef, lease: LeaseNumber) {
+        self.inner.lock().take(item, lease);
     }
 
     /// Removes a run that ended before its item was done; another gateway continues the item.
-    pub(crate) fn return_item(&self, item: &ItemRef, run: RunId) {
+    pub(crate) fn return_item(&self, item: &ItemRef, lease: LeaseNumber) {
         let mut inner = self.inner.lock();
-        if let Some(running_item) = inner.take(item, run) {
+        if let Some(running_item) = inner.take(item, lease) {
             let progress = running_item.generated.take_unreported(item);
             inner.returned.extend(progress);
         }
@@ -204,7 +267,7 @@
         let mut inner = self.inner.lock();
         for reported in progress {
             match inner.running.get(&reported.progress.item) {
-                Some(running_item) if running_item.generated.run() == reported.run => {
+                Some(running_item) if running_item.generated.reports_as(reported.run) => {
                     running_item.generated.reset_reported()
                 }
                 // A newer run of the item reports the progress that it continues.
@@ -217,9 +280,9 @@
 
 impl Inner {
     /// Removes a run, unless a newer run of the same item has replaced it.
-    fn take(&mut self, item: &ItemRef, run: RunId) -> Option<RunningItem> {
+    fn take(&mut self, item: &ItemRef, lease: LeaseNumber) -> Option<RunningItem> {
         let running_item = self.running.get(item)?;
-        if running_item.generated.run() != run {
+        if running_item.generated.lease() != lease {
             return None;
         }
         self.running.remove(item)
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_clock::Instant;
 use linnethitch_protocol::slots::AskMode;
-use linnethitch_routing::dispatch::{ChosenReplica, PromptPart, RequestNeeds};
+use linnethitch_routing::dispatch::{ChosenReplica, PromptPart, RequestNeeds, SoftwareNeed};
 
 use crate::{
     cold_replicas::ColdUse,
@@ -39,6 +39,8 @@
     pub(crate) except: &'a [String],
     /// Zones in which the request may be served.
     pub(crate) homes: &'a HomeZones,
+    /// The software that the request may be served by.
+    pub(crate) software: &'a SoftwareNeed,
     /// Priority rank; 0 is the highest.
     pub(crate) rank: u8,
     /// The time at which the request misses its target.
@@ -134,6 +136,7 @@
             prompt: self.prompt,
             except,
             homes: self.homes.as_ref(),
+            software: self.software,
         }
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,14 +12,13 @@
 use http::{HeaderMap, HeaderValue};
 use linnethitch_clock::Instant;
 use linnethitch_cluster::{Clock, GatewayNode};
-use linnethitch_job_store::RunId;
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{FleetView, ReplicaState, RouteTable};
 use linnethitch_routing::{
     cold::ColdState,
     dispatch::{
         ChosenReplica, CoordinatedReplica, FailureKind, ItemPace, ReplicaTable, ReportedLoad,
-        RequestNeeds, WeightedRoundRobin,
+        RequestNeeds, SoftwareNeed, WeightedRoundRobin,
     },
 };
 use parking_lot::Mutex;
@@ -43,6 +42,7 @@
     relay::RelaySettings,
     replica_ends::InterruptedRuns,
     slots::Slots,
+    stream_records::StreamRecords,
     suspicions::{CONTROL_REPORT_TIMEOUT, SuspicionUpdates},
 };
 
@@ -60,6 +60,7 @@
     pub(crate) slots: Arc<Slots>,
     pub(crate) quotas: Quotas,
     pub(crate) cold: Arc<ColdSends>,
+    pub(crate) stream_records: StreamRecords,
     keys: KeyPolicy,
     pub(crate) interrupted_runs: InterruptedRuns,
     pub(crate) suspicion_updates: SuspicionUpdates,
@@ -99,6 +100,7 @@
         Shared {
             clock: gateway.clock(),
             cold: Arc::new(cold),
+            stream_records: StreamRecords::new(gateway.clone(), &settings.zone),
             slots: Arc::new(Slots::new(gateway.clone(), seed, logger.clone())),
             quotas,
             keys: settings.keys,
@@ -131,6 +133,8 @@
     /// Applies the differences between two views of the fleet.
     pub(crate) fn apply_fleet(&self, previous: &FleetView, fleet: &FleetView) {
         let changes = FleetChanges::between(previous, fleet);
+        self.stream_records
+            .note_software(fleet.differences(previous));
         for key in &changes.removed {
             self.replica_table.lock().remove(key);
             self.slots.remove_engine(key);
@@ -270,11 +274,6 @@
         self.random.lock().random()
     }
 
-    /// A random id for a new run of an item.
-    pub(crate) fn random_run_id(&self) -> RunId {
-        RunId::from_random(self.random.lock().random())
-    }
-
     pub(crate) fn choose(
         &self,
         need: &RequestNeeds<'_>,
@@ -348,6 +347,33 @@
         self.replica_table.lock().chosen_at(replica, now_ms)
     }
 
+    /// Whether control lists any replica of a service as ready that has this software.
+    pub(crate) fn has_software(&self, service: &str, software: &SoftwareNeed) -> bool {
+        self.replica_table.lock().has_software(service, software)
+    }
+
+    /// Whether a replica is known to have other software than this version.
+    pub(crate) fn has_other_software(&self, replica: &str, version: Option<&str>) -> bool {
+        let replica_table = self.replica_table.lock();
+        replica_table.has_other_software(replica, version)
+    }
+
+    /// Whether a replica has this software.
+    pub(crate) fn may_serve(&self, replica: &str, software: &SoftwareNeed) -> bool {
+        self.replica_table.lock().may_serve(replica, software)
+    }
+
+    /// Replicas coordinated here that serve a service with this software, and the other ones.
+    pub(crate) fn coordinated_by_software(
+        &self,
+        service: &str,
+        software: &SoftwareNeed,
+    ) -> (Vec<String>, Vec<String>) {
+        let coordinated = self.slots.coordinated();
+        let replica_table = self.replica_table.lock();
+        replica_table.split_by_software(&coordinated, service, software)
+    }
+
     pub(crate) fn coordinated_outside(&self, homes: &HomeZones) -> Vec<String> {
         let Some(homes) = homes else {
             return Vec::new();
@@ -447,6 +473,7 @@
             prompt: &[],
             except: &[],
             homes: homes.as_ref(),
+            software: &SoftwareNeed::Any,
         };
         self.replica_table.lock().is_service_evacuated(&need)
     }
@@ -458,6 +485,7 @@
             prompt: &[],
             except: &[],
             homes: homes.as_ref(),
+            software: &SoftwareNeed::Any,
         };
         self.replica_table.lock().has_ready_replica(&need)
     }
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -7,6 +7,7 @@
     ExcludedWork, GeneratedEvents, ItemProgress, ItemRef, ItemSpec, JobSpec, ResultsPage, RunId,
     RunProgress, StoreCall, StoreReply, StoredProgress,
 };
+use linnethitch_protocol::software::SoftwareFingerprint;
 use linnethitch_registry::{Backend, Configuration, Route, RouteKind, ServiceTraits};
 use linnethitch_relay::{BatchSettings, KeyPolicy, Relay, run_items};
 use linnethitch_tenants::{KeyDigest, Tenant};
@@ -238,7 +239,7 @@
         },
     };
     let told = RunProgress {
-        run: RunId::from_random(7),
+        run: RunId::new(7, SoftwareFingerprint::of("service", "v1")),
         continues: StoredProgress::default().reported_by,
         progress,
     };
--- a/crates/relay/tests/all/support/gateway.rs
+++ b/crates/relay/tests/all/support/gateway.rs
@@ -37,6 +37,7 @@
             load: HeaderName::from_static("load"),
             tenant: HeaderName::from_static("tenant"),
             last_event: HeaderName::from_static("last-event-id"),
+            resumes: HeaderName::from_static("resumes"),
         })
     }
 }
--- a/crates/relay/tests/all/support/registrations.rs
+++ b/crates/relay/tests/all/support/registrations.rs
@@ -45,6 +45,7 @@
             sequence,
             incarnation,
             cold_ms: 0,
+            software: Some("v1".to_owned()),
         })
         .await;
     }
@@ -228,5 +229,6 @@
         sequence,
         incarnation: 0,
         cold_ms: 0,
+        software: Some("v1".to_owned()),
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod replica_table;
 mod service_replicas;
 mod silence;
+mod software;
 mod weights;
 mod work_calls;
 
@@ -35,5 +36,6 @@
 };
 pub use replica_table::{ChosenReplica, ReadyReplicas, ReplicaTable, RequestNeeds};
 pub use silence::{SilentCoordinators, answer_timeout};
+pub use software::SoftwareNeed;
 pub use weights::WeightedRoundRobin;
 pub use work_calls::{WorkCallSchedule, WorkCalls, WorkState};
--- a/crates/routing/src/dispatch/replica.rs
+++ b/crates/routing/src/dispatch/replica.rs
@@ -52,6 +52,8 @@
     pub kv_tokens: u64,
     /// Whether it may get new work.
     pub ready: bool,
+    /// The version of its software; `None` if it is unknown.
+    pub software: Option<String>,
 }
 
 /// Load as reported in a response.
--- a/crates/routing/src/dispatch/replica_table/candidates.rs
+++ b/crates/routing/src/dispatch/replica_table/candidates.rs
@@ -113,7 +113,9 @@
     }
 
     fn is_available_for(&self, replica: &Replica, needs: &RequestNeeds<'_>, now_ms: u64) -> bool {
-        needs.allows_zone(&replica.traits.zone) && self.is_available(replica, now_ms)
+        needs.allows_zone(&replica.traits.zone)
+            && needs.software.allows(&replica.traits)
+            && self.is_available(replica, now_ms)
     }
 
     /// Those of `ids` that may get a request. Replicas that are reported to fail their requests are
--- a/crates/routing/src/dispatch/replica_table/mod.rs
+++ b/crates/routing/src/dispatch/replica_table/mod.rs
@@ -18,6 +18,7 @@
     rendezvous::rendezvous_hash,
     replica::{BASE_MS, FailureKind, Replica, ReplicaTraits, ReportedLoad, RunningWork, WorkKind},
     service_replicas::{Key, ServiceReplicas},
+    software::SoftwareNeed,
 };
 
 /// Prompt tokens that an engine prefills in a millisecond.
@@ -55,6 +56,8 @@
     pub except: &'a [String],
     /// Zones in which it may be served; `None` for all zones.
     pub homes: Option<&'a BTreeSet<String>>,
+    /// The software that it may be served by.
+    pub software: &'a SoftwareNeed,
 }
 
 impl RequestNeeds<'_> {
@@ -71,6 +74,8 @@
     pub id: String,
     /// Where it listens.
     pub address: String,
+    /// The version of its software; `None` if it is unknown.
+    pub software: Option<String>,
     /// Expected time to the first event, in milliseconds.
     pub expected_ms: f64,
 }
@@ -231,6 +236,48 @@
         found
     }
 
+    /// Whether control lists any replica of a service as ready that has this software.
+    #[must_use]
+    pub fn has_software(&self, service: &str, software: &SoftwareNeed) -> bool {
+        let service = self.services.get(service);
+        let all = service.map_or(&[][..], ServiceReplicas::all);
+        let mut replicas = all.iter().filter_map(|id| self.replicas.get(id));
+        replicas.any(|replica| replica.traits.ready && software.allows(&replica.traits))
+    }
+
+    /// Whether a replica is known to have other software than this version. A version that was
+    /// unknown before is no other one.
+    #[must_use]
+    pub fn has_other_software(&self, id: &str, version: Option<&str>) -> bool {
+        let replica = self.replicas.get(id);
+        let current = replica.map(|replica| replica.traits.software.as_deref());
+        version.is_some() && current.is_some_and(|current| current != version)
+    }
+
+    /// Whether a replica has this software.
+    #[must_use]
+    pub fn may_serve(&self, id: &str, software: &SoftwareNeed) -> bool {
+        let replica = self.replicas.get(id);
+        replica.is_some_and(|replica| software.allows(&replica.traits))
+    }
+
+    /// Those of `ids` that are ready replicas of a service with this software, and the other ones.
+    #[must_use]
+    pub fn split_by_software(
+        &self,
+        ids: &[String],
+        service: &str,
+        software: &SoftwareNeed,
+    ) -> (Vec<String>, Vec<String>) {
+        ids.iter().cloned().partition(|id| {
+            let replica = self.replicas.get(id.as_str());
+            replica.is_some_and(|replica| {
+                let traits = &replica.traits;
+                traits.ready && traits.service == service && software.allows(traits)
+            })
+        })
+    }
+
     /// Those of `ids` that are outside these zones.
     #[must_use]
     pub fn outside_homes(&self, ids: &[String], homes: &BTreeSet<String>) -> Vec<String> {
@@ -479,6 +526,7 @@
     ChosenReplica {
         id: replica.traits.id.clone(),
         address: replica.traits.address.clone(),
+        software: replica.traits.software.clone(),
         expected_ms: 0.0,
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reason;
 pub mod retry;
 pub mod router;
+pub mod streams;
 pub mod view;
 
 pub use admission::Admission;
--- a/crates/routing/tests/all/coordinator.rs
+++ b/crates/routing/tests/all/coordinator.rs
@@ -9,7 +9,8 @@
 };
 use linnethitch_routing::dispatch::{
     Ask, CoordinatedReplica, Due, ItemCapacity, LeaseKey, ReplicaTable, ReplicaTraits,
-    RequestNeeds, RunNumber, SlotAction, SlotCoordinator, WaitingItem, coordinator_of,
+    RequestNeeds, RunNumber, SlotAction, SlotCoordinator, SoftwareNeed, WaitingItem,
+    coordinator_of,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -383,6 +384,7 @@
         slots: 4,
         kv_tokens: 100_000,
         ready: true,
+        software: None,
     };
     let mut granted_count = BTreeMap::<String, u32>::new();
     for gateway in 0..200 {
@@ -396,6 +398,7 @@
                 prompt: &[],
                 except: &full,
                 homes: None,
+                software: &SoftwareNeed::Any,
             };
             let chosen = table.choose(&needs, 0, &mut random).expect("one is free");
             let request = ask(gateway, &chosen.id, 300, AskMode::Probe);
--- a/crates/routing/tests/all/dispatch.rs
+++ b/crates/routing/tests/all/dispatch.rs
@@ -3,7 +3,7 @@
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_routing::dispatch::{
     ChosenReplica, FailureKind, PromptPart, ReplicaTable, ReplicaTraits, ReportedLoad,
-    RequestNeeds, WeightedRoundRobin, WorkKind,
+    RequestNeeds, SoftwareNeed, WeightedRoundRobin, WorkKind,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +18,7 @@
         slots: 4,
         kv_tokens: 100_000,
         ready: true,
+        software: None,
     }
 }
 
@@ -34,6 +35,7 @@
         prompt,
         except,
         homes: None,
+        software: &SoftwareNeed::Any,
     }
 }
 
--- a/crates/routing/tests/all/distance.rs
+++ b/crates/routing/tests/all/distance.rs
@@ -2,7 +2,8 @@
 
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_routing::dispatch::{
-    Distances, NearGateways, ReplicaTable, ReplicaTraits, RequestNeeds, WorkKind, coordinator_of,
+    Distances, NearGateways, ReplicaTable, ReplicaTraits, RequestNeeds, SoftwareNeed, WorkKind,
+    coordinator_of,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -88,6 +89,7 @@
         slots: 4,
         kv_tokens: 100_000,
         ready: true,
+        software: None,
     }
 }
 
@@ -110,6 +112,7 @@
             prompt: &[],
             except: &[],
             homes: None,
+            software: &SoftwareNeed::Any,
         };
         let chosen = table.choose(&needs, 0, &mut random).expect("a replica");
         table.begin(&chosen, &[], WorkKind::Online, 0);
--- a/crates/routing/tests/all/evacuated_zones.rs
+++ b/crates/routing/tests/all/evacuated_zones.rs
@@ -8,7 +8,8 @@
 };
 use linnethitch_routing::dispatch::{
     Ask, ChosenReplica, CoordinatedReplica, Due, LeaseKey, PromptPart, ReadyReplicas, ReplicaTable,
-    ReplicaTraits, RequestNeeds, RunNumber, SlotAction, SlotCoordinator, WaitingItem, WorkKind,
+    ReplicaTraits, RequestNeeds, RunNumber, SlotAction, SlotCoordinator, SoftwareNeed, WaitingItem,
+    WorkKind,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -33,6 +34,7 @@
             slots: 4,
             kv_tokens: 100_000,
             ready: true,
+            software: None,
         });
     table.set_replicas(replicas.collect());
     table
@@ -48,6 +50,7 @@
         prompt,
         except: &[],
         homes: None,
+        software: &SoftwareNeed::Any,
     }
 }
 
@@ -129,6 +132,7 @@
         slots: 4,
         kv_tokens: 100_000,
         ready: true,
+        software: None,
     }
 }
 
--- a/crates/routing/tests/all/homes.rs
+++ b/crates/routing/tests/all/homes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use linnethitch_protocol::slots::SlotLoad;
-use linnethitch_routing::dispatch::{ReplicaTable, ReplicaTraits, RequestNeeds};
+use linnethitch_routing::dispatch::{ReplicaTable, ReplicaTraits, RequestNeeds, SoftwareNeed};
 use rand_pcg::{Pcg64Mcg, rand_core::SeedableRng};
 use rstest::rstest;
 
@@ -22,6 +22,7 @@
         slots: 4,
         kv_tokens: 100_000,
         ready: true,
+        software: None,
     });
     table.set_replicas(replicas.collect());
     table
@@ -37,6 +38,7 @@
         prompt: &[],
         except: &[],
         homes: Some(homes),
+        software: &SoftwareNeed::Any,
     }
 }
 
--- a/crates/routing/tests/all/large_services.rs
+++ b/crates/routing/tests/all/large_services.rs
@@ -5,7 +5,7 @@
 use linnethitch_protocol::ids::MachineId;
 use linnethitch_routing::dispatch::{
     ChosenReplica, CoordinatorTable, NearGateways, PromptPart, ReplicaTable, ReplicaTraits,
-    RequestNeeds, WorkKind,
+    RequestNeeds, SoftwareNeed, WorkKind,
 };
 use proptest::prelude::*;
 use rand::RngCore;
@@ -60,6 +60,7 @@
         slots: 8,
         kv_tokens: 100_000,
         ready: true,
+        software: None,
     }
 }
 
@@ -78,6 +79,7 @@
         prompt,
         except: &[],
         homes,
+        software: &SoftwareNeed::Any,
     }
 }
 
