--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod silent_connections;
 mod slots;
 mod slow_readers;
+mod software;
 mod streams;
 mod support;
 mod unopened_connections;
--- a/crates/relay/tests/all/support/registrations.rs
+++ b/crates/relay/tests/all/support/registrations.rs
@@ -26,6 +26,42 @@
             .await;
     }
 
+    /// Registers a replica of this zone with a software version.
+    pub(crate) async fn register_software(
+        &self,
+        number: usize,
+        address: SocketAddr,
+        version: Option<&str>,
+        state: ReplicaState,
+        sequence: u64,
+    ) {
+        let change = ReplicaChange {
+            software: version.map(str::to_owned),
+            ..replica_change(number, address, state, sequence)
+        };
+        self.heartbeat(change).await;
+    }
+
+    /// Waits until the gateway knows the software and the state of a replica.
+    pub(crate) async fn wait_until_software_is(
+        &self,
+        number: usize,
+        version: Option<&str>,
+        state: ReplicaState,
+    ) {
+        let mut views = self.relay.gateway().follow();
+        let known = views.wait_for(|view| {
+            let record = view.replica(&format!("i-{number}"));
+            record.is_some_and(|record| {
+                record.reported.software.as_deref() == version && record.reported.state == state
+            })
+        });
+        tokio::time::timeout(LIMIT, known)
+            .await
+            .expect("in time")
+            .expect("the gateway runs");
+    }
+
     /// Registers an incarnation of a replica.
     pub(crate) async fn register_incarnation(
         &self,
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -23,5 +23,6 @@
 mod router_evacuation;
 mod silence;
 mod starts;
+mod streams;
 mod work_calls;
 mod yielding;
