--- a/crates/lab/tests/all/support/one_host.rs
+++ b/crates/lab/tests/all/support/one_host.rs
@@ -14,6 +14,11 @@
 
 use super::{Answer, Caller, ChildProcess, POLL_INTERVAL, TIMEOUT, ports::Ports, wait_until};
 
+/// Environment variable with the path of `linnethitch` of an earlier build.
+const EARLIER_PROGRAM_VARIABLE: &str = "LINNETHITCH_EARLIER_PROGRAM";
+/// Environment variable with the names of the processes that run the earlier build, separated by
+/// commas.
+const EARLIER_PROCESSES_VARIABLE: &str = "LINNETHITCH_EARLIER_PROCESSES";
 /// The tenant's key in the example's fleet file.
 const TENANT_KEY: &str = "lh-dev-key";
 const OPERATOR_KEY: &str = "lh-dev-operator";
@@ -99,7 +104,7 @@
             .iter()
             .find(|(known, _)| known == name)
             .unwrap();
-        let mut command = Command::new(program(&words[0]));
+        let mut command = Command::new(earlier_program(name).unwrap_or_else(|| program(&words[0])));
         command.args(&words[1..]).current_dir(self.folder.path());
         let process = ChildProcess::spawn(command);
         assert!(self.running.insert(name.to_owned(), process).is_none());
@@ -288,6 +293,14 @@
     (name.to_owned(), words.collect())
 }
 
+/// The program of an earlier build, if the environment names one and this process to run it.
+fn earlier_program(process: &str) -> Option<PathBuf> {
+    let processes = std::env::var(EARLIER_PROCESSES_VARIABLE).ok()?;
+    let program = std::env::var(EARLIER_PROGRAM_VARIABLE).ok()?;
+    let is_named = processes.split(',').any(|named| named == process);
+    is_named.then(|| PathBuf::from(program))
+}
+
 /// Path of a program in the same folder as the program under test.
 fn program(name: &str) -> PathBuf {
     let lab = Path::new(env!("CARGO_BIN_EXE_linnethitch-lab"));
--- a/crates/protocol/src/first_format.rs
+++ b/crates/protocol/src/first_format.rs
@@ -75,29 +75,54 @@
 }
 
 impl CommandBody {
-    /// Converts the command to one that readers of a format know. In the first format, starts
+    /// The first format that has the command. Every command is named here, so that one that is
+    /// added gets a format: a format that a released build writes gets no further commands.
+    #[must_use]
+    pub fn first_format(&self) -> Format {
+        match self {
+            CommandBody::ApplyConfiguration { .. }
+            | CommandBody::CreateFile { .. }
+            | CommandBody::AppendFile { .. }
+            | CommandBody::IndexFile { .. }
+            | CommandBody::FinishFile { .. }
+            | CommandBody::DeleteFile { .. }
+            | CommandBody::CreateJob(_)
+            | CommandBody::CancelJob { .. }
+            | CommandBody::OpenSession { .. }
+            | CommandBody::RenewSession { .. }
+            | CommandBody::LeaseItems { .. }
+            | CommandBody::StartItems { .. }
+            | CommandBody::CompleteItems { .. }
+            | CommandBody::ReleaseItems { .. }
+            | CommandBody::ClaimRequest(_)
+            | CommandBody::FinishClaim { .. }
+            | CommandBody::IssueOrder { .. }
+            | CommandBody::SettleOrder { .. }
+            | CommandBody::Expire => Format::First,
+            CommandBody::StartItemsAt { .. } | CommandBody::SettleStart { .. } => Format::Third,
+        }
+    }
+
+    /// Converts the command to one that readers of a format know. Before the third format, starts
     /// are recorded without their requests, so that no engine is asked about them.
     ///
     /// # Errors
     /// `InvalidState` when the format has no such command.
     pub fn in_format(self, format: Format) -> Result<Self, Report<ErrorKind>> {
-        match (format, self) {
-            (
-                Format::First,
-                CommandBody::StartItemsAt {
-                    gateway,
-                    session,
-                    starts,
-                },
-            ) => Ok(CommandBody::StartItems {
+        if self.first_format() <= format {
+            return Ok(self);
+        }
+        match self {
+            CommandBody::StartItemsAt {
+                gateway,
+                session,
+                starts,
+            } => Ok(CommandBody::StartItems {
                 gateway,
                 session,
                 items: starts.into_iter().map(|start| start.key).collect(),
             }),
-            (Format::First, CommandBody::SettleStart { .. }) => {
-                Err(not_in_format(format, "the settlement of a start"))
-            }
-            (_, other) => Ok(other),
+            _ => Err(not_in_format(format, "the command")),
         }
     }
 }
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -34,7 +34,7 @@
 
     fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         match self {
-            GatewayMessage::Call { call, body } if format < Format::Second => {
+            GatewayMessage::Call { call, body } if format < Format::NEWEST => {
                 let body = body.clone().in_format(format)?;
                 let call = *call;
                 frame::write_frame(Self::KIND, format, &GatewayMessage::Call { call, body })
@@ -53,7 +53,7 @@
 
     fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         match self {
-            ControlMessage::Answer { call, body } if format < Format::Second => {
+            ControlMessage::Answer { call, body } if format < Format::NEWEST => {
                 let body = body.clone().in_format(format);
                 let call = *call;
                 frame::write_frame(Self::KIND, format, &ControlMessage::Answer { call, body })
@@ -78,12 +78,12 @@
 
     fn to_frame(&self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         match self {
-            PeerMessage::Forwarded { call, body } if format < Format::Second => {
+            PeerMessage::Forwarded { call, body } if format < Format::NEWEST => {
                 let body = body.clone().in_format(format);
                 let call = *call;
                 frame::write_frame(Self::KIND, format, &PeerMessage::Forwarded { call, body })
             }
-            PeerMessage::Forward { call, body } if format < Format::Second => {
+            PeerMessage::Forward { call, body } if format < Format::NEWEST => {
                 let body = body.clone().in_format(format)?;
                 let call = *call;
                 frame::write_frame(Self::KIND, format, &PeerMessage::Forward { call, body })
