--- a/crates/emulator/src/engine/server/mod.rs
+++ b/crates/emulator/src/engine/server/mod.rs
@@ -34,8 +34,13 @@
     pub time_compression: u32,
     /// Seed of the random losses of cache events.
     pub seed: u64,
+    /// Version of the engine's software, which it names in its responses.
+    pub software: String,
 }
 
+/// The software version of engines that are given none.
+const DEFAULT_SOFTWARE: &str = "emulator";
+
 impl EngineSettings {
     /// Settings of an engine on a loopback port that the system chooses, with nothing loaded.
     #[must_use]
@@ -48,6 +53,7 @@
             state: EngineState::default(),
             time_compression: 1,
             seed: 0,
+            software: DEFAULT_SOFTWARE.to_owned(),
         }
     }
 }
--- a/crates/emulator/src/engine/server/routes.rs
+++ b/crates/emulator/src/engine/server/routes.rs
@@ -26,6 +26,7 @@
 const STARTED_HEADER: &str = "x-engine-started";
 const LEAVING_HEADER: &str = "x-engine-leaving";
 const REQUEST_HEADER: &str = "x-request-id";
+const SOFTWARE_HEADER: &str = "x-engine-software";
 const PRIORITY_HEADER: &str = "x-priority";
 
 impl Service for EngineService {
@@ -52,6 +53,9 @@
         if let Ok(value) = load.parse() {
             response.headers_mut().insert(LOAD_HEADER, value);
         }
+        if let Ok(value) = self.software.parse() {
+            response.headers_mut().insert(SOFTWARE_HEADER, value);
+        }
         if self.state().leaving {
             response
                 .headers_mut()
@@ -73,6 +77,12 @@
         let Some(prompt) = body.canonical_prompt() else {
             return invalid("the body has neither messages nor prompt");
         };
+        let resumed_software = header_text(&headers, SOFTWARE_HEADER);
+        if resumed_software.is_some_and(|resumed| resumed != self.software) {
+            let message = "the tokens to resume are of another software version";
+            let refusal = Reply::error(StatusCode::CONFLICT, message);
+            return refusal.with_header(STARTED_HEADER, "no").into();
+        }
         let request_id = header_text(&headers, REQUEST_HEADER)
             .map_or_else(|| self.generate_request_id(), str::to_owned);
         let batch = header_text(&headers, PRIORITY_HEADER) == Some("batch");
--- a/crates/emulator/src/engine/server/service.rs
+++ b/crates/emulator/src/engine/server/service.rs
@@ -42,6 +42,8 @@
 /// The core of an engine and its open requests.
 pub(super) struct EngineService {
     name: String,
+    /// The version of the engine's software.
+    pub(super) software: String,
     clock: CompressedClock,
     inner: Mutex<Inner>,
     wake: Notify,
@@ -84,6 +86,7 @@
     pub(super) fn new(settings: &EngineSettings) -> EngineService {
         EngineService {
             name: settings.name.clone(),
+            software: settings.software.clone(),
             clock: CompressedClock::start(settings.time_compression),
             inner: Mutex::new(Inner {
                 core: new_core(settings),
--- a/crates/emulator/tests/all/engine_http.rs
+++ b/crates/emulator/tests/all/engine_http.rs
@@ -156,6 +156,29 @@
     assert_eq!(streamed.chunks[0]["choices"][0]["finish_reason"], "stop");
 }
 
+/// Guards against an engine that continues what another software version generated.
+#[rstest]
+#[case::its_own("emulator", StatusCode::OK, "")]
+#[case::another("other", StatusCode::CONFLICT, "no")]
+#[tokio::test]
+async fn tokens_are_resumed_at_their_software_version_only(
+    #[case] software: &str,
+    #[case] status: StatusCode,
+    #[case] started: &str,
+) {
+    let (_engine, client) = engine(50).await;
+    let text = key("hello").text(5);
+    let body = with_members(
+        chat("hello"),
+        json!({"resume": {"text": text, "tokens": 5}}),
+    );
+    let headers = [("x-engine-software", software)];
+    let answer = client.request("POST", CHAT, &headers, &body).await;
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.header("x-engine-started"), started);
+    assert_eq!(answer.header("x-engine-software"), "emulator");
+}
+
 #[rstest]
 #[case::no_json(json!("text"), StatusCode::BAD_REQUEST)]
 #[case::no_prompt(json!({"model": MODEL}), StatusCode::BAD_REQUEST)]
--- a/crates/gateway/src/batch/messages.rs
+++ b/crates/gateway/src/batch/messages.rs
@@ -95,6 +95,8 @@
     pub tokens: u32,
     /// Their text.
     pub text: String,
+    /// The software version of the engine that generated them; `None` without tokens.
+    pub software: Option<String>,
 }
 
 /// An item to run.
--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -81,8 +81,15 @@
         let progress = Progress {
             tokens: order.generated.tokens,
             text: order.generated.text.clone(),
+            software: order.generated.software.clone(),
             ..Progress::default()
         };
+        let progress = if is_of_other_software(&gateway, &order, &progress) {
+            // The item begins anew at this software.
+            Progress::default()
+        } else {
+            progress
+        };
         let mut routing_request = request.routing_request();
         routing_request.prompt_tokens = routing_request
             .prompt_tokens
@@ -281,10 +288,17 @@
         GeneratedTokens {
             tokens: self.progress.tokens,
             text: self.progress.text.clone(),
+            software: self.progress.software.clone(),
         }
     }
 }
 
+/// Whether the replica of a run is known to have other software than the tokens to be resumed.
+fn is_of_other_software(gateway: &Gateway, order: &RunOrder, progress: &Progress) -> bool {
+    let software = progress.software.as_deref();
+    software.is_some_and(|software| gateway.engine_software.is_other(&order.replica, software))
+}
+
 /// Sends the request and waits until the engine begins to respond.
 async fn open(
     gateway: &Gateway,
--- a/crates/gateway/src/control/events.rs
+++ b/crates/gateway/src/control/events.rs
@@ -1,6 +1,6 @@
 //! Handling of control's messages in the gateway.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, ControlMessage, GatewayMessage},
@@ -60,8 +60,14 @@
 
     fn on_replicas(self: &Arc<Self>, full: bool, changed: Vec<ReplicaInfo>, removed: &[ReplicaId]) {
         if full {
+            let listed: HashSet<&ReplicaId> =
+                changed.iter().map(|info| &info.machine.replica).collect();
+            self.engine_software
+                .retain(|replica| listed.contains(replica));
             self.decisions.set_replicas(changed);
         } else {
+            self.engine_software
+                .retain(|replica| !removed.contains(replica));
             self.decisions.update_replicas(changed, removed);
         }
         self.on_replicas_received();
--- a/crates/gateway/src/engine/client.rs
+++ b/crates/gateway/src/engine/client.rs
@@ -16,7 +16,7 @@
 };
 use serde::Deserialize;
 
-use crate::engine::fault::AttemptFault;
+use crate::engine::{fault::AttemptFault, software::SOFTWARE_HEADER};
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -65,6 +65,8 @@
     pub(crate) priority: Priority,
     /// Remaining time.
     pub(crate) deadline: Duration,
+    /// The software version whose tokens the request resumes, if it resumes any.
+    pub(crate) resumed_software: Option<String>,
     /// The JSON body.
     pub(crate) body: Bytes,
 }
@@ -90,10 +92,12 @@
         BackEndClient { client }
     }
 
-    /// Sends a generation request; `Ok` means that the engine has begun to respond.
+    /// Sends a generation request; `Ok` means that the engine has begun to respond. Any response's
+    /// headers are passed to `on_headers`.
     pub(crate) async fn generate(
         &self,
         request: EngineRequest,
+        on_headers: impl FnOnce(&HeaderMap),
     ) -> Result<Response<Incoming>, AttemptFault> {
         let mut builder = Request::builder()
             .method(Method::POST)
@@ -109,11 +113,16 @@
             if let Ok(id) = HeaderValue::from_str(&request.id) {
                 headers.insert("x-request-id", id);
             }
+            let software = request.resumed_software.as_deref();
+            if let Some(Ok(software)) = software.map(HeaderValue::from_str) {
+                headers.insert(SOFTWARE_HEADER, software);
+            }
         }
         let message = builder
             .body(Full::new(request.body))
             .map_err(|error| AttemptFault::Connect(error.to_string()))?;
         let response = self.send(message).await?;
+        on_headers(response.headers());
         if response.status().is_success() {
             return Ok(response);
         }
--- a/crates/gateway/src/engine/fault.rs
+++ b/crates/gateway/src/engine/fault.rs
@@ -6,6 +6,9 @@
 
 /// HTTP status of an engine without free capacity.
 const STATUS_FULL: u16 = 429;
+/// HTTP status of an engine that does not take a request as it is, for example because it resumes
+/// tokens of another software version.
+const STATUS_CONFLICT: u16 = 409;
 
 /// How an attempt failed, which also determines whether the request may have run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +42,8 @@
     Interrupted(String),
     /// The answer violates the protocol.
     Protocol(String),
+    /// The engine has other software than the one that generated the tokens to be resumed.
+    OtherSoftware,
     /// No answer within the limit.
     TimedOut(Duration),
 }
@@ -64,7 +69,9 @@
             AttemptFault::Refused { .. } => AttemptFailure::RefusedUnstarted,
             AttemptFault::Rejected { .. } => AttemptFailure::CallerError,
             AttemptFault::Failed { .. } => AttemptFailure::ServerError,
-            AttemptFault::Interrupted(_) => AttemptFailure::Disconnected,
+            AttemptFault::Interrupted(_) | AttemptFault::OtherSoftware => {
+                AttemptFailure::Disconnected
+            }
             AttemptFault::Protocol(_) => AttemptFailure::BadProtocol,
             AttemptFault::TimedOut(_) => AttemptFailure::TimedOut,
         }
@@ -78,6 +85,11 @@
                 status: STATUS_FULL,
                 ..
             } => FailureKind::Full,
+            AttemptFault::OtherSoftware
+            | AttemptFault::Refused {
+                status: STATUS_CONFLICT,
+                ..
+            } => return None,
             AttemptFault::Refused { .. } => FailureKind::NotServed,
             AttemptFault::Rejected { .. } => return None,
             AttemptFault::Failed { .. } | AttemptFault::Protocol(_) => FailureKind::BadAnswer,
@@ -113,6 +125,9 @@
             AttemptFault::Failed { status } => write!(formatter, "failed with {status}"),
             AttemptFault::Interrupted(reason) => write!(formatter, "broken off: {reason}"),
             AttemptFault::Protocol(reason) => write!(formatter, "protocol error: {reason}"),
+            AttemptFault::OtherSoftware => {
+                write!(formatter, "the engine has another software version")
+            }
             AttemptFault::TimedOut(limit) => {
                 write!(formatter, "no answer within {} ms", limit.as_millis())
             }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -4,5 +4,6 @@
 pub(crate) mod client;
 pub(crate) mod fault;
 mod opening;
+pub(crate) mod software;
 pub(crate) mod sse;
 pub(crate) mod stream;
--- a/crates/gateway/src/engine/opening.rs
+++ b/crates/gateway/src/engine/opening.rs
@@ -7,6 +7,7 @@
     engine::{
         client::{EngineRequest, header_is, load_report},
         fault::AttemptFault,
+        software::software_of,
         stream::EngineStream,
     },
     state::Gateway,
@@ -14,7 +15,8 @@
 
 impl Gateway {
     /// Sends a request and waits up to `limit` until the engine begins to respond. Applies the
-    /// engine's load and its leaving notice from the response headers.
+    /// engine's load, its software and its leaving notice from the response headers. A response
+    /// that would continue tokens of another software version is not read.
     pub(crate) async fn open_stream(
         &self,
         request: EngineRequest,
@@ -22,9 +24,19 @@
         limit: Duration,
     ) -> Result<EngineStream, AttemptFault> {
         let id = request.id.clone();
-        let response = tokio::time::timeout(limit, self.back_ends.generate(request))
+        let resumed_software = request.resumed_software.clone();
+        let generating = self.back_ends.generate(request, |headers| {
+            let software = software_of(headers);
+            self.engine_software
+                .record(&placement.replica, software.as_deref());
+        });
+        let response = tokio::time::timeout(limit, generating)
             .await
             .map_err(|_| AttemptFault::TimedOut(limit))??;
+        let software = software_of(response.headers());
+        if resumed_software.is_some() && software != resumed_software {
+            return Err(AttemptFault::OtherSoftware);
+        }
         if let Some(load) = load_report(response.headers(), "x-engine-load") {
             self.decisions.on_observed_load(&placement.replica, load);
         }
@@ -33,6 +45,6 @@
                 .leaving(self.clock().now(), placement.replica.as_str());
             self.decisions.on_leaving(&placement.replica);
         }
-        Ok(EngineStream::new(response, id))
+        Ok(EngineStream::new(response, id, software))
     }
 }
--- a/crates/gateway/src/engine/stream.rs
+++ b/crates/gateway/src/engine/stream.rs
@@ -26,8 +26,11 @@
     pub(crate) finish_reason: Option<FinishReason>,
     /// Tokens used, if the engine reported them.
     pub(crate) usage: Option<Usage>,
-    /// Whether the answer has output that a resumed run cannot continue, such as tool calls.
+    /// Whether the answer has output that a resumed run cannot continue, such as tool calls or
+    /// tokens of an unknown software version.
     pub(crate) not_resumable: bool,
+    /// The software version that generated the tokens; `None` if there are none or it is unknown.
+    pub(crate) software: Option<String>,
 }
 
 /// An event of a stream that the caller receives.
@@ -47,15 +50,22 @@
     body: Incoming,
     events: EventSplitter,
     request_id: String,
+    /// The software version of the engine; `None` if it names none.
+    software: Option<String>,
 }
 
 impl EngineStream {
     /// Starts to read the body of a response.
-    pub(crate) fn new(response: Response<Incoming>, request_id: String) -> Self {
+    pub(crate) fn new(
+        response: Response<Incoming>,
+        request_id: String,
+        software: Option<String>,
+    ) -> Self {
         EngineStream {
             body: response.into_body(),
             events: EventSplitter::default(),
             request_id,
+            software,
         }
     }
 
@@ -126,7 +136,12 @@
                 chunk.id.chars().take(64).collect::<String>()
             )));
         }
+        let is_begun = progress.tokens > 0;
         let kind = accept_chunk(&chunk, progress)?;
+        if !is_begun && progress.tokens > 0 {
+            progress.software.clone_from(&self.software);
+            progress.not_resumable |= self.software.is_none();
+        }
         Ok(match kind {
             ChunkKind::Token => Some(StreamEvent::Token(event.clone())),
             ChunkKind::Usage => Some(StreamEvent::Usage(event.clone())),
--- a/crates/gateway/src/online/generation/attempts.rs
+++ b/crates/gateway/src/online/generation/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use linnethitch_errors::{ErrorKind, Executed, Failure};
+use linnethitch_protocol::ids::ReplicaId;
 use linnethitch_routing::{
     ReasonCode,
     retry::{Delivered, FailedAttempt, RetryDecision, Sent},
@@ -57,10 +58,14 @@
             observer.placed(now, &self.subject, &admitted.placement, admitted.waited_ms);
             return Ok(admitted.placement);
         };
-        let other_replica = decisions.choose_again(&self.routing_request, &self.tried);
+        let other_software = self.replicas_of_other_software();
+        let tried_or_other = [self.tried.as_slice(), other_software.as_slice()].concat();
+        let other_replica = decisions.choose_again(&self.routing_request, &tried_or_other);
         let placed = match other_replica {
             // When no other replica is available, one whose stream broke may complete the request.
-            Err(_) if !fault.not_started() => decisions.choose_again(&self.routing_request, &[]),
+            Err(_) if !fault.not_started() => {
+                decisions.choose_again(&self.routing_request, &other_software)
+            }
             placed => placed,
         };
         let placed = placed.map_err(|refusal| {
@@ -78,6 +83,14 @@
         Ok(placed)
     }
 
+    /// Replicas that cannot continue the tokens received so far.
+    fn replicas_of_other_software(&self) -> Vec<ReplicaId> {
+        let software = self.progress.software.as_deref();
+        software.map_or_else(Vec::new, |software| {
+            self.gateway.engine_software.others(software)
+        })
+    }
+
     fn failed_attempt(&self, fault: &AttemptFault) -> FailedAttempt {
         FailedAttempt {
             sent: match fault {
--- a/crates/gateway/src/online/request.rs
+++ b/crates/gateway/src/online/request.rs
@@ -150,6 +150,7 @@
             id: self.id.0.clone(),
             priority: self.priority,
             deadline,
+            resumed_software: progress.software.clone(),
             body: self.engine_body(progress)?,
         })
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,7 +37,7 @@
     },
     control::{client::ControlClient, clock_offset::ClockOffset, session::SessionState},
     decisions::{Decisions, Placement, TenantPermit},
-    engine::{client::BackEndClient, fault::AttemptFault},
+    engine::{client::BackEndClient, fault::AttemptFault, software::EngineSoftware},
     files,
     http::{
         IncomingRequest, RequestHead,
@@ -81,6 +81,7 @@
     pub(crate) configuration: ArcSwapOption<ActiveConfiguration>,
     pub(crate) decisions: Arc<Decisions>,
     pub(crate) back_ends: BackEndClient,
+    pub(crate) engine_software: EngineSoftware,
     pub(crate) control: ControlClient,
     /// Bytes and frames exchanged with control.
     pub(crate) traffic: Arc<Traffic>,
@@ -122,6 +123,7 @@
             configuration: ArcSwapOption::empty(),
             decisions: Arc::new(Decisions::new(zone, Clock::start(), seed)),
             back_ends: BackEndClient::new(timeouts.connect),
+            engine_software: EngineSoftware::default(),
             control: ControlClient::new(control_timeout),
             traffic: Arc::default(),
             follower: Mutex::default(),
--- a/crates/gateway/tests/all/batch_executor.rs
+++ b/crates/gateway/tests/all/batch_executor.rs
@@ -61,6 +61,7 @@
     GeneratedTokens {
         tokens,
         text: "t".repeat(tokens as usize),
+        software: Some("v1".to_owned()),
     }
 }
 
--- a/crates/gateway/tests/all/completions.rs
+++ b/crates/gateway/tests/all/completions.rs
@@ -140,6 +140,48 @@
     );
 }
 
+/// Guards against answers that join tokens of two software versions: a broken stream was resumed
+/// at any engine of the model.
+#[rstest]
+#[case::its_version_serves("v1", true)]
+#[case::only_another_version_serves("v2", false)]
+#[case::the_other_names_no_version("", false)]
+#[tokio::test]
+async fn a_broken_stream_resumes_at_its_software_version_only(
+    #[case] software: &'static str,
+    #[case] resumes: bool,
+) {
+    let broken = || vec![Script::Stream(vec![Step::Token(0), Step::Token(1), Step::Break]); 40];
+    let first = FakeEngine::start(broken()).await;
+    let second = FakeEngine::start_with_software(software, vec![]).await;
+    let gateway = TestGateway::start(&[first.address, second.address]).await;
+    let mut broken_off = 0;
+    for _ in 0..8 {
+        let before = first.generations().len();
+        let answer = call(chat(gateway.url(CHAT), true)).await;
+        let has_begun_there = first.generations().len() > before;
+        let is_complete = answer
+            .events()
+            .last()
+            .is_some_and(|event| event == "[DONE]");
+        if is_complete {
+            assert_eq!(answer.streamed_text(), text_of(10));
+        }
+        // An answer that began at the first engine is completed by its own version or not at all.
+        if has_begun_there && answer.streamed_text().starts_with("t0 t1") && !resumes {
+            let begun_at_second = second.generations().last().is_some_and(|received| {
+                received.id == answer.header("x-request-id") && received.body["resume"].is_null()
+            });
+            assert!(!is_complete || begun_at_second, "{answer:?}");
+            broken_off += u32::from(!is_complete);
+        } else if has_begun_there {
+            assert!(is_complete, "{answer:?}");
+            broken_off += 1;
+        }
+    }
+    assert!(broken_off > 0, "the broken engine was never chosen first");
+}
+
 #[tokio::test]
 async fn a_stream_that_no_replica_can_finish_ends_with_an_error_event() {
     let broken = || vec![Script::Stream(vec![Step::Token(0), Step::Token(1), Step::Break]); 4];
--- a/crates/gateway/tests/all/support/engine.rs
+++ b/crates/gateway/tests/all/support/engine.rs
@@ -80,6 +80,7 @@
     closed_early: AtomicUsize,
     gate: watch::Sender<bool>,
     cancelled: watch::Sender<bool>,
+    software: &'static str,
 }
 
 /// A fake engine on a loopback port.
@@ -120,10 +121,16 @@
 impl FakeEngine {
     /// Starts an engine that answers with the scripts in turn, and after them with ten tokens.
     pub(crate) async fn start(scripts: Vec<Script>) -> Self {
+        Self::start_with_software("v1", scripts).await
+    }
+
+    /// Like [`Self::start`], with this software version; empty if the engine names none.
+    pub(crate) async fn start_with_software(software: &'static str, scripts: Vec<Script>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let shared = Arc::new(Shared {
             scripts: Mutex::new(scripts.into()),
+            software,
             ..Shared::default()
         });
         let server = tokio::spawn(accept(listener, Arc::clone(&shared)));
@@ -265,6 +272,7 @@
 }
 
 fn stream(id: String, chat: bool, steps: Vec<Step>, shared: Arc<Shared>) -> Answer {
+    let software = shared.software;
     let watch = CloseWatch {
         shared,
         finished: false,
@@ -307,6 +315,10 @@
         "content-type",
         "text/event-stream".parse().expect("a value"),
     );
+    if !software.is_empty() {
+        let software = software.parse().expect("a value");
+        response.headers_mut().insert("x-engine-software", software);
+    }
     response
 }
 
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -44,6 +44,9 @@
     /// Seeds the losses of cache events
     #[bpaf(argument("SEED"), fallback(0), display_fallback)]
     seed: u64,
+    /// Version of the engine's software, which it names in its responses
+    #[bpaf(argument("VERSION"), fallback("emulator".to_owned()), display_fallback)]
+    software: String,
 }
 
 /// Serves until a signal or a fault switch ends it.
@@ -65,6 +68,7 @@
         },
         time_compression: arguments.speed,
         seed: arguments.seed,
+        software: arguments.software.clone(),
     };
     let engine = EngineServer::start(settings)
         .await
