Stored format: raised to the newest format that all members read

A group with members of (format 2) and of this build (format 3) stayed in format 1 when it was formed: the raise went to the newest format of the leader only. The raise goes step by step now, and a command waits only for a format that the linked members can reach.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -64,6 +64,9 @@
     pub store_voters: usize,
 }
 
+/// The first format that stores every field of a configuration.
+const CONFIGURATIONS_FORMAT: Format = Format::Second;
+
 /// Nothing was done, or the outcome is unknown: the caller should retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unavailable;
@@ -172,7 +175,7 @@
             }),
         };
         let format = self.stored_format();
-        if self.has_member_below(Format::NEWEST)
+        if self.has_member_below(CONFIGURATIONS_FORMAT)
             && let Err(report) = command.to_stored_in(format)
         {
             warn!(self.logger, "configuration cannot be stored in the current format";
--- a/crates/cluster/src/driver/formats.rs
+++ b/crates/cluster/src/driver/formats.rs
@@ -33,14 +33,15 @@
         if before >= self.links.newest_format() {
             return;
         }
-        let Some(command) = self.service.raise_format() else {
-            return;
-        };
         let stored = self.member.state().format();
         let link_formats = self.link_formats_of_others();
         let Some(raised) = self.stored_format.raise(stored, link_formats.into_iter()) else {
             return;
         };
+        let Some(command) = self.service.raise_format(raised) else {
+            self.stored_format.clear_proposed();
+            return;
+        };
         info!(self.logger, "stored format raised"; "format" => raised.number(),
             "before" => before.number());
         self.propose_own(command);
--- a/crates/cluster/src/driver/mod.rs
+++ b/crates/cluster/src/driver/mod.rs
@@ -87,7 +87,7 @@
     fn run_maintenance(&mut self, member: &GroupMember<Self::State>, now: Now) -> Vec<Vec<u8>>;
 
     /// The first entry in the newest format; proposed once all members can read that format.
-    fn raise_format(&self) -> Option<Vec<u8>>;
+    fn raise_format(&self, format: Format) -> Option<Vec<u8>>;
 
     /// Inspects the member after each flush.
     fn flushed(&mut self, member: &GroupMember<Self::State>, now: Now);
--- a/crates/cluster/src/registry_service.rs
+++ b/crates/cluster/src/registry_service.rs
@@ -278,8 +278,8 @@
         encoded.collect()
     }
 
-    fn raise_format(&self) -> Option<Vec<u8>> {
-        RegistryCommand::raise_format().ok()
+    fn raise_format(&self, format: Format) -> Option<Vec<u8>> {
+        RegistryCommand::raise_format(format).ok()
     }
 
     fn flushed(&mut self, member: &GroupMember<Registry>, now: Now) {
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -272,8 +272,8 @@
             .collect()
     }
 
-    fn raise_format(&self) -> Option<Vec<u8>> {
-        StoreCommand::raise_format().ok()
+    fn raise_format(&self, format: Format) -> Option<Vec<u8>> {
+        StoreCommand::raise_format(format).ok()
     }
 
     fn flushed(&mut self, member: &GroupMember<JobStore>, _: Now) {
--- a/crates/group/src/stored_format.rs
+++ b/crates/group/src/stored_format.rs
@@ -54,20 +54,22 @@
         self.proposed = Format::OLDEST;
     }
 
-    /// Returns the newest format if the leader must raise the stored format now. The leader
-    /// must then propose an entry in the returned format.
+    /// Returns the newest format that all members read if the leader must raise the stored
+    /// format to it now. The leader must then propose an entry in the returned format.
     pub fn raise(
         &mut self,
         stored: Format,
-        mut link_formats: impl Iterator<Item = Option<Format>>,
+        link_formats: impl Iterator<Item = Option<Format>>,
     ) -> Option<Format> {
-        let newest = self.newest;
-        let is_due = self.write_format(stored) < newest
-            && link_formats.all(|link_format| link_format >= Some(newest));
+        let mut common = self.newest;
+        for link_format in link_formats {
+            common = common.min(link_format?);
+        }
+        let is_due = self.write_format(stored) < common;
         if is_due {
-            self.proposed = newest;
+            self.proposed = common;
         }
-        is_due.then_some(newest)
+        is_due.then_some(common)
     }
 
     /// Whether the format is the newest, or cannot be raised at present because a member
@@ -77,15 +79,14 @@
         &self,
         stored: Format,
         is_current: bool,
-        mut link_formats: impl Iterator<Item = Option<Format>>,
+        link_formats: impl Iterator<Item = Option<Format>>,
         now_ms: u64,
     ) -> bool {
-        let reads_older = |link_format: Option<Format>| {
-            link_format.is_some_and(|link_format| link_format < self.newest)
-        };
+        let write_format = self.write_format(stored);
+        let mut known_formats = link_formats.flatten();
+        let cannot_be_raised = known_formats.any(|link_format| link_format <= write_format);
         let is_link_timeout_over = now_ms.saturating_sub(self.opened_ms) >= LINK_TIMEOUT_MS;
-        let cannot_be_raised = is_link_timeout_over || link_formats.any(reads_older);
-        self.write_format(stored) >= self.newest || (is_current && cannot_be_raised)
+        write_format >= self.newest || (is_current && (is_link_timeout_over || cannot_be_raised))
     }
 
     /// Whether a machine can read the stored format and may therefore join.
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -109,13 +109,17 @@
         }
     }
 
-    /// A command in the newest format without any other effect. An entry in the newest format
-    /// records that all members read this format.
+    /// A command in a format without any other effect. An entry in a format records that all
+    /// members read this format.
     ///
     /// # Errors
     /// `Internal` when the command cannot be encoded.
-    pub fn raise_format() -> Result<Vec<u8>, Report<ErrorKind>> {
-        stored::encode(THIRD_FORMAT_LAYOUT, &StoreCommand::KeepProgress(Vec::new()))
+    pub fn raise_format(format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
+        let command = StoreCommand::KeepProgress(Vec::new());
+        match format {
+            Format::First | Format::Second => command.to_stored_in(format),
+            Format::Third => stored::encode(THIRD_FORMAT_LAYOUT, &command),
+        }
     }
 
     /// The format of a stored command.
--- a/crates/job-store/tests/all/formats.rs
+++ b/crates/job-store/tests/all/formats.rs
@@ -41,7 +41,7 @@
 #[test]
 fn one_entry_in_the_newest_format_raises_the_format_permanently() {
     let mut store = restored(recorded("stored-store-snapshot"));
-    let raise = StoreCommand::raise_format().expect("it is encoded");
+    let raise = StoreCommand::raise_format(Format::NEWEST).expect("it is encoded");
     store.apply(LogIndex(50), &raise).expect("it is applied");
     assert_eq!(store.format(), Format::NEWEST);
     let late = recorded("stored-store-progress");
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -123,14 +123,18 @@
         }
     }
 
-    /// A command without other effect whose entry marks the switch to the newest format:
-    /// an entry in that format is only proposed when all members read it.
+    /// A command without other effect whose entry marks the switch to a format: an entry in
+    /// that format is only proposed when all members read it.
     ///
     /// # Errors
-    /// `Internal` when it cannot be encoded.
-    pub fn raise_format() -> Result<Vec<u8>, Report<ErrorKind>> {
+    /// `InvalidState` for the first format, `Internal` when it cannot be encoded.
+    pub fn raise_format(format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         let up_to_index = LogIndex(0);
-        RegistryCommand::ForgetEnded { up_to_index }.to_stored_as(EIGHTH_LAYOUT)
+        let command = RegistryCommand::ForgetEnded { up_to_index };
+        match format {
+            Format::First | Format::Second => command.to_stored_in(format),
+            Format::Third => command.to_stored_as(EIGHTH_LAYOUT),
+        }
     }
 
     /// The format that a stored command belongs to.
--- a/crates/registry/tests/all/formats.rs
+++ b/crates/registry/tests/all/formats.rs
@@ -7,12 +7,12 @@
     ids::{LogIndex, MachineId},
 };
 use linnethitch_registry::{
-    ConsecutiveEnds, EndedRun, EvacuationOrder, Registry, RegistryCommand, RequestFingerprint,
-    Route, Suspicion,
+    ConsecutiveEnds, EndedRun, EvacuationOrder, Registry, RegistryCommand, ReplicaChange,
+    ReplicaState, RequestFingerprint, Route, Suspicion,
 };
 use rstest::rstest;
 
-use crate::support::{hex_bytes, route, store_snapshot, table};
+use crate::support::{hex_bytes, replica, route, store_snapshot, table};
 
 /// Snapshots and commands written by the build of commit 4f0dab2, by name.
 const RECORDED: &str = include_str!("../../../cluster/tests/recorded/format-1.txt");
@@ -45,7 +45,7 @@
 fn one_entry_of_the_newest_format_raises_it_permanently() {
     let mut registry = restored(recorded("stored-registry-snapshot"));
     let before = registry.changed_at();
-    let raise = RegistryCommand::raise_format().expect("it is encoded");
+    let raise = RegistryCommand::raise_format(Format::NEWEST).expect("it is encoded");
     registry.apply(LogIndex(50), &raise).expect("it is applied");
     assert_eq!(registry.format(), Format::NEWEST);
     assert_eq!(registry.changed_at(), before);
@@ -55,6 +55,46 @@
     assert_eq!(restored(snapshot_of(&registry)).format(), Format::NEWEST);
 }
 
+/// A group whose members read the second format and some the third stores in the second.
+#[test]
+fn the_format_is_raised_step_by_step() {
+    let mut registry = restored(recorded("stored-registry-snapshot"));
+    for (index, format) in [(50, Format::Second), (51, Format::Third)] {
+        let raise = RegistryCommand::raise_format(format).expect("it is encoded");
+        registry
+            .apply(LogIndex(index), &raise)
+            .expect("it is applied");
+        assert_eq!(registry.format(), format);
+        assert_eq!(restored(snapshot_of(&registry)).format(), format);
+    }
+}
+
+/// Guards against versions that a restarted member, or one of an older build, does not have.
+#[rstest]
+#[case::second(Format::Second, None)]
+#[case::third(Format::Third, Some("v1.2"))]
+fn software_versions_are_stored_in_the_third_format(
+    #[case] format: Format,
+    #[case] expected: Option<&str>,
+) {
+    let report = ReplicaChange {
+        software: Some("v1.2".to_owned()),
+        ..replica("i-1", "10.0.0.1:80", ReplicaState::Ready, 1)
+    };
+    let mut registry = restored(recorded("stored-registry-snapshot"));
+    let raise = RegistryCommand::raise_format(format).expect("it is encoded");
+    registry.apply(LogIndex(50), &raise).expect("it is applied");
+    let command = RegistryCommand::Replica(Box::new(report));
+    let command = command.to_stored_in(format).expect("it is encoded");
+    registry
+        .apply(LogIndex(51), &command)
+        .expect("it is applied");
+    for registry in [restored(snapshot_of(&registry)), registry] {
+        let record = registry.replica("i-1").expect("it is recorded");
+        assert_eq!(record.reported.software.as_deref(), expected);
+    }
+}
+
 fn with_homes() -> RegistryCommand {
     let route = Route {
         homes: vec!["region".to_owned()],
@@ -109,7 +149,7 @@
         end("i-4", ConsecutiveEnds::with_equal_lengths(90, 1), 40),
     ];
     let stored = in_first_format.map(|command| command.to_stored_in(Format::First));
-    let raise = RegistryCommand::raise_format();
+    let raise = RegistryCommand::raise_format(Format::NEWEST);
     let after = end("i-5", ConsecutiveEnds::with_equal_lengths(40, 1), 60).to_stored();
     let commands = stored.into_iter().chain([raise, after]);
     let mut running = Registry::default();
