--- a/crates/cluster/tests/all/builds.rs
+++ b/crates/cluster/tests/all/builds.rs
@@ -24,12 +24,15 @@
     Backend, ColdTraits, Configuration, RegistryCommand, Route, RouteKind, ServiceTraits,
 };
 use linnethitch_transport::{ConnectionOptions, WireMessage, connect};
+use rstest::rstest;
 use tokio::time::timeout;
 
 use crate::support::{LIMIT, configuration, free_port, host, node, start_control, until};
 
 /// Messages written by the build of commit 4f0dab2, by name.
 const RECORDED: &str = include_str!("../recorded/format-1.txt");
+/// Messages and stored commands of format 2, as written by the build of commit 3f7e9fb, by name.
+const RECORDED_SECOND: &str = include_str!("../recorded/format-2.txt");
 /// A text that identifies the table in force on the wire.
 const ROUTE_HOST: &str = "quotes.example";
 
@@ -56,9 +59,13 @@
     Recorded(bytes)
 }
 
-/// All recorded messages with their names.
+/// All recorded messages of format 1 with their names.
 fn records() -> impl Iterator<Item = (&'static str, Vec<u8>)> {
-    let lines = RECORDED.lines().filter_map(|line| line.split_once(' '));
+    records_in(RECORDED)
+}
+
+fn records_in(text: &'static str) -> impl Iterator<Item = (&'static str, Vec<u8>)> {
+    let lines = text.lines().filter_map(|line| line.split_once(' '));
     lines.map(|(name, hex)| (name, from_hex(hex)))
 }
 
@@ -72,34 +79,43 @@
 }
 
 /// Decodes a message of the previous build and encodes it again for that build.
-fn reencoded(name: &str, bytes: &[u8]) -> Option<Result<Vec<u8>, Report<ErrorKind>>> {
+fn reencoded(
+    name: &str,
+    bytes: &[u8],
+    format: Format,
+) -> Option<Result<Vec<u8>, Report<ErrorKind>>> {
     if name.ends_with("snapshot") {
         return None;
     }
     if name.starts_with("stored-store-") {
         let command = StoreCommand::from_stored(bytes);
-        return Some(command.and_then(|command| command.to_stored_in(Format::First)));
+        return Some(command.and_then(|command| command.to_stored_in(format)));
     }
     if name.starts_with("stored-") {
         let command = RegistryCommand::from_stored(bytes);
-        return Some(command.and_then(|command| command.to_stored_in(Format::First)));
+        return Some(command.and_then(|command| command.to_stored_in(format)));
     }
     if name.starts_with("datagram-") {
         let (header, payload) = bytes.split_first_chunk().expect("a header");
         let header = frame::read_header(header).expect("a header");
         let datagram = GatewayDatagram::from_payload(&header, payload);
-        return Some(datagram.and_then(|datagram| datagram.to_frame(Format::First)));
+        return Some(datagram.and_then(|datagram| datagram.to_frame(format)));
     }
     Some(rewrite_node_frame(bytes))
 }
 
 /// Two builds understand each other if each writes the same bytes as the other. This fails if a
 /// message or stored command changes without a new format.
-#[test]
-fn messages_of_the_previous_build_are_reencoded_byte_for_byte() {
+#[rstest]
+#[case::first(RECORDED, Format::First)]
+#[case::second(RECORDED_SECOND, Format::Second)]
+fn messages_of_the_previous_build_are_reencoded_byte_for_byte(
+    #[case] recorded: &'static str,
+    #[case] format: Format,
+) {
     let mut differs = Vec::new();
-    for (name, bytes) in records() {
-        match reencoded(name, &bytes) {
+    for (name, bytes) in records_in(recorded) {
+        match reencoded(name, &bytes, format) {
             None => {}
             Some(Ok(written)) if written == bytes => {}
             Some(Ok(_)) => differs.push(format!("{name}: other bytes")),
