--- a/crates/emulator/src/engine/server/mod.rs
+++ b/crates/emulator/src/engine/server/mod.rs
@@ -36,8 +36,13 @@
     pub seed: u64,
     /// Version of the engine's software, which it names in its responses.
     pub software: String,
+    /// Maximum number of withdrawn requests that the engine keeps in mind.
+    pub max_withdrawn_ids: usize,
 }
 
+/// Withdrawn requests that engines keep in mind unless another number is given.
+const DEFAULT_MAX_WITHDRAWN_IDS: usize = 100_000;
+
 /// The software version of engines that are given none.
 const DEFAULT_SOFTWARE: &str = "emulator";
 
@@ -54,6 +59,7 @@
             time_compression: 1,
             seed: 0,
             software: DEFAULT_SOFTWARE.to_owned(),
+            max_withdrawn_ids: DEFAULT_MAX_WITHDRAWN_IDS,
         }
     }
 }
--- a/crates/emulator/src/engine/server/service.rs
+++ b/crates/emulator/src/engine/server/service.rs
@@ -94,7 +94,7 @@
                 by_request: HashMap::new(),
                 exported: VecDeque::new(),
                 executions: Executions::default(),
-                withdrawn: WithdrawnIds::default(),
+                withdrawn: WithdrawnIds::new(settings.max_withdrawn_ids),
                 incarnation: rand::random(),
                 last_id: 0,
                 generated_request_ids: 0,
@@ -184,9 +184,10 @@
     pub(super) fn withdraw_request(&self, request: &str) -> Withdrawal {
         let mut inner = self.inner.lock();
         let id = inner.by_request.get(request).copied();
-        let started = inner.was_started(request);
-        if started != Some(true) {
-            inner.withdrawn.insert(request);
+        let mut started = inner.was_started(request);
+        if started != Some(true) && !inner.withdrawn.insert(request) {
+            // A later request is not refused, so nothing may be concluded from the answer.
+            started = None;
         }
         let incarnation = inner.incarnation_text();
         drop(inner);
@@ -297,7 +298,7 @@
     /// Forgets what a restarted process would not know.
     fn begin_incarnation(&mut self) {
         self.incarnation = rand::random();
-        self.withdrawn = WithdrawnIds::default();
+        self.withdrawn.clear();
     }
 
     fn incarnation_text(&self) -> String {
--- a/crates/emulator/tests/all/engine_http.rs
+++ b/crates/emulator/tests/all/engine_http.rs
@@ -22,8 +22,8 @@
     engine_with(EngineModel::default(), compression).await
 }
 
-async fn engine_with(model: EngineModel, compression: u32) -> (EngineServer, TestClient) {
-    let settings = EngineSettings {
+fn settings(model: EngineModel, compression: u32) -> EngineSettings {
+    EngineSettings {
         state: EngineState {
             model: Some(ModelId::from(MODEL)),
             ..EngineState::default()
@@ -31,8 +31,12 @@
         time_compression: compression,
         model,
         ..EngineSettings::new("engine-1", "worcester")
-    };
-    let server = EngineServer::start(settings).await.unwrap();
+    }
+}
+
+async fn engine_with(model: EngineModel, compression: u32) -> (EngineServer, TestClient) {
+    let server = EngineServer::start(settings(model, compression)).await;
+    let server = server.unwrap();
     let client = TestClient::new(server.address());
     (server, client)
 }
@@ -321,6 +325,31 @@
     assert_eq!(withdraw().await.body["started"], true);
 }
 
+/// Guards against an engine that promises to refuse a request, forgets it, and runs it later.
+#[tokio::test]
+async fn an_engine_without_room_for_another_withdrawal_promises_nothing() {
+    let settings = EngineSettings {
+        max_withdrawn_ids: 1,
+        ..settings(EngineModel::default(), 50)
+    };
+    let server = EngineServer::start(settings).await.unwrap();
+    let client = TestClient::new(server.address());
+    let first = withdraw(&client, "req_1").await;
+    assert_eq!(first["started"], false);
+    let second = withdraw(&client, "req_2").await;
+    assert_eq!(second.get("started"), None);
+    let late = client.request("POST", CHAT, &[ID], &chat("hello")).await;
+    assert_eq!(late.status, StatusCode::CONFLICT);
+}
+
+async fn withdraw(client: &TestClient, id: &str) -> Value {
+    let path = format!("/engine/requests/{id}");
+    client
+        .request("DELETE", &path, &[], &Value::Null)
+        .await
+        .body
+}
+
 #[tokio::test]
 async fn a_prefill_is_exported_and_imported() {
     let (_first, prefill) = engine(50).await;
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -4,10 +4,7 @@
 
 use bpaf::Bpaf;
 use error_stack::ResultExt;
-use linnethitch_emulator::engine::{
-    EngineModel,
-    server::{EngineServer, EngineSettings},
-};
+use linnethitch_emulator::engine::server::{EngineServer, EngineSettings};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{fleet::EngineState, ids::ModelId};
 
@@ -57,9 +54,6 @@
 async fn serve(arguments: &Arguments) -> Outcome {
     let settings = EngineSettings {
         listen: arguments.listen,
-        name: arguments.name.clone(),
-        zone: arguments.zone.clone(),
-        model: EngineModel::default(),
         state: EngineState {
             model: arguments.model.clone().map(ModelId),
             version: arguments.model_version.clone(),
@@ -69,6 +63,7 @@
         time_compression: arguments.speed,
         seed: arguments.seed,
         software: arguments.software.clone(),
+        ..EngineSettings::new(&arguments.name, &arguments.zone)
     };
     let engine = EngineServer::start(settings)
         .await
