--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod cold_runs;
 mod connection_reuse;
+mod early_ends;
 mod ending_requests;
 mod evacuations;
 mod events;
--- a/crates/relay/tests/all/support/replica.rs
+++ b/crates/relay/tests/all/support/replica.rs
@@ -12,9 +12,11 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
 };
+use tokio_util::sync::CancellationToken;
 
 use super::{
     LIMIT,
+    fleet::listen_on_own_address,
     http::{header, read_request},
 };
 
@@ -29,6 +31,8 @@
     SendAndReset(&'static str),
     /// Sends these bytes and resets the connection when notified.
     SendAndResetWhen(&'static str, Arc<Notify>),
+    /// Sends these bytes and ends the replica's process when notified.
+    SendAndEndWhen(&'static str, Arc<Notify>),
     /// Sends the bytes if this replica id is expected, otherwise 421.
     SendIfExpected(&'static str, &'static str),
     /// Sends these bytes after a moment, so that concurrent requests need their own connections,
@@ -62,13 +66,30 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a port");
+        Self::start_on(listener, acts)
+    }
+
+    /// Like [`Self::start`], at an address that refuses connections once the process has ended.
+    pub(crate) async fn start_killable(acts: Vec<Act>) -> Self {
+        Self::start_on(listen_on_own_address().await, acts)
+    }
+
+    fn start_on(listener: TcpListener, acts: Vec<Act>) -> Self {
         let address = listener.local_addr().expect("an address");
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
         let seen = Arc::clone(&heads);
         let acts = Arc::new(Mutex::new(acts));
+        let process = CancellationToken::new();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&acts), Arc::clone(&seen)));
+            while let Some(Ok((stream, _))) = process.run_until_cancelled(listener.accept()).await {
+                let serving = serve(
+                    stream,
+                    Arc::clone(&acts),
+                    Arc::clone(&seen),
+                    process.clone(),
+                );
+                let process = process.clone();
+                tokio::spawn(async move { process.run_until_cancelled(serving).await });
             }
         });
         Replica { address, heads }
@@ -79,7 +100,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, acts: Arc<Mutex<Vec<Act>>>, seen: Arc<Mutex<Vec<String>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    acts: Arc<Mutex<Vec<Act>>>,
+    seen: Arc<Mutex<Vec<String>>>,
+    process: CancellationToken,
+) {
     while let Some(head) = read_request(&mut stream).await {
         let id = header(&head, "request-id").unwrap_or_default().to_owned();
         let expected = header(&head, "expect").unwrap_or_default().to_owned();
@@ -93,6 +119,7 @@
             }
         };
         let mut reset_when = None;
+        let mut end_when = None;
         let (text, closes, resets) = match act {
             Act::Send(text) => (text, false, false),
             Act::SendAndClose(text) => (text, true, false),
@@ -101,6 +128,10 @@
                 reset_when = Some(reset_signal);
                 (text, true, true)
             }
+            Act::SendAndEndWhen(text, end_signal) => {
+                end_when = Some(end_signal);
+                (text, true, false)
+            }
             Act::SendIfExpected(own, text) if own == expected => (text, false, false),
             Act::SendIfExpected(..) => (OTHER_INCARNATION, false, false),
             Act::SendLater(text) => {
@@ -118,6 +149,10 @@
         if let Some(reset_signal) = reset_when {
             reset_signal.notified().await;
         }
+        if let Some(end_signal) = end_when {
+            end_signal.notified().await;
+            process.cancel();
+        }
         if resets {
             // The sent bytes must arrive before the reset.
             tokio::time::sleep(Duration::from_millis(50)).await;
