--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -11,11 +11,12 @@
     time::Duration,
 };
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
 use linnethitch_cluster::Clock;
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -120,6 +121,8 @@
     /// Whether a request is being answered.
     in_request: AtomicBool,
     ended: AtomicBool,
+    /// Whether a response broke whose end only the close of the connection would mark.
+    must_reset: AtomicBool,
     close: Notify,
 }
 
@@ -130,6 +133,7 @@
             in_head: AtomicBool::new(false),
             in_request: AtomicBool::new(false),
             ended: AtomicBool::new(false),
+            must_reset: AtomicBool::new(false),
             close: Notify::new(),
         }
     }
@@ -220,6 +224,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<TrackedBody>, std::convert::Infallible> {
         self.activity.begin_request();
+        let has_chunks = request.version() >= Version::HTTP_11;
         let mut response = self.server.answer(request).await;
         if self.stopping.is_cancelled() {
             let close = HeaderValue::from_static("close");
@@ -229,15 +234,18 @@
             body,
             activity: Arc::clone(&self.activity),
             clock: self.clock,
+            has_chunks,
         }))
     }
 }
 
-/// Records when a response has been sent completely.
+/// Records when a response has been sent completely, or broke.
 struct TrackedBody {
     body: ResponseBody,
     activity: Arc<Activity>,
     clock: Clock,
+    /// Whether the caller's version of HTTP has chunks, whose last one marks the end.
+    has_chunks: bool,
 }
 
 impl Drop for TrackedBody {
@@ -254,7 +262,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, Poll::Ready(Some(Err(_)))) && !self.has_chunks {
+            self.activity.must_reset.store(true, Ordering::Relaxed);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -266,13 +278,23 @@
     }
 }
 
-/// A stream that records when bytes are received.
+/// A stream that records when bytes are received. It is reset rather than closed after a response
+/// that broke, where its caller would take a close for the end.
 struct WatchedStream {
     stream: TcpStream,
     activity: Arc<Activity>,
     clock: Clock,
 }
 
+impl Drop for WatchedStream {
+    fn drop(&mut self) {
+        if self.activity.must_reset.load(Ordering::Relaxed) {
+            // On failure the connection is closed, which is all that remains to be done.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for WatchedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
