--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame};
 use linnethitch_clock::{Instant, sleep, timeout_at};
@@ -25,10 +25,11 @@
         Exchange, Limits, OpenedResponse, Outgoing, Target, exchange, strip_connection_headers,
     },
     homes::HomeZones,
-    pump::{Pump, PumpSettings, Source},
+    pump::{Pump, PumpSettings},
     response::{BodyFailure, ResponseBody, error_response, full_body},
     search::{Placement, Search},
     shared::Shared,
+    source::{BodyKind, Interrupted, Source},
     taken_up::StreamOrigin,
 };
 
@@ -475,38 +476,43 @@
         self.buffer_response(opened).await
     }
 
+    /// Whether the caller already has events of the stream.
+    fn continues_stream(&self) -> bool {
+        let last_event = &self.shared.dialect.names().last_event;
+        self.outgoing.headers.contains_key(last_event)
+    }
+
     /// Reads the complete response before any of it is forwarded.
     async fn buffer_response(&mut self, opened: OpenedResponse) -> Option<Response<ResponseBody>> {
-        let OpenedResponse {
-            replica,
-            response,
-            mut connection,
-            mut running,
-            ..
-        } = opened;
-        running.first_event();
-        let (mut head, mut body) = response.into_parts();
+        let expected = opened.response.body().size_hint().lower();
+        let (mut head, mut source) = Source::open(opened, BodyKind::Document);
+        source.running.first_event();
         let mut bytes = BytesMut::new();
-        let expected = body.size_hint().lower();
         let reading_guard = self.shared.buffered.track(expected);
         loop {
-            match timeout_at(self.deadline, body.frame()).await {
+            match timeout_at(self.deadline, source.data()).await {
                 Ok(None) => break,
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        bytes.extend_from_slice(&data);
-                    }
-                }
-                Ok(Some(Err(_))) => {
-                    running.interrupted();
+                Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
+                Ok(Some(Err(Interrupted))) => {
+                    source.running.interrupted();
                     return None;
                 }
                 Err(_) => {
-                    self.shared.note_failure(&replica, FailureKind::Broken);
+                    self.shared
+                        .note_failure(&source.replica, FailureKind::Broken);
                     return None;
                 }
             }
         }
+        if !source.is_whole(self.shared).await {
+            source.running.interrupted();
+            return None;
+        }
+        let Source {
+            mut connection,
+            running,
+            ..
+        } = source;
         running.completed();
         if head.status.is_server_error() {
             running.report.note(RunOutcome::Failed);
@@ -529,24 +535,23 @@
 
     /// Forwards a response while it is being received.
     fn stream(&mut self, opened: OpenedResponse) -> Response<ResponseBody> {
-        let OpenedResponse {
-            replica,
-            software,
-            response,
-            connection,
-            running,
-        } = opened;
-        let (mut head, body) = response.into_parts();
+        let is_streaming = self.route.kind == RouteKind::Streaming;
+        let kind = if is_streaming {
+            BodyKind::Stream
+        } else {
+            BodyKind::Document
+        };
+        let (mut head, source) = Source::open(opened, kind);
+        let source = source.continuing(self.continues_stream());
         let length = head.headers.get(header::CONTENT_LENGTH).cloned();
         strip_connection_headers(&mut head.headers);
-        let is_events = is_event_stream(&head.headers);
-        let resumable = self.route.resumable && is_events && length.is_none();
+        let resumable = self.route.resumable && source.is_event_stream() && length.is_none();
         self.shared
             .counters
             .record_first_byte(self.arrived.elapsed());
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAMES);
         let gap = Duration::from_millis(self.route.gap_target_ms);
-        self.tried.push(replica.clone());
+        self.tried.push(source.replica.clone());
         if self.origin.service.is_some() {
             self.shared.counters.take_up_ended(TakeUpOutcome::Resumed);
         }
@@ -569,13 +574,7 @@
                 origin,
                 take_up_until: self.take_up_until,
             },
-            Source {
-                replica,
-                software,
-                body,
-                connection,
-                running,
-            },
+            source,
         );
         tokio::spawn(pump.run(sender));
         Response::from_parts(head, channel_body(receiver))
@@ -589,10 +588,3 @@
     });
     StreamBody::new(frames).boxed_unsync()
 }
-
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    headers
-        .get(header::CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok())
-        .is_some_and(|value| value.starts_with("text/event-stream"))
-}
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -205,6 +205,21 @@
         })
     }
 
+    /// Adds an open connection that has not carried a request to the pool.
+    pub(crate) async fn adopt(&self, replica: &str, stream: TcpStream, bytes: ReplicaBytes) {
+        let Ok(sender) = handshake(stream, bytes).await else {
+            return;
+        };
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(replica.to_owned()).or_default();
+        if pool.idle.len() < MAX_IDLE {
+            pool.idle.push(IdleConnection {
+                sender,
+                expires_at: Instant::now() + DEFAULT_IDLE_LIMIT,
+            });
+        }
+    }
+
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn put_back(&self, connection: Connection) {
         let mut in_use = connection.in_use;
@@ -312,6 +327,12 @@
     let connected = connected.map_err(|_| OpenFailure::Silent)?;
     let stream = connected.map_err(|error| OpenFailure::of(&error))?;
     let opened_in = began.elapsed();
+    let sender = handshake(stream, bytes).await?;
+    Ok((sender, opened_in))
+}
+
+/// Sets the options of a new connection and begins HTTP on it.
+async fn handshake(stream: TcpStream, bytes: ReplicaBytes) -> Result<Sender, OpenFailure> {
     let without_delay = stream.set_nodelay(true);
     without_delay.map_err(|error| OpenFailure::of(&error))?;
     let socket = SockRef::from(&stream);
@@ -329,7 +350,7 @@
         // The sender reports the end of the connection.
         let _ = connection.await;
     });
-    Ok((sender, opened_in))
+    Ok(sender)
 }
 
 /// Idle limit of a connection, from `Keep-Alive: timeout=N`.
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::{Route, RouteKind};
+use linnethitch_response::{EventSplitter, data_of};
 use linnethitch_routing::dispatch::{ChosenReplica, FailureKind, SoftwareNeed};
 use slog::info;
 
@@ -18,12 +17,12 @@
 use crate::{
     callers::set_tenant_header,
     counters::ItemEnd,
-    events::{EventSplitter, data_of},
     exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
     running_items::GeneratedProgress,
     search::{Placement, Search},
     shared::Shared,
     slots::{ItemSlot, SlotLease},
+    source::{BodyKind, Source},
 };
 
 /// Time limit for a report; after it the lease ends and the item runs again.
@@ -360,7 +359,7 @@
         RunEnd::Continue
     }
 
-    async fn read(&mut self, service: &str, mut opened: OpenedResponse) -> RunEnd {
+    async fn read(&mut self, service: &str, opened: OpenedResponse) -> RunEnd {
         let status = opened.response.status();
         if status.as_u16() == UNPROCESSABLE {
             return RunEnd::Outcome(ItemOutcome::Unprocessable);
@@ -370,17 +369,24 @@
                 failures_before: self.work.failures,
             });
         }
-        let is_complete = self.read_events(service, &mut opened).await;
+        let (_, source) = Source::open(opened, BodyKind::Events);
+        let mut source = source.continuing(self.generated.last_event().is_some());
+        let is_complete = self.read_events(service, &mut source).await;
         if !is_complete {
-            opened.running.interrupted();
-            self.tried.push(opened.replica);
+            source.running.interrupted();
+            self.tried.push(source.replica);
             self.splitter.drop_partial();
             return RunEnd::Continue;
         }
-        opened.running.completed();
-        drop(opened.running);
-        if opened.connection.is_usable_again().await {
-            self.shared.connections.put_back(opened.connection);
+        let Source {
+            mut connection,
+            running,
+            ..
+        } = source;
+        running.completed();
+        drop(running);
+        if connection.is_usable_again().await {
+            self.shared.connections.put_back(connection);
         }
         let events = self.generated.events();
         self.shared
@@ -389,27 +395,23 @@
     }
 
     /// Reads the events; true if the stream was complete.
-    async fn read_events(&mut self, service: &str, opened: &mut OpenedResponse) -> bool {
+    async fn read_events(&mut self, service: &str, source: &mut Source) -> bool {
         self.generated
-            .begin_at(service, &opened.replica, opened.software.as_deref());
+            .begin_at(service, &source.replica, source.software.as_deref());
         let before = self.generated.events();
         let mut began = None;
-        let body: &mut Incoming = opened.response.body_mut();
         loop {
-            match timeout(STALL_TIMEOUT, body.frame()).await {
+            match timeout(STALL_TIMEOUT, source.data()).await {
                 Ok(None) => {
                     let events = self.generated.events() - before;
                     let took = began.map_or(Duration::ZERO, |began: Instant| began.elapsed());
                     let took_ms = took.as_millis() as u64;
                     self.shared
                         .learn_item_pace(service, |pace| pace.note_run(events, took_ms));
-                    return !self.splitter.has_partial();
+                    return source.is_whole(&self.shared).await;
                 }
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    opened.running.first_event();
+                Ok(Some(Ok(data))) => {
+                    source.running.first_event();
                     began.get_or_insert_with(Instant::now);
                     let Some(events) = self.splitter.push(&data) else {
                         return false;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -4,25 +4,22 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use linnethitch_clock::{Instant, sleep, sleep_until};
 use linnethitch_protocol::streams::StreamRecord;
+use linnethitch_response::EventSplitter;
 use linnethitch_routing::dispatch::{PromptPart, RequestNeeds, SoftwareNeed};
 use slog::info;
 use tokio::sync::mpsc;
 
 use crate::{
     buffered_bytes::UnreadBuffer,
-    connections::Connection,
     counters::{RequestEnd, TakeUpOutcome},
-    events::EventSplitter,
-    exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
+    exchange::{Exchange, Limits, Outgoing, Target, exchange},
     homes::HomeZones,
     response::BodyFailure,
-    running_guard::RunningGuard,
     search::{Placement, Search},
     shared::Shared,
+    source::{BodyKind, Interrupted, Source},
     taken_up::StreamOrigin,
 };
 
@@ -65,28 +62,6 @@
     is_recorded: bool,
 }
 
-/// The replica that sends the stream.
-pub(crate) struct Source {
-    pub(crate) replica: String,
-    /// The version of the replica's software; `None` if it is unknown.
-    pub(crate) software: Option<String>,
-    pub(crate) body: Incoming,
-    pub(crate) connection: Connection,
-    pub(crate) running: RunningGuard,
-}
-
-impl From<OpenedResponse> for Source {
-    fn from(opened: OpenedResponse) -> Self {
-        Source {
-            replica: opened.replica,
-            software: opened.software,
-            body: opened.response.into_body(),
-            connection: opened.connection,
-            running: opened.running,
-        }
-    }
-}
-
 /// How one source ended.
 enum SourceEnd {
     Complete,
@@ -141,7 +116,7 @@
         let mut stalled_at = self.stall_deadline(stall_timeout);
         loop {
             let may_read = self.unread.may_grow();
-            let frame = tokio::select! {
+            let data = tokio::select! {
                 biased;
                 permit = sender.reserve(), if !self.unread.is_empty() => {
                     let Ok(permit) = permit else {
@@ -155,7 +130,7 @@
                     }
                     continue;
                 }
-                frame = self.source.body.frame(), if may_read => frame,
+                data = self.source.data(), if may_read => data,
                 () = sender.closed() => return SourceEnd::CallerDisconnected,
                 () = sleep_until(stalled_at), if may_read => {
                     let is_past_deadline = Instant::now() >= self.settings.deadline;
@@ -163,14 +138,10 @@
                 }
                 () = sleep_until(self.settings.deadline), if !may_read => return SourceEnd::DeadlineExceeded,
             };
-            let data = match frame {
-                None if self.splitter.has_partial() => return SourceEnd::Broken,
-                None => return SourceEnd::Complete,
-                Some(Err(_)) => return SourceEnd::Broken,
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => data,
-                    Err(_) => continue,
-                },
+            let data = match data {
+                None => return self.ending().await,
+                Some(Err(Interrupted)) => return SourceEnd::Broken,
+                Some(Ok(data)) => data,
             };
             self.source.running.first_event();
             stalled_at = self.stall_deadline(stall_timeout);
@@ -187,6 +158,15 @@
         }
     }
 
+    /// How a source ended that stopped without an error.
+    async fn ending(&self) -> SourceEnd {
+        if self.source.is_whole(&self.shared).await {
+            SourceEnd::Complete
+        } else {
+            SourceEnd::Broken
+        }
+    }
+
     /// Binds a resumable stream to the software of its first event, and records that for attempts
     /// to take the stream up at any gateway.
     fn bind_to_software(&mut self) {
@@ -309,7 +289,8 @@
                         "software" => &opened.software, "from_replica" => &self.source.replica,
                         "from_software" => &self.source.software,
                         "last_event" => self.splitter.last_id());
-                    return Some(Source::from(*opened));
+                    let (_, source) = Source::open(*opened, BodyKind::Events);
+                    return Some(source.continuing(true));
                 }
                 Exchange::Evacuated | Exchange::OutsideHomes => self.undo_send(),
                 Exchange::NotRun(_) | Exchange::Suspected => self.settings.remaining_sends += 1,
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -5,27 +5,19 @@
 //! connections, or if control reports within seconds that another incarnation has replaced it. A
 //! replica that was known to be draining ends as planned and raises no suspicion.
 
-use std::{
-    collections::HashMap, future::Future, io::ErrorKind as IoErrorKind, sync::Arc, time::Duration,
-};
+use std::{collections::HashMap, future::Future, sync::Arc, time::Duration};
 
-use linnethitch_clock::{Instant, sleep, timeout, timeout_at};
+use linnethitch_clock::{Instant, sleep, timeout_at};
 use linnethitch_registry::{EndedRun, ReplicaState, RequestFingerprint};
+use linnethitch_response::{PROCESS_END_DURATION, refuses_connections};
 use parking_lot::Mutex;
 use slog::{info, warn};
-use tokio::{
-    net::TcpStream,
-    sync::{mpsc, watch},
-};
+use tokio::sync::{mpsc, watch};
 
 use crate::{shared::Shared, suspicions::CONTROL_REPORT_TIMEOUT};
 
-/// Runs that are interrupted within this time of each other are investigated together: a process
-/// that ends breaks all its connections within two milliseconds.
-const GATHER_INTERVAL: Duration = Duration::from_millis(3);
-/// Maximum wait for an answer of the replica's machine. A closed port answers within a round
-/// trip; a machine that is down never does.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait of a copy of an interrupted request for the probe of its replica.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(303);
 /// A replica that ended and could not be probed is replaced by another incarnation within this
 /// time; otherwise it counts as running.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(6);
@@ -72,7 +64,7 @@
     /// previous one.
     pub(crate) async fn wait_until_probed(&self, fingerprint: &RequestFingerprint) {
         let mut probed = self.probed.subscribe();
-        let deadline = Instant::now() + GATHER_INTERVAL + CONNECT_TIMEOUT;
+        let deadline = Instant::now() + PROBE_TIMEOUT;
         while self.is_unprobed(fingerprint) {
             if timeout_at(deadline, probed.changed()).await.is_err() {
                 return;
@@ -181,7 +173,8 @@
 
     async fn look_for_evidence(&mut self) -> Option<Evidence> {
         loop {
-            sleep(GATHER_INTERVAL).await;
+            // Runs that the same end interrupts are investigated together.
+            sleep(PROCESS_END_DURATION).await;
             self.collect_runs();
             let deadline = Instant::now() + SUCCESSOR_TIMEOUT;
             if refuses_connections(&self.address).await {
@@ -265,9 +258,3 @@
         }
     }
 }
-
-/// Whether the machine at an address reports that no process listens there.
-async fn refuses_connections(address: &str) -> bool {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connecting, Ok(Err(error)) if error.kind() == IoErrorKind::ConnectionRefused)
-}
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -77,6 +77,16 @@
         })
     }
 
+    /// The request id, for logs.
+    pub(crate) fn request_id(&self) -> &str {
+        self.outgoing.id()
+    }
+
+    /// The address of the replica.
+    pub(crate) fn address(&self) -> &str {
+        &self.address
+    }
+
     /// Records that the request is about to be sent.
     pub(crate) fn note_sent(&mut self) {
         self.sent = Instant::now();
--- /dev/null
+++ b/crates/relay/src/source.rs
@@ -0,0 +1,136 @@
+//! A response that is being received from a replica.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use linnethitch_registry::ReplicaState;
+use linnethitch_response::{Ending, ProcessState, ResponseEnd, probe};
+use slog::info;
+
+use crate::{
+    connections::Connection, exchange::OpenedResponse, running_guard::RunningGuard, shared::Shared,
+};
+
+/// What a reader expects of the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyKind {
+    /// Passed on as it is.
+    Document,
+    /// A stream of events for a caller.
+    Stream,
+    /// Events, whatever the head says.
+    Events,
+}
+
+/// A response whose body is being received.
+pub(crate) struct Source {
+    pub(crate) replica: String,
+    /// The version of the replica's software; `None` if it is unknown.
+    pub(crate) software: Option<String>,
+    pub(crate) connection: Connection,
+    pub(crate) running: RunningGuard,
+    body: Incoming,
+    end: ResponseEnd,
+}
+
+/// The body ended with an error of its transport, such as a reset or a missing chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Interrupted;
+
+impl Source {
+    /// Begins to read a response; returns its head as well.
+    pub(crate) fn open(opened: OpenedResponse, kind: BodyKind) -> (Parts, Self) {
+        let OpenedResponse {
+            replica,
+            software,
+            response,
+            connection,
+            running,
+        } = opened;
+        let (head, body) = response.into_parts();
+        let is_empty = body.is_end_stream();
+        let end = match kind {
+            BodyKind::Document => ResponseEnd::of_document(&head.headers, is_empty),
+            BodyKind::Stream => ResponseEnd::of_stream(&head.headers, is_empty),
+            BodyKind::Events => ResponseEnd::of_events(&head.headers, is_empty),
+        };
+        let source = Source {
+            replica,
+            software,
+            connection,
+            running,
+            body,
+            end,
+        };
+        (head, source)
+    }
+
+    /// Marks the stream as the continuation of another one, which may have no event left.
+    pub(crate) fn continuing(mut self, is_continuation: bool) -> Self {
+        self.end = self.end.continuing(is_continuation);
+        self
+    }
+
+    /// Whether the body is an event stream.
+    pub(crate) fn is_event_stream(&self) -> bool {
+        self.end.is_event_stream()
+    }
+
+    /// The next data of the body; `None` where it stopped without an error, whole or not.
+    pub(crate) async fn data(&mut self) -> Option<Result<Bytes, Interrupted>> {
+        loop {
+            let Ok(frame) = self.body.frame().await? else {
+                return Some(Err(Interrupted));
+            };
+            if let Ok(data) = frame.into_data() {
+                self.end.push(&data);
+                return Some(Ok(data));
+            }
+        }
+    }
+
+    /// Whether the body that stopped without an error was whole. Where the bytes cannot tell, the
+    /// replica's address is asked whether its process still runs.
+    pub(crate) async fn is_whole(&self, shared: &Arc<Shared>) -> bool {
+        match self.end.ending() {
+            Ending::Complete => true,
+            Ending::Broken(at) => {
+                info!(shared.logger, "response broken off by a close"; "replica" => &self.replica,
+                    "request" => self.running.request_id(), "at" => %at);
+                false
+            }
+            Ending::Unproven => self.is_sender_running(shared).await,
+        }
+    }
+
+    /// Whether the process of the replica still runs. A replica that ended may have been about to
+    /// send more; one whose machine does not answer is not known to have ended well.
+    async fn is_sender_running(&self, shared: &Arc<Shared>) -> bool {
+        let state = probe(self.running.address()).await;
+        let is_silent = matches!(state, ProcessState::Silent);
+        let registered = shared.gateway.fleet().state_of_incarnation(&self.replica);
+        let is_replaced = matches!(
+            registered,
+            Some(ReplicaState::Ended | ReplicaState::Displaced)
+        );
+        if let ProcessState::Listens(connection) = state
+            && !is_replaced
+        {
+            if let Some(connection) = connection {
+                let bytes = shared.replica_bytes(&self.replica);
+                shared
+                    .connections
+                    .adopt(&self.replica, connection, bytes)
+                    .await;
+            }
+            return true;
+        }
+        info!(shared.logger, "response ended with its replica"; "replica" => &self.replica,
+            "request" => self.running.request_id(), "silent" => is_silent,
+            "replaced" => is_replaced);
+        false
+    }
+}
--- a/crates/relay/src/events.rs
+++ b/crates/response/src/event_splitter.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::event_scanner::EventScanner;
+
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -9,6 +11,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    scanner: EventScanner,
     last_id: Option<u64>,
     events: u64,
 }
@@ -17,12 +20,17 @@
     /// Adds bytes and returns all events that they complete, unaltered; `None` if an event
     /// exceeds the size limit.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.pending.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.pending).unwrap_or(0);
-        if self.pending.len() - end > MAX_EVENT_BYTES {
+        let Some(end) = self.scanner.scan_all(bytes) else {
+            self.pending.extend_from_slice(bytes);
+            return (self.pending.len() <= MAX_EVENT_BYTES).then(Bytes::new);
+        };
+        let (completing, partial) = bytes.split_at(end);
+        if partial.len() > MAX_EVENT_BYTES {
             return None;
         }
-        let complete = self.pending.split_to(end).freeze();
+        self.pending.extend_from_slice(completing);
+        let complete = self.pending.split().freeze();
+        self.pending.extend_from_slice(partial);
         self.note(&complete);
         Some(complete)
     }
@@ -48,28 +56,29 @@
     /// Drops a partial event before another replica resumes the stream.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
+        self.scanner = EventScanner::default();
     }
 
     fn note(&mut self, complete: &[u8]) {
-        for line in complete.split(|byte| *byte == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if line.is_empty() {
-                continue;
+        let mut has_field = false;
+        for line in lines(complete) {
+            if line.is_empty() && has_field {
+                self.events += 1;
             }
+            has_field = !line.is_empty();
             if let Some(id) = field(line, b"id") {
                 self.last_id = parse_number(id).or(self.last_id);
             }
         }
-        self.events += count_events(complete);
     }
 }
 
 /// The data of complete events; the data lines of an event are joined by line feeds.
-pub(crate) fn data_of(events: &[u8]) -> Vec<String> {
+#[must_use]
+pub fn data_of(events: &[u8]) -> Vec<String> {
     let mut all = Vec::new();
     let mut data: Option<String> = None;
-    for line in events.split(|byte| *byte == b'\n') {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
+    for line in lines(events) {
         if line.is_empty() {
             all.extend(data.take());
         } else if let Some(value) = field(line, b"data") {
@@ -83,6 +92,18 @@
     all
 }
 
+/// The lines of complete events without their ends, which are `\n`, `\r\n` or `\r`.
+fn lines(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let end = bytes
+            .iter()
+            .position(|byte| matches!(byte, b'\n' | b'\r'))?;
+        let (line, rest) = bytes.split_at(end);
+        bytes = rest.strip_prefix(b"\r\n").unwrap_or(&rest[1..]);
+        Some(line)
+    })
+}
+
 fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     let value = line.strip_prefix(name)?.strip_prefix(b":")?;
     Some(value.strip_prefix(b" ").unwrap_or(value))
@@ -91,33 +112,3 @@
 fn parse_number(bytes: &[u8]) -> Option<u64> {
     std::str::from_utf8(bytes).ok()?.trim().parse().ok()
 }
-
-/// Position after the last empty line.
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let mut end = None;
-    let mut line_start = 0;
-    for (position, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..position];
-        if line.is_empty() || line == b"\r" {
-            end = Some(position + 1);
-        }
-        line_start = position + 1;
-    }
-    end
-}
-
-fn count_events(complete: &[u8]) -> u64 {
-    let mut count = 0;
-    let mut has_field = false;
-    for line in complete.split(|byte| *byte == b'\n') {
-        let is_empty = line.is_empty() || line == b"\r";
-        if is_empty && has_field {
-            count += 1;
-        }
-        has_field = !is_empty;
-    }
-    count
-}
--- /dev/null
+++ b/crates/response/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decides whether the response of a back end arrived whole.
+//!
+//! Every reader of responses uses this crate: relayed streams, buffered responses, batch items and
+//! responses of services. [`ResponseEnd`] decides by the bytes alone; where they cannot tell,
+//! [`probe`] asks whether the sender's process still runs.
+
+mod event_scanner;
+mod event_splitter;
+mod framing;
+mod probe;
+mod response_end;
+
+pub use event_scanner::EventScanner;
+pub use event_splitter::{EventSplitter, data_of};
+pub use framing::Framing;
+pub use probe::{PROCESS_END_DURATION, ProcessState, probe, refuses_connections};
+pub use response_end::{BrokenAt, Ending, ResponseEnd};
--- a/crates/relay/tests/all/events.rs
+++ b/crates/response/tests/all/event_splitter.rs
@@ -1,6 +1,6 @@
 //! Streams of events are split without altering their bytes.
 
-use linnethitch_relay::EventSplitter;
+use linnethitch_response::EventSplitter;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -11,6 +11,9 @@
 #[case::in_two_pieces(&["id: 1\nda", "ta: a\n\n"], "id: 1\ndata: a\n\n", Some(1), false)]
 #[case::second_not_whole(&["id: 1\ndata: a\n\nid: 2\nda"], "id: 1\ndata: a\n\n", Some(1), true)]
 #[case::carriage_returns(&["id: 3\r\ndata: a\r\n\r\n"], "id: 3\r\ndata: a\r\n\r\n", Some(3), false)]
+#[case::carriage_returns_only(&["id: 3\rdata: a\r\r"], "id: 3\rdata: a\r\r", Some(3), false)]
+#[case::blank_line_not_whole(&["id: 3\r\ndata: a\r\n\r"], "", None, true)]
+#[case::comment(&[": alive\n", "id: 1\n"], ": alive\n", None, true)]
 #[case::without_blanks(&["id:4\ndata:a\n\n"], "id:4\ndata:a\n\n", Some(4), false)]
 #[case::no_id(&["data: a\n\n"], "data: a\n\n", None, false)]
 fn only_complete_events_are_forwarded(
