Relay: responses of HTTP/1.0 replicas are forwarded in the gateway's version

Whole streams of a replica that speaks HTTP/1.0 reached callers of HTTP/1.1 as HTTP/1.0: without chunks, so that their callers could not tell the end. The version belongs to one connection.

--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::response::Parts;
+use http::{Version, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use linnethitch_registry::ReplicaState;
@@ -41,7 +41,8 @@
 pub(crate) struct Interrupted;
 
 impl Source {
-    /// Begins to read a response; returns its head as well.
+    /// Begins to read a response; returns its head as well, in the version of HTTP that gateways
+    /// speak, whatever the replica speaks.
     pub(crate) fn open(opened: OpenedResponse, kind: BodyKind) -> (Parts, Self) {
         let OpenedResponse {
             replica,
@@ -50,7 +51,8 @@
             connection,
             running,
         } = opened;
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
+        head.version = Version::HTTP_11;
         let is_empty = body.is_end_stream();
         let end = match kind {
             BodyKind::Document => ResponseEnd::of_document(&head.headers, is_empty),
