--- a/crates/gateway/src/services/relay.rs
+++ b/crates/gateway/src/services/relay.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
-use http_body::Frame;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header, response::Parts};
+use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::Incoming;
 use linnethitch_clock::Instant;
 use linnethitch_errors::{ErrorKind, Executed, Failure};
 use linnethitch_protocol::query::StoredAnswer;
+use linnethitch_response::{Ending, ProcessState, ResponseEnd, probe};
 use linnethitch_routing::view::FailureKind;
 use tokio::sync::oneshot;
 
@@ -36,6 +37,7 @@
     let (head, body) = response.into_parts();
     let remaining = call.gateway.clock().until(call.request.wanted.deadline);
     let relayed = RelayedBody {
+        end: ResponseEnd::of_stream(&head.headers, body.is_end_stream()),
         body,
         status: head.status,
         deadline: Instant::now() + remaining,
@@ -59,6 +61,7 @@
 /// until the body ends.
 struct RelayedBody {
     body: Incoming,
+    end: ResponseEnd,
     status: StatusCode,
     deadline: Instant,
     limit: Duration,
@@ -68,13 +71,21 @@
 
 impl RelayedBody {
     async fn next(mut self) -> Option<(Result<Frame<Bytes>, io::Error>, Self)> {
-        self.placement.as_ref()?;
+        let address = self.placement.as_ref()?.address.clone();
         let fault = match linnethitch_clock::timeout_at(self.deadline, self.body.frame()).await {
-            Ok(Some(Ok(frame))) => return Some((Ok(frame), self)),
-            Ok(None) => {
-                end_placement(self.placement.take(), self.status);
-                return None;
+            Ok(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    self.end.push(data);
+                }
+                return Some((Ok(frame), self));
             }
+            Ok(None) => match early_end(&self.end, &address).await {
+                None => {
+                    end_placement(self.placement.take(), self.status);
+                    return None;
+                }
+                Some(fault) => fault,
+            },
             Ok(Some(Err(error))) => AttemptFault::Interrupted(error.to_string()),
             Err(_) => AttemptFault::TimedOut(self.limit),
         };
@@ -87,6 +98,20 @@
     }
 }
 
+/// How a body that stopped without an error broke off; `None` if it was whole.
+async fn early_end(end: &ResponseEnd, address: &str) -> Option<AttemptFault> {
+    let reason = match end.ending() {
+        Ending::Complete => return None,
+        Ending::Broken(at) => format!("the response ended {at}"),
+        Ending::Unproven => match probe(address).await {
+            ProcessState::Listens(_) => return None,
+            ProcessState::Ended => "the process of the replica ended".to_owned(),
+            ProcessState::Silent => "the machine of the replica does not answer".to_owned(),
+        },
+    };
+    Some(AttemptFault::Interrupted(reason))
+}
+
 /// Ends the placement of a completely received response; a server error counts as a failure of
 /// the replica.
 fn end_placement(placement: Option<Placement>, status: StatusCode) {
@@ -139,17 +164,19 @@
     } = call.send().await?;
     let (head, body) = response.into_parts();
     let remaining = call.gateway.clock().until(call.request.wanted.deadline);
+    let mut end = ResponseEnd::of_document(&head.headers, body.is_end_stream());
     let collecting = Limited::new(body, MAX_STORED_BYTES).collect();
     let fault = match tokio::time::timeout(remaining, collecting).await {
         Ok(Ok(collected)) => {
-            end_placement(Some(placement), head.status);
-            let headers = response_headers(&head.headers);
-            let stored = StoredAnswer {
-                status: head.status.as_u16(),
-                content_type: content_type(&headers),
-                body: collected.to_bytes().to_vec(),
-            };
-            return Ok((headers, stored));
+            let bytes = collected.to_bytes();
+            end.push(&bytes);
+            match early_end(&end, &placement.address).await {
+                None => {
+                    end_placement(Some(placement), head.status);
+                    return Ok(stored(&head, &bytes));
+                }
+                Some(fault) => fault,
+            }
         }
         Ok(Err(error)) => AttemptFault::Interrupted(error.to_string()),
         Err(_) => AttemptFault::TimedOut(remaining),
@@ -158,6 +185,17 @@
     Err(call.final_failure(ErrorKind::BackEndFailed, Executed::Unknown, &fault))
 }
 
+/// A complete response as it is stored, with its headers for the caller.
+fn stored(head: &Parts, body: &[u8]) -> (HeaderMap, StoredAnswer) {
+    let headers = response_headers(&head.headers);
+    let stored = StoredAnswer {
+        status: head.status.as_u16(),
+        content_type: content_type(&headers),
+        body: body.to_vec(),
+    };
+    (headers, stored)
+}
+
 fn content_type(headers: &HeaderMap) -> String {
     headers
         .get(header::CONTENT_TYPE)
--- a/crates/gateway/tests/all/services.rs
+++ b/crates/gateway/tests/all/services.rs
@@ -1,24 +1,38 @@
 //! Requests to application services on emulated replicas.
 
+use std::net::{Ipv4Addr, SocketAddr};
+
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use linnethitch_emulator::{
     application::{ApplicationServer, ApplicationSettings},
     engine::Fault,
 };
 use rstest::rstest;
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 use crate::support::{
-    caller::{call, request},
+    caller::{call, request, send},
     control::{FakeControl, Shared},
     gateway::{TestGateway, application, fleet_file, wait_until},
 };
 
+/// Last byte of the address of replicas whose ports no other process may take once they end.
+const UNMARKED_REPLICA_HOST: u8 = 250;
 /// A delay longer than any test waits.
 const LATE: Fault = Fault::Late { millis: 30_000 };
 
+/// A loopback address of this test process.
+fn own_address(host: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, host)
+}
+
 struct Fixture {
     replicas: Vec<ApplicationServer>,
     gateway: TestGateway,
@@ -250,3 +264,69 @@
     // At most the response that reported the leaving replica.
     assert!(fixture.replicas[0].executions() <= 1);
 }
+
+/// What the process of a replica does after its response, whose end only a close marks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum After {
+    Runs,
+    Ends,
+}
+
+/// Starts a replica that answers one request with these bytes and closes the connection.
+async fn start_closing_replica(response: String, after: After) -> SocketAddr {
+    let address = own_address(UNMARKED_REPLICA_HOST);
+    let listener = TcpListener::bind((address, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.expect("a request"));
+        }
+        let _ = stream.write_all(response.as_bytes()).await;
+        if after == After::Runs {
+            drop(stream);
+            while listener.accept().await.is_ok() {}
+        }
+    });
+    address
+}
+
+async fn gateway_before(replica: SocketAddr) -> (TestGateway, FakeControl) {
+    let infos = vec![application(0, replica)];
+    let control = FakeControl::start(Shared::new(&fleet_file(), infos)).await;
+    let gateway = TestGateway::attached(&[control.address]).await;
+    (gateway, control)
+}
+
+/// Guards against a response that a replica broke off, without a length or chunks, and that reaches
+/// the caller as a complete one, and against whole ones that are cut.
+#[rstest]
+#[case::inside_an_event("text/event-stream", "data: a\n\ndata", After::Runs, false)]
+#[case::between_events_and_ended("text/event-stream", "data: a\n\n", After::Ends, false)]
+#[case::ended("text/plain", "hel", After::Ends, false)]
+#[case::whole_events("text/event-stream", "data: a\n\n", After::Runs, true)]
+#[case::whole("text/plain", "hello", After::Runs, true)]
+#[tokio::test]
+async fn a_response_without_a_length_is_complete_only_if_its_replica_ended_it(
+    #[case] content_type: &str,
+    #[case] body: &'static str,
+    #[case] after: After,
+    #[case] is_whole: bool,
+    #[values(false, true)] is_keyed: bool,
+) {
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n\r\n{body}");
+    let replica = start_closing_replica(response, after).await;
+    let (gateway, _control) = gateway_before(replica).await;
+    let mut message = request(Method::POST, gateway.url("/services/tariffs/x"), "");
+    if is_keyed {
+        message = keyed(message, false);
+    }
+    let (head, received) = send(message).await.into_parts();
+    let received = received.collect().await;
+    let is_complete = head.status == StatusCode::OK && received.is_ok();
+    assert_eq!(is_complete, is_whole, "{head:?} {received:?}");
+    if is_whole {
+        assert_eq!(received.expect("a body").to_bytes(), body);
+    }
+}
