--- a/crates/cluster/src/gateway/mod.rs
+++ b/crates/cluster/src/gateway/mod.rs
@@ -328,10 +328,10 @@
         self.propose_to_control(command, limit).await
     }
 
-    /// Reports to control that a copy of a suspected request completed its response; false if this
-    /// was not committed within the limit.
-    pub async fn report_cleared(&self, cleared: RequestFingerprint, limit: Duration) -> bool {
-        let command = RegistryCommand::ClearSuspicions(vec![cleared]);
+    /// Reports to control that a copy of a suspected request, or a request with suspected parts,
+    /// completed its response; false if this was not committed within the limit.
+    pub async fn report_cleared(&self, cleared: Vec<RequestFingerprint>, limit: Duration) -> bool {
+        let command = RegistryCommand::ClearSuspicions(cleared);
         self.propose_to_control(command, limit).await
     }
 
--- a/crates/protocol/src/suspicion.rs
+++ b/crates/protocol/src/suspicion.rs
@@ -5,6 +5,10 @@
 use rkyv::{Archive, Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+/// Begins the digest of a part, which no content can begin with: a length would stand there.
+const PART_PREFIX: &[u8] = b"part of a prompt";
+/// The same for the decision that requests with a part are refused.
+const REFUSED_PART_PREFIX: &[u8] = b"refused part of a prompt";
 /// Length of a fingerprint in bytes: 128 bits of the digest make it infeasible to find a second
 /// content with the same fingerprint.
 const FINGERPRINT_BYTES: usize = 16;
@@ -25,8 +29,8 @@
     pub body: &'a [u8],
 }
 
-/// Digest of a request's content: the same for all copies of a request at any gateway, and
-/// different for other requests.
+/// Digest of a request's content, the same for all copies of a request at any gateway, or of a part
+/// of prompts, the same for all requests with it. Different for other requests and parts.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize,
 )]
@@ -49,6 +53,31 @@
             digest.update((part.len() as u64).to_le_bytes());
             digest.update(part);
         }
+        Self::truncated(digest)
+    }
+
+    /// The fingerprint of a part of the prompts of a service's requests.
+    #[must_use]
+    pub fn of_part(service: &str, part: u64) -> Self {
+        Self::of_prefixed(PART_PREFIX, service, part)
+    }
+
+    /// The fingerprint of the decision that a service's requests with a part are refused. Its
+    /// record tells all gateways, also those that know too little to decide themselves.
+    #[must_use]
+    pub fn of_refused_part(service: &str, part: u64) -> Self {
+        Self::of_prefixed(REFUSED_PART_PREFIX, service, part)
+    }
+
+    fn of_prefixed(prefix: &[u8], service: &str, part: u64) -> Self {
+        let mut digest = Sha256::new();
+        digest.update(prefix);
+        digest.update(part.to_le_bytes());
+        digest.update(service.as_bytes());
+        Self::truncated(digest)
+    }
+
+    fn truncated(digest: Sha256) -> Self {
         let mut truncated = [0; FINGERPRINT_BYTES];
         truncated.copy_from_slice(&digest.finalize()[..FINGERPRINT_BYTES]);
         RequestFingerprint(truncated)
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -17,6 +17,7 @@
 mod incarnation_key;
 mod node_list;
 mod notification_order;
+mod part_verdict;
 mod registry;
 mod replica;
 mod replica_changes;
@@ -49,6 +50,7 @@
 };
 pub use node_list::{DirectoryNode, DirectoryQuery, NodeList, READY_TTL_MS, near};
 pub use notification_order::{Place, notification_rank};
+pub use part_verdict::{ENDS_OF_COMMON_PART, PartVerdict, is_part_almost_refused};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
 pub use replica_records::ReplicaDifference;
--- a/crates/registry/src/run_lengths.rs
+++ b/crates/registry/src/run_lengths.rs
@@ -16,7 +16,7 @@
 /// Number of consecutive replica ends under a request, each soon after the start of the run,
 /// after which copies of it are refused. A harmless request is refused only if three
 /// unrelated ends hit three consecutive runs of it.
-const ENDS_BEFORE_REFUSAL: u32 = 3;
+pub(crate) const ENDS_BEFORE_REFUSAL: u32 = 3;
 /// Run time for which one more end is required, in milliseconds, because the probability of
 /// an unrelated end grows with the run time.
 const MS_PER_FURTHER_END: u32 = 1_000;
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -103,6 +103,20 @@
         }
     }
 
+    /// The run that records this number under another key as refused, after one more end.
+    #[must_use]
+    pub fn refusal(key: RequestFingerprint, current: Option<&Suspicion>) -> EndedRun {
+        let clearings = current.map_or(0, |current| current.consecutive_ends.clearings);
+        EndedRun {
+            fingerprint: key,
+            known: ConsecutiveEnds {
+                clearings,
+                lengths_ms: vec![0; run_lengths::ENDS_BEFORE_REFUSAL as usize - 1],
+            },
+            ran_ms: 0,
+        }
+    }
+
     /// The report of this record for other gateways.
     #[must_use]
     pub fn to_report(&self) -> ReportedSuspicion {
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod incarnations;
 mod many_replicas;
 mod narrow_link;
+mod part_verdict;
 mod registry;
 mod routes;
 mod store_members;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,6 +25,7 @@
         Exchange, Limits, OpenedResponse, Outgoing, Target, exchange, strip_connection_headers,
     },
     homes::HomeZones,
+    known_ends::RefusedBy,
     pump::{Pump, PumpSettings},
     response::{BodyFailure, ResponseBody, error_response, full_body},
     search::{Placement, Search},
@@ -99,9 +100,14 @@
 
 impl Attempt<'_> {
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
+        self.shared.note_parts(&self.route.name, &self.outgoing);
         loop {
-            let Some(known_ends) = self.shared.known_ends(&self.outgoing).await else {
-                return self.refuse_as_suspected();
+            let known = self
+                .shared
+                .known_ends(&self.outgoing, &self.route.name, &self.service);
+            let known_ends = match known.await {
+                Ok(known_ends) => known_ends,
+                Err(refused_by) => return self.refuse_as_suspected(refused_by),
             };
             if self.shared.is_refused_while_isolated(&known_ends) {
                 return self.refuse_while_isolated();
@@ -118,8 +124,7 @@
                 shared: self.shared,
                 service: &self.service,
                 prompt: &self.prompt.parts,
-                outgoing: &self.outgoing,
-                exclusive: !known_ends.is_empty(),
+                isolation_number: known_ends.isolation_number(|| self.outgoing.fingerprint()),
                 except: &except,
                 homes: &homes,
                 software: &self.origin.software,
@@ -141,6 +146,8 @@
             let limits = self.limits(chosen.expected_ms);
             let target = Target {
                 chosen: &chosen,
+                route: &self.route.name,
+                service: &self.service,
                 known_ends,
                 report: lease.report.clone(),
                 lease: Some(lease),
@@ -354,13 +361,13 @@
 
     /// Refuses a request that is suspected of ending replicas. If this attempt has not run, the
     /// response is one that clients do not retry by themselves.
-    fn refuse_as_suspected(&self) -> Response<ResponseBody> {
+    fn refuse_as_suspected(&self, refused_by: RefusedBy) -> Response<ResponseBody> {
         if self.runs > 0 {
             return self.give_up("suspected of ending replicas");
         }
         info!(self.shared.logger, "request: refused, suspected of ending replicas";
             "request" => self.outgoing.id(),
-            "content" => self.outgoing.fingerprint().to_string());
+            "content" => self.outgoing.fingerprint().to_string(), "part" => refused_by.part());
         self.record_end(RequestEnd::EndsReplicas);
         error_response(ErrorKind::EndsReplicas, None)
     }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -35,6 +35,15 @@
     pub max_output_tokens: u32,
 }
 
+impl Prompt {
+    /// The ids of the parts that other requests may have too: all but the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.id).collect()
+    }
+}
+
 /// Header names and formats used by callers and replicas.
 pub trait Dialect: Send + Sync + 'static {
     /// Names of headers.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -10,9 +10,7 @@
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, timeout, timeout_at};
 use linnethitch_protocol::slots::RunOutcome;
-use linnethitch_registry::{
-    ConsecutiveEnds, RequestContent, RequestFingerprint, parse_incarnation_key,
-};
+use linnethitch_registry::{RequestContent, RequestFingerprint, parse_incarnation_key};
 use linnethitch_routing::{
     cold::SendOutcome,
     dispatch::{ChosenReplica, FailureKind, PromptPart, SoftwareNeed},
@@ -22,6 +20,7 @@
 use crate::{
     callers::{Caller, KeyRefusal},
     connections::{Connection, OpenFailure, SendFailure},
+    known_ends::KnownEnds,
     quotas::Permit,
     running_guard::RunningGuard,
     shared::Shared,
@@ -44,6 +43,8 @@
 pub(crate) struct Outgoing {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
+    /// Parts of the prompt that other requests may have too: all but the last.
+    pub(crate) shared_parts: Vec<u64>,
     /// Without connection headers and without the headers that are set for each send.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
@@ -135,8 +136,13 @@
 /// The replica that a request is sent to, and how.
 pub(crate) struct Target<'a> {
     pub(crate) chosen: &'a ChosenReplica,
-    /// Ends of replicas under copies of this request, as known when the replica was chosen.
-    pub(crate) known_ends: ConsecutiveEnds,
+    /// The route of the request.
+    pub(crate) route: &'a str,
+    /// The service of the replica.
+    pub(crate) service: &'a str,
+    /// Ends of replicas under copies of this request and under its parts, as known when the
+    /// replica was chosen.
+    pub(crate) known_ends: KnownEnds,
     /// Slot lease of an online request, or of a suspected request that runs without other
     /// suspected requests.
     pub(crate) lease: Option<SlotLease>,
@@ -189,6 +195,8 @@
 ) -> Exchange {
     let Target {
         chosen,
+        route,
+        service,
         last_event,
         software,
         limits,
@@ -196,7 +204,7 @@
     } = target;
     let known_ends = target.known_ends.clone();
     wait_for_update_after_pause(shared, limits).await;
-    if !known_ends.is_empty() {
+    if known_ends.is_suspected() {
         wait_while_isolated(shared, limits).await;
     }
     // Checked before the request counts as running at the replica and before a connection is
@@ -240,10 +248,8 @@
         if !shared.is_known_ready(&chosen.id) || has_other_software {
             return Exchange::NotRun(FailureKind::Replaced);
         }
-        if shared
-            .ends(outgoing)
-            .is_none_or(|ends| !ends.is_empty() && ends.supersedes(&known_ends))
-        {
+        let known_now = shared.ends(outgoing, route, service);
+        if !known_now.is_ok_and(|now| !known_ends.is_outdated(&now)) {
             return Exchange::Suspected;
         }
         if let Err(refusal) = shared.verify_key(outgoing) {
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -39,6 +39,9 @@
 const DEFER_DURATION: Duration = Duration::from_secs(5);
 /// Delay after a replica declined an item.
 const DECLINED_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay of an item before its next run for each replica that ended under its runs. An item that
+/// ends replicas would otherwise end all of them before gateways know which of its parts is common.
+const SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Status of an item that can never be processed.
 const UNPROCESSABLE: u16 = 422;
 
@@ -52,6 +55,10 @@
     /// Replicas that failed the item.
     tried: Vec<String>,
     due: Instant,
+    /// Number of ends of replicas for which the item was delayed.
+    delayed_ends: usize,
+    /// Whether its parts were counted.
+    is_counted: bool,
 }
 
 /// The replica and slot of an item.
@@ -95,6 +102,8 @@
             generated,
             tried: Vec::new(),
             due: Instant::now() + Duration::from_millis(work.due_in_ms),
+            delayed_ends: 0,
+            is_counted: false,
             work,
         }
     }
@@ -175,16 +184,30 @@
                 .await;
         }
         let prompt = self.shared.dialect.prompt(&outgoing.headers);
-        let Some(known_ends) = self.shared.known_ends(&outgoing).await else {
+        if !self.is_counted {
+            self.is_counted = true;
+            self.shared.note_parts(&route.name, &outgoing);
+        }
+        let known = self.shared.known_ends(&outgoing, &route.name, &service);
+        let Ok(known_ends) = known.await else {
             return self.defer("suspected of ending replicas", &outgoing).await;
         };
         if self.shared.is_refused_while_isolated(&known_ends) {
             return self.defer("suspected of ending replicas", &outgoing).await;
         }
-        let placed = if known_ends.is_empty() {
-            self.wait_for_slot(&service, &outgoing).await
-        } else {
-            self.place_isolated(&service, &outgoing).await
+        let ends = known_ends.content.lengths_ms.len();
+        if ends > self.delayed_ends {
+            self.delayed_ends = ends;
+            sleep(SUSPECTED_RETRY_DELAY * ends as u32).await;
+            return RunEnd::Continue;
+        }
+        let isolation_number = known_ends.isolation_number(|| outgoing.fingerprint());
+        let placed = match isolation_number {
+            None => self.wait_for_slot(&service, &outgoing).await,
+            Some(_) => {
+                self.place_isolated(&service, &outgoing, isolation_number)
+                    .await
+            }
         };
         let Some(ItemPlacement {
             chosen,
@@ -211,6 +234,8 @@
         let lease_report = lease.as_ref().map(|lease| lease.report.clone());
         let target = Target {
             chosen: &chosen,
+            route: &route.name,
+            service: &service,
             known_ends,
             report: slot_report.or(lease_report).unwrap_or_default(),
             lease,
@@ -312,15 +337,19 @@
     }
 
     /// A slot at a replica that runs no other suspected request.
-    async fn place_isolated(&self, service: &str, outgoing: &Outgoing) -> Option<ItemPlacement> {
+    async fn place_isolated(
+        &self,
+        service: &str,
+        outgoing: &Outgoing,
+        isolation_number: Option<u64>,
+    ) -> Option<ItemPlacement> {
         let by = Instant::now() + SLOT_WAIT_TIMEOUT;
         let homes = self.shared.homes(outgoing);
         let search = Search {
             shared: &self.shared,
             service,
             prompt: &[],
-            outgoing,
-            exclusive: true,
+            isolation_number,
             except: &self.tried,
             homes: &homes,
             software: &self.generated.software(),
@@ -441,6 +470,7 @@
     Some(Arc::new(Outgoing {
         method: Method::POST,
         uri: work.spec.path.parse::<Uri>().ok()?,
+        shared_parts: shared.dialect.prompt(&headers).shared_parts(),
         headers,
         body: Bytes::from(work.spec.body.clone()),
         request_id,
--- /dev/null
+++ b/crates/relay/src/known_ends.rs
@@ -0,0 +1,108 @@
+//! Ends of replicas under copies of a request and under the parts of its prompt, as known at one
+//! moment.
+
+use linnethitch_registry::{
+    ConsecutiveEnds, EndedRun, PartVerdict, RequestFingerprint, is_almost_refused,
+    is_part_almost_refused,
+};
+
+/// What is known of a request's content and of its parts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownEnds {
+    pub(crate) content: ConsecutiveEnds,
+    /// Its shared parts, in order; empty if no replica has ended under any request recently.
+    pub(crate) parts: Vec<PartEnds>,
+}
+
+/// What is known of one part of a prompt.
+#[derive(Clone, Debug)]
+pub(crate) struct PartEnds {
+    pub(crate) part: u64,
+    pub(crate) key: RequestFingerprint,
+    pub(crate) ends: ConsecutiveEnds,
+    pub(crate) verdict: PartVerdict,
+    /// Whether many requests have the part.
+    pub(crate) is_common: bool,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusedBy {
+    /// Replicas ended under copies of it.
+    Content,
+    /// Replicas ended under requests with this part.
+    Part(u64),
+}
+
+impl RefusedBy {
+    /// The part in the form of the prompt's description, for logs.
+    pub(crate) fn part(self) -> Option<String> {
+        match self {
+            RefusedBy::Content => None,
+            RefusedBy::Part(part) => Some(format!("{part:x}")),
+        }
+    }
+}
+
+impl KnownEnds {
+    /// Whether the request must run without other suspected requests.
+    pub(crate) fn is_suspected(&self) -> bool {
+        !self.content.is_empty() || self.suspected_parts().next().is_some()
+    }
+
+    /// Whether one more end refuses the request.
+    pub(crate) fn is_almost_refused(&self) -> bool {
+        let mut parts = self.suspected_parts();
+        is_almost_refused(&self.content)
+            || parts.any(|part| is_part_almost_refused(part.ends.lengths_ms.len()))
+    }
+
+    /// The number that chooses the replica of a suspected request, so that requests that share
+    /// what is most suspected follow each other at one replica. `None` if it is not suspected.
+    pub(crate) fn isolation_number(
+        &self,
+        content: impl FnOnce() -> RequestFingerprint,
+    ) -> Option<u64> {
+        if !self.is_suspected() {
+            return None;
+        }
+        // Of parts with as many ends the later one is shared by fewer requests.
+        let parts = self
+            .parts
+            .iter()
+            .filter(|part| !part.is_common && !part.ends.is_empty());
+        let part = parts.max_by_key(|part| part.ends.lengths_ms.len());
+        Some(part.map_or_else(content, |part| part.key).number())
+    }
+
+    /// Whether more is known now that bears on where and whether the request runs.
+    pub(crate) fn is_outdated(&self, now: &KnownEnds) -> bool {
+        let is_newer =
+            |now: &ConsecutiveEnds, then: &ConsecutiveEnds| !now.is_empty() && now.supersedes(then);
+        let mut parts = now.suspected_parts();
+        is_newer(&now.content, &self.content)
+            || parts.any(|part| is_newer(&part.ends, &self.of_part(&part.key)))
+    }
+
+    /// What was known of a part.
+    pub(crate) fn of_part(&self, key: &RequestFingerprint) -> ConsecutiveEnds {
+        let known = self.parts.iter().find(|part| part.key == *key);
+        known.map(|part| part.ends.clone()).unwrap_or_default()
+    }
+
+    /// The run of a part that was interrupted. Its length tells nothing: requests with the same
+    /// part differ.
+    pub(crate) fn ended_run_of_part(&self, key: RequestFingerprint) -> EndedRun {
+        EndedRun {
+            fingerprint: key,
+            known: self.of_part(&key),
+            ran_ms: 0,
+        }
+    }
+
+    fn suspected_parts(&self) -> impl Iterator<Item = &PartEnds> {
+        self.parts
+            .iter()
+            .filter(|part| part.verdict >= PartVerdict::RunsAlone)
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod following;
 mod homes;
 mod item_run;
+mod known_ends;
 mod planned_stop;
 mod pump;
 mod quotas;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -243,7 +243,10 @@
                 return None;
             }
             let outgoing = &self.settings.outgoing;
-            let known_ends = self.shared.known_ends(outgoing).await?;
+            let known =
+                self.shared
+                    .known_ends(outgoing, &self.settings.route, &self.settings.service);
+            let known_ends = known.await.ok()?;
             if self.shared.is_refused_while_isolated(&known_ends) {
                 return None;
             }
@@ -252,8 +255,7 @@
                 shared: &self.shared,
                 service: &self.settings.service,
                 prompt: &self.settings.prompt,
-                outgoing,
-                exclusive: !known_ends.is_empty(),
+                isolation_number: known_ends.isolation_number(|| outgoing.fingerprint()),
                 except: &self.settings.tried,
                 homes: &homes,
                 software: &self.settings.origin.software,
@@ -269,6 +271,8 @@
             self.settings.tried.push(chosen.id.clone());
             let target = Target {
                 chosen: &chosen,
+                route: &self.settings.route,
+                service: &self.settings.service,
                 known_ends,
                 report: lease.report.clone(),
                 lease: Some(lease),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -253,6 +253,7 @@
             outgoing: Arc::new(Outgoing {
                 method: head.method,
                 uri: head.uri,
+                shared_parts: prompt.shared_parts(),
                 headers,
                 body,
                 request_id,
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -28,10 +28,29 @@
 #[derive(Clone, Debug)]
 pub(crate) struct InterruptedRun {
     pub(crate) run: EndedRun,
+    /// The shared parts of its prompt.
+    pub(crate) parts: Vec<EndedPart>,
     /// The request id.
     pub(crate) request: String,
 }
 
+impl InterruptedRun {
+    /// The parts with the ends known of each, as in `f1:0,2c:2`, for logs.
+    fn parts_text(&self) -> String {
+        let parts = self.parts.iter();
+        let texts = parts.map(|p| format!("{:x}:{}", p.part, p.run.known.lengths_ms.len()));
+        texts.collect::<Vec<String>>().join(",")
+    }
+}
+
+/// A part of the prompt of an interrupted run.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedPart {
+    pub(crate) part: u64,
+    /// The run, under the key of the part.
+    pub(crate) run: EndedRun,
+}
+
 /// Recently interrupted runs by replica, each with a task that investigates the cause.
 #[derive(Default)]
 pub(crate) struct InterruptedRuns {
@@ -229,7 +248,8 @@
     /// no leader. The returned future reports to control and yields true once control has
     /// recorded the report.
     fn suspect_runs(&self) -> impl Future<Output = bool> + use<> {
-        let runs: Vec<EndedRun> = self.runs.iter().map(|b| b.run.clone()).collect();
+        let mut runs: Vec<EndedRun> = self.runs.iter().map(|b| b.run.clone()).collect();
+        runs.extend(self.ended_parts());
         self.shared.note_ends(&self.replica, runs.iter());
         let gateway = self.shared.gateway.clone();
         let replica = self.replica.clone();
@@ -240,6 +260,19 @@
         }
     }
 
+    /// The parts of all runs, each once: as known to the run that knew most of it.
+    fn ended_parts(&self) -> Vec<EndedRun> {
+        let mut parts: HashMap<RequestFingerprint, &EndedRun> = HashMap::new();
+        for ended in self.runs.iter().flat_map(|interrupted| &interrupted.parts) {
+            let run = &ended.run;
+            let held = parts.entry(run.fingerprint).or_insert(run);
+            if run.known.supersedes(&held.known) {
+                *held = run;
+            }
+        }
+        parts.into_values().take(MAX_RUNS).cloned().collect()
+    }
+
     fn log(&self, evidence: Option<Evidence>) {
         let logger = &self.shared.logger;
         let Some(evidence) = evidence else {
@@ -254,6 +287,7 @@
                 "request" => &interrupted.request, "replica" => &self.replica, "content" => interrupted.run.fingerprint.to_string(),
                 "known_ends" => interrupted.run.known.lengths_ms.len(),
                 "known_clearings" => interrupted.run.known.clearings,
+                "parts" => interrupted.parts_text(),
                 "ran_ms" => interrupted.run.ran_ms);
         }
     }
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -4,14 +4,16 @@
 
 use linnethitch_clock::Instant;
 use linnethitch_protocol::slots::RunOutcome;
-use linnethitch_registry::{ConsecutiveEnds, EndedRun};
+use linnethitch_registry::{EndedRun, RequestFingerprint};
 use linnethitch_routing::dispatch::{FailureKind, PromptPart, RunningWork, WorkKind};
 
 use crate::{
     exchange::{Outgoing, Target},
-    replica_ends::{self, InterruptedRun},
+    known_ends::KnownEnds,
+    replica_ends::{self, EndedPart, InterruptedRun},
     shared::Shared,
     slots::{RunReport, SlotLease},
+    suspected_requests::MAX_SUSPECTED_PARTS,
 };
 
 /// A run that ends without its first event after this time shows that the replica is
@@ -24,8 +26,9 @@
     replica: String,
     address: String,
     outgoing: Arc<Outgoing>,
-    /// Ends of replicas under copies of the request, as known when it was sent.
-    known_ends: ConsecutiveEnds,
+    service: String,
+    /// Ends of replicas under copies of the request and its parts, as known when it was sent.
+    known_ends: KnownEnds,
     began: Instant,
     /// The time of the last send. Opening a connection is not part of the run.
     sent: Instant,
@@ -47,6 +50,7 @@
     ) -> Option<Self> {
         let Target {
             chosen,
+            service,
             known_ends,
             lease,
             report,
@@ -67,6 +71,7 @@
             replica: chosen.id.clone(),
             address: chosen.address.clone(),
             outgoing: Arc::clone(outgoing),
+            service: service.to_owned(),
             known_ends,
             began,
             sent: began,
@@ -110,20 +115,34 @@
             let run = InterruptedRun {
                 run: EndedRun {
                     fingerprint: self.outgoing.fingerprint(),
-                    known: self.known_ends.clone(),
+                    known: self.known_ends.content.clone(),
                     ran_ms: self.ran().as_millis().min(u128::from(u32::MAX)) as u32,
                 },
+                parts: self.ended_parts(),
                 request: self.outgoing.id().to_owned(),
             };
             replica_ends::investigate(&self.shared, &self.replica, &self.address, run);
         }
     }
 
+    fn ended_parts(&self) -> Vec<EndedPart> {
+        let parts = self.outgoing.shared_parts.iter().take(MAX_SUSPECTED_PARTS);
+        let ended = parts.map(|part| {
+            let key = RequestFingerprint::of_part(&self.service, *part);
+            EndedPart {
+                part: *part,
+                run: self.known_ends.ended_run_of_part(key),
+            }
+        });
+        ended.collect()
+    }
+
     /// The response was complete: the replica survived the request.
     pub(crate) fn completed(&self) {
         self.report.note(RunOutcome::Served);
         self.shared.note_success(&self.replica);
-        self.shared.clear(&self.outgoing);
+        self.shared
+            .clear(&self.outgoing, &self.service, &self.known_ends);
     }
 
     /// The first event was received: the prompt has been processed.
--- a/crates/relay/src/search.rs
+++ b/crates/relay/src/search.rs
@@ -8,7 +8,6 @@
 
 use crate::{
     cold_replicas::ColdUse,
-    exchange::Outgoing,
     homes::HomeZones,
     shared::Shared,
     slots::{AskOutcome, SlotLease, SlotPriority},
@@ -30,11 +29,9 @@
     pub(crate) shared: &'a Arc<Shared>,
     pub(crate) service: &'a str,
     pub(crate) prompt: &'a [PromptPart],
-    /// The request.
-    pub(crate) outgoing: &'a Outgoing,
-    /// Whether replicas have ended under copies of this request. A replica runs at most one such
-    /// request at a time.
-    pub(crate) exclusive: bool,
+    /// Set if replicas have ended under copies of this request or under its parts: a number of what
+    /// is suspected, which chooses the replica. A replica runs at most one such request at a time.
+    pub(crate) isolation_number: Option<u64>,
     /// Replicas that the request must not be sent to.
     pub(crate) except: &'a [String],
     /// Zones in which the request may be served.
@@ -59,8 +56,8 @@
     /// The best replica with a free slot; if none of the replicas asked has one, a slot that the
     /// request waited for. `None` if no replica may be sent the request.
     pub(crate) async fn run(&self) -> Option<Placement> {
-        if self.exclusive {
-            return self.place_isolated().await;
+        if let Some(number) = self.isolation_number {
+            return self.place_isolated(number).await;
         }
         if let Some(placed) = self.find_free(ColdUse::Never).await {
             return Some(placed);
@@ -98,9 +95,9 @@
     }
 
     /// A slot of a replica that runs no other suspected request.
-    async fn place_isolated(&self) -> Option<Placement> {
+    async fn place_isolated(&self, number: u64) -> Option<Placement> {
         let need = self.need(self.except);
-        let chosen = self.shared.choose_isolated(&need, self.outgoing)?;
+        let chosen = self.shared.choose_isolated(&need, number)?;
         match self.ask(&chosen, AskMode::Exclusive).await {
             AskOutcome::Leased(lease) => Some(Placement { chosen, lease }),
             AskOutcome::Full => None,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -15,6 +15,7 @@
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{FleetView, ReplicaState, RouteTable};
 use linnethitch_routing::{
+    PartShares,
     cold::ColdState,
     dispatch::{
         ChosenReplica, CoordinatedReplica, FailureKind, ItemPace, ReplicaTable, ReportedLoad,
@@ -64,6 +65,8 @@
     keys: KeyPolicy,
     pub(crate) interrupted_runs: InterruptedRuns,
     pub(crate) suspicion_updates: SuspicionUpdates,
+    /// How common the parts of prompts are at this gateway.
+    pub(crate) part_shares: Mutex<PartShares>,
     /// Time of the last contact with another gateway.
     pub(crate) gateway_contact_ms: AtomicU64,
     /// Bytes of requests and responses that are buffered.
@@ -110,6 +113,7 @@
             connections: Connections::default(),
             interrupted_runs: InterruptedRuns::default(),
             suspicion_updates: SuspicionUpdates::default(),
+            part_shares: Mutex::default(),
             gateway_contact_ms: AtomicU64::new(0),
             buffered: BufferedBytes::new(settings.max_buffered_bytes),
             stop,
@@ -157,6 +161,7 @@
         self.counters.suspected_requests.set(suspected as i64);
         let version = fleet.table().map_or(0, |table| table.version);
         self.counters.table_version.set(version as i64);
+        self.forget_removed_routes(previous, fleet);
         let ready = {
             let mut replica_table = self.replica_table.lock();
             replica_table.set_evacuated(zones);
@@ -168,6 +173,18 @@
         self.cold.run_maintenance();
     }
 
+    fn forget_removed_routes(&self, previous: &FleetView, fleet: &FleetView) {
+        let version = |fleet: &FleetView| fleet.table().map(|table| table.version);
+        let Some(table) = fleet.table() else {
+            return;
+        };
+        if version(previous) != version(fleet) {
+            let served: HashSet<&str> = table.routes.iter().map(|r| r.name.as_str()).collect();
+            let mut part_shares = self.part_shares.lock();
+            part_shares.retain_routes(|route| served.contains(route));
+        }
+    }
+
     /// Updates the engines that are coordinated here.
     pub(crate) fn update_coordinated(&self) {
         let engines = self.engines(&self.slots.coordinated());
@@ -321,12 +338,12 @@
         self.cold.state_of_all(&candidates)
     }
 
-    /// Chooses the replica of a suspected request by hash, so that different suspected requests
-    /// go to different replicas.
+    /// Chooses the replica of a suspected request by the hash of a number of what is suspected, so
+    /// that different suspected requests go to different replicas.
     pub(crate) fn choose_isolated(
         &self,
         need: &RequestNeeds<'_>,
-        outgoing: &Outgoing,
+        number: u64,
     ) -> Option<ChosenReplica> {
         let mut except = self.cold.excluded(need.service, ColdUse::Only);
         except.extend_from_slice(need.except);
@@ -335,7 +352,6 @@
             ..*need
         };
         let now_ms = self.clock.now_ms();
-        let number = outgoing.fingerprint().number();
         self.replica_table
             .lock()
             .choose_by_hash(need, number, now_ms)
--- a/crates/relay/src/suspected_requests.rs
+++ b/crates/relay/src/suspected_requests.rs
@@ -8,13 +8,20 @@
 
 use linnethitch_clock::sleep;
 use linnethitch_protocol::{ids::MachineId, slots::GatewayDatagram, suspicion::ReportedSuspicion};
-use linnethitch_registry::{
-    ConsecutiveEnds, EndedRun, RequestFingerprint, Suspicion, is_almost_refused,
-};
+use linnethitch_registry::{ConsecutiveEnds, EndedRun, PartVerdict, RequestFingerprint, Suspicion};
+use linnethitch_routing::PartShare;
 use rand::Rng as _;
 use slog::info;
 
-use crate::{exchange::Outgoing, shared::Shared, suspicions::CONTROL_REPORT_TIMEOUT};
+use crate::{
+    exchange::Outgoing,
+    known_ends::{KnownEnds, PartEnds, RefusedBy},
+    shared::Shared,
+    suspicions::CONTROL_REPORT_TIMEOUT,
+};
+
+/// Maximum number of parts per request that are suspected when its replica ends.
+pub(crate) const MAX_SUSPECTED_PARTS: usize = 16;
 
 /// Gateways to which suspicions are resent at a time; each of them resends to others.
 const MAX_RESEND_GATEWAYS: usize = 3;
@@ -29,28 +36,98 @@
 const MAX_SUSPICIONS_PER_DATAGRAM: usize = 16;
 
 impl Shared {
-    /// Consecutive ends of replicas under copies of a request. If there are any, the request must
-    /// run without other suspected requests. `None` if the request is refused. Waits until a
-    /// replica where a copy was just interrupted has been probed.
-    pub(crate) async fn known_ends(&self, outgoing: &Outgoing) -> Option<ConsecutiveEnds> {
+    /// Counts a request of a route for how common its parts are.
+    pub(crate) fn note_parts(&self, route: &str, outgoing: &Outgoing) {
+        if !outgoing.shared_parts.is_empty() {
+            self.part_shares.lock().note(route, &outgoing.shared_parts);
+        }
+    }
+
+    /// Consecutive ends of replicas under copies of a request and under its parts, or why it is
+    /// refused. Waits until a replica where a copy was just interrupted has been probed.
+    pub(crate) async fn known_ends(
+        &self,
+        outgoing: &Outgoing,
+        route: &str,
+        service: &str,
+    ) -> Result<KnownEnds, RefusedBy> {
         if !self.interrupted_runs.all_probed() {
             self.interrupted_runs
                 .wait_until_probed(&outgoing.fingerprint())
                 .await;
         }
-        self.ends(outgoing)
+        self.ends(outgoing, route, service)
     }
 
     /// Like [`Self::known_ends`], without waiting.
-    pub(crate) fn ends(&self, outgoing: &Outgoing) -> Option<ConsecutiveEnds> {
+    pub(crate) fn ends(
+        &self,
+        outgoing: &Outgoing,
+        route: &str,
+        service: &str,
+    ) -> Result<KnownEnds, RefusedBy> {
         let fleet = self.gateway.fleet();
         if fleet.suspicions().is_empty() && self.suspicion_updates.is_empty() {
-            return Some(ConsecutiveEnds::default());
+            return Ok(KnownEnds::default());
         }
-        match self.suspicion(&outgoing.fingerprint()) {
-            Some(known) if known.is_refused() => None,
-            Some(known) => Some(known.consecutive_ends),
-            None => Some(ConsecutiveEnds::default()),
+        let content = match self.suspicion(&outgoing.fingerprint()) {
+            Some(known) if known.is_refused() => return Err(RefusedBy::Content),
+            Some(known) => known.consecutive_ends,
+            None => ConsecutiveEnds::default(),
+        };
+        let parts = outgoing.shared_parts.iter().take(MAX_SUSPECTED_PARTS);
+        let parts: Vec<PartEnds> = parts
+            .map(|part| self.part_ends(*part, route, service))
+            .collect();
+        let refused = parts
+            .iter()
+            .find(|part| part.verdict == PartVerdict::Refused);
+        match refused {
+            Some(refused) => Err(RefusedBy::Part(refused.part)),
+            None => Ok(KnownEnds { content, parts }),
+        }
+    }
+
+    fn part_ends(&self, part: u64, route: &str, service: &str) -> PartEnds {
+        let key = RequestFingerprint::of_part(service, part);
+        let refusal_key = RequestFingerprint::of_refused_part(service, part);
+        let known = self.suspicion(&key);
+        let refusal = self.suspicion(&refusal_key);
+        let ends = known.as_ref().map(|known| known.consecutive_ends.clone());
+        let ends = ends.unwrap_or_default();
+        if refusal.as_ref().is_some_and(Suspicion::is_refused) {
+            let verdict = PartVerdict::Refused;
+            return PartEnds {
+                part,
+                key,
+                ends,
+                verdict,
+                is_common: false,
+            };
+        }
+        // A part that was refused before is tried again by one request at a time.
+        let was_refused = refusal.as_ref().is_some_and(Suspicion::is_open);
+        let share = self.part_shares.lock().share(route, part);
+        let is_rare = share == PartShare::Rare;
+        let now_ms = self.clock.now_ms();
+        let uncleared_ms = self.suspicion_updates.uncleared_ms(&key, &ends, now_ms);
+        let verdict = PartVerdict::of(ends.lengths_ms.len(), is_rare || was_refused, uncleared_ms);
+        if let (PartVerdict::Refused, Some(known)) = (verdict, known) {
+            info!(self.logger, "part of prompts: refused"; "part" => format!("{part:x}"),
+                "route" => route, "service" => service, "ends" => ends.lengths_ms.len(),
+                "clearings" => ends.clearings, "replica" => &known.replica, "is_rare" => is_rare,
+                "uncleared_ms" => uncleared_ms);
+            self.report_ends(
+                &known.replica,
+                vec![Suspicion::refusal(refusal_key, refusal.as_ref())],
+            );
+        }
+        PartEnds {
+            part,
+            key,
+            ends,
+            verdict,
+            is_common: share == PartShare::Common,
         }
     }
 
@@ -76,6 +153,19 @@
         self.send_suspicions(&self.gateway.other_gateways(), &to_send);
     }
 
+    /// Records ends here and at all gateways, and reports them to control.
+    fn report_ends(&self, replica: &str, runs: Vec<EndedRun>) {
+        self.note_ends(replica, runs.iter());
+        let gateway = self.gateway.clone();
+        let replica = replica.to_owned();
+        // Other gateways resend what control has not reported.
+        tokio::spawn(async move {
+            gateway
+                .report_replica_ended(&replica, runs, CONTROL_REPORT_TIMEOUT)
+                .await
+        });
+    }
+
     /// Handles what another gateway knows of a request.
     pub(crate) fn handle_suspicion(&self, from: MachineId, reported: ReportedSuspicion) {
         let known = self.suspicion(&reported.fingerprint);
@@ -114,8 +204,8 @@
 
     /// Whether this gateway is isolated and one more end would refuse the request: other gateways
     /// may know of such an end. The caller may retry at another gateway, which knows more.
-    pub(crate) fn is_refused_while_isolated(&self, known_ends: &ConsecutiveEnds) -> bool {
-        is_almost_refused(known_ends) && self.is_isolated()
+    pub(crate) fn is_refused_while_isolated(&self, known_ends: &KnownEnds) -> bool {
+        known_ends.is_almost_refused() && self.is_isolated()
     }
 
     /// Waits while this gateway is isolated.
@@ -151,28 +241,52 @@
         }
     }
 
-    /// Clears a request of suspicion: a copy of it received a complete response.
-    pub(crate) fn clear(self: &Arc<Self>, outgoing: &Outgoing) {
+    /// Clears a request and its parts of suspicion: it received a complete response. A part is
+    /// cleared only of ends that were known when the request was sent: a part may be sound at
+    /// first and end replicas later.
+    pub(crate) fn clear(self: &Arc<Self>, outgoing: &Outgoing, service: &str, known: &KnownEnds) {
         let fleet = self.gateway.fleet();
         if fleet.suspicions().is_empty() && self.suspicion_updates.is_empty() {
             return;
         }
-        let fingerprint = outgoing.fingerprint();
-        let Some(known) = self.suspicion(&fingerprint).filter(Suspicion::is_open) else {
+        let content = outgoing.fingerprint();
+        let is_open = |key: &RequestFingerprint| self.suspicion(key).filter(Suspicion::is_open);
+        let mut cleared: Vec<Suspicion> = is_open(&content).into_iter().collect();
+        for part in outgoing.shared_parts.iter().take(MAX_SUSPECTED_PARTS) {
+            let key = RequestFingerprint::of_part(service, *part);
+            let suspicion = is_open(&key);
+            let known = known.of_part(&key);
+            let suspicion = suspicion.filter(|held| !held.consecutive_ends.supersedes(&known));
+            if let Some(suspicion) = suspicion {
+                cleared.push(suspicion);
+                cleared.extend(is_open(&RequestFingerprint::of_refused_part(
+                    service, *part,
+                )));
+            }
+        }
+        if cleared.is_empty() {
             return;
-        };
-        let cleared = known.cleared(fleet.up_to_index());
-        info!(self.logger, "request: cleared of suspicion"; "request" => outgoing.id(),
-            "content" => fingerprint.to_string(), "clearings" => cleared.consecutive_ends.clearings);
-        let reported = vec![cleared.to_report()];
-        self.suspicion_updates.note(cleared, self.clock.now_ms());
+        }
+        let up_to_index = fleet.up_to_index();
+        let cleared: Vec<Suspicion> = cleared
+            .iter()
+            .map(|held| held.cleared(up_to_index))
+            .collect();
+        for suspicion in &cleared {
+            info!(self.logger, "request: cleared of suspicion"; "request" => outgoing.id(),
+                "content" => suspicion.fingerprint.to_string(), "is_part" => suspicion.fingerprint != content,
+                "clearings" => suspicion.consecutive_ends.clearings);
+            self.suspicion_updates
+                .note(suspicion.clone(), self.clock.now_ms());
+        }
+        let reported: Vec<ReportedSuspicion> = cleared.iter().map(Suspicion::to_report).collect();
         self.send_suspicions(&self.gateway.other_gateways(), &reported);
+        let keys = cleared
+            .iter()
+            .map(|suspicion| suspicion.fingerprint)
+            .collect();
         let gateway = self.gateway.clone();
-        // If the report does not reach control, the next copy that succeeds clears the request.
-        tokio::spawn(async move {
-            gateway
-                .report_cleared(fingerprint, CONTROL_REPORT_TIMEOUT)
-                .await
-        });
+        // If the report does not reach control, the next request that succeeds clears again.
+        tokio::spawn(async move { gateway.report_cleared(keys, CONTROL_REPORT_TIMEOUT).await });
     }
 }
--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -5,7 +5,9 @@
 use std::{collections::HashMap, time::Duration};
 
 use linnethitch_protocol::suspicion::ReportedSuspicion;
-use linnethitch_registry::{ConsecutiveEnds, FleetView, RequestFingerprint, Suspicion};
+use linnethitch_registry::{
+    ConsecutiveEnds, ENDS_OF_COMMON_PART, FleetView, RequestFingerprint, Suspicion,
+};
 use parking_lot::Mutex;
 
 /// Updates are valid for this long while control does not answer, in milliseconds.
@@ -25,6 +27,13 @@
 #[derive(Default)]
 pub(crate) struct SuspicionUpdates {
     updates: Mutex<HashMap<RequestFingerprint, Update>>,
+    /// Parts with enough ends for a refusal of a common part, and since when.
+    uncleared: Mutex<HashMap<RequestFingerprint, Uncleared>>,
+}
+
+struct Uncleared {
+    clearings: u32,
+    since_ms: u64,
 }
 
 struct Update {
@@ -67,6 +76,32 @@
         newer.map(|update| &update.record).or(confirmed).cloned()
     }
 
+    /// Time for which a part has had [`ENDS_OF_COMMON_PART`] ends or more without a clearing, in
+    /// milliseconds.
+    pub(crate) fn uncleared_ms(
+        &self,
+        part: &RequestFingerprint,
+        ends: &ConsecutiveEnds,
+        now_ms: u64,
+    ) -> u64 {
+        if ends.lengths_ms.len() < ENDS_OF_COMMON_PART {
+            return 0;
+        }
+        let mut uncleared = self.uncleared.lock();
+        if uncleared.len() >= MAX_UPDATES {
+            uncleared.clear();
+        }
+        let since_now = || Uncleared {
+            clearings: ends.clearings,
+            since_ms: now_ms,
+        };
+        let held = uncleared.entry(*part).or_insert_with(since_now);
+        if held.clearings != ends.clearings {
+            *held = since_now();
+        }
+        now_ms.saturating_sub(held.since_ms)
+    }
+
     /// The suspicions to resend to other gateways. Drops expired updates.
     pub(crate) fn updates_to_send(&self, fleet: &FleetView, now_ms: u64) -> Vec<ReportedSuspicion> {
         let mut updates = self.updates.lock();
--- a/crates/relay/tests/all/ending_requests.rs
+++ b/crates/relay/tests/all/ending_requests.rs
@@ -422,7 +422,7 @@
         ran_ms: 30,
     };
     assert!(other.report_replica_ended("i-9", vec![ended], LIMIT).await);
-    other.report_cleared(fingerprint(SLOW), LIMIT).await;
+    other.report_cleared(vec![fingerprint(SLOW)], LIMIT).await;
     timeout(LIMIT, answered(200))
         .await
         .expect("the request is served");
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -118,6 +118,11 @@
         body: b"body".to_vec(),
         tokens: 100,
     });
+    submit_items(fleet, items.collect()).await;
+}
+
+/// Submits a job of the tenant with these items.
+pub(crate) async fn submit_items(fleet: &Fleet, items: Vec<ItemSpec>) {
     let job = JobSpec {
         id: JOB.to_owned(),
         host: "desk.example".to_owned(),
@@ -125,7 +130,7 @@
         max_attempts: 3,
         completion_ms: 18_000,
         give_up_ms: 60_000,
-        items: items.collect(),
+        items,
     };
     let submit = StoreCall::Submit {
         job,
@@ -144,20 +149,26 @@
     tokio::spawn(run_items(relay.clone(), settings));
 }
 
+/// The results that are listed.
+pub(crate) async fn listed(fleet: &Fleet) -> Option<ResultsPage> {
+    let results = StoreCall::Results {
+        job: JOB.to_owned(),
+        tenant: Some("desk".to_owned()),
+        since: 0,
+        most_bytes: 100_000,
+    };
+    match call(fleet, results).await {
+        StoreReply::Results(page) => Some(page),
+        _ => None,
+    }
+}
+
 /// Waits for all results.
 pub(crate) async fn results(fleet: &Fleet) -> ResultsPage {
     let all = async {
         loop {
-            let results = StoreCall::Results {
-                job: JOB.to_owned(),
-                tenant: Some("desk".to_owned()),
-                since: 0,
-                most_bytes: 100_000,
-            };
-            match call(fleet, results).await {
-                StoreReply::Results(page) if page.results.len() as u32 == page.total => {
-                    return page;
-                }
+            match listed(fleet).await {
+                Some(page) if page.results.len() as u32 == page.total => return page,
                 _ => sleep(Duration::from_millis(20)).await,
             }
         }
--- a/crates/relay/tests/all/support/gateway.rs
+++ b/crates/relay/tests/all/support/gateway.rs
@@ -12,7 +12,7 @@
     CallerServer, Dialect, HeaderNames, KeyPolicy, Prompt, Relay, RelaySettings, ResponseBody,
     ServerLimits, error_response, serve_callers,
 };
-use linnethitch_routing::dispatch::ReportedLoad;
+use linnethitch_routing::dispatch::{PromptPart, ReportedLoad};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -47,8 +47,18 @@
         &self.0
     }
 
-    fn prompt(&self, _: &HeaderMap) -> Prompt {
-        Prompt::default()
+    /// `parts` lists the ids of the prompt's parts in hexadecimal digits.
+    fn prompt(&self, headers: &HeaderMap) -> Prompt {
+        let parts = headers.get("parts").and_then(|value| value.to_str().ok());
+        let ids = parts.into_iter().flat_map(|parts| parts.split(','));
+        let parts = ids.map(|id| PromptPart {
+            id: u64::from_str_radix(id, 16).expect("a part"),
+            tokens: 10,
+        });
+        Prompt {
+            parts: parts.collect(),
+            max_output_tokens: 0,
+        }
     }
 
     fn load(&self, _: &HeaderValue) -> Option<ReportedLoad> {
@@ -88,6 +98,12 @@
         read_answer(&mut stream).await
     }
 
+    /// Like [`Self::ask`], for a request with these parts of its prompt.
+    pub(crate) async fn ask_with_parts(&self, id: &str, parts: &str, body: &str) -> Answer {
+        let mut stream = self.open(id, &format!("parts: {parts}\r\n"), body).await;
+        read_answer(&mut stream).await
+    }
+
     /// Opens a connection and sends a request.
     pub(crate) async fn open(&self, id: &str, more_headers: &str, body: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 pub mod grants;
 pub mod limits;
+mod part_shares;
 pub mod placement;
 pub mod profile;
 pub mod quota;
@@ -24,6 +25,7 @@
 pub mod view;
 
 pub use admission::Admission;
+pub use part_shares::{PartShare, PartShares};
 pub use profile::{Choice, Class, Phase, RequestProfile, RoutingRefusal, Target};
 pub use reason::ReasonCode;
 pub use retry::RetryBudget;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod item_pace;
 mod large_services;
 mod limits;
+mod part_shares;
 mod placement;
 mod quota;
 mod reason;
