--- a/crates/cluster/tests/all/builds.rs
+++ b/crates/cluster/tests/all/builds.rs
@@ -33,6 +33,8 @@
 const RECORDED: &str = include_str!("../recorded/format-1.txt");
 /// Messages and stored commands of format 2, as written by the build of commit 3f7e9fb, by name.
 const RECORDED_SECOND: &str = include_str!("../recorded/format-2.txt");
+/// Messages and stored commands of format 3, as written by the build of commit 435b015f, by name.
+const RECORDED_THIRD: &str = include_str!("../recorded/format-3.txt");
 /// A text that identifies the table in force on the wire.
 const ROUTE_HOST: &str = "quotes.example";
 
@@ -109,6 +111,7 @@
 #[rstest]
 #[case::first(RECORDED, Format::First)]
 #[case::second(RECORDED_SECOND, Format::Second)]
+#[case::third(RECORDED_THIRD, Format::Third)]
 fn messages_of_the_previous_build_are_reencoded_byte_for_byte(
     #[case] recorded: &'static str,
     #[case] format: Format,
