--- a/crates/control/src/member/apply.rs
+++ b/crates/control/src/member/apply.rs
@@ -7,6 +7,7 @@
     attach::ControlAnswer,
     command::{Command, CommandBody},
     consensus::{Entry, EntryPayload},
+    format::Format,
     frame,
     ids::{LogIndex, Revision},
 };
@@ -80,7 +81,7 @@
         bytes: &[u8],
     ) -> Result<Answer, Report<ErrorKind>> {
         let command: Command =
-            frame::decode(bytes).map_err(|report| report.change_context(ErrorKind::Corrupted))?;
+            frame::decode(bytes).map_err(|report| written_by_another_build(index, &report))?;
         let revision = self.ledger.revision();
         let answer = self.ledger.apply(index, &command)?;
         self.notify_effects(&command.body, revision);
@@ -97,3 +98,14 @@
         }
     }
 }
+
+/// The failure for a committed command that this build cannot read. The log has verified its
+/// checksum, so it is not damaged: the data folder stays as it is for the build that wrote it.
+fn written_by_another_build(index: LogIndex, report: &Report<ErrorKind>) -> Report<ErrorKind> {
+    Report::new(ErrorKind::DataFolderRefused).attach(format!(
+        "log entry {index} is intact, but written by another build: this one reads formats {} to {}; \
+         the data folder is kept as it is ({report})",
+        Format::OLDEST,
+        Format::NEWEST
+    ))
+}
--- a/crates/control/tests/all/member.rs
+++ b/crates/control/tests/all/member.rs
@@ -2,14 +2,20 @@
 
 use std::sync::Arc;
 
-use linnethitch_control::member::{Member, MemberNotice, MemberSettings};
+use linnethitch_control::member::{Member, MemberNotice, MemberSettings, MemberTime};
 use linnethitch_errors::ErrorKind;
 use linnethitch_protocol::{
     attach::{ControlAnswer, ControlCall},
     command::CommandBody,
-    ids::{DiskId, FileId, MachineId, TenantId},
+    consensus::{Entry, EntryPayload},
+    ids::{DiskId, FileId, LogIndex, MachineId, TenantId},
     query::Query,
 };
+use linnethitch_storage::{
+    VirtualDisk,
+    folder::{DataFolder, FolderIdentity, FolderRole},
+    log::{LogLimits, OpenedLog},
+};
 use rstest::rstest;
 
 use crate::cluster::{Cluster, accepted, apply_command, conflict, fleet_file};
@@ -248,6 +254,64 @@
     assert_eq!(cluster.member(3).ledger().revision().0, 10);
 }
 
+/// Guards against a member that is taken back to an earlier build, calls its log corrupted because
+/// of a command that it does not know, and loses what its disk holds.
+#[rstest]
+#[case::unknown_command(&[0xff; 64])]
+#[case::long(&[0xfe; 4096])]
+#[test]
+fn a_member_keeps_a_log_of_another_build(#[case] command: &[u8]) {
+    let mut cluster = Cluster::formed(1);
+    cluster.apply_many(1, 0, 3);
+    cluster.run_ms(200);
+    cluster.crash(1);
+    append_command(&cluster.machine(1).disk, command);
+    let before = cluster.machine(1).disk.files();
+    let (disk, settings, time) = (
+        cluster.machine(1).disk.clone(),
+        cluster.settings(1),
+        cluster.time(),
+    );
+    let mut member =
+        Member::open(settings, Arc::new(disk.clone()), DiskId(999), time).expect("it opens");
+    let stopped = (1..=600).find_map(|step| {
+        member.tick(MemberTime {
+            monotonic_ms: time.monotonic_ms + step * 10,
+            ..time
+        });
+        member.flush().err()
+    });
+    let report = stopped.expect("the member stops");
+    assert_eq!(*report.current_context(), ErrorKind::DataFolderRefused);
+    assert!(
+        format!("{report:?}").contains("written by another build"),
+        "{report:?}"
+    );
+    assert_eq!(disk.files(), before);
+}
+
+/// Appends a command to the log on the disk of the only member.
+fn append_command(disk: &VirtualDisk, command: &[u8]) {
+    let identity = FolderIdentity {
+        cluster: "test".to_owned(),
+        role: FolderRole::Control,
+        machine: MachineId(1),
+    };
+    let files = Arc::new(disk.clone());
+    let mut folder = DataFolder::open_or_format(files, &identity, DiskId(999)).expect("a folder");
+    let opened = folder.open_log(LogLimits::default()).expect("it opens");
+    let OpenedLog::Intact(mut log) = opened else {
+        panic!("the log is intact");
+    };
+    let entry = Entry {
+        term: log.hard_state().term,
+        index: LogIndex(log.last_index().0 + 1),
+        payload: EntryPayload::Command(command.to_vec()),
+    };
+    log.append(&[entry]).expect("it is appended");
+    log.sync().expect("it is synced");
+}
+
 #[test]
 fn an_isolated_member_refuses_calls_and_catches_up_without_an_election() {
     let mut cluster = Cluster::formed(5);
--- a/crates/ledger/src/snapshot/restore.rs
+++ b/crates/ledger/src/snapshot/restore.rs
@@ -4,7 +4,7 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::frame;
+use linnethitch_protocol::{format::Format, frame};
 use linnethitch_storage::{MemoryPayloads, PayloadMark, PayloadRef, Payloads};
 
 use super::{
@@ -67,6 +67,24 @@
     Report::new(ErrorKind::Corrupted).attach(message.into())
 }
 
+/// The failure for a record that this build cannot read. Its checksum was verified, so it is not
+/// damaged.
+fn written_by_another_build(report: &Report<ErrorKind>) -> Report<ErrorKind> {
+    Report::new(ErrorKind::DataFolderRefused).attach(format!(
+        "a record of the snapshot is intact, but written by another build: this one reads formats {} \
+         to {} ({report})",
+        Format::OLDEST,
+        Format::NEWEST
+    ))
+}
+
+/// The failure for a section of a kind that this build does not know.
+fn unknown_section(kind: u8) -> Report<ErrorKind> {
+    Report::new(ErrorKind::DataFolderRefused).attach(format!(
+        "the snapshot has a section of kind {kind}, which this build does not know"
+    ))
+}
+
 impl Restorer {
     /// Starts a restore. The payload store is opened once the snapshot's header was read.
     #[must_use]
@@ -95,12 +113,11 @@
         while let Some((kind, section)) = self.next_section()? {
             match kind {
                 RECORD_SECTION => {
-                    self.apply_record(frame::decode(&section).map_err(|report| {
-                        corrupted(format!("invalid record in the snapshot: {report:?}"))
-                    })?)?
+                    let record = frame::decode(&section);
+                    self.apply_record(record.map_err(|report| written_by_another_build(&report))?)?;
                 }
                 PAYLOAD_SECTION => self.apply_payload(&section)?,
-                other => return Err(corrupted(format!("unknown section kind {other}"))),
+                other => return Err(unknown_section(other)),
             }
         }
         Ok(())
