--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -27,6 +27,11 @@
 const STALL_TIMEOUT_GAPS: u32 = 3;
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// A broken stream waits at most this long for a replica that is ejected or full: callers give a
+/// stream up after a pause of two seconds.
+const REPLICA_WAIT_TIMEOUT: Duration = Duration::from_millis(900);
+const REPLICA_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Settings of a stream, besides its first replica.
 pub(crate) struct PumpSettings {
     pub(crate) route: String,
@@ -235,6 +240,7 @@
     /// Resumes at another replica after the last complete event.
     async fn resume(&mut self) -> Option<Source> {
         self.splitter.drop_partial();
+        let wait_until = Instant::now() + REPLICA_WAIT_TIMEOUT;
         while self.settings.resumable && self.settings.remaining_sends > 0 {
             if !self.has_software() {
                 self.log("no replica of the stream's software");
@@ -264,7 +270,7 @@
                 deadline: self.settings.deadline,
             };
             let Some(Placement { chosen, lease }) = search.run().await else {
-                self.wait_for_cold(&homes).await?;
+                self.wait_for_replica(&homes, wait_until).await?;
                 continue;
             };
             self.settings.remaining_sends -= 1;
@@ -310,9 +316,9 @@
         None
     }
 
-    /// Waits until the stream may be sent to a cold replica; `None` if that is not possible
-    /// before the deadline.
-    async fn wait_for_cold(&self, homes: &HomeZones) -> Option<()> {
+    /// Waits until a replica may be available: a cold one, or one that is ejected or full. `None` if
+    /// there is none, or not before the deadline.
+    async fn wait_for_replica(&self, homes: &HomeZones, wait_until: Instant) -> Option<()> {
         let need = RequestNeeds {
             service: &self.settings.service,
             prompt: &self.settings.prompt,
@@ -320,15 +326,20 @@
             homes: homes.as_ref(),
             software: &self.settings.origin.software,
         };
-        let next = self.shared.cold_send_delay(&need)?;
-        let remaining = self
-            .settings
-            .deadline
-            .saturating_duration_since(Instant::now());
-        if next.is_zero() || next >= remaining {
+        let deadline = self.settings.deadline;
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if let Some(next) = self.shared.cold_send_delay(&need)
+            && !next.is_zero()
+            && next < remaining
+        {
+            sleep(next).await;
+            return Some(());
+        }
+        let may_wait = Instant::now() < wait_until.min(deadline);
+        if !may_wait || !self.shared.may_become_available(&need) {
             return None;
         }
-        sleep(next).await;
+        sleep(REPLICA_POLL_INTERVAL).await;
         Some(())
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -338,6 +338,11 @@
         self.cold.state_of_all(&candidates)
     }
 
+    /// Whether a replica that is not available now may serve the request later.
+    pub(crate) fn may_become_available(&self, need: &RequestNeeds<'_>) -> bool {
+        self.replica_table.lock().may_become_available(need)
+    }
+
     /// Chooses the replica of a suspected request by the hash of a number of what is suspected, so
     /// that different suspected requests go to different replicas.
     pub(crate) fn choose_isolated(
--- a/crates/relay/tests/all/streams.rs
+++ b/crates/relay/tests/all/streams.rs
@@ -1,9 +1,9 @@
 //! Streams are forwarded as they arrive, cut where they broke, or resumed elsewhere.
 
-use linnethitch_registry::RouteKind;
+use linnethitch_registry::{ReplicaState, RouteKind};
 use rstest::rstest;
 
-use crate::support::{Act, Fleet, Replica, header, route};
+use crate::support::{Act, Fleet, Replica, header, listen_on_own_address, route};
 
 pub(crate) const COMPLETE: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
@@ -64,6 +64,43 @@
     assert_ne!(header(&heads[0], "expect"), header(&heads[1], "expect"));
 }
 
+/// Guards against a stream that is cut although the only other replica that may go on with it is
+/// avoided for a moment after failures.
+#[tokio::test]
+async fn a_broken_stream_waits_for_a_replica_that_is_ejected() {
+    let listener = listen_on_own_address().await;
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let fleet = Fleet::start(route(RouteKind::Streaming, 2, true), &[]).await;
+    fleet.register(0, address, ReplicaState::Ready, 1).await;
+    fleet.wait_for(1).await;
+    for number in 0..3 {
+        let answer = fleet.ask(&format!("early-{number}")).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    let _later = Replica::start_at(address, vec![Act::Send(CONTINUATION)]).await;
+    let breaking = Replica::start(vec![Act::SendAndClose(BROKEN)]).await;
+    fleet
+        .register(1, breaking.address, ReplicaState::Ready, 1)
+        .await;
+    fleet.wait_for(2).await;
+    let answer = fleet.ask("request-1").await;
+    assert_eq!(breaking.requests(), 1, "the other one was ejected");
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.body, ALL_EVENTS);
+}
+
+/// Guards against a stream that is held although no other replica may go on with it.
+#[tokio::test]
+async fn a_broken_stream_without_another_replica_is_cut() {
+    let replica = Replica::start(vec![Act::SendAndClose(BROKEN)]).await;
+    let replicas = std::slice::from_ref(&replica);
+    let fleet = Fleet::start(route(RouteKind::Streaming, 3, true), replicas).await;
+    let answer = fleet.ask("request-1").await;
+    assert!(!answer.complete, "{answer:?}");
+    assert!(fleet.log.contains("request: stream broken"));
+}
+
 #[tokio::test]
 async fn a_disconnected_caller_ends_the_work_at_the_replica() {
     let replica = Replica::start(vec![Act::Silence]).await;
--- a/crates/relay/tests/all/support/replica.rs
+++ b/crates/relay/tests/all/support/replica.rs
@@ -74,6 +74,12 @@
         Self::start_on(listen_on_own_address().await, acts)
     }
 
+    /// Like [`Self::start_killable`], at an address where nothing listened before.
+    pub(crate) async fn start_at(address: SocketAddr, acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind(address).await.expect("the port is free");
+        Self::start_on(listener, acts)
+    }
+
     fn start_on(listener: TcpListener, acts: Vec<Act>) -> Self {
         let address = listener.local_addr().expect("an address");
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
--- a/crates/routing/src/dispatch/replica_table/mod.rs
+++ b/crates/routing/src/dispatch/replica_table/mod.rs
@@ -245,6 +245,23 @@
         replicas.any(|replica| replica.traits.ready && software.allows(&replica.traits))
     }
 
+    /// Whether any replica except these is ready according to control and may serve the request,
+    /// available now or not.
+    #[must_use]
+    pub fn may_become_available(&self, needs: &RequestNeeds<'_>) -> bool {
+        let service = self.services.get(needs.service);
+        let all = service.map_or(&[][..], ServiceReplicas::all);
+        let mut replicas = all.iter().filter_map(|id| self.replicas.get(id));
+        replicas.any(|replica| {
+            let traits = &replica.traits;
+            traits.ready
+                && needs.allows_zone(&traits.zone)
+                && needs.software.allows(traits)
+                && !needs.except.contains(&traits.id)
+                && !self.evacuated.contains(&traits.zone)
+        })
+    }
+
     /// Whether a replica is known to have other software than this version. A version that was
     /// unknown before is no other one.
     #[must_use]
