--- a/crates/gateway/src/services/relay.rs
+++ b/crates/gateway/src/services/relay.rs
@@ -104,7 +104,7 @@
         Ending::Complete => return None,
         Ending::Broken(at) => format!("the response ended {at}"),
         Ending::Unproven => match probe(address).await {
-            ProcessState::Listens(_) => return None,
+            ProcessState::Listens { .. } => return None,
             ProcessState::Ended => "the process of the replica ended".to_owned(),
             ProcessState::Silent => "the machine of the replica does not answer".to_owned(),
         },
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -1,11 +1,12 @@
 //! A response that is being received from a replica.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Version, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use linnethitch_clock::{sleep, timeout};
 use linnethitch_registry::ReplicaState;
 use linnethitch_response::{Ending, ProcessState, ResponseEnd, probe};
 use slog::info;
@@ -14,6 +15,9 @@
     connections::Connection, exchange::OpenedResponse, running_guard::RunningGuard, shared::Shared,
 };
 
+/// Maximum wait for news of a replica that may have been started again.
+const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What a reader expects of the body of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyKind {
@@ -108,17 +112,28 @@
         }
     }
 
+    /// Waits for control's news of the replica if this process was held up: meanwhile the replica
+    /// may have ended and been started again at its address.
+    async fn wait_for_news(&self, shared: &Arc<Shared>, state: &ProcessState) {
+        // On a time-out the view of this moment counts.
+        let _ = timeout(NEWS_TIMEOUT, shared.gateway.wait_for_update_after_pause()).await;
+        if matches!(state, ProcessState::Listens { is_late: true, .. }) {
+            sleep(NEWS_TIMEOUT).await;
+        }
+    }
+
     /// Whether the process of the replica still runs. A replica that ended may have been about to
     /// send more; one whose machine does not answer is not known to have ended well.
     async fn is_sender_running(&self, shared: &Arc<Shared>) -> bool {
         let state = probe(self.running.address()).await;
         let is_silent = matches!(state, ProcessState::Silent);
+        self.wait_for_news(shared, &state).await;
         let registered = shared.gateway.fleet().state_of_incarnation(&self.replica);
         let is_replaced = matches!(
             registered,
             Some(ReplicaState::Ended | ReplicaState::Displaced)
         );
-        if let ProcessState::Listens(connection) = state
+        if let ProcessState::Listens { connection, .. } = state
             && !is_replaced
         {
             if let Some(connection) = connection {
