--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use node_list::{DirectoryNode, DirectoryQuery, NodeList, READY_TTL_MS, near};
 pub use notification_order::{Place, notification_rank};
-pub use part_verdict::{ENDS_OF_COMMON_PART, PartVerdict, is_part_almost_refused};
+pub use part_verdict::{ENDS_OF_COMMON_PART, PartVerdict, SinceFirstEnd, is_part_almost_refused};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
 pub use replica_records::ReplicaDifference;
--- a/crates/registry/src/part_verdict.rs
+++ b/crates/registry/src/part_verdict.rs
@@ -16,6 +16,12 @@
 /// Time for a complete answer that clears a common part after these ends, in milliseconds: several
 /// times the duration of a usual run.
 const CLEARING_TIME_MS: u64 = 1_500;
+/// Requests without a common part that must have been served meanwhile: where none is served,
+/// nothing can clear a sound part either.
+const SERVED_WITHOUT_PART: u64 = 8;
+/// Ends and time after which a part is refused that every request may have, so that none is served.
+const ENDS_WITHOUT_SERVICE: usize = 8;
+const CLEARING_TIME_WITHOUT_SERVICE_MS: u64 = 2_500;
 
 /// What is done with a request because of one of its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,15 +34,27 @@
     Refused,
 }
 
+/// What a gateway saw since the first of a part's consecutive ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SinceFirstEnd {
+    /// Time since there were [`ENDS_OF_COMMON_PART`], in milliseconds.
+    pub uncleared_ms: u64,
+    /// Complete answers of the service, none of which cleared the part.
+    pub served: u64,
+}
+
 impl PartVerdict {
-    /// The verdict on a part with this number of consecutive ends. `uncleared_ms` is the time since
-    /// there were [`ENDS_OF_COMMON_PART`].
+    /// The verdict on a part with this number of consecutive ends.
     #[must_use]
-    pub fn of(consecutive_ends: usize, is_rare: bool, uncleared_ms: u64) -> Self {
-        let refused_common =
-            consecutive_ends >= ENDS_OF_COMMON_PART && uncleared_ms >= CLEARING_TIME_MS;
-        let refused_rare = is_rare && consecutive_ends >= ENDS_OF_RARE_PART;
-        if refused_common || refused_rare {
+    pub fn of(consecutive_ends: usize, is_rare: bool, since: SinceFirstEnd) -> Self {
+        let is_uncleared = consecutive_ends >= ENDS_OF_COMMON_PART
+            && since.uncleared_ms >= CLEARING_TIME_MS
+            && since.served >= SERVED_WITHOUT_PART;
+        let is_service_lost = consecutive_ends >= ENDS_WITHOUT_SERVICE
+            && since.uncleared_ms >= CLEARING_TIME_WITHOUT_SERVICE_MS
+            && since.served == 0;
+        let is_refused_rare = is_rare && consecutive_ends >= ENDS_OF_RARE_PART;
+        if is_uncleared || is_service_lost || is_refused_rare {
             PartVerdict::Refused
         } else if is_rare && consecutive_ends > 0 {
             PartVerdict::RunsAlone
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -22,7 +22,10 @@
 //! A request is refused after three consecutive ends. A request that runs for seconds is hit
 //! by unrelated ends more often, so one more end is required for each second.
 
-use std::collections::{BTreeMap, btree_map::Entry};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, btree_map::Entry},
+};
 
 use linnethitch_protocol::{
     ids::LogIndex,
@@ -161,6 +164,20 @@
         self.restarted(Vec::new(), changed_at)
     }
 
+    /// The record after a run came to a complete answer that began when this was known: it speaks
+    /// only against the ends that were known then. `None` if it changes nothing.
+    #[must_use]
+    pub fn cleared_of(&self, known: &ConsecutiveEnds, changed_at: LogIndex) -> Option<Suspicion> {
+        let ends = &self.consecutive_ends;
+        let refuted = match known.clearings.cmp(&ends.clearings) {
+            Ordering::Less => 0,
+            Ordering::Equal => known.lengths_ms.len().min(ends.lengths_ms.len()),
+            Ordering::Greater => ends.lengths_ms.len(),
+        };
+        let remaining = ends.lengths_ms[refuted..].to_vec();
+        (refuted > 0).then(|| self.restarted(remaining, changed_at))
+    }
+
     /// The record after a long time without reports: a refused request may be tried again, and
     /// is refused again after one more end; any other request is no longer suspected.
     fn decayed(&self, changed_at: LogIndex) -> Suspicion {
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -141,6 +141,7 @@
     pub(crate) fn completed(&self) {
         self.report.note(RunOutcome::Served);
         self.shared.note_success(&self.replica);
+        self.shared.count_served(&self.service);
         self.shared
             .clear(&self.outgoing, &self.service, &self.known_ends);
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -65,6 +65,8 @@
     keys: KeyPolicy,
     pub(crate) interrupted_runs: InterruptedRuns,
     pub(crate) suspicion_updates: SuspicionUpdates,
+    /// Complete answers by service.
+    served: Mutex<HashMap<String, u64>>,
     /// How common the parts of prompts are at this gateway.
     pub(crate) part_shares: Mutex<PartShares>,
     /// Time of the last contact with another gateway.
@@ -113,6 +115,7 @@
             connections: Connections::default(),
             interrupted_runs: InterruptedRuns::default(),
             suspicion_updates: SuspicionUpdates::default(),
+            served: Mutex::default(),
             part_shares: Mutex::default(),
             gateway_contact_ms: AtomicU64::new(0),
             buffered: BufferedBytes::new(settings.max_buffered_bytes),
@@ -134,6 +137,22 @@
         self.stop.note_answer(route, arrived.elapsed(), now_ms);
     }
 
+    /// Counts a complete answer of a service.
+    pub(crate) fn count_served(&self, service: &str) {
+        let mut served = self.served.lock();
+        match served.get_mut(service) {
+            Some(count) => *count += 1,
+            None => {
+                served.insert(service.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Number of complete answers of a service at this gateway.
+    pub(crate) fn served_by(&self, service: &str) -> u64 {
+        self.served.lock().get(service).copied().unwrap_or(0)
+    }
+
     /// Applies the differences between two views of the fleet.
     pub(crate) fn apply_fleet(&self, previous: &FleetView, fleet: &FleetView) {
         let changes = FleetChanges::between(previous, fleet);
--- a/crates/relay/src/suspected_requests.rs
+++ b/crates/relay/src/suspected_requests.rs
@@ -110,13 +110,16 @@
         let share = self.part_shares.lock().share(route, part);
         let is_rare = share == PartShare::Rare;
         let now_ms = self.clock.now_ms();
-        let uncleared_ms = self.suspicion_updates.uncleared_ms(&key, &ends, now_ms);
-        let verdict = PartVerdict::of(ends.lengths_ms.len(), is_rare || was_refused, uncleared_ms);
+        let served = self.served_by(service);
+        let since = self
+            .suspicion_updates
+            .since_first_end(&key, &ends, served, now_ms);
+        let verdict = PartVerdict::of(ends.lengths_ms.len(), is_rare || was_refused, since);
         if let (PartVerdict::Refused, Some(known)) = (verdict, known) {
             info!(self.logger, "part of prompts: refused"; "part" => format!("{part:x}"),
                 "route" => route, "service" => service, "ends" => ends.lengths_ms.len(),
                 "clearings" => ends.clearings, "replica" => &known.replica, "is_rare" => is_rare,
-                "uncleared_ms" => uncleared_ms);
+                "uncleared_ms" => since.uncleared_ms, "served" => since.served);
             self.report_ends(
                 &known.replica,
                 vec![Suspicion::refusal(refusal_key, refusal.as_ref())],
@@ -249,33 +252,27 @@
         if fleet.suspicions().is_empty() && self.suspicion_updates.is_empty() {
             return;
         }
+        let up_to_index = fleet.up_to_index();
         let content = outgoing.fingerprint();
-        let is_open = |key: &RequestFingerprint| self.suspicion(key).filter(Suspicion::is_open);
-        let mut cleared: Vec<Suspicion> = is_open(&content).into_iter().collect();
+        let open = |key: &RequestFingerprint| self.suspicion(key).filter(Suspicion::is_open);
+        let mut cleared: Vec<Suspicion> = Vec::new();
+        cleared.extend(open(&content).map(|held| held.cleared(up_to_index)));
         for part in outgoing.shared_parts.iter().take(MAX_SUSPECTED_PARTS) {
             let key = RequestFingerprint::of_part(service, *part);
-            let suspicion = is_open(&key);
-            let known = known.of_part(&key);
-            let suspicion = suspicion.filter(|held| !held.consecutive_ends.supersedes(&known));
-            if let Some(suspicion) = suspicion {
-                cleared.push(suspicion);
-                cleared.extend(is_open(&RequestFingerprint::of_refused_part(
-                    service, *part,
-                )));
-            }
+            let held = open(&key);
+            let held = held.and_then(|held| held.cleared_of(&known.of_part(&key), up_to_index));
+            let Some(held) = held else { continue };
+            cleared.push(held);
+            let refusal = open(&RequestFingerprint::of_refused_part(service, *part));
+            cleared.extend(refusal.map(|held| held.cleared(up_to_index)));
         }
         if cleared.is_empty() {
             return;
         }
-        let up_to_index = fleet.up_to_index();
-        let cleared: Vec<Suspicion> = cleared
-            .iter()
-            .map(|held| held.cleared(up_to_index))
-            .collect();
         for suspicion in &cleared {
             info!(self.logger, "request: cleared of suspicion"; "request" => outgoing.id(),
                 "content" => suspicion.fingerprint.to_string(), "is_part" => suspicion.fingerprint != content,
-                "clearings" => suspicion.consecutive_ends.clearings);
+                "clearings" => suspicion.consecutive_ends.clearings, "ends" => suspicion.consecutive_ends.lengths_ms.len());
             self.suspicion_updates
                 .note(suspicion.clone(), self.clock.now_ms());
         }
--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -6,7 +6,7 @@
 
 use linnethitch_protocol::suspicion::ReportedSuspicion;
 use linnethitch_registry::{
-    ConsecutiveEnds, ENDS_OF_COMMON_PART, FleetView, RequestFingerprint, Suspicion,
+    ConsecutiveEnds, ENDS_OF_COMMON_PART, FleetView, RequestFingerprint, SinceFirstEnd, Suspicion,
 };
 use parking_lot::Mutex;
 
@@ -27,13 +27,16 @@
 #[derive(Default)]
 pub(crate) struct SuspicionUpdates {
     updates: Mutex<HashMap<RequestFingerprint, Update>>,
-    /// Parts with enough ends for a refusal of a common part, and since when.
-    uncleared: Mutex<HashMap<RequestFingerprint, Uncleared>>,
+    /// Parts under which replicas ended, and what was seen since.
+    open_parts: Mutex<HashMap<RequestFingerprint, OpenPart>>,
 }
 
-struct Uncleared {
+struct OpenPart {
     clearings: u32,
-    since_ms: u64,
+    /// Complete answers of the service before the first end.
+    served_before: u64,
+    /// When there were enough ends to refuse a common part.
+    enough_ends_at_ms: Option<u64>,
 }
 
 struct Update {
@@ -76,30 +79,40 @@
         newer.map(|update| &update.record).or(confirmed).cloned()
     }
 
-    /// Time for which a part has had [`ENDS_OF_COMMON_PART`] ends or more without a clearing, in
-    /// milliseconds.
-    pub(crate) fn uncleared_ms(
+    /// What this gateway saw since the first of a part's consecutive ends; `served` is the number of
+    /// complete answers of the service so far.
+    pub(crate) fn since_first_end(
         &self,
         part: &RequestFingerprint,
         ends: &ConsecutiveEnds,
+        served: u64,
         now_ms: u64,
-    ) -> u64 {
-        if ends.lengths_ms.len() < ENDS_OF_COMMON_PART {
-            return 0;
+    ) -> SinceFirstEnd {
+        let mut open_parts = self.open_parts.lock();
+        if ends.is_empty() {
+            open_parts.remove(part);
+            return SinceFirstEnd::default();
         }
-        let mut uncleared = self.uncleared.lock();
-        if uncleared.len() >= MAX_UPDATES {
-            uncleared.clear();
+        if open_parts.len() >= MAX_UPDATES {
+            open_parts.clear();
         }
-        let since_now = || Uncleared {
+        let newly_open = || OpenPart {
             clearings: ends.clearings,
-            since_ms: now_ms,
+            served_before: served,
+            enough_ends_at_ms: None,
         };
-        let held = uncleared.entry(*part).or_insert_with(since_now);
-        if held.clearings != ends.clearings {
-            *held = since_now();
+        let open = open_parts.entry(*part).or_insert_with(newly_open);
+        if open.clearings != ends.clearings {
+            *open = newly_open();
+        }
+        if ends.lengths_ms.len() < ENDS_OF_COMMON_PART {
+            return SinceFirstEnd::default();
+        }
+        let enough_ends_at_ms = *open.enough_ends_at_ms.get_or_insert(now_ms);
+        SinceFirstEnd {
+            uncleared_ms: now_ms.saturating_sub(enough_ends_at_ms),
+            served: served.saturating_sub(open.served_before),
         }
-        now_ms.saturating_sub(held.since_ms)
     }
 
     /// The suspicions to resend to other gateways. Drops expired updates.
