--- a/crates/relay/src/suspected_requests.rs
+++ b/crates/relay/src/suspected_requests.rs
@@ -88,43 +88,36 @@
         }
     }
 
+    /// What is known of one part, and what is done with requests because of it.
     fn part_ends(&self, part: u64, route: &str, service: &str) -> PartEnds {
         let key = RequestFingerprint::of_part(service, part);
         let refusal_key = RequestFingerprint::of_refused_part(service, part);
-        let known = self.suspicion(&key);
         let refusal = self.suspicion(&refusal_key);
+        let known = self.suspicion(&key);
         let ends = known.as_ref().map(|known| known.consecutive_ends.clone());
         let ends = ends.unwrap_or_default();
-        if refusal.as_ref().is_some_and(Suspicion::is_refused) {
-            let verdict = PartVerdict::Refused;
-            return PartEnds {
-                part,
-                key,
-                ends,
-                verdict,
-                is_common: false,
-            };
-        }
-        // A part that was refused before is tried again by one request at a time.
-        let was_refused = refusal.as_ref().is_some_and(Suspicion::is_open);
         let share = self.part_shares.lock().share(route, part);
-        let is_rare = share == PartShare::Rare;
-        let now_ms = self.clock.now_ms();
-        let served = self.served_by(service);
-        let since = self
-            .suspicion_updates
-            .since_first_end(&key, &ends, served, now_ms);
-        let verdict = PartVerdict::of(ends.lengths_ms.len(), is_rare || was_refused, since);
-        if let (PartVerdict::Refused, Some(known)) = (verdict, known) {
-            info!(self.logger, "part of prompts: refused"; "part" => format!("{part:x}"),
-                "route" => route, "service" => service, "ends" => ends.lengths_ms.len(),
-                "clearings" => ends.clearings, "replica" => &known.replica, "is_rare" => is_rare,
-                "uncleared_ms" => since.uncleared_ms, "served" => since.served);
-            self.report_ends(
-                &known.replica,
-                vec![Suspicion::refusal(refusal_key, refusal.as_ref())],
-            );
-        }
+        let verdict = if refusal.as_ref().is_some_and(Suspicion::is_refused) {
+            PartVerdict::Refused
+        } else {
+            let served = self.served_by(service);
+            let now_ms = self.clock.now_ms();
+            let updates = &self.suspicion_updates;
+            let since = updates.since_first_end(&key, &ends, served, now_ms);
+            // A part that was refused before is tried again by one request at a time.
+            let was_refused = refusal.as_ref().is_some_and(Suspicion::is_open);
+            let is_rare = share == PartShare::Rare || was_refused;
+            let verdict = PartVerdict::of(ends.lengths_ms.len(), is_rare, since);
+            if let (PartVerdict::Refused, Some(known)) = (verdict, &known) {
+                info!(self.logger, "part of prompts: refused"; "part" => format!("{part:x}"),
+                    "route" => route, "service" => service, "ends" => ends.lengths_ms.len(),
+                    "clearings" => ends.clearings, "replica" => &known.replica, "is_rare" => is_rare,
+                    "uncleared_ms" => since.uncleared_ms, "served" => since.served);
+                let run = Suspicion::refusal(refusal_key, refusal.as_ref());
+                self.report_ends(&known.replica, vec![run]);
+            }
+            verdict
+        };
         PartEnds {
             part,
             key,
--- a/crates/routing/src/part_shares.rs
+++ b/crates/routing/src/part_shares.rs
@@ -5,9 +5,9 @@
 /// Requests of a generation; the last one or two generations are counted.
 const REQUESTS_PER_GENERATION: u32 = 256;
 /// Fewer recent requests tell nothing of a part.
-const MIN_REQUESTS: u32 = 32;
+const MIN_REQUESTS: u32 = 16;
 /// A part is rare if fewer than one of this number of requests have it.
-const RARE_DIVISOR: u32 = 4;
+const RARE_DIVISOR: u32 = 2;
 /// Maximum number of parts counted per request; later parts count as not seen.
 const MAX_PARTS: usize = 16;
 
