--- a/crates/registry/src/part_verdict.rs
+++ b/crates/registry/src/part_verdict.rs
@@ -5,10 +5,13 @@
 //! by each end and is cleared soon after; a sound part that few requests have is seldom
 //! interrupted again. So:
 //!
-//! * requests with a rare part run alone from its first end on: the next end then speaks against
-//!   few other parts, and few replicas run such requests at a time;
+//! * requests with a rare part run alone from its second end on: the next end then speaks against
+//!   few other parts, and few replicas run such requests at a time. One end says little: it speaks
+//!   against every part of a dozen requests, all of which would wait for each other;
 //! * a common part is refused only after complete answers had time to arrive.
 
+/// Consecutive ends after which requests with a rare part run alone.
+const ENDS_BEFORE_ISOLATION: usize = 2;
 /// Consecutive ends after which requests with a rare part are refused.
 const ENDS_OF_RARE_PART: usize = 3;
 /// Consecutive ends after which requests with a common part are refused.
@@ -56,7 +59,7 @@
         let is_refused_rare = is_rare && consecutive_ends >= ENDS_OF_RARE_PART;
         if is_uncleared || is_service_lost || is_refused_rare {
             PartVerdict::Refused
-        } else if is_rare && consecutive_ends > 0 {
+        } else if is_rare && consecutive_ends >= ENDS_BEFORE_ISOLATION {
             PartVerdict::RunsAlone
         } else {
             PartVerdict::Admitted
--- a/crates/relay/src/known_ends.rs
+++ b/crates/relay/src/known_ends.rs
@@ -70,7 +70,7 @@
         let parts = self
             .parts
             .iter()
-            .filter(|part| !part.is_common && !part.ends.is_empty());
+            .filter(|part| !part.is_common && is_part_almost_refused(part.ends.lengths_ms.len()));
         let part = parts.max_by_key(|part| part.ends.lengths_ms.len());
         Some(part.map_or_else(content, |part| part.key).number())
     }
