--- a/crates/registry/src/part_verdict.rs
+++ b/crates/registry/src/part_verdict.rs
@@ -10,6 +10,9 @@
 //!   against every part of a dozen requests, all of which would wait for each other;
 //! * a common part is refused only after complete answers had time to arrive.
 
+/// Run time for which one more end is needed, over all interrupted runs, in milliseconds: a run is hit
+/// by an unrelated end the more often the longer it lasts.
+const MS_PER_FURTHER_END: usize = 1_000;
 /// Consecutive ends after which requests with a rare part run alone.
 const ENDS_BEFORE_ISOLATION: usize = 2;
 /// Consecutive ends after which requests with a rare part are refused.
@@ -47,19 +50,22 @@
 }
 
 impl PartVerdict {
-    /// The verdict on a part with this number of consecutive ends.
+    /// The verdict on a part under which replicas ended after runs of these lengths.
     #[must_use]
-    pub fn of(consecutive_ends: usize, is_rare: bool, since: SinceFirstEnd) -> Self {
-        let is_uncleared = consecutive_ends >= ENDS_OF_COMMON_PART
+    pub fn of(lengths_ms: &[u32], is_rare: bool, since: SinceFirstEnd) -> Self {
+        let ends = lengths_ms.len();
+        let run_ms: usize = lengths_ms.iter().map(|ran_ms| *ran_ms as usize).sum();
+        let further = run_ms / MS_PER_FURTHER_END;
+        let is_uncleared = ends >= ENDS_OF_COMMON_PART + further
             && since.uncleared_ms >= CLEARING_TIME_MS
             && since.served >= SERVED_WITHOUT_PART;
-        let is_service_lost = consecutive_ends >= ENDS_WITHOUT_SERVICE
+        let is_service_lost = ends >= ENDS_WITHOUT_SERVICE + further
             && since.uncleared_ms >= CLEARING_TIME_WITHOUT_SERVICE_MS
             && since.served == 0;
-        let is_refused_rare = is_rare && consecutive_ends >= ENDS_OF_RARE_PART;
+        let is_refused_rare = is_rare && ends >= ENDS_OF_RARE_PART + further;
         if is_uncleared || is_service_lost || is_refused_rare {
             PartVerdict::Refused
-        } else if is_rare && consecutive_ends >= ENDS_BEFORE_ISOLATION {
+        } else if is_rare && ends >= ENDS_BEFORE_ISOLATION {
             PartVerdict::RunsAlone
         } else {
             PartVerdict::Admitted
--- a/crates/relay/src/known_ends.rs
+++ b/crates/relay/src/known_ends.rs
@@ -90,13 +90,12 @@
         known.map(|part| part.ends.clone()).unwrap_or_default()
     }
 
-    /// The run of a part that was interrupted. Its length tells nothing: requests with the same
-    /// part differ.
-    pub(crate) fn ended_run_of_part(&self, key: RequestFingerprint) -> EndedRun {
+    /// The interrupted run under the key of one of its parts.
+    pub(crate) fn ended_run_of_part(&self, key: RequestFingerprint, ran_ms: u32) -> EndedRun {
         EndedRun {
             fingerprint: key,
             known: self.of_part(&key),
-            ran_ms: 0,
+            ran_ms,
         }
     }
 
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -260,13 +260,14 @@
         }
     }
 
-    /// The parts of all runs, each once: as known to the run that knew most of it.
+    /// The parts of all runs, each once: of the run that knew most of it, and of the longest of those.
     fn ended_parts(&self) -> Vec<EndedRun> {
         let mut parts: HashMap<RequestFingerprint, &EndedRun> = HashMap::new();
         for ended in self.runs.iter().flat_map(|interrupted| &interrupted.parts) {
             let run = &ended.run;
             let held = parts.entry(run.fingerprint).or_insert(run);
-            if run.known.supersedes(&held.known) {
+            let knew_more = run.known.supersedes(&held.known);
+            if knew_more || (run.known == held.known && run.ran_ms > held.ran_ms) {
                 *held = run;
             }
         }
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -112,26 +112,27 @@
         self.shared.note_failure(&self.replica, FailureKind::Broken);
         self.shared.cold.note_possible_end(&self.replica);
         if self.shared.is_known_ready(&self.replica) {
+            let ran_ms = self.ran().as_millis().min(u128::from(u32::MAX)) as u32;
             let run = InterruptedRun {
                 run: EndedRun {
                     fingerprint: self.outgoing.fingerprint(),
                     known: self.known_ends.content.clone(),
-                    ran_ms: self.ran().as_millis().min(u128::from(u32::MAX)) as u32,
+                    ran_ms,
                 },
-                parts: self.ended_parts(),
+                parts: self.ended_parts(ran_ms),
                 request: self.outgoing.id().to_owned(),
             };
             replica_ends::investigate(&self.shared, &self.replica, &self.address, run);
         }
     }
 
-    fn ended_parts(&self) -> Vec<EndedPart> {
+    fn ended_parts(&self, ran_ms: u32) -> Vec<EndedPart> {
         let parts = self.outgoing.shared_parts.iter().take(MAX_SUSPECTED_PARTS);
         let ended = parts.map(|part| {
             let key = RequestFingerprint::of_part(&self.service, *part);
             EndedPart {
                 part: *part,
-                run: self.known_ends.ended_run_of_part(key),
+                run: self.known_ends.ended_run_of_part(key, ran_ms),
             }
         });
         ended.collect()
--- a/crates/relay/src/suspected_requests.rs
+++ b/crates/relay/src/suspected_requests.rs
@@ -107,7 +107,7 @@
             // A part that was refused before is tried again by one request at a time.
             let was_refused = refusal.as_ref().is_some_and(Suspicion::is_open);
             let is_rare = share == PartShare::Rare || was_refused;
-            let verdict = PartVerdict::of(ends.lengths_ms.len(), is_rare, since);
+            let verdict = PartVerdict::of(&ends.lengths_ms, is_rare, since);
             if let (PartVerdict::Refused, Some(known)) = (verdict, &known) {
                 info!(self.logger, "part of prompts: refused"; "part" => format!("{part:x}"),
                     "route" => route, "service" => service, "ends" => ends.lengths_ms.len(),
