--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -42,6 +42,7 @@
 /// Delay of an item before its next run for each replica that ended under its runs. An item that
 /// ends replicas would otherwise end all of them before gateways know which of its parts is common.
 const SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(400);
+const MAX_SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 /// Status of an item that can never be processed.
 const UNPROCESSABLE: u16 = 422;
 
@@ -198,8 +199,7 @@
         let ends = known_ends.content.lengths_ms.len();
         if ends > self.delayed_ends {
             self.delayed_ends = ends;
-            sleep(SUSPECTED_RETRY_DELAY * ends as u32).await;
-            return RunEnd::Continue;
+            return self.delay_suspected(ends).await;
         }
         let isolation_number = known_ends.isolation_number(|| outgoing.fingerprint());
         let placed = match isolation_number {
@@ -365,6 +365,15 @@
         })
     }
 
+    /// Delays an item under whose runs replicas ended.
+    async fn delay_suspected(&self, ends: usize) -> RunEnd {
+        let delay = SUSPECTED_RETRY_DELAY * ends as u32;
+        tokio::select! {
+            () = sleep(delay.min(MAX_SUSPECTED_RETRY_DELAY)) => RunEnd::Continue,
+            () = self.stopping.cancelled() => RunEnd::Return,
+        }
+    }
+
     /// Defers an item that is suspected of ending replicas or has no replica in its home regions.
     /// It cannot fail before its time is over, so it waits here for a while and is then returned
     /// for another gateway.
