--- a/crates/gateway/tests/all/services.rs
+++ b/crates/gateway/tests/all/services.rs
@@ -13,13 +13,13 @@
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
 };
 
 use crate::support::{
     caller::{call, request, send},
     control::{FakeControl, Shared},
-    gateway::{TestGateway, application, fleet_file, wait_until},
+    gateway::{KEY, TestGateway, application, fleet_file, wait_until},
 };
 
 /// Last byte of the address of replicas whose ports no other process may take once they end.
@@ -330,3 +330,40 @@
         assert_eq!(received.expect("a body").to_bytes(), body);
     }
 }
+
+/// Guards against a caller of HTTP/1.0, who has no chunks, and takes the close of a connection for
+/// the end of a response that broke.
+#[rstest]
+#[case::broken("data: a\n\ndata", false)]
+#[case::whole("data: a\n\n", true)]
+#[tokio::test]
+async fn a_caller_without_chunks_sees_that_a_response_broke(
+    #[case] body: &str,
+    #[case] is_whole: bool,
+) {
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n{body}");
+    let replica = start_closing_replica(response, After::Runs).await;
+    let (gateway, _control) = gateway_before(replica).await;
+    let url = gateway.url("/services/tariffs/x");
+    let address = url
+        .strip_prefix("http://")
+        .and_then(|url| url.split('/').next());
+    let mut caller = TcpStream::connect(address.expect("an address"))
+        .await
+        .expect("it listens");
+    let request = format!(
+        "POST /services/tariffs/x HTTP/1.0\r\nauthorization: Bearer {KEY}\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller
+        .write_all(request.as_bytes())
+        .await
+        .expect("it is sent");
+    let mut received = Vec::new();
+    let read = caller.read_to_end(&mut received).await;
+    assert_eq!(
+        read.is_ok(),
+        is_whole,
+        "{read:?} {}",
+        String::from_utf8_lossy(&received)
+    );
+}
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod listener;
 mod request;
+mod resettable;
 
 pub use endpoint::{Endpoints, Route};
 pub use listener::{ConnectionLimits, Listener};
--- a/crates/http-server/src/listener.rs
+++ b/crates/http-server/src/listener.rs
@@ -16,7 +16,10 @@
 use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::{REQUEST_ID_HEADER, failure_response};
+use crate::{
+    answer::{REQUEST_ID_HEADER, failure_response},
+    resettable::{MustReset, ResettableStream},
+};
 
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -111,9 +114,11 @@
     logger: Logger,
 ) {
     let _ = stream.set_nodelay(true);
-    let mut stream = TimeoutStream::new(stream);
+    let must_reset = MustReset::default();
+    let mut stream = TimeoutStream::new(ResettableStream::new(stream, must_reset.clone()));
     stream.set_write_timeout(Some(limits.write_stall));
-    let service = service_fn(move |request| answer(router.clone(), request, peer));
+    let service =
+        service_fn(move |request| answer(router.clone(), request, peer, must_reset.clone()));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
@@ -149,6 +154,7 @@
     router: Router,
     mut request: Request<Incoming>,
     peer: SocketAddr,
+    must_reset: MustReset,
 ) -> Result<Response<Body>, Infallible> {
     // A value from the peer is not trusted, because ids identify requests at engines and in
     // journals.
@@ -156,13 +162,14 @@
     request
         .headers_mut()
         .insert(REQUEST_ID_HEADER, id_value.clone());
+    let version = request.version();
     let state = State::from_request(request, peer);
     let mut response = match call_handler(router, AssertUnwindSafe(state)).await {
         Ok(response) => explain_router_refusal(response),
         Err(error) => failure_response(&Failure::new(ErrorKind::Internal, error.to_string())),
     };
     response.headers_mut().insert(REQUEST_ID_HEADER, id_value);
-    Ok(response)
+    Ok(response.map(|body| must_reset.watch(version, body)))
 }
 
 /// Adds a body from the error table to the empty refusals of the router.
