--- a/crates/gateway/src/services/relay.rs
+++ b/crates/gateway/src/services/relay.rs
@@ -104,11 +104,7 @@
         Ending::Complete => return None,
         Ending::Broken(at) => format!("the response ended {at}"),
         Ending::Unproven => match probe(address).await {
-            ProcessState::Listens { is_late: false, .. } => return None,
-            // Another process may have been started at the address since.
-            ProcessState::Listens { is_late: true, .. } => {
-                "the gateway was held up while it asked for the replica".to_owned()
-            }
+            ProcessState::Listens(_) => return None,
             ProcessState::Ended => "the process of the replica ended".to_owned(),
             ProcessState::Silent => "the machine of the replica does not answer".to_owned(),
         },
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod connections;
 mod counted_stream;
 mod counters;
+mod delays;
 mod dialect;
 mod exchange;
 mod fleet_changes;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -92,6 +92,7 @@
         tokio::spawn(follow_fleet(Arc::clone(&shared), gateway.clone()));
         tokio::spawn(follow_gateways(Arc::clone(&shared), gateway));
         tokio::spawn(maintain(Arc::clone(&shared)));
+        tokio::spawn(shared.delays.clone().record());
         Relay { shared, stopping }
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -34,6 +34,7 @@
     connections::Connections,
     counted_stream::ReplicaBytes,
     counters::{Counters, RequestEnd},
+    delays::Delays,
     dialect::Dialect,
     exchange::Outgoing,
     fleet_changes::{FleetChanges, replica_traits},
@@ -65,6 +66,7 @@
     keys: KeyPolicy,
     pub(crate) interrupted_runs: InterruptedRuns,
     pub(crate) suspicion_updates: SuspicionUpdates,
+    pub(crate) delays: Delays,
     /// Complete answers by service.
     served: Mutex<HashMap<String, u64>>,
     /// How common the parts of prompts are at this gateway.
@@ -115,6 +117,7 @@
             connections: Connections::default(),
             interrupted_runs: InterruptedRuns::default(),
             suspicion_updates: SuspicionUpdates::default(),
+            delays: Delays::default(),
             served: Mutex::default(),
             part_shares: Mutex::default(),
             gateway_contact_ms: AtomicU64::new(0),
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -15,8 +15,8 @@
     connections::Connection, exchange::OpenedResponse, running_guard::RunningGuard, shared::Shared,
 };
 
-/// Maximum wait for news of a replica that may have been started again.
-const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum wait for control's report on a replica that may have been started again.
+const UPDATE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What a reader expects of the body of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,13 +112,13 @@
         }
     }
 
-    /// Waits for control's news of the replica if this process was held up: meanwhile the replica
+    /// Waits for control's report on the replica if this process was delayed: meanwhile the replica
     /// may have ended and been started again at its address.
-    async fn wait_for_news(&self, shared: &Arc<Shared>, state: &ProcessState) {
+    async fn wait_for_fleet_update(&self, shared: &Arc<Shared>) {
         // On a time-out the view of this moment counts.
-        let _ = timeout(NEWS_TIMEOUT, shared.gateway.wait_for_update_after_pause()).await;
-        if matches!(state, ProcessState::Listens { is_late: true, .. }) {
-            sleep(NEWS_TIMEOUT).await;
+        let _ = timeout(UPDATE_TIMEOUT, shared.gateway.wait_for_update_after_pause()).await;
+        if shared.delays.ended_within(UPDATE_TIMEOUT) {
+            sleep(UPDATE_TIMEOUT).await;
         }
     }
 
@@ -127,13 +127,13 @@
     async fn is_sender_running(&self, shared: &Arc<Shared>) -> bool {
         let state = probe(self.running.address()).await;
         let is_silent = matches!(state, ProcessState::Silent);
-        self.wait_for_news(shared, &state).await;
+        self.wait_for_fleet_update(shared).await;
         let registered = shared.gateway.fleet().state_of_incarnation(&self.replica);
         let is_replaced = matches!(
             registered,
             Some(ReplicaState::Ended | ReplicaState::Displaced)
         );
-        if let ProcessState::Listens { connection, .. } = state
+        if let ProcessState::Listens(connection) = state
             && !is_replaced
         {
             if let Some(connection) = connection {
--- a/crates/relay/tests/all/support/replica.rs
+++ b/crates/relay/tests/all/support/replica.rs
@@ -80,6 +80,16 @@
         Self::start_on(listener, acts)
     }
 
+    /// Starts another process at the address of one that ends.
+    pub(crate) async fn start_again(address: SocketAddr, acts: Vec<Act>) -> Self {
+        loop {
+            if let Ok(listener) = TcpListener::bind(address).await {
+                return Self::start_on(listener, acts);
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     fn start_on(listener: TcpListener, acts: Vec<Act>) -> Self {
         let address = listener.local_addr().expect("an address");
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
--- a/crates/response/src/lib.rs
+++ b/crates/response/src/lib.rs
@@ -13,5 +13,5 @@
 pub use event_scanner::EventScanner;
 pub use event_splitter::{EventSplitter, data_of};
 pub use framing::Framing;
-pub use probe::{PROCESS_END_DURATION, ProcessState, probe, refuses_connections};
+pub use probe::{PROBE_TIMEOUT, PROCESS_END_DURATION, ProcessState, probe, refuses_connections};
 pub use response_end::{BrokenAt, Ending, ResponseEnd};
--- a/crates/response/src/probe.rs
+++ b/crates/response/src/probe.rs
@@ -5,32 +5,24 @@
     time::Duration,
 };
 
-use linnethitch_clock::{Instant, sleep, timeout};
+use linnethitch_clock::{sleep, timeout};
 use tokio::net::TcpStream;
 
 /// A process that ends closes all its sockets within this time.
 pub const PROCESS_END_DURATION: Duration = Duration::from_millis(3);
+/// Longest duration of a probe that is answered by the back end's machine or times out.
+pub const PROBE_TIMEOUT: Duration = PROCESS_END_DURATION.saturating_add(CONNECT_TIMEOUT);
 /// Maximum wait for an answer of the back end's machine. A closed port answers within a round
 /// trip; a machine that is down never does.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Connections that are tried: one may be accepted by a process that ends at that moment.
 const MAX_CONNECTS: u32 = 2;
 
-/// A probe whose waits take this much longer than they should may meet a process that has been
-/// started since.
-const MAX_LATENESS: Duration = Duration::from_millis(100);
-
 /// What the address of a back end says of its process.
 #[derive(Debug)]
 pub enum ProcessState {
-    /// A process listens.
-    Listens {
-        /// The connection that it accepted, unless it closed that.
-        connection: Option<TcpStream>,
-        /// Whether this process was held up during the probe, so that the other one may have been
-        /// started since the response ended.
-        is_late: bool,
-    },
+    /// A process listens; holds the connection that it accepted, unless it closed that.
+    Listens(Option<TcpStream>),
     /// No process listens at the address.
     Ended,
     /// The machine did not answer.
@@ -40,32 +32,19 @@
 /// Asks the address whether a process listens, after the time in which one that has begun to end
 /// would be gone.
 pub async fn probe(address: &str) -> ProcessState {
-    let mut is_late = !sleep_in_time().await;
+    sleep(PROCESS_END_DURATION).await;
     for _ in 0..MAX_CONNECTS {
         let connected = match connect(address).await {
             Ok(connected) => connected,
             Err(state) => return state,
         };
         // An ending process may have accepted the connection, which it then closes.
-        is_late |= !sleep_in_time().await;
+        sleep(PROCESS_END_DURATION).await;
         if is_open(&connected) {
-            return ProcessState::Listens {
-                connection: Some(connected),
-                is_late,
-            };
+            return ProcessState::Listens(Some(connected));
         }
     }
-    ProcessState::Listens {
-        connection: None,
-        is_late,
-    }
-}
-
-/// Waits for the time in which an ending process is gone; false if it took much longer.
-async fn sleep_in_time() -> bool {
-    let began = Instant::now();
-    sleep(PROCESS_END_DURATION).await;
-    began.elapsed() < PROCESS_END_DURATION + MAX_LATENESS
+    ProcessState::Listens(None)
 }
 
 /// Whether the machine at an address reports that no process listens there.
