--- a/crates/relay/src/known_ends.rs
+++ b/crates/relay/src/known_ends.rs
@@ -66,7 +66,7 @@
         if !self.is_suspected() {
             return None;
         }
-        // Of parts with as many ends the later one is shared by fewer requests.
+        // Of several parts with equal ends the last one is shared by the fewest requests.
         let parts = self
             .parts
             .iter()
@@ -75,7 +75,7 @@
         Some(part.map_or_else(content, |part| part.key).number())
     }
 
-    /// Whether more is known now that bears on where and whether the request runs.
+    /// Whether later ends are known now that decide whether and where the request runs.
     pub(crate) fn is_outdated(&self, now: &KnownEnds) -> bool {
         let is_newer =
             |now: &ConsecutiveEnds, then: &ConsecutiveEnds| !now.is_empty() && now.supersedes(then);
@@ -99,6 +99,13 @@
         }
     }
 
+    /// The parts with the ends of each, as in `f1:0,2c:2`, for logs.
+    pub(crate) fn parts_text(&self) -> String {
+        let parts = self.parts.iter();
+        let texts = parts.map(|known| format!("{:x}:{}", known.part, known.ends.lengths_ms.len()));
+        texts.collect::<Vec<String>>().join(",")
+    }
+
     fn suspected_parts(&self) -> impl Iterator<Item = &PartEnds> {
         self.parts
             .iter()
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -9,15 +9,13 @@
 
 use linnethitch_clock::{Instant, sleep, timeout_at};
 use linnethitch_registry::{EndedRun, ReplicaState, RequestFingerprint};
-use linnethitch_response::{PROCESS_END_DURATION, refuses_connections};
+use linnethitch_response::{PROBE_TIMEOUT, PROCESS_END_DURATION, refuses_connections};
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
 
 use crate::{shared::Shared, suspicions::CONTROL_REPORT_TIMEOUT};
 
-/// Maximum wait of a copy of an interrupted request for the probe of its replica.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(303);
 /// A replica that ended and could not be probed is replaced by another incarnation within this
 /// time; otherwise it counts as running.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(6);
@@ -260,7 +258,8 @@
         }
     }
 
-    /// The parts of all runs, each once: of the run that knew most of it, and of the longest of those.
+    /// The parts of all runs, each once. Of several runs with a part counts the one that began with
+    /// the most recent record of it, and of these the longest.
     fn ended_parts(&self) -> Vec<EndedRun> {
         let mut parts: HashMap<RequestFingerprint, &EndedRun> = HashMap::new();
         for ended in self.runs.iter().flat_map(|interrupted| &interrupted.parts) {
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -6,6 +6,7 @@
 use linnethitch_protocol::slots::RunOutcome;
 use linnethitch_registry::{EndedRun, RequestFingerprint};
 use linnethitch_routing::dispatch::{FailureKind, PromptPart, RunningWork, WorkKind};
+use slog::info;
 
 use crate::{
     exchange::{Outgoing, Target},
@@ -65,6 +66,12 @@
             .replica_table
             .lock()
             .begin(chosen, prompt, kind, now_ms)?;
+        if known_ends.is_suspected() {
+            info!(shared.logger, "request: suspected of ending replicas, sent";
+                "request" => outgoing.id(), "replica" => &chosen.id,
+                "content_ends" => known_ends.content.lengths_ms.len(),
+                "parts" => known_ends.parts_text());
+        }
         let began = Instant::now();
         Some(RunningGuard {
             shared: Arc::clone(shared),
