--- a/crates/errors/src/kind.rs
+++ b/crates/errors/src/kind.rs
@@ -86,7 +86,7 @@
     BodyTooLarge => 413, "body_too_large", No, false;
     /// The prompt and the requested output exceed the model's context window.
     ContextTooLong => 400, "context_length_exceeded", No, false;
-    /// Replicas ended under this request, one after the other; it was not run again and is refused for some minutes.
+    /// Replicas ended under this request, or under requests with a part of its prompt, one after the other; it was not run again and is refused for some minutes.
     EndsReplicas => 400, "ends_replicas", No, false;
     /// The configuration was refused; the message names section and field.
     InvalidConfiguration => 422, "invalid_configuration", No, false;
--- a/crates/registry/src/part_verdict.rs
+++ b/crates/registry/src/part_verdict.rs
@@ -1,17 +1,18 @@
 //! What is done with requests that have a part of their prompt under which replicas ended.
 //!
-//! A part that ends every replica never gets a complete answer, but requests with it also have
-//! sound parts, which are interrupted with it. A sound part that many requests have is interrupted
-//! by each end and is cleared soon after; a sound part that few requests have is seldom
-//! interrupted again. So:
+//! Requests with a part that ends every replica never get a complete answer. Their other parts
+//! are harmless and are interrupted with it. A harmless part that many requests have is
+//! interrupted by each end and cleared soon after; one that few requests have is seldom
+//! interrupted twice in a row. Therefore:
 //!
-//! * requests with a rare part run alone from its second end on: the next end then speaks against
-//!   few other parts, and few replicas run such requests at a time. One end says little: it speaks
-//!   against every part of a dozen requests, all of which would wait for each other;
-//! * a common part is refused only after complete answers had time to arrive.
+//! * Requests with a rare part run alone from its second end on, so that a further end interrupts
+//!   few other parts and few replicas run such requests at a time. After a single end this would
+//!   serialize a dozen harmless requests with each of their parts.
+//! * A common part is refused only after complete answers had time to arrive.
+//! * A run is interrupted by an unrelated end the more often the longer it lasts, so long runs
+//!   require further ends.
 
-/// Run time for which one more end is needed, over all interrupted runs, in milliseconds: a run is hit
-/// by an unrelated end the more often the longer it lasts.
+/// Total time of the interrupted runs for which one more end is required, in milliseconds.
 const MS_PER_FURTHER_END: usize = 1_000;
 /// Consecutive ends after which requests with a rare part run alone.
 const ENDS_BEFORE_ISOLATION: usize = 2;
@@ -22,10 +23,11 @@
 /// Time for a complete answer that clears a common part after these ends, in milliseconds: several
 /// times the duration of a usual run.
 const CLEARING_TIME_MS: u64 = 1_500;
-/// Requests without a common part that must have been served meanwhile: where none is served,
-/// nothing can clear a sound part either.
-const SERVED_WITHOUT_PART: u64 = 8;
-/// Ends and time after which a part is refused that every request may have, so that none is served.
+/// Complete answers that must have arrived meanwhile: without any, nothing could have cleared a
+/// harmless part either.
+const MIN_SERVED: u64 = 8;
+/// Ends and time after which a part is refused although nothing was answered meanwhile: every
+/// request may have it.
 const ENDS_WITHOUT_SERVICE: usize = 8;
 const CLEARING_TIME_WITHOUT_SERVICE_MS: u64 = 2_500;
 
@@ -58,7 +60,7 @@
         let further = run_ms / MS_PER_FURTHER_END;
         let is_uncleared = ends >= ENDS_OF_COMMON_PART + further
             && since.uncleared_ms >= CLEARING_TIME_MS
-            && since.served >= SERVED_WITHOUT_PART;
+            && since.served >= MIN_SERVED;
         let is_service_lost = ends >= ENDS_WITHOUT_SERVICE + further
             && since.uncleared_ms >= CLEARING_TIME_WITHOUT_SERVICE_MS
             && since.served == 0;
@@ -73,7 +75,7 @@
     }
 }
 
-/// Whether requests with a rare part are refused after one more end.
+/// Whether requests with a rare part may be refused after one more end.
 #[must_use]
 pub fn is_part_almost_refused(consecutive_ends: usize) -> bool {
     consecutive_ends + 1 >= ENDS_OF_RARE_PART
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -21,6 +21,10 @@
 //!
 //! A request is refused after three consecutive ends. A request that runs for seconds is hit
 //! by unrelated ends more often, so one more end is required for each second.
+//!
+//! Parts of prompts have records of the same kind, since requests that share a part that ends
+//! replicas may have nothing else in common. [`PartVerdict`](crate::PartVerdict) decides on them,
+//! and a complete answer refutes only the ends that were known when its run began.
 
 use std::{
     cmp::Ordering,
@@ -106,7 +110,7 @@
         }
     }
 
-    /// The run that records this number under another key as refused, after one more end.
+    /// A run whose report sets the record of a refusal, so that [`Self::is_refused`] holds for it.
     #[must_use]
     pub fn refusal(key: RequestFingerprint, current: Option<&Suspicion>) -> EndedRun {
         let clearings = current.map_or(0, |current| current.consecutive_ends.clearings);
@@ -164,8 +168,8 @@
         self.restarted(Vec::new(), changed_at)
     }
 
-    /// The record after a run came to a complete answer that began when this was known: it speaks
-    /// only against the ends that were known then. `None` if it changes nothing.
+    /// The record after a run got a complete answer that began when this was known. The answer
+    /// refutes only the ends that were known then. `None` if there were none.
     #[must_use]
     pub fn cleared_of(&self, known: &ConsecutiveEnds, changed_at: LogIndex) -> Option<Suspicion> {
         let ends = &self.consecutive_ends;
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -204,10 +204,7 @@
         let isolation_number = known_ends.isolation_number(|| outgoing.fingerprint());
         let placed = match isolation_number {
             None => self.wait_for_slot(&service, &outgoing).await,
-            Some(_) => {
-                self.place_isolated(&service, &outgoing, isolation_number)
-                    .await
-            }
+            Some(number) => self.place_isolated(&service, &outgoing, number).await,
         };
         let Some(ItemPlacement {
             chosen,
@@ -336,12 +333,12 @@
         })
     }
 
-    /// A slot at a replica that runs no other suspected request.
+    /// A slot at a replica that runs no other suspected request; the number chooses the replica.
     async fn place_isolated(
         &self,
         service: &str,
         outgoing: &Outgoing,
-        isolation_number: Option<u64>,
+        isolation_number: u64,
     ) -> Option<ItemPlacement> {
         let by = Instant::now() + SLOT_WAIT_TIMEOUT;
         let homes = self.shared.homes(outgoing);
@@ -349,7 +346,7 @@
             shared: &self.shared,
             service,
             prompt: &[],
-            isolation_number,
+            isolation_number: Some(isolation_number),
             except: &self.tried,
             homes: &homes,
             software: &self.generated.software(),
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -27,8 +27,8 @@
 const STALL_TIMEOUT_GAPS: u32 = 3;
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// A broken stream waits at most this long for a replica that is ejected or full: callers give a
-/// stream up after a pause of two seconds.
+/// Maximum wait of a broken stream for a replica that is ejected or full. Callers give a stream up
+/// after a pause of two seconds.
 const REPLICA_WAIT_TIMEOUT: Duration = Duration::from_millis(900);
 const REPLICA_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -27,7 +27,7 @@
 #[derive(Default)]
 pub(crate) struct SuspicionUpdates {
     updates: Mutex<HashMap<RequestFingerprint, Update>>,
-    /// Parts under which replicas ended, and what was seen since.
+    /// Parts under which replicas ended, with the state at their first end.
     open_parts: Mutex<HashMap<RequestFingerprint, OpenPart>>,
 }
 
--- a/crates/routing/src/part_shares.rs
+++ b/crates/routing/src/part_shares.rs
@@ -4,7 +4,7 @@
 
 /// Requests of a generation; the last one or two generations are counted.
 const REQUESTS_PER_GENERATION: u32 = 256;
-/// Fewer recent requests tell nothing of a part.
+/// Minimum number of recent requests to classify a part.
 const MIN_REQUESTS: u32 = 16;
 /// A part is rare if fewer than one of this number of requests have it.
 const RARE_DIVISOR: u32 = 2;
