--- a/review/tools/src/bin/case_removed_route.rs
+++ b/review/tools/src/bin/case_removed_route.rs
@@ -11,10 +11,12 @@
     BROKEN, HELD, NOT_RUN,
 };
 
-const SLOTS: u32 = 4;
+/// So many that each gateway grants the slots of some of them.
+const REPLICAS: u8 = 8;
+const SLOTS: u32 = 2;
 const EVENTS: u64 = 4;
-const EVENT_MS: u64 = 100;
-const ITEMS: u64 = 48;
+const EVENT_MS: u64 = 150;
+const ITEMS: u64 = 96;
 /// `max_queue_s` of the batch routes.
 const MAX_QUEUE_S: u64 = 30;
 
@@ -66,7 +68,7 @@
         }
         sent && stream.write_all(LAST_CHUNK.as_bytes()).is_ok()
     };
-    let zone = ["worcester", "hartford"][usize::from(number)];
+    let zone = ["worcester", "hartford"][usize::from(number) % 2];
     Replica::start(&id, "models", zone, SLOTS, fleet.members(), Arc::new(work));
 }
 
@@ -132,8 +134,7 @@
         "no configuration",
     );
     fleet.wait_until_ready();
-    start_replica(0, &fleet);
-    start_replica(1, &fleet);
+    (0..REPLICAS).for_each(|number| start_replica(number, &fleet));
     thread::sleep(Duration::from_secs(3));
     submit(fleet.front(0), "/lanes/", "job-before");
     let before = results(fleet.front(0), "job-before", Duration::from_secs(25));
