--- a/review/tools/src/replica.rs
+++ b/review/tools/src/replica.rs
@@ -3,6 +3,7 @@
 use std::{
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     sync::Arc,
     thread,
     time::Duration,
@@ -16,6 +17,21 @@
 /// What a replica does with a request of the route; false if the connection is to be closed.
 pub type Work = dyn Fn(&mut TcpStream, &mut Request) -> bool + Send + Sync;
 
+extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+/// Bytes of a connection's receive buffer: the windows of the deployment are small.
+const WINDOW_BYTES: i32 = 32_768;
+
+/// Gives the connections of a listener small windows.
+fn set_small_windows(listener: &TcpListener) {
+    // SAFETY: the descriptor is open, and the value is an integer of the given length.
+    unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &WINDOW_BYTES, 4) };
+}
+
 /// A replica of a service.
 pub struct Replica {
     pub id: String,
@@ -34,6 +50,7 @@
     ) -> Self {
         let listener = needed(TcpListener::bind("127.0.0.1:0").ok(), "no port for a replica");
         let address = needed(listener.local_addr().ok(), "no address of a replica");
+        set_small_windows(&listener);
         let own = id.to_owned();
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
