--- a/review/tools/src/fleet.rs
+++ b/review/tools/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Mutex,
@@ -20,6 +21,24 @@
 pub const NODE_PORT: u16 = 7_660;
 pub const PROXIED_PORT: u16 = 7_700;
 
+extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+/// Makes a process end with the one that started it, however that ends.
+fn end_with_parent(command: &mut Command) -> &mut Command {
+    // SAFETY: prctl is safe to call between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
+    }
+}
+
 /// Kills every process that the run started, and removes their folder.
 pub fn end_processes() {
     let mut processes = PROCESSES.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
@@ -134,7 +153,8 @@
             .append(true)
             .open(self.folder.join(format!("{class}-{number}.log")));
         let log = needed(log.ok(), "no log file");
-        let started = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        let started = end_with_parent(&mut command)
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("LINNETHITCH_SETTINGS", &path)
--- a/review/tools/src/record.rs
+++ b/review/tools/src/record.rs
@@ -15,6 +15,13 @@
     START.get_or_init(Instant::now);
     let file = File::create(path).expect("the record can be written");
     let _ = FILE.set(Mutex::new(file));
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        usual(panic);
+        if std::thread::current().name() == Some("main") {
+            crate::finish(crate::NOT_RUN);
+        }
+    }));
 }
 
 /// Milliseconds since the start of the run.
