--- a/review/tools/src/bin/case_two_runs.rs
+++ b/review/tools/src/bin/case_two_runs.rs
@@ -5,7 +5,7 @@
     io::{ErrorKind, Read, Write},
     net::TcpStream,
     process::exit,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
     thread,
     time::Duration,
 };
@@ -20,16 +20,18 @@
 
 const REPLICAS: u8 = 4;
 const SLOTS: u32 = 19;
-const EVENTS: u64 = 31;
-/// Pause between two events: nine tokens.
-const EVENT_MS: u64 = 30;
-/// The streams; in one of them the first run is preempted.
-const STREAMS: u64 = 20;
-const PREEMPTED: &str = "stream-12";
-/// Events before the preemption.
-const EVENTS_BEFORE: u64 = 2;
-/// How long the preempted run waits for memory and is read anew.
-const READ_ANEW_MS: u64 = 2_600;
+const EVENTS: u64 = 53;
+const EVENT_TOKENS: u64 = 9;
+/// Pause between two events.
+const EVENT_MS: u64 = 50;
+const STREAMS: u64 = 24;
+const STREAM_EVERY_MS: u64 = 300;
+/// Tokens of the part that all prompts share, and of each prompt's own part.
+const SHARED_TOKENS: u64 = 39_000;
+const OWN_TOKENS: u64 = 43_900;
+/// Memory of a replica: three prompts fit, with few of their events.
+const MEMORY_TOKENS: u64 = 171_000;
+const TOKENS_PER_MS: f64 = 85.2;
 /// The former replica must not work on a request this long after it went on at another one.
 const OVERLAP_MS: u64 = 400;
 
@@ -38,12 +40,75 @@
 /// The runs of one request.
 #[derive(Default)]
 struct Runs {
-    /// Replica, begin and end of each run at a replica.
+    /// Replica, first token and end of each run at a replica.
     all: Vec<(String, u64, Option<u64>)>,
 }
 
 type Requests = Arc<Mutex<HashMap<String, Runs>>>;
 
+/// The stream that was preempted first.
+static PREEMPTED: OnceLock<String> = OnceLock::new();
+
+/// The requests that run at a replica, the newest last, with the tokens that each has made.
+#[derive(Default)]
+struct Memory {
+    running: Mutex<Vec<(String, u64)>>,
+}
+
+impl Memory {
+    fn used(running: &[(String, u64)]) -> u64 {
+        let own = running.iter().map(|(_, made)| OWN_TOKENS + made);
+        SHARED_TOKENS + own.sum::<u64>()
+    }
+
+    /// Admits a request if its prompt fits.
+    fn admit(&self, id: &str, made: u64) -> bool {
+        let mut running = self.running.lock().expect("no thread failed");
+        running.push((id.to_owned(), made));
+        let fits = Self::used(&running) <= MEMORY_TOKENS;
+        if !fits {
+            running.pop();
+        }
+        fits
+    }
+
+    /// Adds the tokens of an event; false if the memory ran out and this request, the newest, is
+    /// preempted.
+    fn grow(&self, id: &str) -> bool {
+        let mut running = self.running.lock().expect("no thread failed");
+        let known = running.iter_mut().find(|(other, _)| other == id);
+        if let Some((_, made)) = known {
+            *made += EVENT_TOKENS;
+        }
+        let is_newest = running.last().is_some_and(|(newest, _)| newest == id);
+        let is_full = Self::used(&running) > MEMORY_TOKENS && running.len() > 1;
+        if is_full && is_newest {
+            running.pop();
+        }
+        !(is_full && is_newest)
+    }
+
+    fn release(&self, id: &str) {
+        let mut running = self.running.lock().expect("no thread failed");
+        running.retain(|(other, _)| other != id);
+    }
+}
+
+/// Waits for memory; false if the connection is closed.
+fn waits_for_memory(stream: &mut TcpStream, memory: &Memory, id: &str, made: u64) -> bool {
+    while !memory.admit(id, made) {
+        if !works(stream, Duration::from_millis(10)) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Reads tokens of a prompt; false if the connection is closed.
+fn reads(stream: &mut TcpStream, tokens: u64) -> bool {
+    works(stream, Duration::from_secs_f64(tokens as f64 / TOKENS_PER_MS / 1_000.0))
+}
+
 fn begin(requests: &Requests, id: &str, replica: &str) -> usize {
     let mut requests = requests.lock().expect("no thread failed");
     let runs = &mut requests.entry(id.to_owned()).or_default().all;
@@ -81,6 +146,7 @@
     stream: &mut TcpStream,
     request: &mut http::Request,
     own: &str,
+    memory: &Memory,
     requests: &Requests,
     loses_answer: bool,
 ) -> bool {
@@ -90,26 +156,35 @@
     }
     let id = request.value("x-request-id").unwrap_or_default().to_owned();
     let last: Option<u64> = request.value("last-event-id").and_then(|last| last.parse().ok());
-    let number = begin(requests, &id, own);
-    note(&format!("{own}: begins {id}, last event {last:?}"));
-    let is_first = number == 0 && id == PREEMPTED;
-    let is_lost = number == 1 && id == PREEMPTED && loses_answer;
-    // The prompt is read, then the first token is made.
-    let mut is_open = works(stream, Duration::from_millis(40));
-    if !is_lost {
-        is_open = is_open && stream.write_all(stream_head(own, &id, SLOTS).as_bytes()).is_ok();
+    let last = last.unwrap_or(0);
+    note(&format!("{own}: takes {id}, last event {last}"));
+    let made = last * EVENT_TOKENS;
+    let has_begun = waits_for_memory(stream, memory, &id, made) && reads(stream, OWN_TOKENS + made);
+    if !has_begun {
+        memory.release(&id);
+        note(&format!("{own}: connection of {id} closed before its first token"));
+        return false;
     }
-    let first = last.unwrap_or(0) + 1;
-    for event_number in first..=EVENTS {
-        if is_first && event_number == EVENTS_BEFORE + 1 {
-            note(&format!("{own}: memory ran out, {id} is preempted and read anew"));
-            is_open = is_open && works(stream, Duration::from_millis(READ_ANEW_MS));
-            note(&format!("{own}: {id} was read anew, connection open: {is_open}"));
-        }
+    let number = begin(requests, &id, own);
+    note(&format!("{own}: first token of {id}"));
+    let is_lost = number == 1 && loses_answer && PREEMPTED.get() == Some(&id);
+    let mut is_open =
+        is_lost || stream.write_all(stream_head(own, &id, SLOTS).as_bytes()).is_ok();
+    for event_number in last + 1..=EVENTS {
         is_open = is_open && works(stream, Duration::from_millis(EVENT_MS));
+        if is_open && !memory.grow(&id) {
+            let _ = PREEMPTED.set(id.clone());
+            let made = event_number * EVENT_TOKENS;
+            note(&format!("{own}: memory ran out, {id} is preempted after event {last}..{event_number}"));
+            is_open = waits_for_memory(stream, memory, &id, made);
+            note(&format!("{own}: {id} is read anew, connection open: {is_open}"));
+            is_open = is_open && reads(stream, OWN_TOKENS + made);
+            note(&format!("{own}: {id} goes on, connection open: {is_open}"));
+        }
         if !is_open {
-            note(&format!("{own}: connection of {id} closed, request dropped"));
+            memory.release(&id);
             end(requests, &id, number);
+            note(&format!("{own}: connection of {id} closed, request dropped"));
             return false;
         }
         if !is_lost {
@@ -117,6 +192,7 @@
             is_open = stream.write_all(text.as_bytes()).is_ok();
         }
     }
+    memory.release(&id);
     end(requests, &id, number);
     note(&format!("{own}: ran {id}, answer lost: {is_lost}"));
     if is_lost {
@@ -146,8 +222,9 @@
     for number in 0..REPLICAS {
         let id = format!("i-{number}");
         let (own, requests) = (id.clone(), Arc::clone(&requests));
+        let memory = Memory::default();
         let work = move |stream: &mut TcpStream, request: &mut http::Request| {
-            run(stream, request, &own, &requests, trouble)
+            run(stream, request, &own, &memory, &requests, trouble)
         };
         let zone = ["worcester", "hartford"][usize::from(number) % 2];
         Replica::start(&id, "models", zone, SLOTS, fleet.members(), Arc::new(work));
@@ -156,11 +233,12 @@
     let clients: Vec<_> = (0..STREAMS)
         .map(|number| {
             let front = fleet.front((number % 2) as u8);
-            thread::sleep(Duration::from_millis(150));
+            thread::sleep(Duration::from_millis(STREAM_EVERY_MS));
             thread::spawn(move || {
                 let id = format!("stream-{number}");
                 let headers = format!(
-                    "X-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\nX-Model: m\r\nX-Token-Usage: 40000,280\r\nX-Prefix-Hash: 5c1e07a2:30000,{number:x}e4402b:10000\r\nContent-Type: application/json\r\n"
+                    "X-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\nX-Model: m\r\nX-Token-Usage: {},480\r\nX-Prefix-Hash: 5c1e07a2:{SHARED_TOKENS},{number:x}e4402b:{OWN_TOKENS}\r\nContent-Type: application/json\r\n",
+                    SHARED_TOKENS + OWN_TOKENS
                 );
                 note(&format!("client: sends {id} to {front}"));
                 let limit = Duration::from_secs(7);
@@ -182,11 +260,12 @@
             let ((former, _, former_end), (next, next_begin, _)) = (&pair[0], &pair[1]);
             let still_ms = former_end.unwrap_or(u64::MAX).saturating_sub(*next_begin);
             note(&format!(
-                "{id}: went on at {next}; {former} worked on it for {still_ms} ms more"
+                "{id}: went on at {next}; {former} worked on it for {still_ms} ms after its first token there"
             ));
             is_broken |= still_ms > OVERLAP_MS;
         }
     }
     drop(requests);
+    needed(PREEMPTED.get(), "no memory ran out");
     finish(if is_broken { BROKEN } else { HELD });
 }
