--- a/review/tools/src/bin/case_removed_route.rs
+++ b/review/tools/src/bin/case_removed_route.rs
@@ -4,7 +4,7 @@
 use std::{io::Write, net::SocketAddr, process::exit, sync::Arc, thread, time::Duration};
 
 use linnethitch_review::{
-    fleet::Fleet,
+    fleet::{Fleet, Signal},
     finish, has_trouble, http, limit_run, needed,
     record::{self, note, now_ms},
     replica::{event, stream_head, Replica, LAST_CHUNK},
@@ -159,7 +159,7 @@
 fn play_round(fleet: &Fleet, version: u64, trouble: bool) -> usize {
     if trouble {
         // The machine of control in the zone of gateway 1.
-        fleet.signal("core-1", "STOP");
+        fleet.signal("core-1", Signal::Stop);
     }
     let acknowledged = fleet.put_config(&config(version), Duration::from_secs(10));
     needed(acknowledged.then_some(()), "no further configuration");
@@ -169,7 +169,7 @@
     let accepted_ms = submit(fleet.front(0), &prefix, &name);
     if trouble {
         thread::sleep(Duration::from_millis(1_500));
-        fleet.signal("core-1", "CONT");
+        fleet.signal("core-1", Signal::Continue);
     }
     let listed = results(fleet.front(0), &name, Duration::from_secs(MAX_QUEUE_S - 8));
     let age_s = (now_ms() - accepted_ms) / 1_000;
