review: case 2 counts only work

A request that waits for memory does not count as worked on, and six replicas leave the second one room.

--- a/review/tools/src/bin/case_two_runs.rs
+++ b/review/tools/src/bin/case_two_runs.rs
@@ -18,7 +18,7 @@
     BROKEN, HELD,
 };
 
-const REPLICAS: u8 = 4;
+const REPLICAS: u8 = 6;
 const SLOTS: u32 = 19;
 const EVENTS: u64 = 53;
 const EVENT_TOKENS: u64 = 9;
@@ -40,7 +40,7 @@
 /// The runs of one request.
 #[derive(Default)]
 struct Runs {
-    /// Replica, first token and end of each run at a replica.
+    /// Replica, first token and last work of each run; no last work while it goes on.
     all: Vec<(String, u64, Option<u64>)>,
 }
 
@@ -116,10 +116,11 @@
     runs.len() - 1
 }
 
-fn end(requests: &Requests, id: &str, run: usize) {
+/// Ends a run whose last work was at this time.
+fn end(requests: &Requests, id: &str, run: usize, worked_ms: u64) {
     let mut requests = requests.lock().expect("no thread failed");
     if let Some(runs) = requests.get_mut(id) {
-        runs.all[run].2 = Some(now_ms());
+        runs.all[run].2 = Some(worked_ms);
     }
 }
 
@@ -166,24 +167,30 @@
         return false;
     }
     let number = begin(requests, &id, own);
-    note(&format!("{own}: first token of {id}"));
     let is_lost = number == 1 && loses_answer && PREEMPTED.get() == Some(&id);
+    note(&format!("{own}: first token of {id}, answer lost: {is_lost}"));
+    // A request that waits for memory is not worked on.
+    let mut worked_ms = now_ms();
     let mut is_open =
         is_lost || stream.write_all(stream_head(own, &id, SLOTS).as_bytes()).is_ok();
     for event_number in last + 1..=EVENTS {
         is_open = is_open && works(stream, Duration::from_millis(EVENT_MS));
+        worked_ms = now_ms();
         if is_open && !memory.grow(&id) {
             let _ = PREEMPTED.set(id.clone());
             let made = event_number * EVENT_TOKENS;
             note(&format!("{own}: memory ran out, {id} is preempted after event {last}..{event_number}"));
             is_open = waits_for_memory(stream, memory, &id, made);
             note(&format!("{own}: {id} is read anew, connection open: {is_open}"));
-            is_open = is_open && reads(stream, OWN_TOKENS + made);
+            if is_open {
+                is_open = reads(stream, OWN_TOKENS + made);
+                worked_ms = now_ms();
+            }
             note(&format!("{own}: {id} goes on, connection open: {is_open}"));
         }
         if !is_open {
             memory.release(&id);
-            end(requests, &id, number);
+            end(requests, &id, number, worked_ms);
             note(&format!("{own}: connection of {id} closed, request dropped"));
             return false;
         }
@@ -193,7 +200,7 @@
         }
     }
     memory.release(&id);
-    end(requests, &id, number);
+    end(requests, &id, number, worked_ms);
     note(&format!("{own}: ran {id}, answer lost: {is_lost}"));
     if is_lost {
         // Nothing of the answer arrives; the replica closes the connection after a while.
@@ -257,10 +264,10 @@
     let mut is_broken = false;
     for (id, runs) in requests.iter() {
         for pair in runs.all.windows(2) {
-            let ((former, _, former_end), (next, next_begin, _)) = (&pair[0], &pair[1]);
-            let still_ms = former_end.unwrap_or(u64::MAX).saturating_sub(*next_begin);
+            let ((former, _, worked), (next, next_begin, _)) = (&pair[0], &pair[1]);
+            let still_ms = worked.unwrap_or(u64::MAX).saturating_sub(*next_begin);
             note(&format!(
-                "{id}: went on at {next}; {former} worked on it for {still_ms} ms after its first token there"
+                "{id}: went on at {next}; {former} last worked on it {still_ms} ms after its first token there"
             ));
             is_broken |= still_ms > OVERLAP_MS;
         }
