--- a/review/tools/src/bin/case_held_answer.rs
+++ b/review/tools/src/bin/case_held_answer.rs
@@ -24,7 +24,13 @@
 const DEADLINE_MS: u64 = 8_000;
 /// Within `max_body_bytes`.
 const BODY_BYTES: usize = 4_000_000;
-const REQUESTS: u64 = 24;
+const REQUESTS: u64 = 180;
+const EVERY_MS: u64 = 50;
+/// One in this number of requests is long, and one in this number of long ones is answered early:
+/// 10 of 180 requests, fewer than the 6 in 100 that are twice the largest dose of `garble`.
+const LONG_EVERY: u64 = 9;
+const EARLY_EVERY: u64 = 2 * LONG_EVERY;
+const SHORT_BYTES: usize = 800;
 /// How fast a replica goes on reading a body after its answer.
 const READ_BYTES: usize = 16_384;
 const READ_EVERY_MS: u64 = 50;
@@ -45,7 +51,8 @@
 
 fn work(stream: &mut TcpStream, request: &mut http::Request, own: &str, early: bool) -> bool {
     let id = request.value("x-request-id").unwrap_or_default().to_owned();
-    if !early {
+    let number: u64 = id.strip_prefix("sheet-").and_then(|n| n.parse().ok()).unwrap_or(1);
+    if !early || number % EARLY_EVERY != 0 {
         let read = request.read_rest(stream);
         note(&format!("{own}: read {id}, {} bytes, and answers", request.read.len()));
         return read && stream.write_all(answer(own, &id).as_bytes()).is_ok();
@@ -97,12 +104,13 @@
     let clients: Vec<_> = (0..REQUESTS)
         .map(|number| {
             let front = fleet.front((number % 2) as u8);
-            thread::sleep(Duration::from_millis(100));
+            thread::sleep(Duration::from_millis(EVERY_MS));
             thread::spawn(move || {
                 let id = format!("sheet-{number}");
                 let headers = format!("X-Request-Id: {id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n");
-                let body = vec![b'x'; BODY_BYTES];
-                note(&format!("client: sends {id} to {front}"));
+                let is_long = number % LONG_EVERY == 0;
+                let body = vec![b'x'; if is_long { BODY_BYTES } else { SHORT_BYTES }];
+                note(&format!("client: sends {id} to {front}, {} bytes", body.len()));
                 let began = Instant::now();
                 let limit = Duration::from_millis(DEADLINE_MS);
                 let path = format!("/sheets/{number}");
