--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -126,6 +126,8 @@
     take_ups: Family<TakeUpLabels, Counter>,
     /// Items whose events were dropped because no replica of their software is coordinated here.
     pub(crate) items_begun_anew: Counter,
+    /// Leased items for which the route table here has no batch route.
+    pub(crate) items_without_route: Counter,
     /// Records of streams that are kept here.
     pub(crate) stream_records: Gauge,
     connections: Family<ConnectionLabels, Counter>,
@@ -180,6 +182,7 @@
             resumes: Counter::default(),
             take_ups: Family::default(),
             items_begun_anew: Counter::default(),
+            items_without_route: Counter::default(),
             stream_records: Gauge::default(),
             connections: Family::default(),
             replica_bytes: Family::default(),
@@ -234,6 +237,9 @@
         let begun_anew = self.items_begun_anew.clone();
         let help = "Items begun anew since no replica of their software was coordinated here";
         registry.register("relay_items_begun_anew", help, begun_anew);
+        let without_route = self.items_without_route.clone();
+        let help = "Leased items without a batch route in the table in force here";
+        registry.register("relay_items_without_route", help, without_route);
         let stream_records = self.stream_records.clone();
         let help = "Records of which software began a stream";
         registry.register("relay_stream_records", help, stream_records);
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -167,8 +167,19 @@
         (route.kind == RouteKind::Batch).then(|| route.clone())
     }
 
+    /// Logs which table has no route for the item, and how old it may be.
+    fn log_no_route(&self) {
+        self.shared.counters.items_without_route.inc();
+        let version = self.shared.table().map(|table| table.version);
+        info!(self.shared.logger, "item: no route"; "item" => &self.work.spec.id,
+            "job" => &self.work.item.job, "host" => &self.work.host,
+            "path" => &self.work.spec.path, "version" => version,
+            "knowledge_age_ms" => self.shared.gateway.knowledge_age_ms());
+    }
+
     async fn send_once(&mut self, deadline: Instant) -> RunEnd {
         let Some(route) = self.route() else {
+            self.log_no_route();
             return RunEnd::Outcome(ItemOutcome::RouteRemoved);
         };
         let homes = self.shared.homes_of(&route, self.work.tenant.as_deref());
