Items are given up only under a table as new as the one that accepted their job

Cause: 'my table has no such route' was taken for 'the route has ended', and one gateway's word was final for the fleet. The table is a copy; nobody compared its version with that of the table which accepted the job.

Why this works: the job carries version and prefix of its route; a route has ended only if a table at least as new lacks it (RouteVerdict, the one place that decides). The leader of the job store leases no item of a job that is newer than the asking gateway's table, so nothing spins. Needs no call to control: items of an ended route come out while control has no leader. New fields are format 4; formats 1 to 3 stay byte for byte. Until all read it, control's confirmation of the table decides, 2 s after the lease.

Tests of unknown layouts and of two builds use the next number.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -38,6 +38,7 @@
 mod replica_liveness;
 mod reported_fleet;
 mod results_query;
+mod route_details;
 mod seeds;
 mod set_change;
 mod store;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -2,7 +2,7 @@
 
 use error_stack::Report;
 use linnethitch_errors::ErrorKind;
-use linnethitch_job_store::{StoreCall, StoreReply};
+use linnethitch_job_store::{RouteDetails, StoreCall, StoreReply};
 use linnethitch_protocol::{
     consensus::ConsensusMessage,
     format::Format,
@@ -16,7 +16,7 @@
 use linnethitch_transport::WireMessage;
 use rkyv::{Archive, Deserialize, Serialize, with::AsBox};
 
-use crate::{first_format::FirstMessage, set_change::SetChange};
+use crate::{first_format::FirstMessage, route_details, set_change::SetChange};
 
 /// The role of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -289,6 +289,12 @@
                 software::append(&mut payload, &self.reports())?;
                 frame::frame_of(Self::KIND, format, &payload)
             }
+            Format::Fourth => {
+                let mut payload = frame::encode(self)?.into_vec();
+                software::append(&mut payload, &self.reports())?;
+                route_details::append(&mut payload, &self.route_details())?;
+                frame::frame_of(Self::KIND, format, &payload)
+            }
         }
     }
 
@@ -303,6 +309,46 @@
                 software::set(message.reports_mut(), versions)?;
                 Ok(message)
             }
+            Format::Fourth => {
+                frame::verify_payload(header, payload)?;
+                let (rest, details) = route_details::split(payload)?;
+                let (encoded, versions) = software::split(rest)?;
+                let mut message: NodeMessage = frame::decode(encoded)?;
+                software::set(message.reports_mut(), versions)?;
+                message.set_route_details(details);
+                Ok(message)
+            }
+        }
+    }
+}
+
+impl NodeMessage {
+    /// The details of routes that are sent beside the message.
+    fn route_details(&self) -> RouteDetails {
+        match self {
+            NodeMessage::Call {
+                body: CallBody::Store(call),
+                ..
+            } => call.route_details(),
+            NodeMessage::Reply {
+                body: ReplyBody::Store(reply),
+                ..
+            } => reply.route_details(),
+            _ => RouteDetails::default(),
+        }
+    }
+
+    fn set_route_details(&mut self, details: RouteDetails) {
+        match self {
+            NodeMessage::Call {
+                body: CallBody::Store(call),
+                ..
+            } => call.set_route_details(details),
+            NodeMessage::Reply {
+                body: ReplyBody::Store(reply),
+                ..
+            } => reply.set_route_details(details),
+            _ => {}
         }
     }
 }
--- a/crates/cluster/tests/all/results.rs
+++ b/crates/cluster/tests/all/results.rs
@@ -104,6 +104,7 @@
             body: b"{}".to_vec(),
             tokens: 10,
         }],
+        route: None,
     }
 }
 
--- a/crates/group/tests/all/support/builds.rs
+++ b/crates/group/tests/all/support/builds.rs
@@ -12,8 +12,8 @@
 
 /// Time for which a link to a machine that lost power or was isolated still counts as open.
 const LINK_IDLE_MS: u64 = 1_500;
-/// Prefix of words of the second format.
-pub(super) const NEWEST_MARK: &str = "3:";
+/// Prefix of words of the newest format.
+pub(super) const NEWEST_MARK: &str = "4:";
 
 /// The builds that the machines run, identified by the newest format that each reads.
 #[derive(Default)]
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -1,8 +1,9 @@
 //! Calls of gateways to the leader of the job store.
 
-use rkyv::{Archive, Deserialize, Serialize};
+use rkyv::{Archive, Deserialize, Serialize, with::Skip};
 
 use crate::{
+    accepted_route::AcceptedRoute,
     command::{ItemOutcome, ItemRef},
     excluded_work::ExcludedWork,
     job::{ItemSpec, JobSpec, ListedState},
@@ -147,6 +148,10 @@
     pub item: ItemRef,
     /// The host of the item's route.
     pub host: String,
+    /// The route that accepted the item's job; `None` if that is unknown. Sent beside the item
+    /// from the fourth format on.
+    #[rkyv(with = Skip)]
+    pub route: Option<AcceptedRoute>,
     /// The tenant, if any.
     pub tenant: Option<String>,
     /// The item's request.
--- a/crates/job-store/src/command.rs
+++ b/crates/job-store/src/command.rs
@@ -6,6 +6,7 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
+    accepted_route::AcceptedRoute,
     job::{JobSpec, TenantJob},
     progress::{ItemProgress, RunProgress},
 };
@@ -19,6 +20,9 @@
 const RUNS_LAYOUT: u8 = 5;
 /// Layout of an entry that marks the third format, whose commands are those of the second.
 const THIRD_FORMAT_LAYOUT: u8 = 6;
+/// Layout of submitted jobs with the route that accepted them, and of an entry that marks the
+/// fourth format: [`FourthFormatEntry`].
+const ROUTES_LAYOUT: u8 = 7;
 
 /// Reference to an item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
@@ -90,6 +94,14 @@
     FinishRun(Box<RunProgress>),
 }
 
+/// A command as stored in the fourth format, where it differs from the third.
+#[derive(Archive, Serialize, Deserialize)]
+struct FourthFormatEntry {
+    command: StoreCommand,
+    /// The route of a submitted job.
+    route: Option<AcceptedRoute>,
+}
+
 impl StoreCommand {
     /// The command as stored in the log while all members of the group read `format`. The
     /// first format has no run ids.
@@ -105,10 +117,38 @@
             (Format::First, StoreCommand::FinishRun(last)) => {
                 StoreCommand::Finish(last.progress.clone()).to_stored()
             }
-            _ => self.to_stored(),
+            (Format::First | Format::Second | Format::Third, _) => {
+                stored::encode(self.layout(), self)
+            }
+            (Format::Fourth, _) => self.to_stored(),
+        }
+    }
+
+    /// The route of a submitted job, if it is known.
+    fn route(&self) -> Option<&AcceptedRoute> {
+        match self {
+            StoreCommand::Submit(job) => job.route.as_ref(),
+            StoreCommand::SubmitFor(submitted) => submitted.job.route.as_ref(),
+            _ => None,
         }
     }
 
+    fn set_route(&mut self, route: Option<AcceptedRoute>) {
+        match self {
+            StoreCommand::Submit(job) => job.route = route,
+            StoreCommand::SubmitFor(submitted) => submitted.job.route = route,
+            _ => {}
+        }
+    }
+
+    fn to_fourth_format_entry(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+        let entry = FourthFormatEntry {
+            command: self.clone(),
+            route: self.route().cloned(),
+        };
+        stored::encode(ROUTES_LAYOUT, &entry)
+    }
+
     /// A command in a format without any other effect. An entry in a format records that all
     /// members read this format.
     ///
@@ -119,12 +159,14 @@
         match format {
             Format::First | Format::Second => command.to_stored_in(format),
             Format::Third => stored::encode(THIRD_FORMAT_LAYOUT, &command),
+            Format::Fourth => command.to_fourth_format_entry(),
         }
     }
 
     /// The format of a stored command.
     pub(crate) fn format_of(stored: &[u8]) -> Format {
         match stored::layout_of(stored) {
+            Some(layout) if layout >= ROUTES_LAYOUT => Format::Fourth,
             Some(layout) if layout >= THIRD_FORMAT_LAYOUT => Format::Third,
             Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
             _ => Format::First,
@@ -136,6 +178,9 @@
     /// # Errors
     /// `Internal` when the command cannot be encoded.
     pub fn to_stored(&self) -> Result<Vec<u8>, Report<ErrorKind>> {
+        if self.route().is_some() {
+            return self.to_fourth_format_entry();
+        }
         stored::encode(self.layout(), self)
     }
 
@@ -144,6 +189,11 @@
     /// # Errors
     /// `DataFolderRefused` for an unknown layout, `Corrupted` for invalid bytes.
     pub fn from_stored(bytes: &[u8]) -> Result<Self, Report<ErrorKind>> {
+        if stored::layout_of(bytes) == Some(ROUTES_LAYOUT) {
+            let FourthFormatEntry { mut command, route } = stored::decode(&[ROUTES_LAYOUT], bytes)?;
+            command.set_route(route);
+            return Ok(command);
+        }
         stored::decode(
             &[
                 FIRST_LAYOUT,
--- a/crates/job-store/src/dispatcher.rs
+++ b/crates/job-store/src/dispatcher.rs
@@ -322,14 +322,13 @@
     available: &BTreeSet<u32>,
     excluded: &ExcludedWork,
 ) -> Option<u32> {
-    let job = store.job(job);
+    let job = store.job(job)?;
+    if excluded.excludes_job(job) {
+        return None;
+    }
     let is_excluded = |number: &u32| {
-        let Some(job) = job else {
-            return false;
-        };
         let item = job.items.get(*number as usize);
-        let tenant = job.tenant.as_deref();
-        item.is_some_and(|item| excluded.excludes(&job.spec.host, tenant, &item.spec.path))
+        item.is_some_and(|item| excluded.excludes_item(job, &item.spec))
     };
     available
         .iter()
@@ -343,6 +342,7 @@
     Some(ItemWork {
         generated: store.progress.get(&item),
         host: job.spec.host.clone(),
+        route: job.spec.route.clone(),
         tenant: job.tenant.clone(),
         spec: stored.spec.clone(),
         failures: stored.failures,
--- a/crates/job-store/src/excluded_work.rs
+++ b/crates/job-store/src/excluded_work.rs
@@ -1,9 +1,12 @@
-//! Items that a gateway must not lease because of data residency.
+//! Items that a gateway must not lease.
 //!
 //! The homes of a route or tenant are the regions in which its data must stay. A gateway
-//! in another region does not receive the items.
+//! in another region does not receive the items. Neither does a gateway receive items of jobs
+//! that were accepted under a newer route table than its own: it may not know their routes.
 
-use rkyv::{Archive, Deserialize, Serialize};
+use rkyv::{Archive, Deserialize, Serialize, with::Skip};
+
+use crate::job::{ItemSpec, Job};
 
 /// A route, and whether a gateway is outside the homes of the route.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -25,18 +28,43 @@
     pub routes: Vec<RouteExclusion>,
     /// Tenants outside whose homes the gateway is.
     pub tenants: Vec<String>,
+    /// Version of the gateway's route table; `None` if it is unknown. Sent beside the call from
+    /// the fourth format on.
+    #[rkyv(with = Skip)]
+    pub table_version: Option<u64>,
 }
 
 impl ExcludedWork {
-    /// Whether the gateway may lease every item.
+    /// Whether no route or tenant excludes items.
     pub(crate) fn is_empty(&self) -> bool {
         self.routes.is_empty() && self.tenants.is_empty()
     }
 
-    /// Whether the gateway must not lease an item of this host, tenant and path.
-    pub(crate) fn excludes(&self, host: &str, tenant: Option<&str>, path: &str) -> bool {
-        let tenant_excluded = tenant.is_some_and(|name| self.tenants.iter().any(|t| t == name));
-        tenant_excluded || self.route_of(host, path).is_some_and(|r| r.is_outside)
+    /// Whether the gateway must not lease any item of a job.
+    pub(crate) fn excludes_job(&self, job: &Job) -> bool {
+        let tenant = job.tenant.as_ref();
+        let tenant_excluded = tenant.is_some_and(|name| self.tenants.contains(name));
+        let route = job.spec.route.as_ref();
+        let route_excluded = route.is_some_and(|route| {
+            self.is_behind(route.table_version) || self.is_outside(job, &route.path_prefix)
+        });
+        tenant_excluded || route_excluded
+    }
+
+    /// Whether the gateway must not lease an item of a job because of the item's path.
+    pub(crate) fn excludes_item(&self, job: &Job, item: &ItemSpec) -> bool {
+        self.is_outside(job, &item.path)
+    }
+
+    /// Whether the gateway's route table is older than one under which a job was accepted.
+    fn is_behind(&self, accepted_version: u64) -> bool {
+        self.table_version
+            .is_some_and(|version| version < accepted_version)
+    }
+
+    fn is_outside(&self, job: &Job, path: &str) -> bool {
+        let route = self.route_of(&job.spec.host, path);
+        route.is_some_and(|route| route.is_outside)
     }
 
     /// The route with the longest matching prefix. The host may include a port.
--- a/crates/job-store/src/first_format.rs
+++ b/crates/job-store/src/first_format.rs
@@ -197,6 +197,7 @@
         ItemWork {
             item: first.item,
             host: first.host,
+            route: None,
             tenant: first.tenant,
             spec: first.spec,
             failures: first.failures,
--- a/crates/job-store/src/job.rs
+++ b/crates/job-store/src/job.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use rkyv::{Archive, Deserialize, Serialize};
+use rkyv::{Archive, Deserialize, Serialize, with::Skip};
 
-use crate::text::Text;
+use crate::{accepted_route::AcceptedRoute, text::Text};
 
 /// A submitted item.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -38,6 +38,10 @@
     pub give_up_ms: u64,
     /// The items.
     pub items: Vec<ItemSpec>,
+    /// The route that accepted the job; `None` if that is unknown. Stored and sent beside the job
+    /// from the fourth format on.
+    #[rkyv(with = Skip)]
+    pub route: Option<AcceptedRoute>,
 }
 
 /// A submitted job of a tenant.
@@ -126,6 +130,12 @@
         self.tenant.is_none() || self.tenant.as_deref() == caller
     }
 
+    /// The route that accepted the job; `None` if it is unknown.
+    #[must_use]
+    pub fn route(&self) -> Option<&AcceptedRoute> {
+        self.spec.route.as_ref()
+    }
+
     /// Whether items of the job may still run.
     pub(crate) fn is_open(&self) -> bool {
         !self.ended && self.results.len() < self.items.len()
--- a/crates/job-store/src/lib.rs
+++ b/crates/job-store/src/lib.rs
@@ -6,6 +6,7 @@
 //! soft state of the leader: which gateway has the lease of which item. An item
 //! may run more than once; the first committed result counts.
 
+mod accepted_route;
 mod age_clock;
 mod call;
 mod command;
@@ -21,6 +22,7 @@
 mod store;
 mod text;
 
+pub use accepted_route::{AcceptedRoute, RouteDetails};
 pub use age_clock::AgeClock;
 pub use call::{ItemResult, ItemWork, QueueBound, ResultsPage, StoreCall, StoreReply};
 pub use command::{ItemOutcome, ItemRef, StoreAnswer, StoreCommand};
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -15,6 +15,7 @@
 use rkyv::{Archive, Deserialize, Serialize};
 
 use crate::{
+    accepted_route::AcceptedRoute,
     job::{Item, Job, JobSpec, Listed, ListedState},
     progress::{ItemEvents, ProgressTable, RunId},
     store::JobStore,
@@ -31,7 +32,9 @@
 /// Layout of the index in the second format.
 const RUNS_LAYOUT: u8 = 4;
 /// Layout of the index in the third format, with the content of the second.
-const INDEX_LAYOUT: u8 = 5;
+const THIRD_FORMAT_LAYOUT: u8 = 5;
+/// Layout of the index in the fourth format: [`RoutedIndex`].
+const INDEX_LAYOUT: u8 = 6;
 /// Size of the length field at the end of the content, in bytes.
 const LENGTH_BYTES: usize = 8;
 /// Approximate size of the pieces in which texts are written, in bytes.
@@ -58,7 +61,7 @@
     tenants: Vec<JobTenant>,
 }
 
-/// The index in the newest format.
+/// The index in the second and third format.
 #[derive(Archive, Serialize, Deserialize)]
 struct FullIndex {
     index: Index,
@@ -69,24 +72,49 @@
     tenants: Vec<JobTenant>,
 }
 
-impl FullIndex {
-    /// The index in a format that all members read. The first format has no reporting runs.
+/// The index in the newest format.
+#[derive(Archive, Serialize, Deserialize)]
+struct RoutedIndex {
+    index: FullIndex,
+    /// The routes of jobs, as far as they are known.
+    routes: Vec<JobRoute>,
+}
+
+impl RoutedIndex {
+    /// An index without routes.
+    fn without_routes(index: FullIndex) -> Self {
+        RoutedIndex {
+            index,
+            routes: Vec::new(),
+        }
+    }
+
+    /// The index in a format that all members read. The first format has no reporting runs, the
+    /// first three have no routes.
     fn into_stored(self, format: Format) -> Result<Vec<u8>, Report<ErrorKind>> {
         match format {
             Format::First => {
                 let index = TenantsIndex {
-                    index: self.index,
-                    generated: self.generated,
-                    tenants: self.tenants,
+                    index: self.index.index,
+                    generated: self.index.generated,
+                    tenants: self.index.tenants,
                 };
                 stored::encode(TENANTS_LAYOUT, &index)
             }
-            Format::Second => stored::encode(RUNS_LAYOUT, &self),
-            Format::Third => stored::encode(INDEX_LAYOUT, &self),
+            Format::Second => stored::encode(RUNS_LAYOUT, &self.index),
+            Format::Third => stored::encode(THIRD_FORMAT_LAYOUT, &self.index),
+            Format::Fourth => stored::encode(INDEX_LAYOUT, &self),
         }
     }
 }
 
+/// The route of a job.
+#[derive(Archive, Serialize, Deserialize)]
+struct JobRoute {
+    job: String,
+    route: AcceptedRoute,
+}
+
 /// The tenant of a job.
 #[derive(Archive, Serialize, Deserialize)]
 struct JobTenant {
@@ -145,6 +173,10 @@
             reporters: store.progress.reporters(),
             tenants: store.jobs.values().filter_map(tenant_of).collect(),
         };
+        let index = RoutedIndex {
+            index,
+            routes: store.jobs.values().filter_map(route_of).collect(),
+        };
         let mut index = index.into_stored(store.format)?;
         let length = index.len() as u64;
         index.extend_from_slice(&length.to_le_bytes());
@@ -239,16 +271,18 @@
 pub(crate) fn restore(content: SnapshotReader) -> Result<JobStore, Report<ErrorKind>> {
     let stored_index = read_index(&content)?;
     let format = match stored::layout_of(&stored_index) {
+        Some(layout) if layout > THIRD_FORMAT_LAYOUT => Format::Fourth,
         Some(layout) if layout > RUNS_LAYOUT => Format::Third,
         Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
         _ => Format::First,
     };
+    let RoutedIndex { index, routes } = decode_index(&stored_index)?;
     let FullIndex {
         index,
         generated,
         reporters,
         tenants,
-    } = decode_index(&stored_index)?;
+    } = index;
     let jobs = index.jobs.into_iter().map(restore_job);
     let mut jobs: BTreeMap<String, Job> = jobs.map(|job| (job.spec.id.clone(), job)).collect();
     for JobTenant { job, tenant } in tenants {
@@ -256,6 +290,11 @@
             job.tenant = Some(tenant);
         }
     }
+    for JobRoute { job, route } in routes {
+        if let Some(job) = jobs.get_mut(&job) {
+            job.spec.route = Some(route);
+        }
+    }
     let open = jobs.values().filter(|job| job.is_open());
     Ok(JobStore {
         open: open.map(|job| job.spec.id.clone()).collect(),
@@ -267,7 +306,14 @@
     })
 }
 
-fn decode_index(bytes: &[u8]) -> Result<FullIndex, Report<ErrorKind>> {
+fn decode_index(bytes: &[u8]) -> Result<RoutedIndex, Report<ErrorKind>> {
+    if stored::layout_of(bytes) == Some(INDEX_LAYOUT) {
+        return stored::decode(&[INDEX_LAYOUT], bytes);
+    }
+    decode_index_without_routes(bytes).map(RoutedIndex::without_routes)
+}
+
+fn decode_index_without_routes(bytes: &[u8]) -> Result<FullIndex, Report<ErrorKind>> {
     match stored::layout_of(bytes) {
         Some(FIRST_LAYOUT) => Ok(FullIndex {
             index: stored::decode(&[FIRST_LAYOUT], bytes)?,
@@ -297,7 +343,7 @@
                 tenants,
             })
         }
-        _ => stored::decode(&[RUNS_LAYOUT, INDEX_LAYOUT], bytes),
+        _ => stored::decode(&[RUNS_LAYOUT, THIRD_FORMAT_LAYOUT], bytes),
     }
 }
 
@@ -323,6 +369,14 @@
     })
 }
 
+fn route_of(job: &Job) -> Option<JobRoute> {
+    let route = job.spec.route.clone()?;
+    Some(JobRoute {
+        job: job.spec.id.clone(),
+        route,
+    })
+}
+
 fn restore_job(job: IndexedJob) -> Job {
     let results = job.results.into_iter().map(|result| Listed {
         item: result.item,
--- a/crates/job-store/tests/all/dispatcher.rs
+++ b/crates/job-store/tests/all/dispatcher.rs
@@ -6,7 +6,7 @@
 };
 use rstest::rstest;
 
-use crate::support::{advance_time, apply, item, job, report, submit};
+use crate::support::{accepted_job, advance_time, apply, item, job, report, submit};
 
 fn two_jobs() -> JobStore {
     let mut store = JobStore::default();
@@ -92,6 +92,7 @@
     let excluded = ExcludedWork {
         routes,
         tenants: tenants.collect(),
+        ..ExcludedWork::default()
     };
     dispatcher.set_excluded_work("a", &excluded);
     let leased = lease(&mut dispatcher, &store, "a", 4, 0);
@@ -124,6 +125,32 @@
     assert_eq!(lease(&mut dispatcher, &store, "a", 4, 0).len(), 2);
 }
 
+/// Guards against items given up by a gateway that has not learned of their route yet: it is not
+/// leased items of jobs that were accepted under a newer table.
+#[rstest]
+#[case::older(Some(7), 0)]
+#[case::without_a_table(Some(0), 0)]
+#[case::the_same(Some(8), 2)]
+#[case::newer(Some(9), 2)]
+#[case::of_an_earlier_build(None, 2)]
+fn a_gateway_with_an_older_table_leases_no_items_of_the_job(
+    #[case] table_version: Option<u64>,
+    #[case] expected: usize,
+) {
+    let mut store = JobStore::default();
+    submit(&mut store, accepted_job("new", 8, 2));
+    let mut dispatcher = Dispatcher::default();
+    let excluded = ExcludedWork {
+        table_version,
+        ..ExcludedWork::default()
+    };
+    dispatcher.set_excluded_work("a", &excluded);
+    let leased = lease(&mut dispatcher, &store, "a", 4, 0);
+    assert_eq!(leased.len(), expected);
+    let remaining = lease(&mut dispatcher, &store, "b", 4, 0);
+    assert_eq!(remaining.len(), 2 - expected);
+}
+
 #[test]
 fn a_lease_that_is_not_renewed_ends() {
     let store = two_jobs();
--- a/crates/job-store/tests/all/layout.rs
+++ b/crates/job-store/tests/all/layout.rs
@@ -80,7 +80,7 @@
 
 /// First bytes of stored values that this build does not read, and the kind of the error.
 #[rstest]
-#[case::newer(&[7], ErrorKind::DataFolderRefused)]
+#[case::newer(&[8], ErrorKind::DataFolderRefused)]
 #[case::damaged_runs(&[5, 9, 9], ErrorKind::Corrupted)]
 #[case::damaged_tenants(&[4, 9, 9], ErrorKind::Corrupted)]
 #[case::damaged_finish(&[3, 9, 9], ErrorKind::Corrupted)]
--- a/crates/job-store/tests/all/snapshots.rs
+++ b/crates/job-store/tests/all/snapshots.rs
@@ -59,7 +59,7 @@
 #[case::noise(&[7; 40], ErrorKind::Corrupted)]
 #[case::damaged_tenants(&[3, 9, 9, 9, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::Corrupted)]
 #[case::damaged_runs(&[4, 9, 9, 9, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::Corrupted)]
-#[case::unknown_layout(&[6, 0, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::DataFolderRefused)]
+#[case::unknown_layout(&[7, 0, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0], ErrorKind::DataFolderRefused)]
 fn corruption_and_unknown_layouts_are_distinguished(
     #[case] content: &[u8],
     #[case] kind: ErrorKind,
--- a/crates/job-store/tests/all/support.rs
+++ b/crates/job-store/tests/all/support.rs
@@ -4,7 +4,7 @@
 
 use linnethitch_group::{SnapshotSource, StateMachine};
 use linnethitch_job_store::{
-    ItemOutcome, ItemRef, ItemSpec, JobSpec, JobStore, StoreAnswer, StoreCommand,
+    AcceptedRoute, ItemOutcome, ItemRef, ItemSpec, JobSpec, JobStore, StoreAnswer, StoreCommand,
 };
 use linnethitch_protocol::{consensus::SnapshotMeta, ids::LogIndex};
 use linnethitch_storage::{SnapshotReader, SnapshotStore, VirtualDisk};
@@ -28,6 +28,18 @@
         completion_ms: 20_000,
         give_up_ms: GIVE_UP_MS,
         items: items.collect(),
+        route: None,
+    }
+}
+
+/// A job that was accepted on its route under the table of a version.
+pub(crate) fn accepted_job(id: &str, table_version: u64, items: u32) -> JobSpec {
+    JobSpec {
+        route: Some(AcceptedRoute {
+            table_version,
+            path_prefix: "/lanes/".to_owned(),
+        }),
+        ..job(id, items)
     }
 }
 
--- a/crates/protocol/src/format.rs
+++ b/crates/protocol/src/format.rs
@@ -17,15 +17,17 @@
     First = 1,
     /// Without software versions of replicas, records of streams, and requests of started items.
     Second = 2,
-    /// The format that this build writes where all readers support it.
+    /// Without the routes that batch jobs were accepted on.
     Third = 3,
+    /// The format that this build writes where all readers support it.
+    Fourth = 4,
 }
 
 impl Format {
     /// The oldest format that this build reads and writes.
     pub const OLDEST: Format = Format::First;
     /// The newest format that this build reads and writes.
-    pub const NEWEST: Format = Format::Third;
+    pub const NEWEST: Format = Format::Fourth;
 
     /// The number of the format on the wire.
     #[must_use]
@@ -40,6 +42,7 @@
             1 => Some(Format::First),
             2 => Some(Format::Second),
             3 => Some(Format::Third),
+            4 => Some(Format::Fourth),
             _ => None,
         }
     }
--- a/crates/registry/src/command.rs
+++ b/crates/registry/src/command.rs
@@ -17,6 +17,8 @@
     third_layout::ThirdCommand,
 };
 
+/// Layout of an entry that marks the fourth format, whose commands are those of the third.
+const NINTH_LAYOUT: u8 = 9;
 /// Layout of replica reports with a software version: the first layout of the third format.
 const EIGHTH_LAYOUT: u8 = 8;
 /// Layout of commands that delete the records of ended replicas.
@@ -97,7 +99,7 @@
         match format {
             Format::First => FirstFormatCommand::try_from(self.clone())?.to_stored(),
             Format::Second => self.to_stored_as(self.layout()),
-            Format::Third => self.to_stored(),
+            Format::Third | Format::Fourth => self.to_stored(),
         }
     }
 
@@ -134,12 +136,14 @@
         match format {
             Format::First | Format::Second => command.to_stored_in(format),
             Format::Third => command.to_stored_as(EIGHTH_LAYOUT),
+            Format::Fourth => command.to_stored_as(NINTH_LAYOUT),
         }
     }
 
     /// The format that a stored command belongs to.
     pub(crate) fn format_of(stored: &[u8]) -> Format {
         match stored::layout_of(stored) {
+            Some(layout) if layout >= NINTH_LAYOUT => Format::Fourth,
             Some(layout) if layout >= EIGHTH_LAYOUT => Format::Third,
             Some(layout) if layout > TENANTS_LAYOUT => Format::Second,
             _ => Format::First,
@@ -209,9 +213,10 @@
                 let third: ThirdCommand = stored::decode(&[THIRD_LAYOUT], bytes)?;
                 Ok(third.into())
             }
-            Some(EIGHTH_LAYOUT) => {
+            Some(EIGHTH_LAYOUT | NINTH_LAYOUT) => {
                 let (command, software) = software::split(bytes)?;
-                let mut command: RegistryCommand = stored::decode(&[EIGHTH_LAYOUT], command)?;
+                let layouts = [EIGHTH_LAYOUT, NINTH_LAYOUT];
+                let mut command: RegistryCommand = stored::decode(&layouts, command)?;
                 software::set(command.reports_mut(), software)?;
                 Ok(command)
             }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -66,7 +66,9 @@
 }
 
 /// Layout of snapshots that this build writes; earlier layouts are still read.
-const SNAPSHOT_LAYOUT: u8 = 8;
+const SNAPSHOT_LAYOUT: u8 = 9;
+/// Layout of snapshots in the third format, with the content of the fourth.
+const EIGHTH_LAYOUT: u8 = 8;
 /// Layout of snapshots without software versions of replicas: the second format.
 const SEVENTH_LAYOUT: u8 = 7;
 /// Layout of snapshots that do not record which ended replicas were deleted.
@@ -226,7 +228,7 @@
         let history = self.table.as_ref();
         let table = history.and_then(|history| match format {
             Format::First => history.complete_since(since),
-            Format::Second | Format::Third => history.update_since(since),
+            Format::Second | Format::Third | Format::Fourth => history.update_since(since),
         });
         let tenants = table.as_ref().map(|_| self.tenants.update_since(since));
         let changed = self.replicas.changed_after(replicas_since);
@@ -429,10 +431,8 @@
         let stored = match self.format {
             Format::First => stored::encode(FOURTH_LAYOUT, &FourthSnapshot::try_from(snapshot)?),
             Format::Second => stored::encode(SEVENTH_LAYOUT, &snapshot),
-            Format::Third => stored::encode(SNAPSHOT_LAYOUT, &snapshot).and_then(|mut stored| {
-                software::append(&mut stored, &snapshot.reports())?;
-                Ok(stored)
-            }),
+            Format::Third => encode_with_software(EIGHTH_LAYOUT, &snapshot),
+            Format::Fourth => encode_with_software(SNAPSHOT_LAYOUT, &snapshot),
         };
         stored.map(InMemorySnapshot::new)
     }
@@ -441,6 +441,7 @@
         let bytes = read_full_snapshot(&content)?;
         let snapshot = decode_snapshot(&bytes)?;
         let format = match stored::layout_of(&bytes) {
+            Some(layout) if layout > EIGHTH_LAYOUT => Format::Fourth,
             Some(layout) if layout > SEVENTH_LAYOUT => Format::Third,
             Some(layout) if layout > FOURTH_LAYOUT => Format::Second,
             _ => Format::First,
@@ -470,6 +471,15 @@
     }
 }
 
+fn encode_with_software(
+    layout: u8,
+    snapshot: &RegistrySnapshot,
+) -> Result<Vec<u8>, Report<ErrorKind>> {
+    let mut stored = stored::encode(layout, snapshot)?;
+    software::append(&mut stored, &snapshot.reports())?;
+    Ok(stored)
+}
+
 fn decode_snapshot(bytes: &[u8]) -> Result<RegistrySnapshot, Report<ErrorKind>> {
     match stored::layout_of(bytes) {
         Some(FIRST_LAYOUT) => {
@@ -496,9 +506,10 @@
             let sixth: SixthSnapshot = stored::decode(&[SIXTH_LAYOUT], bytes)?;
             Ok(sixth.into())
         }
-        Some(SNAPSHOT_LAYOUT) => {
+        Some(EIGHTH_LAYOUT | SNAPSHOT_LAYOUT) => {
             let (snapshot, software) = software::split(bytes)?;
-            let mut snapshot: RegistrySnapshot = stored::decode(&[SNAPSHOT_LAYOUT], snapshot)?;
+            let layouts = [EIGHTH_LAYOUT, SNAPSHOT_LAYOUT];
+            let mut snapshot: RegistrySnapshot = stored::decode(&layouts, snapshot)?;
             software::set(snapshot.reports_mut(), software)?;
             Ok(snapshot)
         }
--- a/crates/registry/src/replica.rs
+++ b/crates/registry/src/replica.rs
@@ -73,7 +73,7 @@
                 software: None,
                 ..self
             },
-            Format::Third => self,
+            Format::Third | Format::Fourth => self,
         }
     }
 
--- a/crates/registry/tests/all/formats.rs
+++ b/crates/registry/tests/all/formats.rs
@@ -59,7 +59,11 @@
 #[test]
 fn the_format_is_raised_step_by_step() {
     let mut registry = restored(recorded("stored-registry-snapshot"));
-    for (index, format) in [(50, Format::Second), (51, Format::Third)] {
+    for (index, format) in [
+        (50, Format::Second),
+        (51, Format::Third),
+        (52, Format::Fourth),
+    ] {
         let raise = RegistryCommand::raise_format(format).expect("it is encoded");
         registry
             .apply(LogIndex(index), &raise)
@@ -73,6 +77,7 @@
 #[rstest]
 #[case::second(Format::Second, None)]
 #[case::third(Format::Third, Some("v1.2"))]
+#[case::fourth(Format::Fourth, Some("v1.2"))]
 fn software_versions_are_stored_in_the_third_format(
     #[case] format: Format,
     #[case] expected: Option<&str>,
--- a/crates/registry/tests/all/registry.rs
+++ b/crates/registry/tests/all/registry.rs
@@ -226,7 +226,7 @@
 fn a_command_of_another_layout_is_refused_and_not_reported_as_damaged() {
     let command = RegistryCommand::RemoveReplica("i-7".to_owned());
     let mut bytes = command.to_stored().expect("it is encoded");
-    bytes[0] = 9;
+    bytes[0] = 10;
     let refused = RegistryCommand::from_stored(&bytes).expect_err("it is refused");
     assert_eq!(*refused.current_context(), ErrorKind::DataFolderRefused);
 }
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -13,10 +13,10 @@
     response::{ResponseBody, error_response},
 };
 
-/// Part of the revocation limit that is reserved for delays a gateway cannot observe: a control
+/// Age of control's confirmations that a gateway cannot observe: a control
 /// member that knows the current state had contact with the leader within one second, and the
 /// leader with its quorum within another.
-const PROPAGATION_ALLOWANCE: Duration = Duration::from_secs(2);
+pub(crate) const PROPAGATION_ALLOWANCE: Duration = Duration::from_secs(2);
 
 /// How strictly revoked keys are refused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -120,8 +120,8 @@
         Some(route.backends[index].service.clone())
     }
 
-    /// Items that must not be leased to this gateway because it is outside their home regions:
-    /// their bodies must not leave those regions.
+    /// Items that must not be leased to this gateway: it is outside their home regions, which
+    /// their bodies must not leave, or its table may be too old to have their routes.
     pub(crate) fn excluded_work(&self) -> ExcludedWork {
         let fleet = self.gateway.fleet();
         let is_outside = |homes: &[String]| {
@@ -135,6 +135,7 @@
                 .table()
                 .map_or_else(Vec::new, |table| excluded_routes(table, is_outside)),
             tenants: tenants.map(|tenant| tenant.name.clone()).collect(),
+            table_version: Some(fleet.table().map_or(0, |table| table.version)),
         }
     }
 
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
-use linnethitch_registry::{Route, RouteKind};
+use linnethitch_registry::Route;
 use linnethitch_response::{EventSplitter, data_of};
 use linnethitch_routing::dispatch::{ChosenReplica, FailureKind, SoftwareNeed};
 use slog::info;
@@ -15,9 +15,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    callers::set_tenant_header,
+    callers::{PROPAGATION_ALLOWANCE, set_tenant_header},
     counters::ItemEnd,
     exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
+    item_route::{ItemRoute, RouteVerdict},
     running_items::GeneratedProgress,
     search::{Placement, Search},
     shared::Shared,
@@ -43,6 +44,8 @@
 /// ends replicas would otherwise end all of them before gateways know which of its parts is common.
 const SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(400);
 const MAX_SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(1_600);
+/// Interval at which the route of an item is looked up again while it is not known here.
+const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Status of an item that can never be processed.
 const UNPROCESSABLE: u16 = 422;
 
@@ -51,6 +54,7 @@
     shared: Arc<Shared>,
     stopping: CancellationToken,
     work: ItemWork,
+    leased_at: Instant,
     splitter: EventSplitter,
     generated: GeneratedProgress,
     /// Replicas that failed the item.
@@ -99,6 +103,7 @@
         ItemRun {
             shared,
             stopping,
+            leased_at: Instant::now(),
             splitter: EventSplitter::default(),
             generated,
             tried: Vec::new(),
@@ -160,27 +165,66 @@
         !matches!(reply, StoreReply::ReportAgain(_))
     }
 
-    /// The current route: changes of the route apply to items too.
-    fn route(&self) -> Option<Route> {
-        let table = self.shared.table()?;
-        let route = table.find(&self.work.host, &self.work.spec.path)?;
-        (route.kind == RouteKind::Batch).then(|| route.clone())
+    /// The current route: changes of the route apply to items too. Without one, how the run ends.
+    async fn route(&self) -> Result<Route, RunEnd> {
+        let mut is_waiting = false;
+        loop {
+            let table = self.shared.table();
+            let (decision, end) = match RouteVerdict::of(table.as_deref(), &self.item_route()) {
+                RouteVerdict::InForce(route) => return Ok(route.clone()),
+                RouteVerdict::Ended => (
+                    "given up, the route has ended",
+                    RunEnd::Outcome(ItemOutcome::RouteRemoved),
+                ),
+                RouteVerdict::Unknown if !self.may_wait_for_table() => {
+                    ("returned, the table may be too old", RunEnd::Return)
+                }
+                RouteVerdict::Unknown => {
+                    if !std::mem::replace(&mut is_waiting, true) {
+                        self.log_no_route("waits for a confirmed table");
+                    }
+                    sleep(ROUTE_POLL_INTERVAL).await;
+                    continue;
+                }
+            };
+            self.log_no_route(decision);
+            return Err(end);
+        }
+    }
+
+    fn item_route(&self) -> ItemRoute<'_> {
+        let confirmed_for = Duration::from_millis(self.shared.gateway.knowledge_age_ms());
+        ItemRoute {
+            host: &self.work.host,
+            path: &self.work.spec.path,
+            accepted: self.work.route.as_ref(),
+            is_table_confirmed: self.leased_at.elapsed() >= confirmed_for + PROPAGATION_ALLOWANCE,
+        }
+    }
+
+    /// Whether the item waits here until its route is known. Where the accepting table is known,
+    /// a gateway with a newer table leases the item sooner; where it is not, only time tells.
+    fn may_wait_for_table(&self) -> bool {
+        let is_in_time = self.leased_at.elapsed() < DEFER_DURATION;
+        self.work.route.is_none() && is_in_time && !self.stopping.is_cancelled()
     }
 
-    /// Logs which table has no route for the item, and how old it may be.
-    fn log_no_route(&self) {
+    /// Logs which table has no route for the item, how old it may be, and what follows.
+    fn log_no_route(&self, decision: &str) {
         self.shared.counters.items_without_route.inc();
         let version = self.shared.table().map(|table| table.version);
+        let accepted = self.work.route.as_ref().map(|route| route.table_version);
         info!(self.shared.logger, "item: no route"; "item" => &self.work.spec.id,
             "job" => &self.work.item.job, "host" => &self.work.host,
-            "path" => &self.work.spec.path, "version" => version,
-            "knowledge_age_ms" => self.shared.gateway.knowledge_age_ms());
+            "path" => &self.work.spec.path, "version" => version, "accepted_version" => accepted,
+            "knowledge_age_ms" => self.shared.gateway.knowledge_age_ms(),
+            "decision" => decision);
     }
 
     async fn send_once(&mut self, deadline: Instant) -> RunEnd {
-        let Some(route) = self.route() else {
-            self.log_no_route();
-            return RunEnd::Outcome(ItemOutcome::RouteRemoved);
+        let route = match self.route().await {
+            Ok(route) => route,
+            Err(end) => return end,
         };
         let homes = self.shared.homes_of(&route, self.work.tenant.as_deref());
         let begun_at = self.service_of_text(&route);
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -4,8 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use linnethitch_job_store::{
-    ExcludedWork, GeneratedEvents, ItemProgress, ItemRef, ItemSpec, JobSpec, ResultsPage, RunId,
-    RunProgress, StoreCall, StoreReply, StoredProgress,
+    AcceptedRoute, ExcludedWork, GeneratedEvents, ItemProgress, ItemRef, ItemSpec, JobSpec,
+    ListedState, ResultsPage, RunId, RunProgress, StoreCall, StoreReply, StoredProgress,
 };
 use linnethitch_protocol::software::SoftwareFingerprint;
 use linnethitch_registry::{Backend, Configuration, Route, RouteKind, ServiceTraits};
@@ -31,6 +31,8 @@
 const ITEMS: u32 = 8;
 /// Longer than an item waits for a slot before another gateway may continue it.
 const SEVERAL_TRIES: Duration = Duration::from_secs(2);
+/// Longer than a gateway waits for an update from a further control member.
+const LATE_UPDATE: Duration = Duration::from_millis(700);
 
 fn owned(regions: &[&str]) -> Vec<String> {
     regions.iter().map(|region| (*region).to_owned()).collect()
@@ -105,32 +107,48 @@
     }
 }
 
+/// An item with a path.
+fn item_at(number: u32, path: &str) -> ItemSpec {
+    ItemSpec {
+        id: format!("item-{number}"),
+        path: path.to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec(),
+        tokens: 100,
+    }
+}
+
 async fn call(fleet: &Fleet, call: StoreCall) -> StoreReply {
     fleet.relay.gateway().call_store(call, LIMIT).await
 }
 
 /// Submits a job of the tenant with this number of items.
 pub(crate) async fn submit(fleet: &Fleet, items: u32) {
-    let items = (0..items).map(|number| ItemSpec {
-        id: format!("item-{number}"),
-        path: "/a/x".to_owned(),
-        headers: Vec::new(),
-        body: b"body".to_vec(),
-        tokens: 100,
-    });
+    let items = (0..items).map(|number| item_at(number, "/a/x"));
     submit_items(fleet, items.collect()).await;
 }
 
 /// Submits a job of the tenant with these items.
 pub(crate) async fn submit_items(fleet: &Fleet, items: Vec<ItemSpec>) {
+    submit_to(fleet, "/a/", None, items).await;
+}
+
+/// Submits a job of the tenant to a path, accepted on the route of that path in the table of a
+/// version; `None` if it is not recorded.
+async fn submit_to(fleet: &Fleet, path: &str, table_version: Option<u64>, items: Vec<ItemSpec>) {
+    fleet.wait_until_formats_are_raised().await;
     let job = JobSpec {
         id: JOB.to_owned(),
         host: "desk.example".to_owned(),
-        path: "/a/".to_owned(),
+        path: path.to_owned(),
         max_attempts: 3,
         completion_ms: 18_000,
         give_up_ms: 60_000,
         items,
+        route: table_version.map(|table_version| AcceptedRoute {
+            table_version,
+            path_prefix: path.to_owned(),
+        }),
     };
     let submit = StoreCall::Submit {
         job,
@@ -362,3 +380,48 @@
     pair.results().await;
     assert_eq!((pair.requests(), other.requests()), ((0, 1), 0));
 }
+
+/// A configuration with the route `/b/` besides `/a/`.
+fn with_second_route(version: u64) -> Configuration {
+    let mut configuration = homed(version, &[], &[]);
+    let routes = &mut configuration.table.routes;
+    routes.push(Route {
+        name: "second".to_owned(),
+        path_prefix: "/b/".to_owned(),
+        ..routes[0].clone()
+    });
+    configuration
+}
+
+/// Guards against an item that is given up by a gateway whose table does not have its route yet.
+#[rstest]
+#[case::accepted_under_a_newer_table(Some(2))]
+#[case::accepted_by_an_earlier_build(None)]
+#[tokio::test]
+async fn an_item_waits_for_a_gateway_that_knows_its_route(#[case] accepted: Option<u64>) {
+    let pair = Pair::start(vec![Act::Send(COMPLETE)], Vec::new()).await;
+    submit_to(&pair.fleet, "/b/", accepted, vec![item_at(0, "/b/x")]).await;
+    pair.run();
+    sleep(LATE_UPDATE).await;
+    assert_eq!(
+        listed(&pair.fleet).await.map(|page| page.results),
+        Some(Vec::new())
+    );
+    pair.fleet.put(with_second_route(2)).await;
+    let page = pair.results().await;
+    assert_eq!(page.results[0].state, ListedState::Succeeded);
+}
+
+/// Guards against an item that waits for its time to be over although its route has ended.
+#[rstest]
+#[case::accepted_under_an_older_table(Some(1))]
+#[case::accepted_by_an_earlier_build(None)]
+#[tokio::test]
+async fn an_item_of_an_ended_route_is_given_up(#[case] accepted: Option<u64>) {
+    let pair = Pair::start(vec![Act::Send(COMPLETE)], Vec::new()).await;
+    submit_to(&pair.fleet, "/b/", accepted, vec![item_at(0, "/b/x")]).await;
+    pair.run();
+    let page = pair.results().await;
+    assert_eq!(page.results[0].state, ListedState::GivenUp);
+    assert_eq!(pair.requests(), (0, 0));
+}
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod homes;
 mod incarnations;
+mod item_routes;
 mod items;
 mod keys;
 mod planned_stop;
--- a/crates/relay/tests/all/support/fleet.rs
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -265,6 +265,16 @@
         tokio::time::timeout(LIMIT, answers).await.expect("in time");
     }
 
+    /// Waits until control and the job store both store in the newest format.
+    pub(crate) async fn wait_until_formats_are_raised(&self) {
+        let raised = async {
+            while self.log.count("stored format raised") < 2 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, raised).await.expect("in time");
+    }
+
     /// From now on control takes no changes.
     pub(crate) fn stop_control(&self) {
         self.control_running.abort();
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -112,14 +112,16 @@
                 let first = FirstDatagram::try_from(self.clone())?;
                 frame::write_frame(Self::KIND, format, &first)
             }
-            Format::Second | Format::Third => frame::write_frame(Self::KIND, format, self),
+            Format::Second | Format::Third | Format::Fourth => {
+                frame::write_frame(Self::KIND, format, self)
+            }
         }
     }
 
     fn from_payload(header: &FrameHeader, payload: &[u8]) -> Result<Self, Report<ErrorKind>> {
         match header.format {
             Format::First => frame::read_payload::<FirstDatagram>(header, payload).map(Into::into),
-            Format::Second | Format::Third => frame::read_payload(header, payload),
+            Format::Second | Format::Third | Format::Fourth => frame::read_payload(header, payload),
         }
     }
 }
