Jobs with an item that cannot be sent are refused with the item and the reason

Cause: items were not checked at submission; the gateway that leased one could not build its request and reported what a 422 means.

Why this works: the code that builds the request runs before the job is stored. Items that an earlier build accepted rest until their time is over.

Test: a_job_with_an_item_that_cannot_be_sent_is_refused_with_the_reason failed before (202 in place of 400), passes now.

--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use http::{Method, Uri};
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
 use linnethitch_registry::Route;
@@ -18,6 +18,7 @@
     callers::{PROPAGATION_ALLOWANCE, set_tenant_header},
     counters::ItemEnd,
     exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
+    item_request::{ItemFault, ItemRequest},
     item_route::{ItemRoute, RouteVerdict},
     running_items::GeneratedProgress,
     search::{Placement, Search},
@@ -231,8 +232,9 @@
         let Some(service) = begun_at.or_else(|| self.shared.pick_service(&route, &homes)) else {
             return RunEnd::Return;
         };
-        let Some(outgoing) = outgoing(&self.shared, &self.work) else {
-            return RunEnd::Outcome(ItemOutcome::Unprocessable);
+        let outgoing = match outgoing(&self.shared, &self.work) {
+            Ok(outgoing) => outgoing,
+            Err(fault) => return self.defer_unsendable(&fault).await,
         };
         if self.shared.has_no_home(&service, &homes) {
             return self
@@ -433,6 +435,19 @@
         info!(self.shared.logger, "item: deferred, {}", why;
             "item" => &self.work.spec.id, "job" => &self.work.item.job,
             "content" => outgoing.fingerprint().to_string());
+        self.rest().await
+    }
+
+    /// Defers an item that cannot be sent, which an earlier build accepted: no replica has
+    /// rejected it, so it is given up only once its time is over.
+    async fn defer_unsendable(&self, fault: &ItemFault) -> RunEnd {
+        info!(self.shared.logger, "item: no valid request"; "item" => &self.work.spec.id,
+            "job" => &self.work.item.job, "cause" => %fault);
+        self.rest().await
+    }
+
+    /// Keeps the item here for a while, then returns it for another gateway.
+    async fn rest(&self) -> RunEnd {
         tokio::select! {
             () = sleep(DEFER_DURATION) => {}
             () = self.stopping.cancelled() => {}
@@ -517,20 +532,17 @@
     }
 }
 
-fn outgoing(shared: &Shared, work: &ItemWork) -> Option<Arc<Outgoing>> {
+fn outgoing(shared: &Shared, work: &ItemWork) -> Result<Arc<Outgoing>, ItemFault> {
     let names = shared.dialect.names();
-    let mut headers = HeaderMap::new();
-    for (name, value) in &work.spec.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        headers.append(name, HeaderValue::from_str(value).ok()?);
-    }
-    let request_id = HeaderValue::from_str(&work.spec.id).ok()?;
-    headers.insert(names.request_id.clone(), request_id.clone());
+    let ItemRequest {
+        path,
+        request_id,
+        mut headers,
+    } = shared.item_request(&work.host, &work.spec)?;
     set_tenant_header(&mut headers, names, false, work.tenant.as_deref());
-    headers.insert(http::header::HOST, HeaderValue::from_str(&work.host).ok()?);
-    Some(Arc::new(Outgoing {
+    Ok(Arc::new(Outgoing {
         method: Method::POST,
-        uri: work.spec.path.parse::<Uri>().ok()?,
+        uri: Uri::from(path),
         shared_parts: shared.dialect.prompt(&headers).shared_parts(),
         headers,
         body: Bytes::from(work.spec.body.clone()),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
 use linnethitch_clock::Instant;
 use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
-use linnethitch_job_store::ItemSpec;
+use linnethitch_job_store::{ItemSpec, JobSpec};
 use linnethitch_registry::{FleetView, Route, RouteTable};
 use linnethitch_routing::{cold::ColdSettings, quota::QuotaSettings};
 use slog::{Logger, info};
@@ -21,6 +21,7 @@
     dialect::Dialect,
     exchange::{Admitted, Outgoing, strip_connection_headers},
     following::{follow_fleet, follow_gateways, maintain},
+    item_request::ItemFault,
     planned_stop::PlannedStop,
     response::{ResponseBody, error_response},
     shared::Shared,
@@ -143,6 +144,17 @@
         }
     }
 
+    /// Checks that every item of a job can be sent to a replica.
+    ///
+    /// # Errors
+    /// The first item that cannot, and why.
+    pub fn check_items<'j>(&self, job: &'j JobSpec) -> Result<(), (&'j ItemSpec, ItemFault)> {
+        job.items.iter().try_for_each(|item| {
+            let request = self.shared.item_request(&job.host, item);
+            request.map(|_| ()).map_err(|fault| (item, fault))
+        })
+    }
+
     /// Number of requests and items that this gateway is running at a service.
     #[must_use]
     pub fn own_running(&self, service: &str) -> u32 {
