Items run on the route of their job, whatever their own path

Why this works: the accepting route's host and prefix, which the job carries since format 4, decide service, homes, limits and end.

--- a/crates/registry/src/routes.rs
+++ b/crates/registry/src/routes.rs
@@ -150,6 +150,14 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// The route of a host with exactly this path prefix. The host may include a port.
+    #[must_use]
+    pub fn route_at(&self, host: &str, path_prefix: &str) -> Option<&Route> {
+        // No route has a longer prefix that begins this one.
+        let found = self.find(host, path_prefix)?;
+        (found.path_prefix == path_prefix).then_some(found)
+    }
+
     /// Whether jobs of a host may have no tenant, because it has a public batch route.
     #[must_use]
     pub fn has_public_jobs(&self, host: &str) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -10,7 +10,9 @@
 use hyper::body::Incoming;
 use linnethitch_clock::{Instant, timeout, timeout_at};
 use linnethitch_protocol::slots::RunOutcome;
-use linnethitch_registry::{RequestContent, RequestFingerprint, parse_incarnation_key};
+use linnethitch_registry::{
+    RequestContent, RequestFingerprint, Route, RouteTable, parse_incarnation_key,
+};
 use linnethitch_routing::{
     cold::SendOutcome,
     dispatch::{ChosenReplica, FailureKind, PromptPart, SoftwareNeed},
@@ -52,6 +54,9 @@
     pub(crate) request_id: HeaderValue,
     /// The tenant's name; `None` where no key is needed.
     pub(crate) tenant: Option<String>,
+    /// Path prefix of the route of an item's job, which need not begin the item's path; `None` if
+    /// the route is found by the path.
+    pub(crate) route_prefix: Option<String>,
     /// Home regions of the route when the request arrived.
     pub(crate) homes: Vec<String>,
     /// The version of the route table that `homes` was read from; `None` for batch items.
@@ -67,6 +72,15 @@
 }
 
 impl Outgoing {
+    /// The route of the request in a table.
+    pub(crate) fn route<'t>(&self, table: &'t RouteTable) -> Option<&'t Route> {
+        let host = self.headers.get(header::HOST)?.to_str().ok()?;
+        match &self.route_prefix {
+            Some(prefix) => table.route_at(host, prefix),
+            None => table.find(host, self.uri.path()),
+        }
+    }
+
     /// The request id, for logs.
     pub(crate) fn id(&self) -> &str {
         self.request_id.to_str().unwrap_or_default()
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use http::{Response, header};
+use http::Response;
 use linnethitch_errors::ErrorKind;
 use linnethitch_job_store::{ExcludedWork, JobSpec, RouteExclusion};
 use linnethitch_registry::{FleetView, Route, RouteKind, RouteTable, ZoneMap};
@@ -84,10 +84,7 @@
         let newer = fleet
             .table()
             .filter(|table| outgoing.table_version != Some(table.version));
-        let of_route = newer.and_then(|table| {
-            let host = outgoing.headers.get(header::HOST)?.to_str().ok()?;
-            table.find(host, outgoing.uri.path())
-        });
+        let of_route = newer.and_then(|table| outgoing.route(table));
         // A request whose route was removed keeps the homes it arrived with.
         let of_route = of_route.map_or(&outgoing.homes, |route| &route.homes);
         let tenant = outgoing.tenant.as_deref();
--- a/crates/relay/src/item_route.rs
+++ b/crates/relay/src/item_route.rs
@@ -12,7 +12,7 @@
 pub struct ItemRoute<'a> {
     /// The host of the item's job.
     pub host: &'a str,
-    /// The path of the item.
+    /// The path of the item, by which the route is looked up if the accepting one is unknown.
     pub path: &'a str,
     /// The route that accepted the job; `None` if a build that does not record it did.
     pub accepted: Option<&'a AcceptedRoute>,
@@ -39,7 +39,10 @@
         let Some(table) = table else {
             return RouteVerdict::Unknown;
         };
-        let found = table.find(item.host, item.path);
+        let found = match item.accepted {
+            Some(accepted) => table.route_at(item.host, &accepted.path_prefix),
+            None => table.find(item.host, item.path),
+        };
         if let Some(route) = found.filter(|route| route.kind == RouteKind::Batch) {
             return RouteVerdict::InForce(route);
         }
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -232,7 +232,7 @@
         let Some(service) = begun_at.or_else(|| self.shared.pick_service(&route, &homes)) else {
             return RunEnd::Return;
         };
-        let outgoing = match outgoing(&self.shared, &self.work) {
+        let outgoing = match outgoing(&self.shared, &self.work, &route) {
             Ok(outgoing) => outgoing,
             Err(fault) => return self.defer_unsendable(&fault).await,
         };
@@ -532,7 +532,8 @@
     }
 }
 
-fn outgoing(shared: &Shared, work: &ItemWork) -> Result<Arc<Outgoing>, ItemFault> {
+/// The request of an item whose job is on a route.
+fn outgoing(shared: &Shared, work: &ItemWork, route: &Route) -> Result<Arc<Outgoing>, ItemFault> {
     let names = shared.dialect.names();
     let ItemRequest {
         path,
@@ -548,7 +549,8 @@
         body: Bytes::from(work.spec.body.clone()),
         request_id,
         tenant: work.tenant.clone(),
-        homes: Vec::new(),
+        route_prefix: Some(route.path_prefix.clone()),
+        homes: route.homes.clone(),
         table_version: None,
         admitted: None,
     }))
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -271,6 +271,7 @@
                 body,
                 request_id,
                 tenant,
+                route_prefix: None,
                 homes: route.homes.clone(),
                 table_version: Some(table.version),
                 admitted,
--- a/crates/relay/tests/all/item_routes.rs
+++ b/crates/relay/tests/all/item_routes.rs
@@ -57,6 +57,19 @@
     }]
 }
 
+/// A longer prefix that begins the paths of the job and of its items.
+fn with_a_longer_prefix() -> Vec<Route> {
+    vec![batch("desk.example", "/a/"), batch("desk.example", "/a/x/")]
+}
+
+fn only_a_longer_prefix() -> Vec<Route> {
+    vec![batch("desk.example", "/a/x/")]
+}
+
+fn only_a_shorter_prefix() -> Vec<Route> {
+    vec![batch("desk.example", "/")]
+}
+
 fn told(table: Option<&RouteTable>, accepted: Option<u64>, is_table_confirmed: bool) -> Told {
     let accepted = accepted.map(|table_version| AcceptedRoute {
         table_version,
@@ -64,12 +77,15 @@
     });
     let item = ItemRoute {
         host: "desk.example",
-        path: "/a/x",
+        path: "/a/x/1",
         accepted: accepted.as_ref(),
         is_table_confirmed,
     };
     match RouteVerdict::of(table, &item) {
-        RouteVerdict::InForce(_) => Told::InForce,
+        RouteVerdict::InForce(route) => {
+            assert_eq!(route.path_prefix, "/a/");
+            Told::InForce
+        }
         RouteVerdict::Ended => Told::Ended,
         RouteVerdict::Unknown => Told::Unknown,
     }
@@ -87,6 +103,10 @@
 #[case::moved_to_another_host(with(NEWER, at_another_host()), Told::Ended)]
 #[case::at_another_host_before(with(OLDER, at_another_host()), Told::Unknown)]
 #[case::under_another_name(with(NEWER, under_another_name()), Told::InForce)]
+#[case::a_longer_prefix_takes_its_path(with(NEWER, with_a_longer_prefix()), Told::InForce)]
+#[case::only_a_longer_prefix_is_left(with(NEWER, only_a_longer_prefix()), Told::Ended)]
+#[case::only_a_shorter_prefix_is_left(with(NEWER, only_a_shorter_prefix()), Told::Ended)]
+#[case::only_a_shorter_prefix_yet(with(OLDER, only_a_shorter_prefix()), Told::Unknown)]
 #[case::lacking_in_the_same_table(with(ACCEPTED, Vec::new()), Told::Ended)]
 fn a_route_has_ended_only_if_the_table_is_as_new_as_the_job(
     #[case] table: RouteTable,
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -425,3 +425,32 @@
     assert_eq!(page.results[0].state, ListedState::GivenUp);
     assert_eq!(pair.requests(), (0, 0));
 }
+
+/// Guards against items that are given up, or run at another service, because their path is under
+/// no route or under another one than their job: the route that accepted the job counts.
+#[rstest]
+#[case::under_no_route("/nowhere/1")]
+#[case::under_a_route_of_another_service("/b/1")]
+#[case::under_a_route_of_another_kind("/c/1")]
+#[tokio::test]
+async fn an_item_runs_on_the_route_of_its_job_whatever_its_path(#[case] path: &str) {
+    let pair = Pair::start(vec![Act::Send(COMPLETE)], Vec::new()).await;
+    let mut configuration = with_other_service();
+    let routes = &mut configuration.table.routes;
+    routes.iter_mut().for_each(|route| route.homes.clear());
+    routes.push(Route {
+        path_prefix: "/c/".to_owned(),
+        ..route(RouteKind::Safe, 1, true)
+    });
+    pair.fleet.put(configuration).await;
+    submit_to(&pair.fleet, "/a/", Some(2), vec![item_at(0, path)]).await;
+    pair.run();
+    let page = pair.results().await;
+    assert_eq!(page.results[0].state, ListedState::Succeeded);
+    let heads = pair.here.heads.lock().clone();
+    assert!(
+        heads[0].starts_with(&format!("POST {path} ")),
+        "{}",
+        heads[0]
+    );
+}
