Own gateway: an item is invalid for good only under a confirmed configuration

Cause: the leased line was checked under the gateway's own configuration, and one failure was final.

Why this works: the failure is final only once control has confirmed, at or after the lease, that the held revision is the newest; until then the run counts as not started.

Tests: an_item_that_a_newer_configuration_allows_waits_for_it fails with the old rule (the item had ended 700 ms after its lease), passes now; an_item_that_the_newest_configuration_forbids_fails passes both ways.

--- a/crates/gateway/src/batch/executor/rules.rs
+++ b/crates/gateway/src/batch/executor/rules.rs
@@ -163,6 +163,7 @@
         self.actions.push(BatchAction::Run(RunOrder {
             run,
             item: item.leased,
+            leased_at: item.leased_at,
             replica,
             address,
             generated: item.generated,
--- a/crates/gateway/src/batch/item.rs
+++ b/crates/gateway/src/batch/item.rs
@@ -71,6 +71,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Item {
     pub(super) leased: Arc<LeasedItem>,
+    pub(super) leased_at: Timestamp,
     /// The model named in the item's line, with the adapter.
     pub(super) model: ModelId,
     pub(super) state: ItemState,
@@ -93,6 +94,7 @@
         };
         Item {
             leased: Arc::new(leased),
+            leased_at: now,
             model,
             state: ItemState::Waiting {
                 since: now,
--- a/crates/gateway/src/batch/messages.rs
+++ b/crates/gateway/src/batch/messages.rs
@@ -106,6 +106,8 @@
     pub run: RunId,
     /// The item.
     pub item: Arc<LeasedItem>,
+    /// When the item was leased.
+    pub leased_at: Timestamp,
     /// The replica on which it runs.
     pub replica: ReplicaId,
     /// The only address to which it may be sent, as recorded with its start; `None` if the item
--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -4,6 +4,7 @@
 
 use linnethitch_clock::Instant;
 use linnethitch_errors::{ErrorKind, Failure};
+use linnethitch_protocol::ids::Revision;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -19,7 +20,7 @@
     online::{
         completion_response::CompletionResponse, generation::rejected, request::CompletionRequest,
     },
-    state::Gateway,
+    state::{ActiveConfiguration, Gateway},
 };
 
 /// Longest time to read on after a run was cancelled at its engine.
@@ -32,22 +33,48 @@
     stop: CancellationToken,
 ) -> BatchEvent {
     let run = order.run;
-    let end = match parse(&gateway, &order) {
+    let active = gateway.configuration.load_full();
+    let end = match parse(active.as_deref(), &order) {
         Ok(request) => ItemRun::new(gateway, order, request).run(&stop).await,
-        Err(failure) => RunEnd::Rejected {
-            kind: failure.kind,
-            message: failure.message.clone(),
-        },
+        Err(failure) => invalid_here(&gateway, active.as_deref(), &order, &failure),
     };
     BatchEvent::RunEnded { run, end }
 }
 
-/// Parses the request of an item's line under the configuration in force.
-fn parse(gateway: &Gateway, order: &RunOrder) -> Result<CompletionRequest, Failure> {
-    let active = gateway
-        .configuration
-        .load_full()
-        .ok_or_else(|| Failure::from(ErrorKind::NotReady))?;
+/// How a run ends whose request is not valid under a configuration. The job may have been created
+/// under a newer one: that the request can never run shows only once control has confirmed that
+/// this configuration was the newest when the item was leased.
+fn invalid_here(
+    gateway: &Gateway,
+    active: Option<&ActiveConfiguration>,
+    order: &RunOrder,
+    failure: &Failure,
+) -> RunEnd {
+    let confirmed = gateway.confirmed_revision.lock();
+    let is_final = active.is_some_and(|active| confirmed.covers(active.revision, order.leased_at));
+    if is_final {
+        return RunEnd::Rejected {
+            kind: failure.kind,
+            message: failure.message.clone(),
+        };
+    }
+    let revision = active.map_or(Revision(0), |active| active.revision);
+    RunEnd::Failed {
+        may_have_started: false,
+        generated: order.generated.clone(),
+        message: format!(
+            "not valid under configuration {revision}, which may be too old: {}",
+            failure.message
+        ),
+    }
+}
+
+/// Parses the request of an item's line under a configuration.
+fn parse(
+    active: Option<&ActiveConfiguration>,
+    order: &RunOrder,
+) -> Result<CompletionRequest, Failure> {
+    let active = active.ok_or_else(|| Failure::from(ErrorKind::NotReady))?;
     let line = BatchLine::parse(&order.item.line)?;
     let kind = line.kind()?;
     let mut request =
--- a/crates/gateway/src/control/events.rs
+++ b/crates/gateway/src/control/events.rs
@@ -5,7 +5,7 @@
 use linnethitch_protocol::{
     attach::{ConfigurationUpdate, ControlMessage, GatewayMessage},
     fleet::ReplicaInfo,
-    ids::{ReplicaId, Revision},
+    ids::{ReplicaId, Revision, Timestamp},
 };
 use slog::{error, info, warn};
 
@@ -41,8 +41,18 @@
             }
             ControlMessage::Answer { call, body } => self.control.on_answer(call, body),
             ControlMessage::Grants(grants) => self.decisions.on_grants(&grants),
-            ControlMessage::Freshness { pending, now, .. } => {
+            ControlMessage::Freshness {
+                confirmed_at,
+                now,
+                revision,
+                pending,
+            } => {
                 self.clock_offset.observe(self.clock().now(), now);
+                let age_ms = now.0.saturating_sub(confirmed_at.0);
+                let confirmed_at = Timestamp(self.clock().now().0.saturating_sub(age_ms));
+                self.confirmed_revision
+                    .lock()
+                    .on_stamp(revision, confirmed_at);
                 self.send_batch_event(BatchEvent::Pending(pending)).await;
             }
             ControlMessage::CancelJobs(jobs) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,7 +33,8 @@
     batches,
     clock::Clock,
     configuration::{
-        follower::Follower, shared_documents::SharedDocuments, store::ConfigurationStore,
+        confirmed::ConfirmedRevision, follower::Follower, shared_documents::SharedDocuments,
+        store::ConfigurationStore,
     },
     control::{client::ControlClient, clock_offset::ClockOffset, session::SessionState},
     decisions::{Decisions, Placement, TenantPermit},
@@ -86,6 +87,7 @@
     /// Bytes and frames exchanged with control.
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) follower: Mutex<Follower>,
+    pub(crate) confirmed_revision: Mutex<ConfirmedRevision>,
     /// `None` when the configuration is fixed instead of received from control.
     pub(crate) store: Option<ConfigurationStore>,
     pub(crate) session: SessionState,
@@ -127,6 +129,7 @@
             control: ControlClient::new(control_timeout),
             traffic: Arc::default(),
             follower: Mutex::default(),
+            confirmed_revision: Mutex::default(),
             store,
             session: SessionState::default(),
             clock_offset: ClockOffset::default(),
--- a/crates/gateway/tests/all/batch_execution.rs
+++ b/crates/gateway/tests/all/batch_execution.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use http::Method;
-use linnethitch_protocol::ids::Timestamp;
+use linnethitch_protocol::ids::{Revision, Timestamp};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -19,6 +19,10 @@
 
 /// Sequences granted on the engine.
 const GRANTED: usize = 4;
+/// Longer than the validity of a grant.
+const GRANT_TIME: Duration = Duration::from_millis(1_100);
+/// Several times the interval at which control confirms the configuration.
+const LATE_CONFIGURATION: Duration = Duration::from_millis(700);
 
 struct Fixture {
     control: FakeControl,
@@ -26,12 +30,16 @@
     gateway: TestGateway,
 }
 
+/// The fleet's configuration.
+fn configuration() -> String {
+    format!("{}\n[batch]\nlease_ms = 1000\n", fleet_file())
+}
+
 impl Fixture {
     async fn start(scripts: Vec<Script>) -> Self {
         let engine_server = FakeEngine::start(scripts).await;
         let replicas = vec![engine(0, engine_server.address)];
-        let content = format!("{}\n[batch]\nlease_ms = 1000\n", fleet_file());
-        let control = FakeControl::start(Shared::new(&content, replicas)).await;
+        let control = FakeControl::start(Shared::new(&configuration(), replicas)).await;
         control.shared.grant(GRANTED);
         let gateway = TestGateway::attached(&[control.address]).await;
         Fixture {
@@ -46,12 +54,13 @@
     }
 
     async fn create_within(&self, content: String, window: &str) -> String {
-        let file = upload(&self.gateway, content).await.json();
-        let body = json!({"input_file_id": file["id"], "endpoint": "/v1/chat/completions",
-            "completion_window": window});
-        let url = self.gateway.url("/v1/batches");
-        let job = call(request(Method::POST, url, body.to_string())).await;
-        job.json()["id"].as_str().expect("a job").to_owned()
+        create_at(&self.gateway, content, window).await
+    }
+
+    /// Grants nothing until the grants so far have ended.
+    async fn withhold_grants(&self) {
+        self.control.shared.grant(0);
+        tokio::time::sleep(GRANT_TIME).await;
     }
 
     async fn job(&self, id: &str) -> Value {
@@ -76,6 +85,16 @@
     }
 }
 
+/// Creates a job at a gateway; returns its id.
+async fn create_at(gateway: &TestGateway, content: String, window: &str) -> String {
+    let file = upload(gateway, content).await.json();
+    let body = json!({"input_file_id": file["id"], "endpoint": "/v1/chat/completions",
+        "completion_window": window});
+    let url = gateway.url("/v1/batches");
+    let job = call(request(Method::POST, url, body.to_string())).await;
+    job.json()["id"].as_str().expect("a job").to_owned()
+}
+
 /// Results of a job by custom id.
 ///
 /// # Panics
@@ -356,3 +375,54 @@
         assert_eq!(tenders.count(), 1);
     }
 }
+
+/// A line whose answer may be longer than the configuration allows.
+fn long_line() -> String {
+    let mut line: Value = serde_json::from_str(&line("long")).expect("a line");
+    line["body"]["max_tokens"] = json!(2_000);
+    line.to_string() + "\n"
+}
+
+/// A configuration that allows [`long_line`].
+fn allowing() -> String {
+    configuration().replace("max_output_tokens = 1000", "max_output_tokens = 4000")
+}
+
+/// Guards against an item that a gateway ends as invalid although only its own configuration is
+/// older than the one under which the job was created.
+#[tokio::test]
+async fn an_item_that_a_newer_configuration_allows_waits_for_it() {
+    let fixture = Fixture::start(vec![]).await;
+    let shared = &fixture.control.shared;
+    fixture.withhold_grants().await;
+    let before = shared.configure_unsent(&allowing());
+    let newer = TestGateway::attached_as("newer", &[fixture.control.address]).await;
+    let id = create_at(&newer, long_line(), "24h").await;
+    newer.stop().await;
+    shared.grant(GRANTED);
+    tokio::time::sleep(LATE_CONFIGURATION).await;
+    assert_eq!(fixture.job(&id).await["status"], "in_progress");
+    shared.send_configuration(before);
+    let job = fixture.wait_for(&id, "completed").await;
+    let counts = json!({"total": 1, "completed": 1, "failed": 0});
+    assert_eq!(job["request_counts"], counts);
+}
+
+/// The other side: under the newest configuration the item ends as invalid soon.
+#[tokio::test]
+async fn an_item_that_the_newest_configuration_forbids_fails() {
+    let fixture = Fixture::start(vec![]).await;
+    let shared = &fixture.control.shared;
+    fixture.withhold_grants().await;
+    shared.configure(&allowing());
+    wait_until("the configuration is in force", async || {
+        shared.confirmed().contains(&Revision(2))
+    })
+    .await;
+    let id = fixture.create(long_line()).await;
+    shared.configure(&configuration());
+    shared.grant(GRANTED);
+    let job = fixture.wait_for(&id, "completed").await;
+    let counts = json!({"total": 1, "completed": 0, "failed": 1});
+    assert_eq!(job["request_counts"], counts);
+}
--- a/crates/gateway/tests/all/support/control.rs
+++ b/crates/gateway/tests/all/support/control.rs
@@ -158,12 +158,23 @@
 
     /// Applies a further configuration and sends it to every gateway.
     pub(crate) fn configure(&self, content: &str) {
+        let from = self.configure_unsent(content);
+        self.send_configuration(from);
+    }
+
+    /// Applies a further configuration without sending it; returns the revision before it.
+    pub(crate) fn configure_unsent(&self, content: &str) -> Revision {
         let from = self.ledger.lock().0.revision();
         self.apply(CommandBody::ApplyConfiguration {
             change: ChangeId(format!("change-{from}")),
             expected: from,
             content: content.to_owned(),
         });
+        from
+    }
+
+    /// Sends the changes after a revision to every gateway.
+    pub(crate) fn send_configuration(&self, from: Revision) {
         let updates = self.ledger.lock().0.configuration_updates_since(from);
         for update in updates.into_iter().flatten() {
             self.send_all(&ControlMessage::Configuration(update));
