Relay: a whole answer does not wait until its request is read

Cause: before the answer was passed on the gateway waited, without a limit, until the connection could carry another request; so did the end of a stream and the report of an item.

Why this works: Connections::release decides once, for all three, and nobody waits for it: the connection stays open and in use for 1 s at most while the replica reads the rest, then it is closed. The check of an unframed answer ends with the deadline.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -511,12 +511,13 @@
                 }
             }
         }
-        if !source.is_whole(self.shared).await {
+        let is_whole = timeout_at(self.deadline, source.is_whole(self.shared)).await;
+        if !is_whole.unwrap_or(false) {
             source.running.interrupted();
             return None;
         }
         let Source {
-            mut connection,
+            connection,
             running,
             ..
         } = source;
@@ -525,9 +526,7 @@
             running.report.note(RunOutcome::Failed);
         }
         drop(running);
-        if connection.is_usable_again().await {
-            self.shared.connections.put_back(connection);
-        }
+        self.shared.connections.release(connection);
         let is_server_failure = head.status.is_server_error();
         if is_server_failure && self.may_send_after(self.runs + 1) {
             return None;
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use prometheus_client::encoding::EncodeLabelValue;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, task::AbortHandle};
 
 use crate::counted_stream::{CountedStream, ReplicaBytes};
 
@@ -34,6 +34,9 @@
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// A connection is reused only within this share of the idle time that the replica specifies.
 const IDLE_LIMIT_SHARE: f64 = 0.7;
+/// Maximum time until a replica has read the request that it has answered completely. The
+/// connection is closed when it takes longer.
+const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections per replica.
 const MAX_IDLE: usize = 64;
 
@@ -41,6 +44,7 @@
 
 struct IdleConnection {
     sender: Sender,
+    task: AbortHandle,
     expires_at: Instant,
 }
 
@@ -141,6 +145,8 @@
 /// A connection in use.
 pub(crate) struct Connection {
     sender: Sender,
+    /// The task that transfers the bytes; the connection is closed when it ends.
+    task: AbortHandle,
     in_use: InUse,
     /// Whether the connection has carried a request before.
     pub(crate) is_reused: bool,
@@ -195,9 +201,10 @@
         let opened = open(address, bytes()).await;
         // A connection that was never opened does not count as closed.
         in_use.is_returned = opened.is_err();
-        let (sender, took) = opened?;
+        let (sender, task, took) = opened?;
         Ok(Connection {
             sender,
+            task,
             in_use,
             is_reused: false,
             opened: Some(Opening { took, reason }),
@@ -207,7 +214,7 @@
 
     /// Adds an open connection that has not carried a request to the pool.
     pub(crate) async fn adopt(&self, replica: &str, stream: TcpStream, bytes: ReplicaBytes) {
-        let Ok(sender) = handshake(stream, bytes).await else {
+        let Ok((sender, task)) = handshake(stream, bytes).await else {
             return;
         };
         let mut pools = self.pools.lock();
@@ -215,13 +222,31 @@
         if pool.idle.len() < MAX_IDLE {
             pool.idle.push(IdleConnection {
                 sender,
+                task,
                 expires_at: Instant::now() + DEFAULT_IDLE_LIMIT,
             });
         }
     }
 
-    /// Returns a connection to the pool after its response was read completely.
-    pub(crate) fn put_back(&self, connection: Connection) {
+    /// Releases a connection after its response was read completely. The caller does not wait for
+    /// it: while the replica reads the rest of the request, the connection stays open and in use.
+    pub(crate) fn release(&self, mut connection: Connection) {
+        if connection.sender.is_ready() || connection.sender.is_closed() {
+            return self.put_back(connection);
+        }
+        let connections = self.clone();
+        tokio::spawn(async move {
+            let reading = timeout(REQUEST_READ_TIMEOUT, connection.sender.ready()).await;
+            match reading {
+                Ok(Ok(())) => connections.put_back(connection),
+                // Other bytes must not follow the unread part of the request.
+                Ok(Err(_)) | Err(_) => connection.task.abort(),
+            }
+        });
+    }
+
+    /// Returns a connection that can carry another request to the pool.
+    fn put_back(&self, connection: Connection) {
         let mut in_use = connection.in_use;
         if connection.sender.is_closed() {
             return;
@@ -232,6 +257,7 @@
         if in_use.is_returned {
             pool.idle.push(IdleConnection {
                 sender: connection.sender,
+                task: connection.task,
                 expires_at: Instant::now() + connection.idle_limit,
             });
         }
@@ -270,6 +296,7 @@
         pool.in_use += 1;
         Some(Connection {
             sender: found.sender,
+            task: found.task,
             in_use: self.in_use(replica),
             is_reused: true,
             opened: None,
@@ -312,27 +339,28 @@
             }),
         }
     }
-
-    /// Waits until the connection can carry another request; false if it cannot.
-    pub(crate) async fn is_usable_again(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
-    }
 }
 
 /// Opens a connection; returns the time taken as well.
-async fn open(address: &str, bytes: ReplicaBytes) -> Result<(Sender, Duration), OpenFailure> {
+async fn open(
+    address: &str,
+    bytes: ReplicaBytes,
+) -> Result<(Sender, AbortHandle, Duration), OpenFailure> {
     let began = Instant::now();
     let connecting = TcpStream::connect(address);
     let connected = timeout(CONNECT_TIMEOUT, connecting).await;
     let connected = connected.map_err(|_| OpenFailure::Silent)?;
     let stream = connected.map_err(|error| OpenFailure::of(&error))?;
     let opened_in = began.elapsed();
-    let sender = handshake(stream, bytes).await?;
-    Ok((sender, opened_in))
+    let (sender, task) = handshake(stream, bytes).await?;
+    Ok((sender, task, opened_in))
 }
 
 /// Sets the options of a new connection and begins HTTP on it.
-async fn handshake(stream: TcpStream, bytes: ReplicaBytes) -> Result<Sender, OpenFailure> {
+async fn handshake(
+    stream: TcpStream,
+    bytes: ReplicaBytes,
+) -> Result<(Sender, AbortHandle), OpenFailure> {
     let without_delay = stream.set_nodelay(true);
     without_delay.map_err(|error| OpenFailure::of(&error))?;
     let socket = SockRef::from(&stream);
@@ -346,11 +374,11 @@
     let handshake =
         hyper::client::conn::http1::handshake(TokioIo::new(CountedStream::new(stream, bytes)));
     let (sender, connection) = handshake.await.map_err(|_| OpenFailure::Silent)?;
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         // The sender reports the end of the connection.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok((sender, task.abort_handle()))
 }
 
 /// Idle limit of a connection, from `Keep-Alive: timeout=N`.
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -484,15 +484,13 @@
             return RunEnd::Continue;
         }
         let Source {
-            mut connection,
+            connection,
             running,
             ..
         } = source;
         running.completed();
         drop(running);
-        if connection.is_usable_again().await {
-            self.shared.connections.put_back(connection);
-        }
+        self.shared.connections.release(connection);
         let events = self.generated.events();
         self.shared
             .learn_item_pace(service, |pace| pace.note_item(events));
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use linnethitch_clock::{Instant, sleep, sleep_until};
+use linnethitch_clock::{Instant, sleep, sleep_until, timeout_at};
 use linnethitch_protocol::streams::StreamRecord;
 use linnethitch_response::EventSplitter;
 use linnethitch_routing::dispatch::{PromptPart, RequestNeeds, SoftwareNeed};
@@ -165,7 +165,8 @@
 
     /// How a source ended that stopped without an error.
     async fn ending(&self) -> SourceEnd {
-        if self.source.is_whole(&self.shared).await {
+        let is_whole = timeout_at(self.settings.deadline, self.source.is_whole(&self.shared));
+        if is_whole.await.unwrap_or(false) {
             SourceEnd::Complete
         } else {
             SourceEnd::Broken
@@ -371,19 +372,14 @@
         } = self;
         let Source {
             replica,
-            mut connection,
+            connection,
             running,
             ..
         } = source;
         running.completed();
         drop(running);
-        let keep = async {
-            if connection.is_usable_again().await {
-                shared.connections.put_back(connection);
-            }
-        };
-        let (is_taken, ()) = tokio::join!(Self::forward_remaining(&mut unread, sender), keep);
-        if !is_taken {
+        shared.connections.release(connection);
+        if !Self::forward_remaining(&mut unread, sender).await {
             return;
         }
         if is_sampled {
