Relay: a stalled replica is released before its stream is sent elsewhere

Cause: the pump held the stalled source, which it never read again, until the next answer had begun.

Evidence: the new test on the code before: the connection to the stalled replica was still open 20 s after the next one had the request.

Why this works: the stalled source is read on while another replica is searched, and released right before the next request is written. If it sends first, or there is no other replica, the stream goes on there.

Tests: a_stalled_replica_is_released_before_the_stream_is_sent_elsewhere and a_stalled_stream_continues_at_its_replica_while_there_is_no_other, both failed before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -155,7 +155,9 @@
                 software: &self.origin.software,
                 limits,
             };
-            let sending = exchange(self.shared, &self.outgoing, &self.prompt.parts, target);
+            let (outgoing, prompt) = (&self.outgoing, &self.prompt.parts);
+            let mut former = None;
+            let sending = exchange(self.shared, outgoing, prompt, target, &mut former);
             match sending.await {
                 Exchange::Answered(opened) => {
                     if let Some(response) = self.forward(*opened).await {
@@ -580,9 +582,8 @@
                 origin,
                 take_up_until: self.take_up_until,
             },
-            source,
         );
-        tokio::spawn(pump.run(sender));
+        tokio::spawn(pump.run(source, sender));
         Response::from_parts(head, channel_body(receiver))
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -27,6 +27,7 @@
     running_guard::RunningGuard,
     shared::Shared,
     slots::{RunReport, SlotLease},
+    source::Source,
 };
 
 /// Headers that apply to one connection only.
@@ -197,7 +198,8 @@
 }
 
 /// Sends a request to a replica and waits for the head of the response. Online requests pass the
-/// lease of their slot.
+/// lease of their slot. A former replica that may still be at work on the request is released
+/// before the request is sent; it is kept if the request is not sent.
 ///
 /// All sends to replicas go through this function, so that no request is sent again after it was
 /// refused for ending replicas.
@@ -206,6 +208,7 @@
     outgoing: &Arc<Outgoing>,
     prompt: &[PromptPart],
     target: Target<'_>,
+    former: &mut Option<Source>,
 ) -> Exchange {
     let Target {
         chosen,
@@ -272,6 +275,9 @@
         let Some(counted) = shared.cold.begin(&chosen.id, outgoing) else {
             return Exchange::Cold;
         };
+        if let Some(former) = former.take() {
+            former.interrupted();
+        }
         shared.count_send(outgoing);
         running.note_sent();
         match send(
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -297,7 +297,8 @@
             software: &software,
             limits,
         };
-        let exchanged = exchange(&self.shared, &outgoing, &prompt.parts, target);
+        let mut former = None;
+        let exchanged = exchange(&self.shared, &outgoing, &prompt.parts, target, &mut former);
         let exchanged = tokio::select! {
             exchanged = exchanged => exchanged,
             () = stop.cancelled() => return self.preempt(&chosen.id),
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -16,6 +16,7 @@
     counters::{RequestEnd, TakeUpOutcome},
     exchange::{Exchange, Limits, Outgoing, Target, exchange},
     homes::HomeZones,
+    known_ends::KnownEnds,
     response::BodyFailure,
     search::{Placement, Search},
     shared::Shared,
@@ -60,7 +61,10 @@
     shared: Arc<Shared>,
     settings: PumpSettings,
     splitter: EventSplitter,
-    source: Source,
+    /// The replica of the current source, or of the last one.
+    replica: String,
+    /// The software of that replica, if it is known.
+    software: Option<String>,
     /// Data received from the replica and not yet taken by the caller.
     unread: UnreadBuffer,
     /// Whether it is recorded what began the stream.
@@ -71,6 +75,8 @@
 enum SourceEnd {
     Complete,
     Broken,
+    /// Nothing was received for long; the replica may still be at work.
+    Stalled,
     CallerDisconnected,
     DeadlineExceeded,
 }
@@ -78,45 +84,58 @@
 type Sender = mpsc::Sender<Result<Bytes, BodyFailure>>;
 
 impl Pump {
-    pub(crate) fn new(shared: Arc<Shared>, settings: PumpSettings, source: Source) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, settings: PumpSettings) -> Self {
         Pump {
             unread: UnreadBuffer::new(shared.buffered.clone()),
             shared,
             settings,
             splitter: EventSplitter::default(),
-            source,
+            replica: String::new(),
+            software: None,
             is_recorded: false,
         }
     }
 
-    pub(crate) async fn run(mut self, sender: Sender) {
+    pub(crate) async fn run(mut self, first: Source, sender: Sender) {
+        let mut source = first;
         loop {
-            match self.forward_source(&sender).await {
-                SourceEnd::Complete => return self.finish(&sender).await,
+            self.replica.clone_from(&source.replica);
+            self.software.clone_from(&source.software);
+            let stalled = match self.forward_source(&mut source, &sender).await {
+                SourceEnd::Complete => return self.finish(source, &sender).await,
                 SourceEnd::CallerDisconnected => return,
                 SourceEnd::DeadlineExceeded => {
+                    drop(source);
                     self.log("stream deadline exceeded");
                     return self.abort(&sender, "deadline exceeded").await;
                 }
-                SourceEnd::Broken => self.source.running.interrupted(),
-            }
+                SourceEnd::Broken => {
+                    source.interrupted();
+                    self.splitter.drop_partial();
+                    None
+                }
+                SourceEnd::Stalled => {
+                    self.log("stream stalled");
+                    Some(source)
+                }
+            };
             let resumed = tokio::select! {
-                resumed = self.resume() => resumed,
+                resumed = self.resume(stalled) => resumed,
                 () = sender.closed() => return,
             };
-            let Some(source) = resumed else {
+            let Some(next) = resumed else {
                 self.log("stream broken");
                 self.record_end(RequestEnd::Failed);
                 return self.abort(&sender, "stream broken").await;
             };
-            self.source = source;
+            source = next;
         }
     }
 
     /// Reads the source and forwards its data, each at its own speed: a slow caller delays the
     /// replica only once too much data is buffered, and does not count as a sign that the replica
     /// is unresponsive.
-    async fn forward_source(&mut self, sender: &Sender) -> SourceEnd {
+    async fn forward_source(&mut self, source: &mut Source, sender: &Sender) -> SourceEnd {
         let stall_timeout = (self.settings.gap * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT);
         let mut stalled_at = self.stall_deadline(stall_timeout);
         loop {
@@ -135,20 +154,20 @@
                     }
                     continue;
                 }
-                data = self.source.data(), if may_read => data,
+                data = source.data(), if may_read => data,
                 () = sender.closed() => return SourceEnd::CallerDisconnected,
                 () = sleep_until(stalled_at), if may_read => {
                     let is_past_deadline = Instant::now() >= self.settings.deadline;
-                    return if is_past_deadline { SourceEnd::DeadlineExceeded } else { SourceEnd::Broken };
+                    return if is_past_deadline { SourceEnd::DeadlineExceeded } else { SourceEnd::Stalled };
                 }
                 () = sleep_until(self.settings.deadline), if !may_read => return SourceEnd::DeadlineExceeded,
             };
             let data = match data {
-                None => return self.ending().await,
+                None => return self.ending(source).await,
                 Some(Err(Interrupted)) => return SourceEnd::Broken,
                 Some(Ok(data)) => data,
             };
-            self.source.running.first_event();
+            source.running.first_event();
             stalled_at = self.stall_deadline(stall_timeout);
             let passed = if self.settings.resumable {
                 match self.splitter.push(&data) {
@@ -158,14 +177,14 @@
             } else {
                 data
             };
-            self.bind_to_software();
+            self.bind_to_software(source);
             self.unread.push(passed);
         }
     }
 
     /// How a source ended that stopped without an error.
-    async fn ending(&self) -> SourceEnd {
-        let is_whole = timeout_at(self.settings.deadline, self.source.is_whole(&self.shared));
+    async fn ending(&self, source: &Source) -> SourceEnd {
+        let is_whole = timeout_at(self.settings.deadline, source.is_whole(&self.shared));
         if is_whole.await.unwrap_or(false) {
             SourceEnd::Complete
         } else {
@@ -175,7 +194,7 @@
 
     /// Binds a resumable stream to the software of its first event, and records that for attempts
     /// to take the stream up at any gateway.
-    fn bind_to_software(&mut self) {
+    fn bind_to_software(&mut self, source: &Source) {
         let PumpSettings {
             origin,
             service,
@@ -189,7 +208,7 @@
         self.is_recorded = true;
         let Source {
             replica, software, ..
-        } = &self.source;
+        } = source;
         if origin.software == SoftwareNeed::Any {
             origin.software = SoftwareNeed::same_as(replica, software.as_deref());
         }
@@ -213,12 +232,9 @@
         true
     }
 
-    /// Forwards the buffered data, then aborts the response. The replica is released first.
+    /// Forwards the buffered data, then aborts the response. The replica was released before.
     async fn abort(self, sender: &Sender, why: &'static str) {
-        let Pump {
-            source, mut unread, ..
-        } = self;
-        drop(source);
+        let Pump { mut unread, .. } = self;
         if Self::forward_remaining(&mut unread, sender).await {
             let _ = sender.send(Err(why.into())).await;
         }
@@ -238,42 +254,28 @@
         }
     }
 
-    /// Resumes at another replica after the last complete event.
-    async fn resume(&mut self) -> Option<Source> {
-        self.splitter.drop_partial();
+    /// The source with which the stream goes on after the last complete event: another replica,
+    /// or the stalled one if it sends again before another one is found or if there is none. Two
+    /// replicas never work on the stream: the stalled one is released before the next send.
+    async fn resume(&mut self, mut stalled: Option<Source>) -> Option<Source> {
         let wait_until = Instant::now() + REPLICA_WAIT_TIMEOUT;
         while self.settings.resumable && self.settings.remaining_sends > 0 {
-            if !self.has_software() {
-                self.log("no replica of the stream's software");
-                let counters = &self.shared.counters;
-                counters.take_up_ended(TakeUpOutcome::VersionGone);
-                return None;
-            }
-            let outgoing = &self.settings.outgoing;
-            let known =
-                self.shared
-                    .known_ends(outgoing, &self.settings.route, &self.settings.service);
-            let known_ends = known.await.ok()?;
-            if self.shared.is_refused_while_isolated(&known_ends) {
-                return None;
-            }
-            let homes = self.shared.homes(outgoing);
-            let search = Search {
-                shared: &self.shared,
-                service: &self.settings.service,
-                prompt: &self.settings.prompt,
-                isolation_number: known_ends.isolation_number(|| outgoing.fingerprint()),
-                except: &self.settings.tried,
-                homes: &homes,
-                software: &self.settings.origin.software,
-                rank: self.settings.rank,
-                due: Instant::now() + self.settings.gap,
-                deadline: self.settings.deadline,
+            let found = match &mut stalled {
+                None => self.find_replica(wait_until).await,
+                Some(source) => tokio::select! {
+                    biased;
+                    () = source.wait_for_data() => {
+                        self.log("stream continues at its replica");
+                        return stalled;
+                    }
+                    found = self.find_replica(wait_until) => found,
+                },
             };
-            let Some(Placement { chosen, lease }) = search.run().await else {
-                self.wait_for_replica(&homes, wait_until).await?;
-                continue;
+            let Some((Placement { chosen, lease }, known_ends)) = found else {
+                return stalled;
             };
+            let was_stalled = stalled.is_some();
+            let outgoing = &self.settings.outgoing;
             self.settings.remaining_sends -= 1;
             self.settings.tried.push(chosen.id.clone());
             let target = Target {
@@ -290,15 +292,20 @@
                     head_deadline: self.settings.deadline,
                 },
             };
-            let sending = exchange(&self.shared, outgoing, &self.settings.prompt, target);
-            match sending.await {
+            let prompt = &self.settings.prompt;
+            let sending = exchange(&self.shared, outgoing, prompt, target, &mut stalled);
+            let exchanged = sending.await;
+            if was_stalled && stalled.is_none() {
+                self.splitter.drop_partial();
+            }
+            match exchanged {
                 Exchange::Answered(opened) if opened.response.status().is_success() => {
                     self.shared.counters.resumes.inc();
                     self.shared.counters.take_up_ended(TakeUpOutcome::Resumed);
                     info!(self.shared.logger, "request: stream resumed"; "request" => outgoing.id(),
                         "stream" => &self.settings.origin.id, "replica" => &opened.replica,
-                        "software" => &opened.software, "from_replica" => &self.source.replica,
-                        "from_software" => &self.source.software,
+                        "software" => &opened.software, "from_replica" => &self.replica,
+                        "from_software" => &self.software,
                         "last_event" => self.splitter.last_id());
                     let (_, source) = Source::open(*opened, BodyKind::Events);
                     return Some(source.continuing(true));
@@ -314,7 +321,47 @@
                 Exchange::TimedOut | Exchange::KeyRefused(_) => return None,
             }
         }
-        None
+        stalled
+    }
+
+    /// Searches for another replica until a time; `None` if there is none. Cancel-safe.
+    async fn find_replica(&self, wait_until: Instant) -> Option<(Placement, KnownEnds)> {
+        loop {
+            if !self.has_software() {
+                self.log("no replica of the stream's software");
+                let counters = &self.shared.counters;
+                counters.take_up_ended(TakeUpOutcome::VersionGone);
+                return None;
+            }
+            let PumpSettings {
+                outgoing,
+                route,
+                service,
+                ..
+            } = &self.settings;
+            let known = self.shared.known_ends(outgoing, route, service);
+            let known_ends = known.await.ok()?;
+            if self.shared.is_refused_while_isolated(&known_ends) {
+                return None;
+            }
+            let homes = self.shared.homes(outgoing);
+            let search = Search {
+                shared: &self.shared,
+                service,
+                prompt: &self.settings.prompt,
+                isolation_number: known_ends.isolation_number(|| outgoing.fingerprint()),
+                except: &self.settings.tried,
+                homes: &homes,
+                software: &self.settings.origin.software,
+                rank: self.settings.rank,
+                due: Instant::now() + self.settings.gap,
+                deadline: self.settings.deadline,
+            };
+            if let Some(placement) = search.run().await {
+                return Some((placement, known_ends));
+            }
+            self.wait_for_replica(&homes, wait_until).await?;
+        }
     }
 
     /// Waits until a replica may be available: a cold one, or one that is ejected or full. `None` if
@@ -360,13 +407,12 @@
     }
 
     /// Completes a stream. The replica is released before the caller has taken all data.
-    async fn finish(self, sender: &Sender) {
+    async fn finish(self, source: Source, sender: &Sender) {
         let is_sampled = self.shared.is_sampled();
         let Pump {
             shared,
             settings,
             splitter,
-            source,
             mut unread,
             ..
         } = self;
@@ -396,6 +442,6 @@
 
     fn log(&self, what: &str) {
         info!(self.shared.logger, "request: {}", what; "request" => self.settings.outgoing.id(),
-            "replica" => &self.source.replica, "last_event" => self.splitter.last_id());
+            "replica" => &self.replica, "last_event" => self.splitter.last_id());
     }
 }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -38,8 +38,13 @@
     pub(crate) running: RunningGuard,
     body: Incoming,
     end: ResponseEnd,
+    /// What [`Self::data`] returns next, if it has been awaited already.
+    awaited: Option<BodyData>,
 }
 
+/// Data of a body; `None` where it stopped without an error, whole or not.
+type BodyData = Option<Result<Bytes, Interrupted>>;
+
 /// The body ended with an error of its transport, such as a reset or a missing chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Interrupted;
@@ -70,10 +75,16 @@
             running,
             body,
             end,
+            awaited: None,
         };
         (head, source)
     }
 
+    /// Releases a replica that has not completed its response.
+    pub(crate) fn interrupted(self) {
+        self.running.interrupted();
+    }
+
     /// Marks the stream as the continuation of another one, which may have no event left.
     pub(crate) fn continuing(mut self, is_continuation: bool) -> Self {
         self.end = self.end.continuing(is_continuation);
@@ -85,8 +96,22 @@
         self.end.is_event_stream()
     }
 
-    /// The next data of the body; `None` where it stopped without an error, whole or not.
-    pub(crate) async fn data(&mut self) -> Option<Result<Bytes, Interrupted>> {
+    /// The next data of the body. Cancel-safe.
+    pub(crate) async fn data(&mut self) -> BodyData {
+        match self.awaited.take() {
+            Some(data) => data,
+            None => self.next_data().await,
+        }
+    }
+
+    /// Waits until [`Self::data`] returns at once. Cancel-safe.
+    pub(crate) async fn wait_for_data(&mut self) {
+        if self.awaited.is_none() {
+            self.awaited = Some(self.next_data().await);
+        }
+    }
+
+    async fn next_data(&mut self) -> BodyData {
         loop {
             let Ok(frame) = self.body.frame().await? else {
                 return Some(Err(Interrupted));
--- a/crates/relay/tests/all/streams.rs
+++ b/crates/relay/tests/all/streams.rs
@@ -1,9 +1,18 @@
 //! Streams are forwarded as they arrive, cut where they broke, or resumed elsewhere.
 
-use linnethitch_registry::{ReplicaState, RouteKind};
+use std::{sync::Arc, time::Duration};
+
+use linnethitch_registry::{ReplicaState, Route, RouteKind};
 use rstest::rstest;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
-use crate::support::{Act, Fleet, Replica, header, listen_on_own_address, route};
+use crate::support::{
+    Act, Fleet, LIMIT, Replica, header, listen_on_own_address, read_answer, route,
+    wait_for_requests,
+};
 
 pub(crate) const COMPLETE: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s\r\n\
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
@@ -124,3 +133,67 @@
         .await
         .expect("in time");
 }
+
+/// A resumable route whose requests may take longer than any test.
+fn patient_route() -> Route {
+    Route {
+        timeout_ms: 120_000,
+        ..route(RouteKind::Streaming, 2, true)
+    }
+}
+
+/// Guards against a stream that two replicas work on: the stalled one was released only once the
+/// next one had answered.
+#[tokio::test]
+async fn a_stalled_replica_is_released_before_the_stream_is_sent_elsewhere() {
+    let stalled = Replica::start(vec![Act::Send(BROKEN)]).await;
+    let fleet = Fleet::start(patient_route(), std::slice::from_ref(&stalled)).await;
+    let stream = fleet.open("request-1", "").await;
+    wait_for_requests(&stalled, 1).await;
+    let next = Replica::start(vec![Act::Silence]).await;
+    fleet
+        .register(1, next.address, ReplicaState::Ready, 1)
+        .await;
+    wait_for_requests(&next, 1).await;
+    stalled.wait_until_closed(1).await;
+    drop(stream);
+}
+
+/// The rest of [`BROKEN`].
+const REST: &str = "6\r\na: b\n\n\r\n0\r\n\r\n";
+
+/// Guards against a stream that is cut although its stalled replica sends again while no other
+/// replica is found.
+#[tokio::test]
+async fn a_stalled_stream_continues_at_its_replica_while_there_is_no_other() {
+    let listener = listen_on_own_address().await;
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let fleet = Fleet::start(patient_route(), &[]).await;
+    // The replica that refuses connections is avoided after these failures.
+    fleet.register(0, address, ReplicaState::Ready, 1).await;
+    fleet.wait_for(1).await;
+    for number in 0..3 {
+        let answer = fleet.ask(&format!("early-{number}")).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    let continues: Arc<Notify> = Arc::default();
+    let act = Act::SendInTwo(BROKEN, Arc::clone(&continues), REST);
+    let replica = Replica::start(vec![act]).await;
+    fleet
+        .register(1, replica.address, ReplicaState::Ready, 1)
+        .await;
+    fleet.wait_for(2).await;
+    let mut stream = fleet.open("request-1", "").await;
+    let stalls = async {
+        while !fleet.log.contains("request: stream stalled") {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LIMIT, stalls).await.expect("the stream stalls");
+    continues.notify_one();
+    let answer = read_answer(&mut stream).await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.body, ALL_EVENTS);
+    assert_eq!(replica.requests(), 1);
+}
--- a/crates/relay/tests/all/support/replica.rs
+++ b/crates/relay/tests/all/support/replica.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -40,6 +43,8 @@
     SendLater(&'static str),
     /// Sends a stream of this number of events of this size in bytes, and keeps the connection.
     SendEvents(usize, usize),
+    /// Sends these bytes, the further ones when notified, and keeps the connection.
+    SendInTwo(&'static str, Arc<Notify>, &'static str),
     /// Sends nothing and keeps the connection.
     Silence,
 }
@@ -58,6 +63,8 @@
 pub(crate) struct Replica {
     pub(crate) address: SocketAddr,
     pub(crate) heads: Arc<Mutex<Vec<String>>>,
+    /// Number of connections that gateways have closed after sending a request.
+    closed: Arc<AtomicUsize>,
 }
 
 impl Replica {
@@ -94,6 +101,8 @@
         let address = listener.local_addr().expect("an address");
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
         let seen = Arc::clone(&heads);
+        let closed: Arc<AtomicUsize> = Arc::default();
+        let closings = Arc::clone(&closed);
         let acts = Arc::new(Mutex::new(acts));
         let process = CancellationToken::new();
         tokio::spawn(async move {
@@ -105,10 +114,29 @@
                     process.clone(),
                 );
                 let process = process.clone();
-                tokio::spawn(async move { process.run_until_cancelled(serving).await });
+                let closings = Arc::clone(&closings);
+                tokio::spawn(async move {
+                    if process.run_until_cancelled(serving).await == Some(ClosedBy::Gateway) {
+                        closings.fetch_add(1, Ordering::Relaxed);
+                    }
+                });
             }
         });
-        Replica { address, heads }
+        Replica {
+            address,
+            heads,
+            closed,
+        }
+    }
+
+    /// Waits until gateways have closed this number of connections.
+    pub(crate) async fn wait_until_closed(&self, connections: usize) {
+        let closed = async {
+            while self.closed.load(Ordering::Relaxed) < connections {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, closed).await.expect("in time");
     }
 
     pub(crate) fn requests(&self) -> usize {
@@ -116,16 +144,27 @@
     }
 }
 
+/// Who closed a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClosedBy {
+    Gateway,
+    /// A gateway that sent no request.
+    Probe,
+    Replica,
+}
+
 async fn serve(
     mut stream: TcpStream,
     acts: Arc<Mutex<Vec<Act>>>,
     seen: Arc<Mutex<Vec<String>>>,
     process: CancellationToken,
-) {
+) -> ClosedBy {
+    let mut requests = 0;
     while let Some(head) = read_request(&mut stream).await {
         let id = header(&head, "request-id").unwrap_or_default().to_owned();
         let expected = header(&head, "expect").unwrap_or_default().to_owned();
         seen.lock().push(head);
+        requests += 1;
         let act = {
             let mut acts = acts.lock();
             if acts.len() > 1 {
@@ -158,6 +197,12 @@
                 let _ = send_events(&mut stream, &id, events, bytes).await;
                 ("", false, false)
             }
+            Act::SendInTwo(first, continues, rest) => {
+                let first = first.replace("{id}", &id);
+                let _ = stream.write_all(first.as_bytes()).await;
+                continues.notified().await;
+                (rest, false, false)
+            }
             Act::Silence => ("", false, false),
         };
         let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
@@ -175,9 +220,14 @@
             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
         if closes {
-            return;
+            return ClosedBy::Replica;
         }
     }
+    if requests > 0 {
+        ClosedBy::Gateway
+    } else {
+        ClosedBy::Probe
+    }
 }
 
 async fn send_events(
