Items of the last batch route are given up when it ends

Cause: gateways ask for as many items as the services of their batch routes have slots for, so without a batch route for none; only a leased item is given up.

Why this works: a gateway that has had batch routes and has none any more asks for items all the same; they take no slot.

Test: items_of_the_last_batch_route_are_given_up_when_it_ends, not listed in 20 s before, passes now.

--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -38,20 +38,26 @@
         WorkCallSchedule::with_random_phase(relay.shared.random_number(), gateways(&relay));
     let mut ramp_up = ItemRampUp::default();
     let mut found_none = false;
+    let mut had_batch_routes = false;
     loop {
         sleep(WORK_INTERVAL).await;
         let is_stopping = relay.is_stopping();
         if is_stopping && running.is_empty() {
             return;
         }
-        let max_items = if is_stopping {
+        let services = batch_services(&relay);
+        had_batch_routes |= !services.is_empty();
+        let leased = running.len() as u32;
+        let may_run = if is_stopping {
             0
+        } else if services.is_empty() && had_batch_routes {
+            // Items of the routes that ended take no slot: they are given up.
+            ITEMS_AT_ONCE
         } else {
-            let leased = running.len() as u32;
-            let ramp_limit = ramp_up.items_to_request(item_capacity(&relay), leased);
-            let free = settings.max_items.saturating_sub(leased);
-            ramp_limit.min(free).min(ITEMS_AT_ONCE)
+            ramp_up.items_to_request(item_capacity(&relay, &services), leased)
         };
+        let free = settings.max_items.saturating_sub(leased);
+        let max_items = may_run.min(free).min(ITEMS_AT_ONCE);
         let calls = schedule.after_interval(WorkState {
             requested: max_items,
             holds_items: !running.is_empty(),
@@ -139,6 +145,7 @@
     times.max().unwrap_or(0)
 }
 
+/// Services of batch routes; empty if no batch route is in force.
 fn batch_services(relay: &Relay) -> Vec<String> {
     let Some(table) = relay.table() else {
         return Vec::new();
@@ -149,8 +156,7 @@
 }
 
 /// Capacity for items at the service with the most free slots.
-fn item_capacity(relay: &Relay) -> ItemCapacity {
-    let services = batch_services(relay);
+fn item_capacity(relay: &Relay, services: &[String]) -> ItemCapacity {
     let capacities = services
         .iter()
         .map(|service| relay.shared.slots.item_capacity(service));
--- a/crates/relay/tests/all/items.rs
+++ b/crates/relay/tests/all/items.rs
@@ -4,8 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use linnethitch_job_store::{
-    AcceptedRoute, ExcludedWork, GeneratedEvents, ItemProgress, ItemRef, ItemSpec, JobSpec,
-    ListedState, ResultsPage, RunId, RunProgress, StoreCall, StoreReply, StoredProgress,
+    AcceptedRoute, ExcludedWork, GeneratedEvents, ItemProgress, ItemRef, ItemResult, ItemSpec,
+    JobSpec, ListedState, ResultsPage, RunId, RunProgress, StoreCall, StoreReply, StoredProgress,
 };
 use linnethitch_protocol::software::SoftwareFingerprint;
 use linnethitch_registry::{Backend, Configuration, Route, RouteKind, ServiceTraits};
@@ -426,6 +426,22 @@
     assert_eq!(pair.requests(), (0, 0));
 }
 
+/// Guards against items that wait for their time to be over because no batch route is left, so that
+/// no gateway asked for items.
+#[tokio::test]
+async fn items_of_the_last_batch_route_are_given_up_when_it_ends() {
+    let pair = Pair::start(vec![Act::Silence], Vec::new()).await;
+    pair.run();
+    pair.submit(ITEMS).await;
+    wait_for_requests(&pair.here, 1).await;
+    let mut without_batch = homed(2, &[], &[]);
+    without_batch.table.routes[0].kind = RouteKind::Safe;
+    pair.fleet.put(without_batch).await;
+    let page = pair.results().await;
+    let is_given_up = |result: &ItemResult| result.state == ListedState::GivenUp;
+    assert!(page.results.iter().all(is_given_up));
+}
+
 /// Guards against items that are given up, or run at another service, because their path is under
 /// no route or under another one than their job: the route that accepted the job counts.
 #[rstest]
