--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -32,6 +32,8 @@
 /// after a pause of two seconds.
 const REPLICA_WAIT_TIMEOUT: Duration = Duration::from_millis(900);
 const REPLICA_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Pause between two searches while a stalled replica is the only one.
+const SEARCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// Settings of a stream, besides its first replica.
 pub(crate) struct PumpSettings {
@@ -272,7 +274,11 @@
                 },
             };
             let Some((Placement { chosen, lease }, known_ends)) = found else {
-                return stalled;
+                let source = stalled.as_mut()?;
+                if self.waits_for_stalled(source).await {
+                    return stalled;
+                }
+                continue;
             };
             let was_stalled = stalled.is_some();
             let outgoing = &self.settings.outgoing;
@@ -324,6 +330,20 @@
         stalled
     }
 
+    /// Waits for a stalled replica while there is no other one. Returns whether the stream goes on
+    /// with it: it has sent again, or the stream's time is over. If not, others are searched again.
+    async fn waits_for_stalled(&self, source: &mut Source) -> bool {
+        let search_again = Instant::now() + SEARCH_PAUSE;
+        tokio::select! {
+            biased;
+            () = source.wait_for_data() => self.log("stream continues at its replica"),
+            () = sleep_until(search_again.min(self.settings.deadline)) => {
+                return Instant::now() >= self.settings.deadline;
+            }
+        }
+        true
+    }
+
     /// Searches for another replica until a time; `None` if there is none. Cancel-safe.
     async fn find_replica(&self, wait_until: Instant) -> Option<(Placement, KnownEnds)> {
         loop {
