Item routes, item requests and trailers of frames in modules of their own; names

The route of a leased item is in item_run/route.rs, trailers of encoded values (software versions, details of routes) are written in one place, names follow the field's terms.

--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -36,7 +36,7 @@
     let active = gateway.configuration.load_full();
     let end = match parse(active.as_deref(), &order) {
         Ok(request) => ItemRun::new(gateway, order, request).run(&stop).await,
-        Err(failure) => invalid_here(&gateway, active.as_deref(), &order, &failure),
+        Err(failure) => end_of_invalid_request(&gateway, active.as_deref(), &order, &failure),
     };
     BatchEvent::RunEnded { run, end }
 }
@@ -44,7 +44,7 @@
 /// How a run ends whose request is not valid under a configuration. The job may have been created
 /// under a newer one: that the request can never run shows only once control has confirmed that
 /// this configuration was the newest when the item was leased.
-fn invalid_here(
+fn end_of_invalid_request(
     gateway: &Gateway,
     active: Option<&ActiveConfiguration>,
     order: &RunOrder,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod streams;
 pub mod suspicion;
 pub mod text_edit;
+pub mod trailer;
--- a/crates/registry/src/software.rs
+++ b/crates/registry/src/software.rs
@@ -1,18 +1,14 @@
 //! Software versions of replicas, stored and sent beside the values that contain their reports.
 //!
 //! The encodings of reports are those of the second format. The third format appends the
-//! versions: the encoded value, the encoded list of versions in the order of the reports (empty
-//! if none is known), and the length of the list in bytes as a little-endian `u32`.
+//! versions as a [`trailer`]: the encoded list in the order of the reports, empty if none is known.
 
 use error_stack::{Report, ensure};
 use linnethitch_errors::ErrorKind;
-use linnethitch_protocol::frame;
+use linnethitch_protocol::{frame, trailer};
 
 use crate::{replica::ReplicaChange, update::FleetUpdate};
 
-/// Size of the length after the list, in bytes.
-const LENGTH_BYTES: usize = 4;
-
 /// The software version of each report; `None` if it is unknown.
 pub type Versions = Vec<Option<String>>;
 
@@ -42,14 +38,13 @@
 /// # Errors
 /// `Internal` when they cannot be encoded.
 pub fn append(encoded: &mut Vec<u8>, reports: &[&ReplicaChange]) -> Result<(), Report<ErrorKind>> {
-    let before = encoded.len();
-    if reports.iter().any(|report| report.software.is_some()) {
-        let versions = reports.iter().map(|report| report.software.clone());
-        let versions: Versions = versions.collect();
-        encoded.extend_from_slice(&frame::encode(&versions)?);
+    if reports.iter().all(|report| report.software.is_none()) {
+        trailer::append(encoded, &[]);
+        return Ok(());
     }
-    let length = (encoded.len() - before) as u32;
-    encoded.extend_from_slice(&length.to_le_bytes());
+    let versions = reports.iter().map(|report| report.software.clone());
+    let versions: Versions = versions.collect();
+    trailer::append(encoded, &frame::encode(&versions)?);
     Ok(())
 }
 
@@ -58,13 +53,7 @@
 /// # Errors
 /// `Corrupted` when the bytes have no such versions at their end.
 pub fn split(bytes: &[u8]) -> Result<(&[u8], Versions), Report<ErrorKind>> {
-    let damaged = || Report::new(ErrorKind::Corrupted).attach("damaged software versions");
-    let (rest, length) = bytes
-        .split_last_chunk::<LENGTH_BYTES>()
-        .ok_or_else(damaged)?;
-    let length = u32::from_le_bytes(*length) as usize;
-    let value_bytes = rest.len().checked_sub(length).ok_or_else(damaged)?;
-    let (value, versions) = rest.split_at(value_bytes);
+    let (value, versions) = trailer::split(bytes, "software versions")?;
     if versions.is_empty() {
         return Ok((value, Vec::new()));
     }
--- a/crates/relay/src/item_request.rs
+++ b/crates/relay/src/item_request.rs
@@ -9,7 +9,7 @@
 };
 use linnethitch_job_store::ItemSpec;
 
-use crate::{dialect::HeaderNames, exchange::strip_connection_headers};
+use crate::{dialect::HeaderNames, exchange::strip_connection_headers, shared::Shared};
 
 /// Why an item cannot be sent to any replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,6 +73,23 @@
     }
 }
 
+impl Shared {
+    /// The request of an item of a job that was submitted to a host.
+    ///
+    /// # Errors
+    /// [`ItemFault`] if the item is no valid request.
+    pub(crate) fn item_request(
+        &self,
+        host: &str,
+        item: &ItemSpec,
+    ) -> Result<ItemRequest, ItemFault> {
+        // The host is that of a request, so it is a valid value.
+        let host =
+            HeaderValue::from_str(host).map_err(|_| ItemFault::HeaderValue(host.to_owned()))?;
+        ItemRequest::new(self.dialect.names(), &host, item)
+    }
+}
+
 fn parse_path(path: &str) -> Result<PathAndQuery, ItemFault> {
     let fault = || ItemFault::Path(path.to_owned());
     let parsed = path.parse::<PathAndQuery>().map_err(|_| fault())?;
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -1,6 +1,8 @@
 //! One leased batch item. It runs on slots that online requests leave free, resumes after its
 //! last event, and ends with a report or is returned to the job store.
 
+mod route;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -15,11 +17,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    callers::{PROPAGATION_ALLOWANCE, set_tenant_header},
+    callers::set_tenant_header,
     counters::ItemEnd,
     exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
     item_request::{ItemFault, ItemRequest},
-    item_route::{ItemRoute, RouteVerdict},
     running_items::GeneratedProgress,
     search::{Placement, Search},
     shared::Shared,
@@ -45,8 +46,6 @@
 /// ends replicas would otherwise end all of them before gateways know which of its parts is common.
 const SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(400);
 const MAX_SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(1_600);
-/// Interval at which the route of an item is looked up again while it is not known here.
-const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Status of an item that can never be processed.
 const UNPROCESSABLE: u16 = 422;
 
@@ -166,62 +165,6 @@
         !matches!(reply, StoreReply::ReportAgain(_))
     }
 
-    /// The current route: changes of the route apply to items too. Without one, how the run ends.
-    async fn route(&self) -> Result<Route, RunEnd> {
-        let mut is_waiting = false;
-        loop {
-            let table = self.shared.table();
-            let (decision, end) = match RouteVerdict::of(table.as_deref(), &self.item_route()) {
-                RouteVerdict::InForce(route) => return Ok(route.clone()),
-                RouteVerdict::Ended => (
-                    "given up, the route has ended",
-                    RunEnd::Outcome(ItemOutcome::RouteRemoved),
-                ),
-                RouteVerdict::Unknown if !self.may_wait_for_table() => {
-                    ("returned, the table may be too old", RunEnd::Return)
-                }
-                RouteVerdict::Unknown => {
-                    if !std::mem::replace(&mut is_waiting, true) {
-                        self.log_no_route("waits for a confirmed table");
-                    }
-                    sleep(ROUTE_POLL_INTERVAL).await;
-                    continue;
-                }
-            };
-            self.log_no_route(decision);
-            return Err(end);
-        }
-    }
-
-    fn item_route(&self) -> ItemRoute<'_> {
-        let confirmed_for = Duration::from_millis(self.shared.gateway.knowledge_age_ms());
-        ItemRoute {
-            host: &self.work.host,
-            path: &self.work.spec.path,
-            accepted: self.work.route.as_ref(),
-            is_table_confirmed: self.leased_at.elapsed() >= confirmed_for + PROPAGATION_ALLOWANCE,
-        }
-    }
-
-    /// Whether the item waits here until its route is known. Where the accepting table is known,
-    /// a gateway with a newer table leases the item sooner; where it is not, only time tells.
-    fn may_wait_for_table(&self) -> bool {
-        let is_in_time = self.leased_at.elapsed() < DEFER_DURATION;
-        self.work.route.is_none() && is_in_time && !self.stopping.is_cancelled()
-    }
-
-    /// Logs which table has no route for the item, how old it may be, and what follows.
-    fn log_no_route(&self, decision: &str) {
-        self.shared.counters.items_without_route.inc();
-        let version = self.shared.table().map(|table| table.version);
-        let accepted = self.work.route.as_ref().map(|route| route.table_version);
-        info!(self.shared.logger, "item: no route"; "item" => &self.work.spec.id,
-            "job" => &self.work.item.job, "host" => &self.work.host,
-            "path" => &self.work.spec.path, "version" => version, "accepted_version" => accepted,
-            "knowledge_age_ms" => self.shared.gateway.knowledge_age_ms(),
-            "decision" => decision);
-    }
-
     async fn send_once(&mut self, deadline: Instant) -> RunEnd {
         let route = match self.route().await {
             Ok(route) => route,
@@ -436,7 +379,7 @@
         info!(self.shared.logger, "item: deferred, {}", why;
             "item" => &self.work.spec.id, "job" => &self.work.item.job,
             "content" => outgoing.fingerprint().to_string());
-        self.rest().await
+        self.hold_then_return().await
     }
 
     /// Defers an item that cannot be sent, which an earlier build accepted: no replica has
@@ -444,11 +387,11 @@
     async fn defer_unsendable(&self, fault: &ItemFault) -> RunEnd {
         info!(self.shared.logger, "item: no valid request"; "item" => &self.work.spec.id,
             "job" => &self.work.item.job, "cause" => %fault);
-        self.rest().await
+        self.hold_then_return().await
     }
 
     /// Keeps the item here for a while, then returns it for another gateway.
-    async fn rest(&self) -> RunEnd {
+    async fn hold_then_return(&self) -> RunEnd {
         tokio::select! {
             () = sleep(DEFER_DURATION) => {}
             () = self.stopping.cancelled() => {}
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -275,7 +275,7 @@
             };
             let Some((Placement { chosen, lease }, known_ends)) = found else {
                 let source = stalled.as_mut()?;
-                if self.waits_for_stalled(source).await {
+                if self.stalled_source_continues(source).await {
                     return stalled;
                 }
                 continue;
@@ -332,7 +332,7 @@
 
     /// Waits for a stalled replica while there is no other one. Returns whether the stream goes on
     /// with it: it has sent again, or the stream's time is over. If not, others are searched again.
-    async fn waits_for_stalled(&self, source: &mut Source) -> bool {
+    async fn stalled_source_continues(&self, source: &mut Source) -> bool {
         let search_again = Instant::now() + SEARCH_PAUSE;
         tokio::select! {
             biased;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,7 +12,6 @@
 use http::{HeaderMap, HeaderValue};
 use linnethitch_clock::Instant;
 use linnethitch_cluster::{Clock, GatewayNode};
-use linnethitch_job_store::ItemSpec;
 use linnethitch_protocol::slots::SlotLoad;
 use linnethitch_registry::{FleetView, ReplicaState, RouteTable};
 use linnethitch_routing::{
@@ -40,7 +39,6 @@
     exchange::Outgoing,
     fleet_changes::{FleetChanges, replica_traits},
     homes::HomeZones,
-    item_request::{ItemFault, ItemRequest},
     planned_stop::PlannedStop,
     quotas::Quotas,
     relay::RelaySettings,
@@ -238,18 +236,6 @@
         self.counters.replica_bytes(zone)
     }
 
-    /// The request of an item of a job that was submitted to a host.
-    pub(crate) fn item_request(
-        &self,
-        host: &str,
-        item: &ItemSpec,
-    ) -> Result<ItemRequest, ItemFault> {
-        // The host is that of a request, so it is a valid value.
-        let host =
-            HeaderValue::from_str(host).map_err(|_| ItemFault::HeaderValue(host.to_owned()))?;
-        ItemRequest::new(self.dialect.names(), &host, item)
-    }
-
     /// The route table in force here.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         self.gateway.fleet().table().cloned()
