Items: ends of replicas pace a batch item, they never put it aside

Cause: ItemRun::send_once deferred whatever is refused to online requests, for as long as the refusal lasts. Items' runs were suspects of each end themselves.

Fix: an item has a fingerprint of its own. Its runs accuse no content or part, its responses clear none, no verdict on requests holds it back. It pauses 0.4 s after the first end under it and 5 s after each further one. Records that an earlier build wrote under its content are not read. Metrics and log lines tell which items do not run, since when and why. No format changes.

--- a/crates/protocol/src/suspicion.rs
+++ b/crates/protocol/src/suspicion.rs
@@ -9,6 +9,11 @@
 const PART_PREFIX: &[u8] = b"part of a prompt";
 /// The same for the decision that requests with a part are refused.
 const REFUSED_PART_PREFIX: &[u8] = b"refused part of a prompt";
+/// Begins the digest of a batch item.
+const ITEM_PREFIX: &[u8] = b"batch item";
+/// First bytes of the fingerprints of batch items. The rest of the digest, 96 bits, tells them
+/// apart.
+const ITEM_TAG: [u8; 4] = *b"item";
 /// Length of a fingerprint in bytes: 128 bits of the digest make it infeasible to find a second
 /// content with the same fingerprint.
 const FINGERPRINT_BYTES: usize = 16;
@@ -69,11 +74,26 @@
         Self::of_prefixed(REFUSED_PART_PREFIX, service, part)
     }
 
-    fn of_prefixed(prefix: &[u8], service: &str, part: u64) -> Self {
+    /// The fingerprint of a batch item, by its job and its index there. Unlike a request, an item
+    /// is one piece of work: ends of replicas under it pace it and say nothing of its content.
+    #[must_use]
+    pub fn of_item(job: &str, item: u32) -> Self {
+        let RequestFingerprint(mut bytes) = Self::of_prefixed(ITEM_PREFIX, job, u64::from(item));
+        bytes[..ITEM_TAG.len()].copy_from_slice(&ITEM_TAG);
+        RequestFingerprint(bytes)
+    }
+
+    /// Whether this is the fingerprint of a batch item.
+    #[must_use]
+    pub fn is_item(&self) -> bool {
+        self.0.starts_with(&ITEM_TAG)
+    }
+
+    fn of_prefixed(prefix: &[u8], name: &str, number: u64) -> Self {
         let mut digest = Sha256::new();
         digest.update(prefix);
-        digest.update(part.to_le_bytes());
-        digest.update(service.as_bytes());
+        digest.update(number.to_le_bytes());
+        digest.update(name.as_bytes());
         Self::truncated(digest)
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -15,6 +15,7 @@
 mod fourth_layout;
 mod gateways;
 mod incarnation_key;
+mod item_pause;
 mod node_list;
 mod notification_order;
 mod part_verdict;
@@ -45,6 +46,7 @@
 pub use first_format::{FirstFormatAnswer, FirstFormatCommand, FirstFormatUpdate};
 pub use gateways::{GatewayRecord, KnownGateways};
 pub use incarnation_key::{incarnation_key, parse_incarnation_key};
+pub use item_pause::item_pause_ms;
 pub use linnethitch_protocol::suspicion::{
     ConsecutiveEnds, EndedRun, ReportedSuspicion, RequestContent, RequestFingerprint,
 };
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod gateways;
 mod homes;
 mod incarnations;
+mod item_pause;
 mod many_replicas;
 mod narrow_link;
 mod part_verdict;
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -10,7 +10,7 @@
     registry::Registry,
 };
 
-use crate::{connections::OpenReason, counted_stream::ReplicaBytes};
+use crate::{connections::OpenReason, counted_stream::ReplicaBytes, deferred_items::DeferReason};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -114,6 +114,11 @@
     end: ItemEnd,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DeferLabels {
+    reason: DeferReason,
+}
+
 /// Metrics since the start of the process.
 pub(crate) struct Counters {
     registry: Registry,
@@ -128,6 +133,8 @@
     pub(crate) items_begun_anew: Counter,
     /// Leased items for which the route table here has no batch route.
     pub(crate) items_without_route: Counter,
+    deferred_items: Family<DeferLabels, Gauge>,
+    oldest_deferred_ms: Family<DeferLabels, Gauge>,
     /// Records of streams that are kept here.
     pub(crate) stream_records: Gauge,
     connections: Family<ConnectionLabels, Counter>,
@@ -183,6 +190,8 @@
             take_ups: Family::default(),
             items_begun_anew: Counter::default(),
             items_without_route: Counter::default(),
+            deferred_items: Family::default(),
+            oldest_deferred_ms: Family::default(),
             stream_records: Gauge::default(),
             connections: Family::default(),
             replica_bytes: Family::default(),
@@ -240,6 +249,12 @@
         let without_route = self.items_without_route.clone();
         let help = "Leased items without a batch route in the table in force here";
         registry.register("relay_items_without_route", help, without_route);
+        let deferred = self.deferred_items.clone();
+        let help = "Leased batch items that do not run at present, by why";
+        registry.register("relay_deferred_items", help, deferred);
+        let oldest = self.oldest_deferred_ms.clone();
+        let help = "Milliseconds for which the first of these items has not run here, by why";
+        registry.register("relay_oldest_deferred_item_milliseconds", help, oldest);
         let stream_records = self.stream_records.clone();
         let help = "Records of which software began a stream";
         registry.register("relay_stream_records", help, stream_records);
@@ -328,6 +343,17 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Updates the number of deferred items and the age of the oldest.
+    pub(crate) fn note_deferred_items(&self, reason: DeferReason, number: usize, oldest: Duration) {
+        let labels = DeferLabels { reason };
+        self.deferred_items
+            .get_or_create(&labels)
+            .set(number as i64);
+        self.oldest_deferred_ms
+            .get_or_create(&labels)
+            .set(oldest.as_millis() as i64);
+    }
+
     pub(crate) fn item_ended(&self, end: ItemEnd) {
         self.items.get_or_create(&ItemLabels { end }).inc();
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -46,7 +46,8 @@
 pub(crate) struct Outgoing {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
-    /// Parts of the prompt that other requests may have too: all but the last.
+    /// Parts of the prompt that other requests may have too: all but the last. Empty for batch
+    /// items, which are never suspected of ending replicas.
     pub(crate) shared_parts: Vec<u64>,
     /// Without connection headers and without the headers that are set for each send.
     pub(crate) headers: HeaderMap,
@@ -55,9 +56,8 @@
     pub(crate) request_id: HeaderValue,
     /// The tenant's name; `None` where no key is needed.
     pub(crate) tenant: Option<String>,
-    /// Path prefix of the route of an item's job, which need not begin the item's path; `None` if
-    /// the route is found by the path.
-    pub(crate) route_prefix: Option<String>,
+    /// The batch item that this is the request of; `None` for online requests.
+    pub(crate) item: Option<BatchItem>,
     /// Home regions of the route when the request arrived.
     pub(crate) homes: Vec<String>,
     /// The version of the route table that `homes` was read from; `None` for batch items.
@@ -66,6 +66,14 @@
     pub(crate) admitted: Option<Admitted>,
 }
 
+/// A batch item.
+#[derive(Clone, Debug)]
+pub(crate) struct BatchItem {
+    pub(crate) fingerprint: RequestFingerprint,
+    /// Path prefix of the route of its job, which need not begin the item's path.
+    pub(crate) route_prefix: String,
+}
+
 /// A tenant's request that was admitted within the tenant's limit.
 pub(crate) struct Admitted {
     pub(crate) caller: Caller,
@@ -76,8 +84,8 @@
     /// The route of the request in a table.
     pub(crate) fn route<'t>(&self, table: &'t RouteTable) -> Option<&'t Route> {
         let host = self.headers.get(header::HOST)?.to_str().ok()?;
-        match &self.route_prefix {
-            Some(prefix) => table.route_at(host, prefix),
+        match &self.item {
+            Some(item) => table.route_at(host, &item.route_prefix),
             None => table.find(host, self.uri.path()),
         }
     }
@@ -87,8 +95,11 @@
         self.request_id.to_str().unwrap_or_default()
     }
 
-    /// Fingerprint of the content; equal for all copies of the request.
+    /// Fingerprint of the content, equal for all copies of the request, or of the batch item.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        if let Some(item) = &self.item {
+            return item.fingerprint;
+        }
         let tenant = self.admitted.as_ref();
         let tenant = tenant.map(|admitted| admitted.caller.tenant.name.as_bytes());
         let value = |name| {
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -9,7 +9,7 @@
 use http::{Method, Uri};
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
-use linnethitch_registry::Route;
+use linnethitch_registry::{ConsecutiveEnds, RequestFingerprint, Route};
 use linnethitch_response::{EventSplitter, data_of};
 use linnethitch_routing::dispatch::{ChosenReplica, FailureKind, SoftwareNeed};
 use slog::info;
@@ -19,12 +19,13 @@
 use crate::{
     callers::set_tenant_header,
     counters::ItemEnd,
-    exchange::{Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
+    deferred_items::DeferReason,
+    exchange::{BatchItem, Exchange, Limits, OpenedResponse, Outgoing, Target, exchange},
     item_request::{ItemFault, ItemRequest},
+    known_ends::KnownEnds,
     running_items::GeneratedProgress,
-    search::{Placement, Search},
     shared::Shared,
-    slots::{ItemSlot, SlotLease},
+    slots::ItemSlot,
     source::{BodyKind, Source},
 };
 
@@ -42,10 +43,6 @@
 const DEFER_DURATION: Duration = Duration::from_secs(5);
 /// Delay after a replica declined an item.
 const DECLINED_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Delay of an item before its next run for each replica that ended under its runs. An item that
-/// ends replicas would otherwise end all of them before gateways know which of its parts is common.
-const SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(400);
-const MAX_SUSPECTED_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 /// Status of an item that can never be processed.
 const UNPROCESSABLE: u16 = 422;
 
@@ -60,19 +57,14 @@
     /// Replicas that failed the item.
     tried: Vec<String>,
     due: Instant,
-    /// Number of ends of replicas for which the item was delayed.
-    delayed_ends: usize,
-    /// Whether its parts were counted.
-    is_counted: bool,
+    fingerprint: RequestFingerprint,
 }
 
 /// The replica and slot of an item.
 struct ItemPlacement {
     chosen: ChosenReplica,
     /// A slot that online requests may preempt.
-    slot: Option<ItemSlot>,
-    /// The slot of a suspected item, which runs without other suspected requests.
-    lease: Option<SlotLease>,
+    slot: ItemSlot,
 }
 
 /// How an item's task ended.
@@ -108,8 +100,7 @@
             generated,
             tried: Vec::new(),
             due: Instant::now() + Duration::from_millis(work.due_in_ms),
-            delayed_ends: 0,
-            is_counted: false,
+            fingerprint: RequestFingerprint::of_item(&work.item.job, work.item.item),
             work,
         }
     }
@@ -175,48 +166,23 @@
         let Some(service) = begun_at.or_else(|| self.shared.pick_service(&route, &homes)) else {
             return RunEnd::Return;
         };
-        let outgoing = match outgoing(&self.shared, &self.work, &route) {
+        let outgoing = match self.outgoing(&route) {
             Ok(outgoing) => outgoing,
             Err(fault) => return self.defer_unsendable(&fault).await,
         };
         if self.shared.has_no_home(&service, &homes) {
-            return self
-                .defer("no replica in its home regions", &outgoing)
-                .await;
+            return self.defer_outside_homes().await;
         }
         let prompt = self.shared.dialect.prompt(&outgoing.headers);
-        if !self.is_counted {
-            self.is_counted = true;
-            self.shared.note_parts(&route.name, &outgoing);
+        let ends = self.shared.known_ends_of_item(self.fingerprint).await;
+        if let Some(end) = self.pause_after_ends(&ends).await {
+            return end;
         }
-        let known = self.shared.known_ends(&outgoing, &route.name, &service);
-        let Ok(known_ends) = known.await else {
-            return self.defer("suspected of ending replicas", &outgoing).await;
-        };
-        if self.shared.is_refused_while_isolated(&known_ends) {
-            return self.defer("suspected of ending replicas", &outgoing).await;
-        }
-        let ends = known_ends.content.lengths_ms.len();
-        if ends > self.delayed_ends {
-            self.delayed_ends = ends;
-            return self.delay_suspected(ends).await;
-        }
-        let isolation_number = known_ends.isolation_number(|| outgoing.fingerprint());
-        let placed = match isolation_number {
-            None => self.wait_for_slot(&service, &outgoing).await,
-            Some(number) => self.place_isolated(&service, &outgoing, number).await,
-        };
-        let Some(ItemPlacement {
-            chosen,
-            slot,
-            lease,
-        }) = placed
-        else {
+        let placed = self.wait_for_slot(&service, &outgoing).await;
+        let Some(ItemPlacement { chosen, slot }) = placed else {
             return RunEnd::Return;
         };
-        // A suspected item holds the slot of an online request and is not preempted.
-        let stop = slot.as_ref().map(|slot| slot.stop.clone());
-        let stop = stop.unwrap_or_default();
+        let stop = slot.stop.clone();
         let software = self.generated.software();
         if !self.shared.may_serve(&chosen.id, &software) {
             // The replica came back with other software after the slot was requested.
@@ -227,15 +193,13 @@
             deadline,
             head_deadline: deadline.min(Instant::now() + FIRST_EVENT_TIMEOUT),
         };
-        let slot_report = slot.as_ref().map(|slot| slot.report.clone());
-        let lease_report = lease.as_ref().map(|lease| lease.report.clone());
         let target = Target {
             chosen: &chosen,
             route: &route.name,
             service: &service,
-            known_ends,
-            report: slot_report.or(lease_report).unwrap_or_default(),
-            lease,
+            known_ends: KnownEnds::of_item(ends),
+            report: slot.report.clone(),
+            lease: None,
             last_event,
             software: &software,
             limits,
@@ -265,7 +229,7 @@
                 sleep(DECLINED_RETRY_DELAY).await;
                 RunEnd::Continue
             }
-            // `KeyRefused` does not occur: items carry no key.
+            // `KeyRefused` and `Suspected` do not occur: items carry no key and are not suspected.
             Exchange::Suspected | Exchange::KeyRefused(_) | Exchange::Evacuated => RunEnd::Continue,
             Exchange::Unknown => {
                 self.tried.push(chosen.id);
@@ -279,6 +243,34 @@
         }
     }
 
+    /// The request of the item, whose job is on a route.
+    fn outgoing(&self, route: &Route) -> Result<Arc<Outgoing>, ItemFault> {
+        let (shared, work) = (&self.shared, &self.work);
+        let names = shared.dialect.names();
+        let ItemRequest {
+            path,
+            request_id,
+            mut headers,
+        } = shared.item_request(&work.host, &work.spec)?;
+        set_tenant_header(&mut headers, names, false, work.tenant.as_deref());
+        Ok(Arc::new(Outgoing {
+            method: Method::POST,
+            uri: Uri::from(path),
+            shared_parts: Vec::new(),
+            headers,
+            body: Bytes::from(work.spec.body.clone()),
+            request_id,
+            tenant: work.tenant.clone(),
+            item: Some(BatchItem {
+                fingerprint: self.fingerprint,
+                route_prefix: route.path_prefix.clone(),
+            }),
+            homes: route.homes.clone(),
+            table_version: None,
+            admitted: None,
+        }))
+    }
+
     /// The service with replicas that are coordinated here and may continue the item's text. The
     /// text is dropped if there is none: other gateways may coordinate such replicas, but waiting
     /// for one of them to lease the item could last as long as they exist.
@@ -319,6 +311,7 @@
         let now = Instant::now();
         let time = self.due.saturating_duration_since(now);
         let begin_by = now + time.saturating_sub(Duration::from_millis(remaining_ms));
+        let _deferred = self.shared.deferred_items.begin(DeferReason::NoSlot);
         let mut slot = self
             .shared
             .slots
@@ -327,59 +320,46 @@
             .await
             .ok()??;
         let chosen = self.shared.chosen_at(&replica)?;
-        Some(ItemPlacement {
-            chosen,
-            slot: Some(slot),
-            lease: None,
-        })
+        Some(ItemPlacement { chosen, slot })
     }
 
-    /// A slot at a replica that runs no other suspected request; the number chooses the replica.
-    async fn place_isolated(
-        &self,
-        service: &str,
-        outgoing: &Outgoing,
-        isolation_number: u64,
-    ) -> Option<ItemPlacement> {
-        let by = Instant::now() + SLOT_WAIT_TIMEOUT;
-        let homes = self.shared.homes(outgoing);
-        let search = Search {
-            shared: &self.shared,
-            service,
-            prompt: &[],
-            isolation_number: Some(isolation_number),
-            except: &self.tried,
-            homes: &homes,
-            software: &self.generated.software(),
-            rank: u8::MAX,
-            due: by,
-            deadline: by,
-        };
-        let Placement { chosen, lease } = search.run().await?;
-        Some(ItemPlacement {
-            chosen,
-            slot: None,
-            lease: Some(lease),
+    /// Waits out the pause of an item under whose runs replicas ended, which begins anew with each
+    /// end. `None` if there is none left; otherwise how the run ends.
+    async fn pause_after_ends(&self, ends: &ConsecutiveEnds) -> Option<RunEnd> {
+        let ends = ends.lengths_ms.len();
+        let now_ms = self.shared.clock.now_ms();
+        let noted_at_ms = self
+            .shared
+            .suspicion_updates
+            .noted_at_ms(&self.fingerprint, ends);
+        let paced = &self.shared.paced_items;
+        let pause_ms = paced.remaining_ms(self.fingerprint, ends, noted_at_ms, now_ms);
+        if pause_ms == 0 {
+            return None;
+        }
+        info!(self.shared.logger, "item: pauses after replicas ended under it";
+            "item" => &self.work.spec.id, "job" => &self.work.item.job, "ends" => ends,
+            "pause_ms" => pause_ms, "due_in_ms" => self.due_in_ms(),
+            "fingerprint" => self.fingerprint.to_string());
+        let _deferred = self.shared.deferred_items.begin(DeferReason::ReplicasEnded);
+        Some(tokio::select! {
+            () = sleep(Duration::from_millis(pause_ms)) => RunEnd::Continue,
+            () = self.stopping.cancelled() => RunEnd::Return,
         })
     }
 
-    /// Delays an item under whose runs replicas ended.
-    async fn delay_suspected(&self, ends: usize) -> RunEnd {
-        let delay = SUSPECTED_RETRY_DELAY * ends as u32;
-        tokio::select! {
-            () = sleep(delay.min(MAX_SUSPECTED_RETRY_DELAY)) => RunEnd::Continue,
-            () = self.stopping.cancelled() => RunEnd::Return,
-        }
+    fn due_in_ms(&self) -> u64 {
+        let remaining = self.due.saturating_duration_since(Instant::now());
+        remaining.as_millis() as u64
     }
 
-    /// Defers an item that is suspected of ending replicas or has no replica in its home regions.
-    /// It cannot fail before its time is over, so it waits here for a while and is then returned
-    /// for another gateway.
-    async fn defer(&self, why: &str, outgoing: &Outgoing) -> RunEnd {
-        info!(self.shared.logger, "item: deferred, {}", why;
+    /// Defers an item without a replica in its home regions. It cannot fail before its time is
+    /// over, so it waits here for a while and is then returned for another gateway.
+    async fn defer_outside_homes(&self) -> RunEnd {
+        info!(self.shared.logger, "item: deferred, no replica in its home regions";
             "item" => &self.work.spec.id, "job" => &self.work.item.job,
-            "content" => outgoing.fingerprint().to_string());
-        self.hold_then_return().await
+            "due_in_ms" => self.due_in_ms());
+        self.hold_then_return(DeferReason::OutsideHomes).await
     }
 
     /// Defers an item that cannot be sent, which an earlier build accepted: no replica has
@@ -387,11 +367,12 @@
     async fn defer_unsendable(&self, fault: &ItemFault) -> RunEnd {
         info!(self.shared.logger, "item: no valid request"; "item" => &self.work.spec.id,
             "job" => &self.work.item.job, "cause" => %fault);
-        self.hold_then_return().await
+        self.hold_then_return(DeferReason::Unsendable).await
     }
 
     /// Keeps the item here for a while, then returns it for another gateway.
-    async fn hold_then_return(&self) -> RunEnd {
+    async fn hold_then_return(&self, reason: DeferReason) -> RunEnd {
+        let _deferred = self.shared.deferred_items.begin(reason);
         tokio::select! {
             () = sleep(DEFER_DURATION) => {}
             () = self.stopping.cancelled() => {}
@@ -473,27 +454,3 @@
         }
     }
 }
-
-/// The request of an item whose job is on a route.
-fn outgoing(shared: &Shared, work: &ItemWork, route: &Route) -> Result<Arc<Outgoing>, ItemFault> {
-    let names = shared.dialect.names();
-    let ItemRequest {
-        path,
-        request_id,
-        mut headers,
-    } = shared.item_request(&work.host, &work.spec)?;
-    set_tenant_header(&mut headers, names, false, work.tenant.as_deref());
-    Ok(Arc::new(Outgoing {
-        method: Method::POST,
-        uri: Uri::from(path),
-        shared_parts: shared.dialect.prompt(&headers).shared_parts(),
-        headers,
-        body: Bytes::from(work.spec.body.clone()),
-        request_id,
-        tenant: work.tenant.clone(),
-        route_prefix: Some(route.path_prefix.clone()),
-        homes: route.homes.clone(),
-        table_version: None,
-        admitted: None,
-    }))
-}
--- a/crates/relay/src/item_run/route.rs
+++ b/crates/relay/src/item_run/route.rs
@@ -10,6 +10,7 @@
 use super::{DEFER_DURATION, ItemRun, RunEnd};
 use crate::{
     callers::PROPAGATION_ALLOWANCE,
+    deferred_items::DeferReason,
     item_route::{ItemRoute, RouteVerdict},
 };
 
@@ -19,7 +20,7 @@
 impl ItemRun {
     /// The current route: changes of the route apply to items too. Without one, how the run ends.
     pub(super) async fn route(&self) -> Result<Route, RunEnd> {
-        let mut is_waiting = false;
+        let mut waiting = None;
         loop {
             let table = self.shared.table();
             let (decision, end) = match RouteVerdict::of(table.as_deref(), &self.item_route()) {
@@ -32,8 +33,10 @@
                     ("returned, the table may be too old", RunEnd::Return)
                 }
                 RouteVerdict::Unknown => {
-                    if !std::mem::replace(&mut is_waiting, true) {
+                    if waiting.is_none() {
                         self.log_no_route("waits for a confirmed table");
+                        let deferred = &self.shared.deferred_items;
+                        waiting = Some(deferred.begin(DeferReason::NoRoute));
                     }
                     sleep(ROUTE_POLL_INTERVAL).await;
                     continue;
--- a/crates/relay/src/known_ends.rs
+++ b/crates/relay/src/known_ends.rs
@@ -12,6 +12,8 @@
     pub(crate) content: ConsecutiveEnds,
     /// Its shared parts, in order; empty if no replica has ended under any request recently.
     pub(crate) parts: Vec<PartEnds>,
+    /// Whether these are the ends under a batch item, which is never suspected.
+    is_item: bool,
 }
 
 /// What is known of one part of a prompt.
@@ -45,9 +47,25 @@
 }
 
 impl KnownEnds {
+    pub(crate) fn of_request(content: ConsecutiveEnds, parts: Vec<PartEnds>) -> Self {
+        KnownEnds {
+            content,
+            parts,
+            is_item: false,
+        }
+    }
+
+    pub(crate) fn of_item(ends: ConsecutiveEnds) -> Self {
+        KnownEnds {
+            content: ends,
+            parts: Vec::new(),
+            is_item: true,
+        }
+    }
+
     /// Whether the request must run without other suspected requests.
     pub(crate) fn is_suspected(&self) -> bool {
-        !self.content.is_empty() || self.suspected_parts().next().is_some()
+        !self.is_item && (!self.content.is_empty() || self.suspected_parts().next().is_some())
     }
 
     /// Whether one more end refuses the request.
@@ -79,6 +97,9 @@
     pub(crate) fn is_outdated(&self, now: &KnownEnds) -> bool {
         let is_newer =
             |now: &ConsecutiveEnds, then: &ConsecutiveEnds| !now.is_empty() && now.supersedes(then);
+        if self.is_item {
+            return false;
+        }
         let mut parts = now.suspected_parts();
         is_newer(&now.content, &self.content)
             || parts.any(|part| is_newer(&part.ends, &self.of_part(&part.key)))
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,6 +18,7 @@
     body::read_body,
     callers::{Caller, KeyPolicy, set_tenant_header},
     counters::RequestEnd,
+    deferred_items::DeferReason,
     dialect::Dialect,
     exchange::{Admitted, Outgoing, strip_connection_headers},
     following::{follow_fleet, follow_gateways, maintain},
@@ -176,6 +177,10 @@
         counters.listed_gateways.set(listed as i64);
         let silent = gateway.silent_coordinators().len();
         counters.silent_gateways.set(silent as i64);
+        for reason in DeferReason::ALL {
+            let (number, oldest) = self.shared.deferred_items.deferred(reason);
+            counters.note_deferred_items(reason, number, oldest);
+        }
         counters.to_text()
     }
 
@@ -271,7 +276,7 @@
                 body,
                 request_id,
                 tenant,
-                route_prefix: None,
+                item: None,
                 homes: route.homes.clone(),
                 table_version: Some(table.version),
                 admitted,
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -149,7 +149,10 @@
     pub(crate) fn completed(&self) {
         self.report.note(RunOutcome::Served);
         self.shared.note_success(&self.replica);
-        self.shared.count_served(&self.service);
+        // An item's response clears no part, so it does not count as one that could have.
+        if self.outgoing.item.is_none() {
+            self.shared.count_served(&self.service);
+        }
         self.shared
             .clear(&self.outgoing, &self.service, &self.known_ends);
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -34,11 +34,13 @@
     connections::Connections,
     counted_stream::ReplicaBytes,
     counters::{Counters, RequestEnd},
+    deferred_items::DeferredItems,
     delays::Delays,
     dialect::Dialect,
     exchange::Outgoing,
     fleet_changes::{FleetChanges, replica_traits},
     homes::HomeZones,
+    paced_items::PacedItems,
     planned_stop::PlannedStop,
     quotas::Quotas,
     relay::RelaySettings,
@@ -66,6 +68,8 @@
     keys: KeyPolicy,
     pub(crate) interrupted_runs: InterruptedRuns,
     pub(crate) suspicion_updates: SuspicionUpdates,
+    pub(crate) paced_items: PacedItems,
+    pub(crate) deferred_items: DeferredItems,
     pub(crate) delays: Delays,
     /// Complete answers by service.
     served: Mutex<HashMap<String, u64>>,
@@ -117,6 +121,8 @@
             connections: Connections::default(),
             interrupted_runs: InterruptedRuns::default(),
             suspicion_updates: SuspicionUpdates::default(),
+            paced_items: PacedItems::default(),
+            deferred_items: DeferredItems::default(),
             delays: Delays::default(),
             served: Mutex::default(),
             part_shares: Mutex::default(),
@@ -179,7 +185,8 @@
         }
         let zones: BTreeSet<String> = fleet.evacuations().zones().map(str::to_owned).collect();
         self.counters.evacuated_zones.set(zones.len() as i64);
-        let suspected = fleet.suspicions().len();
+        let open = fleet.suspicions().open();
+        let suspected = open.filter(|record| !record.fingerprint.is_item()).count();
         self.counters.suspected_requests.set(suspected as i64);
         let version = fleet.table().map_or(0, |table| table.version);
         self.counters.table_version.set(version as i64);
--- a/crates/relay/src/suspected_requests.rs
+++ b/crates/relay/src/suspected_requests.rs
@@ -59,6 +59,21 @@
         self.ends(outgoing, route, service)
     }
 
+    /// Ends of replicas under a batch item. Waits like [`Self::known_ends`].
+    pub(crate) async fn known_ends_of_item(&self, item: RequestFingerprint) -> ConsecutiveEnds {
+        if !self.interrupted_runs.all_probed() {
+            self.interrupted_runs.wait_until_probed(&item).await;
+        }
+        self.consecutive_ends(&item)
+    }
+
+    fn consecutive_ends(&self, fingerprint: &RequestFingerprint) -> ConsecutiveEnds {
+        let known = self.suspicion(fingerprint);
+        known
+            .map(|known| known.consecutive_ends)
+            .unwrap_or_default()
+    }
+
     /// Like [`Self::known_ends`], without waiting.
     pub(crate) fn ends(
         &self,
@@ -70,6 +85,10 @@
         if fleet.suspicions().is_empty() && self.suspicion_updates.is_empty() {
             return Ok(KnownEnds::default());
         }
+        if let Some(item) = &outgoing.item {
+            let ends = self.consecutive_ends(&item.fingerprint);
+            return Ok(KnownEnds::of_item(ends));
+        }
         let content = match self.suspicion(&outgoing.fingerprint()) {
             Some(known) if known.is_refused() => return Err(RefusedBy::Content),
             Some(known) => known.consecutive_ends,
@@ -84,7 +103,7 @@
             .find(|part| part.verdict == PartVerdict::Refused);
         match refused {
             Some(refused) => Err(RefusedBy::Part(refused.part)),
-            None => Ok(KnownEnds { content, parts }),
+            None => Ok(KnownEnds::of_request(content, parts)),
         }
     }
 
@@ -164,10 +183,7 @@
 
     /// Handles what another gateway knows of a request.
     pub(crate) fn handle_suspicion(&self, from: MachineId, reported: ReportedSuspicion) {
-        let known = self.suspicion(&reported.fingerprint);
-        let known = known
-            .map(|known| known.consecutive_ends)
-            .unwrap_or_default();
+        let known = self.consecutive_ends(&reported.fingerprint);
         if !reported.consecutive_ends.supersedes(&known) {
             return;
         }
--- a/crates/relay/src/suspicions.rs
+++ b/crates/relay/src/suspicions.rs
@@ -79,6 +79,13 @@
         newer.map(|update| &update.record).or(confirmed).cloned()
     }
 
+    /// When this gateway learned of the last of this number of ends, unless control told it first.
+    pub(crate) fn noted_at_ms(&self, fingerprint: &RequestFingerprint, ends: usize) -> Option<u64> {
+        let updates = self.updates.lock();
+        let update = updates.get(fingerprint)?;
+        (update.record.consecutive_ends.lengths_ms.len() == ends).then_some(update.at_ms)
+    }
+
     /// What this gateway saw since the first of a part's consecutive ends; `served` is the number of
     /// complete answers of the service so far.
     pub(crate) fn since_first_end(
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod items;
 mod keys;
 mod planned_stop;
+mod refused_items;
 mod requests;
 mod silent_connections;
 mod slots;
