Gateway: an engine that died under an item is no failure of the item

Callers would see: an item that ends as back_end_failed after eight engines died under it, though it is still owed.

Cause: on_failed counted every run that may have started towards max_attempts, also those whose engine was gone or silent.

Fix: a failed run tells how far it came; only runs that an engine answered with a failure count. The others are repeated, with the pauses that failures have, until the job's time is over. At-most-once items are as before.

--- a/crates/gateway/src/batch/executor/outcomes.rs
+++ b/crates/gateway/src/batch/executor/outcomes.rs
@@ -12,7 +12,7 @@
 use super::BatchExecutor;
 use crate::batch::{
     item::{AfterStop, Item, ItemState, Slot, StartMark},
-    messages::{BatchAction, CallAnswer, GeneratedTokens, RunEnd, RunId, StartAnswer},
+    messages::{BatchAction, CallAnswer, FailedRun, GeneratedTokens, RunEnd, RunId, StartAnswer},
 };
 
 /// Maximum doublings of the wait before a failed item runs again.
@@ -133,10 +133,10 @@
             }
             RunEnd::Stopped { generated } => self.on_stopped(now, slot, generated),
             RunEnd::Failed {
-                may_have_started,
+                progress,
                 generated,
                 message,
-            } => self.on_failed(now, slot, may_have_started, generated, &message),
+            } => self.on_failed(now, slot, progress, generated, &message),
         }
     }
 
@@ -152,7 +152,7 @@
         &mut self,
         now: Timestamp,
         slot: Slot,
-        may_have_started: bool,
+        progress: FailedRun,
         generated: GeneratedTokens,
         message: &str,
     ) {
@@ -160,13 +160,15 @@
             return;
         };
         let at_most_once = item.mark != StartMark::NotNeeded;
-        item.started_failures += u32::from(may_have_started);
+        let may_have_started = progress.may_have_started();
+        // A back end that died under an item is no failure of the item.
+        item.answered_failures += u32::from(progress == FailedRun::Answered);
         item.failures += 1;
         if may_have_started && at_most_once {
             let outcome = item.failed(ErrorKind::OutcomeUnknown, message);
             return self.finish(now, slot, outcome, ReasonCode::AtMostOnce);
         }
-        if item.started_failures >= self.settings.max_attempts {
+        if item.answered_failures >= self.settings.max_attempts {
             let outcome = item.failed(ErrorKind::BackEndFailed, message);
             return self.finish(now, slot, outcome, ReasonCode::AttemptsUsedUp);
         }
--- a/crates/gateway/src/batch/item.rs
+++ b/crates/gateway/src/batch/item.rs
@@ -77,8 +77,8 @@
     pub(super) state: ItemState,
     pub(super) mark: StartMark,
     pub(super) generated: GeneratedTokens,
-    /// Failed runs that may have started at a back end.
-    pub(super) started_failures: u32,
+    /// Runs that a back end answered with a failure.
+    pub(super) answered_failures: u32,
     /// Failed runs of any kind; sets the wait before the next run.
     pub(super) failures: u32,
     /// The replica of the last run.
@@ -102,7 +102,7 @@
             },
             mark,
             generated: GeneratedTokens::default(),
-            started_failures: 0,
+            answered_failures: 0,
             failures: 0,
             avoid: None,
         }
--- a/crates/gateway/src/batch/messages.rs
+++ b/crates/gateway/src/batch/messages.rs
@@ -177,6 +177,26 @@
     }
 }
 
+/// How far a failed run came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailedRun {
+    /// It was not started.
+    NotStarted,
+    /// It may have been started and was not answered, as when its back end died. That says
+    /// nothing against the item.
+    Interrupted,
+    /// The back end answered it with a failure.
+    Answered,
+}
+
+impl FailedRun {
+    /// Whether the back end may have started the run.
+    #[must_use]
+    pub fn may_have_started(self) -> bool {
+        self != FailedRun::NotStarted
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -196,8 +216,8 @@
     },
     /// The run failed; another one may succeed.
     Failed {
-        /// Whether the back end may have started the run.
-        may_have_started: bool,
+        /// How far the run came.
+        progress: FailedRun,
         /// Tokens generated so far, including those from which the run resumed.
         generated: GeneratedTokens,
         /// Description of the failure.
--- a/crates/gateway/src/batch/mod.rs
+++ b/crates/gateway/src/batch/mod.rs
@@ -17,6 +17,6 @@
 
 pub use executor::BatchExecutor;
 pub use messages::{
-    BatchAction, BatchDecision, BatchEvent, BatchSession, CallAnswer, ExecutorSettings,
+    BatchAction, BatchDecision, BatchEvent, BatchSession, CallAnswer, ExecutorSettings, FailedRun,
     GeneratedTokens, PlannedStart, ReplicaCapacity, RunEnd, RunId, RunOrder, StartAnswer,
 };
--- a/crates/gateway/src/batch/run.rs
+++ b/crates/gateway/src/batch/run.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    batch::{BatchEvent, GeneratedTokens, RunEnd, RunOrder},
+    batch::{BatchEvent, FailedRun, GeneratedTokens, RunEnd, RunOrder},
     batches::line::BatchLine,
     decisions::{Placement, RoutingRequest},
     engine::{
@@ -60,7 +60,7 @@
     }
     let revision = active.map_or(Revision(0), |active| active.revision);
     RunEnd::Failed {
-        may_have_started: false,
+        progress: FailedRun::NotStarted,
         generated: order.generated.clone(),
         message: format!(
             "not valid under configuration {revision}, which may be too old: {}",
@@ -151,11 +151,17 @@
         let Some(mut placement) =
             decisions.place_on_replica(&self.routing_request, &self.order.replica)
         else {
-            return self.failed(false, "the replica takes no new work".to_owned());
+            return self.failed(
+                FailedRun::NotStarted,
+                "the replica takes no new work".to_owned(),
+            );
         };
         let recorded = self.order.address.as_ref();
         if recorded.is_some_and(|recorded| *recorded != placement.address) {
-            return self.failed(false, "the replica has another address now".to_owned());
+            return self.failed(
+                FailedRun::NotStarted,
+                "the replica has another address now".to_owned(),
+            );
         }
         let started = Instant::now();
         let address = placement.address.clone();
@@ -295,13 +301,13 @@
                     message: failure.message,
                 }
             }
-            fault => self.failed(!fault.not_started(), fault.to_string()),
+            fault => self.failed(fault.failed_run(), fault.to_string()),
         }
     }
 
-    fn failed(&self, may_have_started: bool, message: String) -> RunEnd {
+    fn failed(&self, progress: FailedRun, message: String) -> RunEnd {
         RunEnd::Failed {
-            may_have_started,
+            progress,
             generated: self.generated(),
             message,
         }
--- a/crates/gateway/src/engine/fault.rs
+++ b/crates/gateway/src/engine/fault.rs
@@ -4,6 +4,8 @@
 
 use linnethitch_routing::{retry::AttemptFailure, view::FailureKind};
 
+use crate::batch::FailedRun;
+
 /// HTTP status of an engine without free capacity.
 const STATUS_FULL: u16 = 429;
 /// HTTP status of an engine that does not take a request as it is, for example because it resumes
@@ -57,6 +59,18 @@
         )
     }
 
+    /// How far the run of a batch item came that ended so.
+    pub(crate) fn failed_run(&self) -> FailedRun {
+        match self {
+            AttemptFault::Connect(_) | AttemptFault::Refused { .. } => FailedRun::NotStarted,
+            AttemptFault::Interrupted(_) | AttemptFault::TimedOut(_) => FailedRun::Interrupted,
+            AttemptFault::Rejected { .. }
+            | AttemptFault::Failed { .. }
+            | AttemptFault::Protocol(_)
+            | AttemptFault::OtherSoftware => FailedRun::Answered,
+        }
+    }
+
     /// Whether the back end reported that it is leaving.
     pub(crate) fn reports_leaving(&self) -> bool {
         matches!(self, AttemptFault::Refused { leaving: true, .. })
--- a/crates/simulator/src/actors/gateway/execution.rs
+++ b/crates/simulator/src/actors/gateway/execution.rs
@@ -5,7 +5,7 @@
 
 use linnethitch_errors::ErrorKind;
 use linnethitch_gateway::batch::{
-    BatchAction, BatchEvent, BatchExecutor, BatchSession, CallAnswer, ExecutorSettings,
+    BatchAction, BatchEvent, BatchExecutor, BatchSession, CallAnswer, ExecutorSettings, FailedRun,
     GeneratedTokens, PlannedStart, ReplicaCapacity, RunEnd, RunId, RunOrder, StartAnswer,
 };
 use linnethitch_protocol::{
@@ -52,8 +52,8 @@
         }
         match engines.known(&self.order.request_id()) {
             Some(Known::Started) => self.end,
-            Some(Known::Withdrawn) => failed(false),
-            None => failed(true),
+            Some(Known::Withdrawn) => failed(FailedRun::NotStarted),
+            None => failed(FailedRun::Interrupted),
         }
     }
 }
@@ -229,9 +229,9 @@
         let key = &order.item.key;
         let unsent = context.random.random_bool(UNSENT_SHARE);
         let end = if unsent {
-            failed(false)
+            failed(FailedRun::NotStarted)
         } else if context.random.random_bool(FAILED_SHARE) {
-            failed(true)
+            failed(FailedRun::Answered)
         } else if context.random.random_bool(REJECTED_SHARE) {
             RunEnd::Rejected {
                 kind: ErrorKind::ContextTooLong,
@@ -335,9 +335,9 @@
     answers.collect()
 }
 
-fn failed(may_have_started: bool) -> RunEnd {
+fn failed(progress: FailedRun) -> RunEnd {
     RunEnd::Failed {
-        may_have_started,
+        progress,
         generated: GeneratedTokens::default(),
         message: "the engine failed".to_owned(),
     }
