Relay: no items of services whose engines other gateways coordinate

Callers saw: with batch routes to two services, items that ended as dead_letter while engines of their service were idle (LOST).

Cause: the store leased items of any batch route to a gateway with free slots at any service. A gateway without engines of the item's service returned it after 400 ms and asked again at once, while the one with engines asked less often.

Fix: a call for work excludes batch routes none of whose engines are coordinated here, by the field that excludes routes by homes. No format changes; to a store of the first format only homes bind, as before.

--- a/crates/job-store/src/excluded_work.rs
+++ b/crates/job-store/src/excluded_work.rs
@@ -2,7 +2,8 @@
 //!
 //! The homes of a route or tenant are the regions in which its data must stay. A gateway
 //! in another region does not receive the items. Neither does a gateway receive items of jobs
-//! that were accepted under a newer route table than its own: it may not know their routes.
+//! that were accepted under a newer route table than its own, whose routes it may not know, nor
+//! items of services whose engines other gateways coordinate, which it could only return.
 
 use rkyv::{Archive, Deserialize, Serialize, with::Skip};
 
@@ -15,7 +16,7 @@
     pub host: String,
     /// The route's path prefix.
     pub path_prefix: String,
-    /// Whether the gateway is outside the route's homes.
+    /// Whether the gateway is outside the route's homes or cannot run its items.
     pub is_outside: bool,
 }
 
@@ -26,6 +27,9 @@
     /// Routes outside whose homes the gateway is, and routes with longer prefixes that override
     /// these. The longest matching prefix of an item's path decides.
     pub routes: Vec<RouteExclusion>,
+    /// Whether any route or tenant is excluded because of its homes. Only the sender knows.
+    #[rkyv(with = Skip)]
+    pub is_bound_by_homes: bool,
     /// Tenants outside whose homes the gateway is.
     pub tenants: Vec<String>,
     /// Version of the gateway's route table; `None` if it is unknown. Sent beside the call from
@@ -35,11 +39,6 @@
 }
 
 impl ExcludedWork {
-    /// Whether no route or tenant excludes items.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.routes.is_empty() && self.tenants.is_empty()
-    }
-
     /// Whether the gateway must not lease any item of a job.
     pub(crate) fn excludes_job(&self, job: &Job) -> bool {
         let tenant = job.tenant.as_ref();
@@ -51,9 +50,10 @@
         tenant_excluded || route_excluded
     }
 
-    /// Whether the gateway must not lease an item of a job because of the item's path.
+    /// Whether the gateway must not lease an item of a job because of the item's path, which
+    /// decides only where the route of the job is not known.
     pub(crate) fn excludes_item(&self, job: &Job, item: &ItemSpec) -> bool {
-        self.is_outside(job, &item.path)
+        job.spec.route.is_none() && self.is_outside(job, &item.path)
     }
 
     /// Whether the gateway's route table is older than one under which a job was accepted.
--- a/crates/job-store/src/first_format.rs
+++ b/crates/job-store/src/first_format.rs
@@ -126,7 +126,11 @@
             } => FirstFormatCall::Work {
                 // A leader without knowledge of homes could lease items that this gateway must not
                 // run.
-                max_items: if excluded.is_empty() { max_items } else { 0 },
+                max_items: if excluded.is_bound_by_homes {
+                    0
+                } else {
+                    max_items
+                },
                 gateway,
                 running,
                 item_ms,
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -6,6 +6,7 @@
 use linnethitch_errors::ErrorKind;
 use linnethitch_job_store::{ExcludedWork, JobSpec, RouteExclusion};
 use linnethitch_registry::{FleetView, Route, RouteKind, RouteTable, ZoneMap};
+use linnethitch_routing::dispatch::SoftwareNeed;
 use linnethitch_tenants::Tenant;
 use slog::info;
 
@@ -53,16 +54,16 @@
     weights.iter().any(|weight| *weight > 0).then_some(weights)
 }
 
-/// Batch routes whose homes exclude this gateway, and the routes below them.
+/// Batch routes whose items this gateway must not or cannot run, and the routes below them.
 fn excluded_routes(
     table: &RouteTable,
-    is_outside: impl Fn(&[String]) -> bool,
+    is_excluded: impl Fn(&Route) -> bool,
 ) -> Vec<RouteExclusion> {
     let batch = table.routes.iter().filter(|r| r.kind == RouteKind::Batch);
-    let outside: Vec<&Route> = batch.filter(|route| is_outside(&route.homes)).collect();
+    let excluded: Vec<&Route> = batch.filter(|route| is_excluded(route)).collect();
     let is_below = |route: &&Route| {
-        let mut outside = outside.iter();
-        outside.any(|above| {
+        let mut excluded = excluded.iter();
+        excluded.any(|above| {
             above.host.eq_ignore_ascii_case(&route.host)
                 && route.path_prefix.starts_with(&above.path_prefix)
         })
@@ -71,7 +72,7 @@
     let routes = routes.map(|route| RouteExclusion {
         host: route.host.clone(),
         path_prefix: route.path_prefix.clone(),
-        is_outside: is_outside(&route.homes),
+        is_outside: is_excluded(route),
     });
     routes.collect()
 }
@@ -127,15 +128,46 @@
         };
         let tenants = fleet.tenants().iter();
         let tenants = tenants.filter(|tenant| is_outside(&tenant.homes));
+        let tenants: Vec<String> = tenants.map(|tenant| tenant.name.clone()).collect();
+        let is_batch = |route: &Route| route.kind == RouteKind::Batch;
+        let is_excluded = |route: &Route| {
+            is_outside(&route.homes) || is_batch(route) && self.runs_elsewhere(&fleet, route)
+        };
+        let mut batch = fleet
+            .table()
+            .into_iter()
+            .flat_map(|table| &table.routes)
+            .filter(|route| is_batch(route));
         ExcludedWork {
+            is_bound_by_homes: !tenants.is_empty() || batch.any(|r| is_outside(&r.homes)),
             routes: fleet
                 .table()
-                .map_or_else(Vec::new, |table| excluded_routes(table, is_outside)),
-            tenants: tenants.map(|tenant| tenant.name.clone()).collect(),
+                .map_or_else(Vec::new, |table| excluded_routes(table, is_excluded)),
+            tenants,
             table_version: Some(fleet.table().map_or(0, |table| table.version)),
         }
     }
 
+    /// Whether the items of a route can run at other gateways only, which coordinate all its engines
+    /// in its home regions.
+    fn runs_elsewhere(&self, fleet: &FleetView, route: &Route) -> bool {
+        let mut services = route.backends.iter().map(|backend| &backend.service);
+        let is_here = |service: &String| {
+            let (engines, _) = self.coordinated_by_software(service, &SoftwareNeed::Any);
+            !engines.is_empty()
+        };
+        if services.clone().any(is_here) {
+            return false;
+        }
+        let homes = self.gateway.zones().home_zones(&[&route.homes]);
+        let is_home = |zone: &String| homes.as_ref().is_none_or(|homes| homes.contains(zone));
+        services.any(|service| {
+            let live = fleet.live_replicas().map(|record| &record.reported);
+            let mut of_service = live.filter(|replica| replica.service == *service);
+            of_service.any(|replica| is_home(&replica.zone))
+        })
+    }
+
     /// Whether no replica of a service can ever serve a request in its homes, so that waiting
     /// does not help.
     pub(crate) fn has_no_home(&self, service: &str, homes: &HomeZones) -> bool {
