Relay: a stream leaves a replica that stays silent after a resume

Cause: Pump::resume awaited the head until the deadline of the request; only the first replica's silence counted as a stall.

Fix: as long as the route allows a further send, the head is awaited like that of a first attempt (four times the expected time, three gap targets at least); then the replica is released and a further one searched.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -98,6 +98,14 @@
     pub(crate) take_up_until: Instant,
 }
 
+/// How long the head of a response is awaited that is expected after this time, where another
+/// replica may be tried.
+pub(crate) fn response_timeout(expected_ms: f64) -> Duration {
+    let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+    let factored = expected.mul_f64(RESPONSE_TIMEOUT_FACTOR);
+    factored.max(MIN_RESPONSE_TIMEOUT)
+}
+
 impl Attempt<'_> {
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
         self.shared.note_parts(&self.route.name, &self.outgoing);
@@ -229,11 +237,7 @@
     fn limits(&self, expected_ms: f64) -> Limits {
         let mut head_deadline = self.deadline;
         if self.may_send_after(self.runs + 1) {
-            let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
-            let response_timeout = expected
-                .mul_f64(RESPONSE_TIMEOUT_FACTOR)
-                .max(MIN_RESPONSE_TIMEOUT);
-            head_deadline = head_deadline.min(Instant::now() + response_timeout);
+            head_deadline = head_deadline.min(Instant::now() + response_timeout(expected_ms));
         }
         Limits {
             deadline: self.deadline,
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -7,11 +7,12 @@
 use linnethitch_clock::{Instant, sleep, sleep_until, timeout_at};
 use linnethitch_protocol::streams::StreamRecord;
 use linnethitch_response::EventSplitter;
-use linnethitch_routing::dispatch::{PromptPart, RequestNeeds, SoftwareNeed};
+use linnethitch_routing::dispatch::{FailureKind, PromptPart, RequestNeeds, SoftwareNeed};
 use slog::info;
 use tokio::sync::mpsc;
 
 use crate::{
+    attempt::response_timeout,
     buffered_bytes::UnreadBuffer,
     counters::{RequestEnd, TakeUpOutcome},
     exchange::{Exchange, Limits, Outgoing, Target, exchange},
@@ -293,11 +294,9 @@
                 lease: Some(lease),
                 last_event: self.splitter.last_id(),
                 software: &self.settings.origin.software,
-                limits: Limits {
-                    deadline: self.settings.deadline,
-                    head_deadline: self.settings.deadline,
-                },
+                limits: self.limits(chosen.expected_ms),
             };
+            let limits = target.limits;
             let prompt = &self.settings.prompt;
             let sending = exchange(&self.shared, outgoing, prompt, target, &mut stalled);
             let exchanged = sending.await;
@@ -324,12 +323,34 @@
                     self.settings.remaining_sends += 1;
                 }
                 Exchange::Answered(_) | Exchange::Unknown => {}
+                Exchange::TimedOut if limits.head_deadline < limits.deadline => {
+                    self.shared.note_failure(&chosen.id, FailureKind::Broken);
+                    self.log("stream goes on elsewhere, its next replica is silent");
+                }
                 Exchange::TimedOut | Exchange::KeyRefused(_) => return None,
             }
         }
         stalled
     }
 
+    /// Time limits of the next send. A replica that stays silent is a stall too: while the stream may
+    /// be sent to a further one, the head is awaited for a shorter time.
+    fn limits(&self, expected_ms: f64) -> Limits {
+        let deadline = self.settings.deadline;
+        let may_send_again = self.settings.remaining_sends > 0;
+        let head_deadline = if may_send_again {
+            let stall_timeout = self.settings.gap * STALL_TIMEOUT_GAPS;
+            let timeout = response_timeout(expected_ms).max(stall_timeout);
+            deadline.min(Instant::now() + timeout)
+        } else {
+            deadline
+        };
+        Limits {
+            deadline,
+            head_deadline,
+        }
+    }
+
     /// Waits for a stalled replica while there is no other one. Returns whether the stream goes on
     /// with it: it has sent again, or the stream's time is over. If not, others are searched again.
     async fn stalled_source_continues(&self, source: &mut Source) -> bool {
--- a/crates/relay/tests/all/streams.rs
+++ b/crates/relay/tests/all/streams.rs
@@ -197,3 +197,33 @@
     assert_eq!(answer.body, ALL_EVENTS);
     assert_eq!(replica.requests(), 1);
 }
+
+/// Guards against a stream that is cut at its deadline although the route allows a further replica:
+/// the one at which it was to go on stays silent.
+#[tokio::test]
+async fn a_stream_leaves_a_silent_replica_for_a_further_one() {
+    let stalled = Replica::start(vec![Act::Send(BROKEN)]).await;
+    let route = Route {
+        max_attempts: 3,
+        // Both replicas are left only after the next one has registered.
+        gap_target_ms: 1_000,
+        ..patient_route()
+    };
+    let fleet = Fleet::start(route, std::slice::from_ref(&stalled)).await;
+    let mut stream = fleet.open("request-1", "").await;
+    wait_for_requests(&stalled, 1).await;
+    let silent = Replica::start(vec![Act::Silence]).await;
+    fleet
+        .register(1, silent.address, ReplicaState::Ready, 1)
+        .await;
+    wait_for_requests(&silent, 1).await;
+    let last = Replica::start(vec![Act::Send(CONTINUATION)]).await;
+    fleet
+        .register(2, last.address, ReplicaState::Ready, 1)
+        .await;
+    let answer = read_answer(&mut stream).await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.body, ALL_EVENTS);
+    // Two replicas never work on the stream.
+    silent.wait_until_closed(1).await;
+}
