Suspicions: ends are weighed by what else ended; refusals are tried again soon

Cause: three ends in a row were proof for ten minutes, however many replicas ended without the suspect.

Fix: registry::EndEvidence weighs each end from 1/3 to 1 by how many other replicas ended at that moment, whether a run of the suspect survived since, and how many other runs were interrupted. The sum of weights takes the place of numbers, for contents and parts. A refusal waits 300 ms for what others tell, has a record for contents too, and is tried again after 3, 20 and 120 s. No format changes.

--- a/crates/protocol/src/suspicion.rs
+++ b/crates/protocol/src/suspicion.rs
@@ -9,6 +9,8 @@
 const PART_PREFIX: &[u8] = b"part of a prompt";
 /// The same for the decision that requests with a part are refused.
 const REFUSED_PART_PREFIX: &[u8] = b"refused part of a prompt";
+/// The same for the decision that copies of a request are refused.
+const REFUSED_REQUEST_PREFIX: &[u8] = b"refused request";
 /// Begins the digest of a batch item.
 const ITEM_PREFIX: &[u8] = b"batch item";
 /// First bytes of the fingerprints of batch items. The rest of the digest, 96 bits, tells them
@@ -74,6 +76,15 @@
         Self::of_prefixed(REFUSED_PART_PREFIX, service, part)
     }
 
+    /// The fingerprint of the decision that copies of a request are refused.
+    #[must_use]
+    pub fn of_refused_request(request: &RequestFingerprint) -> Self {
+        let mut digest = Sha256::new();
+        digest.update(REFUSED_REQUEST_PREFIX);
+        digest.update(request.0);
+        Self::truncated(digest)
+    }
+
     /// The fingerprint of a batch item, by its job and its index there. Unlike a request, an item
     /// is one piece of work: ends of replicas under it pace it and say nothing of its content.
     #[must_use]
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod command;
 mod configuration;
+mod end_evidence;
 mod evacuations;
 mod fifth_layout;
 mod first_format;
@@ -19,6 +20,7 @@
 mod node_list;
 mod notification_order;
 mod part_verdict;
+mod refusal;
 mod registry;
 mod replica;
 mod replica_changes;
@@ -42,6 +44,7 @@
 
 pub use command::{RegistryAnswer, RegistryCommand};
 pub use configuration::{Configuration, ConfigurationError, Declared};
+pub use end_evidence::{EndEvidence, MIN_WEIGHT, WeighedEnds};
 pub use evacuations::{EvacuationOrder, EvacuationRecord, Evacuations};
 pub use first_format::{FirstFormatAnswer, FirstFormatCommand, FirstFormatUpdate};
 pub use gateways::{GatewayRecord, KnownGateways};
@@ -53,6 +56,7 @@
 pub use node_list::{DirectoryNode, DirectoryQuery, NodeList, READY_TTL_MS, near};
 pub use notification_order::{Place, notification_rank};
 pub use part_verdict::{ENDS_OF_COMMON_PART, PartVerdict, SinceFirstEnd, is_part_almost_refused};
+pub use refusal::{refusal, try_after_ms};
 pub use registry::{Registry, StoreMembers};
 pub use replica::{ReplicaChange, ReplicaRecord, ReplicaState};
 pub use replica_records::ReplicaDifference;
@@ -60,7 +64,7 @@
     Backend, CallerLimits, ColdTraits, EngineTraits, Route, RouteKind, RouteTable, ServiceTraits,
 };
 pub use store_members::first_store_members;
-pub use suspicion::{Suspicion, Suspicions, is_almost_refused};
+pub use suspicion::{EndsOfRefusal, Suspicion, Suspicions, is_almost_refused};
 pub use table_update::{RouteKey, TableUpdate};
 pub use update::FleetUpdate;
 pub use validate::RouteTableError;
--- a/crates/registry/src/part_verdict.rs
+++ b/crates/registry/src/part_verdict.rs
@@ -31,6 +31,9 @@
 const ENDS_WITHOUT_SERVICE: usize = 8;
 const CLEARING_TIME_WITHOUT_SERVICE_MS: u64 = 2_500;
 
+/// Weights are sums of fractions.
+pub(crate) const WEIGHT_TOLERANCE: f64 = 1e-6;
+
 /// What is done with a request because of one of its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PartVerdict {
@@ -52,19 +55,21 @@
 }
 
 impl PartVerdict {
-    /// The verdict on a part under which replicas ended after runs of these lengths.
+    /// The verdict on a part under which replicas ended after runs of these lengths, which weigh
+    /// this much as evidence together.
     #[must_use]
-    pub fn of(lengths_ms: &[u32], is_rare: bool, since: SinceFirstEnd) -> Self {
+    pub fn of(lengths_ms: &[u32], weight: f64, is_rare: bool, since: SinceFirstEnd) -> Self {
         let ends = lengths_ms.len();
         let run_ms: usize = lengths_ms.iter().map(|ran_ms| *ran_ms as usize).sum();
         let further = run_ms / MS_PER_FURTHER_END;
-        let is_uncleared = ends >= ENDS_OF_COMMON_PART + further
+        let suffices = |needed: usize| weight + WEIGHT_TOLERANCE >= (needed + further) as f64;
+        let is_uncleared = suffices(ENDS_OF_COMMON_PART)
             && since.uncleared_ms >= CLEARING_TIME_MS
             && since.served >= MIN_SERVED;
-        let is_service_lost = ends >= ENDS_WITHOUT_SERVICE + further
+        let is_service_lost = suffices(ENDS_WITHOUT_SERVICE)
             && since.uncleared_ms >= CLEARING_TIME_WITHOUT_SERVICE_MS
             && since.served == 0;
-        let is_refused_rare = is_rare && ends >= ENDS_OF_RARE_PART + further;
+        let is_refused_rare = is_rare && suffices(ENDS_OF_RARE_PART);
         if is_uncleared || is_service_lost || is_refused_rare {
             PartVerdict::Refused
         } else if is_rare && ends >= ENDS_BEFORE_ISOLATION {
--- a/crates/registry/src/run_lengths.rs
+++ b/crates/registry/src/run_lengths.rs
@@ -55,6 +55,11 @@
         self.ends >= ends_before_refusal(self.shortest_ms)
     }
 
+    /// Number of ends that a refusal requires.
+    pub(crate) fn ends_needed(self) -> u32 {
+        ends_before_refusal(self.shortest_ms)
+    }
+
     /// Whether one more similar run is sufficient to refuse copies of the request.
     pub(crate) fn is_almost_refused(self) -> bool {
         self.ends + 1 >= ends_before_refusal(self.shortest_ms)
--- a/crates/registry/src/suspicion.rs
+++ b/crates/registry/src/suspicion.rs
@@ -110,20 +110,6 @@
         }
     }
 
-    /// A run whose report sets the record of a refusal, so that [`Self::is_refused`] holds for it.
-    #[must_use]
-    pub fn refusal(key: RequestFingerprint, current: Option<&Suspicion>) -> EndedRun {
-        let clearings = current.map_or(0, |current| current.consecutive_ends.clearings);
-        EndedRun {
-            fingerprint: key,
-            known: ConsecutiveEnds {
-                clearings,
-                lengths_ms: vec![0; run_lengths::ENDS_BEFORE_REFUSAL as usize - 1],
-            },
-            ran_ms: 0,
-        }
-    }
-
     /// The report of this record for other gateways.
     #[must_use]
     pub fn to_report(&self) -> ReportedSuspicion {
@@ -158,6 +144,17 @@
         self.similar().is_some_and(SimilarRuns::is_refused)
     }
 
+    /// Number of ends that suffice to refuse copies of the request if each weighs 1; `None` if
+    /// there are not as many.
+    #[must_use]
+    pub fn ends_of_refusal(&self) -> Option<EndsOfRefusal> {
+        let similar = self.similar().filter(|similar| similar.is_refused())?;
+        Some(EndsOfRefusal {
+            ends: similar.ends as usize,
+            needed: similar.ends_needed() as usize,
+        })
+    }
+
     fn similar(&self) -> Option<SimilarRuns> {
         SimilarRuns::among(&self.consecutive_ends.lengths_ms)
     }
@@ -202,6 +199,15 @@
     }
 }
 
+/// Ends that suffice for a refusal if each weighs 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndsOfRefusal {
+    /// Number of the ends.
+    pub ends: usize,
+    /// The weight that is needed.
+    pub needed: usize,
+}
+
 /// All requests that are suspected, or were recently.
 #[derive(Clone, Debug, Default)]
 pub struct Suspicions {
--- a/crates/registry/tests/all/main.rs
+++ b/crates/registry/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the registry crate.
 
 mod directory;
+mod end_evidence;
 mod evacuations;
 mod formats;
 mod fourth_layout;
--- a/crates/registry/tests/all/part_verdict.rs
+++ b/crates/registry/tests/all/part_verdict.rs
@@ -32,7 +32,10 @@
         uncleared_ms,
         served,
     };
-    assert_eq!(PartVerdict::of(&vec![100; ends], is_rare, since), verdict);
+    assert_eq!(
+        PartVerdict::of(&vec![100; ends], ends as f64, is_rare, since),
+        verdict
+    );
 }
 
 /// Guards against refusals of sound parts of long runs, as of batch items, which unrelated ends hit
@@ -44,7 +47,10 @@
 #[case::seconds(&[1_200; 30], PartVerdict::RunsAlone)]
 fn long_runs_need_more_ends(#[case] lengths_ms: &[u32], #[case] verdict: PartVerdict) {
     let since = SinceFirstEnd::default();
-    assert_eq!(PartVerdict::of(lengths_ms, true, since), verdict);
+    assert_eq!(
+        PartVerdict::of(lengths_ms, lengths_ms.len() as f64, true, since),
+        verdict
+    );
 }
 
 #[test]
@@ -53,7 +59,7 @@
         uncleared_ms: 60_000,
         served: 500,
     };
-    let verdict = PartVerdict::of(&[1_100; 20], false, since);
+    let verdict = PartVerdict::of(&[1_100; 20], 20.0, false, since);
     assert_eq!(verdict, PartVerdict::Admitted);
 }
 
--- a/crates/relay/src/item_run.rs
+++ b/crates/relay/src/item_run.rs
@@ -9,7 +9,7 @@
 use http::{Method, Uri};
 use linnethitch_clock::{Instant, sleep, timeout};
 use linnethitch_job_store::{ItemOutcome, ItemWork, StoreCall, StoreReply};
-use linnethitch_registry::{ConsecutiveEnds, RequestFingerprint, Route};
+use linnethitch_registry::{ConsecutiveEnds, RequestFingerprint, Route, item_pause_ms};
 use linnethitch_response::{EventSplitter, data_of};
 use linnethitch_routing::dispatch::{ChosenReplica, FailureKind, SoftwareNeed};
 use slog::info;
@@ -327,13 +327,8 @@
     /// end. `None` if there is none left; otherwise how the run ends.
     async fn pause_after_ends(&self, ends: &ConsecutiveEnds) -> Option<RunEnd> {
         let ends = ends.lengths_ms.len();
-        let now_ms = self.shared.clock.now_ms();
-        let noted_at_ms = self
-            .shared
-            .suspicion_updates
-            .noted_at_ms(&self.fingerprint, ends);
-        let paced = &self.shared.paced_items;
-        let pause_ms = paced.remaining_ms(self.fingerprint, ends, noted_at_ms, now_ms);
+        let elapsed_ms = self.shared.since_last_end_ms(self.fingerprint, ends);
+        let pause_ms = item_pause_ms(ends).saturating_sub(elapsed_ms);
         if pause_ms == 0 {
             return None;
         }
--- a/crates/relay/src/known_ends.rs
+++ b/crates/relay/src/known_ends.rs
@@ -12,10 +12,19 @@
     pub(crate) content: ConsecutiveEnds,
     /// Its shared parts, in order; empty if no replica has ended under any request recently.
     pub(crate) parts: Vec<PartEnds>,
+    /// Refusals of the request and of its parts that it is tried in spite of.
+    pub(crate) tried_refusals: Vec<RefusalRecord>,
     /// Whether these are the ends under a batch item, which is never suspected.
     is_item: bool,
 }
 
+/// The record of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RefusalRecord {
+    pub(crate) key: RequestFingerprint,
+    pub(crate) ends: ConsecutiveEnds,
+}
+
 /// What is known of one part of a prompt.
 #[derive(Clone, Debug)]
 pub(crate) struct PartEnds {
@@ -34,23 +43,31 @@
     Content,
     /// Replicas ended under requests with this part.
     Part(u64),
+    /// Neither yet: what else ended with the last replica is not known for this time, in
+    /// milliseconds.
+    Unsettled(u64),
 }
 
 impl RefusedBy {
     /// The part in the form of the prompt's description, for logs.
     pub(crate) fn part(self) -> Option<String> {
         match self {
-            RefusedBy::Content => None,
+            RefusedBy::Content | RefusedBy::Unsettled(_) => None,
             RefusedBy::Part(part) => Some(format!("{part:x}")),
         }
     }
 }
 
 impl KnownEnds {
-    pub(crate) fn of_request(content: ConsecutiveEnds, parts: Vec<PartEnds>) -> Self {
+    pub(crate) fn of_request(
+        content: ConsecutiveEnds,
+        parts: Vec<PartEnds>,
+        tried_refusals: Vec<RefusalRecord>,
+    ) -> Self {
         KnownEnds {
             content,
             parts,
+            tried_refusals,
             is_item: false,
         }
     }
@@ -59,13 +76,17 @@
         KnownEnds {
             content: ends,
             parts: Vec::new(),
+            tried_refusals: Vec::new(),
             is_item: true,
         }
     }
 
     /// Whether the request must run without other suspected requests.
     pub(crate) fn is_suspected(&self) -> bool {
-        !self.is_item && (!self.content.is_empty() || self.suspected_parts().next().is_some())
+        !self.is_item
+            && (!self.content.is_empty()
+                || !self.tried_refusals.is_empty()
+                || self.suspected_parts().next().is_some())
     }
 
     /// Whether one more end refuses the request.
@@ -111,6 +132,15 @@
         known.map(|part| part.ends.clone()).unwrap_or_default()
     }
 
+    /// The interrupted run under the keys of the refusals that it was tried in spite of.
+    pub(crate) fn ended_runs_of_refusals(&self) -> impl Iterator<Item = EndedRun> {
+        self.tried_refusals.iter().map(|refusal| EndedRun {
+            fingerprint: refusal.key,
+            known: refusal.ends.clone(),
+            ran_ms: 0,
+        })
+    }
+
     /// The interrupted run under the key of one of its parts.
     pub(crate) fn ended_run_of_part(&self, key: RequestFingerprint, ran_ms: u32) -> EndedRun {
         EndedRun {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,7 +24,7 @@
 mod item_route;
 mod item_run;
 mod known_ends;
-mod paced_items;
+mod last_ends;
 mod planned_stop;
 mod pump;
 mod quotas;
--- a/crates/relay/src/replica_ends.rs
+++ b/crates/relay/src/replica_ends.rs
@@ -28,8 +28,12 @@
     pub(crate) run: EndedRun,
     /// The shared parts of its prompt.
     pub(crate) parts: Vec<EndedPart>,
+    /// The run under the keys of refusals that it was tried in spite of.
+    pub(crate) refusals: Vec<EndedRun>,
     /// The request id.
     pub(crate) request: String,
+    pub(crate) service: String,
+    pub(crate) is_item: bool,
 }
 
 impl InterruptedRun {
@@ -248,6 +252,15 @@
     fn suspect_runs(&self) -> impl Future<Output = bool> + use<> {
         let mut runs: Vec<EndedRun> = self.runs.iter().map(|b| b.run.clone()).collect();
         runs.extend(self.ended_parts());
+        let refusals = self.runs.iter().flat_map(|run| &run.refusals);
+        runs.extend(refusals.cloned());
+        if let Some(first) = self.runs.first() {
+            let online = self.runs.iter().filter(|run| !run.is_item).count() as u32;
+            let suspects = runs.iter().map(|run| run.fingerprint);
+            let now_ms = self.shared.clock.now_ms();
+            let mut evidence = self.shared.end_evidence.lock();
+            evidence.note_end(&first.service, &self.replica, suspects, online, now_ms);
+        }
         self.shared.note_ends(&self.replica, runs.iter());
         let gateway = self.shared.gateway.clone();
         let replica = self.replica.clone();
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -70,6 +70,7 @@
             info!(shared.logger, "request: suspected of ending replicas, sent";
                 "request" => outgoing.id(), "replica" => &chosen.id,
                 "content_ends" => known_ends.content.lengths_ms.len(),
+                "refusals" => known_ends.tried_refusals.len(),
                 "parts" => known_ends.parts_text());
         }
         let began = Instant::now();
@@ -127,7 +128,10 @@
                     ran_ms,
                 },
                 parts: self.ended_parts(ran_ms),
+                refusals: self.known_ends.ended_runs_of_refusals().collect(),
                 request: self.outgoing.id().to_owned(),
+                service: self.service.clone(),
+                is_item: self.outgoing.item.is_some(),
             };
             replica_ends::investigate(&self.shared, &self.replica, &self.address, run);
         }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,8 +12,8 @@
 use http::{HeaderMap, HeaderValue};
 use linnethitch_clock::Instant;
 use linnethitch_cluster::{Clock, GatewayNode};
-use linnethitch_protocol::slots::SlotLoad;
-use linnethitch_registry::{FleetView, ReplicaState, RouteTable};
+use linnethitch_protocol::{ids::LogIndex, slots::SlotLoad};
+use linnethitch_registry::{EndEvidence, FleetView, ReplicaState, RouteTable};
 use linnethitch_routing::{
     PartShares,
     cold::ColdState,
@@ -40,7 +40,7 @@
     exchange::Outgoing,
     fleet_changes::{FleetChanges, replica_traits},
     homes::HomeZones,
-    paced_items::PacedItems,
+    last_ends::LastEnds,
     planned_stop::PlannedStop,
     quotas::Quotas,
     relay::RelaySettings,
@@ -68,7 +68,8 @@
     keys: KeyPolicy,
     pub(crate) interrupted_runs: InterruptedRuns,
     pub(crate) suspicion_updates: SuspicionUpdates,
-    pub(crate) paced_items: PacedItems,
+    pub(crate) last_ends: LastEnds,
+    pub(crate) end_evidence: Mutex<EndEvidence>,
     pub(crate) deferred_items: DeferredItems,
     pub(crate) delays: Delays,
     /// Complete answers by service.
@@ -121,7 +122,8 @@
             connections: Connections::default(),
             interrupted_runs: InterruptedRuns::default(),
             suspicion_updates: SuspicionUpdates::default(),
-            paced_items: PacedItems::default(),
+            last_ends: LastEnds::default(),
+            end_evidence: Mutex::default(),
             deferred_items: DeferredItems::default(),
             delays: Delays::default(),
             served: Mutex::default(),
@@ -148,6 +150,8 @@
 
     /// Counts a complete answer of a service.
     pub(crate) fn count_served(&self, service: &str) {
+        let now_ms = self.clock.now_ms();
+        self.end_evidence.lock().note_completed(service, now_ms);
         let mut served = self.served.lock();
         match served.get_mut(service) {
             Some(count) => *count += 1,
@@ -164,6 +168,9 @@
 
     /// Applies the differences between two views of the fleet.
     pub(crate) fn apply_fleet(&self, previous: &FleetView, fleet: &FleetView) {
+        if previous.up_to_index() == LogIndex::default() {
+            self.note_recorded_ends(fleet);
+        }
         let changes = FleetChanges::between(previous, fleet);
         self.stream_records
             .note_software(fleet.differences(previous));
