--- a/crates/relay/tests/all/streams.rs
+++ b/crates/relay/tests/all/streams.rs
@@ -227,3 +227,25 @@
     // Two replicas never work on the stream.
     silent.wait_until_closed(1).await;
 }
+
+/// Guards against a request that two replicas work on: it is sent again while the replica that
+/// stayed silent still has it. The second replica stays silent for longer than any test.
+#[tokio::test]
+async fn a_silent_replica_is_released_before_the_request_is_sent_again() {
+    let silent = Replica::start(vec![Act::Silence]).await;
+    let route = Route {
+        timeout_ms: 120_000,
+        ..route(RouteKind::Safe, 2, false)
+    };
+    let fleet = Fleet::start(route, std::slice::from_ref(&silent)).await;
+    let request = fleet.open("request-1", "").await;
+    wait_for_requests(&silent, 1).await;
+    let next = Replica::start(vec![Act::Silence]).await;
+    fleet
+        .register(1, next.address, ReplicaState::Ready, 1)
+        .await;
+    wait_for_requests(&next, 1).await;
+    silent.wait_until_closed(1).await;
+    assert_eq!((silent.requests(), next.requests()), (1, 1));
+    drop(request);
+}
