--- a/crates/registry/src/end_evidence.rs
+++ b/crates/registry/src/end_evidence.rs
@@ -154,10 +154,6 @@
     }
 
     fn of_service(&mut self, service: &str) -> &mut ServiceEvidence {
-        if !self.services.contains_key(service) {
-            let evidence = ServiceEvidence::default();
-            self.services.insert(service.to_owned(), evidence);
-        }
         self.services.entry(service.to_owned()).or_default()
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod source;
 mod stream_records;
 mod suspected_requests;
+mod suspicion_lookup;
 mod suspicions;
 mod taken_up;
 
--- a/crates/relay/src/running_guard.rs
+++ b/crates/relay/src/running_guard.rs
@@ -14,7 +14,7 @@
     replica_ends::{self, EndedPart, InterruptedRun},
     shared::Shared,
     slots::{RunReport, SlotLease},
-    suspected_requests::MAX_SUSPECTED_PARTS,
+    suspicion_lookup::MAX_SUSPECTED_PARTS,
 };
 
 /// A run that ends without its first event after this time shows that the replica is
