Suspicions: one run in twenty is calm, and proven refusals are tried later

Cause: ends of the other causes lowered the weight of each end under the request, and the first try after 3 s ended one engine more although the evidence was as good as it can be.

Change: an end weighs 1 up to one interrupted run in twenty; a refusal whose ends weigh 0.9 and more on average leaves out the try after 3 s. Its record begins with one entry more, so no format changes.

With the first try after 20 s a hole showed: a clearing that a gateway of an earlier build reports lifts the content's record and not the refusal's. A refusal holds no longer than its suspect's record is open. a_clearing_from_older_control_outweighs_earlier_ends failed without that.

--- a/crates/registry/src/end_evidence.rs
+++ b/crates/registry/src/end_evidence.rs
@@ -25,7 +25,7 @@
 pub const MIN_WEIGHT: f64 = 1.0 / 3.0;
 /// Probability that a run is interrupted by chance at which an end weighs 1. It is also assumed
 /// where no other runs are known.
-const CALM_PROBABILITY: f64 = 0.02;
+const CALM_PROBABILITY: f64 = 0.05;
 /// Number of runs that this assumption is worth.
 const ASSUMED_RUNS: f64 = 10.0;
 /// Runs that ended within this time of an end are compared, in milliseconds.
--- a/crates/registry/src/refusal.rs
+++ b/crates/registry/src/refusal.rs
@@ -2,7 +2,8 @@
 //!
 //! A refusal may be wrong: ends by chance can hit a harmless request or part again and again. So
 //! some requests are sent all the same, each alone at a replica and at increasing intervals. A
-//! complete response lifts the refusal; a further end confirms it.
+//! complete response lifts the refusal; a further end confirms it. The less the ends said, the sooner
+//! the first one is sent.
 
 use linnethitch_protocol::suspicion::{ConsecutiveEnds, EndedRun, RequestFingerprint};
 
@@ -15,14 +16,20 @@
 const TRY_AFTER_MS: [u64; 3] = [3_000, 20_000, 120_000];
 /// Tries that are left out when a refusal decayed and was confirmed by a further end.
 const TRIES_LEFT_OUT_AFTER_DECAY: usize = TRY_AFTER_MS.len() - 1;
+/// Tries that are left out when each of the ends weighed about as much as an end can.
+const TRIES_LEFT_OUT_IN_CALM: usize = 1;
+/// Weight of an end from which on it counts as one in calm.
+const CALM_WEIGHT: f64 = 0.9;
 
-/// A run whose report records a refusal under its key.
+/// A run whose report records a refusal under its key, because of ends of this mean weight.
 #[must_use]
-pub fn refusal(key: RequestFingerprint, current: Option<&Suspicion>) -> EndedRun {
+pub fn refusal(key: RequestFingerprint, current: Option<&Suspicion>, mean_weight: f64) -> EndedRun {
     let clearings = current.map_or(0, |current| current.consecutive_ends.clearings);
     let has_decayed = current.is_some_and(|current| current.is_open() && !current.is_refused());
     let tries = if has_decayed {
         TRIES_LEFT_OUT_AFTER_DECAY
+    } else if mean_weight >= CALM_WEIGHT {
+        TRIES_LEFT_OUT_IN_CALM
     } else {
         0
     };
--- a/crates/relay/src/suspicion_lookup.rs
+++ b/crates/relay/src/suspicion_lookup.rs
@@ -101,12 +101,15 @@
         let fingerprint = outgoing.fingerprint();
         let refusal_key = RequestFingerprint::of_refused_request(&fingerprint);
         let current = self.suspicion(&refusal_key);
-        if let Some(refused) = refused_ends(current.as_ref()) {
+        let known = self.suspicion(&fingerprint);
+        if let Some(refused) = refused_ends(current.as_ref(), known.as_ref()) {
             let tried = self.tried_refusal(refusal_key, refused);
             tried_refusals.push(tried.ok_or(RefusedBy::Content)?);
-            return Ok(self.consecutive_ends(&fingerprint));
+            return Ok(known
+                .map(|known| known.consecutive_ends)
+                .unwrap_or_default());
         }
-        let Some(known) = self.suspicion(&fingerprint) else {
+        let Some(known) = known else {
             return Ok(ConsecutiveEnds::default());
         };
         let Some(EndsOfRefusal { ends, needed }) = known.ends_of_refusal() else {
@@ -122,7 +125,8 @@
         info!(self.logger, "request content: refused"; "content" => fingerprint.to_string(),
             "service" => service, "ends" => ends, "weight" => weighed.weight,
             "clearings" => known.consecutive_ends.clearings, "replica" => &known.replica);
-        let run = refusal(refusal_key, current.as_ref());
+        let mean_weight = weighed.weight / ends as f64;
+        let run = refusal(refusal_key, current.as_ref(), mean_weight);
         self.report_ends(&known.replica, vec![run]);
         Err(RefusedBy::Content)
     }
@@ -178,7 +182,7 @@
             verdict,
             is_common: share == PartShare::Common,
         };
-        if let Some(refused) = refused_ends(current.as_ref()) {
+        if let Some(refused) = refused_ends(current.as_ref(), known.as_ref()) {
             let tried = self.tried_refusal(refusal_key, refused);
             tried_refusals.push(tried.ok_or(RefusedBy::Part(part))?);
             return Ok(of_verdict(PartVerdict::RunsAlone));
@@ -203,14 +207,20 @@
             "weight" => weighed.weight, "clearings" => ends.clearings,
             "replica" => &known.replica, "is_rare" => is_rare,
             "uncleared_ms" => since.uncleared_ms, "served" => since.served);
-        let run = refusal(refusal_key, current.as_ref());
+        let mean_weight = weighed.weight / ends.lengths_ms.len() as f64;
+        let run = refusal(refusal_key, current.as_ref(), mean_weight);
         self.report_ends(&known.replica, vec![run]);
         Err(RefusedBy::Part(part))
     }
 }
 
-/// The ends of a refusal that holds.
-fn refused_ends(refusal: Option<&Suspicion>) -> Option<&ConsecutiveEnds> {
+/// The ends of a refusal that holds. It does not where the suspect has been cleared since, which
+/// gateways of earlier builds report without the refusal.
+fn refused_ends<'a>(
+    refusal: Option<&'a Suspicion>,
+    suspect: Option<&Suspicion>,
+) -> Option<&'a ConsecutiveEnds> {
     let refusal = refusal.filter(|refusal| refusal.is_refused())?;
-    Some(&refusal.consecutive_ends)
+    let is_cleared = suspect.is_some_and(|suspect| !suspect.is_open());
+    (!is_cleared).then_some(&refusal.consecutive_ends)
 }
