Ingress: one budget of a process for the bodies of requests

Cause: a body counted only once whole, and was checked before it was read; bodies of jobs and of calls to control did not count at all; reading held a body up to three times; requests shared their limit with answers for slow readers.

Change: crates/ingress. `IngressPolicy` (no input or output) is told of connections, bytes and time and says whose unfinished body gives way; `Ingress` carries that out; `read_body` is the one reader of the relay, of jobs and of control. A quarter of the memory is for bodies, counted by capacity, four bytes a byte for documents; an eighth is for answers of slow readers, which had shared a quarter with the bodies. A body may hold no more than what stays free beside it.

Why it works: what is allocated for bodies is reserved before it is allocated, so the sum cannot pass the budget whoever sends; what can be refused with a promise gives way to what still arrives, largest and stillest first, so a crowd pays and a small request does not.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,50 +1,60 @@
-//! Reading of request bodies.
+//! Reading of the bodies of callers' requests.
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
-use linnethitch_clock::{Instant, timeout_at};
+use bytes::Bytes;
+use http::request::Parts;
+use hyper::body::Incoming;
+use linnethitch_clock::Instant;
 use linnethitch_errors::ErrorKind;
+use linnethitch_ingress::{BodyLimits, ClientConnection, read_body};
 
-/// Reads a request body within its size limit.
+/// Memory of a relayed request by the byte of its body: it is sent as it was received.
+const RELAYED_MEMORY_FACTOR: u64 = 1;
+/// Memory of a document by the byte: the document, its decoded content, and a message with the
+/// content in two layers of encoding.
+const DOCUMENT_MEMORY_FACTOR: u64 = 4;
+
+/// What is made of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyUse {
+    /// It is relayed.
+    Relayed,
+    /// It is parsed, and its content is sent to another node.
+    Document,
+}
+
+impl BodyUse {
+    fn memory_factor(self) -> u64 {
+        match self {
+            BodyUse::Relayed => RELAYED_MEMORY_FACTOR,
+            BodyUse::Document => DOCUMENT_MEMORY_FACTOR,
+        }
+    }
+}
+
+/// Reads the body of a request that [`crate::serve_callers`] received.
 ///
 /// # Errors
-/// `BodyTooLarge`; `MalformedRequest` if the body breaks off; `RequestTimeout`.
-pub async fn read_body(
-    mut body: Incoming,
+/// `BodyTooLarge`; `Overloaded` if there is no memory for it; `MalformedRequest` if it breaks
+/// off; `RequestTimeout`.
+pub async fn read_request_body(
+    head: &Parts,
+    body: Incoming,
+    body_use: BodyUse,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, ErrorKind> {
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    let mut first: Option<Bytes> = None;
-    let mut remaining = BytesMut::new();
-    loop {
-        let frame = match timeout_at(deadline, body.frame()).await {
-            Ok(None) => break,
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(ErrorKind::MalformedRequest),
-            Err(_) => return Err(ErrorKind::RequestTimeout),
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        match &first {
-            None => first = Some(data),
-            Some(_) => remaining.extend_from_slice(&data),
-        }
-        let length = first.as_ref().map_or(0, Bytes::len) + remaining.len();
-        if length > max_bytes {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-    }
-    let first = first.unwrap_or_default();
-    if remaining.is_empty() {
-        return Ok(first);
-    }
-    let mut body_bytes = BytesMut::with_capacity(first.len() + remaining.len());
-    body_bytes.extend_from_slice(&first);
-    body_bytes.extend_from_slice(&remaining);
-    Ok(body_bytes.freeze())
+    let Some(connection) = head.extensions.get::<ClientConnection>() else {
+        return Err(ErrorKind::Internal);
+    };
+    let limits = BodyLimits {
+        bytes: max_bytes,
+        deadline,
+        memory_factor: body_use.memory_factor(),
+    };
+    read_body(connection, body, limits)
+        .await
+        .map_err(|kind| match kind {
+            ErrorKind::TruncatedUpload => ErrorKind::MalformedRequest,
+            kind => kind,
+        })
 }
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -36,7 +36,7 @@
     KeyRefused,
     /// Refused: over the tenant's limit.
     OverLimit,
-    /// Refused: the buffers for slow readers are full.
+    /// Refused: the buffers for slow readers, or the memory for bodies, are full.
     NoRoom,
     /// Refused: this gateway may stop before the request is answered.
     Stopping,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,7 +45,7 @@
 mod taken_up;
 
 pub use batch::{BatchSettings, run_items};
-pub use body::read_body;
+pub use body::{BodyUse, read_request_body};
 pub use buffered_bytes::{BufferedBytes, BufferedGuard, UnreadBuffer};
 pub use callers::{Caller, KeyPolicy};
 pub use dialect::{Dialect, HeaderNames, Prompt};
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     attempt::{Attempt, DEFAULT_RETRY_AFTER},
-    body::read_body,
+    body::{BodyUse, read_request_body},
     callers::{Caller, KeyPolicy, set_tenant_header},
     counters::RequestEnd,
     deferred_items::DeferReason,
@@ -42,15 +42,14 @@
     pub quota: QuotaSettings,
     /// How far the fleet may exceed the declared limits of cold replicas.
     pub cold: ColdSettings,
-    /// Bytes of requests and responses that may be buffered before new requests are refused.
+    /// Bytes of responses that may be buffered for slow readers before new requests are refused.
     pub max_buffered_bytes: u64,
     /// Maximum time from the request to stop to the end of the process.
     pub stop_within: Duration,
 }
 
-/// A quarter of the memory of a small machine of 160 MB; the remaining memory is for the process
-/// itself, its view of the fleet and its connections.
-const DEFAULT_MAX_BUFFERED_BYTES: u64 = 40 * 1024 * 1024;
+/// An eighth of the memory of a small machine of 160 MB.
+const DEFAULT_MAX_BUFFERED_BYTES: u64 = 20 * 1024 * 1024;
 /// Default time that service managers allow before they kill a process.
 const DEFAULT_STOP_WITHIN: Duration = Duration::from_secs(30);
 
@@ -236,9 +235,11 @@
             return self.refuse_over_buffer_limit(&request_id, route);
         }
         let deadline = arrived + limit;
-        let body = match read_body(body, table.limits.body_bytes, deadline).await {
-            Ok(body) => self.shared.buffered.wrap(body),
-            Err(kind) => return error_response(kind, None),
+        let max_bytes = table.limits.body_bytes;
+        let body = read_request_body(&head, body, BodyUse::Relayed, max_bytes, deadline).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(kind) => return self.refuse_body(kind, route),
         };
         let tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
         let rank = caller.as_ref().and_then(|caller| caller.tenant.rank);
@@ -311,6 +312,17 @@
         error_response(ErrorKind::Stopping, Some(Duration::ZERO))
     }
 
+    /// Refuses a request whose body was not received.
+    #[must_use]
+    pub fn refuse_body(&self, kind: ErrorKind, route: &Route) -> Response<ResponseBody> {
+        if kind != ErrorKind::Overloaded {
+            return error_response(kind, None);
+        }
+        let counters = &self.shared.counters;
+        counters.request_ended(&route.name, RequestEnd::NoRoom);
+        error_response(kind, Some(DEFAULT_RETRY_AFTER))
+    }
+
     /// Refuses a request while the buffers for slow readers are full.
     fn refuse_over_buffer_limit(
         &self,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -14,13 +14,11 @@
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
-use linnethitch_cluster::Clock;
-use parking_lot::Mutex;
+use linnethitch_ingress::{ClientConnection, ConnectionTimeouts, IngressListener};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
-    sync::Notify,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -71,13 +69,12 @@
     listener: TcpListener,
     server: S,
     limits: Arc<ServerLimits>,
-    clock: Clock,
+    connections: IngressListener,
     stopping: CancellationToken,
 ) {
     let tracker = TaskTracker::new();
     let closing = CancellationToken::new();
-    let open: Arc<Mutex<Vec<Arc<Activity>>>> = Arc::default();
-    let sweeper = tokio::spawn(sweep(Arc::clone(&open), Arc::clone(&limits), clock));
+    let sweeper = tokio::spawn(close_expired(connections.clone(), Arc::clone(&limits)));
     let drain_over = async {
         stopping.cancelled().await;
         linnethitch_clock::sleep(DRAIN_PERIOD).await;
@@ -92,17 +89,21 @@
             linnethitch_clock::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let activity = Arc::new(Activity::new(clock.now_ms()));
-        open.lock().push(Arc::clone(&activity));
+        // On a full listener the stream is dropped: its client tries another gateway at once.
+        let Some(client) = connections.accept() else {
+            continue;
+        };
         let connection = ServedConnection {
             server: server.clone(),
-            activity,
-            clock,
+            client,
+            must_reset: Arc::default(),
             stopping: stopping.clone(),
             closing: closing.clone(),
             header_bytes: limits.header_bytes.load(Ordering::Relaxed) as usize,
         };
         tracker.spawn(connection.run(stream));
+        // The connection reads before the next one is accepted, for which it might be closed.
+        tokio::task::yield_now().await;
     }
     drop(listener);
     closing.cancel();
@@ -111,82 +112,22 @@
     sweeper.abort();
 }
 
-/// Activity of a connection, as checked by the sweep.
-struct Activity {
-    /// Start of the current phase (idle, or receiving a head), in milliseconds of the monotonic
-    /// clock.
-    since_ms: AtomicU64,
-    /// Whether a request head has begun and is not complete.
-    in_head: AtomicBool,
-    /// Whether a request is being answered.
-    in_request: AtomicBool,
-    ended: AtomicBool,
-    /// Whether a response broke whose end only the close of the connection would mark.
-    must_reset: AtomicBool,
-    close: Notify,
-}
-
-impl Activity {
-    fn new(now_ms: u64) -> Self {
-        Activity {
-            since_ms: AtomicU64::new(now_ms),
-            in_head: AtomicBool::new(false),
-            in_request: AtomicBool::new(false),
-            ended: AtomicBool::new(false),
-            must_reset: AtomicBool::new(false),
-            close: Notify::new(),
-        }
-    }
-
-    fn bytes_received(&self, now_ms: u64) {
-        let is_idle =
-            !self.in_request.load(Ordering::Relaxed) && !self.in_head.load(Ordering::Relaxed);
-        if is_idle {
-            self.in_head.store(true, Ordering::Relaxed);
-            self.since_ms.store(now_ms, Ordering::Relaxed);
-        }
-    }
-
-    fn begin_request(&self) {
-        self.in_head.store(false, Ordering::Relaxed);
-        self.in_request.store(true, Ordering::Relaxed);
-    }
-
-    fn response_sent(&self, now_ms: u64) {
-        self.in_request.store(false, Ordering::Relaxed);
-        self.since_ms.store(now_ms, Ordering::Relaxed);
-    }
-
-    fn is_expired(&self, limits: &ServerLimits, now_ms: u64) -> bool {
-        if self.in_request.load(Ordering::Relaxed) {
-            return false;
-        }
-        let limit_ms = if self.in_head.load(Ordering::Relaxed) {
-            limits.header_ms.load(Ordering::Relaxed)
-        } else {
-            limits.idle_ms.load(Ordering::Relaxed)
-        };
-        now_ms.saturating_sub(self.since_ms.load(Ordering::Relaxed)) > limit_ms
-    }
-}
-
-async fn sweep(open: Arc<Mutex<Vec<Arc<Activity>>>>, limits: Arc<ServerLimits>, clock: Clock) {
+/// Closes connections that are idle, or slow to send a head, for too long.
+async fn close_expired(connections: IngressListener, limits: Arc<ServerLimits>) {
     loop {
         linnethitch_clock::sleep(SWEEP_INTERVAL).await;
-        let now_ms = clock.now_ms();
-        open.lock().retain(|activity| {
-            if activity.is_expired(&limits, now_ms) {
-                activity.close.notify_one();
-            }
-            !activity.ended.load(Ordering::Relaxed)
+        connections.close_expired(ConnectionTimeouts {
+            head_ms: limits.header_ms.load(Ordering::Relaxed),
+            idle_ms: limits.idle_ms.load(Ordering::Relaxed),
         });
     }
 }
 
 struct ServedConnection<S> {
     server: S,
-    activity: Arc<Activity>,
-    clock: Clock,
+    client: ClientConnection,
+    /// Whether a response broke whose end only the close of the connection would mark.
+    must_reset: Arc<AtomicBool>,
     stopping: CancellationToken,
     closing: CancellationToken,
     header_bytes: usize,
@@ -197,8 +138,8 @@
         let _ = stream.set_nodelay(true);
         let watched = WatchedStream {
             stream,
-            activity: Arc::clone(&self.activity),
-            clock: self.clock,
+            client: self.client.clone(),
+            must_reset: Arc::clone(&self.must_reset),
         };
         let service = service_fn(|request| self.answer(request));
         let connection = hyper::server::conn::http1::Builder::new()
@@ -213,17 +154,17 @@
                     shutting_down = true;
                     connection.as_mut().graceful_shutdown();
                 }
-                () = self.activity.close.notified() => break,
+                () = self.client.must_close() => break,
             }
         }
-        self.activity.ended.store(true, Ordering::Relaxed);
     }
 
     async fn answer(
         &self,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
     ) -> Result<Response<TrackedBody>, std::convert::Infallible> {
-        self.activity.begin_request();
+        self.client.head_received();
+        request.extensions_mut().insert(self.client.clone());
         let has_chunks = request.version() >= Version::HTTP_11;
         let mut response = self.server.answer(request).await;
         if self.stopping.is_cancelled() {
@@ -232,8 +173,8 @@
         }
         Ok(response.map(|body| TrackedBody {
             body,
-            activity: Arc::clone(&self.activity),
-            clock: self.clock,
+            client: self.client.clone(),
+            must_reset: Arc::clone(&self.must_reset),
             has_chunks,
         }))
     }
@@ -242,15 +183,15 @@
 /// Records when a response has been sent completely, or broke.
 struct TrackedBody {
     body: ResponseBody,
-    activity: Arc<Activity>,
-    clock: Clock,
+    client: ClientConnection,
+    must_reset: Arc<AtomicBool>,
     /// Whether the caller's version of HTTP has chunks, whose last one marks the end.
     has_chunks: bool,
 }
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.activity.response_sent(self.clock.now_ms());
+        self.client.response_sent();
     }
 }
 
@@ -264,7 +205,7 @@
     ) -> Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, Self::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
         if matches!(polled, Poll::Ready(Some(Err(_)))) && !self.has_chunks {
-            self.activity.must_reset.store(true, Ordering::Relaxed);
+            self.must_reset.store(true, Ordering::Relaxed);
         }
         polled
     }
@@ -282,13 +223,13 @@
 /// that broke, where its caller would take a close for the end.
 struct WatchedStream {
     stream: TcpStream,
-    activity: Arc<Activity>,
-    clock: Clock,
+    client: ClientConnection,
+    must_reset: Arc<AtomicBool>,
 }
 
 impl Drop for WatchedStream {
     fn drop(&mut self) {
-        if self.activity.must_reset.load(Ordering::Relaxed) {
+        if self.must_reset.load(Ordering::Relaxed) {
             // On failure the connection is closed, which is all that remains to be done.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
@@ -304,7 +245,7 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.activity.bytes_received(self.clock.now_ms());
+            self.client.bytes_received();
         }
         polled
     }
--- a/crates/relay/tests/all/support/gateway.rs
+++ b/crates/relay/tests/all/support/gateway.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use linnethitch_cluster::{GatewayNode, NodeSettings};
+use linnethitch_ingress::Ingress;
 use linnethitch_relay::{
     CallerServer, Dialect, HeaderNames, KeyPolicy, Prompt, Relay, RelaySettings, ResponseBody,
     ServerLimits, error_response, serve_callers,
@@ -24,6 +25,10 @@
     http::{Answer, read_answer},
 };
 
+/// Memory of a gateway for request bodies, in bytes.
+const MAX_BODY_BYTES: u64 = 40 * 1024 * 1024;
+const MAX_CONNECTIONS: usize = 1_000;
+
 struct TestDialect(HeaderNames);
 
 impl TestDialect {
@@ -153,10 +158,11 @@
         ..RelaySettings::default()
     };
     let relay = Relay::new(gateway, dialect, &settings, stopping.clone(), logger);
-    let clock = relay.gateway().clock();
+    let ingress = Ingress::new(MAX_BODY_BYTES, relay.gateway().clock());
+    let connections = ingress.listener("callers", MAX_CONNECTIONS);
     let limits = Arc::new(ServerLimits::default());
     let front = Front(relay.clone());
-    let serving = serve_callers(listener, front, limits, clock, stopping.clone());
+    let serving = serve_callers(listener, front, limits, connections, stopping.clone());
     tokio::spawn(serving);
     Gateway { callers, relay }
 }
