Job store: the leader accepts no more jobs than fit into its memory

Callers saw: every job of a crowd of legal ones was answered 202, until the stores ran over the memory of their machines, all at about the same time.

Cause: the queue of a route is bounded in tokens, which the client states; bytes of accepted jobs were not bounded.

Refused as a full queue is (429 with Retry-After), before anything is stored. Nothing stored or sent changes.

Why it works: all copies of an item are a small multiple of its bytes, and the bytes are bounded where jobs enter.

--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -48,6 +48,8 @@
     pub voters: usize,
     /// How long jobs are retained after they were accepted.
     pub retention: Duration,
+    /// Maximum memory of the items of all jobs, in bytes; the leader accepts no more.
+    pub max_item_bytes: u64,
 }
 
 /// A running store member.
@@ -162,7 +164,11 @@
         group.retained_snapshots = RETAINED_SNAPSHOTS;
         group.seed ^= u64::from(own.0);
         let retention_ms = self.settings.retention.as_millis() as u64;
-        let service = StoreService::new(retention_ms, self.group_view.clone());
+        let service = StoreService::new(
+            retention_ms,
+            self.settings.max_item_bytes,
+            self.group_view.clone(),
+        );
         let (driver, handle) = driver::open(
             group,
             &self.settings.data_dir,
--- a/crates/cluster/src/store_service.rs
+++ b/crates/cluster/src/store_service.rs
@@ -27,6 +27,8 @@
 pub(crate) struct StoreService {
     dispatcher: Dispatcher,
     gate: QueueGate,
+    /// Maximum memory of the items of all jobs, in bytes.
+    max_item_bytes: u64,
     is_leading: bool,
     age_clock: AgeClock,
     /// Jobs are retained for this long after they were accepted, in milliseconds.
@@ -35,10 +37,15 @@
 }
 
 impl StoreService {
-    pub(crate) fn new(retention_ms: u64, group_view: watch::Sender<LocalGroupView>) -> Self {
+    pub(crate) fn new(
+        retention_ms: u64,
+        max_item_bytes: u64,
+        group_view: watch::Sender<LocalGroupView>,
+    ) -> Self {
         StoreService {
             dispatcher: Dispatcher::default(),
-            gate: QueueGate::default(),
+            gate: QueueGate::new(max_item_bytes),
+            max_item_bytes,
             is_leading: false,
             age_clock: AgeClock::default(),
             retention_ms,
@@ -100,7 +107,7 @@
         if !self.is_leading {
             self.is_leading = true;
             self.dispatcher = Dispatcher::for_new_leader(now.steady_ms);
-            self.gate = QueueGate::default();
+            self.gate = QueueGate::new(self.max_item_bytes);
         }
     }
 }
--- a/crates/cluster/tests/all/results.rs
+++ b/crates/cluster/tests/all/results.rs
@@ -59,6 +59,7 @@
                 data_dir,
                 voters: STORES,
                 retention: LIMIT * 2,
+                max_item_bytes: 32 * 1024 * 1024,
             };
             tokio::spawn(StoreNode::run(settings, std::future::pending()));
             stores.push(node);
--- a/crates/job-store/src/call.rs
+++ b/crates/job-store/src/call.rs
@@ -112,12 +112,12 @@
 }
 
 impl QueueBound {
-    /// Whether a job of a tenant counts towards this bound.
+    /// Whether a tenant's job on this host and path counts towards this bound.
     #[must_use]
-    pub fn concerns(&self, job: &JobSpec, tenant: Option<&str>) -> bool {
+    pub fn concerns(&self, host: &str, path: &str, tenant: Option<&str>) -> bool {
         self.tenant.as_deref() == tenant
-            && job.host.eq_ignore_ascii_case(&self.host)
-            && job.path.starts_with(&self.path_prefix)
+            && host.eq_ignore_ascii_case(&self.host)
+            && path.starts_with(&self.path_prefix)
     }
 }
 
--- a/crates/job-store/src/job.rs
+++ b/crates/job-store/src/job.rs
@@ -21,6 +21,19 @@
     pub tokens: u64,
 }
 
+/// Memory of an item without its texts and its body, in bytes.
+const ITEM_OVERHEAD_BYTES: usize = 256;
+
+impl ItemSpec {
+    /// Memory of the item, in bytes.
+    pub(crate) fn memory_bytes(&self) -> u64 {
+        let headers = self.headers.iter();
+        let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        let texts = self.id.len() + self.path.len() + header_bytes;
+        (ITEM_OVERHEAD_BYTES + texts + self.body.len()) as u64
+    }
+}
+
 /// A submitted job.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -99,15 +112,26 @@
     pub(crate) results: Vec<Listed>,
     /// Tokens of unlisted items.
     pub(crate) waiting_tokens: u64,
+    /// Memory of the items, in bytes.
+    pub(crate) item_bytes: u64,
     /// Whether a caller ended the job.
     pub(crate) ended: bool,
 }
 
+impl JobSpec {
+    /// Memory of the job's items, in bytes.
+    pub(crate) fn memory_bytes(&self) -> u64 {
+        self.items.iter().map(ItemSpec::memory_bytes).sum()
+    }
+}
+
 impl Job {
     pub(crate) fn new(mut spec: JobSpec, tenant: Option<String>, number: u64) -> Self {
+        let item_bytes = spec.memory_bytes();
         let items = std::mem::take(&mut spec.items).into_iter();
         Job {
             waiting_tokens: items.as_slice().iter().map(|item| item.tokens).sum(),
+            item_bytes,
             items: items
                 .map(|spec| Item {
                     spec,
@@ -124,6 +148,15 @@
         }
     }
 
+    /// Ends the job: no item runs any longer.
+    pub(crate) fn end(&mut self) {
+        self.ended = true;
+        for item in &mut self.items {
+            self.item_bytes -= item.spec.body.len() as u64;
+            item.spec.body = Vec::new();
+        }
+    }
+
     /// Whether a caller may see the job: its own tenant, or any caller if the job has no tenant.
     #[must_use]
     pub fn is_visible_to(&self, caller: Option<&str>) -> bool {
@@ -160,8 +193,10 @@
         let stored = &mut self.items[item as usize];
         stored.listed = true;
         self.waiting_tokens -= stored.spec.tokens;
+        let before = stored.spec.memory_bytes();
         stored.spec.body = Vec::new();
         stored.spec.headers = Vec::new();
+        self.item_bytes -= before - stored.spec.memory_bytes();
         self.results.push(Listed {
             item,
             state,
--- a/crates/job-store/src/snapshot.rs
+++ b/crates/job-store/src/snapshot.rs
@@ -386,6 +386,7 @@
     let unlisted = job.items.iter().filter(|item| !item.listed);
     Job {
         waiting_tokens: unlisted.map(|item| item.spec.tokens).sum(),
+        item_bytes: job.items.iter().map(|item| item.spec.memory_bytes()).sum(),
         spec: job.spec,
         tenant: None,
         age_ms: job.age_ms,
--- a/crates/job-store/src/store.rs
+++ b/crates/job-store/src/store.rs
@@ -80,10 +80,16 @@
     pub fn waiting_tokens(&self, bound: &QueueBound) -> u64 {
         let jobs = self
             .open_jobs()
-            .filter(|job| bound.concerns(&job.spec, job.tenant.as_deref()));
+            .filter(|job| bound.concerns(&job.spec.host, &job.spec.path, job.tenant.as_deref()));
         jobs.map(|job| job.waiting_tokens).sum()
     }
 
+    /// Memory of the items of all jobs, in bytes.
+    #[must_use]
+    pub fn item_bytes(&self) -> u64 {
+        self.jobs.values().map(|job| job.item_bytes).sum()
+    }
+
     /// Bytes of the stored event texts of unfinished items.
     #[must_use]
     pub fn progress_bytes(&self) -> u64 {
@@ -214,10 +220,7 @@
         let Some(job) = found.filter(|job| job.is_visible_to(caller)) else {
             return StoreAnswer::UnknownJob;
         };
-        job.ended = true;
-        for item in &mut job.items {
-            item.spec.body = Vec::new();
-        }
+        job.end();
         self.progress.remove_job(id);
         self.update_open(id);
         StoreAnswer::Done
--- a/crates/job-store/tests/all/queue.rs
+++ b/crates/job-store/tests/all/queue.rs
@@ -106,3 +106,65 @@
         assert_eq!(store.open_jobs().count(), 1);
     }
 }
+
+/// Further items, the memory of a store with two waiting items in further items of its size, and
+/// whether the job is admitted: what remains free is as large as the job.
+#[rstest]
+#[case::as_much_remains_free(2, 6, true)]
+#[case::less_remains_free(3, 6, false)]
+#[case::a_smaller_job(1, 4, true)]
+#[case::the_memory_is_full(1, 2, false)]
+fn a_job_fits_into_memory_or_not(
+    #[case] items: u32,
+    #[case] memory_items: u64,
+    #[case] admitted: bool,
+) {
+    let store = store();
+    let item_bytes = store.item_bytes() / 2;
+    let mut gate = QueueGate::new(memory_items * item_bytes);
+    assert_eq!(
+        gate.admits(&store, &job("further", items), None, 0),
+        admitted
+    );
+    assert!(
+        gate.admits(&store, &job("waiting", 2), None, 0),
+        "accepted before"
+    );
+}
+
+#[test]
+fn a_job_that_is_alone_may_take_all_memory() {
+    let empty = JobStore::default();
+    let bytes = store().item_bytes();
+    let waiting = job("waiting", 2);
+    assert!(QueueGate::new(bytes).admits(&empty, &waiting, None, 0));
+    assert!(!QueueGate::new(bytes - 1).admits(&empty, &waiting, None, 0));
+}
+
+#[test]
+fn jobs_count_for_memory_before_they_are_committed() {
+    let empty = JobStore::default();
+    let mut gate = QueueGate::new(3 * store().item_bytes());
+    assert!(gate.admits(&empty, &job("first", 2), None, 0));
+    assert!(gate.admits(&empty, &job("second", 2), None, 0));
+    assert!(!gate.admits(&empty, &job("third", 2), None, 0));
+}
+
+/// Memory of a store's items is the same after a restart, whatever happened to them.
+#[rstest]
+#[case::waiting(|_: &mut JobStore| {})]
+#[case::listed(|store: &mut JobStore| {
+    report(store, item("waiting", 0), ItemOutcome::Succeeded("text".to_owned()));
+})]
+#[case::ended(|store: &mut JobStore| {
+    apply(store, &StoreCommand::End { job: "waiting".to_owned() });
+})]
+fn memory_of_items_is_the_same_after_a_restart(#[case] change: fn(&mut JobStore)) {
+    let mut store = store();
+    change(&mut store);
+    let mut snapshots = snapshots();
+    let mut snapshot = store.begin_snapshot().expect("a snapshot");
+    let content = store_snapshot(&mut snapshots, 1, &mut snapshot);
+    let restored = JobStore::from_snapshot(content).expect("it is read");
+    assert_eq!(restored.item_bytes(), store.item_bytes());
+}
--- a/crates/relay/tests/all/support/fleet.rs
+++ b/crates/relay/tests/all/support/fleet.rs
@@ -252,6 +252,7 @@
             data_dir: self.folder.path().join("store").display().to_string(),
             voters: 1,
             retention: 2 * LIMIT,
+            max_item_bytes: 32 * 1024 * 1024,
         };
         tokio::spawn(StoreNode::run(settings, std::future::pending()));
         let answers = async {
