--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -10,8 +10,8 @@
 /// Memory of a relayed request by the byte of its body: it is sent as it was received.
 const RELAYED_MEMORY_FACTOR: u64 = 1;
 /// Memory of a document by the byte: the document, its decoded content, and a message with the
-/// content in two layers of encoding.
-const DOCUMENT_MEMORY_FACTOR: u64 = 4;
+/// content.
+const DOCUMENT_MEMORY_FACTOR: u64 = 3;
 
 /// What is made of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
