Ingress: clients whose request is refused unread see the answer

Callers saw: a client that sends its whole body first gets a reset in place of 404, 405, 413 or another early refusal, and comes again, since a reset is retried.

Cause: the handler drops the body that it does not need; the connection is closed while bytes are on their way, which resets it.

--- a/crates/ingress/src/body.rs
+++ b/crates/ingress/src/body.rs
@@ -7,7 +7,6 @@
 use linnethitch_errors::ErrorKind;
 
 use crate::{
-    discard::discard,
     ingress::{ClientConnection, UnfinishedBodyGuard},
     policy::BodyRefusal,
 };
@@ -30,8 +29,7 @@
 }
 
 /// Reads a complete body. The memory that it takes is counted until the last reference to the
-/// bytes is dropped. The rest of a refused body is read in the background for a while, so that
-/// its client sees the response.
+/// bytes is dropped.
 ///
 /// # Errors
 /// `BodyTooLarge`; `Overloaded` if there is no memory for it; `TruncatedUpload` if it breaks
@@ -42,26 +40,11 @@
     limits: BodyLimits,
 ) -> Result<Bytes, ErrorKind>
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Unpin,
 {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let outcome = read_all(connection, &mut body, limits).await;
-    if matches!(outcome, Err(kind) if kind != ErrorKind::TruncatedUpload) {
-        tokio::spawn(discard(body));
-    }
-    outcome
-}
-
-async fn read_all<B>(
-    connection: &ClientConnection,
-    body: &mut B,
-    limits: BodyLimits,
-) -> Result<Bytes, ErrorKind>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
     let announced = body.size_hint();
     if announced.lower() > limits.bytes as u64 {
         return Err(ErrorKind::BodyTooLarge);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -11,7 +11,7 @@
 mod policy;
 
 pub use body::{BodyLimits, read_body};
-pub use discard::discard;
+pub use discard::ClientBody;
 pub use ingress::{ClientConnection, Ingress, IngressListener};
 pub use policy::{
     Accepted, BodyRefusal, ConnectionId, ConnectionTimeouts, IngressCounts, IngressPolicy,
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use linnethitch_clock::Instant;
 use linnethitch_errors::ErrorKind;
-use linnethitch_ingress::{BodyLimits, ClientConnection, read_body};
+use linnethitch_ingress::{BodyLimits, ClientBody, ClientConnection, read_body};
 
 /// Memory of a relayed request by the byte of its body: it is sent as it was received.
 const RELAYED_MEMORY_FACTOR: u64 = 1;
@@ -23,7 +23,9 @@
 }
 
 impl BodyUse {
-    fn memory_factor(self) -> u64 {
+    /// Memory that a request takes for each byte of its body.
+    #[must_use]
+    pub fn memory_factor(self) -> u64 {
         match self {
             BodyUse::Relayed => RELAYED_MEMORY_FACTOR,
             BodyUse::Document => DOCUMENT_MEMORY_FACTOR,
@@ -38,7 +40,7 @@
 /// off; `RequestTimeout`.
 pub async fn read_request_body(
     head: &Parts,
-    body: Incoming,
+    body: ClientBody<Incoming>,
     body_use: BodyUse,
     max_bytes: usize,
     deadline: Instant,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,8 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderValue, Response, header};
 use linnethitch_clock::Instant;
 use linnethitch_cluster::GatewayNode;
 use linnethitch_errors::ErrorKind;
@@ -25,6 +24,7 @@
     item_request::ItemFault,
     planned_stop::PlannedStop,
     response::{ResponseBody, error_response},
+    server::CallerRequest,
     shared::Shared,
     stream_records::STREAM_LIFETIME_MS,
 };
@@ -206,7 +206,7 @@
         fleet: &FleetView,
         table: &RouteTable,
         route: &Route,
-        request: Request<Incoming>,
+        request: CallerRequest,
     ) -> Response<ResponseBody> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -14,7 +14,7 @@
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
-use linnethitch_ingress::{ClientConnection, ConnectionTimeouts, IngressListener};
+use linnethitch_ingress::{ClientBody, ClientConnection, ConnectionTimeouts, IngressListener};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -55,13 +55,14 @@
     }
 }
 
+/// A caller's request.
+pub type CallerRequest = Request<ClientBody<Incoming>>;
+
 /// Handler of callers' requests.
 pub trait CallerServer: Clone + Send + Sync + 'static {
     /// Answers one request.
-    fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> impl Future<Output = Response<ResponseBody>> + Send;
+    fn answer(&self, request: CallerRequest)
+    -> impl Future<Output = Response<ResponseBody>> + Send;
 }
 
 /// Serves callers until asked to stop, then until all accepted requests have ended.
@@ -166,6 +167,7 @@
         self.client.head_received();
         request.extensions_mut().insert(self.client.clone());
         let has_chunks = request.version() >= Version::HTTP_11;
+        let request = request.map(ClientBody::new);
         let mut response = self.server.answer(request).await;
         if self.stopping.is_cancelled() {
             let close = HeaderValue::from_static("close");
--- a/crates/relay/tests/all/support/gateway.rs
+++ b/crates/relay/tests/all/support/gateway.rs
@@ -5,13 +5,12 @@
     sync::Arc,
 };
 
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderName, HeaderValue, Response};
 use linnethitch_cluster::{GatewayNode, NodeSettings};
 use linnethitch_ingress::Ingress;
 use linnethitch_relay::{
-    CallerServer, Dialect, HeaderNames, KeyPolicy, Prompt, Relay, RelaySettings, ResponseBody,
-    ServerLimits, error_response, serve_callers,
+    CallerRequest, CallerServer, Dialect, HeaderNames, KeyPolicy, Prompt, Relay, RelaySettings,
+    ResponseBody, ServerLimits, error_response, serve_callers,
 };
 use linnethitch_routing::dispatch::{PromptPart, ReportedLoad};
 use tokio::{
@@ -75,7 +74,7 @@
 struct Front(Relay);
 
 impl CallerServer for Front {
-    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn answer(&self, request: CallerRequest) -> Response<ResponseBody> {
         let fleet = self
             .0
             .wait_for_fleet(LIMIT)
