Ingress: no request begins on a connection that is closed for another one

Read, not seen: between the decision to close a connection and its close, a head may arrive on it; the request began, was sent to a replica and cut off. `head_received` answers whether the request may run, under the lock under which connections are chosen; one that may not gets 503. The signal that refuses a body is checked against the policy, since it may be that of an earlier body on the connection.

--- a/crates/http-server/src/listener.rs
+++ b/crates/http-server/src/listener.rs
@@ -176,7 +176,7 @@
     client: ClientConnection,
     must_reset: MustReset,
 ) -> Result<Response<Body>, Infallible> {
-    client.head_received();
+    let may_run = client.head_received();
     // A value from the peer is not trusted, because ids identify requests at engines and in
     // journals.
     let id_value = new_request_id();
@@ -186,14 +186,22 @@
     let version = request.version();
     let mut state = State::from_request(request.map(ClientBody::new), peer);
     state.put(StateConnection(client.clone()));
-    let mut response = match call_handler(router, AssertUnwindSafe(state)).await {
-        Ok(response) => explain_router_refusal(response),
-        Err(error) => failure_response(&Failure::new(ErrorKind::Internal, error.to_string())),
+    let mut response = if may_run {
+        route(router, state).await
+    } else {
+        failure_response(&Failure::from(ErrorKind::Overloaded))
     };
     response.headers_mut().insert(REQUEST_ID_HEADER, id_value);
     Ok(response.map(|body| must_reset.watch(version, client, body)))
 }
 
+async fn route(router: Router, state: State) -> Response<Body> {
+    match call_handler(router, AssertUnwindSafe(state)).await {
+        Ok(response) => explain_router_refusal(response),
+        Err(error) => failure_response(&Failure::new(ErrorKind::Internal, error.to_string())),
+    }
+}
+
 /// Adds a body from the error table to the empty refusals of the router.
 fn explain_router_refusal(response: Response<Body>) -> Response<Body> {
     if response.body().size_hint().exact() != Some(0) {
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -130,6 +130,7 @@
     }
 
     fn close(&mut self, id: ConnectionId) {
+        self.policy.remove(id);
         if let Some(signals) = self.signals.remove(&id) {
             signals.close.cancel();
         }
@@ -197,13 +198,10 @@
 }
 
 impl ClientConnection {
-    fn update(&self, change: impl FnOnce(&mut IngressPolicy, ConnectionId, u64)) {
+    fn update<T>(&self, change: impl FnOnce(&mut IngressPolicy, ConnectionId, u64) -> T) -> T {
         let now_ms = self.guard.shared.now_ms();
-        change(
-            &mut self.guard.shared.state.lock().policy,
-            self.guard.id,
-            now_ms,
-        );
+        let mut state = self.guard.shared.state.lock();
+        change(&mut state.policy, self.guard.id, now_ms)
     }
 
     /// Completes when the connection has to be closed.
@@ -216,9 +214,11 @@
         self.update(IngressPolicy::bytes_received);
     }
 
-    /// A request head is complete.
-    pub fn head_received(&self) {
-        self.update(IngressPolicy::head_received);
+    /// A request head is complete: the connection is not closed before the request is answered.
+    /// False if the connection has to be closed already; the request must not run then.
+    #[must_use]
+    pub fn head_received(&self) -> bool {
+        self.update(IngressPolicy::head_received)
     }
 
     /// The response to a request was sent completely, or broke.
@@ -264,9 +264,12 @@
 
     /// Completes when the body is refused to make room for others.
     pub(crate) async fn refused(&self) {
-        match &self.connection {
-            Some(connection) => connection.signals.refuse_body.notified().await,
-            None => std::future::pending().await,
+        let Some(connection) = &self.connection else {
+            return std::future::pending().await;
+        };
+        // The signal may be that of an earlier body on the connection.
+        while !connection.update(|policy, id, _| policy.is_body_refused(id)) {
+            connection.signals.refuse_body.notified().await;
         }
     }
 
--- a/crates/ingress/src/policy.rs
+++ b/crates/ingress/src/policy.rs
@@ -238,9 +238,12 @@
         }
     }
 
-    /// A request head is complete.
-    pub fn head_received(&mut self, id: ConnectionId, now_ms: u64) {
+    /// A request head is complete: the connection is not closed before the request is answered.
+    /// False if the connection has to be closed already; the request must not run then.
+    #[must_use]
+    pub fn head_received(&mut self, id: ConnectionId, now_ms: u64) -> bool {
         self.set_phase(id, Phase::Request, now_ms);
+        self.connections.contains_key(&id)
     }
 
     /// The response to the request was sent completely, or broke.
@@ -360,6 +363,12 @@
             .collect()
     }
 
+    /// Whether the body on a connection was refused.
+    #[must_use]
+    pub fn is_body_refused(&self, id: ConnectionId) -> bool {
+        self.unfinished_body(id).is_none()
+    }
+
     /// A body makes progress without holding more.
     pub fn body_progressed(&mut self, id: ConnectionId, now_ms: u64) {
         if let Some(Connection {
--- a/crates/ingress/tests/all/connections.rs
+++ b/crates/ingress/tests/all/connections.rs
@@ -20,14 +20,14 @@
 fn begin(policy: &mut IngressPolicy, id: ConnectionId, does: Does, now_ms: u64) {
     let answer = |policy: &mut IngressPolicy| {
         policy.bytes_received(id, now_ms);
-        policy.head_received(id, now_ms);
+        assert!(policy.head_received(id, now_ms));
         policy.response_sent(id, now_ms);
     };
     match does {
         Does::NothingYet => {}
         Does::SendsAHead => policy.bytes_received(id, now_ms),
         Does::SendsABody => policy.body_begun(id, now_ms),
-        Does::Runs => policy.head_received(id, now_ms),
+        Does::Runs => assert!(policy.head_received(id, now_ms)),
         Does::RestsAfterAnAnswer => answer(policy),
         Does::SendsAHeadAfterAnAnswer => {
             answer(policy);
@@ -95,3 +95,13 @@
     let expired = process.policy.expired(process.listener, timeouts, now_ms);
     assert_eq!(expired.contains(&id), expires);
 }
+
+/// A head that arrives on a connection which has to be closed begins no request.
+#[test]
+fn no_request_begins_on_a_connection_that_is_closed() {
+    let mut process = Process::new(1);
+    let first = process.connect(0);
+    let second = process.connect(1);
+    assert!(!process.policy.head_received(first, 2));
+    assert!(process.policy.head_received(second, 2));
+}
--- a/crates/ingress/tests/all/crowds.rs
+++ b/crates/ingress/tests/all/crowds.rs
@@ -92,7 +92,7 @@
                 let Some((id, Client::Connected)) = self.chosen(number).copied() else {
                     return;
                 };
-                self.policy().head_received(id, now_ms);
+                assert!(self.policy().head_received(id, now_ms));
                 self.policy().body_begun(id, now_ms);
                 self.set(id, Client::SendsBody(0));
             }
--- a/crates/ingress/tests/all/support.rs
+++ b/crates/ingress/tests/all/support.rs
@@ -32,7 +32,7 @@
         now_ms: u64,
     ) -> (ConnectionId, Result<Vec<ConnectionId>, BodyRefusal>) {
         let id = self.connect(now_ms);
-        self.policy.head_received(id, now_ms);
+        assert!(self.policy.head_received(id, now_ms));
         self.policy.body_begun(id, now_ms);
         (id, self.policy.grow_body(id, bytes, now_ms))
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -14,6 +14,7 @@
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
+use linnethitch_errors::ErrorKind;
 use linnethitch_ingress::{ClientBody, ClientConnection, ConnectionTimeouts, IngressListener};
 use socket2::SockRef;
 use tokio::{
@@ -22,7 +23,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::response::ResponseBody;
+use crate::response::{ResponseBody, error_response};
 
 /// Smallest read buffer that hyper takes, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -164,11 +165,15 @@
         &self,
         mut request: Request<Incoming>,
     ) -> Result<Response<TrackedBody>, std::convert::Infallible> {
-        self.client.head_received();
+        let may_run = self.client.head_received();
         request.extensions_mut().insert(self.client.clone());
         let has_chunks = request.version() >= Version::HTTP_11;
         let request = request.map(ClientBody::new);
-        let mut response = self.server.answer(request).await;
+        let mut response = if may_run {
+            self.server.answer(request).await
+        } else {
+            error_response(ErrorKind::Overloaded, Some(Duration::ZERO))
+        };
         if self.stopping.is_cancelled() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
