--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -49,17 +49,23 @@
     pub id: &'a str,
     pub deadline_ms: u64,
     pub extra: &'a [(&'a str, &'a str)],
+    /// Tokens of the answer at most.
+    pub most_out: u32,
 }
 
+/// What a usual request asks for.
+pub const USUAL_OUT: u32 = 80;
+
 /// A streaming request with a prompt of one shared part and one of its own.
 pub fn stream(front: SocketAddr, request: &Request<'_>) -> Option<Answer> {
     let deadline = request.deadline_ms.to_string();
+    let usage = format!("715,{}", request.most_out);
     let parts = format!("5c1e07a2:172,{}:543", &request.id[..8]);
     let mut head = vec![
         ("Host", HOST),
         ("X-Request-Id", request.id),
         ("X-Model", "m"),
-        ("X-Token-Usage", "715,80"),
+        ("X-Token-Usage", &usage),
         ("X-Prefix-Hash", &parts),
         ("X-Deadline-Ms", &deadline),
     ];
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -56,10 +56,6 @@
             .status();
     }
 
-    pub fn ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -272,23 +268,19 @@
         self.cut.store(cut, Ordering::SeqCst);
     }
 
+    /// Sends a signal to a machine's process.
+    pub fn signal(&self, name: &str, signal: &str) {
+        if let Some(process) = self.processes.get(name) {
+            process.signal(signal);
+        }
+    }
+
     /// Ends a machine's process and takes its disk away.
     pub fn remove(&mut self, name: &str) {
         self.processes.remove(name);
         let _ = fs::remove_dir_all(self.folder.join(format!("data-{name}")));
     }
 
-    pub fn resident_mb(&self, name: &str) -> u64 {
-        let Some(process) = self.processes.get(name) else {
-            return 0;
-        };
-        let status = fs::read_to_string(format!("/proc/{}/status", process.pid()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
-        kb.unwrap_or(0) / 1024
-    }
-
     pub fn stop_all(&mut self) {
         self.processes.clear();
     }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -47,6 +47,7 @@
         "regions" => trials::regions(record, trouble),
         "weights" => trials::weights(record, trouble),
         "returned-store" => trials::returned_store(record, trouble),
+        "long-answer" => trials::long_answer(record, trouble),
         "too-large" => trials::too_large(record, trouble),
         _ => Err(format!("no trial {name}")),
     }
--- a/review/stand-ins-2/src/replica.rs
+++ b/review/stand-ins-2/src/replica.rs
@@ -232,7 +232,7 @@
     );
     stream.write_all(text.as_bytes()).ok()?;
     let last = header(head, "last-event-id").and_then(|last| last.parse::<u32>().ok());
-    for event in last.unwrap_or(0) + 1..=state.events {
+    for event in last.unwrap_or(0) + 1..=events_of(head, state.events) {
         thread::sleep(Duration::from_millis(state.event_ms.load(Ordering::SeqCst)));
         let event = format!("id: {event}\ndata: {}\n\n", event_data(request, event));
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -241,6 +241,14 @@
     stream.write_all(b"0\r\n\r\n").ok()
 }
 
+/// The events of a request: a request may ask for more than is usual.
+fn events_of(head: &[(String, String)], usual: u32) -> u32 {
+    let most_out = header(head, "x-token-usage").and_then(|usage| usage.split(',').nth(1));
+    let most_out = most_out.and_then(|tokens| tokens.trim().parse::<u32>().ok());
+    // An event holds up to forty tokens.
+    most_out.map_or(usual, |tokens| (tokens / 40).max(usual))
+}
+
 pub fn event_data(request: &str, event: u32) -> String {
     format!("{request}-{event:04}")
 }
--- a/review/stand-ins-2/src/trials.rs
+++ b/review/stand-ins-2/src/trials.rs
@@ -84,6 +84,7 @@
             id: &id,
             deadline_ms: 4000,
             extra,
+            most_out: client::USUAL_OUT,
         };
         let answer = client::stream(front, &request);
         if is_served(answer.as_ref(), &id, EVENTS) {
@@ -112,6 +113,7 @@
             id: &id,
             deadline_ms: 4000,
             extra: &[],
+            most_out: client::USUAL_OUT,
         };
         let served = fronts
             .iter()
@@ -645,3 +647,124 @@
     let is_excused = finished_3 > 0 && finished_5 * 10 >= waiting;
     !unlisted.is_empty() && held == 0 && !is_excused
 }
+
+/// A front is asked to stop while its clients still have its address; one of them asks for an
+/// answer that is longer than the last ones were.
+pub fn long_answer(record: &Record, trouble: bool) -> Result<bool, String> {
+    let region = "new-england";
+    let deployment = Deployment {
+        machines: vec![
+            machine("control-1", Role::Control, 1, "worcester", region),
+            machine("control-2", Role::Control, 2, "hartford", region),
+            machine("control-3", Role::Control, 3, "portland", region),
+            machine("store-1", Role::Store, 11, "worcester", region),
+            machine("store-2", Role::Store, 12, "hartford", region),
+            machine("store-3", Role::Store, 13, "portland", region),
+            machine("front-1", Role::Front, 21, "worcester", region),
+            machine("front-2", Role::Front, 22, "hartford", region),
+        ],
+        zones: vec![
+            ("worcester", region),
+            ("hartford", region),
+            ("portland", region),
+        ],
+        memory_mb: [260, 290, 256],
+        tolerate: 1,
+        split: None,
+    };
+    let folder = Folder::temporary();
+    let mut fleet = Fleet::new(deployment, &folder.0)?;
+    fleet.start_all();
+    let fronts = [fleet.front("front-1"), fleet.front("front-2")];
+    let controls = [
+        fleet.control("control-1"),
+        fleet.control("control-2"),
+        fleet.control("control-3"),
+    ];
+    let config = CONFIG
+        .replace(r#""timeout_ms":6000"#, r#""timeout_ms":8000"#)
+        .replace(r#""max_attempts":2"#, r#""max_attempts":1"#)
+        .replace(r#""resumable":true"#, r#""resumable":false"#);
+    if !put_config(record, &controls, &config, Duration::from_secs(20)) {
+        return Err("no configuration was taken".to_owned());
+    }
+    let replicas: Vec<Replica> = (0..3_u8)
+        .map(|number| {
+            let ip = IpAddr::V4(fleet.ip(41 + number));
+            let id = format!("i-7f3a91c{number}");
+            let replica = Replica::start(&id, ip, EVENTS, EVENT_MS, record.clone());
+            let mut nodes = controls.to_vec();
+            nodes.rotate_left(usize::from(number));
+            replica.beat("models", "worcester", nodes);
+            replica
+        })
+        .collect();
+    wait_until_served(record, &fronts)?;
+    let before = requests(record, &fronts, 1, 100, Duration::from_millis(50), &[]);
+    if before < 100 {
+        return Err("not all was served before the stop".to_owned());
+    }
+    let stop = Instant::now();
+    if trouble {
+        fleet.signal("front-1", "TERM");
+        record.line("front-1 gets SIGTERM");
+    }
+    // Clients hold on to the answer of the directory and go on as before.
+    let mut hands = Vec::new();
+    for at in 0..32_u64 {
+        let (front, record) = (fronts[0], record.clone());
+        let at_ms = 100 * (at + 1);
+        // One of them, 3.2 s after the signal, asks for a long answer.
+        let most_out = if at == 31 {
+            LONG_OUT
+        } else {
+            client::USUAL_OUT
+        };
+        hands.push(thread::spawn(move || {
+            thread::sleep(Duration::from_millis(at_ms).saturating_sub(stop.elapsed()));
+            let id = hex(3_000 + at);
+            let request = Request {
+                path: "/quotes/2f",
+                id: &id,
+                deadline_ms: 8000,
+                extra: &[],
+                most_out,
+            };
+            let sent = stop.elapsed();
+            let answer = client::stream(front, &request);
+            let events = (most_out / 40).max(EVENTS);
+            let served = is_served(answer.as_ref(), &id, events);
+            let got = answer.as_ref().map_or(0, |a| client::data_of(&a.text()).lines().count());
+            record.line(&format!(
+                "client: {id}, {most_out} tokens out, sent {sent:.3?} after the signal: status {}, {got} of {events} events, whole: {served}, after {:.3?}",
+                client::status(answer.as_ref()),
+                stop.elapsed() - sent
+            ));
+            (most_out == LONG_OUT).then(|| (client::status(answer.as_ref()), served))
+        }));
+    }
+    let mut cut = false;
+    for hand in hands {
+        if let Ok(Some((status, served))) = hand.join() {
+            cut = status == 200 && !served;
+        }
+    }
+    let id = hex(3_031);
+    for replica in &replicas {
+        for run in replica.state.runs.lock().unwrap().iter() {
+            if run.request == id {
+                record.line(&format!(
+                    "replica {}: began {id} {:.3?} after the signal, to its last event: {}",
+                    replica.id,
+                    run.began.saturating_duration_since(stop),
+                    run.done.is_some()
+                ));
+            }
+        }
+    }
+    fleet.stop_all();
+    Ok(cut)
+}
+
+/// At 40 tokens an event and 15 ms between events, an answer of 4.5 s.
+const LONG_OUT: u32 = 12_000;
