--- a/review/stand-ins-2/src/trials.rs
+++ b/review/stand-ins-2/src/trials.rs
@@ -485,9 +485,9 @@
     false
 }
 
-const LARGE_ITEMS: u64 = 120;
+const LARGE_ITEMS: u64 = 180;
 
-/// One of twenty jobs is of items that are larger than the memory of any replica.
+/// One of 38 jobs is of items that are larger than the memory of any replica.
 pub fn too_large(record: &Record, trouble: bool) -> Result<bool, String> {
     let region = "new-england";
     let deployment = Deployment {
@@ -534,20 +534,20 @@
         })
         .collect();
     wait_until_served(record, &fronts)?;
-    // Twenty-four sound jobs of 100 items.
-    let sound: Vec<u64> = (0..24).map(|job| 100_000 + 1_000 * job).collect();
+    // Thirty-six sound jobs of 95 items.
+    let sound: Vec<u64> = (0..36).map(|job| 100_000 + 1_000 * job).collect();
     for (at, job) in sound.iter().enumerate() {
-        let ids: Vec<String> = (0..100).map(|item| hex(job + 1 + item)).collect();
+        let ids: Vec<String> = (0..95).map(|item| hex(job + 1 + item)).collect();
         let fronts = [fronts[at % 2], fronts[(at + 1) % 2]];
         if !submit(record, &fronts, &hex(*job), &job_document(&ids)) {
             return Err("a sound job was not accepted".to_owned());
         }
     }
-    let until = Instant::now() + Duration::from_secs(55);
+    let until = Instant::now() + Duration::from_secs(75);
     let done = |job: &u64| {
         let path = hex(*job);
         let answer = listing(fronts[0], &path);
-        answer.is_some_and(|answer| counts(&answer.text()).0 == 100)
+        answer.is_some_and(|answer| counts(&answer.text()).0 == 95)
     };
     let mut open = sound.clone();
     while !open.is_empty() {
@@ -557,7 +557,7 @@
         open.retain(|job| !done(job));
         thread::sleep(Duration::from_millis(500));
     }
-    record.line("twenty-four sound jobs of 100 items each are done");
+    record.line("thirty-six sound jobs of 95 items each are done");
     let ids: Vec<String> = (0..LARGE_ITEMS).map(|item| hex(30_001 + item)).collect();
     let document = job_document(&ids);
     let document = if trouble {
@@ -598,7 +598,7 @@
     let waiting = unlisted.len() + LARGE_ITEMS as usize - other.0 - other.1;
     let verdict = lost(record, &replicas, &unlisted, waiting, now);
     // Not judged: what becomes of the job in the end.
-    let until = Instant::now() + Duration::from_secs(48);
+    let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until && !unlisted.is_empty() {
         thread::sleep(Duration::from_secs(1));
         let Some(answer) = listing(fronts[0], &job) else {
